--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+INSTALLED := $(VENV)/.installed
+
+.PHONY: test demo lint format
+
+test: lint
+	$(BIN)/python -m pytest -q
+
+lint: $(INSTALLED)
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+
+format: $(INSTALLED)
+	$(BIN)/black --quiet .
+	$(BIN)/ruff check --fix --quiet .
+
+demo: $(INSTALLED)
+	$(BIN)/python tools/demo.py
+
+$(INSTALLED): requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(INSTALLED)
--- /dev/null
+++ b/ebonyshore/clock.py
@@ -0,0 +1,97 @@
+"""The clock of a process. No other module of the package calls the time functions."""
+
+import time
+from abc import ABC, abstractmethod
+from threading import Condition
+
+MS_PER_S = 1000
+
+
+class Clock(ABC):
+    """Time as the rest of the package sees it."""
+
+    @abstractmethod
+    def monotonic_ms(self) -> float:
+        """Return milliseconds since an arbitrary start; never goes back within a process."""
+
+    @abstractmethod
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch; for records that people read only."""
+
+    @abstractmethod
+    def sleep_ms(self, duration_ms: float) -> None:
+        """Block the calling thread for ``duration_ms``."""
+
+    @abstractmethod
+    def wait(self, condition: Condition, timeout_ms: float | None) -> bool:
+        """Wait on a held condition.
+
+        :return: ``False`` if the timeout passed first.
+        """
+
+
+class SystemClock(Clock):
+    """The operating system's clock."""
+
+    __slots__ = ()
+
+    def monotonic_ms(self) -> float:
+        return time.monotonic() * MS_PER_S
+
+    def wall_ms(self) -> int:
+        return int(time.time() * MS_PER_S)
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        time.sleep(max(0.0, duration_ms) / MS_PER_S)
+
+    def wait(self, condition: Condition, timeout_ms: float | None) -> bool:
+        return condition.wait(None if timeout_ms is None else max(0.0, timeout_ms) / MS_PER_S)
+
+
+class ManualClock(Clock):
+    """A paused clock that moves only when :meth:`advance_ms` is called. For tests.
+
+    :param start_ms: first value of both the monotonic and the wall time.
+    """
+
+    __slots__ = ("_advanced", "_now_ms", "_waiters")
+
+    def __init__(self, start_ms: float = 0.0) -> None:
+        self._now_ms = start_ms
+        self._advanced = Condition()
+        self._waiters: list[Condition] = []
+
+    def monotonic_ms(self) -> float:
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        return int(self._now_ms)
+
+    def advance_ms(self, duration_ms: float) -> None:
+        """Move the clock on and wake every thread that waits on it."""
+        with self._advanced:
+            self._now_ms += duration_ms
+            waiters = list(self._waiters)
+            self._advanced.notify_all()
+        for condition in waiters:
+            with condition:
+                condition.notify_all()
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        wake_ms = self._now_ms + duration_ms
+        with self._advanced:
+            while self._now_ms < wake_ms:
+                self._advanced.wait()
+
+    def wait(self, condition: Condition, timeout_ms: float | None) -> bool:
+        wake_ms = None if timeout_ms is None else self._now_ms + timeout_ms
+        if wake_ms is not None and wake_ms <= self._now_ms:
+            return False
+        with self._advanced:
+            self._waiters.append(condition)
+        try:
+            condition.wait()
+        finally:
+            with self._advanced:
+                self._waiters.remove(condition)
+        return wake_ms is None or self._now_ms < wake_ms
--- /dev/null
+++ b/ebonyshore/kernel.py
@@ -0,0 +1,102 @@
+"""The micro-kernel: services register, find each other by name, start and stop in order."""
+
+from abc import ABC, abstractmethod
+from typing import TypeVar
+
+from ebonyshore.clock import Clock
+from ebonyshore.errors import EbonyshoreError
+
+ServiceT = TypeVar("ServiceT", bound="Service")
+
+
+class Service(ABC):
+    """A part of a process with a name and a life cycle.
+
+    ``name`` is unique in a kernel. Methods are called by the kernel's owner, one at a time.
+    """
+
+    name: str
+
+    @abstractmethod
+    def start(self) -> None:
+        """Begin work. Services registered before this one are running."""
+
+    def begin_drain(self) -> None:  # noqa: B027 - most services have nothing to drain
+        """Accept no new work; must return at once."""
+
+    def is_drained(self) -> bool:
+        """Return whether all accepted work has ended."""
+        return True
+
+    @abstractmethod
+    def stop(self) -> None:
+        """End at once and release resources."""
+
+    def dump(self) -> dict[str, object]:
+        """Return the service's state for the state dump; values must be JSON types."""
+        return {}
+
+
+class Kernel:
+    """Holds the services of one process.
+
+    :param clock: used to wait for the drain.
+    """
+
+    __slots__ = ("_clock", "_services", "_started")
+
+    DRAIN_POLL_MS = 20
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._services: dict[str, Service] = {}
+        self._started: list[Service] = []
+
+    def register(self, service: Service) -> None:
+        """Add a service; the order of registration is the order of start."""
+        if service.name in self._services:
+            raise EbonyshoreError(f"service {service.name!r} is registered twice")
+        self._services[service.name] = service
+
+    def find(self, name: str, kind: type[ServiceT]) -> ServiceT:
+        """Return the service called ``name``.
+
+        :raises EbonyshoreError: if there is none or it is not a ``kind``.
+        """
+        service = self._services.get(name)
+        if not isinstance(service, kind):
+            raise EbonyshoreError(f"no service {name!r} of type {kind.__name__}")
+        return service
+
+    def start(self) -> None:
+        """Start all services in order; on a failure stop those already started."""
+        for service in self._services.values():
+            try:
+                service.start()
+            except BaseException:
+                self.stop()
+                raise
+            self._started.append(service)
+
+    def drain(self, bound_ms: float) -> bool:
+        """Stop accepting work and wait until none is left.
+
+        :return: ``False`` if work was still left after ``bound_ms``.
+        """
+        for service in reversed(self._started):
+            service.begin_drain()
+        end_ms = self._clock.monotonic_ms() + bound_ms
+        while not all(service.is_drained() for service in self._started):
+            if self._clock.monotonic_ms() >= end_ms:
+                return False
+            self._clock.sleep_ms(self.DRAIN_POLL_MS)
+        return True
+
+    def stop(self) -> None:
+        """Stop the started services in reverse order."""
+        while self._started:
+            self._started.pop().stop()
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of every service, by name."""
+        return {name: service.dump() for name, service in self._services.items()}
--- /dev/null
+++ b/ebonyshore/process_settings.py
@@ -0,0 +1,236 @@
+"""Settings of one process, read from a TOML file.
+
+Every fault is reported at once, each with the file, the key path, what was found and what is
+allowed. Settings that operators change while the system runs are in the settings tree instead.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal, get_type_hints
+
+from msgspec import NODEFAULT, Meta, Struct, ValidationError, convert
+from msgspec.structs import fields as struct_fields
+
+from ebonyshore.errors import SettingsError
+
+Port = Annotated[int, Meta(ge=1, le=65535)]
+DurationMs = Annotated[int, Meta(ge=1, le=86_400_000)]
+PositiveInt = Annotated[int, Meta(ge=1)]
+Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+HttpUrl = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
+IpAddress = Annotated[str, Meta(pattern=r"^[0-9.]+$")]
+AgentAddress = Annotated[str, Meta(pattern=r"^tcp://[0-9.]+:[0-9]+$")]
+CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
+
+
+class InstanceSettings(Struct, forbid_unknown_fields=True):
+    """Who and where this process is.
+
+    :param instance_id: unique name of the instance.
+    :param region: region of the instance.
+    :param failure_domain: failure domain of the instance.
+    """
+
+    instance_id: Name
+    region: Name = "default"
+    failure_domain: Name = "default"
+
+
+class HttpSettings(Struct, forbid_unknown_fields=True):
+    """Where callers reach an entry.
+
+    :param listen_address: IP address to listen on.
+    :param port: TCP port.
+    :param worker_threads: requests served at the same time.
+    :param max_request_bytes: largest request body accepted.
+    """
+
+    listen_address: IpAddress = "127.0.0.1"
+    port: Port = 8080
+    worker_threads: Annotated[int, Meta(ge=1, le=1024)] = 128
+    max_request_bytes: PositiveInt = 256 * 1024 * 1024
+
+
+class AdminSettings(Struct, forbid_unknown_fields=True):
+    """Where operators reach the process.
+
+    :param listen_address: IP address to listen on.
+    :param port: TCP port.
+    :param operator_token: bearer token that every admin path except ``/healthz`` asks for.
+    """
+
+    operator_token: Annotated[str, Meta(min_length=16)]
+    port: Port
+    listen_address: IpAddress = "127.0.0.1"
+
+
+class FleetSettings(Struct, forbid_unknown_fields=True):
+    """The key pair that all processes of the fleet share, in Z85 as CURVE uses it.
+
+    :param public_key_z85: public key, 40 characters.
+    :param secret_key_z85: secret key, 40 characters.
+    """
+
+    public_key_z85: CurveKey
+    secret_key_z85: CurveKey
+
+
+class PlatformSettings(Struct, forbid_unknown_fields=True):
+    """The platform's services.
+
+    :param url: base URL of the object API, the instance list and the weight store.
+    :param timeout_ms: time limit of one call.
+    :param watch_timeout_ms: how long a waiting watch stays open.
+    :param instance_poll_interval_ms: time between reads of the instance list.
+    """
+
+    url: HttpUrl
+    timeout_ms: DurationMs = 2_000
+    watch_timeout_ms: DurationMs = 30_000
+    instance_poll_interval_ms: DurationMs = 2_000
+
+
+class PeerSettings(Struct, forbid_unknown_fields=True):
+    """Peers to ask when the platform is down.
+
+    :param agent_addresses: ZeroMQ addresses of some agents, ``tcp://IP:PORT``.
+    """
+
+    agent_addresses: list[AgentAddress] = []
+
+
+class TargetSettings(Struct, forbid_unknown_fields=True):
+    """The agent's socket and its target.
+
+    :param port: TCP port of the agent's ZeroMQ socket.
+    :param url: base URL of the target.
+    :param listen_address: IP address of the agent's ZeroMQ socket.
+    :param kind: ``engine`` for a model engine, ``service`` for a plain service.
+    :param models: models (or the service's name) that the target serves when the agent starts.
+    :param max_running: most requests in the target at one time.
+    :param does_check_fencing: whether the target itself refuses an old fencing number.
+    """
+
+    port: Port
+    url: HttpUrl
+    models: list[Name]
+    listen_address: IpAddress = "127.0.0.1"
+    kind: Literal["engine", "service"] = "engine"
+    max_running: Annotated[int, Meta(ge=1, le=4096)] = 32
+    does_check_fencing: bool = False
+
+
+class BatchSettings(Struct, forbid_unknown_fields=True):
+    """How an entry runs batch jobs.
+
+    :param is_runner: whether this entry claims and runs shards.
+    :param shard_items: items in one shard.
+    :param lease_interval_ms: a shard lease lapses when unrenewed for this long.
+    :param checkpoint_interval_ms: time between commits of a running shard.
+    :param permit_interval_ms: longest time from confirming a job to starting an item of it.
+    :param index_buckets: number of index objects; the same in every process.
+    :param poll_interval_ms: time between looks for open jobs.
+    :param max_shards: shards that this entry runs at the same time.
+    :param window_items: items of a shard that are with agents at the same time.
+    """
+
+    is_runner: bool = True
+    shard_items: Annotated[int, Meta(ge=1, le=5000)] = 500
+    lease_interval_ms: DurationMs = 20_000
+    checkpoint_interval_ms: DurationMs = 5_000
+    permit_interval_ms: DurationMs = 10_000
+    index_buckets: Annotated[int, Meta(ge=1, le=16)] = 1
+    poll_interval_ms: DurationMs = 1_000
+    max_shards: PositiveInt = 2
+    window_items: PositiveInt = 64
+
+
+class DrainSettings(Struct, forbid_unknown_fields=True):
+    """The planned stop.
+
+    :param bound_ms: longest time to wait for running requests.
+    """
+
+    bound_ms: DurationMs = 60_000
+
+
+class LogSettings(Struct, forbid_unknown_fields=True):
+    """Where the log goes.
+
+    :param path: a file to append to; standard error if empty.
+    """
+
+    path: str = ""
+
+
+class ProcessSettings(Struct, forbid_unknown_fields=True):
+    """All settings of one process; ``http`` is for entries, ``target`` for agents."""
+
+    instance: InstanceSettings
+    admin: AdminSettings
+    fleet: FleetSettings
+    platform: PlatformSettings
+    http: HttpSettings = HttpSettings()
+    peers: PeerSettings = PeerSettings()
+    target: TargetSettings | None = None
+    batch: BatchSettings = BatchSettings()
+    drain: DrainSettings = DrainSettings()
+    log: LogSettings = LogSettings()
+
+
+def load_settings(path: Path) -> ProcessSettings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with one line per fault.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not valid TOML: {error}") from error
+    faults = find_faults(ProcessSettings, document, "")
+    if faults:
+        raise SettingsError("\n".join(f"{path}: {fault}" for fault in faults))
+    return convert(document, ProcessSettings)
+
+
+def find_faults(kind: type[Struct], table: dict[str, object], prefix: str) -> list[str]:
+    """Return every fault of ``table`` as a ``kind``; each names the key path."""
+    known = {field.name: field for field in struct_fields(kind)}
+    hints = get_type_hints(kind, include_extras=True)
+    faults = [
+        f"{prefix}{key}: unknown key; allowed: {', '.join(known)}"
+        for key in table
+        if key not in known
+    ]
+    for name, field in known.items():
+        key_path = f"{prefix}{name}"
+        if name not in table:
+            if field.required or (field.default is NODEFAULT and field.default_factory is NODEFAULT):
+                faults.append(f"{key_path}: missing")
+            continue
+        faults += _value_faults(hints[name], table[name], key_path)
+    return faults
+
+
+def _value_faults(hint: object, value: object, key_path: str) -> list[str]:
+    nested = _nested_struct(hint)
+    if nested is not None and isinstance(value, dict):
+        return find_faults(nested, value, f"{key_path}.")
+    try:
+        convert(value, hint)
+    except ValidationError as error:
+        return [f"{key_path}: found {value!r}; {_lower_first(str(error))}"]
+    return []
+
+
+def _nested_struct(hint: object) -> type[Struct] | None:
+    for candidate in (hint, *getattr(hint, "__args__", ())):
+        if isinstance(candidate, type) and issubclass(candidate, Struct):
+            return candidate
+    return None
+
+
+def _lower_first(text: str) -> str:
+    return text[:1].lower() + text[1:]
--- /dev/null
+++ b/ebonyshore/task.py
@@ -0,0 +1,188 @@
+"""Tasks: one thread each that owns its sockets and state and reads messages from a mailbox."""
+
+import socket
+from abc import ABC, abstractmethod
+from collections import deque
+from concurrent.futures import Future, ThreadPoolExecutor
+from threading import Condition, Lock
+from typing import Generic, TypeVar
+
+import zmq
+
+from ebonyshore.clock import Clock
+from ebonyshore.errors import EbonyshoreError
+
+MessageT = TypeVar("MessageT")
+
+
+class Mailbox(Generic[MessageT]):
+    """An unbounded queue of messages with one reader.
+
+    :param clock: used for the reader's timeout.
+    """
+
+    __slots__ = ("_changed", "_clock", "_messages")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._changed = Condition()
+        self._messages: deque[MessageT] = deque()
+
+    def post(self, message: MessageT) -> None:
+        """Add a message; never blocks."""
+        with self._changed:
+            self._messages.append(message)
+            self._changed.notify()
+
+    def take(self, timeout_ms: float | None) -> MessageT | None:
+        """Return the oldest message, or ``None`` if none came within ``timeout_ms``."""
+        with self._changed:
+            if not self._messages:
+                self._clock.wait(self._changed, timeout_ms)
+            return self._messages.popleft() if self._messages else None
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+
+class StopTask:
+    """Tells a task to end its loop."""
+
+    __slots__ = ()
+
+
+class Task(ABC, Generic[MessageT]):
+    """Runs :meth:`handle` for each message and :meth:`on_timer` when its time has come.
+
+    :param name: name of the thread.
+    :param clock: the process's clock.
+    """
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        self.name = name
+        self.clock = clock
+        self._mailbox: Mailbox[MessageT | StopTask] = Mailbox(clock)
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=name)
+        self._running: Future[None] | None = None
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._running = self._executor.submit(self._run)
+
+    def post(self, message: MessageT) -> None:
+        """Send a message to the task from any thread."""
+        self._mailbox.post(message)
+
+    def stop(self) -> None:
+        """End the loop after the messages already posted and wait for the thread.
+
+        :raises Exception: what ended the loop early, if anything did.
+        """
+        if self._running is None:
+            return
+        self._mailbox.post(StopTask())
+        self._running.result()
+        self._executor.shutdown()
+        self._running = None
+
+    @abstractmethod
+    def handle(self, message: MessageT) -> None:
+        """Process one message."""
+
+    def timer_ms(self) -> float | None:
+        """Return the monotonic time of the next :meth:`on_timer` call, or ``None``."""
+        return None
+
+    def on_timer(self) -> None:
+        """Called when the time given by :meth:`timer_ms` has come."""
+        raise EbonyshoreError(f"task {self.name} has no timer")
+
+    def _run(self) -> None:
+        while True:
+            message = self._mailbox.take(self._timeout_ms())
+            if isinstance(message, StopTask):
+                return
+            if message is not None:
+                self.handle(message)
+            self._run_due_timer()
+
+    def _timeout_ms(self) -> float | None:
+        due_ms = self.timer_ms()
+        return None if due_ms is None else max(0.0, due_ms - self.clock.monotonic_ms())
+
+    def _run_due_timer(self) -> None:
+        due_ms = self.timer_ms()
+        if due_ms is not None and due_ms <= self.clock.monotonic_ms():
+            self.on_timer()
+
+
+class SocketTask(Task[MessageT]):
+    """A task that waits on ZeroMQ sockets as well as on its mailbox.
+
+    Sockets are opened in :meth:`open` and closed in :meth:`close`, both on the task's own thread.
+    """
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        super().__init__(name, clock)
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._wake_lock = Lock()
+        self._wake_pending = False
+        self.poller = zmq.Poller()
+
+    def post(self, message: MessageT) -> None:
+        super().post(message)
+        with self._wake_lock:
+            if self._wake_pending:
+                return
+            self._wake_pending = True
+        self._wake_writer.send(b"w")
+
+    def stop(self) -> None:
+        if self._running is None:
+            return
+        self.post(StopTask())  # type: ignore[arg-type]
+        self._running.result()
+        self._executor.shutdown()
+        self._running = None
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+    @abstractmethod
+    def open(self) -> None:
+        """Open the sockets and register them with ``self.poller``."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the sockets."""
+
+    @abstractmethod
+    def on_readable(self, sock: zmq.Socket) -> None:
+        """Read all frames that wait on ``sock``."""
+
+    def _run(self) -> None:
+        self.open()
+        self.poller.register(self._wake_reader, zmq.POLLIN)
+        try:
+            while self._run_once():
+                self._run_due_timer()
+        finally:
+            self.close()
+
+    def _run_once(self) -> bool:
+        for sock, _events in self.poller.poll(self._timeout_ms()):
+            if isinstance(sock, zmq.Socket):
+                self.on_readable(sock)
+            else:
+                self._clear_wake()
+        while (message := self._mailbox.take(0.0)) is not None:
+            if isinstance(message, StopTask):
+                return False
+            self.handle(message)
+        return True
+
+    def _clear_wake(self) -> None:
+        with self._wake_lock:
+            self._wake_pending = False
+            self._wake_reader.recv(64)
