--- /dev/null
+++ b/ebonyshore/__init__.py
@@ -0,0 +1,1 @@
+"""Ebonyshore serves online and batch inference on one fleet of targets."""
--- /dev/null
+++ b/ebonyshore/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the console script as ``python -m ebonyshore``."""
+
+from ebonyshore.main import main
+
+main()
--- /dev/null
+++ b/ebonyshore/agent_server.py
@@ -0,0 +1,217 @@
+"""The agent's socket: receives dispatches from entries and sends them answers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import zmq
+from msgspec import Struct
+
+from ebonyshore.clock import Clock
+from ebonyshore.codec import MessageCodec
+from ebonyshore.curve import answer_authentication, open_authenticator, secure_server
+from ebonyshore.logs import EventLog
+from ebonyshore.messages import EntryMessage, Hello, Load, LoadReport, Ping, Welcome
+from ebonyshore.metrics import Metrics
+from ebonyshore.process_settings import FleetSettings
+from ebonyshore.task import SocketTask
+
+PEER_SILENCE_MS = 10_000
+PEER_CHECK_INTERVAL_MS = 1_000
+READ_BURST = 256
+
+Handler = Callable[[bytes, EntryMessage], None]
+
+
+class Outgoing(Struct, frozen=True):
+    """A message to one entry.
+
+    :param peer: routing id of the entry's socket.
+    """
+
+    peer: bytes
+    message: Struct
+
+
+class Broadcast(Struct, frozen=True):
+    """A message to every connected entry."""
+
+    message: Struct
+
+
+class StatusChanged(Struct, frozen=True):
+    """The agent's state that heartbeats carry."""
+
+    load: Load
+    models: tuple[str, ...]
+    settings_revision: int
+    is_leaving: bool
+
+
+class PeerLost(Struct, frozen=True):
+    """An entry has been silent for :data:`PEER_SILENCE_MS`."""
+
+    peer: bytes
+
+
+@dataclass(slots=True)
+class Peer:
+    """A connected entry."""
+
+    entry_id: str
+    last_heard_ms: float
+
+
+class AgentServer(SocketTask[Outgoing | Broadcast | StatusChanged]):
+    """Owns the ROUTER socket.
+
+    :param address: ``tcp://IP:PORT`` to bind.
+    :param agent_id: instance id.
+    :param incarnation: random id of this run.
+    :param kind: ``engine`` or ``service``.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        agent_id: str,
+        incarnation: str,
+        kind: str,
+        fleet: FleetSettings,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        super().__init__("agent-server", clock)
+        self._address = address
+        self._agent_id = agent_id
+        self._incarnation = incarnation
+        self._kind = kind
+        self._fleet = fleet
+        self._log = log
+        self._metrics = metrics
+        self._codec: MessageCodec[EntryMessage] = MessageCodec(EntryMessage, metrics)
+        self._status = StatusChanged(Load(), (), 0, False)
+        self._peers: dict[bytes, Peer] = {}
+        self._handlers: dict[type, Handler] = {}
+        self._on_peer_lost: Callable[[PeerLost], None] = lambda lost: None
+        self._next_check_ms = 0.0
+
+    def subscribe(self, kind: type, handler: Handler) -> None:
+        """Pass messages of a type to ``handler``; call before :meth:`start`."""
+        self._handlers[kind] = handler
+
+    def subscribe_peer_lost(self, handler: Callable[[PeerLost], None]) -> None:
+        """Call ``handler`` for each lost entry; call before :meth:`start`."""
+        self._on_peer_lost = handler
+
+    def open(self) -> None:
+        context = zmq.Context.instance()
+        self._authenticator = open_authenticator(context)
+        self._socket = context.socket(zmq.ROUTER)
+        self._socket.linger = 0
+        self._socket.sndhwm = 0
+        self._socket.rcvhwm = 0
+        secure_server(self._socket, self._fleet)
+        self._socket.bind(self._address)
+        self.poller.register(self._authenticator, zmq.POLLIN)
+        self.poller.register(self._socket, zmq.POLLIN)
+
+    def close(self) -> None:
+        self._socket.close()
+        self._authenticator.close()
+
+    def on_readable(self, sock: zmq.Socket) -> None:
+        if sock is self._authenticator:
+            if not answer_authentication(sock, self._fleet):
+                self._metrics.count("peers_rejected")
+            return
+        for _ in range(READ_BURST):
+            try:
+                frames = sock.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._receive(frames)
+
+    def handle(self, message: Outgoing | Broadcast | StatusChanged) -> None:
+        if isinstance(message, Outgoing):
+            self._send(message.peer, message.message)
+        elif isinstance(message, Broadcast):
+            for peer in self._peers:
+                self._send(peer, message.message)
+        else:
+            self._change_status(message)
+
+    def timer_ms(self) -> float | None:
+        return self._next_check_ms
+
+    def on_timer(self) -> None:
+        now_ms = self.clock.monotonic_ms()
+        self._next_check_ms = now_ms + PEER_CHECK_INTERVAL_MS
+        for routing_id, peer in list(self._peers.items()):
+            if now_ms - peer.last_heard_ms > PEER_SILENCE_MS:
+                del self._peers[routing_id]
+                self._log.event("peer_lost", entry_id=peer.entry_id)
+                self._on_peer_lost(PeerLost(routing_id))
+
+    def _receive(self, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            self._metrics.count("bad_frames")
+            return
+        routing_id, frame = frames
+        message = self._codec.decode(frame)
+        if message is None:
+            return
+        self._note_peer(routing_id, message)
+        if isinstance(message, Hello):
+            self._send(routing_id, self._welcome())
+        elif isinstance(message, Ping):
+            self._send(routing_id, self._report())
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(routing_id, message)
+
+    def _note_peer(self, routing_id: bytes, message: EntryMessage) -> None:
+        now_ms = self.clock.monotonic_ms()
+        peer = self._peers.get(routing_id)
+        if peer is not None:
+            peer.last_heard_ms = now_ms
+            return
+        entry_id = message.entry_id if isinstance(message, Hello) else ""
+        self._peers[routing_id] = Peer(entry_id, now_ms)
+
+    def _change_status(self, status: StatusChanged) -> None:
+        is_news = (status.is_leaving, status.models) != (
+            self._status.is_leaving,
+            self._status.models,
+        )
+        self._status = status
+        if is_news:
+            for routing_id in self._peers:
+                self._send(routing_id, self._report())
+
+    def _welcome(self) -> Welcome:
+        status = self._status
+        return Welcome(
+            self._agent_id,
+            self._incarnation,
+            status.models,
+            status.settings_revision,
+            self.clock.monotonic_ms(),
+            status.load,
+            self._kind,
+            status.is_leaving,
+        )
+
+    def _report(self) -> LoadReport:
+        status = self._status
+        return LoadReport(
+            self._incarnation,
+            status.settings_revision,
+            self.clock.monotonic_ms(),
+            status.load,
+            status.models,
+            status.is_leaving,
+        )
+
+    def _send(self, routing_id: bytes, message: Struct) -> None:
+        self._socket.send_multipart([routing_id, self._codec.encode(message)])
--- /dev/null
+++ b/ebonyshore/batch_api.py
@@ -0,0 +1,162 @@
+"""Files and batches in the OpenAI-style API."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from msgspec.json import decode, encode
+
+from ebonyshore.clock import MS_PER_S, Clock
+from ebonyshore.errors import RequestError
+from ebonyshore.job_store import JobRequest, JobStore, parse_item
+from ebonyshore.jobs import FileRecord, ItemOutcome, JobRecord, JobState
+from ebonyshore.openai_api import GENERATION_PATHS
+from ebonyshore.result_codes import RESULT_INFO, ResultCode
+from ebonyshore.settings_service import SettingsService
+
+OUTPUT_SUFFIX = "-output"
+ERROR_SUFFIX = "-errors"
+WINDOW_UNITS_MS = {"m": 60_000, "h": 3_600_000, "d": 86_400_000}
+
+
+class BatchApi:
+    """Answers callers' calls on files and batches; each returns a JSON object."""
+
+    def __init__(self, jobs: JobStore, settings: SettingsService, clock: Clock) -> None:
+        self._jobs = jobs
+        self._settings = settings
+        self._clock = clock
+
+    def save_file(self, caller: str, purpose: str, filename: str, data: bytes) -> dict[str, Any]:
+        """Keep an uploaded file."""
+        return _file_object(self._jobs.save_file(caller, purpose, filename, data))
+
+    def read_file(self, caller: str, file_id: str) -> dict[str, Any]:
+        """Describe a file."""
+        return _file_object(self._jobs.read_file(file_id, caller))
+
+    def read_content(self, caller: str, file_id: str) -> Iterator[bytes]:
+        """Yield the lines of an uploaded file, or of a batch's output or errors."""
+        for suffix, wants_ok in ((OUTPUT_SUFFIX, True), (ERROR_SUFFIX, False)):
+            if file_id.endswith(suffix):
+                job = self._read_job(caller, file_id.removesuffix(suffix))
+                return self._outcome_lines(job, wants_ok)
+        record = self._jobs.read_file(file_id, caller)
+        lines = self._jobs.read_lines(record, range(sum(record.part_lines)))
+        return (line + b"\n" for line in lines)
+
+    def create(self, caller: str, fields: dict[str, Any], idempotency_key: str) -> dict[str, Any]:
+        """Accept a job."""
+        endpoint = fields.get("endpoint")
+        if endpoint not in GENERATION_PATHS:
+            raise RequestError(f"endpoint: allowed: {', '.join(GENERATION_PATHS)}")
+        file_id = str(fields.get("input_file_id", ""))
+        window = str(fields.get("completion_window", "24h"))
+        request = JobRequest(
+            caller,
+            self._tier_of(caller, file_id),
+            file_id,
+            endpoint,
+            self._clock.wall_ms() + _window_ms(window),
+            fields.get("metadata") or {},
+            idempotency_key,
+            window,
+        )
+        return _batch_object(self._jobs.accept(request))
+
+    def read(self, caller: str, batch_id: str) -> dict[str, Any]:
+        """Describe a job."""
+        return _batch_object(self._read_job(caller, batch_id))
+
+    def cancel(self, caller: str, batch_id: str) -> dict[str, Any]:
+        """Cancel a job."""
+        self._read_job(caller, batch_id)
+        return _batch_object(self._jobs.cancel(batch_id))
+
+    def list_jobs(self, caller: str) -> dict[str, Any]:
+        """List a caller's jobs."""
+        jobs = [job for job in self._jobs.list_jobs() if job.caller == caller]
+        data = [_batch_object(job) for job in jobs]
+        return {"object": "list", "data": data, "has_more": False}
+
+    def _read_job(self, caller: str, job_id: str) -> JobRecord:
+        job = self._jobs.read_job(job_id)
+        if job.caller != caller:
+            raise RequestError(f"job {job_id}", code=ResultCode.NOT_FOUND)
+        return job
+
+    def _tier_of(self, caller: str, file_id: str) -> str:
+        record = self._jobs.read_file(file_id, caller)
+        first = next(self._jobs.read_lines(record, range(1)))
+        model = str(parse_item(first).body.get("model", ""))
+        tier = self._settings.current().tier_of(model)
+        if tier is None:
+            raise RequestError(model, code=ResultCode.UNKNOWN_MODEL)
+        return tier
+
+    def _outcome_lines(self, job: JobRecord, wants_ok: bool) -> Iterator[bytes]:
+        for outcome in self._jobs.read_outcomes(job):
+            if (outcome.code is ResultCode.OK) == wants_ok:
+                yield encode(_outcome_object(job, outcome)) + b"\n"
+
+
+def _window_ms(window: str) -> int:
+    unit_ms = WINDOW_UNITS_MS.get(window[-1:])
+    if unit_ms is None or not window[:-1].isdigit() or not int(window[:-1]):
+        raise RequestError(f"completion_window: {window!r}; allowed: a number and m, h or d")
+    return int(window[:-1]) * unit_ms
+
+
+def _file_object(record: FileRecord) -> dict[str, Any]:
+    return {
+        "id": record.file_id,
+        "object": "file",
+        "bytes": record.size_bytes,
+        "created_at": record.created_wall_ms // MS_PER_S,
+        "filename": record.filename,
+        "purpose": record.purpose,
+        "status": "processed",
+    }
+
+
+def _batch_object(job: JobRecord) -> dict[str, Any]:
+    has_output = job.is_ended and job.completed_items
+    has_errors = job.is_ended and job.failed_items
+    return {
+        "id": job.job_id,
+        "object": "batch",
+        "endpoint": job.endpoint,
+        "input_file_id": job.file_id,
+        "completion_window": job.completion_window,
+        "status": job.state.value,
+        "output_file_id": job.job_id + OUTPUT_SUFFIX if has_output else None,
+        "error_file_id": job.job_id + ERROR_SUFFIX if has_errors else None,
+        "created_at": job.created_wall_ms // MS_PER_S,
+        "expires_at": job.due_wall_ms // MS_PER_S,
+        "completed_at": job.ended_wall_ms // MS_PER_S if job.state is JobState.COMPLETED else None,
+        "cancelled_at": job.ended_wall_ms // MS_PER_S if job.state is JobState.CANCELLED else None,
+        "request_counts": {
+            "total": job.item_count,
+            "completed": job.completed_items,
+            "failed": job.failed_items,
+        },
+        "metadata": job.metadata or None,
+    }
+
+
+def _outcome_object(job: JobRecord, outcome: ItemOutcome) -> dict[str, Any]:
+    entry: dict[str, Any] = {
+        "id": f"{job.job_id}/{outcome.item}",
+        "custom_id": outcome.custom_id,
+        "response": None,
+        "error": None,
+    }
+    if outcome.code is ResultCode.OK:
+        entry["response"] = {
+            "status_code": outcome.http_status,
+            "request_id": entry["id"],
+            "body": decode(outcome.body),
+        }
+    else:
+        text = RESULT_INFO[outcome.code].text
+        entry["error"] = {"code": str(int(outcome.code)), "message": outcome.detail or text}
+    return entry
--- /dev/null
+++ b/ebonyshore/engine_http.py
@@ -0,0 +1,188 @@
+"""Targets over HTTP, by ``http.client``: model engines with event streams, and plain services."""
+
+from collections.abc import Iterator
+from http.client import HTTPConnection, HTTPException, HTTPResponse
+from urllib.parse import urlsplit
+
+from msgspec import DecodeError, Struct, convert
+from msgspec.json import Decoder, decode, encode
+
+from ebonyshore.clock import MS_PER_S
+from ebonyshore.engine import (
+    CacheEvent,
+    Engine,
+    EngineLoad,
+    EngineOrder,
+    PlainService,
+    TargetAnswer,
+    TargetChunk,
+    TargetRequest,
+)
+from ebonyshore.errors import (
+    FencedError,
+    TargetCrashedError,
+    TargetError,
+    TargetUnreachableError,
+)
+
+CONTROL_TIMEOUT_MS = 2_000
+SERVICE_CHUNK_BYTES = 65_536
+DONE_EVENT = b"[DONE]"
+DATA_PREFIX = b"data:"
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+
+class _StreamUsage(Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _StreamEvent(Struct):
+    id: str = ""
+    usage: _StreamUsage | None = None
+
+
+class ServiceHttp(PlainService):
+    """A plain service.
+
+    :param url: base URL, ``http://IP:PORT``.
+    """
+
+    def __init__(self, url: str) -> None:
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+
+    def run(self, request: TargetRequest) -> Iterator[TargetChunk | TargetAnswer]:
+        connection = self._connect(request.timeout_ms)
+        try:
+            response = self._send(connection, request)
+            yield from self._read_plain(response)
+        except (OSError, HTTPException) as error:
+            raise TargetCrashedError(repr(error)) from error
+        finally:
+            connection.close()
+
+    def cancel(self, request_id: str) -> None:
+        """A plain service cannot cancel; the request runs to its end."""
+
+    def boot_id(self) -> str:
+        return decode(self._control("GET", "/health")).get("boot_id", "")
+
+    def _connect(self, timeout_ms: float) -> HTTPConnection:
+        timeout_s = max(timeout_ms, 1.0) / MS_PER_S
+        connection = HTTPConnection(self._host, self._port, timeout=timeout_s)
+        try:
+            connection.connect()
+        except OSError as error:
+            raise TargetUnreachableError(repr(error)) from error
+        return connection
+
+    def _send(self, connection: HTTPConnection, request: TargetRequest) -> HTTPResponse:
+        headers = {"Content-Type": "application/json", "X-Request-Id": request.request_id}
+        connection.request("POST", request.path, request.body, headers)
+        return connection.getresponse()
+
+    def _read_plain(self, response: HTTPResponse) -> Iterator[TargetChunk | TargetAnswer]:
+        while data := response.read(SERVICE_CHUNK_BYTES):
+            yield TargetChunk(data)
+        yield TargetAnswer(response.status, response.getheader("Content-Type", ""))
+
+    def _control(self, method: str, path: str, value: object = None) -> bytes:
+        connection = self._connect(CONTROL_TIMEOUT_MS)
+        try:
+            connection.request(method, path, None if value is None else encode(value))
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, HTTPException) as error:
+            raise TargetUnreachableError(repr(error)) from error
+        finally:
+            connection.close()
+        if response.status == HTTP_CONFLICT:
+            raise FencedError(path)
+        if response.status != HTTP_OK:
+            raise TargetError(f"{path}: status {response.status}")
+        return data
+
+
+class EngineHttp(ServiceHttp, Engine):
+    """A model engine with an OpenAI-style streaming API."""
+
+    def __init__(self, url: str) -> None:
+        super().__init__(url)
+        self._event_decoder = Decoder(_StreamEvent)
+
+    def run(self, request: TargetRequest) -> Iterator[TargetChunk | TargetAnswer]:
+        connection = self._connect(request.timeout_ms)
+        try:
+            response = self._send(connection, _with_resume_text(request))
+            if response.status == HTTP_OK:
+                yield from self._read_stream(response)
+            else:
+                yield from self._read_plain(response)
+        except (OSError, HTTPException) as error:
+            raise TargetCrashedError(repr(error)) from error
+        finally:
+            connection.close()
+
+    def cancel(self, request_id: str) -> None:
+        self._control("POST", "/abort", {"request_id": request_id})
+
+    def abort_all(self) -> None:
+        self._control("POST", "/abort", {})
+
+    def load(self) -> EngineLoad:
+        return convert(decode(self._control("GET", "/load")), EngineLoad)
+
+    def cache_events(self, since: int) -> list[CacheEvent]:
+        return decode(self._control("GET", f"/cache_events?since={since}"), type=list[CacheEvent])
+
+    def order(self, order: EngineOrder) -> None:
+        self._control("POST", "/orders", order)
+
+    def models(self) -> tuple[str, ...]:
+        return tuple(decode(self._control("GET", "/health"))["models"])
+
+    def export_kv(self, prefix_digest: str) -> bytes:
+        return self._control("POST", "/kv/export", {"prefix_digest": prefix_digest})
+
+    def import_kv(self, prefix_digest: str, data: bytes) -> None:
+        value = {"prefix_digest": prefix_digest, "data": data}
+        self._control("POST", "/kv/import", value)
+
+    def _read_stream(self, response: HTTPResponse) -> Iterator[TargetChunk | TargetAnswer]:
+        first_id = ""
+        usage = _StreamUsage()
+        while line := response.readline():
+            if not line.startswith(DATA_PREFIX):
+                continue
+            data = line[len(DATA_PREFIX) :].strip()
+            if data == DONE_EVENT:
+                yield _stream_answer(usage)
+                return
+            event = self._decode_event(data)
+            first_id = first_id or event.id
+            if event.id != first_id:
+                raise TargetError(f"event of stream {event.id} within stream {first_id}")
+            usage = event.usage or usage
+            yield TargetChunk(data)
+        raise TargetCrashedError("the stream ended without its end mark")
+
+    def _decode_event(self, data: bytes) -> _StreamEvent:
+        try:
+            return self._event_decoder.decode(data)
+        except DecodeError as error:
+            raise TargetError(f"malformed stream event: {error}") from error
+
+
+def _with_resume_text(request: TargetRequest) -> TargetRequest:
+    if not request.resume_text:
+        return request
+    body = decode(request.body)
+    body["resume_text"] = request.resume_text
+    return TargetRequest(request.request_id, request.path, encode(body), request.timeout_ms)
+
+
+def _stream_answer(usage: _StreamUsage) -> TargetAnswer:
+    return TargetAnswer(HTTP_OK, "text/event-stream", usage.prompt_tokens, usage.completion_tokens)
--- /dev/null
+++ b/ebonyshore/entry.py
@@ -0,0 +1,205 @@
+"""Composes an entry from its environment."""
+
+from msgspec import to_builtins
+from msgspec.json import decode
+from werkzeug.wrappers import Request
+
+from ebonyshore.admin_api import AdminApi
+from ebonyshore.agent_link import AgentLink, SendToAgent, SendToAgents
+from ebonyshore.audit import Auditor
+from ebonyshore.batch_api import BatchApi
+from ebonyshore.daemon import Daemon
+from ebonyshore.environment import Environment
+from ebonyshore.http_api import HttpApi
+from ebonyshore.http_service import HttpService
+from ebonyshore.instance_poller import InstancePoller
+from ebonyshore.kernel import Kernel
+from ebonyshore.membership import Membership
+from ebonyshore.messages import CrashReport, SettingsRequest, SettingsSnapshot, Welcome
+from ebonyshore.online import OnlineService
+from ebonyshore.settings_service import SettingsService, SettingsWatcher
+from ebonyshore.settings_store import SettingsHead, encode_head
+from ebonyshore.shard_runner import BeginDrain, ShardRunner
+from ebonyshore.task_service import TaskService
+
+ADMIN_THREADS = 4
+
+
+class EntryHttpService(HttpService):
+    """The callers' server, which drains its requests."""
+
+    def __init__(self, api: HttpApi, *arguments: object) -> None:
+        super().__init__("http", api, *arguments)
+        self._api = api
+
+    def begin_drain(self) -> None:
+        self._api.begin_drain()
+
+    def is_drained(self) -> bool:
+        return self._api.active_requests == 0
+
+
+def make_entry(environment: Environment) -> Daemon:
+    """Return an entry, ready to run."""
+    kernel = Kernel(environment.clock)
+    settings = SettingsService(environment.log)
+    membership = Membership()
+    link = _make_link(environment, settings, membership)
+    runner = _make_runner(environment, settings, membership, link)
+    daemon = Daemon(environment, kernel)
+    watcher = SettingsWatcher(
+        environment.store,
+        settings,
+        environment.settings.platform.watch_timeout_ms,
+        environment.clock,
+    )
+    poller = InstancePoller(
+        environment.platform,
+        link,
+        environment.settings.platform.instance_poll_interval_ms,
+        environment.clock,
+        environment.log,
+    )
+    kernel.register(TaskService(watcher))
+    kernel.register(TaskService(link, dump=lambda: _dump_targets(membership)))
+    kernel.register(TaskService(poller))
+    if environment.settings.batch.is_runner:
+        kernel.register(
+            TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
+        )
+    kernel.register(_make_http(environment, settings, membership, link))
+    kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
+    return daemon
+
+
+def _make_link(
+    environment: Environment, settings: SettingsService, membership: Membership
+) -> AgentLink:
+    link = AgentLink(
+        environment.settings.instance.instance_id,
+        membership,
+        lambda: settings.current().revision,
+        environment.settings.fleet,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+
+    def send_settings(target_id: str, message: Welcome | SettingsRequest) -> None:
+        head = settings.head()
+        known = (
+            message.settings_revision if isinstance(message, Welcome) else message.known_revision
+        )
+        if head.revision > known:
+            snapshot = SettingsSnapshot(head.revision, encode_head(head))
+            link.post(SendToAgent(target_id, snapshot))
+
+    def relay(head: SettingsHead) -> None:
+        link.post(SendToAgents(SettingsSnapshot(head.revision, encode_head(head))))
+
+    def forward_crash(target_id: str, report: CrashReport) -> None:
+        link.post(SendToAgents(report))
+
+    link.subscribe(Welcome, send_settings)
+    link.subscribe(SettingsRequest, send_settings)
+    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
+    link.subscribe(CrashReport, forward_crash)
+    settings.subscribe(relay)
+    return link
+
+
+def _make_runner(
+    environment: Environment,
+    settings: SettingsService,
+    membership: Membership,
+    link: AgentLink,
+) -> ShardRunner:
+    return ShardRunner(
+        environment.settings.instance.instance_id,
+        environment.job_store(),
+        link,
+        membership,
+        settings,
+        environment.settings.batch,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+
+
+def _make_http(
+    environment: Environment,
+    settings: SettingsService,
+    membership: Membership,
+    link: AgentLink,
+) -> EntryHttpService:
+    online = OnlineService(
+        link,
+        membership,
+        settings,
+        environment.settings.instance.failure_domain,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+    batch = BatchApi(environment.job_store(), settings, environment.clock)
+    api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
+    http = environment.settings.http
+    return EntryHttpService(
+        api, http.listen_address, http.port, http.worker_threads, http.max_request_bytes
+    )
+
+
+def _make_admin(
+    environment: Environment,
+    kernel: Kernel,
+    daemon: Daemon,
+    settings: SettingsService,
+    membership: Membership,
+) -> HttpService:
+    store = environment.settings_store()
+    admin = environment.settings.admin
+    api = AdminApi(admin.operator_token, environment.metrics)
+
+    def change_settings(request: Request) -> object:
+        fields = decode(request.get_data())
+        head = store.commit(
+            fields["path"],
+            fields["values"],
+            fields.get("operator", ""),
+            fields.get("expected_revision"),
+        )
+        settings.adopt(head)
+        return {"revision": head.revision}
+
+    def drain(request: Request) -> object:
+        daemon.request_stop()
+        return {}
+
+    api.add("GET", "/admin/v1/dump", lambda _: dump_process(environment, kernel))
+    api.add("POST", "/admin/v1/drain", drain)
+    api.add("GET", "/admin/v1/settings", lambda _: to_builtins(settings.head()))
+    api.add("POST", "/admin/v1/settings", change_settings)
+    api.add("GET", "/admin/v1/targets", lambda _: _dump_targets(membership))
+    api.add("GET", "/admin/v1/audit", lambda _: _audit(environment))
+    return HttpService("admin", api, admin.listen_address, admin.port, ADMIN_THREADS)
+
+
+def dump_process(environment: Environment, kernel: Kernel) -> dict[str, object]:
+    """Return the whole state of a process."""
+    return {
+        "instance_id": environment.settings.instance.instance_id,
+        "role": environment.role,
+        "incarnation": environment.incarnation,
+        "metrics": environment.metrics.dump(),
+        "services": kernel.dump(),
+    }
+
+
+def _dump_targets(membership: Membership) -> dict[str, object]:
+    return {key: to_builtins(view) for key, view in membership.targets().items()}
+
+
+def _audit(environment: Environment) -> object:
+    report = Auditor(environment.job_store(), environment.settings_store()).run()
+    return {**to_builtins(report), "line": report.line(), "is_clean": report.is_clean}
--- /dev/null
+++ b/ebonyshore/environment.py
@@ -0,0 +1,79 @@
+"""The environment of a process: its settings, and everything that is made from them."""
+
+import sys
+from pathlib import Path
+from typing import TextIO
+from uuid import uuid4
+
+from ebonyshore.clock import Clock, SystemClock
+from ebonyshore.errors import SettingsError
+from ebonyshore.job_store import JobStore
+from ebonyshore.logs import EventLog, KeyValueDestination, close_log, open_log
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore.metrics import Metrics
+from ebonyshore.platform_http import PlatformHttp
+from ebonyshore.process_settings import ProcessSettings, load_settings
+from ebonyshore.settings_store import SettingsStore
+
+
+class Environment:
+    """Holds what all parts of a process share.
+
+    :param settings: the process settings.
+    :param role: ``entry`` or ``agent``.
+    :param clock: the system's clock if omitted.
+    """
+
+    def __init__(self, settings: ProcessSettings, role: str, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.role = role
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics()
+        self.incarnation = uuid4().hex
+        self.log = EventLog(instance_id=settings.instance.instance_id, role=role)
+        self.platform = PlatformHttp(settings.platform.url, settings.platform.timeout_ms)
+        self.store = MarkedStore(self.platform, self.clock)
+        self._log_stream: TextIO | None = None
+        self._destination: KeyValueDestination | None = None
+
+    def job_store(self) -> JobStore:
+        """Return the batch records."""
+        batch = self.settings.batch
+        return JobStore(self.store, self.clock, batch.index_buckets, batch.shard_items)
+
+    def settings_store(self) -> SettingsStore:
+        """Return the accepted settings changes."""
+        return SettingsStore(self.store, self.clock)
+
+    def open_log(self) -> None:
+        """Begin to write the log."""
+        path = self.settings.log.path
+        self._log_stream = open_log_file(Path(path)) if path else sys.stderr
+        self._destination = open_log(self._log_stream, self.clock)
+
+    def close(self) -> None:
+        """Close the log and idle connections."""
+        self.platform.close()
+        if self._destination is not None:
+            close_log(self._destination)
+        if self._log_stream not in (None, sys.stderr):
+            self._log_stream.close()
+
+
+def make_environment(settings_path: Path, role: str) -> Environment:
+    """Return the environment of a process.
+
+    :raises SettingsError: if the settings file is invalid.
+    """
+    return Environment(load_settings(settings_path), role)
+
+
+def open_log_file(path: Path) -> TextIO:
+    """Open a log file to append to.
+
+    :raises SettingsError: if it cannot be opened.
+    """
+    try:
+        return path.open("a", encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"log.path: {path}: {error.strerror}") from error
--- a/ebonyshore/errors.py
+++ b/ebonyshore/errors.py
@@ -96,6 +96,12 @@
     code = ResultCode.TARGET_ERROR
 
 
+class TargetUnreachableError(TargetError):
+    """The target took no connection; the request was not sent."""
+
+    code = ResultCode.NO_TARGET
+
+
 class TargetCrashedError(TargetError):
     """The connection to the target ended before the answer did."""
 
--- /dev/null
+++ b/ebonyshore/http_api.py
@@ -0,0 +1,262 @@
+"""The callers' HTTP interface: OpenAI-style online requests, files and batches."""
+
+from collections.abc import Callable, Iterator
+from hashlib import sha256
+from threading import Lock
+from uuid import uuid4
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode, encode
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from ebonyshore.admin_api import JSON_TYPE, error_response
+from ebonyshore.batch_api import BatchApi
+from ebonyshore.clock import Clock
+from ebonyshore.errors import EbonyshoreError, RefusedError, RequestError
+from ebonyshore.logs import EventLog
+from ebonyshore.messages import Chunk, Finished
+from ebonyshore.metrics import Metrics
+from ebonyshore.online import OnlineRequest, OnlineService
+from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, error_body, parse_generation
+from ebonyshore.result_codes import ResultCode
+from ebonyshore.settings_service import SettingsService
+
+EVENT_STREAM_TYPE = "text/event-stream"
+LEAVING_RETRY_AFTER_MS = 1_000
+CALLER_ID_CHARS = 16
+ANONYMOUS_CALLER = "anonymous"
+
+
+class CallerHeaders(Struct, frozen=True):
+    """What a caller says in headers.
+
+    :param deadline_left_ms: ``None`` if the caller names no deadline.
+    """
+
+    caller: str
+    idempotency_key: str
+    is_repeatable: bool
+    deadline_left_ms: float | None
+
+
+_ROUTES = Map(
+    [
+        Rule("/v1/models", endpoint="models", methods=["GET"]),
+        Rule("/v1/chat/completions", endpoint="generate", methods=["POST"]),
+        Rule("/v1/completions", endpoint="generate", methods=["POST"]),
+        Rule("/services/<service>/<path:path>", endpoint="call_service", methods=["POST"]),
+        Rule("/v1/files", endpoint="upload_file", methods=["POST"]),
+        Rule("/v1/files/<file_id>", endpoint="read_file", methods=["GET"]),
+        Rule("/v1/files/<file_id>/content", endpoint="read_content", methods=["GET"]),
+        Rule("/v1/batches", endpoint="create_batch", methods=["POST"]),
+        Rule("/v1/batches", endpoint="list_batches", methods=["GET"]),
+        Rule("/v1/batches/<batch_id>", endpoint="read_batch", methods=["GET"]),
+        Rule("/v1/batches/<batch_id>/cancel", endpoint="cancel_batch", methods=["POST"]),
+    ]
+)
+
+
+class HttpApi:
+    """WSGI application for callers."""
+
+    def __init__(
+        self,
+        online: OnlineService,
+        batch: BatchApi,
+        settings: SettingsService,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        self._online = online
+        self._batch = batch
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._lock = Lock()
+        self._active = 0
+        self._is_leaving = False
+
+    @property
+    def active_requests(self) -> int:
+        """Number of requests that have not been answered to the end."""
+        return self._active
+
+    def begin_drain(self) -> None:
+        """Refuse new requests from now on."""
+        self._is_leaving = True
+
+    def __call__(
+        self, environ: dict[str, object], start_response: Callable[..., object]
+    ) -> Iterator[bytes]:
+        request = Request(environ)
+        with self._lock:
+            self._active += 1
+        response = self._respond(request)
+        response.call_on_close(self._end_request)
+        return response(environ, start_response)
+
+    def _end_request(self) -> None:
+        with self._lock:
+            self._active -= 1
+
+    def _respond(self, request: Request) -> Response:
+        try:
+            if self._is_leaving:
+                raise RefusedError(code=ResultCode.LEAVING, retry_after_ms=LEAVING_RETRY_AFTER_MS)
+            endpoint, values = _ROUTES.bind_to_environ(request.environ).match()
+            headers = _parse_headers(request)
+            return getattr(self, f"_{endpoint}")(request, headers, **values)
+        except EbonyshoreError as error:
+            self._log.event("request_refused", path=request.path, code=int(error.code))
+            return error_response(error)
+        except HTTPException as error:
+            return error.get_response(request.environ)
+
+    def _models(self, request: Request, headers: CallerHeaders) -> Response:
+        models = self._settings.current().models()
+        data = [{"id": m, "object": "model", "created": 0, "owned_by": "tier"} for m in models]
+        return _json({"object": "list", "data": data})
+
+    def _generate(self, request: Request, headers: CallerHeaders) -> Response:
+        generation = parse_generation(request.path, request.get_data())
+        tree = self._settings.current()
+        if tree.tier_of(generation.model) is None:
+            raise RequestError(generation.model, code=ResultCode.UNKNOWN_MODEL)
+        timeout_ms = headers.deadline_left_ms or tree.for_model(generation.model).request_timeout_ms
+        online_request = OnlineRequest(
+            uuid4().hex,
+            headers.caller,
+            generation.model,
+            generation.path,
+            generation.target_body,
+            generation.content_digest,
+            generation.head_digest,
+            self._clock.monotonic_ms() + timeout_ms,
+            headers.is_repeatable,
+        )
+        if generation.is_stream:
+            return self._stream(online_request)
+        return self._answer(online_request, generation)
+
+    def _answer(self, request: OnlineRequest, generation: GenerationRequest) -> Response:
+        assembler = AnswerAssembler(generation)
+        for message in self._online.run(request):
+            if isinstance(message, Chunk):
+                assembler.add(message.data)
+            else:
+                return Response(assembler.answer(message.usage), 200, mimetype=JSON_TYPE)
+        raise RefusedError(code=ResultCode.STREAM_BROKEN)
+
+    def _stream(self, request: OnlineRequest) -> Response:
+        messages = self._online.run(request)
+        first = next(messages)
+        return Response(_sse_events(first, messages), 200, mimetype=EVENT_STREAM_TYPE)
+
+    def _call_service(
+        self, request: Request, headers: CallerHeaders, service: str, path: str
+    ) -> Response:
+        tree = self._settings.current()
+        if tree.tier_of(service) is None:
+            raise RequestError(service, code=ResultCode.UNKNOWN_MODEL)
+        timeout_ms = headers.deadline_left_ms or tree.for_model(service).request_timeout_ms
+        body = request.get_data()
+        content_digest = sha256(request.path.encode() + b"\n" + body).hexdigest()
+        online_request = OnlineRequest(
+            uuid4().hex,
+            headers.caller,
+            service,
+            f"/{path}",
+            body,
+            content_digest,
+            content_digest,
+            self._clock.monotonic_ms() + timeout_ms,
+            headers.is_repeatable,
+            is_stream=False,
+        )
+        parts = []
+        for message in self._online.run(online_request):
+            if isinstance(message, Finished):
+                return Response(
+                    b"".join(parts), message.http_status, content_type=message.content_type
+                )
+            parts.append(message.data)
+        raise RefusedError(code=ResultCode.STREAM_BROKEN)
+
+    def _upload_file(self, request: Request, headers: CallerHeaders) -> Response:
+        upload = request.files.get("file")
+        if upload is None:
+            raise RequestError("file: missing")
+        purpose = request.form.get("purpose", "batch")
+        data = upload.stream.read()
+        return _json(self._batch.save_file(headers.caller, purpose, upload.filename or "", data))
+
+    def _read_file(self, request: Request, headers: CallerHeaders, file_id: str) -> Response:
+        return _json(self._batch.read_file(headers.caller, file_id))
+
+    def _read_content(self, request: Request, headers: CallerHeaders, file_id: str) -> Response:
+        lines = self._batch.read_content(headers.caller, file_id)
+        return Response(lines, 200, mimetype="application/jsonl")
+
+    def _create_batch(self, request: Request, headers: CallerHeaders) -> Response:
+        fields = _decode_object(request.get_data())
+        return _json(self._batch.create(headers.caller, fields, headers.idempotency_key))
+
+    def _list_batches(self, request: Request, headers: CallerHeaders) -> Response:
+        return _json(self._batch.list_jobs(headers.caller))
+
+    def _read_batch(self, request: Request, headers: CallerHeaders, batch_id: str) -> Response:
+        return _json(self._batch.read(headers.caller, batch_id))
+
+    def _cancel_batch(self, request: Request, headers: CallerHeaders, batch_id: str) -> Response:
+        return _json(self._batch.cancel(headers.caller, batch_id))
+
+
+def _sse_events(first: Chunk | Finished, rest: Iterator[Chunk | Finished]) -> Iterator[bytes]:
+    try:
+        message: Chunk | Finished = first
+        while isinstance(message, Chunk):
+            yield b"data: " + message.data + b"\n\n"
+            message = next(rest)
+        yield b"data: [DONE]\n\n"
+    except EbonyshoreError as error:
+        yield b"data: " + error_body(error) + b"\n\n"
+    finally:
+        rest.close()
+
+
+def _parse_headers(request: Request) -> CallerHeaders:
+    key = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
+    caller = sha256(key.encode()).hexdigest()[:CALLER_ID_CHARS] if key else ANONYMOUS_CALLER
+    return CallerHeaders(
+        caller,
+        request.headers.get("Idempotency-Key", ""),
+        request.headers.get("Ebonyshore-No-Repeat", "").lower() != "true",
+        _parse_deadline(request.headers.get("Ebonyshore-Deadline-Ms")),
+    )
+
+
+def _parse_deadline(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        deadline_left_ms = float(text)
+    except ValueError as error:
+        raise RequestError(f"Ebonyshore-Deadline-Ms: {text!r} is no number") from error
+    if not 0 < deadline_left_ms < float("inf"):
+        raise RequestError(f"Ebonyshore-Deadline-Ms: {text!r} is not above 0")
+    return deadline_left_ms
+
+
+def _decode_object(data: bytes) -> dict[str, object]:
+    try:
+        return decode(data, type=dict)
+    except (DecodeError, ValidationError) as error:
+        raise RequestError(str(error)) from error
+
+
+def _json(value: object) -> Response:
+    return Response(encode(value), 200, mimetype=JSON_TYPE)
--- /dev/null
+++ b/ebonyshore/http_service.py
@@ -0,0 +1,63 @@
+"""Runs a WSGI application by waitress as a service of the kernel."""
+
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from waitress import create_server
+
+from ebonyshore.kernel import Service
+
+SHUTDOWN_TIMEOUT_S = 5
+
+
+class HttpService(Service):
+    """An HTTP server.
+
+    :param name: name of the service.
+    :param app: the WSGI application.
+    :param threads: requests served at the same time.
+    :param max_body_bytes: largest request body accepted.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        app: Callable[..., object],
+        address: str,
+        port: int,
+        threads: int,
+        max_body_bytes: int = 16 * 1024 * 1024,
+    ) -> None:
+        self.name = name
+        self._dispatchers: dict[int, object] = {}
+        self._server = create_server(
+            app,
+            map=self._dispatchers,
+            host=address,
+            port=port,
+            threads=threads,
+            max_request_body_size=max_body_bytes,
+            connection_limit=max(100, threads * 4),
+            ident="ebonyshore",
+            channel_request_lookahead=1,
+        )
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=name)
+        self._running: Future[None] | None = None
+
+    def start(self) -> None:
+        self._running = self._executor.submit(self._server.run)
+
+    def stop(self) -> None:
+        if self._running is None:
+            return
+        self._server.task_dispatcher.shutdown(timeout=SHUTDOWN_TIMEOUT_S)
+        self._server.trigger.pull_trigger(self._close_all)
+        self._running.result()
+        self._executor.shutdown()
+        self._running = None
+
+    def _close_all(self) -> None:
+        """Close all sockets, which ends the server's loop; runs on the loop's thread."""
+        for dispatcher in list(self._dispatchers.values()):
+            dispatcher.close()
+        self._dispatchers.clear()
--- /dev/null
+++ b/ebonyshore/instance_poller.py
@@ -0,0 +1,42 @@
+"""Reads the platform's instance list at intervals."""
+
+from ebonyshore.agent_link import AgentLink, InstancesKnown
+from ebonyshore.clock import Clock
+from ebonyshore.errors import StoreError
+from ebonyshore.logs import EventLog
+from ebonyshore.platform_api import InstanceList
+from ebonyshore.task import Task
+
+
+class InstancePoller(Task[None]):
+    """Passes the list to the agent link; the last list stays in use while the platform is down."""
+
+    def __init__(
+        self,
+        instances: InstanceList,
+        link: AgentLink,
+        interval_ms: int,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        super().__init__("instance-poller", clock)
+        self._instances = instances
+        self._link = link
+        self._interval_ms = interval_ms
+        self._log = log
+        self._next_ms = 0.0
+
+    def handle(self, message: None) -> None:
+        """The poller gets no messages."""
+
+    def timer_ms(self) -> float | None:
+        return self._next_ms
+
+    def on_timer(self) -> None:
+        self._next_ms = self.clock.monotonic_ms() + self._interval_ms
+        try:
+            instances = self._instances.list_instances()
+        except StoreError as error:
+            self._log.event("instance_list_unavailable", detail=error.detail)
+            return
+        self._link.post(InstancesKnown(tuple(instances)))
--- a/ebonyshore/kernel.py
+++ b/ebonyshore/kernel.py
@@ -1,6 +1,7 @@
 """The micro-kernel: services register, find each other by name, start and stop in order."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import TypeVar
 
 from ebonyshore.clock import Clock
@@ -32,6 +33,9 @@
     def stop(self) -> None:
         """End at once and release resources."""
 
+    def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:  # noqa: B027
+        """Call ``handler`` with the service's name if it ends by an exception."""
+
     def dump(self) -> dict[str, object]:
         """Return the service's state for the state dump; values must be JSON types."""
         return {}
@@ -68,6 +72,11 @@
             raise EbonyshoreError(f"no service {name!r} of type {kind.__name__}")
         return service
 
+    def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:
+        """Call ``handler`` with the name of a service that ends by an exception."""
+        for service in self._services.values():
+            service.on_failure(handler)
+
     def start(self) -> None:
         """Start all services in order; on a failure stop those already started."""
         for service in self._services.values():
--- /dev/null
+++ b/ebonyshore/main.py
@@ -0,0 +1,48 @@
+"""The console script. The daemons do not load the command line's library, which costs memory."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from ebonyshore.errors import EbonyshoreError
+
+DAEMON_ROLES = ("entry", "agent")
+
+
+def main() -> None:
+    """Run a daemon or an operator's command; exit with the result code."""
+    if len(sys.argv) > 1 and sys.argv[1] in DAEMON_ROLES:
+        sys.exit(run_daemon(sys.argv[1], sys.argv[2:]))
+    from ebonyshore.cli import run_command
+
+    run_command()
+
+
+def run_daemon(role: str, arguments: list[str]) -> int:
+    """Run an entry or an agent until it is told to stop.
+
+    :return: the exit status, a result code.
+    """
+    parser = argparse.ArgumentParser(prog=f"ebonyshore {role}")
+    parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    settings_path = parser.parse_args(arguments).settings
+    try:
+        daemon = _make_daemon(role, settings_path)
+    except EbonyshoreError as error:
+        print(error, file=sys.stderr)
+        return int(error.code)
+    return int(daemon.run())
+
+
+def _make_daemon(role: str, settings_path: Path):
+    from ebonyshore.daemon import stop_on_signals
+    from ebonyshore.environment import make_environment
+
+    environment = make_environment(settings_path, role)
+    if role == "entry":
+        from ebonyshore.entry import make_entry as make_daemon
+    else:
+        from ebonyshore.agent import make_agent as make_daemon
+    daemon = make_daemon(environment)
+    stop_on_signals(daemon.request_stop)
+    return daemon
--- /dev/null
+++ b/ebonyshore/openai_api.py
@@ -0,0 +1,208 @@
+"""Shapes of the OpenAI-style API: what callers send, what targets get, what callers get back."""
+
+from hashlib import sha256
+from typing import Any
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import Decoder, decode, encode
+
+from ebonyshore.errors import EbonyshoreError, RequestError, TargetError
+from ebonyshore.messages import Usage
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+GENERATION_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
+DIGEST_CHARS = 32
+
+
+class GenerationBody(Struct):
+    """The fields of a generation request that the system itself reads."""
+
+    model: str
+    stream: bool = False
+    messages: list[dict[str, Any]] | None = None
+    prompt: str | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+class GenerationRequest(Struct, frozen=True):
+    """A checked generation request.
+
+    :param target_body: body for the target; always asks for a stream.
+    :param content_digest: of path and body, for crash suspicion and idempotency.
+    :param head_digest: of model, system prompt and first user message, for routing.
+    """
+
+    path: str
+    model: str
+    is_stream: bool
+    target_body: bytes
+    content_digest: str
+    head_digest: str
+
+
+class _Delta(Struct):
+    content: str | None = None
+
+
+class _Choice(Struct):
+    index: int = 0
+    finish_reason: str | None = None
+    text: str | None = None
+    delta: _Delta | None = None
+
+
+class StreamEvent(Struct):
+    """One event of a target's stream."""
+
+    id: str = ""
+    model: str = ""
+    created: int = 0
+    choices: list[_Choice] = []
+
+    def text(self) -> str:
+        """Return the generated text in the event."""
+        return "".join(
+            choice.text or (choice.delta.content if choice.delta else "") or ""
+            for choice in self.choices
+        )
+
+
+_EVENT_DECODER = Decoder(StreamEvent)
+
+
+def parse_generation(path: str, data: bytes) -> GenerationRequest:
+    """Check a request body.
+
+    :raises RequestError: if it is malformed.
+    """
+    try:
+        body = decode(data, type=GenerationBody)
+        fields = decode(data)
+    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+        raise RequestError(str(error)) from error
+    if path == CHAT_PATH and not body.messages:
+        raise RequestError("messages: missing or empty")
+    if path == COMPLETIONS_PATH and body.prompt is None:
+        raise RequestError("prompt: missing; one text is allowed")
+    fields.pop("stream_options", None)
+    fields["stream"] = False
+    content = encode(fields)
+    fields["stream"] = True
+    fields["stream_options"] = {"include_usage": True}
+    return GenerationRequest(
+        path,
+        body.model,
+        body.stream,
+        encode(fields),
+        digest(path.encode(), content),
+        digest(body.model.encode(), _head(body)),
+    )
+
+
+def digest(*parts: bytes) -> str:
+    """Return a digest of length-prefixed parts, 32 hexadecimal characters."""
+    state = sha256()
+    for part in parts:
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return state.hexdigest()[:DIGEST_CHARS]
+
+
+def _head(body: GenerationBody) -> bytes:
+    if body.messages is None:
+        return (body.prompt or "").encode()
+    head = []
+    for message in body.messages:
+        head.append(message)
+        if message.get("role") == "user":
+            break
+    return encode(head)
+
+
+class AnswerAssembler:
+    """Builds the answer to a request that did not ask for a stream.
+
+    :param request: the request.
+    """
+
+    __slots__ = ("_finish_reason", "_id", "_model", "_request", "_texts")
+
+    def __init__(self, request: GenerationRequest) -> None:
+        self._request = request
+        self._texts: list[str] = []
+        self._finish_reason = ""
+        self._id = ""
+        self._model = request.model
+
+    def add(self, data: bytes) -> None:
+        """Add one or more stream events, one a line.
+
+        :raises TargetError: if an event is malformed.
+        """
+        for line in data.split(b"\n"):
+            event = decode_event(line)
+            self._id = self._id or event.id
+            self._model = event.model or self._model
+            self._texts.append(event.text())
+            for choice in event.choices:
+                self._finish_reason = choice.finish_reason or self._finish_reason
+
+    def text(self) -> str:
+        """Return the text so far."""
+        return "".join(self._texts)
+
+    def answer(self, usage: Usage) -> bytes:
+        """Return the JSON body of the complete answer.
+
+        :raises TargetError: if the target gave no reason for the end.
+        """
+        if not self._finish_reason:
+            raise TargetError("the stream has no finish reason")
+        is_chat = self._request.path == CHAT_PATH
+        choice: dict[str, Any] = {"index": 0, "finish_reason": self._finish_reason}
+        if is_chat:
+            choice["message"] = {"role": "assistant", "content": self.text()}
+        else:
+            choice["text"] = self.text()
+        return encode(
+            {
+                "id": self._id,
+                "object": "chat.completion" if is_chat else "text_completion",
+                "created": 0,
+                "model": self._model,
+                "choices": [choice],
+                "usage": {
+                    "prompt_tokens": usage.prompt_tokens,
+                    "completion_tokens": usage.completion_tokens,
+                    "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+                },
+            }
+        )
+
+
+def decode_event(data: bytes) -> StreamEvent:
+    """Return a stream event.
+
+    :raises TargetError: if it is malformed.
+    """
+    try:
+        return _EVENT_DECODER.decode(data)
+    except DecodeError as error:
+        raise TargetError(f"malformed stream event: {error}") from error
+
+
+def error_body(error: EbonyshoreError) -> bytes:
+    """Return the JSON body that reports an error to a caller."""
+    return encode(
+        {
+            "error": {
+                "message": str(error),
+                "type": "invalid_request_error" if error.retry_after_ms is None else "retryable",
+                "code": int(error.code),
+                "execution": error.execution.value,
+                "retry_after_ms": error.retry_after_ms,
+            }
+        }
+    )
--- /dev/null
+++ b/ebonyshore/platform_http.py
@@ -0,0 +1,205 @@
+"""The platform's services over HTTP, by ``http.client``."""
+
+from http.client import HTTPConnection, HTTPException, HTTPResponse
+from threading import Lock
+from urllib.parse import quote, urlencode, urlsplit
+
+from msgspec import Struct, convert
+from msgspec.json import decode, encode
+
+from ebonyshore.clock import MS_PER_S
+from ebonyshore.errors import (
+    StoreError,
+    StoreTimeoutError,
+    StoreUnavailableError,
+    WriteConflictError,
+    WriteOutcomeUnknownError,
+)
+from ebonyshore.platform_api import (
+    ABSENT_VERSION,
+    Instance,
+    InstanceList,
+    ObjectStore,
+    ObjectSummary,
+    StoredObject,
+    WatchResult,
+    WeightGrant,
+    WeightStore,
+)
+
+MAX_IDLE_CONNECTIONS = 4
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 412
+WATCH_MARGIN_MS = 2_000
+
+
+class HttpAnswer(Struct, frozen=True):
+    """A complete HTTP answer."""
+
+    status: int
+    version: int
+    body: bytes
+
+
+class HttpConnectionPool:
+    """Keeps a few idle connections to one server; safe to use from any thread.
+
+    :param url: ``http://IP:PORT``.
+    """
+
+    __slots__ = ("_host", "_idle", "_lock", "_port")
+
+    def __init__(self, url: str) -> None:
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._idle: list[HTTPConnection] = []
+        self._lock = Lock()
+
+    def take(self, timeout_ms: float) -> HTTPConnection:
+        """Return an idle connection or a new, connected one.
+
+        :raises OSError: if the server cannot be reached.
+        """
+        with self._lock:
+            connection = self._idle.pop() if self._idle else None
+        if connection is None:
+            connection = HTTPConnection(self._host, self._port, timeout=timeout_ms / MS_PER_S)
+            connection.connect()
+        connection.sock.settimeout(timeout_ms / MS_PER_S)
+        return connection
+
+    def give_back(self, connection: HTTPConnection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        with self._lock:
+            if connection.sock is not None and len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append(connection)
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+
+class PlatformHttp(ObjectStore, InstanceList, WeightStore):
+    """Client of the platform.
+
+    :param url: base URL, ``http://IP:PORT``.
+    :param timeout_ms: time limit of one call; a watch may wait longer by its own timeout.
+    """
+
+    __slots__ = ("_pool", "_timeout_ms")
+
+    def __init__(self, url: str, timeout_ms: int) -> None:
+        self._pool = HttpConnectionPool(url)
+        self._timeout_ms = timeout_ms
+
+    def get(self, key: str) -> StoredObject | None:
+        answer = self._read("GET", f"/objects/{quote(key)}")
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        return StoredObject(key, answer.version, answer.body)
+
+    def put(self, key: str, value: bytes, expected_version: int) -> int:
+        return self._write("PUT", key, value, expected_version).version
+
+    def delete(self, key: str, expected_version: int) -> None:
+        self._write("DELETE", key, None, expected_version)
+
+    def list_keys(
+        self, prefix: str, start_after: str = "", limit: int = 1000
+    ) -> list[ObjectSummary]:
+        query = urlencode({"prefix": prefix, "start_after": start_after, "limit": limit})
+        return decode(self._read("GET", f"/objects?{query}").body, type=list[ObjectSummary])
+
+    def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
+        query = urlencode({"prefix": prefix, "since": since, "timeout_ms": timeout_ms})
+        limit_ms = self._timeout_ms + (timeout_ms + WATCH_MARGIN_MS if timeout_ms else 0)
+        return decode(self._read("GET", f"/watch?{query}", limit_ms).body, type=WatchResult)
+
+    def list_instances(self) -> list[Instance]:
+        return decode(self._read("GET", "/instances").body, type=list[Instance])
+
+    def request_weights(self, model: str) -> WeightGrant:
+        body = encode({"model": model})
+        return convert(decode(self._read("POST", "/weights", body=body).body), WeightGrant)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
+
+    def _read(
+        self, method: str, path: str, timeout_ms: float | None = None, body: bytes | None = None
+    ) -> HttpAnswer:
+        try:
+            answer = self._exchange(method, path, body, {}, timeout_ms or self._timeout_ms)
+        except TimeoutError as error:
+            raise StoreTimeoutError(f"{method} {path}: no answer in time") from error
+        except (OSError, HTTPException) as error:
+            raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+        if answer.status not in (HTTP_OK, HTTP_NOT_FOUND):
+            raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
+        return answer
+
+    def _write(
+        self, method: str, key: str, value: bytes | None, expected_version: int
+    ) -> HttpAnswer:
+        headers = (
+            {"If-None-Match": "*"}
+            if expected_version == ABSENT_VERSION
+            else {"If-Match": f'"{expected_version}"'}
+        )
+        try:
+            connection = self._pool.take(self._timeout_ms)
+        except OSError as error:
+            raise StoreUnavailableError(f"{method} {key}: {error!r}") from error
+        try:
+            answer = self._exchange_on(connection, method, f"/objects/{quote(key)}", value, headers)
+        except (OSError, HTTPException) as error:
+            raise WriteOutcomeUnknownError(f"{method} {key}: {error!r}") from error
+        return _checked_write_answer(answer, method, key)
+
+    def _exchange(
+        self, method: str, path: str, body: bytes | None, headers: dict[str, str], timeout_ms: float
+    ) -> HttpAnswer:
+        connection = self._pool.take(timeout_ms)
+        return self._exchange_on(connection, method, path, body, headers)
+
+    def _exchange_on(
+        self,
+        connection: HTTPConnection,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+    ) -> HttpAnswer:
+        try:
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            answer = HttpAnswer(response.status, _version(response), response.read())
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.give_back(connection)
+        return answer
+
+
+def _version(response: HTTPResponse) -> int:
+    return int((response.getheader("ETag") or f'"{ABSENT_VERSION}"').strip('"'))
+
+
+def _checked_write_answer(answer: HttpAnswer, method: str, key: str) -> HttpAnswer:
+    if answer.status == HTTP_OK:
+        return answer
+    if answer.status == HTTP_CONFLICT:
+        raise WriteConflictError(f"{method} {key}")
+    if answer.status in (429, 503):
+        raise StoreUnavailableError(f"{method} {key}: status {answer.status}")
+    if answer.status >= 500:
+        raise WriteOutcomeUnknownError(f"{method} {key}: status {answer.status}")
+    raise StoreError(f"{method} {key}: status {answer.status}")
--- a/ebonyshore/process_settings.py
+++ b/ebonyshore/process_settings.py
@@ -23,7 +23,7 @@
 CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
 
 
-class InstanceSettings(Struct, forbid_unknown_fields=True):
+class InstanceSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Who and where this process is.
 
     :param instance_id: unique name of the instance.
@@ -36,7 +36,7 @@
     failure_domain: Name = "default"
 
 
-class HttpSettings(Struct, forbid_unknown_fields=True):
+class HttpSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Where callers reach an entry.
 
     :param listen_address: IP address to listen on.
@@ -51,7 +51,7 @@
     max_request_bytes: PositiveInt = 256 * 1024 * 1024
 
 
-class AdminSettings(Struct, forbid_unknown_fields=True):
+class AdminSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Where operators reach the process.
 
     :param listen_address: IP address to listen on.
@@ -64,7 +64,7 @@
     listen_address: IpAddress = "127.0.0.1"
 
 
-class FleetSettings(Struct, forbid_unknown_fields=True):
+class FleetSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """The key pair that all processes of the fleet share, in Z85 as CURVE uses it.
 
     :param public_key_z85: public key, 40 characters.
@@ -75,7 +75,7 @@
     secret_key_z85: CurveKey
 
 
-class PlatformSettings(Struct, forbid_unknown_fields=True):
+class PlatformSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """The platform's services.
 
     :param url: base URL of the object API, the instance list and the weight store.
@@ -90,7 +90,7 @@
     instance_poll_interval_ms: DurationMs = 2_000
 
 
-class PeerSettings(Struct, forbid_unknown_fields=True):
+class PeerSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Peers to ask when the platform is down.
 
     :param agent_addresses: ZeroMQ addresses of some agents, ``tcp://IP:PORT``.
@@ -99,7 +99,7 @@
     agent_addresses: list[AgentAddress] = []
 
 
-class TargetSettings(Struct, forbid_unknown_fields=True):
+class TargetSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """The agent's socket and its target.
 
     :param port: TCP port of the agent's ZeroMQ socket.
@@ -120,7 +120,7 @@
     does_check_fencing: bool = False
 
 
-class BatchSettings(Struct, forbid_unknown_fields=True):
+class BatchSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """How an entry runs batch jobs.
 
     :param is_runner: whether this entry claims and runs shards.
@@ -145,7 +145,7 @@
     window_items: PositiveInt = 64
 
 
-class DrainSettings(Struct, forbid_unknown_fields=True):
+class DrainSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """The planned stop.
 
     :param bound_ms: longest time to wait for running requests.
@@ -154,7 +154,7 @@
     bound_ms: DurationMs = 60_000
 
 
-class LogSettings(Struct, forbid_unknown_fields=True):
+class LogSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Where the log goes.
 
     :param path: a file to append to; standard error if empty.
@@ -163,7 +163,7 @@
     path: str = ""
 
 
-class ProcessSettings(Struct, forbid_unknown_fields=True):
+class ProcessSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one process; ``http`` is for entries, ``target`` for agents."""
 
     instance: InstanceSettings
@@ -207,7 +207,9 @@
     for name, field in known.items():
         key_path = f"{prefix}{name}"
         if name not in table:
-            if field.required or (field.default is NODEFAULT and field.default_factory is NODEFAULT):
+            if field.required or (
+                field.default is NODEFAULT and field.default_factory is NODEFAULT
+            ):
                 faults.append(f"{key_path}: missing")
             continue
         faults += _value_faults(hints[name], table[name], key_path)
--- a/ebonyshore/result_codes.py
+++ b/ebonyshore/result_codes.py
@@ -122,9 +122,7 @@
     ResultCode.RETRY_BUDGET_EXHAUSTED: ResultInfo(
         "the retry budget is exhausted", 503, _NOT_RUN, True
     ),
-    ResultCode.CONVICTED: ResultInfo(
-        "the request crashes the targets that run it", 422, _NOT_RUN
-    ),
+    ResultCode.CONVICTED: ResultInfo("the request crashes the targets that run it", 422, _NOT_RUN),
     ResultCode.NOT_READY: ResultInfo("the process is not ready", 503, _NOT_RUN, True),
     ResultCode.SUSPECT_BUSY: ResultInfo(
         "another suspected request is running on the target", 503, _NOT_RUN, True
--- a/ebonyshore/task.py
+++ b/ebonyshore/task.py
@@ -3,6 +3,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from threading import Condition, Lock
 from typing import Generic, TypeVar
@@ -63,27 +64,30 @@
         self.clock = clock
         self._mailbox: Mailbox[MessageT | StopTask] = Mailbox(clock)
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=name)
-        self._running: Future[None] | None = None
+        self._loop: Future[None] | None = None
+        self._on_failure: Callable[[str, BaseException], None] | None = None
+
+    def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:
+        """Call ``handler`` with the task's name if its loop ends by an exception."""
+        self._on_failure = handler
 
     def start(self) -> None:
         """Start the thread."""
-        self._running = self._executor.submit(self._run)
+        self._loop = self._executor.submit(self._run)
+        self._loop.add_done_callback(self._report_failure)
 
     def post(self, message: MessageT) -> None:
         """Send a message to the task from any thread."""
         self._mailbox.post(message)
 
     def stop(self) -> None:
-        """End the loop after the messages already posted and wait for the thread.
-
-        :raises Exception: what ended the loop early, if anything did.
-        """
-        if self._running is None:
+        """End the loop after the messages already posted and wait for the thread."""
+        if self._loop is None:
             return
-        self._mailbox.post(StopTask())
-        self._running.result()
+        self.post(StopTask())  # type: ignore[arg-type]
+        self._loop.exception()
         self._executor.shutdown()
-        self._running = None
+        self._loop = None
 
     @abstractmethod
     def handle(self, message: MessageT) -> None:
@@ -106,6 +110,11 @@
                 self.handle(message)
             self._run_due_timer()
 
+    def _report_failure(self, running: Future[None]) -> None:
+        error = running.exception()
+        if error is not None and self._on_failure is not None:
+            self._on_failure(self.name, error)
+
     def _timeout_ms(self) -> float | None:
         due_ms = self.timer_ms()
         return None if due_ms is None else max(0.0, due_ms - self.clock.monotonic_ms())
@@ -140,12 +149,7 @@
         self._wake_writer.send(b"w")
 
     def stop(self) -> None:
-        if self._running is None:
-            return
-        self.post(StopTask())  # type: ignore[arg-type]
-        self._running.result()
-        self._executor.shutdown()
-        self._running = None
+        super().stop()
         self._wake_reader.close()
         self._wake_writer.close()
 
--- /dev/null
+++ b/ebonyshore/task_service.py
@@ -0,0 +1,47 @@
+"""Makes a task a service of the kernel."""
+
+from collections.abc import Callable
+
+from ebonyshore.kernel import Service
+from ebonyshore.task import Task
+
+
+class TaskService(Service):
+    """Starts and stops a task with the kernel.
+
+    :param begin_drain: called when a planned stop begins.
+    :param is_drained: tells whether the task's work has ended.
+    :param dump: returns the task's state.
+    """
+
+    def __init__(
+        self,
+        task: Task,
+        begin_drain: Callable[[], None] | None = None,
+        is_drained: Callable[[], bool] | None = None,
+        dump: Callable[[], dict[str, object]] | None = None,
+    ) -> None:
+        self.name = task.name
+        self.task = task
+        self._begin_drain = begin_drain
+        self._is_drained = is_drained
+        self._dump = dump
+
+    def start(self) -> None:
+        self.task.start()
+
+    def begin_drain(self) -> None:
+        if self._begin_drain is not None:
+            self._begin_drain()
+
+    def is_drained(self) -> bool:
+        return self._is_drained is None or self._is_drained()
+
+    def stop(self) -> None:
+        self.task.stop()
+
+    def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:
+        self.task.on_failure(handler)
+
+    def dump(self) -> dict[str, object]:
+        return {} if self._dump is None else self._dump()
--- /dev/null
+++ b/ebonyshore_standins/local_fleet.py
@@ -0,0 +1,262 @@
+"""Starts a fleet of real processes on loopback, for the demo, the bench and end-to-end tests."""
+
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+import zmq
+from msgspec.json import encode
+
+from ebonyshore.admin_client import AdminClient
+from ebonyshore.clock import Clock, SystemClock
+from ebonyshore.errors import EbonyshoreError
+from ebonyshore.platform_api import Instance
+
+OPERATOR_TOKEN = "local-operator-token"
+START_TIMEOUT_MS = 15_000
+POLL_INTERVAL_MS = 50
+STOP_TIMEOUT_S = 20
+
+SETTINGS_TEMPLATE = """\
+[instance]
+instance_id = "{instance_id}"
+failure_domain = "{failure_domain}"
+
+[admin]
+port = {admin_port}
+operator_token = "{operator_token}"
+
+[fleet]
+public_key_z85 = '{public_key}'
+secret_key_z85 = '{secret_key}'
+
+[platform]
+url = "http://127.0.0.1:{platform_port}"
+instance_poll_interval_ms = 500
+
+[log]
+path = "{log_path}"
+"""
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """A running entry."""
+
+    instance_id: str
+    port: int
+    admin: AdminClient
+    process: subprocess.Popen[bytes]
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://127.0.0.1:{self.port}"
+
+
+@dataclass(slots=True)
+class TargetProcess:
+    """A running target with its agent."""
+
+    instance_id: str
+    port: int
+    admin: AdminClient
+    target: subprocess.Popen[bytes]
+    agent: subprocess.Popen[bytes]
+    settings_path: Path
+
+
+@dataclass(slots=True)
+class LocalFleet:
+    """Processes of one fleet; use as a context manager.
+
+    :param folder: for settings files and logs.
+    """
+
+    folder: Path
+    clock: Clock = field(default_factory=SystemClock)
+    entries: list[EntryProcess] = field(default_factory=list)
+    targets: list[TargetProcess] = field(default_factory=list)
+    platform_port: int = 0
+    _processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    _keys: tuple[str, str] = ("", "")
+
+    def __enter__(self) -> "LocalFleet":
+        public, secret = zmq.curve_keypair()
+        self._keys = (public.decode(), secret.decode())
+        self.platform_port = free_port()
+        self._start_module("platform_server", "--port", str(self.platform_port))
+        self.wait_for_port(self.platform_port)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in reversed(self._processes):
+            process.terminate()
+        for process in self._processes:
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def add_engine(
+        self,
+        models: tuple[str, ...],
+        failure_domain: str = "a",
+        parameters: dict[str, object] | None = None,
+        max_running: int = 16,
+    ) -> TargetProcess:
+        """Start an engine and its agent, and list them at the platform."""
+        engine_port = free_port()
+        engine = self._start_module(
+            "engine_server",
+            *("--port", str(engine_port), "--models", ",".join(models)),
+            *("--parameters", encode(parameters or {}).decode()),
+        )
+        self.wait_for_port(engine_port)
+        return self._add_agent(engine, engine_port, "engine", models, failure_domain, max_running)
+
+    def add_service(self, name: str, failure_domain: str = "a") -> TargetProcess:
+        """Start a plain service and its agent."""
+        port = free_port()
+        service = self._start_module("service_server", "--port", str(port))
+        self.wait_for_port(port)
+        return self._add_agent(service, port, "service", (name,), failure_domain, 16)
+
+    def add_entry(self, failure_domain: str = "a", extra_settings: str = "") -> EntryProcess:
+        """Start an entry."""
+        instance_id = f"entry-{len(self.entries) + 1}"
+        port, admin_port = free_port(), free_port()
+        text = self._settings_text(instance_id, admin_port, failure_domain)
+        text += f"\n[http]\nport = {port}\n{extra_settings}"
+        path = self.folder / f"{instance_id}.toml"
+        path.write_text(text, encoding="utf-8")
+        process = self._start("-m", "ebonyshore", "entry", "--settings", str(path))
+        entry = EntryProcess(instance_id, port, self._admin(admin_port), process)
+        self.entries.append(entry)
+        self.wait_for_port(port)
+        self.platform_call("POST", "/control/instances", Instance(instance_id, "entry", entry.url))
+        return entry
+
+    def create_tier(self, name: str, models: tuple[str, ...], **settings: object) -> None:
+        """Create a tier through the first entry and wait until its models are served."""
+        admin = self.entries[0].admin
+        for path, values in (
+            (f"/tiers/{name}", settings),
+            *((f"/tiers/{name}/models/{model}", {}) for model in models),
+        ):
+            change = {"path": path, "values": values, "operator": "local-fleet"}
+            admin.post("/admin/v1/settings", change)
+        self.wait_until(self._is_served)
+
+    def platform_call(self, method: str, path: str, value: object) -> None:
+        """Call the stand-in platform."""
+        connection = HTTPConnection("127.0.0.1", self.platform_port, timeout=5)
+        connection.request(method, path, encode(value))
+        status = connection.getresponse().status
+        connection.close()
+        if status != 200:
+            raise EbonyshoreError(f"{method} {path}: status {status}")
+
+    def wait_until(self, condition, timeout_ms: float = START_TIMEOUT_MS) -> None:
+        """Wait for a condition.
+
+        :raises EbonyshoreError: if it does not hold in time.
+        """
+        end_ms = self.clock.monotonic_ms() + timeout_ms
+        while not condition():
+            if self.clock.monotonic_ms() > end_ms:
+                raise EbonyshoreError(f"{condition.__qualname__}: not so after {timeout_ms} ms")
+            self.clock.sleep_ms(POLL_INTERVAL_MS)
+
+    def wait_for_port(self, port: int) -> None:
+        """Wait until a process listens."""
+        self.wait_until(lambda: is_listening(port))
+
+    def _is_served(self) -> bool:
+        return all(self._sees_all_targets(entry) for entry in self.entries)
+
+    def _sees_all_targets(self, entry: EntryProcess) -> bool:
+        try:
+            seen = entry.admin.get("/admin/v1/targets")
+            revision = entry.admin.get("/admin/v1/settings")["revision"]
+        except EbonyshoreError:
+            return False
+        current = [view for view in seen.values() if view["settings_revision"] == revision]
+        return revision > 0 and len(current) >= len(self.targets)
+
+    def _add_agent(
+        self,
+        target: subprocess.Popen[bytes],
+        target_port: int,
+        kind: str,
+        models: tuple[str, ...],
+        failure_domain: str,
+        max_running: int,
+    ) -> TargetProcess:
+        instance_id = f"target-{len(self.targets) + 1}"
+        port, admin_port = free_port(), free_port()
+        names = ", ".join(f'"{model}"' for model in models)
+        text = self._settings_text(instance_id, admin_port, failure_domain)
+        text += (
+            f'\n[target]\nport = {port}\nurl = "http://127.0.0.1:{target_port}"\n'
+            f'kind = "{kind}"\nmodels = [{names}]\nmax_running = {max_running}\n'
+        )
+        path = self.folder / f"{instance_id}.toml"
+        path.write_text(text, encoding="utf-8")
+        agent = self._start("-m", "ebonyshore", "agent", "--settings", str(path))
+        process = TargetProcess(instance_id, port, self._admin(admin_port), target, agent, path)
+        self.targets.append(process)
+        self.wait_for_port(port)
+        instance = Instance(
+            instance_id,
+            "target",
+            f"tcp://127.0.0.1:{port}",
+            failure_domain=failure_domain,
+            models=models,
+        )
+        self.platform_call("POST", "/control/instances", instance)
+        return process
+
+    def _settings_text(self, instance_id: str, admin_port: int, failure_domain: str) -> str:
+        public_key, secret_key = self._keys
+        return SETTINGS_TEMPLATE.format(
+            instance_id=instance_id,
+            failure_domain=failure_domain,
+            admin_port=admin_port,
+            operator_token=OPERATOR_TOKEN,
+            public_key=public_key,
+            secret_key=secret_key,
+            platform_port=self.platform_port,
+            log_path=self.folder / f"{instance_id}.log",
+        )
+
+    def _admin(self, port: int) -> AdminClient:
+        return AdminClient(f"http://127.0.0.1:{port}", OPERATOR_TOKEN)
+
+    def _start_module(self, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+        return self._start("-m", f"ebonyshore_standins.{module}", *arguments)
+
+    def _start(self, *arguments: str) -> subprocess.Popen[bytes]:
+        process = subprocess.Popen([sys.executable, *arguments])
+        self._processes.append(process)
+        return process
+
+
+def free_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def is_listening(port: int) -> bool:
+    """Return whether a process accepts connections on a port of loopback."""
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=1):
+            return True
+    except (OSError, HTTPException):
+        return False
--- /dev/null
+++ b/ebonyshore_standins/service_server.py
@@ -0,0 +1,66 @@
+"""The stand-in plain service: counts and echoes calls, for calls that may not be repeated."""
+
+import argparse
+from collections import Counter
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from threading import Lock
+from uuid import uuid4
+
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+
+from ebonyshore.clock import SystemClock
+
+
+class ServiceHandler(BaseHTTPRequestHandler):
+    """Serves one connection."""
+
+    protocol_version = "HTTP/1.1"
+    boot_id = uuid4().hex
+    delay_ms = 0.0
+    runs: Counter[str] = Counter()
+    lock = Lock()
+    clock = SystemClock()
+
+    def do_GET(self) -> None:  # noqa: N802 - name given by the base class
+        if self.path == "/health":
+            self._send_json({"boot_id": self.boot_id})
+        else:
+            with self.lock:
+                self._send_json(dict(self.runs))
+
+    def do_POST(self) -> None:  # noqa: N802 - name given by the base class
+        data = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        try:
+            label = str(decode(data).get("label", ""))
+        except (DecodeError, AttributeError):
+            label = ""
+        with self.lock:
+            self.runs[label] += 1
+        self.clock.sleep_ms(self.delay_ms)
+        self._send_json({"label": label, "path": self.path})
+
+    def log_message(self, format: str, *args: object) -> None:  # noqa: A002
+        """Write no access log."""
+
+    def _send_json(self, value: object) -> None:
+        data = encode(value)
+        self.send_response(200)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+def main() -> None:
+    """Run the stand-in until it is stopped."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--delay-ms", type=float, default=0.0)
+    arguments = parser.parse_args()
+    ServiceHandler.delay_ms = arguments.delay_ms
+    ThreadingHTTPServer(("127.0.0.1", arguments.port), ServiceHandler).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,43 @@
+"""Fixtures shared by the tests."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ebonyshore.clock import ManualClock, SystemClock
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore_standins.local_fleet import LocalFleet
+from ebonyshore_standins.memory_platform import MemoryPlatform
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """A paused clock."""
+    return ManualClock(1_000.0)
+
+
+@pytest.fixture
+def platform() -> MemoryPlatform:
+    """A platform in memory, on the system's clock."""
+    return MemoryPlatform(SystemClock())
+
+
+@pytest.fixture
+def store(platform: MemoryPlatform) -> MarkedStore:
+    """Marked writes on ``platform``."""
+    return MarkedStore(platform, SystemClock())
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[LocalFleet]:
+    """Two engines, a plain service and two entries as processes, with one tier."""
+    folder: Path = tmp_path_factory.mktemp("fleet")
+    with LocalFleet(folder) as running:
+        for domain in ("a", "b"):
+            running.add_engine(("reader", "writer"), domain)
+        running.add_service("labels")
+        for domain in ("a", "b"):
+            running.add_entry(domain)
+        running.create_tier("care", ("reader", "writer", "labels"))
+        yield running
