Fix the lost end of a run whose worker failed

Cause: the stream event's default for a missing delta was a dataclass field object, so reading the text of a plain completion raised on the worker thread, the future swallowed it, and the dispatcher held the request for good. Ruled out: a lost wake-up of the socket task (the agent's threads were all idle). Before: 2 of 15 tests failed, the stream hung until the client's timeout. After: 15 of 15 pass in 10 s. Any exception on a worker now ends the run as broken.

--- a/ebonyshore/target_run.py
+++ b/ebonyshore/target_run.py
@@ -46,7 +46,7 @@
 class _Choice(Struct):
     finish_reason: str | None = None
     text: str = ""
-    delta: _Delta = field(default_factory=_Delta)
+    delta: _Delta | None = None
 
 
 class _Event(Struct):
@@ -103,6 +103,9 @@
         )
     except TargetError as error:
         ended = worker.ended(RunOutcome.BROKEN, detail=error.detail)
+    except Exception as error:
+        # Whatever went wrong, the dispatcher must learn that the run has ended.
+        ended = worker.ended(RunOutcome.BROKEN, detail=repr(error))
     post(ended)
 
 
@@ -180,7 +183,7 @@
         except DecodeError:
             return False
         for choice in choices:
-            text = choice.text or choice.delta.content
+            text = choice.text or (choice.delta.content if choice.delta else "")
             if text:
                 self._texts.append(text)
                 self._tokens += 1
