--- a/ebonyshore/audit.py
+++ b/ebonyshore/audit.py
@@ -2,11 +2,13 @@
 
 from collections import Counter
 
-from msgspec import Struct
+from msgspec import DecodeError, MsgspecError, Struct
+from msgspec.json import decode
 
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.job_store import JobStore
-from ebonyshore.jobs import JobRecord, JobState
+from ebonyshore.errors import EbonyshoreError, RequestError
+from ebonyshore.job_files import parse_item
+from ebonyshore.job_store import JobStore, digest_of_name, segment_digest
+from ebonyshore.jobs import ItemOutcome, JobRecord, JobState, SegmentRecord, ShardRecord
 from ebonyshore.result_codes import ResultCode
 from ebonyshore.settings_store import SettingsStore, digest_of
 
@@ -53,43 +55,16 @@
     def run(self) -> AuditReport:
         """Return the report."""
         report = AuditReport()
+        job_ids = set()
         for job in self._jobs.list_jobs():
-            self._audit_job(job, report)
+            job_ids.add(job.job_id)
+            _JobAudit(self._jobs, job, report).run()
+        for key in self._jobs.list_shard_keys():
+            if key.split("/")[1] not in job_ids:
+                report.faults.append(f"{key}: the job is missing")
         self._audit_settings(report)
         return report
 
-    def _audit_job(self, job: JobRecord, report: AuditReport) -> None:
-        report.jobs += 1
-        report.accepted += job.item_count
-        counts: Counter[int] = Counter()
-        for shard in range(job.shard_count):
-            self._audit_shard(job, shard, counts, report)
-        missing = job.item_count - len(counts)
-        report.duplicated += sum(count - 1 for count in counts.values())
-        if not job.is_ended:
-            report.open_items += missing
-        elif job.state is JobState.CANCELLED:
-            report.cancelled += missing
-        else:
-            report.lost += missing
-
-    def _audit_shard(
-        self, job: JobRecord, shard: int, counts: Counter[int], report: AuditReport
-    ) -> None:
-        record = self._jobs.read_shard(job.job_id, shard)
-        if record is None:
-            return
-        try:
-            for segment in self._jobs.read_segments(record.body):
-                for outcome in segment.outcomes:
-                    counts[outcome.item] += 1
-                    if outcome.code is ResultCode.OK:
-                        report.completed += 1
-                    else:
-                        report.failed += 1
-        except EbonyshoreError as error:
-            report.faults.append(f"{job.job_id}/{shard}: {error}")
-
     def _audit_settings(self, report: AuditReport) -> None:
         previous = None
         for change in self._settings.read().recent:
@@ -100,3 +75,138 @@
                     f"settings revision {change.revision} does not follow {previous.revision}"
                 )
             previous = change
+
+
+class _JobAudit:
+    """Compares a job's record, shards, segments and file with each other."""
+
+    def __init__(self, jobs: JobStore, job: JobRecord, report: AuditReport) -> None:
+        self._jobs = jobs
+        self._job = job
+        self._report = report
+        self._ended = ShardRecord(job.job_id, -1, 0)
+
+    def run(self) -> None:
+        """Add the job to the report."""
+        job = self._job
+        self._report.jobs += 1
+        self._report.accepted += job.item_count
+        cancelled = 0
+        for number in range(job.shard_count):
+            cancelled += self._audit_shard(number)
+        ended = self._ended
+        found = (ended.completed_items, ended.failed_items, cancelled)
+        recorded = (job.completed_items, job.failed_items, job.cancelled_items)
+        self._expect(found == recorded, "", f"counts are {recorded}; the shards have {found}")
+        is_all = sorted(job.done_shards) == list(range(job.shard_count))
+        self._expect(is_all or not job.is_ended, "", "ended before its shards")
+        self._expect(len(set(job.done_shards)) == len(job.done_shards), "", "a shard ended twice")
+
+    def _audit_shard(self, number: int) -> int:
+        """Return the items cancelled in a shard that ended."""
+        items = self._job.shard_range(number)
+        counts: Counter[int] = Counter()
+        record = None
+        try:
+            found = self._jobs.read_shard(self._job.job_id, number)
+            record = found.body if found else None
+            if record is not None:
+                self._audit_segments(record, counts)
+        except (EbonyshoreError, MsgspecError) as error:
+            self._fault(number, str(error))
+        missing = sum(1 for item in items if not counts[item])
+        self._report.duplicated += sum(count - 1 for count in counts.values())
+        self._expect(all(item in items for item in counts), number, "has items of other shards")
+        if record is None or number not in self._job.done_shards:
+            self._note_open(number, missing)
+            return 0
+        return self._audit_ended(record, missing)
+
+    def _note_open(self, number: int, missing: int) -> None:
+        if self._job.is_ended:
+            self._report.lost += missing
+            self._fault(number, "the job ended without it")
+        else:
+            self._report.open_items += missing
+
+    def _audit_ended(self, record: ShardRecord, missing: int) -> int:
+        self._expect(record.is_ended, record.shard, "is open, but the job says it ended")
+        self._ended = ShardRecord(
+            record.job_id,
+            -1,
+            0,
+            completed_items=self._ended.completed_items + record.completed_items,
+            failed_items=self._ended.failed_items + record.failed_items,
+        )
+        is_cancelled = self._job.state in (JobState.CANCELLED, JobState.CANCELLING)
+        if is_cancelled and missing == record.item_count - record.done_items:
+            self._report.cancelled += missing
+            return missing
+        self._report.lost += missing
+        return 0
+
+    def _audit_segments(self, record: ShardRecord, counts: Counter[int]) -> None:
+        previous = ""
+        completed = 0
+        total = 0
+        custom_ids = self._custom_ids(record.shard)
+        for name, segment in zip(record.segments, self._jobs.read_segments(record), strict=True):
+            self._audit_chain(record, name, segment, previous)
+            previous = digest_of_name(name)
+            for outcome in segment.outcomes:
+                counts[outcome.item] += 1
+                total += 1
+                completed += outcome.code is ResultCode.OK
+                self._audit_outcome(record.shard, outcome, custom_ids)
+        found = (total, completed, total - completed)
+        recorded = (record.done_items, record.completed_items, record.failed_items)
+        self._expect(
+            found == recorded, record.shard, f"counts are {recorded}; the segments have {found}"
+        )
+
+    def _audit_chain(
+        self, record: ShardRecord, name: str, segment: SegmentRecord, previous: str
+    ) -> None:
+        is_intact = segment_digest(segment) == digest_of_name(name)
+        self._expect(is_intact, record.shard, f"segment {name} was altered")
+        is_next = segment.previous_digest == previous
+        self._expect(is_next, record.shard, f"segment {name} does not follow the one before")
+        is_own = (segment.job_id, segment.shard) == (record.job_id, record.shard)
+        self._expect(is_own, record.shard, f"segment {name} belongs to another shard")
+
+    def _audit_outcome(
+        self, shard: int, outcome: ItemOutcome, custom_ids: dict[int, str | None]
+    ) -> None:
+        expected = custom_ids.get(outcome.item)
+        is_own = expected is None or expected == outcome.custom_id
+        self._expect(is_own, shard, f"item {outcome.item} has another custom_id in its file")
+        if outcome.code is not ResultCode.OK:
+            self._report.failed += 1
+            return
+        self._report.completed += 1
+        try:
+            decode(outcome.body, type=dict)
+        except (DecodeError, MsgspecError) as error:
+            self._report.lost += 1
+            self._fault(shard, f"the result of item {outcome.item} is unreadable: {error}")
+
+    def _custom_ids(self, shard: int) -> dict[int, str | None]:
+        """Return what the file says; ``None`` for malformed lines."""
+        items = self._job.shard_range(shard)
+        file = self._jobs.files.read(self._job.file_id, self._job.caller)
+        lines = self._jobs.files.read_lines(file, items)
+        return {item: _custom_id(line) for item, line in zip(items, lines, strict=True)}
+
+    def _expect(self, is_true: bool, shard: int | str, text: str) -> None:
+        if not is_true:
+            self._fault(shard, text)
+
+    def _fault(self, shard: int | str, text: str) -> None:
+        self._report.faults.append(f"{self._job.job_id}/{shard}: {text}")
+
+
+def _custom_id(line: bytes) -> str | None:
+    try:
+        return parse_item(line).custom_id
+    except RequestError:
+        return None
--- a/ebonyshore/batch_api.py
+++ b/ebonyshore/batch_api.py
@@ -3,11 +3,14 @@
 from collections.abc import Iterator
 from typing import Any
 
+from msgspec import ValidationError, convert
 from msgspec.json import decode, encode
 
+from ebonyshore.batch_order import ShardSizer
 from ebonyshore.clock import MS_PER_S, Clock
 from ebonyshore.errors import RequestError
-from ebonyshore.job_store import JobRequest, JobStore, parse_item
+from ebonyshore.job_files import parse_item
+from ebonyshore.job_store import JobRequest, JobStore, Progress
 from ebonyshore.jobs import FileRecord, ItemOutcome, JobRecord, JobState
 from ebonyshore.openai_api import GENERATION_PATHS
 from ebonyshore.result_codes import RESULT_INFO, ResultCode
@@ -19,20 +22,26 @@
 
 
 class BatchApi:
-    """Answers callers' calls on files and batches; each returns a JSON object."""
+    """Answers callers' calls on files and batches; each returns a JSON object.
 
-    def __init__(self, jobs: JobStore, settings: SettingsService, clock: Clock) -> None:
+    :param sizer: chooses the shard size of new jobs.
+    """
+
+    def __init__(
+        self, jobs: JobStore, settings: SettingsService, sizer: ShardSizer, clock: Clock
+    ) -> None:
         self._jobs = jobs
         self._settings = settings
+        self._sizer = sizer
         self._clock = clock
 
     def save_file(self, caller: str, purpose: str, filename: str, data: bytes) -> dict[str, Any]:
         """Keep an uploaded file."""
-        return _file_object(self._jobs.save_file(caller, purpose, filename, data))
+        return _file_object(self._jobs.files.save(caller, purpose, filename, data))
 
     def read_file(self, caller: str, file_id: str) -> dict[str, Any]:
         """Describe a file."""
-        return _file_object(self._jobs.read_file(file_id, caller))
+        return _file_object(self._jobs.files.read(file_id, caller))
 
     def read_content(self, caller: str, file_id: str) -> Iterator[bytes]:
         """Yield the lines of an uploaded file, or of a batch's output or errors."""
@@ -40,8 +49,8 @@
             if file_id.endswith(suffix):
                 job = self._read_job(caller, file_id.removesuffix(suffix))
                 return self._outcome_lines(job, wants_ok)
-        record = self._jobs.read_file(file_id, caller)
-        lines = self._jobs.read_lines(record, range(sum(record.part_lines)))
+        record = self._jobs.files.read(file_id, caller)
+        lines = self._jobs.files.read_lines(record, range(sum(record.part_lines)))
         return (line + b"\n" for line in lines)
 
     def create(self, caller: str, fields: dict[str, Any], idempotency_key: str) -> dict[str, Any]:
@@ -51,31 +60,33 @@
             raise RequestError(f"endpoint: allowed: {', '.join(GENERATION_PATHS)}")
         file_id = str(fields.get("input_file_id", ""))
         window = str(fields.get("completion_window", "24h"))
+        tier = self._tier_of(caller, file_id)
         request = JobRequest(
             caller,
-            self._tier_of(caller, file_id),
+            tier,
             file_id,
             endpoint,
             self._clock.wall_ms() + _window_ms(window),
-            fields.get("metadata") or {},
+            _checked_metadata(fields.get("metadata")),
             idempotency_key,
             window,
+            self._sizer.shard_items(tier),
         )
-        return _batch_object(self._jobs.accept(request))
+        return self._describe(self._jobs.accept(request))
 
     def read(self, caller: str, batch_id: str) -> dict[str, Any]:
         """Describe a job."""
-        return _batch_object(self._read_job(caller, batch_id))
+        return self._describe(self._read_job(caller, batch_id))
 
     def cancel(self, caller: str, batch_id: str) -> dict[str, Any]:
         """Cancel a job."""
         self._read_job(caller, batch_id)
-        return _batch_object(self._jobs.cancel(batch_id))
+        return self._describe(self._jobs.cancel(batch_id))
 
     def list_jobs(self, caller: str) -> dict[str, Any]:
-        """List a caller's jobs."""
+        """List a caller's jobs; their counts are those of the shards that ended."""
         jobs = [job for job in self._jobs.list_jobs() if job.caller == caller]
-        data = [_batch_object(job) for job in jobs]
+        data = [_batch_object(job, _ended_progress(job)) for job in jobs]
         return {"object": "list", "data": data, "has_more": False}
 
     def _read_job(self, caller: str, job_id: str) -> JobRecord:
@@ -84,14 +95,28 @@
             raise RequestError(f"job {job_id}", code=ResultCode.NOT_FOUND)
         return job
 
+    def _describe(self, job: JobRecord) -> dict[str, Any]:
+        return _batch_object(job, self._jobs.read_progress(job))
+
     def _tier_of(self, caller: str, file_id: str) -> str:
-        record = self._jobs.read_file(file_id, caller)
-        first = next(self._jobs.read_lines(record, range(1)))
-        model = str(parse_item(first).body.get("model", ""))
-        tier = self._settings.current().tier_of(model)
-        if tier is None:
-            raise RequestError(model, code=ResultCode.UNKNOWN_MODEL)
-        return tier
+        """Return the tier of the first line that names a known model.
+
+        Lines that can never be done end as failed items; a file without any other line is refused.
+        """
+        record = self._jobs.files.read(file_id, caller)
+        settings = self._settings.current()
+        fault = RequestError(file_id)
+        for line in self._jobs.files.read_lines(record, range(sum(record.part_lines))):
+            try:
+                model = str(parse_item(line).body.get("model", ""))
+            except RequestError as error:
+                fault = error
+                continue
+            tier = settings.tier_of(model)
+            if tier is not None:
+                return tier
+            fault = RequestError(model, code=ResultCode.UNKNOWN_MODEL)
+        raise fault
 
     def _outcome_lines(self, job: JobRecord, wants_ok: bool) -> Iterator[bytes]:
         for outcome in self._jobs.read_outcomes(job):
@@ -106,6 +131,17 @@
     return int(window[:-1]) * unit_ms
 
 
+def _checked_metadata(value: object) -> dict[str, str]:
+    try:
+        return convert(value or {}, dict[str, str])
+    except ValidationError as error:
+        raise RequestError(f"metadata: {error}") from error
+
+
+def _ended_progress(job: JobRecord) -> Progress:
+    return Progress(job.completed_items, job.failed_items)
+
+
 def _file_object(record: FileRecord) -> dict[str, Any]:
     return {
         "id": record.file_id,
@@ -118,7 +154,7 @@
     }
 
 
-def _batch_object(job: JobRecord) -> dict[str, Any]:
+def _batch_object(job: JobRecord, progress: Progress) -> dict[str, Any]:
     has_output = job.is_ended and job.completed_items
     has_errors = job.is_ended and job.failed_items
     return {
@@ -136,8 +172,8 @@
         "cancelled_at": job.ended_wall_ms // MS_PER_S if job.state is JobState.CANCELLED else None,
         "request_counts": {
             "total": job.item_count,
-            "completed": job.completed_items,
-            "failed": job.failed_items,
+            "completed": progress.completed,
+            "failed": progress.failed,
         },
         "metadata": job.metadata or None,
     }
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -8,6 +8,7 @@
 from ebonyshore.agent_link import AgentLink, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
+from ebonyshore.batch_order import ShardSizer
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
 from ebonyshore.http_api import HttpApi
@@ -45,7 +46,9 @@
     settings = SettingsService(environment.log)
     membership = Membership()
     link = _make_link(environment, settings, membership)
-    runner = _make_runner(environment, settings, membership, link)
+    batch = environment.settings.batch
+    sizer = ShardSizer(batch.shard_items, batch.window_items)
+    runner = _make_runner(environment, settings, membership, link, sizer)
     daemon = Daemon(environment, kernel)
     watcher = SettingsWatcher(
         environment.store,
@@ -67,7 +70,7 @@
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
-    kernel.register(_make_http(environment, settings, membership, link))
+    kernel.register(_make_http(environment, settings, membership, link, sizer))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
     return daemon
 
@@ -113,6 +116,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    sizer: ShardSizer,
 ) -> ShardRunner:
     return ShardRunner(
         environment.settings.instance.instance_id,
@@ -121,6 +125,7 @@
         membership,
         settings,
         environment.settings.batch,
+        sizer,
         environment.clock,
         environment.metrics,
         environment.log,
@@ -132,6 +137,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    sizer: ShardSizer,
 ) -> EntryHttpService:
     online = OnlineService(
         link,
@@ -142,7 +148,7 @@
         environment.metrics,
         environment.log,
     )
-    batch = BatchApi(environment.job_store(), settings, environment.clock)
+    batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
     api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
     http = environment.settings.http
     return EntryHttpService(
--- /dev/null
+++ b/ebonyshore/job_index.py
@@ -0,0 +1,70 @@
+"""The index of open jobs: a few objects that entries poll with conditional reads."""
+
+from hashlib import sha256
+
+from msgspec import Struct
+
+from ebonyshore.jobs import IndexEntry, IndexRecord, JobRecord, index_key
+from ebonyshore.marked_write import MarkedStore
+
+READ_AT_ONCE_MS = 0
+
+
+class _Bucket(Struct):
+    revision: int = 0
+    jobs: tuple[IndexEntry, ...] = ()
+
+
+class JobIndex:
+    """Adds, removes and lists open jobs.
+
+    :param buckets: number of index objects; the same in every process.
+    """
+
+    def __init__(self, store: MarkedStore, buckets: int) -> None:
+        self._store = store
+        self._buckets = buckets
+        self._known = [_Bucket() for _ in range(buckets)]
+        self._next = 0
+
+    def add(self, job: JobRecord) -> None:
+        """List a job; idempotent."""
+        entry = IndexEntry(job.job_id, job.tier, job.caller, job.due_wall_ms, job.shard_count)
+
+        def change(index: IndexRecord | None) -> IndexRecord | None:
+            jobs = index.jobs if index else ()
+            if any(known.job_id == job.job_id for known in jobs):
+                return None
+            return IndexRecord((*jobs, entry))
+
+        self._store.update(self._key(job.job_id), IndexRecord, change)
+
+    def remove(self, job_id: str) -> None:
+        """Stop listing a job; idempotent."""
+
+        def change(index: IndexRecord | None) -> IndexRecord | None:
+            jobs = index.jobs if index else ()
+            left = tuple(known for known in jobs if known.job_id != job_id)
+            return None if len(left) == len(jobs) else IndexRecord(left)
+
+        self._store.update(self._key(job_id), IndexRecord, change)
+
+    def poll(self) -> tuple[IndexEntry, ...]:
+        """Refresh the next bucket with one call and return the open jobs of all buckets.
+
+        The call is a watch that does not wait: it returns the object only if it has changed.
+        """
+        number = self._next
+        self._next = (number + 1) % self._buckets
+        key = index_key(number)
+        bucket = self._known[number]
+        result = self._store.store.watch(key, bucket.revision, READ_AT_ONCE_MS)
+        for change in result.changes:
+            if change.key == key and change.value is not None:
+                found = self._store.decode(key, change.version, change.value, IndexRecord)
+                bucket.jobs = found.body.jobs
+        bucket.revision = result.revision
+        return tuple(entry for known in self._known for entry in known.jobs)
+
+    def _key(self, job_id: str) -> str:
+        return index_key(int(sha256(job_id.encode()).hexdigest()[:8], 16) % self._buckets)
--- a/ebonyshore/job_store.py
+++ b/ebonyshore/job_store.py
@@ -1,54 +1,53 @@
-"""Files, jobs, shards and segments in the object store."""
+"""Jobs, shards and segments in the object store."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from hashlib import sha256
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode, encode
+from msgspec import Struct
+from msgspec.json import encode
+from msgspec.structs import replace
 
 from ebonyshore.clock import Clock
-from ebonyshore.errors import LeaseLostError, RequestError, StoreError, WriteConflictError
+from ebonyshore.errors import (
+    InvariantError,
+    LeaseLostError,
+    RequestError,
+    StoreError,
+    WriteConflictError,
+)
+from ebonyshore.job_files import ID_CHARS, JobFiles, create_or_read
+from ebonyshore.job_index import JobIndex
 from ebonyshore.jobs import (
-    FileRecord,
-    IndexEntry,
-    IndexRecord,
     ItemOutcome,
     JobRecord,
     JobState,
     SegmentRecord,
+    ShardProgress,
     ShardRecord,
-    file_key,
-    file_part_key,
-    index_key,
     job_key,
     segment_key,
     shard_key,
+    shard_prefix,
 )
 from ebonyshore.marked_write import MarkedObject, MarkedStore
 from ebonyshore.openai_api import digest
-from ebonyshore.platform_api import ABSENT_VERSION
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.platform_api import ObjectSummary
+from ebonyshore.result_codes import Execution, ResultCode
 
 JOB_PREFIX = "jobs/"
-MAX_PART_BYTES = 900_000
+SHARD_PREFIX = "shards/"
 MAX_SEGMENT_BYTES = 700_000
-ID_CHARS = 24
 DIGEST_CHARS = 16
-
-
-class BatchItem(Struct, frozen=True):
-    """One line of a batch file."""
-
-    custom_id: str
-    url: str
-    body: dict[str, object]
-    method: str = "POST"
+MAX_LIVE_SHARD_READS = 64
+# Many holders end shards of one job at the same time.
+JOB_UPDATE_ATTEMPTS = 30
 
 
 class JobRequest(Struct, frozen=True):
     """What a caller asks for.
 
     :param idempotency_key: the caller's own key, or empty.
+    :param shard_items: items in a shard; 0 for the process's setting.
     """
 
     caller: str
@@ -59,6 +58,14 @@
     metadata: dict[str, str] = {}
     idempotency_key: str = ""
     completion_window: str = "24h"
+    shard_items: int = 0
+
+
+class Progress(Struct, frozen=True):
+    """Items of a job with an outcome so far."""
+
+    completed: int
+    failed: int
 
 
 class JobStore:
@@ -66,7 +73,7 @@
 
     :param store: the object store with marked writes.
     :param index_buckets: number of index objects.
-    :param shard_items: items in a shard of a new job.
+    :param shard_items: most items in a shard of a new job.
     """
 
     def __init__(
@@ -74,79 +81,23 @@
     ) -> None:
         self._store = store
         self._clock = clock
-        self._index_buckets = index_buckets
         self._shard_items = shard_items
-
-    def save_file(self, caller: str, purpose: str, filename: str, data: bytes) -> FileRecord:
-        """Keep a file; the same content of the same caller has the same id.
-
-        :raises RequestError: if it has no lines or a line is too long.
-        """
-        file_id = "file-" + digest(caller.encode(), data)[:ID_CHARS]
-        parts = _split_lines(data)
-        record = FileRecord(
-            file_id,
-            caller,
-            purpose,
-            filename,
-            len(data),
-            tuple(part.count(b"\n") for part in parts),
-            self._clock.wall_ms(),
-        )
-        for number, part in enumerate(parts):
-            self._put_once(file_part_key(file_id, number), part)
-        return self._create_or_read(file_key(file_id), record)
-
-    def read_file(self, file_id: str, caller: str) -> FileRecord:
-        """Return a caller's file.
-
-        :raises RequestError: if the caller has no such file.
-        """
-        found = self._store.read(file_key(file_id), FileRecord)
-        if found is None or found.body.caller != caller:
-            raise RequestError(f"file {file_id}", code=ResultCode.NOT_FOUND)
-        return found.body
-
-    def read_lines(self, record: FileRecord, items: range) -> Iterator[bytes]:
-        """Yield the lines with the given numbers."""
-        first = 0
-        for number, count in enumerate(record.part_lines):
-            wanted = range(max(items.start, first), min(items.stop, first + count))
-            if wanted:
-                lines = self._read_part(record.file_id, number).split(b"\n")
-                yield from (lines[item - first] for item in wanted)
-            first += count
+        self.files = JobFiles(store, clock)
+        self.index = JobIndex(store, index_buckets)
 
     def accept(self, request: JobRequest) -> JobRecord:
         """Make a job durable, or return the one accepted before.
 
-        :raises RequestError: if the file is unknown or malformed, or the key was used before with
-            other content.
+        :raises RequestError: if the file is unknown, or the key was used before with other
+            content.
+        :raises StoreError: with ``maybe_run`` once the job may have become durable.
         """
-        record = self.read_file(request.file_id, request.caller)
-        content_digest = digest(
-            request.file_id.encode(), request.endpoint.encode(), encode(request.metadata)
-        )
-        job_id = "batch_" + _job_digest(request, content_digest)[:ID_CHARS]
-        job = JobRecord(
-            job_id,
-            request.caller,
-            request.tier,
-            request.file_id,
-            request.endpoint,
-            sum(record.part_lines),
-            self._shard_items,
-            request.due_wall_ms,
-            self._clock.wall_ms(),
-            content_digest,
-            request.metadata,
-            request.completion_window,
-        )
-        stored = self._create_or_read(job_key(job_id), job)
-        if stored.content_digest != content_digest:
-            raise RequestError(job_id, code=ResultCode.IDEMPOTENCY_MISMATCH)
+        job = self._new_job(request)
+        stored = create_or_read(self._store, job_key(job.job_id), job)
+        if stored.content_digest != job.content_digest:
+            raise RequestError(job.job_id, code=ResultCode.IDEMPOTENCY_MISMATCH)
         if not stored.is_ended:
-            self._add_to_index(stored)
+            self._list_durable(stored)
         return stored
 
     def read_job(self, job_id: str) -> JobRecord:
@@ -161,11 +112,34 @@
 
     def list_jobs(self) -> Iterator[JobRecord]:
         """Yield all jobs in the order of their ids."""
-        start_after = ""
-        while page := self._store.store.list_keys(JOB_PREFIX, start_after):
-            for summary in page:
-                yield self.read_job(summary.key.removeprefix(JOB_PREFIX))
-            start_after = page[-1].key
+        for summary in self._list_all(JOB_PREFIX):
+            yield self.read_job(summary.key.removeprefix(JOB_PREFIX))
+
+    def list_shard_keys(self) -> Iterator[str]:
+        """Yield the keys of the shards of all jobs."""
+        return (summary.key for summary in self._list_all(SHARD_PREFIX))
+
+    def list_shards(self, job_id: str) -> dict[int, int]:
+        """Return the versions of a job's shard records by shard; one call per 1000 shards."""
+        prefix = shard_prefix(job_id)
+        return {
+            int(summary.key.removeprefix(prefix)): summary.version
+            for summary in self._list_all(prefix)
+        }
+
+    def read_progress(self, job: JobRecord) -> Progress:
+        """Return the counts of a job, with those of up to 64 shards that are still running."""
+        completed = job.completed_items
+        failed = job.failed_items
+        if job.is_ended:
+            return Progress(completed, failed)
+        live = [shard for shard in self.list_shards(job.job_id) if shard not in job.done_shards]
+        for shard in live[:MAX_LIVE_SHARD_READS]:
+            found = self.read_shard(job.job_id, shard)
+            if found is not None:
+                completed += found.body.completed_items
+                failed += found.body.failed_items
+        return Progress(completed, failed)
 
     def read_outcomes(self, job: JobRecord) -> Iterator[ItemOutcome]:
         """Yield the committed outcomes of a job, shard by shard."""
@@ -183,14 +157,9 @@
                 raise RequestError(f"job {job_id}", code=ResultCode.NOT_FOUND)
             if job.is_ended or job.state is JobState.CANCELLING:
                 return None
-            return _replace(job, state=JobState.CANCELLING)
+            return replace(job, state=JobState.CANCELLING)
 
-        return self._store.update(job_key(job_id), JobRecord, change).body
-
-    def open_jobs(self, bucket: int) -> tuple[IndexEntry, ...]:
-        """Return the open jobs of a bucket."""
-        found = self._store.read(index_key(bucket), IndexRecord)
-        return found.body.jobs if found else ()
+        return self._update_job(job_id, change)
 
     def read_shard(self, job_id: str, shard: int) -> MarkedObject[ShardRecord] | None:
         """Return a shard's record, or ``None`` if it was never claimed."""
@@ -206,38 +175,56 @@
         if current is None:
             record = ShardRecord(job.job_id, shard, len(job.shard_range(shard)), holder, 1)
             return self._store.create(shard_key(job.job_id, shard), record)
-        record = _replace(current.body, holder=holder, epoch=current.body.epoch + 1)
+        record = replace(current.body, holder=holder, epoch=current.body.epoch + 1)
         return self._store.replace(current, record)
 
+    def close_shard(
+        self, job: JobRecord, shard: int, current: MarkedObject[ShardRecord] | None
+    ) -> ShardRecord:
+        """End a shard of a cancelled job that nobody holds, with one write.
+
+        :raises WriteConflictError: if another entry was faster.
+        """
+        if current is None:
+            record = ShardRecord(
+                job.job_id, shard, len(job.shard_range(shard)), epoch=1, is_ended=True
+            )
+            return self._store.create(shard_key(job.job_id, shard), record).body
+        record = replace(current.body, holder="", epoch=current.body.epoch + 1, is_ended=True)
+        return self._store.replace(current, record).body
+
     def commit(
-        self, shard: MarkedObject[ShardRecord], outcomes: tuple[ItemOutcome, ...]
+        self, shard: MarkedObject[ShardRecord], progress: ShardProgress
     ) -> MarkedObject[ShardRecord]:
-        """Commit outcomes and renew the lease; with no outcomes only renew.
+        """Commit outcomes and renew or release the lease.
 
         :raises LeaseLostError: if another holder has claimed the shard; nothing was committed.
         """
         body = shard.body
+        outcomes = progress.outcomes
+        done = body.done_items + len(outcomes)
+        if done > body.item_count or body.is_ended:
+            raise InvariantError(f"{shard.key}: {done} outcomes for {body.item_count} items")
         segments = list(body.segments)
         for chunk in _split_outcomes(outcomes):
             segments.append(self._write_segment(body, len(segments), chunk, segments))
-        done = body.done_items + len(outcomes)
         completed = sum(outcome.code is ResultCode.OK for outcome in outcomes)
-        record = _replace(
+        is_ended = done == body.item_count or progress.is_closed
+        record = replace(
             body,
+            holder="" if is_ended or progress.is_released else body.holder,
             segments=tuple(segments),
             done_items=done,
             completed_items=body.completed_items + completed,
             failed_items=body.failed_items + len(outcomes) - completed,
-            is_ended=done == body.item_count,
+            is_ended=is_ended,
+            attempts=progress.attempts,
+            suspect_items=progress.suspect_items,
         )
-        return self._replace_shard(shard, record)
-
-    def release(
-        self, shard: MarkedObject[ShardRecord], is_ended: bool = False
-    ) -> MarkedObject[ShardRecord]:
-        """Give the lease back so that another holder need not wait for it to lapse."""
-        record = _replace(shard.body, holder="", is_ended=is_ended or shard.body.is_ended)
-        return self._replace_shard(shard, record)
+        try:
+            return self._store.replace(shard, record)
+        except WriteConflictError as error:
+            raise LeaseLostError(shard.key) from error
 
     def read_segments(self, shard: ShardRecord) -> Iterator[SegmentRecord]:
         """Yield the committed segments of a shard.
@@ -250,39 +237,77 @@
                 raise StoreError(f"segment {segment} of {shard.job_id}/{shard.shard} is missing")
             yield found.body
 
-    def record_shard_end(self, shard: ShardRecord) -> JobRecord:
-        """Note in the job that a shard ended; end the job with its last shard. Idempotent."""
+    def record_shard_ends(self, job_id: str, shards: Iterable[ShardRecord]) -> JobRecord:
+        """Note in the job that shards ended; end the job with its last shard. Idempotent."""
+        ended = {shard.shard: shard for shard in shards}
 
         def change(job: JobRecord | None) -> JobRecord | None:
-            if job is None or shard.shard in job.done_shards:
-                return None
-            done_shards = (*job.done_shards, shard.shard)
-            is_last = len(done_shards) == job.shard_count
-            cancelled = shard.item_count - shard.done_items
-            return _replace(
-                job,
-                done_shards=done_shards,
-                completed_items=job.completed_items + shard.completed_items,
-                failed_items=job.failed_items + shard.failed_items,
-                cancelled_items=job.cancelled_items + cancelled,
-                state=_final_state(job) if is_last else job.state,
-                ended_wall_ms=self._clock.wall_ms() if is_last else 0,
-            )
+            if job is None:
+                raise RequestError(f"job {job_id}", code=ResultCode.NOT_FOUND)
+            new = [ended[number] for number in ended if number not in job.done_shards]
+            return self._with_ends(job, new) if new else None
+
+        job = self._update_job(job_id, change)
+        if job.is_ended:
+            self.index.remove(job_id)
+        return job
+
+    def _with_ends(self, job: JobRecord, shards: list[ShardRecord]) -> JobRecord:
+        if not all(shard.is_ended for shard in shards):
+            raise InvariantError(f"a shard of {job.job_id} has not ended")
+        done_shards = (*job.done_shards, *(shard.shard for shard in shards))
+        is_last = len(done_shards) == job.shard_count
+        return replace(
+            job,
+            done_shards=done_shards,
+            completed_items=job.completed_items + sum(s.completed_items for s in shards),
+            failed_items=job.failed_items + sum(s.failed_items for s in shards),
+            cancelled_items=job.cancelled_items + sum(s.item_count - s.done_items for s in shards),
+            state=_final_state(job) if is_last else job.state,
+            ended_wall_ms=self._clock.wall_ms() if is_last else 0,
+        )
 
-        updated = self._store.update(job_key(shard.job_id), JobRecord, change)
-        if updated is None:
-            raise StoreError(f"job {shard.job_id} is missing")
-        if updated.body.is_ended:
-            self._remove_from_index(updated.body)
-        return updated.body
+    def _update_job(self, job_id: str, change) -> JobRecord:
+        return self._store.update(job_key(job_id), JobRecord, change, JOB_UPDATE_ATTEMPTS).body
 
-    def _replace_shard(
-        self, shard: MarkedObject[ShardRecord], record: ShardRecord
-    ) -> MarkedObject[ShardRecord]:
+    def _new_job(self, request: JobRequest) -> JobRecord:
+        record = self.files.read(request.file_id, request.caller)
+        content_digest = digest(
+            request.file_id.encode(),
+            request.endpoint.encode(),
+            encode(request.metadata, order="sorted"),
+        )
+        return JobRecord(
+            "batch_" + _job_digest(request, content_digest)[:ID_CHARS],
+            request.caller,
+            request.tier,
+            request.file_id,
+            request.endpoint,
+            sum(record.part_lines),
+            request.shard_items or self._shard_items,
+            request.due_wall_ms,
+            self._clock.wall_ms(),
+            content_digest,
+            request.metadata,
+            request.completion_window,
+        )
+
+    def _list_durable(self, job: JobRecord) -> None:
+        """List a durable job; a failure must not say ``not_run``, since a resend may list it."""
         try:
-            return self._store.replace(shard, record)
-        except WriteConflictError as error:
-            raise LeaseLostError(shard.key) from error
+            self.index.add(job)
+        except StoreError as error:
+            raise StoreError(
+                f"{job.job_id}: {error}",
+                code=ResultCode.WRITE_OUTCOME_UNKNOWN,
+                execution=Execution.MAYBE_RUN,
+            ) from error
+
+    def _list_all(self, prefix: str) -> Iterator[ObjectSummary]:
+        start_after = ""
+        while page := self._store.store.list_keys(prefix, start_after):
+            yield from page
+            start_after = page[-1].key
 
     def _write_segment(
         self,
@@ -291,69 +316,21 @@
         outcomes: tuple[ItemOutcome, ...],
         segments: list[str],
     ) -> str:
-        previous = segments[-1].rpartition("-")[2] if segments else ""
+        previous = digest_of_name(segments[-1]) if segments else ""
         record = SegmentRecord(shard.job_id, shard.shard, shard.epoch, outcomes, previous)
-        name = f"{number:04d}-{shard.epoch}-{sha256(encode(record)).hexdigest()[:DIGEST_CHARS]}"
-        self._create_or_read(segment_key(shard.job_id, shard.shard, name), record)
+        name = f"{number:04d}-{shard.epoch}-{segment_digest(record)}"
+        create_or_read(self._store, segment_key(shard.job_id, shard.shard, name), record)
         return name
 
-    def _add_to_index(self, job: JobRecord) -> None:
-        entry = IndexEntry(job.job_id, job.tier, job.caller, job.due_wall_ms, job.shard_count)
-
-        def change(index: IndexRecord | None) -> IndexRecord | None:
-            jobs = index.jobs if index else ()
-            if any(known.job_id == job.job_id for known in jobs):
-                return None
-            return IndexRecord((*jobs, entry))
-
-        self._store.update(self._index_key(job.job_id), IndexRecord, change)
-
-    def _remove_from_index(self, job: JobRecord) -> None:
-        def change(index: IndexRecord | None) -> IndexRecord | None:
-            jobs = index.jobs if index else ()
-            left = tuple(known for known in jobs if known.job_id != job.job_id)
-            return None if len(left) == len(jobs) else IndexRecord(left)
-
-        self._store.update(self._index_key(job.job_id), IndexRecord, change)
-
-    def _index_key(self, job_id: str) -> str:
-        return index_key(int(sha256(job_id.encode()).hexdigest()[:8], 16) % self._index_buckets)
-
-    def _create_or_read(self, key: str, record: Struct) -> Struct:
-        try:
-            return self._store.create(key, record).body
-        except WriteConflictError:
-            found = self._store.read(key, type(record))
-            if found is None:
-                raise
-            return found.body
-
-    def _put_once(self, key: str, value: bytes) -> None:
-        """Write a value that depends only on its key."""
-        if self._store.store.get(key) is None:
-            self._store.store.put(key, value, ABSENT_VERSION)
 
-    def _read_part(self, file_id: str, part: int) -> bytes:
-        stored = self._store.store.get(file_part_key(file_id, part))
-        if stored is None or stored.value is None:
-            raise StoreError(f"part {part} of {file_id} is missing")
-        return stored.value
+def segment_digest(record: SegmentRecord) -> str:
+    """Return the digest that a segment's name carries."""
+    return sha256(encode(record)).hexdigest()[:DIGEST_CHARS]
 
 
-def parse_item(line: bytes) -> BatchItem:
-    """Return the item in a line.
-
-    :raises RequestError: if the line is malformed.
-    """
-    try:
-        return decode(line, type=BatchItem)
-    except (DecodeError, ValidationError) as error:
-        raise RequestError(str(error)) from error
-
-
-def _replace(record: Struct, **changes: object) -> Struct:
-    fields = {name: getattr(record, name) for name in record.__struct_fields__}
-    return type(record)(**{**fields, **changes})
+def digest_of_name(segment: str) -> str:
+    """Return the digest in a segment's name."""
+    return segment.rpartition("-")[2]
 
 
 def _job_digest(request: JobRequest, content_digest: str) -> str:
@@ -366,26 +343,6 @@
     return JobState.CANCELLED if job.state is JobState.CANCELLING else JobState.COMPLETED
 
 
-def _split_lines(data: bytes) -> list[bytes]:
-    lines = [line for line in data.split(b"\n") if line.strip()]
-    if not lines:
-        raise RequestError("the file has no lines")
-    parts: list[list[bytes]] = [[]]
-    size = 0
-    for line in lines:
-        if len(line) >= MAX_PART_BYTES:
-            raise RequestError(
-                f"a line has {len(line)} bytes; at most {MAX_PART_BYTES - 1} are allowed",
-                code=ResultCode.REQUEST_TOO_LARGE,
-            )
-        if size + len(line) + 1 > MAX_PART_BYTES:
-            parts.append([])
-            size = 0
-        parts[-1].append(line)
-        size += len(line) + 1
-    return [b"\n".join(part) + b"\n" for part in parts]
-
-
 def _split_outcomes(outcomes: tuple[ItemOutcome, ...]) -> list[tuple[ItemOutcome, ...]]:
     chunks: list[tuple[ItemOutcome, ...]] = []
     chunk: list[ItemOutcome] = []
--- a/ebonyshore/jobs.py
+++ b/ebonyshore/jobs.py
@@ -21,6 +21,7 @@
     """An uploaded file; its content is in parts.
 
     :param part_lines: number of lines in each part.
+    :param duplicate_items: lines whose custom_id an earlier line has.
     """
 
     file_id: str
@@ -30,6 +31,7 @@
     size_bytes: int
     part_lines: tuple[int, ...]
     created_wall_ms: int
+    duplicate_items: tuple[int, ...] = ()
 
 
 class JobRecord(Struct, frozen=True):
@@ -84,6 +86,8 @@
     :param epoch: grows with each claim; the fencing number of the lease.
     :param segments: numbers of the committed segments.
     :param done_items: number of items with a committed outcome.
+    :param attempts: failed attempts of items without an outcome.
+    :param suspect_items: items without an outcome that were in flight when a target was lost.
     """
 
     job_id: str
@@ -96,6 +100,8 @@
     completed_items: int = 0
     failed_items: int = 0
     is_ended: bool = False
+    attempts: dict[int, int] = {}
+    suspect_items: tuple[int, ...] = ()
 
 
 class ItemOutcome(Struct, frozen=True):
@@ -128,6 +134,20 @@
     previous_digest: str = ""
 
 
+class ShardProgress(Struct, frozen=True):
+    """What one commit adds to a shard.
+
+    :param is_released: whether the lease is given back.
+    :param is_closed: whether the items without an outcome are cancelled.
+    """
+
+    outcomes: tuple[ItemOutcome, ...] = ()
+    attempts: dict[int, int] = {}
+    suspect_items: tuple[int, ...] = ()
+    is_released: bool = False
+    is_closed: bool = False
+
+
 class IndexEntry(Struct, frozen=True):
     """An open job as the index lists it."""
 
@@ -164,6 +184,11 @@
     return f"shards/{job_id}/{shard:06d}"
 
 
+def shard_prefix(job_id: str) -> str:
+    """Return the prefix of the keys of a job's shards."""
+    return f"shards/{job_id}/"
+
+
 def segment_key(job_id: str, shard: int, segment: str) -> str:
     """Return the key of a segment."""
     return f"segments/{job_id}/{shard:06d}/{segment}"
--- a/ebonyshore/shard_runner.py
+++ b/ebonyshore/shard_runner.py
@@ -1,103 +1,47 @@
 """Claims shards of open jobs and runs their items on the targets."""
 
-from dataclasses import dataclass, field
+from collections import Counter
 from random import Random
 from uuid import uuid4
 
-from msgspec import Struct
-from msgspec.json import encode
+from msgspec import MsgspecError, Struct
 
 from ebonyshore.agent_link import AgentLink, SendCancel, SendDispatch
+from ebonyshore.batch_items import ItemRules, PendingItem, sort_items
+from ebonyshore.batch_order import BatchOrder, ShardSizer
 from ebonyshore.clock import Clock
-from ebonyshore.errors import EbonyshoreError, LeaseLostError, RequestError, StoreError
-from ebonyshore.job_store import JobStore, parse_item
-from ebonyshore.jobs import ItemOutcome, JobRecord, JobState, ShardRecord
+from ebonyshore.errors import LeaseLostError, RequestError, StoreError, WriteConflictError
+from ebonyshore.job_store import JobStore
+from ebonyshore.jobs import JobRecord, JobState, ShardRecord
 from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedObject
 from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import (
-    Chunk,
-    Dispatch,
-    Failed,
-    Finished,
-    Permit,
-    Refused,
-    RequestMessage,
-    WorkClass,
-)
+from ebonyshore.messages import Chunk, Dispatch, Permit, Refused, RequestMessage, WorkClass
 from ebonyshore.metrics import Metrics
-from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, parse_generation
 from ebonyshore.process_settings import BatchSettings
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.routing import serving_targets
 from ebonyshore.settings_service import SettingsService
+from ebonyshore.shard_search import ShardSearch
+from ebonyshore.shard_work import ShardWork, Step, WorkLimits
 from ebonyshore.task import Task
 
 TICK_INTERVAL_MS = 50
 ITEM_TIMEOUT_MS = 600_000.0
-LEASE_MARGIN_RATIO = 0.25
+STORE_RETRY_MS = 1_000.0
+TARGET_PAUSE_MS = 100.0
+DRAIN_GRACE_MS = 2_000.0
+MAX_JOBS_PER_POLL = 4
+POLL_JITTER_RATIO = 0.2
+MAX_CLOSED_PER_POLL = 32
 
 
 class BeginDrain(Struct, frozen=True):
     """Finish or hand back the shards and claim no more."""
 
 
-@dataclass(slots=True)
-class PendingItem:
-    """An item without an outcome.
-
-    :param is_suspect: whether a target crashed while it ran the item.
-    """
-
-    item: int
-    custom_id: str
-    request: GenerationRequest
-    attempts: int = 0
-    is_suspect: bool = False
-    resume_text: str = ""
-    resume_events: list[bytes] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class DispatchedItem:
-    """An item that is with an agent."""
-
-    pending: PendingItem
-    target_id: str
-    chunks: list[bytes] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class HeldShard:
-    """A shard whose lease this entry holds.
-
-    :param confirmed_ms: monotonic time at the start of the last successful write.
-    :param permits: by target, as heard before the read that last confirmed the job.
-    :param outcomes: not committed yet.
-    """
-
-    job: JobRecord
-    record: MarkedObject[ShardRecord]
-    confirmed_ms: float
-    permits: dict[str, Permit]
-    waiting: list[PendingItem] = field(default_factory=list)
-    dispatched: dict[str, DispatchedItem] = field(default_factory=dict)
-    outcomes: list[ItemOutcome] = field(default_factory=list)
-    is_stopping: bool = False
-
-
-@dataclass(slots=True)
-class ObservedLease:
-    """A shard lease of another holder, as first seen at its version."""
-
-    version: int
-    seen_ms: float
-
-
 class ShardRunner(Task[RequestMessage | BeginDrain]):
     """Runs shards; owns their leases.
 
     :param holder: instance id of the entry.
+    :param sizer: is told what items cost.
     """
 
     def __init__(
@@ -108,6 +52,7 @@
         membership: Membership,
         settings: SettingsService,
         batch_settings: BatchSettings,
+        sizer: ShardSizer,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
@@ -119,15 +64,24 @@
         self._membership = membership
         self._settings = settings
         self._batch_settings = batch_settings
+        self._sizer = sizer
         self._metrics = metrics
         self._log = log
-        self._held: dict[tuple[str, int], HeldShard] = {}
-        self._observed: dict[tuple[str, int], ObservedLease] = {}
-        self._by_request: dict[str, HeldShard] = {}
+        self._limits = WorkLimits(
+            batch_settings.lease_interval_ms,
+            batch_settings.checkpoint_interval_ms,
+            batch_settings.permit_interval_ms,
+            batch_settings.window_items,
+        )
+        self._held: dict[tuple[str, int], ShardWork] = {}
+        self._by_request: dict[str, ShardWork] = {}
+        self._paused: dict[str, float] = {}
+        self._order = BatchOrder()
         self._random = Random(holder)
+        self._search = ShardSearch(holder, batch_settings.lease_interval_ms, self._random)
         self._next_tick_ms = 0.0
         self._next_poll_ms = 0.0
-        self._bucket = 0
+        self._drain_cancel_ms = float("inf")
         self._is_draining = False
 
     @property
@@ -139,184 +93,193 @@
         return self._next_tick_ms
 
     def on_timer(self) -> None:
-        now_ms = self.clock.monotonic_ms()
-        self._next_tick_ms = now_ms + TICK_INTERVAL_MS
-        self._guard(self._poll_jobs, now_ms)
-        for held in list(self._held.values()):
-            self._guard(self._advance, held, now_ms)
+        self._poll_jobs(self.clock.monotonic_ms())
+        for work in list(self._held.values()):
+            self._advance(work)
+        self._dispatch_all()
+        self._next_tick_ms = self.clock.monotonic_ms() + TICK_INTERVAL_MS
 
     def handle(self, message: RequestMessage | BeginDrain) -> None:
         if isinstance(message, BeginDrain):
-            self._is_draining = True
+            self._begin_drain()
             return
-        held = self._by_request.get(message.request_id)
-        if held is None:
+        work = self._by_request.get(message.request_id)
+        if work is None:
             return
-        dispatched = held.dispatched[message.request_id]
         if isinstance(message, Chunk):
-            dispatched.chunks.append(message.data)
+            work.add_data(message.request_id, message.data)
             return
         del self._by_request[message.request_id]
-        del held.dispatched[message.request_id]
-        self._handle_final(held, dispatched, message)
-        self._dispatch_items(held, self.clock.monotonic_ms())
+        self._end(work, message)
 
-    def _guard(self, step, *arguments: object) -> None:
-        try:
-            step(*arguments)
-        except StoreError as error:
-            self._log.event("batch_store_error", code=int(error.code), detail=error.detail)
+    def _end(self, work: ShardWork, message: RequestMessage) -> None:
+        now_ms = self.clock.monotonic_ms()
+        sent = work.sent[message.request_id]
+        if isinstance(message, Refused):
+            pause_ms = max(TARGET_PAUSE_MS, float(message.retry_after_ms))
+            self._paused[sent.target_id] = now_ms + pause_ms
+            self._metrics.count("batch_refused")
+        attempts = self._settings.current().for_model(sent.pending.request.model).max_attempts
+        needless = work.end(message, now_ms, attempts)
+        if sent.pending.is_done:
+            self._metrics.count("batch_items_done")
+        self._send_cancels(work, needless)
+
+    def _begin_drain(self) -> None:
+        self._is_draining = True
+        self._drain_cancel_ms = self.clock.monotonic_ms() + DRAIN_GRACE_MS
+        for work in self._held.values():
+            work.is_draining = True
 
     def _poll_jobs(self, now_ms: float) -> None:
-        if now_ms < self._next_poll_ms or self._is_draining:
+        if now_ms < self._next_poll_ms or self._is_draining or self._is_full():
             return
-        self._next_poll_ms = now_ms + self._batch_settings.poll_interval_ms
-        if len(self._held) >= self._batch_settings.max_shards:
+        jitter = 1 + POLL_JITTER_RATIO * (self._random.random() - 0.5)
+        try:
+            entries = self._jobs.index.poll()
+            ranked = self._search.without_fruitless(self._order.rank(entries), now_ms)
+            for entry in ranked[:MAX_JOBS_PER_POLL]:
+                self._visit(entry.job_id)
+                if self._is_full():
+                    break
+        except (StoreError, RequestError, MsgspecError) as error:
+            self._log.event("batch_poll_failed", detail=str(error))
+        self._next_poll_ms = (
+            self.clock.monotonic_ms() + self._batch_settings.poll_interval_ms * jitter
+        )
+
+    def _is_full(self) -> bool:
+        return len(self._held) >= self._batch_settings.max_shards
+
+    def _visit(self, job_id: str) -> None:
+        permits = self._read_permits()
+        job = self._jobs.read_job(job_id)
+        if job.is_ended:
+            self._jobs.index.remove(job_id)
             return
-        entries = self._jobs.open_jobs(self._bucket)
-        self._bucket = (self._bucket + 1) % self._batch_settings.index_buckets
-        for entry in sorted(entries, key=lambda e: e.due_wall_ms):
-            permits = self._read_permits()
-            self._claim_from(self._jobs.read_job(entry.job_id), now_ms, permits)
-            if len(self._held) >= self._batch_settings.max_shards:
-                return
-
-    def _claim_from(self, job: JobRecord, now_ms: float, permits: dict[str, Permit]) -> None:
-        open_shards = [s for s in range(job.shard_count) if s not in job.done_shards]
-        self._random.shuffle(open_shards)
-        for shard in open_shards:
-            if (job.job_id, shard) in self._held:
-                continue
-            if len(self._held) >= self._batch_settings.max_shards:
-                return
-            self._try_claim(job, shard, now_ms, permits)
+        versions = self._jobs.list_shards(job_id)
+        now_ms = self.clock.monotonic_ms()
+        held = {shard for held_job, shard in self._held if held_job == job_id}
+        if job.state is JobState.CANCELLING:
+            self._close_shards(job, self._search.candidates(job, versions, held, now_ms))
+            return
+        found = False
+        for shard in self._search.candidates(job, versions, held, now_ms):
+            found = self._try_claim(job, shard, shard in versions, permits) or found
+            if self._is_full():
+                break
+        if not found:
+            self._search.note_fruitless(job_id, now_ms)
 
     def _try_claim(
-        self, job: JobRecord, shard: int, now_ms: float, permits: dict[str, Permit]
-    ) -> None:
-        current = self._jobs.read_shard(job.job_id, shard)
+        self, job: JobRecord, shard: int, exists: bool, permits: dict[str, Permit]
+    ) -> bool:
+        current = self._jobs.read_shard(job.job_id, shard) if exists else None
+        now_ms = self.clock.monotonic_ms()
         if current is not None and current.body.is_ended:
-            self._jobs.record_shard_end(current.body)
-            return
-        if current is not None and not self._has_lapsed(current, now_ms):
-            return
+            self._jobs.record_shard_ends(job.job_id, [current.body])
+            return True
+        if current is not None and not self._search.is_free(current, now_ms):
+            return False
         try:
             record = self._jobs.claim(job, shard, self._holder, current)
-        except StoreError:
-            return
-        self._hold(job, record, now_ms, permits)
-
-    def _has_lapsed(self, current: MarkedObject[ShardRecord], now_ms: float) -> bool:
-        body = current.body
-        if not body.holder:
-            return True
-        observed = self._observed.get((body.job_id, body.shard))
-        if observed is None or observed.version != current.version:
-            self._observed[body.job_id, body.shard] = ObservedLease(current.version, now_ms)
+        except WriteConflictError:
             return False
-        return now_ms - observed.seen_ms >= self._batch_settings.lease_interval_ms
-
-    def _hold(
-        self,
-        job: JobRecord,
-        record: MarkedObject[ShardRecord],
-        now_ms: float,
-        permits: dict[str, Permit],
-    ) -> None:
-        self._observed.pop((job.job_id, record.body.shard), None)
-        held = HeldShard(job, record, now_ms, permits)
-        if job.state is JobState.CANCELLING:
-            held.is_stopping = True
-        else:
-            held.waiting = self._load_items(held)
-        self._held[job.job_id, record.body.shard] = held
-        self._log.event(
-            "shard_claimed",
-            job_id=job.job_id,
-            shard=record.body.shard,
-            epoch=record.body.epoch,
-            items=len(held.waiting),
-        )
-
-    def _load_items(self, held: HeldShard) -> list[PendingItem]:
-        job = held.job
-        record = self._jobs.read_file(job.file_id, job.caller)
-        done = {
+        self._hold(ShardWork(job, record, now_ms, permits, self._limits))
+        return True
+
+    def _close_shards(self, job: JobRecord, shards: list[int]) -> None:
+        """End the free shards of a cancelled job, with one write each and one to the job."""
+        closed = []
+        for shard in shards[:MAX_CLOSED_PER_POLL]:
+            current = self._jobs.read_shard(job.job_id, shard)
+            if current is not None and current.body.is_ended:
+                closed.append(current.body)
+                continue
+            now_ms = self.clock.monotonic_ms()
+            if current is not None and not self._search.is_free(current, now_ms):
+                continue
+            try:
+                closed.append(self._jobs.close_shard(job, shard, current))
+            except WriteConflictError:
+                continue
+        if closed:
+            self._jobs.record_shard_ends(job.job_id, closed)
+
+    def _hold(self, work: ShardWork) -> None:
+        self._load_items(work)
+        self._held[work.key] = work
+        job_id, shard = work.key
+        items = len(work.waiting)
+        self._order.note_claimed(work.job.caller, items)
+        epoch = work.record.body.epoch
+        self._log.event("shard_claimed", job_id=job_id, shard=shard, epoch=epoch, items=items)
+
+    def _load_items(self, work: ShardWork) -> None:
+        job = work.job
+        file = self._jobs.files.read(job.file_id, job.caller)
+        committed = {
             outcome.item
-            for segment in self._jobs.read_segments(held.record.body)
+            for segment in self._jobs.read_segments(work.record.body)
             for outcome in segment.outcomes
         }
-        items = job.shard_range(held.record.body.shard)
-        pending = []
-        for item, line in zip(items, self._jobs.read_lines(record, items), strict=True):
-            if item not in done:
-                parsed = self._parse(held, item, line)
-                pending += [parsed] if parsed else []
-        return pending
-
-    def _parse(self, held: HeldShard, item: int, line: bytes) -> PendingItem | None:
-        custom_id = f"line-{item}"
-        try:
-            batch_item = parse_item(line)
-            custom_id = batch_item.custom_id
-            request = parse_generation(batch_item.url, encode(batch_item.body))
-        except RequestError as error:
-            held.outcomes.append(ItemOutcome(item, custom_id, error.code, detail=str(error)))
-            return None
-        return PendingItem(item, custom_id, request)
-
-    def _advance(self, held: HeldShard, now_ms: float) -> None:
-        batch = self._batch_settings
-        is_done = not held.waiting and not held.dispatched
-        if is_done or held.is_stopping or self._is_draining:
-            self._wind_down(held, now_ms)
-        elif now_ms - held.confirmed_ms >= batch.checkpoint_interval_ms:
-            self._checkpoint(held, now_ms)
-        if (held.job.job_id, held.record.body.shard) in self._held:
-            self._dispatch_items(held, now_ms)
-
-    def _wind_down(self, held: HeldShard, now_ms: float) -> None:
-        held.waiting = [] if held.is_stopping else held.waiting
-        if held.is_stopping or self._is_draining:
-            for request_id, dispatched in held.dispatched.items():
-                self._link.post(SendCancel(dispatched.target_id, request_id))
-        if held.dispatched:
-            return
-        self._commit(held, now_ms)
-        if self._held.get((held.job.job_id, held.record.body.shard)) is not held:
+        items = job.shard_range(work.record.body.shard)
+        lines = zip(items, self._jobs.files.read_lines(file, items), strict=True)
+        rules = ItemRules(
+            job.endpoint,
+            frozenset(file.duplicate_items),
+            lambda model: self._settings.current().tier_of(model) is not None,
+        )
+        pending, failed = sort_items((line for line in lines if line[0] not in committed), rules)
+        work.load(committed, pending, failed)
+
+    def _advance(self, work: ShardWork) -> None:
+        now_ms = self.clock.monotonic_ms()
+        if work.is_stopping or now_ms >= self._drain_cancel_ms:
+            self._send_cancels(work, work.take_cancels())
+        step = work.next_step(now_ms)
+        if step is Step.NONE:
             return
-        if held.is_stopping or not self._is_draining:
-            held.record = self._jobs.release(held.record, is_ended=True)
-            self._drop(held)
-            self._jobs.record_shard_end(held.record.body)
-        else:
-            held.record = self._jobs.release(held.record)
-            self._drop(held)
-
-    def _checkpoint(self, held: HeldShard, now_ms: float) -> None:
-        permits = self._read_permits()
-        held.job = self._jobs.read_job(held.job.job_id)
-        if held.job.state is JobState.CANCELLING:
-            held.is_stopping = True
-        self._commit(held, now_ms)
-        held.permits = permits
-
-    def _commit(self, held: HeldShard, now_ms: float) -> None:
-        outcomes = tuple(held.outcomes)
         try:
-            held.record = self._jobs.commit(held.record, outcomes)
+            self._write(work, step, now_ms)
         except LeaseLostError:
-            self._log.event("shard_lost", job_id=held.job.job_id, shard=held.record.body.shard)
-            self._drop(held)
+            self._log.event("shard_lost", job_id=work.key[0], shard=work.key[1])
+            self._metrics.count("batch_shards_lost")
+            self._drop(work)
+        except (StoreError, RequestError, MsgspecError) as error:
+            self._log.event("batch_store_error", detail=str(error))
+            work.next_store_ms = self.clock.monotonic_ms() + STORE_RETRY_MS
+
+    def _write(self, work: ShardWork, step: Step, now_ms: float) -> None:
+        permits = self._read_permits()
+        if step is Step.CHECKPOINT:
+            work.job = self._jobs.read_job(work.job.job_id)
+        progress = work.progress(step)
+        work.note_committed(self._jobs.commit(work.record, progress), progress, now_ms)
+        if step is Step.CHECKPOINT:
+            work.permits = permits
             return
-        held.outcomes = held.outcomes[len(outcomes) :]
-        held.confirmed_ms = now_ms
+        self._drop(work)
+        if step is Step.FINISH:
+            self._sizer.note(work.job.tier, work.average_item_ms)
+            self._record_end(work.record.body)
 
-    def _drop(self, held: HeldShard) -> None:
-        del self._held[held.job.job_id, held.record.body.shard]
-        for request_id, dispatched in held.dispatched.items():
+    def _record_end(self, shard: ShardRecord) -> None:
+        """Note the end in the job; if that fails, whoever visits the job next does it."""
+        try:
+            self._jobs.record_shard_ends(shard.job_id, [shard])
+        except StoreError as error:
+            self._log.event("shard_end_not_recorded", job_id=shard.job_id, detail=str(error))
+
+    def _drop(self, work: ShardWork) -> None:
+        del self._held[work.key]
+        self._send_cancels(work, work.take_cancels())
+        for request_id in work.sent:
             self._by_request.pop(request_id, None)
-            self._link.post(SendCancel(dispatched.target_id, request_id))
+
+    def _send_cancels(self, work: ShardWork, request_ids: list[str]) -> None:
+        for request_id in request_ids:
+            self._link.post(SendCancel(work.sent[request_id].target_id, request_id))
 
     def _read_permits(self) -> dict[str, Permit]:
         return {
@@ -324,103 +287,44 @@
             for target in self._membership.targets().values()
         }
 
-    def _dispatch_items(self, held: HeldShard, now_ms: float) -> None:
-        batch = self._batch_settings
-        lease_ms = batch.lease_interval_ms * (1 - LEASE_MARGIN_RATIO)
-        if held.is_stopping or self._is_draining or now_ms - held.confirmed_ms >= lease_ms:
-            return
-        while held.waiting and len(held.dispatched) < batch.window_items:
-            target = self._choose(held, held.waiting[0])
-            if target is None:
-                return
-            self._dispatch(held, held.waiting.pop(0), target)
-
-    def _choose(self, held: HeldShard, pending: PendingItem) -> TargetView | None:
-        targets = serving_targets(pending.request.model, self._membership.targets().values())
-        rooms = {}
-        for target in targets:
-            permit = held.permits.get(target.target_id)
-            if permit is None or permit.incarnation != target.incarnation:
-                continue
-            sent = self._count_sent(target.target_id)
-            rooms[target.target_id] = target.load.batch_room - sent
-        best = max(targets, key=lambda t: rooms.get(t.target_id, 0), default=None)
-        return best if best is not None and rooms.get(best.target_id, 0) > 0 else None
-
-    def _count_sent(self, target_id: str) -> int:
-        return sum(
-            dispatched.target_id == target_id
-            for held in self._held.values()
-            for dispatched in held.dispatched.values()
-        )
+    def _dispatch_all(self) -> None:
+        targets = self._membership.targets()
+        now_ms = self.clock.monotonic_ms()
+        rooms = self._rooms(now_ms)
+        for work in self._held.values():
+            for item, target in work.select(now_ms, targets, rooms):
+                self._dispatch(work, item, target, now_ms)
+
+    def _rooms(self, now_ms: float) -> dict[str, int]:
+        self._paused = {t: until_ms for t, until_ms in self._paused.items() if until_ms > now_ms}
+        sent = Counter(s.target_id for work in self._held.values() for s in work.sent.values())
+        return {
+            target.target_id: target.load.batch_room - sent[target.target_id]
+            for target in self._membership.targets().values()
+            if target.target_id not in self._paused
+        }
 
-    def _dispatch(self, held: HeldShard, pending: PendingItem, target: TargetView) -> None:
-        pending.attempts += 1
+    def _dispatch(
+        self, work: ShardWork, item: PendingItem, target: TargetView, now_ms: float
+    ) -> None:
         dispatch = Dispatch(
             uuid4().hex,
             target.incarnation,
             WorkClass.BATCH,
-            pending.request.path,
-            pending.request.target_body,
+            item.request.path,
+            item.request.target_body,
             ITEM_TIMEOUT_MS,
-            pending.request.content_digest,
+            item.request.content_digest,
             self._settings.current().revision,
-            caller=held.job.caller,
-            tier=held.job.tier,
-            model=pending.request.model,
-            is_suspect=pending.is_suspect,
+            caller=work.job.caller,
+            tier=work.job.tier,
+            model=item.request.model,
+            is_suspect=item.is_suspect,
             is_stream=True,
-            permit=held.permits[target.target_id],
-            trace_id=f"{held.job.job_id}/{pending.item}",
-            resume_text=pending.resume_text,
+            permit=work.permits[target.target_id],
+            trace_id=f"{work.job.job_id}/{item.item}",
+            resume_text=item.resume_text,
         )
-        held.dispatched[dispatch.request_id] = DispatchedItem(pending, target.target_id)
-        self._by_request[dispatch.request_id] = held
+        work.note_sent(dispatch.request_id, item, target.target_id, now_ms)
+        self._by_request[dispatch.request_id] = work
         self._link.post(SendDispatch(target.target_id, dispatch, self))
-
-    def _handle_final(
-        self, held: HeldShard, dispatched: DispatchedItem, message: Finished | Refused | Failed
-    ) -> None:
-        pending = dispatched.pending
-        if isinstance(message, Finished):
-            self._finish_item(held, dispatched, message)
-            return
-        if isinstance(message, Refused):
-            pending.attempts -= 1
-        pending.is_suspect = pending.is_suspect or message.code is ResultCode.TARGET_CRASHED
-        attempts = self._settings.current().for_model(pending.request.model).max_attempts
-        if message.code is ResultCode.CONVICTED or pending.attempts >= attempts:
-            held.outcomes.append(
-                ItemOutcome(
-                    pending.item,
-                    pending.custom_id,
-                    message.code,
-                    detail=message.detail,
-                    attempts=pending.attempts,
-                )
-            )
-        else:
-            held.waiting.append(pending)
-
-    def _finish_item(self, held: HeldShard, dispatched: DispatchedItem, message: Finished) -> None:
-        pending = dispatched.pending
-        assembler = AnswerAssembler(pending.request)
-        code = ResultCode.OK
-        try:
-            for chunk in dispatched.chunks:
-                assembler.add(chunk)
-            body = assembler.answer(message.usage).decode()
-        except EbonyshoreError as error:
-            code = error.code
-            body = b"".join(dispatched.chunks).decode(errors="replace")
-        held.outcomes.append(
-            ItemOutcome(
-                pending.item,
-                pending.custom_id,
-                code,
-                message.http_status,
-                body,
-                attempts=pending.attempts,
-            )
-        )
-        self._metrics.count("batch_items_done")
