--- a/ebonyshore/job_cli.py
+++ b/ebonyshore/job_cli.py
@@ -8,6 +8,7 @@
 import typer
 from msgspec import DecodeError
 from msgspec.json import decode, encode
+from werkzeug.datastructures import FileStorage
 from werkzeug.test import encode_multipart
 
 from ebonyshore.clock import MS_PER_S, Clock, SystemClock
@@ -44,7 +45,9 @@
     ) -> dict[str, Any]:
         """Upload a file and create a job of it."""
         with path.open("rb") as file:
-            boundary, body = encode_multipart({"purpose": "batch", "file": (file, path.name)})
+            boundary, body = encode_multipart(
+                {"purpose": "batch", "file": FileStorage(file, path.name)}
+            )
         content_type = f"multipart/form-data; boundary={boundary}"
         upload = self.call("POST", "/v1/files", body, {"Content-Type": content_type})
         fields = {
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -6,6 +6,8 @@
 from msgspec.json import decode, encode
 from openai import NotFoundError, OpenAI
 
+from ebonyshore.cli import run_command
+from ebonyshore.result_codes import ResultCode
 from ebonyshore_standins.engine_model import expected_text
 from ebonyshore_standins.local_fleet import LocalFleet
 
@@ -67,6 +69,37 @@
     assert texts == {f"c{n}": expected_text(f"user: plan {n}", 5) for n in range(40)}
 
 
+def run_cli(arguments: list[str], monkeypatch, capsys) -> tuple[int, str]:
+    monkeypatch.setattr("sys.argv", ["ebonyshore", *arguments])
+    with pytest.raises(SystemExit) as exit_info:
+        run_command()
+    return exit_info.value.code or 0, capsys.readouterr().out
+
+
+def test_job_commands_from_submit_to_results(
+    fleet: LocalFleet, tmp_path, monkeypatch, capsys
+) -> None:
+    path = tmp_path / "plans.jsonl"
+    path.write_bytes(b"\n".join(batch_line(number) for number in range(100, 110)))
+    options = ["--entry", fleet.entries[0].url, "--api-key", "caller-2"]
+    submit = ["job", "submit", str(path), "--wait", "--json", "--key", "k", *options]
+    status, output = run_cli(submit, monkeypatch, capsys)
+    job = decode(output)
+    assert (status, job["status"], job["request_counts"]["completed"]) == (0, "completed", 10)
+    status, output = run_cli(["job", "results", job["id"], *options], monkeypatch, capsys)
+    assert {decode(line)["custom_id"] for line in output.splitlines()} == {
+        f"c{number}" for number in range(100, 110)
+    }
+    status, output = run_cli(["job", "cancel", job["id"], *options], monkeypatch, capsys)
+    assert (status, "completed" in output) == (0, True)
+
+
+def test_job_command_exits_with_the_result_code(fleet: LocalFleet, monkeypatch, capsys) -> None:
+    options = ["--entry", fleet.entries[0].url]
+    status, _ = run_cli(["job", "status", "batch_none", *options], monkeypatch, capsys)
+    assert status == ResultCode.NOT_FOUND
+
+
 def test_resent_job_is_the_first_job(client: OpenAI, fleet: LocalFleet) -> None:
     """Guards against a client that resends a job, to another entry, and gets two."""
     other = OpenAI(base_url=f"{fleet.entries[1].url}/v1", api_key="caller-1", max_retries=0)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -46,7 +46,8 @@
     """Print one run."""
     print(
         f"seed={report.seed} items={report.items} events={report.events} lost={report.lost} "
-        f"doubled={report.doubled} failed={report.failed} cancelled={report.cancelled} "
+        f"doubled={report.doubled} failed={report.failed} "
+        f"wrongly_failed={report.wrongly_failed} cancelled={report.cancelled} "
         f"max_start_after_cancel_ms={report.max_start_after_cancel_ms:.0f}",
         flush=True,
     )
@@ -66,7 +67,8 @@
     faults = sum(len(report.faults) for report in reports)
     print(
         f"total: runs={len(reports)} items={sum(r.items for r in reports)} "
-        f"events={sum(r.events for r in reports)} lost={lost} doubled={doubled} faults={faults}"
+        f"events={sum(r.events for r in reports)} lost={lost} doubled={doubled} "
+        f"wrongly_failed={sum(r.wrongly_failed for r in reports)} faults={faults}"
     )
     return not (lost or doubled or faults)
 
