Test late answers, restarts and half-accepted jobs; let the simulated link run beside the runner

Cause: three mechanisms could be switched off without a failing test: permits read before the job, the restarted holder's claim on its own shards, and maybe_run when only the index entry failed. The simulated link stopped while the runner waited for the store, unlike the real one, which has its own thread; permits could therefore not be newer than the read. The simulation is corrected and each of the three has a test.

--- a/ebonyshore_standins/batch_world_entry.py
+++ b/ebonyshore_standins/batch_world_entry.py
@@ -39,8 +39,7 @@
         self._process = entry.process
 
     def get(self, key: str) -> StoredObject | None:
-        self._begin_read()
-        return self._world.platform.get(key)
+        return self._read(lambda: self._world.platform.get(key))
 
     def put(self, key: str, value: bytes, expected_version: int) -> int:
         platform = self._world.platform
@@ -52,17 +51,18 @@
     def list_keys(
         self, prefix: str, start_after: str = "", limit: int = 1000
     ) -> list[ObjectSummary]:
-        self._begin_read()
-        return self._world.platform.list_keys(prefix, start_after, limit)
+        return self._read(lambda: self._world.platform.list_keys(prefix, start_after, limit))
 
     def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
-        self._begin_read()
-        return self._world.platform.watch(prefix, since, 0)
+        return self._read(lambda: self._world.platform.watch(prefix, since, 0))
 
-    def _begin_read(self) -> None:
+    def _read(self, call):
         self._strike()
         if self._entry.is_cut_off_from_store:
             raise StoreTimeoutError("cut off")
+        answer = call()
+        self._strike()
+        return answer
 
     def _write(self, call):
         self._strike()
@@ -90,7 +90,9 @@
             raise ProcessKilled
         if entry.planned_freeze_ms:
             freeze_ms, entry.planned_freeze_ms = entry.planned_freeze_ms, 0.0
+            entry.is_frozen_in_call = True
             self._world.run_without(entry, freeze_ms)
+            entry.is_frozen_in_call = False
         if entry.store_delay_ms:
             self._world.run_without(entry, entry.store_delay_ms)
         entry.check_process(self._process)
@@ -211,7 +213,6 @@
     def __init__(self, world: "BatchWorld", entry_id: str) -> None:
         self.world = world
         self.entry_id = entry_id
-        self.is_blocked = False
         self.is_dead = False
         self.process = 0
         self.heal()
@@ -226,6 +227,7 @@
         self.process += 1
         self.is_dead = False
         self.is_blocked = False
+        self.is_frozen_in_call = False
         self._frozen_until_ms = 0.0
         self._drained = False
         clock = WorldClock(world, self, world.random.uniform(0, 1e6))
@@ -279,11 +281,15 @@
 
     def step(self) -> None:
         """Run what is due, unless the process is dead, frozen or blocked."""
-        if self.is_dead or self.is_blocked or self.world.now_ms < self._frozen_until_ms:
+        is_frozen = self.is_frozen_in_call or self.world.now_ms < self._frozen_until_ms
+        if self.is_dead or is_frozen:
+            return
+        # The link has a thread of its own, which a runner that waits for the store does not block.
+        self.link.step()
+        if self.is_blocked:
             return
         process = self.process
         try:
-            self.link.step()
             while self._inbox:
                 self.runner.handle(self._inbox.popleft())
             if self.runner.timer_ms() <= self.runner.clock.monotonic_ms():
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ebonyshore.jobs import job_key
 from ebonyshore.process_settings import BatchSettings
 from ebonyshore_standins.batch_faults import FaultReport, check_world, run_with_faults
 from ebonyshore_standins.batch_world import BatchWorld
@@ -74,6 +75,43 @@
     assert world.calm_store().read_job(job_id).completed_items > 0
 
 
+def test_cancel_is_kept_when_the_answer_of_the_confirming_read_is_late() -> None:
+    """Guards against a permit that was heard after the read that it stands for."""
+    world, job_id = started_world(2_100, entries=1, shard_items=700)
+    entry = world.entries[0]
+    get, put = world.platform.get, world.platform.put
+
+    def get_late(key: str):
+        answer = get(key)
+        if key == job_key(job_id) and not world.cancelled_ms:
+            world.cancelled_ms[job_id] = world.now_ms
+            world.calm_store().cancel(job_id)
+            world.run_without(entry, 6_000)
+        return answer
+
+    def put_and_cut_off(key: str, value: bytes, expected_version: int) -> int:
+        version = put(key, value, expected_version)
+        entry.is_cut_off_from_store = bool(world.cancelled_ms) and key.startswith("shards/")
+        return version
+
+    world.platform.get, world.platform.put = get_late, put_and_cut_off
+    world.run(30_000)
+    world.platform.get, world.platform.put = get, put
+    assert entry.is_cut_off_from_store
+    report = settled(world)
+    assert is_clean(report), report
+    assert report.max_start_after_cancel_ms > 0
+
+
+def test_restarted_entry_goes_on_with_its_own_shards_at_once() -> None:
+    """Guards against an entry that waits for its own lease to lapse."""
+    world, job_id = started_world(120, entries=1)
+    world.entries[0].kill()
+    world.entries[0].start()
+    world.run(LEASE_INTERVAL_MS / 2)
+    assert world.calm_store().read_job(job_id).is_ended
+
+
 def test_work_of_an_outage_is_committed_when_the_store_returns() -> None:
     """Guards against an entry that takes the lease of a live holder at once after an outage."""
     world, job_id = started_world()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -6,7 +6,12 @@
 from msgspec.json import decode, encode
 
 from ebonyshore.audit import Auditor, AuditReport
-from ebonyshore.errors import RequestError, StoreError, WriteOutcomeUnknownError
+from ebonyshore.errors import (
+    RequestError,
+    StoreError,
+    StoreUnavailableError,
+    WriteOutcomeUnknownError,
+)
 from ebonyshore.jobs import job_key, shard_prefix
 from ebonyshore.marked_write import MarkedStore
 from ebonyshore.result_codes import Execution, ResultCode
@@ -84,23 +89,25 @@
     assert refusal.value.execution is Execution.NOT_RUN
 
 
-@pytest.mark.parametrize("failing_prefix", ["jobs/", "index/"])
-def test_submission_of_unknown_outcome_is_maybe_run(world: BatchWorld, failing_prefix: str) -> None:
+@pytest.mark.parametrize(
+    ("prefix", "error"), [("jobs/", WriteOutcomeUnknownError), ("index/", StoreUnavailableError)]
+)
+def test_submission_of_unknown_outcome_is_maybe_run(
+    world: BatchWorld, prefix: str, error: type[StoreError]
+) -> None:
     """Guards against ``not_run`` for a job that is durable and that a resend would start."""
     put = world.platform.put
 
-    def lose(key: str, value: bytes, expected_version: int) -> int:
-        if key.startswith(failing_prefix):
-            world.platform.faults.is_down = failing_prefix == "index/"
-            raise WriteOutcomeUnknownError(key)
+    def fail(key: str, value: bytes, expected_version: int) -> int:
+        if key.startswith(prefix):
+            raise error(key)
         return put(key, value, expected_version)
 
-    world.platform.put = lose
+    world.platform.put = fail
     with pytest.raises(StoreError) as refusal:
         create(world, 0, lines(3))
     assert refusal.value.execution is Execution.MAYBE_RUN
     world.platform.put = put
-    world.platform.faults.is_down = False
     job_id = create(world, 1, lines(3))
     world.jobs[job_id] = {}
     assert world.settle(60_000)
