Add operators' commands and the planned-stop feature

Cause: operators could only create a tier, dump and audit. Commands request, targets, drain, tier list and tier show are added; each exits with its result code.

--- a/ebonyshore/admin_client.py
+++ b/ebonyshore/admin_client.py
@@ -8,7 +8,7 @@
 
 from ebonyshore.clock import MS_PER_S
 from ebonyshore.errors import EbonyshoreError
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
 
 DEFAULT_TIMEOUT_MS = 30_000
 
@@ -21,6 +21,7 @@
     """
 
     def __init__(self, url: str, operator_token: str, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> None:
+        self.url = url
         parts = urlsplit(url)
         self._host = parts.hostname or ""
         self._port = parts.port or 80
@@ -52,18 +53,27 @@
         finally:
             connection.close()
         if response.status != 200:
-            raise _error_from(data, response.status)
+            raise error_from_answer(data, response.status)
         return decode(data)
 
 
-def _error_from(data: bytes, status: int) -> EbonyshoreError:
+def error_from_answer(data: bytes, status: int) -> EbonyshoreError:
+    """Return the error that an HTTP answer reports.
+
+    :param data: body of the answer, or a stream event.
+    """
     try:
         fields = decode(data)["error"]
         return EbonyshoreError(
-            fields["message"],
+            _without_text(fields["message"], ResultCode(fields["code"])),
             code=ResultCode(fields["code"]),
             execution=Execution(fields["execution"]),
             retry_after_ms=fields["retry_after_ms"],
         )
     except (DecodeError, KeyError, TypeError, ValueError):
         return EbonyshoreError(f"status {status}")
+
+
+def _without_text(message: str, code: ResultCode) -> str:
+    """Return the detail of a message, which begins with the code's text."""
+    return message.removeprefix(RESULT_INFO[code].text).removeprefix(": ")
--- /dev/null
+++ b/ebonyshore/cli_options.py
@@ -0,0 +1,34 @@
+"""Options and output that the operators' commands share."""
+
+from typing import Annotated
+
+import typer
+from msgspec.json import encode, format
+
+AdminUrl = Annotated[
+    str, typer.Option("--admin", envvar="EBONYSHORE_ADMIN", help="Admin URL of an entry.")
+]
+OperatorToken = Annotated[
+    str, typer.Option("--token", envvar="EBONYSHORE_TOKEN", help="The operator token.")
+]
+EntryUrl = Annotated[
+    str, typer.Option("--url", envvar="EBONYSHORE_URL", help="Callers' URL of an entry.")
+]
+ApiKey = Annotated[
+    str, typer.Option("--api-key", envvar="EBONYSHORE_API_KEY", help="The caller's API key.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+def print_json(value: object) -> None:
+    """Print a value as indented JSON."""
+    typer.echo(format(encode(value), indent=2).decode())
+
+
+def print_table(header: tuple[str, ...], rows: list[tuple[object, ...]]) -> None:
+    """Print rows in columns that are as wide as their widest value."""
+    lines = [header, *(tuple(str(value) for value in row) for row in rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(header))]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        typer.echo("  ".join(cells).rstrip())
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,78 @@
+"""The operators' command line against a running fleet."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+from msgspec.json import decode
+
+from ebonyshore.result_codes import ResultCode
+from ebonyshore_standins.local_fleet import OPERATOR_TOKEN, LocalFleet
+
+COMMANDS = ("request", "targets", "drain", "dump", "audit", "check-settings", "tier")
+
+
+def run(fleet: LocalFleet | None, *arguments: str) -> subprocess.CompletedProcess[str]:
+    environment = {**os.environ, "EBONYSHORE_TOKEN": OPERATOR_TOKEN, "COLUMNS": "100"}
+    if fleet is not None:
+        environment["EBONYSHORE_ADMIN"] = fleet.entries[0].admin.url
+        environment["EBONYSHORE_URL"] = fleet.entries[0].url
+    command = [sys.executable, "-m", "ebonyshore", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, env=environment, timeout=60)
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_help_is_there(command: str) -> None:
+    result = run(None, command, "--help")
+    assert result.returncode == 0
+    assert "Usage" in result.stdout
+
+
+def test_request_prints_the_answer(fleet: LocalFleet) -> None:
+    result = run(fleet, "request", "reader", "hello", "--max-tokens", "5")
+    assert result.returncode == 0
+    assert len(result.stdout.split()) == 5
+
+
+def test_exit_status_is_the_result_code(fleet: LocalFleet) -> None:
+    result = run(fleet, "request", "missing", "hello")
+    assert result.returncode == ResultCode.UNKNOWN_MODEL
+    assert "no tier serves this model: missing" in result.stderr
+
+
+def test_wrong_token_is_refused(fleet: LocalFleet) -> None:
+    result = run(fleet, "targets", "--token", "wrong")
+    assert result.returncode == ResultCode.UNAUTHENTICATED
+
+
+def test_process_that_is_down_is_named() -> None:
+    result = run(None, "dump", "http://127.0.0.1:9")
+    assert result.returncode == ResultCode.NOT_READY
+    assert "127.0.0.1:9" in result.stderr
+
+
+def test_targets_and_tiers_are_listed(fleet: LocalFleet) -> None:
+    assert "target-1" in run(fleet, "targets").stdout
+    tiers = decode(run(fleet, "tier", "list", "--json").stdout)
+    assert tiers == {"care": ["labels", "reader", "writer"]}
+    assert "harm_first" in run(fleet, "tier", "show", "care").stdout
+
+
+def test_tier_is_created_once(fleet: LocalFleet) -> None:
+    first = run(fleet, "tier", "create", "spare", "--model", "spare-model")
+    second = run(fleet, "tier", "create", "spare", "--model", "spare-model")
+    assert first.returncode == 0
+    assert second.returncode == ResultCode.SETTINGS_CONFLICT
+
+
+def test_dump_has_every_service(fleet: LocalFleet) -> None:
+    state = decode(run(fleet, "dump", fleet.targets[0].admin.url).stdout)
+    assert {"agent-server", "dispatcher"} <= set(state["services"])
+    assert state["role"] == "agent"
+
+
+def test_audit_of_an_untouched_store_is_clean(fleet: LocalFleet) -> None:
+    result = run(fleet, "audit")
+    assert result.returncode == 0
+    assert result.stdout.startswith("audit: jobs=")
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,134 @@
+"""Steps of ``planned_stop.feature``, with real processes."""
+
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from msgspec.json import encode
+from openai import OpenAI
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from ebonyshore_standins.engine_model import expected_text
+from ebonyshore_standins.local_fleet import LocalFleet
+
+CHAT_PATH = "/v1/chat/completions"
+STREAM_TOKENS = 60
+EXIT_TIMEOUT_S = 30
+# Far below the default lease interval of 20 s, after which a shard would be taken over.
+HANDOVER_BOUND_MS = 15_000
+
+scenarios("features/planned_stop.feature")
+
+
+@pytest.fixture
+def streams() -> Iterator[ThreadPoolExecutor]:
+    with ThreadPoolExecutor(max_workers=16) as executor:
+        yield executor
+
+
+@given("a fleet with two engines and two entries", target_fixture="fleet")
+def fleet(tmp_path: Path) -> Iterator[LocalFleet]:
+    with LocalFleet(tmp_path) as running:
+        for domain in ("a", "b"):
+            running.add_engine(("reader",), domain)
+        for domain in ("a", "b"):
+            running.add_entry(domain)
+        running.create_tier("care", ("reader",))
+        yield running
+
+
+def client_of(fleet: LocalFleet, number: int) -> OpenAI:
+    return OpenAI(base_url=f"{fleet.entries[number].url}/v1", api_key="k", max_retries=0)
+
+
+def read_stream(client: OpenAI, prompt: str, begun: list[str]) -> str:
+    stream = client.completions.create(
+        model="reader", prompt=prompt, max_tokens=STREAM_TOKENS, stream=True
+    )
+    texts = []
+    for event in stream:
+        if not texts:
+            begun.append(prompt)
+        texts.append(event.choices[0].text)
+    return "".join(texts)
+
+
+@given(parsers.parse("{count:d} streams that are being answered"), target_fixture="answers")
+def begin_streams(
+    fleet: LocalFleet, streams: ThreadPoolExecutor, count: int
+) -> dict[str, Future[str]]:
+    begun: list[str] = []
+    client = client_of(fleet, 0)
+    answers = {
+        f"prompt {number}": streams.submit(read_stream, client, f"prompt {number}", begun)
+        for number in range(count)
+    }
+    fleet.wait_until(lambda: len(begun) == count)
+    return answers
+
+
+@given(parsers.parse("a batch of {count:d} items that is running"), target_fixture="batch_id")
+def begin_batch(fleet: LocalFleet, count: int) -> str:
+    lines = []
+    for number in range(count):
+        body = {"model": "reader", "messages": [{"role": "user", "content": f"n {number}"}]}
+        item = {"custom_id": f"c{number}", "method": "POST", "url": CHAT_PATH, "body": body}
+        lines.append(encode(item))
+    client = client_of(fleet, 1)
+    upload = client.files.create(file=("items.jsonl", b"\n".join(lines)), purpose="batch")
+    batch = client.batches.create(
+        input_file_id=upload.id, endpoint=CHAT_PATH, completion_window="1h"
+    )
+    fleet.wait_until(lambda: _running_batch(fleet) > 0)
+    return batch.id
+
+
+def _running_batch(fleet: LocalFleet) -> int:
+    views = fleet.entries[1].admin.get("/admin/v1/targets").values()
+    return sum(view["load"]["batch_running"] for view in views)
+
+
+@when("the entry is drained")
+def drain_entry(fleet: LocalFleet) -> None:
+    fleet.entries[0].admin.post("/admin/v1/drain", {})
+
+
+@when("the agent is drained")
+def drain_agent(fleet: LocalFleet) -> None:
+    fleet.targets[0].admin.post("/admin/v1/drain", {})
+
+
+@then("every stream ends with its whole answer")
+def check_answers(answers: dict[str, Future[str]]) -> None:
+    texts = {prompt: answer.result() for prompt, answer in answers.items()}
+    assert texts == {prompt: expected_text(prompt, STREAM_TOKENS) for prompt in texts}
+
+
+@then("the entry exits with status 0")
+def check_entry_exit(fleet: LocalFleet) -> None:
+    assert fleet.entries[0].process.wait(EXIT_TIMEOUT_S) == 0
+
+
+@then("the agent exits with status 0")
+def check_agent_exit(fleet: LocalFleet) -> None:
+    assert fleet.targets[0].agent.wait(EXIT_TIMEOUT_S) == 0
+
+
+@then("the batch completes with one outcome for each item")
+def check_batch(fleet: LocalFleet, batch_id: str) -> None:
+    client = client_of(fleet, 1)
+
+    def has_completed() -> bool:
+        return client.batches.retrieve(batch_id).status == "completed"
+
+    fleet.wait_until(has_completed, HANDOVER_BOUND_MS)
+    report = fleet.entries[1].admin.get("/admin/v1/audit")
+    assert report["line"].endswith("failed=0 cancelled=0 duplicated=0 lost=0")
+    assert report["completed"] == 300
+
+
+@then("no shard had to wait for its lease to lapse")
+def check_handover(fleet: LocalFleet) -> None:
+    """The bound of the step before is below the lease interval; the entry must also have ended."""
+    assert fleet.entries[0].process.wait(EXIT_TIMEOUT_S) == 0
