End waiting watches at once in a planned stop

Cause: an entry that was told to stop waited in its settings watch until the watch timed out. Ruled out: the drain itself (the log shows process_stopping within 1 s). Before: a drained entry took 32 s to exit. The watch's connection is shut down by the stop, and a watch that begins later is refused.

--- a/ebonyshore/platform_api.py
+++ b/ebonyshore/platform_api.py
@@ -77,6 +77,10 @@
         :param timeout_ms: 0 only checks; the result has no changes when it passes.
         """
 
+    @abstractmethod
+    def interrupt_watches(self) -> None:
+        """End all waiting watches, now and from now on, with ``StoreUnavailableError``."""
+
 
 class Instance(Struct, frozen=True):
     """An entry of the platform's instance list.
--- a/ebonyshore/platform_http.py
+++ b/ebonyshore/platform_http.py
@@ -1,6 +1,9 @@
 """The platform's services over HTTP, by ``http.client``."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from http.client import HTTPConnection, HTTPException, HTTPResponse
+from socket import SHUT_RDWR
 from threading import Lock
 from urllib.parse import quote, urlencode, urlsplit
 
@@ -93,10 +96,11 @@
     :param timeout_ms: time limit of one call; a watch may wait longer by its own timeout.
     """
 
-    __slots__ = ("_pool", "_timeout_ms")
-
     def __init__(self, url: str, timeout_ms: int) -> None:
         self._pool = HttpConnectionPool(url)
+        self._lock = Lock()
+        self._watching: set[HTTPConnection] = set()
+        self._is_interrupted = False
         self._timeout_ms = timeout_ms
 
     def get(self, key: str) -> StoredObject | None:
@@ -120,7 +124,16 @@
     def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
         query = urlencode({"prefix": prefix, "since": since, "timeout_ms": timeout_ms})
         limit_ms = self._timeout_ms + (timeout_ms + WATCH_MARGIN_MS if timeout_ms else 0)
-        return decode(self._read("GET", f"/watch?{query}", limit_ms).body, type=WatchResult)
+        answer = self._read("GET", f"/watch?{query}", limit_ms, is_watch=True)
+        return decode(answer.body, type=WatchResult)
+
+    def interrupt_watches(self) -> None:
+        with self._lock:
+            self._is_interrupted = True
+            watching = list(self._watching)
+        for connection in watching:
+            with suppress(OSError):
+                connection.sock.shutdown(SHUT_RDWR)
 
     def list_instances(self) -> list[Instance]:
         return decode(self._read("GET", "/instances").body, type=list[Instance])
@@ -134,10 +147,17 @@
         self._pool.close()
 
     def _read(
-        self, method: str, path: str, timeout_ms: float | None = None, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float | None = None,
+        body: bytes | None = None,
+        is_watch: bool = False,
     ) -> HttpAnswer:
         try:
-            answer = self._exchange(method, path, body, {}, timeout_ms or self._timeout_ms)
+            connection = self._pool.take(timeout_ms or self._timeout_ms)
+            with self._interruptible(connection, is_watch):
+                answer = self._exchange_on(connection, method, path, body, {})
         except TimeoutError as error:
             raise StoreTimeoutError(f"{method} {path}: no answer in time") from error
         except (OSError, HTTPException) as error:
@@ -164,11 +184,22 @@
             raise WriteOutcomeUnknownError(f"{method} {key}: {error!r}") from error
         return _checked_write_answer(answer, method, key)
 
-    def _exchange(
-        self, method: str, path: str, body: bytes | None, headers: dict[str, str], timeout_ms: float
-    ) -> HttpAnswer:
-        connection = self._pool.take(timeout_ms)
-        return self._exchange_on(connection, method, path, body, headers)
+    @contextmanager
+    def _interruptible(self, connection: HTTPConnection, is_watch: bool) -> Iterator[None]:
+        """Let :meth:`interrupt_watches` end a watch on ``connection``."""
+        if not is_watch:
+            yield
+            return
+        with self._lock:
+            if self._is_interrupted:
+                connection.close()
+                raise StoreUnavailableError("watches were interrupted")
+            self._watching.add(connection)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._watching.discard(connection)
 
     def _exchange_on(
         self,
--- a/ebonyshore/settings_service.py
+++ b/ebonyshore/settings_service.py
@@ -81,6 +81,10 @@
     def handle(self, message: None) -> None:
         """The watcher gets no messages."""
 
+    def stop(self) -> None:
+        self._store.store.interrupt_watches()
+        super().stop()
+
     def timer_ms(self) -> float | None:
         return self._next_ms
 
--- a/ebonyshore_standins/memory_platform.py
+++ b/ebonyshore_standins/memory_platform.py
@@ -93,6 +93,7 @@
         self._instances: dict[str, Instance] = {}
         self._instance_history: list[tuple[float, tuple[Instance, ...]]] = []
         self._next_grant_ms = 0.0
+        self._is_interrupted = False
 
     def get(self, key: str) -> StoredObject | None:
         with self._call("get"):
@@ -141,10 +142,17 @@
             while True:
                 changes = self._changes_since(prefix, since)
                 left_ms = end_ms - self._clock.monotonic_ms()
+                if self._is_interrupted:
+                    raise StoreUnavailableError("watches were interrupted")
                 if changes or left_ms <= 0 or self.faults.is_down:
                     return WatchResult(self._revision, changes)
                 self._clock.wait(self._changed, left_ms)
 
+    def interrupt_watches(self) -> None:
+        with self._changed:
+            self._is_interrupted = True
+            self._changed.notify_all()
+
     def list_instances(self) -> list[Instance]:
         with self._call("list_instances"):
             seen_ms = self._clock.monotonic_ms() - self.faults.list_lag_ms
