--- a/ebonyshore/clock.py
+++ b/ebonyshore/clock.py
@@ -1,8 +1,8 @@
 """The clock of a process. No other module of the package calls the time functions."""
 
-import time
 from abc import ABC, abstractmethod
 from threading import Condition
+from time import monotonic, sleep, time
 
 MS_PER_S = 1000
 
@@ -36,13 +36,13 @@
     __slots__ = ()
 
     def monotonic_ms(self) -> float:
-        return time.monotonic() * MS_PER_S
+        return monotonic() * MS_PER_S
 
     def wall_ms(self) -> int:
-        return int(time.time() * MS_PER_S)
+        return int(time() * MS_PER_S)
 
     def sleep_ms(self, duration_ms: float) -> None:
-        time.sleep(max(0.0, duration_ms) / MS_PER_S)
+        sleep(max(0.0, duration_ms) / MS_PER_S)
 
     def wait(self, condition: Condition, timeout_ms: float | None) -> bool:
         return condition.wait(None if timeout_ms is None else max(0.0, timeout_ms) / MS_PER_S)
--- /dev/null
+++ b/tests/test_frame.py
@@ -0,0 +1,130 @@
+"""The clock, tasks and the kernel."""
+
+from threading import Event
+
+import pytest
+
+from ebonyshore.clock import ManualClock, SystemClock
+from ebonyshore.errors import EbonyshoreError
+from ebonyshore.kernel import Kernel, Service
+from ebonyshore.logs import format_line
+from ebonyshore.task import Mailbox, Task
+
+WAIT_S = 5
+
+
+class Recorder(Service):
+    def __init__(self, name: str, calls: list[str], fails: bool = False) -> None:
+        self.name = name
+        self.calls = calls
+        self.fails = fails
+
+    def start(self) -> None:
+        if self.fails:
+            raise EbonyshoreError("cannot start")
+        self.calls.append(f"start {self.name}")
+
+    def begin_drain(self) -> None:
+        self.calls.append(f"drain {self.name}")
+
+    def stop(self) -> None:
+        self.calls.append(f"stop {self.name}")
+
+
+class Counter(Task[int]):
+    """Sums messages; its timer is due every second."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__("counter", clock)
+        self.total = 0
+        self.ticks = 0
+        self.due_ms = clock.monotonic_ms() + 1_000
+        self.changed = Event()
+
+    def handle(self, message: int) -> None:
+        self.total += message
+        self.changed.set()
+
+    def timer_ms(self) -> float:
+        return self.due_ms
+
+    def on_timer(self) -> None:
+        self.ticks += 1
+        self.due_ms += 1_000
+        self.changed.set()
+
+
+def test_services_start_in_order_and_stop_in_reverse() -> None:
+    calls: list[str] = []
+    kernel = Kernel(SystemClock())
+    for name in ("a", "b"):
+        kernel.register(Recorder(name, calls))
+    kernel.start()
+    assert kernel.drain(1_000)
+    kernel.stop()
+    assert calls == ["start a", "start b", "drain b", "drain a", "stop b", "stop a"]
+
+
+def test_failed_start_stops_what_runs_already() -> None:
+    calls: list[str] = []
+    kernel = Kernel(SystemClock())
+    kernel.register(Recorder("a", calls))
+    kernel.register(Recorder("b", calls, fails=True))
+    with pytest.raises(EbonyshoreError):
+        kernel.start()
+    assert calls == ["start a", "stop a"]
+
+
+def test_services_are_found_by_name_and_type() -> None:
+    kernel = Kernel(SystemClock())
+    service = Recorder("a", [])
+    kernel.register(service)
+    assert kernel.find("a", Recorder) is service
+    with pytest.raises(EbonyshoreError):
+        kernel.find("b", Recorder)
+    with pytest.raises(EbonyshoreError):
+        kernel.register(Recorder("a", []))
+
+
+def test_task_handles_messages_and_timers_on_the_paused_clock(clock: ManualClock) -> None:
+    task = Counter(clock)
+    task.start()
+    task.post(2)
+    task.post(3)
+    assert task.changed.wait(WAIT_S)
+    task.changed.clear()
+    while not task.changed.wait(0.01):
+        clock.advance_ms(1_000)
+    task.stop()
+    assert (task.total, task.ticks >= 1) == (5, True)
+
+
+def test_failed_task_is_reported() -> None:
+    """Guards against a task that ends unseen and leaves its state unattended."""
+
+    class Failing(Counter):
+        def handle(self, message: int) -> None:
+            raise EbonyshoreError("broken")
+
+    task = Failing(ManualClock())
+    failures: list[str] = []
+    reported = Event()
+    task.on_failure(lambda name, error: (failures.append(f"{name}: {error}"), reported.set()))
+    task.start()
+    task.post(1)
+    assert reported.wait(WAIT_S)
+    task.stop()
+    assert failures == ["counter: internal error: broken"]
+
+
+def test_mailbox_keeps_order_and_times_out(clock: ManualClock) -> None:
+    mailbox: Mailbox[int] = Mailbox(clock)
+    for number in range(3):
+        mailbox.post(number)
+    assert [mailbox.take(0.0) for _ in range(4)] == [0, 1, 2, None]
+
+
+def test_log_line_is_one_line_of_pairs() -> None:
+    """Guards against values that break the line or forge a field."""
+    line = format_line(5, "refused", {"detail": 'a "b"\nevent=forged', "code": 31, "wait_ms": 1.5})
+    assert line == r'time_ms=5 event=refused detail="a \"b\"\nevent=forged" code=31 wait_ms=1.500'
