--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -23,8 +23,7 @@
     SettingsSnapshot,
     VerdictShare,
 )
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.settings_store import encode_head
+from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
 from ebonyshore.task_service import TaskService
 
 ADMIN_THREADS = 2
@@ -60,8 +59,9 @@
         environment.metrics,
         environment.log,
     )
-    _connect(server, dispatcher, settings)
+    _connect(environment, server, dispatcher, settings)
     daemon = Daemon(environment, kernel)
+    kernel.register(TaskService(_make_watcher(environment, settings), dump=settings.dump))
     kernel.register(TaskService(server))
     kernel.register(
         TaskService(dispatcher, lambda: dispatcher.post(BeginDrain()), lambda: dispatcher.is_idle)
@@ -70,22 +70,49 @@
     return daemon
 
 
-def _connect(server: AgentServer, dispatcher: Dispatcher, settings: SettingsService) -> None:
+def _make_watcher(environment: Environment, settings: SettingsService) -> SettingsWatcher:
+    """Return the task that reads the settings at the start; later changes come from entries."""
+    return SettingsWatcher(
+        environment.store,
+        settings,
+        environment.settings.platform.watch_timeout_ms,
+        environment.clock,
+        environment.log,
+        is_following=False,
+    )
+
+
+def _connect(
+    environment: Environment,
+    server: AgentServer,
+    dispatcher: Dispatcher,
+    settings: SettingsService,
+) -> None:
+    puller = SettingsPuller(settings, environment.clock)
+
     def receive(peer: bytes, message: EntryMessage) -> None:
         dispatcher.post(Received(peer, message))
 
-    def answer_revision(peer: bytes, message: Hello | Ping) -> None:
-        if message.settings_revision > settings.current().revision:
-            server.post(Outgoing(peer, SettingsRequest(settings.current().revision)))
-        elif message.settings_revision < settings.current().revision:
-            head = settings.head()
-            server.post(Outgoing(peer, SettingsSnapshot(head.revision, encode_head(head))))
+    def note_revision(peer: bytes, message: Hello | Ping | Dispatch) -> None:
+        if puller.should_ask(message.settings_revision):
+            server.post(Outgoing(peer, SettingsRequest(settings.newest().revision)))
+
+    def send_settings(peer: bytes, message: SettingsRequest) -> None:
+        revision = settings.newest().revision
+        if revision > message.known_revision:
+            server.post(Outgoing(peer, SettingsSnapshot(revision, settings.encoded_newest())))
+
+    def receive_dispatch(peer: bytes, message: Dispatch) -> None:
+        note_revision(peer, message)
+        receive(peer, message)
 
-    for kind in (Dispatch, Cancel, VerdictShare, CrashReport):
+    server.subscribe(Dispatch, receive_dispatch)
+    for kind in (Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
-    server.subscribe(Hello, answer_revision)
-    server.subscribe(Ping, answer_revision)
+    server.subscribe(SettingsRequest, send_settings)
+    server.subscribe(Hello, note_revision)
+    server.subscribe(Ping, note_revision)
     server.subscribe_peer_lost(dispatcher.post)
 
 
--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -278,6 +278,8 @@
         elif isinstance(message, Finished | Refused | Failed):
             self._receive_final(connection, message)
         elif isinstance(message, Welcome | LoadReport):
+            if isinstance(message, Welcome) and not self._take_identity(connection, message):
+                return
             self._note_report(connection, message)
         handler = self._handlers.get(type(message))
         if handler is not None:
@@ -317,6 +319,21 @@
             Failed(request_id, ResultCode.STREAM_BROKEN, Execution.MAYBE_RUN, detail)
         )
 
+    def _take_identity(self, connection: AgentConnection, message: Welcome) -> bool:
+        """Use the agent's own id where only its address was known.
+
+        :return: ``False`` if another connection to the agent exists; this one is closed.
+        """
+        known_id = connection.view.target_id
+        if message.agent_id == known_id:
+            return True
+        if message.agent_id in self._connections:
+            self._disconnect(connection)
+            return False
+        self._connections[message.agent_id] = self._connections.pop(known_id)
+        connection.view = replace(connection.view, target_id=message.agent_id)
+        return True
+
     def _note_report(self, connection: AgentConnection, message: Welcome | LoadReport) -> None:
         view = connection.view
         if view.incarnation not in ("", message.incarnation):
@@ -324,6 +341,9 @@
         if isinstance(message, LoadReport) and not view.incarnation:
             self._send_hello(connection)
             return
+        if isinstance(message, LoadReport):
+            lowest = message.lowest_entry_revision
+            connection.view = replace(connection.view, lowest_entry_revision=lowest)
         connection.view = replace(
             connection.view,
             incarnation=message.incarnation,
--- a/ebonyshore/agent_server.py
+++ b/ebonyshore/agent_server.py
@@ -17,6 +17,7 @@
 
 PEER_SILENCE_MS = 10_000
 PEER_CHECK_INTERVAL_MS = 1_000
+PEER_CURRENT_MS = 2_000  # an entry announces its revision every 500 ms
 READ_BURST = 256
 
 Handler = Callable[[bytes, EntryMessage], None]
@@ -59,6 +60,7 @@
 
     entry_id: str
     last_heard_ms: float
+    settings_revision: int = 0
 
 
 class AgentServer(SocketTask[Outgoing | Broadcast | StatusChanged]):
@@ -173,11 +175,12 @@
     def _note_peer(self, routing_id: bytes, message: EntryMessage) -> None:
         now_ms = self.clock.monotonic_ms()
         peer = self._peers.get(routing_id)
-        if peer is not None:
-            peer.last_heard_ms = now_ms
-            return
-        entry_id = message.entry_id if isinstance(message, Hello) else ""
-        self._peers[routing_id] = Peer(entry_id, now_ms)
+        if peer is None:
+            entry_id = message.entry_id if isinstance(message, Hello) else ""
+            peer = self._peers[routing_id] = Peer(entry_id, now_ms)
+        peer.last_heard_ms = now_ms
+        if isinstance(message, Hello | Ping):
+            peer.settings_revision = message.settings_revision
 
     def _change_status(self, status: StatusChanged) -> None:
         is_news = (status.is_leaving, status.models) != (
@@ -211,7 +214,14 @@
             status.load,
             status.models,
             status.is_leaving,
+            self._lowest_entry_revision(),
         )
 
+    def _lowest_entry_revision(self) -> int:
+        """Return the lowest revision that an entry has announced lately; 0 if there is none."""
+        since_ms = self.clock.monotonic_ms() - PEER_CURRENT_MS
+        current = [peer for peer in self._peers.values() if peer.last_heard_ms >= since_ms]
+        return min((peer.settings_revision for peer in current), default=0)
+
     def _send(self, routing_id: bytes, message: Struct) -> None:
         self._socket.send_multipart([routing_id, self._codec.encode(message)])
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -1,11 +1,10 @@
 """Composes an entry from its environment."""
 
 from msgspec import to_builtins
-from msgspec.json import decode
 from werkzeug.wrappers import Request
 
 from ebonyshore.admin_api import AdminApi
-from ebonyshore.agent_link import AgentLink, SendToAgent, SendToAgents
+from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.daemon import Daemon
@@ -15,10 +14,21 @@
 from ebonyshore.instance_poller import InstancePoller
 from ebonyshore.kernel import Kernel
 from ebonyshore.membership import Membership
-from ebonyshore.messages import CrashReport, SettingsRequest, SettingsSnapshot, Welcome
+from ebonyshore.messages import (
+    CrashReport,
+    LoadReport,
+    Ping,
+    Refused,
+    SettingsRequest,
+    SettingsSnapshot,
+    Welcome,
+)
 from ebonyshore.online import OnlineService
-from ebonyshore.settings_service import SettingsService, SettingsWatcher
-from ebonyshore.settings_store import SettingsHead, encode_head
+from ebonyshore.platform_api import Instance
+from ebonyshore.ready_gate import ReadyGate
+from ebonyshore.settings_admin import add_settings_paths
+from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
+from ebonyshore.settings_store import SettingsHead
 from ebonyshore.shard_runner import BeginDrain, ShardRunner
 from ebonyshore.task_service import TaskService
 
@@ -28,8 +38,8 @@
 class EntryHttpService(HttpService):
     """The callers' server, which drains its requests."""
 
-    def __init__(self, api: HttpApi, *arguments: object) -> None:
-        super().__init__("http", api, *arguments)
+    def __init__(self, api: HttpApi, settings: SettingsService, *arguments: object) -> None:
+        super().__init__("http", ReadyGate(api, settings), *arguments)
         self._api = api
 
     def begin_drain(self) -> None:
@@ -52,6 +62,7 @@
         settings,
         environment.settings.platform.watch_timeout_ms,
         environment.clock,
+        environment.log,
     )
     poller = InstancePoller(
         environment.platform,
@@ -60,7 +71,7 @@
         environment.clock,
         environment.log,
     )
-    kernel.register(TaskService(watcher))
+    kernel.register(TaskService(watcher, dump=settings.dump))
     kernel.register(TaskService(link, dump=lambda: _dump_targets(membership)))
     kernel.register(TaskService(poller))
     if environment.settings.batch.is_runner:
@@ -85,29 +96,43 @@
         environment.log,
     )
 
-    def send_settings(target_id: str, message: Welcome | SettingsRequest) -> None:
-        head = settings.head()
-        known = (
-            message.settings_revision if isinstance(message, Welcome) else message.known_revision
-        )
-        if head.revision > known:
-            snapshot = SettingsSnapshot(head.revision, encode_head(head))
+    puller = SettingsPuller(settings, environment.clock)
+
+    def send_settings(target_id: str, message: SettingsRequest) -> None:
+        revision = settings.newest().revision
+        if revision > message.known_revision:
+            snapshot = SettingsSnapshot(revision, settings.encoded_newest())
             link.post(SendToAgent(target_id, snapshot))
 
-    def relay(head: SettingsHead) -> None:
-        link.post(SendToAgents(SettingsSnapshot(head.revision, encode_head(head))))
+    def note_revision(target_id: str, message: Welcome | LoadReport | Refused) -> None:
+        if puller.should_ask(message.settings_revision):
+            request = SettingsRequest(settings.newest().revision)
+            link.post(SendToAgent(target_id, request))
+
+    def announce(head: SettingsHead) -> None:
+        """Agents that lack the revision ask one entry for it, so that each fetches it once."""
+        link.post(SendToAgents(Ping(head.revision)))
 
     def forward_crash(target_id: str, report: CrashReport) -> None:
         link.post(SendToAgents(report))
 
-    link.subscribe(Welcome, send_settings)
+    for kind in (Welcome, LoadReport, Refused):
+        link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
     link.subscribe(CrashReport, forward_crash)
-    settings.subscribe(relay)
+    settings.subscribe(announce)
+    link.post(
+        InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
+    )
     return link
 
 
+def _peer_instance(address: str) -> Instance:
+    """Return an agent of which only the address is known; its first answer tells its id."""
+    return Instance(address, "target", address)
+
+
 def _make_runner(
     environment: Environment,
     settings: SettingsService,
@@ -146,7 +171,12 @@
     api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
     http = environment.settings.http
     return EntryHttpService(
-        api, http.listen_address, http.port, http.worker_threads, http.max_request_bytes
+        api,
+        settings,
+        http.listen_address,
+        http.port,
+        http.worker_threads,
+        http.max_request_bytes,
     )
 
 
@@ -157,29 +187,16 @@
     settings: SettingsService,
     membership: Membership,
 ) -> HttpService:
-    store = environment.settings_store()
     admin = environment.settings.admin
     api = AdminApi(admin.operator_token, environment.metrics)
 
-    def change_settings(request: Request) -> object:
-        fields = decode(request.get_data())
-        head = store.commit(
-            fields["path"],
-            fields["values"],
-            fields.get("operator", ""),
-            fields.get("expected_revision"),
-        )
-        settings.adopt(head)
-        return {"revision": head.revision}
-
     def drain(request: Request) -> object:
         daemon.request_stop()
         return {}
 
     api.add("GET", "/admin/v1/dump", lambda _: dump_process(environment, kernel))
     api.add("POST", "/admin/v1/drain", drain)
-    api.add("GET", "/admin/v1/settings", lambda _: to_builtins(settings.head()))
-    api.add("POST", "/admin/v1/settings", change_settings)
+    add_settings_paths(api, settings, environment.settings_store(), membership)
     api.add("GET", "/admin/v1/targets", lambda _: _dump_targets(membership))
     api.add("GET", "/admin/v1/audit", lambda _: _audit(environment))
     return HttpService("admin", api, admin.listen_address, admin.port, ADMIN_THREADS)
--- a/ebonyshore/membership.py
+++ b/ebonyshore/membership.py
@@ -16,6 +16,7 @@
     :param incarnation: run of the agent; empty before its first answer.
     :param tick_ms: the agent's own time as last heard.
     :param heard_ms: the entry's monotonic time when it last heard from the agent.
+    :param lowest_entry_revision: lowest settings revision of the entries connected to the agent.
     :param in_flight: requests that this entry has with it.
     :param in_flight_batch: batch items among them.
     :param load_in_flight: ``in_flight`` when ``load`` was heard.
@@ -29,6 +30,7 @@
     is_leaving: bool = False
     incarnation: str = ""
     settings_revision: int = 0
+    lowest_entry_revision: int = 0
     kind: str = "engine"
     tick_ms: float = 0.0
     heard_ms: float = float("-inf")
--- a/ebonyshore/messages.py
+++ b/ebonyshore/messages.py
@@ -91,6 +91,7 @@
     """Heartbeat of an agent.
 
     :param tick_ms: the agent's monotonic time, for :class:`Permit`.
+    :param lowest_entry_revision: lowest settings revision of the entries connected to the agent.
     """
 
     incarnation: str
@@ -99,6 +100,7 @@
     load: Load
     models: tuple[str, ...] = ()
     is_leaving: bool = False
+    lowest_entry_revision: int = 0
 
 
 class Dispatch(Struct, tag="dispatch", frozen=True):
--- a/ebonyshore/platform_api.py
+++ b/ebonyshore/platform_api.py
@@ -77,6 +77,9 @@
         :param timeout_ms: 0 only checks; the result has no changes when it passes.
         """
 
+    def cancel_watches(self) -> None:  # noqa: B027 - a store without connections has none to end
+        """End waiting watches with ``StoreUnavailableError`` and start no more; for a stop."""
+
 
 class Instance(Struct, frozen=True):
     """An entry of the platform's instance list.
--- a/ebonyshore/platform_http.py
+++ b/ebonyshore/platform_http.py
@@ -1,6 +1,9 @@
 """The platform's services over HTTP, by ``http.client``."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager, nullcontext, suppress
 from http.client import HTTPConnection, HTTPException, HTTPResponse
+from socket import SHUT_RDWR
 from threading import Lock
 from urllib.parse import quote, urlencode, urlsplit
 
@@ -93,11 +96,14 @@
     :param timeout_ms: time limit of one call; a watch may wait longer by its own timeout.
     """
 
-    __slots__ = ("_pool", "_timeout_ms")
+    __slots__ = ("_are_watches_cancelled", "_lock", "_pool", "_timeout_ms", "_watching")
 
     def __init__(self, url: str, timeout_ms: int) -> None:
         self._pool = HttpConnectionPool(url)
         self._timeout_ms = timeout_ms
+        self._lock = Lock()
+        self._watching: set[HTTPConnection] = set()
+        self._are_watches_cancelled = False
 
     def get(self, key: str) -> StoredObject | None:
         answer = self._read("GET", f"/objects/{quote(key)}")
@@ -120,7 +126,15 @@
     def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
         query = urlencode({"prefix": prefix, "since": since, "timeout_ms": timeout_ms})
         limit_ms = self._timeout_ms + (timeout_ms + WATCH_MARGIN_MS if timeout_ms else 0)
-        return decode(self._read("GET", f"/watch?{query}", limit_ms).body, type=WatchResult)
+        path = f"/watch?{query}"
+        return decode(self._read("GET", path, limit_ms, is_watch=True).body, type=WatchResult)
+
+    def cancel_watches(self) -> None:
+        with self._lock:
+            self._are_watches_cancelled = True
+            watching = list(self._watching)
+        for connection in watching:
+            _shut_down(connection)
 
     def list_instances(self) -> list[Instance]:
         return decode(self._read("GET", "/instances").body, type=list[Instance])
@@ -134,10 +148,17 @@
         self._pool.close()
 
     def _read(
-        self, method: str, path: str, timeout_ms: float | None = None, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float | None = None,
+        body: bytes | None = None,
+        is_watch: bool = False,
     ) -> HttpAnswer:
         try:
-            answer = self._exchange(method, path, body, {}, timeout_ms or self._timeout_ms)
+            connection = self._pool.take(timeout_ms or self._timeout_ms)
+            with self._noted_as_watch(connection) if is_watch else nullcontext():
+                answer = self._exchange_on(connection, method, path, body, {})
         except TimeoutError as error:
             raise StoreTimeoutError(f"{method} {path}: no answer in time") from error
         except (OSError, HTTPException) as error:
@@ -164,11 +185,18 @@
             raise WriteOutcomeUnknownError(f"{method} {key}: {error!r}") from error
         return _checked_write_answer(answer, method, key)
 
-    def _exchange(
-        self, method: str, path: str, body: bytes | None, headers: dict[str, str], timeout_ms: float
-    ) -> HttpAnswer:
-        connection = self._pool.take(timeout_ms)
-        return self._exchange_on(connection, method, path, body, headers)
+    @contextmanager
+    def _noted_as_watch(self, connection: HTTPConnection) -> Iterator[None]:
+        with self._lock:
+            if self._are_watches_cancelled:
+                connection.close()
+                raise ConnectionAbortedError("watches are cancelled")
+            self._watching.add(connection)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._watching.discard(connection)
 
     def _exchange_on(
         self,
@@ -189,6 +217,14 @@
         return answer
 
 
+def _shut_down(connection: HTTPConnection) -> None:
+    """Wake the thread that reads from the connection."""
+    sock = connection.sock
+    if sock is not None:
+        with suppress(OSError):
+            sock.shutdown(SHUT_RDWR)
+
+
 def _version(response: HTTPResponse) -> int:
     return int((response.getheader("ETag") or f'"{ABSENT_VERSION}"').strip('"'))
 
--- /dev/null
+++ b/ebonyshore/ready_gate.py
@@ -0,0 +1,33 @@
+"""Refuses callers' requests until a settings revision is in force in the process."""
+
+from collections.abc import Callable
+
+from ebonyshore.admin_api import error_response
+from ebonyshore.errors import RefusedError
+from ebonyshore.result_codes import ResultCode
+from ebonyshore.settings_service import SettingsService
+
+RETRY_AFTER_MS = 2_000
+
+
+class ReadyGate:
+    """WSGI middleware.
+
+    :param app: the application that serves requests once the process is ready.
+    """
+
+    __slots__ = ("_app", "_settings")
+
+    def __init__(self, app: Callable[..., object], settings: SettingsService) -> None:
+        self._app = app
+        self._settings = settings
+
+    def __call__(self, environ: dict[str, object], start_response: Callable[..., object]) -> object:
+        if self._settings.is_ready:
+            return self._app(environ, start_response)
+        error = RefusedError(
+            "no settings revision is in force yet",
+            code=ResultCode.NOT_READY,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+        return error_response(error)(environ, start_response)
--- a/ebonyshore/settings_service.py
+++ b/ebonyshore/settings_service.py
@@ -1,32 +1,49 @@
 """The revision of the settings tree that is in force in a process."""
 
 from collections.abc import Callable
+from random import Random
 from threading import Lock
 
-from msgspec import DecodeError
+from msgspec import MsgspecError
 from msgspec.json import decode
 
 from ebonyshore.clock import Clock
 from ebonyshore.errors import StoreError
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
-from ebonyshore.settings_store import HEAD_KEY, SettingsHead
+from ebonyshore.settings_store import HEAD_KEY, SettingsHead, encode_head
 from ebonyshore.settings_tree import SettingsTree
 from ebonyshore.task import Task
 
 RETRY_PAUSE_MS = 500
+MAX_RETRY_PAUSE_MS = 2_000
+PEER_WAIT_MS = 1_500  # entries announce their revision every 500 ms
+REQUEST_TIMEOUT_MS = 1_000
 
 
 class SettingsService:
-    """Holds the newest head seen; readers get one immutable tree."""
+    """Holds the newest head seen; readers get one immutable tree.
+
+    A process that has just started puts no revision into force until :meth:`open`: the first head
+    that it hears of may be older than one that its peers, or its own earlier run, acted upon. Until
+    then readers see the empty tree of revision 0, under which nothing is served.
+    """
 
     def __init__(self, log: EventLog) -> None:
         self._lock = Lock()
         self._log = log
+        self._newest = SettingsHead()
         self._head = SettingsHead()
         self._tree = self._head.tree()
+        self._is_open = False
+        self._encoded: tuple[int, bytes] = (0, b"")
         self._listeners: list[Callable[[SettingsHead], None]] = []
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether a revision is in force."""
+        return self._is_open
+
     def current(self) -> SettingsTree:
         """Return the tree in force."""
         return self._tree
@@ -35,48 +52,129 @@
         """Return the head in force."""
         return self._head
 
+    def newest(self) -> SettingsHead:
+        """Return the newest head heard of, which is in force unless the process is starting."""
+        return self._newest
+
+    def encoded_newest(self) -> bytes:
+        """Return the newest head as it is relayed; encoded once for all peers."""
+        head = self._newest
+        revision, data = self._encoded
+        if revision != head.revision or not data:
+            data = encode_head(head)
+            self._encoded = (head.revision, data)
+        return data
+
     def subscribe(self, listener: Callable[[SettingsHead], None]) -> None:
         """Call ``listener`` with each head that comes into force."""
         self._listeners.append(listener)
 
     def adopt(self, head: SettingsHead) -> bool:
-        """Put ``head`` into force if it is newer.
+        """Put ``head`` into force, or keep it until :meth:`open`, if it is newer.
 
-        :return: whether it was.
+        :return: whether it was newer.
         """
         with self._lock:
-            if head.revision <= self._head.revision:
+            if head.revision <= self._newest.revision:
                 return False
-            self._tree = head.tree()
-            self._head = head
-        self._log.event("settings_in_force", revision=head.revision)
-        for listener in self._listeners:
-            listener(head)
-        return True
+            self._newest = head
+            if self._is_open:
+                self._put_in_force(head)
+            return True
 
     def adopt_encoded(self, data: bytes) -> bool:
-        """Put a relayed head into force if it is newer and well formed."""
+        """Take a relayed head if it is newer and well formed."""
         try:
             return self.adopt(decode(data, type=SettingsHead))
-        except DecodeError:
+        except MsgspecError as error:
+            self._log.event("settings_relay_invalid", detail=str(error))
             return False
 
+    def open(self) -> None:
+        """Put the newest head into force; from now on newer ones come into force at once."""
+        with self._lock:
+            if self._is_open:
+                return
+            self._is_open = True
+            self._put_in_force(self._newest)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "is_ready": self._is_open,
+            "revision": self._head.revision,
+            "newest_revision": self._newest.revision,
+            "digest": self._head.digest,
+        }
+
+    def _put_in_force(self, head: SettingsHead) -> None:
+        """Listeners are called under the lock, so that they see revisions in order."""
+        self._tree = head.tree()
+        self._head = head
+        self._log.event("settings_in_force", revision=head.revision)
+        for listener in self._listeners:
+            listener(head)
+
+
+class SettingsPuller:
+    """Decides which peer to ask for a newer head, so that it is fetched once; for one thread.
+
+    :param service: the revision in force.
+    """
+
+    __slots__ = ("_asked_ms", "_asked_revision", "_clock", "_service")
+
+    def __init__(self, service: SettingsService, clock: Clock) -> None:
+        self._service = service
+        self._clock = clock
+        self._asked_revision = 0
+        self._asked_ms = float("-inf")
+
+    def should_ask(self, offered_revision: int) -> bool:
+        """Note that a peer has a revision; return whether to ask that peer for it now."""
+        if offered_revision <= self._service.newest().revision:
+            return False
+        now_ms = self._clock.monotonic_ms()
+        is_waiting = now_ms - self._asked_ms < REQUEST_TIMEOUT_MS
+        if is_waiting and offered_revision <= self._asked_revision:
+            return False
+        self._asked_revision = offered_revision
+        self._asked_ms = now_ms
+        return True
+
 
 class SettingsWatcher(Task[None]):
-    """Follows the head in the object store with one waiting watch.
+    """Reads the head from the object store, then follows it with one waiting watch.
+
+    Opens the service when the store has answered or, if it does not, when peers have had
+    :data:`PEER_WAIT_MS` to report the revisions that they hold and at least one has.
 
     :param watch_timeout_ms: how long each watch stays open.
+    :param is_following: ``False`` for a process that gets changes from its peers and reads the
+        store only when it starts.
     """
 
     def __init__(
-        self, store: MarkedStore, service: SettingsService, watch_timeout_ms: int, clock: Clock
+        self,
+        store: MarkedStore,
+        service: SettingsService,
+        watch_timeout_ms: int,
+        clock: Clock,
+        log: EventLog,
+        is_following: bool = True,
     ) -> None:
         super().__init__("settings-watcher", clock)
+        self._is_following = is_following
         self._store = store
         self._service = service
         self._watch_timeout_ms = watch_timeout_ms
-        self._since = 0
-        self._next_ms = 0.0
+        self._log = log
+        self._random = Random()
+        self._since: int | None = None
+        self._next_ms: float | None = 0.0
+        self._pause_ms = RETRY_PAUSE_MS
+        self._peers_heard_ms: float | None = None
+        self._is_stopping = False
 
     def handle(self, message: None) -> None:
         """The watcher gets no messages."""
@@ -84,14 +182,50 @@
     def timer_ms(self) -> float | None:
         return self._next_ms
 
+    def stop(self) -> None:
+        self._is_stopping = True
+        self._store.store.cancel_watches()
+        super().stop()
+
     def on_timer(self) -> None:
+        if self._is_stopping:
+            self._next_ms = None
+            return
         try:
-            result = self._store.store.watch(HEAD_KEY, self._since, self._watch_timeout_ms)
-        except StoreError:
-            self._next_ms = self.clock.monotonic_ms() + RETRY_PAUSE_MS
+            self._read() if self._since is None else self._watch(self._since)
+        except (StoreError, MsgspecError) as error:
+            self._back_off(error)
             return
-        self._since = result.revision
+        self._pause_ms = RETRY_PAUSE_MS
+        self._service.open()
+        if not self._is_following:
+            self._next_ms = None
+
+    def _read(self) -> None:
+        """Read the head; a watch would not answer before the first change."""
+        record = self._store.read(HEAD_KEY, SettingsHead)
+        if record is not None:
+            self._service.adopt(record.body)
+        self._since = record.version if record else 0
+
+    def _watch(self, since: int) -> None:
+        result = self._store.store.watch(HEAD_KEY, since, self._watch_timeout_ms)
         for change in result.changes:
             if change.key == HEAD_KEY and change.value is not None:
                 record = self._store.decode(HEAD_KEY, change.version, change.value, SettingsHead)
                 self._service.adopt(record.body)
+        self._since = result.revision
+
+    def _back_off(self, error: Exception) -> None:
+        now_ms = self.clock.monotonic_ms()
+        if self._pause_ms == RETRY_PAUSE_MS:
+            self._log.event("settings_store_unavailable", detail=str(error))
+        self._next_ms = now_ms + self._pause_ms * self._random.uniform(0.5, 1.0)
+        self._pause_ms = min(2 * self._pause_ms, MAX_RETRY_PAUSE_MS)
+        if self._service.is_ready:
+            return
+        if self._peers_heard_ms is None:
+            self._peers_heard_ms = now_ms
+        has_waited = now_ms - self._peers_heard_ms >= PEER_WAIT_MS
+        if has_waited and self._service.newest().revision > 0:
+            self._service.open()
--- a/ebonyshore/settings_tree.py
+++ b/ebonyshore/settings_tree.py
@@ -5,7 +5,9 @@
 """
 
 import re
-from typing import Annotated, TypeVar
+from collections.abc import Callable
+from hashlib import sha256
+from typing import Annotated
 
 from msgspec import Meta, Struct, ValidationError, convert
 from msgspec.structs import fields as struct_fields
@@ -18,12 +20,15 @@
 _PATH_PATTERN = re.compile(rf"/|/tiers/{_NAME}|/tiers/{_NAME}/models/{_NAME}|/callers/{_NAME}")
 _MODEL_PATTERN = re.compile(rf"/tiers/({_NAME})/models/({_NAME})")
 _TIER_PATTERN = re.compile(rf"/tiers/({_NAME})")
+_CALLER_PATTERN = re.compile(rf"/callers/({_NAME})")
 
 SettingValue = bool | int | float | str
 DurationMs = Annotated[float, Meta(gt=0, le=604_800_000)]
 Ratio = Annotated[float, Meta(ge=0, le=1)]
 Rate = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1)]
+CopyCount = Annotated[int, Meta(ge=0, le=10_000)]
+KeyDigest = Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?$")]
 
 
 class EffectiveSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -42,6 +47,12 @@
     :param suspicion_expiry_ms: how long content stays suspected or convicted.
     :param engine_base_step_ms: estimated engine step time with one sequence.
     :param engine_sequence_step_ms: estimated additional step time of each further sequence.
+    :param allows_anonymous_callers: whether requests with an unknown API key, or none, are served;
+        at the root only.
+    :param api_key_sha256_hex: SHA-256 of the caller's API key; at ``/callers/NAME`` only.
+    :param does_place: whether the placement duty loads and unloads the model.
+    :param min_copies: live copies of the model that are always kept.
+    :param max_copies: most copies that placement loads.
     """
 
     first_token_objective_ms: DurationMs = 670.0
@@ -57,28 +68,63 @@
     suspicion_expiry_ms: DurationMs = 600_000.0
     engine_base_step_ms: DurationMs = 8.0
     engine_sequence_step_ms: DurationMs = 0.3
+    allows_anonymous_callers: bool = True
+    api_key_sha256_hex: KeyDigest = ""
+    does_place: bool = False
+    min_copies: CopyCount = 1
+    max_copies: CopyCount = 10_000
 
 
 SETTING_NAMES = tuple(field.name for field in struct_fields(EffectiveSettings))
-NodesT = TypeVar("NodesT", bound=dict[str, dict[str, SettingValue]])
+Nodes = dict[str, dict[str, SettingValue]]
+
+
+class CombinationRule(Struct, frozen=True):
+    """A condition between the effective values of one level."""
+
+    holds: Callable[[EffectiveSettings], bool]
+    text: str
+
+
+COMBINATION_RULES = (
+    CombinationRule(
+        lambda s: s.first_token_objective_ms < s.request_timeout_ms,
+        "first_token_objective_ms must be less than request_timeout_ms",
+    ),
+    CombinationRule(
+        lambda s: s.engine_base_step_ms <= s.token_interval_objective_ms,
+        "engine_base_step_ms must be at most token_interval_objective_ms",
+    ),
+    CombinationRule(
+        lambda s: s.min_copies <= s.max_copies, "min_copies must be at most max_copies"
+    ),
+)
 
 
 class SettingsTree:
     """One revision of the tree.
 
+    Settings that this version of the program does not know are passed over: a newer process may
+    have accepted them.
+
     :param revision: 0 for the empty tree before the first change.
     :param nodes: overrides by path.
     """
 
-    __slots__ = ("_effective", "_tier_by_model", "nodes", "revision")
+    __slots__ = ("_caller_by_digest", "_effective", "_tier_by_model", "nodes", "revision")
 
-    def __init__(self, revision: int, nodes: dict[str, dict[str, SettingValue]]) -> None:
+    def __init__(self, revision: int, nodes: Nodes) -> None:
         self.revision = revision
         self.nodes = nodes
         self._effective: dict[str, EffectiveSettings] = {}
         self._tier_by_model = {
             match[2]: match[1] for path in nodes if (match := _MODEL_PATTERN.fullmatch(path))
         }
+        self._caller_by_digest = {
+            node["api_key_sha256_hex"]: match[1]
+            for path, node in nodes.items()
+            if (match := _CALLER_PATTERN.fullmatch(path)) and node.get("api_key_sha256_hex")
+        }
 
     def root(self) -> EffectiveSettings:
         """Return the values in force at the root."""
@@ -91,10 +137,9 @@
         """
         cached = self._effective.get(path)
         if cached is None:
-            merged: dict[str, SettingValue] = {}
-            for ancestor in ancestors(path):
-                merged.update(self.nodes.get(ancestor, {}))
-            cached = _convert(path, merged)
+            merged = _merge(self.nodes, path)
+            known = {name: value for name, value in merged.items() if name in SETTING_NAMES}
+            cached = _convert(path, known)
             self._effective[path] = cached
         return cached
 
@@ -120,6 +165,10 @@
         """Return the values in force for a caller."""
         return self.effective(f"/callers/{caller}")
 
+    def caller_of(self, api_key: str) -> str | None:
+        """Return the name of the caller account that an API key belongs to."""
+        return self._caller_by_digest.get(sha256(api_key.encode()).hexdigest())
+
 
 def ancestors(path: str) -> tuple[str, ...]:
     """Return the path and the levels above it, outermost first.
@@ -137,19 +186,46 @@
     return (ROOT_PATH, *levels)
 
 
-def find_tree_faults(nodes: dict[str, dict[str, SettingValue]]) -> list[str]:
-    """Return every fault of a tree; the effective values of all nodes are judged."""
+def find_tree_faults(nodes: Nodes) -> list[str]:
+    """Return every fault of a tree; the effective values of all levels are judged."""
     faults: list[str] = []
-    tree = SettingsTree(0, nodes)
-    for path in nodes:
+    for path, node in nodes.items():
         try:
-            tree.effective(path)
+            faults += _level_faults(nodes, path, node)
         except SettingsError as error:
             faults.append(error.detail)
-    return faults + _model_faults(nodes)
+    return faults + _model_faults(nodes) + _key_faults(nodes)
 
 
-def _model_faults(nodes: dict[str, dict[str, SettingValue]]) -> list[str]:
+def _level_faults(nodes: Nodes, path: str, node: dict[str, SettingValue]) -> list[str]:
+    merged = _merge(nodes, path)
+    unknown = [name for name in node if name not in SETTING_NAMES]
+    if unknown:
+        allowed = ", ".join(SETTING_NAMES)
+        return [f"{path}: unknown setting {', '.join(unknown)}; allowed: {allowed}"]
+    faults = _value_faults(path, merged)
+    if faults:
+        return faults
+    effective = _convert(path, merged)
+    faults = [f"{path}: {rule.text}" for rule in COMBINATION_RULES if not rule.holds(effective)]
+    if "allows_anonymous_callers" in node and path != ROOT_PATH:
+        faults.append(f"{path}: allows_anonymous_callers can be set at / only")
+    if "api_key_sha256_hex" in node and not _CALLER_PATTERN.fullmatch(path):
+        faults.append(f"{path}: api_key_sha256_hex can be set at /callers/NAME only")
+    return faults
+
+
+def _value_faults(path: str, values: dict[str, SettingValue]) -> list[str]:
+    faults = []
+    for name, value in values.items():
+        try:
+            convert({name: value}, EffectiveSettings)
+        except ValidationError as error:
+            faults.append(f"{path}: {name}: found {value!r}; {error}")
+    return faults
+
+
+def _model_faults(nodes: Nodes) -> list[str]:
     faults = []
     tier_by_model: dict[str, str] = {}
     for path in nodes:
@@ -165,12 +241,25 @@
     return faults
 
 
+def _key_faults(nodes: Nodes) -> list[str]:
+    faults = []
+    path_by_digest: dict[SettingValue, str] = {}
+    for path, node in nodes.items():
+        digest = node.get("api_key_sha256_hex")
+        other = path_by_digest.setdefault(digest, path) if digest else path
+        if other != path:
+            faults.append(f"{path}: {other} has the same api_key_sha256_hex")
+    return faults
+
+
+def _merge(nodes: Nodes, path: str) -> dict[str, SettingValue]:
+    merged: dict[str, SettingValue] = {}
+    for ancestor in ancestors(path):
+        merged.update(nodes.get(ancestor, {}))
+    return merged
+
+
 def _convert(path: str, values: dict[str, SettingValue]) -> EffectiveSettings:
-    unknown = [name for name in values if name not in SETTING_NAMES]
-    if unknown:
-        raise SettingsError(
-            f"{path}: unknown setting {', '.join(unknown)}; allowed: {', '.join(SETTING_NAMES)}"
-        )
     try:
         return convert(values, EffectiveSettings)
     except ValidationError as error:
--- a/ebonyshore_standins/memory_platform.py
+++ b/ebonyshore_standins/memory_platform.py
@@ -12,6 +12,7 @@
 from ebonyshore.clock import MS_PER_S, Clock
 from ebonyshore.errors import (
     StoreError,
+    StoreTimeoutError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
@@ -29,6 +30,8 @@
     WeightStore,
 )
 
+WRITE_KINDS = ("put", "delete")
+
 
 class PlatformFaults(Struct):
     """Switches of the stand-in.
@@ -37,6 +40,10 @@
     :param delay_ms: every call takes this much longer.
     :param lost_answer_ratio: share of writes that take effect and then fail.
     :param lose_next_answers: this many next writes take effect and then fail.
+    :param drop_next_writes: this many next writes fail without an answer and have no effect.
+    :param hold_next_writes: this many next writes fail without an answer and are carried out late,
+        by ``MemoryPlatform.carry_out_held``.
+    :param lost_read_ratio: share of reads that get no answer in time.
     :param list_lag_ms: the instance list shows the state of this long ago.
     :param writes_per_s: 0 for no limit.
     :param reads_per_s: 0 for no limit.
@@ -47,12 +54,23 @@
     delay_ms: float = 0.0
     lost_answer_ratio: float = 0.0
     lose_next_answers: int = 0
+    drop_next_writes: int = 0
+    hold_next_writes: int = 0
+    lost_read_ratio: float = 0.0
     list_lag_ms: float = 0.0
     writes_per_s: int = 0
     reads_per_s: int = 0
     weight_interval_ms: float = 0.0
 
 
+class HeldWrite(Struct, frozen=True):
+    """A write that is still on its way; without a value it is a deletion."""
+
+    key: str
+    value: bytes | None
+    expected_version: int
+
+
 class _RateLimit:
     """Counts calls in windows of one second."""
 
@@ -93,6 +111,8 @@
         self._instances: dict[str, Instance] = {}
         self._instance_history: list[tuple[float, tuple[Instance, ...]]] = []
         self._next_grant_ms = 0.0
+        self._held: list[HeldWrite] = []
+        self._are_watches_cancelled = False
 
     def get(self, key: str) -> StoredObject | None:
         with self._call("get"):
@@ -102,21 +122,17 @@
         if len(value) > MAX_VALUE_BYTES:
             raise StoreError(f"{key}: value of {len(value)} bytes is too large")
         with self._call("put"):
+            self._hold_or_drop(HeldWrite(key, value, expected_version))
             self._check_version(key, expected_version)
-            if key not in self._objects:
-                insort(self._keys, key)
-            version = self._commit(key)
-            self._objects[key] = StoredObject(key, version, value)
+            version = self._store(key, value)
             self._lose_answer(key)
             return version
 
     def delete(self, key: str, expected_version: int) -> None:
         with self._call("delete"):
+            self._hold_or_drop(HeldWrite(key, None, expected_version))
             self._check_version(key, expected_version)
-            if key in self._objects:
-                self._commit(key)
-                del self._objects[key]
-                self._keys.remove(key)
+            self._remove(key)
             self._lose_answer(key)
 
     def list_keys(
@@ -141,10 +157,17 @@
             while True:
                 changes = self._changes_since(prefix, since)
                 left_ms = end_ms - self._clock.monotonic_ms()
-                if changes or left_ms <= 0 or self.faults.is_down:
+                if self.faults.is_down or self._are_watches_cancelled:
+                    raise StoreUnavailableError("the platform went down")
+                if changes or left_ms <= 0:
                     return WatchResult(self._revision, changes)
                 self._clock.wait(self._changed, left_ms)
 
+    def cancel_watches(self) -> None:
+        with self._changed:
+            self._are_watches_cancelled = True
+            self._changed.notify_all()
+
     def list_instances(self) -> list[Instance]:
         with self._call("list_instances"):
             seen_ms = self._clock.monotonic_ms() - self.faults.list_lag_ms
@@ -180,6 +203,23 @@
             self.faults = faults
             self._changed.notify_all()
 
+    def carry_out_held(self) -> int:
+        """Carry out the held writes whose condition still holds; return how many took effect."""
+        with self._changed:
+            held, self._held = self._held, []
+            return sum(self._carry_out(write) for write in held)
+
+    def _carry_out(self, write: HeldWrite) -> bool:
+        try:
+            self._check_version(write.key, write.expected_version)
+        except WriteConflictError:
+            return False
+        if write.value is None:
+            self._remove(write.key)
+        else:
+            self._store(write.key, write.value)
+        return True
+
     def _record_instances(self) -> None:
         now_ms = self._clock.monotonic_ms()
         self._instance_history.append((now_ms, tuple(self._instances.values())))
@@ -194,11 +234,13 @@
                 raise StoreUnavailableError("the platform is down")
             if not self._is_admitted(kind):
                 raise StoreUnavailableError("the platform's rate limit is exceeded")
+            if kind not in WRITE_KINDS and self._random.random() < self.faults.lost_read_ratio:
+                raise StoreTimeoutError("no answer in time")
             yield
 
     def _is_admitted(self, kind: str) -> bool:
         now_ms = self._clock.monotonic_ms()
-        if kind in ("put", "delete"):
+        if kind in WRITE_KINDS:
             return self._writes.admit(now_ms, self.faults.writes_per_s)
         return self._reads.admit(now_ms, self.faults.reads_per_s)
 
@@ -208,6 +250,28 @@
         if version != expected_version:
             raise WriteConflictError(f"{key} is at version {version}, not {expected_version}")
 
+    def _hold_or_drop(self, write: HeldWrite) -> None:
+        if self.faults.drop_next_writes > 0:
+            self.faults.drop_next_writes -= 1
+            raise WriteOutcomeUnknownError(write.key)
+        if self.faults.hold_next_writes > 0:
+            self.faults.hold_next_writes -= 1
+            self._held.append(write)
+            raise WriteOutcomeUnknownError(write.key)
+
+    def _store(self, key: str, value: bytes) -> int:
+        if key not in self._objects:
+            insort(self._keys, key)
+        version = self._commit(key)
+        self._objects[key] = StoredObject(key, version, value)
+        return version
+
+    def _remove(self, key: str) -> None:
+        if key in self._objects:
+            self._commit(key)
+            del self._objects[key]
+            self._keys.remove(key)
+
     def _commit(self, key: str) -> int:
         self._revision += 1
         self._changes.append((self._revision, key))
--- a/ebonyshore_standins/platform_server.py
+++ b/ebonyshore_standins/platform_server.py
@@ -34,6 +34,7 @@
         Rule("/control/instances", endpoint="set_instance", methods=["POST"]),
         Rule("/control/instances/<instance_id>", endpoint="remove_instance", methods=["DELETE"]),
         Rule("/control/faults", endpoint="faults", methods=["PUT"]),
+        Rule("/control/held", endpoint="held", methods=["POST"]),
         Rule("/control/calls", endpoint="calls", methods=["GET"]),
     ]
 )
@@ -118,6 +119,9 @@
         self._platform.set_faults(convert(decode(request.get_data()), PlatformFaults))
         return Response(status=200)
 
+    def _held(self, request: Request) -> Response:
+        return _json(self._platform.carry_out_held())
+
     def _calls(self, request: Request) -> Response:
         return _json(dict(self._platform.calls))
 
