Prove the settings under races, lost answers, outages and restarts

Cause: the store and the services were proven only by the happy path, and a waiting watch held up a planned stop for up to its timeout and hid an outage of the stand-in platform. Tried with the mechanism off: search by change id, search in the archive, refusal of older heads, opening before the peers were heard (state machine); wait for peers, one question at a time, end of the watch at a stop (unit tests); a test fails for each.

--- /dev/null
+++ b/tests/test_settings_machine.py
@@ -0,0 +1,188 @@
+"""A state machine over the real settings store and several processes' settings services."""
+
+from collections.abc import Callable
+
+from hypothesis import settings as run_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from stepping_clock import SteppingClock
+
+from ebonyshore.errors import EbonyshoreError, WriteOutcomeUnknownError
+from ebonyshore.logs import EventLog
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore.settings_history import find_history_faults, read_history, replay
+from ebonyshore.settings_service import PEER_WAIT_MS, SettingsService, SettingsWatcher
+from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsStore
+from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+
+PROCESSES = 3
+FAULTS = ("", "lose_next_answers", "drop_next_writes", "hold_next_writes")
+process_index = st.integers(0, PROCESSES - 1)
+
+
+class RacingPlatform(MemoryPlatform):
+    """Runs an action right before and right after the next write of the head."""
+
+    def __init__(self, clock: SteppingClock) -> None:
+        super().__init__(clock)
+        self.before: Callable[[], None] | None = None
+        self.after: Callable[[], None] | None = None
+
+    def put(self, key: str, value: bytes, expected_version: int) -> int:
+        if key != HEAD_KEY:
+            return super().put(key, value, expected_version)
+        before, after = self.before, self.after
+        self.before = self.after = None
+        if before is not None:
+            before()
+        try:
+            return super().put(key, value, expected_version)
+        finally:
+            if after is not None:
+                after()
+
+
+class SettingsMachine(RuleBasedStateMachine):
+    @initialize()
+    def begin(self) -> None:
+        self.clock = SteppingClock()
+        self.platform = RacingPlatform(self.clock)
+        self.store = SettingsStore(MarkedStore(self.platform, self.clock), self.clock)
+        self.services = [SettingsService(EventLog()) for _ in range(PROCESSES)]
+        self.watchers = [self.make_watcher(service) for service in self.services]
+        self.highest = [0] * PROCESSES
+        self.relays: list[bytes] = []
+        self.accepted: dict[str, int] = {}
+        self.refused: set[str] = set()
+        self.unknown: set[str] = set()
+        self.edits = 0
+
+    def make_watcher(self, service: SettingsService) -> SettingsWatcher:
+        store = MarkedStore(self.platform, self.clock)
+        return SettingsWatcher(store, service, 0, self.clock, EventLog())
+
+    def submit(self, edit: SettingsEdit) -> None:
+        self.edits += 1
+        change_id = f"change-{self.edits}"
+        try:
+            result = self.store.commit(
+                SettingsEdit(edit.path, edit.values, "op", edit.expected_revision, change_id)
+            )
+            self.accepted[change_id] = result.change.revision
+        except WriteOutcomeUnknownError:
+            self.unknown.add(change_id)
+        except EbonyshoreError:
+            self.refused.add(change_id)
+
+    @rule(
+        number=st.integers(1, 9),
+        fault=st.sampled_from(FAULTS),
+        lag=st.sampled_from((None, None, 0, 1)),
+        race=st.sampled_from(("", "before", "after")),
+        rivals=st.sampled_from((1, 2, 60)),
+        goes_down=st.sampled_from((False, False, False, True)),
+    )
+    def change(
+        self,
+        number: int,
+        fault: str,
+        lag: int | None,
+        race: str,
+        rivals: int,
+        goes_down: bool,
+    ) -> None:
+        if fault:
+            setattr(self.platform.faults, fault, 1)
+
+        def rival_changes() -> None:
+            for value in range(rivals):
+                self.submit(SettingsEdit("/", {"max_output_tokens": value + 1}))
+            if goes_down:
+                self.set_outage(True)
+
+        if race:
+            setattr(self.platform, race, rival_changes)
+        expected = None if lag is None else max(0, self.highest_accepted() - lag)
+        name = "max_attempts" if number % 2 else "max_output_tokens"
+        self.submit(SettingsEdit("/", {name: number}, expected_revision=expected))
+        self.platform.before = self.platform.after = None
+
+    @rule(is_down=st.sampled_from((False, False, True)))
+    def set_outage(self, is_down: bool) -> None:
+        self.platform.set_faults(PlatformFaults(is_down=is_down))
+
+    @rule()
+    def carry_out_held(self) -> None:
+        self.platform.carry_out_held()
+
+    @rule(index=process_index)
+    def follow(self, index: int) -> None:
+        self.clock.advance_ms(PEER_WAIT_MS)
+        self.watchers[index].on_timer()
+        self.relays.append(self.services[index].encoded_newest())
+
+    @rule(source=process_index, to=process_index)
+    def relay(self, source: int, to: int) -> None:
+        self.relays.append(self.services[source].encoded_newest())
+        self.services[to].adopt_encoded(self.relays[-1])
+
+    @rule(to=process_index, age=st.integers(0, 20))
+    def relay_old(self, to: int, age: int) -> None:
+        if self.relays:
+            self.services[to].adopt_encoded(self.relays[-1 - age % len(self.relays)])
+
+    @rule(index=process_index)
+    def restart(self, index: int) -> None:
+        """The stalest relay comes first; peers answer until the process opens."""
+        service = self.services[index] = SettingsService(EventLog())
+        watcher = self.watchers[index] = self.make_watcher(service)
+        watcher.on_timer()
+        if self.relays:
+            service.adopt_encoded(self.relays[0])
+        if not self.platform.faults.is_down:
+            assert service.current().revision == self.stored_revision()
+        else:
+            assert service.current().revision == 0
+        peers = [other for other in self.services if other is not service]
+        for peer in peers:
+            service.adopt_encoded(peer.encoded_newest())
+        self.clock.advance_ms(PEER_WAIT_MS)
+        watcher.on_timer()
+        held_by_peers = max(peer.current().revision for peer in peers)
+        assert not service.is_ready or service.current().revision >= held_by_peers
+        assert service.is_ready or held_by_peers == 0
+        self.highest[index] = service.current().revision
+
+    def highest_accepted(self) -> int:
+        return max(self.accepted.values(), default=0)
+
+    def stored_revision(self) -> int:
+        return self.store.read().revision
+
+    @invariant()
+    def revisions_never_go_back(self) -> None:
+        for index, service in enumerate(self.services):
+            assert service.current().revision >= self.highest[index]
+            self.highest[index] = service.current().revision
+
+    @invariant()
+    def accepted_changes_are_in_the_history_once(self) -> None:
+        faults, self.platform.faults = self.platform.faults, PlatformFaults()
+        history = read_history(self.store)
+        assert find_history_faults(self.store) == []
+        self.platform.faults = faults
+        revisions: dict[str, list[int]] = {}
+        for change in history:
+            revisions.setdefault(change.change_id, []).append(change.revision)
+        assert all(revisions[key] == [revision] for key, revision in self.accepted.items())
+        assert not self.refused & revisions.keys()
+        assert all(len(revisions.get(key, ())) <= 1 for key in self.unknown)
+        for service in self.services:
+            tree = service.current()
+            assert tree.nodes == replay(history[: tree.revision])
+
+
+TestSettings = SettingsMachine.TestCase
+TestSettings.settings = run_settings(
+    max_examples=60, stateful_step_count=50, derandomize=True, deadline=None, database=None
+)
--- /dev/null
+++ b/tests/test_settings_service.py
@@ -0,0 +1,155 @@
+"""The revision in force in one process: start, relays, one question at a time."""
+
+from threading import Thread
+
+import pytest
+from stepping_clock import SteppingClock
+
+from ebonyshore.clock import SystemClock
+from ebonyshore.errors import SettingsError, StoreUnavailableError
+from ebonyshore.logs import EventLog
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore.settings_service import (
+    PEER_WAIT_MS,
+    REQUEST_TIMEOUT_MS,
+    SettingsPuller,
+    SettingsService,
+    SettingsWatcher,
+)
+from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsHead, SettingsStore
+from ebonyshore.settings_tree import SettingsTree, find_tree_faults
+from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+
+KEY_DIGEST = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"  # of b"key"
+
+
+def make_watcher(platform: MemoryPlatform, service: SettingsService, **options) -> SettingsWatcher:
+    clock = SteppingClock()
+    return SettingsWatcher(MarkedStore(platform, clock), service, 0, clock, EventLog(), **options)
+
+
+def test_process_does_not_serve_before_it_has_a_revision(platform: MemoryPlatform) -> None:
+    platform.set_faults(PlatformFaults(is_down=True))
+    service = SettingsService(EventLog())
+    watcher = make_watcher(platform, service)
+    for _ in range(10):
+        watcher.on_timer()
+        watcher.clock.advance_ms(PEER_WAIT_MS)
+    assert not service.is_ready
+
+
+def test_process_waits_for_all_peers_while_the_platform_is_down(platform: MemoryPlatform) -> None:
+    """Guards against serving under the first peer's revision when another holds a newer one."""
+    platform.set_faults(PlatformFaults(is_down=True))
+    service = SettingsService(EventLog())
+    watcher = make_watcher(platform, service)
+    watcher.on_timer()
+    service.adopt(SettingsHead(6))
+    watcher.on_timer()
+    assert service.current().revision == 0
+    service.adopt(SettingsHead(7))
+    watcher.clock.advance_ms(PEER_WAIT_MS)
+    watcher.on_timer()
+    assert service.is_ready
+    assert service.current().revision == 7
+
+
+def test_agent_reads_the_store_once(platform: MemoryPlatform) -> None:
+    """Guards against one waiting watch per agent, which the platform's rates do not allow."""
+    service = SettingsService(EventLog())
+    watcher = make_watcher(platform, service, is_following=False)
+    watcher.on_timer()
+    assert service.is_ready
+    assert watcher.timer_ms() is None
+    assert platform.calls == {"get": 1}
+
+
+def test_unreadable_head_does_not_end_the_watcher(platform: MemoryPlatform) -> None:
+    platform.put(HEAD_KEY, b"{", 0)
+    service = SettingsService(EventLog())
+    watcher = make_watcher(platform, service)
+    watcher.on_timer()
+    assert not service.is_ready
+    assert not service.adopt_encoded(b'{"revision":"x"}')
+
+
+def test_listeners_see_revisions_in_order() -> None:
+    """Guards against an old revision being announced after a newer one."""
+    service = SettingsService(EventLog())
+    service.open()
+    seen: list[int] = []
+    service.subscribe(lambda head: seen.append(head.revision))
+    numbers = range(1, 400)
+    threads = [
+        Thread(
+            target=lambda part: [service.adopt(SettingsHead(n)) for n in numbers[part::4]],
+            args=(part,),
+        )
+        for part in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert seen == sorted(seen)
+    assert service.current().revision == 399
+
+
+def test_newer_head_is_asked_for_once() -> None:
+    """Guards against fetching the head from every entry that announces it."""
+    clock = SteppingClock()
+    service = SettingsService(EventLog())
+    puller = SettingsPuller(service, clock)
+    assert puller.should_ask(5)
+    assert not puller.should_ask(5)
+    assert puller.should_ask(6)
+    clock.advance_ms(REQUEST_TIMEOUT_MS)
+    assert puller.should_ask(6)
+    service.adopt(SettingsHead(6))
+    assert not puller.should_ask(6)
+
+
+def test_watch_ends_when_the_watcher_stops(platform: MemoryPlatform) -> None:
+    """Guards against a planned stop that waits for the watch's timeout."""
+    clock = SystemClock()
+    service = SettingsService(EventLog())
+    watcher = SettingsWatcher(MarkedStore(platform, clock), service, 60_000, clock, EventLog())
+    watcher.start()
+    while not platform.calls["watch"]:
+        clock.sleep_ms(1)
+    began_ms = clock.monotonic_ms()
+    watcher.stop()
+    assert clock.monotonic_ms() - began_ms < 10_000
+    with pytest.raises(StoreUnavailableError):
+        platform.watch(HEAD_KEY, 0, 60_000)
+
+
+def test_change_of_a_parent_cannot_make_a_child_invalid(store: MarkedStore) -> None:
+    settings = SettingsStore(store, SystemClock())
+    settings.commit(SettingsEdit("/tiers/care", {"first_token_objective_ms": 20_000}))
+    with pytest.raises(SettingsError, match="/tiers/care: first_token_objective_ms must be less"):
+        settings.commit(SettingsEdit("/", {"request_timeout_ms": 10_000}))
+    assert settings.read().revision == 1
+
+
+def test_all_faults_of_a_tree_are_reported() -> None:
+    faults = find_tree_faults(
+        {
+            "/": {"max_attempts": 0, "weighting": "none"},
+            "/tiers/care": {"max_atempts": 2, "allows_anonymous_callers": False},
+            "/tiers/a/models/m": {},
+            "/other": {},
+            "/callers/x": {"api_key_sha256_hex": KEY_DIGEST},
+            "/callers/y": {"api_key_sha256_hex": KEY_DIGEST},
+        }
+    )
+    text = "\n".join(faults)
+    for part in ("found 0", "found 'none'", "max_atempts", "no tier a", "/other", "/callers/y"):
+        assert part in text
+
+
+def test_caller_is_found_by_key() -> None:
+    tree = SettingsTree(1, {"/callers/x": {"api_key_sha256_hex": KEY_DIGEST}, "/callers/y": {}})
+    assert tree.caller_of("key") == "x"
+    assert tree.caller_of("") is None
+    assert tree.root().allows_anonymous_callers
