Add the settings commands of the operators' command line

Cause: operators could change settings only by raw admin calls, and could not see where a change was in force or read the history back. set and unset wait until the entry, all its agents and the entries connected to these agents report the revision; agents report the lowest revision that their entries announce, because entries do not talk to each other. A change is resent under the same change id. Errors exit with the result code. Tested with real processes, with an entry and an agent killed and restarted while the platform is down. With the peers of the settings ignored, and with the gate for an unready entry removed, a test fails.

--- a/ebonyshore/cli.py
+++ b/ebonyshore/cli.py
@@ -11,10 +11,12 @@
 from ebonyshore.errors import EbonyshoreError
 from ebonyshore.process_settings import load_settings
 from ebonyshore.result_codes import ResultCode
+from ebonyshore.settings_cli import settings_app
 
 app = typer.Typer(no_args_is_help=True, help="Serve online and batch inference on one fleet.")
 tier_app = typer.Typer(no_args_is_help=True, help="Create and show serving tiers.")
 app.add_typer(tier_app, name="tier")
+app.add_typer(settings_app, name="settings")
 
 Url = Annotated[
     str, typer.Option("--admin", envvar="EBONYSHORE_ADMIN", help="admin URL of an entry")
--- /dev/null
+++ b/ebonyshore/settings_cli.py
@@ -0,0 +1,229 @@
+"""The operators' commands for the settings tree."""
+
+import secrets
+from getpass import getuser
+from typing import Annotated
+from urllib.parse import quote
+
+import typer
+from msgspec import DecodeError, convert
+from msgspec.json import decode, encode, format
+
+from ebonyshore.admin_client import AdminClient
+from ebonyshore.clock import Clock, SystemClock
+from ebonyshore.errors import EbonyshoreError, RequestError
+from ebonyshore.result_codes import ResultCode
+from ebonyshore.settings_admin import RevisionReport
+from ebonyshore.settings_store import SettingsEdit
+from ebonyshore.settings_tree import ROOT_PATH
+
+settings_app = typer.Typer(no_args_is_help=True, help="Read and change the settings tree.")
+
+SETTINGS_PATH = "/admin/v1/settings"
+RESEND_CODES = (ResultCode.NOT_READY, ResultCode.WRITE_OUTCOME_UNKNOWN)
+RESENDS = 3
+POLL_INTERVAL_MS = 200
+
+Url = Annotated[
+    str, typer.Option("--admin", envvar="EBONYSHORE_ADMIN", help="admin URL of an entry")
+]
+Token = Annotated[
+    str, typer.Option("--token", envvar="EBONYSHORE_TOKEN", help="the operator token")
+]
+Level = Annotated[str, typer.Argument(help="/, /tiers/NAME, /tiers/NAME/models/M or /callers/NAME")]
+Json = Annotated[bool, typer.Option("--json", help="print JSON")]
+Operator = Annotated[str, typer.Option(help="who makes the change; the user's name if omitted")]
+Expected = Annotated[
+    int | None, typer.Option("--expected-revision", help="refuse if another revision is in force")
+]
+WaitMs = Annotated[
+    int, typer.Option(help="how long to wait until the change is in force everywhere; 0 not to")
+]
+
+
+@settings_app.command("get")
+def get_settings(
+    admin: Url,
+    token: Token,
+    path: Annotated[str, typer.Argument(help="only this level")] = "",
+    as_json: Json = False,
+) -> None:
+    """Print what is set at each level, without inherited values."""
+    head = AdminClient(admin, token).get(SETTINGS_PATH)
+    nodes = head["nodes"]
+    if path and path not in nodes:
+        raise RequestError(f"{path}: nothing is set at this level", code=ResultCode.NOT_FOUND)
+    shown = {path: nodes[path]} if path else nodes
+    if as_json:
+        _print_json({"revision": head["revision"], "nodes": shown})
+        return
+    typer.echo(f"revision {head['revision']}")
+    for level, values in sorted(shown.items()):
+        typer.echo(level)
+        _print_values(values, "  ")
+
+
+@settings_app.command("effective")
+def show_effective(
+    admin: Url, token: Token, path: Level = ROOT_PATH, as_json: Json = False
+) -> None:
+    """Print the values in force at a level."""
+    answer = AdminClient(admin, token).get(f"{SETTINGS_PATH}/effective?path={quote(path)}")
+    if as_json:
+        _print_json(answer)
+        return
+    typer.echo(f"revision {answer['revision']}")
+    _print_values(answer["values"], "")
+
+
+@settings_app.command("history")
+def show_history(
+    admin: Url,
+    token: Token,
+    first_revision: Annotated[int, typer.Option(help="leave out older changes")] = 1,
+    as_json: Json = False,
+) -> None:
+    """Print who changed what and when, oldest first, and what it replaced."""
+    client = AdminClient(admin, token)
+    changes = client.get(f"{SETTINGS_PATH}/history?first_revision={first_revision}")
+    faults = client.get(f"{SETTINGS_PATH}/history-faults")
+    if as_json:
+        _print_json({"changes": changes, "faults": faults})
+    else:
+        for change in changes:
+            typer.echo(_change_line(change))
+        for fault in faults:
+            typer.echo(f"fault: {fault}")
+    if faults:
+        raise EbonyshoreError("the history was altered", code=ResultCode.AUDIT_FAILED)
+
+
+@settings_app.command("set")
+def set_settings(
+    admin: Url,
+    token: Token,
+    path: Level,
+    assignments: Annotated[list[str] | None, typer.Argument(metavar="[NAME=VALUE]...")] = None,
+    operator: Operator = "",
+    expected_revision: Expected = None,
+    wait_ms: WaitMs = 10_000,
+    as_json: Json = False,
+) -> None:
+    """Set values at a level and wait until they are in force; without values create the level."""
+    values = dict(_parse_assignment(text) for text in assignments or ())
+    edit = SettingsEdit(path, values, operator or getuser(), expected_revision)
+    _change(AdminClient(admin, token), edit, wait_ms, as_json)
+
+
+@settings_app.command("unset")
+def unset_settings(
+    admin: Url,
+    token: Token,
+    path: Level,
+    names: Annotated[list[str] | None, typer.Argument(metavar="[NAME]...")] = None,
+    is_level: Annotated[bool, typer.Option("--level", help="delete the whole level")] = False,
+    operator: Operator = "",
+    expected_revision: Expected = None,
+    wait_ms: WaitMs = 10_000,
+    as_json: Json = False,
+) -> None:
+    """Unset values at a level, so that they are inherited again, or delete the level."""
+    if is_level == bool(names):
+        raise RequestError("name either settings to unset or --level")
+    values = dict.fromkeys(names or ())
+    operation = "delete" if is_level else "set"
+    who = operator or getuser()
+    edit = SettingsEdit(path, values, who, expected_revision, operation=operation)
+    _change(AdminClient(admin, token), edit, wait_ms, as_json)
+
+
+def send_edit(client: AdminClient, edit: SettingsEdit, clock: Clock) -> int:
+    """Send a change, again if its outcome is unknown; the change id makes it count once.
+
+    :return: the revision that the change made.
+    :raises EbonyshoreError: with the entry's code.
+    """
+    fields = {name: getattr(edit, name) for name in edit.__struct_fields__}
+    fields["change_id"] = edit.change_id or secrets.token_hex(8)
+    for attempt in range(RESENDS + 1):
+        try:
+            return client.post(SETTINGS_PATH, fields)["revision"]
+        except EbonyshoreError as error:
+            if error.code not in RESEND_CODES or attempt == RESENDS:
+                raise
+        clock.sleep_ms(POLL_INTERVAL_MS)
+    raise EbonyshoreError("unreachable")
+
+
+def wait_until_in_force(client: AdminClient, revision: int, wait_ms: int, clock: Clock) -> None:
+    """Wait until every process that the entry knows reports ``revision`` or a later one.
+
+    :raises EbonyshoreError: with code ``NOT_READY`` and who is behind, after ``wait_ms``.
+    """
+    end_ms = clock.monotonic_ms() + wait_ms
+    last_line = ""
+    while True:
+        report = convert(client.get(f"{SETTINGS_PATH}/revisions"), RevisionReport)
+        late = report.behind(revision)
+        if not late:
+            return
+        line = f"waiting for {len(late)} of {len(report.targets) + 1}: {', '.join(late[:5])}"
+        if line != last_line:
+            typer.echo(line, err=True)
+            last_line = line
+        if clock.monotonic_ms() >= end_ms:
+            raise EbonyshoreError(
+                f"revision {revision} is accepted, but after {wait_ms} ms not yet in force at: "
+                + ", ".join(late),
+                code=ResultCode.NOT_READY,
+            )
+        clock.sleep_ms(POLL_INTERVAL_MS)
+
+
+def _change(client: AdminClient, edit: SettingsEdit, wait_ms: int, as_json: bool) -> None:
+    clock = SystemClock()
+    revision = send_edit(client, edit, clock)
+    if not as_json:
+        typer.echo(f"revision {revision} is accepted")
+    if wait_ms > 0:
+        wait_until_in_force(client, revision, wait_ms, clock)
+    if as_json:
+        _print_json({"revision": revision, "is_in_force": wait_ms > 0})
+    elif wait_ms > 0:
+        typer.echo(f"revision {revision} is in force everywhere")
+
+
+def _parse_assignment(text: str) -> tuple[str, object]:
+    """Return name and value; the value is JSON or, if it is not, plain text."""
+    name, separator, value = text.partition("=")
+    if not separator or not name:
+        raise RequestError(f"{text!r}: not of the form NAME=VALUE")
+    try:
+        return name, decode(value)
+    except DecodeError:
+        return name, value
+
+
+def _change_line(change: dict) -> str:
+    if change["operation"] == "delete":
+        what = "level deleted"
+    else:
+        what = " ".join(
+            f"{name}={_value_text(value)} (was {_value_text(change['replaced'].get(name))})"
+            for name, value in change["values"].items()
+        )
+    who = change["operator"] or "unknown"
+    return f"{change['revision']} {change['wall_ms']} {who} {change['path']} {what}".rstrip()
+
+
+def _value_text(value: object) -> str:
+    return "inherited" if value is None else str(value)
+
+
+def _print_values(values: dict[str, object], indent: str) -> None:
+    for name, value in sorted(values.items()):
+        typer.echo(f"{indent}{name} = {encode(value).decode()}")
+
+
+def _print_json(value: object) -> None:
+    typer.echo(format(encode(value), indent=2))
