--- a/ebonyshore/cli.py
+++ b/ebonyshore/cli.py
@@ -9,6 +9,7 @@
 from ebonyshore import fleet_cli, tier_cli
 from ebonyshore.errors import EbonyshoreError
 from ebonyshore.process_settings import load_settings
+from ebonyshore.settings_cli import settings_app
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -18,6 +19,7 @@
     "The daemons are started with `ebonyshore entry` and `ebonyshore agent`.",
 )
 app.add_typer(tier_cli.app, name="tier")
+app.add_typer(settings_app, name="settings")
 app.command("request")(fleet_cli.send_request)
 app.command("targets")(fleet_cli.list_targets)
 app.command("drain")(fleet_cli.drain)
