--- a/ebonyshore/cli.py
+++ b/ebonyshore/cli.py
@@ -8,6 +8,7 @@
 
 from ebonyshore import fleet_cli, tier_cli
 from ebonyshore.errors import EbonyshoreError
+from ebonyshore.job_cli import job_app
 from ebonyshore.process_settings import load_settings
 from ebonyshore.settings_cli import settings_app
 
@@ -20,6 +21,7 @@
 )
 app.add_typer(tier_cli.app, name="tier")
 app.add_typer(settings_app, name="settings")
+app.add_typer(job_app, name="job")
 app.command("request")(fleet_cli.send_request)
 app.command("targets")(fleet_cli.list_targets)
 app.command("drain")(fleet_cli.drain)
