Split the dispatcher into scheduling, run ends, answers and crash watch

Cause: the dispatcher mixed admission, running and crash handling in 377 lines, and could only be driven with real threads. The target is now behind TargetRunner, so that a simulation can drive the same dispatcher with a paused clock.

Faults fixed on the way, found by reading: an online run that the engine aborted was queued as a batch item; a repeated dispatch was run twice; a cancel was not bound to the entry that sent the request; the abort of an earlier agent's runs raced with the first new runs; a planned stop could end with dispatches still in the mailbox or answers still in the socket; a deadline that passed in the target was not enforced. Verdicts are counted by crash id, so that one crash reported by several processes counts once. The step time is learnt from token intervals.

--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -25,6 +25,8 @@
 )
 from ebonyshore.settings_service import SettingsService
 from ebonyshore.settings_store import encode_head
+from ebonyshore.step_cost import StepCost
+from ebonyshore.target_runner import ThreadRunner
 from ebonyshore.task_service import TaskService
 
 ADMIN_THREADS = 2
@@ -50,12 +52,24 @@
         environment.metrics,
         environment.log,
     )
+    tier = settings.current().root()
+    cost = StepCost(tier.engine_base_step_ms, tier.engine_sequence_step_ms)
+    service = EngineHttp(target.url) if target.kind == "engine" else ServiceHttp(target.url)
     dispatcher = Dispatcher(
-        EngineHttp(target.url) if target.kind == "engine" else ServiceHttp(target.url),
+        ThreadRunner(
+            service,
+            target.max_running,
+            cost,
+            environment.clock,
+            environment.metrics,
+            environment.log,
+        ),
         server,
         settings,
         target,
+        environment.settings.instance.instance_id,
         environment.incarnation,
+        cost,
         environment.clock,
         environment.metrics,
         environment.log,
@@ -64,7 +78,12 @@
     daemon = Daemon(environment, kernel)
     kernel.register(TaskService(server))
     kernel.register(
-        TaskService(dispatcher, lambda: dispatcher.post(BeginDrain()), lambda: dispatcher.is_idle)
+        TaskService(
+            dispatcher,
+            lambda: dispatcher.post(BeginDrain()),
+            lambda: dispatcher.is_idle,
+            dispatcher.dump,
+        )
     )
     kernel.register(_make_admin(environment, kernel, daemon))
     return daemon
@@ -81,10 +100,14 @@
             head = settings.head()
             server.post(Outgoing(peer, SettingsSnapshot(head.revision, encode_head(head))))
 
+    def greet(peer: bytes, message: Hello) -> None:
+        answer_revision(peer, message)
+        receive(peer, message)
+
     for kind in (Dispatch, Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
-    server.subscribe(Hello, answer_revision)
+    server.subscribe(Hello, greet)
     server.subscribe(Ping, answer_revision)
     server.subscribe_peer_lost(dispatcher.post)
 
--- a/ebonyshore/agent_admission.py
+++ b/ebonyshore/agent_admission.py
@@ -21,9 +21,12 @@
 class AgentView(Struct, frozen=True):
     """The state that admission depends on.
 
-    :param batch_room: batch items that the agent would hold besides those it has.
-    :param online_room: online requests that it would hold besides those it has.
+    :param is_target_up: whether the target can take requests.
+    :param online_room: online requests that the agent would hold besides those it has.
+    :param batch_room: batch items that it would hold besides those it has.
     :param now_ms: the agent's monotonic time.
+    :param online_wait_ms: estimated wait of a new online request for a place in the target.
+    :param step_ms: estimated time of a step with one more online request.
     """
 
     incarnation: str
@@ -35,44 +38,52 @@
     batch_room: int
     now_ms: float
     permit_interval_ms: float
+    online_wait_ms: float = 0.0
+    step_ms: float = 0.0
 
 
 def check_admission(dispatch: Dispatch, view: AgentView) -> Result[Dispatch, Refusal]:
     """Return the dispatch, or why it is refused."""
-    code = _process_fault(dispatch, view) or _room_fault(dispatch, view)
-    if code is None:
-        return Success(dispatch)
-    return Failure(Refusal(code))
+    refusal = _process_fault(dispatch, view) or _room_fault(dispatch, view)
+    return Success(dispatch) if refusal is None else Failure(refusal)
 
 
-def is_permitted(dispatch: Dispatch, view: AgentView) -> bool:
+def is_permitted(
+    dispatch: Dispatch, incarnation: str, now_ms: float, permit_interval_ms: float
+) -> bool:
     """Return whether a batch item may be started now; online requests need no permit."""
     if dispatch.work_class is WorkClass.ONLINE:
         return True
     permit = dispatch.permit
-    if permit is None or permit.incarnation != view.incarnation:
+    if permit is None or permit.incarnation != incarnation:
         return False
-    return view.now_ms - permit.agent_tick_ms <= view.permit_interval_ms
+    return now_ms - permit.agent_tick_ms <= permit_interval_ms
 
 
-def _process_fault(dispatch: Dispatch, view: AgentView) -> ResultCode | None:
+def _process_fault(dispatch: Dispatch, view: AgentView) -> Refusal | None:
     if view.is_leaving:
-        return ResultCode.LEAVING
+        return Refusal(ResultCode.LEAVING)
     if dispatch.incarnation != view.incarnation:
-        return ResultCode.STALE_INCARNATION
+        return Refusal(ResultCode.STALE_INCARNATION)
     if dispatch.settings_revision != view.settings_revision:
-        return ResultCode.STALE_SETTINGS
+        return Refusal(ResultCode.STALE_SETTINGS)
     if not view.is_target_up:
-        return ResultCode.NO_TARGET
+        return Refusal(ResultCode.NO_TARGET)
     if dispatch.model not in view.models:
-        return ResultCode.UNKNOWN_MODEL
+        return Refusal(ResultCode.UNKNOWN_MODEL)
     return None
 
 
-def _room_fault(dispatch: Dispatch, view: AgentView) -> ResultCode | None:
-    if dispatch.deadline_left_ms <= 0:
-        return ResultCode.DEADLINE_UNREACHABLE
-    if not is_permitted(dispatch, view):
-        return ResultCode.PERMIT_EXPIRED
-    room = view.online_room if dispatch.work_class is WorkClass.ONLINE else view.batch_room
-    return ResultCode.TARGET_BUSY if room <= 0 else None
+def _room_fault(dispatch: Dispatch, view: AgentView) -> Refusal | None:
+    if not is_permitted(dispatch, view.incarnation, view.now_ms, view.permit_interval_ms):
+        return Refusal(ResultCode.PERMIT_EXPIRED)
+    is_online = dispatch.work_class is WorkClass.ONLINE
+    wait_ms = view.online_wait_ms if is_online else 0.0
+    if dispatch.deadline_left_ms <= wait_ms + view.step_ms:
+        return Refusal(
+            ResultCode.DEADLINE_UNREACHABLE,
+            int(wait_ms),
+            f"{dispatch.deadline_left_ms:.0f} ms left, {wait_ms:.0f} ms wait",
+        )
+    room = view.online_room if is_online else view.batch_room
+    return Refusal(ResultCode.TARGET_BUSY, int(wait_ms)) if room <= 0 else None
--- a/ebonyshore/agent_server.py
+++ b/ebonyshore/agent_server.py
@@ -18,6 +18,8 @@
 PEER_SILENCE_MS = 10_000
 PEER_CHECK_INTERVAL_MS = 1_000
 READ_BURST = 256
+# The last answers before a planned stop are still on their way when the socket is closed.
+CLOSE_LINGER_MS = 2_000
 
 Handler = Callable[[bytes, EntryMessage], None]
 
@@ -108,7 +110,7 @@
         context = zmq.Context.instance()
         self._authenticator = open_authenticator(context)
         self._socket = context.socket(zmq.ROUTER)
-        self._socket.linger = 0
+        self._socket.linger = CLOSE_LINGER_MS
         self._socket.sndhwm = 0
         self._socket.rcvhwm = 0
         secure_server(self._socket, self._fleet)
--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -1,377 +1,314 @@
 """Carries out the schedule against the target. Owns all requests that the agent holds."""
 
-from collections import deque
-from concurrent.futures import ThreadPoolExecutor
 from uuid import uuid4
 
 from msgspec import Struct
 from returns.result import Failure
 
-from ebonyshore.agent_admission import AgentView, check_admission, is_permitted
-from ebonyshore.agent_server import AgentServer, Broadcast, Outgoing, PeerLost, StatusChanged
+from ebonyshore.agent_admission import AgentView, Refusal, check_admission, is_permitted
+from ebonyshore.agent_answers import AgentAnswers, AnswerSink
+from ebonyshore.agent_server import PeerLost, StatusChanged
 from ebonyshore.clock import Clock
-from ebonyshore.engine import Engine, PlainService
-from ebonyshore.errors import TargetError
+from ebonyshore.crash_watch import CrashWatch
+from ebonyshore.held_runs import HeldRuns
 from ebonyshore.logs import EventLog
-from ebonyshore.messages import (
-    Cancel,
-    Chunk,
-    CrashReport,
-    Dispatch,
-    Failed,
-    Finished,
-    Load,
-    Refused,
-    Usage,
-    VerdictShare,
-)
+from ebonyshore.messages import Cancel, CrashReport, Dispatch, Hello, Load, VerdictShare
 from ebonyshore.metrics import Metrics
 from ebonyshore.process_settings import TargetSettings
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.scheduler import Decision, SchedulerState, decide
+from ebonyshore.result_codes import ResultCode
+from ebonyshore.run_ends import RunEnds
+from ebonyshore.schedule_input import make_scheduler_state
+from ebonyshore.scheduler import Decision, decide
 from ebonyshore.settings_service import SettingsService
-from ebonyshore.suspicion import SuspicionTable
-from ebonyshore.target_run import RunEnded, RunOutcome, TargetRun, run_on_target
+from ebonyshore.step_cost import StepCost
+from ebonyshore.target_run import RunEnded, TargetRun
+from ebonyshore.target_runner import TargetProbed, TargetRunner
 from ebonyshore.task import Task
 
 PROBE_INTERVAL_MS = 200
-BATCH_WINDOW_RATIO = 1
-SPARE_THREADS = 32
+TICK_MS = 50
 DEFAULT_PERMIT_INTERVAL_MS = 10_000
+# Entries learn of the start of the leaving within one message; dispatches sent before that arrive
+# in this time and get a true refusal instead of a closed socket.
+LEAVE_NOTICE_MS = 1_000
+# Every entry sends a heartbeat within 500 ms of reconnecting and hears then of the new run, so
+# that crash reports about the run before arrive in this time.
+START_NOTICE_MS = 1_000
 
 
 class Received(Struct, frozen=True):
-    """A dispatch or cancel from an entry."""
+    """A message from an entry."""
 
     peer: bytes
-    message: Dispatch | Cancel | VerdictShare | CrashReport
+    message: Dispatch | Cancel | VerdictShare | CrashReport | Hello
 
 
-class TargetProbed(Struct, frozen=True):
-    """Result of a health probe.
+class BeginDrain(Struct, frozen=True):
+    """Refuse new work from now on."""
 
-    :param boot_id: empty if the target does not answer.
-    """
 
-    boot_id: str
+class ModelsChanged(Struct, frozen=True):
+    """The target serves other models now."""
 
+    models: tuple[str, ...]
 
-class BeginDrain(Struct, frozen=True):
-    """Refuse new work from now on."""
+
+DispatcherMessage = Received | RunEnded | TargetProbed | PeerLost | BeginDrain | ModelsChanged
 
 
-class Dispatcher(Task[Received | RunEnded | TargetProbed | PeerLost | BeginDrain]):
+class Dispatcher(Task[DispatcherMessage]):
     """Runs requests on one target.
 
-    :param target: the engine or plain service.
-    :param server: sends answers to entries.
+    :param runner: starts and ends runs on the target.
+    :param sink: sends answers to entries.
     :param settings: the settings tree in force.
     :param target_settings: the agent's own settings of its target.
+    :param agent_id: instance id.
     :param incarnation: random id of this run of the agent.
+    :param cost: the engine's step time, as the runner observes it.
     """
 
     def __init__(
         self,
-        target: PlainService,
-        server: AgentServer,
+        runner: TargetRunner,
+        sink: AnswerSink,
         settings: SettingsService,
         target_settings: TargetSettings,
+        agent_id: str,
         incarnation: str,
+        cost: StepCost,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         super().__init__("dispatcher", clock)
-        self._target = target
-        self._server = server
+        self._runner = runner
+        self._sink = sink
         self._settings = settings
         self._max_running = target_settings.max_running
         self._incarnation = incarnation
-        self._models = tuple(target_settings.models)
+        self._cost = cost
         self._metrics = metrics
-        self._log = log
-        self._online: deque[TargetRun] = deque()
-        self._batch: deque[TargetRun] = deque()
-        self._running: dict[str, TargetRun] = {}
-        self._suspicion = SuspicionTable(settings.current().root().suspicion_expiry_ms)
-        self._boot_id = ""
-        self._is_leaving = False
+        self._models = tuple(target_settings.models)
+        self._held = HeldRuns()
+        self._watch = CrashWatch(agent_id, settings.current().root().suspicion_expiry_ms)
+        self._answers = AgentAnswers(
+            sink, incarnation, self._load, self._revision, clock, metrics, log
+        )
+        self._ends = RunEnds(self._held, self._watch, self._answers, runner, clock, metrics, log)
+        self._leaving_since_ms: float | None = None
+        self._started_ms = clock.monotonic_ms()
+        self._last_online_ms = float("-inf")
+        self._next_tick_ms = 0.0
         self._next_probe_ms = 0.0
         self._is_probing = False
-        self._pool = ThreadPoolExecutor(
-            self._max_running + SPARE_THREADS, thread_name_prefix="target-run"
-        )
+        self._status: StatusChanged | None = None
+        runner.connect(self.post, self._answers.send_chunk, self._held.running.__len__)
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is held or running; may be read from any thread."""
-        return not (self._online or self._batch or self._running)
+        """Whether a planned stop has no more work to wait for; may be read from any thread."""
+        since_ms = self._leaving_since_ms
+        if since_ms is None or not self._held.is_empty:
+            return False
+        return self.clock.monotonic_ms() - since_ms >= LEAVE_NOTICE_MS
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump; a snapshot that may be a moment old."""
+        now_ms = self.clock.monotonic_ms()
+        return {
+            "boot_id": self._ends.boot_id,
+            "is_leaving": self._leaving_since_ms is not None,
+            "models": list(self._models),
+            "base_step_ms": self._cost.base_ms,
+            "sequence_step_ms": self._cost.sequence_ms,
+            "waiting": [_dump_run(run, now_ms) for run in self._held.waiting()],
+            "running": [_dump_run(run, now_ms) for run in list(self._held.running.values())],
+            "verdicts": [
+                {"digest": v.content_digest, "crashes": v.crash_count, "convicted": v.is_convicted}
+                for v in self._watch.table.export(now_ms)
+            ],
+        }
+
+    def stop(self) -> None:
+        super().stop()
+        self._runner.close()
 
     def timer_ms(self) -> float | None:
-        return self._next_probe_ms
+        return self._next_tick_ms
 
     def on_timer(self) -> None:
         now_ms = self.clock.monotonic_ms()
-        self._next_probe_ms = now_ms + PROBE_INTERVAL_MS
-        if not self._is_probing:
+        self._next_tick_ms = now_ms + TICK_MS
+        if now_ms >= self._next_probe_ms and not self._is_probing:
+            self._next_probe_ms = now_ms + PROBE_INTERVAL_MS
             self._is_probing = True
-            self._pool.submit(self._probe)
-        self._expire_waiting(now_ms)
+            self._runner.probe(does_abort_all=not self._ends.boot_id)
+        self._ends.expire(now_ms)
         self._schedule()
 
-    def handle(self, message: Received | RunEnded | TargetProbed | PeerLost | BeginDrain) -> None:
+    def handle(self, message: DispatcherMessage) -> None:
         if isinstance(message, Received):
             self._handle_received(message)
         elif isinstance(message, RunEnded):
-            self._handle_run_ended(message)
+            self._ends.end(message)
         elif isinstance(message, TargetProbed):
-            self._handle_probed(message)
+            self._is_probing = False
+            self._ends.note_probe(message)
         elif isinstance(message, PeerLost):
-            self._cancel_peer(message.peer)
+            self._ends.cancel_peer(message.peer)
+        elif isinstance(message, ModelsChanged):
+            self._models = message.models
         else:
             self._begin_drain()
         self._schedule()
 
     def _handle_received(self, received: Received) -> None:
         message = received.message
+        now_ms = self.clock.monotonic_ms()
+        self._watch.table.expiry_ms = self._settings.current().root().suspicion_expiry_ms
         if isinstance(message, Dispatch):
-            self._admit(received.peer, message)
+            self._admit(received.peer, message, now_ms)
         elif isinstance(message, Cancel):
-            self._cancel(received.peer, message.request_id)
+            self._ends.cancel(received.peer, message.request_id)
         elif isinstance(message, VerdictShare):
-            self._suspicion.merge(message.verdicts, self.clock.monotonic_ms())
+            self._watch.merge(message, now_ms)
+            self._ends.apply_suspicion(now_ms)
+        elif isinstance(message, CrashReport):
+            if self._watch.record(message, now_ms):
+                self._answers.broadcast(message)
+            self._ends.apply_suspicion(now_ms)
         else:
-            self._suspicion.record_crash(message, self.clock.monotonic_ms())
+            self._ends.share_verdicts(received.peer, self._sink)
 
-    def _admit(self, peer: bytes, dispatch: Dispatch) -> None:
-        result = check_admission(dispatch, self._view())
-        if isinstance(result, Failure):
-            self._refuse(peer, dispatch, result.failure().code)
+    def _admit(self, peer: bytes, dispatch: Dispatch, now_ms: float) -> None:
+        if not self._held.remember(peer, dispatch.request_id):
+            self._metrics.count("repeated_dispatches")
             return
-        now_ms = self.clock.monotonic_ms()
-        if self._suspicion.is_convicted(dispatch.content_digest, now_ms):
-            self._refuse(peer, dispatch, ResultCode.CONVICTED)
+        result = check_admission(dispatch, self._view(dispatch))
+        if isinstance(result, Failure):
+            refusal: Refusal = result.failure()
+            self._answers.refuse(
+                peer, dispatch, refusal.code, refusal.retry_after_ms, refusal.detail
+            )
             return
         run = TargetRun(uuid4().hex, peer, dispatch, now_ms + dispatch.deadline_left_ms, now_ms)
         run.resume_text = dispatch.resume_text
-        (self._online if run.is_online else self._batch).append(run)
+        if self._watch.is_convicted(run, now_ms):
+            self._answers.refuse_run(run, ResultCode.CONVICTED)
+            return
+        run.is_suspect = self._watch.is_suspect(run, now_ms)
+        self._held.add(run)
 
     def _schedule(self) -> None:
-        decision = decide(self._scheduler_state())
-        self._preempt(decision)
-        for _ in range(decision.start_online):
-            self._start(self._online.popleft())
-        for _ in range(decision.start_batch):
-            self._start_batch(self._batch.popleft())
+        now_ms = self.clock.monotonic_ms()
+        if self._held.counts()[0] or self._held.online:
+            self._last_online_ms = now_ms
+        if self._ends.boot_id:
+            self._held.release_suspect(lambda run: self._watch.is_held_back(run, now_ms))
+            self._drop_unpermitted()
+            self._carry_out(self._decide(now_ms), now_ms)
         self._publish_status()
 
-    def _start_batch(self, run: TargetRun) -> None:
-        if is_permitted(run.dispatch, self._view()):
-            self._start(run)
-        elif run.preemptions:
-            self._fail(run, ResultCode.PREEMPTED, Execution.MAYBE_RUN, run.resume_text)
-        else:
-            self._refuse(run.peer, run.dispatch, ResultCode.PERMIT_EXPIRED)
-
-    def _start(self, run: TargetRun) -> None:
-        now_ms = self.clock.monotonic_ms()
-        run.started_ms = now_ms
-        self._running[run.run_id] = run
-        self._metrics.record_ms("agent_wait", now_ms - run.queued_ms)
-        self._pool.submit(
-            run_on_target, self._target, run, run.deadline_ms - now_ms, self._send_chunk, self.post
+    def _decide(self, now_ms: float) -> Decision:
+        tier = self._settings.current().for_model(self._models[0] if self._models else "")
+        quiet_ms = now_ms - self._last_online_ms
+        return decide(
+            make_scheduler_state(self._held, self._cost, tier, self._max_running, now_ms, quiet_ms)
         )
 
-    def _preempt(self, decision: Decision) -> None:
-        candidates = [r for r in self._running.values() if not r.is_online and not r.is_preempted]
-        candidates.sort(key=lambda run: run.started_ms, reverse=True)
-        for run in candidates[: decision.preempt_batch]:
-            run.is_preempted = True
+    def _carry_out(self, decision: Decision, now_ms: float) -> None:
+        for run_id in decision.preempt:
+            self._held.running[run_id].is_preempted = True
             self._metrics.count("batch_preempted")
-            self._pool.submit(self._abort_in_target, run.run_id)
+            self._runner.cancel(run_id)
+        for _ in range(decision.start_online):
+            self._start(self._held.online.popleft(), now_ms)
+        for _ in range(decision.start_batch):
+            self._start(self._held.batch.popleft(), now_ms)
 
-    def _handle_run_ended(self, ended: RunEnded) -> None:
-        run = self._running.pop(ended.run_id, None)
-        if run is None:
-            return
-        if ended.outcome is RunOutcome.COMPLETE:
-            self._finish(run, ended)
-        elif ended.outcome is RunOutcome.ABORTED:
-            self._handle_aborted(run, ended)
-        elif ended.outcome is RunOutcome.CRASHED and ended.boot_id != self._boot_id:
-            self._handle_crash(run, ended)
-        elif ended.outcome is RunOutcome.UNREACHABLE:
-            self._refuse(run.peer, run.dispatch, ResultCode.NO_TARGET)
-        else:
-            self._fail(run, ResultCode.STREAM_BROKEN, Execution.MAYBE_RUN, ended.text)
-
-    def _finish(self, run: TargetRun, ended: RunEnded) -> None:
-        answer = ended.answer
-        if run.events:
-            self._send_chunk(run.peer, Chunk(run.dispatch.request_id, 0, b"\n".join(run.events)))
-            run.chunk_count = 1
-        finished = Finished(
-            run.dispatch.request_id,
-            run.chunk_count,
-            answer.http_status,
-            answer.content_type,
-            Usage(answer.prompt_tokens, answer.completion_tokens),
-            self._load(),
-        )
-        self._server.post(Outgoing(run.peer, finished))
-        self._suspicion.record_completed(run.dispatch.content_digest)
-        self._metrics.count("online_finished" if run.is_online else "batch_finished")
-        self._log_run(run, "request_finished", ResultCode.OK)
-
-    def _handle_aborted(self, run: TargetRun, ended: RunEnded) -> None:
-        if run.is_cancelled:
-            self._fail(run, ResultCode.CANCELLED, Execution.MAYBE_RUN, ended.text)
-            return
-        run.is_preempted = False
-        run.preemptions += 1
-        run.resume_text = ended.text
-        run.run_id = uuid4().hex
-        self._batch.appendleft(run)
-
-    def _handle_crash(self, run: TargetRun, ended: RunEnded) -> None:
-        runs = [run, *self._running.values()]
-        self._running.clear()
-        self._boot_id = ended.boot_id
-        report = CrashReport(
-            uuid4().hex,
-            "",
-            tuple({r.dispatch.content_digest for r in runs}),
-            tuple({r.dispatch.content_digest for r in runs if r.dispatch.is_suspect}),
-        )
-        self._suspicion.record_crash(report, self.clock.monotonic_ms())
-        self._server.post(Broadcast(report))
-        self._metrics.count("target_crashes")
-        self._log.event("target_crashed", in_flight=len(runs), crash_id=report.crash_id)
-        for crashed in runs:
-            self._fail(crashed, ResultCode.TARGET_CRASHED, Execution.MAYBE_RUN, "")
-
-    def _handle_probed(self, probed: TargetProbed) -> None:
-        self._is_probing = False
-        if probed.boot_id and not self._boot_id and isinstance(self._target, Engine):
-            self._pool.submit(self._target.abort_all)
-        self._boot_id = probed.boot_id
-
-    def _probe(self) -> None:
-        try:
-            boot_id = self._target.boot_id()
-        except TargetError:
-            boot_id = ""
-        self.post(TargetProbed(boot_id))
-
-    def _cancel(self, peer: bytes, request_id: str) -> None:
-        for waiting in (self._online, self._batch):
-            for run in [r for r in waiting if r.dispatch.request_id == request_id]:
-                waiting.remove(run)
-                if run.preemptions:
-                    self._fail(run, ResultCode.CANCELLED, Execution.MAYBE_RUN, run.resume_text)
-                else:
-                    self._refuse(peer, run.dispatch, ResultCode.CANCELLED)
-        for run in self._running.values():
-            if run.dispatch.request_id == request_id:
-                run.is_cancelled = True
-                self._pool.submit(self._abort_in_target, run.run_id)
-
-    def _cancel_peer(self, peer: bytes) -> None:
-        held = [*self._online, *self._batch, *self._running.values()]
-        for run in [r for r in held if r.peer == peer]:
-            self._cancel(peer, run.dispatch.request_id)
-
-    def _abort_in_target(self, run_id: str) -> None:
-        try:
-            self._target.cancel(run_id)
-        except TargetError as error:
-            self._log.event("cancel_failed", run_id=run_id, detail=error.detail)
+    def _drop_unpermitted(self) -> None:
+        for run in [run for run in self._held.batch if not self._is_permitted(run)]:
+            self._held.batch.remove(run)
+            if run.preemptions:
+                self._answers.fail(run, ResultCode.PREEMPTED, resume_text=run.resume_text)
+            else:
+                self._answers.refuse_run(run, ResultCode.PERMIT_EXPIRED)
 
-    def _begin_drain(self) -> None:
-        self._is_leaving = True
-        for run in list(self._batch):
-            self._cancel(run.peer, run.dispatch.request_id)
-
-    def _expire_waiting(self, now_ms: float) -> None:
-        for run in [r for r in self._online if r.deadline_ms <= now_ms]:
-            self._online.remove(run)
-            self._refuse(run.peer, run.dispatch, ResultCode.DEADLINE_UNREACHABLE)
-
-    def _refuse(self, peer: bytes, dispatch: Dispatch, code: ResultCode) -> None:
-        refused = Refused(
-            dispatch.request_id,
-            code,
-            settings_revision=self._settings.current().revision,
-            incarnation=self._incarnation,
-            load=self._load(),
-        )
-        self._server.post(Outgoing(peer, refused))
-        self._metrics.count("refused")
+    def _is_permitted(self, run: TargetRun) -> bool:
+        now_ms = self.clock.monotonic_ms()
+        return is_permitted(run.dispatch, self._incarnation, now_ms, DEFAULT_PERMIT_INTERVAL_MS)
 
-    def _fail(
-        self, run: TargetRun, code: ResultCode, execution: Execution, resume_text: str
-    ) -> None:
-        failed = Failed(
-            run.dispatch.request_id, code, execution, "", resume_text, load=self._load()
-        )
-        self._server.post(Outgoing(run.peer, failed))
-        self._log_run(run, "request_failed", code)
-
-    def _log_run(self, run: TargetRun, event: str, code: ResultCode) -> None:
-        self._log.event(
-            event,
-            trace_id=run.dispatch.trace_id,
-            request_id=run.dispatch.request_id,
-            work_class=run.dispatch.work_class.value,
-            code=int(code),
-            duration_ms=self.clock.monotonic_ms() - run.queued_ms,
+    def _start(self, run: TargetRun, now_ms: float) -> None:
+        run.started_ms = now_ms
+        run.boot_id = self._ends.boot_id
+        self._held.running[run.run_id] = run
+        self._metrics.record_ms(
+            "agent_wait_online" if run.is_online else "agent_wait_batch", now_ms - run.queued_ms
         )
+        if run.is_suspect:
+            self._answers.started(run)
+        self._runner.start(run, run.deadline_ms - now_ms)
 
-    def _send_chunk(self, peer: bytes, chunk: Chunk) -> None:
-        self._server.post(Outgoing(peer, chunk))
+    def _begin_drain(self) -> None:
+        if self._leaving_since_ms is None:
+            self._leaving_since_ms = self.clock.monotonic_ms()
+        for run in list(self._held.batch):
+            self._ends.cancel_waiting(run, ResultCode.LEAVING)
 
-    def _counts(self) -> tuple[int, int]:
-        online = sum(run.is_online for run in self._running.values())
-        return online, len(self._running) - online
+    def _revision(self) -> int:
+        return self._settings.current().revision
 
     def _load(self) -> Load:
-        online, batch = self._counts()
-        return Load(online, len(self._online), batch, self._batch_room(), self._max_running, 0.0)
+        online, batch = self._held.counts()
+        return Load(
+            online,
+            self._held.waiting_online(),
+            batch,
+            self._batch_room(),
+            self._max_running,
+            self._cost.predict_ms(online + batch) if online + batch else 0.0,
+        )
 
     def _batch_room(self) -> int:
-        return max(0, self._max_running * BATCH_WINDOW_RATIO - len(self._batch))
+        if self._leaving_since_ms is not None or not self._ends.boot_id:
+            return 0
+        return max(0, self._max_running - self._held.waiting_batch())
 
-    def _view(self) -> AgentView:
-        online, _ = self._counts()
+    def _view(self, dispatch: Dispatch) -> AgentView:
+        online, batch = self._held.counts()
+        now_ms = self.clock.monotonic_ms()
         return AgentView(
             self._incarnation,
-            self._settings.current().revision,
-            self._is_leaving,
-            bool(self._boot_id),
+            self._revision(),
+            self._leaving_since_ms is not None,
+            bool(self._ends.boot_id) and now_ms - self._started_ms >= START_NOTICE_MS,
             self._models,
-            self._max_running * 2 - online - len(self._online),
+            self._max_running * 2 - online - self._held.waiting_online(),
             self._batch_room(),
-            self.clock.monotonic_ms(),
+            now_ms,
             DEFAULT_PERMIT_INTERVAL_MS,
-        )
-
-    def _scheduler_state(self) -> SchedulerState:
-        online, batch = self._counts()
-        tier = self._settings.current().for_model(self._models[0])
-        return SchedulerState(
-            online,
-            len(self._online),
-            batch - sum(run.is_preempted for run in self._running.values()),
-            len(self._batch) if self._boot_id else 0,
-            self._max_running,
-            tier.engine_base_step_ms,
-            tier.engine_sequence_step_ms,
-            tier.token_interval_objective_ms,
-            tier.weighting,
+            self._ends.online_wait_ms(self._max_running),
+            self._cost.predict_ms(online + 1),
         )
 
     def _publish_status(self) -> None:
         status = StatusChanged(
-            self._load(), self._models, self._settings.current().revision, self._is_leaving
+            self._load(), self._models, self._revision(), self._leaving_since_ms is not None
         )
-        self._server.post(status)
+        if status != self._status:
+            self._status = status
+            self._sink.post(status)
+
+
+def _dump_run(run: TargetRun, now_ms: float) -> dict[str, object]:
+    return {
+        "run_id": run.run_id,
+        "request_id": run.dispatch.request_id,
+        "trace_id": run.dispatch.trace_id,
+        "work_class": run.dispatch.work_class.value,
+        "age_ms": now_ms - run.queued_ms,
+        "tokens": run.tokens,
+        "preemptions": run.preemptions,
+        "is_suspect": run.is_suspect,
+    }
--- a/ebonyshore/messages.py
+++ b/ebonyshore/messages.py
@@ -143,6 +143,12 @@
     request_id: str
 
 
+class Started(Struct, tag="started", frozen=True):
+    """A suspect is in the target now; sent for suspects only, which may wait long before."""
+
+    request_id: str
+
+
 class Chunk(Struct, tag="chunk", frozen=True):
     """A part of an answer.
 
@@ -199,6 +205,7 @@
     :param crash_count: targets that crashed while they ran the content.
     :param is_convicted: whether the content is refused.
     :param age_ms: time since the last crash, when the message was sent.
+    :param crash_ids: of these crashes, so that no process counts one twice.
     """
 
     content_digest: str
@@ -206,6 +213,7 @@
     is_convicted: bool
     age_ms: float
     is_cleared: bool = False
+    crash_ids: tuple[str, ...] = ()
 
 
 class VerdictShare(Struct, tag="verdict_share", frozen=True):
@@ -312,6 +320,7 @@
 AgentMessage = (
     Welcome
     | LoadReport
+    | Started
     | Chunk
     | Finished
     | Refused
--- a/ebonyshore/scheduler.py
+++ b/ebonyshore/scheduler.py
@@ -4,6 +4,9 @@
 
 from msgspec import Struct
 
+# p99 goal of harm_first: online latency within this ratio of online traffic alone.
+HARM_RATIO = 1.05
+
 
 class Weighting(Enum):
     """What a tier values more."""
@@ -12,56 +15,135 @@
     THROUGHPUT_FIRST = "throughput_first"
 
 
+class BatchRun(Struct, frozen=True):
+    """A batch item in the target.
+
+    :param run_id: of the run.
+    :param prompt_tokens: estimated length of its prompt.
+    :param generated_tokens: of this and earlier runs; kept when it is resumed.
+    :param elapsed_ms: time since this run was started.
+    """
+
+    run_id: str
+    prompt_tokens: int
+    generated_tokens: int
+    elapsed_ms: float
+
+
 class SchedulerState(Struct, frozen=True):
     """What the decision depends on.
 
     :param online_running: online requests in the target.
     :param online_waiting: online requests held by the agent.
-    :param batch_running: batch items in the target.
-    :param batch_waiting: batch items held by the agent.
+    :param batch: batch items in the target that are not being preempted.
+    :param batch_stopping: preempted items that the target has not confirmed yet.
+    :param batch_waiting_tokens: tokens to prefill of the batch items held, first to start first.
+    :param prefill_tokens: tokens of running requests that have no first token yet.
     :param max_running: most requests in the target.
     :param base_step_ms: estimated time of a step with one sequence.
     :param sequence_step_ms: estimated additional time of each further sequence.
+    :param prefill_token_ms: estimated additional step time of each prefilled token.
     :param token_interval_objective_ms: objective between tokens, 95th percentile.
+    :param first_token_objective_ms: objective of the first token, 95th percentile.
+    :param online_quiet_ms: time since an online request was last held or running.
+    :param resume_pause_ms: quiet time after online work before batch fills the idle target.
     """
 
     online_running: int
     online_waiting: int
-    batch_running: int
-    batch_waiting: int
+    batch: tuple[BatchRun, ...]
+    batch_stopping: int
+    batch_waiting_tokens: tuple[int, ...]
+    prefill_tokens: int
     max_running: int
     base_step_ms: float
     sequence_step_ms: float
+    prefill_token_ms: float
     token_interval_objective_ms: float
+    first_token_objective_ms: float
     weighting: Weighting
+    online_quiet_ms: float
+    resume_pause_ms: float
 
 
 class Decision(Struct, frozen=True):
-    """What to do now; preempt first, then start online, then start batch."""
+    """What to do now; preempt first, then start online, then start batch.
+
+    :param preempt: run ids.
+    """
 
     start_online: int = 0
     start_batch: int = 0
-    preempt_batch: int = 0
+    preempt: tuple[str, ...] = ()
 
 
 def decide(state: SchedulerState) -> Decision:
     """Return what to start and what to preempt."""
-    online_room = state.max_running - state.online_running
-    start_online = min(state.online_waiting, online_room)
+    start_online = min(state.online_waiting, state.max_running - state.online_running)
+    start_online = max(0, start_online)
     online = state.online_running + start_online
-    batch_limit = batch_limit_for(state, online)
-    preempt_batch = max(0, state.batch_running - batch_limit)
-    start_batch = max(0, min(state.batch_waiting, batch_limit - state.batch_running))
-    return Decision(start_online, start_batch, preempt_batch)
+    limit = batch_limit(state, online)
+    excess = len(state.batch) - limit
+    if excess > 0:
+        return Decision(start_online, 0, choose_victims(state.batch, excess))
+    room = limit - len(state.batch) - state.batch_stopping
+    return Decision(start_online, _count_startable(state, online, room))
 
 
-def batch_limit_for(state: SchedulerState, online: int) -> int:
+def batch_limit(state: SchedulerState, online: int) -> int:
     """Return how many batch items may run beside ``online`` online requests."""
     room = max(0, state.max_running - online)
     if online == 0:
         return room
-    if state.weighting is Weighting.HARM_FIRST:
-        return 0
-    budget_ms = state.token_interval_objective_ms - state.base_step_ms
-    allowed = int(budget_ms / max(state.sequence_step_ms, 0.001)) + 1 - online
-    return max(0, min(room, allowed))
+    budget_ms = step_budget_ms(state, online)
+    sequences = int((budget_ms - state.base_step_ms) / state.sequence_step_ms + 1e-9) + 1
+    return max(0, min(room, sequences - online))
+
+
+def step_budget_ms(state: SchedulerState, online: int) -> float:
+    """Return how long a step may take beside ``online`` online requests.
+
+    A request waits for the step under way, then for its own prefill step, so a step may take at
+    most half the objective of the first token.
+    """
+    if state.weighting is Weighting.THROUGHPUT_FIRST:
+        return min(state.token_interval_objective_ms, state.first_token_objective_ms / 2)
+    return HARM_RATIO * _step_ms(state, online)
+
+
+def choose_victims(batch: tuple[BatchRun, ...], count: int) -> tuple[str, ...]:
+    """Return the items whose preemption wastes least.
+
+    A resumed item is prefilled again with the text it has, so its waste is the length of prompt
+    and text; an item without a token wastes only the prefill that it has had so far.
+    """
+    ordered = sorted(batch, key=_waste)
+    return tuple(run.run_id for run in ordered[:count])
+
+
+def _waste(run: BatchRun) -> tuple[bool, float]:
+    has_prefill = run.generated_tokens > 0
+    return has_prefill, run.prompt_tokens + run.generated_tokens if has_prefill else run.elapsed_ms
+
+
+def _count_startable(state: SchedulerState, online: int, room: int) -> int:
+    """Return how many batch items fit, in number and in prefill time.
+
+    Beside online requests, an item starts only if the step that prefills it stays in the budget.
+    """
+    room = max(0, min(room, len(state.batch_waiting_tokens)))
+    if online == 0:
+        return room if state.online_quiet_ms >= state.resume_pause_ms else 0
+    budget_ms = step_budget_ms(state, online)
+    sequences = online + len(state.batch) + state.batch_stopping
+    prefill_tokens = state.prefill_tokens
+    for count, tokens in enumerate(state.batch_waiting_tokens[:room]):
+        prefill_tokens += tokens
+        step_ms = _step_ms(state, sequences + count + 1)
+        if step_ms + prefill_tokens * state.prefill_token_ms > budget_ms:
+            return count
+    return room
+
+
+def _step_ms(state: SchedulerState, sequences: int) -> float:
+    return state.base_step_ms + state.sequence_step_ms * max(0, sequences - 1)
--- a/ebonyshore/suspicion.py
+++ b/ebonyshore/suspicion.py
@@ -1,55 +1,64 @@
 """Which content is suspected of crashing targets, and which is convicted. Pure state, no clock."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ebonyshore.messages import CrashReport, Verdict
 
 MAX_CRASH_REPORTS = 4096
+# The second crash that a content was in flight at is the last one it may cause (design, 5.7).
+MAX_CRASHES = 2
 
 
 @dataclass(slots=True)
 class Suspect:
     """Suspicion of one content.
 
-    :param crash_count: targets that crashed while they ran it.
+    :param crash_ids: crashes that it was in flight at; a set, because several processes report one
+        crash.
     :param last_crash_ms: monotonic time of the last crash.
     """
 
-    crash_count: int = 0
+    crash_ids: set[str] = field(default_factory=set)
     is_convicted: bool = False
-    last_crash_ms: float = 0.0
+    last_crash_ms: float = float("-inf")
+
+    def add(self, crash_ids: Iterable[str], now_ms: float) -> None:
+        """Count crashes; the last one that is allowed convicts."""
+        self.crash_ids.update(crash_ids)
+        self.last_crash_ms = max(self.last_crash_ms, now_ms)
+        self.is_convicted = self.is_convicted or len(self.crash_ids) >= MAX_CRASHES
 
 
 class SuspicionTable:
     """Suspicion by content digest.
 
-    :param expiry_ms: an entry is forgotten this long after its last crash.
+    :param expiry_ms: an entry is forgotten this long after its last crash; may be changed.
     """
 
-    __slots__ = ("_crash_ids", "_suspects", "expiry_ms")
+    __slots__ = ("_reported", "_suspects", "expiry_ms")
 
     def __init__(self, expiry_ms: float) -> None:
         self.expiry_ms = expiry_ms
         self._suspects: dict[str, Suspect] = {}
-        self._crash_ids: dict[str, None] = {}
+        self._reported: dict[tuple[str, tuple[str, ...]], None] = {}
 
     def record_crash(self, report: CrashReport, now_ms: float) -> bool:
         """Count a crash once.
 
-        :return: whether the report was new.
+        :return: whether the report was new; different entries report different content of one
+            crash.
         """
-        if report.crash_id in self._crash_ids:
+        key = (report.crash_id, report.content_digests)
+        if key in self._reported:
             return False
-        self._crash_ids[report.crash_id] = None
-        if len(self._crash_ids) > MAX_CRASH_REPORTS:
-            del self._crash_ids[next(iter(self._crash_ids))]
+        self._reported[key] = None
+        if len(self._reported) > MAX_CRASH_REPORTS:
+            del self._reported[next(iter(self._reported))]
         for digest in report.content_digests:
-            suspect = self._suspects.setdefault(digest, Suspect())
-            suspect.crash_count += 1
-            suspect.last_crash_ms = now_ms
+            self._entry(digest, now_ms).add((report.crash_id,), now_ms)
         if len(report.suspect_digests) == 1:
-            self._suspects[report.suspect_digests[0]].is_convicted = True
+            self._entry(report.suspect_digests[0], now_ms).is_convicted = True
         return True
 
     def record_completed(self, content_digest: str) -> bool:
@@ -77,21 +86,30 @@
         for verdict in verdicts:
             if verdict.is_cleared:
                 self.record_completed(verdict.content_digest)
-                continue
-            suspect = self._suspects.setdefault(verdict.content_digest, Suspect())
-            suspect.crash_count = max(suspect.crash_count, verdict.crash_count)
-            suspect.is_convicted = suspect.is_convicted or verdict.is_convicted
-            suspect.last_crash_ms = max(suspect.last_crash_ms, now_ms - verdict.age_ms)
+            elif verdict.age_ms <= self.expiry_ms:
+                suspect = self._entry(verdict.content_digest, now_ms)
+                suspect.add(verdict.crash_ids, now_ms - verdict.age_ms)
+                suspect.is_convicted = suspect.is_convicted or verdict.is_convicted
 
     def export(self, now_ms: float) -> tuple[Verdict, ...]:
         """Return all entries that have not expired."""
         for digest in list(self._suspects):
             self._find(digest, now_ms)
         return tuple(
-            Verdict(digest, s.crash_count, s.is_convicted, now_ms - s.last_crash_ms)
+            Verdict(
+                digest,
+                len(s.crash_ids),
+                s.is_convicted,
+                now_ms - s.last_crash_ms,
+                crash_ids=tuple(s.crash_ids),
+            )
             for digest, s in self._suspects.items()
         )
 
+    def _entry(self, content_digest: str, now_ms: float) -> Suspect:
+        self._find(content_digest, now_ms)
+        return self._suspects.setdefault(content_digest, Suspect())
+
     def _find(self, content_digest: str, now_ms: float) -> Suspect | None:
         suspect = self._suspects.get(content_digest)
         if suspect is not None and now_ms - suspect.last_crash_ms > self.expiry_ms:
--- a/ebonyshore/target_run.py
+++ b/ebonyshore/target_run.py
@@ -1,4 +1,4 @@
-"""One run of a request on a target, on a worker thread."""
+"""One run of a request on a target."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -7,9 +7,15 @@
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder
 
+from ebonyshore.clock import Clock
 from ebonyshore.engine import PlainService, TargetAnswer, TargetChunk, TargetRequest
 from ebonyshore.errors import TargetCrashedError, TargetError, TargetUnreachableError
 from ebonyshore.messages import Chunk, Dispatch, WorkClass
+from ebonyshore.step_cost import StepCost
+
+CHARS_PER_TOKEN = 4
+# The engine ends a run at its deadline; the socket's own limit only covers a hung target.
+SOCKET_GRACE_MS = 2_000.0
 
 
 class RunOutcome(Enum):
@@ -32,10 +38,8 @@
     run_id: str
     outcome: RunOutcome
     answer: TargetAnswer | None = None
-    chunk_count: int = 0
     boot_id: str = ""
     text: str = ""
-    tokens: int = 0
     detail: str = ""
 
 
@@ -59,10 +63,14 @@
 
 @dataclass(slots=True)
 class TargetRun:
-    """A request in the target.
+    """A request that the agent holds.
 
     :param run_id: id of this run in the target; each resumption has another one.
+    :param boot_id: of the target when the run was started.
     :param events: events of a batch item, sent as one chunk at its end.
+    :param run_tokens: generated in this run; written by the worker only.
+    :param kept_tokens: generated in earlier runs of a preempted item.
+    :param is_answered: whether the entry has the final message already.
     """
 
     run_id: str
@@ -71,99 +79,62 @@
     deadline_ms: float
     queued_ms: float
     started_ms: float = 0.0
+    boot_id: str = ""
     resume_text: str = ""
     events: list[bytes] = field(default_factory=list)
     chunk_count: int = 0
+    run_tokens: int = 0
+    kept_tokens: int = 0
+    last_token_ms: float = 0.0
+    preemptions: int = 0
     is_cancelled: bool = False
     is_preempted: bool = False
-    preemptions: int = 0
+    is_suspect: bool = False
+    is_answered: bool = False
 
     @property
     def is_online(self) -> bool:
         """Whether the request is online work."""
         return self.dispatch.work_class is WorkClass.ONLINE
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated length of the prompt."""
+        return len(self.dispatch.body) // CHARS_PER_TOKEN
 
-def run_on_target(
-    target: PlainService,
-    run: TargetRun,
-    timeout_ms: float,
-    send: Callable[[bytes, Chunk], None],
-    post: Callable[[RunEnded], None],
-) -> None:
-    """Run to the end; sends chunks to the entry and posts one :class:`RunEnded`."""
-    worker = _RunWorker(target, run, send)
-    try:
-        ended = worker.run(timeout_ms)
-    except TargetUnreachableError as error:
-        ended = worker.ended(RunOutcome.UNREACHABLE, detail=error.detail)
-    except TargetCrashedError as error:
-        ended = worker.ended(
-            RunOutcome.CRASHED, boot_id=_boot_id_or_empty(target), detail=error.detail
-        )
-    except TargetError as error:
-        ended = worker.ended(RunOutcome.BROKEN, detail=error.detail)
-    except Exception as error:
-        # Whatever went wrong, the dispatcher must learn that the run has ended.
-        ended = worker.ended(RunOutcome.BROKEN, detail=repr(error))
-    post(ended)
-
+    @property
+    def tokens(self) -> int:
+        """Tokens generated in all runs."""
+        return self.kept_tokens + self.run_tokens
 
-def _boot_id_or_empty(target: PlainService) -> str:
-    try:
-        return target.boot_id()
-    except TargetError:
-        return ""
 
+class RunProgress:
+    """Collects the text, sends the chunks and times the tokens of one run.
 
-class _RunWorker:
-    """Collects the text and counts the chunks of one run."""
+    :param send: passes a chunk on to an entry.
+    :param batch_size: returns the number of sequences in the target.
+    """
 
-    __slots__ = ("_is_aborted", "_run", "_send", "_target", "_texts", "_tokens")
+    __slots__ = ("_batch_size", "_clock", "_cost", "_run", "_send", "_texts", "is_aborted")
 
     def __init__(
-        self, target: PlainService, run: TargetRun, send: Callable[[bytes, Chunk], None]
+        self,
+        run: TargetRun,
+        send: Callable[[bytes, Chunk], None],
+        clock: Clock,
+        cost: StepCost,
+        batch_size: Callable[[], int],
     ) -> None:
-        self._target = target
         self._run = run
         self._send = send
+        self._clock = clock
+        self._cost = cost
+        self._batch_size = batch_size
         self._texts: list[str] = []
-        self._tokens = 0
-        self._is_aborted = False
+        self.is_aborted = False
 
-    def run(self, timeout_ms: float) -> RunEnded:
-        run = self._run
-        dispatch = run.dispatch
-        request = TargetRequest(
-            run.run_id, dispatch.path, dispatch.body, timeout_ms, run.resume_text
-        )
-        for part in self._target.run(request):
-            if isinstance(part, TargetAnswer):
-                outcome = RunOutcome.ABORTED if self._is_aborted else RunOutcome.COMPLETE
-                return self.ended(outcome, answer=part)
-            self._take(part)
-        return self.ended(RunOutcome.BROKEN, detail="the answer has no end")
-
-    def ended(
-        self,
-        outcome: RunOutcome,
-        answer: TargetAnswer | None = None,
-        boot_id: str = "",
-        detail: str = "",
-    ) -> RunEnded:
-        run = self._run
-        return RunEnded(
-            run.run_id,
-            outcome,
-            answer,
-            run.chunk_count,
-            boot_id,
-            run.resume_text + "".join(self._texts),
-            self._tokens,
-            detail,
-        )
-
-    def _take(self, chunk: TargetChunk) -> None:
+    def take(self, chunk: TargetChunk) -> None:
+        """Take a part of the answer."""
         run = self._run
         if self._note_text(chunk.data):
             return
@@ -174,6 +145,17 @@
         else:
             run.events.append(chunk.data)
 
+    def ended(
+        self,
+        outcome: RunOutcome,
+        answer: TargetAnswer | None = None,
+        boot_id: str = "",
+        detail: str = "",
+    ) -> RunEnded:
+        """Return the message that ends the run."""
+        text = self._run.resume_text + "".join(self._texts)
+        return RunEnded(self._run.run_id, outcome, answer, boot_id, text, detail)
+
     def _note_text(self, data: bytes) -> bool:
         """Keep the text of a stream event; return whether the engine aborted the stream."""
         if not self._run.dispatch.is_stream:
@@ -186,6 +168,60 @@
             text = choice.text or (choice.delta.content if choice.delta else "")
             if text:
                 self._texts.append(text)
-                self._tokens += 1
-            self._is_aborted = self._is_aborted or choice.finish_reason == ABORT_REASON
-        return self._is_aborted
+                self._note_token()
+            self.is_aborted = self.is_aborted or choice.finish_reason == ABORT_REASON
+        return self.is_aborted
+
+    def _note_token(self) -> None:
+        run = self._run
+        now_ms = self._clock.monotonic_ms()
+        if run.run_tokens:
+            self._cost.observe(now_ms, self._batch_size(), now_ms - run.last_token_ms)
+        run.run_tokens += 1
+        run.last_token_ms = now_ms
+
+
+def run_on_target(
+    target: PlainService,
+    run: TargetRun,
+    timeout_ms: float,
+    progress: RunProgress,
+    post: Callable[[RunEnded], None],
+) -> None:
+    """Run to the end on a worker thread; posts one :class:`RunEnded`, whatever happens."""
+    try:
+        ended = _run(target, run, timeout_ms, progress)
+    except TargetUnreachableError as error:
+        ended = progress.ended(RunOutcome.UNREACHABLE, detail=error.detail)
+    except TargetCrashedError as error:
+        boot_id = boot_id_or_empty(target)
+        ended = progress.ended(RunOutcome.CRASHED, boot_id=boot_id, detail=error.detail)
+    except TargetError as error:
+        ended = progress.ended(RunOutcome.BROKEN, detail=error.detail)
+    except Exception as error:
+        # Whatever went wrong, the dispatcher must learn that the run has ended.
+        ended = progress.ended(RunOutcome.BROKEN, detail=repr(error))
+    post(ended)
+
+
+def boot_id_or_empty(target: PlainService) -> str:
+    """Return the target's boot id, or an empty text if it does not answer."""
+    try:
+        return target.boot_id()
+    except TargetError:
+        return ""
+
+
+def _run(
+    target: PlainService, run: TargetRun, timeout_ms: float, progress: RunProgress
+) -> RunEnded:
+    dispatch = run.dispatch
+    request = TargetRequest(
+        run.run_id, dispatch.path, dispatch.body, timeout_ms + SOCKET_GRACE_MS, run.resume_text
+    )
+    for part in target.run(request):
+        if isinstance(part, TargetAnswer):
+            outcome = RunOutcome.ABORTED if progress.is_aborted else RunOutcome.COMPLETE
+            return progress.ended(outcome, part)
+        progress.take(part)
+    return progress.ended(RunOutcome.BROKEN, detail="the answer has no end")
--- /dev/null
+++ b/ebonyshore/target_runner.py
@@ -0,0 +1,139 @@
+"""Starts and ends runs on the target without blocking the dispatcher."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from msgspec import Struct
+
+from ebonyshore.clock import Clock
+from ebonyshore.engine import Engine, PlainService
+from ebonyshore.errors import TargetError
+from ebonyshore.logs import EventLog
+from ebonyshore.messages import Chunk
+from ebonyshore.metrics import Metrics
+from ebonyshore.step_cost import StepCost
+from ebonyshore.target_run import RunEnded, RunProgress, TargetRun, run_on_target
+
+CONTROL_THREADS = 8
+
+
+class TargetProbed(Struct, frozen=True):
+    """Result of a health probe.
+
+    :param boot_id: empty if the target does not answer.
+    :param began_ms: when the probe began.
+    """
+
+    boot_id: str
+    began_ms: float
+
+
+RunnerEvent = RunEnded | TargetProbed
+
+
+class TargetRunner(ABC):
+    """What the dispatcher needs of a target; no method blocks."""
+
+    @abstractmethod
+    def connect(
+        self,
+        post: Callable[[RunnerEvent], None],
+        send: Callable[[bytes, Chunk], None],
+        batch_size: Callable[[], int],
+    ) -> None:
+        """Set where events and chunks go; called once, before any other method."""
+
+    @abstractmethod
+    def start(self, run: TargetRun, timeout_ms: float) -> None:
+        """Start a run, which ends with one :class:`RunEnded`."""
+
+    @abstractmethod
+    def cancel(self, run_id: str) -> None:
+        """End a run as soon as possible."""
+
+    @abstractmethod
+    def probe(self, does_abort_all: bool) -> None:
+        """Answer with :class:`TargetProbed`.
+
+        :param does_abort_all: first end whatever the target runs, such as requests of an earlier
+            run of the agent.
+        """
+
+    def close(self) -> None:  # noqa: B027 - a runner need not hold resources
+        """Release threads."""
+
+
+class ThreadRunner(TargetRunner):
+    """Runs each request on a worker thread.
+
+    Preempted items hold a thread until the target confirms, so there are twice as many threads as
+    running requests; control calls have threads of their own.
+    """
+
+    def __init__(
+        self,
+        target: PlainService,
+        max_running: int,
+        cost: StepCost,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        self._target = target
+        self._cost = cost
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._runs = ThreadPoolExecutor(2 * max_running, thread_name_prefix="target-run")
+        self._control = ThreadPoolExecutor(CONTROL_THREADS, thread_name_prefix="target-control")
+
+    def connect(
+        self,
+        post: Callable[[RunnerEvent], None],
+        send: Callable[[bytes, Chunk], None],
+        batch_size: Callable[[], int],
+    ) -> None:
+        self._post = post
+        self._send = send
+        self._batch_size = batch_size
+
+    def start(self, run: TargetRun, timeout_ms: float) -> None:
+        progress = RunProgress(run, self._send, self._clock, self._cost, self._batch_size)
+        self._runs.submit(run_on_target, self._target, run, timeout_ms, progress, self._post)
+
+    def cancel(self, run_id: str) -> None:
+        self._control.submit(self._cancel, run_id)
+
+    def probe(self, does_abort_all: bool) -> None:
+        self._control.submit(self._probe, does_abort_all)
+
+    def close(self) -> None:
+        self._runs.shutdown(wait=False, cancel_futures=True)
+        self._control.shutdown(wait=False, cancel_futures=True)
+
+    def _cancel(self, run_id: str) -> None:
+        try:
+            self._target.cancel(run_id)
+        except Exception as error:
+            # The run still ends, at its deadline at the latest.
+            self._metrics.count("cancel_failures")
+            self._log.event("cancel_failed", run_id=run_id, detail=repr(error))
+
+    def _probe(self, does_abort_all: bool) -> None:
+        began_ms = self._clock.monotonic_ms()
+        boot_id = ""
+        try:
+            boot_id = self._probe_target(does_abort_all)
+        except TargetError:
+            self._metrics.count("failed_probes")
+        except Exception as error:
+            self._metrics.count("failed_probes")
+            self._log.event("probe_failed", detail=repr(error))
+        self._post(TargetProbed(boot_id, began_ms))
+
+    def _probe_target(self, does_abort_all: bool) -> str:
+        boot_id = self._target.boot_id()
+        if does_abort_all and isinstance(self._target, Engine):
+            self._target.abort_all()
+        return boot_id
