Add the agent bench and the simulated agent

The bench drives the real scheduler and dispatcher on a paused clock against the engine model, with online alone, no policy and a static split as baselines. An aborted request's end is now delivered at the begin of the step without it; before, it was reported a step late.

--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -1,5 +1,6 @@
 """Carries out the schedule against the target. Owns all requests that the agent holds."""
 
+from collections.abc import Callable
 from uuid import uuid4
 
 from msgspec import Struct
@@ -18,7 +19,7 @@
 from ebonyshore.result_codes import ResultCode
 from ebonyshore.run_ends import RunEnds
 from ebonyshore.schedule_input import make_scheduler_state
-from ebonyshore.scheduler import Decision, decide
+from ebonyshore.scheduler import Decision, SchedulerState, decide
 from ebonyshore.settings_service import SettingsService
 from ebonyshore.step_cost import StepCost
 from ebonyshore.target_run import RunEnded, TargetRun
@@ -66,6 +67,7 @@
     :param agent_id: instance id.
     :param incarnation: random id of this run of the agent.
     :param cost: the engine's step time, as the runner observes it.
+    :param policy: decides what runs; the bench passes its baselines.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
+        policy: Callable[[SchedulerState], Decision] = decide,
     ) -> None:
         super().__init__("dispatcher", clock)
+        self._policy = policy
         self._runner = runner
         self._sink = sink
         self._settings = settings
@@ -213,7 +217,7 @@
     def _decide(self, now_ms: float) -> Decision:
         tier = self._settings.current().for_model(self._models[0] if self._models else "")
         quiet_ms = now_ms - self._last_online_ms
-        return decide(
+        return self._policy(
             make_scheduler_state(self._held, self._cost, tier, self._max_running, now_ms, quiet_ms)
         )
 
@@ -265,12 +269,14 @@
             online,
             self._held.waiting_online(),
             batch,
-            self._batch_room(),
+            self.batch_room,
             self._max_running,
             self._cost.predict_ms(online + batch) if online + batch else 0.0,
         )
 
-    def _batch_room(self) -> int:
+    @property
+    def batch_room(self) -> int:
+        """Batch items that the agent would take now."""
         if self._leaving_since_ms is not None or not self._ends.boot_id:
             return 0
         return max(0, self._max_running - self._held.waiting_batch())
@@ -285,7 +291,7 @@
             bool(self._ends.boot_id) and now_ms - self._started_ms >= START_NOTICE_MS,
             self._models,
             self._max_running * 2 - online - self._held.waiting_online(),
-            self._batch_room(),
+            self.batch_room,
             now_ms,
             DEFAULT_PERMIT_INTERVAL_MS,
             self._ends.online_wait_ms(self._max_running),
--- a/ebonyshore_standins/engine_model.py
+++ b/ebonyshore_standins/engine_model.py
@@ -80,10 +80,13 @@
     """Result of one step.
 
     :param duration_ms: 0 if there was nothing to do.
+    :param events: delivered at the end of the step.
+    :param aborted: ends of aborted requests, delivered at its begin.
     """
 
     duration_ms: float
     events: tuple[TokenEvent, ...]
+    aborted: tuple[TokenEvent, ...] = ()
 
 
 def token_at(prompt: str, index: int) -> str:
@@ -130,10 +133,10 @@
 
         :raises EngineCrashedError: if a poisoned prompt was processed.
         """
-        events = self._remove_aborted()
+        aborted = tuple(self._remove_aborted())
         self._admit()
         if not self.running:
-            return Step(0.0, tuple(events))
+            return Step(0.0, (), aborted)
         prefilled_tokens = self._prefill()
         parameters = self.parameters
         duration_ms = (
@@ -142,8 +145,7 @@
             + parameters.prefill_token_ms * prefilled_tokens
         )
         self.last_step_ms = duration_ms
-        events += self._decode()
-        return Step(duration_ms, tuple(events))
+        return Step(duration_ms, tuple(self._decode()), aborted)
 
     def _remove_aborted(self) -> list[TokenEvent]:
         aborted = [s for s in (*self.running, *self.waiting) if s.is_aborted]
--- a/ebonyshore_standins/engine_server.py
+++ b/ebonyshore_standins/engine_server.py
@@ -151,6 +151,7 @@
                     self._crash()
                     continue
                 self._record_load(step.duration_ms)
+            self._deliver(step.aborted)
             self._clock.sleep_ms(step.duration_ms)
             self._deliver(step.events)
 
--- /dev/null
+++ b/ebonyshore_standins/simulated_agent.py
@@ -0,0 +1,277 @@
+"""The real dispatcher on a paused clock against the engine model, for the bench and for tests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from uuid import uuid4
+
+from msgspec import Struct
+from msgspec.json import decode, encode
+
+from ebonyshore.agent_server import Broadcast, Outgoing, StatusChanged
+from ebonyshore.clock import ManualClock
+from ebonyshore.dispatcher import START_NOTICE_MS, TICK_MS, Dispatcher, DispatcherMessage, Received
+from ebonyshore.engine import TargetAnswer, TargetChunk
+from ebonyshore.logs import EventLog
+from ebonyshore.messages import Chunk
+from ebonyshore.metrics import Metrics
+from ebonyshore.process_settings import TargetSettings
+from ebonyshore.scheduler import Decision, SchedulerState, decide
+from ebonyshore.settings_service import SettingsService
+from ebonyshore.settings_store import SettingsHead
+from ebonyshore.step_cost import StepCost
+from ebonyshore.target_run import RunOutcome, RunProgress, TargetRun
+from ebonyshore.target_runner import RunnerEvent, TargetProbed, TargetRunner
+from ebonyshore_standins.engine_model import (
+    EngineCrashedError,
+    EngineModel,
+    EngineParameters,
+    TokenEvent,
+)
+
+# One way between agent and target on one instance.
+CALL_MS = 0.5
+RESTART_MS = 1_000.0
+ENTRY = b"entry-1"
+
+
+class Simulation:
+    """Runs actions in the order of their times and moves the clock."""
+
+    def __init__(self, clock: ManualClock | None = None) -> None:
+        self.clock = clock or ManualClock()
+        self._actions: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        time_ms = self.clock.monotonic_ms() + delay_ms
+        heappush(self._actions, (time_ms, next(self._numbers), action))
+
+    def run_until(self, end_ms: float) -> None:
+        """Run all actions up to a time."""
+        while self._actions and self._actions[0][0] <= end_ms:
+            time_ms, _, action = heappop(self._actions)
+            self.clock.advance_ms(max(0.0, time_ms - self.clock.monotonic_ms()))
+            action()
+        self.clock.advance_ms(max(0.0, end_ms - self.clock.monotonic_ms()))
+
+
+class Prompt(Struct):
+    """The body of a simulated request."""
+
+    prompt: str
+    max_tokens: int
+
+
+class YieldTime(Struct, frozen=True):
+    """How long a preempted item stayed in the batch.
+
+    :param yield_ms: from the cancel to the step without it.
+    :param step_ms: duration of the step under way at the cancel.
+    """
+
+    yield_ms: float
+    step_ms: float
+
+
+class SimulatedTarget(TargetRunner):
+    """An engine model as a target."""
+
+    def __init__(
+        self, simulation: Simulation, cost: StepCost, parameters: EngineParameters
+    ) -> None:
+        self._simulation = simulation
+        self._cost = cost
+        self._parameters = parameters
+        self._runs: dict[str, tuple[TargetRun, RunProgress]] = {}
+        self._cancelled_ms: dict[str, float] = {}
+        self._is_stepping = False
+        self._epoch = 0
+        self._is_down = False
+        self.model = EngineModel(parameters)
+        self.boot_id = uuid4().hex
+        self.crashes = 0
+        self.busy_ms = 0.0
+        self.yield_times: list[YieldTime] = []
+        self.started: list[str] = []
+        self.queued_steps = 0
+
+    def connect(
+        self,
+        post: Callable[[RunnerEvent], None],
+        send: Callable[[bytes, Chunk], None],
+        batch_size: Callable[[], int],
+    ) -> None:
+        self._send = send
+        self._batch_size = batch_size
+
+    def deliver_to(self, handle: Callable[[RunnerEvent], None]) -> None:
+        """Set where events go, in place of the dispatcher's mailbox."""
+        self._post = handle
+
+    def start(self, run: TargetRun, timeout_ms: float) -> None:
+        clock = self._simulation.clock
+        progress = RunProgress(run, self._send, clock, self._cost, self._batch_size)
+        self._simulation.after(CALL_MS, lambda: self._submit(run, progress))
+
+    def cancel(self, run_id: str) -> None:
+        self._cancelled_ms[run_id] = self._simulation.clock.monotonic_ms()
+        self._simulation.after(CALL_MS, lambda: self._abort(run_id))
+
+    def probe(self, does_abort_all: bool) -> None:
+        began_ms = self._simulation.clock.monotonic_ms()
+        self._simulation.after(2 * CALL_MS, lambda: self._answer_probe(began_ms, does_abort_all))
+
+    def _answer_probe(self, began_ms: float, does_abort_all: bool) -> None:
+        if does_abort_all:
+            self.model.abort_all()
+            self._wake()
+        self._post(TargetProbed("" if self._is_down else self.boot_id, began_ms))
+
+    def _submit(self, run: TargetRun, progress: RunProgress) -> None:
+        if self._is_down:
+            self._post(progress.ended(RunOutcome.UNREACHABLE))
+            return
+        body = decode(run.dispatch.body, type=Prompt)
+        self.started.append(run.dispatch.content_digest)
+        self._runs[run.run_id] = (run, progress)
+        self.model.submit(run.run_id, body.prompt, body.max_tokens, run.resume_text)
+        self._wake()
+
+    def _abort(self, run_id: str) -> None:
+        self.model.abort(run_id)
+        self._wake()
+
+    def _wake(self) -> None:
+        if not self._is_stepping and not self._is_down:
+            self._begin_step()
+
+    def _begin_step(self) -> None:
+        try:
+            step = self.model.step()
+        except EngineCrashedError:
+            self._crash()
+            return
+        self._deliver(step.aborted)
+        self.queued_steps += bool(self.model.waiting)
+        self._is_stepping = step.duration_ms > 0
+        if self._is_stepping:
+            self.busy_ms += step.duration_ms
+            epoch = self._epoch
+            self._simulation.after(step.duration_ms, lambda: self._end_step(epoch, step.events))
+
+    def _end_step(self, epoch: int, events: tuple[TokenEvent, ...]) -> None:
+        if epoch != self._epoch:
+            return
+        self._is_stepping = False
+        self._deliver(events)
+        self._begin_step()
+
+    def _deliver(self, events: tuple[TokenEvent, ...]) -> None:
+        for event in events:
+            if event.request_id in self._runs:
+                self._deliver_event(event)
+
+    def _deliver_event(self, event: TokenEvent) -> None:
+        _, progress = self._runs[event.request_id]
+        choice = {"text": event.token, "finish_reason": event.finish_reason or None}
+        progress.take(TargetChunk(encode({"choices": [choice]})))
+        if not event.finish_reason:
+            return
+        del self._runs[event.request_id]
+        self._note_yield(event.request_id)
+        outcome = RunOutcome.ABORTED if progress.is_aborted else RunOutcome.COMPLETE
+        answer = TargetAnswer(200, "", event.prompt_tokens, event.completion_tokens)
+        self._post(progress.ended(outcome, answer))
+
+    def _note_yield(self, run_id: str) -> None:
+        cancelled_ms = self._cancelled_ms.pop(run_id, None)
+        if cancelled_ms is not None:
+            yield_ms = self._simulation.clock.monotonic_ms() - cancelled_ms
+            self.yield_times.append(YieldTime(yield_ms, self.model.last_step_ms))
+
+    def _crash(self) -> None:
+        self.crashes += 1
+        self._epoch += 1
+        self._is_stepping = False
+        self._is_down = True
+        self.model = EngineModel(self._parameters)
+        self.boot_id = uuid4().hex
+        self._simulation.after(RESTART_MS, self._restart)
+        runs = list(self._runs.values())
+        self._runs.clear()
+        for _, progress in runs:
+            self._post(progress.ended(RunOutcome.CRASHED, boot_id=""))
+
+    def _restart(self) -> None:
+        self._is_down = False
+
+
+@dataclass(slots=True)
+class SimulatedAgent:
+    """A dispatcher with a simulated target; ``outgoing`` gets all its messages.
+
+    :param settings: overrides of the settings tree's root.
+    """
+
+    simulation: Simulation
+    outgoing: Callable[[Outgoing | Broadcast], None]
+    agent_id: str = "target-1"
+    settings: dict[str, object] = field(default_factory=dict)
+    parameters: EngineParameters = EngineParameters()
+    policy: Callable[[SchedulerState], Decision] = decide
+    incarnation: str = field(default_factory=lambda: uuid4().hex)
+    metrics: Metrics = field(default_factory=Metrics)
+    service: SettingsService = field(init=False)
+    target: SimulatedTarget = field(init=False)
+    dispatcher: Dispatcher = field(init=False)
+    status: StatusChanged | None = None
+
+    def __post_init__(self) -> None:
+        log = EventLog()
+        self.service = SettingsService(log)
+        self.service.adopt(SettingsHead(revision=1, nodes={"/": self.settings}))
+        root = self.service.current().root()
+        cost = StepCost(root.engine_base_step_ms, root.engine_sequence_step_ms)
+        self.target = SimulatedTarget(self.simulation, cost, self.parameters)
+        self.dispatcher = Dispatcher(
+            self.target,
+            self,
+            self.service,
+            TargetSettings(1, "http://t", ["m"], max_running=self.parameters.max_batch),
+            self.agent_id,
+            self.incarnation,
+            cost,
+            self.simulation.clock,
+            self.metrics,
+            log,
+            self.policy,
+        )
+        self.target.deliver_to(self.dispatcher.handle)
+        self._tick()
+
+    def post(self, message: Outgoing | Broadcast | StatusChanged) -> None:
+        """Take a message of the dispatcher."""
+        if isinstance(message, StatusChanged):
+            self.status = message
+        else:
+            self.outgoing(message)
+
+    def receive(self, message: DispatcherMessage) -> None:
+        """Pass a message to the dispatcher at once."""
+        self.dispatcher.handle(message)
+
+    def receive_from(self, peer: bytes, message: object) -> None:
+        """Pass an entry's message to the dispatcher at once."""
+        self.dispatcher.handle(Received(peer, message))
+
+    def settle(self) -> None:
+        """Let the start notice pass."""
+        now_ms = self.simulation.clock.monotonic_ms()
+        self.simulation.run_until(now_ms + START_NOTICE_MS + TICK_MS)
+
+    def _tick(self) -> None:
+        self.dispatcher.on_timer()
+        self.simulation.after(TICK_MS, self._tick)
--- /dev/null
+++ b/tools/agent_bench.py
@@ -0,0 +1,263 @@
+"""Quick bench of the agent: real scheduler and dispatcher against the engine model, paused clock.
+
+Prints one line for each policy: latency as a ratio to online alone, batch tokens as a ratio of the
+idle capacity, the time to yield to a burst, and the waste.
+"""
+
+import argparse
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+from statistics import quantiles
+
+from msgspec import Struct
+from msgspec.json import encode
+
+from ebonyshore.agent_server import Broadcast, Outgoing
+from ebonyshore.messages import Chunk, Dispatch, Finished, Permit, WorkClass
+from ebonyshore.scheduler import Decision, SchedulerState, decide
+from ebonyshore_standins.engine_model import CHARS_PER_TOKEN, EngineParameters
+from ebonyshore_standins.simulated_agent import ENTRY, Prompt, SimulatedAgent, Simulation
+
+FEED_DELAY_MS = 2.0
+FEED_INTERVAL_MS = 100.0
+BATCH_PROMPT_TOKENS = (50, 250)
+BATCH_OUTPUT_TOKENS = (40, 120)
+ONLINE_PROMPT_TOKENS = (50, 600)
+ONLINE_OUTPUT_TOKENS = (20, 120)
+DEADLINE_MS = 600_000.0
+
+
+class Load(Struct, frozen=True):
+    """Online traffic: Poisson arrivals whose rate alternates between quiet and burst.
+
+    :param quiet_s: mean length of a quiet period.
+    :param burst_s: mean length of a burst.
+    """
+
+    name: str
+    quiet_per_s: float
+    burst_per_s: float
+    quiet_s: float
+    burst_s: float
+
+
+LOADS = (
+    Load("light", 1.0, 12.0, 3.0, 1.0),
+    Load("steady", 8.0, 8.0, 1.0, 1.0),
+    Load("bursty", 2.0, 25.0, 4.0, 2.0),
+)
+
+
+class Arrival(Struct, frozen=True):
+    """An online request."""
+
+    time_ms: float
+    prompt_tokens: int
+    output_tokens: int
+
+
+def make_arrivals(load: Load, duration_ms: float, seed: int) -> list[Arrival]:
+    """Return the arrivals of a run."""
+    random = Random(seed)
+    arrivals = []
+    time_ms = 0.0
+    is_burst = False
+    while time_ms < duration_ms:
+        length_ms = random.expovariate(1.0) * 1000 * (load.burst_s if is_burst else load.quiet_s)
+        rate = load.burst_per_s if is_burst else load.quiet_per_s
+        arrivals += _period(random, time_ms, min(duration_ms, time_ms + length_ms), rate)
+        time_ms += length_ms
+        is_burst = not is_burst
+    return arrivals
+
+
+def _period(random: Random, start_ms: float, end_ms: float, rate: float) -> Iterator[Arrival]:
+    time_ms = start_ms + random.expovariate(rate) * 1000
+    while time_ms < end_ms:
+        prompt, output = ONLINE_PROMPT_TOKENS, ONLINE_OUTPUT_TOKENS
+        yield Arrival(time_ms, random.randint(*prompt), random.randint(*output))
+        time_ms += random.expovariate(rate) * 1000
+
+
+@dataclass(slots=True)
+class Bench:
+    """One run of one policy."""
+
+    arrivals: list[Arrival]
+    has_batch: bool
+    policy: Callable[[SchedulerState], Decision] = decide
+    settings: dict[str, object] = field(default_factory=dict)
+    parameters: EngineParameters = EngineParameters()
+    seed: int = 1
+    simulation: Simulation = field(default_factory=Simulation)
+    first_ms: list[float] = field(default_factory=list)
+    interval_ms: list[float] = field(default_factory=list)
+    online_tokens: int = 0
+    batch_tokens: int = 0
+    batch_items: int = 0
+    agent: SimulatedAgent = field(init=False)
+    _random: Random = field(init=False)
+    _last_ms: dict[str, float] = field(default_factory=dict)
+    _has_first: set[str] = field(default_factory=set)
+
+    def run(self, duration_ms: float) -> "Bench":
+        """Run and return itself."""
+        self.agent = SimulatedAgent(
+            self.simulation,
+            self._take,
+            settings=self.settings,
+            parameters=self.parameters,
+            policy=self.policy,
+        )
+        self.agent.settle()
+        self._random = Random(self.seed)
+        for number, arrival in enumerate(self.arrivals):
+            self.simulation.after(
+                arrival.time_ms, lambda n=number, a=arrival: self._send_online(n, a)
+            )
+        if self.has_batch:
+            self._feed_regularly()
+        self.simulation.run_until(self.simulation.clock.monotonic_ms() + duration_ms)
+        return self
+
+    def _send_online(self, number: int, arrival: Arrival) -> None:
+        request_id = f"o{number}"
+        self._last_ms[request_id] = self.simulation.clock.monotonic_ms()
+        self._send(request_id, WorkClass.ONLINE, arrival.prompt_tokens, arrival.output_tokens)
+
+    def _feed_regularly(self) -> None:
+        self._feed()
+        self.simulation.after(FEED_INTERVAL_MS, self._feed_regularly)
+
+    def _feed(self) -> None:
+        for _ in range(self.agent.dispatcher.batch_room):
+            self.batch_items += 1
+            prompt, output = BATCH_PROMPT_TOKENS, BATCH_OUTPUT_TOKENS
+            self._send(
+                f"b{self.batch_items}",
+                WorkClass.BATCH,
+                self._random.randint(*prompt),
+                self._random.randint(*output),
+            )
+
+    def _send(self, request_id: str, work_class: WorkClass, prompt: int, output: int) -> None:
+        text = (request_id + " ").ljust(prompt * CHARS_PER_TOKEN, "x")
+        dispatch = Dispatch(
+            request_id,
+            self.agent.incarnation,
+            work_class,
+            "/v1/completions",
+            encode(Prompt(text, output)),
+            DEADLINE_MS,
+            request_id,
+            1,
+            model="m",
+            is_stream=True,
+            permit=Permit(self.agent.incarnation, self.simulation.clock.monotonic_ms()),
+        )
+        self.agent.receive_from(ENTRY, dispatch)
+
+    def _take(self, message: Outgoing | Broadcast) -> None:
+        content = message.message
+        if isinstance(content, Chunk) and content.request_id.startswith("o"):
+            self._take_token(content.request_id)
+        elif isinstance(content, Finished) and content.request_id.startswith("b"):
+            self.batch_tokens += content.usage.completion_tokens
+            self.simulation.after(FEED_DELAY_MS, self._feed)
+
+    def _take_token(self, request_id: str) -> None:
+        now_ms = self.simulation.clock.monotonic_ms()
+        elapsed_ms = now_ms - self._last_ms[request_id]
+        if elapsed_ms == 0:
+            return  # the end mark comes with the last token
+        self._last_ms[request_id] = now_ms
+        self.online_tokens += 1
+        if request_id in self._has_first:
+            self.interval_ms.append(elapsed_ms)
+        else:
+            self._has_first.add(request_id)
+            self.first_ms.append(elapsed_ms)
+
+
+def no_policy(state: SchedulerState) -> Decision:
+    """Baseline: online and batch fill the target in turn, nothing is preempted."""
+    room = state.max_running - state.online_running - len(state.batch)
+    start_online = min(state.online_waiting, max(0, room))
+    return Decision(start_online, min(len(state.batch_waiting_tokens), room - start_online))
+
+
+def static_split(state: SchedulerState) -> Decision:
+    """Baseline: half of the target for each class."""
+    half = state.max_running // 2
+    start_online = max(0, min(state.online_waiting, half - state.online_running))
+    start_batch = max(0, min(len(state.batch_waiting_tokens), half - len(state.batch)))
+    return Decision(start_online, start_batch)
+
+
+def percentile(values: list[float], percent: int) -> float:
+    """Return a percentile."""
+    return quantiles(values, n=100)[percent - 1]
+
+
+POLICIES = {
+    "harm_first": (decide, "harm_first"),
+    "throughput_first": (decide, "throughput_first"),
+    "no_policy": (no_policy, "harm_first"),
+    "static_split": (static_split, "harm_first"),
+}
+
+
+def compare(load: Load, duration_ms: float, seed: int) -> list[str]:
+    """Return the report on one load."""
+    arrivals = make_arrivals(load, duration_ms, seed)
+    full = Bench([], True).run(duration_ms)
+    alone = Bench(arrivals, False).run(duration_ms)
+    idle_tokens = full.batch_tokens - alone.online_tokens
+    lines = [
+        f"load={load.name} requests={len(arrivals)} idle_tokens={idle_tokens} "
+        f"first_p50_ms={percentile(alone.first_ms, 50):.1f} "
+        f"first_p99_ms={percentile(alone.first_ms, 99):.1f} "
+        f"interval_p50_ms={percentile(alone.interval_ms, 50):.2f} "
+        f"interval_p99_ms={percentile(alone.interval_ms, 99):.2f}"
+    ]
+    for name, (policy, weighting) in POLICIES.items():
+        bench = Bench(arrivals, True, policy, {"weighting": weighting}).run(duration_ms)
+        lines.append(f"  {name:17}" + report(bench, alone, idle_tokens))
+    return lines
+
+
+def report(bench: Bench, alone: Bench, idle_tokens: int) -> str:
+    """Return the figures of one policy as a line."""
+    words = []
+    for label in ("first", "interval"):
+        for percent in (50, 99):
+            value = percentile(getattr(bench, f"{label}_ms"), percent)
+            base = percentile(getattr(alone, f"{label}_ms"), percent)
+            words.append(f"{label}_p{percent}={value / base:.3f}")
+    over_ms = [y.yield_ms - y.step_ms for y in bench.agent.target.yield_times]
+    metrics = bench.agent.metrics
+    words += [
+        f"interval_p95_ms={percentile(bench.interval_ms, 95):.1f}",
+        f"first_p95_ms={percentile(bench.first_ms, 95):.0f}",
+        f"batch={bench.batch_tokens / idle_tokens:.3f}",
+        f"preempted={metrics.counter('batch_preempted')}",
+        f"yield_beyond_step_ms={max(over_ms, default=0.0):.1f}",
+        f"wasted={metrics.counter('wasted_tokens')}",
+        f"queued_steps={bench.agent.target.queued_steps}",
+    ]
+    return " ".join(words)
+
+
+def main() -> None:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--duration-s", type=float, default=120.0)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    for load in LOADS:
+        print("\n".join(compare(load, arguments.duration_s * 1000, arguments.seed)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
