Let harm_first use the slack of the tail

Cause: harm_first measured each step against the step time of online alone, but the goal is the p99, which is made by the steps that prefill online requests. Batch may now add 5% of the tail to every step, and a batch item may be prefilled in a step that stays within the tail and prefills no online request. The idle capacity counts the prefill of online work, which takes engine time too.

--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -59,7 +59,6 @@
         ThreadRunner(
             service,
             target.max_running,
-            cost,
             environment.clock,
             environment.metrics,
             environment.log,
--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -21,7 +21,7 @@
 from ebonyshore.schedule_input import make_scheduler_state
 from ebonyshore.scheduler import Decision, SchedulerState, decide
 from ebonyshore.settings_service import SettingsService
-from ebonyshore.step_cost import StepCost
+from ebonyshore.step_cost import OnlineTail, StepCost
 from ebonyshore.target_run import RunEnded, TargetRun
 from ebonyshore.target_runner import TargetProbed, TargetRunner
 from ebonyshore.task import Task
@@ -92,6 +92,7 @@
         self._max_running = target_settings.max_running
         self._incarnation = incarnation
         self._cost = cost
+        self._tail = OnlineTail(cost)
         self._metrics = metrics
         self._models = tuple(target_settings.models)
         self._held = HeldRuns()
@@ -107,7 +108,9 @@
         self._next_probe_ms = 0.0
         self._is_probing = False
         self._status: StatusChanged | None = None
-        runner.connect(self.post, self._answers.send_chunk, self._held.running.__len__)
+        self._online_in_target = 0
+        self._batch_in_target = 0
+        runner.connect(self.post, self._answers.send_chunk, self._observe)
 
     @property
     def is_idle(self) -> bool:
@@ -212,14 +215,16 @@
             self._held.release_suspect(lambda run: self._watch.is_held_back(run, now_ms))
             self._drop_unpermitted()
             self._carry_out(self._decide(now_ms), now_ms)
+        self._online_in_target, self._batch_in_target = self._held.counts()
         self._publish_status()
 
     def _decide(self, now_ms: float) -> Decision:
         tier = self._settings.current().for_model(self._models[0] if self._models else "")
         quiet_ms = now_ms - self._last_online_ms
-        return self._policy(
-            make_scheduler_state(self._held, self._cost, tier, self._max_running, now_ms, quiet_ms)
+        state = make_scheduler_state(
+            self._held, self._cost, self._tail, tier, self._max_running, now_ms, quiet_ms
         )
+        return self._policy(state)
 
     def _carry_out(self, decision: Decision, now_ms: float) -> None:
         for run_id in decision.preempt:
@@ -254,6 +259,13 @@
             self._answers.started(run)
         self._runner.start(run, run.deadline_ms - now_ms)
 
+    def _observe(self, run: TargetRun, interval_ms: float) -> None:
+        """Take the time between two tokens of a run; called on its worker thread."""
+        online, batch = self._online_in_target, self._batch_in_target
+        self._cost.observe(run.last_token_ms + interval_ms, online + batch, interval_ms)
+        if run.is_online:
+            self._tail.observe(interval_ms, online, batch)
+
     def _begin_drain(self) -> None:
         if self._leaving_since_ms is None:
             self._leaving_since_ms = self.clock.monotonic_ms()
--- a/ebonyshore/schedule_input.py
+++ b/ebonyshore/schedule_input.py
@@ -3,7 +3,7 @@
 from ebonyshore.held_runs import HeldRuns
 from ebonyshore.scheduler import BatchRun, SchedulerState
 from ebonyshore.settings_tree import EffectiveSettings
-from ebonyshore.step_cost import StepCost
+from ebonyshore.step_cost import OnlineTail, StepCost
 from ebonyshore.target_run import TargetRun
 
 # Measured on the stand-in engine; engines prefill a token in a small part of a step.
@@ -14,6 +14,7 @@
 def make_scheduler_state(
     held: HeldRuns,
     cost: StepCost,
+    tail: OnlineTail,
     tier: EffectiveSettings,
     max_running: int,
     now_ms: float,
@@ -40,6 +41,7 @@
         PREFILL_TOKEN_MS,
         tier.token_interval_objective_ms,
         tier.first_token_objective_ms,
+        tail.interval_ms,
         tier.weighting,
         online_quiet_ms,
         RESUME_PAUSE_MS,
--- a/ebonyshore/scheduler.py
+++ b/ebonyshore/scheduler.py
@@ -45,6 +45,7 @@
     :param prefill_token_ms: estimated additional step time of each prefilled token.
     :param token_interval_objective_ms: objective between tokens, 95th percentile.
     :param first_token_objective_ms: objective of the first token, 95th percentile.
+    :param online_tail_ms: p99 of online token intervals without batch work; 0 if unknown.
     :param online_quiet_ms: time since an online request was last held or running.
     :param resume_pause_ms: quiet time after online work before batch fills the idle target.
     """
@@ -61,6 +62,7 @@
     prefill_token_ms: float
     token_interval_objective_ms: float
     first_token_objective_ms: float
+    online_tail_ms: float
     weighting: Weighting
     online_quiet_ms: float
     resume_pause_ms: float
@@ -101,14 +103,28 @@
 
 
 def step_budget_ms(state: SchedulerState, online: int) -> float:
-    """Return how long a step may take beside ``online`` online requests.
+    """Return how long a decoding step may take beside ``online`` online requests.
 
     A request waits for the step under way, then for its own prefill step, so a step may take at
-    most half the objective of the first token.
+    most half the objective of the first token. Under ``harm_first``, batch adds no more to any step
+    than the ratio allows for the tail, which is the steps that prefill online requests.
     """
     if state.weighting is Weighting.THROUGHPUT_FIRST:
         return min(state.token_interval_objective_ms, state.first_token_objective_ms / 2)
-    return HARM_RATIO * _step_ms(state, online)
+    step_ms = _step_ms(state, online)
+    return step_ms + (HARM_RATIO - 1) * max(step_ms, state.online_tail_ms)
+
+
+def prefill_budget_ms(state: SchedulerState, online: int) -> float:
+    """Return how long a step may take in which a batch item is prefilled.
+
+    Under ``harm_first`` it stays within the tail of online alone and never meets the prefill of an
+    online request.
+    """
+    budget_ms = step_budget_ms(state, online)
+    if state.weighting is Weighting.THROUGHPUT_FIRST or state.prefill_tokens:
+        return budget_ms
+    return max(budget_ms, state.online_tail_ms)
 
 
 def choose_victims(batch: tuple[BatchRun, ...], count: int) -> tuple[str, ...]:
@@ -134,7 +150,7 @@
     room = max(0, min(room, len(state.batch_waiting_tokens)))
     if online == 0:
         return room if state.online_quiet_ms >= state.resume_pause_ms else 0
-    budget_ms = step_budget_ms(state, online)
+    budget_ms = prefill_budget_ms(state, online)
     sequences = online + len(state.batch) + state.batch_stopping
     prefill_tokens = state.prefill_tokens
     for count, tokens in enumerate(state.batch_waiting_tokens[:room]):
--- a/ebonyshore/step_cost.py
+++ b/ebonyshore/step_cost.py
@@ -1,5 +1,6 @@
-"""Estimates the time of an engine step from observed token intervals."""
+"""Estimates the time of an engine step, and the tail of online latency, from observed tokens."""
 
+from collections import deque
 from threading import Lock
 
 # An observation loses half its weight after about 140 further ones, some seconds of decoding.
@@ -62,3 +63,41 @@
         if spread > weight:
             self.sequence_ms = max(MIN_SEQUENCE_MS, (weight * xy - x * y) / spread)
         self.base_ms = max(MIN_BASE_MS, (y - self.sequence_ms * x) / weight)
+
+
+TAIL_SAMPLES = 4_000
+TAIL_REFRESH_SAMPLES = 200
+TAIL_RATIO = 0.99
+
+
+class OnlineTail:
+    """p99 that online token intervals would have without batch work, over recent tokens.
+
+    Safe to use from any thread.
+
+    :param cost: used to take the share of the batch items out of an observed interval.
+    """
+
+    __slots__ = ("_cost", "_lock", "_samples", "_unused", "interval_ms")
+
+    def __init__(self, cost: StepCost) -> None:
+        self._cost = cost
+        self._lock = Lock()
+        self._samples: deque[float] = deque(maxlen=TAIL_SAMPLES)
+        self._unused = 0
+        self.interval_ms = 0.0
+
+    def observe(self, interval_ms: float, online: int, batch: int) -> None:
+        """Take the time between two tokens of an online stream.
+
+        :param online: online requests in the batch.
+        :param batch: batch items in it.
+        """
+        alone_ms = interval_ms - batch * self._cost.sequence_ms
+        with self._lock:
+            self._samples.append(max(alone_ms, self._cost.predict_ms(online)))
+            self._unused += 1
+            if self._unused >= TAIL_REFRESH_SAMPLES:
+                self._unused = 0
+                ordered = sorted(self._samples)
+                self.interval_ms = ordered[int(TAIL_RATIO * (len(ordered) - 1))]
--- a/ebonyshore/target_run.py
+++ b/ebonyshore/target_run.py
@@ -11,7 +11,6 @@
 from ebonyshore.engine import PlainService, TargetAnswer, TargetChunk, TargetRequest
 from ebonyshore.errors import TargetCrashedError, TargetError, TargetUnreachableError
 from ebonyshore.messages import Chunk, Dispatch, WorkClass
-from ebonyshore.step_cost import StepCost
 
 CHARS_PER_TOKEN = 4
 # The engine ends a run at its deadline; the socket's own limit only covers a hung target.
@@ -112,24 +111,22 @@
     """Collects the text, sends the chunks and times the tokens of one run.
 
     :param send: passes a chunk on to an entry.
-    :param batch_size: returns the number of sequences in the target.
+    :param observe: takes the interval between two tokens.
     """
 
-    __slots__ = ("_batch_size", "_clock", "_cost", "_run", "_send", "_texts", "is_aborted")
+    __slots__ = ("_clock", "_observe", "_run", "_send", "_texts", "is_aborted")
 
     def __init__(
         self,
         run: TargetRun,
         send: Callable[[bytes, Chunk], None],
         clock: Clock,
-        cost: StepCost,
-        batch_size: Callable[[], int],
+        observe: Callable[[TargetRun, float], None],
     ) -> None:
         self._run = run
         self._send = send
         self._clock = clock
-        self._cost = cost
-        self._batch_size = batch_size
+        self._observe = observe
         self._texts: list[str] = []
         self.is_aborted = False
 
@@ -176,7 +173,7 @@
         run = self._run
         now_ms = self._clock.monotonic_ms()
         if run.run_tokens:
-            self._cost.observe(now_ms, self._batch_size(), now_ms - run.last_token_ms)
+            self._observe(run, now_ms - run.last_token_ms)
         run.run_tokens += 1
         run.last_token_ms = now_ms
 
--- a/ebonyshore/target_runner.py
+++ b/ebonyshore/target_runner.py
@@ -12,7 +12,6 @@
 from ebonyshore.logs import EventLog
 from ebonyshore.messages import Chunk
 from ebonyshore.metrics import Metrics
-from ebonyshore.step_cost import StepCost
 from ebonyshore.target_run import RunEnded, RunProgress, TargetRun, run_on_target
 
 CONTROL_THREADS = 8
@@ -40,7 +39,7 @@
         self,
         post: Callable[[RunnerEvent], None],
         send: Callable[[bytes, Chunk], None],
-        batch_size: Callable[[], int],
+        observe: Callable[[TargetRun, float], None],
     ) -> None:
         """Set where events and chunks go; called once, before any other method."""
 
@@ -75,13 +74,11 @@
         self,
         target: PlainService,
         max_running: int,
-        cost: StepCost,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._target = target
-        self._cost = cost
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -92,14 +89,14 @@
         self,
         post: Callable[[RunnerEvent], None],
         send: Callable[[bytes, Chunk], None],
-        batch_size: Callable[[], int],
+        observe: Callable[[TargetRun, float], None],
     ) -> None:
         self._post = post
         self._send = send
-        self._batch_size = batch_size
+        self._observe = observe
 
     def start(self, run: TargetRun, timeout_ms: float) -> None:
-        progress = RunProgress(run, self._send, self._clock, self._cost, self._batch_size)
+        progress = RunProgress(run, self._send, self._clock, self._observe)
         self._runs.submit(run_on_target, self._target, run, timeout_ms, progress, self._post)
 
     def cancel(self, run_id: str) -> None:
--- a/ebonyshore_standins/simulated_agent.py
+++ b/ebonyshore_standins/simulated_agent.py
@@ -79,14 +79,11 @@
 class SimulatedTarget(TargetRunner):
     """An engine model as a target."""
 
-    def __init__(
-        self, simulation: Simulation, cost: StepCost, parameters: EngineParameters
-    ) -> None:
+    def __init__(self, simulation: Simulation, parameters: EngineParameters) -> None:
         self._simulation = simulation
-        self._cost = cost
         self._parameters = parameters
         self._runs: dict[str, tuple[TargetRun, RunProgress]] = {}
-        self._cancelled_ms: dict[str, float] = {}
+        self._cancelled_ms: dict[str, tuple[float, float]] = {}
         self._is_stepping = False
         self._epoch = 0
         self._is_down = False
@@ -102,10 +99,10 @@
         self,
         post: Callable[[RunnerEvent], None],
         send: Callable[[bytes, Chunk], None],
-        batch_size: Callable[[], int],
+        observe: Callable[[TargetRun, float], None],
     ) -> None:
         self._send = send
-        self._batch_size = batch_size
+        self._observe = observe
 
     def deliver_to(self, handle: Callable[[RunnerEvent], None]) -> None:
         """Set where events go, in place of the dispatcher's mailbox."""
@@ -113,11 +110,12 @@
 
     def start(self, run: TargetRun, timeout_ms: float) -> None:
         clock = self._simulation.clock
-        progress = RunProgress(run, self._send, clock, self._cost, self._batch_size)
+        progress = RunProgress(run, self._send, clock, self._observe)
         self._simulation.after(CALL_MS, lambda: self._submit(run, progress))
 
     def cancel(self, run_id: str) -> None:
-        self._cancelled_ms[run_id] = self._simulation.clock.monotonic_ms()
+        now_ms = self._simulation.clock.monotonic_ms()
+        self._cancelled_ms[run_id] = (now_ms, self.model.last_step_ms)
         self._simulation.after(CALL_MS, lambda: self._abort(run_id))
 
     def probe(self, does_abort_all: bool) -> None:
@@ -187,10 +185,10 @@
         self._post(progress.ended(outcome, answer))
 
     def _note_yield(self, run_id: str) -> None:
-        cancelled_ms = self._cancelled_ms.pop(run_id, None)
-        if cancelled_ms is not None:
-            yield_ms = self._simulation.clock.monotonic_ms() - cancelled_ms
-            self.yield_times.append(YieldTime(yield_ms, self.model.last_step_ms))
+        cancelled = self._cancelled_ms.pop(run_id, None)
+        if cancelled is not None:
+            yield_ms = self._simulation.clock.monotonic_ms() - cancelled[0]
+            self.yield_times.append(YieldTime(yield_ms, cancelled[1]))
 
     def _crash(self) -> None:
         self.crashes += 1
@@ -235,7 +233,7 @@
         self.service.adopt(SettingsHead(revision=1, nodes={"/": self.settings}))
         root = self.service.current().root()
         cost = StepCost(root.engine_base_step_ms, root.engine_sequence_step_ms)
-        self.target = SimulatedTarget(self.simulation, cost, self.parameters)
+        self.target = SimulatedTarget(self.simulation, self.parameters)
         self.dispatcher = Dispatcher(
             self.target,
             self,
--- a/tools/agent_bench.py
+++ b/tools/agent_bench.py
@@ -208,12 +208,21 @@
 }
 
 
+def busy_ms(arrivals: list[Arrival]) -> float:
+    """Return the engine time that the online work takes in a full batch, prefill included."""
+    engine = EngineParameters()
+    full_step_ms = engine.base_step_ms + engine.sequence_step_ms * (engine.max_batch - 1)
+    output_tokens = sum(arrival.output_tokens for arrival in arrivals)
+    prompt_tokens = sum(arrival.prompt_tokens for arrival in arrivals)
+    return output_tokens * full_step_ms / engine.max_batch + prompt_tokens * engine.prefill_token_ms
+
+
 def compare(load: Load, duration_ms: float, seed: int) -> list[str]:
     """Return the report on one load."""
     arrivals = make_arrivals(load, duration_ms, seed)
     full = Bench([], True).run(duration_ms)
     alone = Bench(arrivals, False).run(duration_ms)
-    idle_tokens = full.batch_tokens - alone.online_tokens
+    idle_tokens = int(full.batch_tokens * (1 - busy_ms(arrivals) / duration_ms))
     lines = [
         f"load={load.name} requests={len(arrivals)} idle_tokens={idle_tokens} "
         f"first_p50_ms={percentile(alone.first_ms, 50):.1f} "
