--- /dev/null
+++ b/ebonyshore/agent_connection.py
@@ -0,0 +1,192 @@
+"""What an entry has in flight at one agent, and the checks on the agent's answers."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from ebonyshore.membership import TargetView
+from ebonyshore.messages import (
+    Chunk,
+    Dispatch,
+    Failed,
+    Finished,
+    Load,
+    Refused,
+    RequestMessage,
+    WorkClass,
+)
+from ebonyshore.result_codes import Execution, ResultCode
+
+FINAL_WAIT_MS = 10_000.0
+
+
+class RequestSink(Protocol):
+    """Receives the messages of one dispatch."""
+
+    def post(self, message: RequestMessage) -> None:
+        """Take a message; must not block."""
+
+
+class Channel(Protocol):
+    """The socket to one agent."""
+
+    def send(self, message: Struct) -> bool:
+        """Hand a message to the socket; ``False`` if it was not taken, and never will be sent."""
+
+    def close(self) -> None:
+        """Close the socket."""
+
+
+@dataclass(slots=True)
+class InFlight:
+    """A dispatched request without a final message.
+
+    :param expires_ms: when it is dropped; an agent answers every dispatch long before.
+    """
+
+    dispatch: Dispatch
+    sink: RequestSink
+    expires_ms: float
+    next_sequence: int = 0
+
+
+@dataclass(slots=True)
+class HeldDispatch:
+    """A dispatch that waits for the agent's first answer on a new connection."""
+
+    dispatch: Dispatch
+    sink: RequestSink
+    deadline_ms: float
+    expires_ms: float
+
+
+class FaultCounter(Protocol):
+    """Counts message faults by name."""
+
+    def count(self, name: str) -> None:
+        """Add one."""
+
+
+@dataclass(slots=True)
+class AgentConnection:
+    """The channel to one agent and what is in flight there.
+
+    :param unanswered_ms: when the oldest ping without an answer was sent, or ``None``.
+    :param used_ms: when a request was last dispatched.
+    """
+
+    view: TargetView
+    channel: Channel
+    faults: FaultCounter
+    next_ping_ms: float = 0.0
+    unanswered_ms: float | None = None
+    used_ms: float = 0.0
+    in_flight: dict[str, InFlight] = field(default_factory=dict)
+    held: list[HeldDispatch] = field(default_factory=list)
+    batch_count: int = 0
+    suspect_count: int = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight or held."""
+        return not self.in_flight and not self.held
+
+    def add(self, dispatch: Dispatch, sink: RequestSink, deadline_ms: float) -> None:
+        """Note a dispatch as in flight."""
+        expires_ms = deadline_ms + FINAL_WAIT_MS
+        self.in_flight[dispatch.request_id] = InFlight(dispatch, sink, expires_ms)
+        self.batch_count += dispatch.work_class is WorkClass.BATCH
+        self.suspect_count += dispatch.is_suspect
+
+    def remove(self, request_id: str) -> InFlight | None:
+        """Forget a dispatch."""
+        in_flight = self.in_flight.pop(request_id, None)
+        if in_flight is not None:
+            self.batch_count -= in_flight.dispatch.work_class is WorkClass.BATCH
+            self.suspect_count -= in_flight.dispatch.is_suspect
+        return in_flight
+
+    def receive_chunk(self, chunk: Chunk) -> str:
+        """Pass a chunk on if it is the next one.
+
+        :return: why the stream must be given up, if it must.
+        """
+        in_flight = self.in_flight.get(chunk.request_id)
+        if in_flight is None:
+            self.faults.count("late_messages")
+            return ""
+        if chunk.sequence < in_flight.next_sequence:
+            self.faults.count("repeated_chunks")
+            return ""
+        if chunk.sequence > in_flight.next_sequence:
+            return f"chunk {chunk.sequence} came instead of {in_flight.next_sequence}"
+        in_flight.next_sequence += 1
+        in_flight.sink.post(chunk)
+        return ""
+
+    def receive_final(self, message: Finished | Refused | Failed) -> str:
+        """Pass a final message on if it belongs to a request in flight.
+
+        :return: why the stream must be given up, if it must.
+        """
+        in_flight = self.in_flight.get(message.request_id)
+        if in_flight is None:
+            self.faults.count("late_messages")
+            return ""
+        count = in_flight.next_sequence
+        if isinstance(message, Finished) and message.chunk_count != count:
+            return f"the answer has {message.chunk_count} chunks, {count} came"
+        if isinstance(message, Refused) and count:
+            return "a refusal came after a part of the answer"
+        self.remove(message.request_id)
+        self.note_load(message.load)
+        in_flight.sink.post(message)
+        return ""
+
+    def fail(self, request_id: str, code: ResultCode, detail: str) -> None:
+        """End a request that may have run."""
+        in_flight = self.remove(request_id)
+        if in_flight is not None:
+            in_flight.sink.post(Failed(request_id, code, Execution.MAYBE_RUN, detail))
+
+    def lose_in_flight(self) -> None:
+        """End all requests, because the agent is lost or runs anew."""
+        for request_id in list(self.in_flight):
+            self.fail(request_id, ResultCode.AGENT_LOST, "")
+
+    def refuse_held(self, now_ms: float = float("inf")) -> None:
+        """Refuse the held dispatches whose time has passed; they were never sent."""
+        for held in [h for h in self.held if h.expires_ms <= now_ms]:
+            self.held.remove(held)
+            held.sink.post(Refused(held.dispatch.request_id, ResultCode.NO_TARGET))
+
+    def cancel_held(self, request_id: str) -> bool:
+        """Refuse a held dispatch; return whether there was one."""
+        for held in self.held:
+            if held.dispatch.request_id == request_id:
+                self.held.remove(held)
+                held.sink.post(Refused(request_id, ResultCode.CANCELLED))
+                return True
+        return False
+
+    def expire(self, now_ms: float) -> None:
+        """Drop requests whose final message is long overdue."""
+        for request_id in [k for k, f in self.in_flight.items() if f.expires_ms <= now_ms]:
+            self.faults.count("finals_missing")
+            self.fail(request_id, ResultCode.STREAM_BROKEN, "the agent sent no final message")
+
+    def note_load(self, load: Load) -> None:
+        """Take over a load report and the number in flight that goes with it."""
+        self.view = replace(self.view, load=load, load_in_flight=len(self.in_flight))
+
+    def current_view(self) -> TargetView:
+        """Return the view with the counts of this moment."""
+        self.view = replace(
+            self.view,
+            in_flight=len(self.in_flight) + len(self.held),
+            in_flight_batch=self.batch_count,
+            in_flight_suspects=self.suspect_count,
+        )
+        return self.view
--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -1,54 +1,48 @@
-"""The entry's sockets to the agents, and its view of the targets."""
+"""The entry's connections to the agents, and its view of the targets."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
 
 import zmq
 from msgspec import Struct
 from msgspec.structs import replace
 
+from ebonyshore.agent_connection import AgentConnection, Channel, HeldDispatch, RequestSink
+from ebonyshore.agent_socket import AgentSocket
 from ebonyshore.clock import Clock
 from ebonyshore.codec import MessageCodec
-from ebonyshore.curve import secure_client
+from ebonyshore.connection_plan import choose_idle_to_close, choose_to_open, ping_interval_ms
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import (
     AgentMessage,
     Cancel,
     Chunk,
+    CrashReport,
     Dispatch,
     Failed,
     Finished,
     Hello,
-    Load,
     LoadReport,
     Ping,
     Refused,
-    RequestMessage,
     Welcome,
-    WorkClass,
 )
 from ebonyshore.metrics import Metrics
 from ebonyshore.platform_api import Instance
 from ebonyshore.process_settings import FleetSettings
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.result_codes import ResultCode
 from ebonyshore.task import SocketTask
 
-PING_INTERVAL_MS = 500
-AGENT_SILENCE_MS = 3_000
+CHECK_INTERVAL_MS = 250.0
+HELLO_INTERVAL_MS = 500.0
+QUIET_MS = 1_000.0
+LOST_MS = 2_500.0
+CONNECT_TIMEOUT_MS = 1_000.0
 READ_BURST = 256
 
 Handler = Callable[[str, AgentMessage], None]
 
 
-class RequestSink(Protocol):
-    """Receives the messages of one dispatch."""
-
-    def post(self, message: RequestMessage) -> None:
-        """Take a message; must not block."""
-
-
 class InstancesKnown(Struct, frozen=True):
     """The platform's instance list was read."""
 
@@ -56,11 +50,16 @@
 
 
 class SendDispatch(Struct, frozen=True):
-    """Dispatch a request to a target."""
+    """Dispatch a request to a target.
+
+    :param dispatch: with an empty incarnation it is meant for the agent's current run.
+    :param deadline_ms: monotonic time of the entry's clock after which nothing is sent.
+    """
 
     target_id: str
     dispatch: Dispatch
     sink: RequestSink
+    deadline_ms: float = float("inf")
 
 
 class SendCancel(Struct, frozen=True):
@@ -71,7 +70,7 @@
 
 
 class SendToAgent(Struct, frozen=True):
-    """Send any message to one agent."""
+    """Send any message to one agent, connecting if needed."""
 
     target_id: str
     message: Struct
@@ -83,34 +82,11 @@
     message: Struct
 
 
-@dataclass(slots=True)
-class InFlight:
-    """A dispatched request without a final message."""
-
-    dispatch: Dispatch
-    sink: RequestSink
-    next_sequence: int = 0
-
-
-@dataclass(slots=True)
-class AgentConnection:
-    """The socket to one agent and what is in flight there."""
-
-    view: TargetView
-    socket: zmq.Socket
-    next_ping_ms: float = 0.0
-    in_flight: dict[str, InFlight] = field(default_factory=dict)
-
-    def count_batch(self) -> int:
-        """Return how many batch items are in flight."""
-        return sum(f.dispatch.work_class is WorkClass.BATCH for f in self.in_flight.values())
-
-
 LinkMessage = InstancesKnown | SendDispatch | SendCancel | SendToAgent | SendToAgents
 
 
 class AgentLink(SocketTask[LinkMessage]):
-    """Owns one DEALER socket for each agent.
+    """Owns the channels to the agents.
 
     :param entry_id: instance id of the entry.
     :param settings_revision: returns the revision in force.
@@ -134,6 +110,7 @@
         self._metrics = metrics
         self._log = log
         self._codec: MessageCodec[AgentMessage] = MessageCodec(AgentMessage, metrics)
+        self._listed: dict[str, Instance] = {}
         self._connections: dict[str, AgentConnection] = {}
         self._by_socket: dict[zmq.Socket, AgentConnection] = {}
         self._handlers: dict[type, Handler] = {}
@@ -148,18 +125,24 @@
 
     def close(self) -> None:
         for connection in self._connections.values():
-            connection.socket.close()
+            connection.channel.close()
+
+    def open_channel(self, address: str) -> Channel:
+        """Return a channel to an agent."""
+        return AgentSocket(address, self._fleet, self.poller, self._codec)
 
     def handle(self, message: LinkMessage) -> None:
         if isinstance(message, SendDispatch):
             self._dispatch(message)
         elif isinstance(message, SendCancel):
-            self._send(message.target_id, Cancel(message.request_id))
+            self._cancel(message)
         elif isinstance(message, SendToAgent):
-            self._send(message.target_id, message.message)
+            connection = self._find_or_connect(message.target_id)
+            if connection is not None:
+                connection.channel.send(message.message)
         elif isinstance(message, SendToAgents):
-            for target_id in self._connections:
-                self._send(target_id, message.message)
+            for connection in self._connections.values():
+                connection.channel.send(message.message)
         else:
             self._update_instances(message.instances)
 
@@ -168,10 +151,12 @@
 
     def on_timer(self) -> None:
         now_ms = self.clock.monotonic_ms()
-        self._next_check_ms = now_ms + PING_INTERVAL_MS
+        self._next_check_ms = now_ms + CHECK_INTERVAL_MS
         for connection in list(self._connections.values()):
             self._check_connection(connection, now_ms)
-        self._publish()
+        for target_id in choose_idle_to_close(self._connections, self._entry_id, now_ms):
+            self._disconnect(self._connections[target_id])
+        self._membership.update_typical_steps()
 
     def on_readable(self, sock: zmq.Socket) -> None:
         connection = self._by_socket[sock]
@@ -182,145 +167,194 @@
                 return
             message = self._codec.decode(frame)
             if message is not None:
-                self._receive(connection, message)
+                self.receive(connection.view.target_id, message)
+
+    def receive(self, target_id: str, message: AgentMessage) -> None:
+        """Process a message of the agent of ``target_id``."""
+        connection = self._connections.get(target_id)
+        if connection is None:
+            self._metrics.count("late_messages")
+            return
+        self._note_heard(connection)
+        if isinstance(message, Chunk):
+            self._break_if(connection, message.request_id, connection.receive_chunk(message))
+            return
+        if isinstance(message, Finished | Refused | Failed):
+            self._receive_final(connection, message)
+        elif isinstance(message, Welcome | LoadReport):
+            self._note_report(connection, message)
+        elif isinstance(message, CrashReport):
+            self._note_crash(connection)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(target_id, message)
 
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
-        listed = {i.instance_id: i for i in instances if i.role == "target"}
-        for target_id, connection in list(self._connections.items()):
-            instance = listed.get(target_id)
-            is_moved = instance is not None and instance.address != connection.view.address
-            if is_moved or (instance is None and not connection.in_flight):
-                self._disconnect(connection)
-        for instance in listed.values():
+        self._listed = {i.instance_id: i for i in instances if i.role == "target"}
+        for target_id, view in list(self._membership.targets().items()):
+            instance = self._listed.get(target_id)
+            connection = self._connections.get(target_id)
+            is_moved = instance is not None and instance.address != view.address
+            is_gone = instance is None and (connection is None or connection.is_idle)
+            if is_moved or is_gone:
+                self._forget(target_id)
+            elif instance is None:
+                # It finishes what it has and gets nothing new.
+                self._set_view(connection, is_leaving=True)
+        for instance in self._listed.values():
             self._note_instance(instance)
-        self._publish()
+        for target_id in choose_to_open(self._listed, self._connections, self._entry_id):
+            self._find_or_connect(target_id)
 
     def _note_instance(self, instance: Instance) -> None:
+        view = self._membership.find(instance.instance_id)
+        if view is None:
+            self._membership.set_view(_listed_view(instance))
+            return
         connection = self._connections.get(instance.instance_id)
+        is_leaving = instance.state == "leaving"
         if connection is None:
-            self._connect(instance)
-        elif instance.state == "leaving":
-            connection.view = replace(connection.view, is_leaving=True)
-
-    def _connect(self, instance: Instance) -> None:
-        sock = zmq.Context.instance().socket(zmq.DEALER)
-        sock.linger = 0
-        sock.sndhwm = 0
-        sock.rcvhwm = 0
-        sock.immediate = True
-        secure_client(sock, self._fleet)
-        sock.connect(instance.address)
-        view = TargetView(
-            instance.instance_id,
-            instance.address,
-            instance.region,
-            instance.failure_domain,
-            instance.models,
-            instance.state == "leaving",
-        )
-        connection = AgentConnection(view, sock)
-        self._connections[instance.instance_id] = connection
-        self._by_socket[sock] = connection
-        self.poller.register(sock, zmq.POLLIN)
+            self._membership.set_view(
+                replace(view, is_leaving=is_leaving, models=instance.models or view.models)
+            )
+        elif is_leaving and not view.is_leaving:
+            self._set_view(connection, is_leaving=True)
+
+    def _forget(self, target_id: str) -> None:
+        connection = self._connections.get(target_id)
+        if connection is not None:
+            self._disconnect(connection)
+        self._membership.remove(target_id)
+
+    def _find_or_connect(self, target_id: str) -> AgentConnection | None:
+        connection = self._connections.get(target_id)
+        if connection is not None:
+            return connection
+        view = self._membership.find(target_id)
+        if view is None:
+            return None
+        channel = self.open_channel(view.address)
+        view = replace(view, is_connected=True, incarnation="")
+        connection = AgentConnection(view, channel, self._metrics)
+        connection.used_ms = self.clock.monotonic_ms()
+        self._connections[target_id] = connection
+        if isinstance(channel, AgentSocket):
+            self._by_socket[channel.socket] = connection
         self._send_hello(connection)
+        self._publish(connection)
+        return connection
 
     def _disconnect(self, connection: AgentConnection) -> None:
-        self._lose_in_flight(connection)
-        self.poller.unregister(connection.socket)
-        del self._by_socket[connection.socket]
+        connection.refuse_held()
+        connection.lose_in_flight()
+        if isinstance(connection.channel, AgentSocket):
+            del self._by_socket[connection.channel.socket]
         del self._connections[connection.view.target_id]
-        connection.socket.close()
+        connection.channel.close()
+        self._set_view(connection, is_connected=False, incarnation="")
 
     def _check_connection(self, connection: AgentConnection, now_ms: float) -> None:
-        view = connection.view
-        if not view.incarnation:
-            self._send_hello(connection)
+        connection.refuse_held(now_ms)
+        connection.expire(now_ms)
+        if connection.unanswered_ms is not None:
+            self._check_silence(connection, now_ms - connection.unanswered_ms)
+        if now_ms < connection.next_ping_ms:
+            self._publish(connection)
             return
-        if now_ms - view.heard_ms > AGENT_SILENCE_MS:
+        if connection.view.incarnation:
+            interval_ms = ping_interval_ms(len(self._connections))
+            connection.channel.send(Ping(self._settings_revision()))
+        else:
+            interval_ms = HELLO_INTERVAL_MS
+            self._send_hello(connection)
+        connection.next_ping_ms = now_ms + interval_ms
+        if connection.unanswered_ms is None:
+            connection.unanswered_ms = now_ms
+        self._publish(connection)
+
+    def _check_silence(self, connection: AgentConnection, silent_ms: float) -> None:
+        view = connection.view
+        if silent_ms > QUIET_MS and not view.is_quiet:
+            connection.view = replace(view, is_quiet=True)
+        if silent_ms > LOST_MS and view.incarnation:
             self._log.event("agent_silent", target_id=view.target_id)
-            connection.view = replace(view, incarnation="")
-            self._lose_in_flight(connection)
-            return
-        self._send_on(connection, Ping(self._settings_revision()))
+            connection.view = replace(connection.view, incarnation="")
+            connection.lose_in_flight()
+
+    def _note_heard(self, connection: AgentConnection) -> None:
+        now_ms = self.clock.monotonic_ms()
+        connection.unanswered_ms = None
+        was_quiet = connection.view.is_quiet
+        connection.view = replace(connection.view, heard_ms=now_ms, is_quiet=False)
+        if was_quiet:
+            self._publish(connection)
 
     def _send_hello(self, connection: AgentConnection) -> None:
-        self._send_on(connection, Hello(self._entry_id, self._settings_revision()))
+        connection.channel.send(Hello(self._entry_id, self._settings_revision()))
 
     def _dispatch(self, message: SendDispatch) -> None:
-        connection = self._connections.get(message.target_id)
+        connection = self._find_or_connect(message.target_id)
         dispatch = message.dispatch
-        if connection is None or connection.view.incarnation != dispatch.incarnation:
+        if connection is None:
             message.sink.post(Refused(dispatch.request_id, ResultCode.NO_TARGET))
             return
-        connection.in_flight[dispatch.request_id] = InFlight(dispatch, message.sink)
-        if not self._send_on(connection, dispatch):
-            del connection.in_flight[dispatch.request_id]
-            message.sink.post(Refused(dispatch.request_id, ResultCode.NO_TARGET))
-        self._publish()
-
-    def _send(self, target_id: str, message: Struct) -> None:
-        connection = self._connections.get(target_id)
-        if connection is not None:
-            self._send_on(connection, message)
-
-    def _send_on(self, connection: AgentConnection, message: Struct) -> bool:
-        try:
-            connection.socket.send(self._codec.encode(message), zmq.NOBLOCK)
-        except zmq.Again:
-            return False
-        return True
-
-    def _receive(self, connection: AgentConnection, message: AgentMessage) -> None:
         now_ms = self.clock.monotonic_ms()
-        connection.view = replace(connection.view, heard_ms=now_ms)
-        if isinstance(message, Chunk):
-            self._receive_chunk(connection, message)
-        elif isinstance(message, Finished | Refused | Failed):
-            self._receive_final(connection, message)
-        elif isinstance(message, Welcome | LoadReport):
-            self._note_report(connection, message)
-        handler = self._handlers.get(type(message))
-        if handler is not None:
-            handler(connection.view.target_id, message)
-
-    def _receive_chunk(self, connection: AgentConnection, chunk: Chunk) -> None:
-        in_flight = connection.in_flight.get(chunk.request_id)
-        if in_flight is None:
-            self._metrics.count("late_messages")
-            return
-        if chunk.sequence != in_flight.next_sequence:
-            self._break(connection, in_flight, f"chunk {chunk.sequence} out of sequence")
+        connection.used_ms = now_ms
+        incarnation = connection.view.incarnation
+        if not dispatch.incarnation and not incarnation:
+            expires_ms = min(message.deadline_ms, now_ms + CONNECT_TIMEOUT_MS)
+            held = HeldDispatch(dispatch, message.sink, message.deadline_ms, expires_ms)
+            connection.held.append(held)
+        elif dispatch.incarnation in ("", incarnation):
+            self._send_dispatch(connection, message)
+        else:
+            message.sink.post(Refused(dispatch.request_id, ResultCode.STALE_INCARNATION))
+        self._publish(connection)
+
+    def _send_dispatch(self, connection: AgentConnection, message: SendDispatch) -> None:
+        dispatch = replace(message.dispatch, incarnation=connection.view.incarnation)
+        if message.deadline_ms != float("inf"):
+            # Computed here and not where the request was admitted: a process that was paused in
+            # between must not start a request whose deadline has passed.
+            left_ms = message.deadline_ms - self.clock.monotonic_ms()
+            dispatch = replace(dispatch, deadline_left_ms=left_ms)
+        if dispatch.deadline_left_ms <= 0:
+            message.sink.post(Refused(dispatch.request_id, ResultCode.DEADLINE_UNREACHABLE))
             return
-        in_flight.next_sequence += 1
-        in_flight.sink.post(chunk)
+        end_ms = self.clock.monotonic_ms() + dispatch.deadline_left_ms
+        connection.add(dispatch, message.sink, end_ms)
+        if not connection.channel.send(dispatch):
+            connection.remove(dispatch.request_id)
+            message.sink.post(Refused(dispatch.request_id, ResultCode.NO_TARGET))
+
+    def _cancel(self, message: SendCancel) -> None:
+        connection = self._connections.get(message.target_id)
+        if connection is not None and not connection.cancel_held(message.request_id):
+            connection.channel.send(Cancel(message.request_id))
 
     def _receive_final(
         self, connection: AgentConnection, message: Finished | Refused | Failed
     ) -> None:
-        in_flight = connection.in_flight.get(message.request_id)
-        if in_flight is None:
-            self._metrics.count("late_messages")
-            return
-        if isinstance(message, Finished) and message.chunk_count != in_flight.next_sequence:
-            self._break(connection, in_flight, "chunks are missing")
+        if isinstance(message, Failed) and message.code is ResultCode.TARGET_CRASHED:
+            self._note_crash(connection)
+        self._break_if(connection, message.request_id, connection.receive_final(message))
+        self._publish(connection)
+
+    def _break_if(self, connection: AgentConnection, request_id: str, detail: str) -> None:
+        if not detail:
             return
-        del connection.in_flight[message.request_id]
-        self._note_load(connection, message.load)
-        self._publish()
-        in_flight.sink.post(message)
-
-    def _break(self, connection: AgentConnection, in_flight: InFlight, detail: str) -> None:
-        request_id = in_flight.dispatch.request_id
-        del connection.in_flight[request_id]
-        self._send_on(connection, Cancel(request_id))
-        in_flight.sink.post(
-            Failed(request_id, ResultCode.STREAM_BROKEN, Execution.MAYBE_RUN, detail)
-        )
+        self._metrics.count("broken_streams")
+        connection.channel.send(Cancel(request_id))
+        connection.fail(request_id, ResultCode.STREAM_BROKEN, detail)
+        self._publish(connection)
+
+    def _note_crash(self, connection: AgentConnection) -> None:
+        self._set_view(connection, crashed_ms=self.clock.monotonic_ms())
 
     def _note_report(self, connection: AgentConnection, message: Welcome | LoadReport) -> None:
         view = connection.view
         if view.incarnation not in ("", message.incarnation):
-            self._lose_in_flight(connection)
+            connection.lose_in_flight()
         if isinstance(message, LoadReport) and not view.incarnation:
             self._send_hello(connection)
             return
@@ -330,31 +364,34 @@
             settings_revision=message.settings_revision,
             tick_ms=message.tick_ms,
             models=message.models,
-            is_leaving=message.is_leaving,
+            is_leaving=message.is_leaving or view.target_id not in self._listed,
             kind=message.kind if isinstance(message, Welcome) else view.kind,
         )
-        self._note_load(connection, message.load)
-        self._publish()
-
-    def _note_load(self, connection: AgentConnection, load: Load) -> None:
-        connection.view = replace(
-            connection.view, load=load, load_in_flight=len(connection.in_flight)
-        )
-
-    def _lose_in_flight(self, connection: AgentConnection) -> None:
-        lost = list(connection.in_flight.items())
-        connection.in_flight.clear()
-        for request_id, in_flight in lost:
-            in_flight.sink.post(Failed(request_id, ResultCode.AGENT_LOST, Execution.MAYBE_RUN))
-
-    def _publish(self) -> None:
-        self._membership.publish(
-            {
-                target_id: replace(
-                    connection.view,
-                    in_flight=len(connection.in_flight),
-                    in_flight_batch=connection.count_batch(),
-                )
-                for target_id, connection in self._connections.items()
-            }
-        )
+        connection.note_load(message.load)
+        self._send_held(connection)
+        self._publish(connection)
+
+    def _send_held(self, connection: AgentConnection) -> None:
+        held, connection.held = connection.held, []
+        for each in held:
+            target_id = connection.view.target_id
+            message = SendDispatch(target_id, each.dispatch, each.sink, each.deadline_ms)
+            self._send_dispatch(connection, message)
+
+    def _set_view(self, connection: AgentConnection, **changes: object) -> None:
+        connection.view = replace(connection.view, **changes)
+        self._publish(connection)
+
+    def _publish(self, connection: AgentConnection) -> None:
+        self._membership.set_view(connection.current_view())
+
+
+def _listed_view(instance: Instance) -> TargetView:
+    return TargetView(
+        instance.instance_id,
+        instance.address,
+        instance.region,
+        instance.failure_domain,
+        instance.models,
+        instance.state == "leaving",
+    )
--- /dev/null
+++ b/ebonyshore/answer_stream.py
@@ -0,0 +1,88 @@
+"""One continuous answer from the streams of one or more attempts."""
+
+from typing import Any
+
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+
+from ebonyshore.errors import TargetError
+from ebonyshore.messages import Finished, Usage
+from ebonyshore.openai_api import ABORT_REASON, StreamEvent, decode_event
+
+MAX_ERROR_BYTES = 500
+
+
+class AnswerStream:
+    """Follows what the caller has been given, so that another target can continue it.
+
+    A later attempt's events get the id of the first one, so the caller sees one stream.
+    """
+
+    __slots__ = ("_created", "_finish_reason", "_id", "_is_plain_text", "_texts", "_usage", "count")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._id = ""
+        self._created = 0
+        self._texts: list[str] = []
+        self._finish_reason = ""
+        self._usage: Usage | None = None
+        self._is_plain_text = True
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether the text alone is the whole state of the answer."""
+        return self._is_plain_text and not self._finish_reason
+
+    @property
+    def has_finish_reason(self) -> bool:
+        """Whether the target said why the answer ended."""
+        return bool(self._finish_reason)
+
+    def text(self) -> str:
+        """Return the text so far."""
+        return "".join(self._texts)
+
+    def accept(self, data: bytes) -> bytes:
+        """Take an event of the current attempt.
+
+        :return: the event for the caller.
+        :raises TargetError: if the event is malformed, or the engine aborted the stream.
+        """
+        event = decode_event(data)
+        if bytes(event.error) not in (b"", b"null"):
+            raise TargetError(bytes(event.error)[:MAX_ERROR_BYTES].decode(errors="replace"))
+        self._note(event)
+        self.count += 1
+        if event.id == self._id:
+            return data
+        return self._with_first_id(data)
+
+    def end_without_final(self, request_id: str) -> Finished | None:
+        """Return the end of an answer whose last event arrived but whose final message did not."""
+        if not self._finish_reason or not self._is_plain_text or self._usage is None:
+            return None
+        return Finished(request_id, self.count, usage=self._usage)
+
+    def _note(self, event: StreamEvent) -> None:
+        if not self.count:
+            self._id = event.id
+            self._created = event.created
+        for choice in event.choices:
+            if choice.finish_reason == ABORT_REASON:
+                raise TargetError("the engine aborted the stream")
+            self._finish_reason = choice.finish_reason or self._finish_reason
+            if choice.index or choice.has_more_than_text():
+                self._is_plain_text = False
+        self._texts.append(event.text())
+        if event.usage is not None:
+            self._usage = Usage(event.usage.prompt_tokens, event.usage.completion_tokens)
+
+    def _with_first_id(self, data: bytes) -> bytes:
+        try:
+            fields: dict[str, Any] = decode(data)
+        except DecodeError as error:
+            raise TargetError(f"malformed stream event: {error}") from error
+        fields["id"] = self._id
+        fields["created"] = self._created
+        return encode(fields)
--- /dev/null
+++ b/ebonyshore/chat_stream.py
@@ -0,0 +1,53 @@
+"""Server-sent events of a streamed answer."""
+
+from collections.abc import Iterator
+
+from ebonyshore.errors import EbonyshoreError
+from ebonyshore.messages import Chunk, Finished
+from ebonyshore.openai_api import error_body
+from ebonyshore.result_codes import ResultCode
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class EventStream:
+    """Iterates over the events; ends with ``[DONE]`` only if the answer is complete.
+
+    It is a class and not a generator because the server closes it also when it was never started,
+    and the request must be cancelled then, too.
+
+    :param first: the first message, already taken from ``rest``.
+    """
+
+    __slots__ = ("_first", "_is_ended", "_rest")
+
+    def __init__(self, first: Chunk | Finished, rest: Iterator[Chunk | Finished]) -> None:
+        self._first: Chunk | Finished | None = first
+        self._rest = rest
+        self._is_ended = False
+
+    def __iter__(self) -> "EventStream":
+        return self
+
+    def __next__(self) -> bytes:
+        if self._is_ended:
+            raise StopIteration
+        try:
+            message = self._first or next(self._rest, None)
+        except EbonyshoreError as error:
+            return self._end_with(error)
+        self._first = None
+        if message is None:
+            return self._end_with(EbonyshoreError(code=ResultCode.STREAM_BROKEN))
+        if isinstance(message, Chunk):
+            return b"data: " + message.data + b"\n\n"
+        self._is_ended = True
+        return DONE_EVENT
+
+    def _end_with(self, error: EbonyshoreError) -> bytes:
+        self._is_ended = True
+        return b"data: " + error_body(error) + b"\n\n"
+
+    def close(self) -> None:
+        """End the stream; cancels the request unless it has ended."""
+        self._rest.close()
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -17,6 +17,7 @@
 from ebonyshore.membership import Membership
 from ebonyshore.messages import CrashReport, SettingsRequest, SettingsSnapshot, Welcome
 from ebonyshore.online import OnlineService
+from ebonyshore.routing import Router
 from ebonyshore.settings_service import SettingsService, SettingsWatcher
 from ebonyshore.settings_store import SettingsHead, encode_head
 from ebonyshore.shard_runner import BeginDrain, ShardRunner
@@ -137,7 +138,7 @@
         link,
         membership,
         settings,
-        environment.settings.instance.failure_domain,
+        Router(environment.settings.instance.failure_domain),
         environment.clock,
         environment.metrics,
         environment.log,
--- a/ebonyshore/http_api.py
+++ b/ebonyshore/http_api.py
@@ -13,13 +13,15 @@
 
 from ebonyshore.admin_api import JSON_TYPE, error_response
 from ebonyshore.batch_api import BatchApi
+from ebonyshore.chat_stream import EventStream
 from ebonyshore.clock import Clock
 from ebonyshore.errors import EbonyshoreError, RefusedError, RequestError
 from ebonyshore.logs import EventLog
 from ebonyshore.messages import Chunk, Finished
 from ebonyshore.metrics import Metrics
-from ebonyshore.online import OnlineRequest, OnlineService
-from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, error_body, parse_generation
+from ebonyshore.online import OnlineService, caller_stays
+from ebonyshore.online_attempt import OnlineRequest
+from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, parse_generation
 from ebonyshore.result_codes import ResultCode
 from ebonyshore.settings_service import SettingsService
 
@@ -137,24 +139,14 @@
             generation.head_digest,
             self._clock.monotonic_ms() + timeout_ms,
             headers.is_repeatable,
+            True,
+            headers.idempotency_key,
+            headers.deadline_left_ms is not None,
         )
+        messages = self._online.run(online_request, _disconnect_check(request))
         if generation.is_stream:
-            return self._stream(online_request)
-        return self._answer(online_request, generation)
-
-    def _answer(self, request: OnlineRequest, generation: GenerationRequest) -> Response:
-        assembler = AnswerAssembler(generation)
-        for message in self._online.run(request):
-            if isinstance(message, Chunk):
-                assembler.add(message.data)
-            else:
-                return Response(assembler.answer(message.usage), 200, mimetype=JSON_TYPE)
-        raise RefusedError(code=ResultCode.STREAM_BROKEN)
-
-    def _stream(self, request: OnlineRequest) -> Response:
-        messages = self._online.run(request)
-        first = next(messages)
-        return Response(_sse_events(first, messages), 200, mimetype=EVENT_STREAM_TYPE)
+            return _stream(messages)
+        return _answer(messages, generation)
 
     def _call_service(
         self, request: Request, headers: CallerHeaders, service: str, path: str
@@ -175,10 +167,12 @@
             content_digest,
             self._clock.monotonic_ms() + timeout_ms,
             headers.is_repeatable,
-            is_stream=False,
+            False,
+            headers.idempotency_key,
+            headers.deadline_left_ms is not None,
         )
         parts = []
-        for message in self._online.run(online_request):
+        for message in self._online.run(online_request, _disconnect_check(request)):
             if isinstance(message, Finished):
                 return Response(
                     b"".join(parts), message.http_status, content_type=message.content_type
@@ -215,17 +209,25 @@
         return _json(self._batch.cancel(headers.caller, batch_id))
 
 
-def _sse_events(first: Chunk | Finished, rest: Iterator[Chunk | Finished]) -> Iterator[bytes]:
-    try:
-        message: Chunk | Finished = first
-        while isinstance(message, Chunk):
-            yield b"data: " + message.data + b"\n\n"
-            message = next(rest)
-        yield b"data: [DONE]\n\n"
-    except EbonyshoreError as error:
-        yield b"data: " + error_body(error) + b"\n\n"
-    finally:
-        rest.close()
+def _answer(messages: Iterator[Chunk | Finished], generation: GenerationRequest) -> Response:
+    assembler = AnswerAssembler(generation)
+    for message in messages:
+        if isinstance(message, Chunk):
+            assembler.add(message.data)
+        else:
+            return Response(assembler.answer(message.usage), 200, mimetype=JSON_TYPE)
+    raise RefusedError(code=ResultCode.STREAM_BROKEN)
+
+
+def _stream(messages: Iterator[Chunk | Finished]) -> Response:
+    # The first message decides the status: a request refused before any output gets no stream.
+    first = next(messages)
+    return Response(EventStream(first, messages), 200, mimetype=EVENT_STREAM_TYPE)
+
+
+def _disconnect_check(request: Request) -> Callable[[], bool]:
+    """Return what tells whether the caller has closed its connection."""
+    return request.environ.get("waitress.client_disconnected", caller_stays)
 
 
 def _parse_headers(request: Request) -> CallerHeaders:
--- a/ebonyshore/membership.py
+++ b/ebonyshore/membership.py
@@ -1,6 +1,11 @@
-"""The targets that an entry knows, as an immutable snapshot that its tasks share."""
+"""The targets that an entry knows. One task writes; any thread reads.
+
+A change of one target replaces that target's view only. The lists of targets by model are rebuilt
+when a target comes, goes, or changes its models or state, which is rare.
+"""
 
 from collections.abc import Mapping
+from statistics import median
 from types import MappingProxyType
 
 from msgspec import Struct
@@ -18,7 +23,11 @@
     :param heard_ms: the entry's monotonic time when it last heard from the agent.
     :param in_flight: requests that this entry has with it.
     :param in_flight_batch: batch items among them.
+    :param in_flight_suspects: requests among them that are marked as suspects.
     :param load_in_flight: ``in_flight`` when ``load`` was heard.
+    :param is_connected: whether the entry has a socket to the agent; it connects when needed.
+    :param is_quiet: whether the agent owes the answer to a ping, or was lost and not heard since.
+    :param crashed_ms: the entry's monotonic time of the target's last crash.
     """
 
     target_id: str
@@ -35,25 +44,73 @@
     load: Load = Load()
     in_flight: int = 0
     in_flight_batch: int = 0
+    in_flight_suspects: int = 0
     load_in_flight: int = 0
+    is_connected: bool = False
+    is_quiet: bool = False
+    crashed_ms: float = float("-inf")
 
 
 class Membership:
-    """Publishes the snapshot; written by the agent link only."""
+    """Holds the views; written by the agent link only."""
 
-    __slots__ = ("_targets",)
+    __slots__ = ("_serving", "_targets", "_typical_steps")
 
     def __init__(self) -> None:
-        self._targets: Mapping[str, TargetView] = MappingProxyType({})
+        self._targets: dict[str, TargetView] = {}
+        self._serving: dict[str, tuple[str, ...]] = {}
+        self._typical_steps: dict[str, float] = {}
+
+    def set_view(self, view: TargetView) -> None:
+        """Add a target or replace its view."""
+        previous = self._targets.get(view.target_id)
+        if previous is None:
+            # Readers iterate without a lock, so the size of a shared dict never changes.
+            self._targets = {**self._targets, view.target_id: view}
+        else:
+            self._targets[view.target_id] = view
+        if previous is None or _is_listed_otherwise(previous, view):
+            self._rebuild()
 
-    def publish(self, targets: Mapping[str, TargetView]) -> None:
-        """Replace the snapshot; the caller must not change ``targets`` afterwards."""
-        self._targets = MappingProxyType(dict(targets))
+    def remove(self, target_id: str) -> None:
+        """Forget a target."""
+        self._targets = {key: view for key, view in self._targets.items() if key != target_id}
+        self._rebuild()
 
     def targets(self) -> Mapping[str, TargetView]:
         """Return the known targets by id."""
-        return self._targets
+        return MappingProxyType(self._targets)
 
     def find(self, target_id: str) -> TargetView | None:
         """Return one target, or ``None``."""
         return self._targets.get(target_id)
+
+    def serving(self, model: str) -> list[TargetView]:
+        """Return the targets that take new work for ``model``, connected or not."""
+        targets = self._targets
+        ids = self._serving.get(model, ())
+        return [view for target_id in ids if (view := targets.get(target_id)) is not None]
+
+    def typical_step_ms(self, model: str) -> float:
+        """Return the median step time of the model's targets; 0 if none is known."""
+        return self._typical_steps.get(model, 0.0)
+
+    def update_typical_steps(self) -> None:
+        """Compute the median step times anew."""
+        typical = {}
+        for model in self._serving:
+            steps = [view.load.step_ms for view in self.serving(model) if view.load.step_ms > 0]
+            typical[model] = median(steps) if steps else 0.0
+        self._typical_steps = typical
+
+    def _rebuild(self) -> None:
+        serving: dict[str, list[str]] = {}
+        for view in self._targets.values():
+            if not view.is_leaving:
+                for model in view.models:
+                    serving.setdefault(model, []).append(view.target_id)
+        self._serving = {model: tuple(ids) for model, ids in serving.items()}
+
+
+def _is_listed_otherwise(previous: TargetView, view: TargetView) -> bool:
+    return (previous.models, previous.is_leaving) != (view.models, view.is_leaving)
--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -1,62 +1,84 @@
-"""The life cycle of one online request: route, dispatch, retry, answer."""
+"""The life cycle of one online request: route, dispatch, retry or resume, answer."""
 
-from collections.abc import Iterator
-from uuid import uuid4
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 
-from msgspec import Struct
+from msgspec.structs import replace
 
-from ebonyshore.agent_link import AgentLink, SendCancel, SendDispatch
+from ebonyshore.agent_link import AgentLink, SendToAgent
+from ebonyshore.answer_stream import AnswerStream
 from ebonyshore.clock import Clock
-from ebonyshore.errors import RefusedError
+from ebonyshore.errors import RefusedError, TargetError
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import (
-    Chunk,
-    Dispatch,
-    Failed,
-    Finished,
-    Refused,
-    RequestMessage,
-    WorkClass,
-)
+from ebonyshore.messages import Chunk, Finished, Ping
 from ebonyshore.metrics import Metrics
+from ebonyshore.online_attempt import Attempt, AttemptPlan, OnlineRequest
 from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.routing import choose, serving_targets
+from ebonyshore.retry import (
+    STALE_CODES,
+    AttemptState,
+    NextStep,
+    RetryBudget,
+    final_error,
+    next_step,
+)
+from ebonyshore.routing import Router, RouteRequest
 from ebonyshore.settings_service import SettingsService
-from ebonyshore.task import Mailbox
 
-RETRY_AFTER_MS = 1_000
+STALE_PAUSE_MS = 20.0
+STALE_WAIT_MS = 1_000.0
+HTTP_OK = 200
+CRASH_CODES = (ResultCode.TARGET_CRASHED, ResultCode.AGENT_LOST)
+
 
+def caller_stays() -> bool:
+    """Stand for a caller that never disconnects."""
+    return False
 
-class OnlineRequest(Struct, frozen=True):
-    """An admitted request.
 
-    :param trace_id: follows the request through all logs.
-    :param deadline_ms: monotonic time of the entry's clock.
-    :param is_stream: whether the target answers with an event stream.
+@dataclass(slots=True)
+class Progress:
+    """What one request has been through.
+
+    :param buffered: chunks of a plain service, handed over only when the answer is complete.
     """
 
-    trace_id: str
-    caller: str
-    model: str
-    path: str
-    body: bytes
-    content_digest: str
-    head_digest: str
-    deadline_ms: float
-    is_repeatable: bool = True
-    is_stream: bool = True
+    stream: AnswerStream = field(default_factory=AnswerStream)
+    buffered: list[Chunk] = field(default_factory=list)
+    excluded: frozenset[str] = frozenset()
+    failure: RefusedError | None = None
+    can_resume: bool = False
+    is_suspect: bool = False
+    attempts: int = 0
+    has_run: bool = False
+
+    @property
+    def error(self) -> RefusedError:
+        """The last failure; it never says that an earlier attempt did not run."""
+        failure = self.failure or RefusedError(code=ResultCode.NO_TARGET)
+        if self.has_run and failure.execution is Execution.NOT_RUN:
+            return RefusedError(
+                failure.detail,
+                code=failure.code,
+                execution=Execution.MAYBE_RUN,
+                retry_after_ms=failure.retry_after_ms,
+            )
+        return failure
 
 
 class OnlineService:
-    """Runs online requests; each call blocks a worker thread of the HTTP server."""
+    """Runs online requests; each call blocks a worker thread of the HTTP server.
+
+    :param router: chooses targets, and learns which content has completed.
+    """
 
     def __init__(
         self,
         link: AgentLink,
         membership: Membership,
         settings: SettingsService,
-        failure_domain: str,
+        router: Router,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
@@ -64,118 +86,170 @@
         self._link = link
         self._membership = membership
         self._settings = settings
-        self._failure_domain = failure_domain
+        self._router = router
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self._budget = RetryBudget()
 
-    def run(self, request: OnlineRequest) -> Iterator[Chunk | Finished]:
+    def run(
+        self, request: OnlineRequest, is_caller_gone: Callable[[], bool] = caller_stays
+    ) -> Iterator[Chunk | Finished]:
         """Yield the chunks of the answer, then :class:`Finished`.
 
         :raises RefusedError: the request was given up; ``execution`` tells whether it ran.
         """
-        attempts = self._settings.current().for_model(request.model).max_attempts
-        excluded: frozenset[str] = frozenset()
-        last = RefusedError(code=ResultCode.NO_TARGET, retry_after_ms=RETRY_AFTER_MS)
-        for _ in range(attempts):
-            target = self._choose(request, excluded)
-            if target is None:
-                raise last
-            attempt = _Attempt(self._link, self._clock, request, target, self._revision())
-            yield from attempt.messages()
+        self._budget.record_request(self._clock.monotonic_ms())
+        progress = Progress()
+        max_attempts = self._settings.current().for_model(request.model).max_attempts
+        while True:
+            target = self._choose(request, progress)
+            attempt = self._start(request, progress, target, is_caller_gone)
+            yield from self._pass_on(request, attempt, progress)
             if attempt.failure is None:
                 return
-            last = attempt.failure
-            if not attempt.may_retry:
-                raise last
-            excluded |= {target.target_id}
-            self._metrics.count("online_retries")
-        raise last
-
-    def _revision(self) -> int:
-        return self._settings.current().revision
-
-    def _choose(self, request: OnlineRequest, excluded: frozenset[str]) -> TargetView | None:
-        targets = serving_targets(request.model, self._membership.targets().values())
-        return choose(request.head_digest, targets, self._failure_domain, excluded)
-
-
-class _Attempt:
-    """One dispatch of a request.
-
-    After :meth:`messages` is exhausted, ``failure`` tells why the attempt failed, if it did.
-    """
-
-    __slots__ = (
-        "_clock",
-        "_link",
-        "_mailbox",
-        "_request",
-        "_target",
-        "dispatch",
-        "failure",
-        "may_retry",
-    )
+            self._note_failure(request, attempt, target, progress, max_attempts)
+
+    def _choose(self, request: OnlineRequest, progress: Progress) -> TargetView:
+        now_ms = self._clock.monotonic_ms()
+        if request.deadline_ms <= now_ms:
+            raise self._give_up(request, progress)
+        route = RouteRequest(
+            request.model,
+            request.content_digest,
+            request.head_digest,
+            progress.excluded,
+            progress.is_suspect,
+            needs_engine=progress.stream.count > 0,
+        )
+        target = self._router.choose(route, self._membership, now_ms)
+        if target is None:
+            raise self._give_up(request, progress)
+        return target
 
-    def __init__(
+    def _start(
         self,
-        link: AgentLink,
-        clock: Clock,
         request: OnlineRequest,
+        progress: Progress,
         target: TargetView,
-        settings_revision: int,
-    ) -> None:
-        self._link = link
-        self._clock = clock
-        self._request = request
-        self._target = target
-        self._mailbox: Mailbox[RequestMessage] = Mailbox(clock)
-        self.failure: RefusedError | None = None
-        self.may_retry = False
-        self.dispatch = Dispatch(
-            uuid4().hex,
-            target.incarnation,
-            WorkClass.ONLINE,
-            request.path,
-            request.body,
-            request.deadline_ms - clock.monotonic_ms(),
-            request.content_digest,
-            settings_revision,
-            caller=request.caller,
-            model=request.model,
-            is_repeatable=request.is_repeatable,
-            is_stream=request.is_stream,
-            trace_id=request.trace_id,
+        is_caller_gone: Callable[[], bool],
+    ) -> Attempt:
+        progress.attempts += 1
+        plan = AttemptPlan(
+            target, self._settings.current().revision, progress.is_suspect, progress.stream.text()
         )
+        return Attempt(self._link, self._clock, request, plan, is_caller_gone)
 
-    def messages(self) -> Iterator[Chunk | Finished]:
-        self._link.post(SendDispatch(self._target.target_id, self.dispatch, self._mailbox))
-        is_final = False
-        has_chunks = False
+    def _pass_on(
+        self, request: OnlineRequest, attempt: Attempt, progress: Progress
+    ) -> Iterator[Chunk | Finished]:
+        messages = attempt.messages()
         try:
-            while not is_final:
-                left_ms = self._request.deadline_ms - self._clock.monotonic_ms()
-                message = self._mailbox.take(max(0.0, left_ms))
-                is_final = not isinstance(message, Chunk)
-                if isinstance(message, Chunk | Finished):
-                    has_chunks = True
-                    yield message
+            for message in messages:
+                if isinstance(message, Finished):
+                    self._router.record_completed(request.content_digest, request.head_digest)
+                if request.is_stream:
+                    yield _accept(message, progress.stream)
                 else:
-                    self._fail(message, has_chunks)
+                    yield from _buffer(message, progress)
+        except TargetError as error:
+            attempt.failure = RefusedError(
+                error.detail, code=error.code, execution=Execution.MAYBE_RUN
+            )
         finally:
-            if not is_final or self.failure is not None:
-                self._link.post(SendCancel(self._target.target_id, self.dispatch.request_id))
+            messages.close()
+        if attempt.failure is not None and request.is_stream:
+            yield from self._end_if_complete(attempt, progress.stream)
 
-    def _fail(self, message: Refused | Failed | None, has_chunks: bool) -> None:
-        if message is None:
-            self.failure = RefusedError(code=ResultCode.DEADLINE_EXCEEDED)
+    def _end_if_complete(self, attempt: Attempt, stream: AnswerStream) -> Iterator[Finished]:
+        """End an answer of which only the agent's final message is missing."""
+        if attempt.failure.code is ResultCode.TARGET_ERROR:
             return
-        execution = message.execution if isinstance(message, Failed) else Execution.NOT_RUN
-        self.failure = RefusedError(
-            message.detail,
-            code=message.code,
-            execution=execution,
-            retry_after_ms=RETRY_AFTER_MS,
+        finished = stream.end_without_final(attempt.dispatch.request_id)
+        if finished is not None:
+            attempt.failure = None
+            self._metrics.count("online_ends_without_final")
+            yield finished
+
+    def _note_failure(
+        self,
+        request: OnlineRequest,
+        attempt: Attempt,
+        target: TargetView,
+        progress: Progress,
+        max_attempts: int,
+    ) -> None:
+        """Prepare the next attempt.
+
+        :raises RefusedError: if there is none.
+        """
+        failure = attempt.failure
+        progress.failure = failure
+        progress.has_run = progress.has_run or failure.execution is not Execution.NOT_RUN
+        progress.is_suspect = progress.is_suspect or failure.code in CRASH_CODES
+        progress.buffered.clear()
+        stream = progress.stream
+        can_resume = target.kind == "engine" and stream.can_resume
+        state = AttemptState(
+            failure.code, failure.execution, request.is_repeatable, stream.count > 0, can_resume
         )
-        is_safe = execution is Execution.NOT_RUN or self._request.is_repeatable
-        self.may_retry = is_safe and not has_chunks
+        if next_step(state) is NextStep.GIVE_UP or progress.attempts >= max_attempts:
+            raise self._give_up(request, progress)
+        if failure.code in STALE_CODES:
+            self._catch_up(target, attempt.settings_revision, request.deadline_ms)
+            return
+        progress.excluded |= {target.target_id}
+        ratio = self._settings.current().for_model(request.model).retry_budget_ratio
+        if not self._budget.try_retry(ratio, self._clock.monotonic_ms()):
+            self._metrics.count("retry_budget_exhausted")
+            raise self._give_up(request, progress)
+        self._metrics.count("online_resumed" if stream.count else "online_retries")
+
+    def _give_up(self, request: OnlineRequest, progress: Progress) -> RefusedError:
+        error = progress.error
+        if request.deadline_ms <= self._clock.monotonic_ms():
+            code = ResultCode.DEADLINE_EXCEEDED
+            if error.execution is Execution.NOT_RUN:
+                code = ResultCode.DEADLINE_UNREACHABLE
+            error = RefusedError(error.detail, code=code, execution=error.execution)
+        self._log.event(
+            "online_given_up",
+            trace_id=request.trace_id,
+            code=int(error.code),
+            execution=error.execution.value,
+            attempts=progress.attempts,
+        )
+        return final_error(error, request.is_repeatable, bool(request.idempotency_key))
+
+    def _catch_up(self, target: TargetView, revision: int, deadline_ms: float) -> None:
+        """Wait until the agent and this entry have the same settings; a ping makes them compare."""
+        self._link.post(SendToAgent(target.target_id, Ping(self._settings.current().revision)))
+        end_ms = min(deadline_ms, self._clock.monotonic_ms() + STALE_WAIT_MS)
+        self._clock.sleep_ms(STALE_PAUSE_MS)
+        while self._settings.current().revision < revision:
+            if self._clock.monotonic_ms() >= end_ms:
+                return
+            self._clock.sleep_ms(STALE_PAUSE_MS)
+
+
+def _accept(message: Chunk | Finished, stream: AnswerStream) -> Chunk | Finished:
+    """Turn a message of an attempt into one of the whole answer.
+
+    :raises TargetError: if the answer is no complete stream of events.
+    """
+    if isinstance(message, Chunk):
+        sequence = stream.count
+        return Chunk(message.request_id, sequence, stream.accept(message.data))
+    if message.http_status != HTTP_OK:
+        raise TargetError(f"status {message.http_status}")
+    if not stream.has_finish_reason:
+        raise TargetError("the stream has no finish reason")
+    return replace(message, chunk_count=stream.count)
+
+
+def _buffer(message: Chunk | Finished, progress: Progress) -> Iterator[Chunk | Finished]:
+    if isinstance(message, Chunk):
+        progress.buffered.append(message)
+        return
+    yield from progress.buffered
+    yield message
--- /dev/null
+++ b/ebonyshore/online_attempt.py
@@ -0,0 +1,177 @@
+"""One dispatch of an online request."""
+
+from collections.abc import Callable, Iterator
+from uuid import uuid4
+
+from msgspec import Struct
+
+from ebonyshore.agent_link import AgentLink, SendCancel, SendDispatch
+from ebonyshore.clock import Clock
+from ebonyshore.errors import RefusedError
+from ebonyshore.membership import TargetView
+from ebonyshore.messages import (
+    Chunk,
+    Dispatch,
+    Failed,
+    Finished,
+    Refused,
+    RequestMessage,
+    WorkClass,
+)
+from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.task import Mailbox
+
+CANCEL_WAIT_MS = 250.0
+CALLER_CHECK_INTERVAL_MS = 250.0
+
+
+class OnlineRequest(Struct, frozen=True):
+    """An admitted request.
+
+    :param trace_id: follows the request through all logs.
+    :param deadline_ms: monotonic time of the entry's clock.
+    :param is_stream: whether the target answers with an event stream.
+    :param idempotency_key: empty if the caller gave none.
+    :param has_deadline: whether the caller named the deadline itself.
+    """
+
+    trace_id: str
+    caller: str
+    model: str
+    path: str
+    body: bytes
+    content_digest: str
+    head_digest: str
+    deadline_ms: float
+    is_repeatable: bool = True
+    is_stream: bool = True
+    idempotency_key: str = ""
+    has_deadline: bool = False
+
+
+class AttemptPlan(Struct, frozen=True):
+    """Where and how a request is dispatched.
+
+    :param resume_text: answer so far, to be continued.
+    """
+
+    target: TargetView
+    settings_revision: int
+    is_suspect: bool = False
+    resume_text: str = ""
+
+
+class Attempt:
+    """After :meth:`messages` is exhausted, ``failure`` tells why the attempt failed, if it did.
+
+    :param is_caller_gone: asked now and then; when true, the request is cancelled.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_end_ms",
+        "_is_caller_gone",
+        "_is_late",
+        "_link",
+        "_mailbox",
+        "_plan",
+        "dispatch",
+        "failure",
+        "settings_revision",
+    )
+
+    def __init__(
+        self,
+        link: AgentLink,
+        clock: Clock,
+        request: OnlineRequest,
+        plan: AttemptPlan,
+        is_caller_gone: Callable[[], bool],
+    ) -> None:
+        self._link = link
+        self._clock = clock
+        self._plan = plan
+        self._is_caller_gone = is_caller_gone
+        self._end_ms = request.deadline_ms
+        self._is_late = False
+        self._mailbox: Mailbox[RequestMessage] = Mailbox(clock)
+        self.failure: RefusedError | None = None
+        self.settings_revision = 0
+        self.dispatch = _make_dispatch(request, plan, clock.monotonic_ms())
+
+    def messages(self) -> Iterator[Chunk | Finished]:
+        """Dispatch the request and yield its answer.
+
+        :raises RefusedError: with ``CANCELLED`` if the caller is gone.
+        """
+        target_id = self._plan.target.target_id
+        self._link.post(SendDispatch(target_id, self.dispatch, self._mailbox, self._end_ms))
+        is_ended = False
+        try:
+            while not is_ended:
+                message = self._take()
+                is_ended = not isinstance(message, Chunk)
+                if isinstance(message, Chunk | Finished):
+                    yield message
+                else:
+                    self.failure = self._failure_of(message)
+        finally:
+            if not is_ended:
+                self._cancel()
+
+    def _take(self) -> RequestMessage | None:
+        """Return the next message, or ``None`` if the agent does not answer the cancel either."""
+        while True:
+            left_ms = self._end_ms - self._clock.monotonic_ms()
+            if left_ms <= 0 and not len(self._mailbox):
+                if self._is_late:
+                    return None
+                self._is_late = True
+                self._end_ms = self._clock.monotonic_ms() + CANCEL_WAIT_MS
+                self._cancel()
+                continue
+            message = self._mailbox.take(min(max(left_ms, 0.0), CALLER_CHECK_INTERVAL_MS))
+            if message is not None:
+                return message
+            if self._is_caller_gone():
+                raise RefusedError("the caller is gone", code=ResultCode.CANCELLED)
+
+    def _cancel(self) -> None:
+        self._link.post(SendCancel(self._plan.target.target_id, self.dispatch.request_id))
+
+    def _failure_of(self, message: Refused | Failed | None) -> RefusedError:
+        if message is None:
+            return RefusedError(code=ResultCode.DEADLINE_EXCEEDED, execution=Execution.MAYBE_RUN)
+        if isinstance(message, Refused):
+            self.settings_revision = message.settings_revision
+            code, execution = message.code, Execution.NOT_RUN
+            retry_after_ms = message.retry_after_ms or None
+        else:
+            code, execution, retry_after_ms = message.code, message.execution, None
+        if self._is_late and execution is Execution.NOT_RUN:
+            code = ResultCode.DEADLINE_UNREACHABLE
+        elif self._is_late:
+            code = ResultCode.DEADLINE_EXCEEDED
+        return RefusedError(
+            message.detail, code=code, execution=execution, retry_after_ms=retry_after_ms
+        )
+
+
+def _make_dispatch(request: OnlineRequest, plan: AttemptPlan, now_ms: float) -> Dispatch:
+    return Dispatch(
+        uuid4().hex,
+        "",
+        WorkClass.ONLINE,
+        request.path,
+        request.body,
+        request.deadline_ms - now_ms,
+        request.content_digest,
+        plan.settings_revision,
+        caller=request.caller,
+        model=request.model,
+        is_repeatable=request.is_repeatable,
+        is_suspect=plan.is_suspect,
+        is_stream=request.is_stream,
+        trace_id=request.trace_id,
+        resume_text=plan.resume_text,
+    )
--- a/ebonyshore/openai_api.py
+++ b/ebonyshore/openai_api.py
@@ -3,7 +3,7 @@
 from hashlib import sha256
 from typing import Any
 
-from msgspec import DecodeError, Struct, ValidationError
+from msgspec import DecodeError, Raw, Struct, ValidationError
 from msgspec.json import Decoder, decode, encode
 
 from ebonyshore.errors import EbonyshoreError, RequestError, TargetError
@@ -13,6 +13,7 @@
 COMPLETIONS_PATH = "/v1/completions"
 GENERATION_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
 DIGEST_CHARS = 32
+ABORT_REASON = "abort"
 
 
 class GenerationBody(Struct):
@@ -44,6 +45,9 @@
 
 class _Delta(Struct):
     content: str | None = None
+    tool_calls: Raw = Raw()
+    function_call: Raw = Raw()
+    refusal: str | None = None
 
 
 class _Choice(Struct):
@@ -51,6 +55,16 @@
     finish_reason: str | None = None
     text: str | None = None
     delta: _Delta | None = None
+    logprobs: Raw = Raw()
+
+    def has_more_than_text(self) -> bool:
+        """Return whether the choice carries more than text, which a resumption would lose."""
+        raws = [self.logprobs]
+        if self.delta is not None:
+            raws += [self.delta.tool_calls, self.delta.function_call]
+            if self.delta.refusal:
+                return True
+        return any(bytes(raw) not in (b"", b"null") for raw in raws)
 
 
 class StreamEvent(Struct):
@@ -60,6 +74,8 @@
     model: str = ""
     created: int = 0
     choices: list[_Choice] = []
+    usage: Usage | None = None
+    error: Raw = Raw()
 
     def text(self) -> str:
         """Return the generated text in the event."""
--- /dev/null
+++ b/tests/online_setup.py
@@ -0,0 +1,71 @@
+"""The real online service with scripted agents, on one thread and a paused clock."""
+
+from collections.abc import Callable
+
+from ebonyshore.logs import EventLog
+from ebonyshore.membership import Membership
+from ebonyshore.messages import Chunk, Finished
+from ebonyshore.metrics import Metrics
+from ebonyshore.online import OnlineService
+from ebonyshore.online_attempt import OnlineRequest
+from ebonyshore.openai_api import decode_event
+from ebonyshore.platform_api import Instance
+from ebonyshore.routing import Router
+from ebonyshore.settings_service import SettingsService
+from ebonyshore_standins.event_clock import EventClock
+from ebonyshore_standins.scripted_agents import ScriptedAgent, ScriptedLink, answer_whole
+
+MODEL = "reader"
+
+
+class OnlineSetup:
+    """An entry's online path with agents ``t0``, ``t1``…, one for each script."""
+
+    def __init__(self, *scripts: list[Callable], kind: str = "engine") -> None:
+        self.clock = EventClock(1_000.0)
+        self.metrics = Metrics()
+        log = EventLog()
+        self.membership = Membership()
+        self.settings = SettingsService(log)
+        self.link = ScriptedLink(self.membership, self.clock, self.metrics, log)
+        self.service = OnlineService(
+            self.link,
+            self.membership,
+            self.settings,
+            Router("a"),
+            self.clock,
+            self.metrics,
+            log,
+        )
+        self.agents = []
+        for number, script in enumerate(scripts or ([answer_whole], [answer_whole])):
+            domain = "ab"[number % 2]
+            agent = ScriptedAgent(
+                Instance(f"t{number}", "target", f"tcp://{number}", "r", domain, "live", (MODEL,)),
+                self.clock,
+                script,
+                kind,
+            )
+            self.agents.append(agent)
+            self.link.add(agent)
+        self.clock.sleep_ms(10)
+
+    def request(self, **changes: object) -> OnlineRequest:
+        fields: dict[str, object] = {
+            "trace_id": "t",
+            "caller": "c",
+            "model": MODEL,
+            "path": "/v1/completions",
+            "body": b"{}",
+            "content_digest": "content",
+            "head_digest": "head",
+            "deadline_ms": self.clock.monotonic_ms() + 5_000,
+        }
+        return OnlineRequest(**{**fields, **changes})
+
+    def dispatches(self) -> int:
+        return sum(len(agent.dispatches) for agent in self.agents)
+
+
+def text_of(messages: list[Chunk | Finished]) -> str:
+    return "".join(decode_event(m.data).text() for m in messages if isinstance(m, Chunk))
