Add idempotency records

Cause: an Idempotency-Key was read and then ignored for online requests, so a resend ran again.

A key is claimed with one conditional create before dispatch and completed with one update.

Ruled out: delivering a result that could not be recorded, because a resend could then get another one; deleting the record of a try that did not run, because a delayed copy of the create would leave a claim that nobody runs.

--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -16,6 +16,8 @@
 from ebonyshore.kernel import Kernel
 from ebonyshore.membership import Membership
 from ebonyshore.messages import CrashReport, SettingsRequest, SettingsSnapshot, Welcome
+from ebonyshore.once import OnceStore
+from ebonyshore.once_run import OnceService
 from ebonyshore.online import OnlineService
 from ebonyshore.routing import Router
 from ebonyshore.settings_service import SettingsService, SettingsWatcher
@@ -143,8 +145,14 @@
         environment.metrics,
         environment.log,
     )
+    records = OnceStore(
+        environment.store,
+        environment.clock,
+        lambda: settings.current().root().idempotency_expiry_ms,
+    )
+    once = OnceService(online, records, environment.clock, environment.metrics)
     batch = BatchApi(environment.job_store(), settings, environment.clock)
-    api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
+    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
     http = environment.settings.http
     return EntryHttpService(
         api, http.listen_address, http.port, http.worker_threads, http.max_request_bytes
--- a/ebonyshore/http_api.py
+++ b/ebonyshore/http_api.py
@@ -19,7 +19,8 @@
 from ebonyshore.logs import EventLog
 from ebonyshore.messages import Chunk, Finished
 from ebonyshore.metrics import Metrics
-from ebonyshore.online import OnlineService, caller_stays
+from ebonyshore.once_run import OnceService
+from ebonyshore.online import caller_stays
 from ebonyshore.online_attempt import OnlineRequest
 from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, parse_generation
 from ebonyshore.result_codes import ResultCode
@@ -65,7 +66,7 @@
 
     def __init__(
         self,
-        online: OnlineService,
+        online: OnceService,
         batch: BatchApi,
         settings: SettingsService,
         clock: Clock,
@@ -142,6 +143,7 @@
             True,
             headers.idempotency_key,
             headers.deadline_left_ms is not None,
+            generation.is_stream,
         )
         messages = self._online.run(online_request, _disconnect_check(request))
         if generation.is_stream:
@@ -170,6 +172,7 @@
             False,
             headers.idempotency_key,
             headers.deadline_left_ms is not None,
+            False,
         )
         parts = []
         for message in self._online.run(online_request, _disconnect_check(request)):
--- a/ebonyshore/online_attempt.py
+++ b/ebonyshore/online_attempt.py
@@ -33,6 +33,7 @@
     :param is_stream: whether the target answers with an event stream.
     :param idempotency_key: empty if the caller gave none.
     :param has_deadline: whether the caller named the deadline itself.
+    :param is_passed_on: whether the caller gets the chunks as they come.
     """
 
     trace_id: str
@@ -47,6 +48,7 @@
     is_stream: bool = True
     idempotency_key: str = ""
     has_deadline: bool = False
+    is_passed_on: bool = True
 
 
 class AttemptPlan(Struct, frozen=True):
--- a/ebonyshore/settings_tree.py
+++ b/ebonyshore/settings_tree.py
@@ -39,6 +39,7 @@
     :param caller_requests_per_s: limit of each caller's online requests.
     :param caller_burst_requests: online requests that a caller may send at once.
     :param caller_weight: share of the caller under overload.
+    :param idempotency_expiry_ms: how long the result of an idempotency key is kept.
     :param suspicion_expiry_ms: how long content stays suspected or convicted.
     :param engine_base_step_ms: estimated engine step time with one sequence.
     :param engine_sequence_step_ms: estimated additional step time of each further sequence.
@@ -54,6 +55,7 @@
     caller_requests_per_s: Rate = 100.0
     caller_burst_requests: Count = 200
     caller_weight: Rate = 1.0
+    idempotency_expiry_ms: DurationMs = 86_400_000.0
     suspicion_expiry_ms: DurationMs = 600_000.0
     engine_base_step_ms: DurationMs = 8.0
     engine_sequence_step_ms: DurationMs = 0.3
--- /dev/null
+++ b/tests/test_once_run.py
@@ -0,0 +1,88 @@
+"""Requests with an idempotency key through the online service."""
+
+import pytest
+
+from ebonyshore.errors import RefusedError
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore.messages import Dispatch, Finished
+from ebonyshore.once import OnceStore
+from ebonyshore.once_run import OnceService
+from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+from ebonyshore_standins.scripted_agents import TOKENS, ScriptedAgent, send_chunks
+from tests.online_setup import OnlineSetup, text_of
+
+WHOLE = "".join(TOKENS)
+
+
+class KeyedSetup(OnlineSetup):
+    def __init__(self, *scripts: list) -> None:
+        super().__init__(*scripts)
+        self.platform = MemoryPlatform(self.clock)
+        store = OnceStore(MarkedStore(self.platform, self.clock), self.clock, lambda: 3_600_000)
+        self.once = OnceService(self.service, store, self.clock, self.metrics)
+
+    def run(self, **changes: object) -> list:
+        return list(self.once.run(self.request(idempotency_key="k", **changes)))
+
+
+@pytest.mark.parametrize("is_passed_on", [True, False])
+def test_resend_gets_the_same_stream_without_a_second_run(is_passed_on: bool) -> None:
+    setup = KeyedSetup()
+    first = setup.run(is_passed_on=is_passed_on)
+    again = setup.run(is_passed_on=is_passed_on)
+    assert [m.data for m in first[:-1]] == [m.data for m in again[:-1]]
+    assert text_of(again) == WHOLE
+    assert first[-1].usage == again[-1].usage
+    assert setup.dispatches() == 1
+
+
+def test_disconnected_caller_finds_the_result_later() -> None:
+    """Guards against an impatient caller that cancels its own request with each resend."""
+    setup = KeyedSetup()
+    messages = setup.once.run(setup.request(idempotency_key="k"))
+    next(messages)
+    messages.close()
+    assert text_of(setup.run()) == WHOLE
+    assert setup.dispatches() == 1
+
+
+def test_end_of_a_stream_waits_for_the_record() -> None:
+    """Guards against an answer that looks complete while a resend would run again."""
+    setup = KeyedSetup()
+    messages = setup.once.run(setup.request(idempotency_key="k", is_repeatable=False))
+    next(messages)
+    setup.platform.set_faults(PlatformFaults(is_down=True))
+    with pytest.raises(RefusedError) as refusal:
+        list(messages)
+    assert refusal.value.execution is Execution.RUN
+    assert refusal.value.retry_after_ms
+
+
+def test_short_outage_at_the_end_is_waited_out() -> None:
+    setup = KeyedSetup()
+    messages = setup.once.run(setup.request(idempotency_key="k"))
+    next(messages)
+    setup.platform.set_faults(PlatformFaults(is_down=True))
+    setup.clock.call_later(700, lambda: setup.platform.set_faults(PlatformFaults()))
+    assert isinstance(list(messages)[-1], Finished)
+
+
+def test_no_repeat_request_that_may_have_run_is_closed() -> None:
+    def die(agent: ScriptedAgent, dispatch: Dispatch) -> None:
+        send_chunks(agent, dispatch, 1)
+        agent.is_silent = True
+
+    setup = KeyedSetup([die])
+    for _ in range(2):
+        with pytest.raises(RefusedError) as refusal:
+            setup.run(is_repeatable=False)
+        assert refusal.value.execution is Execution.MAYBE_RUN
+    assert refusal.value.code is ResultCode.OUTCOME_UNKNOWN
+    assert setup.dispatches() == 1
+
+
+def test_request_without_a_key_costs_no_call() -> None:
+    setup = KeyedSetup()
+    list(setup.once.run(setup.request(is_repeatable=False)))
+    assert not setup.platform.calls
