--- a/ebonyshore/routing.py
+++ b/ebonyshore/routing.py
@@ -17,7 +17,8 @@
 CANDIDATE_COUNT = 2
 NEAR_TIE = 0.1
 SLOW_STEP_RATIO = 4.0
-WIDE_LOAD = 0.9
+OVERFLOW_RATIO = 1.25
+OVERFLOW_FLOOR = 0.1
 KNOWN_SAFE_CONTENTS = 20_000
 SUSPECT_HOLD_MS = 5_000.0
 
@@ -78,14 +79,26 @@
     return requests / max(1, load.max_running)
 
 
-def choose_least(targets: list[TargetView], failure_domain: str) -> TargetView | None:
-    """Return the least loaded target; a near tie goes to the local failure domain."""
+def mean_load(targets: Iterable[TargetView]) -> float:
+    """Return the mean load of the connected targets; 0 if there is none."""
+    loads = [load_of(target) for target in targets if target.is_connected]
+    return sum(loads) / len(loads) if loads else 0.0
+
+
+def choose_least(
+    targets: list[TargetView], failure_domain: str, unknown_load: float = 0.0
+) -> TargetView | None:
+    """Return the least loaded target; a near tie goes to the local failure domain.
+
+    :param unknown_load: taken for targets without a connection, whose last report is old.
+    """
     if not targets:
         return None
-    least = min(load_of(target) for target in targets)
-    near = [target for target in targets if load_of(target) <= least + NEAR_TIE]
+    loads = {t.target_id: load_of(t) if t.is_connected else unknown_load for t in targets}
+    least = min(loads.values())
+    near = [target for target in targets if loads[target.target_id] <= least + NEAR_TIE]
     local = [target for target in near if target.failure_domain == failure_domain]
-    return min(local or near, key=load_of)
+    return min(local or near, key=lambda target: loads[target.target_id])
 
 
 def is_slow(target: TargetView, typical_step_ms: float) -> bool:
@@ -113,15 +126,17 @@
             serving = [target for target in serving if target.kind == "engine"]
         typical_ms = membership.typical_step_ms(request.model)
         reach = self._usable(candidates(request.head_digest, serving), request, typical_ms, now_ms)
-        best = choose_least(reach, self._failure_domain)
-        if best is not None and load_of(best) < WIDE_LOAD:
+        mean = mean_load(serving)
+        best = choose_least(reach, self._failure_domain, mean)
+        if best is not None and load_of(best) <= mean * OVERFLOW_RATIO + OVERFLOW_FLOOR:
             return best
         if not self.is_safe(request):
             return best
-        order = ranked(request.head_digest, serving)
-        usable = self._usable(order, request, typical_ms, now_ms)
-        roomy = [target for target in usable if load_of(target) < WIDE_LOAD]
-        return choose_least(roomy[:CANDIDATE_COUNT], self._failure_domain) or best
+        # Hashing the content spreads the overflow of a popular head over all targets, so that the
+        # entries do not all run to the same third one.
+        spread = candidates(request.content_digest, serving)
+        further = self._usable(spread, request, typical_ms, now_ms)
+        return choose_least([*reach, *further], self._failure_domain, mean)
 
     def record_completed(self, content_digest: str, head_digest: str) -> None:
         """Remember that the content has run to its end, and so may go to any target."""
--- /dev/null
+++ b/tools/measure_membership.py
@@ -0,0 +1,58 @@
+"""Measures what a change of one target costs the entry's link, and a choice its workers.
+
+.venv/bin/python -m tools.measure_membership
+"""
+
+from time import perf_counter
+
+from msgspec.structs import replace
+
+from ebonyshore.membership import Membership, TargetView
+from ebonyshore.messages import Load
+from ebonyshore.routing import Router, RouteRequest
+
+ROUNDS = 2_000
+MODELS = 7
+
+
+def main() -> None:
+    """Print one line for each number of targets."""
+    print("targets  publish one view, us  replace and copy all, us  choose, us")
+    for count in (10, 100, 860):
+        membership = Membership()
+        for number in range(count):
+            membership.set_view(_view(number))
+        each = membership.find("t0")
+        started_s = perf_counter()
+        for number in range(ROUNDS):
+            membership.set_view(replace(each, in_flight=number))
+        publish_us = (perf_counter() - started_s) / ROUNDS * 1e6
+        views = dict(membership.targets())
+        rounds = ROUNDS // 20
+        started_s = perf_counter()
+        for _ in range(rounds):
+            dict({key: replace(v, in_flight=1, in_flight_batch=0) for key, v in views.items()})
+        rebuild_us = (perf_counter() - started_s) / rounds * 1e6
+        router = Router("a")
+        started_s = perf_counter()
+        for number in range(rounds):
+            router.choose(RouteRequest("m0", f"c{number}", f"h{number}"), membership, 0.0)
+        choose_us = (perf_counter() - started_s) / rounds * 1e6
+        print(f"{count:7}  {publish_us:20.1f}  {rebuild_us:24.1f}  {choose_us:10.1f}")
+
+
+def _view(number: int) -> TargetView:
+    return TargetView(
+        f"t{number}",
+        "",
+        "r",
+        "abc"[number % 3],
+        (f"m{number % MODELS}",),
+        incarnation="i",
+        is_connected=True,
+        load=Load(1, max_running=10, step_ms=8.0),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/simulate_routing.py
@@ -0,0 +1,155 @@
+"""Compares routing rules by load imbalance and prefix hits, with lagging loads. Seeded.
+
+.venv/bin/python tools/simulate_routing.py
+"""
+
+import argparse
+from collections import OrderedDict
+from heapq import heappop, heappush
+from itertools import accumulate
+from random import Random
+from statistics import mean, quantiles
+
+from ebonyshore.membership import Membership, TargetView
+from ebonyshore.messages import Load
+from ebonyshore.routing import Router, RouteRequest, load_of
+
+MODEL = "m"
+REPORT_MS = 500.0
+SERVICE_MS = 2_000.0
+HIT_SAVING = 0.3
+CACHE_HEADS = 64
+HEADS = 5_000
+
+
+class Simulation:
+    """Entries with lagging views before targets with bounded prefix caches.
+
+    Heads are drawn by a Zipf law with exponent ``skew``; a request with a cached
+    head takes less time.
+    """
+
+    def __init__(
+        self, rule: str, targets: int, entries: int, load: float, skew: float, seed: int
+    ) -> None:
+        self.rule = rule
+        self.random = Random(seed)
+        self.targets = targets
+        self.room = 32
+        self.weights = list(accumulate((rank + 1) ** -skew for rank in range(HEADS)))
+        self.running = [0] * targets
+        self.caches: list[OrderedDict[int, None]] = [OrderedDict() for _ in range(targets)]
+        self.views = [self._new_view() for _ in range(entries)]
+        self.routers = [Router("abc"[number % 3]) for number in range(entries)]
+        self.sent = [[0] * targets for _ in range(entries)]
+        self.rate_per_ms = load * targets * self.room / SERVICE_MS
+        self.hits = 0
+        self.requests = 0
+        self.samples: list[list[int]] = []
+
+    def run(self, requests: int) -> tuple[float, float, float, float]:
+        """Return imbalance (p99 and highest load over the mean), hit share, and queued share."""
+        events: list[tuple[float, int, int]] = []
+        now_ms, next_report_ms, queued = 0.0, 0.0, 0
+        for number in range(requests):
+            now_ms += self.random.expovariate(self.rate_per_ms)
+            while events and events[0][0] <= now_ms:
+                _, _, target = heappop(events)
+                self.running[target] -= 1
+            while next_report_ms <= now_ms:
+                self._report(next_report_ms)
+                next_report_ms += REPORT_MS / 5
+            head = self.random.choices(range(HEADS), cum_weights=self.weights)[0]
+            target = self._choose(head, number, now_ms)
+            is_hit = self._use_cache(target, head)
+            self.hits += is_hit
+            self.requests += 1
+            queued += self.running[target] >= self.room
+            self.running[target] += 1
+            mean_ms = SERVICE_MS * (1 - HIT_SAVING * is_hit)
+            duration_ms = self.random.expovariate(1 / mean_ms)
+            heappush(events, (now_ms + duration_ms, number, target))
+            if number > requests // 4 and number % 50 == 0:
+                self.samples.append(list(self.running))
+        ratios = [max(sample) / max(mean(sample), 0.01) for sample in self.samples]
+        p99s = [quantiles(s, n=100)[98] / max(mean(s), 0.01) for s in self.samples]
+        return mean(p99s), mean(ratios), self.hits / self.requests, queued / requests
+
+    def _new_view(self) -> Membership:
+        membership = Membership()
+        for number in range(self.targets):
+            view = TargetView(f"t{number}", "", "r", "abc"[number % 3], (MODEL,), incarnation="i")
+            membership.set_view(view)
+        return membership
+
+    def _report(self, now_ms: float) -> None:
+        """Each fifth of the entries hears from all targets; the others hear later."""
+        phase = int(now_ms / (REPORT_MS / 5)) % 5
+        for entry in range(phase, len(self.views), 5):
+            self.sent[entry] = [0] * self.targets
+            for number in range(self.targets):
+                self._set_view(entry, number, Load(self.running[number], max_running=self.room))
+
+    def _set_view(self, entry: int, number: int, load: Load | None) -> None:
+        view = self.views[entry].find(f"t{number}")
+        self.views[entry].set_view(
+            TargetView(
+                view.target_id,
+                "",
+                "r",
+                view.failure_domain,
+                view.models,
+                incarnation="i",
+                is_connected=True,
+                load=load or view.load,
+                in_flight=self.sent[entry][number],
+            )
+        )
+
+    def _choose(self, head: int, number: int, now_ms: float) -> int:
+        entry = number % len(self.views)
+        views = list(self.views[entry].targets().values())
+        if self.rule == "least of all":
+            chosen = min(views, key=load_of)
+        elif self.rule == "two random":
+            chosen = min(self.random.sample(views, 2), key=load_of)
+        else:
+            digest = f"head{head}"
+            request = RouteRequest(MODEL, f"{digest}-{number}", digest)
+            chosen = self.routers[entry].choose(request, self.views[entry], now_ms)
+            self.routers[entry].record_completed(request.content_digest, digest)
+        target = int(chosen.target_id[1:])
+        self.sent[entry][target] += 1
+        self._set_view(entry, target, None)
+        return target
+
+    def _use_cache(self, target: int, head: int) -> bool:
+        cache = self.caches[target]
+        is_hit = head in cache
+        cache[head] = None
+        cache.move_to_end(head)
+        if len(cache) > CACHE_HEADS:
+            cache.popitem(last=False)
+        return is_hit
+
+
+def main() -> None:
+    """Print one line for each rule and size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--requests", type=int, default=8_000)
+    arguments = parser.parse_args()
+    print("targets entries load skew  rule            p99/mean  max/mean  prefix hits  over room")
+    cases = [(10, 3, 0.5, 0.9), (10, 3, 0.8, 0.9), (60, 30, 0.5, 0.9), (60, 30, 0.8, 0.9)]
+    for targets, entries, load, skew in [*cases, (60, 30, 0.5, 1.5)]:
+        for rule in ("least of all", "two random", "two rendezvous"):
+            simulation = Simulation(rule, targets, entries, load, skew, arguments.seed)
+            p99, highest, hits, queued = simulation.run(arguments.requests)
+            print(
+                f"{targets:7} {entries:7} {load:4} {skew:4}  {rule:15} {p99:8.2f}  {highest:8.2f}"
+                f"  {hits:11.3f}  {queued:9.4f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
