--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -24,9 +24,12 @@
     SettingsSnapshot,
     Welcome,
 )
+from ebonyshore.once import OnceStore
+from ebonyshore.once_run import OnceService
 from ebonyshore.online import OnlineService
 from ebonyshore.platform_api import Instance
 from ebonyshore.ready_gate import ReadyGate
+from ebonyshore.routing import Router
 from ebonyshore.settings_admin import add_settings_paths
 from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
 from ebonyshore.settings_store import SettingsHead
@@ -168,13 +171,19 @@
         link,
         membership,
         settings,
-        environment.settings.instance.failure_domain,
+        Router(environment.settings.instance.failure_domain),
         environment.clock,
         environment.metrics,
         environment.log,
     )
+    records = OnceStore(
+        environment.store,
+        environment.clock,
+        lambda: settings.current().root().idempotency_expiry_ms,
+    )
+    once = OnceService(online, records, environment.clock, environment.metrics)
     batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
-    api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
+    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
     http = environment.settings.http
     return EntryHttpService(
         api,
