Add the bench with baselines for the scheduler

The bench runs the same seeded online traffic against real processes, once for each policy, and reports ratios to online alone and to idle capacity.

The agents get a 'policy' setting that picks the decision function, so that the baselines run on the same code path. The engine stand-in keeps a record of each step, from which the batch rate and the time to yield are worked out.

--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -9,6 +9,7 @@
 
 from ebonyshore.agent_admission import AgentView, check_admission, is_permitted
 from ebonyshore.agent_server import AgentServer, Broadcast, Outgoing, PeerLost, StatusChanged
+from ebonyshore.baseline_policies import make_decide
 from ebonyshore.clock import Clock
 from ebonyshore.engine import Engine, PlainService
 from ebonyshore.errors import TargetError
@@ -28,7 +29,7 @@
 from ebonyshore.metrics import Metrics
 from ebonyshore.process_settings import TargetSettings
 from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.scheduler import Decision, SchedulerState, decide
+from ebonyshore.scheduler import Decision, SchedulerState
 from ebonyshore.settings_service import SettingsService
 from ebonyshore.suspicion import SuspicionTable
 from ebonyshore.target_run import RunEnded, RunOutcome, TargetRun, run_on_target
@@ -86,6 +87,7 @@
         self._server = server
         self._settings = settings
         self._max_running = target_settings.max_running
+        self._decide = make_decide(target_settings.policy)
         self._incarnation = incarnation
         self._models = tuple(target_settings.models)
         self._metrics = metrics
@@ -157,7 +159,7 @@
         (self._online if run.is_online else self._batch).append(run)
 
     def _schedule(self) -> None:
-        decision = decide(self._scheduler_state())
+        decision = self._decide(self._scheduler_state())
         self._preempt(decision)
         for _ in range(decision.start_online):
             self._start(self._online.popleft())
--- a/ebonyshore/process_settings.py
+++ b/ebonyshore/process_settings.py
@@ -109,6 +109,8 @@
     :param models: models (or the service's name) that the target serves when the agent starts.
     :param max_running: most requests in the target at one time.
     :param does_check_fencing: whether the target itself refuses an old fencing number.
+    :param policy: ``policy`` schedules by the tier's weighting; the others are baselines for
+        measurements only.
     """
 
     port: Port
@@ -118,6 +120,7 @@
     kind: Literal["engine", "service"] = "engine"
     max_running: Annotated[int, Meta(ge=1, le=4096)] = 32
     does_check_fencing: bool = False
+    policy: Literal["policy", "first_come", "static_split"] = "policy"
 
 
 class BatchSettings(Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/ebonyshore_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, comparison of scheduling policies, and capacity measurements."""
--- /dev/null
+++ b/ebonyshore_bench/engine_steps.py
@@ -0,0 +1,97 @@
+"""What the engines' step records say about a run. Pure."""
+
+from bisect import bisect_left
+
+from msgspec import Struct
+
+from ebonyshore.clock import MS_PER_S
+from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL
+from ebonyshore_standins.engine_server import StepRecord
+
+SETTLE_FROM_MS = 100.0
+SETTLE_UNTIL_MS = 300.0
+YIELD_RATIO = 0.5
+
+
+class WindowUse(Struct, frozen=True):
+    """Use of one engine within a window; rates are in tokens/s, shares 0 to 1.
+
+    :param generated_batch_tokens: since the engine's start.
+    :param finished_batch_tokens: of these, in items that ended complete.
+    :param step_lag_ms: mean time by which a step took longer than the model asks for.
+    """
+
+    online_tokens_per_s: float
+    batch_tokens_per_s: float
+    busy_share: float
+    online_share: float
+    generated_batch_tokens: int
+    finished_batch_tokens: int
+    step_lag_ms: float
+
+
+def window_use(records: list[StepRecord], start_ms: float, end_ms: float) -> WindowUse:
+    """Return the use within a window."""
+    steps = [r for r in records if start_ms <= r.started_ms < end_ms]
+    duration_ms = end_ms - start_ms
+    online_steps = [r for r in steps if r.sequences.get(ONLINE_MODEL)]
+    return WindowUse(
+        _tokens(steps, ONLINE_MODEL) * MS_PER_S / duration_ms,
+        _tokens(steps, BATCH_MODEL) * MS_PER_S / duration_ms,
+        sum(r.step_ms for r in steps) / duration_ms,
+        sum(r.step_ms for r in online_steps) / duration_ms,
+        _tokens(records, BATCH_MODEL),
+        sum(r.finished_tokens.get(BATCH_MODEL, 0) for r in records),
+        _mean_lag_ms(steps),
+    )
+
+
+class Yield(Struct, frozen=True):
+    """How batch on one engine gave way to one burst.
+
+    :param batch_before: batch sequences in the last step before the arrival.
+    :param batch_after: batch sequences once settled, 100 to 300 ms after the arrival.
+    :param yield_ms: from the arrival to the start of the first step with no more than
+        ``batch_after``; ``None`` if batch kept more than half of its sequences.
+    :param bound_ms: time left of the running step at the arrival, plus 10 ms.
+    """
+
+    batch_before: int
+    batch_after: int
+    yield_ms: float | None
+    step_left_ms: float
+
+
+def find_yield(records: list[StepRecord], burst_ms: float) -> Yield | None:
+    """Return how batch yielded, or ``None`` if none was running at the arrival."""
+    index = bisect_left(records, burst_ms, key=lambda r: r.started_ms)
+    if not index or burst_ms - records[index - 1].started_ms > 2 * records[index - 1].step_ms:
+        return None
+    before = records[index - 1]
+    batch_before = before.sequences.get(BATCH_MODEL, 0)
+    settled = [
+        r.sequences.get(BATCH_MODEL, 0)
+        for r in records[index:]
+        if SETTLE_FROM_MS <= r.started_ms - burst_ms <= SETTLE_UNTIL_MS
+    ]
+    if not batch_before or not settled:
+        return None
+    batch_after = max(settled)
+    left_ms = max(0.0, before.started_ms + before.step_ms - burst_ms)
+    if batch_after > batch_before * YIELD_RATIO:
+        return Yield(batch_before, batch_after, None, left_ms)
+    yielded = next(r for r in records[index:] if r.sequences.get(BATCH_MODEL, 0) <= batch_after)
+    return Yield(batch_before, batch_after, yielded.started_ms - burst_ms, left_ms)
+
+
+def _tokens(records: list[StepRecord], model: str) -> int:
+    return sum(r.tokens.get(model, 0) for r in records)
+
+
+def _mean_lag_ms(steps: list[StepRecord]) -> float:
+    lags = [
+        later.started_ms - earlier.started_ms - earlier.step_ms
+        for earlier, later in zip(steps, steps[1:], strict=False)
+        if later.started_ms - earlier.started_ms < 2 * earlier.step_ms
+    ]
+    return sum(lags) / len(lags) if lags else 0.0
--- /dev/null
+++ b/ebonyshore_bench/overhead.py
@@ -0,0 +1,56 @@
+"""What our own processes add to a request, against the same request sent to the engine."""
+
+import tempfile
+from pathlib import Path
+
+from msgspec import Struct
+
+from ebonyshore_bench.load_client import Latency, Percentiles, stream_token_times
+from ebonyshore_bench.plan import ONLINE_MODEL
+from ebonyshore_bench.proc_stat import read_use
+from ebonyshore_bench.traffic import chat_body
+from ebonyshore_standins.local_fleet import LocalFleet
+
+REQUESTS = 300
+PAUSE_MS = 5.0
+STEP_MS = 1.0
+
+
+class Overhead(Struct, frozen=True):
+    """Measured on an idle fleet, one request of one token at a time.
+
+    :param entry_cpu_ms: processor time of the entry for each request; likewise agent.
+    """
+
+    direct: Percentiles
+    through: Percentiles
+    entry_cpu_ms: float
+    agent_cpu_ms: float
+
+    @property
+    def added_p50_ms(self) -> float:
+        """Latency that entry and agent add at the median."""
+        return self.through.p50_ms - self.direct.p50_ms
+
+
+def measure_overhead(folder: Path) -> Overhead:
+    """Alternate requests to the engine and through the whole path."""
+    with tempfile.TemporaryDirectory(dir=folder) as name, LocalFleet(Path(name)) as fleet:
+        target = fleet.add_engine((ONLINE_MODEL,), parameters={"base_step_ms": STEP_MS})
+        entry = fleet.add_entry()
+        fleet.create_tier("care", (ONLINE_MODEL,))
+        direct, through = Latency(), Latency()
+        before = read_use(entry.process.pid), read_use(target.agent.pid)
+        for number in range(REQUESTS):
+            body = chat_body(ONLINE_MODEL, f"question {number}", 1, is_stream=True)
+            for port, latency in ((target.target_port, direct), (entry.port, through)):
+                start_ms = fleet.clock.monotonic_ms()
+                times_ms = stream_token_times(port, body, fleet.clock)
+                latency.record_ms(times_ms[0] - start_ms)
+                fleet.clock.sleep_ms(PAUSE_MS)
+        after = read_use(entry.process.pid), read_use(target.agent.pid)
+        cpu_ms = [
+            (late.cpu_ms - early.cpu_ms) / REQUESTS
+            for early, late in zip(before, after, strict=True)
+        ]
+        return Overhead(direct.percentiles(), through.percentiles(), *cpu_ms)
--- /dev/null
+++ b/ebonyshore_bench/report.py
@@ -0,0 +1,195 @@
+"""The report of a bench: ratios, goals met or not, and the Markdown text. Pure."""
+
+from msgspec import Struct
+
+from ebonyshore_bench.load_client import Percentiles
+from ebonyshore_bench.overhead import Overhead
+from ebonyshore_bench.plan import BenchPlan
+from ebonyshore_bench.variants import VariantResult
+
+LATENCY_RATIO_GOAL = 1.05
+THROUGHPUT_GOAL = 0.95
+YIELD_MARGIN_MS = 10.0
+ADDED_LATENCY_GOAL_MS = 1.0
+
+
+class Goal(Struct, frozen=True):
+    """One goal with its measured figure; ``is_met`` is ``None`` if nothing was measured."""
+
+    name: str
+    figure: str
+    is_met: bool | None
+
+    def line(self) -> str:
+        """Return a row of the goals' table."""
+        verdict = {True: "met", False: "**not met**", None: "not measured"}[self.is_met]
+        return f"| {self.name} | {self.figure} | {verdict} |"
+
+
+class BenchReport(Struct, frozen=True):
+    """All results of one bench."""
+
+    plan: BenchPlan
+    results: dict[str, VariantResult]
+    overhead: Overhead
+
+    def idle_tokens_per_s(self) -> float:
+        """Tokens/s left by online: all that batch alone reaches, less online's own tokens."""
+        alone = self.results["batch_alone"].batch_tokens_per_s
+        return alone - self.results["online_alone"].online_tokens_per_s
+
+    def idle_time_tokens_per_s(self) -> float:
+        """Tokens/s in the time in which no online request runs, at the rate of batch alone."""
+        alone = self.results["batch_alone"].batch_tokens_per_s
+        shares = [engine.online_share for engine in self.results["online_alone"].engines]
+        return alone * (1 - sum(shares) / len(shares))
+
+    def batch_ratio(self, name: str) -> float:
+        """Batch tokens/s of a variant as a ratio to the idle capacity."""
+        return ratio(self.results[name].batch_tokens_per_s, self.idle_tokens_per_s())
+
+    def first_token_ratio(self, name: str) -> Percentiles:
+        """First-token percentiles as ratios to online alone."""
+        alone = self.results["online_alone"].first_token
+        return percentile_ratios(self.results[name].first_token, alone)
+
+    def interval_ratio(self, name: str) -> Percentiles:
+        """Inter-token percentiles as ratios to online alone."""
+        alone = self.results["online_alone"].token_interval
+        return percentile_ratios(self.results[name].token_interval, alone)
+
+
+def ratio(value: float, base: float) -> float:
+    """Return ``value / base``; infinite for a base of 0 or less."""
+    return value / base if base > 0 else float("inf")
+
+
+def percentile_ratios(value: Percentiles, base: Percentiles) -> Percentiles:
+    """Return the ratio of each percentile; the count is that of ``value``."""
+    return Percentiles(
+        value.count,
+        ratio(value.p50_ms, base.p50_ms),
+        ratio(value.p95_ms, base.p95_ms),
+        ratio(value.p99_ms, base.p99_ms),
+    )
+
+
+def late_yields(result: VariantResult) -> int:
+    """Return how many yields took longer than the rest of a step plus the margin, or failed."""
+    return sum(
+        found.yield_ms is None or found.yield_ms > found.step_left_ms + YIELD_MARGIN_MS
+        for found in result.yields
+    )
+
+
+def goals(report: BenchReport) -> list[Goal]:
+    """Return the goals of the design page with the measured figures."""
+    first = report.first_token_ratio("harm_first").p99_ms
+    interval = report.interval_ratio("harm_first").p99_ms
+    throughput = report.batch_ratio("throughput_first")
+    harm = report.results["harm_first"]
+    added_ms = report.overhead.added_p50_ms
+    return [
+        Goal("p99 first token, harm_first", f"{first:.3f}", first <= LATENCY_RATIO_GOAL),
+        Goal("p99 inter-token, harm_first", f"{interval:.3f}", interval <= LATENCY_RATIO_GOAL),
+        Goal(
+            "batch to idle capacity, throughput_first",
+            f"{throughput:.3f}",
+            throughput >= THROUGHPUT_GOAL,
+        ),
+        Goal(
+            "yielded within a step + 10 ms, harm_first",
+            f"{len(harm.yields) - late_yields(harm)} of {len(harm.yields)}",
+            late_yields(harm) == 0 if harm.yields else None,
+        ),
+        Goal("added latency, median", f"{added_ms:.2f} ms", added_ms < ADDED_LATENCY_GOAL_MS),
+    ]
+
+
+def markdown(report: BenchReport) -> str:
+    """Return the report as Markdown."""
+    lines = ["# Bench", "", f"Plan: `{report.plan}`", ""]
+    lines += ["| Goal | Measured | |", "| --- | --- | --- |"]
+    lines += [goal.line() for goal in goals(report)]
+    lines += ["", *_latency_table(report), "", *_batch_table(report), "", *_cost_table(report), ""]
+    lines += _overhead_lines(report.overhead)
+    return "\n".join(lines) + "\n"
+
+
+def _latency_table(report: BenchReport) -> list[str]:
+    rows = [
+        "## Online latency (ms) and ratio to online alone",
+        "",
+        "| Variant | answered | failed | first p50 | p95 | p99 | ratio p50 | p95 | p99 "
+        "| between p50 | p95 | p99 | ratio p50 | p95 | p99 |",
+        "| --- |" + " --- |" * 14,
+    ]
+    for name, result in report.results.items():
+        if not result.answered:
+            continue
+        cells = [name, str(result.answered), str(len(result.failures))]
+        cells += _cells(result.first_token, 1) + _cells(report.first_token_ratio(name), 2)
+        cells += _cells(result.token_interval, 1) + _cells(report.interval_ratio(name), 2)
+        rows.append(_row(cells))
+    return rows
+
+
+def _batch_table(report: BenchReport) -> list[str]:
+    rows = [
+        "## Batch",
+        "",
+        f"Idle capacity: {report.idle_tokens_per_s():.0f} tokens/s beside the online tokens; "
+        f"{report.idle_time_tokens_per_s():.0f} tokens/s in the time without online requests.",
+        "",
+        "| Variant | batch tokens/s | ratio to idle capacity | engines busy | yields | late "
+        "| yield p50 ms | yield max ms | preempted | unfinished tokens |",
+        "| --- |" + " --- |" * 9,
+    ]
+    for name, result in report.results.items():
+        if not result.batch_tokens_per_s:
+            continue
+        busy = sum(engine.busy_share for engine in result.engines) / len(result.engines)
+        times = sorted(y.yield_ms for y in result.yields if y.yield_ms is not None)
+        cells = [name, f"{result.batch_tokens_per_s:.0f}", f"{report.batch_ratio(name):.3f}"]
+        cells += [f"{busy:.3f}", str(len(result.yields)), str(late_yields(result))]
+        cells += [f"{times[len(times) // 2]:.1f}", f"{times[-1]:.1f}"] if times else ["–", "–"]
+        cells += [str(result.counters.get("batch_preempted", 0))]
+        cells += [f"{result.unfinished_ratio:.4f}"]
+        rows.append(_row(cells))
+    return rows
+
+
+def _cost_table(report: BenchReport) -> list[str]:
+    rows = [
+        "## Processor time (cores) and the bench's own lag (ms)",
+        "",
+        "| Variant | entries | agents | bench | send lag p99 | wake lag p99 | step lag mean |",
+        "| --- |" + " --- |" * 6,
+    ]
+    for name, result in report.results.items():
+        uses = (result.entry_cpu_ms, result.agent_cpu_ms, result.bench_cpu_ms)
+        cells = [name] + [f"{use / result.duration_ms:.3f}" for use in uses]
+        cells += [f"{result.send_lag.p99_ms:.2f}", f"{result.wake_lag.p99_ms:.2f}"]
+        lag_ms = sum(engine.step_lag_ms for engine in result.engines) / len(result.engines)
+        rows.append(_row([*cells, f"{lag_ms:.2f}"]))
+    return rows
+
+
+def _overhead_lines(overhead: Overhead) -> list[str]:
+    return [
+        "## Own cost of a request, idle fleet, one token",
+        "",
+        f"First token p50/p95/p99: direct {' / '.join(_cells(overhead.direct, 2))} ms, "
+        f"through entry and agent {' / '.join(_cells(overhead.through, 2))} ms. "
+        f"Processor time: entry {overhead.entry_cpu_ms:.2f} ms, "
+        f"agent {overhead.agent_cpu_ms:.2f} ms a request.",
+    ]
+
+
+def _cells(percentiles: Percentiles, digits: int) -> list[str]:
+    values = (percentiles.p50_ms, percentiles.p95_ms, percentiles.p99_ms)
+    return [f"{value:.{digits}f}" for value in values]
+
+
+def _row(cells: list[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
--- /dev/null
+++ b/ebonyshore_bench/variants.py
@@ -0,0 +1,170 @@
+"""Runs one variant on a fresh fleet and collects its measurements."""
+
+import tempfile
+from http.client import HTTPConnection
+from pathlib import Path
+from subprocess import TimeoutExpired
+
+from msgspec import Struct
+from msgspec.json import decode
+from openai import OpenAI
+
+from ebonyshore_bench.engine_steps import WindowUse, Yield, find_yield, window_use
+from ebonyshore_bench.load_client import LoadClient, Percentiles
+from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL, BenchPlan, Variant
+from ebonyshore_bench.proc_stat import read_use
+from ebonyshore_bench.traffic import make_arrivals, make_batch_lines
+from ebonyshore_standins.engine_server import StepRecord
+from ebonyshore_standins.local_fleet import LocalFleet, TargetProcess
+
+TIER = "care"
+ENTRY_STOP_TIMEOUT_S = 8
+
+
+class VariantResult(Struct, frozen=True):
+    """Measurements of one run.
+
+    :param engines: use of each engine within the window.
+    :param yields: one for each engine and burst with batch running at the burst's arrival.
+    :param entry_cpu_ms: processor time of all entries within the window; likewise agents, bench.
+    :param counters: of all agents, added up, at the end.
+    """
+
+    name: str
+    answered: int
+    failures: list[str]
+    first_token: Percentiles
+    token_interval: Percentiles
+    send_lag: Percentiles
+    wake_lag: Percentiles
+    engines: list[WindowUse]
+    yields: list[Yield]
+    entry_cpu_ms: float
+    agent_cpu_ms: float
+    bench_cpu_ms: float
+    duration_ms: float
+    counters: dict[str, int]
+
+    @property
+    def batch_tokens_per_s(self) -> float:
+        """Batch tokens of all engines."""
+        return sum(engine.batch_tokens_per_s for engine in self.engines)
+
+    @property
+    def online_tokens_per_s(self) -> float:
+        """Online tokens of all engines."""
+        return sum(engine.online_tokens_per_s for engine in self.engines)
+
+    @property
+    def unfinished_ratio(self) -> float:
+        """Share of the generated batch tokens that is not part of a complete item."""
+        generated = sum(engine.generated_batch_tokens for engine in self.engines)
+        finished = sum(engine.finished_batch_tokens for engine in self.engines)
+        return (generated - finished) / generated if generated else 0.0
+
+
+def run_variant(variant: Variant, plan: BenchPlan, folder: Path) -> VariantResult:
+    """Start a fleet, run the traffic, and stop the fleet."""
+    with tempfile.TemporaryDirectory(dir=folder) as name, LocalFleet(Path(name)) as fleet:
+        _start(fleet, variant, plan)
+        if variant.has_batch:
+            _submit_batch(fleet, plan)
+            fleet.clock.sleep_ms(plan.batch.warm_up_ms)
+        result = _measure(fleet, variant, plan)
+        stop_entries(fleet)
+        return result
+
+
+def stop_entries(fleet: LocalFleet) -> None:
+    """Stop the entries first, so that they can hand back their shards while agents run."""
+    for entry in fleet.entries:
+        entry.process.terminate()
+    for entry in fleet.entries:
+        try:
+            entry.process.wait(ENTRY_STOP_TIMEOUT_S)
+        except TimeoutExpired:
+            entry.process.kill()
+
+
+def read_steps(target: TargetProcess) -> list[StepRecord]:
+    """Return the step records of an engine."""
+    connection = HTTPConnection("127.0.0.1", target.target_port, timeout=10)
+    try:
+        connection.request("GET", "/steps")
+        return decode(connection.getresponse().read(), type=list[StepRecord])
+    finally:
+        connection.close()
+
+
+def _start(fleet: LocalFleet, variant: Variant, plan: BenchPlan) -> None:
+    engines = plan.engines
+    for _ in range(engines.count):
+        fleet.add_engine(
+            (ONLINE_MODEL, BATCH_MODEL),
+            parameters=engines.parameters(),
+            max_running=engines.max_running,
+            policy=variant.policy,
+        )
+    for _ in range(plan.entries):
+        fleet.add_entry()
+    fleet.create_tier(
+        TIER,
+        (ONLINE_MODEL, BATCH_MODEL),
+        weighting=variant.weighting,
+        engine_base_step_ms=engines.base_step_ms,
+        engine_sequence_step_ms=engines.sequence_step_ms,
+        token_interval_objective_ms=plan.token_interval_objective_ms,
+    )
+
+
+def _submit_batch(fleet: LocalFleet, plan: BenchPlan) -> None:
+    client = OpenAI(base_url=f"{fleet.entries[0].url}/v1", api_key="bench-caller")
+    lines = make_batch_lines(plan.batch, plan.traffic.seed)
+    upload = client.files.create(file=("plans.jsonl", lines), purpose="batch")
+    client.batches.create(
+        input_file_id=upload.id, endpoint="/v1/chat/completions", completion_window="24h"
+    )
+
+
+def _measure(fleet: LocalFleet, variant: Variant, plan: BenchPlan) -> VariantResult:
+    entry_pids = [entry.process.pid for entry in fleet.entries]
+    agent_pids = [target.agent.pid for target in fleet.targets]
+    before = _cpu_ms(entry_pids), _cpu_ms(agent_pids), _cpu_ms(["self"])
+    start_ms = fleet.clock.monotonic_ms()
+    end_ms = start_ms + plan.traffic.duration_ms
+    client = LoadClient([entry.port for entry in fleet.entries], fleet.clock)
+    arrivals = make_arrivals(plan.traffic) if variant.has_online else []
+    result = client.run(arrivals, start_ms)
+    fleet.clock.sleep_ms(end_ms - fleet.clock.monotonic_ms())
+    after = _cpu_ms(entry_pids), _cpu_ms(agent_pids), _cpu_ms(["self"])
+    duration_ms = fleet.clock.monotonic_ms() - start_ms
+    steps = [read_steps(target) for target in fleet.targets]
+    bursts_ms = result.burst_starts_ms.values()
+    yields = [find_yield(records, burst_ms) for records in steps for burst_ms in bursts_ms]
+    return VariantResult(
+        variant.name,
+        result.answered,
+        result.failures,
+        result.first_token.percentiles(),
+        result.token_interval.percentiles(),
+        result.send_lag.percentiles(),
+        result.wake_lag.percentiles(),
+        [window_use(records, start_ms, end_ms) for records in steps],
+        [found for found in yields if found is not None],
+        *(late - early for early, late in zip(before, after, strict=True)),
+        duration_ms,
+        _counters(fleet),
+    )
+
+
+def _cpu_ms(pids: list[int | str]) -> float:
+    return sum(read_use(pid).cpu_ms for pid in pids)
+
+
+def _counters(fleet: LocalFleet) -> dict[str, int]:
+    total: dict[str, int] = {}
+    for target in fleet.targets:
+        counters = target.admin.get("/admin/v1/dump")["metrics"]["counters"]
+        for name, value in counters.items():
+            total[name] = total.get(name, 0) + value
+    return total
--- a/ebonyshore_standins/engine_server.py
+++ b/ebonyshore_standins/engine_server.py
@@ -1,7 +1,7 @@
 """The stand-in engine as an HTTP server with an OpenAI-style streaming API."""
 
 import argparse
-from collections import deque
+from collections import Counter, deque
 from concurrent.futures import ThreadPoolExecutor
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from queue import Queue
@@ -16,11 +16,13 @@
     EngineCrashedError,
     EngineModel,
     EngineParameters,
+    Step,
     TokenEvent,
 )
 
 DEFAULT_MAX_TOKENS = 16
 LOAD_REPORT_LAG_MS = 200.0
+KEPT_STEPS = 50_000
 
 
 class StreamEnded:
@@ -63,6 +65,23 @@
     does_check_fencing: bool = False
 
 
+class StepRecord(Struct, frozen=True):
+    """One step as it was, for measurements; counts are by model.
+
+    :param started_ms: monotonic time, which all processes of an instance share.
+    :param step_ms: time the step takes by the model.
+    :param sequences: sequences in the step.
+    :param tokens: tokens generated in the step.
+    :param finished_tokens: tokens of the answers that ended complete in the step.
+    """
+
+    started_ms: float
+    step_ms: float
+    sequences: dict[str, int]
+    tokens: dict[str, int]
+    finished_tokens: dict[str, int]
+
+
 class EngineRunner:
     """Runs the model's steps in real time and hands tokens to the handlers."""
 
@@ -80,6 +99,8 @@
         self._changed = Condition()
         self._engine = EngineModel(parameters)
         self._queues: dict[str, Queue[TokenEvent | StreamEnded]] = {}
+        self._models_by_request: dict[str, str] = {}
+        self._step_records: deque[StepRecord] = deque(maxlen=KEPT_STEPS)
         self._loads: deque[tuple[float, int, int, float]] = deque([(0.0, 0, 0, 0.0)], maxlen=512)
         self._down_until_ms = 0.0
         self._executor = ThreadPoolExecutor(max_workers=1)
@@ -98,6 +119,7 @@
         queue: Queue[TokenEvent | StreamEnded] = Queue()
         with self._changed:
             self._queues[request_id] = queue
+            self._models_by_request[request_id] = body.model
             self._engine.submit(
                 request_id, body.prompt_text(), body.token_limit(), body.resume_text
             )
@@ -151,6 +173,7 @@
                     self._crash()
                     continue
                 self._record_load(step.duration_ms)
+                self._record_step(step)
             self._clock.sleep_ms(step.duration_ms)
             self._deliver(step.events)
 
@@ -161,6 +184,29 @@
         load = (self._clock.monotonic_ms(), len(engine.running), len(engine.waiting), step_ms)
         self._loads.append(load)
 
+    def _record_step(self, step: Step) -> None:
+        if not step.duration_ms:
+            return
+        models = self._models_by_request
+        sequences = Counter(models[s.request_id] for s in self._engine.running)
+        tokens: Counter[str] = Counter()
+        finished: Counter[str] = Counter()
+        for event in step.events:
+            model = models[event.request_id]
+            tokens[model] += bool(event.token)
+            if event.finish_reason == "stop":
+                sequences[model] += 1
+                finished[model] += event.completion_tokens
+        now_ms = self._clock.monotonic_ms()
+        self._step_records.append(
+            StepRecord(now_ms, step.duration_ms, dict(sequences), dict(tokens), dict(finished))
+        )
+
+    def step_records(self) -> list[StepRecord]:
+        """Return the last :data:`KEPT_STEPS` steps that had work."""
+        with self._changed:
+            return list(self._step_records)
+
     def _deliver(self, events: tuple[TokenEvent, ...]) -> None:
         with self._changed:
             for event in events:
@@ -170,6 +216,7 @@
                     queue.put(event)
                 if event.finish_reason:
                     self._queues.pop(event.request_id, None)
+                    self._models_by_request.pop(event.request_id, None)
 
     def _crash(self) -> None:
         self.crash_count += 1
@@ -179,6 +226,7 @@
         for queue in self._queues.values():
             queue.put(StreamEnded())
         self._queues.clear()
+        self._models_by_request.clear()
 
 
 class EngineHandler(BaseHTTPRequestHandler):
@@ -197,6 +245,8 @@
             self._send_json(200, {"boot_id": self.runner.boot_id, "models": models})
         elif path == "/load":
             self._send_json(200, self.runner.load())
+        elif path == "/steps":
+            self._send_json(200, self.runner.step_records())
         elif path == "/cache_events":
             self._send_json(200, self.runner.cache_events(int(query.partition("=")[2] or 0)))
         else:
--- a/ebonyshore_standins/local_fleet.py
+++ b/ebonyshore_standins/local_fleet.py
@@ -67,6 +67,7 @@
     target: subprocess.Popen[bytes]
     agent: subprocess.Popen[bytes]
     settings_path: Path
+    target_port: int = 0
 
 
 @dataclass(slots=True)
@@ -108,6 +109,7 @@
         failure_domain: str = "a",
         parameters: dict[str, object] | None = None,
         max_running: int = 16,
+        policy: str = "policy",
     ) -> TargetProcess:
         """Start an engine and its agent, and list them at the platform."""
         engine_port = free_port()
@@ -117,7 +119,10 @@
             *("--parameters", encode(parameters or {}).decode()),
         )
         self.wait_for_port(engine_port)
-        return self._add_agent(engine, engine_port, "engine", models, failure_domain, max_running)
+        extra = f'policy = "{policy}"\n'
+        return self._add_agent(
+            engine, engine_port, "engine", models, failure_domain, max_running, extra
+        )
 
     def add_service(self, name: str, failure_domain: str = "a") -> TargetProcess:
         """Start a plain service and its agent."""
@@ -196,6 +201,7 @@
         models: tuple[str, ...],
         failure_domain: str,
         max_running: int,
+        extra_settings: str = "",
     ) -> TargetProcess:
         instance_id = f"target-{len(self.targets) + 1}"
         port, admin_port = free_port(), free_port()
@@ -203,12 +209,14 @@
         text = self._settings_text(instance_id, admin_port, failure_domain)
         text += (
             f'\n[target]\nport = {port}\nurl = "http://127.0.0.1:{target_port}"\n'
-            f'kind = "{kind}"\nmodels = [{names}]\nmax_running = {max_running}\n'
+            f'kind = "{kind}"\nmodels = [{names}]\nmax_running = {max_running}\n{extra_settings}'
         )
         path = self.folder / f"{instance_id}.toml"
         path.write_text(text, encoding="utf-8")
         agent = self._start("-m", "ebonyshore", "agent", "--settings", str(path))
-        process = TargetProcess(instance_id, port, self._admin(admin_port), target, agent, path)
+        process = TargetProcess(
+            instance_id, port, self._admin(admin_port), target, agent, path, target_port
+        )
         self.targets.append(process)
         self.wait_for_port(port)
         instance = Instance(
