--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -4,6 +4,7 @@
 
 from ebonyshore.admin_api import AdminApi
 from ebonyshore.agent_server import AgentServer, Outgoing
+from ebonyshore.baseline_policies import make_decide
 from ebonyshore.daemon import Daemon
 from ebonyshore.dispatcher import BeginDrain, Dispatcher, Received
 from ebonyshore.engine_http import EngineHttp, ServiceHttp
@@ -71,6 +72,7 @@
         environment.clock,
         environment.metrics,
         environment.log,
+        make_decide(target.policy),
     )
     _connect(environment, server, dispatcher, settings)
     daemon = Daemon(environment, kernel)
