--- a/ebonyshore/batch_items.py
+++ b/ebonyshore/batch_items.py
@@ -23,6 +23,7 @@
     """An item without an outcome.
 
     :param attempts: dispatches that failed; refused ones do not count.
+    :param losses: dispatches that ended because the agent was lost.
     :param refusals: refused dispatches since the last one that ran.
     :param is_suspect: whether a target was lost while it ran the item.
     :param resume_text: text that a preempted run has generated, to be continued.
@@ -36,6 +37,7 @@
     request: GenerationRequest
     attempts: int = 0
     refusals: int = 0
+    losses: int = 0
     is_suspect: bool = False
     resume_text: str = ""
     not_before_ms: float = 0.0
--- a/ebonyshore/shard_work.py
+++ b/ebonyshore/shard_work.py
@@ -23,6 +23,8 @@
 STRAGGLER_RATIO = 4.0
 MIN_STRAGGLER_MS = 10_000.0
 DURATION_WEIGHT = 0.1
+# A lost agent is rarely the item's doing, so an item survives more of them than failed attempts.
+LOSSES_PER_ATTEMPT = 3
 # These end an item without blame: the system itself took the target away.
 _BLAMELESS_CODES = frozenset({ResultCode.PREEMPTED, ResultCode.CANCELLED})
 _RESUMABLE_CODES = _BLAMELESS_CODES
@@ -276,12 +278,15 @@
         if message.code is ResultCode.CONVICTED:
             self._settle(item, message.code, attempts=item.attempts + 1, detail=message.detail)
             return
+        is_loss = message.code is ResultCode.AGENT_LOST
         item.is_suspect = item.is_suspect or message.code in _SUSPECT_CODES
         if message.code in _RESUMABLE_CODES:
             item.resume_text = message.resume_text or item.resume_text
-        elif message.code is not ResultCode.AGENT_LOST:
+        elif not is_loss:
             item.resume_text = ""
-        if message.code in _BLAMELESS_CODES:
+        item.losses += is_loss
+        is_blameless = message.code in _BLAMELESS_CODES
+        if is_blameless or (is_loss and item.losses % LOSSES_PER_ATTEMPT):
             self._wait(item, now_ms + MIN_BACKOFF_MS)
             return
         self._blame(item, message.code, message.detail, now_ms, max_attempts)
@@ -326,7 +331,7 @@
 
     def _is_permitted(self, target: TargetView) -> bool:
         permit = self.permits.get(target.target_id)
-        if permit is None or permit.incarnation != target.incarnation:
+        if permit is None or permit.incarnation != target.incarnation or target.is_quiet:
             return False
         age_ms = target.tick_ms - permit.agent_tick_ms
         return age_ms < self._limits.permit_interval_ms * PERMIT_USE_RATIO
