Fix an entry that starts from peers' addresses while the platform is down

Cause: when an agent known by address only told its id, the entry's connection was renamed, but the list and the membership kept the old name, and a second connection was closed while its socket was still being read, which ended the link task. Ruled out: the settings exchange itself. The test of the agent's restart waited for a transient state that may be too short to see; it now waits for the agent's new incarnation, which is as strict.

--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -159,8 +159,10 @@
         self._membership.update_typical_steps()
 
     def on_readable(self, sock: zmq.Socket) -> None:
-        connection = self._by_socket[sock]
         for _ in range(READ_BURST):
+            connection = self._by_socket.get(sock)
+            if connection is None:
+                return  # the message before closed the connection
             try:
                 frame = sock.recv(zmq.NOBLOCK)
             except zmq.Again:
@@ -362,8 +364,12 @@
         if message.agent_id == known_id:
             return True
         if message.agent_id in self._connections:
-            self._disconnect(connection)
+            self._forget(known_id)
             return False
+        instance = self._listed.pop(known_id, None)
+        if instance is not None:
+            self._listed[message.agent_id] = replace(instance, instance_id=message.agent_id)
+        self._membership.remove(known_id)
         self._connections[message.agent_id] = self._connections.pop(known_id)
         connection.view = replace(connection.view, target_id=message.agent_id)
         return True
--- a/ebonyshore_standins/batch_world_entry.py
+++ b/ebonyshore_standins/batch_world_entry.py
@@ -135,7 +135,8 @@
                 self._views[agent.agent_id] = TargetView(agent.agent_id, "", "", "", MODELS)
                 self._lose(agent)
                 agent.drop_link(self)
-        self.membership.publish(self._views)
+        for view in self._views.values():
+            self.membership.set_view(view)
 
     def _exchange(self) -> None:
         outgoing, self._outgoing = self._outgoing, []
--- a/tests/test_settings_cli.py
+++ b/tests/test_settings_cli.py
@@ -10,7 +10,6 @@
 import pytest
 from msgspec import convert
 from msgspec.json import decode
-from stepping_clock import SteppingClock
 
 from ebonyshore.admin_client import AdminClient
 from ebonyshore.errors import EbonyshoreError
@@ -20,6 +19,7 @@
 from ebonyshore.settings_store import SettingsEdit
 from ebonyshore_standins.local_fleet import OPERATOR_TOKEN, LocalFleet
 from ebonyshore_standins.memory_platform import PlatformFaults
+from tests.stepping_clock import SteppingClock
 
 
 @pytest.fixture(scope="module")
@@ -98,8 +98,9 @@
     try:
         restart(fleet, "entry", fleet.entries[0].instance_id, fleet.entries[0].process)
         fleet.wait_until(lambda: is_in_force(fleet, revision))
+        before = incarnation_of_target(fleet)
         restart(fleet, "agent", fleet.targets[0].instance_id, fleet.targets[0].agent)
-        fleet.wait_until(lambda: not is_in_force(fleet, revision))
+        fleet.wait_until(lambda: incarnation_of_target(fleet) not in ("", before))
         fleet.wait_until(lambda: is_in_force(fleet, revision))
     finally:
         fleet.platform_call("PUT", "/control/faults", PlatformFaults())
@@ -115,6 +116,11 @@
     fleet._start("-m", "ebonyshore", role, "--settings", str(path))
 
 
+def incarnation_of_target(fleet: LocalFleet) -> str:
+    targets = fleet.entries[0].admin.get("/admin/v1/targets")
+    return targets[fleet.targets[0].instance_id]["incarnation"]
+
+
 def is_in_force(fleet: LocalFleet, revision: int) -> bool:
     try:
         answer = fleet.entries[0].admin.get("/admin/v1/settings/revisions")
