Report all faults of a settings file with what is allowed, and unsuitable combinations

Cause: only the first fault of a list was reported, the allowed values were given in the words of the decoder, and settings that contradict each other were accepted: a lease shorter than the checkpoint interval, a permit longer than the lease, a drain bound below the request timeout. Sections without a fault are judged together even if other sections have faults. Secrets are not repeated in the report.

--- a/ebonyshore/process_settings.py
+++ b/ebonyshore/process_settings.py
@@ -8,18 +8,21 @@
 from pathlib import Path
 from typing import Annotated, Literal, get_type_hints
 
-from msgspec import NODEFAULT, Meta, Struct, ValidationError, convert
+from msgspec import Meta, Struct, convert
 from msgspec.structs import fields as struct_fields
 
 from ebonyshore.errors import SettingsError
+from ebonyshore.settings_combinations import find_combination_faults
+from ebonyshore.settings_faults import Fault, find_faults
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
 DurationMs = Annotated[int, Meta(ge=1, le=86_400_000)]
 PositiveInt = Annotated[int, Meta(ge=1)]
 Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+_IPV4 = r"([0-9]{1,3}\.){3}[0-9]{1,3}"
 HttpUrl = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
-IpAddress = Annotated[str, Meta(pattern=r"^[0-9.]+$")]
-AgentAddress = Annotated[str, Meta(pattern=r"^tcp://[0-9.]+:[0-9]+$")]
+IpAddress = Annotated[str, Meta(pattern=rf"^{_IPV4}$")]
+AgentAddress = Annotated[str, Meta(pattern=rf"^tcp://{_IPV4}:[0-9]{{1,5}}$")]
 CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
 
 
@@ -189,50 +192,23 @@
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: not valid TOML: {error}") from error
-    faults = find_faults(ProcessSettings, document, "")
+    faults = find_faults(ProcessSettings, document)
+    faults += find_combination_faults(_valid_sections(document, faults))
     if faults:
-        raise SettingsError("\n".join(f"{path}: {fault}" for fault in faults))
+        raise SettingsError("\n".join(f"{path}: {fault.line()}" for fault in faults))
     return convert(document, ProcessSettings)
 
 
-def find_faults(kind: type[Struct], table: dict[str, object], prefix: str) -> list[str]:
-    """Return every fault of ``table`` as a ``kind``; each names the key path."""
-    known = {field.name: field for field in struct_fields(kind)}
-    hints = get_type_hints(kind, include_extras=True)
-    faults = [
-        f"{prefix}{key}: unknown key; allowed: {', '.join(known)}"
-        for key in table
-        if key not in known
-    ]
-    for name, field in known.items():
-        key_path = f"{prefix}{name}"
-        if name not in table:
-            if field.required or (
-                field.default is NODEFAULT and field.default_factory is NODEFAULT
-            ):
-                faults.append(f"{key_path}: missing")
+def _valid_sections(document: dict[str, object], faults: list[Fault]) -> dict[str, Struct]:
+    """Return the sections without a fault, so that their combinations are judged as well."""
+    faulty = {fault.key_path.split(".")[0] for fault in faults}
+    hints = get_type_hints(ProcessSettings, include_extras=True)
+    sections = {}
+    for field in struct_fields(ProcessSettings):
+        if field.name in faulty:
             continue
-        faults += _value_faults(hints[name], table[name], key_path)
-    return faults
-
-
-def _value_faults(hint: object, value: object, key_path: str) -> list[str]:
-    nested = _nested_struct(hint)
-    if nested is not None and isinstance(value, dict):
-        return find_faults(nested, value, f"{key_path}.")
-    try:
-        convert(value, hint)
-    except ValidationError as error:
-        return [f"{key_path}: found {value!r}; {_lower_first(str(error))}"]
-    return []
-
-
-def _nested_struct(hint: object) -> type[Struct] | None:
-    for candidate in (hint, *getattr(hint, "__args__", ())):
-        if isinstance(candidate, type) and issubclass(candidate, Struct):
-            return candidate
-    return None
-
-
-def _lower_first(text: str) -> str:
-    return text[:1].lower() + text[1:]
+        value = document.get(field.name)
+        section = field.default if value is None else convert(value, hints[field.name])
+        if section is not None:
+            sections[field.name] = section
+    return sections
--- /dev/null
+++ b/ebonyshore/settings_faults.py
@@ -0,0 +1,110 @@
+"""Finds every fault of a settings table: key path, what was found, what is allowed."""
+
+from typing import get_args, get_type_hints
+
+from msgspec import Struct, ValidationError, convert, inspect
+from msgspec.inspect import type_info
+from msgspec.structs import fields as struct_fields
+
+SECRET_KEYS = ("operator_token", "secret_key_z85")
+
+
+class Fault(Struct, frozen=True):
+    """One fault.
+
+    :param found: as written in the file; secrets are not shown.
+    """
+
+    key_path: str
+    found: str
+    allowed: str
+
+    def line(self) -> str:
+        """Return the fault as one line."""
+        return f"{self.key_path}: found {self.found}; allowed: {self.allowed}"
+
+
+def find_faults(kind: type[Struct], table: dict[str, object], prefix: str = "") -> list[Fault]:
+    """Return every fault of ``table`` as a ``kind``.
+
+    :param prefix: key path of the table, with a dot at its end.
+    """
+    known = {field.name: field for field in struct_fields(kind)}
+    hints = get_type_hints(kind, include_extras=True)
+    faults = [
+        Fault(f"{prefix}{key}", "an unknown key", ", ".join(known))
+        for key in table
+        if key not in known
+    ]
+    for name, field in known.items():
+        if name in table:
+            faults += _value_faults(hints[name], table[name], f"{prefix}{name}")
+        elif field.required:
+            faults.append(Fault(f"{prefix}{name}", "nothing", describe(type_info(hints[name]))))
+    return faults
+
+
+def _value_faults(hint: object, value: object, key_path: str) -> list[Fault]:
+    info = _required_part(type_info(hint))
+    if isinstance(info, inspect.StructType) and isinstance(value, dict):
+        return find_faults(info.cls, value, f"{key_path}.")
+    if isinstance(info, inspect.ListType) and isinstance(value, list):
+        item_hint = get_args(hint)[0]
+        return [
+            fault
+            for index, item in enumerate(value)
+            for fault in _value_faults(item_hint, item, f"{key_path}[{index}]")
+        ]
+    try:
+        convert(value, hint)
+    except ValidationError:
+        is_secret = key_path.rsplit(".", 1)[-1] in SECRET_KEYS
+        return [Fault(key_path, "another value" if is_secret else repr(value), describe(info))]
+    return []
+
+
+def _required_part(info: inspect.Type) -> inspect.Type:
+    """Return the type that is not ``None`` of an optional one."""
+    if isinstance(info, inspect.UnionType):
+        return next(part for part in info.types if not isinstance(part, inspect.NoneType))
+    return info
+
+
+def describe(info: inspect.Type) -> str:
+    """Return the allowed values in words."""
+    info = _required_part(info)
+    if isinstance(info, inspect.LiteralType):
+        return ", ".join(repr(value) for value in info.values)
+    if isinstance(info, inspect.IntType | inspect.FloatType):
+        kind = "an integer" if isinstance(info, inspect.IntType) else "a number"
+        return kind + _range_text(info)
+    if isinstance(info, inspect.StrType):
+        return "a text" + _text_limits(info)
+    if isinstance(info, inspect.BoolType):
+        return "true, false"
+    if isinstance(info, inspect.ListType):
+        return f"a list of: {describe(info.item_type)}"
+    if isinstance(info, inspect.StructType):
+        return "a table with " + ", ".join(field.encode_name for field in info.fields)
+    return type(info).__name__
+
+
+def _range_text(info: inspect.IntType | inspect.FloatType) -> str:
+    low = info.ge if info.ge is not None else info.gt
+    high = info.le if info.le is not None else info.lt
+    if low is not None and high is not None:
+        return f" from {low} to {high}"
+    return f" of at least {low}" if low is not None else ""
+
+
+def _text_limits(info: inspect.StrType) -> str:
+    limits = []
+    if info.min_length is not None and info.min_length == info.max_length:
+        limits.append(f"of {info.min_length} characters")
+    elif info.max_length is not None:
+        limits.append(f"of {info.min_length or 0} to {info.max_length} characters")
+    elif info.min_length is not None:
+        limits.append(f"of at least {info.min_length} characters")
+    if info.pattern is not None:
+        limits.append(f"that matches {info.pattern}")
+    return "".join(f" {limit}" for limit in limits)
