--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,197 @@
+"""The lease of a duty: one holder at a time, growing fencing numbers."""
+
+import pytest
+from hypothesis import settings as run_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from stepping_clock import SteppingClock
+
+from ebonyshore.clock import ManualClock
+from ebonyshore.errors import LeaseLostError, WriteOutcomeUnknownError
+from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+
+
+class DriftingClock(ManualClock):
+    """Runs at a rate of its own and is not shared; sleeping moves the fleet's clock."""
+
+    def __init__(self, base: SteppingClock, rate: float, start_ms: float) -> None:
+        super().__init__()
+        self.base = base
+        self.rate = rate
+        self.start_ms = start_ms
+
+    def monotonic_ms(self) -> float:
+        return self.start_ms + self.base.monotonic_ms() * self.rate
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        self.base.advance_ms(duration_ms / self.rate)
+
+
+def make_lease(platform: MemoryPlatform, clock: ManualClock, holder: str) -> Lease:
+    return Lease(MarkedStore(platform, clock), "placement", holder, holder, clock)
+
+
+@pytest.fixture
+def base() -> SteppingClock:
+    return SteppingClock()
+
+
+@pytest.fixture
+def platform(base: SteppingClock) -> MemoryPlatform:
+    return MemoryPlatform(base)
+
+
+def test_lease_lapses_only_after_the_whole_interval(
+    platform: MemoryPlatform, base: SteppingClock
+) -> None:
+    first, second = make_lease(platform, base, "a"), make_lease(platform, base, "b")
+    assert first.poll()
+    assert not second.poll()
+    base.advance_ms(DEFAULT_INTERVAL_MS - 1)
+    assert not second.poll()
+    base.advance_ms(1)
+    assert second.poll()
+    assert second.fencing_number() == 2
+
+
+def test_renewed_lease_is_not_taken(platform: MemoryPlatform, base: SteppingClock) -> None:
+    first, second = make_lease(platform, base, "a"), make_lease(platform, base, "b")
+    for _ in range(20):
+        assert first.poll()
+        assert not second.poll()
+        base.advance_ms(first.poll_interval_ms())
+
+
+def test_frozen_holder_does_not_act(platform: MemoryPlatform, base: SteppingClock) -> None:
+    """Guards against a holder that wakes and gives orders under its old number."""
+    first, second = make_lease(platform, base, "a"), make_lease(platform, base, "b")
+    first.poll()
+    second.poll()
+    base.advance_ms(DEFAULT_INTERVAL_MS)
+    assert second.poll()
+    with pytest.raises(LeaseLostError):
+        first.fencing_number()
+    assert not first.poll()
+
+
+def test_validity_counts_from_the_start_of_the_write(
+    platform: MemoryPlatform, base: SteppingClock
+) -> None:
+    """Guards against a slow write that makes the lease look longer than others see it."""
+    lease = make_lease(platform, base, "a")
+    lease.poll()
+    platform.set_faults(PlatformFaults(delay_ms=DEFAULT_INTERVAL_MS))
+    assert not lease.poll()
+
+
+def test_outage_leaves_the_lease_to_run_out(platform: MemoryPlatform, base: SteppingClock) -> None:
+    lease = make_lease(platform, base, "a")
+    lease.poll()
+    platform.set_faults(PlatformFaults(is_down=True))
+    assert lease.poll()
+    base.advance_ms(DEFAULT_INTERVAL_MS)
+    assert not lease.poll()
+    platform.set_faults(PlatformFaults())
+    assert lease.poll()
+    assert lease.fencing_number() == 1
+
+
+def test_released_lease_is_taken_at_once_with_a_higher_number(
+    platform: MemoryPlatform, base: SteppingClock
+) -> None:
+    first, second = make_lease(platform, base, "a"), make_lease(platform, base, "b")
+    first.poll()
+    first.release()
+    assert second.poll()
+    assert second.fencing_number() == 2
+    assert not first.is_valid
+
+
+def test_lost_answer_of_a_take_over_is_settled(
+    platform: MemoryPlatform, base: SteppingClock
+) -> None:
+    """Guards against a lease that nobody uses because its holder does not know that it has it."""
+    lease = make_lease(platform, base, "a")
+    put = platform.put
+
+    def lose_and_go_down(key: str, value: bytes, expected_version: int) -> int:
+        platform.put = put
+        put(key, value, expected_version)
+        platform.set_faults(PlatformFaults(is_down=True))
+        raise WriteOutcomeUnknownError(key)
+
+    platform.put = lose_and_go_down
+    assert not lease.poll()
+    platform.set_faults(PlatformFaults())
+    assert lease.poll()
+    assert lease.fencing_number() == 1
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three processes with drifting clocks; a process that is not polled is frozen."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.base = SteppingClock()
+        self.platform = MemoryPlatform(self.base)
+        self.restarts = 0
+        self.clocks = [
+            DriftingClock(self.base, rate, start_ms)
+            for rate, start_ms in ((0.97, 5.0), (1.0, 90_000.0), (1.03, 0.0))
+        ]
+        self.leases = [make_lease(self.platform, c, str(i)) for i, c in enumerate(self.clocks)]
+        self.numbers: dict[int, int] = {}
+
+    @rule(index=st.integers(0, 2), fault=st.sampled_from(("", "", "lose", "drop", "hold")))
+    def poll(self, index: int, fault: str) -> None:
+        if fault:
+            name = "lose_next_answers" if fault == "lose" else f"{fault}_next_writes"
+            setattr(self.platform.faults, name, 1)
+        self.leases[index].poll()
+
+    @rule(share=st.sampled_from((0.1, 0.3, 0.6, 1.0)))
+    def wait(self, share: float) -> None:
+        self.base.advance_ms(DEFAULT_INTERVAL_MS * share)
+
+    @rule(holder=st.integers(0, 2), other=st.integers(0, 2), share=st.sampled_from((0.85, 1.0)))
+    def freeze_holder(self, holder: int, other: int, share: float) -> None:
+        """The other one sees the record right after a renewal, and again after a pause."""
+        self.leases[holder].poll()
+        self.leases[other].poll()
+        self.wait(share)
+        self.leases[other].poll()
+
+    @rule(is_down=st.sampled_from((False, False, True)), delay=st.sampled_from((0, 0, 9_000)))
+    def set_faults(self, is_down: bool, delay: float) -> None:
+        self.platform.set_faults(PlatformFaults(is_down=is_down, delay_ms=delay))
+
+    @rule()
+    def carry_out_held(self) -> None:
+        self.platform.carry_out_held()
+
+    @rule(index=st.integers(0, 2))
+    def release(self, index: int) -> None:
+        self.leases[index].release()
+
+    @rule(index=st.integers(0, 2))
+    def restart(self, index: int) -> None:
+        self.restarts += 1
+        holder = f"{index}-{self.restarts}"
+        self.leases[index] = make_lease(self.platform, self.clocks[index], holder)
+
+    @invariant()
+    def one_holder_with_a_number_of_its_own(self) -> None:
+        valid = [lease for lease in self.leases if lease.is_valid]
+        assert len(valid) <= 1
+        for lease in valid:
+            number = lease.fencing_number()
+            assert self.numbers.setdefault(number, id(lease)) == id(lease)
+            assert number == max(self.numbers)
+
+
+TestLeaseMachine = LeaseMachine.TestCase
+TestLeaseMachine.settings = run_settings(
+    max_examples=100, stateful_step_count=50, derandomize=True, deadline=None, database=None
+)
