--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -24,6 +24,8 @@
     VerdictShare,
 )
 from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
+from ebonyshore.step_cost import StepCost
+from ebonyshore.target_runner import ThreadRunner
 from ebonyshore.task_service import TaskService
 
 ADMIN_THREADS = 2
@@ -49,12 +51,23 @@
         environment.metrics,
         environment.log,
     )
+    tier = settings.current().root()
+    cost = StepCost(tier.engine_base_step_ms, tier.engine_sequence_step_ms)
+    service = EngineHttp(target.url) if target.kind == "engine" else ServiceHttp(target.url)
     dispatcher = Dispatcher(
-        EngineHttp(target.url) if target.kind == "engine" else ServiceHttp(target.url),
+        ThreadRunner(
+            service,
+            target.max_running,
+            environment.clock,
+            environment.metrics,
+            environment.log,
+        ),
         server,
         settings,
         target,
+        environment.settings.instance.instance_id,
         environment.incarnation,
+        cost,
         environment.clock,
         environment.metrics,
         environment.log,
@@ -64,7 +77,12 @@
     kernel.register(TaskService(_make_watcher(environment, settings), dump=settings.dump))
     kernel.register(TaskService(server))
     kernel.register(
-        TaskService(dispatcher, lambda: dispatcher.post(BeginDrain()), lambda: dispatcher.is_idle)
+        TaskService(
+            dispatcher,
+            lambda: dispatcher.post(BeginDrain()),
+            lambda: dispatcher.is_idle,
+            dispatcher.dump,
+        )
     )
     kernel.register(_make_admin(environment, kernel, daemon))
     return daemon
@@ -106,12 +124,16 @@
         note_revision(peer, message)
         receive(peer, message)
 
+    def greet(peer: bytes, message: Hello) -> None:
+        note_revision(peer, message)
+        receive(peer, message)
+
     server.subscribe(Dispatch, receive_dispatch)
     for kind in (Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
     server.subscribe(SettingsRequest, send_settings)
-    server.subscribe(Hello, note_revision)
+    server.subscribe(Hello, greet)
     server.subscribe(Ping, note_revision)
     server.subscribe_peer_lost(dispatcher.post)
 
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -7,6 +7,7 @@
 from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
+from ebonyshore.batch_order import ShardSizer
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
 from ebonyshore.http_api import HttpApi
@@ -23,9 +24,12 @@
     SettingsSnapshot,
     Welcome,
 )
+from ebonyshore.once import OnceStore
+from ebonyshore.once_run import OnceService
 from ebonyshore.online import OnlineService
 from ebonyshore.platform_api import Instance
 from ebonyshore.ready_gate import ReadyGate
+from ebonyshore.routing import Router
 from ebonyshore.settings_admin import add_settings_paths
 from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
 from ebonyshore.settings_store import SettingsHead
@@ -55,7 +59,9 @@
     settings = SettingsService(environment.log)
     membership = Membership()
     link = _make_link(environment, settings, membership)
-    runner = _make_runner(environment, settings, membership, link)
+    batch = environment.settings.batch
+    sizer = ShardSizer(batch.shard_items, batch.window_items)
+    runner = _make_runner(environment, settings, membership, link, sizer)
     daemon = Daemon(environment, kernel)
     watcher = SettingsWatcher(
         environment.store,
@@ -78,7 +84,7 @@
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
-    kernel.register(_make_http(environment, settings, membership, link))
+    kernel.register(_make_http(environment, settings, membership, link, sizer))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
     return daemon
 
@@ -138,6 +144,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    sizer: ShardSizer,
 ) -> ShardRunner:
     return ShardRunner(
         environment.settings.instance.instance_id,
@@ -146,6 +153,7 @@
         membership,
         settings,
         environment.settings.batch,
+        sizer,
         environment.clock,
         environment.metrics,
         environment.log,
@@ -157,18 +165,25 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    sizer: ShardSizer,
 ) -> EntryHttpService:
     online = OnlineService(
         link,
         membership,
         settings,
-        environment.settings.instance.failure_domain,
+        Router(environment.settings.instance.failure_domain),
         environment.clock,
         environment.metrics,
         environment.log,
     )
-    batch = BatchApi(environment.job_store(), settings, environment.clock)
-    api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
+    records = OnceStore(
+        environment.store,
+        environment.clock,
+        lambda: settings.current().root().idempotency_expiry_ms,
+    )
+    once = OnceService(online, records, environment.clock, environment.metrics)
+    batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
+    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
     http = environment.settings.http
     return EntryHttpService(
         api,
