Report revisions of agents that the entry is not connected to, and use agents by their own id

Cause: an entry keeps a connection to at most 64 agents, so that its report of revisions lacked the others; the settings command now asks these agents as well. An agent known by its address from the peer settings was listed twice after its first answer.

--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -189,7 +189,7 @@
             self._note_crash(connection)
         handler = self._handlers.get(type(message))
         if handler is not None:
-            handler(target_id, message)
+            handler(connection.view.target_id, message)
 
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
         self._listed = {i.instance_id: i for i in instances if i.role == "target"}
@@ -362,10 +362,13 @@
         if message.agent_id == known_id:
             return True
         if message.agent_id in self._connections:
-            self._disconnect(connection)
+            self._forget(known_id)
             return False
         self._connections[message.agent_id] = self._connections.pop(known_id)
+        self._membership.remove(known_id)
         connection.view = replace(connection.view, target_id=message.agent_id)
+        if known_id in self._listed:
+            self._listed[message.agent_id] = self._listed.pop(known_id)
         return True
 
     def _note_report(self, connection: AgentConnection, message: Welcome | LoadReport) -> None:
@@ -375,13 +378,14 @@
         if isinstance(message, LoadReport) and not view.incarnation:
             self._send_hello(connection)
             return
+        lowest_revision = view.lowest_entry_revision
         if isinstance(message, LoadReport):
-            lowest = message.lowest_entry_revision
-            connection.view = replace(connection.view, lowest_entry_revision=lowest)
+            lowest_revision = message.lowest_entry_revision
         connection.view = replace(
             connection.view,
             incarnation=message.incarnation,
             settings_revision=message.settings_revision,
+            lowest_entry_revision=lowest_revision,
             tick_ms=message.tick_ms,
             models=message.models,
             is_leaving=message.is_leaving or view.target_id not in self._listed,
--- a/ebonyshore/agent_server.py
+++ b/ebonyshore/agent_server.py
@@ -17,7 +17,7 @@
 
 PEER_SILENCE_MS = 10_000
 PEER_CHECK_INTERVAL_MS = 1_000
-PEER_CURRENT_MS = 2_000  # an entry announces its revision every 500 ms
+PEER_CURRENT_MS = 5_000  # an entry announces its revision at least every 2.2 s
 READ_BURST = 256
 # The last answers before a planned stop are still on their way when the socket is closed.
 CLOSE_LINGER_MS = 2_000
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -85,7 +85,7 @@
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
     kernel.register(_make_http(environment, settings, membership, link, sizer))
-    kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
+    kernel.register(_make_admin(environment, kernel, daemon, settings, membership, link))
     return daemon
 
 
@@ -201,17 +201,21 @@
     daemon: Daemon,
     settings: SettingsService,
     membership: Membership,
+    link: AgentLink,
 ) -> HttpService:
     admin = environment.settings.admin
     api = AdminApi(admin.operator_token, environment.metrics)
 
+    def probe(target_id: str) -> None:
+        link.post(SendToAgent(target_id, Ping(settings.current().revision)))
+
     def drain(request: Request) -> object:
         daemon.request_stop()
         return {}
 
     api.add("GET", "/admin/v1/dump", lambda _: dump_process(environment, kernel))
     api.add("POST", "/admin/v1/drain", drain)
-    add_settings_paths(api, settings, environment.settings_store(), membership)
+    add_settings_paths(api, settings, environment.settings_store(), membership, probe)
     api.add("GET", "/admin/v1/targets", lambda _: _dump_targets(membership))
     api.add("GET", "/admin/v1/audit", lambda _: _audit(environment))
     return HttpService("admin", api, admin.listen_address, admin.port, ADMIN_THREADS)
--- a/ebonyshore/settings_admin.py
+++ b/ebonyshore/settings_admin.py
@@ -1,5 +1,7 @@
 """The settings paths of an entry's admin interface, and the revision in force in each process."""
 
+from collections.abc import Callable
+
 from msgspec import MsgspecError, Struct, to_builtins
 from msgspec.json import decode
 from werkzeug.wrappers import Request
@@ -25,6 +27,10 @@
     lowest_entry_revision: int
     is_silent: bool
 
+    def is_behind(self, revision: int) -> bool:
+        """Return whether something at the target is not known to have ``revision`` in force."""
+        return self.is_silent or min(self.revision, self.lowest_entry_revision) < revision
+
 
 class RevisionReport(Struct, frozen=True):
     """Which revision is in force where.
@@ -42,11 +48,13 @@
         """Return who is not known to have ``revision`` or a later one in force."""
         late = [] if self.is_ready and self.own_revision >= revision else ["this entry"]
         for target_id, target in self.targets.items():
+            if not target.is_behind(revision):
+                continue
             if target.is_silent:
                 late.append(f"{target_id} (silent)")
             elif target.revision < revision:
                 late.append(f"{target_id} (revision {target.revision})")
-            elif target.lowest_entry_revision < revision:
+            else:
                 late.append(f"an entry at {target_id} (revision {target.lowest_entry_revision})")
         return late
 
@@ -64,9 +72,16 @@
 
 
 def add_settings_paths(
-    api: AdminApi, settings: SettingsService, store: SettingsStore, membership: Membership
+    api: AdminApi,
+    settings: SettingsService,
+    store: SettingsStore,
+    membership: Membership,
+    probe: Callable[[str], None],
 ) -> None:
-    """Serve the settings of the fleet below ``/admin/v1/settings``."""
+    """Serve the settings of the fleet below ``/admin/v1/settings``.
+
+    :param probe: asks a target's agent for a report, connecting to it if needed.
+    """
 
     def change(request: Request) -> object:
         try:
@@ -87,7 +102,13 @@
         return to_builtins(read_history(store, first))
 
     def revisions(request: Request) -> object:
-        return to_builtins(make_revision_report(settings, membership))
+        """An entry is connected to some agents only, so ``probe`` asks the others as well."""
+        report = make_revision_report(settings, membership)
+        if request.args.get("probe", 0, type=int):
+            for target_id, target in report.targets.items():
+                if target.is_behind(report.own_revision):
+                    probe(target_id)
+        return to_builtins(report)
 
     path = "/admin/v1/settings"
     api.add("GET", path, lambda _: to_builtins(settings.head()))
--- a/ebonyshore/settings_cli.py
+++ b/ebonyshore/settings_cli.py
@@ -163,7 +163,7 @@
     end_ms = clock.monotonic_ms() + wait_ms
     last_line = ""
     while True:
-        report = convert(client.get(f"{SETTINGS_PATH}/revisions"), RevisionReport)
+        report = convert(client.get(f"{SETTINGS_PATH}/revisions?probe=1"), RevisionReport)
         late = report.behind(revision)
         if not late:
             return
--- a/ebonyshore/settings_service.py
+++ b/ebonyshore/settings_service.py
@@ -17,7 +17,7 @@
 
 RETRY_PAUSE_MS = 500
 MAX_RETRY_PAUSE_MS = 2_000
-PEER_WAIT_MS = 1_500  # entries announce their revision every 500 ms
+PEER_WAIT_MS = 2_500  # entries announce their revision at least every 2.2 s
 REQUEST_TIMEOUT_MS = 1_000
 
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,13 +4,13 @@
 from hypothesis import settings as run_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from stepping_clock import SteppingClock
 
 from ebonyshore.clock import ManualClock
 from ebonyshore.errors import LeaseLostError, WriteOutcomeUnknownError
 from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
 from ebonyshore.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+from tests.stepping_clock import SteppingClock
 
 
 class DriftingClock(ManualClock):
--- a/tests/test_settings_cli.py
+++ b/tests/test_settings_cli.py
@@ -10,7 +10,6 @@
 import pytest
 from msgspec import convert
 from msgspec.json import decode
-from stepping_clock import SteppingClock
 
 from ebonyshore.admin_client import AdminClient
 from ebonyshore.errors import EbonyshoreError
@@ -20,6 +19,7 @@
 from ebonyshore.settings_store import SettingsEdit
 from ebonyshore_standins.local_fleet import OPERATOR_TOKEN, LocalFleet
 from ebonyshore_standins.memory_platform import PlatformFaults
+from tests.stepping_clock import SteppingClock
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_settings_machine.py
+++ b/tests/test_settings_machine.py
@@ -5,7 +5,6 @@
 from hypothesis import settings as run_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from stepping_clock import SteppingClock
 
 from ebonyshore.errors import EbonyshoreError, WriteOutcomeUnknownError
 from ebonyshore.logs import EventLog
@@ -14,6 +13,7 @@
 from ebonyshore.settings_service import PEER_WAIT_MS, SettingsService, SettingsWatcher
 from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+from tests.stepping_clock import SteppingClock
 
 PROCESSES = 3
 FAULTS = ("", "lose_next_answers", "drop_next_writes", "hold_next_writes")
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -3,7 +3,6 @@
 from threading import Thread
 
 import pytest
-from stepping_clock import SteppingClock
 
 from ebonyshore.clock import SystemClock
 from ebonyshore.errors import SettingsError, StoreUnavailableError
@@ -19,6 +18,7 @@
 from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsHead, SettingsStore
 from ebonyshore.settings_tree import SettingsTree, find_tree_faults
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+from tests.stepping_clock import SteppingClock
 
 KEY_DIGEST = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"  # of b"key"
 
--- a/tests/test_settings_store.py
+++ b/tests/test_settings_store.py
@@ -2,7 +2,6 @@
 
 import pytest
 from msgspec.json import decode, encode
-from stepping_clock import SteppingClock
 
 from ebonyshore.errors import (
     SettingsError,
@@ -15,6 +14,7 @@
 from ebonyshore.settings_history import find_history_faults, read_history, replay
 from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsStore, archive_key
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
+from tests.stepping_clock import SteppingClock
 
 
 @pytest.fixture
