Fence orders to engines

The agent keeps the highest number of each duty under fencing/<agent id>, stores it before it carries the order out, and refuses lower ones, also after a restart, with the store down and with an engine that ignores the number. Loaded models change what the agent announces. Orders have a task of their own, because store and engine may take seconds.

--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -5,11 +5,12 @@
 from ebonyshore.admin_api import AdminApi
 from ebonyshore.agent_server import AgentServer, Outgoing
 from ebonyshore.daemon import Daemon
-from ebonyshore.dispatcher import BeginDrain, Dispatcher, Received
+from ebonyshore.dispatcher import BeginDrain, Dispatcher, ModelsChanged, Received
 from ebonyshore.engine_http import EngineHttp, ServiceHttp
 from ebonyshore.entry import dump_process
 from ebonyshore.environment import Environment
 from ebonyshore.errors import SettingsError
+from ebonyshore.fencing import FencingGuard, OrderTask, ReceivedOrder
 from ebonyshore.http_service import HttpService
 from ebonyshore.kernel import Kernel
 from ebonyshore.messages import (
@@ -18,6 +19,7 @@
     Dispatch,
     EntryMessage,
     Hello,
+    Order,
     Ping,
     SettingsRequest,
     SettingsSnapshot,
@@ -73,9 +75,19 @@
         environment.metrics,
         environment.log,
     )
-    _connect(server, dispatcher, settings)
+    orders = OrderTask(
+        service if isinstance(service, EngineHttp) else None,
+        FencingGuard(environment.store, environment.settings.instance.instance_id),
+        server,
+        lambda models: dispatcher.post(ModelsChanged(models)),
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+    _connect(server, dispatcher, orders, settings)
     daemon = Daemon(environment, kernel)
     kernel.register(TaskService(server))
+    kernel.register(TaskService(orders))
     kernel.register(
         TaskService(
             dispatcher,
@@ -88,7 +100,9 @@
     return daemon
 
 
-def _connect(server: AgentServer, dispatcher: Dispatcher, settings: SettingsService) -> None:
+def _connect(
+    server: AgentServer, dispatcher: Dispatcher, orders: OrderTask, settings: SettingsService
+) -> None:
     def receive(peer: bytes, message: EntryMessage) -> None:
         dispatcher.post(Received(peer, message))
 
@@ -105,6 +119,7 @@
 
     for kind in (Dispatch, Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
+    server.subscribe(Order, lambda peer, order: orders.post(ReceivedOrder(peer, order)))
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
     server.subscribe(Hello, greet)
     server.subscribe(Ping, answer_revision)
