Share crash verdicts through the entries

Entries keep the verdicts, pass news between agents, send them to agents that connect, report what was in flight with a lost agent, and mark or refuse dispatches in the link, so that online and batch work take the same path. A held suspect is not in flight: the agent announces its start.

--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -7,6 +7,7 @@
 import zmq
 from msgspec import Struct
 from msgspec.structs import replace
+from returns.result import Failure, Result, Success
 
 from ebonyshore.clock import Clock
 from ebonyshore.codec import MessageCodec
@@ -26,6 +27,7 @@
     Ping,
     Refused,
     RequestMessage,
+    Started,
     Welcome,
     WorkClass,
 )
@@ -40,6 +42,8 @@
 READ_BURST = 256
 
 Handler = Callable[[str, AgentMessage], None]
+Screen = Callable[[Dispatch], Result[Dispatch, ResultCode]]
+LostHandler = Callable[[str, str, list[Dispatch]], None]
 
 
 class RequestSink(Protocol):
@@ -90,6 +94,12 @@
     dispatch: Dispatch
     sink: RequestSink
     next_sequence: int = 0
+    is_started: bool = False
+
+    @property
+    def may_be_running(self) -> bool:
+        """Whether the target may run it; the agent announces the start of a suspect."""
+        return self.is_started or not self.dispatch.is_suspect
 
 
 @dataclass(slots=True)
@@ -138,11 +148,22 @@
         self._by_socket: dict[zmq.Socket, AgentConnection] = {}
         self._handlers: dict[type, Handler] = {}
         self._next_check_ms = 0.0
+        self._screen: Screen = Success
+        self._on_lost: LostHandler = lambda *_: None
 
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Pass messages of a type, with the target's id, to ``handler``."""
         self._handlers[kind] = handler
 
+    def screen_with(self, screen: Screen, on_lost: LostHandler) -> None:
+        """Pass each dispatch through ``screen``; call before :meth:`start`.
+
+        :param on_lost: gets target id, incarnation and what may have been running there, before
+            the requests fail.
+        """
+        self._screen = screen
+        self._on_lost = on_lost
+
     def open(self) -> None:
         """Sockets are opened when the agents become known."""
 
@@ -238,8 +259,8 @@
             return
         if now_ms - view.heard_ms > AGENT_SILENCE_MS:
             self._log.event("agent_silent", target_id=view.target_id)
-            connection.view = replace(view, incarnation="")
             self._lose_in_flight(connection)
+            connection.view = replace(view, incarnation="")
             return
         self._send_on(connection, Ping(self._settings_revision()))
 
@@ -252,6 +273,11 @@
         if connection is None or connection.view.incarnation != dispatch.incarnation:
             message.sink.post(Refused(dispatch.request_id, ResultCode.NO_TARGET))
             return
+        screened = self._screen(dispatch)
+        if isinstance(screened, Failure):
+            message.sink.post(Refused(dispatch.request_id, screened.failure()))
+            return
+        dispatch = screened.unwrap()
         connection.in_flight[dispatch.request_id] = InFlight(dispatch, message.sink)
         if not self._send_on(connection, dispatch):
             del connection.in_flight[dispatch.request_id]
@@ -277,12 +303,19 @@
             self._receive_chunk(connection, message)
         elif isinstance(message, Finished | Refused | Failed):
             self._receive_final(connection, message)
+        elif isinstance(message, Started):
+            self._note_started(connection, message)
         elif isinstance(message, Welcome | LoadReport):
             self._note_report(connection, message)
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(connection.view.target_id, message)
 
+    def _note_started(self, connection: AgentConnection, started: Started) -> None:
+        in_flight = connection.in_flight.get(started.request_id)
+        if in_flight is not None:
+            in_flight.is_started = True
+
     def _receive_chunk(self, connection: AgentConnection, chunk: Chunk) -> None:
         in_flight = connection.in_flight.get(chunk.request_id)
         if in_flight is None:
@@ -342,6 +375,8 @@
         )
 
     def _lose_in_flight(self, connection: AgentConnection) -> None:
+        running = [f.dispatch for f in connection.in_flight.values() if f.may_be_running]
+        self._on_lost(connection.view.target_id, connection.view.incarnation, running)
         lost = list(connection.in_flight.items())
         connection.in_flight.clear()
         for request_id, in_flight in lost:
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -8,6 +8,7 @@
 from ebonyshore.agent_link import AgentLink, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
+from ebonyshore.crash_news import CrashNews
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
 from ebonyshore.http_api import HttpApi
@@ -15,7 +16,13 @@
 from ebonyshore.instance_poller import InstancePoller
 from ebonyshore.kernel import Kernel
 from ebonyshore.membership import Membership
-from ebonyshore.messages import CrashReport, SettingsRequest, SettingsSnapshot, Welcome
+from ebonyshore.messages import (
+    CrashReport,
+    SettingsRequest,
+    SettingsSnapshot,
+    VerdictShare,
+    Welcome,
+)
 from ebonyshore.online import OnlineService
 from ebonyshore.settings_service import SettingsService, SettingsWatcher
 from ebonyshore.settings_store import SettingsHead, encode_head
@@ -97,13 +104,23 @@
     def relay(head: SettingsHead) -> None:
         link.post(SendToAgents(SettingsSnapshot(head.revision, encode_head(head))))
 
-    def forward_crash(target_id: str, report: CrashReport) -> None:
-        link.post(SendToAgents(report))
+    news = CrashNews(
+        lambda target_id, share: link.post(SendToAgent(target_id, share)),
+        lambda message: link.post(SendToAgents(message)),
+        lambda: settings.current().root().suspicion_expiry_ms,
+        environment.clock,
+    )
+
+    def greet(target_id: str, message: Welcome) -> None:
+        news.greet(target_id, message)
+        send_settings(target_id, message)
 
-    link.subscribe(Welcome, send_settings)
+    link.screen_with(news.screen, news.report_lost)
+    link.subscribe(Welcome, greet)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
-    link.subscribe(CrashReport, forward_crash)
+    link.subscribe(CrashReport, news.take_report)
+    link.subscribe(VerdictShare, news.take_verdicts)
     settings.subscribe(relay)
     return link
 
--- a/ebonyshore/suspicion.py
+++ b/ebonyshore/suspicion.py
@@ -81,15 +81,23 @@
         suspect = self._find(content_digest, now_ms)
         return suspect is not None and suspect.is_convicted
 
-    def merge(self, verdicts: Iterable[Verdict], now_ms: float) -> None:
-        """Take over what another process knows."""
-        for verdict in verdicts:
-            if verdict.is_cleared:
-                self.record_completed(verdict.content_digest)
-            elif verdict.age_ms <= self.expiry_ms:
-                suspect = self._entry(verdict.content_digest, now_ms)
-                suspect.add(verdict.crash_ids, now_ms - verdict.age_ms)
-                suspect.is_convicted = suspect.is_convicted or verdict.is_convicted
+    def merge(self, verdicts: Iterable[Verdict], now_ms: float) -> bool:
+        """Take over what another process knows.
+
+        :return: whether any of it was news.
+        """
+        return any([self._merge_one(verdict, now_ms) for verdict in verdicts])
+
+    def _merge_one(self, verdict: Verdict, now_ms: float) -> bool:
+        if verdict.is_cleared:
+            return self.record_completed(verdict.content_digest)
+        if verdict.age_ms > self.expiry_ms:
+            return False
+        suspect = self._entry(verdict.content_digest, now_ms)
+        before = (len(suspect.crash_ids), suspect.is_convicted)
+        suspect.add(verdict.crash_ids, now_ms - verdict.age_ms)
+        suspect.is_convicted = suspect.is_convicted or verdict.is_convicted
+        return before != (len(suspect.crash_ids), suspect.is_convicted)
 
     def export(self, now_ms: float) -> tuple[Verdict, ...]:
         """Return all entries that have not expired."""
