--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -191,7 +191,7 @@
         if not self._held.remember(peer, dispatch.request_id):
             self._metrics.count("repeated_dispatches")
             return
-        result = check_admission(dispatch, self._view(dispatch))
+        result = check_admission(dispatch, self._view())
         if isinstance(result, Failure):
             refusal: Refusal = result.failure()
             self._answers.refuse(
@@ -233,17 +233,14 @@
             self._start(self._held.batch.popleft(), now_ms)
 
     def _drop_unpermitted(self) -> None:
-        for run in [run for run in self._held.batch if not self._is_permitted(run)]:
+        view = self._view()
+        for run in [run for run in self._held.batch if not is_permitted(run.dispatch, view)]:
             self._held.batch.remove(run)
             if run.preemptions:
                 self._answers.fail(run, ResultCode.PREEMPTED, resume_text=run.resume_text)
             else:
                 self._answers.refuse_run(run, ResultCode.PERMIT_EXPIRED)
 
-    def _is_permitted(self, run: TargetRun) -> bool:
-        now_ms = self.clock.monotonic_ms()
-        return is_permitted(run.dispatch, self._incarnation, now_ms, DEFAULT_PERMIT_INTERVAL_MS)
-
     def _start(self, run: TargetRun, now_ms: float) -> None:
         run.started_ms = now_ms
         run.boot_id = self._ends.boot_id
@@ -289,7 +286,7 @@
             return 0
         return max(0, self._max_running - self._held.waiting_batch())
 
-    def _view(self, dispatch: Dispatch) -> AgentView:
+    def _view(self) -> AgentView:
         online, batch = self._held.counts()
         now_ms = self.clock.monotonic_ms()
         return AgentView(
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -1,13 +1,13 @@
 """Composes an entry from its environment."""
 
 from msgspec import to_builtins
-from msgspec.json import decode
 from werkzeug.wrappers import Request
 
 from ebonyshore.admin_api import AdminApi
-from ebonyshore.agent_link import AgentLink, SendToAgent, SendToAgents
+from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
+from ebonyshore.batch_order import ShardSizer
 from ebonyshore.crash_news import CrashNews
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
@@ -18,14 +18,23 @@
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
     CrashReport,
+    LoadReport,
+    Ping,
+    Refused,
     SettingsRequest,
     SettingsSnapshot,
     VerdictShare,
     Welcome,
 )
+from ebonyshore.once import OnceStore
+from ebonyshore.once_run import OnceService
 from ebonyshore.online import OnlineService
-from ebonyshore.settings_service import SettingsService, SettingsWatcher
-from ebonyshore.settings_store import SettingsHead, encode_head
+from ebonyshore.platform_api import Instance
+from ebonyshore.ready_gate import ReadyGate
+from ebonyshore.routing import Router
+from ebonyshore.settings_admin import add_settings_paths
+from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
+from ebonyshore.settings_store import SettingsHead
 from ebonyshore.shard_runner import BeginDrain, ShardRunner
 from ebonyshore.task_service import TaskService
 
@@ -35,8 +44,8 @@
 class EntryHttpService(HttpService):
     """The callers' server, which drains its requests."""
 
-    def __init__(self, api: HttpApi, *arguments: object) -> None:
-        super().__init__("http", api, *arguments)
+    def __init__(self, api: HttpApi, settings: SettingsService, *arguments: object) -> None:
+        super().__init__("http", ReadyGate(api, settings), *arguments)
         self._api = api
 
     def begin_drain(self) -> None:
@@ -52,13 +61,16 @@
     settings = SettingsService(environment.log)
     membership = Membership()
     link = _make_link(environment, settings, membership)
-    runner = _make_runner(environment, settings, membership, link)
+    batch = environment.settings.batch
+    sizer = ShardSizer(batch.shard_items, batch.window_items)
+    runner = _make_runner(environment, settings, membership, link, sizer)
     daemon = Daemon(environment, kernel)
     watcher = SettingsWatcher(
         environment.store,
         settings,
         environment.settings.platform.watch_timeout_ms,
         environment.clock,
+        environment.log,
     )
     poller = InstancePoller(
         environment.platform,
@@ -67,14 +79,14 @@
         environment.clock,
         environment.log,
     )
-    kernel.register(TaskService(watcher))
+    kernel.register(TaskService(watcher, dump=settings.dump))
     kernel.register(TaskService(link, dump=lambda: _dump_targets(membership)))
     kernel.register(TaskService(poller))
     if environment.settings.batch.is_runner:
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
-    kernel.register(_make_http(environment, settings, membership, link))
+    kernel.register(_make_http(environment, settings, membership, link, sizer))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
     return daemon
 
@@ -92,17 +104,22 @@
         environment.log,
     )
 
-    def send_settings(target_id: str, message: Welcome | SettingsRequest) -> None:
-        head = settings.head()
-        known = (
-            message.settings_revision if isinstance(message, Welcome) else message.known_revision
-        )
-        if head.revision > known:
-            snapshot = SettingsSnapshot(head.revision, encode_head(head))
+    puller = SettingsPuller(settings, environment.clock)
+
+    def send_settings(target_id: str, message: SettingsRequest) -> None:
+        revision = settings.newest().revision
+        if revision > message.known_revision:
+            snapshot = SettingsSnapshot(revision, settings.encoded_newest())
             link.post(SendToAgent(target_id, snapshot))
 
-    def relay(head: SettingsHead) -> None:
-        link.post(SendToAgents(SettingsSnapshot(head.revision, encode_head(head))))
+    def note_revision(target_id: str, message: Welcome | LoadReport | Refused) -> None:
+        if puller.should_ask(message.settings_revision):
+            request = SettingsRequest(settings.newest().revision)
+            link.post(SendToAgent(target_id, request))
+
+    def announce(head: SettingsHead) -> None:
+        """Agents that lack the revision ask one entry for it, so that each fetches it once."""
+        link.post(SendToAgents(Ping(head.revision)))
 
     news = CrashNews(
         lambda target_id, share: link.post(SendToAgent(target_id, share)),
@@ -113,23 +130,34 @@
 
     def greet(target_id: str, message: Welcome) -> None:
         news.greet(target_id, message)
-        send_settings(target_id, message)
+        note_revision(target_id, message)
 
     link.screen_with(news.screen, news.report_lost)
     link.subscribe(Welcome, greet)
+    link.subscribe(VerdictShare, news.take_verdicts)
+    for kind in (LoadReport, Refused):
+        link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
     link.subscribe(CrashReport, news.take_report)
-    link.subscribe(VerdictShare, news.take_verdicts)
-    settings.subscribe(relay)
+    settings.subscribe(announce)
+    link.post(
+        InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
+    )
     return link
 
 
+def _peer_instance(address: str) -> Instance:
+    """Return an agent of which only the address is known; its first answer tells its id."""
+    return Instance(address, "target", address)
+
+
 def _make_runner(
     environment: Environment,
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    sizer: ShardSizer,
 ) -> ShardRunner:
     return ShardRunner(
         environment.settings.instance.instance_id,
@@ -138,6 +166,7 @@
         membership,
         settings,
         environment.settings.batch,
+        sizer,
         environment.clock,
         environment.metrics,
         environment.log,
@@ -149,21 +178,33 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    sizer: ShardSizer,
 ) -> EntryHttpService:
     online = OnlineService(
         link,
         membership,
         settings,
-        environment.settings.instance.failure_domain,
+        Router(environment.settings.instance.failure_domain),
         environment.clock,
         environment.metrics,
         environment.log,
     )
-    batch = BatchApi(environment.job_store(), settings, environment.clock)
-    api = HttpApi(online, batch, settings, environment.clock, environment.metrics, environment.log)
+    records = OnceStore(
+        environment.store,
+        environment.clock,
+        lambda: settings.current().root().idempotency_expiry_ms,
+    )
+    once = OnceService(online, records, environment.clock, environment.metrics)
+    batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
+    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
     http = environment.settings.http
     return EntryHttpService(
-        api, http.listen_address, http.port, http.worker_threads, http.max_request_bytes
+        api,
+        settings,
+        http.listen_address,
+        http.port,
+        http.worker_threads,
+        http.max_request_bytes,
     )
 
 
@@ -174,29 +215,16 @@
     settings: SettingsService,
     membership: Membership,
 ) -> HttpService:
-    store = environment.settings_store()
     admin = environment.settings.admin
     api = AdminApi(admin.operator_token, environment.metrics)
 
-    def change_settings(request: Request) -> object:
-        fields = decode(request.get_data())
-        head = store.commit(
-            fields["path"],
-            fields["values"],
-            fields.get("operator", ""),
-            fields.get("expected_revision"),
-        )
-        settings.adopt(head)
-        return {"revision": head.revision}
-
     def drain(request: Request) -> object:
         daemon.request_stop()
         return {}
 
     api.add("GET", "/admin/v1/dump", lambda _: dump_process(environment, kernel))
     api.add("POST", "/admin/v1/drain", drain)
-    api.add("GET", "/admin/v1/settings", lambda _: to_builtins(settings.head()))
-    api.add("POST", "/admin/v1/settings", change_settings)
+    add_settings_paths(api, settings, environment.settings_store(), membership)
     api.add("GET", "/admin/v1/targets", lambda _: _dump_targets(membership))
     api.add("GET", "/admin/v1/audit", lambda _: _audit(environment))
     return HttpService("admin", api, admin.listen_address, admin.port, ADMIN_THREADS)
