--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -6,11 +6,12 @@
 from ebonyshore.agent_server import AgentServer, Outgoing
 from ebonyshore.baseline_policies import make_decide
 from ebonyshore.daemon import Daemon
-from ebonyshore.dispatcher import BeginDrain, Dispatcher, Received
+from ebonyshore.dispatcher import BeginDrain, Dispatcher, ModelsChanged, Received
 from ebonyshore.engine_http import EngineHttp, ServiceHttp
 from ebonyshore.entry import dump_process
 from ebonyshore.environment import Environment
 from ebonyshore.errors import SettingsError
+from ebonyshore.fencing import FencingGuard, OrderTask, ReceivedOrder
 from ebonyshore.http_service import HttpService
 from ebonyshore.kernel import Kernel
 from ebonyshore.messages import (
@@ -19,6 +20,7 @@
     Dispatch,
     EntryMessage,
     Hello,
+    Order,
     Ping,
     SettingsRequest,
     SettingsSnapshot,
@@ -74,10 +76,20 @@
         environment.log,
         make_decide(target.policy),
     )
-    _connect(environment, server, dispatcher, settings)
+    orders = OrderTask(
+        service if isinstance(service, EngineHttp) else None,
+        FencingGuard(environment.store, environment.settings.instance.instance_id),
+        server,
+        lambda models: dispatcher.post(ModelsChanged(models)),
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+    _connect(environment, server, dispatcher, orders, settings)
     daemon = Daemon(environment, kernel)
     kernel.register(TaskService(_make_watcher(environment, settings), dump=settings.dump))
     kernel.register(TaskService(server))
+    kernel.register(TaskService(orders))
     kernel.register(
         TaskService(
             dispatcher,
@@ -106,6 +118,7 @@
     environment: Environment,
     server: AgentServer,
     dispatcher: Dispatcher,
+    orders: OrderTask,
     settings: SettingsService,
 ) -> None:
     puller = SettingsPuller(settings, environment.clock)
@@ -133,6 +146,7 @@
     server.subscribe(Dispatch, receive_dispatch)
     for kind in (Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
+    server.subscribe(Order, lambda peer, order: orders.post(ReceivedOrder(peer, order)))
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
     server.subscribe(SettingsRequest, send_settings)
     server.subscribe(Hello, greet)
--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -5,6 +5,7 @@
 import zmq
 from msgspec import Struct
 from msgspec.structs import replace
+from returns.result import Failure, Result, Success
 
 from ebonyshore.agent_connection import AgentConnection, Channel, HeldDispatch, RequestSink
 from ebonyshore.agent_socket import AgentSocket
@@ -25,6 +26,7 @@
     LoadReport,
     Ping,
     Refused,
+    Started,
     Welcome,
 )
 from ebonyshore.metrics import Metrics
@@ -41,6 +43,8 @@
 READ_BURST = 256
 
 Handler = Callable[[str, AgentMessage], None]
+Screen = Callable[[Dispatch], Result[Dispatch, ResultCode]]
+LostHandler = Callable[[str, str, list[Dispatch]], None]
 
 
 class InstancesKnown(Struct, frozen=True):
@@ -115,6 +119,17 @@
         self._by_socket: dict[zmq.Socket, AgentConnection] = {}
         self._handlers: dict[type, Handler] = {}
         self._next_check_ms = 0.0
+        self._screen: Screen = Success
+        self._on_lost: LostHandler = lambda *_: None
+
+    def screen_with(self, screen: Screen, on_lost: LostHandler) -> None:
+        """Pass each dispatch through ``screen``; call before :meth:`start`.
+
+        :param on_lost: gets target id, incarnation and what may have been running there, before
+            the requests fail.
+        """
+        self._screen = screen
+        self._on_lost = on_lost
 
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Pass messages of a type, with the target's id, to ``handler``."""
@@ -187,7 +202,9 @@
             if isinstance(message, Welcome) and not self._take_identity(connection, message):
                 return
             self._note_report(connection, message)
-        elif isinstance(message, CrashReport):
+        elif isinstance(message, Started):
+            connection.note_started(message.request_id)
+        elif isinstance(message, CrashReport) and message.agent_id == target_id:
             self._note_crash(connection)
         handler = self._handlers.get(type(message))
         if handler is not None:
@@ -250,7 +267,7 @@
 
     def _disconnect(self, connection: AgentConnection) -> None:
         connection.refuse_held()
-        connection.lose_in_flight()
+        self._lose_in_flight(connection)
         if isinstance(connection.channel, AgentSocket):
             del self._by_socket[connection.channel.socket]
         del self._connections[connection.view.target_id]
@@ -282,8 +299,13 @@
             connection.view = replace(view, is_quiet=True)
         if silent_ms > LOST_MS and view.incarnation:
             self._log.event("agent_silent", target_id=view.target_id)
+            self._lose_in_flight(connection)
             connection.view = replace(connection.view, incarnation="")
-            connection.lose_in_flight()
+
+    def _lose_in_flight(self, connection: AgentConnection) -> None:
+        view = connection.view
+        self._on_lost(view.target_id, view.incarnation, connection.running_dispatches())
+        connection.lose_in_flight()
 
     def _note_heard(self, connection: AgentConnection) -> None:
         now_ms = self.clock.monotonic_ms()
@@ -325,6 +347,11 @@
         if dispatch.deadline_left_ms <= 0:
             message.sink.post(Refused(dispatch.request_id, ResultCode.DEADLINE_UNREACHABLE))
             return
+        screened = self._screen(dispatch)
+        if isinstance(screened, Failure):
+            message.sink.post(Refused(dispatch.request_id, screened.failure()))
+            return
+        dispatch = screened.unwrap()
         end_ms = self.clock.monotonic_ms() + dispatch.deadline_left_ms
         connection.add(dispatch, message.sink, end_ms)
         if not connection.channel.send(dispatch):
@@ -380,7 +407,7 @@
     def _note_report(self, connection: AgentConnection, message: Welcome | LoadReport) -> None:
         view = connection.view
         if view.incarnation not in ("", message.incarnation):
-            connection.lose_in_flight()
+            self._lose_in_flight(connection)
         if isinstance(message, LoadReport) and not view.incarnation:
             self._send_hello(connection)
             return
