--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -8,6 +8,7 @@
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.batch_order import ShardSizer
+from ebonyshore.crash_news import CrashNews
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
 from ebonyshore.http_api import HttpApi
@@ -22,6 +23,7 @@
     Refused,
     SettingsRequest,
     SettingsSnapshot,
+    VerdictShare,
     Welcome,
 )
 from ebonyshore.once import OnceStore
@@ -85,7 +87,7 @@
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
     kernel.register(_make_http(environment, settings, membership, link, sizer))
-    kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
+    kernel.register(_make_admin(environment, kernel, daemon, settings, membership, link))
     return daemon
 
 
@@ -119,14 +121,25 @@
         """Agents that lack the revision ask one entry for it, so that each fetches it once."""
         link.post(SendToAgents(Ping(head.revision)))
 
-    def forward_crash(target_id: str, report: CrashReport) -> None:
-        link.post(SendToAgents(report))
+    news = CrashNews(
+        lambda target_id, share: link.post(SendToAgent(target_id, share)),
+        lambda message: link.post(SendToAgents(message)),
+        lambda: settings.current().root().suspicion_expiry_ms,
+        environment.clock,
+    )
+
+    def greet(target_id: str, message: Welcome) -> None:
+        news.greet(target_id, message)
+        note_revision(target_id, message)
 
-    for kind in (Welcome, LoadReport, Refused):
+    link.screen_with(news.screen, news.report_lost)
+    link.subscribe(Welcome, greet)
+    link.subscribe(VerdictShare, news.take_verdicts)
+    for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
-    link.subscribe(CrashReport, forward_crash)
+    link.subscribe(CrashReport, news.take_report)
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
@@ -201,17 +214,21 @@
     daemon: Daemon,
     settings: SettingsService,
     membership: Membership,
+    link: AgentLink,
 ) -> HttpService:
     admin = environment.settings.admin
     api = AdminApi(admin.operator_token, environment.metrics)
 
+    def probe(target_id: str) -> None:
+        link.post(SendToAgent(target_id, Ping(settings.current().revision)))
+
     def drain(request: Request) -> object:
         daemon.request_stop()
         return {}
 
     api.add("GET", "/admin/v1/dump", lambda _: dump_process(environment, kernel))
     api.add("POST", "/admin/v1/drain", drain)
-    add_settings_paths(api, settings, environment.settings_store(), membership)
+    add_settings_paths(api, settings, environment.settings_store(), membership, probe)
     api.add("GET", "/admin/v1/targets", lambda _: _dump_targets(membership))
     api.add("GET", "/admin/v1/audit", lambda _: _audit(environment))
     return HttpService("admin", api, admin.listen_address, admin.port, ADMIN_THREADS)
