Leave jobs to entries that know the settings revision they were accepted under

Cause: an entry that had just started, or that lagged behind a change that added a model, could claim a shard and fail its sound items as UNKNOWN_MODEL. The job record now carries the revision of its acceptance. A separate check for an entry without any revision was tried and left out: the comparison covers it.

With the comparison switched off, test_entry_without_the_job_s_settings_leaves_it_alone[1] fails.

--- a/ebonyshore/batch_api.py
+++ b/ebonyshore/batch_api.py
@@ -71,6 +71,7 @@
             idempotency_key,
             window,
             self._sizer.shard_items(tier),
+            self._settings.current().revision,
         )
         return self._describe(self._jobs.accept(request))
 
--- a/ebonyshore/job_store.py
+++ b/ebonyshore/job_store.py
@@ -59,6 +59,7 @@
     idempotency_key: str = ""
     completion_window: str = "24h"
     shard_items: int = 0
+    settings_revision: int = 0
 
 
 class Progress(Struct, frozen=True):
@@ -290,6 +291,7 @@
             content_digest,
             request.metadata,
             request.completion_window,
+            settings_revision=request.settings_revision,
         )
 
     def _list_durable(self, job: JobRecord) -> None:
--- a/ebonyshore/jobs.py
+++ b/ebonyshore/jobs.py
@@ -42,6 +42,8 @@
     :param done_shards: numbers of the shards that ended.
     :param completed_items: items that ended with a result, in the shards that ended.
     :param failed_items: items that ended with a reason, in the shards that ended.
+    :param settings_revision: under which the job was accepted; an entry with an older one may not
+        know its models and leaves it alone.
     """
 
     job_id: str
@@ -62,6 +64,7 @@
     failed_items: int = 0
     cancelled_items: int = 0
     ended_wall_ms: int = 0
+    settings_revision: int = 0
 
     @property
     def shard_count(self) -> int:
--- a/ebonyshore/shard_runner.py
+++ b/ebonyshore/shard_runner.py
@@ -158,6 +158,8 @@
         if job.is_ended:
             self._jobs.index.remove(job_id)
             return
+        if job.settings_revision > self._settings.current().revision:
+            return
         versions = self._jobs.list_shards(job_id)
         now_ms = self.clock.monotonic_ms()
         held = {shard for held_job, shard in self._held if held_job == job_id}
--- a/ebonyshore_standins/batch_world_agent.py
+++ b/ebonyshore_standins/batch_world_agent.py
@@ -56,6 +56,7 @@
         self.world = world
         self.agent_id = agent_id
         self.run_number = 0
+        self.settings_revision = world.settings_tree.revision
         self.is_down = False
         self.stall_until_ms = 0.0
         self.target_up_ms = 0.0
@@ -172,7 +173,7 @@
     def _view(self) -> AgentView:
         return AgentView(
             self.incarnation,
-            self.world.settings_tree.revision,
+            self.settings_revision,
             False,
             self.world.now_ms >= self.target_up_ms,
             MODELS,
@@ -183,7 +184,7 @@
         )
 
     def _start(self, run: SimulatedRun) -> None:
-        if not is_permitted(run.dispatch, self.incarnation, self.tick_ms, PERMIT_INTERVAL_MS):
+        if not is_permitted(run.dispatch, self._view()):
             self._refuse(run.link, run.dispatch, ResultCode.PERMIT_EXPIRED)
             return
         self.world.note_start(run.dispatch.trace_id)
--- a/ebonyshore_standins/batch_world_entry.py
+++ b/ebonyshore_standins/batch_world_entry.py
@@ -201,11 +201,11 @@
 class _Settings:
     """The settings service's reading side."""
 
-    def __init__(self, world: "BatchWorld") -> None:
-        self._world = world
+    def __init__(self, entry: "SimulatedEntry") -> None:
+        self._entry = entry
 
     def current(self):
-        return self._world.settings_tree
+        return self._entry.settings_tree
 
 
 class SimulatedEntry:
@@ -216,6 +216,7 @@
         self.entry_id = entry_id
         self.is_dead = False
         self.process = 0
+        self.settings_tree = world.settings_tree
         self.heal()
         self.start()
 
@@ -243,7 +244,7 @@
             JobStore(store, clock, settings.index_buckets, settings.shard_items),
             self.link,
             self.link.membership,
-            _Settings(world),
+            _Settings(self),
             settings,
             sizer,
             clock,
@@ -255,7 +256,7 @@
         api_store = MarkedStore(SimulatedStore(world, self), api_clock)
         self.api = BatchApi(
             JobStore(api_store, api_clock, settings.index_buckets, settings.shard_items),
-            _Settings(world),
+            _Settings(self),
             sizer,
             api_clock,
         )
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -7,6 +7,7 @@
 
 from ebonyshore.jobs import job_key
 from ebonyshore.process_settings import BatchSettings
+from ebonyshore.settings_tree import SettingsTree
 from ebonyshore_standins.batch_faults import FaultReport, check_world, run_with_faults
 from ebonyshore_standins.batch_world import BatchWorld
 
@@ -103,6 +104,24 @@
     assert report.max_start_after_cancel_ms > 0
 
 
+@pytest.mark.parametrize("revision", [0, 1])
+def test_entry_without_the_job_s_settings_leaves_it_alone(revision: int) -> None:
+    """Guards against sound items that fail as UNKNOWN_MODEL at an entry that has no settings yet,
+    or that lacks the revision which added the model."""
+    world = BatchWorld(7, entries=1)
+    entry = world.entries[0]
+    entry.settings_tree = SettingsTree(2, world.settings_tree.nodes)
+    for agent in world.agents:
+        agent.settings_revision = 2
+    job_id = world.submit(60)
+    entry.settings_tree = SettingsTree(revision, {})
+    world.run(10_000)
+    assert not world.calm_store().list_shards(job_id)
+    entry.settings_tree = SettingsTree(2, world.settings_tree.nodes)
+    assert is_clean(settled(world))
+    assert world.calm_store().read_job(job_id).completed_items == 60
+
+
 def test_restarted_entry_goes_on_with_its_own_shards_at_once() -> None:
     """Guards against an entry that waits for its own lease to lapse."""
     world, job_id = started_world(120, entries=1)
