Add the clean-up duty: list half-accepted jobs, delete orphaned segments

Cause: a submitter that failed between job record and index entry, and never resent, left a job that stayed in progress for ever; holders that died between segment and commit left segments behind. The idempotency sweeper was not run by any entry. Expired files are not deleted: a file may belong to an open job, and the audit compares results with it.

The duty waits for the settings to be in force, since a default expiry could be too short.

Without the rule for open jobs, test_durable_job_that_was_never_listed_is_listed_and_ends and test_segments_of_an_open_job_stay fail on a scratch copy.

--- a/ebonyshore/audit.py
+++ b/ebonyshore/audit.py
@@ -7,7 +7,7 @@
 
 from ebonyshore.errors import EbonyshoreError, RequestError
 from ebonyshore.job_files import parse_item
-from ebonyshore.job_store import JobStore, digest_of_name, segment_digest
+from ebonyshore.job_store import SHARD_PREFIX, JobStore, digest_of_name, segment_digest
 from ebonyshore.jobs import ItemOutcome, JobRecord, JobState, SegmentRecord, ShardRecord
 from ebonyshore.result_codes import ResultCode
 from ebonyshore.settings_store import SettingsStore, digest_of
@@ -59,7 +59,7 @@
         for job in self._jobs.list_jobs():
             job_ids.add(job.job_id)
             _JobAudit(self._jobs, job, report).run()
-        for key in self._jobs.list_shard_keys():
+        for key, _ in self._jobs.list_versions(SHARD_PREFIX):
             if key.split("/")[1] not in job_ids:
                 report.faults.append(f"{key}: the job is missing")
         self._audit_settings(report)
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -8,6 +8,8 @@
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.batch_order import ShardSizer
+from ebonyshore.batch_sweep import BatchSweeper
+from ebonyshore.cleanup import DUTY, LEASE_INTERVAL_MS, CleanupTask
 from ebonyshore.crash_news import CrashNews
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
@@ -15,6 +17,7 @@
 from ebonyshore.http_service import HttpService
 from ebonyshore.instance_poller import InstancePoller
 from ebonyshore.kernel import Kernel
+from ebonyshore.lease import Lease
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
     CrashReport,
@@ -28,6 +31,7 @@
 )
 from ebonyshore.once import OnceStore
 from ebonyshore.once_run import OnceService
+from ebonyshore.once_sweep import OnceSweeper
 from ebonyshore.online import OnlineService
 from ebonyshore.platform_api import Instance
 from ebonyshore.ready_gate import ReadyGate
@@ -86,6 +90,7 @@
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
+    kernel.register(TaskService(_make_cleanup(environment, settings)))
     kernel.register(_make_http(environment, settings, membership, link, sizer))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership, link))
     return daemon
@@ -173,6 +178,34 @@
     )
 
 
+def _make_cleanup(environment: Environment, settings: SettingsService) -> CleanupTask:
+    instance_id = environment.settings.instance.instance_id
+    lease = Lease(
+        environment.store,
+        DUTY,
+        environment.incarnation,
+        instance_id,
+        environment.clock,
+        LEASE_INTERVAL_MS,
+    )
+
+    def expiry_ms() -> float:
+        return settings.current().root().idempotency_expiry_ms
+
+    sweepers = {
+        "batch": BatchSweeper(environment.store, environment.job_store()),
+        "once": OnceSweeper(environment.store, environment.clock, expiry_ms),
+    }
+    return CleanupTask(
+        lease,
+        sweepers,
+        lambda: settings.is_ready,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+
+
 def _make_http(
     environment: Environment,
     settings: SettingsService,
--- a/ebonyshore/job_index.py
+++ b/ebonyshore/job_index.py
@@ -27,17 +27,21 @@
         self._known = [_Bucket() for _ in range(buckets)]
         self._next = 0
 
-    def add(self, job: JobRecord) -> None:
-        """List a job; idempotent."""
+    def add(self, job: JobRecord) -> bool:
+        """List a job; return whether it was not listed before."""
+        was_added = False
         entry = IndexEntry(job.job_id, job.tier, job.caller, job.due_wall_ms, job.shard_count)
 
         def change(index: IndexRecord | None) -> IndexRecord | None:
+            nonlocal was_added
             jobs = index.jobs if index else ()
-            if any(known.job_id == job.job_id for known in jobs):
+            was_added = all(known.job_id != job.job_id for known in jobs)
+            if not was_added:
                 return None
             return IndexRecord((*jobs, entry))
 
         self._store.update(self._key(job.job_id), IndexRecord, change)
+        return was_added
 
     def remove(self, job_id: str) -> None:
         """Stop listing a job; idempotent."""
--- a/ebonyshore/job_store.py
+++ b/ebonyshore/job_store.py
@@ -116,16 +116,15 @@
         for summary in self._list_all(JOB_PREFIX):
             yield self.read_job(summary.key.removeprefix(JOB_PREFIX))
 
-    def list_shard_keys(self) -> Iterator[str]:
-        """Yield the keys of the shards of all jobs."""
-        return (summary.key for summary in self._list_all(SHARD_PREFIX))
+    def list_versions(self, prefix: str) -> Iterator[tuple[str, int]]:
+        """Yield key and version of the objects below a prefix; one call per 1000."""
+        return ((summary.key, summary.version) for summary in self._list_all(prefix))
 
     def list_shards(self, job_id: str) -> dict[int, int]:
         """Return the versions of a job's shard records by shard; one call per 1000 shards."""
         prefix = shard_prefix(job_id)
         return {
-            int(summary.key.removeprefix(prefix)): summary.version
-            for summary in self._list_all(prefix)
+            int(key.removeprefix(prefix)): version for key, version in self.list_versions(prefix)
         }
 
     def read_progress(self, job: JobRecord) -> Progress:
--- a/ebonyshore/jobs.py
+++ b/ebonyshore/jobs.py
@@ -197,6 +197,11 @@
     return f"segments/{job_id}/{shard:06d}/{segment}"
 
 
+def segment_prefix(job_id: str) -> str:
+    """Return the prefix of the keys of a job's segments."""
+    return f"segments/{job_id}/"
+
+
 def index_key(bucket: int) -> str:
     """Return the key of an index bucket."""
     return f"index/{bucket:02d}"
--- /dev/null
+++ b/tests/test_cleanup.py
@@ -0,0 +1,114 @@
+"""The clean-up duty: what it repairs, what it deletes, and what it leaves alone."""
+
+import pytest
+from msgspec.json import encode
+
+from ebonyshore.batch_sweep import BatchSweeper
+from ebonyshore.cleanup import DUTY, CleanupTask
+from ebonyshore.errors import StoreError, StoreUnavailableError
+from ebonyshore.jobs import SegmentRecord, ShardRecord, segment_key, shard_key
+from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
+from ebonyshore.logs import EventLog
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore.metrics import Metrics
+from ebonyshore_standins.batch_world import CHAT_PATH, BatchWorld, WorldClock
+
+ITEMS = 100
+
+
+def sweeper_of(world: BatchWorld) -> BatchSweeper:
+    return BatchSweeper(marked(world), world.calm_store())
+
+
+def marked(world: BatchWorld) -> MarkedStore:
+    return MarkedStore(world.platform, WorldClock(world, None))
+
+
+def write_orphan(world: BatchWorld, job_id: str) -> str:
+    key = segment_key(job_id, 0, "0000-1-orphan")
+    marked(world).create(key, SegmentRecord(job_id, 0, 1, ()))
+    return key
+
+
+def test_orphans_of_an_ended_job_go_and_its_results_stay() -> None:
+    world = BatchWorld(5)
+    job_id = world.submit(ITEMS)
+    assert world.settle(60_000)
+    before = list(world.calm_store().read_outcomes(world.calm_store().read_job(job_id)))
+    key = write_orphan(world, job_id)
+    sweeper = sweeper_of(world)
+    assert sweeper.step() == 1
+    assert world.platform.get(key) is None
+    job = world.calm_store().read_job(job_id)
+    assert list(world.calm_store().read_outcomes(job)) == before
+    assert sweeper.step() == 0
+
+
+def test_segments_of_an_open_job_stay() -> None:
+    """Guards against deleting a segment whose commit is under way."""
+    world = BatchWorld(5)
+    job_id = world.submit(ITEMS)
+    marked(world).create(shard_key(job_id, 0), ShardRecord(job_id, 0, 40, "other", 1))
+    key = write_orphan(world, job_id)
+    assert sweeper_of(world).step() == 0
+    assert world.platform.get(key) is not None
+
+
+def test_durable_job_that_was_never_listed_is_listed_and_ends() -> None:
+    """Guards against a job that stays open for ever after its submitter was told maybe_run."""
+    world = BatchWorld(5)
+    put = world.platform.put
+
+    def fail_index(key: str, value: bytes, expected_version: int) -> int:
+        if key.startswith("index/"):
+            world.platform.put = put
+            raise StoreUnavailableError(key)
+        return put(key, value, expected_version)
+
+    world.platform.put = fail_index
+    api = world.entries[0].api
+    body = {"model": "writer", "messages": [{"role": "user", "content": "x"}], "max_tokens": 2}
+    line = encode({"custom_id": "c", "url": CHAT_PATH, "body": body})
+    upload = api.save_file("bakery", "batch", "f", line)
+    with pytest.raises(StoreError):
+        api.create("bakery", {"input_file_id": upload["id"], "endpoint": CHAT_PATH}, "")
+    (accepted,) = world.calm_store().list_jobs()
+    world.run(5_000)
+    assert not world.calm_store().read_job(accepted.job_id).is_ended
+    assert sweeper_of(world).step() == 1
+    world.run(10_000)
+    assert world.calm_store().read_job(accepted.job_id).completed_items == 1
+
+
+class _CountingSweeper:
+    def __init__(self) -> None:
+        self.steps = 0
+
+    def step(self) -> int:
+        self.steps += 1
+        return 0
+
+
+def test_one_process_sweeps_and_another_follows_when_it_is_gone() -> None:
+    world = BatchWorld(5, entries=0)
+    tasks = []
+    sweepers = []
+    for name in ("one", "two"):
+        clock = WorldClock(world, None)
+        sweeper = _CountingSweeper()
+        lease = Lease(marked(world), DUTY, name, name, clock)
+        tasks.append(
+            CleanupTask(lease, {"all": sweeper}, lambda: True, clock, Metrics(), EventLog())
+        )
+        sweepers.append(sweeper)
+    for _ in range(4):
+        for task in tasks:
+            task.on_timer()
+        world.run(tasks[0].timer_ms() - world.now_ms)
+    assert sweepers[0].steps > 0
+    assert sweepers[1].steps == 0
+    world.run(DEFAULT_INTERVAL_MS)
+    tasks[1].on_timer()
+    world.run(DEFAULT_INTERVAL_MS)
+    tasks[1].on_timer()
+    assert sweepers[1].steps > 0
