Add the capacity probes and the projection to the design size

Peers that use the real sockets and messages stand for the far ends of one entry or agent; bytes come from the kernel's per-socket counters, processor time and memory from /proc, calls from the platform stand-in's counters.

--- a/ebonyshore_bench/load_client.py
+++ b/ebonyshore_bench/load_client.py
@@ -137,10 +137,12 @@
             self.result.failures.append(detail)
 
 
-def stream_token_times(port: int, body: bytes, clock: Clock) -> list[float]:
+def stream_token_times(
+    port: int, body: bytes, clock: Clock, caller: str = "bench-caller"
+) -> list[float]:
     """Send a streaming request; return the monotonic time of each token."""
     connection = HTTPConnection("127.0.0.1", port, timeout=REQUEST_TIMEOUT_S)
-    headers = {"Content-Type": "application/json", "Authorization": "Bearer bench-caller"}
+    headers = {"Content-Type": "application/json", "Authorization": f"Bearer {caller}"}
     times_ms = []
     try:
         connection.request("POST", "/v1/chat/completions", body, headers)
--- /dev/null
+++ b/ebonyshore_bench/memory.py
@@ -0,0 +1,54 @@
+"""Resident memory of the interpreter with one library or one of our roles imported."""
+
+import subprocess
+import sys
+
+from msgspec import Struct
+
+from ebonyshore_bench.proc_stat import read_use
+
+IMPORTS = (
+    "sys",
+    "zmq",
+    "msgspec",
+    "hdrh.histogram",
+    "eliot",
+    "returns.result",
+    "waitress",
+    "werkzeug.wrappers, werkzeug.routing",
+    "http.client",
+    "typer",
+    "zmq, msgspec, hdrh.histogram, eliot, returns.result, waitress, werkzeug.wrappers",
+    "zmq, msgspec, hdrh.histogram, eliot, returns.result, waitress",
+    "zmq, msgspec, hdrh.histogram, eliot, waitress",
+    "zmq, msgspec, hdrh.histogram, waitress",
+    "ebonyshore.agent",
+    "ebonyshore.entry",
+    "ebonyshore.cli",
+)
+_SCRIPT = "import {modules}\nprint('ready', flush=True)\ninput()"
+
+
+class ImportPoint(Struct, frozen=True):
+    """Memory of a process that has imported ``modules`` and nothing else."""
+
+    modules: str
+    resident_bytes: int
+    private_bytes: int
+
+
+def measure_imports() -> list[ImportPoint]:
+    """Measure each of :data:`IMPORTS` in a process of its own."""
+    return [_measure(modules) for modules in IMPORTS]
+
+
+def _measure(modules: str) -> ImportPoint:
+    process = subprocess.Popen(
+        [sys.executable, "-c", _SCRIPT.format(modules=modules)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    process.stdout.readline()
+    use = read_use(process.pid)
+    process.communicate(b"\n")
+    return ImportPoint(modules, use.resident_bytes, use.private_bytes)
--- /dev/null
+++ b/ebonyshore_bench/peers.py
@@ -0,0 +1,199 @@
+"""Many agents or entries in one process, with the real sockets and messages.
+
+They stand for the far ends of the process under measurement. The process prints a line when it is
+ready. For each line on standard input it prints one JSON line with the bytes that its sockets have
+exchanged with the process under measurement, and the settings revisions that its peers have.
+"""
+
+import argparse
+import os
+import socket
+import struct
+import sys
+from pathlib import Path
+
+import zmq
+from msgspec import Struct
+from msgspec.json import decode, encode
+
+from ebonyshore.agent_link import AgentLink, InstancesKnown
+from ebonyshore.agent_server import AgentServer, StatusChanged
+from ebonyshore.clock import SystemClock
+from ebonyshore.curve import secure_server
+from ebonyshore.logs import EventLog
+from ebonyshore.membership import Membership
+from ebonyshore.messages import Load, SettingsSnapshot
+from ebonyshore.metrics import Metrics
+from ebonyshore.platform_api import Instance
+from ebonyshore.process_settings import FleetSettings
+
+_TCP_INFO_BYTES = 256
+_BYTES_ACKED = 120  # offsets in struct tcp_info: tcpi_bytes_acked, then tcpi_bytes_received
+_SOCKET_PREFIX = "socket:"
+
+
+class PeerReport(Struct, frozen=True):
+    """Answer of the process.
+
+    :param sent_bytes: TCP payload sent by the peers.
+    :param received_bytes: TCP payload received by the peers.
+    :param revisions: newest settings revision of each agent that got one, with the monotonic time
+        in ms at which it came.
+    """
+
+    sent_bytes: int
+    received_bytes: int
+    connections: int
+    revisions: list[tuple[int, float]]
+
+
+def read_tcp_bytes(ports: set[int]) -> tuple[int, int, int]:
+    """Return sent bytes, received bytes and connections of this process's sockets on ``ports``."""
+    total = [0, 0, 0]
+    for name in os.listdir("/proc/self/fd"):
+        counted = _tcp_bytes_of(int(name), ports)
+        total = [old + new for old, new in zip(total, counted, strict=True)]
+    return total[0], total[1], total[2]
+
+
+def _tcp_bytes_of(descriptor: int, ports: set[int]) -> tuple[int, int, int]:
+    try:
+        if not os.readlink(f"/proc/self/fd/{descriptor}").startswith(_SOCKET_PREFIX):
+            return 0, 0, 0
+        sock = socket.socket(fileno=os.dup(descriptor))
+    except OSError:
+        return 0, 0, 0
+    with sock:
+        try:
+            used = {sock.getsockname()[1], sock.getpeername()[1]}
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+        except (OSError, IndexError, TypeError):
+            return 0, 0, 0
+    if not used & ports:
+        return 0, 0, 0
+    sent, received = struct.unpack_from("QQ", info, _BYTES_ACKED)
+    return sent, received, 1
+
+
+class PeerAgentServer(AgentServer):
+    """An agent's server beside others; the library allows one authenticator in a process.
+
+    :param is_authenticator: whether this one answers for all.
+    """
+
+    def __init__(self, is_authenticator: bool, *arguments: object) -> None:
+        super().__init__(*arguments)
+        self._is_authenticator = is_authenticator
+
+    def open(self) -> None:
+        if self._is_authenticator:
+            super().open()
+            return
+        context = zmq.Context.instance()
+        self._authenticator = context.socket(zmq.REP)
+        self._socket = context.socket(zmq.ROUTER)
+        self._socket.linger = 0
+        secure_server(self._socket, self._fleet)
+        self._socket.bind(self._address)
+        self.poller.register(self._socket, zmq.POLLIN)
+
+
+class AgentPeers:
+    """Agents that answer pings and note settings.
+
+    :param ports: one for each agent.
+    """
+
+    def __init__(self, ports: list[int], fleet: FleetSettings, models: tuple[str, ...]) -> None:
+        self.ports = set(ports)
+        self._clock = SystemClock()
+        self._revisions: dict[int, tuple[int, float]] = {}
+        self._servers = [self._make(port, fleet, models) for port in sorted(ports)]
+
+    def report(self) -> PeerReport:
+        """Return what was exchanged so far."""
+        return PeerReport(*read_tcp_bytes(self.ports), list(self._revisions.values()))
+
+    def _make(self, port: int, fleet: FleetSettings, models: tuple[str, ...]) -> AgentServer:
+        clock = self._clock
+        name = f"peer-{port}"
+        server = PeerAgentServer(
+            port == min(self.ports),
+            f"tcp://127.0.0.1:{port}",
+            name,
+            name,
+            "engine",
+            fleet,
+            clock,
+            Metrics(),
+            EventLog(instance_id=name),
+        )
+
+        def note(_: bytes, message: SettingsSnapshot) -> None:
+            self._revisions[port] = (message.revision, clock.monotonic_ms())
+            server.post(StatusChanged(Load(max_running=16), models, message.revision, False))
+
+        server.subscribe(SettingsSnapshot, note)
+        server.start()
+        server.post(StatusChanged(Load(max_running=16), models, 0, False))
+        return server
+
+
+class EntryPeers:
+    """Entries that are connected to one agent and only ping it."""
+
+    def __init__(self, count: int, agent: Instance, fleet: FleetSettings) -> None:
+        self.ports = {int(agent.address.rpartition(":")[2])}
+        self._links = [self._make(number, agent, fleet) for number in range(count)]
+
+    def report(self) -> PeerReport:
+        """Return what was exchanged so far."""
+        return PeerReport(*read_tcp_bytes(self.ports), [])
+
+    def _make(self, number: int, agent: Instance, fleet: FleetSettings) -> AgentLink:
+        name = f"peer-{number}"
+        clock = SystemClock()
+        revisions = [0]
+        link = AgentLink(
+            name,
+            Membership(),
+            lambda: revisions[-1],
+            fleet,
+            clock,
+            Metrics(),
+            EventLog(instance_id=name),
+        )
+        # An entry behind the agent's revision would get a snapshot with each heartbeat.
+        link.subscribe(SettingsSnapshot, lambda _, snapshot: revisions.append(snapshot.revision))
+        link.start()
+        link.post(InstancesKnown((agent,)))
+        return link
+
+
+class PeerOptions(Struct, frozen=True):
+    """What to run; ``ports`` for agents, ``count`` entries of ``agent`` otherwise."""
+
+    fleet: FleetSettings
+    ports: list[int] = []
+    models: tuple[str, ...] = ()
+    count: int = 0
+    agent: Instance | None = None
+
+
+def main() -> None:
+    """Run until standard input ends."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--options", type=Path, required=True)
+    options = decode(parser.parse_args().options.read_bytes(), type=PeerOptions)
+    if options.agent is None:
+        peers = AgentPeers(options.ports, options.fleet, options.models)
+    else:
+        peers = EntryPeers(options.count, options.agent, options.fleet)
+    print("ready", flush=True)
+    for _ in sys.stdin:
+        print(encode(peers.report()).decode(), flush=True)
+    os._exit(0)  # the peers hold nothing that a planned stop would save
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ebonyshore_bench/probes.py
@@ -0,0 +1,339 @@
+"""Measures single slopes on small fleets of real processes."""
+
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from http.client import HTTPConnection
+from pathlib import Path
+
+from msgspec import Struct
+from msgspec.json import decode, encode
+from msgspec.structs import replace
+from openai import OpenAI
+
+from ebonyshore.clock import MS_PER_S
+from ebonyshore.platform_api import Instance
+from ebonyshore.process_settings import FleetSettings
+from ebonyshore_bench.load_client import stream_token_times
+from ebonyshore_bench.peers import PeerOptions, PeerReport
+from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL, BatchPlan
+from ebonyshore_bench.proc_stat import ProcessUse, read_use
+from ebonyshore_bench.slopes import Slope, fit
+from ebonyshore_bench.traffic import chat_body, make_batch_lines
+from ebonyshore_standins.local_fleet import EntryProcess, LocalFleet, free_port
+
+WINDOW_MS = 5_000.0
+SETTLE_MS = 2_500.0
+PEER_COUNTS = (8, 40, 100, 160)
+SETTINGS_CHANGES = 5
+ANSWER_TOKENS = (1, 24, 72)
+ANSWER_REQUESTS = 120
+JOB_ITEMS = (100, 600, 1500)
+JOB_TIMEOUT_MS = 60_000
+SHARD_COUNTS = (10, 40, 80)
+SHARD_ITEMS = 5
+LONG_ANSWER_TOKENS = 30_000
+CALLER_COUNTS = (1, 150, 300, 450)
+SLOW_ENGINE = {"base_step_ms": 50.0}
+FAST_ENGINE = {"base_step_ms": 1.0, "sequence_step_ms": 0.05}
+TIER = "care"
+
+
+class PeerPoint(Struct, frozen=True):
+    """One process with ``count`` idle peers.
+
+    :param in_force_ms: median time from a change's acceptance until the last peer has it.
+    :param calls_per_s: of the entry at the platform, by kind.
+    :param join_cpu_ms: processor time of one peer's connection, handshake and first messages.
+    """
+
+    count: int
+    use: ProcessUse
+    cpu_share: float
+    bytes_per_s: float
+    in_force_ms: float = 0.0
+    calls_per_s: dict[str, float] = {}
+    join_cpu_ms: float = 0.0
+    calls_per_change: float = 0.0
+
+
+class CostPoint(Struct, frozen=True):
+    """Processor time of ``count`` units of work, and the calls at the platform it took."""
+
+    count: int
+    entry_cpu_ms: float
+    agent_cpu_ms: float
+    calls: dict[str, float] = {}
+    duration_ms: float = 0.0
+    entry_use: ProcessUse | None = None
+
+
+class PeerProcess:
+    """A running :mod:`ebonyshore_bench.peers`."""
+
+    def __init__(self, folder: Path, options: PeerOptions) -> None:
+        path = folder / f"peers-{free_port()}.json"
+        path.write_bytes(encode(options))
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "ebonyshore_bench.peers", "--options", str(path)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self._process.stdout.readline()
+
+    def report(self) -> PeerReport:
+        """Return the bytes exchanged and the revisions so far."""
+        self._process.stdin.write(b"report\n")
+        self._process.stdin.flush()
+        return decode(self._process.stdout.readline(), type=PeerReport)
+
+    def stop(self) -> None:
+        """End the process."""
+        self._process.stdin.close()
+        self._process.wait()
+
+
+def fleet_settings(fleet: LocalFleet) -> FleetSettings:
+    """Return the keys of a local fleet."""
+    text = fleet.targets[0].settings_path.read_text(encoding="utf-8")
+    keys = [line.split("'")[1] for line in text.splitlines() if "key_z85" in line]
+    return FleetSettings(*keys)
+
+
+def platform_calls(fleet: LocalFleet) -> Counter[str]:
+    """Return the platform's call counts."""
+    connection = HTTPConnection("127.0.0.1", fleet.platform_port, timeout=10)
+    try:
+        connection.request("GET", "/control/calls")
+        return Counter(decode(connection.getresponse().read()))
+    finally:
+        connection.close()
+
+
+def run_in_fleet(measure: Callable[[LocalFleet, Path], object], engine: dict[str, object]):
+    """Run ``measure`` on a fleet of one engine, its agent and one entry."""
+    with tempfile.TemporaryDirectory() as name, LocalFleet(Path(name)) as fleet:
+        fleet.add_engine((ONLINE_MODEL, BATCH_MODEL), parameters=engine)
+        entry = fleet.add_entry(extra_settings="[batch]\ncheckpoint_interval_ms = 10000\n")
+        fleet.wait_for_port(int(entry.admin.url.rpartition(":")[2]))
+        fleet.create_tier(TIER, (ONLINE_MODEL, BATCH_MODEL))
+        return measure(fleet, Path(name))
+
+
+def measure_targets(fleet: LocalFleet, folder: Path) -> list[PeerPoint]:
+    """Vary the agents that one entry is connected to."""
+    points, peers = [], []
+    settings = fleet_settings(fleet)
+    for count in PEER_COUNTS:
+        added = count - sum(len(p.ports) for _, p in peers)
+        ports = [free_port() for _ in range(added)]
+        before = read_use(fleet.entries[0].process.pid)
+        options = PeerOptions(settings, ports, (ONLINE_MODEL,))
+        peers.append((PeerProcess(folder, options), options))
+        for port in ports:
+            address = f"tcp://127.0.0.1:{port}"
+            instance = Instance(f"peer-{port}", "target", address, models=(ONLINE_MODEL,))
+            fleet.platform_call("POST", "/control/instances", instance)
+        fleet.clock.sleep_ms(SETTLE_MS)
+        running = [process for process, _ in peers]
+        point = _peer_point(fleet, count, fleet.entries[0].process.pid, running, before, added)
+        points.append(_with_changes(fleet, point, running))
+    for process, _ in peers:
+        process.stop()
+    return points
+
+
+def measure_entries(fleet: LocalFleet, folder: Path) -> list[PeerPoint]:
+    """Vary the entries that are connected to one agent."""
+    points, peers = [], []
+    target = fleet.targets[0]
+    agent = Instance(target.instance_id, "target", f"tcp://127.0.0.1:{target.port}")
+    settings = fleet_settings(fleet)
+    known = 0
+    for count in PEER_COUNTS:
+        added = count - known
+        before = read_use(target.agent.pid)
+        peers.append(PeerProcess(folder, PeerOptions(settings, count=added, agent=agent)))
+        known = count
+        fleet.clock.sleep_ms(SETTLE_MS)
+        points.append(_peer_point(fleet, count, target.agent.pid, peers, before, added))
+    for process in peers:
+        process.stop()
+    return points
+
+
+def _peer_point(
+    fleet: LocalFleet,
+    count: int,
+    pid: int,
+    peers: list[PeerProcess],
+    before: ProcessUse,
+    added: int,
+) -> PeerPoint:
+    """Measure a window; ``before`` is the use before the last ``added`` peers joined."""
+    start_ms = fleet.clock.monotonic_ms()
+    use, calls, sent = read_use(pid), platform_calls(fleet), _total_bytes(peers)
+    fleet.clock.sleep_ms(WINDOW_MS)
+    later, later_calls, later_sent = read_use(pid), platform_calls(fleet), _total_bytes(peers)
+    duration_ms = fleet.clock.monotonic_ms() - start_ms
+    cpu_share = (later.cpu_ms - use.cpu_ms) / duration_ms
+    joined_cpu_ms = use.cpu_ms - before.cpu_ms - cpu_share * SETTLE_MS
+    return PeerPoint(
+        count,
+        later,
+        cpu_share,
+        (later_sent - sent) * MS_PER_S / duration_ms,
+        calls_per_s={
+            kind: number * MS_PER_S / duration_ms for kind, number in (later_calls - calls).items()
+        },
+        join_cpu_ms=max(0.0, joined_cpu_ms) / added,
+    )
+
+
+def _total_bytes(peers: list[PeerProcess]) -> int:
+    reports = [process.report() for process in peers]
+    return sum(report.sent_bytes + report.received_bytes for report in reports)
+
+
+def _with_changes(fleet: LocalFleet, point: PeerPoint, peers: list[PeerProcess]) -> PeerPoint:
+    durations = []
+    before = platform_calls(fleet)
+    start_ms = fleet.clock.monotonic_ms()
+    for number in range(SETTINGS_CHANGES):
+        values = {"max_attempts": 3 + number % 2}
+        change = {"path": f"/tiers/{TIER}", "values": values, "operator": "capacity"}
+        sent_ms = fleet.clock.monotonic_ms()
+        revision = fleet.entries[0].admin.post("/admin/v1/settings", change)["revision"]
+        fleet.wait_until(lambda wanted=revision: _have_revision(peers, point.count, wanted))
+        times_ms = [at_ms for p in peers for _, at_ms in p.report().revisions]
+        durations.append(max(times_ms) - sent_ms)
+    calls = platform_calls(fleet).total() - before.total()
+    duration_s = (fleet.clock.monotonic_ms() - start_ms) / MS_PER_S
+    idle = sum(point.calls_per_s.values()) * duration_s
+    return replace(
+        point,
+        in_force_ms=sorted(durations)[len(durations) // 2],
+        calls_per_change=(calls - idle) / SETTINGS_CHANGES,
+    )
+
+
+def _have_revision(peers: list[PeerProcess], count: int, wanted: int) -> bool:
+    revisions = [revision for p in peers for revision, _ in p.report().revisions]
+    return len(revisions) == count and min(revisions) >= wanted
+
+
+def measure_answers(fleet: LocalFleet, _: Path) -> list[CostPoint]:
+    """Vary the tokens of an answer; one request at a time."""
+    points = []
+    for tokens in ANSWER_TOKENS:
+
+        def send(tokens: int = tokens) -> None:
+            for number in range(ANSWER_REQUESTS):
+                body = chat_body(ONLINE_MODEL, f"question {number}", tokens, is_stream=True)
+                stream_token_times(fleet.entries[0].port, body, fleet.clock)
+
+        cost = _cost(fleet, tokens, send)
+        points.append(
+            CostPoint(
+                tokens, cost.entry_cpu_ms / ANSWER_REQUESTS, cost.agent_cpu_ms / ANSWER_REQUESTS
+            )
+        )
+    return points
+
+
+def measure_jobs(fleet: LocalFleet, _: Path) -> list[CostPoint]:
+    """Vary the items of a job; two tokens an item."""
+    client = OpenAI(base_url=f"{fleet.entries[0].url}/v1", api_key="capacity")
+
+    def run(items: int) -> None:
+        job_id = _submit(fleet, items, tokens=2)
+        fleet.wait_until(
+            lambda: client.batches.retrieve(job_id).status == "completed", JOB_TIMEOUT_MS
+        )
+
+    run(20)
+    return [_cost(fleet, items, lambda items=items: run(items)) for items in JOB_ITEMS]
+
+
+def measure_callers(fleet: LocalFleet, _: Path) -> list[CostPoint]:
+    """Vary the callers that an entry has seen; one request each."""
+    points = []
+    seen = 0
+    for count in CALLER_COUNTS:
+
+        def send(first: int = seen, last: int = count) -> None:
+            for number in range(first, last):
+                body = chat_body(ONLINE_MODEL, "the same question", 1, is_stream=True)
+                port = fleet.entries[0].port
+                stream_token_times(port, body, fleet.clock, caller=f"caller-{number}")
+
+        points.append(_cost(fleet, count, send))
+        seen = count
+    return points
+
+
+def measure_polls() -> list[CostPoint]:
+    """Vary the shards that one entry holds; count the calls of another entry with free room."""
+    points = []
+    with tempfile.TemporaryDirectory() as name, LocalFleet(Path(name)) as fleet:
+        fleet.add_engine((BATCH_MODEL,), parameters=SLOW_ENGINE)
+        _add_runner(fleet, max(SHARD_COUNTS))
+        fleet.create_tier(TIER, (BATCH_MODEL,), max_output_tokens=LONG_ANSWER_TOKENS)
+        held = 0
+        for count in SHARD_COUNTS:
+            _submit(fleet, (count - held) * SHARD_ITEMS, LONG_ANSWER_TOKENS)
+            held = count
+            fleet.clock.sleep_ms(2 * SETTLE_MS)
+            alone = _call_rates(fleet)
+            poller = _add_runner(fleet, max_shards=1)
+            fleet.clock.sleep_ms(SETTLE_MS)
+            both = _call_rates(fleet)
+            fleet.entries.remove(poller)
+            poller.process.kill()
+            added = {kind: rate - alone.get(kind, 0.0) for kind, rate in both.items()}
+            points.append(CostPoint(count, 0.0, 0.0, added, WINDOW_MS))
+        fleet.entries[0].process.kill()  # its items never end, so it could not drain
+    return points
+
+
+def _add_runner(fleet: LocalFleet, max_shards: int) -> EntryProcess:
+    batch = f"max_shards = {max_shards}\nshard_items = {SHARD_ITEMS}\nwindow_items = 1\n"
+    entry = fleet.add_entry(extra_settings="[batch]\n" + batch)
+    fleet.wait_for_port(int(entry.admin.url.rpartition(":")[2]))
+    return entry
+
+
+def _call_rates(fleet: LocalFleet) -> dict[str, float]:
+    before = platform_calls(fleet)
+    fleet.clock.sleep_ms(WINDOW_MS)
+    calls = platform_calls(fleet) - before
+    return {kind: count * MS_PER_S / WINDOW_MS for kind, count in calls.items()}
+
+
+def _submit(fleet: LocalFleet, items: int, tokens: int) -> str:
+    client = OpenAI(base_url=f"{fleet.entries[0].url}/v1", api_key="capacity")
+    lines = make_batch_lines(BatchPlan(items, tokens, prompt_words=20), seed=items)
+    upload = client.files.create(file=("plans.jsonl", lines), purpose="batch")
+    return client.batches.create(
+        input_file_id=upload.id, endpoint="/v1/chat/completions", completion_window="24h"
+    ).id
+
+
+def _cost(fleet: LocalFleet, count: int, work: Callable[[], None]) -> CostPoint:
+    pids = fleet.entries[0].process.pid, fleet.targets[0].agent.pid
+    before = [read_use(pid) for pid in pids]
+    calls = platform_calls(fleet)
+    start_ms = fleet.clock.monotonic_ms()
+    work()
+    duration_ms = fleet.clock.monotonic_ms() - start_ms
+    after = [read_use(pid) for pid in pids]
+    used = [late.cpu_ms - early.cpu_ms for early, late in zip(before, after, strict=True)]
+    new_calls = dict(platform_calls(fleet) - calls)
+    return CostPoint(count, *used, new_calls, duration_ms, after[0])
+
+
+def slope_of(points: list, value: Callable[[object], float]) -> Slope:
+    """Fit a value against the points' counts."""
+    return fit([(point.count, value(point)) for point in points])
--- /dev/null
+++ b/ebonyshore_bench/projection.py
@@ -0,0 +1,275 @@
+"""Load of each role at the design size, worked out from measured slopes. Pure."""
+
+from msgspec import Struct
+
+from ebonyshore_bench.probes import CostPoint, PeerPoint, slope_of
+from ebonyshore_bench.slopes import Slope
+
+KB = 1000
+MB = 1000 * 1000
+S_PER_DAY = 86_400
+CPU_LIMIT = 0.043
+MEMORY_LIMIT_BYTES = 32 * MB
+BYTES_LIMIT_PER_S = 13 * KB
+STORE_READS_LIMIT_PER_S = 2_000
+STORE_WRITES_LIMIT_PER_S = 300  # lower end of "several hundred"
+IN_FORCE_LIMIT_MS = 5_000
+CALLS_OF_A_START = 4  # settings head, watch, instance list, index
+RESTART_SPREAD_S = 10.0
+
+
+class DesignSize(Struct, frozen=True):
+    """The size of section 1.4 of the design page."""
+
+    entries: int = 380
+    targets: int = 860
+    requests_per_s: float = 3_000.0
+    tokens_per_s: float = 1_300_000.0
+    items_per_day: float = 46e6
+    jobs_per_day: float = 17_000.0
+    settings_changes_per_day: float = 1_100.0
+    replaced_per_day: float = 170.0
+    failure_domains: int = 6
+    watch_timeout_s: float = 30.0
+    instance_poll_s: float = 2.0
+    batch_poll_s: float = 1.0
+    shards_of_largest_job: int = 240
+    shards_per_entry: int = 2
+    lease_interval_s: float = 20.0
+
+
+class Slopes(Struct, frozen=True):
+    """All fits."""
+
+    entry_cpu_by_target: Slope
+    entry_bytes_by_target: Slope
+    entry_private_by_target: Slope
+    entry_resident_by_target: Slope
+    in_force_ms_by_target: Slope
+    agent_cpu_by_entry: Slope
+    agent_bytes_by_entry: Slope
+    agent_private_by_entry: Slope
+    agent_resident_by_entry: Slope
+    entry_cpu_ms_by_token: Slope
+    agent_cpu_ms_by_token: Slope
+    entry_cpu_ms_by_item: Slope
+    agent_cpu_ms_by_item: Slope
+    writes_by_item: Slope
+    reads_by_item: Slope
+    entry_private_by_caller: Slope
+    reads_per_s_by_held_shard: Slope
+    entry_join_cpu_ms: float
+    agent_join_cpu_ms: float
+    idle_calls_per_s: dict[str, float]
+    calls_per_change: float
+
+
+class Figure(Struct, frozen=True):
+    """One projected figure against its limit."""
+
+    role: str
+    name: str
+    value: float
+    limit: float | None
+    unit: str
+    source: str
+
+    def line(self) -> str:
+        """Return a row of the table."""
+        value = f"{self.value:.4g} {self.unit}"
+        if self.limit is None:
+            return f"| {self.role} | {self.name} | {value} | – | – | {self.source} |"
+        margin = self.limit / self.value if self.value > 0 else float("inf")
+        verdict = f"{margin:.2f}" if margin >= 1 else f"**{margin:.2f}, missed**"
+        limit = f"{self.limit:.4g} {self.unit}"
+        return f"| {self.role} | {self.name} | {value} | {limit} | {verdict} | {self.source} |"
+
+
+def make_slopes(
+    targets: list[PeerPoint],
+    entries: list[PeerPoint],
+    answers: list[CostPoint],
+    jobs: list[CostPoint],
+    callers: list[CostPoint],
+    polls: list[CostPoint],
+) -> Slopes:
+    """Fit all points."""
+    kinds = {kind for point in targets for kind in point.calls_per_s}
+    idle = {k: sum(p.calls_per_s.get(k, 0.0) for p in targets) / len(targets) for k in kinds}
+
+    def calls_of(point: CostPoint, *kinds: str) -> float:
+        return sum(point.calls.get(kind, 0) for kind in kinds)
+
+    return Slopes(
+        slope_of(targets, lambda p: p.cpu_share),
+        slope_of(targets, lambda p: p.bytes_per_s),
+        slope_of(targets, lambda p: p.use.private_bytes),
+        slope_of(targets, lambda p: p.use.resident_bytes),
+        slope_of(targets, lambda p: p.in_force_ms),
+        slope_of(entries, lambda p: p.cpu_share),
+        slope_of(entries, lambda p: p.bytes_per_s),
+        slope_of(entries, lambda p: p.use.private_bytes),
+        slope_of(entries, lambda p: p.use.resident_bytes),
+        slope_of(answers, lambda p: p.entry_cpu_ms),
+        slope_of(answers, lambda p: p.agent_cpu_ms),
+        slope_of(jobs, lambda p: p.entry_cpu_ms),
+        slope_of(jobs, lambda p: p.agent_cpu_ms),
+        slope_of(jobs, lambda p: calls_of(p, "put", "delete")),
+        slope_of(jobs, lambda p: calls_of(p, "get", "list")),
+        slope_of(callers, lambda p: p.entry_use.private_bytes),
+        slope_of(polls, lambda p: calls_of(p, "get", "list")),
+        targets[-1].join_cpu_ms,
+        entries[-1].join_cpu_ms,
+        idle,
+        sum(point.calls_per_change for point in targets) / len(targets),
+    )
+
+
+def project(slopes: Slopes, size: DesignSize) -> list[Figure]:
+    """Return all figures at a size."""
+    return [
+        *_control_figures(slopes, size),
+        *_work_figures(slopes, size),
+        *_platform_figures(slopes, size),
+    ]
+
+
+def _control_figures(s: Slopes, size: DesignSize) -> list[Figure]:
+    targets, entries = size.targets, size.entries
+    grown = s.entry_private_by_target.per_unit * targets
+    agent_grown = s.agent_private_by_entry.per_unit * entries
+    return [
+        Figure("entry", "control CPU", s.entry_cpu_by_target.at(targets), CPU_LIMIT, "cores", "A"),
+        Figure(
+            "entry",
+            "control bytes",
+            s.entry_bytes_by_target.at(targets),
+            BYTES_LIMIT_PER_S,
+            "B/s",
+            "A",
+        ),
+        Figure("entry", "control state", grown, MEMORY_LIMIT_BYTES, "B", "A"),
+        Figure(
+            "entry",
+            "whole process",
+            s.entry_resident_by_target.at(targets),
+            MEMORY_LIMIT_BYTES,
+            "B",
+            "A",
+        ),
+        Figure("agent", "control CPU", s.agent_cpu_by_entry.at(entries), CPU_LIMIT, "cores", "B"),
+        Figure(
+            "agent",
+            "control bytes",
+            s.agent_bytes_by_entry.at(entries),
+            BYTES_LIMIT_PER_S,
+            "B/s",
+            "B",
+        ),
+        Figure("agent", "control state", agent_grown, MEMORY_LIMIT_BYTES, "B", "B"),
+        Figure(
+            "agent",
+            "whole process",
+            s.agent_resident_by_entry.at(entries),
+            MEMORY_LIMIT_BYTES,
+            "B",
+            "B",
+        ),
+        Figure(
+            "settings",
+            "in force at the last agent",
+            s.in_force_ms_by_target.at(targets),
+            IN_FORCE_LIMIT_MS,
+            "ms",
+            "A",
+        ),
+    ]
+
+
+def _work_figures(s: Slopes, size: DesignSize) -> list[Figure]:
+    requests = size.requests_per_s
+    online = requests * s.entry_cpu_ms_by_token.fixed + size.tokens_per_s * (
+        s.entry_cpu_ms_by_token.per_unit
+    )
+    agent = requests * s.agent_cpu_ms_by_token.fixed + size.tokens_per_s * (
+        s.agent_cpu_ms_by_token.per_unit
+    )
+    items = size.items_per_day / S_PER_DAY
+    item_ms = items * s.entry_cpu_ms_by_item.per_unit
+    agent_item_ms = items * s.agent_cpu_ms_by_item.per_unit
+    return [
+        Figure("entry", "online work", online / 1000 / size.entries, None, "cores", "C"),
+        Figure("agent", "online work", agent / 1000 / size.targets, None, "cores", "C"),
+        Figure("entry", "batch work", item_ms / 1000 / size.entries, None, "cores", "D"),
+        Figure("agent", "batch work", agent_item_ms / 1000 / size.targets, None, "cores", "D"),
+    ]
+
+
+def idle_calls_per_s(slopes: Slopes, size: DesignSize) -> float:
+    """Return one entry's calls at the platform, at the default poll intervals."""
+    rates = dict(slopes.idle_calls_per_s)
+    rates["list_instances"] = 1 / size.instance_poll_s  # the local fleet polls more often
+    return sum(rates.values()) + 1 / size.watch_timeout_s
+
+
+def _platform_figures(s: Slopes, size: DesignSize) -> list[Figure]:
+    items = size.items_per_day / S_PER_DAY
+    jobs = size.jobs_per_day / S_PER_DAY
+    writes = items * s.writes_by_item.per_unit + jobs * s.writes_by_item.fixed
+    writes += size.settings_changes_per_day / S_PER_DAY
+    changes = size.settings_changes_per_day / S_PER_DAY
+    idle = size.entries * idle_calls_per_s(s, size)
+    per_change = size.entries * s.calls_per_change
+    domain_entries = size.entries / size.failure_domains
+    reads, read_limit = idle + changes * per_change, STORE_READS_LIMIT_PER_S
+    return [
+        Figure("platform", "writes", writes, STORE_WRITES_LIMIT_PER_S, "/s", "D"),
+        Figure("platform", "idle reads, all entries", idle, read_limit, "/s", "A"),
+        Figure("platform", "reads with settings changes", reads, read_limit, "/s", "A"),
+        Figure(
+            "platform",
+            "calls of one change, spread over 5 s",
+            per_change / 5,
+            read_limit,
+            "/s",
+            "A",
+        ),
+        Figure(
+            "platform",
+            "reads of polls, 380 entries with room, 240 shards open",
+            size.entries * s.reads_per_s_by_held_shard.at(size.shards_of_largest_job),
+            read_limit,
+            "/s",
+            "F",
+        ),
+        Figure(
+            "platform",
+            "writes to claim the shards of a lost domain, over 20 s",
+            domain_entries * size.shards_per_entry / size.lease_interval_s,
+            STORE_WRITES_LIMIT_PER_S,
+            "/s",
+            "settings",
+        ),
+        Figure(
+            "platform",
+            "calls when all processes start within 10 s",
+            size.entries * CALLS_OF_A_START / RESTART_SPREAD_S,
+            read_limit,
+            "/s",
+            "code",
+        ),
+        Figure(
+            "entry", "connect to all agents", s.entry_join_cpu_ms * size.targets, None, "ms", "A"
+        ),
+        Figure(
+            "agent", "connect to all entries", s.agent_join_cpu_ms * size.entries, None, "ms", "B"
+        ),
+        Figure(
+            "platform",
+            "calls of 170 replacements in a day",
+            size.replaced_per_day * CALLS_OF_A_START / S_PER_DAY,
+            read_limit,
+            "/s",
+            "code",
+        ),
+    ]
