--- a/ebonyshore/baseline_policies.py
+++ b/ebonyshore/baseline_policies.py
@@ -21,15 +21,15 @@
 
 def decide_first_come(state: SchedulerState) -> Decision:
     """Pass everything on at once; the engine's own queue serves it in order of arrival."""
-    return Decision(state.online_waiting, state.batch_waiting)
+    return Decision(state.online_waiting, len(state.batch_waiting_tokens))
 
 
 def decide_static_split(state: SchedulerState) -> Decision:
     """Give each kind of work a fixed share of the running requests."""
     batch_limit = int(state.max_running * BATCH_SPLIT_RATIO)
     online_room = state.max_running - batch_limit - state.online_running
-    batch_room = batch_limit - state.batch_running
+    batch_room = batch_limit - len(state.batch) - state.batch_stopping
     return Decision(
         max(0, min(state.online_waiting, online_room)),
-        max(0, min(state.batch_waiting, batch_room)),
+        max(0, min(len(state.batch_waiting_tokens), batch_room)),
     )
--- a/ebonyshore/messages.py
+++ b/ebonyshore/messages.py
@@ -91,6 +91,7 @@
     """Heartbeat of an agent.
 
     :param tick_ms: the agent's monotonic time, for :class:`Permit`.
+    :param lowest_entry_revision: lowest settings revision of the entries connected to the agent.
     """
 
     incarnation: str
@@ -99,6 +100,7 @@
     load: Load
     models: tuple[str, ...] = ()
     is_leaving: bool = False
+    lowest_entry_revision: int = 0
 
 
 class Dispatch(Struct, tag="dispatch", frozen=True):
@@ -143,6 +145,12 @@
     request_id: str
 
 
+class Started(Struct, tag="started", frozen=True):
+    """A suspect is in the target now; sent for suspects only, which may wait long before."""
+
+    request_id: str
+
+
 class Chunk(Struct, tag="chunk", frozen=True):
     """A part of an answer.
 
@@ -199,6 +207,7 @@
     :param crash_count: targets that crashed while they ran the content.
     :param is_convicted: whether the content is refused.
     :param age_ms: time since the last crash, when the message was sent.
+    :param crash_ids: of these crashes, so that no process counts one twice.
     """
 
     content_digest: str
@@ -206,6 +215,7 @@
     is_convicted: bool
     age_ms: float
     is_cleared: bool = False
+    crash_ids: tuple[str, ...] = ()
 
 
 class VerdictShare(Struct, tag="verdict_share", frozen=True):
@@ -312,6 +322,7 @@
 AgentMessage = (
     Welcome
     | LoadReport
+    | Started
     | Chunk
     | Finished
     | Refused
--- a/ebonyshore/platform_api.py
+++ b/ebonyshore/platform_api.py
@@ -77,9 +77,8 @@
         :param timeout_ms: 0 only checks; the result has no changes when it passes.
         """
 
-    @abstractmethod
-    def interrupt_watches(self) -> None:
-        """End all waiting watches, now and from now on, with ``StoreUnavailableError``."""
+    def cancel_watches(self) -> None:  # noqa: B027 - a store without connections has none to end
+        """End waiting watches with ``StoreUnavailableError`` and start no more; for a stop."""
 
 
 class Instance(Struct, frozen=True):
--- a/ebonyshore/platform_http.py
+++ b/ebonyshore/platform_http.py
@@ -1,7 +1,7 @@
 """The platform's services over HTTP, by ``http.client``."""
 
 from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager, nullcontext, suppress
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from socket import SHUT_RDWR
 from threading import Lock
@@ -96,12 +96,14 @@
     :param timeout_ms: time limit of one call; a watch may wait longer by its own timeout.
     """
 
+    __slots__ = ("_are_watches_cancelled", "_lock", "_pool", "_timeout_ms", "_watching")
+
     def __init__(self, url: str, timeout_ms: int) -> None:
         self._pool = HttpConnectionPool(url)
+        self._timeout_ms = timeout_ms
         self._lock = Lock()
         self._watching: set[HTTPConnection] = set()
-        self._is_interrupted = False
-        self._timeout_ms = timeout_ms
+        self._are_watches_cancelled = False
 
     def get(self, key: str) -> StoredObject | None:
         answer = self._read("GET", f"/objects/{quote(key)}")
@@ -124,16 +126,15 @@
     def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
         query = urlencode({"prefix": prefix, "since": since, "timeout_ms": timeout_ms})
         limit_ms = self._timeout_ms + (timeout_ms + WATCH_MARGIN_MS if timeout_ms else 0)
-        answer = self._read("GET", f"/watch?{query}", limit_ms, is_watch=True)
-        return decode(answer.body, type=WatchResult)
+        path = f"/watch?{query}"
+        return decode(self._read("GET", path, limit_ms, is_watch=True).body, type=WatchResult)
 
-    def interrupt_watches(self) -> None:
+    def cancel_watches(self) -> None:
         with self._lock:
-            self._is_interrupted = True
+            self._are_watches_cancelled = True
             watching = list(self._watching)
         for connection in watching:
-            with suppress(OSError):
-                connection.sock.shutdown(SHUT_RDWR)
+            _shut_down(connection)
 
     def list_instances(self) -> list[Instance]:
         return decode(self._read("GET", "/instances").body, type=list[Instance])
@@ -156,7 +157,7 @@
     ) -> HttpAnswer:
         try:
             connection = self._pool.take(timeout_ms or self._timeout_ms)
-            with self._interruptible(connection, is_watch):
+            with self._noted_as_watch(connection) if is_watch else nullcontext():
                 answer = self._exchange_on(connection, method, path, body, {})
         except TimeoutError as error:
             raise StoreTimeoutError(f"{method} {path}: no answer in time") from error
@@ -185,15 +186,11 @@
         return _checked_write_answer(answer, method, key)
 
     @contextmanager
-    def _interruptible(self, connection: HTTPConnection, is_watch: bool) -> Iterator[None]:
-        """Let :meth:`interrupt_watches` end a watch on ``connection``."""
-        if not is_watch:
-            yield
-            return
+    def _noted_as_watch(self, connection: HTTPConnection) -> Iterator[None]:
         with self._lock:
-            if self._is_interrupted:
+            if self._are_watches_cancelled:
                 connection.close()
-                raise StoreUnavailableError("watches were interrupted")
+                raise ConnectionAbortedError("watches are cancelled")
             self._watching.add(connection)
         try:
             yield
@@ -220,6 +217,14 @@
         return answer
 
 
+def _shut_down(connection: HTTPConnection) -> None:
+    """Wake the thread that reads from the connection."""
+    sock = connection.sock
+    if sock is not None:
+        with suppress(OSError):
+            sock.shutdown(SHUT_RDWR)
+
+
 def _version(response: HTTPResponse) -> int:
     return int((response.getheader("ETag") or f'"{ABSENT_VERSION}"').strip('"'))
 
--- a/ebonyshore_standins/engine_server.py
+++ b/ebonyshore_standins/engine_server.py
@@ -174,6 +174,7 @@
                     continue
                 self._record_load(step.duration_ms)
                 self._record_step(step)
+            self._deliver(step.aborted)
             self._clock.sleep_ms(step.duration_ms)
             self._deliver(step.events)
 
