--- a/ebonyshore/__init__.py
+++ b/ebonyshore/__init__.py
@@ -1,1 +1,38 @@
-"""Ebonyshore serves online and batch inference on one fleet of targets."""
+"""Ebonyshore serves online and batch inference on one fleet of targets.
+
+The coordination parts can be embedded without the daemons; their names are re-exported here. A name
+is imported when it is first used, because a daemon of one role does not need the parts of the other.
+"""
+
+from importlib import import_module
+
+_MODULES = {
+    "clock": ("Clock", "ManualClock", "SystemClock"),
+    "environment": ("Environment", "make_environment"),
+    "errors": ("EbonyshoreError", "RefusedError", "RequestError", "SettingsError", "StoreError"),
+    "kernel": ("Kernel", "Service"),
+    "lease": ("Lease",),
+    "marked_write": ("MarkedObject", "MarkedStore"),
+    "platform_api": ("Instance", "InstanceList", "ObjectStore", "StoredObject", "WeightStore"),
+    "process_settings": ("ProcessSettings", "load_settings"),
+    "result_codes": ("RESULT_INFO", "Execution", "ResultCode"),
+    "scheduler": ("Decision", "SchedulerState", "Weighting", "decide"),
+    "settings_store": ("SettingsHead", "SettingsStore"),
+    "settings_tree": ("EffectiveSettings", "SettingsTree"),
+    "suspicion": ("SuspicionTable",),
+    "task": ("Mailbox", "SocketTask", "Task"),
+}
+_MODULE_BY_NAME = {name: module for module, names in _MODULES.items() for name in names}
+
+__all__ = sorted(_MODULE_BY_NAME)
+
+
+def __getattr__(name: str) -> object:
+    module = _MODULE_BY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
+
+
+def __dir__() -> list[str]:
+    return sorted({*globals(), *__all__})
