--- a/ebonyshore/agent_admission.py
+++ b/ebonyshore/agent_admission.py
@@ -48,16 +48,14 @@
     return Success(dispatch) if refusal is None else Failure(refusal)
 
 
-def is_permitted(
-    dispatch: Dispatch, incarnation: str, now_ms: float, permit_interval_ms: float
-) -> bool:
+def is_permitted(dispatch: Dispatch, view: AgentView) -> bool:
     """Return whether a batch item may be started now; online requests need no permit."""
     if dispatch.work_class is WorkClass.ONLINE:
         return True
     permit = dispatch.permit
-    if permit is None or permit.incarnation != incarnation:
+    if permit is None or permit.incarnation != view.incarnation:
         return False
-    return now_ms - permit.agent_tick_ms <= permit_interval_ms
+    return view.now_ms - permit.agent_tick_ms <= view.permit_interval_ms
 
 
 def _process_fault(dispatch: Dispatch, view: AgentView) -> Refusal | None:
@@ -75,7 +73,7 @@
 
 
 def _room_fault(dispatch: Dispatch, view: AgentView) -> Refusal | None:
-    if not is_permitted(dispatch, view.incarnation, view.now_ms, view.permit_interval_ms):
+    if not is_permitted(dispatch, view):
         return Refusal(ResultCode.PERMIT_EXPIRED)
     is_online = dispatch.work_class is WorkClass.ONLINE
     wait_ms = view.online_wait_ms if is_online else 0.0
