--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -398,10 +398,7 @@
             self._listed[message.agent_id] = replace(instance, instance_id=message.agent_id)
         self._membership.remove(known_id)
         self._connections[message.agent_id] = self._connections.pop(known_id)
-        self._membership.remove(known_id)
         connection.view = replace(connection.view, target_id=message.agent_id)
-        if known_id in self._listed:
-            self._listed[message.agent_id] = self._listed.pop(known_id)
         return True
 
     def _note_report(self, connection: AgentConnection, message: Welcome | LoadReport) -> None:
--- /dev/null
+++ b/tools/measure_settings.py
@@ -0,0 +1,196 @@
+"""Measures what the settings tree costs, as points with a fitted line for each figure.
+
+    .venv/bin/python -m tools.measure_settings
+
+Sizes of the head by number of levels; bytes and processor time of one change in a process that
+watches the store and in one that is asked for the head by its agents; store calls per process.
+"""
+
+import argparse
+from collections import Counter
+from collections.abc import Callable, Iterable
+from statistics import linear_regression
+from time import process_time
+
+from msgspec import Struct
+from msgspec.json import encode
+
+from ebonyshore.clock import SystemClock
+from ebonyshore.codec import MessageCodec
+from ebonyshore.logs import EventLog
+from ebonyshore.marked_write import MarkedStore
+from ebonyshore.messages import EntryMessage, SettingsSnapshot
+from ebonyshore.metrics import Metrics
+from ebonyshore.settings_service import SettingsService, SettingsWatcher
+from ebonyshore.settings_store import (
+    ARCHIVE_BLOCK,
+    HEAD_KEY,
+    KEPT_CHANGES,
+    SettingsEdit,
+    SettingsHead,
+    SettingsStore,
+    apply_change,
+    encode_head,
+)
+from ebonyshore_standins.memory_platform import MemoryPlatform
+
+LEVELS = (50, 200, 700, 1_400)
+PROCESSES = (1, 2, 4, 8)
+ROUNDS = 20
+US_PER_S = 1_000_000
+
+
+class Point(Struct, frozen=True):
+    """One measurement: ``y`` at ``x``."""
+
+    x: float
+    y: float
+
+
+def main() -> None:
+    """Print the points and the fitted line of each figure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=ROUNDS)
+    rounds = parser.parse_args().rounds
+    heads = {levels: make_head(levels) for levels in LEVELS}
+    report("head, bytes by levels", sizes(heads))
+    report("one change in a watching process, bytes by levels", watch_sizes(heads))
+    report("one change in a watching process, CPU us by levels", watch_times(heads, rounds))
+    report("one change in an agent, CPU us by levels", relay_times(heads, rounds))
+    report("commit of one change, CPU us by levels", commit_times(heads, rounds))
+    calls = [count_calls(count) for count in PROCESSES]
+    for name in ("start", "change", "idle watch"):
+        points = [Point(n, c[name]) for n, c in zip(PROCESSES, calls, strict=True)]
+        report(f"store calls by watching processes: {name}", points)
+
+
+def report(title: str, points: Iterable[Point]) -> None:
+    """Print points and the line through them."""
+    listed = list(points)
+    slope, intercept = linear_regression([p.x for p in listed], [p.y for p in listed])
+    print(title)
+    print("  " + "  ".join(f"{p.x:g}: {p.y:.1f}" for p in listed))
+    print(f"  slope {slope:.3f} each, intercept {intercept:.1f}")
+
+
+def make_head(levels: int) -> SettingsHead:
+    """Return a head of caller accounts with as many recent changes as it holds at most."""
+    head = SettingsHead()
+    for number in range(levels):
+        digest = f"{number:064x}"
+        values = {"api_key_sha256_hex": digest, "caller_requests_per_s": 20.0}
+        head.nodes[f"/callers/caller-{number}"] = values
+    for number in range(KEPT_CHANGES + ARCHIVE_BLOCK - 1):
+        edit = SettingsEdit("/", {"max_attempts": number % 9 + 1}, "operator-1", change_id="c" * 16)
+        head = apply_change(head, edit, 1_700_000_000_000)
+    return head
+
+
+def sizes(heads: dict[int, SettingsHead]) -> list[Point]:
+    """Return the bytes of each head."""
+    return [Point(levels, len(encode_head(head))) for levels, head in heads.items()]
+
+
+def watch_sizes(heads: dict[int, SettingsHead]) -> list[Point]:
+    """Return the bytes of the watch answer that brings one change."""
+    points = []
+    for levels, head in heads.items():
+        store = filled_store(head)
+        points.append(Point(levels, len(encode(store.store.watch(HEAD_KEY, 0, 0)))))
+    return points
+
+
+def watch_times(heads: dict[int, SettingsHead], rounds: int) -> list[Point]:
+    """Return the processor time to take over one change from a watch answer."""
+    points = []
+    for levels, head in heads.items():
+        store = filled_store(head)
+        value = store.store.get(HEAD_KEY).value
+
+        def take(store: MarkedStore = store, value: bytes = value) -> None:
+            service = SettingsService(EventLog())
+            service.open()
+            service.adopt(store.decode(HEAD_KEY, 1, value, SettingsHead).body)
+            service.current().root()
+
+        points.append(Point(levels, mean_us(take, rounds)))
+    return points
+
+
+def relay_times(heads: dict[int, SettingsHead], rounds: int) -> list[Point]:
+    """Return the processor time of an agent to take over a head that an entry sends."""
+    codec: MessageCodec[EntryMessage] = MessageCodec(EntryMessage, Metrics())
+    points = []
+    for levels, head in heads.items():
+        frame = codec.encode(SettingsSnapshot(head.revision, encode_head(head)))
+
+        def take(frame: bytes = frame) -> None:
+            service = SettingsService(EventLog())
+            service.open()
+            service.adopt_encoded(codec.decode(frame).head)
+
+        points.append(Point(levels, mean_us(take, rounds)))
+    return points
+
+
+def commit_times(heads: dict[int, SettingsHead], rounds: int) -> list[Point]:
+    """Return the processor time of the entry that commits a change, with validation."""
+    points = []
+    for levels, head in heads.items():
+        settings = SettingsStore(filled_store(head), SystemClock())
+
+        def commit(settings: SettingsStore = settings) -> None:
+            settings.commit(SettingsEdit("/", {"max_attempts": 3}, "operator-1"))
+
+        points.append(Point(levels, mean_us(commit, rounds)))
+    return points
+
+
+def count_calls(processes: int) -> Counter[str]:
+    """Return the store calls of the processes at the start, for a change and for an idle watch."""
+    store = filled_store(make_head(1))
+    clock = SystemClock()
+    watchers = [
+        SettingsWatcher(store, SettingsService(EventLog()), 0, clock, EventLog())
+        for _ in range(processes)
+    ]
+    counts: Counter[str] = Counter()
+    counts["start"] = calls_of(store, lambda: run(watchers))
+    run(watchers)
+    SettingsStore(store, clock).commit(SettingsEdit("/", {"max_attempts": 3}))
+    counts["change"] = calls_of(store, lambda: run(watchers))
+    counts["idle watch"] = calls_of(store, lambda: run(watchers))
+    return counts
+
+
+def run(watchers: list[SettingsWatcher]) -> None:
+    """Let each watcher make its next call."""
+    for watcher in watchers:
+        watcher.on_timer()
+
+
+def calls_of(store: MarkedStore, action: Callable[[], None]) -> int:
+    """Return how many store calls ``action`` made."""
+    before = store.store.calls.total()
+    action()
+    return store.store.calls.total() - before
+
+
+def filled_store(head: SettingsHead) -> MarkedStore:
+    """Return a store that holds ``head``."""
+    store = MarkedStore(MemoryPlatform(SystemClock()), SystemClock())
+    store.create(HEAD_KEY, head)
+    return store
+
+
+def mean_us(action: Callable[[], None], rounds: int) -> float:
+    """Return the processor time of one call."""
+    action()
+    began_s = process_time()
+    for _ in range(rounds):
+        action()
+    return (process_time() - began_s) / rounds * US_PER_S
+
+
+if __name__ == "__main__":
+    main()
