--- a/ebonyshore/crash_news.py
+++ b/ebonyshore/crash_news.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.clock import Clock
 from ebonyshore.messages import CrashReport, Dispatch, VerdictShare, Welcome
 from ebonyshore.result_codes import ResultCode
@@ -34,6 +35,13 @@
         self._lock = Lock()
         self._table = SuspicionTable(expiry_ms())
 
+    def join(self, link: AgentLink) -> None:
+        """Take the news of a link and screen its dispatches; call before the link starts."""
+        link.screen_with(self.screen, self.report_lost)
+        link.subscribe(CrashReport, self.take_report)
+        link.subscribe(VerdictShare, self.take_verdicts)
+        link.subscribe(Welcome, self.greet)
+
     def take_report(self, target_id: str, report: CrashReport) -> None:
         """Take an agent's crash report and pass it on if it is new."""
         with self._lock:
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -17,13 +17,11 @@
 from ebonyshore.kernel import Kernel
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
-    CrashReport,
     LoadReport,
     Ping,
     Refused,
     SettingsRequest,
     SettingsSnapshot,
-    VerdictShare,
     Welcome,
 )
 from ebonyshore.once import OnceStore
@@ -132,14 +130,12 @@
         news.greet(target_id, message)
         note_revision(target_id, message)
 
-    link.screen_with(news.screen, news.report_lost)
+    news.join(link)
     link.subscribe(Welcome, greet)
-    link.subscribe(VerdictShare, news.take_verdicts)
     for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
-    link.subscribe(CrashReport, news.take_report)
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
--- a/ebonyshore_standins/simulated_agent.py
+++ b/ebonyshore_standins/simulated_agent.py
@@ -94,6 +94,7 @@
         self.yield_times: list[YieldTime] = []
         self.started: list[str] = []
         self.queued_steps = 0
+        self.on_crash: Callable[[], None] = lambda: None
 
     def connect(
         self,
@@ -195,6 +196,7 @@
 
     def _crash(self) -> None:
         self.crashes += 1
+        self.on_crash()
         self._epoch += 1
         self._is_stepping = False
         self._is_down = True
@@ -229,11 +231,13 @@
     target: SimulatedTarget = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     status: StatusChanged | None = None
+    _is_dead: bool = False
 
     def __post_init__(self) -> None:
         log = EventLog()
         self.service = SettingsService(log)
         self.service.adopt(SettingsHead(revision=1, nodes={"/": self.settings}))
+        self.service.open()
         root = self.service.current().root()
         cost = StepCost(root.engine_base_step_ms, root.engine_sequence_step_ms)
         self.target = SimulatedTarget(self.simulation, self.parameters)
@@ -273,6 +277,13 @@
         now_ms = self.simulation.clock.monotonic_ms()
         self.simulation.run_until(now_ms + START_NOTICE_MS + TICK_MS)
 
+    def kill(self) -> None:
+        """End the agent and its target without a trace."""
+        self._is_dead = True
+        self.target.deliver_to(lambda event: None)
+
     def _tick(self) -> None:
+        if self._is_dead:
+            return
         self.dispatcher.on_timer()
         self.simulation.after(TICK_MS, self._tick)
