Add caller limits, fair shares, a retry budget and early refusals

Cause: the settings had limits that nothing applied, retries multiplied an outage, and a request whose target's queue was longer than the time left was dispatched all the same.

Ruled out: homes spread over all targets, because an entry would need a connection to each; a share by random numbers, because credits give the same mean with less spread.

A refusal at admission under an idempotency key now says maybe_run.

--- /dev/null
+++ b/ebonyshore/admission.py
@@ -0,0 +1,96 @@
+"""Admission of online requests at one entry, and its exchange with the callers' home agents."""
+
+from hashlib import blake2b
+from threading import Lock
+
+from ebonyshore.agent_link import AgentLink, SendToAgent
+from ebonyshore.caller_home import DIGEST_INTERVAL_MS, choose_homes, home_of
+from ebonyshore.callers import limit_of
+from ebonyshore.clock import Clock
+from ebonyshore.errors import RefusedError
+from ebonyshore.limits import RATE_WINDOW_MS, CallerLimits
+from ebonyshore.membership import Membership
+from ebonyshore.messages import CallerShares, CallerUsage, UsageDigest
+from ebonyshore.metrics import Metrics
+from ebonyshore.result_codes import ResultCode
+from ebonyshore.routing import mean_load
+from ebonyshore.settings_service import SettingsService
+from ebonyshore.task import Task
+
+
+class Admission:
+    """Thread-safe front of :class:`CallerLimits`."""
+
+    def __init__(
+        self, entry_id: str, settings: SettingsService, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = Lock()
+        self._limits = CallerLimits(blake2b(entry_id.encode(), digest_size=1).digest()[0] / 256)
+
+    def check(self, caller: str) -> None:
+        """Count a request of a caller.
+
+        :raises RefusedError: if the caller is above its limit, or above its share in an overload.
+        """
+        limit = limit_of(self._settings.current(), caller)
+        with self._lock:
+            verdict = self._limits.admit(caller, limit, self._clock.monotonic_ms())
+        if verdict.is_admitted:
+            return
+        code = ResultCode.OVERLOADED if verdict.is_overload else ResultCode.CALLER_LIMIT
+        self._metrics.count(code.name.lower())
+        raise RefusedError(code=code, retry_after_ms=verdict.retry_after_ms)
+
+    def take_usages(self) -> list[CallerUsage]:
+        """Return the usage since the last call."""
+        with self._lock:
+            return self._limits.take_usages(self._clock.monotonic_ms())
+
+    def apply(self, shares: CallerShares) -> None:
+        """Take over a home agent's answer."""
+        with self._lock:
+            self._limits.apply(shares.shares, self._clock.monotonic_ms())
+
+    def update_fairness(self, load: float) -> None:
+        """Tell how loaded the targets are."""
+        with self._lock:
+            self._limits.update_fairness(load, self._clock.monotonic_ms())
+
+
+class UsageReporter(Task[None]):
+    """Sends usage to the home agents and keeps the fair shares current."""
+
+    def __init__(
+        self, admission: Admission, membership: Membership, link: AgentLink, clock: Clock
+    ) -> None:
+        super().__init__("usage-reporter", clock)
+        self._admission = admission
+        self._membership = membership
+        self._link = link
+        self._next_ms = 0.0
+        self._next_fairness_ms = 0.0
+
+    def handle(self, message: None) -> None:
+        """The reporter gets no messages."""
+
+    def timer_ms(self) -> float | None:
+        return self._next_ms
+
+    def on_timer(self) -> None:
+        now_ms = self.clock.monotonic_ms()
+        self._next_ms = now_ms + DIGEST_INTERVAL_MS
+        targets = list(self._membership.targets().values())
+        if now_ms >= self._next_fairness_ms:
+            self._next_fairness_ms = now_ms + RATE_WINDOW_MS
+            self._admission.update_fairness(mean_load(targets))
+        homes = choose_homes(targets)
+        by_home: dict[str, list[CallerUsage]] = {}
+        for usage in self._admission.take_usages():
+            home = home_of(usage.caller, homes)
+            if home is not None:
+                by_home.setdefault(home, []).append(usage)
+        for home, usages in by_home.items():
+            self._link.post(SendToAgent(home, UsageDigest(tuple(usages))))
--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -4,6 +4,8 @@
 
 from ebonyshore.admin_api import AdminApi
 from ebonyshore.agent_server import AgentServer, Outgoing
+from ebonyshore.caller_home import CallerHome
+from ebonyshore.callers import limit_of
 from ebonyshore.daemon import Daemon
 from ebonyshore.dispatcher import BeginDrain, Dispatcher, Received
 from ebonyshore.engine_http import EngineHttp, ServiceHttp
@@ -13,6 +15,7 @@
 from ebonyshore.http_service import HttpService
 from ebonyshore.kernel import Kernel
 from ebonyshore.messages import (
+    CallerShares,
     Cancel,
     CrashReport,
     Dispatch,
@@ -21,6 +24,7 @@
     Ping,
     SettingsRequest,
     SettingsSnapshot,
+    UsageDigest,
     VerdictShare,
 )
 from ebonyshore.settings_service import SettingsService
@@ -86,6 +90,13 @@
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
     server.subscribe(Hello, answer_revision)
     server.subscribe(Ping, answer_revision)
+    home = CallerHome(lambda caller: limit_of(settings.current(), caller))
+
+    def answer_usage(peer: bytes, message: UsageDigest) -> None:
+        shares = home.record(peer, message.usages, server.clock.monotonic_ms())
+        server.post(Outgoing(peer, CallerShares(shares)))
+
+    server.subscribe(UsageDigest, answer_usage)
     server.subscribe_peer_lost(dispatcher.post)
 
 
--- /dev/null
+++ b/ebonyshore/callers.py
@@ -0,0 +1,25 @@
+"""Who a caller is and what its limits are."""
+
+from hashlib import sha256
+
+from ebonyshore.limits import CallerLimit
+from ebonyshore.settings_tree import SettingsTree
+
+CALLER_ID_CHARS = 16
+ANONYMOUS_CALLER = "anonymous"
+
+
+def caller_of_key(tree: SettingsTree, api_key: str) -> str:
+    """Return the caller that an API key stands for: its digest."""
+    if not api_key:
+        return ANONYMOUS_CALLER
+    return sha256(api_key.encode()).hexdigest()[:CALLER_ID_CHARS]
+
+
+def limit_of(tree: SettingsTree, caller: str) -> CallerLimit:
+    """Return a caller's limits; those of the root if it has no node."""
+    # The tree keeps each level it was asked for, and anyone can send any key.
+    values = tree.for_caller(caller) if f"/callers/{caller}" in tree.nodes else tree.root()
+    return CallerLimit(
+        values.caller_requests_per_s, values.caller_burst_requests, values.caller_weight
+    )
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -5,6 +5,7 @@
 from werkzeug.wrappers import Request
 
 from ebonyshore.admin_api import AdminApi
+from ebonyshore.admission import Admission, UsageReporter
 from ebonyshore.agent_link import AgentLink, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
@@ -15,7 +16,13 @@
 from ebonyshore.instance_poller import InstancePoller
 from ebonyshore.kernel import Kernel
 from ebonyshore.membership import Membership
-from ebonyshore.messages import CrashReport, SettingsRequest, SettingsSnapshot, Welcome
+from ebonyshore.messages import (
+    CallerShares,
+    CrashReport,
+    SettingsRequest,
+    SettingsSnapshot,
+    Welcome,
+)
 from ebonyshore.once import OnceStore
 from ebonyshore.once_run import OnceService
 from ebonyshore.online import OnlineService
@@ -70,7 +77,12 @@
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
-    kernel.register(_make_http(environment, settings, membership, link))
+    admission = Admission(
+        environment.settings.instance.instance_id, settings, environment.clock, environment.metrics
+    )
+    link.subscribe(CallerShares, lambda _, shares: admission.apply(shares))
+    kernel.register(TaskService(UsageReporter(admission, membership, link, environment.clock)))
+    kernel.register(_make_http(environment, settings, membership, link, admission))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
     return daemon
 
@@ -135,6 +147,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    admission: Admission,
 ) -> EntryHttpService:
     online = OnlineService(
         link,
@@ -152,7 +165,15 @@
     )
     once = OnceService(online, records, environment.clock, environment.metrics)
     batch = BatchApi(environment.job_store(), settings, environment.clock)
-    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
+    api = HttpApi(
+        once,
+        batch,
+        admission,
+        settings,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
     http = environment.settings.http
     return EntryHttpService(
         api, http.listen_address, http.port, http.worker_threads, http.max_request_bytes
--- a/ebonyshore/http_api.py
+++ b/ebonyshore/http_api.py
@@ -12,7 +12,9 @@
 from werkzeug.wrappers import Request, Response
 
 from ebonyshore.admin_api import JSON_TYPE, error_response
+from ebonyshore.admission import Admission
 from ebonyshore.batch_api import BatchApi
+from ebonyshore.callers import caller_of_key
 from ebonyshore.chat_stream import EventStream
 from ebonyshore.clock import Clock
 from ebonyshore.errors import EbonyshoreError, RefusedError, RequestError
@@ -23,13 +25,12 @@
 from ebonyshore.online import caller_stays
 from ebonyshore.online_attempt import OnlineRequest
 from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, parse_generation
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.result_codes import Execution, ResultCode
 from ebonyshore.settings_service import SettingsService
 
 EVENT_STREAM_TYPE = "text/event-stream"
 LEAVING_RETRY_AFTER_MS = 1_000
-CALLER_ID_CHARS = 16
-ANONYMOUS_CALLER = "anonymous"
+ADMISSION_CODES = (ResultCode.LEAVING, ResultCode.CALLER_LIMIT, ResultCode.OVERLOADED)
 
 
 class CallerHeaders(Struct, frozen=True):
@@ -68,6 +69,7 @@
         self,
         online: OnceService,
         batch: BatchApi,
+        admission: Admission,
         settings: SettingsService,
         clock: Clock,
         metrics: Metrics,
@@ -75,6 +77,7 @@
     ) -> None:
         self._online = online
         self._batch = batch
+        self._admission = admission
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -111,14 +114,23 @@
             if self._is_leaving:
                 raise RefusedError(code=ResultCode.LEAVING, retry_after_ms=LEAVING_RETRY_AFTER_MS)
             endpoint, values = _ROUTES.bind_to_environ(request.environ).match()
-            headers = _parse_headers(request)
+            headers = self._parse_headers(request)
             return getattr(self, f"_{endpoint}")(request, headers, **values)
         except EbonyshoreError as error:
             self._log.event("request_refused", path=request.path, code=int(error.code))
-            return error_response(error)
+            return error_response(_true_for_key(error, request))
         except HTTPException as error:
             return error.get_response(request.environ)
 
+    def _parse_headers(self, request: Request) -> CallerHeaders:
+        api_key = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
+        return CallerHeaders(
+            caller_of_key(self._settings.current(), api_key),
+            request.headers.get("Idempotency-Key", ""),
+            request.headers.get("Ebonyshore-No-Repeat", "").lower() != "true",
+            _parse_deadline(request.headers.get("Ebonyshore-Deadline-Ms")),
+        )
+
     def _models(self, request: Request, headers: CallerHeaders) -> Response:
         models = self._settings.current().models()
         data = [{"id": m, "object": "model", "created": 0, "owned_by": "tier"} for m in models]
@@ -129,6 +141,7 @@
         tree = self._settings.current()
         if tree.tier_of(generation.model) is None:
             raise RequestError(generation.model, code=ResultCode.UNKNOWN_MODEL)
+        self._admission.check(headers.caller)
         timeout_ms = headers.deadline_left_ms or tree.for_model(generation.model).request_timeout_ms
         online_request = OnlineRequest(
             uuid4().hex,
@@ -156,6 +169,7 @@
         tree = self._settings.current()
         if tree.tier_of(service) is None:
             raise RequestError(service, code=ResultCode.UNKNOWN_MODEL)
+        self._admission.check(headers.caller)
         timeout_ms = headers.deadline_left_ms or tree.for_model(service).request_timeout_ms
         body = request.get_data()
         content_digest = sha256(request.path.encode() + b"\n" + body).hexdigest()
@@ -233,14 +247,18 @@
     return request.environ.get("waitress.client_disconnected", caller_stays)
 
 
-def _parse_headers(request: Request) -> CallerHeaders:
-    key = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
-    caller = sha256(key.encode()).hexdigest()[:CALLER_ID_CHARS] if key else ANONYMOUS_CALLER
-    return CallerHeaders(
-        caller,
-        request.headers.get("Idempotency-Key", ""),
-        request.headers.get("Ebonyshore-No-Repeat", "").lower() != "true",
-        _parse_deadline(request.headers.get("Ebonyshore-Deadline-Ms")),
+def _true_for_key(error: EbonyshoreError, request: Request) -> EbonyshoreError:
+    """Return the error as it is true for all tries under the request's key.
+
+    A refusal at admission knows nothing of earlier tries, which may have run at another entry.
+    """
+    if "Idempotency-Key" not in request.headers or error.code not in ADMISSION_CODES:
+        return error
+    return RefusedError(
+        error.detail,
+        code=error.code,
+        execution=Execution.MAYBE_RUN,
+        retry_after_ms=error.retry_after_ms,
     )
 
 
--- a/ebonyshore/messages.py
+++ b/ebonyshore/messages.py
@@ -268,11 +268,16 @@
 
 
 class CallerUsage(Struct, frozen=True):
-    """Requests and tokens of one caller since the last digest."""
+    """Requests and tokens of one caller since the last digest.
+
+    :param requests: all that the caller sent.
+    :param admitted: those of them that were admitted.
+    """
 
     caller: str
     requests: int
     tokens: int = 0
+    admitted: int = 0
 
 
 class UsageDigest(Struct, tag="usage_digest", frozen=True):
--- a/ebonyshore/once.py
+++ b/ebonyshore/once.py
@@ -95,7 +95,7 @@
         self._expiry_ms = expiry_ms
         self._lock = Lock()
         self._observed: OrderedDict[str, _Observed] = OrderedDict()
-        self._abandoned: OrderedDict[str, None] = OrderedDict()
+        self._abandoned: OrderedDict[str, Execution] = OrderedDict()
 
     def claim(
         self, request: OnceRequest, end_ms: float, is_caller_gone: Callable[[], bool]
@@ -144,9 +144,10 @@
         body = claim.record.body
         may_run_again = body.is_repeatable or error.execution is Execution.NOT_RUN
         state = OnceState.RELEASED if may_run_again else OnceState.CLOSED
+        execution = body.execution if error.execution is Execution.NOT_RUN else error.execution
         if may_run_again:
-            self._abandon(body.claim_id)
-        ended = replace(body, state=state, code=error.code, execution=error.execution)
+            self._abandon(body.claim_id, execution)
+        ended = replace(body, state=state, code=error.code, execution=execution)
         try:
             self._store.replace(claim.record, ended)
         except StoreError:
@@ -168,7 +169,7 @@
         raise _refuse(ResultCode.WRITE_CONFLICT, "other tries keep changing the record")
 
     def _create(self, key: str, request: OnceRequest, now_ms: float) -> Claim:
-        body = self._new_body(request, 1)
+        body = self._new_body(request, 1, Execution.NOT_RUN)
         return self._write_claim(MarkedObject(key, 0, 0, (), body), body, now_ms)
 
     def _judge(
@@ -177,27 +178,34 @@
         body = current.body
         now_ms = self._clock.monotonic_ms()
         if self._has_expired(body):
-            return self._take_over(current, request, now_ms)
+            return self._take_over(current, request, now_ms, Execution.NOT_RUN)
         if body.content_digest != request.content_digest:
             raise RequestError(code=ResultCode.IDEMPOTENCY_MISMATCH)
         if body.state is OnceState.DONE:
             return self._read_answer(current)
         if body.state is OnceState.CLOSED:
             raise RefusedError(code=ResultCode.OUTCOME_UNKNOWN)
-        if body.state is OnceState.RELEASED or body.claim_id in self._abandoned:
-            return self._take_over(current, request, now_ms)
+        if body.state is OnceState.RELEASED:
+            return self._take_over(current, request, now_ms, body.execution)
+        abandoned = self._abandoned.get(body.claim_id)
+        if abandoned is not None:
+            return self._take_over(current, request, now_ms, abandoned)
         wait_ms = self._observe(current, now_ms)
         if wait_ms > 0:
             return Pending(current.key, current.version, wait_ms)
         if body.is_repeatable and request.is_repeatable:
-            return self._take_over(current, request, now_ms)
+            return self._take_over(current, request, now_ms, Execution.MAYBE_RUN)
         self._store.replace(current, replace(body, state=OnceState.CLOSED))
         raise RefusedError(code=ResultCode.OUTCOME_UNKNOWN)
 
     def _take_over(
-        self, current: MarkedObject[OnceRecord], request: OnceRequest, now_ms: float
+        self,
+        current: MarkedObject[OnceRecord],
+        request: OnceRequest,
+        now_ms: float,
+        execution: Execution,
     ) -> Claim:
-        body = self._new_body(request, current.body.epoch + 1)
+        body = self._new_body(request, current.body.epoch + 1, execution)
         return self._write_claim(current, body, now_ms)
 
     def _write_claim(
@@ -208,11 +216,11 @@
             record = self._store.replace(previous, body)
         except WriteOutcomeUnknownError:
             # Nothing was dispatched under this claim, so whoever meets it here may take over.
-            self._abandon(body.claim_id)
+            self._abandon(body.claim_id, body.execution)
             raise
         return Claim(record, now_ms + body.deadline_left_ms)
 
-    def _new_body(self, request: OnceRequest, epoch: int) -> OnceRecord:
+    def _new_body(self, request: OnceRequest, epoch: int, execution: Execution) -> OnceRecord:
         return OnceRecord(
             request.content_digest,
             OnceState.CLAIMED,
@@ -221,6 +229,7 @@
             request.deadline_left_ms,
             request.is_repeatable,
             self._clock.wall_ms(),
+            execution=execution,
         )
 
     def _has_expired(self, body: OnceRecord) -> bool:
@@ -239,9 +248,9 @@
         lapse_ms = current.body.deadline_left_ms + TAKEOVER_MARGIN_MS
         return observed.seen_ms + lapse_ms - now_ms
 
-    def _abandon(self, claim_id: str) -> None:
+    def _abandon(self, claim_id: str, execution: Execution) -> None:
         with self._lock:
-            self._abandoned[claim_id] = None
+            self._abandoned[claim_id] = execution
             while len(self._abandoned) > MAX_OBSERVED:
                 self._abandoned.popitem(last=False)
 
--- a/ebonyshore/once_records.py
+++ b/ebonyshore/once_records.py
@@ -56,6 +56,7 @@
     :param claim_id: random id of the try that wrote the record last.
     :param epoch: grows with each try.
     :param deadline_left_ms: time that the try had left when it claimed the key.
+    :param execution: of the tries that have ended.
     :param created_wall_ms: for the expiry, which is hours; nothing else depends on it.
     """
 
--- a/ebonyshore/once_run.py
+++ b/ebonyshore/once_run.py
@@ -79,7 +79,7 @@
                     yield from self._finish(request, claim, chunks, message)
         except RefusedError as error:
             self._store.give_up(claim, error)
-            raise
+            raise _with_earlier_tries(error, claim) from error
         except GeneratorExit:
             self._finish_alone(claim, chunks, messages)
             raise
@@ -113,3 +113,13 @@
                     self._store.finish(claim, CompleteAnswer(tuple(chunks), message))
         except RefusedError as error:
             self._store.give_up(claim, error)
+
+
+def _with_earlier_tries(error: RefusedError, claim: Claim) -> RefusedError:
+    """Return the error; it does not say ``not_run`` if an earlier try may have run."""
+    earlier = claim.record.body.execution
+    if error.execution is not Execution.NOT_RUN or earlier is Execution.NOT_RUN:
+        return error
+    return RefusedError(
+        error.detail, code=error.code, execution=earlier, retry_after_ms=error.retry_after_ms
+    )
--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -9,6 +9,7 @@
 from ebonyshore.answer_stream import AnswerStream
 from ebonyshore.clock import Clock
 from ebonyshore.errors import RefusedError, TargetError
+from ebonyshore.limits import ServiceTimes
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import Chunk, Finished, Ping
@@ -44,6 +45,7 @@
     :param buffered: chunks of a plain service, handed over only when the answer is complete.
     """
 
+    started_ms: float
     stream: AnswerStream = field(default_factory=AnswerStream)
     buffered: list[Chunk] = field(default_factory=list)
     excluded: frozenset[str] = frozenset()
@@ -91,6 +93,7 @@
         self._metrics = metrics
         self._log = log
         self._budget = RetryBudget()
+        self._times = ServiceTimes()
 
     def run(
         self, request: OnlineRequest, is_caller_gone: Callable[[], bool] = caller_stays
@@ -99,8 +102,9 @@
 
         :raises RefusedError: the request was given up; ``execution`` tells whether it ran.
         """
-        self._budget.record_request(self._clock.monotonic_ms())
-        progress = Progress()
+        started_ms = self._clock.monotonic_ms()
+        self._budget.record_request(started_ms)
+        progress = Progress(started_ms)
         max_attempts = self._settings.current().for_model(request.model).max_attempts
         while True:
             target = self._choose(request, progress)
@@ -125,6 +129,10 @@
         target = self._router.choose(route, self._membership, now_ms)
         if target is None:
             raise self._give_up(request, progress)
+        if now_ms + self._times.wait_ms(request.model, target.load) >= request.deadline_ms:
+            detail = "the queue is longer than the time left"
+            progress.failure = RefusedError(detail, code=ResultCode.DEADLINE_UNREACHABLE)
+            raise self._give_up(request, progress)
         return target
 
     def _start(
@@ -147,6 +155,8 @@
         try:
             for message in messages:
                 if isinstance(message, Finished):
+                    duration_ms = self._clock.monotonic_ms() - progress.started_ms
+                    self._times.record(request.model, duration_ms)
                     self._router.record_completed(request.content_digest, request.head_digest)
                 if request.is_stream:
                     yield _accept(message, progress.stream)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,192 @@
+"""Caller limits, fair shares, retry budget and deadlines under load and partial failure."""
+
+import pytest
+from msgspec.structs import replace
+
+from ebonyshore.admission import Admission, UsageReporter
+from ebonyshore.caller_home import choose_homes, home_of
+from ebonyshore.errors import RefusedError
+from ebonyshore.limits import SHARE_EXPIRY_MS, CallerLimit, CallerLimits, fair_shares
+from ebonyshore.messages import (
+    CallerShare,
+    CallerShares,
+    Dispatch,
+    Failed,
+    Load,
+    Refused,
+    UsageDigest,
+)
+from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
+from ebonyshore.retry import MIN_BUDGET_RETRIES, RetryBudget, final_error
+from ebonyshore_standins.scripted_agents import ScriptedAgent, answer_whole
+from tests.online_setup import OnlineSetup
+from tests.test_routing import view
+from tools.simulate_limits import Simulation
+
+LIMIT = CallerLimit(100.0, 20)
+
+
+def admitted(limits: CallerLimits, caller: str, count: int, start_ms: float, gap_ms: float) -> int:
+    return sum(limits.admit(caller, LIMIT, start_ms + n * gap_ms).is_admitted for n in range(count))
+
+
+def test_burst_is_admitted_up_to_its_size() -> None:
+    limits = CallerLimits(0.0)
+    assert admitted(limits, "c", 50, 0.0, 0.0) == 20
+    refused = limits.admit("c", LIMIT, 0.0)
+    assert 0 < refused.retry_after_ms <= 10_000
+    assert admitted(limits, "c", 50, 100.0, 0.0) == 10
+
+
+@pytest.mark.parametrize(("entries", "demand"), [(3, 200.0), (30, 1_000.0), (380, 120.0)])
+def test_admitted_rate_is_near_the_limit(entries: int, demand: float) -> None:
+    """Guards against each entry granting the whole limit, or none because it sees so little."""
+    simulation = Simulation(entries, demand, 2)
+    simulation.run()
+    assert simulation.rate(10_000, 60_000) == pytest.approx(100.0, rel=0.03)
+
+
+@pytest.mark.parametrize("entries", [3, 380])
+def test_caller_that_sends_in_bursts_gets_its_limit(entries: int) -> None:
+    """Guards against a lagging demand estimate that costs a caller its rate, or grants it more."""
+    simulation = Simulation(entries, 400.0, 2, burst_ms=2_000.0)
+    simulation.run()
+    assert simulation.rate(10_000, 60_000) == pytest.approx(100.0, rel=0.07)
+
+
+def test_lost_home_neither_blocks_nor_frees_a_caller_for_long() -> None:
+    simulation = Simulation(30, 200.0, 2, 20_000.0, 3_000.0)
+    simulation.run()
+    assert 80 < simulation.rate(20_000, 30_000) < 130
+    limits = CallerLimits(0.0)
+    limits.admit("c", LIMIT, 0.0)
+    limits.apply((CallerShare("c", 0.0),), 0.0)
+    assert admitted(limits, "c", 10, 1_000.0, 10.0) == 0
+    assert admitted(limits, "c", 10, SHARE_EXPIRY_MS + 1, 10.0) == 10
+
+
+def test_homes_are_few_live_and_the_same_everywhere() -> None:
+    views = [view(n) for n in range(100)]
+    homes = choose_homes(views)
+    assert homes == choose_homes(reversed(views))
+    home = home_of("c", homes)
+    number = int(home[1:])
+    views[number] = replace(views[number], is_quiet=True)
+    later = choose_homes(views)
+    assert home not in later
+    assert len(set(homes) & set(later)) == len(homes) - 1
+
+
+@pytest.mark.parametrize(
+    ("demands", "weights", "expected"),
+    [
+        ({"a": 10, "b": 90}, {"a": 1, "b": 1}, {"a": 10, "b": 40}),
+        ({"a": 90, "b": 90}, {"a": 3, "b": 2}, {"a": 30, "b": 20}),
+        ({"a": 5, "b": 5}, {"a": 1, "b": 1}, {"a": 5, "b": 5}),
+    ],
+)
+def test_fair_shares(demands, weights, expected) -> None:
+    assert fair_shares(demands, weights, 50.0) == pytest.approx(expected)
+
+
+def test_overload_takes_from_the_caller_above_its_share() -> None:
+    """Guards against one caller's flood causing refusals to the others."""
+    limits = CallerLimits(0.0)
+    wide = CallerLimit(10_000.0, 10_000)
+    now_ms, passed = 0.0, {"flood": 0, "small": 0}
+    for second in range(6):
+        for number in range(100):
+            now_ms += 10.0
+            for caller in ["flood"] * 9 + ["small"] * (number % 2):
+                verdict = limits.admit(caller, wide, now_ms)
+                passed[caller] += second > 2 and verdict.is_admitted
+        limits.update_fairness(1.5 if second < 2 else 1.0001, now_ms)
+    assert passed["small"] == 150
+    assert passed["flood"] < 0.6 * 2_700
+    limits.update_fairness(0.5, now_ms)
+    assert limits.admit("flood", wide, now_ms).is_admitted
+
+
+def test_retry_budget_keeps_an_outage_from_being_multiplied() -> None:
+    def fail(agent: ScriptedAgent, dispatch: Dispatch) -> None:
+        code, execution = ResultCode.STREAM_BROKEN, Execution.MAYBE_RUN
+        agent.reply(Failed(dispatch.request_id, code, execution))
+
+    setup = OnlineSetup(*[[fail] for _ in range(6)])
+    requests = 200
+    for number in range(requests):
+        with pytest.raises(RefusedError) as refusal:
+            list(setup.service.run(setup.request(head_digest=f"h{number}")))
+        assert refusal.value.retry_after_ms
+    assert setup.dispatches() <= requests * 1.1 + MIN_BUDGET_RETRIES + 1
+
+
+def test_retry_budget_is_a_share_of_recent_requests() -> None:
+    budget = RetryBudget()
+    for _ in range(100):
+        budget.record_request(0.0)
+    assert sum(budget.try_retry(0.1, 0.0) for _ in range(50)) == 13
+    assert sum(budget.try_retry(0.1, 60_000.0) for _ in range(50)) == 3
+
+
+def test_request_that_cannot_make_its_deadline_is_not_dispatched() -> None:
+    """Guards against work that is thrown away, and against a late refusal."""
+    setup = OnlineSetup()
+    list(setup.service.run(setup.request()))
+    setup.service._times.record("reader", 20_000.0)
+    for agent in setup.agents:
+        agent.load = Load(16, 80, max_running=16, step_ms=8.0)
+    setup.clock.sleep_ms(1_500)
+    before = setup.dispatches()
+    with pytest.raises(RefusedError) as refusal:
+        list(setup.service.run(setup.request(deadline_ms=setup.clock.monotonic_ms() + 500)))
+    assert refusal.value.code is ResultCode.DEADLINE_UNREACHABLE
+    assert refusal.value.execution is Execution.NOT_RUN
+    assert refusal.value.retry_after_ms
+    assert setup.dispatches() == before
+
+
+@pytest.mark.parametrize("code", [c for c in ResultCode if RESULT_INFO[c].is_retryable])
+def test_every_retryable_refusal_says_when(code: ResultCode) -> None:
+    assert final_error(RefusedError(code=code), True, False).retry_after_ms
+    not_run = RefusedError(code=code, execution=Execution.NOT_RUN)
+    assert final_error(not_run, False, False).retry_after_ms
+    may_have_run = RefusedError(code=code, execution=Execution.MAYBE_RUN)
+    assert final_error(may_have_run, False, False).retry_after_ms is None
+
+
+def test_usage_goes_to_the_home_agent_and_its_answer_is_applied() -> None:
+    setup = OnlineSetup([answer_whole], [answer_whole])
+    admission = Admission("entry-1", setup.settings, setup.clock, setup.metrics)
+    reporter = UsageReporter(admission, setup.membership, setup.link, setup.clock)
+    received = []
+    for agent in setup.agents:
+        deliver = agent.receive
+        agent.receive = lambda message, deliver=deliver: (
+            received.append(message),
+            deliver(message),
+        )
+    setup.link.subscribe(CallerShares, lambda _, shares: admission.apply(shares))
+    for _ in range(5):
+        admission.check("c")
+    reporter.on_timer()
+    digests = [message for message in received if isinstance(message, UsageDigest)]
+    assert [(u.caller, u.requests, u.admitted) for d in digests for u in d.usages] == [("c", 5, 5)]
+    home = home_of("c", choose_homes(setup.membership.targets().values()))
+    setup.link.receive(home, CallerShares((CallerShare("c", 0.0),)))
+    with pytest.raises(RefusedError) as refusal:
+        admission.check("c")
+    assert (refusal.value.code, refusal.value.execution) == (
+        ResultCode.CALLER_LIMIT,
+        Execution.NOT_RUN,
+    )
+
+
+def test_refused_is_exported_as_not_run() -> None:
+    """Guards against an agent's refusal that is reported as a possible run."""
+    busy = [lambda a, d: a.reply(Refused(d.request_id, ResultCode.TARGET_BUSY, 700))]
+    setup = OnlineSetup(busy)
+    with pytest.raises(RefusedError) as refusal:
+        list(setup.service.run(setup.request()))
+    assert refusal.value.execution is Execution.NOT_RUN
+    assert refusal.value.retry_after_ms == 700
