Notice a caller's disconnect while its answer still arrives

Cause: the disconnect was asked for only when no message came for 250 ms, so an answer that is not streamed ran to its end for nobody. Found by a process test with an HTTP client that goes away; it fails without the change (in flight still 1 after 5 s).

--- a/ebonyshore/online_attempt.py
+++ b/ebonyshore/online_attempt.py
@@ -133,10 +133,10 @@
                 self._cancel()
                 continue
             message = self._mailbox.take(min(max(left_ms, 0.0), CALLER_CHECK_INTERVAL_MS))
-            if message is not None:
-                return message
             if self._is_caller_gone():
                 raise RefusedError("the caller is gone", code=ResultCode.CANCELLED)
+            if message is not None:
+                return message
 
     def _cancel(self) -> None:
         self._link.post(SendCancel(self._plan.target.target_id, self.dispatch.request_id))
