--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -182,6 +182,8 @@
         if isinstance(message, Finished | Refused | Failed):
             self._receive_final(connection, message)
         elif isinstance(message, Welcome | LoadReport):
+            if isinstance(message, Welcome) and not self._take_identity(connection, message):
+                return
             self._note_report(connection, message)
         elif isinstance(message, CrashReport):
             self._note_crash(connection)
@@ -351,6 +353,21 @@
     def _note_crash(self, connection: AgentConnection) -> None:
         self._set_view(connection, crashed_ms=self.clock.monotonic_ms())
 
+    def _take_identity(self, connection: AgentConnection, message: Welcome) -> bool:
+        """Use the agent's own id where only its address was known.
+
+        :return: ``False`` if another connection to the agent exists; this one is closed.
+        """
+        known_id = connection.view.target_id
+        if message.agent_id == known_id:
+            return True
+        if message.agent_id in self._connections:
+            self._disconnect(connection)
+            return False
+        self._connections[message.agent_id] = self._connections.pop(known_id)
+        connection.view = replace(connection.view, target_id=message.agent_id)
+        return True
+
     def _note_report(self, connection: AgentConnection, message: Welcome | LoadReport) -> None:
         view = connection.view
         if view.incarnation not in ("", message.incarnation):
@@ -358,6 +375,9 @@
         if isinstance(message, LoadReport) and not view.incarnation:
             self._send_hello(connection)
             return
+        if isinstance(message, LoadReport):
+            lowest = message.lowest_entry_revision
+            connection.view = replace(connection.view, lowest_entry_revision=lowest)
         connection.view = replace(
             connection.view,
             incarnation=message.incarnation,
