--- a/ebonyshore/__init__.py
+++ b/ebonyshore/__init__.py
@@ -1,7 +1,7 @@
 """Ebonyshore serves online and batch inference on one fleet of targets.
 
-The coordination parts can be embedded without the daemons; their names are re-exported here. A name
-is imported when it is first used, because a daemon of one role does not need the parts of the other.
+The coordination parts can be embedded without the daemons; their names are re-exported here. A
+name is imported when it is first used: a daemon of one role does not need the other's parts.
 """
 
 from importlib import import_module
