--- a/ebonyshore_bench/peers.py
+++ b/ebonyshore_bench/peers.py
@@ -17,12 +17,12 @@
 from msgspec.json import decode, encode
 
 from ebonyshore.agent_link import AgentLink, InstancesKnown
-from ebonyshore.agent_server import AgentServer, StatusChanged
+from ebonyshore.agent_server import AgentServer, Outgoing, StatusChanged
 from ebonyshore.clock import SystemClock
 from ebonyshore.curve import secure_server
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership
-from ebonyshore.messages import Load, SettingsSnapshot
+from ebonyshore.messages import Hello, Load, Ping, SettingsRequest, SettingsSnapshot
 from ebonyshore.metrics import Metrics
 from ebonyshore.platform_api import Instance
 from ebonyshore.process_settings import FleetSettings
@@ -129,11 +129,18 @@
             EventLog(instance_id=name),
         )
 
-        def note(_: bytes, message: SettingsSnapshot) -> None:
+        def adopt(_: bytes, message: SettingsSnapshot) -> None:
             self._revisions[port] = (message.revision, clock.monotonic_ms())
             server.post(StatusChanged(Load(max_running=16), models, message.revision, False))
 
-        server.subscribe(SettingsSnapshot, note)
+        def ask_if_newer(peer: bytes, message: Hello | Ping) -> None:
+            known = self._revisions.get(port, (0, 0.0))[0]
+            if message.settings_revision > known:
+                server.post(Outgoing(peer, SettingsRequest(known)))
+
+        server.subscribe(SettingsSnapshot, adopt)
+        server.subscribe(Hello, ask_if_newer)
+        server.subscribe(Ping, ask_if_newer)
         server.start()
         server.post(StatusChanged(Load(max_running=16), models, 0, False))
         return server
--- a/ebonyshore_bench/projection.py
+++ b/ebonyshore_bench/projection.py
@@ -2,6 +2,11 @@
 
 from msgspec import Struct
 
+from ebonyshore.connection_plan import (
+    MAX_CONNECTIONS,
+    MIN_PING_INTERVAL_MS,
+    PING_INTERVAL_PER_CONNECTION_MS,
+)
 from ebonyshore_bench.probes import CostPoint, PeerPoint, slope_of
 from ebonyshore_bench.slopes import Slope
 
@@ -9,12 +14,13 @@
 MB = 1000 * 1000
 S_PER_DAY = 86_400
 CPU_LIMIT = 0.043
-MEMORY_LIMIT_BYTES = 32 * MB
-BYTES_LIMIT_PER_S = 13 * KB
+MEMORY_LIMIT = 32 * MB
+BYTES_LIMIT = 13 * KB
 STORE_READS_LIMIT_PER_S = 2_000
 STORE_WRITES_LIMIT_PER_S = 300  # lower end of "several hundred"
 IN_FORCE_LIMIT_MS = 5_000
 CALLS_OF_A_START = 4  # settings head, watch, instance list, index
+WRITER_CALLS = 2  # the entry that commits a change reads the head and writes it
 RESTART_SPREAD_S = 10.0
 
 
@@ -33,18 +39,22 @@
     watch_timeout_s: float = 30.0
     instance_poll_s: float = 2.0
     batch_poll_s: float = 1.0
-    shards_of_largest_job: int = 240
     shards_per_entry: int = 2
     lease_interval_s: float = 20.0
 
 
 class Slopes(Struct, frozen=True):
-    """All fits."""
+    """All fits.
+
+    Entry slopes by target use the points at which the entry has all its idle connections; beyond,
+    only the list of targets grows.
+    """
 
     entry_cpu_by_target: Slope
     entry_bytes_by_target: Slope
     entry_private_by_target: Slope
     entry_resident_by_target: Slope
+    list_bytes_by_target: Slope
     in_force_ms_by_target: Slope
     agent_cpu_by_entry: Slope
     agent_bytes_by_entry: Slope
@@ -100,11 +110,13 @@
     def calls_of(point: CostPoint, *kinds: str) -> float:
         return sum(point.calls.get(kind, 0) for kind in kinds)
 
+    full = [point for point in targets if point.count >= MAX_CONNECTIONS]
     return Slopes(
-        slope_of(targets, lambda p: p.cpu_share),
-        slope_of(targets, lambda p: p.bytes_per_s),
-        slope_of(targets, lambda p: p.use.private_bytes),
-        slope_of(targets, lambda p: p.use.resident_bytes),
+        slope_of(full, lambda p: p.cpu_share),
+        slope_of(full, lambda p: p.bytes_per_s),
+        slope_of(full, lambda p: p.use.private_bytes),
+        slope_of(full, lambda p: p.use.resident_bytes),
+        slope_of(targets, lambda p: p.list_bytes),
         slope_of(targets, lambda p: p.in_force_ms),
         slope_of(entries, lambda p: p.cpu_share),
         slope_of(entries, lambda p: p.bytes_per_s),
@@ -135,54 +147,67 @@
 
 
 def _control_figures(s: Slopes, size: DesignSize) -> list[Figure]:
-    targets, entries = size.targets, size.entries
-    grown = s.entry_private_by_target.per_unit * targets
-    agent_grown = s.agent_private_by_entry.per_unit * entries
-    return [
-        Figure("entry", "control CPU", s.entry_cpu_by_target.at(targets), CPU_LIMIT, "cores", "A"),
-        Figure(
-            "entry",
-            "control bytes",
-            s.entry_bytes_by_target.at(targets),
-            BYTES_LIMIT_PER_S,
-            "B/s",
+    targets = size.targets
+    list_bytes = s.list_bytes_by_target.per_unit * (targets + size.entries) / size.instance_poll_s
+    sources = [
+        ("entry", "control CPU", s.entry_cpu_by_target.at(targets), CPU_LIMIT, "cores", "A"),
+        ("entry", "agents' bytes", s.entry_bytes_by_target.at(targets), BYTES_LIMIT, "B/s", "A"),
+        ("entry", "instance list's bytes", list_bytes, BYTES_LIMIT, "B/s", "A"),
+        ("entry", "private memory", s.entry_private_by_target.at(targets), MEMORY_LIMIT, "B", "A"),
+        ("entry", "whole process", s.entry_resident_by_target.at(targets), MEMORY_LIMIT, "B", "A"),
+        *_agent_figures(s, size),
+        (
+            "settings",
+            "in force at the last connected agent",
+            s.in_force_ms_by_target.at(targets),
+            IN_FORCE_LIMIT_MS,
+            "ms",
             "A",
         ),
-        Figure("entry", "control state", grown, MEMORY_LIMIT_BYTES, "B", "A"),
-        Figure(
-            "entry",
-            "whole process",
-            s.entry_resident_by_target.at(targets),
-            MEMORY_LIMIT_BYTES,
+    ]
+    return [Figure(*source) for source in sources]
+
+
+def pings_per_s_at_agent(size: DesignSize) -> float:
+    """Return the pings that an agent gets; entries with more connections ping each less often."""
+    return size.entries * 1000 / PING_INTERVAL_PER_CONNECTION_MS / size.targets
+
+
+def _agent_figures(s: Slopes, size: DesignSize) -> list[tuple[object, ...]]:
+    # Each peer of probe B has one connection, so it pings at the shortest interval.
+    peers = pings_per_s_at_agent(size) * MIN_PING_INTERVAL_MS / 1000
+    idle = size.entries * MAX_CONNECTIONS / size.targets
+    private = s.agent_private_by_entry
+    resident = s.agent_resident_by_entry
+    return [
+        ("agent", "control CPU", s.agent_cpu_by_entry.at(peers), CPU_LIMIT, "cores", "B"),
+        ("agent", "entries' bytes", s.agent_bytes_by_entry.at(peers), BYTES_LIMIT, "B/s", "B"),
+        ("agent", "private memory, mean idle peers", private.at(idle), MEMORY_LIMIT, "B", "B"),
+        ("agent", "whole process, mean idle peers", resident.at(idle), MEMORY_LIMIT, "B", "B"),
+        (
+            "agent",
+            "private memory, all entries connected",
+            private.at(size.entries),
+            MEMORY_LIMIT,
+            "B",
             "B",
-            "A",
         ),
-        Figure("agent", "control CPU", s.agent_cpu_by_entry.at(entries), CPU_LIMIT, "cores", "B"),
-        Figure(
+        (
             "agent",
-            "control bytes",
-            s.agent_bytes_by_entry.at(entries),
-            BYTES_LIMIT_PER_S,
-            "B/s",
+            "whole process, all entries connected",
+            resident.at(size.entries),
+            MEMORY_LIMIT,
+            "B",
             "B",
         ),
-        Figure("agent", "control state", agent_grown, MEMORY_LIMIT_BYTES, "B", "B"),
-        Figure(
+        (
             "agent",
-            "whole process",
-            s.agent_resident_by_entry.at(entries),
-            MEMORY_LIMIT_BYTES,
+            "connections' state, all entries",
+            private.per_unit * size.entries,
+            MEMORY_LIMIT,
             "B",
             "B",
         ),
-        Figure(
-            "settings",
-            "in force at the last agent",
-            s.in_force_ms_by_target.at(targets),
-            IN_FORCE_LIMIT_MS,
-            "ms",
-            "A",
-        ),
     ]
 
 
@@ -219,7 +244,7 @@
     writes += size.settings_changes_per_day / S_PER_DAY
     changes = size.settings_changes_per_day / S_PER_DAY
     idle = size.entries * idle_calls_per_s(s, size)
-    per_change = size.entries * s.calls_per_change
+    per_change = size.entries * (s.calls_per_change - WRITER_CALLS) + WRITER_CALLS
     domain_entries = size.entries / size.failure_domains
     reads, read_limit = idle + changes * per_change, STORE_READS_LIMIT_PER_S
     return [
@@ -236,8 +261,8 @@
         ),
         Figure(
             "platform",
-            "reads of polls, 380 entries with room, 240 shards open",
-            size.entries * s.reads_per_s_by_held_shard.at(size.shards_of_largest_job),
+            "reads, all entries look for shards and all are held",
+            size.entries * max(rate for _, rate in s.reads_per_s_by_held_shard.points),
             read_limit,
             "/s",
             "F",
@@ -259,7 +284,7 @@
             "code",
         ),
         Figure(
-            "entry", "connect to all agents", s.entry_join_cpu_ms * size.targets, None, "ms", "A"
+            "entry", "connect to 64 agents", s.entry_join_cpu_ms * MAX_CONNECTIONS, None, "ms", "A"
         ),
         Figure(
             "agent", "connect to all entries", s.agent_join_cpu_ms * size.entries, None, "ms", "B"
--- a/ebonyshore_bench/variants.py
+++ b/ebonyshore_bench/variants.py
@@ -10,7 +10,7 @@
 from openai import OpenAI
 
 from ebonyshore_bench.engine_steps import WindowUse, Yield, find_yield, window_use
-from ebonyshore_bench.load_client import LoadClient, Percentiles
+from ebonyshore_bench.load_client import LoadClient, Percentiles, wait_until_served
 from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL, BenchPlan, Variant
 from ebonyshore_bench.proc_stat import read_use
 from ebonyshore_bench.traffic import make_arrivals, make_batch_lines
@@ -115,6 +115,8 @@
         engine_sequence_step_ms=engines.sequence_step_ms,
         token_interval_objective_ms=plan.token_interval_objective_ms,
     )
+    ports = [entry.port for entry in fleet.entries]
+    wait_until_served(ports, (ONLINE_MODEL, BATCH_MODEL), fleet.clock)
 
 
 def _submit_batch(fleet: LocalFleet, plan: BenchPlan) -> None:
