--- a/ebonyshore_bench/engine_steps.py
+++ b/ebonyshore_bench/engine_steps.py
@@ -1,6 +1,7 @@
 """What the engines' step records say about a run. Pure."""
 
 from bisect import bisect_left
+from collections.abc import Iterator
 
 from msgspec import Struct
 
@@ -53,13 +54,16 @@
     :param batch_after: batch sequences once settled, 100 to 300 ms after the arrival.
     :param yield_ms: from the arrival to the start of the first step with no more than
         ``batch_after``; ``None`` if batch kept more than half of its sequences.
-    :param bound_ms: time left of the running step at the arrival, plus 10 ms.
+    :param step_left_ms: time left of the running step at the arrival.
+    :param online_seen_ms: from the arrival to the start of the first step with more online
+        sequences than before; ``None`` if there was none within 300 ms.
     """
 
     batch_before: int
     batch_after: int
     yield_ms: float | None
     step_left_ms: float
+    online_seen_ms: float | None
 
 
 def find_yield(records: list[StepRecord], burst_ms: float) -> Yield | None:
@@ -78,10 +82,22 @@
         return None
     batch_after = max(settled)
     left_ms = max(0.0, before.started_ms + before.step_ms - burst_ms)
-    if batch_after > batch_before * YIELD_RATIO:
-        return Yield(batch_before, batch_after, None, left_ms)
-    yielded = next(r for r in records[index:] if r.sequences.get(BATCH_MODEL, 0) <= batch_after)
-    return Yield(batch_before, batch_after, yielded.started_ms - burst_ms, left_ms)
+    later = [r for r in records[index:] if r.started_ms - burst_ms <= SETTLE_UNTIL_MS]
+    online_before = before.sequences.get(ONLINE_MODEL, 0)
+    seen_ms = _first_ms(r for r in later if r.sequences.get(ONLINE_MODEL, 0) > online_before)
+    yielded_ms = _first_ms(r for r in later if r.sequences.get(BATCH_MODEL, 0) <= batch_after)
+    has_yielded = batch_after <= batch_before * YIELD_RATIO
+    return Yield(
+        batch_before,
+        batch_after,
+        yielded_ms - burst_ms if has_yielded else None,
+        left_ms,
+        None if seen_ms is None else seen_ms - burst_ms,
+    )
+
+
+def _first_ms(records: Iterator[StepRecord]) -> float | None:
+    return next((record.started_ms for record in records), None)
 
 
 def _tokens(records: list[StepRecord], model: str) -> int:
--- a/ebonyshore_bench/memory.py
+++ b/ebonyshore_bench/memory.py
@@ -19,6 +19,7 @@
     "http.client",
     "typer",
     "zmq, msgspec, hdrh.histogram, eliot, returns.result, waitress, werkzeug.wrappers",
+    "zmq, msgspec, hdrh.histogram, eliot, returns.result, waitress, http.client",
     "zmq, msgspec, hdrh.histogram, eliot, returns.result, waitress",
     "zmq, msgspec, hdrh.histogram, eliot, waitress",
     "zmq, msgspec, hdrh.histogram, waitress",
--- a/ebonyshore_bench/report.py
+++ b/ebonyshore_bench/report.py
@@ -1,5 +1,7 @@
 """The report of a bench: ratios, goals met or not, and the Markdown text. Pure."""
 
+from statistics import median
+
 from msgspec import Struct
 
 from ebonyshore_bench.load_client import Percentiles
@@ -142,23 +144,30 @@
         f"{report.idle_time_tokens_per_s():.0f} tokens/s in the time without online requests.",
         "",
         "| Variant | batch tokens/s | ratio to idle capacity | engines busy | yields | late "
-        "| yield p50 ms | yield max ms | preempted | unfinished tokens |",
-        "| --- |" + " --- |" * 9,
+        "| yield p50 ms | max | burst in engine p50 ms | max | preempted | unfinished tokens |",
+        "| --- |" + " --- |" * 11,
     ]
     for name, result in report.results.items():
         if not result.batch_tokens_per_s:
             continue
         busy = sum(engine.busy_share for engine in result.engines) / len(result.engines)
-        times = sorted(y.yield_ms for y in result.yields if y.yield_ms is not None)
+        yields_ms = [y.yield_ms for y in result.yields if y.yield_ms is not None]
+        seen_ms = [y.online_seen_ms for y in result.yields if y.online_seen_ms is not None]
         cells = [name, f"{result.batch_tokens_per_s:.0f}", f"{report.batch_ratio(name):.3f}"]
         cells += [f"{busy:.3f}", str(len(result.yields)), str(late_yields(result))]
-        cells += [f"{times[len(times) // 2]:.1f}", f"{times[-1]:.1f}"] if times else ["–", "–"]
+        cells += _median_and_max(yields_ms) + _median_and_max(seen_ms)
         cells += [str(result.counters.get("batch_preempted", 0))]
         cells += [f"{result.unfinished_ratio:.4f}"]
         rows.append(_row(cells))
     return rows
 
 
+def _median_and_max(times_ms: list[float]) -> list[str]:
+    if not times_ms:
+        return ["–", "–"]
+    return [f"{median(times_ms):.1f}", f"{max(times_ms):.1f}"]
+
+
 def _cost_table(report: BenchReport) -> list[str]:
     rows = [
         "## Processor time (cores) and the bench's own lag (ms)",
