--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -5,6 +5,8 @@
 from ebonyshore.admin_api import AdminApi
 from ebonyshore.agent_server import AgentServer, Outgoing
 from ebonyshore.baseline_policies import make_decide
+from ebonyshore.caller_home import CallerHome
+from ebonyshore.callers import limit_of
 from ebonyshore.daemon import Daemon
 from ebonyshore.dispatcher import BeginDrain, Dispatcher, ModelsChanged, Received
 from ebonyshore.engine_http import EngineHttp, ServiceHttp
@@ -15,6 +17,7 @@
 from ebonyshore.http_service import HttpService
 from ebonyshore.kernel import Kernel
 from ebonyshore.messages import (
+    CallerShares,
     Cancel,
     CrashReport,
     Dispatch,
@@ -24,6 +27,7 @@
     Ping,
     SettingsRequest,
     SettingsSnapshot,
+    UsageDigest,
     VerdictShare,
 )
 from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
@@ -151,6 +155,13 @@
     server.subscribe(SettingsRequest, send_settings)
     server.subscribe(Hello, greet)
     server.subscribe(Ping, note_revision)
+    home = CallerHome(lambda caller: limit_of(settings.current(), caller))
+
+    def answer_usage(peer: bytes, message: UsageDigest) -> None:
+        shares = home.record(peer, message.usages, server.clock.monotonic_ms())
+        server.post(Outgoing(peer, CallerShares(shares)))
+
+    server.subscribe(UsageDigest, answer_usage)
     server.subscribe_peer_lost(dispatcher.post)
 
 
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -4,6 +4,7 @@
 from werkzeug.wrappers import Request
 
 from ebonyshore.admin_api import AdminApi
+from ebonyshore.admission import Admission, UsageReporter
 from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
@@ -20,19 +21,20 @@
 from ebonyshore.lease import Lease
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
-    CrashReport,
+    CallerShares,
     LoadReport,
+    OrderResult,
     Ping,
     Refused,
     SettingsRequest,
     SettingsSnapshot,
-    VerdictShare,
     Welcome,
 )
 from ebonyshore.once import OnceStore
 from ebonyshore.once_run import OnceService
 from ebonyshore.once_sweep import OnceSweeper
 from ebonyshore.online import OnlineService
+from ebonyshore.placement_service import PLACEMENT_DUTY, PlacementService
 from ebonyshore.platform_api import Instance
 from ebonyshore.ready_gate import ReadyGate
 from ebonyshore.routing import Router
@@ -86,12 +88,19 @@
     kernel.register(TaskService(watcher, dump=settings.dump))
     kernel.register(TaskService(link, dump=lambda: _dump_targets(membership)))
     kernel.register(TaskService(poller))
+    placement = _make_placement(environment, settings, membership, link)
+    kernel.register(TaskService(placement, dump=placement.dump))
     if environment.settings.batch.is_runner:
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
     kernel.register(TaskService(_make_cleanup(environment, settings)))
-    kernel.register(_make_http(environment, settings, membership, link, sizer))
+    admission = Admission(
+        environment.settings.instance.instance_id, settings, environment.clock, environment.metrics
+    )
+    link.subscribe(CallerShares, lambda _, shares: admission.apply(shares))
+    kernel.register(TaskService(UsageReporter(admission, membership, link, environment.clock)))
+    kernel.register(_make_http(environment, settings, membership, link, admission, sizer))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership, link))
     return daemon
 
@@ -137,14 +146,12 @@
         news.greet(target_id, message)
         note_revision(target_id, message)
 
-    link.screen_with(news.screen, news.report_lost)
+    news.join(link)
     link.subscribe(Welcome, greet)
-    link.subscribe(VerdictShare, news.take_verdicts)
     for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
-    link.subscribe(CrashReport, news.take_report)
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
@@ -157,6 +164,32 @@
     return Instance(address, "target", address)
 
 
+def _make_placement(
+    environment: Environment,
+    settings: SettingsService,
+    membership: Membership,
+    link: AgentLink,
+) -> PlacementService:
+    lease = Lease(
+        environment.store,
+        PLACEMENT_DUTY,
+        environment.incarnation,
+        environment.settings.instance.instance_id,
+        environment.clock,
+    )
+    placement = PlacementService(
+        lease,
+        membership,
+        settings,
+        environment.platform,
+        link.post,
+        environment.clock,
+        environment.log,
+    )
+    link.subscribe(OrderResult, lambda _, result: placement.post(result))
+    return placement
+
+
 def _make_runner(
     environment: Environment,
     settings: SettingsService,
@@ -211,6 +244,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    admission: Admission,
     sizer: ShardSizer,
 ) -> EntryHttpService:
     online = OnlineService(
@@ -229,7 +263,15 @@
     )
     once = OnceService(online, records, environment.clock, environment.metrics)
     batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
-    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
+    api = HttpApi(
+        once,
+        batch,
+        admission,
+        settings,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
     http = environment.settings.http
     return EntryHttpService(
         api,
--- /dev/null
+++ b/ebonyshore_bench/projection.py
@@ -0,0 +1,300 @@
+"""Load of each role at the design size, worked out from measured slopes. Pure."""
+
+from msgspec import Struct
+
+from ebonyshore.connection_plan import (
+    MAX_CONNECTIONS,
+    MIN_PING_INTERVAL_MS,
+    PING_INTERVAL_PER_CONNECTION_MS,
+)
+from ebonyshore_bench.probes import CostPoint, PeerPoint, slope_of
+from ebonyshore_bench.slopes import Slope
+
+KB = 1000
+MB = 1000 * 1000
+S_PER_DAY = 86_400
+CPU_LIMIT = 0.043
+MEMORY_LIMIT = 32 * MB
+BYTES_LIMIT = 13 * KB
+STORE_READS_LIMIT_PER_S = 2_000
+STORE_WRITES_LIMIT_PER_S = 300  # lower end of "several hundred"
+IN_FORCE_LIMIT_MS = 5_000
+CALLS_OF_A_START = 4  # settings head, watch, instance list, index
+WRITER_CALLS = 2  # the entry that commits a change reads the head and writes it
+RESTART_SPREAD_S = 10.0
+
+
+class DesignSize(Struct, frozen=True):
+    """The size of section 1.4 of the design page."""
+
+    entries: int = 380
+    targets: int = 860
+    requests_per_s: float = 3_000.0
+    tokens_per_s: float = 1_300_000.0
+    items_per_day: float = 46e6
+    jobs_per_day: float = 17_000.0
+    settings_changes_per_day: float = 1_100.0
+    replaced_per_day: float = 170.0
+    failure_domains: int = 6
+    watch_timeout_s: float = 30.0
+    instance_poll_s: float = 2.0
+    batch_poll_s: float = 1.0
+    shards_per_entry: int = 2
+    lease_interval_s: float = 20.0
+
+
+class Slopes(Struct, frozen=True):
+    """All fits.
+
+    Entry slopes by target use the points at which the entry has all its idle connections; beyond,
+    only the list of targets grows.
+    """
+
+    entry_cpu_by_target: Slope
+    entry_bytes_by_target: Slope
+    entry_private_by_target: Slope
+    entry_resident_by_target: Slope
+    list_bytes_by_target: Slope
+    in_force_ms_by_target: Slope
+    agent_cpu_by_entry: Slope
+    agent_bytes_by_entry: Slope
+    agent_private_by_entry: Slope
+    agent_resident_by_entry: Slope
+    entry_cpu_ms_by_token: Slope
+    agent_cpu_ms_by_token: Slope
+    entry_cpu_ms_by_item: Slope
+    agent_cpu_ms_by_item: Slope
+    writes_by_item: Slope
+    reads_by_item: Slope
+    entry_private_by_caller: Slope
+    reads_per_s_by_held_shard: Slope
+    entry_join_cpu_ms: float
+    agent_join_cpu_ms: float
+    idle_calls_per_s: dict[str, float]
+    calls_per_change: float
+
+
+class Figure(Struct, frozen=True):
+    """One projected figure against its limit."""
+
+    role: str
+    name: str
+    value: float
+    limit: float | None
+    unit: str
+    source: str
+
+    def line(self) -> str:
+        """Return a row of the table."""
+        value = f"{self.value:.4g} {self.unit}"
+        if self.limit is None:
+            return f"| {self.role} | {self.name} | {value} | – | – | {self.source} |"
+        margin = self.limit / self.value if self.value > 0 else float("inf")
+        verdict = f"{margin:.2f}" if margin >= 1 else f"**{margin:.2f}, missed**"
+        limit = f"{self.limit:.4g} {self.unit}"
+        return f"| {self.role} | {self.name} | {value} | {limit} | {verdict} | {self.source} |"
+
+
+def make_slopes(
+    targets: list[PeerPoint],
+    entries: list[PeerPoint],
+    answers: list[CostPoint],
+    jobs: list[CostPoint],
+    callers: list[CostPoint],
+    polls: list[CostPoint],
+) -> Slopes:
+    """Fit all points."""
+    kinds = {kind for point in targets for kind in point.calls_per_s}
+    idle = {k: sum(p.calls_per_s.get(k, 0.0) for p in targets) / len(targets) for k in kinds}
+
+    def calls_of(point: CostPoint, *kinds: str) -> float:
+        return sum(point.calls.get(kind, 0) for kind in kinds)
+
+    full = [point for point in targets if point.count >= MAX_CONNECTIONS]
+    return Slopes(
+        slope_of(full, lambda p: p.cpu_share),
+        slope_of(full, lambda p: p.bytes_per_s),
+        slope_of(full, lambda p: p.use.private_bytes),
+        slope_of(full, lambda p: p.use.resident_bytes),
+        slope_of(targets, lambda p: p.list_bytes),
+        slope_of(targets, lambda p: p.in_force_ms),
+        slope_of(entries, lambda p: p.cpu_share),
+        slope_of(entries, lambda p: p.bytes_per_s),
+        slope_of(entries, lambda p: p.use.private_bytes),
+        slope_of(entries, lambda p: p.use.resident_bytes),
+        slope_of(answers, lambda p: p.entry_cpu_ms),
+        slope_of(answers, lambda p: p.agent_cpu_ms),
+        slope_of(jobs, lambda p: p.entry_cpu_ms),
+        slope_of(jobs, lambda p: p.agent_cpu_ms),
+        slope_of(jobs, lambda p: calls_of(p, "put", "delete")),
+        slope_of(jobs, lambda p: calls_of(p, "get", "list")),
+        slope_of(callers, lambda p: p.entry_use.private_bytes),
+        slope_of(polls, lambda p: calls_of(p, "get", "list")),
+        targets[-1].join_cpu_ms,
+        entries[-1].join_cpu_ms,
+        idle,
+        sum(point.calls_per_change for point in targets) / len(targets),
+    )
+
+
+def project(slopes: Slopes, size: DesignSize) -> list[Figure]:
+    """Return all figures at a size."""
+    return [
+        *_control_figures(slopes, size),
+        *_work_figures(slopes, size),
+        *_platform_figures(slopes, size),
+    ]
+
+
+def _control_figures(s: Slopes, size: DesignSize) -> list[Figure]:
+    targets = size.targets
+    list_bytes = s.list_bytes_by_target.per_unit * (targets + size.entries) / size.instance_poll_s
+    sources = [
+        ("entry", "control CPU", s.entry_cpu_by_target.at(targets), CPU_LIMIT, "cores", "A"),
+        ("entry", "agents' bytes", s.entry_bytes_by_target.at(targets), BYTES_LIMIT, "B/s", "A"),
+        ("entry", "instance list's bytes", list_bytes, BYTES_LIMIT, "B/s", "A"),
+        ("entry", "private memory", s.entry_private_by_target.at(targets), MEMORY_LIMIT, "B", "A"),
+        ("entry", "whole process", s.entry_resident_by_target.at(targets), MEMORY_LIMIT, "B", "A"),
+        *_agent_figures(s, size),
+        (
+            "settings",
+            "in force at the last connected agent",
+            s.in_force_ms_by_target.at(targets),
+            IN_FORCE_LIMIT_MS,
+            "ms",
+            "A",
+        ),
+    ]
+    return [Figure(*source) for source in sources]
+
+
+def pings_per_s_at_agent(size: DesignSize) -> float:
+    """Return the pings that an agent gets; entries with more connections ping each less often."""
+    return size.entries * 1000 / PING_INTERVAL_PER_CONNECTION_MS / size.targets
+
+
+def _agent_figures(s: Slopes, size: DesignSize) -> list[tuple[object, ...]]:
+    # Each peer of probe B has one connection, so it pings at the shortest interval.
+    peers = pings_per_s_at_agent(size) * MIN_PING_INTERVAL_MS / 1000
+    idle = size.entries * MAX_CONNECTIONS / size.targets
+    private = s.agent_private_by_entry
+    resident = s.agent_resident_by_entry
+    return [
+        ("agent", "control CPU", s.agent_cpu_by_entry.at(peers), CPU_LIMIT, "cores", "B"),
+        ("agent", "entries' bytes", s.agent_bytes_by_entry.at(peers), BYTES_LIMIT, "B/s", "B"),
+        ("agent", "private memory, mean idle peers", private.at(idle), MEMORY_LIMIT, "B", "B"),
+        ("agent", "whole process, mean idle peers", resident.at(idle), MEMORY_LIMIT, "B", "B"),
+        (
+            "agent",
+            "private memory, all entries connected",
+            private.at(size.entries),
+            MEMORY_LIMIT,
+            "B",
+            "B",
+        ),
+        (
+            "agent",
+            "whole process, all entries connected",
+            resident.at(size.entries),
+            MEMORY_LIMIT,
+            "B",
+            "B",
+        ),
+        (
+            "agent",
+            "connections' state, all entries",
+            private.per_unit * size.entries,
+            MEMORY_LIMIT,
+            "B",
+            "B",
+        ),
+    ]
+
+
+def _work_figures(s: Slopes, size: DesignSize) -> list[Figure]:
+    requests = size.requests_per_s
+    online = requests * s.entry_cpu_ms_by_token.fixed + size.tokens_per_s * (
+        s.entry_cpu_ms_by_token.per_unit
+    )
+    agent = requests * s.agent_cpu_ms_by_token.fixed + size.tokens_per_s * (
+        s.agent_cpu_ms_by_token.per_unit
+    )
+    items = size.items_per_day / S_PER_DAY
+    item_ms = items * s.entry_cpu_ms_by_item.per_unit
+    agent_item_ms = items * s.agent_cpu_ms_by_item.per_unit
+    return [
+        Figure("entry", "online work", online / 1000 / size.entries, None, "cores", "C"),
+        Figure("agent", "online work", agent / 1000 / size.targets, None, "cores", "C"),
+        Figure("entry", "batch work", item_ms / 1000 / size.entries, None, "cores", "D"),
+        Figure("agent", "batch work", agent_item_ms / 1000 / size.targets, None, "cores", "D"),
+    ]
+
+
+def idle_calls_per_s(slopes: Slopes, size: DesignSize) -> float:
+    """Return one entry's calls at the platform, at the default poll intervals."""
+    rates = dict(slopes.idle_calls_per_s)
+    rates["list_instances"] = 1 / size.instance_poll_s  # the local fleet polls more often
+    return sum(rates.values()) + 1 / size.watch_timeout_s
+
+
+def _platform_figures(s: Slopes, size: DesignSize) -> list[Figure]:
+    items = size.items_per_day / S_PER_DAY
+    jobs = size.jobs_per_day / S_PER_DAY
+    writes = items * s.writes_by_item.per_unit + jobs * s.writes_by_item.fixed
+    writes += size.settings_changes_per_day / S_PER_DAY
+    changes = size.settings_changes_per_day / S_PER_DAY
+    idle = size.entries * idle_calls_per_s(s, size)
+    per_change = size.entries * (s.calls_per_change - WRITER_CALLS) + WRITER_CALLS
+    domain_entries = size.entries / size.failure_domains
+    reads, read_limit = idle + changes * per_change, STORE_READS_LIMIT_PER_S
+    return [
+        Figure("platform", "writes", writes, STORE_WRITES_LIMIT_PER_S, "/s", "D"),
+        Figure("platform", "idle reads, all entries", idle, read_limit, "/s", "A"),
+        Figure("platform", "reads with settings changes", reads, read_limit, "/s", "A"),
+        Figure(
+            "platform",
+            "calls of one change, spread over 5 s",
+            per_change / 5,
+            read_limit,
+            "/s",
+            "A",
+        ),
+        Figure(
+            "platform",
+            "reads, all entries look for shards and all are held",
+            size.entries * max(rate for _, rate in s.reads_per_s_by_held_shard.points),
+            read_limit,
+            "/s",
+            "F",
+        ),
+        Figure(
+            "platform",
+            "writes to claim the shards of a lost domain, over 20 s",
+            domain_entries * size.shards_per_entry / size.lease_interval_s,
+            STORE_WRITES_LIMIT_PER_S,
+            "/s",
+            "settings",
+        ),
+        Figure(
+            "platform",
+            "calls when all processes start within 10 s",
+            size.entries * CALLS_OF_A_START / RESTART_SPREAD_S,
+            read_limit,
+            "/s",
+            "code",
+        ),
+        Figure(
+            "entry", "connect to 64 agents", s.entry_join_cpu_ms * MAX_CONNECTIONS, None, "ms", "A"
+        ),
+        Figure(
+            "agent", "connect to all entries", s.agent_join_cpu_ms * size.entries, None, "ms", "B"
+        ),
+        Figure(
+            "platform",
+            "calls of 170 replacements in a day",
+            size.replaced_per_day * CALLS_OF_A_START / S_PER_DAY,
+            read_limit,
+            "/s",
+            "code",
+        ),
+    ]
