--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -93,7 +93,7 @@
 
 def state(online_waiting: int, batch: int, batch_waiting: int) -> SchedulerState:
     runs = tuple(BatchRun(str(number), 10, 1, 1.0) for number in range(batch))
-    fields = (12.0, 0.5, 0.02, 26.0, 670.0, 0.0, Weighting.HARM_FIRST, 0.0, 0.0)
+    fields = (12.0, 0.5, 0.02, 26.0, 670.0, 0.0, Weighting.HARM_FIRST)
     return SchedulerState(0, online_waiting, runs, 0, (10,) * batch_waiting, 0, 16, *fields)
 
 
