--- a/ebonyshore/callers.py
+++ b/ebonyshore/callers.py
@@ -10,9 +10,12 @@
 
 
 def caller_of_key(tree: SettingsTree, api_key: str) -> str:
-    """Return the caller that an API key stands for: its digest."""
+    """Return the caller that an API key stands for; a key of no account is its own caller."""
     if not api_key:
         return ANONYMOUS_CALLER
+    named = tree.caller_of(api_key)
+    if named is not None:
+        return named
     return sha256(api_key.encode()).hexdigest()[:CALLER_ID_CHARS]
 
 
--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -103,7 +103,6 @@
         self._ends = RunEnds(self._held, self._watch, self._answers, runner, clock, metrics, log)
         self._leaving_since_ms: float | None = None
         self._started_ms = clock.monotonic_ms()
-        self._last_online_ms = float("-inf")
         self._next_tick_ms = 0.0
         self._next_probe_ms = 0.0
         self._is_probing = False
@@ -192,7 +191,7 @@
         if not self._held.remember(peer, dispatch.request_id):
             self._metrics.count("repeated_dispatches")
             return
-        result = check_admission(dispatch, self._view(dispatch))
+        result = check_admission(dispatch, self._view())
         if isinstance(result, Failure):
             refusal: Refusal = result.failure()
             self._answers.refuse(
@@ -209,8 +208,6 @@
 
     def _schedule(self) -> None:
         now_ms = self.clock.monotonic_ms()
-        if self._held.counts()[0] or self._held.online:
-            self._last_online_ms = now_ms
         if self._ends.boot_id:
             self._held.release_suspect(lambda run: self._watch.is_held_back(run, now_ms))
             self._drop_unpermitted()
@@ -220,9 +217,8 @@
 
     def _decide(self, now_ms: float) -> Decision:
         tier = self._settings.current().for_model(self._models[0] if self._models else "")
-        quiet_ms = now_ms - self._last_online_ms
         state = make_scheduler_state(
-            self._held, self._cost, self._tail, tier, self._max_running, now_ms, quiet_ms
+            self._held, self._cost, self._tail, tier, self._max_running, now_ms
         )
         return self._policy(state)
 
@@ -237,17 +233,14 @@
             self._start(self._held.batch.popleft(), now_ms)
 
     def _drop_unpermitted(self) -> None:
-        for run in [run for run in self._held.batch if not self._is_permitted(run)]:
+        view = self._view()
+        for run in [run for run in self._held.batch if not is_permitted(run.dispatch, view)]:
             self._held.batch.remove(run)
             if run.preemptions:
                 self._answers.fail(run, ResultCode.PREEMPTED, resume_text=run.resume_text)
             else:
                 self._answers.refuse_run(run, ResultCode.PERMIT_EXPIRED)
 
-    def _is_permitted(self, run: TargetRun) -> bool:
-        now_ms = self.clock.monotonic_ms()
-        return is_permitted(run.dispatch, self._incarnation, now_ms, DEFAULT_PERMIT_INTERVAL_MS)
-
     def _start(self, run: TargetRun, now_ms: float) -> None:
         run.started_ms = now_ms
         run.boot_id = self._ends.boot_id
@@ -293,7 +286,7 @@
             return 0
         return max(0, self._max_running - self._held.waiting_batch())
 
-    def _view(self, dispatch: Dispatch) -> AgentView:
+    def _view(self) -> AgentView:
         online, batch = self._held.counts()
         now_ms = self.clock.monotonic_ms()
         return AgentView(
