--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -17,6 +17,7 @@
 from ebonyshore.online_attempt import Attempt, AttemptPlan, OnlineRequest
 from ebonyshore.result_codes import Execution, ResultCode
 from ebonyshore.retry import (
+    REDIRECT_CODES,
     STALE_CODES,
     AttemptState,
     NextStep,
@@ -27,6 +28,8 @@
 from ebonyshore.routing import Router, RouteRequest
 from ebonyshore.settings_service import SettingsService
 
+AVAILABILITY_WAIT_MS = 1_500.0  # an agent refuses work for 1 s after its start
+AVAILABILITY_PAUSE_MS = 50.0
 STALE_PAUSE_MS = 20.0
 STALE_WAIT_MS = 1_000.0
 HTTP_OK = 200
@@ -49,6 +52,7 @@
     stream: AnswerStream = field(default_factory=AnswerStream)
     buffered: list[Chunk] = field(default_factory=list)
     excluded: frozenset[str] = frozenset()
+    redirected: frozenset[str] = frozenset()
     failure: RefusedError | None = None
     can_resume: bool = False
     is_suspect: bool = False
@@ -115,20 +119,18 @@
             self._note_failure(request, attempt, target, progress, max_attempts)
 
     def _choose(self, request: OnlineRequest, progress: Progress) -> TargetView:
-        now_ms = self._clock.monotonic_ms()
-        if request.deadline_ms <= now_ms:
-            raise self._give_up(request, progress)
-        route = RouteRequest(
-            request.model,
-            request.content_digest,
-            request.head_digest,
-            progress.excluded,
-            progress.is_suspect,
-            needs_engine=progress.stream.count > 0,
-        )
-        target = self._router.choose(route, self._membership, now_ms)
-        if target is None:
-            raise self._give_up(request, progress)
+        """Return a target; one that starts or stops is waited for up to 1.5 s."""
+        while True:
+            now_ms = self._clock.monotonic_ms()
+            if request.deadline_ms <= now_ms:
+                raise self._give_up(request, progress)
+            target = self._router.choose(_route(request, progress), self._membership, now_ms)
+            if target is not None:
+                break
+            if now_ms >= progress.started_ms + AVAILABILITY_WAIT_MS:
+                raise self._give_up(request, progress)
+            self._clock.sleep_ms(AVAILABILITY_PAUSE_MS)
+            progress.excluded -= progress.redirected
         if now_ms + self._times.wait_ms(request.model, target.load) >= request.deadline_ms:
             detail = "the queue is longer than the time left"
             progress.failure = RefusedError(detail, code=ResultCode.DEADLINE_UNREACHABLE)
@@ -209,12 +211,24 @@
             self._catch_up(target, attempt.settings_revision, request.deadline_ms)
             return
         progress.excluded |= {target.target_id}
-        ratio = self._settings.current().for_model(request.model).retry_budget_ratio
-        if not self._budget.try_retry(ratio, self._clock.monotonic_ms()):
-            self._metrics.count("retry_budget_exhausted")
-            raise self._give_up(request, progress)
+        if failure.code in REDIRECT_CODES:
+            progress.redirected |= {target.target_id}
+            progress.attempts -= 1
+            return
+        self._spend_budget(request, progress)
         self._metrics.count("online_resumed" if stream.count else "online_retries")
 
+    def _spend_budget(self, request: OnlineRequest, progress: Progress) -> None:
+        ratio = self._settings.current().for_model(request.model).retry_budget_ratio
+        if self._budget.try_retry(ratio, self._clock.monotonic_ms()):
+            return
+        self._metrics.count("retry_budget_exhausted")
+        error = progress.error
+        progress.failure = RefusedError(
+            str(error), code=ResultCode.RETRY_BUDGET_EXHAUSTED, execution=error.execution
+        )
+        raise self._give_up(request, progress)
+
     def _give_up(self, request: OnlineRequest, progress: Progress) -> RefusedError:
         error = progress.error
         if request.deadline_ms <= self._clock.monotonic_ms():
@@ -242,6 +256,17 @@
             self._clock.sleep_ms(STALE_PAUSE_MS)
 
 
+def _route(request: OnlineRequest, progress: Progress) -> RouteRequest:
+    return RouteRequest(
+        request.model,
+        request.content_digest,
+        request.head_digest,
+        progress.excluded,
+        progress.is_suspect,
+        needs_engine=progress.stream.count > 0,
+    )
+
+
 def _accept(message: Chunk | Finished, stream: AnswerStream) -> Chunk | Finished:
     """Turn a message of an attempt into one of the whole answer.
 
