Make the no-repeat test catch a restart after an abort

The rule against repeating a no-repeat request passed with the mechanism off, because the abort came after a chunk; it fails now.

--- a/ebonyshore_standins/batch_world_agent.py
+++ b/ebonyshore_standins/batch_world_agent.py
@@ -183,7 +183,7 @@
         )
 
     def _start(self, run: SimulatedRun) -> None:
-        if not is_permitted(run.dispatch, self.incarnation, self.tick_ms, PERMIT_INTERVAL_MS):
+        if not is_permitted(run.dispatch, self._view()):
             self._refuse(run.link, run.dispatch, ResultCode.PERMIT_EXPIRED)
             return
         self.world.note_start(run.dispatch.trace_id)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -259,11 +259,12 @@
 
 
 def test_no_repeat_request_is_not_started_again_after_an_abort(setup: Setup) -> None:
-    setup.send("r1", is_repeatable=False)
-    setup.run_ms(1)
+    before_first_token = 20
+    setup.send("r1", "x" * 8_000, is_repeatable=False)
+    setup.run_ms(before_first_token)
     setup.agent.target.model.abort_all()
     setup.run_ms(1_000)
-    assert setup.agent.target.started == ["r1"]
+    assert len(setup.agent.target.started) == 1
     assert isinstance(setup.finals("r1")[0], Failed)
 
 
