--- a/ebonyshore/baseline_policies.py
+++ b/ebonyshore/baseline_policies.py
@@ -28,7 +28,7 @@
     """Give each kind of work a fixed share of the running requests."""
     batch_limit = int(state.max_running * BATCH_SPLIT_RATIO)
     online_room = state.max_running - batch_limit - state.online_running
-    batch_room = batch_limit - len(state.batch)
+    batch_room = batch_limit - len(state.batch) - state.batch_stopping
     return Decision(
         max(0, min(state.online_waiting, online_room)),
         max(0, min(len(state.batch_waiting_tokens), batch_room)),
