--- a/ebonyshore/retry.py
+++ b/ebonyshore/retry.py
@@ -11,6 +11,9 @@
 BUDGET_WINDOW_MS = 10_000
 MIN_BUDGET_RETRIES = 3.0
 STALE_CODES = (ResultCode.STALE_SETTINGS, ResultCode.STALE_INCARNATION)
+# An agent that starts or stops says so at once and does no work, so going elsewhere costs no budget
+# and no attempt; otherwise a rolling restart would use them up.
+REDIRECT_CODES = (ResultCode.LEAVING, ResultCode.NOT_READY, ResultCode.NO_TARGET)
 FINAL_CODES = (
     ResultCode.CONVICTED,
     ResultCode.CANCELLED,
--- a/tests/test_settings_under_load.py
+++ b/tests/test_settings_under_load.py
@@ -18,7 +18,7 @@
 
     def ask(worker: int) -> list[tuple[str, str]]:
         entry = fleet.entries[worker % len(fleet.entries)]
-        client = OpenAI(base_url=f"{entry.url}/v1", api_key="k", max_retries=0)
+        client = OpenAI(base_url=f"{entry.url}/v1", api_key=f"k{worker}", max_retries=0)
         wrong = []
         number = 0
         while not is_over.is_set():
