Say when to come back in store errors of batch calls

Cause: a batch call that met a store outage was answered with 503 and without Retry-After, although the result code may be retried. With the decorator taken off, the new assertions in test_refusal_of_a_store_that_is_down_is_not_run and test_submission_of_unknown_outcome_is_maybe_run have no value to find.

--- a/ebonyshore/batch_api.py
+++ b/ebonyshore/batch_api.py
@@ -1,6 +1,7 @@
 """Files and batches in the OpenAI-style API."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from functools import wraps
 from typing import Any
 
 from msgspec import ValidationError, convert
@@ -8,7 +9,7 @@
 
 from ebonyshore.batch_order import ShardSizer
 from ebonyshore.clock import MS_PER_S, Clock
-from ebonyshore.errors import RequestError
+from ebonyshore.errors import RequestError, StoreError
 from ebonyshore.job_files import parse_item
 from ebonyshore.job_store import JobRequest, JobStore, Progress
 from ebonyshore.jobs import FileRecord, ItemOutcome, JobRecord, JobState
@@ -18,9 +19,25 @@
 
 OUTPUT_SUFFIX = "-output"
 ERROR_SUFFIX = "-errors"
+STORE_RETRY_AFTER_MS = 2_000
 WINDOW_UNITS_MS = {"m": 60_000, "h": 3_600_000, "d": 86_400_000}
 
 
+def _with_retry_after(call: Callable[..., Any]) -> Callable[..., Any]:
+    """Add to store errors when to come back."""
+
+    @wraps(call)
+    def wrapped(*arguments: object) -> Any:
+        try:
+            return call(*arguments)
+        except StoreError as error:
+            if error.retry_after_ms is None and RESULT_INFO[error.code].is_retryable:
+                error.retry_after_ms = STORE_RETRY_AFTER_MS
+            raise
+
+    return wrapped
+
+
 class BatchApi:
     """Answers callers' calls on files and batches; each returns a JSON object.
 
@@ -35,14 +52,17 @@
         self._sizer = sizer
         self._clock = clock
 
+    @_with_retry_after
     def save_file(self, caller: str, purpose: str, filename: str, data: bytes) -> dict[str, Any]:
         """Keep an uploaded file."""
         return _file_object(self._jobs.files.save(caller, purpose, filename, data))
 
+    @_with_retry_after
     def read_file(self, caller: str, file_id: str) -> dict[str, Any]:
         """Describe a file."""
         return _file_object(self._jobs.files.read(file_id, caller))
 
+    @_with_retry_after
     def read_content(self, caller: str, file_id: str) -> Iterator[bytes]:
         """Yield the lines of an uploaded file, or of a batch's output or errors."""
         for suffix, wants_ok in ((OUTPUT_SUFFIX, True), (ERROR_SUFFIX, False)):
@@ -53,6 +73,7 @@
         lines = self._jobs.files.read_lines(record, range(sum(record.part_lines)))
         return (line + b"\n" for line in lines)
 
+    @_with_retry_after
     def create(self, caller: str, fields: dict[str, Any], idempotency_key: str) -> dict[str, Any]:
         """Accept a job."""
         endpoint = fields.get("endpoint")
@@ -75,15 +96,18 @@
         )
         return self._describe(self._jobs.accept(request))
 
+    @_with_retry_after
     def read(self, caller: str, batch_id: str) -> dict[str, Any]:
         """Describe a job."""
         return self._describe(self._read_job(caller, batch_id))
 
+    @_with_retry_after
     def cancel(self, caller: str, batch_id: str) -> dict[str, Any]:
         """Cancel a job."""
         self._read_job(caller, batch_id)
         return self._describe(self._jobs.cancel(batch_id))
 
+    @_with_retry_after
     def list_jobs(self, caller: str) -> dict[str, Any]:
         """List a caller's jobs; their counts are those of the shards that ended."""
         jobs = [job for job in self._jobs.list_jobs() if job.caller == caller]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -87,6 +87,7 @@
     with pytest.raises(StoreError) as refusal:
         create(world, 0, lines(3))
     assert refusal.value.execution is Execution.NOT_RUN
+    assert refusal.value.retry_after_ms
 
 
 @pytest.mark.parametrize(
@@ -107,6 +108,7 @@
     with pytest.raises(StoreError) as refusal:
         create(world, 0, lines(3))
     assert refusal.value.execution is Execution.MAYBE_RUN
+    assert refusal.value.retry_after_ms
     world.platform.put = put
     job_id = create(world, 1, lines(3))
     world.jobs[job_id] = {}
