Relay changes instead of whole heads between processes

A peer that names its revision gets the changes after it, if the head still holds them; it checks that they follow its own digest, and asks for the whole head if they do not. Tried with the mechanism off: check of the chain, changes instead of the head, request of the whole head after a mismatch; a test fails for each.

--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -128,12 +128,11 @@
 
     def note_revision(peer: bytes, message: Hello | Ping | Dispatch) -> None:
         if puller.should_ask(message.settings_revision):
-            server.post(Outgoing(peer, SettingsRequest(settings.newest().revision)))
+            server.post(Outgoing(peer, SettingsRequest(settings.request_revision())))
 
     def send_settings(peer: bytes, message: SettingsRequest) -> None:
-        revision = settings.newest().revision
-        if revision > message.known_revision:
-            server.post(Outgoing(peer, SettingsSnapshot(revision, settings.encoded_newest())))
+        if settings.newest().revision > message.known_revision:
+            server.post(Outgoing(peer, settings.make_snapshot(message.known_revision)))
 
     def receive_dispatch(peer: bytes, message: Dispatch) -> None:
         note_revision(peer, message)
@@ -147,7 +146,7 @@
     for kind in (Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
     server.subscribe(Order, lambda peer, order: orders.post(ReceivedOrder(peer, order)))
-    server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
+    server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_snapshot(message))
     server.subscribe(SettingsRequest, send_settings)
     server.subscribe(Hello, greet)
     server.subscribe(Ping, note_revision)
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -112,14 +112,13 @@
     puller = SettingsPuller(settings, environment.clock)
 
     def send_settings(target_id: str, message: SettingsRequest) -> None:
-        revision = settings.newest().revision
-        if revision > message.known_revision:
-            snapshot = SettingsSnapshot(revision, settings.encoded_newest())
+        if settings.newest().revision > message.known_revision:
+            snapshot = settings.make_snapshot(message.known_revision)
             link.post(SendToAgent(target_id, snapshot))
 
     def note_revision(target_id: str, message: Welcome | LoadReport | Refused) -> None:
         if puller.should_ask(message.settings_revision):
-            request = SettingsRequest(settings.newest().revision)
+            request = SettingsRequest(settings.request_revision())
             link.post(SendToAgent(target_id, request))
 
     def announce(head: SettingsHead) -> None:
@@ -143,7 +142,7 @@
     for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
-    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
+    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_snapshot(s))
     link.subscribe(CrashReport, news.take_report)
     settings.subscribe(announce)
     link.post(
--- a/ebonyshore/messages.py
+++ b/ebonyshore/messages.py
@@ -247,11 +247,13 @@
 class SettingsSnapshot(Struct, tag="settings_snapshot", frozen=True):
     """The settings tree in force at the sender.
 
-    :param head: the value of the store's ``settings/head`` object, unchanged.
+    :param head: the whole head, as JSON; empty if ``changes`` lead to it from the known revision.
+    :param changes: the changes after the known revision, as JSON.
     """
 
     revision: int
-    head: bytes
+    head: bytes = b""
+    changes: bytes = b""
 
 
 class Order(Struct, tag="order", frozen=True):
--- a/ebonyshore/settings_service.py
+++ b/ebonyshore/settings_service.py
@@ -5,13 +5,20 @@
 from threading import Lock
 
 from msgspec import MsgspecError
-from msgspec.json import decode
+from msgspec.json import decode, encode
 
 from ebonyshore.clock import Clock
-from ebonyshore.errors import StoreError
+from ebonyshore.errors import SettingsError, StoreError
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
-from ebonyshore.settings_store import HEAD_KEY, SettingsHead, encode_head
+from ebonyshore.messages import SettingsSnapshot
+from ebonyshore.settings_store import (
+    HEAD_KEY,
+    SettingsChange,
+    SettingsHead,
+    encode_head,
+    follow,
+)
 from ebonyshore.settings_tree import SettingsTree
 from ebonyshore.task import Task
 
@@ -36,6 +43,7 @@
         self._head = SettingsHead()
         self._tree = self._head.tree()
         self._is_open = False
+        self._needs_whole_head = False
         self._encoded: tuple[int, bytes] = (0, b"")
         self._listeners: list[Callable[[SettingsHead], None]] = []
 
@@ -65,6 +73,35 @@
             self._encoded = (head.revision, data)
         return data
 
+    def make_snapshot(self, known_revision: int) -> SettingsSnapshot:
+        """Return what a peer needs to reach the newest head: changes or, if that fails, the head.
+
+        A head of 1,400 caller accounts has 214 kB, a change about 350 bytes.
+        """
+        head = self._newest
+        changes = tuple(change for change in head.recent if change.revision > known_revision)
+        if known_revision > 0 and changes and changes[0].revision == known_revision + 1:
+            return SettingsSnapshot(head.revision, changes=encode(changes))
+        return SettingsSnapshot(head.revision, self.encoded_newest())
+
+    def adopt_snapshot(self, snapshot: SettingsSnapshot) -> bool:
+        """Take a relayed head, or changes that follow the newest head; ``False`` if not newer."""
+        if snapshot.head:
+            return self.adopt_encoded(snapshot.head)
+        base = self._newest
+        try:
+            changes = decode(snapshot.changes, type=tuple[SettingsChange, ...])
+            head = follow(base, changes)
+        except (MsgspecError, SettingsError) as error:
+            self._log.event("settings_relay_invalid", detail=str(error))
+            self._needs_whole_head = True
+            return False
+        return self.adopt(head)
+
+    def request_revision(self) -> int:
+        """Return the revision to name in a request; 0 asks for the whole head."""
+        return 0 if self._needs_whole_head else self._newest.revision
+
     def subscribe(self, listener: Callable[[SettingsHead], None]) -> None:
         """Call ``listener`` with each head that comes into force."""
         self._listeners.append(listener)
@@ -78,6 +115,7 @@
             if head.revision <= self._newest.revision:
                 return False
             self._newest = head
+            self._needs_whole_head = False
             if self._is_open:
                 self._put_in_force(head)
             return True
--- a/ebonyshore/settings_store.py
+++ b/ebonyshore/settings_store.py
@@ -164,6 +164,23 @@
     return {**nodes, path: {name: value for name, value in merged.items() if value is not None}}
 
 
+def follow(head: SettingsHead, changes: tuple[SettingsChange, ...]) -> SettingsHead:
+    """Return the head after changes that were accepted elsewhere; earlier ones are passed over.
+
+    :raises SettingsError: if they do not follow the head, or a record was altered.
+    """
+    for change in changes:
+        if change.revision <= head.revision:
+            continue
+        is_next = change.revision == head.revision + 1 and change.previous_digest == head.digest
+        if not is_next or change.digest != digest_of(change):
+            raise SettingsError(f"change {change.revision} does not follow {head.revision}")
+        nodes = apply_to_nodes(head.nodes, change.path, change.values, change.operation)
+        recent = (*head.recent, change)[-KEPT_CHANGES:]
+        head = SettingsHead(change.revision, nodes, change.digest, recent)
+    return head
+
+
 class SettingsStore:
     """Commits changes and reads them back.
 
--- a/tests/test_settings_machine.py
+++ b/tests/test_settings_machine.py
@@ -9,6 +9,7 @@
 from ebonyshore.errors import EbonyshoreError, WriteOutcomeUnknownError
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
+from ebonyshore.messages import SettingsSnapshot
 from ebonyshore.settings_history import find_history_faults, read_history, replay
 from ebonyshore.settings_service import PEER_WAIT_MS, SettingsService, SettingsWatcher
 from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsStore
@@ -51,7 +52,7 @@
         self.services = [SettingsService(EventLog()) for _ in range(PROCESSES)]
         self.watchers = [self.make_watcher(service) for service in self.services]
         self.highest = [0] * PROCESSES
-        self.relays: list[bytes] = []
+        self.relays: list[SettingsSnapshot] = []
         self.accepted: dict[str, int] = {}
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
@@ -119,17 +120,18 @@
     def follow(self, index: int) -> None:
         self.clock.advance_ms(PEER_WAIT_MS)
         self.watchers[index].on_timer()
-        self.relays.append(self.services[index].encoded_newest())
+        self.relays.append(self.services[index].make_snapshot(0))
 
     @rule(source=process_index, to=process_index)
     def relay(self, source: int, to: int) -> None:
-        self.relays.append(self.services[source].encoded_newest())
-        self.services[to].adopt_encoded(self.relays[-1])
+        known = self.services[to].request_revision()
+        self.relays.append(self.services[source].make_snapshot(known))
+        self.services[to].adopt_snapshot(self.relays[-1])
 
     @rule(to=process_index, age=st.integers(0, 20))
     def relay_old(self, to: int, age: int) -> None:
         if self.relays:
-            self.services[to].adopt_encoded(self.relays[-1 - age % len(self.relays)])
+            self.services[to].adopt_snapshot(self.relays[-1 - age % len(self.relays)])
 
     @rule(index=process_index)
     def restart(self, index: int) -> None:
@@ -138,14 +140,14 @@
         watcher = self.watchers[index] = self.make_watcher(service)
         watcher.on_timer()
         if self.relays:
-            service.adopt_encoded(self.relays[0])
+            service.adopt_snapshot(self.relays[0])
         if not self.platform.faults.is_down:
             assert service.current().revision == self.stored_revision()
         else:
             assert service.current().revision == 0
         peers = [other for other in self.services if other is not service]
         for peer in peers:
-            service.adopt_encoded(peer.encoded_newest())
+            service.adopt_snapshot(peer.make_snapshot(service.request_revision()))
         self.clock.advance_ms(PEER_WAIT_MS)
         watcher.on_timer()
         held_by_peers = max(peer.current().revision for peer in peers)
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -15,7 +15,13 @@
     SettingsService,
     SettingsWatcher,
 )
-from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsHead, SettingsStore
+from ebonyshore.settings_store import (
+    HEAD_KEY,
+    SettingsEdit,
+    SettingsHead,
+    SettingsStore,
+    apply_change,
+)
 from ebonyshore.settings_tree import SettingsTree, find_tree_faults
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
@@ -109,6 +115,40 @@
     assert not puller.should_ask(6)
 
 
+def changed(head: SettingsHead, count: int) -> SettingsHead:
+    for number in range(count):
+        head = apply_change(head, SettingsEdit("/", {"max_attempts": number + 1}), 0)
+    return head
+
+
+def test_peer_gets_changes_and_not_the_whole_head() -> None:
+    """Guards against sending the whole head for each change, which the control budget forbids."""
+    sender, receiver = SettingsService(EventLog()), SettingsService(EventLog())
+    known = changed(SettingsHead(), 3)
+    receiver.adopt(known)
+    sender.adopt(changed(known, 2))
+    snapshot = sender.make_snapshot(receiver.request_revision())
+    assert not snapshot.head
+    assert receiver.adopt_snapshot(snapshot)
+    assert receiver.newest().nodes == sender.newest().nodes
+    assert receiver.newest().digest == sender.newest().digest
+    assert SettingsService(EventLog()).request_revision() == 0
+    assert sender.make_snapshot(0).head
+
+
+def test_changes_of_another_chain_lead_to_the_whole_head() -> None:
+    """Guards against a mixture of two trees, and against asking for useless changes for ever."""
+    sender, receiver = SettingsService(EventLog()), SettingsService(EventLog())
+    receiver.adopt(changed(SettingsHead(), 3))
+    other = apply_change(SettingsHead(), SettingsEdit("/", {"max_output_tokens": 9}), 0)
+    sender.adopt(changed(other, 5))
+    assert not receiver.adopt_snapshot(sender.make_snapshot(receiver.request_revision()))
+    assert receiver.request_revision() == 0
+    assert receiver.adopt_snapshot(sender.make_snapshot(0))
+    assert receiver.newest().nodes == sender.newest().nodes
+    assert receiver.request_revision() == 6
+
+
 def test_watch_ends_when_the_watcher_stops(platform: MemoryPlatform) -> None:
     """Guards against a planned stop that waits for the watch's timeout."""
     clock = SystemClock()
--- a/tools/measure_settings.py
+++ b/tools/measure_settings.py
@@ -19,7 +19,7 @@
 from ebonyshore.codec import MessageCodec
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import EntryMessage, SettingsSnapshot
+from ebonyshore.messages import EntryMessage
 from ebonyshore.metrics import Metrics
 from ebonyshore.settings_service import SettingsService, SettingsWatcher
 from ebonyshore.settings_store import (
@@ -57,6 +57,7 @@
     report("one change in a watching process, bytes by levels", watch_sizes(heads))
     report("one change in a watching process, CPU us by levels", watch_times(heads, rounds))
     report("one change in an agent, CPU us by levels", relay_times(heads, rounds))
+    report("relay of one change to an agent, bytes by levels", relay_sizes(heads))
     report("commit of one change, CPU us by levels", commit_times(heads, rounds))
     calls = [count_calls(count) for count in PROCESSES]
     for name in ("start", "change", "idle watch"):
@@ -117,17 +118,34 @@
     return points
 
 
+def relay_sizes(heads: dict[int, SettingsHead]) -> list[Point]:
+    """Return the bytes of the message that brings one change to an agent."""
+    codec: MessageCodec[EntryMessage] = MessageCodec(EntryMessage, Metrics())
+    points = []
+    for levels, head in heads.items():
+        service = SettingsService(EventLog())
+        service.adopt(head)
+        frame = codec.encode(service.make_snapshot(head.revision - 1))
+        points.append(Point(levels, len(frame)))
+    return points
+
+
 def relay_times(heads: dict[int, SettingsHead], rounds: int) -> list[Point]:
     """Return the processor time of an agent to take over a head that an entry sends."""
     codec: MessageCodec[EntryMessage] = MessageCodec(EntryMessage, Metrics())
     points = []
     for levels, head in heads.items():
-        frame = codec.encode(SettingsSnapshot(head.revision, encode_head(head)))
+        sender = SettingsService(EventLog())
+        edit = SettingsEdit("/", {"max_attempts": 3}, "operator-1")
+        sender.adopt(apply_change(head, edit, 0))
+        frame = codec.encode(sender.make_snapshot(head.revision))
 
-        def take(frame: bytes = frame) -> None:
+        def take(head: SettingsHead = head, frame: bytes = frame) -> None:
             service = SettingsService(EventLog())
+            service.adopt(head)
             service.open()
-            service.adopt_encoded(codec.decode(frame).head)
+            service.adopt_snapshot(codec.decode(frame))
+            service.current().root()
 
         points.append(Point(levels, mean_us(take, rounds)))
     return points
