--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -4,6 +4,7 @@
 from werkzeug.wrappers import Request
 
 from ebonyshore.admin_api import AdminApi
+from ebonyshore.admission import Admission, UsageReporter
 from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
@@ -18,14 +19,13 @@
 from ebonyshore.lease import Lease
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
-    CrashReport,
+    CallerShares,
     LoadReport,
     OrderResult,
     Ping,
     Refused,
     SettingsRequest,
     SettingsSnapshot,
-    VerdictShare,
     Welcome,
 )
 from ebonyshore.once import OnceStore
@@ -91,7 +91,12 @@
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
-    kernel.register(_make_http(environment, settings, membership, link, sizer))
+    admission = Admission(
+        environment.settings.instance.instance_id, settings, environment.clock, environment.metrics
+    )
+    link.subscribe(CallerShares, lambda _, shares: admission.apply(shares))
+    kernel.register(TaskService(UsageReporter(admission, membership, link, environment.clock)))
+    kernel.register(_make_http(environment, settings, membership, link, admission, sizer))
     kernel.register(_make_admin(environment, kernel, daemon, settings, membership, link))
     return daemon
 
@@ -136,14 +141,12 @@
         news.greet(target_id, message)
         note_revision(target_id, message)
 
-    link.screen_with(news.screen, news.report_lost)
+    news.join(link)
     link.subscribe(Welcome, greet)
-    link.subscribe(VerdictShare, news.take_verdicts)
     for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_snapshot(s))
-    link.subscribe(CrashReport, news.take_report)
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
@@ -208,6 +211,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    admission: Admission,
     sizer: ShardSizer,
 ) -> EntryHttpService:
     online = OnlineService(
@@ -226,7 +230,15 @@
     )
     once = OnceService(online, records, environment.clock, environment.metrics)
     batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
-    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
+    api = HttpApi(
+        once,
+        batch,
+        admission,
+        settings,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
     http = environment.settings.http
     return EntryHttpService(
         api,
