--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -121,6 +121,21 @@
     assert setup.dispatches() <= requests * 1.1 + MIN_BUDGET_RETRIES + 1
 
 
+def test_agents_that_stop_do_not_use_up_the_budget() -> None:
+    """Guards against a rolling restart that costs requests their second candidate."""
+    leave = [lambda a, d: a.reply(Refused(d.request_id, ResultCode.LEAVING))]
+    setup = OnlineSetup(leave, [answer_whole])
+    for number in range(30):
+        list(setup.service.run(setup.request(head_digest=f"h{number}")))
+
+
+def test_agent_that_is_about_to_be_ready_is_waited_for() -> None:
+    """Guards against a refusal in the moment between one agent's start and the next one's stop."""
+    starts = [lambda a, d: a.reply(Refused(d.request_id, ResultCode.NO_TARGET))] * 5
+    setup = OnlineSetup([*starts, answer_whole])
+    assert list(setup.service.run(setup.request()))
+
+
 def test_retry_budget_is_a_share_of_recent_requests() -> None:
     budget = RetryBudget()
     for _ in range(100):
