--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -121,14 +121,13 @@
     puller = SettingsPuller(settings, environment.clock)
 
     def send_settings(target_id: str, message: SettingsRequest) -> None:
-        revision = settings.newest().revision
-        if revision > message.known_revision:
-            snapshot = SettingsSnapshot(revision, settings.encoded_newest())
+        if settings.newest().revision > message.known_revision:
+            snapshot = settings.make_snapshot(message.known_revision)
             link.post(SendToAgent(target_id, snapshot))
 
     def note_revision(target_id: str, message: Welcome | LoadReport | Refused) -> None:
         if puller.should_ask(message.settings_revision):
-            request = SettingsRequest(settings.newest().revision)
+            request = SettingsRequest(settings.request_revision())
             link.post(SendToAgent(target_id, request))
 
     def announce(head: SettingsHead) -> None:
@@ -151,7 +150,7 @@
     for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
-    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
+    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_snapshot(s))
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
