--- a/ebonyshore_bench/probes.py
+++ b/ebonyshore_bench/probes.py
@@ -126,7 +126,6 @@
     with tempfile.TemporaryDirectory() as name, LocalFleet(Path(name)) as fleet:
         fleet.add_engine((ONLINE_MODEL, BATCH_MODEL), parameters=engine)
         entry = fleet.add_entry(extra_settings="[batch]\ncheckpoint_interval_ms = 10000\n")
-        fleet.wait_for_port(int(entry.admin.url.rpartition(":")[2]))
         fleet.create_tier(TIER, (ONLINE_MODEL, BATCH_MODEL))
         wait_until_served([entry.port], (ONLINE_MODEL, BATCH_MODEL), fleet.clock)
         return measure(fleet, Path(name))
@@ -313,9 +312,7 @@
 
 def _add_runner(fleet: LocalFleet, max_shards: int) -> EntryProcess:
     batch = f"max_shards = {max_shards}\nshard_items = {SHARD_ITEMS}\nwindow_items = 1\n"
-    entry = fleet.add_entry(extra_settings="[batch]\n" + batch)
-    fleet.wait_for_port(int(entry.admin.url.rpartition(":")[2]))
-    return entry
+    return fleet.add_entry(extra_settings="[batch]\n" + batch)
 
 
 def _call_rates(fleet: LocalFleet) -> dict[str, float]:
