--- a/ebonyshore_bench/projection.py
+++ b/ebonyshore_bench/projection.py
@@ -20,6 +20,7 @@
 STORE_WRITES_LIMIT_PER_S = 300  # lower end of "several hundred"
 IN_FORCE_LIMIT_MS = 5_000
 CALLS_OF_A_START = 4  # settings head, watch, instance list, index
+LOCAL_POLL_S = 0.5  # interval at which the local fleet's entries read the instance list
 WRITER_CALLS = 2  # the entry that commits a change reads the head and writes it
 RESTART_SPREAD_S = 10.0
 
@@ -148,10 +149,16 @@
 
 def _control_figures(s: Slopes, size: DesignSize) -> list[Figure]:
     targets = size.targets
-    list_bytes = s.list_bytes_by_target.per_unit * (targets + size.entries) / size.instance_poll_s
+    listed = targets + size.entries
+    cpu = s.entry_cpu_by_target
+    poll_ratio = LOCAL_POLL_S / size.instance_poll_s
+    entry_cpu = cpu.at(MAX_CONNECTIONS) + cpu.per_unit * (listed - MAX_CONNECTIONS) * poll_ratio
+    # Beyond 64 targets the connections and pings stay as they are, so there is no slope to use.
+    agent_bytes = max(rate for _, rate in s.entry_bytes_by_target.points)
+    list_bytes = s.list_bytes_by_target.per_unit * listed / size.instance_poll_s
     sources = [
-        ("entry", "control CPU", s.entry_cpu_by_target.at(targets), CPU_LIMIT, "cores", "A"),
-        ("entry", "agents' bytes", s.entry_bytes_by_target.at(targets), BYTES_LIMIT, "B/s", "A"),
+        ("entry", "control CPU", entry_cpu, CPU_LIMIT, "cores", "A"),
+        ("entry", "agents' bytes", agent_bytes, BYTES_LIMIT, "B/s", "A"),
         ("entry", "instance list's bytes", list_bytes, BYTES_LIMIT, "B/s", "A"),
         ("entry", "private memory", s.entry_private_by_target.at(targets), MEMORY_LIMIT, "B", "A"),
         ("entry", "whole process", s.entry_resident_by_target.at(targets), MEMORY_LIMIT, "B", "A"),
