--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -5,23 +5,29 @@
 from ebonyshore.admin_api import AdminApi
 from ebonyshore.agent_server import AgentServer, Outgoing
 from ebonyshore.baseline_policies import make_decide
+from ebonyshore.caller_home import CallerHome
+from ebonyshore.callers import limit_of
 from ebonyshore.daemon import Daemon
-from ebonyshore.dispatcher import BeginDrain, Dispatcher, Received
+from ebonyshore.dispatcher import BeginDrain, Dispatcher, ModelsChanged, Received
 from ebonyshore.engine_http import EngineHttp, ServiceHttp
 from ebonyshore.entry import dump_process
 from ebonyshore.environment import Environment
 from ebonyshore.errors import SettingsError
+from ebonyshore.fencing import FencingGuard, OrderTask, ReceivedOrder
 from ebonyshore.http_service import HttpService
 from ebonyshore.kernel import Kernel
 from ebonyshore.messages import (
+    CallerShares,
     Cancel,
     CrashReport,
     Dispatch,
     EntryMessage,
     Hello,
+    Order,
     Ping,
     SettingsRequest,
     SettingsSnapshot,
+    UsageDigest,
     VerdictShare,
 )
 from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
@@ -74,10 +80,20 @@
         environment.log,
         make_decide(target.policy),
     )
-    _connect(environment, server, dispatcher, settings)
+    orders = OrderTask(
+        service if isinstance(service, EngineHttp) else None,
+        FencingGuard(environment.store, environment.settings.instance.instance_id),
+        server,
+        lambda models: dispatcher.post(ModelsChanged(models)),
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+    _connect(environment, server, dispatcher, orders, settings)
     daemon = Daemon(environment, kernel)
     kernel.register(TaskService(_make_watcher(environment, settings), dump=settings.dump))
     kernel.register(TaskService(server))
+    kernel.register(TaskService(orders))
     kernel.register(
         TaskService(
             dispatcher,
@@ -106,6 +122,7 @@
     environment: Environment,
     server: AgentServer,
     dispatcher: Dispatcher,
+    orders: OrderTask,
     settings: SettingsService,
 ) -> None:
     puller = SettingsPuller(settings, environment.clock)
@@ -133,10 +150,18 @@
     server.subscribe(Dispatch, receive_dispatch)
     for kind in (Cancel, VerdictShare, CrashReport):
         server.subscribe(kind, receive)
+    server.subscribe(Order, lambda peer, order: orders.post(ReceivedOrder(peer, order)))
     server.subscribe(SettingsSnapshot, lambda _, message: settings.adopt_encoded(message.head))
     server.subscribe(SettingsRequest, send_settings)
     server.subscribe(Hello, greet)
     server.subscribe(Ping, note_revision)
+    home = CallerHome(lambda caller: limit_of(settings.current(), caller))
+
+    def answer_usage(peer: bytes, message: UsageDigest) -> None:
+        shares = home.record(peer, message.usages, server.clock.monotonic_ms())
+        server.post(Outgoing(peer, CallerShares(shares)))
+
+    server.subscribe(UsageDigest, answer_usage)
     server.subscribe_peer_lost(dispatcher.post)
 
 
--- a/ebonyshore/agent_connection.py
+++ b/ebonyshore/agent_connection.py
@@ -50,6 +50,12 @@
     sink: RequestSink
     expires_ms: float
     next_sequence: int = 0
+    is_started: bool = False
+
+    @property
+    def may_be_running(self) -> bool:
+        """Whether the target may run it; the agent announces the start of a suspect."""
+        return self.is_started or not self.dispatch.is_suspect
 
 
 @dataclass(slots=True)
@@ -145,6 +151,16 @@
         in_flight.sink.post(message)
         return ""
 
+    def note_started(self, request_id: str) -> None:
+        """Note that a suspect, which may be held long, is in the target now."""
+        in_flight = self.in_flight.get(request_id)
+        if in_flight is not None:
+            in_flight.is_started = True
+
+    def running_dispatches(self) -> list[Dispatch]:
+        """Return what the target may be running."""
+        return [f.dispatch for f in self.in_flight.values() if f.may_be_running]
+
     def fail(self, request_id: str, code: ResultCode, detail: str) -> None:
         """End a request that may have run."""
         in_flight = self.remove(request_id)
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -4,20 +4,24 @@
 from werkzeug.wrappers import Request
 
 from ebonyshore.admin_api import AdminApi
+from ebonyshore.admission import Admission, UsageReporter
 from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.batch_order import ShardSizer
+from ebonyshore.crash_news import CrashNews
 from ebonyshore.daemon import Daemon
 from ebonyshore.environment import Environment
 from ebonyshore.http_api import HttpApi
 from ebonyshore.http_service import HttpService
 from ebonyshore.instance_poller import InstancePoller
 from ebonyshore.kernel import Kernel
+from ebonyshore.lease import Lease
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
-    CrashReport,
+    CallerShares,
     LoadReport,
+    OrderResult,
     Ping,
     Refused,
     SettingsRequest,
@@ -27,6 +31,7 @@
 from ebonyshore.once import OnceStore
 from ebonyshore.once_run import OnceService
 from ebonyshore.online import OnlineService
+from ebonyshore.placement_service import PLACEMENT_DUTY, PlacementService
 from ebonyshore.platform_api import Instance
 from ebonyshore.ready_gate import ReadyGate
 from ebonyshore.routing import Router
@@ -80,12 +85,19 @@
     kernel.register(TaskService(watcher, dump=settings.dump))
     kernel.register(TaskService(link, dump=lambda: _dump_targets(membership)))
     kernel.register(TaskService(poller))
+    placement = _make_placement(environment, settings, membership, link)
+    kernel.register(TaskService(placement, dump=placement.dump))
     if environment.settings.batch.is_runner:
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
-    kernel.register(_make_http(environment, settings, membership, link, sizer))
-    kernel.register(_make_admin(environment, kernel, daemon, settings, membership))
+    admission = Admission(
+        environment.settings.instance.instance_id, settings, environment.clock, environment.metrics
+    )
+    link.subscribe(CallerShares, lambda _, shares: admission.apply(shares))
+    kernel.register(TaskService(UsageReporter(admission, membership, link, environment.clock)))
+    kernel.register(_make_http(environment, settings, membership, link, admission, sizer))
+    kernel.register(_make_admin(environment, kernel, daemon, settings, membership, link))
     return daemon
 
 
@@ -119,14 +131,23 @@
         """Agents that lack the revision ask one entry for it, so that each fetches it once."""
         link.post(SendToAgents(Ping(head.revision)))
 
-    def forward_crash(target_id: str, report: CrashReport) -> None:
-        link.post(SendToAgents(report))
+    news = CrashNews(
+        lambda target_id, share: link.post(SendToAgent(target_id, share)),
+        lambda message: link.post(SendToAgents(message)),
+        lambda: settings.current().root().suspicion_expiry_ms,
+        environment.clock,
+    )
+
+    def greet(target_id: str, message: Welcome) -> None:
+        news.greet(target_id, message)
+        note_revision(target_id, message)
 
-    for kind in (Welcome, LoadReport, Refused):
+    news.join(link)
+    link.subscribe(Welcome, greet)
+    for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
     link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
-    link.subscribe(CrashReport, forward_crash)
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
@@ -139,6 +160,32 @@
     return Instance(address, "target", address)
 
 
+def _make_placement(
+    environment: Environment,
+    settings: SettingsService,
+    membership: Membership,
+    link: AgentLink,
+) -> PlacementService:
+    lease = Lease(
+        environment.store,
+        PLACEMENT_DUTY,
+        environment.incarnation,
+        environment.settings.instance.instance_id,
+        environment.clock,
+    )
+    placement = PlacementService(
+        lease,
+        membership,
+        settings,
+        environment.platform,
+        link.post,
+        environment.clock,
+        environment.log,
+    )
+    link.subscribe(OrderResult, lambda _, result: placement.post(result))
+    return placement
+
+
 def _make_runner(
     environment: Environment,
     settings: SettingsService,
@@ -165,6 +212,7 @@
     settings: SettingsService,
     membership: Membership,
     link: AgentLink,
+    admission: Admission,
     sizer: ShardSizer,
 ) -> EntryHttpService:
     online = OnlineService(
@@ -183,7 +231,15 @@
     )
     once = OnceService(online, records, environment.clock, environment.metrics)
     batch = BatchApi(environment.job_store(), settings, sizer, environment.clock)
-    api = HttpApi(once, batch, settings, environment.clock, environment.metrics, environment.log)
+    api = HttpApi(
+        once,
+        batch,
+        admission,
+        settings,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
     http = environment.settings.http
     return EntryHttpService(
         api,
@@ -201,17 +257,21 @@
     daemon: Daemon,
     settings: SettingsService,
     membership: Membership,
+    link: AgentLink,
 ) -> HttpService:
     admin = environment.settings.admin
     api = AdminApi(admin.operator_token, environment.metrics)
 
+    def probe(target_id: str) -> None:
+        link.post(SendToAgent(target_id, Ping(settings.current().revision)))
+
     def drain(request: Request) -> object:
         daemon.request_stop()
         return {}
 
     api.add("GET", "/admin/v1/dump", lambda _: dump_process(environment, kernel))
     api.add("POST", "/admin/v1/drain", drain)
-    add_settings_paths(api, settings, environment.settings_store(), membership)
+    add_settings_paths(api, settings, environment.settings_store(), membership, probe)
     api.add("GET", "/admin/v1/targets", lambda _: _dump_targets(membership))
     api.add("GET", "/admin/v1/audit", lambda _: _audit(environment))
     return HttpService("admin", api, admin.listen_address, admin.port, ADMIN_THREADS)
--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -9,6 +9,7 @@
 from ebonyshore.answer_stream import AnswerStream
 from ebonyshore.clock import Clock
 from ebonyshore.errors import RefusedError, TargetError
+from ebonyshore.limits import ServiceTimes
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import Chunk, Finished, Ping
@@ -16,6 +17,7 @@
 from ebonyshore.online_attempt import Attempt, AttemptPlan, OnlineRequest
 from ebonyshore.result_codes import Execution, ResultCode
 from ebonyshore.retry import (
+    REDIRECT_CODES,
     STALE_CODES,
     AttemptState,
     NextStep,
@@ -26,6 +28,8 @@
 from ebonyshore.routing import Router, RouteRequest
 from ebonyshore.settings_service import SettingsService
 
+AVAILABILITY_WAIT_MS = 1_500.0  # an agent refuses work for 1 s after its start
+AVAILABILITY_PAUSE_MS = 50.0
 STALE_PAUSE_MS = 20.0
 STALE_WAIT_MS = 1_000.0
 HTTP_OK = 200
@@ -44,9 +48,11 @@
     :param buffered: chunks of a plain service, handed over only when the answer is complete.
     """
 
+    started_ms: float
     stream: AnswerStream = field(default_factory=AnswerStream)
     buffered: list[Chunk] = field(default_factory=list)
     excluded: frozenset[str] = frozenset()
+    redirected: frozenset[str] = frozenset()
     failure: RefusedError | None = None
     can_resume: bool = False
     is_suspect: bool = False
@@ -91,6 +97,7 @@
         self._metrics = metrics
         self._log = log
         self._budget = RetryBudget()
+        self._times = ServiceTimes()
 
     def run(
         self, request: OnlineRequest, is_caller_gone: Callable[[], bool] = caller_stays
@@ -99,8 +106,9 @@
 
         :raises RefusedError: the request was given up; ``execution`` tells whether it ran.
         """
-        self._budget.record_request(self._clock.monotonic_ms())
-        progress = Progress()
+        started_ms = self._clock.monotonic_ms()
+        self._budget.record_request(started_ms)
+        progress = Progress(started_ms)
         max_attempts = self._settings.current().for_model(request.model).max_attempts
         while True:
             target = self._choose(request, progress)
@@ -111,19 +119,21 @@
             self._note_failure(request, attempt, target, progress, max_attempts)
 
     def _choose(self, request: OnlineRequest, progress: Progress) -> TargetView:
-        now_ms = self._clock.monotonic_ms()
-        if request.deadline_ms <= now_ms:
-            raise self._give_up(request, progress)
-        route = RouteRequest(
-            request.model,
-            request.content_digest,
-            request.head_digest,
-            progress.excluded,
-            progress.is_suspect,
-            needs_engine=progress.stream.count > 0,
-        )
-        target = self._router.choose(route, self._membership, now_ms)
-        if target is None:
+        """Return a target; one that starts or stops is waited for up to 1.5 s."""
+        while True:
+            now_ms = self._clock.monotonic_ms()
+            if request.deadline_ms <= now_ms:
+                raise self._give_up(request, progress)
+            target = self._router.choose(_route(request, progress), self._membership, now_ms)
+            if target is not None:
+                break
+            if now_ms >= progress.started_ms + AVAILABILITY_WAIT_MS:
+                raise self._give_up(request, progress)
+            self._clock.sleep_ms(AVAILABILITY_PAUSE_MS)
+            progress.excluded -= progress.redirected
+        if now_ms + self._times.wait_ms(request.model, target.load) >= request.deadline_ms:
+            detail = "the queue is longer than the time left"
+            progress.failure = RefusedError(detail, code=ResultCode.DEADLINE_UNREACHABLE)
             raise self._give_up(request, progress)
         return target
 
@@ -147,6 +157,8 @@
         try:
             for message in messages:
                 if isinstance(message, Finished):
+                    duration_ms = self._clock.monotonic_ms() - progress.started_ms
+                    self._times.record(request.model, duration_ms)
                     self._router.record_completed(request.content_digest, request.head_digest)
                 if request.is_stream:
                     yield _accept(message, progress.stream)
@@ -199,12 +211,24 @@
             self._catch_up(target, attempt.settings_revision, request.deadline_ms)
             return
         progress.excluded |= {target.target_id}
-        ratio = self._settings.current().for_model(request.model).retry_budget_ratio
-        if not self._budget.try_retry(ratio, self._clock.monotonic_ms()):
-            self._metrics.count("retry_budget_exhausted")
-            raise self._give_up(request, progress)
+        if failure.code in REDIRECT_CODES:
+            progress.redirected |= {target.target_id}
+            progress.attempts -= 1
+            return
+        self._spend_budget(request, progress)
         self._metrics.count("online_resumed" if stream.count else "online_retries")
 
+    def _spend_budget(self, request: OnlineRequest, progress: Progress) -> None:
+        ratio = self._settings.current().for_model(request.model).retry_budget_ratio
+        if self._budget.try_retry(ratio, self._clock.monotonic_ms()):
+            return
+        self._metrics.count("retry_budget_exhausted")
+        error = progress.error
+        progress.failure = RefusedError(
+            str(error), code=ResultCode.RETRY_BUDGET_EXHAUSTED, execution=error.execution
+        )
+        raise self._give_up(request, progress)
+
     def _give_up(self, request: OnlineRequest, progress: Progress) -> RefusedError:
         error = progress.error
         if request.deadline_ms <= self._clock.monotonic_ms():
@@ -232,6 +256,17 @@
             self._clock.sleep_ms(STALE_PAUSE_MS)
 
 
+def _route(request: OnlineRequest, progress: Progress) -> RouteRequest:
+    return RouteRequest(
+        request.model,
+        request.content_digest,
+        request.head_digest,
+        progress.excluded,
+        progress.is_suspect,
+        needs_engine=progress.stream.count > 0,
+    )
+
+
 def _accept(message: Chunk | Finished, stream: AnswerStream) -> Chunk | Finished:
     """Turn a message of an attempt into one of the whole answer.
 
--- a/ebonyshore_standins/batch_world_agent.py
+++ b/ebonyshore_standins/batch_world_agent.py
@@ -56,6 +56,7 @@
         self.world = world
         self.agent_id = agent_id
         self.run_number = 0
+        self.settings_revision = world.settings_tree.revision
         self.is_down = False
         self.stall_until_ms = 0.0
         self.target_up_ms = 0.0
@@ -172,7 +173,7 @@
     def _view(self) -> AgentView:
         return AgentView(
             self.incarnation,
-            self.world.settings_tree.revision,
+            self.settings_revision,
             False,
             self.world.now_ms >= self.target_up_ms,
             MODELS,
