--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 PYTHON ?= python3
 VENV := .venv
+SEED ?= 0
+ITEMS ?= 100000
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: test bench capacity demo lint format
+.PHONY: test soak bench capacity demo lint format
 
 test: lint
 	$(BIN)/python -m pytest -q
@@ -19,6 +21,9 @@
 demo: $(INSTALLED)
 	$(BIN)/python tools/demo.py
 
+soak: $(INSTALLED)
+	$(BIN)/python -m tools.soak --seed $(SEED) --items $(ITEMS)
+
 bench: $(INSTALLED)
 	$(BIN)/python -m ebonyshore_bench
 
