Keep connections to the target open

Engine requests and control calls now reuse idle connections that the server has not closed; plain services, whose calls may not be repeated, still get a new one.

--- a/ebonyshore/engine_http.py
+++ b/ebonyshore/engine_http.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterator
 from http.client import HTTPConnection, HTTPException, HTTPResponse
-from urllib.parse import urlsplit
 
 from msgspec import DecodeError, Struct, convert
 from msgspec.json import Decoder, decode, encode
 
-from ebonyshore.clock import MS_PER_S
 from ebonyshore.engine import (
     CacheEvent,
     Engine,
@@ -24,7 +22,9 @@
     TargetError,
     TargetUnreachableError,
 )
+from ebonyshore.http_pool import HttpConnectionPool
 
+MAX_IDLE_CONNECTIONS = 64
 CONTROL_TIMEOUT_MS = 2_000
 SERVICE_CHUNK_BYTES = 65_536
 DONE_EVENT = b"[DONE]"
@@ -50,12 +50,11 @@
     """
 
     def __init__(self, url: str) -> None:
-        parts = urlsplit(url)
-        self._host = parts.hostname or ""
-        self._port = parts.port or 80
+        self._pool = HttpConnectionPool(url, MAX_IDLE_CONNECTIONS)
 
     def run(self, request: TargetRequest) -> Iterator[TargetChunk | TargetAnswer]:
-        connection = self._connect(request.timeout_ms)
+        # A kept connection may end as the request is sent, and then nobody knows whether it ran.
+        connection = self._connect(request.timeout_ms, is_new=True)
         try:
             response = self._send(connection, request)
             yield from self._read_plain(response)
@@ -70,14 +69,11 @@
     def boot_id(self) -> str:
         return decode(self._control("GET", "/health")).get("boot_id", "")
 
-    def _connect(self, timeout_ms: float) -> HTTPConnection:
-        timeout_s = max(timeout_ms, 1.0) / MS_PER_S
-        connection = HTTPConnection(self._host, self._port, timeout=timeout_s)
+    def _connect(self, timeout_ms: float, is_new: bool = False) -> HTTPConnection:
         try:
-            connection.connect()
+            return self._pool.open(timeout_ms) if is_new else self._pool.take(timeout_ms)
         except OSError as error:
             raise TargetUnreachableError(repr(error)) from error
-        return connection
 
     def _send(self, connection: HTTPConnection, request: TargetRequest) -> HTTPResponse:
         headers = {"Content-Type": "application/json", "X-Request-Id": request.request_id}
@@ -96,9 +92,9 @@
             response = connection.getresponse()
             data = response.read()
         except (OSError, HTTPException) as error:
-            raise TargetUnreachableError(repr(error)) from error
-        finally:
             connection.close()
+            raise TargetUnreachableError(repr(error)) from error
+        self._pool.give_back(connection)
         if response.status == HTTP_CONFLICT:
             raise FencedError(path)
         if response.status != HTTP_OK:
@@ -115,6 +111,7 @@
 
     def run(self, request: TargetRequest) -> Iterator[TargetChunk | TargetAnswer]:
         connection = self._connect(request.timeout_ms)
+        response = None
         try:
             response = self._send(connection, _with_resume_text(request))
             if response.status == HTTP_OK:
@@ -124,6 +121,13 @@
         except (OSError, HTTPException) as error:
             raise TargetCrashedError(repr(error)) from error
         finally:
+            self._end(connection, response)
+
+    def _end(self, connection: HTTPConnection, response: HTTPResponse | None) -> None:
+        """Keep the connection if its answer has been read to the end."""
+        if response is not None and response.isclosed():
+            self._pool.give_back(connection)
+        else:
             connection.close()
 
     def cancel(self, request_id: str) -> None:
@@ -159,6 +163,7 @@
                 continue
             data = line[len(DATA_PREFIX) :].strip()
             if data == DONE_EVENT:
+                response.read()
                 yield _stream_answer(usage)
                 return
             event = self._decode_event(data)
--- /dev/null
+++ b/ebonyshore/http_pool.py
@@ -0,0 +1,76 @@
+"""Connections to one HTTP server that are kept open between calls."""
+
+from http.client import HTTPConnection
+from select import POLLIN, poll
+from threading import Lock
+from urllib.parse import urlsplit
+
+from ebonyshore.clock import MS_PER_S
+
+
+class HttpConnectionPool:
+    """Keeps idle connections; safe to use from any thread.
+
+    :param url: ``http://IP:PORT``.
+    :param max_idle: most idle connections kept.
+    """
+
+    __slots__ = ("_host", "_idle", "_lock", "_max_idle", "_port")
+
+    def __init__(self, url: str, max_idle: int) -> None:
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._max_idle = max_idle
+        self._idle: list[HTTPConnection] = []
+        self._lock = Lock()
+
+    def take(self, timeout_ms: float) -> HTTPConnection:
+        """Return an idle connection that the server has not closed, or a new, connected one.
+
+        :param timeout_ms: time limit of each send and receive.
+        :raises OSError: if the server cannot be reached.
+        """
+        timeout_s = max(timeout_ms, 1.0) / MS_PER_S
+        while (connection := self._pop()) is not None:
+            if not _is_readable(connection):
+                connection.sock.settimeout(timeout_s)
+                return connection
+            connection.close()
+        return self.open(timeout_ms)
+
+    def open(self, timeout_ms: float) -> HTTPConnection:
+        """Return a new, connected connection.
+
+        :raises OSError: if the server cannot be reached.
+        """
+        timeout_s = max(timeout_ms, 1.0) / MS_PER_S
+        connection = HTTPConnection(self._host, self._port, timeout=timeout_s)
+        connection.connect()
+        return connection
+
+    def give_back(self, connection: HTTPConnection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        with self._lock:
+            if connection.sock is not None and len(self._idle) < self._max_idle:
+                self._idle.append(connection)
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _pop(self) -> HTTPConnection | None:
+        with self._lock:
+            return self._idle.pop() if self._idle else None
+
+
+def _is_readable(connection: HTTPConnection) -> bool:
+    """Return whether an idle connection has data: its end, or an answer that nobody asked for."""
+    poller = poll()  # select() cannot watch file descriptors above 1023
+    poller.register(connection.sock, POLLIN)
+    return bool(poller.poll(0))
--- a/ebonyshore/platform_http.py
+++ b/ebonyshore/platform_http.py
@@ -5,12 +5,11 @@
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from socket import SHUT_RDWR
 from threading import Lock
-from urllib.parse import quote, urlencode, urlsplit
+from urllib.parse import quote, urlencode
 
 from msgspec import Struct, convert
 from msgspec.json import decode, encode
 
-from ebonyshore.clock import MS_PER_S
 from ebonyshore.errors import (
     StoreError,
     StoreTimeoutError,
@@ -18,6 +17,7 @@
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
+from ebonyshore.http_pool import HttpConnectionPool
 from ebonyshore.platform_api import (
     ABSENT_VERSION,
     Instance,
@@ -45,50 +45,6 @@
     body: bytes
 
 
-class HttpConnectionPool:
-    """Keeps a few idle connections to one server; safe to use from any thread.
-
-    :param url: ``http://IP:PORT``.
-    """
-
-    __slots__ = ("_host", "_idle", "_lock", "_port")
-
-    def __init__(self, url: str) -> None:
-        parts = urlsplit(url)
-        self._host = parts.hostname or ""
-        self._port = parts.port or 80
-        self._idle: list[HTTPConnection] = []
-        self._lock = Lock()
-
-    def take(self, timeout_ms: float) -> HTTPConnection:
-        """Return an idle connection or a new, connected one.
-
-        :raises OSError: if the server cannot be reached.
-        """
-        with self._lock:
-            connection = self._idle.pop() if self._idle else None
-        if connection is None:
-            connection = HTTPConnection(self._host, self._port, timeout=timeout_ms / MS_PER_S)
-            connection.connect()
-        connection.sock.settimeout(timeout_ms / MS_PER_S)
-        return connection
-
-    def give_back(self, connection: HTTPConnection) -> None:
-        """Keep a connection whose answer was read to its end."""
-        with self._lock:
-            if connection.sock is not None and len(self._idle) < MAX_IDLE_CONNECTIONS:
-                self._idle.append(connection)
-                return
-        connection.close()
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        with self._lock:
-            idle, self._idle = self._idle, []
-        for connection in idle:
-            connection.close()
-
-
 class PlatformHttp(ObjectStore, InstanceList, WeightStore):
     """Client of the platform.
 
@@ -99,7 +55,7 @@
     __slots__ = ("_are_watches_cancelled", "_lock", "_pool", "_timeout_ms", "_watching")
 
     def __init__(self, url: str, timeout_ms: int) -> None:
-        self._pool = HttpConnectionPool(url)
+        self._pool = HttpConnectionPool(url, MAX_IDLE_CONNECTIONS)
         self._timeout_ms = timeout_ms
         self._lock = Lock()
         self._watching: set[HTTPConnection] = set()
