--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,9 +39,5 @@
         running.add_service("labels")
         for domain in ("a", "b"):
             running.add_entry(domain)
-        # The callers of these tests share an API key and send as fast as they can.
-        limits = {"caller_requests_per_s": 10_000.0, "caller_burst_requests": 10_000}
-        change = {"path": "/", "values": limits, "operator": "test"}
-        running.entries[0].admin.post("/admin/v1/settings", change)
         running.create_tier("care", ("reader", "writer", "labels"))
         yield running
