Refuse keys without an account where the tree allows accounts only

Cause: allows_anonymous_callers was a setting without an effect. With the check off, the test fails.

--- a/ebonyshore/callers.py
+++ b/ebonyshore/callers.py
@@ -2,7 +2,9 @@
 
 from hashlib import sha256
 
+from ebonyshore.errors import RequestError
 from ebonyshore.limits import CallerLimit
+from ebonyshore.result_codes import ResultCode
 from ebonyshore.settings_tree import SettingsTree
 
 CALLER_ID_CHARS = 16
@@ -10,12 +12,18 @@
 
 
 def caller_of_key(tree: SettingsTree, api_key: str) -> str:
-    """Return the caller that an API key stands for; a key of no account is its own caller."""
-    if not api_key:
-        return ANONYMOUS_CALLER
-    named = tree.caller_of(api_key)
+    """Return the caller that an API key stands for; a key of no account is its own caller.
+
+    :raises RequestError: with code ``UNAUTHENTICATED`` if the key has no account and the tree
+        allows accounts only.
+    """
+    named = tree.caller_of(api_key) if api_key else None
     if named is not None:
         return named
+    if not tree.root().allows_anonymous_callers:
+        raise RequestError("no caller account has this key", code=ResultCode.UNAUTHENTICATED)
+    if not api_key:
+        return ANONYMOUS_CALLER
     return sha256(api_key.encode()).hexdigest()[:CALLER_ID_CHARS]
 
 
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from ebonyshore.callers import ANONYMOUS_CALLER, caller_of_key
 from ebonyshore.clock import SystemClock
-from ebonyshore.errors import SettingsError, StoreUnavailableError
+from ebonyshore.errors import RequestError, SettingsError, StoreUnavailableError
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
+from ebonyshore.result_codes import ResultCode
 from ebonyshore.settings_service import (
     PEER_WAIT_MS,
     REQUEST_TIMEOUT_MS,
@@ -193,3 +195,18 @@
     assert tree.caller_of("key") == "x"
     assert tree.caller_of("") is None
     assert tree.root().allows_anonymous_callers
+    assert caller_of_key(tree, "key") == "x"
+    assert caller_of_key(tree, "") == ANONYMOUS_CALLER
+
+
+@pytest.mark.parametrize("key", ["", "unknown"])
+def test_stranger_is_refused_where_only_accounts_are_served(key: str) -> None:
+    nodes = {
+        "/": {"allows_anonymous_callers": False},
+        "/callers/x": {"api_key_sha256_hex": KEY_DIGEST},
+    }
+    tree = SettingsTree(1, nodes)
+    assert caller_of_key(tree, "key") == "x"
+    with pytest.raises(RequestError) as refusal:
+        caller_of_key(tree, key)
+    assert refusal.value.code is ResultCode.UNAUTHENTICATED
