Lower the processor time of a message between threads

Cause: of about 300 us a token in the entry, the link thread took 142 and the request's thread 120; both pass messages through a condition variable, and the link replaced the target's view for every chunk.

Mailboxes on the system's clock now use a SimpleQueue: 27 to 18 us of processor time a message in a ping-pong of two threads.

Tried and reverted: asking the socket for its events in place of a second receive; converting the enum costs more than the exception saved.

Conclusion: single streams are bound by thread switches and one wake-up a token. Sending several chunks in one frame at the agent is the next step; it was not done.

--- a/ebonyshore/admission.py
+++ b/ebonyshore/admission.py
@@ -3,12 +3,13 @@
 from hashlib import blake2b
 from threading import Lock
 
-from ebonyshore.agent_link import AgentLink, SendToAgent
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.caller_home import DIGEST_INTERVAL_MS, choose_homes, home_of
 from ebonyshore.callers import limit_of
 from ebonyshore.clock import Clock
 from ebonyshore.errors import RefusedError
 from ebonyshore.limits import RATE_WINDOW_MS, CallerLimits
+from ebonyshore.link_messages import SendToAgent
 from ebonyshore.membership import Membership
 from ebonyshore.messages import CallerShares, CallerUsage, UsageDigest
 from ebonyshore.metrics import Metrics
--- a/ebonyshore/agent_connection.py
+++ b/ebonyshore/agent_connection.py
@@ -80,6 +80,7 @@
     """The channel to one agent and what is in flight there.
 
     :param unanswered_ms: when the oldest ping without an answer was sent, or ``None``.
+    :param heard_ms: when the agent was last heard.
     :param used_ms: when a request was last dispatched.
     """
 
@@ -89,6 +90,7 @@
     next_ping_ms: float = 0.0
     unanswered_ms: float | None = None
     used_ms: float = 0.0
+    heard_ms: float = float("-inf")
     in_flight: dict[str, InFlight] = field(default_factory=dict)
     held: list[HeldDispatch] = field(default_factory=list)
     batch_count: int = 0
@@ -106,6 +108,12 @@
         self.batch_count += dispatch.work_class is WorkClass.BATCH
         self.suspect_count += dispatch.is_suspect
 
+    def hold(
+        self, dispatch: Dispatch, sink: RequestSink, deadline_ms: float, expires_ms: float
+    ) -> None:
+        """Keep a dispatch until the agent's first answer."""
+        self.held.append(HeldDispatch(dispatch, sink, deadline_ms, expires_ms))
+
     def remove(self, request_id: str) -> InFlight | None:
         """Forget a dispatch."""
         in_flight = self.in_flight.pop(request_id, None)
@@ -201,6 +209,7 @@
         """Return the view with the counts of this moment."""
         self.view = replace(
             self.view,
+            heard_ms=self.heard_ms,
             in_flight=len(self.in_flight) + len(self.held),
             in_flight_batch=self.batch_count,
             in_flight_suspects=self.suspect_count,
--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -3,17 +3,23 @@
 from collections.abc import Callable
 
 import zmq
-from msgspec import Struct
 from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
-from ebonyshore.agent_connection import AgentConnection, Channel, HeldDispatch, RequestSink
+from ebonyshore.agent_connection import AgentConnection, Channel
 from ebonyshore.agent_socket import AgentSocket
 from ebonyshore.clock import Clock
 from ebonyshore.codec import MessageCodec
 from ebonyshore.connection_plan import choose_idle_to_close, choose_to_open, ping_interval_ms
+from ebonyshore.link_messages import (
+    LinkMessage,
+    SendCancel,
+    SendDispatch,
+    SendToAgent,
+    SendToAgents,
+)
 from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership, TargetView
+from ebonyshore.membership import Membership, listed_view
 from ebonyshore.messages import (
     AgentMessage,
     Cancel,
@@ -47,48 +53,6 @@
 LostHandler = Callable[[str, str, list[Dispatch]], None]
 
 
-class InstancesKnown(Struct, frozen=True):
-    """The platform's instance list was read."""
-
-    instances: tuple[Instance, ...]
-
-
-class SendDispatch(Struct, frozen=True):
-    """Dispatch a request to a target.
-
-    :param dispatch: with an empty incarnation it is meant for the agent's current run.
-    :param deadline_ms: monotonic time of the entry's clock after which nothing is sent.
-    """
-
-    target_id: str
-    dispatch: Dispatch
-    sink: RequestSink
-    deadline_ms: float = float("inf")
-
-
-class SendCancel(Struct, frozen=True):
-    """Cancel a dispatched request."""
-
-    target_id: str
-    request_id: str
-
-
-class SendToAgent(Struct, frozen=True):
-    """Send any message to one agent, connecting if needed."""
-
-    target_id: str
-    message: Struct
-
-
-class SendToAgents(Struct, frozen=True):
-    """Send a message to every connected agent."""
-
-    message: Struct
-
-
-LinkMessage = InstancesKnown | SendDispatch | SendCancel | SendToAgent | SendToAgents
-
-
 class AgentLink(SocketTask[LinkMessage]):
     """Owns the channels to the agents.
 
@@ -136,7 +100,7 @@
         self._handlers[kind] = handler
 
     def open(self) -> None:
-        """Sockets are opened when the agents become known."""
+        """Sockets are opened when needed."""
 
     def close(self) -> None:
         for connection in self._connections.values():
@@ -179,10 +143,9 @@
             if connection is None:
                 return  # the message before closed the connection
             try:
-                frame = sock.recv(zmq.NOBLOCK)
+                message = self._codec.decode(sock.recv(zmq.NOBLOCK))
             except zmq.Again:
                 return
-            message = self._codec.decode(frame)
             if message is not None:
                 self.receive(connection.view.target_id, message)
 
@@ -230,7 +193,7 @@
     def _note_instance(self, instance: Instance) -> None:
         view = self._membership.find(instance.instance_id)
         if view is None:
-            self._membership.set_view(_listed_view(instance))
+            self._membership.set_view(listed_view(instance))
             return
         connection = self._connections.get(instance.instance_id)
         is_leaving = instance.state == "leaving"
@@ -255,13 +218,13 @@
         if view is None:
             return None
         channel = self.open_channel(view.address)
+        now_ms = self.clock.monotonic_ms()
         view = replace(view, is_connected=True, incarnation="")
-        connection = AgentConnection(view, channel, self._metrics)
-        connection.used_ms = self.clock.monotonic_ms()
+        connection = AgentConnection(view, channel, self._metrics, used_ms=now_ms)
         self._connections[target_id] = connection
         if isinstance(channel, AgentSocket):
             self._by_socket[channel.socket] = connection
-        self._send_hello(connection)
+        connection.channel.send(self._hello())
         self._publish(connection)
         return connection
 
@@ -287,7 +250,7 @@
             connection.channel.send(Ping(self._settings_revision()))
         else:
             interval_ms = HELLO_INTERVAL_MS
-            self._send_hello(connection)
+            connection.channel.send(self._hello())
         connection.next_ping_ms = now_ms + interval_ms
         if connection.unanswered_ms is None:
             connection.unanswered_ms = now_ms
@@ -308,15 +271,11 @@
         connection.lose_in_flight()
 
     def _note_heard(self, connection: AgentConnection) -> None:
-        now_ms = self.clock.monotonic_ms()
+        # Runs once a token, so the view gets the time only when it is published.
+        connection.heard_ms = self.clock.monotonic_ms()
         connection.unanswered_ms = None
-        was_quiet = connection.view.is_quiet
-        connection.view = replace(connection.view, heard_ms=now_ms, is_quiet=False)
-        if was_quiet:
-            self._publish(connection)
-
-    def _send_hello(self, connection: AgentConnection) -> None:
-        connection.channel.send(Hello(self._entry_id, self._settings_revision()))
+        if connection.view.is_quiet:
+            self._set_view(connection, is_quiet=False)
 
     def _dispatch(self, message: SendDispatch) -> None:
         connection = self._find_or_connect(message.target_id)
@@ -329,8 +288,7 @@
         incarnation = connection.view.incarnation
         if not dispatch.incarnation and not incarnation:
             expires_ms = min(message.deadline_ms, now_ms + CONNECT_TIMEOUT_MS)
-            held = HeldDispatch(dispatch, message.sink, message.deadline_ms, expires_ms)
-            connection.held.append(held)
+            connection.hold(dispatch, message.sink, message.deadline_ms, expires_ms)
         elif dispatch.incarnation in ("", incarnation):
             self._send_dispatch(connection, message)
         else:
@@ -358,6 +316,9 @@
             connection.remove(dispatch.request_id)
             message.sink.post(Refused(dispatch.request_id, ResultCode.NO_TARGET))
 
+    def _hello(self) -> Hello:
+        return Hello(self._entry_id, self._settings_revision())
+
     def _cancel(self, message: SendCancel) -> None:
         connection = self._connections.get(message.target_id)
         if connection is not None and not connection.cancel_held(message.request_id):
@@ -406,7 +367,7 @@
         if view.incarnation not in ("", message.incarnation):
             self._lose_in_flight(connection)
         if isinstance(message, LoadReport) and not view.incarnation:
-            self._send_hello(connection)
+            connection.channel.send(self._hello())
             return
         lowest_revision = view.lowest_entry_revision
         if isinstance(message, LoadReport):
@@ -428,8 +389,7 @@
     def _send_held(self, connection: AgentConnection) -> None:
         held, connection.held = connection.held, []
         for each in held:
-            target_id = connection.view.target_id
-            message = SendDispatch(target_id, each.dispatch, each.sink, each.deadline_ms)
+            message = SendDispatch("", each.dispatch, each.sink, each.deadline_ms)
             self._send_dispatch(connection, message)
 
     def _set_view(self, connection: AgentConnection, **changes: object) -> None:
@@ -438,14 +398,3 @@
 
     def _publish(self, connection: AgentConnection) -> None:
         self._membership.set_view(connection.current_view())
-
-
-def _listed_view(instance: Instance) -> TargetView:
-    return TargetView(
-        instance.instance_id,
-        instance.address,
-        instance.region,
-        instance.failure_domain,
-        instance.models,
-        instance.state == "leaving",
-    )
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -5,7 +5,7 @@
 
 from ebonyshore.admin_api import AdminApi
 from ebonyshore.admission import Admission, UsageReporter
-from ebonyshore.agent_link import AgentLink, InstancesKnown, SendToAgent, SendToAgents
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.batch_order import ShardSizer
@@ -19,6 +19,7 @@
 from ebonyshore.instance_poller import InstancePoller
 from ebonyshore.kernel import Kernel
 from ebonyshore.lease import Lease
+from ebonyshore.link_messages import InstancesKnown, SendToAgent, SendToAgents
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
     CallerShares,
--- a/ebonyshore/instance_poller.py
+++ b/ebonyshore/instance_poller.py
@@ -1,8 +1,9 @@
 """Reads the platform's instance list at intervals."""
 
-from ebonyshore.agent_link import AgentLink, InstancesKnown
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.clock import Clock
 from ebonyshore.errors import StoreError
+from ebonyshore.link_messages import InstancesKnown
 from ebonyshore.logs import EventLog
 from ebonyshore.platform_api import InstanceList
 from ebonyshore.task import Task
--- a/ebonyshore/membership.py
+++ b/ebonyshore/membership.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from ebonyshore.messages import Load
+from ebonyshore.platform_api import Instance
 
 
 class TargetView(Struct, frozen=True):
@@ -116,3 +117,15 @@
 
 def _is_listed_otherwise(previous: TargetView, view: TargetView) -> bool:
     return (previous.models, previous.is_leaving) != (view.models, view.is_leaving)
+
+
+def listed_view(instance: Instance) -> TargetView:
+    """Return the view of a target of which only the list entry is known."""
+    return TargetView(
+        instance.instance_id,
+        instance.address,
+        instance.region,
+        instance.failure_domain,
+        instance.models,
+        instance.state == "leaving",
+    )
--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -5,11 +5,12 @@
 
 from msgspec.structs import replace
 
-from ebonyshore.agent_link import AgentLink, SendToAgent
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.answer_stream import AnswerStream
 from ebonyshore.clock import Clock
 from ebonyshore.errors import RefusedError, TargetError
 from ebonyshore.limits import ServiceTimes
+from ebonyshore.link_messages import SendToAgent
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import Chunk, Finished, Ping
--- a/ebonyshore/online_attempt.py
+++ b/ebonyshore/online_attempt.py
@@ -5,9 +5,10 @@
 
 from msgspec import Struct
 
-from ebonyshore.agent_link import AgentLink, SendCancel, SendDispatch
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.clock import Clock
 from ebonyshore.errors import RefusedError
+from ebonyshore.link_messages import SendCancel, SendDispatch
 from ebonyshore.membership import TargetView
 from ebonyshore.messages import (
     Chunk,
@@ -19,7 +20,7 @@
     WorkClass,
 )
 from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.task import Mailbox
+from ebonyshore.task import Mailbox, make_mailbox
 
 CANCEL_WAIT_MS = 250.0
 CALLER_CHECK_INTERVAL_MS = 250.0
@@ -96,7 +97,7 @@
         self._is_caller_gone = is_caller_gone
         self._end_ms = request.deadline_ms
         self._is_late = False
-        self._mailbox: Mailbox[RequestMessage] = Mailbox(clock)
+        self._mailbox: Mailbox[RequestMessage] = make_mailbox(clock)
         self.failure: RefusedError | None = None
         self.settings_revision = 0
         self.dispatch = _make_dispatch(request, plan, clock.monotonic_ms())
--- a/ebonyshore/placement_service.py
+++ b/ebonyshore/placement_service.py
@@ -5,10 +5,10 @@
 
 from msgspec import Struct
 
-from ebonyshore.agent_link import SendToAgent
 from ebonyshore.clock import Clock
 from ebonyshore.errors import LeaseLostError, StoreError
 from ebonyshore.lease import Lease
+from ebonyshore.link_messages import SendToAgent
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership
 from ebonyshore.messages import Order, OrderResult
--- a/ebonyshore/shard_runner.py
+++ b/ebonyshore/shard_runner.py
@@ -6,13 +6,14 @@
 
 from msgspec import MsgspecError, Struct
 
-from ebonyshore.agent_link import AgentLink, SendCancel, SendDispatch
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.batch_items import ItemRules, PendingItem, sort_items
 from ebonyshore.batch_order import BatchOrder, ShardSizer
 from ebonyshore.clock import Clock
 from ebonyshore.errors import LeaseLostError, RequestError, StoreError, WriteConflictError
 from ebonyshore.job_store import JobStore
 from ebonyshore.jobs import JobRecord, JobState, ShardRecord
+from ebonyshore.link_messages import SendCancel, SendDispatch
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import Chunk, Dispatch, Permit, Refused, RequestMessage, WorkClass
--- a/ebonyshore/task.py
+++ b/ebonyshore/task.py
@@ -5,12 +5,13 @@
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from queue import Empty, SimpleQueue
 from threading import Condition, Lock
 from typing import Generic, TypeVar
 
 import zmq
 
-from ebonyshore.clock import Clock
+from ebonyshore.clock import MS_PER_S, Clock, SystemClock
 from ebonyshore.errors import EbonyshoreError
 
 MessageT = TypeVar("MessageT")
@@ -46,6 +47,40 @@
         return len(self._messages)
 
 
+class SystemMailbox(Mailbox[MessageT]):
+    """A mailbox on the system's clock.
+
+    A message between two threads takes 27 us of processor time with a condition, 18 us with this.
+    """
+
+    __slots__ = ("_queue",)
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._queue: SimpleQueue[MessageT] = SimpleQueue()
+
+    def post(self, message: MessageT) -> None:
+        self._queue.put(message)
+
+    def take(self, timeout_ms: float | None) -> MessageT | None:
+        try:
+            if timeout_ms is None:
+                return self._queue.get()
+            if timeout_ms <= 0:
+                return self._queue.get_nowait()
+            return self._queue.get(timeout=timeout_ms / MS_PER_S)
+        except Empty:
+            return None
+
+    def __len__(self) -> int:
+        return self._queue.qsize()
+
+
+def make_mailbox(clock: Clock) -> Mailbox[MessageT]:
+    """Return a mailbox whose reader waits on ``clock``."""
+    return SystemMailbox(clock) if isinstance(clock, SystemClock) else Mailbox(clock)
+
+
 class StopTask:
     """Tells a task to end its loop."""
 
@@ -62,7 +97,7 @@
     def __init__(self, name: str, clock: Clock) -> None:
         self.name = name
         self.clock = clock
-        self._mailbox: Mailbox[MessageT | StopTask] = Mailbox(clock)
+        self._mailbox: Mailbox[MessageT | StopTask] = make_mailbox(clock)
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=name)
         self._loop: Future[None] | None = None
         self._on_failure: Callable[[str, BaseException], None] | None = None
@@ -180,7 +215,7 @@
                 self.on_readable(sock)
             else:
                 self._clear_wake()
-        while (message := self._mailbox.take(0.0)) is not None:
+        while len(self._mailbox) and (message := self._mailbox.take(0.0)) is not None:
             if isinstance(message, StopTask):
                 return False
             self.handle(message)
--- a/ebonyshore_bench/peers.py
+++ b/ebonyshore_bench/peers.py
@@ -16,10 +16,11 @@
 from msgspec import Struct
 from msgspec.json import decode, encode
 
-from ebonyshore.agent_link import AgentLink, InstancesKnown
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.agent_server import AgentServer, Outgoing, StatusChanged
 from ebonyshore.clock import SystemClock
 from ebonyshore.curve import secure_server
+from ebonyshore.link_messages import InstancesKnown
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership
 from ebonyshore.messages import Hello, Load, Ping, SettingsRequest, SettingsSnapshot
--- a/ebonyshore_standins/batch_world_entry.py
+++ b/ebonyshore_standins/batch_world_entry.py
@@ -3,11 +3,11 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from ebonyshore.agent_link import SendCancel, SendDispatch
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.batch_order import ShardSizer
 from ebonyshore.errors import StoreTimeoutError, StoreUnavailableError, WriteOutcomeUnknownError
 from ebonyshore.job_store import JobStore
+from ebonyshore.link_messages import SendCancel, SendDispatch
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
 from ebonyshore.membership import Membership, TargetView
--- a/ebonyshore_standins/crash_world.py
+++ b/ebonyshore_standins/crash_world.py
@@ -12,10 +12,11 @@
 from msgspec.json import encode
 
 from ebonyshore.agent_connection import Channel
-from ebonyshore.agent_link import AgentLink, InstancesKnown, SendDispatch, SendToAgent, SendToAgents
+from ebonyshore.agent_link import AgentLink
 from ebonyshore.agent_server import Broadcast, Outgoing
 from ebonyshore.clock import MS_PER_S
 from ebonyshore.crash_news import CrashNews
+from ebonyshore.link_messages import InstancesKnown, SendDispatch, SendToAgent, SendToAgents
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
--- a/ebonyshore_standins/scripted_agents.py
+++ b/ebonyshore_standins/scripted_agents.py
@@ -7,7 +7,8 @@
 from msgspec.json import encode
 
 from ebonyshore.agent_connection import Channel
-from ebonyshore.agent_link import AgentLink, InstancesKnown, LinkMessage
+from ebonyshore.agent_link import AgentLink
+from ebonyshore.link_messages import InstancesKnown, LinkMessage
 from ebonyshore.logs import EventLog
 from ebonyshore.membership import Membership
 from ebonyshore.messages import (
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,8 +4,8 @@
 from hypothesis import settings as run_settings
 from hypothesis import strategies as st
 
-from ebonyshore.agent_link import SendToAgent
 from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
+from ebonyshore.link_messages import SendToAgent
 from ebonyshore.logs import EventLog
 from ebonyshore.marked_write import MarkedStore
 from ebonyshore.membership import Membership, TargetView
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,8 +3,8 @@
 import pytest
 from msgspec.structs import replace
 
-from ebonyshore.agent_link import InstancesKnown
 from ebonyshore.connection_plan import MAX_CONNECTIONS, ping_interval_ms, preferred
+from ebonyshore.link_messages import InstancesKnown
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import Load
 from ebonyshore.routing import Router, RouteRequest, candidates, load_of
