--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry.py
@@ -9,6 +9,8 @@
 from ebonyshore.audit import Auditor
 from ebonyshore.batch_api import BatchApi
 from ebonyshore.batch_order import ShardSizer
+from ebonyshore.batch_sweep import BatchSweeper
+from ebonyshore.cleanup import DUTY, LEASE_INTERVAL_MS, CleanupTask
 from ebonyshore.crash_news import CrashNews
 from ebonyshore.daemon import Daemon
 from ebonyshore.dump import dump_process
@@ -31,6 +33,7 @@
 )
 from ebonyshore.once import OnceStore
 from ebonyshore.once_run import OnceService
+from ebonyshore.once_sweep import OnceSweeper
 from ebonyshore.online import OnlineService
 from ebonyshore.placement_service import PLACEMENT_DUTY, PlacementService
 from ebonyshore.platform_api import Instance
@@ -92,6 +95,7 @@
         kernel.register(
             TaskService(runner, lambda: runner.post(BeginDrain()), lambda: runner.is_idle)
         )
+    kernel.register(TaskService(_make_cleanup(environment, settings)))
     admission = Admission(
         environment.settings.instance.instance_id, settings, environment.clock, environment.metrics
     )
@@ -118,14 +122,13 @@
     puller = SettingsPuller(settings, environment.clock)
 
     def send_settings(target_id: str, message: SettingsRequest) -> None:
-        revision = settings.newest().revision
-        if revision > message.known_revision:
-            snapshot = SettingsSnapshot(revision, settings.encoded_newest())
+        if settings.newest().revision > message.known_revision:
+            snapshot = settings.make_snapshot(message.known_revision)
             link.post(SendToAgent(target_id, snapshot))
 
     def note_revision(target_id: str, message: Welcome | LoadReport | Refused) -> None:
         if puller.should_ask(message.settings_revision):
-            request = SettingsRequest(settings.newest().revision)
+            request = SettingsRequest(settings.request_revision())
             link.post(SendToAgent(target_id, request))
 
     def announce(head: SettingsHead) -> None:
@@ -148,7 +151,7 @@
     for kind in (LoadReport, Refused):
         link.subscribe(kind, note_revision)
     link.subscribe(SettingsRequest, send_settings)
-    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_encoded(s.head))
+    link.subscribe(SettingsSnapshot, lambda _, s: settings.adopt_snapshot(s))
     settings.subscribe(announce)
     link.post(
         InstancesKnown(tuple(map(_peer_instance, environment.settings.peers.agent_addresses)))
@@ -208,6 +211,34 @@
     )
 
 
+def _make_cleanup(environment: Environment, settings: SettingsService) -> CleanupTask:
+    instance_id = environment.settings.instance.instance_id
+    lease = Lease(
+        environment.store,
+        DUTY,
+        environment.incarnation,
+        instance_id,
+        environment.clock,
+        LEASE_INTERVAL_MS,
+    )
+
+    def expiry_ms() -> float:
+        return settings.current().root().idempotency_expiry_ms
+
+    sweepers = {
+        "batch": BatchSweeper(environment.store, environment.job_store()),
+        "once": OnceSweeper(environment.store, environment.clock, expiry_ms),
+    }
+    return CleanupTask(
+        lease,
+        sweepers,
+        lambda: settings.is_ready,
+        environment.clock,
+        environment.metrics,
+        environment.log,
+    )
+
+
 def _make_http(
     environment: Environment,
     settings: SettingsService,
