--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/agent_link.py
@@ -405,7 +405,9 @@
         view = connection.view
         if view.incarnation not in ("", message.incarnation):
             self._lose_in_flight(connection)
-        if isinstance(message, LoadReport) and not view.incarnation:
+            connection.view = replace(connection.view, incarnation="")
+        # An agent that runs anew needs a greeting, which brings it the verdicts.
+        if isinstance(message, LoadReport) and not connection.view.incarnation:
             self._send_hello(connection)
             return
         lowest_revision = view.lowest_entry_revision
--- a/ebonyshore_standins/local_fleet.py
+++ b/ebonyshore_standins/local_fleet.py
@@ -143,6 +143,7 @@
         entry = EntryProcess(instance_id, port, self._admin(admin_port), process)
         self.entries.append(entry)
         self.wait_for_port(port)
+        self.wait_for_port(admin_port)
         self.platform_call("POST", "/control/instances", Instance(instance_id, "entry", entry.url))
         return entry
 
--- a/ebonyshore_standins/service_server.py
+++ b/ebonyshore_standins/service_server.py
@@ -3,6 +3,7 @@
 import argparse
 from collections import Counter
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 from threading import Lock
 from uuid import uuid4
 
@@ -19,6 +20,7 @@
     boot_id = uuid4().hex
     delay_ms = 0.0
     runs: Counter[str] = Counter()
+    runs_path: Path | None = None
     lock = Lock()
     clock = SystemClock()
 
@@ -37,6 +39,9 @@
             label = ""
         with self.lock:
             self.runs[label] += 1
+            if self.runs_path is not None:
+                with self.runs_path.open("a") as runs_file:
+                    runs_file.write(label + "\n")
         self.clock.sleep_ms(self.delay_ms)
         self._send_json({"label": label, "path": self.path})
 
@@ -57,8 +62,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--delay-ms", type=float, default=0.0)
+    parser.add_argument("--runs", type=Path, help="file that gets the label of each call")
     arguments = parser.parse_args()
     ServiceHandler.delay_ms = arguments.delay_ms
+    ServiceHandler.runs_path = arguments.runs
     ThreadingHTTPServer(("127.0.0.1", arguments.port), ServiceHandler).serve_forever()
 
 
--- /dev/null
+++ b/tools/measure_agent.py
@@ -0,0 +1,83 @@
+"""Measures an agent's own processor time per request and per token, and its memory.
+
+Starts an engine, its agent and an entry as processes, sends dispatches through the entry, and reads
+the agent's processor time and resident memory from ``/proc``.
+"""
+
+import os
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from msgspec import Struct
+from openai import OpenAI
+
+from ebonyshore_standins.local_fleet import LocalFleet
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+MS_PER_S = 1000
+IDLE_MS = 5_000
+CALLERS = 12
+
+
+class Usage(Struct):
+    """What the agent has used so far."""
+
+    cpu_ms: float
+    resident_mb: float
+
+
+def usage_of(pid: int) -> Usage:
+    """Return the use of a process."""
+    words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    ticks = int(words[11]) + int(words[12])
+    return Usage(ticks * MS_PER_S / TICKS_PER_S, pages * PAGE_BYTES / 1e6)
+
+
+def spend(fleet: LocalFleet, requests: int, tokens: int) -> float:
+    """Return the agent's processor time for a number of streams."""
+    pid = fleet.targets[0].agent.pid
+    before = usage_of(pid)
+
+    def ask(number: int) -> int:
+        client = OpenAI(base_url=f"{fleet.entries[0].url}/v1", api_key="k", max_retries=2)
+        stream = client.completions.create(
+            model="reader", prompt=f"{tokens} {number}", max_tokens=tokens, stream=True
+        )
+        return sum(bool(event.choices[0].text) for event in stream)
+
+    with ThreadPoolExecutor(CALLERS) as callers:
+        received = sum(callers.map(ask, range(requests)))
+    if received != requests * tokens:
+        raise SystemExit(f"{received} tokens came, not {requests * tokens}")
+    return usage_of(pid).cpu_ms - before.cpu_ms
+
+
+def main() -> None:
+    """Print the figures."""
+    with tempfile.TemporaryDirectory() as folder, LocalFleet(Path(folder)) as fleet:
+        fleet.add_engine(("reader",), parameters={"base_step_ms": 4.0})
+        fleet.add_entry("a")
+        fleet.create_tier("care", ("reader",), caller_requests_per_s=1000.0)
+        pid = fleet.targets[0].agent.pid
+        spend(fleet, 24, 2)
+        before = usage_of(pid)
+        fleet.clock.sleep_ms(IDLE_MS)
+        idle_ms = usage_of(pid).cpu_ms - before.cpu_ms
+        few, many = spend(fleet, 240, 2), spend(fleet, 240, 102)
+        token_us = (many - few) / (240 * 100) * MS_PER_S
+        request_ms = few / 240 - 2 * token_us / MS_PER_S
+        print(
+            f"agent: idle {idle_ms / IDLE_MS * 100:.2f}% of a core, "
+            f"{request_ms:.2f} ms per request, {token_us:.0f} us per token, "
+            f"{usage_of(pid).resident_mb:.0f} MB resident"
+        )
+        histograms = fleet.targets[0].admin.get("/admin/v1/dump")["metrics"]["histograms"]
+        for name, summary in histograms.items():
+            print(f"  {name}: {summary}")
+
+
+if __name__ == "__main__":
+    main()
