Route each content to its head's home or to an alternate of its own

Cause: content whose head had completed before could go to two further targets, so one content could reach four and crash more than two. Ruled out: keeping the memory of safe content by content alone, which would leave a popular head with two targets. Now the home follows from the head and the alternate from the content, and nothing else is reachable. The two tests of the old rule are replaced: one content reaches two targets under changing loads (before it was free after a completion), and the overflow of a head spreads over all other targets.

--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -160,7 +160,6 @@
                 if isinstance(message, Finished):
                     duration_ms = self._clock.monotonic_ms() - progress.started_ms
                     self._times.record(request.model, duration_ms)
-                    self._router.record_completed(request.content_digest, request.head_digest)
                 if request.is_stream:
                     yield _accept(message, progress.stream)
                 else:
--- a/ebonyshore/routing.py
+++ b/ebonyshore/routing.py
@@ -1,25 +1,20 @@
-"""Which target a request goes to. Pure, but for the memory of content that has completed.
+"""Which target a request goes to. Pure.
 
 Choices use one immutable snapshot of the targets. Each entry sees loads with a lag and only its own
 dispatches at once, so the choice is between two candidates that differ from one conversation to
 the next: many entries that see the same least loaded target do not all run to it.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
 from hashlib import blake2b
-from threading import Lock
 
 from msgspec import Struct
 
 from ebonyshore.membership import Membership, TargetView
 
-CANDIDATE_COUNT = 2
-NEAR_TIE = 0.1
 SLOW_STEP_RATIO = 4.0
-OVERFLOW_RATIO = 1.25
-OVERFLOW_FLOOR = 0.1
-KNOWN_SAFE_CONTENTS = 20_000
+HOME_PREFERENCE = 0.1  # share of a target's room; more gives prefix hits and costs balance
+LOCAL_PREFERENCE = 0.05
 SUSPECT_HOLD_MS = 5_000.0
 
 
@@ -49,23 +44,23 @@
     return [t for t in targets if model in t.models and not t.is_leaving and t.incarnation]
 
 
-def ranked(head_digest: str, targets: Iterable[TargetView]) -> list[TargetView]:
-    """Return the targets in rank order for a conversation head."""
-    return sorted(targets, key=lambda target: rank(head_digest, target.target_id), reverse=True)
+def candidates(
+    head_digest: str, content_digest: str, targets: Iterable[TargetView]
+) -> list[TargetView]:
+    """Return the home of a conversation head and the alternate of the content.
 
-
-def candidates(head_digest: str, targets: Iterable[TargetView]) -> list[TargetView]:
-    """Return the target that ranks highest and the next one in another failure domain.
-
-    If all targets are in one failure domain, the two that rank highest. Two domains keep the loss
-    of one from taking both candidates of a conversation.
+    The home ranks highest for the head, so that conversations meet their cached prefix. The
+    alternate ranks highest for the whole content, in another failure domain if there is one: the
+    overflow of a popular head spreads over all targets, while one content reaches two at most.
     """
-    order = ranked(head_digest, targets)
-    if len(order) <= CANDIDATE_COUNT:
-        return order
-    first = order[0]
-    others = [target for target in order if target.failure_domain != first.failure_domain]
-    return [first, others[0] if others else order[1]]
+    targets = list(targets)
+    if not targets:
+        return []
+    home = max(targets, key=lambda target: rank(head_digest, target.target_id))
+    others = [target for target in targets if target.failure_domain != home.failure_domain]
+    others = others or [target for target in targets if target is not home]
+    alternates = sorted(others, key=lambda target: rank(content_digest, target.target_id))
+    return [home, *alternates[-1:]]
 
 
 def load_of(target: TargetView) -> float:
@@ -85,22 +80,6 @@
     return sum(loads) / len(loads) if loads else 0.0
 
 
-def choose_least(
-    targets: list[TargetView], failure_domain: str, unknown_load: float = 0.0
-) -> TargetView | None:
-    """Return the least loaded target; a near tie goes to the local failure domain.
-
-    :param unknown_load: taken for targets without a connection, whose last report is old.
-    """
-    if not targets:
-        return None
-    loads = {t.target_id: load_of(t) if t.is_connected else unknown_load for t in targets}
-    least = min(loads.values())
-    near = [target for target in targets if loads[target.target_id] <= least + NEAR_TIE]
-    local = [target for target in near if target.failure_domain == failure_domain]
-    return min(local or near, key=lambda target: loads[target.target_id])
-
-
 def is_slow(target: TargetView, typical_step_ms: float) -> bool:
     """Return whether the target's steps take many times as long as is typical for its model."""
     return typical_step_ms > 0 and target.load.step_ms > SLOW_STEP_RATIO * typical_step_ms
@@ -112,10 +91,10 @@
     :param failure_domain: that of the entry.
     """
 
+    __slots__ = ("_failure_domain",)
+
     def __init__(self, failure_domain: str) -> None:
         self._failure_domain = failure_domain
-        self._lock = Lock()
-        self._safe: OrderedDict[str, None] = OrderedDict()
 
     def choose(
         self, request: RouteRequest, membership: Membership, now_ms: float
@@ -124,35 +103,20 @@
         serving = membership.serving(request.model)
         if request.needs_engine:
             serving = [target for target in serving if target.kind == "engine"]
+        pair = candidates(request.head_digest, request.content_digest, serving)
         typical_ms = membership.typical_step_ms(request.model)
-        reach = self._usable(candidates(request.head_digest, serving), request, typical_ms, now_ms)
+        reach = self._usable(pair, request, typical_ms, now_ms)
         mean = mean_load(serving)
-        best = choose_least(reach, self._failure_domain, mean)
-        if best is not None and load_of(best) <= mean * OVERFLOW_RATIO + OVERFLOW_FLOOR:
-            return best
-        if not self.is_safe(request):
-            return best
-        # Hashing the content spreads the overflow of a popular head over all targets, so that the
-        # entries do not all run to the same third one.
-        spread = candidates(request.content_digest, serving)
-        further = self._usable(spread, request, typical_ms, now_ms)
-        return choose_least([*reach, *further], self._failure_domain, mean)
-
-    def record_completed(self, content_digest: str, head_digest: str) -> None:
-        """Remember that the content has run to its end, and so may go to any target."""
-        with self._lock:
-            for digest in (content_digest, head_digest):
-                self._safe[digest] = None
-                self._safe.move_to_end(digest)
-            while len(self._safe) > KNOWN_SAFE_CONTENTS:
-                self._safe.popitem(last=False)
-
-    def is_safe(self, request: RouteRequest) -> bool:
-        """Return whether the same content, or another one with the same head, has completed."""
-        if request.is_suspect:
-            return False
-        with self._lock:
-            return request.content_digest in self._safe or request.head_digest in self._safe
+        return min(reach, key=lambda t: self._cost(t, t is pair[0], mean), default=None)
+
+    def _cost(self, target: TargetView, is_home: bool, unknown_load: float) -> float:
+        """Return the load of a target, lower by what its cache and its nearness are worth.
+
+        :param unknown_load: taken for a target without a connection, whose last report is old.
+        """
+        load = load_of(target) if target.is_connected else unknown_load
+        is_local = target.failure_domain == self._failure_domain
+        return load - HOME_PREFERENCE * is_home - LOCAL_PREFERENCE * is_local
 
     def _usable(
         self,
--- a/ebonyshore_standins/crash_world.py
+++ b/ebonyshore_standins/crash_world.py
@@ -222,7 +222,6 @@
         """Take the outcome of one dispatch; anything but an answer or conviction is retried."""
         if isinstance(message, Finished):
             caller.code = ResultCode.OK
-            self._router.record_completed(caller.content, f"head of {caller.content}")
         elif message.code is ResultCode.CONVICTED:
             caller.code = ResultCode.CONVICTED
         elif isinstance(message, Failed):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -41,11 +41,23 @@
     return RouteRequest("m", content, head, **changes)
 
 
-def test_less_loaded_candidate_wins_and_domain_breaks_near_ties() -> None:
-    router = Router("b")
-    assert router.choose(route(), members(view(0, 5), view(1, 1)), NOW_MS).target_id == "t1"
-    near = members(view(0, 1), view(1, 2, "b"))
-    assert router.choose(route(), near, NOW_MS).target_id == "t1"
+def test_less_loaded_candidate_wins() -> None:
+    for number in range(20):
+        chosen = Router("b").choose(route(f"h{number}"), members(view(0, 5), view(1, 1)), NOW_MS)
+        assert chosen.target_id == "t1"
+
+
+def test_near_tie_goes_to_the_home_of_the_head_and_then_to_the_local_domain() -> None:
+    """Guards against the loss of a cached prefix, and of nearness, for a small gain in load."""
+    views = [view(0, 2, "a"), view(1, 2, "b")]
+    for number in range(20):
+        request = route(f"h{number}")
+        home, other = candidates(request.head_digest, request.content_digest, views)
+        assert Router("c").choose(request, members(*views), NOW_MS) == home
+        a_little_less = replace(other, load=Load(1, max_running=10, step_ms=8.0))
+        assert Router("c").choose(request, members(home, a_little_less), NOW_MS) == home
+        local = Router(other.failure_domain)
+        assert local.choose(request, members(home, a_little_less), NOW_MS) == a_little_less
 
 
 def test_own_dispatches_count_before_the_next_report() -> None:
@@ -80,30 +92,40 @@
     assert Router("a").choose(route(is_suspect=True), alone, NOW_MS) is None
 
 
-def test_unknown_content_reaches_its_two_candidates_only() -> None:
-    """Guards against content that crashes targets going round the fleet while they are busy."""
+def test_one_content_reaches_its_two_candidates_only() -> None:
+    """Guards against content that crashes targets going round the fleet.
+
+    The loads change between the dispatches, and other content with the same head has completed.
+    """
     views = [view(n, 0) for n in range(20)]
-    two = {t.target_id for t in candidates("h", views)}
-    busy = members(
-        *(replace(v, load=Load(10, 5, max_running=10)) if v.target_id in two else v for v in views)
-    )
-    router = Router("a")
-    reached = {router.choose(route(content=f"c{n}"), busy, NOW_MS).target_id for n in range(30)}
-    assert reached <= two
-    excluded = frozenset(two)
-    assert router.choose(route(excluded=excluded), busy, NOW_MS) is None
-    router.record_completed("c", "h")
-    spread = {router.choose(route(content=f"c{n}"), busy, NOW_MS).target_id for n in range(30)}
-    assert len(spread - two) > 5
-    suspect = route(is_suspect=True)
-    assert router.choose(suspect, busy, NOW_MS).target_id in two
+    two = {t.target_id for t in candidates("h", "c", views)}
+    reached = set()
+    for step in range(60):
+        loads = [view(n, (n * 7 + step * 3) % 11) for n in range(20)]
+        router = Router("abc"[step % 3])
+        reached.add(router.choose(route(), members(*loads), NOW_MS).target_id)
+        suspect = router.choose(route(is_suspect=True), members(*loads), NOW_MS)
+        reached.add(suspect.target_id)
+    assert reached == two
+    excluded = route(excluded=frozenset(two))
+    assert Router("a").choose(excluded, members(*views), NOW_MS) is None
+
+
+def test_overflow_of_a_popular_head_spreads_over_all_targets() -> None:
+    """Guards against a head that many callers share overloading its home."""
+    views = [view(n, 0) for n in range(20)]
+    home = candidates("h", "c", views)[0]
+    busy = [replace(v, load=Load(10, 5, max_running=10)) if v == home else v for v in views]
+    contents = [route(content=f"c{n}") for n in range(200)]
+    reached = {Router("a").choose(each, members(*busy), NOW_MS).target_id for each in contents}
+    assert len(reached) == len(views) - 1
 
 
 def test_candidates_are_in_two_failure_domains() -> None:
     """Guards against the loss of one domain taking both candidates of a conversation."""
     views = [view(n, 0, "abc"[n % 3]) for n in range(12)]
     for number in range(40):
-        first, second = candidates(f"h{number}", views)
+        first, second = candidates(f"h{number}", f"c{number}", views)
         assert first.failure_domain != second.failure_domain
 
 
--- a/tools/simulate_routing.py
+++ b/tools/simulate_routing.py
@@ -117,7 +117,6 @@
             digest = f"head{head}"
             request = RouteRequest(MODEL, f"{digest}-{number}", digest)
             chosen = self.routers[entry].choose(request, self.views[entry], now_ms)
-            self.routers[entry].record_completed(request.content_digest, digest)
         target = int(chosen.target_id[1:])
         self.sent[entry][target] += 1
         self._set_view(entry, target, None)
