Use one HTTP client and one set of options in the command line

Cause: the admin client, the job commands and the request command each had an HTTP call and an error decoder of their own, and two names for an entry's URL.

--- /dev/null
+++ b/ebonyshore/api_client.py
@@ -0,0 +1,93 @@
+"""Calls of the HTTP interfaces of entries and agents, for the command line and the tools."""
+
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+from urllib.parse import urlsplit
+
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from ebonyshore.clock import MS_PER_S
+from ebonyshore.errors import EbonyshoreError
+from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
+
+DEFAULT_TIMEOUT_MS = 60_000
+HTTP_OK = 200
+
+
+class ApiClient:
+    """Calls one process.
+
+    :param url: base URL, ``http://IP:PORT``.
+    :param bearer_token: API key or operator token; none is sent if it is empty.
+    :param timeout_ms: longest silence in an answer.
+    """
+
+    def __init__(
+        self, url: str, bearer_token: str = "", timeout_ms: int = DEFAULT_TIMEOUT_MS
+    ) -> None:
+        self.url = url
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._timeout_ms = timeout_ms
+        self._headers = {"Authorization": f"Bearer {bearer_token}"} if bearer_token else {}
+
+    def call(
+        self, method: str, path: str, body: bytes | None = None, **headers: str
+    ) -> dict[str, Any]:
+        """Return the JSON answer of a call; parameters and errors as for :meth:`read`."""
+        return decode(self.read(method, path, body, **headers))
+
+    def read(self, method: str, path: str, body: bytes | None = None, **headers: str) -> bytes:
+        """Return the answer of a call.
+
+        :param headers: with ``_`` in place of ``-``.
+        :raises EbonyshoreError: with the code that the process answered, or ``NOT_READY`` if it did
+            not answer.
+        """
+        connection = self.open()
+        try:
+            connection.request(method, path, body, self.headers(**headers))
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, HTTPException) as error:
+            raise self.unanswered(error) from error
+        finally:
+            connection.close()
+        if response.status != HTTP_OK:
+            raise error_from_answer(data, response.status)
+        return data
+
+    def open(self) -> HTTPConnection:
+        """Return a connection, which is made by its first request."""
+        return HTTPConnection(self._host, self._port, timeout=self._timeout_ms / MS_PER_S)
+
+    def headers(self, **headers: str) -> dict[str, str]:
+        """Return the headers of a call."""
+        return {**self._headers, **{name.replace("_", "-"): v for name, v in headers.items()}}
+
+    def unanswered(self, error: Exception) -> EbonyshoreError:
+        """Return the error for a process that did not answer."""
+        return EbonyshoreError(
+            f"{self._host}:{self._port} does not answer: {error}", code=ResultCode.NOT_READY
+        )
+
+
+def error_from_answer(data: bytes, status: int) -> EbonyshoreError:
+    """Return the error that an HTTP answer reports.
+
+    :param data: body of the answer, or a stream event.
+    """
+    try:
+        fields = decode(data)["error"]
+        code = ResultCode(fields["code"])
+        return EbonyshoreError(
+            # The message begins with the code's text, which the error adds again.
+            fields["message"].removeprefix(RESULT_INFO[code].text).removeprefix(": "),
+            code=code,
+            execution=Execution(fields["execution"]),
+            retry_after_ms=fields["retry_after_ms"],
+        )
+    except (DecodeError, KeyError, TypeError, ValueError):
+        return EbonyshoreError(f"status {status}")
--- a/ebonyshore/caller_client.py
+++ b/ebonyshore/caller_client.py
@@ -1,39 +1,32 @@
 """Client of the callers' HTTP interface, for the command line."""
 
 from collections.abc import Iterator
-from http.client import HTTPConnection, HTTPException, HTTPResponse
-from urllib.parse import urlsplit
+from http.client import HTTPException, HTTPResponse
+from pathlib import Path
+from typing import Any
 
 from msgspec.json import decode, encode
+from werkzeug.datastructures import FileStorage
+from werkzeug.test import encode_multipart
 
-from ebonyshore.admin_client import error_from_answer
-from ebonyshore.clock import MS_PER_S
+from ebonyshore.api_client import HTTP_OK, ApiClient, error_from_answer
 from ebonyshore.errors import RefusedError
 from ebonyshore.openai_api import CHAT_PATH, decode_event
 from ebonyshore.result_codes import Execution, ResultCode
 
 DATA_PREFIX = b"data: "
 DONE_EVENT = b"[DONE]"
-HTTP_OK = 200
 
 
-class CallerClient:
-    """Sends online requests to one entry.
+class CallerClient(ApiClient):
+    """Sends requests and jobs to one entry.
 
     :param url: callers' URL of the entry.
-    :param api_key: bearer token; anonymous if empty.
-    :param timeout_ms: longest silence.
+    :param bearer_token: the API key; anonymous if empty.
     """
 
-    def __init__(self, url: str, api_key: str, timeout_ms: int = 60_000) -> None:
-        parts = urlsplit(url)
-        self._host = parts.hostname or ""
-        self._port = parts.port or 80
-        self._headers = {"Authorization": f"Bearer {api_key}"} if api_key else {}
-        self._timeout_ms = timeout_ms
-
     def stream_chat(
-        self, model: str, prompt: str, max_tokens: int, headers: dict[str, str]
+        self, model: str, prompt: str, max_tokens: int, **headers: str
     ) -> Iterator[str]:
         """Yield the text of an answer as it is generated.
 
@@ -45,22 +38,41 @@
             "max_tokens": max_tokens,
             "stream": True,
         }
-        connection = HTTPConnection(self._host, self._port, timeout=self._timeout_ms / MS_PER_S)
+        connection = self.open()
         try:
-            connection.request("POST", CHAT_PATH, encode(body), {**self._headers, **headers})
+            connection.request("POST", CHAT_PATH, encode(body), self.headers(**headers))
             response = connection.getresponse()
             if response.status != HTTP_OK:
                 raise error_from_answer(response.read(), response.status)
             yield from _read_events(response)
+        except ConnectionRefusedError as error:
+            raise self.unanswered(error) from error
         except (OSError, HTTPException) as error:
             raise RefusedError(
-                f"{self._host}:{self._port}: {error}",
+                f"{self.url}: {error}",
                 code=ResultCode.STREAM_BROKEN,
                 execution=Execution.MAYBE_RUN,
             ) from error
         finally:
             connection.close()
 
+    def submit_job(
+        self, path: Path, endpoint: str, window: str, idempotency_key: str
+    ) -> dict[str, Any]:
+        """Upload a JSONL file and create a job of it; return the job."""
+        with path.open("rb") as file:
+            fields = {"purpose": "batch", "file": FileStorage(file, path.name)}
+            boundary, body = encode_multipart(fields)
+        content_type = f"multipart/form-data; boundary={boundary}"
+        upload = self.call("POST", "/v1/files", body, Content_Type=content_type)
+        job = {
+            "input_file_id": upload["id"],
+            "endpoint": endpoint,
+            "completion_window": window,
+        }
+        headers = {"Idempotency_Key": idempotency_key} if idempotency_key else {}
+        return self.call("POST", "/v1/batches", encode(job), **headers)
+
 
 def _read_events(response: HTTPResponse) -> Iterator[str]:
     while line := response.readline():
--- a/ebonyshore/cli_options.py
+++ b/ebonyshore/cli_options.py
@@ -12,7 +12,7 @@
     str, typer.Option("--token", envvar="EBONYSHORE_TOKEN", help="The operator token.")
 ]
 EntryUrl = Annotated[
-    str, typer.Option("--url", envvar="EBONYSHORE_URL", help="Callers' URL of an entry.")
+    str, typer.Option("--entry", envvar="EBONYSHORE_ENTRY", help="Callers' URL of an entry.")
 ]
 ApiKey = Annotated[
     str, typer.Option("--api-key", envvar="EBONYSHORE_API_KEY", help="The caller's API key.")
--- a/ebonyshore/fleet_cli.py
+++ b/ebonyshore/fleet_cli.py
@@ -24,7 +24,7 @@
 def send_request(
     model: Annotated[str, typer.Argument(help="The model to ask.")],
     prompt: Annotated[str, typer.Argument(help="The user's message.")],
-    url: EntryUrl,
+    entry: EntryUrl,
     api_key: ApiKey = "",
     max_tokens: Annotated[int, typer.Option(min=1, help="Most tokens of the answer.")] = 64,
     idempotency_key: Annotated[
@@ -40,12 +40,12 @@
     """Send one online request and print the answer as it comes."""
     headers = {}
     if idempotency_key:
-        headers["Idempotency-Key"] = idempotency_key
+        headers["Idempotency_Key"] = idempotency_key
     if no_repeat:
-        headers["Ebonyshore-No-Repeat"] = "true"
+        headers["Ebonyshore_No_Repeat"] = "true"
     if deadline_ms:
-        headers["Ebonyshore-Deadline-Ms"] = str(deadline_ms)
-    for text in CallerClient(url, api_key).stream_chat(model, prompt, max_tokens, headers):
+        headers["Ebonyshore_Deadline_Ms"] = str(deadline_ms)
+    for text in CallerClient(entry, api_key).stream_chat(model, prompt, max_tokens, **headers):
         typer.echo(text, nl=False)
     typer.echo()
 
--- a/ebonyshore/settings_cli.py
+++ b/ebonyshore/settings_cli.py
@@ -7,9 +7,10 @@
 
 import typer
 from msgspec import DecodeError, convert
-from msgspec.json import decode, encode, format
+from msgspec.json import decode, encode
 
 from ebonyshore.admin_client import AdminClient
+from ebonyshore.cli_options import AdminUrl, AsJson, OperatorToken, print_json
 from ebonyshore.clock import Clock, SystemClock
 from ebonyshore.errors import EbonyshoreError, RequestError
 from ebonyshore.result_codes import ResultCode
@@ -24,14 +25,7 @@
 RESENDS = 3
 POLL_INTERVAL_MS = 200
 
-Url = Annotated[
-    str, typer.Option("--admin", envvar="EBONYSHORE_ADMIN", help="admin URL of an entry")
-]
-Token = Annotated[
-    str, typer.Option("--token", envvar="EBONYSHORE_TOKEN", help="the operator token")
-]
 Level = Annotated[str, typer.Argument(help="/, /tiers/NAME, /tiers/NAME/models/M or /callers/NAME")]
-Json = Annotated[bool, typer.Option("--json", help="print JSON")]
 Operator = Annotated[str, typer.Option(help="who makes the change; the user's name if omitted")]
 Expected = Annotated[
     int | None, typer.Option("--expected-revision", help="refuse if another revision is in force")
@@ -43,10 +37,10 @@
 
 @settings_app.command("get")
 def get_settings(
-    admin: Url,
-    token: Token,
+    admin: AdminUrl,
+    token: OperatorToken,
     path: Annotated[str, typer.Argument(help="only this level")] = "",
-    as_json: Json = False,
+    as_json: AsJson = False,
 ) -> None:
     """Print what is set at each level, without inherited values."""
     head = AdminClient(admin, token).get(SETTINGS_PATH)
@@ -55,7 +49,7 @@
         raise RequestError(f"{path}: nothing is set at this level", code=ResultCode.NOT_FOUND)
     shown = {path: nodes[path]} if path else nodes
     if as_json:
-        _print_json({"revision": head["revision"], "nodes": shown})
+        print_json({"revision": head["revision"], "nodes": shown})
         return
     typer.echo(f"revision {head['revision']}")
     for level, values in sorted(shown.items()):
@@ -65,12 +59,12 @@
 
 @settings_app.command("effective")
 def show_effective(
-    admin: Url, token: Token, path: Level = ROOT_PATH, as_json: Json = False
+    admin: AdminUrl, token: OperatorToken, path: Level = ROOT_PATH, as_json: AsJson = False
 ) -> None:
     """Print the values in force at a level."""
     answer = AdminClient(admin, token).get(f"{SETTINGS_PATH}/effective?path={quote(path)}")
     if as_json:
-        _print_json(answer)
+        print_json(answer)
         return
     typer.echo(f"revision {answer['revision']}")
     _print_values(answer["values"], "")
@@ -78,17 +72,17 @@
 
 @settings_app.command("history")
 def show_history(
-    admin: Url,
-    token: Token,
+    admin: AdminUrl,
+    token: OperatorToken,
     first_revision: Annotated[int, typer.Option(help="leave out older changes")] = 1,
-    as_json: Json = False,
+    as_json: AsJson = False,
 ) -> None:
     """Print who changed what and when, oldest first, and what it replaced."""
     client = AdminClient(admin, token)
     changes = client.get(f"{SETTINGS_PATH}/history?first_revision={first_revision}")
     faults = client.get(f"{SETTINGS_PATH}/history-faults")
     if as_json:
-        _print_json({"changes": changes, "faults": faults})
+        print_json({"changes": changes, "faults": faults})
     else:
         for change in changes:
             typer.echo(_change_line(change))
@@ -100,14 +94,14 @@
 
 @settings_app.command("set")
 def set_settings(
-    admin: Url,
-    token: Token,
+    admin: AdminUrl,
+    token: OperatorToken,
     path: Level,
     assignments: Annotated[list[str] | None, typer.Argument(metavar="[NAME=VALUE]...")] = None,
     operator: Operator = "",
     expected_revision: Expected = None,
     wait_ms: WaitMs = 10_000,
-    as_json: Json = False,
+    as_json: AsJson = False,
 ) -> None:
     """Set values at a level and wait until they are in force; without values create the level."""
     values = dict(_parse_assignment(text) for text in assignments or ())
@@ -117,15 +111,15 @@
 
 @settings_app.command("unset")
 def unset_settings(
-    admin: Url,
-    token: Token,
+    admin: AdminUrl,
+    token: OperatorToken,
     path: Level,
     names: Annotated[list[str] | None, typer.Argument(metavar="[NAME]...")] = None,
     is_level: Annotated[bool, typer.Option("--level", help="delete the whole level")] = False,
     operator: Operator = "",
     expected_revision: Expected = None,
     wait_ms: WaitMs = 10_000,
-    as_json: Json = False,
+    as_json: AsJson = False,
 ) -> None:
     """Unset values at a level, so that they are inherited again, or delete the level."""
     if is_level == bool(names):
@@ -188,7 +182,7 @@
     if wait_ms > 0:
         wait_until_in_force(client, revision, wait_ms, clock)
     if as_json:
-        _print_json({"revision": revision, "is_in_force": wait_ms > 0})
+        print_json({"revision": revision, "is_in_force": wait_ms > 0})
     elif wait_ms > 0:
         typer.echo(f"revision {revision} is in force everywhere")
 
@@ -223,7 +217,3 @@
 def _print_values(values: dict[str, object], indent: str) -> None:
     for name, value in sorted(values.items()):
         typer.echo(f"{indent}{name} = {encode(value).decode()}")
-
-
-def _print_json(value: object) -> None:
-    typer.echo(format(encode(value), indent=2))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -17,7 +17,7 @@
     environment = {**os.environ, "EBONYSHORE_TOKEN": OPERATOR_TOKEN, "COLUMNS": "100"}
     if fleet is not None:
         environment["EBONYSHORE_ADMIN"] = fleet.entries[0].admin.url
-        environment["EBONYSHORE_URL"] = fleet.entries[0].url
+        environment["EBONYSHORE_ENTRY"] = fleet.entries[0].url
     command = [sys.executable, "-m", "ebonyshore", *arguments]
     return subprocess.run(command, capture_output=True, text=True, env=environment, timeout=60)
 
