Put every accepted setting in force, and keep labels out of the content digest

Cause: a search for settings that no module reads found three. max_output_tokens was accepted and had no effect; it is now checked for online requests and batch items. The agent used a constant in place of permit_interval_ms. does_check_fencing changed nothing and is removed: the agent checks fencing for every target. Also, a caller that repeats content under another user or metadata label had a new content digest, so crash suspicion did not follow it; labels and the order of fields no longer count.

--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent.py
@@ -75,6 +75,7 @@
         environment.settings.instance.instance_id,
         environment.incarnation,
         cost,
+        environment.settings.batch.permit_interval_ms,
         environment.clock,
         environment.metrics,
         environment.log,
--- a/ebonyshore/batch_items.py
+++ b/ebonyshore/batch_items.py
@@ -50,12 +50,12 @@
 
     :param endpoint: the only url allowed.
     :param duplicates: items whose custom_id an earlier line has.
-    :param is_known_model: tells whether a tier serves a model.
+    :param check: raises :class:`RequestError` for a request that the settings do not allow.
     """
 
     endpoint: str
     duplicates: frozenset[int]
-    is_known_model: Callable[[str], bool]
+    check: Callable[[GenerationRequest], None]
 
 
 def sort_items(
@@ -100,6 +100,5 @@
     if batch_item.url != rules.endpoint:
         raise RequestError(f"url: found {batch_item.url!r}; allowed: {rules.endpoint}")
     request = parse_generation(batch_item.url, encode(batch_item.body))
-    if not rules.is_known_model(request.model):
-        raise RequestError(request.model, code=ResultCode.UNKNOWN_MODEL)
+    rules.check(request)
     return request
--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -28,7 +28,6 @@
 
 PROBE_INTERVAL_MS = 200
 TICK_MS = 50
-DEFAULT_PERMIT_INTERVAL_MS = 10_000
 # Entries learn of the start of the leaving within one message; dispatches sent before that arrive
 # in this time and get a true refusal instead of a closed socket.
 LEAVE_NOTICE_MS = 1_000
@@ -67,6 +66,7 @@
     :param agent_id: instance id.
     :param incarnation: random id of this run of the agent.
     :param cost: the engine's step time, as the runner observes it.
+    :param permit_interval_ms: a batch item is started only this long after its permit's reading.
     :param policy: decides what runs; the bench passes its baselines.
     """
 
@@ -79,6 +79,7 @@
         agent_id: str,
         incarnation: str,
         cost: StepCost,
+        permit_interval_ms: float,
         clock: Clock,
         metrics: Metrics,
         log: EventLog,
@@ -93,6 +94,7 @@
         self._incarnation = incarnation
         self._cost = cost
         self._tail = OnlineTail(cost)
+        self._permit_interval_ms = permit_interval_ms
         self._metrics = metrics
         self._models = tuple(target_settings.models)
         self._held = HeldRuns()
@@ -298,7 +300,7 @@
             self._max_running * 2 - online - self._held.waiting_online(),
             self.batch_room,
             now_ms,
-            DEFAULT_PERMIT_INTERVAL_MS,
+            self._permit_interval_ms,
             self._ends.online_wait_ms(self._max_running),
             self._cost.predict_ms(online + 1),
         )
--- a/ebonyshore/http_api.py
+++ b/ebonyshore/http_api.py
@@ -24,7 +24,12 @@
 from ebonyshore.once_run import OnceService
 from ebonyshore.online import caller_stays
 from ebonyshore.online_attempt import OnlineRequest
-from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, parse_generation
+from ebonyshore.openai_api import (
+    AnswerAssembler,
+    GenerationRequest,
+    check_generation,
+    parse_generation,
+)
 from ebonyshore.result_codes import Execution, ResultCode
 from ebonyshore.settings_service import SettingsService
 
@@ -139,8 +144,7 @@
     def _generate(self, request: Request, headers: CallerHeaders) -> Response:
         generation = parse_generation(request.path, request.get_data())
         tree = self._settings.current()
-        if tree.tier_of(generation.model) is None:
-            raise RequestError(generation.model, code=ResultCode.UNKNOWN_MODEL)
+        check_generation(generation, tree)
         self._admission.check(headers.caller)
         timeout_ms = headers.deadline_left_ms or tree.for_model(generation.model).request_timeout_ms
         online_request = OnlineRequest(
--- a/ebonyshore/openai_api.py
+++ b/ebonyshore/openai_api.py
@@ -8,10 +8,14 @@
 
 from ebonyshore.errors import EbonyshoreError, RequestError, TargetError
 from ebonyshore.messages import Usage
+from ebonyshore.result_codes import ResultCode
+from ebonyshore.settings_tree import SettingsTree
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
 GENERATION_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
+# Fields that callers use to label requests; the target's work does not depend on them.
+LABEL_FIELDS = frozenset({"metadata", "prompt_cache_key", "safety_identifier", "stream", "user"})
 DIGEST_CHARS = 32
 ABORT_REASON = "abort"
 
@@ -31,8 +35,9 @@
     """A checked generation request.
 
     :param target_body: body for the target; always asks for a stream.
-    :param content_digest: of path and body, for crash suspicion and idempotency.
+    :param content_digest: of path and body without labels, for crash suspicion and idempotency.
     :param head_digest: of model, system prompt and first user message, for routing.
+    :param output_tokens: most tokens that the caller asks for; ``None`` leaves it to the target.
     """
 
     path: str
@@ -41,6 +46,7 @@
     target_body: bytes
     content_digest: str
     head_digest: str
+    output_tokens: int | None = None
 
 
 class _Delta(Struct):
@@ -103,8 +109,7 @@
     if path == COMPLETIONS_PATH and body.prompt is None:
         raise RequestError("prompt: missing; one text is allowed")
     fields.pop("stream_options", None)
-    fields["stream"] = False
-    content = encode(fields)
+    content = encode({key: fields[key] for key in sorted(fields) if key not in LABEL_FIELDS})
     fields["stream"] = True
     fields["stream_options"] = {"include_usage": True}
     return GenerationRequest(
@@ -114,9 +119,22 @@
         encode(fields),
         digest(path.encode(), content),
         digest(body.model.encode(), _head(body)),
+        body.max_completion_tokens if body.max_tokens is None else body.max_tokens,
     )
 
 
+def check_generation(request: GenerationRequest, tree: SettingsTree) -> None:
+    """Check a request against the settings in force for its model.
+
+    :raises RequestError: if no tier serves the model, or the answer may become too long.
+    """
+    if tree.tier_of(request.model) is None:
+        raise RequestError(request.model, code=ResultCode.UNKNOWN_MODEL)
+    limit = tree.for_model(request.model).max_output_tokens
+    if request.output_tokens is not None and request.output_tokens > limit:
+        raise RequestError(f"max_tokens: found {request.output_tokens}; at most {limit} allowed")
+
+
 def digest(*parts: bytes) -> str:
     """Return a digest of length-prefixed parts, 32 hexadecimal characters."""
     state = sha256()
--- a/ebonyshore/process_settings.py
+++ b/ebonyshore/process_settings.py
@@ -111,7 +111,6 @@
     :param kind: ``engine`` for a model engine, ``service`` for a plain service.
     :param models: models (or the service's name) that the target serves when the agent starts.
     :param max_running: most requests in the target at one time.
-    :param does_check_fencing: whether the target itself refuses an old fencing number.
     :param policy: ``policy`` schedules by the tier's weighting; the others are baselines for
         measurements only.
     """
@@ -122,7 +121,6 @@
     listen_address: IpAddress = "127.0.0.1"
     kind: Literal["engine", "service"] = "engine"
     max_running: Annotated[int, Meta(ge=1, le=4096)] = 32
-    does_check_fencing: bool = False
     policy: Literal["policy", "first_come", "static_split"] = "policy"
 
 
--- a/ebonyshore/shard_runner.py
+++ b/ebonyshore/shard_runner.py
@@ -18,6 +18,7 @@
 from ebonyshore.membership import Membership, TargetView
 from ebonyshore.messages import Chunk, Dispatch, Permit, Refused, RequestMessage, WorkClass
 from ebonyshore.metrics import Metrics
+from ebonyshore.openai_api import check_generation
 from ebonyshore.process_settings import BatchSettings
 from ebonyshore.settings_service import SettingsService
 from ebonyshore.shard_search import ShardSearch
@@ -232,7 +233,7 @@
         rules = ItemRules(
             job.endpoint,
             frozenset(file.duplicate_items),
-            lambda model: self._settings.current().tier_of(model) is not None,
+            lambda request: check_generation(request, self._settings.current()),
         )
         pending, failed = sort_items((line for line in lines if line[0] not in committed), rules)
         work.load(committed, pending, failed)
--- a/ebonyshore_standins/simulated_agent.py
+++ b/ebonyshore_standins/simulated_agent.py
@@ -16,7 +16,7 @@
 from ebonyshore.logs import EventLog
 from ebonyshore.messages import Chunk
 from ebonyshore.metrics import Metrics
-from ebonyshore.process_settings import TargetSettings
+from ebonyshore.process_settings import BatchSettings, TargetSettings
 from ebonyshore.scheduler import Decision, SchedulerState, decide
 from ebonyshore.settings_service import SettingsService
 from ebonyshore.settings_store import SettingsHead
@@ -249,6 +249,7 @@
             self.agent_id,
             self.incarnation,
             cost,
+            BatchSettings().permit_interval_ms,
             self.simulation.clock,
             self.metrics,
             log,
--- a/tests/test_shard_work.py
+++ b/tests/test_shard_work.py
@@ -9,8 +9,9 @@
 from ebonyshore.marked_write import MarkedObject
 from ebonyshore.membership import TargetView
 from ebonyshore.messages import Execution, Failed, Finished, Load, Permit, Refused
-from ebonyshore.openai_api import parse_generation
+from ebonyshore.openai_api import check_generation, parse_generation
 from ebonyshore.result_codes import ResultCode
+from ebonyshore.settings_tree import SettingsTree
 from ebonyshore.shard_work import ShardWork, Step, WorkLimits
 
 PATH = "/v1/completions"
@@ -178,7 +179,8 @@
         encode({**good, "custom_id": "c", "body": {"model": "lost", "prompt": "p"}}),
         encode(good),
     ]
-    rules = ItemRules(PATH, frozenset({4}), lambda model: model == "writer")
+    tree = SettingsTree(1, {"/tiers/t": {}, "/tiers/t/models/writer": {}})
+    rules = ItemRules(PATH, frozenset({4}), lambda request: check_generation(request, tree))
     pending, refused = sort_items(enumerate(lines), rules)
     assert [item.item for item in pending] == [0]
     assert [outcome.code for outcome in refused] == [
