Cancel all preempted items with one call of the engine

Cause: at a burst the agent cancelled each preempted item with a call of its own, so the batch left over three steps. Ruled out: delivery of the burst, whose first request is in a step after 12 to 25 ms.

--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/dispatcher.py
@@ -228,7 +228,8 @@
         for run_id in decision.preempt:
             self._held.running[run_id].is_preempted = True
             self._metrics.count("batch_preempted")
-            self._runner.cancel(run_id)
+        if decision.preempt:
+            self._runner.cancel(decision.preempt)
         for _ in range(decision.start_online):
             self._start(self._held.online.popleft(), now_ms)
         for _ in range(decision.start_batch):
--- a/ebonyshore/engine.py
+++ b/ebonyshore/engine.py
@@ -86,8 +86,8 @@
         """
 
     @abstractmethod
-    def cancel(self, request_id: str) -> None:
-        """End a running request as soon as possible; unknown ids are ignored."""
+    def cancel(self, request_ids: tuple[str, ...]) -> None:
+        """End running requests as soon as possible; unknown ids are ignored."""
 
     @abstractmethod
     def boot_id(self) -> str:
--- a/ebonyshore/engine_http.py
+++ b/ebonyshore/engine_http.py
@@ -63,8 +63,8 @@
         finally:
             connection.close()
 
-    def cancel(self, request_id: str) -> None:
-        """A plain service cannot cancel; the request runs to its end."""
+    def cancel(self, request_ids: tuple[str, ...]) -> None:
+        """A plain service cannot cancel; the requests run to their end."""
 
     def boot_id(self) -> str:
         return decode(self._control("GET", "/health")).get("boot_id", "")
@@ -130,8 +130,8 @@
         else:
             connection.close()
 
-    def cancel(self, request_id: str) -> None:
-        self._control("POST", "/abort", {"request_id": request_id})
+    def cancel(self, request_ids: tuple[str, ...]) -> None:
+        self._control("POST", "/abort", {"request_ids": request_ids})
 
     def abort_all(self) -> None:
         self._control("POST", "/abort", {})
--- a/ebonyshore/run_ends.py
+++ b/ebonyshore/run_ends.py
@@ -143,12 +143,12 @@
             can_restart = run.dispatch.is_repeatable and not run.chunk_count
             if can_restart and not (run.is_preempted or run.is_cancelled):
                 run.is_preempted = True
-                self._runner.cancel(run.run_id)
+                self._runner.cancel((run.run_id,))
 
     def _stop(self, run: TargetRun) -> None:
         if not run.is_cancelled:
             run.is_cancelled = True
-            self._runner.cancel(run.run_id)
+            self._runner.cancel((run.run_id,))
 
     def _finish(self, run: TargetRun, ended: RunEnded) -> None:
         now_ms = self._clock.monotonic_ms()
--- a/ebonyshore/target_runner.py
+++ b/ebonyshore/target_runner.py
@@ -48,8 +48,8 @@
         """Start a run, which ends with one :class:`RunEnded`."""
 
     @abstractmethod
-    def cancel(self, run_id: str) -> None:
-        """End a run as soon as possible."""
+    def cancel(self, run_ids: tuple[str, ...]) -> None:
+        """End runs as soon as possible, all with one call of the target."""
 
     @abstractmethod
     def probe(self, does_abort_all: bool) -> None:
@@ -99,8 +99,8 @@
         progress = RunProgress(run, self._send, self._clock, self._observe)
         self._runs.submit(run_on_target, self._target, run, timeout_ms, progress, self._post)
 
-    def cancel(self, run_id: str) -> None:
-        self._control.submit(self._cancel, run_id)
+    def cancel(self, run_ids: tuple[str, ...]) -> None:
+        self._control.submit(self._cancel, run_ids)
 
     def probe(self, does_abort_all: bool) -> None:
         self._control.submit(self._probe, does_abort_all)
@@ -109,13 +109,13 @@
         self._runs.shutdown(wait=False, cancel_futures=True)
         self._control.shutdown(wait=False, cancel_futures=True)
 
-    def _cancel(self, run_id: str) -> None:
+    def _cancel(self, run_ids: tuple[str, ...]) -> None:
         try:
-            self._target.cancel(run_id)
+            self._target.cancel(run_ids)
         except Exception as error:
-            # The run still ends, at its deadline at the latest.
+            # The runs still end, at their deadlines at the latest.
             self._metrics.count("cancel_failures")
-            self._log.event("cancel_failed", run_id=run_id, detail=repr(error))
+            self._log.event("cancel_failed", run_ids=",".join(run_ids), detail=repr(error))
 
     def _probe(self, does_abort_all: bool) -> None:
         began_ms = self._clock.monotonic_ms()
--- a/ebonyshore_standins/engine_server.py
+++ b/ebonyshore_standins/engine_server.py
@@ -126,12 +126,12 @@
             self._changed.notify()
         return queue
 
-    def abort(self, request_id: str | None) -> None:
-        """End one request, or all."""
+    def abort(self, request_ids: list[str] | None) -> None:
+        """End some requests, or all."""
         with self._changed:
-            if request_id is None:
+            if request_ids is None:
                 self._engine.abort_all()
-            else:
+            for request_id in request_ids or ():
                 self._engine.abort(request_id)
             self._changed.notify()
 
@@ -260,7 +260,7 @@
         if self.path in ("/v1/chat/completions", "/v1/completions"):
             self._generate(data)
         elif self.path == "/abort":
-            self.runner.abort(decode(data).get("request_id"))
+            self.runner.abort(decode(data).get("request_ids"))
             self._send_json(200, {})
         elif self.path == "/orders":
             self._order(decode(data))
--- a/ebonyshore_standins/simulated_agent.py
+++ b/ebonyshore_standins/simulated_agent.py
@@ -114,10 +114,11 @@
         progress = RunProgress(run, self._send, clock, self._observe)
         self._simulation.after(CALL_MS, lambda: self._submit(run, progress))
 
-    def cancel(self, run_id: str) -> None:
+    def cancel(self, run_ids: tuple[str, ...]) -> None:
         now_ms = self._simulation.clock.monotonic_ms()
-        self._cancelled_ms[run_id] = (now_ms, self.model.last_step_ms)
-        self._simulation.after(CALL_MS, lambda: self._abort(run_id))
+        for run_id in run_ids:
+            self._cancelled_ms[run_id] = (now_ms, self.model.last_step_ms)
+        self._simulation.after(CALL_MS, lambda: [self._abort(run_id) for run_id in run_ids])
 
     def probe(self, does_abort_all: bool) -> None:
         began_ms = self._simulation.clock.monotonic_ms()
