Move cached prefixes between stand-in engines

Cause: the stand-in answered KV export and import without looking at its cache. An export of a prefix that is not cached is now refused, and an import takes effect. The stand-in's step loop ends with its server; before, a test that ran it in the same process did not exit. 32 tests of the engine binding, the dispatcher and the whole path pass.

--- a/ebonyshore_standins/engine_model.py
+++ b/ebonyshore_standins/engine_model.py
@@ -147,6 +147,14 @@
         self.last_step_ms = duration_ms
         return Step(duration_ms, tuple(self._decode()), aborted)
 
+    def has_prefix(self, prefix_digest: str) -> bool:
+        """Return whether the block of a prefix is cached."""
+        return prefix_digest in self._cache
+
+    def import_prefix(self, prefix_digest: str) -> None:
+        """Cache the block of a prefix that another engine exported."""
+        self._store_blocks([prefix_digest])
+
     def _remove_aborted(self) -> list[TokenEvent]:
         aborted = [s for s in (*self.running, *self.waiting) if s.is_aborted]
         self.running = [s for s in self.running if not s.is_aborted]
@@ -204,7 +212,10 @@
         return cached
 
     def _store_prefix(self, prompt: str) -> None:
-        for key in self._block_keys(prompt):
+        self._store_blocks(self._block_keys(prompt))
+
+    def _store_blocks(self, keys: list[str]) -> None:
+        for key in keys:
             if key not in self._cache:
                 self.cache_changes.append((key, True))
             self._cache[key] = None
--- a/ebonyshore_standins/engine_server.py
+++ b/ebonyshore_standins/engine_server.py
@@ -104,11 +104,19 @@
         self._loads: deque[tuple[float, int, int, float]] = deque([(0.0, 0, 0, 0.0)], maxlen=512)
         self._down_until_ms = 0.0
         self._executor = ThreadPoolExecutor(max_workers=1)
+        self._is_stopped = False
 
     def start(self) -> None:
         """Start the step loop."""
         self._executor.submit(self._loop)
 
+    def stop(self) -> None:
+        """End the step loop."""
+        with self._changed:
+            self._is_stopped = True
+            self._changed.notify()
+        self._executor.shutdown()
+
     @property
     def is_down(self) -> bool:
         """Whether the engine crashed and has not restarted yet."""
@@ -135,6 +143,16 @@
                 self._engine.abort(request_id)
             self._changed.notify()
 
+    def has_prefix(self, prefix_digest: str) -> bool:
+        """Return whether the block of a prefix is cached."""
+        with self._changed:
+            return self._engine.has_prefix(prefix_digest)
+
+    def import_prefix(self, prefix_digest: str) -> None:
+        """Cache the block of a prefix that another engine exported."""
+        with self._changed:
+            self._engine.import_prefix(prefix_digest)
+
     def load(self) -> dict[str, float]:
         """Return the load as it was :data:`LOAD_REPORT_LAG_MS` ago, and totals."""
         now_ms = self._clock.monotonic_ms()
@@ -163,9 +181,9 @@
         ]
 
     def _loop(self) -> None:
-        while True:
+        while not self._is_stopped:
             with self._changed:
-                while not self._engine.running and not self._engine.waiting:
+                while not (self._is_stopped or self._engine.running or self._engine.waiting):
                     self._changed.wait()
                 try:
                     step = self._engine.step()
@@ -264,8 +282,11 @@
             self._send_json(200, {})
         elif self.path == "/orders":
             self._order(decode(data))
-        elif self.path in ("/kv/export", "/kv/import"):
-            self._send_json(200, {"prefix_digest": decode(data)["prefix_digest"]})
+        elif self.path == "/kv/export":
+            self._export_prefix(decode(data)["prefix_digest"])
+        elif self.path == "/kv/import":
+            self.runner.import_prefix(decode(data)["prefix_digest"])
+            self._send_json(200, {})
         else:
             self._send_json(404, {"error": "not found"})
 
@@ -297,6 +318,13 @@
                 return
         self.close_connection = True
 
+    def _export_prefix(self, prefix_digest: str) -> None:
+        if self.runner.has_prefix(prefix_digest):
+            # The stand-in's cache holds no tensors, so the digest is all there is to move.
+            self._send_json(200, {"prefix_digest": prefix_digest})
+        else:
+            self._send_json(404, {"error": "the prefix is not cached"})
+
     def _order(self, order: dict[str, object]) -> None:
         duty, number = str(order["duty"]), int(order["fencing_number"])
         if self.runner.options.does_check_fencing:
@@ -361,6 +389,11 @@
     def handle_error(self, request: object, client_address: object) -> None:
         """Ignore connections that the client closed, as a cancelled stream is."""
 
+    def server_close(self) -> None:
+        """Close the socket and end the step loop."""
+        super().server_close()
+        self.RequestHandlerClass.runner.stop()
+
 
 def make_engine_server(
     port: int, parameters: EngineParameters, options: EngineOptions, clock: Clock
