--- a/ebonyshore/online.py
+++ b/ebonyshore/online.py
@@ -77,7 +77,7 @@
 class OnlineService:
     """Runs online requests; each call blocks a worker thread of the HTTP server.
 
-    :param router: chooses targets, and learns which content has completed.
+    :param router: chooses targets.
     """
 
     def __init__(
