--- a/ebonyshore/__init__.py
+++ b/ebonyshore/__init__.py
@@ -7,20 +7,32 @@
 from importlib import import_module
 
 _MODULES = {
-    "clock": ("Clock", "ManualClock", "SystemClock"),
-    "environment": ("Environment", "make_environment"),
-    "errors": ("EbonyshoreError", "RefusedError", "RequestError", "SettingsError", "StoreError"),
-    "kernel": ("Kernel", "Service"),
-    "lease": ("Lease",),
-    "marked_write": ("MarkedObject", "MarkedStore"),
-    "platform_api": ("Instance", "InstanceList", "ObjectStore", "StoredObject", "WeightStore"),
-    "process_settings": ("ProcessSettings", "load_settings"),
-    "result_codes": ("RESULT_INFO", "Execution", "ResultCode"),
-    "scheduler": ("Decision", "SchedulerState", "Weighting", "decide"),
-    "settings_store": ("SettingsHead", "SettingsStore"),
-    "settings_tree": ("EffectiveSettings", "SettingsTree"),
-    "suspicion": ("SuspicionTable",),
-    "task": ("Mailbox", "SocketTask", "Task"),
+    "frame.clock": ("Clock", "ManualClock", "SystemClock"),
+    "frame.environment": ("Environment", "make_environment"),
+    "frame.errors": (
+        "EbonyshoreError",
+        "RefusedError",
+        "RequestError",
+        "SettingsError",
+        "StoreError",
+    ),
+    "frame.kernel": ("Kernel", "Service"),
+    "store.lease": ("Lease",),
+    "store.marked_write": ("MarkedObject", "MarkedStore"),
+    "store.platform_api": (
+        "Instance",
+        "InstanceList",
+        "ObjectStore",
+        "StoredObject",
+        "WeightStore",
+    ),
+    "frame.process_settings": ("ProcessSettings", "load_settings"),
+    "frame.result_codes": ("RESULT_INFO", "Execution", "ResultCode"),
+    "agent.scheduler": ("Decision", "SchedulerState", "Weighting", "decide"),
+    "settings.settings_store": ("SettingsHead", "SettingsStore"),
+    "settings.settings_tree": ("EffectiveSettings", "SettingsTree"),
+    "entry.suspicion": ("SuspicionTable",),
+    "frame.task": ("Mailbox", "SocketTask", "Task"),
 }
 _MODULE_BY_NAME = {name: module for module, names in _MODULES.items() for name in names}
 
--- a/ebonyshore/agent.py
+++ b/ebonyshore/agent/agent.py
@@ -2,21 +2,24 @@
 
 from werkzeug.wrappers import Request
 
-from ebonyshore.admin_api import AdminApi
-from ebonyshore.agent_server import AgentServer, Outgoing
-from ebonyshore.baseline_policies import make_decide
-from ebonyshore.caller_home import CallerHome
-from ebonyshore.callers import limit_of
-from ebonyshore.daemon import Daemon
-from ebonyshore.dispatcher import BeginDrain, Dispatcher, ModelsChanged, Received
-from ebonyshore.dump import dump_process
-from ebonyshore.engine_http import EngineHttp, ServiceHttp
-from ebonyshore.environment import Environment
-from ebonyshore.errors import SettingsError
-from ebonyshore.fencing import FencingGuard, OrderTask, ReceivedOrder
-from ebonyshore.http_service import HttpService
-from ebonyshore.kernel import Kernel
-from ebonyshore.messages import (
+from ebonyshore.agent.agent_server import AgentServer, Outgoing
+from ebonyshore.agent.baseline_policies import make_decide
+from ebonyshore.agent.dispatcher import BeginDrain, Dispatcher, ModelsChanged, Received
+from ebonyshore.agent.engine_http import EngineHttp, ServiceHttp
+from ebonyshore.agent.fencing import FencingGuard, OrderTask, ReceivedOrder
+from ebonyshore.agent.step_cost import StepCost
+from ebonyshore.agent.target_runner import ThreadRunner
+from ebonyshore.entry.caller_home import CallerHome
+from ebonyshore.entry.callers import limit_of
+from ebonyshore.frame.admin_api import AdminApi
+from ebonyshore.frame.daemon import Daemon
+from ebonyshore.frame.dump import dump_process
+from ebonyshore.frame.environment import Environment
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.frame.http_service import HttpService
+from ebonyshore.frame.kernel import Kernel
+from ebonyshore.frame.task_service import TaskService
+from ebonyshore.link.messages import (
     CallerShares,
     Cancel,
     CrashReport,
@@ -30,10 +33,7 @@
     UsageDigest,
     VerdictShare,
 )
-from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
-from ebonyshore.step_cost import StepCost
-from ebonyshore.target_runner import ThreadRunner
-from ebonyshore.task_service import TaskService
+from ebonyshore.settings.settings_service import SettingsPuller, SettingsService, SettingsWatcher
 
 ADMIN_THREADS = 2
 
--- a/ebonyshore/agent_admission.py
+++ b/ebonyshore/agent/agent_admission.py
@@ -3,8 +3,8 @@
 from msgspec import Struct
 from returns.result import Failure, Result, Success
 
-from ebonyshore.messages import Dispatch, WorkClass
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Dispatch, WorkClass
 
 
 class Refusal(Struct, frozen=True):
--- a/ebonyshore/agent_answers.py
+++ b/ebonyshore/agent/agent_answers.py
@@ -5,18 +5,27 @@
 
 from msgspec import Struct
 
-from ebonyshore.agent_server import Broadcast, Outgoing, StatusChanged
-from ebonyshore.clock import Clock
-from ebonyshore.engine import TargetAnswer
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import Chunk, Dispatch, Failed, Finished, Load, Refused, Started, Usage
-from ebonyshore.metrics import Metrics
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.target_run import TargetRun
+from ebonyshore.agent.agent_server import Broadcast, Outgoing, StatusChanged
+from ebonyshore.agent.engine import TargetAnswer
+from ebonyshore.agent.target_run import TargetRun
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import (
+    Chunk,
+    Dispatch,
+    Failed,
+    Finished,
+    Load,
+    Refused,
+    Started,
+    Usage,
+)
 
 
 class AnswerSink(Protocol):
-    """Sends messages to entries, such as :class:`ebonyshore.agent_server.AgentServer`."""
+    """Sends messages to entries, such as :class:`ebonyshore.agent.agent_server.AgentServer`."""
 
     def post(self, message: Outgoing | Broadcast | StatusChanged) -> None:
         """Take a message; must not block."""
--- a/ebonyshore/agent_server.py
+++ b/ebonyshore/agent/agent_server.py
@@ -6,14 +6,14 @@
 import zmq
 from msgspec import Struct
 
-from ebonyshore.clock import Clock
-from ebonyshore.codec import MessageCodec
-from ebonyshore.curve import answer_authentication, open_authenticator, secure_server
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import EntryMessage, Hello, Load, LoadReport, Ping, Welcome
-from ebonyshore.metrics import Metrics
-from ebonyshore.process_settings import FleetSettings
-from ebonyshore.task import SocketTask
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.frame.task import SocketTask
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.curve import answer_authentication, open_authenticator, secure_server
+from ebonyshore.link.messages import EntryMessage, Hello, Load, LoadReport, Ping, Welcome
 
 PEER_SILENCE_MS = 10_000
 PEER_CHECK_INTERVAL_MS = 1_000
--- a/ebonyshore/baseline_policies.py
+++ b/ebonyshore/agent/baseline_policies.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ebonyshore.scheduler import Decision, SchedulerState, decide
+from ebonyshore.agent.scheduler import Decision, SchedulerState, decide
 
 BATCH_SPLIT_RATIO = 0.5
 
--- a/ebonyshore/crash_watch.py
+++ b/ebonyshore/agent/crash_watch.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from uuid import uuid4
 
-from ebonyshore.messages import CrashReport, Verdict, VerdictShare
-from ebonyshore.suspicion import SuspicionTable
-from ebonyshore.target_run import TargetRun
+from ebonyshore.agent.target_run import TargetRun
+from ebonyshore.entry.suspicion import SuspicionTable
+from ebonyshore.link.messages import CrashReport, Verdict, VerdictShare
 
 # Content that was in flight at a crash here leaves its next run to the other candidate for this
 # long, so that its copies cannot crash both targets once more before the second crash is known.
--- a/ebonyshore/dispatcher.py
+++ b/ebonyshore/agent/dispatcher.py
@@ -6,25 +6,25 @@
 from msgspec import Struct
 from returns.result import Failure
 
-from ebonyshore.agent_admission import AgentView, Refusal, check_admission, is_permitted
-from ebonyshore.agent_answers import AgentAnswers, AnswerSink
-from ebonyshore.agent_server import PeerLost, StatusChanged
-from ebonyshore.clock import Clock
-from ebonyshore.crash_watch import CrashWatch
-from ebonyshore.held_runs import HeldRuns
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import Cancel, CrashReport, Dispatch, Hello, Load, VerdictShare
-from ebonyshore.metrics import Metrics
-from ebonyshore.process_settings import TargetSettings
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.run_ends import RunEnds
-from ebonyshore.schedule_input import make_scheduler_state
-from ebonyshore.scheduler import Decision, SchedulerState, decide
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.step_cost import OnlineTail, StepCost
-from ebonyshore.target_run import RunEnded, TargetRun
-from ebonyshore.target_runner import TargetProbed, TargetRunner
-from ebonyshore.task import Task
+from ebonyshore.agent.agent_admission import AgentView, Refusal, check_admission, is_permitted
+from ebonyshore.agent.agent_answers import AgentAnswers, AnswerSink
+from ebonyshore.agent.agent_server import PeerLost, StatusChanged
+from ebonyshore.agent.crash_watch import CrashWatch
+from ebonyshore.agent.held_runs import HeldRuns
+from ebonyshore.agent.run_ends import RunEnds
+from ebonyshore.agent.schedule_input import make_scheduler_state
+from ebonyshore.agent.scheduler import Decision, SchedulerState, decide
+from ebonyshore.agent.step_cost import OnlineTail, StepCost
+from ebonyshore.agent.target_run import RunEnded, TargetRun
+from ebonyshore.agent.target_runner import TargetProbed, TargetRunner
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import TargetSettings
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.frame.task import Task
+from ebonyshore.link.messages import Cancel, CrashReport, Dispatch, Hello, Load, VerdictShare
+from ebonyshore.settings.settings_service import SettingsService
 
 PROBE_INTERVAL_MS = 200
 TICK_MS = 50
--- a/ebonyshore/engine_http.py
+++ b/ebonyshore/agent/engine_http.py
@@ -6,7 +6,7 @@
 from msgspec import DecodeError, Struct, convert
 from msgspec.json import Decoder, decode, encode
 
-from ebonyshore.engine import (
+from ebonyshore.agent.engine import (
     CacheEvent,
     Engine,
     EngineLoad,
@@ -16,13 +16,13 @@
     TargetChunk,
     TargetRequest,
 )
-from ebonyshore.errors import (
+from ebonyshore.frame.errors import (
     FencedError,
     TargetCrashedError,
     TargetError,
     TargetUnreachableError,
 )
-from ebonyshore.http_pool import HttpConnectionPool
+from ebonyshore.frame.http_pool import HttpConnectionPool
 
 MAX_IDLE_CONNECTIONS = 64
 CONTROL_TIMEOUT_MS = 2_000
--- a/ebonyshore/fencing.py
+++ b/ebonyshore/agent/fencing.py
@@ -4,17 +4,17 @@
 
 from msgspec import Struct
 
-from ebonyshore.agent_answers import AnswerSink
-from ebonyshore.agent_server import Outgoing
-from ebonyshore.clock import Clock
-from ebonyshore.engine import Engine, EngineOrder
-from ebonyshore.errors import EbonyshoreError, FencedError, TargetError
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import Order, OrderResult
-from ebonyshore.metrics import Metrics
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.task import Task
+from ebonyshore.agent.agent_answers import AnswerSink
+from ebonyshore.agent.agent_server import Outgoing
+from ebonyshore.agent.engine import Engine, EngineOrder
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import EbonyshoreError, FencedError, TargetError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.frame.task import Task
+from ebonyshore.link.messages import Order, OrderResult
+from ebonyshore.store.marked_write import MarkedStore
 
 ACTIONS = frozenset({"load", "unload", "set_role"})
 
--- a/ebonyshore/held_runs.py
+++ b/ebonyshore/agent/held_runs.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 
-from ebonyshore.target_run import TargetRun
+from ebonyshore.agent.target_run import TargetRun
 
 # At 4 dispatches a second and agent, this covers more than an hour.
 REMEMBERED_IDS = 20_000
--- a/ebonyshore/run_ends.py
+++ b/ebonyshore/agent/run_ends.py
@@ -2,17 +2,17 @@
 
 from uuid import uuid4
 
-from ebonyshore.agent_answers import AgentAnswers, AnswerSink
-from ebonyshore.agent_server import Outgoing
-from ebonyshore.clock import Clock
-from ebonyshore.crash_watch import CrashWatch
-from ebonyshore.held_runs import HeldRuns
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import VerdictShare
-from ebonyshore.metrics import Metrics
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.target_run import RunEnded, RunOutcome, TargetRun
-from ebonyshore.target_runner import TargetProbed, TargetRunner
+from ebonyshore.agent.agent_answers import AgentAnswers, AnswerSink
+from ebonyshore.agent.agent_server import Outgoing
+from ebonyshore.agent.crash_watch import CrashWatch
+from ebonyshore.agent.held_runs import HeldRuns
+from ebonyshore.agent.target_run import RunEnded, RunOutcome, TargetRun
+from ebonyshore.agent.target_runner import TargetProbed, TargetRunner
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import VerdictShare
 
 HTTP_OK_RANGE = range(200, 300)
 DURATION_WEIGHT = 0.05
--- a/ebonyshore/schedule_input.py
+++ b/ebonyshore/agent/schedule_input.py
@@ -1,10 +1,10 @@
 """Makes the scheduler's state from the requests that the agent holds."""
 
-from ebonyshore.held_runs import HeldRuns
-from ebonyshore.scheduler import BatchRun, SchedulerState
-from ebonyshore.settings_tree import EffectiveSettings
-from ebonyshore.step_cost import OnlineTail, StepCost
-from ebonyshore.target_run import TargetRun
+from ebonyshore.agent.held_runs import HeldRuns
+from ebonyshore.agent.scheduler import BatchRun, SchedulerState
+from ebonyshore.agent.step_cost import OnlineTail, StepCost
+from ebonyshore.agent.target_run import TargetRun
+from ebonyshore.settings.settings_tree import EffectiveSettings
 
 # Measured on the stand-in engine; engines prefill a token in a small part of a step.
 PREFILL_TOKEN_MS = 0.02
--- a/ebonyshore/target_run.py
+++ b/ebonyshore/agent/target_run.py
@@ -7,10 +7,10 @@
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder
 
-from ebonyshore.clock import Clock
-from ebonyshore.engine import PlainService, TargetAnswer, TargetChunk, TargetRequest
-from ebonyshore.errors import TargetCrashedError, TargetError, TargetUnreachableError
-from ebonyshore.messages import Chunk, Dispatch, WorkClass
+from ebonyshore.agent.engine import PlainService, TargetAnswer, TargetChunk, TargetRequest
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import TargetCrashedError, TargetError, TargetUnreachableError
+from ebonyshore.link.messages import Chunk, Dispatch, WorkClass
 
 CHARS_PER_TOKEN = 4
 # The engine ends a run at its deadline; the socket's own limit only covers a hung target.
--- a/ebonyshore/target_runner.py
+++ b/ebonyshore/agent/target_runner.py
@@ -6,13 +6,13 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import Clock
-from ebonyshore.engine import Engine, PlainService
-from ebonyshore.errors import TargetError
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import Chunk
-from ebonyshore.metrics import Metrics
-from ebonyshore.target_run import RunEnded, RunProgress, TargetRun, run_on_target
+from ebonyshore.agent.engine import Engine, PlainService
+from ebonyshore.agent.target_run import RunEnded, RunProgress, TargetRun, run_on_target
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import TargetError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.link.messages import Chunk
 
 CONTROL_THREADS = 8
 
--- /dev/null
+++ b/ebonyshore/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: records, shards, results, audit, clean-up."""
--- a/ebonyshore/audit.py
+++ b/ebonyshore/batch/audit.py
@@ -5,13 +5,13 @@
 from msgspec import DecodeError, MsgspecError, Struct
 from msgspec.json import decode
 
-from ebonyshore.errors import EbonyshoreError, RequestError
-from ebonyshore.job_files import parse_item
-from ebonyshore.job_store import SHARD_PREFIX, JobStore, digest_of_name, segment_digest
-from ebonyshore.jobs import ItemOutcome, JobRecord, JobState, SegmentRecord, ShardRecord
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_history import find_history_faults
-from ebonyshore.settings_store import SettingsStore
+from ebonyshore.batch.job_files import parse_item
+from ebonyshore.batch.job_store import SHARD_PREFIX, JobStore, digest_of_name, segment_digest
+from ebonyshore.batch.jobs import ItemOutcome, JobRecord, JobState, SegmentRecord, ShardRecord
+from ebonyshore.frame.errors import EbonyshoreError, RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_history import find_history_faults
+from ebonyshore.settings.settings_store import SettingsStore
 
 
 class AuditReport(Struct):
--- a/ebonyshore/batch_api.py
+++ b/ebonyshore/batch/batch_api.py
@@ -7,15 +7,15 @@
 from msgspec import ValidationError, convert
 from msgspec.json import decode, encode
 
-from ebonyshore.batch_order import ShardSizer
-from ebonyshore.clock import MS_PER_S, Clock
-from ebonyshore.errors import RequestError, StoreError
-from ebonyshore.job_files import parse_item
-from ebonyshore.job_store import JobRequest, JobStore, Progress
-from ebonyshore.jobs import FileRecord, ItemOutcome, JobRecord, JobState
-from ebonyshore.openai_api import GENERATION_PATHS
-from ebonyshore.result_codes import RESULT_INFO, ResultCode
-from ebonyshore.settings_service import SettingsService
+from ebonyshore.batch.batch_order import ShardSizer
+from ebonyshore.batch.job_files import parse_item
+from ebonyshore.batch.job_store import JobRequest, JobStore, Progress
+from ebonyshore.batch.jobs import FileRecord, ItemOutcome, JobRecord, JobState
+from ebonyshore.entry.openai_api import GENERATION_PATHS
+from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.errors import RequestError, StoreError
+from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
+from ebonyshore.settings.settings_service import SettingsService
 
 OUTPUT_SUFFIX = "-output"
 ERROR_SUFFIX = "-errors"
--- a/ebonyshore/batch_items.py
+++ b/ebonyshore/batch/batch_items.py
@@ -6,12 +6,12 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.errors import EbonyshoreError, RequestError
-from ebonyshore.job_files import BatchItem, parse_item
-from ebonyshore.jobs import ItemOutcome
-from ebonyshore.messages import Finished
-from ebonyshore.openai_api import AnswerAssembler, GenerationRequest, parse_generation
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.batch.job_files import BatchItem, parse_item
+from ebonyshore.batch.jobs import ItemOutcome
+from ebonyshore.entry.openai_api import AnswerAssembler, GenerationRequest, parse_generation
+from ebonyshore.frame.errors import EbonyshoreError, RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Finished
 
 # JSON escapes can make a value longer; a segment must stay below the store's limit of 1 MB.
 MAX_ANSWER_BYTES = 600_000
--- a/ebonyshore/batch_order.py
+++ b/ebonyshore/batch/batch_order.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from threading import Lock
 
-from ebonyshore.jobs import IndexEntry
+from ebonyshore.batch.jobs import IndexEntry
 
 SHARD_TARGET_MS = 60_000.0
 MIN_SHARD_ITEMS = 20
--- a/ebonyshore/batch_sweep.py
+++ b/ebonyshore/batch/batch_sweep.py
@@ -8,10 +8,10 @@
 for each of its shards. The versions of jobs that were swept are remembered.
 """
 
-from ebonyshore.errors import RequestError, WriteConflictError, WriteOutcomeUnknownError
-from ebonyshore.job_store import JOB_PREFIX, JobStore
-from ebonyshore.jobs import JobRecord, segment_key, segment_prefix
-from ebonyshore.marked_write import MarkedStore
+from ebonyshore.batch.job_store import JOB_PREFIX, JobStore
+from ebonyshore.batch.jobs import JobRecord, segment_key, segment_prefix
+from ebonyshore.frame.errors import RequestError, WriteConflictError, WriteOutcomeUnknownError
+from ebonyshore.store.marked_write import MarkedStore
 
 PAGE_JOBS = 20
 MAX_REMEMBERED = 50_000
--- a/ebonyshore/cleanup.py
+++ b/ebonyshore/batch/cleanup.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.lease import Lease
-from ebonyshore.logs import EventLog
-from ebonyshore.metrics import Metrics
-from ebonyshore.task import Task
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.task import Task
+from ebonyshore.store.lease import Lease
 
 DUTY = "clean-up"
 # Every entry polls the lease four times in the interval: 380 entries make 13 reads/s.
--- a/ebonyshore/job_files.py
+++ b/ebonyshore/batch/job_files.py
@@ -5,13 +5,13 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder, decode
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import RequestError, StoreError, WriteConflictError
-from ebonyshore.jobs import FileRecord, file_key, file_part_key
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.openai_api import digest
-from ebonyshore.platform_api import ABSENT_VERSION
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.batch.jobs import FileRecord, file_key, file_part_key
+from ebonyshore.entry.openai_api import digest
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import RequestError, StoreError, WriteConflictError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.platform_api import ABSENT_VERSION
 
 MAX_PART_BYTES = 900_000
 MAX_DUPLICATES = 10_000  # keeps the file record far below the store's limit of 1 MB
--- a/ebonyshore/job_index.py
+++ b/ebonyshore/batch/job_index.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.jobs import IndexEntry, IndexRecord, JobRecord, index_key
-from ebonyshore.marked_write import MarkedStore
+from ebonyshore.batch.jobs import IndexEntry, IndexRecord, JobRecord, index_key
+from ebonyshore.store.marked_write import MarkedStore
 
 READ_AT_ONCE_MS = 0
 
--- a/ebonyshore/job_store.py
+++ b/ebonyshore/batch/job_store.py
@@ -7,17 +7,9 @@
 from msgspec.json import encode
 from msgspec.structs import replace
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import (
-    InvariantError,
-    LeaseLostError,
-    RequestError,
-    StoreError,
-    WriteConflictError,
-)
-from ebonyshore.job_files import ID_CHARS, JobFiles, create_or_read
-from ebonyshore.job_index import JobIndex
-from ebonyshore.jobs import (
+from ebonyshore.batch.job_files import ID_CHARS, JobFiles, create_or_read
+from ebonyshore.batch.job_index import JobIndex
+from ebonyshore.batch.jobs import (
     ItemOutcome,
     JobRecord,
     JobState,
@@ -29,10 +21,18 @@
     shard_key,
     shard_prefix,
 )
-from ebonyshore.marked_write import MarkedObject, MarkedStore
-from ebonyshore.openai_api import digest
-from ebonyshore.platform_api import ObjectSummary
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.entry.openai_api import digest
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import (
+    InvariantError,
+    LeaseLostError,
+    RequestError,
+    StoreError,
+    WriteConflictError,
+)
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.store.marked_write import MarkedObject, MarkedStore
+from ebonyshore.store.platform_api import ObjectSummary
 
 JOB_PREFIX = "jobs/"
 SHARD_PREFIX = "shards/"
--- a/ebonyshore/jobs.py
+++ b/ebonyshore/batch/jobs.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.result_codes import ResultCode
 
 
 class JobState(Enum):
--- a/ebonyshore/shard_runner.py
+++ b/ebonyshore/batch/shard_runner.py
@@ -6,24 +6,24 @@
 
 from msgspec import MsgspecError, Struct
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.batch_items import ItemRules, PendingItem, sort_items
-from ebonyshore.batch_order import BatchOrder, ShardSizer
-from ebonyshore.clock import Clock
-from ebonyshore.errors import LeaseLostError, RequestError, StoreError, WriteConflictError
-from ebonyshore.job_store import JobStore
-from ebonyshore.jobs import JobRecord, JobState, ShardRecord
-from ebonyshore.link_messages import SendCancel, SendDispatch
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import Chunk, Dispatch, Permit, Refused, RequestMessage, WorkClass
-from ebonyshore.metrics import Metrics
-from ebonyshore.openai_api import check_generation
-from ebonyshore.process_settings import BatchSettings
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.shard_search import ShardSearch
-from ebonyshore.shard_work import ShardWork, Step, WorkLimits
-from ebonyshore.task import Task
+from ebonyshore.batch.batch_items import ItemRules, PendingItem, sort_items
+from ebonyshore.batch.batch_order import BatchOrder, ShardSizer
+from ebonyshore.batch.job_store import JobStore
+from ebonyshore.batch.jobs import JobRecord, JobState, ShardRecord
+from ebonyshore.batch.shard_search import ShardSearch
+from ebonyshore.batch.shard_work import ShardWork, Step, WorkLimits
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.link_messages import SendCancel, SendDispatch
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.entry.openai_api import check_generation
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import LeaseLostError, RequestError, StoreError, WriteConflictError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import BatchSettings
+from ebonyshore.frame.task import Task
+from ebonyshore.link.messages import Chunk, Dispatch, Permit, Refused, RequestMessage, WorkClass
+from ebonyshore.settings.settings_service import SettingsService
 
 TICK_INTERVAL_MS = 50
 ITEM_TIMEOUT_MS = 600_000.0
--- a/ebonyshore/shard_search.py
+++ b/ebonyshore/batch/shard_search.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.jobs import IndexEntry, JobRecord, ShardRecord
-from ebonyshore.marked_write import MarkedObject
+from ebonyshore.batch.jobs import IndexEntry, JobRecord, ShardRecord
+from ebonyshore.store.marked_write import MarkedObject
 
 MAX_PROBES = 8
 FRUITLESS_PAUSE_MS = 2_000.0
--- a/ebonyshore/shard_work.py
+++ b/ebonyshore/batch/shard_work.py
@@ -6,14 +6,14 @@
 
 from msgspec import Struct
 
-from ebonyshore.batch_items import HTTP_OK, PendingItem, answer_body
-from ebonyshore.errors import EbonyshoreError, InvariantError
-from ebonyshore.jobs import ItemOutcome, JobRecord, JobState, ShardProgress, ShardRecord
-from ebonyshore.marked_write import MarkedObject
-from ebonyshore.membership import TargetView
-from ebonyshore.messages import Failed, FinalMessage, Finished, Permit, Refused
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.routing import serving_targets
+from ebonyshore.batch.batch_items import HTTP_OK, PendingItem, answer_body
+from ebonyshore.batch.jobs import ItemOutcome, JobRecord, JobState, ShardProgress, ShardRecord
+from ebonyshore.entry.membership import TargetView
+from ebonyshore.entry.routing import serving_targets
+from ebonyshore.frame.errors import EbonyshoreError, InvariantError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Failed, FinalMessage, Finished, Permit, Refused
+from ebonyshore.store.marked_write import MarkedObject
 
 LEASE_MARGIN_RATIO = 0.25
 # The entry's view of the agent's time lags by a heartbeat, so it stops a little earlier.
--- /dev/null
+++ b/ebonyshore/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and its clients."""
--- a/ebonyshore/admin_client.py
+++ b/ebonyshore/commands/admin_client.py
@@ -2,7 +2,7 @@
 
 from msgspec.json import encode
 
-from ebonyshore.api_client import ApiClient
+from ebonyshore.commands.api_client import ApiClient
 
 
 class AdminClient(ApiClient):
--- a/ebonyshore/api_client.py
+++ b/ebonyshore/commands/api_client.py
@@ -7,9 +7,9 @@
 from msgspec import DecodeError
 from msgspec.json import decode
 
-from ebonyshore.clock import MS_PER_S
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.result_codes import RESULT_INFO, Execution, ResultCode
 
 DEFAULT_TIMEOUT_MS = 60_000
 HTTP_OK = 200
--- a/ebonyshore/caller_client.py
+++ b/ebonyshore/commands/caller_client.py
@@ -9,10 +9,10 @@
 from werkzeug.datastructures import FileStorage
 from werkzeug.test import encode_multipart
 
-from ebonyshore.api_client import HTTP_OK, ApiClient, error_from_answer
-from ebonyshore.errors import RefusedError
-from ebonyshore.openai_api import CHAT_PATH, decode_event
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.commands.api_client import HTTP_OK, ApiClient, error_from_answer
+from ebonyshore.entry.openai_api import CHAT_PATH, decode_event
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import Execution, ResultCode
 
 DATA_PREFIX = b"data: "
 DONE_EVENT = b"[DONE]"
--- a/ebonyshore/cli.py
+++ b/ebonyshore/commands/cli.py
@@ -6,11 +6,11 @@
 
 import typer
 
-from ebonyshore import fleet_cli, tier_cli
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.job_cli import job_app
-from ebonyshore.process_settings import load_settings
-from ebonyshore.settings_cli import settings_app
+from ebonyshore.commands import fleet_cli, tier_cli
+from ebonyshore.commands.job_cli import job_app
+from ebonyshore.commands.settings_cli import settings_app
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.process_settings import load_settings
 
 app = typer.Typer(
     no_args_is_help=True,
--- a/ebonyshore/fleet_cli.py
+++ b/ebonyshore/commands/fleet_cli.py
@@ -4,9 +4,9 @@
 
 import typer
 
-from ebonyshore.admin_client import AdminClient
-from ebonyshore.caller_client import CallerClient
-from ebonyshore.cli_options import (
+from ebonyshore.commands.admin_client import AdminClient
+from ebonyshore.commands.caller_client import CallerClient
+from ebonyshore.commands.cli_options import (
     AdminUrl,
     ApiKey,
     AsJson,
@@ -15,8 +15,8 @@
     print_json,
     print_table,
 )
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.result_codes import ResultCode
 
 ProcessUrl = Annotated[str, typer.Argument(help="Admin URL of an entry or agent.")]
 
--- a/ebonyshore/job_cli.py
+++ b/ebonyshore/commands/job_cli.py
@@ -6,11 +6,11 @@
 import typer
 from msgspec.json import encode
 
-from ebonyshore.caller_client import CallerClient
-from ebonyshore.cli_options import ApiKey, AsJson, EntryUrl
-from ebonyshore.clock import Clock, SystemClock
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.commands.caller_client import CallerClient
+from ebonyshore.commands.cli_options import ApiKey, AsJson, EntryUrl
+from ebonyshore.frame.clock import Clock, SystemClock
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.result_codes import ResultCode
 
 POLL_INTERVAL_MS = 1_000
 FINAL_STATES = frozenset({"completed", "cancelled", "expired"})
--- a/ebonyshore/settings_cli.py
+++ b/ebonyshore/commands/settings_cli.py
@@ -9,14 +9,14 @@
 from msgspec import DecodeError, convert
 from msgspec.json import decode, encode
 
-from ebonyshore.admin_client import AdminClient
-from ebonyshore.cli_options import AdminUrl, AsJson, OperatorToken, print_json
-from ebonyshore.clock import Clock, SystemClock
-from ebonyshore.errors import EbonyshoreError, RequestError
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_admin import RevisionReport
-from ebonyshore.settings_store import SettingsEdit
-from ebonyshore.settings_tree import ROOT_PATH
+from ebonyshore.commands.admin_client import AdminClient
+from ebonyshore.commands.cli_options import AdminUrl, AsJson, OperatorToken, print_json
+from ebonyshore.frame.clock import Clock, SystemClock
+from ebonyshore.frame.errors import EbonyshoreError, RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_admin import RevisionReport
+from ebonyshore.settings.settings_store import SettingsEdit
+from ebonyshore.settings.settings_tree import ROOT_PATH
 
 settings_app = typer.Typer(no_args_is_help=True, help="Read and change the settings tree.")
 
--- a/ebonyshore/tier_cli.py
+++ b/ebonyshore/commands/tier_cli.py
@@ -4,11 +4,11 @@
 
 import typer
 
-from ebonyshore.admin_client import AdminClient
-from ebonyshore.cli_options import AdminUrl, AsJson, OperatorToken, print_json, print_table
-from ebonyshore.errors import RequestError
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.commands.admin_client import AdminClient
+from ebonyshore.commands.cli_options import AdminUrl, AsJson, OperatorToken, print_json, print_table
+from ebonyshore.frame.errors import RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_tree import SettingsTree
 
 app = typer.Typer(no_args_is_help=True, help="Create and show serving tiers.")
 
--- /dev/null
+++ b/ebonyshore/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What runs in an entry: the callers' API, admission, routing, retries, placement."""
--- a/ebonyshore/admission.py
+++ b/ebonyshore/entry/admission.py
@@ -3,20 +3,20 @@
 from hashlib import blake2b
 from threading import Lock
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.caller_home import DIGEST_INTERVAL_MS, choose_homes, home_of
-from ebonyshore.callers import limit_of
-from ebonyshore.clock import Clock
-from ebonyshore.errors import RefusedError
-from ebonyshore.limits import RATE_WINDOW_MS, CallerLimits
-from ebonyshore.link_messages import SendToAgent
-from ebonyshore.membership import Membership
-from ebonyshore.messages import CallerShares, CallerUsage, UsageDigest
-from ebonyshore.metrics import Metrics
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.routing import mean_load
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.task import Task
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.caller_home import DIGEST_INTERVAL_MS, choose_homes, home_of
+from ebonyshore.entry.callers import limit_of
+from ebonyshore.entry.limits import RATE_WINDOW_MS, CallerLimits
+from ebonyshore.entry.link_messages import SendToAgent
+from ebonyshore.entry.membership import Membership
+from ebonyshore.entry.routing import mean_load
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.frame.task import Task
+from ebonyshore.link.messages import CallerShares, CallerUsage, UsageDigest
+from ebonyshore.settings.settings_service import SettingsService
 
 
 class Admission:
--- a/ebonyshore/agent_connection.py
+++ b/ebonyshore/entry/agent_connection.py
@@ -6,8 +6,9 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from ebonyshore.membership import TargetView
-from ebonyshore.messages import (
+from ebonyshore.entry.membership import TargetView
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import (
     Chunk,
     Dispatch,
     Failed,
@@ -17,7 +18,6 @@
     RequestMessage,
     WorkClass,
 )
-from ebonyshore.result_codes import Execution, ResultCode
 
 FINAL_WAIT_MS = 10_000.0
 
--- a/ebonyshore/agent_link.py
+++ b/ebonyshore/entry/agent_link.py
@@ -6,21 +6,25 @@
 from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
-from ebonyshore.agent_connection import AgentConnection, Channel
-from ebonyshore.agent_socket import AgentSocket
-from ebonyshore.clock import Clock
-from ebonyshore.codec import MessageCodec
-from ebonyshore.connection_plan import choose_idle_to_close, choose_to_open, ping_interval_ms
-from ebonyshore.link_messages import (
+from ebonyshore.entry.agent_connection import AgentConnection, Channel
+from ebonyshore.entry.agent_socket import AgentSocket
+from ebonyshore.entry.connection_plan import choose_idle_to_close, choose_to_open, ping_interval_ms
+from ebonyshore.entry.link_messages import (
     LinkMessage,
     SendCancel,
     SendDispatch,
     SendToAgent,
     SendToAgents,
 )
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership, listed_view
-from ebonyshore.messages import (
+from ebonyshore.entry.membership import Membership, listed_view
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.frame.task import SocketTask
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.messages import (
     AgentMessage,
     Cancel,
     Chunk,
@@ -35,11 +39,7 @@
     Started,
     Welcome,
 )
-from ebonyshore.metrics import Metrics
-from ebonyshore.platform_api import Instance
-from ebonyshore.process_settings import FleetSettings
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.task import SocketTask
+from ebonyshore.store.platform_api import Instance
 
 CHECK_INTERVAL_MS = 250.0
 HELLO_INTERVAL_MS = 500.0
--- a/ebonyshore/agent_socket.py
+++ b/ebonyshore/entry/agent_socket.py
@@ -3,9 +3,9 @@
 import zmq
 from msgspec import Struct
 
-from ebonyshore.codec import MessageCodec
-from ebonyshore.curve import secure_client
-from ebonyshore.process_settings import FleetSettings
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.curve import secure_client
 
 
 class AgentSocket:
--- a/ebonyshore/answer_stream.py
+++ b/ebonyshore/entry/answer_stream.py
@@ -5,9 +5,9 @@
 from msgspec import DecodeError
 from msgspec.json import decode, encode
 
-from ebonyshore.errors import TargetError
-from ebonyshore.messages import Finished, Usage
-from ebonyshore.openai_api import ABORT_REASON, StreamEvent, decode_event
+from ebonyshore.entry.openai_api import ABORT_REASON, StreamEvent, decode_event
+from ebonyshore.frame.errors import TargetError
+from ebonyshore.link.messages import Finished, Usage
 
 MAX_ERROR_BYTES = 500
 
--- a/ebonyshore/caller_home.py
+++ b/ebonyshore/entry/caller_home.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from ebonyshore.limits import CallerLimit, TokenBucket
-from ebonyshore.membership import TargetView
-from ebonyshore.messages import CallerShare, CallerUsage
-from ebonyshore.routing import rank
+from ebonyshore.entry.limits import CallerLimit, TokenBucket
+from ebonyshore.entry.membership import TargetView
+from ebonyshore.entry.routing import rank
+from ebonyshore.link.messages import CallerShare, CallerUsage
 
 HOME_COUNT = 8
 HOMES_KEY = "caller-homes"
--- a/ebonyshore/callers.py
+++ b/ebonyshore/entry/callers.py
@@ -2,10 +2,10 @@
 
 from hashlib import sha256
 
-from ebonyshore.errors import RequestError
-from ebonyshore.limits import CallerLimit
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.entry.limits import CallerLimit
+from ebonyshore.frame.errors import RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_tree import SettingsTree
 
 CALLER_ID_CHARS = 16
 ANONYMOUS_CALLER = "anonymous"
--- a/ebonyshore/chat_stream.py
+++ b/ebonyshore/entry/chat_stream.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.messages import Chunk, Finished
-from ebonyshore.openai_api import error_body
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.entry.openai_api import error_body
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Chunk, Finished
 
 DONE_EVENT = b"data: [DONE]\n\n"
 
--- a/ebonyshore/connection_plan.py
+++ b/ebonyshore/entry/connection_plan.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 
-from ebonyshore.agent_connection import AgentConnection
+from ebonyshore.entry.agent_connection import AgentConnection
 
 MAX_CONNECTIONS = 64
 IDLE_CLOSE_MS = 30_000.0
--- a/ebonyshore/crash_news.py
+++ b/ebonyshore/entry/crash_news.py
@@ -6,11 +6,11 @@
 from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.clock import Clock
-from ebonyshore.messages import CrashReport, Dispatch, VerdictShare, Welcome
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.suspicion import SuspicionTable
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.suspicion import SuspicionTable
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import CrashReport, Dispatch, VerdictShare, Welcome
 
 
 class CrashNews:
--- a/ebonyshore/entry.py
+++ b/ebonyshore/entry/entry.py
@@ -3,26 +3,34 @@
 from msgspec import to_builtins
 from werkzeug.wrappers import Request
 
-from ebonyshore.admin_api import AdminApi
-from ebonyshore.admission import Admission, UsageReporter
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.audit import Auditor
-from ebonyshore.batch_api import BatchApi
-from ebonyshore.batch_order import ShardSizer
-from ebonyshore.batch_sweep import BatchSweeper
-from ebonyshore.cleanup import DUTY, LEASE_INTERVAL_MS, CleanupTask
-from ebonyshore.crash_news import CrashNews
-from ebonyshore.daemon import Daemon
-from ebonyshore.dump import dump_process
-from ebonyshore.environment import Environment
-from ebonyshore.http_api import HttpApi
-from ebonyshore.http_service import HttpService
-from ebonyshore.instance_poller import InstancePoller
-from ebonyshore.kernel import Kernel
-from ebonyshore.lease import Lease
-from ebonyshore.link_messages import InstancesKnown, SendToAgent, SendToAgents
-from ebonyshore.membership import Membership
-from ebonyshore.messages import (
+from ebonyshore.batch.audit import Auditor
+from ebonyshore.batch.batch_api import BatchApi
+from ebonyshore.batch.batch_order import ShardSizer
+from ebonyshore.batch.batch_sweep import BatchSweeper
+from ebonyshore.batch.cleanup import DUTY, LEASE_INTERVAL_MS, CleanupTask
+from ebonyshore.batch.shard_runner import BeginDrain, ShardRunner
+from ebonyshore.entry.admission import Admission, UsageReporter
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.crash_news import CrashNews
+from ebonyshore.entry.http_api import HttpApi
+from ebonyshore.entry.instance_poller import InstancePoller
+from ebonyshore.entry.link_messages import InstancesKnown, SendToAgent, SendToAgents
+from ebonyshore.entry.membership import Membership
+from ebonyshore.entry.once import OnceStore
+from ebonyshore.entry.once_run import OnceService
+from ebonyshore.entry.once_sweep import OnceSweeper
+from ebonyshore.entry.online import OnlineService
+from ebonyshore.entry.placement_service import PLACEMENT_DUTY, PlacementService
+from ebonyshore.entry.ready_gate import ReadyGate
+from ebonyshore.entry.routing import Router
+from ebonyshore.frame.admin_api import AdminApi
+from ebonyshore.frame.daemon import Daemon
+from ebonyshore.frame.dump import dump_process
+from ebonyshore.frame.environment import Environment
+from ebonyshore.frame.http_service import HttpService
+from ebonyshore.frame.kernel import Kernel
+from ebonyshore.frame.task_service import TaskService
+from ebonyshore.link.messages import (
     CallerShares,
     LoadReport,
     OrderResult,
@@ -32,19 +40,11 @@
     SettingsSnapshot,
     Welcome,
 )
-from ebonyshore.once import OnceStore
-from ebonyshore.once_run import OnceService
-from ebonyshore.once_sweep import OnceSweeper
-from ebonyshore.online import OnlineService
-from ebonyshore.placement_service import PLACEMENT_DUTY, PlacementService
-from ebonyshore.platform_api import Instance
-from ebonyshore.ready_gate import ReadyGate
-from ebonyshore.routing import Router
-from ebonyshore.settings_admin import add_settings_paths
-from ebonyshore.settings_service import SettingsPuller, SettingsService, SettingsWatcher
-from ebonyshore.settings_store import SettingsHead
-from ebonyshore.shard_runner import BeginDrain, ShardRunner
-from ebonyshore.task_service import TaskService
+from ebonyshore.settings.settings_admin import add_settings_paths
+from ebonyshore.settings.settings_service import SettingsPuller, SettingsService, SettingsWatcher
+from ebonyshore.settings.settings_store import SettingsHead
+from ebonyshore.store.lease import Lease
+from ebonyshore.store.platform_api import Instance
 
 ADMIN_THREADS = 4
 
--- a/ebonyshore/http_api.py
+++ b/ebonyshore/entry/http_api.py
@@ -11,27 +11,27 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from ebonyshore.admin_api import JSON_TYPE, error_response
-from ebonyshore.admission import Admission
-from ebonyshore.batch_api import BatchApi
-from ebonyshore.callers import caller_of_key
-from ebonyshore.chat_stream import EventStream
-from ebonyshore.clock import Clock
-from ebonyshore.errors import EbonyshoreError, RefusedError, RequestError
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import Chunk, Finished
-from ebonyshore.metrics import Metrics
-from ebonyshore.once_run import OnceService
-from ebonyshore.online import caller_stays
-from ebonyshore.online_attempt import OnlineRequest
-from ebonyshore.openai_api import (
+from ebonyshore.batch.batch_api import BatchApi
+from ebonyshore.entry.admission import Admission
+from ebonyshore.entry.callers import caller_of_key
+from ebonyshore.entry.chat_stream import EventStream
+from ebonyshore.entry.once_run import OnceService
+from ebonyshore.entry.online import caller_stays
+from ebonyshore.entry.online_attempt import OnlineRequest
+from ebonyshore.entry.openai_api import (
     AnswerAssembler,
     GenerationRequest,
     check_generation,
     parse_generation,
 )
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.settings_service import SettingsService
+from ebonyshore.frame.admin_api import JSON_TYPE, error_response
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import EbonyshoreError, RefusedError, RequestError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Chunk, Finished
+from ebonyshore.settings.settings_service import SettingsService
 
 EVENT_STREAM_TYPE = "text/event-stream"
 LEAVING_RETRY_AFTER_MS = 1_000
--- a/ebonyshore/instance_poller.py
+++ b/ebonyshore/entry/instance_poller.py
@@ -1,12 +1,12 @@
 """Reads the platform's instance list at intervals."""
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.clock import Clock
-from ebonyshore.errors import StoreError
-from ebonyshore.link_messages import InstancesKnown
-from ebonyshore.logs import EventLog
-from ebonyshore.platform_api import InstanceList
-from ebonyshore.task import Task
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.link_messages import InstancesKnown
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import StoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.task import Task
+from ebonyshore.store.platform_api import InstanceList
 
 
 class InstancePoller(Task[None]):
--- a/ebonyshore/limits.py
+++ b/ebonyshore/entry/limits.py
@@ -11,8 +11,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import MS_PER_S
-from ebonyshore.messages import CallerShare, CallerUsage, Load
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.link.messages import CallerShare, CallerUsage, Load
 
 SHARE_EXPIRY_MS = 5_000.0
 FORGET_CALLER_MS = 60_000.0
--- a/ebonyshore/link_messages.py
+++ b/ebonyshore/entry/link_messages.py
@@ -2,9 +2,9 @@
 
 from msgspec import Struct
 
-from ebonyshore.agent_connection import RequestSink
-from ebonyshore.messages import Dispatch
-from ebonyshore.platform_api import Instance
+from ebonyshore.entry.agent_connection import RequestSink
+from ebonyshore.link.messages import Dispatch
+from ebonyshore.store.platform_api import Instance
 
 
 class InstancesKnown(Struct, frozen=True):
--- a/ebonyshore/membership.py
+++ b/ebonyshore/entry/membership.py
@@ -10,8 +10,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.messages import Load
-from ebonyshore.platform_api import Instance
+from ebonyshore.link.messages import Load
+from ebonyshore.store.platform_api import Instance
 
 
 class TargetView(Struct, frozen=True):
--- a/ebonyshore/once.py
+++ b/ebonyshore/entry/once.py
@@ -13,16 +13,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import (
-    RefusedError,
-    RequestError,
-    StoreError,
-    WriteConflictError,
-    WriteOutcomeUnknownError,
-)
-from ebonyshore.marked_write import MarkedObject, MarkedStore
-from ebonyshore.once_records import (
+from ebonyshore.entry.once_records import (
     AnswerPart,
     CompleteAnswer,
     KeptAnswer,
@@ -33,7 +24,16 @@
     record_key,
     unpack,
 )
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import (
+    RefusedError,
+    RequestError,
+    StoreError,
+    WriteConflictError,
+    WriteOutcomeUnknownError,
+)
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 
 TAKEOVER_MARGIN_MS = 1_000.0
 WATCH_MS = 5_000.0
--- a/ebonyshore/once_records.py
+++ b/ebonyshore/entry/once_records.py
@@ -7,8 +7,8 @@
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
 
-from ebonyshore.messages import Chunk, Finished, Usage
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Chunk, Finished, Usage
 
 KEY_PREFIX = "once/"
 PARTS_PREFIX = "once-parts/"
--- a/ebonyshore/once_run.py
+++ b/ebonyshore/entry/once_run.py
@@ -9,15 +9,15 @@
 
 from msgspec.structs import replace
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import RefusedError
-from ebonyshore.messages import Chunk, Finished
-from ebonyshore.metrics import Metrics
-from ebonyshore.once import Claim, OnceRequest, OnceStore
-from ebonyshore.once_records import CompleteAnswer
-from ebonyshore.online import OnlineService, caller_stays
-from ebonyshore.online_attempt import OnlineRequest
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.entry.once import Claim, OnceRequest, OnceStore
+from ebonyshore.entry.once_records import CompleteAnswer
+from ebonyshore.entry.online import OnlineService, caller_stays
+from ebonyshore.entry.online_attempt import OnlineRequest
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Chunk, Finished
 
 MAX_WAIT_RATIO = 3.0
 
--- a/ebonyshore/once_sweep.py
+++ b/ebonyshore/entry/once_sweep.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Callable
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import WriteConflictError, WriteOutcomeUnknownError
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.once_records import KEY_PREFIX, PARTS_PREFIX, OnceRecord
+from ebonyshore.entry.once_records import KEY_PREFIX, PARTS_PREFIX, OnceRecord
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import WriteConflictError, WriteOutcomeUnknownError
+from ebonyshore.store.marked_write import MarkedStore
 
 PAGE_RECORDS = 100
 
--- a/ebonyshore/online.py
+++ b/ebonyshore/entry/online.py
@@ -5,19 +5,13 @@
 
 from msgspec.structs import replace
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.answer_stream import AnswerStream
-from ebonyshore.clock import Clock
-from ebonyshore.errors import RefusedError, TargetError
-from ebonyshore.limits import ServiceTimes
-from ebonyshore.link_messages import SendToAgent
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import Chunk, Finished, Ping
-from ebonyshore.metrics import Metrics
-from ebonyshore.online_attempt import Attempt, AttemptPlan, OnlineRequest
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.retry import (
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.answer_stream import AnswerStream
+from ebonyshore.entry.limits import ServiceTimes
+from ebonyshore.entry.link_messages import SendToAgent
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.entry.online_attempt import Attempt, AttemptPlan, OnlineRequest
+from ebonyshore.entry.retry import (
     REDIRECT_CODES,
     STALE_CODES,
     AttemptState,
@@ -26,8 +20,14 @@
     final_error,
     next_step,
 )
-from ebonyshore.routing import Router, RouteRequest
-from ebonyshore.settings_service import SettingsService
+from ebonyshore.entry.routing import Router, RouteRequest
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import RefusedError, TargetError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Chunk, Finished, Ping
+from ebonyshore.settings.settings_service import SettingsService
 
 AVAILABILITY_WAIT_MS = 1_500.0  # an agent refuses work for 1 s after its start
 AVAILABILITY_PAUSE_MS = 50.0
--- a/ebonyshore/online_attempt.py
+++ b/ebonyshore/entry/online_attempt.py
@@ -5,12 +5,14 @@
 
 from msgspec import Struct
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.clock import Clock
-from ebonyshore.errors import RefusedError
-from ebonyshore.link_messages import SendCancel, SendDispatch
-from ebonyshore.membership import TargetView
-from ebonyshore.messages import (
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.link_messages import SendCancel, SendDispatch
+from ebonyshore.entry.membership import TargetView
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.frame.task import Mailbox, make_mailbox
+from ebonyshore.link.messages import (
     Chunk,
     Dispatch,
     Failed,
@@ -19,8 +21,6 @@
     RequestMessage,
     WorkClass,
 )
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.task import Mailbox, make_mailbox
 
 CANCEL_WAIT_MS = 250.0
 CALLER_CHECK_INTERVAL_MS = 250.0
--- a/ebonyshore/openai_api.py
+++ b/ebonyshore/entry/openai_api.py
@@ -6,10 +6,10 @@
 from msgspec import DecodeError, Raw, Struct, ValidationError
 from msgspec.json import Decoder, decode, encode
 
-from ebonyshore.errors import EbonyshoreError, RequestError, TargetError
-from ebonyshore.messages import Usage
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.frame.errors import EbonyshoreError, RequestError, TargetError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Usage
+from ebonyshore.settings.settings_tree import SettingsTree
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
--- a/ebonyshore/placement.py
+++ b/ebonyshore/entry/placement.py
@@ -12,8 +12,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.membership import TargetView
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.entry.membership import TargetView
+from ebonyshore.settings.settings_tree import SettingsTree
 
 
 class PlacementAction(Enum):
--- a/ebonyshore/placement_service.py
+++ b/ebonyshore/entry/placement_service.py
@@ -5,14 +5,9 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import LeaseLostError, StoreError
-from ebonyshore.lease import Lease
-from ebonyshore.link_messages import SendToAgent
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership
-from ebonyshore.messages import Order, OrderResult
-from ebonyshore.placement import (
+from ebonyshore.entry.link_messages import SendToAgent
+from ebonyshore.entry.membership import Membership
+from ebonyshore.entry.placement import (
     PlacementAction,
     PlacementLimits,
     PlacementOrder,
@@ -21,10 +16,15 @@
     estimate_demands,
     placed_targets,
 )
-from ebonyshore.platform_api import WeightStore
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.task import Task
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import LeaseLostError, StoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.frame.task import Task
+from ebonyshore.link.messages import Order, OrderResult
+from ebonyshore.settings.settings_service import SettingsService
+from ebonyshore.store.lease import Lease
+from ebonyshore.store.platform_api import WeightStore
 
 PLACEMENT_DUTY = "placement"
 INTERVAL_MS = 2_000
--- a/ebonyshore/ready_gate.py
+++ b/ebonyshore/entry/ready_gate.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from ebonyshore.admin_api import error_response
-from ebonyshore.errors import RefusedError
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_service import SettingsService
+from ebonyshore.frame.admin_api import error_response
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_service import SettingsService
 
 RETRY_AFTER_MS = 2_000
 
--- a/ebonyshore/retry.py
+++ b/ebonyshore/entry/retry.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.errors import RefusedError
-from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import RESULT_INFO, Execution, ResultCode
 
 RETRY_AFTER_MS = 1_000
 BUDGET_WINDOW_MS = 10_000
--- a/ebonyshore/routing.py
+++ b/ebonyshore/entry/routing.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.membership import Membership, TargetView
+from ebonyshore.entry.membership import Membership, TargetView
 
 SLOW_STEP_RATIO = 4.0
 HOME_PREFERENCE = 0.1  # share of a target's room; more gives prefix hits and costs balance
--- a/ebonyshore/suspicion.py
+++ b/ebonyshore/entry/suspicion.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ebonyshore.messages import CrashReport, Verdict
+from ebonyshore.link.messages import CrashReport, Verdict
 
 MAX_CRASH_REPORTS = 4096
 # The second crash that a content was in flight at is the last one it may cause (design, 5.7).
--- a/ebonyshore/admin_api.py
+++ b/ebonyshore/frame/admin_api.py
@@ -8,10 +8,10 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from ebonyshore.errors import EbonyshoreError, RequestError
-from ebonyshore.metrics import Metrics
-from ebonyshore.openai_api import error_body
-from ebonyshore.result_codes import RESULT_INFO, ResultCode
+from ebonyshore.entry.openai_api import error_body
+from ebonyshore.frame.errors import EbonyshoreError, RequestError
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
 
 AdminHandler = Callable[[Request], object]
 JSON_TYPE = "application/json"
--- a/ebonyshore/daemon.py
+++ b/ebonyshore/frame/daemon.py
@@ -5,9 +5,9 @@
 from threading import Event
 from traceback import format_exception
 
-from ebonyshore.environment import Environment
-from ebonyshore.kernel import Kernel
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.environment import Environment
+from ebonyshore.frame.kernel import Kernel
+from ebonyshore.frame.result_codes import ResultCode
 
 
 class Daemon:
--- a/ebonyshore/dump.py
+++ b/ebonyshore/frame/dump.py
@@ -1,7 +1,7 @@
 """The state dump of a process."""
 
-from ebonyshore.environment import Environment
-from ebonyshore.kernel import Kernel
+from ebonyshore.frame.environment import Environment
+from ebonyshore.frame.kernel import Kernel
 
 
 def dump_process(environment: Environment, kernel: Kernel) -> dict[str, object]:
--- a/ebonyshore/environment.py
+++ b/ebonyshore/frame/environment.py
@@ -5,17 +5,17 @@
 from typing import TYPE_CHECKING, TextIO
 from uuid import uuid4
 
-from ebonyshore.clock import Clock, SystemClock
-from ebonyshore.errors import SettingsError
-from ebonyshore.logs import EventLog, KeyValueDestination, close_log, open_log
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.metrics import Metrics
-from ebonyshore.platform_http import PlatformHttp
-from ebonyshore.process_settings import ProcessSettings, load_settings
-from ebonyshore.settings_store import SettingsStore
+from ebonyshore.frame.clock import Clock, SystemClock
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.frame.logs import EventLog, KeyValueDestination, close_log, open_log
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import ProcessSettings, load_settings
+from ebonyshore.settings.settings_store import SettingsStore
+from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.platform_http import PlatformHttp
 
 if TYPE_CHECKING:
-    from ebonyshore.job_store import JobStore
+    from ebonyshore.batch.job_store import JobStore
 
 
 class Environment:
@@ -40,7 +40,7 @@
 
     def job_store(self) -> "JobStore":
         """Return the batch records."""
-        from ebonyshore.job_store import JobStore  # agents do without its memory
+        from ebonyshore.batch.job_store import JobStore  # agents do without its memory
 
         batch = self.settings.batch
         return JobStore(self.store, self.clock, batch.index_buckets, batch.shard_items)
--- a/ebonyshore/errors.py
+++ b/ebonyshore/frame/errors.py
@@ -1,6 +1,6 @@
 """The exception tree. Every error of the package derives from :class:`EbonyshoreError`."""
 
-from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
+from ebonyshore.frame.result_codes import RESULT_INFO, Execution, ResultCode
 
 
 class EbonyshoreError(Exception):
--- a/ebonyshore/http_pool.py
+++ b/ebonyshore/frame/http_pool.py
@@ -5,7 +5,7 @@
 from threading import Lock
 from urllib.parse import urlsplit
 
-from ebonyshore.clock import MS_PER_S
+from ebonyshore.frame.clock import MS_PER_S
 
 
 class HttpConnectionPool:
--- a/ebonyshore/http_service.py
+++ b/ebonyshore/frame/http_service.py
@@ -5,7 +5,7 @@
 
 from waitress import create_server
 
-from ebonyshore.kernel import Service
+from ebonyshore.frame.kernel import Service
 
 SHUTDOWN_TIMEOUT_S = 5
 
--- a/ebonyshore/kernel.py
+++ b/ebonyshore/frame/kernel.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import EbonyshoreError
 
 ServiceT = TypeVar("ServiceT", bound="Service")
 
--- a/ebonyshore/logs.py
+++ b/ebonyshore/frame/logs.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 from eliot import remove_destination as remove_eliot_destination
 
-from ebonyshore.clock import Clock
+from ebonyshore.frame.clock import Clock
 
 _ELIOT_FIELDS = frozenset({"timestamp", "task_uuid", "task_level", "message_type"})
 _CHARACTERS_TO_QUOTE = frozenset(' "=\\')
--- a/ebonyshore/process_settings.py
+++ b/ebonyshore/frame/process_settings.py
@@ -11,9 +11,9 @@
 from msgspec import Meta, Struct, convert
 from msgspec.structs import fields as struct_fields
 
-from ebonyshore.errors import SettingsError
-from ebonyshore.settings_combinations import find_combination_faults
-from ebonyshore.settings_faults import Fault, find_faults
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.frame.settings_combinations import find_combination_faults
+from ebonyshore.frame.settings_faults import Fault, find_faults
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
 DurationMs = Annotated[int, Meta(ge=1, le=86_400_000)]
--- a/ebonyshore/settings_combinations.py
+++ b/ebonyshore/frame/settings_combinations.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from ebonyshore.settings_faults import Fault
-from ebonyshore.settings_tree import EffectiveSettings
+from ebonyshore.frame.settings_faults import Fault
+from ebonyshore.settings.settings_tree import EffectiveSettings
 
 Sections = Mapping[str, Struct]
 Rule = Callable[..., Iterator[Fault]]
--- a/ebonyshore/task.py
+++ b/ebonyshore/frame/task.py
@@ -11,8 +11,8 @@
 
 import zmq
 
-from ebonyshore.clock import MS_PER_S, Clock, SystemClock
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
+from ebonyshore.frame.errors import EbonyshoreError
 
 MessageT = TypeVar("MessageT")
 
--- a/ebonyshore/task_service.py
+++ b/ebonyshore/frame/task_service.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from ebonyshore.kernel import Service
-from ebonyshore.task import Task
+from ebonyshore.frame.kernel import Service
+from ebonyshore.frame.task import Task
 
 
 class TaskService(Service):
--- /dev/null
+++ b/ebonyshore/link/__init__.py
@@ -0,0 +1,1 @@
+"""What passes between entries and agents: messages, codec, keys."""
--- a/ebonyshore/codec.py
+++ b/ebonyshore/link/codec.py
@@ -5,7 +5,7 @@
 from msgspec import DecodeError, Struct
 from msgspec.msgpack import Decoder, Encoder
 
-from ebonyshore.metrics import Metrics
+from ebonyshore.frame.metrics import Metrics
 
 MessageT = TypeVar("MessageT")
 
--- a/ebonyshore/curve.py
+++ b/ebonyshore/link/curve.py
@@ -7,7 +7,7 @@
 import zmq
 from zmq.utils.z85 import encode as encode_z85
 
-from ebonyshore.process_settings import FleetSettings
+from ebonyshore.frame.process_settings import FleetSettings
 
 ZAP_ENDPOINT = "inproc://zeromq.zap.01"
 ZAP_VERSION = b"1.0"
--- a/ebonyshore/messages.py
+++ b/ebonyshore/link/messages.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.frame.result_codes import Execution, ResultCode
 
 PROTOCOL_VERSION = 1
 
--- a/ebonyshore/main.py
+++ b/ebonyshore/main.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.errors import EbonyshoreError
 
 DAEMON_ROLES = ("entry", "agent")
 
@@ -13,7 +13,7 @@
     """Run a daemon or an operator's command; exit with the result code."""
     if len(sys.argv) > 1 and sys.argv[1] in DAEMON_ROLES:
         sys.exit(run_daemon(sys.argv[1], sys.argv[2:]))
-    from ebonyshore.cli import run_command
+    from ebonyshore.commands.cli import run_command
 
     run_command()
 
@@ -35,14 +35,14 @@
 
 
 def _make_daemon(role: str, settings_path: Path):
-    from ebonyshore.daemon import stop_on_signals
-    from ebonyshore.environment import make_environment
+    from ebonyshore.frame.daemon import stop_on_signals
+    from ebonyshore.frame.environment import make_environment
 
     environment = make_environment(settings_path, role)
     if role == "entry":
-        from ebonyshore.entry import make_entry as make_daemon
+        from ebonyshore.entry.entry import make_entry as make_daemon
     else:
-        from ebonyshore.agent import make_agent as make_daemon
+        from ebonyshore.agent.agent import make_agent as make_daemon
     daemon = make_daemon(environment)
     stop_on_signals(daemon.request_stop)
     return daemon
--- /dev/null
+++ b/ebonyshore/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings tree: levels, history, the revision in force."""
--- a/ebonyshore/settings_admin.py
+++ b/ebonyshore/settings/settings_admin.py
@@ -6,13 +6,13 @@
 from msgspec.json import decode
 from werkzeug.wrappers import Request
 
-from ebonyshore.admin_api import AdminApi
-from ebonyshore.errors import RequestError
-from ebonyshore.membership import Membership
-from ebonyshore.settings_history import find_history_faults, read_history
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.settings_store import SettingsEdit, SettingsStore
-from ebonyshore.settings_tree import ROOT_PATH
+from ebonyshore.entry.membership import Membership
+from ebonyshore.frame.admin_api import AdminApi
+from ebonyshore.frame.errors import RequestError
+from ebonyshore.settings.settings_history import find_history_faults, read_history
+from ebonyshore.settings.settings_service import SettingsService
+from ebonyshore.settings.settings_store import SettingsEdit, SettingsStore
+from ebonyshore.settings.settings_tree import ROOT_PATH
 
 
 class TargetRevision(Struct, frozen=True):
--- a/ebonyshore/settings_history.py
+++ b/ebonyshore/settings/settings_history.py
@@ -1,14 +1,14 @@
 """The full history of the settings tree, and whether its records were altered."""
 
-from ebonyshore.errors import SettingsError
-from ebonyshore.settings_store import (
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.settings.settings_store import (
     SettingsChange,
     SettingsHead,
     SettingsStore,
     apply_to_nodes,
     digest_of,
 )
-from ebonyshore.settings_tree import SettingValue
+from ebonyshore.settings.settings_tree import SettingValue
 
 
 def read_history(store: SettingsStore, first_revision: int = 1) -> list[SettingsChange]:
--- a/ebonyshore/settings_service.py
+++ b/ebonyshore/settings/settings_service.py
@@ -7,20 +7,20 @@
 from msgspec import MsgspecError
 from msgspec.json import decode, encode
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import SettingsError, StoreError
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import SettingsSnapshot
-from ebonyshore.settings_store import (
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import SettingsError, StoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.task import Task
+from ebonyshore.link.messages import SettingsSnapshot
+from ebonyshore.settings.settings_store import (
     HEAD_KEY,
     SettingsChange,
     SettingsHead,
     encode_head,
     follow,
 )
-from ebonyshore.settings_tree import SettingsTree
-from ebonyshore.task import Task
+from ebonyshore.settings.settings_tree import SettingsTree
+from ebonyshore.store.marked_write import MarkedStore
 
 RETRY_PAUSE_MS = 500
 MAX_RETRY_PAUSE_MS = 2_000
--- a/ebonyshore/settings_store.py
+++ b/ebonyshore/settings/settings_store.py
@@ -13,17 +13,22 @@
 from msgspec.json import Encoder, encode
 from msgspec.structs import replace
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import (
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import (
     SettingsError,
     StoreError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.marked_write import MarkedObject, MarkedStore
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_tree import ROOT_PATH, SettingsTree, SettingValue, find_tree_faults
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_tree import (
+    ROOT_PATH,
+    SettingsTree,
+    SettingValue,
+    find_tree_faults,
+)
+from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 
 HEAD_KEY = "settings/head"
 ARCHIVE_PREFIX = "settings/archive/"
--- a/ebonyshore/settings_tree.py
+++ b/ebonyshore/settings/settings_tree.py
@@ -12,8 +12,8 @@
 from msgspec import Meta, Struct, ValidationError, convert
 from msgspec.structs import fields as struct_fields
 
-from ebonyshore.errors import SettingsError
-from ebonyshore.scheduler import Weighting
+from ebonyshore.agent.scheduler import Weighting
+from ebonyshore.frame.errors import SettingsError
 
 ROOT_PATH = "/"
 _NAME = r"[A-Za-z0-9][A-Za-z0-9._-]*"
--- a/ebonyshore/lease.py
+++ b/ebonyshore/store/lease.py
@@ -10,15 +10,15 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import (
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import (
     LeaseLostError,
     StoreError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.marked_write import MarkedObject, MarkedStore
+from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 
 LEASE_PREFIX = "leases/"
 DEFAULT_INTERVAL_MS = 20_000
--- a/ebonyshore/marked_write.py
+++ b/ebonyshore/store/marked_write.py
@@ -13,13 +13,13 @@
 from msgspec import Raw, Struct
 from msgspec.json import Decoder, encode
 
-from ebonyshore.clock import Clock
-from ebonyshore.errors import (
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import (
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.platform_api import ABSENT_VERSION, ObjectStore
+from ebonyshore.store.platform_api import ABSENT_VERSION, ObjectStore
 
 KEPT_MARKS = 32
 MARK_BYTES = 8
--- a/ebonyshore/platform_http.py
+++ b/ebonyshore/store/platform_http.py
@@ -10,15 +10,15 @@
 from msgspec import Struct, convert
 from msgspec.json import decode, encode
 
-from ebonyshore.errors import (
+from ebonyshore.frame.errors import (
     StoreError,
     StoreTimeoutError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.http_pool import HttpConnectionPool
-from ebonyshore.platform_api import (
+from ebonyshore.frame.http_pool import HttpConnectionPool
+from ebonyshore.store.platform_api import (
     ABSENT_VERSION,
     Instance,
     InstanceList,
--- a/ebonyshore_bench/__main__.py
+++ b/ebonyshore_bench/__main__.py
@@ -7,7 +7,7 @@
 from msgspec.json import encode, format
 from msgspec.structs import replace
 
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore_bench.overhead import measure_overhead
 from ebonyshore_bench.plan import VARIANTS, BenchPlan
 from ebonyshore_bench.plots import save_plots
--- a/ebonyshore_bench/capacity.py
+++ b/ebonyshore_bench/capacity.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 from msgspec.json import encode, format
 
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore_bench.memory import ImportPoint, measure_imports
 from ebonyshore_bench.probes import (
     FAST_ENGINE,
--- a/ebonyshore_bench/engine_steps.py
+++ b/ebonyshore_bench/engine_steps.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import MS_PER_S
+from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL
 from ebonyshore_standins.engine_server import StepRecord
 
--- a/ebonyshore_bench/load_client.py
+++ b/ebonyshore_bench/load_client.py
@@ -8,7 +8,7 @@
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct
 
-from ebonyshore.clock import Clock
+from ebonyshore.frame.clock import Clock
 from ebonyshore_bench.traffic import Arrival, chat_body
 
 PERCENTILES = (50, 95, 99)
--- a/ebonyshore_bench/memory.py
+++ b/ebonyshore_bench/memory.py
@@ -23,9 +23,9 @@
     "zmq, msgspec, hdrh.histogram, eliot, returns.result, waitress",
     "zmq, msgspec, hdrh.histogram, eliot, waitress",
     "zmq, msgspec, hdrh.histogram, waitress",
-    "ebonyshore.agent",
-    "ebonyshore.entry",
-    "ebonyshore.cli",
+    "ebonyshore.agent.agent",
+    "ebonyshore.entry.entry",
+    "ebonyshore.commands.cli",
 )
 _SCRIPT = "import {modules}\nprint('ready', flush=True)\ninput()"
 
--- a/ebonyshore_bench/peers.py
+++ b/ebonyshore_bench/peers.py
@@ -16,17 +16,17 @@
 from msgspec import Struct
 from msgspec.json import decode, encode
 
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.agent_server import AgentServer, Outgoing, StatusChanged
-from ebonyshore.clock import SystemClock
-from ebonyshore.curve import secure_server
-from ebonyshore.link_messages import InstancesKnown
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership
-from ebonyshore.messages import Hello, Load, Ping, SettingsRequest, SettingsSnapshot
-from ebonyshore.metrics import Metrics
-from ebonyshore.platform_api import Instance
-from ebonyshore.process_settings import FleetSettings
+from ebonyshore.agent.agent_server import AgentServer, Outgoing, StatusChanged
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.link_messages import InstancesKnown
+from ebonyshore.entry.membership import Membership
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.link.curve import secure_server
+from ebonyshore.link.messages import Hello, Load, Ping, SettingsRequest, SettingsSnapshot
+from ebonyshore.store.platform_api import Instance
 
 _TCP_INFO_BYTES = 256
 _BYTES_ACKED = 120  # offsets in struct tcp_info: tcpi_bytes_acked, then tcpi_bytes_received
--- a/ebonyshore_bench/probes.py
+++ b/ebonyshore_bench/probes.py
@@ -13,9 +13,9 @@
 from msgspec.structs import replace
 from openai import OpenAI
 
-from ebonyshore.clock import MS_PER_S
-from ebonyshore.platform_api import Instance
-from ebonyshore.process_settings import FleetSettings
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.store.platform_api import Instance
 from ebonyshore_bench.load_client import stream_token_times, wait_until_served
 from ebonyshore_bench.peers import PeerOptions, PeerReport
 from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL, BatchPlan
--- a/ebonyshore_bench/proc_stat.py
+++ b/ebonyshore_bench/proc_stat.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import MS_PER_S
+from ebonyshore.frame.clock import MS_PER_S
 
 _TICK_MS = MS_PER_S / os.sysconf("SC_CLK_TCK")
 _KB = 1024
--- a/ebonyshore_bench/projection.py
+++ b/ebonyshore_bench/projection.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.connection_plan import (
+from ebonyshore.entry.connection_plan import (
     MAX_CONNECTIONS,
     MIN_PING_INTERVAL_MS,
     PING_INTERVAL_PER_CONNECTION_MS,
--- a/ebonyshore_bench/traffic.py
+++ b/ebonyshore_bench/traffic.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.clock import MS_PER_S
+from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL, BatchPlan, TrafficPlan
 
 _WORDS = ("oven", "flour", "lather", "courier", "label", "sourdough", "starter", "kettle")
--- a/ebonyshore_standins/batch_faults.py
+++ b/ebonyshore_standins/batch_faults.py
@@ -5,13 +5,13 @@
 from msgspec import Struct
 from msgspec.json import decode
 
-from ebonyshore.audit import Auditor
-from ebonyshore.errors import RequestError
-from ebonyshore.job_files import parse_item
-from ebonyshore.jobs import ItemOutcome, JobState
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_store import SettingsStore
+from ebonyshore.batch.audit import Auditor
+from ebonyshore.batch.job_files import parse_item
+from ebonyshore.batch.jobs import ItemOutcome, JobState
+from ebonyshore.frame.errors import RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_store import SettingsStore
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.batch_world import MODELS, POISON, BatchWorld, WorldClock
 from ebonyshore_standins.engine_model import expected_text
 
--- a/ebonyshore_standins/batch_world.py
+++ b/ebonyshore_standins/batch_world.py
@@ -12,13 +12,13 @@
 
 from msgspec.json import encode
 
-from ebonyshore.batch_api import BatchApi
-from ebonyshore.clock import Clock
-from ebonyshore.errors import StoreError
-from ebonyshore.job_store import JobStore
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.process_settings import BatchSettings
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.batch.batch_api import BatchApi
+from ebonyshore.batch.job_store import JobStore
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import StoreError
+from ebonyshore.frame.process_settings import BatchSettings
+from ebonyshore.settings.settings_tree import SettingsTree
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.batch_world_agent import SimulatedAgent
 from ebonyshore_standins.batch_world_entry import ProcessKilled, SimulatedEntry
 from ebonyshore_standins.memory_platform import MemoryPlatform
--- a/ebonyshore_standins/batch_world_agent.py
+++ b/ebonyshore_standins/batch_world_agent.py
@@ -8,8 +8,10 @@
 from msgspec.json import decode, encode
 from returns.result import Failure
 
-from ebonyshore.agent_admission import AgentView, check_admission, is_permitted
-from ebonyshore.messages import (
+from ebonyshore.agent.agent_admission import AgentView, check_admission, is_permitted
+from ebonyshore.entry.suspicion import SuspicionTable
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import (
     Chunk,
     CrashReport,
     Dispatch,
@@ -19,8 +21,6 @@
     Refused,
     Usage,
 )
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.suspicion import SuspicionTable
 from ebonyshore_standins.engine_model import token_at
 
 if TYPE_CHECKING:
--- a/ebonyshore_standins/batch_world_entry.py
+++ b/ebonyshore_standins/batch_world_entry.py
@@ -3,19 +3,23 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from ebonyshore.batch_api import BatchApi
-from ebonyshore.batch_order import ShardSizer
-from ebonyshore.errors import StoreTimeoutError, StoreUnavailableError, WriteOutcomeUnknownError
-from ebonyshore.job_store import JobStore
-from ebonyshore.link_messages import SendCancel, SendDispatch
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import AgentMessage, Failed
-from ebonyshore.metrics import Metrics
-from ebonyshore.platform_api import ObjectStore, ObjectSummary, StoredObject, WatchResult
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.shard_runner import BeginDrain, ShardRunner
+from ebonyshore.batch.batch_api import BatchApi
+from ebonyshore.batch.batch_order import ShardSizer
+from ebonyshore.batch.job_store import JobStore
+from ebonyshore.batch.shard_runner import BeginDrain, ShardRunner
+from ebonyshore.entry.link_messages import SendCancel, SendDispatch
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.frame.errors import (
+    StoreTimeoutError,
+    StoreUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import AgentMessage, Failed
+from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.platform_api import ObjectStore, ObjectSummary, StoredObject, WatchResult
 from ebonyshore_standins.batch_world_agent import MODELS, SimulatedAgent
 
 if TYPE_CHECKING:
--- a/ebonyshore_standins/crash_world.py
+++ b/ebonyshore_standins/crash_world.py
@@ -11,15 +11,19 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.agent_connection import Channel
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.agent_server import Broadcast, Outgoing
-from ebonyshore.clock import MS_PER_S
-from ebonyshore.crash_news import CrashNews
-from ebonyshore.link_messages import InstancesKnown, SendDispatch, SendToAgent, SendToAgents
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership
-from ebonyshore.messages import (
+from ebonyshore.agent.agent_server import Broadcast, Outgoing
+from ebonyshore.entry.agent_connection import Channel
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.crash_news import CrashNews
+from ebonyshore.entry.link_messages import InstancesKnown, SendDispatch, SendToAgent, SendToAgents
+from ebonyshore.entry.membership import Membership
+from ebonyshore.entry.routing import Router, RouteRequest
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import (
     Chunk,
     Dispatch,
     Failed,
@@ -31,11 +35,7 @@
     Welcome,
     WorkClass,
 )
-from ebonyshore.metrics import Metrics
-from ebonyshore.platform_api import Instance
-from ebonyshore.process_settings import FleetSettings
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.routing import Router, RouteRequest
+from ebonyshore.store.platform_api import Instance
 from ebonyshore_standins.engine_model import EngineParameters
 from ebonyshore_standins.simulated_agent import Prompt, SimulatedAgent, Simulation
 
--- a/ebonyshore_standins/engine_server.py
+++ b/ebonyshore_standins/engine_server.py
@@ -11,7 +11,7 @@
 from msgspec import Struct, convert
 from msgspec.json import decode, encode
 
-from ebonyshore.clock import Clock, SystemClock
+from ebonyshore.frame.clock import Clock, SystemClock
 from ebonyshore_standins.engine_model import (
     EngineCrashedError,
     EngineModel,
--- a/ebonyshore_standins/event_clock.py
+++ b/ebonyshore_standins/event_clock.py
@@ -5,7 +5,7 @@
 from itertools import count
 from threading import Condition
 
-from ebonyshore.clock import ManualClock
+from ebonyshore.frame.clock import ManualClock
 
 
 class EventClock(ManualClock):
--- a/ebonyshore_standins/local_fleet.py
+++ b/ebonyshore_standins/local_fleet.py
@@ -10,10 +10,10 @@
 import zmq
 from msgspec.json import encode
 
-from ebonyshore.admin_client import AdminClient
-from ebonyshore.clock import Clock, SystemClock
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.platform_api import Instance
+from ebonyshore.commands.admin_client import AdminClient
+from ebonyshore.frame.clock import Clock, SystemClock
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.store.platform_api import Instance
 
 OPERATOR_TOKEN = "local-operator-token"
 START_TIMEOUT_MS = 15_000
--- a/ebonyshore_standins/memory_platform.py
+++ b/ebonyshore_standins/memory_platform.py
@@ -9,15 +9,15 @@
 
 from msgspec import Struct
 
-from ebonyshore.clock import MS_PER_S, Clock
-from ebonyshore.errors import (
+from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.errors import (
     StoreError,
     StoreTimeoutError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.platform_api import (
+from ebonyshore.store.platform_api import (
     ABSENT_VERSION,
     MAX_VALUE_BYTES,
     Instance,
--- a/ebonyshore_standins/platform_server.py
+++ b/ebonyshore_standins/platform_server.py
@@ -10,14 +10,14 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from ebonyshore.clock import SystemClock
-from ebonyshore.errors import (
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.errors import (
     StoreError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.platform_api import ABSENT_VERSION, Instance
+from ebonyshore.store.platform_api import ABSENT_VERSION, Instance
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 
 SERVER_THREADS = 256  # a waiting watch holds a thread
--- a/ebonyshore_standins/scripted_agents.py
+++ b/ebonyshore_standins/scripted_agents.py
@@ -6,12 +6,14 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.agent_connection import Channel
-from ebonyshore.agent_link import AgentLink
-from ebonyshore.link_messages import InstancesKnown, LinkMessage
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership
-from ebonyshore.messages import (
+from ebonyshore.entry.agent_connection import Channel
+from ebonyshore.entry.agent_link import AgentLink
+from ebonyshore.entry.link_messages import InstancesKnown, LinkMessage
+from ebonyshore.entry.membership import Membership
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import FleetSettings
+from ebonyshore.link.messages import (
     Cancel,
     Chunk,
     Dispatch,
@@ -23,9 +25,7 @@
     Usage,
     Welcome,
 )
-from ebonyshore.metrics import Metrics
-from ebonyshore.platform_api import Instance
-from ebonyshore.process_settings import FleetSettings
+from ebonyshore.store.platform_api import Instance
 from ebonyshore_standins.event_clock import EventClock
 
 TOKENS = ("da ", "be ", "ki ", "lo ")
--- a/ebonyshore_standins/service_server.py
+++ b/ebonyshore_standins/service_server.py
@@ -10,7 +10,7 @@
 from msgspec import DecodeError
 from msgspec.json import decode, encode
 
-from ebonyshore.clock import SystemClock
+from ebonyshore.frame.clock import SystemClock
 
 
 class ServiceHandler(BaseHTTPRequestHandler):
--- a/ebonyshore_standins/simulated_agent.py
+++ b/ebonyshore_standins/simulated_agent.py
@@ -9,20 +9,26 @@
 from msgspec import Struct
 from msgspec.json import decode, encode
 
-from ebonyshore.agent_server import Broadcast, Outgoing, StatusChanged
-from ebonyshore.clock import ManualClock
-from ebonyshore.dispatcher import START_NOTICE_MS, TICK_MS, Dispatcher, DispatcherMessage, Received
-from ebonyshore.engine import TargetAnswer, TargetChunk
-from ebonyshore.logs import EventLog
-from ebonyshore.messages import Chunk
-from ebonyshore.metrics import Metrics
-from ebonyshore.process_settings import BatchSettings, TargetSettings
-from ebonyshore.scheduler import Decision, SchedulerState, decide
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.settings_store import SettingsHead
-from ebonyshore.step_cost import StepCost
-from ebonyshore.target_run import RunOutcome, RunProgress, TargetRun
-from ebonyshore.target_runner import RunnerEvent, TargetProbed, TargetRunner
+from ebonyshore.agent.agent_server import Broadcast, Outgoing, StatusChanged
+from ebonyshore.agent.dispatcher import (
+    START_NOTICE_MS,
+    TICK_MS,
+    Dispatcher,
+    DispatcherMessage,
+    Received,
+)
+from ebonyshore.agent.engine import TargetAnswer, TargetChunk
+from ebonyshore.agent.scheduler import Decision, SchedulerState, decide
+from ebonyshore.agent.step_cost import StepCost
+from ebonyshore.agent.target_run import RunOutcome, RunProgress, TargetRun
+from ebonyshore.agent.target_runner import RunnerEvent, TargetProbed, TargetRunner
+from ebonyshore.frame.clock import ManualClock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.process_settings import BatchSettings, TargetSettings
+from ebonyshore.link.messages import Chunk
+from ebonyshore.settings.settings_service import SettingsService
+from ebonyshore.settings.settings_store import SettingsHead
 from ebonyshore_standins.engine_model import (
     EngineCrashedError,
     EngineModel,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from ebonyshore.clock import ManualClock, SystemClock
-from ebonyshore.marked_write import MarkedStore
+from ebonyshore.frame.clock import ManualClock, SystemClock
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.local_fleet import LocalFleet
 from ebonyshore_standins.memory_platform import MemoryPlatform
 
--- a/tests/online_setup.py
+++ b/tests/online_setup.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Callable
 
-from ebonyshore.logs import EventLog
-from ebonyshore.membership import Membership
-from ebonyshore.messages import Chunk, Finished
-from ebonyshore.metrics import Metrics
-from ebonyshore.online import OnlineService
-from ebonyshore.online_attempt import OnlineRequest
-from ebonyshore.openai_api import decode_event
-from ebonyshore.platform_api import Instance
-from ebonyshore.routing import Router
-from ebonyshore.settings_service import SettingsService
+from ebonyshore.entry.membership import Membership
+from ebonyshore.entry.online import OnlineService
+from ebonyshore.entry.online_attempt import OnlineRequest
+from ebonyshore.entry.openai_api import decode_event
+from ebonyshore.entry.routing import Router
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.link.messages import Chunk, Finished
+from ebonyshore.settings.settings_service import SettingsService
+from ebonyshore.store.platform_api import Instance
 from ebonyshore_standins.event_clock import EventClock
 from ebonyshore_standins.scripted_agents import ScriptedAgent, ScriptedLink, answer_whole
 
--- a/tests/stepping_clock.py
+++ b/tests/stepping_clock.py
@@ -1,6 +1,6 @@
 """A paused clock for tests of one thread: a sleep moves it on at once."""
 
-from ebonyshore.clock import ManualClock
+from ebonyshore.frame.clock import ManualClock
 
 
 class SteppingClock(ManualClock):
--- a/tests/test_batch_cost.py
+++ b/tests/test_batch_cost.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from ebonyshore.process_settings import BatchSettings
+from ebonyshore.frame.process_settings import BatchSettings
 from ebonyshore_standins.batch_world import BatchWorld
 
 ITEMS = 800
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ebonyshore.jobs import job_key
-from ebonyshore.process_settings import BatchSettings
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.batch.jobs import job_key
+from ebonyshore.frame.process_settings import BatchSettings
+from ebonyshore.settings.settings_tree import SettingsTree
 from ebonyshore_standins.batch_faults import FaultReport, check_world, run_with_faults
 from ebonyshore_standins.batch_world import BatchWorld
 
--- a/tests/test_batch_order.py
+++ b/tests/test_batch_order.py
@@ -1,7 +1,7 @@
 """Which job is next, and how large shards are."""
 
-from ebonyshore.batch_order import BatchOrder, ShardSizer
-from ebonyshore.jobs import IndexEntry
+from ebonyshore.batch.batch_order import BatchOrder, ShardSizer
+from ebonyshore.batch.jobs import IndexEntry
 
 SHARD_ITEMS = 500
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,8 +3,8 @@
 import pytest
 from msgspec.structs import replace
 
-from ebonyshore.baseline_policies import decide_first_come, decide_static_split, make_decide
-from ebonyshore.scheduler import BatchRun, SchedulerState, Weighting, decide
+from ebonyshore.agent.baseline_policies import decide_first_come, decide_static_split, make_decide
+from ebonyshore.agent.scheduler import BatchRun, SchedulerState, Weighting, decide
 from ebonyshore_bench.engine_steps import find_yield, window_use
 from ebonyshore_bench.load_client import Percentiles
 from ebonyshore_bench.plan import (
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -3,14 +3,14 @@
 import pytest
 from msgspec.json import encode
 
-from ebonyshore.batch_sweep import BatchSweeper
-from ebonyshore.cleanup import DUTY, CleanupTask
-from ebonyshore.errors import StoreError, StoreUnavailableError
-from ebonyshore.jobs import SegmentRecord, ShardRecord, segment_key, shard_key
-from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.metrics import Metrics
+from ebonyshore.batch.batch_sweep import BatchSweeper
+from ebonyshore.batch.cleanup import DUTY, CleanupTask
+from ebonyshore.batch.jobs import SegmentRecord, ShardRecord, segment_key, shard_key
+from ebonyshore.frame.errors import StoreError, StoreUnavailableError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.store.lease import DEFAULT_INTERVAL_MS, Lease
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.batch_world import CHAT_PATH, BatchWorld, WorldClock
 
 ITEMS = 100
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,7 +7,7 @@
 import pytest
 from msgspec.json import decode
 
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore_standins.local_fleet import OPERATOR_TOKEN, LocalFleet
 
 COMMANDS = ("request", "targets", "drain", "dump", "audit", "check-settings", "tier")
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,10 +4,10 @@
 from hypothesis import strategies as st
 from msgspec.msgpack import decode, encode
 
-from ebonyshore.codec import MessageCodec
-from ebonyshore.messages import AgentMessage, Dispatch, EntryMessage, Hello, Refused, WorkClass
-from ebonyshore.metrics import Metrics
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.messages import AgentMessage, Dispatch, EntryMessage, Hello, Refused, WorkClass
 
 DISPATCH = Dispatch("r1", "i1", WorkClass.BATCH, "/p", b"\x00{}", 12.5, "digest", 3)
 
--- a/tests/test_crash_bound.py
+++ b/tests/test_crash_bound.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore_standins.crash_world import Caller, CrashWorld
 
 POISON = "CRASH-THE-ENGINE"
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,10 +4,12 @@
 from msgspec import Struct
 from msgspec.json import decode, encode
 
-from ebonyshore.agent_server import Broadcast, Outgoing, PeerLost
-from ebonyshore.crash_watch import OWN_CRASH_HOLD_MS
-from ebonyshore.dispatcher import LEAVE_NOTICE_MS, BeginDrain
-from ebonyshore.messages import (
+from ebonyshore.agent.agent_server import Broadcast, Outgoing, PeerLost
+from ebonyshore.agent.crash_watch import OWN_CRASH_HOLD_MS
+from ebonyshore.agent.dispatcher import LEAVE_NOTICE_MS, BeginDrain
+from ebonyshore.agent.target_run import RunEnded, RunOutcome
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import (
     Cancel,
     Chunk,
     CrashReport,
@@ -20,9 +22,7 @@
     VerdictShare,
     WorkClass,
 )
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.settings_store import SettingsHead
-from ebonyshore.target_run import RunEnded, RunOutcome
+from ebonyshore.settings.settings_store import SettingsHead
 from ebonyshore_standins.engine_model import expected_text
 from ebonyshore_standins.simulated_agent import ENTRY, Prompt, SimulatedAgent, Simulation
 
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -6,8 +6,8 @@
 from msgspec.json import decode, encode
 from openai import NotFoundError, OpenAI
 
-from ebonyshore.cli import run_command
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.commands.cli import run_command
+from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore_standins.engine_model import expected_text
 from ebonyshore_standins.local_fleet import LocalFleet
 
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -6,10 +6,10 @@
 import pytest
 from msgspec.json import encode
 
-from ebonyshore.clock import SystemClock
-from ebonyshore.engine import TargetAnswer, TargetRequest
-from ebonyshore.engine_http import EngineHttp
-from ebonyshore.errors import TargetError
+from ebonyshore.agent.engine import TargetAnswer, TargetRequest
+from ebonyshore.agent.engine_http import EngineHttp
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.errors import TargetError
 from ebonyshore_standins.engine_model import CACHE_BLOCK_CHARS, EngineParameters
 from ebonyshore_standins.engine_server import EngineOptions, make_engine_server
 
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from ebonyshore.clock import SystemClock
-from ebonyshore.engine import Engine, EngineOrder
-from ebonyshore.errors import FencedError, StoreError
-from ebonyshore.fencing import FencingGuard, OrderTask, ReceivedOrder
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import Order
-from ebonyshore.metrics import Metrics
-from ebonyshore.result_codes import ResultCode
+from ebonyshore.agent.engine import Engine, EngineOrder
+from ebonyshore.agent.fencing import FencingGuard, OrderTask, ReceivedOrder
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.errors import FencedError, StoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Order
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 
 NO_SETTLE_MS = 0.0
--- a/tests/test_frame.py
+++ b/tests/test_frame.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from ebonyshore.clock import ManualClock, SystemClock
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.kernel import Kernel, Service
-from ebonyshore.logs import format_line
-from ebonyshore.task import Mailbox, Task
+from ebonyshore.frame.clock import ManualClock, SystemClock
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.kernel import Kernel, Service
+from ebonyshore.frame.logs import format_line
+from ebonyshore.frame.task import Mailbox, Task
 
 WAIT_S = 5
 
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ebonyshore.http_pool import HttpConnectionPool
+from ebonyshore.frame.http_pool import HttpConnectionPool
 
 TIMEOUT_MS = 2_000
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -5,17 +5,17 @@
 import pytest
 from msgspec.json import decode, encode
 
-from ebonyshore.audit import Auditor, AuditReport
-from ebonyshore.errors import (
+from ebonyshore.batch.audit import Auditor, AuditReport
+from ebonyshore.batch.jobs import job_key, shard_prefix
+from ebonyshore.frame.errors import (
     RequestError,
     StoreError,
     StoreUnavailableError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.jobs import job_key, shard_prefix
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.result_codes import Execution, ResultCode
-from ebonyshore.settings_store import SettingsStore
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.settings.settings_store import SettingsStore
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.batch_world import CHAT_PATH, BatchWorld, WorldClock
 
 ITEMS = 100
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from ebonyshore.clock import ManualClock
-from ebonyshore.errors import LeaseLostError, WriteOutcomeUnknownError
-from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
-from ebonyshore.marked_write import MarkedStore
+from ebonyshore.frame.clock import ManualClock
+from ebonyshore.frame.errors import LeaseLostError, WriteOutcomeUnknownError
+from ebonyshore.store.lease import DEFAULT_INTERVAL_MS, Lease
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,11 +3,13 @@
 import pytest
 from msgspec.structs import replace
 
-from ebonyshore.admission import Admission, UsageReporter
-from ebonyshore.caller_home import choose_homes, home_of
-from ebonyshore.errors import RefusedError
-from ebonyshore.limits import SHARE_EXPIRY_MS, CallerLimit, CallerLimits, fair_shares
-from ebonyshore.messages import (
+from ebonyshore.entry.admission import Admission, UsageReporter
+from ebonyshore.entry.caller_home import choose_homes, home_of
+from ebonyshore.entry.limits import SHARE_EXPIRY_MS, CallerLimit, CallerLimits, fair_shares
+from ebonyshore.entry.retry import MIN_BUDGET_RETRIES, RetryBudget, final_error
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import RESULT_INFO, Execution, ResultCode
+from ebonyshore.link.messages import (
     CallerShare,
     CallerShares,
     Dispatch,
@@ -16,8 +18,6 @@
     Refused,
     UsageDigest,
 )
-from ebonyshore.result_codes import RESULT_INFO, Execution, ResultCode
-from ebonyshore.retry import MIN_BUDGET_RETRIES, RetryBudget, final_error
 from ebonyshore_standins.scripted_agents import ScriptedAgent, answer_whole
 from tests.online_setup import OnlineSetup
 from tests.test_routing import view
--- a/tests/test_marked_write.py
+++ b/tests/test_marked_write.py
@@ -3,9 +3,13 @@
 import pytest
 from msgspec import Struct
 
-from ebonyshore.errors import StoreUnavailableError, WriteConflictError, WriteOutcomeUnknownError
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.platform_api import StoredObject
+from ebonyshore.frame.errors import (
+    StoreUnavailableError,
+    WriteConflictError,
+    WriteOutcomeUnknownError,
+)
+from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.platform_api import StoredObject
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -13,13 +13,13 @@
     rule,
 )
 
-from ebonyshore.errors import RefusedError, RequestError
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import Finished
-from ebonyshore.once import Claim, OnceRequest, OnceStore, Pending
-from ebonyshore.once_records import PART_BYTES, CompleteAnswer
-from ebonyshore.once_sweep import OnceSweeper
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.entry.once import Claim, OnceRequest, OnceStore, Pending
+from ebonyshore.entry.once_records import PART_BYTES, CompleteAnswer
+from ebonyshore.entry.once_sweep import OnceSweeper
+from ebonyshore.frame.errors import RefusedError, RequestError
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Finished
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.event_clock import EventClock
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 
--- a/tests/test_once_run.py
+++ b/tests/test_once_run.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from ebonyshore.errors import RefusedError
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import Dispatch, Finished
-from ebonyshore.once import OnceStore
-from ebonyshore.once_run import OnceService
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.entry.once import OnceStore
+from ebonyshore.entry.once_run import OnceService
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Dispatch, Finished
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from ebonyshore_standins.scripted_agents import TOKENS, ScriptedAgent, send_chunks
 from tests.online_setup import OnlineSetup, text_of
--- a/tests/test_online_faults.py
+++ b/tests/test_online_faults.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from ebonyshore.errors import RefusedError
-from ebonyshore.messages import Chunk, Dispatch, Failed, Finished, Refused
-from ebonyshore.openai_api import decode_event
-from ebonyshore.result_codes import Execution, ResultCode
+from ebonyshore.entry.openai_api import decode_event
+from ebonyshore.frame.errors import RefusedError
+from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.messages import Chunk, Dispatch, Failed, Finished, Refused
 from ebonyshore_standins.scripted_agents import (
     TOKENS,
     ScriptedAgent,
--- a/tests/test_openai_api.py
+++ b/tests/test_openai_api.py
@@ -3,10 +3,10 @@
 import pytest
 from msgspec.json import encode
 
-from ebonyshore.errors import RequestError
-from ebonyshore.openai_api import COMPLETIONS_PATH, check_generation, parse_generation
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_tree import SettingsTree
+from ebonyshore.entry.openai_api import COMPLETIONS_PATH, check_generation, parse_generation
+from ebonyshore.frame.errors import RequestError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_tree import SettingsTree
 
 TREE = SettingsTree(
     1, {"/": {"max_output_tokens": 50}, "/tiers/t": {}, "/tiers/t/models/reader": {}}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,13 +4,9 @@
 from hypothesis import settings as run_settings
 from hypothesis import strategies as st
 
-from ebonyshore.lease import DEFAULT_INTERVAL_MS, Lease
-from ebonyshore.link_messages import SendToAgent
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import Load, OrderResult
-from ebonyshore.placement import (
+from ebonyshore.entry.link_messages import SendToAgent
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.entry.placement import (
     ModelDemand,
     PlacedTarget,
     PlacementAction,
@@ -19,10 +15,14 @@
     PlacementState,
     decide_placement,
 )
-from ebonyshore.placement_service import PlacementService
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_service import SettingsService
-from ebonyshore.settings_store import SettingsHead
+from ebonyshore.entry.placement_service import PlacementService
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Load, OrderResult
+from ebonyshore.settings.settings_service import SettingsService
+from ebonyshore.settings.settings_store import SettingsHead
+from ebonyshore.store.lease import DEFAULT_INTERVAL_MS, Lease
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
 
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -7,10 +7,14 @@
 import pytest
 from waitress import create_server
 
-from ebonyshore.clock import SystemClock
-from ebonyshore.errors import StoreUnavailableError, WriteConflictError, WriteOutcomeUnknownError
-from ebonyshore.platform_api import Instance
-from ebonyshore.platform_http import PlatformHttp
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.errors import (
+    StoreUnavailableError,
+    WriteConflictError,
+    WriteOutcomeUnknownError,
+)
+from ebonyshore.store.platform_api import Instance
+from ebonyshore.store.platform_http import PlatformHttp
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from ebonyshore_standins.platform_server import PlatformApp
 
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -12,7 +12,7 @@
 from msgspec.json import decode, encode
 from openai import OpenAI
 
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore_standins.engine_model import expected_text
 from ebonyshore_standins.local_fleet import EntryProcess, LocalFleet, TargetProcess
 
--- a/tests/test_process_settings.py
+++ b/tests/test_process_settings.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ebonyshore.errors import SettingsError
-from ebonyshore.process_settings import load_settings
-from ebonyshore.settings_tree import SettingsTree, find_tree_faults
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.frame.process_settings import load_settings
+from ebonyshore.settings.settings_tree import SettingsTree, find_tree_faults
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 VALID = (EXAMPLES / "men-song" / "entry.toml").read_text(encoding="utf-8")
--- a/tests/test_result_codes.py
+++ b/tests/test_result_codes.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-from ebonyshore.result_codes import RESULT_INFO, ResultCode
+from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
 
 TABLE = Path(__file__).parent.parent / "docs" / "result_codes.md"
 ROW = re.compile(r"\| (\d+) \| `(\w+)` \| (.+?) \| (\d+) \| `(\w+)` \| (yes|no) \|")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,11 +3,11 @@
 import pytest
 from msgspec.structs import replace
 
-from ebonyshore.connection_plan import MAX_CONNECTIONS, ping_interval_ms, preferred
-from ebonyshore.link_messages import InstancesKnown
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import Load
-from ebonyshore.routing import Router, RouteRequest, candidates, load_of
+from ebonyshore.entry.connection_plan import MAX_CONNECTIONS, ping_interval_ms, preferred
+from ebonyshore.entry.link_messages import InstancesKnown
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.entry.routing import Router, RouteRequest, candidates, load_of
+from ebonyshore.link.messages import Load
 from ebonyshore_standins.scripted_agents import answer_whole
 from tests.online_setup import OnlineSetup
 from tools.simulate_routing import Simulation
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,8 +2,8 @@
 
 from msgspec.structs import replace
 
-from ebonyshore.scheduler import BatchRun, SchedulerState, Weighting, choose_victims, decide
-from ebonyshore.step_cost import StepCost
+from ebonyshore.agent.scheduler import BatchRun, SchedulerState, Weighting, choose_victims, decide
+from ebonyshore.agent.step_cost import StepCost
 
 IDLE = SchedulerState(
     online_running=0,
--- a/tests/test_settings_cli.py
+++ b/tests/test_settings_cli.py
@@ -11,12 +11,12 @@
 from msgspec import convert
 from msgspec.json import decode
 
-from ebonyshore.admin_client import AdminClient
-from ebonyshore.errors import EbonyshoreError
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_admin import RevisionReport, TargetRevision
-from ebonyshore.settings_cli import send_edit
-from ebonyshore.settings_store import SettingsEdit
+from ebonyshore.commands.admin_client import AdminClient
+from ebonyshore.commands.settings_cli import send_edit
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_admin import RevisionReport, TargetRevision
+from ebonyshore.settings.settings_store import SettingsEdit
 from ebonyshore_standins.local_fleet import OPERATOR_TOKEN, LocalFleet
 from ebonyshore_standins.memory_platform import PlatformFaults
 from tests.stepping_clock import SteppingClock
--- a/tests/test_settings_machine.py
+++ b/tests/test_settings_machine.py
@@ -6,13 +6,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from ebonyshore.errors import EbonyshoreError, WriteOutcomeUnknownError
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import SettingsSnapshot
-from ebonyshore.settings_history import find_history_faults, read_history, replay
-from ebonyshore.settings_service import PEER_WAIT_MS, SettingsService, SettingsWatcher
-from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsStore
+from ebonyshore.frame.errors import EbonyshoreError, WriteOutcomeUnknownError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.link.messages import SettingsSnapshot
+from ebonyshore.settings.settings_history import find_history_faults, read_history, replay
+from ebonyshore.settings.settings_service import PEER_WAIT_MS, SettingsService, SettingsWatcher
+from ebonyshore.settings.settings_store import HEAD_KEY, SettingsEdit, SettingsStore
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
 
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -4,27 +4,27 @@
 
 import pytest
 
-from ebonyshore.callers import ANONYMOUS_CALLER, caller_of_key
-from ebonyshore.clock import SystemClock
-from ebonyshore.errors import RequestError, SettingsError, StoreUnavailableError
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_service import (
+from ebonyshore.entry.callers import ANONYMOUS_CALLER, caller_of_key
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.errors import RequestError, SettingsError, StoreUnavailableError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_service import (
     PEER_WAIT_MS,
     REQUEST_TIMEOUT_MS,
     SettingsPuller,
     SettingsService,
     SettingsWatcher,
 )
-from ebonyshore.settings_store import (
+from ebonyshore.settings.settings_store import (
     HEAD_KEY,
     SettingsEdit,
     SettingsHead,
     SettingsStore,
     apply_change,
 )
-from ebonyshore.settings_tree import SettingsTree, find_tree_faults
+from ebonyshore.settings.settings_tree import SettingsTree, find_tree_faults
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
 
--- a/tests/test_settings_store.py
+++ b/tests/test_settings_store.py
@@ -3,18 +3,18 @@
 import pytest
 from msgspec.json import decode, encode
 
-from ebonyshore.audit import Auditor
-from ebonyshore.errors import (
+from ebonyshore.batch.audit import Auditor
+from ebonyshore.batch.job_store import JobStore
+from ebonyshore.frame.errors import (
     SettingsError,
     StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.job_store import JobStore
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_history import find_history_faults, read_history, replay
-from ebonyshore.settings_store import HEAD_KEY, SettingsEdit, SettingsStore, archive_key
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.settings.settings_history import find_history_faults, read_history, replay
+from ebonyshore.settings.settings_store import HEAD_KEY, SettingsEdit, SettingsStore, archive_key
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
 
--- a/tests/test_shard_work.py
+++ b/tests/test_shard_work.py
@@ -3,16 +3,16 @@
 import pytest
 from msgspec.json import decode, encode
 
-from ebonyshore.batch_items import ItemRules, PendingItem, sort_items
-from ebonyshore.errors import InvariantError
-from ebonyshore.jobs import ItemOutcome, JobRecord, JobState, ShardRecord
-from ebonyshore.marked_write import MarkedObject
-from ebonyshore.membership import TargetView
-from ebonyshore.messages import Execution, Failed, Finished, Load, Permit, Refused
-from ebonyshore.openai_api import check_generation, parse_generation
-from ebonyshore.result_codes import ResultCode
-from ebonyshore.settings_tree import SettingsTree
-from ebonyshore.shard_work import ShardWork, Step, WorkLimits
+from ebonyshore.batch.batch_items import ItemRules, PendingItem, sort_items
+from ebonyshore.batch.jobs import ItemOutcome, JobRecord, JobState, ShardRecord
+from ebonyshore.batch.shard_work import ShardWork, Step, WorkLimits
+from ebonyshore.entry.membership import TargetView
+from ebonyshore.entry.openai_api import check_generation, parse_generation
+from ebonyshore.frame.errors import InvariantError
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.link.messages import Execution, Failed, Finished, Load, Permit, Refused
+from ebonyshore.settings.settings_tree import SettingsTree
+from ebonyshore.store.marked_write import MarkedObject
 
 PATH = "/v1/completions"
 BODY = encode({"model": "writer", "prompt": "p", "max_tokens": 4})
--- a/tools/agent_bench.py
+++ b/tools/agent_bench.py
@@ -13,9 +13,9 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.agent_server import Broadcast, Outgoing
-from ebonyshore.messages import Chunk, Dispatch, Finished, Permit, WorkClass
-from ebonyshore.scheduler import Decision, SchedulerState, decide
+from ebonyshore.agent.agent_server import Broadcast, Outgoing
+from ebonyshore.agent.scheduler import Decision, SchedulerState, decide
+from ebonyshore.link.messages import Chunk, Dispatch, Finished, Permit, WorkClass
 from ebonyshore_standins.engine_model import CHARS_PER_TOKEN, EngineParameters
 from ebonyshore_standins.simulated_agent import ENTRY, Prompt, SimulatedAgent, Simulation
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,7 +8,7 @@
 from msgspec.json import encode
 from openai import OpenAI
 
-from ebonyshore.errors import EbonyshoreError
+from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore_standins.local_fleet import EntryProcess, LocalFleet
 
 MODELS = ("care-reader", "care-writer")
--- a/tools/measure_membership.py
+++ b/tools/measure_membership.py
@@ -7,9 +7,9 @@
 
 from msgspec.structs import replace
 
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import Load
-from ebonyshore.routing import Router, RouteRequest
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.entry.routing import Router, RouteRequest
+from ebonyshore.link.messages import Load
 
 ROUNDS = 2_000
 MODELS = 7
--- a/tools/measure_settings.py
+++ b/tools/measure_settings.py
@@ -15,14 +15,13 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.clock import SystemClock
-from ebonyshore.codec import MessageCodec
-from ebonyshore.logs import EventLog
-from ebonyshore.marked_write import MarkedStore
-from ebonyshore.messages import EntryMessage
-from ebonyshore.metrics import Metrics
-from ebonyshore.settings_service import SettingsService, SettingsWatcher
-from ebonyshore.settings_store import (
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.messages import EntryMessage
+from ebonyshore.settings.settings_service import SettingsService, SettingsWatcher
+from ebonyshore.settings.settings_store import (
     ARCHIVE_BLOCK,
     HEAD_KEY,
     KEPT_CHANGES,
@@ -32,6 +31,7 @@
     apply_change,
     encode_head,
 )
+from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform
 
 LEVELS = (50, 200, 700, 1_400)
--- a/tools/simulate_limits.py
+++ b/tools/simulate_limits.py
@@ -10,8 +10,8 @@
 from itertools import count
 from random import Random
 
-from ebonyshore.caller_home import DIGEST_INTERVAL_MS, CallerHome
-from ebonyshore.limits import CallerLimit, CallerLimits
+from ebonyshore.entry.caller_home import DIGEST_INTERVAL_MS, CallerHome
+from ebonyshore.entry.limits import CallerLimit, CallerLimits
 
 LIMIT = CallerLimit(100.0, 200)
 NETWORK_MS = 2.0
--- a/tools/simulate_routing.py
+++ b/tools/simulate_routing.py
@@ -10,9 +10,9 @@
 from random import Random
 from statistics import mean, quantiles
 
-from ebonyshore.membership import Membership, TargetView
-from ebonyshore.messages import Load
-from ebonyshore.routing import Router, RouteRequest, load_of
+from ebonyshore.entry.membership import Membership, TargetView
+from ebonyshore.entry.routing import Router, RouteRequest, load_of
+from ebonyshore.link.messages import Load
 
 MODEL = "m"
 REPORT_MS = 500.0
