--- a/ebonyshore/frame/errors.py
+++ b/ebonyshore/frame/errors.py
@@ -66,6 +66,10 @@
     """A read got no answer in time. A write raises :class:`WriteOutcomeUnknownError` instead."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer knows what changed since a revision; list again."""
+
+
 class WriteConflictError(StoreError):
     """The object's version is not the expected one."""
 
--- a/ebonyshore/frame/http_pool.py
+++ b/ebonyshore/frame/http_pool.py
@@ -2,11 +2,20 @@
 
 from http.client import HTTPConnection
 from select import POLLIN, poll
+from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, TCP_KEEPIDLE, TCP_KEEPINTVL
 from threading import Lock
 from urllib.parse import urlsplit
 
 from ebonyshore.frame.clock import MS_PER_S
 
+# A connection that has gone silent ends within a few seconds, also one that waits for an answer.
+KEEPALIVE_OPTIONS = (
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, 1),
+    (IPPROTO_TCP, TCP_KEEPINTVL, 1),
+    (IPPROTO_TCP, TCP_KEEPCNT, 2),
+)
+
 
 class HttpConnectionPool:
     """Keeps idle connections; safe to use from any thread.
@@ -25,10 +34,11 @@
         self._idle: list[HTTPConnection] = []
         self._lock = Lock()
 
-    def take(self, timeout_ms: float) -> HTTPConnection:
+    def take(self, timeout_ms: float, connect_timeout_ms: float | None = None) -> HTTPConnection:
         """Return an idle connection that the server has not closed, or a new, connected one.
 
         :param timeout_ms: time limit of each send and receive.
+        :param connect_timeout_ms: time limit of the connect; ``timeout_ms`` if omitted.
         :raises OSError: if the server cannot be reached.
         """
         timeout_s = max(timeout_ms, 1.0) / MS_PER_S
@@ -37,7 +47,9 @@
                 connection.sock.settimeout(timeout_s)
                 return connection
             connection.close()
-        return self.open(timeout_ms)
+        connection = self.open(connect_timeout_ms or timeout_ms)
+        connection.sock.settimeout(timeout_s)
+        return connection
 
     def open(self, timeout_ms: float) -> HTTPConnection:
         """Return a new, connected connection.
@@ -47,6 +59,8 @@
         timeout_s = max(timeout_ms, 1.0) / MS_PER_S
         connection = HTTPConnection(self._host, self._port, timeout=timeout_s)
         connection.connect()
+        for option in KEEPALIVE_OPTIONS:
+            connection.sock.setsockopt(*option)
         return connection
 
     def give_back(self, connection: HTTPConnection) -> None:
--- /dev/null
+++ b/ebonyshore/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to targets as they come: routes, targets, attempts, streams."""
--- /dev/null
+++ b/ebonyshore/gateway/answer_reader.py
@@ -0,0 +1,104 @@
+"""Reads the answer to one request from a connection, with bounds on its time and its silence."""
+
+from asyncio import get_running_loop, timeout
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.gateway.answers import OwnAnswer
+from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
+from ebonyshore.http.messages import ResponseHead
+
+
+def now_ms() -> float:
+    """Return the monotonic time of the event loop."""
+    return get_running_loop().time() * MS_PER_S
+
+
+class NotExecutedError(Exception):
+    """The target did not run the request and will not.
+
+    :param is_unreachable: whether it took no connection.
+    """
+
+    def __init__(self, detail: str, is_unreachable: bool = False) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.is_unreachable = is_unreachable
+
+
+class AttemptBrokenError(Exception):
+    """The target may have run the request, and no whole answer came.
+
+    :param is_silence: whether the target said nothing for longer than it should.
+    :param is_timeout: whether the request's own time was up.
+    :param answer: what to tell the caller if nothing else is tried.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        is_silence: bool = False,
+        is_timeout: bool = False,
+        answer: OwnAnswer | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.is_silence = is_silence
+        self.is_timeout = is_timeout
+        self.answer = answer
+
+
+class AnswerReader:
+    """Reads one answer.
+
+    :param request_id_name: header in which targets echo the id of the request.
+    :param request_id: of the request that was sent.
+    :param deadline_ms: monotonic time at which the request's time is up.
+    """
+
+    __slots__ = ("_connection", "_deadline_ms", "_request_id", "_request_id_name")
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        request_id_name: str,
+        request_id: str | None,
+        deadline_ms: float,
+    ) -> None:
+        self._connection = connection
+        self._request_id_name = request_id_name
+        self._request_id = request_id
+        self._deadline_ms = deadline_ms
+
+    async def own_head(self, patience_ms: float | None) -> ResponseHead:
+        """Return the head of the answer to this request; other answers are read and dropped.
+
+        :raises ExchangeError: if no such answer came.
+        """
+        while True:
+            head = await self.next_item(patience_ms)
+            if not isinstance(head, ResponseHead):
+                raise ExchangeError("answer without a head")
+            if head.headers.get(self._request_id_name) == self._request_id:
+                return head
+            if not head.has_end:
+                raise ExchangeError("answer to another request")
+            while not isinstance(await self.next_item(patience_ms), BodyEnd):
+                continue
+
+    async def next_item(self, patience_ms: float | None) -> ResponseHead | bytes | BodyEnd:
+        """Return the next part of the answer.
+
+        :param patience_ms: longest silence; ``None`` to wait until the request's time is up.
+        :raises AttemptBrokenError: if the time of the request or the patience is over.
+        """
+        began_ms = now_ms()
+        is_patience = patience_ms is not None and began_ms + patience_ms < self._deadline_ms
+        limit_ms = patience_ms if is_patience else self._deadline_ms - began_ms
+        try:
+            async with timeout(max(0.0, limit_ms) / MS_PER_S):
+                return await self._connection.next_item()
+        except TimeoutError as error:
+            detail = f"no part of the answer for {limit_ms:.0f} ms" if is_patience else "time is up"
+            raise AttemptBrokenError(
+                detail, is_silence=is_patience, is_timeout=not is_patience
+            ) from error
--- /dev/null
+++ b/ebonyshore/gateway/answers.py
@@ -0,0 +1,49 @@
+"""Answers that the system makes itself: refusals and failures."""
+
+from msgspec import Struct
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.http.headers import Headers
+
+
+class OwnAnswer(Struct, frozen=True):
+    """An answer of the system's own.
+
+    :param code: why, for the log and the body.
+    :param retry_after_ms: when the caller may come back; ``None`` if it should not.
+    """
+
+    status: int
+    code: ResultCode
+    retry_after_ms: float | None = None
+
+    def headers(self, request_id_name: str, request_id: str | None) -> Headers:
+        """Return the header fields."""
+        headers = Headers([("Content-Type", "application/json")])
+        if request_id is not None:
+            headers.add(request_id_name, request_id)
+        if self.retry_after_ms is not None:
+            headers.add("Retry-After", f"{self.retry_after_ms / MS_PER_S:.2f}")
+        return headers
+
+    def body(self) -> bytes:
+        """Return the JSON body."""
+        return b'{"code":%d,"error":"%b"}' % (self.code, self.code.name.lower().encode())
+
+
+def not_run(code: ResultCode, retry_after_ms: float | None) -> OwnAnswer:
+    """Return the refusal of a request that has not run and will not."""
+    return OwnAnswer(503, code, retry_after_ms)
+
+
+def may_have_run(code: ResultCode) -> OwnAnswer:
+    """Return the failure of a request that may have run."""
+    return OwnAnswer(502, code)
+
+
+def timed_out(was_sent: bool) -> OwnAnswer:
+    """Return the failure of a request whose time is up."""
+    if was_sent:
+        return OwnAnswer(504, ResultCode.DEADLINE_EXCEEDED)
+    return OwnAnswer(503, ResultCode.DEADLINE_EXCEEDED)
--- /dev/null
+++ b/ebonyshore/gateway/exchange.py
@@ -0,0 +1,204 @@
+"""One request at one target: sends it, relays the answer, and says how it ended."""
+
+from enum import Enum, auto
+
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.answer_reader import (
+    AnswerReader,
+    AttemptBrokenError,
+    NotExecutedError,
+    now_ms,
+)
+from ebonyshore.gateway.answers import may_have_run
+from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.gateway.routes import Route
+from ebonyshore.gateway.targets import Target
+from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request, ResponseHead
+from ebonyshore.http.server import Responder
+
+CONNECT_TIMEOUT_MS = 300.0
+FIRST_EVENT_PATIENCE_MS = 900.0  # then a repeatable request tries another target
+EVENT_PATIENCE_MS = 700.0
+MAX_IDLE_MS = 10_000.0
+# A kept connection may be closed by the target as the request is on its way, and whether the
+# request ran is then unknown; one that must not be repeated takes a connection used just before.
+MAX_IDLE_ONCE_MS = 150.0
+MAX_PLAIN_BODY_BYTES = 64 << 20
+REFUSAL_STATUSES = (408, 421, 429, 503)  # promise a caller that its request has not run
+EVENT_STREAM_TYPE = "text/event-stream"
+
+
+class ExchangeEnd(Enum):
+    """How an answer was passed on."""
+
+    PLAIN = auto()
+    STREAMED = auto()
+
+
+class RelayState:
+    """What the caller has of a streamed answer, over all attempts.
+
+    :param told_last_id: last event that the caller had before, as it said.
+    """
+
+    __slots__ = ("has_events", "splitter")
+
+    def __init__(self, told_last_id: str | None) -> None:
+        known = int(told_last_id) if told_last_id and told_last_id.isdigit() else None
+        self.splitter = EventSplitter(known)
+        self.has_events = False
+
+    @property
+    def last_id(self) -> int | None:
+        """The last event that the caller has."""
+        return self.splitter.last_id
+
+
+class Exchange:
+    """One attempt at one target.
+
+    :param relay: carried from attempt to attempt.
+    """
+
+    def __init__(
+        self,
+        names: WireNames,
+        pool: ConnectionPool,
+        target: Target,
+        request: Request,
+        relay: RelayState,
+    ) -> None:
+        self._names = names
+        self._pool = pool
+        self._target = target
+        self._request = request
+        self._relay = relay
+        self._request_id = request.headers.get(names.request_id)
+        self._deadline_ms = 0.0
+
+    async def run(
+        self, responder: Responder, remaining_ms: float, route: Route, has_retry: bool
+    ) -> ExchangeEnd:
+        """Relay the answer to the caller.
+
+        :param remaining_ms: time left for the whole request.
+        :param has_retry: whether another target may be tried if this one says nothing.
+        :raises NotExecutedError: if the target did not run the request.
+        :raises AttemptBrokenError: if it may have run and the answer is not whole.
+        """
+        self._deadline_ms = now_ms() + remaining_ms
+        max_idle_ms = MAX_IDLE_MS if route.is_repeatable else MAX_IDLE_ONCE_MS
+        address = self._target.entry.address
+        connection = await self._send(address, max_idle_ms)
+        is_whole = False
+        try:
+            reader = AnswerReader(
+                connection, self._names.request_id, self._request_id, self._deadline_ms
+            )
+            end = await self._relay_answer(reader, responder, has_retry)
+            is_whole = True
+            return end
+        except ExchangeError as error:
+            raise AttemptBrokenError(str(error)) from error
+        except StreamOrderError as error:
+            raise AttemptBrokenError(str(error)) from error
+        finally:
+            if is_whole:
+                self._pool.give_back(address, connection)
+            else:
+                connection.abort()
+
+    async def _send(self, address: str, max_idle_ms: float) -> ClientConnection:
+        try:
+            connection = await self._pool.take(address, CONNECT_TIMEOUT_MS, max_idle_ms)
+            connection.send(self._encode())
+        except ExchangeError as error:
+            raise NotExecutedError(str(error), is_unreachable=True) from error
+        return connection
+
+    def _encode(self) -> bytes:
+        names = self._names
+        request = self._request
+        dropped = [names.remaining_ms.lower(), names.expected_instance.lower(), "content-length"]
+        if self._relay.has_events:
+            dropped.append(names.last_event_id.lower())
+        headers = request.headers.end_to_end().without(dropped)
+        remaining_ms = max(1, int(self._deadline_ms - now_ms()))
+        headers.add(names.remaining_ms, str(remaining_ms))
+        headers.add(names.expected_instance, self._target.target_id)
+        if self._relay.has_events:
+            headers.add(names.last_event_id, str(self._relay.last_id))
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            headers.add("Content-Length", str(len(request.body)))
+        start = f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")
+        return start + headers.encode() + b"\r\n" + request.body
+
+    async def _relay_answer(
+        self, reader: AnswerReader, responder: Responder, has_retry: bool
+    ) -> ExchangeEnd:
+        patience_ms = FIRST_EVENT_PATIENCE_MS if has_retry else None
+        head = await reader.own_head(patience_ms)
+        self._target.note_answer()
+        if head.headers.get(self._names.not_executed) is not None or head.status == 421:
+            raise NotExecutedError(f"status {head.status}")
+        if EVENT_STREAM_TYPE in (head.headers.get("content-type") or "") and head.status == 200:
+            await self._relay_stream(reader, head, responder, has_retry)
+            return ExchangeEnd.STREAMED
+        await self._relay_plain(reader, head, responder, has_retry)
+        return ExchangeEnd.PLAIN
+
+    async def _relay_stream(
+        self,
+        reader: AnswerReader,
+        head: ResponseHead,
+        responder: Responder,
+        has_retry: bool,
+    ) -> None:
+        splitter = self._relay.splitter
+        splitter.restart()
+        patience_ms = FIRST_EVENT_PATIENCE_MS if has_retry else None
+        while not isinstance(item := await reader.next_item(patience_ms), BodyEnd):
+            events = splitter.feed(item)
+            if not events:
+                continue
+            if not responder.is_started:
+                responder.start_stream(head.status, _passed_on(head))
+            self._relay.has_events = True
+            responder.write(b"".join(event.raw for event in events))
+            patience_ms = EVENT_PATIENCE_MS if has_retry else None
+        if splitter.remainder:
+            raise ExchangeError("the stream ends in the middle of an event")
+        if not responder.is_started:
+            responder.start_stream(head.status, _passed_on(head))
+        responder.end_stream()
+
+    async def _relay_plain(
+        self,
+        reader: AnswerReader,
+        head: ResponseHead,
+        responder: Responder,
+        has_retry: bool,
+    ) -> None:
+        parts: list[bytes] = []
+        size = 0
+        while not isinstance(item := await reader.next_item(None), BodyEnd):
+            parts.append(item)
+            size += len(item)
+            if size > MAX_PLAIN_BODY_BYTES:
+                raise ExchangeError("the answer is too long")
+        if responder.is_started:
+            raise AttemptBrokenError(f"status {head.status} for the rest of a stream")
+        if head.status >= 500 and has_retry:
+            raise AttemptBrokenError(f"status {head.status}")
+        if head.status in REFUSAL_STATUSES:
+            # Not a refusal of the target's: it does not say that the request has not run.
+            answer = may_have_run(ResultCode.TARGET_ERROR)
+            raise AttemptBrokenError(f"status {head.status}", answer=answer)
+        responder.send(head.status, _passed_on(head), b"".join(parts))
+
+
+def _passed_on(head: ResponseHead) -> Headers:
+    return head.headers.end_to_end().without(("content-length",))
--- /dev/null
+++ b/ebonyshore/gateway/front.py
@@ -0,0 +1,165 @@
+"""What callers reach: finds each request's route and hands it on; answers readiness checks."""
+
+from asyncio import Task, create_task, sleep
+
+from ebonyshore.frame.async_kernel import AsyncService
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.answers import OwnAnswer, not_run
+from ebonyshore.gateway.config_service import ConfigService
+from ebonyshore.gateway.forwarder import Forwarder
+from ebonyshore.gateway.host_settings import ListenAddress
+from ebonyshore.gateway.job_calls import JobCalls
+from ebonyshore.gateway.routes import Route, RouteKind, RouteTable
+from ebonyshore.gateway.target_service import TargetService
+from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request
+from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+
+NOT_READY_RETRY_MS = 500.0
+# The balancer takes an entry out after two checks a second apart; until then callers still come.
+LISTEN_WHILE_DRAINING_MS = 3_200.0
+
+
+class Front(AsyncService):
+    """Serves the callers of an entry.
+
+    :param address: where callers connect.
+    """
+
+    name = "front"
+
+    def __init__(
+        self,
+        address: ListenAddress,
+        names: WireNames,
+        config: ConfigService,
+        forwarder: Forwarder,
+        jobs: JobCalls,
+        log: EventLog,
+    ) -> None:
+        self._address = address
+        self._names = names
+        self._config = config
+        self._forwarder = forwarder
+        self._jobs = jobs
+        self._log = log
+        self._server = HttpServer(self._serve, ServerLimits(), self._report_failure)
+        self._is_closed = False
+        self._closing: Task[None] | None = None
+        config.on_change.append(self._take_limits)
+
+    async def start(self) -> None:
+        await self._server.listen(self._address.host, self._address.port)
+
+    def begin_drain(self) -> None:
+        self._server.is_draining = True
+        self._closing = create_task(self._close_when_out())
+
+    def is_drained(self) -> bool:
+        return self._is_closed and self._server.busy_count() == 0
+
+    async def _close_when_out(self) -> None:
+        """Accept no more connections once the balancer has had time to take the entry out."""
+        await sleep(LISTEN_WHILE_DRAINING_MS / MS_PER_S)
+        self._server.stop_listening()
+        self._server.close_idle()
+        self._is_closed = True
+
+    async def stop(self) -> None:
+        self._server.stop_listening()
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def dump(self) -> dict[str, object]:
+        return {
+            "connections": len(self._server.connections),
+            "busy": self._server.busy_count(),
+            "config_version": self._config.version,
+        }
+
+    async def _serve(self, request: Request, responder: Responder) -> None:
+        table = self._config.table
+        if table is None:
+            self._answer(request, responder, not_run(ResultCode.NOT_READY, NOT_READY_RETRY_MS))
+            return
+        host = request.headers.get("host") or ""
+        if self._is_job_path(request) and table.has_host(host):
+            await self._jobs.forward(request, responder)
+            return
+        route = table.find(host, request.path)
+        if route is None:
+            self._log.event("request_without_route", host=host, config_version=self._config.version)
+            self._answer(request, responder, OwnAnswer(404, ResultCode.NOT_FOUND))
+            return
+        await self._serve_route(route, request, responder)
+
+    async def _serve_route(self, route: Route, request: Request, responder: Responder) -> None:
+        if route.kind is not RouteKind.BATCH:
+            await self._forwarder.forward(route, request, responder)
+        elif request.method == "POST":
+            await self._jobs.forward(request, responder, route)
+        else:
+            self._answer(request, responder, OwnAnswer(405, ResultCode.INVALID_REQUEST))
+
+    def _is_job_path(self, request: Request) -> bool:
+        path = request.path
+        return path.startswith((self._names.jobs_path, self._names.item_bodies_path))
+
+    def _answer(self, request: Request, responder: Responder, answer: OwnAnswer) -> None:
+        request_id = request.headers.get(self._names.request_id)
+        headers = answer.headers(self._names.request_id, request_id)
+        responder.send(answer.status, headers, answer.body())
+
+    def _take_limits(self, table: RouteTable) -> None:
+        self._server.limits = table.config.limits
+
+    def _report_failure(self, request: Request, error: Exception) -> None:
+        request_id = request.headers.get(self._names.request_id)
+        self._log.event("request_failed", request=request_id, error=repr(error))
+
+
+class Readiness(AsyncService):
+    """Tells the balancer whether the entry takes callers.
+
+    :param address: where the balancer asks.
+    """
+
+    name = "readiness"
+
+    def __init__(
+        self,
+        address: ListenAddress,
+        names: WireNames,
+        config: ConfigService,
+        targets: TargetService,
+    ) -> None:
+        self._address = address
+        self._names = names
+        self._config = config
+        self._targets = targets
+        self._is_draining = False
+        self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers are welcome."""
+        is_told = self._config.table is not None and self._targets.is_listed
+        return is_told and not self._is_draining
+
+    async def start(self) -> None:
+        await self._server.listen(self._address.host, self._address.port)
+
+    def begin_drain(self) -> None:
+        self._is_draining = True
+
+    async def stop(self) -> None:
+        self._server.stop_listening()
+
+    async def _serve(self, request: Request, responder: Responder) -> None:
+        if request.path != self._names.ready_path:
+            responder.send(404, Headers())
+            return
+        responder.send(200 if self.is_ready else 503, Headers())
--- /dev/null
+++ b/ebonyshore/gateway/host_environment.py
@@ -0,0 +1,77 @@
+"""What all parts of a process on a deployment share."""
+
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+from uuid import uuid4
+
+from eliot import add_destinations, remove_destination
+
+from ebonyshore.frame.clock import Clock, SystemClock
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.stdout_log import BoundedDestination, StdoutStream
+from ebonyshore.gateway.deployment import Deployment
+from ebonyshore.http.client import ConnectionPool
+from ebonyshore.link.peers import PeerRecord
+from ebonyshore.store.marked_write import MarkedStore
+
+STORE_THREADS = 8
+MAX_IDLE_CONNECTIONS = 16
+
+
+class HostEnvironment:
+    """Settings, clock, log, metrics, store and connections of one process.
+
+    :param deployment: the platform.
+    :param role: ``entry`` or ``runner``.
+    """
+
+    def __init__(self, deployment: Deployment, role: str) -> None:
+        self.deployment = deployment
+        self.role = role
+        self.settings = deployment.load_settings()
+        self.clock: Clock = SystemClock()
+        self.metrics = Metrics()
+        self.incarnation = uuid4().hex
+        self.log = EventLog(instance_id=self.settings.instance_id, role=role)
+        self.store = deployment.open_store(self.settings)
+        self.marked_store = MarkedStore(self.store, self.clock)
+        self.executor = ThreadPoolExecutor(STORE_THREADS, thread_name_prefix="store")
+        self.pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
+        self.random = Random()
+        self._destination = BoundedDestination(StdoutStream(sys.stdout.fileno()), self.clock)
+
+    def own_record(self) -> PeerRecord:
+        """Return where this process is reached."""
+        settings = self.settings
+        return PeerRecord(
+            settings.instance_id,
+            self.role,
+            settings.ip,
+            settings.first_internal_port,
+            settings.failure_domain,
+            self.incarnation,
+        )
+
+    def open_log(self) -> None:
+        """Begin to write the log."""
+        add_destinations(self._destination)
+
+    def reload(self) -> None:
+        """Read the settings file again and log what has changed; addresses stay as they are."""
+        try:
+            settings = self.deployment.load_settings()
+        except SettingsError as error:
+            self.log.event("reload_failed", error=str(error))
+            return
+        self.log.event("settings_reloaded", is_changed=settings != self.settings)
+        self.settings = settings
+
+    def close(self) -> None:
+        """End waiting calls, idle connections and the log."""
+        self.store.cancel_watches()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+        self.pool.close()
+        remove_destination(self._destination)
--- /dev/null
+++ b/ebonyshore/gateway/insight.py
@@ -0,0 +1,46 @@
+"""Serves a process's metrics and its state dump to operators."""
+
+from msgspec.json import encode
+
+from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request
+from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/dump"
+
+
+class Insight(AsyncService):
+    """A small HTTP server for operators.
+
+    :param host: own address.
+    :param kernel: whose services' state is dumped.
+    """
+
+    name = "insight"
+
+    def __init__(self, host: str, port: int, kernel: AsyncKernel, metrics: Metrics) -> None:
+        self._host = host
+        self._port = port
+        self._kernel = kernel
+        self._metrics = metrics
+        self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
+
+    async def start(self) -> None:
+        await self._server.listen(self._host, self._port)
+
+    async def stop(self) -> None:
+        self._server.stop_listening()
+
+    async def _serve(self, request: Request, responder: Responder) -> None:
+        if request.path == METRICS_PATH:
+            text = self._metrics.text().encode()
+            responder.send(200, Headers([("Content-Type", "text/plain")]), text)
+        elif request.path == DUMP_PATH:
+            body = encode(self._kernel.dump())
+            responder.send(200, Headers([("Content-Type", "application/json")]), body)
+        else:
+            responder.send(404, Headers())
--- /dev/null
+++ b/ebonyshore/gateway/job_calls.py
@@ -0,0 +1,218 @@
+"""Passes callers' calls about batch jobs on to the runners.
+
+Any runner can answer any call. The owner of a job answers reads from its memory, so it is asked
+first; a new job goes to the runner with the least to do.
+"""
+
+from asyncio import get_running_loop, timeout
+from collections import OrderedDict
+from random import Random
+from urllib.parse import parse_qs, quote, urlencode, urlsplit
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.answers import OwnAnswer, may_have_run, not_run
+from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.routes import Route
+from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request, ResponseHead
+from ebonyshore.http.server import Responder
+from ebonyshore.link.job_paths import OWNER_HEADER, ROUTE_HEADER, JobCall, JobCallKind
+from ebonyshore.link.peers import PeerDirectory, PeerRecord
+
+CONNECT_TIMEOUT_MS = 250.0
+CALL_TIMEOUT_MS = 1_200.0
+SUBMIT_TIMEOUT_MS = 2_500.0
+MAX_IDLE_MS = 4_000.0
+MAX_WAIT_MS = 1_000.0
+RETRY_AFTER_MS = 600.0
+KNOWN_OWNERS = 4_096
+
+
+class RunnerAnswer:
+    """A runner's answer to one call."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class JobCalls:
+    """Calls runners for an entry.
+
+    :param peers: knows their addresses.
+    :param view: tells which are alive and what they have to do.
+    """
+
+    def __init__(
+        self,
+        names: WireNames,
+        peers: PeerDirectory,
+        view: LoadView,
+        pool: ConnectionPool,
+        log: EventLog,
+        metrics: Metrics,
+        random: Random,
+    ) -> None:
+        self._names = names
+        self._peers = peers
+        self._view = view
+        self._pool = pool
+        self._log = log
+        self._metrics = metrics
+        self._random = random
+        self._owners: OrderedDict[str, str] = OrderedDict()
+
+    async def forward(
+        self, request: Request, responder: Responder, route: Route | None = None
+    ) -> None:
+        """Answer a call about a job; with ``route`` it submits one."""
+        call = self._decode(request, route)
+        if call is None:
+            answer = OwnAnswer(404, ResultCode.NOT_FOUND)
+            responder.send(answer.status, answer.headers("", None), answer.body())
+            return
+        own, runner = await self._ask_runners(call, request)
+        if runner is not None:
+            headers = Headers([("Content-Type", "application/json")])
+            for name in ("retry-after",):
+                if (value := runner.headers.get(name)) is not None:
+                    headers.add("Retry-After", value)
+            responder.send(runner.status, headers, runner.body)
+        else:
+            responder.send(own.status, own.headers("", None), own.body())
+
+    async def _ask_runners(
+        self, call: JobCall, request: Request
+    ) -> tuple[OwnAnswer, RunnerAnswer | None]:
+        """Ask one runner after the other until one answers for good."""
+        may_have_taken = False
+        last: RunnerAnswer | None = None
+        for runner in self._order(call):
+            try:
+                answer = await self._ask(runner, call, request)
+            except ExchangeError as error:
+                may_have_taken = may_have_taken or error.was_sent
+                self._metrics.count("runner_calls_failed")
+                self._log.event(
+                    "runner_call_failed",
+                    job=call.job_id,
+                    call=call.kind.value,
+                    runner=runner.instance_id,
+                    detail=str(error),
+                )
+                continue
+            self._note_owner(call.job_id, answer)
+            if answer.status < 500:
+                return not_run(ResultCode.NO_TARGET, None), answer
+            may_have_taken = may_have_taken or answer.status != 503
+            last = answer
+        if call.kind is JobCallKind.SUBMIT and may_have_taken:
+            return may_have_run(ResultCode.OUTCOME_UNKNOWN), None
+        return not_run(ResultCode.NO_TARGET, RETRY_AFTER_MS), last
+
+    def _order(self, call: JobCall) -> list[PeerRecord]:
+        """Return the runners to ask: the job's owner, then the live ones, then the others."""
+        alive = self._view.runners
+        runners = list(self._peers.of_role("runner").values())
+        owner = self._owners.get(call.job_id)
+        self._random.shuffle(runners)
+        return sorted(
+            runners,
+            key=lambda peer: (
+                peer.instance_id != owner,
+                peer.instance_id not in alive,
+                alive.get(peer.instance_id, 0) if call.kind is JobCallKind.SUBMIT else 0,
+            ),
+        )
+
+    async def _ask(self, runner: PeerRecord, call: JobCall, request: Request) -> RunnerAnswer:
+        address = f"{runner.host}:{runner.port}"
+        limit_ms = SUBMIT_TIMEOUT_MS if call.kind is JobCallKind.SUBMIT else CALL_TIMEOUT_MS
+        connection = await self._pool.take(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS)
+        is_whole = False
+        try:
+            connection.send(_encode(call, request))
+            async with timeout((limit_ms + call.wait_ms) / MS_PER_S):
+                head = await connection.next_item()
+                body = b""
+                while not isinstance(item := await connection.next_item(), BodyEnd):
+                    body += item
+            is_whole = True
+        except TimeoutError as error:
+            raise ExchangeError("the runner does not answer") from error
+        finally:
+            if is_whole:
+                self._pool.give_back(address, connection)
+            else:
+                connection.abort()
+        if not isinstance(head, ResponseHead):
+            raise ExchangeError("answer without a head")
+        return RunnerAnswer(head.status, head.headers, body)
+
+    def _note_owner(self, job_id: str, answer: RunnerAnswer) -> None:
+        owner = answer.headers.get(OWNER_HEADER)
+        if not owner:
+            return
+        self._owners[job_id] = owner
+        self._owners.move_to_end(job_id)
+        if len(self._owners) > KNOWN_OWNERS:
+            self._owners.popitem(last=False)
+
+    def _decode(self, request: Request, route: Route | None) -> JobCall | None:
+        names = self._names
+        if route is not None:
+            job_id = request.headers.get(names.request_id)
+            age_ms = get_running_loop().time() * MS_PER_S - request.received_ms
+            return (
+                JobCall(JobCallKind.SUBMIT, job_id, route=route.name, age_ms=age_ms)
+                if job_id
+                else None
+            )
+        parts = urlsplit(request.target)
+        query = parse_qs(parts.query)
+        if parts.path.startswith(names.item_bodies_path) and request.method == "GET":
+            job_id = parts.path.removeprefix(names.item_bodies_path)
+            item_id = query.get(names.item_id, [""])[0]
+            return JobCall(JobCallKind.ITEM_BODY, job_id, item_id=item_id)
+        job_id = parts.path.removeprefix(names.jobs_path)
+        if request.method == "DELETE":
+            return JobCall(JobCallKind.CANCEL, job_id)
+        if request.method != "GET":
+            return None
+        first = query.get(names.results_from, ["0"])[0]
+        wait_ms = _number(request.headers.get(names.wait_ms))
+        return JobCall(
+            JobCallKind.RESULTS,
+            job_id,
+            first=int(first) if first.isdigit() else 0,
+            wait_ms=min(wait_ms, MAX_WAIT_MS),
+        )
+
+
+def _encode(call: JobCall, request: Request) -> bytes:
+    query = urlencode(call.query())
+    path = f"/jobs/{quote(call.job_id, safe='')}?{query}"
+    body = request.body if call.kind is JobCallKind.SUBMIT else b""
+    headers = Headers(
+        [
+            ("Host", request.headers.get("host") or ""),
+            (ROUTE_HEADER, request.path),
+            ("Content-Length", str(len(body))),
+        ]
+    )
+    return f"{call.method} {path} HTTP/1.1\r\n".encode() + headers.encode() + b"\r\n" + body
+
+
+def _number(text: str | None) -> float:
+    try:
+        return max(0.0, float(text or 0))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/ebonyshore/gateway/load_view.py
@@ -0,0 +1,83 @@
+"""What an entry believes of the targets' load: its own requests and the last sums it heard."""
+
+from collections.abc import Callable, Iterable
+
+from ebonyshore.gateway.balance import TargetLoad
+from ebonyshore.gateway.targets import Target
+from ebonyshore.link.load_board import LoadTotals, TargetCounts
+
+TOTALS_LIFE_MS = 1_000.0
+OCCUPANCY_SHARE = 0.05  # of each new value in the running mean
+FIRST_OCCUPANCY_MS = 700.0
+NO_COUNTS = TargetCounts(0, 0)
+
+
+class LoadView:
+    """Joins own counts with the sums of all others.
+
+    :param failure_domain: that of the process.
+    :param on_change: called when an own count changes.
+    """
+
+    __slots__ = (
+        "_failure_domain",
+        "_on_change",
+        "_totals",
+        "_totals_ms",
+        "occupancy_ms",
+        "runners",
+    )
+
+    def __init__(self, failure_domain: str, on_change: Callable[[], None]) -> None:
+        self._failure_domain = failure_domain
+        self._on_change = on_change
+        self._totals: dict[str, TargetCounts] = {}
+        self._totals_ms = float("-inf")
+        self.occupancy_ms = FIRST_OCCUPANCY_MS
+        self.runners: dict[str, int] = {}
+
+    def note_totals(self, totals: LoadTotals, now_ms: float) -> None:
+        """Take the sums of all other processes."""
+        self._totals = totals.counts
+        self._totals_ms = now_ms
+        self.runners = totals.runners
+
+    def totals_age_ms(self, now_ms: float) -> float:
+        """Return how old the sums are."""
+        return now_ms - self._totals_ms
+
+    def begin(self, target: Target) -> None:
+        """Count an online request that goes to a target."""
+        target.own_online += 1
+        self._on_change()
+
+    def end(self, target: Target) -> None:
+        """Count the end of an online request at a target."""
+        target.own_online -= 1
+        self._on_change()
+
+    def note_occupancy(self, duration_ms: float) -> None:
+        """Take the time that one request held its place."""
+        self.occupancy_ms += OCCUPANCY_SHARE * (duration_ms - self.occupancy_ms)
+
+    def loads(self, targets: Iterable[Target], now_ms: float) -> list[TargetLoad]:
+        """Return the load of each target."""
+        is_fresh = self.totals_age_ms(now_ms) < TOTALS_LIFE_MS
+        totals = self._totals if is_fresh else {}
+        return [self._load(target, totals, now_ms) for target in targets]
+
+    def _load(self, target: Target, totals: dict[str, TargetCounts], now_ms: float) -> TargetLoad:
+        is_avoided = (
+            target.removed_ms is not None
+            or now_ms < target.avoid_until_ms
+            or now_ms < target.full_until_ms
+        )
+        others = totals.get(target.target_id, NO_COUNTS)
+        return TargetLoad(
+            target.target_id,
+            target.entry.capacity,
+            others.online + target.own_online,
+            others.batch + target.own_batch,
+            target.entry.failure_domain == self._failure_domain,
+            is_avoided,
+        )
--- /dev/null
+++ b/ebonyshore/gateway/target_service.py
@@ -0,0 +1,89 @@
+"""Keeps the target table in step with the platform's list of targets."""
+
+from asyncio import get_running_loop
+from collections.abc import Callable, Sequence
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.gateway.targets import Target, TargetEntry, TargetTable
+from ebonyshore.http.client import ConnectionPool
+from ebonyshore.store.kind_watch import KindListener
+from ebonyshore.store.platform_api import StoredObject
+
+EntryDecoder = Callable[[str, bytes], TargetEntry | None]
+
+
+class TargetService(KindListener):
+    """Hears the list of targets.
+
+    :param table: kept in step.
+    :param decode: returns the entry of an object; ``None`` if it names no usable target.
+    :param pool: loses its connections to targets that are gone.
+    """
+
+    def __init__(
+        self, table: TargetTable, decode: EntryDecoder, pool: ConnectionPool, log: EventLog
+    ) -> None:
+        self.table = table
+        self._decode = decode
+        self._pool = pool
+        self._log = log
+        self.is_listed = False
+
+    def on_listing(self, objects: Sequence[StoredObject]) -> None:
+        entries = [entry for found in objects if (entry := self._entry(found)) is not None]
+        self._forget(self.table.replace_all(entries, _now_ms()))
+        self.is_listed = True
+        self._log.event("targets_listed", targets=len(self.table))
+
+    def on_changes(self, objects: Sequence[StoredObject]) -> None:
+        for found in objects:
+            entry = self._entry(found) if found.value is not None else None
+            if entry is not None:
+                self._put(entry)
+                continue
+            target_id = _target_id(found)
+            self._log.event("target_removed", target=target_id, revision=found.version)
+            gone = self.table.remove(target_id, _now_ms())
+            self._forget([gone] if gone else [])
+
+    def on_disturbance(self) -> None:
+        self.table.note_disturbance(_now_ms())
+
+    def drop_expired(self) -> None:
+        """Forget targets whose entries did not come back; call several times a second."""
+        expired = self.table.drop_expired(_now_ms())
+        for target in expired:
+            self._log.event("target_expired", target=target.target_id)
+        self._forget(expired)
+
+    def _put(self, entry: TargetEntry) -> None:
+        known = self.table.find(entry.target_id)
+        is_news = known is None or known.entry != entry
+        self.table.put(entry)
+        if is_news:
+            self._log.event(
+                "target_changed",
+                target=entry.target_id,
+                address=entry.address,
+                is_leaving=entry.is_leaving,
+            )
+
+    def _entry(self, found: StoredObject) -> TargetEntry | None:
+        target_id = _target_id(found)
+        entry = self._decode(target_id, found.value or b"")
+        if entry is None:
+            self._log.event("target_entry_unusable", target=target_id, revision=found.version)
+        return entry
+
+    def _forget(self, targets: list[Target]) -> None:
+        for target in targets:
+            self._pool.forget(target.entry.address)
+
+
+def _target_id(found: StoredObject) -> str:
+    return found.key.split("/", 1)[1]
+
+
+def _now_ms() -> float:
+    return get_running_loop().time() * MS_PER_S
--- /dev/null
+++ b/ebonyshore/gateway/watch_service.py
@@ -0,0 +1,57 @@
+"""Runs the watches of a process, and what has to be done at regular times with what they find."""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+
+from ebonyshore.frame.async_kernel import AsyncService
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.gateway.target_service import TargetService
+from ebonyshore.link.peers import Registration
+from ebonyshore.store.kind_watch import KindWatch
+
+EXPIRY_INTERVAL_MS = 250.0
+
+
+class WatchService(AsyncService):
+    """Starts and stops watches and this process's registration."""
+
+    name = "watches"
+
+    def __init__(
+        self, watches: list[KindWatch], registration: Registration, targets: TargetService
+    ) -> None:
+        self._watches = watches
+        self._registration = registration
+        self._targets = targets
+        self._task: Task[None] | None = None
+
+    async def start(self) -> None:
+        loop = get_running_loop()
+        for watch in self._watches:
+            watch.start(loop)
+        self._registration.start()
+        self._task = create_task(self._expire())
+
+    async def stop(self) -> None:
+        self._registration.stop()
+        for watch in self._watches:
+            watch.stop()
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, object]:
+        return {
+            "targets": {
+                target.target_id: {
+                    "address": target.entry.address,
+                    "is_leaving": target.entry.is_leaving,
+                    "own_online": target.own_online,
+                    "own_batch": target.own_batch,
+                }
+                for target in self._targets.table.all().values()
+            }
+        }
+
+    async def _expire(self) -> None:
+        while True:
+            await sleep(EXPIRY_INTERVAL_MS / MS_PER_S)
+            self._targets.drop_expired()
--- /dev/null
+++ b/ebonyshore/http/client.py
@@ -0,0 +1,236 @@
+"""The client side of HTTP/1.1: one exchange at a time on each connection, and a pool of them.
+
+An answer belongs to a request only if it comes while that request waits for it; bytes that arrive
+on an idle connection, or after a complete answer, end the connection.
+"""
+
+from asyncio import AbstractEventLoop, Future, Protocol, Transport, get_running_loop, timeout
+from collections import deque
+
+from httptools import HttpParserError, HttpResponseParser
+from msgspec import Struct
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import ResponseHead
+
+BODILESS_STATUSES = (204, 304)
+IDLE_SHARE = 0.6  # of the idle time that the server announces; it may close a little sooner
+DEFAULT_IDLE_MS = 3_000.0
+
+
+class ExchangeError(ConnectionError):
+    """The answer did not come whole.
+
+    :param was_sent: whether a part of the request may have reached the server.
+    """
+
+    def __init__(self, detail: str, was_sent: bool = True) -> None:
+        super().__init__(detail)
+        self.was_sent = was_sent
+
+
+class BodyEnd(Struct, frozen=True):
+    """The answer is complete."""
+
+
+Item = ResponseHead | bytes | BodyEnd | ExchangeError
+
+
+class ClientConnection(Protocol):
+    """A connection to one server."""
+
+    def __init__(self) -> None:
+        self._loop: AbstractEventLoop = get_running_loop()
+        self._transport: Transport | None = None
+        self._parser = HttpResponseParser(self)
+        self._items: deque[Item] = deque()
+        self._waiter: Future[None] | None = None
+        self._fields: list[tuple[str, str]] = []
+        self._is_exchanging = False
+        self._has_head = False
+        self._has_framing = False
+        self._is_complete = False
+        self._keeps_alive = False
+        self.is_broken = False
+        self.idle_since_ms = 0.0
+        self.max_idle_ms = DEFAULT_IDLE_MS
+
+    def connection_made(self, transport: Transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if not self._is_exchanging:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError as error:
+            self._put(ExchangeError(f"not an HTTP answer: {error}"))
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_broken = True
+        self._transport = None
+        if not self._is_exchanging or self._is_complete:
+            return
+        if exc is None and self._has_head and not self._has_framing:
+            self._put(BodyEnd())
+            return
+        self._put(ExchangeError("connection reset" if exc is not None else "connection closed"))
+
+    def send(self, data: bytes) -> None:
+        """Send a request and begin to wait for its answer.
+
+        :raises ExchangeError: if the connection has ended; nothing was sent.
+        """
+        if self.is_broken or self._transport is None or self._transport.is_closing():
+            raise ExchangeError("connection ended while idle", was_sent=False)
+        self._items.clear()
+        self._is_exchanging = True
+        self._is_complete = False
+        self._has_head = False
+        self._transport.write(data)
+
+    async def next_item(self) -> ResponseHead | bytes | BodyEnd:
+        """Return the next part of the answer, and after its end the parts of the next answer.
+
+        :raises ExchangeError: if the answer ended early or is not HTTP.
+        """
+        while not self._items:
+            if self.is_broken:
+                raise ExchangeError("connection ended")
+            self._waiter = self._loop.create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        item = self._items.popleft()
+        if isinstance(item, ExchangeError):
+            raise item
+        return item
+
+    def finish(self, now_ms: float) -> bool:
+        """End an exchange whose answer was read to its end.
+
+        :return: whether the connection can be used again.
+        """
+        is_clean = self._is_complete and not self._items and not self.is_broken
+        self._is_exchanging = False
+        self.idle_since_ms = now_ms
+        if not (is_clean and self._has_framing and self._keeps_alive):
+            self.abort()
+            return False
+        return True
+
+    def abort(self) -> None:
+        """End the connection at once, so that the server stops its work."""
+        self.is_broken = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_usable(self, now_ms: float, max_idle_ms: float) -> bool:
+        """Return whether an idle connection may still be open at the server."""
+        if self.is_broken or self._transport is None or self._transport.is_closing():
+            return False
+        return now_ms - self.idle_since_ms < min(max_idle_ms, self.max_idle_ms)
+
+    # Called by the parser. An answer may be followed by one that nobody asked for.
+    def on_message_begin(self) -> None:
+        self._fields = []
+        self._has_head = False
+        self._is_complete = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        headers = Headers(self._fields)
+        self._has_head = True
+        self._has_framing = _has_framing(status, headers)
+        self._note_idle_time(headers)
+        self._put(ResponseHead(status, headers, self._has_framing))
+
+    def on_body(self, body: bytes) -> None:
+        self._put(body)
+
+    def on_message_complete(self) -> None:
+        self._is_complete = True
+        self._keeps_alive = self._parser.should_keep_alive()
+        self._put(BodyEnd())
+
+    def _note_idle_time(self, headers: Headers) -> None:
+        for part in (headers.get("keep-alive") or "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                self.max_idle_ms = int(value) * MS_PER_S * IDLE_SHARE
+
+    def _put(self, item: Item) -> None:
+        self._items.append(item)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _has_framing(status: int, headers: Headers) -> bool:
+    if status in BODILESS_STATUSES or headers.get("content-length") is not None:
+        return True
+    return "chunked" in (headers.get("transfer-encoding") or "").lower()
+
+
+class ConnectionPool:
+    """Keeps idle connections by address; for use on one event loop.
+
+    :param max_idle: most idle connections kept to one address.
+    """
+
+    __slots__ = ("_idle", "_max_idle", "opened_count")
+
+    def __init__(self, max_idle: int) -> None:
+        self._idle: dict[str, list[ClientConnection]] = {}
+        self._max_idle = max_idle
+        self.opened_count = 0
+
+    async def take(
+        self, address: str, connect_timeout_ms: float, max_idle_ms: float
+    ) -> ClientConnection:
+        """Return an idle connection to ``IP:PORT`` or a new one.
+
+        :param max_idle_ms: longest time that a connection may have been idle.
+        :raises ExchangeError: if the server cannot be reached; nothing was sent.
+        """
+        loop = get_running_loop()
+        now_ms = loop.time() * MS_PER_S
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable(now_ms, max_idle_ms):
+                return connection
+            connection.abort()
+        host, _, port = address.rpartition(":")
+        try:
+            async with timeout(connect_timeout_ms / MS_PER_S):
+                _, connection = await loop.create_connection(ClientConnection, host, int(port))
+        except (OSError, ValueError) as error:
+            raise ExchangeError(f"{address}: {error!r}", was_sent=False) from error
+        self.opened_count += 1
+        return connection
+
+    def give_back(self, address: str, connection: ClientConnection) -> None:
+        """Keep the connection if its exchange is complete, else end it."""
+        if not connection.finish(get_running_loop().time() * MS_PER_S):
+            return
+        idle = self._idle.setdefault(address, [])
+        if len(idle) >= self._max_idle:
+            idle.pop(0).abort()
+        idle.append(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, []):
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.forget(address)
--- /dev/null
+++ b/ebonyshore/http/server.py
@@ -0,0 +1,359 @@
+"""The server side of HTTP/1.1 connections: reads requests whole, writes answers as they come.
+
+Each connection runs one request at a time. When the client closes its connection, the task that
+serves its request is cancelled.
+"""
+
+from asyncio import (
+    AbstractEventLoop,
+    CancelledError,
+    Protocol,
+    Task,
+    TimerHandle,
+    Transport,
+    get_running_loop,
+)
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+from httptools import HttpParserError, HttpRequestParser
+from msgspec import Struct
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request, start_line
+
+MAX_PIPELINED_REQUESTS = 8
+MAX_UNSENT_BYTES = 1 << 20
+
+
+class ServerLimits(Struct):
+    """What a client may send, and how long it may take.
+
+    :param max_header_bytes: of one request's start line and headers.
+    :param max_body_bytes: of one request's body.
+    :param header_timeout_ms: from the first byte of a request to the end of its headers.
+    :param idle_timeout_ms: without a request.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class ClientGoneError(ConnectionError):
+    """The client's connection ended before its answer did."""
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    :param connection: the client's connection.
+    """
+
+    __slots__ = ("_connection", "_is_chunked", "is_ended", "is_started")
+
+    def __init__(self, connection: "ServerConnection") -> None:
+        self._connection = connection
+        self._is_chunked = False
+        self.is_started = False
+        self.is_ended = False
+
+    def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Write a whole answer."""
+        headers = headers.without(("content-length",))
+        headers.add("Content-Length", str(len(body)))
+        self._write_head(status, headers, body)
+        self._end()
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer whose body follows in parts."""
+        headers = headers.without(("content-length",))
+        headers.add("Transfer-Encoding", "chunked")
+        self._is_chunked = True
+        self._write_head(status, headers, b"")
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a streamed body.
+
+        :raises ClientGoneError: if the client takes nothing more.
+        """
+        if data:
+            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def end_stream(self) -> None:
+        """Write the end of a streamed body."""
+        self._connection.write(b"0\r\n\r\n")
+        self._end()
+
+    def abort(self) -> None:
+        """End the connection, so that the answer does not look complete."""
+        self._connection.abort()
+        self._end()
+
+    def _write_head(self, status: int, headers: Headers, body: bytes) -> None:
+        self.is_started = True
+        if self._connection.closes_after_answer:
+            headers.add("Connection", "close")
+        self._connection.write(start_line(status) + headers.encode() + b"\r\n" + body)
+
+    def _end(self) -> None:
+        self.is_ended = True
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+class ServerConnection(Protocol):
+    """One client's connection.
+
+    :param server: gives limits and handler, and keeps the set of open connections.
+    """
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._loop: AbstractEventLoop = get_running_loop()
+        self._transport: Transport | None = None
+        self._parser = HttpRequestParser(self)
+        self._task: Task[None] | None = None
+        self._waiting: deque[Request] = deque()
+        self._timer: TimerHandle | None = None
+        self._is_reading_request = False
+        self._is_closing = False
+        self._keeps_alive = True
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._url = b""
+        self._fields: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._began_ms = 0.0
+        self._refusal = 0
+
+    @property
+    def closes_after_answer(self) -> bool:
+        """Whether the answer has to announce the end of the connection."""
+        return not self._keeps_alive or self._server.is_draining
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or served."""
+        return self._task is not None or bool(self._waiting) or self._is_reading_request
+
+    def connection_made(self, transport: Transport) -> None:
+        self._transport = transport
+        self._server.connections.add(self)
+        self._set_timer(self._server.limits.idle_timeout_ms, self.close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        self._transport = None
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        if self._is_closing:
+            return
+        if not self._is_reading_request:
+            self._begin_request()
+        if self._header_bytes >= 0:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            self._refuse(self._refusal or 400)
+            return
+        if self._refusal or self._header_bytes > self._server.limits.max_header_bytes:
+            self._refuse(self._refusal or 431)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes.
+
+        :raises ClientGoneError: if the connection has ended or takes nothing more.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise ClientGoneError("the client has closed its connection")
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort()
+            raise ClientGoneError("the client does not read its answer")
+        transport.write(data)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """End the connection after what was written."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    # Called by the parser.
+    def on_message_begin(self) -> None:
+        if not self._is_reading_request:
+            self._begin_request()
+        self._url = b""
+        self._fields = []
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        limits = self._server.limits
+        if self._header_bytes > limits.max_header_bytes:
+            header_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._fields)
+            if header_bytes > limits.max_header_bytes:
+                self._refusal = 431
+        self._header_bytes = -1
+        self._set_timer(limits.idle_timeout_ms, self.close)
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.max_body_bytes:
+            self._refusal = 413
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._cancel_timer()
+        self._is_reading_request = False
+        if self._refusal:
+            return
+        self._keeps_alive = self._parser.should_keep_alive()
+        method = self._parser.get_method().decode("latin-1")
+        request = Request(
+            method,
+            self._url.decode("latin-1"),
+            Headers(self._fields),
+            b"".join(self._body),
+            self._began_ms,
+        )
+        self._waiting.append(request)
+        if len(self._waiting) > MAX_PIPELINED_REQUESTS:
+            self.abort()
+            return
+        self._serve_next()
+
+    def _begin_request(self) -> None:
+        self._is_reading_request = True
+        self._header_bytes = 0
+        self._began_ms = self._server.now_ms()
+        self._set_timer(self._server.limits.header_timeout_ms, self._refuse_slow_headers)
+
+    def _serve_next(self) -> None:
+        if self._task is None and self._waiting and not self._is_closing:
+            self._task = self._loop.create_task(self._serve(self._waiting.popleft()))
+
+    async def _serve(self, request: Request) -> None:
+        responder = Responder(self)
+        try:
+            await self._server.handler(request, responder)
+        except ClientGoneError:
+            self.abort()
+        except CancelledError:
+            self.abort()
+            raise
+        except Exception as error:  # noqa: BLE001 - one request must not end the process
+            self._server.report_failure(request, error)
+            self.abort()
+        finally:
+            self._task = None
+            if not responder.is_ended:
+                self.abort()
+        self._finish()
+
+    def _finish(self) -> None:
+        if self._is_closing or self._transport is None:
+            return
+        if self.closes_after_answer:
+            self.close()
+            return
+        if self._waiting:
+            self._serve_next()
+        elif not self._is_reading_request:
+            self._set_timer(self._server.limits.idle_timeout_ms, self.close)
+
+    def _refuse_slow_headers(self) -> None:
+        self._refuse(408)
+
+    def _refuse(self, status: int) -> None:
+        if self._is_closing or self._task is not None:
+            self.abort()
+            return
+        self._is_closing = True
+        if self._transport is not None:
+            headers = Headers([("Content-Length", "0"), ("Connection", "close")])
+            self._transport.write(start_line(status) + headers.encode() + b"\r\n")
+            self._transport.close()
+
+    def _set_timer(self, delay_ms: float, action: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = self._loop.call_later(delay_ms / MS_PER_S, action)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class HttpServer:
+    """Listens on one address.
+
+    :param handler: serves one request; it is cancelled when the client leaves.
+    :param limits: read anew for each request, so that they may change.
+    :param report_failure: told of a handler that raised.
+    """
+
+    BACKLOG = 512
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        report_failure: Callable[[Request, Exception], None],
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.report_failure = report_failure
+        self.connections: set[ServerConnection] = set()
+        self.is_draining = False
+        self._server = None
+
+    def now_ms(self) -> float:
+        """Return the monotonic time of the event loop."""
+        return get_running_loop().time() * MS_PER_S
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to accept connections."""
+        self._server = await get_running_loop().create_server(
+            lambda: ServerConnection(self), host, port, backlog=self.BACKLOG, reuse_address=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    def busy_count(self) -> int:
+        """Return the number of connections with a request being read or served."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/ebonyshore/link/load_board.py
@@ -0,0 +1,112 @@
+"""What every process has at each target, and the sums that follow. Pure.
+
+Each process reports its own counts. Runners hear all reports; one of them sends each entry the sums
+of the others, so that the number of messages grows with the number of processes, not its square.
+"""
+
+from msgspec import Struct
+
+REPORT_LIFE_MS = 1_000.0
+
+
+class TargetCounts(Struct, frozen=True, array_like=True):
+    """Requests of one or more processes at one target."""
+
+    online: int
+    batch: int
+
+    def plus(self, other: "TargetCounts") -> "TargetCounts":
+        """Return the sum."""
+        return TargetCounts(self.online + other.online, self.batch + other.batch)
+
+
+class LoadReport(Struct, frozen=True, tag="report", array_like=True):
+    """One process's own counts; replaces its report before.
+
+    :param incarnation: run of the process.
+    :param sequence: grows with each report of the run.
+    :param role: ``entry`` or ``runner``.
+    :param counts: by target id; targets without a request are left out.
+    :param open_items: batch items that the process has still to finish.
+    :param is_store_reachable: whether its last call to the store was answered.
+    """
+
+    sender: str
+    incarnation: str
+    sequence: int
+    role: str
+    counts: dict[str, TargetCounts]
+    open_items: int = 0
+    is_store_reachable: bool = True
+
+
+class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
+    """The sums of all processes but the receiver.
+
+    :param runners: open items of each live runner, by instance id.
+    """
+
+    sender: str
+    incarnation: str
+    sequence: int
+    counts: dict[str, TargetCounts]
+    runners: dict[str, int]
+
+
+LoadMessage = LoadReport | LoadTotals
+
+
+class LoadBoard:
+    """Holds the latest report of each process.
+
+    :param own_id: instance id of this process; its own reports are not heard.
+    """
+
+    __slots__ = ("_heard_ms", "_own_id", "_reports")
+
+    def __init__(self, own_id: str) -> None:
+        self._own_id = own_id
+        self._reports: dict[str, LoadReport] = {}
+        self._heard_ms: dict[str, float] = {}
+
+    def note(self, report: LoadReport, now_ms: float) -> bool:
+        """Take a report; return whether it was new. Datagrams may come twice or out of order."""
+        if report.sender == self._own_id:
+            return False
+        known = self._reports.get(report.sender)
+        is_old = known is not None and known.incarnation == report.incarnation
+        if is_old and known.sequence >= report.sequence:
+            return False
+        self._reports[report.sender] = report
+        self._heard_ms[report.sender] = now_ms
+        return True
+
+    def drop_expired(self, now_ms: float) -> None:
+        """Forget processes that were not heard for :data:`REPORT_LIFE_MS`."""
+        expired = [key for key, at_ms in self._heard_ms.items() if now_ms - at_ms > REPORT_LIFE_MS]
+        for sender in expired:
+            del self._reports[sender]
+            del self._heard_ms[sender]
+
+    def heard_ms(self, sender: str) -> float:
+        """Return when a process was last heard; minus infinity if it is not known."""
+        return self._heard_ms.get(sender, float("-inf"))
+
+    def runners(self) -> dict[str, LoadReport]:
+        """Return the reports of the live runners, without this process's own."""
+        return {key: report for key, report in self._reports.items() if report.role == "runner"}
+
+    def totals(self, without: str = "") -> dict[str, TargetCounts]:
+        """Return the sums by target over the heard processes, except one."""
+        sums: dict[str, TargetCounts] = {}
+        for sender, report in self._reports.items():
+            if sender != without:
+                add_counts(sums, report.counts)
+        return sums
+
+
+def add_counts(sums: dict[str, TargetCounts], counts: dict[str, TargetCounts]) -> None:
+    """Add ``counts`` to ``sums``."""
+    for target_id, count in counts.items():
+        known = sums.get(target_id)
+        sums[target_id] = count if known is None else known.plus(count)
--- /dev/null
+++ b/ebonyshore/platform/config_object.py
@@ -0,0 +1,120 @@
+"""Decodes the operator's configuration into routes, services and limits."""
+
+from typing import Any
+
+from msgspec import Struct, ValidationError, field
+from msgspec.json import decode
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.gateway.routes import Route, RouteKind, ServiceConfig, ServiceShare, ServiceSpec
+from ebonyshore.http.server import ServerLimits
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+    "batch": RouteKind.BATCH,
+}
+
+
+class _Share(Struct):
+    service: str = field(name="Service")
+    weight: float = field(default=1.0, name="Weight")
+
+
+class _Route(Struct):
+    host: str = field(name="Hostname")
+    prefix: str = field(name="PathPrefix")
+    name: str = field(default="", name="Name")
+    # Not only the shape of the answer: it decides what may be repeated.
+    kind: str = field(default="non_idempotent", name="Type")
+    service: str | None = field(default=None, name="Service")
+    split: list[_Share] | None = field(default=None, name="TrafficSplit")
+    timeout_ms: float = field(default=30_000.0, name="TimeoutMs")
+    target_latency_ms: float = field(default=1_000.0, name="TargetLatencyMs")
+    gap_target_ms: float = field(default=0.0, name="GapTargetMs")
+    priority: int = field(default=0, name="Priority")
+    max_attempts: int = field(default=1, name="MaxAttempts")
+    is_resumable: bool = field(default=False, name="Resumable")
+    completion_target_ms: float = field(default=0.0, name="CompletionTargetMs")
+    retention_s: float = field(default=60.0, name="RetentionS")
+
+
+class _Engine(Struct):
+    # Requests that a target runs at once; its connections are MaxConnections.
+    capacity: int = field(default=0, name="Capacity")
+
+
+class _Service(Struct):
+    name: str = field(name="Name")
+    max_connections: int = field(default=100, name="MaxConnections")
+    engine: _Engine | None = field(default=None, name="Engine")
+
+
+class _Limits(Struct):
+    header_bytes: int = field(default=16_384, name="MaxHeaderBytes")
+    body_bytes: int = field(default=4_194_304, name="MaxBodyBytes")
+    header_timeout_ms: int = field(default=3_000, name="HeaderTimeoutMs")
+    idle_timeout_ms: int = field(default=15_000, name="IdleTimeoutMs")
+
+
+class _Config(Struct):
+    version: int = field(name="Version")
+    routes: list[_Route] = field(name="Routes")
+    services: list[_Service] = field(default_factory=list, name="Services")
+    limits: _Limits = field(default_factory=_Limits, name="Limits")
+
+
+def decode_config(value: bytes) -> ServiceConfig:
+    """Return the configuration that an object holds.
+
+    :raises ValueError: if it is not one.
+    """
+    try:
+        document = decode(value, type=_Config, strict=False)
+    except ValidationError as error:
+        raise ValueError(f"configuration: {error}") from error
+    limits = document.limits
+    return ServiceConfig(
+        document.version,
+        tuple(_route(route) for route in document.routes),
+        {service.name: _service(service) for service in document.services},
+        ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = [ServiceShare(share.service, share.weight) for share in route.split or ()]
+    if not shares and route.service:
+        shares = [ServiceShare(route.service, 1.0)]
+    values: dict[str, Any] = {
+        name: getattr(route, name)
+        for name in (
+            "timeout_ms",
+            "target_latency_ms",
+            "gap_target_ms",
+            "priority",
+            "max_attempts",
+            "is_resumable",
+            "completion_target_ms",
+        )
+    }
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.prefix,
+        kind=_KINDS.get(route.kind, RouteKind.NON_IDEMPOTENT),
+        shares=tuple(shares),
+        retention_ms=route.retention_s * MS_PER_S,
+        **values,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    capacity = service.engine.capacity if service.engine else 0
+    return ServiceSpec(service.name, service.max_connections, capacity)
--- /dev/null
+++ b/ebonyshore/platform/deployment.py
@@ -0,0 +1,46 @@
+"""The platform as the product's :class:`Deployment`."""
+
+from ebonyshore.gateway.deployment import Deployment
+from ebonyshore.gateway.host_settings import HostSettings
+from ebonyshore.gateway.routes import ServiceConfig
+from ebonyshore.gateway.targets import TargetEntry
+from ebonyshore.platform.config_object import decode_config
+from ebonyshore.platform.host_file import load_host_settings, settings_path
+from ebonyshore.platform.job_bodies import decode_submission, encode_results, encode_retirement
+from ebonyshore.platform.names import CONFIG_KEY, RETIREMENTS_KIND, TARGETS_KIND, WIRE
+from ebonyshore.platform.object_store import PlatformObjectStore
+from ebonyshore.platform.target_entries import decode_target_entry
+from ebonyshore.runner.job_types import JobSubmission, ResultPage
+from ebonyshore.store.http_calls import HttpCaller
+
+STORE_TIMEOUT_MS = 1_500.0
+
+
+class PlatformDeployment(Deployment):
+    """Reads and writes what the platform's pages describe."""
+
+    names = WIRE
+    config_key = CONFIG_KEY
+    targets_kind = TARGETS_KIND
+    retirements_kind = RETIREMENTS_KIND
+
+    def load_settings(self) -> HostSettings:
+        return load_host_settings(settings_path())
+
+    def open_store(self, settings: HostSettings) -> PlatformObjectStore:
+        return PlatformObjectStore(HttpCaller(settings.store_url, STORE_TIMEOUT_MS))
+
+    def decode_config(self, value: bytes) -> ServiceConfig:
+        return decode_config(value)
+
+    def decode_target(self, target_id: str, value: bytes) -> TargetEntry | None:
+        return decode_target_entry(target_id, value)
+
+    def decode_submission(self, body: bytes) -> JobSubmission:
+        return decode_submission(body)
+
+    def encode_results(self, page: ResultPage) -> bytes:
+        return encode_results(page)
+
+    def encode_retirement(self, is_complete: bool) -> bytes:
+        return encode_retirement(is_complete)
--- /dev/null
+++ b/ebonyshore/platform/host_file.py
@@ -0,0 +1,93 @@
+"""Decodes the settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from pathlib import Path
+
+from msgspec import Struct, ValidationError, convert, field
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.errors import SettingsError
+from ebonyshore.gateway.host_settings import HostSettings, ListenAddress
+
+SETTINGS_VARIABLE = "EBONYSHORE_CONFIG"
+
+
+class _Listen(Struct):
+    front: str | None = field(default=None, name="Front")
+    ready: str | None = field(default=None, name="Ready")
+
+
+class _Bounds(Struct):
+    grace_s: float = field(default=8.0, name="GraceS")
+    status_s: float = field(default=120.0, name="StatusS")
+    drain_ms: float = field(default=2_000.0, name="DrainMs")
+
+
+class _Store(Struct):
+    address: str = field(name="Address")
+    value_bytes: int = field(default=1_048_576, name="ValueBytes")
+
+
+class _HostFile(Struct):
+    node_name: str = field(name="NodeName")
+    ip: str = field(name="Ip")
+    zone: str = field(name="Zone")
+    region: str = field(name="Region")
+    internal_ports: tuple[int, int] = field(name="InternalPorts")
+    store: _Store = field(name="Platform")
+    listen: _Listen = field(default_factory=_Listen, name="Listen")
+    bounds: _Bounds = field(default_factory=_Bounds, name="Bounds")
+    heartbeat_ms: float = field(default=1_200.0, name="HeartbeatMs")
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file.
+
+    :raises SettingsError: if the environment does not name it.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    return Path(path)
+
+
+def load_host_settings(path: Path) -> HostSettings:
+    """Read and check the settings file; unknown fields are ignored.
+
+    :raises SettingsError: if it cannot be read or a field is missing or of another type.
+    """
+    try:
+        document = convert(tomllib.loads(path.read_text(encoding="utf-8")), _HostFile, strict=False)
+        return _to_settings(document)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, ValidationError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def _to_settings(document: _HostFile) -> HostSettings:
+    first_port, last_port = document.internal_ports
+    return HostSettings(
+        instance_id=document.node_name,
+        failure_domain=document.zone,
+        region=document.region,
+        ip=document.ip,
+        front=_address(document.listen.front),
+        ready=_address(document.listen.ready),
+        first_internal_port=first_port,
+        last_internal_port=last_port,
+        store_url=f"http://{document.store.address}",
+        target_heartbeat_ms=document.heartbeat_ms,
+        max_value_bytes=document.store.value_bytes,
+        grace_ms=document.bounds.grace_s * MS_PER_S,
+        result_retention_ms=document.bounds.status_s * MS_PER_S,
+        drain_ms=document.bounds.drain_ms,
+    )
+
+
+def _address(text: str | None) -> ListenAddress | None:
+    if not text:
+        return None
+    host, _, port = text.rpartition(":")
+    return ListenAddress(host, int(port))
--- /dev/null
+++ b/ebonyshore/platform/names.py
@@ -0,0 +1,26 @@
+"""Names of headers, paths and object kinds on the platform."""
+
+from ebonyshore.gateway.wire_names import WireNames
+
+WIRE = WireNames(
+    request_id="Attempt-Id",
+    remaining_ms="Deadline-Ms",
+    expected_instance="Expect-Instance",
+    not_executed="Not-Executed",
+    last_event_id="Last-Event-Id",
+    signature="Server-Signature",
+    wait_ms="Wait-Ms",
+    ready_path="/ebonyshore/readyz",
+    jobs_path="/ebonyshore/lots/",
+    item_bodies_path="/ebonyshore/items/",
+    results_from="After",
+    item_id="Id",
+)
+
+OBJECTS_PATH = "/ebonyshore/objects/"
+CONFIG_KEY = "config/main"
+CONFIG_KIND = "config"
+TARGETS_KIND = "servers"
+RETIREMENTS_KIND = "retirements"
+STATE_RUNNING = "running"
+STATE_COMPLETE = "complete"
--- /dev/null
+++ b/ebonyshore/runner/item_run.py
@@ -0,0 +1,133 @@
+"""Runs one item at one target and collects its events."""
+
+from asyncio import get_running_loop
+from enum import Enum, auto
+
+from msgspec import Struct
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.gateway.answer_reader import AnswerReader, AttemptBrokenError
+from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.gateway.targets import Target
+from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.headers import Headers
+from ebonyshore.runner.job_book import Item
+from ebonyshore.runner.job_types import ItemRecord
+
+CONNECT_TIMEOUT_MS = 300.0
+FIRST_EVENT_PATIENCE_MS = 3_000.0
+EVENT_PATIENCE_MS = 1_200.0
+RUN_TIMEOUT_MS = 30_000.0
+MAX_IDLE_MS = 10_000.0
+
+
+class RunEnd(Enum):
+    """How a run ended."""
+
+    COMPLETE = auto()
+    REJECTED = auto()  # the item can never be done
+    FAILED = auto()  # the target ran it and says that it failed
+    NOT_RUN = auto()
+    UNREACHABLE = auto()
+    SILENT = auto()
+    BROKEN = auto()
+
+
+class RunResult(Struct, frozen=True):
+    """The end of a run, with its reason for the log."""
+
+    end: RunEnd
+    detail: str = ""
+
+
+class ItemRun:
+    """One run of an item. What it has read stays with the item, and the next run goes on there.
+
+    :param host: of the job's route.
+    """
+
+    def __init__(
+        self,
+        names: WireNames,
+        pool: ConnectionPool,
+        item: Item,
+        record: ItemRecord,
+        body: bytes,
+        host: str,
+    ) -> None:
+        self._names = names
+        self._pool = pool
+        self._item = item
+        self._record = record
+        self._body = body
+        self._host = host
+
+    async def run(self, target: Target) -> RunResult:
+        """Run the item until its end; cancel the task to stop it at once."""
+        address = target.entry.address
+        try:
+            connection = await self._pool.take(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS)
+            connection.send(self._encode(target))
+        except ExchangeError as error:
+            return RunResult(RunEnd.UNREACHABLE, str(error))
+        is_whole = False
+        deadline_ms = get_running_loop().time() * MS_PER_S + RUN_TIMEOUT_MS
+        reader = AnswerReader(connection, self._names.request_id, self._item.item_id, deadline_ms)
+        try:
+            result = await self._read(reader)
+            is_whole = True
+            return result
+        except AttemptBrokenError as error:
+            return RunResult(RunEnd.SILENT, error.detail)
+        except (ExchangeError, StreamOrderError) as error:
+            return RunResult(RunEnd.BROKEN, str(error))
+        finally:
+            if is_whole:
+                self._pool.give_back(address, connection)
+            else:
+                connection.abort()
+
+    def _encode(self, target: Target) -> bytes:
+        names = self._names
+        headers = Headers([("Host", self._host), (names.request_id, self._item.item_id)])
+        own = {"host", names.request_id.lower(), "content-length", "connection"}
+        for name, value in self._record.headers:
+            if name.lower() not in own:
+                headers.add(name, value)
+        headers.add(names.remaining_ms, str(int(RUN_TIMEOUT_MS)))
+        headers.add(names.expected_instance, target.target_id)
+        if self._item.last_event_id is not None:
+            headers = headers.replaced(names.last_event_id, str(self._item.last_event_id))
+        headers.add("Content-Length", str(len(self._body)))
+        start = f"POST {self._record.path} HTTP/1.1\r\n".encode("latin-1")
+        return start + headers.encode() + b"\r\n" + self._body
+
+    async def _read(self, reader: AnswerReader) -> RunResult:
+        head = await reader.own_head(FIRST_EVENT_PATIENCE_MS)
+        if head.headers.get(self._names.not_executed) is not None or head.status == 421:
+            await self._skip_body(reader)
+            return RunResult(RunEnd.NOT_RUN, f"status {head.status}")
+        if head.status == 200:
+            return await self._collect(reader)
+        await self._skip_body(reader)
+        if head.status == 422:
+            return RunResult(RunEnd.REJECTED, "status 422")
+        return RunResult(RunEnd.FAILED, f"status {head.status}")
+
+    async def _collect(self, reader: AnswerReader) -> RunResult:
+        item = self._item
+        splitter = EventSplitter(item.last_event_id)
+        patience_ms = FIRST_EVENT_PATIENCE_MS
+        while not isinstance(part := await reader.next_item(patience_ms), BodyEnd):
+            for event in splitter.feed(part):
+                item.data.append(event.data)
+                item.last_event_id = event.event_id
+                patience_ms = EVENT_PATIENCE_MS
+        if splitter.remainder:
+            return RunResult(RunEnd.BROKEN, "the stream ends in the middle of an event")
+        return RunResult(RunEnd.COMPLETE)
+
+    async def _skip_body(self, reader: AnswerReader) -> None:
+        while not isinstance(await reader.next_item(EVENT_PATIENCE_MS), BodyEnd):
+            continue
--- /dev/null
+++ b/ebonyshore/runner/item_runs.py
@@ -0,0 +1,269 @@
+"""Starts and stops items at the targets whose batch places this runner has."""
+
+from asyncio import CancelledError, Task, create_task, get_running_loop
+from random import Random
+
+from msgspec import Struct
+
+from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.gateway.config_service import ConfigService
+from ebonyshore.gateway.routes import Route, RouteKind
+from ebonyshore.gateway.targets import Target, TargetTable
+from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.http.client import ConnectionPool
+from ebonyshore.link.load_board import LoadBoard, TargetCounts
+from ebonyshore.runner.item_plan import TargetRoom, make_plan, owner_of
+from ebonyshore.runner.item_run import ItemRun, RunEnd, RunResult
+from ebonyshore.runner.job_book import Item, ItemState, JobBook
+from ebonyshore.runner.job_shelf import JobShelf
+
+NO_COUNTS = TargetCounts(0, 0)
+NOT_RUN_PAUSE_MS = 80.0
+FAILURE_PAUSE_MS = 200.0
+MAX_PAUSE_MS = 3_000.0
+ROUTE_GRACE_MS = 5_000.0  # this process may hear of a new route later than the entry did
+
+
+class Running(Struct):
+    """An item that runs."""
+
+    book: JobBook
+    item: Item
+    target: Target
+    task: Task[None]
+
+
+class ItemRuns:
+    """Runs the items of owned jobs.
+
+    :param board: what other processes have at the targets.
+    """
+
+    def __init__(
+        self,
+        names: WireNames,
+        shelf: JobShelf,
+        config: ConfigService,
+        targets: TargetTable,
+        board: LoadBoard,
+        pool: ConnectionPool,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        random: Random,
+    ) -> None:
+        self._names = names
+        self._shelf = shelf
+        self._config = config
+        self._targets = targets
+        self._board = board
+        self._pool = pool
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._random = random
+        self._running: dict[str, Running] = {}
+        self._is_stopped = False
+
+    def stop_all(self) -> None:
+        """Stop all items and start no more."""
+        self._is_stopped = True
+        for running in self._running.values():
+            running.task.cancel()
+
+    def step(self) -> None:
+        """Stop what has to give way or may not run any more, and start what there is room for."""
+        self._stop_disowned()
+        if self._is_stopped or self._config.table is None:
+            return
+        totals = self._board.totals()
+        runners = [self._shelf.own_id, *self._board.runners()]
+        rooms = {
+            target.target_id: self._room(target, totals)
+            for target in self._targets.all().values()
+            if owner_of(target.target_id, runners) == self._shelf.own_id
+        }
+        waiting = self._waiting_by_service()
+        services = {target.entry.service for target in self._targets.all().values()}
+        for service in services:
+            of_service = [
+                room
+                for room in rooms.values()
+                if self._targets.find(room.target_id).entry.service == service
+            ]
+            self._carry_out(waiting.get(service, {}), of_service)
+        self._stop_at_lost_targets(rooms)
+
+    def _carry_out(self, waiting: dict[str, tuple[JobBook, Item]], rooms: list[TargetRoom]) -> None:
+        plan = make_plan(list(waiting), rooms)
+        for key in plan.stops:
+            running = self._running[key]
+            self._metrics.count("items_yielded")
+            self._log.event(
+                "item_yielded",
+                item=running.item.item_id,
+                target=running.target.target_id,
+                last_event=running.item.last_event_id,
+            )
+            running.task.cancel()
+        for start in plan.starts:
+            book, item = waiting[start.item]
+            target = self._targets.find(start.target_id)
+            item.state = ItemState.RUNNING
+            target.own_batch += 1
+            task = create_task(self._run(start.item, book, item, target))
+            self._running[start.item] = Running(book, item, target, task)
+
+    def _room(self, target: Target, totals: dict[str, TargetCounts]) -> TargetRoom:
+        others = totals.get(target.target_id, NO_COUNTS)
+        now_ms = _now_ms()
+        is_usable = (
+            not target.entry.is_leaving
+            and target.removed_ms is None
+            and now_ms >= target.avoid_until_ms
+            and now_ms >= target.full_until_ms
+        )
+        own = [key for key, running in self._running.items() if running.target is target]
+        return TargetRoom(
+            target.target_id, target.entry.capacity, others.online, others.batch, own, is_usable
+        )
+
+    def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobBook, Item]]]:
+        """Return the items that may run, in the order of their jobs' age, by service."""
+        found: dict[str, dict[str, tuple[JobBook, Item]]] = {}
+        now_ms, wall_ms = _now_ms(), self._clock.wall_ms()
+        for book in self._shelf.owned():
+            if not book.open_count:
+                continue
+            route = self._route(book)
+            if route is None or book.may_give_up(wall_ms):
+                self._give_up(book, route, now_ms, wall_ms)
+                continue
+            for item in book.waiting(now_ms):
+                service = self._pick_service(route)
+                key = f"{book.job_id}/{item.index}"
+                found.setdefault(service, {})[key] = (book, item)
+        return found
+
+    def _route(self, book: JobBook) -> Route | None:
+        route = self._config.table.find(book.record.host, book.record.path)
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
+
+    def _give_up(self, book: JobBook, route: Route | None, now_ms: float, wall_ms: float) -> None:
+        """End the waiting items of a job whose time is over or whose route is gone."""
+        if route is None and wall_ms - book.record.submitted_ms < ROUTE_GRACE_MS:
+            return
+        for item in list(book.waiting(float("inf"))):
+            self._log.event(
+                "item_given_up", job=book.job_id, item=item.item_id, has_route=bool(route)
+            )
+            book.end(item, False, now_ms)
+
+    def _stop_disowned(self) -> None:
+        for running in self._running.values():
+            record = running.book.record
+            if record.is_cancelled or not self._shelf.owns(record):
+                running.task.cancel()
+
+    def _stop_at_lost_targets(self, rooms: dict[str, TargetRoom]) -> None:
+        """Leave targets whose batch places another live runner has now, and gone ones."""
+        for running in self._running.values():
+            target_id = running.target.target_id
+            is_gone = self._targets.find(target_id) is not running.target
+            if is_gone or (target_id not in rooms and self._is_crowded(running.target)):
+                running.task.cancel()
+
+    def _is_crowded(self, target: Target) -> bool:
+        counts = self._board.totals().get(target.target_id, NO_COUNTS)
+        return counts.online + counts.batch + target.own_batch > target.entry.capacity
+
+    async def _run(self, key: str, book: JobBook, item: Item, target: Target) -> None:
+        record = book.record
+        run = ItemRun(
+            self._names,
+            self._pool,
+            item,
+            record.items[item.index],
+            book.body(item.index),
+            record.host,
+        )
+        before = item.last_event_id
+        self._shelf.on_change()
+        try:
+            result = await run.run(target)
+            self._take(book, item, target, result, item.last_event_id != before)
+        except CancelledError:
+            if item.state is ItemState.RUNNING:
+                item.state = ItemState.WAITING
+            raise
+        finally:
+            target.own_batch -= 1
+            del self._running[key]
+            self._shelf.on_change()
+
+    def _take(
+        self, book: JobBook, item: Item, target: Target, result: RunResult, has_progress: bool
+    ) -> None:
+        now_ms = _now_ms()
+        self._metrics.count(f"item_runs_{result.end.name.lower()}")
+        if result.end is not RunEnd.COMPLETE:
+            self._log.event(
+                "item_run_ended",
+                job=book.job_id,
+                item=item.item_id,
+                target=target.target_id,
+                end=result.end.name.lower(),
+                detail=result.detail,
+                last_event=item.last_event_id,
+            )
+        if item.state is not ItemState.RUNNING:
+            return  # listed meanwhile by another runner
+        item.state = ItemState.WAITING
+        if result.end is RunEnd.COMPLETE:
+            target.note_answer()
+            book.end(item, True, now_ms)
+        elif result.end is RunEnd.REJECTED:
+            book.end(item, False, now_ms)
+        elif result.end is RunEnd.FAILED:
+            self._after_failure(book, item, now_ms)
+        else:
+            self._after_break(item, target, result.end, has_progress, now_ms)
+
+    def _after_failure(self, book: JobBook, item: Item, now_ms: float) -> None:
+        item.failures += 1
+        if item.failures >= book.record.max_attempts:
+            book.end(item, False, now_ms)
+            return
+        item.not_before_ms = now_ms + FAILURE_PAUSE_MS
+
+    def _after_break(
+        self, item: Item, target: Target, end: RunEnd, has_progress: bool, now_ms: float
+    ) -> None:
+        if end is RunEnd.NOT_RUN:
+            target.note_full(now_ms)
+            item.not_before_ms = now_ms + NOT_RUN_PAUSE_MS
+            return
+        if end is RunEnd.UNREACHABLE:
+            target.note_unreachable(now_ms)
+            return
+        if end is RunEnd.SILENT:
+            target.note_silent(now_ms)
+        item.breaks = 0 if has_progress else item.breaks + 1
+        pause_ms = min(MAX_PAUSE_MS, FAILURE_PAUSE_MS * 2**item.breaks)
+        item.not_before_ms = now_ms + (pause_ms if item.breaks > 1 else 0.0)
+
+    def dump(self) -> dict[str, object]:
+        """Return what runs where."""
+        return {key: running.target.target_id for key, running in self._running.items()}
+
+
+def _now_ms() -> float:
+    return get_running_loop().time() * MS_PER_S
--- /dev/null
+++ b/ebonyshore/runner/job_api.py
@@ -0,0 +1,196 @@
+"""Answers the calls about batch jobs that entries make."""
+
+from asyncio import timeout
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+from ebonyshore.frame.async_kernel import AsyncService
+from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.errors import StoreError, WriteOutcomeUnknownError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.gateway.config_service import ConfigService
+from ebonyshore.gateway.deployment import Deployment
+from ebonyshore.gateway.routes import RouteKind
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request
+from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+from ebonyshore.link.job_paths import (
+    OWNER_HEADER,
+    ROUTE_HEADER,
+    JobCall,
+    JobCallKind,
+    decode_call,
+)
+from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_types import JobRecord
+
+MAX_CALL_BYTES = 16 << 20
+RETRY_AFTER_S = 0.6
+
+
+class Reply:
+    """What a call is answered with."""
+
+    __slots__ = ("body", "owner", "status")
+
+    def __init__(self, status: int, body: bytes = b"", owner: str = "") -> None:
+        self.status = status
+        self.body = body
+        self.owner = owner
+
+
+class JobApi(AsyncService):
+    """The HTTP server for entries.
+
+    :param host: own address.
+    :param port: own port.
+    """
+
+    name = "job_api"
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        deployment: Deployment,
+        shelf: JobShelf,
+        config: ConfigService,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._deployment = deployment
+        self._shelf = shelf
+        self._config = config
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        limits = ServerLimits(max_body_bytes=MAX_CALL_BYTES)
+        self._server = HttpServer(self._serve, limits, self._report_failure)
+
+    async def start(self) -> None:
+        await self._server.listen(self._host, self._port)
+
+    def begin_drain(self) -> None:
+        self._server.is_draining = True
+
+    def is_drained(self) -> bool:
+        return self._server.busy_count() == 0
+
+    async def stop(self) -> None:
+        self._server.stop_listening()
+
+    async def _serve(self, request: Request, responder: Responder) -> None:
+        parts = urlsplit(request.target)
+        job_id = unquote(parts.path.removeprefix("/jobs/"))
+        try:
+            call = decode_call(job_id, dict(parse_qsl(parts.query)))
+            reply = await self._answer(call, request)
+        except ValueError as error:
+            self._log.event("job_call_invalid", job=job_id, error=str(error))
+            reply = Reply(400)
+        headers = Headers()
+        if reply.owner:
+            headers.add(OWNER_HEADER, reply.owner)
+        if reply.status == 503:
+            headers.add("Retry-After", str(RETRY_AFTER_S))
+        responder.send(reply.status, headers, reply.body)
+
+    async def _answer(self, call: JobCall, request: Request) -> Reply:
+        """Answer a call.
+
+        :raises ValueError: if the job is invalid.
+        """
+        try:
+            if call.kind is JobCallKind.SUBMIT:
+                return await self._submit(call, request)
+            if call.kind is JobCallKind.RESULTS:
+                return await self._results(call)
+            if call.kind is JobCallKind.ITEM_BODY:
+                return await self._item_body(call)
+            return await self._cancel(call)
+        except WriteOutcomeUnknownError as error:
+            self._log_store_failure(call, error)
+            return Reply(502)
+        except StoreError as error:
+            self._log_store_failure(call, error)
+            return Reply(503)
+
+    async def _submit(self, call: JobCall, request: Request) -> Reply:
+        if self._shelf.is_leaving:
+            return Reply(503)
+        record = self._new_record(call, request)
+        if record is None:
+            return Reply(503)
+        stored = await self._shelf.call(self._shelf.storage.create, record)
+        self._shelf.add_own(stored)
+        self._metrics.count("jobs_accepted")
+        self._log.event(
+            "job_accepted",
+            job=call.job_id,
+            items=len(stored.body.items),
+            owner=stored.body.owner,
+            is_repeat=stored.body.owner_incarnation != self._shelf.incarnation,
+        )
+        return Reply(202, owner=stored.body.owner)
+
+    def _new_record(self, call: JobCall, request: Request) -> JobRecord | None:
+        """Return the record of a submitted job; ``None`` if its route is not known here yet."""
+        table = self._config.table
+        host = request.headers.get("host") or ""
+        path = request.headers.get(ROUTE_HEADER) or ""
+        route = table.find(host, path) if table else None
+        if route is None or route.kind is not RouteKind.BATCH:
+            return None
+        submission = self._deployment.decode_submission(request.body)
+        return JobRecord(
+            job_id=call.job_id,
+            host=host,
+            path=path,
+            submitted_ms=int(self._clock.wall_ms() - call.age_ms),
+            retention_ms=route.retention_ms,
+            completion_target_ms=route.completion_target_ms,
+            max_attempts=route.max_attempts,
+            items=submission.items,
+            owner=self._shelf.own_id,
+            owner_incarnation=self._shelf.incarnation,
+            epoch=1,
+        )
+
+    async def _results(self, call: JobCall) -> Reply:
+        book = await self._shelf.read_book(call.job_id)
+        if book is None:
+            return Reply(404)
+        is_own = self._shelf.owns(book.record)
+        if is_own and call.wait_ms and call.first >= book.listed_count and not book.is_finished:
+            try:
+                async with timeout(call.wait_ms / MS_PER_S):
+                    await self._shelf.wait_for_news(call.job_id)
+            except TimeoutError:
+                self._metrics.count("result_reads_without_news")
+        page = book.page(call.first)
+        return Reply(200, self._deployment.encode_results(page), book.record.owner)
+
+    async def _item_body(self, call: JobCall) -> Reply:
+        book = await self._shelf.read_book(call.job_id)
+        item = book.find(call.item_id) if book is not None else None
+        if item is None or book.record.is_cancelled:
+            return Reply(404)
+        return Reply(200, book.body(item.index), book.record.owner)
+
+    async def _cancel(self, call: JobCall) -> Reply:
+        found = await self._shelf.call(self._shelf.storage.cancel, call.job_id)
+        if found is None:
+            return Reply(404)
+        self._shelf.note(found)
+        self._metrics.count("jobs_cancelled")
+        self._log.event("job_cancelled", job=call.job_id, owner=found.body.owner)
+        return Reply(200, owner=found.body.owner)
+
+    def _log_store_failure(self, call: JobCall, error: StoreError) -> None:
+        self._log.event("job_call_failed", job=call.job_id, call=call.kind.value, error=str(error))
+
+    def _report_failure(self, request: Request, error: Exception) -> None:
+        self._log.event("job_call_crashed", path=request.path, error=repr(error))
--- /dev/null
+++ b/ebonyshore/runner/job_shelf.py
@@ -0,0 +1,262 @@
+"""The jobs that a runner knows, and which of them it owns.
+
+Every runner hears every job record. A job whose owner is gone, or that has none, is claimed by one
+of the live runners. Owning a job only decides who spends work on it: results stay right if two
+runners own one for a while.
+"""
+
+from asyncio import Event, Task, create_task, get_running_loop
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+from typing import TypeVar
+
+from msgspec import DecodeError
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.errors import StoreError, WriteConflictError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.link.load_board import LoadBoard
+from ebonyshore.runner.item_plan import owner_of
+from ebonyshore.runner.job_book import ItemState, JobBook
+from ebonyshore.runner.job_storage import JobStorage, job_name
+from ebonyshore.runner.job_types import JobRecord
+from ebonyshore.store.kind_watch import KindListener
+from ebonyshore.store.marked_write import MarkedObject
+from ebonyshore.store.platform_api import StoredObject
+
+CLAIM_AFTER_MS = 1_500.0  # without word of the owner
+MAX_DOUBLINGS = 3  # each change of owner doubles the wait, so that two runners do not alternate
+CLAIM_RETRY_MS = 500.0
+
+ResultT = TypeVar("ResultT")
+
+
+class JobShelf(KindListener):
+    """Holds records and books.
+
+    :param own_id: instance id of this runner.
+    :param incarnation: run of this process.
+    :param board: tells which runners live.
+    :param executor: runs calls to the store.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        incarnation: str,
+        storage: JobStorage,
+        board: LoadBoard,
+        executor: Executor,
+        log: EventLog,
+    ) -> None:
+        self.own_id = own_id
+        self.incarnation = incarnation
+        self.storage = storage
+        self._board = board
+        self._executor = executor
+        self._log = log
+        self._records: dict[str, MarkedObject[JobRecord]] = {}
+        self._books: dict[str, JobBook] = {}
+        self._news: dict[str, Event] = {}
+        self._claims: dict[str, Task[None]] = {}
+        self._claim_not_before_ms: dict[str, float] = {}
+        self._started_ms = 0.0
+        self.is_leaving = False
+        self.on_change: Callable[[], None] = lambda: None
+
+    def begin(self) -> None:
+        """Note the start; owners have from then on to be heard."""
+        self._started_ms = _now_ms()
+
+    async def call(self, function: Callable[..., ResultT], *arguments) -> ResultT:
+        """Run a blocking call to the store on a thread."""
+        return await get_running_loop().run_in_executor(self._executor, function, *arguments)
+
+    def on_listing(self, objects: Sequence[StoredObject]) -> None:
+        self.on_changes(objects)
+
+    def on_changes(self, objects: Sequence[StoredObject]) -> None:
+        for found in objects:
+            if found.value is None:
+                self._forget(found.key)
+                continue
+            try:
+                self.note(self.storage.decode(found))
+            except DecodeError as error:
+                self._log.event("job_unreadable", key=found.key, error=str(error))
+
+    def note(self, found: MarkedObject[JobRecord]) -> None:
+        """Take a record; older ones than known are ignored."""
+        job_id = found.body.job_id
+        known = self._records.get(job_id)
+        if known is not None and known.version >= found.version:
+            return
+        self._records[job_id] = found
+        book = self._books.get(job_id)
+        if book is not None:
+            book.record = found.body
+            book.version = found.version
+        self.on_change()
+
+    def add_own(self, found: MarkedObject[JobRecord]) -> None:
+        """Take a job that was just stored with this runner as its owner."""
+        self.note(found)
+        if found.body.job_id not in self._books and self.owns(found.body):
+            self._books[found.body.job_id] = JobBook(found.body, found.version)
+        self.on_change()
+
+    def owns(self, record: JobRecord) -> bool:
+        """Return whether this process is the owner."""
+        return record.owner == self.own_id and record.owner_incarnation == self.incarnation
+
+    def record(self, job_id: str) -> MarkedObject[JobRecord] | None:
+        """Return a known record, or ``None``."""
+        return self._records.get(job_id)
+
+    def book(self, job_id: str) -> JobBook | None:
+        """Return a job's book, or ``None`` if this runner has not read it."""
+        return self._books.get(job_id)
+
+    def owned(self) -> list[JobBook]:
+        """Return the books of owned jobs, those due first at the front."""
+        books = [book for book in self._books.values() if self.owns(book.record)]
+        return sorted(books, key=lambda book: (book.record.submitted_ms, book.job_id))
+
+    def open_items(self) -> int:
+        """Return how many items of owned jobs have no result yet."""
+        return sum(book.open_count for book in self.owned())
+
+    def all_records(self) -> list[MarkedObject[JobRecord]]:
+        """Return all known records."""
+        return list(self._records.values())
+
+    async def read_book(self, job_id: str) -> JobBook | None:
+        """Return a job's book as the store has it, or ``None`` if there is no such job.
+
+        :raises StoreError: if the store does not answer.
+        """
+        book = self._books.get(job_id)
+        if book is not None and self.owns(book.record):
+            return book
+        if job_id not in self._records:
+            found = await self.call(self.storage.read, job_id)
+            if found is None:
+                return None
+            self.note(found)
+        return await self._load(job_id)
+
+    async def wait_for_news(self, job_id: str) -> None:
+        """Wait until results of a job are listed."""
+        await self._news.setdefault(job_id, Event()).wait()
+
+    def tell_news(self, job_id: str) -> None:
+        """Wake those who wait for results."""
+        event = self._news.pop(job_id, None)
+        if event is not None:
+            event.set()
+
+    def claim_free(self) -> None:
+        """Begin to claim jobs that have no live owner; call several times a second."""
+        if self.is_leaving:
+            return
+        now_ms = _now_ms()
+        runners = [self.own_id, *self._board.runners()]
+        for job_id, found in self._records.items():
+            if job_id not in self._claims and self._is_to_claim(found.body, runners, now_ms):
+                self._claims[job_id] = create_task(self._claim(job_id))
+
+    async def release_all(self) -> None:
+        """Give up the owned jobs that are not finished, so that other runners go on."""
+        self.is_leaving = True
+        for book in self.owned():
+            if book.is_finished or book.record.is_cancelled:
+                continue
+            try:
+                found = self._records[book.job_id]
+                self.note(await self.call(self.storage.claim, found, "", ""))
+            except StoreError as error:
+                self._log.event("job_release_failed", job=book.job_id, error=str(error))
+
+    def _is_to_claim(self, record: JobRecord, runners: list[str], now_ms: float) -> bool:
+        job_id = record.job_id
+        book = self._books.get(job_id)
+        if record.is_cancelled or (book is not None and book.is_finished):
+            return False
+        if self.owns(record):
+            return book is None
+        if now_ms < self._claim_not_before_ms.get(job_id, 0.0):
+            return False
+        if owner_of(job_id, runners) != self.own_id:
+            return False
+        if record.owner in ("", self.own_id):
+            return True
+        heard_ms = max(self._board.heard_ms(record.owner), self._started_ms)
+        patience_ms = CLAIM_AFTER_MS * 2 ** min(max(0, record.epoch - 1), MAX_DOUBLINGS)
+        return now_ms - heard_ms > patience_ms
+
+    async def _claim(self, job_id: str) -> None:
+        try:
+            await self._load(job_id)
+            found = self._records[job_id]
+            if self._books[job_id].is_finished:
+                return
+            if not self.owns(found.body):
+                claimed = await self.call(self.storage.claim, found, self.own_id, self.incarnation)
+                self.note(claimed)
+            self._log.event(
+                "job_claimed", job=job_id, previous=found.body.owner, epoch=found.body.epoch
+            )
+        except WriteConflictError:
+            self._log.event("job_claim_lost", job=job_id)
+        except StoreError as error:
+            self._log.event("job_claim_failed", job=job_id, error=str(error))
+        finally:
+            self._claim_not_before_ms[job_id] = _now_ms() + CLAIM_RETRY_MS
+            del self._claims[job_id]
+            self.on_change()
+
+    async def _load(self, job_id: str) -> JobBook:
+        """Bring a book to what the store has listed."""
+        found = self._records[job_id]
+        book = self._books.get(job_id) or JobBook(found.body, found.version)
+        first = book.next_segment
+        segments = await self.call(self.storage.segments, job_id, first)
+        if found.body.body_parts and not book.bodies:
+            book.bodies = await self.call(self.storage.bodies, found.body)
+        known = self._books.setdefault(job_id, book)
+        if known.next_segment == first:
+            for segment in segments:
+                known.apply(segment)
+        known.bodies = known.bodies or book.bodies
+        if segments:
+            self.tell_news(job_id)
+        return known
+
+    def _forget(self, key: str) -> None:
+        name = key.split("/", 1)[1]
+        gone = [job_id for job_id in self._records if job_name(job_id) == name]
+        for job_id in gone:
+            self._records.pop(job_id, None)
+            self._books.pop(job_id, None)
+            self._claim_not_before_ms.pop(job_id, None)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of each known job."""
+        return {
+            job_id: {
+                "owner": found.body.owner,
+                "epoch": found.body.epoch,
+                "is_cancelled": found.body.is_cancelled,
+                "listed": book.listed_count if (book := self._books.get(job_id)) else None,
+                "running": _running(book) if book else 0,
+            }
+            for job_id, found in self._records.items()
+        }
+
+
+def _running(book: JobBook) -> int:
+    return sum(item.state is ItemState.RUNNING for item in book.items)
+
+
+def _now_ms() -> float:
+    return get_running_loop().time() * MS_PER_S
--- /dev/null
+++ b/ebonyshore/runner/result_writer.py
@@ -0,0 +1,87 @@
+"""Stores the results of owned jobs, a few at a time, and lists them once they are stored."""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.errors import StoreError, WriteConflictError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.runner.job_book import JobBook
+from ebonyshore.runner.job_shelf import JobShelf
+
+LINGER_MS = 300.0  # for results that end soon after, since each write is a priced call
+RETRY_MS = 300.0
+
+
+class ResultWriter:
+    """Writes segments, one at a time for each job."""
+
+    def __init__(self, shelf: JobShelf, log: EventLog, metrics: Metrics) -> None:
+        self._shelf = shelf
+        self._log = log
+        self._metrics = metrics
+        self._writes: dict[str, Task[None]] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no result waits to be stored."""
+        return not self._writes and not any(book.pending_count for book in self._shelf.owned())
+
+    def start_due(self, is_urgent: bool = False) -> None:
+        """Begin the writes that are due.
+
+        :param is_urgent: whether to write at once, since the process is to stop.
+        """
+        for book in self._shelf.owned():
+            if book.job_id not in self._writes and self._is_due(book, is_urgent):
+                self._writes[book.job_id] = create_task(self._write(book))
+
+    def _is_due(self, book: JobBook, is_urgent: bool) -> bool:
+        if not book.pending_count:
+            return False
+        waited_ms = _now_ms() - book.pending_since_ms
+        return is_urgent or waited_ms >= LINGER_MS or not book.open_count
+
+    async def _write(self, book: JobBook) -> None:
+        shelf = self._shelf
+        segment = book.next_results()
+        number = book.next_segment
+        try:
+            await shelf.call(shelf.storage.append, book.job_id, number, segment)
+            if book.next_segment == number:
+                book.apply(segment)
+            self._metrics.count("results_listed", len(segment.results))
+            self._log.event(
+                "results_listed",
+                job=book.job_id,
+                segment=number,
+                results=len(segment.results),
+                listed=book.listed_count,
+            )
+        except WriteConflictError:
+            await self._take_stored(book, number)
+        except StoreError as error:
+            self._log.event("results_not_stored", job=book.job_id, error=str(error))
+            await sleep(RETRY_MS / MS_PER_S)
+        finally:
+            del self._writes[book.job_id]
+            shelf.tell_news(book.job_id)
+            shelf.on_change()
+
+    async def _take_stored(self, book: JobBook, number: int) -> None:
+        """Another write has this number: list what the store has."""
+        shelf = self._shelf
+        try:
+            segments = await shelf.call(shelf.storage.segments, book.job_id, number)
+        except StoreError as error:
+            self._log.event("segments_unread", job=book.job_id, error=str(error))
+            await sleep(RETRY_MS / MS_PER_S)
+            return
+        if book.next_segment == number:
+            for segment in segments:
+                book.apply(segment)
+        self._log.event("segment_conflict", job=book.job_id, segment=number, found=len(segments))
+
+
+def _now_ms() -> float:
+    return get_running_loop().time() * MS_PER_S
--- /dev/null
+++ b/ebonyshore/runner/runner_load.py
@@ -0,0 +1,68 @@
+"""A runner's part in the exchange of loads: hears all reports, sends its own and the sums."""
+
+from ebonyshore.gateway.targets import TargetTable
+from ebonyshore.link.load_board import (
+    LoadBoard,
+    LoadMessage,
+    LoadReport,
+    LoadTotals,
+    TargetCounts,
+    add_counts,
+)
+from ebonyshore.link.load_exchange import LoadExchange
+from ebonyshore.link.load_service import now_ms
+from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.runner.job_shelf import JobShelf
+
+
+class RunnerLoad:
+    """Makes a runner's messages. The live runner with the lowest id sends the sums to entries."""
+
+    def __init__(
+        self, peers: PeerDirectory, targets: TargetTable, board: LoadBoard, shelf: JobShelf
+    ) -> None:
+        self._peers = peers
+        self._targets = targets
+        self._board = board
+        self._shelf = shelf
+        self._sequence = 0
+
+    def on_message(self, message: LoadMessage) -> None:
+        """Take a report."""
+        if isinstance(message, LoadReport) and self._board.note(message, now_ms()):
+            self._shelf.on_change()
+
+    def send(self, exchange: LoadExchange) -> None:
+        """Send the own report to the other runners, and the sums to the entries."""
+        self._board.drop_expired(now_ms())
+        self._sequence += 1
+        own = self._peers.own
+        counts = {
+            target.target_id: TargetCounts(target.own_online, target.own_batch)
+            for target in self._targets.all().values()
+            if target.own_online or target.own_batch
+        }
+        report = LoadReport(
+            own.instance_id,
+            own.incarnation,
+            self._sequence,
+            own.role,
+            counts,
+            self._shelf.open_items(),
+        )
+        others = self._peers.of_role("runner").values()
+        exchange.send(report, [(peer.host, peer.port) for peer in others])
+        if own.instance_id == min([own.instance_id, *self._board.runners()]):
+            self._send_totals(exchange, report)
+
+    def _send_totals(self, exchange: LoadExchange, own_report: LoadReport) -> None:
+        runners = {key: report.open_items for key, report in self._board.runners().items()}
+        if not self._shelf.is_leaving:
+            runners[own_report.sender] = own_report.open_items
+        for entry in self._peers.of_role("entry").values():
+            counts = self._board.totals(without=entry.instance_id)
+            add_counts(counts, own_report.counts)
+            message = LoadTotals(
+                own_report.sender, own_report.incarnation, self._sequence, counts, runners
+            )
+            exchange.send(message, [(entry.host, entry.port)])
--- /dev/null
+++ b/ebonyshore/runner/runner_process.py
@@ -0,0 +1,187 @@
+"""Puts a runner on a deployment together and runs it."""
+
+import asyncio
+from asyncio import Event, Task, create_task, sleep, timeout
+
+from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService, run_until_signal
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.config_service import ConfigService
+from ebonyshore.gateway.deployment import Deployment
+from ebonyshore.gateway.entry_process import EXIT_MARGIN_MS, make_registration, make_watch
+from ebonyshore.gateway.host_environment import HostEnvironment
+from ebonyshore.gateway.insight import METRICS_PORT, Insight
+from ebonyshore.gateway.target_service import TargetService
+from ebonyshore.gateway.targets import TargetTable
+from ebonyshore.gateway.watch_service import WatchService
+from ebonyshore.link.load_board import LoadBoard
+from ebonyshore.link.load_service import LoadService
+from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
+from ebonyshore.runner.item_runs import ItemRuns
+from ebonyshore.runner.job_api import JobApi
+from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
+from ebonyshore.runner.result_writer import ResultWriter
+from ebonyshore.runner.retirement import Retirement
+from ebonyshore.runner.runner_load import RunnerLoad
+
+MAX_STEP_INTERVAL_MS = 100.0
+MIN_STEP_INTERVAL_MS = 4.0
+JOBS_WATCH_PAUSE_MS = 300.0  # a new job reaches its owner by a call; the watch is for the others
+
+
+class RunnerService(AsyncService):
+    """Steps through claims, runs and writes whenever something has changed."""
+
+    name = "runner"
+
+    def __init__(
+        self,
+        shelf: JobShelf,
+        runs: ItemRuns,
+        writer: ResultWriter,
+        load: LoadService,
+        log: EventLog,
+    ) -> None:
+        self._shelf = shelf
+        self._runs = runs
+        self._writer = writer
+        self._load = load
+        self._log = log
+        self._changed = Event()
+        self._task: Task[None] | None = None
+        self._release: Task[None] | None = None
+        shelf.on_change = self._note_change
+
+    async def start(self) -> None:
+        self._shelf.begin()
+        self._task = create_task(self._run())
+
+    def begin_drain(self) -> None:
+        self._runs.stop_all()
+        self._release = create_task(self._hand_over())
+
+    def is_drained(self) -> bool:
+        return self._release is not None and self._release.done()
+
+    async def stop(self) -> None:
+        self._runs.stop_all()
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, object]:
+        return {"jobs": self._shelf.dump(), "running": self._runs.dump()}
+
+    def _note_change(self) -> None:
+        self._changed.set()
+        self._load.note_change()
+
+    async def _hand_over(self) -> None:
+        """Store what has ended, then let other runners go on with the rest."""
+        while not self._writer.is_idle:
+            self._writer.start_due(is_urgent=True)
+            await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
+        await self._shelf.release_all()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with timeout(MAX_STEP_INTERVAL_MS / MS_PER_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass  # timers of items and claims are looked at in every step
+            self._changed.clear()
+            try:
+                self._shelf.claim_free()
+                self._runs.step()
+                self._writer.start_due()
+            except Exception as error:  # noqa: BLE001 - one job must not stop the others
+                self._log.event("runner_step_failed", error=repr(error))
+            await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
+
+
+def make_runner_kernel(environment: HostEnvironment) -> AsyncKernel:
+    """Return the services of a runner."""
+    deployment, settings = environment.deployment, environment.settings
+    log, metrics = environment.log, environment.metrics
+    config = ConfigService(deployment.config_key, deployment.decode_config, log)
+    table = TargetTable()
+    targets = TargetService(table, deployment.decode_target, environment.pool, log)
+    peers = PeerDirectory(environment.own_record(), environment.marked_store, log)
+    board = LoadBoard(settings.instance_id)
+    shelf = JobShelf(
+        settings.instance_id,
+        environment.incarnation,
+        JobStorage(environment.marked_store),
+        board,
+        environment.executor,
+        log,
+    )
+    runner_load = RunnerLoad(peers, table, board, shelf)
+    load = LoadService(
+        settings.ip,
+        settings.first_internal_port,
+        runner_load.on_message,
+        runner_load.send,
+        log,
+        metrics,
+    )
+    runs = ItemRuns(
+        deployment.names,
+        shelf,
+        config,
+        table,
+        board,
+        environment.pool,
+        environment.clock,
+        log,
+        metrics,
+        environment.random,
+    )
+    retirement = Retirement(deployment, environment.store, shelf, board, environment.executor, log)
+    watches = [
+        make_watch(environment, deployment.config_key.split("/", 1)[0], config),
+        make_watch(environment, deployment.targets_kind, targets),
+        make_watch(environment, PEERS_KIND, peers),
+        make_watch(environment, JOBS_KIND, shelf, JOBS_WATCH_PAUSE_MS),
+        make_watch(environment, deployment.retirements_kind, retirement),
+    ]
+    api = JobApi(
+        settings.ip,
+        settings.first_internal_port,
+        deployment,
+        shelf,
+        config,
+        environment.clock,
+        log,
+        metrics,
+    )
+    kernel = AsyncKernel()
+    kernel.register(load)
+    kernel.register(WatchService(watches, make_registration(environment, peers), targets))
+    kernel.register(RunnerService(shelf, runs, ResultWriter(shelf, log, metrics), load, log))
+    kernel.register(api)
+    kernel.register(Insight(settings.ip, METRICS_PORT, kernel, metrics))
+    return kernel
+
+
+def run_runner(deployment: Deployment) -> ResultCode:
+    """Run a runner until it is told to stop.
+
+    :raises SettingsError: if its settings are invalid.
+    """
+    environment = HostEnvironment(deployment, "runner")
+    environment.open_log()
+    try:
+        return asyncio.run(_run(environment))
+    finally:
+        environment.close()
+
+
+async def _run(environment: HostEnvironment) -> ResultCode:
+    kernel = make_runner_kernel(environment)
+    bound_ms = environment.settings.grace_ms - EXIT_MARGIN_MS
+    is_drained = await run_until_signal(kernel, environment.log, bound_ms, environment.reload)
+    environment.store.cancel_watches()
+    return ResultCode.OK if is_drained else ResultCode.STREAM_BROKEN
--- a/ebonyshore/store/platform_api.py
+++ b/ebonyshore/store/platform_api.py
@@ -75,12 +75,38 @@
         """Wait until an object below ``prefix`` has a version above ``since``.
 
         :param timeout_ms: 0 only checks; the result has no changes when it passes.
+        :raises HistoryLostError: if the store no longer knows what changed since.
         """
 
     def cancel_watches(self) -> None:  # noqa: B027 - a store without connections has none to end
         """End waiting watches with ``StoreUnavailableError`` and start no more; for a stop."""
 
 
+class Listing(Struct, frozen=True):
+    """All objects of a kind.
+
+    :param revision: pass it to a watch to hear what changed since.
+    """
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+
+
+class ListingStore(ObjectStore):
+    """A store whose objects are listed with their values, and have a status beside the value.
+
+    The first part of a key is the object's kind.
+    """
+
+    @abstractmethod
+    def list_objects(self, kind: str) -> Listing:
+        """Return all objects of a kind."""
+
+    @abstractmethod
+    def put_status(self, key: str, value: bytes, expected_version: int) -> int:
+        """Write an object's status; errors as for :meth:`put`."""
+
+
 class Instance(Struct, frozen=True):
     """An entry of the platform's instance list.
 
