--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -38,7 +38,7 @@
 
 class _Object(Struct, omit_defaults=True):
     metadata: _Metadata = field(name="Metadata")
-    spec: Raw | None = field(default=None, name="Spec")
+    spec: Raw = field(default=Raw(b"null"), name="Spec")
 
 
 class _Page(Struct):
@@ -168,8 +168,7 @@
 
 
 def _stored(kind: str, found: _Object) -> StoredObject:
-    value = bytes(found.spec) if found.spec is not None else b"null"
-    return StoredObject(f"{kind}/{found.metadata.name}", found.metadata.revision, value)
+    return StoredObject(f"{kind}/{found.metadata.name}", found.metadata.revision, bytes(found.spec))
 
 
 def _decode(answer: HttpAnswer, kind: type):
