--- a/ebonyshore/frame/clock.py
+++ b/ebonyshore/frame/clock.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from threading import Condition
-from time import monotonic, sleep, time
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic, sleep, time
 
 MS_PER_S = 1000
 
@@ -14,6 +14,10 @@
     def monotonic_ms(self) -> float:
         """Return milliseconds since an arbitrary start; never goes back within a process."""
 
+    def boot_ms(self) -> float:
+        """Return like :meth:`monotonic_ms`, counting the time of a suspended machine too."""
+        return self.monotonic_ms()
+
     @abstractmethod
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch; for records that people read only."""
@@ -38,6 +42,9 @@
     def monotonic_ms(self) -> float:
         return monotonic() * MS_PER_S
 
+    def boot_ms(self) -> float:
+        return clock_gettime(CLOCK_BOOTTIME) * MS_PER_S
+
     def wall_ms(self) -> int:
         return int(time() * MS_PER_S)
 
--- a/ebonyshore/link/load_board.py
+++ b/ebonyshore/link/load_board.py
@@ -7,6 +7,14 @@
 from msgspec import Struct
 
 REPORT_LIFE_MS = 1_000.0
+MUTUAL_LIFE_MS = 500.0
+
+
+class SignOfLife(Struct, frozen=True):
+    """When a process was last known to live, and which run of it."""
+
+    at_ms: float
+    incarnation: str
 
 
 class TargetCounts(Struct, frozen=True, array_like=True):
@@ -28,7 +36,7 @@
     :param role: ``entry`` or ``runner``.
     :param counts: by target id; targets without a request are left out.
     :param open_items: batch items that the process has still to finish.
-    :param is_store_reachable: whether its last call to the store was answered.
+    :param heard: runners that the process has heard lately.
     """
 
     sender: str
@@ -37,7 +45,7 @@
     role: str
     counts: dict[str, TargetCounts]
     open_items: int = 0
-    is_store_reachable: bool = True
+    heard: tuple[str, ...] = ()
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -62,12 +70,13 @@
     :param own_id: instance id of this process; its own reports are not heard.
     """
 
-    __slots__ = ("_heard_ms", "_own_id", "_reports")
+    __slots__ = ("_heard_ms", "_last_signs", "_own_id", "_reports")
 
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
         self._reports: dict[str, LoadReport] = {}
         self._heard_ms: dict[str, float] = {}
+        self._last_signs: dict[str, SignOfLife] = {}
 
     def note(self, report: LoadReport, now_ms: float) -> bool:
         """Take a report; return whether it was new. Datagrams may come twice or out of order."""
@@ -79,8 +88,13 @@
             return False
         self._reports[report.sender] = report
         self._heard_ms[report.sender] = now_ms
+        self.note_sign(report.sender, report.incarnation, now_ms)
         return True
 
+    def note_sign(self, sender: str, incarnation: str, now_ms: float) -> None:
+        """Take that a process was alive, as its report or its record in the store shows."""
+        self._last_signs[sender] = SignOfLife(now_ms, incarnation)
+
     def drop_expired(self, now_ms: float) -> None:
         """Forget processes that were not heard for :data:`REPORT_LIFE_MS`."""
         expired = [key for key, at_ms in self._heard_ms.items() if now_ms - at_ms > REPORT_LIFE_MS]
@@ -88,9 +102,16 @@
             del self._reports[sender]
             del self._heard_ms[sender]
 
-    def heard_ms(self, sender: str) -> float:
-        """Return when a process was last heard; minus infinity if it is not known."""
-        return self._heard_ms.get(sender, float("-inf"))
+    def sign_of(self, sender: str) -> SignOfLife | None:
+        """Return the last sign of a process, also one that is silent now; ``None`` if none came."""
+        return self._last_signs.get(sender)
+
+    def is_mutual(self, sender: str, now_ms: float) -> bool:
+        """Return whether a process was heard just now, and hears this one."""
+        report = self._reports.get(sender)
+        if report is None or self._own_id not in report.heard:
+            return False
+        return now_ms - self._heard_ms[sender] < MUTUAL_LIFE_MS
 
     def runners(self) -> dict[str, LoadReport]:
         """Return the reports of the live runners, without this process's own."""
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -1,10 +1,10 @@
 """The other processes of the fleet: each writes a record of itself to the store."""
 
-from collections.abc import Sequence
-from concurrent.futures import Executor
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor, Future
 from typing import Literal
 
-from msgspec import DecodeError, Struct
+from msgspec import DecodeError, Struct, structs
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError
@@ -23,6 +23,7 @@
     :param role: ``entry`` or ``runner``.
     :param port: of its load datagrams, and of a runner's job calls.
     :param incarnation: run of the process.
+    :param renewals: grows when the process shows by a write that it lives.
     """
 
     instance_id: str
@@ -31,6 +32,7 @@
     port: int
     failure_domain: str
     incarnation: str
+    renewals: int = 0
 
 
 class PeerDirectory(KindListener):
@@ -44,19 +46,26 @@
         self._store = store
         self._log = log
         self._peers: dict[str, PeerRecord] = {}
+        self.on_sign: Callable[[PeerRecord], None] = lambda _record: None
+        self.on_own_removal: Callable[[], None] = lambda: None
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
-        self._peers = {}
+        listed = {found.key.split("/", 1)[1] for found in objects}
+        self._peers = {key: peer for key, peer in self._peers.items() if key in listed}
         self.on_changes(objects)
 
     def on_changes(self, objects: Sequence[StoredObject]) -> None:
         for found in objects:
             instance_id = found.key.split("/", 1)[1]
             record = self._decode(found)
-            if record is None:
+            if instance_id == self.own.instance_id:
+                if record is None:
+                    self.on_own_removal()
+            elif record is None:
                 self._peers.pop(instance_id, None)
-            elif instance_id != self.own.instance_id:
+            elif self._peers.get(instance_id) != record:
                 self._peers[instance_id] = record
+                self.on_sign(record)
 
     def of_role(self, role: str) -> dict[str, PeerRecord]:
         """Return the other processes of a role, by instance id."""
@@ -97,6 +106,7 @@
         self._log = log
         self._executor = executor
         self._is_stopped = False
+        self._renewal: Future[None] | None = None
 
     def start(self) -> None:
         """Register, trying until the store takes it."""
@@ -106,6 +116,33 @@
         """Try no more."""
         self._is_stopped = True
 
+    def renew(self) -> None:
+        """Write the record once more, to show that this process lives and reaches the store."""
+        if self._renewal is not None and not self._renewal.done():
+            return
+        self._own = structs.replace(self._own, renewals=self._own.renewals + 1)
+        self._renewal = self._executor.submit(self._renew)
+
+    def remove(self, peer: PeerRecord) -> None:
+        """Remove the record of a process that is gone for good."""
+        self._executor.submit(self._remove, peer)
+
+    def _renew(self) -> None:
+        try:
+            self._store.update(self._key, PeerRecord, lambda _: self._own)
+        except StoreError as error:
+            self._log.event("renewal_failed", error=str(error))
+
+    def _remove(self, peer: PeerRecord) -> None:
+        key = f"{PEERS_KIND}/{peer.instance_id}"
+        try:
+            found = self._store.read(key, PeerRecord)
+            if found is not None and found.body == peer:
+                self._store.store.delete(key, found.version)
+                self._log.event("peer_removed", peer=peer.instance_id)
+        except StoreError as error:
+            self._log.event("peer_not_removed", peer=peer.instance_id, error=str(error))
+
     def _register(self) -> None:
         while not self._is_stopped:
             try:
--- /dev/null
+++ b/ebonyshore/runner/claim_policy.py
@@ -0,0 +1,48 @@
+"""When a runner may take over a job. Pure.
+
+An owner that was cut off from the other runners only still renews its record in the store, and one
+that has just claimed a job shows by that that it reaches the store. Two runners that do not hear
+each other therefore do not take a job from each other in turn.
+"""
+
+from msgspec import Struct
+
+from ebonyshore.runner.job_types import JobRecord
+
+CLAIM_AFTER_MS = 1_500.0  # without a sign of the owner
+MAX_DOUBLINGS = 3  # each change of owner doubles the wait
+
+
+class OwnerSigns(Struct, frozen=True):
+    """What a runner has seen of a job's owner.
+
+    :param heard_ms: last datagram or renewal in the store; this runner's own start if none came.
+    :param record_ms: when the job's record was last seen to change.
+    :param incarnation: run of the owner that was last heard; empty if none was.
+    """
+
+    heard_ms: float
+    record_ms: float
+    incarnation: str = ""
+
+
+def may_claim(
+    record: JobRecord, own_id: str, is_first_choice: bool, signs: OwnerSigns, now_ms: float
+) -> bool:
+    """Return whether a runner that does not own a job may claim it now.
+
+    :param is_first_choice: whether it is the live runner that ranks highest for the job.
+    """
+    if record.is_cancelled:
+        return False
+    if record.owner == own_id:
+        return True  # owned by an earlier run of this process, whose items have ended with it
+    if not is_first_choice:
+        return False
+    if not record.owner:
+        return True
+    patience_ms = CLAIM_AFTER_MS * 2 ** min(max(0, record.epoch - 1), MAX_DOUBLINGS)
+    if signs.incarnation and signs.incarnation != record.owner_incarnation:
+        # The owner runs anew and claims its jobs itself, once it can.
+        return now_ms - signs.record_ms > 2 * patience_ms
+    return now_ms - max(signs.heard_ms, signs.record_ms) > patience_ms
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -163,7 +163,7 @@
         book = await self._shelf.read_book(call.job_id)
         if book is None:
             return Reply(404)
-        is_own = self._shelf.owns(book.record)
+        is_own = self._shelf.owns(book.record) and self._shelf.is_certain()
         if is_own and call.wait_ms and call.first >= book.listed_count and not book.is_finished:
             try:
                 async with timeout(call.wait_ms / MS_PER_S):
--- a/ebonyshore/runner/job_shelf.py
+++ b/ebonyshore/runner/job_shelf.py
@@ -12,10 +12,12 @@
 
 from msgspec import DecodeError
 
-from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.link.load_board import LoadBoard
+from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.runner.claim_policy import OwnerSigns, may_claim
 from ebonyshore.runner.item_plan import owner_of
 from ebonyshore.runner.job_book import ItemState, JobBook
 from ebonyshore.runner.job_storage import JobStorage, job_name
@@ -24,8 +26,6 @@
 from ebonyshore.store.marked_write import MarkedObject
 from ebonyshore.store.platform_api import StoredObject
 
-CLAIM_AFTER_MS = 1_500.0  # without word of the owner
-MAX_DOUBLINGS = 3  # each change of owner doubles the wait, so that two runners do not alternate
 CLAIM_RETRY_MS = 500.0
 
 ResultT = TypeVar("ResultT")
@@ -37,6 +37,7 @@
     :param own_id: instance id of this runner.
     :param incarnation: run of this process.
     :param board: tells which runners live.
+    :param peers: all runners that are registered, live or not.
     :param executor: runs calls to the store.
     """
 
@@ -46,6 +47,8 @@
         incarnation: str,
         storage: JobStorage,
         board: LoadBoard,
+        peers: PeerDirectory,
+        clock: Clock,
         executor: Executor,
         log: EventLog,
     ) -> None:
@@ -53,6 +56,8 @@
         self.incarnation = incarnation
         self.storage = storage
         self._board = board
+        self._peers = peers
+        self._clock = clock
         self._executor = executor
         self._log = log
         self._records: dict[str, MarkedObject[JobRecord]] = {}
@@ -60,13 +65,23 @@
         self._news: dict[str, Event] = {}
         self._claims: dict[str, Task[None]] = {}
         self._claim_not_before_ms: dict[str, float] = {}
+        self._record_ms: dict[str, float] = {}
         self._started_ms = 0.0
         self.is_leaving = False
         self.on_change: Callable[[], None] = lambda: None
 
     def begin(self) -> None:
         """Note the start; owners have from then on to be heard."""
-        self._started_ms = _now_ms()
+        self._started_ms = self._clock.boot_ms()
+
+    def is_certain(self) -> bool:
+        """Return whether no other runner can have taken over an owned job by now.
+
+        A runner claims a job only when it has not heard the owner for a while. So an owner is
+        certain while it knows that every registered runner hears it.
+        """
+        now_ms = self._clock.boot_ms()
+        return all(self._board.is_mutual(peer, now_ms) for peer in self._peers.of_role("runner"))
 
     async def call(self, function: Callable[..., ResultT], *arguments) -> ResultT:
         """Run a blocking call to the store on a thread."""
@@ -92,6 +107,7 @@
         if known is not None and known.version >= found.version:
             return
         self._records[job_id] = found
+        self._record_ms[job_id] = self._clock.boot_ms()
         book = self._books.get(job_id)
         if book is not None:
             book.record = found.body
@@ -136,7 +152,7 @@
         :raises StoreError: if the store does not answer.
         """
         book = self._books.get(job_id)
-        if book is not None and self.owns(book.record):
+        if book is not None and self.owns(book.record) and self.is_certain():
             return book
         if job_id not in self._records:
             found = await self.call(self.storage.read, job_id)
@@ -159,7 +175,7 @@
         """Begin to claim jobs that have no live owner; call several times a second."""
         if self.is_leaving:
             return
-        now_ms = _now_ms()
+        now_ms = self._clock.boot_ms()
         runners = [self.own_id, *self._board.runners()]
         for job_id, found in self._records.items():
             if job_id not in self._claims and self._is_to_claim(found.body, runners, now_ms):
@@ -180,19 +196,20 @@
     def _is_to_claim(self, record: JobRecord, runners: list[str], now_ms: float) -> bool:
         job_id = record.job_id
         book = self._books.get(job_id)
-        if record.is_cancelled or (book is not None and book.is_finished):
-            return False
         if self.owns(record):
             return book is None
-        if now_ms < self._claim_not_before_ms.get(job_id, 0.0):
+        if book is not None and book.is_finished:
             return False
-        if owner_of(job_id, runners) != self.own_id:
+        if now_ms < self._claim_not_before_ms.get(job_id, 0.0):
             return False
-        if record.owner in ("", self.own_id):
-            return True
-        heard_ms = max(self._board.heard_ms(record.owner), self._started_ms)
-        patience_ms = CLAIM_AFTER_MS * 2 ** min(max(0, record.epoch - 1), MAX_DOUBLINGS)
-        return now_ms - heard_ms > patience_ms
+        is_first_choice = owner_of(job_id, runners) == self.own_id
+        sign = self._board.sign_of(record.owner)
+        signs = OwnerSigns(
+            heard_ms=sign.at_ms if sign else self._started_ms,
+            record_ms=self._record_ms[job_id],
+            incarnation=sign.incarnation if sign else "",
+        )
+        return may_claim(record, self.own_id, is_first_choice, signs, now_ms)
 
     async def _claim(self, job_id: str) -> None:
         try:
@@ -211,7 +228,7 @@
         except StoreError as error:
             self._log.event("job_claim_failed", job=job_id, error=str(error))
         finally:
-            self._claim_not_before_ms[job_id] = _now_ms() + CLAIM_RETRY_MS
+            self._claim_not_before_ms[job_id] = self._clock.boot_ms() + CLAIM_RETRY_MS
             del self._claims[job_id]
             self.on_change()
 
@@ -239,6 +256,7 @@
             self._records.pop(job_id, None)
             self._books.pop(job_id, None)
             self._claim_not_before_ms.pop(job_id, None)
+            self._record_ms.pop(job_id, None)
 
     def dump(self) -> dict[str, object]:
         """Return the state of each known job."""
@@ -256,7 +274,3 @@
 
 def _running(book: JobBook) -> int:
     return sum(item.state is ItemState.RUNNING for item in book.items)
-
-
-def _now_ms() -> float:
-    return get_running_loop().time() * MS_PER_S
--- /dev/null
+++ b/ebonyshore/runner/presence.py
@@ -0,0 +1,52 @@
+"""Keeps runners known to each other when datagrams do not pass between them."""
+
+from ebonyshore.frame.clock import Clock
+from ebonyshore.link.load_board import LoadBoard
+from ebonyshore.link.peers import PeerDirectory, PeerRecord, Registration
+
+RENEW_INTERVAL_MS = 1_000.0  # under the time after which a silent owner's jobs are claimed
+GONE_AFTER_MS = 12_000.0
+
+
+class Presence:
+    """Renews this runner's record in the store while not all runners hear it.
+
+    The first live runner removes the records of processes that were not heard for long.
+    """
+
+    def __init__(
+        self, peers: PeerDirectory, board: LoadBoard, registration: Registration, clock: Clock
+    ) -> None:
+        self._peers = peers
+        self._board = board
+        self._registration = registration
+        self._clock = clock
+        self._last_renewal_ms = clock.boot_ms()
+        self._first_seen_ms: dict[str, float] = {}
+        peers.on_sign = self._note_record
+        peers.on_own_removal = registration.start
+
+    def step(self) -> None:
+        """Renew and remove what is due; call several times a second."""
+        now_ms = self._clock.boot_ms()
+        is_heard = all(self._board.is_mutual(key, now_ms) for key in self._peers.of_role("runner"))
+        if not is_heard and now_ms - self._last_renewal_ms >= RENEW_INTERVAL_MS:
+            self._last_renewal_ms = now_ms
+            self._registration.renew()
+        own_id = self._peers.own.instance_id
+        if own_id == min([own_id, *self._board.runners()]):
+            self._remove_gone(now_ms)
+
+    def _note_record(self, record: PeerRecord) -> None:
+        self._board.note_sign(record.instance_id, record.incarnation, self._clock.boot_ms())
+
+    def _remove_gone(self, now_ms: float) -> None:
+        known = {**self._peers.of_role("runner"), **self._peers.of_role("entry")}
+        for instance_id, record in known.items():
+            first_ms = self._first_seen_ms.setdefault(instance_id, now_ms)
+            sign = self._board.sign_of(instance_id)
+            if now_ms - max(first_ms, sign.at_ms if sign else 0.0) > GONE_AFTER_MS:
+                self._first_seen_ms[instance_id] = now_ms
+                self._registration.remove(record)
+        for instance_id in set(self._first_seen_ms) - set(known):
+            del self._first_seen_ms[instance_id]
--- a/ebonyshore/runner/retirement.py
+++ b/ebonyshore/runner/retirement.py
@@ -52,8 +52,7 @@
             await self._write_until_taken(found)
             return
         await sleep(HEARD_WITHIN_MS / MS_PER_S)
-        now_ms = get_running_loop().time() * MS_PER_S
-        is_down = now_ms - self._board.heard_ms(instance_id) > HEARD_WITHIN_MS
+        is_down = instance_id not in self._board.runners()
         if is_down and self._shelf.own_id == min([self._shelf.own_id, *self._board.runners()]):
             await self._write_until_taken(found)
 
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -1,5 +1,6 @@
 """A runner's part in the exchange of loads: hears all reports, sends its own and the sums."""
 
+from ebonyshore.frame.clock import Clock
 from ebonyshore.gateway.targets import TargetTable
 from ebonyshore.link.load_board import (
     LoadBoard,
@@ -10,7 +11,6 @@
     add_counts,
 )
 from ebonyshore.link.load_exchange import LoadExchange
-from ebonyshore.link.load_service import now_ms
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.runner.job_shelf import JobShelf
 
@@ -19,22 +19,28 @@
     """Makes a runner's messages. The live runner with the lowest id sends the sums to entries."""
 
     def __init__(
-        self, peers: PeerDirectory, targets: TargetTable, board: LoadBoard, shelf: JobShelf
+        self,
+        peers: PeerDirectory,
+        targets: TargetTable,
+        board: LoadBoard,
+        shelf: JobShelf,
+        clock: Clock,
     ) -> None:
         self._peers = peers
         self._targets = targets
         self._board = board
         self._shelf = shelf
+        self._clock = clock
         self._sequence = 0
 
     def on_message(self, message: LoadMessage) -> None:
         """Take a report."""
-        if isinstance(message, LoadReport) and self._board.note(message, now_ms()):
+        if isinstance(message, LoadReport) and self._board.note(message, self._clock.boot_ms()):
             self._shelf.on_change()
 
     def send(self, exchange: LoadExchange) -> None:
         """Send the own report to the other runners, and the sums to the entries."""
-        self._board.drop_expired(now_ms())
+        self._board.drop_expired(self._clock.boot_ms())
         self._sequence += 1
         own = self._peers.own
         counts = {
@@ -49,6 +55,7 @@
             own.role,
             counts,
             self._shelf.open_items(),
+            tuple(self._board.runners()),
         )
         others = self._peers.of_role("runner").values()
         exchange.send(report, [(peer.host, peer.port) for peer in others])
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -22,6 +22,7 @@
 from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_shelf import JobShelf
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
+from ebonyshore.runner.presence import Presence
 from ebonyshore.runner.result_writer import ResultWriter
 from ebonyshore.runner.retirement import Retirement
 from ebonyshore.runner.runner_load import RunnerLoad
@@ -42,12 +43,14 @@
         runs: ItemRuns,
         writer: ResultWriter,
         load: LoadService,
+        presence: Presence,
         log: EventLog,
     ) -> None:
         self._shelf = shelf
         self._runs = runs
         self._writer = writer
         self._load = load
+        self._presence = presence
         self._log = log
         self._changed = Event()
         self._task: Task[None] | None = None
@@ -93,6 +96,7 @@
                 pass  # timers of items and claims are looked at in every step
             self._changed.clear()
             try:
+                self._presence.step()
                 self._shelf.claim_free()
                 self._runs.step()
                 self._writer.start_due()
@@ -110,15 +114,19 @@
     targets = TargetService(table, deployment.decode_target, environment.pool, log)
     peers = PeerDirectory(environment.own_record(), environment.marked_store, log)
     board = LoadBoard(settings.instance_id)
+    registration = make_registration(environment, peers)
+    presence = Presence(peers, board, registration, environment.clock)
     shelf = JobShelf(
         settings.instance_id,
         environment.incarnation,
         JobStorage(environment.marked_store),
         board,
+        peers,
+        environment.clock,
         environment.executor,
         log,
     )
-    runner_load = RunnerLoad(peers, table, board, shelf)
+    runner_load = RunnerLoad(peers, table, board, shelf, environment.clock)
     load = LoadService(
         settings.ip,
         settings.first_internal_port,
@@ -159,8 +167,10 @@
     )
     kernel = AsyncKernel()
     kernel.register(load)
-    kernel.register(WatchService(watches, make_registration(environment, peers), targets))
-    kernel.register(RunnerService(shelf, runs, ResultWriter(shelf, log, metrics), load, log))
+    kernel.register(WatchService(watches, registration, targets))
+    kernel.register(
+        RunnerService(shelf, runs, ResultWriter(shelf, log, metrics), load, presence, log)
+    )
     kernel.register(api)
     kernel.register(Insight(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
