--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -117,7 +117,7 @@
         self._transport: Transport | None = None
         self._parser = HttpRequestParser(self)
         self._task: Task[None] | None = None
-        self._waiting: deque[Request] = deque()
+        self._waiting: deque[tuple[Request, bool]] = deque()
         self._timer: TimerHandle | None = None
         self._is_reading_request = False
         self._is_closing = False
@@ -228,7 +228,7 @@
         self._is_reading_request = False
         if self._refusal:
             return
-        self._keeps_alive = self._parser.should_keep_alive()
+        keeps_alive = self._parser.should_keep_alive()
         method = self._parser.get_method().decode("latin-1")
         request = Request(
             method,
@@ -237,7 +237,7 @@
             b"".join(self._body),
             self._began_ms,
         )
-        self._waiting.append(request)
+        self._waiting.append((request, keeps_alive))
         if len(self._waiting) > MAX_PIPELINED_REQUESTS:
             self.abort()
             return
@@ -251,7 +251,8 @@
 
     def _serve_next(self) -> None:
         if self._task is None and self._waiting and not self._is_closing:
-            self._task = self._loop.create_task(self._serve(self._waiting.popleft()))
+            request, self._keeps_alive = self._waiting.popleft()
+            self._task = self._loop.create_task(self._serve(request))
 
     async def _serve(self, request: Request) -> None:
         responder = Responder(self)
--- /dev/null
+++ b/tests/gateway_setup.py
@@ -0,0 +1,107 @@
+"""An entry's forwarding on loopback, between a plain client and scripted targets."""
+
+import asyncio
+from random import Random
+
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.gateway.forwarder import Forwarder
+from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.routes import Route, RouteKind, ServiceShare
+from ebonyshore.gateway.targets import TargetEntry, TargetTable
+from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.platform.names import WIRE
+
+
+def make_route(**changes):
+    values = {
+        "name": "r1",
+        "host": "host.example",
+        "path_prefix": "/p/",
+        "kind": RouteKind.STREAMING,
+        "shares": (ServiceShare("svc", 1.0),),
+        "timeout_ms": 3_000.0,
+        "target_latency_ms": 300.0,
+        "max_attempts": 2,
+        "is_resumable": True,
+    }
+    return Route(**{**values, **changes})
+
+
+class Gateway:
+    """A forwarder with its server."""
+
+    def __init__(self, route, limits=None):
+        self.route = route
+        self.table = TargetTable()
+        self.metrics = Metrics()
+        self.changes = 0
+        self.view = LoadView("fd-a", self._note_change)
+        self.pool = ConnectionPool(4)
+        self.failures = []
+        self.forwarder = Forwarder(
+            WIRE, self.table, self.view, self.pool, EventLog(), self.metrics, Random(1)
+        )
+        self.server = HttpServer(
+            self._serve, limits or ServerLimits(), lambda _r, error: self.failures.append(error)
+        )
+
+    def _note_change(self):
+        self.changes += 1
+
+    async def _serve(self, request, responder):
+        await self.forwarder.forward(self.route, request, responder)
+
+    async def start(self, *targets):
+        for number, target in enumerate(targets, 1):
+            address = await target.start()
+            # The first target is nearer, so that it is tried first.
+            domain = "fd-a" if number == 1 else "fd-b"
+            self.table.put(TargetEntry(f"t{number}", "svc", address, domain, 8))
+        await self.server.listen("127.0.0.1", 0)
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.server.port)
+
+    async def ask(self, body=b"", headers=(), method="POST", target="/p/x"):
+        """Send one request on a connection of its own; return the whole answer's bytes."""
+        reader, writer = await self.connect()
+        writer.write(encode_request(body, headers, method, target, close=True))
+        data = await asyncio.wait_for(read_all(reader), 10)
+        writer.close()
+        return data
+
+    def close(self):
+        self.server.stop_listening()
+        self.pool.close()
+
+
+def encode_request(body=b"", headers=(), method="POST", target="/p/x", close=False):
+    lines = [f"{method} {target} HTTP/1.1", "Host: host.example", "Attempt-Id: req-1"]
+    lines += ["Deadline-Ms: 2500", f"Content-Length: {len(body)}", *headers]
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_all(reader):
+    data = b""
+    try:
+        while part := await reader.read(65_536):
+            data += part
+    except ConnectionResetError:
+        return data + b"<reset>"
+    return data
+
+
+def status_of(answer):
+    return int(answer.split(b" ", 2)[1])
+
+
+def event_ids(answer):
+    return [int(line[4:]) for line in answer.split(b"\n") if line.startswith(b"id: ")]
+
+
+def is_whole_stream(answer):
+    return answer.endswith(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/scripted_target.py
@@ -0,0 +1,90 @@
+"""A target on loopback whose answers a test writes byte by byte."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+Script = Callable[["TargetSession"], Awaitable[None]]
+
+
+class TargetSession:
+    """One request as the target got it, and the connection to answer it on."""
+
+    def __init__(self, head, body, reader, writer):
+        self.head = head
+        self.body = body
+        self.reader = reader
+        self.writer = writer
+
+    def header(self, name):
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return None
+
+    def send(self, text):
+        self.writer.write(text if isinstance(text, bytes) else text.encode())
+
+    def send_answer(self, status=200, headers=(), body=b"", request_id=None):
+        request_id = request_id or self.header("Attempt-Id")
+        lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {request_id}", *headers]
+        self.send("\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body)
+
+    def start_stream(self):
+        self.send(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"Attempt-Id: {self.header('Attempt-Id')}\r\nServer-Signature: sig\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+
+    def send_events(self, first, last):
+        for number in range(first, last + 1):
+            event = f"id: {number}\ndata: d{number}\n\n"
+            self.send(f"{len(event):x}\r\n{event}\r\n")
+
+    def end_stream(self):
+        self.send("0\r\n\r\n")
+
+    def reset(self):
+        self.writer.transport.abort()
+
+
+class ScriptedTarget:
+    """Runs one script for each request, in order; the last one goes on."""
+
+    def __init__(self, *scripts: Script):
+        self.scripts = list(scripts)
+        self.sessions: list[TargetSession] = []
+        self.connections = 0
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                session = TargetSession(head, b"", reader, writer)
+                length = int(session.header("content-length") or 0)
+                session.body = await reader.readexactly(length)
+                self.sessions.append(session)
+                script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+                await script(session)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+async def whole_stream(session, first=1, last=4):
+    """Stream events to the end, from where the request says."""
+    told = session.header("Last-Event-Id")
+    session.start_stream()
+    session.send_events(int(told) + 1 if told else first, last)
+    session.end_stream()
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,56 @@
+"""Where an online request goes, and when it is refused, at the worst of a burst."""
+
+from ebonyshore.gateway.balance import (
+    MAX_RETRY_AFTER_MS,
+    TargetLoad,
+    choose_target,
+    queue_room,
+    retry_after_ms,
+)
+
+
+def load(target_id, online=0, batch=0, is_local=False, is_avoided=False):
+    return TargetLoad(target_id, 8, online, batch, is_local, is_avoided)
+
+
+def test_a_free_place_counts_before_one_that_batch_has_to_leave():
+    loads = [load("full_of_batch", online=0, batch=8), load("free", online=7, batch=0)]
+    assert choose_target(loads, 0, 0.0).target_id == "free"
+
+
+def test_full_targets_are_chosen_by_online_requests_only():
+    """Load pattern: a burst meets a fleet whose places are all taken, some by batch items."""
+    loads = [load("t1", online=7, batch=1), load("t2", online=2, batch=6)]
+    assert choose_target(loads, 0, 0.0).target_id == "t2"
+
+
+def test_a_local_target_wins_among_equals():
+    loads = [load("far", online=1), load("near", online=1, is_local=True)]
+    assert all(choose_target(loads, 0, turn / 10).target_id == "near" for turn in range(10))
+
+
+def test_equal_targets_are_taken_in_turn():
+    loads = [load("t1"), load("t2"), load("t3")]
+    chosen = {choose_target(loads, 0, turn / 10).target_id for turn in range(10)}
+    assert chosen == {"t1", "t2", "t3"}
+
+
+def test_requests_wait_only_as_long_as_they_are_still_on_time():
+    assert queue_room(8, 300.0, 700.0) == 2
+    assert queue_room(8, 300.0, 100_000.0) == 0
+    full = [load("t1", online=10), load("t2", online=9)]
+    assert choose_target(full, 2, 0.0).target_id == "t2"
+    assert choose_target([load("t1", online=10)], 2, 0.0) is None
+
+
+def test_a_suspect_target_is_used_only_if_no_other_is_left():
+    loads = [load("suspect", is_avoided=True), load("busy", online=7)]
+    assert choose_target(loads, 0, 0.0).target_id == "busy"
+    assert choose_target(loads[:1], 0, 0.0).target_id == "suspect"
+
+
+def test_callers_that_were_refused_come_back_spread_out():
+    loads = [load("t1", online=16)]
+    times = [retry_after_ms(loads, 700.0, spread / 10) for spread in range(11)]
+    assert times == sorted(times) and times[0] >= 400.0
+    assert times[-1] == MAX_RETRY_AFTER_MS
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,249 @@
+"""The platform's settings, objects and bodies, decoded into the product's own types."""
+
+import json
+
+import pytest
+
+from ebonyshore.frame.errors import (
+    HistoryLostError,
+    SettingsError,
+    StoreUnavailableError,
+    WriteConflictError,
+    WriteOutcomeUnknownError,
+)
+from ebonyshore.gateway.routes import RouteKind, RouteTable
+from ebonyshore.platform.config_object import decode_config
+from ebonyshore.platform.host_file import load_host_settings
+from ebonyshore.platform.job_bodies import decode_submission, encode_results
+from ebonyshore.platform.object_store import PlatformObjectStore
+from ebonyshore.platform.target_entries import decode_target_entry
+from ebonyshore.runner.job_types import ListedResult, ResultPage
+from ebonyshore.store.http_calls import HttpCaller
+from ebonyshore_standins.object_platform import ObjectPlatform
+
+SETTINGS = """
+NodeName = "edge-1"
+Ip = "10.1.0.10"
+Zone = "fd-a"
+Region = "r1"
+InternalPorts = [7720, 7735]
+HeartbeatMs = 1200
+NewField = "ignored"
+[Listen]
+Front = "10.1.0.10:8161"
+Ready = "10.1.0.10:8167"
+[Bounds]
+GraceS = 8
+[Platform]
+Address = "10.200.1.7:8169"
+"""
+
+ROUTE = {"Name": "r1", "Hostname": "A.example", "PathPrefix": "/x/", "Type": "streaming"}
+ENTRY = {
+    "Service": "svc",
+    "Address": "10.0.0.9:80",
+    "Zone": "fd-a",
+    "Capacity": 8,
+    "State": "ready",
+    "born": 5,
+}
+
+
+@pytest.fixture
+def platform():
+    server = ObjectPlatform()
+    server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def store(platform):
+    client = PlatformObjectStore(HttpCaller(f"http://{platform.address}", 500.0))
+    yield client
+    client.close()
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    settings = load_host_settings(path)
+    assert (settings.front.host, settings.front.port) == ("10.1.0.10", 8161)
+    assert settings.store_url == "http://10.200.1.7:8169"
+    assert settings.grace_ms == 8_000.0 and settings.failure_domain == "fd-a"
+
+
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        ("not toml", "boot.toml"),
+        (SETTINGS.replace("NodeName", "Other"), "NodeName"),
+        (SETTINGS.replace("8161", "no-port"), "boot.toml"),
+        (SETTINGS.replace("[7720, 7735]", "[7720]"), "InternalPorts"),
+    ],
+)
+def test_faulty_settings_are_named(tmp_path, text, word):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=word):
+        load_host_settings(path)
+
+
+def config(*routes, **fields):
+    return json.dumps({"Version": 3, "Routes": list(routes), **fields}).encode()
+
+
+def test_the_longest_prefix_of_the_host_selects_the_route():
+    longer = {**ROUTE, "Name": "r2", "PathPrefix": "/x/y/", "Type": "idempotent"}
+    table = RouteTable(decode_config(config(ROUTE, longer)))
+    assert table.find("a.example", "/x/z").name == "r1"
+    assert table.find("A.EXAMPLE:80", "/x/y/z").name == "r2"
+    assert table.find("a.example", "/x") is None
+    assert table.find("b.example", "/x/z") is None
+
+
+@pytest.mark.parametrize(
+    "changes, is_repeatable",
+    [
+        ({"Type": "idempotent"}, True),
+        ({"Type": "non_idempotent"}, False),
+        ({"Type": "streaming"}, False),
+        ({"Type": "streaming", "Resumable": True}, True),
+        ({"Type": "unheard of"}, False),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind_of_route(changes, is_repeatable):
+    """Guards against a request that must not be repeated being repeated for its route's kind."""
+    route = decode_config(config({**ROUTE, **changes})).routes[0]
+    assert route.is_repeatable is is_repeatable
+
+
+def test_limits_shares_and_times_are_decoded():
+    found = decode_config(
+        config(
+            {**ROUTE, "Type": "batch", "TrafficSplit": [{"Service": "a", "Weight": 90}]}
+            | {"RetentionS": 60, "CompletionTargetMs": 18000, "MaxAttempts": 3},
+            Services=[{"Name": "a", "MaxConnections": 200, "Engine": {"Capacity": 8}}],
+            Limits={"MaxHeaderBytes": 100, "IdleTimeoutMs": 9},
+        )
+    )
+    route = found.routes[0]
+    assert route.kind is RouteKind.BATCH and route.retention_ms == 60_000.0
+    assert [(share.service, share.weight) for share in route.shares] == [("a", 90.0)]
+    assert found.services["a"].capacity == 8
+    assert found.limits.max_header_bytes == 100 and found.limits.idle_timeout_ms == 9
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"Version": "x", "Routes": []}', b"\xff"])
+def test_an_unreadable_configuration_is_an_error(value):
+    with pytest.raises(ValueError):
+        decode_config(value)
+
+
+def test_a_targets_entry_is_decoded():
+    entry = decode_target_entry("t1", json.dumps(ENTRY).encode())
+    assert (entry.address, entry.capacity, entry.is_leaving) == ("10.0.0.9:80", 8, False)
+    assert entry.started_ms == 5
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Capacity": "many"},
+        {"Capacity": 0},
+        {"State": "dreaming"},
+        {"Address": "nowhere"},
+        {"Service": None},
+        {"Zone": 7},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(changes):
+    """Guards against one bad entry taking the others out of use."""
+    assert decode_target_entry("t1", json.dumps({**ENTRY, **changes}).encode()) is None
+    assert decode_target_entry("t1", b"\x00not json") is None
+
+
+def test_a_job_is_decoded_and_its_results_encoded():
+    item = {"Id": "i1", "Path": "/x/1", "Headers": {"Model": "m"}, "Body": "aGk=", "TokenCount": 9}
+    job = decode_submission(json.dumps({"Items": [item]}).encode())
+    assert job.items[0].body == b"hi" and job.items[0].headers == (("Model", "m"),)
+    page = ResultPage(2, 1, (ListedResult("i1", False, ""),))
+    assert json.loads(encode_results(page)) == {
+        "Total": 2,
+        "Next": 1,
+        "Results": [{"Id": "i1", "State": "dead_lettered", "Data": ""}],
+    }
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"Items": [{"Id": "a", "Path": "/", "Body": "!"}]}']
+)
+def test_an_invalid_job_is_an_error(body):
+    with pytest.raises(ValueError):
+        decode_submission(body)
+
+
+def test_two_items_of_one_id_are_an_error():
+    items = [{"Id": "a", "Path": "/"}, {"Id": "a", "Path": "/"}]
+    with pytest.raises(ValueError):
+        decode_submission(json.dumps({"Items": items}).encode())
+
+
+def test_objects_are_created_read_replaced_and_deleted(store):
+    version = store.put("jobs/a", b'{"n":1}', 0)
+    found = store.get("jobs/a")
+    assert (found.version, json.loads(found.value)) == (version, {"n": 1})
+    newer = store.put("jobs/a", b'{"n":2}', version)
+    for stale in (0, version):
+        with pytest.raises(WriteConflictError):
+            store.put("jobs/a", b'{"n":3}', stale)
+    store.delete("jobs/a", newer)
+    assert store.get("jobs/a") is None
+    with pytest.raises(WriteConflictError):
+        store.put("jobs/a", b'{"n":4}', newer)
+
+
+def test_a_listing_reads_all_pages_and_a_watch_goes_on_from_it(store, platform):
+    for number in range(501):
+        platform.state.put("servers", f"s{number:03}", {"n": number})
+    listing = store.list_objects("servers")
+    assert len(listing.objects) == 501
+    platform.state.put("servers", "s000", {"n": -1})
+    platform.state.delete("servers", "s001", None)
+    result = store.watch("servers", listing.revision, 100)
+    changes = {found.key: found.value for found in result.changes}
+    assert json.loads(changes["servers/s000"]) == {"n": -1} and changes["servers/s001"] is None
+    assert store.watch("servers", result.revision, 10).changes == ()
+
+
+def test_a_lost_history_is_told_apart_from_an_outage(store, platform):
+    platform.state.put("servers", "a", {})
+    platform.state.forget_history()
+    with pytest.raises(HistoryLostError):
+        store.watch("servers", 1, 10)
+
+
+@pytest.mark.parametrize("fault", [429, 503, "reset"])
+def test_a_read_that_is_refused_is_an_outage(store, platform, fault):
+    platform.fault = lambda _method, _path: fault
+    with pytest.raises(StoreUnavailableError):
+        store.get("jobs/a")
+
+
+@pytest.mark.parametrize(
+    "fault, error",
+    [
+        (429, StoreUnavailableError),
+        (503, StoreUnavailableError),
+        (500, WriteOutcomeUnknownError),
+        ("reset", WriteOutcomeUnknownError),
+        ("lost", WriteOutcomeUnknownError),
+    ],
+)
+def test_what_a_failed_write_means(store, platform, fault, error):
+    """Guards against a write whose answer was lost being taken for one that was not done."""
+    platform.fault = lambda _method, _path: fault
+    with pytest.raises(error):
+        store.put("jobs/a", b"{}", 0)
+    platform.fault = lambda _method, _path: None
+    assert (store.get("jobs/a") is not None) == (fault == "lost")
