Give every runner home targets, and let it use what other homes leave free

Change: homes are assigned with a cap of the share; runners away from home leave two more places free and give way first. Ruled out: claims and loading of the jobs (claimed 40 ms after the start).

--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -1,4 +1,4 @@
-"""Starts and stops items at the targets whose batch places this runner has."""
+"""Starts and stops items at targets."""
 
 from asyncio import CancelledError, Task, create_task, get_running_loop
 from random import Random
@@ -14,7 +14,7 @@
 from ebonyshore.gateway.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_board import LoadBoard, TargetCounts
-from ebonyshore.runner.item_plan import TargetRoom, make_plan, owner_of
+from ebonyshore.runner.item_plan import TargetRoom, assign_homes, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunEnd, RunResult
 from ebonyshore.runner.job_book import Item, ItemState, JobBook
 from ebonyshore.runner.job_shelf import JobShelf
@@ -80,21 +80,16 @@
             return
         totals = self._board.totals()
         runners = [self._shelf.own_id, *self._board.runners()]
-        rooms = {
-            target.target_id: self._room(target, totals)
-            for target in self._targets.all().values()
-            if owner_of(target.target_id, runners) == self._shelf.own_id
-        }
+        homes = assign_homes(self._targets.all(), runners)
+        rooms: dict[str, list[TargetRoom]] = {}
+        for target in self._targets.all().values():
+            is_home = homes[target.target_id] == self._shelf.own_id
+            room = self._room(target, totals, is_home)
+            rooms.setdefault(target.entry.service, []).append(room)
         waiting = self._waiting_by_service()
-        services = {target.entry.service for target in self._targets.all().values()}
-        for service in services:
-            of_service = [
-                room
-                for room in rooms.values()
-                if self._targets.find(room.target_id).entry.service == service
-            ]
+        for service, of_service in rooms.items():
             self._carry_out(waiting.get(service, {}), of_service)
-        self._stop_at_lost_targets(rooms)
+        self._stop_at_lost_targets()
 
     def _carry_out(self, waiting: dict[str, tuple[JobBook, Item]], rooms: list[TargetRoom]) -> None:
         plan = make_plan(list(waiting), rooms)
@@ -116,7 +111,7 @@
             task = create_task(self._run(start.item, book, item, target))
             self._running[start.item] = Running(book, item, target, task)
 
-    def _room(self, target: Target, totals: dict[str, TargetCounts]) -> TargetRoom:
+    def _room(self, target: Target, totals: dict[str, TargetCounts], is_home: bool) -> TargetRoom:
         others = totals.get(target.target_id, NO_COUNTS)
         now_ms = _now_ms()
         is_usable = (
@@ -127,7 +122,13 @@
         )
         own = [key for key, running in self._running.items() if running.target is target]
         return TargetRoom(
-            target.target_id, target.entry.capacity, others.online, others.batch, own, is_usable
+            target.target_id,
+            target.entry.capacity,
+            others.online,
+            others.batch,
+            own,
+            is_usable,
+            is_home,
         )
 
     def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobBook, Item]]]:
@@ -173,18 +174,12 @@
             if record.is_cancelled or not self._shelf.owns(record):
                 running.task.cancel()
 
-    def _stop_at_lost_targets(self, rooms: dict[str, TargetRoom]) -> None:
-        """Leave targets whose batch places another live runner has now, and gone ones."""
+    def _stop_at_lost_targets(self) -> None:
+        """Leave targets that are gone, or that run anew under their id."""
         for running in self._running.values():
-            target_id = running.target.target_id
-            is_gone = self._targets.find(target_id) is not running.target
-            if is_gone or (target_id not in rooms and self._is_crowded(running.target)):
+            if self._targets.find(running.target.target_id) is not running.target:
                 running.task.cancel()
 
-    def _is_crowded(self, target: Target) -> bool:
-        counts = self._board.totals().get(target.target_id, NO_COUNTS)
-        return counts.online + counts.batch + target.own_batch > target.entry.capacity
-
     async def _run(self, key: str, book: JobBook, item: Item, target: Target) -> None:
         record = book.record
         run = ItemRun(
--- a/ebonyshore/runner/job_shelf.py
+++ b/ebonyshore/runner/job_shelf.py
@@ -18,7 +18,7 @@
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.runner.claim_policy import OwnerSigns, may_claim
-from ebonyshore.runner.item_plan import owner_of
+from ebonyshore.runner.item_plan import first_choice
 from ebonyshore.runner.job_book import ItemState, JobBook
 from ebonyshore.runner.job_storage import JobStorage, job_name
 from ebonyshore.runner.job_types import JobRecord
@@ -202,7 +202,7 @@
             return False
         if now_ms < self._claim_not_before_ms.get(job_id, 0.0):
             return False
-        is_first_choice = owner_of(job_id, runners) == self.own_id
+        is_first_choice = first_choice(job_id, runners) == self.own_id
         sign = self._board.sign_of(record.owner)
         signs = OwnerSigns(
             heard_ms=sign.at_ms if sign else self._started_ms,
