Prove the path on the platform with real processes

Stand-ins for the platform's store (watches, conflicts, lost answers, forgotten history) and for its streaming targets; twelve tests with two entries, two runners and three targets as real processes. They found: an entry ended its planned stop with an exception, since connections were closed after the event loop; a watch could call into a closed loop. The process frame of both roles now stands once, in gateway.process.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -1,8 +1,6 @@
 """Puts an entry on a deployment together and runs it."""
 
-import asyncio
-
-from ebonyshore.frame.async_kernel import AsyncKernel, run_until_signal
+from ebonyshore.frame.async_kernel import AsyncKernel
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.config_service import ConfigService
 from ebonyshore.gateway.deployment import Deployment
@@ -13,40 +11,12 @@
 from ebonyshore.gateway.insight import METRICS_PORT, Insight
 from ebonyshore.gateway.job_calls import JobCalls
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.process import make_registration, make_watch, run_process
 from ebonyshore.gateway.target_service import TargetService
 from ebonyshore.gateway.targets import TargetTable
 from ebonyshore.gateway.watch_service import WatchService
 from ebonyshore.link.load_service import LoadService
-from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
-from ebonyshore.store.kind_watch import KindListener, KindWatch
-
-EXIT_MARGIN_MS = 700.0  # of the grace period, to stop before the kill
-
-
-def make_watch(
-    environment: HostEnvironment, kind: str, listener: KindListener, pause_ms: float = 0.0
-) -> KindWatch:
-    """Return a watch of one kind."""
-    return KindWatch(
-        environment.store,
-        kind,
-        listener,
-        environment.clock,
-        environment.log,
-        environment.random,
-        pause_ms,
-    )
-
-
-def make_registration(environment: HostEnvironment, peers: PeerDirectory) -> Registration:
-    """Return the registration of this process."""
-    return Registration(
-        peers.own,
-        environment.marked_store,
-        environment.clock,
-        environment.log,
-        environment.executor,
-    )
+from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
 
 
 def make_entry_kernel(environment: HostEnvironment) -> AsyncKernel:
@@ -92,17 +62,4 @@
 
     :raises SettingsError: if its settings are invalid.
     """
-    environment = HostEnvironment(deployment, "entry")
-    environment.open_log()
-    try:
-        return asyncio.run(_run(environment))
-    finally:
-        environment.close()
-
-
-async def _run(environment: HostEnvironment) -> ResultCode:
-    kernel = make_entry_kernel(environment)
-    bound_ms = environment.settings.grace_ms - EXIT_MARGIN_MS
-    is_drained = await run_until_signal(kernel, environment.log, bound_ms, environment.reload)
-    environment.store.cancel_watches()
-    return ResultCode.OK if is_drained else ResultCode.STREAM_BROKEN
+    return run_process(HostEnvironment(deployment, "entry"), make_entry_kernel)
--- a/ebonyshore/gateway/host_environment.py
+++ b/ebonyshore/gateway/host_environment.py
@@ -70,8 +70,7 @@
         self.settings = settings
 
     def close(self) -> None:
-        """End waiting calls, idle connections and the log."""
+        """End waiting calls and the log."""
         self.store.cancel_watches()
         self.executor.shutdown(wait=False, cancel_futures=True)
-        self.pool.close()
         remove_destination(self._destination)
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -1,17 +1,16 @@
 """Puts a runner on a deployment together and runs it."""
 
-import asyncio
 from asyncio import Event, Task, create_task, sleep, timeout
 
-from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService, run_until_signal
+from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.config_service import ConfigService
 from ebonyshore.gateway.deployment import Deployment
-from ebonyshore.gateway.entry_process import EXIT_MARGIN_MS, make_registration, make_watch
 from ebonyshore.gateway.host_environment import HostEnvironment
 from ebonyshore.gateway.insight import METRICS_PORT, Insight
+from ebonyshore.gateway.process import make_registration, make_watch, run_process
 from ebonyshore.gateway.target_service import TargetService
 from ebonyshore.gateway.targets import TargetTable
 from ebonyshore.gateway.watch_service import WatchService
@@ -181,17 +180,4 @@
 
     :raises SettingsError: if its settings are invalid.
     """
-    environment = HostEnvironment(deployment, "runner")
-    environment.open_log()
-    try:
-        return asyncio.run(_run(environment))
-    finally:
-        environment.close()
-
-
-async def _run(environment: HostEnvironment) -> ResultCode:
-    kernel = make_runner_kernel(environment)
-    bound_ms = environment.settings.grace_ms - EXIT_MARGIN_MS
-    is_drained = await run_until_signal(kernel, environment.log, bound_ms, environment.reload)
-    environment.store.cancel_watches()
-    return ResultCode.OK if is_drained else ResultCode.STREAM_BROKEN
+    return run_process(HostEnvironment(deployment, "runner"), make_runner_kernel)
--- a/ebonyshore/store/kind_watch.py
+++ b/ebonyshore/store/kind_watch.py
@@ -121,5 +121,9 @@
         self._clock.sleep_ms(self._random.uniform(FIRST_RETRY_MS / 2, longest_ms))
 
     def _call(self, function, *arguments) -> None:
-        if self._loop is not None and not self._loop.is_closed():
+        try:
             self._loop.call_soon_threadsafe(function, *arguments)
+        except RuntimeError:
+            # The loop was closed between two calls of a process that stops.
+            self._is_stopped = True
+            self._log.event("watch_ended", kind=self._kind)
--- a/ebonyshore_standins/object_platform.py
+++ b/ebonyshore_standins/object_platform.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's store of objects, with its faults; it speaks HTTP on loopback."""
 
 import json
+import sys
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from threading import Condition, Thread
@@ -109,6 +110,17 @@
         self.changed.notify_all()
 
 
+class _Server(ThreadingHTTPServer):
+    """Does not print the end of a client's connection as an error."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class ObjectPlatform:
     """The server. Faults are switched by setting attributes.
 
@@ -120,8 +132,7 @@
         self.state = ObjectStoreState()
         self.fault: Callable[[str, str], int | str | None] = lambda _method, _path: None
         self.calls: list[tuple[str, str]] = []
-        self._server = ThreadingHTTPServer(("127.0.0.1", port), _make_handler(self))
-        self._server.daemon_threads = True
+        self._server = _Server(("127.0.0.1", port), _make_handler(self))
         self._thread = Thread(target=self._server.serve_forever, args=(0.05,), daemon=True)
 
     @property
--- /dev/null
+++ b/ebonyshore_standins/platform_fleet.py
@@ -0,0 +1,272 @@
+"""Entries and runners as real processes on loopback, with stand-ins for what is around them."""
+
+import base64
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+from ebonyshore_standins.object_platform import ObjectPlatform
+from ebonyshore_standins.stream_target import StreamTarget
+
+HOST = "tier.example"
+STREAM_PREFIX = "/ask/"
+ONCE_PREFIX = "/once/"
+BATCH_PREFIX = "/plans/"
+SERVICE = "svc"
+START_TIMEOUT_S = 20.0
+
+SETTINGS = """
+NodeName = "{name}"
+Ip = "{ip}"
+Zone = "fd-a"
+Region = "r1"
+InternalPorts = [{internal}, {internal_last}]
+HeartbeatMs = 400
+[Listen]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+[Bounds]
+GraceS = 8
+[Platform]
+Address = "{store}"
+"""
+
+
+def free_port(ip: str) -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+def route(name: str, prefix: str, kind: str, **fields: object) -> dict[str, object]:
+    """Return a route of the configuration."""
+    return {
+        "Name": name,
+        "Hostname": HOST,
+        "PathPrefix": prefix,
+        "Type": kind,
+        "Service": SERVICE,
+        "TimeoutMs": 8_000,
+        "TargetLatencyMs": 500,
+        "MaxAttempts": 3,
+        **fields,
+    }
+
+
+def make_config(version: int, *more_routes: dict[str, object]) -> dict[str, object]:
+    """Return a configuration with the routes that the tests use."""
+    return {
+        "Version": version,
+        "Routes": [
+            route("ask", STREAM_PREFIX, "streaming", Resumable=True),
+            route("once", ONCE_PREFIX, "streaming", MaxAttempts=1),
+            route("plans", BATCH_PREFIX, "batch", RetentionS=60, CompletionTargetMs=18_000),
+            *more_routes,
+        ],
+        "Services": [{"Name": SERVICE, "MaxConnections": 200}],
+        "Limits": {"MaxBodyBytes": 4_194_304, "IdleTimeoutMs": 5_000},
+    }
+
+
+class FleetProcess:
+    """One process of the system on an address of its own.
+
+    :param ip: a loopback address; a process listens on fixed ports of it.
+    """
+
+    def __init__(self, role: str, name: str, ip: str, store: str, folder: Path) -> None:
+        self.role = role
+        self.name = name
+        self.ip = ip
+        self.front = free_port(ip)
+        self.ready = free_port(ip)
+        self._log_path = folder / f"{name}.log"
+        self._settings_path = folder / f"{name}.toml"
+        internal = free_port(ip)
+        self._settings_path.write_text(
+            SETTINGS.format(
+                name=name,
+                ip=ip,
+                internal=internal,
+                internal_last=internal,
+                front=self.front,
+                ready=self.ready,
+                store=store,
+            )
+        )
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id of the running process."""
+        return self._process.pid
+
+    def start(self) -> None:
+        """Start the process; its log is appended to."""
+        environment = {**os.environ, "EBONYSHORE_CONFIG": str(self._settings_path)}
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "ebonyshore.platform", self.role],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._process.kill()
+        self._process.wait(10)
+
+    def stop(self, timeout_s: float = 12.0) -> int:
+        """Stop the process as planned; return its exit status."""
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.terminate()
+        return self._process.wait(timeout_s)
+
+    def wait(self, timeout_s: float = 10.0) -> int:
+        """Wait until the process has ended by itself; return its exit status."""
+        return self._process.wait(timeout_s)
+
+    def end(self) -> None:
+        """Make sure that the process is gone."""
+        if self._process is not None and self._process.poll() is None:
+            self.kill()
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer would send callers here."""
+        try:
+            connection = HTTPConnection(self.ip, self.ready, timeout=1)
+            connection.request("GET", "/ebonyshore/readyz")
+            return connection.getresponse().status == 200
+        except (OSError, HTTPException):
+            return False
+
+    def log(self) -> str:
+        """Return what the process has written."""
+        return self._log_path.read_text(encoding="utf-8")
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout_s: float = 10.0,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Make one call as a client; return status, headers and body."""
+        connection = HTTPConnection(self.ip, self.front, timeout=timeout_s)
+        try:
+            connection.request(method, path, body, {"Host": HOST, **(headers or {})})
+            answer = connection.getresponse()
+            return answer.status, dict(answer.getheaders()), answer.read()
+        finally:
+            connection.close()
+
+
+class PlatformFleet:
+    """Some entries, runners and targets around one store.
+
+    :param folder: for settings files and logs.
+    :param first_address: third number of the processes' loopback addresses, for fleets at the same
+        time.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        entries: int = 2,
+        runners: int = 2,
+        targets: int = 3,
+        first_address: int = 1,
+        store_address: str | None = None,
+    ) -> None:
+        self.platform = ObjectPlatform()
+        store = store_address or self.platform.address
+        self.targets = [StreamTarget(f"t{number}") for number in range(1, targets + 1)]
+        names = [("entry", n) for n in range(entries)] + [("runner", n) for n in range(runners)]
+        self.processes = [
+            FleetProcess(role, f"{role}-{n}", f"127.0.{first_address}.{index + 1}", store, folder)
+            for index, (role, n) in enumerate(names)
+        ]
+        self.entries = self.processes[:entries]
+        self.runners = self.processes[entries:]
+
+    def start(self) -> None:
+        """Start everything and wait until the entries are ready."""
+        self.platform.start()
+        self.platform.state.put("config", "main", make_config(1))
+        for target in self.targets:
+            target.start()
+            self.platform.state.put("servers", target.target_id, target.entry(SERVICE))
+        for process in self.processes:
+            process.start()
+        wait_until(lambda: all(entry.is_ready() for entry in self.entries))
+        wait_until(self._are_registered)
+        wait_until(lambda: all(_reaches_runners(entry) for entry in self.entries))
+
+    def stop(self) -> None:
+        """End everything that was started."""
+        for process in self.processes:
+            process.end()
+        for target in self.targets:
+            target.stop()
+        self.platform.stop()
+
+    def _are_registered(self) -> bool:
+        with self.platform.state.changed:
+            known = {name for kind, name in self.platform.state.objects if kind == "processes"}
+        return {process.name for process in self.processes} <= known
+
+
+def _reaches_runners(entry: FleetProcess) -> bool:
+    return entry.call("GET", "/ebonyshore/lots/unknown?After=0")[0] == 404
+
+
+def wait_until(condition, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait for a condition.
+
+    :raises TimeoutError: if it does not hold in time.
+    """
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f"not within {timeout_s} s")
+        time.sleep(0.02)
+
+
+def job_body(job_id: str, items: int, events: int = 6) -> bytes:
+    """Return the body that submits a job."""
+    return json.dumps(
+        {
+            "Items": [
+                {
+                    "Id": f"{job_id}-{number}",
+                    "Path": f"{BATCH_PREFIX}{number}",
+                    "Headers": {"Length-Hint": str(events), "Model": "m"},
+                    "Body": base64.b64encode(f"body {number}".encode()).decode(),
+                    "TokenCount": 10,
+                }
+                for number in range(items)
+            ]
+        }
+    ).encode()
+
+
+def read_results(entry: FleetProcess, job_id: str, first: int = 0) -> dict[str, object] | None:
+    """Return a page of results; ``None`` if the entry is not sure."""
+    status, _, body = entry.call(
+        "GET", f"/ebonyshore/lots/{job_id}?After={first}", {"Wait-Ms": "500"}
+    )
+    return json.loads(body) if status == 200 else None
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,226 @@
+"""The whole path on the platform with real processes, killed and stopped while they work."""
+
+import signal
+import threading
+import time
+from http.client import HTTPException
+
+import pytest
+
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore_standins.platform_fleet import (
+    BATCH_PREFIX,
+    ONCE_PREFIX,
+    SERVICE,
+    STREAM_PREFIX,
+    PlatformFleet,
+    job_body,
+    make_config,
+    read_results,
+    route,
+    wait_until,
+)
+from ebonyshore_standins.stream_target import expected_data
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    running = PlatformFleet(tmp_path)
+    try:
+        running.start()
+        yield running
+    finally:
+        running.stop()
+
+
+def ask(entry, request_id, prefix=STREAM_PREFIX, events=6):
+    headers = {"Attempt-Id": request_id, "Deadline-Ms": "5000", "Length-Hint": str(events)}
+    return entry.call("POST", f"{prefix}x", headers, b"question")
+
+
+def data_of(body):
+    return "\n".join(line[6:].decode() for line in body.split(b"\n") if line.startswith(b"data: "))
+
+
+def submit(entry, job_id, items=6, events=6):
+    headers = {"Attempt-Id": job_id, "Content-Type": "application/json"}
+    return entry.call("POST", f"{BATCH_PREFIX}{job_id}", headers, job_body(job_id, items, events))[
+        0
+    ]
+
+
+def all_results(fleet, job_id, timeout_s=20.0):
+    """Read until every item is listed; entries that are not sure are asked again."""
+    found = []
+
+    def is_done():
+        for entry in fleet.entries:
+            page = None
+            try:
+                page = read_results(entry, job_id)
+            except OSError:
+                continue
+            if page and len(page["Results"]) == page["Total"]:
+                found[:] = page["Results"]
+                return True
+        return False
+
+    wait_until(is_done, timeout_s)
+    return found
+
+
+def test_requests_jobs_bodies_and_ends(fleet):
+    first, second = fleet.entries
+    status, headers, body = ask(first, "q1")
+    assert status == 200 and data_of(body) == expected_data("q1", 6)
+    assert headers["Server-Signature"] in {"t1", "t2", "t3"}
+    assert ask(second, "q2", "/nowhere/")[0] == 404
+
+    assert submit(first, "j1") == 202
+    assert submit(second, "j1") == 202
+    results = all_results(fleet, "j1")
+    assert sorted(result["Id"] for result in results) == [f"j1-{n}" for n in range(6)]
+    for result in results:
+        assert result["State"] == "complete"
+        assert result["Data"] == expected_data(result["Id"], 6)
+    for entry in fleet.entries:
+        assert read_results(entry, "j1")["Results"] == results
+        assert read_results(entry, "j1", 4)["Results"] == results[4:]
+    assert second.call("GET", "/ebonyshore/items/j1?Id=j1-3")[2] == b"body 3"
+    assert second.call("GET", "/ebonyshore/lots/unknown?After=0")[0] == 404
+    assert first.call("DELETE", "/ebonyshore/lots/j1")[0] == 200
+    assert first.call("DELETE", "/ebonyshore/lots/j1")[0] == 200
+    assert read_results(second, "j1")["Results"] == results
+
+
+def test_an_accepted_job_outlives_the_death_of_every_process(fleet):
+    """Guards against items left lying, and results read once that are lost, after a power loss."""
+    assert submit(fleet.entries[0], "j1", items=30, events=40) == 202
+    wait_until(lambda: (read_results(fleet.entries[0], "j1") or {"Next": 0})["Next"] > 0)
+    before = read_results(fleet.entries[0], "j1")["Results"]
+    for process in fleet.processes:
+        process.kill()
+    for process in fleet.processes:
+        process.start()
+    results = all_results(fleet, "j1")
+    assert results[: len(before)] == before
+    assert all(result["Data"] == expected_data(result["Id"], 40) for result in results)
+
+
+def test_a_killed_runners_jobs_are_finished_by_another(fleet):
+    for number in range(6):
+        assert submit(fleet.entries[0], f"j{number}", items=8, events=60) == 202
+    fleet.runners[0].kill()
+    for number in range(6):
+        results = all_results(fleet, f"j{number}")
+        assert len(results) == 8
+        assert all(result["Data"] == expected_data(result["Id"], 60) for result in results)
+
+
+def test_a_cancelled_job_runs_no_item_afterwards(fleet):
+    assert submit(fleet.entries[0], "j1", items=150, events=60) == 202
+    time.sleep(0.3)
+    assert fleet.entries[1].call("DELETE", "/ebonyshore/lots/j1")[0] == 200
+    time.sleep(0.5)
+    runs = sum(len(target.runs) for target in fleet.targets)
+    time.sleep(0.7)
+    assert sum(len(target.runs) for target in fleet.targets) == runs
+    assert fleet.entries[0].call("GET", "/ebonyshore/items/j1?Id=j1-149")[0] == 404
+
+
+def test_failed_and_rejected_items_are_given_up_and_the_others_are_done(fleet):
+    for target in fleet.targets:
+        target.failing_ids.add("j1-0")
+        target.rejected_ids.add("j1-1")
+    assert submit(fleet.entries[0], "j1", items=4) == 202
+    results = {result["Id"]: result["State"] for result in all_results(fleet, "j1")}
+    assert results == {
+        "j1-0": "dead_lettered",
+        "j1-1": "dead_lettered",
+        "j1-2": "complete",
+        "j1-3": "complete",
+    }
+    assert sum(run.request_id == "j1-0" for t in fleet.targets for run in t.runs) == 3
+
+
+def test_a_planned_stop_cuts_no_request_and_takes_the_entry_out(fleet):
+    """Guards against requests that are lost around a planned stop."""
+    entry = fleet.entries[0]
+    answers = []
+
+    def ask_long():
+        answers.append(ask(entry, f"long-{len(answers)}", events=200))
+
+    asking = threading.Thread(target=ask_long)
+    asking.start()
+    wait_until(lambda: any(target.runs for target in fleet.targets))
+    entry.signal(signal.SIGTERM)
+    wait_until(lambda: not entry.is_ready(), 1.0)
+    status, headers, body = ask(entry, "late")
+    assert status == 200 and headers["Connection"] == "close"
+    asking.join(10)
+    assert data_of(answers[0][2]) == expected_data("long-0", 200)
+    assert entry.stop() == 0
+
+
+def test_a_configuration_is_in_force_at_every_entry_and_never_reverts(fleet):
+    state = fleet.platform.state
+    assert ask(fleet.entries[0], "q0", "/new/")[0] == 404
+    state.put("config", "main", make_config(7, route("new", "/new/", "streaming")))
+    wait_until(lambda: all(ask(e, "q1", "/new/")[0] == 200 for e in fleet.entries), 2.0)
+    state.put("config", "main", make_config(5))
+    time.sleep(0.3)
+    assert all(ask(entry, "q2", "/new/")[0] == 200 for entry in fleet.entries)
+
+
+def test_online_requests_go_on_while_the_store_is_down(fleet):
+    fleet.platform.fault = lambda _method, _path: 503
+    time.sleep(0.2)
+    assert ask(fleet.entries[0], "q1")[0] == 200
+    assert submit(fleet.entries[0], "j1") == 503
+    fleet.platform.fault = lambda _method, _path: None
+    assert submit(fleet.entries[0], "j1") == 202
+    assert len(all_results(fleet, "j1")) == 6
+
+
+def test_a_leaving_target_gets_no_new_request(fleet):
+    leaving = fleet.targets[0]
+    fleet.platform.state.put("servers", "t1", leaving.entry(SERVICE, "draining"))
+    time.sleep(0.3)
+    seen = len(leaving.runs)
+    for number in range(12):
+        assert ask(fleet.entries[number % 2], f"q{number}")[0] == 200
+    assert len(leaving.runs) == seen
+
+
+def test_a_request_that_must_not_be_repeated_runs_once_when_its_entry_dies(fleet):
+    entry = fleet.entries[0]
+
+    def ask_and_lose():
+        with pytest.raises((OSError, HTTPException)):
+            ask(entry, "once-1", ONCE_PREFIX, events=100)
+
+    asking = threading.Thread(target=ask_and_lose)
+    asking.start()
+    wait_until(lambda: any(target.runs for target in fleet.targets))
+    entry.kill()
+    asking.join(10)
+    assert sum(run.request_id == "once-1" for t in fleet.targets for run in t.runs) == 1
+
+
+def test_logs_and_metrics_explain_a_request(fleet):
+    ask(fleet.entries[0], "q1")
+    wait_until(lambda: "request=q1" in fleet.entries[0].log(), 2.0)
+    line = next(line for line in fleet.entries[0].log().split("\n") if "request=q1" in line)
+    assert "event=request_ended" in line and "outcome=answered" in line and "targets=t" in line
+    for process in fleet.processes:
+        assert "event=process_started" in process.log()
+
+
+def test_a_settings_file_that_does_not_exist_is_an_error(fleet, tmp_path):
+    entry = fleet.entries[0]
+    entry.stop()
+    (tmp_path / f"{entry.name}.toml").unlink()
+    entry.start()
+    assert entry.wait() == int(ResultCode.INVALID_SETTINGS)
+    assert entry.log().count("No such file") == 1
