--- /dev/null
+++ b/ebonyshore/runner/job_expiry.py
@@ -0,0 +1,74 @@
+"""Removes jobs from the store once nobody may ask for them any more."""
+
+from asyncio import Task, create_task, sleep
+
+from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.errors import StoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.link.load_board import LoadBoard
+from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_types import JobRecord
+
+LOOK_INTERVAL_MS = 5_000.0
+MARGIN_MS = 60_000.0  # clocks differ, and a job may have been sent well before it was accepted
+
+
+def is_expired(record: JobRecord, result_retention_ms: float, wall_ms: float) -> bool:
+    """Return whether a job and its results may be removed.
+
+    Items that have not ended are given up after the job's own retention.
+    """
+    kept_ms = max(result_retention_ms, record.retention_ms) + MARGIN_MS
+    return wall_ms > record.submitted_ms + kept_ms
+
+
+class JobExpiry:
+    """Runs in every runner; the first live one removes.
+
+    :param result_retention_ms: how long results stay readable after a job was submitted.
+    """
+
+    def __init__(
+        self,
+        shelf: JobShelf,
+        board: LoadBoard,
+        result_retention_ms: float,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._shelf = shelf
+        self._board = board
+        self._result_retention_ms = result_retention_ms
+        self._clock = clock
+        self._log = log
+        self._task: Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to look for expired jobs."""
+        self._task = create_task(self._run())
+
+    def stop(self) -> None:
+        """Stop looking."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def remove_expired(self) -> None:
+        """Remove the jobs that have expired by now."""
+        wall_ms = self._clock.wall_ms()
+        for found in self._shelf.all_records():
+            if is_expired(found.body, self._result_retention_ms, wall_ms):
+                await self._remove(found.body)
+
+    async def _run(self) -> None:
+        while True:
+            await sleep(LOOK_INTERVAL_MS / MS_PER_S)
+            if self._shelf.own_id == min([self._shelf.own_id, *self._board.runners()]):
+                await self.remove_expired()
+
+    async def _remove(self, record: JobRecord) -> None:
+        try:
+            await self._shelf.call(self._shelf.storage.delete, record)
+        except StoreError as error:
+            self._log.event("job_not_removed", job=record.job_id, error=str(error))
+        else:
+            self._log.event("job_removed", job=record.job_id)
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -117,19 +117,22 @@
         """
         self._store.create(_segment_key(job_id, number), segment)
 
-    def delete(self, known: MarkedObject[JobRecord], segment_count: int) -> None:
+    def delete(self, record: JobRecord) -> None:
         """Remove a job with all that belongs to it, its record last."""
-        job_id = known.body.job_id
-        for number in range(segment_count):
-            self._delete_key(_segment_key(job_id, number))
-        for number in range(known.body.body_parts):
-            self._delete_key(_part_key(job_id, number))
-        self._delete_key(f"{JOBS_KIND}/{job_name(job_id)}")
-
-    def _delete_key(self, key: str) -> None:
+        number = 0
+        while self._delete_key(_segment_key(record.job_id, number)):
+            number += 1
+        for number in range(record.body_parts):
+            self._delete_key(_part_key(record.job_id, number))
+        self._delete_key(f"{JOBS_KIND}/{job_name(record.job_id)}")
+
+    def _delete_key(self, key: str) -> bool:
+        """Remove an object; return whether there was one."""
         found = self._store.store.get(key)
-        if found is not None:
-            self._store.store.delete(key, found.version)
+        if found is None:
+            return False
+        self._store.store.delete(key, found.version)
+        return True
 
     def _store_bodies(self, record: JobRecord) -> JobRecord:
         """Store the bodies apart and return the record without them."""
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -19,6 +19,7 @@
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
 from ebonyshore.runner.item_runs import ItemRuns
 from ebonyshore.runner.job_api import JobApi
+from ebonyshore.runner.job_expiry import JobExpiry
 from ebonyshore.runner.job_shelf import JobShelf
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
 from ebonyshore.runner.presence import Presence
@@ -43,6 +44,7 @@
         writer: ResultWriter,
         load: LoadService,
         presence: Presence,
+        expiry: JobExpiry,
         log: EventLog,
     ) -> None:
         self._shelf = shelf
@@ -50,6 +52,7 @@
         self._writer = writer
         self._load = load
         self._presence = presence
+        self._expiry = expiry
         self._log = log
         self._changed = Event()
         self._task: Task[None] | None = None
@@ -58,6 +61,7 @@
 
     async def start(self) -> None:
         self._shelf.begin()
+        self._expiry.start()
         self._task = create_task(self._run())
 
     def begin_drain(self) -> None:
@@ -69,6 +73,7 @@
 
     async def stop(self) -> None:
         self._runs.stop_all()
+        self._expiry.stop()
         if self._task is not None:
             self._task.cancel()
 
@@ -147,6 +152,7 @@
         environment.random,
     )
     retirement = Retirement(deployment, environment.store, shelf, board, environment.executor, log)
+    expiry = JobExpiry(shelf, board, settings.result_retention_ms, environment.clock, log)
     watches = [
         make_watch(environment, deployment.config_key.split("/", 1)[0], config),
         make_watch(environment, deployment.targets_kind, targets),
@@ -168,7 +174,7 @@
     kernel.register(load)
     kernel.register(WatchService(watches, registration, targets))
     kernel.register(
-        RunnerService(shelf, runs, ResultWriter(shelf, log, metrics), load, presence, log)
+        RunnerService(shelf, runs, ResultWriter(shelf, log, metrics), load, presence, expiry, log)
     )
     kernel.register(api)
     kernel.register(Insight(settings.ip, METRICS_PORT, kernel, metrics))
--- /dev/null
+++ b/ebonyshore_soak/__main__.py
@@ -0,0 +1,142 @@
+"""Runs seeds of the soak: ``python -m ebonyshore_soak --first 1 --seeds 50``."""
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from msgspec import Struct
+
+from ebonyshore_soak.clients import ITEM_EVENTS, Clients
+from ebonyshore_soak.faults import Faults, listed_entry
+from ebonyshore_soak.ledger import Ledger
+from ebonyshore_soak.proxy import FaultProxy
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+
+SETTLE_S = 45.0
+CONFIG_S = 10.0
+
+
+class SoakOptions(Struct, frozen=True):
+    """Size of one run.
+
+    :param length_s: time with faults.
+    :param address: third number of the loopback addresses, for runs at the same time.
+    """
+
+    seed: int
+    length_s: float = 12.0
+    entries: int = 2
+    runners: int = 3
+    targets: int = 4
+    address: int = 1
+
+
+class SoakResult(Struct, frozen=True):
+    """What one run showed."""
+
+    seed: int
+    broken: list[str]
+    counts: dict[str, int]
+    faults: list[str]
+    folder: str
+
+
+def run_seed(options: SoakOptions) -> SoakResult:
+    """Play one seed; the processes' logs stay in the result's folder."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
+    fleet = PlatformFleet(
+        folder, options.entries, options.runners, options.targets, options.address
+    )
+    ledger = Ledger()
+    store_link = FaultProxy(fleet.platform.address)
+    fleet.use_store(store_link.address)
+    target_links: list[FaultProxy] = []
+    try:
+        for target in fleet.targets:
+            target.start()
+            target_links.append(FaultProxy(target.address))
+        fleet.start(
+            {
+                target.target_id: listed_entry(fleet, number, target_links[number].address)
+                for number, target in enumerate(fleet.targets)
+            }
+        )
+        clients = Clients(fleet, ledger, options.seed)
+        faults = Faults(fleet, [store_link], target_links, options.seed)
+        clients.start()
+        faults.start()
+        time.sleep(options.length_s)
+        faults.stop()
+        clients.stop()
+        _settle(fleet, clients, ledger)
+        runs = [run for target in fleet.targets for run in target.runs]
+        ledger.check_end(runs, ITEM_EVENTS)
+    finally:
+        fleet.stop()
+        for proxy in [store_link, *target_links]:
+            proxy.stop()
+    return SoakResult(options.seed, ledger.broken, ledger.counts, faults.log, str(folder))
+
+
+def _settle(fleet: PlatformFleet, clients: Clients, ledger: Ledger) -> None:
+    """Let everything come to its end without faults, and read what was accepted."""
+    path = f"/c{clients.config_version}/x"
+
+    def is_config_everywhere() -> bool:
+        answers = [
+            entry.call("POST", path, {"Attempt-Id": "end", "Deadline-Ms": "2000"}, b"")[0]
+            for entry in fleet.entries
+        ]
+        return answers == [200] * len(answers)
+
+    try:
+        wait_until(lambda: all(entry.is_ready() for entry in fleet.entries))
+        wait_until(is_config_everywhere, CONFIG_S)
+    except (TimeoutError, OSError) as error:
+        ledger.break_promise(f"the last configuration is not in force everywhere: {error!r}")
+    open_jobs = [job_id for job_id in ledger.accepted if job_id not in ledger.cancelled]
+    end = time.monotonic() + SETTLE_S
+    while open_jobs and time.monotonic() < end:
+        open_jobs = [job_id for job_id in open_jobs if not clients.read_all(job_id)]
+        time.sleep(0.2)
+    for job_id in ledger.cancelled:
+        clients.read_all(job_id)
+
+
+def main() -> int:
+    """Run the seeds that the arguments name; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="python -m ebonyshore_soak")
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--length", type=float, default=12.0, help="seconds with faults, each")
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--runners", type=int, default=3)
+    parser.add_argument("--targets", type=int, default=4)
+    parser.add_argument("--address", type=int, default=1, help="third number of the addresses")
+    options = parser.parse_args()
+    failed: list[int] = []
+    for seed in range(options.first, options.first + options.seeds):
+        result = run_seed(
+            SoakOptions(
+                seed,
+                options.length,
+                options.entries,
+                options.runners,
+                options.targets,
+                options.address,
+            )
+        )
+        print(f"seed {seed}: {len(result.broken)} broken, {len(result.faults)} faults,", end=" ")
+        print(" ".join(f"{name}={count}" for name, count in sorted(result.counts.items())))
+        if result.broken:
+            failed.append(seed)
+            print(f"  logs: {result.folder}")
+            print("\n".join(f"  {line}" for line in result.broken))
+    print(f"{options.seeds} seeds, {len(failed)} failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ebonyshore_soak/faults.py
@@ -0,0 +1,187 @@
+"""Series of faults that overlap, drawn from a seed."""
+
+import signal
+import subprocess
+import time
+from collections.abc import Callable
+from random import Random
+from threading import Event, Thread
+
+from ebonyshore_soak.proxy import FaultProxy, LinkState
+from ebonyshore_standins.platform_fleet import SERVICE, FleetProcess, PlatformFleet
+
+MAX_FAULT_S = 2.5
+PAUSE_S = (0.1, 0.9)
+SERIES = 2
+
+
+class Faults:
+    """Injects faults from outside the processes until told to stop, then mends all.
+
+    :param store_links: proxies between processes and the store.
+    :param target_links: proxies in front of the targets.
+    """
+
+    def __init__(
+        self,
+        fleet: PlatformFleet,
+        store_links: list[FaultProxy],
+        target_links: list[FaultProxy],
+        seed: int,
+    ) -> None:
+        self._fleet = fleet
+        self._store_links = store_links
+        self._target_links = target_links
+        self._seed = seed
+        self._is_over = Event()
+        self._threads: list[Thread] = []
+        self._busy: set[str] = set()
+        self.log: list[str] = []
+        self._kinds: list[Callable[[Random], None]] = [
+            self._kill,
+            self._kill_all_of_a_role,
+            self._pause,
+            self._terminate,
+            self._link_fault,
+            self._link_fault,
+            self._store_fault,
+            self._forget_history,
+            self._lapse_targets,
+        ]
+
+    def start(self) -> None:
+        """Begin the series."""
+        for number in range(SERIES):
+            random = Random(f"{self._seed}/faults/{number}")
+            thread = Thread(target=self._run, args=(random,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def stop(self) -> None:
+        """End the series, mend links and store, and start what is down."""
+        self._is_over.set()
+        for thread in self._threads:
+            thread.join(60)
+        self._fleet.platform.fault = lambda _method, _path: None
+        for proxy in [*self._store_links, *self._target_links]:
+            proxy.heal()
+
+    def _run(self, random: Random) -> None:
+        while not self._is_over.wait(random.uniform(*PAUSE_S)):
+            random.choice(self._kinds)(random)
+
+    def _note(self, text: str) -> None:
+        self.log.append(f"{time.monotonic():.3f} {text}")
+
+    def _take(self, random: Random, processes: list[FleetProcess]) -> FleetProcess | None:
+        """Return a process that no other series works on."""
+        free = [process for process in processes if process.name not in self._busy]
+        if not free:
+            return None
+        process = random.choice(free)
+        self._busy.add(process.name)
+        return process
+
+    def _kill(self, random: Random) -> None:
+        process = self._take(random, self._fleet.processes)
+        if process is None:
+            return
+        down_s = random.uniform(0.0, MAX_FAULT_S)
+        self._note(f"kill {process.name} for {down_s:.2f} s")
+        process.kill()
+        time.sleep(down_s)
+        process.start()
+        self._busy.discard(process.name)
+
+    def _kill_all_of_a_role(self, random: Random) -> None:
+        role = random.choice([self._fleet.entries, self._fleet.runners])
+        taken = [p for p in role if p.name not in self._busy]
+        self._busy |= {process.name for process in taken}
+        self._note(f"kill {[process.name for process in taken]}")
+        for process in taken:
+            process.kill()
+        time.sleep(random.uniform(0.0, 1.0))
+        for process in taken:
+            process.start()
+        self._busy -= {process.name for process in taken}
+
+    def _pause(self, random: Random) -> None:
+        process = self._take(random, self._fleet.processes)
+        if process is None:
+            return
+        for_s = random.uniform(0.2, MAX_FAULT_S)
+        self._note(f"pause {process.name} for {for_s:.2f} s")
+        process.signal(signal.SIGSTOP)
+        time.sleep(for_s)
+        process.signal(signal.SIGCONT)
+        self._busy.discard(process.name)
+
+    def _terminate(self, random: Random) -> None:
+        process = self._take(random, self._fleet.processes)
+        if process is None:
+            return
+        self._note(f"terminate {process.name}")
+        try:
+            process.stop()
+        except subprocess.TimeoutExpired:
+            self._note(f"{process.name} did not stop in time")
+            process.kill()
+        process.start()
+        self._busy.discard(process.name)
+
+    def _link_fault(self, random: Random) -> None:
+        link = random.choice([*self._store_links, *self._target_links])
+        kind = random.choice(["delay", "reset", "up", "down", "silence", "refuse"])
+        for_s = random.uniform(0.1, MAX_FAULT_S)
+        self._note(f"link {link.address} {kind} for {for_s:.2f} s")
+        if kind == "reset":
+            link.reset_all()
+            return
+        link.link = LinkState(
+            delay_s=random.uniform(0.02, 0.3) if kind == "delay" else 0.0,
+            drops_up=kind in ("up", "silence"),
+            drops_down=kind in ("down", "silence"),
+            refuses=kind == "refuse",
+        )
+        time.sleep(for_s)
+        link.heal()
+
+    def _store_fault(self, random: Random) -> None:
+        fault = random.choice([429, 503, "reset", "lost"])
+        share = random.choice([0.3, 1.0])
+        for_s = random.uniform(0.1, MAX_FAULT_S)
+        self._note(f"store {fault} for {share} of the calls, {for_s:.2f} s")
+        draws = Random(random.random())
+        self._fleet.platform.fault = lambda _method, _path: (
+            fault if draws.random() < share else None
+        )
+        time.sleep(for_s)
+        self._fleet.platform.fault = lambda _method, _path: None
+
+    def _forget_history(self, random: Random) -> None:
+        self._note("store forgets its history")
+        self._fleet.platform.state.forget_history()
+
+    def _lapse_targets(self, random: Random) -> None:
+        """Remove the entries of some targets while the store is away, and bring them back."""
+        self._note("targets lapse while the store is away")
+        state = self._fleet.platform.state
+        self._fleet.platform.fault = lambda _method, _path: 503
+        time.sleep(0.2)
+        chosen = [t for t in self._fleet.targets if random.random() < 0.7]
+        entries = {
+            target.target_id: state.objects.get(("servers", target.target_id)) for target in chosen
+        }
+        for target_id in entries:
+            state.delete("servers", target_id, None)
+        time.sleep(random.uniform(0.1, 1.0))
+        self._fleet.platform.fault = lambda _method, _path: None
+        time.sleep(random.uniform(0.0, 1.5))
+        for target_id, found in entries.items():
+            if found is not None:
+                state.put("servers", target_id, found["Spec"])
+
+
+def listed_entry(fleet: PlatformFleet, number: int, address: str) -> dict[str, object]:
+    """Return the list entry of a target that is reached through a proxy."""
+    return {**fleet.targets[number].entry(SERVICE), "Address": address}
--- /dev/null
+++ b/ebonyshore_soak/ledger.py
@@ -0,0 +1,87 @@
+"""What callers were told, and what breaks a promise; safe to use from any thread."""
+
+import time
+from collections.abc import Iterable
+from threading import Lock
+
+from ebonyshore_standins.stream_target import RunRecord, expected_data
+
+REFUSAL_STATUSES = (408, 421, 429, 503)
+
+
+class Ledger:
+    """Collects answers while the soak runs and compares them with the targets' runs at its end."""
+
+    def __init__(self) -> None:
+        self._lock = Lock()
+        self.broken: list[str] = []
+        self.counts: dict[str, int] = {}
+        self.refused_once: set[str] = set()
+        self.accepted: dict[str, int] = {}
+        self.refused_jobs: dict[str, int] = {}
+        self.cancelled: dict[str, float] = {}
+        self._listed: dict[str, list[tuple[str, str, str]]] = {}
+
+    def count(self, name: str) -> None:
+        """Count an outcome."""
+        with self._lock:
+            self.counts[name] = self.counts.get(name, 0) + 1
+
+    def break_promise(self, text: str) -> None:
+        """Note a broken promise."""
+        with self._lock:
+            self.broken.append(f"{time.monotonic():.3f} {text}")
+
+    def note_stream(self, request_id: str, events: int, data: str) -> None:
+        """Check an answer that ended as whole."""
+        self.count("streams_whole")
+        if data != expected_data(request_id, events):
+            self.break_promise(f"request {request_id}: the answer is not its own or not whole")
+
+    def note_page(self, job_id: str, first: int, page: dict[str, object]) -> None:
+        """Check a page of results against all that were read before."""
+        with self._lock:
+            known = self._listed.setdefault(job_id, [])
+            found = [(r["Id"], r["State"], r["Data"]) for r in page["Results"]]
+            overlap = known[first : first + len(found)]
+            is_same = found[: len(overlap)] == overlap
+            if first + len(found) > len(known):
+                known.extend(found[len(known) - first :])
+        if not is_same:
+            self.break_promise(f"job {job_id}: a position has another result than before")
+
+    def listed_count(self, job_id: str) -> int:
+        """Return how many results of a job were read so far."""
+        with self._lock:
+            return len(self._listed.get(job_id, ()))
+
+    def check_end(self, runs: Iterable[RunRecord], item_events: int) -> None:
+        """Compare with what reached the targets."""
+        runs_by_id: dict[str, int] = {}
+        for run in runs:
+            runs_by_id[run.request_id] = runs_by_id.get(run.request_id, 0) + 1
+        for request_id, number in runs_by_id.items():
+            if request_id.startswith("once") and number > 1:
+                self.break_promise(f"request {request_id} ran {number} times")
+        for request_id in self.refused_once & set(runs_by_id):
+            self.break_promise(f"request {request_id} ran though it was refused as not run")
+        for job_id, items in self.refused_jobs.items():
+            if job_id not in self.accepted and any(
+                f"{job_id}-{n}" in runs_by_id for n in range(items)
+            ):
+                self.break_promise(f"job {job_id} ran though every send of it was refused")
+        for job_id, items in self.accepted.items():
+            self._check_job(job_id, items, item_events)
+
+    def _check_job(self, job_id: str, items: int, item_events: int) -> None:
+        found = self._listed.get(job_id, [])
+        ids = [item_id for item_id, _, _ in found]
+        if len(set(ids)) != len(ids):
+            self.break_promise(f"job {job_id}: an item stands at two positions")
+        if job_id not in self.cancelled and len(found) != items:
+            self.break_promise(f"job {job_id}: {len(found)} of {items} items are listed")
+        for item_id, state, data in found:
+            if state == "complete" and data != expected_data(item_id, item_events):
+                self.break_promise(f"item {item_id}: its text is not whole")
+            if state != "complete" and job_id not in self.cancelled:
+                self.break_promise(f"item {item_id} was given up though it could be done")
--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -81,7 +81,7 @@
     :param ip: a loopback address; a process listens on fixed ports of it.
     """
 
-    def __init__(self, role: str, name: str, ip: str, store: str, folder: Path) -> None:
+    def __init__(self, role: str, name: str, ip: str, folder: Path) -> None:
         self.role = role
         self.name = name
         self.ip = ip
@@ -89,24 +89,30 @@
         self.ready = free_port(ip)
         self._log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.toml"
-        internal = free_port(ip)
+        self._internal = free_port(ip)
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id of the running process."""
+        return self._process.pid
+
+    def write_settings(self, store: str) -> None:
+        """Write the settings file.
+
+        :param store: ``IP:PORT`` of the store.
+        """
         self._settings_path.write_text(
             SETTINGS.format(
-                name=name,
-                ip=ip,
-                internal=internal,
-                internal_last=internal,
+                name=self.name,
+                ip=self.ip,
+                internal=self._internal,
+                internal_last=self._internal,
                 front=self.front,
                 ready=self.ready,
                 store=store,
             )
         )
-        self._process: subprocess.Popen[bytes] | None = None
-
-    @property
-    def pid(self) -> int:
-        """Process id of the running process."""
-        return self._process.pid
 
     def start(self) -> None:
         """Start the process; its log is appended to."""
@@ -190,26 +196,36 @@
         runners: int = 2,
         targets: int = 3,
         first_address: int = 1,
-        store_address: str | None = None,
     ) -> None:
         self.platform = ObjectPlatform()
-        store = store_address or self.platform.address
         self.targets = [StreamTarget(f"t{number}") for number in range(1, targets + 1)]
         names = [("entry", n) for n in range(entries)] + [("runner", n) for n in range(runners)]
         self.processes = [
-            FleetProcess(role, f"{role}-{n}", f"127.0.{first_address}.{index + 1}", store, folder)
+            FleetProcess(role, f"{role}-{n}", f"127.0.{first_address}.{index + 1}", folder)
             for index, (role, n) in enumerate(names)
         ]
         self.entries = self.processes[:entries]
         self.runners = self.processes[entries:]
+        self.use_store(self.platform.address)
 
-    def start(self) -> None:
-        """Start everything and wait until the entries are ready."""
+    def use_store(self, address: str) -> None:
+        """Let the processes reach the store at another address, from their next start on."""
+        for process in self.processes:
+            process.write_settings(address)
+
+    def start(self, listed: dict[str, dict[str, object]] | None = None) -> None:
+        """Start everything and wait until the entries are ready.
+
+        :param listed: entries of targets that run already; all targets are started if omitted.
+        """
         self.platform.start()
         self.platform.state.put("config", "main", make_config(1))
-        for target in self.targets:
-            target.start()
-            self.platform.state.put("servers", target.target_id, target.entry(SERVICE))
+        if listed is None:
+            for target in self.targets:
+                target.start()
+            listed = {target.target_id: target.entry(SERVICE) for target in self.targets}
+        for target_id, entry in listed.items():
+            self.platform.state.put("servers", target_id, entry)
         for process in self.processes:
             process.start()
         wait_until(lambda: all(entry.is_ready() for entry in self.entries))
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -93,6 +93,10 @@
     def _run_loop(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
 
     async def _listen(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
--- a/tests/test_job_storage.py
+++ b/tests/test_job_storage.py
@@ -1,10 +1,12 @@
 """Batch jobs in the platform's store, with lost answers and two owners at once."""
 
 import pytest
+from msgspec import structs
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
 from ebonyshore.platform.object_store import PlatformObjectStore
+from ebonyshore.runner.job_expiry import is_expired
 from ebonyshore.runner.job_storage import MAX_INLINE_BODY_BYTES, JobStorage, job_name
 from ebonyshore.runner.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
 from ebonyshore.store.http_calls import HttpCaller
@@ -94,10 +96,18 @@
 def test_a_job_is_deleted_with_all_that_belongs_to_it(storage, platform):
     stored = storage.create(record(b"x" * MAX_INLINE_BODY_BYTES))
     storage.append("j1", 0, segment(0))
-    storage.delete(stored, 1)
+    storage.delete(stored.body)
     assert platform.state.objects == {}
 
 
+def test_a_job_expires_only_after_its_results_and_its_items_may_be_dropped():
+    job = record()
+    assert not is_expired(job, 120_000.0, 179_000)
+    assert is_expired(job, 120_000.0, 181_000)
+    long = structs.replace(job, retention_ms=500_000.0)
+    assert not is_expired(long, 120_000.0, 559_000)
+
+
 def test_any_id_has_an_object_name():
     assert job_name("7c41e0-a") == "7c41e0-a"
     odd = [job_name("a/b"), job_name("ä"), job_name("x" * 65), job_name("")]
