--- a/ebonyshore/batch/cleanup.py
+++ b/ebonyshore/batch/cleanup.py
@@ -7,7 +7,7 @@
 from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.frame.task import Task
+from ebonyshore.frame.task import RepeatingTask
 from ebonyshore.store.lease import Lease
 
 DUTY = "clean-up"
@@ -24,7 +24,7 @@
         """Check a few objects and return how many were changed."""
 
 
-class CleanupTask(Task[None]):
+class CleanupTask(RepeatingTask):
     """Polls the lease of the duty and sweeps while it is held.
 
     :param lease: of the duty; used by this task alone.
@@ -48,18 +48,13 @@
         self._is_ready = is_ready
         self._metrics = metrics
         self._log = log
-        self._next_ms = 0.0
 
-    def handle(self, message: None) -> None:
-        """The task gets no messages."""
+    def interval_ms(self) -> float:
+        return self._lease.poll_interval_ms()
 
-    def timer_ms(self) -> float | None:
-        return self._next_ms
-
-    def on_timer(self) -> None:
+    def repeat(self) -> None:
         if self._is_ready() and self._lease.poll():
             self._sweep()
-        self._next_ms = self.clock.monotonic_ms() + self._lease.poll_interval_ms()
 
     def stop(self) -> None:
         super().stop()
--- a/ebonyshore/entry/instance_poller.py
+++ b/ebonyshore/entry/instance_poller.py
@@ -5,11 +5,11 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.frame.task import Task
+from ebonyshore.frame.task import RepeatingTask
 from ebonyshore.store.platform_api import InstanceList
 
 
-class InstancePoller(Task[None]):
+class InstancePoller(RepeatingTask):
     """Passes the list to the agent link; the last list stays in use while the platform is down."""
 
     def __init__(
@@ -25,16 +25,11 @@
         self._link = link
         self._interval_ms = interval_ms
         self._log = log
-        self._next_ms = 0.0
 
-    def handle(self, message: None) -> None:
-        """The poller gets no messages."""
+    def interval_ms(self) -> float:
+        return self._interval_ms
 
-    def timer_ms(self) -> float | None:
-        return self._next_ms
-
-    def on_timer(self) -> None:
-        self._next_ms = self.clock.monotonic_ms() + self._interval_ms
+    def repeat(self) -> None:
         try:
             instances = self._instances.list_instances()
         except StoreError as error:
--- a/ebonyshore/frame/task.py
+++ b/ebonyshore/frame/task.py
@@ -160,6 +160,32 @@
             self.on_timer()
 
 
+class RepeatingTask(Task[None]):
+    """A task without messages that calls :meth:`repeat` at intervals, first at its start."""
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        super().__init__(name, clock)
+        self._next_ms = 0.0
+
+    def handle(self, message: None) -> None:
+        """The task gets no messages."""
+
+    def timer_ms(self) -> float | None:
+        return self._next_ms
+
+    def on_timer(self) -> None:
+        self.repeat()
+        self._next_ms = self.clock.monotonic_ms() + self.interval_ms()
+
+    @abstractmethod
+    def repeat(self) -> None:
+        """Do the task's work once."""
+
+    @abstractmethod
+    def interval_ms(self) -> float:
+        """Return the time until the next call."""
+
+
 class SocketTask(Task[MessageT]):
     """A task that waits on ZeroMQ sockets as well as on its mailbox.
 
--- a/ebonyshore_bench/engine_steps.py
+++ b/ebonyshore_bench/engine_steps.py
@@ -7,7 +7,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL
-from ebonyshore_standins.engine_server import StepRecord
+from ebonyshore_standins.engine_runner import StepRecord
 
 SETTLE_FROM_MS = 100.0
 SETTLE_UNTIL_MS = 300.0
--- a/ebonyshore_bench/variants.py
+++ b/ebonyshore_bench/variants.py
@@ -14,7 +14,7 @@
 from ebonyshore_bench.plan import BATCH_MODEL, ONLINE_MODEL, BenchPlan, Variant
 from ebonyshore_bench.proc_stat import read_use
 from ebonyshore_bench.traffic import make_arrivals, make_batch_lines
-from ebonyshore_standins.engine_server import StepRecord
+from ebonyshore_standins.engine_runner import StepRecord
 from ebonyshore_standins.local_fleet import LocalFleet, TargetProcess
 
 TIER = "care"
--- a/ebonyshore_standins/batch_world.py
+++ b/ebonyshore_standins/batch_world.py
@@ -22,6 +22,7 @@
 from ebonyshore_standins.batch_world_agent import SimulatedAgent
 from ebonyshore_standins.batch_world_entry import ProcessKilled, SimulatedEntry
 from ebonyshore_standins.memory_platform import MemoryPlatform
+from ebonyshore_standins.world_base import WorldBase
 
 TICK_MS = 100.0
 MODELS = ("reader", "writer")
@@ -62,7 +63,7 @@
         return False
 
 
-class BatchWorld:
+class BatchWorld(WorldBase):
     """Entries, agents and the platform.
 
     :param seed: of every random choice.
--- a/ebonyshore_standins/batch_world_agent.py
+++ b/ebonyshore_standins/batch_world_agent.py
@@ -3,7 +3,6 @@
 from collections import deque
 from dataclasses import dataclass
 from itertools import count
-from typing import TYPE_CHECKING
 
 from msgspec.json import decode, encode
 from returns.result import Failure
@@ -22,10 +21,7 @@
     Usage,
 )
 from ebonyshore_standins.engine_model import token_at
-
-if TYPE_CHECKING:
-    from ebonyshore_standins.batch_world import BatchWorld
-    from ebonyshore_standins.batch_world_entry import SimulatedLink
+from ebonyshore_standins.world_base import LinkBase, WorldBase
 
 MODELS = ("reader", "writer")
 POISON = "CRASH-THE-ENGINE"
@@ -43,7 +39,7 @@
 class SimulatedRun:
     """A dispatch that the agent holds."""
 
-    link: "SimulatedLink"
+    link: LinkBase
     dispatch: Dispatch
     start_ms: float = 0.0
     end_ms: float = 0.0
@@ -52,7 +48,7 @@
 class SimulatedAgent:
     """Runs items for a random time, with the real admission and suspicion code."""
 
-    def __init__(self, world: "BatchWorld", agent_id: str) -> None:
+    def __init__(self, world: WorldBase, agent_id: str) -> None:
         self.world = world
         self.agent_id = agent_id
         self.run_number = 0
@@ -80,7 +76,7 @@
         room = max(0, MAX_RUNNING - len(self.waiting))
         return Load(batch_running=len(self.running), batch_room=room, max_running=MAX_RUNNING)
 
-    def receive(self, link: "SimulatedLink", dispatch: Dispatch) -> None:
+    def receive(self, link: LinkBase, dispatch: Dispatch) -> None:
         """Take or refuse a dispatch."""
         code = self._refusal(dispatch)
         if code is not None:
@@ -97,7 +93,7 @@
             self.running.remove(run)
             self._fail(run, ResultCode.CANCELLED, self._partial_text(run))
 
-    def drop_link(self, link: "SimulatedLink") -> None:
+    def drop_link(self, link: LinkBase) -> None:
         """Abort the work of an entry that was not heard for a while."""
         self.waiting = deque(r for r in self.waiting if r.link is not link)
         self.running = [r for r in self.running if r.link is not link]
@@ -222,7 +218,7 @@
     def _prompt(self, run: SimulatedRun) -> str:
         return f"user: {decode(run.dispatch.body)['messages'][0]['content']}"
 
-    def _refuse(self, link: "SimulatedLink", dispatch: Dispatch, code: ResultCode) -> None:
+    def _refuse(self, link: LinkBase, dispatch: Dispatch, code: ResultCode) -> None:
         link.deliver(self, Refused(dispatch.request_id, code))
 
     def _fail(self, run: SimulatedRun, code: ResultCode, resume_text: str) -> None:
--- a/ebonyshore_standins/batch_world_entry.py
+++ b/ebonyshore_standins/batch_world_entry.py
@@ -1,7 +1,6 @@
 """A simulated entry for :mod:`ebonyshore_standins.batch_world`; runs the real batch code."""
 
 from collections import deque
-from typing import TYPE_CHECKING
 
 from ebonyshore.batch.batch_api import BatchApi
 from ebonyshore.batch.batch_order import ShardSizer
@@ -21,9 +20,7 @@
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import ObjectStore, ObjectSummary, StoredObject, WatchResult
 from ebonyshore_standins.batch_world_agent import MODELS, SimulatedAgent
-
-if TYPE_CHECKING:
-    from ebonyshore_standins.batch_world import BatchWorld
+from ebonyshore_standins.world_base import LinkBase, WorldBase
 
 SILENCE_MS = 3_000.0
 REPORT_INTERVAL_MS = 500.0
@@ -37,7 +34,7 @@
 class SimulatedStore(ObjectStore):
     """The platform as one entry reaches it, with that entry's own faults."""
 
-    def __init__(self, world: "BatchWorld", entry: "SimulatedEntry") -> None:
+    def __init__(self, world: WorldBase, entry: "SimulatedEntry") -> None:
         self._world = world
         self._entry = entry
         self._process = entry.process
@@ -102,10 +99,10 @@
         entry.check_process(self._process)
 
 
-class SimulatedLink:
+class SimulatedLink(LinkBase):
     """The entry's connections to the agents; a cut holds messages back until it heals."""
 
-    def __init__(self, world: "BatchWorld", entry: "SimulatedEntry") -> None:
+    def __init__(self, world: WorldBase, entry: "SimulatedEntry") -> None:
         self._world = world
         self._entry = entry
         self._in_flight: dict[str, tuple[SimulatedAgent, object]] = {}
@@ -215,7 +212,7 @@
 class SimulatedEntry:
     """One entry: real runner and API over a simulated link and store."""
 
-    def __init__(self, world: "BatchWorld", entry_id: str) -> None:
+    def __init__(self, world: WorldBase, entry_id: str) -> None:
         self.world = world
         self.entry_id = entry_id
         self.is_dead = False
--- /dev/null
+++ b/ebonyshore_standins/engine_runner.py
@@ -0,0 +1,245 @@
+"""The stand-in engine's loop: takes requests, makes steps and hands out tokens."""
+
+from collections import Counter, deque
+from concurrent.futures import ThreadPoolExecutor
+from queue import Queue
+from threading import Condition
+from uuid import uuid4
+
+from msgspec import Struct
+
+from ebonyshore.frame.clock import Clock
+from ebonyshore_standins.engine_model import (
+    EngineCrashedError,
+    EngineModel,
+    EngineParameters,
+    Step,
+    TokenEvent,
+)
+
+DEFAULT_MAX_TOKENS = 16
+LOAD_REPORT_LAG_MS = 200.0
+KEPT_STEPS = 50_000
+
+
+class StreamEnded:
+    """Tells a handler that the engine crashed and the connection must be closed."""
+
+    __slots__ = ()
+
+
+class CompletionBody(Struct):
+    """The fields of a request that the stand-in looks at."""
+
+    model: str
+    messages: list[dict[str, object]] = []
+    prompt: str = ""
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    resume_text: str = ""
+
+    def prompt_text(self) -> str:
+        """Return the whole prompt as one text."""
+        if not self.messages:
+            return self.prompt
+        return "\n".join(f"{message['role']}: {message['content']}" for message in self.messages)
+
+    def token_limit(self) -> int:
+        """Return the number of tokens to generate."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+
+
+class EngineOptions(Struct, frozen=True):
+    """Behaviour of the server.
+
+    :param models: loaded at the start.
+    :param restart_ms: time from a crash until the engine answers again.
+    :param does_check_fencing: whether orders with an old fencing number are refused.
+    """
+
+    models: tuple[str, ...]
+    restart_ms: float = 1_000.0
+    does_check_fencing: bool = False
+
+
+class StepRecord(Struct, frozen=True):
+    """One step as it was, for measurements; counts are by model.
+
+    :param started_ms: monotonic time, which all processes of an instance share.
+    :param step_ms: time the step takes by the model.
+    :param sequences: sequences in the step.
+    :param tokens: tokens generated in the step.
+    :param finished_tokens: tokens of the answers that ended complete in the step.
+    """
+
+    started_ms: float
+    step_ms: float
+    sequences: dict[str, int]
+    tokens: dict[str, int]
+    finished_tokens: dict[str, int]
+
+
+class EngineRunner:
+    """Runs the model's steps in real time and hands tokens to the handlers."""
+
+    def __init__(self, parameters: EngineParameters, options: EngineOptions, clock: Clock) -> None:
+        self.options = options
+        self.models = set(options.models)
+        self.crash_count = 0
+        self.steps = 0
+        self.busy_ms = 0.0
+        self.tokens = 0
+        self.boot_id = uuid4().hex
+        self.fencing_numbers: dict[str, int] = {}
+        self._parameters = parameters
+        self._clock = clock
+        self._changed = Condition()
+        self._engine = EngineModel(parameters)
+        self._queues: dict[str, Queue[TokenEvent | StreamEnded]] = {}
+        self._models_by_request: dict[str, str] = {}
+        self._step_records: deque[StepRecord] = deque(maxlen=KEPT_STEPS)
+        self._loads: deque[tuple[float, int, int, float]] = deque([(0.0, 0, 0, 0.0)], maxlen=512)
+        self._down_until_ms = 0.0
+        self._executor = ThreadPoolExecutor(max_workers=1)
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Start the step loop."""
+        self._executor.submit(self._loop)
+
+    def stop(self) -> None:
+        """End the step loop."""
+        with self._changed:
+            self._is_stopped = True
+            self._changed.notify()
+        self._executor.shutdown()
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the engine crashed and has not restarted yet."""
+        return self._clock.monotonic_ms() < self._down_until_ms
+
+    def submit(self, request_id: str, body: CompletionBody) -> Queue[TokenEvent | StreamEnded]:
+        """Queue a request; its events arrive on the returned queue."""
+        queue: Queue[TokenEvent | StreamEnded] = Queue()
+        with self._changed:
+            self._queues[request_id] = queue
+            self._models_by_request[request_id] = body.model
+            self._engine.submit(
+                request_id, body.prompt_text(), body.token_limit(), body.resume_text
+            )
+            self._changed.notify()
+        return queue
+
+    def abort(self, request_ids: list[str] | None) -> None:
+        """End some requests, or all."""
+        with self._changed:
+            if request_ids is None:
+                self._engine.abort_all()
+            for request_id in request_ids or ():
+                self._engine.abort(request_id)
+            self._changed.notify()
+
+    def has_prefix(self, prefix_digest: str) -> bool:
+        """Return whether the block of a prefix is cached."""
+        with self._changed:
+            return self._engine.has_prefix(prefix_digest)
+
+    def import_prefix(self, prefix_digest: str) -> None:
+        """Cache the block of a prefix that another engine exported."""
+        with self._changed:
+            self._engine.import_prefix(prefix_digest)
+
+    def load(self) -> dict[str, float]:
+        """Return the load as it was :data:`LOAD_REPORT_LAG_MS` ago, and totals."""
+        now_ms = self._clock.monotonic_ms()
+        with self._changed:
+            past = [load for load in self._loads if load[0] <= now_ms - LOAD_REPORT_LAG_MS]
+            reported_ms, running, waiting, step_ms = (past or [self._loads[0]])[-1]
+            return {
+                "running": running,
+                "waiting": waiting,
+                "step_ms": step_ms,
+                "age_ms": now_ms - reported_ms,
+                "steps": self.steps,
+                "busy_ms": self.busy_ms,
+                "tokens": self.tokens,
+                "crash_count": self.crash_count,
+            }
+
+    def cache_events(self, since: int) -> list[dict[str, object]]:
+        """Return cache events after number ``since``; every tenth one is missing."""
+        with self._changed:
+            changes = self._engine.cache_changes[since:]
+        return [
+            {"sequence": since + index + 1, "prefix_digest": digest, "is_stored": is_stored}
+            for index, (digest, is_stored) in enumerate(changes)
+            if (since + index) % 10 != 9
+        ]
+
+    def _loop(self) -> None:
+        while not self._is_stopped:
+            with self._changed:
+                while not (self._is_stopped or self._engine.running or self._engine.waiting):
+                    self._changed.wait()
+                try:
+                    step = self._engine.step()
+                except EngineCrashedError:
+                    self._crash()
+                    continue
+                self._record_load(step.duration_ms)
+                self._record_step(step)
+            self._deliver(step.aborted)
+            self._clock.sleep_ms(step.duration_ms)
+            self._deliver(step.events)
+
+    def _record_load(self, step_ms: float) -> None:
+        engine = self._engine
+        self.steps += 1
+        self.busy_ms += step_ms
+        load = (self._clock.monotonic_ms(), len(engine.running), len(engine.waiting), step_ms)
+        self._loads.append(load)
+
+    def _record_step(self, step: Step) -> None:
+        if not step.duration_ms:
+            return
+        models = self._models_by_request
+        sequences = Counter(models[s.request_id] for s in self._engine.running)
+        tokens: Counter[str] = Counter()
+        finished: Counter[str] = Counter()
+        for event in step.events:
+            model = models[event.request_id]
+            tokens[model] += bool(event.token)
+            if event.finish_reason == "stop":
+                sequences[model] += 1
+                finished[model] += event.completion_tokens
+        now_ms = self._clock.monotonic_ms()
+        self._step_records.append(
+            StepRecord(now_ms, step.duration_ms, dict(sequences), dict(tokens), dict(finished))
+        )
+
+    def step_records(self) -> list[StepRecord]:
+        """Return the last :data:`KEPT_STEPS` steps that had work."""
+        with self._changed:
+            return list(self._step_records)
+
+    def _deliver(self, events: tuple[TokenEvent, ...]) -> None:
+        with self._changed:
+            for event in events:
+                self.tokens += bool(event.token)
+                queue = self._queues.get(event.request_id)
+                if queue is not None:
+                    queue.put(event)
+                if event.finish_reason:
+                    self._queues.pop(event.request_id, None)
+                    self._models_by_request.pop(event.request_id, None)
+
+    def _crash(self) -> None:
+        self.crash_count += 1
+        self._down_until_ms = self._clock.monotonic_ms() + self.options.restart_ms
+        self.boot_id = uuid4().hex
+        self._engine = EngineModel(self._parameters)
+        for queue in self._queues.values():
+            queue.put(StreamEnded())
+        self._queues.clear()
+        self._models_by_request.clear()
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -21,7 +21,7 @@
 from ebonyshore_bench.slopes import fit
 from ebonyshore_bench.traffic import make_arrivals, make_batch_lines
 from ebonyshore_bench.variants import run_variant
-from ebonyshore_standins.engine_server import StepRecord
+from ebonyshore_standins.engine_runner import StepRecord
 
 
 def test_the_same_seed_gives_the_same_traffic():
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -11,7 +11,8 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import TargetError
 from ebonyshore_standins.engine_model import CACHE_BLOCK_CHARS, EngineParameters
-from ebonyshore_standins.engine_server import EngineOptions, make_engine_server
+from ebonyshore_standins.engine_runner import EngineOptions
+from ebonyshore_standins.engine_server import make_engine_server
 
 PROMPT = "x" * CACHE_BLOCK_CHARS
 
