--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -44,18 +44,25 @@
     :param told_last_id: last event that the caller had before, as it said.
     """
 
-    __slots__ = ("has_events", "splitter")
+    __slots__ = ("first_event_ms", "has_events", "splitter")
 
     def __init__(self, told_last_id: str | None) -> None:
         known = int(told_last_id) if told_last_id and told_last_id.isdigit() else None
         self.splitter = EventSplitter(known)
         self.has_events = False
+        self.first_event_ms: float | None = None
 
     @property
     def last_id(self) -> int | None:
         """The last event that the caller has."""
         return self.splitter.last_id
 
+    def note_events(self, at_ms: float) -> None:
+        """Note that events were passed on at a monotonic time."""
+        if not self.has_events:
+            self.has_events = True
+            self.first_event_ms = at_ms
+
 
 class Exchange:
     """One attempt at one target.
@@ -166,7 +173,7 @@
                 continue
             if not responder.is_started:
                 responder.start_stream(head.status, _passed_on(head))
-            self._relay.has_events = True
+            self._relay.note_events(now_ms())
             responder.write(b"".join(event.raw for event in events))
             patience_ms = EVENT_PATIENCE_MS if has_retry else None
         if splitter.remainder:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -85,6 +85,7 @@
         self._runs = 0
         self._refusals = 0
         self._was_sent = False
+        self._room: int | None = None
         self._relay = RelayState(request.headers.get(owner.names.last_event_id))
         self._deadline_ms = request.received_ms + _allowed_ms(route, request, owner.names)
 
@@ -103,10 +104,16 @@
                 outcome=outcome,
                 targets=",".join(self._tried),
                 runs=self._runs,
+                room=self._room,
+                load_age_ms=self._owner.view.totals_age_ms(now_ms()),
                 last_event=self._relay.last_id,
+                first_event_ms=self._since_received(self._relay.first_event_ms),
                 duration_ms=duration_ms,
             )
 
+    def _since_received(self, at_ms: float | None) -> float | None:
+        return None if at_ms is None else at_ms - self._request.received_ms
+
     async def _run_until_deadline(self) -> str:
         while True:
             remaining_ms = self._deadline_ms - now_ms()
@@ -178,7 +185,10 @@
         loads = owner.view.loads(targets, now_ms())
         places = UNLIMITED_QUEUE if self._runs else self._queue_places(loads)
         chosen = choose_target(loads, places, owner.random.random())
-        return owner.targets.find(chosen.target_id) if chosen else None
+        if chosen is None:
+            return None
+        self._room = chosen.room
+        return owner.targets.find(chosen.target_id)
 
     def _queue_places(self, loads: list[TargetLoad]) -> int:
         capacity = loads[0].capacity if loads else 0
