Count the work of lost machines, pace starts away from home, and join what a cut divides

The instance that owned their batch items had lost power; no connection was closed, and the items ran on for up to 5 s. When many jobs came at once, several runners filled the same free places before they heard of each other. While runners do not hear each other, the one that sends the sums does not know the batch items of the other side.

Change: a silent process's counts shrink over 1 s (online) and 5 s (batch) instead of vanishing; away from home a runner starts one item a target and 60 ms; entries join sums of senders that do not count the same runner, and tell both sides what they see. Lost and regained runners are logged. Ruled out: slow giving way (first event p50 24.7 ms where an item had to leave, 22.7 ms where a place was free).

--- a/ebonyshore/gateway/entry_load.py
+++ b/ebonyshore/gateway/entry_load.py
@@ -34,6 +34,13 @@
             for target in self._targets.all().values()
             if target.own_online or target.own_batch
         }
-        report = LoadReport(own.instance_id, own.incarnation, self._sequence, own.role, counts)
+        report = LoadReport(
+            own.instance_id,
+            own.incarnation,
+            self._sequence,
+            own.role,
+            counts,
+            seen_batch=self._view.seen_batch(),
+        )
         runners = self._peers.of_role("runner").values()
         exchange.send(report, [(peer.host, peer.port) for peer in runners])
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -4,9 +4,10 @@
 
 from ebonyshore.gateway.balance import TargetLoad
 from ebonyshore.gateway.targets import Target
-from ebonyshore.link.load_board import LoadTotals, TargetCounts
+from ebonyshore.link.load_board import LoadTotals, TargetCounts, merge_totals
 
 TOTALS_LIFE_MS = 1_000.0
+SENDER_LIFE_MS = 400.0  # a runner that sends sums does so every 250 ms
 OCCUPANCY_SHARE = 0.05  # of each new value in the running mean
 FIRST_OCCUPANCY_MS = 700.0
 NO_COUNTS = TargetCounts(0, 0)
@@ -22,6 +23,7 @@
     __slots__ = (
         "_failure_domain",
         "_on_change",
+        "_messages",
         "_totals",
         "_totals_ms",
         "occupancy_ms",
@@ -31,6 +33,7 @@
     def __init__(self, failure_domain: str, on_change: Callable[[], None]) -> None:
         self._failure_domain = failure_domain
         self._on_change = on_change
+        self._messages: dict[str, tuple[float, LoadTotals]] = {}
         self._totals: dict[str, TargetCounts] = {}
         self._totals_ms = float("-inf")
         self.occupancy_ms = FIRST_OCCUPANCY_MS
@@ -38,9 +41,26 @@
 
     def note_totals(self, totals: LoadTotals, now_ms: float) -> None:
         """Take the sums of all other processes."""
-        self._totals = totals.counts
+        self._messages[totals.sender] = (now_ms, totals)
+        self._drop_old_messages(now_ms)
+        newest_first = sorted(self._messages.values(), key=lambda pair: -pair[0])
+        messages = [message for _, message in newest_first]
+        self._totals = totals.counts if len(messages) == 1 else merge_totals(messages)
         self._totals_ms = now_ms
-        self.runners = totals.runners
+        self.runners = {}
+        for message in reversed(messages):
+            self.runners.update(message.runners)
+
+    def seen_batch(self) -> dict[str, int]:
+        """Return the batch items by target while several senders each know a part of them."""
+        if len(self._messages) < 2:
+            return {}
+        return {key: count.batch for key, count in self._totals.items() if count.batch}
+
+    def _drop_old_messages(self, now_ms: float) -> None:
+        old = [key for key, (at_ms, _) in self._messages.items() if now_ms - at_ms > SENDER_LIFE_MS]
+        for sender in old:
+            del self._messages[sender]
 
     def totals_age_ms(self, now_ms: float) -> float:
         """Return how old the sums are."""
--- a/ebonyshore/gateway/targets.py
+++ b/ebonyshore/gateway/targets.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         "avoid_until_ms",
+        "batch_started_ms",
         "entry",
         "full_until_ms",
         "own_batch",
@@ -51,6 +52,7 @@
         self.entry = entry
         self.own_online = 0
         self.own_batch = 0
+        self.batch_started_ms = float("-inf")
         self.avoid_until_ms = float("-inf")
         self.full_until_ms = float("-inf")
         self.removed_ms: float | None = None
--- a/ebonyshore/link/load_board.py
+++ b/ebonyshore/link/load_board.py
@@ -4,10 +4,16 @@
 of the others, so that the number of messages grows with the number of processes, not its square.
 """
 
+from collections.abc import Iterable
+from math import ceil
+
 from msgspec import Struct
 
 REPORT_LIFE_MS = 1_000.0
 MUTUAL_LIFE_MS = 500.0
+# A lost machine closes no connection, so targets go on with its requests until they end.
+LOST_ONLINE_MS = 1_000.0
+LOST_BATCH_MS = 5_000.0
 
 
 class SignOfLife(Struct, frozen=True):
@@ -27,6 +33,12 @@
         """Return the sum."""
         return TargetCounts(self.online + other.online, self.batch + other.batch)
 
+    def left_after(self, silent_ms: float) -> "TargetCounts":
+        """Return what is still there of a process that has been silent for a time."""
+        online = self.online * max(0.0, 1.0 - silent_ms / LOST_ONLINE_MS)
+        batch = self.batch * max(0.0, 1.0 - silent_ms / LOST_BATCH_MS)
+        return TargetCounts(ceil(online), ceil(batch))
+
 
 class LoadReport(Struct, frozen=True, tag="report", array_like=True):
     """One process's own counts; replaces its report before.
@@ -37,6 +49,8 @@
     :param counts: by target id; targets without a request are left out.
     :param open_items: batch items that the process has still to finish.
     :param heard: runners that the process has heard lately.
+    :param seen_batch: an entry's sum of all batch items by target, while runners that do not hear
+        each other each send it their sums.
     """
 
     sender: str
@@ -46,6 +60,7 @@
     counts: dict[str, TargetCounts]
     open_items: int = 0
     heard: tuple[str, ...] = ()
+    seen_batch: dict[str, int] = {}
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -70,13 +85,14 @@
     :param own_id: instance id of this process; its own reports are not heard.
     """
 
-    __slots__ = ("_heard_ms", "_last_signs", "_own_id", "_reports")
+    __slots__ = ("_heard_ms", "_last_signs", "_lost", "_own_id", "_reports")
 
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
         self._reports: dict[str, LoadReport] = {}
         self._heard_ms: dict[str, float] = {}
         self._last_signs: dict[str, SignOfLife] = {}
+        self._lost: dict[str, LoadReport] = {}
 
     def note(self, report: LoadReport, now_ms: float) -> bool:
         """Take a report; return whether it was new. Datagrams may come twice or out of order."""
@@ -88,6 +104,7 @@
             return False
         self._reports[report.sender] = report
         self._heard_ms[report.sender] = now_ms
+        self._lost.pop(report.sender, None)
         self.note_sign(report.sender, report.incarnation, now_ms)
         return True
 
@@ -99,8 +116,11 @@
         """Forget processes that were not heard for :data:`REPORT_LIFE_MS`."""
         expired = [key for key, at_ms in self._heard_ms.items() if now_ms - at_ms > REPORT_LIFE_MS]
         for sender in expired:
-            del self._reports[sender]
+            self._lost[sender] = self._reports.pop(sender)
             del self._heard_ms[sender]
+        for sender in list(self._lost):
+            if now_ms - self._last_signs[sender].at_ms > LOST_BATCH_MS:
+                del self._lost[sender]
 
     def sign_of(self, sender: str) -> SignOfLife | None:
         """Return the last sign of a process, also one that is silent now; ``None`` if none came."""
@@ -117,14 +137,45 @@
         """Return the reports of the live runners, without this process's own."""
         return {key: report for key, report in self._reports.items() if report.role == "runner"}
 
-    def totals(self, without: str = "") -> dict[str, TargetCounts]:
-        """Return the sums by target over the heard processes, except one."""
+    def totals(self, now_ms: float, without: str = "") -> dict[str, TargetCounts]:
+        """Return the sums by target over the heard and lately lost processes, except one."""
         sums: dict[str, TargetCounts] = {}
         for sender, report in self._reports.items():
             if sender != without:
                 add_counts(sums, report.counts)
+        for sender, report in self._lost.items():
+            silent_ms = now_ms - self._last_signs[sender].at_ms
+            left = {key: count.left_after(silent_ms) for key, count in report.counts.items()}
+            add_counts(sums, left)
         return sums
 
+    def seen_batch(self, target_id: str) -> int:
+        """Return the most batch items that an entry sees at a target; 0 if none tells."""
+        return max(
+            (report.seen_batch.get(target_id, 0) for report in self._reports.values()), default=0
+        )
+
+
+def merge_totals(totals: Iterable[LoadTotals]) -> dict[str, TargetCounts]:
+    """Join the sums of senders that do not hear each other.
+
+    Entries report to all runners, so each sender knows all online requests, but batch items of its
+    own side only. Sums that count one runner twice are not joined; the newer one is taken.
+
+    :param totals: newest first, one of each sender.
+    """
+    merged: dict[str, TargetCounts] = {}
+    counted: set[str] = set()
+    for message in totals:
+        if counted & set(message.runners):
+            continue
+        counted |= set(message.runners)
+        for target_id, count in message.counts.items():
+            known = merged.get(target_id, TargetCounts(0, 0))
+            online = max(known.online, count.online)
+            merged[target_id] = TargetCounts(online, known.batch + count.batch)
+    return merged
+
 
 def add_counts(sums: dict[str, TargetCounts], counts: dict[str, TargetCounts]) -> None:
     """Add ``counts`` to ``sums``."""
--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 RESERVED_PLACES = 1  # kept free at each target for the next online request
+UNLIMITED = 1 << 20
 RESERVED_FOR_HOME = 2  # kept free besides by runners that a target is not the home of
 
 
@@ -24,6 +25,7 @@
     :param own_batch: this runner's items, oldest first.
     :param is_usable: whether new items may start there.
     :param is_home: whether the target is this runner's home.
+    :param start_limit: items that may start there now.
     """
 
     target_id: str
@@ -33,13 +35,14 @@
     own_batch: Sequence[str]
     is_usable: bool = True
     is_home: bool = True
+    start_limit: int = UNLIMITED
 
     @property
     def free(self) -> int:
         """Places that new items may take."""
         taken = self.online + self.others_batch + len(self.own_batch)
         reserved = RESERVED_PLACES if self.is_home else RESERVED_PLACES + RESERVED_FOR_HOME
-        return self.capacity - reserved - taken
+        return min(self.start_limit, self.capacity - reserved - taken)
 
     @property
     def excess(self) -> int:
--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -14,7 +14,7 @@
 from ebonyshore.gateway.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_board import LoadBoard, TargetCounts
-from ebonyshore.runner.item_plan import TargetRoom, assign_homes, make_plan
+from ebonyshore.runner.item_plan import UNLIMITED, TargetRoom, assign_homes, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunEnd, RunResult
 from ebonyshore.runner.job_book import Item, ItemState, JobBook
 from ebonyshore.runner.job_shelf import JobShelf
@@ -23,6 +23,9 @@
 NOT_RUN_PAUSE_MS = 80.0
 FAILURE_PAUSE_MS = 200.0
 MAX_PAUSE_MS = 3_000.0
+# Runners hear of each other's starts a little later; away from home each starts one item at a time,
+# so that jobs that come to all of them at once do not fill a target several times over.
+AWAY_START_PAUSE_MS = 60.0
 ROUTE_GRACE_MS = 5_000.0  # this process may hear of a new route later than the entry did
 
 
@@ -78,7 +81,7 @@
         self._stop_disowned()
         if self._is_stopped or self._config.table is None:
             return
-        totals = self._board.totals()
+        totals = self._board.totals(self._clock.boot_ms())
         runners = [self._shelf.own_id, *self._board.runners()]
         homes = assign_homes(self._targets.all(), runners)
         rooms: dict[str, list[TargetRoom]] = {}
@@ -108,6 +111,7 @@
             target = self._targets.find(start.target_id)
             item.state = ItemState.RUNNING
             target.own_batch += 1
+            target.batch_started_ms = _now_ms()
             task = create_task(self._run(start.item, book, item, target))
             self._running[start.item] = Running(book, item, target, task)
 
@@ -121,16 +125,24 @@
             and now_ms >= target.full_until_ms
         )
         own = [key for key, running in self._running.items() if running.target is target]
+        # Runners that this one does not hear are seen by the entries.
+        others_batch = max(others.batch, self._board.seen_batch(target.target_id) - len(own))
         return TargetRoom(
             target.target_id,
             target.entry.capacity,
             others.online,
-            others.batch,
+            others_batch,
             own,
             is_usable,
             is_home,
+            self._start_limit(target, is_home, now_ms),
         )
 
+    def _start_limit(self, target: Target, is_home: bool, now_ms: float) -> int:
+        if is_home:
+            return UNLIMITED
+        return int(now_ms - target.batch_started_ms >= AWAY_START_PAUSE_MS)
+
     def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobBook, Item]]]:
         """Return the items that may run, in the order of their jobs' age, by service."""
         found: dict[str, dict[str, tuple[JobBook, Item]]] = {}
--- a/ebonyshore/runner/presence.py
+++ b/ebonyshore/runner/presence.py
@@ -1,6 +1,7 @@
 """Keeps runners known to each other when datagrams do not pass between them."""
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.logs import EventLog
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.link.peers import PeerDirectory, PeerRecord, Registration
 
@@ -15,7 +16,12 @@
     """
 
     def __init__(
-        self, peers: PeerDirectory, board: LoadBoard, registration: Registration, clock: Clock
+        self,
+        peers: PeerDirectory,
+        board: LoadBoard,
+        registration: Registration,
+        clock: Clock,
+        log: EventLog,
     ) -> None:
         self._peers = peers
         self._board = board
@@ -23,20 +29,32 @@
         self._clock = clock
         self._last_renewal_ms = clock.boot_ms()
         self._first_seen_ms: dict[str, float] = {}
+        self._unheard: set[str] = set()
+        self._log = log
         peers.on_sign = self._note_record
         peers.on_own_removal = registration.start
 
     def step(self) -> None:
         """Renew and remove what is due; call several times a second."""
         now_ms = self._clock.boot_ms()
-        is_heard = all(self._board.is_mutual(key, now_ms) for key in self._peers.of_role("runner"))
-        if not is_heard and now_ms - self._last_renewal_ms >= RENEW_INTERVAL_MS:
+        unheard = {
+            key for key in self._peers.of_role("runner") if not self._board.is_mutual(key, now_ms)
+        }
+        self._log_changes(unheard)
+        if unheard and now_ms - self._last_renewal_ms >= RENEW_INTERVAL_MS:
             self._last_renewal_ms = now_ms
             self._registration.renew()
         own_id = self._peers.own.instance_id
         if own_id == min([own_id, *self._board.runners()]):
             self._remove_gone(now_ms)
 
+    def _log_changes(self, unheard: set[str]) -> None:
+        for peer in unheard - self._unheard:
+            self._log.event("runner_lost", peer=peer)
+        for peer in self._unheard - unheard:
+            self._log.event("runner_regained", peer=peer)
+        self._unheard = unheard
+
     def _note_record(self, record: PeerRecord) -> None:
         self._board.note_sign(record.instance_id, record.incarnation, self._clock.boot_ms())
 
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -67,7 +67,7 @@
         if not self._shelf.is_leaving:
             runners[own_report.sender] = own_report.open_items
         for entry in self._peers.of_role("entry").values():
-            counts = self._board.totals(without=entry.instance_id)
+            counts = self._board.totals(self._clock.boot_ms(), without=entry.instance_id)
             add_counts(counts, own_report.counts)
             message = LoadTotals(
                 own_report.sender, own_report.incarnation, self._sequence, counts, runners
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -125,7 +125,7 @@
     peers = PeerDirectory(environment.own_record(), environment.marked_store, log)
     board = LoadBoard(settings.instance_id)
     registration = make_registration(environment, peers)
-    presence = Presence(peers, board, registration, environment.clock)
+    presence = Presence(peers, board, registration, environment.clock, log)
     shelf = JobShelf(
         settings.instance_id,
         environment.incarnation,
--- a/tests/test_item_plan.py
+++ b/tests/test_item_plan.py
@@ -67,6 +67,18 @@
     assert len(plan.starts) == 8 - RESERVED_PLACES - RESERVED_FOR_HOME
 
 
+def test_jobs_that_come_to_all_runners_at_once_do_not_fill_a_target_several_times():
+    """Load pattern: many jobs come at once; three runners away from home see the same free places
+    before they hear of each other's starts."""
+    started = 0
+    for _ in range(3):
+        away = room(own=[])
+        away.is_home = False
+        away.start_limit = 1
+        started += len(make_plan([f"i{n}" for n in range(20)], [away]).starts)
+    assert started <= RESERVED_PLACES + RESERVED_FOR_HOME
+
+
 def test_others_give_way_before_the_home_does():
     """Load pattern: two runners share a target of 8 places when 4 online requests come."""
     home = room(online=4, others=3, own=["h1", "h2", "h3", "h4"])
