Draw targets by their room

Change: a target is drawn by its free room, 1.5 times as likely in the own failure domain; then by the room that batch items leave; then by the places in its queue. Ruled out: too long queues (a full fleet would refuse; nothing was refused).

--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-LOCAL_PREFERENCE = 0.5  # places; a target of the own failure domain is nearer
+LOCAL_WEIGHT = 1.5  # of a target in the own failure domain, which is nearer
 WAIT_SHARE = 0.6  # of the target latency that may pass in a target's queue
 MIN_RETRY_AFTER_MS = 400.0
 MAX_RETRY_AFTER_MS = 1_500.0
@@ -53,32 +53,45 @@
     return int(capacity * target_latency_ms * WAIT_SHARE / occupancy_ms)
 
 
-def choose_target(
-    loads: Sequence[TargetLoad], queue_places: int, tie_break: float
-) -> TargetLoad | None:
-    """Return the target with the shortest wait, or ``None`` if all queues are full.
+def choose_target(loads: Sequence[TargetLoad], queue_places: int, draw: float) -> TargetLoad | None:
+    """Return the target that a request goes to, or ``None`` if all queues are full.
+
+    A free place counts before one that a batch item has to leave first, and that before a place in
+    a queue. Many entries choose at the same time from news that is a little old, so they do not all
+    take the emptiest target: each is drawn by its room.
 
     :param queue_places: requests that may wait at one target.
-    :param tie_break: 0 to 1; turns the order among equals, so that processes spread.
+    :param draw: 0 to 1, at random.
     """
     usable = [load for load in loads if not load.is_avoided] or list(loads)
-    usable = [load for load in usable if load.room_for_online + queue_places > 0]
-    if not usable:
-        return None
-    offset = int(tie_break * len(usable)) % len(usable)
-    turned = [*usable[offset:], *usable[:offset]]
-    return max(turned, key=_preference)
+    for room_of in (_free_room, _online_room):
+        weights = [max(0, room_of(load)) * _nearness(load) for load in usable]
+        if any(weights):
+            return _drawn(usable, weights, draw)
+    weights = [max(0, load.room_for_online + queue_places) for load in usable]
+    return _drawn(usable, weights, draw) if any(weights) else None
 
 
-def _preference(load: TargetLoad) -> float:
-    """Return how well a request does at a target; higher is better.
+def _free_room(load: TargetLoad) -> int:
+    return load.room
 
-    A free place counts before one that a batch item has to leave first.
-    """
-    local = LOCAL_PREFERENCE * load.is_local
-    if load.room > 0:
-        return load.capacity + load.room + local
-    return load.room_for_online + local
+
+def _online_room(load: TargetLoad) -> int:
+    return load.room_for_online
+
+
+def _nearness(load: TargetLoad) -> float:
+    return LOCAL_WEIGHT if load.is_local else 1.0
+
+
+def _drawn(loads: Sequence[TargetLoad], weights: Sequence[float], draw: float) -> TargetLoad:
+    """Return one of the loads, by weight; one without weight is never drawn."""
+    left = draw * sum(weights)
+    for load, weight in zip(loads, weights, strict=True):
+        left -= weight
+        if weight and left <= 0:
+            return load
+    return max(zip(weights, loads, strict=True), key=lambda pair: pair[0])[1]
 
 
 def retry_after_ms(loads: Sequence[TargetLoad], occupancy_ms: float, spread: float) -> float:
