Find changes that an expired watch did not tell of

Change: after an empty answer the watch goes on from the revision of the empty answer before, so the next call finds the change or that the history is gone. Watches wait 9 s, so that the older revision stays within the store's history. Ruled out: a watch that hangs (calls end within 3 s by keep-alive).

--- a/ebonyshore/store/kind_watch.py
+++ b/ebonyshore/store/kind_watch.py
@@ -15,7 +15,8 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
-WATCH_TIMEOUT_MS = 25_000
+# Twice this is within the time that the store keeps its history; see _note_empty.
+WATCH_TIMEOUT_MS = 9_000
 FIRST_RETRY_MS = 100.0
 MAX_RETRY_MS = 800.0
 
@@ -63,6 +64,7 @@
         self._loop: AbstractEventLoop | None = None
         self._is_stopped = False
         self._revision: int | None = None
+        self._unconfirmed: int | None = None
         self._failures = 0
 
     def start(self, loop: AbstractEventLoop) -> None:
@@ -93,16 +95,29 @@
         if self._revision is None:
             listing = self._store.list_objects(self._kind)
             self._call(self._listener.on_listing, listing.objects)
-            self._revision = listing.revision
+            self._revision, self._unconfirmed = listing.revision, None
         else:
             result = self._store.watch(self._kind, self._revision, WATCH_TIMEOUT_MS)
             if result.changes:
                 self._call(self._listener.on_changes, result.changes)
-            self._revision = max(self._revision, result.revision)
+                self._revision, self._unconfirmed = result.revision, None
+            else:
+                self._note_empty(result.revision)
         self._after_success()
         if self._pause_ms:
             self._clock.sleep_ms(self._pause_ms)
 
+    def _note_empty(self, revision: int) -> None:
+        """Go on from the revision of the empty answer before this one.
+
+        A store that is about to drop its history may hear of a change, tell nothing of it and
+        answer an expired watch with a revision beyond it. The next watch from before that revision
+        finds the change, or that the history is gone.
+        """
+        if self._unconfirmed is not None:
+            self._revision = self._unconfirmed
+        self._unconfirmed = revision
+
     def _after_success(self) -> None:
         if self._failures:
             self._log.event("store_regained", kind=self._kind, failures=self._failures)
