Leave out targets that fail a part of their requests

Fault pattern of the grown sites: targets fail, shed or lose a part of their requests while their health check is good, or flap.

Health answers are not asked for. Ruled out: probes (priced, and false either way on these sites).

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -21,6 +21,7 @@
 UNLIMITED_QUEUE = 1 << 20
 NO_TARGET_RETRY_MS = 500.0
 MIN_REMAINING_MS = 5.0
+SHED_SIGN = 0.5  # of a failure: a refusal by a target that should have had room
 
 
 class Forwarder:
@@ -148,6 +149,7 @@
             return self._after_break(target, error)
         finally:
             owner.view.end(target)
+        target.outcomes.add(0.0, now_ms())
         if end is ExchangeEnd.STREAMED:
             owner.view.note_occupancy(now_ms() - began_ms)
         return "answered"
@@ -159,6 +161,7 @@
             target.note_unreachable(now_ms())
         else:
             target.note_full(now_ms())
+            target.outcomes.add(SHED_SIGN if (self._room or 0) > 0 else 0.0, now_ms())
         self._log_attempt(target, "not_executed", error.detail)
         if self._refusals > MAX_REFUSALS:
             return self._refuse()
@@ -166,6 +169,7 @@
 
     def _after_break(self, target: Target, error: AttemptBrokenError) -> str | None:
         self._failed.add(target.target_id)
+        target.outcomes.add(1.0, now_ms())
         if error.is_silence:
             target.note_silent(now_ms())
         self._log_attempt(target, "broken", error.detail)
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from ebonyshore.gateway.balance import TargetLoad
+from ebonyshore.gateway.outliers import find_outliers
 from ebonyshore.gateway.targets import Target
 from ebonyshore.link.load_board import LoadTotals, TargetCounts, merge_totals
 
@@ -84,11 +85,24 @@
         """Return the load of each target."""
         is_fresh = self.totals_age_ms(now_ms) < TOTALS_LIFE_MS
         totals = self._totals if is_fresh else {}
-        return [self._load(target, totals, now_ms) for target in targets]
-
-    def _load(self, target: Target, totals: dict[str, TargetCounts], now_ms: float) -> TargetLoad:
+        targets = list(targets)
+        outliers = find_outliers(
+            [(target.target_id, target.outcomes.failure_share(now_ms)) for target in targets]
+        )
+        return [
+            self._load(target, totals, now_ms, target.target_id in outliers) for target in targets
+        ]
+
+    def _load(
+        self,
+        target: Target,
+        totals: dict[str, TargetCounts],
+        now_ms: float,
+        is_outlier: bool,
+    ) -> TargetLoad:
         is_avoided = (
-            target.removed_ms is not None
+            is_outlier
+            or target.removed_ms is not None
             or now_ms < target.avoid_until_ms
             or now_ms < target.full_until_ms
         )
--- a/ebonyshore/gateway/targets.py
+++ b/ebonyshore/gateway/targets.py
@@ -8,6 +8,8 @@
 
 from msgspec import Struct
 
+from ebonyshore.gateway.outliers import OutcomeScore
+
 RETURN_GRACE_MS = 2_500.0
 UNREACHABLE_HOLD_MS = 1_000.0
 SILENT_HOLD_MS = 1_500.0
@@ -43,6 +45,7 @@
         "batch_started_ms",
         "entry",
         "full_until_ms",
+        "outcomes",
         "own_batch",
         "own_online",
         "removed_ms",
@@ -56,6 +59,7 @@
         self.avoid_until_ms = float("-inf")
         self.full_until_ms = float("-inf")
         self.removed_ms: float | None = None
+        self.outcomes = OutcomeScore()
 
     @property
     def target_id(self) -> str:
