Tell the balancer when an entry is cut off

Change: an entry that hears no runner for 0.8 s asks the store, and is not ready while that fails too. One that misses only one of them stays. Ruled out: not ready whenever runners are silent (all entries would leave at once when the runners are killed).

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -9,6 +9,7 @@
 from ebonyshore.gateway.front import Front, Readiness
 from ebonyshore.gateway.host_environment import HostEnvironment
 from ebonyshore.gateway.insight import METRICS_PORT, Insight
+from ebonyshore.gateway.isolation import Isolation
 from ebonyshore.gateway.job_calls import JobCalls
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.process import (
@@ -54,10 +55,18 @@
         make_watch(environment, deployment.targets_kind, targets, TARGETS_WATCH_PAUSE_MS),
         make_watch(environment, PEERS_KIND, peers, PEERS_WATCH_PAUSE_MS),
     ]
+    isolation = Isolation(
+        peers,
+        view,
+        lambda: environment.store.get(deployment.config_key),
+        environment.executor,
+        log,
+    )
     kernel = AsyncKernel()
     kernel.register(load)
     kernel.register(WatchService(watches, make_registration(environment, peers), targets))
-    kernel.register(Readiness(settings.ready, deployment.names, config, targets))
+    kernel.register(isolation)
+    kernel.register(Readiness(settings.ready, deployment.names, config, targets, isolation))
     kernel.register(Front(settings.front, deployment.names, config, forwarder, jobs, log))
     kernel.register(Insight(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
--- a/ebonyshore/gateway/front.py
+++ b/ebonyshore/gateway/front.py
@@ -10,6 +10,7 @@
 from ebonyshore.gateway.config_service import ConfigService
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.host_settings import ListenAddress
+from ebonyshore.gateway.isolation import Isolation
 from ebonyshore.gateway.job_calls import JobCalls
 from ebonyshore.gateway.routes import Route, RouteKind, RouteTable
 from ebonyshore.gateway.target_service import TargetService
@@ -135,11 +136,13 @@
         names: WireNames,
         config: ConfigService,
         targets: TargetService,
+        isolation: Isolation,
     ) -> None:
         self._address = address
         self._names = names
         self._config = config
         self._targets = targets
+        self._isolation = isolation
         self._is_draining = False
         self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
 
@@ -147,7 +150,7 @@
     def is_ready(self) -> bool:
         """Whether new callers are welcome."""
         is_told = self._config.table is not None and self._targets.is_listed
-        return is_told and not self._is_draining
+        return is_told and not self._is_draining and not self._isolation.is_isolated
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
