Read the event loop's time in one place; drop what nobody uses

Five copies of one function, an unused clock, three settings that nothing read. No behaviour changes.

--- a/ebonyshore/frame/async_kernel.py
+++ b/ebonyshore/frame/async_kernel.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 
 ServiceT = TypeVar("ServiceT", bound="AsyncService")
 DRAIN_POLL_MS = 20
@@ -81,9 +82,9 @@
         """
         for service in reversed(self._started):
             service.begin_drain()
-        end_ms = get_running_loop().time() * MS_PER_S + bound_ms
+        end_ms = now_ms() + bound_ms
         while not all(service.is_drained() for service in self._started):
-            if get_running_loop().time() * MS_PER_S >= end_ms:
+            if now_ms() >= end_ms:
                 return False
             await sleep(DRAIN_POLL_MS / MS_PER_S)
         return True
@@ -98,27 +99,6 @@
         return {name: service.dump() for name, service in self._services.items()}
 
 
-class LoopClock(Clock):
-    """The clock of the running event loop; its wall time comes from another clock."""
-
-    __slots__ = ("_wall",)
-
-    def __init__(self, wall: Clock) -> None:
-        self._wall = wall
-
-    def monotonic_ms(self) -> float:
-        return get_running_loop().time() * MS_PER_S
-
-    def wall_ms(self) -> int:
-        return self._wall.wall_ms()
-
-    def sleep_ms(self, duration_ms: float) -> None:
-        raise EbonyshoreError("the event loop must not be blocked")
-
-    def wait(self, condition, timeout_ms: float | None) -> bool:
-        raise EbonyshoreError("the event loop must not be blocked")
-
-
 async def run_until_signal(
     kernel: AsyncKernel, log: EventLog, drain_bound_ms: float, reload: Callable[[], None]
 ) -> bool:
--- a/ebonyshore/gateway/answer_reader.py
+++ b/ebonyshore/gateway/answer_reader.py
@@ -1,18 +1,14 @@
 """Reads the answer to one request from a connection, with bounds on its time and its silence."""
 
-from asyncio import get_running_loop, timeout
+from asyncio import timeout
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.answers import OwnAnswer
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
 
 
-def now_ms() -> float:
-    """Return the monotonic time of the event loop."""
-    return get_running_loop().time() * MS_PER_S
-
-
 class NotExecutedError(Exception):
     """The target did not run the request and will not.
 
--- a/ebonyshore/gateway/entry_load.py
+++ b/ebonyshore/gateway/entry_load.py
@@ -1,10 +1,10 @@
 """An entry's part in the exchange of loads: reports its counts to runners, hears their sums."""
 
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.targets import TargetTable
 from ebonyshore.link.load_board import LoadMessage, LoadReport, LoadTotals, TargetCounts
 from ebonyshore.link.load_exchange import LoadExchange
-from ebonyshore.link.load_service import now_ms
 from ebonyshore.link.peers import PeerDirectory
 
 
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -2,12 +2,12 @@
 
 from enum import Enum, auto
 
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.answer_reader import (
     AnswerReader,
     AttemptBrokenError,
     NotExecutedError,
-    now_ms,
 )
 from ebonyshore.gateway.answers import may_have_run
 from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -3,9 +3,10 @@
 from random import Random
 
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.answer_reader import AttemptBrokenError, NotExecutedError, now_ms
+from ebonyshore.gateway.answer_reader import AttemptBrokenError, NotExecutedError
 from ebonyshore.gateway.answers import OwnAnswer, may_have_run, not_run, timed_out
 from ebonyshore.gateway.balance import TargetLoad, choose_target, queue_room, retry_after_ms
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
--- a/ebonyshore/gateway/host_settings.py
+++ b/ebonyshore/gateway/host_settings.py
@@ -22,11 +22,8 @@
     :param first_internal_port: first of the ports between instances.
     :param last_internal_port: last of them.
     :param store_url: base URL of the platform's store.
-    :param target_heartbeat_ms: how often targets renew their entries.
-    :param max_value_bytes: largest object in the store.
     :param grace_ms: from the signal to stop until the process is killed.
     :param result_retention_ms: how long results stay readable after a job was submitted.
-    :param drain_ms: how long a leaving target goes on serving after its notice.
     """
 
     instance_id: str
@@ -38,8 +35,5 @@
     first_internal_port: int
     last_internal_port: int
     store_url: str
-    target_heartbeat_ms: float
-    max_value_bytes: int
     grace_ms: float
     result_retention_ms: float
-    drain_ms: float
--- a/ebonyshore/gateway/isolation.py
+++ b/ebonyshore/gateway/isolation.py
@@ -13,8 +13,8 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.link.load_service import now_ms
 from ebonyshore.link.peers import PeerDirectory
 
 LOOK_INTERVAL_MS = 250.0
--- a/ebonyshore/gateway/job_calls.py
+++ b/ebonyshore/gateway/job_calls.py
@@ -4,7 +4,7 @@
 first; a new job goes to the runner with the least to do.
 """
 
-from asyncio import get_running_loop, timeout
+from asyncio import timeout
 from collections import OrderedDict
 from collections.abc import Sequence
 from random import Random
@@ -12,6 +12,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.answers import OwnAnswer, may_have_run, not_run
@@ -161,7 +162,7 @@
         names = self._names
         if route is not None:
             job_id = request.headers.get(names.request_id)
-            age_ms = get_running_loop().time() * MS_PER_S - request.received_ms
+            age_ms = now_ms() - request.received_ms
             return (
                 JobCall(JobCallKind.SUBMIT, job_id, route=route.name, age_ms=age_ms)
                 if job_id
--- a/ebonyshore/gateway/target_service.py
+++ b/ebonyshore/gateway/target_service.py
@@ -1,10 +1,9 @@
 """Keeps the target table in step with the platform's list of targets."""
 
-from asyncio import get_running_loop
 from collections.abc import Callable, Sequence
 
-from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.targets import Target, TargetEntry, TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.store.kind_watch import KindListener
@@ -32,7 +31,7 @@
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
         entries = [entry for found in objects if (entry := self._entry(found)) is not None]
-        self._forget(self.table.replace_all(entries, _now_ms()))
+        self._forget(self.table.replace_all(entries, now_ms()))
         self.is_listed = True
         self._log.event("targets_listed", targets=len(self.table))
 
@@ -44,15 +43,15 @@
                 continue
             target_id = _target_id(found)
             self._log.event("target_removed", target=target_id, revision=found.version)
-            gone = self.table.remove(target_id, _now_ms())
+            gone = self.table.remove(target_id, now_ms())
             self._forget([gone] if gone else [])
 
     def on_disturbance(self) -> None:
-        self.table.note_disturbance(_now_ms())
+        self.table.note_disturbance(now_ms())
 
     def drop_expired(self) -> None:
         """Forget targets whose entries did not come back; call several times a second."""
-        expired = self.table.drop_expired(_now_ms())
+        expired = self.table.drop_expired(now_ms())
         for target in expired:
             self._log.event("target_expired", target=target.target_id)
         self._forget(expired)
@@ -83,7 +82,3 @@
 
 def _target_id(found: StoredObject) -> str:
     return found.key.split("/", 1)[1]
-
-
-def _now_ms() -> float:
-    return get_running_loop().time() * MS_PER_S
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
 
@@ -110,14 +111,14 @@
             raise item
         return item
 
-    def finish(self, now_ms: float) -> bool:
+    def finish(self, at_ms: float) -> bool:
         """End an exchange whose answer was read to its end.
 
         :return: whether the connection can be used again.
         """
         is_clean = self._is_complete and not self._items and not self.is_broken
         self._is_exchanging = False
-        self.idle_since_ms = now_ms
+        self.idle_since_ms = at_ms
         if not (is_clean and self._has_framing and self._keeps_alive):
             self.abort()
             return False
@@ -129,11 +130,11 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def is_usable(self, now_ms: float, max_idle_ms: float) -> bool:
+    def is_usable(self, at_ms: float, max_idle_ms: float) -> bool:
         """Return whether an idle connection may still be open at the server."""
         if self.is_broken or self._transport is None or self._transport.is_closing():
             return False
-        return now_ms - self.idle_since_ms < min(max_idle_ms, self.max_idle_ms)
+        return at_ms - self.idle_since_ms < min(max_idle_ms, self.max_idle_ms)
 
     # Called by the parser. An answer may be followed by one that nobody asked for.
     def on_message_begin(self) -> None:
@@ -184,12 +185,11 @@
     :param max_idle: most idle connections kept to one address.
     """
 
-    __slots__ = ("_idle", "_max_idle", "opened_count")
+    __slots__ = ("_idle", "_max_idle")
 
     def __init__(self, max_idle: int) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._max_idle = max_idle
-        self.opened_count = 0
 
     async def take(
         self, address: str, connect_timeout_ms: float, max_idle_ms: float
@@ -200,11 +200,10 @@
         :raises ExchangeError: if the server cannot be reached; nothing was sent.
         """
         loop = get_running_loop()
-        now_ms = loop.time() * MS_PER_S
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if connection.is_usable(now_ms, max_idle_ms):
+            if connection.is_usable(now_ms(), max_idle_ms):
                 return connection
             connection.abort()
         host, _, port = address.rpartition(":")
@@ -213,12 +212,11 @@
                 _, connection = await loop.create_connection(ClientConnection, host, int(port))
         except (OSError, ValueError) as error:
             raise ExchangeError(f"{address}: {error!r}", was_sent=False) from error
-        self.opened_count += 1
         return connection
 
     def give_back(self, address: str, connection: ClientConnection) -> None:
         """Keep the connection if its exchange is complete, else end it."""
-        if not connection.finish(get_running_loop().time() * MS_PER_S):
+        if not connection.finish(now_ms()):
             return
         idle = self._idle.setdefault(address, [])
         if len(idle) >= self._max_idle:
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -20,6 +20,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, start_line
 
@@ -246,7 +247,7 @@
     def _begin_request(self) -> None:
         self._is_reading_request = True
         self._header_bytes = 0
-        self._began_ms = self._server.now_ms()
+        self._began_ms = now_ms()
         self._set_timer(self._server.limits.header_timeout_ms, self._refuse_slow_headers)
 
     def _serve_next(self) -> None:
@@ -329,10 +330,6 @@
         self.is_draining = False
         self._server = None
 
-    def now_ms(self) -> float:
-        """Return the monotonic time of the event loop."""
-        return get_running_loop().time() * MS_PER_S
-
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept connections."""
         self._server = await get_running_loop().create_server(
--- a/ebonyshore/link/load_service.py
+++ b/ebonyshore/link/load_service.py
@@ -1,6 +1,6 @@
 """Reports this process's counts to the others, at once after a change but not too often."""
 
-from asyncio import Event, Task, create_task, get_running_loop, sleep, timeout
+from asyncio import Event, Task, create_task, sleep, timeout
 from collections.abc import Callable
 
 from ebonyshore.frame.async_kernel import AsyncService
@@ -68,8 +68,3 @@
             except OSError as error:
                 self._log.event("load_report_failed", error=repr(error))
             await sleep(MIN_REPORT_INTERVAL_MS / MS_PER_S)
-
-
-def now_ms() -> float:
-    """Return the monotonic time of the event loop."""
-    return get_running_loop().time() * MS_PER_S
--- a/ebonyshore/platform/host_file.py
+++ b/ebonyshore/platform/host_file.py
@@ -21,12 +21,10 @@
 class _Bounds(Struct):
     grace_s: float = field(default=8.0, name="GraceS")
     status_s: float = field(default=120.0, name="StatusS")
-    drain_ms: float = field(default=2_000.0, name="DrainMs")
 
 
 class _Store(Struct):
     address: str = field(name="Address")
-    value_bytes: int = field(default=1_048_576, name="ValueBytes")
 
 
 class _HostFile(Struct):
@@ -38,7 +36,6 @@
     store: _Store = field(name="Platform")
     listen: _Listen = field(default_factory=_Listen, name="Listen")
     bounds: _Bounds = field(default_factory=_Bounds, name="Bounds")
-    heartbeat_ms: float = field(default=1_200.0, name="HeartbeatMs")
 
 
 def settings_path() -> Path:
@@ -78,11 +75,8 @@
         first_internal_port=first_port,
         last_internal_port=last_port,
         store_url=f"http://{document.store.address}",
-        target_heartbeat_ms=document.heartbeat_ms,
-        max_value_bytes=document.store.value_bytes,
         grace_ms=document.bounds.grace_s * MS_PER_S,
         result_retention_ms=document.bounds.status_s * MS_PER_S,
-        drain_ms=document.bounds.drain_ms,
     )
 
 
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -1,11 +1,10 @@
 """Runs one item at one target and collects its events."""
 
-from asyncio import get_running_loop
 from enum import Enum, auto
 
 from msgspec import Struct
 
-from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.answer_reader import AnswerReader, AttemptBrokenError
 from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.gateway.targets import Target
@@ -72,7 +71,7 @@
         except ExchangeError as error:
             return RunResult(RunEnd.UNREACHABLE, str(error))
         is_whole = False
-        deadline_ms = get_running_loop().time() * MS_PER_S + RUN_TIMEOUT_MS
+        deadline_ms = now_ms() + RUN_TIMEOUT_MS
         reader = AnswerReader(connection, self._names.request_id, self._item.item_id, deadline_ms)
         try:
             result = await self._read(reader)
--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -1,12 +1,13 @@
 """Starts and stops items at targets."""
 
-from asyncio import CancelledError, Task, create_task, get_running_loop
+from asyncio import CancelledError, Task, create_task
 from random import Random
 
 from msgspec import Struct
 
-from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway.config_service import ConfigService
 from ebonyshore.gateway.routes import Route, RouteKind
@@ -111,18 +112,18 @@
             target = self._targets.find(start.target_id)
             item.state = ItemState.RUNNING
             target.own_batch += 1
-            target.batch_started_ms = _now_ms()
+            target.batch_started_ms = now_ms()
             task = create_task(self._run(start.item, book, item, target))
             self._running[start.item] = Running(book, item, target, task)
 
     def _room(self, target: Target, totals: dict[str, TargetCounts], is_home: bool) -> TargetRoom:
         others = totals.get(target.target_id, NO_COUNTS)
-        now_ms = _now_ms()
+        at_ms = now_ms()
         is_usable = (
             not target.entry.is_leaving
             and target.removed_ms is None
-            and now_ms >= target.avoid_until_ms
-            and now_ms >= target.full_until_ms
+            and at_ms >= target.avoid_until_ms
+            and at_ms >= target.full_until_ms
         )
         own = [key for key, running in self._running.items() if running.target is target]
         # Runners that this one does not hear are seen by the entries.
@@ -135,7 +136,7 @@
             own,
             is_usable,
             is_home,
-            self._start_limit(target, is_home, now_ms),
+            self._start_limit(target, is_home, at_ms),
         )
 
     def _start_limit(self, target: Target, is_home: bool, now_ms: float) -> int:
@@ -146,15 +147,15 @@
     def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobBook, Item]]]:
         """Return the items that may run, in the order of their jobs' age, by service."""
         found: dict[str, dict[str, tuple[JobBook, Item]]] = {}
-        now_ms, wall_ms = _now_ms(), self._clock.wall_ms()
+        at_ms, wall_ms = now_ms(), self._clock.wall_ms()
         for book in self._shelf.owned():
             if not book.open_count:
                 continue
             route = self._route(book)
             if route is None or book.may_give_up(wall_ms):
-                self._give_up(book, route, now_ms, wall_ms)
+                self._give_up(book, route, at_ms, wall_ms)
                 continue
-            for item in book.waiting(now_ms):
+            for item in book.waiting(at_ms):
                 service = self._pick_service(route)
                 key = f"{book.job_id}/{item.index}"
                 found.setdefault(service, {})[key] = (book, item)
@@ -219,7 +220,7 @@
     def _take(
         self, book: JobBook, item: Item, target: Target, result: RunResult, has_progress: bool
     ) -> None:
-        now_ms = _now_ms()
+        at_ms = now_ms()
         self._metrics.count(f"item_runs_{result.end.name.lower()}")
         if result.end is not RunEnd.COMPLETE:
             self._log.event(
@@ -236,13 +237,13 @@
         item.state = ItemState.WAITING
         if result.end is RunEnd.COMPLETE:
             target.note_answer()
-            book.end(item, True, now_ms)
+            book.end(item, True, at_ms)
         elif result.end is RunEnd.REJECTED:
-            book.end(item, False, now_ms)
+            book.end(item, False, at_ms)
         elif result.end is RunEnd.FAILED:
-            self._after_failure(book, item, now_ms)
+            self._after_failure(book, item, at_ms)
         else:
-            self._after_break(item, target, result.end, has_progress, now_ms)
+            self._after_break(item, target, result.end, has_progress, at_ms)
 
     def _after_failure(self, book: JobBook, item: Item, now_ms: float) -> None:
         item.failures += 1
@@ -270,7 +271,3 @@
     def dump(self) -> dict[str, object]:
         """Return what runs where."""
         return {key: running.target.target_id for key, running in self._running.items()}
-
-
-def _now_ms() -> float:
-    return get_running_loop().time() * MS_PER_S
--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -1,10 +1,11 @@
 """Stores the results of owned jobs, a few at a time, and lists them once they are stored."""
 
-from asyncio import Task, create_task, get_running_loop, sleep
+from asyncio import Task, create_task, sleep
 
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore.frame.errors import StoreError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.runner.job_book import JobBook
 from ebonyshore.runner.job_shelf import JobShelf
@@ -51,7 +52,7 @@
             return False
         if is_urgent or not book.open_count:
             return True
-        return _now_ms() - book.pending_since_ms >= linger_ms(book.record, self._clock.wall_ms())
+        return now_ms() - book.pending_since_ms >= linger_ms(book.record, self._clock.wall_ms())
 
     async def _write(self, book: JobBook) -> None:
         shelf = self._shelf
@@ -92,7 +93,3 @@
             for segment in segments:
                 book.apply(segment)
         self._log.event("segment_conflict", job=book.job_id, segment=number, found=len(segments))
-
-
-def _now_ms() -> float:
-    return get_running_loop().time() * MS_PER_S
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -7,10 +7,10 @@
 
 from ebonyshore.frame.errors import StoreUnavailableError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.isolation import Isolation
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.link.load_board import LoadTotals
-from ebonyshore.link.load_service import now_ms
 
 
 class Peers:
