Send watches anew when the store answers again

Change: a read of one object that may be stale (a tenth of the price), every 0.7 s after its answer, notices the silence; when the store answers again, waiting watches are ended and sent anew.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -15,6 +15,7 @@
 from ebonyshore.gateway.process import (
     PEERS_WATCH_PAUSE_MS,
     TARGETS_WATCH_PAUSE_MS,
+    make_probe,
     make_registration,
     make_watch,
     run_process,
@@ -64,6 +65,7 @@
     )
     kernel = AsyncKernel()
     kernel.register(load)
+    kernel.register(make_probe(environment))
     kernel.register(WatchService(watches, make_registration(environment, peers), targets))
     kernel.register(isolation)
     kernel.register(Readiness(settings.ready, deployment.names, config, targets, isolation))
--- a/ebonyshore/gateway/process.py
+++ b/ebonyshore/gateway/process.py
@@ -8,6 +8,7 @@
 from ebonyshore.gateway.host_environment import HostEnvironment
 from ebonyshore.link.peers import PeerDirectory, Registration
 from ebonyshore.store.kind_watch import KindListener, KindWatch
+from ebonyshore.store.store_probe import StoreProbe
 
 EXIT_MARGIN_MS = 700.0  # of the grace period, to stop before the kill
 # Between two watches of a kind: changes in quick succession then cost each process one call.
@@ -30,6 +31,16 @@
     )
 
 
+def make_probe(environment: HostEnvironment) -> StoreProbe:
+    """Return the probe of the store."""
+    return StoreProbe(
+        environment.store,
+        environment.deployment.config_key,
+        environment.executor,
+        environment.log,
+    )
+
+
 def make_registration(environment: HostEnvironment, peers: PeerDirectory) -> Registration:
     """Return the registration of this process."""
     return Registration(
--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -69,7 +69,13 @@
         self._caller = caller
 
     def get(self, key: str) -> StoredObject | None:
-        answer = self._read(_path(key))
+        return self._get(key, _path(key))
+
+    def get_stale(self, key: str) -> StoredObject | None:
+        return self._get(key, f"{_path(key)}?StaleOk=1")
+
+    def _get(self, key: str, path: str) -> StoredObject | None:
+        answer = self._read(path)
         if answer.status == 404:
             return None
         return _stored(_kind(key), _decode(answer, _Object))
@@ -141,6 +147,9 @@
     def cancel_watches(self) -> None:
         self._caller.cancel_watches()
 
+    def break_watches(self) -> None:
+        self._caller.break_watches()
+
     def close(self) -> None:
         """Close idle connections."""
         self._caller.close()
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -13,6 +13,7 @@
 from ebonyshore.gateway.process import (
     PEERS_WATCH_PAUSE_MS,
     TARGETS_WATCH_PAUSE_MS,
+    make_probe,
     make_registration,
     make_watch,
     run_process,
@@ -178,6 +179,7 @@
     )
     kernel = AsyncKernel()
     kernel.register(load)
+    kernel.register(make_probe(environment))
     kernel.register(WatchService(watches, registration, targets))
     kernel.register(
         RunnerService(
--- a/ebonyshore/store/http_calls.py
+++ b/ebonyshore/store/http_calls.py
@@ -91,8 +91,12 @@
 
     def cancel_watches(self) -> None:
         """End waiting watches and start no more."""
+        self._are_watches_cancelled = True
+        self.break_watches()
+
+    def break_watches(self) -> None:
+        """End waiting watches; they may be started again."""
         with self._lock:
-            self._are_watches_cancelled = True
             watching = list(self._watching)
         for connection in watching:
             _shut_down(connection)
--- a/ebonyshore/store/platform_api.py
+++ b/ebonyshore/store/platform_api.py
@@ -102,6 +102,14 @@
     def list_objects(self, kind: str) -> Listing:
         """Return all objects of a kind."""
 
+    @abstractmethod
+    def get_stale(self, key: str) -> StoredObject | None:
+        """Return an object as it may have been seconds ago; a cheap sign that the store answers."""
+
+    @abstractmethod
+    def break_watches(self) -> None:
+        """End waiting watches with ``StoreUnavailableError``; they may be started again."""
+
     @abstractmethod
     def put_status(self, key: str, value: bytes, expected_version: int) -> int:
         """Write an object's status; errors as for :meth:`put`."""
--- /dev/null
+++ b/ebonyshore/store/store_probe.py
@@ -0,0 +1,67 @@
+"""Notices that the store was silent, so that watches sent meanwhile do not wait for nothing.
+
+A store that is silent may take a call and never answer it, also after it is back. A watch then
+hangs until its own time is over, which is longer than a change may take to be in force. A cheap
+read at short intervals notices the silence; when it is over, all waiting watches are sent anew.
+"""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+from concurrent.futures import Executor
+
+from ebonyshore.frame.async_kernel import AsyncService
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.errors import StoreError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.store.platform_api import ListingStore
+
+PROBE_INTERVAL_MS = 700.0
+
+
+class StoreProbe(AsyncService):
+    """Reads one object again and again.
+
+    :param key: of the object.
+    :param executor: runs the reads, which block.
+    """
+
+    name = "store_probe"
+
+    def __init__(self, store: ListingStore, key: str, executor: Executor, log: EventLog) -> None:
+        self._store = store
+        self._key = key
+        self._executor = executor
+        self._log = log
+        self._task: Task[None] | None = None
+        self.is_silent = False
+
+    async def start(self) -> None:
+        self._task = create_task(self._run())
+
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, object]:
+        return {"is_store_silent": self.is_silent}
+
+    async def look(self) -> None:
+        """Read once; break the watches if the store answers again."""
+        was_silent = self.is_silent
+        try:
+            await get_running_loop().run_in_executor(
+                self._executor, self._store.get_stale, self._key
+            )
+        except StoreError as error:
+            self.is_silent = True
+            if not was_silent:
+                self._log.event("store_silent", error=str(error))
+            return
+        self.is_silent = False
+        if was_silent:
+            self._log.event("store_answers_again")
+            self._store.break_watches()
+
+    async def _run(self) -> None:
+        while True:
+            await self.look()
+            await sleep(PROBE_INTERVAL_MS / MS_PER_S)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,9 @@
 """The platform's settings, objects and bodies, decoded into the product's own types."""
 
+import asyncio
 import json
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event
 
 import pytest
 
@@ -11,6 +14,7 @@
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
+from ebonyshore.frame.logs import EventLog
 from ebonyshore.gateway.routes import RouteKind, RouteTable
 from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.host_file import load_host_settings
@@ -19,6 +23,7 @@
 from ebonyshore.platform.target_entries import decode_target_entry
 from ebonyshore.runner.job_types import ListedResult, ResultPage
 from ebonyshore.store.http_calls import HttpCaller
+from ebonyshore.store.store_probe import StoreProbe
 from ebonyshore_standins.object_platform import ObjectPlatform
 
 SETTINGS = """
@@ -223,6 +228,34 @@
         store.watch("servers", 1, 10)
 
 
+def test_a_watch_that_the_store_has_swallowed_is_sent_anew_once_it_answers_again(store, platform):
+    """Guards against a configuration that is not in force for as long as a watch may wait: a silent
+    store takes the call and never answers it, also when it is back."""
+    is_silent = Event()
+    is_silent.set()
+    answers_again = Event()
+
+    def swallow(_method, path):
+        if "Watch" in path and is_silent.is_set():
+            answers_again.wait(10)
+            return "reset"
+        return 503 if is_silent.is_set() else None
+
+    platform.fault = swallow
+    probe = StoreProbe(store, "config/main", ThreadPoolExecutor(1), EventLog())
+    with ThreadPoolExecutor(1) as executor:
+        watching = executor.submit(store.watch, "config", 1, 9_000)
+        asyncio.run(probe.look())
+        assert probe.is_silent and not watching.done()
+        is_silent.clear()
+        asyncio.run(probe.look())
+        with pytest.raises(StoreUnavailableError):
+            watching.result(1.0)
+        answers_again.set()
+    platform.state.put("config", "main", {"n": 1})
+    assert len(store.watch("config", 1, 100).changes) == 1
+
+
 @pytest.mark.parametrize("fault", [429, 503, "reset"])
 def test_a_read_that_is_refused_is_an_outage(store, platform, fault):
     platform.fault = lambda _method, _path: fault
