List anew after a watch was cut, and take a newer version that the probe reads

An entry that sent its watch again within 50 to 80 ms was taken as if nothing had changed, and waited 4.5 s.

Change: a failed watch is followed by a listing, 150 ms later at the earliest; and the probe's value of the configuration is taken if it is newer.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -65,7 +65,7 @@
     )
     kernel = AsyncKernel()
     kernel.register(load)
-    kernel.register(make_probe(environment))
+    kernel.register(make_probe(environment, config))
     kernel.register(WatchService(watches, make_registration(environment, peers), targets))
     kernel.register(isolation)
     kernel.register(Readiness(settings.ready, deployment.names, config, targets, isolation))
--- a/ebonyshore/gateway/process.py
+++ b/ebonyshore/gateway/process.py
@@ -5,6 +5,7 @@
 
 from ebonyshore.frame.async_kernel import AsyncKernel, run_until_signal
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.config_service import ConfigService
 from ebonyshore.gateway.host_environment import HostEnvironment
 from ebonyshore.link.peers import PeerDirectory, Registration
 from ebonyshore.store.kind_watch import KindListener, KindWatch
@@ -31,13 +32,14 @@
     )
 
 
-def make_probe(environment: HostEnvironment) -> StoreProbe:
-    """Return the probe of the store."""
+def make_probe(environment: HostEnvironment, config: ConfigService) -> StoreProbe:
+    """Return the probe of the store; it reads the configuration, of which only newer ones count."""
     return StoreProbe(
         environment.store,
         environment.deployment.config_key,
         environment.executor,
         environment.log,
+        lambda found: config.on_changes([found]),
     )
 
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -179,7 +179,7 @@
     )
     kernel = AsyncKernel()
     kernel.register(load)
-    kernel.register(make_probe(environment))
+    kernel.register(make_probe(environment, config))
     kernel.register(WatchService(watches, registration, targets))
     kernel.register(
         RunnerService(
--- a/ebonyshore/store/kind_watch.py
+++ b/ebonyshore/store/kind_watch.py
@@ -17,7 +17,8 @@
 
 # Twice this is within the time that the store keeps its history; see _note_empty.
 WATCH_TIMEOUT_MS = 9_000
-FIRST_RETRY_MS = 100.0
+MIN_RETRY_MS = 150.0
+FIRST_RETRY_MS = 300.0
 MAX_RETRY_MS = 800.0
 
 
@@ -131,9 +132,12 @@
         if not self._failures:
             self._log.event("store_lost", kind=self._kind, error=str(error))
         self._failures += 1
+        # A watch that is cut may have missed changes before, and one that is sent at once may still
+        # hear nothing of them; a listing shows them.
+        self._revision = None
         self._call(self._listener.on_disturbance)
-        longest_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** min(self._failures, 8))
-        self._clock.sleep_ms(self._random.uniform(FIRST_RETRY_MS / 2, longest_ms))
+        longest_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (min(self._failures, 8) - 1))
+        self._clock.sleep_ms(self._random.uniform(MIN_RETRY_MS, longest_ms))
 
     def _call(self, function, *arguments) -> None:
         try:
--- a/ebonyshore/store/store_probe.py
+++ b/ebonyshore/store/store_probe.py
@@ -6,13 +6,14 @@
 """
 
 from asyncio import Task, create_task, get_running_loop, sleep
+from collections.abc import Callable
 from concurrent.futures import Executor
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.store.platform_api import ListingStore
+from ebonyshore.store.platform_api import ListingStore, StoredObject
 
 PROBE_INTERVAL_MS = 700.0
 
@@ -22,15 +23,24 @@
 
     :param key: of the object.
     :param executor: runs the reads, which block.
+    :param on_value: called with what was read, which may be seconds old.
     """
 
     name = "store_probe"
 
-    def __init__(self, store: ListingStore, key: str, executor: Executor, log: EventLog) -> None:
+    def __init__(
+        self,
+        store: ListingStore,
+        key: str,
+        executor: Executor,
+        log: EventLog,
+        on_value: Callable[[StoredObject], None],
+    ) -> None:
         self._store = store
         self._key = key
         self._executor = executor
         self._log = log
+        self._on_value = on_value
         self._task: Task[None] | None = None
         self.is_silent = False
 
@@ -48,7 +58,7 @@
         """Read once; break the watches if the store answers again."""
         was_silent = self.is_silent
         try:
-            await get_running_loop().run_in_executor(
+            found = await get_running_loop().run_in_executor(
                 self._executor, self._store.get_stale, self._key
             )
         except StoreError as error:
@@ -57,6 +67,8 @@
                 self._log.event("store_silent", error=str(error))
             return
         self.is_silent = False
+        if found is not None:
+            self._on_value(found)
         if was_silent:
             self._log.event("store_answers_again")
             self._store.break_watches()
