Register again in every process, and count a target's own failures against it

Cause, found by reading: a runner removes the record of a process that was not heard for 12 s. Only runners registered again when their record was removed; an entry that was cut off for longer got no loads for the rest of its life. And a removal that fell into dropped history was not noticed by a listing. The outcomes of a target counted a 500 that is passed on as a success.

Change: make_registration, which both roles use, registers again; a listing without the own record is a removal; an answer of 500 and more is a failure. Ruled out: not removing the records of entries (the runners would send to them for ever).

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -36,6 +36,7 @@
 
     PLAIN = auto()
     STREAMED = auto()
+    FAILED = auto()  # the target's own failure
 
 
 class RelayState:
@@ -155,7 +156,7 @@
             await self._relay_stream(reader, head, responder, has_retry)
             return ExchangeEnd.STREAMED
         await self._relay_plain(reader, head, responder, has_retry)
-        return ExchangeEnd.PLAIN
+        return ExchangeEnd.FAILED if head.status >= 500 else ExchangeEnd.PLAIN
 
     async def _relay_stream(
         self,
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -150,7 +150,7 @@
             return self._after_break(target, error)
         finally:
             owner.view.end(target)
-        target.outcomes.add(0.0, now_ms())
+        target.outcomes.add(float(end is ExchangeEnd.FAILED), now_ms())
         if end is ExchangeEnd.STREAMED:
             owner.view.note_occupancy(now_ms() - began_ms)
         return "answered"
--- a/ebonyshore/gateway/process.py
+++ b/ebonyshore/gateway/process.py
@@ -44,14 +44,16 @@
 
 
 def make_registration(environment: HostEnvironment, peers: PeerDirectory) -> Registration:
-    """Return the registration of this process."""
-    return Registration(
+    """Return the registration of this process; it registers again if its record is removed."""
+    registration = Registration(
         peers.own,
         environment.marked_store,
         environment.clock,
         environment.log,
         environment.executor,
     )
+    peers.on_own_removal = registration.start
+    return registration
 
 
 def run_process(
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -39,6 +39,8 @@
     """Knows the processes that are registered.
 
     :param own: this process's record.
+    :ivar on_sign: called with the record of another process that has changed.
+    :ivar on_own_removal: called when this process's own record was removed.
     """
 
     def __init__(self, own: PeerRecord, store: MarkedStore, log: EventLog) -> None:
@@ -46,6 +48,7 @@
         self._store = store
         self._log = log
         self._peers: dict[str, PeerRecord] = {}
+        self._is_own_known = False
         self.on_sign: Callable[[PeerRecord], None] = lambda _record: None
         self.on_own_removal: Callable[[], None] = lambda: None
 
@@ -53,20 +56,31 @@
         listed = {found.key.split("/", 1)[1] for found in objects}
         self._peers = {key: peer for key, peer in self._peers.items() if key in listed}
         self.on_changes(objects)
+        if self._is_own_known and self.own.instance_id not in listed:
+            self._lose_own()
 
     def on_changes(self, objects: Sequence[StoredObject]) -> None:
         for found in objects:
             instance_id = found.key.split("/", 1)[1]
             record = self._decode(found)
             if instance_id == self.own.instance_id:
-                if record is None:
-                    self.on_own_removal()
+                self._note_own(record)
             elif record is None:
                 self._peers.pop(instance_id, None)
             elif self._peers.get(instance_id) != record:
                 self._peers[instance_id] = record
                 self.on_sign(record)
 
+    def _note_own(self, record: PeerRecord | None) -> None:
+        if record is None:
+            self._lose_own()
+        else:
+            self._is_own_known = True
+
+    def _lose_own(self) -> None:
+        self._is_own_known = False
+        self.on_own_removal()
+
     def of_role(self, role: str) -> dict[str, PeerRecord]:
         """Return the other processes of a role, by instance id."""
         return {key: peer for key, peer in self._peers.items() if peer.role == role}
--- a/ebonyshore/runner/presence.py
+++ b/ebonyshore/runner/presence.py
@@ -32,7 +32,6 @@
         self._unheard: set[str] = set()
         self._log = log
         peers.on_sign = self._note_record
-        peers.on_own_removal = registration.start
 
     def step(self) -> None:
         """Renew and remove what is due; call several times a second."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.routes import RouteKind
 from tests.gateway_setup import (
     Gateway,
@@ -276,3 +277,21 @@
     gateway = run(scenario())
     assert seen == [1] and gateway.table.find("t1").own_online == 0
     assert gateway.changes == 2
+
+
+def test_a_failure_that_the_target_answers_itself_counts_against_it():
+    """Guards against a target that fails its requests with a good health check being kept in use:
+    requests that must not be repeated pass its failures on."""
+
+    async def fail(session):
+        session.send_answer(500)
+
+    async def scenario():
+        gateway = Gateway(once_route())
+        await gateway.start(ScriptedTarget(fail))
+        for _ in range(4):
+            assert status_of(await gateway.ask()) == 500
+        gateway.close()
+        return gateway.table.find("t1").outcomes.failure_share(now_ms())
+
+    assert run(scenario()) > 0.9
