--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -55,8 +55,8 @@
 
 
 def test_a_process_whose_record_was_removed_writes_it_again(parts):
-    """Guards against an entry that was cut off for long, whose record a runner has removed, and that
-    gets no loads and no calls for the rest of its life."""
+    """Guards against an entry that was cut off for long, whose record a runner has removed, and
+    that gets no loads for the rest of its life."""
     directory, found = registered(parts)
     directory.on_changes([StoredObject(KEY, found.version + 1, None)])
     assert is_registered(parts)
