Judge a deletion by its status alone

The stand-in answered with the object and hid it.

Ruled out: a conflict (the record was gone at the next listing).

--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -98,7 +98,7 @@
             "DELETE", f"{_path(key)}?Revision={expected_version}", None, JSON_HEADERS
         )
         if answer.status != 404:
-            _written(answer, key)
+            _check_written(answer, key)
 
     def list_keys(
         self, prefix: str, start_after: str = "", limit: int = 1000
@@ -197,11 +197,17 @@
 
     :raises WriteConflictError: if the object is at another version or gone.
     """
+    _check_written(answer, key)
+    try:
+        return decode(answer.body, type=_Object).metadata.revision
+    except (ValidationError, ValueError) as error:
+        raise WriteOutcomeUnknownError(f"{key}: unreadable answer") from error
+
+
+def _check_written(answer: HttpAnswer, key: str) -> None:
+    """Raise what a status other than success means for a write."""
     if answer.status in OK_STATUSES:
-        try:
-            return decode(answer.body, type=_Object).metadata.revision
-        except (ValidationError, ValueError) as error:
-            raise WriteOutcomeUnknownError(f"{key}: unreadable answer") from error
+        return
     if answer.status in (404, 409):
         raise WriteConflictError(key)
     if answer.status in BUSY_STATUSES:
--- a/ebonyshore_standins/object_platform.py
+++ b/ebonyshore_standins/object_platform.py
@@ -82,7 +82,7 @@
                 return 409, known
             del self.objects[kind, name]
             self._note(kind, known, is_deleted=True)
-            return 200, known
+            return 200, {}  # the object is gone, and is not in the answer
 
     def forget_history(self) -> None:
         """Drop all history, so that watches have to list again."""
