--- a/ebonyshore/gateway/entry_load.py
+++ b/ebonyshore/gateway/entry_load.py
@@ -2,7 +2,7 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.gateway.targets import TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.load_board import LoadMessage, LoadReport, LoadTotals, TargetCounts
 from ebonyshore.link.load_exchange import LoadExchange
 from ebonyshore.link.peers import PeerDirectory
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -2,17 +2,17 @@
 
 from ebonyshore.frame.async_kernel import AsyncKernel
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.config_service import ConfigService
-from ebonyshore.gateway.deployment import Deployment
 from ebonyshore.gateway.entry_load import EntryLoad
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.front import Front, Readiness
-from ebonyshore.gateway.host_environment import HostEnvironment
-from ebonyshore.gateway.insight import METRICS_PORT, Insight
 from ebonyshore.gateway.isolation import Isolation
 from ebonyshore.gateway.job_calls import JobCalls
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.gateway.process import (
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.deployment import Deployment
+from ebonyshore.host.host_environment import HostEnvironment
+from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
+from ebonyshore.host.process import (
     PEERS_WATCH_PAUSE_MS,
     TARGETS_WATCH_PAUSE_MS,
     make_probe,
@@ -20,9 +20,9 @@
     make_watch,
     run_process,
 )
-from ebonyshore.gateway.target_service import TargetService
-from ebonyshore.gateway.targets import TargetTable
-from ebonyshore.gateway.watch_service import WatchService
+from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
 
@@ -70,7 +70,7 @@
     kernel.register(isolation)
     kernel.register(Readiness(settings.ready, deployment.names, config, targets, isolation))
     kernel.register(Front(settings.front, deployment.names, config, forwarder, jobs, log))
-    kernel.register(Insight(settings.ip, METRICS_PORT, kernel, metrics))
+    kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
 
 
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -4,16 +4,16 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.answer_reader import (
+from ebonyshore.host.answer_reader import (
     AnswerReader,
     AttemptBrokenError,
     NotExecutedError,
 )
-from ebonyshore.gateway.answers import may_have_run
-from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
-from ebonyshore.gateway.routes import Route
-from ebonyshore.gateway.targets import Target
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.answers import may_have_run
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.routes import Route
+from ebonyshore.host.targets import Target
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -6,14 +6,14 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.answer_reader import AttemptBrokenError, NotExecutedError
-from ebonyshore.gateway.answers import OwnAnswer, may_have_run, not_run, timed_out
 from ebonyshore.gateway.balance import TargetLoad, choose_target, queue_room, retry_after_ms
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.gateway.routes import Route
-from ebonyshore.gateway.targets import Target, TargetTable
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.answer_reader import AttemptBrokenError, NotExecutedError
+from ebonyshore.host.answers import OwnAnswer, may_have_run, not_run, timed_out
+from ebonyshore.host.routes import Route
+from ebonyshore.host.targets import Target, TargetTable
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import Responder
--- a/ebonyshore/gateway/front.py
+++ b/ebonyshore/gateway/front.py
@@ -6,15 +6,15 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.answers import OwnAnswer, not_run
-from ebonyshore.gateway.config_service import ConfigService
 from ebonyshore.gateway.forwarder import Forwarder
-from ebonyshore.gateway.host_settings import ListenAddress
 from ebonyshore.gateway.isolation import Isolation
 from ebonyshore.gateway.job_calls import JobCalls
-from ebonyshore.gateway.routes import Route, RouteKind, RouteTable
-from ebonyshore.gateway.target_service import TargetService
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.answers import OwnAnswer, not_run
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.host_settings import ListenAddress
+from ebonyshore.host.routes import Route, RouteKind, RouteTable
+from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import HttpServer, Responder, ServerLimits
--- a/ebonyshore/gateway/job_calls.py
+++ b/ebonyshore/gateway/job_calls.py
@@ -15,10 +15,10 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.answers import OwnAnswer, may_have_run, not_run
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.gateway.routes import Route
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.answers import OwnAnswer, may_have_run, not_run
+from ebonyshore.host.routes import Route
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterable
 
 from ebonyshore.gateway.balance import TargetLoad
-from ebonyshore.gateway.outliers import find_outliers
-from ebonyshore.gateway.targets import Target
+from ebonyshore.host.outliers import find_outliers
+from ebonyshore.host.targets import Target
 from ebonyshore.link.load_board import LoadTotals, TargetCounts, merge_totals
 
 TOTALS_LIFE_MS = 1_000.0
--- a/ebonyshore/gateway/answer_reader.py
+++ b/ebonyshore/host/answer_reader.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.gateway.answers import OwnAnswer
+from ebonyshore.host.answers import OwnAnswer
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
 
--- a/ebonyshore/gateway/config_service.py
+++ b/ebonyshore/host/config_service.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.gateway.routes import RouteTable, ServiceConfig
+from ebonyshore.host.routes import RouteTable, ServiceConfig
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import StoredObject
 
--- a/ebonyshore/gateway/deployment.py
+++ b/ebonyshore/host/deployment.py
@@ -2,11 +2,11 @@
 
 from abc import ABC, abstractmethod
 
-from ebonyshore.gateway.host_settings import HostSettings
-from ebonyshore.gateway.routes import ServiceConfig
-from ebonyshore.gateway.targets import TargetEntry
-from ebonyshore.gateway.wire_names import WireNames
-from ebonyshore.runner.job_types import JobSubmission, ResultPage
+from ebonyshore.host.host_settings import HostSettings
+from ebonyshore.host.job_types import JobSubmission, ResultPage
+from ebonyshore.host.routes import ServiceConfig
+from ebonyshore.host.targets import TargetEntry
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.store.platform_api import ListingStore
 
 
--- a/ebonyshore/gateway/host_environment.py
+++ b/ebonyshore/host/host_environment.py
@@ -12,7 +12,7 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.stdout_log import BoundedDestination, StdoutStream
-from ebonyshore.gateway.deployment import Deployment
+from ebonyshore.host.deployment import Deployment
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.store.marked_write import MarkedStore
--- a/ebonyshore/gateway/insight.py
+++ b/ebonyshore/host/operator_server.py
@@ -13,14 +13,14 @@
 DUMP_PATH = "/dump"
 
 
-class Insight(AsyncService):
+class OperatorServer(AsyncService):
     """A small HTTP server for operators.
 
     :param host: own address.
     :param kernel: whose services' state is dumped.
     """
 
-    name = "insight"
+    name = "operator_server"
 
     def __init__(self, host: str, port: int, kernel: AsyncKernel, metrics: Metrics) -> None:
         self._host = host
--- a/ebonyshore/gateway/process.py
+++ b/ebonyshore/host/process.py
@@ -5,8 +5,8 @@
 
 from ebonyshore.frame.async_kernel import AsyncKernel, run_until_signal
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.config_service import ConfigService
-from ebonyshore.gateway.host_environment import HostEnvironment
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.host_environment import HostEnvironment
 from ebonyshore.link.peers import PeerDirectory, Registration
 from ebonyshore.store.kind_watch import KindListener, KindWatch
 from ebonyshore.store.store_probe import StoreProbe
--- a/ebonyshore/gateway/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.gateway.targets import Target, TargetEntry, TargetTable
+from ebonyshore.host.targets import Target, TargetEntry, TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import StoredObject
--- a/ebonyshore/gateway/targets.py
+++ b/ebonyshore/host/targets.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.gateway.outliers import OutcomeScore
+from ebonyshore.host.outliers import OutcomeScore
 
 RETURN_GRACE_MS = 2_500.0
 UNREACHABLE_HOLD_MS = 1_000.0
--- a/ebonyshore/gateway/watch_service.py
+++ b/ebonyshore/host/watch_service.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
-from ebonyshore.gateway.target_service import TargetService
+from ebonyshore.host.target_service import TargetService
 from ebonyshore.link.peers import Registration
 from ebonyshore.store.kind_watch import KindWatch
 
--- a/ebonyshore/platform/config_object.py
+++ b/ebonyshore/platform/config_object.py
@@ -6,7 +6,7 @@
 from msgspec.json import decode
 
 from ebonyshore.frame.clock import MS_PER_S
-from ebonyshore.gateway.routes import Route, RouteKind, ServiceConfig, ServiceShare, ServiceSpec
+from ebonyshore.host.routes import Route, RouteKind, ServiceConfig, ServiceShare, ServiceSpec
 from ebonyshore.http.server import ServerLimits
 
 _KINDS = {
--- a/ebonyshore/platform/deployment.py
+++ b/ebonyshore/platform/deployment.py
@@ -1,16 +1,16 @@
 """The platform as the product's :class:`Deployment`."""
 
-from ebonyshore.gateway.deployment import Deployment
-from ebonyshore.gateway.host_settings import HostSettings
-from ebonyshore.gateway.routes import ServiceConfig
-from ebonyshore.gateway.targets import TargetEntry
+from ebonyshore.host.deployment import Deployment
+from ebonyshore.host.host_settings import HostSettings
+from ebonyshore.host.job_types import JobSubmission, ResultPage
+from ebonyshore.host.routes import ServiceConfig
+from ebonyshore.host.targets import TargetEntry
 from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.host_file import load_host_settings, settings_path
 from ebonyshore.platform.job_bodies import decode_submission, encode_results, encode_retirement
 from ebonyshore.platform.names import CONFIG_KEY, RETIREMENTS_KIND, TARGETS_KIND, WIRE
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.platform.target_entries import decode_target_entry
-from ebonyshore.runner.job_types import JobSubmission, ResultPage
 from ebonyshore.store.http_calls import HttpCaller
 
 STORE_TIMEOUT_MS = 1_500.0
--- a/ebonyshore/platform/host_file.py
+++ b/ebonyshore/platform/host_file.py
@@ -8,7 +8,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import SettingsError
-from ebonyshore.gateway.host_settings import HostSettings, ListenAddress
+from ebonyshore.host.host_settings import HostSettings, ListenAddress
 
 SETTINGS_VARIABLE = "EBONYSHORE_CONFIG"
 
--- a/ebonyshore/platform/job_bodies.py
+++ b/ebonyshore/platform/job_bodies.py
@@ -3,8 +3,8 @@
 from msgspec import Struct, ValidationError, field
 from msgspec.json import decode, encode
 
+from ebonyshore.host.job_types import ItemRecord, JobSubmission, ResultPage
 from ebonyshore.platform.names import STATE_COMPLETE, STATE_RUNNING
-from ebonyshore.runner.job_types import ItemRecord, JobSubmission, ResultPage
 
 
 class _Item(Struct):
--- a/ebonyshore/platform/names.py
+++ b/ebonyshore/platform/names.py
@@ -1,6 +1,6 @@
 """Names of headers, paths and object kinds on the platform."""
 
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.wire_names import WireNames
 
 WIRE = WireNames(
     request_id="Attempt-Id",
--- a/ebonyshore/runner/claim_policy.py
+++ b/ebonyshore/runner/claim_policy.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.runner.job_types import JobRecord
+from ebonyshore.host.job_types import JobRecord
 
 CLAIM_AFTER_MS = 1_500.0  # without a sign of the owner
 MAX_DOUBLINGS = 3  # each change of owner doubles the wait
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -5,14 +5,14 @@
 from msgspec import Struct
 
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.gateway.answer_reader import AnswerReader, AttemptBrokenError
-from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
-from ebonyshore.gateway.targets import Target
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.answer_reader import AnswerReader, AttemptBrokenError
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.targets import Target
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
-from ebonyshore.runner.job_book import Item
-from ebonyshore.runner.job_types import ItemRecord
+from ebonyshore.runner.job_progress import Item
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_PATIENCE_MS = 3_000.0
--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -9,16 +9,16 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.gateway.config_service import ConfigService
-from ebonyshore.gateway.routes import Route, RouteKind
-from ebonyshore.gateway.targets import Target, TargetTable
-from ebonyshore.gateway.wire_names import WireNames
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.routes import Route, RouteKind
+from ebonyshore.host.targets import Target, TargetTable
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_board import LoadBoard, TargetCounts
 from ebonyshore.runner.item_plan import UNLIMITED, TargetRoom, assign_homes, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunEnd, RunResult
-from ebonyshore.runner.job_book import Item, ItemState, JobBook
-from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
+from ebonyshore.runner.job_registry import JobRegistry
 
 NO_COUNTS = TargetCounts(0, 0)
 NOT_RUN_PAUSE_MS = 80.0
@@ -33,7 +33,7 @@
 class Running(Struct):
     """An item that runs."""
 
-    book: JobBook
+    progress: JobProgress
     item: Item
     target: Target
     task: Task[None]
@@ -48,7 +48,7 @@
     def __init__(
         self,
         names: WireNames,
-        shelf: JobShelf,
+        registry: JobRegistry,
         config: ConfigService,
         targets: TargetTable,
         board: LoadBoard,
@@ -59,7 +59,7 @@
         random: Random,
     ) -> None:
         self._names = names
-        self._shelf = shelf
+        self._registry = registry
         self._config = config
         self._targets = targets
         self._board = board
@@ -83,11 +83,11 @@
         if self._is_stopped or self._config.table is None:
             return
         totals = self._board.totals(self._clock.boot_ms())
-        runners = [self._shelf.own_id, *self._board.runners()]
+        runners = [self._registry.own_id, *self._board.runners()]
         homes = assign_homes(self._targets.all(), runners)
         rooms: dict[str, list[TargetRoom]] = {}
         for target in self._targets.all().values():
-            is_home = homes[target.target_id] == self._shelf.own_id
+            is_home = homes[target.target_id] == self._registry.own_id
             room = self._room(target, totals, is_home)
             rooms.setdefault(target.entry.service, []).append(room)
         waiting = self._waiting_by_service()
@@ -95,7 +95,9 @@
             self._carry_out(waiting.get(service, {}), of_service)
         self._stop_at_lost_targets()
 
-    def _carry_out(self, waiting: dict[str, tuple[JobBook, Item]], rooms: list[TargetRoom]) -> None:
+    def _carry_out(
+        self, waiting: dict[str, tuple[JobProgress, Item]], rooms: list[TargetRoom]
+    ) -> None:
         plan = make_plan(list(waiting), rooms)
         for key in plan.stops:
             running = self._running[key]
@@ -108,13 +110,13 @@
             )
             running.task.cancel()
         for start in plan.starts:
-            book, item = waiting[start.item]
+            progress, item = waiting[start.item]
             target = self._targets.find(start.target_id)
             item.state = ItemState.RUNNING
             target.own_batch += 1
             target.batch_started_ms = now_ms()
-            task = create_task(self._run(start.item, book, item, target))
-            self._running[start.item] = Running(book, item, target, task)
+            task = create_task(self._run(start.item, progress, item, target))
+            self._running[start.item] = Running(progress, item, target, task)
 
     def _room(self, target: Target, totals: dict[str, TargetCounts], is_home: bool) -> TargetRoom:
         others = totals.get(target.target_id, NO_COUNTS)
@@ -144,25 +146,25 @@
             return UNLIMITED
         return int(now_ms - target.batch_started_ms >= AWAY_START_PAUSE_MS)
 
-    def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobBook, Item]]]:
+    def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobProgress, Item]]]:
         """Return the items that may run, in the order of their jobs' age, by service."""
-        found: dict[str, dict[str, tuple[JobBook, Item]]] = {}
+        found: dict[str, dict[str, tuple[JobProgress, Item]]] = {}
         at_ms, wall_ms = now_ms(), self._clock.wall_ms()
-        for book in self._shelf.owned():
-            if not book.open_count:
+        for progress in self._registry.owned():
+            if not progress.open_count:
                 continue
-            route = self._route(book)
-            if route is None or book.may_give_up(wall_ms):
-                self._give_up(book, route, at_ms, wall_ms)
+            route = self._route(progress)
+            if route is None or progress.may_give_up(wall_ms):
+                self._give_up(progress, route, at_ms, wall_ms)
                 continue
-            for item in book.waiting(at_ms):
+            for item in progress.waiting(at_ms):
                 service = self._pick_service(route)
-                key = f"{book.job_id}/{item.index}"
-                found.setdefault(service, {})[key] = (book, item)
+                key = f"{progress.job_id}/{item.index}"
+                found.setdefault(service, {})[key] = (progress, item)
         return found
 
-    def _route(self, book: JobBook) -> Route | None:
-        route = self._config.table.find(book.record.host, book.record.path)
+    def _route(self, progress: JobProgress) -> Route | None:
+        route = self._config.table.find(progress.record.host, progress.record.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _pick_service(self, route: Route) -> str:
@@ -171,20 +173,22 @@
         weights = [share.weight for share in route.shares]
         return self._random.choices(route.shares, weights)[0].service
 
-    def _give_up(self, book: JobBook, route: Route | None, now_ms: float, wall_ms: float) -> None:
+    def _give_up(
+        self, progress: JobProgress, route: Route | None, now_ms: float, wall_ms: float
+    ) -> None:
         """End the waiting items of a job whose time is over or whose route is gone."""
-        if route is None and wall_ms - book.record.submitted_ms < ROUTE_GRACE_MS:
+        if route is None and wall_ms - progress.record.submitted_ms < ROUTE_GRACE_MS:
             return
-        for item in list(book.waiting(float("inf"))):
+        for item in list(progress.waiting(float("inf"))):
             self._log.event(
-                "item_given_up", job=book.job_id, item=item.item_id, has_route=bool(route)
+                "item_given_up", job=progress.job_id, item=item.item_id, has_route=bool(route)
             )
-            book.end(item, False, now_ms)
+            progress.end(item, False, now_ms)
 
     def _stop_disowned(self) -> None:
         for running in self._running.values():
-            record = running.book.record
-            if record.is_cancelled or not self._shelf.owns(record):
+            record = running.progress.record
+            if record.is_cancelled or not self._registry.owns(record):
                 running.task.cancel()
 
     def _stop_at_lost_targets(self) -> None:
@@ -193,21 +197,21 @@
             if self._targets.find(running.target.target_id) is not running.target:
                 running.task.cancel()
 
-    async def _run(self, key: str, book: JobBook, item: Item, target: Target) -> None:
-        record = book.record
+    async def _run(self, key: str, progress: JobProgress, item: Item, target: Target) -> None:
+        record = progress.record
         run = ItemRun(
             self._names,
             self._pool,
             item,
             record.items[item.index],
-            book.body(item.index),
+            progress.body(item.index),
             record.host,
         )
         before = item.last_event_id
-        self._shelf.on_change()
+        self._registry.on_change()
         try:
             result = await run.run(target)
-            self._take(book, item, target, result, item.last_event_id != before)
+            self._take(progress, item, target, result, item.last_event_id != before)
         except CancelledError:
             if item.state is ItemState.RUNNING:
                 item.state = ItemState.WAITING
@@ -215,17 +219,22 @@
         finally:
             target.own_batch -= 1
             del self._running[key]
-            self._shelf.on_change()
+            self._registry.on_change()
 
     def _take(
-        self, book: JobBook, item: Item, target: Target, result: RunResult, has_progress: bool
+        self,
+        progress: JobProgress,
+        item: Item,
+        target: Target,
+        result: RunResult,
+        has_progress: bool,
     ) -> None:
         at_ms = now_ms()
         self._metrics.count(f"item_runs_{result.end.name.lower()}")
         if result.end is not RunEnd.COMPLETE:
             self._log.event(
                 "item_run_ended",
-                job=book.job_id,
+                job=progress.job_id,
                 item=item.item_id,
                 target=target.target_id,
                 end=result.end.name.lower(),
@@ -237,18 +246,18 @@
         item.state = ItemState.WAITING
         if result.end is RunEnd.COMPLETE:
             target.note_answer()
-            book.end(item, True, at_ms)
+            progress.end(item, True, at_ms)
         elif result.end is RunEnd.REJECTED:
-            book.end(item, False, at_ms)
+            progress.end(item, False, at_ms)
         elif result.end is RunEnd.FAILED:
-            self._after_failure(book, item, at_ms)
+            self._after_failure(progress, item, at_ms)
         else:
             self._after_break(item, target, result.end, has_progress, at_ms)
 
-    def _after_failure(self, book: JobBook, item: Item, now_ms: float) -> None:
+    def _after_failure(self, progress: JobProgress, item: Item, now_ms: float) -> None:
         item.failures += 1
-        if item.failures >= book.record.max_attempts:
-            book.end(item, False, now_ms)
+        if item.failures >= progress.record.max_attempts:
+            progress.end(item, False, now_ms)
             return
         item.not_before_ms = now_ms + FAILURE_PAUSE_MS
 
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -8,9 +8,10 @@
 from ebonyshore.frame.errors import StoreError, WriteOutcomeUnknownError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.gateway.config_service import ConfigService
-from ebonyshore.gateway.deployment import Deployment
-from ebonyshore.gateway.routes import RouteKind
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.deployment import Deployment
+from ebonyshore.host.job_types import JobRecord
+from ebonyshore.host.routes import RouteKind
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import HttpServer, Responder, ServerLimits
@@ -21,8 +22,7 @@
     JobCallKind,
     decode_call,
 )
-from ebonyshore.runner.job_shelf import JobShelf
-from ebonyshore.runner.job_types import JobRecord
+from ebonyshore.runner.job_registry import JobRegistry
 
 MAX_CALL_BYTES = 16 << 20
 RETRY_AFTER_S = 0.6
@@ -53,7 +53,7 @@
         host: str,
         port: int,
         deployment: Deployment,
-        shelf: JobShelf,
+        registry: JobRegistry,
         config: ConfigService,
         clock: Clock,
         log: EventLog,
@@ -62,7 +62,7 @@
         self._host = host
         self._port = port
         self._deployment = deployment
-        self._shelf = shelf
+        self._registry = registry
         self._config = config
         self._clock = clock
         self._log = log
@@ -119,20 +119,20 @@
             return Reply(503)
 
     async def _submit(self, call: JobCall, request: Request) -> Reply:
-        if self._shelf.is_leaving:
+        if self._registry.is_leaving:
             return Reply(503)
         record = self._new_record(call, request)
         if record is None:
             return Reply(503)
-        stored = await self._shelf.call(self._shelf.storage.create, record)
-        self._shelf.add_own(stored)
+        stored = await self._registry.call(self._registry.storage.create, record)
+        self._registry.add_own(stored)
         self._metrics.count("jobs_accepted")
         self._log.event(
             "job_accepted",
             job=call.job_id,
             items=len(stored.body.items),
             owner=stored.body.owner,
-            is_repeat=stored.body.owner_incarnation != self._shelf.incarnation,
+            is_repeat=stored.body.owner_incarnation != self._registry.incarnation,
         )
         return Reply(202, owner=stored.body.owner)
 
@@ -154,37 +154,42 @@
             completion_target_ms=route.completion_target_ms,
             max_attempts=route.max_attempts,
             items=submission.items,
-            owner=self._shelf.own_id,
-            owner_incarnation=self._shelf.incarnation,
+            owner=self._registry.own_id,
+            owner_incarnation=self._registry.incarnation,
             epoch=1,
         )
 
     async def _results(self, call: JobCall) -> Reply:
-        book = await self._shelf.read_book(call.job_id)
-        if book is None:
+        progress = await self._registry.read_progress(call.job_id)
+        if progress is None:
             return Reply(404)
-        is_own = self._shelf.owns(book.record) and self._shelf.is_certain()
-        if is_own and call.wait_ms and call.first >= book.listed_count and not book.is_finished:
+        is_own = self._registry.owns(progress.record) and self._registry.is_certain()
+        if (
+            is_own
+            and call.wait_ms
+            and call.first >= progress.listed_count
+            and not progress.is_finished
+        ):
             try:
                 async with timeout(call.wait_ms / MS_PER_S):
-                    await self._shelf.wait_for_news(call.job_id)
+                    await self._registry.wait_for_news(call.job_id)
             except TimeoutError:
                 self._metrics.count("result_reads_without_news")
-        page = book.page(call.first)
-        return Reply(200, self._deployment.encode_results(page), book.record.owner)
+        page = progress.page(call.first)
+        return Reply(200, self._deployment.encode_results(page), progress.record.owner)
 
     async def _item_body(self, call: JobCall) -> Reply:
-        book = await self._shelf.read_book(call.job_id)
-        item = book.find(call.item_id) if book is not None else None
-        if item is None or book.record.is_cancelled:
+        progress = await self._registry.read_progress(call.job_id)
+        item = progress.find(call.item_id) if progress is not None else None
+        if item is None or progress.record.is_cancelled:
             return Reply(404)
-        return Reply(200, book.body(item.index), book.record.owner)
+        return Reply(200, progress.body(item.index), progress.record.owner)
 
     async def _cancel(self, call: JobCall) -> Reply:
-        found = await self._shelf.call(self._shelf.storage.cancel, call.job_id)
+        found = await self._registry.call(self._registry.storage.cancel, call.job_id)
         if found is None:
             return Reply(404)
-        self._shelf.note(found)
+        self._registry.note(found)
         self._metrics.count("jobs_cancelled")
         self._log.event("job_cancelled", job=call.job_id, owner=found.body.owner)
         return Reply(200, owner=found.body.owner)
--- a/ebonyshore/runner/job_expiry.py
+++ b/ebonyshore/runner/job_expiry.py
@@ -5,9 +5,9 @@
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.host.job_types import JobRecord
 from ebonyshore.link.load_board import LoadBoard
-from ebonyshore.runner.job_shelf import JobShelf
-from ebonyshore.runner.job_types import JobRecord
+from ebonyshore.runner.job_registry import JobRegistry
 
 LOOK_INTERVAL_MS = 5_000.0
 MARGIN_MS = 60_000.0  # clocks differ, and a job may have been sent well before it was accepted
@@ -30,13 +30,13 @@
 
     def __init__(
         self,
-        shelf: JobShelf,
+        registry: JobRegistry,
         board: LoadBoard,
         result_retention_ms: float,
         clock: Clock,
         log: EventLog,
     ) -> None:
-        self._shelf = shelf
+        self._registry = registry
         self._board = board
         self._result_retention_ms = result_retention_ms
         self._clock = clock
@@ -55,19 +55,19 @@
     async def remove_expired(self) -> None:
         """Remove the jobs that have expired by now."""
         wall_ms = self._clock.wall_ms()
-        for found in self._shelf.all_records():
+        for found in self._registry.all_records():
             if is_expired(found.body, self._result_retention_ms, wall_ms):
                 await self._remove(found.body)
 
     async def _run(self) -> None:
         while True:
             await sleep(LOOK_INTERVAL_MS / MS_PER_S)
-            if self._shelf.own_id == min([self._shelf.own_id, *self._board.runners()]):
+            if self._registry.own_id == min([self._registry.own_id, *self._board.runners()]):
                 await self.remove_expired()
 
     async def _remove(self, record: JobRecord) -> None:
         try:
-            await self._shelf.call(self._shelf.storage.delete, record)
+            await self._registry.call(self._registry.storage.delete, record)
         except StoreError as error:
             self._log.event("job_not_removed", job=record.job_id, error=str(error))
         else:
--- a/ebonyshore/runner/job_book.py
+++ b/ebonyshore/runner/job_progress.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from enum import Enum, auto
 
-from ebonyshore.runner.job_types import (
+from ebonyshore.host.job_types import (
     JobRecord,
     ListedResult,
     ResultPage,
@@ -59,7 +59,7 @@
         self.not_before_ms = float("-inf")
 
 
-class JobBook:
+class JobProgress:
     """A job that this runner knows.
 
     :param record: as stored.
--- a/ebonyshore/runner/job_shelf.py
+++ b/ebonyshore/runner/job_registry.py
@@ -15,13 +15,13 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.host.job_types import JobRecord
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.runner.claim_policy import OwnerSigns, may_claim
 from ebonyshore.runner.item_plan import first_choice
-from ebonyshore.runner.job_book import ItemState, JobBook
+from ebonyshore.runner.job_progress import ItemState, JobProgress
 from ebonyshore.runner.job_storage import JobStorage, job_name
-from ebonyshore.runner.job_types import JobRecord
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.marked_write import MarkedObject
 from ebonyshore.store.platform_api import StoredObject
@@ -31,8 +31,8 @@
 ResultT = TypeVar("ResultT")
 
 
-class JobShelf(KindListener):
-    """Holds records and books.
+class JobRegistry(KindListener):
+    """Holds records and jobs.
 
     :param own_id: instance id of this runner.
     :param incarnation: run of this process.
@@ -61,7 +61,7 @@
         self._executor = executor
         self._log = log
         self._records: dict[str, MarkedObject[JobRecord]] = {}
-        self._books: dict[str, JobBook] = {}
+        self._progress: dict[str, JobProgress] = {}
         self._news: dict[str, Event] = {}
         self._claims: dict[str, Task[None]] = {}
         self._claim_not_before_ms: dict[str, float] = {}
@@ -108,17 +108,17 @@
             return
         self._records[job_id] = found
         self._record_ms[job_id] = self._clock.boot_ms()
-        book = self._books.get(job_id)
-        if book is not None:
-            book.record = found.body
-            book.version = found.version
+        progress = self._progress.get(job_id)
+        if progress is not None:
+            progress.record = found.body
+            progress.version = found.version
         self.on_change()
 
     def add_own(self, found: MarkedObject[JobRecord]) -> None:
         """Take a job that was just stored with this runner as its owner."""
         self.note(found)
-        if found.body.job_id not in self._books and self.owns(found.body):
-            self._books[found.body.job_id] = JobBook(found.body, found.version)
+        if found.body.job_id not in self._progress and self.owns(found.body):
+            self._progress[found.body.job_id] = JobProgress(found.body, found.version)
         self.on_change()
 
     def owns(self, record: JobRecord) -> bool:
@@ -129,31 +129,31 @@
         """Return a known record, or ``None``."""
         return self._records.get(job_id)
 
-    def book(self, job_id: str) -> JobBook | None:
-        """Return a job's book, or ``None`` if this runner has not read it."""
-        return self._books.get(job_id)
+    def progress(self, job_id: str) -> JobProgress | None:
+        """Return a job's progress, or ``None`` if this runner has not read it."""
+        return self._progress.get(job_id)
 
-    def owned(self) -> list[JobBook]:
-        """Return the books of owned jobs, those due first at the front."""
-        books = [book for book in self._books.values() if self.owns(book.record)]
-        return sorted(books, key=lambda book: (book.record.submitted_ms, book.job_id))
+    def owned(self) -> list[JobProgress]:
+        """Return the jobs of owned jobs, those due first at the front."""
+        jobs = [progress for progress in self._progress.values() if self.owns(progress.record)]
+        return sorted(jobs, key=lambda progress: (progress.record.submitted_ms, progress.job_id))
 
     def open_items(self) -> int:
         """Return how many items of owned jobs have no result yet."""
-        return sum(book.open_count for book in self.owned())
+        return sum(progress.open_count for progress in self.owned())
 
     def all_records(self) -> list[MarkedObject[JobRecord]]:
         """Return all known records."""
         return list(self._records.values())
 
-    async def read_book(self, job_id: str) -> JobBook | None:
-        """Return a job's book as the store has it, or ``None`` if there is no such job.
+    async def read_progress(self, job_id: str) -> JobProgress | None:
+        """Return a job's progress as the store has it, or ``None`` if there is no such job.
 
         :raises StoreError: if the store does not answer.
         """
-        book = self._books.get(job_id)
-        if book is not None and self._is_current(book):
-            return book
+        progress = self._progress.get(job_id)
+        if progress is not None and self._is_current(progress):
+            return progress
         if job_id not in self._records:
             found = await self.call(self.storage.read, job_id)
             if found is None:
@@ -161,9 +161,9 @@
             self.note(found)
         return await self._load(job_id)
 
-    def _is_current(self, book: JobBook) -> bool:
-        """Return whether the store cannot hold more results than the book."""
-        return book.is_finished or (self.owns(book.record) and self.is_certain())
+    def _is_current(self, progress: JobProgress) -> bool:
+        """Return whether the store cannot hold more results than is known here."""
+        return progress.is_finished or (self.owns(progress.record) and self.is_certain())
 
     async def wait_for_news(self, job_id: str) -> None:
         """Wait until results of a job are listed."""
@@ -188,21 +188,21 @@
     async def release_all(self) -> None:
         """Give up the owned jobs that are not finished, so that other runners go on."""
         self.is_leaving = True
-        for book in self.owned():
-            if book.is_finished or book.record.is_cancelled:
+        for progress in self.owned():
+            if progress.is_finished or progress.record.is_cancelled:
                 continue
             try:
-                found = self._records[book.job_id]
+                found = self._records[progress.job_id]
                 self.note(await self.call(self.storage.claim, found, "", ""))
             except StoreError as error:
-                self._log.event("job_release_failed", job=book.job_id, error=str(error))
+                self._log.event("job_release_failed", job=progress.job_id, error=str(error))
 
     def _is_to_claim(self, record: JobRecord, runners: list[str], now_ms: float) -> bool:
         job_id = record.job_id
-        book = self._books.get(job_id)
+        progress = self._progress.get(job_id)
         if self.owns(record):
-            return book is None
-        if book is not None and book.is_finished:
+            return progress is None
+        if progress is not None and progress.is_finished:
             return False
         if now_ms < self._claim_not_before_ms.get(job_id, 0.0):
             return False
@@ -219,7 +219,7 @@
         try:
             await self._load(job_id)
             found = self._records[job_id]
-            if self._books[job_id].is_finished:
+            if self._progress[job_id].is_finished:
                 return
             if not self.owns(found.body):
                 claimed = await self.call(self.storage.claim, found, self.own_id, self.incarnation)
@@ -236,19 +236,19 @@
             del self._claims[job_id]
             self.on_change()
 
-    async def _load(self, job_id: str) -> JobBook:
-        """Bring a book to what the store has listed."""
+    async def _load(self, job_id: str) -> JobProgress:
+        """Bring a job's progress to what the store has listed."""
         found = self._records[job_id]
-        book = self._books.get(job_id) or JobBook(found.body, found.version)
-        first = book.next_segment
+        progress = self._progress.get(job_id) or JobProgress(found.body, found.version)
+        first = progress.next_segment
         segments = await self.call(self.storage.segments, job_id, first)
-        if found.body.body_parts and not book.bodies:
-            book.bodies = await self.call(self.storage.bodies, found.body)
-        known = self._books.setdefault(job_id, book)
+        if found.body.body_parts and not progress.bodies:
+            progress.bodies = await self.call(self.storage.bodies, found.body)
+        known = self._progress.setdefault(job_id, progress)
         if known.next_segment == first:
             for segment in segments:
                 known.apply(segment)
-        known.bodies = known.bodies or book.bodies
+        known.bodies = known.bodies or progress.bodies
         if segments:
             self.tell_news(job_id)
         return known
@@ -258,7 +258,7 @@
         gone = [job_id for job_id in self._records if job_name(job_id) == name]
         for job_id in gone:
             self._records.pop(job_id, None)
-            self._books.pop(job_id, None)
+            self._progress.pop(job_id, None)
             self._claim_not_before_ms.pop(job_id, None)
             self._record_ms.pop(job_id, None)
 
@@ -269,12 +269,14 @@
                 "owner": found.body.owner,
                 "epoch": found.body.epoch,
                 "is_cancelled": found.body.is_cancelled,
-                "listed": book.listed_count if (book := self._books.get(job_id)) else None,
-                "running": _running(book) if book else 0,
+                "listed": (
+                    progress.listed_count if (progress := self._progress.get(job_id)) else None
+                ),
+                "running": _running(progress) if progress else 0,
             }
             for job_id, found in self._records.items()
         }
 
 
-def _running(book: JobBook) -> int:
-    return sum(item.state is ItemState.RUNNING for item in book.items)
+def _running(progress: JobProgress) -> int:
+    return sum(item.state is ItemState.RUNNING for item in progress.items)
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -10,7 +10,7 @@
 from msgspec import structs
 
 from ebonyshore.frame.errors import WriteConflictError
-from ebonyshore.runner.job_types import BodyPart, JobRecord, ResultSegment
+from ebonyshore.host.job_types import BodyPart, JobRecord, ResultSegment
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION, StoredObject
 
--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -7,9 +7,9 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.runner.job_book import JobBook
-from ebonyshore.runner.job_shelf import JobShelf
-from ebonyshore.runner.job_types import JobRecord
+from ebonyshore.host.job_types import JobRecord
+from ebonyshore.runner.job_progress import JobProgress
+from ebonyshore.runner.job_registry import JobRegistry
 
 LINGER_MS = 800.0  # for results that end soon after, since each write is a priced call
 DUE_LINGER_MS = 100.0
@@ -26,8 +26,10 @@
 class ResultWriter:
     """Writes segments, one at a time for each job."""
 
-    def __init__(self, shelf: JobShelf, clock: Clock, log: EventLog, metrics: Metrics) -> None:
-        self._shelf = shelf
+    def __init__(
+        self, registry: JobRegistry, clock: Clock, log: EventLog, metrics: Metrics
+    ) -> None:
+        self._registry = registry
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -36,60 +38,66 @@
     @property
     def is_idle(self) -> bool:
         """Whether no result waits to be stored."""
-        return not self._writes and not any(book.pending_count for book in self._shelf.owned())
+        return not self._writes and not any(
+            progress.pending_count for progress in self._registry.owned()
+        )
 
     def start_due(self, is_urgent: bool = False) -> None:
         """Begin the writes that are due.
 
         :param is_urgent: whether to write at once, since the process is to stop.
         """
-        for book in self._shelf.owned():
-            if book.job_id not in self._writes and self._is_due(book, is_urgent):
-                self._writes[book.job_id] = create_task(self._write(book))
+        for progress in self._registry.owned():
+            if progress.job_id not in self._writes and self._is_due(progress, is_urgent):
+                self._writes[progress.job_id] = create_task(self._write(progress))
 
-    def _is_due(self, book: JobBook, is_urgent: bool) -> bool:
-        if not book.pending_count:
+    def _is_due(self, progress: JobProgress, is_urgent: bool) -> bool:
+        if not progress.pending_count:
             return False
-        if is_urgent or not book.open_count:
+        if is_urgent or not progress.open_count:
             return True
-        return now_ms() - book.pending_since_ms >= linger_ms(book.record, self._clock.wall_ms())
+        return now_ms() - progress.pending_since_ms >= linger_ms(
+            progress.record, self._clock.wall_ms()
+        )
 
-    async def _write(self, book: JobBook) -> None:
-        shelf = self._shelf
-        segment = book.next_results()
-        number = book.next_segment
+    async def _write(self, progress: JobProgress) -> None:
+        registry = self._registry
+        segment = progress.next_results()
+        number = progress.next_segment
         try:
-            await shelf.call(shelf.storage.append, book.job_id, number, segment)
-            if book.next_segment == number:
-                book.apply(segment)
+            await registry.call(registry.storage.append, progress.job_id, number, segment)
+            if progress.next_segment == number:
+                progress.apply(segment)
             self._metrics.count("results_listed", len(segment.results))
             self._log.event(
                 "results_listed",
-                job=book.job_id,
+                job=progress.job_id,
                 segment=number,
                 results=len(segment.results),
-                listed=book.listed_count,
+                listed=progress.listed_count,
             )
         except WriteConflictError:
-            await self._take_stored(book, number)
+            await self._take_stored(progress, number)
         except StoreError as error:
-            self._log.event("results_not_stored", job=book.job_id, error=str(error))
+            self._log.event("results_not_stored", job=progress.job_id, error=str(error))
             await sleep(RETRY_MS / MS_PER_S)
         finally:
-            del self._writes[book.job_id]
-            shelf.tell_news(book.job_id)
-            shelf.on_change()
+            del self._writes[progress.job_id]
+            registry.tell_news(progress.job_id)
+            registry.on_change()
 
-    async def _take_stored(self, book: JobBook, number: int) -> None:
+    async def _take_stored(self, progress: JobProgress, number: int) -> None:
         """Another write has this number: list what the store has."""
-        shelf = self._shelf
+        registry = self._registry
         try:
-            segments = await shelf.call(shelf.storage.segments, book.job_id, number)
+            segments = await registry.call(registry.storage.segments, progress.job_id, number)
         except StoreError as error:
-            self._log.event("segments_unread", job=book.job_id, error=str(error))
+            self._log.event("segments_unread", job=progress.job_id, error=str(error))
             await sleep(RETRY_MS / MS_PER_S)
             return
-        if book.next_segment == number:
+        if progress.next_segment == number:
             for segment in segments:
-                book.apply(segment)
-        self._log.event("segment_conflict", job=book.job_id, segment=number, found=len(segments))
+                progress.apply(segment)
+        self._log.event(
+            "segment_conflict", job=progress.job_id, segment=number, found=len(segments)
+        )
--- a/ebonyshore/runner/retirement.py
+++ b/ebonyshore/runner/retirement.py
@@ -7,9 +7,9 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.gateway.deployment import Deployment
+from ebonyshore.host.deployment import Deployment
 from ebonyshore.link.load_board import LoadBoard
-from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
@@ -24,14 +24,14 @@
         self,
         deployment: Deployment,
         store: ListingStore,
-        shelf: JobShelf,
+        registry: JobRegistry,
         board: LoadBoard,
         executor: Executor,
         log: EventLog,
     ) -> None:
         self._deployment = deployment
         self._store = store
-        self._shelf = shelf
+        self._registry = registry
         self._board = board
         self._executor = executor
         self._log = log
@@ -47,13 +47,15 @@
                 self._tasks[instance_id] = create_task(self._retire(instance_id, found))
 
     async def _retire(self, instance_id: str, found: StoredObject) -> None:
-        if instance_id == self._shelf.own_id:
-            await self._shelf.release_all()
+        if instance_id == self._registry.own_id:
+            await self._registry.release_all()
             await self._write_until_taken(found)
             return
         await sleep(HEARD_WITHIN_MS / MS_PER_S)
         is_down = instance_id not in self._board.runners()
-        if is_down and self._shelf.own_id == min([self._shelf.own_id, *self._board.runners()]):
+        if is_down and self._registry.own_id == min(
+            [self._registry.own_id, *self._board.runners()]
+        ):
             await self._write_until_taken(found)
 
     async def _write_until_taken(self, found: StoredObject) -> None:
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -1,7 +1,7 @@
 """A runner's part in the exchange of loads: hears all reports, sends its own and the sums."""
 
 from ebonyshore.frame.clock import Clock
-from ebonyshore.gateway.targets import TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.load_board import (
     LoadBoard,
     LoadMessage,
@@ -12,7 +12,7 @@
 )
 from ebonyshore.link.load_exchange import LoadExchange
 from ebonyshore.link.peers import PeerDirectory
-from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_registry import JobRegistry
 
 
 class RunnerLoad:
@@ -23,20 +23,20 @@
         peers: PeerDirectory,
         targets: TargetTable,
         board: LoadBoard,
-        shelf: JobShelf,
+        registry: JobRegistry,
         clock: Clock,
     ) -> None:
         self._peers = peers
         self._targets = targets
         self._board = board
-        self._shelf = shelf
+        self._registry = registry
         self._clock = clock
         self._sequence = 0
 
     def on_message(self, message: LoadMessage) -> None:
         """Take a report."""
         if isinstance(message, LoadReport) and self._board.note(message, self._clock.boot_ms()):
-            self._shelf.on_change()
+            self._registry.on_change()
 
     def send(self, exchange: LoadExchange) -> None:
         """Send the own report to the other runners, and the sums to the entries."""
@@ -54,7 +54,7 @@
             self._sequence,
             own.role,
             counts,
-            self._shelf.open_items(),
+            self._registry.open_items(),
             tuple(self._board.runners()),
         )
         others = self._peers.of_role("runner").values()
@@ -64,7 +64,7 @@
 
     def _send_totals(self, exchange: LoadExchange, own_report: LoadReport) -> None:
         runners = {key: report.open_items for key, report in self._board.runners().items()}
-        if not self._shelf.is_leaving:
+        if not self._registry.is_leaving:
             runners[own_report.sender] = own_report.open_items
         for entry in self._peers.of_role("entry").values():
             counts = self._board.totals(self._clock.boot_ms(), without=entry.instance_id)
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -6,11 +6,11 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.config_service import ConfigService
-from ebonyshore.gateway.deployment import Deployment
-from ebonyshore.gateway.host_environment import HostEnvironment
-from ebonyshore.gateway.insight import METRICS_PORT, Insight
-from ebonyshore.gateway.process import (
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.deployment import Deployment
+from ebonyshore.host.host_environment import HostEnvironment
+from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
+from ebonyshore.host.process import (
     PEERS_WATCH_PAUSE_MS,
     TARGETS_WATCH_PAUSE_MS,
     make_probe,
@@ -18,16 +18,16 @@
     make_watch,
     run_process,
 )
-from ebonyshore.gateway.target_service import TargetService
-from ebonyshore.gateway.targets import TargetTable
-from ebonyshore.gateway.watch_service import WatchService
+from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
 from ebonyshore.runner.item_runs import ItemRuns
 from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_expiry import JobExpiry
-from ebonyshore.runner.job_shelf import JobShelf
+from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
 from ebonyshore.runner.presence import Presence
 from ebonyshore.runner.result_writer import ResultWriter
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        shelf: JobShelf,
+        registry: JobRegistry,
         runs: ItemRuns,
         writer: ResultWriter,
         load: LoadService,
@@ -54,7 +54,7 @@
         expiry: JobExpiry,
         log: EventLog,
     ) -> None:
-        self._shelf = shelf
+        self._registry = registry
         self._runs = runs
         self._writer = writer
         self._load = load
@@ -64,10 +64,10 @@
         self._changed = Event()
         self._task: Task[None] | None = None
         self._release: Task[None] | None = None
-        shelf.on_change = self._note_change
+        registry.on_change = self._note_change
 
     async def start(self) -> None:
-        self._shelf.begin()
+        self._registry.begin()
         self._expiry.start()
         self._task = create_task(self._run())
 
@@ -85,7 +85,7 @@
             self._task.cancel()
 
     def dump(self) -> dict[str, object]:
-        return {"jobs": self._shelf.dump(), "running": self._runs.dump()}
+        return {"jobs": self._registry.dump(), "running": self._runs.dump()}
 
     def _note_change(self) -> None:
         self._changed.set()
@@ -96,7 +96,7 @@
         while not self._writer.is_idle:
             self._writer.start_due(is_urgent=True)
             await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
-        await self._shelf.release_all()
+        await self._registry.release_all()
 
     async def _run(self) -> None:
         while True:
@@ -108,7 +108,7 @@
             self._changed.clear()
             try:
                 self._presence.step()
-                self._shelf.claim_free()
+                self._registry.claim_free()
                 self._runs.step()
                 self._writer.start_due()
             except Exception as error:  # noqa: BLE001 - one job must not stop the others
@@ -127,7 +127,7 @@
     board = LoadBoard(settings.instance_id)
     registration = make_registration(environment, peers)
     presence = Presence(peers, board, registration, environment.clock, log)
-    shelf = JobShelf(
+    registry = JobRegistry(
         settings.instance_id,
         environment.incarnation,
         JobStorage(environment.marked_store),
@@ -137,7 +137,7 @@
         environment.executor,
         log,
     )
-    runner_load = RunnerLoad(peers, table, board, shelf, environment.clock)
+    runner_load = RunnerLoad(peers, table, board, registry, environment.clock)
     load = LoadService(
         settings.ip,
         settings.first_internal_port,
@@ -148,7 +148,7 @@
     )
     runs = ItemRuns(
         deployment.names,
-        shelf,
+        registry,
         config,
         table,
         board,
@@ -158,20 +158,22 @@
         metrics,
         environment.random,
     )
-    retirement = Retirement(deployment, environment.store, shelf, board, environment.executor, log)
-    expiry = JobExpiry(shelf, board, settings.result_retention_ms, environment.clock, log)
+    retirement = Retirement(
+        deployment, environment.store, registry, board, environment.executor, log
+    )
+    expiry = JobExpiry(registry, board, settings.result_retention_ms, environment.clock, log)
     watches = [
         make_watch(environment, deployment.config_key.split("/", 1)[0], config),
         make_watch(environment, deployment.targets_kind, targets, TARGETS_WATCH_PAUSE_MS),
         make_watch(environment, PEERS_KIND, peers, PEERS_WATCH_PAUSE_MS),
-        make_watch(environment, JOBS_KIND, shelf, JOBS_WATCH_PAUSE_MS),
+        make_watch(environment, JOBS_KIND, registry, JOBS_WATCH_PAUSE_MS),
         make_watch(environment, deployment.retirements_kind, retirement),
     ]
     api = JobApi(
         settings.ip,
         settings.first_internal_port,
         deployment,
-        shelf,
+        registry,
         config,
         environment.clock,
         log,
@@ -183,9 +185,9 @@
     kernel.register(WatchService(watches, registration, targets))
     kernel.register(
         RunnerService(
-            shelf,
+            registry,
             runs,
-            ResultWriter(shelf, environment.clock, log, metrics),
+            ResultWriter(registry, environment.clock, log, metrics),
             load,
             presence,
             expiry,
@@ -193,7 +195,7 @@
         )
     )
     kernel.register(api)
-    kernel.register(Insight(settings.ip, METRICS_PORT, kernel, metrics))
+    kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
 
 
--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -8,9 +8,9 @@
 
 from msgspec import Struct
 
+from ebonyshore_soak.checker import PromiseChecker
 from ebonyshore_soak.clients import ITEM_EVENTS, Clients
 from ebonyshore_soak.faults import Faults, listed_entry
-from ebonyshore_soak.ledger import Ledger
 from ebonyshore_soak.proxy import FaultProxy
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
@@ -49,7 +49,7 @@
     fleet = PlatformFleet(
         folder, options.entries, options.runners, options.targets, options.address
     )
-    ledger = Ledger()
+    checker = PromiseChecker()
     store_link = FaultProxy(fleet.platform.address)
     fleet.use_store(store_link.address)
     target_links: list[FaultProxy] = []
@@ -63,24 +63,24 @@
                 for number, target in enumerate(fleet.targets)
             }
         )
-        clients = Clients(fleet, ledger, options.seed)
+        clients = Clients(fleet, checker, options.seed)
         faults = Faults(fleet, [store_link], target_links, options.seed)
         clients.start()
         faults.start()
         time.sleep(options.length_s)
         faults.stop()
         clients.stop()
-        _settle(fleet, clients, ledger)
+        _settle(fleet, clients, checker)
         runs = [run for target in fleet.targets for run in target.runs]
-        ledger.check_end(runs, ITEM_EVENTS)
+        checker.check_end(runs, ITEM_EVENTS)
     finally:
         fleet.stop()
         for proxy in [store_link, *target_links]:
             proxy.stop()
-    return SoakResult(options.seed, ledger.broken, ledger.counts, faults.log, str(folder))
+    return SoakResult(options.seed, checker.broken, checker.counts, faults.log, str(folder))
 
 
-def _settle(fleet: PlatformFleet, clients: Clients, ledger: Ledger) -> None:
+def _settle(fleet: PlatformFleet, clients: Clients, checker: PromiseChecker) -> None:
     """Let everything come to its end without faults, and read what was accepted."""
     path = f"/c{clients.config_version}/x"
 
@@ -95,13 +95,13 @@
         wait_until(lambda: all(entry.is_ready() for entry in fleet.entries))
         wait_until(is_config_everywhere, CONFIG_S)
     except (TimeoutError, OSError) as error:
-        ledger.break_promise(f"the last configuration is not in force everywhere: {error!r}")
-    open_jobs = [job_id for job_id in ledger.accepted if job_id not in ledger.cancelled]
+        checker.report_violation(f"the last configuration is not in force everywhere: {error!r}")
+    open_jobs = [job_id for job_id in checker.accepted if job_id not in checker.cancelled]
     end = time.monotonic() + SETTLE_S
     while open_jobs and time.monotonic() < end:
         open_jobs = [job_id for job_id in open_jobs if not clients.read_all(job_id)]
         time.sleep(0.2)
-    for job_id in ledger.cancelled:
+    for job_id in checker.cancelled:
         clients.read_all(job_id)
 
 
--- a/ebonyshore_soak/ledger.py
+++ b/ebonyshore_soak/checker.py
@@ -9,7 +9,7 @@
 REFUSAL_STATUSES = (408, 421, 429, 503)
 
 
-class Ledger:
+class PromiseChecker:
     """Collects answers while the soak runs and compares them with the targets' runs at its end."""
 
     def __init__(self) -> None:
@@ -27,7 +27,7 @@
         with self._lock:
             self.counts[name] = self.counts.get(name, 0) + 1
 
-    def break_promise(self, text: str) -> None:
+    def report_violation(self, text: str) -> None:
         """Note a broken promise."""
         with self._lock:
             self.broken.append(f"{time.monotonic():.3f} {text}")
@@ -36,7 +36,7 @@
         """Check an answer that ended as whole."""
         self.count("streams_whole")
         if data != expected_data(request_id, events):
-            self.break_promise(f"request {request_id}: the answer is not its own or not whole")
+            self.report_violation(f"request {request_id}: the answer is not its own or not whole")
 
     def note_page(self, job_id: str, first: int, page: dict[str, object]) -> None:
         """Check a page of results against all that were read before."""
@@ -48,7 +48,7 @@
             if first + len(found) > len(known):
                 known.extend(found[len(known) - first :])
         if not is_same:
-            self.break_promise(f"job {job_id}: a position has another result than before")
+            self.report_violation(f"job {job_id}: a position has another result than before")
 
     def listed_count(self, job_id: str) -> int:
         """Return how many results of a job were read so far."""
@@ -62,14 +62,14 @@
             runs_by_id[run.request_id] = runs_by_id.get(run.request_id, 0) + 1
         for request_id, number in runs_by_id.items():
             if request_id.startswith("once") and number > 1:
-                self.break_promise(f"request {request_id} ran {number} times")
+                self.report_violation(f"request {request_id} ran {number} times")
         for request_id in self.refused_once & set(runs_by_id):
-            self.break_promise(f"request {request_id} ran though it was refused as not run")
+            self.report_violation(f"request {request_id} ran though it was refused as not run")
         for job_id, items in self.refused_jobs.items():
             if job_id not in self.accepted and any(
                 f"{job_id}-{n}" in runs_by_id for n in range(items)
             ):
-                self.break_promise(f"job {job_id} ran though every send of it was refused")
+                self.report_violation(f"job {job_id} ran though every send of it was refused")
         for job_id, items in self.accepted.items():
             self._check_job(job_id, items, item_events)
 
@@ -77,11 +77,11 @@
         found = self._listed.get(job_id, [])
         ids = [item_id for item_id, _, _ in found]
         if len(set(ids)) != len(ids):
-            self.break_promise(f"job {job_id}: an item stands at two positions")
+            self.report_violation(f"job {job_id}: an item stands at two positions")
         if job_id not in self.cancelled and len(found) != items:
-            self.break_promise(f"job {job_id}: {len(found)} of {items} items are listed")
+            self.report_violation(f"job {job_id}: {len(found)} of {items} items are listed")
         for item_id, state, data in found:
             if state == "complete" and data != expected_data(item_id, item_events):
-                self.break_promise(f"item {item_id}: its text is not whole")
+                self.report_violation(f"item {item_id}: its text is not whole")
             if state != "complete" and job_id not in self.cancelled:
-                self.break_promise(f"item {item_id} was given up though it could be done")
+                self.report_violation(f"item {item_id} was given up though it could be done")
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -7,7 +7,7 @@
 from random import Random
 from threading import Event, Thread
 
-from ebonyshore_soak.ledger import REFUSAL_STATUSES, Ledger
+from ebonyshore_soak.checker import REFUSAL_STATUSES, PromiseChecker
 from ebonyshore_standins.platform_fleet import (
     BATCH_PREFIX,
     ONCE_PREFIX,
@@ -32,9 +32,9 @@
     :param seed: of their choices.
     """
 
-    def __init__(self, fleet: PlatformFleet, ledger: Ledger, seed: int) -> None:
+    def __init__(self, fleet: PlatformFleet, checker: PromiseChecker, seed: int) -> None:
         self._fleet = fleet
-        self._ledger = ledger
+        self._checker = checker
         self._seed = seed
         self._is_over = Event()
         self._threads: list[Thread] = []
@@ -64,10 +64,10 @@
         if answer is None or answer[0] == 503:
             return False
         if answer[0] != 200:
-            self._ledger.break_promise(f"job {job_id}: read answered {answer[0]}")
+            self._checker.report_violation(f"job {job_id}: read answered {answer[0]}")
             return False
         page = json.loads(answer[2])
-        self._ledger.note_page(job_id, first, page)
+        self._checker.note_page(job_id, first, page)
         return first + len(page["Results"]) == page["Total"]
 
     def _start(self, run: Callable[[Random], None], number: int) -> None:
@@ -86,7 +86,7 @@
         try:
             return entry.call(method, path, headers, body, CALL_TIMEOUT_S)
         except (OSError, HTTPException):
-            self._ledger.count("calls_without_answer")
+            self._checker.count("calls_without_answer")
             return None
 
     def _ask(self, random: Random, prefix: str, name: str) -> None:
@@ -104,12 +104,12 @@
         if status == 200:
             lines = body.decode().split("\n")
             data = "\n".join(line[6:] for line in lines if line.startswith("data: "))
-            self._ledger.note_stream(request_id, STREAM_EVENTS, data)
+            self._checker.note_stream(request_id, STREAM_EVENTS, data)
         elif status in REFUSAL_STATUSES and name == "once":
-            self._ledger.refused_once.add(request_id)
+            self._checker.refused_once.add(request_id)
         elif status == 404:
-            self._ledger.break_promise(f"request {request_id}: answered 404")
-        self._ledger.count(f"{name}_{status}")
+            self._checker.report_violation(f"request {request_id}: answered 404")
+        self._checker.count(f"{name}_{status}")
 
     def _ask_streams(self, random: Random) -> None:
         while not self._is_over.wait(random.uniform(0.0, 0.1)):
@@ -133,16 +133,16 @@
             entry = random.choice(self._fleet.entries)
             answer = self._call(entry, "POST", f"{BATCH_PREFIX}{job_id}", headers, body)
             if answer is not None and answer[0] == 202:
-                self._ledger.accepted[job_id] = JOB_ITEMS
-                self._ledger.count("jobs_accepted")
+                self._checker.accepted[job_id] = JOB_ITEMS
+                self._checker.count("jobs_accepted")
                 return True
             if answer is None or answer[0] != 503:
-                self._ledger.refused_jobs.pop(job_id, None)
-                self._ledger.count("jobs_unsure")
+                self._checker.refused_jobs.pop(job_id, None)
+                self._checker.count("jobs_unsure")
                 return False
-            self._ledger.refused_jobs[job_id] = JOB_ITEMS
+            self._checker.refused_jobs[job_id] = JOB_ITEMS
             time.sleep(0.3)
-        self._ledger.count("jobs_refused")
+        self._checker.count("jobs_refused")
         return False
 
     def _follow(self, random: Random, job_id: str) -> None:
@@ -151,11 +151,11 @@
             entry = random.choice(self._fleet.entries)
             answer = self._call(entry, "DELETE", f"/ebonyshore/lots/{job_id}")
             # Without an answer it may be ended all the same.
-            self._ledger.cancelled[job_id] = time.monotonic()
-            self._ledger.count("ends_sure" if answer and answer[0] == 200 else "ends_unsure")
+            self._checker.cancelled[job_id] = time.monotonic()
+            self._checker.count("ends_sure" if answer and answer[0] == 200 else "ends_unsure")
         for _ in range(3):
             time.sleep(random.uniform(0.1, 0.4))
-            self.read_all(job_id, random.randrange(self._ledger.listed_count(job_id) + 1))
+            self.read_all(job_id, random.randrange(self._checker.listed_count(job_id) + 1))
 
     def _change_config(self, random: Random) -> None:
         while not self._is_over.wait(random.uniform(0.5, 2.0)):
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -7,8 +7,8 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.gateway.routes import Route, RouteKind, ServiceShare
-from ebonyshore.gateway.targets import TargetEntry, TargetTable
+from ebonyshore.host.routes import Route, RouteKind, ServiceShare
+from ebonyshore.host.targets import TargetEntry, TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.server import HttpServer, ServerLimits
 from ebonyshore.platform.names import WIRE
--- a/tests/test_claim_policy.py
+++ b/tests/test_claim_policy.py
@@ -3,8 +3,8 @@
 import pytest
 from msgspec import structs
 
+from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.runner.claim_policy import CLAIM_AFTER_MS, OwnerSigns, may_claim
-from ebonyshore.runner.job_types import ItemRecord, JobRecord
 
 RECORD = JobRecord(
     "j1",
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ebonyshore.gateway.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 
 
 def event(number, data="x"):
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ebonyshore_soak.__main__ import SoakOptions, run_seed
-from ebonyshore_soak.ledger import Ledger
+from ebonyshore_soak.checker import PromiseChecker
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
 # Seeds of runs that once broke a promise stay here, each with its cause.
@@ -30,16 +30,16 @@
 
 
 def broken_by(*runs, prepare):
-    ledger = Ledger()
-    prepare(ledger)
-    ledger.check_end([RunRecord(request_id, 1, 3, True) for request_id in runs], 3)
-    return ledger.broken
+    checker = PromiseChecker()
+    prepare(checker)
+    checker.check_end([RunRecord(request_id, 1, 3, True) for request_id in runs], 3)
+    return checker.broken
 
 
 def listed(*results, accepted=2):
-    def prepare(ledger):
-        ledger.accepted["j"] = accepted
-        ledger.note_page("j", 0, page(*results))
+    def prepare(checker):
+        checker.accepted["j"] = accepted
+        checker.note_page("j", 0, page(*results))
 
     return prepare
 
@@ -63,18 +63,18 @@
 
 
 def test_a_changed_position_is_found():
-    ledger = Ledger()
-    ledger.note_page("j", 0, page(done("j-0"), done("j-1")))
-    ledger.note_page("j", 1, page(done("j-1")))
-    assert ledger.broken == []
-    ledger.note_page("j", 0, page(done("j-1")))
-    assert len(ledger.broken) == 1
+    checker = PromiseChecker()
+    checker.note_page("j", 0, page(done("j-0"), done("j-1")))
+    checker.note_page("j", 1, page(done("j-1")))
+    assert checker.broken == []
+    checker.note_page("j", 0, page(done("j-1")))
+    assert len(checker.broken) == 1
 
 
 def test_a_second_run_and_a_false_refusal_are_found():
-    def refuse(ledger):
-        ledger.refused_once.add("once-2")
-        ledger.refused_jobs["j9"] = 2
+    def refuse(checker):
+        checker.refused_once.add("once-2")
+        checker.refused_jobs["j9"] = 2
 
     assert len(broken_by("once-1", "once-1", prepare=refuse)) == 1
     assert len(broken_by("once-2", prepare=refuse)) == 1
@@ -82,8 +82,8 @@
 
 
 def test_an_answer_that_is_not_whole_is_found():
-    ledger = Ledger()
-    ledger.note_stream("q", 3, expected_data("q", 3))
-    assert ledger.broken == []
-    ledger.note_stream("q", 3, expected_data("q", 2))
-    assert len(ledger.broken) == 1
+    checker = PromiseChecker()
+    checker.note_stream("q", 3, expected_data("q", 3))
+    assert checker.broken == []
+    checker.note_stream("q", 3, expected_data("q", 2))
+    assert len(checker.broken) == 1
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.gateway.routes import RouteKind
+from ebonyshore.host.routes import RouteKind
 from tests.gateway_setup import (
     Gateway,
     encode_request,
--- a/tests/test_job_calls.py
+++ b/tests/test_job_calls.py
@@ -8,11 +8,11 @@
 from ebonyshore.frame.clock import ManualClock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.gateway.job_calls import order_runners
+from ebonyshore.host.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
 from ebonyshore.link.job_paths import JobCall, JobCallKind, decode_call
 from ebonyshore.link.load_board import LoadBoard, LoadReport
 from ebonyshore.link.peers import PeerRecord
-from ebonyshore.runner.job_shelf import JobShelf
-from ebonyshore.runner.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
+from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.result_writer import DUE_LINGER_MS, LINGER_MS, linger_ms
 from ebonyshore.store.marked_write import MarkedObject
 
@@ -79,14 +79,14 @@
         return {"b": peer("b")}
 
 
-class Shelf:
-    """A shelf with one job, and the board that makes its owner certain or not."""
+class Registry:
+    """A registry with one job, and the board that makes its owner certain or not."""
 
     def __init__(self, owner="a"):
         self.clock = ManualClock(10_000.0)
         self.board = LoadBoard("a")
         self.storage = CountingStorage()
-        self.shelf = JobShelf(
+        self.registry = JobRegistry(
             "a",
             "run-1",
             self.storage,
@@ -99,18 +99,18 @@
         record = JobRecord(
             "j1", "h", "/p/", 0, 1.0, 1.0, 3, ITEMS, owner=owner, owner_incarnation="run-1"
         )
-        self.shelf.add_own(MarkedObject("jobs/j1", 5, 1, (), record))
+        self.registry.add_own(MarkedObject("jobs/j1", 5, 1, (), record))
 
     def hear_other(self, *heard, sequence):
         report = LoadReport("b", "run-1", sequence, "runner", {}, 0, heard)
         self.board.note(report, self.clock.boot_ms())
 
     def read(self):
-        return asyncio.run(self.shelf.read_book("j1"))
+        return asyncio.run(self.registry.read_progress("j1"))
 
 
 def test_an_owner_that_every_runner_hears_answers_from_memory():
-    setup = Shelf()
+    setup = Registry()
     setup.hear_other("a", sequence=1)
     assert setup.read() is not None
     assert setup.storage.reads == 0
@@ -118,7 +118,7 @@
 
 def test_an_owner_that_may_have_been_replaced_reads_the_store_first():
     """Guards against a position that was read being missing at an owner that was cut off."""
-    setup = Shelf()
+    setup = Registry()
     setup.hear_other(sequence=1)
     setup.storage.stored = [ResultSegment((ResultRecord(0, True, "d"),))]
     assert setup.read().listed_count == 1
@@ -130,7 +130,7 @@
 
 def test_a_finished_job_costs_no_more_reads():
     """Guards against a priced call for each read of a job whose owner is gone."""
-    setup = Shelf(owner="gone")
+    setup = Registry(owner="gone")
     setup.storage.stored = [ResultSegment((ResultRecord(0, True, "d"), ResultRecord(1, True, "e")))]
     assert [setup.read().is_finished for _ in range(3)] == [True, True, True]
     assert setup.storage.reads == 1
--- a/tests/test_job_book.py
+++ b/tests/test_job_progress.py
@@ -1,12 +1,12 @@
 """Positions and results of one batch job."""
 
-from ebonyshore.runner.job_book import MAX_SEGMENT_BYTES, ItemState, JobBook
-from ebonyshore.runner.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
+from ebonyshore.host.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
+from ebonyshore.runner.job_progress import MAX_SEGMENT_BYTES, ItemState, JobProgress
 
 
-def book(items=3, **changes):
+def progress(items=3, **changes):
     records = tuple(ItemRecord(f"i{n}", "/p/x", (), b"b") for n in range(items))
-    return JobBook(JobRecord("j1", "h", "/p/", 0, 60_000.0, 18_000.0, 3, records, **changes), 1)
+    return JobProgress(JobRecord("j1", "h", "/p/", 0, 60_000.0, 18_000.0, 3, records, **changes), 1)
 
 
 def end(job, index, data="text"):
@@ -16,7 +16,7 @@
 
 def test_a_result_is_shown_only_once_it_is_stored():
     """Guards against a result that was read and is lost with its process."""
-    job = book()
+    job = progress()
     end(job, 1)
     assert job.page(0).results == ()
     job.apply(job.next_results())
@@ -26,7 +26,7 @@
 
 def test_an_item_that_another_runner_has_listed_is_not_listed_again():
     """Guards against an item at two positions after a change of owner."""
-    job = book()
+    job = progress()
     end(job, 0, "mine")
     job.apply(ResultSegment((ResultRecord(0, True, "theirs"),)))
     assert job.pending_count == 0
@@ -35,14 +35,14 @@
 
 
 def test_a_late_end_of_a_listed_item_changes_nothing():
-    job = book()
+    job = progress()
     job.apply(ResultSegment((ResultRecord(0, True, "theirs"),)))
     end(job, 0, "mine")
     assert job.pending_count == 0 and job.items[0].state is ItemState.LISTED
 
 
 def test_a_segment_stays_under_the_size_of_an_object():
-    job = book()
+    job = progress()
     for index in range(3):
         end(job, index, "x" * (MAX_SEGMENT_BYTES // 2 + 1))
     first = job.next_results()
@@ -52,11 +52,11 @@
 
 
 def test_a_cancelled_job_has_nothing_to_run():
-    job = book(is_cancelled=True)
+    job = progress(is_cancelled=True)
     assert list(job.waiting(0.0)) == [] and job.open_count == 0
 
 
 def test_items_are_given_up_only_after_their_time_and_a_margin_for_clocks():
-    job = book()
+    job = progress()
     assert not job.may_give_up(60_000 + 2_000)
     assert job.may_give_up(60_000 + 3_001)
--- a/tests/test_job_storage.py
+++ b/tests/test_job_storage.py
@@ -5,10 +5,10 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
+from ebonyshore.host.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.runner.job_expiry import is_expired
 from ebonyshore.runner.job_storage import MAX_INLINE_BODY_BYTES, JobStorage, job_name
-from ebonyshore.runner.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
 from ebonyshore.store.http_calls import HttpCaller
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.object_platform import ObjectPlatform
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ebonyshore.gateway.outliers import (
+from ebonyshore.host.outliers import (
     HALF_LIFE_MS,
     MIN_FAILURE_SHARE,
     OutcomeScore,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,7 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.gateway.process import make_registration
+from ebonyshore.host.process import make_registration
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, PeerRecord
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.store.http_calls import HttpCaller
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,13 +15,13 @@
     WriteOutcomeUnknownError,
 )
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.gateway.routes import RouteKind, RouteTable
+from ebonyshore.host.job_types import ListedResult, ResultPage
+from ebonyshore.host.routes import RouteKind, RouteTable
 from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.host_file import load_host_settings
 from ebonyshore.platform.job_bodies import decode_submission, encode_results
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.platform.target_entries import decode_target_entry
-from ebonyshore.runner.job_types import ListedResult, ResultPage
 from ebonyshore.store.http_calls import HttpCaller
 from ebonyshore.store.store_probe import StoreProbe
 from ebonyshore_standins.object_platform import ObjectPlatform
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -1,6 +1,6 @@
 """Which targets are known while the list lapses and comes back."""
 
-from ebonyshore.gateway.targets import RETURN_GRACE_MS, TargetEntry, TargetTable
+from ebonyshore.host.targets import RETURN_GRACE_MS, TargetEntry, TargetTable
 
 
 def entry(target_id, started_ms=1, is_leaving=False):
