End a process with a failed task, and write shared pieces once

Found by reading: a task of an event-loop process that raised was gone without a line, and the process went on without it (the report of loads, the probe, the removal of expired jobs); the threads of the other processes end theirs.

Change: services spawn their tasks; one that raises is logged and stops the process, and errors that nobody waits for are logged. Both kernels share one registry of services. An entry's isolation is derived from the probe instead of asking the store itself. Once now: first live runner, own counts, avoided targets, what both roles are made from, the log line. Dropped: fields and methods that nobody used.

--- a/ebonyshore/frame/async_kernel.py
+++ b/ebonyshore/frame/async_kernel.py
@@ -2,16 +2,16 @@
 
 import signal
 from abc import ABC, abstractmethod
-from asyncio import Event, get_running_loop, sleep
-from collections.abc import Callable
-from typing import TypeVar
+from asyncio import Event, Task, create_task, get_running_loop, sleep
+from collections.abc import Callable, Coroutine
+from traceback import format_exception
 
 from ebonyshore.frame.clock import MS_PER_S
-from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.frame.service_registry import ServiceRegistry
 
-ServiceT = TypeVar("ServiceT", bound="AsyncService")
 DRAIN_POLL_MS = 20
 
 
@@ -19,6 +19,8 @@
     """A part of a process with a name and a life cycle, on the process's event loop."""
 
     name: str
+    _tasks: tuple[Task[None], ...] = ()
+    _on_failure: Callable[[str, BaseException], None] | None = None
 
     @abstractmethod
     async def start(self) -> None:
@@ -31,39 +33,66 @@
         """Return whether all accepted work has ended."""
         return True
 
-    @abstractmethod
     async def stop(self) -> None:
         """End at once and release resources."""
+        for task in self._tasks:
+            task.cancel()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> Task[None]:
+        """Run ``work`` until the service stops; the process ends if it raises."""
+        task = create_task(work)
+        self._tasks = (*self._tasks, task)
+        task.add_done_callback(self._report_failure)
+        return task
+
+    def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:
+        """Call ``handler`` with the service's name if one of its tasks raises."""
+        self._on_failure = handler
+
+    def _report_failure(self, task: Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is not None and self._on_failure is not None:
+            self._on_failure(self.name, error)
 
     def dump(self) -> dict[str, object]:
         """Return the service's state for the state dump; values must be JSON types."""
         return {}
 
 
-class AsyncKernel:
+class PeriodicService(AsyncService):
+    """A service that does one thing again and again.
+
+    :cvar interval_ms: from the end of one time to the start of the next.
+    """
+
+    interval_ms: float
+
+    async def start(self) -> None:
+        self.spawn(self._run())
+
+    @abstractmethod
+    async def run_once(self) -> None:
+        """Do it once."""
+
+    async def _run(self) -> None:
+        while True:
+            await self.run_once()
+            await sleep(self.interval_ms / MS_PER_S)
+
+
+class AsyncKernel(ServiceRegistry[AsyncService]):
     """Holds the services of one process."""
 
-    __slots__ = ("_services", "_started")
+    __slots__ = ("_started",)
 
     def __init__(self) -> None:
-        self._services: dict[str, AsyncService] = {}
+        super().__init__()
         self._started: list[AsyncService] = []
 
-    def register(self, service: AsyncService) -> None:
-        """Add a service; the order of registration is the order of start."""
-        if service.name in self._services:
-            raise EbonyshoreError(f"service {service.name!r} is registered twice")
-        self._services[service.name] = service
-
-    def find(self, name: str, kind: type[ServiceT]) -> ServiceT:
-        """Return the service called ``name``.
-
-        :raises EbonyshoreError: if there is none or it is not a ``kind``.
-        """
-        service = self._services.get(name)
-        if not isinstance(service, kind):
-            raise EbonyshoreError(f"no service {name!r} of type {kind.__name__}")
-        return service
+    def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:
+        """Call ``handler`` with the name of a service whose task raises."""
+        for service in self._services.values():
+            service.on_failure(handler)
 
     async def start(self) -> None:
         """Start all services in order; on a failure stop those already started."""
@@ -94,30 +123,48 @@
         while self._started:
             await self._started.pop().stop()
 
-    def dump(self) -> dict[str, object]:
-        """Return the state of every service, by name."""
-        return {name: service.dump() for name, service in self._services.items()}
-
 
 async def run_until_signal(
     kernel: AsyncKernel, log: EventLog, drain_bound_ms: float, reload: Callable[[], None]
-) -> bool:
+) -> ResultCode:
     """Run a process until SIGTERM or SIGINT, then drain and stop it.
 
+    A process with a failed task stops at once, since the task's state is unattended.
+
     :param drain_bound_ms: longest time for accepted work to end.
     :param reload: called on SIGHUP.
-    :return: whether all work had ended.
+    :return: ``STREAM_BROKEN`` if work was left at the bound, ``INTERNAL`` if a task failed.
     """
     stop_requested = Event()
-    loop = get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    failed: list[str] = []
+
+    def fail(name: str, error: BaseException) -> None:
+        log.event("task_failed", task=name, trace="".join(format_exception(error)))
+        failed.append(name)
+        stop_requested.set()
+
+    _handle_signals(stop_requested, reload)
+    get_running_loop().set_exception_handler(lambda _loop, context: _log_error(log, context))
+    kernel.on_failure(fail)
     await kernel.start()
     log.event("process_started")
     await stop_requested.wait()
     log.event("drain_started", bound_ms=drain_bound_ms)
-    is_drained = await kernel.drain(drain_bound_ms)
+    is_drained = await kernel.drain(0.0 if failed else drain_bound_ms)
     log.event("process_stopping", is_drained=is_drained)
     await kernel.stop()
-    return is_drained
+    if failed:
+        return ResultCode.INTERNAL
+    return ResultCode.OK if is_drained else ResultCode.STREAM_BROKEN
+
+
+def _handle_signals(stop_requested: Event, reload: Callable[[], None]) -> None:
+    loop = get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+
+
+def _log_error(log: EventLog, context: dict[str, object]) -> None:
+    """Log an error that nobody waits for."""
+    log.event("loop_error", message=context.get("message"), error=repr(context.get("exception")))
--- a/ebonyshore/frame/kernel.py
+++ b/ebonyshore/frame/kernel.py
@@ -2,12 +2,9 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from typing import TypeVar
 
 from ebonyshore.frame.clock import Clock
-from ebonyshore.frame.errors import EbonyshoreError
-
-ServiceT = TypeVar("ServiceT", bound="Service")
+from ebonyshore.frame.service_registry import ServiceRegistry
 
 
 class Service(ABC):
@@ -41,37 +38,21 @@
         return {}
 
 
-class Kernel:
+class Kernel(ServiceRegistry[Service]):
     """Holds the services of one process.
 
     :param clock: used to wait for the drain.
     """
 
-    __slots__ = ("_clock", "_services", "_started")
+    __slots__ = ("_clock", "_started")
 
     DRAIN_POLL_MS = 20
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._services: dict[str, Service] = {}
+        super().__init__()
         self._started: list[Service] = []
 
-    def register(self, service: Service) -> None:
-        """Add a service; the order of registration is the order of start."""
-        if service.name in self._services:
-            raise EbonyshoreError(f"service {service.name!r} is registered twice")
-        self._services[service.name] = service
-
-    def find(self, name: str, kind: type[ServiceT]) -> ServiceT:
-        """Return the service called ``name``.
-
-        :raises EbonyshoreError: if there is none or it is not a ``kind``.
-        """
-        service = self._services.get(name)
-        if not isinstance(service, kind):
-            raise EbonyshoreError(f"no service {name!r} of type {kind.__name__}")
-        return service
-
     def on_failure(self, handler: Callable[[str, BaseException], None]) -> None:
         """Call ``handler`` with the name of a service that ends by an exception."""
         for service in self._services.values():
@@ -105,7 +86,3 @@
         """Stop the started services in reverse order."""
         while self._started:
             self._started.pop().stop()
-
-    def dump(self) -> dict[str, object]:
-        """Return the state of every service, by name."""
-        return {name: service.dump() for name, service in self._services.items()}
--- a/ebonyshore/frame/stdout_log.py
+++ b/ebonyshore/frame/stdout_log.py
@@ -10,7 +10,7 @@
 from typing import TextIO
 
 from ebonyshore.frame.clock import MS_PER_S, Clock
-from ebonyshore.frame.logs import format_line
+from ebonyshore.frame.logs import KeyValueDestination
 
 MAX_LINES_PER_EVENT = 200  # in one second
 MAX_LINE_BYTES = 4_000  # a pipe takes this much whole once it takes anything
@@ -47,13 +47,13 @@
     :param clock: tells the seconds.
     """
 
-    __slots__ = ("_clock", "_counts", "_second", "suppressed")
+    __slots__ = ("_clock", "_counts", "_second", "_suppressed")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._counts: Counter[str] = Counter()
         self._second = 0
-        self.suppressed = 0
+        self._suppressed = 0
 
     def allows(self, event: str) -> bool:
         """Count a line of an event; return whether it may be written."""
@@ -64,9 +64,14 @@
         self._counts[event] += 1
         if self._counts[event] <= MAX_LINES_PER_EVENT:
             return True
-        self.suppressed += 1
+        self._suppressed += 1
         return False
 
+    def take_suppressed(self) -> int:
+        """Return how many lines were left out since the last call."""
+        suppressed, self._suppressed = self._suppressed, 0
+        return suppressed
+
 
 class BoundedDestination:
     """An eliot destination that writes one line an event within the budget.
@@ -74,23 +79,15 @@
     :param stream: a text stream, or :class:`StdoutStream`.
     """
 
-    __slots__ = ("_budget", "_clock", "_stream")
+    __slots__ = ("_budget", "_lines")
 
     def __init__(self, stream: TextIO | StdoutStream, clock: Clock) -> None:
-        self._stream = stream
-        self._clock = clock
+        self._lines = KeyValueDestination(stream, clock)
         self._budget = LineBudget(clock)
 
     def __call__(self, message: dict[str, object]) -> None:
-        event = str(message.get("message_type", "message"))
-        if not self._budget.allows(event):
+        if not self._budget.allows(str(message.get("message_type"))):
             return
-        fields = {
-            key: value
-            for key, value in message.items()
-            if key not in ("timestamp", "task_uuid", "task_level", "message_type")
-        }
-        if self._budget.suppressed:
-            fields["suppressed_lines"] = self._budget.suppressed
-            self._budget.suppressed = 0
-        self._stream.write(format_line(self._clock.wall_ms(), event, fields) + "\n")
+        if suppressed := self._budget.take_suppressed():
+            message = {**message, "suppressed_lines": suppressed}
+        self._lines(message)
--- a/ebonyshore/gateway/entry_load.py
+++ b/ebonyshore/gateway/entry_load.py
@@ -3,7 +3,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.load_board import LoadMessage, LoadReport, LoadTotals, TargetCounts
+from ebonyshore.link.load_board import LoadMessage, LoadReport, LoadTotals
 from ebonyshore.link.load_exchange import LoadExchange
 from ebonyshore.link.peers import PeerDirectory
 
@@ -29,17 +29,12 @@
         """Send the report to each runner."""
         self._sequence += 1
         own = self._peers.own
-        counts = {
-            target.target_id: TargetCounts(target.own_online, target.own_batch)
-            for target in self._targets.all().values()
-            if target.own_online or target.own_batch
-        }
         report = LoadReport(
             own.instance_id,
             own.incarnation,
             self._sequence,
             own.role,
-            counts,
+            self._targets.own_counts(),
             seen_batch=self._view.seen_batch(),
         )
         runners = self._peers.of_role("runner").values()
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -8,68 +8,32 @@
 from ebonyshore.gateway.isolation import Isolation
 from ebonyshore.gateway.job_calls import JobCalls
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.host_environment import HostEnvironment
 from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
-from ebonyshore.host.process import (
-    PEERS_WATCH_PAUSE_MS,
-    TARGETS_WATCH_PAUSE_MS,
-    make_probe,
-    make_registration,
-    make_watch,
-    run_process,
-)
-from ebonyshore.host.target_service import TargetService
-from ebonyshore.host.targets import TargetTable
-from ebonyshore.host.watch_service import WatchService
+from ebonyshore.host.process import SharedParts, run_process
 from ebonyshore.link.load_service import LoadService
-from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
 
 
 def make_entry_kernel(environment: HostEnvironment) -> AsyncKernel:
     """Return the services of an entry."""
-    deployment, settings = environment.deployment, environment.settings
-    log, metrics = environment.log, environment.metrics
-    config = ConfigService(deployment.config_key, deployment.decode_config, log)
-    table = TargetTable()
-    targets = TargetService(table, deployment.decode_target, environment.pool, log)
-    peers = PeerDirectory(environment.own_record(), environment.marked_store, log)
+    settings, names = environment.settings, environment.deployment.names
+    log, metrics, pool = environment.log, environment.metrics, environment.pool
+    parts = SharedParts(environment)
+    table, peers = parts.targets.table, parts.peers
     view = LoadView(settings.failure_domain, lambda: load.note_change())
     entry_load = EntryLoad(peers, table, view)
-    load = LoadService(
-        settings.ip,
-        settings.first_internal_port,
-        entry_load.on_message,
-        entry_load.send,
-        log,
-        metrics,
-    )
-    forwarder = Forwarder(
-        deployment.names, table, view, environment.pool, log, metrics, environment.random
-    )
-    jobs = JobCalls(
-        deployment.names, peers, view, environment.pool, log, metrics, environment.random
-    )
-    watches = [
-        make_watch(environment, deployment.config_key.split("/", 1)[0], config),
-        make_watch(environment, deployment.targets_kind, targets, TARGETS_WATCH_PAUSE_MS),
-        make_watch(environment, PEERS_KIND, peers, PEERS_WATCH_PAUSE_MS),
-    ]
-    isolation = Isolation(
-        peers,
-        view,
-        lambda: environment.store.get(deployment.config_key),
-        environment.executor,
-        log,
-    )
+    port = settings.first_internal_port
+    load = LoadService(settings.ip, port, entry_load.on_message, entry_load.send, log, metrics)
+    forwarder = Forwarder(names, table, view, pool, log, metrics, environment.random)
+    jobs = JobCalls(names, peers, view, pool, log, metrics, environment.random)
+    isolation = Isolation(peers, view, parts.probe, log)
     kernel = AsyncKernel()
     kernel.register(load)
-    kernel.register(make_probe(environment, config))
-    kernel.register(WatchService(watches, make_registration(environment, peers), targets))
-    kernel.register(isolation)
-    kernel.register(Readiness(settings.ready, deployment.names, config, targets, isolation))
-    kernel.register(Front(settings.front, deployment.names, config, forwarder, jobs, log))
+    kernel.register(parts.probe)
+    kernel.register(parts.watch_service())
+    kernel.register(Readiness(settings.ready, names, parts.config, parts.targets, isolation))
+    kernel.register(Front(settings.front, names, parts.config, forwarder, jobs, log))
     kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
 
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -45,14 +45,18 @@
     :param told_last_id: last event that the caller had before, as it said.
     """
 
-    __slots__ = ("first_event_ms", "has_events", "splitter")
+    __slots__ = ("first_event_ms", "splitter")
 
     def __init__(self, told_last_id: str | None) -> None:
         known = int(told_last_id) if told_last_id and told_last_id.isdigit() else None
         self.splitter = EventSplitter(known)
-        self.has_events = False
         self.first_event_ms: float | None = None
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller got events of this answer."""
+        return self.first_event_ms is not None
+
     @property
     def last_id(self) -> int | None:
         """The last event that the caller has."""
@@ -60,8 +64,7 @@
 
     def note_events(self, at_ms: float) -> None:
         """Note that events were passed on at a monotonic time."""
-        if not self.has_events:
-            self.has_events = True
+        if self.first_event_ms is None:
             self.first_event_ms = at_ms
 
 
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -86,7 +86,6 @@
         self._failed: set[str] = set()
         self._runs = 0
         self._refusals = 0
-        self._was_sent = False
         self._room: int | None = None
         self._relay = RelayState(request.headers.get(owner.names.last_event_id))
         self._deadline_ms = request.received_ms + _allowed_ms(route, request, owner.names)
@@ -120,7 +119,7 @@
         while True:
             remaining_ms = self._deadline_ms - now_ms()
             if remaining_ms < MIN_REMAINING_MS:
-                return self._fail(timed_out(self._was_sent and self._runs > 0))
+                return self._fail(timed_out(was_sent=self._runs > 0))
             target = self._choose()
             if target is None:
                 return self._refuse()
@@ -136,7 +135,6 @@
         owner = self._owner
         self._tried.append(target.target_id)
         self._runs += 1
-        self._was_sent = True
         has_retry = self._may_repeat()
         exchange = Exchange(owner.names, owner.pool, target, self._request, self._relay)
         owner.view.begin(target)
--- a/ebonyshore/gateway/front.py
+++ b/ebonyshore/gateway/front.py
@@ -1,6 +1,6 @@
 """What callers reach: finds each request's route and hands it on; answers readiness checks."""
 
-from asyncio import Task, create_task, sleep
+from asyncio import sleep
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
@@ -49,7 +49,6 @@
         self._log = log
         self._server = HttpServer(self._serve, ServerLimits(), self._report_failure)
         self._is_closed = False
-        self._closing: Task[None] | None = None
         config.on_change.append(self._take_limits)
 
     async def start(self) -> None:
@@ -57,7 +56,7 @@
 
     def begin_drain(self) -> None:
         self._server.is_draining = True
-        self._closing = create_task(self._close_when_out())
+        self.spawn(self._close_when_out())
 
     def is_drained(self) -> bool:
         return self._is_closed and self._server.busy_count() == 0
@@ -70,6 +69,7 @@
         self._is_closed = True
 
     async def stop(self) -> None:
+        await super().stop()
         self._server.stop_listening()
         for connection in list(self._server.connections):
             connection.abort()
@@ -150,7 +150,7 @@
     def is_ready(self) -> bool:
         """Whether new callers are welcome."""
         is_told = self._config.table is not None and self._targets.is_listed
-        return is_told and not self._is_draining and not self._isolation.is_isolated
+        return is_told and not self._is_draining and not self._isolation.is_isolated()
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
@@ -161,6 +161,9 @@
     async def stop(self) -> None:
         self._server.stop_listening()
 
+    def dump(self) -> dict[str, object]:
+        return {"is_ready": self.is_ready}
+
     async def _serve(self, request: Request, responder: Responder) -> None:
         if request.path != self._names.ready_path:
             responder.send(404, Headers())
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -100,12 +100,6 @@
         now_ms: float,
         is_outlier: bool,
     ) -> TargetLoad:
-        is_avoided = (
-            is_outlier
-            or target.removed_ms is not None
-            or now_ms < target.avoid_until_ms
-            or now_ms < target.full_until_ms
-        )
         others = totals.get(target.target_id, NO_COUNTS)
         return TargetLoad(
             target.target_id,
@@ -113,5 +107,5 @@
             others.online + target.own_online,
             others.batch + target.own_batch,
             target.entry.failure_domain == self._failure_domain,
-            is_avoided,
+            is_outlier or target.is_avoided(now_ms),
         )
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -1,13 +1,16 @@
 """What entries and runners on a deployment share: watches, registration, start and stop."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ebonyshore.frame.async_kernel import AsyncKernel, run_until_signal
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.host_environment import HostEnvironment
-from ebonyshore.link.peers import PeerDirectory, Registration
+from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_service import WatchService
+from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
 from ebonyshore.store.kind_watch import KindListener, KindWatch
 from ebonyshore.store.store_probe import StoreProbe
 
@@ -17,6 +20,30 @@
 PEERS_WATCH_PAUSE_MS = 500.0
 
 
+class SharedParts:
+    """What both roles are made from: configuration, targets, peers, and the watches of them."""
+
+    __slots__ = ("_watches", "config", "peers", "probe", "registration", "targets")
+
+    def __init__(self, environment: HostEnvironment) -> None:
+        deployment, log = environment.deployment, environment.log
+        self.config = ConfigService(deployment.config_key, deployment.decode_config, log)
+        self.targets = TargetService(TargetTable(), deployment.decode_target, environment.pool, log)
+        self.peers = PeerDirectory(environment.own_record(), environment.marked_store, log)
+        self.registration = make_registration(environment, self.peers)
+        self.probe = make_probe(environment, self.config)
+        config_kind = deployment.config_key.split("/", 1)[0]
+        self._watches = [
+            make_watch(environment, config_kind, self.config),
+            make_watch(environment, deployment.targets_kind, self.targets, TARGETS_WATCH_PAUSE_MS),
+            make_watch(environment, PEERS_KIND, self.peers, PEERS_WATCH_PAUSE_MS),
+        ]
+
+    def watch_service(self, more_watches: Sequence[KindWatch] = ()) -> WatchService:
+        """Return the service that runs the watches and the registration."""
+        return WatchService([*self._watches, *more_watches], self.registration, self.targets)
+
+
 def make_watch(
     environment: HostEnvironment, kind: str, listener: KindListener, pause_ms: float = 0.0
 ) -> KindWatch:
@@ -62,7 +89,7 @@
     """Run a process until it is told to stop.
 
     :param make_kernel: returns its services.
-    :return: ``STREAM_BROKEN`` if work was left at the end of the grace period.
+    :return: as of :func:`run_until_signal`.
     """
     environment.open_log()
     try:
@@ -76,6 +103,6 @@
 ) -> ResultCode:
     kernel = make_kernel(environment)
     bound_ms = environment.settings.grace_ms - EXIT_MARGIN_MS
-    is_drained = await run_until_signal(kernel, environment.log, bound_ms, environment.reload)
+    result = await run_until_signal(kernel, environment.log, bound_ms, environment.reload)
     environment.pool.close()
-    return ResultCode.OK if is_drained else ResultCode.STREAM_BROKEN
+    return result
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from ebonyshore.host.outliers import OutcomeScore
+from ebonyshore.link.load_board import TargetCounts
 
 RETURN_GRACE_MS = 2_500.0
 UNREACHABLE_HOLD_MS = 1_000.0
@@ -66,6 +67,14 @@
         """Its id in the list."""
         return self.entry.target_id
 
+    def is_avoided(self, now_ms: float) -> bool:
+        """Return whether other targets are to be preferred just now."""
+        return (
+            self.removed_ms is not None
+            or now_ms < self.avoid_until_ms
+            or now_ms < self.full_until_ms
+        )
+
     def note_unreachable(self, now_ms: float) -> None:
         """Avoid the target for a while: it took no connection."""
         self.avoid_until_ms = max(self.avoid_until_ms, now_ms + UNREACHABLE_HOLD_MS)
@@ -147,6 +156,14 @@
         """Return all targets by id."""
         return self._targets
 
+    def own_counts(self) -> dict[str, TargetCounts]:
+        """Return what this process has at each target; targets without a request are left out."""
+        return {
+            target_id: TargetCounts(target.own_online, target.own_batch)
+            for target_id, target in self._targets.items()
+            if target.own_online or target.own_batch
+        }
+
     def serving(self, service: str) -> list[Target]:
         """Return the targets of a service that take new work."""
         return [
--- a/ebonyshore/host/watch_service.py
+++ b/ebonyshore/host/watch_service.py
@@ -1,6 +1,6 @@
 """Runs the watches of a process, and what has to be done at regular times with what they find."""
 
-from asyncio import Task, create_task, get_running_loop, sleep
+from asyncio import get_running_loop, sleep
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
@@ -22,21 +22,19 @@
         self._watches = watches
         self._registration = registration
         self._targets = targets
-        self._task: Task[None] | None = None
 
     async def start(self) -> None:
         loop = get_running_loop()
         for watch in self._watches:
             watch.start(loop)
         self._registration.start()
-        self._task = create_task(self._expire())
+        self.spawn(self._expire())
 
     async def stop(self) -> None:
+        await super().stop()
         self._registration.stop()
         for watch in self._watches:
             watch.stop()
-        if self._task is not None:
-            self._task.cancel()
 
     def dump(self) -> dict[str, object]:
         return {
--- a/ebonyshore/link/load_board.py
+++ b/ebonyshore/link/load_board.py
@@ -133,6 +133,13 @@
             return False
         return now_ms - self._heard_ms[sender] < MUTUAL_LIFE_MS
 
+    def is_first_runner(self) -> bool:
+        """Return whether this process, a runner, has the lowest id of the live ones.
+
+        Duties that need no more than one runner are that one's.
+        """
+        return all(self._own_id < runner for runner in self.runners())
+
     def runners(self) -> dict[str, LoadReport]:
         """Return the reports of the live runners, without this process's own."""
         return {key: report for key, report in self._reports.items() if report.role == "runner"}
--- a/ebonyshore/link/load_service.py
+++ b/ebonyshore/link/load_service.py
@@ -1,6 +1,6 @@
 """Reports this process's counts to the others, at once after a change but not too often."""
 
-from asyncio import Event, Task, create_task, sleep, timeout
+from asyncio import Event, sleep, timeout
 from collections.abc import Callable
 
 from ebonyshore.frame.async_kernel import AsyncService
@@ -40,7 +40,6 @@
         self._log = log
         self._exchange = LoadExchange(metrics, on_message)
         self._changed = Event()
-        self._task: Task[None] | None = None
 
     def note_change(self) -> None:
         """Report soon."""
@@ -48,11 +47,10 @@
 
     async def start(self) -> None:
         await self._exchange.open(self._host, self._port)
-        self._task = create_task(self._run())
+        self.spawn(self._run())
 
     async def stop(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
+        await super().stop()
         self._exchange.close()
 
     async def _run(self) -> None:
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -85,10 +85,6 @@
         """Return the other processes of a role, by instance id."""
         return {key: peer for key, peer in self._peers.items() if peer.role == role}
 
-    def find(self, instance_id: str) -> PeerRecord | None:
-        """Return one process, or ``None``."""
-        return self._peers.get(instance_id)
-
     def _decode(self, found: StoredObject) -> PeerRecord | None:
         if found.value is None:
             return None
--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -121,12 +121,7 @@
     def _room(self, target: Target, totals: dict[str, TargetCounts], is_home: bool) -> TargetRoom:
         others = totals.get(target.target_id, NO_COUNTS)
         at_ms = now_ms()
-        is_usable = (
-            not target.entry.is_leaving
-            and target.removed_ms is None
-            and at_ms >= target.avoid_until_ms
-            and at_ms >= target.full_until_ms
-        )
+        is_usable = not target.entry.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
         # Runners that this one does not hear are seen by the entries.
         others_batch = max(others.batch, self._board.seen_batch(target.target_id) - len(own))
--- a/ebonyshore/runner/job_expiry.py
+++ b/ebonyshore/runner/job_expiry.py
@@ -1,15 +1,13 @@
 """Removes jobs from the store once nobody may ask for them any more."""
 
-from asyncio import Task, create_task, sleep
-
-from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore.frame.async_kernel import PeriodicService
+from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.runner.job_registry import JobRegistry
 
-LOOK_INTERVAL_MS = 5_000.0
 MARGIN_MS = 60_000.0  # clocks differ, and a job may have been sent well before it was accepted
 
 
@@ -22,12 +20,15 @@
     return wall_ms > record.submitted_ms + kept_ms
 
 
-class JobExpiry:
+class JobExpiry(PeriodicService):
     """Runs in every runner; the first live one removes.
 
     :param result_retention_ms: how long results stay readable after a job was submitted.
     """
 
+    name = "job_expiry"
+    interval_ms = 5_000.0
+
     def __init__(
         self,
         registry: JobRegistry,
@@ -41,16 +42,10 @@
         self._result_retention_ms = result_retention_ms
         self._clock = clock
         self._log = log
-        self._task: Task[None] | None = None
 
-    def start(self) -> None:
-        """Begin to look for expired jobs."""
-        self._task = create_task(self._run())
-
-    def stop(self) -> None:
-        """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
+    async def run_once(self) -> None:
+        if self._board.is_first_runner():
+            await self.remove_expired()
 
     async def remove_expired(self) -> None:
         """Remove the jobs that have expired by now."""
@@ -59,12 +54,6 @@
             if is_expired(found.body, self._result_retention_ms, wall_ms):
                 await self._remove(found.body)
 
-    async def _run(self) -> None:
-        while True:
-            await sleep(LOOK_INTERVAL_MS / MS_PER_S)
-            if self._registry.own_id == min([self._registry.own_id, *self._board.runners()]):
-                await self.remove_expired()
-
     async def _remove(self, record: JobRecord) -> None:
         try:
             await self._registry.call(self._registry.storage.delete, record)
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -17,7 +17,6 @@
 MAX_SEGMENT_BYTES = 600_000
 MAX_PAGE_BYTES = 900_000
 GIVE_UP_MARGIN_MS = 3_000.0  # clocks of two instances may differ
-MAX_REJECTIONS = 1
 
 
 class ItemState(Enum):
@@ -43,7 +42,6 @@
         "item_id",
         "last_event_id",
         "not_before_ms",
-        "rejections",
         "state",
     )
 
@@ -54,7 +52,6 @@
         self.data: list[str] = []
         self.last_event_id: int | None = None
         self.failures = 0
-        self.rejections = 0
         self.breaks = 0
         self.not_before_ms = float("-inf")
 
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -125,14 +125,6 @@
         """Return whether this process is the owner."""
         return record.owner == self.own_id and record.owner_incarnation == self.incarnation
 
-    def record(self, job_id: str) -> MarkedObject[JobRecord] | None:
-        """Return a known record, or ``None``."""
-        return self._records.get(job_id)
-
-    def progress(self, job_id: str) -> JobProgress | None:
-        """Return a job's progress, or ``None`` if this runner has not read it."""
-        return self._progress.get(job_id)
-
     def owned(self) -> list[JobProgress]:
         """Return the jobs of owned jobs, those due first at the front."""
         jobs = [progress for progress in self._progress.values() if self.owns(progress.record)]
--- a/ebonyshore/runner/presence.py
+++ b/ebonyshore/runner/presence.py
@@ -43,8 +43,7 @@
         if unheard and now_ms - self._last_renewal_ms >= RENEW_INTERVAL_MS:
             self._last_renewal_ms = now_ms
             self._registration.renew()
-        own_id = self._peers.own.instance_id
-        if own_id == min([own_id, *self._board.runners()]):
+        if self._board.is_first_runner():
             self._remove_gone(now_ms)
 
     def _log_changes(self, unheard: set[str]) -> None:
--- a/ebonyshore/runner/retirement.py
+++ b/ebonyshore/runner/retirement.py
@@ -1,7 +1,7 @@
 """Empties an instance on request: its jobs pass to other runners, then the request is complete."""
 
 from asyncio import Task, create_task, get_running_loop, sleep
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from concurrent.futures import Executor
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -9,7 +9,6 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.link.load_board import LoadBoard
-from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
@@ -18,20 +17,25 @@
 
 
 class Retirement(KindListener):
-    """Hears requests. One about an instance that is down is answered by the first live runner."""
+    """Hears requests. One about an instance that is down is answered by the first live runner.
+
+    :param hand_over: passes this runner's jobs to others.
+    """
 
     def __init__(
         self,
         deployment: Deployment,
         store: ListingStore,
-        registry: JobRegistry,
+        own_id: str,
+        hand_over: Callable[[], Awaitable[None]],
         board: LoadBoard,
         executor: Executor,
         log: EventLog,
     ) -> None:
         self._deployment = deployment
         self._store = store
-        self._registry = registry
+        self._own_id = own_id
+        self._hand_over = hand_over
         self._board = board
         self._executor = executor
         self._log = log
@@ -47,15 +51,13 @@
                 self._tasks[instance_id] = create_task(self._retire(instance_id, found))
 
     async def _retire(self, instance_id: str, found: StoredObject) -> None:
-        if instance_id == self._registry.own_id:
-            await self._registry.release_all()
+        if instance_id == self._own_id:
+            await self._hand_over()
             await self._write_until_taken(found)
             return
         await sleep(HEARD_WITHIN_MS / MS_PER_S)
         is_down = instance_id not in self._board.runners()
-        if is_down and self._registry.own_id == min(
-            [self._registry.own_id, *self._board.runners()]
-        ):
+        if is_down and self._own_id == min([self._own_id, *self._board.runners()]):
             await self._write_until_taken(found)
 
     async def _write_until_taken(self, found: StoredObject) -> None:
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -7,7 +7,6 @@
     LoadMessage,
     LoadReport,
     LoadTotals,
-    TargetCounts,
     add_counts,
 )
 from ebonyshore.link.load_exchange import LoadExchange
@@ -43,23 +42,18 @@
         self._board.drop_expired(self._clock.boot_ms())
         self._sequence += 1
         own = self._peers.own
-        counts = {
-            target.target_id: TargetCounts(target.own_online, target.own_batch)
-            for target in self._targets.all().values()
-            if target.own_online or target.own_batch
-        }
         report = LoadReport(
             own.instance_id,
             own.incarnation,
             self._sequence,
             own.role,
-            counts,
+            self._targets.own_counts(),
             self._registry.open_items(),
             tuple(self._board.runners()),
         )
         others = self._peers.of_role("runner").values()
         exchange.send(report, [(peer.host, peer.port) for peer in others])
-        if own.instance_id == min([own.instance_id, *self._board.runners()]):
+        if self._board.is_first_runner():
             self._send_totals(exchange, report)
 
     def _send_totals(self, exchange: LoadExchange, own_report: LoadReport) -> None:
--- a/ebonyshore/store/store_probe.py
+++ b/ebonyshore/store/store_probe.py
@@ -5,20 +5,17 @@
 read at short intervals notices the silence; when it is over, all waiting watches are sent anew.
 """
 
-from asyncio import Task, create_task, get_running_loop, sleep
+from asyncio import get_running_loop
 from collections.abc import Callable
 from concurrent.futures import Executor
 
-from ebonyshore.frame.async_kernel import AsyncService
-from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.async_kernel import PeriodicService
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
-PROBE_INTERVAL_MS = 700.0
 
-
-class StoreProbe(AsyncService):
+class StoreProbe(PeriodicService):
     """Reads one object again and again.
 
     :param key: of the object.
@@ -27,6 +24,7 @@
     """
 
     name = "store_probe"
+    interval_ms = 700.0
 
     def __init__(
         self,
@@ -41,20 +39,12 @@
         self._executor = executor
         self._log = log
         self._on_value = on_value
-        self._task: Task[None] | None = None
         self.is_silent = False
 
-    async def start(self) -> None:
-        self._task = create_task(self._run())
-
-    async def stop(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-
     def dump(self) -> dict[str, object]:
         return {"is_store_silent": self.is_silent}
 
-    async def look(self) -> None:
+    async def run_once(self) -> None:
         """Read once; break the watches if the store answers again."""
         was_silent = self.is_silent
         try:
@@ -72,8 +62,3 @@
         if was_silent:
             self._log.event("store_answers_again")
             self._store.break_watches()
-
-    async def _run(self) -> None:
-        while True:
-            await self.look()
-            await sleep(PROBE_INTERVAL_MS / MS_PER_S)
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -1,14 +1,13 @@
 """When an entry tells the balancer that it is cut off."""
 
 import asyncio
-from concurrent.futures import ThreadPoolExecutor
+from itertools import product
 
 import pytest
 
-from ebonyshore.frame.errors import StoreUnavailableError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.gateway.isolation import Isolation
+from ebonyshore.gateway.isolation import SILENCE_MS, Isolation
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.link.load_board import LoadTotals
 
@@ -21,39 +20,29 @@
         return self.runners
 
 
-def isolated(runners=("r1",), are_heard=False, has_store=False):
-    asked = []
+class Probe:
+    def __init__(self, is_silent):
+        self.is_silent = is_silent
 
-    def ask_store():
-        asked.append(1)
-        if not has_store:
-            raise StoreUnavailableError("cut off")
 
+def isolated(has_runners, silent_ms, is_store_silent):
     async def scenario():
         view = LoadView("fd-a", lambda: None)
-        if are_heard:
-            view.note_totals(LoadTotals("r1", "run-1", 1, {}, {}), now_ms())
-        peers = Peers(dict.fromkeys(runners))
-        isolation = Isolation(peers, view, ask_store, ThreadPoolExecutor(1), EventLog())
-        await isolation.look()
-        return isolation.is_isolated
+        view.note_totals(LoadTotals("r1", "run-1", 1, {}, {}), now_ms() - silent_ms)
+        peers = Peers({"r1": None} if has_runners else {})
+        return Isolation(peers, view, Probe(is_store_silent), EventLog()).is_isolated()
 
-    return asyncio.run(scenario()), len(asked)
-
-
-def test_an_entry_that_reaches_neither_runners_nor_store_is_cut_off():
-    """Guards against callers of a failure domain whose jobs are refused for as long as its only
-    entry is cut off, since the balancer goes on sending them there."""
-    assert isolated() == (True, 1)
+    return asyncio.run(scenario())
 
 
 @pytest.mark.parametrize(
-    "state, calls",
-    [
-        ({"are_heard": True}, 0),
-        ({"has_store": True}, 1),
-        ({"runners": ()}, 0),
-    ],
+    "has_runners, is_silent, is_store_silent", list(product((True, False), repeat=3))
 )
-def test_an_entry_that_misses_one_of_them_only_goes_on_taking_callers(state, calls):
-    assert isolated(**state) == (False, calls)
+def test_only_an_entry_that_reaches_neither_runners_nor_store_is_cut_off(
+    has_runners, is_silent, is_store_silent
+):
+    """Guards against callers of a failure domain whose jobs are refused for as long as its only
+    entry is cut off, and against all entries leaving at once when the runners are killed."""
+    silent_ms = SILENCE_MS + 1 if is_silent else SILENCE_MS - 100
+    expected = has_runners and is_silent and is_store_silent
+    assert isolated(has_runners, silent_ms, is_store_silent) is expected
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -245,10 +245,10 @@
     probe = StoreProbe(store, "config/main", ThreadPoolExecutor(1), EventLog(), lambda found: None)
     with ThreadPoolExecutor(1) as executor:
         watching = executor.submit(store.watch, "config", 1, 9_000)
-        asyncio.run(probe.look())
+        asyncio.run(probe.run_once())
         assert probe.is_silent and not watching.done()
         is_silent.clear()
-        asyncio.run(probe.look())
+        asyncio.run(probe.run_once())
         with pytest.raises(StoreUnavailableError):
             watching.result(1.0)
         answers_again.set()
