Use connections in one way, and answer in one way

Three places took a connection, ended it on failure and gave it back; three read a body to its end; four sent an answer of the system's own; the calls of entries returned a pair of which one part was empty. Each stands once now. A test empties a runner with real processes. No behaviour changes meant.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -14,7 +14,7 @@
 from ebonyshore.host.routes import Route
 from ebonyshore.host.targets import Target
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.server import Responder
@@ -26,7 +26,6 @@
 # A kept connection may be closed by the target as the request is on its way, and whether the
 # request ran is then unknown; one that must not be repeated takes a connection used just before.
 MAX_IDLE_ONCE_MS = 150.0
-MAX_PLAIN_BODY_BYTES = 64 << 20
 REFUSAL_STATUSES = (408, 421, 429, 503)  # promise a caller that its request has not run
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -103,32 +102,19 @@
         self._deadline_ms = now_ms() + remaining_ms
         max_idle_ms = MAX_IDLE_MS if route.is_repeatable else MAX_IDLE_ONCE_MS
         address = self._target.entry.address
-        connection = await self._send(address, max_idle_ms)
-        is_whole = False
         try:
-            reader = AnswerReader(
-                connection, self._names.request_id, self._request_id, self._deadline_ms
-            )
-            end = await self._relay_answer(reader, responder, has_retry)
-            is_whole = True
-            return end
+            async with self._pool.use(address, CONNECT_TIMEOUT_MS, max_idle_ms) as connection:
+                connection.send(self._encode())
+                reader = AnswerReader(
+                    connection, self._names.request_id, self._request_id, self._deadline_ms
+                )
+                return await self._relay_answer(reader, responder, has_retry)
         except ExchangeError as error:
+            if not error.was_sent:
+                raise NotExecutedError(str(error), is_unreachable=True) from error
             raise AttemptBrokenError(str(error)) from error
         except StreamOrderError as error:
             raise AttemptBrokenError(str(error)) from error
-        finally:
-            if is_whole:
-                self._pool.give_back(address, connection)
-            else:
-                connection.abort()
-
-    async def _send(self, address: str, max_idle_ms: float) -> ClientConnection:
-        try:
-            connection = await self._pool.take(address, CONNECT_TIMEOUT_MS, max_idle_ms)
-            connection.send(self._encode())
-        except ExchangeError as error:
-            raise NotExecutedError(str(error), is_unreachable=True) from error
-        return connection
 
     def _encode(self) -> bytes:
         names = self._names
@@ -193,13 +179,7 @@
         responder: Responder,
         has_retry: bool,
     ) -> None:
-        parts: list[bytes] = []
-        size = 0
-        while not isinstance(item := await reader.next_item(None), BodyEnd):
-            parts.append(item)
-            size += len(item)
-            if size > MAX_PLAIN_BODY_BYTES:
-                raise ExchangeError("the answer is too long")
+        body = await reader.rest(None)
         if responder.is_started:
             raise AttemptBrokenError(f"status {head.status} for the rest of a stream")
         if head.status >= 500 and has_retry:
@@ -208,7 +188,7 @@
             # Not a refusal of the target's: it does not say that the request has not run.
             answer = may_have_run(ResultCode.TARGET_ERROR)
             raise AttemptBrokenError(f"status {head.status}", answer=answer)
-        responder.send(head.status, _passed_on(head), b"".join(parts))
+        responder.send(head.status, _passed_on(head), body)
 
 
 def _passed_on(head: ResponseHead) -> Headers:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -222,8 +222,7 @@
         if self._responder.is_started:
             self._responder.abort()
             return "cut"
-        headers = answer.headers(self._owner.names.request_id, self._request_id)
-        self._responder.send(answer.status, headers, answer.body())
+        answer.send(self._responder, self._request, self._owner.names)
         return answer.code.name.lower()
 
     def _log_attempt(self, target: Target, outcome: str, detail: str) -> None:
--- a/ebonyshore/gateway/front.py
+++ b/ebonyshore/gateway/front.py
@@ -84,7 +84,7 @@
     async def _serve(self, request: Request, responder: Responder) -> None:
         table = self._config.table
         if table is None:
-            self._answer(request, responder, not_run(ResultCode.NOT_READY, NOT_READY_RETRY_MS))
+            not_run(ResultCode.NOT_READY, NOT_READY_RETRY_MS).send(responder, request, self._names)
             return
         host = request.headers.get("host") or ""
         if self._is_job_path(request) and table.has_host(host):
@@ -93,7 +93,7 @@
         route = table.find(host, request.path)
         if route is None:
             self._log.event("request_without_route", host=host, config_version=self._config.version)
-            self._answer(request, responder, OwnAnswer(404, ResultCode.NOT_FOUND))
+            OwnAnswer(404, ResultCode.NOT_FOUND).send(responder, request, self._names)
             return
         await self._serve_route(route, request, responder)
 
@@ -103,17 +103,12 @@
         elif request.method == "POST":
             await self._jobs.forward(request, responder, route)
         else:
-            self._answer(request, responder, OwnAnswer(405, ResultCode.INVALID_REQUEST))
+            OwnAnswer(405, ResultCode.INVALID_REQUEST).send(responder, request, self._names)
 
     def _is_job_path(self, request: Request) -> bool:
         path = request.path
         return path.startswith((self._names.jobs_path, self._names.item_bodies_path))
 
-    def _answer(self, request: Request, responder: Responder, answer: OwnAnswer) -> None:
-        request_id = request.headers.get(self._names.request_id)
-        headers = answer.headers(self._names.request_id, request_id)
-        responder.send(answer.status, headers, answer.body())
-
     def _take_limits(self, table: RouteTable) -> None:
         self._server.limits = table.config.limits
 
--- a/ebonyshore/gateway/job_calls.py
+++ b/ebonyshore/gateway/job_calls.py
@@ -10,6 +10,8 @@
 from random import Random
 from urllib.parse import parse_qs, quote, urlencode, urlsplit
 
+from msgspec import Struct
+
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
@@ -19,7 +21,7 @@
 from ebonyshore.host.answers import OwnAnswer, may_have_run, not_run
 from ebonyshore.host.routes import Route
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.server import Responder
@@ -35,15 +37,19 @@
 KNOWN_OWNERS = 4_096
 
 
-class RunnerAnswer:
+class RunnerAnswer(Struct):
     """A runner's answer to one call."""
 
-    __slots__ = ("body", "headers", "status")
+    status: int
+    headers: Headers
+    body: bytes
 
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
+    def send(self, responder: Responder) -> None:
+        """Pass it on to the caller."""
+        headers = Headers([("Content-Type", "application/json")])
+        if (pause := self.headers.get("retry-after")) is not None:
+            headers.add("Retry-After", pause)
+        responder.send(self.status, headers, self.body)
 
 
 class JobCalls:
@@ -76,48 +82,45 @@
         self, request: Request, responder: Responder, route: Route | None = None
     ) -> None:
         """Answer a call about a job; with ``route`` it submits one."""
-        call = self._decode(request, route)
+        call = self._decode(request) if route is None else self._decode_job(request, route)
         if call is None:
-            answer = OwnAnswer(404, ResultCode.NOT_FOUND)
-            responder.send(answer.status, answer.headers("", None), answer.body())
+            OwnAnswer(404, ResultCode.NOT_FOUND).send(responder, request, self._names)
             return
-        own, runner = await self._ask_runners(call, request)
-        if runner is not None:
-            headers = Headers([("Content-Type", "application/json")])
-            if (pause := runner.headers.get("retry-after")) is not None:
-                headers.add("Retry-After", pause)
-            responder.send(runner.status, headers, runner.body)
+        answer = await self._ask_runners(call, request)
+        if isinstance(answer, OwnAnswer):
+            answer.send(responder, request, self._names)
         else:
-            responder.send(own.status, own.headers("", None), own.body())
+            answer.send(responder)
 
-    async def _ask_runners(
-        self, call: JobCall, request: Request
-    ) -> tuple[OwnAnswer, RunnerAnswer | None]:
+    async def _ask_runners(self, call: JobCall, request: Request) -> OwnAnswer | RunnerAnswer:
         """Ask one runner after the other until one answers for good."""
         may_have_taken = False
-        last: RunnerAnswer | None = None
+        last: OwnAnswer | RunnerAnswer = not_run(ResultCode.NO_TARGET, RETRY_AFTER_MS)
         for runner in self._order(call):
             try:
                 answer = await self._ask(runner, call, request)
             except ExchangeError as error:
                 may_have_taken = may_have_taken or error.was_sent
-                self._metrics.count("runner_calls_failed")
-                self._log.event(
-                    "runner_call_failed",
-                    job=call.job_id,
-                    call=call.kind.value,
-                    runner=runner.instance_id,
-                    detail=str(error),
-                )
+                self._note_failure(runner, call, error)
                 continue
             self._note_owner(call.job_id, answer)
             if answer.status < 500:
-                return not_run(ResultCode.NO_TARGET, None), answer
+                return answer
             may_have_taken = may_have_taken or answer.status != 503
             last = answer
         if call.kind is JobCallKind.SUBMIT and may_have_taken:
-            return may_have_run(ResultCode.OUTCOME_UNKNOWN), None
-        return not_run(ResultCode.NO_TARGET, RETRY_AFTER_MS), last
+            return may_have_run(ResultCode.OUTCOME_UNKNOWN)
+        return last
+
+    def _note_failure(self, runner: PeerRecord, call: JobCall, error: ExchangeError) -> None:
+        self._metrics.count("runner_calls_failed")
+        self._log.event(
+            "runner_call_failed",
+            job=call.job_id,
+            call=call.kind.value,
+            runner=runner.instance_id,
+            detail=str(error),
+        )
 
     def _order(self, call: JobCall) -> list[PeerRecord]:
         runners = list(self._peers.of_role("runner").values())
@@ -128,26 +131,15 @@
     async def _ask(self, runner: PeerRecord, call: JobCall, request: Request) -> RunnerAnswer:
         address = f"{runner.host}:{runner.port}"
         limit_ms = SUBMIT_TIMEOUT_MS if call.kind is JobCallKind.SUBMIT else CALL_TIMEOUT_MS
-        connection = await self._pool.take(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS)
-        is_whole = False
         try:
-            connection.send(_encode(call, request))
-            async with timeout((limit_ms + call.wait_ms) / MS_PER_S):
-                head = await connection.next_item()
-                body = b""
-                while not isinstance(item := await connection.next_item(), BodyEnd):
-                    body += item
-            is_whole = True
+            async with (
+                self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS) as connection,
+                timeout((limit_ms + call.wait_ms) / MS_PER_S),
+            ):
+                connection.send(_encode(call, request))
+                return await _read_answer(connection)
         except TimeoutError as error:
             raise ExchangeError("the runner does not answer") from error
-        finally:
-            if is_whole:
-                self._pool.give_back(address, connection)
-            else:
-                connection.abort()
-        if not isinstance(head, ResponseHead):
-            raise ExchangeError("answer without a head")
-        return RunnerAnswer(head.status, head.headers, body)
 
     def _note_owner(self, job_id: str, answer: RunnerAnswer) -> None:
         owner = answer.headers.get(OWNER_HEADER)
@@ -158,16 +150,17 @@
         if len(self._owners) > KNOWN_OWNERS:
             self._owners.popitem(last=False)
 
-    def _decode(self, request: Request, route: Route | None) -> JobCall | None:
+    def _decode_job(self, request: Request, route: Route) -> JobCall | None:
+        """Return the call that submits a job; ``None`` if it has no id."""
+        job_id = request.headers.get(self._names.request_id)
+        if not job_id:
+            return None
+        age_ms = now_ms() - request.received_ms
+        return JobCall(JobCallKind.SUBMIT, job_id, route=route.name, age_ms=age_ms)
+
+    def _decode(self, request: Request) -> JobCall | None:
+        """Return the call about a job that a request makes; ``None`` if it makes none."""
         names = self._names
-        if route is not None:
-            job_id = request.headers.get(names.request_id)
-            age_ms = now_ms() - request.received_ms
-            return (
-                JobCall(JobCallKind.SUBMIT, job_id, route=route.name, age_ms=age_ms)
-                if job_id
-                else None
-            )
         parts = urlsplit(request.target)
         query = parse_qs(parts.query)
         if parts.path.startswith(names.item_bodies_path) and request.method == "GET":
@@ -207,6 +200,16 @@
     return sorted(runners, key=key)
 
 
+async def _read_answer(connection: ClientConnection) -> RunnerAnswer:
+    head = await connection.next_item()
+    if not isinstance(head, ResponseHead):
+        raise ExchangeError("answer without a head")
+    parts: list[bytes] = []
+    while not isinstance(item := await connection.next_item(), BodyEnd):
+        parts.append(item)
+    return RunnerAnswer(head.status, head.headers, b"".join(parts))
+
+
 def _encode(call: JobCall, request: Request) -> bytes:
     query = urlencode(call.query())
     path = f"/jobs/{quote(call.job_id, safe='')}?{query}"
--- a/ebonyshore/host/answer_reader.py
+++ b/ebonyshore/host/answer_reader.py
@@ -8,6 +8,8 @@
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
 
+MAX_BODY_BYTES = 64 << 20
+
 
 class NotExecutedError(Exception):
     """The target did not run the request and will not.
@@ -78,8 +80,21 @@
                 return head
             if not head.has_end:
                 raise ExchangeError("answer to another request")
-            while not isinstance(await self.next_item(patience_ms), BodyEnd):
-                continue
+            await self.rest(patience_ms)
+
+    async def rest(self, patience_ms: float | None, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the rest of the answer's body.
+
+        :raises ExchangeError: if it is longer than ``max_bytes`` or does not come whole.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while not isinstance(item := await self.next_item(patience_ms), BodyEnd):
+            parts.append(item)
+            size += len(item)
+            if size > max_bytes:
+                raise ExchangeError("the answer is too long")
+        return b"".join(parts)
 
     async def next_item(self, patience_ms: float | None) -> ResponseHead | bytes | BodyEnd:
         """Return the next part of the answer.
--- a/ebonyshore/host/answers.py
+++ b/ebonyshore/host/answers.py
@@ -4,7 +4,10 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request
+from ebonyshore.http.server import Responder
 
 
 class OwnAnswer(Struct, frozen=True):
@@ -31,6 +34,12 @@
         """Return the JSON body."""
         return b'{"code":%d,"error":"%b"}' % (self.code, self.code.name.lower().encode())
 
+    def send(self, responder: Responder, request: Request, names: WireNames) -> None:
+        """Answer a request."""
+        request_id = request.headers.get(names.request_id)
+        headers = self.headers(names.request_id, request_id)
+        responder.send(self.status, headers, self.body())
+
 
 def not_run(code: ResultCode, retry_after_ms: float | None) -> OwnAnswer:
     """Return the refusal of a request that has not run and will not."""
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -6,6 +6,8 @@
 
 from asyncio import AbstractEventLoop, Future, Protocol, Transport, get_running_loop, timeout
 from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from httptools import HttpParserError, HttpResponseParser
 from msgspec import Struct
@@ -191,6 +193,23 @@
         self._idle: dict[str, list[ClientConnection]] = {}
         self._max_idle = max_idle
 
+    @asynccontextmanager
+    async def use(
+        self, address: str, connect_timeout_ms: float, max_idle_ms: float
+    ) -> AsyncIterator[ClientConnection]:
+        """Use a connection for one exchange; errors as for :meth:`take`.
+
+        It is kept if the exchange is complete at the end, and ended if the body raises or is
+        cancelled, so that the server stops its work.
+        """
+        connection = await self.take(address, connect_timeout_ms, max_idle_ms)
+        try:
+            yield connection
+        except BaseException:
+            connection.abort()
+            raise
+        self.give_back(address, connection)
+
     async def take(
         self, address: str, connect_timeout_ms: float, max_idle_ms: float
     ) -> ClientConnection:
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -66,26 +66,20 @@
         """Run the item until its end; cancel the task to stop it at once."""
         address = target.entry.address
         try:
-            connection = await self._pool.take(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS)
-            connection.send(self._encode(target))
-        except ExchangeError as error:
-            return RunResult(RunEnd.UNREACHABLE, str(error))
-        is_whole = False
-        deadline_ms = now_ms() + RUN_TIMEOUT_MS
-        reader = AnswerReader(connection, self._names.request_id, self._item.item_id, deadline_ms)
-        try:
-            result = await self._read(reader)
-            is_whole = True
-            return result
+            async with self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS) as connection:
+                connection.send(self._encode(target))
+                deadline_ms = now_ms() + RUN_TIMEOUT_MS
+                reader = AnswerReader(
+                    connection, self._names.request_id, self._item.item_id, deadline_ms
+                )
+                return await self._read(reader)
         except AttemptBrokenError as error:
             return RunResult(RunEnd.SILENT, error.detail)
-        except (ExchangeError, StreamOrderError) as error:
+        except ExchangeError as error:
+            end = RunEnd.BROKEN if error.was_sent else RunEnd.UNREACHABLE
+            return RunResult(end, str(error))
+        except StreamOrderError as error:
             return RunResult(RunEnd.BROKEN, str(error))
-        finally:
-            if is_whole:
-                self._pool.give_back(address, connection)
-            else:
-                connection.abort()
 
     def _encode(self, target: Target) -> bytes:
         names = self._names
@@ -105,11 +99,11 @@
     async def _read(self, reader: AnswerReader) -> RunResult:
         head = await reader.own_head(FIRST_EVENT_PATIENCE_MS)
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
-            await self._skip_body(reader)
+            await reader.rest(EVENT_PATIENCE_MS)
             return RunResult(RunEnd.NOT_RUN, f"status {head.status}")
         if head.status == 200:
             return await self._collect(reader)
-        await self._skip_body(reader)
+        await reader.rest(EVENT_PATIENCE_MS)
         if head.status == 422:
             return RunResult(RunEnd.REJECTED, "status 422")
         return RunResult(RunEnd.FAILED, f"status {head.status}")
@@ -126,7 +120,3 @@
         if splitter.remainder:
             return RunResult(RunEnd.BROKEN, "the stream ends in the middle of an event")
         return RunResult(RunEnd.COMPLETE)
-
-    async def _skip_body(self, reader: AnswerReader) -> None:
-        while not isinstance(await reader.next_item(EVENT_PATIENCE_MS), BodyEnd):
-            continue
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -117,6 +117,26 @@
         assert all(result["Data"] == expected_data(result["Id"], 60) for result in results)
 
 
+def test_a_runner_that_is_to_be_emptied_hands_over_and_says_so(fleet):
+    """Guards against items that had ended being lost with the instance, and against one that is
+    never emptied."""
+    for number in range(4):
+        assert submit(fleet.entries[number % 2], f"j{number}", items=8, events=60) == 202
+    state = fleet.platform.state
+    state.put("retirements", "runner-0", {"DurationS": 5})
+
+    def is_complete():
+        found = state.objects["retirements", "runner-0"]["Status"]
+        return found is not None and found["State"] == "complete"
+
+    wait_until(is_complete, 5.0)
+    fleet.runners[0].kill()
+    for number in range(4):
+        results = all_results(fleet, f"j{number}")
+        assert len(results) == 8
+        assert all(result["State"] == "complete" for result in results)
+
+
 def test_a_cancelled_job_runs_no_item_afterwards(fleet):
     assert submit(fleet.entries[0], "j1", items=150, events=60) == 202
     time.sleep(0.3)
