Check more in the soak, and keep the platform's names out of it

Found by reading: the soak took the time of a job's end and checked nothing with it; a configuration that goes back was not looked for; a caller whose job got no answer did not send it again, so what had been taken was not followed.

Change: an item that starts more than 3 s and the longest fault after the acknowledged end, and a process that serves an older configuration after a newer one, are violations, each with a test of the check. Callers send a job again after any answer but an acceptance. The soak takes its time from the clock, and calls the platform through platform_fleet, which the process tests use too.

--- a/ebonyshore/entry/agent_link.py
+++ b/ebonyshore/entry/agent_link.py
@@ -16,7 +16,7 @@
     SendToAgent,
     SendToAgents,
 )
-from ebonyshore.entry.membership import Membership, listed_view
+from ebonyshore.entry.membership import Membership, listed_view, reported_view
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
@@ -371,19 +371,8 @@
         if isinstance(message, LoadReport) and not connection.view.incarnation:
             connection.channel.send(self._hello())
             return
-        lowest_revision = view.lowest_entry_revision
-        if isinstance(message, LoadReport):
-            lowest_revision = message.lowest_entry_revision
-        connection.view = replace(
-            connection.view,
-            incarnation=message.incarnation,
-            settings_revision=message.settings_revision,
-            lowest_entry_revision=lowest_revision,
-            tick_ms=message.tick_ms,
-            models=message.models,
-            is_leaving=message.is_leaving or view.target_id not in self._listed,
-            kind=message.kind if isinstance(message, Welcome) else view.kind,
-        )
+        is_listed = view.target_id in self._listed
+        connection.view = reported_view(connection.view, message, is_listed)
         connection.note_load(message.load)
         self._send_held(connection)
         self._publish(connection)
--- a/ebonyshore/entry/membership.py
+++ b/ebonyshore/entry/membership.py
@@ -9,8 +9,9 @@
 from types import MappingProxyType
 
 from msgspec import Struct
+from msgspec.structs import replace
 
-from ebonyshore.link.messages import Load
+from ebonyshore.link.messages import Load, LoadReport, Welcome
 from ebonyshore.store.platform_api import Instance
 
 
@@ -119,6 +120,26 @@
     return (previous.models, previous.is_leaving) != (view.models, view.is_leaving)
 
 
+def reported_view(view: TargetView, message: Welcome | LoadReport, is_listed: bool) -> TargetView:
+    """Return a view with what the target's agent reports.
+
+    :param is_listed: whether the platform lists the target; one that is not listed is leaving.
+    """
+    lowest_revision = view.lowest_entry_revision
+    if isinstance(message, LoadReport):
+        lowest_revision = message.lowest_entry_revision
+    return replace(
+        view,
+        incarnation=message.incarnation,
+        settings_revision=message.settings_revision,
+        lowest_entry_revision=lowest_revision,
+        tick_ms=message.tick_ms,
+        models=message.models,
+        is_leaving=message.is_leaving or not is_listed,
+        kind=message.kind if isinstance(message, Welcome) else view.kind,
+    )
+
+
 def listed_view(instance: Instance) -> TargetView:
     """Return the view of a target of which only the list entry is known."""
     return TargetView(
--- a/ebonyshore/frame/clock.py
+++ b/ebonyshore/frame/clock.py
@@ -15,7 +15,7 @@
         """Return milliseconds since an arbitrary start; never goes back within a process."""
 
     def boot_ms(self) -> float:
-        """Return like :meth:`monotonic_ms`, counting the time of a suspended machine too."""
+        """Return like :meth:`monotonic_ms`, counting the time of a suspended instance too."""
         return self.monotonic_ms()
 
     @abstractmethod
--- a/ebonyshore/link/load_board.py
+++ b/ebonyshore/link/load_board.py
@@ -11,7 +11,7 @@
 
 REPORT_LIFE_MS = 1_000.0
 MUTUAL_LIFE_MS = 500.0
-# A lost machine closes no connection, so targets go on with its requests until they end.
+# A lost instance closes no connection, so targets go on with its requests until they end.
 LOST_ONLINE_MS = 1_000.0
 LOST_BATCH_MS = 5_000.0
 
--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -1,20 +1,22 @@
 """Runs seeds of the soak: ``python -m ebonyshore_soak --first 1 --seeds 50``."""
 
 import argparse
+import signal
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 from msgspec import Struct
 
+from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
 from ebonyshore_soak.checker import PromiseChecker
 from ebonyshore_soak.clients import ITEM_EVENTS, Clients
 from ebonyshore_soak.faults import Faults, listed_entry
 from ebonyshore_soak.proxy import FaultProxy
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
-SETTLE_S = 45.0
+SETTLE_MS = 45_000.0
+READ_PAUSE_MS = 200.0
 CONFIG_S = 10.0
 
 
@@ -49,7 +51,8 @@
     fleet = PlatformFleet(
         folder, options.entries, options.runners, options.targets, options.address
     )
-    checker = PromiseChecker()
+    clock = SystemClock()
+    checker = PromiseChecker(clock)
     store_link = FaultProxy(fleet.platform.address)
     fleet.use_store(store_link.address)
     target_links: list[FaultProxy] = []
@@ -63,14 +66,14 @@
                 for number, target in enumerate(fleet.targets)
             }
         )
-        clients = Clients(fleet, checker, options.seed)
-        faults = Faults(fleet, [store_link], target_links, options.seed)
+        clients = Clients(fleet, checker, options.seed, clock)
+        faults = Faults(fleet, [store_link], target_links, options.seed, clock)
         clients.start()
         faults.start()
-        time.sleep(options.length_s)
+        clock.sleep_ms(options.length_s * MS_PER_S)
         faults.stop()
         clients.stop()
-        _settle(fleet, clients, checker)
+        _settle(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_end(runs, ITEM_EVENTS)
     finally:
@@ -80,33 +83,27 @@
     return SoakResult(options.seed, checker.broken, checker.counts, faults.log, str(folder))
 
 
-def _settle(fleet: PlatformFleet, clients: Clients, checker: PromiseChecker) -> None:
+def _settle(fleet: PlatformFleet, clients: Clients, checker: PromiseChecker, clock: Clock) -> None:
     """Let everything come to its end without faults, and read what was accepted."""
-    path = f"/c{clients.config_version}/x"
-
-    def is_config_everywhere() -> bool:
-        answers = [
-            entry.call("POST", path, {"Attempt-Id": "end", "Deadline-Ms": "2000"}, b"")[0]
-            for entry in fleet.entries
-        ]
-        return answers == [200] * len(answers)
-
+    version = clients.config_version
     try:
         wait_until(lambda: all(entry.is_ready() for entry in fleet.entries))
-        wait_until(is_config_everywhere, CONFIG_S)
-    except (TimeoutError, OSError) as error:
+        wait_until(lambda: all(clients.has_config(e, version) for e in fleet.entries), CONFIG_S)
+    except TimeoutError as error:
         checker.report_violation(f"the last configuration is not in force everywhere: {error!r}")
-    open_jobs = [job_id for job_id in checker.accepted if job_id not in checker.cancelled]
-    end = time.monotonic() + SETTLE_S
-    while open_jobs and time.monotonic() < end:
-        open_jobs = [job_id for job_id in open_jobs if not clients.read_all(job_id)]
-        time.sleep(0.2)
+    open_jobs = checker.accepted.keys() - checker.cancelled
+    end_ms = clock.monotonic_ms() + SETTLE_MS
+    while open_jobs and clock.monotonic_ms() < end_ms:
+        open_jobs = {job_id for job_id in open_jobs if not clients.read_all(job_id)}
+        clock.sleep_ms(READ_PAUSE_MS)
     for job_id in checker.cancelled:
         clients.read_all(job_id)
 
 
 def main() -> int:
     """Run the seeds that the arguments name; return 1 if a promise was broken."""
+    # A soak that is told to stop ends the processes that it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     parser = argparse.ArgumentParser(prog="python -m ebonyshore_soak")
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -1,25 +1,31 @@
 """What callers were told, and what breaks a promise; safe to use from any thread."""
 
-import time
-from collections.abc import Iterable
+from collections.abc import Sequence
 from threading import Lock
 
+from ebonyshore.frame.clock import Clock
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
 REFUSAL_STATUSES = (408, 421, 429, 503)
+CANCEL_MS = 3_000.0  # after which a runner starts no item of a job that has ended
+MAX_FAULT_MS = 2_500.0  # a runner that is paused or cut off hears of the end that much later
+CANCEL_BOUND_MS = CANCEL_MS + MAX_FAULT_MS
 
 
 class PromiseChecker:
     """Collects answers while the soak runs and compares them with the targets' runs at its end."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._lock = Lock()
         self.broken: list[str] = []
         self.counts: dict[str, int] = {}
         self.refused_once: set[str] = set()
         self.accepted: dict[str, int] = {}
         self.refused_jobs: dict[str, int] = {}
-        self.cancelled: dict[str, float] = {}
+        self.cancelled: set[str] = set()
+        self.end_acknowledged_ms: dict[str, float] = {}
+        self._configs: dict[tuple[str, int], int] = {}
         self._listed: dict[str, list[tuple[str, str, str]]] = {}
 
     def count(self, name: str) -> None:
@@ -30,7 +36,7 @@
     def report_violation(self, text: str) -> None:
         """Note a broken promise."""
         with self._lock:
-            self.broken.append(f"{time.monotonic():.3f} {text}")
+            self.broken.append(f"{self._clock.monotonic_ms():.0f} {text}")
 
     def note_stream(self, request_id: str, events: int, data: str) -> None:
         """Check an answer that ended as whole."""
@@ -50,12 +56,20 @@
         if not is_same:
             self.report_violation(f"job {job_id}: a position has another result than before")
 
+    def note_config(self, entry: str, pid: int, version: int) -> None:
+        """Take that one process has served a route that only one version has."""
+        with self._lock:
+            newest = self._configs.get((entry, pid), 0)
+            self._configs[entry, pid] = max(newest, version)
+        if version < newest:
+            self.report_violation(f"{entry} went back from configuration {newest} to {version}")
+
     def listed_count(self, job_id: str) -> int:
         """Return how many results of a job were read so far."""
         with self._lock:
             return len(self._listed.get(job_id, ()))
 
-    def check_end(self, runs: Iterable[RunRecord], item_events: int) -> None:
+    def check_end(self, runs: Sequence[RunRecord], item_events: int) -> None:
         """Compare with what reached the targets."""
         runs_by_id: dict[str, int] = {}
         for run in runs:
@@ -72,6 +86,17 @@
                 self.report_violation(f"job {job_id} ran though every send of it was refused")
         for job_id, items in self.accepted.items():
             self._check_job(job_id, items, item_events)
+        self._check_ends(runs)
+
+    def _check_ends(self, runs: Sequence[RunRecord]) -> None:
+        for run in runs:
+            job_id = run.request_id.rpartition("-")[0]
+            ended_ms = self.end_acknowledged_ms.get(job_id)
+            if ended_ms is not None and run.started_ms > ended_ms + CANCEL_BOUND_MS:
+                self.report_violation(
+                    f"item {run.request_id} started {run.started_ms - ended_ms:.0f} ms after "
+                    "its job had ended"
+                )
 
     def _check_job(self, job_id: str, items: int, item_events: int) -> None:
         found = self._listed.get(job_id, [])
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -1,22 +1,25 @@
 """Callers of the soak: streams, requests that must not be repeated, jobs, configurations."""
 
-import json
-import time
 from collections.abc import Callable
 from http.client import HTTPException
 from random import Random
 from threading import Event, Thread
+from typing import TypeVar
 
+from ebonyshore.frame.clock import Clock
 from ebonyshore_soak.checker import REFUSAL_STATUSES, PromiseChecker
 from ebonyshore_standins.platform_fleet import (
-    BATCH_PREFIX,
     ONCE_PREFIX,
     STREAM_PREFIX,
     FleetProcess,
     PlatformFleet,
-    job_body,
+    ask_stream,
+    end_job,
     make_config,
+    read_job,
     route,
+    stream_data,
+    submit_job,
 )
 
 ITEM_EVENTS = 25
@@ -24,6 +27,10 @@
 CALL_TIMEOUT_S = 6.0
 JOB_ITEMS = 8
 MAX_SENDS = 8
+SEND_PAUSE_MS = 300.0
+END_SHARE = 0.2  # of the jobs that their caller ends
+
+AnswerT = TypeVar("AnswerT")
 
 
 class Clients:
@@ -32,10 +39,13 @@
     :param seed: of their choices.
     """
 
-    def __init__(self, fleet: PlatformFleet, checker: PromiseChecker, seed: int) -> None:
+    def __init__(
+        self, fleet: PlatformFleet, checker: PromiseChecker, seed: int, clock: Clock
+    ) -> None:
         self._fleet = fleet
         self._checker = checker
         self._seed = seed
+        self._clock = clock
         self._is_over = Event()
         self._threads: list[Thread] = []
         self._numbers = iter(range(1, 1 << 30))
@@ -58,53 +68,53 @@
 
     def read_all(self, job_id: str, first: int = 0) -> bool:
         """Read on in a job at any entry; return whether all of it was read."""
-        random = Random(f"{self._seed}/{job_id}/{first}")
-        entry = random.choice(self._fleet.entries)
-        answer = self._call(entry, "GET", f"/ebonyshore/lots/{job_id}?After={first}")
+        entry = Random(f"{self._seed}/{job_id}/{first}").choice(self._fleet.entries)
+        answer = self._try(lambda: read_job(entry, job_id, first, CALL_TIMEOUT_S))
         if answer is None or answer[0] == 503:
             return False
-        if answer[0] != 200:
-            self._checker.report_violation(f"job {job_id}: read answered {answer[0]}")
+        status, page = answer
+        if status != 200:
+            self._checker.report_violation(f"job {job_id}: read answered {status}")
             return False
-        page = json.loads(answer[2])
         self._checker.note_page(job_id, first, page)
         return first + len(page["Results"]) == page["Total"]
 
+    def has_config(self, entry: FleetProcess, version: int) -> bool:
+        """Return whether an entry serves the route that only one version has."""
+        pid = entry.pid
+        request_id = f"config-{next(self._numbers)}"
+        answer = self._try(
+            lambda: ask_stream(entry, request_id, config_prefix(version), 1, CALL_TIMEOUT_S)
+        )
+        is_served = answer is not None and answer[0] == 200
+        if is_served and entry.pid == pid:
+            self._checker.note_config(entry.name, pid, version)
+        return is_served
+
     def _start(self, run: Callable[[Random], None], number: int) -> None:
         thread = Thread(target=run, args=(Random(f"{self._seed}/{number}"),), daemon=True)
         self._threads.append(thread)
         thread.start()
 
-    def _call(
-        self,
-        entry: FleetProcess,
-        method: str,
-        path: str,
-        headers: dict[str, str] | None = None,
-        body: bytes | None = None,
-    ) -> tuple[int, dict[str, str], bytes] | None:
+    def _try(self, call: Callable[[], AnswerT]) -> AnswerT | None:
+        """Return a call's answer, or ``None`` if none came."""
         try:
-            return entry.call(method, path, headers, body, CALL_TIMEOUT_S)
+            return call()
         except (OSError, HTTPException):
             self._checker.count("calls_without_answer")
             return None
 
     def _ask(self, random: Random, prefix: str, name: str) -> None:
         request_id = f"{name}-{next(self._numbers)}"
-        headers = {
-            "Attempt-Id": request_id,
-            "Deadline-Ms": "5000",
-            "Length-Hint": str(STREAM_EVENTS),
-        }
         entry = random.choice(self._fleet.entries)
-        answer = self._call(entry, "POST", f"{prefix}x", headers, b"question")
+        answer = self._try(
+            lambda: ask_stream(entry, request_id, prefix, STREAM_EVENTS, CALL_TIMEOUT_S)
+        )
         if answer is None:
             return
         status, _, body = answer
         if status == 200:
-            lines = body.decode().split("\n")
-            data = "\n".join(line[6:] for line in lines if line.startswith("data: "))
-            self._checker.note_stream(request_id, STREAM_EVENTS, data)
+            self._checker.note_stream(request_id, STREAM_EVENTS, stream_data(body))
         elif status in REFUSAL_STATUSES and name == "once":
             self._checker.refused_once.add(request_id)
         elif status == 404:
@@ -126,40 +136,56 @@
                 self._follow(random, job_id)
 
     def _submit(self, random: Random, job_id: str) -> bool:
-        """Send a job until it is accepted, as callers do."""
-        body = job_body(job_id, JOB_ITEMS, ITEM_EVENTS)
-        headers = {"Attempt-Id": job_id}
+        """Send a job until it is accepted, as callers do, also after no answer."""
+        is_refused = True
         for _ in range(MAX_SENDS):
             entry = random.choice(self._fleet.entries)
-            answer = self._call(entry, "POST", f"{BATCH_PREFIX}{job_id}", headers, body)
-            if answer is not None and answer[0] == 202:
+            status = self._try(
+                lambda entry=entry: submit_job(
+                    entry, job_id, JOB_ITEMS, ITEM_EVENTS, CALL_TIMEOUT_S
+                )
+            )
+            if status == 202:
                 self._checker.accepted[job_id] = JOB_ITEMS
                 self._checker.count("jobs_accepted")
                 return True
-            if answer is None or answer[0] != 503:
-                self._checker.refused_jobs.pop(job_id, None)
-                self._checker.count("jobs_unsure")
-                return False
+            is_refused = is_refused and status == 503
+            self._clock.sleep_ms(SEND_PAUSE_MS)
+        if is_refused:
             self._checker.refused_jobs[job_id] = JOB_ITEMS
-            time.sleep(0.3)
-        self._checker.count("jobs_refused")
+        self._checker.count("jobs_refused" if is_refused else "jobs_unsure")
         return False
 
     def _follow(self, random: Random, job_id: str) -> None:
         """Read a job for a while, from any position; end some."""
-        if random.random() < 0.2:
-            entry = random.choice(self._fleet.entries)
-            answer = self._call(entry, "DELETE", f"/ebonyshore/lots/{job_id}")
-            # Without an answer it may be ended all the same.
-            self._checker.cancelled[job_id] = time.monotonic()
-            self._checker.count("ends_sure" if answer and answer[0] == 200 else "ends_unsure")
+        if random.random() < END_SHARE:
+            self._end(random, job_id)
         for _ in range(3):
-            time.sleep(random.uniform(0.1, 0.4))
+            self._clock.sleep_ms(random.uniform(100.0, 400.0))
             self.read_all(job_id, random.randrange(self._checker.listed_count(job_id) + 1))
 
+    def _end(self, random: Random, job_id: str) -> None:
+        entry = random.choice(self._fleet.entries)
+        status = self._try(lambda: end_job(entry, job_id, CALL_TIMEOUT_S))
+        # Without an answer it may be ended all the same.
+        self._checker.cancelled.add(job_id)
+        if status == 200:
+            self._checker.end_acknowledged_ms[job_id] = self._clock.monotonic_ms()
+        self._checker.count("ends_sure" if status == 200 else "ends_unsure")
+
     def _change_config(self, random: Random) -> None:
-        while not self._is_over.wait(random.uniform(0.5, 2.0)):
+        while not self._is_over.wait(random.uniform(0.3, 1.0)):
+            previous = self.config_version
             self.config_version += random.randint(1, 3)
-            added = route("new", f"/c{self.config_version}/", "streaming")
+            added = route("new", config_prefix(self.config_version), "streaming")
             config = make_config(self.config_version, added)
             self._fleet.platform.state.put("config", "main", config)
+            self._is_over.wait(random.uniform(0.1, 0.6))
+            entry = random.choice(self._fleet.entries)
+            for version in (self.config_version, previous):
+                self.has_config(entry, version)
+
+
+def config_prefix(version: int) -> str:
+    """Return the path of the route that only one version of the configuration has."""
+    return f"/c{version}/"
--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -2,15 +2,16 @@
 
 import signal
 import subprocess
-import time
 from collections.abc import Callable
 from random import Random
 from threading import Event, Thread
 
+from ebonyshore.frame.clock import MS_PER_S, Clock
+from ebonyshore_soak.checker import MAX_FAULT_MS
 from ebonyshore_soak.proxy import FaultProxy, LinkState
 from ebonyshore_standins.platform_fleet import SERVICE, FleetProcess, PlatformFleet
 
-MAX_FAULT_S = 2.5
+MAX_FAULT_S = MAX_FAULT_MS / MS_PER_S
 PAUSE_S = (0.1, 0.9)
 SERIES = 2
 
@@ -28,11 +29,13 @@
         store_links: list[FaultProxy],
         target_links: list[FaultProxy],
         seed: int,
+        clock: Clock,
     ) -> None:
         self._fleet = fleet
         self._store_links = store_links
         self._target_links = target_links
         self._seed = seed
+        self._clock = clock
         self._is_over = Event()
         self._threads: list[Thread] = []
         self._busy: set[str] = set()
@@ -71,7 +74,10 @@
             random.choice(self._kinds)(random)
 
     def _note(self, text: str) -> None:
-        self.log.append(f"{time.monotonic():.3f} {text}")
+        self.log.append(f"{self._clock.monotonic_ms():.0f} {text}")
+
+    def _sleep_s(self, duration_s: float) -> None:
+        self._clock.sleep_ms(duration_s * MS_PER_S)
 
     def _take(self, random: Random, processes: list[FleetProcess]) -> FleetProcess | None:
         """Return a process that no other series works on."""
@@ -89,7 +95,7 @@
         down_s = random.uniform(0.0, MAX_FAULT_S)
         self._note(f"kill {process.name} for {down_s:.2f} s")
         process.kill()
-        time.sleep(down_s)
+        self._sleep_s(down_s)
         process.start()
         self._busy.discard(process.name)
 
@@ -100,7 +106,7 @@
         self._note(f"kill {[process.name for process in taken]}")
         for process in taken:
             process.kill()
-        time.sleep(random.uniform(0.0, 1.0))
+        self._sleep_s(random.uniform(0.0, 1.0))
         for process in taken:
             process.start()
         self._busy -= {process.name for process in taken}
@@ -112,7 +118,7 @@
         for_s = random.uniform(0.2, MAX_FAULT_S)
         self._note(f"pause {process.name} for {for_s:.2f} s")
         process.signal(signal.SIGSTOP)
-        time.sleep(for_s)
+        self._sleep_s(for_s)
         process.signal(signal.SIGCONT)
         self._busy.discard(process.name)
 
@@ -143,7 +149,7 @@
             drops_down=kind in ("down", "silence"),
             refuses=kind == "refuse",
         )
-        time.sleep(for_s)
+        self._sleep_s(for_s)
         link.heal()
 
     def _store_fault(self, random: Random) -> None:
@@ -155,7 +161,7 @@
         self._fleet.platform.fault = lambda _method, _path: (
             fault if draws.random() < share else None
         )
-        time.sleep(for_s)
+        self._sleep_s(for_s)
         self._fleet.platform.fault = lambda _method, _path: None
 
     def _forget_history(self, random: Random) -> None:
@@ -167,16 +173,16 @@
         self._note("targets lapse while the store is away")
         state = self._fleet.platform.state
         self._fleet.platform.fault = lambda _method, _path: 503
-        time.sleep(0.2)
+        self._sleep_s(0.2)
         chosen = [t for t in self._fleet.targets if random.random() < 0.7]
         entries = {
             target.target_id: state.objects.get(("servers", target.target_id)) for target in chosen
         }
         for target_id in entries:
             state.delete("servers", target_id, None)
-        time.sleep(random.uniform(0.1, 1.0))
+        self._sleep_s(random.uniform(0.1, 1.0))
         self._fleet.platform.fault = lambda _method, _path: None
-        time.sleep(random.uniform(0.0, 1.5))
+        self._sleep_s(random.uniform(0.0, 1.5))
         for target_id, found in entries.items():
             if found is not None:
                 state.put("servers", target_id, found["Spec"])
--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -7,10 +7,11 @@
 import socket
 import subprocess
 import sys
-import time
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
+from ebonyshore.frame.clock import MS_PER_S, SystemClock
+from ebonyshore.platform.names import WIRE
 from ebonyshore_standins.object_platform import ObjectPlatform
 from ebonyshore_standins.stream_target import StreamTarget
 
@@ -20,6 +21,9 @@
 BATCH_PREFIX = "/plans/"
 SERVICE = "svc"
 START_TIMEOUT_S = 20.0
+POLL_MS = 20.0
+CLOCK = SystemClock()
+STREAM_DEADLINE_MS = 5_000
 
 SETTINGS = """
 NodeName = "{name}"
@@ -154,7 +158,7 @@
         """Return whether the balancer would send callers here."""
         try:
             connection = HTTPConnection(self.ip, self.ready, timeout=1)
-            connection.request("GET", "/ebonyshore/readyz")
+            connection.request("GET", WIRE.ready_path)
             return connection.getresponse().status == 200
         except (OSError, HTTPException):
             return False
@@ -247,7 +251,7 @@
 
 
 def _reaches_runners(entry: FleetProcess) -> bool:
-    return entry.call("GET", "/ebonyshore/lots/unknown?After=0")[0] == 404
+    return read_job(entry, "unknown")[0] == 404
 
 
 def wait_until(condition, timeout_s: float = START_TIMEOUT_S) -> None:
@@ -255,11 +259,11 @@
 
     :raises TimeoutError: if it does not hold in time.
     """
-    end = time.monotonic() + timeout_s
+    end_ms = CLOCK.monotonic_ms() + timeout_s * MS_PER_S
     while not condition():
-        if time.monotonic() > end:
+        if CLOCK.monotonic_ms() > end_ms:
             raise TimeoutError(f"not within {timeout_s} s")
-        time.sleep(0.02)
+        CLOCK.sleep_ms(POLL_MS)
 
 
 def job_body(job_id: str, items: int, events: int = 6) -> bytes:
@@ -280,9 +284,53 @@
     ).encode()
 
 
-def read_results(entry: FleetProcess, job_id: str, first: int = 0) -> dict[str, object] | None:
-    """Return a page of results; ``None`` if the entry is not sure."""
-    status, _, body = entry.call(
-        "GET", f"/ebonyshore/lots/{job_id}?After={first}", {"Wait-Ms": "500"}
-    )
-    return json.loads(body) if status == 200 else None
+def ask_stream(
+    entry: FleetProcess,
+    request_id: str,
+    prefix: str = STREAM_PREFIX,
+    events: int = 6,
+    timeout_s: float = 10.0,
+) -> tuple[int, dict[str, str], bytes]:
+    """Ask for a stream of so many events; return status, headers and body."""
+    headers = {
+        WIRE.request_id: request_id,
+        WIRE.remaining_ms: str(STREAM_DEADLINE_MS),
+        "Length-Hint": str(events),
+    }
+    return entry.call("POST", f"{prefix}x", headers, b"question", timeout_s)
+
+
+def stream_data(body: bytes) -> str:
+    """Return the data of all events in a body, joined by line feeds."""
+    lines = body.decode().split("\n")
+    return "\n".join(line.removeprefix("data: ") for line in lines if line.startswith("data: "))
+
+
+def submit_job(
+    entry: FleetProcess, job_id: str, items: int = 6, events: int = 6, timeout_s: float = 10.0
+) -> int:
+    """Hand in a job; return the status."""
+    body = job_body(job_id, items, events)
+    headers = {WIRE.request_id: job_id, "Content-Type": "application/json"}
+    return entry.call("POST", f"{BATCH_PREFIX}{job_id}", headers, body, timeout_s)[0]
+
+
+def read_job(
+    entry: FleetProcess, job_id: str, first: int = 0, timeout_s: float = 10.0
+) -> tuple[int, dict[str, object]]:
+    """Read results from a position on; return the status and the page, empty if there is none."""
+    path = f"{WIRE.jobs_path}{job_id}?{WIRE.results_from}={first}"
+    status, _, body = entry.call("GET", path, {WIRE.wait_ms: "500"}, timeout_s=timeout_s)
+    return status, json.loads(body) if status == 200 else {}
+
+
+def read_body(entry: FleetProcess, job_id: str, item_id: str) -> tuple[int, bytes]:
+    """Read an item's body; return the status and the bytes."""
+    path = f"{WIRE.item_bodies_path}{job_id}?{WIRE.item_id}={item_id}"
+    status, _, body = entry.call("GET", path)
+    return status, body
+
+
+def end_job(entry: FleetProcess, job_id: str, timeout_s: float = 10.0) -> int:
+    """End a job; return the status."""
+    return entry.call("DELETE", f"{WIRE.jobs_path}{job_id}", timeout_s=timeout_s)[0]
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -9,6 +9,9 @@
 
 from msgspec import Struct
 
+from ebonyshore.frame.clock import SystemClock
+
+CLOCK = SystemClock()
 DEFAULT_EVENTS = 6
 MAX_QUEUED = 24
 
@@ -18,12 +21,14 @@
 
     :param first_event: that it sent or would have sent.
     :param last_event: that it sent.
+    :param started_ms: monotonic time of its start.
     """
 
     request_id: str
     first_event: int
     last_event: int
     is_whole: bool = False
+    started_ms: float = 0.0
 
 
 def expected_data(request_id: str, events: int) -> str:
@@ -149,7 +154,7 @@
     ) -> None:
         first = int(headers.get("last-event-id", "0")) + 1
         last = int(headers.get("length-hint", DEFAULT_EVENTS))
-        run = RunRecord(request_id, first, first - 1)
+        run = RunRecord(request_id, first, first - 1, started_ms=CLOCK.monotonic_ms())
         self.runs.append(run)
         writer.write(
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,12 @@
 import pytest
 
 from ebonyshore.frame.clock import ManualClock, SystemClock
+from ebonyshore.platform.object_store import PlatformObjectStore
+from ebonyshore.store.http_calls import HttpCaller
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.local_fleet import LocalFleet
 from ebonyshore_standins.memory_platform import MemoryPlatform
+from ebonyshore_standins.object_platform import ObjectPlatform
 
 
 @pytest.fixture
@@ -29,6 +32,23 @@
     return MarkedStore(platform, SystemClock())
 
 
+@pytest.fixture
+def object_platform() -> Iterator[ObjectPlatform]:
+    """The store of the users' platform as a server on loopback."""
+    server = ObjectPlatform()
+    server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def object_store(object_platform: ObjectPlatform) -> Iterator[PlatformObjectStore]:
+    """The client of ``object_platform``."""
+    client = PlatformObjectStore(HttpCaller(f"http://{object_platform.address}", 500.0))
+    yield client
+    client.close()
+
+
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[LocalFleet]:
     """Two engines, a plain service and two entries as processes, with one tier."""
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from ebonyshore.frame.clock import ManualClock
 from ebonyshore_soak.__main__ import SoakOptions, run_seed
-from ebonyshore_soak.checker import PromiseChecker
+from ebonyshore_soak.checker import CANCEL_BOUND_MS, PromiseChecker
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
 # Seeds of runs that once broke a promise stay here, each with its cause.
@@ -30,7 +31,7 @@
 
 
 def broken_by(*runs, prepare):
-    checker = PromiseChecker()
+    checker = PromiseChecker(ManualClock())
     prepare(checker)
     checker.check_end([RunRecord(request_id, 1, 3, True) for request_id in runs], 3)
     return checker.broken
@@ -63,7 +64,7 @@
 
 
 def test_a_changed_position_is_found():
-    checker = PromiseChecker()
+    checker = PromiseChecker(ManualClock())
     checker.note_page("j", 0, page(done("j-0"), done("j-1")))
     checker.note_page("j", 1, page(done("j-1")))
     assert checker.broken == []
@@ -81,8 +82,26 @@
     assert len(broken_by("j9-1", prepare=refuse)) == 1
 
 
+def test_an_item_that_starts_long_after_its_jobs_end_is_found():
+    checker = PromiseChecker(ManualClock())
+    checker.end_acknowledged_ms["j"] = 1_000.0
+    checker.check_end([RunRecord("j-1", 1, 0, started_ms=1_000.0 + CANCEL_BOUND_MS)], 3)
+    assert checker.broken == []
+    checker.check_end([RunRecord("j-1", 1, 0, started_ms=1_001.0 + CANCEL_BOUND_MS)], 3)
+    assert len(checker.broken) == 1
+
+
+def test_a_configuration_that_goes_back_is_found():
+    checker = PromiseChecker(ManualClock())
+    for entry, pid, version in (("e1", 7, 3), ("e1", 7, 5), ("e2", 8, 3), ("e1", 9, 3)):
+        checker.note_config(entry, pid, version)
+    assert checker.broken == []
+    checker.note_config("e1", 7, 3)
+    assert len(checker.broken) == 1
+
+
 def test_an_answer_that_is_not_whole_is_found():
-    checker = PromiseChecker()
+    checker = PromiseChecker(ManualClock())
     checker.note_stream("q", 3, expected_data("q", 3))
     assert checker.broken == []
     checker.note_stream("q", 3, expected_data("q", 2))
--- a/tests/test_job_storage.py
+++ b/tests/test_job_storage.py
@@ -6,27 +6,14 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
 from ebonyshore.host.job_types import ItemRecord, JobRecord, ResultRecord, ResultSegment
-from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.runner.job_expiry import is_expired
 from ebonyshore.runner.job_storage import MAX_INLINE_BODY_BYTES, JobStorage, job_name
-from ebonyshore.store.http_calls import HttpCaller
 from ebonyshore.store.marked_write import MarkedStore
-from ebonyshore_standins.object_platform import ObjectPlatform
 
 
 @pytest.fixture
-def platform():
-    server = ObjectPlatform()
-    server.start()
-    yield server
-    server.stop()
-
-
-@pytest.fixture
-def storage(platform):
-    store = PlatformObjectStore(HttpCaller(f"http://{platform.address}", 500.0))
-    yield JobStorage(MarkedStore(store, SystemClock(), 1_000.0))
-    store.close()
+def storage(object_store):
+    return JobStorage(MarkedStore(object_store, SystemClock(), 1_000.0))
 
 
 def record(body=b"body", items=2, owner="r1"):
@@ -44,9 +31,9 @@
     assert again.body.owner == "r1" and again.version == first.version
 
 
-def test_a_lost_answer_to_the_acceptance_does_not_double_the_job(storage, platform):
+def test_a_lost_answer_to_the_acceptance_does_not_double_the_job(storage, object_platform):
     lost = iter(["lost"])
-    platform.fault = lambda method, _path: next(lost, None) if method == "POST" else None
+    object_platform.fault = lambda method, _path: next(lost, None) if method == "POST" else None
     stored = storage.create(record())
     assert stored.body == storage.read("j1").body
 
@@ -85,19 +72,19 @@
     assert storage.cancel("unknown") is None
 
 
-def test_an_outage_accepts_nothing(storage, platform):
-    platform.fault = lambda _method, _path: 503
+def test_an_outage_accepts_nothing(storage, object_platform):
+    object_platform.fault = lambda _method, _path: 503
     with pytest.raises(StoreUnavailableError):
         storage.create(record())
-    platform.fault = lambda _method, _path: None
+    object_platform.fault = lambda _method, _path: None
     assert storage.read("j1") is None
 
 
-def test_a_job_is_deleted_with_all_that_belongs_to_it(storage, platform):
+def test_a_job_is_deleted_with_all_that_belongs_to_it(storage, object_platform):
     stored = storage.create(record(b"x" * MAX_INLINE_BODY_BYTES))
     storage.append("j1", 0, segment(0))
     storage.delete(stored.body)
-    assert platform.state.objects == {}
+    assert object_platform.state.objects == {}
 
 
 def test_a_job_expires_only_after_its_results_and_its_items_may_be_dropped():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,11 +8,8 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.process import make_registration
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, PeerRecord
-from ebonyshore.platform.object_store import PlatformObjectStore
-from ebonyshore.store.http_calls import HttpCaller
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import StoredObject
-from ebonyshore_standins.object_platform import ObjectPlatform
 
 OWN = PeerRecord("e1", "entry", "10.0.0.1", 7000, "fd-a", "run-1")
 KEY = f"{PEERS_KIND}/e1"
@@ -29,13 +26,8 @@
 
 
 @pytest.fixture
-def parts():
-    platform = ObjectPlatform()
-    platform.start()
-    store = PlatformObjectStore(HttpCaller(f"http://{platform.address}", 500.0))
-    yield Parts(store)
-    store.close()
-    platform.stop()
+def parts(object_store):
+    return Parts(object_store)
 
 
 def registered(parts):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,11 +20,8 @@
 from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.host_file import load_host_settings
 from ebonyshore.platform.job_bodies import decode_submission, encode_results
-from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.platform.target_entries import decode_target_entry
-from ebonyshore.store.http_calls import HttpCaller
 from ebonyshore.store.store_probe import StoreProbe
-from ebonyshore_standins.object_platform import ObjectPlatform
 
 SETTINGS = """
 NodeName = "edge-1"
@@ -54,21 +51,6 @@
 }
 
 
-@pytest.fixture
-def platform():
-    server = ObjectPlatform()
-    server.start()
-    yield server
-    server.stop()
-
-
-@pytest.fixture
-def store(platform):
-    client = PlatformObjectStore(HttpCaller(f"http://{platform.address}", 500.0))
-    yield client
-    client.close()
-
-
 def test_settings_are_decoded_and_unknown_fields_ignored(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(SETTINGS)
@@ -194,41 +176,43 @@
         decode_submission(json.dumps({"Items": items}).encode())
 
 
-def test_objects_are_created_read_replaced_and_deleted(store):
-    version = store.put("jobs/a", b'{"n":1}', 0)
-    found = store.get("jobs/a")
+def test_objects_are_created_read_replaced_and_deleted(object_store):
+    version = object_store.put("jobs/a", b'{"n":1}', 0)
+    found = object_store.get("jobs/a")
     assert (found.version, json.loads(found.value)) == (version, {"n": 1})
-    newer = store.put("jobs/a", b'{"n":2}', version)
+    newer = object_store.put("jobs/a", b'{"n":2}', version)
     for stale in (0, version):
         with pytest.raises(WriteConflictError):
-            store.put("jobs/a", b'{"n":3}', stale)
-    store.delete("jobs/a", newer)
-    assert store.get("jobs/a") is None
+            object_store.put("jobs/a", b'{"n":3}', stale)
+    object_store.delete("jobs/a", newer)
+    assert object_store.get("jobs/a") is None
     with pytest.raises(WriteConflictError):
-        store.put("jobs/a", b'{"n":4}', newer)
+        object_store.put("jobs/a", b'{"n":4}', newer)
 
 
-def test_a_listing_reads_all_pages_and_a_watch_goes_on_from_it(store, platform):
+def test_a_listing_reads_all_pages_and_a_watch_goes_on_from_it(object_store, object_platform):
     for number in range(501):
-        platform.state.put("servers", f"s{number:03}", {"n": number})
-    listing = store.list_objects("servers")
+        object_platform.state.put("servers", f"s{number:03}", {"n": number})
+    listing = object_store.list_objects("servers")
     assert len(listing.objects) == 501
-    platform.state.put("servers", "s000", {"n": -1})
-    platform.state.delete("servers", "s001", None)
-    result = store.watch("servers", listing.revision, 100)
+    object_platform.state.put("servers", "s000", {"n": -1})
+    object_platform.state.delete("servers", "s001", None)
+    result = object_store.watch("servers", listing.revision, 100)
     changes = {found.key: found.value for found in result.changes}
     assert json.loads(changes["servers/s000"]) == {"n": -1} and changes["servers/s001"] is None
-    assert store.watch("servers", result.revision, 10).changes == ()
+    assert object_store.watch("servers", result.revision, 10).changes == ()
 
 
-def test_a_lost_history_is_told_apart_from_an_outage(store, platform):
-    platform.state.put("servers", "a", {})
-    platform.state.forget_history()
+def test_a_lost_history_is_told_apart_from_an_outage(object_store, object_platform):
+    object_platform.state.put("servers", "a", {})
+    object_platform.state.forget_history()
     with pytest.raises(HistoryLostError):
-        store.watch("servers", 1, 10)
+        object_store.watch("servers", 1, 10)
 
 
-def test_a_watch_that_the_store_has_swallowed_is_sent_anew_once_it_answers_again(store, platform):
+def test_a_watch_that_the_store_has_swallowed_is_sent_anew_once_it_answers_again(
+    object_store, object_platform
+):
     """Guards against a configuration that is not in force for as long as a watch may wait: a silent
     store takes the call and never answers it, also when it is back."""
     is_silent = Event()
@@ -241,10 +225,12 @@
             return "reset"
         return 503 if is_silent.is_set() else None
 
-    platform.fault = swallow
-    probe = StoreProbe(store, "config/main", ThreadPoolExecutor(1), EventLog(), lambda found: None)
+    object_platform.fault = swallow
+    probe = StoreProbe(
+        object_store, "config/main", ThreadPoolExecutor(1), EventLog(), lambda found: None
+    )
     with ThreadPoolExecutor(1) as executor:
-        watching = executor.submit(store.watch, "config", 1, 9_000)
+        watching = executor.submit(object_store.watch, "config", 1, 9_000)
         asyncio.run(probe.run_once())
         assert probe.is_silent and not watching.done()
         is_silent.clear()
@@ -252,15 +238,15 @@
         with pytest.raises(StoreUnavailableError):
             watching.result(1.0)
         answers_again.set()
-    platform.state.put("config", "main", {"n": 1})
-    assert len(store.watch("config", 1, 100).changes) == 1
+    object_platform.state.put("config", "main", {"n": 1})
+    assert len(object_store.watch("config", 1, 100).changes) == 1
 
 
 @pytest.mark.parametrize("fault", [429, 503, "reset"])
-def test_a_read_that_is_refused_is_an_outage(store, platform, fault):
-    platform.fault = lambda _method, _path: fault
+def test_a_read_that_is_refused_is_an_outage(object_store, object_platform, fault):
+    object_platform.fault = lambda _method, _path: fault
     with pytest.raises(StoreUnavailableError):
-        store.get("jobs/a")
+        object_store.get("jobs/a")
 
 
 @pytest.mark.parametrize(
@@ -273,10 +259,10 @@
         ("lost", WriteOutcomeUnknownError),
     ],
 )
-def test_what_a_failed_write_means(store, platform, fault, error):
+def test_what_a_failed_write_means(object_store, object_platform, fault, error):
     """Guards against a write whose answer was lost being taken for one that was not done."""
-    platform.fault = lambda _method, _path: fault
+    object_platform.fault = lambda _method, _path: fault
     with pytest.raises(error):
-        store.put("jobs/a", b"{}", 0)
-    platform.fault = lambda _method, _path: None
-    assert (store.get("jobs/a") is not None) == (fault == "lost")
+        object_store.put("jobs/a", b"{}", 0)
+    object_platform.fault = lambda _method, _path: None
+    assert (object_store.get("jobs/a") is not None) == (fault == "lost")
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -9,15 +9,17 @@
 
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore_standins.platform_fleet import (
-    BATCH_PREFIX,
     ONCE_PREFIX,
     SERVICE,
-    STREAM_PREFIX,
     PlatformFleet,
-    job_body,
+    ask_stream,
+    end_job,
     make_config,
-    read_results,
+    read_body,
+    read_job,
     route,
+    stream_data,
+    submit_job,
     wait_until,
 )
 from ebonyshore_standins.stream_target import expected_data
@@ -33,22 +35,6 @@
         running.stop()
 
 
-def ask(entry, request_id, prefix=STREAM_PREFIX, events=6):
-    headers = {"Attempt-Id": request_id, "Deadline-Ms": "5000", "Length-Hint": str(events)}
-    return entry.call("POST", f"{prefix}x", headers, b"question")
-
-
-def data_of(body):
-    return "\n".join(line[6:].decode() for line in body.split(b"\n") if line.startswith(b"data: "))
-
-
-def submit(entry, job_id, items=6, events=6):
-    headers = {"Attempt-Id": job_id, "Content-Type": "application/json"}
-    return entry.call("POST", f"{BATCH_PREFIX}{job_id}", headers, job_body(job_id, items, events))[
-        0
-    ]
-
-
 def all_results(fleet, job_id, timeout_s=20.0):
     """Read until every item is listed; entries that are not sure are asked again."""
     found = []
@@ -57,7 +43,7 @@
         for entry in fleet.entries:
             page = None
             try:
-                page = read_results(entry, job_id)
+                _, page = read_job(entry, job_id)
             except OSError:
                 continue
             if page and len(page["Results"]) == page["Total"]:
@@ -71,33 +57,33 @@
 
 def test_requests_jobs_bodies_and_ends(fleet):
     first, second = fleet.entries
-    status, headers, body = ask(first, "q1")
-    assert status == 200 and data_of(body) == expected_data("q1", 6)
+    status, headers, body = ask_stream(first, "q1")
+    assert status == 200 and stream_data(body) == expected_data("q1", 6)
     assert headers["Server-Signature"] in {"t1", "t2", "t3"}
-    assert ask(second, "q2", "/nowhere/")[0] == 404
+    assert ask_stream(second, "q2", "/nowhere/")[0] == 404
 
-    assert submit(first, "j1") == 202
-    assert submit(second, "j1") == 202
+    assert submit_job(first, "j1") == 202
+    assert submit_job(second, "j1") == 202
     results = all_results(fleet, "j1")
     assert sorted(result["Id"] for result in results) == [f"j1-{n}" for n in range(6)]
     for result in results:
         assert result["State"] == "complete"
         assert result["Data"] == expected_data(result["Id"], 6)
     for entry in fleet.entries:
-        assert read_results(entry, "j1")["Results"] == results
-        assert read_results(entry, "j1", 4)["Results"] == results[4:]
-    assert second.call("GET", "/ebonyshore/items/j1?Id=j1-3")[2] == b"body 3"
-    assert second.call("GET", "/ebonyshore/lots/unknown?After=0")[0] == 404
-    assert first.call("DELETE", "/ebonyshore/lots/j1")[0] == 200
-    assert first.call("DELETE", "/ebonyshore/lots/j1")[0] == 200
-    assert read_results(second, "j1")["Results"] == results
+        assert read_job(entry, "j1")[1]["Results"] == results
+        assert read_job(entry, "j1", 4)[1]["Results"] == results[4:]
+    assert read_body(second, "j1", "j1-3")[1] == b"body 3"
+    assert read_job(second, "unknown")[0] == 404
+    assert end_job(first, "j1") == 200
+    assert end_job(first, "j1") == 200
+    assert read_job(second, "j1")[1]["Results"] == results
 
 
 def test_an_accepted_job_outlives_the_death_of_every_process(fleet):
     """Guards against items left lying, and results read once that are lost, after a power loss."""
-    assert submit(fleet.entries[0], "j1", items=30, events=40) == 202
-    wait_until(lambda: (read_results(fleet.entries[0], "j1") or {"Next": 0})["Next"] > 0)
-    before = read_results(fleet.entries[0], "j1")["Results"]
+    assert submit_job(fleet.entries[0], "j1", items=30, events=40) == 202
+    wait_until(lambda: read_job(fleet.entries[0], "j1")[1].get("Next", 0) > 0)
+    before = read_job(fleet.entries[0], "j1")[1]["Results"]
     for process in fleet.processes:
         process.kill()
     for process in fleet.processes:
@@ -109,7 +95,7 @@
 
 def test_a_killed_runners_jobs_are_finished_by_another(fleet):
     for number in range(6):
-        assert submit(fleet.entries[0], f"j{number}", items=8, events=60) == 202
+        assert submit_job(fleet.entries[0], f"j{number}", items=8, events=60) == 202
     fleet.runners[0].kill()
     for number in range(6):
         results = all_results(fleet, f"j{number}")
@@ -121,7 +107,7 @@
     """Guards against items that had ended being lost with the instance, and against one that is
     never emptied."""
     for number in range(4):
-        assert submit(fleet.entries[number % 2], f"j{number}", items=8, events=60) == 202
+        assert submit_job(fleet.entries[number % 2], f"j{number}", items=8, events=60) == 202
     state = fleet.platform.state
     state.put("retirements", "runner-0", {"DurationS": 5})
 
@@ -138,21 +124,21 @@
 
 
 def test_a_cancelled_job_runs_no_item_afterwards(fleet):
-    assert submit(fleet.entries[0], "j1", items=150, events=60) == 202
+    assert submit_job(fleet.entries[0], "j1", items=150, events=60) == 202
     time.sleep(0.3)
-    assert fleet.entries[1].call("DELETE", "/ebonyshore/lots/j1")[0] == 200
+    assert end_job(fleet.entries[1], "j1") == 200
     time.sleep(0.5)
     runs = sum(len(target.runs) for target in fleet.targets)
     time.sleep(0.7)
     assert sum(len(target.runs) for target in fleet.targets) == runs
-    assert fleet.entries[0].call("GET", "/ebonyshore/items/j1?Id=j1-149")[0] == 404
+    assert read_body(fleet.entries[0], "j1", "j1-149")[0] == 404
 
 
 def test_failed_and_rejected_items_are_given_up_and_the_others_are_done(fleet):
     for target in fleet.targets:
         target.failing_ids.add("j1-0")
         target.rejected_ids.add("j1-1")
-    assert submit(fleet.entries[0], "j1", items=4) == 202
+    assert submit_job(fleet.entries[0], "j1", items=4) == 202
     results = {result["Id"]: result["State"] for result in all_results(fleet, "j1")}
     assert results == {
         "j1-0": "dead_lettered",
@@ -169,37 +155,37 @@
     answers = []
 
     def ask_long():
-        answers.append(ask(entry, f"long-{len(answers)}", events=200))
+        answers.append(ask_stream(entry, f"long-{len(answers)}", events=200))
 
     asking = threading.Thread(target=ask_long)
     asking.start()
     wait_until(lambda: any(target.runs for target in fleet.targets))
     entry.signal(signal.SIGTERM)
     wait_until(lambda: not entry.is_ready(), 1.0)
-    status, headers, body = ask(entry, "late")
+    status, headers, body = ask_stream(entry, "late")
     assert status == 200 and headers["Connection"] == "close"
     asking.join(10)
-    assert data_of(answers[0][2]) == expected_data("long-0", 200)
+    assert stream_data(answers[0][2]) == expected_data("long-0", 200)
     assert entry.stop() == 0
 
 
 def test_a_configuration_is_in_force_at_every_entry_and_never_reverts(fleet):
     state = fleet.platform.state
-    assert ask(fleet.entries[0], "q0", "/new/")[0] == 404
+    assert ask_stream(fleet.entries[0], "q0", "/new/")[0] == 404
     state.put("config", "main", make_config(7, route("new", "/new/", "streaming")))
-    wait_until(lambda: all(ask(e, "q1", "/new/")[0] == 200 for e in fleet.entries), 2.0)
+    wait_until(lambda: all(ask_stream(e, "q1", "/new/")[0] == 200 for e in fleet.entries), 2.0)
     state.put("config", "main", make_config(5))
     time.sleep(0.3)
-    assert all(ask(entry, "q2", "/new/")[0] == 200 for entry in fleet.entries)
+    assert all(ask_stream(entry, "q2", "/new/")[0] == 200 for entry in fleet.entries)
 
 
 def test_online_requests_go_on_while_the_store_is_down(fleet):
     fleet.platform.fault = lambda _method, _path: 503
     time.sleep(0.2)
-    assert ask(fleet.entries[0], "q1")[0] == 200
-    assert submit(fleet.entries[0], "j1") == 503
+    assert ask_stream(fleet.entries[0], "q1")[0] == 200
+    assert submit_job(fleet.entries[0], "j1") == 503
     fleet.platform.fault = lambda _method, _path: None
-    assert submit(fleet.entries[0], "j1") == 202
+    assert submit_job(fleet.entries[0], "j1") == 202
     assert len(all_results(fleet, "j1")) == 6
 
 
@@ -209,7 +195,7 @@
     time.sleep(0.3)
     seen = len(leaving.runs)
     for number in range(12):
-        assert ask(fleet.entries[number % 2], f"q{number}")[0] == 200
+        assert ask_stream(fleet.entries[number % 2], f"q{number}")[0] == 200
     assert len(leaving.runs) == seen
 
 
@@ -218,7 +204,7 @@
 
     def ask_and_lose():
         with pytest.raises((OSError, HTTPException)):
-            ask(entry, "once-1", ONCE_PREFIX, events=100)
+            ask_stream(entry, "once-1", ONCE_PREFIX, events=100)
 
     asking = threading.Thread(target=ask_and_lose)
     asking.start()
@@ -229,7 +215,7 @@
 
 
 def test_logs_and_metrics_explain_a_request(fleet):
-    ask(fleet.entries[0], "q1")
+    ask_stream(fleet.entries[0], "q1")
     wait_until(lambda: "request=q1" in fleet.entries[0].log(), 2.0)
     line = next(line for line in fleet.entries[0].log().split("\n") if "request=q1" in line)
     assert "event=request_ended" in line and "outcome=answered" in line and "targets=t" in line
