Keep accepted work readable without its route, and count only an item's own failures

Found by reading, each test seen to fail before: - A read, a body or an end of a job was answered 404 once no route had its host any more. A job outlives its route: such calls go to a runner, which knows whether there is such a job. - Any answer of a target but 200 and 422 counted as a failed run of the item, so three 404 or 504 gave it up. Only a 500 is the item's own failure; the others are retried. Also: a removed job is forgotten in memory at once, and the probe of the store has a thread of its own, since reads could queue behind eight calls that wait for a silent store. Ruled out for the first: keeping the hosts of old configurations (a new process does not know them).

--- a/ebonyshore/gateway/front.py
+++ b/ebonyshore/gateway/front.py
@@ -87,7 +87,7 @@
             not_run(ResultCode.NOT_READY, NOT_READY_RETRY_MS).send(responder, request, self._names)
             return
         host = request.headers.get("host") or ""
-        if self._is_job_path(request) and table.has_host(host):
+        if self._is_job_path(request):  # a job outlives its route
             await self._jobs.forward(request, responder)
             return
         route = table.find(host, request.path)
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -64,7 +64,6 @@
     return StoreProbe(
         environment.store,
         environment.deployment.config_key,
-        environment.executor,
         environment.log,
         lambda found: config.on_changes([found]),
     )
--- a/ebonyshore/host/routes.py
+++ b/ebonyshore/host/routes.py
@@ -100,7 +100,3 @@
         """Return the route with the longest matching prefix, or ``None``."""
         routes = self._by_host.get(host.split(":", 1)[0].lower(), ())
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
-
-    def has_host(self, host: str) -> bool:
-        """Return whether any route is of this host."""
-        return host.split(":", 1)[0].lower() in self._by_host
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -106,7 +106,8 @@
         await reader.rest(EVENT_PATIENCE_MS)
         if head.status == 422:
             return RunResult(RunEnd.REJECTED, "status 422")
-        return RunResult(RunEnd.FAILED, f"status {head.status}")
+        end = RunEnd.FAILED if head.status == 500 else RunEnd.BROKEN
+        return RunResult(end, f"status {head.status}")
 
     async def _collect(self, reader: AnswerReader) -> RunResult:
         item = self._item
--- a/ebonyshore/runner/job_expiry.py
+++ b/ebonyshore/runner/job_expiry.py
@@ -60,4 +60,5 @@
         except StoreError as error:
             self._log.event("job_not_removed", job=record.job_id, error=str(error))
         else:
+            self._registry.forget(record.job_id)
             self._log.event("job_removed", job=record.job_id)
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -93,7 +93,7 @@
     def on_changes(self, objects: Sequence[StoredObject]) -> None:
         for found in objects:
             if found.value is None:
-                self._forget(found.key)
+                self._forget_key(found.key)
                 continue
             try:
                 self.note(self.storage.decode(found))
@@ -245,14 +245,17 @@
             self.tell_news(job_id)
         return known
 
-    def _forget(self, key: str) -> None:
+    def forget(self, job_id: str) -> None:
+        """Drop what is known of a job that is no longer stored."""
+        self._records.pop(job_id, None)
+        self._progress.pop(job_id, None)
+        self._claim_not_before_ms.pop(job_id, None)
+        self._record_ms.pop(job_id, None)
+
+    def _forget_key(self, key: str) -> None:
         name = key.split("/", 1)[1]
-        gone = [job_id for job_id in self._records if job_name(job_id) == name]
-        for job_id in gone:
-            self._records.pop(job_id, None)
-            self._progress.pop(job_id, None)
-            self._claim_not_before_ms.pop(job_id, None)
-            self._record_ms.pop(job_id, None)
+        for job_id in [known for known in self._records if job_name(known) == name]:
+            self.forget(job_id)
 
     def dump(self) -> dict[str, object]:
         """Return the state of each known job."""
--- a/ebonyshore/store/store_probe.py
+++ b/ebonyshore/store/store_probe.py
@@ -7,7 +7,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable
-from concurrent.futures import Executor
+from concurrent.futures import ThreadPoolExecutor
 
 from ebonyshore.frame.async_kernel import PeriodicService
 from ebonyshore.frame.errors import StoreError
@@ -19,7 +19,6 @@
     """Reads one object again and again.
 
     :param key: of the object.
-    :param executor: runs the reads, which block.
     :param on_value: called with what was read, which may be seconds old.
     """
 
@@ -30,17 +29,21 @@
         self,
         store: ListingStore,
         key: str,
-        executor: Executor,
         log: EventLog,
         on_value: Callable[[StoredObject], None],
     ) -> None:
         self._store = store
         self._key = key
-        self._executor = executor
+        # Of its own, so that reads do not queue behind calls that wait for a silent store.
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="probe")
         self._log = log
         self._on_value = on_value
         self.is_silent = False
 
+    async def stop(self) -> None:
+        await super().stop()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
     def dump(self) -> dict[str, object]:
         return {"is_store_silent": self.is_silent}
 
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -115,8 +115,8 @@
                 await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._answer(headers, writer)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
-            writer.close()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            writer.close()  # the caller has left, or the stand-in stops
 
     async def _answer(self, headers: dict[str, str], writer: asyncio.StreamWriter) -> None:
         request_id = headers.get("attempt-id", "")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -226,9 +226,7 @@
         return 503 if is_silent.is_set() else None
 
     object_platform.fault = swallow
-    probe = StoreProbe(
-        object_store, "config/main", ThreadPoolExecutor(1), EventLog(), lambda found: None
-    )
+    probe = StoreProbe(object_store, "config/main", EventLog(), lambda found: None)
     with ThreadPoolExecutor(1) as executor:
         watching = executor.submit(object_store.watch, "config", 1, 9_000)
         asyncio.run(probe.run_once())
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -179,6 +179,18 @@
     assert all(ask_stream(entry, "q2", "/new/")[0] == 200 for entry in fleet.entries)
 
 
+def test_a_jobs_results_stay_readable_when_its_route_is_gone(fleet):
+    """Guards against accepted work being denied because the configuration has changed since."""
+    assert submit_job(fleet.entries[0], "j1") == 202
+    results = all_results(fleet, "j1")
+    without = {**make_config(9), "Routes": []}
+    fleet.platform.state.put("config", "main", without)
+    wait_until(lambda: all(ask_stream(e, "q1")[0] == 404 for e in fleet.entries), 2.0)
+    for entry in fleet.entries:
+        assert read_job(entry, "j1") == (200, {"Total": 6, "Next": 6, "Results": results})
+    assert end_job(fleet.entries[0], "j1") == 200
+
+
 def test_online_requests_go_on_while_the_store_is_down(fleet):
     fleet.platform.fault = lambda _method, _path: 503
     time.sleep(0.2)
