Let the soak find items that run on after their job's end

Cause: jobs of the soak have 8 short items, and a caller that ends one first follows it; nothing is left to start by then, so a runner that ignores ends was not found.

Change: a job that is to be ended has 150 items of 400 events and is ended right after it is accepted. The checker knows the size of each job.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -10,7 +10,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
 from ebonyshore_soak.checker import PromiseChecker
-from ebonyshore_soak.clients import ITEM_EVENTS, Clients
+from ebonyshore_soak.clients import Clients
 from ebonyshore_soak.faults import Faults, listed_entry
 from ebonyshore_soak.proxy import FaultProxy
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
@@ -75,7 +75,7 @@
         clients.stop()
         _settle(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
-        checker.check_end(runs, ITEM_EVENTS)
+        checker.check_end(runs)
     finally:
         fleet.stop()
         for proxy in [store_link, *target_links]:
--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from threading import Lock
 
+from msgspec import Struct
+
 from ebonyshore.frame.clock import Clock
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
@@ -12,6 +14,13 @@
 CANCEL_BOUND_MS = CANCEL_MS + MAX_FAULT_MS
 
 
+class JobSize(Struct, frozen=True):
+    """Number of items of a job, and of events of each item."""
+
+    items: int
+    events: int
+
+
 class PromiseChecker:
     """Collects answers while the soak runs and compares them with the targets' runs at its end."""
 
@@ -21,8 +30,8 @@
         self.broken: list[str] = []
         self.counts: dict[str, int] = {}
         self.refused_once: set[str] = set()
-        self.accepted: dict[str, int] = {}
-        self.refused_jobs: dict[str, int] = {}
+        self.accepted: dict[str, JobSize] = {}
+        self.refused_jobs: dict[str, JobSize] = {}
         self.cancelled: set[str] = set()
         self.end_acknowledged_ms: dict[str, float] = {}
         self._configs: dict[tuple[str, int], int] = {}
@@ -69,7 +78,7 @@
         with self._lock:
             return len(self._listed.get(job_id, ()))
 
-    def check_end(self, runs: Sequence[RunRecord], item_events: int) -> None:
+    def check_end(self, runs: Sequence[RunRecord]) -> None:
         """Compare with what reached the targets."""
         runs_by_id: dict[str, int] = {}
         for run in runs:
@@ -79,13 +88,13 @@
                 self.report_violation(f"request {request_id} ran {number} times")
         for request_id in self.refused_once & set(runs_by_id):
             self.report_violation(f"request {request_id} ran though it was refused as not run")
-        for job_id, items in self.refused_jobs.items():
+        for job_id, size in self.refused_jobs.items():
             if job_id not in self.accepted and any(
-                f"{job_id}-{n}" in runs_by_id for n in range(items)
+                f"{job_id}-{n}" in runs_by_id for n in range(size.items)
             ):
                 self.report_violation(f"job {job_id} ran though every send of it was refused")
-        for job_id, items in self.accepted.items():
-            self._check_job(job_id, items, item_events)
+        for job_id, size in self.accepted.items():
+            self._check_job(job_id, size)
         self._check_ends(runs)
 
     def _check_ends(self, runs: Sequence[RunRecord]) -> None:
@@ -98,15 +107,15 @@
                     "its job had ended"
                 )
 
-    def _check_job(self, job_id: str, items: int, item_events: int) -> None:
+    def _check_job(self, job_id: str, size: JobSize) -> None:
         found = self._listed.get(job_id, [])
         ids = [item_id for item_id, _, _ in found]
         if len(set(ids)) != len(ids):
             self.report_violation(f"job {job_id}: an item stands at two positions")
-        if job_id not in self.cancelled and len(found) != items:
-            self.report_violation(f"job {job_id}: {len(found)} of {items} items are listed")
+        if job_id not in self.cancelled and len(found) != size.items:
+            self.report_violation(f"job {job_id}: {len(found)} of {size.items} items are listed")
         for item_id, state, data in found:
-            if state == "complete" and data != expected_data(item_id, item_events):
+            if state == "complete" and data != expected_data(item_id, size.events):
                 self.report_violation(f"item {item_id}: its text is not whole")
             if state != "complete" and job_id not in self.cancelled:
                 self.report_violation(f"item {item_id} was given up though it could be done")
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -7,7 +7,7 @@
 from typing import TypeVar
 
 from ebonyshore.frame.clock import Clock
-from ebonyshore_soak.checker import REFUSAL_STATUSES, PromiseChecker
+from ebonyshore_soak.checker import REFUSAL_STATUSES, JobSize, PromiseChecker
 from ebonyshore_standins.platform_fleet import (
     ONCE_PREFIX,
     STREAM_PREFIX,
@@ -22,10 +22,11 @@
     submit_job,
 )
 
-ITEM_EVENTS = 25
 STREAM_EVENTS = 12
 CALL_TIMEOUT_S = 6.0
-JOB_ITEMS = 8
+JOB = JobSize(items=8, events=25)
+# Large enough that items are still waiting when the end takes effect.
+JOB_TO_END = JobSize(items=150, events=400)
 MAX_SENDS = 8
 SEND_PAUSE_MS = 300.0
 END_SHARE = 0.2  # of the jobs that their caller ends
@@ -132,34 +133,36 @@
     def _submit_jobs(self, random: Random) -> None:
         while not self._is_over.wait(random.uniform(0.2, 0.8)):
             job_id = f"job{next(self._numbers)}"
-            if self._submit(random, job_id):
-                self._follow(random, job_id)
-
-    def _submit(self, random: Random, job_id: str) -> bool:
+            will_end = random.random() < END_SHARE
+            if not self._submit(random, job_id, JOB_TO_END if will_end else JOB):
+                continue
+            if will_end:
+                self._end(random, job_id)
+            self._follow(random, job_id)
+
+    def _submit(self, random: Random, job_id: str, size: JobSize) -> bool:
         """Send a job until it is accepted, as callers do, also after no answer."""
         is_refused = True
         for _ in range(MAX_SENDS):
             entry = random.choice(self._fleet.entries)
             status = self._try(
                 lambda entry=entry: submit_job(
-                    entry, job_id, JOB_ITEMS, ITEM_EVENTS, CALL_TIMEOUT_S
+                    entry, job_id, size.items, size.events, CALL_TIMEOUT_S
                 )
             )
             if status == 202:
-                self._checker.accepted[job_id] = JOB_ITEMS
+                self._checker.accepted[job_id] = size
                 self._checker.count("jobs_accepted")
                 return True
             is_refused = is_refused and status == 503
             self._clock.sleep_ms(SEND_PAUSE_MS)
         if is_refused:
-            self._checker.refused_jobs[job_id] = JOB_ITEMS
+            self._checker.refused_jobs[job_id] = size
         self._checker.count("jobs_refused" if is_refused else "jobs_unsure")
         return False
 
     def _follow(self, random: Random, job_id: str) -> None:
-        """Read a job for a while, from any position; end some."""
-        if random.random() < END_SHARE:
-            self._end(random, job_id)
+        """Read a job for a while, from any position."""
         for _ in range(3):
             self._clock.sleep_ms(random.uniform(100.0, 400.0))
             self.read_all(job_id, random.randrange(self._checker.listed_count(job_id) + 1))
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.frame.clock import ManualClock
 from ebonyshore_soak.__main__ import SoakOptions, run_seed
-from ebonyshore_soak.checker import CANCEL_BOUND_MS, PromiseChecker
+from ebonyshore_soak.checker import CANCEL_BOUND_MS, JobSize, PromiseChecker
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
 # Seeds of runs that once broke a promise stay here, each with its cause.
@@ -33,13 +33,13 @@
 def broken_by(*runs, prepare):
     checker = PromiseChecker(ManualClock())
     prepare(checker)
-    checker.check_end([RunRecord(request_id, 1, 3, True) for request_id in runs], 3)
+    checker.check_end([RunRecord(request_id, 1, 3, True) for request_id in runs])
     return checker.broken
 
 
 def listed(*results, accepted=2):
     def prepare(checker):
-        checker.accepted["j"] = accepted
+        checker.accepted["j"] = JobSize(accepted, events=3)
         checker.note_page("j", 0, page(*results))
 
     return prepare
@@ -75,7 +75,7 @@
 def test_a_second_run_and_a_false_refusal_are_found():
     def refuse(checker):
         checker.refused_once.add("once-2")
-        checker.refused_jobs["j9"] = 2
+        checker.refused_jobs["j9"] = JobSize(items=2, events=3)
 
     assert len(broken_by("once-1", "once-1", prepare=refuse)) == 1
     assert len(broken_by("once-2", prepare=refuse)) == 1
@@ -85,9 +85,9 @@
 def test_an_item_that_starts_long_after_its_jobs_end_is_found():
     checker = PromiseChecker(ManualClock())
     checker.end_acknowledged_ms["j"] = 1_000.0
-    checker.check_end([RunRecord("j-1", 1, 0, started_ms=1_000.0 + CANCEL_BOUND_MS)], 3)
+    checker.check_end([RunRecord("j-1", 1, 0, started_ms=1_000.0 + CANCEL_BOUND_MS)])
     assert checker.broken == []
-    checker.check_end([RunRecord("j-1", 1, 0, started_ms=1_001.0 + CANCEL_BOUND_MS)], 3)
+    checker.check_end([RunRecord("j-1", 1, 0, started_ms=1_001.0 + CANCEL_BOUND_MS)])
     assert len(checker.broken) == 1
 
 
