--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -104,8 +104,7 @@
 
 
 def test_a_runner_that_is_to_be_emptied_hands_over_and_says_so(fleet):
-    """Guards against items that had ended being lost with the instance, and against one that is
-    never emptied."""
+    """Guards against an instance that is never emptied, and against jobs that are left with it."""
     for number in range(4):
         assert submit_job(fleet.entries[number % 2], f"j{number}", items=8, events=60) == 202
     state = fleet.platform.state
