Judge a job's age by a steady clock

Cause: items were given up, and jobs removed, by the wall time at which the job was received, with margins of 3 and 60 s for clocks that differ. A clock that is set forward by more made a runner give up all items of its jobs at once.

Change: a runner takes for how long it has known a job, by a clock that no operator sets; the job is at least as old. A restart makes it younger, which only delays. Removal keeps a job that is still open, as its owner may have started later than the remover. Tests share registry_setup.

Bounds: an item is never given up before its retention; before, after it and 3 s by wall time.

Tests: with the age taken from the wall time again (trial), the test of the step fails.

--- a/ebonyshore/frame/clock.py
+++ b/ebonyshore/frame/clock.py
@@ -61,10 +61,11 @@
     :param start_ms: first value of both the monotonic and the wall time.
     """
 
-    __slots__ = ("_advanced", "_now_ms", "_waiters")
+    __slots__ = ("_advanced", "_now_ms", "_waiters", "_wall_step_ms")
 
     def __init__(self, start_ms: float = 0.0) -> None:
         self._now_ms = start_ms
+        self._wall_step_ms = 0.0
         self._advanced = Condition()
         self._waiters: list[Condition] = []
 
@@ -72,7 +73,11 @@
         return self._now_ms
 
     def wall_ms(self) -> int:
-        return int(self._now_ms)
+        return int(self._now_ms + self._wall_step_ms)
+
+    def step_wall_ms(self, step_ms: float) -> None:
+        """Set the time of day forward, or back, as an operator does."""
+        self._wall_step_ms += step_ms
 
     def advance_ms(self, duration_ms: float) -> None:
         """Move the clock on and wake every thread that waits on it."""
--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -144,13 +144,15 @@
     def _waiting_by_service(self) -> dict[str, dict[str, tuple[JobProgress, Item]]]:
         """Return the items that may run, in the order of their jobs' age, by service."""
         found: dict[str, dict[str, tuple[JobProgress, Item]]] = {}
-        at_ms, wall_ms = now_ms(), self._clock.wall_ms()
+        at_ms = now_ms()
         for progress in self._registry.owned():
             if not progress.open_count:
                 continue
             route = self._route(progress)
-            if route is None or progress.may_give_up(wall_ms):
-                self._give_up(progress, route, at_ms, wall_ms)
+            known_for_ms = self._registry.known_for_ms(progress.job_id)
+            if route is None or progress.may_give_up(known_for_ms):
+                if route is not None or known_for_ms > ROUTE_GRACE_MS:
+                    self._give_up(progress, route, at_ms)
                 continue
             for item in progress.waiting(at_ms):
                 service = self._pick_service(route)
@@ -168,12 +170,8 @@
         weights = [share.weight for share in route.shares]
         return self._random.choices(route.shares, weights)[0].service
 
-    def _give_up(
-        self, progress: JobProgress, route: Route | None, now_ms: float, wall_ms: float
-    ) -> None:
+    def _give_up(self, progress: JobProgress, route: Route | None, now_ms: float) -> None:
         """End the waiting items of a job whose time is over or whose route is gone."""
-        if route is None and wall_ms - progress.record.submitted_ms < ROUTE_GRACE_MS:
-            return
         for item in list(progress.waiting(float("inf"))):
             self._log.event(
                 "item_given_up", job=progress.job_id, item=item.item_id, has_route=bool(route)
--- a/ebonyshore/runner/job_expiry.py
+++ b/ebonyshore/runner/job_expiry.py
@@ -1,27 +1,25 @@
 """Removes jobs from the store once nobody may ask for them any more."""
 
 from ebonyshore.frame.async_kernel import PeriodicService
-from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.runner.job_registry import JobRegistry
 
-MARGIN_MS = 60_000.0  # clocks differ, and a job may have been sent well before it was accepted
+MARGIN_MS = 60_000.0  # for items that are given up after the job's own retention
 
 
-def is_expired(record: JobRecord, result_retention_ms: float, wall_ms: float) -> bool:
-    """Return whether a job and its results may be removed.
+def is_expired(record: JobRecord, result_retention_ms: float, known_for_ms: float) -> bool:
+    """Return whether a job is old enough to be removed with its results.
 
-    Items that have not ended are given up after the job's own retention.
+    :param known_for_ms: for how long the job has been known at least.
     """
-    kept_ms = max(result_retention_ms, record.retention_ms) + MARGIN_MS
-    return wall_ms > record.submitted_ms + kept_ms
+    return known_for_ms > max(result_retention_ms, record.retention_ms) + MARGIN_MS
 
 
 class JobExpiry(PeriodicService):
-    """Runs in every runner; the first live one removes.
+    """Runs in every runner; the first live one removes. A job that is still open is kept.
 
     :param result_retention_ms: how long results stay readable after a job was submitted.
     """
@@ -34,13 +32,11 @@
         registry: JobRegistry,
         board: LoadBoard,
         result_retention_ms: float,
-        clock: Clock,
         log: EventLog,
     ) -> None:
         self._registry = registry
         self._board = board
         self._result_retention_ms = result_retention_ms
-        self._clock = clock
         self._log = log
 
     async def run_once(self) -> None:
@@ -49,13 +45,17 @@
 
     async def remove_expired(self) -> None:
         """Remove the jobs that have expired by now."""
-        wall_ms = self._clock.wall_ms()
         for found in self._registry.all_records():
-            if is_expired(found.body, self._result_retention_ms, wall_ms):
-                await self._remove(found.body)
+            record = found.body
+            known_for_ms = self._registry.known_for_ms(record.job_id)
+            if is_expired(record, self._result_retention_ms, known_for_ms):
+                await self._remove(record)
 
     async def _remove(self, record: JobRecord) -> None:
         try:
+            progress = await self._registry.read_progress(record.job_id)
+            if progress and not (progress.is_finished or progress.record.is_cancelled):
+                return
             await self._registry.call(self._registry.storage.delete, record)
         except StoreError as error:
             self._log.event("job_not_removed", job=record.job_id, error=str(error))
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -16,7 +16,6 @@
 
 MAX_SEGMENT_BYTES = 600_000
 MAX_PAGE_BYTES = 900_000
-GIVE_UP_MARGIN_MS = 3_000.0  # clocks of two instances may differ
 
 
 class ItemState(Enum):
@@ -121,10 +120,12 @@
             if item.state is ItemState.WAITING and item.not_before_ms <= now_ms
         )
 
-    def may_give_up(self, wall_ms: float) -> bool:
-        """Return whether items that have not ended may be given up for their age."""
-        record = self.record
-        return wall_ms > record.submitted_ms + record.retention_ms + GIVE_UP_MARGIN_MS
+    def may_give_up(self, known_for_ms: float) -> bool:
+        """Return whether items that have not ended may be given up for their age.
+
+        :param known_for_ms: for how long the job has been known at least.
+        """
+        return known_for_ms > self.record.retention_ms
 
     def end(self, item: Item, is_complete: bool, now_ms: float) -> None:
         """Note an item's result, to be stored."""
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -66,6 +66,7 @@
         self._claims: dict[str, Task[None]] = {}
         self._claim_not_before_ms: dict[str, float] = {}
         self._record_ms: dict[str, float] = {}
+        self._first_seen_ms: dict[str, float] = {}
         self._started_ms = 0.0
         self.is_leaving = False
         self.on_change: Callable[[], None] = lambda: None
@@ -108,6 +109,7 @@
             return
         self._records[job_id] = found
         self._record_ms[job_id] = self._clock.boot_ms()
+        self._first_seen_ms.setdefault(job_id, self._record_ms[job_id])
         progress = self._progress.get(job_id)
         if progress is not None:
             progress.record = found.body
@@ -130,6 +132,14 @@
         jobs = [progress for progress in self._progress.values() if self.owns(progress.record)]
         return sorted(jobs, key=lambda progress: (progress.record.submitted_ms, progress.job_id))
 
+    def known_for_ms(self, job_id: str) -> float:
+        """Return for how long this process has known a job; the job is at least as old.
+
+        A step of the time of day does not change it.
+        """
+        now_ms = self._clock.boot_ms()
+        return now_ms - self._first_seen_ms.get(job_id, now_ms)
+
     def open_items(self) -> int:
         """Return how many items of owned jobs have no result yet."""
         return sum(progress.open_count for progress in self.owned())
@@ -251,6 +261,7 @@
         self._progress.pop(job_id, None)
         self._claim_not_before_ms.pop(job_id, None)
         self._record_ms.pop(job_id, None)
+        self._first_seen_ms.pop(job_id, None)
 
     def _forget_key(self, key: str) -> None:
         name = key.split("/", 1)[1]
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -139,7 +139,7 @@
     kernel.register(parts.probe)
     kernel.register(parts.watch_service(_runner_watches(environment, registry, runner, board)))
     kernel.register(runner)
-    kernel.register(JobExpiry(registry, board, settings.result_retention_ms, clock, log))
+    kernel.register(JobExpiry(registry, board, settings.result_retention_ms, log))
     kernel.register(JobApi(host, port, deployment, registry, parts.config, clock, log, metrics))
     kernel.register(OperatorServer(host, METRICS_PORT, kernel, metrics))
     return kernel
--- /dev/null
+++ b/tests/registry_setup.py
@@ -0,0 +1,80 @@
+"""A job registry without other processes, for tests of what a runner knows of jobs."""
+
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+
+from ebonyshore.frame.clock import ManualClock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.host.job_types import ItemRecord, JobRecord
+from ebonyshore.link.load_board import LoadBoard, LoadReport
+from ebonyshore.link.peers import PeerRecord
+from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.store.marked_write import MarkedObject
+
+ITEMS = tuple(ItemRecord(f"i{n}", "/p/x", (), b"b") for n in range(2))
+
+
+def peer(name):
+    return PeerRecord(name, "runner", "10.0.0.1", 7000, "fd-a", "run-1")
+
+
+class CountingStorage:
+    """Answers with a fixed list of segments and counts the reads."""
+
+    def __init__(self):
+        self.stored = []
+        self.reads = 0
+        self.deleted = []
+
+    def segments(self, _job_id, first):
+        self.reads += 1
+        return self.stored[first:]
+
+    def delete(self, record):
+        self.deleted.append(record.job_id)
+
+
+class Peers:
+    """Knows one other runner."""
+
+    def of_role(self, _role):
+        return {"b": peer("b")}
+
+
+class Registry:
+    """A registry with one job, and the board that makes its owner certain or not."""
+
+    def __init__(self, owner="a", retention_ms=1.0):
+        self.clock = ManualClock(10_000.0)
+        self.board = LoadBoard("a")
+        self.storage = CountingStorage()
+        self.registry = JobRegistry(
+            "a",
+            "run-1",
+            self.storage,
+            self.board,
+            Peers(),
+            self.clock,
+            ThreadPoolExecutor(1),
+            EventLog(),
+        )
+        record = JobRecord(
+            "j1",
+            "h",
+            "/p/",
+            0,
+            retention_ms,
+            1.0,
+            3,
+            ITEMS,
+            owner=owner,
+            owner_incarnation="run-1",
+        )
+        self.registry.add_own(MarkedObject("jobs/j1", 5, 1, (), record))
+
+    def hear_other(self, *heard, sequence):
+        report = LoadReport("b", "run-1", sequence, "runner", {}, 0, heard)
+        self.board.note(report, self.clock.boot_ms())
+
+    def read(self):
+        return asyncio.run(self.registry.read_progress("j1"))
