Shut a former owner of a job out before listing its results

Cause: an owner that is suspended with a write under way stores that segment when it wakes, after its job was claimed. The new owner answers reads from memory and learns of the segment only at its own next write.

Change, all parts of one invariant (what an owner answers from memory, no reader has seen more of): - a new owner stores an empty segment with its epoch before it lists; the late write conflicts; - an owner that sees a segment of a later epoch stops; - an owner that was not heard for a while asks the store before it answers from memory again; - a runner does not say that it hears an owner while it claims a job from it; - reads of the store that overlap list all that either found (the later one was dropped).

Not covered: a claim of unknown outcome that the store performs seconds later.

--- a/ebonyshore/host/job_types.py
+++ b/ebonyshore/host/job_types.py
@@ -78,9 +78,16 @@
 
 
 class ResultSegment(Struct, frozen=True):
-    """Results that were listed by one write; positions follow the order of segments."""
+    """Results that were listed by one write; positions follow the order of segments.
+
+    A new owner begins with a segment without results. It takes the number that a write of the
+    owner before would take.
+
+    :param epoch: of the job's record as its writer knew it.
+    """
 
     results: tuple[ResultRecord, ...]
+    epoch: int = 0
 
 
 class ListedResult(Struct, frozen=True):
--- a/ebonyshore/link/load_board.py
+++ b/ebonyshore/link/load_board.py
@@ -85,7 +85,7 @@
     :param own_id: instance id of this process; its own reports are not heard.
     """
 
-    __slots__ = ("_heard_ms", "_last_signs", "_lost", "_own_id", "_reports")
+    __slots__ = ("_heard_ms", "_last_signs", "_lost", "_mutual_since_ms", "_own_id", "_reports")
 
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
@@ -93,6 +93,7 @@
         self._heard_ms: dict[str, float] = {}
         self._last_signs: dict[str, SignOfLife] = {}
         self._lost: dict[str, LoadReport] = {}
+        self._mutual_since_ms: dict[str, float] = {}
 
     def note(self, report: LoadReport, now_ms: float) -> bool:
         """Take a report; return whether it was new. Datagrams may come twice or out of order."""
@@ -102,6 +103,8 @@
         is_old = known is not None and known.incarnation == report.incarnation
         if is_old and known.sequence >= report.sequence:
             return False
+        if not self.is_mutual(report.sender, now_ms) and self._own_id in report.heard:
+            self._mutual_since_ms[report.sender] = now_ms
         self._reports[report.sender] = report
         self._heard_ms[report.sender] = now_ms
         self._lost.pop(report.sender, None)
@@ -133,6 +136,10 @@
             return False
         return now_ms - self._heard_ms[sender] < MUTUAL_LIFE_MS
 
+    def is_mutual_since(self, sender: str, since_ms: float, now_ms: float) -> bool:
+        """Return whether a process has heard this one, and was heard, from a time on till now."""
+        return self.is_mutual(sender, now_ms) and self._mutual_since_ms[sender] <= since_ms
+
     def is_first_runner(self) -> bool:
         """Return whether this process, a runner, has the lowest id of the live ones.
 
--- a/ebonyshore/runner/item_runs.py
+++ b/ebonyshore/runner/item_runs.py
@@ -180,8 +180,8 @@
 
     def _stop_disowned(self) -> None:
         for running in self._running.values():
-            record = running.progress.record
-            if record.is_cancelled or not self._registry.owns(record):
+            progress = running.progress
+            if progress.record.is_cancelled or not self._registry.holds(progress):
                 running.task.cancel()
 
     def _stop_at_lost_targets(self) -> None:
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -124,8 +124,9 @@
         record = self._new_record(call, request)
         if record is None:
             return Reply(503)
+        asked_ms = self._clock.boot_ms()
         stored = await self._registry.call(self._registry.storage.create, record)
-        self._registry.add_own(stored)
+        self._registry.add_own(stored, asked_ms)
         self._metrics.count("jobs_accepted")
         self._log.event(
             "job_accepted",
@@ -163,9 +164,8 @@
         progress = await self._registry.read_progress(call.job_id)
         if progress is None:
             return Reply(404)
-        is_own = self._registry.owns(progress.record) and self._registry.is_certain()
         if (
-            is_own
+            self._registry.is_certain(progress)
             and call.wait_ms
             and call.first >= progress.listed_count
             and not progress.is_finished
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -60,17 +60,23 @@
 
     :param record: as stored.
     :param version: of the record in the store.
+
+    ``checked_ms`` is when the store was last asked for segments, ``writer_epoch`` the highest epoch
+    that wrote one, and ``ready_epoch`` the one in which this process may list results; 0 if none.
     """
 
     __slots__ = (
         "_pending",
         "_results",
         "bodies",
+        "checked_ms",
         "items",
         "next_segment",
         "pending_since_ms",
+        "ready_epoch",
         "record",
         "version",
+        "writer_epoch",
     )
 
     def __init__(self, record: JobRecord, version: int) -> None:
@@ -80,6 +86,9 @@
         self.items = [Item(index, item.item_id) for index, item in enumerate(record.items)]
         self.next_segment = 0
         self.pending_since_ms = float("-inf")
+        self.checked_ms = float("-inf")
+        self.ready_epoch = 0
+        self.writer_epoch = 0
         self._results: list[ResultRecord] = []
         self._pending: list[ResultRecord] = []
 
@@ -147,7 +156,16 @@
             if chosen and size > MAX_SEGMENT_BYTES:
                 break
             chosen.append(result)
-        return ResultSegment(tuple(chosen))
+        return ResultSegment(tuple(chosen), self.record.epoch)
+
+    def apply_from(self, first: int, segments: Iterable[ResultSegment]) -> None:
+        """List the results of stored segments, whose first has the given number.
+
+        Segments that are listed already are passed over, as reads of the store may overlap.
+        """
+        for number, segment in enumerate(segments, first):
+            if number == self.next_segment:
+                self.apply(segment)
 
     def apply(self, segment: ResultSegment) -> None:
         """List the results of the next stored segment."""
@@ -159,6 +177,7 @@
             item.data = []
             self._results.append(result)
         self.next_segment += 1
+        self.writer_epoch = max(self.writer_epoch, segment.epoch)
         self._pending = [
             result
             for result in self._pending
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -2,7 +2,8 @@
 
 Every runner hears every job record. A job whose owner is gone, or that has none, is claimed by one
 of the live runners. Owning a job only decides who spends work on it: results stay right if two
-runners own one for a while.
+runners own one for a while. A new owner first stores a segment, so that what the former one still
+stores later conflicts and cannot be missing from the new owner's memory.
 """
 
 from asyncio import Event, Task, create_task, get_running_loop
@@ -15,7 +16,7 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.host.job_types import JobRecord
+from ebonyshore.host.job_types import JobRecord, ResultSegment
 from ebonyshore.link.load_board import LoadBoard
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.runner.claim_policy import OwnerSigns, may_claim
@@ -27,6 +28,7 @@
 from ebonyshore.store.platform_api import StoredObject
 
 CLAIM_RETRY_MS = 500.0
+MAX_FENCE_TRIES = 5
 
 ResultT = TypeVar("ResultT")
 
@@ -64,6 +66,7 @@
         self._progress: dict[str, JobProgress] = {}
         self._news: dict[str, Event] = {}
         self._claims: dict[str, Task[None]] = {}
+        self._claimed_from: dict[str, str] = {}
         self._claim_not_before_ms: dict[str, float] = {}
         self._record_ms: dict[str, float] = {}
         self._first_seen_ms: dict[str, float] = {}
@@ -75,14 +78,22 @@
         """Note the start; owners have from then on to be heard."""
         self._started_ms = self._clock.boot_ms()
 
-    def is_certain(self) -> bool:
-        """Return whether no other runner can have taken over an owned job by now.
+    def is_certain(self, progress: JobProgress) -> bool:
+        """Return whether this runner has a job and no other one can have taken it over by now.
 
-        A runner claims a job only when it has not heard the owner for a while. So an owner is
-        certain while it knows that every registered runner hears it.
+        A runner claims a job only when it has not heard the owner for a while, and does not say
+        that it hears it before the claim has ended. So an owner is certain if it has asked the
+        store since every registered runner has been hearing it.
         """
         now_ms = self._clock.boot_ms()
-        return all(self._board.is_mutual(peer, now_ms) for peer in self._peers.of_role("runner"))
+        return self.holds(progress) and all(
+            self._board.is_mutual_since(peer, progress.checked_ms, now_ms)
+            for peer in self._peers.of_role("runner")
+        )
+
+    def owners_being_replaced(self) -> set[str]:
+        """Return the owners that this runner is claiming jobs from."""
+        return set(self._claimed_from.values())
 
     async def call(self, function: Callable[..., ResultT], *arguments) -> ResultT:
         """Run a blocking call to the store on a thread."""
@@ -116,20 +127,33 @@
             progress.version = found.version
         self.on_change()
 
-    def add_own(self, found: MarkedObject[JobRecord]) -> None:
-        """Take a job that was just stored with this runner as its owner."""
+    def add_own(self, found: MarkedObject[JobRecord], asked_ms: float) -> None:
+        """Take a job that was just stored with this runner as its owner.
+
+        :param asked_ms: when the store was asked to.
+        """
         self.note(found)
-        if found.body.job_id not in self._progress and self.owns(found.body):
-            self._progress[found.body.job_id] = JobProgress(found.body, found.version)
+        record = found.body
+        if record.job_id not in self._progress and self.owns(record) and record.epoch <= 1:
+            progress = JobProgress(record, found.version)
+            progress.checked_ms = asked_ms
+            progress.ready_epoch = record.epoch
+            self._progress[record.job_id] = progress
         self.on_change()
 
     def owns(self, record: JobRecord) -> bool:
         """Return whether this process is the owner."""
         return record.owner == self.own_id and record.owner_incarnation == self.incarnation
 
+    def holds(self, progress: JobProgress) -> bool:
+        """Return whether this process may list results of a job, as far as it knows."""
+        record = progress.record
+        is_ready = progress.ready_epoch == record.epoch
+        return self.owns(record) and is_ready and progress.writer_epoch <= record.epoch
+
     def owned(self) -> list[JobProgress]:
-        """Return the jobs of owned jobs, those due first at the front."""
-        jobs = [progress for progress in self._progress.values() if self.owns(progress.record)]
+        """Return the jobs that this process runs, those due first at the front."""
+        jobs = [progress for progress in self._progress.values() if self.holds(progress)]
         return sorted(jobs, key=lambda progress: (progress.record.submitted_ms, progress.job_id))
 
     def known_for_ms(self, job_id: str) -> float:
@@ -165,7 +189,7 @@
 
     def _is_current(self, progress: JobProgress) -> bool:
         """Return whether the store cannot hold more results than is known here."""
-        return progress.is_finished or (self.owns(progress.record) and self.is_certain())
+        return progress.is_finished or self.is_certain(progress)
 
     async def wait_for_news(self, job_id: str) -> None:
         """Wait until results of a job are listed."""
@@ -185,6 +209,7 @@
         runners = [self.own_id, *self._board.runners()]
         for job_id, found in self._records.items():
             if job_id not in self._claims and self._is_to_claim(found.body, runners, now_ms):
+                self._claimed_from[job_id] = found.body.owner
                 self._claims[job_id] = create_task(self._claim(job_id))
 
     async def release_all(self) -> None:
@@ -202,12 +227,12 @@
     def _is_to_claim(self, record: JobRecord, runners: list[str], now_ms: float) -> bool:
         job_id = record.job_id
         progress = self._progress.get(job_id)
-        if self.owns(record):
-            return progress is None
-        if progress is not None and progress.is_finished:
+        if record.is_cancelled or (progress is not None and progress.is_finished):
             return False
         if now_ms < self._claim_not_before_ms.get(job_id, 0.0):
             return False
+        if self.owns(record):
+            return progress is None or progress.ready_epoch != record.epoch
         is_first_choice = first_choice(job_id, runners) == self.own_id
         sign = self._board.sign_of(record.owner)
         signs = OwnerSigns(
@@ -223,9 +248,11 @@
             found = self._records[job_id]
             if self._progress[job_id].is_finished:
                 return
+            claimed = found
             if not self.owns(found.body):
                 claimed = await self.call(self.storage.claim, found, self.own_id, self.incarnation)
                 self.note(claimed)
+            await self._begin_epoch(self._progress[job_id], claimed.body.epoch, found.body.owner)
             self._log.event(
                 "job_claimed", job=job_id, previous=found.body.owner, epoch=found.body.epoch
             )
@@ -236,20 +263,46 @@
         finally:
             self._claim_not_before_ms[job_id] = self._clock.boot_ms() + CLAIM_RETRY_MS
             del self._claims[job_id]
+            del self._claimed_from[job_id]
             self.on_change()
 
+    async def _begin_epoch(self, progress: JobProgress, epoch: int, former_owner: str) -> None:
+        """Make sure that no former owner lists results of a claimed job any more.
+
+        An owner that has released the job has ended its writes before.
+
+        :raises WriteConflictError: if other writers took each number that was tried.
+        """
+        if epoch > 1 and former_owner:
+            await self._store_fence(progress, epoch)
+        progress.ready_epoch = epoch
+
+    async def _store_fence(self, progress: JobProgress, epoch: int) -> None:
+        fence = ResultSegment((), epoch)
+        for _ in range(MAX_FENCE_TRIES):
+            number = progress.next_segment
+            try:
+                await self.call(self.storage.append, progress.job_id, number, fence)
+            except WriteConflictError:
+                await self._load(progress.job_id)
+                if progress.writer_epoch >= epoch:
+                    return  # stored by an earlier try, or a later owner has begun
+            else:
+                progress.apply_from(number, [fence])
+                return
+        raise WriteConflictError(f"{progress.job_id}: other writers took {MAX_FENCE_TRIES} numbers")
+
     async def _load(self, job_id: str) -> JobProgress:
         """Bring a job's progress to what the store has listed."""
         found = self._records[job_id]
         progress = self._progress.get(job_id) or JobProgress(found.body, found.version)
-        first = progress.next_segment
+        first, asked_ms = progress.next_segment, self._clock.boot_ms()
         segments = await self.call(self.storage.segments, job_id, first)
         if found.body.body_parts and not progress.bodies:
             progress.bodies = await self.call(self.storage.bodies, found.body)
         known = self._progress.setdefault(job_id, progress)
-        if known.next_segment == first:
-            for segment in segments:
-                known.apply(segment)
+        known.apply_from(first, segments)
+        known.checked_ms = max(known.checked_ms, asked_ms)
         known.bodies = known.bodies or progress.bodies
         if segments:
             self.tell_news(job_id)
--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -66,8 +66,7 @@
         number = progress.next_segment
         try:
             await registry.call(registry.storage.append, progress.job_id, number, segment)
-            if progress.next_segment == number:
-                progress.apply(segment)
+            progress.apply_from(number, [segment])
             self._metrics.count("results_listed", len(segment.results))
             self._log.event(
                 "results_listed",
@@ -95,9 +94,7 @@
             self._log.event("segments_unread", job=progress.job_id, error=str(error))
             await sleep(RETRY_MS / MS_PER_S)
             return
-        if progress.next_segment == number:
-            for segment in segments:
-                progress.apply(segment)
+        progress.apply_from(number, segments)
         self._log.event(
             "segment_conflict", job=progress.job_id, segment=number, found=len(segments)
         )
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -49,7 +49,7 @@
             own.role,
             self._targets.own_counts(),
             self._registry.open_items(),
-            tuple(self._board.runners()),
+            tuple(self._board.runners().keys() - self._registry.owners_being_replaced()),
         )
         others = self._peers.of_role("runner").values()
         exchange.send(report, [(peer.host, peer.port) for peer in others])
--- a/tests/registry_setup.py
+++ b/tests/registry_setup.py
@@ -44,10 +44,10 @@
 class Registry:
     """A registry with one job, and the board that makes its owner certain or not."""
 
-    def __init__(self, owner="a", retention_ms=1.0):
+    def __init__(self, owner="a", retention_ms=1.0, epoch=0, storage=None):
         self.clock = ManualClock(10_000.0)
         self.board = LoadBoard("a")
-        self.storage = CountingStorage()
+        self.storage = storage or CountingStorage()
         self.registry = JobRegistry(
             "a",
             "run-1",
@@ -69,8 +69,10 @@
             ITEMS,
             owner=owner,
             owner_incarnation="run-1",
+            epoch=epoch,
         )
-        self.registry.add_own(MarkedObject("jobs/j1", 5, 1, (), record))
+        found = storage.create(record) if storage else MarkedObject("jobs/j1", 5, 1, (), record)
+        self.registry.add_own(found, self.clock.boot_ms())
 
     def hear_other(self, *heard, sequence):
         report = LoadReport("b", "run-1", sequence, "runner", {}, 0, heard)
