--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: test soak soak-processes bench capacity demo lint format
+.PHONY: test soak soak-processes bench capacity entry-cost demo lint format
 
 test: lint
 	$(BIN)/python -m pytest -q
@@ -34,6 +34,9 @@
 capacity: $(INSTALLED)
 	$(BIN)/python -m ebonyshore_bench.capacity
 
+entry-cost: $(INSTALLED)
+	$(BIN)/python -m ebonyshore_bench.entry_cost
+
 $(INSTALLED): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -83,6 +83,8 @@
     """One process of the system on an address of its own.
 
     :param ip: a loopback address; a process listens on fixed ports of it.
+
+    ``launcher`` holds the interpreter's arguments before the role; change it before the start.
     """
 
     def __init__(self, role: str, name: str, ip: str, folder: Path) -> None:
@@ -91,6 +93,7 @@
         self.ip = ip
         self.front = free_port(ip)
         self.ready = free_port(ip)
+        self.launcher: tuple[str, ...] = ("-m", "ebonyshore.platform")
         self._log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.toml"
         self._internal = free_port(ip)
@@ -123,7 +126,7 @@
         environment = {**os.environ, "EBONYSHORE_CONFIG": str(self._settings_path)}
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "ebonyshore.platform", self.role],
+                [sys.executable, *self.launcher, self.role],
                 env=environment,
                 stdout=log,
                 stderr=log,
