--- a/ebonyshore_report/__main__.py
+++ b/ebonyshore_report/__main__.py
@@ -11,12 +11,14 @@
 from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore_report.errors import ReportError
 from ebonyshore_report.journal import read_runs
+from ebonyshore_report.own_days import read_own_days
 from ebonyshore_report.played_day import read_day
 from ebonyshore_report.plots import save_plots
 from ebonyshore_report.request_log import RequestLog
 from ebonyshore_report.tables import ExplainedDay, markdown
 
 JOURNAL = Path("journal")
+OWN_DAYS = Path("deploy/days")
 FOLDER = Path("build/report")
 
 
@@ -33,14 +35,21 @@
         raise ReportError(str(error)) from error
 
 
-def write_report(journal: Path, days: list[Path], folder: Path) -> str:
+def write_report(
+    journal: Path, own_days: Path, days: list[Path], folder: Path, since: str = ""
+) -> str:
     """Write ``report.md`` and the plots; return the text.
 
+    :param own_days: folder of the repository's own days.
+    :param days: reports of days that were played with their log.
+    :param since: earliest start of hunts and plays that count, as ISO 8601 in UTC.
     :raises ReportError: if a file is not what it should be.
     """
     explained = [read_explained_day(path) for path in days]
     scores = read_runs(journal, "score")
-    text = markdown(scores, read_runs(journal, "hunt"), explained)
+    hunts = read_runs(journal, "hunt", since)
+    plays = [*hunts, *read_runs(journal, "run", since)]
+    text = markdown(scores, hunts, read_own_days(own_days, plays), explained)
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "report.md").write_text(text, encoding="utf-8")
     save_plots(scores, explained, folder)
@@ -52,10 +61,18 @@
     parser = argparse.ArgumentParser(prog="python -m ebonyshore_report")
     parser.add_argument("days", nargs="*", type=Path, help="reports of played days")
     parser.add_argument("--journal", type=Path, default=JOURNAL)
+    parser.add_argument("--own-days", type=Path, default=OWN_DAYS)
     parser.add_argument("--folder", type=Path, default=FOLDER)
+    parser.add_argument(
+        "--since", default="", help="earliest start of hunts, as 2026-01-31T00:00:00Z"
+    )
     options = parser.parse_args()
     try:
-        print(write_report(options.journal, options.days, options.folder))
+        print(
+            write_report(
+                options.journal, options.own_days, options.days, options.folder, options.since
+            )
+        )
     except EbonyshoreError as error:
         print(error, file=sys.stderr)
         return int(error.code)
--- a/ebonyshore_report/journal.py
+++ b/ebonyshore_report/journal.py
@@ -26,6 +26,11 @@
     broken_rules: dict[str, int] = field(name="rules", default={})
     seed: int | None = None
 
+    @property
+    def file_stem(self) -> str:
+        """Name of the day's file without folder and suffix; the day's own name if it has none."""
+        return Path(self.name.partition(" ")[0]).stem
+
 
 class Run(Struct, frozen=True):
     """One run of the bench.
@@ -49,9 +54,11 @@
         return not any(day.broken_rules for day in self.days)
 
 
-def read_runs(folder: Path, command: str) -> list[Run]:
+def read_runs(folder: Path, command: str, since: str = "") -> list[Run]:
     """Return the finished runs of a command, oldest first.
 
+    :param since: earliest start, as ISO 8601 in UTC; all runs if empty.
+
     :raises ReportError: if a file is not a run of the bench.
     """
     decoder = Decoder(Run)
@@ -61,7 +68,7 @@
             run = decoder.decode(path.read_bytes())
         except ValidationError as error:
             raise ReportError(f"{path.name}: {error}") from error
-        if run.command == command and run.is_finished:
+        if run.command == command and run.is_finished and run.times[0] >= since:
             runs.append(run)
     return runs
 
--- a/ebonyshore_report/plots.py
+++ b/ebonyshore_report/plots.py
@@ -23,7 +23,8 @@
         axis.plot(range(1, len(runs) + 1), values, marker="o", label=site)
     axis.set_xlabel("run")
     axis.set_ylabel("score, 0 with a broken rule")
-    axis.legend()
+    if scores:
+        axis.legend()
     _save(figure, folder / "scores.png")
     for found in days:
         _save_day(found, folder / f"{found.name}.png")
--- a/ebonyshore_report/tables.py
+++ b/ebonyshore_report/tables.py
@@ -6,6 +6,7 @@
 
 from ebonyshore_bench.markdown_table import table
 from ebonyshore_report.journal import Run, by_site
+from ebonyshore_report.own_days import OwnDay
 from ebonyshore_report.played_day import (
     PlayedDay,
     bound,
@@ -28,11 +29,21 @@
     log: RequestLog
 
 
-def markdown(scores: Sequence[Run], hunts: Sequence[Run], days: Sequence[ExplainedDay]) -> str:
-    """Return the whole report."""
+def markdown(
+    scores: Sequence[Run],
+    hunts: Sequence[Run],
+    own_days: Sequence[OwnDay],
+    days: Sequence[ExplainedDay],
+) -> str:
+    """Return the whole report.
+
+    :param own_days: with their plays.
+    :param days: that were played with their log.
+    """
     lines = ["# Days on the users' bench", "", "## Scores", "", *_score_table(scores)]
     lines += ["", "## First and last score of each day", "", *_change_table(scores)]
     lines += ["", "## Hunts", "", *_hunt_table(hunts)]
+    lines += ["", "## Own days", "", *_own_day_table(own_days)]
     if days:
         lines += ["", "## What binds", "", *_bound_table(days)]
         lines += ["", "## How requests ended", "", *_outcome_table(days)]
@@ -91,6 +102,21 @@
     return table(head, rows)
 
 
+def _own_day_table(days: Sequence[OwnDay]) -> list[str]:
+    sites = sorted({site for day in days for site in day.plays})
+    head = ["Day", "Kinds of trouble", *sites, "Rules broken"]
+    rows = [
+        [
+            day.name,
+            ", ".join(day.kinds),
+            *(str(day.plays.get(site, 0)) for site in sites),
+            "; ".join(day.breaks) or "none",
+        ]
+        for day in days
+    ]
+    return table(head, rows)
+
+
 def _bound_table(days: Sequence[ExplainedDay]) -> list[str]:
     head = ["Day", "Worth", "Served in aim", "Bound", "No entry ran, s", "Worst window", "Then"]
     rows: list[list[str]] = []
--- a/tests/test_site_report.py
+++ b/tests/test_site_report.py
@@ -1,5 +1,7 @@
 """The report of days that the users' bench has played."""
 
+from functools import partial
+
 import msgspec
 import pytest
 
@@ -66,7 +68,7 @@
     assert causes(day, day.windows[1]) == ["closing (kill_all)"]
 
 
-def run(command, score, rules, start):
+def run(command, score, rules, start, name="quiet-1"):
     return {
         "cmd": command,
         "at": [start, start],
@@ -74,7 +76,7 @@
         "site": "s",
         "score": score,
         "ok": True,
-        "days": [{"name": "quiet-1", "G": 0.9, "score": score, "rules": rules}],
+        "days": [{"name": name, "G": 0.9, "score": score, "rules": rules}],
     }
 
 
@@ -91,7 +93,7 @@
     played = tmp_path / "trouble.json"
     played.write_bytes(msgspec.json.encode(day))
     played.with_suffix(".log").write_text(LOG)
-    text = write_report(journal, [played], tmp_path / "out")
+    text = write_report(journal, tmp_path, [played], tmp_path / "out")
     assert "| s | quiet-1 | 0.900 | 0.900 | 0.500 | 0.750 |" in text
     assert "quiet-1: LOST 1" in text
     assert "| trouble | 0.700 | 0.625 |" in text
@@ -106,4 +108,25 @@
     played = tmp_path / "other.json"
     played.write_text("{}")
     with pytest.raises(ReportError, match="other.json"):
-        write_report(tmp_path, [played], tmp_path)
+        write_report(tmp_path, tmp_path, [played], tmp_path)
+
+
+def test_own_days_are_counted_by_site_with_what_broke(tmp_path):
+    """Guards against a matrix that counts plays of code before ``since``."""
+    (tmp_path / "cut-burst.toml").write_text(
+        'plan = [{ at = 5.0, kind = "retire" }]\n'
+        'faults = [{ at = 3.0, kind = "core_cut", how = "one_way" }]\n'
+        'closing = { kind = "kill_all" }\n'
+    )
+    name = "deploy/days/cut-burst.toml --vary --seed 7"
+    runs = [
+        run("hunt", None, {"LOST": 2}, "2026-01-01", name),
+        run("hunt", None, {}, "2026-01-02", name),
+        run("run", None, {}, "2026-01-03", "cut-burst"),
+    ]
+    for number, found in enumerate(runs):
+        (tmp_path / f"{number}.json").write_bytes(msgspec.json.encode(found))
+    write = partial(write_report, tmp_path, tmp_path, [], tmp_path / "out")
+    kinds = "core_cut (one_way), retire, closing kill_all"
+    assert f"| cut-burst | {kinds} | 3 | s {name}: LOST |" in write()
+    assert f"| cut-burst | {kinds} | 2 | none |" in write("2026-01-02")
