Offer a job to a further runner while the first settles its write

Cause: a runner that the store does not answer settles the write of a submitted job for up to 5 s, and an entry waited 2.5 s for it before it asked the next. The runner is even preferred, as it lists nothing and starts little.

Change: a submitted job is offered to the next runner after 120 ms; the first answer for good counts. The job's record is created once, so whichever runner stores it first owns it. Reads still ask one runner after the other, as each costs calls to the store.

Ruled out: the time to connect (no runner_call_failed lines then).

--- a/ebonyshore/gateway/job_calls.py
+++ b/ebonyshore/gateway/job_calls.py
@@ -4,9 +4,9 @@
 first; a new job goes to the runner with the least to do.
 """
 
-from asyncio import timeout
+from asyncio import FIRST_COMPLETED, Task, create_task, timeout, wait
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 from urllib.parse import parse_qs, quote, urlencode, urlsplit
 
@@ -31,6 +31,7 @@
 CONNECT_TIMEOUT_MS = 250.0
 CALL_TIMEOUT_MS = 1_200.0
 SUBMIT_TIMEOUT_MS = 2_500.0
+SUBMIT_PATIENCE_MS = 120.0  # until a further runner is offered the job
 MAX_IDLE_MS = 4_000.0
 MAX_WAIT_MS = 1_000.0
 RETRY_AFTER_MS = 600.0
@@ -52,6 +53,37 @@
         responder.send(self.status, headers, self.body)
 
 
+class RunnerAnswers:
+    """What the runners have answered to one call so far.
+
+    ``final`` is an answer that ends the call, or ``None``.
+    """
+
+    __slots__ = ("_last", "_may_have_taken", "final")
+
+    def __init__(self) -> None:
+        self.final: RunnerAnswer | None = None
+        self._may_have_taken = False
+        self._last: OwnAnswer | RunnerAnswer = not_run(ResultCode.NO_TARGET, RETRY_AFTER_MS)
+
+    def note(self, answer: RunnerAnswer) -> None:
+        """Take an answer."""
+        if answer.status < 500:
+            self.final = answer
+        self._may_have_taken = self._may_have_taken or answer.status != 503
+        self._last = answer
+
+    def note_failure(self, error: ExchangeError) -> None:
+        """Take that a runner did not answer."""
+        self._may_have_taken = self._may_have_taken or error.was_sent
+
+    def without_final(self, kind: JobCallKind) -> OwnAnswer | RunnerAnswer:
+        """Return what the caller is told if no runner has answered for good."""
+        if kind is JobCallKind.SUBMIT and self._may_have_taken:
+            return may_have_run(ResultCode.OUTCOME_UNKNOWN)
+        return self._last
+
+
 class JobCalls:
     """Calls runners for an entry.
 
@@ -93,24 +125,44 @@
             answer.send(responder)
 
     async def _ask_runners(self, call: JobCall, request: Request) -> OwnAnswer | RunnerAnswer:
-        """Ask one runner after the other until one answers for good."""
-        may_have_taken = False
-        last: OwnAnswer | RunnerAnswer = not_run(ResultCode.NO_TARGET, RETRY_AFTER_MS)
-        for runner in self._order(call):
-            try:
-                answer = await self._ask(runner, call, request)
-            except ExchangeError as error:
-                may_have_taken = may_have_taken or error.was_sent
-                self._note_failure(runner, call, error)
-                continue
+        """Ask one runner after the other until one answers for good.
+
+        A runner that is cut off from the store settles its write for seconds. A submitted job is
+        offered to the next one meanwhile: whichever stores it first owns it.
+        """
+        patience_ms = SUBMIT_PATIENCE_MS if call.kind is JobCallKind.SUBMIT else None
+        waiting = self._order(call)
+        asked: dict[Task[RunnerAnswer], PeerRecord] = {}
+        answers = RunnerAnswers()
+        try:
+            while waiting or asked:
+                if waiting:
+                    runner = waiting.pop(0)
+                    asked[create_task(self._ask(runner, call, request))] = runner
+                for task in await _first_done(asked, patience_ms if waiting else None):
+                    self._take(answers, call, asked.pop(task), task)
+                if answers.final is not None:
+                    return answers.final
+        finally:
+            for task in asked:
+                task.cancel()
+        return answers.without_final(call.kind)
+
+    def _take(
+        self,
+        answers: RunnerAnswers,
+        call: JobCall,
+        runner: PeerRecord,
+        task: Task[RunnerAnswer],
+    ) -> None:
+        try:
+            answer = task.result()
+        except ExchangeError as error:
+            answers.note_failure(error)
+            self._note_failure(runner, call, error)
+        else:
+            answers.note(answer)
             self._note_owner(call.job_id, answer)
-            if answer.status < 500:
-                return answer
-            may_have_taken = may_have_taken or answer.status != 503
-            last = answer
-        if call.kind is JobCallKind.SUBMIT and may_have_taken:
-            return may_have_run(ResultCode.OUTCOME_UNKNOWN)
-        return last
 
     def _note_failure(self, runner: PeerRecord, call: JobCall, error: ExchangeError) -> None:
         self._metrics.count("runner_calls_failed")
@@ -200,6 +252,15 @@
     return sorted(runners, key=key)
 
 
+async def _first_done(
+    tasks: Iterable[Task[RunnerAnswer]], patience_ms: float | None
+) -> set[Task[RunnerAnswer]]:
+    """Wait until a task has ended, or for so long; return those that have."""
+    limit_s = None if patience_ms is None else patience_ms / MS_PER_S
+    done, _ = await wait(tasks, timeout=limit_s, return_when=FIRST_COMPLETED)
+    return done
+
+
 async def _read_answer(connection: ClientConnection) -> RunnerAnswer:
     head = await connection.next_item()
     if not isinstance(head, ResponseHead):
