--- a/ebonyshore_report/played_day.py
+++ b/ebonyshore_report/played_day.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from msgspec import Struct, ValidationError
+from msgspec import Struct, ValidationError, field
 from msgspec.json import Decoder
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -17,12 +17,12 @@
     """Two seconds of the day, by the time of each request's first send.
 
     :param name: second at which it begins.
-    :param n: requests sent.
-    :param in_aim: of them, served within their aim.
+    :param asked: requests sent.
+    :param in_aim: of them, served within their aim; likewise the other numbers.
     """
 
     name: str
-    n: int
+    asked: int = field(name="n")
     in_aim: int
     late: int
     refused: int
@@ -45,18 +45,17 @@
 
 
 class PlayedDay(Struct, frozen=True):
-    """The bench's report of one day, as far as it is used here."""
+    """The bench's report of one day, as far as it is used here.
 
-    G: float
+    :param worth: of all requests, less prices, 0 to 1.
+    :param served: share of the worth that callers got.
+    """
+
+    worth: float = field(name="G")
     served: float
     windows: tuple[Window, ...]
     events: tuple[Disruption, ...]
 
-    @property
-    def worth(self) -> float:
-        """Of all requests, less prices."""
-        return self.G
-
 
 class Darkness(Struct, frozen=True):
     """A time without any running entry."""
@@ -100,16 +99,16 @@
     It loses only requests whose whole aim passes while no entry runs. Work under way when the
     entries end, and targets that are full, are left out, so more cannot be served.
     """
-    asked = sum(window.n for window in day.windows)
+    asked = sum(window.asked for window in day.windows)
     if not asked:
         return 1.0
-    lost = sum(window.n * _dark_share(window, day, darkness, aim_ms) for window in day.windows)
+    lost = sum(window.asked * _dark_share(window, day, darkness, aim_ms) for window in day.windows)
     return 1.0 - lost / asked
 
 
 def served_in_aim(day: PlayedDay) -> float:
     """Return the share of requests served in their aim; those not owed count as served."""
-    asked = sum(window.n for window in day.windows)
+    asked = sum(window.asked for window in day.windows)
     return sum(window.in_aim + window.not_owed for window in day.windows) / asked if asked else 1.0
 
 
@@ -126,7 +125,7 @@
 
 def worst_windows(day: PlayedDay, count: int = 2) -> list[Window]:
     """Return the windows that lost the most worth, the worst first."""
-    return sorted(day.windows, key=lambda window: (window.worth - 1.0) * window.n)[:count]
+    return sorted(day.windows, key=lambda window: (window.worth - 1.0) * window.asked)[:count]
 
 
 def _length_s(day: PlayedDay) -> float:
