--- a/ebonyshore_report/__main__.py
+++ b/ebonyshore_report/__main__.py
@@ -19,6 +19,7 @@
 
 JOURNAL = Path("journal")
 OWN_DAYS = Path("deploy/days")
+LATENCY_TARGET_MS = 400.0  # the longest of the first sites' routes
 FOLDER = Path("build/report")
 
 
@@ -36,20 +37,26 @@
 
 
 def write_report(
-    journal: Path, own_days: Path, days: list[Path], folder: Path, since: str = ""
+    journal: Path,
+    own_days: Path,
+    days: list[Path],
+    folder: Path,
+    since: str = "",
+    latency_target_ms: float = LATENCY_TARGET_MS,
 ) -> str:
     """Write ``report.md`` and the plots; return the text.
 
     :param own_days: folder of the repository's own days.
     :param days: reports of days that were played with their log.
     :param since: earliest start of hunts and plays that count, as ISO 8601 in UTC.
+    :param latency_target_ms: the longest of the days' routes.
     :raises ReportError: if a file is not what it should be.
     """
     explained = [read_explained_day(path) for path in days]
     scores = read_runs(journal, "score")
     hunts = read_runs(journal, "hunt", since)
     plays = [*hunts, *read_runs(journal, "run", since)]
-    text = markdown(scores, hunts, read_own_days(own_days, plays), explained)
+    text = markdown(scores, hunts, read_own_days(own_days, plays), explained, latency_target_ms)
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "report.md").write_text(text, encoding="utf-8")
     save_plots(scores, explained, folder)
@@ -66,11 +73,17 @@
     parser.add_argument(
         "--since", default="", help="earliest start of hunts, as 2026-01-31T00:00:00Z"
     )
+    parser.add_argument("--latency-target-ms", type=float, default=LATENCY_TARGET_MS)
     options = parser.parse_args()
     try:
         print(
             write_report(
-                options.journal, options.own_days, options.days, options.folder, options.since
+                options.journal,
+                options.own_days,
+                options.days,
+                options.folder,
+                options.since,
+                options.latency_target_ms,
             )
         )
     except EbonyshoreError as error:
--- a/ebonyshore_report/played_day.py
+++ b/ebonyshore_report/played_day.py
@@ -18,7 +18,7 @@
 
     :param name: second at which it begins.
     :param asked: requests sent.
-    :param in_aim: of them, served within their aim; likewise the other numbers.
+    :param in_aim: of them, served within their latency target; likewise the other numbers.
     """
 
     name: str
@@ -57,7 +57,7 @@
     events: tuple[Disruption, ...]
 
 
-class Darkness(Struct, frozen=True):
+class Outage(Struct, frozen=True):
     """A time without any running entry."""
 
     start_s: float
@@ -75,41 +75,47 @@
         raise ReportError(f"{path.name}: {error}") from error
 
 
-def dark_times(day: PlayedDay, starts_s: dict[str, Sequence[float]]) -> list[Darkness]:
+def find_outages(day: PlayedDay, starts_s: dict[str, Sequence[float]]) -> list[Outage]:
     """Return the times in which no entry ran.
 
     A disruption that ends many at once, and after which every entry starts again, ended them all.
 
     :param starts_s: by entry, when its processes started.
     """
-    found: list[Darkness] = []
+    found: list[Outage] = []
     for event in day.events:
         ends_s = [
             min((at for at in starts if 0 < at - event.at_s < RESTART_S), default=None)
             for starts in starts_s.values()
         ]
         if event.kind.startswith(ENDS_ALL) and ends_s and None not in ends_s:
-            found.append(Darkness(event.at_s, min(ends_s)))
+            found.append(Outage(event.at_s, min(ends_s)))
     return found
 
 
-def bound(day: PlayedDay, darkness: Sequence[Darkness], aim_ms: float) -> float:
-    """Return the share of requests that a scheduler that knows all could have served in their aim.
+def bound(day: PlayedDay, outages: Sequence[Outage], latency_target_ms: float) -> float:
+    """Return the share of requests that a scheduler that knows all could have served on time.
 
-    It loses only requests whose whole aim passes while no entry runs. Work under way when the
+    It loses only requests whose latency target passes while no entry runs. Work under way when the
     entries end, and targets that are full, are left out, so more cannot be served.
+
+    :param latency_target_ms: the longest of the routes; a shorter one makes the bound too low.
     """
     asked = sum(window.asked for window in day.windows)
     if not asked:
         return 1.0
-    lost = sum(window.asked * _dark_share(window, day, darkness, aim_ms) for window in day.windows)
+    lost = sum(
+        window.asked * _lost_share(window, day, outages, latency_target_ms)
+        for window in day.windows
+    )
     return 1.0 - lost / asked
 
 
-def served_in_aim(day: PlayedDay) -> float:
-    """Return the share of requests served in their aim; those not owed count as served."""
+def served_on_time(day: PlayedDay) -> float:
+    """Return the share of requests served on time; those not owed count as served."""
     asked = sum(window.asked for window in day.windows)
-    return sum(window.in_aim + window.not_owed for window in day.windows) / asked if asked else 1.0
+    served = sum(window.in_aim + window.not_owed for window in day.windows)
+    return served / asked if asked else 1.0
 
 
 def causes(day: PlayedDay, window: Window) -> list[str]:
@@ -133,13 +139,17 @@
     return min((b - a for a, b in zip(starts_s, starts_s[1:], strict=False)), default=1.0)
 
 
-def _dark_share(
-    window: Window, day: PlayedDay, darkness: Sequence[Darkness], aim_ms: float
+def _lost_share(
+    window: Window, day: PlayedDay, outages: Sequence[Outage], latency_target_ms: float
 ) -> float:
     length_s = _length_s(day)
     end_s = window.start_s + length_s
-    dark_s = sum(
-        max(0.0, min(end_s, dark.end_s - aim_ms / MS_PER_S) - max(window.start_s, dark.start_s))
-        for dark in darkness
+    lost_s = sum(
+        max(
+            0.0,
+            min(end_s, outage.end_s - latency_target_ms / MS_PER_S)
+            - max(window.start_s, outage.start_s),
+        )
+        for outage in outages
     )
-    return min(1.0, dark_s / length_s)
+    return min(1.0, lost_s / length_s)
--- a/ebonyshore_report/tables.py
+++ b/ebonyshore_report/tables.py
@@ -11,14 +11,13 @@
     PlayedDay,
     bound,
     causes,
-    dark_times,
-    served_in_aim,
+    find_outages,
+    served_on_time,
     worst_windows,
 )
 from ebonyshore_report.request_log import RequestLog
 
 COMMIT_LENGTH = 7
-AIM_MS = 308.0  # of the sites' streaming routes
 
 
 class ExplainedDay(Struct, frozen=True):
@@ -34,18 +33,20 @@
     hunts: Sequence[Run],
     own_days: Sequence[OwnDay],
     days: Sequence[ExplainedDay],
+    latency_target_ms: float,
 ) -> str:
     """Return the whole report.
 
     :param own_days: with their plays.
     :param days: that were played with their log.
+    :param latency_target_ms: time within which a request has to be served, for the bound.
     """
     lines = ["# Days on the users' bench", "", "## Scores", "", *_score_table(scores)]
     lines += ["", "## First and last score of each day", "", *_change_table(scores)]
     lines += ["", "## Hunts", "", *_hunt_table(hunts)]
     lines += ["", "## Own days", "", *_own_day_table(own_days)]
     if days:
-        lines += ["", "## What binds", "", *_bound_table(days)]
+        lines += ["", "## What binds", "", *_bound_table(days, latency_target_ms)]
         lines += ["", "## How requests ended", "", *_outcome_table(days)]
     return "\n".join(lines) + "\n"
 
@@ -117,20 +118,20 @@
     return table(head, rows)
 
 
-def _bound_table(days: Sequence[ExplainedDay]) -> list[str]:
-    head = ["Day", "Worth", "Served in aim", "Bound", "No entry ran, s", "Worst window", "Then"]
+def _bound_table(days: Sequence[ExplainedDay], latency_target_ms: float) -> list[str]:
+    head = ["Day", "Worth", "Served on time", "Bound", "No entry ran, s", "Worst window", "Then"]
     rows: list[list[str]] = []
     for found in days:
-        darkness = dark_times(found.day, found.log.starts_s)
-        dark = ", ".join(f"{dark.start_s:.1f}–{dark.end_s:.1f}" for dark in darkness)
+        outages = find_outages(found.day, found.log.starts_s)
+        times = ", ".join(f"{outage.start_s:.1f}–{outage.end_s:.1f}" for outage in outages)
         (worst,) = worst_windows(found.day, 1)
         rows.append(
             [
                 found.name,
                 _number(found.day.worth),
-                _number(served_in_aim(found.day)),
-                _number(bound(found.day, darkness, AIM_MS)),
-                dark or "–",
+                _number(served_on_time(found.day)),
+                _number(bound(found.day, outages, latency_target_ms)),
+                times or "–",
                 f"{worst.name} s: {worst.worth:.2f}",
                 ", ".join(causes(found.day, worst)) or "–",
             ]
--- a/tests/test_site_report.py
+++ b/tests/test_site_report.py
@@ -8,14 +8,14 @@
 from ebonyshore_report.__main__ import write_report
 from ebonyshore_report.errors import ReportError
 from ebonyshore_report.played_day import (
-    Darkness,
     Disruption,
+    Outage,
     PlayedDay,
     Window,
     bound,
     causes,
-    dark_times,
-    served_in_aim,
+    find_outages,
+    served_on_time,
 )
 from ebonyshore_report.request_log import RequestLog
 
@@ -49,19 +49,19 @@
 
 
 def test_no_entry_runs_from_the_disruption_to_the_first_start(day):
-    assert dark_times(day, {"edge-1": [-11.9, 9.5], "edge-2": [9.8]}) == [Darkness(8.0, 9.5)]
+    assert find_outages(day, {"edge-1": [-11.9, 9.5], "edge-2": [9.8]}) == [Outage(8.0, 9.5)]
 
 
-def test_one_entry_that_goes_on_leaves_no_darkness(day):
+def test_one_entry_that_goes_on_leaves_no_outage(day):
     """Guards against a bound below what could be served."""
-    assert dark_times(day, {"edge-1": [-11.9, 9.5], "edge-2": [-11.9]}) == []
+    assert find_outages(day, {"edge-1": [-11.9, 9.5], "edge-2": [-11.9]}) == []
 
 
-def test_the_bound_loses_requests_whose_whole_aim_passes_without_an_entry(day):
-    assert bound(day, [], aim_ms=500.0) == 1.0
+def test_the_bound_loses_requests_whose_whole_time_passes_without_an_entry(day):
+    assert bound(day, [], latency_target_ms=500.0) == 1.0
     # 20 requests in 2 s, of which those of the first second cannot be served in time.
-    assert bound(day, [Darkness(8.0, 9.5)], aim_ms=500.0) == pytest.approx(1 - 10 / 40)
-    assert served_in_aim(day) == pytest.approx(25 / 40)
+    assert bound(day, [Outage(8.0, 9.5)], latency_target_ms=500.0) == pytest.approx(1 - 10 / 40)
+    assert served_on_time(day) == pytest.approx(25 / 40)
 
 
 def test_a_window_is_explained_by_what_happened_then(day):
