Write the loop's thread, the reserving of processes and the check of revisions once

The fault proxy and the stand-in target each ran an event loop on a thread; the object platform checked a revision in two calls; three faults of the soak reserved and released a process. The reserving was not locked: two series could take the same process, start it twice, and leave one running after the soak.

Test: two series never work on one process.

--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -3,8 +3,9 @@
 import signal
 import subprocess
 from collections.abc import Callable
+from functools import partial
 from random import Random
-from threading import Event, Thread
+from threading import Event, Lock, Thread
 
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore_soak.checker import MAX_FAULT_MS
@@ -38,13 +39,14 @@
         self._clock = clock
         self._is_over = Event()
         self._threads: list[Thread] = []
+        self._lock = Lock()
         self._busy: set[str] = set()
         self.log: list[str] = []
         self._kinds: list[Callable[[Random], None]] = [
-            self._kill,
+            partial(self._with_process, self._kill),
             self._kill_all_of_a_role,
-            self._pause,
-            self._terminate,
+            partial(self._with_process, self._pause),
+            partial(self._with_process, self._terminate),
             self._link_fault,
             self._link_fault,
             self._store_fault,
@@ -79,53 +81,59 @@
     def _sleep_s(self, duration_s: float) -> None:
         self._clock.sleep_ms(duration_s * MS_PER_S)
 
-    def _take(self, random: Random, processes: list[FleetProcess]) -> FleetProcess | None:
-        """Return a process that no other series works on."""
-        free = [process for process in processes if process.name not in self._busy]
-        if not free:
-            return None
-        process = random.choice(free)
-        self._busy.add(process.name)
-        return process
-
-    def _kill(self, random: Random) -> None:
-        process = self._take(random, self._fleet.processes)
-        if process is None:
-            return
+    def _reserve(
+        self,
+        processes: list[FleetProcess],
+        choose: Callable[[list[FleetProcess]], list[FleetProcess]],
+    ) -> list[FleetProcess]:
+        """Return what ``choose`` takes of the processes that no other series works on."""
+        with self._lock:
+            free = [process for process in processes if process.name not in self._busy]
+            chosen = choose(free) if free else []
+            self._busy |= {process.name for process in chosen}
+        return chosen
+
+    def _release(self, processes: list[FleetProcess]) -> None:
+        with self._lock:
+            self._busy -= {process.name for process in processes}
+
+    def _with_process(self, strike: Callable[[FleetProcess, Random], None], random: Random) -> None:
+        """Strike one process, unless another series works on it."""
+        reserved = self._reserve(self._fleet.processes, lambda free: [random.choice(free)])
+        try:
+            for process in reserved:
+                strike(process, random)
+        finally:
+            self._release(reserved)
+
+    def _kill(self, process: FleetProcess, random: Random) -> None:
         down_s = random.uniform(0.0, MAX_FAULT_S)
         self._note(f"kill {process.name} for {down_s:.2f} s")
         process.kill()
         self._sleep_s(down_s)
         process.start()
-        self._busy.discard(process.name)
 
     def _kill_all_of_a_role(self, random: Random) -> None:
         role = random.choice([self._fleet.entries, self._fleet.runners])
-        taken = [p for p in role if p.name not in self._busy]
-        self._busy |= {process.name for process in taken}
-        self._note(f"kill {[process.name for process in taken]}")
-        for process in taken:
-            process.kill()
-        self._sleep_s(random.uniform(0.0, 1.0))
-        for process in taken:
-            process.start()
-        self._busy -= {process.name for process in taken}
-
-    def _pause(self, random: Random) -> None:
-        process = self._take(random, self._fleet.processes)
-        if process is None:
-            return
+        reserved = self._reserve(role, lambda free: free)
+        try:
+            self._note(f"kill {[process.name for process in reserved]}")
+            for process in reserved:
+                process.kill()
+            self._sleep_s(random.uniform(0.0, 1.0))
+            for process in reserved:
+                process.start()
+        finally:
+            self._release(reserved)
+
+    def _pause(self, process: FleetProcess, random: Random) -> None:
         for_s = random.uniform(0.2, MAX_FAULT_S)
         self._note(f"pause {process.name} for {for_s:.2f} s")
         process.signal(signal.SIGSTOP)
         self._sleep_s(for_s)
         process.signal(signal.SIGCONT)
-        self._busy.discard(process.name)
 
-    def _terminate(self, random: Random) -> None:
-        process = self._take(random, self._fleet.processes)
-        if process is None:
-            return
+    def _terminate(self, process: FleetProcess, _random: Random) -> None:
         self._note(f"terminate {process.name}")
         try:
             process.stop()
@@ -133,7 +141,6 @@
             self._note(f"{process.name} did not stop in time")
             process.kill()
         process.start()
-        self._busy.discard(process.name)
 
     def _link_fault(self, random: Random) -> None:
         link = random.choice([*self._store_links, *self._target_links])
--- a/ebonyshore_soak/proxy.py
+++ b/ebonyshore_soak/proxy.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from contextlib import suppress
-from threading import Thread
 
 from msgspec import Struct
 
+from ebonyshore_standins.loop_thread import LoopThread
+
 
 class LinkState(Struct):
     """What the proxy does to its connections; changed while they are open.
@@ -32,16 +33,13 @@
         host, _, port = upstream.rpartition(":")
         self._upstream = (host, int(port))
         self.link = LinkState()
-        self._loop = asyncio.new_event_loop()
         self._writers: set[asyncio.StreamWriter] = set()
-        self._thread = Thread(target=self._run_loop, daemon=True)
-        self._thread.start()
-        listening = asyncio.run_coroutine_threadsafe(self._listen(), self._loop)
-        self.address = listening.result(5)
+        self._thread = LoopThread()
+        self.address = self._thread.start(self._listen())
 
     def reset_all(self) -> None:
         """Reset the open connections."""
-        self._loop.call_soon_threadsafe(self._abort_all)
+        self._thread.post(self._abort_all)
 
     def heal(self) -> None:
         """Let all pass again; what was held back is lost with its connections."""
@@ -50,16 +48,7 @@
 
     def stop(self) -> None:
         """End the proxy."""
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(5)
-
-    def _run_loop(self) -> None:
-        asyncio.set_event_loop(self._loop)
-        self._loop.run_forever()
-        for task in asyncio.all_tasks(self._loop):
-            task.cancel()
-        self._loop.run_until_complete(asyncio.sleep(0))
-        self._loop.close()
+        self._thread.stop()
 
     def _abort_all(self) -> None:
         for writer in list(self._writers):
--- a/ebonyshore_standins/object_platform.py
+++ b/ebonyshore_standins/object_platform.py
@@ -53,11 +53,9 @@
     ) -> tuple[int, dict]:
         """Write a field of an object; return the status and the object as it is then."""
         with self.changed:
-            known = self.objects.get((kind, name))
-            if known is None:
-                return 404, {}
-            if expected is not None and expected != known["Metadata"]["Revision"]:
-                return 409, known
+            status, known = self._find(kind, name, expected)
+            if status != 200:
+                return status, known
             if known[field] == value:
                 return 200, known
             changed = {**known, field: value, "Metadata": dict(known["Metadata"])}
@@ -75,15 +73,22 @@
     def delete(self, kind: str, name: str, expected: int | None) -> tuple[int, dict]:
         """Remove an object."""
         with self.changed:
-            known = self.objects.get((kind, name))
-            if known is None:
-                return 404, {}
-            if expected is not None and expected != known["Metadata"]["Revision"]:
-                return 409, known
+            status, known = self._find(kind, name, expected)
+            if status != 200:
+                return status, known
             del self.objects[kind, name]
             self._note(kind, known, is_deleted=True)
             return 200, {}  # the object is gone, and is not in the answer
 
+    def _find(self, kind: str, name: str, expected: int | None) -> tuple[int, dict]:
+        """Return an object with status 200, or why a call that expects a revision fails."""
+        known = self.objects.get((kind, name))
+        if known is None:
+            return 404, {}
+        if expected is not None and expected != known["Metadata"]["Revision"]:
+            return 409, known
+        return 200, known
+
     def forget_history(self) -> None:
         """Drop all history, so that watches have to list again."""
         with self.changed:
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-from threading import Thread
 
 from msgspec import Struct
 
 from ebonyshore.frame.clock import SystemClock
+from ebonyshore_standins.loop_thread import LoopThread
 
 CLOCK = SystemClock()
 DEFAULT_EVENTS = 6
@@ -58,10 +58,9 @@
         self._port = port
         self._active = 0
         self._queued = 0
-        self._loop = asyncio.new_event_loop()
         self._slots = asyncio.Semaphore(capacity)
         self._server: asyncio.Server | None = None
-        self._thread = Thread(target=self._run_loop, daemon=True)
+        self._thread = LoopThread()
 
     @property
     def address(self) -> str:
@@ -83,26 +82,16 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        self._thread.start()
-        asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result(5)
+        self._thread.start(self._listen())
 
     def stop(self) -> None:
         """End the server and all its connections."""
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(5)
+        self._thread.stop()
 
     def whole_runs(self, request_id: str) -> int:
         """Return how many runs of a request came to its end."""
         return sum(run.is_whole for run in self.runs if run.request_id == request_id)
 
-    def _run_loop(self) -> None:
-        asyncio.set_event_loop(self._loop)
-        self._loop.run_forever()
-        for task in asyncio.all_tasks(self._loop):
-            task.cancel()
-        self._loop.run_until_complete(asyncio.sleep(0))
-        self._loop.close()
-
     async def _listen(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
         self._port = self._server.sockets[0].getsockname()[1]
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,10 +1,15 @@
 """A short seeded soak of real processes, and the checks that the soak relies on."""
 
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+from types import SimpleNamespace
+
 import pytest
 
-from ebonyshore.frame.clock import ManualClock
+from ebonyshore.frame.clock import ManualClock, SystemClock
 from ebonyshore_soak.__main__ import SoakOptions, run_seed
 from ebonyshore_soak.checker import CANCEL_BOUND_MS, JobSize, PromiseChecker
+from ebonyshore_soak.faults import Faults
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
 # Seeds of runs that once broke a promise stay here, each with its cause.
@@ -106,3 +111,24 @@
     assert checker.broken == []
     checker.note_stream("q", 3, expected_data("q", 2))
     assert len(checker.broken) == 1
+
+
+def test_two_series_never_work_on_one_process():
+    """Guards against starting a process twice, of which one would run on after the soak."""
+    process, clock = SimpleNamespace(name="runner-0"), SystemClock()
+    faults = Faults(SimpleNamespace(processes=[process]), [], [], seed=1, clock=clock)
+
+    def choose_slowly(free):
+        clock.sleep_ms(20.0)
+        return free
+
+    with ThreadPoolExecutor(4) as series:
+        reserved = list(series.map(lambda _: faults._reserve([process], choose_slowly), range(4)))
+    assert sum(len(found) for found in reserved) == 1
+    struck = []
+    faults._with_process(lambda found, _random: struck.append(found), Random(1))
+    assert struck == []
+    faults._release([process])
+    faults._with_process(lambda found, _random: struck.append(found), Random(1))
+    faults._with_process(lambda found, _random: struck.append(found), Random(1))
+    assert struck == [process, process]
