Split claims from the registry, and keep what is known of a job in one place

JobRegistry held six dictionaries by job, two of them of one claim, and both knew jobs and took them over. KnownJob now holds what is known of one job; JobClaims claims and releases. JobProgress kept the record's version, which nothing read. Retirement asked in its own words whether this runner is the first. No behaviour is meant to change; the tests of takeovers, ages and reads pass with the new names.

--- a/ebonyshore/runner/job_expiry.py
+++ b/ebonyshore/runner/job_expiry.py
@@ -45,11 +45,10 @@
 
     async def remove_expired(self) -> None:
         """Remove the jobs that have expired by now."""
-        for found in self._registry.all_records():
-            record = found.body
-            known_for_ms = self._registry.known_for_ms(record.job_id)
-            if is_expired(record, self._result_retention_ms, known_for_ms):
-                await self._remove(record)
+        for job in self._registry.known_jobs():
+            known_for_ms = self._registry.known_for_ms(job.job_id)
+            if is_expired(job.record, self._result_retention_ms, known_for_ms):
+                await self._remove(job.record)
 
     async def _remove(self, record: JobRecord) -> None:
         try:
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -59,30 +59,28 @@
     """A job that this runner knows.
 
     :param record: as stored.
-    :param version: of the record in the store.
+    :param bodies: of the items whose body is stored apart from the record, by their index.
 
     ``checked_ms`` is when the store was last asked for segments, ``writer_epoch`` the highest epoch
     that wrote one, and ``ready_epoch`` the one in which this process may list results; 0 if none.
     """
 
     __slots__ = (
+        "_bodies",
         "_pending",
         "_results",
-        "bodies",
         "checked_ms",
         "items",
         "next_segment",
         "pending_since_ms",
         "ready_epoch",
         "record",
-        "version",
         "writer_epoch",
     )
 
-    def __init__(self, record: JobRecord, version: int) -> None:
+    def __init__(self, record: JobRecord, bodies: dict[int, bytes] | None = None) -> None:
         self.record = record
-        self.version = version
-        self.bodies: dict[int, bytes] = {}
+        self._bodies = bodies or {}
         self.items = [Item(index, item.item_id) for index, item in enumerate(record.items)]
         self.next_segment = 0
         self.pending_since_ms = float("-inf")
@@ -198,7 +196,7 @@
 
     def body(self, index: int) -> bytes:
         """Return an item's body."""
-        return self.bodies.get(index, self.record.items[index].body)
+        return self._bodies.get(index, self.record.items[index].body)
 
     def find(self, item_id: str) -> Item | None:
         """Return an item by its id, or ``None``."""
--- a/ebonyshore/runner/retirement.py
+++ b/ebonyshore/runner/retirement.py
@@ -57,7 +57,7 @@
             return
         await sleep(HEARD_WITHIN_MS / MS_PER_S)
         is_down = instance_id not in self._board.runners()
-        if is_down and self._own_id == min([self._own_id, *self._board.runners()]):
+        if is_down and self._board.is_first_runner():
             await self._write_until_taken(found)
 
     async def _write_until_taken(self, found: StoredObject) -> None:
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -11,6 +11,7 @@
 )
 from ebonyshore.link.load_exchange import LoadExchange
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
 
 
@@ -23,12 +24,14 @@
         targets: TargetTable,
         board: LoadBoard,
         registry: JobRegistry,
+        claims: JobClaims,
         clock: Clock,
     ) -> None:
         self._peers = peers
         self._targets = targets
         self._board = board
         self._registry = registry
+        self._claims = claims
         self._clock = clock
         self._sequence = 0
 
@@ -49,7 +52,7 @@
             own.role,
             self._targets.own_counts(),
             self._registry.open_items(),
-            tuple(self._board.runners().keys() - self._registry.owners_being_replaced()),
+            tuple(self._board.runners().keys() - self._claims.owners_being_replaced()),
         )
         others = self._peers.of_role("runner").values()
         exchange.send(report, [(peer.host, peer.port) for peer in others])
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -14,6 +14,7 @@
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.runner.item_runs import ItemRuns
 from ebonyshore.runner.job_api import JobApi
+from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_expiry import JobExpiry
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
@@ -36,6 +37,7 @@
     def __init__(
         self,
         registry: JobRegistry,
+        claims: JobClaims,
         runs: ItemRuns,
         writer: ResultWriter,
         load: LoadService,
@@ -43,6 +45,7 @@
         log: EventLog,
     ) -> None:
         self._registry = registry
+        self._claims = claims
         self._runs = runs
         self._writer = writer
         self._load = load
@@ -53,7 +56,7 @@
         registry.on_change = self._note_change
 
     async def start(self) -> None:
-        self._registry.begin()
+        self._claims.begin()
         self.spawn(self._run())
 
     def begin_drain(self) -> None:
@@ -79,7 +82,7 @@
         while not self._writer.is_idle:
             self._writer.start_due(is_urgent=True)
             await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
-        await self._registry.release_all()
+        await self._claims.release_all()
 
     async def _run(self) -> None:
         while True:
@@ -91,7 +94,7 @@
             self._changed.clear()
             try:
                 self._presence.step()
-                self._registry.claim_free()
+                self._claims.claim_free()
                 self._runs.step()
                 self._writer.start_due()
             except Exception as error:  # noqa: BLE001 - one job must not stop the others
@@ -117,7 +120,8 @@
         environment.executor,
         log,
     )
-    runner_load = RunnerLoad(parts.peers, table, board, registry, clock)
+    claims = JobClaims(registry, board, clock, log)
+    runner_load = RunnerLoad(parts.peers, table, board, registry, claims, clock)
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     runs = ItemRuns(
         deployment.names,
@@ -133,7 +137,7 @@
     )
     writer = ResultWriter(registry, clock, log, metrics)
     presence = Presence(parts.peers, board, parts.registration, clock, log)
-    runner = RunnerService(registry, runs, writer, load, presence, log)
+    runner = RunnerService(registry, claims, runs, writer, load, presence, log)
     kernel = AsyncKernel()
     kernel.register(load)
     kernel.register(parts.probe)
--- a/tests/registry_setup.py
+++ b/tests/registry_setup.py
@@ -8,6 +8,7 @@
 from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.link.load_board import LoadBoard, LoadReport
 from ebonyshore.link.peers import PeerRecord
+from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.store.marked_write import MarkedObject
 
@@ -26,6 +27,9 @@
         self.reads = 0
         self.deleted = []
 
+    def bodies(self, _record):
+        return {}
+
     def segments(self, _job_id, first):
         self.reads += 1
         return self.stored[first:]
@@ -44,7 +48,7 @@
 class Registry:
     """A registry with one job, and the board that makes its owner certain or not."""
 
-    def __init__(self, owner="a", retention_ms=1.0, epoch=0, storage=None):
+    def __init__(self, owner="a", retention_ms=1.0, epoch=0, storage=None, items=ITEMS):
         self.clock = ManualClock(10_000.0)
         self.board = LoadBoard("a")
         self.storage = storage or CountingStorage()
@@ -58,6 +62,7 @@
             ThreadPoolExecutor(1),
             EventLog(),
         )
+        self.claims = JobClaims(self.registry, self.board, self.clock, EventLog())
         record = JobRecord(
             "j1",
             "h",
@@ -66,7 +71,7 @@
             retention_ms,
             1.0,
             3,
-            ITEMS,
+            items,
             owner=owner,
             owner_incarnation="run-1",
             epoch=epoch,
@@ -80,3 +85,10 @@
 
     def read(self):
         return asyncio.run(self.registry.read_progress("j1"))
+
+
+async def claim(setup):
+    """Claim what is free, and wait until it is done."""
+    setup.claims.claim_free()
+    while setup.claims.owners_being_replaced():
+        await asyncio.sleep(0.01)
--- a/tests/test_job_age.py
+++ b/tests/test_job_age.py
@@ -42,7 +42,7 @@
     assert expire(setup) == []
     setup.clock.advance_ms(1.0)
     assert expire(setup) == ["j1"]
-    assert setup.registry.all_records() == []
+    assert setup.registry.known_jobs() == []
 
 
 def test_an_open_job_is_not_removed_whatever_its_age():
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -6,7 +6,7 @@
 
 def progress(items=3, **changes):
     records = tuple(ItemRecord(f"i{n}", "/p/x", (), b"b") for n in range(items))
-    return JobProgress(JobRecord("j1", "h", "/p/", 0, 60_000.0, 18_000.0, 3, records, **changes), 1)
+    return JobProgress(JobRecord("j1", "h", "/p/", 0, 60_000.0, 18_000.0, 3, records, **changes))
 
 
 def end(job, index, data="text"):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,7 +10,7 @@
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
-from tests.registry_setup import ITEMS, Registry, peer
+from tests.registry_setup import ITEMS, Registry, claim, peer
 
 OTHER = "b"
 SILENCE_MS = 5_000.0
@@ -25,18 +25,12 @@
     """Runner a, which has just claimed a job from b, and the storage that both use."""
     storage = JobStorage(MarkedStore(object_store, Registry().clock))
     setup = Registry(owner=OTHER, epoch=1, storage=storage)
-    setup.registry.begin()
+    setup.claims.begin()
     setup.clock.advance_ms(SILENCE_MS)
     asyncio.run(claim(setup))
     return setup
 
 
-async def claim(setup):
-    setup.registry.claim_free()
-    while setup.registry.owners_being_replaced():
-        await asyncio.sleep(0.01)
-
-
 def test_a_former_owner_lists_nothing_after_the_claim(taken):
     """Guards against a write that was under way when its sender froze: the new owner would not
     know of it, and answer reads without it."""
@@ -62,7 +56,7 @@
     storage = JobStorage(MarkedStore(object_store, Registry().clock))
     setup = Registry(owner=OTHER, epoch=1, storage=storage)
     setup.clock.advance_ms(SILENCE_MS)
-    claimed = storage.claim(setup.registry.all_records()[0], "a", "run-1")
+    claimed = storage.claim(setup.registry.known_jobs()[0].found, "a", "run-1")
     setup.read()
     setup.registry.note(claimed)
     assert setup.registry.owned() == []
@@ -100,6 +94,9 @@
     first_is_over = Event()
 
     class Storage:
+        def bodies(self, _record):
+            return {}
+
         def segments(self, _job_id, _first):
             if not first_is_over.is_set():
                 first_is_over.set()
@@ -134,7 +131,7 @@
         def own_counts(self):
             return {}
 
-    load = RunnerLoad(Peers(), Targets(), setup.board, setup.registry, setup.clock)
+    load = RunnerLoad(Peers(), Targets(), setup.board, setup.registry, setup.claims, setup.clock)
     setup.hear_other("a", sequence=1)
     load.send(Exchange())
     setup.clock.advance_ms(SILENCE_MS)
@@ -144,6 +141,6 @@
 
 
 async def load_during_claim(setup, load, exchange):
-    setup.registry.claim_free()
+    setup.claims.claim_free()
     setup.hear_other("a", sequence=2)
     load.send(exchange)
