Run a large job with its bodies

Cause: bodies of more than 64,000 bytes in all are stored apart, and the stored record has none. The runner that had accepted such a job made its progress from that record, and an owner that is certain never reads the store: its items were sent with empty bodies, and reads of a body answered empty.

Change: such a job is claimed like one of an earlier run of the process, which reads its bodies. A part that the store does not have is an error, where it was passed over.

--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -129,7 +129,8 @@
         """
         job = self.note(found)
         is_new = self.owns(found.body) and found.body.epoch <= 1
-        if is_new and job.progress is None:
+        # A job whose bodies are stored apart is claimed like one of an earlier run, and read then.
+        if is_new and job.progress is None and not found.body.body_parts:
             job.progress = JobProgress(found.body)
             job.progress.checked_ms = asked_ms
             job.progress.ready_epoch = found.body.epoch
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -9,7 +9,7 @@
 
 from msgspec import structs
 
-from ebonyshore.frame.errors import WriteConflictError
+from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
 from ebonyshore.host.job_types import BodyPart, JobRecord, ResultSegment
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION, StoredObject
@@ -92,12 +92,17 @@
         return self._store.update(f"{JOBS_KIND}/{job_name(job_id)}", JobRecord, change)
 
     def bodies(self, record: JobRecord) -> dict[int, bytes]:
-        """Return the bodies that are stored apart, by the item's index."""
+        """Return the bodies that are stored apart, by the item's index.
+
+        :raises StoreUnavailableError: if the store does not have all of them, as a removed job's.
+        """
         found: dict[int, bytes] = {}
         for number in range(record.body_parts):
-            part = self._store.read(_part_key(record.job_id, number), BodyPart)
-            if part is not None:
-                found.update(part.body.bodies)
+            key = _part_key(record.job_id, number)
+            part = self._store.read(key, BodyPart)
+            if part is None:
+                raise StoreUnavailableError(f"{key} is missing")
+            found.update(part.body.bodies)
         return found
 
     def segments(self, job_id: str, first: int) -> list[ResultSegment]:
