--- a/ebonyshore/gateway/entry_load.py
+++ b/ebonyshore/gateway/entry_load.py
@@ -3,8 +3,9 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.load_board import LoadMessage, LoadReport, LoadTotals
+from ebonyshore.link.load_board import LoadMessage, LoadTotals
 from ebonyshore.link.load_exchange import LoadExchange
+from ebonyshore.link.own_reports import OwnReports
 from ebonyshore.link.peers import PeerDirectory
 
 
@@ -15,10 +16,8 @@
     """
 
     def __init__(self, peers: PeerDirectory, targets: TargetTable, view: LoadView) -> None:
-        self._peers = peers
-        self._targets = targets
+        self._reports = OwnReports(peers, targets.own_counts)
         self._view = view
-        self._sequence = 0
 
     def on_message(self, message: LoadMessage) -> None:
         """Take the sums that a runner sends."""
@@ -27,15 +26,4 @@
 
     def send(self, exchange: LoadExchange) -> None:
         """Send the report to each runner."""
-        self._sequence += 1
-        own = self._peers.own
-        report = LoadReport(
-            own.instance_id,
-            own.incarnation,
-            self._sequence,
-            own.role,
-            self._targets.own_counts(),
-            seen_batch=self._view.seen_batch(),
-        )
-        runners = self._peers.of_role("runner").values()
-        exchange.send(report, [(peer.host, peer.port) for peer in runners])
+        self._reports.send(exchange, seen_batch=self._view.seen_batch())
--- /dev/null
+++ b/ebonyshore/link/own_reports.py
@@ -0,0 +1,51 @@
+"""Reports of this process's own counts to the runners."""
+
+from collections.abc import Callable
+
+from ebonyshore.link.load_board import LoadReport, TargetCounts
+from ebonyshore.link.load_exchange import LoadExchange
+from ebonyshore.link.peers import PeerDirectory
+
+
+class OwnReports:
+    """Numbers and sends reports.
+
+    :param peers: knows this process and the runners' addresses.
+    :param own_counts: returns what this process has at each target.
+    """
+
+    __slots__ = ("_own_counts", "_peers", "_sequence")
+
+    def __init__(
+        self, peers: PeerDirectory, own_counts: Callable[[], dict[str, TargetCounts]]
+    ) -> None:
+        self._peers = peers
+        self._own_counts = own_counts
+        self._sequence = 0
+
+    def send(
+        self,
+        exchange: LoadExchange,
+        open_items: int = 0,
+        heard: tuple[str, ...] = (),
+        seen_batch: dict[str, int] | None = None,
+    ) -> LoadReport:
+        """Send the next report to the other runners, and return it.
+
+        The parameters are the fields of :class:`LoadReport`.
+        """
+        self._sequence += 1
+        own = self._peers.own
+        report = LoadReport(
+            own.instance_id,
+            own.incarnation,
+            self._sequence,
+            own.role,
+            self._own_counts(),
+            open_items,
+            heard,
+            seen_batch or {},
+        )
+        runners = self._peers.of_role("runner").values()
+        exchange.send(report, [(peer.host, peer.port) for peer in runners])
+        return report
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -10,6 +10,7 @@
     add_counts,
 )
 from ebonyshore.link.load_exchange import LoadExchange
+from ebonyshore.link.own_reports import OwnReports
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
@@ -28,12 +29,11 @@
         clock: Clock,
     ) -> None:
         self._peers = peers
-        self._targets = targets
+        self._reports = OwnReports(peers, targets.own_counts)
         self._board = board
         self._registry = registry
         self._claims = claims
         self._clock = clock
-        self._sequence = 0
 
     def on_message(self, message: LoadMessage) -> None:
         """Take a report."""
@@ -43,19 +43,8 @@
     def send(self, exchange: LoadExchange) -> None:
         """Send the own report to the other runners, and the sums to the entries."""
         self._board.drop_expired(self._clock.boot_ms())
-        self._sequence += 1
-        own = self._peers.own
-        report = LoadReport(
-            own.instance_id,
-            own.incarnation,
-            self._sequence,
-            own.role,
-            self._targets.own_counts(),
-            self._registry.open_items(),
-            tuple(self._board.runners().keys() - self._claims.owners_being_replaced()),
-        )
-        others = self._peers.of_role("runner").values()
-        exchange.send(report, [(peer.host, peer.port) for peer in others])
+        heard = self._board.runners().keys() - self._claims.owners_being_replaced()
+        report = self._reports.send(exchange, self._registry.open_items(), tuple(heard))
         if self._board.is_first_runner():
             self._send_totals(exchange, report)
 
@@ -67,6 +56,6 @@
             counts = self._board.totals(self._clock.boot_ms(), without=entry.instance_id)
             add_counts(counts, own_report.counts)
             message = LoadTotals(
-                own_report.sender, own_report.incarnation, self._sequence, counts, runners
+                own_report.sender, own_report.incarnation, own_report.sequence, counts, runners
             )
             exchange.send(message, [(entry.host, entry.port)])
