--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -20,8 +20,8 @@
 from ebonyshore.http.server import Responder
 
 CONNECT_TIMEOUT_MS = 300.0
-FIRST_EVENT_PATIENCE_MS = 900.0  # then a repeatable request tries another target
-EVENT_PATIENCE_MS = 700.0
+FIRST_EVENT_TIMEOUT_MS = 900.0  # then a repeatable request tries another target
+EVENT_TIMEOUT_MS = 700.0
 MAX_IDLE_MS = 10_000.0
 # A kept connection may be closed by the target as the request is on its way, and whether the
 # request ran is then unknown; one that must not be repeated takes a connection used just before.
@@ -136,8 +136,8 @@
     async def _relay_answer(
         self, reader: AnswerReader, responder: Responder, has_retry: bool
     ) -> ExchangeEnd:
-        patience_ms = FIRST_EVENT_PATIENCE_MS if has_retry else None
-        head = await reader.own_head(patience_ms)
+        silence_ms = FIRST_EVENT_TIMEOUT_MS if has_retry else None
+        head = await reader.own_head(silence_ms)
         self._target.note_answer()
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
             raise NotExecutedError(f"status {head.status}")
@@ -156,8 +156,8 @@
     ) -> None:
         splitter = self._relay.splitter
         splitter.restart()
-        patience_ms = FIRST_EVENT_PATIENCE_MS if has_retry else None
-        while not isinstance(item := await reader.next_item(patience_ms), BodyEnd):
+        silence_ms = FIRST_EVENT_TIMEOUT_MS if has_retry else None
+        while not isinstance(item := await reader.next_item(silence_ms), BodyEnd):
             events = splitter.feed(item)
             if not events:
                 continue
@@ -165,7 +165,7 @@
                 responder.start_stream(head.status, _passed_on(head))
             self._relay.note_events(now_ms())
             responder.write(b"".join(event.raw for event in events))
-            patience_ms = EVENT_PATIENCE_MS if has_retry else None
+            silence_ms = EVENT_TIMEOUT_MS if has_retry else None
         if splitter.remainder:
             raise ExchangeError("the stream ends in the middle of an event")
         if not responder.is_started:
--- a/ebonyshore/gateway/job_calls.py
+++ b/ebonyshore/gateway/job_calls.py
@@ -31,7 +31,7 @@
 CONNECT_TIMEOUT_MS = 250.0
 CALL_TIMEOUT_MS = 1_200.0
 SUBMIT_TIMEOUT_MS = 2_500.0
-SUBMIT_PATIENCE_MS = 120.0  # until a further runner is offered the job
+SUBMIT_HEDGE_DELAY_MS = 120.0  # until a further runner is offered the job
 MAX_IDLE_MS = 4_000.0
 MAX_WAIT_MS = 1_000.0
 RETRY_AFTER_MS = 600.0
@@ -130,7 +130,7 @@
         A runner that is cut off from the store settles its write for seconds. A submitted job is
         offered to the next one meanwhile: whichever stores it first owns it.
         """
-        patience_ms = SUBMIT_PATIENCE_MS if call.kind is JobCallKind.SUBMIT else None
+        hedge_delay_ms = SUBMIT_HEDGE_DELAY_MS if call.kind is JobCallKind.SUBMIT else None
         waiting = self._order(call)
         asked: dict[Task[RunnerAnswer], PeerRecord] = {}
         answers = RunnerAnswers()
@@ -139,7 +139,7 @@
                 if waiting:
                     runner = waiting.pop(0)
                     asked[create_task(self._ask(runner, call, request))] = runner
-                for task in await _first_done(asked, patience_ms if waiting else None):
+                for task in await _first_done(asked, hedge_delay_ms if waiting else None):
                     self._take(answers, call, asked.pop(task), task)
                 if answers.final is not None:
                     return answers.final
@@ -253,10 +253,10 @@
 
 
 async def _first_done(
-    tasks: Iterable[Task[RunnerAnswer]], patience_ms: float | None
+    tasks: Iterable[Task[RunnerAnswer]], hedge_delay_ms: float | None
 ) -> set[Task[RunnerAnswer]]:
     """Wait until a task has ended, or for so long; return those that have."""
-    limit_s = None if patience_ms is None else patience_ms / MS_PER_S
+    limit_s = None if hedge_delay_ms is None else hedge_delay_ms / MS_PER_S
     done, _ = await wait(tasks, timeout=limit_s, return_when=FIRST_COMPLETED)
     return done
 
--- a/ebonyshore/host/answer_reader.py
+++ b/ebonyshore/host/answer_reader.py
@@ -67,49 +67,49 @@
         self._request_id = request_id
         self._deadline_ms = deadline_ms
 
-    async def own_head(self, patience_ms: float | None) -> ResponseHead:
+    async def own_head(self, silence_ms: float | None) -> ResponseHead:
         """Return the head of the answer to this request; other answers are read and dropped.
 
         :raises ExchangeError: if no such answer came.
         """
         while True:
-            head = await self.next_item(patience_ms)
+            head = await self.next_item(silence_ms)
             if not isinstance(head, ResponseHead):
                 raise ExchangeError("answer without a head")
             if head.headers.get(self._request_id_name) == self._request_id:
                 return head
             if not head.has_end:
                 raise ExchangeError("answer to another request")
-            await self.rest(patience_ms)
+            await self.rest(silence_ms)
 
-    async def rest(self, patience_ms: float | None, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    async def rest(self, silence_ms: float | None, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the answer's body.
 
         :raises ExchangeError: if it is longer than ``max_bytes`` or does not come whole.
         """
         parts: list[bytes] = []
         size = 0
-        while not isinstance(item := await self.next_item(patience_ms), BodyEnd):
+        while not isinstance(item := await self.next_item(silence_ms), BodyEnd):
             parts.append(item)
             size += len(item)
             if size > max_bytes:
                 raise ExchangeError("the answer is too long")
         return b"".join(parts)
 
-    async def next_item(self, patience_ms: float | None) -> ResponseHead | bytes | BodyEnd:
+    async def next_item(self, silence_ms: float | None) -> ResponseHead | bytes | BodyEnd:
         """Return the next part of the answer.
 
-        :param patience_ms: longest silence; ``None`` to wait until the request's time is up.
-        :raises AttemptBrokenError: if the time of the request or the patience is over.
+        :param silence_ms: longest silence; ``None`` to wait until the request's time is up.
+        :raises AttemptBrokenError: if the request has no time left, or the silence is too long.
         """
         began_ms = now_ms()
-        is_patience = patience_ms is not None and began_ms + patience_ms < self._deadline_ms
-        limit_ms = patience_ms if is_patience else self._deadline_ms - began_ms
+        is_silent = silence_ms is not None and began_ms + silence_ms < self._deadline_ms
+        limit_ms = silence_ms if is_silent else self._deadline_ms - began_ms
         try:
             async with timeout(max(0.0, limit_ms) / MS_PER_S):
                 return await self._connection.next_item()
         except TimeoutError as error:
-            detail = f"no part of the answer for {limit_ms:.0f} ms" if is_patience else "time is up"
+            detail = f"no part of the answer for {limit_ms:.0f} ms" if is_silent else "time is up"
             raise AttemptBrokenError(
-                detail, is_silence=is_patience, is_timeout=not is_patience
+                detail, is_silence=is_silent, is_timeout=not is_silent
             ) from error
--- a/ebonyshore/runner/claim_policy.py
+++ b/ebonyshore/runner/claim_policy.py
@@ -41,8 +41,8 @@
         return False
     if not record.owner:
         return True
-    patience_ms = CLAIM_AFTER_MS * 2 ** min(max(0, record.epoch - 1), MAX_DOUBLINGS)
+    silence_ms = CLAIM_AFTER_MS * 2 ** min(max(0, record.epoch - 1), MAX_DOUBLINGS)
     if signs.incarnation and signs.incarnation != record.owner_incarnation:
         # The owner runs anew and claims its jobs itself, once it can.
-        return now_ms - signs.record_ms > 2 * patience_ms
-    return now_ms - max(signs.heard_ms, signs.record_ms) > patience_ms
+        return now_ms - signs.record_ms > 2 * silence_ms
+    return now_ms - max(signs.heard_ms, signs.record_ms) > silence_ms
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -15,8 +15,8 @@
 from ebonyshore.runner.job_progress import Item
 
 CONNECT_TIMEOUT_MS = 300.0
-FIRST_EVENT_PATIENCE_MS = 3_000.0
-EVENT_PATIENCE_MS = 1_200.0
+FIRST_EVENT_TIMEOUT_MS = 3_000.0
+EVENT_TIMEOUT_MS = 1_200.0
 RUN_TIMEOUT_MS = 30_000.0
 MAX_IDLE_MS = 10_000.0
 
@@ -97,13 +97,13 @@
         return start + headers.encode() + b"\r\n" + self._body
 
     async def _read(self, reader: AnswerReader) -> RunResult:
-        head = await reader.own_head(FIRST_EVENT_PATIENCE_MS)
+        head = await reader.own_head(FIRST_EVENT_TIMEOUT_MS)
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
-            await reader.rest(EVENT_PATIENCE_MS)
+            await reader.rest(EVENT_TIMEOUT_MS)
             return RunResult(RunEnd.NOT_RUN, f"status {head.status}")
         if head.status == 200:
             return await self._collect(reader)
-        await reader.rest(EVENT_PATIENCE_MS)
+        await reader.rest(EVENT_TIMEOUT_MS)
         if head.status == 422:
             return RunResult(RunEnd.REJECTED, "status 422")
         end = RunEnd.FAILED if head.status == 500 else RunEnd.BROKEN
@@ -112,12 +112,12 @@
     async def _collect(self, reader: AnswerReader) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
-        patience_ms = FIRST_EVENT_PATIENCE_MS
-        while not isinstance(part := await reader.next_item(patience_ms), BodyEnd):
+        silence_ms = FIRST_EVENT_TIMEOUT_MS
+        while not isinstance(part := await reader.next_item(silence_ms), BodyEnd):
             for event in splitter.feed(part):
                 item.data.append(event.data)
                 item.last_event_id = event.event_id
-                patience_ms = EVENT_PATIENCE_MS
+                silence_ms = EVENT_TIMEOUT_MS
         if splitter.remainder:
             return RunResult(RunEnd.BROKEN, "the stream ends in the middle of an event")
         return RunResult(RunEnd.COMPLETE)
--- a/tests/test_job_submission.py
+++ b/tests/test_job_submission.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.gateway.job_calls import SUBMIT_PATIENCE_MS, JobCalls, RunnerAnswer
+from ebonyshore.gateway.job_calls import SUBMIT_HEDGE_DELAY_MS, JobCalls, RunnerAnswer
 from ebonyshore.host.answers import OwnAnswer
 from ebonyshore.http.client import ExchangeError
 from ebonyshore.http.headers import Headers
@@ -13,7 +13,7 @@
 from tests.registry_setup import peer
 
 NAMES = ("a", "b", "c")
-SLOW_MS = 20 * SUBMIT_PATIENCE_MS
+SLOW_MS = 20 * SUBMIT_HEDGE_DELAY_MS
 
 
 class ScriptedCalls(JobCalls):
@@ -72,7 +72,7 @@
 
 def test_the_first_runner_may_still_answer_first():
     """Guards against giving a slow store's answer up for one that comes later."""
-    calls = ScriptedCalls(a=(1.5 * SUBMIT_PATIENCE_MS, 202), b=(SLOW_MS, 202))
+    calls = ScriptedCalls(a=(1.5 * SUBMIT_HEDGE_DELAY_MS, 202), b=(SLOW_MS, 202))
     assert calls.submit().body == b"a" and calls.given_up == ["b"]
 
 
@@ -92,5 +92,5 @@
 
 def test_a_read_asks_no_further_runner_while_one_may_answer():
     """Guards against calls to the store that a read costs at each runner."""
-    calls = ScriptedCalls(a=(2 * SUBMIT_PATIENCE_MS, 200), b=(1.0, 200))
+    calls = ScriptedCalls(a=(2 * SUBMIT_HEDGE_DELAY_MS, 200), b=(1.0, 200))
     assert calls.submit(JobCallKind.RESULTS).body == b"a" and calls.asked == ["a"]
