Drop two settings of routes that nothing reads, and say so

Priorities and the longest pause between events were decoded and not used; platform.md lists them as not built. The clock's page no longer says that wall times are for people only, as due times use them.

--- a/ebonyshore/frame/clock.py
+++ b/ebonyshore/frame/clock.py
@@ -20,7 +20,7 @@
 
     @abstractmethod
     def wall_ms(self) -> int:
-        """Return milliseconds since the Unix epoch; for records that people read only."""
+        """Return milliseconds since the Unix epoch; an operator may set it forward or back."""
 
     @abstractmethod
     def sleep_ms(self, duration_ms: float) -> None:
--- a/ebonyshore/host/routes.py
+++ b/ebonyshore/host/routes.py
@@ -29,8 +29,6 @@
     :param path_prefix: begins and ends with a slash.
     :param timeout_ms: longest time that a caller is kept waiting.
     :param target_latency_ms: time within which an answer has its full value.
-    :param gap_target_ms: longest pause between events of an answer on time.
-    :param priority: 0 is the highest.
     :param max_attempts: targets that one attempt of a caller may run on.
     :param is_resumable: whether a stream may go on at another target.
     :param completion_target_ms: from the first send of a job to when its results are due.
@@ -44,8 +42,6 @@
     shares: tuple[ServiceShare, ...]
     timeout_ms: float = 30_000.0
     target_latency_ms: float = 1_000.0
-    gap_target_ms: float = 0.0
-    priority: int = 0
     max_attempts: int = 1
     is_resumable: bool = False
     completion_target_ms: float = 0.0
--- a/ebonyshore/platform/config_object.py
+++ b/ebonyshore/platform/config_object.py
@@ -32,8 +32,6 @@
     split: list[_Share] | None = field(default=None, name="TrafficSplit")
     timeout_ms: float = field(default=30_000.0, name="TimeoutMs")
     target_latency_ms: float = field(default=1_000.0, name="TargetLatencyMs")
-    gap_target_ms: float = field(default=0.0, name="GapTargetMs")
-    priority: int = field(default=0, name="Priority")
     max_attempts: int = field(default=1, name="MaxAttempts")
     is_resumable: bool = field(default=False, name="Resumable")
     completion_target_ms: float = field(default=0.0, name="CompletionTargetMs")
@@ -97,8 +95,6 @@
         for name in (
             "timeout_ms",
             "target_latency_ms",
-            "gap_target_ms",
-            "priority",
             "max_attempts",
             "is_resumable",
             "completion_target_ms",
