--- /dev/null
+++ b/ebonyshore_report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports and plots of days that the users' bench has played with this system."""
--- /dev/null
+++ b/ebonyshore_report/__main__.py
@@ -0,0 +1,66 @@
+"""Writes the report: ``python -m ebonyshore_report [DAY.json ...]``.
+
+Beside each ``DAY.json`` (``fleetbench run --report``) stands ``DAY.log`` (its output with
+``--log all``).
+"""
+
+import argparse
+import sys
+from pathlib import Path
+
+from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore_report.errors import ReportError
+from ebonyshore_report.journal import read_runs
+from ebonyshore_report.played_day import read_day
+from ebonyshore_report.plots import save_plots
+from ebonyshore_report.request_log import RequestLog
+from ebonyshore_report.tables import ExplainedDay, markdown
+
+JOURNAL = Path("journal")
+FOLDER = Path("build/report")
+
+
+def read_explained_day(path: Path) -> ExplainedDay:
+    """Return a day with its log.
+
+    :raises ReportError: if one of the files is missing, or is something else.
+    """
+    try:
+        day = read_day(path)
+        with path.with_suffix(".log").open(encoding="utf-8", errors="replace") as lines:
+            return ExplainedDay(path.stem, day, RequestLog(lines))
+    except OSError as error:
+        raise ReportError(str(error)) from error
+
+
+def write_report(journal: Path, days: list[Path], folder: Path) -> str:
+    """Write ``report.md`` and the plots; return the text.
+
+    :raises ReportError: if a file is not what it should be.
+    """
+    explained = [read_explained_day(path) for path in days]
+    scores = read_runs(journal, "score")
+    text = markdown(scores, read_runs(journal, "hunt"), explained)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "report.md").write_text(text, encoding="utf-8")
+    save_plots(scores, explained, folder)
+    return text
+
+
+def main() -> int:
+    """Write the report that the arguments name; return the exit status."""
+    parser = argparse.ArgumentParser(prog="python -m ebonyshore_report")
+    parser.add_argument("days", nargs="*", type=Path, help="reports of played days")
+    parser.add_argument("--journal", type=Path, default=JOURNAL)
+    parser.add_argument("--folder", type=Path, default=FOLDER)
+    options = parser.parse_args()
+    try:
+        print(write_report(options.journal, options.days, options.folder))
+    except EbonyshoreError as error:
+        print(error, file=sys.stderr)
+        return int(error.code)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ebonyshore_report/played_day.py
@@ -0,0 +1,146 @@
+"""One day in full: the bench's report of it, and the bound of what could have been served."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from msgspec import Struct, ValidationError
+from msgspec.json import Decoder
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore_report.errors import ReportError
+
+RESTART_S = 12.0  # after which a start no longer belongs to a disruption
+ENDS_ALL = ("closing", "herd_kill")  # kinds that may end every entry at the same moment
+
+
+class Window(Struct, frozen=True):
+    """Two seconds of the day, by the time of each request's first send.
+
+    :param name: second at which it begins.
+    :param n: requests sent.
+    :param in_aim: of them, served within their aim.
+    """
+
+    name: str
+    n: int
+    in_aim: int
+    late: int
+    refused: int
+    failed: int
+    not_owed: int
+    worth: float
+
+    @property
+    def start_s(self) -> float:
+        """Begin of the window."""
+        return float(self.name)
+
+
+class Disruption(Struct, frozen=True):
+    """Something that happened, with the times that the bench gives it."""
+
+    at_s: float
+    to_s: float
+    kind: str
+
+
+class PlayedDay(Struct, frozen=True):
+    """The bench's report of one day, as far as it is used here."""
+
+    G: float
+    served: float
+    windows: tuple[Window, ...]
+    events: tuple[Disruption, ...]
+
+    @property
+    def worth(self) -> float:
+        """Of all requests, less prices."""
+        return self.G
+
+
+class Darkness(Struct, frozen=True):
+    """A time without any running entry."""
+
+    start_s: float
+    end_s: float
+
+
+def read_day(path: Path) -> PlayedDay:
+    """Return a report that ``fleetbench run --report`` wrote.
+
+    :raises ReportError: if it is not one.
+    """
+    try:
+        return Decoder(PlayedDay).decode(path.read_bytes())
+    except ValidationError as error:
+        raise ReportError(f"{path.name}: {error}") from error
+
+
+def dark_times(day: PlayedDay, starts_s: dict[str, Sequence[float]]) -> list[Darkness]:
+    """Return the times in which no entry ran.
+
+    A disruption that ends many at once, and after which every entry starts again, ended them all.
+
+    :param starts_s: by entry, when its processes started.
+    """
+    found: list[Darkness] = []
+    for event in day.events:
+        ends_s = [
+            min((at for at in starts if 0 < at - event.at_s < RESTART_S), default=None)
+            for starts in starts_s.values()
+        ]
+        if event.kind.startswith(ENDS_ALL) and ends_s and None not in ends_s:
+            found.append(Darkness(event.at_s, min(ends_s)))
+    return found
+
+
+def bound(day: PlayedDay, darkness: Sequence[Darkness], aim_ms: float) -> float:
+    """Return the share of requests that a scheduler that knows all could have served in their aim.
+
+    It loses only requests whose whole aim passes while no entry runs. Work under way when the
+    entries end, and targets that are full, are left out, so more cannot be served.
+    """
+    asked = sum(window.n for window in day.windows)
+    if not asked:
+        return 1.0
+    lost = sum(window.n * _dark_share(window, day, darkness, aim_ms) for window in day.windows)
+    return 1.0 - lost / asked
+
+
+def served_in_aim(day: PlayedDay) -> float:
+    """Return the share of requests served in their aim; those not owed count as served."""
+    asked = sum(window.n for window in day.windows)
+    return sum(window.in_aim + window.not_owed for window in day.windows) / asked if asked else 1.0
+
+
+def causes(day: PlayedDay, window: Window) -> list[str]:
+    """Return the disruptions that last into a window or began in the one before."""
+    length_s = _length_s(day)
+    end_s = window.start_s + length_s
+    return [
+        event.kind
+        for event in day.events
+        if event.at_s < end_s and event.to_s > window.start_s - length_s
+    ]
+
+
+def worst_windows(day: PlayedDay, count: int = 2) -> list[Window]:
+    """Return the windows that lost the most worth, the worst first."""
+    return sorted(day.windows, key=lambda window: (window.worth - 1.0) * window.n)[:count]
+
+
+def _length_s(day: PlayedDay) -> float:
+    starts_s = [window.start_s for window in day.windows]
+    return min((b - a for a, b in zip(starts_s, starts_s[1:], strict=False)), default=1.0)
+
+
+def _dark_share(
+    window: Window, day: PlayedDay, darkness: Sequence[Darkness], aim_ms: float
+) -> float:
+    length_s = _length_s(day)
+    end_s = window.start_s + length_s
+    dark_s = sum(
+        max(0.0, min(end_s, dark.end_s - aim_ms / MS_PER_S) - max(window.start_s, dark.start_s))
+        for dark in darkness
+    )
+    return min(1.0, dark_s / length_s)
--- /dev/null
+++ b/ebonyshore_report/request_log.py
@@ -0,0 +1,46 @@
+"""What our own log lines tell of a played day: how requests ended, how fast, and who started."""
+
+import re
+from collections import Counter
+from collections.abc import Iterable
+
+from hdrh.histogram import HdrHistogram
+
+LINE = re.compile(
+    r"^\s*(?P<at_s>-?[\d.]+) (?P<node>\S+) time_ms=\d+ event=(?P<event>\S+)(?P<rest>.*)"
+)
+FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+MAX_MS = 600_000
+DIGITS = 3
+
+
+class RequestLog:
+    """Sums over the lines of one day.
+
+    :param lines: of ``fleetbench run --log all``; others are passed over.
+    """
+
+    __slots__ = ("first_event_ms", "outcomes", "starts_s")
+
+    def __init__(self, lines: Iterable[str]) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.first_event_ms = HdrHistogram(1, MAX_MS, DIGITS)
+        self.starts_s: dict[str, list[float]] = {}
+        for line in lines:
+            found = LINE.match(line)
+            if found:
+                fields = dict(FIELD.findall(found["rest"]))
+                self._take(float(found["at_s"]), found["node"], found["event"], fields)
+
+    def percentile_ms(self, percent: float) -> float:
+        """Return a percentile of the time to an answer's first event."""
+        return float(self.first_event_ms.get_value_at_percentile(percent))
+
+    def _take(self, at_s: float, node: str, event: str, fields: dict[str, str]) -> None:
+        if event == "process_started" and fields.get("role") == "entry":
+            self.starts_s.setdefault(node, []).append(at_s)
+        if event != "request_ended":
+            return
+        self.outcomes[fields["outcome"]] += 1
+        if "first_event_ms" in fields:
+            self.first_event_ms.record_value(max(1, round(float(fields["first_event_ms"]))))
--- /dev/null
+++ b/ebonyshore_report/tables.py
@@ -0,0 +1,140 @@
+"""The report as Markdown."""
+
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from ebonyshore_bench.markdown_table import table
+from ebonyshore_report.journal import Run, by_site
+from ebonyshore_report.played_day import (
+    PlayedDay,
+    bound,
+    causes,
+    dark_times,
+    served_in_aim,
+    worst_windows,
+)
+from ebonyshore_report.request_log import RequestLog
+
+COMMIT_LENGTH = 7
+AIM_MS = 308.0  # of the sites' streaming routes
+
+
+class ExplainedDay(Struct, frozen=True):
+    """A day with the log that our processes wrote in it."""
+
+    name: str
+    day: PlayedDay
+    log: RequestLog
+
+
+def markdown(scores: Sequence[Run], hunts: Sequence[Run], days: Sequence[ExplainedDay]) -> str:
+    """Return the whole report."""
+    lines = ["# Days on the users' bench", "", "## Scores", "", *_score_table(scores)]
+    lines += ["", "## First and last score of each day", "", *_change_table(scores)]
+    lines += ["", "## Hunts", "", *_hunt_table(hunts)]
+    if days:
+        lines += ["", "## What binds", "", *_bound_table(days)]
+        lines += ["", "## How requests ended", "", *_outcome_table(days)]
+    return "\n".join(lines) + "\n"
+
+
+def _score_table(runs: Sequence[Run]) -> list[str]:
+    head = ["Start", "Commit", "Site", "Score", "Least worth of a day", "Rules broken"]
+    rows = [
+        [
+            run.times[0],
+            run.commit[:COMMIT_LENGTH],
+            run.site or "–",
+            _number(run.score),
+            _number(min((day.worth for day in run.days if day.worth is not None), default=None)),
+            _breaks(run),
+        ]
+        for run in runs
+    ]
+    return table(head, rows)
+
+
+def _change_table(runs: Sequence[Run]) -> list[str]:
+    head = ["Site", "Day", "Worth, first", "Worth, last", "Score, first", "Score, last"]
+    rows: list[list[str]] = []
+    for site, of_site in by_site(list(runs)).items():
+        first = {day.name: day for day in of_site[0].days}
+        for day in of_site[-1].days:
+            before = first.get(day.name)
+            if before is not None:
+                rows.append(
+                    [
+                        site,
+                        day.name,
+                        _number(before.worth),
+                        _number(day.worth),
+                        _number(before.score),
+                        _number(day.score),
+                    ]
+                )
+    return table(head, rows)
+
+
+def _hunt_table(runs: Sequence[Run]) -> list[str]:
+    head = ["Start", "Commit", "Site", "Days", "Rules broken"]
+    rows = [
+        [
+            run.times[0],
+            run.commit[:COMMIT_LENGTH],
+            run.site or "–",
+            str(len(run.days)),
+            _breaks(run),
+        ]
+        for run in runs
+    ]
+    return table(head, rows)
+
+
+def _bound_table(days: Sequence[ExplainedDay]) -> list[str]:
+    head = ["Day", "Worth", "Served in aim", "Bound", "No entry ran, s", "Worst window", "Then"]
+    rows: list[list[str]] = []
+    for found in days:
+        darkness = dark_times(found.day, found.log.starts_s)
+        dark = ", ".join(f"{dark.start_s:.1f}–{dark.end_s:.1f}" for dark in darkness)
+        (worst,) = worst_windows(found.day, 1)
+        rows.append(
+            [
+                found.name,
+                _number(found.day.worth),
+                _number(served_in_aim(found.day)),
+                _number(bound(found.day, darkness, AIM_MS)),
+                dark or "–",
+                f"{worst.name} s: {worst.worth:.2f}",
+                ", ".join(causes(found.day, worst)) or "–",
+            ]
+        )
+    return table(head, rows)
+
+
+def _outcome_table(days: Sequence[ExplainedDay]) -> list[str]:
+    names = sorted({name for found in days for name in found.log.outcomes})
+    head = ["Day", "First event p50 ms", "p99 ms", *names]
+    rows = [
+        [
+            found.name,
+            f"{found.log.percentile_ms(50):.0f}",
+            f"{found.log.percentile_ms(99):.0f}",
+            *(str(found.log.outcomes[name]) for name in names),
+        ]
+        for found in days
+    ]
+    return table(head, rows)
+
+
+def _breaks(run: Run) -> str:
+    found = [
+        f"{day.name}: {rule} {count}"
+        for day in run.days
+        for rule, count in day.broken_rules.items()
+    ]
+    return "; ".join(found) or "none"
+
+
+def _number(value: float | None) -> str:
+    return "–" if value is None else f"{value:.3f}"
