Log the content of requests and the failures of items

Lines named a request by the id of one send, so sends of one content under several ids, at several processes, could not be told from unrelated requests. request_ended, attempt_ended and item_run_ended now have a digest of host, method, path and body; item_run_ended also has the failures that targets reported so far, which shows whether a successor of a runner starts to count anew.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -20,6 +20,7 @@
     maybe_executed_response,
     not_executed_response,
 )
+from ebonyshore.host.request_content import content_digest
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
 from ebonyshore.host.targets import Target, TargetTable
@@ -97,6 +98,9 @@
         self._request = request
         self._responder = responder
         self._request_id = request.headers.get(forwarder.names.request_id)
+        self._content_digest = content_digest(
+            request.headers.get("host") or "", request.method, request.target, request.body
+        )
         self._service_targets = forwarder.choose_service_targets(route)
         self._tried_targets: list[str] = []
         self._unsuccessful_targets: set[str] = set()
@@ -117,6 +121,7 @@
             self._forwarder.log.event(
                 "request_ended",
                 request=self._request_id,
+                content=self._content_digest,
                 route=self._route.name,
                 outcome=outcome,
                 targets=",".join(self._tried_targets),
@@ -254,6 +259,7 @@
         self._forwarder.log.event(
             "attempt_ended",
             request=self._request_id,
+            content=self._content_digest,
             target=target.target_id,
             outcome=outcome,
             detail=detail,
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -12,7 +12,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
-from ebonyshore.runner.job_progress import Item
+from ebonyshore.runner.job_progress import ITEM_METHOD, Item
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 3_000.0
@@ -111,7 +111,7 @@
         if self._item.last_event_id is not None:
             headers = headers.with_field(names.last_event_id, str(self._item.last_event_id))
         headers.add("Content-Length", str(len(self._body)))
-        request_line = f"POST {self._record.path} HTTP/1.1\r\n".encode("latin-1")
+        request_line = f"{ITEM_METHOD} {self._record.path} HTTP/1.1\r\n".encode("latin-1")
         return request_line + headers.encode() + b"\r\n" + self._body
 
     async def _read_response(self, reader: ResponseReader) -> RunResult:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -259,10 +259,12 @@
                 "item_run_ended",
                 job=progress.job_id,
                 item=item.item_id,
+                content=progress.content_digest(item),
                 target=target.target_id,
                 end=result.outcome.name.lower(),
                 detail=result.detail,
                 last_event=item.last_event_id,
+                failures=item.failures,
             )
         if item.state is not ItemState.RUNNING:
             return  # another runner has listed the item's result in the meantime
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -14,7 +14,9 @@
     ResultRecord,
     ResultSegment,
 )
+from ebonyshore.host.request_content import content_digest
 
+ITEM_METHOD = "POST"  # of the requests that run items
 MAX_SEGMENT_BYTES = 600_000  # below the store's limit for one object
 MAX_PAGE_BYTES = 900_000
 
@@ -38,11 +40,13 @@
     :ivar failures: number of runs that the target reported as failed.
     :ivar consecutive_broken_runs: number of runs with the outcome ``SILENT`` or ``BROKEN`` since
         the last run that received an event.
+    :ivar content_digest: digest of the item's request; ``None`` until it is needed.
     :ivar not_before_ms: event loop time before which the item must not run again.
     """
 
     __slots__ = (
         "consecutive_broken_runs",
+        "content_digest",
         "data",
         "failures",
         "index",
@@ -60,6 +64,7 @@
         self.last_event_id: int | None = None
         self.failures = 0
         self.consecutive_broken_runs = 0
+        self.content_digest: str | None = None
         self.not_before_ms = float("-inf")
 
 
@@ -232,6 +237,15 @@
         """
         return self._bodies.get(index, self.record.items[index].body)
 
+    def content_digest(self, item: Item) -> str:
+        """Return the digest of the request that runs an item."""
+        if item.content_digest is None:
+            path = self.record.items[item.index].path
+            item.content_digest = content_digest(
+                self.record.host, ITEM_METHOD, path, self.item_body(item.index)
+            )
+        return item.content_digest
+
     def find_item(self, item_id: str) -> Item | None:
         """Return the item with an id, or ``None`` if the job has none."""
         return next((item for item in self.items if item.item_id == item_id), None)
