Share the table of content that crashes targets between both paths

The table moves from entry to link, since entries, agents and now the processes on the platform use it. The number of crashes that convict content is a parameter: two where a target runs one suspect at a time, as before.

--- a/ebonyshore/agent/crash_suspicion.py
+++ b/ebonyshore/agent/crash_suspicion.py
@@ -8,8 +8,8 @@
 from uuid import uuid4
 
 from ebonyshore.agent.target_run import TargetRun
-from ebonyshore.entry.suspicion import SuspicionTable
 from ebonyshore.link.messages import CrashReport, Verdict, VerdictShare
+from ebonyshore.link.suspicion import ISOLATED_CONVICTION_CRASHES, SuspicionTable
 
 # Content that was in flight at a crash of this target does not start here again for this long. Its
 # next run goes to the other of the two targets to which entries route it; otherwise copies of the
@@ -34,7 +34,7 @@
     def __init__(self, agent_id: str, expiry_ms: float) -> None:
         self._agent_id = agent_id
         self._local_crash_ms: dict[str, float] = {}
-        self.table = SuspicionTable(expiry_ms)
+        self.table = SuspicionTable(expiry_ms, ISOLATED_CONVICTION_CRASHES)
 
     def record_local_crash(self, runs: Iterable[TargetRun], now_ms: float) -> CrashReport:
         """Record a crash of this target with ``runs`` in flight and return the report of it."""
--- a/ebonyshore/entry/suspicion_relay.py
+++ b/ebonyshore/entry/suspicion_relay.py
@@ -7,10 +7,10 @@
 from returns.result import Failure, Result, Success
 
 from ebonyshore.entry.agent_link import AgentLink
-from ebonyshore.entry.suspicion import SuspicionTable
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.link.messages import CrashReport, Dispatch, VerdictShare, Welcome
+from ebonyshore.link.suspicion import ISOLATED_CONVICTION_CRASHES, SuspicionTable
 
 
 class SuspicionRelay:
@@ -34,7 +34,7 @@
         self._expiry_ms = expiry_ms
         self._clock = clock
         self._lock = Lock()
-        self._table = SuspicionTable(expiry_ms())
+        self._table = SuspicionTable(expiry_ms(), ISOLATED_CONVICTION_CRASHES)
 
     def attach(self, link: AgentLink) -> None:
         """Subscribe to a link's messages and screen its dispatches; call before the link starts."""
--- a/ebonyshore/entry/suspicion.py
+++ b/ebonyshore/link/suspicion.py
@@ -1,8 +1,8 @@
 """Keeps track of content that may crash targets, by content digest. No I/O; times are passed in.
 
 Content that was in flight when a target crashed is suspect. It is cleared when it completes, and
-convicted when it was in flight at a second crash or was the only suspect at one. Convicted content
-must not run any more until it expires.
+convicted when it was in flight at a given number of crashes or was the only suspect at one.
+Convicted content must not run any more until it expires.
 """
 
 from collections.abc import Iterable
@@ -11,9 +11,9 @@
 from ebonyshore.link.messages import CrashReport, Verdict
 
 MAX_TRACKED_REPORTS = 4096
-# A content may cause at most two crashes, so being in flight at a second one convicts it
+# Where a target runs at most one suspect at a time, the second crash identifies the cause
 # (docs/design.md, 5.7).
-CONVICTION_CRASHES = 2
+ISOLATED_CONVICTION_CRASHES = 2
 
 
 @dataclass(slots=True)
@@ -29,11 +29,11 @@
     is_convicted: bool = False
     last_crash_ms: float = float("-inf")
 
-    def add(self, crash_ids: Iterable[str], now_ms: float) -> None:
-        """Add crashes; convict the content if there are :data:`CONVICTION_CRASHES` of them."""
+    def add(self, crash_ids: Iterable[str], now_ms: float, conviction_crashes: int) -> None:
+        """Add crashes; convict the content if there are ``conviction_crashes`` of them."""
         self.crash_ids.update(crash_ids)
         self.last_crash_ms = max(self.last_crash_ms, now_ms)
-        self.is_convicted = self.is_convicted or len(self.crash_ids) >= CONVICTION_CRASHES
+        self.is_convicted = self.is_convicted or len(self.crash_ids) >= conviction_crashes
 
 
 class SuspicionTable:
@@ -41,12 +41,14 @@
 
     :param expiry_ms: time after the last crash of a content at which it is forgotten. The attribute
         may be changed.
+    :param conviction_crashes: number of crashes with the content in flight that convict it.
     """
 
-    __slots__ = ("_seen_reports", "_suspects", "expiry_ms")
+    __slots__ = ("_conviction_crashes", "_seen_reports", "_suspects", "expiry_ms")
 
-    def __init__(self, expiry_ms: float) -> None:
+    def __init__(self, expiry_ms: float, conviction_crashes: int) -> None:
         self.expiry_ms = expiry_ms
+        self._conviction_crashes = conviction_crashes
         self._suspects: dict[str, Suspect] = {}
         self._seen_reports: dict[tuple[str, tuple[str, ...]], None] = {}
 
@@ -65,7 +67,8 @@
         if len(self._seen_reports) > MAX_TRACKED_REPORTS:
             del self._seen_reports[next(iter(self._seen_reports))]
         for digest in report.content_digests:
-            self._find_or_add(digest, now_ms).add((report.crash_id,), now_ms)
+            suspect = self._find_or_add(digest, now_ms)
+            suspect.add((report.crash_id,), now_ms, self._conviction_crashes)
         if len(report.suspect_digests) == 1:
             self._find_or_add(report.suspect_digests[0], now_ms).is_convicted = True
         return True
@@ -105,7 +108,8 @@
             return False
         suspect = self._find_or_add(verdict.content_digest, now_ms)
         previous = (len(suspect.crash_ids), suspect.is_convicted)
-        suspect.add(verdict.crash_ids, now_ms - verdict.age_ms)
+        crashed_ms = now_ms - verdict.age_ms
+        suspect.add(verdict.crash_ids, crashed_ms, self._conviction_crashes)
         suspect.is_convicted = suspect.is_convicted or verdict.is_convicted
         return previous != (len(suspect.crash_ids), suspect.is_convicted)
 
--- a/ebonyshore_standins/batch_simulation_agent.py
+++ b/ebonyshore_standins/batch_simulation_agent.py
@@ -8,7 +8,6 @@
 from returns.result import Failure
 
 from ebonyshore.agent.agent_admission import AdmissionState, check_admission, has_valid_permit
-from ebonyshore.entry.suspicion import SuspicionTable
 from ebonyshore.frame.result_codes import Execution, ResultCode
 from ebonyshore.link.messages import (
     Chunk,
@@ -20,6 +19,7 @@
     Refused,
     Usage,
 )
+from ebonyshore.link.suspicion import ISOLATED_CONVICTION_CRASHES, SuspicionTable
 from ebonyshore_standins.batch_simulation_base import BatchSimulationBase, EntryLinkBase
 from ebonyshore_standins.engine_model import token_at
 
@@ -67,7 +67,7 @@
         self.is_down = False
         self.stall_until_ms = 0.0
         self.target_ready_ms = 0.0
-        self.suspicion = SuspicionTable(SUSPICION_EXPIRY_MS)
+        self.suspicion = SuspicionTable(SUSPICION_EXPIRY_MS, ISOLATED_CONVICTION_CRASHES)
         self.waiting: deque[SimulatedRun] = deque()
         self.running: list[SimulatedRun] = []
         self._offset_ms = simulation.random.uniform(0, 1e6)
