Count the crashes of content over all its sends and processes

What callers saw: a request that crashes each target that runs it was sent to further targets for as long as its caller repeated it, and an item of that kind for as long as its job lived. Each crash also broke the other requests at its target.

Cause: the only limits were the attempts of one send and the pause before an item runs again. Nothing was known of a request after its send had ended, nothing at other processes, and a broken connection was not told from a crashed target. The product's own path has crash suspicion (design.md, 5.7); the path on the platform had none.

Fix: after a run broke or fell silent, the process asks the target for its load report over a new connection. If the target does not answer, all content that was in flight there is suspect, unless its run had made progress; content that completes is cleared. The third crash convicts. The table and its rules are those of the own path.

Why it works: every process counts the crashes that all of them have seen, by content, so neither a new request id nor another process starts a new count.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -3,29 +3,43 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.link.datagrams import Datagram, SuspicionUpdate
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import LoadMessage, LoadTotals
+from ebonyshore.link.load_table import LoadTotals
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
 
 class EntryLoadReporter:
-    """Sends the load reports of an entry and passes received totals to its load view.
+    """Sends an entry's load reports and crash suspicions, and passes on what it receives.
 
     :param peers: provides the runners' addresses.
     :param targets: provides the entry's own request counts.
     :param view: updated with the received totals; provides the batch counts of the reports.
+    :param suspicions: updated with the received suspicions; provides those to send.
     """
 
-    def __init__(self, peers: PeerDirectory, targets: TargetTable, view: LoadView) -> None:
+    def __init__(
+        self,
+        peers: PeerDirectory,
+        targets: TargetTable,
+        view: LoadView,
+        suspicions: SuspicionExchange,
+    ) -> None:
+        self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
         self._view = view
+        self._suspicions = suspicions
 
-    def on_message(self, message: LoadMessage) -> None:
-        """Update the load view with totals from a runner; other messages are ignored."""
+    def on_message(self, message: Datagram) -> None:
+        """Apply a message from a runner; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+        elif isinstance(message, SuspicionUpdate):
+            self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
 
     def send(self, socket: LoadSocket) -> None:
-        """Send the next report to each runner."""
+        """Send the next report and new suspicions to each runner."""
         self._reports.send(socket, observed_batch=self._view.observed_batch())
+        self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -22,17 +22,28 @@
     components = SharedComponents(environment)
     target_table, peers = components.targets.table, components.peers
     view = LoadView(settings.failure_domain, lambda: load_service.schedule_report())
-    load_reporter = EntryLoadReporter(peers, target_table, view)
+    load_reporter = EntryLoadReporter(peers, target_table, view, components.suspicions)
     port = settings.first_internal_port
     load_service = LoadService(
         settings.ip, port, load_reporter.on_message, load_reporter.send, log, metrics
     )
-    forwarder = Forwarder(names, target_table, view, pool, log, metrics, environment.random)
+    components.suspicions.on_change = load_service.schedule_report
+    forwarder = Forwarder(
+        names,
+        target_table,
+        view,
+        pool,
+        components.crash_guard,
+        log,
+        metrics,
+        environment.random,
+    )
     job_calls = JobCallForwarder(names, peers, view, pool, log, metrics, environment.random)
     isolation_detector = IsolationDetector(peers, view, components.probe, log)
     kernel = AsyncKernel()
     kernel.register(load_service)
     kernel.register(components.probe)
+    kernel.register(components.crash_guard)
     kernel.register(components.watch_service())
     kernel.register(
         ReadinessServer(
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.response_reader import (
@@ -12,7 +13,6 @@
     ResponseReader,
 )
 from ebonyshore.host.routes import Route
-from ebonyshore.host.targets import Target
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
@@ -76,19 +76,21 @@
     :param names: header names of the deployment.
     :param request: the caller's request.
     :param relay: shared by all attempts of the request.
+    :param run: this attempt, for the attribution of crashes; names the target.
     """
 
     def __init__(
         self,
         names: WireNames,
         pool: ConnectionPool,
-        target: Target,
         request: Request,
         relay: RelayState,
+        run: ContentRun,
     ) -> None:
         self._names = names
         self._pool = pool
-        self._target = target
+        self._run = run
+        self._target = run.target
         self._request = request
         self._relay = relay
         self._request_id = request.headers.get(names.request_id)
@@ -119,7 +121,7 @@
         except ExchangeError as error:
             if not error.was_sent:
                 raise NotExecutedError(str(error), is_unreachable=True) from error
-            raise AttemptFailedError(str(error)) from error
+            raise AttemptFailedError(str(error), is_connection_lost=True) from error
         except StreamOrderError as error:
             raise AttemptFailedError(str(error)) from error
 
@@ -149,6 +151,7 @@
     ) -> ExchangeEnd:
         idle_timeout_ms = FIRST_EVENT_TIMEOUT_MS if can_retry else None
         head = await reader.read_head(idle_timeout_ms)
+        self._run.has_response = True
         self._target.mark_responsive()
         # 421 (misdirected request): the target is not the instance that the request names.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -14,6 +14,7 @@
 )
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
     deadline_response,
@@ -33,6 +34,9 @@
 # A request that may have run can no longer be refused, so it may join a queue of any length.
 UNBOUNDED_QUEUE_SLOTS = 1 << 20
 NO_TARGET_RETRY_MS = 500.0
+# A request whose attempts broke is not sent once more before their targets have been checked; its
+# first retry does not wait, because a target's connections also break for other reasons.
+MAX_UNCHECKED_ATTEMPTS = 2
 MIN_REMAINING_MS = 5.0  # with less time left no attempt is started
 UNEXPECTED_REFUSAL_WEIGHT = 0.5  # of a failure: a target refused although it had free slots
 
@@ -44,6 +48,7 @@
     :param targets: the known targets.
     :param view: the load of the targets.
     :param pool: connections to the targets.
+    :param crash_guard: knows the content that crashes targets.
     :param random: randomizes the choice of targets and the retry delays of refused callers.
     """
 
@@ -53,6 +58,7 @@
         targets: TargetTable,
         view: LoadView,
         pool: ConnectionPool,
+        crash_guard: CrashGuard,
         log: EventLog,
         metrics: Metrics,
         random: Random,
@@ -61,6 +67,7 @@
         self.targets = targets
         self.view = view
         self.pool = pool
+        self.crash_guard = crash_guard
         self.log = log
         self.metrics = metrics
         self.random = random
@@ -137,10 +144,15 @@
         return None if at_ms is None else at_ms - self._request.received_ms
 
     async def _run_until_deadline(self) -> str:
+        guard = self._forwarder.crash_guard
         while True:
             remaining_ms = self._deadline_ms - now_ms()
             if remaining_ms < MIN_REMAINING_MS:
                 return self._fail(deadline_response(was_sent=self._attempts > 0))
+            if self._attempts >= MAX_UNCHECKED_ATTEMPTS:
+                await guard.settle(self._content_digest)
+            if guard.is_convicted(self._content_digest):
+                return self._refuse_convicted()
             target = self._choose_target()
             if target is None:
                 return self._refuse()
@@ -157,7 +169,8 @@
         self._tried_targets.append(target.target_id)
         self._attempts += 1
         can_retry = self._can_retry()
-        exchange = Exchange(forwarder.names, forwarder.pool, target, self._request, self._relay)
+        run = forwarder.crash_guard.begin(target, self._content_digest)
+        exchange = Exchange(forwarder.names, forwarder.pool, self._request, self._relay, run)
         forwarder.view.record_start(target)
         began_ms = now_ms()
         try:
@@ -166,9 +179,14 @@
             self._attempts -= 1
             return self._after_refusal(target, error)
         except AttemptFailedError as error:
+            if error.may_be_crash:
+                forwarder.crash_guard.end_broken(run)
             return self._after_failure(target, error)
         finally:
             forwarder.view.record_end(target)
+            forwarder.crash_guard.end(run)
+        if end is not ExchangeEnd.FAILED:
+            forwarder.crash_guard.end_completed(run)
         target.outcomes.record(float(end is ExchangeEnd.FAILED), now_ms())
         if end is ExchangeEnd.STREAMED:
             forwarder.view.record_service_time(now_ms() - began_ms)
@@ -247,6 +265,14 @@
         )
         return self._fail(not_executed_response(ResultCode.OVERLOADED, delay_ms))
 
+    def _refuse_convicted(self) -> str:
+        """Refuse a request whose content crashes targets, or fail it if an attempt may have run."""
+        code = ResultCode.CONVICTED
+        if self._attempts:
+            return self._fail(maybe_executed_response(code))
+        retry_after_ms = self._forwarder.crash_guard.refusal_ms(self._content_digest)
+        return self._fail(not_executed_response(code, retry_after_ms))
+
     def _fail(self, response: ErrorResponse) -> str:
         if self._responder.is_started:
             self._responder.abort()
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -6,11 +6,15 @@
 from ebonyshore.frame.async_kernel import AsyncKernel, run_until_signal
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.host_environment import HostEnvironment
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
+from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
+from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.store.kind_watch import KindListener, KindWatch
 from ebonyshore.store.store_probe import StoreProbe
 
@@ -29,9 +33,20 @@
     :ivar peers: the registered processes.
     :ivar registration: the registration of this process as a peer.
     :ivar probe: the probe of the store.
+    :ivar suspicions: crashes of targets that this process and others have seen.
+    :ivar crash_guard: attributes crashes of targets to the content of requests.
     """
 
-    __slots__ = ("_watches", "config", "peers", "probe", "registration", "targets")
+    __slots__ = (
+        "_watches",
+        "config",
+        "crash_guard",
+        "peers",
+        "probe",
+        "registration",
+        "suspicions",
+        "targets",
+    )
 
     def __init__(self, environment: HostEnvironment) -> None:
         deployment, log = environment.deployment, environment.log
@@ -40,6 +55,8 @@
         self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         self.registration = make_registration(environment, self.peers)
         self.probe = make_probe(environment, self.config)
+        self.suspicions = make_suspicion_exchange(environment)
+        self.crash_guard = make_crash_guard(environment, self.targets.table, self.suspicions)
         config_kind = deployment.config_key.split("/", 1)[0]
         self._watches = [
             make_watch(environment, config_kind, self.config),
@@ -86,6 +103,21 @@
     )
 
 
+def make_suspicion_exchange(environment: HostEnvironment) -> SuspicionExchange:
+    """Return the process's knowledge of content that crashes targets; at first there is none."""
+    table = SuspicionTable(SUSPICION_EXPIRY_MS, SHARED_CONVICTION_CRASHES)
+    own_id = environment.settings.instance_id
+    return SuspicionExchange(own_id, table, environment.log, environment.metrics)
+
+
+def make_crash_guard(
+    environment: HostEnvironment, targets: TargetTable, suspicions: SuspicionExchange
+) -> CrashGuard:
+    """Return the crash guard of a process."""
+    checker = TargetChecker(environment.deployment.names, environment.pool)
+    return CrashGuard(targets, checker, suspicions, environment.log, environment.metrics)
+
+
 def make_registration(environment: HostEnvironment, peers: PeerDirectory) -> Registration:
     """Return the registration of this process, which is renewed if its record is removed."""
     registration = Registration(
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -30,6 +30,7 @@
     :param detail: what happened, for the log.
     :param is_idle_timeout: whether the target sent nothing for longer than the idle time-out.
     :param is_deadline_exceeded: whether the request's deadline passed.
+    :param is_connection_lost: whether the response broke off or was not valid.
     :param response: response to the caller if the request is not retried; ``None`` for the
         default one.
     """
@@ -39,14 +40,21 @@
         detail: str,
         is_idle_timeout: bool = False,
         is_deadline_exceeded: bool = False,
+        is_connection_lost: bool = False,
         response: ErrorResponse | None = None,
     ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.is_idle_timeout = is_idle_timeout
         self.is_deadline_exceeded = is_deadline_exceeded
+        self.is_connection_lost = is_connection_lost
         self.response = response
 
+    @property
+    def may_be_crash(self) -> bool:
+        """Whether the target may have crashed; ``False`` if it sent a complete response."""
+        return self.is_connection_lost or self.is_idle_timeout or self.is_deadline_exceeded
+
 
 class ResponseReader:
     """Reads one response.
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -49,11 +49,13 @@
     :ivar full_until_ms: end of the time for which the target is avoided after a refusal.
     :ivar removed_ms: time at which the entry was removed; ``None`` if it is listed.
     :ivar outcomes: outcomes of this process's requests.
+    :ivar crashes: crashes that this process has seen.
     """
 
     __slots__ = (
         "avoid_until_ms",
         "batch_started_ms",
+        "crashes",
         "entry",
         "full_until_ms",
         "outcomes",
@@ -71,6 +73,7 @@
         self.full_until_ms = float("-inf")
         self.removed_ms: float | None = None
         self.outcomes = OutcomeHistory()
+        self.crashes = 0
 
     @property
     def target_id(self) -> str:
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -236,8 +236,22 @@
         server cancels the request. Parameters and errors are those of :meth:`acquire`.
         """
         connection = await self.acquire(address, connect_timeout_ms, max_idle_ms)
-        try:
+        async with self._exchange(address, connection):
             yield connection
+
+    @asynccontextmanager
+    async def use_new(
+        self, address: str, connect_timeout_ms: float
+    ) -> AsyncIterator[ClientConnection]:
+        """Provide a new connection for one exchange; otherwise as :meth:`use`."""
+        connection = await _connect(address, connect_timeout_ms)
+        async with self._exchange(address, connection):
+            yield connection
+
+    @asynccontextmanager
+    async def _exchange(self, address: str, connection: ClientConnection) -> AsyncIterator[None]:
+        try:
+            yield
         except BaseException:
             connection.abort()
             raise
@@ -255,22 +269,13 @@
         :param max_idle_ms: maximum time for which a reused connection may have been idle.
         :raises ExchangeError: if the server cannot be reached; nothing was sent.
         """
-        loop = get_running_loop()
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
             if connection.is_usable(now_ms(), max_idle_ms):
                 return connection
             connection.abort()
-        host, _, port = address.rpartition(":")
-        try:
-            async with timeout(connect_timeout_ms / MS_PER_S):
-                _, connection = await loop.create_connection(ClientConnection, host, int(port))
-        except (OSError, ValueError) as error:
-            raise ExchangeError(
-                f"cannot connect to {address}: {error!r}", was_sent=False
-            ) from error
-        return connection
+        return await _connect(address, connect_timeout_ms)
 
     def release(self, address: str, connection: ClientConnection) -> None:
         """Return a connection to the pool if its exchange is complete, else close it.
@@ -293,3 +298,18 @@
         """Close all idle connections."""
         for address in list(self._idle_by_address):
             self.close_idle_connections(address)
+
+
+async def _connect(address: str, timeout_ms: float) -> ClientConnection:
+    """Open a connection.
+
+    :raises ExchangeError: if the server cannot be reached; nothing was sent.
+    """
+    host, _, port = address.rpartition(":")
+    loop = get_running_loop()
+    try:
+        async with timeout(timeout_ms / MS_PER_S):
+            _, connection = await loop.create_connection(ClientConnection, host, int(port))
+    except (OSError, ValueError) as error:
+        raise ExchangeError(f"cannot connect to {address}: {error!r}", was_sent=False) from error
+    return connection
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -48,6 +48,5 @@
             heard_runners,
             observed_batch or {},
         )
-        runners = self._peers.of_role("runner").values()
-        socket.send(report, [(peer.host, peer.port) for peer in runners])
+        socket.send(report, self._peers.addresses("runner"))
         return report
--- a/ebonyshore/link/load_service.py
+++ b/ebonyshore/link/load_service.py
@@ -7,8 +7,8 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.link.datagrams import Datagram
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import LoadMessage
 
 MIN_REPORT_INTERVAL_MS = 20.0
 MAX_REPORT_INTERVAL_MS = 250.0
@@ -33,7 +33,7 @@
         self,
         host: str,
         port: int,
-        on_message: Callable[[LoadMessage], None],
+        on_message: Callable[[Datagram], None],
         send: Callable[[LoadSocket], None],
         log: EventLog,
         metrics: Metrics,
--- a/ebonyshore/link/load_socket.py
+++ b/ebonyshore/link/load_socket.py
@@ -8,7 +8,7 @@
 
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.link.codec import MessageCodec
-from ebonyshore.link.load_table import LoadMessage
+from ebonyshore.link.datagrams import Datagram
 
 
 class LoadSocket(DatagramProtocol):
@@ -19,8 +19,8 @@
     :param on_message: called with each message received.
     """
 
-    def __init__(self, metrics: Metrics, on_message: Callable[[LoadMessage], None]) -> None:
-        self._codec: MessageCodec[LoadMessage] = MessageCodec(LoadMessage, metrics)
+    def __init__(self, metrics: Metrics, on_message: Callable[[Datagram], None]) -> None:
+        self._codec: MessageCodec[Datagram] = MessageCodec(Datagram, metrics)
         self._metrics = metrics
         self._on_message = on_message
         self._transport: DatagramTransport | None = None
@@ -41,7 +41,7 @@
             self._transport.close()
             self._transport = None
 
-    def send(self, message: LoadMessage, addresses: list[tuple[str, int]]) -> None:
+    def send(self, message: Datagram, addresses: list[tuple[str, int]]) -> None:
         """Send a message to each address; has no effect if the socket is not open.
 
         :param addresses: pairs of host and port.
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -91,9 +91,6 @@
     runners: dict[str, int]
 
 
-LoadMessage = LoadReport | LoadTotals
-
-
 class LoadTable:
     """Keeps the latest report of each other process.
 
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -90,6 +90,10 @@
         """Return the records of the other processes of a role, by instance id."""
         return {key: peer for key, peer in self._peers.items() if peer.role == role}
 
+    def addresses(self, role: str) -> list[tuple[str, int]]:
+        """Return host and port of the other processes of a role."""
+        return [(peer.host, peer.port) for peer in self._peers.values() if peer.role == role]
+
     def _decode(self, stored: StoredObject) -> PeerRecord | None:
         if stored.value is None:
             return None
--- a/ebonyshore/link/suspicion.py
+++ b/ebonyshore/link/suspicion.py
@@ -14,6 +14,9 @@
 # Where a target runs at most one suspect at a time, the second crash identifies the cause
 # (docs/design.md, 5.7).
 ISOLATED_CONVICTION_CRASHES = 2
+# Where suspects run beside other requests, harmless content is sometimes in flight at two crashes
+# that other content causes.
+SHARED_CONVICTION_CRASHES = 3
 
 
 @dataclass(slots=True)
@@ -117,16 +120,18 @@
         """Return the verdicts on all content that has not expired."""
         for digest in list(self._suspects):
             self._find(digest, now_ms)
-        return tuple(
-            Verdict(
-                digest,
-                len(s.crash_ids),
-                s.is_convicted,
-                now_ms - s.last_crash_ms,
-                crash_ids=tuple(s.crash_ids),
-            )
-            for digest, s in self._suspects.items()
-        )
+        return tuple(_verdict(digest, found, now_ms) for digest, found in self._suspects.items())
+
+    def convictions(self, now_ms: float) -> list[Verdict]:
+        """Return the verdicts on all convicted content."""
+        return [verdict for verdict in self.export(now_ms) if verdict.is_convicted]
+
+    def verdict(self, content_digest: str, now_ms: float) -> Verdict:
+        """Return the verdict on a content; one that is not suspect is cleared."""
+        suspect = self._find(content_digest, now_ms)
+        if suspect is None:
+            return Verdict(content_digest, 0, False, 0.0, is_cleared=True)
+        return _verdict(content_digest, suspect, now_ms)
 
     def _find_or_add(self, content_digest: str, now_ms: float) -> Suspect:
         """Return the :class:`Suspect` of a content; an expired one is replaced by a new one."""
@@ -140,3 +145,13 @@
             del self._suspects[content_digest]
             return None
         return suspect
+
+
+def _verdict(content_digest: str, suspect: Suspect, now_ms: float) -> Verdict:
+    return Verdict(
+        content_digest,
+        len(suspect.crash_ids),
+        suspect.is_convicted,
+        now_ms - suspect.last_crash_ms,
+        crash_ids=tuple(suspect.crash_ids),
+    )
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.response_reader import AttemptFailedError, ResponseReader
@@ -38,10 +39,12 @@
 
     :param outcome: how the run ended.
     :param detail: reason, for the log; empty if the run is complete.
+    :param may_be_crash: whether the target may have crashed.
     """
 
     outcome: RunOutcome
     detail: str = ""
+    may_be_crash: bool = False
 
 
 class ItemRun:
@@ -73,13 +76,15 @@
         self._body = body
         self._host = host
 
-    async def run(self, target: Target) -> RunResult:
+    async def run(self, content_run: ContentRun) -> RunResult:
         """Run the item at a target until the response ends or an error occurs.
 
         Cancelling the task stops the run at once.
 
+        :param content_run: names the target; told of the response, for the attribution of crashes.
         :return: the outcome; errors of the connection and of the response are outcomes, too.
         """
+        target = content_run.target
         address = target.entry.address
         try:
             async with self._pool.use(
@@ -90,12 +95,12 @@
                 reader = ResponseReader(
                     connection, self._names.request_id, self._item.item_id, deadline_ms
                 )
-                return await self._read_response(reader)
+                return await self._read_response(reader, content_run)
         except AttemptFailedError as error:
-            return RunResult(RunOutcome.SILENT, error.detail)
+            return RunResult(RunOutcome.SILENT, error.detail, may_be_crash=True)
         except ExchangeError as error:
             outcome = RunOutcome.BROKEN if error.was_sent else RunOutcome.UNREACHABLE
-            return RunResult(outcome, str(error))
+            return RunResult(outcome, str(error), may_be_crash=error.was_sent)
         except StreamOrderError as error:
             return RunResult(RunOutcome.BROKEN, str(error))
 
@@ -114,21 +119,22 @@
         request_line = f"{ITEM_METHOD} {self._record.path} HTTP/1.1\r\n".encode("latin-1")
         return request_line + headers.encode() + b"\r\n" + self._body
 
-    async def _read_response(self, reader: ResponseReader) -> RunResult:
+    async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
         head = await reader.read_head(FIRST_EVENT_TIMEOUT_MS)
+        content_run.has_response = True
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
             await reader.read_body(EVENT_TIMEOUT_MS)
             return RunResult(RunOutcome.NOT_RUN, f"status {head.status}")
         if head.status == 200:
-            return await self._read_events(reader)
+            return await self._read_events(reader, content_run)
         await reader.read_body(EVENT_TIMEOUT_MS)
         if head.status == 422:
             return RunResult(RunOutcome.REJECTED, "status 422")
         outcome = RunOutcome.FAILED if head.status == 500 else RunOutcome.BROKEN
         return RunResult(outcome, f"status {head.status}")
 
-    async def _read_events(self, reader: ResponseReader) -> RunResult:
+    async def _read_events(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
         timeout_ms = FIRST_EVENT_TIMEOUT_MS
@@ -136,6 +142,7 @@
             for event in splitter.feed(chunk):
                 item.data.append(event.data)
                 item.last_event_id = event.event_id
+                content_run.has_progress = True
                 timeout_ms = EVENT_TIMEOUT_MS
         if splitter.incomplete_event:
             return RunResult(RunOutcome.BROKEN, "event stream ended in the middle of an event")
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -10,6 +10,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.host.targets import Target, TargetTable
 from ebonyshore.host.wire_names import WireNames
@@ -56,6 +57,7 @@
     :param targets: the known targets.
     :param load_table: load that other processes have reported for each target.
     :param pool: connections to targets.
+    :param crash_guard: knows the content that crashes targets.
     :param random: chooses among the services of a route by their weight.
     """
 
@@ -67,6 +69,7 @@
         targets: TargetTable,
         load_table: LoadTable,
         pool: ConnectionPool,
+        crash_guard: CrashGuard,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -78,6 +81,7 @@
         self._targets = targets
         self._load_table = load_table
         self._pool = pool
+        self._crash_guard = crash_guard
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -181,11 +185,26 @@
                     self._fail_waiting_items(progress, route, at_ms)
                 continue
             for item in progress.runnable_items(at_ms):
+                if not self._may_run(progress, item):
+                    continue
                 service = self._pick_service(route)
                 key = f"{progress.job_id}/{item.index}"
                 found.setdefault(service, {})[key] = (progress, item)
         return found
 
+    def _may_run(self, progress: JobProgress, item: Item) -> bool:
+        """Return whether an item may run, as far as its content is known to crash targets."""
+        content_digest = progress.content_digest(item)
+        if self._crash_guard.may_run_item(content_digest):
+            item.is_held = False
+            return True
+        if not item.is_held:
+            item.is_held = True
+            self._log.event(
+                "item_held", job=progress.job_id, item=item.item_id, content=content_digest
+            )
+        return False
+
     def _batch_route(self, progress: JobProgress) -> Route | None:
         route = self._config.table.find(progress.record.host, progress.record.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
@@ -228,18 +247,21 @@
             progress.item_body(item.index),
             record.host,
         )
-        previous_event_id = item.last_event_id
+        content_run = self._crash_guard.begin(target, progress.content_digest(item))
         self._registry.on_change()
         try:
-            result = await run.run(target)
-            self._handle_result(
-                progress, item, target, result, item.last_event_id != previous_event_id
-            )
+            result = await run.run(content_run)
+            if result.may_be_crash:
+                self._crash_guard.end_broken(content_run)
+            elif result.outcome is RunOutcome.COMPLETE:
+                self._crash_guard.end_completed(content_run)
+            self._handle_result(progress, item, target, result, content_run.has_progress)
         except CancelledError:
             if item.state is ItemState.RUNNING:
                 item.state = ItemState.WAITING
             raise
         finally:
+            self._crash_guard.end(content_run)
             target.own_batch -= 1
             del self._running[key]
             self._registry.on_change()
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -1,17 +1,14 @@
 """The runner's part in the load exchange: receives reports, and sends its own and the totals."""
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.link.datagrams import Datagram, SuspicionUpdate
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import (
-    LoadMessage,
-    LoadReport,
-    LoadTable,
-    LoadTotals,
-    add_counts,
-)
+from ebonyshore.link.load_table import LoadReport, LoadTable, LoadTotals, add_counts
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
 
@@ -20,7 +17,7 @@
     """Receives load reports and sends this runner's messages.
 
     All runners send reports to each other. The live runner with the lowest id also sends load
-    totals to the entries.
+    totals to the entries. Each runner passes new crash suspicions on to all processes.
 
     :param peers: addresses of the other processes.
     :param targets: the requests of this runner at each target.
@@ -28,6 +25,7 @@
     :param registry: the known jobs.
     :param claims: the claims in progress. Owners that are being replaced are not reported as heard,
         so that they no longer count as confirmed owners.
+    :param suspicions: updated with the received suspicions; provides those to send.
     """
 
     def __init__(
@@ -37,6 +35,7 @@
         load_table: LoadTable,
         registry: JobRegistry,
         claims: JobClaims,
+        suspicions: SuspicionExchange,
         clock: Clock,
     ) -> None:
         self._peers = peers
@@ -44,11 +43,14 @@
         self._load_table = load_table
         self._registry = registry
         self._claims = claims
+        self._suspicions = suspicions
         self._clock = clock
 
-    def on_message(self, message: LoadMessage) -> None:
-        """Handle a received message; messages other than load reports are ignored."""
-        if isinstance(message, LoadReport) and self._load_table.add_report(
+    def on_message(self, message: Datagram) -> None:
+        """Apply a load report or suspicions; totals are ignored."""
+        if isinstance(message, SuspicionUpdate):
+            self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
+        elif isinstance(message, LoadReport) and self._load_table.add_report(
             message, self._clock.boot_ms()
         ):
             self._registry.on_change()
@@ -56,15 +58,23 @@
     def send(self, socket: LoadSocket) -> None:
         """Send this runner's report to the other runners, and the totals to the entries.
 
-        The totals are sent only by the live runner with the lowest id.
+        The totals are sent only by the live runner with the lowest id. New suspicions are sent to
+        all processes.
 
         :param socket: sends the messages.
         """
         self._load_table.drop_expired(self._clock.boot_ms())
         heard = self._load_table.runners().keys() - self._claims.owners_being_replaced()
         report = self._reports.send(socket, self._registry.open_item_count(), tuple(heard))
-        if self._load_table.has_lowest_runner_id():
+        sends_totals = self._load_table.has_lowest_runner_id()
+        if sends_totals:
             self._send_totals(socket, report)
+        self._send_suspicions(socket, sends_totals)
+
+    def _send_suspicions(self, socket: LoadSocket, includes_entries: bool) -> None:
+        runners = self._peers.addresses("runner")
+        everyone = runners + self._peers.addresses("entry")
+        self._suspicions.send(socket, everyone, everyone if includes_entries else runners, now_ms())
 
     def _send_totals(self, socket: LoadSocket, own_report: LoadReport) -> None:
         runners = {key: report.open_items for key, report in self._load_table.runners().items()}
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -129,8 +129,11 @@
         log,
     )
     claims = JobClaims(registry, load_table, clock, log)
-    runner_load = RunnerLoad(parts.peers, table, load_table, registry, claims, clock)
+    runner_load = RunnerLoad(
+        parts.peers, table, load_table, registry, claims, parts.suspicions, clock
+    )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
+    parts.suspicions.on_change = load.schedule_report
     item_scheduler = ItemScheduler(
         deployment.names,
         registry,
@@ -138,6 +141,7 @@
         table,
         load_table,
         environment.pool,
+        parts.crash_guard,
         clock,
         log,
         metrics,
@@ -149,6 +153,7 @@
     kernel = AsyncKernel()
     kernel.register(load)
     kernel.register(parts.probe)
+    kernel.register(parts.crash_guard)
     kernel.register(parts.watch_service(_make_watches(environment, registry, runner, load_table)))
     kernel.register(runner)
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -121,7 +121,7 @@
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._before_output()
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
-                    _send_empty_response(writer, 200, headers.get("attempt-id", ""), [])
+                    _send_empty_response(writer, 200, headers.get("attempt-id"), [])
                 else:
                     await self._answer(headers, body, writer)
                 await writer.drain()
@@ -195,7 +195,9 @@
 
 
 def _send_empty_response(
-    writer: asyncio.StreamWriter, status: int, request_id: str, extra_headers: list[str]
+    writer: asyncio.StreamWriter, status: int, request_id: str | None, extra_headers: list[str]
 ) -> None:
-    headers = [f"Attempt-Id: {request_id}", "Content-Length: 0", *extra_headers]
+    headers = ["Content-Length: 0", *extra_headers]
+    if request_id is not None:
+        headers.append(f"Attempt-Id: {request_id}")
     writer.write("\r\n".join([f"HTTP/1.1 {status} X", *headers, "", ""]).encode())
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -7,10 +7,14 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.routes import Route, RouteKind, ServiceShare
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import TargetEntry, TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
+from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.platform.wire_names import WIRE_NAMES
 
 
@@ -29,6 +33,16 @@
     return Route(**{**values, **overrides})
 
 
+def make_suspicions(own_id="e1"):
+    table = SuspicionTable(SUSPICION_EXPIRY_MS, SHARED_CONVICTION_CRASHES)
+    return SuspicionExchange(own_id, table, EventLog(), Metrics())
+
+
+def make_crash_guard(targets, pool, suspicions):
+    checker = TargetChecker(WIRE_NAMES, pool)
+    return CrashGuard(targets, checker, suspicions, EventLog(), Metrics())
+
+
 class FirstChoiceRandom(Random):
     """Makes the forwarder choose the first target that has free slots."""
 
@@ -47,11 +61,14 @@
         self.view = LoadView("fd-a", self._count_load_change)
         self.pool = ConnectionPool(4)
         self.failures = []
+        self.suspicions = make_suspicions()
+        self.crash_guard = make_crash_guard(self.table, self.pool, self.suspicions)
         self.forwarder = Forwarder(
             WIRE_NAMES,
             self.table,
             self.view,
             self.pool,
+            self.crash_guard,
             EventLog(),
             self.metrics,
             FirstChoiceRandom(1),
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from ebonyshore.platform.wire_names import WIRE_NAMES
+
 Script = Callable[["TargetSession"], Awaitable[None]]
 
 
@@ -27,7 +29,8 @@
 
     def send_answer(self, status=200, headers=(), body=b"", request_id=None):
         request_id = request_id or self.header("Attempt-Id")
-        lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {request_id}", *headers]
+        id_lines = [] if request_id is None else [f"Attempt-Id: {request_id}"]
+        lines = [f"HTTP/1.1 {status} X", *id_lines, *headers]
         self.send("\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body)
 
     def start_stream(self):
@@ -75,6 +78,9 @@
                 session = TargetSession(head, b"", reader, writer)
                 length = int(session.header("content-length") or 0)
                 session.body = await reader.readexactly(length)
+                if head.startswith(f"GET {WIRE_NAMES.report_path} "):
+                    session.send_answer()
+                    continue
                 self.sessions.append(session)
                 script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
                 await script(session)
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.targets import Target, TargetEntry
 from ebonyshore.http.client import ConnectionPool
@@ -26,7 +27,7 @@
         results = []
         for _ in scripts:
             run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example")
-            results.append(await run.run(target))
+            results.append(await run.run(ContentRun(target, "content", 0.0)))
         pool.close()
         server.close()
         return results, server.sessions
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,6 +10,7 @@
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
+from tests.gateway_setup import make_suspicions
 from tests.registry_setup import ITEMS, RegistrySetup, claim_and_wait, make_peer
 
 OTHER_RUNNER = "b"
@@ -128,21 +129,34 @@
         def of_role(self, _role):
             return {}
 
+        def addresses(self, _role):
+            return []
+
     class FakeTargets:
         def own_counts(self):
             return {}
 
     load = RunnerLoad(
-        FakePeers(), FakeTargets(), setup.load_table, setup.registry, setup.claims, setup.clock
+        FakePeers(),
+        FakeTargets(),
+        setup.load_table,
+        setup.registry,
+        setup.claims,
+        make_suspicions("b"),
+        setup.clock,
     )
     setup.receive_report("a", sequence=1)
-    load.send(FakeSocket())
+    asyncio.run(send_report(load, FakeSocket()))
     setup.clock.advance_ms(OWNER_SILENCE_MS)
     asyncio.run(send_report_during_claim(setup, load, FakeSocket()))
     heard = [message.heard_runners for message in sent if hasattr(message, "heard_runners")]
     assert heard == [(OTHER_RUNNER,), ()]
 
 
+async def send_report(load, socket):
+    load.send(socket)
+
+
 async def send_report_during_claim(setup, load, socket):
     setup.claims.claim_unowned_jobs()
     setup.receive_report("a", sequence=2)
