--- /dev/null
+++ b/ebonyshore/host/crash_guard.py
@@ -0,0 +1,215 @@
+"""Detects requests that crash their targets, and keeps them from further ones.
+
+After a run broke off, the target is asked whether it still serves. If it does not, all content that
+it was running is suspect. Content that was in flight at several crashes without completing in
+between is convicted. Online requests with convicted content are refused; an item is run a few more
+times, at growing intervals, because its job cannot be answered without its result.
+"""
+
+from asyncio import Task, create_task, wait
+
+from ebonyshore.frame.async_kernel import PeriodicService
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.target_check import TargetChecker
+from ebonyshore.host.targets import Target, TargetTable
+from ebonyshore.link.messages import CrashReport
+from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
+from ebonyshore.link.suspicion_exchange import SuspicionExchange
+
+SUSPICION_EXPIRY_MS = 600_000.0
+SILENCE_CHECK_MS = 1_000.0  # without a response, after which the target is checked
+SCAN_INTERVAL_MS = 250.0
+# Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
+CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
+
+
+class ContentRun:
+    """One run of a request at a target.
+
+    :ivar has_response: whether the target has begun to respond.
+    :ivar has_progress: whether the run has received events that no earlier run of the request has.
+        It did not crash the target when it began, so a crash is not attributed to it.
+    :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
+    """
+
+    __slots__ = (
+        "content_digest",
+        "has_progress",
+        "has_response",
+        "is_attributed",
+        "is_checked",
+        "started_ms",
+        "target",
+    )
+
+    def __init__(self, target: Target, content_digest: str, started_ms: float) -> None:
+        self.target = target
+        self.content_digest = content_digest
+        self.started_ms = started_ms
+        self.has_response = False
+        self.has_progress = False
+        self.is_attributed = False
+        self.is_checked = False
+
+
+class CrashGuard(PeriodicService):
+    """Attributes crashes of targets to the content of this process's runs.
+
+    Every run has to be begun with :meth:`begin` and ended with one of the ``end`` methods.
+
+    :param targets: the known targets; a run of a target that is no longer listed has ended.
+    :param checker: finds out whether a target is down.
+    :param exchange: knows the crashes that all processes have seen.
+    """
+
+    name = "crash_guard"
+    interval_ms = SCAN_INTERVAL_MS
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        checker: TargetChecker,
+        exchange: SuspicionExchange,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._targets = targets
+        self._checker = checker
+        self._exchange = exchange
+        self._log = log
+        self._metrics = metrics
+        self._runs: dict[Target, set[ContentRun]] = {}
+        self._checks: dict[Target, Task[None]] = {}
+        self._broken: dict[Target, set[str]] = {}  # content of runs that broke, while checked
+
+    def begin(self, target: Target, content_digest: str) -> ContentRun:
+        """Record that a request is sent to a target."""
+        run = ContentRun(target, content_digest, now_ms())
+        self._runs.setdefault(target, set()).add(run)
+        return run
+
+    def end(self, run: ContentRun) -> None:
+        """Record the end of a run that says nothing about the target, or a repeated end."""
+        runs = self._runs.get(run.target, set())
+        runs.discard(run)
+        if not runs:
+            self._runs.pop(run.target, None)
+
+    def end_completed(self, run: ContentRun) -> None:
+        """Record that a run has completed, which clears its content unless it is convicted."""
+        self.end(run)
+        for broken in self._broken.values():
+            broken.discard(run.content_digest)
+        self._exchange.record_completed(run.content_digest)
+
+    def end_broken(self, run: ContentRun) -> None:
+        """Record that a run broke off or fell silent, and check its target."""
+        self.end(run)
+        if run.is_attributed:
+            return
+        if not run.has_progress:
+            self._broken.setdefault(run.target, set()).add(run.content_digest)
+        self._check(run.target)
+
+    async def settle(self, content_digest: str) -> None:
+        """Wait until the targets at which runs of the content broke have been checked."""
+        targets = [key for key, digests in self._broken.items() if content_digest in digests]
+        if targets:
+            await wait([self._checks[target] for target in targets])
+
+    def is_convicted(self, content_digest: str) -> bool:
+        """Return whether requests with the content must be refused."""
+        return self._exchange.table.is_convicted(content_digest, now_ms())
+
+    def refusal_ms(self, content_digest: str) -> float:
+        """Return the time until a conviction expires in milliseconds."""
+        verdict = self._exchange.table.verdict(content_digest, now_ms())
+        return max(0.0, SUSPICION_EXPIRY_MS - verdict.age_ms)
+
+    def may_run_item(self, content_digest: str) -> bool:
+        """Return whether an item with the content may run now.
+
+        A convicted item is run again :data:`CONVICTED_ITEM_DELAYS_MS` after its last crash. When
+        these times are used up, it runs again only after the conviction has expired.
+        """
+        if any(content_digest in digests for digests in self._broken.values()):
+            return False
+        if not self.is_convicted(content_digest):
+            return True
+        verdict = self._exchange.table.verdict(content_digest, now_ms())
+        repeats = max(0, verdict.crash_count - SHARED_CONVICTION_CRASHES)
+        if repeats >= len(CONVICTED_ITEM_DELAYS_MS):
+            return False
+        return verdict.age_ms >= CONVICTED_ITEM_DELAYS_MS[repeats]
+
+    async def run_once(self) -> None:
+        """Check the targets of runs that have waited long for a response."""
+        at_ms = now_ms()
+        for target, runs in list(self._runs.items()):
+            silent = [run for run in runs if _is_silent(run, at_ms)]
+            for run in silent:
+                run.is_checked = True
+            if silent:
+                self._check(target)
+
+    def dump(self) -> dict[str, object]:
+        return {
+            "suspects": [
+                {
+                    "content": verdict.content_digest,
+                    "crashes": verdict.crash_count,
+                    "is_convicted": verdict.is_convicted,
+                }
+                for verdict in self._exchange.table.export(now_ms())
+            ]
+        }
+
+    async def stop(self) -> None:
+        await super().stop()
+        for task in self._checks.values():
+            task.cancel()
+
+    def _check(self, target: Target) -> None:
+        if target not in self._checks:
+            self._checks[target] = create_task(self._attribute_crash(target))
+
+    async def _attribute_crash(self, target: Target) -> None:
+        try:
+            is_down = await self._checker.is_down(target)
+            broken = self._broken.get(target, set())
+            # A target that was started again answers, but it has lost its runs.
+            if is_down or (broken and self._targets.find(target.target_id) is not target):
+                self._record_crash(target, broken, is_down)
+            else:
+                self._log.event("target_alive", target=target.target_id, broken=len(broken))
+        finally:
+            self._broken.pop(target, None)
+            del self._checks[target]
+
+    def _record_crash(self, target: Target, broken: set[str], is_down: bool) -> None:
+        target.mark_unreachable(now_ms())
+        digests = set(broken)
+        for run in self._runs.get(target, ()):
+            run.is_attributed = True
+            if not run.has_progress:
+                digests.add(run.content_digest)
+        self._metrics.count("target_crashes")
+        self._log.event(
+            "target_crashed",
+            target=target.target_id,
+            started_ms=target.entry.started_ms,
+            is_down=is_down,
+            contents=",".join(sorted(digests)),
+        )
+        if digests:
+            target.crashes += 1
+            # The list of targets may not show yet that the target was started again.
+            crash_id = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}"
+            report = CrashReport(crash_id, target.target_id, tuple(sorted(digests)))
+            self._exchange.record_crash(report, now_ms())
+
+
+def _is_silent(run: ContentRun, at_ms: float) -> bool:
+    return not (run.has_response or run.is_checked) and at_ms - run.started_ms > SILENCE_CHECK_MS
--- /dev/null
+++ b/ebonyshore/link/suspicion_exchange.py
@@ -0,0 +1,118 @@
+"""Exchanges crash suspicions between processes, in datagrams.
+
+An entry sends what it learns to the runners, and runners send what is new to them to all processes.
+Changes are sent several times, because datagrams may be lost. Convictions are also repeated
+continually, so that a process that was started or cut off in the meantime learns of them.
+"""
+
+from collections.abc import Callable, Iterable
+
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.link.datagrams import SuspicionUpdate
+from ebonyshore.link.load_socket import LoadSocket
+from ebonyshore.link.messages import CrashReport, Verdict
+from ebonyshore.link.suspicion import SuspicionTable
+
+CHANGE_SENDS = 3  # of each change
+CONVICTION_INTERVAL_MS = 1_000.0
+MAX_VERDICTS_PER_DATAGRAM = 50
+
+Addresses = list[tuple[str, int]]
+
+
+class SuspicionExchange:
+    """Records crashes and completions in this process's table, and shares them.
+
+    For use on one event loop. All times are monotonic times of the loop.
+
+    :param own_id: instance id of this process.
+    :param table: what this process knows; changed only through the exchange.
+    :ivar on_change: called when there is something to send.
+    """
+
+    __slots__ = (
+        "_convictions_sent_ms",
+        "_log",
+        "_metrics",
+        "_own_id",
+        "_unsent",
+        "on_change",
+        "table",
+    )
+
+    def __init__(self, own_id: str, table: SuspicionTable, log: EventLog, metrics: Metrics) -> None:
+        self.table = table
+        self.on_change: Callable[[], None] = lambda: None
+        self._own_id = own_id
+        self._log = log
+        self._metrics = metrics
+        self._unsent: dict[str, int] = {}  # sends left, by content digest
+        self._convictions_sent_ms = float("-inf")
+
+    def record_crash(self, report: CrashReport, now_ms: float) -> None:
+        """Add a crash to all content that was in flight at it."""
+        was_convicted = self._convicted(report.content_digests, now_ms)
+        if self.table.record_crash(report, now_ms):
+            self._schedule(report.content_digests)
+        self._log_convictions(report.content_digests, was_convicted, now_ms)
+
+    def record_completed(self, content_digest: str) -> None:
+        """Clear content that completed, unless it is convicted."""
+        if self.table.record_completed(content_digest):
+            self._schedule((content_digest,))
+
+    def merge(self, verdicts: Iterable[Verdict], now_ms: float, is_relayed: bool) -> None:
+        """Merge the verdicts of another process.
+
+        :param is_relayed: whether this process sends what is new to it to the others.
+        """
+        verdicts = tuple(verdicts)
+        digests = tuple(verdict.content_digest for verdict in verdicts)
+        was_convicted = self._convicted(digests, now_ms)
+        changed = [v.content_digest for v in verdicts if self.table.merge((v,), now_ms)]
+        if is_relayed:
+            self._schedule(changed)
+        self._log_convictions(digests, was_convicted, now_ms)
+
+    def send(
+        self, socket: LoadSocket, changes_to: Addresses, convictions_to: Addresses, now_ms: float
+    ) -> None:
+        """Send recent changes and, from time to time, all convictions.
+
+        Has to be called whenever :attr:`on_change` was called, and several times a second.
+
+        :param changes_to: recipients of the changes, as pairs of host and port.
+        :param convictions_to: recipients of the convictions.
+        """
+        if self._unsent:
+            digests = list(self._unsent)
+            self._unsent = {key: left - 1 for key, left in self._unsent.items() if left > 1}
+            self._send([self.table.verdict(key, now_ms) for key in digests], socket, changes_to)
+        if self._unsent:
+            self.on_change()
+        if now_ms - self._convictions_sent_ms >= CONVICTION_INTERVAL_MS:
+            self._convictions_sent_ms = now_ms
+            self._send(self.table.convictions(now_ms), socket, convictions_to)
+
+    def _send(self, verdicts: list[Verdict], socket: LoadSocket, addresses: Addresses) -> None:
+        for first in range(0, len(verdicts), MAX_VERDICTS_PER_DATAGRAM):
+            part = tuple(verdicts[first : first + MAX_VERDICTS_PER_DATAGRAM])
+            socket.send(SuspicionUpdate(self._own_id, part), addresses)
+
+    def _schedule(self, digests: Iterable[str]) -> None:
+        scheduled = dict.fromkeys(digests, CHANGE_SENDS)
+        if scheduled:
+            self._unsent.update(scheduled)
+            self.on_change()
+
+    def _convicted(self, digests: Iterable[str], now_ms: float) -> set[str]:
+        return {digest for digest in digests if self.table.is_convicted(digest, now_ms)}
+
+    def _log_convictions(
+        self, digests: Iterable[str], was_convicted: set[str], now_ms: float
+    ) -> None:
+        for digest in self._convicted(digests, now_ms) - was_convicted:
+            crash_ids = self.table.verdict(digest, now_ms).crash_ids
+            self._metrics.count("contents_convicted")
+            self._log.event("content_convicted", content=digest, crashes=",".join(crash_ids))
--- /dev/null
+++ b/tests/test_convicted_requests.py
@@ -0,0 +1,70 @@
+"""Tests of what callers get whose request crashes targets."""
+
+import asyncio
+
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
+from ebonyshore.host.request_content import content_digest
+from ebonyshore.link.messages import CrashReport
+from tests.gateway_setup import Gateway, make_route, status_of
+from tests.scripted_target import ScriptedTarget, send_complete_stream
+
+CRASHES = ("t7/1.1", "t8/1.1", "t9/1.1")
+
+
+def run(scenario):
+    return asyncio.run(asyncio.wait_for(scenario, 20))
+
+
+def crashing_target():
+    """Return a target that ends with its first request."""
+
+    async def crash(session):
+        target.close()
+        session.reset()
+
+    target = ScriptedTarget(crash)
+    return target
+
+
+def retry_after_s(answer):
+    line = next(line for line in answer.split(b"\r\n") if line.startswith(b"Retry-After: "))
+    return float(line.partition(b": ")[2])
+
+
+def test_request_with_convicted_content_is_refused_at_once_and_not_sent():
+    async def scenario():
+        gateway = Gateway(make_route())
+        target = ScriptedTarget(send_complete_stream)
+        await gateway.start(target)
+        digest = content_digest("host.example", "POST", "/p/x", b"bad")
+        for crash_id in CRASHES:
+            gateway.suspicions.record_crash(CrashReport(crash_id, "t", (digest,)), now_ms())
+        refused = await gateway.request(b"bad")
+        served = await gateway.request(b"good")
+        gateway.close()
+        return refused, served, target.sessions
+
+    refused, served, sessions = run(scenario())
+    assert status_of(refused) == 503 and b'"code":%d' % ResultCode.CONVICTED in refused
+    assert 0 < retry_after_s(refused) <= SUSPICION_EXPIRY_MS / 1000
+    assert status_of(served) == 200
+    assert [session.body for session in sessions] == [b"good"]
+
+
+def test_request_is_not_sent_on_after_its_third_crash():
+    """Guards against a route that allows more attempts than crashes are tolerated."""
+    crashing = [crashing_target() for _ in CRASHES]
+    last = ScriptedTarget(send_complete_stream)
+
+    async def scenario():
+        gateway = Gateway(make_route(max_attempts=6))
+        await gateway.start(*crashing, last)
+        answer = await gateway.request(b"bad")
+        gateway.close()
+        return answer
+
+    answer = run(scenario())
+    assert status_of(answer) == 502 and b'"code":%d' % ResultCode.CONVICTED in answer
+    assert [len(target.sessions) for target in [*crashing, last]] == [1, 1, 1, 0]
--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,202 @@
+"""Tests of the attribution of crashes to content."""
+
+import asyncio
+
+import pytest
+
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.crash_guard import (
+    CONVICTED_ITEM_DELAYS_MS,
+    SILENCE_CHECK_MS,
+    SUSPICION_EXPIRY_MS,
+    CrashGuard,
+)
+from ebonyshore.host.targets import TargetEntry, TargetTable
+from ebonyshore.link.messages import Verdict
+from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
+from tests.gateway_setup import make_suspicions
+
+TARGET_IDS = ("t1", "t2", "t3", "t4")
+
+
+class ScriptedChecker:
+    """Reports the targets in ``down`` as down."""
+
+    def __init__(self):
+        self.down = set(TARGET_IDS)
+        self.checked = []
+
+    async def is_down(self, target):
+        self.checked.append(target.target_id)
+        await asyncio.sleep(0)
+        return target.target_id in self.down
+
+
+class GuardSetup:
+    def __init__(self):
+        self.table = TargetTable()
+        for target_id in TARGET_IDS:
+            self.put(target_id, started_ms=1)
+        self.checker = ScriptedChecker()
+        self.suspicions = make_suspicions()
+        self.guard = CrashGuard(self.table, self.checker, self.suspicions, EventLog(), Metrics())
+
+    def put(self, target_id, started_ms):
+        address = f"127.0.0.1:{TARGET_IDS.index(target_id) + 1}"
+        self.table.put(TargetEntry(target_id, "svc", address, "fd-a", 8, started_ms=started_ms))
+
+    def begin(self, target_id, content):
+        return self.guard.begin(self.table.find(target_id), content)
+
+    async def crash(self, target_id, *contents):
+        """Let a target crash while it runs some content; only the first run breaks at once."""
+        runs = [self.begin(target_id, content) for content in contents]
+        self.guard.end_broken(runs[0])
+        await self.guard.settle(contents[0])
+        for run in runs[1:]:
+            self.guard.end_broken(run)
+
+    def crashes(self, content):
+        return self.suspicions.table.verdict(content, now_ms()).crash_count
+
+
+def run(scenario):
+    async def with_setup():
+        return await scenario(GuardSetup())
+
+    return asyncio.run(asyncio.wait_for(with_setup(), 10))
+
+
+def test_content_in_flight_at_three_crashes_is_convicted():
+    async def scenario(setup):
+        for target_id in TARGET_IDS[:SHARED_CONVICTION_CRASHES]:
+            assert not setup.guard.is_convicted("bad")
+            await setup.crash(target_id, "bad")
+        assert setup.guard.is_convicted("bad")
+        assert 0 < setup.guard.refusal_ms("bad") <= SUSPICION_EXPIRY_MS
+
+    run(scenario)
+
+
+def test_harmless_content_that_completes_between_crashes_is_not_convicted():
+    """Guards against refusing requests that were in flight when another one crashed a target."""
+
+    async def scenario(setup):
+        for target_id in TARGET_IDS:
+            await setup.crash(target_id, "bad", "harmless")
+            setup.guard.end_completed(setup.begin("t1", "harmless"))
+        assert setup.guard.is_convicted("bad")
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
+
+
+def test_content_that_completes_while_its_target_is_checked_is_not_suspect():
+    async def scenario(setup):
+        setup.guard.end_broken(setup.begin("t1", "harmless"))
+        setup.guard.end_completed(setup.begin("t2", "harmless"))
+        await asyncio.sleep(0.01)
+        assert setup.checker.checked == ["t1"]
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
+
+
+def test_broken_connection_to_a_target_that_answers_is_no_crash():
+    async def scenario(setup):
+        setup.checker.down.clear()
+        for target_id in TARGET_IDS:
+            await setup.crash(target_id, "harmless")
+        assert setup.checker.checked == list(TARGET_IDS)
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
+
+
+def test_target_that_was_started_again_has_crashed_although_it_answers():
+    async def scenario(setup):
+        setup.checker.down.clear()
+        broken = setup.begin("t1", "bad")
+        setup.put("t1", started_ms=2)
+        setup.guard.end_broken(broken)
+        await setup.guard.settle("bad")
+        assert setup.crashes("bad") == 1
+
+    run(scenario)
+
+
+def test_crashes_of_one_listed_target_count_one_by_one():
+    """Guards against a crash that is not counted because the list does not show the restart yet."""
+
+    async def scenario(setup):
+        for _ in range(SHARED_CONVICTION_CRASHES):
+            await setup.crash("t1", "bad")
+        assert setup.guard.is_convicted("bad")
+
+    run(scenario)
+
+
+def test_run_without_a_response_is_attributed_once_at_its_silence_and_its_end():
+    async def scenario(setup):
+        silent = setup.begin("t1", "bad")
+        answered = setup.begin("t2", "harmless")
+        answered.has_response = True
+        for started in (silent, answered):
+            started.started_ms -= 2 * SILENCE_CHECK_MS
+        await setup.guard.run_once()
+        await asyncio.sleep(0.01)
+        assert setup.checker.checked == ["t1"]
+        assert setup.crashes("bad") == 1
+        setup.guard.end_broken(silent)
+        await asyncio.sleep(0.01)
+        assert setup.crashes("bad") == 1
+
+    run(scenario)
+
+
+def test_crash_is_not_attributed_to_an_item_that_made_progress():
+    """Guards against holding back a long item that was in flight at several unrelated crashes."""
+
+    async def scenario(setup):
+        for target_id in TARGET_IDS:
+            item_run = setup.begin(target_id, "item")
+            item_run.has_progress = True
+            await setup.crash(target_id, "other")
+            setup.guard.end_broken(item_run)
+        assert setup.crashes("item") == 0
+
+    run(scenario)
+
+
+def test_item_does_not_run_while_its_target_is_checked():
+    async def scenario(setup):
+        setup.guard.end_broken(setup.begin("t1", "item"))
+        assert not setup.guard.may_run_item("item")
+        await setup.guard.settle("item")
+        assert setup.guard.may_run_item("item")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "crashes, age_ms, may_run",
+    [
+        (2, 0.0, True),
+        (3, CONVICTED_ITEM_DELAYS_MS[0] - 500.0, False),
+        (3, CONVICTED_ITEM_DELAYS_MS[0], True),
+        (4, CONVICTED_ITEM_DELAYS_MS[0], False),
+        (4, CONVICTED_ITEM_DELAYS_MS[1], True),
+        (5, SUSPICION_EXPIRY_MS - 1_000.0, False),
+        (5, SUSPICION_EXPIRY_MS + 1.0, True),
+    ],
+)
+def test_convicted_item_runs_again_twice_and_then_after_the_expiry(crashes, age_ms, may_run):
+    async def scenario(setup):
+        crash_ids = tuple(f"t{number}/1.1" for number in range(crashes))
+        verdict = Verdict("item", crashes, crashes >= 3, age_ms, crash_ids=crash_ids)
+        setup.suspicions.merge((verdict,), now_ms(), is_relayed=False)
+        assert setup.guard.may_run_item("item") is may_run
+
+    run(scenario)
--- /dev/null
+++ b/tests/test_target_check.py
@@ -0,0 +1,72 @@
+"""Tests of the check whether a target is down."""
+
+import asyncio
+
+import pytest
+
+from ebonyshore.host.target_check import TargetChecker
+from ebonyshore.host.targets import Target, TargetEntry
+from ebonyshore.http.client import ConnectionPool
+from ebonyshore.platform.wire_names import WIRE_NAMES
+from tests.scripted_target import ScriptedTarget, send_complete_stream
+
+
+def check(serve):
+    """Check a server whose connections are handled by ``serve``; ``None`` for no server."""
+
+    async def scenario():
+        server = await asyncio.start_server(serve or answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        if serve is None:
+            server.close()
+            await server.wait_closed()
+        pool = ConnectionPool(4)
+        target = Target(TargetEntry("t1", "svc", f"{host}:{port}", "fd-a", 8))
+        try:
+            return await TargetChecker(WIRE_NAMES, pool).is_down(target)
+        finally:
+            pool.close()
+            server.close()
+
+    return asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+async def answer(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+
+
+async def hang(reader, writer):
+    await asyncio.sleep(5)
+
+
+async def close_at_once(reader, writer):
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    "serve, is_down", [(None, True), (hang, True), (answer, False), (close_at_once, False)]
+)
+def test_a_target_is_down_if_it_refuses_connections_or_does_not_answer(serve, is_down):
+    """A target with too many connections closes new ones at once, so that shows nothing."""
+    assert check(serve) is is_down
+
+
+def test_an_idle_connection_is_not_used_for_the_check():
+    """Guards against taking a target for alive, or down, by a connection that died with it."""
+
+    async def scenario():
+        server = ScriptedTarget(send_complete_stream)
+        address = await server.start()
+        pool = ConnectionPool(4)
+        async with pool.use(address, 300.0, 10_000.0) as connection:
+            connection.send(b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+            while (await connection.next_part()).__class__.__name__ != "BodyEnd":
+                pass
+        target = Target(TargetEntry("t1", "svc", address, "fd-a", 8))
+        assert not await TargetChecker(WIRE_NAMES, pool).is_down(target)
+        pool.close()
+        server.close()
+        return server.connections
+
+    assert asyncio.run(asyncio.wait_for(scenario(), 10)) == 2
