Store convictions of content that crashes targets

Cause: convictions are in the memory of processes, which learn them from each other. After all processes were killed at the same time, which the platform allows, every content could crash three targets once more.

--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -12,6 +12,7 @@
 from ebonyshore.host.process import SharedComponents, make_watch, run_process
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
+from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
 from ebonyshore.runner.item_scheduler import ItemScheduler
 from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_claims import JobClaims
@@ -156,6 +157,8 @@
     kernel.register(parts.crash_guard)
     kernel.register(parts.watch_service(_make_watches(environment, registry, runner, load_table)))
     kernel.register(runner)
+    storage = ConvictionStorage(environment.store, environment.marked_store)
+    kernel.register(ConvictionKeeper(storage, parts.suspicions, load_table, registry, clock, log))
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(JobApi(host, port, deployment, registry, parts.config, clock, log, metrics))
     kernel.register(OperatorServer(host, METRICS_PORT, kernel, metrics))
