Count no crashes against content that completed shortly before

Cause, found by reading: several copies of one content in flight at three targets that are lost at the same moment convict it, though it is harmless.

Fix: each process remembers the content that completed there in the last 30 s. It records no crash against it, and clears it when another process does. A request that crashes each target that runs it never completes.

Measured: the tests of the guard, the exchange, stored convictions and refusals, 33 passed; three of them are new and fail without the change, since they test it by name.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -14,7 +14,6 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import Target, TargetTable
-from ebonyshore.link.messages import CrashReport
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
@@ -102,7 +101,7 @@
         self.end(run)
         for broken in self._broken.values():
             broken.discard(run.content_digest)
-        self._exchange.record_completed(run.content_digest)
+        self._exchange.record_completed(run.content_digest, now_ms())
 
     def end_broken(self, run: ContentRun) -> None:
         """Record that a run broke off or fell silent, and check its target."""
@@ -207,8 +206,7 @@
             target.crashes += 1
             # The list of targets may not show yet that the target was started again.
             crash_id = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}"
-            report = CrashReport(crash_id, target.target_id, tuple(sorted(digests)))
-            self._exchange.record_crash(report, now_ms())
+            self._exchange.record_crash(crash_id, sorted(digests), now_ms())
 
 
 def _is_silent(run: ContentRun, at_ms: float) -> bool:
--- a/ebonyshore/link/suspicion_exchange.py
+++ b/ebonyshore/link/suspicion_exchange.py
@@ -17,6 +17,8 @@
 CHANGE_SENDS = 3  # of each change
 CONVICTION_INTERVAL_MS = 1_000.0
 MAX_VERDICTS_PER_DATAGRAM = 50
+MAX_COMPLETED_CONTENTS = 2_048
+RECENT_COMPLETION_MS = 30_000.0
 
 Addresses = list[tuple[str, int]]
 
@@ -32,6 +34,7 @@
     """
 
     __slots__ = (
+        "_completed_ms",
         "_convictions_sent_ms",
         "_log",
         "_metrics",
@@ -48,19 +51,31 @@
         self._log = log
         self._metrics = metrics
         self._unsent: dict[str, int] = {}  # sends left, by content digest
+        self._completed_ms: dict[str, float] = {}  # by content digest, oldest first
         self._convictions_sent_ms = float("-inf")
 
-    def record_crash(self, report: CrashReport, now_ms: float) -> None:
-        """Add a crash to all content that was in flight at it."""
-        was_convicted = self._convicted(report.content_digests, now_ms)
-        if self.table.record_crash(report, now_ms):
-            self._schedule(report.content_digests)
-        self._log_convictions(report.content_digests, was_convicted, now_ms)
+    def record_crash(self, crash_id: str, content_digests: Iterable[str], now_ms: float) -> None:
+        """Add a crash to all content that was in flight at it.
 
-    def record_completed(self, content_digest: str) -> None:
+        Content that completed shortly before is left out: it does not crash each target that runs
+        it. Otherwise content that is requested often could be convicted when several targets crash
+        for another reason.
+
+        :param crash_id: unique for each crash, and the same at all processes.
+        """
+        digests = tuple(d for d in content_digests if not self._has_completed(d, now_ms))
+        was_convicted = self._convicted(digests, now_ms)
+        if digests and self.table.record_crash(CrashReport(crash_id, "", digests), now_ms):
+            self._schedule(digests)
+        self._log_convictions(digests, was_convicted, now_ms)
+
+    def record_completed(self, content_digest: str, now_ms: float) -> None:
         """Clear content that completed, unless it is convicted."""
-        if self.table.record_completed(content_digest):
-            self._schedule((content_digest,))
+        self._completed_ms.pop(content_digest, None)
+        self._completed_ms[content_digest] = now_ms
+        if len(self._completed_ms) > MAX_COMPLETED_CONTENTS:
+            del self._completed_ms[next(iter(self._completed_ms))]
+        self._clear(content_digest)
 
     def merge(self, verdicts: Iterable[Verdict], now_ms: float, is_relayed: bool) -> None:
         """Merge the verdicts of another process.
@@ -73,6 +88,9 @@
         changed = [v.content_digest for v in verdicts if self.table.merge((v,), now_ms)]
         if is_relayed:
             self._schedule(changed)
+        for digest in changed:
+            if self._has_completed(digest, now_ms):
+                self._clear(digest)
         self._log_convictions(digests, was_convicted, now_ms)
 
     def send(
@@ -95,6 +113,14 @@
             self._convictions_sent_ms = now_ms
             self._send(self.table.convictions(now_ms), socket, convictions_to)
 
+    def _has_completed(self, content_digest: str, now_ms: float) -> bool:
+        completed_ms = self._completed_ms.get(content_digest, float("-inf"))
+        return now_ms - completed_ms < RECENT_COMPLETION_MS
+
+    def _clear(self, content_digest: str) -> None:
+        if self.table.record_completed(content_digest):
+            self._schedule((content_digest,))
+
     def _send(self, verdicts: list[Verdict], socket: LoadSocket, addresses: Addresses) -> None:
         for first in range(0, len(verdicts), MAX_VERDICTS_PER_DATAGRAM):
             part = tuple(verdicts[first : first + MAX_VERDICTS_PER_DATAGRAM])
--- a/tests/test_convicted_requests.py
+++ b/tests/test_convicted_requests.py
@@ -6,7 +6,6 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
 from ebonyshore.host.request_content import content_digest
-from ebonyshore.link.messages import CrashReport
 from tests.gateway_setup import Gateway, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
 
@@ -40,7 +39,7 @@
         await gateway.start(target)
         digest = content_digest("host.example", "POST", "/p/x", b"bad")
         for crash_id in CRASHES:
-            gateway.suspicions.record_crash(CrashReport(crash_id, "t", (digest,)), now_ms())
+            gateway.suspicions.record_crash(crash_id, (digest,), now_ms())
         refused = await gateway.request(b"bad")
         served = await gateway.request(b"good")
         gateway.close()
--- a/tests/test_stored_convictions.py
+++ b/tests/test_stored_convictions.py
@@ -13,7 +13,6 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
 from ebonyshore.link.load_table import LoadTable
-from ebonyshore.link.messages import CrashReport
 from ebonyshore.runner.conviction_store import (
     CONVICTIONS_KIND,
     ConvictionKeeper,
@@ -62,7 +61,7 @@
 
     def convict(self, content):
         for crash_id in CRASH_IDS:
-            self.suspicions.record_crash(CrashReport(crash_id, "t", (content,)), now_ms())
+            self.suspicions.record_crash(crash_id, (content,), now_ms())
 
     def is_convicted(self, content):
         return self.suspicions.table.is_convicted(content, now_ms())
--- a/tests/test_suspicion_exchange.py
+++ b/tests/test_suspicion_exchange.py
@@ -1,10 +1,11 @@
 """Tests that processes learn of each other's crashes, although datagrams are lost."""
 
-from ebonyshore.link.messages import CrashReport
 from ebonyshore.link.suspicion_exchange import (
     CHANGE_SENDS,
     CONVICTION_INTERVAL_MS,
+    MAX_COMPLETED_CONTENTS,
     MAX_VERDICTS_PER_DATAGRAM,
+    RECENT_COMPLETION_MS,
 )
 from tests.gateway_setup import make_suspicions
 
@@ -51,7 +52,7 @@
 
     def crash(self, process, content, *crash_ids):
         for crash_id in crash_ids:
-            process.record_crash(CrashReport(crash_id, "t1", (content,)), self.now_ms)
+            process.record_crash(crash_id, (content,), self.now_ms)
 
     def convicted_at(self, content):
         processes = self.entries + self.runners
@@ -81,11 +82,42 @@
     for number in range(4):
         fleet.crash(fleet.entries[0], "harmless", f"t{number}/1.1")
         fleet.step(4)
-        fleet.entries[1].record_completed("harmless")
+        fleet.entries[1].record_completed("harmless", fleet.now_ms)
         fleet.step(4)
     assert not any(fleet.convicted_at("harmless"))
 
 
+def test_content_that_completes_elsewhere_is_not_convicted_by_crashes_in_quick_succession():
+    """Guards against refusing popular content when many targets crash at the same time."""
+    fleet = Fleet()
+    fleet.entries[1].record_completed("popular", fleet.now_ms)
+    for number in range(4):
+        fleet.crash(fleet.entries[0], "popular", f"t{number}/1.1")
+        fleet.step(2)
+    fleet.crash(fleet.entries[1], "popular", "t5/1.1", "t6/1.1", "t7/1.1")
+    fleet.step(4)
+    assert not any(fleet.convicted_at("popular"))
+
+
+def test_content_is_convicted_although_it_completed_long_ago():
+    fleet = Fleet()
+    fleet.entries[0].record_completed("bad", fleet.now_ms)
+    fleet.now_ms += RECENT_COMPLETION_MS
+    fleet.crash(fleet.entries[0], "bad", "t1/1.1", "t2/1.1", "t3/1.1")
+    fleet.step(2)
+    assert all(fleet.convicted_at("bad"))
+
+
+def test_completed_content_that_is_remembered_is_limited():
+    fleet = Fleet()
+    for number in range(MAX_COMPLETED_CONTENTS + 1):
+        fleet.entries[0].record_completed(f"c{number}", fleet.now_ms)
+    fleet.crash(fleet.entries[0], "c0", "t1/1.1")
+    fleet.crash(fleet.entries[0], "c1", "t1/1.1")
+    assert fleet.entries[0].table.is_suspect("c0", fleet.now_ms)
+    assert not fleet.entries[0].table.is_suspect("c1", fleet.now_ms)
+
+
 def test_changes_reach_all_if_one_send_of_each_arrives():
     fleet = Fleet()
     sends = {}
