--- a/ebonyshore_bench/entry_cost.py
+++ b/ebonyshore_bench/entry_cost.py
@@ -17,7 +17,9 @@
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
 from ebonyshore_bench.markdown_table import table
 from ebonyshore_bench.proc_stat import read_use
-from ebonyshore_standins.platform_fleet import STREAM_PREFIX, PlatformFleet, request_stream
+from ebonyshore_standins.fleet_client import request_stream
+from ebonyshore_standins.fleet_config import STREAM_PREFIX
+from ebonyshore_standins.platform_fleet import PlatformFleet
 
 CALLERS = 24  # equals the total capacity of the targets
 ANSWER_EVENTS = 22
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -8,19 +8,21 @@
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore_soak.checker import REFUSAL_STATUSES, GuaranteeChecker, JobSize
-from ebonyshore_standins.platform_fleet import (
-    SINGLE_ATTEMPT_PREFIX,
-    STREAM_PREFIX,
-    FleetProcess,
-    PlatformFleet,
+from ebonyshore_standins.fleet_client import (
     cancel_job,
-    make_config,
     read_job,
     request_stream,
-    route,
     stream_data,
     submit_job,
 )
+from ebonyshore_standins.fleet_config import (
+    SINGLE_ATTEMPT_PREFIX,
+    STREAM_PREFIX,
+    make_config,
+    route,
+)
+from ebonyshore_standins.fleet_process import FleetProcess
+from ebonyshore_standins.platform_fleet import PlatformFleet
 
 STREAM_EVENTS = 12
 CALL_TIMEOUT_S = 6.0
--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -10,7 +10,9 @@
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore_soak.checker import MAX_FAULT_DURATION_MS
 from ebonyshore_soak.proxy import FaultProxy, LinkState
-from ebonyshore_standins.platform_fleet import SERVICE, FleetProcess, PlatformFleet
+from ebonyshore_standins.fleet_config import SERVICE
+from ebonyshore_standins.fleet_process import FleetProcess
+from ebonyshore_standins.platform_fleet import PlatformFleet
 
 MAX_FAULT_DURATION_S = MAX_FAULT_DURATION_MS / MS_PER_S
 FAULT_INTERVAL_S = (0.1, 0.9)  # range of the time between two faults of a thread
--- /dev/null
+++ b/ebonyshore_standins/fleet_config.py
@@ -0,0 +1,45 @@
+"""The configuration that the fleets of entries and runners serve."""
+
+ROUTE_HOST = "tier.example"
+STREAM_PREFIX = "/ask/"
+SINGLE_ATTEMPT_PREFIX = "/once/"
+BATCH_PREFIX = "/plans/"
+SERVICE = "svc"
+
+
+def route(name: str, prefix: str, kind: str, **fields: object) -> dict[str, object]:
+    """Return a route for the configuration.
+
+    :param prefix: path prefix of the requests.
+    :param kind: ``idempotent``, ``non_idempotent``, ``streaming`` or ``batch``.
+    :param fields: further fields of the route, or other values for the default ones.
+    """
+    return {
+        "Name": name,
+        "Hostname": ROUTE_HOST,
+        "PathPrefix": prefix,
+        "Type": kind,
+        "Service": SERVICE,
+        "TimeoutMs": 8_000,
+        "TargetLatencyMs": 500,
+        "MaxAttempts": 3,
+        **fields,
+    }
+
+
+def make_config(version: int, *extra_routes: dict[str, object]) -> dict[str, object]:
+    """Return a configuration with a resumable, a single-attempt and a batch route.
+
+    :param extra_routes: further routes, as :func:`route` returns them.
+    """
+    return {
+        "Version": version,
+        "Routes": [
+            route("ask", STREAM_PREFIX, "streaming", Resumable=True),
+            route("once", SINGLE_ATTEMPT_PREFIX, "streaming", MaxAttempts=1),
+            route("plans", BATCH_PREFIX, "batch", RetentionS=60, CompletionTargetMs=18_000),
+            *extra_routes,
+        ],
+        "Services": [{"Name": SERVICE, "MaxConnections": 200}],
+        "Limits": {"MaxBodyBytes": 4_194_304, "IdleTimeoutMs": 5_000},
+    }
--- /dev/null
+++ b/ebonyshore_standins/fleet_process.py
@@ -0,0 +1,162 @@
+"""An entry or a runner as a real process on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+from ebonyshore.platform.wire_names import WIRE_NAMES
+from ebonyshore_standins.fleet_config import ROUTE_HOST
+
+SETTINGS_TEMPLATE = """
+NodeName = "{name}"
+Ip = "{ip}"
+Zone = "fd-a"
+Region = "r1"
+InternalPorts = [{internal}, {internal_last}]
+HeartbeatMs = 400
+[Listen]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+[Bounds]
+GraceS = 8
+[Platform]
+Address = "{store}"
+"""
+
+
+def free_port(ip: str) -> int:
+    """Return a TCP port of an address that is free now; another process may take it at any time."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class FleetProcess:
+    """An entry or runner that listens on its own loopback address.
+
+    :param role: ``entry`` or ``runner``.
+    :param name: id of the instance; also names its settings file and its log.
+    :param ip: a loopback address; the process listens on the same ports of it after every start.
+    :param folder: folder for the settings file and the log.
+    :ivar front_port: port for callers.
+    :ivar ready_port: port for the load balancer's health checks.
+    :ivar interpreter_arguments: arguments of the Python interpreter before the role; change them
+        before the start.
+    """
+
+    def __init__(self, role: str, name: str, ip: str, folder: Path) -> None:
+        self.role = role
+        self.name = name
+        self.ip = ip
+        self.front_port = free_port(ip)
+        self.ready_port = free_port(ip)
+        self.interpreter_arguments: tuple[str, ...] = ("-m", "ebonyshore.platform")
+        self._log_path = folder / f"{name}.log"
+        self._settings_path = folder / f"{name}.toml"
+        self._internal_port = free_port(ip)
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Operating system's id of the process."""
+        return self._process.pid
+
+    def write_settings(self, store_address: str) -> None:
+        """Write the settings file.
+
+        :param store_address: ``IP:PORT`` of the object store.
+        """
+        self._settings_path.write_text(
+            SETTINGS_TEMPLATE.format(
+                name=self.name,
+                ip=self.ip,
+                internal=self._internal_port,
+                internal_last=self._internal_port,
+                front=self.front_port,
+                ready=self.ready_port,
+                store=store_address,
+            )
+        )
+
+    def start(self) -> None:
+        """Start the process; its output is appended to its log."""
+        environment = {**os.environ, "EBONYSHORE_CONFIG": str(self._settings_path)}
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *self.interpreter_arguments, self.role],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self._process.kill()
+        self._process.wait(10)
+
+    def stop(self, timeout_s: float = 12.0) -> int:
+        """Stop the process with SIGTERM, also if it is stopped by SIGSTOP.
+
+        :return: the exit status.
+        :raises subprocess.TimeoutExpired: if the process does not end within ``timeout_s``.
+        """
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.terminate()
+        return self._process.wait(timeout_s)
+
+    def wait(self, timeout_s: float = 10.0) -> int:
+        """Wait until the process ends by itself.
+
+        :return: the exit status.
+        :raises subprocess.TimeoutExpired: if the process does not end within ``timeout_s``.
+        """
+        return self._process.wait(timeout_s)
+
+    def kill_if_running(self) -> None:
+        """Kill the process if it was started and still runs."""
+        if self._process is not None and self._process.poll() is None:
+            self.kill()
+
+    def is_ready(self) -> bool:
+        """Return whether the health check succeeds, so that a load balancer would send requests."""
+        try:
+            connection = HTTPConnection(self.ip, self.ready_port, timeout=1)
+            connection.request("GET", WIRE_NAMES.ready_path)
+            return connection.getresponse().status == 200
+        except (OSError, HTTPException):
+            return False
+
+    def read_log(self) -> str:
+        """Return what the process has written to its log in all its runs."""
+        return self._log_path.read_text(encoding="utf-8")
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout_s: float = 10.0,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Make one call as a client.
+
+        :return: HTTP status, headers and body of the response.
+        :raises OSError: if the connection fails or there is no data for ``timeout_s``.
+        :raises http.client.HTTPException: if the response is incomplete.
+        """
+        connection = HTTPConnection(self.ip, self.front_port, timeout=timeout_s)
+        try:
+            connection.request(method, path, body, {"Host": ROUTE_HOST, **(headers or {})})
+            response = connection.getresponse()
+            return response.status, dict(response.getheaders()), response.read()
+        finally:
+            connection.close()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -8,20 +8,16 @@
 import pytest
 
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore_standins.platform_fleet import (
-    SERVICE,
-    SINGLE_ATTEMPT_PREFIX,
-    PlatformFleet,
+from ebonyshore_standins.fleet_client import (
     cancel_job,
-    make_config,
     read_item_body,
     read_job,
     request_stream,
-    route,
     stream_data,
     submit_job,
-    wait_until,
 )
+from ebonyshore_standins.fleet_config import SERVICE, SINGLE_ATTEMPT_PREFIX, make_config, route
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 from ebonyshore_standins.stream_target import expected_data
 
 
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -8,16 +8,9 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
-from ebonyshore_standins.platform_fleet import (
-    SINGLE_ATTEMPT_PREFIX,
-    STREAM_PREFIX,
-    PlatformFleet,
-    item_body,
-    read_job,
-    request_stream,
-    submit_job,
-    wait_until,
-)
+from ebonyshore_standins.fleet_client import item_body, read_job, request_stream, submit_job
+from ebonyshore_standins.fleet_config import SINGLE_ATTEMPT_PREFIX, STREAM_PREFIX
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
 # The platform's rule: at most three sends later than 3 s after the third crash.
 TOLERATED_CRASHES = 3
--- a/tests/test_repeated_failures.py
+++ b/tests/test_repeated_failures.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from ebonyshore_standins.platform_fleet import PlatformFleet, read_job, submit_job, wait_until
+from ebonyshore_standins.fleet_client import read_job, submit_job
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
 MAX_ATTEMPTS = 3  # of the batch route
 # The platform's rule: no more failed runs than this, over all owners.
--- a/tests/test_stored_convictions.py
+++ b/tests/test_stored_convictions.py
@@ -20,12 +20,9 @@
 )
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.crashing_target import CrashingTarget
-from ebonyshore_standins.platform_fleet import (
-    SINGLE_ATTEMPT_PREFIX,
-    PlatformFleet,
-    request_stream,
-    wait_until,
-)
+from ebonyshore_standins.fleet_client import request_stream
+from ebonyshore_standins.fleet_config import SINGLE_ATTEMPT_PREFIX
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 from tests.gateway_setup import make_suspicions
 
 CRASH_IDS = ("t1/1.1", "t2/1.1", "t3/1.1")
