Decide what the end of a dispatch means apart from the held shard

How a final message becomes a result, a failure or a retry of its item is a module of functions now; the shard keeps its items, dispatches and commits.

--- a/ebonyshore/batch/held_shard.py
+++ b/ebonyshore/batch/held_shard.py
@@ -1,18 +1,18 @@
 """A shard whose lease this entry holds: which items to dispatch and what to commit, without I/O."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from msgspec import Struct
 
-from ebonyshore.batch.batch_items import HTTP_OK, PendingItem, assemble_answer
+from ebonyshore.batch.batch_items import PendingItem
+from ebonyshore.batch.dispatch_end import InFlightDispatch, Retry, evaluate_end
 from ebonyshore.batch.jobs import ItemOutcome, JobRecord, JobState, ShardRecord, ShardUpdate
 from ebonyshore.entry.membership import TargetView
 from ebonyshore.entry.routing import serving_targets
-from ebonyshore.frame.errors import EbonyshoreError, InvariantError
+from ebonyshore.frame.errors import InvariantError
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.link.messages import Failed, FinalMessage, Finished, Permit, Refused
+from ebonyshore.link.messages import FinalMessage, Permit
 from ebonyshore.store.marked_write import MarkedObject
 
 # Dispatching stops when this fraction of the lease interval is left.
@@ -20,19 +20,11 @@
 # The entry learns the agent's clock one heartbeat late, so it stops using a permit before the agent
 # rejects it.
 PERMIT_USE_RATIO = 0.9
-MIN_BACKOFF_MS = 100.0
-MAX_BACKOFF_MS = 5_000.0
 # An item is dispatched a second time after this many times the average duration of an item, but not
 # before MIN_STRAGGLER_MS.
 STRAGGLER_RATIO = 4.0
 MIN_STRAGGLER_MS = 10_000.0
 DURATION_SMOOTHING_WEIGHT = 0.1
-# An item rarely causes the loss of an agent, so only every third loss counts as a failed attempt.
-AGENT_LOSSES_PER_ATTEMPT = 3
-# The system itself ended the run, so it does not count as a failed attempt.
-_UNCOUNTED_CODES = frozenset({ResultCode.PREEMPTED, ResultCode.CANCELLED})
-_RESUMABLE_CODES = _UNCOUNTED_CODES
-_SUSPECT_CODES = frozenset({ResultCode.TARGET_CRASHED, ResultCode.AGENT_LOST})
 
 
 class StoreAction(Enum):
@@ -63,24 +55,6 @@
     window_items: int
 
 
-@dataclass(slots=True)
-class InFlightDispatch:
-    """A dispatch whose final message has not arrived yet.
-
-    :param sent_ms: monotonic time at which it was sent.
-    :param resume_text: earlier generated text that the target was asked to continue.
-    :param data: chunks of the answer so far.
-    :param is_cancelled: whether its cancellation was requested.
-    """
-
-    pending_item: PendingItem
-    target_id: str
-    sent_ms: float
-    resume_text: str
-    data: list[bytes] = field(default_factory=list)
-    is_cancelled: bool = False
-
-
 class HeldShard:
     """A shard whose lease this entry holds.
 
@@ -280,14 +254,14 @@
         item.in_flight_count -= 1
         if item.is_done:
             return []
-        if isinstance(message, Finished):
-            self._handle_finished(dispatch, message, now_ms, max_attempts)
-        elif isinstance(message, Refused):
-            self._handle_refused(item, message, now_ms)
-        else:
-            self._handle_failed(item, message, now_ms, max_attempts)
-        if not item.is_done:
+        end = evaluate_end(dispatch, message, now_ms, max_attempts)
+        if isinstance(end, Retry):
+            self._requeue(item, end.not_before_ms)
             return []
+        if end.code is ResultCode.OK:
+            self._record_duration(now_ms - dispatch.sent_ms)
+        item.is_done = True
+        self._add_outcome(end)
         return [
             request_id for request_id, other in self.in_flight.items() if other.pending_item is item
         ]
@@ -303,78 +277,9 @@
             self.in_flight[request_id].is_cancelled = True
         return request_ids
 
-    def _handle_finished(
-        self, dispatch: InFlightDispatch, message: Finished, now_ms: float, max_attempts: int
-    ) -> None:
-        item = dispatch.pending_item
-        if message.http_status != HTTP_OK:
-            self._handle_error_status(dispatch, message, now_ms, max_attempts)
-            return
-        try:
-            body = assemble_answer(item.request, dispatch.resume_text, dispatch.data, message)
-        except EbonyshoreError as error:
-            self._count_failed_attempt(item, error.code, str(error), now_ms, max_attempts)
-            return
-        duration_ms = now_ms - dispatch.sent_ms
-        self._average_item_ms += (duration_ms - self._average_item_ms) * (
-            DURATION_SMOOTHING_WEIGHT if self._average_item_ms else 1.0
-        )
-        self._set_outcome(item, ResultCode.OK, message.http_status, body, item.attempts + 1)
-
-    def _handle_error_status(
-        self, dispatch: InFlightDispatch, message: Finished, now_ms: float, max_attempts: int
-    ) -> None:
-        """Fail the item on a 4xx status other than 429; otherwise count a failed attempt."""
-        item = dispatch.pending_item
-        text = b"".join(dispatch.data).decode(errors="replace")
-        detail = f"status {message.http_status}: {text}"[:1000]
-        if 400 <= message.http_status < 500 and message.http_status != 429:
-            self._set_outcome(
-                item, ResultCode.TARGET_ERROR, message.http_status, "", item.attempts + 1, detail
-            )
-            return
-        self._count_failed_attempt(item, ResultCode.TARGET_ERROR, detail, now_ms, max_attempts)
-
-    def _handle_refused(self, item: PendingItem, message: Refused, now_ms: float) -> None:
-        if message.code is ResultCode.CONVICTED:
-            self._set_outcome(item, message.code, attempts=item.attempts, detail=message.detail)
-            return
-        item.refusals += 1
-        backoff_ms = min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** min(item.refusals, 10))
-        self._requeue(item, now_ms + max(backoff_ms, float(message.retry_after_ms)))
-
-    def _handle_failed(
-        self, item: PendingItem, message: Failed, now_ms: float, max_attempts: int
-    ) -> None:
-        item.refusals = 0
-        if message.code is ResultCode.CONVICTED:
-            self._set_outcome(item, message.code, attempts=item.attempts + 1, detail=message.detail)
-            return
-        is_agent_loss = message.code is ResultCode.AGENT_LOST
-        item.is_suspect = item.is_suspect or message.code in _SUSPECT_CODES
-        if message.code in _RESUMABLE_CODES:
-            item.resume_text = message.resume_text or item.resume_text
-        elif not is_agent_loss:
-            item.resume_text = ""
-        item.agent_losses += is_agent_loss
-        is_uncounted = message.code in _UNCOUNTED_CODES
-        if is_uncounted or (is_agent_loss and item.agent_losses % AGENT_LOSSES_PER_ATTEMPT):
-            self._requeue(item, now_ms + MIN_BACKOFF_MS)
-            return
-        self._count_failed_attempt(item, message.code, message.detail, now_ms, max_attempts)
-
-    def _count_failed_attempt(
-        self, item: PendingItem, code: ResultCode, detail: str, now_ms: float, max_attempts: int
-    ) -> None:
-        """Requeue the item with a backoff, or fail it if its attempts are exhausted."""
-        item.attempts += 1
-        if item.attempts < max_attempts:
-            self._requeue(item, now_ms + MIN_BACKOFF_MS * 2**item.attempts)
-            return
-        reason = f"last attempt: {code.name}: {detail}"
-        self._set_outcome(
-            item, ResultCode.ATTEMPTS_EXHAUSTED, attempts=item.attempts, detail=reason
-        )
+    def _record_duration(self, duration_ms: float) -> None:
+        weight = DURATION_SMOOTHING_WEIGHT if self._average_item_ms else 1.0
+        self._average_item_ms += (duration_ms - self._average_item_ms) * weight
 
     def _requeue(self, item: PendingItem, not_before_ms: float) -> None:
         """Let the item wait again, unless another dispatch of it is still in flight."""
@@ -382,21 +287,6 @@
         if not item.in_flight_count:
             self.waiting.append(item)
 
-    def _set_outcome(
-        self,
-        item: PendingItem,
-        code: ResultCode,
-        http_status: int = 0,
-        body: str = "",
-        attempts: int = 0,
-        detail: str = "",
-    ) -> None:
-        item.is_done = True
-        outcome = ItemOutcome(
-            item.number, item.custom_id, code, http_status, body, detail, attempts
-        )
-        self._add_outcome(outcome)
-
     def _add_outcome(self, outcome: ItemOutcome) -> None:
         if outcome.item in self._done_items:
             raise InvariantError(f"{self.key}: second outcome of item {outcome.item}")
