--- a/ebonyshore/entry/agent_link.py
+++ b/ebonyshore/entry/agent_link.py
@@ -4,7 +4,7 @@
 
 import zmq
 from msgspec.structs import replace
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from ebonyshore.entry.agent_connection import AgentConnection, Channel
 from ebonyshore.entry.agent_socket import AgentSocket
@@ -13,6 +13,8 @@
     ping_interval_ms,
     targets_to_connect,
 )
+from ebonyshore.entry.connection_registry import ConnectionRegistry
+from ebonyshore.entry.dispatch_checks import DispatchFilter, prepare_dispatch
 from ebonyshore.entry.link_messages import (
     LinkMessage,
     SendCancel,
@@ -55,7 +57,6 @@
 MAX_MESSAGES_PER_READ = 256
 
 MessageHandler = Callable[[str, AgentMessage], None]
-DispatchFilter = Callable[[Dispatch], Result[Dispatch, ResultCode]]
 AgentLostHandler = Callable[[str, str, list[Dispatch]], None]
 
 
@@ -88,8 +89,7 @@
         self._log = log
         self._codec: MessageCodec[AgentMessage] = MessageCodec(AgentMessage, metrics)
         self._listed_instances: dict[str, Instance] = {}
-        self._connections: dict[str, AgentConnection] = {}
-        self._connections_by_socket: dict[zmq.Socket, AgentConnection] = {}
+        self._connections = ConnectionRegistry()
         self._handlers: dict[type, MessageHandler] = {}
         self._next_check_ms = 0.0
         self._filter_dispatch: DispatchFilter = Success
@@ -155,7 +155,7 @@
 
     def on_readable(self, sock: zmq.Socket) -> None:
         for _ in range(MAX_MESSAGES_PER_READ):
-            connection = self._connections_by_socket.get(sock)
+            connection = self._connections.find_by_socket(sock)
             if connection is None:
                 return  # processing the previous message closed the connection
             try:
@@ -241,9 +241,7 @@
         now_ms = self.clock.monotonic_ms()
         view = replace(view, is_connected=True, incarnation="")
         connection = AgentConnection(view, channel, self._metrics, last_dispatch_ms=now_ms)
-        self._connections[target_id] = connection
-        if isinstance(channel, AgentSocket):
-            self._connections_by_socket[channel.socket] = connection
+        self._connections.add(connection)
         connection.channel.send(self._make_hello())
         self._publish(connection)
         return connection
@@ -251,9 +249,7 @@
     def _disconnect(self, connection: AgentConnection) -> None:
         connection.refuse_pending()
         self._fail_in_flight(connection)
-        if isinstance(connection.channel, AgentSocket):
-            del self._connections_by_socket[connection.channel.socket]
-        del self._connections[connection.view.target_id]
+        self._connections.remove(connection)
         connection.channel.close()
         self._set_view(connection, is_connected=False, incarnation="")
 
@@ -316,20 +312,17 @@
         self._publish(connection)
 
     def _send_dispatch(self, connection: AgentConnection, message: SendDispatch) -> None:
-        dispatch = replace(message.dispatch, incarnation=connection.view.incarnation)
-        if message.deadline_ms != float("inf"):
-            # Computed here rather than at admission: if the process was paused in between, it must
-            # not start a request whose deadline has passed.
-            left_ms = message.deadline_ms - self.clock.monotonic_ms()
-            dispatch = replace(dispatch, deadline_left_ms=left_ms)
-        if dispatch.deadline_left_ms <= 0:
-            message.sink.post(Refused(dispatch.request_id, ResultCode.DEADLINE_UNREACHABLE))
-            return
-        filtered = self._filter_dispatch(dispatch)
-        if isinstance(filtered, Failure):
-            message.sink.post(Refused(dispatch.request_id, filtered.failure()))
+        prepared = prepare_dispatch(
+            message.dispatch,
+            connection.view.incarnation,
+            message.deadline_ms,
+            self.clock.monotonic_ms(),
+            self._filter_dispatch,
+        )
+        if isinstance(prepared, Failure):
+            message.sink.post(Refused(message.dispatch.request_id, prepared.failure()))
             return
-        dispatch = filtered.unwrap()
+        dispatch = prepared.unwrap()
         end_ms = self.clock.monotonic_ms() + dispatch.deadline_left_ms
         connection.add(dispatch, message.sink, end_ms)
         if not connection.channel.send(dispatch):
@@ -384,7 +377,7 @@
                 instance, instance_id=message.agent_id
             )
         self._membership.remove(known_id)
-        self._connections[message.agent_id] = self._connections.pop(known_id)
+        self._connections.rename(known_id, message.agent_id)
         connection.view = replace(connection.view, target_id=message.agent_id)
         return True
 
