--- a/ebonyshore/entry/agent_link.py
+++ b/ebonyshore/entry/agent_link.py
@@ -22,7 +22,8 @@
     SendToAgent,
     SendToAllAgents,
 )
-from ebonyshore.entry.membership import Membership, apply_report, view_from_instance
+from ebonyshore.entry.membership import Membership, apply_report
+from ebonyshore.entry.target_listing import TargetListing
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
@@ -88,7 +89,7 @@
         self._metrics = metrics
         self._log = log
         self._codec: MessageCodec[AgentMessage] = MessageCodec(AgentMessage, metrics)
-        self._listed_instances: dict[str, Instance] = {}
+        self._listing = TargetListing(membership)
         self._connections = ConnectionRegistry()
         self._handlers: dict[type, MessageHandler] = {}
         self._next_check_ms = 0.0
@@ -192,37 +193,16 @@
             handler(connection.view.target_id, message)
 
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
-        self._listed_instances = {i.instance_id: i for i in instances if i.role == "target"}
-        for target_id, view in list(self._membership.targets().items()):
-            instance = self._listed_instances.get(target_id)
-            connection = self._connections.get(target_id)
-            is_moved = instance is not None and instance.address != view.address
-            is_gone = instance is None and (connection is None or connection.is_idle)
-            if is_moved or is_gone:
-                self._remove_target(target_id)
-            elif instance is None:
-                # The target finishes its requests and gets no new ones.
-                self._set_view(connection, is_leaving=True)
-        for instance in self._listed_instances.values():
-            self._update_instance(instance)
-        for target_id in targets_to_connect(
-            self._listed_instances, self._connections, self._entry_id
-        ):
-            self._find_or_connect(target_id)
-
-    def _update_instance(self, instance: Instance) -> None:
-        view = self._membership.find(instance.instance_id)
-        if view is None:
-            self._membership.set_view(view_from_instance(instance))
-            return
-        connection = self._connections.get(instance.instance_id)
-        is_leaving = instance.state == "leaving"
-        if connection is None:
-            self._membership.set_view(
-                replace(view, is_leaving=is_leaving, models=instance.models or view.models)
-            )
-        elif is_leaving and not view.is_leaving:
+        listing, connections = self._listing, self._connections
+        listing.replace_all(instances)
+        for target_id in listing.targets_to_remove(connections):
+            self._remove_target(target_id)
+        # Targets that are leaving finish their requests and get no new ones.
+        unlisted = listing.unlisted_connections(connections)
+        for connection in [*unlisted, *listing.update_views(connections)]:
             self._set_view(connection, is_leaving=True)
+        for target_id in targets_to_connect(listing, connections, self._entry_id):
+            self._find_or_connect(target_id)
 
     def _remove_target(self, target_id: str) -> None:
         connection = self._connections.get(target_id)
@@ -371,11 +351,7 @@
         if message.agent_id in self._connections:
             self._remove_target(known_id)
             return False
-        instance = self._listed_instances.pop(known_id, None)
-        if instance is not None:
-            self._listed_instances[message.agent_id] = replace(
-                instance, instance_id=message.agent_id
-            )
+        self._listing.rename(known_id, message.agent_id)
         self._membership.remove(known_id)
         self._connections.rename(known_id, message.agent_id)
         connection.view = replace(connection.view, target_id=message.agent_id)
@@ -390,7 +366,7 @@
         if isinstance(message, LoadReport) and not connection.view.incarnation:
             connection.channel.send(self._make_hello())
             return
-        is_listed = view.target_id in self._listed_instances
+        is_listed = view.target_id in self._listing
         connection.view = apply_report(connection.view, message, is_listed)
         connection.update_load(message.load)
         self._send_pending(connection)
