Attribute no crash to runs that cannot have caused it

What callers would see: harmless requests refused as crashing targets, for ten minutes.

Cause, from its log: when several targets are lost at the same moment, the retry of a request goes to another lost target within 1 ms. It was counted as in flight there although the connection was refused, or it broke on an idle connection whose reset was under way. Three such crashes convict.

Fix: a run counts only once its request was sent; not if it follows a break within 10 ms and breaks within 10 ms itself; and not if a stream has received events and may be resumed, in which case the next run counts. A request that crashes its targets at once is still convicted, by its third send.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -114,6 +114,7 @@
         try:
             async with self._pool.use(address, CONNECT_TIMEOUT_MS, max_idle_ms) as connection:
                 connection.send(self._encode_request())
+                self._run.is_sent = True
                 reader = ResponseReader(
                     connection, self._names.request_id, self._request_id, self._deadline_ms
                 )
@@ -179,6 +180,7 @@
             if not responder.is_started:
                 responder.start_stream(head.status, _relayed_headers(head))
             self._relay.record_events(now_ms())
+            self._run.has_progress = can_retry
             responder.write(b"".join(event.raw for event in events))
             idle_timeout_ms = EVENT_TIMEOUT_MS if can_retry else None
         if splitter.incomplete_event:
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -20,6 +20,9 @@
 SUSPICION_EXPIRY_MS = 600_000.0
 SILENCE_CHECK_MS = 1_000.0  # without a response, after which the target is checked
 SCAN_INTERVAL_MS = 250.0
+# A retry that is sent right after a break and breaks within this time has met a target that was
+# lost at the same moment. A request that crashes its target is read and begun first.
+SIMULTANEOUS_MS = 10.0
 # Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
 CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
 
@@ -27,31 +30,47 @@
 class ContentRun:
     """One run of a request at a target.
 
+    :param follows_break: whether another run of the content, to which a crash may be attributed,
+        broke just before this one started.
+    :ivar is_sent: whether the request was sent; before that it cannot have crashed the target.
     :ivar has_response: whether the target has begun to respond.
-    :ivar has_progress: whether the run has received events that no earlier run of the request has.
-        It did not crash the target when it began, so a crash is not attributed to it.
+    :ivar has_progress: whether the run has received events that the next run of the request will
+        continue from. It did not crash the target when it began, so a crash is not attributed to
+        it, but to the next run if that crashes its target, too.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     """
 
     __slots__ = (
         "content_digest",
+        "follows_break",
         "has_progress",
         "has_response",
         "is_attributed",
         "is_checked",
+        "is_sent",
         "started_ms",
         "target",
     )
 
-    def __init__(self, target: Target, content_digest: str, started_ms: float) -> None:
+    def __init__(
+        self, target: Target, content_digest: str, started_ms: float, follows_break: bool = False
+    ) -> None:
         self.target = target
         self.content_digest = content_digest
         self.started_ms = started_ms
+        self.follows_break = follows_break
+        self.is_sent = False
         self.has_response = False
         self.has_progress = False
         self.is_attributed = False
         self.is_checked = False
 
+    def may_have_crashed_target(self, at_ms: float) -> bool:
+        """Return whether a crash of the target at ``at_ms`` may be attributed to the run."""
+        if not self.is_sent or self.has_progress:
+            return False
+        return not self.follows_break or at_ms - self.started_ms >= SIMULTANEOUS_MS
+
 
 class CrashGuard(PeriodicService):
     """Attributes crashes of targets to the content of this process's runs.
@@ -82,10 +101,14 @@
         self._runs: dict[Target, set[ContentRun]] = {}
         self._checks: dict[Target, Task[None]] = {}
         self._broken: dict[Target, set[str]] = {}  # content of runs that broke, while checked
+        # Time of the last break that may have been a crash, by content digest.
+        self._broken_ms: dict[str, float] = {}
 
     def begin(self, target: Target, content_digest: str) -> ContentRun:
         """Record that a request is sent to a target."""
-        run = ContentRun(target, content_digest, now_ms())
+        at_ms = now_ms()
+        broken_ms = self._broken_ms.get(content_digest, float("-inf"))
+        run = ContentRun(target, content_digest, at_ms, at_ms - broken_ms < SIMULTANEOUS_MS)
         self._runs.setdefault(target, set()).add(run)
         return run
 
@@ -108,8 +131,10 @@
         self.end(run)
         if run.is_attributed:
             return
-        if not run.has_progress:
+        at_ms = now_ms()
+        if run.may_have_crashed_target(at_ms):
             self._broken.setdefault(run.target, set()).add(run.content_digest)
+            self._broken_ms[run.content_digest] = at_ms
         self._check(run.target)
 
     async def settle(self, content_digest: str) -> None:
@@ -146,6 +171,11 @@
     async def run_once(self) -> None:
         """Check the targets of runs that have waited long for a response."""
         at_ms = now_ms()
+        self._broken_ms = {
+            digest: broken_ms
+            for digest, broken_ms in self._broken_ms.items()
+            if at_ms - broken_ms < SIMULTANEOUS_MS
+        }
         for target, runs in list(self._runs.items()):
             silent = [run for run in runs if _is_silent(run, at_ms)]
             for run in silent:
@@ -188,11 +218,12 @@
             del self._checks[target]
 
     def _record_crash(self, target: Target, broken: set[str], is_down: bool) -> None:
-        target.mark_unreachable(now_ms())
+        at_ms = now_ms()
+        target.mark_unreachable(at_ms)
         digests = set(broken)
         for run in self._runs.get(target, ()):
-            run.is_attributed = True
-            if not run.has_progress:
+            if run.may_have_crashed_target(at_ms):
+                run.is_attributed = True
                 digests.add(run.content_digest)
         self._metrics.count("target_crashes")
         self._log.event(
@@ -206,8 +237,9 @@
             target.crashes += 1
             # The list of targets may not show yet that the target was started again.
             crash_id = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}"
-            self._exchange.record_crash(crash_id, sorted(digests), now_ms())
+            self._exchange.record_crash(crash_id, sorted(digests), at_ms)
 
 
 def _is_silent(run: ContentRun, at_ms: float) -> bool:
-    return not (run.has_response or run.is_checked) and at_ms - run.started_ms > SILENCE_CHECK_MS
+    is_open = run.is_sent and not run.has_response and not run.is_checked
+    return is_open and at_ms - run.started_ms > SILENCE_CHECK_MS
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -91,6 +91,7 @@
                 address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS
             ) as connection:
                 connection.send(self._encode_request(target))
+                content_run.is_sent = True
                 deadline_ms = now_ms() + RUN_TIMEOUT_MS
                 reader = ResponseReader(
                     connection, self._names.request_id, self._item.item_id, deadline_ms
--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -10,6 +10,7 @@
 
 CLOCK = SystemClock()
 DEFAULT_DOWN_MS = 2_000.0
+BEGIN_MS = 20.0  # from the arrival of a request until the target begins to run it and crashes
 
 
 class CrashMode(Enum):
@@ -63,6 +64,8 @@
     async def _answer(
         self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
+        if body in self.crashing_bodies:
+            await asyncio.sleep(BEGIN_MS / MS_PER_S)
         if self._is_down:
             raise ConnectionResetError("the target has crashed")
         if body in self.crashing_bodies:
