--- a/ebonyshore/link/suspicion_exchange.py
+++ b/ebonyshore/link/suspicion_exchange.py
@@ -16,7 +16,7 @@
 
 CHANGE_SENDS = 3  # of each change
 CONVICTION_INTERVAL_MS = 1_000.0
-MAX_VERDICTS_PER_DATAGRAM = 50
+MAX_VERDICTS_PER_DATAGRAM = 5  # keeps a datagram below 1,500 bytes
 MAX_COMPLETED_CONTENTS = 2_048
 RECENT_COMPLETION_MS = 30_000.0
 
--- a/tests/test_suspicion_exchange.py
+++ b/tests/test_suspicion_exchange.py
@@ -1,5 +1,9 @@
 """Tests that processes learn of each other's crashes, although datagrams are lost."""
 
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.datagrams import Datagram, SuspicionUpdate
+from ebonyshore.link.messages import Verdict
 from ebonyshore.link.suspicion_exchange import (
     CHANGE_SENDS,
     CONVICTION_INTERVAL_MS,
@@ -10,6 +14,7 @@
 from tests.gateway_setup import make_suspicions
 
 STEP_MS = 20.0
+MAX_PACKET_BYTES = 1_472  # of a datagram on Ethernet
 
 
 class Fleet:
@@ -156,3 +161,11 @@
     fleet.entries[0].send(fleet._socket(fleet.entries[0]), fleet.runners, [], 0.0)
     assert fleet.datagrams == 3
     assert all(fleet.runners[0].table.is_suspect(content, 0.0) for content in contents)
+
+
+def test_full_datagram_fits_into_one_packet():
+    """Guards against fragments: a datagram is lost with any one of them."""
+    crash_ids = tuple(f"i-0123456789ab/1796359862969.{number}" for number in range(5))
+    verdict = Verdict("0123456789abcdef", 5, True, 123.456, crash_ids=crash_ids)
+    update = SuspicionUpdate("storage-vn-south-a-1", (verdict,) * MAX_VERDICTS_PER_DATAGRAM)
+    assert len(MessageCodec(Datagram, Metrics()).encode(update)) <= MAX_PACKET_BYTES
