Hand targets only the time that is left after a check

Evidence: test_targets_are_given_only_the_time_that_is_left_after_a_check: 2,455 ms of 2,500 were handed on after a check of 400 ms; 2,100 at most now.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -146,13 +146,13 @@
     async def _run_until_deadline(self) -> str:
         guard = self._forwarder.crash_guard
         while True:
-            remaining_ms = self._deadline_ms - now_ms()
-            if remaining_ms < MIN_REMAINING_MS:
-                return self._fail(deadline_response(was_sent=self._attempts > 0))
             if self._attempts >= MAX_UNCHECKED_ATTEMPTS:
                 await guard.settle(self._content_digest)
             if guard.is_convicted(self._content_digest):
                 return self._refuse_convicted()
+            remaining_ms = self._deadline_ms - now_ms()
+            if remaining_ms < MIN_REMAINING_MS:
+                return self._fail(deadline_response(was_sent=self._attempts > 0))
             target = self._choose_target()
             if target is None:
                 return self._refuse()
--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -3,7 +3,7 @@
 Runners read the stored convictions when they start, and pass them on with their own.
 """
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from msgspec import DecodeError, Struct
 
@@ -16,7 +16,6 @@
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
-from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
@@ -85,7 +84,7 @@
     :param storage: the stored convictions.
     :param suspicions: updated with them; provides the new ones.
     :param load_table: tells whether this runner has the lowest id of the live ones.
-    :param registry: runs the blocking calls.
+    :param run_blocking: runs a blocking call on a thread, see :meth:`JobRegistry.run_blocking`.
     """
 
     name = "convictions"
@@ -96,14 +95,14 @@
         storage: ConvictionStorage,
         suspicions: SuspicionExchange,
         load_table: LoadTable,
-        registry: JobRegistry,
+        run_blocking: Callable[..., Awaitable],
         clock: Clock,
         log: EventLog,
     ) -> None:
         self._storage = storage
         self._suspicions = suspicions
         self._load_table = load_table
-        self._registry = registry
+        self._run_blocking = run_blocking
         self._clock = clock
         self._log = log
         self._has_loaded = False
@@ -119,7 +118,7 @@
             self._log.event("convictions_not_synchronized", error=str(error))
 
     async def _load(self) -> None:
-        records = await self._registry.run_blocking(self._storage.read_all)
+        records = await self._run_blocking(self._storage.read_all)
         self._has_loaded = True
         self._stored.update(record.content_digest for record in records)
         wall_ms = self._clock.wall_ms()
@@ -133,11 +132,11 @@
         }
         for digest in convictions.keys() - self._stored:
             record = _to_record(convictions[digest], self._clock.wall_ms())
-            await self._registry.run_blocking(self._storage.create, record)
+            await self._run_blocking(self._storage.create, record)
             self._stored.add(digest)
             self._log.event("conviction_stored", content=digest)
         for digest in self._stored - convictions.keys():
-            await self._registry.run_blocking(self._storage.delete, digest)
+            await self._run_blocking(self._storage.delete, digest)
             self._stored.discard(digest)
             self._log.event("conviction_deleted", content=digest)
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -158,7 +158,9 @@
     kernel.register(parts.watch_service(_make_watches(environment, registry, runner, load_table)))
     kernel.register(runner)
     storage = ConvictionStorage(environment.store, environment.marked_store)
-    kernel.register(ConvictionKeeper(storage, parts.suspicions, load_table, registry, clock, log))
+    kernel.register(
+        ConvictionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
+    )
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(JobApi(host, port, deployment, registry, parts.config, clock, log, metrics))
     kernel.register(OperatorServer(host, METRICS_PORT, kernel, metrics))
--- a/tests/test_convicted_requests.py
+++ b/tests/test_convicted_requests.py
@@ -10,6 +10,8 @@
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
 
+CHECK_MS = 400.0
+DEADLINE_MS = 2_500  # of the requests that the set-up sends
 CRASHES = ("t7/1.1", "t8/1.1", "t9/1.1")
 
 
@@ -117,3 +119,24 @@
 
     assert [status_of(answer) for answer in run(scenario())] == [502, 502, 502, 503, 503]
     assert last.sessions == []
+
+
+def test_targets_are_given_only_the_time_that_is_left_after_a_check():
+    """Guards against a target that works on after its caller's deadline."""
+
+    class SlowChecker:
+        async def is_down(self, _target):
+            await asyncio.sleep(CHECK_MS / MS_PER_S)
+            return True
+
+    last = ScriptedTarget(send_complete_stream)
+
+    async def scenario():
+        gateway = Gateway(make_route(max_attempts=3), checker=SlowChecker())
+        await gateway.start(crashing_target(), crashing_target(), last)
+        answer = await gateway.request(b"body")
+        gateway.close()
+        return answer
+
+    assert status_of(run(scenario())) == 200
+    assert int(last.sessions[0].header("Deadline-Ms")) <= DEADLINE_MS - CHECK_MS
