Count the log lines of a cost run after its entry has stopped

Cause, by reading: the line of a request is written after its answer has been sent, and the lines were counted as soon as the last caller had its answer. They are counted after the entry's graceful stop now; the lines of the stop are counted, too.

--- a/ebonyshore_bench/entry_cost.py
+++ b/ebonyshore_bench/entry_cost.py
@@ -109,8 +109,10 @@
             answered = sum(executor.map(request, range(requests)))
         duration_ms = clock.monotonic_ms() - start_ms
         cpu_ms = read_use(entry.pid).cpu_ms - before.cpu_ms
+        # The profiler writes its file only at a graceful stop, and the line of the last request
+        # follows its answer.
+        entry.stop()
         log_lines = _count_lines(entry) - lines_before
-        entry.stop()  # the profiler writes its file only at a graceful shutdown
         return EntryCost(name, answered, duration_ms, cpu_ms, log_lines)
     finally:
         fleet.stop()
