Attribute a break to a restart that the list shows later

What callers would see: content that crashes targets is sent on, if they serve again before they are checked.

Cause: a target was taken for alive if it answered after a break, also when it had been started again in the meantime and the list did not show it yet.

Evidence: the soak sends such content now, with targets that fall silent for 1 s, and checks after its faults that it is hardly sent on.

Fix: breaks at a target that answers are kept for 6 s, and attributed if the list shows a restart or a removal without a notice. The soak's targets list their restarts, as the platform's do.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -23,6 +23,9 @@
 # A retry that is sent right after a break and breaks within this time has met a target that was
 # lost at the same moment. A request that crashes its target is read and begun first.
 SIMULTANEOUS_MS = 10.0
+# A target that restarts quickly answers its check. The list shows the restart within this time:
+# three missing heartbeats and the delay of the list.
+RESTART_LISTING_MS = 6_000.0
 # Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
 CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
 
@@ -101,6 +104,8 @@
         self._runs: dict[Target, set[ContentRun]] = {}
         self._checks: dict[Target, Task[None]] = {}
         self._broken: dict[Target, set[str]] = {}  # content of runs that broke, while checked
+        # Content of runs that broke at targets that answered, and the time of the last break.
+        self._unexplained: dict[Target, tuple[set[str], float]] = {}
         # Time of the last break that may have been a crash, by content digest.
         self._broken_ms: dict[str, float] = {}
 
@@ -122,7 +127,7 @@
     def end_completed(self, run: ContentRun) -> None:
         """Record that a run has completed, which clears its content unless it is convicted."""
         self.end(run)
-        for broken in self._broken.values():
+        for broken in [*self._broken.values(), *(found for found, _ in self._unexplained.values())]:
             broken.discard(run.content_digest)
         self._exchange.record_completed(run.content_digest, now_ms())
 
@@ -169,8 +174,9 @@
         return verdict.age_ms >= CONVICTED_ITEM_DELAYS_MS[repeats]
 
     async def run_once(self) -> None:
-        """Check the targets of runs that have waited long for a response."""
+        """Check the targets of runs that have waited long, and look for restarts in the list."""
         at_ms = now_ms()
+        self._attribute_restarts(at_ms)
         self._broken_ms = {
             digest: broken_ms
             for digest, broken_ms in self._broken_ms.items()
@@ -209,14 +215,34 @@
             is_down = await self._checker.is_down(target)
             broken = self._broken.get(target, set())
             # A target that was started again answers, but it has lost its runs.
-            if is_down or (broken and self._targets.find(target.target_id) is not target):
+            if is_down or (broken and self._has_ended(target)):
                 self._record_crash(target, broken, is_down)
             else:
                 self._log.event("target_alive", target=target.target_id, broken=len(broken))
+                self._add_unexplained(target, broken)
         finally:
             self._broken.pop(target, None)
             del self._checks[target]
 
+    def _has_ended(self, target: Target) -> bool:
+        """Return whether the list shows that this run of the target has ended unplanned."""
+        is_listed = self._targets.find(target.target_id) is target
+        return not is_listed and not target.entry.is_leaving
+
+    def _add_unexplained(self, target: Target, broken: set[str]) -> None:
+        if broken:
+            known, _ = self._unexplained.get(target, (set(), 0.0))
+            self._unexplained[target] = (known | broken, now_ms())
+
+    def _attribute_restarts(self, at_ms: float) -> None:
+        """Attribute breaks to restarts that the list shows only now."""
+        for target, (digests, broken_ms) in list(self._unexplained.items()):
+            has_ended = bool(digests) and self._has_ended(target)
+            if has_ended:
+                self._record_crash(target, digests, is_down=False)
+            if has_ended or at_ms - broken_ms > RESTART_LISTING_MS:
+                del self._unexplained[target]
+
     def _record_crash(self, target: Target, broken: set[str], is_down: bool) -> None:
         at_ms = now_ms()
         target.mark_unreachable(at_ms)
--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -4,20 +4,28 @@
 import signal
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
 from ebonyshore_soak.checker import GuaranteeChecker
-from ebonyshore_soak.clients import SoakClients
+from ebonyshore_soak.clients import CRASHING_BODY, SoakClients
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.proxy import FaultProxy
+from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
 SETTLE_TIMEOUT_MS = 45_000.0
 READ_INTERVAL_MS = 200.0
 CONFIG_TIMEOUT_S = 10.0
+TARGET_DOWN_MS = 1_000.0  # after a crash
+# The platform's rule: at most three sends later than 3 s after the third crash.
+CONVICTION_CRASHES = 3
+CRASH_SETTLE_MS = 3_000.0
+MAX_LATE_CRASHES = 3
+CRASHING_SENDS = 3  # to each entry
 
 
 class SoakOptions(Struct, frozen=True):
@@ -56,7 +64,12 @@
     """Run the soak test with one seed. The logs of the processes stay in the result's folder."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
     fleet = PlatformFleet(
-        folder, options.entries, options.runners, options.targets, options.address_octet
+        folder,
+        options.entries,
+        options.runners,
+        options.targets,
+        options.address_octet,
+        _make_target,
     )
     clock = SystemClock()
     checker = GuaranteeChecker(clock)
@@ -75,6 +88,8 @@
                 for number, target in enumerate(fleet.targets)
             }
         )
+        for number, proxy in enumerate(target_proxies):
+            fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
         clients = SoakClients(fleet, checker, options.seed, clock)
         faults = FaultInjector(fleet, [store_proxy], target_proxies, options.seed, clock)
         clients.start()
@@ -83,6 +98,7 @@
         faults.stop()
         clients.stop()
         _settle(fleet, clients, checker, clock)
+        _check_crashing_content(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
     finally:
@@ -92,6 +108,44 @@
     return SoakResult(options.seed, checker.violations, checker.counts, faults.log, str(folder))
 
 
+def _make_target(target_id: str) -> CrashingTarget:
+    # A proxy accepts connections also while its target refuses them, so crashed targets are silent.
+    target = CrashingTarget(target_id, CrashMode.SILENT, TARGET_DOWN_MS)
+    target.crashing_bodies = {CRASHING_BODY}
+    return target
+
+
+def _list_restart(fleet: PlatformFleet, number: int, proxy: FaultProxy) -> None:
+    entry = proxied_target_entry(fleet, number, proxy.address)
+    entry["born"] = 1 + len(fleet.targets[number].crashes)
+    fleet.platform.state.put("servers", fleet.targets[number].target_id, entry)
+
+
+def _check_crashing_content(
+    fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker, clock: Clock
+) -> None:
+    """Check that content which has crashed three targets is hardly sent on, once faults are over.
+
+    Processes may have lost what they knew, so up to three further crashes are allowed.
+    """
+    known_crashes = _count_crashes(fleet)
+    checker.counts["crashes"] = known_crashes
+    if known_crashes < CONVICTION_CRASHES:
+        return
+    clock.sleep_ms(CRASH_SETTLE_MS)
+    for _ in range(CRASHING_SENDS):
+        for entry in fleet.entries:
+            clients.send_crashing_request(entry)
+    late_crashes = _count_crashes(fleet) - known_crashes
+    checker.counts["late_crashes"] = late_crashes
+    if late_crashes > MAX_LATE_CRASHES:
+        checker.report_violation(f"{late_crashes} crashes by content that had crashed targets")
+
+
+def _count_crashes(fleet: PlatformFleet) -> int:
+    return sum(len(target.crashes) for target in fleet.targets)
+
+
 def _settle(
     fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker, clock: Clock
 ) -> None:
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -25,6 +25,7 @@
 from ebonyshore_standins.platform_fleet import PlatformFleet
 
 STREAM_EVENTS = 12
+CRASHING_BODY = b"crashes its targets"
 CALL_TIMEOUT_S = 6.0
 SHORT_JOB = JobSize(items=8, events=25)
 # Large enough that items are still waiting when the cancellation takes effect.
@@ -64,6 +65,7 @@
         self._start_thread(self._run_job_client, 20)
         self._start_thread(self._run_job_client, 21)
         self._start_thread(self._run_config_changes, 30)
+        self._start_thread(self._run_crashing_client, 40)
 
     def stop(self) -> None:
         """Stop the callers and wait for each thread for up to 60 s."""
@@ -105,6 +107,17 @@
             self._checker.check_config(entry.name, pid, version)
         return is_served
 
+    def send_crashing_request(self, entry: FleetProcess) -> None:
+        """Send a request that crashes each target that runs it."""
+        request_id = f"crash-{next(self._request_numbers)}"
+        response = self._call_or_none(
+            lambda: request_stream(
+                entry, request_id, SINGLE_ATTEMPT_PREFIX, 1, CALL_TIMEOUT_S, CRASHING_BODY
+            )
+        )
+        if response is not None:
+            self._checker.count(f"crash_{response[0]}")
+
     def _start_thread(self, run: Callable[[Random], None], number: int) -> None:
         thread = Thread(target=run, args=(Random(f"{self._seed}/{number}"),), daemon=True)
         self._threads.append(thread)
@@ -143,6 +156,10 @@
         while not self._is_stopped.wait(random.uniform(0.0, 0.1)):
             self._send_stream_request(random, SINGLE_ATTEMPT_PREFIX, "once")
 
+    def _run_crashing_client(self, random: Random) -> None:
+        while not self._is_stopped.wait(random.uniform(0.3, 1.5)):
+            self.send_crashing_request(random.choice(self._fleet.entries))
+
     def _run_job_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.2, 0.8)):
             job_id = f"job{next(self._request_numbers)}"
--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -1,6 +1,7 @@
 """Stand-in for a model server that some requests crash."""
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum, auto
 
 from msgspec import Struct
@@ -39,6 +40,7 @@
 
     :param crash_mode: what clients notice of a crash.
     :param down_ms: time from a crash until the target serves again.
+    :ivar on_restart: called on the target's thread each time it serves again after a crash.
     :ivar crashing_bodies: bodies of the requests that crash the target.
     :ivar crashes: the crashes so far.
     """
@@ -52,6 +54,7 @@
         super().__init__(target_id)
         self.crash_mode = crash_mode
         self.down_ms = down_ms
+        self.on_restart: Callable[[], None] = lambda: None
         self.crashing_bodies: set[bytes] = set()
         self.crashes: list[Crash] = []
         self._is_down = False
@@ -93,6 +96,7 @@
         else:
             self._reset_connections()
             self._responsive.set()
+        self.on_restart()
 
     def _reset_connections(self) -> None:
         for writer in list(self._writers):
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -3,12 +3,15 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host import crash_guard
 from ebonyshore.host.crash_guard import (
     CONVICTED_ITEM_DELAYS_MS,
+    RESTART_LISTING_MS,
     SILENCE_CHECK_MS,
     SIMULTANEOUS_MS,
     SUSPICION_EXPIRY_MS,
@@ -132,6 +135,45 @@
     run(scenario)
 
 
+def test_restart_that_the_list_shows_later_is_a_crash():
+    """Guards against crashes of targets that serve again before they are checked."""
+
+    async def scenario(setup):
+        setup.checker.down.clear()
+        await setup.crash("t1", "bad")
+        await setup.crash("t2", "harmless")
+        await setup.guard.run_once()
+        assert setup.crashes("bad") == 0
+        setup.guard.end_completed(setup.begin("t3", "harmless"))
+        setup.put("t1", started_ms=2)
+        setup.table.remove("t2", now_ms())
+        for _ in range(2):
+            await setup.guard.run_once()
+        assert setup.crashes("bad") == 1
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("is_leaving, listing_ms", [(True, RESTART_LISTING_MS), (False, -1.0)])
+def test_planned_or_late_end_of_a_target_does_not_explain_a_break(
+    is_leaving, listing_ms, monkeypatch
+):
+    monkeypatch.setattr(crash_guard, "RESTART_LISTING_MS", listing_ms)
+
+    async def scenario(setup):
+        setup.checker.down.clear()
+        await setup.crash("t1", "harmless")
+        target = setup.table.find("t1")
+        target.entry = replace(target.entry, is_leaving=is_leaving)
+        await setup.guard.run_once()
+        setup.table.remove("t1", now_ms())
+        await setup.guard.run_once()
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
+
+
 def test_crashes_of_one_listed_target_count_one_by_one():
     """Guards against a crash that is not counted because the list does not show the restart yet."""
 
