--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -41,14 +41,15 @@
     :param marked_store: writes them.
     """
 
-    __slots__ = ("_marked_store", "_store")
+    __slots__ = ("_log", "_marked_store", "_store")
 
-    def __init__(self, store: ListingStore, marked_store: MarkedStore) -> None:
+    def __init__(self, store: ListingStore, marked_store: MarkedStore, log: EventLog) -> None:
         self._store = store
         self._marked_store = marked_store
+        self._log = log
 
     def read_all(self) -> Sequence[ConvictionRecord]:
-        """Return all convictions that can be decoded."""
+        """Return all convictions; those that cannot be decoded are logged and left out."""
         records = (
             self._decode(found) for found in self._store.list_objects(CONVICTIONS_KIND).objects
         )
@@ -72,7 +73,8 @@
             return self._marked_store.decode(
                 found.key, found.version, found.value or b"", ConvictionRecord
             ).body
-        except DecodeError:
+        except DecodeError as error:
+            self._log.event("conviction_unreadable", key=found.key, error=str(error))
             return None
 
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -157,7 +157,7 @@
     kernel.register(parts.crash_guard)
     kernel.register(parts.watch_service(_make_watches(environment, registry, runner, load_table)))
     kernel.register(runner)
-    storage = ConvictionStorage(environment.store, environment.marked_store)
+    storage = ConvictionStorage(environment.store, environment.marked_store, log)
     kernel.register(
         ConvictionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
     )
--- a/tests/test_stored_convictions.py
+++ b/tests/test_stored_convictions.py
@@ -18,6 +18,7 @@
     ConvictionStorage,
 )
 from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.platform_api import ABSENT_VERSION
 from ebonyshore_standins.crashing_target import CrashingTarget
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import SINGLE_ATTEMPT_PREFIX
@@ -40,7 +41,7 @@
         self.suspicions = make_suspicions(runner_id)
         self.load_table = LoadTable(runner_id)
         self.keeper = ConvictionKeeper(
-            ConvictionStorage(store, MarkedStore(store, clock)),
+            ConvictionStorage(store, MarkedStore(store, clock), EventLog()),
             self.suspicions,
             self.load_table,
             run_blocking,
@@ -109,6 +110,19 @@
     run(scenario())
 
 
+def test_conviction_that_cannot_be_decoded_does_not_hide_the_others(object_store, clock):
+    async def scenario():
+        former = KeeperSetup(object_store, clock)
+        former.convict("bad")
+        await former.keeper.run_once()
+        object_store.put(f"{CONVICTIONS_KIND}/unreadable", b'{"sequence": 1}', ABSENT_VERSION)
+        successor = KeeperSetup(object_store, clock)
+        await successor.keeper.run_once()
+        assert successor.is_convicted("bad")
+
+    run(scenario())
+
+
 def test_conviction_is_stored_after_an_outage_of_the_store(object_store, clock):
     """Guards against a conviction that is forgotten because its first write failed."""
 
