--- a/ebonyshore/link/suspicion_exchange.py
+++ b/ebonyshore/link/suspicion_exchange.py
@@ -61,7 +61,7 @@
         it. Otherwise content that is requested often could be convicted when several targets crash
         for another reason.
 
-        :param crash_id: unique for each crash, and the same at all processes.
+        :param crash_id: identifies the crash; processes that see the same one use the same id.
         """
         digests = tuple(d for d in content_digests if not self._has_completed(d, now_ms))
         was_convicted = self._convicted(digests, now_ms)
