Hold the limit of waiting batch work of a route over all runners

Cause: the configuration's limit of waiting tokens (Cap) was not read, so every job was accepted.

Change: a ledger of reservations for each such route, one object in the store, changed conditionally before a job is stored. Reservations name their job, so owners release ended work, claimants take over those of dead runners, and reservations without a job are given back after a check of the store. Runners report their unreserved tokens, which covers a limit that is introduced later. A job that does not fit gets 429 with the time until room is expected; one that was accepted before is never refused. An entry does not report a refusal while another runner may still accept the job.

--- a/ebonyshore/frame/result_codes.py
+++ b/ebonyshore/frame/result_codes.py
@@ -51,6 +51,7 @@
     NOT_READY = 41
     SUSPECT_BUSY = 42
     TARGET_BUSY = 43
+    QUOTA_EXHAUSTED = 44
 
     TARGET_CRASHED = 50
     STREAM_BROKEN = 51
@@ -136,6 +137,9 @@
     ResultCode.TARGET_BUSY: ResultInfo(
         "the target has no room for the request", 503, _NOT_RUN, True
     ),
+    ResultCode.QUOTA_EXHAUSTED: ResultInfo(
+        "too much batch work is waiting on the route", 429, _NOT_RUN, True
+    ),
     ResultCode.TARGET_CRASHED: ResultInfo(
         "the target crashed while it ran the request", 502, _MAYBE_RUN, True
     ),
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -61,26 +61,33 @@
     """Collects the runners' responses to one call.
 
     :ivar final: the response that ends the call; ``None`` if no runner has given one yet.
+    :ivar is_quota_exhausted: whether a runner has refused the job because the limit of its route is
+        used up, which every runner would.
     """
 
-    __slots__ = ("_last_response", "_may_have_accepted", "final")
+    __slots__ = ("_may_have_accepted", "_refusal", "final", "is_quota_exhausted")
 
     def __init__(self) -> None:
         self.final: RunnerResponse | None = None
         self._may_have_accepted = False
-        self._last_response: ErrorResponse | RunnerResponse = not_executed_response(
+        self.is_quota_exhausted = False
+        self._refusal: ErrorResponse | RunnerResponse = not_executed_response(
             ResultCode.NO_TARGET, RETRY_AFTER_MS
         )
 
     def record(self, response: RunnerResponse) -> None:
-        """Record a response; one with a status below 500 is final.
+        """Record a response; one with a status below 500 is final, except 429.
 
-        Status 503 states that the runner did not accept the job; after any other it may have.
+        Status 429 or 503 states that the runner did not accept the job; after any other it may
+        have. Another runner that was called with the same job may still accept it.
         """
-        if response.status < 500:
+        if response.status == 429:
+            self.is_quota_exhausted = True
+        elif response.status < 500:
             self.final = response
-        self._may_have_accepted = self._may_have_accepted or response.status != 503
-        self._last_response = response
+        self._may_have_accepted = self._may_have_accepted or response.status not in (429, 503)
+        if response.status == 429 or not self.is_quota_exhausted:
+            self._refusal = response
 
     def record_failure(self, error: ExchangeError) -> None:
         """Record that a runner did not respond."""
@@ -89,12 +96,13 @@
     def fallback(self, kind: JobCallKind) -> ErrorResponse | RunnerResponse:
         """Return the response to the caller if no runner has given a final one.
 
-        That is the last response received, or a refusal if there is none. But a job that a runner
+        That is the refusal for an exhausted limit if there is one, else the last response, or a
+        refusal if there is none. But a job that a runner
         may have accepted must not be refused as not executed.
         """
         if kind is JobCallKind.SUBMIT and self._may_have_accepted:
             return maybe_executed_response(ResultCode.OUTCOME_UNKNOWN)
-        return self._last_response
+        return self._refusal
 
 
 class JobCallForwarder:
@@ -169,6 +177,8 @@
                     self._record_result(responses, call, pending.pop(task), task)
                 if responses.final is not None:
                     return responses.final
+                if responses.is_quota_exhausted:
+                    remaining_runners.clear()
         finally:
             for task in pending:
                 task.cancel()
--- a/ebonyshore/host/routes.py
+++ b/ebonyshore/host/routes.py
@@ -35,6 +35,8 @@
     :param is_resumable: whether a broken stream may be continued by another target.
     :param completion_target_ms: time from the first submission of a job until its results are due.
     :param retention_ms: time from the first submission of a job until its items may be given up.
+    :param max_waiting_tokens: limit of the tokens of all unfinished items of the route's jobs; 0 if
+        there is none.
     """
 
     name: str
@@ -48,6 +50,7 @@
     is_resumable: bool = False
     completion_target_ms: float = 0.0
     retention_ms: float = 60_000.0
+    max_waiting_tokens: int = 0
 
     @property
     def is_repeatable(self) -> bool:
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -29,6 +29,8 @@
         open_items: int = 0,
         heard_runners: tuple[str, ...] = (),
         observed_batch: dict[str, int] | None = None,
+        waiting_tokens: dict[str, int] | None = None,
+        contended_quotas: tuple[str, ...] = (),
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
@@ -47,6 +49,8 @@
             open_items,
             heard_runners,
             observed_batch or {},
+            waiting_tokens or {},
+            contended_quotas,
         )
         socket.send(report, self._peers.addresses("runner"))
         return report
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -62,6 +62,8 @@
     :param observed_batch: number of batch items of all runners by target id, from the totals that
         an entry receives. Empty unless several runners send totals, which happens if they do not
         receive each other's reports.
+    :param waiting_tokens: tokens of the unfinished items of the runner's jobs, by quota.
+    :param contended_quotas: the quotas that are nearly used up, as far as the runner knows.
     """
 
     sender: str
@@ -72,6 +74,8 @@
     open_items: int = 0
     heard_runners: tuple[str, ...] = ()
     observed_batch: dict[str, int] = {}
+    waiting_tokens: dict[str, int] = {}
+    contended_quotas: tuple[str, ...] = ()
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
--- a/ebonyshore/platform/config_object.py
+++ b/ebonyshore/platform/config_object.py
@@ -36,6 +36,8 @@
     is_resumable: bool = field(default=False, name="Resumable")
     completion_target_ms: float = field(default=0.0, name="CompletionTargetMs")
     retention_s: float = field(default=60.0, name="RetentionS")
+    # Of all callers together, over the unfinished items of the route's jobs; 0 means no limit.
+    max_waiting_tokens: int = field(default=0, name="Cap")
 
 
 class _Engine(Struct):
@@ -103,6 +105,7 @@
             "max_attempts",
             "is_resumable",
             "completion_target_ms",
+            "max_waiting_tokens",
         )
     }
     return Route(
--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -45,9 +45,14 @@
     @property
     def free_slots(self) -> int:
         """Number of slots that new items may take; zero or negative if there is none."""
+        return min(self.start_limit, self.unreserved_slots)
+
+    @property
+    def unreserved_slots(self) -> int:
+        """The same without the limit for simultaneous starts."""
         taken = self.online + self.other_batch + len(self.own_batch)
         reserved = RESERVED_SLOTS if self.is_primary else RESERVED_SLOTS + RESERVED_FOR_PRIMARY
-        return min(self.start_limit, self.capacity - reserved - taken)
+        return self.capacity - reserved - taken
 
     @property
     def excess_items(self) -> int:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -16,6 +16,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_table import LoadTable, TargetCounts
+from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.item_plan import UNLIMITED, TargetSlots, assign_primary_runners, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunOutcome, RunResult
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
@@ -58,6 +59,7 @@
     :param load_table: load that other processes have reported for each target.
     :param pool: connections to targets.
     :param crash_guard: knows the content that crashes targets.
+    :param completions: told of the slots that items can use and of completed items.
     :param random: chooses among the services of a route by their weight.
     """
 
@@ -70,6 +72,7 @@
         load_table: LoadTable,
         pool: ConnectionPool,
         crash_guard: CrashGuard,
+        completions: CompletionRate,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -82,6 +85,7 @@
         self._load_table = load_table
         self._pool = pool
         self._crash_guard = crash_guard
+        self._completions = completions
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -111,7 +115,8 @@
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
             slots_by_service.setdefault(target.entry.service, []).append(slots)
-        waiting = self._runnable_by_service()
+        self._record_usable_slots(slots_by_service)
+        waiting = self._runnable_by_service(slots_by_service)
         for service, service_slots in slots_by_service.items():
             self._apply_plan(waiting.get(service, {}), service_slots)
         self._stop_at_removed_targets()
@@ -133,7 +138,7 @@
         for start in plan.starts:
             progress, item = waiting[start.item]
             target = self._targets.find(start.target_id)
-            item.state = ItemState.RUNNING
+            item.start_run(now_ms())
             target.own_batch += 1
             target.batch_started_ms = now_ms()
             task = create_task(self._run_item(start.item, progress, item, target))
@@ -166,8 +171,21 @@
             return UNLIMITED
         return int(now_ms - target.batch_started_ms >= NON_PRIMARY_START_INTERVAL_MS)
 
-    def _runnable_by_service(self) -> dict[str, dict[str, tuple[JobProgress, Item]]]:
-        """Return the items that may run now by service and item key, those of older jobs first.
+    def _record_usable_slots(self, slots_by_service: dict[str, list[TargetSlots]]) -> None:
+        usable = sum(
+            len(slots.own_batch) + max(0, slots.unreserved_slots)
+            for service_slots in slots_by_service.values()
+            for slots in service_slots
+            if slots.is_usable and slots.is_primary
+        )
+        self._completions.record_slots(usable, now_ms())
+
+    def _runnable_by_service(
+        self, slots_by_service: dict[str, list[TargetSlots]]
+    ) -> dict[str, dict[str, tuple[JobProgress, Item]]]:
+        """Return the items that may run now by service and item key, first the one to start first.
+
+        There are at most as many as the service has free slots.
 
         The key of an item consists of the job id and the item's index. Items are given up if their
         job is past its retention time, or if it has no batch route and has been known for longer
@@ -175,6 +193,10 @@
         """
         found: dict[str, dict[str, tuple[JobProgress, Item]]] = {}
         at_ms = now_ms()
+        free_slots = {
+            service: sum(max(0, slots.free_slots) for slots in service_slots if slots.is_usable)
+            for service, service_slots in slots_by_service.items()
+        }
         for progress in self._registry.owned_jobs():
             if not progress.open_count:
                 continue
@@ -184,10 +206,13 @@
                 if route is not None or known_for_ms > UNKNOWN_ROUTE_GRACE_MS:
                     self._fail_waiting_items(progress, route, at_ms)
                 continue
+            if not any(free_slots.get(share.service) for share in route.shares):
+                continue
             for item in progress.runnable_items(at_ms):
-                if not self._may_run(progress, item):
-                    continue
                 service = self._pick_service(route)
+                if not free_slots.get(service) or not self._may_run(progress, item):
+                    continue
+                free_slots[service] -= 1
                 key = f"{progress.job_id}/{item.index}"
                 found.setdefault(service, {})[key] = (progress, item)
         return found
@@ -262,6 +287,7 @@
             raise
         finally:
             self._crash_guard.end(content_run)
+            item.end_run(now_ms())
             target.own_batch -= 1
             del self._running[key]
             self._registry.on_change()
@@ -293,6 +319,8 @@
         item.state = ItemState.WAITING
         if result.outcome is RunOutcome.COMPLETE:
             target.mark_responsive()
+            tokens = progress.record.items[item.index].tokens
+            self._completions.record_completion(tokens, item.slot_ms(at_ms))
             progress.end_item(item, True, at_ms)
         elif result.outcome is RunOutcome.REJECTED:
             progress.record_failure(item, at_ms)
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -8,10 +8,12 @@
 from ebonyshore.frame.errors import StoreError, WriteOutcomeUnknownError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.deployment import Deployment
+from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.host.job_types import JobRecord
-from ebonyshore.host.routes import RouteKind
+from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import HttpServer, Responder, ServerLimits
@@ -22,10 +24,12 @@
     JobCallKind,
     decode_job_call,
 )
+from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.store.marked_write import MarkedObject
 
 MAX_REQUEST_BYTES = 16 << 20
-RETRY_AFTER_S = 0.6
+RETRY_AFTER_MS = 600.0
 
 
 class Reply:
@@ -34,14 +38,29 @@
     :param status: HTTP status.
     :param body: response body.
     :param owner: instance id of the job's owner; empty if it is not known.
+    :param retry_after_ms: time after which the caller may repeat the call; ``None`` if it should
+        not.
     """
 
-    __slots__ = ("body", "owner", "status")
+    __slots__ = ("body", "owner", "retry_after_ms", "status")
 
-    def __init__(self, status: int, body: bytes = b"", owner: str = "") -> None:
+    def __init__(
+        self,
+        status: int,
+        body: bytes = b"",
+        owner: str = "",
+        retry_after_ms: float | None = None,
+    ) -> None:
         self.status = status
         self.body = body
         self.owner = owner
+        self.retry_after_ms = retry_after_ms
+
+
+def refusal_reply(code: ResultCode, retry_after_ms: float = RETRY_AFTER_MS) -> Reply:
+    """Return the reply to a call that had no effect and never will."""
+    response = ErrorResponse(RESULT_INFO[code].http_status, code)
+    return Reply(response.status, response.body(), retry_after_ms=retry_after_ms)
 
 
 class JobApi(AsyncService):
@@ -51,6 +70,7 @@
     :param port: port to listen on.
     :param deployment: decodes submissions and encodes results.
     :param registry: the known jobs.
+    :param admission: refuses jobs that do not fit.
     :param config: the routes in force.
     """
 
@@ -62,6 +82,7 @@
         port: int,
         deployment: Deployment,
         registry: JobRegistry,
+        admission: JobAdmission,
         config: ConfigService,
         clock: Clock,
         log: EventLog,
@@ -71,6 +92,7 @@
         self._port = port
         self._deployment = deployment
         self._registry = registry
+        self._admission = admission
         self._config = config
         self._clock = clock
         self._log = log
@@ -102,8 +124,8 @@
         headers = Headers()
         if reply.owner:
             headers.add(OWNER_HEADER, reply.owner)
-        if reply.status == 503:
-            headers.add("Retry-After", str(RETRY_AFTER_S))
+        if reply.retry_after_ms is not None:
+            headers.add("Retry-After", f"{reply.retry_after_ms / MS_PER_S:.2f}")
         responder.send(reply.status, headers, reply.body)
 
     async def _dispatch(self, call: JobCall, request: Request) -> Reply:
@@ -124,16 +146,20 @@
             return Reply(502)
         except StoreError as error:
             self._log_store_failure(call, error)
-            return Reply(503)
+            return refusal_reply(ResultCode.STORE_UNAVAILABLE)
 
     async def _submit(self, call: JobCall, request: Request) -> Reply:
         if self._registry.is_leaving:
-            return Reply(503)
-        record = self._make_record(call, request)
-        if record is None:
-            return Reply(503)
+            return refusal_reply(ResultCode.LEAVING)
+        route = self._find_route(request)
+        if route is None:
+            return refusal_reply(ResultCode.NOT_READY)
+        record = self._make_record(call, request, route)
+        refusal = await self._admission.admit(record, route)
+        if refusal is not None:
+            return refusal_reply(ResultCode.QUOTA_EXHAUSTED, refusal.retry_after_ms)
         requested_ms = self._clock.boot_ms()
-        stored = await self._registry.run_blocking(self._registry.storage.create, record)
+        stored = await self._store_job(record)
         self._registry.add_accepted(stored, requested_ms)
         self._metrics.count("jobs_accepted")
         self._log.event(
@@ -145,23 +171,34 @@
         )
         return Reply(202, owner=stored.body.owner)
 
-    def _make_record(self, call: JobCall, request: Request) -> JobRecord | None:
-        """Return the record of a submitted job.
-
-        :return: the record; ``None`` if this runner does not know a batch route for the job yet.
-        :raises ValueError: if the submitted job is invalid.
-        """
+    async def _store_job(self, record: JobRecord) -> MarkedObject[JobRecord]:
+        """Store an admitted job; its reservation is released if nothing was stored."""
+        try:
+            return await self._registry.run_blocking(self._registry.storage.create, record)
+        except WriteOutcomeUnknownError:
+            raise
+        except StoreError:
+            self._admission.release(record.job_id)
+            raise
+
+    def _find_route(self, request: Request) -> Route | None:
+        """Return the batch route of a submitted job; ``None`` if it is not known here yet."""
         table = self._config.table
         host = request.headers.get("host") or ""
         path = request.headers.get(PATH_HEADER) or ""
         route = table.find(host, path) if table else None
-        if route is None or route.kind is not RouteKind.BATCH:
-            return None
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _make_record(self, call: JobCall, request: Request, route: Route) -> JobRecord:
+        """Return the record of a submitted job.
+
+        :raises ValueError: if the submitted job is invalid.
+        """
         submission = self._deployment.decode_submission(request.body)
         return JobRecord(
             job_id=call.job_id,
-            host=host,
-            path=path,
+            host=request.headers.get("host") or "",
+            path=request.headers.get(PATH_HEADER) or "",
             submitted_ms=int(self._clock.wall_ms() - call.age_ms),
             retention_ms=route.retention_ms,
             completion_target_ms=route.completion_target_ms,
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -44,18 +44,23 @@
     :ivar content_digest: digest of the item's request; ``None`` until it is needed.
     :ivar is_held: whether the item must not run because its request crashes targets.
     :ivar not_before_ms: event loop time before which the item must not run again.
+    :ivar run_started_ms: event loop time at which the present run started; ``None`` if the item is
+        not running.
+    :ivar ended_runs_ms: time for which the runs that have ended occupied a slot.
     """
 
     __slots__ = (
         "consecutive_broken_runs",
         "content_digest",
         "data",
+        "ended_runs_ms",
         "failures",
         "index",
         "is_held",
         "item_id",
         "last_event_id",
         "not_before_ms",
+        "run_started_ms",
         "state",
     )
 
@@ -70,6 +75,23 @@
         self.content_digest: str | None = None
         self.is_held = False
         self.not_before_ms = float("-inf")
+        self.run_started_ms: float | None = None
+        self.ended_runs_ms = 0.0
+
+    def slot_ms(self, now_ms: float) -> float:
+        """Return for how long the item has occupied a slot, over all its runs by this process."""
+        running_ms = 0.0 if self.run_started_ms is None else now_ms - self.run_started_ms
+        return self.ended_runs_ms + running_ms
+
+    def start_run(self, now_ms: float) -> None:
+        """Record that a run of the item starts."""
+        self.state = ItemState.RUNNING
+        self.run_started_ms = now_ms
+
+    def end_run(self, now_ms: float) -> None:
+        """Record that the present run of the item has ended; the state is left as it is."""
+        self.ended_runs_ms = self.slot_ms(now_ms)
+        self.run_started_ms = None
 
 
 class JobProgress:
@@ -143,6 +165,17 @@
             return 0
         return sum(item.state in (ItemState.WAITING, ItemState.RUNNING) for item in self.items)
 
+    @property
+    def unfinished_tokens(self) -> int:
+        """Tokens of the items that have no result yet; 0 if the job is cancelled."""
+        if self.record.is_cancelled:
+            return 0
+        return sum(
+            self.record.items[item.index].tokens
+            for item in self.items
+            if item.state in (ItemState.WAITING, ItemState.RUNNING)
+        )
+
     def runnable_items(self, now_ms: float) -> Iterable[Item]:
         """Return the waiting items that may run now; none if the job is cancelled.
 
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -197,6 +197,22 @@
         """Return the number of items of owned jobs that have no result yet."""
         return sum(progress.open_count for progress in self.owned_jobs())
 
+    def is_known(self, job_id: str) -> bool:
+        """Return whether the record of a job is known."""
+        return job_id in self._jobs
+
+    def unfinished_tokens(self, job: KnownJob) -> int | None:
+        """Return the tokens of a job's items that have no result yet.
+
+        :return: the number; ``None`` if another runner owns the job and it may be unfinished.
+        """
+        progress = job.progress
+        if job.record.is_cancelled or (progress is not None and progress.is_finished):
+            return 0
+        if progress is None or not self.can_list_results(progress):
+            return None
+        return progress.unfinished_tokens
+
     def known_for_ms(self, job_id: str) -> float:
         """Return how long this process has known a job, a lower bound of the job's age.
 
--- /dev/null
+++ b/ebonyshore/runner/quota_ledger.py
@@ -0,0 +1,145 @@
+"""The reservations of tokens on a route with a limit for waiting batch work. Pure functions.
+
+Load pattern: callers submit more jobs than the fleet can run, to several runners at once. The
+ledger of a route is one object in the store, so two runners cannot both take the last tokens. A job
+is stored only after its tokens are reserved. Reservations are named by job, so that any runner can
+tell which of them are still needed after the death of the runner that made them.
+"""
+
+from collections.abc import Mapping, Sequence
+from hashlib import blake2b
+
+from msgspec import Struct, structs
+
+from ebonyshore.host.routes import Route
+
+
+class Reservation(Struct, frozen=True, array_like=True):
+    """The tokens of one job that count towards the limit.
+
+    :param job_id: id of the job.
+    :param tokens: tokens of the job's unfinished items.
+    :param owner: instance id of the runner that made the reservation or owns the job.
+    """
+
+    job_id: str
+    tokens: int
+    owner: str
+
+
+class QuotaLedger(Struct, frozen=True):
+    """All reservations of one route, as they are stored."""
+
+    reservations: tuple[Reservation, ...] = ()
+
+    @property
+    def total_tokens(self) -> int:
+        """Sum of all reserved tokens."""
+        return sum(reservation.tokens for reservation in self.reservations)
+
+    def tokens_by_owner(self) -> dict[str, int]:
+        """Return the reserved tokens of each owner."""
+        totals: dict[str, int] = {}
+        for reservation in self.reservations:
+            totals[reservation.owner] = totals.get(reservation.owner, 0) + reservation.tokens
+        return totals
+
+
+class KnownReservations(Struct, frozen=True):
+    """What one runner knows of reservations, as a basis for a change of the ledger.
+
+    :param current: present reservations by job id, of the jobs whose unfinished tokens the runner
+        knows. Those with 0 tokens are not needed any more.
+    :param released: pairs of job id and owner of reservations whose job was not stored.
+    """
+
+    current: dict[str, Reservation] = {}
+    released: frozenset[tuple[str, str]] = frozenset()
+
+    def update(self, stored: Reservation) -> Reservation:
+        """Return the present state of a stored reservation, unchanged if nothing is known."""
+        if (stored.job_id, stored.owner) in self.released:
+            stored = structs.replace(stored, tokens=0)
+        return self.current.get(stored.job_id, stored)
+
+
+class ReservationRequest(Struct, frozen=True):
+    """A request to add a reservation.
+
+    :param reservation: the reservation to add.
+    :param is_accepted: whether the job has been accepted already; its tokens then count whether or
+        not they fit.
+    """
+
+    reservation: Reservation
+    is_accepted: bool = False
+
+
+class LedgerChange(Struct, frozen=True):
+    """A changed ledger and the requests that did not fit.
+
+    :param refused: ids of the jobs whose requests did not fit.
+    :param missing_tokens: tokens that have to be released before the first of them fits; 0 if none
+        was refused.
+    """
+
+    ledger: QuotaLedger
+    refused: frozenset[str] = frozenset()
+    missing_tokens: int = 0
+
+
+def quota_name(route: Route) -> str:
+    """Return the name under which a route's reservations are stored and reported."""
+    identity = f"{route.host.lower()}\n{route.path_prefix}"
+    return blake2b(identity.encode(), digest_size=8).hexdigest()
+
+
+def change_ledger(
+    ledger: QuotaLedger,
+    known: KnownReservations,
+    requests: Sequence[ReservationRequest],
+    limit_tokens: int,
+    unreserved_tokens: int = 0,
+) -> LedgerChange:
+    """Bring a ledger up to date and add the requested reservations that fit.
+
+    :param ledger: the ledger as it is stored.
+    :param known: what this runner knows; reservations that are not needed any more are dropped.
+    :param requests: the reservations to add, in the order of their arrival.
+    :param limit_tokens: limit for the sum of all reservations; 0 if there is none.
+    :param unreserved_tokens: tokens of accepted jobs of other runners that have no reservation yet.
+    """
+    present = [known.update(reservation) for reservation in ledger.reservations]
+    updated = {reservation.job_id: reservation for reservation in present if reservation.tokens > 0}
+    total_tokens = unreserved_tokens + sum(kept.tokens for kept in updated.values())
+    refused: set[str] = set()
+    missing_tokens = 0
+    for request in requests:
+        wanted = request.reservation
+        existing = updated.get(wanted.job_id)
+        if existing is None:
+            excess_tokens = total_tokens + wanted.tokens - limit_tokens
+            if excess_tokens > 0 and limit_tokens and not request.is_accepted:
+                refused.add(wanted.job_id)
+                missing_tokens = min(missing_tokens or excess_tokens, excess_tokens)
+                continue
+            total_tokens += wanted.tokens
+            updated[wanted.job_id] = wanted
+        elif existing.owner != wanted.owner:
+            updated[wanted.job_id] = structs.replace(existing, owner=wanted.owner)
+    changed = QuotaLedger(tuple(updated.values()))
+    return LedgerChange(changed, frozenset(refused), missing_tokens)
+
+
+def unreserved_tokens(ledger: QuotaLedger, reported_tokens: Mapping[str, int]) -> int:
+    """Return the tokens that runners report as waiting beyond what they have reserved.
+
+    A runner has such jobs after the route's limit was introduced, after a takeover, and for a job
+    that it accepted without waiting for its reservation.
+
+    :param reported_tokens: waiting tokens by runner, from the load reports.
+    """
+    reserved = ledger.tokens_by_owner()
+    return sum(
+        max(0, tokens - reserved.get(runner, 0)) for runner, tokens in reported_tokens.items()
+    )
--- /dev/null
+++ b/ebonyshore/runner/quota_storage.py
@@ -0,0 +1,84 @@
+"""Stores the ledgers of reserved tokens, one object for each route with a limit."""
+
+import secrets
+from collections.abc import Callable
+
+from msgspec import DecodeError, Struct
+
+from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
+from ebonyshore.runner.quota_ledger import LedgerChange, QuotaLedger
+from ebonyshore.store.marked_write import MarkedObject, MarkedStore
+from ebonyshore.store.platform_api import ABSENT_VERSION
+
+QUOTAS_KIND = "jobquotas"
+MAX_ATTEMPTS = 12
+MAX_CONFLICT_PAUSE_MS = 8
+MAX_COPY_AGE_MS = 300.0  # of a ledger that is used without reading the store
+
+
+class _LedgerCopy(Struct, frozen=True):
+    """A ledger as it was last read or written, and when the store was asked for it."""
+
+    stored: MarkedObject[QuotaLedger]
+    requested_ms: float
+
+
+class QuotaStorage:
+    """Reads and changes ledgers. Calls block and may raise :class:`StoreError`.
+
+    The last copy of each ledger is kept, so that most changes cost one call. Calls for one ledger
+    must not overlap.
+    """
+
+    __slots__ = ("_clock", "_copies", "_store")
+
+    def __init__(self, store: MarkedStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._copies: dict[str, _LedgerCopy] = {}
+
+    def change(self, name: str, change: Callable[[QuotaLedger], LedgerChange]) -> LedgerChange:
+        """Apply a change to the current ledger of a route and store the result.
+
+        A change that leaves the ledger as it is, such as a refusal, may be based on a copy that is
+        up to :data:`MAX_COPY_AGE_MS` old.
+
+        :param name: name of the quota.
+        :param change: called with the ledger, several times if other runners write in between.
+        :raises WriteConflictError: if every attempt conflicted with another write.
+        :raises StoreUnavailableError: if the store cannot be read or did not accept the write.
+        :raises WriteOutcomeUnknownError: if the change may have been stored.
+        """
+        key = f"{QUOTAS_KIND}/{name}"
+        for attempt in range(MAX_ATTEMPTS):
+            copy = self._copies.pop(key, None) or self._read(key)
+            result = change(copy.stored.body)
+            if result.ledger == copy.stored.body:
+                if self._clock.monotonic_ms() - copy.requested_ms <= MAX_COPY_AGE_MS:
+                    self._copies[key] = copy
+                    return result
+                copy = self._read(key)
+                result = change(copy.stored.body)
+            try:
+                return self._write(copy, result)
+            except WriteConflictError:
+                self._clock.sleep_ms(secrets.randbelow(MAX_CONFLICT_PAUSE_MS * (attempt + 1)))
+        raise WriteConflictError(f"{key}: {MAX_ATTEMPTS} attempts conflicted with other writes")
+
+    def _write(self, copy: _LedgerCopy, result: LedgerChange) -> LedgerChange:
+        if result.ledger != copy.stored.body:
+            requested_ms = self._clock.monotonic_ms()
+            copy = _LedgerCopy(self._store.replace(copy.stored, result.ledger), requested_ms)
+        self._copies[copy.stored.key] = copy
+        return result
+
+    def _read(self, key: str) -> _LedgerCopy:
+        requested_ms = self._clock.monotonic_ms()
+        try:
+            stored = self._store.read(key, QuotaLedger)
+        except DecodeError as error:
+            raise StoreUnavailableError(f"{key} holds no ledger: {error}") from error
+        if stored is None:
+            stored = MarkedObject(key, ABSENT_VERSION, 0, (), QuotaLedger())
+        return _LedgerCopy(stored, requested_ms)
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -9,6 +9,7 @@
 from ebonyshore.link.load_table import LoadReport, LoadTable, LoadTotals, add_counts
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
 
@@ -25,6 +26,7 @@
     :param registry: the known jobs.
     :param claims: the claims in progress. Owners that are being replaced are not reported as heard,
         so that they no longer count as confirmed owners.
+    :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
     """
 
@@ -35,6 +37,7 @@
         load_table: LoadTable,
         registry: JobRegistry,
         claims: JobClaims,
+        admission: JobAdmission,
         suspicions: SuspicionExchange,
         clock: Clock,
     ) -> None:
@@ -43,6 +46,7 @@
         self._load_table = load_table
         self._registry = registry
         self._claims = claims
+        self._admission = admission
         self._suspicions = suspicions
         self._clock = clock
 
@@ -65,7 +69,13 @@
         """
         self._load_table.drop_expired(self._clock.boot_ms())
         heard = self._load_table.runners().keys() - self._claims.owners_being_replaced()
-        report = self._reports.send(socket, self._registry.open_item_count(), tuple(heard))
+        report = self._reports.send(
+            socket,
+            self._registry.open_item_count(),
+            tuple(heard),
+            waiting_tokens=self._admission.waiting_tokens(),
+            contended_quotas=self._admission.contended_quotas(),
+        )
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
             self._send_totals(socket, report)
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -12,14 +12,17 @@
 from ebonyshore.host.process import SharedComponents, make_watch, run_process
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
+from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
 from ebonyshore.runner.item_scheduler import ItemScheduler
+from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_expiry import JobExpiry
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
 from ebonyshore.runner.peer_monitor import PeerMonitor
+from ebonyshore.runner.quota_storage import QuotaStorage
 from ebonyshore.runner.result_writer import ResultWriter
 from ebonyshore.runner.retirement import RetirementHandler
 from ebonyshore.runner.runner_load import RunnerLoad
@@ -49,6 +52,7 @@
         claims: JobClaims,
         item_scheduler: ItemScheduler,
         writer: ResultWriter,
+        admission: JobAdmission,
         load: LoadService,
         peer_monitor: PeerMonitor,
         log: EventLog,
@@ -57,6 +61,7 @@
         self._claims = claims
         self._item_scheduler = item_scheduler
         self._writer = writer
+        self._admission = admission
         self._load = load
         self._peer_monitor = peer_monitor
         self._log = log
@@ -106,6 +111,7 @@
                 self._claims.claim_unowned_jobs()
                 self._item_scheduler.schedule_items()
                 self._writer.start_due_writes()
+                self._admission.step()
             except Exception as error:  # noqa: BLE001 - a failure in one job must not stop others
                 self._log.event("runner_step_failed", error=repr(error))
             await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
@@ -130,8 +136,21 @@
         log,
     )
     claims = JobClaims(registry, load_table, clock, log)
+    completions = CompletionRate()
+    admission = JobAdmission(
+        registry,
+        parts.config,
+        load_table,
+        parts.peers,
+        QuotaStorage(environment.marked_store, clock),
+        completions,
+        clock,
+        log,
+        metrics,
+        environment.random,
+    )
     runner_load = RunnerLoad(
-        parts.peers, table, load_table, registry, claims, parts.suspicions, clock
+        parts.peers, table, load_table, registry, claims, admission, parts.suspicions, clock
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     parts.suspicions.on_change = load.schedule_report
@@ -143,6 +162,7 @@
         load_table,
         environment.pool,
         parts.crash_guard,
+        completions,
         clock,
         log,
         metrics,
@@ -150,7 +170,9 @@
     )
     writer = ResultWriter(registry, clock, log, metrics)
     peer_monitor = PeerMonitor(parts.peers, load_table, parts.registration, clock, log)
-    runner = RunnerService(registry, claims, item_scheduler, writer, load, peer_monitor, log)
+    runner = RunnerService(
+        registry, claims, item_scheduler, writer, admission, load, peer_monitor, log
+    )
     kernel = AsyncKernel()
     kernel.register(load)
     kernel.register(parts.probe)
@@ -162,7 +184,9 @@
         ConvictionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
     )
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
-    kernel.register(JobApi(host, port, deployment, registry, parts.config, clock, log, metrics))
+    kernel.register(
+        JobApi(host, port, deployment, registry, admission, parts.config, clock, log, metrics)
+    )
     kernel.register(OperatorServer(host, METRICS_PORT, kernel, metrics))
     return kernel
 
--- /dev/null
+++ b/tests/admission_setup.py
@@ -0,0 +1,173 @@
+"""Runners that admit jobs against one in-memory store, for tests of the limits of routes."""
+
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.job_types import ItemRecord, JobRecord
+from ebonyshore.host.routes import Route, RouteKind, RouteTable, ServiceConfig, ServiceShare
+from ebonyshore.http.server import ServerLimits
+from ebonyshore.link.load_table import LoadReport, LoadTable
+from ebonyshore.link.peers import PeerRecord
+from ebonyshore.runner.completion_rate import CompletionRate
+from ebonyshore.runner.job_admission import JobAdmission
+from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.job_storage import JobStorage
+from ebonyshore.runner.quota_ledger import QuotaLedger, quota_name
+from ebonyshore.runner.quota_storage import QUOTAS_KIND, QuotaStorage
+from ebonyshore.store.marked_write import MarkedStore
+
+LIMIT_TOKENS = 100
+ITEM_TOKENS = 10
+ITEMS_PER_JOB = 3
+JOB_TOKENS = ITEM_TOKENS * ITEMS_PER_JOB
+SETTLE_TIMEOUT_MS = 200.0
+
+
+def make_route(limit_tokens=LIMIT_TOKENS, retention_ms=60_000.0):
+    return Route(
+        "plans",
+        "h",
+        "/p/",
+        RouteKind.BATCH,
+        (ServiceShare("svc", 1.0),),
+        retention_ms=retention_ms,
+        max_waiting_tokens=limit_tokens,
+    )
+
+
+class FixedConfig:
+    """A configuration with one route, which tests replace."""
+
+    def __init__(self, route):
+        self.set_route(route)
+
+    def set_route(self, route):
+        self.route = route
+        self.table = RouteTable(ServiceConfig(1, (route,), {}, ServerLimits()))
+
+
+class FixedPeers:
+    """A peer directory with fixed runners."""
+
+    def __init__(self, names):
+        self._names = names
+
+    def of_role(self, role):
+        if role != "runner":
+            return {}
+        return {
+            name: PeerRecord(name, role, "10.0.0.1", 7000, "fd", "run-1") for name in self._names
+        }
+
+
+class AdmittingRunner:
+    """One runner: its registry, its admission, and what it reports to the others.
+
+    :param platform: the object store that all runners share.
+    """
+
+    def __init__(self, name, names, platform, route, incarnation="run-1"):
+        self.name = name
+        self.incarnation = incarnation
+        self.platform = platform
+        self.config = FixedConfig(route)
+        self.clock = SystemClock()
+        self.load_table = LoadTable(name)
+        self.completions = CompletionRate()
+        self.executor = ThreadPoolExecutor(4)
+        peers = FixedPeers([other for other in names if other != name])
+        store = MarkedStore(platform, self.clock, SETTLE_TIMEOUT_MS)
+        self.registry = JobRegistry(
+            name,
+            incarnation,
+            JobStorage(store),
+            self.load_table,
+            peers,
+            self.clock,
+            self.executor,
+            EventLog(),
+        )
+        self.admission = JobAdmission(
+            self.registry,
+            self.config,
+            self.load_table,
+            peers,
+            QuotaStorage(store, self.clock),
+            self.completions,
+            self.clock,
+            EventLog(),
+            Metrics(),
+            Random(1),
+        )
+        self._sequence = 0
+
+    def make_record(self, job_id, items=ITEMS_PER_JOB):
+        records = tuple(
+            ItemRecord(f"{job_id}-{n}", "/p/x", (), b"b", ITEM_TOKENS) for n in range(items)
+        )
+        return JobRecord(
+            job_id,
+            "h",
+            "/p/",
+            self.clock.wall_ms(),
+            60_000.0,
+            18_000.0,
+            3,
+            records,
+            owner=self.name,
+            owner_incarnation=self.incarnation,
+            epoch=1,
+        )
+
+    async def submit(self, job_id, items=ITEMS_PER_JOB):
+        """Admit and store a job; return the refusal, or ``None`` if it was accepted."""
+        record = self.make_record(job_id, items)
+        refusal = await self.admission.admit(record, self.config.route)
+        if refusal is None:
+            await self.store(record)
+        return refusal
+
+    async def store(self, record):
+        requested_ms = self.clock.boot_ms()
+        stored = await self.registry.run_blocking(self.registry.storage.create, record)
+        self.registry.add_accepted(stored, requested_ms)
+
+    def end_items(self, job_id, count):
+        """Complete items of an own job without listing their results."""
+        progress = next(job for job in self.registry.owned_jobs() if job.job_id == job_id)
+        for item in progress.items[:count]:
+            progress.end_item(item, True, 0.0)
+
+    def report_to(self, others):
+        """Send a load report, as the runner does several times a second."""
+        self._sequence += 1
+        report = LoadReport(
+            self.name,
+            self.incarnation,
+            self._sequence,
+            "runner",
+            {},
+            heard_runners=tuple(other.name for other in others),
+            waiting_tokens=self.admission.waiting_tokens(),
+            contended_quotas=self.admission.contended_quotas(),
+        )
+        for other in others:
+            other.load_table.add_report(report, self.clock.boot_ms())
+
+
+def exchange_reports(runners):
+    """Let all runners report to each other, twice, so that each is known to be heard."""
+    for _ in range(2):
+        for runner in runners:
+            runner.report_to([other for other in runners if other is not runner])
+
+
+def stored_ledger(platform, route=None):
+    """Return the ledger of a route as it is stored."""
+    name = quota_name(route or make_route())
+    store = MarkedStore(platform, SystemClock())
+    found = store.read(f"{QUOTAS_KIND}/{name}", QuotaLedger)
+    return found.body if found is not None else QuotaLedger()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -136,12 +136,20 @@
         def own_counts(self):
             return {}
 
+    class FakeAdmission:
+        def waiting_tokens(self):
+            return {}
+
+        def contended_quotas(self):
+            return ()
+
     load = RunnerLoad(
         FakePeers(),
         FakeTargets(),
         setup.load_table,
         setup.registry,
         setup.claims,
+        FakeAdmission(),
         make_suspicions("b"),
         setup.clock,
     )
