Run the jobs that can still be in time first

Cause: items started in the order of submission.

Change: a pure order of jobs by due time and remaining work; jobs that have begun go first, late ones get what is left and a fifth of the slots before their retention ends. Their items are also preempted first.

--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -20,6 +20,7 @@
 from ebonyshore.runner.item_plan import UNLIMITED, TargetSlots, assign_primary_runners, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunOutcome, RunResult
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
+from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
 
 NO_COUNTS = TargetCounts(0, 0)
@@ -86,6 +87,7 @@
         self._pool = pool
         self._crash_guard = crash_guard
         self._completions = completions
+        self._ranking = JobRanking(registry, completions, clock)
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -151,6 +153,8 @@
         at_ms = now_ms()
         is_usable = not target.entry.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
+        # The last ones are preempted first: those of late jobs, then the youngest.
+        own.sort(key=lambda key: self._ranking.is_late(self._running[key].progress.job_id))
         # Entries also count the items of runners from which this one receives no reports.
         other_batch = max(
             others.batch, self._load_table.max_observed_batch(target.target_id) - len(own)
@@ -197,7 +201,8 @@
             service: sum(max(0, slots.free_slots) for slots in service_slots if slots.is_usable)
             for service, service_slots in slots_by_service.items()
         }
-        for progress in self._registry.owned_jobs():
+        running_jobs = [running.progress.job_id for running in self._running.values()]
+        for progress in self._ranking.ranked_jobs(running_jobs, at_ms):
             if not progress.open_count:
                 continue
             route = self._batch_route(progress)
