Reject malformed numbers in headers, query fields and event ids

Cause: float() accepts nan and inf, str.isdigit() digits that int() rejects or reads from other scripts. Callers saw an internal error. Change: one module parses these numbers.

--- a/ebonyshore/batch/batch_api.py
+++ b/ebonyshore/batch/batch_api.py
@@ -15,6 +15,7 @@
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore.frame.errors import RequestError, StoreError
 from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
+from ebonyshore.http.numbers import parse_decimal
 from ebonyshore.settings.settings_service import SettingsService
 
 OUTPUT_SUFFIX = "-output"
@@ -174,11 +175,12 @@
     :raises RequestError: if it is not a positive integer with a unit.
     """
     unit_ms = WINDOW_UNITS_MS.get(window[-1:])
-    if unit_ms is None or not window[:-1].isdigit() or not int(window[:-1]):
+    count = parse_decimal(window[:-1])
+    if unit_ms is None or not count:
         raise RequestError(
             f"completion_window: found {window!r}; allowed: a positive integer and m, h or d"
         )
-    return int(window[:-1]) * unit_ms
+    return count * unit_ms
 
 
 def _parse_metadata(value: object) -> dict[str, str]:
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -17,6 +17,7 @@
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
+from ebonyshore.http.numbers import parse_decimal
 from ebonyshore.http.server import Responder
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -50,8 +51,7 @@
     __slots__ = ("first_event_ms", "splitter")
 
     def __init__(self, last_event_id: str | None) -> None:
-        last_id = int(last_event_id) if last_event_id and last_event_id.isdigit() else None
-        self.splitter = EventSplitter(last_id)
+        self.splitter = EventSplitter(parse_decimal(last_event_id))
         self.first_event_ms: float | None = None
 
     @property
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -28,6 +28,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.messages import Request
+from ebonyshore.http.numbers import parse_non_negative
 from ebonyshore.http.server import Responder
 
 MAX_REFUSALS = 3  # after more refusals by targets no other target is tried
@@ -295,8 +296,5 @@
 
 def _time_limit_ms(route: Route, request: Request, names: WireNames) -> float:
     """Return the time limit of a request: the lower of the caller's limit and the route's."""
-    header_value = request.headers.get(names.remaining_ms) or ""
-    try:
-        return min(float(header_value), route.timeout_ms)
-    except ValueError:
-        return route.timeout_ms
+    remaining_ms = parse_non_negative(request.headers.get(names.remaining_ms))
+    return route.timeout_ms if remaining_ms is None else min(remaining_ms, route.timeout_ms)
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -28,6 +28,7 @@
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
+from ebonyshore.http.numbers import parse_decimal, parse_non_negative
 from ebonyshore.http.server import Responder
 from ebonyshore.link.job_call import OWNER_HEADER, PATH_HEADER, JobCall, JobCallKind
 from ebonyshore.link.peers import PeerDirectory, PeerRecord
@@ -265,11 +266,11 @@
         if request.method != "GET":
             return None
         first = query.get(names.results_from, ["0"])[0]
-        wait_ms = _non_negative_number(request.headers.get(names.wait_ms))
+        wait_ms = parse_non_negative(request.headers.get(names.wait_ms)) or 0.0
         return JobCall(
             JobCallKind.RESULTS,
             job_id,
-            first_position=int(first) if first.isdigit() else 0,
+            first_position=parse_decimal(first) or 0,
             wait_ms=min(wait_ms, MAX_RESULTS_WAIT_MS),
         )
 
@@ -335,10 +336,3 @@
         ]
     )
     return f"{call.method} {path} HTTP/1.1\r\n".encode() + headers.encode() + b"\r\n" + body
-
-
-def _non_negative_number(text: str | None) -> float:
-    try:
-        return max(0.0, float(text or 0))
-    except ValueError:
-        return 0.0
--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from ebonyshore.http.numbers import parse_decimal
+
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
 
@@ -82,6 +84,7 @@
             event_id = value
         elif name == "data":
             data.append(value)
-    if event_id is None or not event_id.isdigit():
+    number = parse_decimal(event_id)
+    if number is None:
         raise StreamOrderError(f"event id is not a number: {event_id!r}")
-    return Event(int(event_id), raw, "\n".join(data))
+    return Event(number, raw, "\n".join(data))
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -16,6 +16,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
+from ebonyshore.http.numbers import parse_decimal
 
 BODILESS_STATUSES = (204, 304)
 # Share of the idle timeout announced by the server after which a connection is not reused, because
@@ -197,8 +198,9 @@
     def _update_server_max_idle(self, headers: Headers) -> None:
         for parameter in (headers.get("keep-alive") or "").split(","):
             name, _, value = parameter.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self.server_max_idle_ms = int(value) * MS_PER_S * KEEP_ALIVE_REUSE_RATIO
+            timeout_s = parse_decimal(value)
+            if name.lower() == "timeout" and timeout_s is not None:
+                self.server_max_idle_ms = timeout_s * MS_PER_S * KEEP_ALIVE_REUSE_RATIO
 
     def _append_part(self, part: ResponsePart) -> None:
         self._parts.append(part)
--- a/ebonyshore/platform/target_entries.py
+++ b/ebonyshore/platform/target_entries.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode
 
 from ebonyshore.host.targets import TargetEntry
+from ebonyshore.http.numbers import parse_decimal
 
 
 class _Entry(Struct):
@@ -31,7 +32,7 @@
     except DecodeError:
         return None
     host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.capacity < 1 or not entry.service:
+    if not host or parse_decimal(port) is None or entry.capacity < 1 or not entry.service:
         return None
     return TargetEntry(
         target_id=target_id,
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -92,10 +92,10 @@
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.server.port)
 
-    async def request(self, body=b"", headers=(), method="POST", target="/p/x"):
+    async def request(self, body=b"", headers=(), method="POST", target="/p/x", deadline="2500"):
         """Send one request on a new connection and return all bytes of the response."""
         reader, writer = await self.connect()
-        writer.write(encode_request(body, headers, method, target, close=True))
+        writer.write(encode_request(body, headers, method, target, True, deadline))
         data = await asyncio.wait_for(read_all(reader), 10)
         writer.close()
         return data
@@ -105,9 +105,11 @@
         self.pool.close()
 
 
-def encode_request(body=b"", headers=(), method="POST", target="/p/x", close=False):
+def encode_request(
+    body=b"", headers=(), method="POST", target="/p/x", close=False, deadline="2500"
+):
     lines = [f"{method} {target} HTTP/1.1", "Host: host.example", "Attempt-Id: req-1"]
-    lines += ["Deadline-Ms: 2500", f"Content-Length: {len(body)}", *headers]
+    lines += [f"Deadline-Ms: {deadline}", f"Content-Length: {len(body)}", *headers]
     if close:
         lines.append("Connection: close")
     return "\r\n".join([*lines, "", ""]).encode() + body
