Read the settings again after the store has dropped its history

Cause: the watcher kept the revision whose history was gone, so each further watch failed and a change was never applied. Its test failed before.

--- a/ebonyshore/settings/settings_service.py
+++ b/ebonyshore/settings/settings_service.py
@@ -8,7 +8,7 @@
 from msgspec.json import decode, encode
 
 from ebonyshore.frame.clock import Clock
-from ebonyshore.frame.errors import SettingsError, StoreError
+from ebonyshore.frame.errors import HistoryLostError, SettingsError, StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.task import Task
 from ebonyshore.link.messages import SettingsSnapshot
@@ -257,6 +257,11 @@
             return
         try:
             self._read() if self._store_revision is None else self._watch(self._store_revision)
+        except HistoryLostError as error:
+            # The changes since the watched revision cannot be read any more, but the head can.
+            self._store_revision = None
+            self._back_off(error)
+            return
         except (StoreError, MsgspecError) as error:
             self._back_off(error)
             return
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -6,7 +6,12 @@
 
 from ebonyshore.entry.callers import ANONYMOUS_CALLER, caller_for_api_key
 from ebonyshore.frame.clock import SystemClock
-from ebonyshore.frame.errors import RequestError, SettingsError, StoreUnavailableError
+from ebonyshore.frame.errors import (
+    HistoryLostError,
+    RequestError,
+    SettingsError,
+    StoreUnavailableError,
+)
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.settings.settings_service import (
@@ -25,6 +30,7 @@
 )
 from ebonyshore.settings.settings_tree import SettingsTree, find_tree_faults
 from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.platform_api import WatchResult
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from tests.stepping_clock import SteppingClock
 
@@ -83,6 +89,26 @@
     assert not service.adopt_encoded(b'{"revision":"x"}')
 
 
+def test_watcher_reads_the_head_again_after_the_store_has_dropped_its_history() -> None:
+    """Guards against a change that is never applied: the watch fails from then on."""
+
+    class ForgetfulPlatform(MemoryPlatform):
+        def watch(self, prefix: str, revision: int, timeout_ms: int) -> WatchResult:
+            raise HistoryLostError("dropped")
+
+    platform = ForgetfulPlatform(SystemClock())
+    store = MarkedStore(platform, SystemClock())
+    store.create(HEAD_KEY, SettingsHead(7))
+    service = SettingsService(EventLog())
+    watcher = make_watcher(platform, service)
+    watcher.on_timer()
+    known = store.read(HEAD_KEY, SettingsHead)
+    store.replace(known, SettingsHead(8))
+    watcher.on_timer()
+    watcher.on_timer()
+    assert service.current().revision == 8
+
+
 def test_listeners_see_revisions_in_order() -> None:
     """Guards against announcing an old revision after a newer one when threads race."""
     service = SettingsService(EventLog())
