Replace a peer record that cannot be decoded

Cause: the registration read the record before it wrote it; the decode error ended in a future that nobody reads, and the process stayed unregistered. Its test failed before.

--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -165,7 +165,7 @@
 
     def _renew(self) -> None:
         try:
-            self._store.update(self._key, PeerRecord, lambda _: self._own)
+            self._write_own()
         except StoreError as error:
             self._log.event("renewal_failed", error=str(error))
 
@@ -176,13 +176,27 @@
             if stored is not None and stored.body == peer:
                 self._store.store.delete(key, stored.version)
                 self._log.event("peer_removed", peer=peer.instance_id)
-        except StoreError as error:
+        except (StoreError, DecodeError) as error:
             self._log.event("peer_not_removed", peer=peer.instance_id, error=str(error))
 
+    def _write_own(self) -> None:
+        """Write the record of this process; replaces one that cannot be decoded.
+
+        :raises StoreError: if it was not written, or may not have been.
+        """
+        try:
+            self._store.update(self._key, PeerRecord, lambda _: self._own)
+        except DecodeError as error:
+            self._log.event("own_record_unreadable", key=self._key, error=str(error))
+            stored = self._store.store.get(self._key)
+            if stored is not None:
+                self._store.store.delete(self._key, stored.version)
+            self._store.create(self._key, self._own)
+
     def _register(self) -> None:
         while not self._is_stopped:
             try:
-                self._store.update(self._key, PeerRecord, lambda _: self._own)
+                self._write_own()
             except StoreError as error:
                 self._log.event("registration_failed", error=str(error))
                 self._clock.sleep_ms(REGISTRATION_RETRY_INTERVAL_MS)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -60,3 +60,12 @@
     directory, _ = register_then_remove(environment)
     directory.on_listing([])
     assert is_registered(environment)
+
+
+def test_a_record_that_cannot_be_decoded_is_replaced(environment):
+    """Guards against a process that stays unregistered, as its error was never read."""
+    directory, stored = register_then_remove(environment)
+    environment.marked_store.store.put(KEY, b"{}", 0)
+    directory.on_changes([StoredObject(KEY, stored.version + 1, b"{}")])
+    assert is_registered(environment)
+    assert environment.marked_store.read(KEY, PeerRecord).body == OWN
