Free the slot of an item that is stopped before its run began

Cause: a task that is cancelled before its first step runs no finally block, so the item stayed running and the target's count too high. The run now ends in a callback of its task. Also log the use of targets once a second.

--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -1,6 +1,7 @@
 """Starts and stops the items of batch jobs at targets."""
 
-from asyncio import CancelledError, Task, create_task
+from asyncio import Task, create_task
+from functools import partial
 from random import Random
 
 from msgspec import Struct
@@ -31,6 +32,7 @@
 # runner, a runner therefore starts only one item in this interval; otherwise runners that receive
 # jobs at the same time would overcommit a target, each filling the same free slots.
 NON_PRIMARY_START_INTERVAL_MS = 60.0
+USE_LOG_INTERVAL_MS = 1_000.0
 # This process may learn of a new route later than the entry that accepted a job for the route.
 UNKNOWN_ROUTE_GRACE_MS = 5_000.0
 
@@ -94,6 +96,7 @@
         self._random = random
         self._running: dict[str, RunningItem] = {}
         self._is_stopped = False
+        self._use_logged_ms = float("-inf")
 
     def stop_all(self) -> None:
         """Stop all running items and start no more."""
@@ -121,6 +124,7 @@
         waiting = self._runnable_by_service(slots_by_service)
         for service, service_slots in slots_by_service.items():
             self._apply_plan(waiting.get(service, {}), service_slots)
+        self._log_use(slots_by_service)
         self._stop_at_removed_targets()
 
     def _apply_plan(
@@ -143,8 +147,9 @@
             item.start_run(now_ms())
             target.own_batch += 1
             target.batch_started_ms = now_ms()
-            task = create_task(self._run_item(start.item, progress, item, target))
+            task = create_task(self._run_item(progress, item, target))
             self._running[start.item] = RunningItem(progress, item, target, task)
+            task.add_done_callback(partial(self._end_run, start.item))
 
     def _target_slots(
         self, target: Target, totals: dict[str, TargetCounts], is_primary: bool
@@ -184,6 +189,28 @@
         )
         self._completions.record_slots(usable, now_ms())
 
+    def _log_use(self, slots_by_service: dict[str, list[TargetSlots]]) -> None:
+        """Log once a second how the targets are used, while there is batch work."""
+        open_items = self._registry.open_item_count()
+        if not open_items or now_ms() - self._use_logged_ms < USE_LOG_INTERVAL_MS:
+            return
+        self._use_logged_ms = now_ms()
+        all_slots = [
+            slots for service_slots in slots_by_service.values() for slots in service_slots
+        ]
+        primary = [slots for slots in all_slots if slots.is_primary]
+        self._log.event(
+            "batch_use",
+            open=open_items,
+            running=len(self._running),
+            usable_slots=self._completions.slots,
+            primary_targets=len(primary),
+            primary_capacity=sum(slots.capacity for slots in primary),
+            primary_online=sum(slots.online for slots in primary),
+            primary_other_batch=sum(slots.other_batch for slots in primary),
+            avoided_targets=sum(not slots.is_usable for slots in all_slots),
+        )
+
     def _runnable_by_service(
         self, slots_by_service: dict[str, list[TargetSlots]]
     ) -> dict[str, dict[str, tuple[JobProgress, Item]]]:
@@ -267,7 +294,7 @@
             if self._targets.find(running.target.target_id) is not running.target:
                 running.task.cancel()
 
-    async def _run_item(self, key: str, progress: JobProgress, item: Item, target: Target) -> None:
+    async def _run_item(self, progress: JobProgress, item: Item, target: Target) -> None:
         record = progress.record
         run = ItemRun(
             self._names,
@@ -286,16 +313,23 @@
             elif result.outcome is RunOutcome.COMPLETE:
                 self._crash_guard.end_completed(content_run)
             self._handle_result(progress, item, target, result, content_run.has_progress)
-        except CancelledError:
-            if item.state is ItemState.RUNNING:
-                item.state = ItemState.WAITING
-            raise
         finally:
             self._crash_guard.end(content_run)
-            item.end_run(now_ms())
-            target.own_batch -= 1
-            del self._running[key]
-            self._registry.on_change()
+
+    def _end_run(self, key: str, task: Task[None]) -> None:
+        """Free the slot of an item whose run has ended or was stopped.
+
+        A task that is cancelled before its first step runs none of its own code, so this is a
+        callback of the task.
+        """
+        running = self._running.pop(key)
+        running.item.end_run(now_ms())
+        if running.item.state is ItemState.RUNNING:
+            running.item.state = ItemState.WAITING
+        running.target.own_batch -= 1
+        self._registry.on_change()
+        if not task.cancelled() and task.exception() is not None:
+            self._log.event("item_run_crashed", item=key, error=repr(task.exception()))
 
     def _handle_result(
         self,
