Put interrupted items first, and flood a limited route in the soak

The soak gets a route with a limit: two callers flood it under faults; afterwards at no acceptance more than the limit plus a tenth may have waited, by the targets' runs, and a job that fits exactly has to be accepted once all work has ended.

--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -21,7 +21,7 @@
 from ebonyshore.runner.item_plan import UNLIMITED, TargetSlots, assign_primary_runners, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunOutcome, RunResult
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
-from ebonyshore.runner.job_ranking import JobRanking
+from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
 
 NO_COUNTS = TargetCounts(0, 0)
@@ -127,9 +127,7 @@
         self._log_use(slots_by_service)
         self._stop_at_removed_targets()
 
-    def _apply_plan(
-        self, waiting: dict[str, tuple[JobProgress, Item]], slots: list[TargetSlots]
-    ) -> None:
+    def _apply_plan(self, waiting: dict[str, WaitingItem], slots: list[TargetSlots]) -> None:
         plan = make_plan(list(waiting), slots)
         for key in plan.stops:
             running = self._running[key]
@@ -142,7 +140,7 @@
             )
             running.task.cancel()
         for start in plan.starts:
-            progress, item = waiting[start.item]
+            progress, item = waiting[start.item].progress, waiting[start.item].item
             target = self._targets.find(start.target_id)
             item.start_run(now_ms())
             target.own_batch += 1
@@ -213,23 +211,38 @@
 
     def _runnable_by_service(
         self, slots_by_service: dict[str, list[TargetSlots]]
-    ) -> dict[str, dict[str, tuple[JobProgress, Item]]]:
-        """Return the items that may run now by service and item key, first the one to start first.
+    ) -> dict[str, dict[str, WaitingItem]]:
+        """Return the items to start by service and item key, first the one to start first.
 
         There are at most as many as the service has free slots.
-
-        The key of an item consists of the job id and the item's index. Items are given up if their
-        job is past its retention time, or if it has no batch route and has been known for longer
-        than :data:`UNKNOWN_ROUTE_GRACE_MS`.
         """
-        found: dict[str, dict[str, tuple[JobProgress, Item]]] = {}
-        at_ms = now_ms()
         free_slots = {
             service: sum(max(0, slots.free_slots) for slots in service_slots if slots.is_usable)
             for service, service_slots in slots_by_service.items()
         }
-        running_jobs = [running.progress.job_id for running in self._running.values()]
-        for progress in self._ranking.ranked_jobs(running_jobs, at_ms):
+        self._ranking.update(
+            (running.progress.job_id for running in self._running.values()), now_ms()
+        )
+        found: dict[str, dict[str, WaitingItem]] = {}
+        for waiting in self._ranking.sort_items(self._waiting_items(free_slots)):
+            if not free_slots[waiting.service]:
+                continue
+            if self._may_run(waiting.progress, waiting.item):
+                free_slots[waiting.service] -= 1
+                found.setdefault(waiting.service, {})[waiting.key] = waiting
+        return found
+
+    def _waiting_items(self, free_slots: dict[str, int]) -> list[WaitingItem]:
+        """Return the items that wait for a service with free slots.
+
+        Items are given up if their job is past its retention time, or if it has no batch route and
+        has been known for longer than :data:`UNKNOWN_ROUTE_GRACE_MS`.
+
+        :param free_slots: number of free slots by service.
+        """
+        found: list[WaitingItem] = []
+        at_ms = now_ms()
+        for progress in self._registry.owned_jobs():
             if not progress.open_count:
                 continue
             route = self._batch_route(progress)
@@ -242,11 +255,8 @@
                 continue
             for item in progress.runnable_items(at_ms):
                 service = self._pick_service(route)
-                if not free_slots.get(service) or not self._may_run(progress, item):
-                    continue
-                free_slots[service] -= 1
-                key = f"{progress.job_id}/{item.index}"
-                found.setdefault(service, {})[key] = (progress, item)
+                if free_slots.get(service):
+                    found.append(WaitingItem(progress, item, service))
         return found
 
     def _may_run(self, progress: JobProgress, item: Item) -> bool:
--- a/ebonyshore/runner/job_order.py
+++ b/ebonyshore/runner/job_order.py
@@ -42,10 +42,12 @@
 
     :param job_ids: ids of all jobs, first the one whose items start first.
     :param late: ids of the jobs that are not expected to be completed in time.
+    :param is_late_first: whether the late jobs go before the others.
     """
 
     job_ids: tuple[str, ...]
     late: frozenset[str] = frozenset()
+    is_late_first: bool = False
 
 
 def order_jobs(jobs: Sequence[JobDemand], slots: float, late_running: int = 0) -> JobOrder:
@@ -65,7 +67,24 @@
     late_slots = LATE_SHARE * slots
     is_late_first = late_running < late_slots and _is_threatened(late, late_slots)
     ordered = [*late, *punctual] if is_late_first else [*punctual, *late]
-    return JobOrder(tuple(job.job_id for job in ordered), frozenset(job.job_id for job in late))
+    return JobOrder(
+        tuple(job.job_id for job in ordered),
+        frozenset(job.job_id for job in late),
+        is_late_first,
+    )
+
+
+def item_rank(order: JobOrder, job_id: str, has_progress: bool) -> tuple[bool, bool]:
+    """Return a sort key of an item that goes before the place of its job in the order.
+
+    Among punctual jobs, and among late ones, the items that have been interrupted go first.
+    Online requests interrupt items every few seconds. If others took their slots each time, the
+    work would be spread over many unfinished items, and all of it would be lost with the process.
+
+    :param has_progress: whether the item has been interrupted after its first event.
+    """
+    is_in_second_part = (job_id in order.late) != order.is_late_first
+    return is_in_second_part, not has_progress
 
 
 def _select_punctual(jobs: Sequence[JobDemand], slots: float) -> list[JobDemand]:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -2,15 +2,33 @@
 
 from collections.abc import Iterable
 
+from msgspec import Struct
+
 from ebonyshore.frame.clock import Clock
 from ebonyshore.runner.completion_rate import CompletionRate
-from ebonyshore.runner.job_order import JobDemand, JobOrder, order_jobs
+from ebonyshore.runner.job_order import JobDemand, JobOrder, item_rank, order_jobs
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
 from ebonyshore.runner.job_registry import JobRegistry
 
 RANKING_INTERVAL_MS = 200.0
 
 
+class WaitingItem(Struct, frozen=True):
+    """An item that waits for a slot.
+
+    :param service: the service at whose targets it is to run.
+    """
+
+    progress: JobProgress
+    item: Item
+    service: str
+
+    @property
+    def key(self) -> str:
+        """The job id and the item's index, unique among all jobs."""
+        return f"{self.progress.job_id}/{self.item.index}"
+
+
 class JobRanking:
     """Keeps the order of the owned jobs, which is computed again every few steps.
 
@@ -32,23 +50,34 @@
         """Return whether a job is not expected to be completed in time."""
         return job_id in self._order.late
 
-    def ranked_jobs(self, running_jobs: Iterable[str], now_ms: float) -> list[JobProgress]:
-        """Return the owned jobs, first the one whose items start first.
-
-        Jobs that became known since the order was computed come last.
+    def update(self, running_jobs: Iterable[str], now_ms: float) -> None:
+        """Compute the order again if it is outdated.
 
         :param running_jobs: the job id of each running item.
         :param now_ms: current time of the event loop.
         """
-        owned = self._registry.owned_jobs()
-        if now_ms >= self._next_ms:
-            self._next_ms = now_ms + RANKING_INTERVAL_MS
-            late_running = sum(job_id in self._order.late for job_id in running_jobs)
-            demands = [self._demand(job, now_ms) for job in owned if job.open_count]
-            self._order = order_jobs(demands, self._completions.slots, late_running)
-            self._ranks = {job_id: rank for rank, job_id in enumerate(self._order.job_ids)}
-        last = len(self._ranks)
-        return sorted(owned, key=lambda job: self._ranks.get(job.job_id, last))
+        if now_ms < self._next_ms:
+            return
+        self._next_ms = now_ms + RANKING_INTERVAL_MS
+        late_running = sum(job_id in self._order.late for job_id in running_jobs)
+        demands = [
+            self._demand(job, now_ms) for job in self._registry.owned_jobs() if job.open_count
+        ]
+        self._order = order_jobs(demands, self._completions.slots, late_running)
+        self._ranks = {job_id: rank for rank, job_id in enumerate(self._order.job_ids)}
+
+    def sort_items(self, items: list[WaitingItem]) -> list[WaitingItem]:
+        """Return waiting items in the order in which they start.
+
+        Items of jobs that became known since the order was computed come last in their part.
+        """
+        return sorted(items, key=self._sort_key)
+
+    def _sort_key(self, waiting: WaitingItem) -> tuple[bool, bool, int, int]:
+        job_id, item = waiting.progress.job_id, waiting.item
+        has_progress = item.last_event_id is not None
+        job_rank = self._ranks.get(job_id, len(self._ranks))
+        return *item_rank(self._order, job_id, has_progress), job_rank, item.index
 
     def _demand(self, progress: JobProgress, now_ms: float) -> JobDemand:
         record = progress.record
--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -13,6 +13,7 @@
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import CRASHING_BODY, SoakClients
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
+from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
@@ -92,15 +93,21 @@
             fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
         clients = SoakClients(fleet, checker, options.seed, clock)
         faults = FaultInjector(fleet, [store_proxy], target_proxies, options.seed, clock)
+        limited_jobs = LimitedJobsClient(fleet, clients, checker, options.seed, clock)
         clients.start()
+        limited_jobs.start()
         faults.start()
         clock.sleep_ms(options.fault_duration_s * MS_PER_S)
         faults.stop()
+        limited_jobs.stop()
         clients.stop()
         _settle(fleet, clients, checker, clock)
+        limited_jobs.check_room()
+        _settle(fleet, clients, checker, clock)
         _check_crashing_content(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
+        limited_jobs.check_limit(runs)
     finally:
         fleet.stop()
         for proxy in [store_proxy, *target_proxies]:
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -80,7 +80,7 @@
         :return: whether the page contains the last result of the job.
         """
         entry = Random(f"{self._seed}/{job_id}/{first}").choice(self._fleet.entries)
-        response = self._call_or_none(lambda: read_job(entry, job_id, first, CALL_TIMEOUT_S))
+        response = self.call_or_none(lambda: read_job(entry, job_id, first, CALL_TIMEOUT_S))
         if response is None or response[0] == 503:
             return False
         status, page = response
@@ -99,7 +99,7 @@
         """
         pid = entry.pid
         request_id = f"config-{next(self._request_numbers)}"
-        response = self._call_or_none(
+        response = self.call_or_none(
             lambda: request_stream(entry, request_id, config_prefix(version), 1, CALL_TIMEOUT_S)
         )
         is_served = response is not None and response[0] == 200
@@ -110,7 +110,7 @@
     def send_crashing_request(self, entry: FleetProcess) -> None:
         """Send a request that crashes each target that runs it."""
         request_id = f"crash-{next(self._request_numbers)}"
-        response = self._call_or_none(
+        response = self.call_or_none(
             lambda: request_stream(
                 entry, request_id, SINGLE_ATTEMPT_PREFIX, 1, CALL_TIMEOUT_S, CRASHING_BODY
             )
@@ -123,7 +123,7 @@
         self._threads.append(thread)
         thread.start()
 
-    def _call_or_none(self, call: Callable[[], ResultT]) -> ResultT | None:
+    def call_or_none(self, call: Callable[[], ResultT]) -> ResultT | None:
         """Return the result of a call, or ``None`` if no complete response was received."""
         try:
             return call()
@@ -134,7 +134,7 @@
     def _send_stream_request(self, random: Random, prefix: str, name: str) -> None:
         request_id = f"{name}-{next(self._request_numbers)}"
         entry = random.choice(self._fleet.entries)
-        response = self._call_or_none(
+        response = self.call_or_none(
             lambda: request_stream(entry, request_id, prefix, STREAM_EVENTS, CALL_TIMEOUT_S)
         )
         if response is None:
@@ -180,7 +180,7 @@
         is_refused = True
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             entry = random.choice(self._fleet.entries)
-            status = self._call_or_none(
+            status = self.call_or_none(
                 lambda entry=entry: submit_job(
                     entry, job_id, size.items, size.events, CALL_TIMEOUT_S
                 )
@@ -204,7 +204,7 @@
 
     def _cancel(self, random: Random, job_id: str) -> None:
         entry = random.choice(self._fleet.entries)
-        status = self._call_or_none(lambda: cancel_job(entry, job_id, CALL_TIMEOUT_S))
+        status = self.call_or_none(lambda: cancel_job(entry, job_id, CALL_TIMEOUT_S))
         # Without a response the job may be cancelled all the same.
         self._checker.cancelled_jobs.add(job_id)
         if status == 200:
--- a/ebonyshore_standins/fleet_client.py
+++ b/ebonyshore_standins/fleet_client.py
@@ -18,6 +18,9 @@
     return f"body {number}".encode()
 
 
+ITEM_TOKENS = 10
+
+
 def job_body(job_id: str, items: int, events: int = 6) -> bytes:
     """Return the request body that submits a job.
 
@@ -32,7 +35,7 @@
                     "Path": f"{BATCH_PREFIX}{number}",
                     "Headers": {"Length-Hint": str(events), "Model": "m"},
                     "Body": base64.b64encode(item_body(number)).decode(),
-                    "TokenCount": 10,
+                    "TokenCount": ITEM_TOKENS,
                 }
                 for number in range(items)
             ]
@@ -70,17 +73,23 @@
 
 
 def submit_job(
-    entry: FleetProcess, job_id: str, items: int = 6, events: int = 6, timeout_s: float = 10.0
+    entry: FleetProcess,
+    job_id: str,
+    items: int = 6,
+    events: int = 6,
+    timeout_s: float = 10.0,
+    prefix: str = BATCH_PREFIX,
 ) -> int:
     """Submit a job through an entry.
 
     :param items: number of items.
     :param events: number of events that a target generates for each item.
+    :param prefix: path prefix of a batch route.
     :return: HTTP status of the response.
     """
     body = job_body(job_id, items, events)
     headers = {WIRE_NAMES.request_id: job_id, "Content-Type": "application/json"}
-    return entry.call("POST", f"{BATCH_PREFIX}{job_id}", headers, body, timeout_s)[0]
+    return entry.call("POST", f"{prefix}{job_id}", headers, body, timeout_s)[0]
 
 
 def read_job(
--- a/ebonyshore_standins/fleet_config.py
+++ b/ebonyshore_standins/fleet_config.py
@@ -4,6 +4,8 @@
 STREAM_PREFIX = "/ask/"
 SINGLE_ATTEMPT_PREFIX = "/once/"
 BATCH_PREFIX = "/plans/"
+LIMITED_PREFIX = "/limited/"
+MAX_WAITING_TOKENS = 400  # of the limited batch route
 SERVICE = "svc"
 
 
@@ -28,7 +30,7 @@
 
 
 def make_config(version: int, *extra_routes: dict[str, object]) -> dict[str, object]:
-    """Return a configuration with a resumable, a single-attempt and a batch route.
+    """Return a configuration with a resumable, a single-attempt and two batch routes.
 
     :param extra_routes: further routes, as :func:`route` returns them.
     """
@@ -38,6 +40,14 @@
             route("ask", STREAM_PREFIX, "streaming", Resumable=True),
             route("once", SINGLE_ATTEMPT_PREFIX, "streaming", MaxAttempts=1),
             route("plans", BATCH_PREFIX, "batch", RetentionS=60, CompletionTargetMs=18_000),
+            route(
+                "limited",
+                LIMITED_PREFIX,
+                "batch",
+                RetentionS=60,
+                CompletionTargetMs=18_000,
+                Cap=MAX_WAITING_TOKENS,
+            ),
             *extra_routes,
         ],
         "Services": [{"Name": SERVICE, "MaxConnections": 200}],
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -26,6 +26,7 @@
     :param is_complete: whether the run sent its last event.
     :param started_ms: monotonic time at the start of the run; 0 for a request that was answered
         with status 500.
+    :param ended_ms: monotonic time at which the run was complete; 0 if it was not.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     last_event: int
     is_complete: bool = False
     started_ms: float = 0.0
+    ended_ms: float = 0.0
 
 
 def expected_data(request_id: str, events: int) -> str:
@@ -186,6 +188,7 @@
             writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
             run.last_event = number
         writer.write(b"0\r\n\r\n")
+        run.ended_ms = CLOCK.monotonic_ms()
         run.is_complete = True
 
 
--- a/tests/test_job_order.py
+++ b/tests/test_job_order.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ebonyshore.runner.job_order import JobDemand, JobOrder, order_jobs
+from ebonyshore.runner.job_order import JobDemand, JobOrder, item_rank, order_jobs
 
 DUE_MS = 18_000.0
 RETENTION_MS = 60_000.0
@@ -57,6 +57,15 @@
     assert order_jobs([hopeless, make_demand("a")], 10).job_ids == ("a", "late")
 
 
+def test_interrupted_items_go_first_among_punctual_and_among_late_jobs():
+    order = JobOrder(("a", "late"), frozenset({"late"}))
+    items = [("late", False), ("late", True), ("a", False), ("a", True)]
+    ranked = sorted(items, key=lambda item: item_rank(order, *item))
+    assert ranked == [("a", True), ("a", False), ("late", True), ("late", False)]
+    late_first = JobOrder(("late", "a"), frozenset({"late"}), is_late_first=True)
+    assert min(items, key=lambda item: item_rank(late_first, *item)) == ("late", True)
+
+
 class FloodedJob:
     def __init__(self, job_id, submitted_ms, random):
         self.job_id = job_id
