Give each runner its share of the targets

Cause: a runner could have any number of primary targets up to the rounded-up mean, so 9 targets went 3, 3, 3 and 0 to four runners. What callers saw: jobs of the runner without targets were late or given up. Change: each runner gets the mean rounded down or up. The first samples of the usable slots no longer count for half a minute either (400 slots after a restart).

--- a/ebonyshore/runner/completion_rate.py
+++ b/ebonyshore/runner/completion_rate.py
@@ -21,11 +21,18 @@
         the first completion.
     """
 
-    __slots__ = ("_completions", "_slots_ms", "slot_ms_per_token", "slots")
+    __slots__ = (
+        "_completions",
+        "_first_slots_ms",
+        "_slots_ms",
+        "slot_ms_per_token",
+        "slots",
+    )
 
     def __init__(self) -> None:
         self._completions = 0
-        self._slots_ms: float | None = None
+        self._first_slots_ms: float | None = None
+        self._slots_ms = 0.0
         self.slots = 0.0
         self.slot_ms_per_token = 0.0
 
@@ -44,12 +51,18 @@
         self.slot_ms_per_token += SLOT_TIME_SMOOTHING * (sample - self.slot_ms_per_token)
 
     def record_slots(self, slots: int, now_ms: float) -> None:
-        """Include the present number of usable slots, taken or free, in their mean."""
-        if self._slots_ms is None:
+        """Include the present number of usable slots, taken or free, in their mean.
+
+        Until the time constant has passed, all values since the start have the same weight. The
+        first ones, before the load of other processes is known, are too high.
+        """
+        if self._first_slots_ms is None:
+            self._first_slots_ms = self._slots_ms = now_ms
             self.slots = float(slots)
-        else:
-            weight = 1.0 - exp(-(now_ms - self._slots_ms) / SLOTS_TIME_CONSTANT_MS)
-            self.slots += weight * (slots - self.slots)
+            return
+        span_ms = min(SLOTS_TIME_CONSTANT_MS, max(1.0, now_ms - self._first_slots_ms))
+        weight = 1.0 - exp(-(now_ms - self._slots_ms) / span_ms)
+        self.slots += weight * (slots - self.slots)
         self._slots_ms = now_ms
 
     def tokens_per_ms(self) -> float | None:
--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -98,8 +98,9 @@
 def assign_primary_runners(target_ids: Iterable[str], runners: Sequence[str]) -> dict[str, str]:
     """Assign a primary runner to each target.
 
-    No runner gets more targets than the average number for each runner, rounded up. When a runner
-    or a target is added or removed, few of the other targets change their primary runner.
+    Each runner gets the average number of targets, rounded down or up, so that none is left without
+    slots for its jobs. When a runner or a target is added or removed, few of the other targets
+    change their primary runner.
 
     :param target_ids: ids of all targets.
     :param runners: instance ids of the live runners.
@@ -108,11 +109,13 @@
     targets = sorted(target_ids)
     if not runners:
         return {}
-    share = -(-len(targets) // len(runners))
+    share, larger_shares = divmod(len(targets), len(runners))
     counts: Counter[str] = Counter()
     primary_runners: dict[str, str] = {}
     for target_id in targets:
-        available = [runner for runner in runners if counts[runner] < share]
+        has_larger_share = sum(count > share for count in counts.values()) < larger_shares
+        limit = share + 1 if has_larger_share else share
+        available = [runner for runner in runners if counts[runner] < limit]
         primary_runners[target_id] = preferred_runner(target_id, available)
         counts[primary_runners[target_id]] += 1
     return primary_runners
--- a/tests/test_item_plan.py
+++ b/tests/test_item_plan.py
@@ -1,5 +1,7 @@
 """Tests of how batch items use the slots that online requests leave, and of their preemption."""
 
+import pytest
+
 from ebonyshore.runner.item_plan import (
     RESERVED_FOR_PRIMARY,
     RESERVED_SLOTS,
@@ -53,6 +55,17 @@
         assert counts == [3, 3, 3]
 
 
+@pytest.mark.parametrize("targets, runners", [(9, 4), (10, 4), (17, 4), (6, 5), (3, 5)])
+def test_no_runner_is_left_without_its_share_of_the_targets(targets, runners):
+    """Guards against jobs that wait for a minute at a runner without a target of its own, while
+    the others have three each."""
+    names = [f"r{number}" for number in range(runners)]
+    for fleet in range(40):
+        assigned = assign_primary_runners([f"d{fleet}-t{n}" for n in range(targets)], names)
+        counts = [list(assigned.values()).count(name) for name in names]
+        assert min(counts) == targets // runners and max(counts) == -(-targets // runners)
+
+
 def test_few_targets_change_their_primary_runner_when_a_runner_is_removed():
     targets = [f"t{n}" for n in range(60)]
     before = assign_primary_runners(targets, ["r1", "r2", "r3"])
