Send unchanged load reports only as heartbeats

Cause: each report that a runner receives wakes it, and it then reported to all other runners up to 50 times a second although its own load had not changed. The test failed before; the effect on bytes is not measured yet.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -41,5 +41,5 @@
 
     def send(self, socket: LoadSocket) -> None:
         """Send the next report and new suspicions to each runner."""
-        self._reports.send(socket, observed_batch=self._view.observed_batch())
+        self._reports.send(socket, now_ms(), observed_batch=self._view.observed_batch())
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -1,11 +1,19 @@
-"""Sends the load reports of this process to the runners."""
+"""Sends the load reports of this process to the runners.
+
+A runner is woken by each report that it receives, far more often than its own load changes.
+Reports that say nothing new are therefore sent only as often as a heartbeat.
+"""
 
 from collections.abc import Callable
 
+from msgspec import structs
+
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadReport, TargetCounts
 from ebonyshore.link.peers import PeerDirectory
 
+UNCHANGED_INTERVAL_MS = 100.0  # with one lost datagram still below the timeout of a report
+
 
 class LoadReportSender:
     """Creates load reports with increasing sequence numbers and sends them.
@@ -14,7 +22,7 @@
     :param own_counts: returns the request counts of this process by target id.
     """
 
-    __slots__ = ("_own_counts", "_peers", "_sequence")
+    __slots__ = ("_own_counts", "_peers", "_sent", "_sent_ms", "_sequence")
 
     def __init__(
         self, peers: PeerDirectory, own_counts: Callable[[], dict[str, TargetCounts]]
@@ -22,10 +30,13 @@
         self._peers = peers
         self._own_counts = own_counts
         self._sequence = 0
+        self._sent: LoadReport | None = None
+        self._sent_ms = float("-inf")
 
     def send(
         self,
         socket: LoadSocket,
+        now_ms: float,
         open_items: int = 0,
         heard_runners: tuple[str, ...] = (),
         observed_batch: dict[str, int] | None = None,
@@ -34,9 +45,12 @@
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
-        For the parameters see the fields of :class:`LoadReport`.
+        It is left out if it equals the last one that was sent less than
+        :data:`UNCHANGED_INTERVAL_MS` ago. For the other parameters see the fields of
+        :class:`LoadReport`.
 
-        :return: the report.
+        :param now_ms: monotonic time.
+        :return: the report, whether it was sent or not.
         """
         self._sequence += 1
         own = self._peers.own
@@ -52,5 +66,12 @@
             waiting_tokens or {},
             contended_quotas,
         )
-        socket.send(report, self._peers.addresses("runner"))
+        if self._is_due(report, now_ms):
+            socket.send(report, self._peers.addresses("runner"))
+            self._sent, self._sent_ms = report, now_ms
         return report
+
+    def _is_due(self, report: LoadReport, now_ms: float) -> bool:
+        if self._sent is None or now_ms - self._sent_ms >= UNCHANGED_INTERVAL_MS:
+            return True
+        return report != structs.replace(self._sent, sequence=report.sequence)
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -71,6 +71,7 @@
         heard = self._load_table.runners().keys() - self._claims.owners_being_replaced()
         report = self._reports.send(
             socket,
+            now_ms(),
             self._registry.open_item_count(),
             tuple(heard),
             waiting_tokens=self._admission.waiting_tokens(),
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -1,6 +1,7 @@
 """Load reports that processes send to each other, and the totals over them."""
 
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.link.load_report_sender import UNCHANGED_INTERVAL_MS, LoadReportSender
 from ebonyshore.link.load_table import (
     LOST_BATCH_DECAY_MS,
     MUTUAL_TIMEOUT_MS,
@@ -11,6 +12,7 @@
     TargetCounts,
     merge_totals,
 )
+from ebonyshore.link.peers import PeerRecord
 
 
 def make_report(
@@ -103,3 +105,34 @@
     load_table = LoadTable("r1")
     load_table.add_report(LoadReport("e1", "run-1", 1, "entry", {}, observed_batch={"t1": 9}), 0.0)
     assert load_table.max_observed_batch("t1") == 9 and load_table.max_observed_batch("t2") == 0
+
+
+class RecordingSocket:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message, _addresses):
+        self.sent.append(message)
+
+
+class RunnerPeers:
+    own = PeerRecord("r1", "runner", "10.0.0.1", 7000, "fd-a", "run-1")
+
+    def addresses(self, _role):
+        return [("10.0.0.2", 7000)]
+
+
+def test_a_report_that_says_nothing_new_is_sent_only_as_a_heartbeat():
+    """Load pattern: a runner receives hundreds of reports a second, and each one wakes it."""
+    counts = {"t1": TargetCounts(1, 0)}
+    sender = LoadReportSender(RunnerPeers(), lambda: dict(counts))
+    socket = RecordingSocket()
+    for at_ms in range(0, 1_000, 20):
+        sender.send(socket, float(at_ms))
+    assert len(socket.sent) == 1_000 / UNCHANGED_INTERVAL_MS
+    counts["t1"] = TargetCounts(2, 0)
+    sender.send(socket, 1_000.0 - 20.0)
+    sender.send(socket, 1_000.0 - 19.0)
+    assert [report.counts["t1"].online for report in socket.sent[-2:]] == [1, 2]
+    sequences = [report.sequence for report in socket.sent]
+    assert sequences == sorted(set(sequences))
