--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -30,7 +30,7 @@
         return True
 
     def begin(self, target, _digest):
-        return SimpleNamespace(target=target)
+        return SimpleNamespace(target=target, has_progress=False)
 
     def end_broken(self, _run):
         pass
