--- a/ebonyshore/host/host_environment.py
+++ b/ebonyshore/host/host_environment.py
@@ -15,6 +15,7 @@
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.peers import PeerRecord
+from ebonyshore.store.counting_store import CountingStore
 from ebonyshore.store.marked_write import MarkedStore
 
 STORE_THREADS = 8
@@ -37,7 +38,7 @@
         self.metrics = Metrics()
         self.incarnation = uuid4().hex
         self.log = EventLog(instance_id=self.settings.instance_id, role=role)
-        self.store = deployment.open_store(self.settings)
+        self.store = CountingStore(deployment.open_store(self.settings), self.metrics)
         self.marked_store = MarkedStore(self.store, self.clock)
         self.executor = ThreadPoolExecutor(STORE_THREADS, thread_name_prefix="store")
         self.pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
