Refuse a job for its retention only if it cannot be in time either

Cause: the work ahead of a new job was taken to be all waiting work, but a job that can be in time goes before late ones. The new test failed before.

--- a/ebonyshore/runner/admission_policy.py
+++ b/ebonyshore/runner/admission_policy.py
@@ -77,16 +77,33 @@
     return bounded_ms * (1.0 + RETRY_SPREAD * draw)
 
 
+class RunnerWork(Struct, frozen=True):
+    """The batch work of the runner that is asked to accept a job.
+
+    :param waiting_tokens: unfinished tokens of all its jobs.
+    :param punctual_tokens: those of the jobs that are expected to be completed in time.
+    :param tokens_per_ms: rate at which it can complete work; ``None`` if that is not known.
+    """
+
+    waiting_tokens: int
+    punctual_tokens: int
+    tokens_per_ms: float | None
+
+
 def tokens_beyond_retention(
-    waiting_tokens: int, tokens: int, tokens_per_ms: float | None, retention_ms: float
+    work: RunnerWork, tokens: int, due_ms: float, retention_ms: float
 ) -> int:
-    """Return by how many tokens the work ahead exceeds what is done within a job's retention time.
+    """Return by how many tokens the work ahead of a new job exceeds what its retention time allows.
+
+    A job that can be in time goes before all late ones, however much late work there is. Otherwise
+    all the work of the runner goes before it.
 
-    :param waiting_tokens: unfinished tokens of all jobs of the route.
     :param tokens: tokens of the job.
-    :param tokens_per_ms: rate at which all runners complete work; ``None`` if it is not known.
+    :param due_ms: time until its results are due.
+    :param retention_ms: time until its items may be given up.
     :return: 0 if the job can end in time, or if that is not known.
     """
-    if not tokens_per_ms:
+    rate = work.tokens_per_ms
+    if not rate or work.punctual_tokens + tokens <= rate * due_ms:
         return 0
-    return max(0, int(waiting_tokens + tokens - tokens_per_ms * retention_ms))
+    return max(0, int(work.waiting_tokens + tokens - rate * retention_ms))
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -63,6 +63,7 @@
     :param pool: connections to targets.
     :param crash_guard: knows the content that crashes targets.
     :param completions: told of the slots that items can use and of completed items.
+    :param ranking: keeps the order of the jobs.
     :param random: chooses among the services of a route by their weight.
     """
 
@@ -76,6 +77,7 @@
         pool: ConnectionPool,
         crash_guard: CrashGuard,
         completions: CompletionRate,
+        ranking: JobRanking,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -89,7 +91,7 @@
         self._pool = pool
         self._crash_guard = crash_guard
         self._completions = completions
-        self._ranking = JobRanking(registry, completions, clock)
+        self._ranking = ranking
         self._clock = clock
         self._log = log
         self._metrics = metrics
--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -29,6 +29,7 @@
     tokens_beyond_retention,
 )
 from ebonyshore.runner.completion_rate import CompletionRate
+from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.quota_ledger import (
     KnownReservations,
@@ -144,6 +145,7 @@
     :param peers: all registered runners.
     :param storage: reads and changes the ledgers.
     :param completions: rate at which this runner completes work.
+    :param ranking: tells how much of this runner's work is expected to be completed in time.
     :param random: spreads the retry delays.
     """
 
@@ -155,6 +157,7 @@
         peers: PeerDirectory,
         storage: QuotaStorage,
         completions: CompletionRate,
+        ranking: JobRanking,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -166,6 +169,7 @@
         self._peers = peers
         self._storage = storage
         self._completions = completions
+        self._ranking = ranking
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -264,11 +268,11 @@
         return quota_name(route) if route is not None else None
 
     def _check_retention(self, route: Route, tokens: int) -> JobRefusal | None:
-        name = quota_name(route)
-        waiting = self._waiting_tokens.get(name, 0) + sum(self._reported_tokens(name).values())
-        rate = self._fleet_rate()
-        missing = tokens_beyond_retention(waiting, tokens, rate, route.retention_ms)
-        return self._refusal("retention", missing, rate) if missing else None
+        work = self._ranking.own_work()
+        missing = tokens_beyond_retention(
+            work, tokens, route.completion_target_ms, route.retention_ms
+        )
+        return self._refusal("retention", missing, work.tokens_per_ms) if missing else None
 
     async def _check_quota(self, job_id: str, route: Route, tokens: int) -> JobRefusal | None:
         if not route.max_waiting_tokens:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.runner.admission_policy import RunnerWork
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.job_order import JobDemand, JobOrder, item_rank, order_jobs
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
@@ -66,6 +67,15 @@
         self._order = order_jobs(demands, self._completions.slots, late_running)
         self._ranks = {job_id: rank for rank, job_id in enumerate(self._order.job_ids)}
 
+    def own_work(self) -> RunnerWork:
+        """Return the amount of this runner's work, and the rate at which it can be completed."""
+        owned = self._registry.owned_jobs()
+        return RunnerWork(
+            sum(job.unfinished_tokens for job in owned),
+            sum(job.unfinished_tokens for job in owned if not self.is_late(job.job_id)),
+            self._completions.tokens_per_ms(),
+        )
+
     def sort_items(self, items: list[WaitingItem]) -> list[WaitingItem]:
         """Return waiting items in the order in which they start.
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -19,6 +19,7 @@
 from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_expiry import JobExpiry
+from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
 from ebonyshore.runner.peer_monitor import PeerMonitor
@@ -137,6 +138,7 @@
     )
     claims = JobClaims(registry, load_table, clock, log)
     completions = CompletionRate()
+    ranking = JobRanking(registry, completions, clock)
     admission = JobAdmission(
         registry,
         parts.config,
@@ -144,6 +146,7 @@
         parts.peers,
         QuotaStorage(environment.marked_store, clock),
         completions,
+        ranking,
         clock,
         log,
         metrics,
@@ -163,6 +166,7 @@
         environment.pool,
         parts.crash_guard,
         completions,
+        ranking,
         clock,
         log,
         metrics,
--- a/tests/admission_setup.py
+++ b/tests/admission_setup.py
@@ -13,6 +13,7 @@
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.job_admission import JobAdmission
+from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.quota_ledger import QuotaLedger, quota_name
@@ -26,7 +27,7 @@
 SETTLE_TIMEOUT_MS = 200.0
 
 
-def make_route(limit_tokens=LIMIT_TOKENS, retention_ms=60_000.0):
+def make_route(limit_tokens=LIMIT_TOKENS, retention_ms=60_000.0, due_ms=18_000.0):
     return Route(
         "plans",
         "h",
@@ -34,6 +35,7 @@
         RouteKind.BATCH,
         (ServiceShare("svc", 1.0),),
         retention_ms=retention_ms,
+        completion_target_ms=due_ms,
         max_waiting_tokens=limit_tokens,
     )
 
@@ -97,6 +99,7 @@
             peers,
             QuotaStorage(store, self.clock),
             self.completions,
+            JobRanking(self.registry, self.completions, self.clock),
             self.clock,
             EventLog(),
             Metrics(),
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -12,6 +12,7 @@
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.item_scheduler import ItemScheduler
 from ebonyshore.runner.job_progress import ItemState
+from ebonyshore.runner.job_ranking import JobRanking
 from tests.admission_setup import FixedConfig, make_route
 from tests.registry_setup import RegistrySetup
 
@@ -72,6 +73,7 @@
         self.setup = RegistrySetup(retention_ms=1e9, epoch=1)
         self.targets = TargetTable()
         self.targets.put(TargetEntry("t1", "svc", "10.0.0.9:80", "fd-a", 8))
+        completions = CompletionRate()
         self.scheduler = ItemScheduler(
             WIRE_NAMES,
             self.setup.registry,
@@ -80,7 +82,8 @@
             self.setup.load_table,
             pool or EndlessPool(),
             self.guard,
-            CompletionRate(),
+            completions,
+            JobRanking(self.setup.registry, completions, self.setup.clock),
             self.setup.clock,
             EventLog(),
             Metrics(),
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -8,6 +8,7 @@
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.runner import job_admission, quota_storage
+from ebonyshore.runner.admission_policy import RunnerWork, tokens_beyond_retention
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore_standins.memory_platform import MemoryPlatform
 from tests.admission_setup import (
@@ -141,19 +142,28 @@
 
 def test_a_job_that_cannot_end_before_its_retention_is_refused(platform):
     async def run():
-        route = make_route(limit_tokens=0, retention_ms=2_000.0)
-        runner, other = make_runners(platform, route=route)
+        route = make_route(limit_tokens=0, retention_ms=2_000.0, due_ms=100.0)
+        runner, _ = make_runners(platform, route=route)
         accepted = await submit_all([runner], 4)
-        runner.admission.step()
         unknown_rate = await runner.submit("rate-unknown")
         for _ in range(20):
             runner.completions.record_completion(ITEM_TOKENS, 1_000.0)
         runner.completions.record_slots(2, 0.0)
-        return accepted, unknown_rate, await runner.submit("refused"), other
+        return accepted, unknown_rate, await runner.submit("refused")
 
-    accepted, unknown_rate, refusal, _ = asyncio.run(run())
+    accepted, unknown_rate, refusal = asyncio.run(run())
     assert len(accepted) == 4 and unknown_rate is None
-    assert refusal.reason == "retention" and refusal.retry_after_ms > 2_000.0
+    # 180 tokens of work, of which 40 are completed in the retention time.
+    assert refusal.reason == "retention" and refusal.missing_tokens == 140
+    assert 7_000.0 <= refusal.retry_after_ms <= 8_750.0
+
+
+def test_a_job_that_can_be_in_time_is_accepted_however_much_late_work_waits():
+    """Guards against the refusal of new jobs, which go before late ones, in a flood."""
+    work = RunnerWork(waiting_tokens=10_000, punctual_tokens=10, tokens_per_ms=0.01)
+    assert tokens_beyond_retention(work, 30, due_ms=18_000.0, retention_ms=60_000.0) == 0
+    busy = RunnerWork(waiting_tokens=10_000, punctual_tokens=160, tokens_per_ms=0.01)
+    assert tokens_beyond_retention(busy, 30, due_ms=18_000.0, retention_ms=60_000.0) == 9_430
 
 
 def test_the_reservation_of_a_runner_killed_before_it_stored_the_job_is_given_back(
