Forget jobs that a listing of the records lacks

Cause: a job that was removed while the watch of the records was interrupted is in no later change, and a listing only added jobs; a removed job's event also kept a waiting read.

--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -22,6 +22,8 @@
 from ebonyshore.store.marked_write import MarkedObject
 from ebonyshore.store.platform_api import StoredObject
 
+LISTING_AGE_MS = 10_000.0  # longer than it takes to read all pages of a list
+
 ResultT = TypeVar("ResultT")
 
 
@@ -103,7 +105,17 @@
         return await get_running_loop().run_in_executor(self._executor, function, *arguments)
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
+        """Apply a complete list of the records, and forget the jobs that are not in it.
+
+        A job that was stored after the list was requested may be missing in it, so only jobs that
+        have been known for :data:`LISTING_AGE_MS` are forgotten.
+        """
         self.on_changes(objects)
+        listed = {found.key.split("/", 1)[1] for found in objects}
+        for job_id in list(self._jobs):
+            is_listed = job_object_name(job_id) in listed
+            if not is_listed and self.known_for_ms(job_id) > LISTING_AGE_MS:
+                self.remove(job_id)
 
     def on_changes(self, objects: Sequence[StoredObject]) -> None:
         for found in objects:
@@ -282,6 +294,7 @@
     def remove(self, job_id: str) -> None:
         """Forget a job that is no longer stored. Does nothing if the job is not known."""
         self._jobs.pop(job_id, None)
+        self.notify_results(job_id)
 
     def _remove_key(self, key: str) -> None:
         name = key.split("/", 1)[1]
