Repeat no ledger write while the store answers nothing

Cause: a marked write repeats every 50 ms for 5 s until its outcome is known. For the ledger that is needless, as reservations are named by their jobs: it is read again and changed only if the reservation is missing. Failed writes now also back off.

--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -45,7 +45,9 @@
 
 STEP_INTERVAL_MS = 100.0
 RELEASE_INTERVAL_MS = 400.0  # between two writes of a quota that only release tokens
-RETRY_INTERVAL_MS = 500.0  # after a failed write
+RETRY_INTERVAL_MS = 500.0  # after a failed write; doubled after each further one
+MAX_RETRY_INTERVAL_MS = 4_000.0
+MAX_DOUBLINGS = 8
 CONTENTION_MEMORY_MS = 2_000.0  # for which a quota counts as contended after it was last seen so
 # A job whose reservation is stored but whose record is not may still be stored this much later.
 ABANDONED_AFTER_MS = 8_000.0
@@ -99,10 +101,12 @@
     :ivar missing_tokens: tokens that were missing for the last refused request.
     :ivar unknown_since_ms: times since which reserved jobs have no known record, by job id.
     :ivar contended_ms: time at which the limit was last seen nearly used up.
+    :ivar failures: number of failed writes in succession.
     """
 
     __slots__ = (
         "contended_ms",
+        "failures",
         "ledger",
         "limit_tokens",
         "missing_tokens",
@@ -124,6 +128,7 @@
         self.unknown_since_ms: dict[str, float] = {}
         self.contended_ms = float("-inf")
         self.next_release_ms = float("-inf")
+        self.failures = 0
         self.task: Task[None] | None = None
 
     @property
@@ -415,6 +420,7 @@
         except StoreError as error:
             self._fail_requests(quota, error)
             return
+        quota.failures = 0
         quota.ledger = changed.ledger
         quota.missing_tokens = changed.missing_tokens
         if changed.refused:
@@ -427,7 +433,9 @@
     def _fail_requests(self, quota: RouteQuota, error: StoreError) -> None:
         """Fail the requests of a write. Accepted jobs are requested again by the next step."""
         self._log.event("quota_not_written", quota=quota.name, error=str(error))
-        quota.next_release_ms = now_ms() + RETRY_INTERVAL_MS
+        quota.failures += 1
+        delay_ms = RETRY_INTERVAL_MS * 2 ** min(quota.failures - 1, MAX_DOUBLINGS)
+        quota.next_release_ms = now_ms() + min(delay_ms, MAX_RETRY_INTERVAL_MS)
         for pending in quota.writing:
             if not pending.request.is_accepted:
                 self.release(pending.request.reservation.job_id)
--- a/ebonyshore/runner/quota_storage.py
+++ b/ebonyshore/runner/quota_storage.py
@@ -6,14 +6,20 @@
 from msgspec import DecodeError, Struct
 
 from ebonyshore.frame.clock import Clock
-from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
+from ebonyshore.frame.errors import (
+    StoreUnavailableError,
+    WriteConflictError,
+    WriteOutcomeUnknownError,
+)
 from ebonyshore.runner.quota_ledger import LedgerChange, QuotaLedger
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
-from ebonyshore.store.platform_api import ABSENT_VERSION
+from ebonyshore.store.platform_api import ABSENT_VERSION, ObjectStore
 
 QUOTAS_KIND = "jobquotas"
 MAX_ATTEMPTS = 12
 MAX_CONFLICT_PAUSE_MS = 8
+MAX_LOST_ANSWERS = 3  # each repetition is a priced call, also while the store is down
+LOST_ANSWER_PAUSE_MS = 50.0
 MAX_COPY_AGE_MS = 300.0  # of a ledger that is used without reading the store
 
 
@@ -29,12 +35,17 @@
 
     The last copy of each ledger is kept, so that most changes cost one call. Calls for one ledger
     must not overlap.
+
+    After a write of unknown outcome the ledger is read again: a change that took effect needs no
+    second write, because reservations are named by their jobs.
+
+    :param store: the platform's object store.
     """
 
     __slots__ = ("_clock", "_copies", "_store")
 
-    def __init__(self, store: MarkedStore, clock: Clock) -> None:
-        self._store = store
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = MarkedStore(store, clock, settle_timeout_ms=0.0)
         self._clock = clock
         self._copies: dict[str, _LedgerCopy] = {}
 
@@ -51,6 +62,7 @@
         :raises WriteOutcomeUnknownError: if the change may have been stored.
         """
         key = f"{QUOTAS_KIND}/{name}"
+        lost_answers = 0
         for attempt in range(MAX_ATTEMPTS):
             copy = self._copies.pop(key, None) or self._read(key)
             result = change(copy.stored.body)
@@ -64,6 +76,11 @@
                 return self._write(copy, result)
             except WriteConflictError:
                 self._clock.sleep_ms(secrets.randbelow(MAX_CONFLICT_PAUSE_MS * (attempt + 1)))
+            except WriteOutcomeUnknownError:
+                lost_answers += 1
+                if lost_answers > MAX_LOST_ANSWERS:
+                    raise
+                self._clock.sleep_ms(LOST_ANSWER_PAUSE_MS)
         raise WriteConflictError(f"{key}: {MAX_ATTEMPTS} attempts conflicted with other writes")
 
     def _write(self, copy: _LedgerCopy, result: LedgerChange) -> LedgerChange:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -144,7 +144,7 @@
         parts.config,
         load_table,
         parts.peers,
-        QuotaStorage(environment.marked_store, clock),
+        QuotaStorage(environment.store, clock),
         completions,
         ranking,
         clock,
--- a/tests/admission_setup.py
+++ b/tests/admission_setup.py
@@ -97,7 +97,7 @@
             self.config,
             self.load_table,
             peers,
-            QuotaStorage(store, self.clock),
+            QuotaStorage(platform, self.clock),
             self.completions,
             JobRanking(self.registry, self.completions, self.clock),
             self.clock,
--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -232,6 +232,36 @@
     assert len(asyncio.run(run())) == FITTING_JOBS
 
 
+def test_a_reservation_whose_answer_was_lost_is_made_once(platform):
+    async def run():
+        runner = make_runners(platform)[0]
+        platform.faults.lose_next_answers = 1
+        return [await runner.submit(f"j{n}") for n in range(FITTING_JOBS + 1)]
+
+    refusals = asyncio.run(run())
+    assert refusals[:-1] == [None] * FITTING_JOBS and refusals[-1].reason == "quota"
+    assert stored_ledger(platform).total_tokens == FITTING_JOBS * JOB_TOKENS
+
+
+def test_an_outage_of_the_store_costs_few_calls(platform):
+    """Guards against a write that is repeated every 50 ms while the store answers nothing."""
+
+    async def run():
+        runners = make_runners(platform)
+        await submit_all(runners, FITTING_JOBS)
+        platform.faults.drop_next_writes = 1_000
+        calls_before = platform.calls["put"]
+        with pytest.raises(StoreError):
+            await runners[0].admission.admit(runners[0].make_record("x", 1), make_route())
+        runners[1].end_items("j1", 3)
+        for _ in range(20):
+            runners[1].admission.step()
+            await asyncio.sleep(0.1)
+        return platform.calls["put"] - calls_before
+
+    assert asyncio.run(run()) <= 16
+
+
 def test_a_runner_cut_off_from_the_store_accepts_nothing(platform):
     async def run():
         view = SwitchedPlatform(platform)
