--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -38,6 +38,7 @@
     """
 
     __slots__ = (
+        "_environment",
         "_watches",
         "config",
         "crash_guard",
@@ -49,6 +50,7 @@
     )
 
     def __init__(self, environment: HostEnvironment) -> None:
+        self._environment = environment
         deployment, log = environment.deployment, environment.log
         self.config = ConfigService(deployment.config_key, deployment.decode_config, log)
         self.targets = TargetService(TargetTable(), deployment.decode_target, environment.pool, log)
@@ -59,11 +61,28 @@
         self.crash_guard = make_crash_guard(environment, self.targets.table, self.suspicions)
         config_kind = deployment.config_key.split("/", 1)[0]
         self._watches = [
-            make_watch(environment, config_kind, self.config),
-            make_watch(environment, deployment.targets_kind, self.targets, TARGETS_WATCH_PAUSE_MS),
-            make_watch(environment, PEERS_KIND, self.peers, PEERS_WATCH_PAUSE_MS),
+            self.make_watch(config_kind, self.config),
+            self.make_watch(deployment.targets_kind, self.targets, TARGETS_WATCH_PAUSE_MS),
+            self.make_watch(PEERS_KIND, self.peers, PEERS_WATCH_PAUSE_MS),
         ]
 
+    def make_watch(self, kind: str, listener: KindListener, pause_ms: float = 0.0) -> KindWatch:
+        """Return a watch of one kind of objects.
+
+        :param pause_ms: pause between two watches of the kind.
+        """
+        environment = self._environment
+        return KindWatch(
+            environment.store,
+            kind,
+            listener,
+            environment.clock,
+            environment.log,
+            environment.random,
+            pause_ms,
+            lambda: self.probe.is_silent,
+        )
+
     def watch_service(self, more_watches: Sequence[KindWatch] = ()) -> WatchService:
         """Return the service that runs the watches and the registration.
 
@@ -72,24 +91,6 @@
         return WatchService([*self._watches, *more_watches], self.registration, self.targets)
 
 
-def make_watch(
-    environment: HostEnvironment, kind: str, listener: KindListener, pause_ms: float = 0.0
-) -> KindWatch:
-    """Return a watch of one kind of objects.
-
-    :param pause_ms: pause between two watches of the kind.
-    """
-    return KindWatch(
-        environment.store,
-        kind,
-        listener,
-        environment.clock,
-        environment.log,
-        environment.random,
-        pause_ms,
-    )
-
-
 def make_probe(environment: HostEnvironment, config: ConfigService) -> StoreProbe:
     """Return the probe of the store.
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -9,7 +9,7 @@
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.host_environment import HostEnvironment
 from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
-from ebonyshore.host.process import SharedComponents, make_watch, run_process
+from ebonyshore.host.process import SharedComponents, run_process
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.runner.completion_rate import CompletionRate
@@ -181,7 +181,9 @@
     kernel.register(load)
     kernel.register(parts.probe)
     kernel.register(parts.crash_guard)
-    kernel.register(parts.watch_service(_make_watches(environment, registry, runner, load_table)))
+    kernel.register(
+        parts.watch_service(_make_watches(environment, parts, registry, runner, load_table))
+    )
     kernel.register(runner)
     storage = ConvictionStorage(environment.store, environment.marked_store, log)
     kernel.register(
@@ -197,6 +199,7 @@
 
 def _make_watches(
     environment: HostEnvironment,
+    parts: SharedComponents,
     registry: JobRegistry,
     runner: RunnerService,
     load_table: LoadTable,
@@ -212,8 +215,8 @@
         environment.log,
     )
     return [
-        make_watch(environment, JOBS_KIND, registry, JOBS_WATCH_PAUSE_MS),
-        make_watch(environment, deployment.retirements_kind, retirement),
+        parts.make_watch(JOBS_KIND, registry, JOBS_WATCH_PAUSE_MS),
+        parts.make_watch(deployment.retirements_kind, retirement),
     ]
 
 
--- a/ebonyshore/store/kind_watch.py
+++ b/ebonyshore/store/kind_watch.py
@@ -6,7 +6,7 @@
 
 from abc import ABC, abstractmethod
 from asyncio import AbstractEventLoop
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
@@ -21,6 +21,8 @@
 MIN_RETRY_MS = 150.0
 FIRST_RETRY_MS = 300.0
 MAX_RETRY_MS = 800.0
+PROBE_CHECK_INTERVAL_MS = 50.0
+MAX_PROBE_WAIT_MS = 2_000.0  # then the watch tries by itself
 
 
 class KindListener(ABC):
@@ -59,6 +61,8 @@
     :param random: randomizes the delay before a retry.
     :param pause_ms: pause between two watches, so that changes in quick succession cost only one
         call to the store.
+    :param is_store_silent: tells whether the store probe gets no answers at present. All watches of
+        a process then wait for the probe instead of calling the store themselves.
     """
 
     def __init__(
@@ -70,7 +74,9 @@
         log: EventLog,
         random: Random,
         pause_ms: float = 0.0,
+        is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_store_silent = is_store_silent
         self._store = store
         self._kind = kind
         self._listener = listener
@@ -162,6 +168,14 @@
         self._notify(self._listener.on_interruption)
         max_delay_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (min(self._failures, 8) - 1))
         self._clock.sleep_ms(self._random.uniform(MIN_RETRY_MS, max_delay_ms))
+        self._wait_for_probe()
+
+    def _wait_for_probe(self) -> None:
+        end_ms = self._clock.monotonic_ms() + MAX_PROBE_WAIT_MS
+        while (
+            self._is_store_silent() and self._clock.monotonic_ms() < end_ms and not self._is_stopped
+        ):
+            self._clock.sleep_ms(PROBE_CHECK_INTERVAL_MS)
 
     def _notify(self, function, *arguments) -> None:
         try:
--- a/tests/test_kind_watch.py
+++ b/tests/test_kind_watch.py
@@ -68,6 +68,34 @@
     return asyncio.run(scenario())
 
 
+def test_watches_wait_for_the_probe_while_the_store_is_silent():
+    """Guards against calls of each watch of each process to a store that is down."""
+
+    async def scenario():
+        silent = [True]
+        store = ScriptedStore(StoreUnavailableError("down"), Listing(5, ()))
+        listener = RecordingListener()
+        watch = KindWatch(
+            store,
+            "config",
+            listener,
+            SystemClock(),
+            EventLog(),
+            Random(1),
+            is_store_silent=lambda: silent[0],
+        )
+        watch.start(asyncio.get_running_loop())
+        await asyncio.sleep(1.2)
+        calls_while_silent = list(store.calls)
+        silent[0] = False
+        await asyncio.sleep(0.2)
+        watch.stop()
+        return calls_while_silent, store.calls
+
+    while_silent, calls = asyncio.run(scenario())
+    assert while_silent == ["list"] and calls[:3] == ["list", "list", 5]
+
+
 def test_watch_starts_from_the_revision_of_the_listing():
     store, listener = run_watch(
         Listing(5, (stored_object("main", 3),)),
