--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -30,6 +30,7 @@
 
 MAX_REQUEST_BYTES = 16 << 20
 RETRY_AFTER_MS = 600.0
+STORE_RETRY_AFTER_MS = 1_500.0  # outages of the store last for seconds
 
 
 class Reply:
@@ -146,7 +147,7 @@
             return Reply(502)
         except StoreError as error:
             self._log_store_failure(call, error)
-            return refusal_reply(ResultCode.STORE_UNAVAILABLE)
+            return refusal_reply(ResultCode.STORE_UNAVAILABLE, STORE_RETRY_AFTER_MS)
 
     async def _submit(self, call: JobCall, request: Request) -> Reply:
         if self._registry.is_leaving:
