--- a/ebonyshore_soak/limited_jobs.py
+++ b/ebonyshore_soak/limited_jobs.py
@@ -33,6 +33,20 @@
     accepted_ms: float
 
 
+def first_completions(runs: Sequence[RunRecord]) -> dict[str, float]:
+    """Return the time at which a target first completed each request.
+
+    An item runs again if its owner died before it stored the result. It has not been waiting since
+    its first complete run.
+    """
+    ended_ms: dict[str, float] = {}
+    for run in runs:
+        if run.is_complete:
+            known_ms = ended_ms.get(run.request_id, float("inf"))
+            ended_ms[run.request_id] = min(known_ms, run.ended_ms)
+    return ended_ms
+
+
 class LimitedJobsClient:
     """Submits more jobs to the limited route than fit, on its own threads until :meth:`stop`.
 
@@ -73,7 +87,7 @@
 
     def check_limit(self, runs: Sequence[RunRecord]) -> None:
         """Check that at no acceptance more tokens were waiting than the limit allows."""
-        ended_ms = {run.request_id: run.ended_ms for run in runs if run.is_complete}
+        ended_ms = first_completions(runs)
         most_tokens = 0
         for current in self._accepted:
             at_ms = current.accepted_ms
