Keep the reservation of a job that was also offered to another runner

Cause: a submission that takes 120 ms is offered to a second runner as well. The second one found the reservation of the first and put its own name on it; when the first had accepted the job, the entry ended the second call, and the second runner gave the reservation back before it knew of the job. The job was accepted, but counted for nothing. Fix: each runner has its own reservation of a job, and the job counts once; an owner replaces all of them. The test of the random histories offers jobs to two runners, and failed before.

--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -99,7 +99,8 @@
     :ivar pending: requests that wait for the next write.
     :ivar writing: the requests of the write in progress.
     :ivar missing_tokens: tokens that were missing for the last refused request.
-    :ivar unknown_since_ms: times since which reserved jobs have no known record, by job id.
+    :ivar unknown_since_ms: times since which reserved jobs have no known record, by job id and
+        owner.
     :ivar contended_ms: time at which the limit was last seen nearly used up.
     :ivar failures: number of failed writes in succession.
     """
@@ -125,7 +126,7 @@
         self.pending: list[PendingRequest] = []
         self.writing: list[PendingRequest] = []
         self.missing_tokens = 0
-        self.unknown_since_ms: dict[str, float] = {}
+        self.unknown_since_ms: dict[tuple[str, str], float] = {}
         self.contended_ms = float("-inf")
         self.next_release_ms = float("-inf")
         self.failures = 0
@@ -380,11 +381,8 @@
         ]
 
     def _excess_tokens(self, quota: RouteQuota) -> int:
-        known = self._known_reservations()
-        return sum(
-            reservation.tokens - known.update(reservation).tokens
-            for reservation in quota.ledger.reservations
-        )
+        current = self._known_reservations().update(quota.ledger)
+        return quota.ledger.total_tokens - current.total_tokens
 
     def _request(self, quota: RouteQuota, pending: PendingRequest) -> None:
         quota.pending.append(pending)
@@ -445,25 +443,23 @@
     def _find_abandoned(self, quota: RouteQuota, at_ms: float) -> None:
         """Check a reservation whose job has not become known for a long time."""
         unknown = {
-            kept.job_id: kept
+            (kept.job_id, kept.owner)
             for kept in quota.ledger.reservations
             if not self._registry.is_known(kept.job_id)
-            and (kept.job_id, kept.owner) not in self._released_ms
         }
-        quota.unknown_since_ms = {
-            job_id: quota.unknown_since_ms.get(job_id, at_ms) for job_id in unknown
-        }
-        for job_id, since_ms in quota.unknown_since_ms.items():
+        unknown -= self._released_ms.keys()
+        quota.unknown_since_ms = {key: quota.unknown_since_ms.get(key, at_ms) for key in unknown}
+        for (job_id, owner), since_ms in quota.unknown_since_ms.items():
             if at_ms - since_ms > ABANDONED_AFTER_MS:
-                quota.unknown_since_ms[job_id] = at_ms
-                check = create_task(self._check_abandoned(unknown[job_id]))
+                quota.unknown_since_ms[job_id, owner] = at_ms
+                check = create_task(self._check_abandoned(job_id, owner))
                 self._checks.add(check)
                 check.add_done_callback(self._checks.discard)
                 return
 
-    async def _check_abandoned(self, reservation: Reservation) -> None:
+    async def _check_abandoned(self, job_id: str, owner: str) -> None:
         """Release a reservation if its job is not stored."""
-        registry, job_id = self._registry, reservation.job_id
+        registry = self._registry
         try:
             found = await registry.run_blocking(registry.storage.read, job_id)
         except StoreError as error:
@@ -472,5 +468,5 @@
         if found is not None:
             registry.update_record(found)
             return
-        self._log.event("reservation_abandoned", job=job_id, owner=reservation.owner)
-        self._released_ms[job_id, reservation.owner] = now_ms()
+        self._log.event("reservation_abandoned", job=job_id, owner=owner)
+        self._released_ms[job_id, owner] = now_ms()
--- a/ebonyshore/runner/quota_ledger.py
+++ b/ebonyshore/runner/quota_ledger.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 from hashlib import blake2b
 
-from msgspec import Struct, structs
+from msgspec import Struct
 
 from ebonyshore.host.routes import Route
 
@@ -17,6 +17,9 @@
 class Reservation(Struct, frozen=True, array_like=True):
     """The tokens of one job that count towards the limit.
 
+    A job that was offered to two runners may have a reservation of each; it counts once. Each
+    runner gives back only its own.
+
     :param job_id: id of the job.
     :param tokens: tokens of the job's unfinished items.
     :param owner: instance id of the runner that made the reservation or owns the job.
@@ -28,14 +31,22 @@
 
 
 class QuotaLedger(Struct, frozen=True):
-    """All reservations of one route, as they are stored."""
+    """All reservations of one route, as they are stored; at most one for each job and owner."""
 
     reservations: tuple[Reservation, ...] = ()
 
+    def tokens_by_job(self) -> dict[str, int]:
+        """Return the reserved tokens of each job."""
+        tokens: dict[str, int] = {}
+        for reservation in self.reservations:
+            known = tokens.get(reservation.job_id, 0)
+            tokens[reservation.job_id] = max(known, reservation.tokens)
+        return tokens
+
     @property
     def total_tokens(self) -> int:
-        """Sum of all reserved tokens."""
-        return sum(reservation.tokens for reservation in self.reservations)
+        """Sum of the reserved tokens of all jobs."""
+        return sum(self.tokens_by_job().values())
 
     def tokens_by_owner(self) -> dict[str, int]:
         """Return the reserved tokens of each owner."""
@@ -48,19 +59,24 @@
 class KnownReservations(Struct, frozen=True):
     """What one runner knows of reservations, as a basis for a change of the ledger.
 
-    :param current: present reservations by job id, of the jobs whose unfinished tokens the runner
-        knows. Those with 0 tokens are not needed any more.
+    :param current: by job id, the only reservation that a job needs, if the runner owns the job or
+        knows that it has ended. Those with 0 tokens are not needed any more.
     :param released: pairs of job id and owner of reservations whose job was not stored.
     """
 
     current: dict[str, Reservation] = {}
     released: frozenset[tuple[str, str]] = frozenset()
 
-    def update(self, stored: Reservation) -> Reservation:
-        """Return the present state of a stored reservation, unchanged if nothing is known."""
-        if (stored.job_id, stored.owner) in self.released:
-            stored = structs.replace(stored, tokens=0)
-        return self.current.get(stored.job_id, stored)
+    def update(self, ledger: QuotaLedger) -> QuotaLedger:
+        """Return the ledger without the reservations that are not needed any more."""
+        updated: dict[tuple[str, str], Reservation] = {}
+        for stored in ledger.reservations:
+            kept = self.current.get(stored.job_id)
+            if kept is None and (stored.job_id, stored.owner) not in self.released:
+                kept = stored
+            if kept is not None and kept.tokens > 0:
+                updated[kept.job_id, kept.owner] = kept
+        return QuotaLedger(tuple(updated.values()))
 
 
 class ReservationRequest(Struct, frozen=True):
@@ -109,25 +125,24 @@
     :param limit_tokens: limit for the sum of all reservations; 0 if there is none.
     :param unreserved_tokens: tokens of accepted jobs of other runners that have no reservation yet.
     """
-    present = [known.update(reservation) for reservation in ledger.reservations]
-    updated = {reservation.job_id: reservation for reservation in present if reservation.tokens > 0}
-    total_tokens = unreserved_tokens + sum(kept.tokens for kept in updated.values())
+    current = known.update(ledger)
+    reservations = {(kept.job_id, kept.owner): kept for kept in current.reservations}
+    tokens_by_job = current.tokens_by_job()
+    total_tokens = unreserved_tokens + sum(tokens_by_job.values())
     refused: set[str] = set()
     missing_tokens = 0
     for request in requests:
         wanted = request.reservation
-        existing = updated.get(wanted.job_id)
-        if existing is None:
+        if wanted.job_id not in tokens_by_job:
             excess_tokens = total_tokens + wanted.tokens - limit_tokens
             if excess_tokens > 0 and limit_tokens and not request.is_accepted:
                 refused.add(wanted.job_id)
                 missing_tokens = min(missing_tokens or excess_tokens, excess_tokens)
                 continue
             total_tokens += wanted.tokens
-            updated[wanted.job_id] = wanted
-        elif existing.owner != wanted.owner:
-            updated[wanted.job_id] = structs.replace(existing, owner=wanted.owner)
-    changed = QuotaLedger(tuple(updated.values()))
+            tokens_by_job[wanted.job_id] = wanted.tokens
+        reservations.setdefault((wanted.job_id, wanted.owner), wanted)
+    changed = QuotaLedger(tuple(reservations.values()))
     return LedgerChange(changed, frozenset(refused), missing_tokens)
 
 
