--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -16,7 +16,8 @@
 # A seed whose run violated a guarantee is added here, with the cause, and is kept.
 # 903: room for a job was missing for 8 s, as a call had ended between reservation and storing.
 # 905: two runs of one item at a time, so events stood twice in its result.
-CI_SEEDS = (1, 903, 905)  # each takes half a minute
+# 1244: the reservation of a job that was offered to two runners was given back.
+CI_SEEDS = (1, 903, 905, 1244)
 
 
 @pytest.mark.parametrize("seed", CI_SEEDS)
