--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -7,7 +7,7 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
-from ebonyshore.runner import job_admission, quota_storage
+from ebonyshore.runner import job_admission, quota_storage, reservation_writer
 from ebonyshore.runner.admission_policy import RunnerWork, tokens_beyond_retention
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore_standins.memory_platform import MemoryPlatform
@@ -46,9 +46,9 @@
 def short_intervals(monkeypatch):
     """Shorten the pauses between steps, so that tests need not wait for them."""
     monkeypatch.setattr(job_admission, "STEP_INTERVAL_MS", 0.0)
-    monkeypatch.setattr(job_admission, "RELEASE_INTERVAL_MS", 0.0)
-    monkeypatch.setattr(job_admission, "RETRY_INTERVAL_MS", 0.0)
-    monkeypatch.setattr(job_admission, "ABANDONED_AFTER_MS", 100.0)
+    monkeypatch.setattr(reservation_writer, "RELEASE_INTERVAL_MS", 0.0)
+    monkeypatch.setattr(reservation_writer, "RETRY_INTERVAL_MS", 0.0)
+    monkeypatch.setattr(reservation_writer, "ABANDONED_AFTER_MS", 100.0)
     monkeypatch.setattr(quota_storage, "MAX_COPY_AGE_MS", 0.0)
 
 
@@ -214,7 +214,7 @@
     platform, short_intervals, monkeypatch
 ):
     """Guards against room that stays taken for seconds; seed 903 of the soak."""
-    monkeypatch.setattr(job_admission, "ABANDONED_AFTER_MS", 60_000.0)
+    monkeypatch.setattr(reservation_writer, "ABANDONED_AFTER_MS", 60_000.0)
 
     async def run():
         runners = make_runners(platform)
