--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -193,10 +193,12 @@
 
     def _log_use(self, slots_by_service: dict[str, list[TargetSlots]]) -> None:
         """Log once a second how the targets are used, while there is batch work."""
-        open_items = self._registry.open_item_count()
-        if not open_items or now_ms() - self._use_logged_ms < USE_LOG_INTERVAL_MS:
+        if now_ms() - self._use_logged_ms < USE_LOG_INTERVAL_MS:
             return
         self._use_logged_ms = now_ms()
+        open_items = self._registry.open_item_count()
+        if not open_items:
+            return
         all_slots = [
             slots for service_slots in slots_by_service.values() for slots in service_slots
         ]
--- a/ebonyshore_standins/object_store_server.py
+++ b/ebonyshore_standins/object_store_server.py
@@ -229,7 +229,11 @@
         protocol_version = "HTTP/1.1"
 
         def _serve(self) -> None:
-            body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+            length = int(self.headers.get("Content-Length") or 0)
+            body = self.rfile.read(length)
+            if len(body) < length:  # the client has ended in the middle of its request
+                self.close_connection = True
+                return
             server.calls.append((self.command, self.path))
             fault = server.fault_hook(self.command, self.path)
             if fault == "reset":
