--- a/tests/test_job_submission.py
+++ b/tests/test_job_submission.py
@@ -100,3 +100,21 @@
     """Guards against needless calls to the store, which a read causes at each runner."""
     calls = ScriptedJobCallForwarder(a=(2 * SUBMIT_HEDGE_DELAY_MS, 200), b=(1.0, 200))
     assert calls.submit(JobCallKind.RESULTS).body == b"a" and calls.called == ["a"]
+
+
+def test_job_that_exceeds_the_limit_of_its_route_is_offered_to_no_further_runner():
+    calls = ScriptedJobCallForwarder(a=(1.0, 429), b=(1.0, 202))
+    assert calls.submit().status == 429 and calls.called == ["a"]
+
+
+def test_refusal_is_not_passed_on_while_another_runner_may_accept_the_job():
+    """Guards against a job that runs although its caller was told that it does not."""
+    late_refusal = (1.5 * SUBMIT_HEDGE_DELAY_MS, 429)
+    calls = ScriptedJobCallForwarder(a=(3 * SUBMIT_HEDGE_DELAY_MS, 202), b=late_refusal)
+    assert calls.submit().status == 202
+
+
+def test_job_that_a_runner_may_have_accepted_is_not_refused_for_the_limit():
+    calls = ScriptedJobCallForwarder(a=(1.0, 500), b=(1.0, 429))
+    answer = calls.submit()
+    assert isinstance(answer, ErrorResponse) and answer.code is ResultCode.OUTCOME_UNKNOWN
