--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -98,8 +98,8 @@
         """Return the response to the caller if no runner has given a final one.
 
         That is the refusal for an exhausted limit if there is one, else the last response, or a
-        refusal if there is none. But a job that a runner
-        may have accepted must not be refused as not executed.
+        refusal if there is none. But a job that a runner may have accepted must not be refused as
+        not executed.
         """
         if kind is JobCallKind.SUBMIT and self._may_have_accepted:
             return maybe_executed_response(ResultCode.OUTCOME_UNKNOWN)
--- a/ebonyshore/runner/completion_rate.py
+++ b/ebonyshore/runner/completion_rate.py
@@ -4,9 +4,8 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 
-SLOTS_TIME_CONSTANT_MS = (
-    8.0 * MS_PER_S
-)  # longer than a burst of online requests and a calm together
+# Longer than a burst of online requests and the quiet period after it.
+SLOTS_TIME_CONSTANT_MS = 8.0 * MS_PER_S
 SLOT_TIME_SMOOTHING = 0.1  # weight of each new value in the exponential moving average
 MIN_COMPLETIONS = 8  # fewer say little about the slot time
 
--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -1,8 +1,7 @@
 """Accepts or refuses submitted jobs, within the limits of their routes.
 
 Each route with a limit has a ledger of reserved tokens in the store (:mod:`quota_ledger`). This
-module decides when to write to it: before a job is stored, and when work has ended. Requests that
-arrive while a write is in progress share the next one.
+module decides when to write to it: before a job is stored, and when work has ended.
 """
 
 from asyncio import CancelledError, Future, get_running_loop
@@ -30,11 +29,7 @@
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
-from ebonyshore.runner.quota_ledger import (
-    Reservation,
-    ReservationRequest,
-    quota_name,
-)
+from ebonyshore.runner.quota_ledger import Reservation, ReservationRequest, quota_name
 from ebonyshore.runner.quota_storage import QuotaStorage
 from ebonyshore.runner.reservation_writer import ReservationWriter
 from ebonyshore.runner.route_quota import PendingRequest, RouteQuota
--- a/ebonyshore/runner/reservation_writer.py
+++ b/ebonyshore/runner/reservation_writer.py
@@ -24,9 +24,10 @@
 RELEASE_INTERVAL_MS = 400.0  # between two writes of a quota that only release tokens
 RETRY_INTERVAL_MS = 500.0  # after a failed write; doubled after each further one
 MAX_RETRY_INTERVAL_MS = 4_000.0
-MAX_DOUBLINGS = 8
+MAX_DOUBLINGS = 8  # keeps the power of two small; the interval is limited before
 # A job whose reservation is stored but whose record is not may still be stored this much later.
 ABANDONED_AFTER_MS = 8_000.0
+# For which a given-up reservation is removed again, should a delayed write add it.
 RELEASED_MEMORY_MS = 20_000.0
 
 
