Log the progress of a failed run and the contents that a check leaves unexplained

A break of a run that had brought events could not be told from one at its first event, and target_alive gave a number of runs, not their contents. Both are needed to tell the hypotheses of the repeated crashes from each other. No decision depends on the new fields.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -14,7 +14,7 @@
 )
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
 from ebonyshore.gateway.load_view import LoadView
-from ebonyshore.host.crash_guard import CrashGuard
+from ebonyshore.host.crash_guard import ContentRun, CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
     deadline_response,
@@ -178,11 +178,11 @@
             end = await exchange.run(self._responder, remaining_ms, self._route, can_retry)
         except NotExecutedError as error:
             self._attempts -= 1
-            return self._after_refusal(target, error)
+            return self._after_refusal(run, error)
         except AttemptFailedError as error:
             if error.may_be_crash:
                 forwarder.crash_guard.end_broken(run)
-            return self._after_failure(target, error)
+            return self._after_failure(run, error)
         finally:
             forwarder.view.record_end(target)
             forwarder.crash_guard.end(run)
@@ -193,7 +193,8 @@
             forwarder.view.record_service_time(now_ms() - began_ms)
         return "answered"
 
-    def _after_refusal(self, target: Target, error: NotExecutedError) -> str | None:
+    def _after_refusal(self, run: ContentRun, error: NotExecutedError) -> str | None:
+        target = run.target
         self._unsuccessful_targets.add(target.target_id)
         self._refusals += 1
         if error.is_unreachable:
@@ -203,17 +204,18 @@
             target.outcomes.record(
                 UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots or 0) > 0 else 0.0, now_ms()
             )
-        self._log_attempt(target, "not_executed", error.detail)
+        self._log_attempt(run, "not_executed", error.detail)
         if self._refusals > MAX_REFUSALS:
             return self._refuse()
         return None
 
-    def _after_failure(self, target: Target, error: AttemptFailedError) -> str | None:
+    def _after_failure(self, run: ContentRun, error: AttemptFailedError) -> str | None:
+        target = run.target
         self._unsuccessful_targets.add(target.target_id)
         target.outcomes.record(1.0, now_ms())
         if error.is_idle_timeout:
             target.mark_unresponsive(now_ms())
-        self._log_attempt(target, "broken", error.detail)
+        self._log_attempt(run, "broken", error.detail)
         if self._can_retry():
             return None
         if error.is_deadline_exceeded:
@@ -281,16 +283,17 @@
         response.send(self._responder, self._request, self._forwarder.names)
         return response.code.name.lower()
 
-    def _log_attempt(self, target: Target, outcome: str, detail: str) -> None:
+    def _log_attempt(self, run: ContentRun, outcome: str, detail: str) -> None:
         self._forwarder.metrics.count(f"attempts_{outcome}")
         self._forwarder.log.event(
             "attempt_ended",
             request=self._request_id,
             content=self._content_digest,
-            target=target.target_id,
+            target=run.target.target_id,
             outcome=outcome,
             detail=detail,
             last_event=self._relay.last_id,
+            progress_ms=run.progress_ms,
         )
 
 
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -40,17 +40,21 @@
     :ivar has_progress: whether the run has received events that the next run of the request will
         continue from. It did not crash the target when it began, so a crash is not attributed to
         it, but to the next run if that crashes its target, too.
+    :ivar first_event_ms: time at which the run received its first event; ``None`` before that.
+    :ivar last_event_ms: the same of its last event so far.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     """
 
     __slots__ = (
         "content_digest",
+        "first_event_ms",
         "follows_break",
         "has_progress",
         "has_response",
         "is_attributed",
         "is_checked",
         "is_sent",
+        "last_event_ms",
         "started_ms",
         "target",
     )
@@ -65,9 +69,24 @@
         self.is_sent = False
         self.has_response = False
         self.has_progress = False
+        self.first_event_ms: float | None = None
+        self.last_event_ms: float | None = None
         self.is_attributed = False
         self.is_checked = False
 
+    @property
+    def progress_ms(self) -> float | None:
+        """Time from the first to the last event in milliseconds; ``None`` without an event."""
+        if self.first_event_ms is None:
+            return None
+        return self.last_event_ms - self.first_event_ms
+
+    def record_event(self, at_ms: float) -> None:
+        """Record that the run received an event."""
+        if self.first_event_ms is None:
+            self.first_event_ms = at_ms
+        self.last_event_ms = at_ms
+
     def may_have_crashed_target(self, at_ms: float) -> bool:
         """Return whether a crash of the target at ``at_ms`` may be attributed to the run."""
         if not self.is_sent or self.has_progress:
@@ -218,7 +237,9 @@
             if is_down or (broken and self._has_ended(target)):
                 self._record_crash(target, broken, is_down)
             else:
-                self._log.event("target_alive", target=target.target_id, broken=len(broken))
+                self._log.event(
+                    "target_alive", target=target.target_id, contents=",".join(sorted(broken))
+                )
                 self._add_unexplained(target, broken)
         finally:
             self._broken.pop(target, None)
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -11,7 +11,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
-from ebonyshore.host.crash_guard import CrashGuard
+from ebonyshore.host.crash_guard import ContentRun, CrashGuard
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.host.targets import Target, TargetTable
 from ebonyshore.host.wire_names import WireNames
@@ -329,7 +329,7 @@
                 self._crash_guard.end_broken(content_run)
             elif result.outcome is RunOutcome.COMPLETE:
                 self._crash_guard.end_completed(content_run)
-            self._handle_result(progress, item, target, result, content_run.has_progress)
+            self._handle_result(progress, item, content_run, result)
         finally:
             self._crash_guard.end(content_run)
             self._free_slot(key, running)
@@ -357,11 +357,11 @@
         self,
         progress: JobProgress,
         item: Item,
-        target: Target,
+        content_run: ContentRun,
         result: RunResult,
-        has_new_events: bool,
     ) -> None:
         at_ms = now_ms()
+        target = content_run.target
         self._metrics.count(f"item_runs_{result.outcome.name.lower()}")
         if result.outcome is not RunOutcome.COMPLETE:
             self._log.event(
@@ -374,6 +374,7 @@
                 detail=result.detail,
                 last_event=item.last_event_id,
                 failures=item.failures,
+                progress_ms=content_run.progress_ms,
             )
         if item.state is not ItemState.RUNNING:
             return  # another runner has listed the item's result in the meantime
@@ -389,7 +390,7 @@
         elif result.outcome is RunOutcome.FAILED:
             self._handle_failure(progress, item, at_ms)
         else:
-            self._handle_incomplete_run(item, target, result.outcome, has_new_events, at_ms)
+            self._handle_incomplete_run(item, content_run, result.outcome, at_ms)
 
     def _handle_failure(self, progress: JobProgress, item: Item, now_ms: float) -> None:
         progress.record_failure(item, now_ms)
@@ -399,8 +400,9 @@
         item.not_before_ms = now_ms + RETRY_DELAY_MS
 
     def _handle_incomplete_run(
-        self, item: Item, target: Target, outcome: RunOutcome, has_new_events: bool, now_ms: float
+        self, item: Item, content_run: ContentRun, outcome: RunOutcome, now_ms: float
     ) -> None:
+        target = content_run.target
         if outcome is RunOutcome.NOT_RUN:
             target.mark_full(now_ms)
             item.not_before_ms = now_ms + NOT_RUN_DELAY_MS
@@ -410,7 +412,9 @@
             return
         if outcome is RunOutcome.SILENT:
             target.mark_unresponsive(now_ms)
-        item.consecutive_broken_runs = 0 if has_new_events else item.consecutive_broken_runs + 1
+        item.consecutive_broken_runs = (
+            0 if content_run.has_progress else item.consecutive_broken_runs + 1
+        )
         # The item may run again at once after the first of several broken runs in succession.
         delay_ms = min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2**item.consecutive_broken_runs)
         item.not_before_ms = now_ms + (delay_ms if item.consecutive_broken_runs > 1 else 0.0)
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from random import Random
-from types import SimpleNamespace
 
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.targets import TargetEntry, TargetTable
 from ebonyshore.http.client import ExchangeError
 from ebonyshore.platform.wire_names import WIRE_NAMES
@@ -30,8 +30,8 @@
     def may_run_item(self, _digest):
         return True
 
-    def begin(self, target, _digest):
-        return SimpleNamespace(target=target, has_progress=False)
+    def begin(self, target, digest):
+        return ContentRun(target, digest, 0.0)
 
     def end_broken(self, _run):
         pass
