Reproduce crashes that do not count against the content that caused them

Content that crashes its targets is sent on, on the present code, if - its runs bring an event before the crash (9 late sends of a stream, 42 of an item; 3 are allowed), - all processes are killed before the third crash (8 late sends), - its targets serve again before they are checked, and the list shows it more than 6 s later, - a target falls silent after its first event and the caller leaves, - the list shows the end of an item's target before the item has a time-out.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -124,7 +124,6 @@
 
 def _list_restart(fleet: PlatformFleet, number: int, proxy: FaultProxy) -> None:
     entry = proxied_target_entry(fleet, number, proxy.address)
-    entry["born"] = 1 + len(fleet.targets[number].crashes)
     fleet.platform.state.put("servers", fleet.targets[number].target_id, entry)
 
 
--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -41,6 +41,7 @@
     :param crash_mode: what clients notice of a crash.
     :param begin_ms: time from the arrival of a request until it crashes the target.
     :param down_ms: time from a crash until the target serves again.
+    :param events_before_crash: number of events that a run sends before it crashes the target.
     :ivar on_restart: called on the target's thread each time it serves again after a crash.
     :ivar crashing_bodies: bodies of the requests that crash the target.
     :ivar crashes: the crashes so far.
@@ -52,11 +53,13 @@
         crash_mode: CrashMode = CrashMode.RESET,
         down_ms: float = DEFAULT_DOWN_MS,
         begin_ms: float = DEFAULT_BEGIN_MS,
+        events_before_crash: int = 0,
     ) -> None:
         super().__init__(target_id)
         self.crash_mode = crash_mode
         self.begin_ms = begin_ms
         self.down_ms = down_ms
+        self.events_before_crash = events_before_crash
         self.on_restart: Callable[[], None] = lambda: None
         self.crashing_bodies: set[bytes] = set()
         self.crashes: list[Crash] = []
@@ -75,12 +78,25 @@
         if self._is_down:
             raise ConnectionResetError("the target has crashed")
         if body in self.crashing_bodies:
+            await self._send_first_events(headers, writer)
             self.crashes.append(Crash(body, CLOCK.monotonic_ms()))
             self._crash()
             await self._responsive.wait()
             raise ConnectionResetError("the target has crashed")
         await super()._answer(headers, body, writer)
 
+    async def _send_first_events(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        if not self.events_before_crash:
+            return
+        run = self._begin_run(headers.get("attempt-id", ""), headers, writer)
+        for number in range(run.first_event, run.first_event + self.events_before_crash):
+            await asyncio.sleep(self.event_interval_ms / MS_PER_S)
+            self._send_event(run, number, writer)
+        # Bytes that are still queued are lost when the connection is reset.
+        await asyncio.sleep(self.event_interval_ms / MS_PER_S)
+
     def _crash(self) -> None:
         self._is_down = True
         if self.crash_mode is CrashMode.RESET:
@@ -94,6 +110,7 @@
 
     async def _restart(self) -> None:
         self._is_down = False
+        self.born_ms += 1
         if self.crash_mode is CrashMode.RESET:
             await self._listen()
         else:
--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -76,6 +76,15 @@
             }
         for target_id, entry in target_entries.items():
             self.platform.state.put("servers", target_id, entry)
+        self._start_processes()
+
+    def restart_all(self) -> None:
+        """Kill all processes, start them again and wait until the fleet is ready."""
+        for process in self.processes:
+            process.kill_if_running()
+        self._start_processes()
+
+    def _start_processes(self) -> None:
         for process in self.processes:
             process.start()
         wait_until(lambda: all(entry.is_ready() for entry in self.entries))
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 
 from msgspec import Struct
 
@@ -52,6 +53,7 @@
     :param capacity: maximum number of requests that run at the same time.
     :param event_interval_ms: time between two events of a stream.
     :param port: port on 127.0.0.1; 0 chooses a free one.
+    :ivar born_ms: start of the target as it reports it, in Unix milliseconds.
     :ivar runs: the runs of all requests, in the order of their starts.
     :ivar max_active: highest number of requests that ran at the same time so far.
     :ivar failing_ids: ids of requests to answer with status 500; they count as runs.
@@ -64,6 +66,7 @@
         self.target_id = target_id
         self.capacity = capacity
         self.event_interval_ms = event_interval_ms
+        self.born_ms = 1
         self.runs: list[RunRecord] = []
         self.max_active = 0
         self.failing_ids: set[str] = set()
@@ -95,7 +98,7 @@
             "Capacity": self.capacity,
             "State": state,
             "Sequence": 1,
-            "born": 1,
+            "born": self.born_ms,
         }
 
     def start(self) -> None:
@@ -123,7 +126,7 @@
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._before_output()
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
-                    _send_empty_response(writer, 200, headers.get("attempt-id"), [])
+                    self._send_report(writer)
                 else:
                     await self._answer(headers, body, writer)
                 await writer.drain()
@@ -135,6 +138,13 @@
     async def _before_output(self) -> None:
         """Wait until the target may send; a subclass can make it unresponsive."""
 
+    def _send_report(self, writer: asyncio.StreamWriter) -> None:
+        body = json.dumps({"Queued": self._queued_requests, "born": self.born_ms})
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+
     async def _answer(
         self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
@@ -171,26 +181,35 @@
     async def _stream(
         self, request_id: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
-        first_event = int(headers.get("last-event-id", "0")) + 1
         event_count = int(headers.get("length-hint", DEFAULT_EVENT_COUNT))
-        run = RunRecord(request_id, first_event, first_event - 1, started_ms=CLOCK.monotonic_ms())
-        self.runs.append(run)
-        writer.write(
-            f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
-            f"Server-Signature: {self.target_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
-        )
-        for number in range(first_event, event_count + 1):
+        run = self._begin_run(request_id, headers, writer)
+        for number in range(run.first_event, event_count + 1):
             await asyncio.sleep(self.event_interval_ms / 1000)
             await self._before_output()
             if writer.is_closing():
                 raise ConnectionResetError("the client has disconnected")
-            event = f"id: {number}\ndata: {request_id}.{number}\n\n"
-            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
-            run.last_event = number
+            self._send_event(run, number, writer)
         writer.write(b"0\r\n\r\n")
         run.ended_ms = CLOCK.monotonic_ms()
         run.is_complete = True
 
+    def _begin_run(
+        self, request_id: str, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> RunRecord:
+        first_event = int(headers.get("last-event-id", "0")) + 1
+        run = RunRecord(request_id, first_event, first_event - 1, started_ms=CLOCK.monotonic_ms())
+        self.runs.append(run)
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
+            f"Server-Signature: {self.target_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        return run
+
+    def _send_event(self, run: RunRecord, number: int, writer: asyncio.StreamWriter) -> None:
+        event = f"id: {number}\ndata: {run.request_id}.{number}\n\n"
+        writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+        run.last_event = number
+
 
 def _parse_headers(head: str) -> dict[str, str]:
     fields = (line.partition(":") for line in head.split("\r\n")[1:] if line)
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -53,12 +53,16 @@
 
 
 class ScriptedTarget:
-    """Runs one script per request, in order; further requests repeat the last script."""
+    """Runs one script per request, in order; further requests repeat the last script.
+
+    :ivar report: body of its load report.
+    """
 
     def __init__(self, *scripts: Script):
         self.scripts = list(scripts)
         self.sessions: list[TargetSession] = []
         self.connections = 0
+        self.report = b""
         self._server = None
 
     async def start(self):
@@ -79,7 +83,7 @@
                 length = int(session.header("content-length") or 0)
                 session.body = await reader.readexactly(length)
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
-                    session.send_answer()
+                    session.send_answer(body=self.report)
                     continue
                 self.sessions.append(session)
                 script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
--- a/tests/test_convicted_requests.py
+++ b/tests/test_convicted_requests.py
@@ -121,6 +121,35 @@
     assert last.sessions == []
 
 
+def restarting_target():
+    """Return a target that ends at each request and serves again at once, as a new incarnation."""
+
+    async def restart(session):
+        await asyncio.sleep(2 * SIMULTANEOUS_MS / MS_PER_S)
+        target.report = b'{"born":%d}' % len(target.sessions)
+        session.reset()
+
+    target = ScriptedTarget(restart)
+    target.report = b'{"born":0}'
+    return target
+
+
+def test_request_that_crashes_targets_which_restart_at_once_is_refused_after_three_crashes():
+    """Guards against crashes that are only seen in a list that shows the restart much later."""
+
+    async def scenario():
+        gateway = Gateway(make_route(max_attempts=1))
+        await gateway.start(*(restarting_target() for _ in range(4)))
+        answers = []
+        for _ in range(4):
+            answers.append(await gateway.request(b"bad"))
+            await asyncio.sleep(2 * SIMULTANEOUS_MS / MS_PER_S)
+        gateway.close()
+        return answers
+
+    assert [status_of(answer) for answer in run(scenario())] == [502, 502, 502, 503]
+
+
 def test_targets_are_given_only_the_time_that_is_left_after_a_check():
     """Guards against a target that works on after its caller's deadline."""
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -203,6 +203,26 @@
     run(scenario)
 
 
+def test_run_that_falls_silent_after_its_first_event_is_checked():
+    """Guards against a crash that nobody sees because the caller leaves before any time-out."""
+
+    async def scenario(setup):
+        silent = setup.begin("t1", "bad")
+        silent.has_response = True
+        silent.record_event(now_ms() - 2 * SILENCE_CHECK_MS)
+        silent.started_ms -= 3 * SILENCE_CHECK_MS
+        active = setup.begin("t2", "harmless")
+        active.has_response = True
+        active.record_event(now_ms())
+        active.started_ms -= 3 * SILENCE_CHECK_MS
+        await setup.guard.run_once()
+        await asyncio.sleep(0.01)
+        assert setup.checker.checked == ["t1"]
+        assert setup.crashes("bad") == 1
+
+    run(scenario)
+
+
 def test_crash_is_not_attributed_to_an_item_that_made_progress():
     """Guards against holding back a long item that was in flight at several unrelated crashes."""
 
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -3,7 +3,11 @@
 import asyncio
 from random import Random
 
+import pytest
+from msgspec.structs import replace
+
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.targets import TargetEntry, TargetTable
@@ -26,6 +30,7 @@
 
     def __init__(self):
         self.after_end = lambda: None
+        self.broken = []
 
     def may_run_item(self, _digest):
         return True
@@ -33,8 +38,8 @@
     def begin(self, target, digest):
         return ContentRun(target, digest, 0.0)
 
-    def end_broken(self, _run):
-        pass
+    def end_broken(self, run):
+        self.broken.append(run.content_digest)
 
     def end(self, _run):
         asyncio.get_running_loop().call_soon(self.after_end)
@@ -112,6 +117,24 @@
     assert setup.targets.find("t1").own_batch == 0 and setup.scheduler.dump() == {}
 
 
+@pytest.mark.parametrize("is_leaving, broken", [(False, 2), (True, 0)])
+def test_an_item_whose_target_was_removed_without_a_notice_may_have_crashed_it(is_leaving, broken):
+    """Guards against crashes that do not count because the list shows them before a time-out."""
+
+    async def remove_target(setup):
+        setup.scheduler.schedule_items()
+        await asyncio.sleep(0)
+        target = setup.targets.find("t1")
+        target.entry = replace(target.entry, is_leaving=is_leaving)
+        setup.targets.remove("t1", now_ms())
+        setup.scheduler.schedule_items()
+        await asyncio.sleep(0)
+
+    setup = SchedulerSetup()
+    asyncio.run(remove_target(setup))
+    assert len(setup.guard.broken) == broken and setup.scheduler.dump() == {}
+
+
 def test_an_item_that_is_stopped_during_its_run_keeps_the_time_that_it_used():
     async def stop_later(setup):
         setup.scheduler.schedule_items()
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -20,9 +20,15 @@
 RESUMABLE_BODY = b"crashes on the resumable route"
 SINGLE_ATTEMPT_BODY = b"crashes on the single-attempt route"
 ITEM_BODY = item_body(0)
+EVENTS = 200  # of each answer, so that runs which crash after a few events do not complete it
 SENDS = 34
 SEND_INTERVAL_MS = 500.0
 ITEM_OBSERVATION_MS = 18_000.0
+RARE_SENDS = 4
+RARE_SEND_INTERVAL_MS = 4_000.0
+ROUNDS = 8
+SENDS_BEFORE_KILL = 2
+KILL_DELAY_MS = 1_000.0
 CLOCK = SystemClock()
 
 
@@ -45,7 +51,7 @@
 
 def send_and_ignore_failure(entry, request_id, prefix, body):
     with suppress(OSError, HTTPException):  # the answer was cut off
-        request_stream(entry, request_id, prefix, body=body)
+        request_stream(entry, request_id, prefix, EVENTS, body=body)
 
 
 def crash_times_ms(fleet, body):
@@ -74,6 +80,10 @@
     return CrashingTarget(target_id, begin_ms=0.0)
 
 
+def make_target_that_crashes_after_events(target_id):
+    return CrashingTarget(target_id, events_before_crash=3)
+
+
 @pytest.mark.parametrize(
     "fleet",
     [CrashingTarget, make_silent_target, make_target_that_crashes_at_once],
@@ -96,11 +106,41 @@
     wait_until(lambda: request_stream(fleet.entries[1], "harmless")[0] == 200, 5.0)
 
 
-@pytest.mark.parametrize("fleet", [CrashingTarget], ids=["reset"], indirect=True)
+@pytest.mark.parametrize(
+    "fleet", [make_target_that_crashes_after_events], ids=["reset"], indirect=True
+)
+def test_request_that_crashes_its_targets_after_events_is_not_sent_on(fleet):
+    """Guards against crashes that do not count because the stream could be continued."""
+    for number in range(RARE_SENDS):
+        entry = fleet.entries[number % len(fleet.entries)]
+        send_and_ignore_failure(entry, f"rare-{number}", STREAM_PREFIX, RESUMABLE_BODY)
+        CLOCK.sleep_ms(RARE_SEND_INTERVAL_MS)
+    assert too_many_late_sends(fleet, RESUMABLE_BODY) == {}
+
+
+@pytest.mark.parametrize(
+    "fleet",
+    [CrashingTarget, make_target_that_crashes_after_events],
+    ids=["reset", "reset_after_events"],
+    indirect=True,
+)
 def test_item_that_has_crashed_three_targets_is_not_sent_on(fleet):
     """Guards against an item that crashes a target every few seconds for as long as its job."""
-    assert submit_job(fleet.entries[0], "j1", items=2) == 202
+    assert submit_job(fleet.entries[0], "j1", items=2, events=EVENTS) == 202
     CLOCK.sleep_ms(ITEM_OBSERVATION_MS)
     assert too_many_late_sends(fleet, ITEM_BODY) == {}
     page = read_job(fleet.entries[1], "j1")[1]
     assert [result["Id"] for result in page["Results"]] == ["j1-1"]
+
+
+@pytest.mark.parametrize("fleet", [CrashingTarget], ids=["reset"], indirect=True)
+def test_crashes_below_a_conviction_are_known_after_all_processes_were_killed(fleet):
+    """Guards against counts that start anew each time all processes end."""
+    for number in range(ROUNDS):
+        for send in range(SENDS_BEFORE_KILL):
+            request_id = f"{number}-{send}"
+            entry = fleet.entries[send % len(fleet.entries)]
+            send_and_ignore_failure(entry, request_id, SINGLE_ATTEMPT_PREFIX, SINGLE_ATTEMPT_BODY)
+        CLOCK.sleep_ms(KILL_DELAY_MS)
+        fleet.restart_all()
+    assert too_many_late_sends(fleet, SINGLE_ATTEMPT_BODY) == {}
