Count a crash against content whose run had brought a few events

Callers saw: content that crashes its targets soon after its first event was sent on without end, on routes whose streams may be resumed and for items. Cause: a run with events that the next run continues from was never held responsible for a crash, to spare long items that are in flight at unrelated crashes. Change: such a run is spared only if it had made progress for more than 1 s. Content that crashes its target later than that crashes the next target early, as that run continues after the last event.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -181,7 +181,6 @@
                 responder.start_stream(head.status, _relayed_headers(head))
             self._relay.record_events(now_ms())
             self._run.record_event(now_ms())
-            self._run.has_progress = can_retry
             responder.write(b"".join(event.raw for event in events))
             idle_timeout_ms = EVENT_TIMEOUT_MS if can_retry else None
         if splitter.incomplete_event:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -170,7 +170,7 @@
         self._tried_targets.append(target.target_id)
         self._attempts += 1
         can_retry = self._can_retry()
-        run = forwarder.crash_guard.begin(target, self._content_digest)
+        run = forwarder.crash_guard.begin(target, self._content_digest, can_retry)
         exchange = Exchange(forwarder.names, forwarder.pool, self._request, self._relay, run)
         forwarder.view.record_start(target)
         began_ms = now_ms()
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -23,6 +23,9 @@
 # A retry that is sent right after a break and breaks within this time has met a target that was
 # lost at the same moment. A request that crashes its target is read and begun first.
 SIMULTANEOUS_MS = 10.0
+# Content that crashes its targets does so when it begins to run, a few events later at most. A run
+# that breaks off later was probably hit by a crash that it did not cause.
+MAX_CRASH_DELAY_MS = 1_000.0
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
@@ -33,13 +36,11 @@
 class ContentRun:
     """One run of a request at a target.
 
+    :param is_resumable: whether the next run of the request continues after the last event.
     :param follows_break: whether another run of the content, to which a crash may be attributed,
         broke just before this one started.
     :ivar is_sent: whether the request was sent; before that it cannot have crashed the target.
     :ivar has_response: whether the target has begun to respond.
-    :ivar has_progress: whether the run has received events that the next run of the request will
-        continue from. It did not crash the target when it began, so a crash is not attributed to
-        it, but to the next run if that crashes its target, too.
     :ivar first_event_ms: time at which the run received its first event; ``None`` before that.
     :ivar last_event_ms: the same of its last event so far.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
@@ -49,10 +50,10 @@
         "content_digest",
         "first_event_ms",
         "follows_break",
-        "has_progress",
         "has_response",
         "is_attributed",
         "is_checked",
+        "is_resumable",
         "is_sent",
         "last_event_ms",
         "started_ms",
@@ -60,15 +61,20 @@
     )
 
     def __init__(
-        self, target: Target, content_digest: str, started_ms: float, follows_break: bool = False
+        self,
+        target: Target,
+        content_digest: str,
+        started_ms: float,
+        is_resumable: bool = False,
+        follows_break: bool = False,
     ) -> None:
         self.target = target
         self.content_digest = content_digest
         self.started_ms = started_ms
+        self.is_resumable = is_resumable
         self.follows_break = follows_break
         self.is_sent = False
         self.has_response = False
-        self.has_progress = False
         self.first_event_ms: float | None = None
         self.last_event_ms: float | None = None
         self.is_attributed = False
@@ -88,8 +94,14 @@
         self.last_event_ms = at_ms
 
     def may_have_crashed_target(self, at_ms: float) -> bool:
-        """Return whether a crash of the target at ``at_ms`` may be attributed to the run."""
-        if not self.is_sent or self.has_progress:
+        """Return whether a crash of the target at ``at_ms`` may be attributed to the run.
+
+        It is not if the run had made progress for some time that the next run continues from. If
+        the content caused the crash, the next run crashes its target early.
+        """
+        if not self.is_sent:
+            return False
+        if self.is_resumable and (self.progress_ms or 0.0) > MAX_CRASH_DELAY_MS:
             return False
         return not self.follows_break or at_ms - self.started_ms >= SIMULTANEOUS_MS
 
@@ -128,11 +140,15 @@
         # Time of the last break that may have been a crash, by content digest.
         self._broken_ms: dict[str, float] = {}
 
-    def begin(self, target: Target, content_digest: str) -> ContentRun:
-        """Record that a request is sent to a target."""
+    def begin(self, target: Target, content_digest: str, is_resumable: bool) -> ContentRun:
+        """Record that a request is sent to a target.
+
+        :param is_resumable: whether another run would continue after the last event of this one.
+        """
         at_ms = now_ms()
         broken_ms = self._broken_ms.get(content_digest, float("-inf"))
-        run = ContentRun(target, content_digest, at_ms, at_ms - broken_ms < SIMULTANEOUS_MS)
+        follows_break = at_ms - broken_ms < SIMULTANEOUS_MS
+        run = ContentRun(target, content_digest, at_ms, is_resumable, follows_break)
         self._runs.setdefault(target, set()).add(run)
         return run
 
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -143,7 +143,6 @@
             for event in splitter.feed(chunk):
                 item.data.append(event.data)
                 item.last_event_id = event.event_id
-                content_run.has_progress = True
                 content_run.record_event(now_ms())
                 timeout_ms = EVENT_TIMEOUT_MS
         if splitter.incomplete_event:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -321,7 +321,8 @@
             progress.item_body(item.index),
             record.host,
         )
-        content_run = self._crash_guard.begin(target, progress.content_digest(item))
+        digest = progress.content_digest(item)
+        content_run = self._crash_guard.begin(target, digest, is_resumable=True)
         self._registry.on_change()
         try:
             result = await run.run(content_run)
@@ -413,7 +414,7 @@
         if outcome is RunOutcome.SILENT:
             target.mark_unresponsive(now_ms)
         item.consecutive_broken_runs = (
-            0 if content_run.has_progress else item.consecutive_broken_runs + 1
+            item.consecutive_broken_runs + 1 if content_run.progress_ms is None else 0
         )
         # The item may run again at once after the first of several broken runs in succession.
         delay_ms = min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2**item.consecutive_broken_runs)
