Check a target whose response falls silent after it has begun

Callers saw nothing themselves; content that makes its target fall silent after the head or the first event of a response was sent on, because a caller that leaves first ends the run without a check. Cause: only runs without any response were checked while they were open. Change: a run is checked 1 s after the last part of its response. The test failed before.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -152,7 +152,7 @@
     ) -> ExchangeEnd:
         idle_timeout_ms = FIRST_EVENT_TIMEOUT_MS if can_retry else None
         head = await reader.read_head(idle_timeout_ms)
-        self._run.has_response = True
+        self._run.record_part(now_ms())
         self._target.mark_responsive()
         # 421 (misdirected request): the target is not the instance that the request names.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -18,7 +18,7 @@
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
 SUSPICION_EXPIRY_MS = 600_000.0
-SILENCE_CHECK_MS = 1_000.0  # without a response, after which the target is checked
+SILENCE_CHECK_MS = 1_000.0  # without a part of the response, after which the target is checked
 SCAN_INTERVAL_MS = 250.0
 # A retry that is sent right after a break and breaks within this time has met a target that was
 # lost at the same moment. A request that crashes its target is read and begun first.
@@ -40,9 +40,10 @@
     :param follows_break: whether another run of the content, to which a crash may be attributed,
         broke just before this one started.
     :ivar is_sent: whether the request was sent; before that it cannot have crashed the target.
-    :ivar has_response: whether the target has begun to respond.
+    :ivar last_part_ms: time of the start or of the last part of the response.
     :ivar first_event_ms: time at which the run received its first event; ``None`` before that.
     :ivar last_event_ms: the same of its last event so far.
+    :ivar is_checked: whether the target was checked since the last part of the response.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     """
 
@@ -50,12 +51,12 @@
         "content_digest",
         "first_event_ms",
         "follows_break",
-        "has_response",
         "is_attributed",
         "is_checked",
         "is_resumable",
         "is_sent",
         "last_event_ms",
+        "last_part_ms",
         "started_ms",
         "target",
     )
@@ -74,7 +75,7 @@
         self.is_resumable = is_resumable
         self.follows_break = follows_break
         self.is_sent = False
-        self.has_response = False
+        self.last_part_ms = started_ms
         self.first_event_ms: float | None = None
         self.last_event_ms: float | None = None
         self.is_attributed = False
@@ -87,8 +88,14 @@
             return None
         return self.last_event_ms - self.first_event_ms
 
+    def record_part(self, at_ms: float) -> None:
+        """Record that a part of the response was received."""
+        self.last_part_ms = at_ms
+        self.is_checked = False
+
     def record_event(self, at_ms: float) -> None:
         """Record that the run received an event."""
+        self.record_part(at_ms)
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
         self.last_event_ms = at_ms
@@ -304,5 +311,4 @@
 
 
 def _is_silent(run: ContentRun, at_ms: float) -> bool:
-    is_open = run.is_sent and not run.has_response and not run.is_checked
-    return is_open and at_ms - run.started_ms > SILENCE_CHECK_MS
+    return run.is_sent and not run.is_checked and at_ms - run.last_part_ms > SILENCE_CHECK_MS
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -122,7 +122,7 @@
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
         head = await reader.read_head(FIRST_EVENT_TIMEOUT_MS)
-        content_run.has_response = True
+        content_run.record_part(now_ms())
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
             await reader.read_body(EVENT_TIMEOUT_MS)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -190,9 +190,10 @@
     async def scenario(setup):
         silent = setup.begin("t1", "bad")
         answered = setup.begin("t2", "harmless")
-        answered.has_response = True
         for started in (silent, answered):
             started.started_ms -= 2 * SILENCE_CHECK_MS
+            started.last_part_ms = started.started_ms
+        answered.record_part(now_ms())
         await setup.guard.run_once()
         await asyncio.sleep(0.01)
         assert setup.checker.checked == ["t1"]
@@ -209,11 +210,9 @@
 
     async def scenario(setup):
         silent = setup.begin("t1", "bad")
-        silent.has_response = True
         silent.record_event(now_ms() - 2 * SILENCE_CHECK_MS)
         silent.started_ms -= 3 * SILENCE_CHECK_MS
         active = setup.begin("t2", "harmless")
-        active.has_response = True
         active.record_event(now_ms())
         active.started_ms -= 3 * SILENCE_CHECK_MS
         await setup.guard.run_once()
