Recognize the restart of a target by the start time in its load report

Callers saw: content that crashes targets which serve again at once is sent on for as long as the list does not show the restarts, and for ever if that takes more than 6 s. Cause: a target that answers the check was taken for alive; a restart was only known from the list, which shows it after up to three heartbeats. The 6 s fit heartbeats of 1.2 s. Evidence: the test that failed before, four targets that restart at once and a list that never shows it. Change: the check compares the start time in the report with the last known one. A restart counts once; further breaks at the new incarnation are no crashes.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -12,7 +12,7 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.host.target_check import TargetChecker
+from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.host.targets import Target, TargetTable
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
@@ -254,10 +254,12 @@
 
     async def _attribute_crash(self, target: Target) -> None:
         try:
-            is_down = await self._checker.is_down(target)
+            condition = await self._checker.check(target)
             broken = self._broken.get(target, set())
             # A target that was started again answers, but it has lost its runs.
-            if is_down or (broken and self._has_ended(target)):
+            was_restarted = condition is TargetCondition.RESTARTED and not target.entry.is_leaving
+            is_down = condition is TargetCondition.DOWN
+            if is_down or was_restarted or (broken and self._has_ended(target)):
                 self._record_crash(target, broken, is_down)
             else:
                 self._log.event(
--- a/ebonyshore/host/deployment.py
+++ b/ebonyshore/host/deployment.py
@@ -46,6 +46,13 @@
     def decode_target(self, target_id: str, value: bytes) -> TargetEntry | None:
         """Decode a target's entry; ``None`` if it does not describe a usable target."""
 
+    @abstractmethod
+    def decode_start(self, report: bytes) -> int | None:
+        """Return a target's start, in Unix milliseconds, from its load report.
+
+        ``None`` if the report does not tell it.
+        """
+
     @abstractmethod
     def decode_submission(self, body: bytes) -> JobSubmission:
         """Decode the batch job in the body of a request.
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -115,7 +115,8 @@
     environment: HostEnvironment, targets: TargetTable, suspicions: SuspicionExchange
 ) -> CrashGuard:
     """Return the crash guard of a process."""
-    checker = TargetChecker(environment.deployment.names, environment.pool)
+    deployment = environment.deployment
+    checker = TargetChecker(deployment.names, environment.pool, deployment.decode_start)
     return CrashGuard(targets, checker, suspicions, environment.log, environment.metrics)
 
 
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -50,6 +50,7 @@
     :ivar removed_ms: time at which the entry was removed; ``None`` if it is listed.
     :ivar outcomes: outcomes of this process's requests.
     :ivar crashes: crashes that this process has seen.
+    :ivar started_ms: wall time of its last known start; the list may show an earlier one.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "own_batch",
         "own_online",
         "removed_ms",
+        "started_ms",
     )
 
     def __init__(self, entry: TargetEntry) -> None:
@@ -74,12 +76,19 @@
         self.removed_ms: float | None = None
         self.outcomes = OutcomeHistory()
         self.crashes = 0
+        self.started_ms = entry.started_ms
 
     @property
     def target_id(self) -> str:
         """Id of the target in the list."""
         return self.entry.target_id
 
+    def record_start(self, started_ms: int) -> bool:
+        """Record what the target says of its start; return whether it was started again."""
+        is_new = started_ms > self.started_ms > 0
+        self.started_ms = max(self.started_ms, started_ms)
+        return is_new
+
     def is_avoided(self, now_ms: float) -> bool:
         """Return whether other targets are preferred at present."""
         return (
--- a/ebonyshore/platform/deployment.py
+++ b/ebonyshore/platform/deployment.py
@@ -13,7 +13,7 @@
 )
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.platform.settings_file import load_host_settings, settings_path
-from ebonyshore.platform.target_entries import decode_target_entry
+from ebonyshore.platform.target_entries import decode_start, decode_target_entry
 from ebonyshore.platform.wire_names import CONFIG_KEY, RETIREMENTS_KIND, TARGETS_KIND, WIRE_NAMES
 from ebonyshore.store.store_http_client import StoreHttpClient
 
@@ -40,6 +40,9 @@
     def decode_target(self, target_id: str, value: bytes) -> TargetEntry | None:
         return decode_target_entry(target_id, value)
 
+    def decode_start(self, report: bytes) -> int | None:
+        return decode_start(report)
+
     def decode_submission(self, body: bytes) -> JobSubmission:
         return decode_submission(body)
 
--- a/ebonyshore/platform/target_entries.py
+++ b/ebonyshore/platform/target_entries.py
@@ -1,4 +1,4 @@
-"""Decodes the registry entries that targets write about themselves."""
+"""Decodes what targets say about themselves: their registry entries and load reports."""
 
 from typing import Literal
 
@@ -20,6 +20,21 @@
     cold_remaining_ms: float = field(default=0.0, name="ColdRemainingMs")
 
 
+class _Report(Struct):
+    born: int | None = None
+
+
+def decode_start(report: bytes) -> int | None:
+    """Return the start of a target from its load report, in Unix milliseconds.
+
+    :return: ``None`` if the report is invalid or does not have it.
+    """
+    try:
+        return decode(report, type=_Report).born
+    except DecodeError:
+        return None
+
+
 def decode_target_entry(target_id: str, value: bytes) -> TargetEntry | None:
     """Decode the entry of a target.
 
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -15,6 +15,7 @@
 from ebonyshore.http.server import HttpServer, ServerLimits
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 
 
@@ -39,7 +40,7 @@
 
 
 def make_crash_guard(targets, pool, suspicions, checker=None):
-    checker = checker or TargetChecker(WIRE_NAMES, pool)
+    checker = checker or TargetChecker(WIRE_NAMES, pool, decode_start)
     return CrashGuard(targets, checker, suspicions, EventLog(), Metrics())
 
 
@@ -86,7 +87,7 @@
     async def start(self, *targets):
         for number, target in enumerate(targets, 1):
             address = await target.start()
-            self.table.put(TargetEntry(f"t{number}", "svc", address, "fd-a", 8))
+            self.table.put(TargetEntry(f"t{number}", "svc", address, "fd-a", 8, started_ms=1))
         await self.server.listen("127.0.0.1", 0)
 
     async def connect(self):
--- a/tests/test_convicted_requests.py
+++ b/tests/test_convicted_requests.py
@@ -9,6 +9,7 @@
 from ebonyshore.host import crash_guard
 from ebonyshore.host.crash_guard import SIMULTANEOUS_MS, SUSPICION_EXPIRY_MS
 from ebonyshore.host.request_content import content_digest
+from ebonyshore.host.target_check import TargetCondition
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
 
@@ -126,16 +127,18 @@
     assert last.sessions == []
 
 
-def restarting_target():
-    """Return a target that ends at each request and serves again at once, as a new incarnation."""
+def restarting_target(restarts=1):
+    """Return a target that ends at each request and serves again at once, as a new incarnation.
+
+    :param restarts: number of restarts; afterwards only the connections break.
+    """
 
     async def restart(session):
         await asyncio.sleep(2 * SIMULTANEOUS_MS / MS_PER_S)
-        target.report = b'{"born":%d}' % len(target.sessions)
+        target.report = b'{"born":%d}' % (1 + min(restarts, len(target.sessions)))
         session.reset()
 
     target = ScriptedTarget(restart)
-    target.report = b'{"born":0}'
     return target
 
 
@@ -155,13 +158,30 @@
     assert [status_of(answer) for answer in run(scenario())] == [502, 502, 502, 503]
 
 
+def test_breaks_after_one_restart_are_not_further_crashes():
+    """Guards against counting one restart again until the list shows it."""
+
+    async def scenario():
+        gateway = Gateway(make_route(max_attempts=1))
+        await gateway.start(restarting_target())
+        statuses = []
+        for _ in range(5):
+            statuses.append(status_of(await gateway.request(b"unlucky")))
+            await asyncio.sleep(2 * SIMULTANEOUS_MS / MS_PER_S)
+        gateway.close()
+        digest = content_digest("host.example", "POST", "/p/x", b"unlucky")
+        return statuses, gateway.suspicions.table.verdict(digest, now_ms()).crash_count
+
+    assert run(scenario()) == ([502] * 5, 1)
+
+
 def test_targets_are_given_only_the_time_that_is_left_after_a_check():
     """Guards against a target that works on after its caller's deadline."""
 
     class SlowChecker:
-        async def is_down(self, _target):
+        async def check(self, _target):
             await asyncio.sleep(CHECK_MS / MS_PER_S)
-            return True
+            return TargetCondition.DOWN
 
     last = ScriptedTarget(send_complete_stream)
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -18,6 +18,7 @@
     SUSPICION_EXPIRY_MS,
     CrashGuard,
 )
+from ebonyshore.host.target_check import TargetCondition
 from ebonyshore.host.targets import TargetEntry, TargetTable
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
@@ -33,10 +34,11 @@
         self.down = set(TARGET_IDS)
         self.checked = []
 
-    async def is_down(self, target):
+    async def check(self, target):
         self.checked.append(target.target_id)
         await asyncio.sleep(0)
-        return target.target_id in self.down
+        is_down = target.target_id in self.down
+        return TargetCondition.DOWN if is_down else TargetCondition.SERVING
 
 
 class GuardSetup:
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from ebonyshore.host.target_check import TargetChecker
+from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.host.targets import Target, TargetEntry
 from ebonyshore.http.client import ConnectionPool
+from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from tests.scripted_target import ScriptedTarget, send_complete_stream
 
@@ -23,7 +24,7 @@
         pool = ConnectionPool(4)
         target = Target(TargetEntry("t1", "svc", f"{host}:{port}", "fd-a", 8))
         try:
-            return await TargetChecker(WIRE_NAMES, pool).is_down(target)
+            return await TargetChecker(WIRE_NAMES, pool, decode_start).check(target)
         finally:
             pool.close()
             server.close()
@@ -45,11 +46,17 @@
 
 
 @pytest.mark.parametrize(
-    "serve, is_down", [(None, True), (hang, True), (answer, False), (close_at_once, False)]
+    "serve, condition",
+    [
+        (None, TargetCondition.DOWN),
+        (hang, TargetCondition.DOWN),
+        (answer, TargetCondition.SERVING),
+        (close_at_once, TargetCondition.SERVING),
+    ],
 )
-def test_a_target_is_down_if_it_refuses_connections_or_does_not_answer(serve, is_down):
+def test_a_target_is_down_if_it_refuses_connections_or_does_not_answer(serve, condition):
     """A target with too many connections closes new ones at once, so that shows nothing."""
-    assert check(serve) is is_down
+    assert check(serve) is condition
 
 
 def test_an_idle_connection_is_not_used_for_the_check():
@@ -64,7 +71,8 @@
             while (await connection.next_part()).__class__.__name__ != "BodyEnd":
                 pass
         target = Target(TargetEntry("t1", "svc", address, "fd-a", 8))
-        assert not await TargetChecker(WIRE_NAMES, pool).is_down(target)
+        checker = TargetChecker(WIRE_NAMES, pool, decode_start)
+        assert await checker.check(target) is TargetCondition.SERVING
         pool.close()
         server.close()
         return server.connections
