Count a crash against an item whose target leaves the list before a time-out

Callers saw nothing; content of an item that makes its targets fall silent was sent on. Cause: the list shows the restart or the removal of a target before the run has a time-out, and the run was cancelled then like one that is preempted. Change: unless the target was leaving, such a run counts as broken, so its target is checked. A target whose report shows the same start has not crashed, whatever the list says; before, a break at a target that was removed without a notice and serves on counted as one.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -256,20 +256,25 @@
         try:
             condition = await self._checker.check(target)
             broken = self._broken.get(target, set())
-            # A target that was started again answers, but it has lost its runs.
-            was_restarted = condition is TargetCondition.RESTARTED and not target.entry.is_leaving
             is_down = condition is TargetCondition.DOWN
-            if is_down or was_restarted or (broken and self._has_ended(target)):
+            if is_down or self._has_restarted(target, condition, broken):
                 self._record_crash(target, broken, is_down)
             else:
                 self._log.event(
                     "target_alive", target=target.target_id, contents=",".join(sorted(broken))
                 )
-                self._add_unexplained(target, broken)
+                if condition is TargetCondition.ANSWERING:
+                    self._add_unexplained(target, broken)
         finally:
             self._broken.pop(target, None)
             del self._checks[target]
 
+    def _has_restarted(self, target: Target, condition: TargetCondition, broken: set[str]) -> bool:
+        """Return whether a target that answers has lost its runs in an unplanned restart."""
+        if condition is TargetCondition.RESTARTED:
+            return not target.entry.is_leaving
+        return condition is TargetCondition.ANSWERING and bool(broken) and self._has_ended(target)
+
     def _has_ended(self, target: Target) -> bool:
         """Return whether the list shows that this run of the target has ended unplanned."""
         is_listed = self._targets.find(target.target_id) is target
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -21,7 +21,8 @@
 class TargetCondition(Enum):
     """What a check has found."""
 
-    SERVING = auto()
+    SERVING = auto()  # the same incarnation still serves
+    ANSWERING = auto()  # it answers, and does not tell whether it was started again
     RESTARTED = auto()  # it serves, but all that it ran before has ended
     DOWN = auto()  # it refuses connections or does not answer
 
@@ -48,7 +49,7 @@
         if condition is None:
             await sleep(INCONCLUSIVE_RETRY_DELAY_MS / MS_PER_S)
             condition = await self._ask(target)
-        return condition or TargetCondition.SERVING
+        return condition or TargetCondition.ANSWERING
 
     async def _ask(self, target: Target) -> TargetCondition | None:
         """Return the target's condition, or ``None`` if it closed the new connection."""
@@ -61,7 +62,9 @@
                 reader = ResponseReader(connection, self._names.request_id, None, deadline_ms)
                 await reader.next_part(None)  # any response shows that the target works
                 started_ms = self._decode_start(await reader.read_body(None))
-                is_new = started_ms is not None and target.record_start(started_ms)
+                if started_ms is None or not target.started_ms:
+                    return TargetCondition.ANSWERING
+                is_new = target.record_start(started_ms)
                 return TargetCondition.RESTARTED if is_new else TargetCondition.SERVING
         except AttemptFailedError:
             return TargetCondition.DOWN
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -85,7 +85,7 @@
 
     def record_start(self, started_ms: int) -> bool:
         """Record what the target says of its start; return whether it was started again."""
-        is_new = started_ms > self.started_ms > 0
+        is_new = started_ms > self.started_ms
         self.started_ms = max(self.started_ms, started_ms)
         return is_new
 
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -43,12 +43,14 @@
     :param progress: the job that the item belongs to.
     :param item: the item.
     :param target: the target at which it runs.
+    :param content_run: the run, for the attribution of crashes.
     :param task: runs the item; cancel it to stop the run.
     """
 
     progress: JobProgress
     item: Item
     target: Target
+    content_run: ContentRun
     task: Task[None]
 
 
@@ -147,8 +149,10 @@
             item.start_run(now_ms())
             target.own_batch += 1
             target.batch_started_ms = now_ms()
-            task = create_task(self._run_item(start.item, progress, item, target))
-            running = RunningItem(progress, item, target, task)
+            digest = progress.content_digest(item)
+            content_run = self._crash_guard.begin(target, digest, is_resumable=True)
+            task = create_task(self._run_item(start.item, progress, item, content_run))
+            running = RunningItem(progress, item, target, content_run, task)
             self._running[start.item] = running
             # A task that is cancelled before its first step runs none of its own code.
             task.add_done_callback(partial(self._free_slot, start.item, running))
@@ -306,11 +310,17 @@
 
     def _stop_at_removed_targets(self) -> None:
         """Stop items at targets that were removed or that have restarted under the same id."""
-        for running in self._running.values():
-            if self._targets.find(running.target.target_id) is not running.target:
-                running.task.cancel()
+        for running in list(self._running.values()):
+            target = running.target
+            if self._targets.find(target.target_id) is target:
+                continue
+            if not target.entry.is_leaving:
+                self._crash_guard.end_broken(running.content_run)
+            running.task.cancel()
 
-    async def _run_item(self, key: str, progress: JobProgress, item: Item, target: Target) -> None:
+    async def _run_item(
+        self, key: str, progress: JobProgress, item: Item, content_run: ContentRun
+    ) -> None:
         running = self._running[key]
         record = progress.record
         run = ItemRun(
@@ -321,8 +331,6 @@
             progress.item_body(item.index),
             record.host,
         )
-        digest = progress.content_digest(item)
-        content_run = self._crash_guard.begin(target, digest, is_resumable=True)
         self._registry.on_change()
         try:
             result = await run.run(content_run)
@@ -332,7 +340,6 @@
                 self._crash_guard.end_completed(content_run)
             self._handle_result(progress, item, content_run, result)
         finally:
-            self._crash_guard.end(content_run)
             self._free_slot(key, running)
 
     def _free_slot(self, key: str, running: RunningItem, task: Task[None] | None = None) -> None:
@@ -348,6 +355,7 @@
         if self._running.get(key) is not running:
             return
         del self._running[key]
+        self._crash_guard.end(running.content_run)
         running.item.end_run(now_ms())
         if running.item.state is ItemState.RUNNING:
             running.item.state = ItemState.WAITING
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -28,17 +28,18 @@
 
 
 class ScriptedChecker:
-    """Reports the targets in ``down`` as down."""
+    """Reports the targets in ``down`` as down, and the others as ``condition_if_up``."""
 
     def __init__(self):
         self.down = set(TARGET_IDS)
         self.checked = []
+        self.condition_if_up = TargetCondition.ANSWERING
 
     async def check(self, target):
         self.checked.append(target.target_id)
         await asyncio.sleep(0)
         is_down = target.target_id in self.down
-        return TargetCondition.DOWN if is_down else TargetCondition.SERVING
+        return TargetCondition.DOWN if is_down else self.condition_if_up
 
 
 class GuardSetup:
@@ -138,6 +139,22 @@
     run(scenario)
 
 
+def test_target_that_serves_on_after_its_removal_has_not_crashed():
+    """Guards against convicting items that ran at targets which leave the list without a notice."""
+
+    async def scenario(setup):
+        setup.checker.down.clear()
+        setup.checker.condition_if_up = TargetCondition.SERVING
+        broken = setup.begin("t1", "harmless")
+        setup.table.remove("t1", now_ms())
+        setup.guard.end_broken(broken)
+        await setup.guard.settle("harmless")
+        await setup.guard.run_once()
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
+
+
 def test_restart_that_the_list_shows_later_is_a_crash():
     """Guards against crashes of targets that serve again before they are checked."""
 
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -50,8 +50,8 @@
     [
         (None, TargetCondition.DOWN),
         (hang, TargetCondition.DOWN),
-        (answer, TargetCondition.SERVING),
-        (close_at_once, TargetCondition.SERVING),
+        (answer, TargetCondition.ANSWERING),
+        (close_at_once, TargetCondition.ANSWERING),
     ],
 )
 def test_a_target_is_down_if_it_refuses_connections_or_does_not_answer(serve, condition):
@@ -72,7 +72,7 @@
                 pass
         target = Target(TargetEntry("t1", "svc", address, "fd-a", 8))
         checker = TargetChecker(WIRE_NAMES, pool, decode_start)
-        assert await checker.check(target) is TargetCondition.SERVING
+        assert await checker.check(target) is TargetCondition.ANSWERING
         pool.close()
         server.close()
         return server.connections
