Store crash suspicions below a conviction

Callers saw: after a stop of all processes, content that had crashed two targets could crash three more. Cause: only convictions were stored; suspicions were in the memory of entries and runners.

--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -23,7 +23,7 @@
 
 
 class ConvictionRecord(Struct, frozen=True):
-    """A stored conviction.
+    """A stored conviction, or a stored suspicion of a content that is not convicted yet.
 
     :param crash_ids: ids of the crashes at which the content was in flight.
     :param last_crash_ms: wall time of the last of them.
@@ -124,7 +124,7 @@
         self._has_loaded = True
         self._stored.update(record.content_digest for record in records)
         wall_ms = self._clock.wall_ms()
-        verdicts = [_to_verdict(record, wall_ms) for record in records]
+        verdicts = [to_verdict(record, wall_ms) for record in records]
         self._suspicions.merge(verdicts, now_ms(), is_relayed=True)
 
     async def _write_changes(self) -> None:
@@ -133,7 +133,7 @@
             for verdict in self._suspicions.table.convictions(now_ms())
         }
         for digest in convictions.keys() - self._stored:
-            record = _to_record(convictions[digest], self._clock.wall_ms())
+            record = to_record(convictions[digest], self._clock.wall_ms())
             await self._run_blocking(self._storage.create, record)
             self._stored.add(digest)
             self._log.event("conviction_stored", content=digest)
@@ -147,14 +147,26 @@
     return f"{CONVICTIONS_KIND}/{content_digest}"
 
 
-def _to_record(verdict: Verdict, wall_ms: float) -> ConvictionRecord:
+def to_record(verdict: Verdict, wall_ms: float) -> ConvictionRecord:
+    """Return the stored form of a verdict.
+
+    :param wall_ms: present wall time.
+    """
     last_crash_ms = int(wall_ms - verdict.age_ms)
     return ConvictionRecord(verdict.content_digest, verdict.crash_ids, last_crash_ms)
 
 
-def _to_verdict(record: ConvictionRecord, wall_ms: float) -> Verdict:
+def to_verdict(record: ConvictionRecord, wall_ms: float, is_convicted: bool = True) -> Verdict:
+    """Return the verdict that a record was stored for.
+
+    :param wall_ms: present wall time.
+    """
     # The wall clock may have been set back since.
     age_ms = min(max(0.0, wall_ms - record.last_crash_ms), SUSPICION_EXPIRY_MS)
     return Verdict(
-        record.content_digest, len(record.crash_ids), True, age_ms, crash_ids=record.crash_ids
+        record.content_digest,
+        len(record.crash_ids),
+        is_convicted,
+        age_ms,
+        crash_ids=record.crash_ids,
     )
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -27,6 +27,7 @@
 from ebonyshore.runner.result_writer import ResultWriter
 from ebonyshore.runner.retirement import RetirementHandler
 from ebonyshore.runner.runner_load import RunnerLoad
+from ebonyshore.runner.suspicion_store import SuspicionKeeper, SuspicionStorage
 from ebonyshore.store.kind_watch import KindWatch
 
 MAX_STEP_INTERVAL_MS = 100.0
@@ -189,6 +190,12 @@
     kernel.register(
         ConvictionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
     )
+    suspicion_storage = SuspicionStorage(environment.marked_store, log)
+    kernel.register(
+        SuspicionKeeper(
+            suspicion_storage, parts.suspicions, load_table, registry.run_blocking, clock, log
+        )
+    )
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(
         JobApi(host, port, deployment, registry, admission, parts.config, clock, log, metrics)
