Tell a later crash of a target from one that is known

Callers saw: content could crash a target once more, because that crash was taken for an earlier one. Cause: a crash is named by the target's listed start and a count in the process that saw it. After a silence that was no crash, or after a restart of the process, the next crash had the same name. Change: the name has the window of 10 s of the wall clock in which the crash was found, so processes that see one crash still give it one name, unless they report it on both sides of a boundary.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -9,6 +9,7 @@
 from asyncio import Task, create_task, wait
 
 from ebonyshore.frame.async_kernel import PeriodicService
+from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
@@ -29,6 +30,9 @@
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
+# Processes that see the same crash report it within this time. A later crash of the same listed
+# incarnation is another one: the list may lag, or the first was a silence that ended.
+CRASH_WINDOW_MS = 10_000
 # Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
 CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
 
@@ -121,6 +125,7 @@
     :param targets: the known targets; a run of a target that is no longer listed has ended.
     :param checker: finds out whether a target is down.
     :param exchange: knows the crashes that all processes have seen.
+    :param clock: provides the wall time, which all processes share.
     """
 
     name = "crash_guard"
@@ -131,12 +136,14 @@
         targets: TargetTable,
         checker: TargetChecker,
         exchange: SuspicionExchange,
+        clock: Clock,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         self._targets = targets
         self._checker = checker
         self._exchange = exchange
+        self._clock = clock
         self._log = log
         self._metrics = metrics
         self._runs: dict[Target, set[ContentRun]] = {}
@@ -313,7 +320,8 @@
         if digests:
             target.crashes += 1
             # The list of targets may not show yet that the target was started again.
-            crash_id = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}"
+            window = self._clock.wall_ms() // CRASH_WINDOW_MS
+            crash_id = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}.{window}"
             self._exchange.record_crash(crash_id, sorted(digests), at_ms)
 
 
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -117,7 +117,9 @@
     """Return the crash guard of a process."""
     deployment = environment.deployment
     checker = TargetChecker(deployment.names, environment.pool, deployment.decode_start)
-    return CrashGuard(targets, checker, suspicions, environment.log, environment.metrics)
+    return CrashGuard(
+        targets, checker, suspicions, environment.clock, environment.log, environment.metrics
+    )
 
 
 def make_registration(environment: HostEnvironment, peers: PeerDirectory) -> Registration:
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import Random
 
+from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway.forwarder import Forwarder
@@ -41,7 +42,7 @@
 
 def make_crash_guard(targets, pool, suspicions, checker=None):
     checker = checker or TargetChecker(WIRE_NAMES, pool, decode_start)
-    return CrashGuard(targets, checker, suspicions, EventLog(), Metrics())
+    return CrashGuard(targets, checker, suspicions, SystemClock(), EventLog(), Metrics())
 
 
 class FirstChoiceRandom(Random):
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -5,12 +5,14 @@
 import pytest
 from msgspec.structs import replace
 
+from ebonyshore.frame.clock import ManualClock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host import crash_guard
 from ebonyshore.host.crash_guard import (
     CONVICTED_ITEM_DELAYS_MS,
+    CRASH_WINDOW_MS,
     MAX_CRASH_DELAY_MS,
     RESTART_LISTING_MS,
     SILENCE_CHECK_MS,
@@ -43,13 +45,18 @@
 
 
 class GuardSetup:
-    def __init__(self):
+    """A crash guard; ``former`` is that of another process, whose crashes it knows."""
+
+    def __init__(self, former=None):
+        self.clock = former.clock if former else ManualClock(1_000.0)
         self.table = TargetTable()
         for target_id in TARGET_IDS:
             self.put(target_id, started_ms=1)
         self.checker = ScriptedChecker()
-        self.suspicions = make_suspicions()
-        self.guard = CrashGuard(self.table, self.checker, self.suspicions, EventLog(), Metrics())
+        self.suspicions = former.suspicions if former else make_suspicions()
+        self.guard = CrashGuard(
+            self.table, self.checker, self.suspicions, self.clock, EventLog(), Metrics()
+        )
 
     def put(self, target_id, started_ms):
         address = f"127.0.0.1:{TARGET_IDS.index(target_id) + 1}"
@@ -205,6 +212,19 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("passed_ms, crashes", [(0.0, 1), (CRASH_WINDOW_MS, 2)])
+def test_crash_that_another_process_reports_counts_unless_it_is_the_same(passed_ms, crashes):
+    """Guards against a crash that is taken for an earlier one of the same listed incarnation."""
+
+    async def scenario(setup):
+        await setup.crash("t1", "bad")
+        setup.clock.advance_ms(passed_ms)
+        await GuardSetup(setup).crash("t1", "bad")
+        assert setup.crashes("bad") == crashes
+
+    run(scenario)
+
+
 def test_run_without_a_response_is_attributed_once_at_its_silence_and_its_end():
     async def scenario(setup):
         silent = setup.begin("t1", "bad")
