Name a crash that ended in a restart by the new start

Callers saw: content could crash a target twice in a row and be counted once. Cause: crashes are named by the listed start; two processes that send before the list shows a restart gave two crashes one name. Change: a target that was started again tells its new start in its report, or the list does; the crash is named by that.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -30,8 +30,8 @@
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
-# Processes that see the same crash report it within this time. A later crash of the same listed
-# incarnation is another one: the list may lag, or the first was a silence that ended.
+# Processes that find the same target down report it within this time. A later crash of the same
+# listed incarnation is another one: the list may lag, or the first was a silence that ended.
 CRASH_WINDOW_MS = 10_000
 # Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
 CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
@@ -319,11 +319,22 @@
         )
         if digests:
             target.crashes += 1
-            # The list of targets may not show yet that the target was started again.
-            window = self._clock.wall_ms() // CRASH_WINDOW_MS
-            crash_id = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}.{window}"
+            crash_id = self._name_crash(target, is_down)
             self._exchange.record_crash(crash_id, sorted(digests), at_ms)
 
+    def _name_crash(self, target: Target, is_down: bool) -> str:
+        """Return an id of the crash which all processes that see it use.
+
+        A restart is named by the new start. While the target is down that is not known, and the
+        list may still show an earlier incarnation.
+        """
+        listed = self._targets.find(target.target_id)
+        started_ms = max(target.started_ms, listed.started_ms if listed is not None else 0)
+        if not is_down and started_ms > target.entry.started_ms:
+            return f"{target.target_id}/before-{started_ms}"
+        window = self._clock.wall_ms() // CRASH_WINDOW_MS
+        return f"{target.target_id}/{target.entry.started_ms}.{target.crashes}.{window}"
+
 
 def _is_silent(run: ContentRun, at_ms: float) -> bool:
     return run.is_sent and not run.is_checked and at_ms - run.last_part_ms > SILENCE_CHECK_MS
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -225,6 +225,23 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("seen_by_other_ms, crashes", [(2, 1), (3, 2)])
+def test_restart_that_the_list_does_not_show_counts_once_in_all_processes(
+    seen_by_other_ms, crashes
+):
+    """Guards against a crash that is taken for the one before, which another process has seen."""
+
+    async def scenario(setup):
+        for started_ms, process in ((2, setup), (seen_by_other_ms, GuardSetup(setup))):
+            process.checker.down.clear()
+            process.checker.condition_if_up = TargetCondition.RESTARTED
+            process.table.find("t1").record_start(started_ms)
+            await process.crash("t1", "bad")
+        assert setup.crashes("bad") == crashes
+
+    run(scenario)
+
+
 def test_run_without_a_response_is_attributed_once_at_its_silence_and_its_end():
     async def scenario(setup):
         silent = setup.begin("t1", "bad")
