Take a crash after a few events as weak evidence, and ask for more of it

Cause: an item that has just been resumed is often hit by the next crash within its first second. Change: a crash within 1 s of progress is weak evidence; five crashes convict if there is weak evidence among them, three without. Content that crashes its targets after a few events is sent on at most twice more than before the third crash settles, as the tests show (three are allowed). A datagram holds four verdicts instead of five, because names of crashes have become longer.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -92,6 +92,11 @@
             return None
         return self.last_event_ms - self.first_event_ms
 
+    @property
+    def is_weak_evidence(self) -> bool:
+        """Whether a crash is weak evidence against the content, as the run had made progress."""
+        return self.is_resumable and self.first_event_ms is not None
+
     def record_part(self, at_ms: float) -> None:
         """Record that a part of the response was received."""
         self.last_part_ms = at_ms
@@ -108,7 +113,8 @@
         """Return whether a crash of the target at ``at_ms`` may be attributed to the run.
 
         It is not if the run had made progress for some time that the next run continues from. If
-        the content caused the crash, the next run crashes its target early.
+        the content caused the crash, the next run crashes its target early. Less progress makes the
+        crash weak evidence, see :attr:`is_weak_evidence`.
         """
         if not self.is_sent:
             return False
@@ -148,9 +154,11 @@
         self._metrics = metrics
         self._runs: dict[Target, set[ContentRun]] = {}
         self._checks: dict[Target, Task[None]] = {}
-        self._broken: dict[Target, set[str]] = {}  # content of runs that broke, while checked
-        # Content of runs that broke at targets that answered, and the time of the last break.
-        self._unexplained: dict[Target, tuple[set[str], float]] = {}
+        # Content of runs that broke, while their target is checked, and whether a crash would be
+        # weak evidence against it.
+        self._broken: dict[Target, dict[str, bool]] = {}
+        # The same of runs that broke at targets that answered, and the time of the last break.
+        self._unexplained: dict[Target, tuple[dict[str, bool], float]] = {}
         # Time of the last break that may have been a crash, by content digest.
         self._broken_ms: dict[str, float] = {}
 
@@ -177,7 +185,7 @@
         """Record that a run has completed, which clears its content unless it is convicted."""
         self.end(run)
         for broken in [*self._broken.values(), *(found for found, _ in self._unexplained.values())]:
-            broken.discard(run.content_digest)
+            broken.pop(run.content_digest, None)
         self._exchange.record_completed(run.content_digest, now_ms())
 
     def end_broken(self, run: ContentRun) -> None:
@@ -187,7 +195,7 @@
             return
         at_ms = now_ms()
         if run.may_have_crashed_target(at_ms):
-            self._broken.setdefault(run.target, set()).add(run.content_digest)
+            self._broken.setdefault(run.target, {})[run.content_digest] = run.is_weak_evidence
             self._broken_ms[run.content_digest] = at_ms
         self._check(run.target)
 
@@ -262,7 +270,7 @@
     async def _attribute_crash(self, target: Target) -> None:
         try:
             condition = await self._checker.check(target)
-            broken = self._broken.get(target, set())
+            broken = self._broken.get(target, {})
             is_down = condition is TargetCondition.DOWN
             if is_down or self._has_restarted(target, condition, broken):
                 self._record_crash(target, broken, is_down)
@@ -276,7 +284,9 @@
             self._broken.pop(target, None)
             del self._checks[target]
 
-    def _has_restarted(self, target: Target, condition: TargetCondition, broken: set[str]) -> bool:
+    def _has_restarted(
+        self, target: Target, condition: TargetCondition, broken: dict[str, bool]
+    ) -> bool:
         """Return whether a target that answers has lost its runs in an unplanned restart."""
         if condition is TargetCondition.RESTARTED:
             return not target.entry.is_leaving
@@ -287,9 +297,9 @@
         is_listed = self._targets.find(target.target_id) is target
         return not is_listed and not target.entry.is_leaving
 
-    def _add_unexplained(self, target: Target, broken: set[str]) -> None:
+    def _add_unexplained(self, target: Target, broken: dict[str, bool]) -> None:
         if broken:
-            known, _ = self._unexplained.get(target, (set(), 0.0))
+            known, _ = self._unexplained.get(target, ({}, 0.0))
             self._unexplained[target] = (known | broken, now_ms())
 
     def _attribute_restarts(self, at_ms: float) -> None:
@@ -301,14 +311,14 @@
             if has_ended or at_ms - broken_ms > RESTART_LISTING_MS:
                 del self._unexplained[target]
 
-    def _record_crash(self, target: Target, broken: set[str], is_down: bool) -> None:
+    def _record_crash(self, target: Target, broken: dict[str, bool], is_down: bool) -> None:
         at_ms = now_ms()
         target.mark_unreachable(at_ms)
-        digests = set(broken)
+        digests = dict(broken)
         for run in self._runs.get(target, ()):
             if run.may_have_crashed_target(at_ms):
                 run.is_attributed = True
-                digests.add(run.content_digest)
+                digests[run.content_digest] = run.is_weak_evidence
         self._metrics.count("target_crashes")
         self._log.event(
             "target_crashed",
@@ -320,7 +330,8 @@
         if digests:
             target.crashes += 1
             crash_id = self._name_crash(target, is_down)
-            self._exchange.record_crash(crash_id, sorted(digests), at_ms)
+            weak_digests = [digest for digest, is_weak in digests.items() if is_weak]
+            self._exchange.record_crash(crash_id, sorted(digests), at_ms, weak_digests)
 
     def _name_crash(self, target: Target, is_down: bool) -> str:
         """Return an id of the crash which all processes that see it use.
--- a/ebonyshore/link/messages.py
+++ b/ebonyshore/link/messages.py
@@ -244,6 +244,8 @@
     :param is_cleared: whether a request with the content has completed, which ends the suspicion
         unless the content is convicted. Such a verdict carries no crashes.
     :param crash_ids: ids of these crashes, so that no process counts one twice.
+    :param weak_crash_ids: ids of the crashes that are weak evidence, as the content had made some
+        progress; they are not in ``crash_ids``.
     """
 
     content_digest: str
@@ -252,6 +254,7 @@
     age_ms: float
     is_cleared: bool = False
     crash_ids: tuple[str, ...] = ()
+    weak_crash_ids: tuple[str, ...] = ()
 
 
 class VerdictShare(Struct, tag="verdict_share", frozen=True):
@@ -267,12 +270,14 @@
     :param agent_id: instance id of the target's agent.
     :param content_digests: content digests of all requests in flight.
     :param suspect_digests: those of them that were suspect before the crash.
+    :param weak_digests: those of them against which the crash is weak evidence.
     """
 
     crash_id: str
     agent_id: str
     content_digests: tuple[str, ...]
     suspect_digests: tuple[str, ...] = ()
+    weak_digests: tuple[str, ...] = ()
 
 
 class SettingsRequest(Struct, tag="settings_request", frozen=True):
--- a/ebonyshore/link/suspicion.py
+++ b/ebonyshore/link/suspicion.py
@@ -2,6 +2,7 @@
 
 Content that was in flight when a target crashed is suspect. It is cleared when it completes, and
 convicted when it was in flight at a given number of crashes or was the only suspect at one.
+A crash is weak evidence against content that had made some progress; more of them are needed.
 Convicted content must not run any more until it expires.
 """
 
@@ -17,6 +18,7 @@
 # Where suspects run beside other requests, harmless content is sometimes in flight at two crashes
 # that other content causes.
 SHARED_CONVICTION_CRASHES = 3
+WEAK_CONVICTION_CRASHES = 5  # if there is weak evidence among them
 
 
 @dataclass(slots=True)
@@ -24,19 +26,40 @@
     """The crashes at which one content was in flight.
 
     :param crash_ids: ids of the crashes; a set, because several processes report the same crash.
+    :param weak_crash_ids: ids of further crashes, which are weak evidence.
     :param is_convicted: whether the content must not run.
     :param last_crash_ms: monotonic time of the last crash.
     """
 
     crash_ids: set[str] = field(default_factory=set)
+    weak_crash_ids: set[str] = field(default_factory=set)
     is_convicted: bool = False
     last_crash_ms: float = float("-inf")
 
-    def add(self, crash_ids: Iterable[str], now_ms: float, conviction_crashes: int) -> None:
-        """Add crashes; convict the content if there are ``conviction_crashes`` of them."""
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes, weak evidence included."""
+        return len(self.crash_ids) + len(self.weak_crash_ids)
+
+    def add(
+        self,
+        crash_ids: Iterable[str],
+        weak_crash_ids: Iterable[str],
+        now_ms: float,
+        conviction_crashes: int,
+    ) -> None:
+        """Add crashes; convict the content if there are ``conviction_crashes`` of them.
+
+        With weak evidence among them, :data:`WEAK_CONVICTION_CRASHES` are needed.
+        """
         self.crash_ids.update(crash_ids)
+        self.weak_crash_ids.update(weak_crash_ids)
+        self.weak_crash_ids -= self.crash_ids
         self.last_crash_ms = max(self.last_crash_ms, now_ms)
-        self.is_convicted = self.is_convicted or len(self.crash_ids) >= conviction_crashes
+        if len(self.crash_ids) >= conviction_crashes:
+            self.is_convicted = True
+        if self.crash_count >= max(conviction_crashes, WEAK_CONVICTION_CRASHES):
+            self.is_convicted = True
 
 
 class SuspicionTable:
@@ -71,7 +94,9 @@
             del self._seen_reports[next(iter(self._seen_reports))]
         for digest in report.content_digests:
             suspect = self._find_or_add(digest, now_ms)
-            suspect.add((report.crash_id,), now_ms, self._conviction_crashes)
+            is_weak = digest in report.weak_digests
+            strong, weak = ((), (report.crash_id,)) if is_weak else ((report.crash_id,), ())
+            suspect.add(strong, weak, now_ms, self._conviction_crashes)
         if len(report.suspect_digests) == 1:
             self._find_or_add(report.suspect_digests[0], now_ms).is_convicted = True
         return True
@@ -110,11 +135,11 @@
         if verdict.age_ms > self.expiry_ms:
             return False
         suspect = self._find_or_add(verdict.content_digest, now_ms)
-        previous = (len(suspect.crash_ids), suspect.is_convicted)
+        previous = (len(suspect.crash_ids), suspect.crash_count, suspect.is_convicted)
         crashed_ms = now_ms - verdict.age_ms
-        suspect.add(verdict.crash_ids, crashed_ms, self._conviction_crashes)
+        suspect.add(verdict.crash_ids, verdict.weak_crash_ids, crashed_ms, self._conviction_crashes)
         suspect.is_convicted = suspect.is_convicted or verdict.is_convicted
-        return previous != (len(suspect.crash_ids), suspect.is_convicted)
+        return previous != (len(suspect.crash_ids), suspect.crash_count, suspect.is_convicted)
 
     def export(self, now_ms: float) -> tuple[Verdict, ...]:
         """Return the verdicts on all content that has not expired."""
@@ -150,8 +175,9 @@
 def _verdict(content_digest: str, suspect: Suspect, now_ms: float) -> Verdict:
     return Verdict(
         content_digest,
-        len(suspect.crash_ids),
+        suspect.crash_count,
         suspect.is_convicted,
         now_ms - suspect.last_crash_ms,
         crash_ids=tuple(suspect.crash_ids),
+        weak_crash_ids=tuple(suspect.weak_crash_ids),
     )
--- a/ebonyshore/link/suspicion_exchange.py
+++ b/ebonyshore/link/suspicion_exchange.py
@@ -5,7 +5,7 @@
 continually, so that a process that was started or cut off in the meantime learns of them.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
@@ -16,7 +16,7 @@
 
 CHANGE_SENDS = 3  # of each change
 CONVICTION_INTERVAL_MS = 1_000.0
-MAX_VERDICTS_PER_DATAGRAM = 5  # keeps a datagram below 1,500 bytes
+MAX_VERDICTS_PER_DATAGRAM = 4  # keeps a datagram below 1,500 bytes
 MAX_COMPLETED_CONTENTS = 2_048
 RECENT_COMPLETION_MS = 30_000.0
 
@@ -54,7 +54,13 @@
         self._completed_ms: dict[str, float] = {}  # by content digest, oldest first
         self._convictions_sent_ms = float("-inf")
 
-    def record_crash(self, crash_id: str, content_digests: Iterable[str], now_ms: float) -> None:
+    def record_crash(
+        self,
+        crash_id: str,
+        content_digests: Iterable[str],
+        now_ms: float,
+        weak_digests: Collection[str] = (),
+    ) -> None:
         """Add a crash to all content that was in flight at it.
 
         Content that completed shortly before is left out: it does not crash each target that runs
@@ -62,10 +68,12 @@
         for another reason.
 
         :param crash_id: identifies the crash; processes that see the same one use the same id.
+        :param weak_digests: content against which the crash is weak evidence.
         """
         digests = tuple(d for d in content_digests if not self._has_completed(d, now_ms))
         was_convicted = self._convicted(digests, now_ms)
-        if digests and self.table.record_crash(CrashReport(crash_id, "", digests), now_ms):
+        report = CrashReport(crash_id, "", digests, weak_digests=tuple(weak_digests))
+        if digests and self.table.record_crash(report, now_ms):
             self._schedule(digests)
         self._log_convictions(digests, was_convicted, now_ms)
 
@@ -139,6 +147,7 @@
         self, digests: Iterable[str], was_convicted: set[str], now_ms: float
     ) -> None:
         for digest in self._convicted(digests, now_ms) - was_convicted:
-            crash_ids = self.table.verdict(digest, now_ms).crash_ids
+            verdict = self.table.verdict(digest, now_ms)
+            crash_ids = (*verdict.crash_ids, *verdict.weak_crash_ids)
             self._metrics.count("contents_convicted")
             self._log.event("content_convicted", content=digest, crashes=",".join(crash_ids))
--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -27,11 +27,13 @@
 
     :param crash_ids: ids of the crashes at which the content was in flight.
     :param last_crash_ms: wall time of the last of them.
+    :param weak_crash_ids: ids of further crashes, which are weak evidence.
     """
 
     content_digest: str
     crash_ids: tuple[str, ...]
     last_crash_ms: int
+    weak_crash_ids: tuple[str, ...] = ()
 
 
 class ConvictionStorage:
@@ -153,7 +155,9 @@
     :param wall_ms: present wall time.
     """
     last_crash_ms = int(wall_ms - verdict.age_ms)
-    return ConvictionRecord(verdict.content_digest, verdict.crash_ids, last_crash_ms)
+    return ConvictionRecord(
+        verdict.content_digest, verdict.crash_ids, last_crash_ms, verdict.weak_crash_ids
+    )
 
 
 def to_verdict(record: ConvictionRecord, wall_ms: float, is_convicted: bool = True) -> Verdict:
@@ -165,8 +169,9 @@
     age_ms = min(max(0.0, wall_ms - record.last_crash_ms), SUSPICION_EXPIRY_MS)
     return Verdict(
         record.content_digest,
-        len(record.crash_ids),
+        len(record.crash_ids) + len(record.weak_crash_ids),
         is_convicted,
         age_ms,
         crash_ids=record.crash_ids,
+        weak_crash_ids=record.weak_crash_ids,
     )
--- a/ebonyshore/runner/suspicion_store.py
+++ b/ebonyshore/runner/suspicion_store.py
@@ -120,7 +120,7 @@
         record = await self._run_blocking(self._storage.read)
         self._has_loaded = True
         self._stored_crashes = {
-            suspect.content_digest: frozenset(suspect.crash_ids) for suspect in record.suspects
+            suspect.content_digest: _all_crash_ids(suspect) for suspect in record.suspects
         }
         wall_ms = self._clock.wall_ms()
         verdicts = [to_verdict(suspect, wall_ms, False) for suspect in record.suspects]
@@ -128,7 +128,7 @@
 
     async def _write_changes(self) -> None:
         suspects = self._current_suspects()
-        crashes = {digest: frozenset(found.crash_ids) for digest, found in suspects.items()}
+        crashes = {digest: _all_crash_ids(found) for digest, found in suspects.items()}
         if crashes == self._stored_crashes:
             return
         is_cleared_only = crashes.items() <= self._stored_crashes.items()
@@ -149,3 +149,7 @@
         ]
         found.sort(key=lambda verdict: verdict.age_ms)
         return {verdict.content_digest: verdict for verdict in found[:MAX_STORED_SUSPECTS]}
+
+
+def _all_crash_ids(suspect: ConvictionRecord | Verdict) -> frozenset[str]:
+    return frozenset((*suspect.crash_ids, *suspect.weak_crash_ids))
--- a/tests/test_suspicion_exchange.py
+++ b/tests/test_suspicion_exchange.py
@@ -4,6 +4,7 @@
 from ebonyshore.link.codec import MessageCodec
 from ebonyshore.link.datagrams import Datagram, SuspicionUpdate
 from ebonyshore.link.messages import Verdict
+from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, WEAK_CONVICTION_CRASHES
 from ebonyshore.link.suspicion_exchange import (
     CONVICTION_INTERVAL_MS,
     MAX_COMPLETED_CONTENTS,
@@ -73,6 +74,29 @@
     assert all(fleet.convicted_at("bad"))
 
 
+def test_weak_evidence_of_different_processes_convicts_after_more_crashes():
+    """Guards against content that crashes its targets after a few events, and against holding back
+    a long item that was in flight at several crashes which it did not cause."""
+    fleet = Fleet()
+    for number in range(WEAK_CONVICTION_CRASHES):
+        fleet.step(2)
+        assert not any(fleet.convicted_at("bad"))
+        process = (fleet.entries + fleet.runners)[number % 3]
+        process.record_crash(f"t{number}/1.1", ("bad",), fleet.now_ms, ("bad",))
+    fleet.step(2)
+    assert all(fleet.convicted_at("bad"))
+
+
+def test_crash_that_is_weak_evidence_to_one_process_only_counts_in_full():
+    fleet = Fleet()
+    for number in range(SHARED_CONVICTION_CRASHES):
+        crash_id = f"t{number}/1.1"
+        fleet.entries[0].record_crash(crash_id, ("bad",), fleet.now_ms, ("bad",))
+        fleet.crash(fleet.entries[1], "bad", crash_id)
+    fleet.step(4)
+    assert all(fleet.convicted_at("bad"))
+
+
 def test_one_crash_that_several_processes_have_seen_counts_once():
     fleet = Fleet()
     for process in fleet.entries + fleet.runners:
@@ -165,7 +189,9 @@
 
 def test_full_datagram_fits_into_one_packet():
     """Guards against fragments: a datagram is lost with any one of them."""
-    crash_ids = tuple(f"i-0123456789ab/1796359862969.{number}" for number in range(5))
-    verdict = Verdict("0123456789abcdef", 5, True, 123.456, crash_ids=crash_ids)
+    crash_ids = tuple(f"i-0123456789ab/1796359862969.{number}.179637732" for number in range(5))
+    verdict = Verdict(
+        "0123456789abcdef", 5, True, 123.456, crash_ids=crash_ids[:2], weak_crash_ids=crash_ids[2:]
+    )
     update = SuspicionUpdate("storage-vn-south-a-1", (verdict,) * MAX_VERDICTS_PER_DATAGRAM)
     assert len(MessageCodec(Datagram, Metrics()).encode(update)) <= MAX_PACKET_BYTES
