Close idle connections to a target that is down

A request on a connection that was kept from before a crash is sent into the outage, and its silence counted as another crash of the same target. The test failed before.

--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -44,11 +44,17 @@
         self._decode_start = decode_start
 
     async def check(self, target: Target) -> TargetCondition:
-        """Return the condition of a target; a restart is returned once."""
+        """Return the condition of a target; a restart is returned once.
+
+        Idle connections to a target that is down or was started again are closed. A request that is
+        sent later therefore shows that the target accepted a connection since.
+        """
         condition = await self._ask(target)
         if condition is None:
             await sleep(INCONCLUSIVE_RETRY_DELAY_MS / MS_PER_S)
             condition = await self._ask(target)
+        if condition in (TargetCondition.DOWN, TargetCondition.RESTARTED):
+            self._pool.close_idle_connections(target.entry.address)
         return condition or TargetCondition.ANSWERING
 
     async def _ask(self, target: Target) -> TargetCondition | None:
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -78,3 +78,23 @@
         return server.connections
 
     assert asyncio.run(asyncio.wait_for(scenario(), 10)) == 2
+
+
+def test_idle_connections_to_a_target_that_is_down_are_closed():
+    """Guards against counting one outage again for each request that is sent into it."""
+
+    async def scenario():
+        server = ScriptedTarget(send_complete_stream)
+        address = await server.start()
+        pool = ConnectionPool(4)
+        async with pool.use(address, 300.0, 10_000.0) as connection:
+            connection.send(b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+            while (await connection.next_part()).__class__.__name__ != "BodyEnd":
+                pass
+        server.close()
+        target = Target(TargetEntry("t1", "svc", address, "fd-a", 8))
+        condition = await TargetChecker(WIRE_NAMES, pool, decode_start).check(target)
+        return condition, connection.is_broken
+
+    outcome = asyncio.run(asyncio.wait_for(scenario(), 10))
+    assert outcome == (TargetCondition.DOWN, True)
