Count a crash of a target once for each run

Callers saw, in trials: a request was convicted by one outage of its target. Cause: a run that stays open while its target is down was counted again each time the target was found down, by other requests or by the check of silent runs. Change: a run to which a crash was attributed is left out.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -316,7 +316,7 @@
         target.mark_unreachable(at_ms)
         digests = dict(broken)
         for run in self._runs.get(target, ()):
-            if run.may_have_crashed_target(at_ms):
+            if not run.is_attributed and run.may_have_crashed_target(at_ms):
                 run.is_attributed = True
                 digests[run.content_digest] = run.is_weak_evidence
         self._metrics.count("target_crashes")
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -279,6 +279,19 @@
     run(scenario)
 
 
+def test_run_that_stays_open_counts_once_however_often_its_target_is_found_down():
+    """Guards against convicting a request by one outage that other requests run into."""
+
+    async def scenario(setup):
+        waiting = setup.begin("t1", "waiting")
+        waiting.started_ms -= 2 * SIMULTANEOUS_MS
+        for _ in range(SHARED_CONVICTION_CRASHES):
+            await setup.crash("t1", "other")
+        assert setup.crashes("waiting") == 1
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "progress_ms, is_resumable, crashes",
     [
