Check attempts and deadlines of online requests in the soak

The report of repeats on real processes names no requests. The soak now checks, from what targets see, that an online request runs at most as often as its route allows and that no target is given more time than its caller has left; it checked only content that crashes targets.

--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -6,8 +6,13 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore_standins.fleet_client import STREAM_DEADLINE_MS
+from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
+ONLINE_PREFIXES = ("stream-", "once-", "crash-")  # of the ids of online requests
+# A request that is sent once more may end later than the first by this much.
+DEADLINE_SLACK_MS = 500.0
 REFUSAL_STATUSES = (408, 421, 429, 503)
 # Time after which a runner starts no more items of a cancelled job.
 CANCEL_TIMEOUT_MS = 3_000.0
@@ -110,6 +115,7 @@
         for request_id, count in run_counts.items():
             if request_id.startswith("once") and count > 1:
                 self.report_violation(f"request {request_id} ran {count} times")
+        self._check_attempts(runs)
         for request_id in self.refused_request_ids & set(run_counts):
             self.report_violation(f"request {request_id} ran although it was refused as not run")
         for job_id, size in self.refused_jobs.items():
@@ -121,6 +127,25 @@
             self._check_job(job_id, size)
         self._check_starts_after_cancel(runs)
 
+    def _check_attempts(self, runs: Sequence[RunRecord]) -> None:
+        """Check the number of runs of each online request, and the time that it gave its targets."""
+        first_runs: dict[str, RunRecord] = {}
+        counts: dict[str, int] = {}
+        for run in runs:
+            if not run.request_id.startswith(ONLINE_PREFIXES):
+                continue
+            counts[run.request_id] = counts.get(run.request_id, 0) + 1
+            first = first_runs.setdefault(run.request_id, run)
+            end_ms = first.started_ms + min(STREAM_DEADLINE_MS, first.remaining_ms)
+            excess_ms = run.started_ms + run.remaining_ms - end_ms
+            if excess_ms > DEADLINE_SLACK_MS:
+                self.report_violation(
+                    f"request {run.request_id}: a target was given {excess_ms:.0f} ms too much"
+                )
+        for request_id, count in counts.items():
+            if count > MAX_ATTEMPTS:
+                self.report_violation(f"request {request_id} ran {count} times")
+
     def _check_starts_after_cancel(self, runs: Sequence[RunRecord]) -> None:
         for run in runs:
             job_id = run.request_id.rpartition("-")[0]
--- a/ebonyshore_standins/fleet_config.py
+++ b/ebonyshore_standins/fleet_config.py
@@ -7,6 +7,7 @@
 LIMITED_PREFIX = "/limited/"
 MAX_WAITING_TOKENS = 400  # of the limited batch route
 SERVICE = "svc"
+MAX_ATTEMPTS = 3  # of a request, unless its route has another limit
 
 
 def route(name: str, prefix: str, kind: str, **fields: object) -> dict[str, object]:
@@ -24,7 +25,7 @@
         "Service": SERVICE,
         "TimeoutMs": 8_000,
         "TargetLatencyMs": 500,
-        "MaxAttempts": 3,
+        "MaxAttempts": MAX_ATTEMPTS,
         **fields,
     }
 
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -28,6 +28,7 @@
     :param started_ms: monotonic time at the start of the run; 0 for a request that was answered
         with status 500.
     :param ended_ms: monotonic time at which the run was complete; 0 if it was not.
+    :param remaining_ms: time that the request gave the target, in milliseconds.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     is_complete: bool = False
     started_ms: float = 0.0
     ended_ms: float = 0.0
+    remaining_ms: float = 0.0
 
 
 def expected_data(request_id: str, events: int) -> str:
@@ -197,7 +199,13 @@
         self, request_id: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> RunRecord:
         first_event = int(headers.get("last-event-id", "0")) + 1
-        run = RunRecord(request_id, first_event, first_event - 1, started_ms=CLOCK.monotonic_ms())
+        run = RunRecord(
+            request_id,
+            first_event,
+            first_event - 1,
+            started_ms=CLOCK.monotonic_ms(),
+            remaining_ms=float(headers.get("deadline-ms", "inf")),
+        )
         self.runs.append(run)
         writer.write(
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -11,6 +11,7 @@
 from ebonyshore_soak.checker import CANCEL_BOUND_MS, GuaranteeChecker, JobSize
 from ebonyshore_soak.faults import FaultInjector
 from ebonyshore_soak.limited_jobs import first_completions
+from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
 from ebonyshore_standins.stream_target import RunRecord, expected_data
 
 # A seed whose run violated a guarantee is added here, with the cause, and is kept.
@@ -91,6 +92,22 @@
     assert len(violations_of("j9-1", prepare=refuse)) == 1
 
 
+def test_too_many_runs_and_too_much_time_for_a_target_are_found():
+    def run(at_ms, remaining_ms, request_id="stream-1"):
+        return RunRecord(request_id, 1, 3, started_ms=at_ms, remaining_ms=remaining_ms)
+
+    def violations(*runs):
+        checker = GuaranteeChecker(ManualClock())
+        checker.check_runs(runs)
+        return len(checker.violations)
+
+    assert violations(run(0.0, 5_000.0), run(900.0, 4_100.0), run(1_800.0, 3_700.0)) == 0
+    assert violations(run(0.0, 5_000.0), run(900.0, 4_700.0)) == 1
+    assert violations(run(0.0, float("inf"))) == 1
+    assert violations(*(run(0.0, 5_000.0) for _ in range(MAX_ATTEMPTS + 1))) == 1
+    assert violations(*(run(0.0, 5_000.0, "j-1") for _ in range(MAX_ATTEMPTS + 1))) == 0
+
+
 def test_item_that_starts_too_long_after_its_job_was_cancelled_is_found():
     checker = GuaranteeChecker(ManualClock())
     checker.cancel_acknowledged_ms["j"] = 1_000.0
