--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -128,10 +128,10 @@
         self._check_starts_after_cancel(runs)
 
     def _check_attempts(self, runs: Sequence[RunRecord]) -> None:
-        """Check the number of runs of each online request, and the time that it gave its targets."""
+        """Check how often each online request ran, and the time that it gave its targets."""
         first_runs: dict[str, RunRecord] = {}
         counts: dict[str, int] = {}
-        for run in runs:
+        for run in sorted(runs, key=lambda run: run.started_ms):
             if not run.request_id.startswith(ONLINE_PREFIXES):
                 continue
             counts[run.request_id] = counts.get(run.request_id, 0) + 1
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -103,6 +103,7 @@
 
     assert violations(run(0.0, 5_000.0), run(900.0, 4_100.0), run(1_800.0, 3_700.0)) == 0
     assert violations(run(0.0, 5_000.0), run(900.0, 4_700.0)) == 1
+    assert violations(run(900.0, 4_700.0), run(0.0, 5_000.0)) == 1
     assert violations(run(0.0, float("inf"))) == 1
     assert violations(*(run(0.0, 5_000.0) for _ in range(MAX_ATTEMPTS + 1))) == 1
     assert violations(*(run(0.0, 5_000.0, "j-1") for _ in range(MAX_ATTEMPTS + 1))) == 0
