--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -131,13 +131,13 @@
         """Check how often each online request ran, and the time that it gave its targets."""
         first_runs: dict[str, RunRecord] = {}
         counts: dict[str, int] = {}
-        for run in sorted(runs, key=lambda run: run.started_ms):
+        for run in sorted(runs, key=lambda run: run.received_ms):
             if not run.request_id.startswith(ONLINE_PREFIXES):
                 continue
             counts[run.request_id] = counts.get(run.request_id, 0) + 1
             first = first_runs.setdefault(run.request_id, run)
-            end_ms = first.started_ms + min(STREAM_DEADLINE_MS, first.remaining_ms)
-            excess_ms = run.started_ms + run.remaining_ms - end_ms
+            end_ms = first.received_ms + min(STREAM_DEADLINE_MS, first.remaining_ms)
+            excess_ms = run.received_ms + run.remaining_ms - end_ms
             if excess_ms > DEADLINE_SLACK_MS:
                 self.report_violation(
                     f"request {run.request_id}: a target was given {excess_ms:.0f} ms too much"
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -28,6 +28,7 @@
     :param started_ms: monotonic time at the start of the run; 0 for a request that was answered
         with status 500.
     :param ended_ms: monotonic time at which the run was complete; 0 if it was not.
+    :param received_ms: monotonic time at which the request was received.
     :param remaining_ms: time that the request gave the target, in milliseconds.
     """
 
@@ -37,6 +38,7 @@
     is_complete: bool = False
     started_ms: float = 0.0
     ended_ms: float = 0.0
+    received_ms: float = 0.0
     remaining_ms: float = 0.0
 
 
@@ -79,6 +81,7 @@
         self._slots = asyncio.Semaphore(capacity)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._received_ms: dict[asyncio.StreamWriter, float] = {}  # of the last request
         self._thread = LoopThread()
 
     @property
@@ -126,6 +129,7 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 headers = _parse_headers(head)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
+                self._received_ms[writer] = CLOCK.monotonic_ms()
                 await self._before_output()
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
                     self._send_report(writer)
@@ -136,6 +140,7 @@
             writer.close()  # the client has disconnected, or the server stops
         finally:
             self._writers.discard(writer)
+            self._received_ms.pop(writer, None)
 
     async def _before_output(self) -> None:
         """Wait until the target may send; a subclass can make it unresponsive."""
@@ -204,6 +209,7 @@
             first_event,
             first_event - 1,
             started_ms=CLOCK.monotonic_ms(),
+            received_ms=self._received_ms[writer],
             remaining_ms=float(headers.get("deadline-ms", "inf")),
         )
         self.runs.append(run)
