Log the software versions of targets and the streams that requests continue

The logs could not tell whether a stream was resumed by the same entry or taken up at another one, nor at which versions it ran. request_ended has both now, item_run_ended and target_changed the version. The adapter decodes the version of a target and the name of the header; no decision uses them yet.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -111,6 +111,7 @@
         )
         self._service_targets = forwarder.choose_service_targets(route)
         self._tried_targets: list[str] = []
+        self._tried_versions: list[str] = []
         self._unsuccessful_targets: set[str] = set()
         self._attempts = 0  # those that may have run; refused ones are not counted
         self._refusals = 0
@@ -132,7 +133,9 @@
                 content=self._content_digest,
                 route=self._route.name,
                 outcome=outcome,
+                resumes=self._request.headers.get(self._forwarder.names.resumed_request),
                 targets=",".join(self._tried_targets),
+                versions=",".join(self._tried_versions),
                 runs=self._attempts,
                 room=self._free_slots,
                 load_age_ms=self._forwarder.view.totals_age_ms(now_ms()),
@@ -168,6 +171,7 @@
         """
         forwarder = self._forwarder
         self._tried_targets.append(target.target_id)
+        self._tried_versions.append(target.entry.software_version)
         self._attempts += 1
         can_retry = self._can_retry()
         run = forwarder.crash_guard.begin(target, self._content_digest, can_retry)
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -71,6 +71,7 @@
                 target=entry.target_id,
                 address=entry.address,
                 is_leaving=entry.is_leaving,
+                software_version=entry.software_version,
             )
 
     def _decode_entry(self, stored: StoredObject) -> TargetEntry | None:
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -25,6 +25,7 @@
     :param capacity: number of requests that the target runs concurrently.
     :param is_leaving: whether the target has announced a planned stop.
     :param started_ms: wall time of its start, which distinguishes two incarnations with one id.
+    :param software_version: version of the target's software; empty if it is not listed.
     """
 
     target_id: str
@@ -34,6 +35,7 @@
     capacity: int
     is_leaving: bool = False
     started_ms: int = 0
+    software_version: str = ""
 
 
 class Target:
--- a/ebonyshore/host/wire_names.py
+++ b/ebonyshore/host/wire_names.py
@@ -13,6 +13,8 @@
     :param not_executed: header in a target's response stating that the request did not run.
     :param last_event_id: header with the id of the last event of a stream that the caller has
         received.
+    :param resumed_request: header with the id of the attempt that brought the first event of the
+        stream which the request continues.
     :param signature: header that identifies the target that generated a response.
     :param wait_ms: header with the time that a read of results may wait for new ones, in ms.
     :param ready_path: path of the health check.
@@ -28,6 +30,7 @@
     expected_instance: str
     not_executed: str
     last_event_id: str
+    resumed_request: str
     signature: str
     wait_ms: str
     ready_path: str
--- a/ebonyshore/platform/target_entries.py
+++ b/ebonyshore/platform/target_entries.py
@@ -15,6 +15,8 @@
     zone: str = field(name="Zone")
     capacity: int = field(name="Capacity")
     state: Literal["ready", "draining"] = field(name="State")
+    # Of the target's software; the versions of its weights are named elsewhere.
+    version: str = field(default="", name="Version")
     # Start time of the target in Unix milliseconds; distinguishes two incarnations with one id.
     born: int = 0
     cold_remaining_ms: float = field(default=0.0, name="ColdRemainingMs")
@@ -57,4 +59,5 @@
         capacity=entry.capacity,
         is_leaving=entry.state == "draining",
         started_ms=entry.born,
+        software_version=entry.version,
     )
--- a/ebonyshore/platform/wire_names.py
+++ b/ebonyshore/platform/wire_names.py
@@ -8,6 +8,7 @@
     expected_instance="Expect-Instance",
     not_executed="Not-Executed",
     last_event_id="Last-Event-Id",
+    resumed_request="Resumes",
     signature="Server-Signature",
     wait_ms="Wait-Ms",
     ready_path="/ebonyshore/readyz",
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -379,6 +379,7 @@
                 item=item.item_id,
                 content=progress.content_digest(item),
                 target=target.target_id,
+                software_version=target.entry.software_version,
                 end=result.outcome.name.lower(),
                 detail=result.detail,
                 last_event=item.last_event_id,
