Reproduce streams that go on at another software version

With targets of two versions in one service, events of both are in one stream: if an entry resumes an answer, if an item is resumed, and if a caller takes its stream up at another entry, whether the first one lives or not.

--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -117,7 +117,3 @@
             self._reset_connections()
             self._responsive.set()
         self.on_restart()
-
-    def _reset_connections(self) -> None:
-        for writer in list(self._writers):
-            writer.transport.abort()
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -30,6 +30,8 @@
     :param ended_ms: monotonic time at which the run was complete; 0 if it was not.
     :param received_ms: monotonic time at which the request was received.
     :param remaining_ms: time that the request gave the target, in milliseconds.
+    :param software_version: version of the target.
+    :param resumed_request: id of the attempt whose stream the request continues, as it names it.
     """
 
     request_id: str
@@ -40,6 +42,8 @@
     ended_ms: float = 0.0
     received_ms: float = 0.0
     remaining_ms: float = 0.0
+    software_version: str = ""
+    resumed_request: str = ""
 
 
 def expected_data(request_id: str, events: int) -> str:
@@ -57,6 +61,7 @@
     :param capacity: maximum number of requests that run at the same time.
     :param event_interval_ms: time between two events of a stream.
     :param port: port on 127.0.0.1; 0 chooses a free one.
+    :ivar software_version: version that the target has in the list.
     :ivar born_ms: start of the target as it reports it, in Unix milliseconds.
     :ivar runs: the runs of all requests, in the order of their starts.
     :ivar max_active: highest number of requests that ran at the same time so far.
@@ -70,6 +75,7 @@
         self.target_id = target_id
         self.capacity = capacity
         self.event_interval_ms = event_interval_ms
+        self.software_version = "v1"
         self.born_ms = 1
         self.runs: list[RunRecord] = []
         self.max_active = 0
@@ -99,7 +105,7 @@
             "Service": service,
             "Address": self.address,
             "Zone": "fd-a",
-            "Version": "v1",
+            "Version": self.software_version,
             "Capacity": self.capacity,
             "State": state,
             "Sequence": 1,
@@ -114,10 +120,18 @@
         """Stop serving and close all connections."""
         self._thread.stop()
 
+    def break_connections(self) -> None:
+        """Reset all connections; the target serves on."""
+        self._thread.call_soon(self._reset_connections)
+
     def complete_runs(self, request_id: str) -> int:
         """Return the number of complete runs of a request."""
         return sum(run.is_complete for run in self.runs if run.request_id == request_id)
 
+    def _reset_connections(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _listen(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
         self._port = self._server.sockets[0].getsockname()[1]
@@ -211,6 +225,8 @@
             started_ms=CLOCK.monotonic_ms(),
             received_ms=self._received_ms[writer],
             remaining_ms=float(headers.get("deadline-ms", "inf")),
+            software_version=self.software_version,
+            resumed_request=headers.get("resumes", ""),
         )
         self.runs.append(run)
         writer.write(
