Resume an answer only at the software version that began it

Callers saw: one answer with events of two versions of a service, which do not fit together. Cause: an entry resumed a stream at any target of the service; versions were not known. Change: the first event that is relayed fixes the version of the targets that may add events. If none of them accepts requests, the answer is cut, and the caller may take it up later. The targets of a service are looked up for each attempt now, not once for a request, so a retry knows those that came or left.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -46,13 +46,16 @@
     :param last_event_id: value of the request's header with the last event that the caller
         received earlier; ``None`` if there is no such header. A value that is not a number is
         ignored.
+    :ivar software_version: version of the targets that may add events; ``None`` before the first
+        event, if any target may.
     """
 
-    __slots__ = ("first_event_ms", "splitter")
+    __slots__ = ("first_event_ms", "software_version", "splitter")
 
     def __init__(self, last_event_id: str | None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
         self.first_event_ms: float | None = None
+        self.software_version: str | None = None
 
     @property
     def has_events(self) -> bool:
@@ -64,11 +67,20 @@
         """Id of the last event that the caller has received; ``None`` if there is none."""
         return self.splitter.last_id
 
-    def record_events(self, at_ms: float) -> None:
-        """Record that events were relayed at ``at_ms`` on the monotonic clock."""
+    def record_events(self, at_ms: float, software_version: str) -> None:
+        """Record that events were relayed.
+
+        :param at_ms: time on the monotonic clock.
+        :param software_version: version of the target that sent them.
+        """
+        self.software_version = software_version
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
 
+    def may_continue_at(self, software_version: str) -> bool:
+        """Return whether targets of a version may add events; those of versions do not mix."""
+        return self.software_version in (None, software_version)
+
 
 class Exchange:
     """One attempt at one target.
@@ -179,7 +191,7 @@
                 continue
             if not responder.is_started:
                 responder.start_stream(head.status, _relayed_headers(head))
-            self._relay.record_events(now_ms())
+            self._relay.record_events(now_ms(), self._target.entry.software_version)
             self._run.record_event(now_ms())
             responder.write(b"".join(event.raw for event in events))
             idle_timeout_ms = EVENT_TIMEOUT_MS if can_retry else None
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -77,22 +77,20 @@
         """Answer one request; errors of targets are answered, not raised."""
         await _ForwardedRequest(self, route, request, responder).run()
 
-    def choose_service_targets(self, route: Route) -> list[Target]:
-        """Return the targets of one of the route's services, chosen at random by weight.
+    def choose_service(self, route: Route) -> str | None:
+        """Return one of the route's services, chosen at random by weight.
 
-        Services without targets or with weight 0 are not chosen. The list is empty if no service
-        is left.
+        Services without targets or with weight 0 are not chosen; ``None`` if no service is left.
         """
-        shares = [(share, self.targets.accepting(share.service)) for share in route.shares]
         usable = [
-            (share, service_targets)
-            for share, service_targets in shares
-            if service_targets and share.weight > 0
+            share
+            for share in route.shares
+            if share.weight > 0 and self.targets.accepting(share.service)
         ]
         if not usable:
-            return []
-        weights = [share.weight for share, _ in usable]
-        return self.random.choices(usable, weights)[0][1]
+            return None
+        weights = [share.weight for share in usable]
+        return self.random.choices(usable, weights)[0].service
 
 
 class _ForwardedRequest:
@@ -109,7 +107,7 @@
         self._content_digest = content_digest(
             request.headers.get("host") or "", request.method, request.target, request.body
         )
-        self._service_targets = forwarder.choose_service_targets(route)
+        self._service = forwarder.choose_service(route)
         self._tried_targets: list[str] = []
         self._tried_versions: list[str] = []
         self._unsuccessful_targets: set[str] = set()
@@ -229,13 +227,22 @@
     def _can_retry(self) -> bool:
         return self._route.is_repeatable and self._attempts < self._route.max_attempts
 
+    def _usable_targets(self) -> list[Target]:
+        """Return the targets that accept requests and may add to the caller's answer."""
+        if self._service is None:
+            return []
+        return [
+            target
+            for target in self._forwarder.targets.accepting(self._service)
+            if self._relay.may_continue_at(target.entry.software_version)
+        ]
+
     def _choose_target(self) -> Target | None:
+        usable = self._usable_targets()
         targets = [
-            target
-            for target in self._service_targets
-            if target.target_id not in self._unsuccessful_targets
+            target for target in usable if target.target_id not in self._unsuccessful_targets
         ]
-        targets = targets or self._service_targets
+        targets = targets or usable
         forwarder = self._forwarder
         loads = forwarder.view.target_loads(targets, now_ms())
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
@@ -255,9 +262,10 @@
         if self._attempts:
             return self._fail(maybe_executed_response(ResultCode.OUTCOME_UNKNOWN))
         forwarder = self._forwarder
-        if not self._service_targets:
+        usable = self._usable_targets()
+        if not usable:
             return self._fail(not_executed_response(ResultCode.NO_TARGET, NO_TARGET_RETRY_MS))
-        loads = forwarder.view.target_loads(self._service_targets, now_ms())
+        loads = forwarder.view.target_loads(usable, now_ms())
         delay_ms = retry_after_ms(
             loads, forwarder.view.mean_service_time_ms, forwarder.random.random()
         )
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -85,10 +85,25 @@
     async def _serve(self, request, responder):
         await self.forwarder.forward(self.route, request, responder)
 
-    async def start(self, *targets):
+    async def start(self, *targets, versions=()):
+        """Start the targets ``t1`` and so on.
+
+        :param versions: their software versions; all have the same one if there are none.
+        """
         for number, target in enumerate(targets, 1):
             address = await target.start()
-            self.table.put(TargetEntry(f"t{number}", "svc", address, "fd-a", 8, started_ms=1))
+            version = versions[number - 1] if versions else "v1"
+            self.table.put(
+                TargetEntry(
+                    f"t{number}",
+                    "svc",
+                    address,
+                    "fd-a",
+                    8,
+                    started_ms=1,
+                    software_version=version,
+                )
+            )
         await self.server.listen("127.0.0.1", 0)
 
     async def connect(self):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -67,6 +67,46 @@
     assert second.sessions[0].header("Last-Event-Id") == "2"
 
 
+async def break_off_after_two_events(session):
+    session.start_stream()
+    session.send_events(1, 2)
+    await session.writer.drain()
+    session.reset()
+
+
+async def break_off_before_any_event(session):
+    session.start_stream()
+    await session.writer.drain()
+    session.reset()
+
+
+@pytest.mark.parametrize(
+    "begin, versions, tried, is_complete",
+    [
+        (break_off_after_two_events, ("v1", "v2", "v1"), [1, 0, 1], True),
+        (break_off_after_two_events, ("v1", "v2", "v2"), [2, 0, 0], False),
+        (break_off_before_any_event, ("v1", "v2", "v1"), [1, 1, 0], True),
+    ],
+)
+def test_stream_goes_on_only_at_the_version_that_brought_its_first_event(
+    begin, versions, tried, is_complete
+):
+    """Guards against an answer with events of two versions, which do not fit together."""
+    targets = [ScriptedTarget(begin), *(ScriptedTarget(send_complete_stream) for _ in range(2))]
+
+    async def scenario():
+        gateway = Gateway(make_route())
+        await gateway.start(*targets, versions=versions)
+        answer = await gateway.request()
+        gateway.close()
+        return answer
+
+    answer = run(scenario())
+    assert [len(target.sessions) for target in targets] == tried
+    assert is_complete_stream(answer) is is_complete
+    assert event_ids(answer) == ([1, 2, 3, 4] if is_complete else [1, 2])
+
+
 @pytest.mark.parametrize(
     "malformed",
     [
