Resume an item only at the software version that sent its events

Callers saw: results whose text was of two versions of a service. Cause: a runner resumed an item at any target of the service. Change: items are planned by groups of targets of one service and version. An item that has events waits for its version as long as the work took that it would repeat elsewhere, 1 s at least; then, or if no target of the version accepts items, it starts again from its first event.

--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -30,6 +30,7 @@
     :param own_batch: keys of this runner's items at the target, oldest first.
     :param is_usable: whether new items may start at the target.
     :param is_primary: whether this runner is the target's primary runner.
+    :param is_accepting: whether items may start at the target once it is usable.
     :param start_limit: highest number of items that may start at the target now.
     """
 
@@ -40,6 +41,7 @@
     own_batch: Sequence[str]
     is_usable: bool = True
     is_primary: bool = True
+    is_accepting: bool = True
     start_limit: int = UNLIMITED
 
     @property
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -141,8 +141,8 @@
         timeout_ms = FIRST_EVENT_TIMEOUT_MS
         while not isinstance(chunk := await reader.next_part(timeout_ms), BodyEnd):
             for event in splitter.feed(chunk):
-                item.data.append(event.data)
-                item.last_event_id = event.event_id
+                version = content_run.target.entry.software_version
+                item.add_event(event.event_id, event.data, version)
                 content_run.record_event(now_ms())
                 timeout_ms = EVENT_TIMEOUT_MS
         if splitter.incomplete_event:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -12,7 +12,6 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
-from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.host.targets import Target, TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
@@ -21,8 +20,9 @@
 from ebonyshore.runner.item_plan import UNLIMITED, TargetSlots, assign_primary_runners, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunOutcome, RunResult
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
-from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
+from ebonyshore.runner.job_ranking import JobRanking, TargetGroup, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.waiting_items import WaitingItems
 
 NO_COUNTS = TargetCounts(0, 0)
 NOT_RUN_DELAY_MS = 80.0
@@ -33,8 +33,6 @@
 # jobs at the same time would overcommit a target, each filling the same free slots.
 NON_PRIMARY_START_INTERVAL_MS = 60.0
 USE_LOG_INTERVAL_MS = 1_000.0
-# This process may learn of a new route later than the entry that accepted a job for the route.
-UNKNOWN_ROUTE_GRACE_MS = 5_000.0
 
 
 class RunningItem(Struct):
@@ -97,7 +95,9 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._random = random
+        self._waiting_items = WaitingItems(
+            registry, config, crash_guard, ranking, log, metrics, random
+        )
         self._running: dict[str, RunningItem] = {}
         self._is_stopped = False
         self._use_logged_ms = float("-inf")
@@ -119,16 +119,17 @@
         totals = self._load_table.totals(self._clock.boot_ms())
         runners = [self._registry.own_id, *self._load_table.runners()]
         primary_runners = assign_primary_runners(self._targets.by_id(), runners)
-        slots_by_service: dict[str, list[TargetSlots]] = {}
+        slots_by_group: dict[TargetGroup, list[TargetSlots]] = {}
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
-            slots_by_service.setdefault(target.entry.service, []).append(slots)
-        self._record_usable_slots(slots_by_service)
-        waiting = self._runnable_by_service(slots_by_service)
-        for service, service_slots in slots_by_service.items():
-            self._apply_plan(waiting.get(service, {}), service_slots)
-        self._log_use(slots_by_service)
+            group = TargetGroup(target.entry.service, target.entry.software_version)
+            slots_by_group.setdefault(group, []).append(slots)
+        self._record_usable_slots(slots_by_group)
+        waiting = self._select_waiting(slots_by_group)
+        for group, group_slots in slots_by_group.items():
+            self._apply_plan(waiting.get(group, {}), group_slots)
+        self._log_use(slots_by_group)
         self._stop_at_removed_targets()
 
     def _apply_plan(self, waiting: dict[str, WaitingItem], slots: list[TargetSlots]) -> None:
@@ -178,6 +179,7 @@
             own,
             is_usable,
             is_primary,
+            not target.entry.is_leaving,
             self._start_limit(target, is_primary, at_ms),
         )
 
@@ -186,16 +188,16 @@
             return UNLIMITED
         return int(now_ms - target.batch_started_ms >= NON_PRIMARY_START_INTERVAL_MS)
 
-    def _record_usable_slots(self, slots_by_service: dict[str, list[TargetSlots]]) -> None:
+    def _record_usable_slots(self, slots_by_group: dict[TargetGroup, list[TargetSlots]]) -> None:
         usable = sum(
             len(slots.own_batch) + max(0, slots.unreserved_slots)
-            for service_slots in slots_by_service.values()
-            for slots in service_slots
+            for group_slots in slots_by_group.values()
+            for slots in group_slots
             if slots.is_usable and slots.is_primary
         )
         self._completions.record_slots(usable, now_ms())
 
-    def _log_use(self, slots_by_service: dict[str, list[TargetSlots]]) -> None:
+    def _log_use(self, slots_by_group: dict[TargetGroup, list[TargetSlots]]) -> None:
         """Log once a second how the targets are used, while there is batch work."""
         if now_ms() - self._use_logged_ms < USE_LOG_INTERVAL_MS:
             return
@@ -203,9 +205,7 @@
         open_items = self._registry.open_item_count()
         if not open_items:
             return
-        all_slots = [
-            slots for service_slots in slots_by_service.values() for slots in service_slots
-        ]
+        all_slots = [slots for group_slots in slots_by_group.values() for slots in group_slots]
         primary = [slots for slots in all_slots if slots.is_primary]
         self._log.event(
             "batch_use",
@@ -219,88 +219,16 @@
             avoided_targets=sum(not slots.is_usable for slots in all_slots),
         )
 
-    def _runnable_by_service(
-        self, slots_by_service: dict[str, list[TargetSlots]]
-    ) -> dict[str, dict[str, WaitingItem]]:
-        """Return the items to start by service and item key, first the one to start first.
-
-        There are at most as many as the service has free slots.
-        """
+    def _select_waiting(
+        self, slots_by_group: dict[TargetGroup, list[TargetSlots]]
+    ) -> dict[TargetGroup, dict[str, WaitingItem]]:
         free_slots = {
-            service: sum(max(0, slots.free_slots) for slots in service_slots if slots.is_usable)
-            for service, service_slots in slots_by_service.items()
+            group: sum(max(0, slots.free_slots) for slots in group_slots if slots.is_usable)
+            for group, group_slots in slots_by_group.items()
+            if any(slots.is_accepting for slots in group_slots)
         }
-        self._ranking.update(
-            (running.progress.job_id for running in self._running.values()), now_ms()
-        )
-        found: dict[str, dict[str, WaitingItem]] = {}
-        for waiting in self._ranking.sort_items(self._waiting_items(free_slots)):
-            if not free_slots[waiting.service]:
-                continue
-            if self._may_run(waiting.progress, waiting.item):
-                free_slots[waiting.service] -= 1
-                found.setdefault(waiting.service, {})[waiting.key] = waiting
-        return found
-
-    def _waiting_items(self, free_slots: dict[str, int]) -> list[WaitingItem]:
-        """Return the items that wait for a service with free slots.
-
-        Items are given up if their job is past its retention time, or if it has no batch route and
-        has been known for longer than :data:`UNKNOWN_ROUTE_GRACE_MS`.
-
-        :param free_slots: number of free slots by service.
-        """
-        found: list[WaitingItem] = []
-        at_ms = now_ms()
-        for progress in self._registry.owned_jobs():
-            if not progress.open_count:
-                continue
-            route = self._batch_route(progress)
-            known_for_ms = self._registry.known_for_ms(progress.job_id)
-            if route is None or progress.is_past_retention(known_for_ms):
-                if route is not None or known_for_ms > UNKNOWN_ROUTE_GRACE_MS:
-                    self._fail_waiting_items(progress, route, at_ms)
-                continue
-            if not any(free_slots.get(share.service) for share in route.shares):
-                continue
-            for item in progress.runnable_items(at_ms):
-                service = self._pick_service(route)
-                if free_slots.get(service):
-                    found.append(WaitingItem(progress, item, service))
-        return found
-
-    def _may_run(self, progress: JobProgress, item: Item) -> bool:
-        """Return whether an item may run, as far as its content is known to crash targets."""
-        content_digest = progress.content_digest(item)
-        if self._crash_guard.may_run_item(content_digest):
-            item.is_held = False
-            return True
-        if not item.is_held:
-            item.is_held = True
-            self._log.event(
-                "item_held", job=progress.job_id, item=item.item_id, content=content_digest
-            )
-        return False
-
-    def _batch_route(self, progress: JobProgress) -> Route | None:
-        route = self._config.table.find(progress.record.host, progress.record.path)
-        return route if route is not None and route.kind is RouteKind.BATCH else None
-
-    def _pick_service(self, route: Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return self._random.choices(route.shares, weights)[0].service
-
-    def _fail_waiting_items(
-        self, progress: JobProgress, route: Route | None, now_ms: float
-    ) -> None:
-        """Give up the waiting items of a job that is past its retention time or has no route."""
-        for item in list(progress.runnable_items(float("inf"))):
-            self._log.event(
-                "item_given_up", job=progress.job_id, item=item.item_id, has_route=bool(route)
-            )
-            progress.end_item(item, False, now_ms)
+        running_jobs = (running.progress.job_id for running in self._running.values())
+        return self._waiting_items.select(free_slots, running_jobs)
 
     def _stop_unowned(self) -> None:
         for running in self._running.values():
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -38,6 +38,7 @@
     :param item_id: id that the caller gave the item.
     :ivar data: data of the events received so far.
     :ivar last_event_id: id of the last event received; ``None`` if there is none.
+    :ivar software_version: version of the targets that sent the events; ``None`` if there are none.
     :ivar failures: number of runs that targets reported as failed, over all owners of the job.
     :ivar consecutive_broken_runs: number of runs with the outcome ``SILENT`` or ``BROKEN`` since
         the last run that received an event.
@@ -46,7 +47,9 @@
     :ivar not_before_ms: event loop time before which the item must not run again.
     :ivar run_started_ms: event loop time at which the present run started; ``None`` if the item is
         not running.
-    :ivar ended_runs_ms: time for which the runs that have ended occupied a slot.
+    :ivar run_ended_ms: event loop time at which the last run ended.
+    :ivar ended_runs_ms: time for which the runs that have ended occupied a slot, without those
+        whose events were discarded.
     """
 
     __slots__ = (
@@ -60,7 +63,9 @@
         "item_id",
         "last_event_id",
         "not_before_ms",
+        "run_ended_ms",
         "run_started_ms",
+        "software_version",
         "state",
     )
 
@@ -70,12 +75,27 @@
         self.state = ItemState.WAITING
         self.data: list[str] = []
         self.last_event_id: int | None = None
+        self.software_version: str | None = None
         self.failures = 0
         self.consecutive_broken_runs = 0
         self.content_digest: str | None = None
         self.is_held = False
         self.not_before_ms = float("-inf")
         self.run_started_ms: float | None = None
+        self.run_ended_ms = float("-inf")
+        self.ended_runs_ms = 0.0
+
+    def add_event(self, event_id: int, data: str, software_version: str) -> None:
+        """Add an event that a target of the given version sent."""
+        self.data.append(data)
+        self.last_event_id = event_id
+        self.software_version = software_version
+
+    def discard_events(self) -> None:
+        """Drop all events, so that the item starts again, at any version."""
+        self.data.clear()
+        self.last_event_id = None
+        self.software_version = None
         self.ended_runs_ms = 0.0
 
     def slot_ms(self, now_ms: float) -> float:
@@ -91,6 +111,7 @@
     def end_run(self, now_ms: float) -> None:
         """Record that the present run of the item has ended; the state is left as it is."""
         self.ended_runs_ms = self.slot_ms(now_ms)
+        self.run_ended_ms = now_ms
         self.run_started_ms = None
 
 
--- /dev/null
+++ b/ebonyshore/runner/waiting_items.py
@@ -0,0 +1,171 @@
+"""Selects the waiting items that may start now, and the targets at which each of them may run."""
+
+from collections.abc import Iterable, Mapping
+from random import Random
+
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.config_service import ConfigService
+from ebonyshore.host.crash_guard import CrashGuard
+from ebonyshore.host.routes import Route, RouteKind
+from ebonyshore.runner.job_progress import Item, JobProgress
+from ebonyshore.runner.job_ranking import JobRanking, TargetGroup, WaitingItem
+from ebonyshore.runner.job_registry import JobRegistry
+
+# This process may learn of a new route later than the entry that accepted a job for the route.
+UNKNOWN_ROUTE_GRACE_MS = 5_000.0
+# An item that has events waits for a slot at their software version for at least this long, and for
+# as long as the work has taken that it would repeat at another one.
+MIN_VERSION_WAIT_MS = 1_000.0
+
+
+class WaitingItems:
+    """Selects items of the jobs that this runner owns.
+
+    :param registry: the known jobs.
+    :param config: the routes in force.
+    :param crash_guard: knows the content that crashes targets.
+    :param ranking: keeps the order of the jobs.
+    :param random: chooses among the services of a route by their weight.
+    """
+
+    __slots__ = (
+        "_config",
+        "_crash_guard",
+        "_log",
+        "_metrics",
+        "_random",
+        "_ranking",
+        "_registry",
+    )
+
+    def __init__(
+        self,
+        registry: JobRegistry,
+        config: ConfigService,
+        crash_guard: CrashGuard,
+        ranking: JobRanking,
+        log: EventLog,
+        metrics: Metrics,
+        random: Random,
+    ) -> None:
+        self._registry = registry
+        self._config = config
+        self._crash_guard = crash_guard
+        self._ranking = ranking
+        self._log = log
+        self._metrics = metrics
+        self._random = random
+
+    def select(
+        self, free_slots: Mapping[TargetGroup, int], running_jobs: Iterable[str]
+    ) -> dict[TargetGroup, dict[str, WaitingItem]]:
+        """Return the items to start by target group and item key, first the one to start first.
+
+        There are at most as many as the group has free slots.
+
+        :param free_slots: number of free slots of each group with a target that accepts items.
+        :param running_jobs: the job id of each running item.
+        """
+        left = dict(free_slots)
+        self._ranking.update(running_jobs, now_ms())
+        found: dict[TargetGroup, dict[str, WaitingItem]] = {}
+        for waiting in self._ranking.sort_items(self._find_waiting(left)):
+            group = self._choose_group(waiting, left)
+            if group is not None and self._may_run(waiting.progress, waiting.item):
+                if waiting.item.software_version not in (None, group.software_version):
+                    self._restart(waiting)
+                left[group] -= 1
+                found.setdefault(group, {})[waiting.key] = waiting
+        return found
+
+    def _find_waiting(self, free_slots: Mapping[TargetGroup, int]) -> list[WaitingItem]:
+        """Return the items that wait for a service with free slots.
+
+        Items are given up if their job is past its retention time, or if it has no batch route and
+        has been known for longer than :data:`UNKNOWN_ROUTE_GRACE_MS`.
+        """
+        free_services = {group.service for group, slots in free_slots.items() if slots}
+        found: list[WaitingItem] = []
+        at_ms = now_ms()
+        for progress in self._registry.owned_jobs():
+            if not progress.open_count:
+                continue
+            route = self._batch_route(progress)
+            known_for_ms = self._registry.known_for_ms(progress.job_id)
+            if route is None or progress.is_past_retention(known_for_ms):
+                if route is not None or known_for_ms > UNKNOWN_ROUTE_GRACE_MS:
+                    self._fail_waiting_items(progress, route, at_ms)
+                continue
+            if not any(share.service in free_services for share in route.shares):
+                continue
+            for item in progress.runnable_items(at_ms):
+                service = self._pick_service(route)
+                if service in free_services:
+                    found.append(WaitingItem(progress, item, service))
+        return found
+
+    def _choose_group(
+        self, waiting: WaitingItem, free_slots: Mapping[TargetGroup, int]
+    ) -> TargetGroup | None:
+        """Return the group at which an item may start now; ``None`` if it has to wait.
+
+        An item that has events goes on at their version, unless none of its targets accepts items
+        or the item has waited for longer than the work would take that it would repeat.
+        """
+        item = waiting.item
+        groups = [group for group in free_slots if group.service == waiting.service]
+        own = TargetGroup(waiting.service, item.software_version or "")
+        if item.software_version is not None and own in groups:
+            if free_slots[own]:
+                return own
+            if now_ms() - item.run_ended_ms < max(MIN_VERSION_WAIT_MS, item.ended_runs_ms):
+                return None
+        best = max(groups, key=free_slots.__getitem__, default=None)
+        return best if best is not None and free_slots[best] else None
+
+    def _restart(self, waiting: WaitingItem) -> None:
+        item = waiting.item
+        self._metrics.count("items_restarted_at_other_version")
+        self._log.event(
+            "item_restarted",
+            job=waiting.progress.job_id,
+            item=item.item_id,
+            software_version=item.software_version,
+            last_event=item.last_event_id,
+        )
+        item.discard_events()
+
+    def _may_run(self, progress: JobProgress, item: Item) -> bool:
+        """Return whether an item may run, as far as its content is known to crash targets."""
+        content_digest = progress.content_digest(item)
+        if self._crash_guard.may_run_item(content_digest):
+            item.is_held = False
+            return True
+        if not item.is_held:
+            item.is_held = True
+            self._log.event(
+                "item_held", job=progress.job_id, item=item.item_id, content=content_digest
+            )
+        return False
+
+    def _batch_route(self, progress: JobProgress) -> Route | None:
+        route = self._config.table.find(progress.record.host, progress.record.path)
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
+
+    def _fail_waiting_items(
+        self, progress: JobProgress, route: Route | None, now_ms: float
+    ) -> None:
+        """Give up the waiting items of a job that is past its retention time or has no route."""
+        for item in list(progress.runnable_items(float("inf"))):
+            self._log.event(
+                "item_given_up", job=progress.job_id, item=item.item_id, has_route=bool(route)
+            )
+            progress.end_item(item, False, now_ms)
