Take up a stream only at the software version that began it

Callers saw: a stream that they took up went on at another version than the one that began it. Cause: an entry does not know at which target a stream began elsewhere, and keeps no state that others can read. Change: while a service has several versions, entries tell two runners at which service and version a stream begins, before its first event is relayed, and ask the runners when a caller names a stream that they do not know. A stream of unknown origin is refused as not run (code 45), unless there is one version only. Items and answers keep the service beside the version, as versions of two services are not comparable.

--- a/ebonyshore/frame/result_codes.py
+++ b/ebonyshore/frame/result_codes.py
@@ -52,6 +52,7 @@
     SUSPECT_BUSY = 42
     TARGET_BUSY = 43
     QUOTA_EXHAUSTED = 44
+    STREAM_ORIGIN_UNKNOWN = 45
 
     TARGET_CRASHED = 50
     STREAM_BROKEN = 51
@@ -140,6 +141,9 @@
     ResultCode.QUOTA_EXHAUSTED: ResultInfo(
         "too much batch work is waiting on the route", 429, _NOT_RUN, True
     ),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: ResultInfo(
+        "it is not known which software version began the stream", 503, _NOT_RUN, True
+    ),
     ResultCode.TARGET_CRASHED: ResultInfo(
         "the target crashed while it ran the request", 502, _MAYBE_RUN, True
     ),
--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -2,8 +2,9 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.datagrams import Datagram, SuspicionUpdate
+from ebonyshore.link.datagrams import Datagram, StreamAnswer, SuspicionUpdate
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadTotals
@@ -18,6 +19,7 @@
     :param targets: provides the entry's own request counts.
     :param view: updated with the received totals; provides the batch counts of the reports.
     :param suspicions: updated with the received suspicions; provides those to send.
+    :param origins: told of the runners' answers; reports the streams of this entry.
     """
 
     def __init__(
@@ -26,11 +28,13 @@
         targets: TargetTable,
         view: LoadView,
         suspicions: SuspicionExchange,
+        origins: StreamOrigins,
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
         self._view = view
         self._suspicions = suspicions
+        self._origins = origins
 
     def on_message(self, message: Datagram) -> None:
         """Apply a message from a runner; load reports are ignored."""
@@ -38,8 +42,11 @@
             self._view.update_totals(message, now_ms())
         elif isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
+        elif isinstance(message, StreamAnswer):
+            self._origins.on_answer(message)
 
     def send(self, socket: LoadSocket) -> None:
         """Send the next report and new suspicions to each runner."""
         self._reports.send(socket, now_ms(), observed_batch=self._view.observed_batch())
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
+        self._origins.report_streams()
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -8,6 +8,7 @@
 from ebonyshore.gateway.isolation import IsolationDetector
 from ebonyshore.gateway.job_call_forwarder import JobCallForwarder
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.host_environment import HostEnvironment
 from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
@@ -22,7 +23,8 @@
     components = SharedComponents(environment)
     target_table, peers = components.targets.table, components.peers
     view = LoadView(settings.failure_domain, lambda: load_service.schedule_report())
-    load_reporter = EntryLoadReporter(peers, target_table, view, components.suspicions)
+    origins = StreamOrigins(peers, target_table, lambda *message: load_service.send_now(*message))
+    load_reporter = EntryLoadReporter(peers, target_table, view, components.suspicions, origins)
     port = settings.first_internal_port
     load_service = LoadService(
         settings.ip, port, load_reporter.on_message, load_reporter.send, log, metrics
@@ -34,6 +36,7 @@
         view,
         pool,
         components.crash_guard,
+        origins,
         log,
         metrics,
         environment.random,
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one target: sends the request and relays the response."""
 
+from collections.abc import Callable
 from enum import Enum, auto
 
 from ebonyshore.frame.loop_time import now_ms
@@ -13,6 +14,7 @@
     ResponseReader,
 )
 from ebonyshore.host.routes import Route
+from ebonyshore.host.targets import TargetGroup
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
@@ -46,16 +48,15 @@
     :param last_event_id: value of the request's header with the last event that the caller
         received earlier; ``None`` if there is no such header. A value that is not a number is
         ignored.
-    :ivar software_version: version of the targets that may add events; ``None`` before the first
-        event, if any target may.
+    :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
     """
 
-    __slots__ = ("first_event_ms", "software_version", "splitter")
+    __slots__ = ("first_event_ms", "origin", "splitter")
 
     def __init__(self, last_event_id: str | None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
         self.first_event_ms: float | None = None
-        self.software_version: str | None = None
+        self.origin: TargetGroup | None = None
 
     @property
     def has_events(self) -> bool:
@@ -67,19 +68,19 @@
         """Id of the last event that the caller has received; ``None`` if there is none."""
         return self.splitter.last_id
 
-    def record_events(self, at_ms: float, software_version: str) -> None:
+    def record_events(self, at_ms: float, origin: TargetGroup) -> None:
         """Record that events were relayed.
 
         :param at_ms: time on the monotonic clock.
-        :param software_version: version of the target that sent them.
+        :param origin: group of the target that sent them.
         """
-        self.software_version = software_version
+        self.origin = origin
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
 
-    def may_continue_at(self, software_version: str) -> bool:
-        """Return whether targets of a version may add events; those of versions do not mix."""
-        return self.software_version in (None, software_version)
+    def may_continue_at(self, group: TargetGroup) -> bool:
+        """Return whether targets of a group may add events."""
+        return self.origin in (None, group)
 
 
 class Exchange:
@@ -89,6 +90,7 @@
     :param request: the caller's request.
     :param relay: shared by all attempts of the request.
     :param run: this attempt, for the attribution of crashes; names the target.
+    :param on_first_event: called before the first event of the response is relayed.
     """
 
     def __init__(
@@ -98,10 +100,12 @@
         request: Request,
         relay: RelayState,
         run: ContentRun,
+        on_first_event: Callable[[], None],
     ) -> None:
         self._names = names
         self._pool = pool
         self._run = run
+        self._on_first_event = on_first_event
         self._target = run.target
         self._request = request
         self._relay = relay
@@ -191,7 +195,10 @@
                 continue
             if not responder.is_started:
                 responder.start_stream(head.status, _relayed_headers(head))
-            self._relay.record_events(now_ms(), self._target.entry.software_version)
+            is_first = not self._relay.has_events
+            self._relay.record_events(now_ms(), self._target.entry.group)
+            if is_first:
+                self._on_first_event()
             self._run.record_event(now_ms())
             responder.write(b"".join(event.raw for event in events))
             idle_timeout_ms = EVENT_TIMEOUT_MS if can_retry else None
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -14,6 +14,7 @@
 )
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
@@ -50,6 +51,7 @@
     :param view: the load of the targets.
     :param pool: connections to the targets.
     :param crash_guard: knows the content that crashes targets.
+    :param origins: knows at which software version streams began.
     :param random: randomizes the choice of targets and the retry delays of refused callers.
     """
 
@@ -60,6 +62,7 @@
         view: LoadView,
         pool: ConnectionPool,
         crash_guard: CrashGuard,
+        origins: StreamOrigins,
         log: EventLog,
         metrics: Metrics,
         random: Random,
@@ -69,6 +72,7 @@
         self.view = view
         self.pool = pool
         self.crash_guard = crash_guard
+        self.origins = origins
         self.log = log
         self.metrics = metrics
         self.random = random
@@ -146,6 +150,11 @@
         return None if at_ms is None else at_ms - self._request.received_ms
 
     async def _run_until_deadline(self) -> str:
+        if self._relay.last_id is not None and self._service is not None:
+            try:
+                await self._find_origin(self._service)
+            except UnknownOriginError as error:
+                return self._refuse_unknown_origin(error)
         guard = self._forwarder.crash_guard
         while True:
             if self._attempts >= MAX_UNCHECKED_ATTEMPTS:
@@ -162,6 +171,19 @@
             if outcome is not None:
                 return outcome
 
+    async def _find_origin(self, service: str) -> None:
+        """Let a stream that its caller takes up go on only at the targets at which it began.
+
+        If the route does not lead to their service any more, another service may continue it.
+
+        :raises UnknownOriginError: if that version is not known and there are several.
+        """
+        resumed_id = self._request.headers.get(self._forwarder.names.resumed_request)
+        origin = await self._forwarder.origins.find(resumed_id, service)
+        if origin is not None and origin.service in {share.service for share in self._route.shares}:
+            self._service = origin.service
+            self._relay.origin = origin
+
     async def _attempt(self, target: Target, remaining_ms: float) -> str | None:
         """Send the request to a target.
 
@@ -173,7 +195,14 @@
         self._attempts += 1
         can_retry = self._can_retry()
         run = forwarder.crash_guard.begin(target, self._content_digest, can_retry)
-        exchange = Exchange(forwarder.names, forwarder.pool, self._request, self._relay, run)
+        exchange = Exchange(
+            forwarder.names,
+            forwarder.pool,
+            self._request,
+            self._relay,
+            run,
+            self._record_first_event,
+        )
         forwarder.view.record_start(target)
         began_ms = now_ms()
         try:
@@ -234,7 +263,7 @@
         return [
             target
             for target in self._forwarder.targets.accepting(self._service)
-            if self._relay.may_continue_at(target.entry.software_version)
+            if self._relay.may_continue_at(target.entry.group)
         ]
 
     def _choose_target(self) -> Target | None:
@@ -280,6 +309,17 @@
         )
         return self._fail(not_executed_response(ResultCode.OVERLOADED, delay_ms))
 
+    def _record_first_event(self) -> None:
+        if self._route.is_repeatable and self._request_id is not None:
+            self._forwarder.origins.record(self._request_id, self._relay.origin)
+
+    def _refuse_unknown_origin(self, error: UnknownOriginError) -> str:
+        self._forwarder.log.event(
+            "stream_origin_unknown", request=self._request_id, error=str(error)
+        )
+        response = not_executed_response(ResultCode.STREAM_ORIGIN_UNKNOWN, NO_TARGET_RETRY_MS)
+        return self._fail(response)
+
     def _refuse_convicted(self) -> str:
         """Refuse a request whose content crashes targets, or fail it if an attempt may have run."""
         code = ResultCode.CONVICTED
--- /dev/null
+++ b/ebonyshore/gateway/stream_origins.py
@@ -0,0 +1,189 @@
+"""Finds the targets at which a stream began that its caller takes up again.
+
+While a service has targets of several software versions, an entry tells runners the version of each
+stream that begins, because the caller may continue it at another entry, also after this one has
+ended. An entry that does not know the stream asks the runners.
+"""
+
+from asyncio import Future, get_running_loop, shield, timeout
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from msgspec import Struct
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.host.targets import TargetGroup, TargetTable
+from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, StreamStarts
+from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.stream_records import RECORD_LIFETIME_MS, StreamRecords
+
+REPORTED_TO_RUNNERS = 2  # number of runners that are told of a stream
+REPORT_SENDS = 2  # of each stream, because datagrams may be lost
+MAX_STREAMS_PER_DATAGRAM = 25  # keeps a datagram below 1,500 bytes
+QUERY_INTERVAL_MS = 40.0
+MAX_QUERIES = 3
+VERSIONS_INTERVAL_MS = 200.0  # between two looks for services with several versions
+
+Send = Callable[[Datagram, list[tuple[str, int]]], None]
+
+
+class UnknownOriginError(Exception):
+    """It is not known at which of several versions a stream began."""
+
+
+class _Unreported(Struct):
+    """A stream that may have to be reported to runners.
+
+    :param sends_left: number of datagrams that are still to tell of it.
+    """
+
+    request_id: str
+    origin: TargetGroup
+    began_ms: float
+    sends_left: int = REPORT_SENDS
+
+
+class _Query:
+    """A question that is sent to runners until one knows the stream or all have answered."""
+
+    __slots__ = ("answered", "asked", "found")
+
+    def __init__(self, asked: int) -> None:
+        self.asked = asked
+        self.answered: set[str] = set()
+        self.found: Future[TargetGroup | None] = get_running_loop().create_future()
+
+    def add(self, answer: StreamAnswer) -> None:
+        self.answered.add(answer.sender)
+        is_last = len(self.answered) >= self.asked
+        if not self.found.done() and (is_last or answer.origin is not None):
+            self.found.set_result(answer.origin)
+
+
+class StreamOrigins:
+    """Records where the streams of this entry began and finds the origin of others.
+
+    For use on one event loop.
+
+    :param peers: provides the addresses of the runners.
+    :param targets: provides the versions of a service.
+    :param send: sends a datagram at once.
+    """
+
+    __slots__ = (
+        "_mixed_services",
+        "_peers",
+        "_queries",
+        "_records",
+        "_send",
+        "_targets",
+        "_unreported",
+        "_versions_ms",
+    )
+
+    def __init__(self, peers: PeerDirectory, targets: TargetTable, send: Send) -> None:
+        self._peers = peers
+        self._targets = targets
+        self._send = send
+        self._records = StreamRecords()
+        self._unreported: dict[str, _Unreported] = {}  # by request id, oldest first
+        self._queries: dict[str, _Query] = {}
+        self._mixed_services: set[str] = set()
+        self._versions_ms = float("-inf")
+
+    def record(self, request_id: str, origin: TargetGroup) -> None:
+        """Record the group of the target that sent the first event of a request's response."""
+        at_ms = now_ms()
+        self._records.add(request_id, origin, at_ms)
+        stream = _Unreported(request_id, origin, at_ms)
+        self._unreported[request_id] = stream
+        if origin.service in self._find_mixed_services(at_ms):
+            self._report([stream])
+
+    def report_streams(self) -> None:
+        """Tell the runners of recent streams whose service has several versions.
+
+        Has to be called several times a second, because a version may appear while a stream runs.
+        """
+        at_ms = now_ms()
+        self._drop_expired(at_ms)
+        mixed_services = self._find_mixed_services(at_ms)
+        if mixed_services:
+            streams = [s for s in self._unreported.values() if s.origin.service in mixed_services]
+            for first in range(0, len(streams), MAX_STREAMS_PER_DATAGRAM):
+                self._report(streams[first : first + MAX_STREAMS_PER_DATAGRAM])
+
+    async def find(self, request_id: str | None, service: str) -> TargetGroup | None:
+        """Return the targets at which a stream began; ``None`` if it may go on at any target.
+
+        :param request_id: id of the request that brought the first event, as the caller names it;
+            ``None`` if it does not.
+        :param service: service at which the stream would go on if its origin is not known.
+        :raises UnknownOriginError: if the service has several versions and the stream is not known.
+        """
+        known = self._records.find(request_id, now_ms()) if request_id is not None else None
+        if known is not None:
+            return known
+        if len(self._targets.recent_versions(service, now_ms())) <= 1:
+            return None
+        asked = await self._ask(request_id) if request_id is not None else None
+        if asked is None:
+            raise UnknownOriginError(f"it is not known at which version {request_id} began")
+        self._records.add(request_id, asked, now_ms())
+        return asked
+
+    def on_answer(self, answer: StreamAnswer) -> None:
+        """Apply the answer of a runner."""
+        query = self._queries.get(answer.request_id)
+        if query is not None:
+            query.add(answer)
+
+    async def _ask(self, request_id: str) -> TargetGroup | None:
+        runners = self._peers.addresses("runner")
+        if not runners:
+            return None
+        query = self._queries.setdefault(request_id, _Query(len(runners)))
+        own = self._peers.own
+        message = StreamQuery(own.instance_id, own.host, own.port, request_id)
+        try:
+            for _ in range(MAX_QUERIES):
+                self._send(message, runners)
+                with suppress(TimeoutError):
+                    async with timeout(QUERY_INTERVAL_MS / MS_PER_S):
+                        return await shield(query.found)
+            return None
+        finally:
+            self._queries.pop(request_id, None)
+
+    def _report(self, streams: Sequence[_Unreported]) -> None:
+        runners = self._nearest_runners()
+        if not runners:
+            return
+        pairs = tuple((stream.request_id, stream.origin) for stream in streams)
+        self._send(StreamStarts(self._peers.own.instance_id, pairs), runners)
+        for stream in streams:
+            stream.sends_left -= 1
+            if stream.sends_left <= 0:
+                self._unreported.pop(stream.request_id, None)
+
+    def _nearest_runners(self) -> list[tuple[str, int]]:
+        own = self._peers.own
+        runners = sorted(
+            self._peers.of_role("runner").values(),
+            key=lambda peer: (peer.failure_domain != own.failure_domain, peer.instance_id),
+        )
+        return [(peer.host, peer.port) for peer in runners[:REPORTED_TO_RUNNERS]]
+
+    def _find_mixed_services(self, at_ms: float) -> set[str]:
+        if at_ms - self._versions_ms >= VERSIONS_INTERVAL_MS:
+            self._versions_ms = at_ms
+            self._mixed_services = self._targets.mixed_services(at_ms)
+        return self._mixed_services
+
+    def _drop_expired(self, at_ms: float) -> None:
+        while self._unreported:
+            oldest = next(iter(self._unreported.values()))
+            if at_ms - oldest.began_ms <= RECORD_LIFETIME_MS:
+                return
+            del self._unreported[oldest.request_id]
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -64,7 +64,7 @@
     def _put(self, entry: TargetEntry) -> None:
         known = self.table.find(entry.target_id)
         is_changed = known is None or known.entry != entry
-        self.table.put(entry)
+        self.table.put(entry, now_ms())
         if is_changed:
             self._log.event(
                 "target_changed",
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -4,6 +4,7 @@
 The target is therefore kept for the time that a live target needs to write its entry again.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from msgspec import Struct
@@ -15,6 +16,15 @@
 AVOID_UNREACHABLE_MS = 1_000.0
 AVOID_UNRESPONSIVE_MS = 1_500.0
 AVOID_FULL_MS = 60.0
+# Time for which streams may go on that began at a version whose last target has gone.
+VERSION_LIFETIME_MS = 30_000.0
+
+
+class TargetGroup(Struct, frozen=True, array_like=True):
+    """The targets of a service that have one software version; a stream goes on only among them."""
+
+    service: str
+    software_version: str
 
 
 class TargetEntry(Struct, frozen=True):
@@ -37,6 +47,11 @@
     started_ms: int = 0
     software_version: str = ""
 
+    @property
+    def group(self) -> TargetGroup:
+        """The service and the software version of the target."""
+        return TargetGroup(self.service, self.software_version)
+
 
 class Target:
     """One target: its entry, this process's requests there, and the observed state.
@@ -119,10 +134,11 @@
 class TargetTable:
     """All known targets by id. Not thread-safe: for use on one event loop."""
 
-    __slots__ = ("_store_outage_ms", "_targets")
+    __slots__ = ("_dropped_groups", "_store_outage_ms", "_targets")
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
+        self._dropped_groups: dict[TargetGroup, float] = {}  # time at which a target was dropped
         self._store_outage_ms = float("-inf")
 
     def __len__(self) -> int:
@@ -138,16 +154,18 @@
         missing = [target_id for target_id in self._targets if target_id not in listed]
         removed = [target for target_id in missing if (target := self.remove(target_id, now_ms))]
         for entry in listed.values():
-            self.put(entry)
+            self.put(entry, now_ms)
         return removed
 
-    def put(self, entry: TargetEntry) -> None:
+    def put(self, entry: TargetEntry, now_ms: float = 0.0) -> None:
         """Add a target or replace its entry.
 
         A target that was started again under its id is a new target.
         """
         target = self._targets.get(entry.target_id)
         if target is None or target.entry.started_ms != entry.started_ms:
+            if target is not None:
+                self._note_dropped(target, now_ms)
             self._targets[entry.target_id] = Target(entry)
             return
         target.entry = entry
@@ -166,6 +184,7 @@
             target.removed_ms = now_ms
         if now_ms - self._store_outage_ms < REREGISTRATION_GRACE_MS:
             return None
+        self._note_dropped(target, now_ms)
         return self._targets.pop(target_id)
 
     def drop_expired(self, now_ms: float) -> list[Target]:
@@ -178,6 +197,8 @@
             if target.removed_ms is not None
             and now_ms - target.removed_ms >= REREGISTRATION_GRACE_MS
         ]
+        for target_id in expired:
+            self._note_dropped(self._targets[target_id], now_ms)
         return [self._targets.pop(target_id) for target_id in expired]
 
     def find(self, target_id: str) -> Target | None:
@@ -203,3 +224,28 @@
             for target in self._targets.values()
             if target.entry.service == service and not target.entry.is_leaving
         ]
+
+    def recent_versions(self, service: str, now_ms: float) -> set[str]:
+        """Return the software versions of a service's targets, also of those dropped recently."""
+        return {
+            group.software_version
+            for group in self._recent_groups(now_ms)
+            if group.service == service
+        }
+
+    def mixed_services(self, now_ms: float) -> set[str]:
+        """Return the services with several software versions, see :meth:`recent_versions`."""
+        counts = Counter(group.service for group in self._recent_groups(now_ms))
+        return {service for service, count in counts.items() if count > 1}
+
+    def _recent_groups(self, now_ms: float) -> set[TargetGroup]:
+        present = {target.entry.group for target in self._targets.values()}
+        dropped = {
+            group
+            for group, dropped_ms in self._dropped_groups.items()
+            if now_ms - dropped_ms <= VERSION_LIFETIME_MS
+        }
+        return present | dropped
+
+    def _note_dropped(self, target: Target, now_ms: float) -> None:
+        self._dropped_groups[target.entry.group] = now_ms
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from ebonyshore.host.targets import TargetGroup
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
 
@@ -17,4 +18,42 @@
     verdicts: tuple[Verdict, ...]
 
 
-Datagram = LoadReport | LoadTotals | SuspicionUpdate
+class StreamStarts(Struct, frozen=True, tag="stream_starts", array_like=True):
+    """Streams that have begun at an entry.
+
+    :param sender: instance id of the entry.
+    :param streams: pairs of the request's id and the group of the target.
+    """
+
+    sender: str
+    streams: tuple[tuple[str, TargetGroup], ...]
+
+
+class StreamQuery(Struct, frozen=True, tag="stream_query", array_like=True):
+    """Asks runners at which targets a stream began.
+
+    :param sender: instance id of the entry that asks.
+    :param host: its address for the answer; the runner may not know the entry yet.
+    :param port: its port for the answer.
+    :param request_id: id of the request that brought the first event.
+    """
+
+    sender: str
+    host: str
+    port: int
+    request_id: str
+
+
+class StreamAnswer(Struct, frozen=True, tag="stream_answer", array_like=True):
+    """The response to a :class:`StreamQuery`.
+
+    :param sender: instance id of the runner.
+    :param origin: ``None`` if the runner does not know the stream.
+    """
+
+    sender: str
+    request_id: str
+    origin: TargetGroup | None
+
+
+Datagram = LoadReport | LoadTotals | SuspicionUpdate | StreamStarts | StreamQuery | StreamAnswer
--- a/ebonyshore/link/load_service.py
+++ b/ebonyshore/link/load_service.py
@@ -49,6 +49,13 @@
         """Send the messages as soon as the minimum interval since the last send has passed."""
         self._report_due.set()
 
+    def send_now(self, message: Datagram, addresses: list[tuple[str, int]]) -> None:
+        """Send a message at once, besides the load messages."""
+        try:
+            self._socket.send(message, addresses)
+        except OSError as error:
+            self._log.event("load_report_failed", error=repr(error))
+
     async def start(self) -> None:
         await self._socket.open(self._host, self._port)
         self.spawn(self._run())
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -141,8 +141,7 @@
         timeout_ms = FIRST_EVENT_TIMEOUT_MS
         while not isinstance(chunk := await reader.next_part(timeout_ms), BodyEnd):
             for event in splitter.feed(chunk):
-                version = content_run.target.entry.software_version
-                item.add_event(event.event_id, event.data, version)
+                item.add_event(event.event_id, event.data, content_run.target.entry.group)
                 content_run.record_event(now_ms())
                 timeout_ms = EVENT_TIMEOUT_MS
         if splitter.incomplete_event:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -12,7 +12,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
-from ebonyshore.host.targets import Target, TargetTable
+from ebonyshore.host.targets import Target, TargetGroup, TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_table import LoadTable, TargetCounts
@@ -20,7 +20,7 @@
 from ebonyshore.runner.item_plan import UNLIMITED, TargetSlots, assign_primary_runners, make_plan
 from ebonyshore.runner.item_run import ItemRun, RunOutcome, RunResult
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
-from ebonyshore.runner.job_ranking import JobRanking, TargetGroup, WaitingItem
+from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.waiting_items import WaitingItems
 
@@ -123,8 +123,7 @@
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
-            group = TargetGroup(target.entry.service, target.entry.software_version)
-            slots_by_group.setdefault(group, []).append(slots)
+            slots_by_group.setdefault(target.entry.group, []).append(slots)
         self._record_usable_slots(slots_by_group)
         waiting = self._select_waiting(slots_by_group)
         for group, group_slots in slots_by_group.items():
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -16,6 +16,7 @@
     ResultSegment,
 )
 from ebonyshore.host.request_content import content_digest
+from ebonyshore.host.targets import TargetGroup
 
 ITEM_METHOD = "POST"  # of the requests that run items
 MAX_SEGMENT_BYTES = 600_000  # below the store's limit for one object
@@ -38,7 +39,7 @@
     :param item_id: id that the caller gave the item.
     :ivar data: data of the events received so far.
     :ivar last_event_id: id of the last event received; ``None`` if there is none.
-    :ivar software_version: version of the targets that sent the events; ``None`` if there are none.
+    :ivar origin: the targets that sent the events; ``None`` if there are none.
     :ivar failures: number of runs that targets reported as failed, over all owners of the job.
     :ivar consecutive_broken_runs: number of runs with the outcome ``SILENT`` or ``BROKEN`` since
         the last run that received an event.
@@ -63,9 +64,9 @@
         "item_id",
         "last_event_id",
         "not_before_ms",
+        "origin",
         "run_ended_ms",
         "run_started_ms",
-        "software_version",
         "state",
     )
 
@@ -75,7 +76,7 @@
         self.state = ItemState.WAITING
         self.data: list[str] = []
         self.last_event_id: int | None = None
-        self.software_version: str | None = None
+        self.origin: TargetGroup | None = None
         self.failures = 0
         self.consecutive_broken_runs = 0
         self.content_digest: str | None = None
@@ -85,17 +86,17 @@
         self.run_ended_ms = float("-inf")
         self.ended_runs_ms = 0.0
 
-    def add_event(self, event_id: int, data: str, software_version: str) -> None:
-        """Add an event that a target of the given version sent."""
+    def add_event(self, event_id: int, data: str, origin: TargetGroup) -> None:
+        """Add an event that a target of the given group sent."""
         self.data.append(data)
         self.last_event_id = event_id
-        self.software_version = software_version
+        self.origin = origin
 
     def discard_events(self) -> None:
-        """Drop all events, so that the item starts again, at any version."""
+        """Drop all events, so that the item starts again, at any target."""
         self.data.clear()
         self.last_event_id = None
-        self.software_version = None
+        self.origin = None
         self.ended_runs_ms = 0.0
 
     def slot_ms(self, now_ms: float) -> float:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -14,13 +14,6 @@
 RANKING_INTERVAL_MS = 200.0
 
 
-class TargetGroup(Struct, frozen=True):
-    """The targets of one software version of a service."""
-
-    service: str
-    software_version: str
-
-
 class WaitingItem(Struct, frozen=True):
     """An item that waits for a slot.
 
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -1,13 +1,22 @@
 """The runner's part in the load exchange: receives reports, and sends its own and the totals."""
 
+from collections.abc import Callable
+
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.datagrams import Datagram, SuspicionUpdate
+from ebonyshore.link.datagrams import (
+    Datagram,
+    StreamAnswer,
+    StreamQuery,
+    StreamStarts,
+    SuspicionUpdate,
+)
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadReport, LoadTable, LoadTotals, add_counts
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.stream_records import StreamRecords
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
@@ -28,6 +37,7 @@
         so that they no longer count as confirmed owners.
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
+    :ivar send_now: sends a datagram at once; to be set before the first message.
     """
 
     def __init__(
@@ -49,15 +59,27 @@
         self._admission = admission
         self._suspicions = suspicions
         self._clock = clock
+        self._streams = StreamRecords()
+        self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
     def on_message(self, message: Datagram) -> None:
-        """Apply a load report or suspicions; totals are ignored."""
+        """Apply a load report, suspicions or stream starts, or answer a query; ignore others."""
         if isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
         elif isinstance(message, LoadReport) and self._load_table.add_report(
             message, self._clock.boot_ms()
         ):
             self._registry.on_change()
+        elif isinstance(message, StreamStarts):
+            for request_id, origin in message.streams:
+                self._streams.add(request_id, origin, now_ms())
+        elif isinstance(message, StreamQuery):
+            self._answer(message)
+
+    def _answer(self, query: StreamQuery) -> None:
+        origin = self._streams.find(query.request_id, now_ms())
+        answer = StreamAnswer(self._peers.own.instance_id, query.request_id, origin)
+        self.send_now(answer, [(query.host, query.port)])
 
     def send(self, socket: LoadSocket) -> None:
         """Send this runner's report to the other runners, and the totals to the entries.
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -157,6 +157,7 @@
         parts.peers, table, load_table, registry, claims, admission, parts.suspicions, clock
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
+    runner_load.send_now = load.send_now
     parts.suspicions.on_change = load.schedule_report
     item_scheduler = ItemScheduler(
         deployment.names,
--- a/ebonyshore/runner/waiting_items.py
+++ b/ebonyshore/runner/waiting_items.py
@@ -9,8 +9,9 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.routes import Route, RouteKind
+from ebonyshore.host.targets import TargetGroup
 from ebonyshore.runner.job_progress import Item, JobProgress
-from ebonyshore.runner.job_ranking import JobRanking, TargetGroup, WaitingItem
+from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
 
 # This process may learn of a new route later than the entry that accepted a job for the route.
@@ -74,7 +75,7 @@
         for waiting in self._ranking.sort_items(self._find_waiting(left)):
             group = self._choose_group(waiting, left)
             if group is not None and self._may_run(waiting.progress, waiting.item):
-                if waiting.item.software_version not in (None, group.software_version):
+                if waiting.item.origin not in (None, group):
                     self._restart(waiting)
                 left[group] -= 1
                 found.setdefault(group, {})[waiting.key] = waiting
@@ -101,7 +102,7 @@
             if not any(share.service in free_services for share in route.shares):
                 continue
             for item in progress.runnable_items(at_ms):
-                service = self._pick_service(route)
+                service = self._pick_service(route, item)
                 if service in free_services:
                     found.append(WaitingItem(progress, item, service))
         return found
@@ -111,15 +112,14 @@
     ) -> TargetGroup | None:
         """Return the group at which an item may start now; ``None`` if it has to wait.
 
-        An item that has events goes on at their version, unless none of its targets accepts items
+        An item that has events goes on at their group, unless none of its targets accepts items
         or the item has waited for longer than the work would take that it would repeat.
         """
         item = waiting.item
         groups = [group for group in free_slots if group.service == waiting.service]
-        own = TargetGroup(waiting.service, item.software_version or "")
-        if item.software_version is not None and own in groups:
-            if free_slots[own]:
-                return own
+        if item.origin in groups:
+            if free_slots[item.origin]:
+                return item.origin
             if now_ms() - item.run_ended_ms < max(MIN_VERSION_WAIT_MS, item.ended_runs_ms):
                 return None
         best = max(groups, key=free_slots.__getitem__, default=None)
@@ -132,7 +132,7 @@
             "item_restarted",
             job=waiting.progress.job_id,
             item=item.item_id,
-            software_version=item.software_version,
+            software_version=item.origin.software_version,
             last_event=item.last_event_id,
         )
         item.discard_events()
@@ -154,7 +154,10 @@
         route = self._config.table.find(progress.record.host, progress.record.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
-    def _pick_service(self, route: Route) -> str:
+    def _pick_service(self, route: Route, item: Item) -> str:
+        """Return the service that the item began at if the route has it, else one by weight."""
+        if item.origin is not None and item.origin.service in {s.service for s in route.shares}:
+            return item.origin.service
         if len(route.shares) == 1:
             return route.shares[0].service
         weights = [share.weight for share in route.shares]
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.routes import Route, RouteKind, ServiceShare
 from ebonyshore.host.target_check import TargetChecker
@@ -65,12 +67,20 @@
         self.failures = []
         self.suspicions = make_suspicions()
         self.crash_guard = make_crash_guard(self.table, self.pool, self.suspicions, checker)
+        self.datagrams = []
+        peers = SimpleNamespace(
+            own=SimpleNamespace(instance_id="e1", failure_domain="fd-a"),
+            addresses=lambda _role: [],
+            of_role=lambda _role: {},
+        )
+        self.origins = StreamOrigins(peers, self.table, lambda *sent: self.datagrams.append(sent))
         self.forwarder = Forwarder(
             WIRE_NAMES,
             self.table,
             self.view,
             self.pool,
             self.crash_guard,
+            self.origins,
             EventLog(),
             self.metrics,
             FirstChoiceRandom(1),
--- /dev/null
+++ b/tests/test_stream_origins.py
@@ -0,0 +1,198 @@
+"""Tests of finding the targets at which a stream began that its caller takes up again."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway import stream_origins
+from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
+from ebonyshore.host.targets import TargetEntry, TargetGroup, TargetTable
+from ebonyshore.link.datagrams import StreamAnswer, StreamQuery, StreamStarts
+from ebonyshore.link.peers import PeerRecord
+from ebonyshore.link.stream_records import MAX_RECORDS, RECORD_LIFETIME_MS, StreamRecords
+from tests.gateway_setup import Gateway, event_ids, make_route, status_of
+from tests.scripted_target import ScriptedTarget, send_complete_stream
+
+OLD = TargetGroup("svc", "v1")
+NEW = TargetGroup("svc", "v2")
+TAKE_UP_HEADERS = ("Last-Event-Id: 2", "Resumes: first-attempt")
+
+
+class Fleet:
+    """Entries with a common target table, and runners; datagrams arrive at once.
+
+    :ivar lost: number of datagrams that are lost from now on.
+    :ivar dead: ids of the runners that receive nothing.
+    """
+
+    def __init__(self, versions=("v1", "v2"), runners=3):
+        self.table = TargetTable()
+        self.list_versions(*versions)
+        self.runners = {f"r{number}": StreamRecords() for number in range(runners)}
+        self.entries = [self._make_entry(f"e{number}") for number in range(2)]
+        self.lost = 0
+        self.dead = set()
+        self.queries = 0
+
+    def list_versions(self, *versions):
+        entries = [
+            TargetEntry(f"t-{version}", "svc", "10.0.0.1:80", "fd-a", 8, software_version=version)
+            for version in versions
+        ]
+        self.table.replace_all(entries, now_ms=0.0)
+
+    def _make_entry(self, name):
+        records = {
+            runner: PeerRecord(runner, "runner", runner, 1, "fd-a", "1") for runner in self.runners
+        }
+        peers = SimpleNamespace(
+            own=PeerRecord(name, "entry", name, 1, "fd-a", "1"),
+            of_role=lambda _role: records,
+            addresses=lambda _role: [(runner, 1) for runner in self.runners],
+        )
+        return StreamOrigins(peers, self.table, self._deliver)
+
+    def _deliver(self, message, addresses):
+        for host, _ in addresses:
+            self.lost -= 1
+            if self.lost < 0 and host not in self.dead:
+                self._receive(host, message)
+
+    def _receive(self, runner, message):
+        records = self.runners[runner]
+        if isinstance(message, StreamStarts):
+            for request_id, origin in message.streams:
+                records.add(request_id, origin, now_ms())
+        elif isinstance(message, StreamQuery):
+            self.queries += 1
+            origin = records.find(message.request_id, now_ms())
+            entry = self.entries[int(message.host[1:])]
+            entry.on_answer(StreamAnswer(runner, message.request_id, origin))
+
+
+def run(scenario, **arguments):
+    async def call():
+        return await scenario(Fleet(**arguments))
+
+    return asyncio.run(asyncio.wait_for(call(), 10))
+
+
+async def find_or_error(entry, request_id="s1"):
+    try:
+        return await entry.find(request_id, "svc")
+    except UnknownOriginError:
+        return UnknownOriginError
+
+
+@pytest.mark.parametrize("lost, dead", [(0, ()), (2, ()), (0, ("r0",))])
+def test_another_entry_finds_the_origin_of_a_stream(lost, dead):
+    """Guards against streams that cannot go on because a datagram was lost or a runner ended."""
+
+    async def scenario(fleet):
+        fleet.dead = set(dead)
+        fleet.lost = lost
+        fleet.entries[0].record("s1", OLD)
+        fleet.entries[0].report_streams()
+        return await find_or_error(fleet.entries[1])
+
+    assert run(scenario) == OLD
+
+
+def test_queries_that_are_lost_are_sent_again():
+    async def scenario(fleet):
+        fleet.entries[0].record("s1", OLD)
+        fleet.lost = len(fleet.runners)
+        return await find_or_error(fleet.entries[1])
+
+    assert run(scenario) == OLD
+
+
+def test_stream_that_began_before_the_second_version_came_is_found(monkeypatch):
+    """Guards against streams that are cut off in the first moments of a release."""
+    monkeypatch.setattr(stream_origins, "VERSIONS_INTERVAL_MS", 0.0)
+
+    async def scenario(fleet):
+        fleet.entries[0].record("s1", OLD)
+        fleet.list_versions("v1", "v2")
+        fleet.entries[0].report_streams()
+        return await find_or_error(fleet.entries[1])
+
+    assert run(scenario, versions=("v1",)) == OLD
+
+
+def test_unknown_stream_is_refused_only_if_there_are_several_versions():
+    async def scenario(fleet):
+        found = [await find_or_error(fleet.entries[1], name) for name in ("s1", None)]
+        return found, fleet.queries
+
+    assert run(scenario) == ([UnknownOriginError] * 2, 3)
+    assert run(scenario, versions=("v1",)) == ([None] * 2, 0)
+
+
+def test_unknown_stream_is_refused_while_a_version_has_just_gone():
+    """Guards against mixing at the end of a release, when streams of the old version remain."""
+
+    async def scenario(fleet):
+        fleet.table.replace_all(
+            [TargetEntry("t-v2", "svc", "10.0.0.1:80", "fd-a", 8, software_version="v2")], now_ms()
+        )
+        return await find_or_error(fleet.entries[1])
+
+    assert run(scenario) is UnknownOriginError
+
+
+def test_records_expire_and_are_bounded():
+    records = StreamRecords()
+    records.add("s1", OLD, 0.0)
+    assert records.find("s1", RECORD_LIFETIME_MS) == OLD
+    assert records.find("s1", RECORD_LIFETIME_MS + 1.0) is None
+    for number in range(MAX_RECORDS):
+        records.add(f"n{number}", NEW, 1.0)
+    assert records.find("s1", 1.0) is None and records.find("n0", 1.0) == NEW
+
+
+def take_up(versions, origin):
+    """Take up a stream that began at ``origin``; return the answer and the sessions by target."""
+    targets = [ScriptedTarget(send_complete_stream) for _ in versions]
+
+    async def scenario():
+        gateway = Gateway(make_route())
+        await gateway.start(*targets, versions=versions)
+        if origin is not None:
+            gateway.origins.record("first-attempt", origin)
+        answer = await gateway.request(headers=TAKE_UP_HEADERS)
+        gateway.close()
+        return answer
+
+    answer = asyncio.run(asyncio.wait_for(scenario(), 10))
+    return answer, [len(target.sessions) for target in targets]
+
+
+def test_stream_is_taken_up_at_its_version():
+    answer, sessions = take_up(("v1", "v2"), NEW)
+    assert status_of(answer) == 200 and event_ids(answer) == [3, 4]
+    assert sessions == [0, 1]
+
+
+@pytest.mark.parametrize(
+    "versions, origin, code",
+    [
+        (("v1", "v2"), None, ResultCode.STREAM_ORIGIN_UNKNOWN),
+        (("v1", "v1"), NEW, ResultCode.NO_TARGET),
+    ],
+)
+def test_stream_that_cannot_go_on_is_refused_as_not_run(versions, origin, code):
+    """Guards against an answer that goes on at a version that did not begin it."""
+    answer, sessions = take_up(versions, origin)
+    assert status_of(answer) == 503 and b'"code":%d' % code in answer
+    assert b"Retry-After: " in answer
+    assert sessions == [0, 0]
+
+
+def test_unknown_stream_goes_on_if_there_is_one_version():
+    answer, sessions = take_up(("v1", "v1"), None)
+    assert status_of(answer) == 200 and event_ids(answer) == [3, 4]
+    assert sum(sessions) == 1
--- a/tests/test_waiting_items.py
+++ b/tests/test_waiting_items.py
@@ -8,8 +8,9 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.targets import TargetGroup
 from ebonyshore.runner.completion_rate import CompletionRate
-from ebonyshore.runner.job_ranking import JobRanking, TargetGroup
+from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.waiting_items import MIN_VERSION_WAIT_MS, WaitingItems
 from tests.admission_setup import FixedConfig, make_route
 from tests.registry_setup import RegistrySetup
@@ -44,7 +45,7 @@
             Random(1),
         )
         self.begun = self.items[0]
-        self.begun.add_event(1, "one", "v1")
+        self.begun.add_event(1, "one", OLD)
         self.begun.ended_runs_ms = used_ms
         self.begun.run_ended_ms = now_ms() - waited_ms
 
