Confirm the incarnation of a target that is to continue a stream among versions

Callers saw nothing reported; by reasoning, a stream could go on at a target that was started again under its id with another version, until the list shows it (the list is read every 250 ms). Change: while a service has several versions, the target is asked for its load report on the connection that the request then uses. If it tells a later start than the list, it is not used.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -35,6 +35,7 @@
         target_table,
         view,
         pool,
+        components.checker,
         components.crash_guard,
         origins,
         log,
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -14,6 +14,7 @@
     ResponseReader,
 )
 from ebonyshore.host.routes import Route
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import TargetGroup
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
@@ -90,6 +91,8 @@
     :param request: the caller's request.
     :param relay: shared by all attempts of the request.
     :param run: this attempt, for the attribution of crashes; names the target.
+    :param checker: confirms the incarnation of the target before the request is sent; ``None`` if
+        that is not necessary.
     :param on_first_event: called before the first event of the response is relayed.
     """
 
@@ -100,11 +103,13 @@
         request: Request,
         relay: RelayState,
         run: ContentRun,
+        checker: TargetChecker | None,
         on_first_event: Callable[[], None],
     ) -> None:
         self._names = names
         self._pool = pool
         self._run = run
+        self._checker = checker
         self._on_first_event = on_first_event
         self._target = run.target
         self._request = request
@@ -129,6 +134,8 @@
         address = self._target.entry.address
         try:
             async with self._pool.use(address, CONNECT_TIMEOUT_MS, max_idle_ms) as connection:
+                if self._checker is not None:
+                    await self._checker.confirm_incarnation(connection, self._target)
                 connection.send(self._encode_request())
                 self._run.is_sent = True
                 reader = ResponseReader(
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -25,6 +25,7 @@
 from ebonyshore.host.request_content import content_digest
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import Target, TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
@@ -50,6 +51,7 @@
     :param targets: the known targets.
     :param view: the load of the targets.
     :param pool: connections to the targets.
+    :param checker: asks targets for their load reports.
     :param crash_guard: knows the content that crashes targets.
     :param origins: knows at which software version streams began.
     :param random: randomizes the choice of targets and the retry delays of refused callers.
@@ -61,6 +63,7 @@
         targets: TargetTable,
         view: LoadView,
         pool: ConnectionPool,
+        checker: TargetChecker,
         crash_guard: CrashGuard,
         origins: StreamOrigins,
         log: EventLog,
@@ -71,6 +74,7 @@
         self.targets = targets
         self.view = view
         self.pool = pool
+        self.checker = checker
         self.crash_guard = crash_guard
         self.origins = origins
         self.log = log
@@ -201,6 +205,7 @@
             self._request,
             self._relay,
             run,
+            forwarder.checker if self._must_confirm_incarnation() else None,
             self._record_first_event,
         )
         forwarder.view.record_start(target)
@@ -257,13 +262,18 @@
         return self._route.is_repeatable and self._attempts < self._route.max_attempts
 
     def _usable_targets(self) -> list[Target]:
-        """Return the targets that accept requests and may add to the caller's answer."""
+        """Return the targets that accept requests and may add to the caller's answer.
+
+        The version of a target whose restart the list does not show yet is not known.
+        """
         if self._service is None:
             return []
+        is_mixed = self._forwarder.origins.is_mixed(self._service)
         return [
             target
             for target in self._forwarder.targets.accepting(self._service)
             if self._relay.may_continue_at(target.entry.group)
+            and not (is_mixed and target.is_outdated)
         ]
 
     def _choose_target(self) -> Target | None:
@@ -309,6 +319,10 @@
         )
         return self._fail(not_executed_response(ResultCode.OVERLOADED, delay_ms))
 
+    def _must_confirm_incarnation(self) -> bool:
+        """Whether the target's version has to be certain, as others do not fit the stream."""
+        return self._relay.origin is not None and self._forwarder.origins.is_mixed(self._service)
+
     def _record_first_event(self) -> None:
         if self._route.is_repeatable and self._request_id is not None:
             self._forwarder.origins.record(self._request_id, self._relay.origin)
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -98,9 +98,13 @@
         self._records.add(request_id, origin, at_ms)
         stream = _Unreported(request_id, origin, at_ms)
         self._unreported[request_id] = stream
-        if origin.service in self._find_mixed_services(at_ms):
+        if self.is_mixed(origin.service):
             self._report([stream])
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether a service has targets of several versions, or had them recently."""
+        return service in self._find_mixed_services(now_ms())
+
     def report_streams(self) -> None:
         """Tell the runners of recent streams whose service has several versions.
 
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -34,12 +34,14 @@
     :ivar registration: the registration of this process as a peer.
     :ivar probe: the probe of the store.
     :ivar suspicions: crashes of targets that this process and others have seen.
+    :ivar checker: asks targets for their load reports.
     :ivar crash_guard: attributes crashes of targets to the content of requests.
     """
 
     __slots__ = (
         "_environment",
         "_watches",
+        "checker",
         "config",
         "crash_guard",
         "peers",
@@ -58,7 +60,15 @@
         self.registration = make_registration(environment, self.peers)
         self.probe = make_probe(environment, self.config)
         self.suspicions = make_suspicion_exchange(environment)
-        self.crash_guard = make_crash_guard(environment, self.targets.table, self.suspicions)
+        self.checker = TargetChecker(deployment.names, environment.pool, deployment.decode_start)
+        self.crash_guard = CrashGuard(
+            self.targets.table,
+            self.checker,
+            self.suspicions,
+            environment.clock,
+            log,
+            environment.metrics,
+        )
         config_kind = deployment.config_key.split("/", 1)[0]
         self._watches = [
             self.make_watch(config_kind, self.config),
@@ -111,17 +121,6 @@
     return SuspicionExchange(own_id, table, environment.log, environment.metrics)
 
 
-def make_crash_guard(
-    environment: HostEnvironment, targets: TargetTable, suspicions: SuspicionExchange
-) -> CrashGuard:
-    """Return the crash guard of a process."""
-    deployment = environment.deployment
-    checker = TargetChecker(deployment.names, environment.pool, deployment.decode_start)
-    return CrashGuard(
-        targets, checker, suspicions, environment.clock, environment.log, environment.metrics
-    )
-
-
 def make_registration(environment: HostEnvironment, peers: PeerDirectory) -> Registration:
     """Return the registration of this process, which is renewed if its record is removed."""
     registration = Registration(
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -1,4 +1,4 @@
-"""Checks whether a target is down, independently of the requests that it runs."""
+"""Asks targets for their load reports: whether they are down, and since when they run."""
 
 from asyncio import sleep
 from collections.abc import Callable
@@ -6,10 +6,10 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.host.response_reader import AttemptFailedError, ResponseReader
+from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError, ResponseReader
 from ebonyshore.host.targets import Target
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import ConnectionPool, ExchangeError
+from ebonyshore.http.client import ClientConnection, ConnectionPool, ExchangeError
 
 CHECK_TIMEOUT_MS = 300.0  # for the connection, and again for the response
 # A target with too many connections closes new ones at once, so a closed connection shows nothing.
@@ -28,7 +28,7 @@
 
 
 class TargetChecker:
-    """Asks targets for their load report, which needs no slot, over a new connection.
+    """Asks targets for their load report, which needs no slot.
 
     :param names: path of the report.
     :param pool: keeps the connection for later requests if the target answers.
@@ -43,6 +43,22 @@
         self._pool = pool
         self._decode_start = decode_start
 
+    async def confirm_incarnation(self, connection: ClientConnection, target: Target) -> None:
+        """Check that a connection leads to the incarnation of the target that is listed.
+
+        A target that was started again under its id may have another software version, which the
+        list shows later. A connection does not outlive an incarnation, so what follows on it
+        reaches the same one. A target that does not tell its start is trusted.
+
+        :raises NotExecutedError: if the target was started again, or does not answer.
+        """
+        try:
+            started_ms = await self._read_start(connection, target.entry.address)
+        except (AttemptFailedError, ExchangeError) as error:
+            raise NotExecutedError(f"no load report: {error}", is_unreachable=True) from error
+        if started_ms is not None and not target.is_listed_start(started_ms):
+            raise NotExecutedError("the target was started again")
+
     async def check(self, target: Target) -> TargetCondition:
         """Return the condition of a target; a restart is returned once.
 
@@ -62,17 +78,21 @@
         address = target.entry.address
         try:
             async with self._pool.use_new(address, CHECK_TIMEOUT_MS) as connection:
-                request = f"GET {self._names.report_path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-                connection.send(request.encode())
-                deadline_ms = now_ms() + CHECK_TIMEOUT_MS
-                reader = ResponseReader(connection, self._names.request_id, None, deadline_ms)
-                await reader.next_part(None)  # any response shows that the target works
-                started_ms = self._decode_start(await reader.read_body(None))
+                started_ms = await self._read_start(connection, address)
                 if started_ms is None or not target.started_ms:
                     return TargetCondition.ANSWERING
+                target.is_listed_start(started_ms)
                 is_new = target.record_start(started_ms)
                 return TargetCondition.RESTARTED if is_new else TargetCondition.SERVING
         except AttemptFailedError:
             return TargetCondition.DOWN
         except ExchangeError as error:
             return None if error.was_sent else TargetCondition.DOWN
+
+    async def _read_start(self, connection: ClientConnection, address: str) -> int | None:
+        request = f"GET {self._names.report_path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        connection.send(request.encode())
+        deadline_ms = now_ms() + CHECK_TIMEOUT_MS
+        reader = ResponseReader(connection, self._names.request_id, None, deadline_ms)
+        await reader.next_part(None)  # any response shows that the target works
+        return self._decode_start(await reader.read_body(None))
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -67,7 +67,8 @@
     :ivar removed_ms: time at which the entry was removed; ``None`` if it is listed.
     :ivar outcomes: outcomes of this process's requests.
     :ivar crashes: crashes that this process has seen.
-    :ivar started_ms: wall time of its last known start; the list may show an earlier one.
+    :ivar started_ms: wall time of the last start that :meth:`record_start` was told.
+    :ivar is_outdated: whether the target was started again and the list does not show it yet.
     """
 
     __slots__ = (
@@ -76,6 +77,7 @@
         "crashes",
         "entry",
         "full_until_ms",
+        "is_outdated",
         "outcomes",
         "own_batch",
         "own_online",
@@ -94,12 +96,18 @@
         self.outcomes = OutcomeHistory()
         self.crashes = 0
         self.started_ms = entry.started_ms
+        self.is_outdated = False
 
     @property
     def target_id(self) -> str:
         """Id of the target in the list."""
         return self.entry.target_id
 
+    def is_listed_start(self, started_ms: int) -> bool:
+        """Return whether the list shows the start that the target tells, and remember it."""
+        self.is_outdated = started_ms > self.entry.started_ms > 0
+        return not self.is_outdated
+
     def record_start(self, started_ms: int) -> bool:
         """Record what the target says of its start; return whether it was started again."""
         is_new = started_ms > self.started_ms
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -8,7 +8,8 @@
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
-from ebonyshore.host.response_reader import AttemptFailedError, ResponseReader
+from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError, ResponseReader
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import Target
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
@@ -58,6 +59,8 @@
     :param record: the item as it was submitted.
     :param body: body of the request to the target.
     :param host: host name of the job's route, sent as the ``Host`` header.
+    :param checker: confirms the incarnation of the target before the request is sent; ``None`` if
+        that is not necessary.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         record: ItemRecord,
         body: bytes,
         host: str,
+        checker: TargetChecker | None = None,
     ) -> None:
         self._names = names
         self._pool = pool
@@ -75,6 +79,7 @@
         self._record = record
         self._body = body
         self._host = host
+        self._checker = checker
 
     async def run(self, content_run: ContentRun) -> RunResult:
         """Run the item at a target until the response ends or an error occurs.
@@ -90,6 +95,8 @@
             async with self._pool.use(
                 address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS
             ) as connection:
+                if self._checker is not None:
+                    await self._checker.confirm_incarnation(connection, target)
                 connection.send(self._encode_request(target))
                 content_run.is_sent = True
                 deadline_ms = now_ms() + RUN_TIMEOUT_MS
@@ -97,6 +104,9 @@
                     connection, self._names.request_id, self._item.item_id, deadline_ms
                 )
                 return await self._read_response(reader, content_run)
+        except NotExecutedError as error:
+            outcome = RunOutcome.UNREACHABLE if error.is_unreachable else RunOutcome.NOT_RUN
+            return RunResult(outcome, error.detail)
         except AttemptFailedError as error:
             return RunResult(RunOutcome.SILENT, error.detail, may_be_crash=True)
         except ExchangeError as error:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -12,6 +12,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import Target, TargetGroup, TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
@@ -61,6 +62,7 @@
     :param targets: the known targets.
     :param load_table: load that other processes have reported for each target.
     :param pool: connections to targets.
+    :param checker: asks targets for their load reports.
     :param crash_guard: knows the content that crashes targets.
     :param completions: told of the slots that items can use and of completed items.
     :param ranking: keeps the order of the jobs.
@@ -75,6 +77,7 @@
         targets: TargetTable,
         load_table: LoadTable,
         pool: ConnectionPool,
+        checker: TargetChecker,
         crash_guard: CrashGuard,
         completions: CompletionRate,
         ranking: JobRanking,
@@ -89,6 +92,7 @@
         self._targets = targets
         self._load_table = load_table
         self._pool = pool
+        self._checker = checker
         self._crash_guard = crash_guard
         self._completions = completions
         self._ranking = ranking
@@ -119,10 +123,14 @@
         totals = self._load_table.totals(self._clock.boot_ms())
         runners = [self._registry.own_id, *self._load_table.runners()]
         primary_runners = assign_primary_runners(self._targets.by_id(), runners)
+        mixed_services = self._targets.mixed_services(now_ms())
         slots_by_group: dict[TargetGroup, list[TargetSlots]] = {}
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
+            # The version of a target whose restart the list does not show yet is not known.
+            if target.is_outdated and target.entry.service in mixed_services:
+                slots.is_usable = False
             slots_by_group.setdefault(target.entry.group, []).append(slots)
         self._record_usable_slots(slots_by_group)
         waiting = self._select_waiting(slots_by_group)
@@ -162,7 +170,7 @@
     ) -> TargetSlots:
         others = totals.get(target.target_id, NO_COUNTS)
         at_ms = now_ms()
-        is_usable = not target.entry.is_leaving and not target.is_avoided(at_ms)
+        is_usable = not (target.entry.is_leaving or target.is_outdated or target.is_avoided(at_ms))
         own = [key for key, running in self._running.items() if running.target is target]
         # The last ones are preempted first: those of late jobs, then the youngest.
         own.sort(key=lambda key: self._ranking.is_late(self._running[key].progress.job_id))
@@ -257,6 +265,7 @@
             record.items[item.index],
             progress.item_body(item.index),
             record.host,
+            self._checker if self._must_confirm_incarnation(item) else None,
         )
         self._registry.on_change()
         try:
@@ -269,6 +278,12 @@
         finally:
             self._free_slot(key, running)
 
+    def _must_confirm_incarnation(self, item: Item) -> bool:
+        """Whether the target's version has to be certain, as others do not fit the events."""
+        if item.origin is None:
+            return False
+        return len(self._targets.recent_versions(item.origin.service, now_ms())) > 1
+
     def _free_slot(self, key: str, running: RunningItem, task: Task[None] | None = None) -> None:
         """Free the slot of a run that has ended. Does nothing if that was done before.
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -166,6 +166,7 @@
         table,
         load_table,
         environment.pool,
+        parts.checker,
         parts.crash_guard,
         completions,
         ranking,
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -42,11 +42,6 @@
     return SuspicionExchange(own_id, table, EventLog(), Metrics())
 
 
-def make_crash_guard(targets, pool, suspicions, checker=None):
-    checker = checker or TargetChecker(WIRE_NAMES, pool, decode_start)
-    return CrashGuard(targets, checker, suspicions, SystemClock(), EventLog(), Metrics())
-
-
 class FirstChoiceRandom(Random):
     """Makes the forwarder choose the first target that has free slots."""
 
@@ -66,7 +61,10 @@
         self.pool = ConnectionPool(4)
         self.failures = []
         self.suspicions = make_suspicions()
-        self.crash_guard = make_crash_guard(self.table, self.pool, self.suspicions, checker)
+        self.checker = checker or TargetChecker(WIRE_NAMES, self.pool, decode_start)
+        self.crash_guard = CrashGuard(
+            self.table, self.checker, self.suspicions, SystemClock(), EventLog(), Metrics()
+        )
         self.datagrams = []
         peers = SimpleNamespace(
             own=SimpleNamespace(instance_id="e1", failure_domain="fd-a"),
@@ -79,6 +77,7 @@
             self.table,
             self.view,
             self.pool,
+            self.checker,
             self.crash_guard,
             self.origins,
             EventLog(),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -80,6 +80,27 @@
     session.reset()
 
 
+def test_stream_does_not_go_on_at_a_target_that_was_started_again():
+    """Guards against a target that has another version than the list shows."""
+    targets = [
+        ScriptedTarget(break_off_after_two_events),
+        *(ScriptedTarget(send_complete_stream) for _ in range(3)),
+    ]
+    targets[1].report = b'{"born":2}'
+    targets[2].report = b'{"born":1}'
+
+    async def scenario():
+        gateway = Gateway(make_route())
+        await gateway.start(*targets, versions=("v1", "v1", "v1", "v2"))
+        answer = await gateway.request()
+        gateway.close()
+        return answer
+
+    answer = run(scenario())
+    assert [len(target.sessions) for target in targets] == [1, 0, 1, 0]
+    assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
+
+
 @pytest.mark.parametrize(
     "begin, versions, tried, is_complete",
     [
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -6,8 +6,10 @@
 
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import Target, TargetEntry
 from ebonyshore.http.client import ConnectionPool
+from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner.item_run import ItemRun, RunOutcome
 from ebonyshore.runner.job_progress import Item
@@ -35,6 +37,35 @@
     return asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
+@pytest.mark.parametrize(
+    "report, outcome, runs",
+    [
+        (b'{"born":1}', RunOutcome.COMPLETE, 1),
+        (b"", RunOutcome.COMPLETE, 1),
+        (b'{"born":2}', RunOutcome.NOT_RUN, 0),
+    ],
+)
+def test_item_does_not_go_on_at_a_target_that_was_started_again(report, outcome, runs):
+    """Guards against a target that has another version than the list shows."""
+
+    async def scenario():
+        server = ScriptedTarget(send_complete_stream)
+        server.report = report
+        address = await server.start()
+        target = Target(TargetEntry("t1", "svc", address, "fd-a", 8, started_ms=1))
+        pool = ConnectionPool(4)
+        checker = TargetChecker(WIRE_NAMES, pool, decode_start)
+        item = Item(0, "req-1")
+        run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", checker)
+        result = await run.run(ContentRun(target, "content", 0.0))
+        pool.close()
+        server.close()
+        return result.outcome, len(server.sessions), target.is_outdated
+
+    found = asyncio.run(asyncio.wait_for(scenario(), 10))
+    assert found == (outcome, runs, runs == 0)
+
+
 def respond_with(status, *headers):
     async def script(session):
         session.send_answer(status, headers)
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -86,6 +86,7 @@
             self.targets,
             self.setup.load_table,
             pool or EndlessPool(),
+            None,
             self.guard,
             completions,
             JobRanking(self.setup.registry, completions, self.setup.clock),
