Let the soak's targets have two software versions and its callers take streams up

The soak checks, from the runs of the targets, that no stream and no item goes on at a version that did not send the events before, and after the faults that streams can be taken up at the other entry.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -11,10 +11,11 @@
 
 from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
 from ebonyshore_soak.checker import GuaranteeChecker
-from ebonyshore_soak.clients import CRASHING_BODY, SoakClients
+from ebonyshore_soak.clients import CRASHING_BODY, STREAM_EVENTS, SoakClients
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
+from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
@@ -27,6 +28,9 @@
 CRASH_SETTLE_MS = 3_000.0
 MAX_LATE_CRASHES = 3
 CRASHING_SENDS = 3  # to each entry
+SOFTWARE_VERSIONS = 2  # of the targets
+TAKEN_UP_STREAMS = 12
+EVENTS_BEFORE_BREAK = 5
 
 
 class SoakOptions(Struct, frozen=True):
@@ -104,6 +108,7 @@
         _settle(fleet, clients, checker, clock)
         limited_jobs.check_room()
         _settle(fleet, clients, checker, clock)
+        _check_streams_go_on(fleet, clients, checker)
         _check_crashing_content(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
@@ -119,6 +124,7 @@
     # A proxy accepts connections also while its target refuses them, so crashed targets are silent.
     target = CrashingTarget(target_id, CrashMode.SILENT, TARGET_DOWN_MS)
     target.crashing_bodies = {CRASHING_BODY}
+    target.software_version = f"v{int(target_id[1:]) % SOFTWARE_VERSIONS}"
     return target
 
 
@@ -127,6 +133,21 @@
     fleet.platform.state.put("servers", fleet.targets[number].target_id, entry)
 
 
+def _check_streams_go_on(
+    fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker
+) -> None:
+    """Check that callers can take their streams up at another entry, once faults are over."""
+    for number in range(TAKEN_UP_STREAMS):
+        stream = CallerStream(f"stream-taken-{number}", STREAM_EVENTS)
+        first, second = fleet.entries[number % 2], fleet.entries[(number + 1) % 2]
+        clients.call_or_none(partial(stream.read, first, EVENTS_BEFORE_BREAK))
+        if stream.data:
+            clients.call_or_none(partial(stream.read, second))
+            checker.count("taken_up" if stream.is_complete else "not_taken_up")
+    if checker.counts.get("not_taken_up", 0) > checker.counts.get("taken_up", 0):
+        checker.report_violation("most streams do not go on at another entry")
+
+
 def _check_crashing_content(
     fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker, clock: Clock
 ) -> None:
--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -8,7 +8,7 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore_standins.fleet_client import STREAM_DEADLINE_MS
 from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
-from ebonyshore_standins.stream_target import RunRecord, expected_data
+from ebonyshore_standins.stream_target import RunRecord, expected_data, mixed_streams
 
 ONLINE_PREFIXES = ("stream-", "once-", "crash-")  # of the ids of online requests
 # A request that is sent once more may end later than the first by this much.
@@ -116,6 +116,8 @@
             if request_id.startswith("once") and count > 1:
                 self.report_violation(f"request {request_id} ran {count} times")
         self._check_attempts(runs)
+        for stream_id in mixed_streams(runs):
+            self.report_violation(f"{stream_id} has events of two software versions")
         for request_id in self.refused_request_ids & set(run_counts):
             self.report_violation(f"request {request_id} ran although it was refused as not run")
         for job_id, size in self.refused_jobs.items():
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -1,6 +1,7 @@
 """Callers of the soak test: streams, requests with a single attempt, jobs and configurations."""
 
 from collections.abc import Callable
+from functools import partial
 from http.client import HTTPException
 from random import Random
 from threading import Event, Thread
@@ -8,6 +9,7 @@
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore_soak.checker import REFUSAL_STATUSES, GuaranteeChecker, JobSize
+from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.fleet_client import (
     cancel_job,
     read_job,
@@ -17,14 +19,15 @@
 )
 from ebonyshore_standins.fleet_config import (
     SINGLE_ATTEMPT_PREFIX,
-    STREAM_PREFIX,
     make_config,
     route,
 )
 from ebonyshore_standins.fleet_process import FleetProcess
 from ebonyshore_standins.platform_fleet import PlatformFleet
 
-STREAM_EVENTS = 12
+STREAM_EVENTS = 40
+SINGLE_ATTEMPT_EVENTS = 12
+MAX_STREAM_ATTEMPTS = 3
 CRASHING_BODY = b"crashes its targets"
 CALL_TIMEOUT_S = 6.0
 SHORT_JOB = JobSize(items=8, events=25)
@@ -131,30 +134,54 @@
             self._checker.count("calls_without_answer")
             return None
 
-    def _send_stream_request(self, random: Random, prefix: str, name: str) -> None:
-        request_id = f"{name}-{next(self._request_numbers)}"
+    def _send_single_attempt_request(self, random: Random) -> None:
+        request_id = f"once-{next(self._request_numbers)}"
         entry = random.choice(self._fleet.entries)
         response = self.call_or_none(
-            lambda: request_stream(entry, request_id, prefix, STREAM_EVENTS, CALL_TIMEOUT_S)
+            lambda: request_stream(
+                entry, request_id, SINGLE_ATTEMPT_PREFIX, SINGLE_ATTEMPT_EVENTS, CALL_TIMEOUT_S
+            )
         )
         if response is None:
             return
         status, _, body = response
         if status == 200:
-            self._checker.check_stream(request_id, STREAM_EVENTS, stream_data(body))
-        elif status in REFUSAL_STATUSES and name == "once":
+            self._checker.check_stream(request_id, SINGLE_ATTEMPT_EVENTS, stream_data(body))
+        elif status in REFUSAL_STATUSES:
             self._checker.refused_request_ids.add(request_id)
         elif status == 404:
             self._checker.report_violation(f"request {request_id} returned status 404")
-        self._checker.count(f"{name}_{status}")
+        self._checker.count(f"once_{status}")
 
     def _run_stream_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.0, 0.1)):
-            self._send_stream_request(random, STREAM_PREFIX, "stream")
+            self._read_stream(random)
+
+    def _read_stream(self, random: Random) -> None:
+        """Read a stream and take it up at a random entry each time that it breaks off.
+
+        Some callers close their first connection midway themselves.
+        """
+        stream = CallerStream(f"stream-{next(self._request_numbers)}", STREAM_EVENTS)
+        until_event = random.choice(
+            [STREAM_EVENTS, STREAM_EVENTS, random.randint(1, STREAM_EVENTS)]
+        )
+        for _ in range(MAX_STREAM_ATTEMPTS):
+            entry = random.choice(self._fleet.entries)
+            status = self.call_or_none(partial(stream.read, entry, until_event, CALL_TIMEOUT_S))
+            until_event = STREAM_EVENTS
+            name = "taken" if len(stream.statuses) > 1 else "stream"
+            self._checker.count(f"{name}_{status}")
+            if status == 404:
+                self._checker.report_violation(f"request {stream.name} returned status 404")
+            if status not in (None, 200) or stream.is_complete:
+                break
+        if stream.is_complete:
+            self._checker.check_stream(stream.stream_id, STREAM_EVENTS, "\n".join(stream.data))
 
     def _run_single_attempt_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.0, 0.1)):
-            self._send_stream_request(random, SINGLE_ATTEMPT_PREFIX, "once")
+            self._send_single_attempt_request(random)
 
     def _run_crashing_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.3, 1.5)):
--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -196,17 +196,17 @@
         self._fleet.platform.fault_hook = lambda _method, _path: 503
         self._sleep_s(0.2)
         chosen = [candidate for candidate in self._fleet.targets if random.random() < 0.7]
-        entries = {
-            target.target_id: state.objects.get(("servers", target.target_id)) for target in chosen
-        }
-        for target_id in entries:
-            state.delete("servers", target_id, None)
+        entries = {target: state.objects.get(("servers", target.target_id)) for target in chosen}
+        for target in entries:
+            state.delete("servers", target.target_id, None)
         self._sleep_s(random.uniform(0.1, 1.0))
         self._fleet.platform.fault_hook = lambda _method, _path: None
         self._sleep_s(random.uniform(0.0, 1.5))
-        for target_id, entry in entries.items():
+        for target, entry in entries.items():
             if entry is not None:
-                state.put("servers", target_id, entry["Spec"])
+                # The target may have been started again in the meantime.
+                spec = {**entry["Spec"], "born": target.born_ms}
+                state.put("servers", target.target_id, spec)
 
 
 def proxied_target_entry(fleet: PlatformFleet, number: int, address: str) -> dict[str, object]:
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -2,11 +2,12 @@
 
 It streams events, resumes streams, admits requests in order of arrival and refuses them when its
 queue is full. It records every run, so that tests can check which requests reached it. The response
-to a request depends only on the request's id and length, so that tests can check each response.
+to a request depends only on the id and the length of its stream, so that tests can check it.
 """
 
 import asyncio
 import json
+from collections.abc import Iterable
 
 from msgspec import Struct
 
@@ -45,6 +46,28 @@
     software_version: str = ""
     resumed_request: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the attempt that began the stream; the same in all runs of the stream."""
+        return self.resumed_request or self.request_id
+
+
+def mixed_streams(runs: Iterable[RunRecord]) -> set[str]:
+    """Return the ids of streams and items that went on at another software version.
+
+    A run that continues a stream needs an earlier run of its version that sent the events before.
+
+    :param runs: the runs of all targets.
+    """
+    sent: dict[tuple[str, str], int] = {}  # last event by stream and version
+    mixed: set[str] = set()
+    for run in sorted(runs, key=lambda run: run.started_ms):
+        key = (run.stream_id, run.software_version)
+        if run.first_event > sent.get(key, 0) + 1 and run.last_event >= run.first_event:
+            mixed.add(run.stream_id)
+        sent[key] = max(sent.get(key, 0), run.last_event)
+    return mixed
+
 
 def expected_data(request_id: str, events: int) -> str:
     """Return the data of all events of a request, joined by line feeds.
@@ -236,7 +259,7 @@
         return run
 
     def _send_event(self, run: RunRecord, number: int, writer: asyncio.StreamWriter) -> None:
-        event = f"id: {number}\ndata: {run.request_id}.{number}\n\n"
+        event = f"id: {number}\ndata: {run.stream_id}.{number}\n\n"
         writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
         run.last_event = number
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,17 +2,16 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from random import Random
 
 import pytest
 
 from ebonyshore.frame.clock import SystemClock
-from ebonyshore.platform.wire_names import WIRE_NAMES
-from ebonyshore_standins.fleet_client import STREAM_DEADLINE_MS, read_job, submit_job
-from ebonyshore_standins.fleet_config import ROUTE_HOST, STREAM_PREFIX
+from ebonyshore_standins.caller_stream import CallerStream
+from ebonyshore_standins.fleet_client import read_job, submit_job
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
-from ebonyshore_standins.stream_target import StreamTarget
+from ebonyshore_standins.stream_target import StreamTarget, expected_data, mixed_streams
 
 CLOCK = SystemClock()
 EVENTS = 60
@@ -42,50 +41,8 @@
         platform_fleet.stop()
 
 
-class CallerStream:
-    """A stream as a caller reads it, over one or more attempts."""
-
-    def __init__(self, name):
-        self.name = name
-        self.last_event = 0
-        self.statuses = []
-
-    def read(self, entry, attempt, events=EVENTS):
-        """Read up to event ``events`` in one attempt, and close the connection."""
-        headers = {
-            "Host": ROUTE_HOST,
-            WIRE_NAMES.request_id: f"{self.name}-{attempt}",
-            WIRE_NAMES.remaining_ms: str(STREAM_DEADLINE_MS),
-            "Length-Hint": str(EVENTS),
-        }
-        if self.last_event:
-            headers[WIRE_NAMES.last_event_id] = str(self.last_event)
-            headers[WIRE_NAMES.resumed_request] = f"{self.name}-0"
-        connection = HTTPConnection(entry.ip, entry.front_port, timeout=10)
-        try:
-            connection.request("POST", f"{STREAM_PREFIX}x", self.name.encode(), headers)
-            response = connection.getresponse()
-            self.statuses.append(response.status)
-            while self.last_event < events and (line := response.readline()):
-                if line.startswith(b"id: "):
-                    self.last_event = int(line[4:])
-        finally:
-            connection.close()
-
-
-def mixed_streams(fleet):
-    """Return the ids of streams and items with events of targets of two versions."""
-    runs = sorted(
-        (run for target in fleet.targets for run in target.runs), key=lambda run: run.started_ms
-    )
-    versions, mixed = {}, set()
-    for run in runs:
-        stream = run.resumed_request or run.request_id
-        if run.first_event == 1:
-            versions[stream] = run.software_version
-        elif run.last_event >= run.first_event and run.software_version != versions[stream]:
-            mixed.add(stream)
-    return mixed
+def all_runs(fleet):
+    return [run for target in fleet.targets for run in target.runs]
 
 
 def break_connections_in_turn(fleet):
@@ -97,18 +54,18 @@
 
 def test_answer_that_breaks_off_goes_on_at_the_version_that_began_it(fleet):
     """Guards against an entry that resumes a stream at any target of the service."""
-    streams = [CallerStream(f"answer{number}") for number in range(STREAMS)]
+    streams = [CallerStream(f"answer{number}", EVENTS) for number in range(STREAMS)]
 
     def read(number):
         with suppress(OSError, HTTPException):  # the answer was cut off
-            streams[number].read(fleet.entries[number % 2], 0)
+            streams[number].read(fleet.entries[number % 2])
 
     with ThreadPoolExecutor(STREAMS) as callers:
         list_of_reads = [callers.submit(read, number) for number in range(STREAMS)]
         break_connections_in_turn(fleet)
     assert all(future.exception() is None for future in list_of_reads)
-    assert sum(stream.last_event == EVENTS for stream in streams) > STREAMS / 2
-    assert mixed_streams(fleet) == set()
+    assert sum(stream.is_complete for stream in streams) > STREAMS / 2
+    assert mixed_streams(all_runs(fleet)) == set()
 
 
 def test_item_that_breaks_off_goes_on_at_the_version_that_began_it(fleet):
@@ -116,17 +73,17 @@
     assert submit_job(fleet.entries[0], "j1", items=STREAMS, events=EVENTS) == 202
     break_connections_in_turn(fleet)
     wait_until(lambda: len(read_job(fleet.entries[0], "j1")[1]["Results"]) == STREAMS)
-    assert mixed_streams(fleet) == set()
+    assert mixed_streams(all_runs(fleet)) == set()
 
 
 def take_up_elsewhere(fleet, is_first_entry_killed):
-    streams = [CallerStream(f"taken{number}") for number in range(STREAMS)]
+    streams = [CallerStream(f"taken{number}", EVENTS) for number in range(STREAMS)]
     first, second = fleet.entries
     with ThreadPoolExecutor(STREAMS) as callers:
-        list(callers.map(lambda stream: stream.read(first, 0, EVENTS_BEFORE_BREAK), streams))
+        list(callers.map(lambda stream: stream.read(first, EVENTS_BEFORE_BREAK), streams))
         if is_first_entry_killed:
             first.kill()
-        list(callers.map(lambda stream: stream.read(second, 1), streams))
+        list(callers.map(lambda stream: stream.read(second), streams))
     return streams
 
 
@@ -137,5 +94,6 @@
     """Guards against an entry that does not know which version began a stream elsewhere."""
     streams = take_up_elsewhere(fleet, is_first_entry_killed)
     assert [stream.statuses for stream in streams] == [[200, 200]] * STREAMS
-    assert all(stream.last_event == EVENTS for stream in streams)
-    assert mixed_streams(fleet) == set()
+    for stream in streams:
+        assert "\n".join(stream.data) == expected_data(stream.stream_id, EVENTS)
+    assert mixed_streams(all_runs(fleet)) == set()
