Bound what a target can send that is no answer

Cause: nothing bounded a response head or a body without a declared length (64 MB), received parts waited in a queue without limit, and each part that was no event started the time-out again. A target that sent nonsense instead of its report was taken for down, so requests were blamed for a crash. Change: a head has at most 64 kB, a body without a declared length 4 MB, an item's output what a segment can store; a connection is not read while 256 kB wait; at most eight responses to other requests are skipped; time-outs count from the last event; the body of a refusal is read for 0.2 s at most.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -12,6 +12,7 @@
     AttemptFailedError,
     NotExecutedError,
     ResponseReader,
+    time_left_ms,
 )
 from ebonyshore.host.routes import Route
 from ebonyshore.host.target_check import TargetChecker
@@ -195,8 +196,8 @@
     ) -> None:
         splitter = self._relay.splitter
         splitter.discard_incomplete()
-        idle_timeout_ms = FIRST_EVENT_TIMEOUT_MS if can_retry else None
-        while not isinstance(item := await reader.next_part(idle_timeout_ms), BodyEnd):
+        limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS if can_retry else None
+        while not isinstance(item := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
             events = splitter.feed(item)
             if not events:
                 continue
@@ -208,7 +209,7 @@
                 self._on_first_event()
             self._run.record_event(now_ms())
             responder.write(b"".join(event.raw for event in events))
-            idle_timeout_ms = EVENT_TIMEOUT_MS if can_retry else None
+            limit_ms = now_ms() + EVENT_TIMEOUT_MS if can_retry else None
         if splitter.incomplete_event:
             raise ExchangeError("event stream ended with an incomplete event")
         if not responder.is_started:
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -7,8 +7,13 @@
 from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
+from ebonyshore.http.numbers import parse_decimal
 
-MAX_BODY_BYTES = 64 << 20
+MAX_BODY_BYTES = 64 << 20  # if the head declares the length
+MAX_UNDECLARED_BODY_BYTES = 4 << 20  # such a body may have no end
+MAX_STALE_RESPONSES = 8  # responses to earlier requests that are skipped
+MAX_REFUSAL_BYTES = 65_536
+REFUSAL_TIMEOUT_MS = 200.0  # for the body of a response that only its head matters of
 
 
 class NotExecutedError(Exception):
@@ -65,7 +70,13 @@
     :param deadline_ms: deadline of the request on the monotonic clock.
     """
 
-    __slots__ = ("_connection", "_deadline_ms", "_request_id", "_request_id_name")
+    __slots__ = (
+        "_connection",
+        "_deadline_ms",
+        "_declared_bytes",
+        "_request_id",
+        "_request_id_name",
+    )
 
     def __init__(
         self,
@@ -78,33 +89,39 @@
         self._request_id_name = request_id_name
         self._request_id = request_id
         self._deadline_ms = deadline_ms
+        self._declared_bytes: int | None = None  # length of the body that the head declares
 
     async def read_head(self, idle_timeout_ms: float | None) -> ResponseHead:
         """Return the head of the response to this request; other responses are read and dropped.
 
-        :param idle_timeout_ms: longest wait for each part, see :meth:`next_part`.
+        :param idle_timeout_ms: longest wait for the head; ``None`` to wait until the deadline.
         :raises ExchangeError: if there is no such response.
         :raises AttemptFailedError: as :meth:`next_part`.
         """
-        while True:
-            head = await self.next_part(idle_timeout_ms)
+        limit_ms = None if idle_timeout_ms is None else now_ms() + idle_timeout_ms
+        for _ in range(MAX_STALE_RESPONSES):
+            head = await self.next_part(time_left_ms(limit_ms))
             if not isinstance(head, ResponseHead):
                 raise ExchangeError("response has no head")
             if head.headers.get(self._request_id_name) == self._request_id:
+                self._declared_bytes = parse_decimal(head.headers.get("content-length"))
                 return head
             if not head.is_self_delimited:
                 raise ExchangeError("received the response to another request")
-            await self.read_body(idle_timeout_ms)
+            await self.read_body(time_left_ms(limit_ms))
+        raise ExchangeError(f"received {MAX_STALE_RESPONSES} responses to other requests")
 
-    async def read_body(
-        self, idle_timeout_ms: float | None, max_bytes: int = MAX_BODY_BYTES
-    ) -> bytes:
+    async def read_body(self, idle_timeout_ms: float | None, max_bytes: int | None = None) -> bytes:
         """Return the rest of the response's body.
 
+        A body whose length is not declared may be shorter than one whose length is.
+
         :param idle_timeout_ms: longest wait for each part, see :meth:`next_part`.
         :raises ExchangeError: if the rest is longer than ``max_bytes`` or incomplete.
         :raises AttemptFailedError: as :meth:`next_part`.
         """
+        is_declared = self._declared_bytes is not None
+        max_bytes = max_bytes or (MAX_BODY_BYTES if is_declared else MAX_UNDECLARED_BODY_BYTES)
         parts: list[bytes] = []
         size = 0
         while not isinstance(item := await self.next_part(idle_timeout_ms), BodyEnd):
@@ -114,6 +131,21 @@
                 raise ExchangeError(f"response body is longer than {max_bytes} bytes")
         return b"".join(parts)
 
+    async def skip_body(self) -> None:
+        """Read the body of a response whose head says all, so that the connection can be reused.
+
+        A body that is long or slow is left unread; the connection then has to be closed.
+        """
+        limit_ms = now_ms() + REFUSAL_TIMEOUT_MS
+        size = 0
+        try:
+            while not isinstance(part := await self.next_part(time_left_ms(limit_ms)), BodyEnd):
+                size += len(part)
+                if size > MAX_REFUSAL_BYTES:
+                    return
+        except (AttemptFailedError, ExchangeError):
+            return  # nothing in the body matters
+
     async def next_part(self, idle_timeout_ms: float | None) -> ResponseHead | bytes | BodyEnd:
         """Return the next part of the response.
 
@@ -127,6 +159,8 @@
         )
         timeout_ms = idle_timeout_ms if is_idle_limit else self._deadline_ms - began_ms
         try:
+            if timeout_ms <= 0.0:
+                raise TimeoutError  # parts that have arrived already do not extend the time
             async with timeout(max(0.0, timeout_ms) / MS_PER_S):
                 return await self._connection.next_part()
         except TimeoutError as error:
@@ -138,3 +172,8 @@
             raise AttemptFailedError(
                 detail, is_idle_timeout=is_idle_limit, is_deadline_exceeded=not is_idle_limit
             ) from error
+
+
+def time_left_ms(limit_ms: float | None) -> float | None:
+    """Return the time until ``limit_ms`` on the monotonic clock, 0 at least; ``None`` for none."""
+    return None if limit_ms is None else max(0.0, limit_ms - now_ms())
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -14,6 +14,7 @@
 CHECK_TIMEOUT_MS = 300.0  # for the connection, and again for the response
 # A target with too many connections closes new ones at once, so a closed connection shows nothing.
 INCONCLUSIVE_RETRY_DELAY_MS = 100.0
+MAX_REPORT_BYTES = 65_536
 
 ReportDecoder = Callable[[bytes], int | None]
 
@@ -78,7 +79,12 @@
         address = target.entry.address
         try:
             async with self._pool.use_new(address, CHECK_TIMEOUT_MS) as connection:
-                started_ms = await self._read_start(connection, address)
+                try:
+                    started_ms = await self._read_start(connection, address)
+                except (AttemptFailedError, ExchangeError):
+                    if not connection.has_received:
+                        raise
+                    started_ms = None  # a target that sends nonsense is not down
                 if started_ms is None or not target.started_ms:
                     return TargetCondition.ANSWERING
                 target.is_listed_start(started_ms)
@@ -94,5 +100,5 @@
         connection.send(request.encode())
         deadline_ms = now_ms() + CHECK_TIMEOUT_MS
         reader = ResponseReader(connection, self._names.request_id, None, deadline_ms)
-        await reader.next_part(None)  # any response shows that the target works
-        return self._decode_start(await reader.read_body(None))
+        await reader.next_part(None)
+        return self._decode_start(await reader.read_body(None, MAX_REPORT_BYTES))
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -23,6 +23,10 @@
 # the server may close it a little earlier than announced.
 KEEP_ALIVE_REUSE_RATIO = 0.6
 DEFAULT_MAX_IDLE_MS = 3_000.0  # if the server announces no idle timeout
+MAX_HEAD_BYTES = 65_536  # of a response
+# Received parts that wait to be taken; above this the connection is not read further.
+MAX_QUEUED_BYTES = 262_144
+HEAD_QUEUE_BYTES = 1_024  # that a head counts for
 
 
 class ExchangeError(ConnectionError):
@@ -51,7 +55,11 @@
     :meth:`finish_exchange`. An exchange that is not read to its end must be ended with
     :meth:`abort`.
 
+    Bytes are received only as far as they are taken: a server that sends without end is not read
+    further, and a head that is too long breaks the connection.
+
     :ivar is_broken: whether the connection is closed or can no longer be used.
+    :ivar has_received: whether the server has sent anything in this exchange.
     :ivar idle_since_ms: monotonic time at which the last exchange ended.
     :ivar server_max_idle_ms: maximum idle time before a reuse: the timeout in the server's
         ``Keep-Alive`` header less a margin, or ``DEFAULT_MAX_IDLE_MS`` without such a header.
@@ -69,7 +77,10 @@
         self._is_self_delimited = False
         self._is_complete = False
         self._keeps_alive = False
+        self._head_bytes = 0  # received of a head that is not complete
+        self._queued_bytes = 0
         self.is_broken = False
+        self.has_received = False
         self.idle_since_ms = 0.0
         self.server_max_idle_ms = DEFAULT_MAX_IDLE_MS
 
@@ -80,11 +91,20 @@
         if not self._is_exchange_active:
             self.abort()
             return
+        self.has_received = True
+        if not self._has_head:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
             self._append_part(ExchangeError(f"invalid HTTP response: {error}"))
             self.abort()
+            return
+        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._append_part(ExchangeError(f"response head exceeds {MAX_HEAD_BYTES} bytes"))
+            self.abort()
+        elif self._queued_bytes > MAX_QUEUED_BYTES and self._transport is not None:
+            self._transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_broken = True
@@ -111,9 +131,12 @@
         if self.is_broken or self._transport is None or self._transport.is_closing():
             raise ExchangeError("connection closed while idle", was_sent=False)
         self._parts.clear()
+        self._queued_bytes = 0
+        self._head_bytes = 0
         self._is_exchange_active = True
         self._is_complete = False
         self._has_head = False
+        self.has_received = False
         self._transport.write(data)
 
     async def next_part(self) -> ResponseHead | bytes | BodyEnd:
@@ -135,6 +158,9 @@
         part = self._parts.popleft()
         if isinstance(part, ExchangeError):
             raise part
+        self._queued_bytes -= _queue_bytes(part)
+        if self._transport is not None and self._queued_bytes <= MAX_QUEUED_BYTES // 2:
+            self._transport.resume_reading()
         return part
 
     def finish_exchange(self, at_ms: float) -> bool:
@@ -174,6 +200,7 @@
     def on_message_begin(self) -> None:
         self._header_fields = []
         self._has_head = False
+        self._head_bytes = 0
         self._is_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -204,10 +231,15 @@
 
     def _append_part(self, part: ResponsePart) -> None:
         self._parts.append(part)
+        self._queued_bytes += _queue_bytes(part)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
 
+def _queue_bytes(part: ResponsePart) -> int:
+    return len(part) if isinstance(part, bytes) else HEAD_QUEUE_BYTES
+
+
 def _is_self_delimited(status: int, headers: Headers) -> bool:
     """Return whether the head of a response shows where its body ends."""
     if status in BODILESS_STATUSES or headers.get("content-length") is not None:
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -8,19 +8,25 @@
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
-from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError, ResponseReader
+from ebonyshore.host.response_reader import (
+    AttemptFailedError,
+    NotExecutedError,
+    ResponseReader,
+    time_left_ms,
+)
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import Target
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
-from ebonyshore.runner.job_progress import ITEM_METHOD, Item
+from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 3_000.0
 EVENT_TIMEOUT_MS = 1_200.0
 RUN_TIMEOUT_MS = 30_000.0
 MAX_CONNECTION_IDLE_MS = 10_000.0
+MAX_ITEM_BYTES = MAX_SEGMENT_BYTES  # a longer output cannot be stored
 
 
 class RunOutcome(Enum):
@@ -135,11 +141,11 @@
         content_run.record_part(now_ms())
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
-            await reader.read_body(EVENT_TIMEOUT_MS)
+            await reader.skip_body()
             return RunResult(RunOutcome.NOT_RUN, f"status {head.status}")
         if head.status == 200:
             return await self._read_events(reader, content_run)
-        await reader.read_body(EVENT_TIMEOUT_MS)
+        await reader.skip_body()
         if head.status == 422:
             return RunResult(RunOutcome.REJECTED, "status 422")
         outcome = RunOutcome.FAILED if head.status == 500 else RunOutcome.BROKEN
@@ -148,12 +154,15 @@
     async def _read_events(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
-        timeout_ms = FIRST_EVENT_TIMEOUT_MS
-        while not isinstance(chunk := await reader.next_part(timeout_ms), BodyEnd):
+        limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS
+        while not isinstance(chunk := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
             for event in splitter.feed(chunk):
                 item.add_event(event.event_id, event.data, content_run.target.entry.group)
                 content_run.record_event(now_ms())
-                timeout_ms = EVENT_TIMEOUT_MS
+                limit_ms = now_ms() + EVENT_TIMEOUT_MS
+            if item.data_bytes > MAX_ITEM_BYTES:
+                item.discard_events()
+                return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
         if splitter.incomplete_event:
             return RunResult(RunOutcome.BROKEN, "event stream ended in the middle of an event")
         return RunResult(RunOutcome.COMPLETE)
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -38,6 +38,7 @@
     :param index: position of the item in the job record.
     :param item_id: id that the caller gave the item.
     :ivar data: data of the events received so far.
+    :ivar data_bytes: size of this data, encoded.
     :ivar last_event_id: id of the last event received; ``None`` if there is none.
     :ivar origin: the targets that sent the events; ``None`` if there are none.
     :ivar failures: number of runs that targets reported as failed, over all owners of the job.
@@ -57,6 +58,7 @@
         "consecutive_broken_runs",
         "content_digest",
         "data",
+        "data_bytes",
         "ended_runs_ms",
         "failures",
         "index",
@@ -75,6 +77,7 @@
         self.item_id = item_id
         self.state = ItemState.WAITING
         self.data: list[str] = []
+        self.data_bytes = 0
         self.last_event_id: int | None = None
         self.origin: TargetGroup | None = None
         self.failures = 0
@@ -89,12 +92,14 @@
     def add_event(self, event_id: int, data: str, origin: TargetGroup) -> None:
         """Add an event that a target of the given group sent."""
         self.data.append(data)
+        self.data_bytes += len(data.encode()) + 1  # with the line feed that joins it
         self.last_event_id = event_id
         self.origin = origin
 
     def discard_events(self) -> None:
         """Drop all events, so that the item starts again, at any target."""
         self.data.clear()
+        self.data_bytes = 0
         self.last_event_id = None
         self.origin = None
         self.ended_runs_ms = 0.0
