Bound what a target can send to its agent that is no answer

The same cause on the product's own path: a stream event, an answer to a control call and a plain answer were read without a limit. An event has at most 1 MB, a control answer 4 MB, an exported prefix 1 GB, a plain answer 64 MB.

--- a/ebonyshore/agent/http_target_client.py
+++ b/ebonyshore/agent/http_target_client.py
@@ -29,6 +29,10 @@
 READ_CHUNK_BYTES = 65_536
 END_OF_STREAM = b"[DONE]"
 DATA_PREFIX = b"data:"
+MAX_EVENT_BYTES = 1 << 20
+MAX_ANSWER_BYTES = 64 << 20  # of a plain answer
+MAX_CONTROL_BYTES = 4 << 20
+MAX_KV_BYTES = 1 << 30  # of an exported prefix
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 
@@ -82,11 +86,21 @@
         return connection.getresponse()
 
     def _read_plain(self, response: HTTPResponse) -> Iterator[TargetChunk | TargetAnswer]:
+        size = 0
         while data := response.read(READ_CHUNK_BYTES):
+            size += len(data)
+            if size > MAX_ANSWER_BYTES:
+                raise TargetError(f"answer is longer than {MAX_ANSWER_BYTES} bytes")
             yield TargetChunk(data)
         yield TargetAnswer(response.status, response.getheader("Content-Type", ""))
 
-    def _call(self, method: str, path: str, value: object = None) -> bytes:
+    def _call(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> bytes:
         """Call an endpoint that controls or observes the target, such as ``/health``.
 
         :param value: encoded as the JSON body; no body if ``None``.
@@ -94,16 +108,20 @@
         :raises TargetUnreachableError: the connection failed, or the target did not answer within
             :data:`CONTROL_TIMEOUT_MS`.
         :raises FencedError: the target answers with status 409.
-        :raises TargetError: the target answers with another status than 200.
+        :raises TargetError: the target answers with another status than 200, or with more than
+            ``max_bytes`` bytes.
         """
         connection = self._connect(CONTROL_TIMEOUT_MS)
         try:
             connection.request(method, path, None if value is None else encode(value))
             response = connection.getresponse()
-            data = response.read()
+            data = response.read(max_bytes + 1)
         except (OSError, HTTPException) as error:
             connection.close()
             raise TargetUnreachableError(repr(error)) from error
+        if len(data) > max_bytes:
+            connection.close()
+            raise TargetError(f"{method} {path}: more than {max_bytes} bytes")
         self._pool.release(connection)
         if response.status == HTTP_CONFLICT:
             raise FencedError(path)
@@ -159,7 +177,8 @@
         return tuple(decode(self._call("GET", "/health"))["models"])
 
     def export_kv(self, prefix_digest: str) -> bytes:
-        return self._call("POST", "/kv/export", {"prefix_digest": prefix_digest})
+        value = {"prefix_digest": prefix_digest}
+        return self._call("POST", "/kv/export", value, MAX_KV_BYTES)
 
     def import_kv(self, prefix_digest: str, data: bytes) -> None:
         value = {"prefix_digest": prefix_digest, "data": data}
@@ -168,12 +187,14 @@
     def _read_stream(self, response: HTTPResponse) -> Iterator[TargetChunk | TargetAnswer]:
         first_id = ""
         usage = _StreamUsage()
-        while line := response.readline():
+        while line := response.readline(MAX_EVENT_BYTES + 1):
+            if len(line) > MAX_EVENT_BYTES:
+                raise TargetError(f"stream event is longer than {MAX_EVENT_BYTES} bytes")
             if not line.startswith(DATA_PREFIX):
                 continue
             data = line[len(DATA_PREFIX) :].strip()
             if data == END_OF_STREAM:
-                response.read()
+                response.read(READ_CHUNK_BYTES)  # the end; with more the connection is not reused
                 yield _make_stream_answer(usage)
                 return
             event = self._decode_event(data)
