Obey targets that say in their answers that they leave

Cause: only the list was read. A target whose entry stays as it is, or lapses and comes back, was used. Change: leaving is a fact about an incarnation, from the list, any answer or a peer, and is never reset. Everything that sends asks for it at each attempt and once more when the connection is open. Load messages carry it. Breaks there count neither as crashes nor as outliers, and items that run there go on when the entry is removed; they were cancelled. A test that replaced the entry of a target by hand changes it through the table now.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -16,7 +16,7 @@
     """Sends an entry's load reports and crash suspicions, and passes on what it receives.
 
     :param peers: provides the runners' addresses.
-    :param targets: provides the entry's own request counts.
+    :param targets: provides the entry's own request counts; told of targets that leave.
     :param view: updated with the received totals; provides the batch counts of the reports.
     :param suspicions: updated with the received suspicions; provides those to send.
     :param origins: told of the runners' answers; reports the streams of this entry.
@@ -32,6 +32,7 @@
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
+        self._targets = targets
         self._view = view
         self._suspicions = suspicions
         self._origins = origins
@@ -40,6 +41,8 @@
         """Apply a message from a runner; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+            for incarnation in message.leaving:
+                self._targets.mark_leaving(incarnation, message.sender)
         elif isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
         elif isinstance(message, StreamAnswer):
@@ -47,6 +50,11 @@
 
     def send(self, socket: LoadSocket) -> None:
         """Send the next report and new suspicions to each runner."""
-        self._reports.send(socket, now_ms(), observed_batch=self._view.observed_batch())
+        self._reports.send(
+            socket,
+            now_ms(),
+            observed_batch=self._view.observed_batch(),
+            leaving=self._targets.announced_incarnations(),
+        )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._origins.report_streams()
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -30,6 +30,7 @@
         settings.ip, port, load_reporter.on_message, load_reporter.send, log, metrics
     )
     components.suspicions.on_change = load_service.schedule_report
+    components.targets.on_leaving = load_service.schedule_report
     forwarder = Forwarder(
         names,
         target_table,
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -137,10 +137,16 @@
             async with self._pool.use(address, CONNECT_TIMEOUT_MS, max_idle_ms) as connection:
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, self._target)
+                if self._target.is_leaving:
+                    raise NotExecutedError("the target leaves")
                 connection.send(self._encode_request())
                 self._run.is_sent = True
                 reader = ResponseReader(
-                    connection, self._names.request_id, self._request_id, self._deadline_ms
+                    connection,
+                    self._names,
+                    self._target,
+                    self._request_id,
+                    self._deadline_ms,
                 )
                 return await self._relay_response(reader, responder, can_retry)
         except ExchangeError as error:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -248,7 +248,8 @@
     def _after_failure(self, run: ContentRun, error: AttemptFailedError) -> str | None:
         target = run.target
         self._unsuccessful_targets.add(target.target_id)
-        target.outcomes.record(1.0, now_ms())
+        if not target.is_leaving:
+            target.outcomes.record(1.0, now_ms())
         if error.is_idle_timeout:
             target.mark_unresponsive(now_ms())
         self._log_attempt(run, "broken", error.detail)
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -289,13 +289,13 @@
     ) -> bool:
         """Return whether a target that answers has lost its runs in an unplanned restart."""
         if condition is TargetCondition.RESTARTED:
-            return not target.entry.is_leaving
+            return not target.is_leaving
         return condition is TargetCondition.ANSWERING and bool(broken) and self._has_ended(target)
 
     def _has_ended(self, target: Target) -> bool:
         """Return whether the list shows that this run of the target has ended unplanned."""
         is_listed = self._targets.find(target.target_id) is target
-        return not is_listed and not target.entry.is_leaving
+        return not is_listed and not target.is_leaving
 
     def _add_unexplained(self, target: Target, broken: dict[str, bool]) -> None:
         if broken:
@@ -314,6 +314,9 @@
     def _record_crash(self, target: Target, broken: dict[str, bool], is_down: bool) -> None:
         at_ms = now_ms()
         target.mark_unreachable(at_ms)
+        if target.is_leaving:
+            self._log.event("target_left", target=target.target_id, broken=len(broken))
+            return
         digests = dict(broken)
         for run in self._runs.get(target, ()):
             if not run.is_attributed and run.may_have_crashed_target(at_ms):
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -55,7 +55,9 @@
         self._environment = environment
         deployment, log = environment.deployment, environment.log
         self.config = ConfigService(deployment.config_key, deployment.decode_config, log)
-        self.targets = TargetService(TargetTable(), deployment.decode_target, environment.pool, log)
+        self.targets = TargetService(
+            TargetTable(), deployment.decode_target, environment.pool, log, environment.metrics
+        )
         self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         self.registration = make_registration(environment, self.peers)
         self.probe = make_probe(environment, self.config)
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -5,12 +5,15 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.error_responses import ErrorResponse
+from ebonyshore.host.targets import Target
+from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.numbers import parse_decimal
 
 MAX_BODY_BYTES = 64 << 20  # if the head declares the length
 MAX_UNDECLARED_BODY_BYTES = 4 << 20  # such a body may have no end
+LEAVING_VALUE = "1"  # of the header with which a target says that it leaves
 MAX_STALE_RESPONSES = 8  # responses to earlier requests that are skipped
 MAX_REFUSAL_BYTES = 65_536
 REFUSAL_TIMEOUT_MS = 200.0  # for the body of a response that only its head matters of
@@ -65,7 +68,8 @@
     """Reads one response.
 
     :param connection: the connection on which the request was sent.
-    :param request_id_name: header in which targets echo the id of the request.
+    :param names: header names of the deployment.
+    :param target: the target; told if a response says that it leaves.
     :param request_id: id of the request that was sent; ``None`` if it has none.
     :param deadline_ms: deadline of the request on the monotonic clock.
     """
@@ -74,19 +78,22 @@
         "_connection",
         "_deadline_ms",
         "_declared_bytes",
+        "_names",
         "_request_id",
-        "_request_id_name",
+        "_target",
     )
 
     def __init__(
         self,
         connection: ClientConnection,
-        request_id_name: str,
+        names: WireNames,
+        target: Target,
         request_id: str | None,
         deadline_ms: float,
     ) -> None:
         self._connection = connection
-        self._request_id_name = request_id_name
+        self._names = names
+        self._target = target
         self._request_id = request_id
         self._deadline_ms = deadline_ms
         self._declared_bytes: int | None = None  # length of the body that the head declares
@@ -103,7 +110,7 @@
             head = await self.next_part(time_left_ms(limit_ms))
             if not isinstance(head, ResponseHead):
                 raise ExchangeError("response has no head")
-            if head.headers.get(self._request_id_name) == self._request_id:
+            if head.headers.get(self._names.request_id) == self._request_id:
                 self._declared_bytes = parse_decimal(head.headers.get("content-length"))
                 return head
             if not head.is_self_delimited:
@@ -162,7 +169,7 @@
             if timeout_ms <= 0.0:
                 raise TimeoutError  # parts that have arrived already do not extend the time
             async with timeout(max(0.0, timeout_ms) / MS_PER_S):
-                return await self._connection.next_part()
+                part = await self._connection.next_part()
         except TimeoutError as error:
             detail = (
                 f"received nothing for {timeout_ms:.0f} ms"
@@ -172,6 +179,13 @@
             raise AttemptFailedError(
                 detail, is_idle_timeout=is_idle_limit, is_deadline_exceeded=not is_idle_limit
             ) from error
+        if isinstance(part, ResponseHead):
+            self._note_leaving(part)
+        return part
+
+    def _note_leaving(self, head: ResponseHead) -> None:
+        if (head.headers.get(self._names.leaving) or "").strip() == LEAVING_VALUE:
+            self._target.announce_leaving("answer", head.headers.get(self._names.instance_id))
 
 
 def time_left_ms(limit_ms: float | None) -> float | None:
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -54,7 +54,7 @@
         :raises NotExecutedError: if the target was started again, or does not answer.
         """
         try:
-            started_ms = await self._read_start(connection, target.entry.address)
+            started_ms = await self._read_start(connection, target)
         except (AttemptFailedError, ExchangeError) as error:
             raise NotExecutedError(f"no load report: {error}", is_unreachable=True) from error
         if started_ms is not None and not target.is_listed_start(started_ms):
@@ -80,7 +80,7 @@
         try:
             async with self._pool.use_new(address, CHECK_TIMEOUT_MS) as connection:
                 try:
-                    started_ms = await self._read_start(connection, address)
+                    started_ms = await self._read_start(connection, target)
                 except (AttemptFailedError, ExchangeError):
                     if not connection.has_received:
                         raise
@@ -95,10 +95,11 @@
         except ExchangeError as error:
             return None if error.was_sent else TargetCondition.DOWN
 
-    async def _read_start(self, connection: ClientConnection, address: str) -> int | None:
+    async def _read_start(self, connection: ClientConnection, target: Target) -> int | None:
+        address = target.entry.address
         request = f"GET {self._names.report_path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
         connection.send(request.encode())
         deadline_ms = now_ms() + CHECK_TIMEOUT_MS
-        reader = ResponseReader(connection, self._names.request_id, None, deadline_ms)
+        reader = ResponseReader(connection, self._names, target, None, deadline_ms)
         await reader.next_part(None)
         return self._decode_start(await reader.read_body(None, MAX_REPORT_BYTES))
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -4,6 +4,7 @@
 
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.targets import Target, TargetEntry, TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.store.kind_watch import KindListener
@@ -18,17 +19,26 @@
     :param table: the table to keep synchronized.
     :param decode: decodes an entry, given the target's id and the value of its object; returns
         ``None`` if it does not describe a usable target.
-    :param pool: connection pool, whose connections to removed targets are closed.
+    :param pool: connection pool, whose connections to removed and leaving targets are closed.
+    :ivar on_leaving: called when it is first known that a target leaves.
     :ivar has_listing: whether the complete list has been received at least once.
     """
 
     def __init__(
-        self, table: TargetTable, decode: EntryDecoder, pool: ConnectionPool, log: EventLog
+        self,
+        table: TargetTable,
+        decode: EntryDecoder,
+        pool: ConnectionPool,
+        log: EventLog,
+        metrics: Metrics,
     ) -> None:
         self.table = table
         self._decode = decode
         self._pool = pool
         self._log = log
+        self._metrics = metrics
+        self.on_leaving: Callable[[], None] = lambda: None
+        table.on_leaving = self._note_leaving
         self.has_listing = False
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
@@ -61,6 +71,17 @@
             self._log.event("target_expired", target=target.target_id)
         self._close_connections(expired)
 
+    def _note_leaving(self, target: Target, source: str) -> None:
+        self._metrics.count("targets_leaving")
+        self._log.event(
+            "target_leaving",
+            target=target.target_id,
+            started_ms=target.entry.started_ms,
+            source=source,
+        )
+        self._pool.close_idle_connections(target.entry.address)
+        self.on_leaving()
+
     def _put(self, entry: TargetEntry) -> None:
         known = self.table.find(entry.target_id)
         is_changed = known is None or known.entry != entry
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -5,17 +5,18 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from msgspec import Struct
 
 from ebonyshore.host.outliers import OutcomeHistory
-from ebonyshore.link.load_table import TargetCounts
+from ebonyshore.link.load_table import Incarnation, TargetCounts
 
 REREGISTRATION_GRACE_MS = 2_500.0
 AVOID_UNREACHABLE_MS = 1_000.0
 AVOID_UNRESPONSIVE_MS = 1_500.0
 AVOID_FULL_MS = 60.0
+MAX_LEAVING_INCARNATIONS = 8_192
 # Time for which streams may go on that began at a version whose last target has gone.
 VERSION_LIFETIME_MS = 30_000.0
 
@@ -59,6 +60,8 @@
     All times except those of the entry are monotonic.
 
     :param entry: the target's entry in the list.
+    :param on_leaving: called with the target, the id of the instance that leaves and the source of
+        the news, each time that an answer or a peer says so.
     :ivar own_online: number of this process's online requests at the target.
     :ivar own_batch: number of this process's batch items at the target.
     :ivar batch_started_ms: time at which this process last started a batch item there.
@@ -67,6 +70,8 @@
     :ivar removed_ms: time at which the entry was removed; ``None`` if it is listed.
     :ivar outcomes: outcomes of this process's requests.
     :ivar crashes: crashes that this process has seen.
+    :ivar is_leaving: whether this incarnation has announced a planned stop, in the list or in an
+        answer; it is never reset.
     :ivar started_ms: wall time of the last start that :meth:`record_start` was told.
     :ivar is_outdated: whether the target was started again and the list does not show it yet.
     """
@@ -75,8 +80,10 @@
         "avoid_until_ms",
         "batch_started_ms",
         "crashes",
+        "_on_leaving",
         "entry",
         "full_until_ms",
+        "is_leaving",
         "is_outdated",
         "outcomes",
         "own_batch",
@@ -85,7 +92,12 @@
         "started_ms",
     )
 
-    def __init__(self, entry: TargetEntry) -> None:
+    def __init__(
+        self,
+        entry: TargetEntry,
+        on_leaving: "Callable[[Target, str, str], None]" = lambda *_: None,
+    ) -> None:
+        self._on_leaving = on_leaving
         self.entry = entry
         self.own_online = 0
         self.own_batch = 0
@@ -96,6 +108,7 @@
         self.outcomes = OutcomeHistory()
         self.crashes = 0
         self.started_ms = entry.started_ms
+        self.is_leaving = entry.is_leaving
         self.is_outdated = False
 
     @property
@@ -103,6 +116,19 @@
         """Id of the target in the list."""
         return self.entry.target_id
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The id and the start of the target, as the list shows them."""
+        return Incarnation(self.entry.target_id, self.entry.started_ms)
+
+    def announce_leaving(self, source: str, instance_id: str | None = None) -> None:
+        """Record that a server at the target's address has said that it leaves.
+
+        :param source: where the news is from, for the log.
+        :param instance_id: id that the server gives itself; ``None`` if it gives none.
+        """
+        self._on_leaving(self, instance_id or self.target_id, source)
+
     def is_listed_start(self, started_ms: int) -> bool:
         """Return whether the list shows the start that the target tells, and remember it."""
         self.is_outdated = started_ms > self.entry.started_ms > 0
@@ -140,12 +166,28 @@
 
 
 class TargetTable:
-    """All known targets by id. Not thread-safe: for use on one event loop."""
+    """All known targets by id. Not thread-safe: for use on one event loop.
 
-    __slots__ = ("_dropped_groups", "_store_outage_ms", "_targets")
+    :ivar on_leaving: called with a target and the source of the news when it is first known that
+        this incarnation leaves.
+    """
+
+    __slots__ = (
+        "_announced",
+        "_dropped_groups",
+        "_leaving",
+        "_store_outage_ms",
+        "_targets",
+        "on_leaving",
+    )
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
+        # Incarnations that have announced their stop, oldest first, also of targets that were
+        # dropped: an entry may lapse and come back.
+        self._leaving: dict[Incarnation, None] = {}
+        self._announced: set[Target] = set()  # known to leave, perhaps not from the list
+        self.on_leaving: Callable[[Target, str], None] = lambda *_: None
         self._dropped_groups: dict[TargetGroup, float] = {}  # time at which a target was dropped
         self._store_outage_ms = float("-inf")
 
@@ -174,10 +216,13 @@
         if target is None or target.entry.started_ms != entry.started_ms:
             if target is not None:
                 self._note_dropped(target, now_ms)
-            self._targets[entry.target_id] = Target(entry)
-            return
+            target = self._targets[entry.target_id] = Target(entry, self._announce)
+            target.is_leaving = False
         target.entry = entry
         target.removed_ms = None
+        if entry.is_leaving:
+            self._mark_leaving(target, "list")
+        target.is_leaving = target.is_leaving or target.incarnation in self._leaving
 
     def remove(self, target_id: str, now_ms: float) -> Target | None:
         """Record that a target's entry was removed.
@@ -230,9 +275,29 @@
         return [
             target
             for target in self._targets.values()
-            if target.entry.service == service and not target.entry.is_leaving
+            if target.entry.service == service and not target.is_leaving
         ]
 
+    def mark_leaving(self, incarnation: Incarnation, source: str) -> None:
+        """Record that an incarnation leaves, as another process has learned.
+
+        News of an incarnation that is not listed are kept for the case that it will be.
+        """
+        target = self._targets.get(incarnation.target_id)
+        if target is not None and target.incarnation == incarnation:
+            self._mark_leaving(target, source)
+        else:
+            self._remember_leaving(incarnation)
+
+    def announced_incarnations(self) -> tuple[Incarnation, ...]:
+        """Return the listed incarnations that leave although their entries do not say so."""
+        self._announced = {
+            target
+            for target in self._announced
+            if self._targets.get(target.target_id) is target and not target.entry.is_leaving
+        }
+        return tuple(target.incarnation for target in self._announced)
+
     def recent_versions(self, service: str, now_ms: float) -> set[str]:
         """Return the software versions of a service's targets, also of those dropped recently."""
         return {
@@ -255,5 +320,31 @@
         }
         return present | dropped
 
+    def _announce(self, target: Target, instance_id: str, source: str) -> None:
+        """Apply what a server at a target's address has said of itself."""
+        if instance_id == target.target_id:
+            # An entry that lapsed and came back made another object of the same incarnation.
+            self.mark_leaving(target.incarnation, source)
+            target.is_leaving = True
+            return
+        other = self._targets.get(instance_id)
+        if other is not None and other.entry.address == target.entry.address:
+            self._mark_leaving(other, source)
+
+    def _mark_leaving(self, target: Target, source: str) -> None:
+        is_news = not target.is_leaving
+        target.is_leaving = True
+        if not target.entry.is_leaving:
+            self._announced.add(target)
+        self._remember_leaving(target.incarnation)
+        if is_news:
+            self.on_leaving(target, source)
+
+    def _remember_leaving(self, incarnation: Incarnation) -> None:
+        if incarnation.started_ms:
+            self._leaving[incarnation] = None
+        if len(self._leaving) > MAX_LEAVING_INCARNATIONS:
+            del self._leaving[next(iter(self._leaving))]
+
     def _note_dropped(self, target: Target, now_ms: float) -> None:
         self._dropped_groups[target.entry.group] = now_ms
--- a/ebonyshore/host/watch_service.py
+++ b/ebonyshore/host/watch_service.py
@@ -46,7 +46,7 @@
             "targets": {
                 target.target_id: {
                     "address": target.entry.address,
-                    "is_leaving": target.entry.is_leaving,
+                    "is_leaving": target.is_leaving,
                     "own_online": target.own_online,
                     "own_batch": target.own_batch,
                 }
--- a/ebonyshore/host/wire_names.py
+++ b/ebonyshore/host/wire_names.py
@@ -11,6 +11,8 @@
     :param expected_instance: header with the id of the target that the request is meant for; other
         targets refuse it.
     :param not_executed: header in a target's response stating that the request did not run.
+    :param leaving: header with which a target says in any response that it leaves.
+    :param instance_id: header with the id of the target that sends a response; not in all of them.
     :param last_event_id: header with the id of the last event of a stream that the caller has
         received.
     :param resumed_request: header with the id of the attempt that brought the first event of the
@@ -29,6 +31,8 @@
     remaining_ms: str
     expected_instance: str
     not_executed: str
+    leaving: str
+    instance_id: str
     last_event_id: str
     resumed_request: str
     signature: str
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -9,7 +9,7 @@
 from msgspec import structs
 
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import LoadReport, TargetCounts
+from ebonyshore.link.load_table import Incarnation, LoadReport, TargetCounts
 from ebonyshore.link.peers import PeerDirectory
 
 UNCHANGED_INTERVAL_MS = 100.0  # with one lost datagram still below the timeout of a report
@@ -42,6 +42,7 @@
         observed_batch: dict[str, int] | None = None,
         waiting_tokens: dict[str, int] | None = None,
         contended_quotas: tuple[str, ...] = (),
+        leaving: tuple[Incarnation, ...] = (),
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
@@ -65,6 +66,7 @@
             observed_batch or {},
             waiting_tokens or {},
             contended_quotas,
+            leaving,
         )
         if self._is_due(report, now_ms):
             socket.send(report, self._peers.addresses("runner"))
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -29,6 +29,16 @@
     incarnation: str
 
 
+class Incarnation(Struct, frozen=True, array_like=True):
+    """One run of a target.
+
+    :param started_ms: wall time of its start; 0 if the list does not show it.
+    """
+
+    target_id: str
+    started_ms: int
+
+
 class TargetCounts(Struct, frozen=True, array_like=True):
     """Numbers of online requests and batch items that one or more processes have at a target."""
 
@@ -64,6 +74,7 @@
         receive each other's reports.
     :param waiting_tokens: tokens of the unfinished items of the runner's jobs, by quota.
     :param contended_quotas: the quotas that are nearly used up, as far as the runner knows.
+    :param leaving: targets that have said that they leave, before the list shows it.
     """
 
     sender: str
@@ -76,6 +87,7 @@
     observed_batch: dict[str, int] = {}
     waiting_tokens: dict[str, int] = {}
     contended_quotas: tuple[str, ...] = ()
+    leaving: tuple[Incarnation, ...] = ()
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -86,6 +98,7 @@
     :param sequence: increases with each message of a run.
     :param counts: counts by target id.
     :param runners: number of open items of each live runner, by instance id.
+    :param leaving: as in :class:`LoadReport`, from all processes.
     """
 
     sender: str
@@ -93,6 +106,7 @@
     sequence: int
     counts: dict[str, TargetCounts]
     runners: dict[str, int]
+    leaving: tuple[Incarnation, ...] = ()
 
 
 class LoadTable:
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -103,11 +103,13 @@
             ) as connection:
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, target)
+                if target.is_leaving:
+                    raise NotExecutedError("the target leaves")
                 connection.send(self._encode_request(target))
                 content_run.is_sent = True
                 deadline_ms = now_ms() + RUN_TIMEOUT_MS
                 reader = ResponseReader(
-                    connection, self._names.request_id, self._item.item_id, deadline_ms
+                    connection, self._names, target, self._item.item_id, deadline_ms
                 )
                 return await self._read_response(reader, content_run)
         except NotExecutedError as error:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -170,7 +170,7 @@
     ) -> TargetSlots:
         others = totals.get(target.target_id, NO_COUNTS)
         at_ms = now_ms()
-        is_usable = not (target.entry.is_leaving or target.is_outdated or target.is_avoided(at_ms))
+        is_usable = not target.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
         # The last ones are preempted first: those of late jobs, then the youngest.
         own.sort(key=lambda key: self._ranking.is_late(self._running[key].progress.job_id))
@@ -186,7 +186,7 @@
             own,
             is_usable,
             is_primary,
-            not target.entry.is_leaving,
+            not target.is_leaving,
             self._start_limit(target, is_primary, at_ms),
         )
 
@@ -247,10 +247,9 @@
         """Stop items at targets that were removed or that have restarted under the same id."""
         for running in list(self._running.values()):
             target = running.target
-            if self._targets.find(target.target_id) is target:
-                continue
-            if not target.entry.is_leaving:
-                self._crash_guard.end_broken(running.content_run)
+            if self._targets.find(target.target_id) is target or target.is_leaving:
+                continue  # a target that leaves as planned completes what it runs
+            self._crash_guard.end_broken(running.content_run)
             running.task.cancel()
 
     async def _run_item(
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -30,7 +30,7 @@
     totals to the entries. Each runner passes new crash suspicions on to all processes.
 
     :param peers: addresses of the other processes.
-    :param targets: the requests of this runner at each target.
+    :param targets: the requests of this runner at each target; told of targets that leave.
     :param load_table: keeps the reports of the other processes.
     :param registry: the known jobs.
     :param claims: the claims in progress. Owners that are being replaced are not reported as heard,
@@ -52,6 +52,7 @@
         clock: Clock,
     ) -> None:
         self._peers = peers
+        self._targets = targets
         self._reports = LoadReportSender(peers, targets.own_counts)
         self._load_table = load_table
         self._registry = registry
@@ -66,16 +67,20 @@
         """Apply a load report, suspicions or stream starts, or answer a query; ignore others."""
         if isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
-        elif isinstance(message, LoadReport) and self._load_table.add_report(
-            message, self._clock.boot_ms()
-        ):
-            self._registry.on_change()
+        elif isinstance(message, LoadReport):
+            self._add_report(message)
         elif isinstance(message, StreamStarts):
             for request_id, origin in message.streams:
                 self._streams.add(request_id, origin, now_ms())
         elif isinstance(message, StreamQuery):
             self._answer(message)
 
+    def _add_report(self, report: LoadReport) -> None:
+        for incarnation in report.leaving:
+            self._targets.mark_leaving(incarnation, report.sender)
+        if self._load_table.add_report(report, self._clock.boot_ms()):
+            self._registry.on_change()
+
     def _answer(self, query: StreamQuery) -> None:
         origin = self._streams.find(query.request_id, now_ms())
         answer = StreamAnswer(self._peers.own.instance_id, query.request_id, origin)
@@ -98,6 +103,7 @@
             tuple(heard),
             waiting_tokens=self._admission.waiting_tokens(),
             contended_quotas=self._admission.contended_quotas(),
+            leaving=self._targets.announced_incarnations(),
         )
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
@@ -117,6 +123,11 @@
             counts = self._load_table.totals(self._clock.boot_ms(), excluded=entry.instance_id)
             add_counts(counts, own_report.counts)
             message = LoadTotals(
-                own_report.sender, own_report.incarnation, own_report.sequence, counts, runners
+                own_report.sender,
+                own_report.incarnation,
+                own_report.sequence,
+                counts,
+                runners,
+                own_report.leaving,
             )
             socket.send(message, [(entry.host, entry.port)])
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -159,6 +159,7 @@
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     runner_load.send_now = load.send_now
     parts.suspicions.on_change = load.schedule_report
+    parts.targets.on_leaving = load.schedule_report
     item_scheduler = ItemScheduler(
         deployment.names,
         registry,
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -84,6 +84,7 @@
     :param capacity: maximum number of requests that run at the same time.
     :param event_interval_ms: time between two events of a stream.
     :param port: port on 127.0.0.1; 0 chooses a free one.
+    :ivar says_it_leaves: whether the target says in all its answers that it leaves.
     :ivar software_version: version that the target has in the list.
     :ivar born_ms: start of the target as it reports it, in Unix milliseconds.
     :ivar runs: the runs of all requests, in the order of their starts.
@@ -98,6 +99,7 @@
         self.target_id = target_id
         self.capacity = capacity
         self.event_interval_ms = event_interval_ms
+        self.says_it_leaves = False
         self.software_version = "v1"
         self.born_ms = 1
         self.runs: list[RunRecord] = []
@@ -185,7 +187,7 @@
     def _send_report(self, writer: asyncio.StreamWriter) -> None:
         body = json.dumps({"Queued": self._queued_requests, "born": self.born_ms})
         writer.write(
-            f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{self._leaving_line()}"
             f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
 
@@ -195,14 +197,14 @@
         request_id = headers.get("attempt-id", "")
         expected_instance = headers.get("expect-instance", self.target_id)
         if expected_instance != self.target_id:
-            _send_empty_response(writer, 421, request_id, [f"Instance-Id: {self.target_id}"])
+            self._send_empty_response(writer, 421, request_id, [f"Instance-Id: {self.target_id}"])
         elif self._queued_requests >= MAX_QUEUED_REQUESTS:
-            _send_empty_response(writer, 503, request_id, ["Not-Executed: 1"])
+            self._send_empty_response(writer, 503, request_id, ["Not-Executed: 1"])
         elif request_id in self.rejected_ids:
-            _send_empty_response(writer, 422, request_id, [])
+            self._send_empty_response(writer, 422, request_id, [])
         elif request_id in self.failing_ids:
             self.runs.append(RunRecord(request_id, 1, 0))
-            _send_empty_response(writer, 500, request_id, [])
+            self._send_empty_response(writer, 500, request_id, [])
         else:
             await self._admit(request_id, headers, writer)
 
@@ -254,10 +256,27 @@
         self.runs.append(run)
         writer.write(
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
+            f"{self._leaving_line()}"
             f"Server-Signature: {self.target_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
         )
         return run
 
+    def _send_empty_response(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        request_id: str | None,
+        extra_headers: list[str],
+    ) -> None:
+        headers = ["Content-Length: 0", *extra_headers]
+        if request_id is not None:
+            headers.append(f"Attempt-Id: {request_id}")
+        head = "\r\n".join([f"HTTP/1.1 {status} X", *headers, ""])
+        writer.write(f"{head}{self._leaving_line()}\r\n".encode())
+
+    def _leaving_line(self) -> str:
+        return f"{WIRE_NAMES.leaving}: 1\r\n" if self.says_it_leaves else ""
+
     def _send_event(self, run: RunRecord, number: int, writer: asyncio.StreamWriter) -> None:
         event = f"id: {number}\ndata: {run.stream_id}.{number}\n\n"
         writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
@@ -267,12 +286,3 @@
 def _parse_headers(head: str) -> dict[str, str]:
     fields = (line.partition(":") for line in head.split("\r\n")[1:] if line)
     return {name.lower(): value.strip() for name, _, value in fields}
-
-
-def _send_empty_response(
-    writer: asyncio.StreamWriter, status: int, request_id: str | None, extra_headers: list[str]
-) -> None:
-    headers = ["Content-Length: 0", *extra_headers]
-    if request_id is not None:
-        headers.append(f"Attempt-Id: {request_id}")
-    writer.write("\r\n".join([f"HTTP/1.1 {status} X", *headers, "", ""]).encode())
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -191,8 +191,7 @@
     async def scenario(setup):
         setup.checker.down.clear()
         await setup.crash("t1", "harmless")
-        target = setup.table.find("t1")
-        target.entry = replace(target.entry, is_leaving=is_leaving)
+        setup.table.put(replace(setup.table.find("t1").entry, is_leaving=is_leaving))
         await setup.guard.run_once()
         setup.table.remove("t1", now_ms())
         await setup.guard.run_once()
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -118,22 +118,25 @@
     assert setup.targets.find("t1").own_batch == 0 and setup.scheduler.dump() == {}
 
 
-@pytest.mark.parametrize("is_leaving, broken", [(False, 2), (True, 0)])
-def test_an_item_whose_target_was_removed_without_a_notice_may_have_crashed_it(is_leaving, broken):
-    """Guards against crashes that do not count because the list shows them before a time-out."""
+@pytest.mark.parametrize("is_leaving, broken, running", [(False, 2, 0), (True, 0, 2)])
+def test_an_item_whose_target_was_removed_without_a_notice_may_have_crashed_it(
+    is_leaving, broken, running
+):
+    """Guards against crashes that do not count because the list shows them before a time-out, and
+    against work that is lost although a leaving target would complete it."""
 
     async def remove_target(setup):
         setup.scheduler.schedule_items()
         await asyncio.sleep(0)
-        target = setup.targets.find("t1")
-        target.entry = replace(target.entry, is_leaving=is_leaving)
+        setup.targets.put(replace(setup.targets.find("t1").entry, is_leaving=is_leaving))
         setup.targets.remove("t1", now_ms())
         setup.scheduler.schedule_items()
         await asyncio.sleep(0)
+        found = len(setup.guard.broken), len(setup.scheduler.dump())
+        setup.scheduler.stop_all()
+        return found
 
-    setup = SchedulerSetup()
-    asyncio.run(remove_target(setup))
-    assert len(setup.guard.broken) == broken and setup.scheduler.dump() == {}
+    assert asyncio.run(remove_target(SchedulerSetup())) == (broken, running)
 
 
 def test_an_item_that_is_stopped_during_its_run_keeps_the_time_that_it_used():
