Let targets of the soak leave as planned, with and without the list saying so

After the faults, a target that only says so in an answer must get no work later than 2 s after it. The planned stops have a thread and a random sequence of their own, so seeds draw the same other faults.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -30,6 +30,9 @@
 CRASHING_SENDS = 3  # to each entry
 SOFTWARE_VERSIONS = 2  # of the targets
 TAKEN_UP_STREAMS = 12
+DRAIN_MS = 2_000.0  # the platform's bound for work at a target that leaves
+MAX_REQUESTS_FOR_NEWS = 40
+REQUESTS_AFTER_DRAIN = 20
 EVENTS_BEFORE_BREAK = 5
 
 
@@ -109,6 +112,7 @@
         limited_jobs.check_room()
         _settle(fleet, clients, checker, clock)
         _check_streams_go_on(fleet, clients, checker)
+        _check_leaving_target(fleet, target_proxies[0], clients, checker, clock)
         _check_crashing_content(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
@@ -148,6 +152,33 @@
         checker.report_violation("most streams do not go on at another entry")
 
 
+def _check_leaving_target(
+    fleet: PlatformFleet,
+    proxy: FaultProxy,
+    clients: SoakClients,
+    checker: GuaranteeChecker,
+    clock: Clock,
+) -> None:
+    """Check, once faults are over, that a target which only says so in an answer gets no work."""
+    target = fleet.targets[0]
+    known_runs = len(target.runs)
+    target.says_it_leaves = True
+    for number in range(MAX_REQUESTS_FOR_NEWS):
+        clients.send_stream(f"stream-news-{number}")
+        if len(target.runs) > known_runs:
+            break
+    clock.sleep_ms(DRAIN_MS)
+    drained_ms = clock.monotonic_ms()
+    for number in range(REQUESTS_AFTER_DRAIN):
+        clients.send_stream(f"stream-drained-{number}")
+    late_runs = sum(run.started_ms > drained_ms for run in target.runs)
+    checker.counts["runs_after_drain"] = late_runs
+    if late_runs:
+        checker.report_violation(f"{late_runs} runs at a target that had said that it leaves")
+    target.restart()
+    _list_restart(fleet, 0, proxy)
+
+
 def _check_crashing_content(
     fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker, clock: Clock
 ) -> None:
--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -59,12 +59,20 @@
         ]
 
     def start(self) -> None:
-        """Start the threads that inject faults."""
+        """Start the threads that inject faults.
+
+        Planned stops of targets have a thread of their own, so that a seed draws the same other
+        faults as it did without them.
+        """
         for number in range(FAULT_THREADS):
-            random = Random(f"{self._seed}/faults/{number}")
-            thread = Thread(target=self._inject_until_stopped, args=(random,), daemon=True)
-            self._threads.append(thread)
-            thread.start()
+            self._start_thread(f"{self._seed}/faults/{number}", self._fault_methods)
+        self._start_thread(f"{self._seed}/leaving", [self._let_target_leave])
+
+    def _start_thread(self, seed: str, methods: list[Callable[[Random], None]]) -> None:
+        arguments = (Random(seed), methods)
+        thread = Thread(target=self._inject_until_stopped, args=arguments, daemon=True)
+        self._threads.append(thread)
+        thread.start()
 
     def stop(self) -> None:
         """Stop injecting faults and restore the connections and the store.
@@ -78,9 +86,11 @@
         for proxy in [*self._store_proxies, *self._target_proxies]:
             proxy.restore()
 
-    def _inject_until_stopped(self, random: Random) -> None:
+    def _inject_until_stopped(
+        self, random: Random, methods: list[Callable[[Random], None]]
+    ) -> None:
         while not self._is_stopped.wait(random.uniform(*FAULT_INTERVAL_S)):
-            random.choice(self._fault_methods)(random)
+            random.choice(methods)(random)
 
     def _log_fault(self, text: str) -> None:
         self.log.append(f"{self._clock.monotonic_ms():.0f} {text}")
@@ -208,6 +218,25 @@
                 spec = {**entry["Spec"], "born": target.born_ms}
                 state.put("servers", target.target_id, spec)
 
+    def _let_target_leave(self, random: Random) -> None:
+        """Let a target leave as planned, and come back as a new incarnation.
+
+        It says so in its answers; the list says it too, or not at all.
+        """
+        number = random.randrange(len(self._fleet.targets))
+        target, proxy = self._fleet.targets[number], self._target_proxies[number]
+        is_listed = random.random() < 0.5
+        self._log_fault(f"{target.target_id} leaves, {'listed' if is_listed else 'not listed'}")
+        target.says_it_leaves = True
+        entry = proxied_target_entry(self._fleet, number, proxy.address)
+        if is_listed:
+            entry["State"] = "draining"
+            self._fleet.platform.state.put("servers", target.target_id, entry)
+        self._sleep_s(random.uniform(0.5, MAX_FAULT_DURATION_S))
+        target.restart()
+        entry = proxied_target_entry(self._fleet, number, proxy.address)
+        self._fleet.platform.state.put("servers", target.target_id, entry)
+
 
 def proxied_target_entry(fleet: PlatformFleet, number: int, address: str) -> dict[str, object]:
     """Return the store entry of a target with the address of a proxy.
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -149,6 +149,12 @@
         """Reset all connections; the target serves on."""
         self._thread.call_soon(self._reset_connections)
 
+    def restart(self) -> None:
+        """Become a new incarnation, which does not leave; all connections are reset."""
+        self.says_it_leaves = False
+        self.born_ms += 1
+        self.break_connections()
+
     def complete_runs(self, request_id: str) -> int:
         """Return the number of complete runs of a request."""
         return sum(run.is_complete for run in self.runs if run.request_id == request_id)
