--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -15,8 +15,8 @@
     time_left_ms,
 )
 from ebonyshore.host.routes import Route
+from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.target_check import TargetChecker
-from ebonyshore.host.targets import TargetGroup
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -25,8 +25,9 @@
 from ebonyshore.host.request_content import content_digest
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
+from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker
-from ebonyshore.host.targets import Target, TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.messages import Request
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.gateway.balance import TargetLoad
 from ebonyshore.host.outliers import find_outliers
-from ebonyshore.host.targets import Target
+from ebonyshore.host.target import Target
 from ebonyshore.link.load_table import LoadTotals, TargetCounts, merge_totals
 
 MAX_TOTALS_AGE_MS = 1_000.0
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -13,7 +13,8 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.host.targets import TargetGroup, TargetTable
+from ebonyshore.host.target import TargetGroup
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, StreamStarts
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.stream_records import RECORD_LIFETIME_MS, StreamRecords
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -13,8 +13,9 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
-from ebonyshore.host.targets import Target, TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
--- a/ebonyshore/host/deployment.py
+++ b/ebonyshore/host/deployment.py
@@ -5,7 +5,7 @@
 from ebonyshore.host.host_settings import HostSettings
 from ebonyshore.host.job_types import JobSubmission, ResultPage
 from ebonyshore.host.routes import ServiceConfig
-from ebonyshore.host.targets import TargetEntry
+from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.store.platform_api import ListingStore
 
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -5,7 +5,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.error_responses import ErrorResponse
-from ebonyshore.host.targets import Target
+from ebonyshore.host.target import Target
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -7,7 +7,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError, ResponseReader
-from ebonyshore.host.targets import Target
+from ebonyshore.host.target import Target
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ClientConnection, ConnectionPool, ExchangeError
 
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -5,7 +5,8 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.host.targets import Target, TargetEntry, TargetTable
+from ebonyshore.host.target import Target, TargetEntry
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import StoredObject
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.host.targets import TargetGroup
+from ebonyshore.host.target import TargetGroup
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
 
--- a/ebonyshore/link/stream_records.py
+++ b/ebonyshore/link/stream_records.py
@@ -1,6 +1,6 @@
 """Remembers at which targets recent streams began. No I/O; times are passed in."""
 
-from ebonyshore.host.targets import TargetGroup
+from ebonyshore.host.target import TargetGroup
 
 RECORD_LIFETIME_MS = 30_000.0  # longer than callers continue a stream
 MAX_RECORDS = 30_000
--- a/ebonyshore/platform/deployment.py
+++ b/ebonyshore/platform/deployment.py
@@ -4,7 +4,7 @@
 from ebonyshore.host.host_settings import HostSettings
 from ebonyshore.host.job_types import JobSubmission, ResultPage
 from ebonyshore.host.routes import ServiceConfig
-from ebonyshore.host.targets import TargetEntry
+from ebonyshore.host.target import TargetEntry
 from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.job_bodies import (
     decode_submission,
--- a/ebonyshore/platform/target_entries.py
+++ b/ebonyshore/platform/target_entries.py
@@ -5,7 +5,7 @@
 from msgspec import DecodeError, Struct, field
 from msgspec.json import decode
 
-from ebonyshore.host.targets import TargetEntry
+from ebonyshore.host.target import TargetEntry
 from ebonyshore.http.numbers import parse_decimal
 
 
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -14,8 +14,8 @@
     ResponseReader,
     time_left_ms,
 )
+from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker
-from ebonyshore.host.targets import Target
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -12,8 +12,9 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.target import Target, TargetGroup
 from ebonyshore.host.target_check import TargetChecker
-from ebonyshore.host.targets import Target, TargetGroup, TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_table import LoadTable, TargetCounts
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -16,7 +16,7 @@
     ResultSegment,
 )
 from ebonyshore.host.request_content import content_digest
-from ebonyshore.host.targets import TargetGroup
+from ebonyshore.host.target import TargetGroup
 
 ITEM_METHOD = "POST"  # of the requests that run items
 MAX_SEGMENT_BYTES = 600_000  # below the store's limit for one object
--- a/ebonyshore/runner/waiting_items.py
+++ b/ebonyshore/runner/waiting_items.py
@@ -9,7 +9,7 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.routes import Route, RouteKind
-from ebonyshore.host.targets import TargetGroup
+from ebonyshore.host.target import TargetGroup
 from ebonyshore.runner.job_progress import Item, JobProgress
 from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -12,8 +12,9 @@
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.routes import Route, RouteKind, ServiceShare
+from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.target_check import TargetChecker
-from ebonyshore.host.targets import TargetEntry, TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.server import HttpServer, ServerLimits
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -20,8 +20,9 @@
     SUSPICION_EXPIRY_MS,
     CrashGuard,
 )
+from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.target_check import TargetCondition
-from ebonyshore.host.targets import TargetEntry, TargetTable
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
 from tests.gateway_setup import make_suspicions
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -6,8 +6,8 @@
 
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker
-from ebonyshore.host.targets import Target, TargetEntry
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -10,7 +10,8 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.crash_guard import ContentRun
-from ebonyshore.host.targets import TargetEntry, TargetTable
+from ebonyshore.host.target import TargetEntry
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ExchangeError
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner.completion_rate import CompletionRate
--- a/tests/test_leaving_machine.py
+++ b/tests/test_leaving_machine.py
@@ -4,7 +4,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from hypothesis.strategies import booleans, integers, sampled_from
 
-from ebonyshore.host.targets import TargetEntry, TargetTable
+from ebonyshore.host.target import TargetEntry
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.load_table import Incarnation
 
 IDS = ("t1", "t2", "t3")
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -9,7 +9,8 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway import stream_origins
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
-from ebonyshore.host.targets import TargetEntry, TargetGroup, TargetTable
+from ebonyshore.host.target import TargetEntry, TargetGroup
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.datagrams import StreamAnswer, StreamQuery, StreamStarts
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.link.stream_records import MAX_RECORDS, RECORD_LIFETIME_MS, StreamRecords
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
-from ebonyshore.host.targets import Target, TargetEntry
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -1,6 +1,7 @@
 """The known targets while entries of the list expire and are written again."""
 
-from ebonyshore.host.targets import REREGISTRATION_GRACE_MS, TargetEntry, TargetTable
+from ebonyshore.host.target import TargetEntry
+from ebonyshore.host.targets import REREGISTRATION_GRACE_MS, TargetTable
 
 
 def entry(target_id, started_ms=1, is_leaving=False):
--- a/tests/test_waiting_items.py
+++ b/tests/test_waiting_items.py
@@ -8,7 +8,7 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.host.targets import TargetGroup
+from ebonyshore.host.target import TargetGroup
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.waiting_items import MIN_VERSION_WAIT_MS, WaitingItems
