Join what the keepers of convictions and suspicions have in common

Both load once, write from one runner and wait after an error of the store. Tests of the target check share the use of a connection.

--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -3,19 +3,16 @@
 Runners read the stored convictions when they start, and pass them on with their own.
 """
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 from msgspec import DecodeError, Struct
 
-from ebonyshore.frame.async_kernel import PeriodicService
-from ebonyshore.frame.clock import Clock
-from ebonyshore.frame.errors import StoreError, WriteConflictError
+from ebonyshore.frame.errors import WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
-from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.messages import Verdict
-from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.runner.shared_record import SharedRecordKeeper
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
@@ -80,50 +77,23 @@
             return None
 
 
-class ConvictionKeeper(PeriodicService):
-    """Loads the stored convictions once, then stores new ones and deletes those that expired.
-
-    The service runs in every runner; only the live one with the lowest id writes.
+class ConvictionKeeper(SharedRecordKeeper):
+    """Keeps the convictions; deletes those that have expired.
 
     :param storage: the stored convictions.
-    :param suspicions: updated with them; provides the new ones.
-    :param load_table: tells whether this runner has the lowest id of the live ones.
-    :param run_blocking: runs a blocking call on a thread, see :meth:`JobRegistry.run_blocking`.
+    :param arguments: see :class:`SharedRecordKeeper`.
     """
 
     name = "convictions"
     interval_ms = 500.0
 
-    def __init__(
-        self,
-        storage: ConvictionStorage,
-        suspicions: SuspicionExchange,
-        load_table: LoadTable,
-        run_blocking: Callable[..., Awaitable],
-        clock: Clock,
-        log: EventLog,
-    ) -> None:
+    def __init__(self, storage: ConvictionStorage, *arguments: object) -> None:
+        super().__init__(*arguments)
         self._storage = storage
-        self._suspicions = suspicions
-        self._load_table = load_table
-        self._run_blocking = run_blocking
-        self._clock = clock
-        self._log = log
-        self._has_loaded = False
         self._stored: set[str] = set()
 
-    async def run_once(self) -> None:
-        try:
-            if not self._has_loaded:
-                await self._load()
-            if self._load_table.has_lowest_runner_id():
-                await self._write_changes()
-        except StoreError as error:
-            self._log.event("convictions_not_synchronized", error=str(error))
-
     async def _load(self) -> None:
         records = await self._run_blocking(self._storage.read_all)
-        self._has_loaded = True
         self._stored.update(record.content_digest for record in records)
         wall_ms = self._clock.wall_ms()
         verdicts = [to_verdict(record, wall_ms) for record in records]
--- a/ebonyshore/runner/suspicion_store.py
+++ b/ebonyshore/runner/suspicion_store.py
@@ -3,26 +3,21 @@
 All suspicions are in one object, because a crash makes all content suspect that was in flight.
 """
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 
 from msgspec import DecodeError, Struct
 
-from ebonyshore.frame.async_kernel import PeriodicService
-from ebonyshore.frame.clock import Clock
-from ebonyshore.frame.errors import StoreError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.messages import Verdict
-from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.runner.conviction_store import ConvictionRecord, to_record, to_verdict
+from ebonyshore.runner.shared_record import SharedRecordKeeper
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION
 
 SUSPICIONS_KEY = "suspicions/current"
 MAX_STORED_SUSPECTS = 1_000  # the newest ones; keeps the object below 200 kB
 CLEARED_WRITE_INTERVAL_MS = 10_000.0  # between writes that only remove cleared content
-ERROR_PAUSE_MS = 1_000.0
 
 
 class SuspicionRecord(Struct, frozen=True):
@@ -68,57 +63,24 @@
     return MarkedObject(SUSPICIONS_KEY, version, 0, (), SuspicionRecord())
 
 
-class SuspicionKeeper(PeriodicService):
-    """Loads the stored suspicions once, then stores changes.
-
-    The service runs in every runner; only the live one with the lowest id writes.
+class SuspicionKeeper(SharedRecordKeeper):
+    """Keeps the suspicions below a conviction.
 
     :param storage: the stored suspicions.
-    :param suspicions: updated with them; provides the present ones.
-    :param load_table: tells whether this runner has the lowest id of the live ones.
-    :param run_blocking: runs a blocking call on a thread, see :meth:`JobRegistry.run_blocking`.
+    :param arguments: see :class:`SharedRecordKeeper`.
     """
 
     name = "suspicions"
     interval_ms = 100.0
 
-    def __init__(
-        self,
-        storage: SuspicionStorage,
-        suspicions: SuspicionExchange,
-        load_table: LoadTable,
-        run_blocking: Callable[..., Awaitable],
-        clock: Clock,
-        log: EventLog,
-    ) -> None:
+    def __init__(self, storage: SuspicionStorage, *arguments: object) -> None:
+        super().__init__(*arguments)
         self._storage = storage
-        self._suspicions = suspicions
-        self._load_table = load_table
-        self._run_blocking = run_blocking
-        self._clock = clock
-        self._log = log
-        self._has_loaded = False
         self._stored_crashes: dict[str, frozenset[str]] = {}  # crash ids by content digest
         self._written_ms = float("-inf")
-        self._paused_until_ms = float("-inf")
-
-    async def run_once(self) -> None:
-        if now_ms() < self._paused_until_ms:
-            return
-        try:
-            if not self._has_loaded:
-                await self._load()
-            if self._load_table.has_lowest_runner_id():
-                await self._write_changes()
-        except StoreError as error:
-            # After a conflict the suspicions of the other writer are read and merged.
-            self._has_loaded = self._has_loaded and not isinstance(error, WriteConflictError)
-            self._paused_until_ms = now_ms() + ERROR_PAUSE_MS
-            self._log.event("suspicions_not_synchronized", error=str(error))
 
     async def _load(self) -> None:
         record = await self._run_blocking(self._storage.read)
-        self._has_loaded = True
         self._stored_crashes = {
             suspect.content_digest: _all_crash_ids(suspect) for suspect in record.suspects
         }
--- a/tests/test_stored_convictions.py
+++ b/tests/test_stored_convictions.py
@@ -12,6 +12,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
 from ebonyshore.link.load_table import LoadTable
+from ebonyshore.runner import shared_record
 from ebonyshore.runner.conviction_store import (
     CONVICTIONS_KIND,
     ConvictionKeeper,
@@ -123,8 +124,9 @@
     run(scenario())
 
 
-def test_conviction_is_stored_after_an_outage_of_the_store(object_store, clock):
+def test_conviction_is_stored_after_an_outage_of_the_store(object_store, clock, monkeypatch):
     """Guards against a conviction that is forgotten because its first write failed."""
+    monkeypatch.setattr(shared_record, "ERROR_PAUSE_MS", 0.0)
 
     class FailingStore:
         def __init__(self):
--- a/tests/test_stored_suspicions.py
+++ b/tests/test_stored_suspicions.py
@@ -9,7 +9,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
 from ebonyshore.link.load_table import LoadTable
-from ebonyshore.runner import suspicion_store
+from ebonyshore.runner import shared_record, suspicion_store
 from ebonyshore.runner.suspicion_store import SUSPICIONS_KEY, SuspicionKeeper, SuspicionStorage
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION
@@ -46,7 +46,7 @@
 
 @pytest.fixture(autouse=True)
 def no_pause(monkeypatch):
-    monkeypatch.setattr(suspicion_store, "ERROR_PAUSE_MS", 0.0)
+    monkeypatch.setattr(shared_record, "ERROR_PAUSE_MS", 0.0)
 
 
 def run(scenario):
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -6,7 +6,7 @@
 
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.client import BodyEnd, ConnectionPool
 from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from tests.scripted_target import ScriptedTarget, send_complete_stream
@@ -37,6 +37,15 @@
     writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
 
 
+async def use_connection(pool, address):
+    """Make one request and return its connection, which stays in the pool."""
+    async with pool.use(address, 300.0, 10_000.0) as connection:
+        connection.send(b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        while not isinstance(await connection.next_part(), BodyEnd):
+            pass
+    return connection
+
+
 async def hang(reader, writer):
     await asyncio.sleep(5)
 
@@ -66,10 +75,7 @@
         server = ScriptedTarget(send_complete_stream)
         address = await server.start()
         pool = ConnectionPool(4)
-        async with pool.use(address, 300.0, 10_000.0) as connection:
-            connection.send(b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
-            while (await connection.next_part()).__class__.__name__ != "BodyEnd":
-                pass
+        await use_connection(pool, address)
         target = Target(TargetEntry("t1", "svc", address, "fd-a", 8))
         checker = TargetChecker(WIRE_NAMES, pool, decode_start)
         assert await checker.check(target) is TargetCondition.ANSWERING
@@ -87,10 +93,7 @@
         server = ScriptedTarget(send_complete_stream)
         address = await server.start()
         pool = ConnectionPool(4)
-        async with pool.use(address, 300.0, 10_000.0) as connection:
-            connection.send(b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
-            while (await connection.next_part()).__class__.__name__ != "BodyEnd":
-                pass
+        connection = await use_connection(pool, address)
         server.close()
         target = Target(TargetEntry("t1", "svc", address, "fd-a", 8))
         condition = await TargetChecker(WIRE_NAMES, pool, decode_start).check(target)
