Draw another service of the route if the targets of the first one have left

A request whose service has no accepting target any more, and that was not sent, was refused although another service of its route had targets. The test failed without it.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -280,6 +280,10 @@
 
     def _choose_target(self) -> Target | None:
         usable = self._usable_targets()
+        if not usable and not self._attempts and self._relay.origin is None:
+            # The targets of the service have left since it was chosen.
+            self._service = self._forwarder.choose_service(self._route)
+            usable = self._usable_targets()
         targets = [
             target for target in usable if target.target_id not in self._unsuccessful_targets
         ]
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -3,9 +3,10 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.host.routes import RouteKind
+from ebonyshore.host.routes import RouteKind, ServiceShare
 from ebonyshore.http.client import ConnectionPool
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
@@ -109,6 +110,31 @@
     assert b'"code":%d' % ResultCode.NO_TARGET in answers[2] and b"Retry-After: " in answers[2]
 
 
+def test_request_goes_to_another_service_of_its_route_if_the_first_one_leaves(monkeypatch):
+    """Guards against refusing a request because of the service that was drawn for it."""
+
+    async def scenario():
+        targets = [ScriptedTarget(send_complete_stream) for _ in range(2)]
+        shares = (ServiceShare("svc", 1.0), ServiceShare("other", 0.001))
+        gateway = Gateway(make_route(shares=shares))
+        await gateway.start(*targets)
+        gateway.table.put(replace(gateway.table.find("t2").entry, service="other"))
+        acquire = ConnectionPool.acquire
+
+        async def announce_while_connecting(*arguments):
+            connection = await acquire(*arguments)
+            gateway.table.find("t1").announce_leaving("answer")
+            return connection
+
+        monkeypatch.setattr(ConnectionPool, "acquire", announce_while_connecting)
+        answer = await gateway.request()
+        gateway.close()
+        return answer, [len(target.sessions) for target in targets]
+
+    answer, sessions = run(scenario())
+    assert status_of(answer) == 200 and sessions == [0, 1]
+
+
 def test_request_is_not_sent_to_a_target_that_left_while_it_connected(monkeypatch):
     """Guards against work that was about to start when the news came."""
 
