Tell crashes of one listed incarnation apart by their times, not by a window of the clock

Trace: entry-1 found t1 and t3 down 4.1 s after entry-0 had, after restarts that the stand-in does not list. Both gave the crashes the names t1/1.1 and t3/1.1 in the same window of 10 s, so two of six crashes were not counted. Whether a boundary lies between them is chance. Change: the name of a crash has the time at which it was found, and two names are one crash if less than 2 s lie between them: longer than processes need to find one target down, shorter than a target needs to serve and crash again. The test covers both sides of the bound and two places on the clock; it failed before at one of them.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -16,7 +16,7 @@
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
+from ebonyshore.link.suspicion import CRASH_TIME_SEPARATOR, SHARED_CONVICTION_CRASHES
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
 SUSPICION_EXPIRY_MS = 600_000.0
@@ -31,9 +31,6 @@
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
-# Processes that find the same target down report it within this time. A later crash of the same
-# listed incarnation is another one: the list may lag, or the first was a silence that ended.
-CRASH_WINDOW_MS = 10_000
 # Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
 CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
 
@@ -341,14 +338,14 @@
         """Return an id of the crash which all processes that see it use.
 
         A restart is named by the new start. While the target is down that is not known, and the
-        list may still show an earlier incarnation.
+        list may still show an earlier incarnation, so the name has the time.
         """
         listed = self._targets.find(target.target_id)
         started_ms = max(target.started_ms, listed.started_ms if listed is not None else 0)
         if not is_down and started_ms > target.entry.started_ms:
             return f"{target.target_id}/before-{started_ms}"
-        window = self._clock.wall_ms() // CRASH_WINDOW_MS
-        return f"{target.target_id}/{target.entry.started_ms}.{target.crashes}.{window}"
+        name = f"{target.target_id}/{target.entry.started_ms}.{target.crashes}"
+        return f"{name}{CRASH_TIME_SEPARATOR}{self._clock.wall_ms()}"
 
 
 def _is_silent(run: ContentRun, at_ms: float) -> bool:
--- a/ebonyshore/link/suspicion.py
+++ b/ebonyshore/link/suspicion.py
@@ -19,6 +19,11 @@
 # that other content causes.
 SHARED_CONVICTION_CRASHES = 3
 WEAK_CONVICTION_CRASHES = 5  # if there is weak evidence among them
+# Precedes the wall time in ms at which a crash was found, in ids that have one.
+CRASH_TIME_SEPARATOR = "@"
+# Processes that find the same target down report it within this time. A later crash of the same
+# listed incarnation is another one: the list may lag, or the first was a silence that ended.
+CRASH_WINDOW_MS = 2_000
 
 
 @dataclass(slots=True)
@@ -52,15 +57,34 @@
 
         With weak evidence among them, :data:`WEAK_CONVICTION_CRASHES` are needed.
         """
-        self.crash_ids.update(crash_ids)
-        self.weak_crash_ids.update(weak_crash_ids)
-        self.weak_crash_ids -= self.crash_ids
+        for crash_id in crash_ids:
+            if self._find(self.crash_ids, crash_id) is None:
+                self.crash_ids.add(crash_id)
+            self.weak_crash_ids.discard(self._find(self.weak_crash_ids, crash_id))
+        for crash_id in weak_crash_ids:
+            if self._find(self.crash_ids | self.weak_crash_ids, crash_id) is None:
+                self.weak_crash_ids.add(crash_id)
         self.last_crash_ms = max(self.last_crash_ms, now_ms)
         if len(self.crash_ids) >= conviction_crashes:
             self.is_convicted = True
         if self.crash_count >= max(conviction_crashes, WEAK_CONVICTION_CRASHES):
             self.is_convicted = True
 
+    def _find(self, known_ids: set[str], crash_id: str) -> str | None:
+        """Return the id by which a crash is known; ``None`` if it is not."""
+        if crash_id in known_ids:
+            return crash_id
+        return next((known for known in known_ids if _is_same_crash(known, crash_id)), None)
+
+
+def _is_same_crash(first: str, second: str) -> bool:
+    """Return whether two ids with different times name one crash."""
+    first_name, _, first_ms = first.partition(CRASH_TIME_SEPARATOR)
+    second_name, _, second_ms = second.partition(CRASH_TIME_SEPARATOR)
+    if first_name != second_name or not first_ms.isdecimal() or not second_ms.isdecimal():
+        return False
+    return abs(int(first_ms) - int(second_ms)) < CRASH_WINDOW_MS
+
 
 class SuspicionTable:
     """Suspect and convicted content by digest; not thread-safe.
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -12,7 +12,6 @@
 from ebonyshore.host import crash_guard
 from ebonyshore.host.crash_guard import (
     CONVICTED_ITEM_DELAYS_MS,
-    CRASH_WINDOW_MS,
     MAX_CRASH_DELAY_MS,
     RESTART_LISTING_MS,
     SILENCE_CHECK_MS,
@@ -24,7 +23,7 @@
 from ebonyshore.host.target_check import TargetCondition
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.messages import Verdict
-from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES
+from ebonyshore.link.suspicion import CRASH_WINDOW_MS, SHARED_CONVICTION_CRASHES
 from tests.gateway_setup import make_suspicions
 
 TARGET_IDS = ("t1", "t2", "t3", "t4")
@@ -212,11 +211,18 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("passed_ms, crashes", [(0.0, 1), (CRASH_WINDOW_MS, 2)])
-def test_crash_that_another_process_reports_counts_unless_it_is_the_same(passed_ms, crashes):
-    """Guards against a crash that is taken for an earlier one of the same listed incarnation."""
+@pytest.mark.parametrize("start_ms", [1_000.0, 19_999.0])
+@pytest.mark.parametrize(
+    "passed_ms, crashes", [(0.0, 1), (CRASH_WINDOW_MS - 1.0, 1), (CRASH_WINDOW_MS, 2)]
+)
+def test_crash_that_another_process_reports_counts_unless_it_is_the_same(
+    passed_ms, crashes, start_ms
+):
+    """Guards against a crash that is taken for an earlier one of the same listed incarnation,
+    wherever on the clock both are."""
 
     async def scenario(setup):
+        setup.clock.advance_ms(start_ms)
         await setup.crash("t1", "bad")
         setup.clock.advance_ms(passed_ms)
         await GuardSetup(setup).crash("t1", "bad")
--- a/tests/test_suspicion_exchange.py
+++ b/tests/test_suspicion_exchange.py
@@ -189,7 +189,7 @@
 
 def test_full_datagram_fits_into_one_packet():
     """Guards against fragments: a datagram is lost with any one of them."""
-    crash_ids = tuple(f"i-0123456789ab/1796359862969.{number}.179637732" for number in range(5))
+    crash_ids = tuple(f"i-0123456789ab/1796359862969.{number}@1796377321439" for number in range(5))
     verdict = Verdict(
         "0123456789abcdef", 5, True, 123.456, crash_ids=crash_ids[:2], weak_crash_ids=crash_ids[2:]
     )
