Ask for the origin of a stream also if one version is known, and ask entries too

Callers saw nothing reported; by reasoning, an entry whose list is old (cut off from the store, or read 250 ms ago) knows one version while streams begin at another, and let any target continue them; and after a restart of the runners nobody was asked who knows. Change: a stream that its caller names is asked for once even with one known version; with several, the other entries are asked after the runners. If nobody answers and the list cannot be read, it is refused. While the list cannot be read, the incarnation of a target that continues a stream is confirmed. Evidence: both new tests of test_stream_origins fail without it (run with the former class).

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -4,7 +4,7 @@
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.datagrams import Datagram, StreamAnswer, SuspicionUpdate
+from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, SuspicionUpdate
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadTotals
@@ -19,7 +19,7 @@
     :param targets: provides the entry's own request counts; told of targets that leave.
     :param view: updated with the received totals; provides the batch counts of the reports.
     :param suspicions: updated with the received suspicions; provides those to send.
-    :param origins: told of the runners' answers; reports the streams of this entry.
+    :param origins: told of answers and queries; reports the streams of this entry.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         self._origins = origins
 
     def on_message(self, message: Datagram) -> None:
-        """Apply a message from a runner; load reports are ignored."""
+        """Apply a message of a runner or answer an entry; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
             for incarnation in message.leaving:
@@ -47,6 +47,8 @@
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
         elif isinstance(message, StreamAnswer):
             self._origins.on_answer(message)
+        elif isinstance(message, StreamQuery):
+            self._origins.answer(message)
 
     def send(self, socket: LoadSocket) -> None:
         """Send the next report and new suspicions to each runner."""
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -23,7 +23,12 @@
     components = SharedComponents(environment)
     target_table, peers = components.targets.table, components.peers
     view = LoadView(settings.failure_domain, lambda: load_service.schedule_report())
-    origins = StreamOrigins(peers, target_table, lambda *message: load_service.send_now(*message))
+    origins = StreamOrigins(
+        peers,
+        target_table,
+        lambda *message: load_service.send_now(*message),
+        lambda: not components.probe.is_silent,
+    )
     load_reporter = EntryLoadReporter(peers, target_table, view, components.suspicions, origins)
     port = settings.first_internal_port
     load_service = LoadService(
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -327,7 +327,8 @@
 
     def _must_confirm_incarnation(self) -> bool:
         """Whether the target's version has to be certain, as others do not fit the stream."""
-        return self._relay.origin is not None and self._forwarder.origins.is_mixed(self._service)
+        origins = self._forwarder.origins
+        return self._relay.origin is not None and origins.may_be_mixed(self._service)
 
     def _record_first_event(self) -> None:
         if self._route.is_repeatable and self._request_id is not None:
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -2,10 +2,11 @@
 
 While a service has targets of several software versions, an entry tells runners the version of each
 stream that begins, because the caller may continue it at another entry, also after this one has
-ended. An entry that does not know the stream asks the runners.
+ended. An entry that does not know the stream asks the runners, and then the other entries. It asks
+also if it knows one version only, because its list may be older than that of the entry that began.
 """
 
-from asyncio import Future, get_running_loop, shield, timeout
+from asyncio import Event, timeout
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 
@@ -24,6 +25,7 @@
 MAX_STREAMS_PER_DATAGRAM = 25  # keeps a datagram below 1,500 bytes
 QUERY_INTERVAL_MS = 40.0
 MAX_QUERIES = 3
+MAX_ASKED_ENTRIES = 64  # in a larger fleet only runners are asked
 VERSIONS_INTERVAL_MS = 200.0  # between two looks for services with several versions
 
 Send = Callable[[Datagram, list[tuple[str, int]]], None]
@@ -46,20 +48,42 @@
 
 
 class _Query:
-    """A question that is sent to runners until one knows the stream or all have answered."""
+    """A question that is sent to other processes until one knows the stream.
 
-    __slots__ = ("answered", "asked", "found")
+    :ivar answered: instance ids of the processes that have answered.
+    :ivar origin: the origin of the stream; ``None`` while nobody has told it.
+    """
+
+    __slots__ = ("_asked", "_is_settled", "answered", "origin")
 
-    def __init__(self, asked: int) -> None:
-        self.asked = asked
+    def __init__(self) -> None:
+        self._asked = 0
+        self._is_settled = Event()
         self.answered: set[str] = set()
-        self.found: Future[TargetGroup | None] = get_running_loop().create_future()
+        self.origin: TargetGroup | None = None
 
     def add(self, answer: StreamAnswer) -> None:
+        """Add an answer."""
         self.answered.add(answer.sender)
-        is_last = len(self.answered) >= self.asked
-        if not self.found.done() and (is_last or answer.origin is not None):
-            self.found.set_result(answer.origin)
+        self.origin = self.origin or answer.origin
+        if self.origin is not None or len(self.answered) >= self._asked:
+            self._is_settled.set()
+
+    async def wait(self, asked: int) -> bool:
+        """Wait until the origin is known, or all that were asked have answered, or it takes long.
+
+        :param asked: number of processes that were asked, those of earlier rounds included.
+        :return: whether all have answered.
+        """
+        if not asked:
+            return True
+        self._asked = asked
+        if self.origin is None and len(self.answered) < asked:
+            self._is_settled.clear()
+        with suppress(TimeoutError):
+            async with timeout(QUERY_INTERVAL_MS / MS_PER_S):
+                await self._is_settled.wait()
+        return len(self.answered) >= asked
 
 
 class StreamOrigins:
@@ -70,9 +94,11 @@
     :param peers: provides the addresses of the runners.
     :param targets: provides the versions of a service.
     :param send: sends a datagram at once.
+    :param is_list_current: returns whether the list of targets can be read at present.
     """
 
     __slots__ = (
+        "_is_list_current",
         "_mixed_services",
         "_peers",
         "_queries",
@@ -83,10 +109,17 @@
         "_versions_ms",
     )
 
-    def __init__(self, peers: PeerDirectory, targets: TargetTable, send: Send) -> None:
+    def __init__(
+        self,
+        peers: PeerDirectory,
+        targets: TargetTable,
+        send: Send,
+        is_list_current: Callable[[], bool],
+    ) -> None:
         self._peers = peers
         self._targets = targets
         self._send = send
+        self._is_list_current = is_list_current
         self._records = StreamRecords()
         self._unreported: dict[str, _Unreported] = {}  # by request id, oldest first
         self._queries: dict[str, _Query] = {}
@@ -106,6 +139,10 @@
         """Return whether a service has targets of several versions, or had them recently."""
         return service in self._find_mixed_services(now_ms())
 
+    def may_be_mixed(self, service: str) -> bool:
+        """Return whether a service may have several versions, as far as this process can know."""
+        return self.is_mixed(service) or not self._is_list_current()
+
     def report_streams(self) -> None:
         """Tell the runners of recent streams whose service has several versions.
 
@@ -127,39 +164,56 @@
         :param service: service at which the stream would go on if its origin is not known.
         :raises UnknownOriginError: if the service has several versions and the stream is not known.
         """
-        known = self._records.find(request_id, now_ms()) if request_id is not None else None
+        if request_id is None:
+            if self._has_several_versions(service):
+                raise UnknownOriginError("the request does not name the one that it continues")
+            return None
+        known = self._records.find(request_id, now_ms())
         if known is not None:
             return known
-        if len(self._targets.recent_versions(service, now_ms())) <= 1:
-            return None
-        asked = await self._ask(request_id) if request_id is not None else None
-        if asked is None:
+        is_mixed = self._has_several_versions(service)
+        query = await self._ask(request_id, MAX_QUERIES if is_mixed else 1)
+        if query.origin is not None:
+            self._records.add(request_id, query.origin, now_ms())
+        elif is_mixed or not (query.answered or self._is_list_current()):
             raise UnknownOriginError(f"it is not known at which version {request_id} began")
-        self._records.add(request_id, asked, now_ms())
-        return asked
+        return query.origin
+
+    def answer(self, query: StreamQuery) -> None:
+        """Answer another entry."""
+        origin = self._records.find(query.request_id, now_ms())
+        answer = StreamAnswer(self._peers.own.instance_id, query.request_id, origin)
+        self._send(answer, [(query.host, query.port)])
 
     def on_answer(self, answer: StreamAnswer) -> None:
-        """Apply the answer of a runner."""
+        """Apply the answer of another process."""
         query = self._queries.get(answer.request_id)
         if query is not None:
             query.add(answer)
 
-    async def _ask(self, request_id: str) -> TargetGroup | None:
-        runners = self._peers.addresses("runner")
-        if not runners:
-            return None
-        query = self._queries.setdefault(request_id, _Query(len(runners)))
+    def _has_several_versions(self, service: str) -> bool:
+        return len(self._targets.recent_versions(service, now_ms())) > 1
+
+    async def _ask(self, request_id: str, rounds: int) -> _Query:
+        """Ask other processes in several rounds, the first time only runners."""
+        query = self._queries.setdefault(request_id, _Query())
         own = self._peers.own
         message = StreamQuery(own.instance_id, own.host, own.port, request_id)
         try:
-            for _ in range(MAX_QUERIES):
-                self._send(message, runners)
-                with suppress(TimeoutError):
-                    async with timeout(QUERY_INTERVAL_MS / MS_PER_S):
-                        return await shield(query.found)
-            return None
+            for number in range(rounds):
+                asked = self._asked_addresses(includes_entries=number > 0)
+                self._send(message, asked)
+                have_all_answered = await query.wait(len(asked))
+                if query.origin is not None or (have_all_answered and number > 0):
+                    break
         finally:
             self._queries.pop(request_id, None)
+        return query
+
+    def _asked_addresses(self, includes_entries: bool) -> list[tuple[str, int]]:
+        runners = self._peers.addresses("runner")
+        entries = self._peers.addresses("entry") if includes_entries else []
+        return runners + (entries if len(entries) <= MAX_ASKED_ENTRIES else [])
 
     def _report(self, streams: Sequence[_Unreported]) -> None:
         runners = self._nearest_runners()
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -17,6 +17,7 @@
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.link.peers import PeerRecord
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.platform.target_entries import decode_start
@@ -68,11 +69,13 @@
         )
         self.datagrams = []
         peers = SimpleNamespace(
-            own=SimpleNamespace(instance_id="e1", failure_domain="fd-a"),
+            own=PeerRecord("e1", "entry", "127.0.0.1", 1, "fd-a", "run-1"),
             addresses=lambda _role: [],
             of_role=lambda _role: {},
         )
-        self.origins = StreamOrigins(peers, self.table, lambda *sent: self.datagrams.append(sent))
+        self.origins = StreamOrigins(
+            peers, self.table, lambda *sent: self.datagrams.append(sent), lambda: True
+        )
         self.forwarder = Forwarder(
             WIRE_NAMES,
             self.table,
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -22,6 +22,10 @@
 TAKE_UP_HEADERS = ("Last-Event-Id: 2", "Resumes: first-attempt")
 
 
+def make_entry(version):
+    return TargetEntry(f"t-{version}", "svc", "10.0.0.1:80", "fd-a", 8, software_version=version)
+
+
 class Fleet:
     """Entries with a common target table, and runners; datagrams arrive at once.
 
@@ -33,34 +37,43 @@
         self.table = TargetTable()
         self.list_versions(*versions)
         self.runners = {f"r{number}": StreamRecords() for number in range(runners)}
+        self.is_list_current = True
         self.entries = [self._make_entry(f"e{number}") for number in range(2)]
         self.lost = 0
         self.dead = set()
         self.queries = 0
 
     def list_versions(self, *versions):
-        entries = [
-            TargetEntry(f"t-{version}", "svc", "10.0.0.1:80", "fd-a", 8, software_version=version)
-            for version in versions
-        ]
-        self.table.replace_all(entries, now_ms=0.0)
+        self.table.replace_all([make_entry(version) for version in versions], now_ms=0.0)
 
     def _make_entry(self, name):
         records = {
             runner: PeerRecord(runner, "runner", runner, 1, "fd-a", "1") for runner in self.runners
         }
+        others = [(other, 1) for other in ("e0", "e1") if other != name]
         peers = SimpleNamespace(
             own=PeerRecord(name, "entry", name, 1, "fd-a", "1"),
             of_role=lambda _role: records,
-            addresses=lambda _role: [(runner, 1) for runner in self.runners],
+            addresses=lambda role: (
+                [(runner, 1) for runner in self.runners] if role == "runner" else others
+            ),
         )
-        return StreamOrigins(peers, self.table, self._deliver)
+        return StreamOrigins(peers, self.table, self._deliver, lambda: self.is_list_current)
 
     def _deliver(self, message, addresses):
         for host, _ in addresses:
             self.lost -= 1
             if self.lost < 0 and host not in self.dead:
-                self._receive(host, message)
+                if host in self.runners:
+                    self._receive(host, message)
+                else:
+                    self._receive_at_entry(self.entries[int(host[1:])], message)
+
+    def _receive_at_entry(self, entry, message):
+        if isinstance(message, StreamQuery):
+            entry.answer(message)
+        else:
+            entry.on_answer(message)
 
     def _receive(self, runner, message):
         records = self.runners[runner]
@@ -102,6 +115,35 @@
     assert run(scenario) == OLD
 
 
+def test_stream_is_found_after_all_runners_were_started_again():
+    """Guards against streams that cannot go on although the entry that began them still knows."""
+
+    async def scenario(fleet):
+        fleet.entries[0].record("s1", OLD)
+        fleet.entries[0].report_streams()
+        for name in fleet.runners:
+            fleet.runners[name] = StreamRecords()
+        return await find_or_error(fleet.entries[1])
+
+    assert run(scenario) == OLD
+
+
+def test_entry_whose_list_is_old_learns_of_a_version_that_it_does_not_know():
+    """Guards against mixing at an entry that cannot read the list while a version is added."""
+
+    async def scenario(fleet):
+        former = TargetTable()
+        former.replace_all([make_entry("v1")], now_ms=0.0)
+        fleet.entries[1]._targets = former
+        fleet.is_list_current = False
+        fleet.entries[0].record("s1", NEW)
+        found = await find_or_error(fleet.entries[1])
+        fleet.dead = set(fleet.runners)
+        return found, await find_or_error(fleet.entries[1], "s2")
+
+    assert run(scenario) == (NEW, UnknownOriginError)
+
+
 def test_queries_that_are_lost_are_sent_again():
     async def scenario(fleet):
         fleet.entries[0].record("s1", OLD)
@@ -129,17 +171,15 @@
         found = [await find_or_error(fleet.entries[1], name) for name in ("s1", None)]
         return found, fleet.queries
 
-    assert run(scenario) == ([UnknownOriginError] * 2, 3)
-    assert run(scenario, versions=("v1",)) == ([None] * 2, 0)
+    assert run(scenario) == ([UnknownOriginError] * 2, 6)  # runners are asked twice
+    assert run(scenario, versions=("v1",)) == ([None] * 2, 3)
 
 
 def test_unknown_stream_is_refused_while_a_version_has_just_gone():
     """Guards against mixing at the end of a release, when streams of the old version remain."""
 
     async def scenario(fleet):
-        fleet.table.replace_all(
-            [TargetEntry("t-v2", "svc", "10.0.0.1:80", "fd-a", 8, software_version="v2")], now_ms()
-        )
+        fleet.table.replace_all([make_entry("v2")], now_ms())
         return await find_or_error(fleet.entries[1])
 
     assert run(scenario) is UnknownOriginError
