Let the soak's proxy deliver nothing after bytes that it has lost

Trace: two items at the same target broke 15 ms before with 'received event 56 after event 24' and 'received event 42 after event 10': bytes in the middle of a connection were missing. The proxy drops bytes, then forwards again until its connections are reset a moment later, so a stream can lose its events and keep its end. No TCP connection can do that. Which bytes the item lost is not in the logs. Change: a direction that has lost bytes delivers none any more, not its end either.

--- a/ebonyshore_soak/proxy.py
+++ b/ebonyshore_soak/proxy.py
@@ -82,12 +82,20 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_from_client: bool
     ) -> None:
+        has_lost_data = False
         with suppress(OSError):
             while data := await reader.read(65_536):
                 if self.state.delay_s:
                     await asyncio.sleep(self.state.delay_s)
-                if self.state.drops_client_data if is_from_client else self.state.drops_server_data:
+                drops = (
+                    self.state.drops_client_data if is_from_client else self.state.drops_server_data
+                )
+                # TCP delivers nothing after bytes that were lost.
+                has_lost_data = has_lost_data or drops
+                if has_lost_data:
                     continue
                 writer.write(data)
                 await writer.drain()
-        writer.transport.abort() if reader.exception() else writer.close()
+        # The end of a stream is not delivered either if bytes before it were lost.
+        is_cut = has_lost_data or reader.exception() is not None
+        writer.transport.abort() if is_cut else writer.close()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,6 +1,10 @@
 """Tests of the fault soak: a short run with real processes, and its checker and fault injector."""
 
+import asyncio
+import itertools
+import socket
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from random import Random
 from types import SimpleNamespace
 
@@ -11,8 +15,9 @@
 from ebonyshore_soak.checker import CANCEL_BOUND_MS, GuaranteeChecker, JobSize
 from ebonyshore_soak.faults import FaultInjector
 from ebonyshore_soak.limited_jobs import first_completions
+from ebonyshore_soak.proxy import FaultProxy, LinkState
 from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
-from ebonyshore_standins.stream_target import RunRecord, expected_data
+from ebonyshore_standins.stream_target import RunRecord, StreamTarget, expected_data
 
 # A seed whose run violated a guarantee is added here, with the cause, and is kept.
 # 903: room for a job was missing for 8 s, as a call had ended between reservation and storing.
@@ -166,3 +171,41 @@
     injector._inject_into_process(lambda target, _random: injected.append(target), Random(1))
     injector._inject_into_process(lambda target, _random: injected.append(target), Random(1))
     assert injected == [process, process]
+
+
+MAX_READS = 20
+
+
+class CountingServer(StreamTarget):
+    """Sends a number every few milliseconds on each connection."""
+
+    async def _serve(self, reader, writer):
+        with suppress(OSError):
+            for number in itertools.count():
+                writer.write(b"%d\n" % number)
+                await writer.drain()
+                await asyncio.sleep(0.005)
+
+
+def test_connection_that_has_lost_bytes_delivers_no_later_ones():
+    """Guards against streams with a gap or a missing end, which no TCP connection can deliver; seed
+    3235 reported an item as incomplete."""
+    server = CountingServer("t1")
+    server.start()
+    proxy = FaultProxy(server.address)
+    host, _, port = proxy.address.rpartition(":")
+    received = b""
+    try:
+        with socket.create_connection((host, int(port)), timeout=0.3) as connection:
+            received += connection.recv(100)
+            proxy.state = LinkState(drops_server_data=True)
+            SystemClock().sleep_ms(100.0)
+            proxy.state = LinkState()
+            with suppress(TimeoutError):
+                for _ in range(MAX_READS):
+                    received += connection.recv(100)
+    finally:
+        proxy.stop()
+        server.stop()
+    numbers = [int(line) for line in received.split()]
+    assert numbers == list(range(len(numbers)))
