--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -84,7 +84,7 @@
                 except (AttemptFailedError, ExchangeError):
                     if not connection.has_received:
                         raise
-                    started_ms = None  # a target that sends nonsense is not down
+                    started_ms = None  # a target that sends invalid bytes is not down
                 if started_ms is None or not target.started_ms:
                     return TargetCondition.ANSWERING
                 target.is_listed_start(started_ms)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -186,7 +186,7 @@
 @pytest.mark.parametrize("interval_s", [0.0, TRICKLE_INTERVAL_S])
 @pytest.mark.parametrize("name", ENDLESS)
 def test_target_that_sends_without_end_is_not_down(name, interval_s):
-    """Guards against blaming a request for a crash because its target sends nonsense."""
+    """Guards against blaming a request for a crash because its target sends invalid bytes."""
     endless = EndlessTarget(*ENDLESS[name], interval_s)
 
     async def scenario():
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -110,6 +110,17 @@
     assert b'"code":%d' % ResultCode.NO_TARGET in answers[2] and b"Retry-After: " in answers[2]
 
 
+def let_first_target_leave_while_it_connects(gateway, monkeypatch):
+    acquire = ConnectionPool.acquire
+
+    async def announce_while_connecting(*arguments):
+        connection = await acquire(*arguments)
+        gateway.table.find("t1").announce_leaving("answer")
+        return connection
+
+    monkeypatch.setattr(ConnectionPool, "acquire", announce_while_connecting)
+
+
 def test_request_goes_to_another_service_of_its_route_if_the_first_one_leaves(monkeypatch):
     """Guards against refusing a request because of the service that was drawn for it."""
 
@@ -119,14 +130,7 @@
         gateway = Gateway(make_route(shares=shares))
         await gateway.start(*targets)
         gateway.table.put(replace(gateway.table.find("t2").entry, service="other"))
-        acquire = ConnectionPool.acquire
-
-        async def announce_while_connecting(*arguments):
-            connection = await acquire(*arguments)
-            gateway.table.find("t1").announce_leaving("answer")
-            return connection
-
-        monkeypatch.setattr(ConnectionPool, "acquire", announce_while_connecting)
+        let_first_target_leave_while_it_connects(gateway, monkeypatch)
         answer = await gateway.request()
         gateway.close()
         return answer, [len(target.sessions) for target in targets]
@@ -142,14 +146,7 @@
         targets = [ScriptedTarget(send_complete_stream) for _ in range(2)]
         gateway = Gateway(make_route())
         await gateway.start(*targets)
-        acquire = ConnectionPool.acquire
-
-        async def announce_while_connecting(*arguments):
-            connection = await acquire(*arguments)
-            gateway.table.find("t1").announce_leaving("answer")
-            return connection
-
-        monkeypatch.setattr(ConnectionPool, "acquire", announce_while_connecting)
+        let_first_target_leave_while_it_connects(gateway, monkeypatch)
         answer = await gateway.request()
         gateway.close()
         return answer, [len(target.sessions) for target in targets]
--- a/tests/test_stored_convictions.py
+++ b/tests/test_stored_convictions.py
@@ -7,7 +7,6 @@
 import pytest
 
 from ebonyshore.frame.clock import ManualClock
-from ebonyshore.frame.errors import StoreUnavailableError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
@@ -24,6 +23,7 @@
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import SINGLE_ATTEMPT_PREFIX
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from tests.failing_store import FailingStore
 from tests.gateway_setup import make_suspicions
 
 CRASH_IDS = ("t1/1.1", "t2/1.1", "t3/1.1")
@@ -128,17 +128,8 @@
     """Guards against a conviction that is forgotten because its first write failed."""
     monkeypatch.setattr(shared_record, "ERROR_PAUSE_MS", 0.0)
 
-    class FailingStore:
-        def __init__(self):
-            self.is_down = True
-
-        def __getattr__(self, name):
-            if self.is_down:
-                raise StoreUnavailableError("down")
-            return getattr(object_store, name)
-
     async def scenario():
-        store = FailingStore()
+        store = FailingStore(object_store)
         setup = KeeperSetup(store, clock)
         setup.convict("bad")
         await setup.keeper.run_once()
--- a/tests/test_stored_suspicions.py
+++ b/tests/test_stored_suspicions.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from ebonyshore.frame.errors import StoreUnavailableError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
@@ -13,6 +12,7 @@
 from ebonyshore.runner.suspicion_store import SUSPICIONS_KEY, SuspicionKeeper, SuspicionStorage
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION
+from tests.failing_store import FailingStore
 from tests.gateway_setup import make_suspicions
 
 
@@ -126,17 +126,8 @@
 def test_crash_is_stored_after_an_outage_of_the_store(object_store, clock):
     """Guards against a crash that is forgotten because its first write failed."""
 
-    class FailingStore:
-        def __init__(self):
-            self.is_down = True
-
-        def __getattr__(self, name):
-            if self.is_down:
-                raise StoreUnavailableError("down")
-            return getattr(object_store, name)
-
     async def scenario():
-        store = FailingStore()
+        store = FailingStore(object_store)
         setup = KeeperSetup(store, clock)
         setup.crash(1, "bad")
         await setup.keeper.run_once()
