--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -160,6 +160,9 @@
     heard = [message.heard_runners for message in sent if hasattr(message, "heard_runners")]
     assert heard == [(OTHER_RUNNER,), ()]
 
+    def announced_incarnations(self):
+        return ()
+
 
 async def send_report(load, socket):
     load.send(socket)
