--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -136,6 +136,9 @@
         def own_counts(self):
             return {}
 
+        def announced_incarnations(self):
+            return ()
+
     class FakeAdmission:
         def waiting_tokens(self):
             return {}
@@ -160,9 +163,6 @@
     heard = [message.heard_runners for message in sent if hasattr(message, "heard_runners")]
     assert heard == [(OTHER_RUNNER,), ()]
 
-    def announced_incarnations(self):
-        return ()
-
 
 async def send_report(load, socket):
     load.send(socket)
