--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -1,5 +1,6 @@
 """Targets that say only in their answers that they leave, with real processes."""
 
+import signal
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -99,3 +100,18 @@
     assert send_requests(fleet, "back") == [200] * REQUESTS
     run_job(fleet, "back")
     assert late_runs(target, told_ms) == []
+
+
+def test_entry_that_was_frozen_after_the_news_does_not_send_to_the_target(fleet):
+    """Guards against an entry that wakes with requests waiting and chooses as before the news."""
+    target = let_first_target_leave(fleet)
+    told_ms = CLOCK.monotonic_ms()
+    for entry in fleet.entries:
+        entry.signal(signal.SIGSTOP)
+    with ThreadPoolExecutor(1) as caller:
+        statuses = caller.submit(send_requests, fleet, "frozen")
+        CLOCK.sleep_ms(DRAIN_MS)
+        for entry in fleet.entries:
+            entry.signal(signal.SIGCONT)
+        assert statuses.result() == [200] * REQUESTS
+    assert late_runs(target, told_ms) == []
