Pass on the news of a leaving target after its entry has lapsed

Cause: only leaving incarnations that were listed were announced. In the logs of a failing play the runners learn the news 12 ms after the answer, all processes see the entry removed 25 ms later, and entry-1, which gets the news from a runner's next message, had not heard of it yet. When the entry came back the processes that knew it used the target no more, but no longer announced it, so entry-1 learned it from an answer of its own request.

Change: LeavingRecord keeps what is announced apart from the targets.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -56,7 +56,7 @@
             socket,
             now_ms(),
             observed_batch=self._view.observed_batch(),
-            leaving=self._targets.announced_incarnations(),
+            leaving=self._targets.announced_incarnations(now_ms()),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._origins.report_streams()
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
+from ebonyshore.host.leaving_record import LeavingRecord
 from ebonyshore.host.target import Target, TargetEntry, TargetGroup
 from ebonyshore.link.load_table import Incarnation, TargetCounts
 
 REREGISTRATION_GRACE_MS = 2_500.0
-MAX_LEAVING_INCARNATIONS = 8_192
 # Time for which streams may go on that began at a version whose last target has gone.
 VERSION_LIFETIME_MS = 30_000.0
 
@@ -24,7 +24,6 @@
     """
 
     __slots__ = (
-        "_announced",
         "_dropped_groups",
         "_leaving",
         "_store_outage_ms",
@@ -34,10 +33,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
-        # Incarnations that have announced their stop, oldest first, also of targets that were
-        # dropped: an entry may lapse and come back.
-        self._leaving: dict[Incarnation, None] = {}
-        self._announced: set[Target] = set()  # known to leave, perhaps not from the list
+        self._leaving = LeavingRecord()
         self.on_leaving: Callable[[Target, str], None] = lambda *_: None
         self._dropped_groups: dict[TargetGroup, float] = {}  # time at which a target was dropped
         self._store_outage_ms = float("-inf")
@@ -73,7 +69,9 @@
         target.removed_ms = None
         if entry.is_leaving:
             self._mark_leaving(target, "list")
-        target.is_leaving = target.is_leaving or target.incarnation in self._leaving
+        elif target.incarnation in self._leaving:
+            target.is_leaving = True
+            self._leaving.announce(target.incarnation)
 
     def remove(self, target_id: str, now_ms: float) -> Target | None:
         """Record that a target's entry was removed.
@@ -138,16 +136,14 @@
         if target is not None and target.incarnation == incarnation:
             self._mark_leaving(target, source)
         else:
-            self._remember_leaving(incarnation)
+            self._leaving.add(incarnation)
 
-    def announced_incarnations(self) -> tuple[Incarnation, ...]:
-        """Return the listed incarnations that leave although their entries do not say so."""
-        self._announced = {
-            target
-            for target in self._announced
-            if self._targets.get(target.target_id) is target and not target.entry.is_leaving
-        }
-        return tuple(target.incarnation for target in self._announced)
+    def announced_incarnations(self, now_ms: float) -> tuple[Incarnation, ...]:
+        """Return the incarnations that leave although their entries do not say so.
+
+        Those that are not listed any more are returned for a while.
+        """
+        return self._leaving.announced(self._targets, now_ms)
 
     def recent_versions(self, service: str, now_ms: float) -> set[str]:
         """Return the software versions of a service's targets, also of those dropped recently."""
@@ -185,17 +181,9 @@
     def _mark_leaving(self, target: Target, source: str) -> None:
         is_news = not target.is_leaving
         target.is_leaving = True
-        if not target.entry.is_leaving:
-            self._announced.add(target)
-        self._remember_leaving(target.incarnation)
+        self._leaving.add(target.incarnation)
         if is_news:
             self.on_leaving(target, source)
 
-    def _remember_leaving(self, incarnation: Incarnation) -> None:
-        if incarnation.started_ms:
-            self._leaving[incarnation] = None
-        if len(self._leaving) > MAX_LEAVING_INCARNATIONS:
-            del self._leaving[next(iter(self._leaving))]
-
     def _note_dropped(self, target: Target, now_ms: float) -> None:
         self._dropped_groups[target.entry.group] = now_ms
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -103,7 +103,7 @@
             tuple(heard),
             waiting_tokens=self._admission.waiting_tokens(),
             contended_quotas=self._admission.contended_quotas(),
-            leaving=self._targets.announced_incarnations(),
+            leaving=self._targets.announced_incarnations(now_ms()),
         )
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
--- a/tests/test_leaving_machine.py
+++ b/tests/test_leaving_machine.py
@@ -100,6 +100,15 @@
         chosen = {(t.target_id, t.entry.started_ms) for t in self.table.accepting("svc")}
         assert {pair for pair in self.listed.items() if pair not in self.left} <= chosen
 
+    @invariant()
+    def others_are_told_of_incarnations_whose_entries_do_not_say_so(self):
+        unlisted_news = {
+            Incarnation(*pair)
+            for pair in self.listed.items()
+            if pair in self.left and not self.table.find(pair[0]).entry.is_leaving
+        }
+        assert unlisted_news <= set(self.table.announced_incarnations(self.now_ms))
+
     @invariant()
     def each_incarnation_is_announced_once_while_it_is_listed(self):
         assert all((found.target_id, found.started_ms) in self.left for found in self.announced)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -136,7 +136,7 @@
         def own_counts(self):
             return {}
 
-        def announced_incarnations(self):
+        def announced_incarnations(self, _now_ms):
             return ()
 
     class FakeAdmission:
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -1,7 +1,9 @@
 """The known targets while entries of the list expire and are written again."""
 
+from ebonyshore.host.leaving_record import LEAVING_NEWS_MS
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.targets import REREGISTRATION_GRACE_MS, TargetTable
+from ebonyshore.link.load_table import Incarnation
 
 
 def entry(target_id, started_ms=1, is_leaving=False):
@@ -46,3 +48,44 @@
     table.put(entry("t1", is_leaving=True))
     assert table.accepting("svc") == []
     assert table.find("t1") is not None
+
+
+def test_news_of_a_leaving_target_is_passed_on_after_its_entry_has_lapsed():
+    """Guards against peers that never learn it, as the entry lapses before the next report."""
+    table = TargetTable()
+    table.put(entry("t1"))
+    table.find("t1").announce_leaving("answer")
+    table.remove("t1", 0.0)
+    assert table.announced_incarnations(0.0) == (Incarnation("t1", 1),)
+    assert table.announced_incarnations(LEAVING_NEWS_MS) == (Incarnation("t1", 1),)
+    assert table.announced_incarnations(LEAVING_NEWS_MS + 1) == ()
+
+
+def test_news_of_a_leaving_target_is_passed_on_when_its_entry_comes_back():
+    table = TargetTable()
+    table.put(entry("t1"))
+    table.find("t1").announce_leaving("answer")
+    table.remove("t1", 0.0)
+    assert table.announced_incarnations(0.0) == (Incarnation("t1", 1),)
+    assert table.announced_incarnations(2 * LEAVING_NEWS_MS) == ()
+    table.put(entry("t1"), 3 * LEAVING_NEWS_MS)
+    assert table.announced_incarnations(3 * LEAVING_NEWS_MS) == (Incarnation("t1", 1),)
+
+
+def test_news_of_a_target_that_is_not_listed_is_passed_on_once():
+    """Guards against two processes that tell each other of a target for ever."""
+    table = TargetTable()
+    table.mark_leaving(Incarnation("t1", 1), "peer")
+    assert table.announced_incarnations(0.0) == (Incarnation("t1", 1),)
+    table.mark_leaving(Incarnation("t1", 1), "peer")
+    assert table.announced_incarnations(LEAVING_NEWS_MS + 1) == ()
+    table.mark_leaving(Incarnation("t1", 1), "peer")
+    assert table.announced_incarnations(LEAVING_NEWS_MS + 1) == ()
+
+
+def test_incarnation_that_the_list_shows_as_leaving_is_not_passed_on():
+    table = TargetTable()
+    table.put(entry("t1"))
+    table.find("t1").announce_leaving("answer")
+    table.put(entry("t1", is_leaving=True))
+    assert table.announced_incarnations(0.0) == ()
