Limit the slots of late items, and rank items that can be in time singly

Late jobs that their retention time threatens may use a fifth of the slots, but the rule was "while fewer of them run, all late items go first". When a burst ends, all slots are free in the same step, and late items took all of them. Besides, an item counted as late if its job as a whole did, so that a large job had none of its items in time.

Change: the order says in how many slots late items run before others. Items that can be in time are ranked singly: interrupted ones first, then those of punctual jobs, then those of late jobs. Items that will be late are preempted first, then those that have used their slot for the shortest time.

--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -27,7 +27,7 @@
     :param capacity: number of requests that the target runs at the same time.
     :param online: number of online requests of all entries at the target.
     :param other_batch: number of batch items of other runners at the target.
-    :param own_batch: keys of this runner's items at the target, oldest first.
+    :param own_batch: keys of the own items at the target; the last ones are preempted first.
     :param is_usable: whether new items may start at the target.
     :param is_primary: whether this runner is the target's primary runner.
     :param is_accepting: whether items may start at the target once it is usable.
@@ -130,8 +130,8 @@
 def make_plan(waiting: Sequence[str], targets: Sequence[TargetSlots]) -> ItemPlan:
     """Return which items start now and which are preempted.
 
-    At each target the youngest items are preempted. Each item starts at the target that has the
-    most free slots left.
+    At each target the last of the own items are preempted. Each item starts at the target that has
+    the most free slots left.
 
     :param waiting: keys of the waiting items, in the order in which they should start.
     :param targets: slots of the targets at which the items may run.
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -173,8 +173,7 @@
         at_ms = now_ms()
         is_usable = not target.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
-        # The last ones are preempted first: those of late jobs, then the youngest.
-        own.sort(key=lambda key: self._ranking.is_late(self._running[key].progress.job_id))
+        own.sort(key=lambda key: self._preemption_key(self._running[key], at_ms))
         # Entries also count the items of runners from which this one receives no reports.
         other_batch = max(
             others.batch, self._load_table.max_observed_batch(target.target_id) - len(own)
@@ -191,6 +190,9 @@
             self._start_limit(target, is_primary, at_ms),
         )
 
+    def _preemption_key(self, running: RunningItem, now_ms: float) -> tuple[bool, float]:
+        return self._ranking.preemption_key(running.progress, running.item, now_ms)
+
     def _start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
         if is_primary:
             return UNLIMITED
@@ -235,8 +237,8 @@
             for group, group_slots in slots_by_group.items()
             if any(slots.is_accepting for slots in group_slots)
         }
-        running_jobs = (running.progress.job_id for running in self._running.values())
-        return self._waiting_items.select(free_slots, running_jobs)
+        running_items = ((running.progress, running.item) for running in self._running.values())
+        return self._waiting_items.select(free_slots, running_items)
 
     def _stop_unowned(self) -> None:
         for running in self._running.values():
--- a/ebonyshore/runner/job_order.py
+++ b/ebonyshore/runner/job_order.py
@@ -4,9 +4,15 @@
 job would then wait until it is late. Instead, the jobs that can still be completed in time go
 first, as whole jobs. The others get the slots that are left, and a share of all slots while they
 could otherwise not end before their retention time.
+
+Online requests interrupt the items every few seconds. Interrupted items that can still be in time
+therefore go before all others, and the other items of a job that is partly late before late items.
 """
 
 from collections.abc import Sequence
+from enum import IntEnum
+from math import ceil
+from typing import TypeVar
 
 from msgspec import Struct
 
@@ -17,6 +23,8 @@
 LISTING_TIME_MS = 1_000.0  # from the end of an item until callers have read its result
 LATE_SHARE = 0.2  # of the slots, for late jobs that their retention time threatens
 
+Waiting = TypeVar("Waiting")  # represents a waiting item
+
 
 class JobDemand(Struct, frozen=True):
     """The unfinished work of one job. Times are milliseconds from now.
@@ -42,20 +50,19 @@
 
     :param job_ids: ids of all jobs, first the one whose items start first.
     :param late: ids of the jobs that are not expected to be completed in time.
-    :param is_late_first: whether the late jobs go before the others.
+    :param late_slots: number of slots in which late items run before all others.
     """
 
     job_ids: tuple[str, ...]
     late: frozenset[str] = frozenset()
-    is_late_first: bool = False
+    late_slots: int = 0
 
 
-def order_jobs(jobs: Sequence[JobDemand], slots: float, late_running: int = 0) -> JobOrder:
+def order_jobs(jobs: Sequence[JobDemand], slots: float) -> JobOrder:
     """Return the order in which the items of the jobs start.
 
     :param jobs: the unfinished jobs.
     :param slots: number of slots that these jobs can use together.
-    :param late_running: number of running items of jobs that were late before.
     """
     slots = max(1.0, slots)
     punctual = _select_punctual(jobs, slots)
@@ -65,26 +72,67 @@
         key=lambda job: job.retention_in_ms,
     )
     late_slots = LATE_SHARE * slots
-    is_late_first = late_running < late_slots and _is_threatened(late, late_slots)
-    ordered = [*late, *punctual] if is_late_first else [*punctual, *late]
     return JobOrder(
-        tuple(job.job_id for job in ordered),
+        tuple(job.job_id for job in (*punctual, *late)),
         frozenset(job.job_id for job in late),
-        is_late_first,
+        ceil(late_slots) if _is_threatened(late, late_slots) else 0,
     )
 
 
-def item_rank(order: JobOrder, job_id: str, has_progress: bool) -> tuple[bool, bool]:
-    """Return a sort key of an item that goes before the place of its job in the order.
+def can_be_in_time(due_in_ms: float, needed_ms: float) -> bool:
+    """Return whether an item is still in time if it runs from now on.
+
+    :param due_in_ms: time until the results of its job are due.
+    :param needed_ms: slot time that the item still needs.
+    """
+    return needed_ms + LISTING_TIME_MS <= due_in_ms
+
 
-    Among punctual jobs, and among late ones, the items that have been interrupted go first.
-    Online requests interrupt items every few seconds. If others took their slots each time, the
-    work would be spread over many unfinished items, and all of it would be lost with the process.
+class ItemRank(IntEnum):
+    """The parts into which waiting items are divided; lower ones start first."""
 
+    INTERRUPTED = 0  # can be in time and has run
+    PUNCTUAL_JOB = 1  # of a job that is expected to be completed in time
+    IN_TIME = 2  # can be in time, of a job that is late as a whole
+    LATE = 3
+
+
+def item_rank(order: JobOrder, job_id: str, is_in_time: bool, has_progress: bool) -> ItemRank:
+    """Return the part that an item starts in; within it, interrupted items and then jobs decide.
+
+    :param is_in_time: whether the item can be in time, see :func:`can_be_in_time`.
     :param has_progress: whether the item has been interrupted after its first event.
     """
-    is_in_second_part = (job_id in order.late) != order.is_late_first
-    return is_in_second_part, not has_progress
+    if is_in_time and has_progress:
+        return ItemRank.INTERRUPTED
+    if job_id not in order.late:
+        return ItemRank.PUNCTUAL_JOB
+    return ItemRank.IN_TIME if is_in_time else ItemRank.LATE
+
+
+def move_late_ahead(items: Sequence[Waiting], first_late: int, late_starts: int) -> list[Waiting]:
+    """Return the waiting items with some of the late ones moved to the front.
+
+    After a burst of online requests many slots are free at once, and late items must not take them
+    all. The number that goes ahead is therefore limited.
+
+    :param items: waiting items by rank.
+    :param first_late: index of the first one with the rank ``LATE``.
+    :param late_starts: number of late items that go ahead.
+    """
+    end = first_late + max(0, late_starts)
+    return [*items[first_late:end], *items[:first_late], *items[end:]]
+
+
+def preemption_key(is_in_time: bool, slot_ms: float) -> tuple[bool, float]:
+    """Return a sort key of a running item; the last ones are preempted first.
+
+    Work that is nearly completed is kept, since its slot would else be taken again later.
+
+    :param is_in_time: whether the item can be in time.
+    :param slot_ms: time for which it has occupied a slot.
+    """
+    return not is_in_time, -slot_ms
 
 
 def _select_punctual(jobs: Sequence[JobDemand], slots: float) -> list[JobDemand]:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -7,7 +7,16 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.runner.admission_policy import RunnerWork
 from ebonyshore.runner.completion_rate import CompletionRate
-from ebonyshore.runner.job_order import JobDemand, JobOrder, item_rank, order_jobs
+from ebonyshore.runner.job_order import (
+    ItemRank,
+    JobDemand,
+    JobOrder,
+    can_be_in_time,
+    item_rank,
+    move_late_ahead,
+    order_jobs,
+    preemption_key,
+)
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
 from ebonyshore.runner.job_registry import JobRegistry
 
@@ -37,7 +46,15 @@
     :param completions: slots that this runner can use, and the slot time of an item.
     """
 
-    __slots__ = ("_clock", "_completions", "_next_ms", "_order", "_ranks", "_registry")
+    __slots__ = (
+        "_clock",
+        "_completions",
+        "_due_ms",
+        "_next_ms",
+        "_order",
+        "_ranks",
+        "_registry",
+    )
 
     def __init__(self, registry: JobRegistry, completions: CompletionRate, clock: Clock) -> None:
         self._registry = registry
@@ -45,27 +62,27 @@
         self._clock = clock
         self._order = JobOrder(())
         self._ranks: dict[str, int] = {}
+        self._due_ms: dict[str, float] = {}  # event loop time at which the results are due
         self._next_ms = float("-inf")
 
     def is_late(self, job_id: str) -> bool:
         """Return whether a job is not expected to be completed in time."""
         return job_id in self._order.late
 
-    def update(self, running_jobs: Iterable[str], now_ms: float) -> None:
+    def update(self, now_ms: float) -> None:
         """Compute the order again if it is outdated.
 
-        :param running_jobs: the job id of each running item.
         :param now_ms: current time of the event loop.
         """
         if now_ms < self._next_ms:
             return
         self._next_ms = now_ms + RANKING_INTERVAL_MS
-        late_running = sum(job_id in self._order.late for job_id in running_jobs)
         demands = [
             self._demand(job, now_ms) for job in self._registry.owned_jobs() if job.open_count
         ]
-        self._order = order_jobs(demands, self._completions.slots, late_running)
+        self._order = order_jobs(demands, self._completions.slots)
         self._ranks = {job_id: rank for rank, job_id in enumerate(self._order.job_ids)}
+        self._due_ms = {demand.job_id: now_ms + demand.due_in_ms for demand in demands}
 
     def own_work(self) -> RunnerWork:
         """Return the amount of this runner's work, and the rate at which it can be completed."""
@@ -76,18 +93,43 @@
             self._completions.tokens_per_ms(),
         )
 
-    def sort_items(self, items: list[WaitingItem]) -> list[WaitingItem]:
+    def sort_items(
+        self,
+        items: Iterable[WaitingItem],
+        running: Iterable[tuple[JobProgress, Item]],
+        now_ms: float,
+    ) -> list[WaitingItem]:
         """Return waiting items in the order in which they start.
 
         Items of jobs that became known since the order was computed come last in their part.
-        """
-        return sorted(items, key=self._sort_key)
 
-    def _sort_key(self, waiting: WaitingItem) -> tuple[bool, bool, int, int]:
+        :param running: the running items, each with its job.
+        """
+        keys = {waiting.key: self._sort_key(waiting, now_ms) for waiting in items}
+        ordered = sorted(items, key=lambda waiting: keys[waiting.key])
+        first_late = sum(key[0] is not ItemRank.LATE for key in keys.values())
+        late_running = sum(not self._is_in_time(job, item, now_ms) for job, item in running)
+        return move_late_ahead(ordered, first_late, self._order.late_slots - late_running)
+
+    def preemption_key(
+        self, progress: JobProgress, item: Item, now_ms: float
+    ) -> tuple[bool, float]:
+        """Return a sort key of a running item; the last ones are preempted first."""
+        return preemption_key(self._is_in_time(progress, item, now_ms), item.slot_ms(now_ms))
+
+    def _sort_key(self, waiting: WaitingItem, now_ms: float) -> tuple[ItemRank, bool, int, int]:
         job_id, item = waiting.progress.job_id, waiting.item
         has_progress = item.last_event_id is not None
+        is_in_time = self._is_in_time(waiting.progress, item, now_ms)
+        part = item_rank(self._order, job_id, is_in_time, has_progress)
         job_rank = self._ranks.get(job_id, len(self._ranks))
-        return *item_rank(self._order, job_id, has_progress), job_rank, item.index
+        return part, not has_progress, job_rank, item.index
+
+    def _is_in_time(self, progress: JobProgress, item: Item, now_ms: float) -> bool:
+        due_ms = self._due_ms.get(progress.job_id)
+        if due_ms is None:
+            return True  # the job became known since the order was computed
+        return can_be_in_time(due_ms - now_ms, self._needed_ms(progress, item, now_ms))
 
     def _demand(self, progress: JobProgress, now_ms: float) -> JobDemand:
         record = progress.record
--- a/ebonyshore/runner/waiting_items.py
+++ b/ebonyshore/runner/waiting_items.py
@@ -60,19 +60,21 @@
         self._random = random
 
     def select(
-        self, free_slots: Mapping[TargetGroup, int], running_jobs: Iterable[str]
+        self,
+        free_slots: Mapping[TargetGroup, int],
+        running: Iterable[tuple[JobProgress, Item]],
     ) -> dict[TargetGroup, dict[str, WaitingItem]]:
         """Return the items to start by target group and item key, first the one to start first.
 
         There are at most as many as the group has free slots.
 
         :param free_slots: number of free slots of each group with a target that accepts items.
-        :param running_jobs: the job id of each running item.
+        :param running: the running items, each with its job.
         """
         left = dict(free_slots)
-        self._ranking.update(running_jobs, now_ms())
+        self._ranking.update(now_ms())
         found: dict[TargetGroup, dict[str, WaitingItem]] = {}
-        for waiting in self._ranking.sort_items(self._find_waiting(left)):
+        for waiting in self._ranking.sort_items(self._find_waiting(left), running, now_ms()):
             group = self._choose_group(waiting, left)
             if group is not None and self._may_run(waiting.progress, waiting.item):
                 if waiting.item.origin not in (None, group):
