Store the events of unfinished items for the next owner of their job

Cause: an interrupted item keeps its events in the memory of its runner. Bursts of online requests interrupt all items every 6.6 s, so most of the work is unfinished when runners are lost.

Change: ItemSaver stores the events of interrupted items, one object a job, after 1 s of unsaved work, and all before a planned stop. A new owner restores them if the job was received at the same time and the item has the same content. All runners share 30 writes a second.

--- a/ebonyshore/runner/job_claims.py
+++ b/ebonyshore/runner/job_claims.py
@@ -6,7 +6,7 @@
 
 from asyncio import Task, create_task
 
-from msgspec import Struct
+from msgspec import DecodeError, Struct
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError, WriteConflictError
@@ -17,6 +17,7 @@
 from ebonyshore.runner.item_plan import preferred_runner
 from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_registry import JobRegistry, KnownJob
+from ebonyshore.runner.saved_items import restore_items
 
 CLAIM_RETRY_DELAY_MS = 500.0
 MAX_FENCE_ATTEMPTS = 5
@@ -131,6 +132,8 @@
                 registry.storage.claim, stored, registry.own_id, registry.incarnation
             )
             registry.update_record(claimed)
+        if claimed.body.epoch > 1:
+            await self._restore_items(progress)
         await self._start_epoch(progress, claimed.body.epoch, stored.body.owner)
         self._log.event(
             "job_claimed",
@@ -139,6 +142,21 @@
             epoch=stored.body.epoch,
         )
 
+    async def _restore_items(self, progress: JobProgress) -> None:
+        """Let items go on after the events that a previous owner has stored.
+
+        If these cannot be read the items start again.
+        """
+        registry = self._registry
+        try:
+            saved = await registry.run_blocking(registry.storage.read_saved_items, progress.job_id)
+        except (StoreError, DecodeError) as error:
+            self._log.event("items_not_restored", job=progress.job_id, error=str(error))
+            return
+        restored = restore_items(progress, saved) if saved is not None else 0
+        if restored:
+            self._log.event("items_restored", job=progress.job_id, items=restored)
+
     async def _start_epoch(self, progress: JobProgress, epoch: int, previous_owner: str) -> None:
         """Make sure that no previous owner can list results of a claimed job any more.
 
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -50,6 +50,7 @@
     :ivar run_started_ms: event loop time at which the present run started; ``None`` if the item is
         not running.
     :ivar run_ended_ms: event loop time at which the last run ended.
+    :ivar saved_slot_ms: the part of the time in slots whose events are stored.
     :ivar ended_runs_ms: time for which the runs that have ended occupied a slot, without those
         whose events were discarded.
     """
@@ -69,6 +70,7 @@
         "origin",
         "run_ended_ms",
         "run_started_ms",
+        "saved_slot_ms",
         "state",
     )
 
@@ -88,6 +90,7 @@
         self.run_started_ms: float | None = None
         self.run_ended_ms = float("-inf")
         self.ended_runs_ms = 0.0
+        self.saved_slot_ms = 0.0
 
     def add_event(self, event_id: int, data: str, origin: TargetGroup) -> None:
         """Add an event that a target of the given group sent."""
@@ -103,6 +106,18 @@
         self.last_event_id = None
         self.origin = None
         self.ended_runs_ms = 0.0
+        self.saved_slot_ms = 0.0
+
+    def restore_events(
+        self, last_event_id: int, data: str, origin: TargetGroup, slot_ms: float
+    ) -> None:
+        """Set the events of an item without events to those that a previous owner has stored.
+
+        :param data: data of the events, joined by line feeds.
+        :param slot_ms: time for which the item has occupied a slot.
+        """
+        self.add_event(last_event_id, data, origin)
+        self.ended_runs_ms = self.saved_slot_ms = slot_ms
 
     def slot_ms(self, now_ms: float) -> float:
         """Return for how long the item has occupied a slot, over all its runs by this process."""
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -9,21 +9,26 @@
 from hashlib import blake2b
 
 from msgspec import structs
+from msgspec.json import Decoder, encode
 
 from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
 from ebonyshore.host.job_types import BodyPart, JobRecord, ResultSegment
+from ebonyshore.runner.saved_items import SavedItems
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION, StoredObject
 
 JOBS_KIND = "jobs"
 PARTS_KIND = "jobbodies"
 SEGMENTS_KIND = "jobresults"
+SAVED_ITEMS_KIND = "jobitems"
 # Limit for all bodies of a job together. All runners watch the job records, so larger bodies are
 # stored separately and read on demand.
 MAX_INLINE_BODY_BYTES = 64_000
 MAX_PART_BYTES = 600_000  # base64 adds a third; the store's limit for one object is 1 MB
 MAX_UNHASHED_ID_LENGTH = 64  # characters
 
+_SAVED_ITEMS_DECODER = Decoder(SavedItems)
+
 
 def job_object_name(job_id: str) -> str:
     """Return the object name of a job.
@@ -147,8 +152,35 @@
         """
         self._store.create(_segment_key(job_id, number), segment)
 
+    def save_items(self, job_id: str, saved: SavedItems, version: int) -> int:
+        """Store the unfinished items of a job in place of those stored before.
+
+        The outcome of a write whose response was lost is not determined: any stored state is valid.
+
+        :param version: version of the object as it was last written or read.
+        :return: the new version.
+        :raises WriteConflictError: if the object has another version.
+        """
+        return self._store.store.put(_saved_items_key(job_id), encode(saved), version)
+
+    def saved_items_version(self, job_id: str) -> int:
+        """Return the version of the stored unfinished items."""
+        found = self._store.store.get(_saved_items_key(job_id))
+        return ABSENT_VERSION if found is None else found.version
+
+    def read_saved_items(self, job_id: str) -> SavedItems | None:
+        """Return the stored unfinished items of a job, or ``None`` if there are none.
+
+        :raises DecodeError: if the object does not hold them.
+        """
+        found = self._store.store.get(_saved_items_key(job_id))
+        if found is None or found.value is None:
+            return None
+        return _SAVED_ITEMS_DECODER.decode(found.value)
+
     def delete(self, record: JobRecord) -> None:
-        """Delete the segments and bodies of a job, and then its record."""
+        """Delete the segments, bodies and saved items of a job, and then its record."""
+        self._delete_object(_saved_items_key(record.job_id))
         number = 0
         while self._delete_object(_segment_key(record.job_id, number)):
             number += 1
@@ -193,5 +225,9 @@
     return f"{PARTS_KIND}/{job_object_name(job_id)}.{number}"
 
 
+def _saved_items_key(job_id: str) -> str:
+    return f"{SAVED_ITEMS_KIND}/{job_object_name(job_id)}"
+
+
 def _segment_key(job_id: str, number: int) -> str:
     return f"{SEGMENTS_KIND}/{job_object_name(job_id)}.{number}"
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -5,6 +5,7 @@
 from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.host_environment import HostEnvironment
@@ -14,6 +15,7 @@
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
+from ebonyshore.runner.item_saver import ItemSaver
 from ebonyshore.runner.item_scheduler import ItemScheduler
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_api import JobApi
@@ -32,6 +34,7 @@
 
 MAX_STEP_INTERVAL_MS = 100.0
 MIN_STEP_INTERVAL_MS = 4.0
+MAX_SAVE_TIME_MS = 1_000.0  # that a runner which stops spends on storing unfinished items
 # Pause between two watches of the job records, which saves calls to the store. The owner of a new
 # job receives it by a call, so only the other runners depend on the watch.
 JOBS_WATCH_PAUSE_MS = 300.0
@@ -54,6 +57,7 @@
         claims: JobClaims,
         item_scheduler: ItemScheduler,
         writer: ResultWriter,
+        saver: ItemSaver,
         admission: JobAdmission,
         load: LoadService,
         peer_monitor: PeerMonitor,
@@ -63,6 +67,7 @@
         self._claims = claims
         self._item_scheduler = item_scheduler
         self._writer = writer
+        self._saver = saver
         self._admission = admission
         self._load = load
         self._peer_monitor = peer_monitor
@@ -93,13 +98,21 @@
         self._load.schedule_report()
 
     async def hand_over(self) -> None:
-        """Stop all items, store the pending results and release the unfinished jobs."""
+        """Stop all items, store results and unfinished items, and release the unfinished jobs."""
         self._item_scheduler.stop_all()
         while not self._writer.is_idle:
             self._writer.start_due_writes(is_urgent=True)
             await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
+        await self._save_items()
         await self._claims.release_jobs()
 
+    async def _save_items(self) -> None:
+        """Store the unfinished items, but do not wait for a store that does not respond."""
+        deadline_ms = now_ms() + MAX_SAVE_TIME_MS
+        while not self._saver.is_idle() and now_ms() < deadline_ms:
+            self._saver.step(is_urgent=True)
+            await sleep(MIN_STEP_INTERVAL_MS / MS_PER_S)
+
     async def _run_loop(self) -> None:
         while True:
             try:
@@ -113,6 +126,7 @@
                 self._claims.claim_unowned_jobs()
                 self._item_scheduler.schedule_items()
                 self._writer.start_due_writes()
+                self._saver.step()
                 self._admission.step()
             except Exception as error:  # noqa: BLE001 - a failure in one job must not stop others
                 self._log.event("runner_step_failed", error=repr(error))
@@ -177,9 +191,10 @@
         environment.random,
     )
     writer = ResultWriter(registry, clock, log, metrics)
+    saver = ItemSaver(registry, load_table, log, metrics)
     peer_monitor = PeerMonitor(parts.peers, load_table, parts.registration, clock, log)
     runner = RunnerService(
-        registry, claims, item_scheduler, writer, admission, load, peer_monitor, log
+        registry, claims, item_scheduler, writer, saver, admission, load, peer_monitor, log
     )
     kernel = AsyncKernel()
     kernel.register(load)
--- a/tests/registry_setup.py
+++ b/tests/registry_setup.py
@@ -37,6 +37,9 @@
         self.reads += 1
         return self.stored[first:]
 
+    def read_saved_items(self, _job_id):
+        return None
+
     def delete(self, record):
         self.deleted.append(record.job_id)
 
@@ -49,14 +52,14 @@
 
 
 class RegistrySetup:
-    """The registry of runner ``a`` with one job, and the load table on which ownership depends."""
+    """The registry of a runner with one job, and the load table on which ownership depends."""
 
-    def __init__(self, owner="a", retention_ms=1.0, epoch=0, storage=None, items=ITEMS):
+    def __init__(self, owner="a", retention_ms=1.0, epoch=0, storage=None, items=ITEMS, own_id="a"):
         self.clock = ManualClock(10_000.0)
-        self.load_table = LoadTable("a")
+        self.load_table = LoadTable(own_id)
         self.storage = storage or CountingStorage()
         self.registry = JobRegistry(
-            "a",
+            own_id,
             "run-1",
             self.storage,
             self.load_table,
