Give the signs of life of runners a kind that only runners watch

Cause: a runner that is out of contact with another one renewed its peer record once a second, and every process watches the peer records. A lost runner cost one call per process for each renewal of each other runner, until its record was removed after 12 s. On real processes: with three entries and one live runner, 16 watches of the peer records in 4 s.

Change: renewals are objects of their own kind, which only runners watch. A renewal of a process that was started again since is no sign of life.

--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -1,10 +1,10 @@
 """Discovery of the other processes: each process writes a record of itself to the store."""
 
 from collections.abc import Callable, Sequence
-from concurrent.futures import Executor, Future
+from concurrent.futures import Executor
 from typing import Literal
 
-from msgspec import DecodeError, Struct, structs
+from msgspec import DecodeError, Struct
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError
@@ -26,7 +26,6 @@
     :param port: UDP port for load messages; for a runner also the TCP port for job calls.
     :param failure_domain: failure domain of the process.
     :param incarnation: run of the process.
-    :param renewals: increases with each :meth:`Registration.renew`.
     """
 
     instance_id: str
@@ -35,7 +34,6 @@
     port: int
     failure_domain: str
     incarnation: str
-    renewals: int = 0
 
 
 class PeerDirectory(KindListener):
@@ -129,7 +127,6 @@
         self._log = log
         self._executor = executor
         self._is_stopped = False
-        self._renewal: Future[None] | None = None
 
     def start(self) -> None:
         """Write the record of this process.
@@ -143,17 +140,6 @@
         """Stop retrying to write the record."""
         self._is_stopped = True
 
-    def renew(self) -> None:
-        """Write the record again, to show that this process is running and can reach the store.
-
-        Has no effect while an earlier renewal is still in progress. Failures are logged and not
-        retried.
-        """
-        if self._renewal is not None and not self._renewal.done():
-            return
-        self._own = structs.replace(self._own, renewals=self._own.renewals + 1)
-        self._renewal = self._executor.submit(self._renew)
-
     def remove(self, peer: PeerRecord) -> None:
         """Remove the record of a lost process, unless the record has changed in the meantime.
 
@@ -163,12 +149,6 @@
         """
         self._executor.submit(self._remove, peer)
 
-    def _renew(self) -> None:
-        try:
-            self._write_own()
-        except StoreError as error:
-            self._log.event("renewal_failed", error=str(error))
-
     def _remove(self, peer: PeerRecord) -> None:
         key = f"{PEERS_KIND}/{peer.instance_id}"
         try:
--- a/ebonyshore/runner/claim_policy.py
+++ b/ebonyshore/runner/claim_policy.py
@@ -1,7 +1,7 @@
 """Decides when a runner may take over a batch job. Pure functions without I/O.
 
 An owner that has lost contact with the other runners but still reaches the store keeps renewing its
-peer record there, and a runner that has just claimed a job has shown that it reaches the store.
+sign of life there, and a runner that has just claimed a job has shown that it reaches the store.
 Both count as activity of the owner, so two runners that receive no reports from each other do not
 take a job from each other in turn.
 """
@@ -17,7 +17,7 @@
 class OwnerActivity(Struct, frozen=True):
     """The latest activity of a job's owner that this runner has seen. Times are of the boot clock.
 
-    :param last_active_ms: time of the owner's last load report or renewal of its peer record; the
+    :param last_active_ms: time of the owner's last load report or renewal in the store; the
         start of this runner if there was none.
     :param last_record_change_ms: time at which the job record was last seen to change.
     :param incarnation: incarnation of the owner in its last report or renewal; empty if there was
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -13,6 +13,7 @@
 from ebonyshore.host.process import SharedComponents, run_process
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
+from ebonyshore.link.renewals import RENEWALS_KIND, RenewalListener, RenewalWriter
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
 from ebonyshore.runner.item_saver import ItemSaver
@@ -38,6 +39,7 @@
 # Pause between two watches of the job records, which saves calls to the store. The owner of a new
 # job receives it by a call, so only the other runners depend on the watch.
 JOBS_WATCH_PAUSE_MS = 300.0
+RENEWALS_WATCH_PAUSE_MS = 200.0  # with RENEW_INTERVAL_MS below OWNER_TIMEOUT_MS
 
 
 class RunnerService(AsyncService):
@@ -192,7 +194,16 @@
     )
     writer = ResultWriter(registry, clock, log, metrics)
     saver = ItemSaver(registry, load_table, log, metrics)
-    peer_monitor = PeerMonitor(parts.peers, load_table, parts.registration, clock, log)
+    renewal_listener = RenewalListener(settings.instance_id, environment.marked_store, log)
+    peer_monitor = PeerMonitor(
+        parts.peers,
+        load_table,
+        parts.registration,
+        RenewalWriter(parts.peers.own, environment.marked_store, log, environment.executor),
+        renewal_listener,
+        clock,
+        log,
+    )
     runner = RunnerService(
         registry, claims, item_scheduler, writer, saver, admission, load, peer_monitor, log
     )
@@ -201,7 +212,12 @@
     kernel.register(parts.probe)
     kernel.register(parts.crash_guard)
     kernel.register(
-        parts.watch_service(_make_watches(environment, parts, registry, runner, load_table))
+        parts.watch_service(
+            [
+                *_make_watches(environment, parts, registry, runner, load_table),
+                parts.make_watch(RENEWALS_KIND, renewal_listener, RENEWALS_WATCH_PAUSE_MS),
+            ]
+        )
     )
     kernel.register(runner)
     storage = ConvictionStorage(environment.store, environment.marked_store, log)
