Let the soak submit jobs of long items and count restored jobs

Items of 25 events end within 0.2 s, so that a runner which stopped or was killed hardly ever had events to store. One job in four now has items of 400 events.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -117,6 +117,9 @@
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
+        checker.counts["jobs_restored"] = sum(
+            runner.read_log().count("event=items_restored") for runner in fleet.runners
+        )
     finally:
         fleet.stop()
         for proxy in [store_proxy, *target_proxies]:
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -31,6 +31,9 @@
 CRASHING_BODY = b"crashes its targets"
 CALL_TIMEOUT_S = 6.0
 SHORT_JOB = JobSize(items=8, events=25)
+# Its items run long enough that a runner which stops has stored events of them.
+LONG_JOB = JobSize(items=4, events=400)
+LONG_JOB_INTERVAL = 4  # one of so many jobs that are not cancelled is a long one
 # Large enough that items are still waiting when the cancellation takes effect.
 JOB_TO_CANCEL = JobSize(items=150, events=400)
 MAX_SUBMIT_ATTEMPTS = 8
@@ -195,10 +198,12 @@
 
     def _run_job_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.2, 0.8)):
-            job_id = f"job{next(self._request_numbers)}"
+            number = next(self._request_numbers)
+            job_id = f"job{number}"
             will_cancel = random.random() < CANCEL_RATIO
+            size = SHORT_JOB if number % LONG_JOB_INTERVAL else LONG_JOB
             if not self._submit_with_retries(
-                random, job_id, JOB_TO_CANCEL if will_cancel else SHORT_JOB
+                random, job_id, JOB_TO_CANCEL if will_cancel else size
             ):
                 continue
             if will_cancel:
