--- a/ebonyshore_standins/batch_faults.py
+++ b/ebonyshore_standins/batch_faults.py
@@ -16,9 +16,9 @@
     MODELS,
     POISON_MARKER,
     BatchSimulation,
-    SimulationClock,
 )
 from ebonyshore_standins.engine_model import expected_text
+from ebonyshore_standins.simulation_clock import SimulationClock
 
 COMPLETION_TIMEOUT_MS = 1_200_000.0
 MAX_START_AFTER_CANCEL_MS = 10_000.0
--- a/ebonyshore_standins/batch_simulation_entry.py
+++ b/ebonyshore_standins/batch_simulation_entry.py
@@ -24,6 +24,7 @@
 from ebonyshore.store.platform_api import ObjectStore, ObjectSummary, StoredObject, WatchResult
 from ebonyshore_standins.batch_simulation_agent import MODELS, SimulatedAgent
 from ebonyshore_standins.batch_simulation_base import BatchSimulationBase, EntryLinkBase
+from ebonyshore_standins.simulation_clock import SimulationClock
 
 AGENT_SILENCE_MS = 3_000.0
 LOAD_REPORT_INTERVAL_MS = 500.0
@@ -253,8 +254,6 @@
 
     def start(self) -> None:
         """Start a new process, without any state of the former one."""
-        from ebonyshore_standins.batch_simulation import SimulationClock
-
         simulation = self.simulation
         settings = simulation.settings
         self.process_number += 1
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -11,7 +11,8 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.store.lease import DEFAULT_LEASE_INTERVAL_MS, Lease
 from ebonyshore.store.marked_write import MarkedStore
-from ebonyshore_standins.batch_simulation import CHAT_PATH, BatchSimulation, SimulationClock
+from ebonyshore_standins.batch_simulation import CHAT_PATH, BatchSimulation
+from ebonyshore_standins.simulation_clock import SimulationClock
 
 ITEMS = 100
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -16,7 +16,8 @@
 from ebonyshore.frame.result_codes import Execution, ResultCode
 from ebonyshore.settings.settings_store import SettingsStore
 from ebonyshore.store.marked_write import MarkedStore
-from ebonyshore_standins.batch_simulation import CHAT_PATH, BatchSimulation, SimulationClock
+from ebonyshore_standins.batch_simulation import CHAT_PATH, BatchSimulation
+from ebonyshore_standins.simulation_clock import SimulationClock
 
 ITEMS = 100
 
