Watch the job records once a second

Callers saw: nothing; calls to the store are the dearest price on the large site.

Cause: every runner watches the job records, with a pause of 300 ms, so that at three jobs a second and more each job costs one call of every runner. On real processes two runners made 30 watches for 15 jobs in 5.5 s.

Change: a pause of 1 s. A runner needs the record of another runner's job at the earliest 1.5 s after that one's last sign of life. Jobs that a stopping runner releases are claimed up to 0.7 s later than before; a cancelled job of a runner that was not called itself ends up to 0.7 s later, within CancelMs.

Result: at most one watch a second and runner; the test fails on the code before.

--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -37,8 +37,9 @@
 MIN_STEP_INTERVAL_MS = 4.0
 MAX_SAVE_TIME_MS = 1_000.0  # that a runner which stops spends on storing unfinished items
 # Pause between two watches of the job records, which saves calls to the store. The owner of a new
-# job receives it by a call, so only the other runners depend on the watch.
-JOBS_WATCH_PAUSE_MS = 300.0
+# job receives it by a call. Other runners need the record only when they may claim the job, that is
+# OWNER_TIMEOUT_MS after its owner's last sign of life, or when the owner releases it.
+JOBS_WATCH_PAUSE_MS = 1_000.0
 RENEWALS_WATCH_PAUSE_MS = 200.0  # with RENEW_INTERVAL_MS below OWNER_TIMEOUT_MS
 
 
--- a/tests/test_renewals.py
+++ b/tests/test_renewals.py
@@ -12,7 +12,6 @@
 from ebonyshore.runner.peer_monitor import RENEW_INTERVAL_MS, PeerMonitor
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import StoredObject
-from ebonyshore_standins.platform_fleet import PlatformFleet
 
 KEY = f"{RENEWALS_KIND}/b"
 
@@ -123,28 +122,3 @@
     assert setup.store.get(KEY) is None
     setup.listener.on_changes([StoredObject(KEY, 9, None)])
     assert not setup.listener.is_known("b")
-
-
-@pytest.fixture
-def fleet(tmp_path):
-    platform_fleet = PlatformFleet(tmp_path, entries=3)
-    try:
-        platform_fleet.start()
-        yield platform_fleet
-    finally:
-        platform_fleet.stop()
-
-
-def test_lost_runner_costs_the_entries_no_calls_to_the_store(fleet):
-    """Guards against a call by each entry for each sign of life of the other runners."""
-    fleet.runners[1].kill()
-    SystemClock().sleep_ms(1_500.0)
-    watches = []
-
-    def count(method, path):
-        if method == "GET" and "/processes" in path and "Watch=" in path:
-            watches.append(path)
-
-    fleet.platform.fault_hook = count
-    SystemClock().sleep_ms(4_000.0)
-    assert len(watches) <= len(fleet.processes)
--- /dev/null
+++ b/tests/test_store_calls.py
@@ -0,0 +1,57 @@
+"""Calls to the store that grow with the number of processes, counted on real processes."""
+
+import pytest
+
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore_standins.fleet_client import read_job, submit_job
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+
+CLOCK = SystemClock()
+JOBS = 15
+JOB_INTERVAL_MS = 350.0
+MAX_JOB_WATCHES_PER_S = 1.0  # of each runner
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    platform_fleet = PlatformFleet(tmp_path, entries=3)
+    try:
+        platform_fleet.start()
+        yield platform_fleet
+    finally:
+        platform_fleet.stop()
+
+
+def count_watches(fleet, kind):
+    """Count the watches of a kind from now on; return the list that they are added to."""
+    watches = []
+
+    def count(method, path):
+        if method == "GET" and f"/{kind}?" in path and "Watch=" in path:
+            watches.append(path)
+
+    fleet.platform.fault_hook = count
+    return watches
+
+
+def test_lost_runner_costs_the_entries_no_calls_to_the_store(fleet):
+    """Guards against a call by each entry for each sign of life of the other runners."""
+    fleet.runners[1].kill()
+    CLOCK.sleep_ms(1_500.0)
+    watches = count_watches(fleet, "processes")
+    CLOCK.sleep_ms(4_000.0)
+    assert len(watches) <= len(fleet.processes)
+
+
+def test_job_costs_the_other_runners_less_than_a_call_each(fleet):
+    """Guards against a call by each runner for each job of the fleet."""
+    watches = count_watches(fleet, "jobs")
+    started_ms = CLOCK.monotonic_ms()
+    for number in range(JOBS):
+        assert submit_job(fleet.entries[0], f"j{number}", items=2) == 202
+        CLOCK.sleep_ms(JOB_INTERVAL_MS)
+    wait_until(lambda: len(read_job(fleet.entries[0], f"j{JOBS - 1}")[1]["Results"]) == 2)
+    duration_s = (CLOCK.monotonic_ms() - started_ms) / 1_000.0
+    # The first watch of each runner returns at once.
+    limit = len(fleet.runners) * (MAX_JOB_WATCHES_PER_S * duration_s + 1)
+    assert len(watches) <= limit
