Fill all targets evenly when fewer slots are free than requests are placed

Cause: entries learn of each other's choices some 25 ms later. While any slot was free, all requests were sent to targets with a free slot, so that several queued at one target.

Change: with fewer free slots than concurrent choices (50 ms of arrivals, from the requests at the targets) the weights are those that fill all targets evenly.

--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 LOCAL_TARGET_WEIGHT = 1.5  # for targets in the own failure domain: the network path is shorter
+NEWS_DELAY_MS = 50.0  # until an entry's choices are known to all others, with a margin
 MAX_QUEUE_TIME_SHARE = 0.6  # part of the target latency that a request may spend in a queue
 MIN_RETRY_AFTER_MS = 400.0
 MAX_RETRY_AFTER_MS = 1_500.0
@@ -57,7 +58,21 @@
     return int(capacity * target_latency_ms * MAX_QUEUE_TIME_SHARE / service_time_ms)
 
 
-def choose_target(loads: Sequence[TargetLoad], queue_slots: int, draw: float) -> TargetLoad | None:
+def concurrent_choices(loads: Sequence[TargetLoad], service_time_ms: float) -> float:
+    """Return how many requests get a target before their entries learn of each other's choices.
+
+    As many arrive in this time as leave, so it follows from the requests at the targets.
+
+    :param service_time_ms: mean time for which a request occupies a slot.
+    """
+    if service_time_ms <= 0:
+        return 1.0
+    return max(1.0, sum(load.online for load in loads) * NEWS_DELAY_MS / service_time_ms)
+
+
+def choose_target(
+    loads: Sequence[TargetLoad], queue_slots: int, choices: float, draw: float
+) -> TargetLoad | None:
     """Return the target for a request, or ``None`` if all queues are full.
 
     Free slots are preferred to slots from which a batch item has to be preempted, and those to a
@@ -65,17 +80,42 @@
     date. If all of them took the target with the most free slots, they would overload it, so the
     choice is random, weighted by the number of free slots.
 
+    If there are fewer free slots than concurrent choices, some of the requests have to queue. All
+    targets then get weights that fill them evenly; else every request would be sent to one of the
+    few targets with a free slot, and several would queue there.
+
     :param loads: the candidates. Avoided ones are used only if there are no others.
     :param queue_slots: number of requests that may queue at one target.
+    :param choices: number of concurrent choices, see :func:`concurrent_choices`.
     :param draw: random number between 0 and 1.
     """
     candidates = [load for load in loads if not load.is_avoided] or list(loads)
     for slots_of in (_free_slots, _free_slots_for_online):
-        weights = [max(0, slots_of(load)) * _locality_weight(load) for load in candidates]
-        if any(weights):
-            return _draw_weighted(candidates, weights, draw)
-    weights = [max(0, load.free_slots_for_online + queue_slots) for load in candidates]
-    return _draw_weighted(candidates, weights, draw) if any(weights) else None
+        slots = [max(0, slots_of(load)) for load in candidates]
+        if sum(slots) >= choices:
+            return _draw_weighted(candidates, _weigh(candidates, slots), draw)
+    candidates = [load for load in candidates if load.free_slots_for_online + queue_slots > 0]
+    if not candidates:
+        return None
+    slots = even_shares([load.free_slots_for_online for load in candidates], choices)
+    return _draw_weighted(candidates, _weigh(candidates, slots), draw)
+
+
+def even_shares(free_slots: Sequence[int], requests: float) -> list[float]:
+    """Divide requests among targets so that those which get any have equally many slots left.
+
+    :param free_slots: free slots of each target, negative where requests queue; not empty.
+    :param requests: number of requests to divide; positive.
+    :return: the number of requests for each target.
+    """
+    level = 0.0  # of free slots, once the requests are divided
+    total = 0
+    for count, slots in enumerate(sorted(free_slots, reverse=True), start=1):
+        if count > 1 and slots <= level:
+            break
+        total += slots
+        level = (total - requests) / count
+    return [max(0.0, slots - level) for slots in free_slots]
 
 
 def _free_slots(load: TargetLoad) -> int:
@@ -86,8 +126,12 @@
     return load.free_slots_for_online
 
 
-def _locality_weight(load: TargetLoad) -> float:
-    return LOCAL_TARGET_WEIGHT if load.is_local else 1.0
+def _weigh(loads: Sequence[TargetLoad], slots: Sequence[float]) -> list[float]:
+    """Return the weight of each target for a number of slots, more for local targets."""
+    return [
+        count * (LOCAL_TARGET_WEIGHT if load.is_local else 1.0)
+        for load, count in zip(loads, slots, strict=True)
+    ]
 
 
 def _draw_weighted(
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from ebonyshore.gateway.balance import (
     TargetLoad,
     choose_target,
+    concurrent_choices,
     max_queued_requests,
     retry_after_ms,
 )
@@ -291,7 +292,8 @@
         forwarder = self._forwarder
         loads = forwarder.view.target_loads(targets, now_ms())
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
-        chosen = choose_target(loads, queue_slots, forwarder.random.random())
+        choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
+        chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
         if chosen is None:
             return None
         self._free_slots = chosen.free_slots
