Try each job once when unfinished items cannot be stored at a planned stop

Callers saw: nothing. Found on reading the diff: a runner that stops called a store that does not answer every 4 ms for 1 s, and a job whose object is always refused kept the items of other jobs from being stored.

Cause: the pause after a failure did not hold at a planned stop, and the job with the most work was always chosen again.

Change: a job whose write has failed is left out for 5 s.

Result: one call for the job instead of one each 4 ms; the test fails on the code before.

--- a/ebonyshore/runner/item_saver.py
+++ b/ebonyshore/runner/item_saver.py
@@ -16,15 +16,16 @@
 )
 from ebonyshore.store.platform_api import ABSENT_VERSION
 
-RETRY_DELAY_MS = 1_000.0
+FAILURE_PAUSE_MS = 1_000.0  # until the next job is tried after a failure
+RETRY_DELAY_MS = 5_000.0  # until the same job is tried again
 CHECK_INTERVAL_MS = 200.0  # between two looks for unsaved work
 
 
 class ItemSaver:
     """Writes the unfinished items of one job at a time, first of the job with the most work.
 
-    A write that fails is repeated later or given up: what it would have stored is then done again
-    by the next owner.
+    A write that fails is repeated later; a runner that stops does not wait for that. What is not
+    stored is done again by the next owner.
 
     :param registry: the known jobs.
     :param load_table: tells the number of live runners, which share the rate of writes.
@@ -40,6 +41,7 @@
         self._task: Task[None] | None = None
         self._next_ms = float("-inf")
         self._versions: dict[str, int] = {}  # of the stored objects, by job id
+        self._retry_ms: dict[str, float] = {}  # of the last write that failed, by job id
 
     def is_idle(self) -> bool:
         """Return whether a runner that stops has nothing left to store."""
@@ -61,8 +63,10 @@
         self._task = create_task(self._save(progress))
 
     def _choose_job(self, is_urgent: bool) -> JobProgress | None:
-        jobs = {progress.job_id: progress for progress in self._registry.owned_jobs()}
-        self._versions = {key: known for key, known in self._versions.items() if key in jobs}
+        owned = {progress.job_id: progress for progress in self._registry.owned_jobs()}
+        self._versions = {key: known for key, known in self._versions.items() if key in owned}
+        self._retry_ms = {key: at_ms for key, at_ms in self._retry_ms.items() if at_ms > now_ms()}
+        jobs = {key: progress for key, progress in owned.items() if key not in self._retry_ms}
         work_ms = {
             job_id: unsaved_work_ms(progress, now_ms(), is_urgent)
             for job_id, progress in jobs.items()
@@ -101,5 +105,6 @@
             self._delay(job_id, error)
 
     def _delay(self, job_id: str, error: StoreError) -> None:
-        self._next_ms = now_ms() + RETRY_DELAY_MS
+        self._next_ms = now_ms() + FAILURE_PAUSE_MS
+        self._retry_ms[job_id] = now_ms() + RETRY_DELAY_MS
         self._log.event("items_not_saved", job=job_id, error=str(error))
--- a/tests/test_saved_items.py
+++ b/tests/test_saved_items.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import ResultSegment
 from ebonyshore.host.target import TargetGroup
+from ebonyshore.runner import item_saver
 from ebonyshore.runner.item_saver import ItemSaver
 from ebonyshore.runner.job_progress import ItemState, JobProgress
 from ebonyshore.runner.job_storage import JobStorage
@@ -59,6 +60,17 @@
     return saver
 
 
+def make_failing_setup(object_store):
+    """A store that goes down, and a runner with unsaved work."""
+    failing = FailingStore(object_store)
+    failing.is_down = False
+    setup = make_setup(failing, "b")
+    interrupt(own_progress(setup).items[0])
+    failing.is_down = True
+    failing.calls = 0
+    return failing, setup
+
+
 def take_over(object_store):
     """Let a second runner claim the job of the first; return the job's progress there."""
     setup = make_setup(object_store, "a")
@@ -187,18 +199,27 @@
     assert all(item.last_event_id is None for item in progress.items)
 
 
-def test_write_that_fails_is_repeated(object_store):
-    failing = FailingStore(object_store)
-    failing.is_down = False
-    setup = make_setup(failing, "b")
-    interrupt(own_progress(setup).items[0])
-    failing.is_down = True
+def test_write_that_fails_is_repeated(object_store, monkeypatch):
+    monkeypatch.setattr(item_saver, "RETRY_DELAY_MS", 0.0)
+    failing, setup = make_failing_setup(object_store)
     asyncio.run(save_all(setup))
     failing.is_down = False
     asyncio.run(save_all(setup))
     assert len(setup.storage.read_saved_items("j1").items) == 1
 
 
+def test_runner_that_stops_calls_a_failing_store_once_for_each_job(object_store):
+    """Guards against hundreds of calls to a store that is down."""
+    failing, setup = make_failing_setup(object_store)
+
+    async def stop():
+        saver = await save_all(setup, is_urgent=True)
+        return saver.is_idle()
+
+    assert asyncio.run(stop())
+    assert failing.calls == 1
+
+
 def test_saved_items_are_removed_with_their_job(owner):
     interrupt(own_progress(owner).items[0])
     asyncio.run(save_all(owner))
