Show requests by kind, domain and window, and the bound of batch items

It now has the items completed until the traffic ends beside those that the time in slots would have allowed, and the requests by kind, failure domain and window, with the worth before (--before).

--- a/ebonyshore_report/__main__.py
+++ b/ebonyshore_report/__main__.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore_report.batch_use import read_batch_use
 from ebonyshore_report.day_report import read_day_report
 from ebonyshore_report.errors import ReportError
 from ebonyshore_report.journal import read_runs
@@ -24,16 +25,20 @@
 REPORT_FOLDER = Path("build/report")
 
 
-def read_logged_day(path: Path) -> LoggedDay:
+def read_logged_day(path: Path, before: Path | None = None) -> LoggedDay:
     """Return the report of a day with its log.
 
     :param path: ``DAY.json``, next to ``DAY.log``.
+    :param before: folder with reports of the same names from before a change.
     :raises ReportError: if one of the files cannot be read, or the first is not a day report.
     """
     try:
         day = read_day_report(path)
         with path.with_suffix(".log").open(encoding="utf-8", errors="replace") as lines:
-            return LoggedDay(path.stem, day, RequestLog(lines))
+            log = list(lines)
+        earlier = read_day_report(before / path.name) if before is not None else None
+        batch = read_batch_use(log, day.end_s)
+        return LoggedDay(path.stem, day, RequestLog(log), batch, earlier)
     except OSError as error:
         raise ReportError(str(error)) from error
 
@@ -45,6 +50,7 @@
     folder: Path,
     since: str = "",
     latency_target_ms: float = DEFAULT_LATENCY_TARGET_MS,
+    before: Path | None = None,
 ) -> str:
     """Write ``report.md`` and the plots; return the text.
 
@@ -55,9 +61,10 @@
     :param since: earliest start of the hunts and single runs that count, as ISO 8601 in UTC; all if
         empty.
     :param latency_target_ms: longest latency target of the routes in the days.
+    :param before: folder with reports of the same days from before a change, for a comparison.
     :raises ReportError: if a source file is missing or has another format.
     """
-    logged_days = [read_logged_day(path) for path in days]
+    logged_days = [read_logged_day(path, before) for path in days]
     scores = read_runs(journal, "score")
     hunts = read_runs(journal, "hunt", since)
     day_runs = [*hunts, *read_runs(journal, "run", since)]
@@ -85,6 +92,9 @@
         help="earliest start of the hunts and runs that count, such as 2026-01-31T00:00:00Z",
     )
     parser.add_argument("--latency-target-ms", type=float, default=DEFAULT_LATENCY_TARGET_MS)
+    parser.add_argument(
+        "--before", type=Path, help="folder with reports of the same days from before a change"
+    )
     options = parser.parse_args()
     try:
         print(
@@ -95,6 +105,7 @@
                 options.folder,
                 options.since,
                 options.latency_target_ms,
+                options.before,
             )
         )
     except EbonyshoreError as error:
--- a/ebonyshore_report/day_report.py
+++ b/ebonyshore_report/day_report.py
@@ -15,10 +15,10 @@
 KILL_ALL_KINDS = ("closing", "herd_kill")
 
 
-class Window(Struct, frozen=True):
-    """Requests of a time window of 2 s; a request belongs to the window in which it was first sent.
+class RequestShare(Struct, frozen=True):
+    """A part of the requests of a day and what became of them.
 
-    :param name: second of the day at which the window begins.
+    :param name: what the requests have in common, such as a route.
     :param request_count: number of requests.
     :param in_aim: requests served within their latency target.
     :param late: requests served after their latency target.
@@ -37,6 +37,13 @@
     not_owed: int
     worth: float
 
+
+class Window(RequestShare, frozen=True):
+    """Requests of a time window of 2 s; a request belongs to the window in which it was first sent.
+
+    The name is the second of the day at which the window begins.
+    """
+
     @property
     def start_s(self) -> float:
         """Begin of the window in seconds of the day."""
@@ -63,12 +70,21 @@
     :param served: share of the worth that callers received.
     :param windows: time windows of the day in their order.
     :param events: disruptions of the day.
+    :param kinds: the requests by kind.
+    :param domains: the requests by the failure domain of their callers.
     """
 
     worth: float = field(name="G")
     served: float
     windows: tuple[Window, ...]
     events: tuple[Disruption, ...]
+    kinds: tuple[RequestShare, ...] = field(name="classes", default=())
+    domains: tuple[RequestShare, ...] = field(name="zones", default=())
+
+    @property
+    def end_s(self) -> float:
+        """End of the last window in seconds of the day."""
+        return max((w.start_s for w in self.windows), default=0.0) + _window_length_s(self)
 
 
 class Outage(Struct, frozen=True):
--- a/ebonyshore_report/request_log.py
+++ b/ebonyshore_report/request_log.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from hdrh.histogram import HdrHistogram
+from msgspec import Struct
 
 LOG_LINE = re.compile(
     r"^\s*(?P<at_s>-?[\d.]+) (?P<node>\S+) time_ms=\d+ event=(?P<event>\S+)(?P<rest>.*)"
@@ -14,6 +15,28 @@
 SIGNIFICANT_DIGITS = 3
 
 
+class LogLine(Struct, frozen=True):
+    """One event of a process.
+
+    :param at_s: time in seconds of the day.
+    :param node: name of the instance in the bench.
+    """
+
+    at_s: float
+    node: str
+    event: str
+    fields: dict[str, str]
+
+
+def parse_line(line: str) -> LogLine | None:
+    """Return the event of a line, or ``None`` if the line has another format."""
+    found = LOG_LINE.match(line)
+    if found is None:
+        return None
+    fields = dict(LOG_FIELD.findall(found["rest"]))
+    return LogLine(float(found["at_s"]), found["node"], found["event"], fields)
+
+
 class RequestLog:
     """Request outcomes, latencies and starts of entries in the log of one day.
 
@@ -30,13 +53,9 @@
         self.outcomes: Counter[str] = Counter()
         self.first_event_ms = HdrHistogram(1, MAX_RECORDED_MS, SIGNIFICANT_DIGITS)
         self.entry_starts_s: dict[str, list[float]] = {}
-        for line in lines:
-            line_match = LOG_LINE.match(line)
-            if line_match:
-                fields = dict(LOG_FIELD.findall(line_match["rest"]))
-                self._add_event(
-                    float(line_match["at_s"]), line_match["node"], line_match["event"], fields
-                )
+        for line in map(parse_line, lines):
+            if line is not None:
+                self._add_event(line.at_s, line.node, line.event, line.fields)
 
     def percentile_ms(self, percent: float) -> float:
         """Return a percentile of the time until the first event of a response.
--- a/ebonyshore_report/tables.py
+++ b/ebonyshore_report/tables.py
@@ -5,8 +5,10 @@
 from msgspec import Struct
 
 from ebonyshore_bench.markdown_table import table
+from ebonyshore_report.batch_use import BatchUse
 from ebonyshore_report.day_report import (
     DayReport,
+    RequestShare,
     find_outages,
     on_time_bound,
     on_time_share,
@@ -24,11 +26,15 @@
     """The report of a day with the log of this system's processes.
 
     :param name: name of the report's file without suffix.
+    :param batch: the slots of batch items until the end of the last window.
+    :param before: the report of the same day before a change; ``None`` if there is none.
     """
 
     name: str
     day: DayReport
     log: RequestLog
+    batch: BatchUse
+    before: DayReport | None = None
 
 
 def render_report(
@@ -58,6 +64,9 @@
             *_bound_table(days, latency_target_ms),
         ]
         lines += ["", "## Outcomes of requests", "", *_outcome_table(days)]
+        lines += ["", "## Batch items and what their slots allow", "", *_batch_table(days)]
+        for logged_day in days:
+            lines += ["", f"## Requests of {logged_day.name}", "", *_share_table(logged_day)]
     return "\n".join(lines) + "\n"
 
 
@@ -174,6 +183,54 @@
     return table(head, rows)
 
 
+def _batch_table(days: Sequence[LoggedDay]) -> list[str]:
+    head = ["Day", "Completed", "Possible", "Share", "Time in slots s", "Of an item s"]
+    rows = [
+        [
+            logged_day.name,
+            str(logged_day.batch.completed),
+            str(logged_day.batch.possible),
+            _format_share(logged_day.batch.completed, logged_day.batch.possible),
+            f"{logged_day.batch.slot_s:.0f}",
+            f"{logged_day.batch.item_slot_s:.1f}",
+        ]
+        for logged_day in days
+    ]
+    return table(head, rows)
+
+
+def _share_table(logged_day: LoggedDay) -> list[str]:
+    """Return the requests by kind, failure domain and window, with the worth before a change."""
+    head = ["", "Asked", "In time", "Late", "Refused", "Failed", "Not owed", "Worth", "Before"]
+    day, before = logged_day.day, logged_day.before
+    rows: list[list[str]] = []
+    for prefix, shares, shares_before in (
+        ("", day.kinds, before.kinds if before else ()),
+        ("", day.domains, before.domains if before else ()),
+        ("window ", day.windows, before.windows if before else ()),
+    ):
+        worth_before = {share.name: share.worth for share in shares_before}
+        rows += [_share_row(prefix, share, worth_before.get(share.name)) for share in shares]
+    return table(head, rows)
+
+
+def _share_row(prefix: str, share: RequestShare, worth_before: float | None) -> list[str]:
+    counts = (
+        share.request_count,
+        share.in_aim,
+        share.late,
+        share.refused,
+        share.failed,
+        share.not_owed,
+    )
+    worths = (_format_number(share.worth), _format_number(worth_before))
+    return [prefix + share.name, *map(str, counts), *worths]
+
+
+def _format_share(part: int, total: int) -> str:
+    return f"{part / total:.2f}" if total else "–"
+
+
 def _format_violations(run: Run) -> str:
     violations = [
         f"{day.name}: {rule} {count}"
--- a/tests/test_site_report.py
+++ b/tests/test_site_report.py
@@ -6,10 +6,12 @@
 import pytest
 
 from ebonyshore_report.__main__ import write_report
+from ebonyshore_report.batch_use import BatchUse, read_batch_use
 from ebonyshore_report.day_report import (
     DayReport,
     Disruption,
     Outage,
+    RequestShare,
     Window,
     find_outages,
     on_time_bound,
@@ -132,3 +134,50 @@
     kinds = "core_cut (one_way), retire, closing kill_all"
     assert f"| cut-burst | {kinds} | 3 | s {name}: LOST |" in write()
     assert f"| cut-burst | {kinds} | 2 | none |" in write("2026-01-02")
+
+
+BATCH_LOG = """
+    1.0 storage-1 time_ms=1 event=batch_use open=9 running=8
+    2.0 storage-1 time_ms=1 event=batch_use open=9 running=6
+    2.0 storage-2 time_ms=1 event=batch_use open=9 running=4
+    2.5 storage-1 time_ms=1 event=results_listed results=2 listed=2
+    3.0 storage-2 time_ms=1 event=batch_use open=9 running=4
+    9.0 storage-2 time_ms=1 event=batch_use open=9 running=4
+   11.0 storage-2 time_ms=1 event=batch_use open=9 running=4
+   11.0 storage-2 time_ms=1 event=results_listed results=4 listed=6
+"""
+
+
+def test_slots_of_batch_items_give_the_number_that_was_possible():
+    """Guards against time without work, after a gap of the log, that counts as time in slots."""
+    use = read_batch_use(BATCH_LOG.splitlines(), until_s=10.0)
+    assert use == BatchUse(slot_s=10.0, completed=2, item_slot_s=2.0)
+    assert use.possible == 5
+
+
+def test_day_without_batch_items_has_no_bound():
+    assert read_batch_use([], until_s=10.0).possible == 0
+
+
+def test_report_shows_the_requests_before_and_after_a_change(tmp_path, day):
+    share = RequestShare("ask", 10, 6, 1, 1, 1, 1, 0.75)
+    after = msgspec.structs.replace(day, kinds=(share,), domains=(share,))
+    before = msgspec.structs.replace(
+        after, kinds=(msgspec.structs.replace(share, worth=0.5),), domains=()
+    )
+    (tmp_path / "before").mkdir()
+    for folder, report in ((tmp_path, after), (tmp_path / "before", before)):
+        (folder / "trouble.json").write_bytes(msgspec.json.encode(report))
+    (tmp_path / "trouble.log").write_text(LOG + BATCH_LOG)
+    (tmp_path / "journal").mkdir()
+    text = write_report(
+        tmp_path / "journal",
+        tmp_path,
+        [tmp_path / "trouble.json"],
+        tmp_path / "out",
+        before=tmp_path / "before",
+    )
+    assert "| ask | 10 | 6 | 1 | 1 | 1 | 1 | 0.750 | 0.500 |" in text
+    assert "| ask | 10 | 6 | 1 | 1 | 1 | 1 | 0.750 | – |" in text
+    assert "| window 8 | 20 | 5 | 15 | 0 | 0 | 0 | 0.300 | 0.300 |" in text
+    assert "| trouble | 6 | 6 | 1.00 | 18 | 3.0 |" in text
