Log the parts of a request's prompt

The logs of the prompt part incident cannot tell which hypothesis holds: they name the whole content of a request only. request_ended now names the parts of its prompt (but for the last, which is the request's own).

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -23,7 +23,7 @@
     maybe_executed_response,
     not_executed_response,
 )
-from ebonyshore.host.request_content import content_digest
+from ebonyshore.host.request_content import content_digest, part_digests
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
 from ebonyshore.host.target import Target
@@ -117,6 +117,7 @@
         self._content_digest = content_digest(
             request.headers.get("host") or "", request.method, request.target, request.body
         )
+        self._part_digests = part_digests(request.headers.get_joined(forwarder.names.prompt_parts))
         self._service = forwarder.choose_service(route)
         self._tried_targets: list[str] = []
         self._tried_versions: list[str] = []
@@ -139,6 +140,7 @@
                 "request_ended",
                 request=self._request_id,
                 content=self._content_digest,
+                parts=",".join(self._part_digests),
                 route=self._route.name,
                 outcome=outcome,
                 resumes=self._request.headers.get(self._forwarder.names.resumed_request),
--- a/ebonyshore/host/request_content.py
+++ b/ebonyshore/host/request_content.py
@@ -1,8 +1,12 @@
-"""Identifies the content of a request, which is the same in all its sends."""
+"""Identifies the content of a request, which is the same in all its sends, and its prompt's parts."""
 
 from hashlib import blake2b
 
+from ebonyshore.link.suspicion import PART_DIGEST_PREFIX
+
 DIGEST_BYTES = 8
+MAX_PART_ID_CHARS = 32  # a longer id is replaced by its digest
+MAX_PARTS = 64  # of one prompt that are told apart
 
 
 def content_digest(host: str, method: str, target: str, body: bytes) -> str:
@@ -17,3 +21,24 @@
     digest.update(f"{host.split(':', 1)[0].lower()}\n{method} {target}\n".encode())
     digest.update(body)
     return digest.hexdigest()
+
+
+def part_digests(prompt_parts: str | None) -> tuple[str, ...]:
+    """Return the digests of the parts of a prompt that other requests may have in common with it.
+
+    The last part is left out, as it is the request's own. Of a prompt with more than
+    :data:`MAX_PARTS` others the first ones are returned.
+
+    :param prompt_parts: the parts in order, as comma-separated ``ID:TOKENS``; ``None`` if the
+        request does not name them.
+    """
+    entries = (entry.partition(":")[0].strip() for entry in (prompt_parts or "").split(","))
+    ids = [part_id.lower() for part_id in entries if part_id]
+    digests = dict.fromkeys(PART_DIGEST_PREFIX + _bounded(part_id) for part_id in ids[:-1])
+    return tuple(digests)[:MAX_PARTS]
+
+
+def _bounded(part_id: str) -> str:
+    if len(part_id) <= MAX_PART_ID_CHARS:
+        return part_id
+    return blake2b(part_id.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/ebonyshore/host/wire_names.py
+++ b/ebonyshore/host/wire_names.py
@@ -17,6 +17,8 @@
         received.
     :param resumed_request: header with the id of the attempt that brought the first event of the
         stream which the request continues.
+    :param prompt_parts: header that lists the parts of a request's prompt, see
+        :func:`~ebonyshore.host.request_content.part_digests`.
     :param signature: header that identifies the target that generated a response.
     :param wait_ms: header with the time that a read of results may wait for new ones, in ms.
     :param ready_path: path of the health check.
@@ -35,6 +37,7 @@
     instance_id: str
     last_event_id: str
     resumed_request: str
+    prompt_parts: str
     signature: str
     wait_ms: str
     ready_path: str
--- a/ebonyshore/http/headers.py
+++ b/ebonyshore/http/headers.py
@@ -36,6 +36,12 @@
         wanted = name.lower()
         return next((value for key, value in self._fields if key.lower() == wanted), None)
 
+    def get_joined(self, name: str) -> str | None:
+        """Return all values of a field as one list, or ``None`` if there is no such field."""
+        wanted = name.lower()
+        values = [value for key, value in self._fields if key.lower() == wanted]
+        return ",".join(values) if values else None
+
     def add(self, name: str, value: str) -> None:
         """Append a field; existing fields of the same name stay."""
         self._fields.append((name, value))
--- a/ebonyshore/link/suspicion.py
+++ b/ebonyshore/link/suspicion.py
@@ -24,6 +24,7 @@
 # Processes that find the same target down report it within this time. A later crash of the same
 # listed incarnation is another one: the list may lag, or the first was a silence that ended.
 CRASH_WINDOW_MS = 2_000
+PART_DIGEST_PREFIX = "part:"  # of the digest of a part of a prompt
 
 
 @dataclass(slots=True)
--- a/ebonyshore/platform/wire_names.py
+++ b/ebonyshore/platform/wire_names.py
@@ -11,6 +11,7 @@
     instance_id="Instance-Id",
     last_event_id="Last-Event-Id",
     resumed_request="Resumes",
+    prompt_parts="Prompt-Prefix",
     signature="Server-Signature",
     wait_ms="Wait-Ms",
     ready_path="/ebonyshore/readyz",
