--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
+from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.stream_target import StreamTarget
 
 CLOCK = SystemClock()
@@ -26,10 +27,12 @@
 
     :param body: body of the request that caused it.
     :param at_ms: monotonic time.
+    :param part: id of the part of its prompt that caused it; empty if the whole request did.
     """
 
     body: bytes
     at_ms: float
+    part: str = ""
 
 
 class CrashingTarget(StreamTarget):
@@ -44,6 +47,8 @@
     :param events_before_crash: number of events that a run sends before it crashes the target.
     :ivar on_restart: called on the target's thread each time it serves again after a crash.
     :ivar crashing_bodies: bodies of the requests that crash the target.
+    :ivar crashing_parts: ids of parts of prompts that crash the target, unless they are the last.
+    :ivar arrivals_ms: monotonic times at which requests with such a part arrived, by the part.
     :ivar crashes: the crashes so far.
     """
 
@@ -62,6 +67,8 @@
         self.events_before_crash = events_before_crash
         self.on_restart: Callable[[], None] = lambda: None
         self.crashing_bodies: set[bytes] = set()
+        self.crashing_parts: set[str] = set()
+        self.arrivals_ms: dict[str, list[float]] = {}
         self.crashes: list[Crash] = []
         self._is_down = False
         self._responsive = asyncio.Event()
@@ -73,18 +80,28 @@
     async def _answer(
         self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
-        if body in self.crashing_bodies:
+        part = self._crashing_part(headers)
+        is_crashing = bool(part) or body in self.crashing_bodies
+        if part and headers.get("expect-instance") == self.target_id:
+            self.arrivals_ms.setdefault(part, []).append(CLOCK.monotonic_ms())
+        if is_crashing:
             await asyncio.sleep(self.begin_ms / MS_PER_S)
         if self._is_down:
             raise ConnectionResetError("the target has crashed")
-        if body in self.crashing_bodies:
+        if is_crashing:
             await self._send_first_events(headers, writer)
-            self.crashes.append(Crash(body, CLOCK.monotonic_ms()))
+            self.crashes.append(Crash(body, CLOCK.monotonic_ms(), part))
             self._crash()
             await self._responsive.wait()
             raise ConnectionResetError("the target has crashed")
         await super()._answer(headers, body, writer)
 
+    def _crashing_part(self, headers: dict[str, str]) -> str:
+        """Return the first part of the prompt that crashes the target; empty if none does."""
+        entries = headers.get(WIRE_NAMES.prompt_parts.lower(), "").split(",")
+        parts = [entry.partition(":")[0] for entry in entries]
+        return next((part for part in parts[:-1] if part in self.crashing_parts), "")
+
     async def _send_first_events(
         self, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
--- a/ebonyshore_standins/fleet_client.py
+++ b/ebonyshore_standins/fleet_client.py
@@ -8,6 +8,7 @@
 from ebonyshore_standins.fleet_process import FleetProcess
 
 STREAM_DEADLINE_MS = 5_000
+PART_TOKENS = 100  # of each part of a prompt
 
 
 def item_body(number: int) -> bytes:
@@ -50,12 +51,14 @@
     events: int = 6,
     timeout_s: float = 10.0,
     body: bytes = b"question",
+    parts: tuple[str, ...] = (),
 ) -> tuple[int, dict[str, str], bytes]:
     """Request a stream through an entry.
 
     :param prefix: path prefix that selects the route.
     :param events: number of events that the target generates.
     :param body: body of the request.
+    :param parts: ids of the parts of its prompt.
     :return: HTTP status, headers and body of the response.
     """
     headers = {
@@ -63,6 +66,8 @@
         WIRE_NAMES.remaining_ms: str(STREAM_DEADLINE_MS),
         "Length-Hint": str(events),
     }
+    if parts:
+        headers[WIRE_NAMES.prompt_parts] = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
     return entry.call("POST", f"{prefix}x", headers, body, timeout_s)
 
 
