Count crashes by the parts of prompts too, and refuse requests with one that crashes targets

Callers saw: requests that differ in id, body and path, but share one part of their prompts, crashed target after target; others found no target. Cause: crashes were counted by whole content only, so requests that differ never reached the count. Change: a run's suspects are its whole content and the parts of its prompt but the last, in one table with one exchange and one store. Parts that were in flight at the same crashes are told apart by requests that have one of them (group testing). Items clear parts and never accuse them. Why it works: a bad part is never in a completed run, and a part that sound requests share is in many.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -23,7 +23,7 @@
     maybe_executed_response,
     not_executed_response,
 )
-from ebonyshore.host.request_content import content_digest, part_digests
+from ebonyshore.host.request_content import RequestContent, content_digest, part_digests
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
 from ebonyshore.host.target import Target
@@ -114,10 +114,7 @@
         self._request = request
         self._responder = responder
         self._request_id = request.headers.get(forwarder.names.request_id)
-        self._content_digest = content_digest(
-            request.headers.get("host") or "", request.method, request.target, request.body
-        )
-        self._part_digests = part_digests(request.headers.get_joined(forwarder.names.prompt_parts))
+        self._content = _content(request, forwarder.names)
         self._service = forwarder.choose_service(route)
         self._tried_targets: list[str] = []
         self._tried_versions: list[str] = []
@@ -139,8 +136,8 @@
             self._forwarder.log.event(
                 "request_ended",
                 request=self._request_id,
-                content=self._content_digest,
-                parts=",".join(self._part_digests),
+                content=self._content.digest,
+                parts=",".join(self._content.parts),
                 route=self._route.name,
                 outcome=outcome,
                 resumes=self._request.headers.get(self._forwarder.names.resumed_request),
@@ -166,8 +163,8 @@
         guard = self._forwarder.crash_guard
         while True:
             if self._attempts >= MAX_UNCHECKED_ATTEMPTS:
-                await guard.settle(self._content_digest)
-            if guard.is_convicted(self._content_digest):
+                await guard.settle(self._content.digest)
+            if guard.is_refused(self._content):
                 return self._refuse_convicted()
             remaining_ms = self._deadline_ms - now_ms()
             if remaining_ms < MIN_REMAINING_MS:
@@ -202,7 +199,7 @@
         self._tried_versions.append(target.entry.software_version)
         self._attempts += 1
         can_retry = self._can_retry()
-        run = forwarder.crash_guard.begin(target, self._content_digest, can_retry)
+        run = forwarder.crash_guard.begin(target, self._content, can_retry)
         exchange = Exchange(
             forwarder.names,
             forwarder.pool,
@@ -350,7 +347,7 @@
         code = ResultCode.CONVICTED
         if self._attempts:
             return self._fail(maybe_executed_response(code))
-        retry_after_ms = self._forwarder.crash_guard.refusal_ms(self._content_digest)
+        retry_after_ms = self._forwarder.crash_guard.refusal_ms(self._content)
         return self._fail(not_executed_response(code, retry_after_ms))
 
     def _fail(self, response: ErrorResponse) -> str:
@@ -365,7 +362,7 @@
         self._forwarder.log.event(
             "attempt_ended",
             request=self._request_id,
-            content=self._content_digest,
+            content=self._content.digest,
             target=run.target.target_id,
             outcome=outcome,
             detail=detail,
@@ -374,6 +371,14 @@
         )
 
 
+def _content(request: Request, names: WireNames) -> RequestContent:
+    host = request.headers.get("host") or ""
+    return RequestContent(
+        content_digest(host, request.method, request.target, request.body),
+        part_digests(request.headers.get_joined(names.prompt_parts)),
+    )
+
+
 def _time_limit_ms(route: Route, request: Request, names: WireNames) -> float:
     """Return the time limit of a request: the lower of the caller's limit and the route's."""
     remaining_ms = parse_non_negative(request.headers.get(names.remaining_ms))
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -1,18 +1,22 @@
 """Detects requests that crash their targets, and keeps them from further ones.
 
 After a run broke off, the target is asked whether it still serves. If it does not, all content that
-it was running is suspect. Content that was in flight at several crashes without completing in
-between is convicted. Online requests with convicted content are refused; an item is run a few more
-times, at growing intervals, because its job cannot be answered without its result.
+it was running is suspect: whole requests, and the parts of their prompts. Content that was in
+flight at several crashes without completing in between is convicted. Online requests with convicted
+content are refused; an item is run a few more times, at growing intervals, because its job cannot
+be answered without its result. The parts of an item's prompt are not suspect, as online requests
+tell which part is to blame, but a part is cleared also by an item that completes.
 """
 
 from asyncio import Task, create_task, wait
+from collections.abc import Iterable
 
 from ebonyshore.frame.async_kernel import PeriodicService
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.host.targets import TargetTable
@@ -38,7 +42,9 @@
 class ContentRun:
     """One run of a request at a target.
 
+    :param content: what of the request may crash the target.
     :param is_resumable: whether the next run of the request continues after the last event.
+    :param is_item: whether it is a run of a batch item.
     :param follows_break: whether another run of the content, to which a crash may be attributed,
         broke just before this one started.
     :ivar is_sent: whether the request was sent; before that it cannot have crashed the target.
@@ -47,14 +53,17 @@
     :ivar last_event_ms: the same of its last event so far.
     :ivar is_checked: whether the target was checked since the last part of the response.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
+    :ivar has_cleared_parts: whether its progress has cleared the parts of its prompt.
     """
 
     __slots__ = (
-        "content_digest",
+        "content",
         "first_event_ms",
         "follows_break",
+        "has_cleared_parts",
         "is_attributed",
         "is_checked",
+        "is_item",
         "is_resumable",
         "is_sent",
         "last_event_ms",
@@ -66,15 +75,17 @@
     def __init__(
         self,
         target: Target,
-        content_digest: str,
+        content: RequestContent,
         started_ms: float,
         is_resumable: bool = False,
+        is_item: bool = False,
         follows_break: bool = False,
     ) -> None:
         self.target = target
-        self.content_digest = content_digest
+        self.content = content
         self.started_ms = started_ms
         self.is_resumable = is_resumable
+        self.is_item = is_item
         self.follows_break = follows_break
         self.is_sent = False
         self.last_part_ms = started_ms
@@ -82,6 +93,7 @@
         self.last_event_ms: float | None = None
         self.is_attributed = False
         self.is_checked = False
+        self.has_cleared_parts = False
 
     @property
     def progress_ms(self) -> float | None:
@@ -107,16 +119,33 @@
             self.first_event_ms = at_ms
         self.last_event_ms = at_ms
 
-    def may_have_crashed_target(self, at_ms: float) -> bool:
-        """Return whether a crash of the target at ``at_ms`` may be attributed to the run.
+    @property
+    def has_progress(self) -> bool:
+        """Whether it has made more progress than content allows that crashes its targets."""
+        return (self.progress_ms or 0.0) > MAX_CRASH_DELAY_MS
+
+    def suspects(self, at_ms: float) -> dict[str, bool]:
+        """Return what of the content may have caused a crash of the target at ``at_ms``.
+
+        :return: whether the crash is weak evidence, by digest.
+        """
+        found: dict[str, bool] = {}
+        if not self.is_sent:
+            return found
+        if self._may_have_crashed_target(at_ms):
+            found[self.content.digest] = self.is_weak_evidence
+        if not self.is_item and not self.has_progress:
+            found |= dict.fromkeys(self.content.parts, False)
+        return found
+
+    def _may_have_crashed_target(self, at_ms: float) -> bool:
+        """Return whether a crash of the target may be attributed to the whole content.
 
         It is not if the run had made progress for some time that the next run continues from. If
         the content caused the crash, the next run crashes its target early. Less progress makes the
         crash weak evidence, see :attr:`is_weak_evidence`.
         """
-        if not self.is_sent:
-            return False
-        if self.is_resumable and (self.progress_ms or 0.0) > MAX_CRASH_DELAY_MS:
+        if self.is_resumable and self.has_progress:
             return False
         return not self.follows_break or at_ms - self.started_ms >= SIMULTANEOUS_MS
 
@@ -160,15 +189,18 @@
         # Time of the last break that may have been a crash, by content digest.
         self._broken_ms: dict[str, float] = {}
 
-    def begin(self, target: Target, content_digest: str, is_resumable: bool) -> ContentRun:
+    def begin(
+        self, target: Target, content: RequestContent, is_resumable: bool, is_item: bool = False
+    ) -> ContentRun:
         """Record that a request is sent to a target.
 
         :param is_resumable: whether another run would continue after the last event of this one.
+        :param is_item: whether the request runs a batch item.
         """
         at_ms = now_ms()
-        broken_ms = self._broken_ms.get(content_digest, float("-inf"))
+        broken_ms = self._broken_ms.get(content.digest, float("-inf"))
         follows_break = at_ms - broken_ms < SIMULTANEOUS_MS
-        run = ContentRun(target, content_digest, at_ms, is_resumable, follows_break)
+        run = ContentRun(target, content, at_ms, is_resumable, is_item, follows_break)
         self._runs.setdefault(target, set()).add(run)
         return run
 
@@ -180,11 +212,12 @@
             self._runs.pop(run.target, None)
 
     def end_completed(self, run: ContentRun) -> None:
-        """Record that a run has completed, which clears its content unless it is convicted."""
+        """Record that a run has completed, which clears its content.
+
+        Whole content that is convicted is not cleared.
+        """
         self.end(run)
-        for broken in [*self._broken.values(), *(found for found, _ in self._unexplained.values())]:
-            broken.pop(run.content_digest, None)
-        self._exchange.record_completed(run.content_digest, now_ms())
+        self._clear(run.content.digests)
 
     def end_broken(self, run: ContentRun) -> None:
         """Record that a run broke off or fell silent, and check its target."""
@@ -192,9 +225,11 @@
         if run.is_attributed:
             return
         at_ms = now_ms()
-        if run.may_have_crashed_target(at_ms):
-            self._broken.setdefault(run.target, {})[run.content_digest] = run.is_weak_evidence
-            self._broken_ms[run.content_digest] = at_ms
+        suspects = run.suspects(at_ms)
+        if suspects:
+            self._broken.setdefault(run.target, {}).update(suspects)
+        if run.content.digest in suspects:
+            self._broken_ms[run.content.digest] = at_ms
         self._check(run.target)
 
     async def settle(self, content_digest: str) -> None:
@@ -203,14 +238,16 @@
         if targets:
             await wait([self._checks[target] for target in targets])
 
-    def is_convicted(self, content_digest: str) -> bool:
+    def is_refused(self, content: RequestContent) -> bool:
         """Return whether requests with the content must be refused."""
-        return self._exchange.table.is_convicted(content_digest, now_ms())
+        return self._exchange.table.is_refused(content.digests, now_ms())
 
-    def refusal_ms(self, content_digest: str) -> float:
-        """Return the time until a conviction expires in milliseconds."""
-        verdict = self._exchange.table.verdict(content_digest, now_ms())
-        return max(0.0, SUSPICION_EXPIRY_MS - verdict.age_ms)
+    def refusal_ms(self, content: RequestContent) -> float:
+        """Return the time until the last conviction of the content expires in milliseconds."""
+        table, at_ms = self._exchange.table, now_ms()
+        convicted = [digest for digest in content.digests if table.is_convicted(digest, at_ms)]
+        ages_ms = [table.verdict(digest, at_ms).age_ms for digest in convicted]
+        return max((SUSPICION_EXPIRY_MS - age_ms for age_ms in ages_ms), default=0.0)
 
     def may_run_item(self, content_digest: str) -> bool:
         """Return whether an item with the content may run now.
@@ -220,7 +257,7 @@
         """
         if any(content_digest in digests for digests in self._broken.values()):
             return False
-        if not self.is_convicted(content_digest):
+        if not self._exchange.table.is_convicted(content_digest, now_ms()):
             return True
         verdict = self._exchange.table.verdict(content_digest, now_ms())
         repeats = max(0, verdict.crash_count - SHARED_CONVICTION_CRASHES)
@@ -231,6 +268,7 @@
     async def run_once(self) -> None:
         """Check the targets of runs that have waited long, and look for restarts in the list."""
         at_ms = now_ms()
+        self._clear_by_progress()
         self._attribute_restarts(at_ms)
         self._broken_ms = {
             digest: broken_ms
@@ -261,6 +299,20 @@
         for task in self._checks.values():
             task.cancel()
 
+    def _clear_by_progress(self) -> None:
+        """Clear the parts of prompts on which an answer has been written for some time."""
+        for run in [run for runs in self._runs.values() for run in runs]:
+            if run.has_progress and not run.has_cleared_parts:
+                run.has_cleared_parts = True
+                self._clear(run.content.parts)
+
+    def _clear(self, digests: Iterable[str]) -> None:
+        unsettled = [*self._broken.values(), *(found for found, _ in self._unexplained.values())]
+        for digest in digests:
+            for broken in unsettled:
+                broken.pop(digest, None)
+            self._exchange.record_completed(digest, now_ms())
+
     def _check(self, target: Target) -> None:
         if target not in self._checks:
             self._checks[target] = create_task(self._attribute_crash(target))
@@ -317,9 +369,9 @@
             return
         digests = dict(broken)
         for run in self._runs.get(target, ()):
-            if not run.is_attributed and run.may_have_crashed_target(at_ms):
-                run.is_attributed = True
-                digests[run.content_digest] = run.is_weak_evidence
+            suspects = {} if run.is_attributed else run.suspects(at_ms)
+            run.is_attributed = run.is_attributed or bool(suspects)
+            digests |= suspects
         self._metrics.count("target_crashes")
         self._log.event(
             "target_crashed",
--- a/ebonyshore/host/request_content.py
+++ b/ebonyshore/host/request_content.py
@@ -1,14 +1,33 @@
-"""Identifies the content of a request, which is the same in all its sends, and its prompt's parts."""
+"""Identifies the content of a request, the same in all its sends, and the parts of its prompt."""
 
 from hashlib import blake2b
+from re import compile as compile_pattern
+
+from msgspec import Struct
 
 from ebonyshore.link.suspicion import PART_DIGEST_PREFIX
 
 DIGEST_BYTES = 8
-MAX_PART_ID_CHARS = 32  # a longer id is replaced by its digest
+PLAIN_PART_ID = compile_pattern("[0-9a-f]{1,32}")  # any other id is replaced by its digest
 MAX_PARTS = 64  # of one prompt that are told apart
 
 
+class RequestContent(Struct, frozen=True):
+    """What of a request may crash a target.
+
+    :param digest: digest of the whole content.
+    :param parts: digests of the parts of its prompt, see :func:`part_digests`.
+    """
+
+    digest: str
+    parts: tuple[str, ...] = ()
+
+    @property
+    def digests(self) -> tuple[str, ...]:
+        """The digest of the whole content, then those of the parts."""
+        return (self.digest, *self.parts)
+
+
 def content_digest(host: str, method: str, target: str, body: bytes) -> str:
     """Return a digest of what a request asks for.
 
@@ -34,11 +53,12 @@
     """
     entries = (entry.partition(":")[0].strip() for entry in (prompt_parts or "").split(","))
     ids = [part_id.lower() for part_id in entries if part_id]
-    digests = dict.fromkeys(PART_DIGEST_PREFIX + _bounded(part_id) for part_id in ids[:-1])
+    digests = dict.fromkeys(PART_DIGEST_PREFIX + _plain(part_id) for part_id in ids[:-1])
     return tuple(digests)[:MAX_PARTS]
 
 
-def _bounded(part_id: str) -> str:
-    if len(part_id) <= MAX_PART_ID_CHARS:
+def _plain(part_id: str) -> str:
+    """Return an id that is short and fit for logs and for names of stored objects."""
+    if PLAIN_PART_ID.fullmatch(part_id):
         return part_id
     return blake2b(part_id.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/ebonyshore/link/suspicion_exchange.py
+++ b/ebonyshore/link/suspicion_exchange.py
@@ -5,7 +5,7 @@
 continually, so that a process that was started or cut off in the meantime learns of them.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
@@ -16,8 +16,9 @@
 
 CHANGE_SENDS = 3  # of each change
 CONVICTION_INTERVAL_MS = 1_000.0
-MAX_VERDICTS_PER_DATAGRAM = 4  # keeps a datagram below 1,500 bytes
-MAX_COMPLETED_CONTENTS = 2_048
+MAX_VERDICTS_PER_DATAGRAM = 4  # keeps a datagram below 1,500 bytes, with the next limit
+MAX_CRASH_IDS_PER_DATAGRAM = 20
+MAX_COMPLETED_CONTENTS = 4_096
 RECENT_COMPLETION_MS = 30_000.0
 
 Addresses = list[tuple[str, int]]
@@ -78,7 +79,7 @@
         self._log_convictions(digests, was_convicted, now_ms)
 
     def record_completed(self, content_digest: str, now_ms: float) -> None:
-        """Clear content that completed, unless it is convicted."""
+        """Clear content that completed, unless it is a whole request that is convicted."""
         self._completed_ms.pop(content_digest, None)
         self._completed_ms[content_digest] = now_ms
         if len(self._completed_ms) > MAX_COMPLETED_CONTENTS:
@@ -130,9 +131,8 @@
             self._schedule((content_digest,))
 
     def _send(self, verdicts: list[Verdict], socket: LoadSocket, addresses: Addresses) -> None:
-        for first in range(0, len(verdicts), MAX_VERDICTS_PER_DATAGRAM):
-            part = tuple(verdicts[first : first + MAX_VERDICTS_PER_DATAGRAM])
-            socket.send(SuspicionUpdate(self._own_id, part), addresses)
+        for batch in _batches(verdicts):
+            socket.send(SuspicionUpdate(self._own_id, tuple(batch)), addresses)
 
     def _schedule(self, digests: Iterable[str]) -> None:
         scheduled = dict.fromkeys(digests, CHANGE_SENDS)
@@ -151,3 +151,18 @@
             crash_ids = (*verdict.crash_ids, *verdict.weak_crash_ids)
             self._metrics.count("contents_convicted")
             self._log.event("content_convicted", content=digest, crashes=",".join(crash_ids))
+
+
+def _batches(verdicts: Iterable[Verdict]) -> Iterator[list[Verdict]]:
+    """Split verdicts into groups that fit into one datagram each."""
+    batch: list[Verdict] = []
+    crash_ids = 0
+    for verdict in verdicts:
+        is_full = len(batch) == MAX_VERDICTS_PER_DATAGRAM
+        if batch and (is_full or crash_ids + verdict.crash_count > MAX_CRASH_IDS_PER_DATAGRAM):
+            yield batch
+            batch, crash_ids = [], 0
+        batch.append(verdict)
+        crash_ids += verdict.crash_count
+    if batch:
+        yield batch
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -12,11 +12,13 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.request_content import RequestContent, part_digests
 from ebonyshore.host.target import Target, TargetGroup
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.headers import Headers
 from ebonyshore.link.load_table import LoadTable, TargetCounts
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.item_plan import UNLIMITED, TargetSlots, assign_primary_runners, make_plan
@@ -158,14 +160,20 @@
             item.start_run(now_ms())
             target.own_batch += 1
             target.batch_started_ms = now_ms()
-            digest = progress.content_digest(item)
-            content_run = self._crash_guard.begin(target, digest, is_resumable=True)
+            content_run = self._crash_guard.begin(
+                target, self._item_content(progress, item), is_resumable=True, is_item=True
+            )
             task = create_task(self._run_item(start.item, progress, item, content_run))
             running = RunningItem(progress, item, target, content_run, task)
             self._running[start.item] = running
             # A task that is cancelled before its first step runs none of its own code.
             task.add_done_callback(partial(self._free_slot, start.item, running))
 
+    def _item_content(self, progress: JobProgress, item: Item) -> RequestContent:
+        headers = Headers(progress.record.items[item.index].headers)
+        parts = part_digests(headers.get_joined(self._names.prompt_parts))
+        return RequestContent(progress.content_digest(item), parts)
+
     def _target_slots(
         self, target: Target, totals: dict[str, TargetCounts], is_primary: bool
     ) -> TargetSlots:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -19,6 +19,7 @@
     SUSPICION_EXPIRY_MS,
     CrashGuard,
 )
+from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.target_check import TargetCondition
 from ebonyshore.host.targets import TargetTable
@@ -62,8 +63,10 @@
         address = f"127.0.0.1:{TARGET_IDS.index(target_id) + 1}"
         self.table.put(TargetEntry(target_id, "svc", address, "fd-a", 8, started_ms=started_ms))
 
-    def begin(self, target_id, content, is_resumable=False):
-        run = self.guard.begin(self.table.find(target_id), content, is_resumable)
+    def begin(self, target_id, content, is_resumable=False, is_item=False, parts=()):
+        run = self.guard.begin(
+            self.table.find(target_id), RequestContent(content, parts), is_resumable, is_item
+        )
         run.is_sent = True
         return run
 
@@ -91,10 +94,10 @@
 def test_content_in_flight_at_three_crashes_is_convicted():
     async def scenario(setup):
         for target_id in TARGET_IDS[:SHARED_CONVICTION_CRASHES]:
-            assert not setup.guard.is_convicted("bad")
+            assert not setup.guard.is_refused(RequestContent("bad"))
             await setup.crash(target_id, "bad")
-        assert setup.guard.is_convicted("bad")
-        assert 0 < setup.guard.refusal_ms("bad") <= SUSPICION_EXPIRY_MS
+        assert setup.guard.is_refused(RequestContent("bad"))
+        assert 0 < setup.guard.refusal_ms(RequestContent("bad")) <= SUSPICION_EXPIRY_MS
 
     run(scenario)
 
@@ -106,7 +109,7 @@
         for target_id in TARGET_IDS:
             await setup.crash(target_id, "bad", "harmless")
             setup.guard.end_completed(setup.begin("t1", "harmless"))
-        assert setup.guard.is_convicted("bad")
+        assert setup.guard.is_refused(RequestContent("bad"))
         assert setup.crashes("harmless") == 0
 
     run(scenario)
@@ -206,7 +209,7 @@
     async def scenario(setup):
         for _ in range(SHARED_CONVICTION_CRASHES):
             await setup.crash("t1", "bad")
-        assert setup.guard.is_convicted("bad")
+        assert setup.guard.is_refused(RequestContent("bad"))
 
     run(scenario)
 
@@ -385,3 +388,65 @@
         assert setup.guard.may_run_item("item") is may_run
 
     run(scenario)
+
+
+async def crash_with_parts(setup, target_id, *parts, is_item=False):
+    broken = setup.begin(target_id, f"content at {target_id}", parts=parts, is_item=is_item)
+    broken.started_ms -= 2 * SIMULTANEOUS_MS
+    setup.guard.end_broken(broken)
+    await setup.guard.settle(f"content at {target_id}")
+
+
+def test_part_is_suspect_although_the_requests_differ_unless_it_is_an_items():
+    """Guards against blaming the parts of items, which are never the cause of a crash."""
+
+    async def scenario(setup):
+        await crash_with_parts(setup, "t1", "part-b")
+        await crash_with_parts(setup, "t2", "part-b")
+        await crash_with_parts(setup, "t3", "part-b", is_item=True)
+        assert setup.crashes("part-b") == 2
+
+    run(scenario)
+
+
+def test_retry_that_breaks_at_once_counts_against_its_parts():
+    """Guards against a part that crashes its targets so soon that no retry is counted."""
+
+    async def scenario(setup):
+        await crash_with_parts(setup, "t1", "part-b")
+        retry = setup.begin("t2", "content at t1", parts=("part-b",))
+        setup.guard.end_broken(retry)
+        await asyncio.sleep(0.01)
+        assert setup.crashes("part-b") == 2
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("is_item", [False, True])
+def test_part_is_cleared_by_a_run_that_completes_or_writes_for_some_time(is_item):
+    async def scenario(setup):
+        await crash_with_parts(setup, "t1", "part-a", "part-b")
+        await crash_with_parts(setup, "t2", "part-a", "part-b")
+        setup.guard.end_completed(setup.begin("t3", "x", is_item=is_item, parts=("part-a",)))
+        assert (setup.crashes("part-a"), setup.crashes("part-b")) == (0, 2)
+        writing = setup.begin("t4", "y", is_item=is_item, parts=("part-b",))
+        writing.record_event(now_ms() - MAX_CRASH_DELAY_MS - 1.0)
+        await setup.guard.run_once()
+        assert setup.crashes("part-b") == 2
+        writing.record_event(now_ms())
+        await setup.guard.run_once()
+        assert setup.crashes("part-b") == 0
+
+    run(scenario)
+
+
+def test_part_is_not_blamed_for_a_crash_long_after_its_answer_began():
+    async def scenario(setup):
+        writing = setup.begin("t1", "x", parts=("part-a",))
+        writing.record_event(now_ms() - MAX_CRASH_DELAY_MS - 1.0)
+        writing.record_event(now_ms())
+        setup.guard.end_broken(writing)
+        await asyncio.sleep(0.01)
+        assert (setup.crashes("x"), setup.crashes("part-a")) == (1, 0)
+
+    run(scenario)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.http.client import ConnectionPool
@@ -159,7 +160,7 @@
         target = Target(TargetEntry("t1", "svc", await endless.start(), "fd-a", 8))
         pool = ConnectionPool(4)
         item_run = ItemRun(WIRE_NAMES, pool, item, ITEM, ITEM.body, "host.example")
-        result = await item_run.run(ContentRun(target, "content", 0.0))
+        result = await item_run.run(ContentRun(target, RequestContent("content"), 0.0))
         pool.close()
         endless.close()
         return result.outcome
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -6,6 +6,7 @@
 
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.http.client import ConnectionPool
@@ -29,7 +30,7 @@
         results = []
         for _ in scripts:
             run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example")
-            results.append(await run.run(ContentRun(target, "content", 0.0)))
+            results.append(await run.run(ContentRun(target, RequestContent("content"), 0.0)))
         pool.close()
         server.close()
         return results, server.sessions
@@ -57,7 +58,7 @@
         checker = TargetChecker(WIRE_NAMES, pool, decode_start)
         item = Item(0, "req-1")
         run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", checker)
-        result = await run.run(ContentRun(target, "content", 0.0))
+        result = await run.run(ContentRun(target, RequestContent("content"), 0.0))
         pool.close()
         server.close()
         return result.outcome, len(server.sessions), target.is_outdated
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -36,11 +36,11 @@
     def may_run_item(self, _digest):
         return True
 
-    def begin(self, target, digest, is_resumable):
-        return ContentRun(target, digest, 0.0)
+    def begin(self, target, content, is_resumable, is_item):
+        return ContentRun(target, content, 0.0)
 
     def end_broken(self, run):
-        self.broken.append(run.content_digest)
+        self.broken.append(run.content.digest)
 
     def end(self, _run):
         asyncio.get_running_loop().call_soon(self.after_end)
--- a/tests/test_request_content.py
+++ b/tests/test_request_content.py
@@ -1,8 +1,9 @@
 """Tests of the digest that identifies the content of a request."""
 
+from re import fullmatch
+
 from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.host.request_content import (
-    MAX_PART_ID_CHARS,
     MAX_PARTS,
     content_digest,
     part_digests,
@@ -40,8 +41,8 @@
 
 def test_parts_of_a_prompt_are_told_apart_but_for_the_last():
     assert part_digests("5C1e07a2:800, 91bd3f06:410,5c1e07a2:3,e4402b7d:250") == (
-        "part:5c1e07a2",
-        "part:91bd3f06",
+        "part-5c1e07a2",
+        "part-91bd3f06",
     )
     assert part_digests("e4402b7d:250") == part_digests("") == part_digests(None) == ()
 
@@ -49,12 +50,13 @@
 def test_parts_that_a_caller_makes_up_are_limited():
     names = [f"{number:x}:1" for number in range(2 * MAX_PARTS)]
     assert len(part_digests(",".join(names))) == MAX_PARTS
-    long_id = "a" * (MAX_PART_ID_CHARS + 1)
-    digest, other = part_digests(f"{long_id}:1,{long_id}b:1,1:1")
-    assert digest != other and len(digest) <= len("part:") + MAX_PART_ID_CHARS
+    long_id = "a" * 1_000
+    digests = part_digests(f"{long_id}:1,{long_id}b:1,../x y:1,%0d:1,1:1")
+    assert len(set(digests)) == 4
+    assert all(fullmatch("part-[0-9a-f]{1,32}", digest) for digest in digests)
 
 
 def test_parts_in_several_header_fields_are_one_list():
     headers = Headers([("Prompt-Prefix", "a:1,b:1"), ("prompt-prefix", "c:1")])
-    assert part_digests(headers.get_joined("Prompt-Prefix")) == ("part:a", "part:b")
+    assert part_digests(headers.get_joined("Prompt-Prefix")) == ("part-a", "part-b")
     assert headers.get_joined("absent") is None
