Check the target when an answer without a length or chunks ends with its connection

Callers saw: a stream that ended between two events because its target had crashed was ended as complete; an item's text likewise. The run cleared the content that had caused the crash, so a part of a prompt could go on crashing targets. Cause: the end of the connection was taken for the end of the answer. Change: such an end is confirmed with the target's load report. If the target has ended unplanned, the answer is broken and counts as a crash; it clears content only if the same incarnation still serves.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -1,6 +1,6 @@
 """One attempt of a request at one target: sends the request and relays the response."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum, auto
 
 from ebonyshore.frame.loop_time import now_ms
@@ -94,6 +94,7 @@
     :param run: this attempt, for the attribution of crashes; names the target.
     :param checker: confirms the incarnation of the target before the request is sent; ``None`` if
         that is not necessary.
+    :param confirm_end: returns whether a response that ended with its connection may be complete.
     :param on_first_event: called before the first event of the response is relayed.
     """
 
@@ -105,12 +106,14 @@
         relay: RelayState,
         run: ContentRun,
         checker: TargetChecker | None,
+        confirm_end: Callable[[ContentRun], Awaitable[bool]],
         on_first_event: Callable[[], None],
     ) -> None:
         self._names = names
         self._pool = pool
         self._run = run
         self._checker = checker
+        self._confirm_end = confirm_end
         self._on_first_event = on_first_event
         self._target = run.target
         self._request = request
@@ -218,6 +221,7 @@
             limit_ms = now_ms() + EVENT_TIMEOUT_MS if can_retry else None
         if splitter.incomplete_event:
             raise ExchangeError("event stream ended with an incomplete event")
+        await self._check_end(head)
         if not responder.is_started:
             responder.start_stream(head.status, _relayed_headers(head))
         responder.end_stream()
@@ -230,6 +234,7 @@
         can_retry: bool,
     ) -> None:
         body = await reader.read_body(None)
+        await self._check_end(head)
         if responder.is_started:
             raise AttemptFailedError(f"status {head.status} in place of the rest of the stream")
         if head.status >= 500 and can_retry:
@@ -241,6 +246,11 @@
             raise AttemptFailedError(f"status {head.status}", response=response)
         responder.send(head.status, _relayed_headers(head), body)
 
+    async def _check_end(self, head: ResponseHead) -> None:
+        """Check that a response is complete that has neither a length nor chunks."""
+        if not head.is_self_delimited and not await self._confirm_end(self._run):
+            raise ExchangeError("the target ended with its response")
+
 
 def _relayed_headers(head: ResponseHead) -> Headers:
     return head.headers.end_to_end().without(("content-length",))
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -207,6 +207,7 @@
             self._relay,
             run,
             forwarder.checker if self._must_confirm_incarnation() else None,
+            forwarder.crash_guard.confirm_end,
             self._record_first_event,
         )
         forwarder.view.record_start(target)
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -54,6 +54,7 @@
     :ivar is_checked: whether the target was checked since the last part of the response.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     :ivar has_cleared_parts: whether its progress has cleared the parts of its prompt.
+    :ivar is_end_certain: whether a complete response is certain to be all that the target sends.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "has_cleared_parts",
         "is_attributed",
         "is_checked",
+        "is_end_certain",
         "is_item",
         "is_resumable",
         "is_sent",
@@ -94,6 +96,7 @@
         self.is_attributed = False
         self.is_checked = False
         self.has_cleared_parts = False
+        self.is_end_certain = True
 
     @property
     def progress_ms(self) -> float | None:
@@ -180,7 +183,7 @@
         self._log = log
         self._metrics = metrics
         self._runs: dict[Target, set[ContentRun]] = {}
-        self._checks: dict[Target, Task[None]] = {}
+        self._checks: dict[Target, Task[TargetCondition]] = {}
         # Content of runs that broke, while their target is checked, and whether a crash would be
         # weak evidence against it.
         self._broken: dict[Target, dict[str, bool]] = {}
@@ -217,19 +220,31 @@
         Whole content that is convicted is not cleared.
         """
         self.end(run)
-        self._clear(run.content.digests)
+        if run.is_end_certain:
+            self._clear(run.content.digests)
+
+    async def confirm_end(self, run: ContentRun) -> bool:
+        """Return whether a response that ended with its connection may be complete.
+
+        It is not if its target has ended as well, unless that was planned: a target that crashes
+        between two events closes the connection in the same way.
+        """
+        self._add_broken(run)
+        self._check(run.target)
+        check = self._checks[run.target]
+        await wait([check])
+        condition = check.result()
+        run.is_end_certain = condition is TargetCondition.SERVING
+        has_ended = condition in (TargetCondition.DOWN, TargetCondition.RESTARTED)
+        run.is_attributed = has_ended
+        return not has_ended or run.target.is_leaving
 
     def end_broken(self, run: ContentRun) -> None:
         """Record that a run broke off or fell silent, and check its target."""
         self.end(run)
         if run.is_attributed:
             return
-        at_ms = now_ms()
-        suspects = run.suspects(at_ms)
-        if suspects:
-            self._broken.setdefault(run.target, {}).update(suspects)
-        if run.content.digest in suspects:
-            self._broken_ms[run.content.digest] = at_ms
+        self._add_broken(run)
         self._check(run.target)
 
     async def settle(self, content_digest: str) -> None:
@@ -313,23 +328,33 @@
                 broken.pop(digest, None)
             self._exchange.record_completed(digest, now_ms())
 
+    def _add_broken(self, run: ContentRun) -> None:
+        at_ms = now_ms()
+        suspects = run.suspects(at_ms)
+        if suspects:
+            self._broken.setdefault(run.target, {}).update(suspects)
+        if run.content.digest in suspects:
+            self._broken_ms[run.content.digest] = at_ms
+
     def _check(self, target: Target) -> None:
         if target not in self._checks:
             self._checks[target] = create_task(self._attribute_crash(target))
 
-    async def _attribute_crash(self, target: Target) -> None:
+    async def _attribute_crash(self, target: Target) -> TargetCondition:
+        """Check a target and record its crash if it has ended; return its condition."""
         try:
             condition = await self._checker.check(target)
             broken = self._broken.get(target, {})
             is_down = condition is TargetCondition.DOWN
             if is_down or self._has_restarted(target, condition, broken):
                 self._record_crash(target, broken, is_down)
-            else:
-                self._log.event(
-                    "target_alive", target=target.target_id, contents=",".join(sorted(broken))
-                )
-                if condition is TargetCondition.ANSWERING:
-                    self._add_unexplained(target, broken)
+                return TargetCondition.DOWN if is_down else TargetCondition.RESTARTED
+            self._log.event(
+                "target_alive", target=target.target_id, contents=",".join(sorted(broken))
+            )
+            if condition is TargetCondition.ANSWERING:
+                self._add_unexplained(target, broken)
+            return condition
         finally:
             self._broken.pop(target, None)
             del self._checks[target]
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -1,5 +1,6 @@
 """Runs one batch item at one target and collects the events of its response."""
 
+from collections.abc import Awaitable, Callable
 from enum import Enum, auto
 
 from msgspec import Struct
@@ -19,6 +20,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import ResponseHead
 from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -65,6 +67,7 @@
     :param record: the item as it was submitted.
     :param body: body of the request to the target.
     :param host: host name of the job's route, sent as the ``Host`` header.
+    :param confirm_end: returns whether a response that ended with its connection may be complete.
     :param checker: confirms the incarnation of the target before the request is sent; ``None`` if
         that is not necessary.
     """
@@ -77,6 +80,7 @@
         record: ItemRecord,
         body: bytes,
         host: str,
+        confirm_end: Callable[[ContentRun], Awaitable[bool]],
         checker: TargetChecker | None = None,
     ) -> None:
         self._names = names
@@ -85,6 +89,7 @@
         self._record = record
         self._body = body
         self._host = host
+        self._confirm_end = confirm_end
         self._checker = checker
 
     async def run(self, content_run: ContentRun) -> RunResult:
@@ -146,14 +151,16 @@
             await reader.skip_body()
             return RunResult(RunOutcome.NOT_RUN, f"status {head.status}")
         if head.status == 200:
-            return await self._read_events(reader, content_run)
+            return await self._read_events(reader, head, content_run)
         await reader.skip_body()
         if head.status == 422:
             return RunResult(RunOutcome.REJECTED, "status 422")
         outcome = RunOutcome.FAILED if head.status == 500 else RunOutcome.BROKEN
         return RunResult(outcome, f"status {head.status}")
 
-    async def _read_events(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
+    async def _read_events(
+        self, reader: ResponseReader, head: ResponseHead, content_run: ContentRun
+    ) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
         limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS
@@ -167,4 +174,6 @@
                 return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
         if splitter.incomplete_event:
             return RunResult(RunOutcome.BROKEN, "event stream ended in the middle of an event")
+        if not head.is_self_delimited and not await self._confirm_end(content_run):
+            raise ExchangeError("the target ended with its response")
         return RunResult(RunOutcome.COMPLETE)
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -275,6 +275,7 @@
             record.items[item.index],
             progress.item_body(item.index),
             record.host,
+            self._crash_guard.confirm_end,
             self._checker if self._must_confirm_incarnation(item) else None,
         )
         self._registry.on_change()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -16,6 +16,7 @@
 from ebonyshore.runner.job_progress import Item
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
+from tests.test_item_run import trust_end
 
 # What a process has besides its libraries if its memory is limited to 32 MB.
 MAX_RECEIVED_BYTES = 8 << 20
@@ -159,7 +160,7 @@
     async def scenario():
         target = Target(TargetEntry("t1", "svc", await endless.start(), "fd-a", 8))
         pool = ConnectionPool(4)
-        item_run = ItemRun(WIRE_NAMES, pool, item, ITEM, ITEM.body, "host.example")
+        item_run = ItemRun(WIRE_NAMES, pool, item, ITEM, ITEM.body, "host.example", trust_end)
         result = await item_run.run(ContentRun(target, RequestContent("content"), 0.0))
         pool.close()
         endless.close()
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -19,7 +19,15 @@
 RECORD = ItemRecord("req-1", "/p/x", (("Model", "m"),), b"body")
 
 
-def run_item(item, *scripts):
+async def trust_end(_run):
+    return True
+
+
+async def distrust_end(_run):
+    return False
+
+
+def run_item(item, *scripts, confirm_end=trust_end):
     """Run an item once with each script; return the results and the target's sessions."""
 
     async def scenario():
@@ -29,7 +37,7 @@
         pool = ConnectionPool(4)
         results = []
         for _ in scripts:
-            run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example")
+            run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", confirm_end)
             results.append(await run.run(ContentRun(target, RequestContent("content"), 0.0)))
         pool.close()
         server.close()
@@ -57,7 +65,9 @@
         pool = ConnectionPool(4)
         checker = TargetChecker(WIRE_NAMES, pool, decode_start)
         item = Item(0, "req-1")
-        run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", checker)
+        run = ItemRun(
+            WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", trust_end, checker
+        )
         result = await run.run(ContentRun(target, RequestContent("content"), 0.0))
         pool.close()
         server.close()
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -42,6 +42,9 @@
     def end_broken(self, run):
         self.broken.append(run.content.digest)
 
+    async def confirm_end(self, _run):
+        return True
+
     def end(self, _run):
         asyncio.get_running_loop().call_soon(self.after_end)
 
