--- a/ebonyshore/host/wire_names.py
+++ b/ebonyshore/host/wire_names.py
@@ -12,6 +12,8 @@
         targets refuse it.
     :param not_executed: header in a target's response stating that the request did not run.
     :param leaving: header with which a target says in any response that it leaves.
+    :param rate_limit: header in which a target names the requests a second that it takes from all
+        processes together, for as long as its responses have it.
     :param instance_id: header with the id of the target that sends a response; not in all of them.
     :param last_event_id: header with the id of the last event of a stream that the caller has
         received.
@@ -34,6 +36,7 @@
     expected_instance: str
     not_executed: str
     leaving: str
+    rate_limit: str
     instance_id: str
     last_event_id: str
     resumed_request: str
--- a/ebonyshore/platform/wire_names.py
+++ b/ebonyshore/platform/wire_names.py
@@ -8,6 +8,7 @@
     expected_instance="Expect-Instance",
     not_executed="Not-Executed",
     leaving="Server-Leaving",
+    rate_limit="Server-Limit",
     instance_id="Instance-Id",
     last_event_id="Last-Event-Id",
     resumed_request="Resumes",
--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -48,7 +48,7 @@
     :ivar on_restart: called on the target's thread each time it serves again after a crash.
     :ivar crashing_bodies: bodies of the requests that crash the target.
     :ivar crashing_parts: ids of parts of prompts that crash the target, unless they are the last.
-    :ivar arrivals_ms: monotonic times at which requests with such a part arrived, by the part.
+    :ivar part_arrivals_ms: monotonic times at which requests with such a part arrived, by the part.
     :ivar crashes: the crashes so far.
     """
 
@@ -68,7 +68,7 @@
         self.on_restart: Callable[[], None] = lambda: None
         self.crashing_bodies: set[bytes] = set()
         self.crashing_parts: set[str] = set()
-        self.arrivals_ms: dict[str, list[float]] = {}
+        self.part_arrivals_ms: dict[str, list[float]] = {}
         self.crashes: list[Crash] = []
         self._is_down = False
         self._responsive = asyncio.Event()
@@ -83,7 +83,7 @@
         part = self._crashing_part(headers)
         is_crashing = bool(part) or body in self.crashing_bodies
         if part and headers.get("expect-instance") == self.target_id:
-            self.arrivals_ms.setdefault(part, []).append(CLOCK.monotonic_ms())
+            self.part_arrivals_ms.setdefault(part, []).append(CLOCK.monotonic_ms())
         if is_crashing:
             await asyncio.sleep(self.begin_ms / MS_PER_S)
         if self._is_down:
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -85,6 +85,8 @@
     :param event_interval_ms: time between two events of a stream.
     :param port: port on 127.0.0.1; 0 chooses a free one.
     :ivar says_it_leaves: whether the target says in all its answers that it leaves.
+    :ivar limit_per_s: requests a second that the target says it takes; ``None`` if it says nothing.
+    :ivar arrivals_ms: monotonic times at which requests arrived, those refused included.
     :ivar software_version: version that the target has in the list.
     :ivar born_ms: start of the target as it reports it, in Unix milliseconds.
     :ivar runs: the runs of all requests, in the order of their starts.
@@ -100,6 +102,8 @@
         self.capacity = capacity
         self.event_interval_ms = event_interval_ms
         self.says_it_leaves = False
+        self.limit_per_s: float | None = None
+        self.arrivals_ms: list[float] = []
         self.software_version = "v1"
         self.born_ms = 1
         self.runs: list[RunRecord] = []
@@ -179,6 +183,7 @@
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
                     self._send_report(writer)
                 else:
+                    self.arrivals_ms.append(self._received_ms[writer])
                     await self._answer(headers, body, writer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -193,7 +198,7 @@
     def _send_report(self, writer: asyncio.StreamWriter) -> None:
         body = json.dumps({"Queued": self._queued_requests, "born": self.born_ms})
         writer.write(
-            f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{self._leaving_line()}"
+            f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{self._state_lines()}"
             f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
 
@@ -262,7 +267,7 @@
         self.runs.append(run)
         writer.write(
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
-            f"{self._leaving_line()}"
+            f"{self._state_lines()}"
             f"Server-Signature: {self.target_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
         )
         return run
@@ -278,10 +283,14 @@
         if request_id is not None:
             headers.append(f"Attempt-Id: {request_id}")
         head = "\r\n".join([f"HTTP/1.1 {status} X", *headers, ""])
-        writer.write(f"{head}{self._leaving_line()}\r\n".encode())
-
-    def _leaving_line(self) -> str:
-        return f"{WIRE_NAMES.leaving}: 1\r\n" if self.says_it_leaves else ""
+        writer.write(f"{head}{self._state_lines()}\r\n".encode())
+
+    def _state_lines(self) -> str:
+        """Return the header lines with what the target says of itself in all answers."""
+        lines = f"{WIRE_NAMES.leaving}: 1\r\n" if self.says_it_leaves else ""
+        if self.limit_per_s is not None:
+            lines += f"{WIRE_NAMES.rate_limit}: {self.limit_per_s}\r\n"
+        return lines
 
     def _send_event(self, run: RunRecord, number: int, writer: asyncio.StreamWriter) -> None:
         event = f"id: {number}\ndata: {run.stream_id}.{number}\n\n"
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -107,7 +107,7 @@
         return [
             at_ms - settled_ms
             for target in self.fleet.targets
-            for at_ms in target.arrivals_ms.get(BAD_PART, ())
+            for at_ms in target.part_arrivals_ms.get(BAD_PART, ())
             if at_ms > settled_ms
         ]
 
