Send targets no more than the rate limit that they name, all processes together

Cause: nothing read the header; each process sent as if there were no limit. Change: the limit is a fact about an incarnation, learned from any answer or another process, and ends with a later answer without it. Load reports and totals carry it with the requests of each process in the last 4 s, so a process knows the sum, and nothing is written to the store. A process that hears nothing of the others sends its equal share, and the others set that share aside. Items leave half of the limit to online requests. How much may be sent before the news has reached all: as many requests as arrive in that time; so a process lets a request through with the probability that makes all of these, at all processes, half of what is left.

--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Sequence
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 LOCAL_TARGET_WEIGHT = 1.5  # for targets in the own failure domain: the network path is shorter
 NEWS_DELAY_MS = 50.0  # until an entry's choices are known to all others, with a margin
@@ -45,6 +45,13 @@
         return self.capacity - self.online
 
 
+def limit_free_slots(load: TargetLoad, limit: int | None) -> TargetLoad:
+    """Return a load with no more free slots than ``limit``; unchanged if that is ``None``."""
+    if limit is None or load.free_slots <= limit:
+        return load
+    return structs.replace(load, capacity=load.online + load.batch + limit)
+
+
 def max_queued_requests(capacity: int, target_latency_ms: float, service_time_ms: float) -> int:
     """Return how many online requests may queue at a target and still meet the target latency.
 
--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -41,6 +41,7 @@
         """Apply a message of a runner or answer an entry; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+            self._targets.rate_limits.update_others(message.sender, message.limits, now_ms())
             for incarnation in message.leaving:
                 self._targets.mark_leaving(incarnation, message.sender)
         elif isinstance(message, SuspicionUpdate):
@@ -57,6 +58,7 @@
             now_ms(),
             observed_batch=self._view.observed_batch(),
             leaving=self._targets.announced_incarnations(now_ms()),
+            limits=self._targets.rate_limits.own_reports(now_ms()),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._origins.report_streams()
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards online requests to targets, and retries or resumes them where the route allows it."""
 
+from collections.abc import Sequence
 from random import Random
 
 from ebonyshore.frame.logs import EventLog
@@ -10,6 +11,7 @@
     TargetLoad,
     choose_target,
     concurrent_choices,
+    limit_free_slots,
     max_queued_requests,
     retry_after_ms,
 )
@@ -87,6 +89,20 @@
         """Answer one request; errors of targets are answered, not raised."""
         await _ForwardedRequest(self, route, request, responder).run()
 
+    def loads_within_limits(self, targets: Sequence[Target]) -> list[TargetLoad]:
+        """Return the loads of the targets that may be sent a request now.
+
+        A target that names a rate limit counts as having no more free slots than requests that it
+        may be sent.
+        """
+        at_ms = now_ms()
+        limits = self.targets.rate_limits
+        draw = self.random.random
+        allowed = {t.target_id: limits.admit(t.incarnation, at_ms, draw()) for t in targets}
+        sendable = [target for target in targets if allowed[target.target_id] != 0]
+        loads = self.view.target_loads(sendable, at_ms)
+        return [limit_free_slots(load, allowed[load.target_id]) for load in loads]
+
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
 
@@ -210,6 +226,7 @@
             forwarder.crash_guard.confirm_end,
             self._record_first_event,
         )
+        forwarder.targets.rate_limits.record_sent(target.incarnation, now_ms())
         forwarder.view.record_start(target)
         began_ms = now_ms()
         try:
@@ -285,12 +302,10 @@
             # The targets of the service have left since it was chosen.
             self._service = self._forwarder.choose_service(self._route)
             usable = self._usable_targets()
-        targets = [
-            target for target in usable if target.target_id not in self._unsuccessful_targets
-        ]
-        targets = targets or usable
         forwarder = self._forwarder
-        loads = forwarder.view.target_loads(targets, now_ms())
+        loads = forwarder.loads_within_limits(usable)
+        untried = [load for load in loads if load.target_id not in self._unsuccessful_targets]
+        loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
         chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -13,6 +13,7 @@
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
+from ebonyshore.link.rate_limits import RateLimits
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.store.kind_watch import KindListener, KindWatch
@@ -55,10 +56,15 @@
         self._environment = environment
         deployment, log = environment.deployment, environment.log
         self.config = ConfigService(deployment.config_key, deployment.decode_config, log)
+        self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
+        rate_limits = RateLimits(lambda: self.peers.process_count, environment.random.random())
         self.targets = TargetService(
-            TargetTable(), deployment.decode_target, environment.pool, log, environment.metrics
+            TargetTable(rate_limits),
+            deployment.decode_target,
+            environment.pool,
+            log,
+            environment.metrics,
         )
-        self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         self.registration = make_registration(environment, self.peers)
         self.probe = make_probe(environment, self.config)
         self.suspicions = make_suspicion_exchange(environment)
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -9,7 +9,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.http.numbers import parse_decimal
+from ebonyshore.http.numbers import parse_decimal, parse_non_negative
 
 MAX_BODY_BYTES = 64 << 20  # if the head declares the length
 MAX_UNDECLARED_BODY_BYTES = 4 << 20  # such a body may have no end
@@ -180,10 +180,14 @@
                 detail, is_idle_timeout=is_idle_limit, is_deadline_exceeded=not is_idle_limit
             ) from error
         if isinstance(part, ResponseHead):
-            self._note_leaving(part)
+            self._note_state(part)
         return part
 
-    def _note_leaving(self, head: ResponseHead) -> None:
+    def _note_state(self, head: ResponseHead) -> None:
+        """Note what the head says of the target itself."""
+        instance_id = head.headers.get(self._names.instance_id)
+        if instance_id in (None, self._target.target_id):
+            self._target.record_limit(parse_non_negative(head.headers.get(self._names.rate_limit)))
         if (head.headers.get(self._names.leaving) or "").strip() == LEAVING_VALUE:
             self._target.announce_leaving("answer", head.headers.get(self._names.instance_id))
 
--- a/ebonyshore/host/target.py
+++ b/ebonyshore/host/target.py
@@ -53,6 +53,7 @@
     :param entry: the target's entry in the list.
     :param on_leaving: called with the target, the id of the instance that leaves and the source of
         the news, each time that an answer or a peer says so.
+    :param on_limit: called with the incarnation and the rate limit that it names in a response.
     :ivar own_online: number of this process's online requests at the target.
     :ivar own_batch: number of this process's batch items at the target.
     :ivar batch_started_ms: time at which this process last started a batch item there.
@@ -72,6 +73,7 @@
         "batch_started_ms",
         "crashes",
         "_on_leaving",
+        "_on_limit",
         "entry",
         "full_until_ms",
         "is_leaving",
@@ -87,8 +89,10 @@
         self,
         entry: TargetEntry,
         on_leaving: "Callable[[Target, str, str], None]" = lambda *_: None,
+        on_limit: Callable[[Incarnation, float | None], None] = lambda *_: None,
     ) -> None:
         self._on_leaving = on_leaving
+        self._on_limit = on_limit
         self.entry = entry
         self.own_online = 0
         self.own_batch = 0
@@ -120,6 +124,10 @@
         """
         self._on_leaving(self, instance_id or self.target_id, source)
 
+    def record_limit(self, rate_per_s: float | None) -> None:
+        """Record the rate limit that a response of the target names, or that it names none."""
+        self._on_limit(self.incarnation, rate_per_s)
+
     def is_listed_start(self, started_ms: int) -> bool:
         """Return whether the list shows the start that the target tells, and remember it."""
         self.is_outdated = started_ms > self.entry.started_ms > 0
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -8,6 +8,7 @@
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
+from ebonyshore.link.load_table import Incarnation
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import StoredObject
 
@@ -40,6 +41,7 @@
         self._metrics = metrics
         self.on_leaving: Callable[[], None] = lambda: None
         table.on_leaving = self._note_leaving
+        table.rate_limits.on_change = self._note_limit
         self.has_listing = False
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
@@ -83,6 +85,12 @@
         self._pool.close_idle_connections(target.entry.address)
         self.on_leaving()
 
+    def _note_limit(self, incarnation: Incarnation, rate_per_s: float | None, source: str) -> None:
+        self._metrics.count("target_limits")
+        self._log.event(
+            "target_limit", target=incarnation.target_id, rate_per_s=rate_per_s, source=source
+        )
+
     def _put(self, entry: TargetEntry) -> None:
         known = self.table.find(entry.target_id)
         is_changed = known is None or known.entry != entry
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -7,9 +7,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.leaving_record import LeavingRecord
 from ebonyshore.host.target import Target, TargetEntry, TargetGroup
 from ebonyshore.link.load_table import Incarnation, TargetCounts
+from ebonyshore.link.rate_limits import RateLimits
 
 REREGISTRATION_GRACE_MS = 2_500.0
 # Time for which streams may go on that began at a version whose last target has gone.
@@ -19,6 +21,7 @@
 class TargetTable:
     """All known targets by id. Not thread-safe: for use on one event loop.
 
+    :param rate_limits: the rate limits that targets name; without it they are not shared.
     :ivar on_leaving: called with a target and the source of the news when it is first known that
         this incarnation leaves.
     """
@@ -29,9 +32,11 @@
         "_store_outage_ms",
         "_targets",
         "on_leaving",
+        "rate_limits",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, rate_limits: RateLimits | None = None) -> None:
+        self.rate_limits = rate_limits or RateLimits(lambda: 1, 0.0)
         self._targets: dict[str, Target] = {}
         self._leaving = LeavingRecord()
         self.on_leaving: Callable[[Target, str], None] = lambda *_: None
@@ -63,7 +68,9 @@
         if target is None or target.entry.started_ms != entry.started_ms:
             if target is not None:
                 self._note_dropped(target, now_ms)
-            target = self._targets[entry.target_id] = Target(entry, self._announce)
+            target = self._targets[entry.target_id] = Target(
+                entry, self._announce, self._record_limit
+            )
             target.is_leaving = False
         target.entry = entry
         target.removed_ms = None
@@ -167,6 +174,9 @@
         }
         return present | dropped
 
+    def _record_limit(self, incarnation: Incarnation, rate_per_s: float | None) -> None:
+        self.rate_limits.observe(incarnation, rate_per_s, now_ms(), "answer")
+
     def _announce(self, target: Target, instance_id: str, source: str) -> None:
         """Apply what a server at a target's address has said of itself."""
         if instance_id == target.target_id:
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -9,7 +9,7 @@
 from msgspec import structs
 
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import Incarnation, LoadReport, TargetCounts
+from ebonyshore.link.load_table import Incarnation, LimitReport, LoadReport, TargetCounts
 from ebonyshore.link.peers import PeerDirectory
 
 UNCHANGED_INTERVAL_MS = 100.0  # with one lost datagram still below the timeout of a report
@@ -43,6 +43,7 @@
         waiting_tokens: dict[str, int] | None = None,
         contended_quotas: tuple[str, ...] = (),
         leaving: tuple[Incarnation, ...] = (),
+        limits: tuple[LimitReport, ...] = (),
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
@@ -67,6 +68,7 @@
             waiting_tokens or {},
             contended_quotas,
             leaving,
+            limits,
         )
         if self._is_due(report, now_ms):
             socket.send(report, self._peers.addresses("runner"))
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from math import ceil
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 REPORT_TIMEOUT_MS = 1_000.0
 MUTUAL_TIMEOUT_MS = 500.0
@@ -39,6 +39,23 @@
     started_ms: int
 
 
+class LimitReport(Struct, frozen=True, array_like=True):
+    """The rate limit that a target names for all processes, and requests that were sent there.
+
+    :param rate_per_s: the limit; ``None`` if the target does not name one any more.
+    :param age_ms: time since the response that said so.
+    :param requests: number of requests in the last
+        :data:`~ebonyshore.link.rate_limits.LIMIT_WINDOW_MS`.
+    :param wanted_per_s: online requests a second that could have been sent there.
+    """
+
+    incarnation: Incarnation
+    rate_per_s: float | None
+    age_ms: float
+    requests: float
+    wanted_per_s: float = 0.0
+
+
 class TargetCounts(Struct, frozen=True, array_like=True):
     """Numbers of online requests and batch items that one or more processes have at a target."""
 
@@ -75,6 +92,7 @@
     :param waiting_tokens: tokens of the unfinished items of the runner's jobs, by quota.
     :param contended_quotas: the quotas that are nearly used up, as far as the runner knows.
     :param leaving: targets that have said that they leave, before the list shows it.
+    :param limits: rate limits of targets, and the requests of the process there.
     """
 
     sender: str
@@ -88,6 +106,7 @@
     waiting_tokens: dict[str, int] = {}
     contended_quotas: tuple[str, ...] = ()
     leaving: tuple[Incarnation, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -99,6 +118,7 @@
     :param counts: counts by target id.
     :param runners: number of open items of each live runner, by instance id.
     :param leaving: as in :class:`LoadReport`, from all processes.
+    :param limits: as in :class:`LoadReport`, with the requests of all other processes.
     """
 
     sender: str
@@ -107,6 +127,7 @@
     counts: dict[str, TargetCounts]
     runners: dict[str, int]
     leaving: tuple[Incarnation, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class LoadTable:
@@ -226,6 +247,22 @@
             add_counts(sums, remaining)
         return sums
 
+    def limits(self, now_ms: float, excluded: str = "") -> list[LimitReport]:
+        """Return what all live processes have reported of rate limits, with their present ages.
+
+        :param excluded: instance id of a process whose report is left out.
+        """
+        return [
+            structs.replace(limit, age_ms=limit.age_ms + now_ms - self._received_ms[sender])
+            for sender, report in self._reports.items()
+            if sender != excluded
+            for limit in report.limits
+        ]
+
+    def live_processes(self) -> set[str]:
+        """Return the instance ids of the other processes whose reports are not too old."""
+        return set(self._reports)
+
     def max_observed_batch(self, target_id: str) -> int:
         """Return the highest number of batch items that an entry reports for a target, or 0."""
         return max(
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -1,6 +1,6 @@
 """Discovery of the other processes: each process writes a record of itself to the store."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 from concurrent.futures import Executor
 from typing import Literal
 
@@ -88,6 +88,18 @@
         """Return the records of the other processes of a role, by instance id."""
         return {key: peer for key, peer in self._peers.items() if peer.role == role}
 
+    @property
+    def process_count(self) -> int:
+        """Number of registered processes, this one included."""
+        return 1 + len(self._peers)
+
+    def unheard(self, heard: Set[str], excluded: str = "") -> int:
+        """Return the number of other processes that are not among some.
+
+        :param excluded: instance id of a process that is not counted.
+        """
+        return len(self._peers.keys() - heard - {excluded})
+
     def addresses(self, role: str) -> list[tuple[str, int]]:
         """Return host and port of the other processes of a role."""
         return [(peer.host, peer.port) for peer in self._peers.values() if peer.role == role]
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -159,6 +159,7 @@
             target = self._targets.find(start.target_id)
             item.start_run(now_ms())
             target.own_batch += 1
+            self._targets.rate_limits.record_sent(target.incarnation, now_ms())
             target.batch_started_ms = now_ms()
             content_run = self._crash_guard.begin(
                 target, self._item_content(progress, item), is_resumable=True, is_item=True
@@ -202,6 +203,9 @@
         return self._ranking.preemption_key(running.progress, running.item, now_ms)
 
     def _start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
+        allowed = self._targets.rate_limits.batch_allowance(target.incarnation, now_ms)
+        if allowed is not None:
+            return allowed if is_primary else 0
         if is_primary:
             return UNLIMITED
         return int(now_ms - target.batch_started_ms >= NON_PRIMARY_START_INTERVAL_MS)
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -14,8 +14,9 @@
 )
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import LoadReport, LoadTable, LoadTotals, add_counts
+from ebonyshore.link.load_table import LimitReport, LoadReport, LoadTable, LoadTotals, add_counts
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.rate_limits import sum_limits
 from ebonyshore.link.stream_records import StreamRecords
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.runner.job_admission import JobAdmission
@@ -104,7 +105,10 @@
             waiting_tokens=self._admission.waiting_tokens(),
             contended_quotas=self._admission.contended_quotas(),
             leaving=self._targets.announced_incarnations(now_ms()),
+            limits=self._targets.rate_limits.own_reports(now_ms()),
         )
+        own_id = report.sender
+        self._targets.rate_limits.update_others(own_id, self._limits_without(own_id), now_ms())
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
             self._send_totals(socket, report)
@@ -115,6 +119,14 @@
         everyone = runners + self._peers.addresses("entry")
         self._suspicions.send(socket, everyone, everyone if includes_entries else runners, now_ms())
 
+    def _limits_without(
+        self, excluded: str, own_limits: tuple[LimitReport, ...] = ()
+    ) -> tuple[LimitReport, ...]:
+        """Return the limits of targets, and the requests there of all processes but one."""
+        reports = [*self._load_table.limits(self._clock.boot_ms(), excluded), *own_limits]
+        unheard = self._peers.unheard(self._load_table.live_processes(), excluded)
+        return tuple(sum_limits(reports, unheard, self._peers.process_count).values())
+
     def _send_totals(self, socket: LoadSocket, own_report: LoadReport) -> None:
         runners = {key: report.open_items for key, report in self._load_table.runners().items()}
         if not self._registry.is_leaving:
@@ -129,5 +141,6 @@
                 counts,
                 runners,
                 own_report.leaving,
+                self._limits_without(entry.instance_id, own_report.limits),
             )
             socket.send(message, [(entry.host, entry.port)])
