Never hold an item because targets crashed under it

What was seen: items under which five targets had ended were not run again before their job's end, although the targets were calm and free; with three crashes they waited 5 s. Cause: an item was convicted like an online request, and a convicted one waited for the conviction to expire. Items are never the cause of a crash and are still owed. Change: runs of items raise no suspicion, and items are not held. They still clear content that they have in common with online requests.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -3,9 +3,8 @@
 After a run broke off, the target is asked whether it still serves. If it does not, all content that
 it was running is suspect: whole requests, and the parts of their prompts. Content that was in
 flight at several crashes without completing in between is convicted. Online requests with convicted
-content are refused; an item is run a few more times, at growing intervals, because its job cannot
-be answered without its result. The parts of an item's prompt are not suspect, as online requests
-tell which part is to blame, but a part is cleared also by an item that completes.
+content are refused. Items are never suspect: a target that ended under one has another reason to
+end, and the item is still owed. An item that completes clears its content all the same.
 """
 
 from asyncio import Task, create_task, wait
@@ -20,7 +19,7 @@
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.suspicion import CRASH_TIME_SEPARATOR, SHARED_CONVICTION_CRASHES
+from ebonyshore.link.suspicion import CRASH_TIME_SEPARATOR
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
 SUSPICION_EXPIRY_MS = 600_000.0
@@ -35,8 +34,6 @@
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
-# Times from the last crash until a convicted item runs again; afterwards it waits for the expiry.
-CONVICTED_ITEM_DELAYS_MS = (5_000.0, 15_000.0)
 
 
 class ContentRun:
@@ -133,11 +130,11 @@
         :return: whether the crash is weak evidence, by digest.
         """
         found: dict[str, bool] = {}
-        if not self.is_sent:
+        if not self.is_sent or self.is_item:
             return found
         if self._may_have_crashed_target(at_ms):
             found[self.content.digest] = self.is_weak_evidence
-        if not self.is_item and not self.has_progress:
+        if not self.has_progress:
             found |= dict.fromkeys(self.content.parts, False)
         return found
 
@@ -264,22 +261,6 @@
         ages_ms = [table.verdict(digest, at_ms).age_ms for digest in convicted]
         return max((SUSPICION_EXPIRY_MS - age_ms for age_ms in ages_ms), default=0.0)
 
-    def may_run_item(self, content_digest: str) -> bool:
-        """Return whether an item with the content may run now.
-
-        A convicted item is run again :data:`CONVICTED_ITEM_DELAYS_MS` after its last crash. When
-        these times are used up, it runs again only after the conviction has expired.
-        """
-        if any(content_digest in digests for digests in self._broken.values()):
-            return False
-        if not self._exchange.table.is_convicted(content_digest, now_ms()):
-            return True
-        verdict = self._exchange.table.verdict(content_digest, now_ms())
-        repeats = max(0, verdict.crash_count - SHARED_CONVICTION_CRASHES)
-        if repeats >= len(CONVICTED_ITEM_DELAYS_MS):
-            return False
-        return verdict.age_ms >= CONVICTED_ITEM_DELAYS_MS[repeats]
-
     async def run_once(self) -> None:
         """Check the targets of runs that have waited long, and look for restarts in the list."""
         at_ms = now_ms()
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -102,9 +102,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._waiting_items = WaitingItems(
-            registry, config, crash_guard, ranking, log, metrics, random
-        )
+        self._waiting_items = WaitingItems(registry, config, ranking, log, metrics, random)
         self._running: dict[str, RunningItem] = {}
         self._is_stopped = False
         self._use_logged_ms = float("-inf")
@@ -380,7 +378,7 @@
         if outcome is RunOutcome.SILENT:
             target.mark_unresponsive(now_ms)
         item.consecutive_broken_runs = (
-            item.consecutive_broken_runs + 1 if content_run.progress_ms is None else 0
+            0 if content_run.has_progress else item.consecutive_broken_runs + 1
         )
         # The item may run again at once after the first of several broken runs in succession.
         delay_ms = min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2**item.consecutive_broken_runs)
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -45,7 +45,6 @@
     :ivar consecutive_broken_runs: number of runs with the outcome ``SILENT`` or ``BROKEN`` since
         the last run that received an event.
     :ivar content_digest: digest of the item's request; ``None`` until it is needed.
-    :ivar is_held: whether the item must not run because its request crashes targets.
     :ivar not_before_ms: event loop time before which the item must not run again.
     :ivar run_started_ms: event loop time at which the present run started; ``None`` if the item is
         not running.
@@ -63,7 +62,6 @@
         "ended_runs_ms",
         "failures",
         "index",
-        "is_held",
         "item_id",
         "last_event_id",
         "not_before_ms",
@@ -85,7 +83,6 @@
         self.failures = 0
         self.consecutive_broken_runs = 0
         self.content_digest: str | None = None
-        self.is_held = False
         self.not_before_ms = float("-inf")
         self.run_started_ms: float | None = None
         self.run_ended_ms = float("-inf")
--- a/ebonyshore/runner/waiting_items.py
+++ b/ebonyshore/runner/waiting_items.py
@@ -7,7 +7,6 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
-from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.runner.job_progress import Item, JobProgress
@@ -26,14 +25,12 @@
 
     :param registry: the known jobs.
     :param config: the routes in force.
-    :param crash_guard: knows the content that crashes targets.
     :param ranking: keeps the order of the jobs.
     :param random: chooses among the services of a route by their weight.
     """
 
     __slots__ = (
         "_config",
-        "_crash_guard",
         "_log",
         "_metrics",
         "_random",
@@ -45,7 +42,6 @@
         self,
         registry: JobRegistry,
         config: ConfigService,
-        crash_guard: CrashGuard,
         ranking: JobRanking,
         log: EventLog,
         metrics: Metrics,
@@ -53,7 +49,6 @@
     ) -> None:
         self._registry = registry
         self._config = config
-        self._crash_guard = crash_guard
         self._ranking = ranking
         self._log = log
         self._metrics = metrics
@@ -76,7 +71,7 @@
         found: dict[TargetGroup, dict[str, WaitingItem]] = {}
         for waiting in self._ranking.sort_items(self._find_waiting(left), running, now_ms()):
             group = self._choose_group(waiting, left)
-            if group is not None and self._may_run(waiting.progress, waiting.item):
+            if group is not None:
                 if waiting.item.origin not in (None, group):
                     self._restart(waiting)
                 left[group] -= 1
@@ -139,19 +134,6 @@
         )
         item.discard_events()
 
-    def _may_run(self, progress: JobProgress, item: Item) -> bool:
-        """Return whether an item may run, as far as its content is known to crash targets."""
-        content_digest = progress.content_digest(item)
-        if self._crash_guard.may_run_item(content_digest):
-            item.is_held = False
-            return True
-        if not item.is_held:
-            item.is_held = True
-            self._log.event(
-                "item_held", job=progress.job_id, item=item.item_id, content=content_digest
-            )
-        return False
-
     def _batch_route(self, progress: JobProgress) -> Route | None:
         route = self._config.table.find(progress.record.host, progress.record.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,6 +7,7 @@
 
 from ebonyshore.frame.errors import WriteConflictError
 from ebonyshore.host.job_types import ResultRecord, ResultSegment
+from ebonyshore.link.rate_limits import RateLimits
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
@@ -133,6 +134,8 @@
             return []
 
     class FakeTargets:
+        rate_limits = RateLimits(lambda: 1, 0.0)
+
         def own_counts(self):
             return {}
 
