Use a limited target's budget in full, and leave most of it to online requests

Items now leave three quarters of a limit to online requests, and requests that arrive before the next reports are let through up to what is left, not half of it.

--- a/ebonyshore/link/rate_limits.py
+++ b/ebonyshore/link/rate_limits.py
@@ -22,6 +22,7 @@
 LIMIT_WINDOW_MS = 4_000.0
 SPREAD_MS = 1_000.0
 OTHERS_TIMEOUT_MS = 500.0  # two heartbeats; older counts of the others are not used
+RESERVED_FOR_ONLINE = 0.75  # part of a limit that items leave to online requests
 NEWS_DELAY_MS = 250.0  # until the requests of one process are known to all others
 WANTED_PERIOD_MS = 1_000.0  # over which the demand is averaged
 LIFTED_NEWS_MS = 5_000.0  # time for which others are told that a target names no limit any more
@@ -152,15 +153,15 @@
             return allowed
         wanted_per_s = max((r.wanted_per_s for r in self._others(known, now_ms)), default=0.0)
         concurrent = wanted_per_s * NEWS_DELAY_MS / MS_PER_S
-        return allowed if draw * max(1.0, 2.0 * concurrent) < self._left(known, now_ms) else 0
+        return allowed if draw * max(1.0, concurrent) < self._left(known, now_ms) else 0
 
     def batch_allowance(self, incarnation: Incarnation, now_ms: float) -> int | None:
-        """Return how many items may start now; they leave half of the limit to online requests."""
+        """Return how many items may start now; most of the limit is left to online requests."""
         allowed = self.allowance(incarnation, now_ms)
         if not allowed or not self._knows_others(now_ms):
             return allowed
         known = self._targets[incarnation]
-        reserved = (_budget(known.rate_per_s) - 1.0) / 2.0
+        reserved = (_budget(known.rate_per_s) - 1.0) * RESERVED_FOR_ONLINE
         return max(0, min(allowed, int(self._left(known, now_ms) - reserved)))
 
     def update_others(self, source: str, reports: Iterable[LimitReport], now_ms: float) -> None:
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -124,6 +124,8 @@
     ) -> tuple[LimitReport, ...]:
         """Return the limits of targets, and the requests there of all processes but one."""
         reports = [*self._load_table.limits(self._clock.boot_ms(), excluded), *own_limits]
+        if not reports:
+            return ()
         unheard = self._peers.unheard(self._load_table.live_processes(), excluded)
         return tuple(sum_limits(reports, unheard, self._peers.process_count).values())
 
