--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -11,10 +11,11 @@
 
 from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
 from ebonyshore_soak.checker import GuaranteeChecker
-from ebonyshore_soak.clients import CRASHING_BODY, STREAM_EVENTS, SoakClients
+from ebonyshore_soak.clients import CRASHING_BODY, CRASHING_PART, STREAM_EVENTS, SoakClients
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
+from ebonyshore_soak.target_checks import check_crashing_part, check_limited_targets
 from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
@@ -114,6 +115,8 @@
         _check_streams_go_on(fleet, clients, checker)
         _check_leaving_target(fleet, target_proxies[0], clients, checker, clock)
         _check_crashing_content(fleet, clients, checker, clock)
+        check_crashing_part(fleet, clients, checker, clock)
+        check_limited_targets(fleet, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
@@ -131,6 +134,7 @@
     # A proxy accepts connections also while its target refuses them, so crashed targets are silent.
     target = CrashingTarget(target_id, CrashMode.SILENT, TARGET_DOWN_MS)
     target.crashing_bodies = {CRASHING_BODY}
+    target.crashing_parts = {CRASHING_PART}
     target.software_version = f"v{int(target_id[1:]) % SOFTWARE_VERSIONS}"
     return target
 
@@ -204,7 +208,8 @@
 
 
 def _count_crashes(fleet: PlatformFleet) -> int:
-    return sum(len(target.crashes) for target in fleet.targets)
+    """Return the number of crashes by the whole content of a request."""
+    return sum(not crash.part for target in fleet.targets for crash in target.crashes)
 
 
 def _settle(
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -29,6 +29,9 @@
 SINGLE_ATTEMPT_EVENTS = 12
 MAX_STREAM_ATTEMPTS = 3
 CRASHING_BODY = b"crashes its targets"
+CRASHING_PART = "bad0"
+FIRST_PART = "f1f1"  # of all prompts
+CALLER_PARTS = ("ca01", "ca02", "ca03")
 CALL_TIMEOUT_S = 6.0
 SHORT_JOB = JobSize(items=8, events=25)
 # Its items run long enough that a runner which stops has stored events of them.
@@ -72,6 +75,7 @@
         self._start_thread(self._run_job_client, 21)
         self._start_thread(self._run_config_changes, 30)
         self._start_thread(self._run_crashing_client, 40)
+        self._start_thread(self._run_crashing_part_client, 50)
 
     def stop(self) -> None:
         """Stop the callers and wait for each thread for up to 60 s."""
@@ -130,6 +134,29 @@
         if response is not None:
             self._checker.count(f"crash_{response[0]}")
 
+    def send_request_with_crashing_part(self, entry: FleetProcess) -> None:
+        """Send a request that differs from all others, but for a part that crashes targets."""
+        number = next(self._request_numbers)
+        parts = (FIRST_PART, CALLER_PARTS[number % 3], CRASHING_PART, f"{number:x}")
+        response = self.call_or_none(
+            lambda: request_stream(
+                entry,
+                f"part-{number}",
+                SINGLE_ATTEMPT_PREFIX,
+                1,
+                CALL_TIMEOUT_S,
+                f"body {number}".encode(),
+                parts,
+            )
+        )
+        if response is not None:
+            self._checker.count(f"part_{response[0]}")
+
+    def send_single_attempt_request(self, number: int) -> bool:
+        """Send a sound request to the entries in turn; return whether it was answered."""
+        entry = self._fleet.entries[number % len(self._fleet.entries)]
+        return self._send_single_attempt_request(entry)
+
     def _start_thread(self, run: Callable[[Random], None], number: int) -> None:
         thread = Thread(target=run, args=(Random(f"{self._seed}/{number}"),), daemon=True)
         self._threads.append(thread)
@@ -143,16 +170,22 @@
             self._checker.count("calls_without_answer")
             return None
 
-    def _send_single_attempt_request(self, random: Random) -> None:
-        request_id = f"once-{next(self._request_numbers)}"
-        entry = random.choice(self._fleet.entries)
+    def _send_single_attempt_request(self, entry: FleetProcess) -> bool:
+        number = next(self._request_numbers)
+        request_id = f"once-{number}"
+        parts = (FIRST_PART, CALLER_PARTS[number % 3], f"{number:x}")
         response = self.call_or_none(
             lambda: request_stream(
-                entry, request_id, SINGLE_ATTEMPT_PREFIX, SINGLE_ATTEMPT_EVENTS, CALL_TIMEOUT_S
+                entry,
+                request_id,
+                SINGLE_ATTEMPT_PREFIX,
+                SINGLE_ATTEMPT_EVENTS,
+                CALL_TIMEOUT_S,
+                parts=parts,
             )
         )
         if response is None:
-            return
+            return False
         status, _, body = response
         if status == 200:
             self._checker.check_stream(request_id, SINGLE_ATTEMPT_EVENTS, stream_data(body))
@@ -161,6 +194,7 @@
         elif status == 404:
             self._checker.report_violation(f"request {request_id} returned status 404")
         self._checker.count(f"once_{status}")
+        return status == 200
 
     def _run_stream_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.0, 0.1)):
@@ -190,12 +224,16 @@
 
     def _run_single_attempt_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.0, 0.1)):
-            self._send_single_attempt_request(random)
+            self._send_single_attempt_request(random.choice(self._fleet.entries))
 
     def _run_crashing_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.3, 1.5)):
             self.send_crashing_request(random.choice(self._fleet.entries))
 
+    def _run_crashing_part_client(self, random: Random) -> None:
+        while not self._is_stopped.wait(random.uniform(0.3, 1.5)):
+            self.send_request_with_crashing_part(random.choice(self._fleet.entries))
+
     def _run_job_client(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.2, 0.8)):
             number = next(self._request_numbers)
