Keep what rate limits still allow for bursts of online requests

Targets that have used more than half of their allowance are left out while the others have enough slots.

--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -25,6 +25,7 @@
     :param is_local: whether the target is in the process's own failure domain.
     :param is_avoided: whether other targets are preferred because this one recently failed,
         refused a request for lack of capacity, or was removed from the list of targets.
+    :param is_scarce: whether most of what the target's rate limit allows has been used.
     """
 
     target_id: str
@@ -33,6 +34,7 @@
     batch: int
     is_local: bool = False
     is_avoided: bool = False
+    is_scarce: bool = False
 
     @property
     def free_slots(self) -> int:
@@ -45,11 +47,13 @@
         return self.capacity - self.online
 
 
-def limit_free_slots(load: TargetLoad, limit: int | None) -> TargetLoad:
-    """Return a load with no more free slots than ``limit``; unchanged if that is ``None``."""
-    if limit is None or load.free_slots <= limit:
-        return load
-    return structs.replace(load, capacity=load.online + load.batch + limit)
+def limit_free_slots(load: TargetLoad, limit: int, is_scarce: bool) -> TargetLoad:
+    """Return a load with no more free slots than ``limit``.
+
+    :param is_scarce: whether most of what the target's rate limit allows has been used.
+    """
+    capacity = min(load.capacity, load.online + load.batch + limit)
+    return structs.replace(load, capacity=capacity, is_scarce=is_scarce)
 
 
 def max_queued_requests(capacity: int, target_latency_ms: float, service_time_ms: float) -> int:
@@ -91,12 +95,18 @@
     targets then get weights that fill them evenly; else every request would be sent to one of the
     few targets with a free slot, and several would queue there.
 
+    What a rate limit still allows is kept for bursts: scarce targets are used only if the others do
+    not have enough slots.
+
     :param loads: the candidates. Avoided ones are used only if there are no others.
     :param queue_slots: number of requests that may queue at one target.
     :param choices: number of concurrent choices, see :func:`concurrent_choices`.
     :param draw: random number between 0 and 1.
     """
     candidates = [load for load in loads if not load.is_avoided] or list(loads)
+    plentiful = [load for load in candidates if not load.is_scarce]
+    if sum(max(0, load.free_slots_for_online) for load in plentiful) >= choices:
+        candidates = plentiful
     for slots_of in (_free_slots, _free_slots_for_online):
         slots = [max(0, slots_of(load)) for load in candidates]
         if sum(slots) >= choices:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -100,8 +100,15 @@
         draw = self.random.random
         allowed = {t.target_id: limits.admit(t.incarnation, at_ms, draw()) for t in targets}
         sendable = [target for target in targets if allowed[target.target_id] != 0]
-        loads = self.view.target_loads(sendable, at_ms)
-        return [limit_free_slots(load, allowed[load.target_id]) for load in loads]
+        scarce = {t.target_id: limits.is_scarce(t.incarnation, at_ms) for t in sendable}
+        return [
+            (
+                load
+                if (limit := allowed[load.target_id]) is None
+                else limit_free_slots(load, limit, scarce[load.target_id])
+            )
+            for load in self.view.target_loads(sendable, at_ms)
+        ]
 
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
--- a/ebonyshore/link/rate_limits.py
+++ b/ebonyshore/link/rate_limits.py
@@ -155,6 +155,13 @@
         concurrent = wanted_per_s * NEWS_DELAY_MS / MS_PER_S
         return allowed if draw * max(1.0, concurrent) < self._left(known, now_ms) else 0
 
+    def is_scarce(self, incarnation: Incarnation, now_ms: float) -> bool:
+        """Return whether most of what a target's limit allows has been used."""
+        known = self._targets.get(incarnation)
+        if known is None or known.rate_per_s is None:
+            return False
+        return self._left(known, now_ms) < _budget(known.rate_per_s) / 2.0
+
     def batch_allowance(self, incarnation: Incarnation, now_ms: float) -> int | None:
         """Return how many items may start now; most of the limit is left to online requests."""
         allowed = self.allowance(incarnation, now_ms)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -10,6 +10,7 @@
     choose_target,
     concurrent_choices,
     even_shares,
+    limit_free_slots,
     max_queued_requests,
     retry_after_ms,
 )
@@ -195,3 +196,18 @@
     late = sum(BurstReplay(choose_by_policy, seed).play() for seed in seeds)
     late_before = sum(BurstReplay(choose_free_slots_only, seed).play() for seed in seeds)
     assert late <= 0.8 * late_before
+
+
+def test_scarce_target_is_left_to_bursts():
+    """Guards against using up a target's rate limit while other targets have slots."""
+    scarce = limit_free_slots(TargetLoad("scarce", 8, 0, 0), 3, is_scarce=True)
+    busy = TargetLoad("busy", 8, 2, 6)
+    full = TargetLoad("full", 8, 8, 0)
+    assert scarce.free_slots == 3
+    for draw in (0.0, 0.5, 1.0):
+        assert choose_target([scarce, busy], 2, 1.0, draw).target_id == "busy"
+        assert choose_target([scarce, full], 2, 1.0, draw).target_id == "scarce"
+
+
+def test_limit_does_not_add_slots():
+    assert limit_free_slots(TargetLoad("t", 8, 7, 0), 3, is_scarce=False).free_slots == 1
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -176,3 +176,13 @@
     limits.record_sent(TARGET, 0.0)
     assert limits.allowance(TARGET, LIMIT_WINDOW_MS - 1.0) == 0
     assert limits.allowance(TARGET, LIMIT_WINDOW_MS) == 1
+
+
+def test_target_is_scarce_when_most_of_its_limit_is_used():
+    limits = make_limits()
+    for _ in range(6):
+        assert not limits.is_scarce(TARGET, 0.0)
+        limits.record_sent(TARGET, 0.0)
+    limits.record_sent(TARGET, 0.0)
+    assert limits.is_scarce(TARGET, 0.0)
+    assert not limits.is_scarce(Incarnation("t2", 1), 0.0)
