--- a/ebonyshore/link/rate_limits.py
+++ b/ebonyshore/link/rate_limits.py
@@ -203,18 +203,6 @@
             for incarnation, known in self._targets.items()
         )
 
-    def dump(self, now_ms: float) -> list[dict[str, object]]:
-        """Return the limits for the state dump."""
-        return [
-            {
-                "target": incarnation.target_id,
-                "rate_per_s": known.rate_per_s,
-                "own_requests": known.own_requests(now_ms),
-                "other_requests": self._other_requests(known, now_ms),
-            }
-            for incarnation, known in self._targets.items()
-        ]
-
     def _knows_others(self, now_ms: float) -> bool:
         if self._process_count() <= 1:
             return True
