Let only a response to a request without the header lift a target's rate limit

A load report does not name the limit, and a value that is no rate says nothing, but both lifted the limit at all processes until the next answer. Found by reading; four cases of test_limited_answers failed before.

--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -187,10 +187,18 @@
         """Note what the head says of the target itself."""
         instance_id = head.headers.get(self._names.instance_id)
         if instance_id in (None, self._target.target_id):
-            self._target.record_limit(parse_non_negative(head.headers.get(self._names.rate_limit)))
+            self._note_limit(head.headers.get(self._names.rate_limit))
         if (head.headers.get(self._names.leaving) or "").strip() == LEAVING_VALUE:
             self._target.announce_leaving("answer", head.headers.get(self._names.instance_id))
 
+    def _note_limit(self, limit: str | None) -> None:
+        rate_per_s = parse_non_negative(limit)
+        if rate_per_s is not None:
+            self._target.record_limit(rate_per_s)
+        elif limit is None and self._request_id is not None:
+            # Only responses to requests have to name the limit as long as it holds.
+            self._target.record_limit(None)
+
 
 def time_left_ms(limit_ms: float | None) -> float | None:
     """Return the time until ``limit_ms`` on the monotonic clock, 0 at least; ``None`` for none."""
