Hold a request that has run while all targets are at their rate limits

A stream that broke midway was cut when no target could take the rest at that moment, although one could a little later. It is held until then or its deadline; a request that has not run is still refused at once. test_limited_answers failed before.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -1,8 +1,10 @@
 """Forwards online requests to targets, and retries or resumes them where the route allows it."""
 
+from asyncio import sleep
 from collections.abc import Sequence
 from random import Random
 
+from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
@@ -44,6 +46,7 @@
 # A request whose attempts broke is not sent once more before their targets have been checked; its
 # first retry does not wait, because a target's connections also break for other reasons.
 MAX_UNCHECKED_ATTEMPTS = 2
+LIMIT_POLL_MS = 50.0
 MIN_REMAINING_MS = 5.0  # with less time left no attempt is started
 UNEXPECTED_REFUSAL_WEIGHT = 0.5  # of a failure: a target refused although it had free slots
 
@@ -89,26 +92,29 @@
         """Answer one request; errors of targets are answered, not raised."""
         await _ForwardedRequest(self, route, request, responder).run()
 
-    def loads_within_limits(self, targets: Sequence[Target]) -> list[TargetLoad]:
+    def loads_within_limits(self, targets: Sequence[Target], has_run: bool) -> list[TargetLoad]:
         """Return the loads of the targets that may be sent a request now.
 
         A target that names a rate limit counts as having no more free slots than requests that it
         may be sent.
+
+        :param has_run: whether the request was sent before; then it is not kept back for others.
         """
         at_ms = now_ms()
         limits = self.targets.rate_limits
-        draw = self.random.random
-        allowed = {t.target_id: limits.admit(t.incarnation, at_ms, draw()) for t in targets}
+        allowed: dict[str, int | None] = {}
+        for target in targets:
+            draw = 0.0 if has_run else self.random.random()
+            allowed[target.target_id] = limits.admit(target.incarnation, at_ms, draw)
         sendable = [target for target in targets if allowed[target.target_id] != 0]
-        scarce = {t.target_id: limits.is_scarce(t.incarnation, at_ms) for t in sendable}
-        return [
-            (
-                load
-                if (limit := allowed[load.target_id]) is None
-                else limit_free_slots(load, limit, scarce[load.target_id])
-            )
-            for load in self.view.target_loads(sendable, at_ms)
-        ]
+        loads: list[TargetLoad] = []
+        for target, load in zip(sendable, self.view.target_loads(sendable, at_ms), strict=True):
+            limit = allowed[target.target_id]
+            if limit is not None:
+                is_scarce = limits.is_scarce(target.incarnation, at_ms)
+                load = limit_free_slots(load, limit, is_scarce)
+            loads.append(load)
+        return loads
 
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
@@ -193,6 +199,10 @@
             if remaining_ms < MIN_REMAINING_MS:
                 return self._fail(deadline_response(was_sent=self._attempts > 0))
             target = self._choose_target()
+            if target is None and self._attempts and self._usable_targets():
+                # It has run, so it cannot be refused; all targets are at their rate limits.
+                await sleep(LIMIT_POLL_MS / MS_PER_S)
+                continue
             if target is None:
                 return self._refuse()
             outcome = await self._attempt(target, remaining_ms)
@@ -310,7 +320,7 @@
             self._service = self._forwarder.choose_service(self._route)
             usable = self._usable_targets()
         forwarder = self._forwarder
-        loads = forwarder.loads_within_limits(usable)
+        loads = forwarder.loads_within_limits(usable, has_run=self._attempts > 0)
         untried = [load for load in loads if load.target_id not in self._unsuccessful_targets]
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
