Decode client accounts, public routes, priorities and pauses between events

The configuration's accounts, the routes that need no key, the ranks of routes and accounts, the longest pause between two events and the bounds on removed keys and quotas were not read. They are decoded into types of the product; keys are kept as digests only. Nothing uses them yet.

--- /dev/null
+++ b/ebonyshore/host/accounts.py
@@ -0,0 +1,29 @@
+"""Client accounts of the configuration, and the keys that callers authenticate with. No I/O."""
+
+from hashlib import sha256
+
+from msgspec import Struct
+
+
+class Account(Struct, frozen=True):
+    """A client account.
+
+    :param name: the account's name, which targets and logs are told.
+    :param key_digests: digests of its keys, see :func:`digest_key`. The keys themselves are not
+        kept, so that no log or dump can show them.
+    :param priority: rank of its requests, 0 is the highest; ``None`` to use that of the route.
+    :param rate_per_s: online requests a second that all entries together admit; 0 if there is no
+        limit.
+    :param burst: requests that may be admitted at once beyond the rate.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+def digest_key(key: str) -> bytes:
+    """Return the digest under which a key is looked up."""
+    return sha256(key.encode("utf-8", "surrogateescape")).digest()
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -26,6 +26,12 @@
     :param grace_ms: time between the stop signal and the kill of the process.
     :param result_retention_ms: time after the submission of a job for which its results can be
         read.
+    :param revocation_ms: time after the acknowledgement of a configuration that removes a key, from
+        which no request with that key may run, at any instance; ``None`` if that is not required.
+    :param quota_window_ms: length of the spans over which the requests of a client account are
+        limited.
+    :param quota_overage: part of an account's limit that may be exceeded in such a span.
+    :param quota_slack: requests by which it may be exceeded besides.
     """
 
     instance_id: str
@@ -39,3 +45,7 @@
     store_url: str
     grace_ms: float
     result_retention_ms: float
+    revocation_ms: float | None = None
+    quota_window_ms: float = 5_000.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
--- a/ebonyshore/host/routes.py
+++ b/ebonyshore/host/routes.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from ebonyshore.host.accounts import Account
 from ebonyshore.http.server import ServerLimits
 
 
@@ -35,8 +36,12 @@
     :param is_resumable: whether a broken stream may be continued by another target.
     :param completion_target_ms: time from the first submission of a job until its results are due.
     :param retention_ms: time from the first submission of a job until its items may be given up.
-    :param max_waiting_tokens: limit of the tokens of all unfinished items of the route's jobs; 0 if
-        there is none.
+    :param max_waiting_tokens: limit of the tokens of all unfinished items of the route's jobs, of
+        each client account if the configuration has accounts; 0 if there is none.
+    :param priority: rank of the route's requests; 0 is the highest.
+    :param is_public: whether callers need no key.
+    :param max_gap_ms: longest pause between two events with which an answer is still on time;
+        ``None`` if the route names none.
     """
 
     name: str
@@ -51,6 +56,9 @@
     completion_target_ms: float = 0.0
     retention_ms: float = 60_000.0
     max_waiting_tokens: int = 0
+    priority: int = 0
+    is_public: bool = False
+    max_gap_ms: float | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -73,12 +81,16 @@
 
 
 class ServiceConfig(Struct, frozen=True):
-    """One complete version of the configuration."""
+    """One complete version of the configuration.
+
+    :param accounts: the client accounts; ``None`` if callers need no key on any route.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: ServerLimits
+    accounts: tuple[Account, ...] | None = None
 
 
 class RouteTable:
--- a/ebonyshore/host/wire_names.py
+++ b/ebonyshore/host/wire_names.py
@@ -23,6 +23,7 @@
         :func:`~ebonyshore.host.request_content.part_digests`.
     :param signature: header that identifies the target that generated a response.
     :param wait_ms: header with the time that a read of results may wait for new ones, in ms.
+    :param account: header that tells a target the caller's client account.
     :param ready_path: path of the health check.
     :param report_path: path of a target's load report, which it answers also when it is full.
     :param jobs_path: path prefix of a batch job; followed by its id.
@@ -43,6 +44,7 @@
     prompt_parts: str
     signature: str
     wait_ms: str
+    account: str
     ready_path: str
     report_path: str
     jobs_path: str
--- a/ebonyshore/platform/config_object.py
+++ b/ebonyshore/platform/config_object.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.host.accounts import Account, digest_key
 from ebonyshore.host.routes import Route, RouteKind, ServiceConfig, ServiceShare, ServiceSpec
 from ebonyshore.http.server import ServerLimits
 
@@ -36,8 +37,13 @@
     is_resumable: bool = field(default=False, name="Resumable")
     completion_target_ms: float = field(default=0.0, name="CompletionTargetMs")
     retention_s: float = field(default=60.0, name="RetentionS")
-    # Of all callers together, over the unfinished items of the route's jobs; 0 means no limit.
+    # Of each account, or of all callers together if there are no accounts, over the unfinished
+    # items of the route's jobs; 0 means no limit.
     max_waiting_tokens: int = field(default=0, name="Cap")
+    priority: int = field(default=0, name="Priority")
+    is_public: bool = field(default=False, name="Public")
+    # Longest pause between two events of an answer that is on time.
+    max_gap_ms: float | None = field(default=None, name="GapTargetMs")
 
 
 class _Engine(Struct):
@@ -59,11 +65,22 @@
     idle_timeout_ms: int = field(default=15_000, name="IdleTimeoutMs")
 
 
+class _Account(Struct):
+    name: str = field(name="Name")
+    keys: list[str] = field(default_factory=list, name="ApiKeys")
+    # Takes precedence over the priority of the route.
+    priority: int | None = field(default=None, name="Priority")
+    rate_per_s: float = field(default=0.0, name="RatePerS")
+    burst: float = field(default=0.0, name="Burst")
+
+
 class _Config(Struct):
     version: int = field(name="Version")
     routes: list[_Route] = field(name="Routes")
     services: list[_Service] = field(default_factory=list, name="Services")
     limits: _Limits = field(default_factory=_Limits, name="Limits")
+    # Missing if callers need no key.
+    accounts: list[_Account] | None = field(default=None, name="Tenants")
 
 
 def decode_config(value: bytes) -> ServiceConfig:
@@ -90,6 +107,7 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
+        None if document.accounts is None else tuple(map(_to_account, document.accounts)),
     )
 
 
@@ -106,6 +124,9 @@
             "is_resumable",
             "completion_target_ms",
             "max_waiting_tokens",
+            "priority",
+            "is_public",
+            "max_gap_ms",
         )
     }
     return Route(
@@ -119,6 +140,16 @@
     )
 
 
+def _to_account(account: _Account) -> Account:
+    return Account(
+        account.name,
+        frozenset(map(digest_key, account.keys)),
+        account.priority,
+        account.rate_per_s,
+        account.burst,
+    )
+
+
 def _to_service_spec(service: _Service) -> ServiceSpec:
     capacity = service.engine.capacity if service.engine else 0
     return ServiceSpec(service.name, service.max_connections, capacity)
--- a/ebonyshore/platform/settings_file.py
+++ b/ebonyshore/platform/settings_file.py
@@ -23,6 +23,12 @@
     grace_s: float = field(default=8.0, name="GraceS")
     # Time after the submission of a job for which its results can be read.
     status_s: float = field(default=120.0, name="StatusS")
+    # Whether a removed key must be refused by instances that are cut off, too.
+    is_revocation_strict: bool = field(default=False, name="StrictRevoke")
+    revocation_ms: float | None = field(default=None, name="RevokeMs")
+    quota_window_s: float = field(default=5.0, name="QuotaWindowS")
+    quota_overage: float = field(default=0.0, name="QuotaOverage")
+    quota_slack: float = field(default=0.0, name="QuotaSlack")
 
 
 class _Store(Struct):
@@ -70,6 +76,7 @@
 
 def _to_settings(document: _SettingsFile) -> HostSettings:
     first_port, last_port = document.internal_ports
+    bounds = document.bounds
     return HostSettings(
         instance_id=document.node_name,
         failure_domain=document.zone,
@@ -80,8 +87,12 @@
         first_internal_port=first_port,
         last_internal_port=last_port,
         store_url=f"http://{document.store.address}",
-        grace_ms=document.bounds.grace_s * MS_PER_S,
-        result_retention_ms=document.bounds.status_s * MS_PER_S,
+        grace_ms=bounds.grace_s * MS_PER_S,
+        result_retention_ms=bounds.status_s * MS_PER_S,
+        revocation_ms=bounds.revocation_ms if bounds.is_revocation_strict else None,
+        quota_window_ms=bounds.quota_window_s * MS_PER_S,
+        quota_overage=bounds.quota_overage,
+        quota_slack=bounds.quota_slack,
     )
 
 
--- a/ebonyshore/platform/wire_names.py
+++ b/ebonyshore/platform/wire_names.py
@@ -15,6 +15,7 @@
     prompt_parts="Prompt-Prefix",
     signature="Server-Signature",
     wait_ms="Wait-Ms",
+    account="Tenant",
     ready_path="/ebonyshore/readyz",
     report_path="/ebonyshore/report",
     jobs_path="/ebonyshore/lots/",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
     WriteOutcomeUnknownError,
 )
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.host.accounts import Account, digest_key
 from ebonyshore.host.job_types import ListedResult, ResultPage
 from ebonyshore.host.routes import RouteKind, RouteTable
 from ebonyshore.platform.config_object import decode_config
@@ -268,3 +269,34 @@
         object_store.put("jobs/a", b"{}", 0)
     object_platform.fault_hook = lambda _method, _path: None
     assert (object_store.get("jobs/a") is not None) == (fault == "lost")
+
+
+def test_accounts_are_decoded_and_their_keys_are_kept_as_digests():
+    account = {"Name": "a1", "ApiKeys": ["k1", "k2"], "Priority": 1, "RatePerS": 57, "Burst": 20}
+    route = {**ROUTE, "Public": True, "Priority": 2, "GapTargetMs": 1000}
+    config = decode_config(
+        json.dumps({"Version": 1, "Routes": [route], "Tenants": [account]}).encode()
+    )
+    assert config.accounts == (
+        Account("a1", frozenset({digest_key("k1"), digest_key("k2")}), 1, 57.0, 20.0),
+    )
+    assert "k1" not in repr(config)
+    assert config.routes[0].is_public and config.routes[0].priority == 2
+    assert config.routes[0].max_gap_ms == 1_000.0
+
+
+def test_a_configuration_without_accounts_differs_from_one_with_an_empty_list():
+    without = decode_config(json.dumps({"Version": 1, "Routes": [ROUTE]}).encode())
+    empty = decode_config(json.dumps({"Version": 1, "Routes": [ROUTE], "Tenants": []}).encode())
+    assert without.accounts is None and empty.accounts == ()
+
+
+def test_bounds_of_keys_and_quotas_are_read_from_the_settings(tmp_path):
+    path = tmp_path / "boot.toml"
+    bounds = "StrictRevoke = true\nRevokeMs = 5000\nQuotaWindowS = 4\nQuotaSlack = 20\n"
+    path.write_text(SETTINGS.replace("GraceS = 8\n", f"GraceS = 8\n{bounds}"))
+    settings = load_host_settings(path)
+    assert (settings.revocation_ms, settings.quota_window_ms) == (5_000.0, 4_000.0)
+    assert (settings.quota_overage, settings.quota_slack) == (0.0, 20.0)
+    path.write_text(SETTINGS)
+    assert load_host_settings(path).revocation_ms is None
