Redirect reads of a job to its owner in place of reading the store

Such a runner now names the owner, if both hear each other, and the entry calls the owner, which answers from memory. An entry that cannot reach the owner is answered as before.

--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -10,7 +10,7 @@
 from random import Random
 from urllib.parse import parse_qs, quote, urlencode, urlsplit
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
@@ -30,7 +30,13 @@
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_non_negative
 from ebonyshore.http.server import Responder
-from ebonyshore.link.job_call import OWNER_HEADER, PATH_HEADER, JobCall, JobCallKind
+from ebonyshore.link.job_call import (
+    OWNER_HEADER,
+    PATH_HEADER,
+    REDIRECT_STATUS,
+    JobCall,
+    JobCallKind,
+)
 from ebonyshore.link.peers import PeerDirectory, PeerRecord
 
 CONNECT_TIMEOUT_MS = 250.0
@@ -62,14 +68,16 @@
     """Collects the runners' responses to one call.
 
     :ivar final: the response that ends the call; ``None`` if no runner has given one yet.
+    :ivar redirected_to: the owner of the job, if a runner has named it in place of an answer.
     :ivar is_quota_exhausted: whether a runner has refused the job because the limit of its route is
         used up, which every runner would.
     """
 
-    __slots__ = ("_may_have_accepted", "_refusal", "final", "is_quota_exhausted")
+    __slots__ = ("_may_have_accepted", "_refusal", "final", "is_quota_exhausted", "redirected_to")
 
     def __init__(self) -> None:
         self.final: RunnerResponse | None = None
+        self.redirected_to: str | None = None
         self._may_have_accepted = False
         self.is_quota_exhausted = False
         self._refusal: ErrorResponse | RunnerResponse = not_executed_response(
@@ -79,9 +87,13 @@
     def record(self, response: RunnerResponse) -> None:
         """Record a response; one with a status below 500 is final, except 429.
 
+        A redirect is no response of the job; all runners are then called again, the owner first.
         Status 429 or 503 states that the runner did not accept the job; after any other it may
         have. Another runner that was called with the same job may still accept it.
         """
+        if response.status == REDIRECT_STATUS:
+            self.redirected_to = response.headers.get(OWNER_HEADER)
+            return
         if response.status == 429:
             self.is_quota_exhausted = True
         elif response.status < 500:
@@ -159,6 +171,9 @@
     ) -> ErrorResponse | RunnerResponse:
         """Call one runner after the other until one gives a final response.
 
+        Only the first runner may redirect a read, so that an owner which this entry cannot reach is
+        not called twice.
+
         A runner that is cut off from the store needs seconds to find out whether its write took
         effect. A submitted job is offered to the next runner in the meantime; the runner that
         stores the job first owns it.
@@ -172,10 +187,14 @@
                 if remaining_runners:
                     runner = remaining_runners.pop(0)
                     pending[create_task(self._call_runner(runner, call, request))] = runner
+                    call = structs.replace(call, may_redirect=False)
                 for task in await _wait_for_first(
                     pending, hedge_delay_ms if remaining_runners else None
                 ):
                     self._record_result(responses, call, pending.pop(task), task)
+                if responses.redirected_to is not None:
+                    remaining_runners = self._order_runners(call)
+                    responses.redirected_to = None
                 if responses.final is not None:
                     return responses.final
                 if responses.is_quota_exhausted:
@@ -259,7 +278,7 @@
         if parts.path.startswith(names.item_bodies_path) and request.method == "GET":
             job_id = parts.path.removeprefix(names.item_bodies_path)
             item_id = query.get(names.item_id, [""])[0]
-            return JobCall(JobCallKind.ITEM_BODY, job_id, item_id=item_id)
+            return JobCall(JobCallKind.ITEM_BODY, job_id, item_id=item_id, may_redirect=True)
         job_id = parts.path.removeprefix(names.jobs_path)
         if request.method == "DELETE":
             return JobCall(JobCallKind.CANCEL, job_id)
@@ -272,6 +291,7 @@
             job_id,
             first_position=parse_decimal(first) or 0,
             wait_ms=min(wait_ms, MAX_RESULTS_WAIT_MS),
+            may_redirect=True,
         )
 
 
--- a/ebonyshore/link/job_call.py
+++ b/ebonyshore/link/job_call.py
@@ -6,6 +6,7 @@
 
 OWNER_HEADER = "Ebonyshore-Owner"
 PATH_HEADER = "Ebonyshore-Path"
+REDIRECT_STATUS = 307  # the owner of the job, named in OWNER_HEADER, answers from memory
 
 
 class JobCallKind(Enum):
@@ -35,6 +36,8 @@
     :param item_id: for ``ITEM_BODY``: id of the item.
     :param route_name: for ``SUBMIT``: name of the route by which the job was submitted.
     :param age_ms: for ``SUBMIT``: time since the entry received the caller's request.
+    :param may_redirect: for reads: whether the runner may name the job's owner in place of an
+        answer, with status :data:`REDIRECT_STATUS`.
     """
 
     kind: JobCallKind
@@ -44,6 +47,7 @@
     item_id: str = ""
     route_name: str = ""
     age_ms: float = 0.0
+    may_redirect: bool = False
 
     @property
     def method(self) -> str:
@@ -59,6 +63,7 @@
             "item_id": self.item_id,
             "route": self.route_name,
             "age_ms": str(self.age_ms),
+            "may_redirect": str(int(self.may_redirect)),
         }
 
 
@@ -77,4 +82,5 @@
         query.get("item_id", ""),
         query.get("route", ""),
         float(query.get("age_ms", "0")),
+        may_redirect=query.get("may_redirect") == "1",
     )
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -20,6 +20,7 @@
 from ebonyshore.link.job_call import (
     OWNER_HEADER,
     PATH_HEADER,
+    REDIRECT_STATUS,
     JobCall,
     JobCallKind,
     decode_job_call,
@@ -137,6 +138,9 @@
         try:
             if call.kind is JobCallKind.SUBMIT:
                 return await self._submit(call, request)
+            if call.may_redirect and (owner := self._registry.live_owner(call.job_id)):
+                self._metrics.count("job_reads_redirected")
+                return Reply(REDIRECT_STATUS, owner=owner)
             if call.kind is JobCallKind.RESULTS:
                 return await self._read_results(call)
             if call.kind is JobCallKind.ITEM_BODY:
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -235,6 +235,19 @@
         job = self._jobs.get(job_id)
         return self._clock.boot_ms() - job.first_seen_ms if job is not None else 0.0
 
+    def live_owner(self, job_id: str) -> str | None:
+        """Return the other runner that owns a job and hears this one; ``None`` if there is none.
+
+        That runner answers reads from memory, while this one would have to read the store.
+        """
+        job = self._jobs.get(job_id)
+        if job is None or job.record.owner in ("", self.own_id):
+            return None
+        if job.progress is not None and job.progress.is_finished:
+            return None
+        owner = job.record.owner
+        return owner if self._load_table.is_mutually_heard(owner, self._clock.boot_ms()) else None
+
     async def read_progress(self, job_id: str) -> JobProgress | None:
         """Return the progress of a job, with all results that the store holds.
 
--- a/tests/test_job_calls.py
+++ b/tests/test_job_calls.py
@@ -74,3 +74,20 @@
     setup.storage.stored = [ResultSegment((ResultRecord(0, True, "d"), ResultRecord(1, True, "e")))]
     assert [setup.read().is_finished for _ in range(3)] == [True, True, True]
     assert setup.storage.reads == 1
+
+
+def test_runner_names_a_live_owner_in_place_of_reading_the_store():
+    """Guards against a billed call to the store for each read that reaches another runner."""
+    setup = RegistrySetup(owner="b")
+    assert setup.registry.live_owner("j1") is None
+    setup.receive_report("a", sequence=1)
+    assert setup.registry.live_owner("j1") == "b"
+    assert setup.registry.live_owner("unknown") is None
+    setup.clock.advance_ms(600.0)
+    assert setup.registry.live_owner("j1") is None
+
+
+def test_owner_does_not_redirect_reads_of_its_own_jobs():
+    setup = RegistrySetup()
+    setup.receive_report("a", sequence=1)
+    assert setup.registry.live_owner("j1") is None
