Call a failing store for one job's results at a time

After a failed write one job at a time is tried until one write succeeds, beginning with another job than the one that failed.

--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -33,7 +33,11 @@
 
 
 class ResultWriter:
-    """Writes result segments, one at a time for each job."""
+    """Writes result segments, one at a time for each job.
+
+    After a failed write one job at a time is tried until a write succeeds, since a store that fails
+    does so for all jobs, and each call has a price.
+    """
 
     def __init__(
         self, registry: JobRegistry, clock: Clock, log: EventLog, metrics: Metrics
@@ -43,6 +47,7 @@
         self._log = log
         self._metrics = metrics
         self._writes: dict[str, Task[None]] = {}
+        self._failed_job_id: str | None = None  # of the last write, if that failed
 
     @property
     def is_idle(self) -> bool:
@@ -57,9 +62,17 @@
         :param is_urgent: whether to write all pending results at once, because this runner is about
             to release its jobs.
         """
-        for progress in self._registry.owned_jobs():
-            if progress.job_id not in self._writes and self._is_due(progress, is_urgent):
-                self._writes[progress.job_id] = create_task(self._write(progress))
+        due = [
+            progress
+            for progress in self._registry.owned_jobs()
+            if progress.job_id not in self._writes and self._is_due(progress, is_urgent)
+        ]
+        if self._failed_job_id is not None:
+            # Another job is tried first, in case that the failure was one of the job alone.
+            due.sort(key=lambda progress: progress.job_id == self._failed_job_id)
+            del due[0 if self._writes else 1 :]
+        for progress in due:
+            self._writes[progress.job_id] = create_task(self._write(progress))
 
     def _is_due(self, progress: JobProgress, is_urgent: bool) -> bool:
         if not _has_pending(progress):
@@ -79,6 +92,7 @@
             await registry.run_blocking(
                 registry.storage.append_segment, progress.job_id, number, segment
             )
+            self._failed_job_id = None
             progress.apply_segments(number, [segment])
             self._metrics.count("results_listed", len(segment.results))
             self._log.event(
@@ -89,8 +103,10 @@
                 listed=progress.listed_count,
             )
         except WriteConflictError:
+            self._failed_job_id = None
             await self._apply_stored_segments(progress, number)
         except StoreError as error:
+            self._failed_job_id = progress.job_id
             self._log.event("results_not_stored", job=progress.job_id, error=str(error))
             await sleep(RETRY_DELAY_MS / MS_PER_S)
         finally:
