Give each test run loopback addresses of its own

The addresses depend on the test run's process now. Two runs of test_saved_items_processes side by side: see the figures below. before: 1 passed, 1 error in 26.88s before: 2 passed in 14.22s after: 2 passed in 13.46s after: 2 passed in 13.38s

--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -1,5 +1,6 @@
 """Entries and runners as real processes on loopback, with a stand-in object store and targets."""
 
+import os
 from collections.abc import Callable
 from pathlib import Path
 
@@ -12,6 +13,8 @@
 
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_MS = 20.0
+# The port of the metrics is the same for all processes, so each test run needs its own addresses.
+RUN_OCTET = 1 + os.getpid() % 250
 CLOCK = SystemClock()
 
 
@@ -41,7 +44,9 @@
         self.targets = [make_target(f"t{number}") for number in range(1, targets + 1)]
         names = [("entry", n) for n in range(entries)] + [("runner", n) for n in range(runners)]
         self.processes = [
-            FleetProcess(role, f"{role}-{n}", f"127.0.{address_octet}.{index + 1}", folder)
+            FleetProcess(
+                role, f"{role}-{n}", f"127.{RUN_OCTET}.{address_octet}.{index + 1}", folder
+            )
             for index, (role, n) in enumerate(names)
         ]
         self.entries = self.processes[:entries]
