--- a/ebonyshore/link/job_call.py
+++ b/ebonyshore/link/job_call.py
@@ -26,7 +26,7 @@
 
 
 class JobCall(Struct, frozen=True):
-    """One call. All operations use ``job_id``; each field after it belongs to one operation.
+    """One call. All operations use ``job_id``; most other fields belong to one operation.
 
     :param kind: the operation.
     :param job_id: id of the job.
@@ -35,6 +35,8 @@
     :param item_id: for ``ITEM_BODY``: id of the item.
     :param route_name: for ``SUBMIT``: name of the route by which the job was submitted.
     :param age_ms: for ``SUBMIT``: time since the entry received the caller's request.
+    :param account: for all operations: name of the caller's client account; empty if the
+        configuration has no accounts.
     """
 
     kind: JobCallKind
@@ -44,6 +46,7 @@
     item_id: str = ""
     route_name: str = ""
     age_ms: float = 0.0
+    account: str = ""
 
     @property
     def method(self) -> str:
@@ -59,6 +62,7 @@
             "item_id": self.item_id,
             "route": self.route_name,
             "age_ms": str(self.age_ms),
+            "account": self.account,
         }
 
 
@@ -77,4 +81,5 @@
         query.get("item_id", ""),
         query.get("route", ""),
         float(query.get("age_ms", "0")),
+        query.get("account", ""),
     )
