Let the stand-in fleet have client accounts and record headers

A fleet can be started with client accounts and a bound on removed keys; its calls then carry a key. Targets record the header fields of each run.

--- a/ebonyshore_standins/fleet_config.py
+++ b/ebonyshore_standins/fleet_config.py
@@ -1,5 +1,7 @@
 """The configuration that the fleets of entries and runners serve."""
 
+from collections.abc import Sequence
+
 ROUTE_HOST = "tier.example"
 STREAM_PREFIX = "/ask/"
 SINGLE_ATTEMPT_PREFIX = "/once/"
@@ -30,13 +32,29 @@
     }
 
 
-def make_config(version: int, *extra_routes: dict[str, object]) -> dict[str, object]:
+def account(name: str, *keys: str, **fields: object) -> dict[str, object]:
+    """Return a client account for the configuration.
+
+    :param keys: the keys of the account.
+    :param fields: further fields of the account, such as its rate.
+    """
+    return {"Name": name, "ApiKeys": list(keys), **fields}
+
+
+def make_config(
+    version: int,
+    *extra_routes: dict[str, object],
+    accounts: Sequence[dict[str, object]] | None = None,
+) -> dict[str, object]:
     """Return a configuration with a resumable, a single-attempt and two batch routes.
 
     :param extra_routes: further routes, as :func:`route` returns them.
+    :param accounts: client accounts, as :func:`account` returns them; ``None`` if callers need no
+        key.
     """
     return {
         "Version": version,
+        **({} if accounts is None else {"Tenants": list(accounts)}),
         "Routes": [
             route("ask", STREAM_PREFIX, "streaming", Resumable=True),
             route("once", SINGLE_ATTEMPT_PREFIX, "streaming", MaxAttempts=1),
--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -23,6 +23,7 @@
 Ready = "{ip}:{ready}"
 [Bounds]
 GraceS = 8
+{bounds}
 [Platform]
 Address = "{store}"
 """
@@ -44,6 +45,8 @@
     :param folder: folder for the settings file and the log.
     :ivar front_port: port for callers.
     :ivar ready_port: port for the load balancer's health checks.
+    :ivar revocation_ms: bound on the use of removed keys; ``None`` if there is none.
+    :ivar key: key that calls carry if they name no other; ``None`` if they carry none.
     :ivar interpreter_arguments: arguments of the Python interpreter before the role; change them
         before the start.
     """
@@ -54,6 +57,8 @@
         self.ip = ip
         self.front_port = free_port(ip)
         self.ready_port = free_port(ip)
+        self.revocation_ms: int | None = None
+        self.key: str | None = None
         self.interpreter_arguments: tuple[str, ...] = ("-m", "ebonyshore.platform")
         self._log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.toml"
@@ -66,10 +71,15 @@
         return self._process.pid
 
     def write_settings(self, store_address: str) -> None:
-        """Write the settings file.
+        """Write the settings file, with the present :attr:`revocation_ms`.
 
         :param store_address: ``IP:PORT`` of the object store.
         """
+        bounds = (
+            ""
+            if self.revocation_ms is None
+            else f"StrictRevoke = true\nRevokeMs = {self.revocation_ms}"
+        )
         self._settings_path.write_text(
             SETTINGS_TEMPLATE.format(
                 name=self.name,
@@ -79,6 +89,7 @@
                 front=self.front_port,
                 ready=self.ready_port,
                 store=store_address,
+                bounds=bounds,
             )
         )
 
@@ -147,7 +158,7 @@
         body: bytes | None = None,
         timeout_s: float = 10.0,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Make one call as a client.
+        """Make one call as a client, with :attr:`key` unless the headers have another.
 
         :return: HTTP status, headers and body of the response.
         :raises OSError: if the connection fails or there is no data for ``timeout_s``.
@@ -155,7 +166,9 @@
         """
         connection = HTTPConnection(self.ip, self.front_port, timeout=timeout_s)
         try:
-            connection.request(method, path, body, {"Host": ROUTE_HOST, **(headers or {})})
+            key_header = {} if self.key is None else {"Authorization": f"Bearer {self.key}"}
+            all_headers = {"Host": ROUTE_HOST, **key_header, **(headers or {})}
+            connection.request(method, path, body, all_headers)
             response = connection.getresponse()
             return response.status, dict(response.getheaders()), response.read()
         finally:
--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -1,6 +1,6 @@
 """Entries and runners as real processes on loopback, with a stand-in object store and targets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
@@ -25,6 +25,10 @@
     :param address_octet: third octet of the loopback addresses of entries and runners; fleets that
         run at the same time need different ones.
     :param make_target: returns a target with a given id.
+    :param accounts: client accounts of the configuration, as
+        :func:`~ebonyshore_standins.fleet_config.account` returns them; calls carry the first key of
+        the first one. ``None`` if callers need no key.
+    :param revocation_ms: bound on the use of removed keys; ``None`` if there is none.
     :ivar platform: the stand-in object store.
     """
 
@@ -36,7 +40,10 @@
         targets: int = 3,
         address_octet: int = 1,
         make_target: Callable[[str], StreamTarget] = StreamTarget,
+        accounts: Sequence[dict[str, object]] | None = None,
+        revocation_ms: int | None = None,
     ) -> None:
+        self._accounts = accounts
         self.platform = ObjectStoreServer()
         self.targets = [make_target(f"t{number}") for number in range(1, targets + 1)]
         names = [("entry", n) for n in range(entries)] + [("runner", n) for n in range(runners)]
@@ -46,6 +53,9 @@
         ]
         self.entries = self.processes[:entries]
         self.runners = self.processes[entries:]
+        for process in self.processes:
+            process.revocation_ms = revocation_ms
+            process.key = accounts[0]["ApiKeys"][0] if accounts else None
         self.set_store_address(self.platform.address)
 
     def set_store_address(self, address: str) -> None:
@@ -67,7 +77,7 @@
         :raises TimeoutError: if the fleet is not ready in time.
         """
         self.platform.start()
-        self.platform.state.put("config", "main", make_config(1))
+        self.platform.state.put("config", "main", make_config(1, accounts=self._accounts))
         if target_entries is None:
             for target in self.targets:
                 target.start()
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -33,6 +33,7 @@
     :param remaining_ms: time that the request gave the target, in milliseconds.
     :param software_version: version of the target.
     :param resumed_request: id of the attempt whose stream the request continues, as it names it.
+    :param headers: header fields as received, with their names in lower case.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     remaining_ms: float = 0.0
     software_version: str = ""
     resumed_request: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
 
     @property
     def stream_id(self) -> str:
@@ -117,6 +119,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._received_ms: dict[asyncio.StreamWriter, float] = {}  # of the last request
+        self._received_fields: dict[asyncio.StreamWriter, tuple[tuple[str, str], ...]] = {}
         self._thread = LoopThread()
 
     @property
@@ -176,7 +179,8 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                headers = _parse_headers(head)
+                fields = _parse_fields(head)
+                headers = dict(fields)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 self._received_ms[writer] = CLOCK.monotonic_ms()
                 await self._before_output()
@@ -184,6 +188,7 @@
                     self._send_report(writer)
                 else:
                     self.arrivals_ms.append(self._received_ms[writer])
+                    self._received_fields[writer] = fields
                     await self._answer(headers, body, writer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -191,6 +196,7 @@
         finally:
             self._writers.discard(writer)
             self._received_ms.pop(writer, None)
+            self._received_fields.pop(writer, None)
 
     async def _before_output(self) -> None:
         """Wait until the target may send; a subclass can make it unresponsive."""
@@ -263,6 +269,7 @@
             remaining_ms=float(headers.get("deadline-ms", "inf")),
             software_version=self.software_version,
             resumed_request=headers.get("resumes", ""),
+            headers=self._received_fields[writer],
         )
         self.runs.append(run)
         writer.write(
@@ -298,6 +305,6 @@
         run.last_event = number
 
 
-def _parse_headers(head: str) -> dict[str, str]:
+def _parse_fields(head: str) -> tuple[tuple[str, str], ...]:
     fields = (line.partition(":") for line in head.split("\r\n")[1:] if line)
-    return {name.lower(): value.strip() for name, _, value in fields}
+    return tuple((name.lower(), value.strip()) for name, _, value in fields)
