--- a/ebonyshore/host/config_service.py
+++ b/ebonyshore/host/config_service.py
@@ -25,6 +25,8 @@
         self._log = log
         self.table: RouteTable | None = None
         self.change_listeners: list[Callable[[RouteTable], None]] = []
+        self._decoded_revision: int | None = None
+        self._decoded_version: int | None = None
 
     @property
     def version(self) -> int:
@@ -37,16 +39,31 @@
     def on_changes(self, objects: Sequence[StoredObject]) -> None:
         for stored in objects:
             if stored.key == self._key and stored.value is not None:
-                self._apply(stored)
+                self.apply(stored)
 
-    def _apply(self, stored: StoredObject) -> None:
+    def apply(self, stored: StoredObject) -> int | None:
+        """Put an object that was read in force if its version is newer.
+
+        Objects are read far more often than they change, so the last one is not decoded again.
+
+        :return: the number of its version; ``None`` if it cannot be decoded.
+        """
+        if stored.version != self._decoded_revision:
+            self._decoded_revision = stored.version
+            self._decoded_version = self._decode_version(stored)
+        return self._decoded_version
+
+    def _decode_version(self, stored: StoredObject) -> int | None:
         try:
             config = self._decode(stored.value)
         except ValueError as error:
             self._log.event("config_unreadable", revision=stored.version, error=str(error))
-            return
-        if config.version <= self.version:
-            return
+            return None
+        if config.version > self.version:
+            self._put_in_force(config)
+        return config.version
+
+    def _put_in_force(self, config: ServiceConfig) -> None:
         previous = self.version
         self.table = RouteTable(config)
         self._log.event(
