Let one runner confirm the configuration for all entries

A bound on removed keys needs entries that know how old their knowledge is. One runner reads the configuration linearizably and returns to each entry the clock that it had reported before the read began. Nothing uses the result yet.

--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -5,6 +5,7 @@
 
 from ebonyshore.frame.async_kernel import AsyncKernel, run_until_signal
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.host.config_reader import ConfigReader
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.host_environment import HostEnvironment
@@ -30,6 +31,7 @@
     """The components of both roles: configuration, targets and peers, and the watches of them.
 
     :ivar config: the configuration in force.
+    :ivar config_reader: reads the newest configuration, for leases on it.
     :ivar targets: the list of targets.
     :ivar peers: the registered processes.
     :ivar registration: the registration of this process as a peer.
@@ -44,6 +46,7 @@
         "_watches",
         "checker",
         "config",
+        "config_reader",
         "crash_guard",
         "peers",
         "probe",
@@ -56,6 +59,9 @@
         self._environment = environment
         deployment, log = environment.deployment, environment.log
         self.config = ConfigService(deployment.config_key, deployment.decode_config, log)
+        self.config_reader = ConfigReader(
+            environment.store, deployment.config_key, self.config, log, environment.metrics
+        )
         self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         rate_limits = RateLimits(lambda: self.peers.process_count, environment.random.random())
         self.targets = TargetService(
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -56,4 +56,28 @@
     origin: TargetGroup | None
 
 
-Datagram = LoadReport | LoadTotals | SuspicionUpdate | StreamStarts | StreamQuery | StreamAnswer
+class ConfigConfirmed(Struct, frozen=True, tag="config_confirmed", array_like=True):
+    """Tells one entry which version of the configuration a runner has read as the newest.
+
+    :param sender: instance id of the runner.
+    :param version: the version that it read.
+    :param incarnation: the run of the entry that reported the clock.
+    :param clock_ms: the latest clock that the runner had heard from the entry when it began the
+        read.
+    """
+
+    sender: str
+    version: int
+    incarnation: str
+    clock_ms: float
+
+
+Datagram = (
+    LoadReport
+    | LoadTotals
+    | SuspicionUpdate
+    | StreamStarts
+    | StreamQuery
+    | StreamAnswer
+    | ConfigConfirmed
+)
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -44,6 +44,8 @@
         contended_quotas: tuple[str, ...] = (),
         leaving: tuple[Incarnation, ...] = (),
         limits: tuple[LimitReport, ...] = (),
+        clock_ms: float = 0.0,
+        is_store_silent: bool = False,
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
@@ -69,6 +71,8 @@
             contended_quotas,
             leaving,
             limits,
+            clock_ms,
+            is_store_silent,
         )
         if self._is_due(report, now_ms):
             socket.send(report, self._peers.addresses("runner"))
@@ -78,4 +82,6 @@
     def _is_due(self, report: LoadReport, now_ms: float) -> bool:
         if self._sent is None or now_ms - self._sent_ms >= UNCHANGED_INTERVAL_MS:
             return True
-        return report != structs.replace(self._sent, sequence=report.sequence)
+        # The clock goes on in each report, so it is not a change by itself.
+        comparable = structs.replace(self._sent, sequence=report.sequence, clock_ms=report.clock_ms)
+        return report != comparable
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -93,6 +93,8 @@
     :param contended_quotas: the quotas that are nearly used up, as far as the runner knows.
     :param leaving: targets that have said that they leave, before the list shows it.
     :param limits: rate limits of targets, and the requests of the process there.
+    :param clock_ms: for an entry: its boot clock when it made the report.
+    :param is_store_silent: for a runner: whether its store probe gets no answers.
     """
 
     sender: str
@@ -107,6 +109,8 @@
     contended_quotas: tuple[str, ...] = ()
     leaving: tuple[Incarnation, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    clock_ms: float = 0.0
+    is_store_silent: bool = False
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -259,6 +263,10 @@
             for limit in report.limits
         ]
 
+    def entries(self) -> dict[str, LoadReport]:
+        """Return the latest reports of the live entries, by instance id."""
+        return {key: report for key, report in self._reports.items() if report.role == "entry"}
+
     def live_processes(self) -> set[str]:
         """Return the instance ids of the other processes whose reports are not too old."""
         return set(self._reports)
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -38,6 +38,7 @@
         so that they no longer count as confirmed owners.
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
+    :param is_store_silent: tells whether the store probe gets no answers; reported to the runners.
     :ivar send_now: sends a datagram at once; to be set before the first message.
     """
 
@@ -51,7 +52,9 @@
         admission: JobAdmission,
         suspicions: SuspicionExchange,
         clock: Clock,
+        is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_store_silent = is_store_silent
         self._peers = peers
         self._targets = targets
         self._reports = LoadReportSender(peers, targets.own_counts)
@@ -106,6 +109,7 @@
             contended_quotas=self._admission.contended_quotas(),
             leaving=self._targets.announced_incarnations(now_ms()),
             limits=self._targets.rate_limits.own_reports(now_ms()),
+            is_store_silent=self._is_store_silent(),
         )
         own_id = report.sender
         self._targets.rate_limits.update_others(own_id, self._limits_without(own_id), now_ms())
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -15,6 +15,7 @@
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.renewals import RENEWALS_KIND, RenewalListener, RenewalWriter
 from ebonyshore.runner.completion_rate import CompletionRate
+from ebonyshore.runner.config_confirmer import ConfigConfirmer
 from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
 from ebonyshore.runner.item_saver import ItemSaver
 from ebonyshore.runner.item_scheduler import ItemScheduler
@@ -171,7 +172,15 @@
         environment.random,
     )
     runner_load = RunnerLoad(
-        parts.peers, table, load_table, registry, claims, admission, parts.suspicions, clock
+        parts.peers,
+        table,
+        load_table,
+        registry,
+        claims,
+        admission,
+        parts.suspicions,
+        clock,
+        lambda: parts.probe.is_silent,
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     runner_load.send_now = load.send_now
@@ -231,6 +240,18 @@
             suspicion_storage, parts.suspicions, load_table, registry.run_blocking, clock, log
         )
     )
+    kernel.register(
+        ConfigConfirmer(
+            settings.revocation_ms,
+            parts.config,
+            parts.config_reader,
+            load_table,
+            parts.peers,
+            lambda: parts.probe.is_silent,
+            load.send_now,
+            metrics,
+        )
+    )
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(
         JobApi(host, port, deployment, registry, admission, parts.config, clock, log, metrics)
