Authenticate callers by key, within a lease on the configuration

Requests on routes that are not public, and calls about jobs, need a known key if the configuration has accounts; otherwise 401. Where the deployment bounds the use of removed keys, an entry admits requests with a key only while its lease on the configuration lasts; otherwise 503 with the code 46. Targets are told the account's name and never the key.

--- a/ebonyshore/frame/result_codes.py
+++ b/ebonyshore/frame/result_codes.py
@@ -53,6 +53,7 @@
     TARGET_BUSY = 43
     QUOTA_EXHAUSTED = 44
     STREAM_ORIGIN_UNKNOWN = 45
+    CONFIG_UNCONFIRMED = 46
 
     TARGET_CRASHED = 50
     STREAM_BROKEN = 51
@@ -144,6 +145,9 @@
     ResultCode.STREAM_ORIGIN_UNKNOWN: ResultInfo(
         "it is not known which software version began the stream", 503, _NOT_RUN, True
     ),
+    ResultCode.CONFIG_UNCONFIRMED: ResultInfo(
+        "it is not known whether the caller's key is still valid", 503, _NOT_RUN, True
+    ),
     ResultCode.TARGET_CRASHED: ResultInfo(
         "the target crashed while it ran the request", 502, _MAYBE_RUN, True
     ),
--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -1,10 +1,17 @@
 """Reports an entry's request counts to the runners and receives the totals that they send."""
 
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.gateway.lease_keeper import LeaseKeeper
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, SuspicionUpdate
+from ebonyshore.link.datagrams import (
+    ConfigConfirmed,
+    Datagram,
+    StreamAnswer,
+    StreamQuery,
+    SuspicionUpdate,
+)
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadTotals
@@ -20,6 +27,7 @@
     :param view: updated with the received totals; provides the batch counts of the reports.
     :param suspicions: updated with the received suspicions; provides those to send.
     :param origins: told of answers and queries; reports the streams of this entry.
+    :param lease_keeper: told which configuration runners have read; provides the reported clock.
     """
 
     def __init__(
@@ -29,7 +37,9 @@
         view: LoadView,
         suspicions: SuspicionExchange,
         origins: StreamOrigins,
+        lease_keeper: LeaseKeeper,
     ) -> None:
+        self._lease_keeper = lease_keeper
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
         self._targets = targets
@@ -50,6 +60,8 @@
             self._origins.on_answer(message)
         elif isinstance(message, StreamQuery):
             self._origins.answer(message)
+        elif isinstance(message, ConfigConfirmed):
+            self._lease_keeper.on_confirmed(message)
 
     def send(self, socket: LoadSocket) -> None:
         """Send the next report and new suspicions to each runner."""
@@ -59,6 +71,7 @@
             observed_batch=self._view.observed_batch(),
             leaving=self._targets.announced_incarnations(now_ms()),
             limits=self._targets.rate_limits.own_reports(now_ms()),
+            clock_ms=self._lease_keeper.clock_ms(),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._origins.report_streams()
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -2,11 +2,13 @@
 
 from ebonyshore.frame.async_kernel import AsyncKernel
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.authentication import Authenticator
 from ebonyshore.gateway.entry_load_reporter import EntryLoadReporter
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.front_server import FrontServer, ReadinessServer
 from ebonyshore.gateway.isolation import IsolationDetector
 from ebonyshore.gateway.job_call_forwarder import JobCallForwarder
+from ebonyshore.gateway.lease_keeper import LeaseKeeper
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.deployment import Deployment
@@ -29,7 +31,20 @@
         lambda *message: load_service.send_now(*message),
         lambda: not components.probe.is_silent,
     )
-    load_reporter = EntryLoadReporter(peers, target_table, view, components.suspicions, origins)
+    lease_keeper = LeaseKeeper(
+        settings.revocation_ms,
+        environment.incarnation,
+        components.config,
+        components.config_reader,
+        environment.clock,
+        environment.random.random,
+        log,
+        metrics,
+    )
+    authenticator = Authenticator(names, components.config, lease_keeper.is_valid)
+    load_reporter = EntryLoadReporter(
+        peers, target_table, view, components.suspicions, origins, lease_keeper
+    )
     port = settings.first_internal_port
     load_service = LoadService(
         settings.ip, port, load_reporter.on_message, load_reporter.send, log, metrics
@@ -47,21 +62,34 @@
         log,
         metrics,
         environment.random,
+        authenticator,
     )
     job_calls = JobCallForwarder(names, peers, view, pool, log, metrics, environment.random)
-    isolation_detector = IsolationDetector(peers, view, components.probe, log)
+    isolation_detector = IsolationDetector(
+        peers, view, components.probe, log, lease_keeper.is_valid
+    )
     kernel = AsyncKernel()
     kernel.register(load_service)
     kernel.register(components.probe)
     kernel.register(components.crash_guard)
     kernel.register(components.watch_service())
+    kernel.register(lease_keeper)
     kernel.register(
         ReadinessServer(
             settings.ready, names, components.config, components.targets, isolation_detector
         )
     )
     kernel.register(
-        FrontServer(settings.front, names, components.config, forwarder, job_calls, log)
+        FrontServer(
+            settings.front,
+            names,
+            components.config,
+            forwarder,
+            job_calls,
+            authenticator,
+            log,
+            metrics,
+        )
     )
     kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.balance import (
     TargetLoad,
     choose_target,
@@ -20,6 +21,7 @@
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
+from ebonyshore.host.accounts import Account
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
@@ -62,6 +64,7 @@
     :param crash_guard: knows the content that crashes targets.
     :param origins: knows at which software version streams began.
     :param random: randomizes the choice of targets and the retry delays of refused callers.
+    :param authenticator: asked before each attempt whether the request is still admitted.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         log: EventLog,
         metrics: Metrics,
         random: Random,
+        authenticator: Authenticator,
     ) -> None:
         self.names = names
         self.targets = targets
@@ -87,10 +91,16 @@
         self.log = log
         self.metrics = metrics
         self.random = random
+        self.authenticator = authenticator
 
-    async def forward(self, route: Route, request: Request, responder: Responder) -> None:
-        """Answer one request; errors of targets are answered, not raised."""
-        await _ForwardedRequest(self, route, request, responder).run()
+    async def forward(
+        self, route: Route, request: Request, responder: Responder, account: Account | None
+    ) -> None:
+        """Answer one request; errors of targets are answered, not raised.
+
+        :param account: the client account for which the request was admitted, if any.
+        """
+        await _ForwardedRequest(self, route, request, responder, account).run()
 
     def loads_within_limits(self, targets: Sequence[Target], has_run: bool) -> list[TargetLoad]:
         """Return the loads of the targets that may be sent a request now.
@@ -136,8 +146,14 @@
     """The state of one request over all its attempts."""
 
     def __init__(
-        self, forwarder: Forwarder, route: Route, request: Request, responder: Responder
+        self,
+        forwarder: Forwarder,
+        route: Route,
+        request: Request,
+        responder: Responder,
+        account: Account | None,
     ) -> None:
+        self._account = account
         self._forwarder = forwarder
         self._route = route
         self._request = request
@@ -158,6 +174,8 @@
         outcome = "client_left"
         try:
             outcome = await self._run_until_deadline()
+        except AccessDeniedError as error:
+            outcome = self._deny(error.response)
         finally:
             duration_ms = now_ms() - self._request.received_ms
             self._forwarder.metrics.count(f"requests_{outcome}")
@@ -168,6 +186,7 @@
                 content=self._content.digest,
                 parts=",".join(self._content.parts),
                 route=self._route.name,
+                caller=self._caller(),
                 outcome=outcome,
                 resumes=self._request.headers.get(self._forwarder.names.resumed_request),
                 targets=",".join(self._tried_targets),
@@ -180,10 +199,18 @@
                 duration_ms=duration_ms,
             )
 
+    def _caller(self) -> str | None:
+        return None if self._account is None else self._account.name
+
     def _since_received(self, at_ms: float | None) -> float | None:
         return None if at_ms is None else at_ms - self._request.received_ms
 
     async def _run_until_deadline(self) -> str:
+        """Try one target after the other.
+
+        :return: the outcome of the request.
+        :raises AccessDeniedError: if the request is not admitted any more.
+        """
         if self._relay.last_id is not None and self._service is not None:
             try:
                 await self._find_origin(self._service)
@@ -198,6 +225,7 @@
             remaining_ms = self._deadline_ms - now_ms()
             if remaining_ms < MIN_REMAINING_MS:
                 return self._fail(deadline_response(was_sent=self._attempts > 0))
+            self._authenticate()
             target = self._choose_target()
             if target is None and self._attempts and self._usable_targets():
                 # It has run, so it cannot be refused; all targets are at their rate limits.
@@ -209,6 +237,21 @@
             if outcome is not None:
                 return outcome
 
+    def _authenticate(self) -> None:
+        """Check that the request is still admitted; its key may have been removed meanwhile.
+
+        :raises AccessDeniedError: if it is not.
+        """
+        self._account = self._forwarder.authenticator.authenticate(
+            self._request.headers, self._route.is_public
+        )
+
+    def _deny(self, response: ErrorResponse) -> str:
+        """Refuse the request, or fail it if an attempt may have run."""
+        if self._attempts:
+            return self._fail(maybe_executed_response(response.code))
+        return self._fail(response)
+
     async def _find_origin(self, service: str) -> None:
         """Let a stream that its caller takes up go on only at the targets at which it began.
 
@@ -236,7 +279,7 @@
         exchange = Exchange(
             forwarder.names,
             forwarder.pool,
-            self._request,
+            forwarder.authenticator.to_forwarded(self._request, self._account),
             self._relay,
             run,
             forwarder.checker if self._must_confirm_incarnation() else None,
@@ -351,6 +394,7 @@
         forwarder.log.event(
             "request_refused",
             request=self._request_id,
+            caller=self._caller(),
             online=sum(load.online for load in loads),
             batch=sum(load.batch for load in loads),
             places=sum(load.capacity for load in loads),
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -5,10 +5,13 @@
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.isolation import IsolationDetector
 from ebonyshore.gateway.job_call_forwarder import JobCallForwarder
+from ebonyshore.host.accounts import Account
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.error_responses import ErrorResponse, not_executed_response
 from ebonyshore.host.host_settings import ListenAddress
@@ -32,6 +35,8 @@
     :param config: provides the routes and the limits of the server.
     :param forwarder: answers online requests.
     :param job_calls: answers calls about batch jobs.
+    :param authenticator: decides which requests are admitted.
+    :param metrics: counts the requests that are not, as ``requests_RESULT_CODE``.
     """
 
     name = "front"
@@ -43,14 +48,18 @@
         config: ConfigService,
         forwarder: Forwarder,
         job_calls: JobCallForwarder,
+        authenticator: Authenticator,
         log: EventLog,
+        metrics: Metrics,
     ) -> None:
         self._address = address
         self._names = names
         self._config = config
         self._forwarder = forwarder
         self._job_calls = job_calls
+        self._authenticator = authenticator
         self._log = log
+        self._metrics = metrics
         self._server = HttpServer(self._serve, ServerLimits(), self._log_failure)
         self._is_closed = False
         config.change_listeners.append(self._apply_limits)
@@ -93,21 +102,40 @@
             )
             return
         host = request.headers.get("host") or ""
-        if self._is_job_path(request):  # not looked up by route: a job may outlive its route
-            await self._job_calls.forward(request, responder)
-            return
-        route = table.find(host, request.path)
-        if route is None:
+        is_job_path = self._is_job_path(request)
+        route = None if is_job_path else table.find(host, request.path)
+        if route is None and not is_job_path:
             self._log.event("request_without_route", host=host, config_version=self._config.version)
             ErrorResponse(404, ResultCode.NOT_FOUND).send(responder, request, self._names)
             return
-        await self._serve_route(route, request, responder)
-
-    async def _serve_route(self, route: Route, request: Request, responder: Responder) -> None:
+        try:
+            account = self._authenticator.authenticate(request.headers, _needs_no_key(route))
+        except AccessDeniedError as error:
+            self._deny(request, responder, error.response)
+            return
+        if route is None:  # not looked up by route: a job may outlive its route
+            await self._job_calls.forward(request, responder, None, account)
+        else:
+            await self._serve_route(route, request, responder, account)
+
+    def _deny(self, request: Request, responder: Responder, response: ErrorResponse) -> None:
+        reason = response.code.name.lower()
+        self._metrics.count(f"requests_{reason}")
+        self._log.event(
+            "request_denied",
+            request=request.headers.get(self._names.request_id),
+            reason=reason,
+            config_version=self._config.version,
+        )
+        response.send(responder, request, self._names)
+
+    async def _serve_route(
+        self, route: Route, request: Request, responder: Responder, account: Account | None
+    ) -> None:
         if route.kind is not RouteKind.BATCH:
-            await self._forwarder.forward(route, request, responder)
+            await self._forwarder.forward(route, request, responder, account)
         elif request.method == "POST":
-            await self._job_calls.forward(request, responder, route)
+            await self._job_calls.forward(request, responder, route, account)
         else:
             ErrorResponse(405, ResultCode.INVALID_REQUEST).send(responder, request, self._names)
 
@@ -123,6 +151,11 @@
         self._log.event("request_failed", request=request_id, error=repr(error))
 
 
+def _needs_no_key(route: Route | None) -> bool:
+    """Return whether requests of a route need no key; calls about jobs always need one."""
+    return route is not None and route.is_public and route.kind is not RouteKind.BATCH
+
+
 class ReadinessServer(AsyncService):
     """Answers the load balancer's health checks: 200 if the entry takes callers, else 503.
 
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -10,7 +10,7 @@
 from random import Random
 from urllib.parse import parse_qs, quote, urlencode, urlsplit
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
@@ -18,6 +18,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.host.accounts import Account
 from ebonyshore.host.error_responses import (
     ErrorResponse,
     maybe_executed_response,
@@ -136,11 +137,16 @@
         self._owners: OrderedDict[str, str] = OrderedDict()
 
     async def forward(
-        self, request: Request, responder: Responder, route: Route | None = None
+        self,
+        request: Request,
+        responder: Responder,
+        route: Route | None = None,
+        account: Account | None = None,
     ) -> None:
         """Answer a call about a job.
 
         :param route: the route of a request that submits a job; ``None`` for all other calls.
+        :param account: the caller's client account; ``None`` if the configuration has none.
         """
         job_call = (
             self._decode_call(request) if route is None else self._decode_submission(request, route)
@@ -148,6 +154,8 @@
         if job_call is None:
             ErrorResponse(404, ResultCode.NOT_FOUND).send(responder, request, self._names)
             return
+        if account is not None:
+            job_call = structs.replace(job_call, account=account.name)
         response = await self._call_runners(job_call, request)
         if isinstance(response, ErrorResponse):
             response.send(responder, request, self._names)
@@ -207,6 +215,7 @@
             "runner_call_failed",
             job=call.job_id,
             call=call.kind.value,
+            caller=call.account,
             runner=runner.instance_id,
             detail=str(error),
         )
--- a/ebonyshore/host/error_responses.py
+++ b/ebonyshore/host/error_responses.py
@@ -33,6 +33,8 @@
             headers.add(request_id_name, request_id)
         if self.retry_after_ms is not None:
             headers.add("Retry-After", f"{self.retry_after_ms / MS_PER_S:.2f}")
+        if self.status == 401:
+            headers.add("WWW-Authenticate", "Bearer")
         return headers
 
     def body(self) -> bytes:
--- a/ebonyshore/http/messages.py
+++ b/ebonyshore/http/messages.py
@@ -8,6 +8,7 @@
     200: "OK",
     202: "Accepted",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -7,9 +7,11 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.gateway.authentication import Authenticator
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
+from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.routes import Route, RouteKind, ServiceShare
 from ebonyshore.host.target import TargetEntry
@@ -20,6 +22,7 @@
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 
@@ -76,6 +79,11 @@
         self.origins = StreamOrigins(
             peers, self.table, lambda *sent: self.datagrams.append(sent), lambda: True
         )
+        self.config = ConfigService("config/main", decode_config, EventLog())
+        self.is_config_confirmed = True
+        self.authenticator = Authenticator(
+            WIRE_NAMES, self.config, lambda: self.is_config_confirmed
+        )
         self.forwarder = Forwarder(
             WIRE_NAMES,
             self.table,
@@ -87,6 +95,7 @@
             EventLog(),
             self.metrics,
             FirstChoiceRandom(1),
+            self.authenticator,
         )
         self.server = HttpServer(
             self._serve, limits or ServerLimits(), lambda _r, error: self.failures.append(error)
@@ -96,7 +105,8 @@
         self.load_changes += 1
 
     async def _serve(self, request, responder):
-        await self.forwarder.forward(self.route, request, responder)
+        account = self.authenticator.authenticate(request.headers, self.route.is_public)
+        await self.forwarder.forward(self.route, request, responder, account)
 
     async def start(self, *targets, versions=()):
         """Start the targets ``t1`` and so on.
