--- a/ebonyshore/host/config_lease.py
+++ b/ebonyshore/host/config_lease.py
@@ -46,32 +46,34 @@
     :ivar length_ms: time from the begin of a read to the end of the lease.
     """
 
-    __slots__ = ("_ahead", "_confirmed_ms", "length_ms")
+    __slots__ = ("_ahead_ms", "_confirmed_ms", "length_ms")
 
     def __init__(self, revocation_ms: float) -> None:
         self.length_ms = revocation_ms * (1.0 - CLOCK_DRIFT_SHARE)
         self._confirmed_ms = float("-inf")
-        self._ahead: ConfigConfirmation | None = None
+        self._ahead_ms: dict[int, float] = {}  # begin of the latest read by newer version
 
     def confirm(self, confirmation: ConfigConfirmation, version_in_force: int) -> None:
         """Extend the lease by a read, as soon as the version that was read is in force.
 
         Confirmations may arrive late, repeatedly and in any order.
         """
-        if confirmation.version <= version_in_force:
-            self._confirmed_ms = max(self._confirmed_ms, confirmation.read_began_ms)
-        elif self._ahead is None or confirmation.read_began_ms > self._ahead.read_began_ms:
-            self._ahead = confirmation
+        version, read_began_ms = confirmation.version, confirmation.read_began_ms
+        if version <= version_in_force:
+            self._confirmed_ms = max(self._confirmed_ms, read_began_ms)
+        else:
+            known_ms = self._ahead_ms.get(version, read_began_ms)
+            self._ahead_ms[version] = max(known_ms, read_began_ms)
 
     def is_behind(self, version_in_force: int) -> bool:
         """Return whether a read has shown a version that is not in force here yet."""
-        return self._ahead is not None and self._ahead.version > version_in_force
+        return any(version > version_in_force for version in self._ahead_ms)
 
     def confirmed_ms(self, version_in_force: int) -> float:
         """Return the begin of the latest read that confirmed the version in force."""
-        if self._ahead is not None and self._ahead.version <= version_in_force:
-            self._confirmed_ms = max(self._confirmed_ms, self._ahead.read_began_ms)
-            self._ahead = None
+        reached = [version for version in self._ahead_ms if version <= version_in_force]
+        for version in reached:
+            self._confirmed_ms = max(self._confirmed_ms, self._ahead_ms.pop(version))
         return self._confirmed_ms
 
     def remaining_ms(self, version_in_force: int, at_ms: float) -> float:
