--- a/ebonyshore/host/key_ring.py
+++ b/ebonyshore/host/key_ring.py
@@ -11,6 +11,7 @@
 
 AUTHORIZATION_HEADER = "Authorization"
 BEARER_SCHEME = "bearer"
+WHITESPACE = " \t"
 
 
 class KeyRing:
@@ -50,7 +51,7 @@
     values = [value for key, value in headers if key.lower() == name]
     if len(values) != 1:
         return None
-    scheme, _, key = values[0].strip().partition(" ")
+    scheme, _, key = values[0].strip(WHITESPACE).partition(" ")
     if scheme.lower() != BEARER_SCHEME:
         return None
-    return key.strip().encode("latin-1").decode("utf-8", "surrogateescape") or None
+    return key.strip(WHITESPACE).encode("latin-1").decode("utf-8", "surrogateescape") or None
