--- a/ebonyshore/gateway/lease_keeper.py
+++ b/ebonyshore/gateway/lease_keeper.py
@@ -110,12 +110,12 @@
 
     def _confirm(self, version: int, read_began_ms: float) -> None:
         self._lease.confirm(ConfigConfirmation(version, read_began_ms), self._config.version)
-        self._metrics.set_gauge("config_lease_ms", max(0.0, self._remaining_ms() or 0.0))
 
     async def _run(self, lease: ConfigLease) -> None:
         while True:
             wait_ms = MAX_WAIT_MS
             if self._has_accounts():
+                self._metrics.set_gauge("config_lease_ms", max(0.0, self._remaining_ms()))
                 due_ms = self._schedule.due_ms(lease, self._config.version)
                 wait_ms = min(wait_ms, due_ms - self._clock.boot_ms())
             if wait_ms <= 0.0:
