--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -39,13 +39,13 @@
         origins: StreamOrigins,
         lease_keeper: LeaseKeeper,
     ) -> None:
-        self._lease_keeper = lease_keeper
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
         self._targets = targets
         self._view = view
         self._suspicions = suspicions
         self._origins = origins
+        self._lease_keeper = lease_keeper
 
     def on_message(self, message: Datagram) -> None:
         """Apply a message of a runner or answer an entry; load reports are ignored."""
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -153,11 +153,11 @@
         responder: Responder,
         account: Account | None,
     ) -> None:
-        self._account = account
         self._forwarder = forwarder
         self._route = route
         self._request = request
         self._responder = responder
+        self._account = account
         self._request_id = request.headers.get(forwarder.names.request_id)
         self._content = _content(request, forwarder.names)
         self._service = forwarder.choose_service(route)
--- a/ebonyshore/gateway/isolation.py
+++ b/ebonyshore/gateway/isolation.py
@@ -39,10 +39,10 @@
         log: EventLog,
         has_lease: Callable[[], bool] = lambda: True,
     ) -> None:
-        self._has_lease = has_lease
         self._peers = peers
         self._view = view
         self._probe = probe
+        self._has_lease = has_lease
         self._log = log
         self._was_isolated = False
 
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -54,7 +54,6 @@
         clock: Clock,
         is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._is_store_silent = is_store_silent
         self._peers = peers
         self._targets = targets
         self._reports = LoadReportSender(peers, targets.own_counts)
@@ -64,6 +63,7 @@
         self._admission = admission
         self._suspicions = suspicions
         self._clock = clock
+        self._is_store_silent = is_store_silent
         self._streams = StreamRecords()
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
--- a/tests/test_removed_keys.py
+++ b/tests/test_removed_keys.py
@@ -19,7 +19,7 @@
 def fleet(tmp_path, request):
     revocation_ms = getattr(request, "param", REVOCATION_MS)
     platform_fleet = PlatformFleet(
-        tmp_path, address_octet=9, accounts=ACCOUNTS, revocation_ms=revocation_ms
+        tmp_path, address_octet=16, accounts=ACCOUNTS, revocation_ms=revocation_ms
     )
     try:
         platform_fleet.start()
