--- a/ebonyshore/link/job_call.py
+++ b/ebonyshore/link/job_call.py
@@ -26,7 +26,7 @@
 
 
 class JobCall(Struct, frozen=True):
-    """One call. All operations use ``job_id``; most other fields belong to one operation.
+    """One call. All operations use ``job_id`` and ``account``; each other field belongs to one.
 
     :param kind: the operation.
     :param job_id: id of the job.
@@ -35,8 +35,7 @@
     :param item_id: for ``ITEM_BODY``: id of the item.
     :param route_name: for ``SUBMIT``: name of the route by which the job was submitted.
     :param age_ms: for ``SUBMIT``: time since the entry received the caller's request.
-    :param account: for all operations: name of the caller's client account; empty if the
-        configuration has no accounts.
+    :param account: name of the caller's client account; empty if the configuration has no accounts.
     """
 
     kind: JobCallKind
