--- a/tests/test_removed_keys.py
+++ b/tests/test_removed_keys.py
@@ -1,7 +1,9 @@
 """Removed keys on a fleet of processes, some of which are cut off from the store."""
 
 import json
+import signal
 import time
+from threading import Thread
 
 import pytest
 
@@ -28,6 +30,10 @@
         platform_fleet.stop()
 
 
+def is_watch_or_stale_read(path):
+    return path.startswith("/ebonyshore/objects/config") and path != CONFIG_PATH
+
+
 def outcome(entry, key):
     """Return the status of a request with a key, and the error in its body."""
     entry.key = key
@@ -67,6 +73,26 @@
     wait_until(entry.is_ready, 1.0)
 
 
+def test_a_frozen_entry_does_not_use_a_removed_key_when_it_wakes(fleet):
+    """Guards against a request that is served before anything tells the entry of the removal."""
+    entry, platform = fleet.entries[0], fleet.platform
+    # The pending watches end with a version that removes nothing; then none is answered.
+    platform.fault_hook = lambda _method, path: 503 if is_watch_or_stale_read(path) else None
+    platform.state.put("config", "main", make_config(2, accounts=ACCOUNTS))
+    time.sleep(0.3)
+    assert outcome(entry, "key-b") == (200, None)
+    entry.signal(signal.SIGSTOP)
+    platform.state.put("config", "main", make_config(3, accounts=[account("a", "key-a")]))
+    time.sleep(1.1 * REVOCATION_MS / 1_000)
+    outcomes = []
+    waiting = Thread(target=lambda: outcomes.append(outcome(entry, "key-b")))
+    waiting.start()
+    time.sleep(0.2)
+    entry.signal(signal.SIGCONT)
+    waiting.join(10)
+    assert outcomes[0][0] in (401, 503)
+
+
 @pytest.mark.parametrize("fleet", [5_000], indirect=True)
 def test_entries_make_no_reads_of_their_own_while_a_runner_confirms(fleet):
     paths = []
