--- a/ebonyshore/link/job_call.py
+++ b/ebonyshore/link/job_call.py
@@ -27,7 +27,7 @@
 
 
 class JobCall(Struct, frozen=True):
-    """One call. All operations use ``job_id``; each field after it belongs to one operation.
+    """One call. All operations use ``job_id`` and ``account``; each other field belongs to one.
 
     :param kind: the operation.
     :param job_id: id of the job.
@@ -36,6 +36,7 @@
     :param item_id: for ``ITEM_BODY``: id of the item.
     :param route_name: for ``SUBMIT``: name of the route by which the job was submitted.
     :param age_ms: for ``SUBMIT``: time since the entry received the caller's request.
+    :param account: name of the caller's client account; empty if the configuration has no accounts.
     :param may_redirect: for reads: whether the runner may name the job's owner in place of an
         answer, with status :data:`REDIRECT_STATUS`.
     """
@@ -47,6 +48,7 @@
     item_id: str = ""
     route_name: str = ""
     age_ms: float = 0.0
+    account: str = ""
     may_redirect: bool = False
 
     @property
@@ -63,6 +65,7 @@
             "item_id": self.item_id,
             "route": self.route_name,
             "age_ms": str(self.age_ms),
+            "account": self.account,
             "may_redirect": str(int(self.may_redirect)),
         }
 
@@ -82,5 +85,6 @@
         query.get("item_id", ""),
         query.get("route", ""),
         float(query.get("age_ms", "0")),
-        may_redirect=query.get("may_redirect") == "1",
+        query.get("account", ""),
+        query.get("may_redirect") == "1",
     )
