--- a/ebonyshore/link/job_call.py
+++ b/ebonyshore/link/job_call.py
@@ -27,7 +27,7 @@
 
 
 class JobCall(Struct, frozen=True):
-    """One call. All operations use ``job_id``; each field after it belongs to one operation.
+    """One call. All operations use ``job_id`` and ``account``; each other field belongs to one.
 
     :param kind: the operation.
     :param job_id: id of the job.
@@ -38,6 +38,7 @@
     :param age_ms: for ``SUBMIT``: time since the entry received the caller's request.
     :param may_redirect: for reads: whether the runner may name the job's owner in place of an
         answer, with status :data:`REDIRECT_STATUS`.
+    :param account: name of the caller's client account; empty if the configuration has no accounts.
     """
 
     kind: JobCallKind
@@ -48,6 +49,7 @@
     route_name: str = ""
     age_ms: float = 0.0
     may_redirect: bool = False
+    account: str = ""
 
     @property
     def method(self) -> str:
@@ -64,6 +66,7 @@
             "route": self.route_name,
             "age_ms": str(self.age_ms),
             "may_redirect": str(int(self.may_redirect)),
+            "account": self.account,
         }
 
 
@@ -82,5 +85,6 @@
         query.get("item_id", ""),
         query.get("route", ""),
         float(query.get("age_ms", "0")),
-        may_redirect=query.get("may_redirect") == "1",
+        query.get("may_redirect") == "1",
+        query.get("account", ""),
     )
