Let only the account of a job use it, and tell targets that account

Any caller could read, end or submit any job, and an item's own headers could name any account to the target. Records now name the account; calls of other accounts are answered as if there were no such job. Items carry the account of their job, never a key, and cannot add header lines.

--- a/ebonyshore/frame/result_codes.py
+++ b/ebonyshore/frame/result_codes.py
@@ -36,6 +36,7 @@
     IDEMPOTENCY_MISMATCH = 15
     REQUEST_TOO_LARGE = 16
     JOB_NOT_CANCELLABLE = 17
+    JOB_ID_IN_USE = 18
 
     OVERLOADED = 30
     CALLER_LIMIT = 31
@@ -108,6 +109,7 @@
     ),
     ResultCode.REQUEST_TOO_LARGE: ResultInfo("the request is too large", 413, _NOT_RUN),
     ResultCode.JOB_NOT_CANCELLABLE: ResultInfo("the job has already ended", 409, _NOT_RUN),
+    ResultCode.JOB_ID_IN_USE: ResultInfo("the job id is in use", 409, _NOT_RUN),
     ResultCode.OVERLOADED: ResultInfo("the tier is overloaded", 503, _NOT_RUN, True),
     ResultCode.CALLER_LIMIT: ResultInfo("the caller is over its limit", 429, _NOT_RUN, True),
     ResultCode.DEADLINE_UNREACHABLE: ResultInfo(
--- a/ebonyshore/host/job_types.py
+++ b/ebonyshore/host/job_types.py
@@ -42,6 +42,7 @@
     :param owner_incarnation: incarnation of the owner's process.
     :param epoch: number of owners so far.
     :param is_cancelled: whether the job was cancelled.
+    :param caller: the client account that submitted the job; empty if the caller needed no key.
     """
 
     job_id: str
@@ -57,6 +58,7 @@
     owner_incarnation: str = ""
     epoch: int = 0
     is_cancelled: bool = False
+    caller: str = ""
 
 
 class BodyPart(Struct, frozen=True):
--- /dev/null
+++ b/ebonyshore/runner/item_headers.py
@@ -0,0 +1,39 @@
+"""The part of an item's request that its submitter determines. Pure functions.
+
+An item names the path and headers of its request. Where there are client accounts, they must not
+pass for those of another account, nor end the request so that a second one follows.
+"""
+
+from collections.abc import Iterable
+from re import compile as compile_pattern
+
+from ebonyshore.host.wire_names import WireNames
+from ebonyshore.http.headers import HOP_BY_HOP_NAMES, Headers
+
+_FIELD_NAME = compile_pattern(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FIELD_VALUE = compile_pattern(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+_ESCAPES = {code: f"%{code:02X}" for code in (*range(0x21), 0x7F)}
+
+
+def account_headers(
+    fields: Iterable[tuple[str, str]], names: WireNames, account: str
+) -> list[tuple[str, str]]:
+    """Return the headers of an item with those that tell the target whose request it is.
+
+    Credentials, hop-by-hop headers and malformed ones are left out.
+
+    :param fields: the headers as they were submitted.
+    :param account: the account that the job belongs to; empty if it has none.
+    """
+    excluded = HOP_BY_HOP_NAMES | {"authorization", names.account.lower()}
+    kept = [
+        (name, value)
+        for name, value in Headers(fields).without(excluded)
+        if _FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
+    ]
+    return [*kept, (names.account, account)] if account else kept
+
+
+def escape_path(path: str) -> str:
+    """Return a path with its spaces and control characters percent-encoded."""
+    return path.translate(_ESCAPES)
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -21,6 +21,7 @@
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
+from ebonyshore.runner.item_headers import account_headers, escape_path
 from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -70,6 +71,8 @@
     :param confirm_end: returns whether a response that ended with its connection may be complete.
     :param checker: confirms the incarnation of the target before the request is sent; ``None`` if
         that is not necessary.
+    :param account: the account that the target is told, empty for none; ``None`` if there are no
+        accounts and the item's headers are sent as they are.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         host: str,
         confirm_end: Callable[[ContentRun], Awaitable[bool]],
         checker: TargetChecker | None = None,
+        account: str | None = None,
     ) -> None:
         self._names = names
         self._pool = pool
@@ -91,6 +95,7 @@
         self._host = host
         self._confirm_end = confirm_end
         self._checker = checker
+        self._account = account
 
     async def run(self, content_run: ContentRun) -> RunResult:
         """Run the item at a target until the response ends or an error occurs.
@@ -132,7 +137,11 @@
         names = self._names
         headers = Headers([("Host", self._host), (names.request_id, self._item.item_id)])
         overridden = {"host", names.request_id.lower(), "content-length", "connection"}
-        for name, value in self._record.headers:
+        fields, path = self._record.headers, self._record.path
+        if self._account is not None:
+            fields = account_headers(fields, names, self._account)
+            path = escape_path(path)
+        for name, value in fields:
             if name.lower() not in overridden:
                 headers.add(name, value)
         headers.add(names.remaining_ms, str(int(RUN_TIMEOUT_MS)))
@@ -140,7 +149,7 @@
         if self._item.last_event_id is not None:
             headers = headers.with_field(names.last_event_id, str(self._item.last_event_id))
         headers.add("Content-Length", str(len(self._body)))
-        request_line = f"{ITEM_METHOD} {self._record.path} HTTP/1.1\r\n".encode("latin-1")
+        request_line = f"{ITEM_METHOD} {path} HTTP/1.1\r\n".encode("latin-1")
         return request_line + headers.encode() + b"\r\n" + self._body
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -12,6 +12,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.job_types import JobRecord
 from ebonyshore.host.request_content import RequestContent, part_digests
 from ebonyshore.host.target import Target, TargetGroup
 from ebonyshore.host.target_check import TargetChecker
@@ -279,6 +280,7 @@
             record.host,
             self._crash_guard.confirm_end,
             self._checker if self._must_confirm_incarnation(item) else None,
+            self._account_of(record),
         )
         self._registry.on_change()
         try:
@@ -291,6 +293,11 @@
         finally:
             self._free_slot(key, running)
 
+    def _account_of(self, record: JobRecord) -> str | None:
+        """Return the account that targets are told; ``None`` if there are no accounts."""
+        has_accounts = self._config.table.config.accounts is not None
+        return record.caller if record.caller or has_accounts else None
+
     def _must_confirm_incarnation(self, item: Item) -> bool:
         """Whether the target's version has to be certain, as others do not fit the events."""
         if item.origin is None:
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -1,6 +1,7 @@
 """HTTP server for the calls about batch jobs that entries send to runners."""
 
 from asyncio import timeout
+from functools import partial
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 from ebonyshore.frame.async_kernel import AsyncService
@@ -25,7 +26,9 @@
     JobCallKind,
     decode_job_call,
 )
+from ebonyshore.runner.job_access import may_access
 from ebonyshore.runner.job_admission import JobAdmission
+from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.store.marked_write import MarkedObject
 
@@ -59,7 +62,7 @@
         self.retry_after_ms = retry_after_ms
 
 
-def refusal_reply(code: ResultCode, retry_after_ms: float = RETRY_AFTER_MS) -> Reply:
+def refusal_reply(code: ResultCode, retry_after_ms: float | None = RETRY_AFTER_MS) -> Reply:
     """Return the reply to a call that had no effect and never will."""
     response = ErrorResponse(RESULT_INFO[code].http_status, code)
     return Reply(response.status, response.body(), retry_after_ms=retry_after_ms)
@@ -159,18 +162,25 @@
         route = self._find_route(request)
         if route is None:
             return refusal_reply(ResultCode.NOT_READY)
+        known = self._registry.find(call.job_id)
+        if known is not None and not self._may_access(call, known.record):
+            return refusal_reply(ResultCode.JOB_ID_IN_USE, None)
         record = self._make_record(call, request, route)
         refusal = await self._admission.admit(record, route)
         if refusal is not None:
             return refusal_reply(ResultCode.QUOTA_EXHAUSTED, refusal.retry_after_ms)
         requested_ms = self._clock.boot_ms()
         stored = await self._store_job(record)
+        if not self._may_access(call, stored.body):
+            self._admission.release(call.job_id)
+            return refusal_reply(ResultCode.JOB_ID_IN_USE, None)
         self._registry.add_accepted(stored, requested_ms)
         self._metrics.count("jobs_accepted")
         self._log.event(
             "job_accepted",
             job=call.job_id,
             items=len(stored.body.items),
+            account=call.account,
             owner=stored.body.owner,
             is_repeat=stored.body.owner_incarnation != self._registry.incarnation,
         )
@@ -212,10 +222,11 @@
             owner=self._registry.own_id,
             owner_incarnation=self._registry.incarnation,
             epoch=1,
+            caller=call.account,
         )
 
     async def _read_results(self, call: JobCall) -> Reply:
-        progress = await self._registry.read_progress(call.job_id)
+        progress = await self._read_progress(call)
         if progress is None:
             return Reply(404)
         # Only the owner is notified of new results; other runners have to read the store.
@@ -234,21 +245,52 @@
         return Reply(200, self._deployment.encode_results(page), progress.record.owner)
 
     async def _read_item_body(self, call: JobCall) -> Reply:
-        progress = await self._registry.read_progress(call.job_id)
+        progress = await self._read_progress(call)
         item = progress.find_item(call.item_id) if progress is not None else None
         if item is None or progress.record.is_cancelled:
             return Reply(404)
         return Reply(200, progress.item_body(item.index), progress.record.owner)
 
     async def _cancel(self, call: JobCall) -> Reply:
-        cancelled = await self._registry.run_blocking(self._registry.storage.cancel, call.job_id)
-        if cancelled is None:
+        cancelled = await self._registry.run_blocking(
+            self._registry.storage.cancel, call.job_id, partial(self._is_allowed, call)
+        )
+        if cancelled is None or not self._may_access(call, cancelled.body):
             return Reply(404)
         self._registry.update_record(cancelled)
         self._metrics.count("jobs_cancelled")
         self._log.event("job_cancelled", job=call.job_id, owner=cancelled.body.owner)
         return Reply(200, owner=cancelled.body.owner)
 
+    async def _read_progress(self, call: JobCall) -> JobProgress | None:
+        """Return the progress of a job; ``None`` if the caller has no such job."""
+        known = self._registry.find(call.job_id)
+        if known is not None and not self._may_access(call, known.record):
+            return None
+        progress = await self._registry.read_progress(call.job_id)
+        if progress is None or (known is None and not self._may_access(call, progress.record)):
+            return None
+        return progress
+
+    def _may_access(self, call: JobCall, record: JobRecord) -> bool:
+        """Return whether the caller may use a job; log it if not."""
+        if self._is_allowed(call, record):
+            return True
+        self._metrics.count("job_calls_of_other_accounts")
+        self._log.event(
+            "job_call_denied",
+            job=call.job_id,
+            call=call.kind.value,
+            account=call.account,
+            reason="other_account" if call.account else "no_account",
+        )
+        return False
+
+    def _is_allowed(self, call: JobCall, record: JobRecord) -> bool:
+        table = self._config.table
+        needs_account = table is not None and table.config.accounts is not None
+        return may_access(record, call.account, needs_account)
+
     def _log_store_failure(self, call: JobCall, error: StoreError) -> None:
         self._log.event("job_call_failed", job=call.job_id, call=call.kind.value, error=str(error))
 
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -140,6 +140,9 @@
             job = self._jobs[job_id] = KnownJob(marked_record, now_ms)
         elif job.marked_record.version >= marked_record.version:
             return job
+        elif job.record.caller != marked_record.body.caller:
+            # The job was removed, and another account has submitted one under its id.
+            job = self._jobs[job_id] = KnownJob(marked_record, now_ms)
         job.marked_record = marked_record
         job.record_changed_ms = now_ms
         if job.progress is not None:
@@ -209,6 +212,10 @@
         """Return the number of items of owned jobs that have no result yet."""
         return sum(progress.open_count for progress in self.owned_jobs())
 
+    def find(self, job_id: str) -> KnownJob | None:
+        """Return a job, or ``None`` if its record is not known."""
+        return self._jobs.get(job_id)
+
     def is_known(self, job_id: str) -> bool:
         """Return whether the record of a job is known."""
         return job_id in self._jobs
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -5,7 +5,7 @@
 calls block, so they are made on threads.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from hashlib import blake2b
 
 from msgspec import structs
@@ -101,15 +101,20 @@
         )
         return self._store.replace(known, body)
 
-    def cancel(self, job_id: str) -> MarkedObject[JobRecord] | None:
+    def cancel(
+        self, job_id: str, may_cancel: Callable[[JobRecord], bool] | None = None
+    ) -> MarkedObject[JobRecord] | None:
         """Cancel a job. Does nothing if it is cancelled already.
 
+        :param may_cancel: returns whether the job may be cancelled; if it may not, nothing changes.
         :return: the job record, or ``None`` if there is no such job.
         """
 
         def set_cancelled(record: JobRecord | None) -> JobRecord | None:
             if record is None or record.is_cancelled:
                 return None
+            if may_cancel is not None and not may_cancel(record):
+                return None
             return structs.replace(record, is_cancelled=True)
 
         return self._store.update(
@@ -124,7 +129,7 @@
         """
         found: dict[int, bytes] = {}
         for number in range(record.body_parts):
-            key = _part_key(record.job_id, number)
+            key = _part_key(record, number)
             part = self._store.read(key, BodyPart)
             if part is None:
                 raise StoreUnavailableError(f"bodies of job {record.job_id}: {key} is missing")
@@ -185,7 +190,7 @@
         while self._delete_object(_segment_key(record.job_id, number)):
             number += 1
         for number in range(record.body_parts):
-            self._delete_object(_part_key(record.job_id, number))
+            self._delete_object(_part_key(record, number))
         self._delete_object(f"{JOBS_KIND}/{job_object_name(record.job_id)}")
 
     def _delete_object(self, key: str) -> bool:
@@ -200,7 +205,7 @@
         """Store the bodies of a job separately and return the record without them."""
         parts = _split_bodies(record)
         for number, part in enumerate(parts):
-            key = _part_key(record.job_id, number)
+            key = _part_key(record, number)
             try:
                 self._store.replace(MarkedObject(key, ABSENT_VERSION, 0, (), part), part)
             except WriteConflictError:
@@ -221,8 +226,12 @@
     return [BodyPart(tuple(part)) for part in parts]
 
 
-def _part_key(job_id: str, number: int) -> str:
-    return f"{PARTS_KIND}/{job_object_name(job_id)}.{number}"
+def _part_key(record: JobRecord, number: int) -> str:
+    """Return the key of a part; two accounts that use one job id do not share parts."""
+    name = job_object_name(record.job_id)
+    if record.caller:
+        name += "." + blake2b(record.caller.encode(), digest_size=8).hexdigest()
+    return f"{PARTS_KIND}/{name}.{number}"
 
 
 def _saved_items_key(job_id: str) -> str:
