Limit the waiting batch work of each client account

The limit of a route held for all callers together, so one account could use all of it. Where the configuration has accounts, each pair of route and account has a ledger of its own, which a runner forgets when the account has no work there. Retry-After follows the account's part of the fleet's rate. Load reports name at most 1,000 quotas, those with the most tokens that the ledgers lack.

--- a/ebonyshore/runner/admission_policy.py
+++ b/ebonyshore/runner/admission_policy.py
@@ -77,6 +77,17 @@
     return bounded_ms * (1.0 + RETRY_SPREAD * draw)
 
 
+def share_of_rate(tokens_per_ms: float, own_tokens: int, other_tokens: int) -> float:
+    """Return the part of a rate at which the work of one account is completed.
+
+    :param tokens_per_ms: rate at which the work of all accounts is completed.
+    :param own_tokens: unfinished tokens of the account.
+    :param other_tokens: unfinished tokens of all others.
+    """
+    total_tokens = own_tokens + other_tokens
+    return tokens_per_ms * own_tokens / total_tokens if own_tokens else tokens_per_ms
+
+
 class RunnerWork(Struct, frozen=True):
     """The batch work of the runner that is asked to accept a job.
 
--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -1,10 +1,14 @@
 """Accepts or refuses submitted jobs, within the limits of their routes.
 
-Each route with a limit has a ledger of reserved tokens in the store (:mod:`quota_ledger`). This
-module decides when to write to it: before a job is stored, and when work has ended.
+Each limit, that of a route or of a client account there, has a ledger of reserved tokens in the
+store (:mod:`quota_ledger`). This module decides when to write to it: before a job is stored, and
+when work has ended.
 """
 
 from asyncio import CancelledError, Future, get_running_loop
+from collections import Counter
+from collections.abc import Sequence
+from heapq import nlargest
 from random import Random
 
 from msgspec import Struct
@@ -15,7 +19,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.job_types import JobRecord
-from ebonyshore.host.routes import Route, RouteKind
+from ebonyshore.host.routes import Route
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.runner.admission_policy import (
@@ -24,25 +28,30 @@
     can_accept_early,
     must_release,
     retry_after_ms,
+    share_of_rate,
     tokens_beyond_retention,
 )
 from ebonyshore.runner.completion_rate import CompletionRate
+from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
-from ebonyshore.runner.quota_ledger import Reservation, ReservationRequest, quota_name
+from ebonyshore.runner.quota_ledger import Reservation, ReservationRequest
+from ebonyshore.runner.quota_scopes import QuotaScope, QuotaScopes
 from ebonyshore.runner.quota_storage import QuotaStorage
 from ebonyshore.runner.reservation_writer import ReservationWriter
 from ebonyshore.runner.route_quota import PendingRequest, RouteQuota
 
 STEP_INTERVAL_MS = 100.0
+QUOTA_IDLE_MS = 10_000.0  # without work of an account until its quota is forgotten
+MAX_REPORTED_QUOTAS = 1_000  # keeps a load report within one datagram
 CONTENTION_MEMORY_MS = 2_000.0  # for which a quota counts as contended after it was last seen so
 
 
 class JobRefusal(Struct, frozen=True):
     """Why a job is refused.
 
-    :param reason: ``quota`` if the route's limit is used up, ``retention`` if the job cannot end
-        before its items may be given up.
+    :param reason: ``quota`` if the limit of the route, or of the account there, is used up,
+        ``retention`` if the job cannot end before its items may be given up.
     :param missing_tokens: tokens that have to be completed before the job fits.
     :param retry_after_ms: time after which the caller should submit the job again.
     """
@@ -83,7 +92,8 @@
         self._config = config
         self._load_table = load_table
         self._peers = peers
-        self._writer = ReservationWriter(registry, load_table, storage, log)
+        self._scopes = QuotaScopes(config)
+        self._writer = ReservationWriter(registry, load_table, storage, self._scopes, log)
         self._completions = completions
         self._ranking = ranking
         self._clock = clock
@@ -106,7 +116,7 @@
             return None
         tokens = sum(item.tokens for item in record.items)
         refusal = self._check_retention(route, tokens) or await self._check_quota(
-            record.job_id, route, tokens
+            record, route, tokens
         )
         if refusal is None:
             return None
@@ -114,10 +124,12 @@
         if await registry.run_blocking(registry.storage.read, record.job_id) is not None:
             return None
         self._metrics.count("jobs_refused")
+        self._metrics.count(f"jobs_refused_{refusal.reason}")
         self._log.event(
             "job_refused",
             job=record.job_id,
             route=route.name,
+            account=record.caller,
             reason=refusal.reason,
             tokens=tokens,
             missing=refusal.missing_tokens,
@@ -131,17 +143,30 @@
         self._writer.release(job_id)
 
     def waiting_tokens(self) -> dict[str, int]:
-        """Return the unfinished tokens of this runner's jobs by quota, for its load reports."""
-        return self._waiting_tokens
+        """Return the unfinished tokens of this runner's jobs by quota, for its load reports.
+
+        Of more than :data:`MAX_REPORTED_QUOTAS`, those with the most tokens that the ledgers lack.
+        """
+        if len(self._waiting_tokens) <= MAX_REPORTED_QUOTAS:
+            return self._waiting_tokens
+        names = nlargest(MAX_REPORTED_QUOTAS, self._waiting_tokens, key=self._reporting_key)
+        return {name: self._waiting_tokens[name] for name in names}
+
+    def _reporting_key(self, name: str) -> tuple[int, int]:
+        quota = self._quotas[name]
+        own_reserved = quota.ledger.tokens_by_owner().get(self._registry.own_id, 0)
+        waiting_tokens = self._waiting_tokens[name]
+        return waiting_tokens - own_reserved, waiting_tokens
 
     def contended_quotas(self) -> tuple[str, ...]:
         """Return the quotas that are nearly used up, for this runner's load reports."""
         at_ms = now_ms()
-        return tuple(
+        contended = [
             quota.name
             for quota in self._quotas.values()
             if at_ms - quota.contended_ms < CONTENTION_MEMORY_MS
-        )
+        ]
+        return tuple(contended[:MAX_REPORTED_QUOTAS])
 
     def step(self) -> None:
         """Start the writes that are due. To be called several times a second."""
@@ -149,33 +174,51 @@
         if at_ms < self._next_step_ms or self._config.table is None:
             return
         self._next_step_ms = at_ms + STEP_INTERVAL_MS
-        limits = self._update_waiting_tokens()
-        for name in limits.keys() | self._quotas.keys():
-            quota = self._quotas.setdefault(name, RouteQuota(name))
-            quota.limit_tokens = limits.get(name, 0)
+        jobs_by_quota = self._group_jobs(at_ms)
+        for quota in list(self._quotas.values()):
+            scope = self._scopes.find(quota.host, quota.path, quota.scope.account)
+            is_in_force = scope is not None and scope.name == quota.name
+            quota.limit_tokens = scope.limit_tokens if is_in_force else 0
             if quota.limit_tokens and quota.task is None:
-                self._update_reservations(quota, at_ms)
+                self._update_reservations(quota, jobs_by_quota.get(quota.name, []), at_ms)
+            if quota.scope.account and at_ms - quota.last_used_ms > QUOTA_IDLE_MS:
+                self._forget_idle(quota)
         self._writer.forget_old_releases(at_ms)
 
-    def _update_waiting_tokens(self) -> dict[str, int]:
-        """Sum up the unfinished tokens of the own jobs; return the limits of all batch routes."""
-        table = self._config.table
-        limits = {
-            quota_name(route): route.max_waiting_tokens
-            for route in table.config.routes
-            if route.kind is RouteKind.BATCH
-        }
-        waiting = dict.fromkeys(limits, 0)
+    def _group_jobs(self, at_ms: float) -> dict[str, list[JobProgress]]:
+        """Group the unfinished own jobs by quota, and sum up their unfinished tokens."""
+        jobs: dict[str, list[JobProgress]] = {}
         for progress in self._registry.owned_jobs():
-            name = self._quota_of(progress.record)
-            if name in waiting:
-                waiting[name] += progress.unfinished_tokens
-        self._waiting_tokens = waiting
-        return limits
+            scope = self._scopes.of_record(progress.record)
+            if scope is not None and progress.unfinished_tokens:
+                record = progress.record
+                self._open_quota(scope, record.host, record.path).last_used_ms = at_ms
+                jobs.setdefault(scope.name, []).append(progress)
+        self._waiting_tokens = {
+            name: sum(progress.unfinished_tokens for progress in found)
+            for name, found in jobs.items()
+        }
+        return jobs
+
+    def _open_quota(self, scope: QuotaScope, host: str, path: str) -> RouteQuota:
+        quota = self._quotas.get(scope.name)
+        if quota is None:
+            quota = self._quotas[scope.name] = RouteQuota(scope, host, path)
+        return quota
 
-    def _quota_of(self, record: JobRecord) -> str | None:
-        route = self._config.table.find(record.host, record.path)
-        return quota_name(route) if route is not None else None
+    def _forget_idle(self, quota: RouteQuota) -> None:
+        """Forget the quota of an account without work here, once this runner owes it nothing.
+
+        It first gives back what is left of its reservations, which no other write would do.
+        """
+        if quota.is_busy:
+            return
+        if quota.limit_tokens and (quota.unknown_since_ms or self._writer.excess_tokens(quota)):
+            if now_ms() >= quota.next_release_ms:
+                self._writer.start_write(quota)
+            return
+        del self._quotas[quota.name]
+        self._writer.forget(quota)
 
     def _check_retention(self, route: Route, tokens: int) -> JobRefusal | None:
         work = self._ranking.own_work()
@@ -184,12 +227,14 @@
         )
         return self._refusal("retention", missing, work.tokens_per_ms) if missing else None
 
-    async def _check_quota(self, job_id: str, route: Route, tokens: int) -> JobRefusal | None:
+    async def _check_quota(self, record: JobRecord, route: Route, tokens: int) -> JobRefusal | None:
         if not route.max_waiting_tokens:
             return None
-        name = quota_name(route)
-        quota = self._quotas.setdefault(name, RouteQuota(name))
+        scope = self._scopes.of_route(route, record.caller)
+        quota = self._open_quota(scope, record.host, record.path)
         quota.limit_tokens = route.max_waiting_tokens
+        quota.last_used_ms = now_ms()
+        job_id = record.job_id
         reservation = Reservation(job_id, tokens, self._registry.own_id)
         self._writer.keep(job_id)
         if can_accept_early(self._quota_use(quota), tokens):
@@ -206,7 +251,7 @@
             raise
         if fits:
             return None
-        return self._refusal("quota", quota.missing_tokens, self._fleet_rate())
+        return self._refusal("quota", quota.missing_tokens, self._quota_rate(quota))
 
     def _refusal(self, reason: str, missing_tokens: int, rate: float | None) -> JobRefusal:
         delay_ms = retry_after_ms(missing_tokens, rate, self._random.random())
@@ -216,6 +261,18 @@
         own_rate = self._completions.tokens_per_ms()
         return None if own_rate is None else own_rate * (1 + len(self._load_table.runners()))
 
+    def _quota_rate(self, quota: RouteQuota) -> float | None:
+        """Return the rate at which all runners complete the work that counts towards a limit."""
+        fleet_rate = self._fleet_rate()
+        if fleet_rate is None or not quota.scope.account:
+            return fleet_rate
+        totals = Counter(self._waiting_tokens)
+        for report in self._load_table.runners().values():
+            totals.update(report.waiting_tokens)
+        waiting = max(quota.ledger.total_tokens, totals[quota.name])
+        others = totals.total() - totals[quota.name]
+        return share_of_rate(fleet_rate, waiting, others)
+
     def _quota_use(self, quota: RouteQuota) -> QuotaUse:
         registered = self._peers.of_role("runner")
         at_ms = self._clock.boot_ms()
@@ -228,21 +285,28 @@
             ),
             quota.queued_tokens,
             1 + len(registered),
-            all(self._load_table.is_mutually_heard(peer, at_ms) for peer in registered),
+            self._are_reports_complete()
+            and all(self._load_table.is_mutually_heard(peer, at_ms) for peer in registered),
         )
 
-    def _update_reservations(self, quota: RouteQuota, at_ms: float) -> None:
+    def _are_reports_complete(self) -> bool:
+        reports = self._load_table.runners().values()
+        return all(len(report.waiting_tokens) < MAX_REPORTED_QUOTAS for report in reports)
+
+    def _update_reservations(
+        self, quota: RouteQuota, jobs: Sequence[JobProgress], at_ms: float
+    ) -> None:
         """Start a write if the ledger as last seen differs too much from the jobs as known."""
         self._mark_contention(quota, at_ms)
         if at_ms < quota.next_release_ms:
             return
-        unreserved = self._unreserved_jobs(quota)
+        unreserved = self._unreserved_jobs(quota, jobs)
         for reservation in unreserved:
             self._writer.request(
                 quota, PendingRequest(ReservationRequest(reservation, is_accepted=True))
             )
         is_contended = quota.name in self._contended_anywhere()
-        excess = self._excess_tokens(quota)
+        excess = self._writer.excess_tokens(quota)
         runners = 1 + len(self._peers.of_role("runner"))
         if is_contended or must_release(excess, quota.limit_tokens, runners):
             self._writer.start_write(quota)
@@ -258,19 +322,29 @@
             found.update(report.contended_quotas)
         return found
 
-    def _unreserved_jobs(self, quota: RouteQuota) -> list[Reservation]:
-        """Return the reservations that the ledger lacks or has under another owner."""
+    def _unreserved_jobs(self, quota: RouteQuota, jobs: Sequence[JobProgress]) -> list[Reservation]:
+        """Return the reservations that the ledger lacks or has under another owner.
+
+        :param jobs: the unfinished own jobs that count towards the limit.
+        """
         own_id = self._registry.own_id
         reserved = {kept.job_id for kept in quota.ledger.reservations if kept.owner == own_id}
         reserved |= {pending.request.reservation.job_id for pending in quota.pending}
         return [
             Reservation(progress.job_id, progress.unfinished_tokens, own_id)
-            for progress in self._registry.owned_jobs()
+            for progress in jobs
             if progress.job_id not in reserved
-            and progress.unfinished_tokens
-            and self._quota_of(progress.record) == quota.name
         ]
 
-    def _excess_tokens(self, quota: RouteQuota) -> int:
-        current = self._writer.known_reservations().update(quota.ledger)
-        return quota.ledger.total_tokens - current.total_tokens
+    def dump(self) -> dict[str, object]:
+        """Return the limits in use by quota, for the state dump."""
+        return {
+            quota.name: {
+                "route": quota.scope.route_name,
+                "account": quota.scope.account,
+                "limit_tokens": quota.limit_tokens,
+                "reserved_tokens": quota.ledger.total_tokens,
+                "own_waiting_tokens": self._waiting_tokens.get(quota.name, 0),
+            }
+            for quota in self._quotas.values()
+        }
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -173,6 +173,7 @@
         stored = await self._store_job(record)
         if not self._may_access(call, stored.body):
             self._admission.release(call.job_id)
+            self._registry.update_record(stored)
             return refusal_reply(ResultCode.JOB_ID_IN_USE, None)
         self._registry.add_accepted(stored, requested_ms)
         self._metrics.count("jobs_accepted")
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -329,6 +329,7 @@
 def _dump_job(job: KnownJob) -> dict[str, object]:
     items = job.progress.items if job.progress is not None else []
     return {
+        "account": job.record.caller,
         "owner": job.record.owner,
         "epoch": job.record.epoch,
         "is_cancelled": job.record.is_cancelled,
--- a/ebonyshore/runner/quota_ledger.py
+++ b/ebonyshore/runner/quota_ledger.py
@@ -1,7 +1,7 @@
-"""The reservations of tokens on a route with a limit for waiting batch work. Pure functions.
+"""The reservations of tokens towards one limit for waiting batch work. Pure functions.
 
 Load pattern: callers submit more jobs than the fleet can run, to several runners at once. The
-ledger of a route is one object in the store, so two runners cannot both take the last tokens. A job
+ledger of a limit is one object in the store, so two runners cannot both take the last tokens. A job
 is stored only after its tokens are reserved. Reservations are named by job, so that any runner can
 tell which of them are still needed after the death of the runner that made them.
 """
@@ -31,7 +31,7 @@
 
 
 class QuotaLedger(Struct, frozen=True):
-    """All reservations of one route, as they are stored; at most one for each job and owner."""
+    """All reservations towards one limit as they are stored, at most one for each job and owner."""
 
     reservations: tuple[Reservation, ...] = ()
 
@@ -104,9 +104,15 @@
     missing_tokens: int = 0
 
 
-def quota_name(route: Route) -> str:
-    """Return the name under which a route's reservations are stored and reported."""
+def quota_name(route: Route, account: str = "") -> str:
+    """Return the name under which reservations are stored and reported.
+
+    :param route: the route whose limit they count towards.
+    :param account: the client account that the limit is for; empty if it is for all callers.
+    """
     identity = f"{route.host.lower()}\n{route.path_prefix}"
+    if account:
+        identity += f"\n{account}"
     return blake2b(identity.encode(), digest_size=8).hexdigest()
 
 
--- a/ebonyshore/runner/quota_storage.py
+++ b/ebonyshore/runner/quota_storage.py
@@ -1,4 +1,4 @@
-"""Stores the ledgers of reserved tokens, one object for each route with a limit."""
+"""Stores the ledgers of reserved tokens, one object for each limit."""
 
 import secrets
 from collections.abc import Callable
@@ -83,6 +83,13 @@
                 self._clock.sleep_ms(LOST_ANSWER_PAUSE_MS)
         raise WriteConflictError(f"{key}: {MAX_ATTEMPTS} attempts conflicted with other writes")
 
+    def forget(self, name: str) -> None:
+        """Drop the copy of a ledger that is not in use any more.
+
+        :param name: name of the quota.
+        """
+        self._copies.pop(f"{QUOTAS_KIND}/{name}", None)
+
     def _write(self, copy: _LedgerCopy, result: LedgerChange) -> LedgerChange:
         if result.ledger != copy.stored.body:
             requested_ms = self._clock.monotonic_ms()
--- a/ebonyshore/runner/reservation_writer.py
+++ b/ebonyshore/runner/reservation_writer.py
@@ -4,12 +4,13 @@
 """
 
 from asyncio import Task, create_task
+from collections.abc import Iterable
 
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.link.load_table import LoadTable
-from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.job_registry import JobRegistry, KnownJob
 from ebonyshore.runner.quota_ledger import (
     KnownReservations,
     LedgerChange,
@@ -18,6 +19,7 @@
     change_ledger,
     unreserved_tokens,
 )
+from ebonyshore.runner.quota_scopes import QuotaScopes
 from ebonyshore.runner.quota_storage import QuotaStorage
 from ebonyshore.runner.route_quota import PendingRequest, RouteQuota
 
@@ -37,6 +39,7 @@
     :param registry: the known jobs.
     :param load_table: the waiting tokens that other runners report.
     :param storage: reads and changes the ledgers.
+    :param scopes: tells which ledger a job belongs in.
     """
 
     def __init__(
@@ -44,11 +47,13 @@
         registry: JobRegistry,
         load_table: LoadTable,
         storage: QuotaStorage,
+        scopes: QuotaScopes,
         log: EventLog,
     ) -> None:
         self._registry = registry
         self._load_table = load_table
         self._storage = storage
+        self._scopes = scopes
         self._log = log
         self._released_ms: dict[tuple[str, str], float] = {}  # by job id and owner
         self._checks: set[Task[None]] = set()
@@ -64,12 +69,19 @@
             for runner, report in self._load_table.runners().items()
         }
 
-    def known_reservations(self) -> KnownReservations:
-        """Return what this runner knows of reserved jobs. Unknown jobs may be stored elsewhere."""
+    def known_reservations(self, name: str, jobs: Iterable[KnownJob]) -> KnownReservations:
+        """Return what this runner knows of reserved jobs. Unknown jobs may be stored elsewhere.
+
+        :param name: name of the quota. A job that counts towards another one, because its id was
+            used by two accounts or the configuration has changed, needs no reservation here.
+        :param jobs: the known jobs that the ledger may contain.
+        """
         registry = self._registry
         current: dict[str, Reservation] = {}
-        for job in registry.known_jobs():
-            tokens = registry.unfinished_tokens(job)
+        for job in jobs:
+            scope = self._scopes.of_record(job.record)
+            is_elsewhere = scope is not None and scope.name != name
+            tokens = 0 if is_elsewhere else registry.unfinished_tokens(job)
             if tokens is not None:
                 current[job.job_id] = Reservation(job.job_id, tokens, registry.own_id)
         released = frozenset(key for key in self._released_ms if not registry.is_known(key[0]))
@@ -85,6 +97,17 @@
         if quota.task is None:
             quota.task = create_task(self._write(quota))
 
+    def excess_tokens(self, quota: RouteQuota) -> int:
+        """Return the reserved tokens in a ledger as last seen that are not needed any more."""
+        reserved = (self._registry.find(kept.job_id) for kept in quota.ledger.reservations)
+        jobs = [job for job in reserved if job is not None]
+        current = self.known_reservations(quota.name, jobs).update(quota.ledger)
+        return quota.ledger.total_tokens - current.total_tokens
+
+    def forget(self, quota: RouteQuota) -> None:
+        """Drop the copy of the ledger of a quota that is not in use any more."""
+        self._storage.forget(quota.name)
+
     async def _write(self, quota: RouteQuota) -> None:
         """Write the pending requests, in several writes if more arrive in the meantime."""
         try:
@@ -97,7 +120,7 @@
     async def _write_once(self, quota: RouteQuota) -> None:
         quota.writing, quota.pending = quota.pending, []
         requests = [pending.request for pending in quota.writing]
-        known = self.known_reservations()
+        known = self.known_reservations(quota.name, self._registry.known_jobs())
         reported = self.reported_tokens(quota.name)
         limit_tokens = quota.limit_tokens
 
--- a/ebonyshore/runner/route_quota.py
+++ b/ebonyshore/runner/route_quota.py
@@ -1,4 +1,4 @@
-"""The limit of waiting work of one route, as one runner knows it."""
+"""One limit of waiting work, as one runner knows it."""
 
 from asyncio import Future, Task
 
@@ -6,6 +6,7 @@
 
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.runner.quota_ledger import QuotaLedger, ReservationRequest
+from ebonyshore.runner.quota_scopes import QuotaScope
 
 
 class PendingRequest(Struct):
@@ -29,12 +30,15 @@
 
 
 class RouteQuota:
-    """The limit of one route, and the ledger as this runner last saw it.
+    """The limit of one route or of one account there, and the ledger as this runner last saw it.
 
     All times are monotonic times of the event loop.
 
-    :param name: name of the quota.
-    :ivar limit_tokens: limit in the configuration in force.
+    :param scope: what the limit covers; its ``name`` does not change.
+    :param host: host of a job that counts towards the limit.
+    :param path: path of that job.
+    :ivar limit_tokens: limit in the configuration in force; 0 if there is none.
+    :ivar last_used_ms: time at which this runner last had or was offered work that counts.
     :ivar ledger: the ledger as last seen.
     :ivar pending: requests that wait for the next write.
     :ivar writing: the requests of the write in progress.
@@ -48,20 +52,26 @@
     __slots__ = (
         "contended_ms",
         "failures",
+        "host",
+        "last_used_ms",
         "ledger",
         "limit_tokens",
         "missing_tokens",
-        "name",
         "next_release_ms",
+        "path",
         "pending",
+        "scope",
         "task",
         "unknown_since_ms",
         "writing",
     )
 
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.limit_tokens = 0
+    def __init__(self, scope: QuotaScope, host: str, path: str) -> None:
+        self.scope = scope
+        self.host = host
+        self.path = path
+        self.limit_tokens = scope.limit_tokens
+        self.last_used_ms = float("-inf")
         self.ledger = QuotaLedger()
         self.pending: list[PendingRequest] = []
         self.writing: list[PendingRequest] = []
@@ -72,6 +82,16 @@
         self.failures = 0
         self.task: Task[None] | None = None
 
+    @property
+    def name(self) -> str:
+        """The name of the quota."""
+        return self.scope.name
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a write is in progress or requested."""
+        return self.task is not None or bool(self.pending or self.writing)
+
     @property
     def queued_tokens(self) -> int:
         """Tokens of accepted jobs whose reservation is not stored yet."""
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -94,7 +94,11 @@
         self._item_scheduler.stop_all()
 
     def dump(self) -> dict[str, object]:
-        return {"jobs": self._registry.dump(), "running": self._item_scheduler.dump()}
+        return {
+            "jobs": self._registry.dump(),
+            "running": self._item_scheduler.dump(),
+            "quotas": self._admission.dump(),
+        }
 
     def _note_change(self) -> None:
         self._change_event.set()
--- a/tests/admission_setup.py
+++ b/tests/admission_setup.py
@@ -6,6 +6,7 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.accounts import Account
 from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.host.routes import Route, RouteKind, RouteTable, ServiceConfig, ServiceShare
 from ebonyshore.http.server import ServerLimits
@@ -41,14 +42,18 @@
 
 
 class FixedConfig:
-    """A configuration with one route, which tests replace."""
+    """A configuration with one route, which tests replace.
 
-    def __init__(self, route):
-        self.set_route(route)
+    :param accounts: names of the client accounts; ``None`` if there are none.
+    """
+
+    def __init__(self, route, accounts=None):
+        self.set_route(route, accounts)
 
-    def set_route(self, route):
+    def set_route(self, route, accounts=None):
         self.route = route
-        self.table = RouteTable(ServiceConfig(1, (route,), {}, ServerLimits()))
+        found = None if accounts is None else tuple(Account(name) for name in accounts)
+        self.table = RouteTable(ServiceConfig(1, (route,), {}, ServerLimits(), found))
 
 
 class FixedPeers:
@@ -71,11 +76,11 @@
     :param platform: the object store that all runners share.
     """
 
-    def __init__(self, name, names, platform, route, incarnation="run-1"):
+    def __init__(self, name, names, platform, route, incarnation="run-1", accounts=None):
         self.name = name
         self.incarnation = incarnation
         self.platform = platform
-        self.config = FixedConfig(route)
+        self.config = FixedConfig(route, accounts)
         self.clock = SystemClock()
         self.load_table = LoadTable(name)
         self.completions = CompletionRate()
@@ -107,7 +112,7 @@
         )
         self._sequence = 0
 
-    def make_record(self, job_id, items=ITEMS_PER_JOB):
+    def make_record(self, job_id, items=ITEMS_PER_JOB, caller=""):
         records = tuple(
             ItemRecord(f"{job_id}-{n}", "/p/x", (), b"b", ITEM_TOKENS) for n in range(items)
         )
@@ -123,11 +128,12 @@
             owner=self.name,
             owner_incarnation=self.incarnation,
             epoch=1,
+            caller=caller,
         )
 
-    async def submit(self, job_id, items=ITEMS_PER_JOB):
+    async def submit(self, job_id, items=ITEMS_PER_JOB, caller=""):
         """Admit and store a job; return the refusal, or ``None`` if it was accepted."""
-        record = self.make_record(job_id, items)
+        record = self.make_record(job_id, items, caller)
         refusal = await self.admission.admit(record, self.config.route)
         if refusal is None:
             await self.store(record)
@@ -168,9 +174,9 @@
             runner.report_to([other for other in runners if other is not runner])
 
 
-def stored_ledger(platform, route=None):
-    """Return the ledger of a route as it is stored."""
-    name = quota_name(route or make_route())
+def stored_ledger(platform, route=None, account=""):
+    """Return the ledger of a route, or of an account there, as it is stored."""
+    name = quota_name(route or make_route(), account)
     store = MarkedStore(platform, SystemClock())
     found = store.read(f"{QUOTAS_KIND}/{name}", QuotaLedger)
     return found.body if found is not None else QuotaLedger()
