Share the slots for batch jobs among client accounts

Jobs were ordered by due time over all accounts, so an account that floods the fleet made the jobs of all others late. If not all jobs can be in time and several accounts have some, the accounts choose in turn, by work, which jobs are to be in time; the chosen ones still start by due time. A refusal for the retention time, and Retry-After, follow the part of the work that the account gets.

--- a/ebonyshore/runner/admission_policy.py
+++ b/ebonyshore/runner/admission_policy.py
@@ -3,8 +3,12 @@
 Load pattern: jobs arrive faster than the fleet completes them, for seconds or for long.
 """
 
+from collections.abc import Sequence
+
 from msgspec import Struct
 
+from ebonyshore.runner.account_sharing import room_for_account, work_until_done
+
 # A job is accepted without waiting for its reservation only while this share of the limit is in
 # use, and only if all such jobs together are within the second share.
 EARLY_TOTAL_SHARE = 0.5
@@ -62,43 +66,44 @@
     return excess_tokens > 0 and excess_tokens >= RELEASE_SHARE * limit_tokens / runners
 
 
-def retry_after_ms(missing_tokens: int, tokens_per_ms: float | None, draw: float) -> float:
+def retry_after_ms(
+    missing_tokens: int,
+    tokens_per_ms: float | None,
+    draw: float,
+    other_waiting_tokens: Sequence[int] = (),
+) -> float:
     """Return the time in milliseconds after which a refused job is expected to fit.
 
     :param missing_tokens: tokens that have to be completed first.
     :param tokens_per_ms: rate at which all runners complete work; ``None`` if it is not known.
     :param draw: random number between 0 and 1.
+    :param other_waiting_tokens: unfinished tokens of each other client account, which is served in
+        the same time.
     """
     if not tokens_per_ms:
         expected_ms = UNKNOWN_RATE_RETRY_AFTER_MS
     else:
-        expected_ms = missing_tokens / tokens_per_ms
+        expected_ms = work_until_done(missing_tokens, other_waiting_tokens) / tokens_per_ms
     bounded_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, expected_ms))
     return bounded_ms * (1.0 + RETRY_SPREAD * draw)
 
 
-def share_of_rate(tokens_per_ms: float, own_tokens: int, other_tokens: int) -> float:
-    """Return the part of a rate at which the work of one account is completed.
-
-    :param tokens_per_ms: rate at which the work of all accounts is completed.
-    :param own_tokens: unfinished tokens of the account.
-    :param other_tokens: unfinished tokens of all others.
-    """
-    total_tokens = own_tokens + other_tokens
-    return tokens_per_ms * own_tokens / total_tokens if own_tokens else tokens_per_ms
-
-
 class RunnerWork(Struct, frozen=True):
     """The batch work of the runner that is asked to accept a job.
 
-    :param waiting_tokens: unfinished tokens of all its jobs.
+    :param waiting_tokens: unfinished tokens of all its jobs, of the client account that submits the
+        job if there are accounts.
     :param punctual_tokens: those of the jobs that are expected to be completed in time.
     :param tokens_per_ms: rate at which it can complete work; ``None`` if that is not known.
+    :param other_waiting_tokens: unfinished tokens of each other account.
+    :param other_punctual_tokens: those of their jobs that are expected to be completed in time.
     """
 
     waiting_tokens: int
     punctual_tokens: int
     tokens_per_ms: float | None
+    other_waiting_tokens: tuple[int, ...] = ()
+    other_punctual_tokens: tuple[int, ...] = ()
 
 
 def tokens_beyond_retention(
@@ -107,7 +112,7 @@
     """Return by how many tokens the work ahead of a new job exceeds what its retention time allows.
 
     A job that can be in time goes before all late ones, however much late work there is. Otherwise
-    all the work of the runner goes before it.
+    all the work of the runner goes before it, of other accounts no more than their part.
 
     :param tokens: tokens of the job.
     :param due_ms: time until its results are due.
@@ -115,6 +120,10 @@
     :return: 0 if the job can end in time, or if that is not known.
     """
     rate = work.tokens_per_ms
-    if not rate or work.punctual_tokens + tokens <= rate * due_ms:
+    if not rate:
+        return 0
+    punctual_room = room_for_account(rate * due_ms, work.other_punctual_tokens)
+    if work.punctual_tokens + tokens <= punctual_room:
         return 0
-    return max(0, int(work.waiting_tokens + tokens - rate * retention_ms))
+    room = room_for_account(rate * retention_ms, work.other_waiting_tokens)
+    return max(0, int(work.waiting_tokens + tokens - room))
--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -28,7 +28,6 @@
     can_accept_early,
     must_release,
     retry_after_ms,
-    share_of_rate,
     tokens_beyond_retention,
 )
 from ebonyshore.runner.completion_rate import CompletionRate
@@ -115,7 +114,7 @@
         if self._registry.is_known(record.job_id):
             return None
         tokens = sum(item.tokens for item in record.items)
-        refusal = self._check_retention(route, tokens) or await self._check_quota(
+        refusal = self._check_retention(record, route, tokens) or await self._check_quota(
             record, route, tokens
         )
         if refusal is None:
@@ -220,12 +219,15 @@
         del self._quotas[quota.name]
         self._writer.forget(quota)
 
-    def _check_retention(self, route: Route, tokens: int) -> JobRefusal | None:
-        work = self._ranking.own_work()
+    def _check_retention(self, record: JobRecord, route: Route, tokens: int) -> JobRefusal | None:
+        work = self._ranking.own_work(record.caller)
         missing = tokens_beyond_retention(
             work, tokens, route.completion_target_ms, route.retention_ms
         )
-        return self._refusal("retention", missing, work.tokens_per_ms) if missing else None
+        if not missing:
+            return None
+        others = work.other_waiting_tokens
+        return self._refusal("retention", missing, work.tokens_per_ms, others)
 
     async def _check_quota(self, record: JobRecord, route: Route, tokens: int) -> JobRefusal | None:
         if not route.max_waiting_tokens:
@@ -251,27 +253,31 @@
             raise
         if fits:
             return None
-        return self._refusal("quota", quota.missing_tokens, self._quota_rate(quota))
+        others = self._other_waiting_tokens(quota)
+        return self._refusal("quota", quota.missing_tokens, self._fleet_rate(), others)
 
-    def _refusal(self, reason: str, missing_tokens: int, rate: float | None) -> JobRefusal:
-        delay_ms = retry_after_ms(missing_tokens, rate, self._random.random())
+    def _refusal(
+        self,
+        reason: str,
+        missing_tokens: int,
+        rate: float | None,
+        other_waiting_tokens: Sequence[int],
+    ) -> JobRefusal:
+        delay_ms = retry_after_ms(missing_tokens, rate, self._random.random(), other_waiting_tokens)
         return JobRefusal(reason, missing_tokens, delay_ms)
 
     def _fleet_rate(self) -> float | None:
         own_rate = self._completions.tokens_per_ms()
         return None if own_rate is None else own_rate * (1 + len(self._load_table.runners()))
 
-    def _quota_rate(self, quota: RouteQuota) -> float | None:
-        """Return the rate at which all runners complete the work that counts towards a limit."""
-        fleet_rate = self._fleet_rate()
-        if fleet_rate is None or not quota.scope.account:
-            return fleet_rate
+    def _other_waiting_tokens(self, quota: RouteQuota) -> list[int]:
+        """Return the unfinished tokens that count towards each other limit, of all runners."""
+        if not quota.scope.account:
+            return []
         totals = Counter(self._waiting_tokens)
         for report in self._load_table.runners().values():
             totals.update(report.waiting_tokens)
-        waiting = max(quota.ledger.total_tokens, totals[quota.name])
-        others = totals.total() - totals[quota.name]
-        return share_of_rate(fleet_rate, waiting, others)
+        return [tokens for name, tokens in totals.items() if name != quota.name]
 
     def _quota_use(self, quota: RouteQuota) -> QuotaUse:
         registered = self._peers.of_role("runner")
--- a/ebonyshore/runner/job_order.py
+++ b/ebonyshore/runner/job_order.py
@@ -3,7 +3,8 @@
 Load pattern: more jobs are accepted than can be completed in time. In the order of submission every
 job would then wait until it is late. Instead, the jobs that can still be completed in time go
 first, as whole jobs. The others get the slots that are left, and a share of all slots while they
-could otherwise not end before their retention time.
+could otherwise not end before their retention time. If jobs of several client accounts compete,
+:mod:`account_sharing` decides whose go first.
 
 Online requests interrupt the items every few seconds. Interrupted items that can still be in time
 therefore go before all others, and the other items of a job that is partly late before late items.
@@ -11,11 +12,14 @@
 
 from collections.abc import Sequence
 from enum import IntEnum
+from functools import partial
 from math import ceil
 from typing import TypeVar
 
 from msgspec import Struct
 
+from ebonyshore.runner.account_sharing import PunctualSchedule, take_in_turn
+
 # Items differ in length, and online requests preempt them. Work that is expected to end just in
 # time would often end late, and delay further work by that.
 ITEM_MARGIN = 0.9  # of the slot time that an item is expected to need, before its job begins
@@ -35,6 +39,7 @@
     :param work_ms: time in a slot that all its unfinished items together still need.
     :param longest_item_ms: the same for the item that needs most.
     :param has_begun: whether any of its items has run.
+    :param account: the client account that submitted it; empty if there are no accounts.
     """
 
     job_id: str
@@ -43,6 +48,7 @@
     work_ms: float
     longest_item_ms: float
     has_begun: bool = False
+    account: str = ""
 
 
 class JobOrder(Struct, frozen=True):
@@ -73,7 +79,7 @@
     )
     late_slots = LATE_SHARE * slots
     return JobOrder(
-        tuple(job.job_id for job in (*punctual, *late)),
+        tuple(job.job_id for job in (*punctual, *_share_order(late))),
         frozenset(job.job_id for job in late),
         ceil(late_slots) if _is_threatened(late, late_slots) else 0,
     )
@@ -139,17 +145,54 @@
     """Return the jobs to complete in time, in the order in which their items start.
 
     Jobs that have begun come first, so that whole jobs are completed; the others follow by due
-    time. A job that would be late behind those before it is left out.
+    time. A job that would be late behind those before it is left out. If there is one, the accounts
+    choose in turn instead; the chosen jobs still start in the same order.
     """
-    chosen: list[JobDemand] = []
-    work_ms = 0.0
-    for job in sorted(jobs, key=lambda job: (not job.has_begun, job.due_in_ms)):
-        margin = BEGUN_ITEM_MARGIN if job.has_begun else ITEM_MARGIN
-        usable_ms = job.due_in_ms - LISTING_TIME_MS - margin * job.longest_item_ms
-        if (work_ms + job.work_ms) / slots <= usable_ms:
-            chosen.append(job)
-            work_ms += job.work_ms
-    return chosen
+    schedule = PunctualSchedule()
+    ordered = sorted(jobs, key=_start_key)
+    for job in ordered:
+        _add_punctual(schedule, slots, job)
+    if len(schedule.jobs) == len(jobs) or not _are_shared(jobs):
+        return schedule.jobs
+    schedule = PunctualSchedule()
+    take_in_turn(ordered, _account_of, _work_of, partial(_add_punctual, schedule, slots))
+    return schedule.jobs
+
+
+def _add_punctual(schedule: PunctualSchedule, slots: float, job: JobDemand) -> bool:
+    margin = BEGUN_ITEM_MARGIN if job.has_begun else ITEM_MARGIN
+    usable_ms = job.due_in_ms - LISTING_TIME_MS - margin * job.longest_item_ms
+    return schedule.add(job, _start_key(job), job.work_ms, usable_ms * slots)
+
+
+def _share_order(late: Sequence[JobDemand]) -> Sequence[JobDemand]:
+    """Return the late jobs in the order in which they start."""
+    if not _are_shared(late):
+        return late
+    ordered: list[JobDemand] = []
+
+    def take(job: JobDemand) -> bool:
+        ordered.append(job)
+        return True
+
+    take_in_turn(late, _account_of, _work_of, take)
+    return ordered
+
+
+def _are_shared(jobs: Sequence[JobDemand]) -> bool:
+    return len({job.account for job in jobs}) > 1
+
+
+def _start_key(job: JobDemand) -> tuple[bool, float]:
+    return not job.has_begun, job.due_in_ms
+
+
+def _account_of(job: JobDemand) -> str:
+    return job.account
+
+
+def _work_of(job: JobDemand) -> float:
+    return job.work_ms
 
 
 def _is_threatened(late: Sequence[JobDemand], slots: float) -> bool:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -1,5 +1,6 @@
 """Ranks the jobs of this runner by the work that they still need and by when they are due."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from msgspec import Struct
@@ -84,13 +85,23 @@
         self._ranks = {job_id: rank for rank, job_id in enumerate(self._order.job_ids)}
         self._due_ms = {demand.job_id: now_ms + demand.due_in_ms for demand in demands}
 
-    def own_work(self) -> RunnerWork:
-        """Return the amount of this runner's work, and the rate at which it can be completed."""
-        owned = self._registry.owned_jobs()
+    def own_work(self, account: str = "") -> RunnerWork:
+        """Return the amount of this runner's work, and the rate at which it can be completed.
+
+        :param account: the account whose work is told from that of the others.
+        """
+        waiting: Counter[str] = Counter({account: 0})
+        punctual: Counter[str] = Counter({account: 0})
+        for job in self._registry.owned_jobs():
+            waiting[job.record.caller] += job.unfinished_tokens
+            if not self.is_late(job.job_id):
+                punctual[job.record.caller] += job.unfinished_tokens
         return RunnerWork(
-            sum(job.unfinished_tokens for job in owned),
-            sum(job.unfinished_tokens for job in owned if not self.is_late(job.job_id)),
+            waiting.pop(account),
+            punctual.pop(account),
             self._completions.tokens_per_ms(),
+            tuple(waiting.values()),
+            tuple(punctual.values()),
         )
 
     def sort_items(
@@ -149,6 +160,7 @@
             sum(needed_ms),
             max(needed_ms, default=0.0),
             any(self._has_run(item) for item in progress.items),
+            record.caller,
         )
 
     def _has_run(self, item: Item) -> bool:
