Fill each account's part of the batch slots first when slots are short

Choosing jobs in turn was not enough: late items of a flood held the slots when an account's job was to begin, until that job was late, too.

--- a/ebonyshore/runner/account_sharing.py
+++ b/ebonyshore/runner/account_sharing.py
@@ -6,10 +6,12 @@
 """
 
 from bisect import bisect
-from collections.abc import Callable, Iterable, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from heapq import heapify, heappop, heapreplace
 from typing import TypeVar
 
+Item = TypeVar("Item")  # represents a waiting item
 Job = TypeVar("Job")  # represents a job
 
 
@@ -78,18 +80,55 @@
             heappop(turns)
 
 
+def start_in_part(
+    items: Sequence[Item],
+    account_of: Callable[[Item], str | None],
+    running: Mapping[str, int],
+    part_slots: float,
+) -> list[Item]:
+    """Return waiting items with those in front by which accounts reach their part of the slots.
+
+    The account that holds the fewest slots comes first.
+
+    :param items: waiting items in their order, which is kept for the others.
+    :param account_of: returns the account of an item; ``None`` if the item does not go ahead.
+    :param running: number of running items by account.
+    :param part_slots: slots up to which the items of an account go ahead.
+    """
+    held = Counter(running)
+    ahead: list[tuple[int, int]] = []
+    for index, item in enumerate(items):
+        account = account_of(item)
+        if account is not None and held[account] < part_slots:
+            ahead.append((held[account], index))
+            held[account] += 1
+    first = [index for _, index in sorted(ahead)]
+    moved = set(first)
+    rest = [item for index, item in enumerate(items) if index not in moved]
+    return [*(items[index] for index in first), *rest]
+
+
 def room_for_account(capacity: float, other_demands: Sequence[float]) -> float:
     """Return how much of a capacity an account gets if it asks for all of it.
 
     :param other_demands: what each other account asks for.
     """
-    room, accounts = capacity, len(other_demands) + 1
-    for demand in sorted(other_demands):
-        if demand * accounts > room:
+    return max_min_part(capacity, (*other_demands, capacity))
+
+
+def max_min_part(capacity: float, demands: Iterable[float]) -> float:
+    """Return the most that any account gets of a capacity; those that ask for less get that.
+
+    :param demands: what each account asks for.
+    """
+    ordered = sorted(demands)
+    room, accounts = capacity, len(ordered)
+    for demand in ordered:
+        if accounts == 1 or demand * accounts > room:
             break
         room -= demand
         accounts -= 1
-    return room / accounts
+    return room / max(1, accounts)
 
 
 def work_until_done(demand: float, other_demands: Iterable[float]) -> float:
--- a/ebonyshore/runner/job_order.py
+++ b/ebonyshore/runner/job_order.py
@@ -10,6 +10,7 @@
 therefore go before all others, and the other items of a job that is partly late before late items.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 from enum import IntEnum
 from functools import partial
@@ -18,7 +19,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.runner.account_sharing import PunctualSchedule, take_in_turn
+from ebonyshore.runner.account_sharing import PunctualSchedule, max_min_part, take_in_turn
 
 # Items differ in length, and online requests preempt them. Work that is expected to end just in
 # time would often end late, and delay further work by that.
@@ -57,11 +58,14 @@
     :param job_ids: ids of all jobs, first the one whose items start first.
     :param late: ids of the jobs that are not expected to be completed in time.
     :param late_slots: number of slots in which late items run before all others.
+    :param part_slots: slots up to which the other items of an account go before those of accounts
+        with more. 0 if all jobs can be in time or all are of one account.
     """
 
     job_ids: tuple[str, ...]
     late: frozenset[str] = frozenset()
     late_slots: int = 0
+    part_slots: float = 0.0
 
 
 def order_jobs(jobs: Sequence[JobDemand], slots: float) -> JobOrder:
@@ -82,6 +86,7 @@
         tuple(job.job_id for job in (*punctual, *_share_order(late))),
         frozenset(job.job_id for job in late),
         ceil(late_slots) if _is_threatened(late, late_slots) else 0,
+        _part_slots(punctual, slots) if late and _are_shared(jobs) else 0.0,
     )
 
 
@@ -145,8 +150,8 @@
     """Return the jobs to complete in time, in the order in which their items start.
 
     Jobs that have begun come first, so that whole jobs are completed; the others follow by due
-    time. A job that would be late behind those before it is left out. If there is one, the accounts
-    choose in turn instead; the chosen jobs still start in the same order.
+    time. A job that would be late behind those before it is left out. If there is one, the
+    accounts choose in turn instead; the chosen jobs still start in the same order.
     """
     schedule = PunctualSchedule()
     ordered = sorted(jobs, key=_start_key)
@@ -159,10 +164,22 @@
     return schedule.jobs
 
 
+def _part_slots(punctual: Sequence[JobDemand], slots: float) -> float:
+    """Return the part of the slots of an account that can use it, by the number of items."""
+    items: Counter[str] = Counter()
+    for job in punctual:
+        items[job.account] += ceil(job.work_ms / max(1.0, job.longest_item_ms))
+    return max_min_part(slots, items.values())
+
+
 def _add_punctual(schedule: PunctualSchedule, slots: float, job: JobDemand) -> bool:
+    return schedule.add(job, _start_key(job), job.work_ms, _usable_ms(job, slots))
+
+
+def _usable_ms(job: JobDemand, slots: float) -> float:
+    """Return the slot time in which a job and those before it have to be completed."""
     margin = BEGUN_ITEM_MARGIN if job.has_begun else ITEM_MARGIN
-    usable_ms = job.due_in_ms - LISTING_TIME_MS - margin * job.longest_item_ms
-    return schedule.add(job, _start_key(job), job.work_ms, usable_ms * slots)
+    return slots * (job.due_in_ms - LISTING_TIME_MS - margin * job.longest_item_ms)
 
 
 def _share_order(late: Sequence[JobDemand]) -> Sequence[JobDemand]:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.runner.account_sharing import start_in_part
 from ebonyshore.runner.admission_policy import RunnerWork
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.job_order import (
@@ -118,10 +119,19 @@
         """
         keys = {waiting.key: self._sort_key(waiting, now_ms) for waiting in items}
         ordered = sorted(items, key=lambda waiting: keys[waiting.key])
+        running = list(running)
+        if self._order.part_slots:
+            held = Counter(job.record.caller for job, _ in running)
+            ordered = start_in_part(ordered, self._sharing_account, held, self._order.part_slots)
         first_late = sum(key[0] is not ItemRank.LATE for key in keys.values())
         late_running = sum(not self._is_in_time(job, item, now_ms) for job, item in running)
         return move_late_ahead(ordered, first_late, self._order.late_slots - late_running)
 
+    def _sharing_account(self, waiting: WaitingItem) -> str | None:
+        """Return the account whose part of the slots an item counts towards; not if it is late."""
+        record = waiting.progress.record
+        return None if self.is_late(record.job_id) else record.caller
+
     def preemption_key(
         self, progress: JobProgress, item: Item, now_ms: float
     ) -> tuple[bool, float]:
--- a/tests/test_account_jobs.py
+++ b/tests/test_account_jobs.py
@@ -23,6 +23,7 @@
 from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_progress import Item
+from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_storage import MAX_INLINE_BODY_BYTES
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore_standins.memory_platform import MemoryPlatform
@@ -345,3 +346,24 @@
     contended = tuple(waiting)
     report = LoadReport("a", "r", 1, "runner", {}, 0, (), {}, waiting, contended)
     assert len(encode(report)) < 50_000
+
+
+def test_an_account_with_one_job_need_not_wait_for_the_jobs_of_another(platform):
+    async def run():
+        runner = make_runners(platform, "a", route=make_route(0))[0]
+        for number in range(8):
+            await runner.submit(f"ada{number}", caller="ada")
+        await runner.submit("bo", caller="bo")
+        runner.completions.slot_ms_per_token = 400.0
+        runner.completions.record_slots(4, 0.0)
+        ranking = JobRanking(runner.registry, runner.completions, runner.clock)
+        ranking.update(0.0)
+        waiting = [
+            WaitingItem(progress, item, "svc")
+            for progress in runner.registry.owned_jobs()
+            for item in progress.items
+        ]
+        return [found.progress.job_id for found in ranking.sort_items(waiting, [], 0.0)[:4]]
+
+    first = asyncio.run(run())
+    assert first.count("bo") == 2 and len(set(first)) == 2
--- a/tests/test_job_order.py
+++ b/tests/test_job_order.py
@@ -1,7 +1,9 @@
 """The order of batch jobs, and a replay of a flood of jobs on a fleet that cannot do them all."""
 
+from collections import Counter
 from random import Random
 
+from ebonyshore.runner.account_sharing import start_in_part
 from ebonyshore.runner.job_order import (
     LISTING_TIME_MS,
     ItemRank,
@@ -122,8 +124,9 @@
 
 
 class FloodedJob:
-    def __init__(self, job_id, submitted_ms, random):
+    def __init__(self, job_id, submitted_ms, random, account=""):
         self.job_id = job_id
+        self.account = account
         self.submitted_ms = submitted_ms
         self.items = [FloodedItem(self, random) for _ in range(ITEMS_PER_JOB)]
 
@@ -140,6 +143,7 @@
             sum(needed),
             max(needed),
             any(item.slot_ms for item in self.items),
+            self.account,
         )
 
     def items_in_time(self):
@@ -177,6 +181,12 @@
             return part, not has_run, ranks[job_id]
 
         ordered = sorted(items, key=start_key)
+        ordered = start_in_part(
+            ordered,
+            lambda item: item.job.account if item.job.job_id not in order.late else None,
+            Counter(item.job.account for item in running),
+            order.part_slots,
+        )
         first_late = sum(start_key(item)[0] is not ItemRank.LATE for item in items)
         late_running = sum(not item.is_in_time(now_ms) for item in running)
         return move_late_ahead(ordered, first_late, order.late_slots - late_running)
@@ -203,12 +213,16 @@
 
 
 def play_flood(policy, seed, slots=constant_slots, length_ms=58_000.0):
-    """Play a flood of jobs after some calm; return the jobs.
+    """Play a flood of jobs after some calm; return the jobs."""
+    return play_jobs(policy, make_flood(Random(seed)), slots, length_ms)
+
+
+def play_jobs(policy, jobs, slots=constant_slots, length_ms=58_000.0):
+    """Play jobs from their arrival on, and return them.
 
     :param policy: decides which items start and which are preempted.
     :param slots: returns the number of slots at a time.
     """
-    jobs = make_flood(Random(seed))
     running = []
     now_ms = 0.0
     while now_ms < length_ms:
