--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -7,7 +7,7 @@
 
 from asyncio import CancelledError, Future, get_running_loop
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from heapq import nlargest
 from random import Random
 
@@ -42,8 +42,8 @@
 
 STEP_INTERVAL_MS = 100.0
 QUOTA_IDLE_MS = 10_000.0  # without work of an account until its quota is forgotten
+MAX_QUOTAS_PER_STEP = 100
 MAX_REPORTED_QUOTAS = 1_000  # keeps a load report within one datagram
-CONTENTION_MEMORY_MS = 2_000.0  # for which a quota counts as contended after it was last seen so
 
 
 class JobRefusal(Struct, frozen=True):
@@ -102,6 +102,7 @@
         self._quotas: dict[str, RouteQuota] = {}
         self._waiting_tokens: dict[str, int] = {}
         self._next_step_ms = float("-inf")
+        self._next_quota = 0  # index of the first quota of the next step
 
     async def admit(self, record: JobRecord, route: Route) -> JobRefusal | None:
         """Reserve the tokens of a job that is about to be stored.
@@ -160,11 +161,7 @@
     def contended_quotas(self) -> tuple[str, ...]:
         """Return the quotas that are nearly used up, for this runner's load reports."""
         at_ms = now_ms()
-        contended = [
-            quota.name
-            for quota in self._quotas.values()
-            if at_ms - quota.contended_ms < CONTENTION_MEMORY_MS
-        ]
+        contended = [quota.name for quota in self._quotas.values() if quota.is_contended(at_ms)]
         return tuple(contended[:MAX_REPORTED_QUOTAS])
 
     def step(self) -> None:
@@ -174,29 +171,40 @@
             return
         self._next_step_ms = at_ms + STEP_INTERVAL_MS
         jobs_by_quota = self._group_jobs(at_ms)
-        for quota in list(self._quotas.values()):
+        contended = self._contended_elsewhere()
+        for quota in self._next_quotas():
             scope = self._scopes.find(quota.host, quota.path, quota.scope.account)
             is_in_force = scope is not None and scope.name == quota.name
             quota.limit_tokens = scope.limit_tokens if is_in_force else 0
             if quota.limit_tokens and quota.task is None:
-                self._update_reservations(quota, jobs_by_quota.get(quota.name, []), at_ms)
+                jobs = jobs_by_quota.get(quota.name, [])
+                self._update_reservations(quota, jobs, contended, at_ms)
             if quota.scope.account and at_ms - quota.last_used_ms > QUOTA_IDLE_MS:
                 self._forget_idle(quota)
         self._writer.forget_old_releases(at_ms)
 
+    def _next_quotas(self) -> list[RouteQuota]:
+        """Return the quotas to look at in this step, in turn if there are many."""
+        quotas = list(self._quotas.values())
+        if len(quotas) <= MAX_QUOTAS_PER_STEP:
+            return quotas
+        first = self._next_quota % len(quotas)
+        self._next_quota = first + MAX_QUOTAS_PER_STEP
+        return [*quotas[first:], *quotas[:first]][:MAX_QUOTAS_PER_STEP]
+
     def _group_jobs(self, at_ms: float) -> dict[str, list[JobProgress]]:
         """Group the unfinished own jobs by quota, and sum up their unfinished tokens."""
         jobs: dict[str, list[JobProgress]] = {}
+        waiting: Counter[str] = Counter()
         for progress in self._registry.owned_jobs():
-            scope = self._scopes.of_record(progress.record)
-            if scope is not None and progress.unfinished_tokens:
-                record = progress.record
-                self._open_quota(scope, record.host, record.path).last_used_ms = at_ms
-                jobs.setdefault(scope.name, []).append(progress)
-        self._waiting_tokens = {
-            name: sum(progress.unfinished_tokens for progress in found)
-            for name, found in jobs.items()
-        }
+            record, tokens = progress.record, progress.unfinished_tokens
+            scope = self._scopes.of_record(record)
+            if scope is None or not tokens:
+                continue
+            self._open_quota(scope, record.host, record.path).last_used_ms = at_ms
+            jobs.setdefault(scope.name, []).append(progress)
+            waiting[scope.name] += tokens
+        self._waiting_tokens = dict(waiting)
         return jobs
 
     def _open_quota(self, scope: QuotaScope, host: str, path: str) -> RouteQuota:
@@ -300,9 +308,13 @@
         return all(len(report.waiting_tokens) < MAX_REPORTED_QUOTAS for report in reports)
 
     def _update_reservations(
-        self, quota: RouteQuota, jobs: Sequence[JobProgress], at_ms: float
+        self, quota: RouteQuota, jobs: Sequence[JobProgress], contended: Set[str], at_ms: float
     ) -> None:
-        """Start a write if the ledger as last seen differs too much from the jobs as known."""
+        """Start a write if the ledger as last seen differs too much from the jobs as known.
+
+        :param jobs: the unfinished own jobs that count towards the limit.
+        :param contended: the quotas that other runners report as nearly used up.
+        """
         self._mark_contention(quota, at_ms)
         if at_ms < quota.next_release_ms:
             return
@@ -311,9 +323,9 @@
             self._writer.request(
                 quota, PendingRequest(ReservationRequest(reservation, is_accepted=True))
             )
-        is_contended = quota.name in self._contended_anywhere()
         excess = self._writer.excess_tokens(quota)
         runners = 1 + len(self._peers.of_role("runner"))
+        is_contended = quota.name in contended or quota.is_contended(at_ms)
         if is_contended or must_release(excess, quota.limit_tokens, runners):
             self._writer.start_write(quota)
         self._writer.find_abandoned(quota, at_ms)
@@ -322,11 +334,9 @@
         if quota.ledger.total_tokens > CONTENDED_SHARE * quota.limit_tokens:
             quota.contended_ms = at_ms
 
-    def _contended_anywhere(self) -> set[str]:
-        found = set(self.contended_quotas())
-        for report in self._load_table.runners().values():
-            found.update(report.contended_quotas)
-        return found
+    def _contended_elsewhere(self) -> set[str]:
+        reports = self._load_table.runners().values()
+        return {name for report in reports for name in report.contended_quotas}
 
     def _unreserved_jobs(self, quota: RouteQuota, jobs: Sequence[JobProgress]) -> list[Reservation]:
         """Return the reservations that the ledger lacks or has under another owner.
--- a/ebonyshore/runner/route_quota.py
+++ b/ebonyshore/runner/route_quota.py
@@ -8,6 +8,8 @@
 from ebonyshore.runner.quota_ledger import QuotaLedger, ReservationRequest
 from ebonyshore.runner.quota_scopes import QuotaScope
 
+CONTENTION_MEMORY_MS = 2_000.0  # for which a quota counts as contended after it was last seen so
+
 
 class PendingRequest(Struct):
     """A reservation that waits to be written.
@@ -87,6 +89,10 @@
         """The name of the quota."""
         return self.scope.name
 
+    def is_contended(self, at_ms: float) -> bool:
+        """Return whether the limit was lately seen nearly used up."""
+        return at_ms - self.contended_ms < CONTENTION_MEMORY_MS
+
     @property
     def is_busy(self) -> bool:
         """Whether a write is in progress or requested."""
--- a/tests/test_account_jobs.py
+++ b/tests/test_account_jobs.py
@@ -304,8 +304,12 @@
     assert owners == {"b"} and ada.reason == "quota" and bo is None
 
 
-def test_an_idle_account_leaves_no_reservation_and_costs_no_further_call(platform, monkeypatch):
+@pytest.mark.parametrize("quotas_per_step", [1, 100])
+def test_an_idle_account_leaves_no_reservation_and_costs_no_further_call(
+    platform, monkeypatch, quotas_per_step
+):
     monkeypatch.setattr(job_admission, "QUOTA_IDLE_MS", 0.0)
+    monkeypatch.setattr(job_admission, "MAX_QUOTAS_PER_STEP", quotas_per_step)
 
     async def run():
         runner = make_runners(platform, "a", route=make_route(100 * JOB_TOKENS))[0]
