--- a/ebonyshore/runner/job_admission.py
+++ b/ebonyshore/runner/job_admission.py
@@ -216,14 +216,17 @@
     def _forget_idle(self, quota: RouteQuota) -> None:
         """Forget the quota of an account without work here, once this runner owes it nothing.
 
-        It first gives back what is left of its reservations, which no other write would do.
+        It first gives back what is left of its reservations, which no other write would do, and
+        waits until it knows of each reserved job whether it is stored.
         """
         if quota.is_busy:
             return
-        if quota.limit_tokens and (quota.unknown_since_ms or self._writer.excess_tokens(quota)):
+        if quota.limit_tokens and self._writer.excess_tokens(quota):
             if now_ms() >= quota.next_release_ms:
                 self._writer.start_write(quota)
             return
+        if quota.limit_tokens and quota.unknown_since_ms:
+            return
         del self._quotas[quota.name]
         self._writer.forget(quota)
 
