--- a/ebonyshore/gateway/authentication.py
+++ b/ebonyshore/gateway/authentication.py
@@ -9,7 +9,7 @@
 from msgspec import structs
 
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.host.accounts import Account
+from ebonyshore.host.accounts import Account, account_header_value
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.error_responses import ErrorResponse, not_executed_response
 from ebonyshore.host.key_ring import AUTHORIZATION_HEADER, KeyRing
@@ -85,7 +85,7 @@
         # ``Connection`` is evaluated first, since it may name the header that is added here.
         headers = request.headers.end_to_end().without(self._replaced_headers)
         if account is not None:
-            headers.add(self._account_header, account.name.encode().decode("latin-1"))
+            headers.add(self._account_header, account_header_value(account.name))
         return structs.replace(request, headers=headers)
 
     def _apply(self, table: RouteTable) -> None:
--- a/ebonyshore/host/accounts.py
+++ b/ebonyshore/host/accounts.py
@@ -24,6 +24,11 @@
     burst: float = 0.0
 
 
+def account_header_value(name: str) -> str:
+    """Return an account's name as the value of a header field, whose bytes are those of UTF-8."""
+    return name.encode().decode("latin-1")
+
+
 def digest_key(key: str) -> bytes:
     """Return the digest under which a key is looked up."""
     return sha256(key.encode("utf-8", "surrogateescape")).digest()
--- a/ebonyshore/runner/item_headers.py
+++ b/ebonyshore/runner/item_headers.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from re import compile as compile_pattern
 
+from ebonyshore.host.accounts import account_header_value
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import HOP_BY_HOP_NAMES, Headers
 
@@ -31,7 +32,7 @@
         for name, value in Headers(fields).without(excluded)
         if _FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
     ]
-    return [*kept, (names.account, account)] if account else kept
+    return [*kept, (names.account, account_header_value(account))] if account else kept
 
 
 def escape_path(path: str) -> str:
--- a/tests/test_account_jobs.py
+++ b/tests/test_account_jobs.py
@@ -18,6 +18,7 @@
 from ebonyshore.platform.deployment import PlatformDeployment
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner import job_admission, quota_storage, reservation_writer
+from ebonyshore.runner.item_headers import account_headers
 from ebonyshore.runner.item_run import ItemRun
 from ebonyshore.runner.job_access import may_access
 from ebonyshore.runner.job_api import JobApi
@@ -371,3 +372,10 @@
 
     first = asyncio.run(run())
     assert first.count("bo") == 2 and len(set(first)) == 2
+
+
+def test_account_name_is_sent_as_utf8():
+    """Guards against an item that cannot be sent because its account has a name like this."""
+    assert account_headers([], WIRE_NAMES, "Ünal Ж") == [
+        (WIRE_NAMES.account, "Ünal Ж".encode().decode("latin-1"))
+    ]
