Share batch slots only while they are short, and no more than jobs need

A single job that could not be in time any more made all accounts share, and an account whose work is due much later took an equal part from what is urgent.

--- a/ebonyshore/runner/account_sharing.py
+++ b/ebonyshore/runner/account_sharing.py
@@ -9,22 +9,24 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from heapq import heapify, heappop, heapreplace
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 Item = TypeVar("Item")  # represents a waiting item
 Job = TypeVar("Job")  # represents a job
 
 
-class PunctualSchedule:
+class PunctualSchedule(Generic[Job]):
     """Jobs that run one after the other, and how much later each may end.
 
     All amounts are slot time in ms. Jobs can be added in any order.
+
+    :ivar jobs: the jobs in the order in which they run.
     """
 
     __slots__ = ("_keys", "_limits_ms", "_slacks_ms", "jobs")
 
     def __init__(self) -> None:
-        self.jobs: list = []
+        self.jobs: list[Job] = []
         self._keys: list[tuple] = []
         self._limits_ms: list[float] = []
         self._slacks_ms: list[float] = []
@@ -84,7 +86,7 @@
     items: Sequence[Item],
     account_of: Callable[[Item], str | None],
     running: Mapping[str, int],
-    part_slots: float,
+    part_slots: Mapping[str, float],
 ) -> list[Item]:
     """Return waiting items with those in front by which accounts reach their part of the slots.
 
@@ -93,13 +95,13 @@
     :param items: waiting items in their order, which is kept for the others.
     :param account_of: returns the account of an item; ``None`` if the item does not go ahead.
     :param running: number of running items by account.
-    :param part_slots: slots up to which the items of an account go ahead.
+    :param part_slots: slots up to which the items of each account go ahead.
     """
     held = Counter(running)
     ahead: list[tuple[int, int]] = []
     for index, item in enumerate(items):
         account = account_of(item)
-        if account is not None and held[account] < part_slots:
+        if account is not None and held[account] < part_slots.get(account, 0.0):
             ahead.append((held[account], index))
             held[account] += 1
     first = [index for _, index in sorted(ahead)]
--- a/ebonyshore/runner/job_order.py
+++ b/ebonyshore/runner/job_order.py
@@ -26,6 +26,8 @@
 ITEM_MARGIN = 0.9  # of the slot time that an item is expected to need, before its job begins
 BEGUN_ITEM_MARGIN = 0.8  # the same afterwards: an item that takes less time may still be punctual
 LISTING_TIME_MS = 1_000.0  # from the end of an item until callers have read its result
+# Items wait until those of other accounts end, so slots that are just enough would be too few.
+NEED_MARGIN = 2.0  # of the slots in which the jobs of an account would end just in time
 LATE_SHARE = 0.2  # of the slots, for late jobs that their retention time threatens
 
 Waiting = TypeVar("Waiting")  # represents a waiting item
@@ -58,14 +60,14 @@
     :param job_ids: ids of all jobs, first the one whose items start first.
     :param late: ids of the jobs that are not expected to be completed in time.
     :param late_slots: number of slots in which late items run before all others.
-    :param part_slots: slots up to which the other items of an account go before those of accounts
-        with more. 0 if all jobs can be in time or all are of one account.
+    :param part_slots: slots up to which the other items of each account go before those of accounts
+        with more. Empty unless several accounts compete for too few slots.
     """
 
     job_ids: tuple[str, ...]
     late: frozenset[str] = frozenset()
     late_slots: int = 0
-    part_slots: float = 0.0
+    part_slots: dict[str, float] = {}
 
 
 def order_jobs(jobs: Sequence[JobDemand], slots: float) -> JobOrder:
@@ -75,7 +77,13 @@
     :param slots: number of slots that these jobs can use together.
     """
     slots = max(1.0, slots)
+    is_shared = _are_shared(jobs)
     punctual = _select_punctual(jobs, slots)
+    if is_shared and _are_slots_short(jobs, punctual, slots):
+        punctual = _select_in_turn(jobs, slots)
+        part_slots = _part_slots(punctual, slots)
+    else:
+        part_slots = {}
     punctual_ids = {job.job_id for job in punctual}
     late = sorted(
         (job for job in jobs if job.job_id not in punctual_ids),
@@ -86,7 +94,7 @@
         tuple(job.job_id for job in (*punctual, *_share_order(late))),
         frozenset(job.job_id for job in late),
         ceil(late_slots) if _is_threatened(late, late_slots) else 0,
-        _part_slots(punctual, slots) if late and _are_shared(jobs) else 0.0,
+        part_slots,
     )
 
 
@@ -150,29 +158,49 @@
     """Return the jobs to complete in time, in the order in which their items start.
 
     Jobs that have begun come first, so that whole jobs are completed; the others follow by due
-    time. A job that would be late behind those before it is left out. If there is one, the
-    accounts choose in turn instead; the chosen jobs still start in the same order.
+    time. A job that would be late behind those before it is left out.
     """
-    schedule = PunctualSchedule()
-    ordered = sorted(jobs, key=_start_key)
-    for job in ordered:
+    schedule: PunctualSchedule[JobDemand] = PunctualSchedule()
+    for job in sorted(jobs, key=_start_key):
         _add_punctual(schedule, slots, job)
-    if len(schedule.jobs) == len(jobs) or not _are_shared(jobs):
-        return schedule.jobs
-    schedule = PunctualSchedule()
-    take_in_turn(ordered, _account_of, _work_of, partial(_add_punctual, schedule, slots))
     return schedule.jobs
 
 
-def _part_slots(punctual: Sequence[JobDemand], slots: float) -> float:
-    """Return the part of the slots of an account that can use it, by the number of items."""
-    items: Counter[str] = Counter()
+def _select_in_turn(jobs: Sequence[JobDemand], slots: float) -> list[JobDemand]:
+    """Return the jobs to complete in time if the accounts choose them in turn.
+
+    The chosen jobs start in the same order as without accounts.
+    """
+    schedule: PunctualSchedule[JobDemand] = PunctualSchedule()
+    take = partial(_add_punctual, schedule, slots)
+    take_in_turn(sorted(jobs, key=_start_key), _account_of, _work_of, take)
+    return schedule.jobs
+
+
+def _are_slots_short(
+    jobs: Sequence[JobDemand], punctual: Sequence[JobDemand], slots: float
+) -> bool:
+    """Return whether a job is left out that could be in time without the others."""
+    chosen = {job.job_id for job in punctual}
+    return any(job.job_id not in chosen and job.work_ms <= _usable_ms(job, slots) for job in jobs)
+
+
+def _part_slots(punctual: Sequence[JobDemand], slots: float) -> dict[str, float]:
+    """Return by account the part of the slots that its jobs get first.
+
+    :param punctual: the jobs to complete in time, in the order in which they start.
+    """
+    work_ms: Counter[str] = Counter()
+    needed: dict[str, float] = {}
     for job in punctual:
-        items[job.account] += ceil(job.work_ms / max(1.0, job.longest_item_ms))
-    return max_min_part(slots, items.values())
+        work_ms[job.account] += job.work_ms
+        job_slots = work_ms[job.account] / max(1.0, _usable_ms(job, 1.0))
+        needed[job.account] = max(needed.get(job.account, 0.0), NEED_MARGIN * job_slots)
+    part = max_min_part(slots, needed.values())
+    return {account: min(part, demand) for account, demand in needed.items()}
 
 
-def _add_punctual(schedule: PunctualSchedule, slots: float, job: JobDemand) -> bool:
+def _add_punctual(schedule: PunctualSchedule[JobDemand], slots: float, job: JobDemand) -> bool:
     return schedule.add(job, _start_key(job), job.work_ms, _usable_ms(job, slots))
 
 
--- a/tests/test_account_sharing.py
+++ b/tests/test_account_sharing.py
@@ -67,6 +67,19 @@
     assert order.job_ids[:2] == ("c0", "own") and order.late == {f"c{n}" for n in range(1, 8)}
 
 
+def test_an_account_whose_job_is_hopeless_does_not_change_the_order_of_the_others():
+    jobs = [make_demand(f"j{n}", "ab"[n % 2], 9_000.0 + 1_000.0 * n) for n in range(6)]
+    order = order_jobs([make_demand("hopeless", "c", 500.0), *jobs], 8)
+    assert order.late == {"hopeless"} and not order.part_slots
+
+
+def test_work_that_is_due_much_later_gets_no_more_slots_first_than_it_needs():
+    later = [make_demand(f"l{n}", "later", 600_000.0, 60_000.0) for n in range(10)]
+    urgent = [make_demand(f"u{n}", "urgent", 10_000.0, 30_000.0) for n in range(4)]
+    order = order_jobs([*later, *urgent], 8)
+    assert order.part_slots["later"] < 2.5 < 4.0 < order.part_slots["urgent"]
+
+
 def test_late_jobs_go_in_turn_by_account():
     late = [make_demand(f"c{n}", "crowd", 0.0) for n in range(3)]
     order = order_jobs([*late, make_demand("own", "usual", 0.0)], 8)
@@ -88,7 +101,8 @@
 def test_items_go_ahead_up_to_the_part_of_their_account():
     items = ["a1", "a2", "a3", "late b0", "b1", "b2", "c1"]
     accounts = {item: item[0] for item in items if item[0] in "abc"}
-    ordered = start_in_part(items, accounts.get, {"a": 1, "c": 2}, 2.0)
+    parts = dict.fromkeys("abc", 2.0)
+    ordered = start_in_part(items, accounts.get, {"a": 1, "c": 2}, parts)
     assert ordered == ["b1", "a1", "b2", "a2", "a3", "late b0", "c1"]
 
 
