Keep the buckets of client accounts over all entries

Nothing counted the requests of an account over all entries. A runner now keeps one token bucket for each account from cumulative reports of the entries, and tells each entry the level; the decision and the replay are without I/O. Nothing is connected to the processes yet.

--- /dev/null
+++ b/ebonyshore/link/account_ledger.py
@@ -0,0 +1,275 @@
+"""The token buckets of all client accounts, kept by the runner that hears of all entries. No I/O.
+
+Load pattern: an account sends many times its limit over many entries, some of which are not heard.
+
+Entries report how many requests they have admitted since they started, so a report that is lost,
+late or doubled changes nothing. What an entry that died had admitted is already subtracted. A
+runner that begins to keep the buckets takes them as overdrawn, unless entries still know better
+from the runner before it.
+
+Entries that are not heard use an equal share of each rate. The part of it that the allowed excess
+does not cover is set aside.
+"""
+
+from collections.abc import Mapping, Set
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.link.account_messages import AccountSum, AccountTotals, AccountUsage, AccountUse
+from ebonyshore.link.account_quotas import NEWS_TIMEOUT_MS, AccountLimit, EventRate
+
+LEARNING_MS = 1_000.0  # after its start a runner uses the levels that entries still know
+USE_EXPIRY_MS = 3_000.0  # after which the rates that an entry has reported are not used
+LISTED_RUNNING = 4  # requests at targets from which on an account is listed
+
+
+class EntryUse:
+    """The last report of an account by an entry, and the rate at which it admits requests."""
+
+    __slots__ = ("admitted", "report", "reported_ms")
+
+    def __init__(self, report: AccountUse) -> None:
+        self.report = report
+        self.reported_ms = 0.0
+        self.admitted = EventRate()
+
+
+class HeardEntry:
+    """What was heard of an entry.
+
+    :ivar previous: its run before; reports of that one which come late are ignored.
+    :ivar sequence: sequence number of its last report.
+    :ivar heard_ms: time of that report.
+    :ivar uses: its use of each account.
+    """
+
+    __slots__ = ("heard_ms", "incarnation", "previous", "sequence", "uses")
+
+    def __init__(self, incarnation: str, previous: str) -> None:
+        self.incarnation = incarnation
+        self.previous = previous
+        self.sequence = 0
+        self.heard_ms = float("-inf")
+        self.uses: dict[str, EntryUse] = {}
+
+
+class AccountBucket:
+    """The token bucket of an account.
+
+    :ivar told_level: level that entries knew from the runner before this one, kept up to date.
+    """
+
+    __slots__ = ("_level", "_updated_ms", "told_level")
+
+    def __init__(self, level: float, now_ms: float) -> None:
+        self._level = level
+        self._updated_ms = now_ms
+        self.told_level = float("-inf")
+
+    @property
+    def level(self) -> float:
+        """Tokens that are left."""
+        return max(self._level, self.told_level)
+
+    def refill(self, limit: AccountLimit, rate_per_s: float, now_ms: float) -> None:
+        """Add what has accrued at a rate since the last call."""
+        accrued = max(0.0, rate_per_s * (now_ms - self._updated_ms) / MS_PER_S)
+        self._level = min(limit.burst, self._level + accrued)
+        self.told_level = min(limit.burst, self.told_level + accrued)
+        self._updated_ms = now_ms
+
+    def take(self, tokens: float, limit: AccountLimit) -> None:
+        """Subtract tokens; the debt does not exceed what the rule allows."""
+        self._level = max(-limit.excess, self._level - tokens)
+        self.told_level = max(-limit.excess, self.told_level - tokens)
+
+    def learn(self, level: float) -> None:
+        """Use a level that an entry knows, or the lowest if there are several."""
+        is_first = self.told_level == float("-inf")
+        self.told_level = level if is_first else min(self.told_level, level)
+
+
+class AccountLedger:
+    """Adds up the reports of all entries, and tells each entry what the others use.
+
+    All times are milliseconds on a clock that advances while the instance is suspended.
+
+    :param incarnation: the run of this runner.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_entries",
+        "_heard_ms",
+        "_limits",
+        "_number",
+        "_started_ms",
+        "incarnation",
+    )
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self._limits: Mapping[str, AccountLimit] = {}
+        self._buckets: dict[str, AccountBucket] = {}
+        self._entries: dict[str, HeardEntry] = {}
+        self._number = 0
+        self._started_ms = float("-inf")
+        self._heard_ms = float("-inf")
+
+    def apply_limits(self, limits: Mapping[str, AccountLimit]) -> None:
+        """Replace the limits; accounts without one are not limited."""
+        self._limits = limits
+        self._buckets = {key: found for key, found in self._buckets.items() if key in limits}
+
+    def add(self, usage: AccountUsage, now_ms: float) -> bool:
+        """Apply a report, unless it is outdated; return whether it was applied."""
+        entry = self._entry_of(usage)
+        if entry is None:
+            return False
+        if now_ms - self._heard_ms > NEWS_TIMEOUT_MS:
+            self._begin(now_ms)
+        entry = self._entries.setdefault(usage.sender, entry)
+        entry.sequence = usage.sequence
+        entry.heard_ms = self._heard_ms = now_ms
+        for use in usage.uses:
+            self._add_use(entry, use, now_ms)
+        return True
+
+    def totals(self, registered: Set[str], now_ms: float) -> dict[str, AccountTotals]:
+        """Return the message to each entry that is heard.
+
+        :param registered: instance ids of all entries.
+        """
+        heard = self._heard(now_ms)
+        entry_count = len(registered | heard)
+        self._refill(len(registered - heard), entry_count, now_ms)
+        self._number += 1
+        sums = self._sums(now_ms)
+        messages = {}
+        for instance_id in heard:
+            entry = self._entries[instance_id]
+            others = tuple(_without(found, entry, now_ms) for found in sums)
+            messages[instance_id] = AccountTotals(
+                self.incarnation,
+                self._number,
+                entry.incarnation,
+                entry.sequence,
+                entry_count,
+                others,
+            )
+        return messages
+
+    def dump(self) -> dict[str, object]:
+        """Return the level of each bucket, for the state dump."""
+        return {account: bucket.level for account, bucket in self._buckets.items()}
+
+    def _begin(self, now_ms: float) -> None:
+        """Forget everything: the entries have reported to another runner, or to none."""
+        self._started_ms = now_ms
+        self._buckets.clear()
+        self._entries.clear()
+
+    def _entry_of(self, usage: AccountUsage) -> HeardEntry | None:
+        """Return the sender's entry, a new one for a new run; ``None`` if the report is old."""
+        known = self._entries.get(usage.sender)
+        if known is None:
+            return HeardEntry(usage.incarnation, "")
+        if known.incarnation == usage.incarnation:
+            return known if usage.sequence > known.sequence else None
+        if known.previous == usage.incarnation:
+            return None
+        restarted = HeardEntry(usage.incarnation, known.incarnation)
+        self._entries[usage.sender] = restarted
+        return restarted
+
+    def _add_use(self, entry: HeardEntry, use: AccountUse, now_ms: float) -> None:
+        known = entry.uses.get(use.account)
+        limit = self._limits.get(use.account)
+        is_new = known is None
+        if limit is not None and known is not None:
+            is_new = now_ms - known.reported_ms > limit.window_ms
+        if known is None:
+            known = entry.uses[use.account] = EntryUse(use)
+        admitted = use.unheard if is_new else use.admitted - known.report.admitted
+        known.admitted.record(now_ms, admitted)
+        known.report = use
+        known.reported_ms = now_ms
+        if limit is not None:
+            self._take(use, limit, admitted, now_ms)
+
+    def _take(self, use: AccountUse, limit: AccountLimit, admitted: int, now_ms: float) -> None:
+        bucket = self._buckets.get(use.account)
+        if bucket is None:
+            accrued = limit.rate_per_s * (now_ms - self._started_ms) / MS_PER_S
+            level = min(limit.burst, accrued - limit.debt / 2.0)
+            bucket = self._buckets[use.account] = AccountBucket(level, now_ms)
+        bucket.take(admitted, limit)
+        if use.level is not None and now_ms - self._started_ms < LEARNING_MS:
+            bucket.learn(use.level)
+
+    def _heard(self, now_ms: float) -> set[str]:
+        return {
+            instance_id
+            for instance_id, entry in self._entries.items()
+            if now_ms - entry.heard_ms < NEWS_TIMEOUT_MS
+        }
+
+    def _refill(self, unheard: int, entry_count: int, now_ms: float) -> None:
+        for account, bucket in self._buckets.items():
+            limit = self._limits[account]
+            reserved_per_s = limit.rate_per_s * unheard / max(1, entry_count)
+            lowered_by = max(0.0, reserved_per_s - limit.reserve_per_s)
+            bucket.refill(limit, limit.rate_per_s - lowered_by, now_ms)
+
+    def _sums(self, now_ms: float) -> list[AccountSum]:
+        """Return what all entries use of the accounts that are listed."""
+        used: dict[str, AccountSum] = {}
+        for entry in self._entries.values():
+            for account, use in entry.uses.items():
+                if now_ms - use.reported_ms < USE_EXPIRY_MS:
+                    known = used.get(account) or AccountSum(account, 0.0, 0.0, 0.0, 0)
+                    used[account] = _plus(known, use, 1, now_ms)
+        return [
+            AccountSum(
+                account,
+                self._level(account),
+                found.admitted_per_s,
+                found.wanted_per_s,
+                found.running,
+            )
+            for account, found in used.items()
+            if self._is_listed(found)
+        ]
+
+    def _level(self, account: str) -> float:
+        bucket = self._buckets.get(account)
+        return 0.0 if bucket is None else bucket.level
+
+    def _is_listed(self, found: AccountSum) -> bool:
+        if found.running >= LISTED_RUNNING:
+            return True
+        limit = self._limits.get(found.account)
+        return limit is not None and self._level(found.account) < limit.unlisted_level
+
+
+def _plus(total: AccountSum, use: EntryUse, sign: int, now_ms: float) -> AccountSum:
+    return AccountSum(
+        total.account,
+        total.level,
+        max(0.0, total.admitted_per_s + sign * use.admitted.per_s(now_ms)),
+        max(0.0, total.wanted_per_s + sign * use.report.wanted_per_s),
+        max(0, total.running + sign * use.report.running),
+    )
+
+
+def _without(total: AccountSum, entry: HeardEntry, now_ms: float) -> AccountSum:
+    """Return the use of an account without that of one entry, with short numbers."""
+    use = entry.uses.get(total.account)
+    if use is not None and now_ms - use.reported_ms < USE_EXPIRY_MS:
+        total = _plus(total, use, -1, now_ms)
+    return AccountSum(
+        total.account,
+        round(total.level, 1),
+        round(total.admitted_per_s, 1),
+        round(total.wanted_per_s, 1),
+        total.running,
+    )
--- /dev/null
+++ b/ebonyshore/link/account_messages.py
@@ -0,0 +1,73 @@
+"""The messages about what client accounts use, between entries and the runner that adds it up."""
+
+from msgspec import Struct
+
+
+class AccountUse(Struct, frozen=True, array_like=True):
+    """What one entry knows of the requests of an account.
+
+    :param account: name of the account.
+    :param admitted: requests that the entry has admitted since it started.
+    :param unheard: those of them that no totals contain yet.
+    :param wanted_per_s: requests a second that came to the entry, admitted or not.
+    :param running: the entry's requests at targets now.
+    :param level: tokens that the fleet has left; ``None`` if the entry does not know. A runner that
+        has just started begins with it.
+    """
+
+    account: str
+    admitted: int
+    unheard: int
+    wanted_per_s: float
+    running: int
+    level: float | None
+
+
+class AccountUsage(Struct, frozen=True, tag="account_usage", array_like=True):
+    """The accounts of one entry that are in use, or were a short time ago.
+
+    :param sender: instance id of the entry.
+    :param incarnation: the run of the entry.
+    :param sequence: increases with each report of a run.
+    """
+
+    sender: str
+    incarnation: str
+    sequence: int
+    uses: tuple[AccountUse, ...]
+
+
+class AccountSum(Struct, frozen=True, array_like=True):
+    """What all other entries use of an account. Rates are averages.
+
+    :param level: tokens that are left; negative if more was used than the bucket held.
+    :param admitted_per_s: requests a second that the other entries admit.
+    :param wanted_per_s: requests a second that come to the other entries.
+    :param running: requests of the other entries at targets.
+    """
+
+    account: str
+    level: float
+    admitted_per_s: float
+    wanted_per_s: float
+    running: int
+
+
+class AccountTotals(Struct, frozen=True, tag="account_totals", array_like=True):
+    """What a runner tells one entry of the accounts.
+
+    An account that is not listed has nearly all of its burst left.
+
+    :param sender: the run of the runner.
+    :param number: increases with each message of the sender.
+    :param incarnation: the run of the entry that is addressed.
+    :param sequence: the entry's last report that the sums contain.
+    :param entry_count: number of entries among which limits are divided.
+    """
+
+    sender: str
+    number: int
+    incarnation: str
+    sequence: int
+    entry_count: int
+    sums: tuple[AccountSum, ...]
--- /dev/null
+++ b/ebonyshore/link/account_quotas.py
@@ -0,0 +1,457 @@
+"""How many requests of a client account this entry may admit. No I/O.
+
+Load pattern: an account sends many times its limit, over all entries or over a few of them, while
+entries are killed, frozen or cut off.
+
+A limit is one token bucket for the whole fleet. A runner keeps its level (``account_ledger``) from
+what all entries report, and tells it to each entry. The entry subtracts what it has admitted since
+the report that the level contains, and what the others will have admitted by now. As requests that
+arrive at several entries at once would find the same tokens, each is let through with such a
+probability that those which come before the next news use up no more than is left.
+
+The rule for any span allows more than the limit. A part of this excess is a debt that the bucket
+may run up, so that late news does not refuse accounts which keep to their limit.
+
+An entry without fresh news admits an equal share of the rate. A share is hardly saved up: after an
+idle time many entries would otherwise spend their savings at the same moment.
+
+All times are milliseconds on a clock that advances while the instance is suspended.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from math import exp
+from random import Random
+
+from msgspec import Struct, to_builtins
+
+from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.link.account_messages import AccountSum, AccountTotals, AccountUsage, AccountUse
+
+NEWS_TIMEOUT_MS = 600.0  # older totals are not used
+NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
+DEMAND_PERIOD_MS = 1_000.0  # over which rates are averaged
+SHARE_VALID_MS = 250.0  # for which an unused token of a share can be spent
+DEBT_PART = 0.4  # of the excess that the rule allows
+RESERVE_PART = 0.4  # of the excess, for the shares of entries that are not heard
+ACTIVE_MS = 3_000.0  # for which an account is reported after its last request
+IDLE_EXPIRY_MS = 60_000.0
+MIN_RETRY_AFTER_MS = 50.0
+
+
+class QuotaRule(Struct, frozen=True):
+    """What an account may use in any span of a given length.
+
+    :param window_ms: length of the spans.
+    :param overage: part of the limit by which it may be exceeded.
+    :param slack: requests by which it may be exceeded besides.
+    """
+
+    window_ms: float
+    overage: float
+    slack: float
+
+
+class AccountLimit(Struct, frozen=True):
+    """The limit of an account over all entries: a token bucket, and the excess that is allowed.
+
+    :param excess: requests in a window beyond those of the bucket.
+    """
+
+    rate_per_s: float
+    burst: float
+    excess: float
+    window_ms: float
+
+    @property
+    def debt(self) -> float:
+        """Tokens by which the bucket may be overdrawn."""
+        return DEBT_PART * self.excess
+
+    @property
+    def reserve_per_s(self) -> float:
+        """Rate that may be left to entries which are not heard without lowering that of others."""
+        return RESERVE_PART * self.excess * MS_PER_S / self.window_ms
+
+    @property
+    def unlisted_level(self) -> float:
+        """Level from which on an account is not listed in totals."""
+        return self.burst - self.debt / 2.0
+
+
+def make_limit(rate_per_s: float, burst: float, rule: QuotaRule) -> AccountLimit:
+    """Return the limit of an account under a rule."""
+    in_window = rate_per_s * rule.window_ms / MS_PER_S + burst
+    excess = rule.overage * in_window + rule.slack
+    return AccountLimit(rate_per_s, burst, excess, rule.window_ms)
+
+
+class EventRate:
+    """A rate of events, averaged over :data:`DEMAND_PERIOD_MS`."""
+
+    __slots__ = ("_per_s", "_updated_ms")
+
+    def __init__(self) -> None:
+        self._per_s = 0.0
+        self._updated_ms = 0.0
+
+    def per_s(self, now_ms: float) -> float:
+        """Return the present rate."""
+        return self._per_s * exp(min(0.0, self._updated_ms - now_ms) / DEMAND_PERIOD_MS)
+
+    def record(self, now_ms: float, events: int = 1) -> None:
+        """Count events."""
+        self._per_s = self.per_s(now_ms) + events * MS_PER_S / DEMAND_PERIOD_MS
+        self._updated_ms = now_ms
+
+
+class ShareBucket:
+    """Tokens of one entry's share of a rate, which lapse if they are not used.
+
+    :param credit: tokens at the start, below 1. It should be random, so that the entries do not
+        admit requests at the same time.
+    """
+
+    __slots__ = ("_credit", "_updated_ms")
+
+    def __init__(self, credit: float, now_ms: float) -> None:
+        self._credit = credit
+        self._updated_ms = now_ms
+
+    def wait_ms(self, share_per_s: float, now_ms: float) -> float:
+        """Return the time until there is a token; 0 if there is one."""
+        self._credit += share_per_s * (now_ms - self._updated_ms) / MS_PER_S
+        self._updated_ms = now_ms
+        highest = 1.0 + share_per_s * SHARE_VALID_MS / MS_PER_S
+        if self._credit >= highest:
+            self._credit = highest - 1.0 + (self._credit - highest) % 1.0
+        return max(0.0, 1.0 - self._credit) / share_per_s * MS_PER_S
+
+    def take(self) -> None:
+        """Use a token."""
+        self._credit -= 1.0
+
+
+class AccountState:
+    """What this entry knows of one account.
+
+    :ivar admitted: requests that the entry has admitted since it started.
+    :ivar running: requests of the entry at targets.
+    :ivar unheard: requests admitted that no totals contain yet, by the sequence number of the first
+        report that does.
+    :ivar wanted: requests that came to the entry.
+    :ivar share: the tokens that the entry uses while it has no fresh news.
+    :ivar next_free_ms: time up to which refused callers were told to return.
+    :ivar changed_ms: time of the last request or end of a request.
+    """
+
+    __slots__ = (
+        "admitted",
+        "changed_ms",
+        "next_free_ms",
+        "running",
+        "share",
+        "unheard",
+        "wanted",
+    )
+
+    def __init__(self) -> None:
+        self.admitted = 0
+        self.running = 0
+        self.unheard: Counter[int] = Counter()
+        self.wanted = EventRate()
+        self.share: ShareBucket | None = None
+        self.next_free_ms = 0.0
+        self.changed_ms = 0.0
+
+    def forget_heard(self, sequence: int) -> None:
+        """Remove the requests that a report up to ``sequence`` contained."""
+        for number in [number for number in self.unheard if number <= sequence]:
+            del self.unheard[number]
+
+
+class Refusal(Struct, frozen=True):
+    """Why a request is refused.
+
+    :param retry_after_ms: time until a request of the account is expected to be admitted.
+    :param level: tokens that the fleet has left; ``None`` if this entry uses its share.
+    :param news_age_ms: highest age of the totals; infinite if there are none.
+    """
+
+    retry_after_ms: float
+    level: float | None
+    news_age_ms: float
+    limit: AccountLimit
+
+
+class FleetUse(Struct, frozen=True):
+    """What all entries use of an account, as far as this one knows.
+
+    The use of other entries is missing if the account is not under pressure.
+    """
+
+    admitted_per_s: float
+    wanted_per_s: float
+    running: int
+
+
+class AccountQuotas:
+    """Admits the requests of accounts at one entry.
+
+    :param instance_id: instance id of this entry.
+    :param incarnation: the run of this entry.
+    :param entry_count: returns the number of entries, this one included; 0 if it is not known.
+    :param random: varies the start of the shares, and which requests are let through.
+    """
+
+    __slots__ = (
+        "_entry_count",
+        "_incarnation",
+        "_instance_id",
+        "_limits",
+        "_news",
+        "_news_ms",
+        "_random",
+        "_received_ms",
+        "_sent_ms",
+        "_sequence",
+        "_states",
+        "_sums",
+    )
+
+    def __init__(
+        self, instance_id: str, incarnation: str, entry_count: Callable[[], int], random: Random
+    ) -> None:
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._entry_count = entry_count
+        self._random = random
+        self._limits: Mapping[str, AccountLimit] = {}
+        self._states: dict[str, AccountState] = {}
+        self._sequence = 0
+        self._sent_ms: dict[int, float] = {}  # by sequence number, of reports still of use
+        self._news: AccountTotals | None = None
+        self._sums: dict[str, AccountSum] = {}
+        self._news_ms = float("-inf")  # send time of the last report that the news contains
+        self._received_ms = float("-inf")
+
+    @property
+    def source(self) -> str | None:
+        """The run of the runner whose totals are used; ``None`` if there are none."""
+        return None if self._news is None else self._news.sender
+
+    def apply_limits(self, limits: Mapping[str, AccountLimit]) -> None:
+        """Replace the limits; accounts without one are not limited."""
+        self._limits = limits
+
+    def admit(self, account: str, now_ms: float) -> Refusal | None:
+        """Count a request, and return why it is refused, or ``None`` if it is admitted."""
+        state = self._states.setdefault(account, AccountState())
+        state.wanted.record(now_ms)
+        state.changed_ms = now_ms
+        limit = self._limits.get(account)
+        refusal = None if limit is None else self._check(account, state, limit, now_ms)
+        if refusal is None:
+            state.admitted += 1
+            state.unheard[self._sequence + 1] += 1
+        return refusal
+
+    def record_start(self, account: str, now_ms: float) -> None:
+        """Count a request that is sent to a target."""
+        state = self._states.setdefault(account, AccountState())
+        state.running += 1
+        state.changed_ms = now_ms
+
+    def record_end(self, account: str, now_ms: float) -> None:
+        """Count the end of a request at a target."""
+        state = self._states[account]
+        state.running -= 1
+        state.changed_ms = now_ms
+
+    def is_informed(self, now_ms: float) -> bool:
+        """Return whether the totals are fresh.
+
+        Their age counts from when this entry sent the last report that they contain, so that totals
+        which were held up on the way are not taken for fresh.
+        """
+        return now_ms - self._news_ms < NEWS_TIMEOUT_MS
+
+    def news_age_ms(self, now_ms: float) -> float:
+        """Return the highest age that the totals may have; infinite if there are none."""
+        return now_ms - self._news_ms
+
+    def update(self, totals: AccountTotals, now_ms: float) -> bool:
+        """Apply totals, unless they are outdated; return whether they were applied.
+
+        Totals of another runner are used only after those of the present one are too old, as its
+        reports go to one runner only.
+        """
+        sent_ms = self._sent_ms.get(totals.sequence)
+        if totals.incarnation != self._incarnation or sent_ms is None:
+            return False
+        if now_ms - sent_ms >= NEWS_TIMEOUT_MS:
+            return False
+        news = self._news
+        if news is not None:
+            is_same_source = totals.sender == news.sender
+            if is_same_source and totals.number <= news.number:
+                return False
+            if not is_same_source and self.is_informed(now_ms):
+                return False
+        self._news = totals
+        self._sums = {found.account: found for found in totals.sums}
+        self._news_ms = sent_ms
+        self._received_ms = now_ms
+        for number in [number for number in self._sent_ms if number < totals.sequence]:
+            del self._sent_ms[number]
+        for state in self._states.values():
+            state.forget_heard(totals.sequence)
+            state.share = None
+        return True
+
+    def next_usage(self, now_ms: float) -> AccountUsage:
+        """Return the next report of this entry."""
+        self._sequence += 1
+        self._sent_ms[self._sequence] = now_ms
+        for number, sent_ms in list(self._sent_ms.items()):
+            if now_ms - sent_ms > NEWS_TIMEOUT_MS:
+                del self._sent_ms[number]
+        self._remove_idle(now_ms)
+        uses = tuple(
+            self._use_of(account, state, now_ms)
+            for account, state in self._states.items()
+            if state.unheard or now_ms - state.changed_ms < ACTIVE_MS
+        )
+        return AccountUsage(self._instance_id, self._incarnation, self._sequence, uses)
+
+    def has_changed_since(self, since_ms: float) -> bool:
+        """Return whether there was a request or an end of one since a time."""
+        return any(state.changed_ms >= since_ms for state in self._states.values())
+
+    def fleet_use(self, account: str, now_ms: float) -> FleetUse:
+        """Return what all entries use of an account."""
+        state = self._states.get(account) or AccountState()
+        others = self._sums.get(account) if self.is_informed(now_ms) else None
+        wanted_per_s = state.wanted.per_s(now_ms)
+        if others is None:
+            return FleetUse(wanted_per_s, wanted_per_s, state.running)
+        return FleetUse(
+            others.admitted_per_s + wanted_per_s,
+            others.wanted_per_s + wanted_per_s,
+            others.running + state.running,
+        )
+
+    def dump(self, now_ms: float) -> dict[str, object]:
+        """Return the limit and the known use of each account, for the state dump."""
+        return {
+            account: {
+                "limit": to_builtins(self._limits.get(account)),
+                "admitted": state.admitted,
+                "unheard": state.unheard.total(),
+                "running": state.running,
+                "wanted_per_s": state.wanted.per_s(now_ms),
+                "others": to_builtins(self._sums.get(account)),
+                "level": self._reported_level(account, state, now_ms),
+            }
+            for account, state in self._states.items()
+        }
+
+    def accounts_at_limit(self, now_ms: float) -> int:
+        """Return the number of accounts whose callers were told to return later."""
+        return sum(state.next_free_ms > now_ms for state in self._states.values())
+
+    def _check(
+        self, account: str, state: AccountState, limit: AccountLimit, now_ms: float
+    ) -> Refusal | None:
+        if self.is_informed(now_ms):
+            return self._check_level(account, state, limit, now_ms)
+        return self._check_share(state, limit, now_ms)
+
+    def _check_level(
+        self, account: str, state: AccountState, limit: AccountLimit, now_ms: float
+    ) -> Refusal | None:
+        level = self._level(account, state, limit, now_ms)
+        left = level + limit.debt
+        others = self._sums.get(account)
+        others_wanted_per_s = others.wanted_per_s if others is not None else 0.0
+        concurrent = others_wanted_per_s * NEWS_DELAY_MS / MS_PER_S
+        if left >= 1.0 and self._random.random() * max(1.0, concurrent) < left:
+            return None
+        own_per_s = state.wanted.per_s(now_ms)
+        own_part = own_per_s / (own_per_s + others_wanted_per_s)
+        wait_ms = max(0.0, 1.0 - left) / limit.rate_per_s * MS_PER_S
+        delay_ms = self._delay_ms(state, limit.rate_per_s * own_part, wait_ms, now_ms)
+        return Refusal(delay_ms, level, self.news_age_ms(now_ms), limit)
+
+    def _check_share(
+        self, state: AccountState, limit: AccountLimit, now_ms: float
+    ) -> Refusal | None:
+        share_per_s = self._share_per_s(limit)
+        if share_per_s is None:
+            return Refusal(NEWS_TIMEOUT_MS, None, self.news_age_ms(now_ms), limit)
+        if state.share is None:
+            state.share = ShareBucket(self._random.random(), now_ms)
+        wait_ms = state.share.wait_ms(share_per_s, now_ms)
+        if wait_ms <= 0.0:
+            state.share.take()
+            return None
+        delay_ms = self._delay_ms(state, share_per_s, wait_ms, now_ms)
+        return Refusal(delay_ms, None, self.news_age_ms(now_ms), limit)
+
+    def _share_per_s(self, limit: AccountLimit) -> float | None:
+        """Return this entry's part of a rate; ``None`` if it does not know of other entries."""
+        entry_count = self._entry_count()
+        if self._news is not None:
+            entry_count = max(entry_count, self._news.entry_count)
+        return limit.rate_per_s / entry_count if entry_count else None
+
+    def _delay_ms(
+        self, state: AccountState, rate_per_s: float, wait_ms: float, now_ms: float
+    ) -> float:
+        """Return when a refused caller may return, after those that were refused before it."""
+        first_ms = max(now_ms + wait_ms, state.next_free_ms)
+        state.next_free_ms = first_ms + MS_PER_S / rate_per_s
+        return max(MIN_RETRY_AFTER_MS, first_ms - now_ms)
+
+    def _level(
+        self, account: str, state: AccountState, limit: AccountLimit, now_ms: float
+    ) -> float:
+        """Return the tokens that the fleet has left, with what the others use in the meantime."""
+        found = self._sums.get(account)
+        told_level = limit.unlisted_level if found is None else found.level
+        others_per_s = 0.0 if found is None else found.admitted_per_s
+        age_s = (now_ms - self._received_ms) / MS_PER_S
+        level = told_level + (limit.rate_per_s - others_per_s) * age_s
+        return min(level, limit.burst) - state.unheard.total()
+
+    def _reported_level(
+        self, account: str, state: AccountState, now_ms: float
+    ) -> float | None:
+        """Return the level for a runner that has just started.
+
+        Without news the entries use no more than their shares, so the level does not fall then.
+        """
+        limit = self._limits.get(account)
+        if limit is None or now_ms - self._news_ms > limit.window_ms:
+            return None
+        return self._level(account, state, limit, min(now_ms, self._news_ms + NEWS_TIMEOUT_MS))
+
+    def _use_of(self, account: str, state: AccountState, now_ms: float) -> AccountUse:
+        level = self._reported_level(account, state, now_ms)
+        return AccountUse(
+            account,
+            state.admitted,
+            state.unheard.total(),
+            round(state.wanted.per_s(now_ms), 2),
+            state.running,
+            None if level is None else round(level, 2),
+        )
+
+    def _remove_idle(self, now_ms: float) -> None:
+        idle = [
+            account
+            for account, state in self._states.items()
+            if not state.running and now_ms - state.changed_ms > IDLE_EXPIRY_MS
+        ]
+        for account in idle:
+            del self._states[account]
--- /dev/null
+++ b/tests/test_account_quotas.py
@@ -0,0 +1,239 @@
+"""Tests of the quotas of client accounts, shared by entries that hear of each other late.
+
+The replay takes every decision with the product's own code; messages are lost, late and doubled.
+"""
+
+from heapq import heappop, heappush
+from random import Random
+
+import pytest
+
+from ebonyshore.link.account_ledger import AccountLedger
+from ebonyshore.link.account_quotas import AccountQuotas, QuotaRule, make_limit
+
+RULE = QuotaRule(5_000.0, 0.1, 20.0)
+DAY_MS = 24_000.0
+PERIOD_MS = 100.0
+SETTLE_MS = 3_000.0  # from the start on, and after each trouble, until entries are in touch again
+LOST_SHARE = 0.05
+DOUBLED_SHARE = 0.05
+DELAY_MS = (1.0, 12.0)
+MAX_WRONG_REFUSALS = 0.001
+
+
+class Source:
+    """The load of one account.
+
+    :param surge: what it sends at times, as a multiple of its mean; ``None`` if it stays within
+        a token bucket of its limit.
+    :param entries: the entries at which its requests arrive.
+    """
+
+    def __init__(self, name, rate_per_s, burst, use, surge, entries):
+        self.name, self.rate_per_s, self.burst = name, rate_per_s, burst
+        self.mean_per_s, self.surge, self.entries = use * rate_per_s, surge, entries
+        self.tokens, self.tokens_ms = burst, 0.0
+
+    def allows(self, at_ms):
+        """Whether a request at a time stays within the account's own bucket."""
+        tokens = self.tokens + self.rate_per_s * (at_ms - self.tokens_ms) / 1_000.0
+        self.tokens, self.tokens_ms = min(self.burst, tokens), at_ms
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class Replay:
+    """Entries that are asked to admit requests, and runners that keep the buckets."""
+
+    def __init__(self, entries, sources, seed, runners=2, lost=LOST_SHARE):
+        self.random = Random(seed)
+        self.lost = lost
+        self.sources = sources
+        self.limits = {s.name: make_limit(s.rate_per_s, s.burst, RULE) for s in sources}
+        self.entry_names = [f"e{number}" for number in range(entries)]
+        self.incarnations = 0
+        self.entries, self.runners = {}, {}
+        self.events, self.steps = [], 0
+        self.stopped, self.cut = set(), set()
+        self.woken_ms = {}
+        self.admitted = {s.name: [] for s in sources}
+        self.asked = self.refused = 0
+        self.troubled_ms = 0.0
+        for name in self.entry_names:
+            self.start_entry(name)
+        for number in range(runners):
+            self.start_runner(f"r{number}", 0.0)
+        for name in self.entry_names:
+            self.at(self.random.uniform(0.0, PERIOD_MS), self.report, name)
+        for name in list(self.runners):
+            self.at(self.random.uniform(0.0, PERIOD_MS), self.tell, name)
+        for source in sources:
+            self.add_requests(source)
+
+    def start_entry(self, name):
+        self.incarnations += 1
+        count = len(self.entry_names)
+        quotas = AccountQuotas(name, str(self.incarnations), lambda: count, self.random)
+        quotas.apply_limits(self.limits)
+        self.entries[name] = quotas
+
+    def start_runner(self, name, _at_ms):
+        self.incarnations += 1
+        self.runners[name] = AccountLedger(str(self.incarnations))
+        self.runners[name].apply_limits(self.limits)
+
+    def add_requests(self, source):
+        """Let the rate alternate between 0.4 and 1.9 of the mean, with surges of some accounts."""
+        at_ms = self.random.uniform(0.0, 200.0)
+        while at_ms < DAY_MS:
+            factor = 1.9 if int(at_ms / 3_000.0) % 2 else 0.4
+            if source.surge and int(at_ms / 4_000.0 + len(source.name)) % 3 == 1:
+                factor = source.surge
+            at_ms += self.random.expovariate(source.mean_per_s * factor) * 1_000.0
+            if source.surge or source.allows(at_ms):
+                self.at(at_ms, self.request, source)
+
+    def at(self, at_ms, action, *arguments):
+        self.steps += 1
+        heappush(self.events, (at_ms, self.steps, action, arguments))
+
+    def run(self):
+        while self.events:
+            at_ms, _, action, arguments = heappop(self.events)
+            if at_ms > DAY_MS:
+                break
+            action(at_ms, *arguments)
+        return self
+
+    def trouble(self, at_ms):
+        """Note a trouble, whose neighbourhood does not count for wrong refusals."""
+        self.troubled_ms = at_ms + SETTLE_MS
+
+    def request(self, at_ms, source):
+        name = self.random.choice(source.entries)
+        if name in self.stopped:
+            return
+        refusal = self.entries[name].admit(source.name, at_ms)
+        if refusal is None:
+            self.admitted[source.name].append(at_ms)
+        elif refusal.retry_after_ms <= 0.0:
+            raise AssertionError("no retry delay")
+        if not source.surge and at_ms > max(SETTLE_MS, self.troubled_ms) and name not in self.cut:
+            self.asked += 1
+            self.refused += refusal is not None
+
+    def send(self, at_ms, sender, receiver, action, *arguments):
+        if sender in self.cut or receiver in self.cut:
+            return
+        for _ in range(1 + (self.random.random() < DOUBLED_SHARE)):
+            if self.random.random() >= self.lost:
+                delay_ms = self.random.uniform(*DELAY_MS)
+                if self.random.random() < 0.02:
+                    delay_ms += self.random.uniform(0.0, 300.0)
+                self.at(at_ms + delay_ms, self.deliver, receiver, action, *arguments)
+
+    def deliver(self, at_ms, receiver, action, *arguments):
+        if receiver in self.stopped:  # a frozen process finds the message when it wakes
+            if receiver in self.woken_ms:
+                self.at(self.woken_ms[receiver], self.deliver, receiver, action, *arguments)
+            return
+        action(at_ms, receiver, *arguments)
+
+    def report(self, at_ms, name):
+        self.at(at_ms + PERIOD_MS, self.report, name)
+        if name in self.stopped:
+            return
+        usage = self.entries[name].next_usage(at_ms)
+        informed = self.entries[name].is_informed(at_ms)
+        for runner in self.runners:
+            if not informed or runner == self.source_of(name):
+                self.send(at_ms, name, runner, self.hear, usage)
+
+    def source_of(self, name):
+        source = self.entries[name].source
+        found = [key for key, ledger in self.runners.items() if ledger.incarnation == source]
+        return found[0] if found else None
+
+    def hear(self, at_ms, runner, usage):
+        self.runners[runner].add(usage, at_ms)
+
+    def tell(self, at_ms, runner):
+        self.at(at_ms + PERIOD_MS, self.tell, runner)
+        alive = sorted(name for name in self.runners if name not in self.stopped)
+        if runner in self.stopped or runner != alive[0]:
+            return
+        totals = self.runners[runner].totals(set(self.entry_names), at_ms)
+        for name, message in totals.items():
+            self.send(at_ms, runner, name, self.learn, message)
+
+    def learn(self, at_ms, name, message):
+        self.entries[name].update(message, at_ms)
+
+    def stop_all(self, at_ms, names, until_ms, is_kill):
+        """Kill or freeze processes, and start or wake them again."""
+        self.trouble(until_ms)
+        self.stopped |= set(names)
+        if not is_kill:
+            self.woken_ms |= dict.fromkeys(names, until_ms)
+        self.at(until_ms, self.start_all, names, is_kill)
+
+    def start_all(self, at_ms, names, is_kill):
+        self.stopped -= set(names)
+        for name in names:
+            self.woken_ms.pop(name, None)
+            if is_kill and name in self.runners:
+                self.start_runner(name, at_ms)
+            elif is_kill:
+                self.start_entry(name)
+
+    def cut_off(self, at_ms, names, until_ms):
+        self.trouble(until_ms)
+        self.cut |= set(names)
+        self.at(until_ms, self.join, names)
+
+    def join(self, _at_ms, names):
+        self.cut -= set(names)
+
+    def worst_excess(self, source):
+        """Return by how many requests the rule was broken in the worst span; below 0 if it held."""
+        limit = self.limits[source.name]
+        allowed = limit.rate_per_s * RULE.window_ms / 1_000.0 + limit.burst + limit.excess
+        return most_in_a_window(self.admitted[source.name]) - allowed
+
+
+def most_in_a_window(times_ms):
+    most = first = 0
+    for last, at_ms in enumerate(times_ms):
+        while at_ms - times_ms[first] >= RULE.window_ms:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def make_sources(random, entries, count, surging):
+    names = [f"e{number}" for number in range(entries)]
+    sources = []
+    for number in range(count):
+        rate_per_s = max(1.0, 70.0 / (1 + number) ** 0.8)
+        surge = random.uniform(4.0, 9.0) if random.random() < surging else None
+        few = names if surge or random.random() < 0.5 else random.sample(names, min(2, entries))
+        sources.append(
+            Source(f"a{number}", rate_per_s, 0.4 * rate_per_s + 2.0, 0.5, surge, few)
+        )
+    return sources
+
+
+def troubles(replay, random, kinds):
+    names = [*replay.entry_names, *replay.runners]
+    for _ in range(3):
+        at_ms = random.uniform(2_000.0, DAY_MS - 6_000.0)
+        until_ms = at_ms + random.uniform(300.0, 4_000.0)
+        some = names if random.random() < 0.3 else random.sample(names, random.randint(1, len(names)))
+        kind = random.choice(kinds)
+        if kind == "cut":
+            replay.at(at_ms, replay.cut_off, some, until_ms)
+        else:
+            replay.at(at_ms, replay.stop_all, some, until_ms, kind == "kill")
+
