Refuse requests over the quota of their client account

Requests of an account were admitted without a count, so an account that sent many times its limit was run in full. An entry now asks its quota after the authentication, and answers 429 with the time at which the account is next expected to be admitted. Entries report their use to the runner that sends totals; without accounts in the configuration nothing is sent.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -1,10 +1,12 @@
 """Reports an entry's request counts to the runners and receives the totals that they send."""
 
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.gateway.account_limits import AccountLimits
 from ebonyshore.gateway.lease_keeper import LeaseKeeper
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.link.account_messages import AccountTotals
 from ebonyshore.link.datagrams import (
     ConfigConfirmed,
     Datagram,
@@ -28,6 +30,7 @@
     :param suspicions: updated with the received suspicions; provides those to send.
     :param origins: told of answers and queries; reports the streams of this entry.
     :param lease_keeper: told which configuration runners have read; provides the reported clock.
+    :param account_limits: told of the totals of client accounts.
     """
 
     def __init__(
@@ -38,7 +41,9 @@
         suspicions: SuspicionExchange,
         origins: StreamOrigins,
         lease_keeper: LeaseKeeper,
+        account_limits: AccountLimits,
     ) -> None:
+        self._account_limits = account_limits
         self._lease_keeper = lease_keeper
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
@@ -62,6 +67,8 @@
             self._origins.answer(message)
         elif isinstance(message, ConfigConfirmed):
             self._lease_keeper.on_confirmed(message)
+        elif isinstance(message, AccountTotals):
+            self._account_limits.on_totals(message)
 
     def send(self, socket: LoadSocket) -> None:
         """Send the next report and new suspicions to each runner."""
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -2,6 +2,7 @@
 
 from ebonyshore.frame.async_kernel import AsyncKernel
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.account_limits import AccountLimits
 from ebonyshore.gateway.authentication import Authenticator
 from ebonyshore.gateway.entry_load_reporter import EntryLoadReporter
 from ebonyshore.gateway.forwarder import Forwarder
@@ -42,8 +43,18 @@
         metrics,
     )
     authenticator = Authenticator(names, components.config, lease_keeper.is_valid)
+    account_limits = AccountLimits(
+        settings.quota_rule,
+        peers,
+        components.config,
+        lambda *message: load_service.send_now(*message),
+        environment.clock,
+        log,
+        metrics,
+        environment.random,
+    )
     load_reporter = EntryLoadReporter(
-        peers, target_table, view, components.suspicions, origins, lease_keeper
+        peers, target_table, view, components.suspicions, origins, lease_keeper, account_limits
     )
     port = settings.first_internal_port
     load_service = LoadService(
@@ -64,6 +75,8 @@
         environment.random,
         authenticator,
     )
+    forwarder.on_run_start = account_limits.record_start
+    forwarder.on_run_end = account_limits.record_end
     job_calls = JobCallForwarder(names, peers, view, pool, log, metrics, environment.random)
     isolation_detector = IsolationDetector(
         peers, view, components.probe, log, lease_keeper.is_valid
@@ -74,6 +87,7 @@
     kernel.register(components.crash_guard)
     kernel.register(components.watch_service())
     kernel.register(lease_keeper)
+    kernel.register(account_limits)
     kernel.register(
         ReadinessServer(
             settings.ready, names, components.config, components.targets, isolation_detector
@@ -87,6 +101,7 @@
             forwarder,
             job_calls,
             authenticator,
+            account_limits,
             log,
             metrics,
         )
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -1,7 +1,7 @@
 """Forwards online requests to targets, and retries or resumes them where the route allows it."""
 
 from asyncio import sleep
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -65,6 +65,8 @@
     :param origins: knows at which software version streams began.
     :param random: randomizes the choice of targets and the retry delays of refused callers.
     :param authenticator: asked before each attempt whether the request is still admitted.
+    :ivar on_run_start: called with the account of each request that is sent to a target.
+    :ivar on_run_end: called with the account when the request has ended there.
     """
 
     def __init__(
@@ -92,6 +94,8 @@
         self.metrics = metrics
         self.random = random
         self.authenticator = authenticator
+        self.on_run_start: Callable[[Account], None] = lambda _account: None
+        self.on_run_end: Callable[[Account], None] = lambda _account: None
 
     async def forward(
         self, route: Route, request: Request, responder: Responder, account: Account | None
@@ -288,6 +292,8 @@
         )
         forwarder.targets.rate_limits.record_sent(target.incarnation, now_ms())
         forwarder.view.record_start(target)
+        if self._account is not None:
+            forwarder.on_run_start(self._account)
         began_ms = now_ms()
         try:
             end = await exchange.run(self._responder, remaining_ms, self._route, can_retry)
@@ -300,6 +306,8 @@
             return self._after_failure(run, error)
         finally:
             forwarder.view.record_end(target)
+            if self._account is not None:
+                forwarder.on_run_end(self._account)
             forwarder.crash_guard.end(run)
         if end is not ExchangeEnd.FAILED:
             forwarder.crash_guard.end_completed(run)
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -7,6 +7,7 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.account_limits import AccountLimits
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.isolation import IsolationDetector
@@ -36,6 +37,7 @@
     :param forwarder: answers online requests.
     :param job_calls: answers calls about batch jobs.
     :param authenticator: decides which requests are admitted.
+    :param account_limits: knows which requests are over the quota of their account.
     :param metrics: counts the requests that are not, as ``requests_RESULT_CODE``.
     """
 
@@ -49,6 +51,7 @@
         forwarder: Forwarder,
         job_calls: JobCallForwarder,
         authenticator: Authenticator,
+        account_limits: AccountLimits,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -58,6 +61,7 @@
         self._forwarder = forwarder
         self._job_calls = job_calls
         self._authenticator = authenticator
+        self._account_limits = account_limits
         self._log = log
         self._metrics = metrics
         self._server = HttpServer(self._serve, ServerLimits(), self._log_failure)
@@ -133,12 +137,24 @@
         self, route: Route, request: Request, responder: Responder, account: Account | None
     ) -> None:
         if route.kind is not RouteKind.BATCH:
+            if account is not None and self._is_over_quota(account, request, responder):
+                return
             await self._forwarder.forward(route, request, responder, account)
         elif request.method == "POST":
             await self._job_calls.forward(request, responder, route, account)
         else:
             ErrorResponse(405, ResultCode.INVALID_REQUEST).send(responder, request, self._names)
 
+    def _is_over_quota(self, account: Account, request: Request, responder: Responder) -> bool:
+        """Count a request of an account; refuse it if that is over its quota."""
+        request_id = request.headers.get(self._names.request_id)
+        delay_ms = self._account_limits.admit(account, request_id)
+        if delay_ms is None:
+            return False
+        response = ErrorResponse(429, ResultCode.CALLER_LIMIT, delay_ms)
+        response.send(responder, request, self._names)
+        return True
+
     def _is_job_path(self, request: Request) -> bool:
         path = request.path
         return path.startswith((self._names.jobs_path, self._names.item_bodies_path))
--- a/ebonyshore/host/accounts.py
+++ b/ebonyshore/host/accounts.py
@@ -1,9 +1,12 @@
 """Client accounts of the configuration, and the keys that callers authenticate with. No I/O."""
 
+from collections.abc import Sequence
 from hashlib import sha256
 
 from msgspec import Struct
 
+from ebonyshore.link.account_quotas import AccountLimit, QuotaRule, make_limit
+
 
 class Account(Struct, frozen=True):
     """A client account.
@@ -27,3 +30,12 @@
 def digest_key(key: str) -> bytes:
     """Return the digest under which a key is looked up."""
     return sha256(key.encode("utf-8", "surrogateescape")).digest()
+
+
+def account_limits(accounts: Sequence[Account] | None, rule: QuotaRule) -> dict[str, AccountLimit]:
+    """Return the limits of the accounts that have one, by name."""
+    return {
+        account.name: make_limit(account.rate_per_s, account.burst, rule)
+        for account in accounts or ()
+        if account.rate_per_s > 0
+    }
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from ebonyshore.link.account_quotas import QuotaRule
+
 
 class ListenAddress(Struct, frozen=True):
     """An IP address and a port."""
@@ -49,3 +51,8 @@
     quota_window_ms: float = 5_000.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+
+    @property
+    def quota_rule(self) -> QuotaRule:
+        """What the requests of a client account may exceed its limit by."""
+        return QuotaRule(self.quota_window_ms, self.quota_overage, self.quota_slack)
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -424,9 +424,7 @@
         level = told_level + (limit.rate_per_s - others_per_s) * age_s
         return min(level, limit.burst) - state.unheard.total()
 
-    def _reported_level(
-        self, account: str, state: AccountState, now_ms: float
-    ) -> float | None:
+    def _reported_level(self, account: str, state: AccountState, now_ms: float) -> float | None:
         """Return the level for a runner that has just started.
 
         Without news the entries use no more than their shares, so the level does not fall then.
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ebonyshore.host.target import TargetGroup
+from ebonyshore.link.account_messages import AccountTotals, AccountUsage
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
 
@@ -80,4 +81,6 @@
     | StreamQuery
     | StreamAnswer
     | ConfigConfirmed
+    | AccountUsage
+    | AccountTotals
 )
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -52,10 +52,12 @@
         self._log = log
         self._peers: dict[str, PeerRecord] = {}
         self._is_own_record_known = False
+        self._has_listing = False
         self.on_peer_change: Callable[[PeerRecord], None] = lambda _record: None
         self.on_own_record_removed: Callable[[], None] = lambda: None
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
+        self._has_listing = True
         listed_ids = {stored.key.split("/", 1)[1] for stored in objects}
         self._peers = {key: peer for key, peer in self._peers.items() if key in listed_ids}
         self.on_changes(objects)
@@ -93,6 +95,12 @@
         """Number of registered processes, this one included."""
         return 1 + len(self._peers)
 
+    @property
+    def entry_count(self) -> int:
+        """Number of entries, with this process if it is one; 0 before the first listing."""
+        own_count = int(self.own.role == "entry")
+        return len(self.of_role("entry")) + own_count if self._has_listing else 0
+
     def unheard(self, heard: Set[str], excluded: str = "") -> int:
         """Return the number of other processes that are not among some.
 
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -5,6 +5,7 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.link.account_messages import AccountUsage
 from ebonyshore.link.datagrams import (
     Datagram,
     StreamAnswer,
@@ -39,6 +40,7 @@
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
     :param is_store_silent: tells whether the store probe gets no answers; reported to the runners.
+    :ivar on_account_usage: called with the reports of what client accounts use.
     :ivar send_now: sends a datagram at once; to be set before the first message.
     """
 
@@ -65,6 +67,7 @@
         self._suspicions = suspicions
         self._clock = clock
         self._streams = StreamRecords()
+        self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
     def on_message(self, message: Datagram) -> None:
@@ -78,6 +81,8 @@
                 self._streams.add(request_id, origin, now_ms())
         elif isinstance(message, StreamQuery):
             self._answer(message)
+        elif isinstance(message, AccountUsage):
+            self.on_account_usage(message)
 
     def _add_report(self, report: LoadReport) -> None:
         for incarnation in report.leaving:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -14,6 +14,7 @@
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.renewals import RENEWALS_KIND, RenewalListener, RenewalWriter
+from ebonyshore.runner.account_totals import AccountTotalsService
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.config_confirmer import ConfigConfirmer
 from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
@@ -184,6 +185,10 @@
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     runner_load.send_now = load.send_now
+    account_totals = AccountTotalsService(
+        settings.quota_rule, parts.peers, load_table, parts.config, load.send_now, clock
+    )
+    runner_load.on_account_usage = account_totals.on_usage
     parts.suspicions.on_change = load.schedule_report
     parts.targets.on_leaving = load.schedule_report
     item_scheduler = ItemScheduler(
@@ -252,6 +257,7 @@
             metrics,
         )
     )
+    kernel.register(account_totals)
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(
         JobApi(host, port, deployment, registry, admission, parts.config, clock, log, metrics)
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -219,9 +219,7 @@
         rate_per_s = max(1.0, 70.0 / (1 + number) ** 0.8)
         surge = random.uniform(4.0, 9.0) if random.random() < surging else None
         few = names if surge or random.random() < 0.5 else random.sample(names, min(2, entries))
-        sources.append(
-            Source(f"a{number}", rate_per_s, 0.4 * rate_per_s + 2.0, 0.5, surge, few)
-        )
+        sources.append(Source(f"a{number}", rate_per_s, 0.4 * rate_per_s + 2.0, 0.5, surge, few))
     return sources
 
 
@@ -230,10 +228,11 @@
     for _ in range(3):
         at_ms = random.uniform(2_000.0, DAY_MS - 6_000.0)
         until_ms = at_ms + random.uniform(300.0, 4_000.0)
-        some = names if random.random() < 0.3 else random.sample(names, random.randint(1, len(names)))
+        some = (
+            names if random.random() < 0.3 else random.sample(names, random.randint(1, len(names)))
+        )
         kind = random.choice(kinds)
         if kind == "cut":
             replay.at(at_ms, replay.cut_off, some, until_ms)
         else:
             replay.at(at_ms, replay.stop_all, some, until_ms, kind == "kill")
-
