Let an entry be heard again after a late report of its run before

A runner that first hears the new run of an entry and then a late report of the old one took the old run for the new one, and ignored every report of the entry from then on.

--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -122,7 +122,7 @@
 
     def add(self, usage: AccountUsage, now_ms: float) -> bool:
         """Apply a report, unless it is outdated; return whether it was applied."""
-        entry = self._entry_of(usage)
+        entry = self._entry_of(usage, now_ms)
         if entry is None:
             return False
         if now_ms - self._heard_ms > NEWS_TIMEOUT_MS:
@@ -168,14 +168,18 @@
         self._buckets.clear()
         self._entries.clear()
 
-    def _entry_of(self, usage: AccountUsage) -> HeardEntry | None:
-        """Return the sender's entry, a new one for a new run; ``None`` if the report is old."""
+    def _entry_of(self, usage: AccountUsage, now_ms: float) -> HeardEntry | None:
+        """Return the sender's entry, a new one for a new run; ``None`` if the report is old.
+
+        A late report of the run before may look like a new run, but only until the present run is
+        taken for silent.
+        """
         known = self._entries.get(usage.sender)
         if known is None:
             return HeardEntry(usage.incarnation, "")
         if known.incarnation == usage.incarnation:
             return known if usage.sequence > known.sequence else None
-        if known.previous == usage.incarnation:
+        if known.previous == usage.incarnation and self._is_heard(known, now_ms):
             return None
         restarted = HeardEntry(usage.incarnation, known.incarnation)
         self._entries[usage.sender] = restarted
@@ -210,9 +214,13 @@
         return {
             instance_id
             for instance_id, entry in self._entries.items()
-            if now_ms - entry.heard_ms < NEWS_TIMEOUT_MS
+            if self._is_heard(entry, now_ms)
         }
 
+    @staticmethod
+    def _is_heard(entry: HeardEntry, now_ms: float) -> bool:
+        return now_ms - entry.heard_ms < NEWS_TIMEOUT_MS
+
     def _refill(self, unheard: int, entry_count: int, now_ms: float) -> None:
         for account, bucket in self._buckets.items():
             limit = self._limits[account]
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -17,6 +17,7 @@
 SETTLE_MS = 3_000.0  # from the start on, and after each trouble, until entries are in touch again
 LOST_SHARE = 0.05
 DOUBLED_SHARE = 0.05
+CONFIG_MS = 2_000.0  # within which each process learns of new limits
 DELAY_MS = (1.0, 12.0)
 MAX_WRONG_REFUSALS = 0.001
 
@@ -52,6 +53,7 @@
         self.lost = lost
         self.sources = sources
         self.limits = {s.name: make_limit(s.rate_per_s, s.burst, RULE) for s in sources}
+        self.first_limits = self.limits
         self.entry_names = [f"e{number}" for number in range(entries)]
         self.incarnations = 0
         self.entries, self.runners = {}, {}
@@ -60,7 +62,8 @@
         self.woken_ms = {}
         self.admitted = {s.name: [] for s in sources}
         self.asked = self.refused = 0
-        self.troubled_ms = 0.0
+        self.troubled_ms = {}
+        self.changes = []
         for name in self.entry_names:
             self.start_entry(name)
         for number in range(runners):
@@ -107,9 +110,29 @@
             action(at_ms, *arguments)
         return self
 
-    def trouble(self, at_ms):
-        """Note a trouble, whose neighbourhood does not count for wrong refusals."""
-        self.troubled_ms = max(self.troubled_ms, at_ms + SETTLE_MS)
+    def trouble(self, names, until_ms):
+        """Note a trouble; until a while after it the processes are not in touch."""
+        for name in names:
+            known_ms = self.troubled_ms.get(name, 0.0)
+            self.troubled_ms[name] = max(known_ms, until_ms + SETTLE_MS)
+
+    def is_in_touch(self, at_ms, name):
+        """Whether an entry and all runners have been without trouble for some time."""
+        return all(
+            at_ms > self.troubled_ms.get(process, SETTLE_MS) for process in (name, *self.runners)
+        )
+
+    def change_limits(self, at_ms, factor):
+        """Change all limits; each process learns of it within :data:`CONFIG_MS`."""
+        rates = {s.name: s.rate_per_s * factor for s in self.sources}
+        bursts = {s.name: s.burst * factor for s in self.sources}
+        self.limits = {name: make_limit(rates[name], bursts[name], RULE) for name in rates}
+        self.changes.append((at_ms, self.limits))
+        for name in (*self.entry_names, *self.runners):
+            self.at(at_ms + self.random.uniform(0.0, CONFIG_MS), self.apply_limits, name)
+
+    def apply_limits(self, _at_ms, name):
+        (self.entries.get(name) or self.runners[name]).apply_limits(self.limits)
 
     def request(self, at_ms, source):
         name = self.random.choice(source.entries)
@@ -120,7 +143,7 @@
             self.admitted[source.name].append(at_ms)
         elif refusal.retry_after_ms <= 0.0:
             raise AssertionError("no retry delay")
-        if not source.surge and at_ms > max(SETTLE_MS, self.troubled_ms) and name not in self.cut:
+        if not source.surge and self.is_in_touch(at_ms, name):
             self.asked += 1
             self.refused += refusal is not None
 
@@ -173,7 +196,7 @@
 
     def stop_all(self, at_ms, names, until_ms, is_kill):
         """Kill or freeze processes, and start or wake them again."""
-        self.trouble(until_ms)
+        self.trouble(names, until_ms)
         self.stopped |= set(names)
         if not is_kill:
             self.woken_ms |= dict.fromkeys(names, until_ms)
@@ -189,18 +212,30 @@
                 self.start_entry(name)
 
     def cut_off(self, at_ms, names, until_ms):
-        self.trouble(until_ms)
+        self.trouble(names, until_ms)
         self.cut |= set(names)
         self.at(until_ms, self.join, names)
 
     def join(self, _at_ms, names):
         self.cut -= set(names)
 
-    def worst_excess(self, source):
-        """Return by how many requests the rule was broken in the worst span; below 0 if it held."""
-        limit = self.limits[source.name]
-        allowed = limit.rate_per_s * RULE.window_ms / 1_000.0 + limit.burst + limit.excess
-        return most_in_a_window(self.admitted[source.name]) - allowed
+    def worst_use(self, source):
+        """Return the highest part of the allowed excess that a span used; the rule allows 1.
+
+        A lower limit holds for spans that begin one window after all processes have learned of it.
+        """
+        worst = -1.0
+        phases = [(0.0, self.first_limits), *self.changes]
+        times_ms = self.admitted[source.name]
+        for number, (since_ms, limits) in enumerate(phases):
+            last_ms = phases[number + 1][0] if number + 1 < len(phases) else DAY_MS
+            limit = limits[source.name]
+            if number and limit.rate_per_s < phases[number - 1][1][source.name].rate_per_s:
+                since_ms += CONFIG_MS + RULE.window_ms
+            allowed = limit.rate_per_s * RULE.window_ms / 1_000.0 + limit.burst
+            spans = [at_ms for at_ms in times_ms if since_ms <= at_ms < last_ms]
+            worst = max(worst, (most_in_a_window(spans) - allowed) / limit.excess)
+        return worst
 
 
 def most_in_a_window(times_ms):
@@ -212,27 +247,60 @@
     return most
 
 
-def make_sources(random, entries, count, surging):
+def make_sources(random, entries, count, surging=0.4, most=9.0):
+    """Return accounts of skewed sizes; some send up to ``most`` times their usual at times."""
     names = [f"e{number}" for number in range(entries)]
     sources = []
     for number in range(count):
         rate_per_s = max(1.0, 70.0 / (1 + number) ** 0.8)
-        surge = random.uniform(4.0, 9.0) if random.random() < surging else None
-        few = names if surge or random.random() < 0.5 else random.sample(names, min(2, entries))
+        surge = random.uniform(4.0, most) if random.random() < surging else None
+        few = random.sample(names, min(2, entries)) if random.random() < 0.4 else names
         sources.append(Source(f"a{number}", rate_per_s, 0.4 * rate_per_s + 2.0, 0.5, surge, few))
     return sources
 
 
-def troubles(replay, random, kinds):
+def add_troubles(replay, kinds, count=3):
+    """Let some or all processes be cut off, killed or frozen at any time."""
+    random = replay.random
     names = [*replay.entry_names, *replay.runners]
-    for _ in range(3):
+    for _ in range(count):
         at_ms = random.uniform(2_000.0, DAY_MS - 6_000.0)
         until_ms = at_ms + random.uniform(300.0, 4_000.0)
-        some = (
-            names if random.random() < 0.3 else random.sample(names, random.randint(1, len(names)))
+        found = (
+            names
+            if random.random() < 0.3
+            else random.sample(names, random.randint(1, min(4, len(names))))
         )
         kind = random.choice(kinds)
         if kind == "cut":
-            replay.at(at_ms, replay.cut_off, some, until_ms)
+            replay.at(at_ms, replay.cut_off, found, until_ms)
         else:
-            replay.at(at_ms, replay.stop_all, some, until_ms, kind == "kill")
+            replay.at(at_ms, replay.stop_all, found, until_ms, kind == "kill")
+
+
+def replay_day(entries, accounts, kinds, seed, factor=None, most=9.0):
+    sources = make_sources(Random(seed), entries, accounts, most=most)
+    replay = Replay(entries, sources, seed)
+    if kinds:
+        add_troubles(replay, kinds)
+    if factor is not None:
+        replay.at(9_000.0, replay.change_limits, factor)
+    return replay.run()
+
+
+def worst_use(replay):
+    return max(replay.worst_use(source) for source in replay.sources)
+
+
+@pytest.mark.parametrize("entries, accounts", [(1, 2), (4, 12), (18, 24), (100, 12)])
+@pytest.mark.parametrize("kinds", [[], ["cut"], ["kill"], ["freeze"], ["cut", "kill", "freeze"]])
+def test_no_span_exceeds_the_rule_and_nobody_within_its_limit_is_refused(entries, accounts, kinds):
+    replay = replay_day(entries, accounts, kinds, seed=len(kinds) + entries)
+    assert worst_use(replay) <= 1.0
+    assert replay.refused <= MAX_WRONG_REFUSALS * replay.asked
+
+
+@pytest.mark.parametrize("factor", [0.4, 2.0])
+@pytest.mark.parametrize("kinds", [[], ["cut", "kill", "freeze"]])
+def test_changed_limits_hold_one_window_later(kinds, factor):
+    assert worst_use(replay_day(12, 16, kinds, seed=3, factor=factor)) <= 1.0
