Report the use of accounts in fewer bytes

Reports repeated every account of the last seconds, with fractions of eight bytes. They now hold what changed since the last report that was heard, in whole tenths, every 200 ms unless an account is near its limit or the totals get old.

--- a/ebonyshore/gateway/account_limits.py
+++ b/ebonyshore/gateway/account_limits.py
@@ -15,7 +15,7 @@
 from ebonyshore.link.datagrams import Datagram
 from ebonyshore.link.peers import PeerDirectory
 
-UNCHANGED_INTERVAL_MS = 200.0  # between two reports that say nothing new
+RELAXED_INTERVAL_MS = 200.0  # between two reports while no account is near its limit
 
 
 class AccountLimits(PeriodicService):
@@ -93,9 +93,9 @@
             return
         now_ms = self._clock.boot_ms()
         self._note_mode(now_ms)
-        is_changed = self._quotas.has_changed_since(self._sent_ms)
         is_informed = self._quotas.is_informed(now_ms)
-        if is_changed or not is_informed or now_ms - self._sent_ms >= UNCHANGED_INTERVAL_MS:
+        is_urgent = self._quotas.is_report_urgent(now_ms)
+        if is_urgent or now_ms - self._sent_ms > RELAXED_INTERVAL_MS - self.interval_ms / 2.0:
             self._send(self._quotas.next_usage(now_ms), self._runner_addresses(is_informed))
             self._sent_ms = now_ms
 
--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -12,13 +12,25 @@
 """
 
 from collections.abc import Mapping, Set
+from math import exp
 
 from ebonyshore.frame.clock import MS_PER_S
-from ebonyshore.link.account_messages import AccountSum, AccountTotals, AccountUsage, AccountUse
-from ebonyshore.link.account_quotas import NEWS_TIMEOUT_MS, AccountLimit, EventRate
+from ebonyshore.link.account_messages import (
+    TENTHS,
+    AccountSum,
+    AccountTotals,
+    AccountUsage,
+    AccountUse,
+)
+from ebonyshore.link.account_quotas import (
+    DEMAND_PERIOD_MS,
+    NEWS_TIMEOUT_MS,
+    AccountLimit,
+    EventRate,
+)
 
 LEARNING_MS = 1_000.0  # after its start a runner uses the levels that entries still know
-USE_EXPIRY_MS = 3_000.0  # after which the rates that an entry has reported are not used
+SILENT_EXPIRY_MS = 3_000.0  # after which the requests of a silent entry are taken for ended
 LISTED_RUNNING = 4  # requests at targets from which on an account is listed
 
 
@@ -32,6 +44,48 @@
         self.reported_ms = 0.0
         self.admitted = EventRate()
 
+    def wanted_per_s(self, now_ms: float) -> float:
+        """Return the present rate of requests; those since the report are not known."""
+        age_ms = now_ms - self.reported_ms
+        return self.report.wanted_tenths / TENTHS * exp(-age_ms / DEMAND_PERIOD_MS)
+
+
+class FleetSum:
+    """What all entries use of an account. Rates are averages."""
+
+    __slots__ = ("admitted_per_s", "running", "wanted_per_s")
+
+    def __init__(self) -> None:
+        self.admitted_per_s = 0.0
+        self.wanted_per_s = 0.0
+        self.running = 0
+
+    def add(self, use: EntryUse, now_ms: float) -> None:
+        """Add the use of an entry."""
+        self.admitted_per_s += use.admitted.per_s(now_ms)
+        self.wanted_per_s += use.wanted_per_s(now_ms)
+        self.running += use.report.running
+
+    def without(self, account: str, level: float, use: EntryUse, now_ms: float) -> AccountSum:
+        """Return the message to the entry with this use, without what it uses itself."""
+        return AccountSum(
+            account,
+            round(level * TENTHS),
+            max(0, round((self.admitted_per_s - use.admitted.per_s(now_ms)) * TENTHS)),
+            max(0, round((self.wanted_per_s - use.wanted_per_s(now_ms)) * TENTHS)),
+            self.running - use.report.running,
+        )
+
+    def as_message(self, account: str, level: float) -> AccountSum:
+        """Return the message to an entry that does not use the account."""
+        return AccountSum(
+            account,
+            round(level * TENTHS),
+            round(self.admitted_per_s * TENTHS),
+            round(self.wanted_per_s * TENTHS),
+            self.running,
+        )
+
 
 class HeardEntry:
     """What was heard of an entry.
@@ -143,18 +197,25 @@
         entry_count = len(registered | heard)
         self._refill(len(registered - heard), entry_count, now_ms)
         self._number += 1
-        sums = self._sums(now_ms)
+        sums = self._listed_sums(now_ms)
+        messages_to_others = {
+            account: found.as_message(account, self._level(account))
+            for account, found in sums.items()
+        }
         messages = {}
         for instance_id in heard:
             entry = self._entries[instance_id]
-            others = tuple(_without(found, entry, now_ms) for found in sums)
+            told = dict(messages_to_others)
+            for account in entry.uses.keys() & sums.keys():
+                use = entry.uses[account]
+                told[account] = sums[account].without(account, self._level(account), use, now_ms)
             messages[instance_id] = AccountTotals(
                 self.incarnation,
                 self._number,
                 entry.incarnation,
                 entry.sequence,
                 entry_count,
-                others,
+                tuple(told.values()),
             )
         return messages
 
@@ -207,8 +268,8 @@
             level = min(limit.burst, accrued - limit.debt / 2.0)
             bucket = self._buckets[use.account] = AccountBucket(level, now_ms)
         bucket.take(admitted, limit)
-        if use.level is not None and now_ms - self._started_ms < LEARNING_MS:
-            bucket.learn(use.level)
+        if use.level_tenths is not None and now_ms - self._started_ms < LEARNING_MS:
+            bucket.learn(use.level_tenths / TENTHS)
 
     def _heard(self, now_ms: float) -> set[str]:
         return {
@@ -228,56 +289,23 @@
             lowered_by = max(0.0, reserved_per_s - limit.reserve_per_s)
             bucket.refill(limit, limit.rate_per_s - lowered_by, now_ms)
 
-    def _sums(self, now_ms: float) -> list[AccountSum]:
+    def _listed_sums(self, now_ms: float) -> dict[str, FleetSum]:
         """Return what all entries use of the accounts that are listed."""
-        used: dict[str, AccountSum] = {}
+        sums: dict[str, FleetSum] = {}
         for entry in self._entries.values():
-            for account, use in entry.uses.items():
-                if now_ms - use.reported_ms < USE_EXPIRY_MS:
-                    known = used.get(account) or AccountSum(account, 0.0, 0.0, 0.0, 0)
-                    used[account] = _plus(known, use, 1, now_ms)
-        return [
-            AccountSum(
-                account,
-                self._level(account),
-                found.admitted_per_s,
-                found.wanted_per_s,
-                found.running,
-            )
-            for account, found in used.items()
-            if self._is_listed(found)
-        ]
+            if now_ms - entry.heard_ms < SILENT_EXPIRY_MS:
+                for account, use in entry.uses.items():
+                    sums.setdefault(account, FleetSum()).add(use, now_ms)
+        return {
+            account: found for account, found in sums.items() if self._is_listed(account, found)
+        }
 
     def _level(self, account: str) -> float:
         bucket = self._buckets.get(account)
         return 0.0 if bucket is None else bucket.level
 
-    def _is_listed(self, found: AccountSum) -> bool:
+    def _is_listed(self, account: str, found: FleetSum) -> bool:
         if found.running >= LISTED_RUNNING:
             return True
-        limit = self._limits.get(found.account)
-        return limit is not None and self._level(found.account) < limit.unlisted_level
-
-
-def _plus(total: AccountSum, use: EntryUse, sign: int, now_ms: float) -> AccountSum:
-    return AccountSum(
-        total.account,
-        total.level,
-        max(0.0, total.admitted_per_s + sign * use.admitted.per_s(now_ms)),
-        max(0.0, total.wanted_per_s + sign * use.report.wanted_per_s),
-        max(0, total.running + sign * use.report.running),
-    )
-
-
-def _without(total: AccountSum, entry: HeardEntry, now_ms: float) -> AccountSum:
-    """Return the use of an account without that of one entry, with short numbers."""
-    use = entry.uses.get(total.account)
-    if use is not None and now_ms - use.reported_ms < USE_EXPIRY_MS:
-        total = _plus(total, use, -1, now_ms)
-    return AccountSum(
-        total.account,
-        round(total.level, 1),
-        round(total.admitted_per_s, 1),
-        round(total.wanted_per_s, 1),
-        total.running,
-    )
+        limit = self._limits.get(account)
+        return limit is not None and self._level(account) < limit.unlisted_level
--- a/ebonyshore/link/account_messages.py
+++ b/ebonyshore/link/account_messages.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+TENTHS = 10  # values are sent as whole tenths, which take fewer bytes than fractions
+
 
 class AccountUse(Struct, frozen=True, array_like=True):
     """What one entry knows of the requests of an account.
@@ -9,22 +11,22 @@
     :param account: name of the account.
     :param admitted: requests that the entry has admitted since it started.
     :param unheard: those of them that no totals contain yet.
-    :param wanted_per_s: requests a second that came to the entry, admitted or not.
+    :param wanted_tenths: tenths of the requests a second that came to the entry, admitted or not.
     :param running: the entry's requests at targets now.
-    :param level: tokens that the fleet has left; ``None`` if the entry does not know. A runner that
-        has just started begins with it.
+    :param level_tenths: tenths of the tokens that the fleet has left; ``None`` if the entry does
+        not know. A runner that has just started begins with it.
     """
 
     account: str
     admitted: int
     unheard: int
-    wanted_per_s: float
+    wanted_tenths: int
     running: int
-    level: float | None
+    level_tenths: int | None
 
 
 class AccountUsage(Struct, frozen=True, tag="account_usage", array_like=True):
-    """The accounts of one entry that are in use, or were a short time ago.
+    """The accounts whose use by one entry has changed since the last report that was heard.
 
     :param sender: instance id of the entry.
     :param incarnation: the run of the entry.
@@ -40,18 +42,34 @@
 class AccountSum(Struct, frozen=True, array_like=True):
     """What all other entries use of an account. Rates are averages.
 
-    :param level: tokens that are left; negative if more was used than the bucket held.
-    :param admitted_per_s: requests a second that the other entries admit.
-    :param wanted_per_s: requests a second that come to the other entries.
+    :param level_tenths: tenths of the tokens that are left; negative if more was used than the
+        bucket held.
+    :param admitted_tenths: tenths of the requests a second that the other entries admit.
+    :param wanted_tenths: tenths of the requests a second that come to the other entries.
     :param running: requests of the other entries at targets.
     """
 
     account: str
-    level: float
-    admitted_per_s: float
-    wanted_per_s: float
+    level_tenths: int
+    admitted_tenths: int
+    wanted_tenths: int
     running: int
 
+    @property
+    def level(self) -> float:
+        """Tokens that are left."""
+        return self.level_tenths / TENTHS
+
+    @property
+    def admitted_per_s(self) -> float:
+        """Requests a second that the other entries admit."""
+        return self.admitted_tenths / TENTHS
+
+    @property
+    def wanted_per_s(self) -> float:
+        """Requests a second that come to the other entries."""
+        return self.wanted_tenths / TENTHS
+
 
 class AccountTotals(Struct, frozen=True, tag="account_totals", array_like=True):
     """What a runner tells one entry of the accounts.
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -26,15 +26,21 @@
 from msgspec import Struct, to_builtins
 
 from ebonyshore.frame.clock import MS_PER_S
-from ebonyshore.link.account_messages import AccountSum, AccountTotals, AccountUsage, AccountUse
+from ebonyshore.link.account_messages import (
+    TENTHS,
+    AccountSum,
+    AccountTotals,
+    AccountUsage,
+    AccountUse,
+)
 
 NEWS_TIMEOUT_MS = 600.0  # older totals are not used
+LATE_NEWS_MS = 300.0  # a report or the totals may have been lost
 NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
 DEMAND_PERIOD_MS = 1_000.0  # over which rates are averaged
 SHARE_VALID_MS = 250.0  # for which an unused token of a share can be spent
 DEBT_PART = 0.4  # of the excess that the rule allows
 RESERVE_PART = 0.4  # of the excess, for the shares of entries that are not heard
-ACTIVE_MS = 3_000.0  # for which an account is reported after its last request
 IDLE_EXPIRY_MS = 60_000.0
 MIN_RETRY_AFTER_MS = 50.0
 
@@ -320,13 +326,24 @@
         uses = tuple(
             self._use_of(account, state, now_ms)
             for account, state in self._states.items()
-            if state.unheard or now_ms - state.changed_ms < ACTIVE_MS
+            if state.unheard or state.changed_ms >= self._news_ms
         )
         return AccountUsage(self._instance_id, self._incarnation, self._sequence, uses)
 
-    def has_changed_since(self, since_ms: float) -> bool:
-        """Return whether there was a request or an end of one since a time."""
-        return any(state.changed_ms >= since_ms for state in self._states.values())
+    def is_report_urgent(self, now_ms: float) -> bool:
+        """Return whether the totals get old, or an account with unreported use is near its limit."""
+        if now_ms - self._news_ms > LATE_NEWS_MS:
+            return True
+        return any(
+            state.unheard and self._is_near_limit(account, state)
+            for account, state in self._states.items()
+        )
+
+    def _is_near_limit(self, account: str, state: AccountState) -> bool:
+        limit = self._limits.get(account)
+        if limit is None:
+            return False
+        return account in self._sums or state.unheard.total() > limit.debt / 4.0
 
     def fleet_use(self, account: str, now_ms: float) -> FleetUse:
         """Return what all entries use of an account."""
@@ -440,9 +457,9 @@
             account,
             state.admitted,
             state.unheard.total(),
-            round(state.wanted.per_s(now_ms), 2),
+            round(state.wanted.per_s(now_ms) * TENTHS),
             state.running,
-            None if level is None else round(level, 2),
+            None if level is None else round(level * TENTHS),
         )
 
     def _remove_idle(self, now_ms: float) -> None:
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -63,6 +63,7 @@
         self.admitted = {s.name: [] for s in sources}
         self.asked = self.refused = 0
         self.troubled_ms = {}
+        self.reported_ms = {}
         self.changes = []
         for name in self.entry_names:
             self.start_entry(name)
@@ -168,7 +169,14 @@
         self.at(at_ms + PERIOD_MS, self.report, name)
         if name in self.stopped:
             return
-        usage = self.entries[name].next_usage(at_ms)
+        quotas = self.entries[name]
+        if (
+            not quotas.is_report_urgent(at_ms)
+            and at_ms - self.reported_ms.get(name, 0.0) < 1.5 * PERIOD_MS
+        ):
+            return
+        self.reported_ms[name] = at_ms
+        usage = quotas.next_usage(at_ms)
         informed = self.entries[name].is_informed(at_ms)
         for runner in self.runners:
             if not informed or runner == self.source_of(name):
@@ -188,7 +196,7 @@
         if runner in self.stopped or runner != alive[0]:
             return
         totals = self.runners[runner].totals(set(self.entry_names), at_ms)
-        for name, message in totals.items():
+        for name, message in sorted(totals.items()):
             self.send(at_ms, runner, name, self.learn, message)
 
     def learn(self, at_ms, name, message):
