--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -34,7 +34,7 @@
     AccountUse,
 )
 
-NEWS_TIMEOUT_MS = 600.0  # older totals are not used
+NEWS_TIMEOUT_MS = 800.0  # older totals are not used
 LATE_NEWS_MS = 300.0  # a report or the totals may have been lost
 NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
 DEMAND_PERIOD_MS = 1_000.0  # over which rates are averaged
@@ -331,7 +331,7 @@
         return AccountUsage(self._instance_id, self._incarnation, self._sequence, uses)
 
     def is_report_urgent(self, now_ms: float) -> bool:
-        """Return whether the totals get old, or an account with unreported use is near its limit."""
+        """Return whether totals get old, or an account with unreported use is near its limit."""
         if now_ms - self._news_ms > LATE_NEWS_MS:
             return True
         return any(
