--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ebonyshore.link.account_ledger import AccountLedger
+from ebonyshore.link.account_ledger import LISTED_RUNNING, AccountLedger
 from ebonyshore.link.account_quotas import AccountQuotas, QuotaRule, make_limit
 
 RULE = QuotaRule(5_000.0, 0.1, 20.0)
@@ -312,3 +312,98 @@
 @pytest.mark.parametrize("kinds", [[], ["cut", "kill", "freeze"]])
 def test_changed_limits_hold_one_window_later(kinds, factor):
     assert worst_use(replay_day(12, 16, kinds, seed=3, factor=factor)) <= 1.0
+
+
+def inform(quotas, ledger, now_ms=0.0):
+    """Let an entry report and learn the totals at once."""
+    ledger.add(quotas.next_usage(now_ms), now_ms)
+    return ledger.totals({"e0"}, now_ms)["e0"]
+
+
+def make_quotas(entry_count=6, rate_per_s=6.0, burst=3.0):
+    limits = {"a0": make_limit(rate_per_s, burst, RULE)}
+    quotas = AccountQuotas("e0", "run-1", lambda: entry_count, Random(1))
+    quotas.apply_limits(limits)
+    ledger = AccountLedger("run-r")
+    ledger.apply_limits(limits)
+    return quotas, ledger
+
+
+def admitted_in(quotas, first_ms, last_ms, step_ms=10.0):
+    times_ms = [first_ms + step_ms * n for n in range(int((last_ms - first_ms) / step_ms))]
+    return sum(quotas.admit("a0", at_ms) is None for at_ms in times_ms)
+
+
+def test_entry_without_news_admits_its_share_and_saves_nothing_up():
+    """Guards against as many times the limit as there are entries."""
+    quotas, _ = make_quotas()
+    assert admitted_in(quotas, 0.0, 20_000.0) in (19, 20, 21)
+    assert admitted_in(quotas, 60_000.0, 60_500.0) <= 1
+
+
+def test_entry_that_does_not_know_how_many_there_are_admits_nothing():
+    quotas, _ = make_quotas(entry_count=0)
+    assert admitted_in(quotas, 0.0, 5_000.0) == 0
+
+
+def test_totals_that_waited_for_a_frozen_entry_are_not_fresh():
+    quotas, ledger = make_quotas()
+    totals = inform(quotas, ledger)
+    assert not quotas.update(totals, 4_000.0) and not quotas.is_informed(4_000.0)
+    totals = inform(quotas, ledger, 4_100.0)
+    assert quotas.update(totals, 4_110.0) and quotas.is_informed(4_110.0)
+
+
+def test_doubled_and_late_reports_count_once():
+    quotas, ledger = make_quotas()
+    ledger.add(quotas.next_usage(0.0), 0.0)
+    admitted = admitted_in(quotas, 1.0, 900.0)
+    report = quotas.next_usage(900.0)
+    assert admitted and ledger.add(report, 900.0) and not ledger.add(report, 910.0)
+    level = ledger.dump()["a0"]
+    later = quotas.next_usage(920.0)
+    assert ledger.add(later, 920.0) and not ledger.add(report, 930.0)
+    assert ledger.dump()["a0"] == level
+
+
+def test_entry_is_heard_again_after_a_late_report_of_its_run_before():
+    before, ledger = make_quotas()
+    late = before.next_usage(0.0)
+    present = AccountQuotas("e0", "run-2", lambda: 6, Random(1))
+    ledger.add(present.next_usage(0.0), 0.0)
+    ledger.add(late, 10.0)
+    assert any(ledger.add(present.next_usage(at_ms), at_ms) for at_ms in range(100, 1_500, 100))
+
+
+def test_refused_caller_that_returns_as_told_is_admitted():
+    quotas, ledger = make_quotas()
+    ledger.add(quotas.next_usage(0.0), 0.0)
+    refusal, at_ms = None, 0.0
+    while refusal is None:
+        at_ms += 1.0
+        quotas.update(inform(quotas, ledger, at_ms), at_ms)
+        refusal = quotas.admit("a0", at_ms)
+    assert refusal.level is not None and 0.0 < refusal.retry_after_ms < 1_000.0
+    back_ms = at_ms + refusal.retry_after_ms
+    quotas.update(inform(quotas, ledger, back_ms - 1.0), back_ms - 1.0)
+    assert quotas.admit("a0", back_ms) is None
+
+
+@pytest.mark.parametrize("is_kill", [True, False])
+def test_restart_of_all_processes_does_not_double_a_limit(is_kill):
+    replay = Replay(18, make_sources(Random(5), 18, 12, surging=1.0), seed=5)
+    names = [*replay.entry_names, *replay.runners]
+    for at_ms in (5_000.0, 9_500.0, 14_000.0):
+        replay.at(at_ms, replay.stop_all, names, at_ms + 300.0, is_kill)
+    assert worst_use(replay.run()) <= 1.0
+
+
+def test_requests_of_others_are_part_of_the_use_by_the_fleet():
+    quotas, ledger = make_quotas()
+    other = AccountQuotas("e1", "run-2", lambda: 6, Random(1))
+    for _ in range(LISTED_RUNNING):
+        other.record_start("a0", 0.0)
+    ledger.add(other.next_usage(0.0), 0.0)
+    quotas.record_start("a0", 0.0)
+    quotas.update(inform(quotas, ledger), 0.0)
+    assert quotas.fleet_use("a0", 0.0).running == LISTED_RUNNING + 1
