--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -12,7 +12,6 @@
 """
 
 from collections.abc import Mapping, Set
-from math import exp
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.link.account_messages import (
@@ -22,12 +21,8 @@
     AccountUsage,
     AccountUse,
 )
-from ebonyshore.link.account_quotas import (
-    DEMAND_PERIOD_MS,
-    NEWS_TIMEOUT_MS,
-    AccountLimit,
-    EventRate,
-)
+from ebonyshore.link.account_quotas import NEWS_TIMEOUT_MS, AccountLimit
+from ebonyshore.link.shared_rates import EventRate, aged_rate
 
 LEARNING_MS = 1_000.0  # after its start a runner uses the levels that entries still know
 SILENT_EXPIRY_MS = 3_000.0  # after which the requests of a silent entry are taken for ended
@@ -46,8 +41,7 @@
 
     def wanted_per_s(self, now_ms: float) -> float:
         """Return the present rate of requests; those since the report are not known."""
-        age_ms = now_ms - self.reported_ms
-        return self.report.wanted_tenths / TENTHS * exp(-age_ms / DEMAND_PERIOD_MS)
+        return aged_rate(self.report.wanted_tenths / TENTHS, now_ms - self.reported_ms)
 
 
 class FleetSum:
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -20,7 +20,6 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
-from math import exp
 from random import Random
 
 from msgspec import Struct, to_builtins
@@ -33,11 +32,11 @@
     AccountUsage,
     AccountUse,
 )
+from ebonyshore.link.shared_rates import EventRate, is_let_through
 
 NEWS_TIMEOUT_MS = 800.0  # older totals are not used
 LATE_NEWS_MS = 300.0  # a report or the totals may have been lost
 NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
-DEMAND_PERIOD_MS = 1_000.0  # over which rates are averaged
 SHARE_VALID_MS = 250.0  # for which an unused token of a share can be spent
 DEBT_PART = 0.4  # of the excess that the rule allows
 RESERVE_PART = 0.4  # of the excess, for the shares of entries that are not heard
@@ -92,25 +91,6 @@
     return AccountLimit(rate_per_s, burst, excess, rule.window_ms)
 
 
-class EventRate:
-    """A rate of events, averaged over :data:`DEMAND_PERIOD_MS`."""
-
-    __slots__ = ("_per_s", "_updated_ms")
-
-    def __init__(self) -> None:
-        self._per_s = 0.0
-        self._updated_ms = 0.0
-
-    def per_s(self, now_ms: float) -> float:
-        """Return the present rate."""
-        return self._per_s * exp(min(0.0, self._updated_ms - now_ms) / DEMAND_PERIOD_MS)
-
-    def record(self, now_ms: float, events: int = 1) -> None:
-        """Count events."""
-        self._per_s = self.per_s(now_ms) + events * MS_PER_S / DEMAND_PERIOD_MS
-        self._updated_ms = now_ms
-
-
 class ShareBucket:
     """Tokens of one entry's share of a rate, which lapse if they are not used.
 
@@ -391,8 +371,8 @@
         left = level + limit.debt
         others = self._sums.get(account)
         others_wanted_per_s = others.wanted_per_s if others is not None else 0.0
-        concurrent = others_wanted_per_s * NEWS_DELAY_MS / MS_PER_S
-        if left >= 1.0 and self._random.random() * max(1.0, concurrent) < left:
+        draw = self._random.random()
+        if left >= 1.0 and is_let_through(left, others_wanted_per_s, NEWS_DELAY_MS, draw):
             return None
         own_per_s = state.wanted.per_s(now_ms)
         own_part = own_per_s / (own_per_s + others_wanted_per_s)
--- a/ebonyshore/link/rate_limits.py
+++ b/ebonyshore/link/rate_limits.py
@@ -12,19 +12,19 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from math import ceil, exp
+from math import ceil
 
 from msgspec import structs
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.link.load_table import Incarnation, LimitReport
+from ebonyshore.link.shared_rates import EventRate, is_let_through
 
 LIMIT_WINDOW_MS = 4_000.0
 SPREAD_MS = 1_000.0
 OTHERS_TIMEOUT_MS = 500.0  # two heartbeats; older counts of the others are not used
 RESERVED_FOR_ONLINE = 0.75  # part of a limit that items leave to online requests
 NEWS_DELAY_MS = 250.0  # until the requests of one process are known to all others
-WANTED_PERIOD_MS = 1_000.0  # over which the demand is averaged
 LIFTED_NEWS_MS = 5_000.0  # time for which others are told that a target names no limit any more
 MAX_LIMITED_TARGETS = 4_096
 
@@ -36,17 +36,17 @@
     :ivar observed_ms: monotonic time of the response that said so, at any process.
     :ivar sent_ms: times of this process's requests in the last :data:`LIMIT_WINDOW_MS`.
     :ivar last_sent_ms: time of its last request since the limit is known, or since that time.
+    :ivar wanted: requests that could have been sent there, sent or not.
     :ivar others: what all other processes send, by the source of the news.
     """
 
     __slots__ = (
-        "_wanted_ms",
-        "_wanted_per_s",
         "last_sent_ms",
         "observed_ms",
         "others",
         "rate_per_s",
         "sent_ms",
+        "wanted",
     )
 
     def __init__(self, rate_per_s: float | None, observed_ms: float, now_ms: float) -> None:
@@ -55,17 +55,7 @@
         self.sent_ms: deque[float] = deque()
         self.last_sent_ms = now_ms
         self.others: dict[str, LimitReport] = {}
-        self._wanted_per_s = 0.0
-        self._wanted_ms = now_ms
-
-    def wanted_per_s(self, now_ms: float) -> float:
-        """Return how many requests a second could have been sent here, sent or not."""
-        return self._wanted_per_s * exp((self._wanted_ms - now_ms) / WANTED_PERIOD_MS)
-
-    def record_wanted(self, now_ms: float) -> None:
-        """Count a request that could be sent here."""
-        self._wanted_per_s = self.wanted_per_s(now_ms) + MS_PER_S / WANTED_PERIOD_MS
-        self._wanted_ms = now_ms
+        self.wanted = EventRate()
 
     def own_requests(self, now_ms: float) -> int:
         """Return the number of this process's requests in the last :data:`LIMIT_WINDOW_MS`."""
@@ -148,12 +138,12 @@
         if allowed is None:
             return None
         known = self._targets[incarnation]
-        known.record_wanted(now_ms)
+        known.wanted.record(now_ms)
         if not allowed or not self._knows_others(now_ms):
             return allowed
         wanted_per_s = max((r.wanted_per_s for r in self._others(known, now_ms)), default=0.0)
-        concurrent = wanted_per_s * NEWS_DELAY_MS / MS_PER_S
-        return allowed if draw * max(1.0, concurrent) < self._left(known, now_ms) else 0
+        left = self._left(known, now_ms)
+        return allowed if is_let_through(left, wanted_per_s, NEWS_DELAY_MS, draw) else 0
 
     def is_scarce(self, incarnation: Incarnation, now_ms: float) -> bool:
         """Return whether most of what a target's limit allows has been used."""
@@ -198,7 +188,7 @@
                 known.rate_per_s,
                 now_ms - known.observed_ms,
                 float(known.own_requests(now_ms)),
-                known.wanted_per_s(now_ms),
+                known.wanted.per_s(now_ms),
             )
             for incarnation, known in self._targets.items()
         )
