--- a/ebonyshore/gateway/account_limits.py
+++ b/ebonyshore/gateway/account_limits.py
@@ -10,8 +10,9 @@
 from ebonyshore.host.accounts import Account, account_limits
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.routes import RouteTable
+from ebonyshore.link.account_limit import QuotaRule
 from ebonyshore.link.account_messages import AccountTotals
-from ebonyshore.link.account_quotas import AccountQuotas, FleetUse, QuotaRule, Refusal
+from ebonyshore.link.account_quotas import AccountQuotas, FleetUse, Refusal
 from ebonyshore.link.datagrams import Datagram
 from ebonyshore.link.peers import PeerDirectory
 
--- a/ebonyshore/host/accounts.py
+++ b/ebonyshore/host/accounts.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.link.account_quotas import AccountLimit, QuotaRule, make_limit
+from ebonyshore.link.account_limit import AccountLimit, QuotaRule, make_limit
 
 
 class Account(Struct, frozen=True):
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from ebonyshore.link.account_quotas import QuotaRule
+from ebonyshore.link.account_limit import QuotaRule
 
 
 class ListenAddress(Struct, frozen=True):
--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping, Set
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.link.account_limit import AccountLimit
 from ebonyshore.link.account_messages import (
     TENTHS,
     AccountSum,
@@ -21,7 +22,7 @@
     AccountUsage,
     AccountUse,
 )
-from ebonyshore.link.account_quotas import NEWS_TIMEOUT_MS, AccountLimit
+from ebonyshore.link.account_quotas import NEWS_TIMEOUT_MS
 from ebonyshore.link.shared_rates import EventRate, aged_rate
 
 LEARNING_MS = 1_000.0  # after its start a runner uses the levels that entries still know
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -25,6 +25,7 @@
 from msgspec import Struct, to_builtins
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.link.account_limit import AccountLimit
 from ebonyshore.link.account_messages import (
     TENTHS,
     AccountSum,
@@ -32,92 +33,15 @@
     AccountUsage,
     AccountUse,
 )
-from ebonyshore.link.shared_rates import EventRate, is_let_through
+from ebonyshore.link.shared_rates import EventRate, ShareBucket, is_let_through
 
 NEWS_TIMEOUT_MS = 800.0  # older totals are not used
 LATE_NEWS_MS = 300.0  # a report or the totals may have been lost
 NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
-SHARE_VALID_MS = 250.0  # for which an unused token of a share can be spent
-DEBT_PART = 0.4  # of the excess that the rule allows
-RESERVE_PART = 0.4  # of the excess, for the shares of entries that are not heard
 IDLE_EXPIRY_MS = 60_000.0
 MIN_RETRY_AFTER_MS = 50.0
 
 
-class QuotaRule(Struct, frozen=True):
-    """What an account may use in any span of a given length.
-
-    :param window_ms: length of the spans.
-    :param overage: part of the limit by which it may be exceeded.
-    :param slack: requests by which it may be exceeded besides.
-    """
-
-    window_ms: float
-    overage: float
-    slack: float
-
-
-class AccountLimit(Struct, frozen=True):
-    """The limit of an account over all entries: a token bucket, and the excess that is allowed.
-
-    :param excess: requests in a window beyond those of the bucket.
-    """
-
-    rate_per_s: float
-    burst: float
-    excess: float
-    window_ms: float
-
-    @property
-    def debt(self) -> float:
-        """Tokens by which the bucket may be overdrawn."""
-        return DEBT_PART * self.excess
-
-    @property
-    def reserve_per_s(self) -> float:
-        """Rate that may be left to entries which are not heard without lowering that of others."""
-        return RESERVE_PART * self.excess * MS_PER_S / self.window_ms
-
-    @property
-    def unlisted_level(self) -> float:
-        """Level from which on an account is not listed in totals."""
-        return self.burst - self.debt / 2.0
-
-
-def make_limit(rate_per_s: float, burst: float, rule: QuotaRule) -> AccountLimit:
-    """Return the limit of an account under a rule."""
-    in_window = rate_per_s * rule.window_ms / MS_PER_S + burst
-    excess = rule.overage * in_window + rule.slack
-    return AccountLimit(rate_per_s, burst, excess, rule.window_ms)
-
-
-class ShareBucket:
-    """Tokens of one entry's share of a rate, which lapse if they are not used.
-
-    :param credit: tokens at the start, below 1. It should be random, so that the entries do not
-        admit requests at the same time.
-    """
-
-    __slots__ = ("_credit", "_updated_ms")
-
-    def __init__(self, credit: float, now_ms: float) -> None:
-        self._credit = credit
-        self._updated_ms = now_ms
-
-    def wait_ms(self, share_per_s: float, now_ms: float) -> float:
-        """Return the time until there is a token; 0 if there is one."""
-        self._credit += share_per_s * (now_ms - self._updated_ms) / MS_PER_S
-        self._updated_ms = now_ms
-        highest = 1.0 + share_per_s * SHARE_VALID_MS / MS_PER_S
-        if self._credit >= highest:
-            self._credit = highest - 1.0 + (self._credit - highest) % 1.0
-        return max(0.0, 1.0 - self._credit) / share_per_s * MS_PER_S
-
-    def take(self) -> None:
-        """Use a token."""
-        self._credit -= 1.0
-
-
 class AccountState:
     """What this entry knows of one account.
 
--- a/ebonyshore/runner/account_totals.py
+++ b/ebonyshore/runner/account_totals.py
@@ -8,8 +8,8 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.routes import RouteTable
 from ebonyshore.link.account_ledger import AccountLedger
+from ebonyshore.link.account_limit import QuotaRule
 from ebonyshore.link.account_messages import AccountUsage
-from ebonyshore.link.account_quotas import QuotaRule
 from ebonyshore.link.datagrams import Datagram
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.peers import PeerDirectory
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -9,7 +9,8 @@
 import pytest
 
 from ebonyshore.link.account_ledger import LISTED_RUNNING, AccountLedger
-from ebonyshore.link.account_quotas import AccountQuotas, QuotaRule, make_limit
+from ebonyshore.link.account_limit import QuotaRule, make_limit
+from ebonyshore.link.account_quotas import AccountQuotas
 
 RULE = QuotaRule(5_000.0, 0.1, 20.0)
 DAY_MS = 24_000.0
