--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -244,9 +244,9 @@
     def _add_use(self, entry: HeardEntry, use: AccountUse, now_ms: float) -> None:
         known = entry.uses.get(use.account)
         limit = self._limits.get(use.account)
-        is_new = known is None
+        is_new = known is None or use.admitted < known.report.admitted
         if limit is not None and known is not None:
-            is_new = now_ms - known.reported_ms > limit.window_ms
+            is_new = is_new or now_ms - known.reported_ms > limit.window_ms
         if known is None:
             known = entry.uses[use.account] = EntryUse(use)
         admitted = use.unheard if is_new else use.admitted - known.report.admitted
--- a/ebonyshore/link/account_limit.py
+++ b/ebonyshore/link/account_limit.py
@@ -52,4 +52,5 @@
     """Return the limit of an account under a rule."""
     in_window = rate_per_s * rule.window_ms / MS_PER_S + burst
     excess = rule.overage * in_window + rule.slack
-    return AccountLimit(rate_per_s, burst, excess, rule.window_ms)
+    smallest_burst = 1.0 - DEBT_PART * excess  # else no request could ever be admitted
+    return AccountLimit(rate_per_s, max(burst, smallest_burst), excess, rule.window_ms)
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -79,6 +79,21 @@
         for number in [number for number in self.unheard if number <= sequence]:
             del self.unheard[number]
 
+    def next_delay_ms(
+        self, limit: AccountLimit, rate_per_s: float, wait_ms: float, now_ms: float
+    ) -> float:
+        """Return when a refused caller may return, after those that were refused before it.
+
+        Nobody is told to wait for more than a window, as by then others may have stopped.
+
+        :param rate_per_s: rate at which this entry is expected to admit requests.
+        :param wait_ms: time until the next request can be admitted.
+        """
+        first_ms = max(now_ms + wait_ms, self.next_free_ms)
+        first_ms = min(first_ms, now_ms + limit.window_ms)
+        self.next_free_ms = first_ms + MS_PER_S / rate_per_s
+        return max(MIN_RETRY_AFTER_MS, first_ms - now_ms)
+
 
 class Refusal(Struct, frozen=True):
     """Why a request is refused.
@@ -243,12 +258,6 @@
             for account, state in self._states.items()
         )
 
-    def _is_near_limit(self, account: str, state: AccountState) -> bool:
-        limit = self._limits.get(account)
-        if limit is None:
-            return False
-        return account in self._sums or state.unheard.total() > limit.debt / 4.0
-
     def fleet_use(self, account: str, now_ms: float) -> FleetUse:
         """Return what all entries use of an account."""
         state = self._states.get(account) or AccountState()
@@ -297,11 +306,13 @@
         others_wanted_per_s = others.wanted_per_s if others is not None else 0.0
         draw = self._random.random()
         if left >= 1.0 and is_let_through(left, others_wanted_per_s, NEWS_DELAY_MS, draw):
+            if level >= 1.0:
+                state.next_free_ms = now_ms
             return None
         own_per_s = state.wanted.per_s(now_ms)
         own_part = own_per_s / (own_per_s + others_wanted_per_s)
         wait_ms = max(0.0, 1.0 - left) / limit.rate_per_s * MS_PER_S
-        delay_ms = self._delay_ms(state, limit.rate_per_s * own_part, wait_ms, now_ms)
+        delay_ms = state.next_delay_ms(limit, limit.rate_per_s * own_part, wait_ms, now_ms)
         return Refusal(delay_ms, level, self.news_age_ms(now_ms), limit)
 
     def _check_share(
@@ -316,7 +327,7 @@
         if wait_ms <= 0.0:
             state.share.take()
             return None
-        delay_ms = self._delay_ms(state, share_per_s, wait_ms, now_ms)
+        delay_ms = state.next_delay_ms(limit, share_per_s, wait_ms, now_ms)
         return Refusal(delay_ms, None, self.news_age_ms(now_ms), limit)
 
     def _share_per_s(self, limit: AccountLimit) -> float | None:
@@ -326,14 +337,6 @@
             entry_count = max(entry_count, self._news.entry_count)
         return limit.rate_per_s / entry_count if entry_count else None
 
-    def _delay_ms(
-        self, state: AccountState, rate_per_s: float, wait_ms: float, now_ms: float
-    ) -> float:
-        """Return when a refused caller may return, after those that were refused before it."""
-        first_ms = max(now_ms + wait_ms, state.next_free_ms)
-        state.next_free_ms = first_ms + MS_PER_S / rate_per_s
-        return max(MIN_RETRY_AFTER_MS, first_ms - now_ms)
-
     def _level(
         self, account: str, state: AccountState, limit: AccountLimit, now_ms: float
     ) -> float:
@@ -355,6 +358,12 @@
             return None
         return self._level(account, state, limit, min(now_ms, self._news_ms + NEWS_TIMEOUT_MS))
 
+    def _is_near_limit(self, account: str, state: AccountState) -> bool:
+        limit = self._limits.get(account)
+        if limit is None:
+            return False
+        return account in self._sums or state.unheard.total() > limit.debt / 4.0
+
     def _use_of(self, account: str, state: AccountState, now_ms: float) -> AccountUse:
         level = self._reported_level(account, state, now_ms)
         return AccountUse(
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -408,3 +408,14 @@
     quotas.record_start("a0", 0.0)
     quotas.update(inform(quotas, ledger), 0.0)
     assert quotas.fleet_use("a0", 0.0).running == LISTED_RUNNING + 1
+
+
+def test_callers_are_not_told_to_wait_for_longer_than_a_window():
+    quotas, _ = make_quotas()
+    delays_ms = [quotas.admit("a0", at_ms) for at_ms in range(2_000)]
+    assert max(found.retry_after_ms for found in delays_ms if found) <= RULE.window_ms
+
+
+def test_smallest_limit_admits_single_requests():
+    limit = make_limit(0.5, 0.0, QuotaRule(5_000.0, 0.0, 0.0))
+    assert limit.burst + limit.debt >= 1.0
