Expect the demand at other entries to rise as it does here

A surge that began just before many entries were cut off was admitted in full by each until its totals were too old. The use of others is now extrapolated with the rise of the demand at this entry, and less is admitted as the totals get old.

--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -38,6 +38,7 @@
 NEWS_TIMEOUT_MS = 800.0  # older totals are not used
 LATE_NEWS_MS = 300.0  # a report or the totals may have been lost
 NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
+SURGE_FLOOR_PER_S = 2.0  # rates below differ by chance
 IDLE_EXPIRY_MS = 60_000.0
 MIN_RETRY_AFTER_MS = 50.0
 
@@ -50,6 +51,7 @@
     :ivar unheard: requests admitted that no totals contain yet, by the sequence number of the first
         report that does.
     :ivar wanted: requests that came to the entry.
+    :ivar usual_per_s: rate at which they came when the last totals arrived.
     :ivar share: the tokens that the entry uses while it has no fresh news.
     :ivar next_free_ms: time up to which refused callers were told to return.
     :ivar changed_ms: time of the last request or end of a request.
@@ -62,6 +64,7 @@
         "running",
         "share",
         "unheard",
+        "usual_per_s",
         "wanted",
     )
 
@@ -70,6 +73,7 @@
         self.running = 0
         self.unheard: Counter[int] = Counter()
         self.wanted = EventRate()
+        self.usual_per_s = 0.0
         self.share: ShareBucket | None = None
         self.next_free_ms = 0.0
         self.changed_ms = 0.0
@@ -79,6 +83,11 @@
         for number in [number for number in self.unheard if number <= sequence]:
             del self.unheard[number]
 
+    def surge(self, now_ms: float) -> float:
+        """Return how many times more requests come than when the last totals arrived."""
+        present_per_s = self.wanted.per_s(now_ms) + SURGE_FLOOR_PER_S
+        return max(1.0, present_per_s / (self.usual_per_s + SURGE_FLOOR_PER_S))
+
     def next_delay_ms(
         self, limit: AccountLimit, rate_per_s: float, wait_ms: float, now_ms: float
     ) -> float:
@@ -232,6 +241,7 @@
         for state in self._states.values():
             state.forget_heard(totals.sequence)
             state.share = None
+            state.usual_per_s = state.wanted.per_s(now_ms)
         return True
 
     def next_usage(self, now_ms: float) -> AccountUsage:
@@ -301,9 +311,8 @@
         self, account: str, state: AccountState, limit: AccountLimit, now_ms: float
     ) -> Refusal | None:
         level = self._level(account, state, limit, now_ms)
-        left = level + limit.debt
-        others = self._sums.get(account)
-        others_wanted_per_s = others.wanted_per_s if others is not None else 0.0
+        left = (level + limit.debt) * self._certainty(now_ms)
+        others_wanted_per_s = self._others_wanted_per_s(account, state, now_ms)
         draw = self._random.random()
         if left >= 1.0 and is_let_through(left, others_wanted_per_s, NEWS_DELAY_MS, draw):
             if level >= 1.0:
@@ -342,12 +351,30 @@
     ) -> float:
         """Return the tokens that the fleet has left, with what the others use in the meantime."""
         found = self._sums.get(account)
-        told_level = limit.unlisted_level if found is None else found.level
-        others_per_s = 0.0 if found is None else found.admitted_per_s
+        level = limit.unlisted_level if found is None else found.level
+        others_per_s = 0.0
+        if found is not None:
+            # The others let no more through than their gates do with what they know to be left.
+            gated_per_s = (level + limit.debt) / NEWS_DELAY_MS * MS_PER_S
+            wanted_per_s = self._others_wanted_per_s(account, state, now_ms)
+            others_per_s = max(found.admitted_per_s, min(wanted_per_s, gated_per_s))
         age_s = (now_ms - self._received_ms) / MS_PER_S
-        level = told_level + (limit.rate_per_s - others_per_s) * age_s
+        level += (limit.rate_per_s - others_per_s) * age_s
         return min(level, limit.burst) - state.unheard.total()
 
+    def _others_wanted_per_s(self, account: str, state: AccountState, now_ms: float) -> float:
+        """Return the rate at which requests come to the others, if it rose there as it did here."""
+        found = self._sums.get(account)
+        return 0.0 if found is None else found.wanted_per_s * state.surge(now_ms)
+
+    def _certainty(self, now_ms: float) -> float:
+        """Return the part of what seems to be left that may be used, less as the totals get old.
+
+        If many entries are cut off at the same moment, each still believes in the same tokens.
+        """
+        late_ms = max(0.0, now_ms - self._news_ms - LATE_NEWS_MS)
+        return 1.0 - late_ms / (NEWS_TIMEOUT_MS - LATE_NEWS_MS)
+
     def _reported_level(self, account: str, state: AccountState, now_ms: float) -> float | None:
         """Return the level for a runner that has just started.
 
