--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -56,7 +56,6 @@
         clock: Clock,
         is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._is_store_silent = is_store_silent
         self._peers = peers
         self._targets = targets
         self._reports = LoadReportSender(peers, targets.own_counts)
@@ -66,6 +65,7 @@
         self._admission = admission
         self._suspicions = suspicions
         self._clock = clock
+        self._is_store_silent = is_store_silent
         self._streams = StreamRecords()
         self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
