--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -138,7 +138,7 @@
 
 
 class Recorder:
-    """Stands in for the forwarders and the responder of one request."""
+    """Stands in for the forwarders, the quotas and the responder of one request."""
 
     def __init__(self):
         self.accounts, self.statuses, self.headers = [], [], None
@@ -146,6 +146,9 @@
     async def forward(self, *arguments):
         self.accounts.append(arguments[-1] and arguments[-1].name)
 
+    def admit(self, _account, _request_id):
+        return None
+
     def send(self, status, headers, _body=b""):
         self.statuses.append(status)
         self.headers = headers
@@ -163,6 +166,7 @@
         recorder,
         recorder,
         authenticator,
+        recorder,
         EventLog(),
         Metrics(),
     )
