Leave slow but steady streams at their target

A stream was given up after a pause of 700 ms on every route, however long a pause the route allows, and also if no other target could take it over. The limit now follows from the pauses that the route allows and from the stream's own rhythm; it doubles when the stream moves, stays below the callers' patience, and an attempt is given up only while an untried target can take the request.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
+from typing import TypeVar
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.pause_limits import PauseLimits, patience_ms
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
     NotExecutedError,
@@ -26,7 +28,8 @@
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 900.0  # afterwards a repeatable request is sent to another target
-EVENT_TIMEOUT_MS = 700.0  # the same for each later part of the stream
+EVENT_TIMEOUT_MS = 700.0  # the same for each later event, at least
+MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
 # A target may close an idle keep-alive connection while a request is in transit, and it is then
 # unknown whether the request ran. Requests that must not be repeated therefore reuse only
@@ -35,6 +38,8 @@
 REFUSAL_STATUSES = (408, 421, 429, 503)  # guarantee to a caller that its request did not run
 EVENT_STREAM_TYPE = "text/event-stream"
 
+Part = TypeVar("Part")
+
 
 class ExchangeEnd(Enum):
     """How an attempt ended whose response was relayed to the caller."""
@@ -50,13 +55,16 @@
     :param last_event_id: value of the request's header with the last event that the caller
         received earlier; ``None`` if there is no such header. A value that is not a number is
         ignored.
+    :param pauses: when an attempt is given up because of a pause; by default, for a route without
+        terms of its own.
     :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
     """
 
-    __slots__ = ("first_event_ms", "origin", "splitter")
+    __slots__ = ("first_event_ms", "origin", "pauses", "splitter")
 
-    def __init__(self, last_event_id: str | None) -> None:
+    def __init__(self, last_event_id: str | None, pauses: PauseLimits | None = None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
+        self.pauses = pauses or PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS)
         self.first_event_ms: float | None = None
         self.origin: TargetGroup | None = None
 
@@ -77,6 +85,7 @@
         :param origin: group of the target that sent them.
         """
         self.origin = origin
+        self.pauses.record_event(at_ms)
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
 
@@ -96,6 +105,8 @@
         that is not necessary.
     :param confirm_end: returns whether a response that ended with its connection may be complete.
     :param on_first_event: called before the first event of the response is relayed.
+    :param may_move: returns whether another target can take the request over; an attempt is given
+        up because of a pause only then.
     """
 
     def __init__(
@@ -108,6 +119,7 @@
         checker: TargetChecker | None,
         confirm_end: Callable[[ContentRun], Awaitable[bool]],
         on_first_event: Callable[[], None],
+        may_move: Callable[[], bool],
     ) -> None:
         self._names = names
         self._pool = pool
@@ -115,6 +127,7 @@
         self._checker = checker
         self._confirm_end = confirm_end
         self._on_first_event = on_first_event
+        self._may_move = may_move
         self._target = run.target
         self._request = request
         self._relay = relay
@@ -183,8 +196,8 @@
     async def _relay_response(
         self, reader: ResponseReader, responder: Responder, can_retry: bool
     ) -> ExchangeEnd:
-        idle_timeout_ms = FIRST_EVENT_TIMEOUT_MS if can_retry else None
-        head = await reader.read_head(idle_timeout_ms)
+        self._relay.pauses.begin_attempt()
+        head = await self._wait_for(reader.read_head, self._pause_limit_ms(can_retry))
         self._run.record_part(now_ms())
         self._target.mark_responsive()
         # 421 (misdirected request): the target is not the instance that the request names.
@@ -205,8 +218,8 @@
     ) -> None:
         splitter = self._relay.splitter
         splitter.discard_incomplete()
-        limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS if can_retry else None
-        while not isinstance(item := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
+        limit_ms = self._pause_limit_ms(can_retry)
+        while not isinstance(item := await self._wait_for(reader.next_part, limit_ms), BodyEnd):
             events = splitter.feed(item)
             if not events:
                 continue
@@ -218,7 +231,7 @@
                 self._on_first_event()
             self._run.record_event(now_ms())
             responder.write(b"".join(event.raw for event in events))
-            limit_ms = now_ms() + EVENT_TIMEOUT_MS if can_retry else None
+            limit_ms = self._pause_limit_ms(can_retry)
         if splitter.incomplete_event:
             raise ExchangeError("event stream ended with an incomplete event")
         await self._check_end(head)
@@ -226,6 +239,29 @@
             responder.start_stream(head.status, _relayed_headers(head))
         responder.end_stream()
 
+    def _pause_limit_ms(self, can_retry: bool) -> float | None:
+        """Return the time until which the next event has to arrive; ``None`` for the deadline."""
+        return now_ms() + self._relay.pauses.limit_ms if can_retry else None
+
+    async def _wait_for(
+        self, read: Callable[[float | None], Awaitable[Part]], limit_ms: float | None
+    ) -> Part:
+        """Read a part of the response, and wait on for it while no other target is better.
+
+        :param read: called with the longest wait; raises as :meth:`ResponseReader.next_part`.
+        :param limit_ms: time at which the attempt is given up if the request can be moved.
+        """
+        while True:
+            try:
+                return await read(time_left_ms(limit_ms))
+            except AttemptFailedError as error:
+                if not error.is_idle_timeout:
+                    raise
+                if self._may_move():
+                    self._relay.pauses.record_move()
+                    raise
+            limit_ms = now_ms() + MOVE_POLL_MS
+
     async def _relay_plain(
         self,
         reader: ResponseReader,
@@ -252,5 +288,11 @@
             raise ExchangeError("the target ended with its response")
 
 
+def route_pause_limits(route: Route) -> PauseLimits:
+    """Return the pauses after which requests of a route are sent to another target."""
+    max_patience_ms = patience_ms(route.target_latency_ms, route.max_gap_ms)
+    return PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, route.max_gap_ms, max_patience_ms)
+
+
 def _relayed_headers(head: ResponseHead) -> Headers:
     return head.headers.end_to_end().without(("content-length",))
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -18,7 +18,7 @@
     max_queued_requests,
     retry_after_ms,
 )
-from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
+from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState, route_pause_limits
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.accounts import Account
@@ -167,7 +167,9 @@
         self._attempts = 0  # those that may have run; refused ones are not counted
         self._refusals = 0
         self._free_slots: int | None = None  # of the target that was chosen last
-        self._relay = RelayState(request.headers.get(forwarder.names.last_event_id))
+        self._relay = RelayState(
+            request.headers.get(forwarder.names.last_event_id), route_pause_limits(route)
+        )
         self._deadline_ms = request.received_ms + _time_limit_ms(route, request, forwarder.names)
 
     async def run(self) -> None:
@@ -285,6 +287,7 @@
             forwarder.checker if self._must_confirm_incarnation() else None,
             forwarder.crash_guard.confirm_end,
             self._record_first_event,
+            lambda: self._can_move_from(target),
         )
         forwarder.targets.rate_limits.record_sent(target.incarnation, now_ms())
         forwarder.view.record_start(target)
@@ -341,6 +344,18 @@
     def _can_retry(self) -> bool:
         return self._route.is_repeatable and self._attempts < self._route.max_attempts
 
+    def _can_move_from(self, target: Target) -> bool:
+        """Return whether a target that has not been tried could take the request over now."""
+        if self._forwarder.crash_guard.is_refused(self._content):
+            return False
+        tried = self._unsuccessful_targets | {target.target_id}
+        usable = [other for other in self._usable_targets() if other.target_id not in tried]
+        loads = self._forwarder.loads_within_limits(usable, has_run=True)
+        queue_slots = self._queue_slots(loads)
+        return any(
+            not load.is_avoided and load.free_slots_for_online + queue_slots > 0 for load in loads
+        )
+
     def _usable_targets(self) -> list[Target]:
         """Return the targets that accept requests and may add to the caller's answer.
 
--- /dev/null
+++ b/ebonyshore/host/pause_limits.py
@@ -0,0 +1,91 @@
+"""Decides after which pause a stream is taken up at another target. No I/O.
+
+The load pattern is a fleet whose targets are so full that all of them send their events far apart,
+while single targets fall silent. Moving a stream costs a new prompt and a place in a queue, so it
+helps only if the next target is faster: a steady rhythm is no reason to move, however slow it is,
+and a stream that has moved because of a pause has shown that its pauses are long elsewhere, too.
+"""
+
+ALLOWED_PAUSE_FACTOR = 1.25  # the answer is late in any case once a pause is longer than allowed
+USUAL_PAUSE_FACTOR = 3.0  # a pause so much longer than those before it is not part of the rhythm
+MIN_PAUSES = 3  # that show a rhythm
+MOVE_BACKOFF = 2.0
+# Callers abandon a stream after the longest of these pauses.
+MIN_PATIENCE_MS = 2_000.0
+PATIENCE_LATENCY_FACTOR = 4.0
+PATIENCE_PAUSE_FACTOR = 8.0
+MAX_PATIENCE_SHARE = 0.75  # the rest is left for the first event of another target
+
+
+def patience_ms(target_latency_ms: float, max_gap_ms: float | None) -> float:
+    """Return the pause after which callers abandon a stream.
+
+    :param target_latency_ms: time within which the first event is on time.
+    :param max_gap_ms: longest pause with which an answer is on time; ``None`` if there is none.
+    """
+    return max(
+        MIN_PATIENCE_MS,
+        PATIENCE_LATENCY_FACTOR * target_latency_ms,
+        PATIENCE_PAUSE_FACTOR * (max_gap_ms or 0.0),
+    )
+
+
+class PauseLimits:
+    """The longest pauses of one stream, over all its attempts.
+
+    :param first_event_ms: time without a first event after which an attempt is given up.
+    :param min_pause_ms: shortest pause after an event for which an attempt is given up.
+    :param max_gap_ms: longest pause with which an answer is on time; ``None`` if there is none.
+    :param max_patience_ms: pause after which the reader abandons the stream.
+    """
+
+    __slots__ = (
+        "_first_event_ms",
+        "_last_event_ms",
+        "_longest_pause_ms",
+        "_max_pause_ms",
+        "_min_pause_ms",
+        "_moves",
+        "_pauses",
+    )
+
+    def __init__(
+        self,
+        first_event_ms: float,
+        min_pause_ms: float,
+        max_gap_ms: float | None = None,
+        max_patience_ms: float = float("inf"),
+    ) -> None:
+        self._first_event_ms = first_event_ms
+        self._min_pause_ms = max(min_pause_ms, (max_gap_ms or 0.0) * ALLOWED_PAUSE_FACTOR)
+        self._max_pause_ms = max(self._min_pause_ms, max_patience_ms * MAX_PATIENCE_SHARE)
+        self._longest_pause_ms = 0.0
+        self._pauses = 0
+        self._last_event_ms: float | None = None
+        self._moves = 0
+
+    def begin_attempt(self) -> None:
+        """Start a new attempt; its time to the first event is not a pause of the stream."""
+        self._last_event_ms = None
+
+    def record_event(self, at_ms: float) -> None:
+        """Record that one or several events were received at once."""
+        if self._last_event_ms is not None:
+            self._pauses += 1
+            self._longest_pause_ms = max(self._longest_pause_ms, at_ms - self._last_event_ms)
+        self._last_event_ms = at_ms
+
+    def record_move(self) -> None:
+        """Record that an attempt was given up because of a pause."""
+        self._moves += 1
+
+    @property
+    def limit_ms(self) -> float:
+        """The pause after which the present attempt is given up."""
+        backoff = MOVE_BACKOFF**self._moves
+        if self._last_event_ms is None:
+            return self._first_event_ms * backoff
+        limit_ms = self._min_pause_ms
+        if self._pauses >= MIN_PAUSES:
+            limit_ms = max(limit_ms, self._longest_pause_ms * USUAL_PAUSE_FACTOR)
+        return min(limit_ms, self._max_pause_ms) * backoff
