Reuse idle connections that their servers keep for requests that must not be repeated

A request that must not be repeated used only connections that were idle for less than 150 ms, so where such requests are spread over many targets nearly each opened a connection. The limit is now a safe part of the timeout that the server announces, or of the longest idle time at which one of its connections was seen open; a connection that the server closes shortens it.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one target: sends the request and relays the response."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from enum import Enum, auto
 from typing import TypeVar
 
@@ -20,7 +21,7 @@
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal
@@ -31,10 +32,6 @@
 EVENT_TIMEOUT_MS = 700.0  # the same for each later event, at least
 MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
-# A target may close an idle keep-alive connection while a request is in transit, and it is then
-# unknown whether the request ran. Requests that must not be repeated therefore reuse only
-# connections that were in use shortly before.
-MAX_IDLE_NO_REPEAT_MS = 150.0
 REFUSAL_STATUSES = (408, 421, 429, 503)  # guarantee to a caller that its request did not run
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -147,10 +144,8 @@
             its end.
         """
         self._deadline_ms = now_ms() + remaining_ms
-        max_idle_ms = MAX_IDLE_MS if route.is_repeatable else MAX_IDLE_NO_REPEAT_MS
-        address = self._target.entry.address
         try:
-            async with self._pool.use(address, CONNECT_TIMEOUT_MS, max_idle_ms) as connection:
+            async with self._connection(route) as connection:
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, self._target)
                 if self._target.is_leaving:
@@ -172,6 +167,11 @@
         except StreamOrderError as error:
             raise AttemptFailedError(str(error)) from error
 
+    def _connection(self, route: Route) -> AbstractAsyncContextManager[ClientConnection]:
+        address = self._target.entry.address
+        must_be_open = not route.is_repeatable
+        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open)
+
     def _encode_request(self) -> bytes:
         names = self._names
         request = self._request
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -15,14 +15,11 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.idle_timeouts import IdleTimeout
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.numbers import parse_decimal
 
 BODILESS_STATUSES = (204, 304)
-# Share of the idle timeout announced by the server after which a connection is not reused, because
-# the server may close it a little earlier than announced.
-KEEP_ALIVE_REUSE_RATIO = 0.6
-DEFAULT_MAX_IDLE_MS = 3_000.0  # if the server announces no idle timeout
 MAX_HEAD_BYTES = 65_536  # of a response
 # Received parts that wait to be taken; above this the connection is not read further.
 MAX_QUEUED_BYTES = 262_144
@@ -58,14 +55,13 @@
     Bytes are received only as far as they are taken: a server that sends without end is not read
     further, and a head that is too long breaks the connection.
 
+    :param idle_timeout: what is known of the server's idle timeout; this connection adds to it.
     :ivar is_broken: whether the connection is closed or can no longer be used.
     :ivar has_received: whether the server has sent anything in this exchange.
     :ivar idle_since_ms: monotonic time at which the last exchange ended.
-    :ivar server_max_idle_ms: maximum idle time before a reuse: the timeout in the server's
-        ``Keep-Alive`` header less a margin, or ``DEFAULT_MAX_IDLE_MS`` without such a header.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, idle_timeout: IdleTimeout | None = None) -> None:
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
@@ -82,7 +78,8 @@
         self.is_broken = False
         self.has_received = False
         self.idle_since_ms = 0.0
-        self.server_max_idle_ms = DEFAULT_MAX_IDLE_MS
+        self._idle_timeout = idle_timeout or IdleTimeout()
+        self._is_idle = False
 
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
@@ -107,6 +104,8 @@
             self._transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._is_idle and exc is None and not self.is_broken:
+            self._idle_timeout.record_closed(now_ms() - self.idle_since_ms)
         self.is_broken = True
         self._transport = None
         if not self._is_exchange_active or self._is_complete:
@@ -134,6 +133,7 @@
         self._queued_bytes = 0
         self._head_bytes = 0
         self._is_exchange_active = True
+        self._is_idle = False
         self._is_complete = False
         self._has_head = False
         self.has_received = False
@@ -177,6 +177,7 @@
         if not (is_fully_read and self._is_self_delimited and self._keeps_alive):
             self.abort()
             return False
+        self._is_idle = True
         return True
 
     def abort(self) -> None:
@@ -185,16 +186,29 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def is_usable(self, at_ms: float, max_idle_ms: float) -> bool:
+    def is_usable(self, at_ms: float, max_idle_ms: float, must_be_open: bool = False) -> bool:
         """Return whether an idle connection is probably still open at the server.
 
         :param at_ms: present monotonic time.
         :param max_idle_ms: idle time after which the connection must not be reused, even if the
             server keeps it open for longer.
+        :param must_be_open: whether only a connection will do that the server certainly keeps open.
         """
-        if self.is_broken or self._transport is None or self._transport.is_closing():
+        if not self.is_open:
             return False
-        return at_ms - self.idle_since_ms < min(max_idle_ms, self.server_max_idle_ms)
+        timeout = self._idle_timeout
+        server_max_idle_ms = timeout.safe_idle_ms if must_be_open else timeout.max_idle_ms
+        return at_ms - self.idle_since_ms < min(max_idle_ms, server_max_idle_ms)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is not known to be closed."""
+        return not (self.is_broken or self._transport is None or self._transport.is_closing())
+
+    def record_open(self, at_ms: float) -> None:
+        """Record that an idle connection is open; it shows how long the server keeps one."""
+        if self.is_open:
+            self._idle_timeout.record_open(at_ms - self.idle_since_ms)
 
     # Callbacks of the parser. A response may be followed by an unsolicited one.
     def on_message_begin(self) -> None:
@@ -227,7 +241,7 @@
             name, _, value = parameter.strip().partition("=")
             timeout_s = parse_decimal(value)
             if name.lower() == "timeout" and timeout_s is not None:
-                self.server_max_idle_ms = timeout_s * MS_PER_S * KEEP_ALIVE_REUSE_RATIO
+                self._idle_timeout.announced_ms = timeout_s * MS_PER_S
 
     def _append_part(self, part: ResponsePart) -> None:
         self._parts.append(part)
@@ -253,15 +267,20 @@
     :param max_idle: maximum number of idle connections to each address.
     """
 
-    __slots__ = ("_idle_by_address", "_max_idle")
+    __slots__ = ("_idle_by_address", "_idle_timeouts", "_max_idle")
 
     def __init__(self, max_idle: int) -> None:
         self._idle_by_address: dict[str, list[ClientConnection]] = {}
+        self._idle_timeouts: dict[str, IdleTimeout] = {}
         self._max_idle = max_idle
 
     @asynccontextmanager
     async def use(
-        self, address: str, connect_timeout_ms: float, max_idle_ms: float
+        self,
+        address: str,
+        connect_timeout_ms: float,
+        max_idle_ms: float,
+        must_be_open: bool = False,
     ) -> AsyncIterator[ClientConnection]:
         """Provide a connection for one exchange, as a context manager.
 
@@ -269,7 +288,7 @@
         and closed otherwise. It is also closed if the block raises or is cancelled, so that the
         server cancels the request. Parameters and errors are those of :meth:`acquire`.
         """
-        connection = await self.acquire(address, connect_timeout_ms, max_idle_ms)
+        connection = await self.acquire(address, connect_timeout_ms, max_idle_ms, must_be_open)
         async with self._exchange(address, connection):
             yield connection
 
@@ -278,7 +297,7 @@
         self, address: str, connect_timeout_ms: float
     ) -> AsyncIterator[ClientConnection]:
         """Provide a new connection for one exchange; otherwise as :meth:`use`."""
-        connection = await _connect(address, connect_timeout_ms)
+        connection = await self._connect(address, connect_timeout_ms)
         async with self._exchange(address, connection):
             yield connection
 
@@ -292,7 +311,11 @@
         self.release(address, connection)
 
     async def acquire(
-        self, address: str, connect_timeout_ms: float, max_idle_ms: float
+        self,
+        address: str,
+        connect_timeout_ms: float,
+        max_idle_ms: float,
+        must_be_open: bool = False,
     ) -> ClientConnection:
         """Return an idle connection to the address, or a new one if there is none.
 
@@ -301,15 +324,20 @@
         :param address: address of the server as ``IP:PORT``.
         :param connect_timeout_ms: time limit of a new connection.
         :param max_idle_ms: maximum time for which a reused connection may have been idle.
+        :param must_be_open: whether the request must not be repeated, so that a reused connection
+            has to be one that the server certainly keeps open.
         :raises ExchangeError: if the server cannot be reached; nothing was sent.
         """
         idle = self._idle_by_address.get(address, [])
+        at_ms = now_ms()
+        for connection in idle[:1]:  # the one that has been idle for longest
+            connection.record_open(at_ms)
         while idle:
             connection = idle.pop()
-            if connection.is_usable(now_ms(), max_idle_ms):
+            if connection.is_usable(at_ms, max_idle_ms, must_be_open):
                 return connection
             connection.abort()
-        return await _connect(address, connect_timeout_ms)
+        return await self._connect(address, connect_timeout_ms)
 
     def release(self, address: str, connection: ClientConnection) -> None:
         """Return a connection to the pool if its exchange is complete, else close it.
@@ -324,17 +352,22 @@
         idle.append(connection)
 
     def close_idle_connections(self, address: str) -> None:
-        """Close the idle connections to an address."""
+        """Close the idle connections to an address, and forget what is known of its server."""
+        self._idle_timeouts.pop(address, None)
         for connection in self._idle_by_address.pop(address, []):
             connection.abort()
 
+    async def _connect(self, address: str, timeout_ms: float) -> ClientConnection:
+        idle_timeout = self._idle_timeouts.setdefault(address, IdleTimeout())
+        return await _connect(address, timeout_ms, idle_timeout)
+
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle_by_address):
             self.close_idle_connections(address)
 
 
-async def _connect(address: str, timeout_ms: float) -> ClientConnection:
+async def _connect(address: str, timeout_ms: float, idle_timeout: IdleTimeout) -> ClientConnection:
     """Open a connection.
 
     :raises ExchangeError: if the server cannot be reached; nothing was sent.
@@ -343,7 +376,9 @@
     loop = get_running_loop()
     try:
         async with timeout(timeout_ms / MS_PER_S):
-            _, connection = await loop.create_connection(ClientConnection, host, int(port))
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(idle_timeout), host, int(port)
+            )
     except (OSError, ValueError) as error:
         raise ExchangeError(f"cannot connect to {address}: {error!r}", was_sent=False) from error
     return connection
