Keep the connection of a refused request open

A refusal was raised inside the exchange, which closed its connection, so each request that a full target refused cost a new connection. A connection whose response was read to its end is now kept, however the attempt ended. A request does not reuse connections to a target that has refused it, because a second copy of the refusal would pass for the answer to its next attempt.

Before: three refusals opened 3 connections, now 1.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -30,6 +30,7 @@
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 900.0  # afterwards a repeatable request is sent to another target
 EVENT_TIMEOUT_MS = 700.0  # the same for each later event, at least
+REFUSAL_BODY_TIMEOUT_MS = 20.0  # the next target should not wait for it
 MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
 REFUSAL_STATUSES = (408, 421, 429, 503)  # guarantee to a caller that its request did not run
@@ -55,15 +56,17 @@
     :param pauses: when an attempt is given up because of a pause; by default, for a route without
         terms of its own.
     :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
+    :ivar refusing_targets: ids of the targets that have refused the request.
     """
 
-    __slots__ = ("first_event_ms", "origin", "pauses", "splitter")
+    __slots__ = ("first_event_ms", "origin", "pauses", "refusing_targets", "splitter")
 
     def __init__(self, last_event_id: str | None, pauses: PauseLimits | None = None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
         self.pauses = pauses or PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS)
         self.first_event_ms: float | None = None
         self.origin: TargetGroup | None = None
+        self.refusing_targets: set[str] = set()
 
     @property
     def has_events(self) -> bool:
@@ -169,6 +172,9 @@
 
     def _connection(self, route: Route) -> AbstractAsyncContextManager[ClientConnection]:
         address = self._target.entry.address
+        if self._target.target_id in self._relay.refusing_targets:
+            # A second copy of the refusal has the same request id as the answer that is expected.
+            return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
         must_be_open = not route.is_repeatable
         return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open)
 
@@ -202,6 +208,8 @@
         self._target.mark_responsive()
         # 421 (misdirected request): the target is not the instance that the request names.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
+            await reader.skip_body(REFUSAL_BODY_TIMEOUT_MS)
+            self._relay.refusing_targets.add(self._target.target_id)
             raise NotExecutedError(f"status {head.status}")
         if EVENT_STREAM_TYPE in (head.headers.get("content-type") or "") and head.status == 200:
             await self._relay_stream(reader, head, responder, can_retry)
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -138,12 +138,12 @@
                 raise ExchangeError(f"response body is longer than {max_bytes} bytes")
         return b"".join(parts)
 
-    async def skip_body(self) -> None:
+    async def skip_body(self, timeout_ms: float = REFUSAL_TIMEOUT_MS) -> None:
         """Read the body of a response whose head says all, so that the connection can be reused.
 
-        A body that is long or slow is left unread; the connection then has to be closed.
+        A body that is long or slow is left unread; the connection is then not reused.
         """
-        limit_ms = now_ms() + REFUSAL_TIMEOUT_MS
+        limit_ms = now_ms() + timeout_ms
         size = 0
         try:
             while not isinstance(part := await self.next_part(time_left_ms(limit_ms)), BodyEnd):
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -171,10 +171,11 @@
         :param at_ms: present monotonic time.
         :return: whether the connection can be reused.
         """
-        is_fully_read = self._is_complete and not self._parts and not self.is_broken
+        is_fully_read = self._is_exchange_active and self._is_complete and not self._parts
         self._is_exchange_active = False
         self.idle_since_ms = at_ms
-        if not (is_fully_read and self._is_self_delimited and self._keeps_alive):
+        can_reuse = is_fully_read and self._is_self_delimited and self._keeps_alive
+        if self.is_broken or not can_reuse:
             self.abort()
             return False
         self._is_idle = True
@@ -285,8 +286,8 @@
         """Provide a connection for one exchange, as a context manager.
 
         At the end of the block the connection is returned to the pool if the exchange is complete,
-        and closed otherwise. It is also closed if the block raises or is cancelled, so that the
-        server cancels the request. Parameters and errors are those of :meth:`acquire`.
+        also if the block raises, and closed otherwise, so that the server cancels the request.
+        Parameters and errors are those of :meth:`acquire`.
         """
         connection = await self.acquire(address, connect_timeout_ms, max_idle_ms, must_be_open)
         async with self._exchange(address, connection):
@@ -305,10 +306,8 @@
     async def _exchange(self, address: str, connection: ClientConnection) -> AsyncIterator[None]:
         try:
             yield
-        except BaseException:
-            connection.abort()
-            raise
-        self.release(address, connection)
+        finally:
+            self.release(address, connection)
 
     async def acquire(
         self,
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -51,6 +51,41 @@
     assert target.connections == 2
 
 
+def test_connection_of_a_refusal_is_kept():
+    """Guards against a new connection for each request that a full target refuses."""
+    target = ScriptedTarget(
+        answer("Not-Executed: 1", status=503), answer("Not-Executed: 1", status=503), answer()
+    )
+    other = ScriptedTarget(answer())
+
+    async def scenario():
+        gateway = Gateway(make_route(is_resumable=False))
+        await gateway.start(target, other)
+        statuses = []
+        for _ in range(3):
+            statuses.append(status_of(await gateway.request()))
+            await asyncio.sleep(0.1)  # the target is avoided for less
+        gateway.close()
+        return statuses
+
+    assert run(scenario()) == [200] * 3
+    assert len(target.sessions) == 3 and target.connections == 1
+
+
+def test_second_copy_of_a_refusal_is_not_taken_for_the_next_answer_to_the_request():
+    """Guards against reporting a request as not run while the target runs it."""
+
+    async def refuse_twice(session):
+        session.send_answer(503, ["Not-Executed: 1"])
+        await session.writer.drain()
+        await asyncio.sleep(0.1)
+        session.send_answer(503, ["Not-Executed: 1"])
+
+    target = ScriptedTarget(refuse_twice, answer())
+    assert run(send_requests(target, [])) == [200]
+    assert target.connections == 2
+
+
 def learn(*observations):
     timeout = IdleTimeout()
     for name, value_ms in observations:
