--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -73,7 +73,7 @@
 
 
 def test_second_copy_of_a_refusal_is_not_taken_for_the_next_answer_to_the_request():
-    """Guards against reporting a request as not run while the target runs it."""
+    """Guards against a second run of a request that seems to be refused twice."""
 
     async def refuse_twice(session):
         session.send_answer(503, ["Not-Executed: 1"])
@@ -83,7 +83,7 @@
 
     target = ScriptedTarget(refuse_twice, answer())
     assert run(send_requests(target, [])) == [200]
-    assert target.connections == 2
+    assert len(target.sessions) == 2
 
 
 def learn(*observations):
