End plain answers that stall or trickle

The body of a plain answer had no limit but the deadline, also where the request could be sent to another target, and each part of a late answer to another request renewed the limit of the head. A body now has to arrive at a lowest rate, and the limit of the head is kept.

Before: four bodies of which a byte came every 100 ms ended as 504 after ten seconds; now another target answers within two.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -10,7 +10,7 @@
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
-from ebonyshore.host.pause_limits import PauseLimits, patience_ms
+from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
     NotExecutedError,
@@ -277,7 +277,7 @@
         responder: Responder,
         can_retry: bool,
     ) -> None:
-        body = await reader.read_body(None)
+        body = await self._read_body(reader, can_retry)
         await self._check_end(head)
         if responder.is_started:
             raise AttemptFailedError(f"status {head.status} in place of the rest of the stream")
@@ -290,6 +290,17 @@
             raise AttemptFailedError(f"status {head.status}", response=response)
         responder.send(head.status, _relayed_headers(head), body)
 
+    async def _read_body(self, reader: ResponseReader, can_retry: bool) -> bytes:
+        limit = BodyLimit(self._relay.pauses.limit_ms, now_ms())
+
+        async def read_part() -> ResponseHead | bytes | BodyEnd:
+            part = await self._wait_for(reader.next_part, limit.limit_ms if can_retry else None)
+            if isinstance(part, bytes):
+                limit.record_part(len(part), now_ms())
+            return part
+
+        return await reader.read_body(read_part)
+
     async def _check_end(self, head: ResponseHead) -> None:
         """Check that a response is complete that has neither a length nor chunks."""
         if not head.is_self_delimited and not await self._confirm_end(self._run):
--- a/ebonyshore/host/pause_limits.py
+++ b/ebonyshore/host/pause_limits.py
@@ -16,6 +16,8 @@
 PATIENCE_PAUSE_FACTOR = 8.0
 MAX_PATIENCE_SHARE = 0.75  # the rest is left for the first event of another target
 
+MIN_BODY_BYTES_PER_MS = 10.0  # a body without events that comes more slowly has stalled
+
 
 def patience_ms(target_latency_ms: float, max_gap_ms: float | None) -> float:
     """Return the pause after which callers abandon a stream.
@@ -89,3 +91,25 @@
         if self._pauses >= MIN_PAUSES:
             limit_ms = max(limit_ms, self._longest_pause_ms * USUAL_PAUSE_FACTOR)
         return min(limit_ms, self._max_pause_ms) * backoff
+
+
+class BodyLimit:
+    """The time until which the next part of a body has to arrive that has no events.
+
+    A part extends it in proportion to its size, so a byte now and then does not keep a body going.
+
+    :param pause_ms: longest pause between two parts.
+    :param at_ms: present time.
+    :ivar limit_ms: the time until which the next part has to arrive.
+    """
+
+    __slots__ = ("_pause_ms", "limit_ms")
+
+    def __init__(self, pause_ms: float, at_ms: float) -> None:
+        self._pause_ms = pause_ms
+        self.limit_ms = at_ms + pause_ms
+
+    def record_part(self, size_bytes: int, at_ms: float) -> None:
+        """Record that a part of the body was received."""
+        limit_ms = self.limit_ms + size_bytes / MIN_BODY_BYTES_PER_MS
+        self.limit_ms = min(at_ms + self._pause_ms, limit_ms)
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -1,6 +1,7 @@
 """Reads the response to one request from a connection, with an idle time-out and a deadline."""
 
 from asyncio import timeout
+from collections.abc import Awaitable, Callable
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
@@ -115,15 +116,19 @@
                 return head
             if not head.is_self_delimited:
                 raise ExchangeError("received the response to another request")
-            await self.read_body(time_left_ms(limit_ms))
+            await self.read_body(lambda: self.next_part(time_left_ms(limit_ms)))
         raise ExchangeError(f"received {MAX_STALE_RESPONSES} responses to other requests")
 
-    async def read_body(self, idle_timeout_ms: float | None, max_bytes: int | None = None) -> bytes:
+    async def read_body(
+        self,
+        read_part: Callable[[], Awaitable[ResponseHead | bytes | BodyEnd]],
+        max_bytes: int | None = None,
+    ) -> bytes:
         """Return the rest of the response's body.
 
         A body whose length is not declared may be shorter than one whose length is.
 
-        :param idle_timeout_ms: longest wait for each part, see :meth:`next_part`.
+        :param read_part: returns the next part, see :meth:`next_part`.
         :raises ExchangeError: if the rest is longer than ``max_bytes`` or incomplete.
         :raises AttemptFailedError: as :meth:`next_part`.
         """
@@ -131,7 +136,7 @@
         max_bytes = max_bytes or (MAX_BODY_BYTES if is_declared else MAX_UNDECLARED_BODY_BYTES)
         parts: list[bytes] = []
         size = 0
-        while not isinstance(item := await self.next_part(idle_timeout_ms), BodyEnd):
+        while not isinstance(item := await read_part(), BodyEnd):
             parts.append(item)
             size += len(item)
             if size > max_bytes:
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -102,4 +102,6 @@
         deadline_ms = now_ms() + CHECK_TIMEOUT_MS
         reader = ResponseReader(connection, self._names, target, None, deadline_ms)
         await reader.next_part(None)
-        return self._decode_start(await reader.read_body(None, MAX_REPORT_BYTES))
+        return self._decode_start(
+            await reader.read_body(lambda: reader.next_part(None), MAX_REPORT_BYTES)
+        )
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -6,8 +6,12 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.pause_limits import PauseLimits, patience_ms
-from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route
-from tests.scripted_target import ScriptedTarget
+from ebonyshore.host.routes import RouteKind
+from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
+from tests.scripted_target import ScriptedTarget, send_complete_stream
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: req-1\r\n"
+STREAM_HEAD = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def run(scenario):
@@ -117,3 +121,80 @@
     assert limits.limit_ms == 900.0
     limits.record_event(5_000.0)
     assert limits.limit_ms == 700.0
+
+
+def trickle(head, block=b"y", pause_s=0.1):
+    async def send_bit_by_bit(session):
+        session.send(head)
+        while True:
+            await session.writer.drain()
+            await asyncio.sleep(pause_s)
+            session.send(block)
+
+    return ScriptedTarget(send_bit_by_bit)
+
+
+def idempotent_route(**overrides):
+    return make_route(kind=RouteKind.IDEMPOTENT, is_resumable=False, **overrides)
+
+
+async def answer_plainly(session):
+    session.send_answer(body=b"whole")
+
+
+@pytest.mark.parametrize(
+    "head, block",
+    [
+        (HEAD + b"Content-Length: 100\r\n\r\n", b"y"),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\ny\r\n"),
+        (HEAD + b"\r\n", b"y"),
+        (b"HTTP/1.1 200 OK\r\nAttempt-Id: req-0\r\nContent-Length: 100\r\n\r\n", b"y"),
+    ],
+    ids=["length", "chunks", "neither", "answer to another request"],
+)
+def test_plain_answer_that_trickles_is_given_up_in_time(head, block):
+    """Guards against a body that a byte now and then keeps from ever ending."""
+
+    async def scenario():
+        began_ms = now_ms()
+        route = idempotent_route(timeout_ms=10_000.0)
+        answer = await forward(route, trickle(head, block), ScriptedTarget(answer_plainly))
+        return answer, now_ms() - began_ms
+
+    answer, duration_ms = run(scenario())
+    assert answer.endswith(b"whole")
+    assert duration_ms < 2_000.0
+
+
+def test_large_body_that_arrives_steadily_is_not_given_up():
+    target = trickle(HEAD + b"Content-Length: 40000\r\n\r\n", b"y" * 4_000, 0.2)
+    answer = run(
+        forward(idempotent_route(timeout_ms=10_000.0), target, ScriptedTarget(answer_plainly))
+    )
+    assert answer.endswith(b"y" * 40_000)
+
+
+def test_stream_whose_next_event_trickles_is_resumed_in_time():
+    async def begin_and_trickle(session):
+        session.start_stream()
+        session.send_events(1, 2)
+        while True:
+            await session.writer.drain()
+            await asyncio.sleep(0.1)
+            session.send(b"2\r\n:\n\r\n")
+
+    async def scenario():
+        began_ms = now_ms()
+        route = make_route(timeout_ms=10_000.0)
+        targets = ScriptedTarget(begin_and_trickle), ScriptedTarget(send_complete_stream)
+        return await forward(route, *targets), now_ms() - began_ms
+
+    answer, duration_ms = run(scenario())
+    assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
+    assert duration_ms < 1_500.0
+
+
+def test_stream_that_trickles_and_cannot_be_resumed_ends_at_its_deadline():
+    target = trickle(STREAM_HEAD, b"2\r\n:\n\r\n")
+    answer = run(forward(make_route(is_resumable=False, max_attempts=1), target, deadline="1500"))
+    assert status_of(answer) == 504
