Let slow but steady items run on

A run of an item was given up after a pause of 1,200 ms, at each target again. The limit now follows from the run's own rhythm, and doubles once after a run that broke.

Before: an item with events 1.4 s apart broke in three successive runs, each at its next event; now its second run is complete.

--- a/ebonyshore/host/pause_limits.py
+++ b/ebonyshore/host/pause_limits.py
@@ -39,6 +39,7 @@
     :param min_pause_ms: shortest pause after an event for which an attempt is given up.
     :param max_gap_ms: longest pause with which an answer is on time; ``None`` if there is none.
     :param max_patience_ms: pause after which the reader abandons the stream.
+    :param moves: number of attempts that were given up because of a pause so far.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         min_pause_ms: float,
         max_gap_ms: float | None = None,
         max_patience_ms: float = float("inf"),
+        moves: int = 0,
     ) -> None:
         self._first_event_ms = first_event_ms
         self._min_pause_ms = max(min_pause_ms, (max_gap_ms or 0.0) * ALLOWED_PAUSE_FACTOR)
@@ -64,7 +66,7 @@
         self._longest_pause_ms = 0.0
         self._pauses = 0
         self._last_event_ms: float | None = None
-        self._moves = 0
+        self._moves = moves
 
     def begin_attempt(self) -> None:
         """Start a new attempt; its time to the first event is not a pause of the stream."""
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -9,6 +9,7 @@
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.pause_limits import PauseLimits
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
     NotExecutedError,
@@ -26,7 +27,8 @@
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 3_000.0
-EVENT_TIMEOUT_MS = 1_200.0
+EVENT_TIMEOUT_MS = 1_200.0  # at least
+MAX_TIMEOUT_DOUBLINGS = 1
 RUN_TIMEOUT_MS = 30_000.0
 MAX_CONNECTION_IDLE_MS = 10_000.0
 MAX_ITEM_BYTES = MAX_SEGMENT_BYTES  # a longer output cannot be stored
@@ -96,6 +98,8 @@
         self._confirm_end = confirm_end
         self._checker = checker
         self._account = account
+        moves = min(MAX_TIMEOUT_DOUBLINGS, item.consecutive_broken_runs)
+        self._pauses = PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, moves=moves)
 
     async def run(self, content_run: ContentRun) -> RunResult:
         """Run the item at a target until the response ends or an error occurs.
@@ -153,7 +157,7 @@
         return request_line + headers.encode() + b"\r\n" + self._body
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
-        head = await reader.read_head(FIRST_EVENT_TIMEOUT_MS)
+        head = await reader.read_head(self._pauses.limit_ms)
         content_run.record_part(now_ms())
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
@@ -172,12 +176,15 @@
     ) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
-        limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS
+        limit_ms = now_ms() + self._pauses.limit_ms
         while not isinstance(chunk := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
-            for event in splitter.feed(chunk):
+            events = splitter.feed(chunk)
+            for event in events:
                 item.add_event(event.event_id, event.data, content_run.target.entry.group)
                 content_run.record_event(now_ms())
-                limit_ms = now_ms() + EVENT_TIMEOUT_MS
+            if events:
+                self._pauses.record_event(now_ms())
+                limit_ms = now_ms() + self._pauses.limit_ms
             if item.data_bytes > MAX_ITEM_BYTES:
                 item.discard_events()
                 return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -132,3 +132,33 @@
     assert session.head.startswith("POST /p/x HTTP/1.1") and session.body == b"body"
     assert session.header("Host") == "host.example" and session.header("Model") == "m"
     assert session.header("Expect-Instance") == "t1"
+
+
+def test_item_whose_events_are_slow_everywhere_is_completed():
+    """Guards against runs that are given up one after the other, each after a new prompt."""
+
+    async def send_slowly(session):
+        session.start_stream()
+        first = int(session.header("Last-Event-Id") or 0) + 1
+        for number in range(first, 4):
+            session.send_events(number, number)
+            await session.writer.drain()
+            await asyncio.sleep(1.4)
+        session.end_stream()
+
+    async def scenario():
+        server = ScriptedTarget(send_slowly)
+        target = Target(TargetEntry("t1", "svc", await server.start(), "fd-a", 8))
+        item = Item(0, "req-1")
+        outcomes = []
+        while RunOutcome.COMPLETE not in outcomes and len(outcomes) < 4:
+            run = ItemRun(
+                WIRE_NAMES, ConnectionPool(4), item, RECORD, RECORD.body, "host.example", trust_end
+            )
+            outcomes.append((await run.run(ContentRun(target, RequestContent("c"), 0.0))).outcome)
+            item.consecutive_broken_runs += 1
+        server.close()
+        return outcomes
+
+    outcomes = asyncio.run(asyncio.wait_for(scenario(), 20))
+    assert outcomes == [RunOutcome.SILENT, RunOutcome.COMPLETE]
