Answer requests that arrive while an entry stops

Three ways in which a planned stop cut callers off: an answer begun before the stop did not announce the end of its connection, which was closed all the same, under the next request; a connection that was accepted last was closed before its first request arrived; and the process ended while answers were still in the buffers of connections. A connection is now closed after an answer only if that announced it, idle ones once no request can be in transit, and the process waits for the buffers.

--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -26,6 +26,9 @@
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
 LISTEN_WHILE_DRAINING_MS = 3_200.0
+# A connection without a request for less time may have one in transit.
+REQUEST_TRANSIT_MS = 200.0
+CLOSE_POLL_MS = 50.0
 
 
 class FrontServer(AsyncService):
@@ -67,18 +70,25 @@
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
 
+    @property
+    def port(self) -> int:
+        """Port on which the server listens. Valid only after :meth:`start`."""
+        return self._server.port
+
     def begin_drain(self) -> None:
         self._server.is_draining = True
         self.spawn(self._close_after_removal())
 
     def is_drained(self) -> bool:
-        return self._is_closed and self._server.busy_connection_count() == 0
+        return self._is_closed  # also the answers in the buffers of connections have been sent
 
     async def _close_after_removal(self) -> None:
         """Stop listening once the load balancer has had time to remove the entry."""
         await sleep(LISTEN_WHILE_DRAINING_MS / MS_PER_S)
         self._server.stop_listening()
-        self._server.close_idle_connections()
+        while self._server.connections:
+            self._server.close_idle_connections(REQUEST_TRANSIT_MS)
+            await sleep(CLOSE_POLL_MS / MS_PER_S)
         self._is_closed = True
 
     async def stop(self) -> None:
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -108,7 +108,7 @@
 
     def _write_head(self, status: int, headers: Headers, body: bytes) -> None:
         self.is_started = True
-        if self._connection.closes_after_response:
+        if self._connection.announce_end():
             headers.add("Connection", "close")
         self._connection.write(status_line(status) + headers.encode() + b"\r\n" + body)
 
@@ -143,11 +143,21 @@
         self._body_chunks: list[bytes] = []
         self._request_started_ms = 0.0
         self._rejection_status = 0
+        self._is_end_announced = False
+        self._idle_since_ms = now_ms()
 
-    @property
-    def closes_after_response(self) -> bool:
-        """Whether the connection is closed after the response, which then has to announce it."""
-        return not self._keeps_alive or self._server.is_draining
+    def announce_end(self) -> bool:
+        """Return whether the head of a response has to say that the connection is closed.
+
+        The connection is then closed after this response, and otherwise it is not: its client may
+        have sent the next request.
+        """
+        self._is_end_announced = not self._keeps_alive or self._server.is_draining
+        return self._is_end_announced
+
+    def idle_ms(self, at_ms: float) -> float:
+        """Return for how long the connection has had no request, 0 if it has one."""
+        return 0.0 if self.is_busy else at_ms - self._idle_since_ms
 
     @property
     def is_busy(self) -> bool:
@@ -291,9 +301,10 @@
     def _finish_request(self) -> None:
         if self._is_closing or self._transport is None:
             return
-        if self.closes_after_response:
+        if self._is_end_announced:
             self.close()
             return
+        self._idle_since_ms = now_ms()
         if self._pending_requests:
             self._serve_next()
         elif not self._is_reading_request:
@@ -374,10 +385,11 @@
         """Return the number of connections that are not idle."""
         return sum(connection.is_busy for connection in self.connections)
 
-    def close_idle_connections(self) -> None:
-        """Close the connections without a request."""
+    def close_idle_connections(self, min_idle_ms: float = 0.0) -> None:
+        """Close the connections that have had no request for a time."""
+        at_ms = now_ms()
         for connection in list(self.connections):
-            if not connection.is_busy:
+            if not connection.is_busy and connection.idle_ms(at_ms) >= min_idle_ms:
                 connection.close()
 
     def stop_listening(self) -> None:
