Report an entry as ready only once it knows the targets that leave

A target that says only in its answers that it leaves is known to the running processes. An entry that was started again saw it in the list as ready and sent it a request, until a runner's message named it. The entry now answers the health check after the first such message, or 1.5 s after the list of targets if no runner sends one.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -76,7 +76,12 @@
     kernel.register(lease_keeper)
     kernel.register(
         ReadinessServer(
-            settings.ready, names, components.config, components.targets, isolation_detector
+            settings.ready,
+            names,
+            components.config,
+            components.targets,
+            isolation_detector,
+            lambda: view.has_totals,
         )
     )
     kernel.register(
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -1,10 +1,12 @@
 """The servers of an entry: one for callers' requests, one for the load balancer's health checks."""
 
 from asyncio import sleep
+from collections.abc import Callable
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
@@ -23,6 +25,7 @@
 from ebonyshore.http.server import HttpServer, Responder, ServerLimits
 
 NOT_READY_RETRY_MS = 500.0
+MAX_NEWS_WAIT_MS = 1_500.0  # the runners may be unreachable
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
 LISTEN_WHILE_DRAINING_MS = 3_200.0
@@ -170,12 +173,14 @@
     """Answers the load balancer's health checks: 200 if the entry takes callers, else 503.
 
     The entry is ready if a configuration is in force, the list of targets has been received, and
-    the entry is neither draining nor isolated.
+    the entry is neither draining nor isolated. After its start it also waits for a while for the
+    first message of a runner, which names the targets that leave although they are listed as ready.
 
     :param address: listen address for the checks.
     :param config: knows whether a configuration is in force.
     :param targets: knows whether the list of targets has been received.
     :param isolation: detects whether the entry is isolated.
+    :param has_news: returns whether a message of a runner was received.
     """
 
     name = "readiness"
@@ -187,12 +192,15 @@
         config: ConfigService,
         targets: TargetService,
         isolation: IsolationDetector,
+        has_news: Callable[[], bool],
     ) -> None:
         self._address = address
         self._names = names
         self._config = config
         self._targets = targets
         self._isolation = isolation
+        self._has_news = has_news
+        self._news_limit_ms: float | None = None
         self._is_draining = False
         self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
 
@@ -200,7 +208,11 @@
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
         has_state = self._config.table is not None and self._targets.has_listing
-        return has_state and not self._is_draining and not self._isolation.is_isolated()
+        if not has_state or self._is_draining or self._isolation.is_isolated():
+            return False
+        if self._news_limit_ms is None:
+            self._news_limit_ms = now_ms() + MAX_NEWS_WAIT_MS
+        return self._has_news() or now_ms() >= self._news_limit_ms
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -1,6 +1,7 @@
 """An entry's view of the targets' load: its own requests and the totals last received."""
 
 from collections.abc import Callable, Iterable
+from math import isfinite
 
 from ebonyshore.gateway.balance import TargetLoad
 from ebonyshore.host.outliers import find_outliers
@@ -81,6 +82,11 @@
         for sender in stale_senders:
             del self._messages_by_sender[sender]
 
+    @property
+    def has_totals(self) -> bool:
+        """Whether any totals were received since the start of the process."""
+        return isfinite(self._totals_ms)
+
     def totals_age_ms(self, now_ms: float) -> float:
         """Return the age of the totals in milliseconds; infinite if none were received."""
         return now_ms - self._totals_ms
--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -115,3 +115,19 @@
             entry.signal(signal.SIGCONT)
         assert statuses.result() == [200] * REQUESTS
     assert late_runs(target, told_ms) == []
+
+
+@pytest.mark.parametrize("role", ["entries", "runners"])
+def test_process_that_is_started_again_does_not_use_a_target_that_leaves(fleet, role):
+    """Guards against news of a leave that only the processes that run have heard."""
+    run_job(fleet, "before")
+    target = let_first_target_leave(fleet)
+    told_ms = CLOCK.monotonic_ms()
+    CLOCK.sleep_ms(DRAIN_MS)
+    process = getattr(fleet, role)[0]
+    process.kill()
+    process.start()
+    wait_until(fleet.entries[0].is_ready)
+    assert send_requests(fleet, "again") == [200] * REQUESTS
+    run_job(fleet, "again")
+    assert late_runs(target, told_ms) == []
