Let items run on at a target whose entry has lapsed while events arrive

An item was stopped, and started again elsewhere, as soon as its target was dropped from the list, also if the target was only slow to renew its entry and sent events all the while. It is now stopped once no event has arrived for a second, or if the list shows another start of the target.

Before: both items of the test were stopped, now none.

--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -30,6 +30,7 @@
 from ebonyshore.runner.waiting_items import WaitingItems
 
 NO_COUNTS = TargetCounts(0, 0)
+PROGRESS_MS = 1_000.0  # since the last event, for which a run counts as going on
 NOT_RUN_DELAY_MS = 80.0
 RETRY_DELAY_MS = 200.0
 MAX_RETRY_DELAY_MS = 3_000.0
@@ -258,11 +259,18 @@
                 running.task.cancel()
 
     def _stop_at_removed_targets(self) -> None:
-        """Stop items at targets that were removed or that have restarted under the same id."""
+        """Stop items at targets that were removed or that have restarted under the same id.
+
+        An entry also lapses if its target is slow to renew it; while events arrive, it runs.
+        """
         for running in list(self._running.values()):
             target = running.target
-            if self._targets.find(target.target_id) is target or target.is_leaving:
+            listed = self._targets.find(target.target_id)
+            if listed is target or target.is_leaving:
                 continue  # a target that leaves as planned completes what it runs
+            is_same_run = listed is None or listed.incarnation == target.incarnation
+            if is_same_run and _is_progressing(running.content_run, now_ms()):
+                continue
             self._crash_guard.end_broken(running.content_run)
             running.task.cancel()
 
@@ -394,3 +402,8 @@
     def dump(self) -> dict[str, object]:
         """Return the target id of each running item by item key."""
         return {key: running.target.target_id for key, running in self._running.items()}
+
+
+def _is_progressing(run: ContentRun, at_ms: float) -> bool:
+    last_event_ms = run.last_event_ms
+    return last_event_ms is not None and at_ms - last_event_ms < PROGRESS_MS
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -31,10 +31,12 @@
 
     def __init__(self):
         self.after_end = lambda: None
+        self.runs = []
         self.broken = []
 
     def begin(self, target, content, is_resumable, is_item):
-        return ContentRun(target, content, 0.0)
+        self.runs.append(ContentRun(target, content, 0.0))
+        return self.runs[-1]
 
     def end_broken(self, run):
         self.broken.append(run.content.digest)
@@ -140,6 +142,39 @@
     assert asyncio.run(remove_target(SchedulerSetup())) == (broken, running)
 
 
+@pytest.mark.parametrize(
+    "event_age_ms, next_start_ms, running",
+    [
+        (100.0, None, 2),  # the entry has lapsed
+        (100.0, 0, 2),  # and was written again
+        (100.0, 2, 0),  # by another run of the target
+        (5_000.0, None, 0),
+    ],
+)
+def test_an_item_runs_on_at_a_target_whose_entry_has_lapsed_while_events_arrive(
+    event_age_ms, next_start_ms, running
+):
+    """Guards against work that is started again because a target was slow to renew its entry."""
+
+    async def remove_target(setup):
+        setup.scheduler.schedule_items()
+        await asyncio.sleep(0)
+        for run in setup.guard.runs:
+            run.record_event(now_ms() - event_age_ms)
+        entry = setup.targets.find("t1").entry
+        setup.targets.remove("t1", now_ms())
+        if next_start_ms is not None:
+            setup.targets.put(replace(entry, started_ms=next_start_ms))
+        setup.scheduler.schedule_items()
+        await asyncio.sleep(0)
+        at_first_target = setup.guard.runs[:2]
+        found = sum(run.content.digest not in setup.guard.broken for run in at_first_target)
+        setup.scheduler.stop_all()
+        return found
+
+    assert asyncio.run(remove_target(SchedulerSetup())) == running
+
+
 def test_an_item_that_is_stopped_during_its_run_keeps_the_time_that_it_used():
     async def stop_later(setup):
         setup.scheduler.schedule_items()
