Bound the memory that an entry holds for all its connections together

What a connection holds was bounded, but not the sum; a stream whose caller did not read was cut off at 1 MB. A stream now waits for its caller, and its target is not read meanwhile, which does not count as a pause of the target. Bodies above 16 KB are refused with 503 while the connections hold a quarter of the process's memory, and so are new requests, above half of that also those of an account that holds more than its share.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -94,6 +94,7 @@
             authenticator,
             log,
             metrics,
+            settings.memory_bytes,
         )
     )
     kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -1,10 +1,12 @@
 """One attempt of a request at one target: sends the request and relays the response."""
 
+from asyncio import timeout
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from enum import Enum, auto
 from typing import TypeVar
 
+from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.crash_guard import ContentRun
@@ -25,7 +27,7 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal
-from ebonyshore.http.server import Responder
+from ebonyshore.http.server import ClientDisconnectedError, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 900.0  # afterwards a repeatable request is sent to another target
@@ -239,6 +241,7 @@
                 self._on_first_event()
             self._run.record_event(now_ms())
             responder.write(b"".join(event.raw for event in events))
+            await self._drain(responder)
             limit_ms = self._pause_limit_ms(can_retry)
         if splitter.incomplete_event:
             raise ExchangeError("event stream ended with an incomplete event")
@@ -277,7 +280,8 @@
         responder: Responder,
         can_retry: bool,
     ) -> None:
-        body = await self._read_body(reader, can_retry)
+        body = await self._read_body(reader, responder, can_retry)
+        responder.hold(0)
         await self._check_end(head)
         if responder.is_started:
             raise AttemptFailedError(f"status {head.status} in place of the rest of the stream")
@@ -290,13 +294,30 @@
             raise AttemptFailedError(f"status {head.status}", response=response)
         responder.send(head.status, _relayed_headers(head), body)
 
-    async def _read_body(self, reader: ResponseReader, can_retry: bool) -> bytes:
+    async def _drain(self, responder: Responder) -> None:
+        """Wait until the caller has read enough; meanwhile the target is not read either.
+
+        :raises ClientDisconnectedError: if it does not until the deadline, or disconnects.
+        """
+        try:
+            async with timeout(max(0.0, self._deadline_ms - now_ms()) / MS_PER_S):
+                await responder.drain()
+        except TimeoutError as error:
+            raise ClientDisconnectedError("client does not read its response") from error
+
+    async def _read_body(
+        self, reader: ResponseReader, responder: Responder, can_retry: bool
+    ) -> bytes:
         limit = BodyLimit(self._relay.pauses.limit_ms, now_ms())
+        received_bytes = 0
 
         async def read_part() -> ResponseHead | bytes | BodyEnd:
+            nonlocal received_bytes
             part = await self._wait_for(reader.next_part, limit.limit_ms if can_retry else None)
             if isinstance(part, bytes):
                 limit.record_part(len(part), now_ms())
+                received_bytes += len(part)
+                responder.hold(received_bytes)
             return part
 
         return await reader.read_body(read_part)
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -21,10 +21,13 @@
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import connection_limit_bytes
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import HttpServer, Responder, ServerLimits
 
 NOT_READY_RETRY_MS = 500.0
+NO_ROOM_RETRY_MS = 500.0
+NO_ACCOUNT = ""  # of requests whose client account is not known
 MAX_NEWS_WAIT_MS = 1_500.0  # the runners may be unreachable
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
@@ -43,6 +46,7 @@
     :param job_calls: answers calls about batch jobs.
     :param authenticator: decides which requests are admitted.
     :param metrics: counts the requests that are not, as ``requests_RESULT_CODE``.
+    :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     """
 
     name = "front"
@@ -57,6 +61,7 @@
         authenticator: Authenticator,
         log: EventLog,
         metrics: Metrics,
+        memory_bytes: int | None = None,
     ) -> None:
         self._address = address
         self._names = names
@@ -66,7 +71,9 @@
         self._authenticator = authenticator
         self._log = log
         self._metrics = metrics
-        self._server = HttpServer(self._serve, ServerLimits(), self._log_failure)
+        self._server = HttpServer(
+            self._serve, ServerLimits(), self._log_failure, connection_limit_bytes(memory_bytes)
+        )
         self._is_closed = False
         config.change_listeners.append(self._apply_limits)
 
@@ -104,6 +111,7 @@
         return {
             "connections": len(self._server.connections),
             "busy": self._server.busy_connection_count(),
+            "held_bytes": sum(self._server.memory.held_bytes(now_ms()).values()),
             "config_version": self._config.version,
         }
 
@@ -126,6 +134,10 @@
         except AccessDeniedError as error:
             self._deny(request, responder, error.response)
             return
+        if not self._has_room(account, responder):
+            refusal = not_executed_response(ResultCode.OVERLOADED, NO_ROOM_RETRY_MS)
+            self._deny(request, responder, refusal)
+            return
         if route is None:  # not looked up by route: a job may outlive its route
             await self._job_calls.forward(request, responder, None, account)
         else:
@@ -142,6 +154,12 @@
         )
         response.send(responder, request, self._names)
 
+    def _has_room(self, account: Account | None, responder: Responder) -> bool:
+        """Return whether the process has memory for another request of an account."""
+        name = NO_ACCOUNT if account is None else account.name
+        responder.set_account(name)
+        return self._server.memory.may_take(name, now_ms())
+
     async def _serve_route(
         self, route: Route, request: Request, responder: Responder, account: Account | None
     ) -> None:
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -32,6 +32,7 @@
         limited.
     :param quota_overage: part of an account's limit that may be exceeded in such a span.
     :param quota_slack: requests by which it may be exceeded besides.
+    :param memory_bytes: limit of the memory of a process; ``None`` if there is none.
     """
 
     instance_id: str
@@ -49,3 +50,4 @@
     quota_window_ms: float = 5_000.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+    memory_bytes: int | None = None
--- /dev/null
+++ b/ebonyshore/http/memory_budget.py
@@ -0,0 +1,71 @@
+"""Decides which new requests a server takes while it holds much for its connections. No I/O.
+
+The load pattern is many callers that send large requests or do not read their answers. What each
+connection holds is bounded, but the sum over thousands of them is not. New requests are refused
+while the sum is at its limit, and before that those of an account that holds more than its share,
+so that the slow readers of one account do not use up the room of the others.
+"""
+
+from collections.abc import Callable, Mapping
+
+FAIR_SHARE_FROM = 0.5  # part of the limit above which no account may hold more than its share
+MEASURE_INTERVAL_MS = 50.0
+DEFAULT_LIMIT_BYTES = 64 << 20
+MEMORY_SHARE = 0.25  # of a process's memory; the rest is for the process itself
+
+
+def connection_limit_bytes(memory_bytes: int | None) -> int:
+    """Return how much a process may hold for its connections.
+
+    :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
+    """
+    if memory_bytes is None:
+        return DEFAULT_LIMIT_BYTES
+    return int(memory_bytes * MEMORY_SHARE)
+
+
+def may_take(held_bytes: Mapping[str, int], account: str, limit_bytes: int) -> bool:
+    """Return whether a new request of an account may be taken.
+
+    :param held_bytes: what is held for each account.
+    :param limit_bytes: limit of the sum.
+    """
+    total_bytes = sum(held_bytes.values())
+    if total_bytes >= limit_bytes:
+        return False
+    if total_bytes < limit_bytes * FAIR_SHARE_FROM:
+        return True
+    accounts = len(held_bytes.keys() | {account})
+    return held_bytes.get(account, 0) < limit_bytes / accounts
+
+
+class MemoryBudget:
+    """The memory that a server may hold for its connections.
+
+    :param measure: returns the bytes held for each account; called at most once in
+        :data:`MEASURE_INTERVAL_MS`, as it looks at each connection.
+    :param limit_bytes: limit of the sum.
+    """
+
+    __slots__ = ("_held_bytes", "_limit_bytes", "_measure", "_measured_ms")
+
+    def __init__(self, measure: Callable[[], Mapping[str, int]], limit_bytes: int) -> None:
+        self._measure = measure
+        self._limit_bytes = limit_bytes
+        self._held_bytes: Mapping[str, int] = {}
+        self._measured_ms = float("-inf")
+
+    def held_bytes(self, at_ms: float) -> Mapping[str, int]:
+        """Return the bytes held for each account, measured a short while ago."""
+        if at_ms - self._measured_ms >= MEASURE_INTERVAL_MS:
+            self._held_bytes = self._measure()
+            self._measured_ms = at_ms
+        return self._held_bytes
+
+    def may_take(self, account: str, at_ms: float) -> bool:
+        """Return whether a new request of an account may be taken."""
+        return may_take(self.held_bytes(at_ms), account, self._limit_bytes)
+
+    def is_exhausted(self, at_ms: float) -> bool:
+        """Return whether the sum is at its limit."""
+        return sum(self.held_bytes(at_ms).values()) >= self._limit_bytes
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -7,6 +7,7 @@
 from asyncio import (
     AbstractEventLoop,
     CancelledError,
+    Future,
     Protocol,
     Task,
     TimerHandle,
@@ -22,10 +23,14 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import DEFAULT_LIMIT_BYTES, MemoryBudget
 from ebonyshore.http.messages import Request, status_line
 
 MAX_PIPELINED_REQUESTS = 8  # a connection on which more requests wait is reset
 MAX_WRITE_BUFFER_BYTES = 1 << 20
+# Above this a stream waits for its client, so that its target is not read either.
+STREAM_BUFFER_BYTES = 256 << 10
+SMALL_BODY_BYTES = 16_384  # read also while the memory for connections is used up
 
 
 class ServerLimits(Struct):
@@ -96,6 +101,21 @@
         if data:
             self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
+    async def drain(self) -> None:
+        """Wait until the client has read enough of a streamed body for more to be written.
+
+        :raises ClientDisconnectedError: if the client disconnects.
+        """
+        await self._connection.drain()
+
+    def set_account(self, account: str) -> None:
+        """Count everything that is held for the connection to a client account."""
+        self._connection.account = account
+
+    def hold(self, size_bytes: int) -> None:
+        """Count bytes of the response that the handler keeps and has not written yet."""
+        self._connection.handler_bytes = size_bytes
+
     def end_stream(self) -> None:
         """Write the last chunk, which ends a streamed body."""
         self._connection.write(b"0\r\n\r\n")
@@ -123,6 +143,8 @@
     """A connection of a client.
 
     :param server: provides the limits and the handler, and holds the set of open connections.
+    :ivar account: the client account that sent the last request; empty if it is not known.
+    :ivar handler_bytes: bytes that the handler keeps for the present request.
     """
 
     def __init__(self, server: "HttpServer") -> None:
@@ -145,6 +167,16 @@
         self._rejection_status = 0
         self._is_end_announced = False
         self._idle_since_ms = now_ms()
+        self._request_bytes = 0  # of the bodies of requests that have not been answered
+        self._writable: Future[None] | None = None  # set while the client has too much to read
+        self.account = ""
+        self.handler_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are held for the client: bodies of requests, and what it has not read."""
+        unread_bytes = self._transport.get_write_buffer_size() if self._transport else 0
+        return self._body_bytes + self._request_bytes + self.handler_bytes + unread_bytes
 
     def announce_end(self) -> bool:
         """Return whether the head of a response has to say that the connection is closed.
@@ -166,6 +198,7 @@
 
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
+        transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
         self._server.connections.add(self)
         self._set_timer(self._server.limits.idle_timeout_ms, self.close)
 
@@ -173,6 +206,7 @@
         self._server.connections.discard(self)
         self._cancel_timer()
         self._transport = None
+        self.resume_writing()
         if self._task is not None:
             self._task.cancel()
 
@@ -191,6 +225,24 @@
         if self._rejection_status or self._header_bytes > self._server.limits.max_header_bytes:
             self._reject(self._rejection_status or 431)
 
+    def pause_writing(self) -> None:
+        self._writable = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    async def drain(self) -> None:
+        """Wait while the client has more than ``STREAM_BUFFER_BYTES`` to read.
+
+        :raises ClientDisconnectedError: if the client disconnects.
+        """
+        if self._writable is not None:
+            await self._writable
+        if self._transport is None:
+            raise ClientDisconnectedError("client has closed its connection")
+
     def write(self, data: bytes) -> None:
         """Send data without waiting until the client has read it.
 
@@ -247,6 +299,9 @@
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._rejection_status = 413
             return
+        if self._body_bytes > SMALL_BODY_BYTES and self._server.is_memory_exhausted():
+            self._rejection_status = 503
+            return
         self._body_chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -263,6 +318,9 @@
             b"".join(self._body_chunks),
             self._request_started_ms,
         )
+        self._request_bytes += len(request.body)
+        self._body_bytes = 0
+        self._body_chunks = []
         self._pending_requests.append((request, keeps_alive))
         if len(self._pending_requests) > MAX_PIPELINED_REQUESTS:
             self.abort()
@@ -294,6 +352,8 @@
             self.abort()
         finally:
             self._task = None
+            self._request_bytes -= len(request.body)
+            self.handler_bytes = 0
             if not responder.is_ended:
                 self.abort()
         self._finish_request()
@@ -346,9 +406,11 @@
     :param limits: limits of requests; read for each request, so that they may be replaced while the
         server is running.
     :param report_failure: called with the request and the exception when a handler raises.
+    :param memory_bytes: limit of what is held for all connections together.
     :ivar connections: the open connections.
     :ivar is_draining: if true, each response announces the end of its connection, which is then
         closed.
+    :ivar memory: knows whether new requests may be taken.
     """
 
     BACKLOG = 512
@@ -358,12 +420,14 @@
         handler: Handler,
         limits: ServerLimits,
         report_failure: Callable[[Request, Exception], None],
+        memory_bytes: int = DEFAULT_LIMIT_BYTES,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.report_failure = report_failure
         self.connections: set[ServerConnection] = set()
         self.is_draining = False
+        self.memory = MemoryBudget(self._held_bytes, memory_bytes)
         self._server = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -385,6 +449,19 @@
         """Return the number of connections that are not idle."""
         return sum(connection.is_busy for connection in self.connections)
 
+    def is_memory_exhausted(self) -> bool:
+        """Return whether the connections hold as much as they may."""
+        return self.memory.is_exhausted(now_ms())
+
+    def _held_bytes(self) -> dict[str, int]:
+        held_bytes: dict[str, int] = {}
+        for connection in self.connections:
+            size_bytes = connection.held_bytes
+            if size_bytes:
+                known_bytes = held_bytes.get(connection.account, 0)
+                held_bytes[connection.account] = known_bytes + size_bytes
+        return held_bytes
+
     def close_idle_connections(self, min_idle_ms: float = 0.0) -> None:
         """Close the connections that have had no request for a time."""
         at_ms = now_ms()
--- a/ebonyshore/platform/settings_file.py
+++ b/ebonyshore/platform/settings_file.py
@@ -11,6 +11,7 @@
 from ebonyshore.host.host_settings import HostSettings, ListenAddress
 
 SETTINGS_PATH_VARIABLE = "EBONYSHORE_CONFIG"
+BYTES_PER_MB = 1_000_000
 
 
 class _Listen(Struct):
@@ -31,6 +32,10 @@
     quota_slack: float = field(default=0.0, name="QuotaSlack")
 
 
+class _Limits(Struct):
+    memory_mb: float | None = field(default=None, name="MemoryMb")
+
+
 class _Store(Struct):
     address: str = field(name="Address")
 
@@ -44,6 +49,7 @@
     store: _Store = field(name="Platform")
     listen: _Listen = field(default_factory=_Listen, name="Listen")
     bounds: _Bounds = field(default_factory=_Bounds, name="Bounds")
+    limits: _Limits = field(default_factory=_Limits, name="Limits")
 
 
 def settings_path() -> Path:
@@ -93,9 +99,14 @@
         quota_window_ms=bounds.quota_window_s * MS_PER_S,
         quota_overage=bounds.quota_overage,
         quota_slack=bounds.quota_slack,
+        memory_bytes=_parse_megabytes(document.limits.memory_mb),
     )
 
 
+def _parse_megabytes(megabytes: float | None) -> int | None:
+    return None if megabytes is None else int(megabytes * BYTES_PER_MB)
+
+
 def _parse_address(text: str | None) -> ListenAddress | None:
     """Parse ``HOST:PORT``; return ``None`` if there is no text.
 
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -150,6 +150,9 @@
         self.statuses.append(status)
         self.headers = headers
 
+    def set_account(self, _account):
+        pass
+
 
 def serve(method, target, headers, *versions, is_confirmed=True):
     """Return the account for which a request is served, or the status with which it is refused."""
--- a/tests/test_draining_server.py
+++ b/tests/test_draining_server.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway import front_server
 from ebonyshore.gateway.front_server import FrontServer
 from ebonyshore.host.host_settings import ListenAddress
@@ -24,7 +25,7 @@
     def __init__(self):
         self.may_end = asyncio.Event()
 
-    async def forward(self, _route, _request, responder):
+    async def forward(self, _route, _request, responder, _account):
         responder.start_stream(200, Headers())
         await self.may_end.wait()
         responder.write(b"end")
@@ -34,7 +35,7 @@
 class LargeAnswers:
     """Answers each request with more than a connection can take at once."""
 
-    async def forward(self, _route, _request, responder):
+    async def forward(self, _route, _request, responder, _account):
         responder.send(200, Headers(), LARGE_BODY)
 
 
@@ -42,7 +43,10 @@
     table = SimpleNamespace(find=lambda _host, _path: make_route())
     config = SimpleNamespace(table=table, version=1, change_listeners=[])
     address = ListenAddress("127.0.0.1", 0)
-    return FrontServer(address, WIRE_NAMES, config, forwarder, None, EventLog())
+    authenticator = SimpleNamespace(authenticate=lambda _headers, _is_public: None)
+    return FrontServer(
+        address, WIRE_NAMES, config, forwarder, None, authenticator, EventLog(), Metrics()
+    )
 
 
 async def wait_until(condition):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -300,3 +300,11 @@
     assert (settings.quota_overage, settings.quota_slack) == (0.0, 20.0)
     path.write_text(SETTINGS)
     assert load_host_settings(path).revocation_ms is None
+
+
+def test_memory_limit_of_a_process_is_read(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + "\n[Limits]\nMemoryMb = 232\nMaxFds = 4096\n")
+    assert load_host_settings(path).memory_bytes == 232_000_000
+    path.write_text(SETTINGS)
+    assert load_host_settings(path).memory_bytes is None
