--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -90,7 +90,12 @@
     kernel.register(account_limits)
     kernel.register(
         ReadinessServer(
-            settings.ready, names, components.config, components.targets, isolation_detector
+            settings.ready,
+            names,
+            components.config,
+            components.targets,
+            isolation_detector,
+            lambda: view.has_totals,
         )
     )
     kernel.register(
@@ -104,6 +109,7 @@
             account_limits,
             log,
             metrics,
+            settings.memory_bytes,
         )
     )
     kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -1,13 +1,18 @@
 """One attempt of a request at one target: sends the request and relays the response."""
 
+from asyncio import timeout
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from enum import Enum, auto
+from typing import TypeVar
 
+from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.crash_guard import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
     NotExecutedError,
@@ -18,23 +23,23 @@
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal
-from ebonyshore.http.server import Responder
+from ebonyshore.http.server import ClientDisconnectedError, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 900.0  # afterwards a repeatable request is sent to another target
-EVENT_TIMEOUT_MS = 700.0  # the same for each later part of the stream
+EVENT_TIMEOUT_MS = 700.0  # the same for each later event, at least
+REFUSAL_BODY_TIMEOUT_MS = 20.0  # the next target should not wait for it
+MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
-# A target may close an idle keep-alive connection while a request is in transit, and it is then
-# unknown whether the request ran. Requests that must not be repeated therefore reuse only
-# connections that were in use shortly before.
-MAX_IDLE_NO_REPEAT_MS = 150.0
 REFUSAL_STATUSES = (408, 421, 429, 503)  # guarantee to a caller that its request did not run
 EVENT_STREAM_TYPE = "text/event-stream"
 
+Part = TypeVar("Part")
+
 
 class ExchangeEnd(Enum):
     """How an attempt ended whose response was relayed to the caller."""
@@ -50,15 +55,20 @@
     :param last_event_id: value of the request's header with the last event that the caller
         received earlier; ``None`` if there is no such header. A value that is not a number is
         ignored.
+    :param pauses: when an attempt is given up because of a pause; by default, for a route without
+        terms of its own.
     :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
+    :ivar refusing_targets: ids of the targets that have refused the request.
     """
 
-    __slots__ = ("first_event_ms", "origin", "splitter")
+    __slots__ = ("first_event_ms", "origin", "pauses", "refusing_targets", "splitter")
 
-    def __init__(self, last_event_id: str | None) -> None:
+    def __init__(self, last_event_id: str | None, pauses: PauseLimits | None = None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
+        self.pauses = pauses or PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS)
         self.first_event_ms: float | None = None
         self.origin: TargetGroup | None = None
+        self.refusing_targets: set[str] = set()
 
     @property
     def has_events(self) -> bool:
@@ -77,6 +87,7 @@
         :param origin: group of the target that sent them.
         """
         self.origin = origin
+        self.pauses.record_event(at_ms)
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
 
@@ -96,6 +107,8 @@
         that is not necessary.
     :param confirm_end: returns whether a response that ended with its connection may be complete.
     :param on_first_event: called before the first event of the response is relayed.
+    :param may_move: returns whether another target can take the request over; an attempt is given
+        up because of a pause only then.
     """
 
     def __init__(
@@ -108,6 +121,7 @@
         checker: TargetChecker | None,
         confirm_end: Callable[[ContentRun], Awaitable[bool]],
         on_first_event: Callable[[], None],
+        may_move: Callable[[], bool],
     ) -> None:
         self._names = names
         self._pool = pool
@@ -115,6 +129,7 @@
         self._checker = checker
         self._confirm_end = confirm_end
         self._on_first_event = on_first_event
+        self._may_move = may_move
         self._target = run.target
         self._request = request
         self._relay = relay
@@ -134,10 +149,8 @@
             its end.
         """
         self._deadline_ms = now_ms() + remaining_ms
-        max_idle_ms = MAX_IDLE_MS if route.is_repeatable else MAX_IDLE_NO_REPEAT_MS
-        address = self._target.entry.address
         try:
-            async with self._pool.use(address, CONNECT_TIMEOUT_MS, max_idle_ms) as connection:
+            async with self._connection(route) as connection:
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, self._target)
                 if self._target.is_leaving:
@@ -159,6 +172,14 @@
         except StreamOrderError as error:
             raise AttemptFailedError(str(error)) from error
 
+    def _connection(self, route: Route) -> AbstractAsyncContextManager[ClientConnection]:
+        address = self._target.entry.address
+        if self._target.target_id in self._relay.refusing_targets:
+            # A second copy of the refusal has the same request id as the answer that is expected.
+            return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
+        must_be_open = not route.is_repeatable
+        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open)
+
     def _encode_request(self) -> bytes:
         names = self._names
         request = self._request
@@ -183,12 +204,14 @@
     async def _relay_response(
         self, reader: ResponseReader, responder: Responder, can_retry: bool
     ) -> ExchangeEnd:
-        idle_timeout_ms = FIRST_EVENT_TIMEOUT_MS if can_retry else None
-        head = await reader.read_head(idle_timeout_ms)
+        self._relay.pauses.begin_attempt()
+        head = await self._wait_for(reader.read_head, self._pause_limit_ms(can_retry))
         self._run.record_part(now_ms())
         self._target.mark_responsive()
         # 421 (misdirected request): the target is not the instance that the request names.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
+            await reader.skip_body(REFUSAL_BODY_TIMEOUT_MS)
+            self._relay.refusing_targets.add(self._target.target_id)
             raise NotExecutedError(f"status {head.status}")
         if EVENT_STREAM_TYPE in (head.headers.get("content-type") or "") and head.status == 200:
             await self._relay_stream(reader, head, responder, can_retry)
@@ -205,8 +228,8 @@
     ) -> None:
         splitter = self._relay.splitter
         splitter.discard_incomplete()
-        limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS if can_retry else None
-        while not isinstance(item := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
+        limit_ms = self._pause_limit_ms(can_retry)
+        while not isinstance(item := await self._wait_for(reader.next_part, limit_ms), BodyEnd):
             events = splitter.feed(item)
             if not events:
                 continue
@@ -218,7 +241,8 @@
                 self._on_first_event()
             self._run.record_event(now_ms())
             responder.write(b"".join(event.raw for event in events))
-            limit_ms = now_ms() + EVENT_TIMEOUT_MS if can_retry else None
+            await self._drain(responder)
+            limit_ms = self._pause_limit_ms(can_retry)
         if splitter.incomplete_event:
             raise ExchangeError("event stream ended with an incomplete event")
         await self._check_end(head)
@@ -226,6 +250,29 @@
             responder.start_stream(head.status, _relayed_headers(head))
         responder.end_stream()
 
+    def _pause_limit_ms(self, can_retry: bool) -> float | None:
+        """Return the time until which the next event has to arrive; ``None`` for the deadline."""
+        return now_ms() + self._relay.pauses.limit_ms if can_retry else None
+
+    async def _wait_for(
+        self, read: Callable[[float | None], Awaitable[Part]], limit_ms: float | None
+    ) -> Part:
+        """Read a part of the response, and wait on for it while no other target is better.
+
+        :param read: called with the longest wait; raises as :meth:`ResponseReader.next_part`.
+        :param limit_ms: time at which the attempt is given up if the request can be moved.
+        """
+        while True:
+            try:
+                return await read(time_left_ms(limit_ms))
+            except AttemptFailedError as error:
+                if not error.is_idle_timeout:
+                    raise
+                if self._may_move():
+                    self._relay.pauses.record_move()
+                    raise
+            limit_ms = now_ms() + MOVE_POLL_MS
+
     async def _relay_plain(
         self,
         reader: ResponseReader,
@@ -233,7 +280,8 @@
         responder: Responder,
         can_retry: bool,
     ) -> None:
-        body = await reader.read_body(None)
+        body = await self._read_body(reader, responder, can_retry)
+        responder.hold(0)
         await self._check_end(head)
         if responder.is_started:
             raise AttemptFailedError(f"status {head.status} in place of the rest of the stream")
@@ -246,11 +294,45 @@
             raise AttemptFailedError(f"status {head.status}", response=response)
         responder.send(head.status, _relayed_headers(head), body)
 
+    async def _drain(self, responder: Responder) -> None:
+        """Wait until the caller has read enough; meanwhile the target is not read either.
+
+        :raises ClientDisconnectedError: if it does not until the deadline, or disconnects.
+        """
+        try:
+            async with timeout(max(0.0, self._deadline_ms - now_ms()) / MS_PER_S):
+                await responder.drain()
+        except TimeoutError as error:
+            raise ClientDisconnectedError("client does not read its response") from error
+
+    async def _read_body(
+        self, reader: ResponseReader, responder: Responder, can_retry: bool
+    ) -> bytes:
+        limit = BodyLimit(self._relay.pauses.limit_ms, now_ms())
+        received_bytes = 0
+
+        async def read_part() -> ResponseHead | bytes | BodyEnd:
+            nonlocal received_bytes
+            part = await self._wait_for(reader.next_part, limit.limit_ms if can_retry else None)
+            if isinstance(part, bytes):
+                limit.record_part(len(part), now_ms())
+                received_bytes += len(part)
+                responder.hold(received_bytes)
+            return part
+
+        return await reader.read_body(read_part)
+
     async def _check_end(self, head: ResponseHead) -> None:
         """Check that a response is complete that has neither a length nor chunks."""
         if not head.is_self_delimited and not await self._confirm_end(self._run):
             raise ExchangeError("the target ended with its response")
 
 
+def route_pause_limits(route: Route) -> PauseLimits:
+    """Return the pauses after which requests of a route are sent to another target."""
+    max_patience_ms = patience_ms(route.target_latency_ms, route.max_gap_ms)
+    return PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, route.max_gap_ms, max_patience_ms)
+
+
 def _relayed_headers(head: ResponseHead) -> Headers:
     return head.headers.end_to_end().without(("content-length",))
