--- a/tests/test_draining_server.py
+++ b/tests/test_draining_server.py
@@ -44,8 +44,17 @@
     config = SimpleNamespace(table=table, version=1, change_listeners=[])
     address = ListenAddress("127.0.0.1", 0)
     authenticator = SimpleNamespace(authenticate=lambda _headers, _is_public: None)
+    no_account_limits = None  # no request has an account here
     return FrontServer(
-        address, WIRE_NAMES, config, forwarder, None, authenticator, EventLog(), Metrics()
+        address,
+        WIRE_NAMES,
+        config,
+        forwarder,
+        None,
+        authenticator,
+        no_account_limits,
+        EventLog(),
+        Metrics(),
     )
 
 
