--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -47,6 +47,7 @@
     """What this entry knows of one account.
 
     :ivar admitted: requests that the entry has admitted since it started.
+    :ivar admissions: their rate.
     :ivar running: requests of the entry at targets.
     :ivar unheard: requests admitted that no totals contain yet, by the sequence number of the first
         report that does.
@@ -58,6 +59,7 @@
     """
 
     __slots__ = (
+        "admissions",
         "admitted",
         "changed_ms",
         "next_free_ms",
@@ -70,6 +72,7 @@
 
     def __init__(self) -> None:
         self.admitted = 0
+        self.admissions = EventRate()
         self.running = 0
         self.unheard: Counter[int] = Counter()
         self.wanted = EventRate()
@@ -119,9 +122,14 @@
 
 
 class FleetUse(Struct, frozen=True):
-    """What all entries use of an account, as far as this one knows.
+    """What all entries use of an account, as far as this one knows. Rates are averages.
 
-    The use of other entries is missing if the account is not under pressure.
+    The use of other entries is missing if totals do not list the account: it is far from its limit,
+    and all entries together run fewer than ``LISTED_RUNNING`` of its requests.
+
+    :param admitted_per_s: requests a second that are admitted.
+    :param wanted_per_s: requests a second that come, admitted or not.
+    :param running: requests at targets.
     """
 
     admitted_per_s: float
@@ -187,6 +195,7 @@
         refusal = None if limit is None else self._check(account, state, limit, now_ms)
         if refusal is None:
             state.admitted += 1
+            state.admissions.record(now_ms)
             state.unheard[self._sequence + 1] += 1
         return refusal
 
@@ -272,11 +281,12 @@
         """Return what all entries use of an account."""
         state = self._states.get(account) or AccountState()
         others = self._sums.get(account) if self.is_informed(now_ms) else None
+        admitted_per_s = state.admissions.per_s(now_ms)
         wanted_per_s = state.wanted.per_s(now_ms)
         if others is None:
-            return FleetUse(wanted_per_s, wanted_per_s, state.running)
+            return FleetUse(admitted_per_s, wanted_per_s, state.running)
         return FleetUse(
-            others.admitted_per_s + wanted_per_s,
+            others.admitted_per_s + admitted_per_s,
             others.wanted_per_s + wanted_per_s,
             others.running + state.running,
         )
