Give back the quota of requests that have not run

A request that was refused for want of a target counted against its account, so callers who were told to return could be over their limit by then.

--- a/ebonyshore/gateway/account_limits.py
+++ b/ebonyshore/gateway/account_limits.py
@@ -73,6 +73,10 @@
         self._log_refusal(account, request_id, refusal)
         return refusal.retry_after_ms
 
+    def give_back(self, account: Account) -> None:
+        """Do not count a request that was admitted, as it has not run and never will."""
+        self._quotas.give_back(account.name, self._clock.boot_ms())
+
     def record_start(self, account: Account) -> None:
         """Count a request of an account that is sent to a target."""
         self._quotas.record_start(account.name, self._clock.boot_ms())
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -77,6 +77,7 @@
     )
     forwarder.on_run_start = account_limits.record_start
     forwarder.on_run_end = account_limits.record_end
+    forwarder.on_not_run = account_limits.give_back
     job_calls = JobCallForwarder(names, peers, view, pool, log, metrics, environment.random)
     isolation_detector = IsolationDetector(
         peers, view, components.probe, log, lease_keeper.is_valid
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -67,6 +67,7 @@
     :param authenticator: asked before each attempt whether the request is still admitted.
     :ivar on_run_start: called with the account of each request that is sent to a target.
     :ivar on_run_end: called with the account when the request has ended there.
+    :ivar on_not_run: called with the account of each request that ended without having run.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self.authenticator = authenticator
         self.on_run_start: Callable[[Account], None] = lambda _account: None
         self.on_run_end: Callable[[Account], None] = lambda _account: None
+        self.on_not_run: Callable[[Account], None] = lambda _account: None
 
     async def forward(
         self, route: Route, request: Request, responder: Responder, account: Account | None
@@ -181,6 +183,8 @@
         except AccessDeniedError as error:
             outcome = self._deny(error.response)
         finally:
+            if self._account is not None and not self._attempts:
+                self._forwarder.on_not_run(self._account)
             duration_ms = now_ms() - self._request.received_ms
             self._forwarder.metrics.count(f"requests_{outcome}")
             self._forwarder.metrics.record_ms("request", duration_ms)
--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -127,9 +127,9 @@
         self._updated_ms = now_ms
 
     def take(self, tokens: float, limit: AccountLimit) -> None:
-        """Subtract tokens; the debt does not exceed what the rule allows."""
-        self._level = max(-limit.excess, self._level - tokens)
-        self.told_level = max(-limit.excess, self.told_level - tokens)
+        """Subtract tokens, or add those given back; the debt is at most what the rule allows."""
+        self._level = min(limit.burst, max(-limit.excess, self._level - tokens))
+        self.told_level = min(limit.burst, max(-limit.excess, self.told_level - tokens))
 
     def learn(self, level: float) -> None:
         """Use a level that an entry knows, or the lowest if there are several."""
@@ -244,13 +244,13 @@
     def _add_use(self, entry: HeardEntry, use: AccountUse, now_ms: float) -> None:
         known = entry.uses.get(use.account)
         limit = self._limits.get(use.account)
-        is_new = known is None or use.admitted < known.report.admitted
+        is_new = known is None
         if limit is not None and known is not None:
-            is_new = is_new or now_ms - known.reported_ms > limit.window_ms
+            is_new = now_ms - known.reported_ms > limit.window_ms
         if known is None:
             known = entry.uses[use.account] = EntryUse(use)
         admitted = use.unheard if is_new else use.admitted - known.report.admitted
-        known.admitted.record(now_ms, admitted)
+        known.admitted.record(now_ms, max(0, admitted))
         known.report = use
         known.reported_ms = now_ms
         if limit is not None:
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -46,7 +46,8 @@
 class AccountState:
     """What this entry knows of one account.
 
-    :ivar admitted: requests that the entry has admitted since it started.
+    :ivar admitted: requests that the entry has admitted since it started, without those that were
+        given back.
     :ivar admissions: their rate.
     :ivar running: requests of the entry at targets.
     :ivar unheard: requests admitted that no totals contain yet, by the sequence number of the first
@@ -199,6 +200,15 @@
             state.unheard[self._sequence + 1] += 1
         return refusal
 
+    def give_back(self, account: str, now_ms: float) -> None:
+        """Do not count a request that was admitted, as it has not run and never will."""
+        state = self._states.setdefault(account, AccountState())
+        state.changed_ms = now_ms
+        state.admitted -= 1
+        state.unheard[self._sequence + 1] -= 1
+        if state.share is not None:
+            state.share.give_back()
+
     def record_start(self, account: str, now_ms: float) -> None:
         """Count a request that is sent to a target."""
         state = self._states.setdefault(account, AccountState())
@@ -370,7 +380,7 @@
             others_per_s = max(found.admitted_per_s, min(wanted_per_s, gated_per_s))
         age_s = (now_ms - self._received_ms) / MS_PER_S
         level += (limit.rate_per_s - others_per_s) * age_s
-        return min(level, limit.burst) - state.unheard.total()
+        return min(limit.burst, min(level, limit.burst) - state.unheard.total())
 
     def _others_wanted_per_s(self, account: str, state: AccountState, now_ms: float) -> float:
         """Return the rate at which requests come to the others, if it rose there as it did here."""
--- a/ebonyshore/link/shared_rates.py
+++ b/ebonyshore/link/shared_rates.py
@@ -57,6 +57,10 @@
         """Use a token."""
         self._credit -= 1.0
 
+    def give_back(self) -> None:
+        """Return a token that was not needed; it lapses like others."""
+        self._credit += 1.0
+
 
 def aged_rate(per_s: float, age_ms: float) -> float:
     """Return what is left of an averaged rate without further events."""
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -419,3 +419,14 @@
 def test_smallest_limit_admits_single_requests():
     limit = make_limit(0.5, 0.0, QuotaRule(5_000.0, 0.0, 0.0))
     assert limit.burst + limit.debt >= 1.0
+
+
+def test_request_that_has_not_run_is_given_back():
+    """Guards against callers who are over their limit because the targets were busy."""
+    quotas, ledger = make_quotas()
+    ledger.add(quotas.next_usage(0.0), 0.0)
+    for at_ms in range(1, 5_000, 10):
+        quotas.update(inform(quotas, ledger, at_ms), at_ms)
+        assert quotas.admit("a0", at_ms) is None
+        quotas.give_back("a0", at_ms)
+    assert ledger.dump()["a0"] == 3.0
