--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -91,7 +91,12 @@
     kernel.register(account_limits)
     kernel.register(
         ReadinessServer(
-            settings.ready, names, components.config, components.targets, isolation_detector
+            settings.ready,
+            names,
+            components.config,
+            components.targets,
+            isolation_detector,
+            lambda: view.has_totals,
         )
     )
     kernel.register(
@@ -105,6 +110,7 @@
             account_limits,
             log,
             metrics,
+            settings.memory_bytes,
         )
     )
     kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -1,10 +1,12 @@
 """The servers of an entry: one for callers' requests, one for the load balancer's health checks."""
 
 from asyncio import sleep
+from collections.abc import Callable
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.account_limits import AccountLimits
@@ -20,13 +22,20 @@
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import connection_limit_bytes
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import HttpServer, Responder, ServerLimits
 
 NOT_READY_RETRY_MS = 500.0
+NO_ROOM_RETRY_MS = 500.0
+NO_ACCOUNT = ""  # of requests whose client account is not known
+MAX_NEWS_WAIT_MS = 1_500.0  # the runners may be unreachable
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
 LISTEN_WHILE_DRAINING_MS = 3_200.0
+# A connection without a request for less time may have one in transit.
+REQUEST_TRANSIT_MS = 200.0
+CLOSE_POLL_MS = 50.0
 
 
 class FrontServer(AsyncService):
@@ -39,6 +48,7 @@
     :param authenticator: decides which requests are admitted.
     :param account_limits: knows which requests are over the quota of their account.
     :param metrics: counts the requests that are not, as ``requests_RESULT_CODE``.
+    :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     """
 
     name = "front"
@@ -54,6 +64,7 @@
         account_limits: AccountLimits,
         log: EventLog,
         metrics: Metrics,
+        memory_bytes: int | None = None,
     ) -> None:
         self._address = address
         self._names = names
@@ -64,25 +75,34 @@
         self._account_limits = account_limits
         self._log = log
         self._metrics = metrics
-        self._server = HttpServer(self._serve, ServerLimits(), self._log_failure)
+        self._server = HttpServer(
+            self._serve, ServerLimits(), self._log_failure, connection_limit_bytes(memory_bytes)
+        )
         self._is_closed = False
         config.change_listeners.append(self._apply_limits)
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
 
+    @property
+    def port(self) -> int:
+        """Port on which the server listens. Valid only after :meth:`start`."""
+        return self._server.port
+
     def begin_drain(self) -> None:
         self._server.is_draining = True
         self.spawn(self._close_after_removal())
 
     def is_drained(self) -> bool:
-        return self._is_closed and self._server.busy_connection_count() == 0
+        return self._is_closed  # also the answers in the buffers of connections have been sent
 
     async def _close_after_removal(self) -> None:
         """Stop listening once the load balancer has had time to remove the entry."""
         await sleep(LISTEN_WHILE_DRAINING_MS / MS_PER_S)
         self._server.stop_listening()
-        self._server.close_idle_connections()
+        while self._server.connections:
+            self._server.close_idle_connections(REQUEST_TRANSIT_MS)
+            await sleep(CLOSE_POLL_MS / MS_PER_S)
         self._is_closed = True
 
     async def stop(self) -> None:
@@ -95,6 +115,7 @@
         return {
             "connections": len(self._server.connections),
             "busy": self._server.busy_connection_count(),
+            "held_bytes": sum(self._server.memory.held_bytes(now_ms()).values()),
             "config_version": self._config.version,
         }
 
@@ -117,6 +138,10 @@
         except AccessDeniedError as error:
             self._deny(request, responder, error.response)
             return
+        if not self._has_room(account, responder):
+            refusal = not_executed_response(ResultCode.OVERLOADED, NO_ROOM_RETRY_MS)
+            self._deny(request, responder, refusal)
+            return
         if route is None:  # not looked up by route: a job may outlive its route
             await self._job_calls.forward(request, responder, None, account)
         else:
@@ -133,6 +158,12 @@
         )
         response.send(responder, request, self._names)
 
+    def _has_room(self, account: Account | None, responder: Responder) -> bool:
+        """Return whether the process has memory for another request of an account."""
+        name = NO_ACCOUNT if account is None else account.name
+        responder.set_account(name)
+        return self._server.memory.may_take(name, now_ms())
+
     async def _serve_route(
         self, route: Route, request: Request, responder: Responder, account: Account | None
     ) -> None:
@@ -176,12 +207,14 @@
     """Answers the load balancer's health checks: 200 if the entry takes callers, else 503.
 
     The entry is ready if a configuration is in force, the list of targets has been received, and
-    the entry is neither draining nor isolated.
+    the entry is neither draining nor isolated. After its start it also waits for a while for the
+    first message of a runner, which names the targets that leave although they are listed as ready.
 
     :param address: listen address for the checks.
     :param config: knows whether a configuration is in force.
     :param targets: knows whether the list of targets has been received.
     :param isolation: detects whether the entry is isolated.
+    :param has_news: returns whether a message of a runner was received.
     """
 
     name = "readiness"
@@ -193,12 +226,15 @@
         config: ConfigService,
         targets: TargetService,
         isolation: IsolationDetector,
+        has_news: Callable[[], bool],
     ) -> None:
         self._address = address
         self._names = names
         self._config = config
         self._targets = targets
         self._isolation = isolation
+        self._has_news = has_news
+        self._news_limit_ms: float | None = None
         self._is_draining = False
         self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
 
@@ -206,7 +242,11 @@
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
         has_state = self._config.table is not None and self._targets.has_listing
-        return has_state and not self._is_draining and not self._isolation.is_isolated()
+        if not has_state or self._is_draining or self._isolation.is_isolated():
+            return False
+        if self._news_limit_ms is None:
+            self._news_limit_ms = now_ms() + MAX_NEWS_WAIT_MS
+        return self._has_news() or now_ms() >= self._news_limit_ms
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
