--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -46,7 +46,9 @@
 class AccountState:
     """What this entry knows of one account.
 
-    :ivar admitted: requests that the entry has admitted since it started.
+    :ivar admitted: requests that the entry has admitted since it started, without those that were
+        given back.
+    :ivar admissions: their rate.
     :ivar running: requests of the entry at targets.
     :ivar unheard: requests admitted that no totals contain yet, by the sequence number of the first
         report that does.
@@ -58,6 +60,7 @@
     """
 
     __slots__ = (
+        "admissions",
         "admitted",
         "changed_ms",
         "next_free_ms",
@@ -70,6 +73,7 @@
 
     def __init__(self) -> None:
         self.admitted = 0
+        self.admissions = EventRate()
         self.running = 0
         self.unheard: Counter[int] = Counter()
         self.wanted = EventRate()
@@ -119,9 +123,14 @@
 
 
 class FleetUse(Struct, frozen=True):
-    """What all entries use of an account, as far as this one knows.
+    """What all entries use of an account, as far as this one knows. Rates are averages.
 
-    The use of other entries is missing if the account is not under pressure.
+    The use of other entries is missing if totals do not list the account: it is far from its limit,
+    and all entries together run fewer than ``LISTED_RUNNING`` of its requests.
+
+    :param admitted_per_s: requests a second that are admitted.
+    :param wanted_per_s: requests a second that come, admitted or not.
+    :param running: requests at targets.
     """
 
     admitted_per_s: float
@@ -187,9 +196,19 @@
         refusal = None if limit is None else self._check(account, state, limit, now_ms)
         if refusal is None:
             state.admitted += 1
+            state.admissions.record(now_ms)
             state.unheard[self._sequence + 1] += 1
         return refusal
 
+    def give_back(self, account: str, now_ms: float) -> None:
+        """Do not count a request that was admitted, as it has not run and never will."""
+        state = self._states.setdefault(account, AccountState())
+        state.changed_ms = now_ms
+        state.admitted -= 1
+        state.unheard[self._sequence + 1] -= 1
+        if state.share is not None:
+            state.share.give_back()
+
     def record_start(self, account: str, now_ms: float) -> None:
         """Count a request that is sent to a target."""
         state = self._states.setdefault(account, AccountState())
@@ -272,11 +291,12 @@
         """Return what all entries use of an account."""
         state = self._states.get(account) or AccountState()
         others = self._sums.get(account) if self.is_informed(now_ms) else None
+        admitted_per_s = state.admissions.per_s(now_ms)
         wanted_per_s = state.wanted.per_s(now_ms)
         if others is None:
-            return FleetUse(wanted_per_s, wanted_per_s, state.running)
+            return FleetUse(admitted_per_s, wanted_per_s, state.running)
         return FleetUse(
-            others.admitted_per_s + wanted_per_s,
+            others.admitted_per_s + admitted_per_s,
             others.wanted_per_s + wanted_per_s,
             others.running + state.running,
         )
@@ -360,7 +380,7 @@
             others_per_s = max(found.admitted_per_s, min(wanted_per_s, gated_per_s))
         age_s = (now_ms - self._received_ms) / MS_PER_S
         level += (limit.rate_per_s - others_per_s) * age_s
-        return min(level, limit.burst) - state.unheard.total()
+        return min(limit.burst, min(level, limit.burst) - state.unheard.total())
 
     def _others_wanted_per_s(self, account: str, state: AccountState, now_ms: float) -> float:
         """Return the rate at which requests come to the others, if it rose there as it did here."""
