Let stand-in targets be slow after a crash, and calls carry another key

The soak needs targets that differ: a pause between events that a subclass can vary, slower for a while after a crash, and padded events for readers that are slow. FleetProcess.with_key returns an object for calls with another key, streams carry the key of their entry, and the settings can name the overage and the slack of account limits (0 as before).

--- a/ebonyshore_standins/caller_stream.py
+++ b/ebonyshore_standins/caller_stream.py
@@ -46,7 +46,7 @@
         self._attempts += 1
         connection = HTTPConnection(entry.ip, entry.front_port, timeout=timeout_s)
         try:
-            headers = self._headers(attempt_id)
+            headers = self._headers(attempt_id, entry.key)
             connection.request("POST", f"{STREAM_PREFIX}x", self.name.encode(), headers)
             response = connection.getresponse()
             self.statuses.append(response.status)
@@ -56,13 +56,15 @@
         finally:
             connection.close()
 
-    def _headers(self, attempt_id: str) -> dict[str, str]:
+    def _headers(self, attempt_id: str, key: str | None) -> dict[str, str]:
         headers = {
             "Host": ROUTE_HOST,
             WIRE_NAMES.request_id: attempt_id,
             WIRE_NAMES.remaining_ms: str(STREAM_DEADLINE_MS),
             "Length-Hint": str(self.events),
         }
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
         if self.data:
             headers[WIRE_NAMES.last_event_id] = str(len(self.data))
             headers[WIRE_NAMES.resumed_request] = self.stream_id
--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -45,6 +45,8 @@
     :param begin_ms: time from the arrival of a request until it crashes the target.
     :param down_ms: time from a crash until the target serves again.
     :param events_before_crash: number of events that a run sends before it crashes the target.
+    :ivar cold_ms: time after a crash in which the target is slow.
+    :ivar cold_factor: factor of the pauses between events in that time.
     :ivar on_restart: called on the target's thread each time it serves again after a crash.
     :ivar crashing_bodies: bodies of the requests that crash the target.
     :ivar crashing_parts: ids of parts of prompts that crash the target, unless they are the last.
@@ -65,6 +67,9 @@
         self.begin_ms = begin_ms
         self.down_ms = down_ms
         self.events_before_crash = events_before_crash
+        self.cold_ms = 0.0
+        self.cold_factor = 1.0
+        self._cold_until_ms = 0.0
         self.on_restart: Callable[[], None] = lambda: None
         self.crashing_bodies: set[bytes] = set()
         self.crashing_parts: set[str] = set()
@@ -96,6 +101,10 @@
             raise ConnectionResetError("the target has crashed")
         await super()._answer(headers, body, writer)
 
+    def _event_pause_ms(self) -> float:
+        is_cold = CLOCK.monotonic_ms() < self._cold_until_ms
+        return self.event_interval_ms * (self.cold_factor if is_cold else 1.0)
+
     def _crashing_part(self, headers: dict[str, str]) -> str:
         """Return the first part of the prompt that crashes the target; empty if none does."""
         entries = headers.get(WIRE_NAMES.prompt_parts.lower(), "").split(",")
@@ -127,6 +136,7 @@
 
     async def _restart(self) -> None:
         self._is_down = False
+        self._cold_until_ms = CLOCK.monotonic_ms() + self.cold_ms
         self.born_ms += 1
         if self.crash_mode is CrashMode.RESET:
             await self._listen()
--- a/ebonyshore_standins/fleet_client.py
+++ b/ebonyshore_standins/fleet_client.py
@@ -52,6 +52,7 @@
     timeout_s: float = 10.0,
     body: bytes = b"question",
     parts: tuple[str, ...] = (),
+    extra_headers: dict[str, str] | None = None,
 ) -> tuple[int, dict[str, str], bytes]:
     """Request a stream through an entry.
 
@@ -59,12 +60,14 @@
     :param events: number of events that the target generates.
     :param body: body of the request.
     :param parts: ids of the parts of its prompt.
+    :param extra_headers: further header fields.
     :return: HTTP status, headers and body of the response.
     """
     headers = {
         WIRE_NAMES.request_id: request_id,
         WIRE_NAMES.remaining_ms: str(STREAM_DEADLINE_MS),
         "Length-Hint": str(events),
+        **(extra_headers or {}),
     }
     if parts:
         headers[WIRE_NAMES.prompt_parts] = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -1,5 +1,6 @@
 """An entry or a runner as a real process on loopback."""
 
+import copy
 import os
 import signal
 import socket
@@ -7,6 +8,7 @@
 import sys
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from typing import Self
 
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.fleet_config import ROUTE_HOST
@@ -23,6 +25,8 @@
 Ready = "{ip}:{ready}"
 [Bounds]
 GraceS = 8
+QuotaOverage = {quota_overage}
+QuotaSlack = {quota_slack}
 {bounds}
 [Platform]
 Address = "{store}"
@@ -46,6 +50,8 @@
     :ivar front_port: port for callers.
     :ivar ready_port: port for the load balancer's health checks.
     :ivar revocation_ms: bound on the use of removed keys; ``None`` if there is none.
+    :ivar quota_overage: part of a limit of an account by which the platform lets it be exceeded.
+    :ivar quota_slack: number of requests by which it lets it be exceeded besides.
     :ivar key: key that calls carry if they name no other; ``None`` if they carry none.
     :ivar interpreter_arguments: arguments of the Python interpreter before the role; change them
         before the start.
@@ -58,6 +64,8 @@
         self.front_port = free_port(ip)
         self.ready_port = free_port(ip)
         self.revocation_ms: int | None = None
+        self.quota_overage = 0.0
+        self.quota_slack = 0.0
         self.key: str | None = None
         self.interpreter_arguments: tuple[str, ...] = ("-m", "ebonyshore.platform")
         self._log_path = folder / f"{name}.log"
@@ -71,7 +79,7 @@
         return self._process.pid
 
     def write_settings(self, store_address: str) -> None:
-        """Write the settings file, with the present :attr:`revocation_ms`.
+        """Write the settings file, with the present bounds.
 
         :param store_address: ``IP:PORT`` of the object store.
         """
@@ -89,6 +97,8 @@
                 front=self.front_port,
                 ready=self.ready_port,
                 store=store_address,
+                quota_overage=self.quota_overage,
+                quota_slack=self.quota_slack,
                 bounds=bounds,
             )
         )
@@ -150,6 +160,15 @@
         """Return what the process has written to its log in all its runs."""
         return self._log_path.read_text(encoding="utf-8")
 
+    def with_key(self, key: str | None) -> Self:
+        """Return an object for calls to this process with another key.
+
+        :param key: ``None`` for calls without a key.
+        """
+        caller = copy.copy(self)
+        caller.key = key
+        return caller
+
     def call(
         self,
         method: str,
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -11,12 +11,13 @@
 
 from msgspec import Struct
 
-from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.clock import MS_PER_S, SystemClock
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.loop_thread import LoopThread
 
 CLOCK = SystemClock()
 DEFAULT_EVENT_COUNT = 6
+PADDING_HEADER = "Event-Padding"  # bytes that are added to each event of a stream
 MAX_QUEUED_REQUESTS = 24
 
 
@@ -245,17 +246,24 @@
         self, request_id: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
         event_count = int(headers.get("length-hint", DEFAULT_EVENT_COUNT))
+        padding_bytes = int(headers.get(PADDING_HEADER.lower(), 0))
         run = self._begin_run(request_id, headers, writer)
         for number in range(run.first_event, event_count + 1):
-            await asyncio.sleep(self.event_interval_ms / 1000)
+            await asyncio.sleep(self._event_pause_ms() / MS_PER_S)
             await self._before_output()
             if writer.is_closing():
                 raise ConnectionResetError("the client has disconnected")
-            self._send_event(run, number, writer)
+            self._send_event(run, number, writer, padding_bytes)
+            if padding_bytes:
+                await writer.drain()
         writer.write(b"0\r\n\r\n")
         run.ended_ms = CLOCK.monotonic_ms()
         run.is_complete = True
 
+    def _event_pause_ms(self) -> float:
+        """Return the time until the next event; a subclass can vary it."""
+        return self.event_interval_ms
+
     def _begin_run(
         self, request_id: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> RunRecord:
@@ -299,8 +307,15 @@
             lines += f"{WIRE_NAMES.rate_limit}: {self.limit_per_s}\r\n"
         return lines
 
-    def _send_event(self, run: RunRecord, number: int, writer: asyncio.StreamWriter) -> None:
-        event = f"id: {number}\ndata: {run.stream_id}.{number}\n\n"
+    def _send_event(
+        self,
+        run: RunRecord,
+        number: int,
+        writer: asyncio.StreamWriter,
+        padding_bytes: int = 0,
+    ) -> None:
+        padding = f": {'x' * padding_bytes}\n" if padding_bytes else ""  # a comment line
+        event = f"id: {number}\n{padding}data: {run.stream_id}.{number}\n\n"
         writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
         run.last_event = number
 
