Let the soak of processes use client accounts, slow readers and unequal targets

The soak knew no accounts, so keys, limits and jobs of accounts were tested under single faults only. With accounts the store can be cut for single processes, one entry is cut while a key is removed, and a limit falls during the faults. Checked from what callers and targets see: headers of runs, answers without a valid key, requests of an account in any window, use of the removed key, jobs of its account, refusals within a limit once faults are over.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -10,12 +10,16 @@
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S, Clock, SystemClock
+from ebonyshore_soak.account_checks import QUOTA_OVERAGE, QUOTA_SLACK, REVOCATION_MS
+from ebonyshore_soak.account_clients import AccountClients, make_accounts
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import CRASHING_BODY, CRASHING_PART, STREAM_EVENTS, SoakClients
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
+from ebonyshore_soak.slow_readers import SlowReaders
 from ebonyshore_soak.target_checks import check_crashing_part, check_limited_targets
+from ebonyshore_soak.variant import COLD_FACTOR, COLD_MS, SoakVariant, draw_variant
 from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
@@ -56,6 +60,7 @@
 class SoakResult(Struct, frozen=True):
     """Result of one run.
 
+    :param variant: options drawn from the seed.
     :param violations: one text for each violated guarantee.
     :param counts: number of outcomes by name.
     :param faults: one text for each injected fault.
@@ -63,6 +68,7 @@
     """
 
     seed: int
+    variant: SoakVariant
     violations: list[str]
     counts: dict[str, int]
     faults: list[str]
@@ -72,6 +78,8 @@
 def run_seed(options: SoakOptions) -> SoakResult:
     """Run the soak test with one seed. The logs of the processes stay in the result's folder."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
+    variant = draw_variant(options.seed, options.targets)
+    accounts = make_accounts() if variant.has_accounts else None
     fleet = PlatformFleet(
         folder,
         options.entries,
@@ -79,11 +87,13 @@
         options.targets,
         options.address_octet,
         _make_target,
+        accounts,
+        REVOCATION_MS if variant.has_accounts else None,
     )
+    _make_targets_unequal(fleet, variant)
     clock = SystemClock()
     checker = GuaranteeChecker(clock)
-    store_proxy = FaultProxy(fleet.platform.address)
-    fleet.set_store_address(store_proxy.address)
+    store_proxies = _insert_store_proxies(fleet, variant)
     target_proxies: list[FaultProxy] = []
     try:
         for target in fleet.targets:
@@ -99,19 +109,34 @@
         )
         for number, proxy in enumerate(target_proxies):
             fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
-        clients = SoakClients(fleet, checker, options.seed, clock)
-        faults = FaultInjector(fleet, [store_proxy], target_proxies, options.seed, clock)
+        clients = SoakClients(fleet, checker, options.seed, clock, accounts)
+        faults = FaultInjector(fleet, store_proxies, target_proxies, options.seed, clock)
         limited_jobs = LimitedJobsClient(fleet, clients, checker, options.seed, clock)
+        entry_store_proxies = store_proxies[: len(fleet.entries)]
+        account_clients = AccountClients(
+            fleet, clients, checker, entry_store_proxies, options.seed, clock
+        )
+        slow_readers = SlowReaders(fleet, clients, checker, options.seed, clock)
         clients.start()
         limited_jobs.start()
+        if variant.has_accounts:
+            account_clients.start()
+        if variant.has_slow_readers:
+            slow_readers.start()
         faults.start()
         clock.sleep_ms(options.fault_duration_s * MS_PER_S)
         faults.stop()
         limited_jobs.stop()
+        account_clients.stop()
         clients.stop()
         _settle(fleet, clients, checker, clock)
+        settled_ms = clock.monotonic_ms()
+        if variant.has_accounts:
+            account_clients.run_calm_load(settled_ms)
+        slow_readers.stop()
         limited_jobs.check_room()
         _settle(fleet, clients, checker, clock)
+        account_clients.check_jobs()
         _check_streams_go_on(fleet, clients, checker)
         _check_leaving_target(fleet, target_proxies[0], clients, checker, clock)
         _check_crashing_content(fleet, clients, checker, clock)
@@ -120,14 +145,18 @@
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
+        if variant.has_accounts:
+            account_clients.check_runs(runs)
         checker.counts["jobs_restored"] = sum(
             runner.read_log().count("event=items_restored") for runner in fleet.runners
         )
     finally:
         fleet.stop()
-        for proxy in [store_proxy, *target_proxies]:
+        for proxy in [*store_proxies, *target_proxies]:
             proxy.stop()
-    return SoakResult(options.seed, checker.violations, checker.counts, faults.log, str(folder))
+    return SoakResult(
+        options.seed, variant, checker.violations, checker.counts, faults.log, str(folder)
+    )
 
 
 def _make_target(target_id: str) -> CrashingTarget:
@@ -139,6 +168,27 @@
     return target
 
 
+def _make_targets_unequal(fleet: PlatformFleet, variant: SoakVariant) -> None:
+    """Give the targets different speeds, and let them be slow for a while after a crash."""
+    # Without different speeds there are no factors, and the targets stay as they are.
+    for target, factor in zip(fleet.targets, variant.speed_factors, strict=False):
+        target.event_interval_ms *= factor
+        target.cold_ms, target.cold_factor = COLD_MS, COLD_FACTOR
+
+
+def _insert_store_proxies(fleet: PlatformFleet, variant: SoakVariant) -> list[FaultProxy]:
+    """Put proxies between the processes and the store: with accounts, one for each process."""
+    if not variant.has_accounts:
+        proxy = FaultProxy(fleet.platform.address)
+        fleet.set_store_address(proxy.address)
+        return [proxy]
+    proxies = [FaultProxy(fleet.platform.address) for _ in fleet.processes]
+    for process, proxy in zip(fleet.processes, proxies, strict=True):
+        process.quota_overage, process.quota_slack = QUOTA_OVERAGE, QUOTA_SLACK
+        process.write_settings(proxy.address)
+    return proxies
+
+
 def _list_restart(fleet: PlatformFleet, number: int, proxy: FaultProxy) -> None:
     entry = proxied_target_entry(fleet, number, proxy.address)
     fleet.platform.state.put("servers", fleet.targets[number].target_id, entry)
@@ -268,6 +318,7 @@
                 options.address,
             )
         )
+        print(f"seed {seed}: {result.variant}")
         print(
             f"seed {seed}: {len(result.violations)} violations, {len(result.faults)} faults,",
             end=" ",
--- a/ebonyshore_soak/checker.py
+++ b/ebonyshore_soak/checker.py
@@ -10,7 +10,13 @@
 from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
 from ebonyshore_standins.stream_target import RunRecord, expected_data, mixed_streams
 
-ONLINE_PREFIXES = ("stream-", "once-", "crash-", "part-")  # of the ids of online requests
+ONLINE_PREFIXES = (
+    "stream-",
+    "once-",
+    "crash-",
+    "part-",
+    "account-",
+)  # of the ids of online requests
 # A request that is sent once more may end later than the first by this much.
 DEADLINE_SLACK_MS = 500.0
 REFUSAL_STATUSES = (408, 421, 429, 503)
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -1,10 +1,10 @@
 """Callers of the soak test: streams, requests with a single attempt, jobs and configurations."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from http.client import HTTPException
 from random import Random
-from threading import Event, Thread
+from threading import Event, Lock, Thread
 from typing import TypeVar
 
 from ebonyshore.frame.clock import Clock
@@ -51,11 +51,17 @@
 
     :param checker: gets the responses of all callers.
     :param seed: seed of the random choices of the callers.
+    :param accounts: client accounts of the configuration; ``None`` if callers need no key.
     :ivar config_version: newest version of the configuration in the store.
     """
 
     def __init__(
-        self, fleet: PlatformFleet, checker: GuaranteeChecker, seed: int, clock: Clock
+        self,
+        fleet: PlatformFleet,
+        checker: GuaranteeChecker,
+        seed: int,
+        clock: Clock,
+        accounts: Sequence[dict[str, object]] | None = None,
     ) -> None:
         self._fleet = fleet
         self._checker = checker
@@ -64,6 +70,8 @@
         self._is_stopped = Event()
         self._threads: list[Thread] = []
         self._request_numbers = iter(range(1, 1 << 30))
+        self._accounts = accounts
+        self._config_lock = Lock()
         self.config_version = 1
 
     def start(self) -> None:
@@ -83,6 +91,21 @@
         for thread in self._threads:
             thread.join(60)
 
+    def write_config(
+        self, accounts: Sequence[dict[str, object]] | None = None, version_step: int = 1
+    ) -> int:
+        """Write a new version of the configuration to the store and return it.
+
+        :param accounts: the client accounts from now on; those of the last version if omitted.
+        """
+        with self._config_lock:
+            self._accounts = accounts or self._accounts
+            self.config_version += version_step
+            extra_route = route("new", config_prefix(self.config_version), "streaming")
+            config = make_config(self.config_version, extra_route, accounts=self._accounts)
+            self._fleet.platform.state.put("config", "main", config)
+            return self.config_version
+
     def read_results(self, job_id: str, first: int = 0) -> bool:
         """Read a page of results of a job at a random entry.
 
@@ -290,13 +313,10 @@
     def _run_config_changes(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.3, 1.0)):
             previous_version = self.config_version
-            self.config_version += random.randint(1, 3)
-            extra_route = route("new", config_prefix(self.config_version), "streaming")
-            config = make_config(self.config_version, extra_route)
-            self._fleet.platform.state.put("config", "main", config)
+            written_version = self.write_config(version_step=random.randint(1, 3))
             self._is_stopped.wait(random.uniform(0.1, 0.6))
             entry = random.choice(self._fleet.entries)
-            for version in (self.config_version, previous_version):
+            for version in (written_version, previous_version):
                 self.has_config(entry, version)
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -12,10 +12,22 @@
 
 from ebonyshore.frame.clock import ManualClock, SystemClock
 from ebonyshore_soak.__main__ import SoakOptions, run_seed
+from ebonyshore_soak.account_checks import (
+    HIGH_LIMIT,
+    LOW_LIMIT,
+    QUOTA_WINDOW_MS,
+    REVOCATION_MS,
+    AccountRequest,
+    check_headers,
+    check_quota,
+    check_removed_key,
+    check_steady_requests,
+)
 from ebonyshore_soak.checker import CANCEL_BOUND_MS, GuaranteeChecker, JobSize
 from ebonyshore_soak.faults import FaultInjector
 from ebonyshore_soak.limited_jobs import first_completions
 from ebonyshore_soak.proxy import FaultProxy, LinkState
+from ebonyshore_soak.variant import FIRST_SEED_WITH_OPTIONS, SoakVariant, draw_variant
 from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
 from ebonyshore_standins.stream_target import RunRecord, StreamTarget, expected_data
 
@@ -149,6 +161,74 @@
     assert first_completions(runs) == {"j-0": 50.0}
 
 
+def test_earlier_seeds_have_no_options_and_later_ones_have_all_kinds():
+    assert {draw_variant(seed, 4) for seed in range(FIRST_SEED_WITH_OPTIONS)} == {SoakVariant()}
+    later = [draw_variant(FIRST_SEED_WITH_OPTIONS + number, 4) for number in range(20)]
+    assert {variant.has_accounts for variant in later} == {True, False}
+    assert {variant.has_slow_readers for variant in later} == {True, False}
+    assert {len(variant.speed_factors) for variant in later} == {0, 4}
+
+
+def run_of(request_id, *headers, received_ms=0.0):
+    return RunRecord(request_id, 1, 2, received_ms=received_ms, headers=headers)
+
+
+def test_wrong_account_and_key_in_the_headers_of_a_run_are_found():
+    def violations(request_id, *headers):
+        checker = GuaranteeChecker(ManualClock())
+        check_headers([run_of(request_id, *headers)], checker)
+        return len(checker.violations)
+
+    own, main = ("tenant", "hot"), ("tenant", "main")
+    assert violations("account-hot-1", own) == violations("once-1", main) == 0
+    assert violations("owned-hot-1-0", own) == 0
+    assert violations("account-hot-1", main) == violations("account-hot-1") == 1
+    assert violations("account-hot-1", own, own) == 1
+    assert violations("account-hot-1", own, ("authorization", "Bearer x")) == 1
+    assert violations("account-hot-1", own, ("x", "key-hot")) == 1
+
+
+def test_run_with_a_key_that_was_removed_too_long_before_is_found():
+    def violations(account, key, sent_ms):
+        checker = GuaranteeChecker(ManualClock())
+        requests = {"account-a-1": AccountRequest(account, key, sent_ms)}
+        check_removed_key([run_of("account-a-1")], requests, "old", 1_000.0, checker)
+        return len(checker.violations)
+
+    end_ms = 1_000.0 + REVOCATION_MS
+    assert violations("a", "old", end_ms) == violations("a", "new", end_ms + 1.0) == 0
+    assert violations("a", "old", end_ms + 1.0) == violations("nobody", None, 0.0) == 1
+
+
+def test_more_requests_in_a_window_than_a_limit_allows_are_found():
+    def violations(limit, requests, interval_ms, delay_ms=0.0, since_ms=0.0):
+        checker = GuaranteeChecker(ManualClock())
+        sent = {f"account-hot-{n}": n * interval_ms for n in range(requests)}
+        runs = [run_of(name, received_ms=sent_ms + delay_ms) for name, sent_ms in sent.items()]
+        known = {name: AccountRequest("hot", "key", sent_ms) for name, sent_ms in sent.items()}
+        check_quota(runs, known, limit, since_ms, checker)
+        return len(checker.violations)
+
+    most = int(LOW_LIMIT.max_requests)
+    assert violations(LOW_LIMIT, most, 1.0) == violations(HIGH_LIMIT, most + 1, 1.0) == 0
+    assert violations(LOW_LIMIT, most + 1, 1.0) == 1
+    # Over the limit only before it held, and only in a longer time than a window.
+    assert violations(LOW_LIMIT, most + 1, 1.0, since_ms=1.0) == 0
+    assert violations(LOW_LIMIT, 10 * most, QUOTA_WINDOW_MS / (most - 1)) == 0
+    assert violations(LOW_LIMIT, most + 1, 1.0, delay_ms=QUOTA_WINDOW_MS) == 0
+
+
+def test_refused_or_failed_requests_within_a_limit_are_found():
+    def violations(*statuses):
+        checker = GuaranteeChecker(ManualClock())
+        statuses += (200,) * (1_000 - len(statuses))
+        check_steady_requests([AccountRequest("steady0", "k", 0.0, s) for s in statuses], checker)
+        return len(checker.violations)
+
+    assert violations() == violations(429) == violations(*[503] * 10) == 0
+    assert violations(429, 429) == violations(*[None] * 11) == 1
+
+
 def test_two_threads_never_inject_faults_into_one_process():
     """Guards against two threads that both restart a process, which then runs twice: the fleet
     stops only one of the two at the end of the soak."""
