--- a/ebonyshore_soak/account_clients.py
+++ b/ebonyshore_soak/account_clients.py
@@ -266,16 +266,7 @@
 
     def _read(self, entry: FleetProcess, job_id: str) -> bool:
         """Read the results of a job with a key of its account; return whether all are listed."""
-        caller = entry.with_key(KEPT_KEY)
-        response = self._clients.call_or_none(lambda: read_job(caller, job_id, 0, CALL_TIMEOUT_S))
-        if response is None or response[0] == 503:
-            return False
-        status, page = response
-        if status != 200:
-            self._checker.report_violation(f"job {job_id}: its account got status {status}")
-            return False
-        self._checker.check_page(job_id, 0, page)
-        return len(page["Results"]) == page["Total"]
+        return self._clients.read_results(job_id, entry=entry.with_key(KEPT_KEY))
 
     def _read_as_other_account(self, entry: FleetProcess, job_id: str) -> None:
         caller = entry.with_key(f"key-{STEADY[0]}")
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -106,13 +106,15 @@
             self._fleet.platform.state.put("config", "main", config)
             return self.config_version
 
-    def read_results(self, job_id: str, first: int = 0) -> bool:
-        """Read a page of results of a job at a random entry.
+    def read_results(self, job_id: str, first: int = 0, entry: FleetProcess | None = None) -> bool:
+        """Read a page of results of a job.
 
         :param first: position of the first result to read.
+        :param entry: a random one if omitted.
         :return: whether the page contains the last result of the job.
         """
-        entry = Random(f"{self._seed}/{job_id}/{first}").choice(self._fleet.entries)
+        if entry is None:
+            entry = Random(f"{self._seed}/{job_id}/{first}").choice(self._fleet.entries)
         response = self.call_or_none(lambda: read_job(entry, job_id, first, CALL_TIMEOUT_S))
         if response is None or response[0] == 503:
             return False
