Take no second copy of an answer for that to the next run or attempt

Runs of an item, and attempts of an online request after a failure, have one request id. On a connection in use again a late second copy of the earlier answer passed for the next one: an item was counted as failed, or sent elsewhere, while its target ran it. As after refusals of online requests, a target that has answered is now sent the same request only on a new connection.

Before: three tests failed (items answered twice with 500 or as not run, an attempt answered twice with 500); now each second run is complete.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -58,17 +58,17 @@
     :param pauses: when an attempt is given up because of a pause; by default, for a route without
         terms of its own.
     :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
-    :ivar refusing_targets: ids of the targets that have refused the request.
+    :ivar answering_targets: ids of the targets that have answered an attempt.
     """
 
-    __slots__ = ("first_event_ms", "origin", "pauses", "refusing_targets", "splitter")
+    __slots__ = ("answering_targets", "first_event_ms", "origin", "pauses", "splitter")
 
     def __init__(self, last_event_id: str | None, pauses: PauseLimits | None = None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
         self.pauses = pauses or PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS)
         self.first_event_ms: float | None = None
         self.origin: TargetGroup | None = None
-        self.refusing_targets: set[str] = set()
+        self.answering_targets: set[str] = set()
 
     @property
     def has_events(self) -> bool:
@@ -174,8 +174,8 @@
 
     def _connection(self, route: Route) -> AbstractAsyncContextManager[ClientConnection]:
         address = self._target.entry.address
-        if self._target.target_id in self._relay.refusing_targets:
-            # A second copy of the refusal has the same request id as the answer that is expected.
+        if self._target.target_id in self._relay.answering_targets:
+            # A second copy of that answer has the same request id as the one that is expected.
             return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
         must_be_open = not route.is_repeatable
         return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open)
@@ -206,12 +206,12 @@
     ) -> ExchangeEnd:
         self._relay.pauses.begin_attempt()
         head = await self._wait_for(reader.read_head, self._pause_limit_ms(can_retry))
+        self._relay.answering_targets.add(self._target.target_id)
         self._run.record_part(now_ms())
         self._target.mark_responsive()
         # 421 (misdirected request): the target is not the instance that the request names.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
             await reader.skip_body(REFUSAL_BODY_TIMEOUT_MS)
-            self._relay.refusing_targets.add(self._target.target_id)
             raise NotExecutedError(f"status {head.status}")
         if EVENT_STREAM_TYPE in (head.headers.get("content-type") or "") and head.status == 200:
             await self._relay_stream(reader, head, responder, can_retry)
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -1,6 +1,7 @@
 """Runs one batch item at one target and collects the events of its response."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from enum import Enum, auto
 
 from msgspec import Struct
@@ -19,7 +20,7 @@
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.runner.item_headers import account_headers, escape_path
@@ -110,11 +111,8 @@
         :return: the outcome; errors of the connection and of the response are outcomes, too.
         """
         target = content_run.target
-        address = target.entry.address
         try:
-            async with self._pool.use(
-                address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS
-            ) as connection:
+            async with self._connection(target) as connection:
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, target)
                 if target.is_leaving:
@@ -137,6 +135,13 @@
         except StreamOrderError as error:
             return RunResult(RunOutcome.BROKEN, str(error))
 
+    def _connection(self, target: Target) -> AbstractAsyncContextManager[ClientConnection]:
+        address = target.entry.address
+        if target.target_id in self._item.answering_targets:
+            # A second copy of that answer has the same request id as the one that is expected.
+            return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
+        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS)
+
     def _encode_request(self, target: Target) -> bytes:
         names = self._names
         headers = Headers([("Host", self._host), (names.request_id, self._item.item_id)])
@@ -158,6 +163,7 @@
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
         head = await reader.read_head(self._pauses.limit_ms)
+        self._item.answering_targets |= {content_run.target.target_id}
         content_run.record_part(now_ms())
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyshore.host.routes import RouteKind
 from ebonyshore.http.idle_timeouts import IdleTimeout
 from tests.gateway_setup import Gateway, make_route, status_of
 from tests.scripted_target import ScriptedTarget
@@ -86,6 +87,23 @@
     assert len(target.sessions) == 2
 
 
+def test_second_copy_of_a_failure_is_not_taken_for_the_answer_to_the_next_attempt():
+    async def fail_twice(session):
+        session.send_answer(500)
+        await session.writer.drain()
+        await asyncio.sleep(0.1)
+        session.send_answer(500)
+
+    async def answer_slowly(session):
+        await asyncio.sleep(0.3)
+        session.send_answer()
+
+    target = ScriptedTarget(fail_twice, answer_slowly)
+    statuses = run(send_requests(target, [], kind=RouteKind.IDEMPOTENT, max_attempts=2))
+    assert statuses == [200]
+    assert len(target.sessions) == 2
+
+
 def learn(*observations):
     timeout = IdleTimeout()
     for name, value_ms in observations:
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -111,6 +111,25 @@
     assert results[0].outcome is outcome
 
 
+@pytest.mark.parametrize("status, headers", [(500, ()), (503, ("Not-Executed: 1",))])
+def test_second_copy_of_an_answer_is_not_taken_for_that_to_the_next_run(status, headers):
+    """Guards against giving up an item, or running it elsewhere, while a target runs it."""
+
+    async def answer_twice(session):
+        session.send_answer(status, headers)
+        await session.writer.drain()
+        await asyncio.sleep(0.1)
+        session.send_answer(status, headers)
+
+    async def send_slowly(session):
+        await asyncio.sleep(0.3)
+        await send_complete_stream(session)
+
+    results, sessions = run_item(Item(0, "req-1"), answer_twice, send_slowly)
+    assert results[1].outcome is RunOutcome.COMPLETE
+    assert len(sessions) == 2
+
+
 def test_the_next_run_resumes_after_the_last_complete_event():
     async def reset_after_two_events(session):
         session.start_stream()
