Leave streams at their targets after this process was suspended

The timer of a pause limit came before the bytes that had arrived in the meantime, so an entry that had been suspended for longer than the limit gave up all its streams, sent them to other targets and avoided those that had gone on sending. Parts that have arrived are now read before an attempt is given up.

--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -1,6 +1,6 @@
 """Reads the response to one request from a connection, with an idle time-out and a deadline."""
 
-from asyncio import timeout
+from asyncio import sleep, timeout
 from collections.abc import Awaitable, Callable
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -17,6 +17,7 @@
 LEAVING_VALUE = "1"  # of the header with which a target says that it leaves
 MAX_STALE_RESPONSES = 8  # responses to earlier requests that are skipped
 MAX_REFUSAL_BYTES = 65_536
+PASSES_TO_RECEIVE = 2  # of the event loop, until bytes that have arrived are parsed
 REFUSAL_TIMEOUT_MS = 200.0  # for the body of a response that only its head matters of
 
 
@@ -171,10 +172,7 @@
         )
         timeout_ms = idle_timeout_ms if is_idle_limit else self._deadline_ms - began_ms
         try:
-            if timeout_ms <= 0.0:
-                raise TimeoutError  # parts that have arrived already do not extend the time
-            async with timeout(max(0.0, timeout_ms) / MS_PER_S):
-                part = await self._connection.next_part()
+            part = await self._wait_for_part(timeout_ms)
         except TimeoutError as error:
             detail = (
                 f"received nothing for {timeout_ms:.0f} ms"
@@ -188,6 +186,26 @@
             self._note_state(part)
         return part
 
+    async def _wait_for_part(self, timeout_ms: float) -> ResponseHead | bytes | BodyEnd:
+        """Return the next part of the response.
+
+        :raises ExchangeError: if the response ended early or is not HTTP.
+        :raises TimeoutError: if the part does not arrive in time. Parts that arrived before the
+            call do not extend the time: without any time left they are not read.
+        """
+        if timeout_ms <= 0.0:
+            raise TimeoutError
+        try:
+            async with timeout(timeout_ms / MS_PER_S):
+                return await self._connection.next_part()
+        except TimeoutError:
+            # After a suspension of this process the timer may come before bytes that have waited.
+            for _ in range(PASSES_TO_RECEIVE):
+                await sleep(0)
+            if not self._connection.has_parts:
+                raise
+            return await self._connection.next_part()
+
     def _note_state(self, head: ResponseHead) -> None:
         """Note what the head says of the target itself."""
         instance_id = head.headers.get(self._names.instance_id)
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -139,6 +139,11 @@
         self.has_received = False
         self._transport.write(data)
 
+    @property
+    def has_parts(self) -> bool:
+        """Whether :meth:`next_part` returns, or raises, at once."""
+        return bool(self._parts)
+
     async def next_part(self) -> ResponseHead | bytes | BodyEnd:
         """Wait for the next part of the response and return it.
 
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -1,6 +1,8 @@
 """Streams whose events are slow but steady, and streams that stall."""
 
 import asyncio
+from threading import Thread
+from time import sleep
 
 import pytest
 
@@ -75,6 +77,37 @@
     assert sessions == [1, 0]
 
 
+class TargetInThread:
+    """A target on an event loop of its own, which goes on while that of the entry stands still."""
+
+    def __init__(self, target):
+        self.target = target
+        self.loop = asyncio.new_event_loop()
+        Thread(target=self.loop.run_forever, daemon=True).start()
+
+    async def start(self):
+        started = asyncio.run_coroutine_threadsafe(self.target.start(), self.loop)
+        return await asyncio.wrap_future(started)
+
+
+def test_streams_go_on_after_the_entry_was_suspended():
+    """Guards against starting all streams again because the entry itself was silent."""
+    targets = [slow_target(0.1, last=20), slow_target(0.1, last=20)]
+
+    async def scenario():
+        gateway = Gateway(make_route(timeout_ms=10_000.0, max_attempts=3))
+        await gateway.start(*(TargetInThread(target) for target in targets))
+        request = asyncio.create_task(gateway.request(deadline="9000"))
+        await asyncio.sleep(0.5)
+        sleep(1.2)
+        answer = await request
+        gateway.close()
+        return answer
+
+    assert is_complete_stream(run(scenario()))
+    assert sum(len(target.sessions) for target in targets) == 1
+
+
 def stream_with_pauses(limits, *pauses_ms):
     at_ms = 0.0
     limits.begin_attempt()
