Give quota back to the account that the request was counted for

The account is determined again before each attempt. A key that had passed to another account, or a lease that came or went on a public route, let a request that had not run give back a token of an account for which none was taken.

Before: the test found the token at the new account; now at the one that admitted it.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -67,7 +67,8 @@
     :param authenticator: asked before each attempt whether the request is still admitted.
     :ivar on_run_start: called with the account of each request that is sent to a target.
     :ivar on_run_end: called with the account when the request has ended there.
-    :ivar on_not_run: called with the account of each request that ended without having run.
+    :ivar on_not_run: called with the account that a request was admitted for if it ended without
+        having run.
     """
 
     def __init__(
@@ -163,6 +164,7 @@
         self._route = route
         self._request = request
         self._responder = responder
+        self._admitted_account = account  # whose quota the request was counted for
         self._account = account
         self._request_id = request.headers.get(forwarder.names.request_id)
         self._content = _content(request, forwarder.names)
@@ -185,8 +187,8 @@
         except AccessDeniedError as error:
             outcome = self._deny(error.response)
         finally:
-            if self._account is not None and not self._attempts:
-                self._forwarder.on_not_run(self._account)
+            if self._admitted_account is not None and not self._attempts:
+                self._forwarder.on_not_run(self._admitted_account)
             duration_ms = now_ms() - self._request.received_ms
             self._forwarder.metrics.count(f"requests_{outcome}")
             self._forwarder.metrics.record_ms("request", duration_ms)
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -137,6 +137,26 @@
     assert asyncio.run(asyncio.wait_for(scenario(), 10)) == expected
 
 
+def test_quota_of_a_request_is_given_back_to_the_account_that_it_was_counted_for():
+    """Guards against quota that grows because a key has passed to another account meanwhile."""
+
+    async def scenario():
+        async def refuse(session):
+            put_accounts(gateway.config, 2, account("a", "other"), account("b", KEY))
+            session.send_answer(503, ["Not-Executed: 1"])
+
+        gateway = Gateway(make_route())
+        given_back = []
+        gateway.forwarder.on_not_run = lambda found: given_back.append(found.name)
+        put_accounts(gateway.config, 1, account("a", KEY))
+        await gateway.start(ScriptedTarget(refuse))
+        await gateway.request(headers=[f"Authorization: Bearer {KEY}"])
+        gateway.close()
+        return given_back
+
+    assert asyncio.run(asyncio.wait_for(scenario(), 10)) == ["a"]
+
+
 class Recorder:
     """Stands in for the forwarders, the quotas and the responder of one request."""
 
