Send item ids, paths and headers that are not plain text safely

An item's id went into the head of its request as it was submitted. One with a line break added headers, among them another account's name. An id, path or header beyond Latin-1 could not be encoded: the run ended with an exception before it was sent, and the item was tried again without end. Control characters in ids and paths are now escaped, and text beyond Latin-1 is sent as UTF-8.

Before: the target was told two accounts, and an item with such an id, path and header raised UnicodeEncodeError; now one account, and the item is complete.

--- a/ebonyshore/runner/item_headers.py
+++ b/ebonyshore/runner/item_headers.py
@@ -35,6 +35,18 @@
     return [*kept, (names.account, account_header_value(account))] if account else kept
 
 
-def escape_path(path: str) -> str:
-    """Return a path with its spaces and control characters percent-encoded."""
-    return path.translate(_ESCAPES)
+def escape_text(text: str) -> str:
+    """Return a path or an id with its spaces and control characters percent-encoded."""
+    return latin1_text(text.translate(_ESCAPES))
+
+
+def latin1_text(text: str) -> str:
+    """Return text that can be encoded as Latin-1, as the head of a request is.
+
+    Text beyond Latin-1 is returned with one character for each byte of its UTF-8 encoding.
+    """
+    try:
+        text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode("utf-8", "replace").decode("latin-1")
+    return text
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -23,7 +23,7 @@
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.runner.item_headers import account_headers, escape_path
+from ebonyshore.runner.item_headers import account_headers, escape_text, latin1_text
 from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -93,6 +93,7 @@
         self._names = names
         self._pool = pool
         self._item = item
+        self._request_id = escape_text(item.item_id)
         self._record = record
         self._body = body
         self._host = host
@@ -121,7 +122,7 @@
                 content_run.is_sent = True
                 deadline_ms = now_ms() + RUN_TIMEOUT_MS
                 reader = ResponseReader(
-                    connection, self._names, target, self._item.item_id, deadline_ms
+                    connection, self._names, target, self._request_id, deadline_ms
                 )
                 return await self._read_response(reader, content_run)
         except NotExecutedError as error:
@@ -144,21 +145,22 @@
 
     def _encode_request(self, target: Target) -> bytes:
         names = self._names
-        headers = Headers([("Host", self._host), (names.request_id, self._item.item_id)])
+        headers = Headers([("Host", self._host), (names.request_id, self._request_id)])
         overridden = {"host", names.request_id.lower(), "content-length", "connection"}
-        fields, path = self._record.headers, self._record.path
+        fields = self._record.headers
         if self._account is not None:
             fields = account_headers(fields, names, self._account)
-            path = escape_path(path)
         for name, value in fields:
             if name.lower() not in overridden:
-                headers.add(name, value)
+                headers.add(latin1_text(name), latin1_text(value))
         headers.add(names.remaining_ms, str(int(RUN_TIMEOUT_MS)))
         headers.add(names.expected_instance, target.target_id)
         if self._item.last_event_id is not None:
             headers = headers.with_field(names.last_event_id, str(self._item.last_event_id))
         headers.add("Content-Length", str(len(self._body)))
-        request_line = f"{ITEM_METHOD} {path} HTTP/1.1\r\n".encode("latin-1")
+        request_line = f"{ITEM_METHOD} {escape_text(self._record.path)} HTTP/1.1\r\n".encode(
+            "latin-1"
+        )
         return request_line + headers.encode() + b"\r\n" + self._body
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
--- a/tests/test_account_jobs.py
+++ b/tests/test_account_jobs.py
@@ -218,6 +218,16 @@
     assert ("Model", "kept") in fields and len(lines[0].split(" ")) == 3
 
 
+def test_an_item_id_adds_no_header_to_the_request():
+    """Guards against an id by which an account passes for another."""
+    item = Item(0, "i1\r\nTenant: bo")
+    record = ItemRecord(item.item_id, "/p/x", (), b"")
+    run = ItemRun(WIRE_NAMES, ConnectionPool(1), item, record, b"", "h", None, account="ada")
+    target = Target(TargetEntry("t1", "svc", "10.0.0.1:1", "fd-a", 8))
+    lines = run._encode_request(target).decode().split("\r\n")
+    assert [line for line in lines if line.startswith("Tenant")] == ["Tenant: ada"]
+
+
 def test_the_limit_holds_for_each_account_over_all_runners(platform):
     async def run():
         runners = make_runners(platform)
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -34,7 +34,7 @@
     return False
 
 
-def run_item(item, *scripts, confirm_end=trust_end):
+def run_item(item, *scripts, confirm_end=trust_end, record=RECORD):
     """Run an item once with each script; return the results and the target's sessions."""
 
     async def scenario():
@@ -44,7 +44,7 @@
         pool = ConnectionPool(4)
         results = []
         for _ in scripts:
-            run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", confirm_end)
+            run = ItemRun(WIRE_NAMES, pool, item, record, record.body, "host.example", confirm_end)
             results.append(await run.run(ContentRun(target, RequestContent("content"), 0.0)))
         pool.close()
         server.close()
@@ -153,6 +153,14 @@
     assert session.header("Expect-Instance") == "t1"
 
 
+def test_item_whose_id_path_and_headers_are_beyond_latin_1_is_completed():
+    """Guards against an item that can never be sent and is tried again without end."""
+    record = ItemRecord("第一", "/p/第一", (("Model", "第一"),), b"body")
+    results, sessions = run_item(Item(0, "第一"), send_complete_stream, record=record)
+    assert results[0].outcome is RunOutcome.COMPLETE
+    assert sessions[0].header("Model") == "第一"
+
+
 def test_item_whose_events_are_slow_everywhere_is_completed():
     """Guards against runs that are given up one after the other, each after a new prompt."""
 
