Give back no tokens of an account that were never subtracted

The debt of an account's bucket is bounded, and tokens taken beyond the bound are dropped. If the requests did not run, all their tokens were given back, also the dropped ones, so a surge that busy targets refused raised the level above the one before it.

Before: a bucket at 0 held 30 tokens after a surge and its return, cut to the burst of 5; now 0.

--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -107,10 +107,11 @@
     :ivar told_level: level that entries knew from the runner before this one, kept up to date.
     """
 
-    __slots__ = ("_level", "_updated_ms", "told_level")
+    __slots__ = ("_forgotten", "_level", "_updated_ms", "told_level")
 
     def __init__(self, level: float, now_ms: float) -> None:
         self._level = level
+        self._forgotten = 0.0  # tokens taken beyond the highest debt and not accrued since
         self._updated_ms = now_ms
         self.told_level = float("-inf")
 
@@ -122,12 +123,21 @@
     def refill(self, limit: AccountLimit, rate_per_s: float, now_ms: float) -> None:
         """Add what has accrued at a rate since the last call."""
         accrued = max(0.0, rate_per_s * (now_ms - self._updated_ms) / MS_PER_S)
+        self._forgotten = max(0.0, self._forgotten - accrued)
         self._level = min(limit.burst, self._level + accrued)
         self.told_level = min(limit.burst, self.told_level + accrued)
         self._updated_ms = now_ms
 
     def take(self, tokens: float, limit: AccountLimit) -> None:
-        """Subtract tokens, or add those given back; the debt is at most what the rule allows."""
+        """Subtract tokens, or add those given back; the debt is at most what the rule allows.
+
+        Tokens that are given back replace those beyond this debt first.
+        """
+        if tokens < 0.0:
+            replaced = min(-tokens, self._forgotten)
+            self._forgotten -= replaced
+            tokens += replaced
+        self._forgotten += max(0.0, tokens - self.level - limit.excess)
         self._level = min(limit.burst, max(-limit.excess, self._level - tokens))
         self.told_level = min(limit.burst, max(-limit.excess, self.told_level - tokens))
 
--- a/tests/test_account_quotas.py
+++ b/tests/test_account_quotas.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ebonyshore.link.account_ledger import LISTED_RUNNING, AccountLedger
+from ebonyshore.link.account_ledger import LISTED_RUNNING, AccountBucket, AccountLedger
 from ebonyshore.link.account_limit import QuotaRule, make_limit
 from ebonyshore.link.account_quotas import AccountQuotas
 
@@ -430,3 +430,14 @@
         assert quotas.admit("a0", at_ms) is None
         quotas.give_back("a0", at_ms)
     assert ledger.dump()["a0"] == 3.0
+
+
+def test_tokens_that_were_never_subtracted_are_not_given_back():
+    """Guards against a limit that grows while the targets refuse a surge."""
+    limit = make_limit(10.0, 5.0, RULE)
+    bucket = AccountBucket(0.0, 0.0)
+    bucket.take(limit.excess + 30.0, limit)
+    bucket.take(-limit.excess - 30.0, limit)
+    assert bucket.level == 0.0
+    bucket.refill(limit, 10.0, 100.0)
+    assert bucket.level == 1.0
