--- a/ebonyshore/gateway/account_limits.py
+++ b/ebonyshore/gateway/account_limits.py
@@ -123,7 +123,7 @@
             event = "account_totals_regained" if is_informed else "account_totals_lost"
             self._log.event(event, entries=self._peers.entry_count)
         self._metrics.set_gauge("accounts_at_limit", self._quotas.accounts_at_limit(now_ms))
-        self._metrics.set_gauge("account_totals_age_ms", self._quotas.news_age_ms(now_ms))
+        self._metrics.set_gauge("account_totals_age_ms", self._quotas.totals_age_ms(now_ms))
         self._metrics.set_gauge("account_shares_used", float(not is_informed))
 
     def _log_refusal(self, account: Account, request_id: str | None, refusal: Refusal) -> None:
@@ -134,6 +134,6 @@
             rate_per_s=refusal.limit.rate_per_s,
             burst=refusal.limit.burst,
             level=refusal.level,
-            totals_age_ms=refusal.news_age_ms,
+            totals_age_ms=refusal.totals_age_ms,
             retry_after_ms=refusal.retry_after_ms,
         )
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -29,7 +29,7 @@
 NOT_READY_RETRY_MS = 500.0
 NO_ROOM_RETRY_MS = 500.0
 NO_ACCOUNT = ""  # of requests whose client account is not known
-MAX_NEWS_WAIT_MS = 1_500.0  # the runners may be unreachable
+MAX_TOTALS_WAIT_MS = 1_500.0  # the runners may be unreachable
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
 LISTEN_WHILE_DRAINING_MS = 3_200.0
@@ -208,13 +208,14 @@
 
     The entry is ready if a configuration is in force, the list of targets has been received, and
     the entry is neither draining nor isolated. After its start it also waits for a while for the
-    first message of a runner, which names the targets that leave although they are listed as ready.
+    first load totals of a runner, which name the targets that leave although they are listed as
+    ready.
 
     :param address: listen address for the checks.
     :param config: knows whether a configuration is in force.
     :param targets: knows whether the list of targets has been received.
     :param isolation: detects whether the entry is isolated.
-    :param has_news: returns whether a message of a runner was received.
+    :param has_totals: returns whether the load totals of a runner were received.
     """
 
     name = "readiness"
@@ -226,15 +227,15 @@
         config: ConfigService,
         targets: TargetService,
         isolation: IsolationDetector,
-        has_news: Callable[[], bool],
+        has_totals: Callable[[], bool],
     ) -> None:
         self._address = address
         self._names = names
         self._config = config
         self._targets = targets
         self._isolation = isolation
-        self._has_news = has_news
-        self._news_limit_ms: float | None = None
+        self._has_totals = has_totals
+        self._totals_limit_ms: float | None = None
         self._is_draining = False
         self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
 
@@ -244,9 +245,9 @@
         has_state = self._config.table is not None and self._targets.has_listing
         if not has_state or self._is_draining or self._isolation.is_isolated():
             return False
-        if self._news_limit_ms is None:
-            self._news_limit_ms = now_ms() + MAX_NEWS_WAIT_MS
-        return self._has_news() or now_ms() >= self._news_limit_ms
+        if self._totals_limit_ms is None:
+            self._totals_limit_ms = now_ms() + MAX_TOTALS_WAIT_MS
+        return self._has_totals() or now_ms() >= self._totals_limit_ms
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -22,7 +22,7 @@
     AccountUsage,
     AccountUse,
 )
-from ebonyshore.link.account_quotas import NEWS_TIMEOUT_MS
+from ebonyshore.link.account_quotas import TOTALS_TIMEOUT_MS
 from ebonyshore.link.shared_rates import EventRate, aged_rate
 
 LEARNING_MS = 1_000.0  # after its start a runner uses the levels that entries still know
@@ -184,7 +184,7 @@
         entry = self._entry_of(usage, now_ms)
         if entry is None:
             return False
-        if now_ms - self._heard_ms > NEWS_TIMEOUT_MS:
+        if now_ms - self._heard_ms > TOTALS_TIMEOUT_MS:
             self._begin(now_ms)
         entry = self._entries.setdefault(usage.sender, entry)
         entry.sequence = usage.sequence
@@ -285,7 +285,7 @@
 
     @staticmethod
     def _is_heard(entry: HeardEntry, now_ms: float) -> bool:
-        return now_ms - entry.heard_ms < NEWS_TIMEOUT_MS
+        return now_ms - entry.heard_ms < TOTALS_TIMEOUT_MS
 
     def _refill(self, unheard: int, entry_count: int, now_ms: float) -> None:
         for account, bucket in self._buckets.items():
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -7,13 +7,13 @@
 what all entries report, and tells it to each entry. The entry subtracts what it has admitted since
 the report that the level contains, and what the others will have admitted by now. As requests that
 arrive at several entries at once would find the same tokens, each is let through with such a
-probability that those which come before the next news use up no more than is left.
+probability that those which come before the next totals use up no more than is left.
 
 The rule for any span allows more than the limit. A part of this excess is a debt that the bucket
-may run up, so that late news does not refuse accounts which keep to their limit.
+may run up, so that late totals do not refuse accounts which keep to their limit.
 
-An entry without fresh news admits an equal share of the rate. A share is hardly saved up: after an
-idle time many entries would otherwise spend their savings at the same moment.
+An entry without fresh totals admits an equal share of the rate. A share is hardly saved up: after
+an idle time many entries would otherwise spend their savings at the same moment.
 
 All times are milliseconds on a clock that advances while the instance is suspended.
 """
@@ -35,9 +35,9 @@
 )
 from ebonyshore.link.shared_rates import EventRate, ShareBucket, is_let_through
 
-NEWS_TIMEOUT_MS = 800.0  # older totals are not used
-LATE_NEWS_MS = 300.0  # a report or the totals may have been lost
-NEWS_DELAY_MS = 200.0  # until the requests of one entry are known to all others
+TOTALS_TIMEOUT_MS = 800.0  # older totals are not used
+LATE_TOTALS_MS = 300.0  # a report or the totals may have been lost
+REPORT_DELAY_MS = 200.0  # until the requests of one entry are known to all others
 SURGE_FLOOR_PER_S = 2.0  # rates below differ by chance
 IDLE_EXPIRY_MS = 60_000.0
 MIN_RETRY_AFTER_MS = 50.0
@@ -54,7 +54,7 @@
         report that does.
     :ivar wanted: requests that came to the entry.
     :ivar usual_per_s: rate at which they came when the last totals arrived.
-    :ivar share: the tokens that the entry uses while it has no fresh news.
+    :ivar share: the tokens that the entry uses while it has no fresh totals.
     :ivar next_free_ms: time up to which refused callers were told to return.
     :ivar changed_ms: time of the last request or end of a request.
     """
@@ -113,12 +113,12 @@
 
     :param retry_after_ms: time until a request of the account is expected to be admitted.
     :param level: tokens that the fleet has left; ``None`` if this entry uses its share.
-    :param news_age_ms: highest age of the totals; infinite if there are none.
+    :param totals_age_ms: highest age of the totals; infinite if there are none.
     """
 
     retry_after_ms: float
     level: float | None
-    news_age_ms: float
+    totals_age_ms: float
     limit: AccountLimit
 
 
@@ -152,8 +152,8 @@
         "_incarnation",
         "_instance_id",
         "_limits",
-        "_news",
-        "_news_ms",
+        "_totals",
+        "_totals_ms",
         "_random",
         "_received_ms",
         "_sent_ms",
@@ -173,15 +173,15 @@
         self._states: dict[str, AccountState] = {}
         self._sequence = 0
         self._sent_ms: dict[int, float] = {}  # by sequence number, of reports still of use
-        self._news: AccountTotals | None = None
+        self._totals: AccountTotals | None = None
         self._sums: dict[str, AccountSum] = {}
-        self._news_ms = float("-inf")  # send time of the last report that the news contains
+        self._totals_ms = float("-inf")  # send time of the last report that the totals contain
         self._received_ms = float("-inf")
 
     @property
     def source(self) -> str | None:
         """The run of the runner whose totals are used; ``None`` if there are none."""
-        return None if self._news is None else self._news.sender
+        return None if self._totals is None else self._totals.sender
 
     def apply_limits(self, limits: Mapping[str, AccountLimit]) -> None:
         """Replace the limits; accounts without one are not limited."""
@@ -227,11 +227,11 @@
         Their age counts from when this entry sent the last report that they contain, so that totals
         which were held up on the way are not taken for fresh.
         """
-        return now_ms - self._news_ms < NEWS_TIMEOUT_MS
+        return now_ms - self._totals_ms < TOTALS_TIMEOUT_MS
 
-    def news_age_ms(self, now_ms: float) -> float:
+    def totals_age_ms(self, now_ms: float) -> float:
         """Return the highest age that the totals may have; infinite if there are none."""
-        return now_ms - self._news_ms
+        return now_ms - self._totals_ms
 
     def update(self, totals: AccountTotals, now_ms: float) -> bool:
         """Apply totals, unless they are outdated; return whether they were applied.
@@ -242,18 +242,18 @@
         sent_ms = self._sent_ms.get(totals.sequence)
         if totals.incarnation != self._incarnation or sent_ms is None:
             return False
-        if now_ms - sent_ms >= NEWS_TIMEOUT_MS:
+        if now_ms - sent_ms >= TOTALS_TIMEOUT_MS:
             return False
-        news = self._news
-        if news is not None:
-            is_same_source = totals.sender == news.sender
-            if is_same_source and totals.number <= news.number:
+        known = self._totals
+        if known is not None:
+            is_same_source = totals.sender == known.sender
+            if is_same_source and totals.number <= known.number:
                 return False
             if not is_same_source and self.is_informed(now_ms):
                 return False
-        self._news = totals
+        self._totals = totals
         self._sums = {found.account: found for found in totals.sums}
-        self._news_ms = sent_ms
+        self._totals_ms = sent_ms
         self._received_ms = now_ms
         for number in [number for number in self._sent_ms if number < totals.sequence]:
             del self._sent_ms[number]
@@ -268,19 +268,19 @@
         self._sequence += 1
         self._sent_ms[self._sequence] = now_ms
         for number, sent_ms in list(self._sent_ms.items()):
-            if now_ms - sent_ms > NEWS_TIMEOUT_MS:
+            if now_ms - sent_ms > TOTALS_TIMEOUT_MS:
                 del self._sent_ms[number]
         self._remove_idle(now_ms)
         uses = tuple(
             self._use_of(account, state, now_ms)
             for account, state in self._states.items()
-            if state.unheard or state.changed_ms >= self._news_ms
+            if state.unheard or state.changed_ms >= self._totals_ms
         )
         return AccountUsage(self._instance_id, self._incarnation, self._sequence, uses)
 
     def is_report_urgent(self, now_ms: float) -> bool:
         """Return whether totals get old, or an account with unreported use is near its limit."""
-        if now_ms - self._news_ms > LATE_NEWS_MS:
+        if now_ms - self._totals_ms > LATE_TOTALS_MS:
             return True
         return any(
             state.unheard and self._is_near_limit(account, state)
@@ -334,7 +334,7 @@
         left = (level + limit.debt) * self._certainty(now_ms)
         others_wanted_per_s = self._others_wanted_per_s(account, state, now_ms)
         draw = self._random.random()
-        if left >= 1.0 and is_let_through(left, others_wanted_per_s, NEWS_DELAY_MS, draw):
+        if left >= 1.0 and is_let_through(left, others_wanted_per_s, REPORT_DELAY_MS, draw):
             if level >= 1.0:
                 state.next_free_ms = now_ms
             return None
@@ -342,14 +342,14 @@
         own_part = own_per_s / (own_per_s + others_wanted_per_s)
         wait_ms = max(0.0, 1.0 - left) / limit.rate_per_s * MS_PER_S
         delay_ms = state.next_delay_ms(limit, limit.rate_per_s * own_part, wait_ms, now_ms)
-        return Refusal(delay_ms, level, self.news_age_ms(now_ms), limit)
+        return Refusal(delay_ms, level, self.totals_age_ms(now_ms), limit)
 
     def _check_share(
         self, state: AccountState, limit: AccountLimit, now_ms: float
     ) -> Refusal | None:
         share_per_s = self._share_per_s(limit)
         if share_per_s is None:
-            return Refusal(NEWS_TIMEOUT_MS, None, self.news_age_ms(now_ms), limit)
+            return Refusal(TOTALS_TIMEOUT_MS, None, self.totals_age_ms(now_ms), limit)
         if state.share is None:
             state.share = ShareBucket(self._random.random(), now_ms)
         wait_ms = state.share.wait_ms(share_per_s, now_ms)
@@ -357,13 +357,13 @@
             state.share.take()
             return None
         delay_ms = state.next_delay_ms(limit, share_per_s, wait_ms, now_ms)
-        return Refusal(delay_ms, None, self.news_age_ms(now_ms), limit)
+        return Refusal(delay_ms, None, self.totals_age_ms(now_ms), limit)
 
     def _share_per_s(self, limit: AccountLimit) -> float | None:
         """Return this entry's part of a rate; ``None`` if it does not know of other entries."""
         entry_count = self._entry_count()
-        if self._news is not None:
-            entry_count = max(entry_count, self._news.entry_count)
+        if self._totals is not None:
+            entry_count = max(entry_count, self._totals.entry_count)
         return limit.rate_per_s / entry_count if entry_count else None
 
     def _level(
@@ -375,7 +375,7 @@
         others_per_s = 0.0
         if found is not None:
             # The others let no more through than their gates do with what they know to be left.
-            gated_per_s = (level + limit.debt) / NEWS_DELAY_MS * MS_PER_S
+            gated_per_s = (level + limit.debt) / REPORT_DELAY_MS * MS_PER_S
             wanted_per_s = self._others_wanted_per_s(account, state, now_ms)
             others_per_s = max(found.admitted_per_s, min(wanted_per_s, gated_per_s))
         age_s = (now_ms - self._received_ms) / MS_PER_S
@@ -392,18 +392,18 @@
 
         If many entries are cut off at the same moment, each still believes in the same tokens.
         """
-        late_ms = max(0.0, now_ms - self._news_ms - LATE_NEWS_MS)
-        return 1.0 - late_ms / (NEWS_TIMEOUT_MS - LATE_NEWS_MS)
+        late_ms = max(0.0, now_ms - self._totals_ms - LATE_TOTALS_MS)
+        return 1.0 - late_ms / (TOTALS_TIMEOUT_MS - LATE_TOTALS_MS)
 
     def _reported_level(self, account: str, state: AccountState, now_ms: float) -> float | None:
         """Return the level for a runner that has just started.
 
-        Without news the entries use no more than their shares, so the level does not fall then.
+        Without totals the entries use no more than their shares, so the level does not fall then.
         """
         limit = self._limits.get(account)
-        if limit is None or now_ms - self._news_ms > limit.window_ms:
+        if limit is None or now_ms - self._totals_ms > limit.window_ms:
             return None
-        return self._level(account, state, limit, min(now_ms, self._news_ms + NEWS_TIMEOUT_MS))
+        return self._level(account, state, limit, min(now_ms, self._totals_ms + TOTALS_TIMEOUT_MS))
 
     def _is_near_limit(self, account: str, state: AccountState) -> bool:
         limit = self._limits.get(account)
