Limit the requests at targets that return by how they answer

All slots of a target that had just started or recovered counted at once, so all entries chose it together, while it was still slow or about to fail again. Its limit now starts at one request over all processes, rises with answers that begin as promptly as those of other targets and falls with late, refused and lost ones. Processes share the evidence in datagrams of their own kind.

--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -56,6 +56,15 @@
     return structs.replace(load, capacity=capacity, is_scarce=is_scarce)
 
 
+def hold_to_pace(load: TargetLoad, allowance: int) -> TargetLoad:
+    """Return the load of a target that returns to service; others are preferred at its limit.
+
+    :param allowance: number of requests that the target may be sent now.
+    """
+    limited = limit_free_slots(load, allowance, load.is_scarce)
+    return structs.replace(limited, is_avoided=load.is_avoided or allowance == 0)
+
+
 def max_queued_requests(capacity: int, target_latency_ms: float, service_time_ms: float) -> int:
     """Return how many online requests may queue at a target and still meet the target latency.
 
--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -3,11 +3,13 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
+from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, SuspicionUpdate
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadTotals
+from ebonyshore.link.pace_messages import PaceLimits
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 
@@ -20,6 +22,7 @@
     :param view: updated with the received totals; provides the batch counts of the reports.
     :param suspicions: updated with the received suspicions; provides those to send.
     :param origins: told of answers and queries; reports the streams of this entry.
+    :param pace: told of limits of targets that return; provides the evidence to send.
     """
 
     def __init__(
@@ -29,6 +32,7 @@
         view: LoadView,
         suspicions: SuspicionExchange,
         origins: StreamOrigins,
+        pace: PaceExchange,
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
@@ -36,16 +40,20 @@
         self._view = view
         self._suspicions = suspicions
         self._origins = origins
+        self._pace = pace
 
     def on_message(self, message: Datagram) -> None:
         """Apply a message of a runner or answer an entry; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+            self._targets.pace.record_news(now_ms())
             self._targets.rate_limits.update_others(message.sender, message.limits, now_ms())
             for incarnation in message.leaving:
                 self._targets.mark_leaving(incarnation, message.sender)
         elif isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
+        elif isinstance(message, PaceLimits):
+            self._pace.adopt_limits(message, now_ms())
         elif isinstance(message, StreamAnswer):
             self._origins.on_answer(message)
         elif isinstance(message, StreamQuery):
@@ -61,4 +69,5 @@
             limits=self._targets.rate_limits.own_reports(now_ms()),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
+        self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._origins.report_streams()
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -29,13 +29,16 @@
         lambda *message: load_service.send_now(*message),
         lambda: not components.probe.is_silent,
     )
-    load_reporter = EntryLoadReporter(peers, target_table, view, components.suspicions, origins)
+    load_reporter = EntryLoadReporter(
+        peers, target_table, view, components.suspicions, origins, components.pace_exchange
+    )
     port = settings.first_internal_port
     load_service = LoadService(
         settings.ip, port, load_reporter.on_message, load_reporter.send, log, metrics
     )
     components.suspicions.on_change = load_service.schedule_report
     components.targets.on_leaving = load_service.schedule_report
+    target_table.pace.on_news = load_service.schedule_report
     forwarder = Forwarder(
         names,
         target_table,
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -13,6 +13,7 @@
     TargetLoad,
     choose_target,
     concurrent_choices,
+    hold_to_pace,
     limit_free_slots,
     max_queued_requests,
     retry_after_ms,
@@ -87,6 +88,7 @@
         self.log = log
         self.metrics = metrics
         self.random = random
+        view.on_outlier = lambda target: targets.pace.record_doubt(target, now_ms(), now_ms())
 
     async def forward(self, route: Route, request: Request, responder: Responder) -> None:
         """Answer one request; errors of targets are answered, not raised."""
@@ -116,6 +118,19 @@
             loads.append(load)
         return loads
 
+    def paced_loads(self, loads: Sequence[TargetLoad]) -> list[TargetLoad]:
+        """Return the loads with the limits of targets that return to service applied."""
+        pace, at_ms = self.targets.pace, now_ms()
+        paced: list[TargetLoad] = []
+        for load in loads:
+            target = self.targets.find(load.target_id)
+            in_flight = load.online + load.batch
+            allowance = pace.allowance(target.incarnation, in_flight, at_ms, self.random.random)
+            if allowance == 0:
+                self.metrics.count("requests_held_off")
+            paced.append(load if allowance is None else hold_to_pace(load, allowance))
+        return paced
+
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
 
@@ -233,6 +248,7 @@
         self._attempts += 1
         can_retry = self._can_retry()
         run = forwarder.crash_guard.begin(target, self._content, can_retry)
+        run.on_first_event = self._record_answer_pace
         exchange = Exchange(
             forwarder.names,
             forwarder.pool,
@@ -245,7 +261,6 @@
         )
         forwarder.targets.rate_limits.record_sent(target.incarnation, now_ms())
         forwarder.view.record_start(target)
-        began_ms = now_ms()
         try:
             end = await exchange.run(self._responder, remaining_ms, self._route, can_retry)
         except NotExecutedError as error:
@@ -262,16 +277,28 @@
             forwarder.crash_guard.end_completed(run)
         target.outcomes.record(float(end is ExchangeEnd.FAILED), now_ms())
         if end is ExchangeEnd.STREAMED:
-            forwarder.view.record_service_time(now_ms() - began_ms)
+            forwarder.view.record_service_time(now_ms() - run.started_ms)
+        elif end is ExchangeEnd.PLAIN:
+            self._record_answer_pace(run)
+        else:
+            forwarder.targets.pace.record_refusal(target, run.started_ms, now_ms())
         return "answered"
 
+    def _record_answer_pace(self, run: ContentRun) -> None:
+        self._forwarder.targets.pace.record_answer(
+            run.target, self._route.name, run.started_ms, now_ms(), self._route.target_latency_ms
+        )
+
     def _after_refusal(self, run: ContentRun, error: NotExecutedError) -> str | None:
         target = run.target
         self._unsuccessful_targets.add(target.target_id)
         self._refusals += 1
+        pace = self._forwarder.targets.pace
         if error.is_unreachable:
             target.mark_unreachable(now_ms())
+            pace.record_doubt(target, run.started_ms, now_ms())
         else:
+            pace.record_refusal(target, run.started_ms, now_ms())
             target.mark_full(now_ms())
             target.outcomes.record(
                 UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots or 0) > 0 else 0.0, now_ms()
@@ -286,8 +313,12 @@
         self._unsuccessful_targets.add(target.target_id)
         if not target.is_leaving:
             target.outcomes.record(1.0, now_ms())
+        pace = self._forwarder.targets.pace
         if error.is_idle_timeout:
             target.mark_unresponsive(now_ms())
+            pace.record_failure(target, run.started_ms, now_ms())
+        else:
+            pace.record_refusal(target, run.started_ms, now_ms())
         self._log_attempt(run, "broken", error.detail)
         if self._can_retry():
             return None
@@ -325,7 +356,10 @@
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
-        chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
+        draw = forwarder.random.random()
+        chosen = choose_target(forwarder.paced_loads(loads), queue_slots, choices, draw)
+        if chosen is None:  # a target that returns is better than none
+            chosen = choose_target(loads, queue_slots, choices, draw)
         if chosen is None:
             return None
         self._free_slots = chosen.free_slots
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -19,6 +19,7 @@
 
     :param failure_domain: the failure domain of this process.
     :param on_change: called when one of the entry's own counts changes.
+    :ivar on_outlier: called with a target that is found to fail more requests than others do.
     :ivar mean_service_time_ms: moving average of the time for which a request occupies a slot.
     :ivar open_items_by_runner: number of open batch items of each live runner.
     """
@@ -30,6 +31,7 @@
         "_totals",
         "_totals_ms",
         "mean_service_time_ms",
+        "on_outlier",
         "open_items_by_runner",
     )
 
@@ -41,6 +43,7 @@
         self._totals_ms = float("-inf")
         self.mean_service_time_ms = INITIAL_SERVICE_TIME_MS
         self.open_items_by_runner: dict[str, int] = {}
+        self.on_outlier: Callable[[Target], None] = lambda _target: None
 
     def update_totals(self, totals: LoadTotals, now_ms: float) -> None:
         """Replace the totals of one sender.
@@ -114,17 +117,14 @@
         outliers = find_outliers(
             [(target.target_id, target.outcomes.failure_rate(now_ms)) for target in targets]
         )
-        return [
-            self._target_load(target, totals, now_ms, target.target_id in outliers)
-            for target in targets
-        ]
+        for target in targets:
+            was_outlier, target.is_outlier = target.is_outlier, target.target_id in outliers
+            if target.is_outlier and not was_outlier:
+                self.on_outlier(target)
+        return [self._target_load(target, totals, now_ms) for target in targets]
 
     def _target_load(
-        self,
-        target: Target,
-        totals: dict[str, TargetCounts],
-        now_ms: float,
-        is_outlier: bool,
+        self, target: Target, totals: dict[str, TargetCounts], now_ms: float
     ) -> TargetLoad:
         others_counts = totals.get(target.target_id, NO_COUNTS)
         return TargetLoad(
@@ -133,5 +133,5 @@
             others_counts.online + target.own_online,
             others_counts.batch + target.own_batch,
             target.entry.failure_domain == self._failure_domain,
-            is_outlier or target.is_avoided(now_ms),
+            target.is_outlier or target.is_avoided(now_ms),
         )
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -8,7 +8,7 @@
 """
 
 from asyncio import Task, create_task, wait
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ebonyshore.frame.async_kernel import PeriodicService
 from ebonyshore.frame.clock import Clock
@@ -51,6 +51,7 @@
     :ivar is_checked: whether the target was checked since the last part of the response.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     :ivar has_cleared_parts: whether its progress has cleared the parts of its prompt.
+    :ivar on_first_event: called with the run when it receives its first event.
     :ivar is_end_certain: whether a complete response is certain to be all that the target sends.
     """
 
@@ -67,6 +68,7 @@
         "is_sent",
         "last_event_ms",
         "last_part_ms",
+        "on_first_event",
         "started_ms",
         "target",
     )
@@ -94,6 +96,7 @@
         self.is_checked = False
         self.has_cleared_parts = False
         self.is_end_certain = True
+        self.on_first_event: Callable[[ContentRun], None] = lambda _run: None
 
     @property
     def progress_ms(self) -> float | None:
@@ -117,6 +120,7 @@
         self.record_part(at_ms)
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
+            self.on_first_event(self)
         self.last_event_ms = at_ms
 
     @property
@@ -373,6 +377,7 @@
         if target.is_leaving:
             self._log.event("target_left", target=target.target_id, broken=len(broken))
             return
+        self._targets.pace.record_failure(target, at_ms, at_ms)
         digests = dict(broken)
         for run in self._runs.get(target, ()):
             suspects = {} if run.is_attributed else run.suspects(at_ms)
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -8,6 +8,8 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.host_environment import HostEnvironment
+from ebonyshore.host.pace import TargetPace
+from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.targets import TargetTable
@@ -31,6 +33,7 @@
 
     :ivar config: the configuration in force.
     :ivar targets: the list of targets.
+    :ivar pace_exchange: shares the limits of targets that return to service.
     :ivar peers: the registered processes.
     :ivar registration: the registration of this process as a peer.
     :ivar probe: the probe of the store.
@@ -45,6 +48,7 @@
         "checker",
         "config",
         "crash_guard",
+        "pace_exchange",
         "peers",
         "probe",
         "registration",
@@ -59,12 +63,13 @@
         self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         rate_limits = RateLimits(lambda: self.peers.process_count, environment.random.random())
         self.targets = TargetService(
-            TargetTable(rate_limits),
+            TargetTable(rate_limits, TargetPace(lambda: self.peers.process_count)),
             deployment.decode_target,
             environment.pool,
             log,
             environment.metrics,
         )
+        self.pace_exchange = PaceExchange(environment.settings.instance_id, self.targets.table)
         self.registration = make_registration(environment, self.peers)
         self.probe = make_probe(environment, self.config)
         self.suspicions = make_suspicion_exchange(environment)
--- a/ebonyshore/host/target.py
+++ b/ebonyshore/host/target.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from ebonyshore.host.outliers import OutcomeHistory
-from ebonyshore.link.load_table import Incarnation
+from ebonyshore.link.load_table import Incarnation, TargetCounts
 
 AVOID_UNREACHABLE_MS = 1_000.0
 AVOID_UNRESPONSIVE_MS = 1_500.0
@@ -65,6 +65,7 @@
     :ivar is_leaving: whether this incarnation has announced a planned stop, in the list or in an
         answer; it is never reset.
     :ivar started_ms: wall time of the last start that :meth:`record_start` was told.
+    :ivar is_outlier: whether it was last found to fail more requests than other targets do.
     :ivar is_outdated: whether the target was started again and the list does not show it yet.
     """
 
@@ -78,6 +79,7 @@
         "full_until_ms",
         "is_leaving",
         "is_outdated",
+        "is_outlier",
         "outcomes",
         "own_batch",
         "own_online",
@@ -105,6 +107,7 @@
         self.started_ms = entry.started_ms
         self.is_leaving = entry.is_leaving
         self.is_outdated = False
+        self.is_outlier = False
 
     @property
     def target_id(self) -> str:
@@ -116,6 +119,11 @@
         """The id and the start of the target, as the list shows them."""
         return Incarnation(self.entry.target_id, self.entry.started_ms)
 
+    @property
+    def own_counts(self) -> TargetCounts:
+        """This process's requests at the target."""
+        return TargetCounts(self.own_online, self.own_batch)
+
     def announce_leaving(self, source: str, instance_id: str | None = None) -> None:
         """Record that a server at the target's address has said that it leaves.
 
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -5,6 +5,7 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.pace import PaceChange
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
@@ -42,6 +43,7 @@
         self.on_leaving: Callable[[], None] = lambda: None
         table.on_leaving = self._note_leaving
         table.rate_limits.on_change = self._note_limit
+        table.pace.on_change = self._note_pace
         self.has_listing = False
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
@@ -91,6 +93,12 @@
             "target_limit", target=incarnation.target_id, rate_per_s=rate_per_s, source=source
         )
 
+    def _note_pace(self, incarnation: Incarnation, change: PaceChange, limit: float | None) -> None:
+        name = f"target_pace_{change.name.lower()}"
+        self._metrics.count(name)
+        self._metrics.set_gauge("targets_paced", self.table.pace.paced_count)
+        self._log.event(name, target=incarnation.target_id, limit=limit)
+
     def _put(self, entry: TargetEntry) -> None:
         known = self.table.find(entry.target_id)
         is_changed = known is None or known.entry != entry
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -9,6 +9,7 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.leaving_record import LeavingRecord
+from ebonyshore.host.pace import TargetPace
 from ebonyshore.host.target import Target, TargetEntry, TargetGroup
 from ebonyshore.link.load_table import Incarnation, TargetCounts
 from ebonyshore.link.rate_limits import RateLimits
@@ -22,21 +23,28 @@
     """All known targets by id. Not thread-safe: for use on one event loop.
 
     :param rate_limits: the rate limits that targets name; without it they are not shared.
+    :param pace: the limits of targets that return to service; without it they are not shared.
     :ivar on_leaving: called with a target and the source of the news when it is first known that
         this incarnation leaves.
     """
 
     __slots__ = (
         "_dropped_groups",
+        "_has_listing",
         "_leaving",
         "_store_outage_ms",
         "_targets",
         "on_leaving",
+        "pace",
         "rate_limits",
     )
 
-    def __init__(self, rate_limits: RateLimits | None = None) -> None:
+    def __init__(
+        self, rate_limits: RateLimits | None = None, pace: TargetPace | None = None
+    ) -> None:
         self.rate_limits = rate_limits or RateLimits(lambda: 1, 0.0)
+        self.pace = pace or TargetPace(lambda: 1)
+        self._has_listing = False
         self._targets: dict[str, Target] = {}
         self._leaving = LeavingRecord()
         self.on_leaving: Callable[[Target, str], None] = lambda *_: None
@@ -57,12 +65,15 @@
         removed = [target for target_id in missing if (target := self.remove(target_id, now_ms))]
         for entry in listed.values():
             self.put(entry, now_ms)
+        self._has_listing = True
         return removed
 
     def put(self, entry: TargetEntry, now_ms: float = 0.0) -> None:
         """Add a target or replace its entry.
 
-        A target that was started again under its id is a new target.
+        A target that was started again under its id is a new target. New targets get a limit,
+        except those of the first list: a process that was just started does not know since when
+        they run.
         """
         target = self._targets.get(entry.target_id)
         if target is None or target.entry.started_ms != entry.started_ms:
@@ -72,6 +83,8 @@
                 entry, self._announce, self._record_limit
             )
             target.is_leaving = False
+            if self._has_listing:
+                self.pace.start(target, now_ms)
         target.entry = entry
         target.removed_ms = None
         if entry.is_leaving:
@@ -121,7 +134,7 @@
     def own_counts(self) -> dict[str, TargetCounts]:
         """Return this process's request counts by target; targets without a request are omitted."""
         return {
-            target_id: TargetCounts(target.own_online, target.own_batch)
+            target_id: target.own_counts
             for target_id, target in self._targets.items()
             if target.own_online or target.own_batch
         }
@@ -197,3 +210,4 @@
 
     def _note_dropped(self, target: Target, now_ms: float) -> None:
         self._dropped_groups[target.entry.group] = now_ms
+        self.pace.forget(target)
--- a/ebonyshore/host/watch_service.py
+++ b/ebonyshore/host/watch_service.py
@@ -51,7 +51,8 @@
                     "own_batch": target.own_batch,
                 }
                 for target in self._targets.table.by_id().values()
-            }
+            },
+            "pace": self._targets.table.pace.dump(),
         }
 
     async def _expire(self) -> None:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -99,6 +99,7 @@
         self._crash_guard = crash_guard
         self._completions = completions
         self._ranking = ranking
+        self._random = random
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -162,6 +163,7 @@
             content_run = self._crash_guard.begin(
                 target, self._item_content(progress, item), is_resumable=True, is_item=True
             )
+            content_run.on_first_event = self._record_answer_pace
             task = create_task(self._run_item(start.item, progress, item, content_run))
             running = RunningItem(progress, item, target, content_run, task)
             self._running[start.item] = running
@@ -194,13 +196,25 @@
             is_usable,
             is_primary,
             not target.is_leaving,
-            self._start_limit(target, is_primary, at_ms),
+            self._start_limit(target, is_primary, others.plus(target.own_counts), at_ms),
         )
 
     def _preemption_key(self, running: RunningItem, now_ms: float) -> tuple[bool, float]:
         return self._ranking.preemption_key(running.progress, running.item, now_ms)
 
-    def _start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
+    def _start_limit(
+        self, target: Target, is_primary: bool, counts: TargetCounts, now_ms: float
+    ) -> int:
+        in_flight = counts.online + counts.batch
+        paced = self._targets.pace.allowance(
+            target.incarnation, in_flight, now_ms, self._random.random
+        )
+        if paced is not None and not is_primary:
+            return 0
+        allowed = self._unpaced_start_limit(target, is_primary, now_ms)
+        return allowed if paced is None else min(allowed, paced)
+
+    def _unpaced_start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
         allowed = self._targets.rate_limits.batch_allowance(target.incarnation, now_ms)
         if allowed is not None:
             return allowed if is_primary else 0
@@ -326,6 +340,8 @@
     ) -> None:
         at_ms = now_ms()
         target = content_run.target
+        if content_run.first_event_ms is None:
+            self._record_unanswered(content_run, result.outcome)
         self._metrics.count(f"item_runs_{result.outcome.name.lower()}")
         if result.outcome is not RunOutcome.COMPLETE:
             self._log.event(
@@ -357,6 +373,20 @@
         else:
             self._handle_incomplete_run(item, content_run, result.outcome, at_ms)
 
+    def _record_answer_pace(self, run: ContentRun) -> None:
+        kind = f"items of {run.target.entry.service}"
+        self._targets.pace.record_answer(run.target, kind, run.started_ms, now_ms())
+
+    def _record_unanswered(self, run: ContentRun, outcome: RunOutcome) -> None:
+        """Record that an item had no event, for the limits of targets that return."""
+        pace, target, at_ms = self._targets.pace, run.target, now_ms()
+        if outcome is RunOutcome.UNREACHABLE:
+            pace.record_doubt(target, run.started_ms, at_ms)
+        elif outcome is RunOutcome.SILENT:
+            pace.record_failure(target, run.started_ms, at_ms)
+        elif outcome is not RunOutcome.COMPLETE:
+            pace.record_refusal(target, run.started_ms, at_ms)
+
     def _handle_failure(self, progress: JobProgress, item: Item, now_ms: float) -> None:
         progress.record_failure(item, now_ms)
         if item.failures >= progress.record.max_attempts:
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -4,6 +4,7 @@
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.datagrams import (
     Datagram,
@@ -15,6 +16,7 @@
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LimitReport, LoadReport, LoadTable, LoadTotals, add_counts
+from ebonyshore.link.pace_messages import PaceReport
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.rate_limits import sum_limits
 from ebonyshore.link.stream_records import StreamRecords
@@ -38,6 +40,7 @@
         so that they no longer count as confirmed owners.
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
+    :param pace: told how targets that return have answered; provides their limits.
     :ivar send_now: sends a datagram at once; to be set before the first message.
     """
 
@@ -50,6 +53,7 @@
         claims: JobClaims,
         admission: JobAdmission,
         suspicions: SuspicionExchange,
+        pace: PaceExchange,
         clock: Clock,
     ) -> None:
         self._peers = peers
@@ -60,6 +64,7 @@
         self._claims = claims
         self._admission = admission
         self._suspicions = suspicions
+        self._pace = pace
         self._clock = clock
         self._streams = StreamRecords()
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
@@ -70,6 +75,9 @@
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
         elif isinstance(message, LoadReport):
             self._add_report(message)
+            self._targets.pace.record_news(now_ms())
+        elif isinstance(message, PaceReport):
+            self._pace.merge_report(message, now_ms())
         elif isinstance(message, StreamStarts):
             for request_id, origin in message.streams:
                 self._streams.add(request_id, origin, now_ms())
@@ -112,6 +120,8 @@
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
             self._send_totals(socket, report)
+            self._pace.send_limits(socket, self._peers.addresses("entry"), now_ms())
+        self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._send_suspicions(socket, sends_totals)
 
     def _send_suspicions(self, socket: LoadSocket, includes_entries: bool) -> None:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -171,12 +171,21 @@
         environment.random,
     )
     runner_load = RunnerLoad(
-        parts.peers, table, load_table, registry, claims, admission, parts.suspicions, clock
+        parts.peers,
+        table,
+        load_table,
+        registry,
+        claims,
+        admission,
+        parts.suspicions,
+        parts.pace_exchange,
+        clock,
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     runner_load.send_now = load.send_now
     parts.suspicions.on_change = load.schedule_report
     parts.targets.on_leaving = load.schedule_report
+    table.pace.on_news = load.schedule_report
     item_scheduler = ItemScheduler(
         deployment.names,
         registry,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,6 +7,8 @@
 
 from ebonyshore.frame.errors import WriteConflictError
 from ebonyshore.host.job_types import ResultRecord, ResultSegment
+from ebonyshore.host.pace_exchange import PaceExchange
+from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.rate_limits import RateLimits
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.runner_load import RunnerLoad
@@ -157,6 +159,7 @@
         setup.claims,
         FakeAdmission(),
         make_suspicions("b"),
+        PaceExchange("b", TargetTable()),
         setup.clock,
     )
     setup.receive_report("a", sequence=1)
