--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -61,8 +61,7 @@
 
     :param allowance: number of requests that the target may be sent now.
     """
-    limited = limit_free_slots(load, allowance, load.is_scarce)
-    return structs.replace(limited, is_avoided=load.is_avoided or allowance == 0)
+    return limit_free_slots(load, allowance, load.is_scarce)
 
 
 def max_queued_requests(capacity: int, target_latency_ms: float, service_time_ms: float) -> int:
