--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -5,10 +5,12 @@
 only online requests count towards a refusal; both count when targets are compared by free slots.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from msgspec import Struct, structs
 
+from ebonyshore.host.pace import PaceAllowance
+
 LOCAL_TARGET_WEIGHT = 1.5  # for targets in the own failure domain: the network path is shorter
 NEWS_DELAY_MS = 50.0  # until an entry's choices are known to all others, with a margin
 MAX_QUEUE_TIME_SHARE = 0.6  # part of the target latency that a request may spend in a queue
@@ -56,12 +58,29 @@
     return structs.replace(load, capacity=capacity, is_scarce=is_scarce)
 
 
-def hold_to_pace(load: TargetLoad, allowance: int) -> TargetLoad:
-    """Return the load of a target that returns to service; others are preferred at its limit.
+def limit_returning(
+    loads: Sequence[TargetLoad], allowances: Mapping[str, PaceAllowance], choices: float
+) -> list[TargetLoad]:
+    """Return the loads with the limits of targets that return to service.
+
+    If that leaves too few free slots, only targets keep a limit that have answered late.
 
-    :param allowance: number of requests that the target may be sent now.
+    :param allowances: what the limits allow, by target id; targets without a limit are omitted.
+    :param choices: number of concurrent choices, see :func:`concurrent_choices`.
     """
-    return limit_free_slots(load, allowance, load.is_scarce)
+    limited = [_limit_returning(load, allowances.get(load.target_id)) for load in loads]
+    if sum(max(0, load.free_slots_for_online) for load in limited) >= choices:
+        return limited
+    return [
+        limit if load.target_id in allowances and allowances[load.target_id].has_fallen else load
+        for load, limit in zip(loads, limited, strict=True)
+    ]
+
+
+def _limit_returning(load: TargetLoad, allowance: PaceAllowance | None) -> TargetLoad:
+    if allowance is None:
+        return load
+    return limit_free_slots(load, allowance.requests, load.is_scarce)
 
 
 def max_queued_requests(capacity: int, target_latency_ms: float, service_time_ms: float) -> int:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -13,8 +13,8 @@
     TargetLoad,
     choose_target,
     concurrent_choices,
-    hold_to_pace,
     limit_free_slots,
+    limit_returning,
     max_queued_requests,
     retry_after_ms,
 )
@@ -28,6 +28,7 @@
     maybe_executed_response,
     not_executed_response,
 )
+from ebonyshore.host.pace import PaceAllowance
 from ebonyshore.host.request_content import RequestContent, content_digest, part_digests
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
@@ -118,18 +119,20 @@
             loads.append(load)
         return loads
 
-    def paced_loads(self, loads: Sequence[TargetLoad]) -> list[TargetLoad]:
-        """Return the loads with the limits of targets that return to service applied."""
+    def pace_allowances(self, loads: Sequence[TargetLoad]) -> dict[str, PaceAllowance]:
+        """Return what the limits of targets that return to service allow, by target id."""
         pace, at_ms = self.targets.pace, now_ms()
-        paced: list[TargetLoad] = []
+        allowances: dict[str, PaceAllowance] = {}
         for load in loads:
             target = self.targets.find(load.target_id)
             in_flight = load.online + load.batch
             allowance = pace.allowance(target.incarnation, in_flight, at_ms, self.random.random)
-            if allowance == 0:
-                self.metrics.count("requests_held_off")
-            paced.append(load if allowance is None else hold_to_pace(load, allowance))
-        return paced
+            if allowance is not None:
+                allowances[load.target_id] = allowance
+        held_off = sum(allowance.requests == 0 for allowance in allowances.values())
+        if held_off:
+            self.metrics.count("requests_held_off", held_off)
+        return allowances
 
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
@@ -357,7 +360,8 @@
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
         draw = forwarder.random.random()
-        chosen = choose_target(forwarder.paced_loads(loads), queue_slots, choices, draw)
+        limited = limit_returning(loads, forwarder.pace_allowances(loads), choices)
+        chosen = choose_target(limited, queue_slots, choices, draw)
         if chosen is None:  # a target that returns is better than none
             chosen = choose_target(loads, queue_slots, choices, draw)
         if chosen is None:
--- a/ebonyshore/host/pace.py
+++ b/ebonyshore/host/pace.py
@@ -6,7 +6,8 @@
 promptly as those of other targets, so that it doubles in the time that an answer takes to begin,
 and falls with late, refused and lost ones. There is no limit any more once it reaches the capacity.
 
-A limit is a preference among targets: when there is room nowhere else, it is ignored.
+A limit is a preference among targets. When there is too little room elsewhere, it is ignored for
+targets that have not answered late yet, and for all before a request is refused.
 """
 
 from collections.abc import Callable, Iterable
@@ -89,6 +90,7 @@
     :ivar own: what this process has seen.
     :ivar others: what other processes have reported, by their instance ids.
     :ivar fallen_ms: time of the last fall; answers to earlier requests are no evidence.
+    :ivar has_fallen: whether the limit has fallen since the target returned.
     :ivar resume_ms: end of the pause after a trial that did not go well.
     :ivar adopted_ms: time at which a runner last told the limit.
     """
@@ -98,6 +100,7 @@
         "adopted_ms",
         "capacity",
         "fallen_ms",
+        "has_fallen",
         "limit",
         "others",
         "own",
@@ -110,6 +113,7 @@
         self.own = PaceCounts()
         self.others: dict[str, PaceCounts] = {}
         self.fallen_ms = now_ms
+        self.has_fallen = False
         self.resume_ms = float("-inf")
         self.adopted_ms = float("-inf")
         self._pause_ms = MIN_TRIAL_PAUSE_MS
@@ -125,6 +129,7 @@
             self._pause_ms = MIN_TRIAL_PAUSE_MS
             if self.limit >= self.capacity:
                 self.limit = None
+                self.has_fallen = False
 
     def adopt(self, news: PaceLimit, now_ms: float) -> None:
         """Use the limit that follows from what all processes have seen."""
@@ -135,6 +140,7 @@
         elif now_ms - self.fallen_ms < FALL_NEWS_MS:
             return
         self.limit = news.limit
+        self.has_fallen = news.has_fallen
         self.resume_ms = now_ms + news.pause_ms
 
     def allowed_in_flight(self, now_ms: float) -> float:
@@ -143,12 +149,24 @@
 
     def _fall(self, limit: float, now_ms: float) -> None:
         self.fallen_ms = now_ms
+        self.has_fallen = True
         self.limit = max(START_LIMIT, limit)
         if limit <= START_LIMIT:
             self.resume_ms = now_ms + self._pause_ms
             self._pause_ms = min(MAX_TRIAL_PAUSE_MS, 2.0 * self._pause_ms)
 
 
+class PaceAllowance(Struct, frozen=True):
+    """What the limit of a target allows.
+
+    :param requests: number of requests that the target may be sent now.
+    :param has_fallen: whether it has answered late or not at all since it returned.
+    """
+
+    requests: int
+    has_fallen: bool
+
+
 class PaceEntry(Struct, frozen=True):
     """The limit of a target and its evidence, for the state dump."""
 
@@ -246,8 +264,8 @@
 
     def allowance(
         self, incarnation: Incarnation, in_flight: int, now_ms: float, draw: Callable[[], float]
-    ) -> int | None:
-        """Return how many more requests a target may be sent now; ``None`` without a limit.
+    ) -> PaceAllowance | None:
+        """Return what the limit of a target still allows; ``None`` without a limit.
 
         A process without news of the others uses an equal share of the limit.
 
@@ -261,7 +279,7 @@
         allowed = paced.allowed_in_flight(now_ms)
         if not self._knows_others(now_ms):
             allowed = allowed / self._process_count() + draw()
-        return max(0, int(allowed) - in_flight)
+        return PaceAllowance(max(0, int(allowed) - in_flight), paced.has_fallen)
 
     def merge_evidence(
         self, sender: str, evidence: PaceEvidence, capacity: int, now_ms: float
@@ -274,6 +292,7 @@
         if incarnation not in self._targets:
             paced = self._find_or_add(incarnation, capacity, evidence.limit, now_ms)
             paced.others[sender] = evidence.counts
+            paced.has_fallen = evidence.counts.late + evidence.counts.failed > 0
             return
         paced = self._targets[incarnation]
         news = evidence.counts.since(paced.others.get(sender, PaceCounts()))
@@ -303,7 +322,9 @@
     def limits(self, now_ms: float) -> tuple[PaceLimit, ...]:
         """Return the limits of all targets that had one since they are known."""
         return tuple(
-            PaceLimit(incarnation, paced.limit, max(0.0, paced.resume_ms - now_ms))
+            PaceLimit(
+                incarnation, paced.limit, max(0.0, paced.resume_ms - now_ms), paced.has_fallen
+            )
             for incarnation, paced in self._targets.items()
         )
 
--- a/ebonyshore/link/pace_messages.py
+++ b/ebonyshore/link/pace_messages.py
@@ -65,11 +65,13 @@
 
     :param limit: number of requests in flight; ``None`` if there is no limit any more.
     :param pause_ms: time for which nothing is sent, after a trial that did not go well.
+    :param has_fallen: whether the target has answered late or not at all since it returned.
     """
 
     incarnation: Incarnation
     limit: float | None
     pause_ms: float = 0.0
+    has_fallen: bool = False
 
 
 class PaceLimits(Struct, frozen=True, tag="pace_limits", array_like=True):
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -212,7 +212,7 @@
         if paced is not None and not is_primary:
             return 0
         allowed = self._unpaced_start_limit(target, is_primary, now_ms)
-        return allowed if paced is None else min(allowed, paced)
+        return allowed if paced is None else min(allowed, paced.requests)
 
     def _unpaced_start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
         allowed = self._targets.rate_limits.batch_allowance(target.incarnation, now_ms)
