--- a/ebonyshore/host/pace.py
+++ b/ebonyshore/host/pace.py
@@ -307,7 +307,7 @@
         incarnation = news.incarnation
         if incarnation not in self._targets and news.limit is None:
             return
-        paced = self._find_or_add(incarnation, capacity, news.limit, now_ms)
+        paced = self._find_or_add(incarnation, capacity, None, now_ms)
         former = paced.limit
         paced.adopt(news, now_ms)
         self._tell(incarnation, former, paced.limit)
