Count only targets that are listed, and report only what others do not know

Runs of targets that leave or have left no longer set a limit, entries that follow the runner send nothing, and items that break off after their first event count against their target.

--- a/ebonyshore/host/pace.py
+++ b/ebonyshore/host/pace.py
@@ -312,11 +312,15 @@
         paced.adopt(news, now_ms)
         self._tell(incarnation, former, paced.limit)
 
-    def evidence(self) -> tuple[PaceEvidence, ...]:
-        """Return what this process has seen of the targets that had a limit."""
+    def evidence(self, now_ms: float) -> tuple[PaceEvidence, ...]:
+        """Return what the runners should know of the targets that had a limit.
+
+        That is what this process has seen, and limits that no runner has told it.
+        """
         return tuple(
             PaceEvidence(incarnation, paced.limit, paced.own)
             for incarnation, paced in self._targets.items()
+            if paced.own != PaceCounts() or not self._follows_runner(paced, now_ms)
         )
 
     def limits(self, now_ms: float) -> tuple[PaceLimit, ...]:
@@ -352,6 +356,8 @@
         return paced
 
     def _record(self, target: Target, counts: PaceCounts, sent_ms: float, now_ms: float) -> None:
+        if target.is_leaving or target.removed_ms is not None:
+            return
         paced = self._find_or_add(target.incarnation, target.entry.capacity, None, now_ms)
         if paced.limit is not None and sent_ms < paced.fallen_ms:
             return
--- a/ebonyshore/host/pace_exchange.py
+++ b/ebonyshore/host/pace_exchange.py
@@ -83,7 +83,7 @@
 
     def send_evidence(self, socket: LoadSocket, addresses: Addresses, now_ms: float) -> None:
         """Send what this process has seen, where it is new or due to be repeated."""
-        values = {evidence.incarnation: evidence for evidence in self._pace.evidence()}
+        values = {evidence.incarnation: evidence for evidence in self._pace.evidence(now_ms)}
         self._evidence.note({key: evidence.counts for key, evidence in values.items()})
         limited = {key for key, evidence in values.items() if evidence.limit is not None}
         for due in _batches(self._evidence.take_due(limited, now_ms)):
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -210,4 +210,5 @@
 
     def _note_dropped(self, target: Target, now_ms: float) -> None:
         self._dropped_groups[target.entry.group] = now_ms
+        target.removed_ms = now_ms if target.removed_ms is None else target.removed_ms
         self.pace.forget(target)
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -340,8 +340,7 @@
     ) -> None:
         at_ms = now_ms()
         target = content_run.target
-        if content_run.first_event_ms is None:
-            self._record_unanswered(content_run, result.outcome)
+        self._record_unanswered(content_run, result.outcome)
         self._metrics.count(f"item_runs_{result.outcome.name.lower()}")
         if result.outcome is not RunOutcome.COMPLETE:
             self._log.event(
@@ -378,13 +377,13 @@
         self._targets.pace.record_answer(run.target, kind, run.started_ms, now_ms())
 
     def _record_unanswered(self, run: ContentRun, outcome: RunOutcome) -> None:
-        """Record that an item had no event, for the limits of targets that return."""
+        """Record that a target did not run an item to its end, for its limit if it returns."""
         pace, target, at_ms = self._targets.pace, run.target, now_ms()
         if outcome is RunOutcome.UNREACHABLE:
             pace.record_doubt(target, run.started_ms, at_ms)
         elif outcome is RunOutcome.SILENT:
             pace.record_failure(target, run.started_ms, at_ms)
-        elif outcome is not RunOutcome.COMPLETE:
+        elif outcome in (RunOutcome.NOT_RUN, RunOutcome.FAILED, RunOutcome.BROKEN):
             pace.record_refusal(target, run.started_ms, at_ms)
 
     def _handle_failure(self, progress: JobProgress, item: Item, now_ms: float) -> None:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -167,7 +167,30 @@
     for report in entry.collect(entry.send_evidence, 1.0):
         assert isinstance(report, PaceReport)
         runner.merge_report(report, 2.0)
-    assert runner.table.pace.evidence() == ()
+    assert runner.table.pace.evidence(3.0) == ()
+
+
+def test_a_target_that_has_left_or_leaves_gets_no_limit():
+    table = TargetTable()
+    table.put(make_entry())
+    target = table.find("t1")
+    table.put(make_entry(started_ms=2), 1.0)
+    table.pace.record_failure(target, 2.0, 3.0)
+    leaving = table.find("t1")
+    leaving.is_leaving = True
+    table.pace.record_failure(leaving, 2.0, 3.0)
+    assert table.pace.dump() == {}
+
+
+def test_an_entry_that_only_follows_the_runner_reports_nothing():
+    """Guards against datagrams of all entries for each target that returns."""
+    entry, runner = Peer("e1"), Peer("r1")
+    for peer in (entry, runner):
+        peer.table.pace.start(peer.target, 0.0)
+    entry.table.pace.record_news(1.0)
+    for message in runner.collect(runner.send_limits, 1.0):
+        entry.adopt_limits(message, 2.0)
+    assert entry.collect(entry.send_evidence, 3.0) == []
 
 
 def test_counts_of_a_process_that_was_restarted_begin_anew():
