--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -1,9 +1,11 @@
 """Limits of targets that return to service: the rule, its sharing, and a replay of many entries."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
 
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.balance import TargetLoad, limit_returning
 from ebonyshore.host.pace import (
     MAX_TRIAL_PAUSE_MS,
@@ -17,7 +19,9 @@
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.pace_messages import PaceCounts, PaceReport
+from tests.gateway_setup import Gateway, make_route, status_of
 from tests.pace_replay import Replay
+from tests.scripted_target import ScriptedTarget, send_complete_stream
 
 
 def make_entry(target_id="t1", started_ms=1):
@@ -240,3 +244,31 @@
         Replay(1, 60, 8, 8, 3_000.0, 0.0, 1.0, is_paced=is_paced) for is_paced in (True, False)
     )
     assert day.refused <= before.refused
+
+
+@pytest.mark.parametrize("status, limit", [(None, 3.0), (503, 1.0)])
+def test_forwarder_keeps_to_the_limit_and_records_the_answers(status, limit):
+    """The target that returns is the first choice, and gets one request at a time."""
+
+    async def refuse(session):
+        session.send_answer(status, ("Not-Executed: full",))
+
+    async def send_two():
+        gateway = Gateway(make_route())
+        returning = ScriptedTarget(send_complete_stream if status is None else refuse)
+        await gateway.start(returning, ScriptedTarget(send_complete_stream))
+        target = gateway.table.find("t1")
+        gateway.table.pace.start(target, now_ms())
+        target.own_online += 1
+        await gateway.request()
+        assert returning.sessions == []
+        target.own_online -= 1
+        answer = await gateway.request()
+        gateway.close()
+        return (
+            status_of(answer),
+            len(returning.sessions),
+            gateway.table.pace.limit(target.incarnation),
+        )
+
+    assert asyncio.run(send_two()) == (200, 1, limit)
