Tell entries that list a target late that it has no limit any more

An entry that lists a target after the others had used it had missed that it was steady, and kept off it for as long as other entries had a request there.

--- a/ebonyshore/host/pace.py
+++ b/ebonyshore/host/pace.py
@@ -137,7 +137,7 @@
         is_fall = news.limit is not None and (self.limit is None or news.limit < self.limit)
         if is_fall:
             self.fallen_ms = now_ms
-        elif now_ms - self.fallen_ms < FALL_NEWS_MS:
+        elif self.has_fallen and now_ms - self.fallen_ms < FALL_NEWS_MS:
             return
         self.limit = news.limit
         self.has_fallen = news.has_fallen
--- a/ebonyshore/host/pace_exchange.py
+++ b/ebonyshore/host/pace_exchange.py
@@ -38,6 +38,11 @@
         self._left.update(dict.fromkeys(changed, CHANGE_SENDS))
         self._values = dict(values)
 
+    def repeat(self, incarnation: Incarnation) -> None:
+        """Send the value of a target once more if it is known."""
+        if incarnation in self._values:
+            self._left.setdefault(incarnation, 1)
+
     def take_due(self, limited: Set[Incarnation], now_ms: float) -> list[Incarnation]:
         """Return the targets to send now.
 
@@ -68,11 +73,16 @@
         self._limits = _Repeats()
 
     def merge_report(self, report: PaceReport, now_ms: float) -> None:
-        """Apply what another process has seen."""
+        """Apply what another process has seen.
+
+        One that learned of a target late has missed that it has no limit any more; it is told.
+        """
         for evidence in report.evidence:
             capacity = self._capacity(evidence.incarnation)
             if capacity is not None:
                 self._pace.merge_evidence(report.sender, evidence, capacity, now_ms)
+                if evidence.limit is not None and self._pace.limit(evidence.incarnation) is None:
+                    self._limits.repeat(evidence.incarnation)
 
     def adopt_limits(self, message: PaceLimits, now_ms: float) -> None:
         """Use the limits that a runner has computed."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -164,6 +164,22 @@
     assert runner.table.pace.limit(runner.target.incarnation) == 1.0
 
 
+def test_an_entry_that_lists_a_target_late_learns_that_it_is_steady():
+    """Guards against an entry that keeps off a target which all others use."""
+    entry, runner = Peer("e1"), Peer("r1")
+    runner.table.pace.start(runner.target, 0.0)
+    for sent_ms in range(4):
+        answer(runner.table.pace, runner.target, float(sent_ms))
+    for _ in range(CHANGE_SENDS):
+        runner.collect(runner.send_limits, 60.0)
+    entry.table.pace.start(entry.target, 500.0)
+    for report in entry.collect(entry.send_evidence, 501.0):
+        runner.merge_report(report, 510.0)
+    for message in runner.collect(runner.send_limits, 520.0):
+        entry.adopt_limits(message, 530.0)
+    assert entry.table.pace.limit(entry.target.incarnation) is None
+
+
 def test_news_of_targets_that_are_not_listed_are_ignored():
     entry, runner = Peer("e1"), Peer("r1")
     runner.table.remove("t1", 0.0)
