--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -1,6 +1,7 @@
 """Limits of targets that return to service: the rule, its sharing, and a replay of many entries."""
 
 import asyncio
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -255,6 +256,25 @@
     assert late / sent <= late_elsewhere + 0.01
 
 
+def draw_short_fleet(seed):
+    """Return a replay in which half of the targets return cold, while the others lack room."""
+    random = Random(seed)
+    processes, targets = random.choice([2, 5, 20, 60]), random.choice([4, 8, 16])
+    cold_ms, slow_down = random.uniform(0.0, 30_000.0), random.choice([1.5, 2.5, 4.0])
+    load = random.uniform(0.55, 0.85)
+    return Replay(seed, processes, targets, targets // 2, 3_000.0, cold_ms, slow_down, load)
+
+
+def test_targets_that_return_cold_to_a_fleet_short_of_room_are_not_flooded():
+    days = [draw_short_fleet(seed) for seed in range(24)]
+    assert sum(day.used for day in days) >= 0.9 * len(days)
+    shares = [
+        sum(day.late[is_returning] for day in days) / sum(day.sent[is_returning] for day in days)
+        for is_returning in (True, False)
+    ]
+    assert shares[0] <= shares[1] + 0.01
+
+
 def test_callers_get_what_there_is_when_all_targets_return():
     day, before = (
         Replay(1, 60, 8, 8, 3_000.0, 0.0, 1.0, is_paced=is_paced) for is_paced in (True, False)
