--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -54,7 +54,14 @@
         environment.random,
     )
     load_reporter = EntryLoadReporter(
-        peers, target_table, view, components.suspicions, origins, lease_keeper, account_limits
+        peers,
+        target_table,
+        view,
+        components.suspicions,
+        origins,
+        lease_keeper,
+        account_limits,
+        components.pace_exchange,
     )
     port = settings.first_internal_port
     load_service = LoadService(
@@ -62,6 +69,7 @@
     )
     components.suspicions.on_change = load_service.schedule_report
     components.targets.on_leaving = load_service.schedule_report
+    target_table.pace.on_news = load_service.schedule_report
     forwarder = Forwarder(
         names,
         target_table,
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -15,6 +15,7 @@
     choose_target,
     concurrent_choices,
     limit_free_slots,
+    limit_returning,
     max_queued_requests,
     retry_after_ms,
 )
@@ -29,6 +30,7 @@
     maybe_executed_response,
     not_executed_response,
 )
+from ebonyshore.host.pace import PaceAllowance
 from ebonyshore.host.request_content import RequestContent, content_digest, part_digests
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
@@ -98,6 +100,7 @@
         self.on_run_start: Callable[[Account], None] = lambda _account: None
         self.on_run_end: Callable[[Account], None] = lambda _account: None
         self.on_not_run: Callable[[Account], None] = lambda _account: None
+        view.on_outlier = lambda target: targets.pace.record_doubt(target, now_ms(), now_ms())
 
     async def forward(
         self, route: Route, request: Request, responder: Responder, account: Account | None
@@ -132,6 +135,21 @@
             loads.append(load)
         return loads
 
+    def pace_allowances(self, loads: Sequence[TargetLoad]) -> dict[str, PaceAllowance]:
+        """Return what the limits of targets that return to service allow, by target id."""
+        pace, at_ms = self.targets.pace, now_ms()
+        allowances: dict[str, PaceAllowance] = {}
+        for load in loads:
+            target = self.targets.find(load.target_id)
+            in_flight = load.online + load.batch
+            allowance = pace.allowance(target.incarnation, in_flight, at_ms, self.random.random)
+            if allowance is not None:
+                allowances[load.target_id] = allowance
+        held_off = sum(allowance.requests == 0 for allowance in allowances.values())
+        if held_off:
+            self.metrics.count("requests_held_off", held_off)
+        return allowances
+
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
 
@@ -286,6 +304,7 @@
         self._attempts += 1
         can_retry = self._can_retry()
         run = forwarder.crash_guard.begin(target, self._content, can_retry)
+        run.on_first_event = self._record_answer_pace
         exchange = Exchange(
             forwarder.names,
             forwarder.pool,
@@ -301,7 +320,6 @@
         forwarder.view.record_start(target)
         if self._account is not None:
             forwarder.on_run_start(self._account)
-        began_ms = now_ms()
         try:
             end = await exchange.run(self._responder, remaining_ms, self._route, can_retry)
         except NotExecutedError as error:
@@ -320,16 +338,28 @@
             forwarder.crash_guard.end_completed(run)
         target.outcomes.record(float(end is ExchangeEnd.FAILED), now_ms())
         if end is ExchangeEnd.STREAMED:
-            forwarder.view.record_service_time(now_ms() - began_ms)
+            forwarder.view.record_service_time(now_ms() - run.started_ms)
+        elif end is ExchangeEnd.PLAIN:
+            self._record_answer_pace(run)
+        else:
+            forwarder.targets.pace.record_refusal(target, run.started_ms, now_ms())
         return "answered"
 
+    def _record_answer_pace(self, run: ContentRun) -> None:
+        self._forwarder.targets.pace.record_answer(
+            run.target, self._route.name, run.started_ms, now_ms(), self._route.target_latency_ms
+        )
+
     def _after_refusal(self, run: ContentRun, error: NotExecutedError) -> str | None:
         target = run.target
         self._unsuccessful_targets.add(target.target_id)
         self._refusals += 1
+        pace = self._forwarder.targets.pace
         if error.is_unreachable:
             target.mark_unreachable(now_ms())
+            pace.record_doubt(target, run.started_ms, now_ms())
         else:
+            pace.record_refusal(target, run.started_ms, now_ms())
             target.mark_full(now_ms())
             target.outcomes.record(
                 UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots or 0) > 0 else 0.0, now_ms()
@@ -344,8 +374,12 @@
         self._unsuccessful_targets.add(target.target_id)
         if not target.is_leaving:
             target.outcomes.record(1.0, now_ms())
+        pace = self._forwarder.targets.pace
         if error.is_idle_timeout:
             target.mark_unresponsive(now_ms())
+            pace.record_failure(target, run.started_ms, now_ms())
+        else:
+            pace.record_refusal(target, run.started_ms, now_ms())
         self._log_attempt(run, "broken", error.detail)
         if self._can_retry():
             return None
@@ -395,7 +429,11 @@
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
-        chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
+        draw = forwarder.random.random()
+        limited = limit_returning(loads, forwarder.pace_allowances(loads), choices)
+        chosen = choose_target(limited, queue_slots, choices, draw)
+        if chosen is None:  # a target that returns is better than none
+            chosen = choose_target(loads, queue_slots, choices, draw)
         if chosen is None:
             return None
         self._free_slots = chosen.free_slots
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -6,6 +6,7 @@
 from ebonyshore.link.account_messages import AccountTotals, AccountUsage
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
+from ebonyshore.link.pace_messages import PaceLimits, PaceReport
 
 
 class SuspicionUpdate(Struct, frozen=True, tag="suspicion", array_like=True):
@@ -83,4 +84,6 @@
     | ConfigConfirmed
     | AccountUsage
     | AccountTotals
+    | PaceReport
+    | PaceLimits
 )
