Learn the speed of targets from their answers and choose by it

Targets of one service run at different speeds that no configuration names, and turn slow for a time. Free slots were weighed alone. Each process now averages the time between the events of its streams, processes share what has changed noticeably, and the choice weighs slots by speed.

--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -3,6 +3,10 @@
 The load pattern is bursts of online requests that together need about as many slots as the fleet
 has, while batch items occupy the remaining slots. Batch items are preempted for online requests, so
 only online requests count towards a refusal; both count when targets are compared by free slots.
+
+Targets may run at different speeds, and any of them may become several times slower for a second.
+Their slots are therefore compared by the work that they do in a given time, and queued places by
+the time until a request there gets a slot.
 """
 
 from collections.abc import Sequence
@@ -14,6 +18,18 @@
 MAX_QUEUE_TIME_SHARE = 0.6  # part of the target latency that a request may spend in a queue
 MIN_RETRY_AFTER_MS = 400.0
 MAX_RETRY_AFTER_MS = 1_500.0
+MAX_MEAN_GAP_SHARE = 0.5  # of the longest gap that a route allows; single gaps vary that much
+
+
+class Objective(Struct, frozen=True):
+    """What an answer has to keep to be on time.
+
+    :param first_event_ms: time to the first event.
+    :param max_gap_ms: longest pause between two events; ``None`` if there is no limit.
+    """
+
+    first_event_ms: float
+    max_gap_ms: float | None = None
 
 
 class TargetLoad(Struct, frozen=True):
@@ -26,6 +42,9 @@
     :param is_avoided: whether other targets are preferred because this one recently failed,
         refused a request for lack of capacity, or was removed from the list of targets.
     :param is_scarce: whether most of what the target's rate limit allows has been used.
+    :param speed: work in a given time, in relation to the mean target.
+    :param first_event_ms: expected time to the first event of a request that gets a slot at once.
+    :param event_ms: expected time between two events; 0 if it is not known.
     """
 
     target_id: str
@@ -35,6 +54,25 @@
     is_local: bool = False
     is_avoided: bool = False
     is_scarce: bool = False
+    speed: float = 1.0
+    first_event_ms: float = 0.0
+    event_ms: float = 0.0
+
+    @property
+    def slot_rate(self) -> float:
+        """Slots that become free in the time that a request needs at the mean target."""
+        return max(1, self.capacity) * self.speed
+
+    def wait_ms(self, service_time_ms: float) -> float:
+        """Return the expected time until a request gets a slot, with batch items preempted."""
+        return max(0, 1 - self.free_slots_for_online) * service_time_ms / self.slot_rate
+
+    def keeps(self, objective: Objective) -> bool:
+        """Return whether an answer is expected on time if the request gets a slot at once."""
+        if self.first_event_ms > objective.first_event_ms:
+            return False
+        max_gap_ms = objective.max_gap_ms
+        return max_gap_ms is None or self.event_ms <= max_gap_ms * MAX_MEAN_GAP_SHARE
 
     @property
     def free_slots(self) -> int:
@@ -82,57 +120,91 @@
 
 
 def choose_target(
-    loads: Sequence[TargetLoad], queue_slots: int, choices: float, draw: float
+    loads: Sequence[TargetLoad],
+    queue_slots: int,
+    choices: float,
+    draw: float,
+    objective: Objective | None = None,
 ) -> TargetLoad | None:
     """Return the target for a request, or ``None`` if all queues are full.
 
     Free slots are preferred to slots from which a batch item has to be preempted, and those to a
     position in a queue. Many entries choose concurrently from load reports that are slightly out of
     date. If all of them took the target with the most free slots, they would overload it, so the
-    choice is random, weighted by the number of free slots.
+    choice is random, weighted by the work that the free slots do in a given time.
 
     If there are fewer free slots than concurrent choices, some of the requests have to queue. All
-    targets then get weights that fill them evenly; else every request would be sent to one of the
-    few targets with a free slot, and several would queue there.
+    targets then get weights that make the next slots free at the same time everywhere; else every
+    request would be sent to one of the few targets with a free slot, and several would queue there.
 
     What a rate limit still allows is kept for bursts: scarce targets are used only if the others do
-    not have enough slots.
+    not have enough slots. The same holds for targets at which an answer would be late although it
+    begins at once.
 
     :param loads: the candidates. Avoided ones are used only if there are no others.
-    :param queue_slots: number of requests that may queue at one target.
+    :param queue_slots: number of requests that may queue at one target of mean speed.
     :param choices: number of concurrent choices, see :func:`concurrent_choices`.
     :param draw: random number between 0 and 1.
+    :param objective: what the answer has to keep; any target will do without it.
     """
     candidates = [load for load in loads if not load.is_avoided] or list(loads)
-    plentiful = [load for load in candidates if not load.is_scarce]
-    if sum(max(0, load.free_slots_for_online) for load in plentiful) >= choices:
-        candidates = plentiful
+    candidates = _keep_enough(
+        [load for load in candidates if not load.is_scarce], candidates, choices
+    )
+    if objective is not None:
+        punctual = [load for load in candidates if load.keeps(objective)]
+        candidates = _keep_enough(punctual, candidates, choices)
     for slots_of in (_free_slots, _free_slots_for_online):
         slots = [max(0, slots_of(load)) for load in candidates]
         if sum(slots) >= choices:
-            return _draw_weighted(candidates, _weigh(candidates, slots), draw)
-    candidates = [load for load in candidates if load.free_slots_for_online + queue_slots > 0]
+            return _draw_weighted(candidates, _weigh(candidates, slots, choices), draw)
+    candidates = [
+        load
+        for load in candidates
+        if load.free_slots_for_online + round(queue_slots * load.speed) > 0
+    ]
     if not candidates:
         return None
-    slots = even_shares([load.free_slots_for_online for load in candidates], choices)
-    return _draw_weighted(candidates, _weigh(candidates, slots), draw)
+    slots = even_shares(
+        [load.free_slots_for_online for load in candidates],
+        choices,
+        [load.slot_rate for load in candidates],
+    )
+    return _draw_weighted(candidates, _prefer_local(candidates, slots), draw)
+
+
+def _keep_enough(
+    preferred: list[TargetLoad], candidates: list[TargetLoad], choices: float
+) -> list[TargetLoad]:
+    """Return the preferred targets if they have a slot for each concurrent choice, else all."""
+    slots = sum(max(0, load.free_slots_for_online) for load in preferred)
+    return preferred if slots >= choices else candidates
+
 
+def even_shares(
+    free_slots: Sequence[int], requests: float, rates: Sequence[float] | None = None
+) -> list[float]:
+    """Divide requests among targets so that those which get any have equal times left.
 
-def even_shares(free_slots: Sequence[int], requests: float) -> list[float]:
-    """Divide requests among targets so that those which get any have equally many slots left.
+    The time of a target is its number of free slots in relation to its rate. It is negative where
+    requests queue, and then tells how long the next one waits.
 
     :param free_slots: free slots of each target, negative where requests queue; not empty.
     :param requests: number of requests to divide; positive.
+    :param rates: slots of each target that become free in a given time; equal if left out.
     :return: the number of requests for each target.
     """
-    level = 0.0  # of free slots, once the requests are divided
-    total = 0
-    for count, slots in enumerate(sorted(free_slots, reverse=True), start=1):
-        if count > 1 and slots <= level:
+    rates = rates or [1.0] * len(free_slots)
+    pairs = list(zip(free_slots, rates, strict=True))
+    level = 0.0  # free slots in relation to the rate, once the requests are divided
+    total_slots, total_rate = 0.0, 0.0
+    for slots, rate in sorted(pairs, key=lambda pair: pair[0] / pair[1], reverse=True):
+        if total_rate and slots / rate <= level:
             break
-        total += slots
-        level = (total - requests) / count
-    return [max(0.0, slots - level) for slots in free_slots]
+        total_slots += slots
+        total_rate += rate
+        level = (total_slots - requests) / total_rate
+    return [max(0.0, slots - level * rate) for slots, rate in pairs]
 
 
 def _free_slots(load: TargetLoad) -> int:
@@ -143,11 +215,22 @@
     return load.free_slots_for_online
 
 
-def _weigh(loads: Sequence[TargetLoad], slots: Sequence[float]) -> list[float]:
-    """Return the weight of each target for a number of slots, more for local targets."""
+def _weigh(loads: Sequence[TargetLoad], slots: Sequence[int], choices: float) -> list[float]:
+    """Return the weight of each target for a number of free slots.
+
+    A target gets no more than its slots when these are few, so that fast targets are not flooded:
+    the speed counts as far as there are more slots than choices.
+    """
+    spare = 1.0 - choices / sum(slots)
+    weights = [count * load.speed**spare for load, count in zip(loads, slots, strict=True)]
+    return _prefer_local(loads, weights)
+
+
+def _prefer_local(loads: Sequence[TargetLoad], weights: Sequence[float]) -> list[float]:
+    """Return the weights with more for targets in the own failure domain."""
     return [
-        count * (LOCAL_TARGET_WEIGHT if load.is_local else 1.0)
-        for load, count in zip(loads, slots, strict=True)
+        weight * (LOCAL_TARGET_WEIGHT if load.is_local else 1.0)
+        for load, weight in zip(loads, weights, strict=True)
     ]
 
 
--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -9,7 +9,9 @@
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadTotals
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.link.target_speeds import SpeedUpdate
 
 
 class EntryLoadReporter:
@@ -32,6 +34,7 @@
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
+        self._speeds = SpeedExchange(peers, targets)
         self._targets = targets
         self._view = view
         self._suspicions = suspicions
@@ -46,6 +49,8 @@
                 self._targets.mark_leaving(incarnation, message.sender)
         elif isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
+        elif isinstance(message, SpeedUpdate):
+            self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamAnswer):
             self._origins.on_answer(message)
         elif isinstance(message, StreamQuery):
@@ -61,4 +66,5 @@
             limits=self._targets.rate_limits.own_reports(now_ms()),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
+        self._speeds.send(socket, now_ms())
         self._origins.report_streams()
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -22,7 +22,9 @@
     log, metrics, pool = environment.log, environment.metrics, environment.pool
     components = SharedComponents(environment)
     target_table, peers = components.targets.table, components.peers
-    view = LoadView(settings.failure_domain, lambda: load_service.schedule_report())
+    view = LoadView(
+        settings.failure_domain, lambda: load_service.schedule_report(), target_table.speeds
+    )
     origins = StreamOrigins(
         peers,
         target_table,
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -216,7 +216,7 @@
             self._relay.record_events(now_ms(), self._target.entry.group)
             if is_first:
                 self._on_first_event()
-            self._run.record_event(now_ms())
+            self._run.record_event(now_ms(), len(events))
             responder.write(b"".join(event.raw for event in events))
             limit_ms = now_ms() + EVENT_TIMEOUT_MS if can_retry else None
         if splitter.incomplete_event:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.balance import (
+    Objective,
     TargetLoad,
     choose_target,
     concurrent_choices,
@@ -150,7 +151,9 @@
         self._unsuccessful_targets: set[str] = set()
         self._attempts = 0  # those that may have run; refused ones are not counted
         self._refusals = 0
-        self._free_slots: int | None = None  # of the target that was chosen last
+        self._chosen: TargetLoad | None = None  # load of the target that was chosen last
+        self._chosen_ms = 0.0
+        self._objective = Objective(route.target_latency_ms, route.max_gap_ms)
         self._relay = RelayState(request.headers.get(forwarder.names.last_event_id))
         self._deadline_ms = request.received_ms + _time_limit_ms(route, request, forwarder.names)
 
@@ -173,7 +176,9 @@
                 targets=",".join(self._tried_targets),
                 versions=",".join(self._tried_versions),
                 runs=self._attempts,
-                room=self._free_slots,
+                room=self._free_slots(),
+                speed=self._chosen and self._chosen.speed,
+                expected_ms=self._expected_ms(),
                 load_age_ms=self._forwarder.view.totals_age_ms(now_ms()),
                 last_event=self._relay.last_id,
                 first_event_ms=self._since_received(self._relay.first_event_ms),
@@ -274,7 +279,7 @@
         else:
             target.mark_full(now_ms())
             target.outcomes.record(
-                UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots or 0) > 0 else 0.0, now_ms()
+                UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots() or 0) > 0 else 0.0, now_ms()
             )
         self._log_attempt(run, "not_executed", error.detail)
         if self._refusals > MAX_REFUSALS:
@@ -325,14 +330,17 @@
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
-        chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
+        chosen = choose_target(
+            loads, queue_slots, choices, forwarder.random.random(), self._objective
+        )
         if chosen is None:
             return None
-        self._free_slots = chosen.free_slots
+        self._chosen, self._chosen_ms = chosen, now_ms()
         return forwarder.targets.find(chosen.target_id)
 
     def _queue_slots(self, loads: list[TargetLoad]) -> int:
-        capacity = loads[0].capacity if loads else 0
+        # Limits of single targets may have reduced their capacity here.
+        capacity = max((load.capacity for load in loads), default=0)
         service_time_ms = self._forwarder.view.mean_service_time_ms
         return max_queued_requests(capacity, self._route.target_latency_ms, service_time_ms)
 
@@ -364,7 +372,18 @@
         origins = self._forwarder.origins
         return self._relay.origin is not None and origins.may_be_mixed(self._service)
 
+    def _free_slots(self) -> int | None:
+        return self._chosen and self._chosen.free_slots
+
+    def _expected_ms(self) -> float | None:
+        """Return the time to the first event that was expected when the last target was chosen."""
+        if self._chosen is None:
+            return None
+        service_time_ms = self._forwarder.view.mean_service_time_ms
+        return self._chosen.wait_ms(service_time_ms) + self._chosen.first_event_ms
+
     def _record_first_event(self) -> None:
+        self._forwarder.view.record_first_event(self._chosen, now_ms() - self._chosen_ms)
         if self._route.is_repeatable and self._request_id is not None:
             self._forwarder.origins.record(self._request_id, self._relay.origin)
 
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -5,12 +5,14 @@
 from ebonyshore.gateway.balance import TargetLoad
 from ebonyshore.host.outliers import find_outliers
 from ebonyshore.host.target import Target
+from ebonyshore.host.target_speed import UNKNOWN_SPEED, SpeedEstimate, TargetSpeeds
 from ebonyshore.link.load_table import LoadTotals, TargetCounts, merge_totals
 
 MAX_TOTALS_AGE_MS = 1_000.0
 MAX_SENDER_SILENCE_MS = 400.0  # runners that send totals do so every 250 ms
 SERVICE_TIME_SMOOTHING = 0.05  # weight of each new value in the exponential moving average
 INITIAL_SERVICE_TIME_MS = 700.0
+INITIAL_FIRST_EVENT_MS = 50.0
 NO_COUNTS = TargetCounts(0, 0)
 
 
@@ -19,27 +21,39 @@
 
     :param failure_domain: the failure domain of this process.
     :param on_change: called when one of the entry's own counts changes.
+    :param speeds: the speeds of the targets; without it all are taken to be equally fast.
     :ivar mean_service_time_ms: moving average of the time for which a request occupies a slot.
+    :ivar mean_first_event_ms: moving average of the time to the first event at a target that has a
+        free slot and mean speed.
     :ivar open_items_by_runner: number of open batch items of each live runner.
     """
 
     __slots__ = (
         "_failure_domain",
         "_on_change",
+        "_speeds",
         "_messages_by_sender",
         "_totals",
         "_totals_ms",
+        "mean_first_event_ms",
         "mean_service_time_ms",
         "open_items_by_runner",
     )
 
-    def __init__(self, failure_domain: str, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        on_change: Callable[[], None],
+        speeds: TargetSpeeds | None = None,
+    ) -> None:
         self._failure_domain = failure_domain
         self._on_change = on_change
+        self._speeds = speeds or TargetSpeeds()
         self._messages_by_sender: dict[str, tuple[float, LoadTotals]] = {}
         self._totals: dict[str, TargetCounts] = {}
         self._totals_ms = float("-inf")
         self.mean_service_time_ms = INITIAL_SERVICE_TIME_MS
+        self.mean_first_event_ms = INITIAL_FIRST_EVENT_MS
         self.open_items_by_runner: dict[str, int] = {}
 
     def update_totals(self, totals: LoadTotals, now_ms: float) -> None:
@@ -101,6 +115,17 @@
             duration_ms - self.mean_service_time_ms
         )
 
+    def record_first_event(self, load: TargetLoad, delay_ms: float) -> None:
+        """Include the time to the first event of a request.
+
+        :param load: the target's load when the request was sent there.
+        """
+        if load.free_slots <= 0:
+            return  # it may have waited for a slot
+        self.mean_first_event_ms += SERVICE_TIME_SMOOTHING * (
+            delay_ms * load.speed - self.mean_first_event_ms
+        )
+
     def target_loads(self, targets: Iterable[Target], now_ms: float) -> list[TargetLoad]:
         """Return the load of each target.
 
@@ -114,8 +139,15 @@
         outliers = find_outliers(
             [(target.target_id, target.outcomes.failure_rate(now_ms)) for target in targets]
         )
+        speeds = self._speeds.estimates(targets, now_ms)
         return [
-            self._target_load(target, totals, now_ms, target.target_id in outliers)
+            self._target_load(
+                target,
+                totals,
+                now_ms,
+                target.target_id in outliers,
+                speeds.get(target.target_id, UNKNOWN_SPEED),
+            )
             for target in targets
         ]
 
@@ -125,8 +157,10 @@
         totals: dict[str, TargetCounts],
         now_ms: float,
         is_outlier: bool,
+        speed: SpeedEstimate,
     ) -> TargetLoad:
         others_counts = totals.get(target.target_id, NO_COUNTS)
+        target.others_running = others_counts.online + others_counts.batch
         return TargetLoad(
             target.target_id,
             target.entry.capacity,
@@ -134,4 +168,7 @@
             others_counts.batch + target.own_batch,
             target.entry.failure_domain == self._failure_domain,
             is_outlier or target.is_avoided(now_ms),
+            speed=speed.speed,
+            first_event_ms=self.mean_first_event_ms / speed.speed,
+            event_ms=speed.event_ms,
         )
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -112,11 +112,14 @@
         self.last_part_ms = at_ms
         self.is_checked = False
 
-    def record_event(self, at_ms: float) -> None:
-        """Record that the run received an event."""
+    def record_event(self, at_ms: float, events: int = 1) -> None:
+        """Record that the run received one or more events at the same time."""
         self.record_part(at_ms)
         if self.first_event_ms is None:
             self.first_event_ms = at_ms
+        else:
+            elapsed_ms = at_ms - self.last_event_ms
+            self.target.record_events(self.is_item, elapsed_ms, events, at_ms)
         self.last_event_ms = at_ms
 
     @property
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -10,6 +10,7 @@
 from ebonyshore.host.host_environment import HostEnvironment
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
@@ -59,7 +60,7 @@
         self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         rate_limits = RateLimits(lambda: self.peers.process_count, environment.random.random())
         self.targets = TargetService(
-            TargetTable(rate_limits),
+            TargetTable(rate_limits, TargetSpeeds(environment.settings.instance_id)),
             deployment.decode_target,
             environment.pool,
             log,
--- a/ebonyshore/host/target.py
+++ b/ebonyshore/host/target.py
@@ -54,8 +54,10 @@
     :param on_leaving: called with the target, the id of the instance that leaves and the source of
         the news, each time that an answer or a peer says so.
     :param on_limit: called with the incarnation and the rate limit that it names in a response.
+    :param on_events: called with the target and the arguments of :meth:`record_events`.
     :ivar own_online: number of this process's online requests at the target.
     :ivar own_batch: number of this process's batch items at the target.
+    :ivar others_running: number of requests and items of all other processes there, as last known.
     :ivar batch_started_ms: time at which this process last started a batch item there.
     :ivar avoid_until_ms: end of the time for which the target is avoided after a failure.
     :ivar full_until_ms: end of the time for which the target is avoided after a refusal.
@@ -72,12 +74,14 @@
         "avoid_until_ms",
         "batch_started_ms",
         "crashes",
+        "_on_events",
         "_on_leaving",
         "_on_limit",
         "entry",
         "full_until_ms",
         "is_leaving",
         "is_outdated",
+        "others_running",
         "outcomes",
         "own_batch",
         "own_online",
@@ -90,12 +94,15 @@
         entry: TargetEntry,
         on_leaving: "Callable[[Target, str, str], None]" = lambda *_: None,
         on_limit: Callable[[Incarnation, float | None], None] = lambda *_: None,
+        on_events: "Callable[[Target, bool, float, int, float], None]" = lambda *_: None,
     ) -> None:
         self._on_leaving = on_leaving
         self._on_limit = on_limit
+        self._on_events = on_events
         self.entry = entry
         self.own_online = 0
         self.own_batch = 0
+        self.others_running = 0
         self.batch_started_ms = float("-inf")
         self.avoid_until_ms = float("-inf")
         self.full_until_ms = float("-inf")
@@ -116,6 +123,12 @@
         """The id and the start of the target, as the list shows them."""
         return Incarnation(self.entry.target_id, self.entry.started_ms)
 
+    @property
+    def running(self) -> int:
+        """Number of requests that the target runs, as far as this process knows."""
+        known = self.own_online + self.own_batch + self.others_running
+        return min(known, self.entry.capacity)
+
     def announce_leaving(self, source: str, instance_id: str | None = None) -> None:
         """Record that a server at the target's address has said that it leaves.
 
@@ -128,6 +141,14 @@
         """Record the rate limit that a response of the target names, or that it names none."""
         self._on_limit(self.incarnation, rate_per_s)
 
+    def record_events(self, is_batch: bool, elapsed_ms: float, events: int, now_ms: float) -> None:
+        """Record that a stream of the target went on.
+
+        :param is_batch: whether it is the stream of a batch item.
+        :param elapsed_ms: time since the stream's event before these.
+        """
+        self._on_events(self, is_batch, elapsed_ms, events, now_ms)
+
     def is_listed_start(self, started_ms: int) -> bool:
         """Return whether the list shows the start that the target tells, and remember it."""
         self.is_outdated = started_ms > self.entry.started_ms > 0
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -10,6 +10,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.leaving_record import LeavingRecord
 from ebonyshore.host.target import Target, TargetEntry, TargetGroup
+from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.link.load_table import Incarnation, TargetCounts
 from ebonyshore.link.rate_limits import RateLimits
 
@@ -22,6 +23,7 @@
     """All known targets by id. Not thread-safe: for use on one event loop.
 
     :param rate_limits: the rate limits that targets name; without it they are not shared.
+    :param speeds: told of the events of this process's streams; without it they are not shared.
     :ivar on_leaving: called with a target and the source of the news when it is first known that
         this incarnation leaves.
     """
@@ -33,10 +35,14 @@
         "_targets",
         "on_leaving",
         "rate_limits",
+        "speeds",
     )
 
-    def __init__(self, rate_limits: RateLimits | None = None) -> None:
+    def __init__(
+        self, rate_limits: RateLimits | None = None, speeds: TargetSpeeds | None = None
+    ) -> None:
         self.rate_limits = rate_limits or RateLimits(lambda: 1, 0.0)
+        self.speeds = speeds or TargetSpeeds()
         self._targets: dict[str, Target] = {}
         self._leaving = LeavingRecord()
         self.on_leaving: Callable[[Target, str], None] = lambda *_: None
@@ -69,7 +75,7 @@
             if target is not None:
                 self._note_dropped(target, now_ms)
             target = self._targets[entry.target_id] = Target(
-                entry, self._announce, self._record_limit
+                entry, self._announce, self._record_limit, self.speeds.record_events
             )
             target.is_leaving = False
         target.entry = entry
--- a/ebonyshore/host/watch_service.py
+++ b/ebonyshore/host/watch_service.py
@@ -4,6 +4,7 @@
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.link.peers import Registration
 from ebonyshore.store.kind_watch import KindWatch
@@ -42,6 +43,8 @@
             watch.stop()
 
     def dump(self) -> dict[str, object]:
+        table = self._targets.table
+        speeds = table.speeds.snapshot(table.by_id().values(), now_ms())
         return {
             "targets": {
                 target.target_id: {
@@ -49,8 +52,11 @@
                     "is_leaving": target.is_leaving,
                     "own_online": target.own_online,
                     "own_batch": target.own_batch,
+                    "speed": speeds[target.target_id].speed,
+                    "usual_speed": speeds[target.target_id].usual_speed,
+                    "speed_weight": speeds[target.target_id].weight,
                 }
-                for target in self._targets.table.by_id().values()
+                for target in table.by_id().values()
             }
         }
 
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -5,6 +5,7 @@
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
+from ebonyshore.link.target_speeds import SpeedUpdate
 
 
 class SuspicionUpdate(Struct, frozen=True, tag="suspicion", array_like=True):
@@ -56,4 +57,12 @@
     origin: TargetGroup | None
 
 
-Datagram = LoadReport | LoadTotals | SuspicionUpdate | StreamStarts | StreamQuery | StreamAnswer
+Datagram = (
+    LoadReport
+    | LoadTotals
+    | SuspicionUpdate
+    | StreamStarts
+    | StreamQuery
+    | StreamAnswer
+    | SpeedUpdate
+)
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -177,6 +177,7 @@
         self, target: Target, totals: dict[str, TargetCounts], is_primary: bool
     ) -> TargetSlots:
         others = totals.get(target.target_id, NO_COUNTS)
+        target.others_running = others.online + others.batch
         at_ms = now_ms()
         is_usable = not target.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -17,8 +17,10 @@
 from ebonyshore.link.load_table import LimitReport, LoadReport, LoadTable, LoadTotals, add_counts
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.rate_limits import sum_limits
+from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.stream_records import StreamRecords
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.link.target_speeds import SpeedUpdate
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
@@ -61,15 +63,18 @@
         self._admission = admission
         self._suspicions = suspicions
         self._clock = clock
+        self._speeds = SpeedExchange(peers, targets)
         self._streams = StreamRecords()
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
     def on_message(self, message: Datagram) -> None:
-        """Apply a load report, suspicions or stream starts, or answer a query; ignore others."""
+        """Apply what other processes report, or answer a query; ignore other messages."""
         if isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
         elif isinstance(message, LoadReport):
             self._add_report(message)
+        elif isinstance(message, SpeedUpdate):
+            self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamStarts):
             for request_id, origin in message.streams:
                 self._streams.add(request_id, origin, now_ms())
@@ -113,6 +118,7 @@
         if sends_totals:
             self._send_totals(socket, report)
         self._send_suspicions(socket, sends_totals)
+        self._speeds.send(socket, now_ms(), sends_totals)
 
     def _send_suspicions(self, socket: LoadSocket, includes_entries: bool) -> None:
         runners = self._peers.addresses("runner")
