--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -14,6 +14,7 @@
 from msgspec import Struct, structs
 
 LOCAL_TARGET_WEIGHT = 1.5  # for targets in the own failure domain: the network path is shorter
+MAX_LOCAL_UTILIZATION = 0.4  # by online requests, up to which all go to local targets
 NEWS_DELAY_MS = 50.0  # until an entry's choices are known to all others, with a margin
 MAX_QUEUE_TIME_SHARE = 0.6  # part of the target latency that a request may spend in a queue
 MIN_RETRY_AFTER_MS = 400.0
@@ -141,6 +142,9 @@
     not have enough slots. The same holds for targets at which an answer would be late although it
     begins at once.
 
+    While the local targets are lightly loaded, requests stay there; a burst in one failure domain
+    spreads to the others.
+
     :param loads: the candidates. Avoided ones are used only if there are no others.
     :param queue_slots: number of requests that may queue at one target of mean speed.
     :param choices: number of concurrent choices, see :func:`concurrent_choices`.
@@ -154,6 +158,9 @@
     if objective is not None:
         punctual = [load for load in candidates if load.keeps(objective)]
         candidates = _keep_enough(punctual, candidates, choices)
+    local = [load for load in candidates if load.is_local]
+    if _have_room(local, choices):
+        candidates = local
     for slots_of in (_free_slots, _free_slots_for_online):
         slots = [max(0, slots_of(load)) for load in candidates]
         if sum(slots) >= choices:
@@ -173,6 +180,14 @@
     return _draw_weighted(candidates, _prefer_local(candidates, slots), draw)
 
 
+def _have_room(local: Sequence[TargetLoad], choices: float) -> bool:
+    """Return whether the local targets are lightly loaded and need not preempt batch items."""
+    online = sum(load.online for load in local)
+    if online >= MAX_LOCAL_UTILIZATION * sum(load.capacity for load in local):
+        return False
+    return sum(max(0, load.free_slots) for load in local) >= choices
+
+
 def _keep_enough(
     preferred: list[TargetLoad], candidates: list[TargetLoad], choices: float
 ) -> list[TargetLoad]:
