--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -172,8 +172,9 @@
     ]
     if not candidates:
         return None
+    # The slot that the request itself takes is not free for the next one.
     slots = even_shares(
-        [load.free_slots_for_online for load in candidates],
+        [load.free_slots_for_online - 1 for load in candidates],
         choices,
         [load.slot_rate for load in candidates],
     )
--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -26,7 +26,7 @@
 MIN_WEIGHT = 1.0  # of evidence that is used or reported
 MIN_SPEED = 0.1
 MAX_SPEED = 5.0
-MIN_REPORT_INTERVAL_MS = 1_000.0  # between two reports of a process about one target
+MIN_REPORT_INTERVAL_MS = 400.0  # between two reports of a process about one target
 NOTICEABLE_CHANGE = 0.2  # of the expected time between events
 ESTIMATE_LIFETIME_MS = 50.0
 
@@ -115,7 +115,7 @@
         found: dict[str, SpeedEstimate] = {}
         for members in by_service.values():
             found |= dict.fromkeys((target.target_id for target in members), UNKNOWN_SPEED)
-            found |= self._estimate(members, now_ms)
+            found |= self.estimates(members, now_ms)
         return found
 
     def _estimate(self, targets: list[Target], now_ms: float) -> dict[str, SpeedEstimate]:
@@ -171,7 +171,7 @@
         """Return what all processes have seen together and the entries should be told now."""
         updates = []
         for is_batch in (False, True):
-            keys = {key for key in (*self._own, *self._others) if key[1] is is_batch}
+            keys = dict.fromkeys(key for key in (*self._own, *self._others) if key[1] is is_batch)
             found = [self._total(incarnation, is_batch, now_ms) for incarnation, _ in keys]
             reports = [report for report in found if report is not None]
             updates += self._update(reports, is_batch, True, now_ms)
--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -32,6 +32,7 @@
     :param is_primary: whether this runner is the target's primary runner.
     :param is_accepting: whether items may start at the target once it is usable.
     :param start_limit: highest number of items that may start at the target now.
+    :param speed: work in a given time, in relation to the mean target, over the time of an item.
     """
 
     target_id: str
@@ -43,6 +44,7 @@
     is_primary: bool = True
     is_accepting: bool = True
     start_limit: int = UNLIMITED
+    speed: float = 1.0
 
     @property
     def free_slots(self) -> int:
@@ -130,8 +132,9 @@
 def make_plan(waiting: Sequence[str], targets: Sequence[TargetSlots]) -> ItemPlan:
     """Return which items start now and which are preempted.
 
-    At each target the last of the own items are preempted. Each item starts at the target that has
-    the most free slots left.
+    At each target the last of the own items are preempted. Each item starts at the target whose
+    free slots do the most work in a given time, so the first items get fast targets, and slow ones
+    are left to those that follow.
 
     :param waiting: keys of the waiting items, in the order in which they should start.
     :param targets: slots of the targets at which the items may run.
@@ -147,11 +150,12 @@
         for target in targets
         if target.is_usable and target.free_slots > 0
     }
+    speeds = {target.target_id: target.speed for target in targets}
     starts: list[ItemStart] = []
     for item in waiting:
         if not free_slots:
             break
-        target_id = max(free_slots, key=free_slots.__getitem__)
+        target_id = max(free_slots, key=lambda key: free_slots[key] * speeds[key])
         starts.append(ItemStart(item, target_id))
         free_slots[target_id] -= 1
         if not free_slots[target_id]:
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -125,10 +125,13 @@
         runners = [self._registry.own_id, *self._load_table.runners()]
         primary_runners = assign_primary_runners(self._targets.by_id(), runners)
         mixed_services = self._targets.mixed_services(now_ms())
+        speeds = self._targets.speeds.snapshot(self._targets.by_id().values(), now_ms())
         slots_by_group: dict[TargetGroup, list[TargetSlots]] = {}
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
+            # An item outlasts most of the times for which a target is slow.
+            slots.speed = speeds[target.target_id].usual_speed
             # The version of a target whose restart the list does not show yet is not known.
             if target.is_outdated and target.entry.service in mixed_services:
                 slots.is_usable = False
--- a/tests/test_item_plan.py
+++ b/tests/test_item_plan.py
@@ -39,6 +39,14 @@
     assert [start.target_id for start in plan.starts] == ["t2", "t2", "t2", "t2"]
 
 
+def test_the_first_items_start_at_fast_targets():
+    """Load pattern: targets of different speed with equally many free slots."""
+    slow, fast = make_slots("slow", online=4), make_slots("fast", online=4)
+    slow.speed, fast.speed = 0.6, 1.6
+    plan = make_plan(["i1", "i2", "i3"], [slow, fast])
+    assert [start.target_id for start in plan.starts] == ["fast", "fast", "slow"]
+
+
 def test_an_unusable_target_gets_no_new_items_and_keeps_its_running_ones():
     plan = make_plan(["i1"], [make_slots(own=["i0"], is_usable=False)])
     assert plan.starts == () and plan.stops == ()
--- a/tests/test_uneven_fleets.py
+++ b/tests/test_uneven_fleets.py
@@ -1,8 +1,10 @@
-"""Choice among targets of different speed, replayed without a network."""
+"""What is learned of the speed of targets, and the choice among targets of different speed."""
 
 from collections import Counter, deque
 from random import Random
 
+import pytest
+
 from ebonyshore.gateway.balance import (
     Objective,
     TargetLoad,
@@ -12,6 +14,7 @@
 )
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_speed import UNKNOWN_SPEED, TargetSpeeds
+from ebonyshore.link.target_speeds import SpeedReport, SpeedUpdate
 
 CAPACITY = 8
 STEP_MS = 5.0
@@ -153,5 +156,100 @@
                     self.entry.merge(update, at_ms)
 
 
-def late_streams(speeds, is_informed, seeds=range(2), **options):
-    return sum(FleetReplay(speeds, seed, is_informed, **options).play() for seed in seeds)
+def late_streams(speeds, is_informed, burst, seeds=range(2), **options):
+    replays = [FleetReplay(speeds, seed, is_informed, **options) for seed in seeds]
+    return sum(replay.play(burst=burst) for replay in replays)
+
+
+def test_fewer_streams_are_late_in_a_fleet_of_three_speeds():
+    late_before = late_streams(UNEVEN, is_informed=False, burst=0.2)
+    assert late_streams(UNEVEN, is_informed=True, burst=0.2) <= 0.8 * late_before
+
+
+def test_a_uniform_fleet_loses_nothing():
+    late_before = late_streams(UNIFORM, is_informed=False, burst=0.24, slow_share=0.0)
+    late = late_streams(UNIFORM, is_informed=True, burst=0.24, slow_share=0.0)
+    assert late <= 1.1 * late_before
+
+
+def test_lost_news_of_speeds_do_no_harm():
+    late_before = late_streams(UNEVEN, is_informed=False, burst=0.2)
+    late = late_streams(UNEVEN, is_informed=True, burst=0.2, news_loss=0.5)
+    assert late <= late_before
+
+
+def test_streams_stay_local_but_for_bursts():
+    replay = FleetReplay(UNEVEN, 1, True)
+    replay.play(calm=0.05, burst=0.05)
+    assert replay.remote <= 0.1 * replay.placed and not replay.late
+
+
+class Observed:
+    """Streams at two targets, seen by one process and reported to another."""
+
+    def __init__(self):
+        self.targets = [make_target(0), make_target(1)]
+        self.observer, self.entry = TargetSpeeds("r1"), TargetSpeeds("e1")
+        self.updates = []
+
+    def stream(self, from_ms, to_ms, second_event_ms):
+        for at_ms in range(from_ms, to_ms, 20):
+            for target, event_ms in zip(self.targets, (20.0, second_event_ms), strict=True):
+                self.observer.record_events(target, True, event_ms, 1, at_ms)
+            for update in self.observer.own_updates(at_ms):
+                self.entry.merge(update, at_ms)
+                self.updates.append(update)
+
+    def second(self, at_ms):
+        return self.entry.estimates(self.targets, at_ms)["t1"]
+
+
+def test_a_target_that_turns_slow_for_a_time_is_told_from_a_slow_one():
+    fleet = Observed()
+    fleet.stream(0, 20_000, 20.0)
+    fleet.stream(20_000, 22_000, 50.0)
+    slow = fleet.second(22_000.0)
+    assert slow.speed < 0.6 and slow.usual_speed > 0.8
+    fleet.stream(22_000, 25_000, 20.0)
+    assert fleet.second(25_000.0).speed > 0.8
+
+
+def test_without_new_evidence_a_target_counts_as_fast_as_usual_and_later_as_any_other():
+    fleet = Observed()
+    fleet.stream(0, 20_000, 40.0)
+    fleet.stream(20_000, 21_000, 100.0)
+    assert fleet.second(21_000.0).speed < 0.5
+    late = fleet.second(31_000.0)
+    assert late.speed == pytest.approx(late.usual_speed, rel=0.01)
+    assert fleet.entry.estimates(fleet.targets, 400_000.0) == {}
+
+
+def test_an_unchanged_speed_is_reported_seldom():
+    fleet = Observed()
+    fleet.stream(0, 30_000, 40.0)
+    assert sum(len(update.reports) for update in fleet.updates) <= 2 * 6
+
+
+def test_a_false_report_of_one_process_does_not_exclude_a_target():
+    """Guards against a peer whose clock or network makes a target look ten times as slow."""
+    fleet = Observed()
+    fleet.stream(0, 20_000, 20.0)
+    report = SpeedReport(fleet.targets[1].incarnation, 200.0, 20.0, 200.0, 3.0)
+    fleet.entry.merge(SpeedUpdate("e2", True, (report,)), 20_000.0)
+    assert fleet.second(20_100.0).speed > 0.25
+    assert fleet.second(23_000.0).speed > 0.8
+
+
+def test_queued_requests_go_where_the_next_slot_is_free_first():
+    slow = TargetLoad("slow", CAPACITY, 8, 0, speed=0.6)
+    fast = TargetLoad("fast", CAPACITY, 9, 0, speed=1.6)
+    chosen = [choose_target([slow, fast], 2, 1.0, n / 100).target_id for n in range(101)]
+    assert chosen.count("fast") > 85
+
+
+def test_late_answers_are_avoided_while_others_have_slots():
+    slow = TargetLoad("slow", CAPACITY, 0, 0, speed=0.2, event_ms=300.0)
+    busy = TargetLoad("busy", CAPACITY, 2, 6)
+    assert choose_target([slow, busy], 2, 1.0, 0.1, OBJECTIVE).target_id == "busy"
+    full = TargetLoad("full", CAPACITY, 8, 0)
+    assert choose_target([slow, full], 2, 1.0, 0.1, OBJECTIVE).target_id == "slow"
