Tell all processes of targets whose streams have fallen silent

A target that stops answering stays listed for seconds, and every entry found out by a time-out of its own. Streams that stand still now count as evidence of its speed, unless this process itself was paused. The run of a request is a module of its own (content_run); tests import and patch its constant there.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -5,7 +5,7 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.response_reader import (
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -21,7 +21,8 @@
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
-from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
     deadline_response,
@@ -336,6 +337,7 @@
         if chosen is None:
             return None
         self._chosen, self._chosen_ms = chosen, now_ms()
+        forwarder.metrics.set_gauge("slowest_target_speed", min(load.speed for load in loads))
         return forwarder.targets.find(chosen.target_id)
 
     def _queue_slots(self, loads: list[TargetLoad]) -> int:
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -15,7 +15,9 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.content_run import SIMULTANEOUS_MS, ContentRun
 from ebonyshore.host.request_content import RequestContent
+from ebonyshore.host.stream_silence import SilenceScan
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
 from ebonyshore.host.targets import TargetTable
@@ -25,134 +27,12 @@
 SUSPICION_EXPIRY_MS = 600_000.0
 SILENCE_CHECK_MS = 1_000.0  # without a part of the response, after which the target is checked
 SCAN_INTERVAL_MS = 250.0
-# A retry that is sent right after a break and breaks within this time has met a target that was
-# lost at the same moment. A request that crashes its target is read and begun first.
-SIMULTANEOUS_MS = 10.0
-# Content that crashes its targets does so when it begins to run, a few events later at most. A run
-# that breaks off later was probably hit by a crash that it did not cause.
-MAX_CRASH_DELAY_MS = 1_000.0
+MAX_SCAN_PAUSE_MS = 2 * SCAN_INTERVAL_MS
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
 
 
-class ContentRun:
-    """One run of a request at a target.
-
-    :param content: what of the request may crash the target.
-    :param is_resumable: whether the next run of the request continues after the last event.
-    :param is_item: whether it is a run of a batch item.
-    :param follows_break: whether another run of the content, to which a crash may be attributed,
-        broke just before this one started.
-    :ivar is_sent: whether the request was sent; before that it cannot have crashed the target.
-    :ivar last_part_ms: time of the start or of the last part of the response.
-    :ivar first_event_ms: time at which the run received its first event; ``None`` before that.
-    :ivar last_event_ms: the same of its last event so far.
-    :ivar is_checked: whether the target was checked since the last part of the response.
-    :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
-    :ivar has_cleared_parts: whether its progress has cleared the parts of its prompt.
-    :ivar is_end_certain: whether a complete response is certain to be all that the target sends.
-    """
-
-    __slots__ = (
-        "content",
-        "first_event_ms",
-        "follows_break",
-        "has_cleared_parts",
-        "is_attributed",
-        "is_checked",
-        "is_end_certain",
-        "is_item",
-        "is_resumable",
-        "is_sent",
-        "last_event_ms",
-        "last_part_ms",
-        "started_ms",
-        "target",
-    )
-
-    def __init__(
-        self,
-        target: Target,
-        content: RequestContent,
-        started_ms: float,
-        is_resumable: bool = False,
-        is_item: bool = False,
-        follows_break: bool = False,
-    ) -> None:
-        self.target = target
-        self.content = content
-        self.started_ms = started_ms
-        self.is_resumable = is_resumable
-        self.is_item = is_item
-        self.follows_break = follows_break
-        self.is_sent = False
-        self.last_part_ms = started_ms
-        self.first_event_ms: float | None = None
-        self.last_event_ms: float | None = None
-        self.is_attributed = False
-        self.is_checked = False
-        self.has_cleared_parts = False
-        self.is_end_certain = True
-
-    @property
-    def progress_ms(self) -> float | None:
-        """Time from the first to the last event in milliseconds; ``None`` without an event."""
-        if self.first_event_ms is None:
-            return None
-        return self.last_event_ms - self.first_event_ms
-
-    @property
-    def is_weak_evidence(self) -> bool:
-        """Whether a crash is weak evidence against the content, as the run had made progress."""
-        return self.is_resumable and self.first_event_ms is not None
-
-    def record_part(self, at_ms: float) -> None:
-        """Record that a part of the response was received."""
-        self.last_part_ms = at_ms
-        self.is_checked = False
-
-    def record_event(self, at_ms: float, events: int = 1) -> None:
-        """Record that the run received one or more events at the same time."""
-        self.record_part(at_ms)
-        if self.first_event_ms is None:
-            self.first_event_ms = at_ms
-        else:
-            elapsed_ms = at_ms - self.last_event_ms
-            self.target.record_events(self.is_item, elapsed_ms, events, at_ms)
-        self.last_event_ms = at_ms
-
-    @property
-    def has_progress(self) -> bool:
-        """Whether it has made more progress than content allows that crashes its targets."""
-        return (self.progress_ms or 0.0) > MAX_CRASH_DELAY_MS
-
-    def suspects(self, at_ms: float) -> dict[str, bool]:
-        """Return what of the content may have caused a crash of the target at ``at_ms``.
-
-        :return: whether the crash is weak evidence, by digest.
-        """
-        found: dict[str, bool] = {}
-        if not self.is_sent or self.is_item:
-            return found
-        if self._may_have_crashed_target(at_ms):
-            found[self.content.digest] = self.is_weak_evidence
-        if not self.has_progress:
-            found |= dict.fromkeys(self.content.parts, False)
-        return found
-
-    def _may_have_crashed_target(self, at_ms: float) -> bool:
-        """Return whether a crash of the target may be attributed to the whole content.
-
-        It is not if the run had made progress for some time that the next run continues from. If
-        the content caused the crash, the next run crashes its target early. Less progress makes the
-        crash weak evidence, see :attr:`is_weak_evidence`.
-        """
-        if self.is_resumable and self.has_progress:
-            return False
-        return not self.follows_break or at_ms - self.started_ms >= SIMULTANEOUS_MS
-
-
 class CrashGuard(PeriodicService):
     """Attributes crashes of targets to the content of this process's runs.
 
@@ -191,6 +71,7 @@
         self._unexplained: dict[Target, tuple[dict[str, bool], float]] = {}
         # Time of the last break that may have been a crash, by content digest.
         self._broken_ms: dict[str, float] = {}
+        self._silence_scan = SilenceScan(MAX_SCAN_PAUSE_MS)
 
     def begin(
         self, target: Target, content: RequestContent, is_resumable: bool, is_item: bool = False
@@ -267,6 +148,7 @@
     async def run_once(self) -> None:
         """Check the targets of runs that have waited long, and look for restarts in the list."""
         at_ms = now_ms()
+        self._record_silences(at_ms)
         self._clear_by_progress()
         self._attribute_restarts(at_ms)
         self._broken_ms = {
@@ -281,6 +163,12 @@
             if silent:
                 self._check(target)
 
+    def _record_silences(self, at_ms: float) -> None:
+        for silence in self._silence_scan.scan(self._runs, at_ms):
+            self._targets.speeds.record_silence(
+                silence.target, silence.is_batch, silence.silence_ms, at_ms
+            )
+
     def dump(self) -> dict[str, object]:
         return {
             "suspects": [
--- a/ebonyshore/host/event_times.py
+++ b/ebonyshore/host/event_times.py
@@ -7,6 +7,9 @@
 MAX_LOAD_EFFECT = 0.2  # share by which one more running request may lengthen the time
 LOAD_EFFECT_MEMORY = 0.9995  # kept of the earlier evidence with each new sample
 LOAD_EFFECT_PRIOR = 20.0  # weight of the assumption that the load has no effect
+MIN_SILENCE_MS = 400.0  # less is not told from a stream that waits for memory
+MIN_SILENCE_RATIO = 10.0  # of the usual time between events
+SILENCE_WEIGHT = 20.0  # of the events that did not come
 MAX_SAMPLE_RATIO = 8.0  # of the usual time; a longer pause is a stall rather than slow work
 
 
@@ -30,6 +33,10 @@
         self._at_ms = now_ms
         self.value += (value - self.value) * weight / self._weight
 
+    def replace(self, value: float, weight: float, now_ms: float) -> None:
+        """Forget all values but this one."""
+        self.value, self._weight, self._at_ms = value, weight, now_ms
+
     def weight(self, now_ms: float) -> float:
         """Return the sum of the weights, as far as they have not decayed."""
         age_ms = max(0.0, now_ms - self._at_ms)
@@ -75,9 +82,10 @@
     :ivar recent: mean over the last second or so, as at half of the capacity.
     """
 
-    __slots__ = ("_load", "_load_effect", "_reference_load", "recent", "usual")
+    __slots__ = ("_is_silent", "_load", "_load_effect", "_reference_load", "recent", "usual")
 
     def __init__(self, capacity: int, load_effect: LoadEffect) -> None:
+        self._is_silent = False
         self._reference_load = capacity / 2
         self._load_effect = load_effect
         self._load = DecayingMean(USUAL_HALF_LIFE_MS)
@@ -95,4 +103,14 @@
             self._load_effect.record(running - self._load.value, time_ms / self.usual.value)
         self._load.add(running, events, now_ms)
         self.usual.add(time_ms, events, now_ms)
-        self.recent.add(time_ms, events, now_ms)
+        if self._is_silent:
+            self._is_silent = False
+            self.recent.replace(time_ms, events, now_ms)
+        else:
+            self.recent.add(time_ms, events, now_ms)
+
+    def record_silence(self, silence_ms: float, now_ms: float) -> None:
+        """Include that no stream at the target has gone on for a time, if that is long."""
+        if silence_ms >= max(MIN_SILENCE_MS, MIN_SILENCE_RATIO * self.usual.value):
+            self._is_silent = True
+            self.recent.replace(silence_ms, SILENCE_WEIGHT, now_ms)
--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -82,6 +82,14 @@
             times = self._own[key] = EventTimes(target.entry.capacity, self._load_effect)
         times.record(elapsed_ms, events, target.running, now_ms)
 
+    def record_silence(
+        self, target: Target, is_batch: bool, silence_ms: float, now_ms: float
+    ) -> None:
+        """Include that none of this process's streams at a target has gone on for a time."""
+        times = self._own.get((target.incarnation, is_batch))
+        if times is not None:
+            times.record_silence(silence_ms, now_ms)
+
     def merge(self, update: SpeedUpdate, now_ms: float) -> None:
         """Include the reports of another process."""
         if update.sender == self._own_id:
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.response_reader import (
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -11,7 +11,8 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
-from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.request_content import RequestContent, part_digests
 from ebonyshore.host.target import Target, TargetGroup
 from ebonyshore.host.target_check import TargetChecker
--- a/tests/test_convicted_requests.py
+++ b/tests/test_convicted_requests.py
@@ -6,7 +6,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.host import crash_guard
+from ebonyshore.host import content_run
 from ebonyshore.host.crash_guard import SIMULTANEOUS_MS, SUSPICION_EXPIRY_MS
 from ebonyshore.host.request_content import content_digest
 from ebonyshore.host.target_check import TargetCondition
@@ -79,7 +79,7 @@
 
 def test_stream_that_makes_progress_is_sent_on_after_crashes(monkeypatch):
     """Guards against refusing a long stream that was in flight at several unrelated crashes."""
-    monkeypatch.setattr(crash_guard, "MAX_CRASH_DELAY_MS", PROGRESS_MS / 2)
+    monkeypatch.setattr(content_run, "MAX_CRASH_DELAY_MS", PROGRESS_MS / 2)
 
     def target_with_two_events(number):
         async def crash(session):
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -10,8 +10,8 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host import crash_guard
+from ebonyshore.host.content_run import MAX_CRASH_DELAY_MS
 from ebonyshore.host.crash_guard import (
-    MAX_CRASH_DELAY_MS,
     RESTART_LISTING_MS,
     SILENCE_CHECK_MS,
     SIMULTANEOUS_MS,
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import Target, TargetEntry
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -9,7 +9,7 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ExchangeError
--- a/tests/test_uneven_fleets.py
+++ b/tests/test_uneven_fleets.py
@@ -12,6 +12,9 @@
     concurrent_choices,
     max_queued_requests,
 )
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.request_content import RequestContent
+from ebonyshore.host.stream_silence import Silence, SilenceScan
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_speed import UNKNOWN_SPEED, TargetSpeeds
 from ebonyshore.link.target_speeds import SpeedReport, SpeedUpdate
@@ -253,3 +256,31 @@
     assert choose_target([slow, busy], 2, 1.0, 0.1, OBJECTIVE).target_id == "busy"
     full = TargetLoad("full", CAPACITY, 8, 0)
     assert choose_target([slow, full], 2, 1.0, 0.1, OBJECTIVE).target_id == "slow"
+
+
+def test_a_target_whose_streams_fall_silent_is_avoided_by_processes_that_have_none_there():
+    """Load pattern: a target stops answering, and its entry stays in the list for seconds."""
+    fleet = Observed()
+    fleet.stream(0, 20_000, 20.0)
+    silent = fleet.targets[1]
+    for silence_ms in (300.0, 550.0):
+        now_ms = 20_000.0 + silence_ms
+        fleet.observer.record_silence(silent, True, silence_ms, now_ms)
+        for update in fleet.observer.own_updates(now_ms):
+            fleet.entry.merge(update, now_ms)
+    estimate = fleet.second(20_600.0)
+    load = TargetLoad("t1", CAPACITY, 0, 0, speed=estimate.speed, event_ms=estimate.event_ms)
+    assert not load.keeps(Objective(310.0, 400.0))
+    fleet.stream(20_700, 23_000, 20.0)
+    assert fleet.second(23_000.0).speed > 0.8
+
+
+def test_a_pause_of_this_process_is_no_silence_of_targets():
+    """Guards against a frozen process that makes all targets look slow when it wakes."""
+    target = make_target(0)
+    run = ContentRun(target, RequestContent("c", ()), 0.0)
+    run.record_event(0.0)
+    scan = SilenceScan(500.0)
+    scan.scan({target: [run]}, 0.0)
+    assert scan.scan({target: [run]}, 3_000.0) == []
+    assert scan.scan({target: [run]}, 3_250.0) == [Silence(target, False, 3_250.0)]
