--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -27,7 +27,7 @@
 MIN_SPEED = 0.1
 MAX_SPEED = 5.0
 MIN_REPORT_INTERVAL_MS = 400.0  # between two reports of a process about one target
-NOTICEABLE_CHANGE = 0.2  # of the expected time between events
+NOTICEABLE_CHANGE = 0.4  # of the logarithm of the expected time between events
 ESTIMATE_LIFETIME_MS = 50.0
 
 
