--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -1,7 +1,7 @@
 """Forwards online requests to targets, and retries or resumes them where the route allows it."""
 
 from asyncio import sleep
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -9,6 +9,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.balance import (
     Objective,
     TargetLoad,
@@ -18,9 +19,10 @@
     max_queued_requests,
     retry_after_ms,
 )
-from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState
+from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState, route_pause_limits
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
+from ebonyshore.host.accounts import Account
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.error_responses import (
@@ -64,6 +66,10 @@
     :param crash_guard: knows the content that crashes targets.
     :param origins: knows at which software version streams began.
     :param random: randomizes the choice of targets and the retry delays of refused callers.
+    :param authenticator: asked before each attempt whether the request is still admitted.
+    :ivar on_run_start: called with the account of each request that is sent to a target.
+    :ivar on_run_end: called with the account when the request has ended there.
+    :ivar on_not_run: called with the account of each request that ended without having run.
     """
 
     def __init__(
@@ -78,6 +84,7 @@
         log: EventLog,
         metrics: Metrics,
         random: Random,
+        authenticator: Authenticator,
     ) -> None:
         self.names = names
         self.targets = targets
@@ -89,10 +96,19 @@
         self.log = log
         self.metrics = metrics
         self.random = random
+        self.authenticator = authenticator
+        self.on_run_start: Callable[[Account], None] = lambda _account: None
+        self.on_run_end: Callable[[Account], None] = lambda _account: None
+        self.on_not_run: Callable[[Account], None] = lambda _account: None
 
-    async def forward(self, route: Route, request: Request, responder: Responder) -> None:
-        """Answer one request; errors of targets are answered, not raised."""
-        await _ForwardedRequest(self, route, request, responder).run()
+    async def forward(
+        self, route: Route, request: Request, responder: Responder, account: Account | None
+    ) -> None:
+        """Answer one request; errors of targets are answered, not raised.
+
+        :param account: the client account for which the request was admitted, if any.
+        """
+        await _ForwardedRequest(self, route, request, responder, account).run()
 
     def loads_within_limits(self, targets: Sequence[Target], has_run: bool) -> list[TargetLoad]:
         """Return the loads of the targets that may be sent a request now.
@@ -138,12 +154,18 @@
     """The state of one request over all its attempts."""
 
     def __init__(
-        self, forwarder: Forwarder, route: Route, request: Request, responder: Responder
+        self,
+        forwarder: Forwarder,
+        route: Route,
+        request: Request,
+        responder: Responder,
+        account: Account | None,
     ) -> None:
         self._forwarder = forwarder
         self._route = route
         self._request = request
         self._responder = responder
+        self._account = account
         self._request_id = request.headers.get(forwarder.names.request_id)
         self._content = _content(request, forwarder.names)
         self._service = forwarder.choose_service(route)
@@ -155,14 +177,20 @@
         self._chosen: TargetLoad | None = None  # load of the target that was chosen last
         self._chosen_ms = 0.0
         self._objective = Objective(route.target_latency_ms, route.max_gap_ms)
-        self._relay = RelayState(request.headers.get(forwarder.names.last_event_id))
+        self._relay = RelayState(
+            request.headers.get(forwarder.names.last_event_id), route_pause_limits(route)
+        )
         self._deadline_ms = request.received_ms + _time_limit_ms(route, request, forwarder.names)
 
     async def run(self) -> None:
         outcome = "client_left"
         try:
             outcome = await self._run_until_deadline()
+        except AccessDeniedError as error:
+            outcome = self._deny(error.response)
         finally:
+            if self._account is not None and not self._attempts:
+                self._forwarder.on_not_run(self._account)
             duration_ms = now_ms() - self._request.received_ms
             self._forwarder.metrics.count(f"requests_{outcome}")
             self._forwarder.metrics.record_ms("request", duration_ms)
@@ -172,6 +200,7 @@
                 content=self._content.digest,
                 parts=",".join(self._content.parts),
                 route=self._route.name,
+                caller=self._caller(),
                 outcome=outcome,
                 resumes=self._request.headers.get(self._forwarder.names.resumed_request),
                 targets=",".join(self._tried_targets),
@@ -186,10 +215,18 @@
                 duration_ms=duration_ms,
             )
 
+    def _caller(self) -> str | None:
+        return None if self._account is None else self._account.name
+
     def _since_received(self, at_ms: float | None) -> float | None:
         return None if at_ms is None else at_ms - self._request.received_ms
 
     async def _run_until_deadline(self) -> str:
+        """Try one target after the other.
+
+        :return: the outcome of the request.
+        :raises AccessDeniedError: if the request is not admitted any more.
+        """
         if self._relay.last_id is not None and self._service is not None:
             try:
                 await self._find_origin(self._service)
@@ -204,6 +241,7 @@
             remaining_ms = self._deadline_ms - now_ms()
             if remaining_ms < MIN_REMAINING_MS:
                 return self._fail(deadline_response(was_sent=self._attempts > 0))
+            self._authenticate()
             target = self._choose_target()
             if target is None and self._attempts and self._usable_targets():
                 # It has run, so it cannot be refused; all targets are at their rate limits.
@@ -215,6 +253,21 @@
             if outcome is not None:
                 return outcome
 
+    def _authenticate(self) -> None:
+        """Check that the request is still admitted; its key may have been removed meanwhile.
+
+        :raises AccessDeniedError: if it is not.
+        """
+        self._account = self._forwarder.authenticator.authenticate(
+            self._request.headers, self._route.is_public
+        )
+
+    def _deny(self, response: ErrorResponse) -> str:
+        """Refuse the request, or fail it if an attempt may have run."""
+        if self._attempts:
+            return self._fail(maybe_executed_response(response.code))
+        return self._fail(response)
+
     async def _find_origin(self, service: str) -> None:
         """Let a stream that its caller takes up go on only at the targets at which it began.
 
@@ -242,15 +295,18 @@
         exchange = Exchange(
             forwarder.names,
             forwarder.pool,
-            self._request,
+            forwarder.authenticator.to_forwarded(self._request, self._account),
             self._relay,
             run,
             forwarder.checker if self._must_confirm_incarnation() else None,
             forwarder.crash_guard.confirm_end,
             self._record_first_event,
+            lambda: self._can_move_from(target),
         )
         forwarder.targets.rate_limits.record_sent(target.incarnation, now_ms())
         forwarder.view.record_start(target)
+        if self._account is not None:
+            forwarder.on_run_start(self._account)
         began_ms = now_ms()
         try:
             end = await exchange.run(self._responder, remaining_ms, self._route, can_retry)
@@ -263,6 +319,8 @@
             return self._after_failure(run, error)
         finally:
             forwarder.view.record_end(target)
+            if self._account is not None:
+                forwarder.on_run_end(self._account)
             forwarder.crash_guard.end(run)
         if end is not ExchangeEnd.FAILED:
             forwarder.crash_guard.end_completed(run)
@@ -304,6 +362,18 @@
     def _can_retry(self) -> bool:
         return self._route.is_repeatable and self._attempts < self._route.max_attempts
 
+    def _can_move_from(self, target: Target) -> bool:
+        """Return whether a target that has not been tried could take the request over now."""
+        if self._forwarder.crash_guard.is_refused(self._content):
+            return False
+        tried = self._unsuccessful_targets | {target.target_id}
+        usable = [other for other in self._usable_targets() if other.target_id not in tried]
+        loads = self._forwarder.loads_within_limits(usable, has_run=True)
+        queue_slots = self._queue_slots(loads)
+        return any(
+            not load.is_avoided and load.free_slots_for_online + queue_slots > 0 for load in loads
+        )
+
     def _usable_targets(self) -> list[Target]:
         """Return the targets that accept requests and may add to the caller's answer.
 
@@ -361,6 +431,7 @@
         forwarder.log.event(
             "request_refused",
             request=self._request_id,
+            caller=self._caller(),
             online=sum(load.online for load in loads),
             batch=sum(load.batch for load in loads),
             places=sum(load.capacity for load in loads),
--- a/ebonyshore/host/accounts.py
+++ b/ebonyshore/host/accounts.py
@@ -1,9 +1,12 @@
 """Client accounts of the configuration, and the keys that callers authenticate with. No I/O."""
 
+from collections.abc import Sequence
 from hashlib import sha256
 
 from msgspec import Struct
 
+from ebonyshore.link.account_limit import AccountLimit, QuotaRule, make_limit
+
 
 class Account(Struct, frozen=True):
     """A client account.
@@ -24,6 +27,20 @@
     burst: float = 0.0
 
 
+def account_header_value(name: str) -> str:
+    """Return an account's name as the value of a header field, whose bytes are those of UTF-8."""
+    return name.encode().decode("latin-1")
+
+
 def digest_key(key: str) -> bytes:
     """Return the digest under which a key is looked up."""
     return sha256(key.encode("utf-8", "surrogateescape")).digest()
+
+
+def account_limits(accounts: Sequence[Account] | None, rule: QuotaRule) -> dict[str, AccountLimit]:
+    """Return the limits of the accounts that have one, by name."""
+    return {
+        account.name: make_limit(account.rate_per_s, account.burst, rule)
+        for account in accounts or ()
+        if account.rate_per_s > 0
+    }
--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable
-from math import exp, log
+from math import exp, log, sqrt
 
 from msgspec import Struct, structs
 
@@ -27,7 +27,8 @@
 MIN_SPEED = 0.1
 MAX_SPEED = 5.0
 MIN_REPORT_INTERVAL_MS = 400.0  # between two reports of a process about one target
-NOTICEABLE_CHANGE = 0.4  # of the logarithm of the expected time between events
+NOTICEABLE_CHANGE = 0.2  # of the logarithm of the expected time between events
+CHANCE_CHANGE = 2.0  # the same for one recent event; less for more of them
 ESTIMATE_LIFETIME_MS = 50.0
 
 
@@ -297,7 +298,8 @@
         return False
     believed_ms = _expected_ms(_aged(last, now_ms - sent_ms))
     change = abs(log(_expected_ms(report) / believed_ms))
-    return change >= NOTICEABLE_CHANGE or now_ms - sent_ms >= USUAL_HALF_LIFE_MS / 2
+    by_chance = CHANCE_CHANGE / sqrt(1.0 + report.recent_weight)
+    return change >= max(NOTICEABLE_CHANGE, by_chance) or now_ms - sent_ms >= USUAL_HALF_LIFE_MS / 2
 
 
 def _expected_ms(report: SpeedReport) -> float:
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ebonyshore.host.target import TargetGroup
+from ebonyshore.link.account_messages import AccountTotals, AccountUsage
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.target_speeds import SpeedUpdate
@@ -57,6 +58,22 @@
     origin: TargetGroup | None
 
 
+class ConfigConfirmed(Struct, frozen=True, tag="config_confirmed", array_like=True):
+    """Tells one entry which version of the configuration a runner has read as the newest.
+
+    :param sender: instance id of the runner.
+    :param version: the version that it read.
+    :param incarnation: the run of the entry that reported the clock.
+    :param clock_ms: the latest clock that the runner had heard from the entry when it began the
+        read.
+    """
+
+    sender: str
+    version: int
+    incarnation: str
+    clock_ms: float
+
+
 Datagram = (
     LoadReport
     | LoadTotals
@@ -65,4 +82,7 @@
     | StreamQuery
     | StreamAnswer
     | SpeedUpdate
+    | ConfigConfirmed
+    | AccountUsage
+    | AccountTotals
 )
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -9,6 +9,7 @@
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.pause_limits import PauseLimits
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
     NotExecutedError,
@@ -21,11 +22,13 @@
 from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
+from ebonyshore.runner.item_headers import account_headers, escape_path
 from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 3_000.0
-EVENT_TIMEOUT_MS = 1_200.0
+EVENT_TIMEOUT_MS = 1_200.0  # at least
+MAX_TIMEOUT_DOUBLINGS = 1
 RUN_TIMEOUT_MS = 30_000.0
 MAX_CONNECTION_IDLE_MS = 10_000.0
 MAX_ITEM_BYTES = MAX_SEGMENT_BYTES  # a longer output cannot be stored
@@ -70,6 +73,8 @@
     :param confirm_end: returns whether a response that ended with its connection may be complete.
     :param checker: confirms the incarnation of the target before the request is sent; ``None`` if
         that is not necessary.
+    :param account: the account that the target is told, empty for none; ``None`` if there are no
+        accounts and the item's headers are sent as they are.
     """
 
     def __init__(
@@ -82,6 +87,7 @@
         host: str,
         confirm_end: Callable[[ContentRun], Awaitable[bool]],
         checker: TargetChecker | None = None,
+        account: str | None = None,
     ) -> None:
         self._names = names
         self._pool = pool
@@ -91,6 +97,9 @@
         self._host = host
         self._confirm_end = confirm_end
         self._checker = checker
+        self._account = account
+        moves = min(MAX_TIMEOUT_DOUBLINGS, item.consecutive_broken_runs)
+        self._pauses = PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, moves=moves)
 
     async def run(self, content_run: ContentRun) -> RunResult:
         """Run the item at a target until the response ends or an error occurs.
@@ -132,7 +141,11 @@
         names = self._names
         headers = Headers([("Host", self._host), (names.request_id, self._item.item_id)])
         overridden = {"host", names.request_id.lower(), "content-length", "connection"}
-        for name, value in self._record.headers:
+        fields, path = self._record.headers, self._record.path
+        if self._account is not None:
+            fields = account_headers(fields, names, self._account)
+            path = escape_path(path)
+        for name, value in fields:
             if name.lower() not in overridden:
                 headers.add(name, value)
         headers.add(names.remaining_ms, str(int(RUN_TIMEOUT_MS)))
@@ -140,11 +153,11 @@
         if self._item.last_event_id is not None:
             headers = headers.with_field(names.last_event_id, str(self._item.last_event_id))
         headers.add("Content-Length", str(len(self._body)))
-        request_line = f"{ITEM_METHOD} {self._record.path} HTTP/1.1\r\n".encode("latin-1")
+        request_line = f"{ITEM_METHOD} {path} HTTP/1.1\r\n".encode("latin-1")
         return request_line + headers.encode() + b"\r\n" + self._body
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
-        head = await reader.read_head(FIRST_EVENT_TIMEOUT_MS)
+        head = await reader.read_head(self._pauses.limit_ms)
         content_run.record_part(now_ms())
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
@@ -163,12 +176,15 @@
     ) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
-        limit_ms = now_ms() + FIRST_EVENT_TIMEOUT_MS
+        limit_ms = now_ms() + self._pauses.limit_ms
         while not isinstance(chunk := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
-            for event in splitter.feed(chunk):
+            events = splitter.feed(chunk)
+            for event in events:
                 item.add_event(event.event_id, event.data, content_run.target.entry.group)
                 content_run.record_event(now_ms())
-                limit_ms = now_ms() + EVENT_TIMEOUT_MS
+            if events:
+                self._pauses.record_event(now_ms())
+                limit_ms = now_ms() + self._pauses.limit_ms
             if item.data_bytes > MAX_ITEM_BYTES:
                 item.discard_events()
                 return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
--- a/ebonyshore/runner/job_order.py
+++ b/ebonyshore/runner/job_order.py
@@ -3,24 +3,31 @@
 Load pattern: more jobs are accepted than can be completed in time. In the order of submission every
 job would then wait until it is late. Instead, the jobs that can still be completed in time go
 first, as whole jobs. The others get the slots that are left, and a share of all slots while they
-could otherwise not end before their retention time.
+could otherwise not end before their retention time. If jobs of several client accounts compete,
+:mod:`account_sharing` decides whose go first.
 
 Online requests interrupt the items every few seconds. Interrupted items that can still be in time
 therefore go before all others, and the other items of a job that is partly late before late items.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 from enum import IntEnum
+from functools import partial
 from math import ceil
 from typing import TypeVar
 
 from msgspec import Struct
 
+from ebonyshore.runner.account_sharing import PunctualSchedule, max_min_part, take_in_turn
+
 # Items differ in length, and online requests preempt them. Work that is expected to end just in
 # time would often end late, and delay further work by that.
 ITEM_MARGIN = 0.9  # of the slot time that an item is expected to need, before its job begins
 BEGUN_ITEM_MARGIN = 0.8  # the same afterwards: an item that takes less time may still be punctual
 LISTING_TIME_MS = 1_000.0  # from the end of an item until callers have read its result
+# Items wait until those of other accounts end, so slots that are just enough would be too few.
+NEED_MARGIN = 2.0  # of the slots in which the jobs of an account would end just in time
 LATE_SHARE = 0.2  # of the slots, for late jobs that their retention time threatens
 
 Waiting = TypeVar("Waiting")  # represents a waiting item
@@ -35,6 +42,7 @@
     :param work_ms: time in a slot that all its unfinished items together still need.
     :param longest_item_ms: the same for the item that needs most.
     :param has_begun: whether any of its items has run.
+    :param account: the client account that submitted it; empty if there are no accounts.
     """
 
     job_id: str
@@ -43,6 +51,7 @@
     work_ms: float
     longest_item_ms: float
     has_begun: bool = False
+    account: str = ""
 
 
 class JobOrder(Struct, frozen=True):
@@ -51,11 +60,14 @@
     :param job_ids: ids of all jobs, first the one whose items start first.
     :param late: ids of the jobs that are not expected to be completed in time.
     :param late_slots: number of slots in which late items run before all others.
+    :param part_slots: slots up to which the other items of each account go before those of accounts
+        with more. Empty unless several accounts compete for too few slots.
     """
 
     job_ids: tuple[str, ...]
     late: frozenset[str] = frozenset()
     late_slots: int = 0
+    part_slots: dict[str, float] = {}
 
 
 def order_jobs(jobs: Sequence[JobDemand], slots: float) -> JobOrder:
@@ -65,7 +77,13 @@
     :param slots: number of slots that these jobs can use together.
     """
     slots = max(1.0, slots)
+    is_shared = _are_shared(jobs)
     punctual = _select_punctual(jobs, slots)
+    if is_shared and _are_slots_short(jobs, punctual, slots):
+        punctual = _select_in_turn(jobs, slots)
+        part_slots = _part_slots(punctual, slots)
+    else:
+        part_slots = {}
     punctual_ids = {job.job_id for job in punctual}
     late = sorted(
         (job for job in jobs if job.job_id not in punctual_ids),
@@ -73,9 +91,10 @@
     )
     late_slots = LATE_SHARE * slots
     return JobOrder(
-        tuple(job.job_id for job in (*punctual, *late)),
+        tuple(job.job_id for job in (*punctual, *_share_order(late))),
         frozenset(job.job_id for job in late),
         ceil(late_slots) if _is_threatened(late, late_slots) else 0,
+        part_slots,
     )
 
 
@@ -141,15 +160,84 @@
     Jobs that have begun come first, so that whole jobs are completed; the others follow by due
     time. A job that would be late behind those before it is left out.
     """
-    chosen: list[JobDemand] = []
-    work_ms = 0.0
-    for job in sorted(jobs, key=lambda job: (not job.has_begun, job.due_in_ms)):
-        margin = BEGUN_ITEM_MARGIN if job.has_begun else ITEM_MARGIN
-        usable_ms = job.due_in_ms - LISTING_TIME_MS - margin * job.longest_item_ms
-        if (work_ms + job.work_ms) / slots <= usable_ms:
-            chosen.append(job)
-            work_ms += job.work_ms
-    return chosen
+    schedule: PunctualSchedule[JobDemand] = PunctualSchedule()
+    for job in sorted(jobs, key=_start_key):
+        _add_punctual(schedule, slots, job)
+    return schedule.jobs
+
+
+def _select_in_turn(jobs: Sequence[JobDemand], slots: float) -> list[JobDemand]:
+    """Return the jobs to complete in time if the accounts choose them in turn.
+
+    The chosen jobs start in the same order as without accounts.
+    """
+    schedule: PunctualSchedule[JobDemand] = PunctualSchedule()
+    take = partial(_add_punctual, schedule, slots)
+    take_in_turn(sorted(jobs, key=_start_key), _account_of, _work_of, take)
+    return schedule.jobs
+
+
+def _are_slots_short(
+    jobs: Sequence[JobDemand], punctual: Sequence[JobDemand], slots: float
+) -> bool:
+    """Return whether a job is left out that could be in time without the others."""
+    chosen = {job.job_id for job in punctual}
+    return any(job.job_id not in chosen and job.work_ms <= _usable_ms(job, slots) for job in jobs)
+
+
+def _part_slots(punctual: Sequence[JobDemand], slots: float) -> dict[str, float]:
+    """Return by account the part of the slots that its jobs get first.
+
+    :param punctual: the jobs to complete in time, in the order in which they start.
+    """
+    work_ms: Counter[str] = Counter()
+    needed: dict[str, float] = {}
+    for job in punctual:
+        work_ms[job.account] += job.work_ms
+        job_slots = work_ms[job.account] / max(1.0, _usable_ms(job, 1.0))
+        needed[job.account] = max(needed.get(job.account, 0.0), NEED_MARGIN * job_slots)
+    part = max_min_part(slots, needed.values())
+    return {account: min(part, demand) for account, demand in needed.items()}
+
+
+def _add_punctual(schedule: PunctualSchedule[JobDemand], slots: float, job: JobDemand) -> bool:
+    return schedule.add(job, _start_key(job), job.work_ms, _usable_ms(job, slots))
+
+
+def _usable_ms(job: JobDemand, slots: float) -> float:
+    """Return the slot time in which a job and those before it have to be completed."""
+    margin = BEGUN_ITEM_MARGIN if job.has_begun else ITEM_MARGIN
+    return slots * (job.due_in_ms - LISTING_TIME_MS - margin * job.longest_item_ms)
+
+
+def _share_order(late: Sequence[JobDemand]) -> Sequence[JobDemand]:
+    """Return the late jobs in the order in which they start."""
+    if not _are_shared(late):
+        return late
+    ordered: list[JobDemand] = []
+
+    def take(job: JobDemand) -> bool:
+        ordered.append(job)
+        return True
+
+    take_in_turn(late, _account_of, _work_of, take)
+    return ordered
+
+
+def _are_shared(jobs: Sequence[JobDemand]) -> bool:
+    return len({job.account for job in jobs}) > 1
+
+
+def _start_key(job: JobDemand) -> tuple[bool, float]:
+    return not job.has_begun, job.due_in_ms
+
+
+def _account_of(job: JobDemand) -> str:
+    return job.account
+
+
+def _work_of(job: JobDemand) -> float:
+    return job.work_ms
 
 
 def _is_threatened(late: Sequence[JobDemand], slots: float) -> bool:
--- a/ebonyshore/runner/job_ranking.py
+++ b/ebonyshore/runner/job_ranking.py
@@ -1,10 +1,12 @@
 """Ranks the jobs of this runner by the work that they still need and by when they are due."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.runner.account_sharing import start_in_part
 from ebonyshore.runner.admission_policy import RunnerWork
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.job_order import (
@@ -84,13 +86,23 @@
         self._ranks = {job_id: rank for rank, job_id in enumerate(self._order.job_ids)}
         self._due_ms = {demand.job_id: now_ms + demand.due_in_ms for demand in demands}
 
-    def own_work(self) -> RunnerWork:
-        """Return the amount of this runner's work, and the rate at which it can be completed."""
-        owned = self._registry.owned_jobs()
+    def own_work(self, account: str = "") -> RunnerWork:
+        """Return the amount of this runner's work, and the rate at which it can be completed.
+
+        :param account: the account whose work is told from that of the others.
+        """
+        waiting: Counter[str] = Counter({account: 0})
+        punctual: Counter[str] = Counter({account: 0})
+        for job in self._registry.owned_jobs():
+            waiting[job.record.caller] += job.unfinished_tokens
+            if not self.is_late(job.job_id):
+                punctual[job.record.caller] += job.unfinished_tokens
         return RunnerWork(
-            sum(job.unfinished_tokens for job in owned),
-            sum(job.unfinished_tokens for job in owned if not self.is_late(job.job_id)),
+            waiting.pop(account),
+            punctual.pop(account),
             self._completions.tokens_per_ms(),
+            tuple(waiting.values()),
+            tuple(punctual.values()),
         )
 
     def sort_items(
@@ -107,10 +119,19 @@
         """
         keys = {waiting.key: self._sort_key(waiting, now_ms) for waiting in items}
         ordered = sorted(items, key=lambda waiting: keys[waiting.key])
+        running = list(running)
+        if self._order.part_slots:
+            held = Counter(job.record.caller for job, _ in running)
+            ordered = start_in_part(ordered, self._sharing_account, held, self._order.part_slots)
         first_late = sum(key[0] is not ItemRank.LATE for key in keys.values())
         late_running = sum(not self._is_in_time(job, item, now_ms) for job, item in running)
         return move_late_ahead(ordered, first_late, self._order.late_slots - late_running)
 
+    def _sharing_account(self, waiting: WaitingItem) -> str | None:
+        """Return the account whose part of the slots an item counts towards; not if it is late."""
+        record = waiting.progress.record
+        return None if self.is_late(record.job_id) else record.caller
+
     def preemption_key(
         self, progress: JobProgress, item: Item, now_ms: float
     ) -> tuple[bool, float]:
@@ -149,6 +170,7 @@
             sum(needed_ms),
             max(needed_ms, default=0.0),
             any(self._has_run(item) for item in progress.items),
+            record.caller,
         )
 
     def _has_run(self, item: Item) -> bool:
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -140,6 +140,9 @@
             job = self._jobs[job_id] = KnownJob(marked_record, now_ms)
         elif job.marked_record.version >= marked_record.version:
             return job
+        elif job.record.caller != marked_record.body.caller:
+            # The job was removed, and another account has submitted one under its id.
+            job = self._jobs[job_id] = KnownJob(marked_record, now_ms)
         job.marked_record = marked_record
         job.record_changed_ms = now_ms
         if job.progress is not None:
@@ -209,6 +212,10 @@
         """Return the number of items of owned jobs that have no result yet."""
         return sum(progress.open_count for progress in self.owned_jobs())
 
+    def find(self, job_id: str) -> KnownJob | None:
+        """Return a job, or ``None`` if its record is not known."""
+        return self._jobs.get(job_id)
+
     def is_known(self, job_id: str) -> bool:
         """Return whether the record of a job is known."""
         return job_id in self._jobs
@@ -235,6 +242,19 @@
         job = self._jobs.get(job_id)
         return self._clock.boot_ms() - job.first_seen_ms if job is not None else 0.0
 
+    def live_owner(self, job_id: str) -> str | None:
+        """Return the other runner that owns a job and hears this one; ``None`` if there is none.
+
+        That runner answers reads from memory, while this one would have to read the store.
+        """
+        job = self._jobs.get(job_id)
+        if job is None or job.record.owner in ("", self.own_id):
+            return None
+        if job.progress is not None and job.progress.is_finished:
+            return None
+        owner = job.record.owner
+        return owner if self._load_table.is_mutually_heard(owner, self._clock.boot_ms()) else None
+
     async def read_progress(self, job_id: str) -> JobProgress | None:
         """Return the progress of a job, with all results that the store holds.
 
@@ -309,6 +329,7 @@
 def _dump_job(job: KnownJob) -> dict[str, object]:
     items = job.progress.items if job.progress is not None else []
     return {
+        "account": job.record.caller,
         "owner": job.record.owner,
         "epoch": job.record.epoch,
         "is_cancelled": job.record.is_cancelled,
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -5,6 +5,7 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.link.account_messages import AccountUsage
 from ebonyshore.link.datagrams import (
     Datagram,
     StreamAnswer,
@@ -40,6 +41,8 @@
         so that they no longer count as confirmed owners.
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
+    :param is_store_silent: tells whether the store probe gets no answers; reported to the runners.
+    :ivar on_account_usage: called with the reports of what client accounts use.
     :ivar send_now: sends a datagram at once; to be set before the first message.
     """
 
@@ -53,6 +56,7 @@
         admission: JobAdmission,
         suspicions: SuspicionExchange,
         clock: Clock,
+        is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
         self._peers = peers
         self._targets = targets
@@ -64,7 +68,9 @@
         self._suspicions = suspicions
         self._clock = clock
         self._speeds = SpeedExchange(peers, targets)
+        self._is_store_silent = is_store_silent
         self._streams = StreamRecords()
+        self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
     def on_message(self, message: Datagram) -> None:
@@ -80,6 +86,8 @@
                 self._streams.add(request_id, origin, now_ms())
         elif isinstance(message, StreamQuery):
             self._answer(message)
+        elif isinstance(message, AccountUsage):
+            self.on_account_usage(message)
 
     def _add_report(self, report: LoadReport) -> None:
         for incarnation in report.leaving:
@@ -111,6 +119,7 @@
             contended_quotas=self._admission.contended_quotas(),
             leaving=self._targets.announced_incarnations(now_ms()),
             limits=self._targets.rate_limits.own_reports(now_ms()),
+            is_store_silent=self._is_store_silent(),
         )
         own_id = report.sender
         self._targets.rate_limits.update_others(own_id, self._limits_without(own_id), now_ms())
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -14,7 +14,9 @@
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.renewals import RENEWALS_KIND, RenewalListener, RenewalWriter
+from ebonyshore.runner.account_totals import AccountTotalsService
 from ebonyshore.runner.completion_rate import CompletionRate
+from ebonyshore.runner.config_confirmer import ConfigConfirmer
 from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
 from ebonyshore.runner.item_saver import ItemSaver
 from ebonyshore.runner.item_scheduler import ItemScheduler
@@ -94,7 +96,11 @@
         self._item_scheduler.stop_all()
 
     def dump(self) -> dict[str, object]:
-        return {"jobs": self._registry.dump(), "running": self._item_scheduler.dump()}
+        return {
+            "jobs": self._registry.dump(),
+            "running": self._item_scheduler.dump(),
+            "quotas": self._admission.dump(),
+        }
 
     def _note_change(self) -> None:
         self._change_event.set()
@@ -171,10 +177,22 @@
         environment.random,
     )
     runner_load = RunnerLoad(
-        parts.peers, table, load_table, registry, claims, admission, parts.suspicions, clock
+        parts.peers,
+        table,
+        load_table,
+        registry,
+        claims,
+        admission,
+        parts.suspicions,
+        clock,
+        lambda: parts.probe.is_silent,
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
     runner_load.send_now = load.send_now
+    account_totals = AccountTotalsService(
+        settings.quota_rule, parts.peers, load_table, parts.config, load.send_now, clock
+    )
+    runner_load.on_account_usage = account_totals.on_usage
     parts.suspicions.on_change = load.schedule_report
     parts.targets.on_leaving = load.schedule_report
     item_scheduler = ItemScheduler(
@@ -231,6 +249,19 @@
             suspicion_storage, parts.suspicions, load_table, registry.run_blocking, clock, log
         )
     )
+    kernel.register(
+        ConfigConfirmer(
+            settings.revocation_ms,
+            parts.config,
+            parts.config_reader,
+            load_table,
+            parts.peers,
+            lambda: parts.probe.is_silent,
+            load.send_now,
+            metrics,
+        )
+    )
+    kernel.register(account_totals)
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(
         JobApi(host, port, deployment, registry, admission, parts.config, clock, log, metrics)
