--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -20,7 +20,9 @@
 from ebonyshore.link.load_table import LoadTotals
 from ebonyshore.link.pace_messages import PaceLimits
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.link.target_speeds import SpeedUpdate
 
 
 class EntryLoadReporter:
@@ -49,6 +51,7 @@
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
+        self._speeds = SpeedExchange(peers, targets)
         self._targets = targets
         self._view = view
         self._suspicions = suspicions
@@ -69,6 +72,8 @@
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
         elif isinstance(message, PaceLimits):
             self._pace.adopt_limits(message, now_ms())
+        elif isinstance(message, SpeedUpdate):
+            self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamAnswer):
             self._origins.on_answer(message)
         elif isinstance(message, StreamQuery):
@@ -90,4 +95,5 @@
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
+        self._speeds.send(socket, now_ms())
         self._origins.report_streams()
--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -9,7 +9,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
@@ -239,7 +239,7 @@
             self._relay.record_events(now_ms(), self._target.entry.group)
             if is_first:
                 self._on_first_event()
-            self._run.record_event(now_ms())
+            self._run.record_event(now_ms(), len(events))
             responder.write(b"".join(event.raw for event in events))
             await self._drain(responder)
             limit_ms = self._pause_limit_ms(can_retry)
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.balance import (
+    Objective,
     TargetLoad,
     choose_target,
     concurrent_choices,
@@ -23,7 +24,8 @@
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.accounts import Account
-from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
     deadline_response,
@@ -190,7 +192,9 @@
         self._unsuccessful_targets: set[str] = set()
         self._attempts = 0  # those that may have run; refused ones are not counted
         self._refusals = 0
-        self._free_slots: int | None = None  # of the target that was chosen last
+        self._chosen: TargetLoad | None = None  # load of the target that was chosen last
+        self._chosen_ms = 0.0
+        self._objective = Objective(route.target_latency_ms, route.max_gap_ms)
         self._relay = RelayState(
             request.headers.get(forwarder.names.last_event_id), route_pause_limits(route)
         )
@@ -220,7 +224,9 @@
                 targets=",".join(self._tried_targets),
                 versions=",".join(self._tried_versions),
                 runs=self._attempts,
-                room=self._free_slots,
+                room=self._free_slots(),
+                speed=self._chosen and self._chosen.speed,
+                expected_ms=self._expected_ms(),
                 load_age_ms=self._forwarder.view.totals_age_ms(now_ms()),
                 last_event=self._relay.last_id,
                 first_event_ms=self._since_received(self._relay.first_event_ms),
@@ -362,7 +368,7 @@
             pace.record_refusal(target, run.started_ms, now_ms())
             target.mark_full(now_ms())
             target.outcomes.record(
-                UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots or 0) > 0 else 0.0, now_ms()
+                UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots() or 0) > 0 else 0.0, now_ms()
             )
         self._log_attempt(run, "not_executed", error.detail)
         if self._refusals > MAX_REFUSALS:
@@ -429,18 +435,20 @@
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
-        draw = forwarder.random.random()
+        draw, objective = forwarder.random.random(), self._objective
         limited = limit_returning(loads, forwarder.pace_allowances(loads), choices)
-        chosen = choose_target(limited, queue_slots, choices, draw)
+        chosen = choose_target(limited, queue_slots, choices, draw, objective)
         if chosen is None:  # a target that returns is better than none
-            chosen = choose_target(loads, queue_slots, choices, draw)
+            chosen = choose_target(loads, queue_slots, choices, draw, objective)
         if chosen is None:
             return None
-        self._free_slots = chosen.free_slots
+        self._chosen, self._chosen_ms = chosen, now_ms()
+        forwarder.metrics.set_gauge("slowest_target_speed", min(load.speed for load in loads))
         return forwarder.targets.find(chosen.target_id)
 
     def _queue_slots(self, loads: list[TargetLoad]) -> int:
-        capacity = loads[0].capacity if loads else 0
+        # Limits of single targets may have reduced their capacity here.
+        capacity = max((load.capacity for load in loads), default=0)
         service_time_ms = self._forwarder.view.mean_service_time_ms
         return max_queued_requests(capacity, self._route.target_latency_ms, service_time_ms)
 
@@ -473,7 +481,18 @@
         origins = self._forwarder.origins
         return self._relay.origin is not None and origins.may_be_mixed(self._service)
 
+    def _free_slots(self) -> int | None:
+        return self._chosen and self._chosen.free_slots
+
+    def _expected_ms(self) -> float | None:
+        """Return the time to the first event that was expected when the last target was chosen."""
+        if self._chosen is None:
+            return None
+        service_time_ms = self._forwarder.view.mean_service_time_ms
+        return self._chosen.wait_ms(service_time_ms) + self._chosen.first_event_ms
+
     def _record_first_event(self) -> None:
+        self._forwarder.view.record_first_event(self._chosen, now_ms() - self._chosen_ms)
         if self._route.is_repeatable and self._request_id is not None:
             self._forwarder.origins.record(self._request_id, self._relay.origin)
 
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -13,6 +13,7 @@
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
@@ -69,7 +70,11 @@
         self.peers = PeerDirectory(environment.peer_record(), environment.marked_store, log)
         rate_limits = RateLimits(lambda: self.peers.process_count, environment.random.random())
         self.targets = TargetService(
-            TargetTable(rate_limits, TargetPace(lambda: self.peers.process_count)),
+            TargetTable(
+                rate_limits,
+                TargetPace(lambda: self.peers.process_count),
+                TargetSpeeds(environment.settings.instance_id),
+            ),
             deployment.decode_target,
             environment.pool,
             log,
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -11,6 +11,7 @@
 from ebonyshore.host.leaving_record import LeavingRecord
 from ebonyshore.host.pace import TargetPace
 from ebonyshore.host.target import Target, TargetEntry, TargetGroup
+from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.link.load_table import Incarnation, TargetCounts
 from ebonyshore.link.rate_limits import RateLimits
 
@@ -24,6 +25,7 @@
 
     :param rate_limits: the rate limits that targets name; without it they are not shared.
     :param pace: the limits of targets that return to service; without it they are not shared.
+    :param speeds: told of the events of this process's streams; without it they are not shared.
     :ivar on_leaving: called with a target and the source of the news when it is first known that
         this incarnation leaves.
     """
@@ -37,13 +39,18 @@
         "on_leaving",
         "pace",
         "rate_limits",
+        "speeds",
     )
 
     def __init__(
-        self, rate_limits: RateLimits | None = None, pace: TargetPace | None = None
+        self,
+        rate_limits: RateLimits | None = None,
+        pace: TargetPace | None = None,
+        speeds: TargetSpeeds | None = None,
     ) -> None:
         self.rate_limits = rate_limits or RateLimits(lambda: 1, 0.0)
         self.pace = pace or TargetPace(lambda: 1)
+        self.speeds = speeds or TargetSpeeds()
         self._has_listing = False
         self._targets: dict[str, Target] = {}
         self._leaving = LeavingRecord()
@@ -80,7 +87,7 @@
             if target is not None:
                 self._note_dropped(target, now_ms)
             target = self._targets[entry.target_id] = Target(
-                entry, self._announce, self._record_limit
+                entry, self._announce, self._record_limit, self.speeds.record_events
             )
             target.is_leaving = False
             if self._has_listing:
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -7,6 +7,7 @@
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.pace_messages import PaceLimits, PaceReport
+from ebonyshore.link.target_speeds import SpeedUpdate
 
 
 class SuspicionUpdate(Struct, frozen=True, tag="suspicion", array_like=True):
@@ -81,6 +82,7 @@
     | StreamStarts
     | StreamQuery
     | StreamAnswer
+    | SpeedUpdate
     | ConfigConfirmed
     | AccountUsage
     | AccountTotals
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -11,7 +11,8 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
-from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.host.request_content import RequestContent, part_digests
 from ebonyshore.host.target import Target, TargetGroup
@@ -128,10 +129,13 @@
         runners = [self._registry.own_id, *self._load_table.runners()]
         primary_runners = assign_primary_runners(self._targets.by_id(), runners)
         mixed_services = self._targets.mixed_services(now_ms())
+        speeds = self._targets.speeds.snapshot(self._targets.by_id().values(), now_ms())
         slots_by_group: dict[TargetGroup, list[TargetSlots]] = {}
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
+            # An item outlasts most of the times for which a target is slow.
+            slots.speed = speeds[target.target_id].usual_speed
             # The version of a target whose restart the list does not show yet is not known.
             if target.is_outdated and target.entry.service in mixed_services:
                 slots.is_usable = False
@@ -181,6 +185,7 @@
         self, target: Target, totals: dict[str, TargetCounts], is_primary: bool
     ) -> TargetSlots:
         others = totals.get(target.target_id, NO_COUNTS)
+        target.others_running = others.online + others.batch
         at_ms = now_ms()
         is_usable = not target.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -20,8 +20,10 @@
 from ebonyshore.link.pace_messages import PaceReport
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.rate_limits import sum_limits
+from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.stream_records import StreamRecords
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.link.target_speeds import SpeedUpdate
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
@@ -70,13 +72,14 @@
         self._suspicions = suspicions
         self._pace = pace
         self._clock = clock
+        self._speeds = SpeedExchange(peers, targets)
         self._is_store_silent = is_store_silent
         self._streams = StreamRecords()
         self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
     def on_message(self, message: Datagram) -> None:
-        """Apply a load report, suspicions or stream starts, or answer a query; ignore others."""
+        """Apply what other processes report, or answer a query; ignore other messages."""
         if isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
         elif isinstance(message, LoadReport):
@@ -84,6 +87,8 @@
             self._targets.pace.record_news(now_ms())
         elif isinstance(message, PaceReport):
             self._pace.merge_report(message, now_ms())
+        elif isinstance(message, SpeedUpdate):
+            self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamStarts):
             for request_id, origin in message.streams:
                 self._streams.add(request_id, origin, now_ms())
@@ -132,6 +137,7 @@
             self._pace.send_limits(socket, self._peers.addresses("entry"), now_ms())
         self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._send_suspicions(socket, sends_totals)
+        self._speeds.send(socket, now_ms(), sends_totals)
 
     def _send_suspicions(self, socket: LoadSocket, includes_entries: bool) -> None:
         runners = self._peers.addresses("runner")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,7 +9,6 @@
 from ebonyshore.host.job_types import ResultRecord, ResultSegment
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.rate_limits import RateLimits
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
@@ -135,15 +134,6 @@
         def addresses(self, _role):
             return []
 
-    class FakeTargets:
-        rate_limits = RateLimits(lambda: 1, 0.0)
-
-        def own_counts(self):
-            return {}
-
-        def announced_incarnations(self, _now_ms):
-            return ()
-
     class FakeAdmission:
         def waiting_tokens(self):
             return {}
@@ -153,7 +143,7 @@
 
     load = RunnerLoad(
         FakePeers(),
-        FakeTargets(),
+        TargetTable(),
         setup.load_table,
         setup.registry,
         setup.claims,
