--- a/ebonyshore/host/event_times.py
+++ b/ebonyshore/host/event_times.py
@@ -29,8 +29,10 @@
 
     def add(self, value: float, weight: float, now_ms: float) -> None:
         """Include a value. ``weight`` is positive."""
-        self._weight = self.weight(now_ms) + weight
-        self._at_ms = now_ms
+        if now_ms > self._at_ms:
+            self._weight *= 0.5 ** ((now_ms - self._at_ms) / self._half_life_ms)
+            self._at_ms = now_ms
+        self._weight += weight
         self.value += (value - self.value) * weight / self._weight
 
     def replace(self, value: float, weight: float, now_ms: float) -> None:
@@ -62,10 +64,9 @@
         :param load_difference: requests at the target in comparison with the target's mean.
         :param relative_time: time between events in relation to the target's mean.
         """
-        self._covariance *= LOAD_EFFECT_MEMORY
-        self._variance *= LOAD_EFFECT_MEMORY
-        self._covariance += load_difference * (relative_time - 1.0)
-        self._variance += load_difference * load_difference
+        product = load_difference * (relative_time - 1.0)
+        self._covariance = LOAD_EFFECT_MEMORY * self._covariance + product
+        self._variance = LOAD_EFFECT_MEMORY * self._variance + load_difference * load_difference
 
     def factor(self, load_difference: float) -> float:
         """Return how many times as long events take with that many more requests."""
--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -29,7 +29,8 @@
 MIN_REPORT_INTERVAL_MS = 400.0  # between two reports of a process about one target
 NOTICEABLE_CHANGE = 0.2  # of the logarithm of the expected time between events
 CHANCE_CHANGE = 2.0  # the same for one recent event; less for more of them
-ESTIMATE_LIFETIME_MS = 50.0
+ESTIMATE_LIFETIME_MS = 100.0
+REPORT_LIFETIME_MS = 5 * USUAL_HALF_LIFE_MS
 
 
 class SpeedEstimate(Struct, frozen=True):
@@ -104,7 +105,7 @@
     def estimates(self, targets: Iterable[Target], now_ms: float) -> dict[str, SpeedEstimate]:
         """Return the estimates for targets of one service by target id.
 
-        They may be some tens of milliseconds old. Targets of unknown speed are left out.
+        They may be up to 100 ms old. Targets of unknown speed are left out.
         """
         targets = list(targets)
         if not targets:
@@ -198,8 +199,16 @@
                 due.append(report)
         return [SpeedUpdate(self._own_id, is_batch, tuple(due))] if due else []
 
-    def forget(self, listed: set[Incarnation]) -> None:
-        """Drop all evidence about incarnations that are not listed any more."""
+    def forget(self, listed: set[Incarnation], now_ms: float) -> None:
+        """Drop evidence about incarnations that are not listed any more, and outdated reports."""
+        for by_sender in self._others.values():
+            outdated = [
+                sender
+                for sender, (at_ms, _) in by_sender.items()
+                if now_ms - at_ms > REPORT_LIFETIME_MS
+            ]
+            for sender in outdated:
+                del by_sender[sender]
         for evidence in (self._own, self._others, self._sent):
             for key in [key for key in evidence if key[0] not in listed]:
                 del evidence[key]
--- a/ebonyshore/link/speed_exchange.py
+++ b/ebonyshore/link/speed_exchange.py
@@ -33,7 +33,8 @@
             return
         self._next_scan_ms = now_ms + SCAN_INTERVAL_MS
         speeds = self._targets.speeds
-        speeds.forget({target.incarnation for target in self._targets.by_id().values()})
+        listed = {target.incarnation for target in self._targets.by_id().values()}
+        speeds.forget(listed, now_ms)
         for update in speeds.own_updates(now_ms):
             socket.send(update, self._peers.addresses("runner"))
         if not includes_entries:
