--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -5,6 +5,7 @@
 from ebonyshore.gateway.lease_keeper import LeaseKeeper
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
+from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.account_messages import AccountTotals
 from ebonyshore.link.datagrams import (
@@ -17,8 +18,11 @@
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LoadTotals
+from ebonyshore.link.pace_messages import PaceLimits
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.link.target_speeds import SpeedUpdate
 
 
 class EntryLoadReporter:
@@ -31,6 +35,7 @@
     :param origins: told of answers and queries; reports the streams of this entry.
     :param lease_keeper: told which configuration runners have read; provides the reported clock.
     :param account_limits: told of the totals of client accounts.
+    :param pace: told of limits of targets that return; provides the evidence to send.
     """
 
     def __init__(
@@ -42,25 +47,33 @@
         origins: StreamOrigins,
         lease_keeper: LeaseKeeper,
         account_limits: AccountLimits,
+        pace: PaceExchange,
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
+        self._speeds = SpeedExchange(peers, targets)
         self._targets = targets
         self._view = view
         self._suspicions = suspicions
         self._origins = origins
         self._lease_keeper = lease_keeper
         self._account_limits = account_limits
+        self._pace = pace
 
     def on_message(self, message: Datagram) -> None:
         """Apply a message of a runner or answer an entry; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+            self._targets.pace.record_news(now_ms())
             self._targets.rate_limits.update_others(message.sender, message.limits, now_ms())
             for incarnation in message.leaving:
                 self._targets.mark_leaving(incarnation, message.sender)
         elif isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=False)
+        elif isinstance(message, PaceLimits):
+            self._pace.adopt_limits(message, now_ms())
+        elif isinstance(message, SpeedUpdate):
+            self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamAnswer):
             self._origins.on_answer(message)
         elif isinstance(message, StreamQuery):
@@ -81,4 +94,6 @@
             clock_ms=self._lease_keeper.clock_ms(),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
+        self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
+        self._speeds.send(socket, now_ms())
         self._origins.report_streams()
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -11,7 +11,8 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.config_service import ConfigService
-from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.host.request_content import RequestContent, part_digests
 from ebonyshore.host.target import Target, TargetGroup
@@ -101,6 +102,7 @@
         self._crash_guard = crash_guard
         self._completions = completions
         self._ranking = ranking
+        self._random = random
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -127,10 +129,13 @@
         runners = [self._registry.own_id, *self._load_table.runners()]
         primary_runners = assign_primary_runners(self._targets.by_id(), runners)
         mixed_services = self._targets.mixed_services(now_ms())
+        speeds = self._targets.speeds.snapshot(self._targets.by_id().values(), now_ms())
         slots_by_group: dict[TargetGroup, list[TargetSlots]] = {}
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
             slots = self._target_slots(target, totals, is_primary)
+            # An item outlasts most of the times for which a target is slow.
+            slots.speed = speeds[target.target_id].usual_speed
             # The version of a target whose restart the list does not show yet is not known.
             if target.is_outdated and target.entry.service in mixed_services:
                 slots.is_usable = False
@@ -164,6 +169,7 @@
             content_run = self._crash_guard.begin(
                 target, self._item_content(progress, item), is_resumable=True, is_item=True
             )
+            content_run.on_first_event = self._record_answer_pace
             task = create_task(self._run_item(start.item, progress, item, content_run))
             running = RunningItem(progress, item, target, content_run, task)
             self._running[start.item] = running
@@ -179,6 +185,7 @@
         self, target: Target, totals: dict[str, TargetCounts], is_primary: bool
     ) -> TargetSlots:
         others = totals.get(target.target_id, NO_COUNTS)
+        target.others_running = others.online + others.batch
         at_ms = now_ms()
         is_usable = not target.is_leaving and not target.is_avoided(at_ms)
         own = [key for key, running in self._running.items() if running.target is target]
@@ -196,13 +203,25 @@
             is_usable,
             is_primary,
             not target.is_leaving,
-            self._start_limit(target, is_primary, at_ms),
+            self._start_limit(target, is_primary, others.plus(target.own_counts), at_ms),
         )
 
     def _preemption_key(self, running: RunningItem, now_ms: float) -> tuple[bool, float]:
         return self._ranking.preemption_key(running.progress, running.item, now_ms)
 
-    def _start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
+    def _start_limit(
+        self, target: Target, is_primary: bool, counts: TargetCounts, now_ms: float
+    ) -> int:
+        in_flight = counts.online + counts.batch
+        paced = self._targets.pace.allowance(
+            target.incarnation, in_flight, now_ms, self._random.random
+        )
+        if paced is not None and not is_primary:
+            return 0
+        allowed = self._unpaced_start_limit(target, is_primary, now_ms)
+        return allowed if paced is None else min(allowed, paced.requests)
+
+    def _unpaced_start_limit(self, target: Target, is_primary: bool, now_ms: float) -> int:
         allowed = self._targets.rate_limits.batch_allowance(target.incarnation, now_ms)
         if allowed is not None:
             return allowed if is_primary else 0
@@ -341,6 +360,7 @@
     ) -> None:
         at_ms = now_ms()
         target = content_run.target
+        self._record_unanswered(content_run, result.outcome)
         self._metrics.count(f"item_runs_{result.outcome.name.lower()}")
         if result.outcome is not RunOutcome.COMPLETE:
             self._log.event(
@@ -372,6 +392,20 @@
         else:
             self._handle_incomplete_run(item, content_run, result.outcome, at_ms)
 
+    def _record_answer_pace(self, run: ContentRun) -> None:
+        kind = f"items of {run.target.entry.service}"
+        self._targets.pace.record_answer(run.target, kind, run.started_ms, now_ms())
+
+    def _record_unanswered(self, run: ContentRun, outcome: RunOutcome) -> None:
+        """Record that a target did not run an item to its end, for its limit if it returns."""
+        pace, target, at_ms = self._targets.pace, run.target, now_ms()
+        if outcome is RunOutcome.UNREACHABLE:
+            pace.record_doubt(target, run.started_ms, at_ms)
+        elif outcome is RunOutcome.SILENT:
+            pace.record_failure(target, run.started_ms, at_ms)
+        elif outcome in (RunOutcome.NOT_RUN, RunOutcome.FAILED, RunOutcome.BROKEN):
+            pace.record_refusal(target, run.started_ms, at_ms)
+
     def _handle_failure(self, progress: JobProgress, item: Item, now_ms: float) -> None:
         progress.record_failure(item, now_ms)
         if item.failures >= progress.record.max_attempts:
