Never send item headers with line breaks, also without client accounts

An item's header value with CR and LF was sent as submitted where the configuration has no accounts, so that it could add headers or a second request to the target's connection.

--- a/ebonyshore/runner/item_headers.py
+++ b/ebonyshore/runner/item_headers.py
@@ -1,7 +1,7 @@
 """The part of an item's request that its submitter determines. Pure functions.
 
-An item names the path and headers of its request. Where there are client accounts, they must not
-pass for those of another account, nor end the request so that a second one follows.
+An item names the path and headers of its request. They must not end the request so that a second
+one follows, nor pass for those of another account where there are client accounts.
 """
 
 from collections.abc import Iterable
@@ -16,6 +16,15 @@
 _ESCAPES = {code: f"%{code:02X}" for code in (*range(0x21), 0x7F)}
 
 
+def well_formed_headers(fields: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers of an item without those that would end or change its request."""
+    return [
+        (name, value)
+        for name, value in fields
+        if _FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
+    ]
+
+
 def account_headers(
     fields: Iterable[tuple[str, str]], names: WireNames, account: str
 ) -> list[tuple[str, str]]:
@@ -27,11 +36,7 @@
     :param account: the account that the job belongs to; empty if it has none.
     """
     excluded = HOP_BY_HOP_NAMES | {"authorization", names.account.lower()}
-    kept = [
-        (name, value)
-        for name, value in Headers(fields).without(excluded)
-        if _FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
-    ]
+    kept = well_formed_headers(Headers(fields).without(excluded))
     return [*kept, (names.account, account_header_value(account))] if account else kept
 
 
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -23,7 +23,12 @@
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.runner.item_headers import account_headers, escape_text, latin1_text
+from ebonyshore.runner.item_headers import (
+    account_headers,
+    escape_text,
+    latin1_text,
+    well_formed_headers,
+)
 from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -147,9 +152,10 @@
         names = self._names
         headers = Headers([("Host", self._host), (names.request_id, self._request_id)])
         overridden = {"host", names.request_id.lower(), "content-length", "connection"}
-        fields = self._record.headers
-        if self._account is not None:
-            fields = account_headers(fields, names, self._account)
+        if self._account is None:
+            fields = well_formed_headers(self._record.headers)
+        else:
+            fields = account_headers(self._record.headers, names, self._account)
         for name, value in fields:
             if name.lower() not in overridden:
                 headers.add(latin1_text(name), latin1_text(value))
