Notice a target that falls silent by the stream's own rhythm

On a route that allows pauses of 1,000 ms a silent target was noticed after 1,250 ms, also by a stream whose events had come every 20 ms, so that the answer was late in any case. Once a stream has shown its rhythm, three times its longest pause decides, 700 ms at least. Streams that are slow but steady are left alone as before. Found in review; test_limit_follows_from_the_route_and_from_the_rhythm has the case, which gave 1,250 ms before.

--- a/ebonyshore/host/pause_limits.py
+++ b/ebonyshore/host/pause_limits.py
@@ -43,6 +43,7 @@
     """
 
     __slots__ = (
+        "_allowed_pause_ms",
         "_first_event_ms",
         "_last_event_ms",
         "_longest_pause_ms",
@@ -61,8 +62,9 @@
         moves: int = 0,
     ) -> None:
         self._first_event_ms = first_event_ms
-        self._min_pause_ms = max(min_pause_ms, (max_gap_ms or 0.0) * ALLOWED_PAUSE_FACTOR)
-        self._max_pause_ms = max(self._min_pause_ms, max_patience_ms * MAX_PATIENCE_SHARE)
+        self._min_pause_ms = min_pause_ms
+        self._allowed_pause_ms = max(min_pause_ms, (max_gap_ms or 0.0) * ALLOWED_PAUSE_FACTOR)
+        self._max_pause_ms = max(self._allowed_pause_ms, max_patience_ms * MAX_PATIENCE_SHARE)
         self._longest_pause_ms = 0.0
         self._pauses = 0
         self._last_event_ms: float | None = None
@@ -89,9 +91,10 @@
         backoff = MOVE_BACKOFF**self._moves
         if self._last_event_ms is None:
             return self._first_event_ms * backoff
-        limit_ms = self._min_pause_ms
-        if self._pauses >= MIN_PAUSES:
-            limit_ms = max(limit_ms, self._longest_pause_ms * USUAL_PAUSE_FACTOR)
+        if self._pauses < MIN_PAUSES:
+            limit_ms = self._allowed_pause_ms
+        else:  # the rhythm tells more than the pauses that the route allows
+            limit_ms = max(self._min_pause_ms, self._longest_pause_ms * USUAL_PAUSE_FACTOR)
         return min(limit_ms, self._max_pause_ms) * backoff
 
 
--- a/tests/test_stream_pauses.py
+++ b/tests/test_stream_pauses.py
@@ -126,6 +126,7 @@
         (1_000.0, (), 1_250.0),
         (None, (600.0, 600.0), 700.0),  # too few to show a rhythm
         (None, (20.0, 20.0, 20.0), 700.0),
+        (1_000.0, (20.0, 20.0, 20.0), 700.0),  # a stream this steady has stalled
         (None, (400.0, 300.0, 400.0), 1_200.0),
         (None, (650.0, 650.0, 650.0), 1_500.0),  # less than the callers' patience
         (2_000.0, (1_900.0, 1_900.0, 1_900.0), 5_700.0),
