--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -6,6 +6,8 @@
 from ebonyshore.link.account_messages import AccountTotals, AccountUsage
 from ebonyshore.link.load_table import LoadReport, LoadTotals
 from ebonyshore.link.messages import Verdict
+from ebonyshore.link.pace_messages import PaceLimits, PaceReport
+from ebonyshore.link.target_speeds import SpeedUpdate
 
 
 class SuspicionUpdate(Struct, frozen=True, tag="suspicion", array_like=True):
@@ -80,7 +82,10 @@
     | StreamStarts
     | StreamQuery
     | StreamAnswer
+    | SpeedUpdate
     | ConfigConfirmed
     | AccountUsage
     | AccountTotals
+    | PaceReport
+    | PaceLimits
 )
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -1,12 +1,13 @@
 """Runs one batch item at one target and collects the events of its response."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from enum import Enum, auto
 
 from msgspec import Struct
 
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.pause_limits import PauseLimits
@@ -19,10 +20,15 @@
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.runner.item_headers import account_headers, escape_path
+from ebonyshore.runner.item_headers import (
+    account_headers,
+    escape_text,
+    latin1_text,
+    well_formed_headers,
+)
 from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -92,6 +98,7 @@
         self._names = names
         self._pool = pool
         self._item = item
+        self._request_id = escape_text(item.item_id)
         self._record = record
         self._body = body
         self._host = host
@@ -110,11 +117,8 @@
         :return: the outcome; errors of the connection and of the response are outcomes, too.
         """
         target = content_run.target
-        address = target.entry.address
         try:
-            async with self._pool.use(
-                address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS
-            ) as connection:
+            async with self._connection(target) as connection:
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, target)
                 if target.is_leaving:
@@ -123,7 +127,7 @@
                 content_run.is_sent = True
                 deadline_ms = now_ms() + RUN_TIMEOUT_MS
                 reader = ResponseReader(
-                    connection, self._names, target, self._item.item_id, deadline_ms
+                    connection, self._names, target, self._request_id, deadline_ms
                 )
                 return await self._read_response(reader, content_run)
         except NotExecutedError as error:
@@ -137,27 +141,37 @@
         except StreamOrderError as error:
             return RunResult(RunOutcome.BROKEN, str(error))
 
+    def _connection(self, target: Target) -> AbstractAsyncContextManager[ClientConnection]:
+        address = target.entry.address
+        if target.target_id in self._item.answering_targets:
+            # A second copy of that answer has the same request id as the one that is expected.
+            return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
+        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS)
+
     def _encode_request(self, target: Target) -> bytes:
         names = self._names
-        headers = Headers([("Host", self._host), (names.request_id, self._item.item_id)])
+        headers = Headers([("Host", self._host), (names.request_id, self._request_id)])
         overridden = {"host", names.request_id.lower(), "content-length", "connection"}
-        fields, path = self._record.headers, self._record.path
-        if self._account is not None:
-            fields = account_headers(fields, names, self._account)
-            path = escape_path(path)
+        if self._account is None:
+            fields = well_formed_headers(self._record.headers)
+        else:
+            fields = account_headers(self._record.headers, names, self._account)
         for name, value in fields:
             if name.lower() not in overridden:
-                headers.add(name, value)
+                headers.add(latin1_text(name), latin1_text(value))
         headers.add(names.remaining_ms, str(int(RUN_TIMEOUT_MS)))
         headers.add(names.expected_instance, target.target_id)
         if self._item.last_event_id is not None:
             headers = headers.with_field(names.last_event_id, str(self._item.last_event_id))
         headers.add("Content-Length", str(len(self._body)))
-        request_line = f"{ITEM_METHOD} {path} HTTP/1.1\r\n".encode("latin-1")
+        request_line = f"{ITEM_METHOD} {escape_text(self._record.path)} HTTP/1.1\r\n".encode(
+            "latin-1"
+        )
         return request_line + headers.encode() + b"\r\n" + self._body
 
     async def _read_response(self, reader: ResponseReader, content_run: ContentRun) -> RunResult:
         head = await reader.read_head(self._pauses.limit_ms)
+        self._item.answering_targets |= {content_run.target.target_id}
         content_run.record_part(now_ms())
         # Status 421: the target at this address is not the expected instance.
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -184,6 +184,7 @@
         claims,
         admission,
         parts.suspicions,
+        parts.pace_exchange,
         clock,
         lambda: parts.probe.is_silent,
     )
@@ -195,6 +196,7 @@
     runner_load.on_account_usage = account_totals.on_usage
     parts.suspicions.on_change = load.schedule_report
     parts.targets.on_leaving = load.schedule_report
+    table.pace.on_news = load.schedule_report
     item_scheduler = ItemScheduler(
         deployment.names,
         registry,
