Refuse accounts above their share while online requests have to wait

All requests waited in the same queues, so accounts that crowd made everybody late. An account that needs more than its weighted max-min share of the slots is now let into a queue only with the part that fits in its share, and told at once when to return. Shares follow from the totals that entries have already; without accounts in the configuration nothing changes.

--- a/ebonyshore/frame/result_codes.py
+++ b/ebonyshore/frame/result_codes.py
@@ -55,6 +55,7 @@
     QUOTA_EXHAUSTED = 44
     STREAM_ORIGIN_UNKNOWN = 45
     CONFIG_UNCONFIRMED = 46
+    SHARE_EXCEEDED = 47
 
     TARGET_CRASHED = 50
     STREAM_BROKEN = 51
@@ -150,6 +151,9 @@
     ResultCode.CONFIG_UNCONFIRMED: ResultInfo(
         "it is not known whether the caller's key is still valid", 503, _NOT_RUN, True
     ),
+    ResultCode.SHARE_EXCEEDED: ResultInfo(
+        "the caller uses more than its share of too few slots", 503, _NOT_RUN, True
+    ),
     ResultCode.TARGET_CRASHED: ResultInfo(
         "the target crashed while it ran the request", 502, _MAYBE_RUN, True
     ),
--- a/ebonyshore/gateway/account_limits.py
+++ b/ebonyshore/gateway/account_limits.py
@@ -89,6 +89,13 @@
         """Return what all entries use of an account, as far as this one knows."""
         return self._quotas.fleet_use(account.name, self._clock.boot_ms())
 
+    def listed_uses(self) -> dict[str, FleetUse]:
+        """Return what all entries use of the accounts that totals list, by name.
+
+        Empty without fresh totals.
+        """
+        return self._quotas.listed_uses(self._clock.boot_ms())
+
     def on_totals(self, totals: AccountTotals) -> None:
         """Apply the totals of a runner."""
         self._quotas.update(totals, self._clock.boot_ms())
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -3,6 +3,7 @@
 from ebonyshore.frame.async_kernel import AsyncKernel
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.account_limits import AccountLimits
+from ebonyshore.gateway.account_shares import AccountShares
 from ebonyshore.gateway.authentication import Authenticator
 from ebonyshore.gateway.entry_load_reporter import EntryLoadReporter
 from ebonyshore.gateway.forwarder import Forwarder
@@ -78,6 +79,10 @@
     forwarder.on_run_start = account_limits.record_start
     forwarder.on_run_end = account_limits.record_end
     forwarder.on_not_run = account_limits.give_back
+    account_shares = AccountShares(
+        account_limits.listed_uses, components.config, log, environment.random
+    )
+    forwarder.check_share = account_shares.check
     job_calls = JobCallForwarder(names, peers, view, pool, log, metrics, environment.random)
     isolation_detector = IsolationDetector(
         peers, view, components.probe, log, lease_keeper.is_valid
@@ -89,6 +94,7 @@
     kernel.register(components.watch_service())
     kernel.register(lease_keeper)
     kernel.register(account_limits)
+    kernel.register(account_shares)
     kernel.register(
         ReadinessServer(
             settings.ready,
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.account_shares import Placement, ShareExceededError
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.balance import (
     TargetLoad,
@@ -68,6 +69,8 @@
     :ivar on_run_start: called with the account of each request that is sent to a target.
     :ivar on_run_end: called with the account when the request has ended there.
     :ivar on_not_run: called with the account of each request that ended without having run.
+    :ivar check_share: called before a request that has not run is sent to a target; raises
+        :exc:`ShareExceededError` if its account uses more than its share of too few slots.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.on_run_start: Callable[[Account], None] = lambda _account: None
         self.on_run_end: Callable[[Account], None] = lambda _account: None
         self.on_not_run: Callable[[Account], None] = lambda _account: None
+        self.check_share: Callable[[Account, Placement], None] = lambda _account, _placement: None
 
     async def forward(
         self, route: Route, request: Request, responder: Responder, account: Account | None
@@ -182,7 +186,7 @@
         outcome = "client_left"
         try:
             outcome = await self._run_until_deadline()
-        except AccessDeniedError as error:
+        except (AccessDeniedError, ShareExceededError) as error:
             outcome = self._deny(error.response)
         finally:
             if self._account is not None and not self._attempts:
@@ -220,6 +224,7 @@
 
         :return: the outcome of the request.
         :raises AccessDeniedError: if the request is not admitted any more.
+        :raises ShareExceededError: if its account uses more than its share.
         """
         if self._relay.last_id is not None and self._service is not None:
             try:
@@ -398,9 +403,24 @@
         chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
         if chosen is None:
             return None
+        if self._account is not None and not self._attempts:
+            self._check_share(self._account, chosen, loads)
         self._free_slots = chosen.free_slots
         return forwarder.targets.find(chosen.target_id)
 
+    def _check_share(
+        self, account: Account, chosen: TargetLoad, loads: Sequence[TargetLoad]
+    ) -> None:
+        placement = Placement(
+            self._request_id,
+            self._route,
+            chosen,
+            loads,
+            self._forwarder.view.mean_service_time_ms,
+            self._deadline_ms - now_ms(),
+        )
+        self._forwarder.check_share(account, placement)
+
     def _queue_slots(self, loads: list[TargetLoad]) -> int:
         capacity = loads[0].capacity if loads else 0
         service_time_ms = self._forwarder.view.mean_service_time_ms
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -301,6 +301,15 @@
             others.running + state.running,
         )
 
+    def listed_uses(self, now_ms: float) -> dict[str, FleetUse]:
+        """Return what all entries use of the accounts that totals list, by name.
+
+        Empty without fresh totals.
+        """
+        if not self.is_informed(now_ms):
+            return {}
+        return {account: self.fleet_use(account, now_ms) for account in self._sums}
+
     def dump(self, now_ms: float) -> dict[str, object]:
         """Return the limit and the known use of each account, for the state dump."""
         return {
