--- a/ebonyshore/gateway/account_shares.py
+++ b/ebonyshore/gateway/account_shares.py
@@ -8,6 +8,7 @@
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.balance import TargetLoad
 from ebonyshore.gateway.fair_share import (
@@ -25,6 +26,8 @@
 from ebonyshore.host.routes import Route, RouteTable
 from ebonyshore.link.account_quotas import FleetUse
 
+NEEDS_VALID_MS = 20.0  # within which they hardly change; a large fleet has thousands of accounts
+
 
 class Placement(Struct, frozen=True):
     """A request that has not run, and the target chosen for it.
@@ -77,6 +80,9 @@
         self._random = random
         self._accounts: dict[str, Account] = {}
         self._mean_rate_per_s = 0.0
+        self._needs: dict[str, AccountNeed] = {}
+        self._needs_priority = 0  # of the route for which they were found
+        self._needs_ms = float("-inf")
         self._last_excess: dict[str, ShareExcess] = {}  # by account, of the last refusal
         config.change_listeners.append(self._apply)
 
@@ -90,7 +96,7 @@
         """
         if placement.chosen.free_slots_for_online > 0:
             return
-        needs = self._needs(placement)
+        needs = self._current_needs(placement)
         if account.name not in needs:
             return
         room = expected_room(placement.chosen, placement.loads, placement.service_time_ms)
@@ -108,7 +114,16 @@
             for account, excess in self._last_excess.items()
         }
 
-    def _needs(self, placement: Placement) -> dict[str, AccountNeed]:
+    def _current_needs(self, placement: Placement) -> dict[str, AccountNeed]:
+        at_ms = now_ms()
+        priority = placement.route.priority
+        if at_ms - self._needs_ms > NEEDS_VALID_MS or priority != self._needs_priority:
+            self._needs = self._find_needs(placement)
+            self._needs_priority = priority
+            self._needs_ms = at_ms
+        return self._needs
+
+    def _find_needs(self, placement: Placement) -> dict[str, AccountNeed]:
         return {
             name: self._need(self._accounts[name], use, placement)
             for name, use in self._fleet_uses().items()
@@ -128,6 +143,7 @@
         self._accounts = {account.name: account for account in table.config.accounts or ()}
         rates = [account.rate_per_s for account in self._accounts.values() if account.rate_per_s]
         self._mean_rate_per_s = sum(rates) / len(rates) if rates else 0.0
+        self._needs_ms = float("-inf")
         self._last_excess = {
             name: excess for name, excess in self._last_excess.items() if name in self._accounts
         }
