Let queues get shorter while accounts above their shares are refused

With admissions that just fill the slots, the queues of a burst's first moments stayed. Half of the queued requests now count as slots in use when the part that may go on is found; who is above a share does not depend on it. The replay plays both service times.

--- a/ebonyshore/gateway/fair_share.py
+++ b/ebonyshore/gateway/fair_share.py
@@ -7,8 +7,8 @@
 Each account has a share of the slots: weighted max-min, so that an account which needs less than
 its share gets all that it needs, and the others divide what it leaves. Only where a request would
 have to wait does the share matter. A request of an account that needs more than its share is then
-admitted with the probability at which what it sends fits in the share, and refused otherwise. This
-keeps places in the queue free for accounts within their shares.
+admitted with such a probability that what it sends fits in the share and queues get shorter, and
+refused otherwise. This keeps places in the queues free for accounts within their shares.
 """
 
 from collections.abc import Iterable, Mapping
@@ -19,6 +19,7 @@
 
 MAX_EXCESS_WAIT_SHARE = 0.45  # of the target latency; less than any account may wait
 WEIGHT_PER_RANK = 0.5  # an account of the next lower priority has half the share
+DRAINED_PART = 0.5  # of the queued requests, which are to get slots before others do
 MIN_RETURN_MS = 300.0
 MAX_RETURN_MS = 2_000.0
 MAX_RETURN_PART = 0.4  # of the time that the caller has left
@@ -54,12 +55,17 @@
     online: int
     wait_ms: float
 
+    @property
+    def slots_for_arrivals(self) -> float:
+        """Slots for new requests, fewer the more are queued, so that queues get shorter."""
+        return self.slots - DRAINED_PART * max(0, self.online - self.slots)
+
 
 class ShareExcess(Struct, frozen=True):
     """By how much an account exceeds its share.
 
     :param share_slots: slots that it may occupy.
-    :param admitted_part: part of its requests that fits in the share.
+    :param admitted_part: part of its requests that may go on so that queues get shorter.
     """
 
     share_slots: float
@@ -99,12 +105,12 @@
     if room.wait_ms <= target_latency_ms * MAX_EXCESS_WAIT_SHARE:
         return None
     others = max(0, room.online - sum(need.running for need in needs.values()))
-    level = share_level(room.slots - others, needs.values())
     need = needs[account]
-    share_slots = need.weight * level
+    share_slots = need.weight * share_level(room.slots - others, needs.values())
     if need.slots <= share_slots:
         return None
-    return ShareExcess(share_slots, share_slots / need.slots)
+    part_slots = need.weight * share_level(room.slots_for_arrivals - others, needs.values())
+    return ShareExcess(share_slots, part_slots / need.slots)
 
 
 def share_level(slots: float, needs: Iterable[AccountNeed]) -> float:
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, deque
 from heapq import heappop, heappush
+from itertools import product
 from random import Random
 
 import pytest
@@ -59,7 +60,7 @@
 TARGETS = 10
 SLOTS = 8
 ACCOUNTS = 72
-SERVICE_MS = 200.0
+SERVICE_TIMES_MS = (200.0, 600.0)
 PREFILL_MS = 40.0
 DEADLINE_MS = 5_000.0
 LATE_CREDIT = 0.15
@@ -67,19 +68,19 @@
 NEWS_MS = 40.0  # of the requests at targets
 ACCOUNT_NEWS_MS = 150.0
 LENGTH_MS = 12_000.0
-USUAL_PER_MS = 0.65 * TARGETS * SLOTS / SERVICE_MS
+USUAL_SLOTS = 0.65 * TARGETS * SLOTS
 QUOTA = 1.6
 HOT_ACCOUNTS = (2, 4, 7, 11)
 HOT_MS = (2_000.0, 9_000.0)
 LIGHT_ACCOUNTS = range(1, ACCOUNTS, 5)  # send half of their usual, evenly
 WEIGHTS = [(rank + 1) ** -1.2 for rank in range(ACCOUNTS)]
-RATES_PER_MS = [USUAL_PER_MS * weight / sum(WEIGHTS) for weight in WEIGHTS]
+ACCOUNT_SLOTS = [USUAL_SLOTS * weight / sum(WEIGHTS) for weight in WEIGHTS]
 
 
-def arrivals(account, is_crowded, seed):
+def arrivals(account, is_crowded, service_ms, seed):
     """Return when requests of an account come that are within its quota."""
     random = Random(seed * ACCOUNTS + account)
-    rate, tokens, at_ms, times = RATES_PER_MS[account], 5.0, 0.0, []
+    rate, tokens, at_ms, times = ACCOUNT_SLOTS[account] / service_ms, 5.0, 0.0, []
     is_hot = is_crowded and account in HOT_ACCOUNTS
     while at_ms < LENGTH_MS:
         step_ms = random.expovariate(rate * 9.0)
@@ -103,8 +104,8 @@
     times their usual up to their quotas, while three targets of ten are down.
     """
 
-    def __init__(self, is_fair, is_crowded, seed):
-        self.is_fair = is_fair
+    def __init__(self, is_fair, is_crowded, service_ms, seed):
+        self.is_fair, self.service_ms = is_fair, service_ms
         self.random = Random(seed)
         self.events, self.steps = [], 0
         self.running = [0] * TARGETS
@@ -113,7 +114,7 @@
         self.owed, self.credit, self.served = Counter(), Counter(), Counter()
         self.refusals = 0
         for account in range(ACCOUNTS):
-            for at_ms in arrivals(account, is_crowded, seed):
+            for at_ms in arrivals(account, is_crowded, service_ms, seed):
                 self.owed[account] += 1
                 self.at(at_ms, self.ask, account, at_ms, 0)
 
@@ -140,12 +141,12 @@
         self.at(at_ms + ACCOUNT_NEWS_MS + 1_000.0, self.count, self.wanted, account, -1)
         up = TARGETS - 3 * (4_000.0 <= at_ms < 8_000.0)
         loads = [TargetLoad(str(n), SLOTS, self.at_targets[n], 0) for n in range(up)]
-        queue_slots = max_queued_requests(SLOTS, LATENCY_MS, SERVICE_MS)
-        choices = concurrent_choices(loads, SERVICE_MS)
+        queue_slots = max_queued_requests(SLOTS, LATENCY_MS, self.service_ms)
+        choices = concurrent_choices(loads, self.service_ms)
         chosen = choose_target(loads, queue_slots, choices, self.random.random())
         excess = self.excess(chosen, loads, account) if self.is_fair and chosen else None
         if chosen is None:
-            delay_ms = retry_after_ms(loads, SERVICE_MS, self.random.random())
+            delay_ms = retry_after_ms(loads, self.service_ms, self.random.random())
             self.refuse(at_ms + delay_ms, account, first_ms, tries)
         elif excess is not None and self.random.random() >= excess.admitted_part:
             left_ms = first_ms + DEADLINE_MS - at_ms
@@ -157,14 +158,16 @@
     def excess(self, chosen, loads, account):
         needs = {
             key: AccountNeed(
-                RATES_PER_MS[key],
+                ACCOUNT_SLOTS[key],
                 self.at_accounts[key],
-                min(self.wanted[key] / 1_000.0, RATES_PER_MS[key] * QUOTA) * SERVICE_MS,
+                min(self.wanted[key] / 1_000.0 * self.service_ms, ACCOUNT_SLOTS[key] * QUOTA),
             )
             for key in range(ACCOUNTS)
             if self.at_accounts[key] >= 4 or key == account
         }
-        return find_excess(expected_room(chosen, loads, SERVICE_MS), account, needs, LATENCY_MS)
+        return find_excess(
+            expected_room(chosen, loads, self.service_ms), account, needs, LATENCY_MS
+        )
 
     def refuse(self, return_ms, account, first_ms, tries):
         self.refusals += 1
@@ -184,7 +187,7 @@
         self.served[account] += 1
         is_late = at_ms - placed_ms + PREFILL_MS > LATENCY_MS
         self.credit[account] += LATE_CREDIT if is_late else (1.0, RETURN_CREDIT)[tries]
-        end_ms = at_ms + SERVICE_MS * self.random.uniform(0.7, 1.3)
+        end_ms = at_ms + self.service_ms * self.random.uniform(0.7, 1.3)
         self.at(end_ms, self.end, account, target)
 
     def end(self, at_ms, account, target):
@@ -196,11 +199,11 @@
 SEEDS = range(3)
 
 
-@pytest.fixture(scope="module")
-def replays():
+@pytest.fixture(scope="module", params=SERVICE_TIMES_MS)
+def replays(request):
     return {
-        kind: [Replay(*kind, seed).play() for seed in SEEDS]
-        for kind in ((False, False), (False, True), (True, False), (True, True))
+        kind: [Replay(*kind, request.param, seed).play() for seed in SEEDS]
+        for kind in product((False, True), repeat=2)
     }
 
 
