--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -26,7 +26,9 @@
     log, metrics, pool = environment.log, environment.metrics, environment.pool
     components = SharedComponents(environment)
     target_table, peers = components.targets.table, components.peers
-    view = LoadView(settings.failure_domain, lambda: load_service.schedule_report())
+    view = LoadView(
+        settings.failure_domain, lambda: load_service.schedule_report(), target_table.speeds
+    )
     origins = StreamOrigins(
         peers,
         target_table,
@@ -55,7 +57,14 @@
         environment.random,
     )
     load_reporter = EntryLoadReporter(
-        peers, target_table, view, components.suspicions, origins, lease_keeper, account_limits
+        peers,
+        target_table,
+        view,
+        components.suspicions,
+        origins,
+        lease_keeper,
+        account_limits,
+        components.pace_exchange,
     )
     port = settings.first_internal_port
     load_service = LoadService(
@@ -63,6 +72,7 @@
     )
     components.suspicions.on_change = load_service.schedule_report
     components.targets.on_leaving = load_service.schedule_report
+    target_table.pace.on_news = load_service.schedule_report
     forwarder = Forwarder(
         names,
         target_table,
--- a/ebonyshore/gateway/fair_share.py
+++ b/ebonyshore/gateway/fair_share.py
@@ -85,10 +85,11 @@
     usable = [load for load in loads if not load.is_avoided] or [chosen]
     slots = sum(load.capacity for load in usable)
     online = sum(load.online for load in usable)
+    if chosen.free_slots_for_online > 0:
+        return Room(slots, online, 0.0)
     unknown = concurrent_choices(usable, service_time_ms) / len(usable)
-    ahead = unknown + 1.0 - chosen.free_slots_for_online
-    wait_ms = max(0.0, ahead) * service_time_ms / max(1, chosen.capacity)
-    return Room(slots, online, wait_ms if chosen.free_slots_for_online <= 0 else 0.0)
+    wait_ms = chosen.wait_ms(service_time_ms) + unknown * service_time_ms / chosen.slot_rate
+    return Room(slots, online, wait_ms)
 
 
 def find_excess(
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -12,10 +12,12 @@
 from ebonyshore.gateway.account_shares import Placement, ShareExceededError
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.balance import (
+    Objective,
     TargetLoad,
     choose_target,
     concurrent_choices,
     limit_free_slots,
+    limit_returning,
     max_queued_requests,
     retry_after_ms,
 )
@@ -23,13 +25,15 @@
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.accounts import Account
-from ebonyshore.host.crash_guard import ContentRun, CrashGuard
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.crash_guard import CrashGuard
 from ebonyshore.host.error_responses import (
     ErrorResponse,
     deadline_response,
     maybe_executed_response,
     not_executed_response,
 )
+from ebonyshore.host.pace import PaceAllowance
 from ebonyshore.host.request_content import RequestContent, content_digest, part_digests
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
@@ -68,7 +72,8 @@
     :param authenticator: asked before each attempt whether the request is still admitted.
     :ivar on_run_start: called with the account of each request that is sent to a target.
     :ivar on_run_end: called with the account when the request has ended there.
-    :ivar on_not_run: called with the account of each request that ended without having run.
+    :ivar on_not_run: called with the account that a request was admitted for if it ended without
+        having run.
     :ivar check_share: called before a request that has not run is sent to a target; raises
         :exc:`ShareExceededError` if its account uses more than its share of too few slots.
     """
@@ -102,6 +107,7 @@
         self.on_run_end: Callable[[Account], None] = lambda _account: None
         self.on_not_run: Callable[[Account], None] = lambda _account: None
         self.check_share: Callable[[Account, Placement], None] = lambda _account, _placement: None
+        view.on_outlier = lambda target: targets.pace.record_doubt(target, now_ms(), now_ms())
 
     async def forward(
         self, route: Route, request: Request, responder: Responder, account: Account | None
@@ -136,6 +142,21 @@
             loads.append(load)
         return loads
 
+    def pace_allowances(self, loads: Sequence[TargetLoad]) -> dict[str, PaceAllowance]:
+        """Return what the limits of targets that return to service allow, by target id."""
+        pace, at_ms = self.targets.pace, now_ms()
+        allowances: dict[str, PaceAllowance] = {}
+        for load in loads:
+            target = self.targets.find(load.target_id)
+            in_flight = load.online + load.batch
+            allowance = pace.allowance(target.incarnation, in_flight, at_ms, self.random.random)
+            if allowance is not None:
+                allowances[load.target_id] = allowance
+        held_off = sum(allowance.requests == 0 for allowance in allowances.values())
+        if held_off:
+            self.metrics.count("requests_held_off", held_off)
+        return allowances
+
     def choose_service(self, route: Route) -> str | None:
         """Return one of the route's services, chosen at random by weight.
 
@@ -167,6 +188,7 @@
         self._route = route
         self._request = request
         self._responder = responder
+        self._admitted_account = account  # whose quota the request was counted for
         self._account = account
         self._request_id = request.headers.get(forwarder.names.request_id)
         self._content = _content(request, forwarder.names)
@@ -176,7 +198,9 @@
         self._unsuccessful_targets: set[str] = set()
         self._attempts = 0  # those that may have run; refused ones are not counted
         self._refusals = 0
-        self._free_slots: int | None = None  # of the target that was chosen last
+        self._chosen: TargetLoad | None = None  # load of the target that was chosen last
+        self._chosen_ms = 0.0
+        self._objective = Objective(route.target_latency_ms, route.max_gap_ms)
         self._relay = RelayState(
             request.headers.get(forwarder.names.last_event_id), route_pause_limits(route)
         )
@@ -189,8 +213,8 @@
         except (AccessDeniedError, ShareExceededError) as error:
             outcome = self._deny(error.response)
         finally:
-            if self._account is not None and not self._attempts:
-                self._forwarder.on_not_run(self._account)
+            if self._admitted_account is not None and not self._attempts:
+                self._forwarder.on_not_run(self._admitted_account)
             duration_ms = now_ms() - self._request.received_ms
             self._forwarder.metrics.count(f"requests_{outcome}")
             self._forwarder.metrics.record_ms("request", duration_ms)
@@ -206,7 +230,9 @@
                 targets=",".join(self._tried_targets),
                 versions=",".join(self._tried_versions),
                 runs=self._attempts,
-                room=self._free_slots,
+                room=self._free_slots(),
+                speed=self._chosen and self._chosen.speed,
+                expected_ms=self._expected_ms(),
                 load_age_ms=self._forwarder.view.totals_age_ms(now_ms()),
                 last_event=self._relay.last_id,
                 first_event_ms=self._since_received(self._relay.first_event_ms),
@@ -291,6 +317,7 @@
         self._attempts += 1
         can_retry = self._can_retry()
         run = forwarder.crash_guard.begin(target, self._content, can_retry)
+        run.on_first_event = self._record_answer_pace
         exchange = Exchange(
             forwarder.names,
             forwarder.pool,
@@ -306,7 +333,6 @@
         forwarder.view.record_start(target)
         if self._account is not None:
             forwarder.on_run_start(self._account)
-        began_ms = now_ms()
         try:
             end = await exchange.run(self._responder, remaining_ms, self._route, can_retry)
         except NotExecutedError as error:
@@ -325,19 +351,31 @@
             forwarder.crash_guard.end_completed(run)
         target.outcomes.record(float(end is ExchangeEnd.FAILED), now_ms())
         if end is ExchangeEnd.STREAMED:
-            forwarder.view.record_service_time(now_ms() - began_ms)
+            forwarder.view.record_service_time(now_ms() - run.started_ms)
+        elif end is ExchangeEnd.PLAIN:
+            self._record_answer_pace(run)
+        else:
+            forwarder.targets.pace.record_refusal(target, run.started_ms, now_ms())
         return "answered"
 
+    def _record_answer_pace(self, run: ContentRun) -> None:
+        self._forwarder.targets.pace.record_answer(
+            run.target, self._route.name, run.started_ms, now_ms(), self._route.target_latency_ms
+        )
+
     def _after_refusal(self, run: ContentRun, error: NotExecutedError) -> str | None:
         target = run.target
         self._unsuccessful_targets.add(target.target_id)
         self._refusals += 1
+        pace = self._forwarder.targets.pace
         if error.is_unreachable:
             target.mark_unreachable(now_ms())
+            pace.record_doubt(target, run.started_ms, now_ms())
         else:
+            pace.record_refusal(target, run.started_ms, now_ms())
             target.mark_full(now_ms())
             target.outcomes.record(
-                UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots or 0) > 0 else 0.0, now_ms()
+                UNEXPECTED_REFUSAL_WEIGHT if (self._free_slots() or 0) > 0 else 0.0, now_ms()
             )
         self._log_attempt(run, "not_executed", error.detail)
         if self._refusals > MAX_REFUSALS:
@@ -349,8 +387,12 @@
         self._unsuccessful_targets.add(target.target_id)
         if not target.is_leaving:
             target.outcomes.record(1.0, now_ms())
+        pace = self._forwarder.targets.pace
         if error.is_idle_timeout:
             target.mark_unresponsive(now_ms())
+            pace.record_failure(target, run.started_ms, now_ms())
+        else:
+            pace.record_refusal(target, run.started_ms, now_ms())
         self._log_attempt(run, "broken", error.detail)
         if self._can_retry():
             return None
@@ -400,12 +442,17 @@
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
-        chosen = choose_target(loads, queue_slots, choices, forwarder.random.random())
+        draw, objective = forwarder.random.random(), self._objective
+        limited = limit_returning(loads, forwarder.pace_allowances(loads), choices)
+        chosen = choose_target(limited, queue_slots, choices, draw, objective)
+        if chosen is None:  # a target that returns is better than none
+            chosen = choose_target(loads, queue_slots, choices, draw, objective)
         if chosen is None:
             return None
         if self._account is not None and not self._attempts:
             self._check_share(self._account, chosen, loads)
-        self._free_slots = chosen.free_slots
+        self._chosen, self._chosen_ms = chosen, now_ms()
+        forwarder.metrics.set_gauge("slowest_target_speed", min(load.speed for load in loads))
         return forwarder.targets.find(chosen.target_id)
 
     def _check_share(
@@ -422,7 +469,8 @@
         self._forwarder.check_share(account, placement)
 
     def _queue_slots(self, loads: list[TargetLoad]) -> int:
-        capacity = loads[0].capacity if loads else 0
+        # Limits of single targets may have reduced their capacity here.
+        capacity = max((load.capacity for load in loads), default=0)
         service_time_ms = self._forwarder.view.mean_service_time_ms
         return max_queued_requests(capacity, self._route.target_latency_ms, service_time_ms)
 
@@ -455,7 +503,18 @@
         origins = self._forwarder.origins
         return self._relay.origin is not None and origins.may_be_mixed(self._service)
 
+    def _free_slots(self) -> int | None:
+        return self._chosen and self._chosen.free_slots
+
+    def _expected_ms(self) -> float | None:
+        """Return the time to the first event that was expected when the last target was chosen."""
+        if self._chosen is None:
+            return None
+        service_time_ms = self._forwarder.view.mean_service_time_ms
+        return self._chosen.wait_ms(service_time_ms) + self._chosen.first_event_ms
+
     def _record_first_event(self) -> None:
+        self._forwarder.view.record_first_event(self._chosen, now_ms() - self._chosen_ms)
         if self._route.is_repeatable and self._request_id is not None:
             self._forwarder.origins.record(self._request_id, self._relay.origin)
 
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -4,6 +4,7 @@
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.account_messages import AccountUsage
 from ebonyshore.link.datagrams import (
@@ -16,10 +17,13 @@
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.link.load_table import LimitReport, LoadReport, LoadTable, LoadTotals, add_counts
+from ebonyshore.link.pace_messages import PaceReport
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.rate_limits import sum_limits
+from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.stream_records import StreamRecords
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
+from ebonyshore.link.target_speeds import SpeedUpdate
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
@@ -39,6 +43,7 @@
         so that they no longer count as confirmed owners.
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
+    :param pace: told how targets that return have answered; provides their limits.
     :param is_store_silent: tells whether the store probe gets no answers; reported to the runners.
     :ivar on_account_usage: called with the reports of what client accounts use.
     :ivar send_now: sends a datagram at once; to be set before the first message.
@@ -53,6 +58,7 @@
         claims: JobClaims,
         admission: JobAdmission,
         suspicions: SuspicionExchange,
+        pace: PaceExchange,
         clock: Clock,
         is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -64,18 +70,25 @@
         self._claims = claims
         self._admission = admission
         self._suspicions = suspicions
+        self._pace = pace
         self._clock = clock
+        self._speeds = SpeedExchange(peers, targets)
         self._is_store_silent = is_store_silent
         self._streams = StreamRecords()
         self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
     def on_message(self, message: Datagram) -> None:
-        """Apply a load report, suspicions or stream starts, or answer a query; ignore others."""
+        """Apply what other processes report, or answer a query; ignore other messages."""
         if isinstance(message, SuspicionUpdate):
             self._suspicions.merge(message.verdicts, now_ms(), is_relayed=True)
         elif isinstance(message, LoadReport):
             self._add_report(message)
+            self._targets.pace.record_news(now_ms())
+        elif isinstance(message, PaceReport):
+            self._pace.merge_report(message, now_ms())
+        elif isinstance(message, SpeedUpdate):
+            self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamStarts):
             for request_id, origin in message.streams:
                 self._streams.add(request_id, origin, now_ms())
@@ -121,7 +134,10 @@
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
             self._send_totals(socket, report)
+            self._pace.send_limits(socket, self._peers.addresses("entry"), now_ms())
+        self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._send_suspicions(socket, sends_totals)
+        self._speeds.send(socket, now_ms(), sends_totals)
 
     def _send_suspicions(self, socket: LoadSocket, includes_entries: bool) -> None:
         runners = self._peers.addresses("runner")
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ebonyshore.host.crash_guard import ContentRun
+from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import Target, TargetEntry
@@ -34,7 +34,7 @@
     return False
 
 
-def run_item(item, *scripts, confirm_end=trust_end):
+def run_item(item, *scripts, confirm_end=trust_end, record=RECORD):
     """Run an item once with each script; return the results and the target's sessions."""
 
     async def scenario():
@@ -44,7 +44,7 @@
         pool = ConnectionPool(4)
         results = []
         for _ in scripts:
-            run = ItemRun(WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", confirm_end)
+            run = ItemRun(WIRE_NAMES, pool, item, record, record.body, "host.example", confirm_end)
             results.append(await run.run(ContentRun(target, RequestContent("content"), 0.0)))
         pool.close()
         server.close()
@@ -111,6 +111,25 @@
     assert results[0].outcome is outcome
 
 
+@pytest.mark.parametrize("status, headers", [(500, ()), (503, ("Not-Executed: 1",))])
+def test_second_copy_of_an_answer_is_not_taken_for_that_to_the_next_run(status, headers):
+    """Guards against giving up an item, or running it elsewhere, while a target runs it."""
+
+    async def answer_twice(session):
+        session.send_answer(status, headers)
+        await session.writer.drain()
+        await asyncio.sleep(0.1)
+        session.send_answer(status, headers)
+
+    async def send_slowly(session):
+        await asyncio.sleep(0.3)
+        await send_complete_stream(session)
+
+    results, sessions = run_item(Item(0, "req-1"), answer_twice, send_slowly)
+    assert results[1].outcome is RunOutcome.COMPLETE
+    assert len(sessions) == 2
+
+
 def test_the_next_run_resumes_after_the_last_complete_event():
     async def reset_after_two_events(session):
         session.start_stream()
@@ -134,6 +153,14 @@
     assert session.header("Expect-Instance") == "t1"
 
 
+def test_item_whose_id_path_and_headers_are_beyond_latin_1_is_completed():
+    """Guards against an item that can never be sent and is tried again without end."""
+    record = ItemRecord("第一", "/p/第一", (("Model", "第一"),), b"body")
+    results, sessions = run_item(Item(0, "第一"), send_complete_stream, record=record)
+    assert results[0].outcome is RunOutcome.COMPLETE
+    assert sessions[0].header("Model") == "第一"
+
+
 def test_item_whose_events_are_slow_everywhere_is_completed():
     """Guards against runs that are given up one after the other, each after a new prompt."""
 
