--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.account_shares import Placement, ShareExceededError
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
 from ebonyshore.gateway.balance import (
     Objective,
@@ -73,6 +74,8 @@
     :ivar on_run_end: called with the account when the request has ended there.
     :ivar on_not_run: called with the account that a request was admitted for if it ended without
         having run.
+    :ivar check_share: called before a request that has not run is sent to a target; raises
+        :exc:`ShareExceededError` if its account uses more than its share of too few slots.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         self.on_run_start: Callable[[Account], None] = lambda _account: None
         self.on_run_end: Callable[[Account], None] = lambda _account: None
         self.on_not_run: Callable[[Account], None] = lambda _account: None
+        self.check_share: Callable[[Account, Placement], None] = lambda _account, _placement: None
         view.on_outlier = lambda target: targets.pace.record_doubt(target, now_ms(), now_ms())
 
     async def forward(
@@ -206,7 +210,7 @@
         outcome = "client_left"
         try:
             outcome = await self._run_until_deadline()
-        except AccessDeniedError as error:
+        except (AccessDeniedError, ShareExceededError) as error:
             outcome = self._deny(error.response)
         finally:
             if self._admitted_account is not None and not self._attempts:
@@ -246,6 +250,7 @@
 
         :return: the outcome of the request.
         :raises AccessDeniedError: if the request is not admitted any more.
+        :raises ShareExceededError: if its account uses more than its share.
         """
         if self._relay.last_id is not None and self._service is not None:
             try:
@@ -444,10 +449,25 @@
             chosen = choose_target(loads, queue_slots, choices, draw, objective)
         if chosen is None:
             return None
+        if self._account is not None and not self._attempts:
+            self._check_share(self._account, chosen, loads)
         self._chosen, self._chosen_ms = chosen, now_ms()
         forwarder.metrics.set_gauge("slowest_target_speed", min(load.speed for load in loads))
         return forwarder.targets.find(chosen.target_id)
 
+    def _check_share(
+        self, account: Account, chosen: TargetLoad, loads: Sequence[TargetLoad]
+    ) -> None:
+        placement = Placement(
+            self._request_id,
+            self._route,
+            chosen,
+            loads,
+            self._forwarder.view.mean_service_time_ms,
+            self._deadline_ms - now_ms(),
+        )
+        self._forwarder.check_share(account, placement)
+
     def _queue_slots(self, loads: list[TargetLoad]) -> int:
         # Limits of single targets may have reduced their capacity here.
         capacity = max((load.capacity for load in loads), default=0)
