--- a/ebonyshore/gateway/balance.py
+++ b/ebonyshore/gateway/balance.py
@@ -178,24 +178,34 @@
     :param draw: random number between 0 and 1.
     :param objective: what the answer has to keep; any target will do without it.
     """
+    candidates = _preferred_targets(loads, choices, objective)
+    for slots_of in (_free_slots, _free_slots_for_online):
+        slots = [max(0, slots_of(load)) for load in candidates]
+        if sum(slots) >= choices:
+            return _draw_weighted(candidates, _weigh(candidates, slots, choices), draw)
+    return _choose_queue(candidates, queue_slots, choices, draw)
+
+
+def _preferred_targets(
+    loads: Sequence[TargetLoad], choices: float, objective: Objective | None
+) -> list[TargetLoad]:
+    """Return the targets to choose from, without those that others can stand in for."""
     candidates = [load for load in loads if not load.is_avoided] or list(loads)
-    candidates = _keep_enough(
-        [load for load in candidates if not load.is_scarce], candidates, choices
-    )
+    plentiful = [load for load in candidates if not load.is_scarce]
+    candidates = _keep_enough(plentiful, candidates, choices)
     if objective is not None:
         punctual = [load for load in candidates if load.keeps(objective)]
         candidates = _keep_enough(punctual, candidates, choices)
     local = [load for load in candidates if load.is_local]
-    if _have_room(local, choices):
-        candidates = local
-    for slots_of in (_free_slots, _free_slots_for_online):
-        slots = [max(0, slots_of(load)) for load in candidates]
-        if sum(slots) >= choices:
-            return _draw_weighted(candidates, _weigh(candidates, slots, choices), draw)
+    return local if _have_room(local, choices) else candidates
+
+
+def _choose_queue(
+    loads: Sequence[TargetLoad], queue_slots: int, choices: float, draw: float
+) -> TargetLoad | None:
+    """Return the target at which a request queues, or ``None`` if all queues are full."""
     candidates = [
-        load
-        for load in candidates
-        if load.free_slots_for_online + round(queue_slots * load.speed) > 0
+        load for load in loads if load.free_slots_for_online + round(queue_slots * load.speed) > 0
     ]
     if not candidates:
         return None
