--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -318,17 +318,7 @@
         can_retry = self._can_retry()
         run = forwarder.crash_guard.begin(target, self._content, can_retry)
         run.on_first_event = self._record_answer_pace
-        exchange = Exchange(
-            forwarder.names,
-            forwarder.pool,
-            forwarder.authenticator.to_forwarded(self._request, self._account),
-            self._relay,
-            run,
-            forwarder.checker if self._must_confirm_incarnation() else None,
-            forwarder.crash_guard.confirm_end,
-            self._record_first_event,
-            lambda: self._can_move_from(target),
-        )
+        exchange = self._make_exchange(target, run)
         forwarder.targets.rate_limits.record_sent(target.incarnation, now_ms())
         forwarder.view.record_start(target)
         if self._account is not None:
@@ -347,6 +337,26 @@
             if self._account is not None:
                 forwarder.on_run_end(self._account)
             forwarder.crash_guard.end(run)
+        self._record_answer(run, end)
+        return "answered"
+
+    def _make_exchange(self, target: Target, run: ContentRun) -> Exchange:
+        forwarder = self._forwarder
+        return Exchange(
+            forwarder.names,
+            forwarder.pool,
+            forwarder.authenticator.to_forwarded(self._request, self._account),
+            self._relay,
+            run,
+            forwarder.checker if self._must_confirm_incarnation() else None,
+            forwarder.crash_guard.confirm_end,
+            self._record_first_event,
+            lambda: self._can_move_from(target),
+        )
+
+    def _record_answer(self, run: ContentRun, end: ExchangeEnd) -> None:
+        """Record what an answer that was passed on shows about its target."""
+        forwarder, target = self._forwarder, run.target
         if end is not ExchangeEnd.FAILED:
             forwarder.crash_guard.end_completed(run)
         target.outcomes.record(float(end is ExchangeEnd.FAILED), now_ms())
@@ -356,7 +366,6 @@
             self._record_answer_pace(run)
         else:
             forwarder.targets.pace.record_refusal(target, run.started_ms, now_ms())
-        return "answered"
 
     def _record_answer_pace(self, run: ContentRun) -> None:
         self._forwarder.targets.pace.record_answer(
