--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -35,16 +35,7 @@
         lambda *message: load_service.send_now(*message),
         lambda: not components.probe.is_silent,
     )
-    lease_keeper = LeaseKeeper(
-        settings.revocation_ms,
-        environment.incarnation,
-        components.config,
-        components.config_reader,
-        environment.clock,
-        environment.random.random,
-        log,
-        metrics,
-    )
+    lease_keeper = _make_lease_keeper(environment, components)
     authenticator = Authenticator(names, components.config, lease_keeper.is_valid)
     account_limits = AccountLimits(
         settings.quota_rule,
@@ -86,13 +77,10 @@
         environment.random,
         authenticator,
     )
-    forwarder.on_run_start = account_limits.record_start
-    forwarder.on_run_end = account_limits.record_end
-    forwarder.on_not_run = account_limits.give_back
     account_shares = AccountShares(
         account_limits.listed_uses, components.config, log, environment.random
     )
-    forwarder.check_share = account_shares.check
+    _connect_accounts(forwarder, account_limits, account_shares)
     job_calls = JobCallForwarder(names, peers, view, pool, log, metrics, environment.random)
     isolation_detector = IsolationDetector(
         peers, view, components.probe, log, lease_keeper.is_valid
@@ -133,6 +121,29 @@
     return kernel
 
 
+def _make_lease_keeper(environment: HostEnvironment, components: SharedComponents) -> LeaseKeeper:
+    return LeaseKeeper(
+        environment.settings.revocation_ms,
+        environment.incarnation,
+        components.config,
+        components.config_reader,
+        environment.clock,
+        environment.random.random,
+        environment.log,
+        environment.metrics,
+    )
+
+
+def _connect_accounts(
+    forwarder: Forwarder, account_limits: AccountLimits, account_shares: AccountShares
+) -> None:
+    """Let the forwarder count the runs of accounts and check their shares."""
+    forwarder.on_run_start = account_limits.record_start
+    forwarder.on_run_end = account_limits.record_end
+    forwarder.on_not_run = account_limits.give_back
+    forwarder.check_share = account_shares.check
+
+
 def run_entry(deployment: Deployment) -> ResultCode:
     """Run an entry until it receives a stop signal.
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -216,15 +216,7 @@
     writer = ResultWriter(registry, clock, log, metrics)
     saver = ItemSaver(registry, load_table, log, metrics)
     renewal_listener = RenewalListener(settings.instance_id, environment.marked_store, log)
-    peer_monitor = PeerMonitor(
-        parts.peers,
-        load_table,
-        parts.registration,
-        RenewalWriter(parts.peers.own, environment.marked_store, log, environment.executor),
-        renewal_listener,
-        clock,
-        log,
-    )
+    peer_monitor = _make_peer_monitor(environment, parts, load_table, renewal_listener)
     runner = RunnerService(
         registry, claims, item_scheduler, writer, saver, admission, load, peer_monitor, log
     )
@@ -241,28 +233,9 @@
         )
     )
     kernel.register(runner)
-    storage = ConvictionStorage(environment.store, environment.marked_store, log)
-    kernel.register(
-        ConvictionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
-    )
-    suspicion_storage = SuspicionStorage(environment.marked_store, log)
-    kernel.register(
-        SuspicionKeeper(
-            suspicion_storage, parts.suspicions, load_table, registry.run_blocking, clock, log
-        )
-    )
-    kernel.register(
-        ConfigConfirmer(
-            settings.revocation_ms,
-            parts.config,
-            parts.config_reader,
-            load_table,
-            parts.peers,
-            lambda: parts.probe.is_silent,
-            load.send_now,
-            metrics,
-        )
-    )
+    kernel.register(_make_conviction_keeper(environment, parts, registry, load_table))
+    kernel.register(_make_suspicion_keeper(environment, parts, registry, load_table))
+    kernel.register(_make_config_confirmer(environment, parts, load_table, load))
     kernel.register(account_totals)
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(
@@ -272,6 +245,67 @@
     return kernel
 
 
+def _make_peer_monitor(
+    environment: HostEnvironment,
+    parts: SharedComponents,
+    load_table: LoadTable,
+    renewal_listener: RenewalListener,
+) -> PeerMonitor:
+    log = environment.log
+    writer = RenewalWriter(parts.peers.own, environment.marked_store, log, environment.executor)
+    return PeerMonitor(
+        parts.peers,
+        load_table,
+        parts.registration,
+        writer,
+        renewal_listener,
+        environment.clock,
+        log,
+    )
+
+
+def _make_conviction_keeper(
+    environment: HostEnvironment,
+    parts: SharedComponents,
+    registry: JobRegistry,
+    load_table: LoadTable,
+) -> ConvictionKeeper:
+    clock, log = environment.clock, environment.log
+    storage = ConvictionStorage(environment.store, environment.marked_store, log)
+    return ConvictionKeeper(
+        storage, parts.suspicions, load_table, registry.run_blocking, clock, log
+    )
+
+
+def _make_suspicion_keeper(
+    environment: HostEnvironment,
+    parts: SharedComponents,
+    registry: JobRegistry,
+    load_table: LoadTable,
+) -> SuspicionKeeper:
+    clock, log = environment.clock, environment.log
+    storage = SuspicionStorage(environment.marked_store, log)
+    return SuspicionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
+
+
+def _make_config_confirmer(
+    environment: HostEnvironment,
+    parts: SharedComponents,
+    load_table: LoadTable,
+    load: LoadService,
+) -> ConfigConfirmer:
+    return ConfigConfirmer(
+        environment.settings.revocation_ms,
+        parts.config,
+        parts.config_reader,
+        load_table,
+        parts.peers,
+        lambda: parts.probe.is_silent,
+        load.send_now,
+        environment.metrics,
+    )
+
+
 def _make_watches(
     environment: HostEnvironment,
     parts: SharedComponents,
