--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -27,6 +27,9 @@
 
 LEARNING_MS = 1_000.0  # after its start a runner uses the levels that entries still know
 SILENT_EXPIRY_MS = 3_000.0  # after which the requests of a silent entry are taken for ended
+# Of the debt, with which a bucket starts, as its account may have sent requests before the runner
+# heard of them.
+INITIAL_DEBT_PART = 0.5
 LISTED_RUNNING = 4  # requests at targets from which on an account is listed
 
 
@@ -270,7 +273,7 @@
         bucket = self._buckets.get(use.account)
         if bucket is None:
             accrued = limit.rate_per_s * (now_ms - self._started_ms) / MS_PER_S
-            level = min(limit.burst, accrued - limit.debt / 2.0)
+            level = min(limit.burst, accrued - limit.debt * INITIAL_DEBT_PART)
             bucket = self._buckets[use.account] = AccountBucket(level, now_ms)
         bucket.take(admitted, limit)
         if use.level_tenths is not None and now_ms - self._started_ms < LEARNING_MS:
--- a/ebonyshore/link/account_limit.py
+++ b/ebonyshore/link/account_limit.py
@@ -5,6 +5,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 
 DEBT_PART = 0.4  # of the excess that the rule allows
+UNLISTED_DEBT_PART = 0.5  # of the debt, that may be missing from a full bucket without listing it
 RESERVE_PART = 0.4  # of the excess, for the shares of entries that are not heard
 
 
@@ -24,7 +25,10 @@
 class AccountLimit(Struct, frozen=True):
     """The limit of an account over all entries: a token bucket, and the excess that is allowed.
 
+    :param rate_per_s: tokens that the bucket accrues in a second; a request takes one.
+    :param burst: tokens that the bucket holds at most.
     :param excess: requests in a window beyond those of the bucket.
+    :param window_ms: length of the window.
     """
 
     rate_per_s: float
@@ -45,7 +49,7 @@
     @property
     def unlisted_level(self) -> float:
         """Level from which on an account is not listed in totals."""
-        return self.burst - self.debt / 2.0
+        return self.burst - UNLISTED_DEBT_PART * self.debt
 
 
 def make_limit(rate_per_s: float, burst: float, rule: QuotaRule) -> AccountLimit:
--- a/ebonyshore/link/account_quotas.py
+++ b/ebonyshore/link/account_quotas.py
@@ -39,7 +39,8 @@
 LATE_TOTALS_MS = 300.0  # a report or the totals may have been lost
 REPORT_DELAY_MS = 200.0  # until the requests of one entry are known to all others
 SURGE_FLOOR_PER_S = 2.0  # rates below differ by chance
-IDLE_EXPIRY_MS = 60_000.0
+IDLE_EXPIRY_MS = 60_000.0  # after the last request of an account, until it is forgotten
+NEAR_LIMIT_DEBT_PART = 0.25  # of the debt, by requests that no totals contain yet
 MIN_RETRY_AFTER_MS = 50.0
 
 
@@ -383,10 +384,10 @@
         level = limit.unlisted_level if found is None else found.level
         others_per_s = 0.0
         if found is not None:
-            # The others let no more through than their gates do with what they know to be left.
-            gated_per_s = (level + limit.debt) / REPORT_DELAY_MS * MS_PER_S
+            # Other entries admit at most what is left in the time until they hear of each other.
+            max_admitted_per_s = (level + limit.debt) / REPORT_DELAY_MS * MS_PER_S
             wanted_per_s = self._others_wanted_per_s(account, state, now_ms)
-            others_per_s = max(found.admitted_per_s, min(wanted_per_s, gated_per_s))
+            others_per_s = max(found.admitted_per_s, min(wanted_per_s, max_admitted_per_s))
         age_s = (now_ms - self._received_ms) / MS_PER_S
         level += (limit.rate_per_s - others_per_s) * age_s
         return min(limit.burst, min(level, limit.burst) - state.unheard.total())
@@ -415,10 +416,11 @@
         return self._level(account, state, limit, min(now_ms, self._totals_ms + TOTALS_TIMEOUT_MS))
 
     def _is_near_limit(self, account: str, state: AccountState) -> bool:
+        """Return whether totals list the account, or unreported use takes much of its debt."""
         limit = self._limits.get(account)
         if limit is None:
             return False
-        return account in self._sums or state.unheard.total() > limit.debt / 4.0
+        return account in self._sums or state.unheard.total() > limit.debt * NEAR_LIMIT_DEBT_PART
 
     def _use_of(self, account: str, state: AccountState, now_ms: float) -> AccountUse:
         level = self._reported_level(account, state, now_ms)
