--- a/ebonyshore/host/config_lease.py
+++ b/ebonyshore/host/config_lease.py
@@ -22,7 +22,8 @@
 READ_INTERVAL_MS = 1_000.0
 MAX_READ_INTERVAL_MS = 2_000.0  # after reads that failed
 MIN_READ_INTERVAL_MS = 200.0  # also if another process has seen a newer version
-INTERVAL_SPREAD = 0.25
+MAX_INTERVAL_DOUBLINGS = 8  # keeps the power of two small in a long outage
+INTERVAL_SPREAD = 0.25  # highest random part that is added to an interval
 
 
 class ConfigConfirmation(Struct, frozen=True):
@@ -116,7 +117,7 @@
         self._failures = 0 if has_succeeded else self._failures + 1
         self._spread = 1.0 + INTERVAL_SPREAD * self._random()
         self._read_ms = began_ms
-        doublings = min(max(0, self._failures - 1), 8)
+        doublings = min(max(0, self._failures - 1), MAX_INTERVAL_DOUBLINGS)
         self._interval_ms = self._spread * min(
             READ_INTERVAL_MS * 2**doublings, MAX_READ_INTERVAL_MS
         )
