--- a/ebonyshore/host/pace.py
+++ b/ebonyshore/host/pace.py
@@ -19,13 +19,13 @@
 from ebonyshore.link.load_table import Incarnation
 from ebonyshore.link.pace_messages import PaceCounts, PaceEvidence, PaceLimit
 
-START_LIMIT = 1.0
-# The requests that raise a limit still run when the next ones are sent. Each leaves room for two
-# more, which doubles the number of those that begin in each round.
+START_LIMIT = 1.0  # requests in flight
+# Requests added to the limit by an answer that begins in time. The request that is answered is
+# still in flight then, so one would only make up for it; two let the number of starts double.
 RISE_PER_ANSWER = 2.0
-FALL_FACTOR = 0.5
-# Between two trials that do not go well. The longer pause is short against the two seconds in which
-# a target that has recovered is to be in full use.
+FALL_FACTOR = 0.5  # by which a late answer multiplies the limit
+# Pauses after a trial request that was answered late or not at all. They are short, so that a
+# target that has recovered is soon in full use.
 MIN_TRIAL_PAUSE_MS = 100.0
 MAX_TRIAL_PAUSE_MS = 500.0
 OTHERS_TIMEOUT_MS = 500.0  # two heartbeats; without news for longer a process uses only its share
@@ -240,9 +240,9 @@
         self._record(target, counts, sent_ms, now_ms)
 
     def record_refusal(self, target: Target, sent_ms: float, now_ms: float) -> None:
-        """Record that a target has not run a request, or not to its end.
+        """Record that a target refused a request, or did not complete it.
 
-        A target without a limit gets none for this.
+        This lowers the limit of a target that has one, and sets none for other targets.
         """
         if self.limit(target.incarnation) is not None:
             self._record(target, PaceCounts(late=1), sent_ms, now_ms)
@@ -250,7 +250,8 @@
     def record_doubt(self, target: Target, sent_ms: float, now_ms: float) -> None:
         """Record that a target accepts no connection, or fails more requests than others do.
 
-        That may be for too many requests, so a target without a limit gets half of its capacity.
+        It may have been sent too many, so a target without a limit gets half of its capacity as its
+        limit.
         """
         self._record(target, PaceCounts(late=1), sent_ms, now_ms)
 
