--- a/ebonyshore/host/content_run.py
+++ b/ebonyshore/host/content_run.py
@@ -16,7 +16,9 @@
 class ContentRun:
     """One run of a request at a target.
 
-    :param content: what of the request may crash the target.
+    :param target: the target that the request is sent to.
+    :param content: the digests of the request to which a crash may be attributed.
+    :param started_ms: time at which the run started, on the clock of the event loop.
     :param is_resumable: whether the next run of the request continues after the last event.
     :param is_item: whether it is a run of a batch item.
     :param follows_break: whether another run of the content, to which a crash may be attributed,
@@ -24,7 +26,7 @@
     :ivar is_sent: whether the request was sent; before that it cannot have crashed the target.
     :ivar last_part_ms: time of the start or of the last part of the response.
     :ivar first_event_ms: time at which the run received its first event; ``None`` before that.
-    :ivar last_event_ms: the same of its last event so far.
+    :ivar last_event_ms: time at which it received its latest event; ``None`` before the first.
     :ivar is_checked: whether the target was checked since the last part of the response.
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     :ivar has_cleared_parts: whether its progress has cleared the parts of its prompt.
@@ -116,7 +118,7 @@
 
     @property
     def has_progress(self) -> bool:
-        """Whether it has made more progress than content allows that crashes its targets."""
+        """Whether the run has gone on for longer than content that crashes its target would."""
         return (self.progress_ms or 0.0) > MAX_CRASH_DELAY_MS
 
     def suspects(self, at_ms: float) -> dict[str, bool]:
