--- a/ebonyshore/gateway/fair_share.py
+++ b/ebonyshore/gateway/fair_share.py
@@ -87,8 +87,8 @@
     online = sum(load.online for load in usable)
     if chosen.free_slots_for_online > 0:
         return Room(slots, online, 0.0)
-    unknown = concurrent_choices(usable, service_time_ms) / len(usable)
-    wait_ms = chosen.wait_ms(service_time_ms) + unknown * service_time_ms / chosen.slot_rate
+    unreported = concurrent_choices(usable, service_time_ms) / len(usable)
+    wait_ms = chosen.wait_ms(service_time_ms) + unreported * service_time_ms / chosen.slot_rate
     return Room(slots, online, wait_ms)
 
 
@@ -105,12 +105,12 @@
     """
     if room.wait_ms <= target_latency_ms * MAX_EXCESS_WAIT_SHARE:
         return None
-    others = max(0, room.online - sum(need.running for need in needs.values()))
+    unlisted = max(0, room.online - sum(need.running for need in needs.values()))
     need = needs[account]
-    share_slots = need.weight * share_level(room.slots - others, needs.values())
+    share_slots = need.weight * share_level(room.slots - unlisted, needs.values())
     if need.slots <= share_slots:
         return None
-    part_slots = need.weight * share_level(room.slots_for_arrivals - others, needs.values())
+    part_slots = need.weight * share_level(room.slots_for_arrivals - unlisted, needs.values())
     return ShareExcess(share_slots, part_slots / need.slots)
 
 
