--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -24,11 +24,13 @@
 USUAL_PRIOR = 30.0  # events; weight of the assumption that a target is as fast as the others
 RECENT_PRIOR = 6.0  # events; weight of the assumption that a target is as fast as usual
 MIN_WEIGHT = 1.0  # of evidence that is used or reported
-MIN_SPEED = 0.1
+MIN_SPEED = 0.1  # in relation to the mean target, as is the next
 MAX_SPEED = 5.0
 MIN_REPORT_INTERVAL_MS = 400.0  # between two reports of a process about one target
-NOTICEABLE_CHANGE = 0.2  # of the logarithm of the expected time between events
-CHANCE_CHANGE = 2.0  # the same for one recent event; less for more of them
+# Changes of the logarithm of the expected time between events. A report is due when the change
+# exceeds both.
+NOTICEABLE_CHANGE = 0.2
+CHANCE_CHANGE = 2.0  # by chance, of a mean of few recent events; falls with their square root
 ESTIMATE_LIFETIME_MS = 100.0
 REPORT_LIFETIME_MS = 5 * USUAL_HALF_LIFE_MS
 
@@ -105,7 +107,7 @@
     def estimates(self, targets: Iterable[Target], now_ms: float) -> dict[str, SpeedEstimate]:
         """Return the estimates for targets of one service by target id.
 
-        They may be up to 100 ms old. Targets of unknown speed are left out.
+        They may be up to :data:`ESTIMATE_LIFETIME_MS` old. Targets of unknown speed are left out.
         """
         targets = list(targets)
         if not targets:
