--- a/ebonyshore/runner/account_sharing.py
+++ b/ebonyshore/runner/account_sharing.py
@@ -16,7 +16,7 @@
 
 
 class PunctualSchedule(Generic[Job]):
-    """Jobs that run one after the other, and how much later each may end.
+    """Jobs that run one after the other, and by how much each could still be delayed.
 
     All amounts are slot time in ms. Jobs can be added in any order.
 
@@ -28,8 +28,8 @@
     def __init__(self) -> None:
         self.jobs: list[Job] = []
         self._keys: list[tuple] = []
-        self._limits_ms: list[float] = []
-        self._slacks_ms: list[float] = []
+        self._limits_ms: list[float] = []  # work that can be done until each job has to end
+        self._slacks_ms: list[float] = []  # what is left of it after the job and those before
 
     def add(self, job: Job, key: tuple, work_ms: float, limit_ms: float) -> bool:
         """Add a job if all jobs are then still in time; return whether it was added.
@@ -57,7 +57,9 @@
     work_of: Callable[[Job], float],
     take: Callable[[Job], bool],
 ) -> None:
-    """Offer jobs to a function, next that of the account which would have the least work taken.
+    """Offer jobs to a function one by one, in an order that divides the work among accounts.
+
+    The next job is that of the account which has the least work taken, the job itself included.
 
     :param jobs: the jobs; those of one account are offered in this order.
     :param take: returns whether a job is taken. Only then does it count as work of its account.
@@ -88,14 +90,15 @@
     running: Mapping[str, int],
     part_slots: Mapping[str, float],
 ) -> list[Item]:
-    """Return waiting items with those in front by which accounts reach their part of the slots.
+    """Move the waiting items that accounts need to reach their part of the slots to the front.
 
-    The account that holds the fewest slots comes first.
+    Among these, items of the account that holds the fewest slots come first.
 
     :param items: waiting items in their order, which is kept for the others.
     :param account_of: returns the account of an item; ``None`` if the item does not go ahead.
     :param running: number of running items by account.
     :param part_slots: slots up to which the items of each account go ahead.
+    :return: all items in the new order.
     """
     held = Counter(running)
     ahead: list[tuple[int, int]] = []
