--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -363,19 +363,7 @@
         self._record_unanswered(content_run, result.outcome)
         self._metrics.count(f"item_runs_{result.outcome.name.lower()}")
         if result.outcome is not RunOutcome.COMPLETE:
-            self._log.event(
-                "item_run_ended",
-                job=progress.job_id,
-                item=item.item_id,
-                content=progress.content_digest(item),
-                target=target.target_id,
-                software_version=target.entry.software_version,
-                end=result.outcome.name.lower(),
-                detail=result.detail,
-                last_event=item.last_event_id,
-                failures=item.failures,
-                progress_ms=content_run.progress_ms,
-            )
+            self._log_incomplete_run(progress, item, content_run, result)
         if item.state is not ItemState.RUNNING:
             return  # another runner has listed the item's result in the meantime
         item.state = ItemState.WAITING
@@ -392,6 +380,24 @@
         else:
             self._handle_incomplete_run(item, content_run, result.outcome, at_ms)
 
+    def _log_incomplete_run(
+        self, progress: JobProgress, item: Item, content_run: ContentRun, result: RunResult
+    ) -> None:
+        target = content_run.target
+        self._log.event(
+            "item_run_ended",
+            job=progress.job_id,
+            item=item.item_id,
+            content=progress.content_digest(item),
+            target=target.target_id,
+            software_version=target.entry.software_version,
+            end=result.outcome.name.lower(),
+            detail=result.detail,
+            last_event=item.last_event_id,
+            failures=item.failures,
+            progress_ms=content_run.progress_ms,
+        )
+
     def _record_answer_pace(self, run: ContentRun) -> None:
         kind = f"items of {run.target.entry.service}"
         self._targets.pace.record_answer(run.target, kind, run.started_ms, now_ms())
