--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -96,19 +96,7 @@
     store_proxies = _insert_store_proxies(fleet, variant)
     target_proxies: list[FaultProxy] = []
     try:
-        for target in fleet.targets:
-            target.start()
-            target_proxies.append(FaultProxy(target.address))
-        fleet.start(
-            {
-                target.target_id: proxied_target_entry(
-                    fleet, number, target_proxies[number].address
-                )
-                for number, target in enumerate(fleet.targets)
-            }
-        )
-        for number, proxy in enumerate(target_proxies):
-            fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
+        _start_fleet(fleet, target_proxies)
         clients = SoakClients(fleet, checker, options.seed, clock, accounts)
         faults = FaultInjector(fleet, store_proxies, target_proxies, options.seed, clock)
         limited_jobs = LimitedJobsClient(fleet, clients, checker, options.seed, clock)
@@ -159,6 +147,25 @@
     )
 
 
+def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
+    """Start all processes and targets, with a proxy before each target.
+
+    :param target_proxies: gets the proxies as they are started, so that the caller can stop them
+        even if this fails.
+    """
+    for target in fleet.targets:
+        target.start()
+        target_proxies.append(FaultProxy(target.address))
+    fleet.start(
+        {
+            target.target_id: proxied_target_entry(fleet, number, target_proxies[number].address)
+            for number, target in enumerate(fleet.targets)
+        }
+    )
+    for number, proxy in enumerate(target_proxies):
+        fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
+
+
 def _make_target(target_id: str) -> CrashingTarget:
     # A proxy accepts connections also while its target refuses them, so crashed targets are silent.
     target = CrashingTarget(target_id, CrashMode.SILENT, TARGET_DOWN_MS)
--- a/ebonyshore_soak/account_checks.py
+++ b/ebonyshore_soak/account_checks.py
@@ -28,7 +28,11 @@
 
 
 class AccountLimit(Struct, frozen=True):
-    """Limit of an account."""
+    """Limit of an account in the configuration of the soak test.
+
+    :param rate_per_s: requests a second that are allowed for any length of time.
+    :param burst: requests that are allowed at once.
+    """
 
     rate_per_s: float
     burst: float
@@ -48,7 +52,8 @@
     """A request of an account.
 
     :param account: name of the account.
-    :param sent_ms: monotonic time.
+    :param key: the key that the request is sent with.
+    :param sent_ms: monotonic time at which it is sent.
     :param status: HTTP status; ``None`` as long as there is no complete response.
     """
 
--- a/ebonyshore_soak/slow_readers.py
+++ b/ebonyshore_soak/slow_readers.py
@@ -23,7 +23,10 @@
 RECEIVE_BUFFER_BYTES = 32_768
 PIECE_BYTES = 200_000
 PIECE_PAUSE_MS = 100.0
+MIN_STOP_MS = 1_000.0  # a pause of a reader that stops for some seconds
 MAX_STOP_MS = 3_000.0
+STREAM_PAUSE_S = (0.1, 0.5)  # between two streams of a reader
+JOIN_TIMEOUT_S = 60.0
 
 
 class SlowReaders:
@@ -62,11 +65,11 @@
         """Stop reading and wait for the threads."""
         self._is_stopped.set()
         for thread in self._threads:
-            thread.join(60)
+            thread.join(JOIN_TIMEOUT_S)
 
     def _run(self, entry: FleetProcess, random: Random) -> None:
-        while not self._is_stopped.wait(random.uniform(0.1, 0.5)):
-            pause_ms = random.choice([PIECE_PAUSE_MS, random.uniform(1_000.0, MAX_STOP_MS)])
+        while not self._is_stopped.wait(random.uniform(*STREAM_PAUSE_S)):
+            pause_ms = random.choice([PIECE_PAUSE_MS, random.uniform(MIN_STOP_MS, MAX_STOP_MS)])
             request_id = f"once-slow-{next(self._request_numbers)}"
             body = self._clients.call_or_none(partial(self._read, entry, request_id, pause_ms))
             self._checker.count("slow_whole" if body else "slow_not_whole")
--- a/ebonyshore_soak/variant.py
+++ b/ebonyshore_soak/variant.py
@@ -7,9 +7,9 @@
 # Runs of lower seeds stay as they were before there were options.
 FIRST_SEED_WITH_OPTIONS = 20_000
 OPTION_RATIO = 0.6  # of the seeds that have an option
-SPEED_FACTORS = (0.6, 1.0, 1.6)
-COLD_MS = 2_000.0
-COLD_FACTOR = 3.0
+SPEED_FACTORS = (0.6, 1.0, 1.6)  # of the pauses between events
+COLD_MS = 2_000.0  # after its start, for which a target is slow
+COLD_FACTOR = 3.0  # of the pauses between events during that time
 
 
 class SoakVariant(Struct, frozen=True):
