--- a/ebonyshore_soak/variant.py
+++ b/ebonyshore_soak/variant.py
@@ -8,7 +8,7 @@
 FIRST_SEED_WITH_OPTIONS = 20_000
 OPTION_RATIO = 0.6  # of the seeds that have an option
 SPEED_FACTORS = (0.6, 1.0, 1.6)  # of the pauses between events
-COLD_MS = 2_000.0  # after its start, for which a target is slow
+COLD_MS = 2_000.0  # after a crash, for which a target is slow
 COLD_FACTOR = 3.0  # of the pauses between events during that time
 
 
