--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -34,14 +34,19 @@
 
 
 class EntryUse:
-    """The last report of an account by an entry, and the rate at which it admits requests."""
+    """What one entry uses of an account.
 
-    __slots__ = ("admitted", "report", "reported_ms")
+    :ivar report: the last report of the entry about the account.
+    :ivar reported_ms: time at which that report was received.
+    :ivar admissions: rate at which the entry admits requests, from the differences of its reports.
+    """
+
+    __slots__ = ("admissions", "report", "reported_ms")
 
     def __init__(self, report: AccountUse) -> None:
         self.report = report
         self.reported_ms = 0.0
-        self.admitted = EventRate()
+        self.admissions = EventRate()
 
     def wanted_per_s(self, now_ms: float) -> float:
         """Return the present rate of requests; those since the report are not known."""
@@ -60,7 +65,7 @@
 
     def add(self, use: EntryUse, now_ms: float) -> None:
         """Add the use of an entry."""
-        self.admitted_per_s += use.admitted.per_s(now_ms)
+        self.admitted_per_s += use.admissions.per_s(now_ms)
         self.wanted_per_s += use.wanted_per_s(now_ms)
         self.running += use.report.running
 
@@ -69,7 +74,7 @@
         return AccountSum(
             account,
             round(level * TENTHS),
-            max(0, round((self.admitted_per_s - use.admitted.per_s(now_ms)) * TENTHS)),
+            max(0, round((self.admitted_per_s - use.admissions.per_s(now_ms)) * TENTHS)),
             max(0, round((self.wanted_per_s - use.wanted_per_s(now_ms)) * TENTHS)),
             self.running - use.report.running,
         )
@@ -263,7 +268,7 @@
         if known is None:
             known = entry.uses[use.account] = EntryUse(use)
         admitted = use.unheard if is_new else use.admitted - known.report.admitted
-        known.admitted.record(now_ms, max(0, admitted))
+        known.admissions.record(now_ms, max(0, admitted))
         known.report = use
         known.reported_ms = now_ms
         if limit is not None:
