--- a/ebonyshore/link/account_messages.py
+++ b/ebonyshore/link/account_messages.py
@@ -9,7 +9,8 @@
     """What one entry knows of the requests of an account.
 
     :param account: name of the account.
-    :param admitted: requests that the entry has admitted since it started.
+    :param admitted: requests that the entry has admitted since it started, without those that were
+        given back.
     :param unheard: those of them that no totals contain yet.
     :param wanted_tenths: tenths of the requests a second that came to the entry, admitted or not.
     :param running: the entry's requests at targets now.
@@ -31,6 +32,7 @@
     :param sender: instance id of the entry.
     :param incarnation: the run of the entry.
     :param sequence: increases with each report of a run.
+    :param uses: the use of each of these accounts.
     """
 
     sender: str
@@ -42,6 +44,7 @@
 class AccountSum(Struct, frozen=True, array_like=True):
     """What all other entries use of an account. Rates are averages.
 
+    :param account: name of the account.
     :param level_tenths: tenths of the tokens that are left; negative if more was used than the
         bucket held.
     :param admitted_tenths: tenths of the requests a second that the other entries admit.
@@ -81,6 +84,7 @@
     :param incarnation: the run of the entry that is addressed.
     :param sequence: the entry's last report that the sums contain.
     :param entry_count: number of entries among which limits are divided.
+    :param sums: the accounts that are listed.
     """
 
     sender: str
