--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -125,11 +125,7 @@
         limited_jobs.check_room()
         _settle(fleet, clients, checker, clock)
         account_clients.check_jobs()
-        _check_streams_go_on(fleet, clients, checker)
-        _check_leaving_target(fleet, target_proxies[0], clients, checker, clock)
-        _check_crashing_content(fleet, clients, checker, clock)
-        check_crashing_part(fleet, clients, checker, clock)
-        check_limited_targets(fleet, clients, checker, clock)
+        _check_single_faults(fleet, target_proxies[0], clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
@@ -147,6 +143,21 @@
     )
 
 
+def _check_single_faults(
+    fleet: PlatformFleet,
+    first_target_proxy: FaultProxy,
+    clients: SoakClients,
+    checker: GuaranteeChecker,
+    clock: SystemClock,
+) -> None:
+    """Check how the settled fleet deals with one kind of fault after the other."""
+    _check_streams_go_on(fleet, clients, checker)
+    _check_leaving_target(fleet, first_target_proxy, clients, checker, clock)
+    _check_crashing_content(fleet, clients, checker, clock)
+    check_crashing_part(fleet, clients, checker, clock)
+    check_limited_targets(fleet, clients, checker, clock)
+
+
 def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
     """Start all processes and targets, with a proxy before each target.
 
--- a/ebonyshore_soak/account_clients.py
+++ b/ebonyshore_soak/account_clients.py
@@ -38,15 +38,18 @@
 REMOVED_KEY = "key-rotating-old"
 KEPT_KEY = "key-rotating-new"
 STEADY_RATE_PER_S, STEADY_BURST = 90.0, 45.0
-EVENTS = 2
+EVENTS = 2  # of each stream
 SPELL_MS = 1_500.0  # spells of the hot account alternate with pauses of the same length
 SPOOFING_INTERVAL = 5  # one of so many requests names an account itself
 CHANGE_DELAY_MS = (500.0, 1_500.0)  # until the limit falls, and then until the key is removed
 CUT_MS = 4_000.0  # longer than the bound on the use of removed keys
-CALM_MS = 8_000.0
+CALM_MS = 8_000.0  # time for which requests are sent without faults
 JOB_SIZE = JobSize(items=6, events=100)
 JOB_TIMEOUT_MS = 30_000.0
 JOB_RETRY_MS = 200.0
+JOB_PAUSE_S = (0.1, 0.3)  # between two calls of the client for jobs
+PAUSE_SPREAD = (0.9, 1.1)  # factors of the pause of a sender
+JOIN_TIMEOUT_S = 60.0
 
 
 class Sender(Struct, frozen=True):
@@ -140,7 +143,7 @@
         """Stop the threads and wait for them."""
         self._is_stopped.set()
         for thread in self._threads:
-            thread.join(60)
+            thread.join(JOIN_TIMEOUT_S)
         self._threads.clear()
 
     def run_calm_load(self, in_force_ms: float) -> None:
@@ -188,7 +191,8 @@
 
     def _send_until_stopped(self, sender: Sender, entry: FleetProcess, random: Random) -> None:
         caller = entry.with_key(sender.key)
-        while not self._is_stopped.wait(random.uniform(0.9, 1.1) * sender.pause_ms / MS_PER_S):
+        pause_s = sender.pause_ms / MS_PER_S
+        while not self._is_stopped.wait(random.uniform(*PAUSE_SPREAD) * pause_s):
             if sender.account != HOT or self._is_spell():
                 self._send(caller, sender.account)
 
@@ -246,7 +250,7 @@
 
     def _run_job_client(self, random: Random) -> None:
         """Submit jobs with the key that is to be removed, and read them with other keys."""
-        while not self._is_stopped.wait(random.uniform(0.1, 0.3)):
+        while not self._is_stopped.wait(random.uniform(*JOB_PAUSE_S)):
             entry = random.choice(self._fleet.entries)
             if self._removed_ms is None:
                 self._submit(entry)
