--- a/ebonyshore/runner/item_headers.py
+++ b/ebonyshore/runner/item_headers.py
@@ -11,7 +11,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import HOP_BY_HOP_NAMES, Headers
 
-# Header field names and values as RFC 9110 allows them.
+# Tokens, and text without control characters except the tab (RFC 9110, section 5).
 _FIELD_NAME = compile_pattern(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FIELD_VALUE = compile_pattern(r"[^\x00-\x08\x0a-\x1f\x7f]*")
 # Control characters, the space and DEL would end or split the request line.
--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -148,7 +148,7 @@
     first_target_proxy: FaultProxy,
     clients: SoakClients,
     checker: GuaranteeChecker,
-    clock: SystemClock,
+    clock: Clock,
 ) -> None:
     """Check how the settled fleet deals with one kind of fault after the other."""
     _check_streams_go_on(fleet, clients, checker)
