--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -96,19 +96,7 @@
     store_proxies = _insert_store_proxies(fleet, variant)
     target_proxies: list[FaultProxy] = []
     try:
-        for target in fleet.targets:
-            target.start()
-            target_proxies.append(FaultProxy(target.address))
-        fleet.start(
-            {
-                target.target_id: proxied_target_entry(
-                    fleet, number, target_proxies[number].address
-                )
-                for number, target in enumerate(fleet.targets)
-            }
-        )
-        for number, proxy in enumerate(target_proxies):
-            fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
+        _start_fleet(fleet, target_proxies)
         clients = SoakClients(fleet, checker, options.seed, clock, accounts)
         faults = FaultInjector(fleet, store_proxies, target_proxies, options.seed, clock)
         limited_jobs = LimitedJobsClient(fleet, clients, checker, options.seed, clock)
@@ -137,11 +125,7 @@
         limited_jobs.check_room()
         _settle(fleet, clients, checker, clock)
         account_clients.check_jobs()
-        _check_streams_go_on(fleet, clients, checker)
-        _check_leaving_target(fleet, target_proxies[0], clients, checker, clock)
-        _check_crashing_content(fleet, clients, checker, clock)
-        check_crashing_part(fleet, clients, checker, clock)
-        check_limited_targets(fleet, clients, checker, clock)
+        _check_single_faults(fleet, target_proxies[0], clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
@@ -159,6 +143,40 @@
     )
 
 
+def _check_single_faults(
+    fleet: PlatformFleet,
+    first_target_proxy: FaultProxy,
+    clients: SoakClients,
+    checker: GuaranteeChecker,
+    clock: Clock,
+) -> None:
+    """Check how the settled fleet deals with one kind of fault after the other."""
+    _check_streams_go_on(fleet, clients, checker)
+    _check_leaving_target(fleet, first_target_proxy, clients, checker, clock)
+    _check_crashing_content(fleet, clients, checker, clock)
+    check_crashing_part(fleet, clients, checker, clock)
+    check_limited_targets(fleet, clients, checker, clock)
+
+
+def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
+    """Start all processes and targets, with a proxy before each target.
+
+    :param target_proxies: gets the proxies as they are started, so that the caller can stop them
+        even if this fails.
+    """
+    for target in fleet.targets:
+        target.start()
+        target_proxies.append(FaultProxy(target.address))
+    fleet.start(
+        {
+            target.target_id: proxied_target_entry(fleet, number, target_proxies[number].address)
+            for number, target in enumerate(fleet.targets)
+        }
+    )
+    for number, proxy in enumerate(target_proxies):
+        fleet.targets[number].on_restart = partial(_list_restart, fleet, number, proxy)
+
+
 def _make_target(target_id: str) -> CrashingTarget:
     # A proxy accepts connections also while its target refuses them, so crashed targets are silent.
     target = CrashingTarget(target_id, CrashMode.SILENT, TARGET_DOWN_MS)
