--- a/ebonyshore_soak/account_clients.py
+++ b/ebonyshore_soak/account_clients.py
@@ -93,10 +93,10 @@
     keys = (REMOVED_KEY, KEPT_KEY) if has_removed_key else (KEPT_KEY,)
     return [
         account(MAIN, f"key-{MAIN}"),
-        account(HOT, f"key-{HOT}", RatePerS=hot.rate_per_s, Burst=hot.burst),
+        account(HOT, f"key-{HOT}", rate_per_s=hot.rate_per_s, burst=hot.burst),
         account(ROTATING, *keys),
         *(
-            account(name, f"key-{name}", RatePerS=STEADY_RATE_PER_S, Burst=STEADY_BURST)
+            account(name, f"key-{name}", rate_per_s=STEADY_RATE_PER_S, burst=STEADY_BURST)
             for name in STEADY
         ),
     ]
--- a/ebonyshore_standins/fleet_config.py
+++ b/ebonyshore_standins/fleet_config.py
@@ -32,13 +32,18 @@
     }
 
 
-def account(name: str, *keys: str, **fields: object) -> dict[str, object]:
+def account(
+    name: str, *keys: str, rate_per_s: float = 0.0, burst: float = 0.0, **fields: object
+) -> dict[str, object]:
     """Return a client account for the configuration.
 
     :param keys: the keys of the account.
-    :param fields: further fields of the account, such as its rate.
+    :param rate_per_s: requests a second that it may send; 0 if there is no limit.
+    :param burst: requests that it may send at once beyond the rate.
+    :param fields: further fields of the account, under their names in the configuration.
     """
-    return {"Name": name, "ApiKeys": list(keys), **fields}
+    limits = {"RatePerS": rate_per_s, "Burst": burst}
+    return {"Name": name, "ApiKeys": list(keys), **limits, **fields}
 
 
 def make_config(
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    limited = account("a1", "key-1", RatePerS=RATE_PER_S, Burst=BURST)
+    limited = account("a1", "key-1", rate_per_s=RATE_PER_S, burst=BURST)
     platform_fleet = PlatformFleet(
         tmp_path, entries=3, targets=3, address_octet=17, accounts=[limited]
     )
