--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,12 +1,10 @@
-"""One unreadable entry in the list of servers keeps accepted batch jobs from ever being run."""
+"""Finished items in a script of three bytes a character are never listed after a store outage."""
 
 from pathlib import Path
-from threading import Event, Thread
+from random import Random
 from time import monotonic, sleep
 
-from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
-from ebonyshore_standins.fleet_process import FleetProcess
-from ebonyshore_standins.platform_fleet import wait_until
+from ebonyshore_standins.fleet_client import read_job, submit_job
 from ebonyshore_standins.stream_target import StreamTarget
 from review.common.fleet import (
     BROKEN,
@@ -17,110 +15,79 @@
     call_or_none,
     run_case,
 )
+from review.common.lossy_store import LossyStore
 
-ITEMS = 10
-EVENTS = 30
+ITEMS = 24  # the most on the deployment; the page allows 200
+MEAN_EVENTS, SPREAD_EVENTS, MAX_EVENTS = 188, 47, 300  # as on the deployment's sheet
 EVENT_MS = 20.0
-DUE_S = 18.0  # CompletionTargetMs of the route
+TEXT = "સાબુ" * 25  # 100 characters of three bytes; the site's pieces have 450 bytes at most
+DOWN_AFTER_S = 0.8
+DOWN_S = 4.5  # as on the deployment
+DUE_S = 18.0
 FINISH_S = 18.0
 CALM_S = 5.0
-# What another writer has stored: its text holds a byte that is not UTF-8 (0xFF), which a JSON
-# encoder can only pass on as a lone surrogate.
-FOREIGN_NAME = "i-other"
-UNREADABLE = b"name \xff".decode("utf-8", "surrogateescape")
-HEARTBEAT_S = 1.2  # at which writers renew their entries
 
 
-def write_foreign_entry(fleet: CaseFleet, is_over: Event) -> None:
-    """Keep an entry that names no server, as another writer does."""
-    sequence = 0
-    while True:
-        sequence += 1
-        entry = {"Service": "other", "Note": UNREADABLE, "Sequence": sequence}
-        fleet.platform.state.put("servers", FOREIGN_NAME, entry)
-        if is_over.wait(HEARTBEAT_S):
-            return
+class GujaratiTarget(StreamTarget):
+    """A server whose events hold Gujarati text; each item has a length of its own."""
 
+    async def _stream(self, request_id, headers, writer) -> None:
+        length = Random(request_id).gauss(MEAN_EVENTS, SPREAD_EVENTS)
+        events = int(min(MAX_EVENTS, max(40.0, length)))
+        await super()._stream(request_id, {**headers, "length-hint": str(events)}, writer)
 
-def submit(record: Record, fleet: CaseFleet, job_id: str) -> bool:
-    for attempt in range(8):
-        entry = fleet.entries[attempt % len(fleet.entries)]
-        status = call_or_none(submit_job, entry, job_id, ITEMS, EVENTS, 5.0)
-        record.write(f"POST of {job_id} ({ITEMS} items) at {entry.name}: {status}")
-        if status == 202:
-            return True
-        sleep(0.5)
-    return False
+    def _send_event(self, run, number, writer, padding_bytes=0) -> None:
+        event = f"id: {number}\ndata: {TEXT}\n\n".encode()
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        run.last_event = number
 
 
 def read_until(record: Record, fleet: CaseFleet, job_id: str, end_s: float) -> int:
     """Read a job twice a second until all results are listed, or the end; return their number."""
-    listed, turn = 0, 0
-    while monotonic() < end_s:
-        turn += 1
-        entry = fleet.entries[turn % len(fleet.entries)]
-        response = call_or_none(read_job, entry, job_id)
+    listed, known = 0, -1
+    while monotonic() < end_s and listed < ITEMS:
+        response = call_or_none(read_job, fleet.entries[0], job_id, listed)
         if response is not None and response[0] == 200:
-            listed = len(response[1]["Results"])
-            if listed == response[1]["Total"]:
-                break
+            listed = response[1]["Next"]
+        if listed != known:
+            known = listed
+            record.write(f"GET of {job_id}: {listed} of {ITEMS} items are listed")
         sleep(0.5)
-    record.write(f"{job_id}: {listed} of {ITEMS} items are listed")
     return listed
 
 
-def start_and_wait(process: FleetProcess) -> None:
-    starts = process.read_log().count("event=process_started")
-    process.start()
-    wait_until(lambda: process.read_log().count("event=process_started") > starts)
-
-
-def roll(record: Record, fleet: CaseFleet) -> None:
-    """Planned work: stop each process with SIGTERM and start it again, one after the other."""
-    for process in fleet.processes:
-        status = process.stop()
-        start_and_wait(process)
-        record.write(f"{process.name} stopped with status {status} and started again")
-        sleep(1.5)
-
-
 def play(record: Record, folder: Path) -> int:
-    targets = [StreamTarget(f"t{n}", event_interval_ms=EVENT_MS) for n in range(1, 5)]
-    fleet = CaseFleet(folder, 2, 4, targets)
-    is_over = Event()
-    writer = Thread(target=write_foreign_entry, args=(fleet, is_over), daemon=True)
+    targets = [GujaratiTarget(f"t{n}", event_interval_ms=EVENT_MS) for n in range(1, 5)]
+    fleet = CaseFleet(folder, 2, 4, targets, LossyStore(value_bytes=1_048_576))
+    store = fleet.platform
     try:
         fleet.start()
         record.write("fleet is ready")
-        if not submit(record, fleet, "before"):
-            raise TimeoutError("the first job was not accepted")
-        if read_until(record, fleet, "before", monotonic() + 20.0) != ITEMS:
-            raise TimeoutError("the first job was not completed")
-        if HAS_TROUBLE:
-            writer.start()
-            record.write(f"another writer stores servers/{FOREIGN_NAME} and renews it")
-        roll(record, fleet)
-        for entry in fleet.entries:
-            response = call_or_none(request_stream, entry, f"online-{entry.name}")
-            record.write(f"online request at {entry.name}: {response and response[0]}")
-        if not submit(record, fleet, "after"):
-            record.write("no job was accepted, so none can be lost")
-            return HELD
+        status = submit_job(fleet.entries[0], "labels", ITEMS, MEAN_EVENTS)
+        record.write(f"POST of labels ({ITEMS} items): {status}")
+        if status != 202:
+            raise TimeoutError("the job was not accepted")
         accepted_s = monotonic()
-        listed = read_until(record, fleet, "after", accepted_s + DUE_S + FINISH_S)
+        read_until(record, fleet, "labels", accepted_s + DOWN_AFTER_S)
+        if HAS_TROUBLE:
+            record.write(f"the store is down for {DOWN_S} s")
+            store.fault_hook = lambda _method, _path: 503
+        sleep(DOWN_S)
+        store.fault_hook = lambda _method, _path: None
+        record.write("the store serves again")
+        listed = read_until(record, fleet, "labels", accepted_s + DUE_S + FINISH_S)
         runs = [run for target in targets for run in list(target.runs)]
-        item_runs = [run for run in runs if run.request_id.startswith("after-")]
-        record.write(f"servers began {len(item_runs)} runs of its items; all servers were idle")
-        for name in ("target_entry_unusable", "store_lost"):
-            for process in fleet.processes:
-                lines = [line for line in process.read_log().splitlines() if name in line]
-                for line in lines[-1:]:
-                    record.write(f"log of {process.name}: {line[:300]}")
+        finished = {run.request_id for run in runs if run.is_complete}
         recent_s = monotonic() - CALM_S
         is_idle = not any(run.ended_ms / 1000 > recent_s for run in runs)
-        return BROKEN if listed < ITEMS and not item_runs and is_idle else HELD
+        record.write(f"{listed} of {ITEMS} items are listed; servers have finished {len(finished)}")
+        record.write(f"writes that the store refused as too large: {store.too_large}")
+        for runner in fleet.runners:
+            lines = [text for text in runner.read_log().splitlines() if "results_not_st" in text]
+            if lines:
+                record.write(f"log of {runner.name}, {len(lines)} times: {lines[-1][:240]}")
+        return BROKEN if listed < ITEMS and is_idle else HELD
     finally:
-        is_over.set()
         fleet.stop()
 
 
