--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,136 +1,143 @@
-"""Items of an ended batch job run long after its end, once the store has lost some answers."""
+"""Streams that callers take up go on at another software version after a stop of all processes."""
 
+import threading
 from pathlib import Path
-from threading import Event, Thread
 from time import monotonic, sleep
 
-from ebonyshore_standins.fleet_client import read_job, submit_job
+from ebonyshore_standins.caller_stream import CallerStream
+from ebonyshore_standins.fleet_config import SERVICE
 from ebonyshore_standins.stream_target import StreamTarget
 from review.common.fleet import (
     BROKEN,
-    CANCEL_S,
     HAS_TROUBLE,
     HELD,
-    STABLE_WINDOW_S,
     CaseFleet,
     Record,
     call_or_none,
-    cancel_until_acknowledged,
     run_case,
 )
 
-ROUNDS = 8
-LAST_ROUND_S = 85.0  # no round begins later
-JOBS = 8
-ITEMS = 50  # of each job that is ended; the page allows 200
-EVENTS = 60
-EVENT_MS = 20.0
-LOST_SHARE = 0.35  # the deployment's figure for answers that are lost
-LOST_S = 2.5  # the deployment has 4.5
-OBSERVED_S = 8.0
-SMALL_JOB_CALLERS = 6
-SMALL_JOB_INTERVAL_S = 0.8  # of each of them
-
-
-def submit(record: Record, entry, job_id: str, items: int, events: int) -> bool:
-    for _ in range(3):
-        status = call_or_none(submit_job, entry, job_id, items, events, 5.0)
-        record.write(f"POST of {job_id} ({items} items) at {entry.name}: {status}")
-        if status == 202:
-            return True
-        sleep(0.3)
-    return False
-
-
-def send_small_jobs(fleet: CaseFleet, name: str, is_over: Event) -> None:
-    """The other traffic: one caller that submits a small job now and then."""
-    count = 0
-    while not is_over.wait(SMALL_JOB_INTERVAL_S):
-        count += 1
-        job_id = f"{name}x{count}"
-        call_or_none(submit_job, fleet.entries[count % 2], job_id, 1, 10, 5.0)
-
-
-def play_round(record: Record, fleet: CaseFleet, number: int) -> int:
-    """Submit jobs, let the store lose answers, end the jobs; return the number of late items."""
-    first, second = fleet.entries
-    names = [f"round{number}job{index}" for index in range(JOBS)]
-    # One that is refused, because too much waits already, is left out.
-    job_ids = [name for name in names if submit(record, first, name, ITEMS, EVENTS)]
-    if not job_ids:
-        raise TimeoutError("no job was accepted")
-    is_over = Event()
-    traffic = [
-        Thread(
-            target=send_small_jobs, args=(fleet, f"small{number}x{caller}", is_over), daemon=True
-        )
-        for caller in range(SMALL_JOB_CALLERS)
-    ]
-    for thread in traffic:
-        thread.start()
-    sleep(1.0)
-    response = call_or_none(read_job, first, job_ids[0])
-    page = response[1] if response else {}
-    record.write(f"GET of {job_ids[0]}: {page.get('Next')} of {page.get('Total')} items listed")
-    if HAS_TROUBLE:
-        fleet.platform.lose_answers(LOST_SHARE, LOST_S)
-        record.write(f"the store loses {LOST_SHARE} of its answers for {LOST_S} s")
-    sleep(LOST_S)
-    calm_s = monotonic()
-    record.write(f"calm again; answers in that time: {dict(fleet.platform.counts)}")
-    sleep(0.2)
-    acknowledged: dict[str, float] = {}
-    for job_id in job_ids:
-        at_s = cancel_until_acknowledged(record, second, job_id, 10.0)
-        if at_s is not None:
-            acknowledged[job_id] = at_s
-    sleep(max(0.0, calm_s + OBSERVED_S - monotonic()))
-    is_over.set()
-    for thread in traffic:
-        thread.join(6)
-    late = 0
-    runs = sorted(
-        (
-            (run.received_ms / 1000, run.request_id, target.target_id)
-            for target in fleet.targets
-            for run in list(target.runs)
-        ),
-    )
-    for received_s, item_id, target_id in runs:
-        ended_s = acknowledged.get(item_id.rpartition("-")[0])
-        if ended_s is None or received_s <= ended_s + CANCEL_S:
-            continue
-        if received_s <= calm_s + STABLE_WINDOW_S:
-            continue  # the processes and the store count as disturbed
-        late += 1
-        record.write(
-            f"{target_id} began to run {item_id}, {received_s - ended_s:.2f} s after the end of "
-            f"its job was acknowledged, {received_s - calm_s:.2f} s after the disruption",
-            received_s,
-        )
-    record.write(f"round {number}: {late} items ran too late")
-    return late
+STREAMS = 16
+EVENTS = 40  # the site's streams have 44 at most
+EVENT_MS = 30.0
+OLD, NEW = "v0", "v1"
+DOWN_S = 4.0  # of the store; 4.5 on the deployment
+KILLED_BEFORE_RETURN_S = 0.8
+BEGUN_BEFORE_KILL_S = 0.6
+FIRST_RETURN_S, LAST_RETURN_S = 0.2, 1.8  # of entries, after the store; the page says about 2 s
+DEADLINE_S = 5.0
+MAX_TRIES = 4  # of a caller: "a few times within their deadline"
+RETRY_S = 0.6  # after a refusal or without a connection
+BREAK_AFTER = 15  # events, where callers close their connection themselves
+TOLERATED = 2  # mixed streams
+
+
+class VersionedTarget(StreamTarget):
+    """A server whose events tell the version of its software."""
+
+    def _send_event(self, run, number, writer, padding_bytes=0) -> None:
+        event = f"id: {number}\ndata: {run.stream_id}.{number}.{self.software_version}\n\n"
+        writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+        run.last_event = number
+
+
+def read_stream(fleet: CaseFleet, number: int, streams: list[CallerStream]) -> None:
+    """Read a stream, and take it up at the other entry when it breaks off, until the deadline."""
+    stream = CallerStream(f"ask{number}", EVENTS)
+    streams.append(stream)
+    end_s = monotonic() + DEADLINE_S
+    turn = number
+    until = None if HAS_TROUBLE else BREAK_AFTER
+    for _ in range(MAX_TRIES):
+        known = len(stream.data)
+        entry = fleet.entries[turn % len(fleet.entries)]
+        call_or_none(stream.read, entry, until, 3.0)
+        if stream.is_complete or monotonic() > end_s:
+            return
+        until = None
+        turn += 1
+        sleep(0.1 if len(stream.data) > known else RETRY_S)
+
+
+def versions(stream: CallerStream) -> set[str]:
+    """Return the versions of the servers whose events the caller has received."""
+    return {data.rpartition(".")[2] for data in stream.data}
+
+
+def list_server(fleet: CaseFleet, target: StreamTarget) -> None:
+    fleet.platform.state.put("servers", target.target_id, target.target_entry(SERVICE))
+
+
+def disturb(record: Record, fleet: CaseFleet, down_s: float) -> None:
+    """Kill all processes near the end of an outage of the store in which entries have lapsed."""
+    store = fleet.platform
+    for process in fleet.processes:
+        process.kill()
+    record.write("all processes are killed")
+    for process in fleet.processes:
+        process.start()
+    sleep(max(0.0, down_s + DOWN_S - monotonic()))
+    for target in fleet.targets:
+        store.state.delete("servers", target.target_id, None)
+    store.fault_hook = lambda _method, _path: None
+    returned_s = monotonic()
+    record.write("the store serves again; the entries of the servers have lapsed")
+    for at_s, version in ((FIRST_RETURN_S, NEW), (LAST_RETURN_S, OLD)):
+        sleep(max(0.0, returned_s + at_s - monotonic()))
+        for target in fleet.targets:
+            if target.software_version == version:
+                list_server(fleet, target)
+        record.write(f"the servers of {version} have registered again")
 
 
 def play(record: Record, folder: Path) -> int:
-    targets = [StreamTarget(f"t{n}", event_interval_ms=EVENT_MS) for n in range(1, 4)]
+    targets = [VersionedTarget(f"t{n}", event_interval_ms=EVENT_MS) for n in range(1, 5)]
+    for target in targets:
+        target.software_version = NEW if target is targets[-1] else OLD
     fleet = CaseFleet(folder, 2, 4, targets)
+    streams: list[CallerStream] = []
     try:
         fleet.start()
-        record.write("fleet is ready")
-        began_s = monotonic()
-        for number in range(ROUNDS):
-            if monotonic() - began_s > LAST_ROUND_S:
-                break
-            if play_round(record, fleet, number):
-                return BROKEN
-        return HELD
+        record.write("fleet is ready: t1 to t3 have v0, t4 has v1")
+        sleep(1.0)
+        down_s = monotonic()
+        if HAS_TROUBLE:
+            fleet.platform.fault_hook = lambda _method, _path: 503
+            record.write("the store is down")
+            sleep(DOWN_S - KILLED_BEFORE_RETURN_S - BEGUN_BEFORE_KILL_S)
+        callers = [
+            threading.Thread(target=read_stream, args=(fleet, number, streams), daemon=True)
+            for number in range(STREAMS)
+        ]
+        for caller in callers:
+            caller.start()
+        record.write(f"{STREAMS} callers have sent their requests")
+        sleep(BEGUN_BEFORE_KILL_S)
+        if HAS_TROUBLE:
+            disturb(record, fleet, down_s)
+        for caller in callers:
+            caller.join(15)
+        runs = sorted(
+            (run for target in targets for run in list(target.runs)), key=lambda run: run.started_ms
+        )
+        for run in runs:
+            record.write(
+                f"{run.software_version} ran {run.request_id} (stream {run.stream_id}), events "
+                f"{run.first_event} to {run.last_event}",
+                run.started_ms / 1000,
+            )
+        for stream in streams:
+            received = sorted(versions(stream))
+            record.write(
+                f"{stream.name}: {len(stream.data)} events of {received}, answers {stream.statuses}"
+            )
+        mixed = [stream.name for stream in streams if len(versions(stream)) > 1]
+        whole = sum(stream.is_complete for stream in streams)
+        record.write(f"{whole} of {STREAMS} streams are whole")
+        record.write(f"streams with events of two versions at their callers: {sorted(mixed)}")
+        return BROKEN if len(mixed) > TOLERATED else HELD
     finally:
         fleet.stop()
-        for runner in fleet.runners:
-            for line in runner.read_log().splitlines():
-                if "event=store_lost" in line and "kind=jobs" in line and "timed out" in line:
-                    record.write(f"log of {runner.name}: {line}")
 
 
 if __name__ == "__main__":
