--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,8 +26,8 @@
 BEGUN_BEFORE_KILL_S = 0.6
 FIRST_RETURN_S, LAST_RETURN_S = 0.2, 1.8  # of entries, after the store; the page says about 2 s
 DEADLINE_S = 5.0
-MAX_TRIES = 4  # of a caller: "a few times within their deadline"
-RETRY_S = 0.6  # after a refusal or without a connection
+MAX_TRIES = 6  # of a caller: "a few times within their deadline"
+RETRY_S = 0.5  # after a refusal, as its Retry-After says, or without a connection
 BREAK_AFTER = 15  # events, where callers close their connection themselves
 TOLERATED = 2  # mixed streams
 
