Log what an entry knows of the origin of a stream that is taken up

The logs could not tell whether a stream was joined from two versions because nobody knew its origin, because nobody was asked, or because the list was wrong. stream_taken_up has the source of the origin, the versions taken to be possible, how many processes were asked and have answered, and whether the list could be read; counters take_ups_SOURCE; target_changed has the start of the incarnation.

--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -23,6 +23,7 @@
 )
 from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState, route_pause_limits
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.origin_lookup import OriginLookup
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.accounts import Account
 from ebonyshore.host.content_run import ContentRun
@@ -301,11 +302,35 @@
         :raises UnknownOriginError: if that version is not known and there are several.
         """
         resumed_id = self._request.headers.get(self._forwarder.names.resumed_request)
-        origin = await self._forwarder.origins.find(resumed_id, service)
+        try:
+            lookup = await self._forwarder.origins.find(resumed_id, service)
+        except UnknownOriginError as error:
+            self._log_take_up(error.lookup)
+            raise
+        self._log_take_up(lookup)
+        origin = lookup.origin
         if origin is not None and origin.service in {share.service for share in self._route.shares}:
             self._service = origin.service
             self._relay.origin = origin
 
+    def _log_take_up(self, lookup: OriginLookup) -> None:
+        """Record what is known of the origin of the stream that the caller takes up."""
+        self._forwarder.metrics.count(f"take_ups_{lookup.source.value}")
+        self._forwarder.log.event(
+            "stream_taken_up",
+            request=self._request_id,
+            resumes=self._request.headers.get(self._forwarder.names.resumed_request),
+            last_event=self._relay.last_id,
+            source=lookup.source.value,
+            peer=lookup.peer,
+            service=lookup.origin and lookup.origin.service,
+            origin_version=lookup.origin and lookup.origin.software_version,
+            versions=",".join(lookup.versions),
+            asked=lookup.asked,
+            answered=lookup.answered,
+            is_list_current=lookup.is_list_current,
+        )
+
     async def _attempt(self, target: Target, remaining_ms: float) -> str | None:
         """Send the request to a target.
 
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.gateway.origin_lookup import OriginLookup, OriginSource
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, StreamStarts
@@ -32,7 +33,14 @@
 
 
 class UnknownOriginError(Exception):
-    """It is not known at which of several versions a stream began."""
+    """It is not known at which of several versions a stream began.
+
+    :ivar lookup: what is known.
+    """
+
+    def __init__(self, message: str, lookup: OriginLookup) -> None:
+        super().__init__(message)
+        self.lookup = lookup
 
 
 class _Unreported(Struct):
@@ -50,23 +58,27 @@
 class _Query:
     """A question that is sent to other processes until one knows the stream.
 
+    :ivar asked: number of processes that were asked.
     :ivar answered: instance ids of the processes that have answered.
     :ivar origin: the origin of the stream; ``None`` while nobody has told it.
+    :ivar peer: instance id of the process that told the origin.
     """
 
-    __slots__ = ("_asked", "_is_settled", "answered", "origin")
+    __slots__ = ("_is_settled", "answered", "asked", "origin", "peer")
 
     def __init__(self) -> None:
-        self._asked = 0
         self._is_settled = Event()
+        self.asked = 0
         self.answered: set[str] = set()
         self.origin: TargetGroup | None = None
+        self.peer: str | None = None
 
     def add(self, answer: StreamAnswer) -> None:
         """Add an answer."""
         self.answered.add(answer.sender)
-        self.origin = self.origin or answer.origin
-        if self.origin is not None or len(self.answered) >= self._asked:
+        if self.origin is None and answer.origin is not None:
+            self.origin, self.peer = answer.origin, answer.sender
+        if self.origin is not None or len(self.answered) >= self.asked:
             self._is_settled.set()
 
     async def wait(self, asked: int) -> bool:
@@ -77,7 +89,7 @@
         """
         if not asked:
             return True
-        self._asked = asked
+        self.asked = asked
         if self.origin is None and len(self.answered) < asked:
             self._is_settled.clear()
         with suppress(TimeoutError):
@@ -156,28 +168,44 @@
             for first in range(0, len(streams), MAX_STREAMS_PER_DATAGRAM):
                 self._report(streams[first : first + MAX_STREAMS_PER_DATAGRAM])
 
-    async def find(self, request_id: str | None, service: str) -> TargetGroup | None:
-        """Return the targets at which a stream began; ``None`` if it may go on at any target.
+    async def find(self, request_id: str | None, service: str) -> OriginLookup:
+        """Find the targets at which a stream may go on.
 
         :param request_id: id of the request that brought the first event, as the caller names it;
             ``None`` if it does not.
         :param service: service at which the stream would go on if its origin is not known.
         :raises UnknownOriginError: if the service has several versions and the stream is not known.
         """
-        if request_id is None:
-            if self._has_several_versions(service):
-                raise UnknownOriginError("the request does not name the one that it continues")
-            return None
-        known = self._records.find(request_id, now_ms())
+        known = self._records.find(request_id, now_ms()) if request_id is not None else None
         if known is not None:
-            return known
-        is_mixed = self._has_several_versions(service)
+            return OriginLookup(OriginSource.OWN_RECORD, known)
+        versions = tuple(sorted(self._targets.recent_versions(service, now_ms())))
+        is_mixed = len(versions) > 1
+        if request_id is None:
+            if is_mixed:
+                lookup = OriginLookup(OriginSource.UNKNOWN, versions=versions)
+                raise UnknownOriginError("the request does not name the one it continues", lookup)
+            return OriginLookup(OriginSource.ONLY_VERSION, versions=versions)
         query = await self._ask(request_id, MAX_QUERIES if is_mixed else 1)
+        lookup = self._describe(query, versions)
         if query.origin is not None:
             self._records.add(request_id, query.origin, now_ms())
-        elif is_mixed or not (query.answered or self._is_list_current()):
-            raise UnknownOriginError(f"it is not known at which version {request_id} began")
-        return query.origin
+        elif is_mixed or not (query.answered or lookup.is_list_current):
+            unknown = structs.replace(lookup, source=OriginSource.UNKNOWN)
+            raise UnknownOriginError(f"it is not known where {request_id} began", unknown)
+        return lookup
+
+    def _describe(self, query: _Query, versions: tuple[str, ...]) -> OriginLookup:
+        is_known = query.origin is not None
+        return OriginLookup(
+            OriginSource.PEER_RECORD if is_known else OriginSource.ONLY_VERSION,
+            query.origin,
+            query.peer,
+            versions,
+            query.asked,
+            len(query.answered),
+            self._is_list_current(),
+        )
 
     def answer(self, query: StreamQuery) -> None:
         """Answer another entry."""
@@ -191,9 +219,6 @@
         if query is not None:
             query.add(answer)
 
-    def _has_several_versions(self, service: str) -> bool:
-        return len(self._targets.recent_versions(service, now_ms())) > 1
-
     async def _ask(self, request_id: str, rounds: int) -> _Query:
         """Ask other processes in several rounds, the first time only runners."""
         query = self._queries.setdefault(request_id, _Query())
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -110,6 +110,7 @@
                 address=entry.address,
                 is_leaving=entry.is_leaving,
                 software_version=entry.software_version,
+                started_ms=entry.started_ms,
             )
 
     def _decode_entry(self, stored: StoredObject) -> TargetEntry | None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -96,7 +96,7 @@
 
 async def find_or_error(entry, request_id="s1"):
     try:
-        return await entry.find(request_id, "svc")
+        return (await entry.find(request_id, "svc")).origin
     except UnknownOriginError:
         return UnknownOriginError
 
