Keep versions and origins of streams over a stop of all processes

Callers got 200 and a complete answer whose events were from two software versions, after all processes had been killed and the list showed one version only; with two versions listed, all take-ups got 503.

Cause: the record of where streams began, and of the versions there were, was only in memory. The lack of a record, or of an answer, was taken for a proof that there is one version. Evidence: stream_taken_up of the mixed streams had source=only_version, asked=3 answered=3 and the list current.

Runners store the groups of their services as soon as they change, and the one that sends load totals also the origins of streams, twice a second at most, while a service has several versions. They read all records when they start and say in their answers whether they know the past. An entry lets an unknown stream go on only if it is certain that there has been one version, and pins it to that version; else it refuses it as not run. So a process that has just started can no longer conclude anything from its own list. Also: a take-up without a usable target is refused at once; a version that an entry of the list changes without a new start counts for 30 s.

Store calls: one list and one write for each first start of a runner, one list for the next ones, at most two writes a second in a release (test_store_calls).

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -11,6 +11,7 @@
 from ebonyshore.link.datagrams import (
     ConfigConfirmed,
     Datagram,
+    RecentVersions,
     StreamAnswer,
     StreamQuery,
     SuspicionUpdate,
@@ -64,6 +65,7 @@
         """Apply a message of a runner or answer an entry; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+            self._origins.note_totals_sender(message.sender)
             self._targets.pace.record_news(now_ms())
             self._targets.rate_limits.update_others(message.sender, message.limits, now_ms())
             for incarnation in message.leaving:
@@ -74,10 +76,8 @@
             self._pace.adopt_limits(message, now_ms())
         elif isinstance(message, SpeedUpdate):
             self._targets.speeds.merge(message, now_ms())
-        elif isinstance(message, StreamAnswer):
-            self._origins.on_answer(message)
-        elif isinstance(message, StreamQuery):
-            self._origins.answer(message)
+        elif isinstance(message, StreamAnswer | StreamQuery | RecentVersions):
+            self._origins.on_message(message)
         elif isinstance(message, ConfigConfirmed):
             self._lease_keeper.on_confirmed(message)
         elif isinstance(message, AccountTotals):
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -253,11 +253,10 @@
         :raises AccessDeniedError: if the request is not admitted any more.
         :raises ShareExceededError: if its account uses more than its share.
         """
-        if self._relay.last_id is not None and self._service is not None:
-            try:
-                await self._find_origin(self._service)
-            except UnknownOriginError as error:
-                return self._refuse_unknown_origin(error)
+        if self._relay.last_id is not None:
+            outcome = await self._prepare_take_up()
+            if outcome is not None:
+                return outcome
         guard = self._forwarder.crash_guard
         while True:
             if self._attempts >= MAX_UNCHECKED_ATTEMPTS:
@@ -294,12 +293,25 @@
             return self._fail(maybe_executed_response(response.code))
         return self._fail(response)
 
+    async def _prepare_take_up(self) -> str | None:
+        """Find out where the stream may go on that the caller takes up.
+
+        :return: the outcome if the request is refused.
+        """
+        if self._service is None:
+            return self._refuse()
+        try:
+            await self._find_origin(self._service)
+        except UnknownOriginError as error:
+            return self._refuse_unknown_origin(error)
+        return None
+
     async def _find_origin(self, service: str) -> None:
         """Let a stream that its caller takes up go on only at the targets at which it began.
 
         If the route does not lead to their service any more, another service may continue it.
 
-        :raises UnknownOriginError: if that version is not known and there are several.
+        :raises UnknownOriginError: if they are not known.
         """
         resumed_id = self._request.headers.get(self._forwarder.names.resumed_request)
         try:
@@ -309,7 +321,7 @@
             raise
         self._log_take_up(lookup)
         origin = lookup.origin
-        if origin is not None and origin.service in {share.service for share in self._route.shares}:
+        if origin.service in {share.service for share in self._route.shares}:
             self._service = origin.service
             self._relay.origin = origin
 
@@ -326,6 +338,7 @@
             service=lookup.origin and lookup.origin.service,
             origin_version=lookup.origin and lookup.origin.software_version,
             versions=",".join(lookup.versions),
+            is_complete=lookup.is_complete,
             asked=lookup.asked,
             answered=lookup.answered,
             is_list_current=lookup.is_list_current,
@@ -556,7 +569,8 @@
         self._forwarder.log.event(
             "stream_origin_unknown", request=self._request_id, error=str(error)
         )
-        response = not_executed_response(ResultCode.STREAM_ORIGIN_UNKNOWN, NO_TARGET_RETRY_MS)
+        code = ResultCode.STREAM_ORIGIN_UNKNOWN
+        response = not_executed_response(code, error.retry_after_ms)
         return self._fail(response)
 
     def _refuse_convicted(self) -> str:
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -1,39 +1,47 @@
 """Finds the targets at which a stream began that its caller takes up again.
 
-While a service has targets of several software versions, an entry tells runners the version of each
-stream that begins, because the caller may continue it at another entry, also after this one has
-ended. An entry that does not know the stream asks the runners, and then the other entries. It asks
-also if it knows one version only, because its list may be older than that of the entry that began.
+While a service has targets of several software versions, an entry tells runners the version of
+each stream that begins, because the caller may continue it at another entry, also after this one
+has ended. An entry that does not know the stream asks the runners, and then the other entries. If
+nobody knows it, it goes on only if it is certain that the service has had a single version since
+the stream began; runners keep a record for that which outlives them.
 """
 
-from asyncio import Event, timeout
 from collections.abc import Callable, Sequence
-from contextlib import suppress
+from itertools import count
 
-from msgspec import Struct, structs
+from msgspec import Struct
 
-from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.origin_lookup import OriginLookup, OriginSource
+from ebonyshore.gateway.origin_query import OriginQuery
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.link.datagrams import Datagram, StreamAnswer, StreamQuery, StreamStarts
-from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.datagrams import (
+    Datagram,
+    RecentVersions,
+    StreamAnswer,
+    StreamQuery,
+    StreamStarts,
+)
+from ebonyshore.link.peers import PeerDirectory, PeerRecord
 from ebonyshore.link.stream_records import RECORD_LIFETIME_MS, StreamRecords
 
 REPORTED_TO_RUNNERS = 2  # number of runners that are told of a stream
-REPORT_SENDS = 2  # of each stream, because datagrams may be lost
+REPORT_SENDS = 3  # of each stream, because datagrams may be lost
 MAX_STREAMS_PER_DATAGRAM = 25  # keeps a datagram below 1,500 bytes
-QUERY_INTERVAL_MS = 40.0
 MAX_QUERIES = 3
 MAX_ASKED_ENTRIES = 64  # in a larger fleet only runners are asked
 VERSIONS_INTERVAL_MS = 200.0  # between two looks for services with several versions
+LEARNED_LIFETIME_MS = 5_000.0  # of groups that a runner names, which does so all the time
+INCOMPLETE_RETRY_MS = 400.0  # until runners that have started have read the stored record
+UNKNOWN_RETRY_MS = 500.0
 
 Send = Callable[[Datagram, list[tuple[str, int]]], None]
 
 
 class UnknownOriginError(Exception):
-    """It is not known at which of several versions a stream began.
+    """It is not known at which version a stream began, and there may have been several.
 
     :ivar lookup: what is known.
     """
@@ -42,6 +50,11 @@
         super().__init__(message)
         self.lookup = lookup
 
+    @property
+    def retry_after_ms(self) -> float:
+        """Delay after which the caller may try again."""
+        return UNKNOWN_RETRY_MS if self.lookup.is_complete else INCOMPLETE_RETRY_MS
+
 
 class _Unreported(Struct):
     """A stream that may have to be reported to runners.
@@ -55,49 +68,6 @@
     sends_left: int = REPORT_SENDS
 
 
-class _Query:
-    """A question that is sent to other processes until one knows the stream.
-
-    :ivar asked: number of processes that were asked.
-    :ivar answered: instance ids of the processes that have answered.
-    :ivar origin: the origin of the stream; ``None`` while nobody has told it.
-    :ivar peer: instance id of the process that told the origin.
-    """
-
-    __slots__ = ("_is_settled", "answered", "asked", "origin", "peer")
-
-    def __init__(self) -> None:
-        self._is_settled = Event()
-        self.asked = 0
-        self.answered: set[str] = set()
-        self.origin: TargetGroup | None = None
-        self.peer: str | None = None
-
-    def add(self, answer: StreamAnswer) -> None:
-        """Add an answer."""
-        self.answered.add(answer.sender)
-        if self.origin is None and answer.origin is not None:
-            self.origin, self.peer = answer.origin, answer.sender
-        if self.origin is not None or len(self.answered) >= self.asked:
-            self._is_settled.set()
-
-    async def wait(self, asked: int) -> bool:
-        """Wait until the origin is known, or all that were asked have answered, or it takes long.
-
-        :param asked: number of processes that were asked, those of earlier rounds included.
-        :return: whether all have answered.
-        """
-        if not asked:
-            return True
-        self.asked = asked
-        if self.origin is None and len(self.answered) < asked:
-            self._is_settled.clear()
-        with suppress(TimeoutError):
-            async with timeout(QUERY_INTERVAL_MS / MS_PER_S):
-                await self._is_settled.wait()
-        return len(self.answered) >= asked
-
-
 class StreamOrigins:
     """Records where the streams of this entry began and finds the origin of others.
 
@@ -117,6 +87,8 @@
         "_records",
         "_send",
         "_targets",
+        "_totals_sender",
+        "_unnamed_ids",
         "_unreported",
         "_versions_ms",
     )
@@ -134,7 +106,9 @@
         self._is_list_current = is_list_current
         self._records = StreamRecords()
         self._unreported: dict[str, _Unreported] = {}  # by request id, oldest first
-        self._queries: dict[str, _Query] = {}
+        self._queries: dict[str, OriginQuery] = {}
+        self._unnamed_ids = count(1)
+        self._totals_sender: str | None = None
         self._mixed_services: set[str] = set()
         self._versions_ms = float("-inf")
 
@@ -145,7 +119,7 @@
         stream = _Unreported(request_id, origin, at_ms)
         self._unreported[request_id] = stream
         if self.is_mixed(origin.service):
-            self._report([stream])
+            self._report([stream], self._nearest_runners())
 
     def is_mixed(self, service: str) -> bool:
         """Return whether a service has targets of several versions, or had them recently."""
@@ -165,8 +139,9 @@
         mixed_services = self._find_mixed_services(at_ms)
         if mixed_services:
             streams = [s for s in self._unreported.values() if s.origin.service in mixed_services]
+            runners = self._reported_runners()
             for first in range(0, len(streams), MAX_STREAMS_PER_DATAGRAM):
-                self._report(streams[first : first + MAX_STREAMS_PER_DATAGRAM])
+                self._report(streams[first : first + MAX_STREAMS_PER_DATAGRAM], runners)
 
     async def find(self, request_id: str | None, service: str) -> OriginLookup:
         """Find the targets at which a stream may go on.
@@ -174,65 +149,100 @@
         :param request_id: id of the request that brought the first event, as the caller names it;
             ``None`` if it does not.
         :param service: service at which the stream would go on if its origin is not known.
-        :raises UnknownOriginError: if the service has several versions and the stream is not known.
+        :return: what was found, with an origin.
+        :raises UnknownOriginError: if nobody knows the stream, and it is not certain that the
+            service has had one version only.
         """
         known = self._records.find(request_id, now_ms()) if request_id is not None else None
         if known is not None:
             return OriginLookup(OriginSource.OWN_RECORD, known)
-        versions = tuple(sorted(self._targets.recent_versions(service, now_ms())))
-        is_mixed = len(versions) > 1
-        if request_id is None:
-            if is_mixed:
-                lookup = OriginLookup(OriginSource.UNKNOWN, versions=versions)
-                raise UnknownOriginError("the request does not name the one it continues", lookup)
-            return OriginLookup(OriginSource.ONLY_VERSION, versions=versions)
-        query = await self._ask(request_id, MAX_QUERIES if is_mixed else 1)
-        lookup = self._describe(query, versions)
-        if query.origin is not None:
-            self._records.add(request_id, query.origin, now_ms())
-        elif is_mixed or not (query.answered or lookup.is_list_current):
-            unknown = structs.replace(lookup, source=OriginSource.UNKNOWN)
-            raise UnknownOriginError(f"it is not known where {request_id} began", unknown)
+        query = await self._ask(request_id, service)
+        lookup = self._conclude(query, service)
+        if lookup.origin is None:
+            raise UnknownOriginError(f"it is not known where {request_id} began", lookup)
+        if request_id is not None:
+            self._records.add(request_id, lookup.origin, now_ms())
         return lookup
 
-    def _describe(self, query: _Query, versions: tuple[str, ...]) -> OriginLookup:
-        is_known = query.origin is not None
+    def _conclude(self, query: OriginQuery, service: str) -> OriginLookup:
+        """Return what is known after some answers."""
+        versions = self._targets.recent_versions(service, now_ms()) | query.versions
+        is_complete = self._has_whole_view() or query.is_complete(self._peers.of_role("runner"))
+        origin, source = query.origin, OriginSource.PEER_RECORD
+        if origin is None and is_complete and len(versions) == 1:
+            origin = TargetGroup(service, next(iter(versions)))
+            source = OriginSource.ONLY_VERSION
         return OriginLookup(
-            OriginSource.PEER_RECORD if is_known else OriginSource.ONLY_VERSION,
-            query.origin,
+            source if origin is not None else OriginSource.UNKNOWN,
+            origin,
             query.peer,
-            versions,
+            tuple(sorted(versions)),
+            is_complete,
             query.asked,
-            len(query.answered),
+            len(query.answers),
             self._is_list_current(),
         )
 
+    def _has_whole_view(self) -> bool:
+        return self._is_list_current() and self._targets.has_whole_view(now_ms())
+
+    def on_message(self, message: StreamAnswer | StreamQuery | RecentVersions) -> None:
+        """Apply a message of a runner, or answer another entry."""
+        if isinstance(message, StreamAnswer):
+            self.on_answer(message)
+        elif isinstance(message, StreamQuery):
+            self.answer(message)
+        else:
+            for group in message.groups:
+                self._targets.note_group(group, now_ms(), LEARNED_LIFETIME_MS)
+
     def answer(self, query: StreamQuery) -> None:
         """Answer another entry."""
-        origin = self._records.find(query.request_id, now_ms())
-        answer = StreamAnswer(self._peers.own.instance_id, query.request_id, origin)
+        answer = StreamAnswer(
+            self._peers.own.instance_id,
+            query.request_id,
+            self._records.find(query.request_id, now_ms()),
+            tuple(self._targets.recent_versions(query.service, now_ms())),
+            self._targets.has_whole_view(now_ms()),
+            self._is_list_current(),
+        )
         self._send(answer, [(query.host, query.port)])
 
+    def note_totals_sender(self, instance_id: str) -> None:
+        """Record which runner sends load totals: the one that stores the origins of streams."""
+        self._totals_sender = instance_id
+
     def on_answer(self, answer: StreamAnswer) -> None:
         """Apply the answer of another process."""
         query = self._queries.get(answer.request_id)
         if query is not None:
             query.add(answer)
 
-    async def _ask(self, request_id: str, rounds: int) -> _Query:
-        """Ask other processes in several rounds, the first time only runners."""
-        query = self._queries.setdefault(request_id, _Query())
+    async def _ask(self, request_id: str | None, service: str) -> OriginQuery:
+        """Ask other processes in several rounds, the first time only runners.
+
+        :param request_id: ``None`` to ask for the versions of the service only.
+        """
+        query = OriginQuery()
+        if request_id is None and len(self._conclude(query, service).versions) > 1:
+            return query  # no answer can help
         own = self._peers.own
-        message = StreamQuery(own.instance_id, own.host, own.port, request_id)
+        query_id = request_id or f"{own.instance_id}?{next(self._unnamed_ids)}"
+        query = self._queries.setdefault(query_id, query)
+        message = StreamQuery(own.instance_id, own.host, own.port, query_id, service)
         try:
-            for number in range(rounds):
+            for number in range(MAX_QUERIES):
                 asked = self._asked_addresses(includes_entries=number > 0)
                 self._send(message, asked)
                 have_all_answered = await query.wait(len(asked))
-                if query.origin is not None or (have_all_answered and number > 0):
+                if have_all_answered and number > 0:
+                    break
+                # Without any answer the list of this entry may be old, as after a suspension.
+                is_heard = bool(query.answers) or not asked
+                if is_heard and self._conclude(query, service).origin is not None:
                     break
         finally:
-            self._queries.pop(request_id, None)
+            self._queries.pop(query_id, None)
         return query
 
     def _asked_addresses(self, includes_entries: bool) -> list[tuple[str, int]]:
@@ -240,24 +250,32 @@
         entries = self._peers.addresses("entry") if includes_entries else []
         return runners + (entries if len(entries) <= MAX_ASKED_ENTRIES else [])
 
-    def _report(self, streams: Sequence[_Unreported]) -> None:
-        runners = self._nearest_runners()
+    def _report(self, streams: Sequence[_Unreported], runners: Sequence[PeerRecord]) -> None:
         if not runners:
             return
         pairs = tuple((stream.request_id, stream.origin) for stream in streams)
-        self._send(StreamStarts(self._peers.own.instance_id, pairs), runners)
+        addresses = [(runner.host, runner.port) for runner in runners]
+        self._send(StreamStarts(self._peers.own.instance_id, pairs), addresses)
         for stream in streams:
             stream.sends_left -= 1
             if stream.sends_left <= 0:
                 self._unreported.pop(stream.request_id, None)
 
-    def _nearest_runners(self) -> list[tuple[str, int]]:
+    def _nearest_runners(self) -> list[PeerRecord]:
+        """Return the runners that are told at once: not the one that stores the origins, which has
+        to take the streams of all entries and is told of many at a time.
+        """
         own = self._peers.own
-        runners = sorted(
-            self._peers.of_role("runner").values(),
+        runners = self._peers.of_role("runner")
+        nearest = sorted(
+            (peer for key, peer in runners.items() if key != self._totals_sender),
             key=lambda peer: (peer.failure_domain != own.failure_domain, peer.instance_id),
         )
-        return [(peer.host, peer.port) for peer in runners[:REPORTED_TO_RUNNERS]]
+        return nearest[: REPORTED_TO_RUNNERS - (self._totals_sender in runners)]
+
+    def _reported_runners(self) -> list[PeerRecord]:
+        storing = self._peers.of_role("runner").get(self._totals_sender or "")
+        return self._nearest_runners() + ([] if storing is None else [storing])
 
     def _find_mixed_services(self, at_ms: float) -> set[str]:
         if at_ms - self._versions_ms >= VERSIONS_INTERVAL_MS:
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -31,9 +31,9 @@
     """
 
     __slots__ = (
-        "_dropped_groups",
-        "_has_listing",
         "_leaving",
+        "_listed_ms",
+        "_possible_until_ms",
         "_store_outage_ms",
         "_targets",
         "on_leaving",
@@ -51,16 +51,21 @@
         self.rate_limits = rate_limits or RateLimits(lambda: 1, 0.0)
         self.pace = pace or TargetPace(lambda: 1)
         self.speeds = speeds or TargetSpeeds()
-        self._has_listing = False
+        self._listed_ms: float | None = None  # time of the first complete list
         self._targets: dict[str, Target] = {}
         self._leaving = LeavingRecord()
         self.on_leaving: Callable[[Target, str], None] = lambda *_: None
-        self._dropped_groups: dict[TargetGroup, float] = {}  # time at which a target was dropped
+        self._possible_until_ms: dict[TargetGroup, float] = {}  # of groups that may have no target
         self._store_outage_ms = float("-inf")
 
     def __len__(self) -> int:
         return len(self._targets)
 
+    @property
+    def has_listing(self) -> bool:
+        """Whether a complete list was applied at least once."""
+        return self._listed_ms is not None
+
     def record_store_outage(self, now_ms: float) -> None:
         """Record that the store could not be read at ``now_ms``."""
         self._store_outage_ms = now_ms
@@ -72,7 +77,8 @@
         removed = [target for target_id in missing if (target := self.remove(target_id, now_ms))]
         for entry in listed.values():
             self.put(entry, now_ms)
-        self._has_listing = True
+        if self._listed_ms is None:
+            self._listed_ms = now_ms
         return removed
 
     def put(self, entry: TargetEntry, now_ms: float = 0.0) -> None:
@@ -90,8 +96,10 @@
                 entry, self._announce, self._record_limit, self.speeds.record_events
             )
             target.is_leaving = False
-            if self._has_listing:
+            if self.has_listing:
                 self.pace.start(target, now_ms)
+        if target.entry.group != entry.group:
+            self.note_group(target.entry.group, now_ms)
         target.entry = entry
         target.removed_ms = None
         if entry.is_leaving:
@@ -176,23 +184,37 @@
         """Return the software versions of a service's targets, also of those dropped recently."""
         return {
             group.software_version
-            for group in self._recent_groups(now_ms)
+            for group in self.recent_groups(now_ms)
             if group.service == service
         }
 
     def mixed_services(self, now_ms: float) -> set[str]:
         """Return the services with several software versions, see :meth:`recent_versions`."""
-        counts = Counter(group.service for group in self._recent_groups(now_ms))
+        counts = Counter(group.service for group in self.recent_groups(now_ms))
         return {service for service, count in counts.items() if count > 1}
 
-    def _recent_groups(self, now_ms: float) -> set[TargetGroup]:
+    def recent_groups(self, now_ms: float) -> set[TargetGroup]:
+        """Return the groups of the targets, also of those dropped or noted recently."""
         present = {target.entry.group for target in self._targets.values()}
-        dropped = {
-            group
-            for group, dropped_ms in self._dropped_groups.items()
-            if now_ms - dropped_ms <= VERSION_LIFETIME_MS
+        return present | {
+            group for group, until_ms in self._possible_until_ms.items() if now_ms <= until_ms
         }
-        return present | dropped
+
+    def note_group(
+        self, group: TargetGroup, now_ms: float, lifetime_ms: float = VERSION_LIFETIME_MS
+    ) -> None:
+        """Count a group among the recent ones for a time, because it may have had targets."""
+        until_ms = now_ms + lifetime_ms
+        self._possible_until_ms[group] = max(self._possible_until_ms.get(group, until_ms), until_ms)
+
+    def has_whole_view(self, now_ms: float) -> bool:
+        """Return whether this process could not miss any group of the last
+        :data:`VERSION_LIFETIME_MS`, because it read the list all that time.
+        """
+        if self._listed_ms is None:
+            return False
+        since_ms = max(self._listed_ms, self._store_outage_ms)
+        return now_ms - since_ms >= VERSION_LIFETIME_MS
 
     def _record_limit(self, incarnation: Incarnation, rate_per_s: float | None) -> None:
         self.rate_limits.observe(incarnation, rate_per_s, now_ms(), "answer")
@@ -216,6 +238,6 @@
             self.on_leaving(target, source)
 
     def _note_dropped(self, target: Target, now_ms: float) -> None:
-        self._dropped_groups[target.entry.group] = now_ms
+        self.note_group(target.entry.group, now_ms)
         target.removed_ms = now_ms if target.removed_ms is None else target.removed_ms
         self.pace.forget(target)
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -39,24 +39,42 @@
     :param host: its address for the answer; the runner may not know the entry yet.
     :param port: its port for the answer.
     :param request_id: id of the request that brought the first event.
+    :param service: service at which the stream would go on; its versions are asked for.
     """
 
     sender: str
     host: str
     port: int
     request_id: str
+    service: str = ""
 
 
 class StreamAnswer(Struct, frozen=True, tag="stream_answer", array_like=True):
     """The response to a :class:`StreamQuery`.
 
-    :param sender: instance id of the runner.
-    :param origin: ``None`` if the runner does not know the stream.
+    :param sender: instance id of the runner or entry.
+    :param origin: ``None`` if the sender does not know the stream.
+    :param versions: the software versions at which a stream of the service may have begun.
+    :param has_history: whether ``versions`` also has those from before the start of the sender.
+    :param is_list_current: whether the sender can read the list of targets.
     """
 
     sender: str
     request_id: str
     origin: TargetGroup | None
+    versions: tuple[str, ...] = ()
+    has_history: bool = False
+    is_list_current: bool = False
+
+
+class RecentVersions(Struct, frozen=True, tag="recent_versions", array_like=True):
+    """Tells entries the groups of the services that have, or had recently, several versions.
+
+    :param sender: instance id of the runner.
+    """
+
+    sender: str
+    groups: tuple[TargetGroup, ...]
 
 
 class ConfigConfirmed(Struct, frozen=True, tag="config_confirmed", array_like=True):
@@ -82,6 +100,7 @@
     | StreamStarts
     | StreamQuery
     | StreamAnswer
+    | RecentVersions
     | SpeedUpdate
     | ConfigConfirmed
     | AccountUsage
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -9,7 +9,6 @@
 from ebonyshore.link.account_messages import AccountUsage
 from ebonyshore.link.datagrams import (
     Datagram,
-    StreamAnswer,
     StreamQuery,
     StreamStarts,
     SuspicionUpdate,
@@ -21,12 +20,14 @@
 from ebonyshore.link.peers import PeerDirectory
 from ebonyshore.link.rate_limits import sum_limits
 from ebonyshore.link.speed_exchange import SpeedExchange
-from ebonyshore.link.stream_records import StreamRecords
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.link.target_speeds import SpeedUpdate
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.origin_registry import OriginRegistry
+
+VERSIONS_INTERVAL_MS = 250.0  # between two messages to the entries
 
 
 class RunnerLoad:
@@ -44,6 +45,7 @@
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
     :param pace: told how targets that return have answered; provides their limits.
+    :param origins: told of the streams of entries; answers their queries.
     :param is_store_silent: tells whether the store probe gets no answers; reported to the runners.
     :ivar on_account_usage: called with the reports of what client accounts use.
     :ivar send_now: sends a datagram at once; to be set before the first message.
@@ -60,6 +62,7 @@
         suspicions: SuspicionExchange,
         pace: PaceExchange,
         clock: Clock,
+        origins: OriginRegistry,
         is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
         self._peers = peers
@@ -74,7 +77,8 @@
         self._clock = clock
         self._speeds = SpeedExchange(peers, targets)
         self._is_store_silent = is_store_silent
-        self._streams = StreamRecords()
+        self._origins = origins
+        self._versions_ms = float("-inf")
         self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
         self.send_now: Callable[[Datagram, list[tuple[str, int]]], None] = lambda *_: None
 
@@ -90,10 +94,9 @@
         elif isinstance(message, SpeedUpdate):
             self._targets.speeds.merge(message, now_ms())
         elif isinstance(message, StreamStarts):
-            for request_id, origin in message.streams:
-                self._streams.add(request_id, origin, now_ms())
+            self._origins.add(message)
         elif isinstance(message, StreamQuery):
-            self._answer(message)
+            self.send_now(self._origins.answer(message), [(message.host, message.port)])
         elif isinstance(message, AccountUsage):
             self.on_account_usage(message)
 
@@ -103,11 +106,6 @@
         if self._load_table.add_report(report, self._clock.boot_ms()):
             self._registry.on_change()
 
-    def _answer(self, query: StreamQuery) -> None:
-        origin = self._streams.find(query.request_id, now_ms())
-        answer = StreamAnswer(self._peers.own.instance_id, query.request_id, origin)
-        self.send_now(answer, [(query.host, query.port)])
-
     def send(self, socket: LoadSocket) -> None:
         """Send this runner's report to the other runners, and the totals to the entries.
 
@@ -134,6 +132,7 @@
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
             self._send_totals(socket, report)
+            self._send_versions(socket)
             self._pace.send_limits(socket, self._peers.addresses("entry"), now_ms())
         self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._send_suspicions(socket, sends_totals)
@@ -144,6 +143,15 @@
         everyone = runners + self._peers.addresses("entry")
         self._suspicions.send(socket, everyone, everyone if includes_entries else runners, now_ms())
 
+    def _send_versions(self, socket: LoadSocket) -> None:
+        """Tell the entries, which cannot know the past before their start, of several versions."""
+        if now_ms() - self._versions_ms < VERSIONS_INTERVAL_MS:
+            return
+        self._versions_ms = now_ms()
+        message = self._origins.versions_message()
+        if message is not None:
+            socket.send(message, self._peers.addresses("entry"))
+
     def _limits_without(
         self, excluded: str, own_limits: tuple[LimitReport, ...] = ()
     ) -> tuple[LimitReport, ...]:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -27,6 +27,9 @@
 from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
+from ebonyshore.runner.origin_keeper import OriginKeeper
+from ebonyshore.runner.origin_registry import OriginRegistry
+from ebonyshore.runner.origin_storage import OriginStorage
 from ebonyshore.runner.peer_monitor import PeerMonitor
 from ebonyshore.runner.quota_storage import QuotaStorage
 from ebonyshore.runner.result_writer import ResultWriter
@@ -176,6 +179,7 @@
         metrics,
         environment.random,
     )
+    origins = OriginRegistry(settings.instance_id, table, lambda: not parts.probe.is_silent)
     runner_load = RunnerLoad(
         parts.peers,
         table,
@@ -186,6 +190,7 @@
         parts.suspicions,
         parts.pace_exchange,
         clock,
+        origins,
         lambda: parts.probe.is_silent,
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
@@ -233,6 +238,7 @@
         )
     )
     kernel.register(runner)
+    kernel.register(_make_origin_keeper(environment, parts, registry, load_table, origins))
     kernel.register(_make_conviction_keeper(environment, parts, registry, load_table))
     kernel.register(_make_suspicion_keeper(environment, parts, registry, load_table))
     kernel.register(_make_config_confirmer(environment, parts, load_table, load))
@@ -264,6 +270,30 @@
     )
 
 
+def _make_origin_keeper(
+    environment: HostEnvironment,
+    parts: SharedComponents,
+    registry: JobRegistry,
+    load_table: LoadTable,
+    origins: OriginRegistry,
+) -> OriginKeeper:
+    storage = OriginStorage(
+        environment.settings.instance_id,
+        environment.store,
+        environment.marked_store,
+        environment.log,
+    )
+    return OriginKeeper(
+        origins,
+        storage,
+        load_table,
+        parts.peers,
+        registry.run_blocking,
+        environment.log,
+        environment.metrics,
+    )
+
+
 def _make_conviction_keeper(
     environment: HostEnvironment,
     parts: SharedComponents,
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -3,7 +3,9 @@
 import pytest
 
 from ebonyshore.frame.clock import SystemClock
+from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.fleet_client import read_job, submit_job
+from ebonyshore_standins.fleet_config import SERVICE
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
 CLOCK = SystemClock()
@@ -55,3 +57,36 @@
     # The first watch of each runner returns at once.
     limit = len(fleet.runners) * (MAX_JOB_WATCHES_PER_S * duration_s + 1)
     assert len(watches) <= limit
+
+
+def count_origin_calls(fleet):
+    """Return the numbers of reads and writes of the origins of streams so far."""
+    calls = [method for method, path in list(fleet.platform.calls) if "/streamorigins" in path]
+    return calls.count("GET"), len(calls) - calls.count("GET")
+
+
+def test_origins_of_streams_cost_one_read_and_one_write_per_runner_on_calm_days(fleet):
+    """Guards against calls for streams although there is one software version."""
+    streams = [CallerStream(f"calm{number}", 5) for number in range(10)]
+    for stream in streams:
+        assert stream.read(fleet.entries[0]) == 200
+    CLOCK.sleep_ms(2_000.0)
+    assert count_origin_calls(fleet) == (len(fleet.runners), len(fleet.runners))
+    fleet.restart_all()
+    CLOCK.sleep_ms(2_000.0)
+    assert count_origin_calls(fleet) == (2 * len(fleet.runners), len(fleet.runners))
+
+
+def test_origins_of_streams_cost_two_writes_a_second_during_a_release(fleet):
+    """Guards against a call to the store for each stream."""
+    fleet.targets[0].software_version = "v2"
+    fleet.platform.state.put("servers", "t1", fleet.targets[0].target_entry(SERVICE))
+    CLOCK.sleep_ms(1_000.0)
+    _, former_writes = count_origin_calls(fleet)
+    assert former_writes <= 2 * len(fleet.runners) + 1  # the versions before and after
+    started_ms = CLOCK.monotonic_ms()
+    for number in range(40):
+        assert CallerStream(f"release{number}", 5).read(fleet.entries[number % 3]) == 200
+    duration_s = (CLOCK.monotonic_ms() - started_ms) / 1_000.0
+    _, writes = count_origin_calls(fleet)
+    assert 0 < writes - former_writes <= 2 * duration_s + 1
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,6 +10,7 @@
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.runner.job_storage import JobStorage
+from ebonyshore.runner.origin_registry import OriginRegistry
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
 from tests.gateway_setup import make_suspicions
@@ -151,6 +152,7 @@
         make_suspicions("b"),
         PaceExchange("b", TargetTable()),
         setup.clock,
+        OriginRegistry("b", TargetTable(), lambda: True),
     )
     setup.receive_report("a", sequence=1)
     asyncio.run(send_report(load, FakeSocket()))
