Soak: all processes are killed while callers read streams of two versions

Each run ends with two stops of all processes: while both versions are listed, most streams have to go on; after the targets of one have left, none may be mixed (the check of all runs shows it). Before, all processes were killed together only when two threads happened to kill both roles.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -17,6 +17,7 @@
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
+from ebonyshore_soak.rejoin_checks import check_rejoined_streams
 from ebonyshore_soak.slow_readers import SlowReaders
 from ebonyshore_soak.target_checks import check_crashing_part, check_limited_targets
 from ebonyshore_soak.variant import COLD_FACTOR, COLD_MS, SoakVariant, draw_variant
@@ -156,6 +157,7 @@
     _check_crashing_content(fleet, clients, checker, clock)
     check_crashing_part(fleet, clients, checker, clock)
     check_limited_targets(fleet, clients, checker, clock)
+    check_rejoined_streams(fleet, clients, checker, clock)
 
 
 def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
