--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -16,7 +16,6 @@
     TargetLoad,
     choose_target,
     concurrent_choices,
-    limit_free_slots,
     limit_returning,
     max_queued_requests,
     retry_after_ms,
@@ -25,6 +24,7 @@
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.origin_lookup import OriginLookup
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
+from ebonyshore.gateway.target_limits import TargetLimits
 from ebonyshore.host.accounts import Account
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.crash_guard import CrashGuard
@@ -34,7 +34,6 @@
     maybe_executed_response,
     not_executed_response,
 )
-from ebonyshore.host.pace import PaceAllowance
 from ebonyshore.host.request_content import RequestContent, content_digest, part_digests
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError
 from ebonyshore.host.routes import Route
@@ -104,6 +103,7 @@
         self.metrics = metrics
         self.random = random
         self.authenticator = authenticator
+        self.limits = TargetLimits(targets, view, metrics, random)
         self.on_run_start: Callable[[Account], None] = lambda _account: None
         self.on_run_end: Callable[[Account], None] = lambda _account: None
         self.on_not_run: Callable[[Account], None] = lambda _account: None
@@ -119,60 +119,6 @@
         """
         await _ForwardedRequest(self, route, request, responder, account).run()
 
-    def loads_within_limits(self, targets: Sequence[Target], has_run: bool) -> list[TargetLoad]:
-        """Return the loads of the targets that may be sent a request now.
-
-        A target that names a rate limit counts as having no more free slots than requests that it
-        may be sent.
-
-        :param has_run: whether the request was sent before; then it is not kept back for others.
-        """
-        at_ms = now_ms()
-        limits = self.targets.rate_limits
-        allowed: dict[str, int | None] = {}
-        for target in targets:
-            draw = 0.0 if has_run else self.random.random()
-            allowed[target.target_id] = limits.admit(target.incarnation, at_ms, draw)
-        sendable = [target for target in targets if allowed[target.target_id] != 0]
-        loads: list[TargetLoad] = []
-        for target, load in zip(sendable, self.view.target_loads(sendable, at_ms), strict=True):
-            limit = allowed[target.target_id]
-            if limit is not None:
-                is_scarce = limits.is_scarce(target.incarnation, at_ms)
-                load = limit_free_slots(load, limit, is_scarce)
-            loads.append(load)
-        return loads
-
-    def pace_allowances(self, loads: Sequence[TargetLoad]) -> dict[str, PaceAllowance]:
-        """Return what the limits of targets that return to service allow, by target id."""
-        pace, at_ms = self.targets.pace, now_ms()
-        allowances: dict[str, PaceAllowance] = {}
-        for load in loads:
-            target = self.targets.find(load.target_id)
-            in_flight = load.online + load.batch
-            allowance = pace.allowance(target.incarnation, in_flight, at_ms, self.random.random)
-            if allowance is not None:
-                allowances[load.target_id] = allowance
-        held_off = sum(allowance.requests == 0 for allowance in allowances.values())
-        if held_off:
-            self.metrics.count("requests_held_off", held_off)
-        return allowances
-
-    def choose_service(self, route: Route) -> str | None:
-        """Return one of the route's services, chosen at random by weight.
-
-        Services without targets or with weight 0 are not chosen; ``None`` if no service is left.
-        """
-        usable = [
-            share
-            for share in route.shares
-            if share.weight > 0 and self.targets.accepting(share.service)
-        ]
-        if not usable:
-            return None
-        weights = [share.weight for share in usable]
-        return self.random.choices(usable, weights)[0].service
-
 
 class _ForwardedRequest:
     """The state of one request over all its attempts."""
@@ -193,7 +139,7 @@
         self._account = account
         self._request_id = request.headers.get(forwarder.names.request_id)
         self._content = _content(request, forwarder.names)
-        self._service = forwarder.choose_service(route)
+        self._service = forwarder.limits.choose_service(route)
         self._tried_targets: list[str] = []
         self._tried_versions: list[str] = []
         self._unsuccessful_targets: set[str] = set()
@@ -456,7 +402,7 @@
             return False
         tried = self._unsuccessful_targets | {target.target_id}
         usable = [other for other in self._usable_targets() if other.target_id not in tried]
-        loads = self._forwarder.loads_within_limits(usable, has_run=True)
+        loads = self._forwarder.limits.loads_within_limits(usable, has_run=True)
         queue_slots = self._queue_slots(loads)
         return any(
             not load.is_avoided and load.free_slots_for_online + queue_slots > 0 for load in loads
@@ -481,16 +427,16 @@
         usable = self._usable_targets()
         if not usable and not self._attempts and self._relay.origin is None:
             # The targets of the service have left since it was chosen.
-            self._service = self._forwarder.choose_service(self._route)
+            self._service = self._forwarder.limits.choose_service(self._route)
             usable = self._usable_targets()
         forwarder = self._forwarder
-        loads = forwarder.loads_within_limits(usable, has_run=self._attempts > 0)
+        loads = forwarder.limits.loads_within_limits(usable, has_run=self._attempts > 0)
         untried = [load for load in loads if load.target_id not in self._unsuccessful_targets]
         loads = untried or loads
         queue_slots = UNBOUNDED_QUEUE_SLOTS if self._attempts else self._queue_slots(loads)
         choices = concurrent_choices(loads, forwarder.view.mean_service_time_ms)
         draw, objective = forwarder.random.random(), self._objective
-        limited = limit_returning(loads, forwarder.pace_allowances(loads), choices)
+        limited = limit_returning(loads, forwarder.limits.pace_allowances(loads), choices)
         chosen = choose_target(limited, queue_slots, choices, draw, objective)
         if chosen is None:  # a target that returns is better than none
             chosen = choose_target(loads, queue_slots, choices, draw, objective)
