--- a/ebonyshore_standins/object_store_server.py
+++ b/ebonyshore_standins/object_store_server.py
@@ -3,6 +3,7 @@
 import json
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from threading import Condition, Thread
 from time import monotonic
@@ -10,6 +11,7 @@
 
 OBJECTS_PATH = "/ebonyshore/objects/"
 MAX_PAGE_ITEMS = 500
+MAX_READ_BYTES = 65_536
 
 
 class ObjectStoreState:
@@ -164,8 +166,9 @@
     :ivar state: the stored objects; tests may read and write them directly.
     :ivar fault_hook: chooses the fault of each call by its method and path; set it to inject
         faults. It returns ``None`` to serve the call, an HTTP status to refuse it, ``"lost"`` to
-        execute it and close the connection without a response, or ``"reset"`` to close the
-        connection without executing it.
+        execute it and close the connection without a response, ``"silent"`` to execute it and
+        leave the connection open without a response, or ``"reset"`` to close the connection without
+        executing it.
     :ivar calls: method and path of each call received.
     """
 
@@ -246,8 +249,18 @@
             if fault == "lost":
                 self.close_connection = True
                 return
+            if fault == "silent":
+                self._fall_silent()
+                return
             self._answer(status, document)
 
+        def _fall_silent(self) -> None:
+            """Send nothing more until the client closes the connection."""
+            self.close_connection = True
+            with suppress(OSError):
+                while self.rfile.read1(MAX_READ_BYTES):
+                    pass
+
         def _answer(self, status: int, document: dict) -> None:
             data = json.dumps(document).encode()
             self.send_response(status)
