Watches of the store: those that have fallen silent are restarted

Callers saw: items of ended jobs ran up to 8 s after the acknowledgement, once the store had lost answers. Cause: the answer to a watch may be lost on a connection that stays open; the watch waits 12.5 s, and the owner of a job learns of its end by its watch only. Change: load reports and totals carry the newest version of each kind that a process knows; a watch that stays behind for a quarter of the bound on changes is restarted, and so is one of a process without contact. No call to the store while nothing is wrong.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -7,6 +7,7 @@
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_monitor import WatchMonitor
 from ebonyshore.link.account_messages import AccountTotals
 from ebonyshore.link.datagrams import (
     ConfigConfirmed,
@@ -36,6 +37,8 @@
     :param lease_keeper: told which configuration runners have read; provides the reported clock.
     :param account_limits: told of the totals of client accounts.
     :param pace: told of limits of targets that return; provides the evidence to send.
+    :param watch_monitor: told of the versions in the store that runners know, and provides those
+        known here.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         lease_keeper: LeaseKeeper,
         account_limits: AccountLimits,
         pace: PaceExchange,
+        watch_monitor: WatchMonitor,
     ) -> None:
         self._peers = peers
         self._reports = LoadReportSender(peers, targets.own_counts)
@@ -59,11 +63,13 @@
         self._lease_keeper = lease_keeper
         self._account_limits = account_limits
         self._pace = pace
+        self._watch_monitor = watch_monitor
 
     def on_message(self, message: Datagram) -> None:
         """Apply a message of a runner or answer an entry; load reports are ignored."""
         if isinstance(message, LoadTotals):
             self._view.update_totals(message, now_ms())
+            self._watch_monitor.merge(message.newest_versions)
             self._targets.pace.record_news(now_ms())
             self._targets.rate_limits.update_others(message.sender, message.limits, now_ms())
             for incarnation in message.leaving:
@@ -92,6 +98,7 @@
             leaving=self._targets.announced_incarnations(now_ms()),
             limits=self._targets.rate_limits.own_reports(now_ms()),
             clock_ms=self._lease_keeper.clock_ms(),
+            newest_versions=self._watch_monitor.newest_versions(),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -56,6 +56,7 @@
         lease_keeper,
         account_limits,
         components.pace_exchange,
+        components.watch_monitor,
     )
     port = settings.first_internal_port
     load_service = LoadService(
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -34,6 +34,8 @@
         limited.
     :param quota_overage: part of an account's limit that may be exceeded in such a span.
     :param quota_slack: requests by which it may be exceeded besides.
+    :param max_store_age_ms: time after the acknowledgement of a change in the store, of the
+        configuration or of a job, within which it has to take effect at every process.
     :param memory_bytes: limit of the memory of a process; ``None`` if there is none.
     """
 
@@ -53,6 +55,7 @@
     quota_overage: float = 0.0
     quota_slack: float = 0.0
     memory_bytes: int | None = None
+    max_store_age_ms: float = 2_000.0
 
     @property
     def quota_rule(self) -> QuotaRule:
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -15,6 +15,7 @@
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_monitor import WatchMonitor
 from ebonyshore.host.watch_service import WatchService
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory, Registration
 from ebonyshore.link.rate_limits import RateLimits
@@ -41,6 +42,7 @@
     :ivar registration: the registration of this process as a peer.
     :ivar probe: the probe of the store.
     :ivar suspicions: crashes of targets that this process and others have seen.
+    :ivar watch_monitor: restarts watches of the store that have fallen silent.
     :ivar checker: asks targets for their load reports.
     :ivar crash_guard: attributes crashes of targets to the content of requests.
     """
@@ -58,6 +60,7 @@
         "registration",
         "suspicions",
         "targets",
+        "watch_monitor",
     )
 
     def __init__(self, environment: HostEnvironment) -> None:
@@ -83,6 +86,13 @@
         self.pace_exchange = PaceExchange(environment.settings.instance_id, self.targets.table)
         self.registration = make_registration(environment, self.peers)
         self.probe = make_probe(environment, self.config)
+        self.watch_monitor = WatchMonitor(
+            environment.settings.max_store_age_ms,
+            lambda: self.probe.is_silent,
+            environment.clock,
+            log,
+            environment.metrics,
+        )
         self.suspicions = make_suspicion_exchange(environment)
         self.checker = TargetChecker(deployment.names, environment.pool, deployment.decode_start)
         self.crash_guard = CrashGuard(
@@ -106,7 +116,7 @@
         :param pause_ms: pause between two watches of the kind.
         """
         environment = self._environment
-        return KindWatch(
+        watch = KindWatch(
             environment.store,
             kind,
             listener,
@@ -116,13 +126,17 @@
             pause_ms,
             lambda: self.probe.is_silent,
         )
+        self.watch_monitor.add(watch)
+        return watch
 
     def watch_service(self, more_watches: Sequence[KindWatch] = ()) -> WatchService:
         """Return the service that runs the watches and the registration.
 
         :param more_watches: further watches of the role.
         """
-        return WatchService([*self._watches, *more_watches], self.registration, self.targets)
+        return WatchService(
+            [*self._watches, *more_watches], self.registration, self.targets, self.watch_monitor
+        )
 
 
 def make_probe(environment: HostEnvironment, config: ConfigService) -> StoreProbe:
--- a/ebonyshore/host/watch_service.py
+++ b/ebonyshore/host/watch_service.py
@@ -6,16 +6,17 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.target_service import TargetService
+from ebonyshore.host.watch_monitor import WatchMonitor
 from ebonyshore.link.peers import Registration
 from ebonyshore.store.kind_watch import KindWatch
 
-EXPIRY_INTERVAL_MS = 250.0
+CHECK_INTERVAL_MS = 250.0
 
 
 class WatchService(AsyncService):
     """Starts and stops the watches and this process's registration.
 
-    Drops expired targets at regular intervals.
+    Drops expired targets, and checks for silent watches, at regular intervals.
 
     :param targets: the list of targets, for the clean-up and the state dump.
     """
@@ -23,18 +24,23 @@
     name = "watches"
 
     def __init__(
-        self, watches: list[KindWatch], registration: Registration, targets: TargetService
+        self,
+        watches: list[KindWatch],
+        registration: Registration,
+        targets: TargetService,
+        monitor: WatchMonitor,
     ) -> None:
         self._watches = watches
         self._registration = registration
         self._targets = targets
+        self._monitor = monitor
 
     async def start(self) -> None:
         loop = get_running_loop()
         for watch in self._watches:
             watch.start(loop)
         self._registration.start()
-        self.spawn(self._expire())
+        self.spawn(self._check())
 
     async def stop(self) -> None:
         await super().stop()
@@ -59,9 +65,11 @@
                 for target in table.by_id().values()
             },
             "pace": self._targets.table.pace.dump(),
+            "store_watches": self._monitor.dump(),
         }
 
-    async def _expire(self) -> None:
+    async def _check(self) -> None:
         while True:
-            await sleep(EXPIRY_INTERVAL_MS / MS_PER_S)
+            await sleep(CHECK_INTERVAL_MS / MS_PER_S)
             self._targets.drop_expired()
+            self._monitor.check()
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -46,6 +46,7 @@
         limits: tuple[LimitReport, ...] = (),
         clock_ms: float = 0.0,
         is_store_silent: bool = False,
+        newest_versions: dict[str, int] | None = None,
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
@@ -73,6 +74,7 @@
             limits,
             clock_ms,
             is_store_silent,
+            newest_versions or {},
         )
         if self._is_due(report, now_ms):
             socket.send(report, self._peers.addresses("runner"))
@@ -82,6 +84,12 @@
     def _is_due(self, report: LoadReport, now_ms: float) -> bool:
         if self._sent is None or now_ms - self._sent_ms >= UNCHANGED_INTERVAL_MS:
             return True
-        # The clock goes on in each report, so it is not a change by itself.
-        comparable = structs.replace(self._sent, sequence=report.sequence, clock_ms=report.clock_ms)
+        # The clock goes on in each report, and versions may wait, so they are no change by
+        # themselves.
+        comparable = structs.replace(
+            self._sent,
+            sequence=report.sequence,
+            clock_ms=report.clock_ms,
+            newest_versions=report.newest_versions,
+        )
         return report != comparable
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -95,6 +95,8 @@
     :param limits: rate limits of targets, and the requests of the process there.
     :param clock_ms: for an entry: its boot clock when it made the report.
     :param is_store_silent: for a runner: whether its store probe gets no answers.
+    :param newest_versions: newest version of an object in the store that the process knows, by
+        kind.
     """
 
     sender: str
@@ -111,6 +113,7 @@
     limits: tuple[LimitReport, ...] = ()
     clock_ms: float = 0.0
     is_store_silent: bool = False
+    newest_versions: dict[str, int] = {}
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -123,6 +126,7 @@
     :param runners: number of open items of each live runner, by instance id.
     :param leaving: as in :class:`LoadReport`, from all processes.
     :param limits: as in :class:`LoadReport`, with the requests of all other processes.
+    :param newest_versions: as in :class:`LoadReport`, over all processes.
     """
 
     sender: str
@@ -132,6 +136,7 @@
     runners: dict[str, int]
     leaving: tuple[Incarnation, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    newest_versions: dict[str, int] = {}
 
 
 class LoadTable:
--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -131,7 +131,7 @@
         kind = _object_kind(prefix)
         query = urlencode({"Watch": since, "WaitMs": timeout_ms})
         response = self._http_client.read(
-            f"{OBJECTS_PATH}{quote(kind)}?{query}", watch_timeout_ms=timeout_ms
+            f"{_kind_path(kind)}?{query}", watch_timeout_ms=timeout_ms
         )
         if response.status == 410:
             raise HistoryLostError(
@@ -152,8 +152,8 @@
     def cancel_watches(self) -> None:
         self._http_client.cancel_watches()
 
-    def interrupt_watches(self) -> None:
-        self._http_client.interrupt_watches()
+    def interrupt_watches(self, kind: str | None = None) -> None:
+        self._http_client.interrupt_watches("" if kind is None else _kind_path(kind))
 
     def close(self) -> None:
         """Close idle connections."""
@@ -173,6 +173,10 @@
     return key.split("/", 1)[1]
 
 
+def _kind_path(kind: str) -> str:
+    return f"{OBJECTS_PATH}{quote(kind)}"
+
+
 def _object_path(key: str) -> str:
     return f"{OBJECTS_PATH}{quote(key)}"
 
--- a/ebonyshore/platform/settings_file.py
+++ b/ebonyshore/platform/settings_file.py
@@ -27,6 +27,10 @@
     # Whether a removed key must be refused by instances that are cut off, too.
     is_revocation_strict: bool = field(default=False, name="StrictRevoke")
     revocation_ms: float | None = field(default=None, name="RevokeMs")
+    # Time after the acknowledgement of a configuration from which it has to be in force.
+    config_apply_ms: float = field(default=2_000.0, name="ConfigApplyMs")
+    # Time after the acknowledgement of a job's end from which none of its items starts.
+    cancel_ms: float = field(default=3_000.0, name="CancelMs")
     quota_window_s: float = field(default=5.0, name="QuotaWindowS")
     quota_overage: float = field(default=0.0, name="QuotaOverage")
     quota_slack: float = field(default=0.0, name="QuotaSlack")
@@ -99,6 +103,7 @@
         quota_window_ms=bounds.quota_window_s * MS_PER_S,
         quota_overage=bounds.quota_overage,
         quota_slack=bounds.quota_slack,
+        max_store_age_ms=min(bounds.config_apply_ms, bounds.cancel_ms),
         memory_bytes=_parse_megabytes(document.limits.memory_mb),
     )
 
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -73,6 +73,7 @@
     :param peers: all registered runners, live or not.
     :param executor: runs blocking calls to the store.
     :ivar is_leaving: whether this runner is giving its jobs to others and takes no new ones.
+    :ivar newest_version: highest version of a job's record that is known.
     :ivar on_change: called when jobs, items or claims have changed, so that work may be due.
     """
 
@@ -98,6 +99,7 @@
         self._jobs: dict[str, KnownJob] = {}
         self._result_events: dict[str, Event] = {}
         self.is_leaving = False
+        self.newest_version = 0
         self.on_change: Callable[[], None] = lambda: None
 
     async def run_blocking(self, function: Callable[..., ResultT], *arguments) -> ResultT:
@@ -135,6 +137,7 @@
         """
         job_id = marked_record.body.job_id
         now_ms = self._clock.boot_ms()
+        self.newest_version = max(self.newest_version, marked_record.version)
         job = self._jobs.get(job_id)
         if job is None:
             job = self._jobs[job_id] = KnownJob(marked_record, now_ms)
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -6,6 +6,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_monitor import WatchMonitor
 from ebonyshore.link.account_messages import AccountUsage
 from ebonyshore.link.datagrams import (
     Datagram,
@@ -27,6 +28,7 @@
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.job_storage import JOBS_KIND
 
 
 class RunnerLoad:
@@ -44,6 +46,8 @@
     :param admission: the waiting tokens of this runner's jobs.
     :param suspicions: updated with the received suspicions; provides those to send.
     :param pace: told how targets that return have answered; provides their limits.
+    :param watch_monitor: told of the versions in the store that other processes know, and provides
+        those known here.
     :param is_store_silent: tells whether the store probe gets no answers; reported to the runners.
     :ivar on_account_usage: called with the reports of what client accounts use.
     :ivar send_now: sends a datagram at once; to be set before the first message.
@@ -60,6 +64,7 @@
         suspicions: SuspicionExchange,
         pace: PaceExchange,
         clock: Clock,
+        watch_monitor: WatchMonitor,
         is_store_silent: Callable[[], bool] = lambda: False,
     ) -> None:
         self._peers = peers
@@ -73,6 +78,7 @@
         self._pace = pace
         self._clock = clock
         self._speeds = SpeedExchange(peers, targets)
+        self._watch_monitor = watch_monitor
         self._is_store_silent = is_store_silent
         self._streams = StreamRecords()
         self.on_account_usage: Callable[[AccountUsage], None] = lambda _usage: None
@@ -100,6 +106,7 @@
     def _add_report(self, report: LoadReport) -> None:
         for incarnation in report.leaving:
             self._targets.mark_leaving(incarnation, report.sender)
+        self._watch_monitor.merge(report.newest_versions)
         if self._load_table.add_report(report, self._clock.boot_ms()):
             self._registry.on_change()
 
@@ -117,6 +124,8 @@
         :param socket: sends the messages.
         """
         self._load_table.drop_expired(self._clock.boot_ms())
+        # This runner has written records that its watch has not returned yet.
+        self._watch_monitor.record_version(JOBS_KIND, self._registry.newest_version)
         heard = self._load_table.runners().keys() - self._claims.owners_being_replaced()
         report = self._reports.send(
             socket,
@@ -128,6 +137,7 @@
             leaving=self._targets.announced_incarnations(now_ms()),
             limits=self._targets.rate_limits.own_reports(now_ms()),
             is_store_silent=self._is_store_silent(),
+            newest_versions=self._watch_monitor.newest_versions(),
         )
         own_id = report.sender
         self._targets.rate_limits.update_others(own_id, self._limits_without(own_id), now_ms())
@@ -169,5 +179,6 @@
                 runners,
                 own_report.leaving,
                 self._limits_without(entry.instance_id, own_report.limits),
+                own_report.newest_versions,
             )
             socket.send(message, [(entry.host, entry.port)])
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -186,6 +186,7 @@
         parts.suspicions,
         parts.pace_exchange,
         clock,
+        parts.watch_monitor,
         lambda: parts.probe.is_silent,
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
--- a/ebonyshore/store/counting_store.py
+++ b/ebonyshore/store/counting_store.py
@@ -60,8 +60,8 @@
     def cancel_watches(self) -> None:
         self._store.cancel_watches()
 
-    def interrupt_watches(self) -> None:
-        self._store.interrupt_watches()
+    def interrupt_watches(self, kind: str | None = None) -> None:
+        self._store.interrupt_watches(kind)
 
     def _count(self, operation: str, key: str) -> None:
         kind = key.split("/", 1)[0]
--- a/ebonyshore/store/kind_watch.py
+++ b/ebonyshore/store/kind_watch.py
@@ -54,6 +54,9 @@
 class KindWatch:
     """Watches the objects of one kind until it is stopped.
 
+    The answer to a call may be lost while its connection stays open. The call then waits for its
+    timeout, unless :meth:`restart` is called.
+
     :param store: the store to read.
     :param kind: kind of the objects.
     :param listener: receives the objects.
@@ -63,6 +66,10 @@
         call to the store.
     :param is_store_silent: tells whether the store probe gets no answers at present. All watches of
         a process then wait for the probe instead of calling the store themselves.
+    :ivar kind: kind of the objects.
+    :ivar newest_version: highest version of an object that the watch has returned.
+    :ivar known_revision: revision of the store up to which all changes of the kind are known.
+    :ivar pending_since_ms: monotonic time at which the pending call was sent; ``None`` if none is.
     """
 
     def __init__(
@@ -78,7 +85,7 @@
     ) -> None:
         self._is_store_silent = is_store_silent
         self._store = store
-        self._kind = kind
+        self.kind = kind
         self._listener = listener
         self._clock = clock
         self._log = log
@@ -90,6 +97,10 @@
         self._revision: int | None = None
         self._unconfirmed_revision: int | None = None
         self._failures = 0
+        self._is_restarted = False
+        self.newest_version = 0
+        self.known_revision = 0
+        self.pending_since_ms: float | None = None
 
     def start(self, loop: AbstractEventLoop) -> None:
         """Start to list and watch the objects.
@@ -107,27 +118,40 @@
         self._is_stopped = True
         self._executor.shutdown(wait=False, cancel_futures=True)
 
+    def restart(self) -> None:
+        """End the pending call, if there is one, and list the objects again.
+
+        May be called from any thread.
+        """
+        if self.pending_since_ms is not None:
+            self._is_restarted = True
+            self._store.interrupt_watches(self.kind)
+
     def _run(self) -> None:
         while not self._is_stopped:
+            self._is_restarted = False
+            self.pending_since_ms = self._clock.monotonic_ms()
             try:
                 self._step()
             except HistoryLostError:
-                self._log.event("store_history_lost", kind=self._kind, revision=self._revision)
+                self._log.event("store_history_lost", kind=self.kind, revision=self._revision)
                 self._revision = None
             except StoreError as error:
                 self._handle_failure(error)
             except Exception as error:  # noqa: BLE001 - a watch must not end
-                self._log.event("watch_failed", kind=self._kind, error=repr(error))
+                self._log.event("watch_failed", kind=self.kind, error=repr(error))
                 self._revision = None
                 self._clock.sleep_ms(MAX_RETRY_MS)
 
     def _step(self) -> None:
         if self._revision is None:
-            listing = self._store.list_objects(self._kind)
+            listing = self._store.list_objects(self.kind)
+            self._record_answer(listing.objects, listing.revision)
             self._notify(self._listener.on_listing, listing.objects)
             self._revision, self._unconfirmed_revision = listing.revision, None
         else:
-            result = self._store.watch(self._kind, self._revision, WATCH_TIMEOUT_MS)
+            result = self._store.watch(self.kind, self._revision, WATCH_TIMEOUT_MS)
+            self._record_answer(result.changes, result.revision if result.changes else 0)
             if result.changes:
                 self._notify(self._listener.on_changes, result.changes)
                 self._revision, self._unconfirmed_revision = result.revision, None
@@ -137,6 +161,15 @@
         if self._pause_ms:
             self._clock.sleep_ms(self._pause_ms)
 
+    def _record_answer(self, objects: Sequence[StoredObject], revision: int) -> None:
+        """Record what the store has returned.
+
+        :param revision: revision up to which the objects are complete; 0 if that is uncertain.
+        """
+        self.pending_since_ms = None
+        self.newest_version = max([self.newest_version, *(found.version for found in objects)])
+        self.known_revision = max(self.known_revision, revision)
+
     def _handle_empty_result(self, revision: int) -> None:
         """Continue the watch from the revision of the previous empty result, not of this one.
 
@@ -150,17 +183,22 @@
 
     def _handle_success(self) -> None:
         if self._failures:
-            self._log.event("store_regained", kind=self._kind, failures=self._failures)
+            self._log.event("store_regained", kind=self.kind, failures=self._failures)
             self._failures = 0
             # A listener may apply deletions with a delay after an outage. The delay has to start
             # again now, since deletions made during the outage become known only now.
             self._notify(self._listener.on_interruption)
 
     def _handle_failure(self, error: StoreError) -> None:
+        self.pending_since_ms = None
         if self._is_stopped:
             return
+        if self._is_restarted:
+            # The store has not failed as far as is known, and the objects are listed at once.
+            self._revision = None
+            return
         if not self._failures:
-            self._log.event("store_lost", kind=self._kind, error=str(error))
+            self._log.event("store_lost", kind=self.kind, error=str(error))
         self._failures += 1
         # An interrupted watch may have missed earlier changes, and a watch started right after it
         # may not return them either, but a listing does.
@@ -183,4 +221,4 @@
         except RuntimeError:
             # The event loop was closed because the process is stopping.
             self._is_stopped = True
-            self._log.event("watch_ended", kind=self._kind)
+            self._log.event("watch_ended", kind=self.kind)
--- a/ebonyshore/store/platform_api.py
+++ b/ebonyshore/store/platform_api.py
@@ -122,8 +122,11 @@
         """
 
     @abstractmethod
-    def interrupt_watches(self) -> None:
-        """End pending watches with ``StoreUnavailableError``; new ones may be started."""
+    def interrupt_watches(self, kind: str | None = None) -> None:
+        """End pending watches with ``StoreUnavailableError``; new ones may be started.
+
+        :param kind: only watches of this kind; ``None`` for all.
+        """
 
     @abstractmethod
     def put_status(self, key: str, value: bytes, expected_version: int) -> int:
--- a/ebonyshore/store/store_http_client.py
+++ b/ebonyshore/store/store_http_client.py
@@ -43,13 +43,13 @@
         own timeout and :data:`WATCH_MARGIN_MS` are added.
     """
 
-    __slots__ = ("_are_watches_cancelled", "_lock", "_pool", "_timeout_ms", "_watch_connections")
+    __slots__ = ("_are_watches_cancelled", "_lock", "_pool", "_timeout_ms", "_watch_paths")
 
     def __init__(self, url: str, timeout_ms: float) -> None:
         self._pool = HttpConnectionPool(url, MAX_IDLE_CONNECTIONS)
         self._timeout_ms = timeout_ms
         self._lock = Lock()
-        self._watch_connections: set[HTTPConnection] = set()
+        self._watch_paths: dict[HTTPConnection, str] = {}  # of pending watches, without a query
         self._are_watches_cancelled = False
 
     def read(
@@ -74,7 +74,7 @@
             connection = self._pool.acquire(limit_ms, self._timeout_ms)
             if watch_timeout_ms is None:
                 return self._send_request(connection, method, path, body, {})
-            with self._registered_as_watch(connection):
+            with self._registered_as_watch(connection, path.partition("?")[0]):
                 return self._send_request(connection, method, path, body, {})
         except TimeoutError as error:
             raise StoreTimeoutError(f"{method} {path}: request timed out") from error
@@ -104,10 +104,17 @@
         self._are_watches_cancelled = True
         self.interrupt_watches()
 
-    def interrupt_watches(self) -> None:
-        """End pending watches; new ones may be started."""
+    def interrupt_watches(self, path: str = "") -> None:
+        """End pending watches; new ones may be started.
+
+        :param path: only watches of this path, without a query; all if omitted.
+        """
         with self._lock:
-            connections = list(self._watch_connections)
+            connections = [
+                connection
+                for connection, watched_path in self._watch_paths.items()
+                if path in ("", watched_path)
+            ]
         for connection in connections:
             _shut_down(connection)
 
@@ -116,17 +123,17 @@
         self._pool.close()
 
     @contextmanager
-    def _registered_as_watch(self, connection: HTTPConnection) -> Iterator[None]:
+    def _registered_as_watch(self, connection: HTTPConnection, path: str) -> Iterator[None]:
         with self._lock:
             if self._are_watches_cancelled:
                 connection.close()
                 raise ConnectionAbortedError("watches are cancelled")
-            self._watch_connections.add(connection)
+            self._watch_paths[connection] = path
         try:
             yield
         finally:
             with self._lock:
-                self._watch_connections.discard(connection)
+                self._watch_paths.pop(connection, None)
 
     def _send_request(
         self,
--- a/ebonyshore_standins/object_store_server.py
+++ b/ebonyshore_standins/object_store_server.py
@@ -227,10 +227,32 @@
         return 200, self.state.list(kind, query.get("After", ""))
 
 
-def _make_handler_class(server: ObjectStoreServer) -> type[BaseHTTPRequestHandler]:
-    class Handler(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
+class _Connection(BaseHTTPRequestHandler):
+    """Sends responses, and leaves some out."""
+
+    protocol_version = "HTTP/1.1"
+
+    def _answer(self, status: int, document: dict) -> None:
+        data = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def _fall_silent(self) -> None:
+        """Send nothing more until the client closes the connection."""
+        self.close_connection = True
+        with suppress(OSError):
+            while self.rfile.read1(MAX_READ_BYTES):
+                pass
+
+    def log_message(self, *_arguments: object) -> None:
+        return
 
+
+def _make_handler_class(server: ObjectStoreServer) -> type[BaseHTTPRequestHandler]:
+    class Handler(_Connection):
         def _serve(self) -> None:
             length = int(self.headers.get("Content-Length") or 0)
             body = self.rfile.read(length)
@@ -254,24 +276,6 @@
                 return
             self._answer(status, document)
 
-        def _fall_silent(self) -> None:
-            """Send nothing more until the client closes the connection."""
-            self.close_connection = True
-            with suppress(OSError):
-                while self.rfile.read1(MAX_READ_BYTES):
-                    pass
-
-        def _answer(self, status: int, document: dict) -> None:
-            data = json.dumps(document).encode()
-            self.send_response(status)
-            self.send_header("Content-Type", "application/json")
-            self.send_header("Content-Length", str(len(data)))
-            self.end_headers()
-            self.wfile.write(data)
-
         do_GET = do_POST = do_PUT = do_DELETE = _serve  # noqa: N815 - names of the base class
 
-        def log_message(self, *_arguments: object) -> None:
-            return
-
     return Handler
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.fleet_client import cancel_job, submit_job
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet
 from ebonyshore_standins.stream_target import StreamTarget
 
 CLOCK = SystemClock()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,9 +6,12 @@
 import pytest
 
 from ebonyshore.frame.errors import WriteConflictError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import ResultRecord, ResultSegment
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_monitor import WatchMonitor
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
@@ -151,6 +154,7 @@
         make_suspicions("b"),
         PaceExchange("b", TargetTable()),
         setup.clock,
+        WatchMonitor(1_000.0, lambda: False, setup.clock, EventLog(), Metrics()),
     )
     setup.receive_report("a", sequence=1)
     asyncio.run(send_report(load, FakeSocket()))
