--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -191,6 +191,7 @@
         parts.pace_exchange,
         clock,
         origins,
+        parts.watch_monitor,
         lambda: parts.probe.is_silent,
     )
     load = LoadService(host, port, runner_load.on_message, runner_load.send, log, metrics)
