--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -26,10 +26,10 @@
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_claims import JobClaims
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.job_storage import JOBS_KIND
 from ebonyshore.runner.origin_registry import OriginRegistry
 
 VERSIONS_INTERVAL_MS = 250.0  # between two messages to the entries
-from ebonyshore.runner.job_storage import JOBS_KIND
 
 
 class RunnerLoad:
