--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -132,10 +132,18 @@
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.server.port)
 
-    async def request(self, body=b"", headers=(), method="POST", target="/p/x", deadline="2500"):
+    async def request(
+        self,
+        body=b"",
+        headers=(),
+        method="POST",
+        target="/p/x",
+        deadline="2500",
+        request_id="req-1",
+    ):
         """Send one request on a new connection and return all bytes of the response."""
         reader, writer = await self.connect()
-        writer.write(encode_request(body, headers, method, target, True, deadline))
+        writer.write(encode_request(body, headers, method, target, True, deadline, request_id))
         data = await asyncio.wait_for(read_all(reader), 10)
         writer.close()
         return data
@@ -146,9 +154,15 @@
 
 
 def encode_request(
-    body=b"", headers=(), method="POST", target="/p/x", close=False, deadline="2500"
+    body=b"",
+    headers=(),
+    method="POST",
+    target="/p/x",
+    close=False,
+    deadline="2500",
+    request_id="req-1",
 ):
-    lines = [f"{method} {target} HTTP/1.1", "Host: host.example", "Attempt-Id: req-1"]
+    lines = [f"{method} {target} HTTP/1.1", "Host: host.example", f"Attempt-Id: {request_id}"]
     lines += [f"Deadline-Ms: {deadline}", f"Content-Length: {len(body)}", *headers]
     if close:
         lines.append("Connection: close")
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -74,6 +74,9 @@
     def close(self):
         self._server.close()
 
+    def before_report(self, session):
+        """Write what comes before a load report; nothing by default."""
+
     async def _serve(self, reader, writer):
         self.connections += 1
         try:
@@ -83,6 +86,7 @@
                 length = int(session.header("content-length") or 0)
                 session.body = await reader.readexactly(length)
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
+                    self.before_report(session)
                     session.send_answer(body=self.report)
                     continue
                 self.sessions.append(session)
@@ -90,6 +94,8 @@
                 await script(session)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
             writer.close()
 
 
--- /dev/null
+++ b/tests/test_repeated_refusals.py
@@ -0,0 +1,239 @@
+"""Targets that write an earlier refusal once more on a connection that is kept."""
+
+import asyncio
+
+import pytest
+
+from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.request_content import RequestContent
+from ebonyshore.host.routes import RouteKind
+from ebonyshore.host.target import Target, TargetEntry
+from ebonyshore.http.client import ConnectionPool
+from ebonyshore.platform.wire_names import WIRE_NAMES
+from ebonyshore.runner.item_run import ItemRun, RunOutcome
+from ebonyshore.runner.job_progress import Item
+from tests.gateway_setup import Gateway, make_route, status_of
+from tests.scripted_target import ScriptedTarget, send_complete_stream
+from tests.test_item_run import RECORD, trust_end
+
+REFUSALS = 4  # after which an entry tries no other target
+EMPTY = b"Content-Length: 0\r\n\r\n"
+BODIES = [
+    EMPTY,
+    b"Content-Length: 4\r\n\r\nfull",
+    b"Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+]
+
+
+def run(scenario):
+    return asyncio.run(asyncio.wait_for(scenario, 30))
+
+
+def once_only_route(**overrides):
+    values = {"kind": RouteKind.NON_IDEMPOTENT, "is_resumable": False, "max_attempts": 1}
+    return make_route(**{**values, **overrides})
+
+
+def refusal(request_id, status=503, name="Not-Executed", body=EMPTY):
+    id_line = f"Attempt-Id: {request_id}\r\n" if request_id else ""
+    return f"HTTP/1.1 {status} X\r\n{id_line}{name}: 1\r\n".encode() + body
+
+
+def refuse_with(request_id, **arguments):
+    async def script(session):
+        session.send(refusal(request_id, **arguments))
+
+    return script
+
+
+async def answer(session):
+    session.send_answer(200, ["Server-Signature: sig"], b"whole")
+
+
+def refuse_then_repeat(times, copy, pieces=False):
+    """Refuse a number of requests; afterwards write a copy of a refusal before each answer."""
+    sessions = []
+
+    async def script(session):
+        sessions.append(session)
+        if len(sessions) <= times:
+            session.send(refusal(session.header("Attempt-Id")))
+            return
+        for part in [copy[at : at + 1] for at in range(len(copy))] if pieces else [copy]:
+            session.send(part)
+            await session.writer.drain()
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        await answer(session)
+
+    return script
+
+
+async def request_each(route, scripts, request_ids):
+    """Send one request after the other; return the answers and the targets."""
+    targets = [ScriptedTarget(script) for script in scripts]
+    gateway = Gateway(route)
+    await gateway.start(*targets)
+    answers = []
+    for request_id in request_ids:
+        answers.append(await gateway.request(request_id=request_id, deadline="1500"))
+        for target in gateway.table.accepting("svc"):
+            target.full_until_ms = 0.0
+    gateway.close()
+    return answers, targets
+
+
+@pytest.mark.parametrize("body", BODIES)
+@pytest.mark.parametrize(
+    "request_id, status, name",
+    [
+        ("req-0", 503, "Not-Executed"),
+        ("req-0", 429, "not-executed"),
+        ("req-0", 421, "NOT-EXECUTED"),
+        (None, 503, "Not-Executed"),
+        (None, 421, "X-Other"),
+    ],
+)
+@pytest.mark.parametrize("pieces", [False, True])
+def test_copy_of_a_refusal_is_not_the_answer_to_a_later_request(
+    request_id, status, name, body, pieces
+):
+    """Guards against a refusal of a request that runs, and against a second run of it."""
+    copy = refusal(request_id, status, name, body)
+    script = refuse_then_repeat(REFUSALS, copy, pieces)
+    answers, targets = run(request_each(once_only_route(), [script], ["req-0", "req-1"]))
+    assert [status_of(found) for found in answers] == [503, 200]
+    assert len(targets[0].sessions) == REFUSALS + 1
+    assert targets[0].connections == REFUSALS  # the last one was used again
+
+
+def test_copy_of_a_refusal_is_not_the_answer_to_a_request_with_the_same_id():
+    """Guards against a refusal of a request that runs, if a caller's next attempt has its id."""
+    script = refuse_then_repeat(REFUSALS, refusal("req-1"))
+    answers, targets = run(request_each(once_only_route(), [script], ["req-1", "req-1"]))
+    assert [status_of(found) for found in answers] == [503, 200]
+    assert len(targets[0].sessions) == REFUSALS + 1
+
+
+@pytest.mark.parametrize(
+    "status, headers", [(503, ["Not-Executed: 1"]), (500, []), (200, ["Content-Type: text/plain"])]
+)
+def test_copy_of_an_answer_is_not_taken_for_that_of_an_item_with_the_same_id(status, headers):
+    """Guards against a result of another job, or a run elsewhere while this target runs the item:
+    the job came back to this runner, or two jobs have items with the same id."""
+
+    async def answer_first(session):
+        session.send_answer(status, headers)
+
+    async def repeat(session):
+        session.send_answer(status, headers)
+        await session.writer.drain()
+        await asyncio.sleep(0.1)
+        await send_complete_stream(session)
+
+    async def scenario():
+        server = ScriptedTarget(answer_first, repeat)
+        target = Target(TargetEntry("t1", "svc", await server.start(), "fd-a", 8))
+        pool = ConnectionPool(4)
+        for _ in range(2):
+            item = Item(0, "req-1")
+            item_run = ItemRun(
+                WIRE_NAMES, pool, item, RECORD, RECORD.body, "host.example", trust_end
+            )
+            result = await item_run.run(ContentRun(target, RequestContent("c"), 0.0))
+        pool.close()
+        server.close()
+        return result.outcome, item.data
+
+    assert run(scenario()) == (RunOutcome.COMPLETE, ["d1", "d2", "d3", "d4"])
+
+
+async def break_off(session):
+    session.start_stream()
+    session.send_events(1, 2)
+    await session.writer.drain()
+    await asyncio.sleep(0.02)
+    session.reset()
+
+
+@pytest.mark.parametrize("request_id", ["req-0", None])
+def test_copy_of_a_refusal_is_not_taken_for_a_load_report(request_id):
+    """Guards against a stream that goes on at a target that was started again."""
+
+    class RepeatingTarget(ScriptedTarget):
+        def before_report(self, session):
+            session.send(refusal(request_id))
+
+    async def scenario():
+        first = ScriptedTarget(break_off)
+        second = RepeatingTarget(refuse_with("req-0"), send_complete_stream)
+        second.report = b'{"born":2}'
+        gateway = Gateway(make_route())
+        await gateway.start(first, second, versions=("v1", "v1"))
+        origin = ScriptedTarget(send_complete_stream)
+        gateway.table.put(TargetEntry("t3", "svc", await origin.start(), "fd-a", 8, 1, "v2"))
+        async with gateway.pool.use(gateway.table.find("t2").entry.address, 300.0, 1e4) as used:
+            used.send(b"POST /p/x HTTP/1.1\r\nAttempt-Id: req-0\r\nContent-Length: 0\r\n\r\n")
+            await used.next_part()
+            await used.next_part()
+        await gateway.request()
+        gateway.close()
+        return len(second.sessions)
+
+    assert run(scenario()) == 1
+
+
+def test_refusal_without_an_id_on_a_new_connection_is_sent_to_another_target():
+    """Guards against a request that waits for its deadline, as its refusal is left unread."""
+    scripts = [refuse_with(None), answer]
+    answers, targets = run(request_each(once_only_route(), scripts, ["req-1", "req-2", "req-3"]))
+    assert [status_of(found) for found in answers] == [200, 200, 200]
+    assert [len(target.sessions) for target in targets] == [3, 3]
+
+
+def has_limit(gateway):
+    incarnation = gateway.table.find("t1").incarnation
+    return gateway.table.rate_limits.allowance(incarnation, now_ms()) is not None
+
+
+def test_copy_of_an_answer_does_not_end_the_rate_limit_of_its_target():
+    """Guards against requests above a limit that the target still names."""
+
+    async def name_limit(session):
+        session.send_answer(200, ["Server-Limit: 3", "Server-Signature: s"], b"whole")
+
+    async def repeat(session):
+        session.send(refusal("req-0"))
+        await session.writer.drain()
+        await asyncio.sleep(0.3)
+        await name_limit(session)
+
+    async def scenario():
+        target = ScriptedTarget(name_limit, repeat)
+        gateway = Gateway(once_only_route())
+        await gateway.start(target)
+        await gateway.request(request_id="req-1")
+        known = has_limit(gateway)
+        request = asyncio.create_task(gateway.request(request_id="req-2"))
+        await asyncio.sleep(0.15)
+        kept = has_limit(gateway)
+        await request
+        gateway.close()
+        return known, kept
+
+    assert run(scenario()) == (True, True)
+
+
+def test_answer_that_names_two_requests_is_not_an_answer():
+    async def answer_for_two(session):
+        session.send(
+            b"HTTP/1.1 503 X\r\nAttempt-Id: req-1\r\nAttempt-Id: req-0\r\nNot-Executed: 1\r\n"
+            + EMPTY
+        )
+        await session.writer.drain()
+        await asyncio.sleep(0.1)
+        await answer(session)
+
+    answers, _ = run(request_each(once_only_route(), [answer_for_two], ["req-1"]))
+    assert status_of(answers[0]) == 200
