Target responses: only the response to a request ends a rate limit; one that names two requests is none

Callers saw: a request that ran was refused if the head of a copy named its id beside another one (the first field counted). Requests above a rate limit reached a target: a copy of a refusal from before the limit, dropped as that of another request, still ended the limit until the real answer. Cause: the id was read from the first field only; what a head says of the limit was noted for every head received. Now all ids named have to be the request's, and the limit is noted for its own response only.

--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -112,7 +112,8 @@
             head = await self.next_part(time_left_ms(limit_ms))
             if not isinstance(head, ResponseHead):
                 raise ExchangeError("response has no head")
-            if head.headers.get(self._names.request_id) == self._request_id:
+            if self._is_response(head):
+                self._note_limit(head)
                 self._declared_bytes = parse_decimal(head.headers.get("content-length"))
                 return head
             if not head.is_self_delimited:
@@ -183,7 +184,7 @@
                 detail, is_idle_timeout=is_idle_limit, is_deadline_exceeded=not is_idle_limit
             ) from error
         if isinstance(part, ResponseHead):
-            self._note_state(part)
+            self._note_leaving(part)
         return part
 
     async def _wait_for_part(self, timeout_ms: float) -> ResponseHead | bytes | BodyEnd:
@@ -206,15 +207,21 @@
                 raise
             return await self._connection.next_part()
 
-    def _note_state(self, head: ResponseHead) -> None:
-        """Note what the head says of the target itself."""
-        instance_id = head.headers.get(self._names.instance_id)
-        if instance_id in (None, self._target.target_id):
-            self._note_limit(head.headers.get(self._names.rate_limit))
+    def _is_response(self, head: ResponseHead) -> bool:
+        """Return whether a response is the one to this request, by the id that it names."""
+        name = self._names.request_id.lower()
+        named_ids = {value for key, value in head.headers if key.lower() == name}
+        return named_ids == ({self._request_id} if self._request_id is not None else set())
+
+    def _note_leaving(self, head: ResponseHead) -> None:
         if (head.headers.get(self._names.leaving) or "").strip() == LEAVING_VALUE:
             self._target.announce_leaving("answer", head.headers.get(self._names.instance_id))
 
-    def _note_limit(self, limit: str | None) -> None:
+    def _note_limit(self, head: ResponseHead) -> None:
+        """Note the rate limit of the target; a response to an earlier request may be outdated."""
+        if head.headers.get(self._names.instance_id) not in (None, self._target.target_id):
+            return
+        limit = head.headers.get(self._names.rate_limit)
         rate_per_s = parse_non_negative(limit)
         if rate_per_s is not None:
             self._target.record_limit(rate_per_s)
