Target check: a copy of a refusal does not pass for a load report

Callers saw: a resumed stream went on at a target that was started again, perhaps with another software version (ORDER). Cause: the report is read on a pooled connection, and the first response there was taken for it; a refusal has no start, and a target without one is trusted.

--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -101,7 +101,9 @@
         connection.send(request.encode())
         deadline_ms = now_ms() + CHECK_TIMEOUT_MS
         reader = ResponseReader(connection, self._names, target, None, deadline_ms)
-        await reader.next_part(None)
+        while (await reader.read_head(None)).headers.get(self._names.not_executed) is not None:
+            # Reports are not refused: this is a copy of the refusal of an earlier request.
+            await reader.read_body(lambda: reader.next_part(None), MAX_REPORT_BYTES)
         return self._decode_start(
             await reader.read_body(lambda: reader.next_part(None), MAX_REPORT_BYTES)
         )
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -125,10 +125,13 @@
         """Send a request and start an exchange.
 
         :param data: the encoded request, head and body.
-        :raises ExchangeError: if the connection is closed; nothing was sent.
+        :raises ExchangeError: if the connection is closed, or has received more than the response
+            to the request before; nothing was sent.
         """
         if self.is_broken or self._transport is None or self._transport.is_closing():
             raise ExchangeError("connection closed while idle", was_sent=False)
+        if self._is_exchange_active and (self._parts or not self._is_complete):
+            raise ExchangeError("received bytes that belong to no request", was_sent=False)
         self._parts.clear()
         self._queued_bytes = 0
         self._head_bytes = 0
