--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -35,6 +35,7 @@
 async def answer(reader, writer):
     await reader.readuntil(b"\r\n\r\n")
     writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+    await hang(reader, writer)
 
 
 async def use_connection(pool, address):
@@ -47,7 +48,10 @@
 
 
 async def hang(reader, writer):
-    await asyncio.sleep(5)
+    try:
+        await asyncio.sleep(5)
+    finally:
+        writer.close()
 
 
 async def close_at_once(reader, writer):
