Connection pool: a request does not use a connection that has carried its id before

Callers saw: a refusal of a request that a target was running (REFUSED), and a second run elsewhere; items counted as not run or as failed while they ran, or were complete and empty (MIXED). Cause: a copy of an answer is recognized by its id, so it passes for the answer to a request with the same id on that connection. The targets that have answered were noted for one request or one owner of an item only: a caller's next attempt with the id of its last (against the protocol), an item whose job comes back to the runner, and items of two jobs with one id used the connection. Now a connection remembers the last 64 ids that it has carried.

test_idle_connections and one test of test_forwarding sent several requests with one id and now give each its own, as callers do; else they would say nothing about the reuse that they are about.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -155,7 +155,7 @@
                     await self._checker.confirm_incarnation(connection, self._target)
                 if self._target.is_leaving:
                     raise NotExecutedError("the target leaves")
-                connection.send(self._encode_request())
+                connection.send(self._encode_request(), self._request_id)
                 self._run.is_sent = True
                 reader = ResponseReader(
                     connection,
@@ -178,7 +178,9 @@
             # A second copy of that answer has the same request id as the one that is expected.
             return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
         must_be_open = not route.is_repeatable
-        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open)
+        return self._pool.use(
+            address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open, self._request_id
+        )
 
     def _encode_request(self) -> bytes:
         names = self._names
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -24,6 +24,7 @@
 # Received parts that wait to be taken; above this the connection is not read further.
 MAX_QUEUED_BYTES = 262_144
 HEAD_QUEUE_BYTES = 1_024  # that a head counts for
+MAX_REMEMBERED_IDS = 64  # of requests that a connection has carried
 
 
 class ExchangeError(ConnectionError):
@@ -80,6 +81,7 @@
         self.idle_since_ms = 0.0
         self._idle_timeout = idle_timeout or IdleTimeout()
         self._is_idle = False
+        self._carried_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
 
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
@@ -121,10 +123,11 @@
             )
         )
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, request_id: str | None = None) -> None:
         """Send a request and start an exchange.
 
         :param data: the encoded request, head and body.
+        :param request_id: id by which its response is known; ``None`` if it has none.
         :raises ExchangeError: if the connection is closed, or has received more than the response
             to the request before; nothing was sent.
         """
@@ -140,8 +143,14 @@
         self._is_complete = False
         self._has_head = False
         self.has_received = False
+        if request_id is not None:
+            self._carried_ids.append(request_id)
         self._transport.write(data)
 
+    def has_carried(self, request_id: str | None) -> bool:
+        """Return whether a request with this id was sent; a copy of its response may follow."""
+        return request_id in self._carried_ids
+
     @property
     def has_parts(self) -> bool:
         """Whether :meth:`next_part` returns, or raises, at once."""
@@ -290,6 +299,7 @@
         connect_timeout_ms: float,
         max_idle_ms: float,
         must_be_open: bool = False,
+        request_id: str | None = None,
     ) -> AsyncIterator[ClientConnection]:
         """Provide a connection for one exchange, as a context manager.
 
@@ -297,7 +307,9 @@
         also if the block raises, and closed otherwise, so that the server cancels the request.
         Parameters and errors are those of :meth:`acquire`.
         """
-        connection = await self.acquire(address, connect_timeout_ms, max_idle_ms, must_be_open)
+        connection = await self.acquire(
+            address, connect_timeout_ms, max_idle_ms, must_be_open, request_id
+        )
         async with self._exchange(address, connection):
             yield connection
 
@@ -323,6 +335,7 @@
         connect_timeout_ms: float,
         max_idle_ms: float,
         must_be_open: bool = False,
+        request_id: str | None = None,
     ) -> ClientConnection:
         """Return an idle connection to the address, or a new one if there is none.
 
@@ -333,14 +346,18 @@
         :param max_idle_ms: maximum time for which a reused connection may have been idle.
         :param must_be_open: whether the request must not be repeated, so that a reused connection
             has to be one that the server certainly keeps open.
+        :param request_id: id of the request; connections that have carried one with this id are
+            not used, because the server may send the response to that one once more.
         :raises ExchangeError: if the server cannot be reached; nothing was sent.
         """
         idle = self._idle_by_address.get(address, [])
         at_ms = now_ms()
         for connection in idle[:1]:  # the one that has been idle for longest
             connection.record_open(at_ms)
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if connection.has_carried(request_id):
+                continue
+            idle.remove(connection)
             if connection.is_usable(at_ms, max_idle_ms, must_be_open):
                 return connection
             connection.abort()
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -123,7 +123,7 @@
                     await self._checker.confirm_incarnation(connection, target)
                 if target.is_leaving:
                     raise NotExecutedError("the target leaves")
-                connection.send(self._encode_request(target))
+                connection.send(self._encode_request(target), self._request_id)
                 content_run.is_sent = True
                 deadline_ms = now_ms() + RUN_TIMEOUT_MS
                 reader = ResponseReader(
@@ -146,7 +146,9 @@
         if target.target_id in self._item.answering_targets:
             # A second copy of that answer has the same request id as the one that is expected.
             return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
-        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS)
+        return self._pool.use(
+            address, CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS, request_id=self._request_id
+        )
 
     def _encode_request(self, target: Target) -> bytes:
         names = self._names
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -211,7 +211,7 @@
         target = ScriptedTarget(send_surplus_response)
         gateway = Gateway(plain_route())
         await gateway.start(target)
-        answers = [await gateway.request() for _ in range(3)]
+        answers = [await gateway.request(request_id=f"req-{number}") for number in range(3)]
         gateway.close()
         return answers, target
 
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -19,9 +19,9 @@
     gateway = Gateway(make_route(is_resumable=False, **route_overrides))
     await gateway.start(target)
     statuses = []
-    for pause_s in (0.0, *pauses_s):
+    for number, pause_s in enumerate((0.0, *pauses_s)):
         await asyncio.sleep(pause_s)
-        statuses.append(status_of(await gateway.request()))
+        statuses.append(status_of(await gateway.request(request_id=f"req-{number}")))
     gateway.close()
     return statuses
 
@@ -63,8 +63,8 @@
         gateway = Gateway(make_route(is_resumable=False))
         await gateway.start(target, other)
         statuses = []
-        for _ in range(3):
-            statuses.append(status_of(await gateway.request()))
+        for number in range(3):
+            statuses.append(status_of(await gateway.request(request_id=f"req-{number}")))
             await asyncio.sleep(0.1)  # the target is avoided for less
         gateway.close()
         return statuses
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -52,14 +52,20 @@
 
 
 def refuse_then_repeat(times, copy, pieces=False):
-    """Refuse a number of requests; afterwards write a copy of a refusal before each answer."""
-    sessions = []
+    """Refuse a number of requests; later write a copy of a refusal before an answer.
+
+    The copy is written only on a connection on which a request was refused.
+    """
+    connections = []
 
     async def script(session):
-        sessions.append(session)
-        if len(sessions) <= times:
+        if len(connections) < times:
+            connections.append(session.writer)
             session.send(refusal(session.header("Attempt-Id")))
             return
+        if session.writer not in connections:
+            await answer(session)
+            return
         for part in [copy[at : at + 1] for at in range(len(copy))] if pieces else [copy]:
             session.send(part)
             await session.writer.drain()
@@ -123,12 +129,16 @@
     """Guards against a result of another job, or a run elsewhere while this target runs the item:
     the job came back to this runner, or two jobs have items with the same id."""
 
+    connections = []
+
     async def answer_first(session):
+        connections.append(session.writer)
         session.send_answer(status, headers)
 
     async def repeat(session):
-        session.send_answer(status, headers)
-        await session.writer.drain()
+        if session.writer in connections:
+            session.send_answer(status, headers)
+            await session.writer.drain()
         await asyncio.sleep(0.1)
         await send_complete_stream(session)
 
