Target responses: a refusal without an id counts on a connection that has carried nothing else

Cause: such a refusal was dropped as that of another request, no other response came, and a request that must not be repeated cannot move. On a connection that has carried no other request, a health check's included, there is none that it could belong to; the protocol makes it a guarantee that the request did not run. The connection is then closed: the next request on it could not tell a copy from its own refusal. Other responses without an id are dropped as before. Remains: the first refusal without an id on a connection that was used with ids before.

--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -208,11 +208,21 @@
             return await self._connection.next_part()
 
     def _is_response(self, head: ResponseHead) -> bool:
-        """Return whether a response is the one to this request, by the id that it names."""
+        """Return whether a response is the one to this request, by the id that it names.
+
+        A refusal without an id counts if the connection has carried nothing else.
+        """
         name = self._names.request_id.lower()
         named_ids = {value for key, value in head.headers if key.lower() == name}
+        if not named_ids and self._connection.is_first_exchange and self._is_refusal(head):
+            # The next request here could not tell a copy of this response from its own refusal.
+            self._connection.prevent_reuse()
+            return True
         return named_ids == ({self._request_id} if self._request_id is not None else set())
 
+    def _is_refusal(self, head: ResponseHead) -> bool:
+        return head.headers.get(self._names.not_executed) is not None
+
     def _note_leaving(self, head: ResponseHead) -> None:
         if (head.headers.get(self._names.leaving) or "").strip() == LEAVING_VALUE:
             self._target.announce_leaving("answer", head.headers.get(self._names.instance_id))
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -82,6 +82,8 @@
         self._idle_timeout = idle_timeout or IdleTimeout()
         self._is_idle = False
         self._carried_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
+        self._exchanges = 0
+        self._may_reuse = True
 
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
@@ -143,6 +145,7 @@
         self._is_complete = False
         self._has_head = False
         self.has_received = False
+        self._exchanges += 1
         if request_id is not None:
             self._carried_ids.append(request_id)
         self._transport.write(data)
@@ -192,12 +195,22 @@
         self._is_exchange_active = False
         self.idle_since_ms = at_ms
         can_reuse = is_fully_read and self._is_self_delimited and self._keeps_alive
+        can_reuse = can_reuse and self._may_reuse
         if self.is_broken or not can_reuse:
             self.abort()
             return False
         self._is_idle = True
         return True
 
+    @property
+    def is_first_exchange(self) -> bool:
+        """Whether the connection has carried no other request than the present one."""
+        return self._exchanges == 1
+
+    def prevent_reuse(self) -> None:
+        """Let the connection be closed at the end of the exchange."""
+        self._may_reuse = False
+
     def abort(self) -> None:
         """Close the connection immediately, so that the server cancels the request."""
         self.is_broken = True
