Event streams: an event with a line that is not a field is not passed on

Cause: lines that are not fields were ignored and relayed with the event. Now a line has to be a field of the format, a comment, or name: value with a name in lower case, as targets add them; otherwise the stream is malformed there, as with a missing id, and goes on elsewhere or is cut.

--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -1,11 +1,15 @@
 """Splits a ``text/event-stream`` body into complete events and checks their order. No I/O."""
 
+from re import compile as compile_pattern
+
 from msgspec import Struct
 
 from ebonyshore.http.numbers import parse_decimal
 
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
+IGNORED_FIELDS = ("", "event", "retry")  # an empty name begins a comment
+_EXTENSION_FIELD = compile_pattern(r"[a-z][a-z0-9-]*")
 
 
 class StreamOrderError(ValueError):
@@ -70,7 +74,8 @@
 def parse_event(raw: bytes) -> Event:
     """Return the event in ``raw``.
 
-    :raises StreamOrderError: if it is not UTF-8, or if its id is missing or not a number.
+    :raises StreamOrderError: if it is not UTF-8, if a line is not a field, or if its id is missing
+        or not a number.
     """
     event_id, data = None, []
     try:
@@ -78,12 +83,14 @@
     except UnicodeDecodeError as error:
         raise StreamOrderError("event is not UTF-8") from error
     for line in text.split("\n"):
-        name, _, value = line.partition(":")
+        name, colon, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
             event_id = value
         elif name == "data":
             data.append(value)
+        elif name not in IGNORED_FIELDS and not (colon and _EXTENSION_FIELD.fullmatch(name)):
+            raise StreamOrderError("event has a line that is not a field")
     number = parse_decimal(event_id)
     if number is None:
         raise StreamOrderError(f"event id is not a number: {event_id!r}")
