Resumed streams: an answer without signature or events does not end a stream or an item

Cause: any 200 event stream counted as the rest, also an empty one, and for items any 200. Now the rest of a stream has to be signed, as the protocol says of each success, and an answer without any event completes an item only if it is a signed event stream. Remains: a signed empty stream is taken for the rest, as that of a target that has nothing to add looks the same; an unsigned stream of events in order is taken for an item's.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -11,7 +11,7 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
-from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError, is_event_stream
 from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
@@ -36,7 +36,6 @@
 MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
 REFUSAL_STATUSES = (408, 421, 429, 503)  # guarantee to a caller that its request did not run
-EVENT_STREAM_TYPE = "text/event-stream"
 
 Part = TypeVar("Part")
 
@@ -215,7 +214,9 @@
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
             await reader.skip_body(REFUSAL_BODY_TIMEOUT_MS)
             raise NotExecutedError(f"status {head.status}")
-        if EVENT_STREAM_TYPE in (head.headers.get("content-type") or "") and head.status == 200:
+        if is_event_stream(head):
+            if self._relay.last_id is not None and head.headers.get(self._names.signature) is None:
+                raise AttemptFailedError("the rest of the stream is not signed")
             await self._relay_stream(reader, head, responder, can_retry)
             return ExchangeEnd.STREAMED
         await self._relay_plain(reader, head, responder, can_retry)
--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -4,8 +4,10 @@
 
 from msgspec import Struct
 
+from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.numbers import parse_decimal
 
+EVENT_STREAM_TYPE = "text/event-stream"
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
 IGNORED_FIELDS = ("", "event", "retry")  # an empty name begins a comment
@@ -71,6 +73,11 @@
         return events
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response is a success with an event stream."""
+    return head.status == 200 and EVENT_STREAM_TYPE in (head.headers.get("content-type") or "")
+
+
 def parse_event(raw: bytes) -> Event:
     """Return the event in ``raw``.
 
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -8,7 +8,7 @@
 
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.content_run import ContentRun
-from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError, is_event_stream
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.pause_limits import PauseLimits
 from ebonyshore.host.response_reader import (
@@ -192,6 +192,8 @@
     ) -> RunResult:
         item = self._item
         splitter = EventSplitter(item.last_event_id)
+        has_events = False
+        may_be_empty = is_event_stream(head) and head.headers.get(self._names.signature) is not None
         limit_ms = now_ms() + self._pauses.limit_ms
         while not isinstance(chunk := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
             events = splitter.feed(chunk)
@@ -199,6 +201,7 @@
                 item.add_event(event.event_id, event.data, content_run.target.entry.group)
                 content_run.record_event(now_ms())
             if events:
+                has_events = True
                 self._pauses.record_event(now_ms())
                 limit_ms = now_ms() + self._pauses.limit_ms
             if item.data_bytes > MAX_ITEM_BYTES:
@@ -206,6 +209,8 @@
                 return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
         if splitter.incomplete_event:
             return RunResult(RunOutcome.BROKEN, "event stream ended in the middle of an event")
+        if not (has_events or may_be_empty):
+            return RunResult(RunOutcome.BROKEN, "response is not a signed event stream")
         if not head.is_self_delimited and not await self._confirm_end(content_run):
             raise ExchangeError("the target ended with its response")
         return RunResult(RunOutcome.COMPLETE)
