--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -1,7 +1,9 @@
 """Splitting a stream into complete events in order."""
 
+from itertools import pairwise
+
 import pytest
-from hypothesis import given
+from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
@@ -44,3 +46,24 @@
 
 def test_several_data_lines_are_joined():
     assert EventSplitter().feed(b"id: 1\ndata: a\ndata: b\n\n")[0].data == "a\nb"
+
+
+def read_until_error(chunks):
+    """Return the data of the events before the first malformed one."""
+    splitter, events = EventSplitter(), []
+    with pytest.raises(StreamOrderError):
+        for chunk in chunks:
+            events += splitter.feed(chunk)
+            splitter.check()
+    return [found.data for found in events]
+
+
+@seed(41)
+@given(st.lists(st.integers(min_value=1, max_value=60), max_size=8), st.integers(0, 5))
+def test_events_before_a_malformed_one_do_not_depend_on_the_division_into_chunks(cuts, before):
+    """Guards against an answer that depends on how its bytes were spread over packets."""
+    stream = b"".join(event(number, f"d{number}") for number in range(1, before + 1))
+    stream += b"oops\n\n" + event(before + 1)
+    offsets = [0, *sorted(cuts), len(stream)]
+    chunks = [stream[start:end] for start, end in pairwise(offsets)]
+    assert read_until_error(chunks) == [f"d{number}" for number in range(1, before + 1)]
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -247,3 +247,25 @@
 
     answers, _ = run(request_each(once_only_route(), [answer_for_two], ["req-1"]))
     assert status_of(answers[0]) == 200
+
+
+@pytest.mark.parametrize("ends", ["close", "reset"])
+def test_connection_that_ends_after_a_copy_of_a_refusal_ends_the_attempt(ends):
+    """Guards against a request that waits for its deadline at a target that has gone."""
+
+    async def repeat_and_end(session):
+        session.send(refusal("req-0"))
+        await session.writer.drain()
+        await asyncio.sleep(0.05)
+        session.reset() if ends == "reset" else session.writer.close()
+
+    async def scenario():
+        gateway = Gateway(once_only_route())
+        await gateway.start(ScriptedTarget(repeat_and_end))
+        began_ms = now_ms()
+        answer = await gateway.request(deadline="1500")
+        gateway.close()
+        return status_of(answer), now_ms() - began_ms
+
+    status, taken_ms = run(scenario())
+    assert status == 502 and taken_ms < 1_000.0
