HTTP client: the end of a connection reaches a reader that has dropped a complete response

Callers saw: 504 at their deadline (requests that may be repeated: a second attempt only after the wait for the first event) where a target wrote a copy of a refusal, or a refusal without an id on a used connection, and then closed or crashed. Cause: the end of a connection was not told if the last response on it was complete, also if the reader waited for another one. Now it is told in every exchange that is not finished.

--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -112,9 +112,10 @@
             self._idle_timeout.record_closed(now_ms() - self.idle_since_ms)
         self.is_broken = True
         self._transport = None
-        if not self._is_exchange_active or self._is_complete:
+        if not self._is_exchange_active:
             return
-        if exc is None and self._has_head and not self._is_self_delimited:
+        has_open_body = self._has_head and not self._is_self_delimited and not self._is_complete
+        if exc is None and has_open_body:
             self._append_part(BodyEnd())
             return
         self._append_part(
