Event streams: events in front of a malformed one are passed on, however they arrive

Callers saw: 502 in place of the events that a target had sent, and a cut, if a malformed event came in the same packet; with other packets they got the events. Cause: the splitter returned no event of a packet with a malformed one. Now it returns those before, and the error is raised by check(), which follows their relay. A stream that goes on elsewhere asks for the events after them.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -244,6 +244,7 @@
                 self._on_first_event()
             self._run.record_event(now_ms(), len(events))
             responder.write(b"".join(event.raw for event in events))
+            splitter.check()
             await self._drain(responder)
             limit_ms = self._pause_limit_ms(can_retry)
         if splitter.incomplete_event:
--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -38,10 +38,11 @@
         may have any id.
     """
 
-    __slots__ = ("_buffer", "last_id")
+    __slots__ = ("_buffer", "_error", "last_id")
 
     def __init__(self, last_id: int | None = None) -> None:
         self._buffer = b""
+        self._error: StreamOrderError | None = None
         self.last_id = last_id
 
     @property
@@ -52,26 +53,44 @@
     def discard_incomplete(self) -> None:
         """Drop the bytes of an incomplete event; call before bytes of another response."""
         self._buffer = b""
+        self._error = None
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that ``data`` completes.
+        """Return the events that ``data`` completes, up to a malformed one.
 
-        :raises StreamOrderError: if an event does not follow its predecessor, is malformed or is
-            too long. Valid events before it in ``data`` are not returned either; they are sent
-            again when the stream is resumed, since ``last_id`` is unchanged.
+        Call :meth:`check` once they are relayed.
+
+        :raises StreamOrderError: as :meth:`check`, if there are no events before the error.
         """
         *complete, self._buffer = (self._buffer + data).split(EVENT_END)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise StreamOrderError(f"event is longer than {MAX_EVENT_BYTES} bytes")
-        events = [parse_event(raw + EVENT_END) for raw in complete]
-        expected = self.last_id
-        for event in events:
-            if expected is not None and event.event_id != expected + 1:
-                raise StreamOrderError(f"received event {event.event_id} after event {expected}")
-            expected = event.event_id
-        self.last_id = expected
+        events: list[Event] = []
+        try:
+            for raw in complete:
+                events.append(self._next_event(raw + EVENT_END))
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                raise StreamOrderError(f"event is longer than {MAX_EVENT_BYTES} bytes")
+        except StreamOrderError as error:
+            self._error = error
+        if not events:
+            self.check()
         return events
 
+    def check(self) -> None:
+        """Check that the bytes after the last event may be the beginning of the next one.
+
+        :raises StreamOrderError: if an event does not follow its predecessor, is malformed or is
+            too long. The stream can be resumed after :attr:`last_id`.
+        """
+        if self._error is not None:
+            raise self._error
+
+    def _next_event(self, raw: bytes) -> Event:
+        event = parse_event(raw)
+        if self.last_id is not None and event.event_id != self.last_id + 1:
+            raise StreamOrderError(f"received event {event.event_id} after event {self.last_id}")
+        self.last_id = event.event_id
+        return event
+
 
 def is_event_stream(head: ResponseHead) -> bool:
     """Return whether a response is a success with an event stream."""
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -207,6 +207,7 @@
             if item.data_bytes > MAX_ITEM_BYTES:
                 item.discard_events()
                 return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
+            splitter.check()
         if splitter.incomplete_event:
             return RunResult(RunOutcome.BROKEN, "event stream ended in the middle of an event")
         if not (has_events or may_be_empty):
