--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -13,7 +13,7 @@
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner.item_run import ItemRun, RunOutcome
 from ebonyshore.runner.job_progress import Item
-from tests.gateway_setup import Gateway, make_route, status_of
+from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
 from tests.test_item_run import RECORD, trust_end
 
@@ -269,3 +269,55 @@
 
     status, taken_ms = run(scenario())
     assert status == 502 and taken_ms < 1_000.0
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+@pytest.mark.parametrize("is_split", [False, True])
+def test_connection_with_a_copy_behind_a_refusal_is_not_used_again(delay_s, is_split):
+    """Guards against a copy that waits on an idle connection, whole or its beginning."""
+
+    async def refuse_twice(session):
+        request_id = session.header("Attempt-Id")
+        copy = refusal(request_id)
+        if delay_s:
+            session.send(refusal(request_id))
+            await session.writer.drain()
+            await asyncio.sleep(delay_s)
+            session.send(copy[:9] if is_split else copy)
+        else:
+            session.send(refusal(request_id) + (copy[:9] if is_split else copy))
+
+    async def scenario():
+        target = ScriptedTarget(*[refuse_twice] * REFUSALS, answer)
+        gateway = Gateway(once_only_route())
+        await gateway.start(target)
+        refused = await gateway.request(request_id="req-1")
+        await asyncio.sleep(0.1)
+        connections = target.connections
+        served = await gateway.request(request_id="req-2")
+        gateway.close()
+        return status_of(refused), status_of(served), target.connections - connections
+
+    assert run(scenario()) == (503, 200, 1)
+
+
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_copy_of_a_refusal_within_a_stream_is_not_relayed(is_resumable):
+    async def interrupt(session):
+        session.start_stream()
+        session.send_events(1, 2)
+        session.send(refusal("req-1"))
+        session.send_events(3, 4)
+        session.end_stream()
+
+    async def scenario():
+        gateway = Gateway(make_route(is_resumable=is_resumable))
+        await gateway.start(ScriptedTarget(interrupt), ScriptedTarget(send_complete_stream))
+        relayed = await gateway.request()
+        gateway.close()
+        return relayed
+
+    relayed = run(scenario())
+    assert b"Not-Executed" not in relayed
+    assert event_ids(relayed) == ([1, 2, 3, 4] if is_resumable else [1, 2])
+    assert is_complete_stream(relayed) is is_resumable
