--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -99,6 +99,15 @@
             writer.close()
 
 
+async def break_off(session):
+    """Send two events and reset the connection."""
+    session.start_stream()
+    session.send_events(1, 2)
+    await session.writer.drain()
+    await asyncio.sleep(0.02)
+    session.reset()
+
+
 async def send_complete_stream(session, first=1, last=4):
     """Send a complete stream of events up to ``last``.
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -14,7 +14,7 @@
 from ebonyshore.runner.item_run import ItemRun, RunOutcome
 from ebonyshore.runner.job_progress import Item
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
-from tests.scripted_target import ScriptedTarget, send_complete_stream
+from tests.scripted_target import ScriptedTarget, break_off, send_complete_stream
 from tests.test_item_run import RECORD, trust_end
 
 REFUSALS = 4  # after which an entry tries no other target
@@ -159,14 +159,6 @@
     assert run(scenario()) == (RunOutcome.COMPLETE, ["d1", "d2", "d3", "d4"])
 
 
-async def break_off(session):
-    session.start_stream()
-    session.send_events(1, 2)
-    await session.writer.drain()
-    await asyncio.sleep(0.02)
-    session.reset()
-
-
 @pytest.mark.parametrize("request_id", ["req-0", None])
 def test_copy_of_a_refusal_is_not_taken_for_a_load_report(request_id):
     """Guards against a stream that goes on at a target that was started again."""
--- a/tests/test_resumed_errors.py
+++ b/tests/test_resumed_errors.py
@@ -7,7 +7,7 @@
 from ebonyshore.runner.item_run import RunOutcome
 from ebonyshore.runner.job_progress import Item
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
-from tests.scripted_target import ScriptedTarget, send_complete_stream
+from tests.scripted_target import ScriptedTarget, break_off, send_complete_stream
 from tests.test_item_run import run_item
 
 TEXT = b"upstream error: please try again later\n\n"
@@ -55,14 +55,6 @@
     return script
 
 
-async def break_off(session):
-    session.start_stream()
-    session.send_events(1, 2)
-    await session.writer.drain()
-    await asyncio.sleep(0.02)
-    session.reset()
-
-
 async def take_up_after_error(*scripts, headers=(), **route):
     gateway = Gateway(make_route(**{"max_attempts": len(scripts), **route}))
     await gateway.start(*(ScriptedTarget(script) for script in scripts))
