Tests: the scheduler's fake pool takes the id of the request

The pool's use() has had this parameter since a request does not use a connection that has carried its id; six tests of test_item_scheduler.py failed with a TypeError inside the run since then.

--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -51,7 +51,7 @@
 class EndlessPool:
     """A connection pool whose connections are never established."""
 
-    def use(self, *_arguments):
+    def use(self, *_arguments, **_options):
         return self
 
     async def __aenter__(self):
