--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -159,31 +159,49 @@
     assert run(scenario()) == (RunOutcome.COMPLETE, ["d1", "d2", "d3", "d4"])
 
 
+class RepeatingReporter(ScriptedTarget):
+    """Writes bytes before its load reports, and others before an answer behind the first one."""
+
+    def __init__(self, script, before=b"", before_answer=b""):
+        super().__init__(refuse_with("req-0"), self._answer)
+        self._script = script
+        self._before, self._before_answer = before, before_answer
+        self._reporting = None
+
+    def before_report(self, session):
+        session.send(self._before)
+        self._reporting = self._reporting or session.writer
+
+    async def _answer(self, session):
+        if session.writer is self._reporting:
+            session.send(self._before_answer)
+        await self._script(session)
+
+
+async def continue_at(reporter):
+    """Let a stream go on at a target to which there is a connection; return the answer."""
+    gateway = Gateway(make_route())
+    other_version = ScriptedTarget(send_complete_stream)
+    first = ScriptedTarget(break_off, send_complete_stream)
+    await gateway.start(first, reporter, versions=("v1", "v1"))
+    address = await other_version.start()
+    gateway.table.put(TargetEntry("t3", "svc", address, "fd-a", 8, 1, "v2"))
+    async with gateway.pool.use(gateway.table.find("t2").entry.address, 300.0, 1e4) as used:
+        used.send(b"POST /p/x HTTP/1.1\r\nAttempt-Id: req-0\r\nContent-Length: 0\r\n\r\n")
+        await used.next_part()
+        await used.next_part()
+    relayed = await gateway.request()
+    gateway.close()
+    return relayed
+
+
 @pytest.mark.parametrize("request_id", ["req-0", None])
 def test_copy_of_a_refusal_is_not_taken_for_a_load_report(request_id):
     """Guards against a stream that goes on at a target that was started again."""
-
-    class RepeatingTarget(ScriptedTarget):
-        def before_report(self, session):
-            session.send(refusal(request_id))
-
-    async def scenario():
-        first = ScriptedTarget(break_off)
-        second = RepeatingTarget(refuse_with("req-0"), send_complete_stream)
-        second.report = b'{"born":2}'
-        gateway = Gateway(make_route())
-        await gateway.start(first, second, versions=("v1", "v1"))
-        origin = ScriptedTarget(send_complete_stream)
-        gateway.table.put(TargetEntry("t3", "svc", await origin.start(), "fd-a", 8, 1, "v2"))
-        async with gateway.pool.use(gateway.table.find("t2").entry.address, 300.0, 1e4) as used:
-            used.send(b"POST /p/x HTTP/1.1\r\nAttempt-Id: req-0\r\nContent-Length: 0\r\n\r\n")
-            await used.next_part()
-            await used.next_part()
-        await gateway.request()
-        gateway.close()
-        return len(second.sessions)
-
-    assert run(scenario()) == 1
+    reporter = RepeatingReporter(send_complete_stream, before=refusal(request_id))
+    reporter.report = b'{"born":2}'
+    run(continue_at(reporter))
+    assert len(reporter.sessions) == 1
 
 
 def test_refusal_without_an_id_on_a_new_connection_is_sent_to_another_target():
@@ -313,3 +331,51 @@
     assert b"Not-Executed" not in relayed
     assert event_ids(relayed) == ([1, 2, 3, 4] if is_resumable else [1, 2])
     assert is_complete_stream(relayed) is is_resumable
+
+
+def test_rest_of_a_copy_behind_a_load_report_does_not_break_the_answer():
+    """Guards against a stream that is cut because a copy began before the request was sent."""
+    copy = refusal("req-0", body=BODIES[1])
+
+    class Reporter(RepeatingReporter):
+        def before_report(self, session):
+            is_first = self._reporting is None
+            super().before_report(session)
+            if is_first:  # in one packet with the report
+                body = self.report
+                session.send(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                session.send_answer = lambda **_: session.send(copy[:-2])
+
+    reporter = Reporter(send_complete_stream, before_answer=copy[-2:])
+    reporter.report = b'{"born":1}'
+    relayed = run(continue_at(reporter))
+    assert event_ids(relayed) == [1, 2, 3, 4] and is_complete_stream(relayed)
+
+
+def test_copy_on_another_kept_connection_is_not_the_answer_to_the_next_try():
+    """Guards against a second run, if a target writes the copy on any connection that it keeps."""
+    kept, refused = set(), set()
+
+    async def script(session):
+        request_id = session.header("Attempt-Id")
+        if request_id == "req-1" and request_id not in refused:
+            refused.add(request_id)
+            session.send(refusal(request_id))
+            return
+        if request_id in refused and session.writer in kept:
+            session.send(refusal(request_id))
+            await session.writer.drain()
+        kept.add(session.writer)
+        await asyncio.sleep(0.1)
+        await answer(session)
+
+    async def scenario():
+        target = ScriptedTarget(script)
+        gateway = Gateway(once_only_route())
+        await gateway.start(target)
+        await asyncio.gather(*(gateway.request(request_id=f"req-a{n}") for n in range(2)))
+        served = await gateway.request(request_id="req-1")
+        gateway.close()
+        return status_of(served), len(target.sessions)
+
+    assert run(scenario()) == (200, 4)
