Soak: targets that write refusals once more, and targets that fail resumed streams

After the faults, all targets refuse every second request and write each refusal once more before the next answer on its connection; refused requests that ran and second runs are found with all runs. Then streams are taken up while targets answer that with 500, and again afterwards.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -18,7 +18,12 @@
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
 from ebonyshore_soak.slow_readers import SlowReaders
-from ebonyshore_soak.target_checks import check_crashing_part, check_limited_targets
+from ebonyshore_soak.target_checks import (
+    check_crashing_part,
+    check_errors_to_resumed_streams,
+    check_limited_targets,
+    check_repeated_refusals,
+)
 from ebonyshore_soak.variant import COLD_FACTOR, COLD_MS, SoakVariant, draw_variant
 from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
@@ -156,6 +161,8 @@
     _check_crashing_content(fleet, clients, checker, clock)
     check_crashing_part(fleet, clients, checker, clock)
     check_limited_targets(fleet, clients, checker, clock)
+    check_repeated_refusals(fleet, clients, checker)
+    check_errors_to_resumed_streams(fleet, clients, checker)
 
 
 def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
--- a/ebonyshore_soak/target_checks.py
+++ b/ebonyshore_soak/target_checks.py
@@ -1,10 +1,13 @@
-"""Checks after the faults: parts of prompts that crash targets, and targets that name a limit."""
+"""Checks after the faults: parts of prompts that crash targets, targets that name a limit, targets
+that write refusals once more, and targets that answer errors to resumed streams."""
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import SoakClients
+from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.platform_fleet import PlatformFleet
 from ebonyshore_standins.stream_target import StreamTarget
 
@@ -24,6 +27,10 @@
 LIMITED_DAY_MS = 8_000.0
 LIMITED_INTERVAL_MS = 50.0
 CALLERS = 24
+REPEATED_REFUSAL_REQUESTS = 60
+FAILED_STREAMS = 6
+STREAM_EVENTS = 12
+EVENTS_BEFORE_BREAK = 4
 
 
 def check_crashing_part(
@@ -76,6 +83,53 @@
         target.limit_per_s = None
 
 
+def check_repeated_refusals(
+    fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker
+) -> None:
+    """Send requests to targets that write refusals once more.
+
+    Whether a refused one has run, or one has run twice, is checked with all runs.
+    """
+    for target in fleet.targets:
+        target.repeats_refusals = True
+    with ThreadPoolExecutor(CALLERS) as callers:
+        answered = callers.map(
+            clients.send_single_attempt_request, range(REPEATED_REFUSAL_REQUESTS)
+        )
+        checker.counts["answered_among_copies"] = sum(answered)
+    for target in fleet.targets:
+        target.repeats_refusals = False
+    copies = sum(target.repeated_refusals for target in fleet.targets)
+    checker.counts["repeated_refusals"] = copies
+
+
+def check_errors_to_resumed_streams(
+    fleet: PlatformFleet, clients: SoakClients, checker: GuaranteeChecker
+) -> None:
+    """Check that a stream is not continued by an error, and goes on once targets continue it."""
+    for number in range(FAILED_STREAMS):
+        stream = CallerStream(f"stream-failed-{number}", STREAM_EVENTS)
+        first, second = fleet.entries[number % 2], fleet.entries[(number + 1) % 2]
+        clients.call_or_none(partial(stream.read, first, EVENTS_BEFORE_BREAK))
+        if not stream.data:
+            continue
+        received = len(stream.data)
+        _set_fails_resumed(fleet, True)
+        clients.call_or_none(partial(stream.read, second))
+        _set_fails_resumed(fleet, False)
+        if len(stream.data) != received:
+            checker.report_violation(f"{stream.name}: an error continued the stream")
+        clients.call_or_none(partial(stream.read, second))
+        checker.count("continued_after_error" if stream.is_complete else "not_continued")
+        if stream.is_complete:
+            checker.check_stream(stream.stream_id, STREAM_EVENTS, "\n".join(stream.data))
+
+
+def _set_fails_resumed(fleet: PlatformFleet, fails: bool) -> None:
+    for target in fleet.targets:
+        target.fails_resumed = fails
+
+
 def _most_in_a_window(target: StreamTarget, since_ms: float) -> int:
     arrivals = [at_ms for at_ms in target.arrivals_ms if at_ms >= since_ms]
     counts = [
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -96,6 +96,10 @@
     :ivar max_active: highest number of requests that ran at the same time so far.
     :ivar failing_ids: ids of requests to answer with status 500; they count as runs.
     :ivar rejected_ids: ids of requests to answer with status 422, without a run.
+    :ivar repeats_refusals: whether the target refuses every second request, and writes each refusal
+        once more on its connection before the next answer there.
+    :ivar fails_resumed: whether the target answers requests that continue a stream with status 500.
+    :ivar repeated_refusals: number of refusals that were written once more.
     """
 
     def __init__(
@@ -113,6 +117,10 @@
         self.max_active = 0
         self.failing_ids: set[str] = set()
         self.rejected_ids: set[str] = set()
+        self.repeats_refusals = False
+        self.fails_resumed = False
+        self.repeated_refusals = 0
+        self._last_refusals: dict[asyncio.StreamWriter, str] = {}  # ids by connection
         self._port = port
         self._active_requests = 0
         self._queued_requests = 0
@@ -198,6 +206,7 @@
             self._writers.discard(writer)
             self._received_ms.pop(writer, None)
             self._received_fields.pop(writer, None)
+            self._last_refusals.pop(writer, None)
 
     async def _before_output(self) -> None:
         """Wait until the target may send; a subclass can make it unresponsive."""
@@ -214,10 +223,14 @@
     ) -> None:
         request_id = headers.get("attempt-id", "")
         expected_instance = headers.get("expect-instance", self.target_id)
+        self._repeat_refusal(writer)
         if expected_instance != self.target_id:
             self._send_empty_response(writer, 421, request_id, [f"Instance-Id: {self.target_id}"])
-        elif self._queued_requests >= MAX_QUEUED_REQUESTS:
-            self._send_empty_response(writer, 503, request_id, ["Not-Executed: 1"])
+        elif self._queued_requests >= MAX_QUEUED_REQUESTS or self._refuses_next():
+            self._send_refusal(writer, request_id)
+            self._last_refusals[writer] = request_id
+        elif self.fails_resumed and "last-event-id" in headers:
+            self._send_empty_response(writer, 500, request_id, [])
         elif request_id in self.rejected_ids:
             self._send_empty_response(writer, 422, request_id, [])
         elif request_id in self.failing_ids:
@@ -300,6 +313,19 @@
         head = "\r\n".join([f"HTTP/1.1 {status} X", *headers, ""])
         writer.write(f"{head}{self._state_lines()}\r\n".encode())
 
+    def _send_refusal(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        self._send_empty_response(writer, 503, request_id, ["Not-Executed: 1"])
+
+    def _refuses_next(self) -> bool:
+        return self.repeats_refusals and len(self.arrivals_ms) % 2 == 1
+
+    def _repeat_refusal(self, writer: asyncio.StreamWriter) -> None:
+        """Write the last refusal on a connection once more."""
+        request_id = self._last_refusals.pop(writer, None)
+        if self.repeats_refusals and request_id is not None:
+            self._send_refusal(writer, request_id)
+            self.repeated_refusals += 1
+
     def _state_lines(self) -> str:
         """Return the header lines with what the target says of itself in all answers."""
         lines = f"{WIRE_NAMES.leaving}: 1\r\n" if self.says_it_leaves else ""
