--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -74,7 +74,7 @@
     def close(self):
         self._server.close()
 
-    def before_report(self, session):
+    async def before_report(self, session):
         """Write what comes before a load report; nothing by default."""
 
     async def _serve(self, reader, writer):
@@ -86,7 +86,7 @@
                 length = int(session.header("content-length") or 0)
                 session.body = await reader.readexactly(length)
                 if head.startswith(f"GET {WIRE_NAMES.report_path} "):
-                    self.before_report(session)
+                    await self.before_report(session)
                     session.send_answer(body=self.report)
                     continue
                 self.sessions.append(session)
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -168,9 +168,12 @@
         self._before, self._before_answer = before, before_answer
         self._reporting = None
 
-    def before_report(self, session):
-        session.send(self._before)
+    async def before_report(self, session):
         self._reporting = self._reporting or session.writer
+        if self._before:
+            session.send(self._before)
+            await session.writer.drain()
+            await asyncio.sleep(0.05)
 
     async def _answer(self, session):
         if session.writer is self._reporting:
@@ -195,10 +198,14 @@
     return relayed
 
 
-@pytest.mark.parametrize("request_id", ["req-0", None])
-def test_copy_of_a_refusal_is_not_taken_for_a_load_report(request_id):
+@pytest.mark.parametrize(
+    "copy",
+    [refusal("req-0"), refusal(None), refusal("req-0", 500, "X-Other")],
+    ids=["refusal", "refusal_without_id", "failure"],
+)
+def test_copy_of_a_refusal_is_not_taken_for_a_load_report(copy):
     """Guards against a stream that goes on at a target that was started again."""
-    reporter = RepeatingReporter(send_complete_stream, before=refusal(request_id))
+    reporter = RepeatingReporter(send_complete_stream, before=copy)
     reporter.report = b'{"born":2}'
     run(continue_at(reporter))
     assert len(reporter.sessions) == 1
@@ -338,9 +345,9 @@
     copy = refusal("req-0", body=BODIES[1])
 
     class Reporter(RepeatingReporter):
-        def before_report(self, session):
+        async def before_report(self, session):
             is_first = self._reporting is None
-            super().before_report(session)
+            await super().before_report(session)
             if is_first:  # in one packet with the report
                 body = self.report
                 session.send(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
--- a/tests/test_resumed_errors.py
+++ b/tests/test_resumed_errors.py
@@ -85,6 +85,8 @@
     "refusal": error(503, headers=SIGNED + b"Not-Executed: 1\r\n"),
     "stream-of-text": error(200, headers=SIGNED + STREAM),
     "stream-of-text-to-end": error(200, "none", headers=SIGNED + STREAM),
+    "stream-within-event": error(200, "chunked", TEXT.strip(), SIGNED + STREAM),
+    "stream-within-event-to-end": error(200, "none", TEXT.strip(), SIGNED + STREAM),
     "events-start-over": error(200, "chunked", EVENTS, SIGNED + STREAM),
     "events-without-ids": error(200, "chunked", b"data: d3\n\n", SIGNED + STREAM),
     "error-event": error(200, "chunked", b"event: error\ndata: x\n\n", SIGNED + STREAM),
