--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -11,7 +11,7 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
-from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError, is_event_stream
 from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
 from ebonyshore.host.response_reader import (
     AttemptFailedError,
@@ -36,7 +36,6 @@
 MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
 REFUSAL_STATUSES = (408, 421, 429, 503)  # guarantee to a caller that its request did not run
-EVENT_STREAM_TYPE = "text/event-stream"
 
 Part = TypeVar("Part")
 
@@ -155,7 +154,7 @@
                     await self._checker.confirm_incarnation(connection, self._target)
                 if self._target.is_leaving:
                     raise NotExecutedError("the target leaves")
-                connection.send(self._encode_request())
+                connection.send(self._encode_request(), self._request_id)
                 self._run.is_sent = True
                 reader = ResponseReader(
                     connection,
@@ -178,7 +177,9 @@
             # A second copy of that answer has the same request id as the one that is expected.
             return self._pool.use_new(address, CONNECT_TIMEOUT_MS)
         must_be_open = not route.is_repeatable
-        return self._pool.use(address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open)
+        return self._pool.use(
+            address, CONNECT_TIMEOUT_MS, MAX_IDLE_MS, must_be_open, self._request_id
+        )
 
     def _encode_request(self) -> bytes:
         names = self._names
@@ -213,7 +214,9 @@
         if head.headers.get(self._names.not_executed) is not None or head.status == 421:
             await reader.skip_body(REFUSAL_BODY_TIMEOUT_MS)
             raise NotExecutedError(f"status {head.status}")
-        if EVENT_STREAM_TYPE in (head.headers.get("content-type") or "") and head.status == 200:
+        if is_event_stream(head):
+            if self._relay.last_id is not None and head.headers.get(self._names.signature) is None:
+                raise AttemptFailedError("the rest of the stream is not signed")
             await self._relay_stream(reader, head, responder, can_retry)
             return ExchangeEnd.STREAMED
         await self._relay_plain(reader, head, responder, can_retry)
@@ -241,6 +244,7 @@
                 self._on_first_event()
             self._run.record_event(now_ms(), len(events))
             responder.write(b"".join(event.raw for event in events))
+            splitter.check()
             await self._drain(responder)
             limit_ms = self._pause_limit_ms(can_retry)
         if splitter.incomplete_event:
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -24,6 +24,7 @@
 # Received parts that wait to be taken; above this the connection is not read further.
 MAX_QUEUED_BYTES = 262_144
 HEAD_QUEUE_BYTES = 1_024  # that a head counts for
+MAX_REMEMBERED_IDS = 64  # of requests that a connection has carried
 
 
 class ExchangeError(ConnectionError):
@@ -80,6 +81,9 @@
         self.idle_since_ms = 0.0
         self._idle_timeout = idle_timeout or IdleTimeout()
         self._is_idle = False
+        self._carried_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
+        self._exchanges = 0
+        self._may_reuse = True
 
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
@@ -108,9 +112,10 @@
             self._idle_timeout.record_closed(now_ms() - self.idle_since_ms)
         self.is_broken = True
         self._transport = None
-        if not self._is_exchange_active or self._is_complete:
+        if not self._is_exchange_active:
             return
-        if exc is None and self._has_head and not self._is_self_delimited:
+        has_open_body = self._has_head and not self._is_self_delimited and not self._is_complete
+        if exc is None and has_open_body:
             self._append_part(BodyEnd())
             return
         self._append_part(
@@ -121,14 +126,18 @@
             )
         )
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, request_id: str | None = None) -> None:
         """Send a request and start an exchange.
 
         :param data: the encoded request, head and body.
-        :raises ExchangeError: if the connection is closed; nothing was sent.
+        :param request_id: id by which its response is known; ``None`` if it has none.
+        :raises ExchangeError: if the connection is closed, or has received more than the response
+            to the request before; nothing was sent.
         """
         if self.is_broken or self._transport is None or self._transport.is_closing():
             raise ExchangeError("connection closed while idle", was_sent=False)
+        if self._is_exchange_active and (self._parts or not self._is_complete):
+            raise ExchangeError("received bytes that belong to no request", was_sent=False)
         self._parts.clear()
         self._queued_bytes = 0
         self._head_bytes = 0
@@ -137,8 +146,15 @@
         self._is_complete = False
         self._has_head = False
         self.has_received = False
+        self._exchanges += 1
+        if request_id is not None:
+            self._carried_ids.append(request_id)
         self._transport.write(data)
 
+    def has_carried(self, request_id: str | None) -> bool:
+        """Return whether a request with this id was sent; a copy of its response may follow."""
+        return request_id in self._carried_ids
+
     @property
     def has_parts(self) -> bool:
         """Whether :meth:`next_part` returns, or raises, at once."""
@@ -180,12 +196,22 @@
         self._is_exchange_active = False
         self.idle_since_ms = at_ms
         can_reuse = is_fully_read and self._is_self_delimited and self._keeps_alive
+        can_reuse = can_reuse and self._may_reuse
         if self.is_broken or not can_reuse:
             self.abort()
             return False
         self._is_idle = True
         return True
 
+    @property
+    def is_first_exchange(self) -> bool:
+        """Whether the connection has carried no other request than the present one."""
+        return self._exchanges == 1
+
+    def prevent_reuse(self) -> None:
+        """Let the connection be closed at the end of the exchange."""
+        self._may_reuse = False
+
     def abort(self) -> None:
         """Close the connection immediately, so that the server cancels the request."""
         self.is_broken = True
@@ -287,6 +313,7 @@
         connect_timeout_ms: float,
         max_idle_ms: float,
         must_be_open: bool = False,
+        request_id: str | None = None,
     ) -> AsyncIterator[ClientConnection]:
         """Provide a connection for one exchange, as a context manager.
 
@@ -294,7 +321,9 @@
         also if the block raises, and closed otherwise, so that the server cancels the request.
         Parameters and errors are those of :meth:`acquire`.
         """
-        connection = await self.acquire(address, connect_timeout_ms, max_idle_ms, must_be_open)
+        connection = await self.acquire(
+            address, connect_timeout_ms, max_idle_ms, must_be_open, request_id
+        )
         async with self._exchange(address, connection):
             yield connection
 
@@ -320,6 +349,7 @@
         connect_timeout_ms: float,
         max_idle_ms: float,
         must_be_open: bool = False,
+        request_id: str | None = None,
     ) -> ClientConnection:
         """Return an idle connection to the address, or a new one if there is none.
 
@@ -330,14 +360,18 @@
         :param max_idle_ms: maximum time for which a reused connection may have been idle.
         :param must_be_open: whether the request must not be repeated, so that a reused connection
             has to be one that the server certainly keeps open.
+        :param request_id: id of the request; connections that have carried one with this id are
+            not used, because the server may send the response to that one once more.
         :raises ExchangeError: if the server cannot be reached; nothing was sent.
         """
         idle = self._idle_by_address.get(address, [])
         at_ms = now_ms()
         for connection in idle[:1]:  # the one that has been idle for longest
             connection.record_open(at_ms)
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if connection.has_carried(request_id):
+                continue
+            idle.remove(connection)
             if connection.is_usable(at_ms, max_idle_ms, must_be_open):
                 return connection
             connection.abort()
