Tests: sizes counted in characters; the stand-in store refuses large objects

The stand-in store refuses objects over 1,048,576 bytes, encoded, with status 413, as the platform does.

--- a/ebonyshore_standins/object_store_server.py
+++ b/ebonyshore_standins/object_store_server.py
@@ -10,11 +10,15 @@
 
 OBJECTS_PATH = "/ebonyshore/objects/"
 MAX_PAGE_ITEMS = 500
+VALUE_BYTES = 1_048_576
 
 
 class ObjectStoreState:
     """Objects by kind and name, and the history of their changes; thread-safe.
 
+    :param value_bytes: largest size of an object, encoded as JSON in UTF-8.
+    :ivar value_bytes: the same; tests may change it.
+    :ivar too_large: number of writes that were refused because of their size.
     :ivar changed: condition that protects the other attributes; notified after each change.
     :ivar revision: revision of the last change, of any kind.
     :ivar oldest_revision: lowest revision from which a watch may start.
@@ -22,7 +26,9 @@
     :ivar events: revision, kind and watch event of each change in the history.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, value_bytes: int = VALUE_BYTES) -> None:
+        self.value_bytes = value_bytes
+        self.too_large = 0
         self.changed = Condition()
         self.revision = 1
         self.oldest_revision = 1
@@ -72,8 +78,8 @@
 
         :param field: ``Spec`` or ``Status``.
         :param expected_revision: revision that the object must have; ``None`` for any.
-        :return: HTTP status and the object after the call: 200, 404 if there is none, or 409 if it
-            has another revision.
+        :return: HTTP status and the object after the call: 200, 404 if there is none, 409 if it
+            has another revision, or 413 if it would be too large.
         """
         with self.changed:
             status, current = self._find(kind, name, expected_revision)
@@ -82,19 +88,20 @@
             if current[field] == value:
                 return 200, current
             updated = {**current, field: value, "Metadata": dict(current["Metadata"])}
-            return 200, self._put(kind, name, updated)
+            return self._put(kind, name, updated)
 
     def create(self, kind: str, name: str, spec: object) -> tuple[int, dict]:
         """Create an object.
 
-        :return: HTTP status and the object after the call: 200, or 409 if it exists already.
+        :return: HTTP status and the object after the call: 200, 409 if it exists already, or 413
+            if it would be too large.
         """
         with self.changed:
             current = self.objects.get((kind, name))
             if current is not None:
                 return 409, current
             metadata = {"Name": name, "Finalizers": [], "Deleting": False, "Created": self.revision}
-            return 200, self._put(kind, name, {"Metadata": metadata, "Spec": spec, "Status": None})
+            return self._put(kind, name, {"Metadata": metadata, "Spec": spec, "Status": None})
 
     def delete(self, kind: str, name: str, expected_revision: int | None) -> tuple[int, dict]:
         """Delete an object.
@@ -134,11 +141,14 @@
         if status == 409:
             self.write(kind, name, "Spec", spec, None)
 
-    def _put(self, kind: str, name: str, updated: dict) -> dict:
+    def _put(self, kind: str, name: str, updated: dict) -> tuple[int, dict]:
         updated["Metadata"]["Revision"] = self.revision + 1
+        if _encoded_size(updated) > self.value_bytes:
+            self.too_large += 1
+            return 413, {}
         self.objects[kind, name] = updated
         self._record_event(kind, updated, is_deleted=False)
-        return updated
+        return 200, updated
 
     def _record_event(self, kind: str, updated: dict, is_deleted: bool) -> None:
         self.revision += 1
@@ -146,6 +156,10 @@
         self.changed.notify_all()
 
 
+def _encoded_size(document: dict) -> int:
+    return len(json.dumps(document, ensure_ascii=False, separators=(",", ":")).encode())
+
+
 class _Server(ThreadingHTTPServer):
     """Does not report connections that a client closed or reset as errors."""
 
--- /dev/null
+++ b/tests/test_encoded_sizes.py
@@ -0,0 +1,161 @@
+"""Sizes are counted as the store, callers and other processes count them: in encoded bytes."""
+
+import asyncio
+import json
+
+import pytest
+
+from ebonyshore.frame.clock import ManualClock
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.target import TargetGroup
+from ebonyshore.link.datagrams import StreamStarts
+from ebonyshore.link.load_socket import LoadSocket
+from ebonyshore.platform.job_bodies import encode_results
+from ebonyshore.runner import result_writer
+from ebonyshore.runner.job_storage import JobStorage
+from ebonyshore.runner.result_writer import ResultWriter
+from ebonyshore.runner.saved_items import make_saved_items
+from ebonyshore.store.marked_write import MarkedStore
+from tests.registry_setup import RegistrySetup
+
+PAGE_BYTES = 1_000_000
+GUJARATI = "સ"  # three bytes
+RESULTS_PATH = "/ebonyshore/objects/jobresults"
+TEXTS = {
+    "three_bytes": GUJARATI * 100_000,
+    "escapes": "\x01" * 120_000,
+    "quotes": '"\\' * 150_000,
+    "larger_than_an_object": GUJARATI * 1_000_000,
+}
+
+
+class RecordingLog(EventLog):
+    """Keeps the names of events."""
+
+    def __init__(self):
+        super().__init__()
+        self.names = []
+
+    def event(self, name, **_fields):
+        self.names.append(name)
+
+
+@pytest.fixture(autouse=True)
+def short_delay(monkeypatch):
+    monkeypatch.setattr(result_writer, "RETRY_DELAY_MS", 5.0)
+
+
+def make_setup(object_store, items=6):
+    records = tuple(ItemRecord(f"i{n}", "/p/x", (), b"b") for n in range(items))
+    storage = JobStorage(MarkedStore(object_store, ManualClock(0.0)))
+    return RegistrySetup("a", 1e9, epoch=1, storage=storage, own_id="a", items=records)
+
+
+def write_results(setup, texts, timeout_s=4.0):
+    """End items with the given texts; return the events of the log while they are written."""
+    (progress,) = setup.registry.owned_jobs()
+    log = RecordingLog()
+
+    async def write():
+        for item, text in zip(progress.items, texts, strict=False):
+            item.data = [text]
+            progress.end_item(item, True, 0.0)
+        writer = ResultWriter(setup.registry, ManualClock(1e12), log, Metrics())
+        async with asyncio.timeout(timeout_s):
+            while progress.pending_count:
+                writer.start_due_writes(is_urgent=True)
+                await asyncio.sleep(0.001)
+
+    asyncio.run(write())
+    return log.names
+
+
+def read_all(progress):
+    """Return the results page by page, as callers read them, with the sizes of the pages."""
+    results, sizes, position = [], [], 0
+    while (page := progress.result_page(position)).results:
+        body = encode_results(page)
+        sizes.append(len(body))
+        results += json.loads(body)["Results"]
+        position = page.next_position
+    return results, sizes
+
+
+@pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS)
+def test_results_of_any_text_are_listed_whole(object_store, text):
+    """Guards against finished items that are never listed, as the store refuses their results."""
+    setup = make_setup(object_store)
+    write_results(setup, [text] * 6)
+    reader = make_setup(object_store).read()  # as the next owner reads the store
+    results, sizes = read_all(reader)
+    assert [(found["State"], found["Data"]) for found in results] == [("complete", text)] * 6
+    assert all(size <= PAGE_BYTES for size in sizes) or len(sizes) == 6
+
+
+def test_store_that_takes_smaller_values_than_expected_gets_smaller_ones(
+    object_platform, object_store
+):
+    setup = make_setup(object_store)
+    object_platform.state.value_bytes = 40_000
+    write_results(setup, ["x" * 90_000] * 3)
+    assert len(make_setup(object_store).read().result_page(0).results) == 3
+
+
+def test_result_that_the_store_refuses_for_good_does_not_block_others(
+    object_platform, object_store
+):
+    """Guards against items that wait behind a result which no write can store."""
+    serve = object_platform.serve
+
+    def refuse_bad_text(method, target, body):
+        return (400, {}) if b"bad" in body else serve(method, target, body)
+
+    object_platform.serve = refuse_bad_text
+    setup = make_setup(object_store)
+    log = write_results(setup, ["good", "bad", "good"])
+    results, _ = read_all(make_setup(object_store).read())
+    states = {found["Id"]: found["State"] for found in results}
+    assert states == {"i0": "complete", "i1": "dead_lettered", "i2": "complete"}
+    assert log.count("result_refused") == 1
+
+
+def test_bodies_that_exceed_an_object_are_stored(object_store):
+    """Guards against a job that is refused for ever as if the store were down."""
+    bodies = (b"a" * 1_700_000, b"", b"c" * 590_000)
+    items = tuple(ItemRecord(f"i{n}", "/p/x", (), body) for n, body in enumerate(bodies))
+    storage = JobStorage(MarkedStore(object_store, ManualClock(0.0)))
+    setup = RegistrySetup("a", 1e9, epoch=1, storage=storage, own_id="a", items=items)
+    progress = setup.read()
+    assert tuple(progress.item_body(n) for n in range(3)) == bodies
+
+
+def test_unfinished_items_that_fit_are_saved_beside_one_that_does_not():
+    setup = RegistrySetup(epoch=1)
+    (progress,) = setup.registry.owned_jobs()
+    group = TargetGroup("svc", "v1")
+    for item, text in zip(progress.items, ("\x01" * 400_000, "short"), strict=True):
+        item.add_event(1, text, group)
+    progress.items[0].ended_runs_ms = 9_000.0
+    assert [item.index for item in make_saved_items(progress, 0.0).items] == [1]
+
+
+def test_long_ids_of_streams_arrive():
+    """Guards against streams whose origin is not known, as their datagram was too large."""
+    starts = tuple((f"{n}" + "x" * 4_000, TargetGroup("svc", "v1")) for n in range(25))
+
+    async def send():
+        received = []
+        receiver = LoadSocket(Metrics(), received.append)
+        sender = LoadSocket(Metrics(), received.append)
+        await receiver.open("127.0.0.1", 0)
+        await sender.open("127.0.0.1", 0)
+        sender.send(StreamStarts("e1", starts), [receiver._transport.get_extra_info("sockname")])
+        await asyncio.sleep(0.1)
+        receiver.close()
+        sender.close()
+        return received
+
+    received = asyncio.run(send())
+    assert {stream for message in received for stream in message.streams} == set(starts)
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -189,3 +189,30 @@
 
     outcomes = asyncio.run(asyncio.wait_for(scenario(), 20))
     assert outcomes == [RunOutcome.SILENT, RunOutcome.COMPLETE]
+
+
+def test_submitted_headers_do_not_replace_those_of_the_run():
+    """Guards against an item that never completes, or only in part, for a header of its own."""
+    headers = (("Last-Event-Id", "x"), ("Deadline-Ms", "0"), ("Expect-Instance", "other"))
+    record = ItemRecord("req-1", "/p/x", headers, b"body")
+
+    async def send_all(session):
+        session.start_stream()
+        session.send_events(1, 4)
+        session.end_stream()
+
+    results, sessions = run_item(Item(0, "req-1"), send_all, record=record)
+    assert results[0].outcome is RunOutcome.COMPLETE
+    head = sessions[0].head.lower()
+    assert sessions[0].header("Last-Event-Id") is None
+    assert head.count("deadline-ms:") == head.count("expect-instance:") == 1
+    assert sessions[0].header("Expect-Instance") == "t1"
+
+
+@pytest.mark.parametrize("item_id", ["né", "第一", "a b"], ids=["latin_1", "beyond", "space"])
+def test_id_of_an_item_is_sent_as_it_was_submitted(item_id):
+    """Guards against a target that runs a request whose id nobody has sent."""
+    record = ItemRecord(item_id, "/p/x", (), b"body")
+    results, sessions = run_item(Item(0, item_id), send_complete_stream, record=record)
+    assert results[0].outcome is RunOutcome.COMPLETE
+    assert sessions[0].header("Attempt-Id") == item_id
