Results and bodies of any size are stored: sizes are counted as encoded

A segment of results was bounded in characters and the store counts bytes, so a store that refused it as too large (413) was called again without end, and finished items were never listed. A result or body that alone exceeds an object was refused for ever.

frame/encoded_size measures JSON as it is encoded, store/value_limit takes the limit of an object from the settings (ValueBytes). A refusal for good is an error of its own (WriteRefusedError, ValueTooLargeError). The next segment is then smaller; a result that exceeds a segment is stored in parts over several, and listed with the last one. Only a result that the store refuses by itself, while it takes a segment without results, is listed as given up and logged. A body that exceeds an object is stored in several parts; a job that does not fit without its bodies is refused at once.

--- a/ebonyshore/frame/errors.py
+++ b/ebonyshore/frame/errors.py
@@ -83,6 +83,16 @@
     code = ResultCode.WRITE_OUTCOME_UNKNOWN
 
 
+class WriteRefusedError(StoreError):
+    """The store has refused a write for good: the same write would be refused again."""
+
+
+class ValueTooLargeError(WriteRefusedError):
+    """A write was refused because the object would be larger than the store allows."""
+
+    code = ResultCode.REQUEST_TOO_LARGE
+
+
 class LeaseLostError(EbonyshoreError):
     """The holder no longer holds its lease, or cannot prove that it does."""
 
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ebonyshore.link.account_limit import QuotaRule
+from ebonyshore.store.value_limit import ValueLimit
 
 
 class ListenAddress(Struct, frozen=True):
@@ -35,6 +36,7 @@
     :param quota_overage: part of an account's limit that may be exceeded in such a span.
     :param quota_slack: requests by which it may be exceeded besides.
     :param memory_bytes: limit of the memory of a process; ``None`` if there is none.
+    :param value_limit: how much fits into one object of the store.
     """
 
     instance_id: str
@@ -53,6 +55,7 @@
     quota_overage: float = 0.0
     quota_slack: float = 0.0
     memory_bytes: int | None = None
+    value_limit: ValueLimit = ValueLimit()
 
     @property
     def quota_rule(self) -> QuotaRule:
--- a/ebonyshore/host/job_types.py
+++ b/ebonyshore/host/job_types.py
@@ -71,16 +71,22 @@
 
 
 class ResultRecord(Struct, frozen=True, array_like=True):
-    """The result of one item.
+    """The result of one item, or a part of a result that exceeds a segment.
+
+    The parts of a result are in segments of one epoch, in order, other segments may be in between.
 
     :param index: index of the item in its job.
     :param is_complete: whether the item was completed; ``False`` if it was given up.
-    :param data: data of all events, joined by line feeds.
+    :param data: data of all events, joined by line feeds; of a part, a section of it.
+    :param part: number of the part, from 0.
+    :param has_more: whether further parts follow; the result is listed with the last one.
     """
 
     index: int
     is_complete: bool
     data: str
+    part: int = 0
+    has_more: bool = False
 
 
 class FailureCount(Struct, frozen=True, array_like=True):
--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -12,8 +12,10 @@
     HistoryLostError,
     StoreError,
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
+    WriteRefusedError,
 )
 from ebonyshore.platform.wire_names import OBJECTS_PATH
 from ebonyshore.store.platform_api import (
@@ -27,7 +29,8 @@
 from ebonyshore.store.store_http_client import StoreHttpClient, StoreResponse
 
 SUCCESS_STATUSES = (200, 201)
-OVERLOAD_STATUSES = (429, 503)
+TRANSIENT_STATUSES = (408, 410, 425, 429, 503)
+TOO_LARGE_STATUS = 413
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -209,7 +212,7 @@
 
     :raises WriteConflictError: if the object has another version than expected or does not exist.
     :raises WriteOutcomeUnknownError: if the response shows neither success nor failure.
-    :raises StoreError: if the store refused the write for another reason.
+    :raises StoreError: the other errors of :func:`_check_write_status`.
     """
     _check_write_status(response, key)
     try:
@@ -222,16 +225,23 @@
     """Raise the error that the status of a write stands for, if any.
 
     :raises WriteConflictError: 404 or 409; the object has another version or does not exist.
-    :raises StoreUnavailableError: 429 or 503; the write was not done.
+    :raises StoreUnavailableError: one of :data:`TRANSIENT_STATUSES`; the write was not done.
     :raises WriteOutcomeUnknownError: any other 5xx status; the write may have been done.
+    :raises ValueTooLargeError: 413; the object would be too large.
+    :raises WriteRefusedError: any other 4xx status; the same write would be refused again.
     :raises StoreError: any other status that is not a success.
     """
     if response.status in SUCCESS_STATUSES:
         return
     if response.status in (404, 409):
         raise WriteConflictError(key)
-    if response.status in OVERLOAD_STATUSES:
-        raise StoreUnavailableError(f"{key}: HTTP status {response.status}")
+    detail = f"{key}: HTTP status {response.status}"
+    if response.status in TRANSIENT_STATUSES:
+        raise StoreUnavailableError(detail)
     if response.status >= 500:
-        raise WriteOutcomeUnknownError(f"{key}: HTTP status {response.status}")
-    raise StoreError(f"{key}: HTTP status {response.status}")
+        raise WriteOutcomeUnknownError(detail)
+    if response.status == TOO_LARGE_STATUS:
+        raise ValueTooLargeError(detail)
+    if response.status >= 400:
+        raise WriteRefusedError(detail)
+    raise StoreError(detail)
--- a/ebonyshore/platform/settings_file.py
+++ b/ebonyshore/platform/settings_file.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import SettingsError
 from ebonyshore.host.host_settings import HostSettings, ListenAddress
+from ebonyshore.store.value_limit import DEFAULT_VALUE_BYTES, ValueLimit
 
 SETTINGS_PATH_VARIABLE = "EBONYSHORE_CONFIG"
 BYTES_PER_MB = 1_000_000
@@ -38,6 +39,7 @@
 
 class _Store(Struct):
     address: str = field(name="Address")
+    value_bytes: int = field(default=DEFAULT_VALUE_BYTES, name="ValueBytes")
 
 
 class _SettingsFile(Struct):
@@ -93,6 +95,7 @@
         first_internal_port=first_port,
         last_internal_port=last_port,
         store_url=f"http://{document.store.address}",
+        value_limit=ValueLimit(document.store.value_bytes),
         grace_ms=bounds.grace_s * MS_PER_S,
         result_retention_ms=bounds.status_s * MS_PER_S,
         revocation_ms=bounds.revocation_ms if bounds.is_revocation_strict else None,
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -7,20 +7,23 @@
 from collections.abc import Iterable
 from enum import Enum, auto
 
+from ebonyshore.frame.encoded_size import text_size
 from ebonyshore.host.job_types import (
     FailureCount,
     JobRecord,
-    ListedResult,
     ResultPage,
     ResultRecord,
     ResultSegment,
 )
 from ebonyshore.host.request_content import content_digest
 from ebonyshore.host.target import TargetGroup
+from ebonyshore.runner.listed_results import ListedResults
+from ebonyshore.runner.pending_results import PendingResults, Refusal
+from ebonyshore.store.value_limit import ValueLimit
 
 ITEM_METHOD = "POST"  # of the requests that run items
-MAX_SEGMENT_BYTES = 600_000  # below the store's limit for one object
-MAX_PAGE_BYTES = 900_000
+LINE_FEED_BYTES = text_size("\n")
+MAX_SEGMENT_BYTES = ValueLimit().batch_bytes
 
 
 class ItemState(Enum):
@@ -38,7 +41,7 @@
     :param index: position of the item in the job record.
     :param item_id: id that the caller gave the item.
     :ivar data: data of the events received so far.
-    :ivar data_bytes: size of this data, encoded.
+    :ivar data_bytes: size of this data in JSON, joined by line feeds.
     :ivar last_event_id: id of the last event received; ``None`` if there is none.
     :ivar origin: the targets that sent the events; ``None`` if there are none.
     :ivar failures: number of runs that targets reported as failed, over all owners of the job.
@@ -95,7 +98,7 @@
     def add_event(self, event_id: int, data: str, origin: TargetGroup) -> None:
         """Add an event that a target of the given group sent."""
         self.data.append(data)
-        self.data_bytes += len(data.encode()) + 1  # with the line feed that joins it
+        self.data_bytes += text_size(data) + LINE_FEED_BYTES
         self.last_event_id = event_id
         self.origin = origin
 
@@ -141,6 +144,7 @@
 
     :param record: the job as it is stored.
     :param bodies: bodies that are stored separately from the record, by item index.
+    :param segment_bytes: size in JSON to which results are collected in one segment.
     :ivar next_segment: number of the next segment to store or read.
     :ivar pending_since_ms: event loop time since which results wait to be stored.
     :ivar synced_ms: boot clock time at which the store was last asked for segments.
@@ -162,7 +166,12 @@
         "writable_epoch",
     )
 
-    def __init__(self, record: JobRecord, bodies: dict[int, bytes] | None = None) -> None:
+    def __init__(
+        self,
+        record: JobRecord,
+        bodies: dict[int, bytes] | None = None,
+        segment_bytes: int = MAX_SEGMENT_BYTES,
+    ) -> None:
         self.record = record
         self._bodies = bodies or {}
         self.items = [Item(index, item.item_id) for index, item in enumerate(record.items)]
@@ -171,8 +180,8 @@
         self.synced_ms = float("-inf")
         self.writable_epoch = 0
         self.highest_segment_epoch = 0
-        self._results: list[ResultRecord] = []
-        self._pending: list[ResultRecord] = []
+        self._results = ListedResults()
+        self._pending = PendingResults(segment_bytes)
         self._unsaved_failures: set[int] = set()  # indexes of items
 
     @property
@@ -251,7 +260,7 @@
         item.state = ItemState.ENDED
         self._note_pending(now_ms)
         data = "\n".join(item.data) if is_complete else ""
-        self._pending.append(ResultRecord(item.index, is_complete, data))
+        self._pending.add(ResultRecord(item.index, is_complete, data))
         item.data = []
 
     def record_failure(self, item: Item, now_ms: float) -> None:
@@ -268,19 +277,17 @@
             self.pending_since_ms = now_ms
 
     def build_segment(self) -> ResultSegment:
-        """Return a segment of the results that have waited longest.
+        """Return the next segment: the results that have waited longest, as many as fit."""
+        epoch = self.record.epoch
+        chosen = self._pending.choose(lambda index: self._results.find_parts(index, epoch))
+        return ResultSegment(chosen, epoch, self._open_failures())
+
+    def refuse_segment(self, is_too_large: bool) -> Refusal:
+        """Record that the store has refused the last segment for good.
 
-        It holds at least the first pending result if there is one, and further ones as long as the
-        data of all has at most :data:`MAX_SEGMENT_BYTES` characters.
+        :param is_too_large: whether it was refused for its size.
         """
-        chosen: list[ResultRecord] = []
-        size = 0
-        for result in self._pending:
-            size += len(result.data)
-            if chosen and size > MAX_SEGMENT_BYTES:
-                break
-            chosen.append(result)
-        return ResultSegment(tuple(chosen), self.record.epoch, self._open_failures())
+        return self._pending.refuse(is_too_large)
 
     def _open_failures(self) -> tuple[FailureCount, ...]:
         """Return the unsaved failures of the items that have no result yet."""
@@ -308,10 +315,10 @@
             item = self.items[result.index]
             if item.state is ItemState.LISTED:
                 continue  # not expected: writers leave out the items that they know as listed
-            item.state = ItemState.LISTED
-            item.data = []
-            self._unsaved_failures.discard(result.index)
-            self._results.append(result)
+            if self._results.add(result, item.item_id, segment.epoch):
+                item.state = ItemState.LISTED
+                item.data = []
+                self._unsaved_failures.discard(result.index)
         for stored in segment.failures:
             item = self.items[stored.index]
             item.failures = max(item.failures, stored.failures)
@@ -319,29 +326,11 @@
                 self._unsaved_failures.discard(stored.index)
         self.next_segment += 1
         self.highest_segment_epoch = max(self.highest_segment_epoch, segment.epoch)
-        self._pending = [
-            result
-            for result in self._pending
-            if self.items[result.index].state is not ItemState.LISTED
-        ]
+        self._pending.end_stored(lambda index: self.items[index].state is ItemState.LISTED)
 
     def result_page(self, first: int) -> ResultPage:
-        """Return listed results from a position on, as many as fit into one response.
-
-        The page has at least one result if there is one, and further ones as long as the data of
-        all has at most :data:`MAX_PAGE_BYTES` characters.
-
-        :param first: position of the first result.
-        """
-        results: list[ListedResult] = []
-        size = 0
-        for result in self._results[first:]:
-            size += len(result.data)
-            if results and size > MAX_PAGE_BYTES:
-                break
-            item_id = self.items[result.index].item_id
-            results.append(ListedResult(item_id, result.is_complete, result.data))
-        return ResultPage(len(self.items), first + len(results), tuple(results))
+        """Return listed results from a position on, see :meth:`ListedResults.page`."""
+        return self._results.page(len(self.items), first)
 
     def item_body(self, index: int) -> bytes:
         """Return the body of an item, which may be stored in the record or separately.
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -16,7 +16,7 @@
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.peers import PeerDirectory
-from ebonyshore.runner.job_progress import ItemState, JobProgress
+from ebonyshore.runner.job_progress import MAX_SEGMENT_BYTES, ItemState, JobProgress
 from ebonyshore.runner.job_storage import JobStorage, job_object_name
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.marked_write import MarkedObject
@@ -72,6 +72,7 @@
     :param load_table: tells which runners receive reports from this one.
     :param peers: all registered runners, live or not.
     :param executor: runs blocking calls to the store.
+    :param segment_bytes: size in JSON to which results are collected in one segment.
     :ivar is_leaving: whether this runner is giving its jobs to others and takes no new ones.
     :ivar on_change: called when jobs, items or claims have changed, so that work may be due.
     """
@@ -86,6 +87,7 @@
         clock: Clock,
         executor: Executor,
         log: EventLog,
+        segment_bytes: int = MAX_SEGMENT_BYTES,
     ) -> None:
         self.own_id = own_id
         self.incarnation = incarnation
@@ -95,6 +97,7 @@
         self._clock = clock
         self._executor = executor
         self._log = log
+        self._segment_bytes = segment_bytes
         self._jobs: dict[str, KnownJob] = {}
         self._result_events: dict[str, Event] = {}
         self.is_leaving = False
@@ -162,7 +165,7 @@
         # A job whose bodies are stored separately has no progress yet: like a job of an earlier
         # incarnation, it is claimed first, which reads the bodies.
         if is_new and job.progress is None and not stored.body.body_parts:
-            job.progress = JobProgress(stored.body)
+            job.progress = JobProgress(stored.body, segment_bytes=self._segment_bytes)
             job.progress.synced_ms = requested_ms
             job.progress.writable_epoch = stored.body.epoch
         self.on_change()
@@ -285,7 +288,7 @@
         if job.progress is None:
             bodies = await self.run_blocking(self.storage.read_bodies, job.record)
             if job.progress is None:  # no concurrent call has set it in the meantime
-                job.progress = JobProgress(job.record, bodies)
+                job.progress = JobProgress(job.record, bodies, self._segment_bytes)
         await self.load_segments(job.progress)
         return job.progress
 
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -11,11 +11,17 @@
 from msgspec import structs
 from msgspec.json import Decoder, encode
 
-from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
+from ebonyshore.frame.encoded_size import json_size
+from ebonyshore.frame.errors import (
+    StoreUnavailableError,
+    ValueTooLargeError,
+    WriteConflictError,
+)
 from ebonyshore.host.job_types import BodyPart, JobRecord, ResultSegment
 from ebonyshore.runner.saved_items import SavedItems
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION, StoredObject
+from ebonyshore.store.value_limit import ValueLimit
 
 JOBS_KIND = "jobs"
 PARTS_KIND = "jobbodies"
@@ -24,7 +30,10 @@
 # Limit for all bodies of a job together. All runners watch the job records, so larger bodies are
 # stored separately and read on demand.
 MAX_INLINE_BODY_BYTES = 64_000
-MAX_PART_BYTES = 600_000  # base64 adds a third; the store's limit for one object is 1 MB
+MAX_PART_BYTES = 600_000  # of bodies that share an object
+BASE64_BYTES = 4  # for every three bytes of a body
+ENTRY_BYTES = 16  # of a body in JSON, besides the Base64 of whole triples of its bytes
+DEFAULT_LIMIT = ValueLimit()
 MAX_UNHASHED_ID_LENGTH = 64  # characters
 
 _SAVED_ITEMS_DECODER = Decoder(SavedItems)
@@ -45,23 +54,34 @@
     """Reads and writes batch jobs in the store. Calls block and may raise :class:`StoreError`.
 
     :param store: marks its writes, so that their outcome can be determined after a lost response.
+    :param limit: how much fits into one object.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_limit", "_store")
 
-    def __init__(self, store: MarkedStore) -> None:
+    def __init__(self, store: MarkedStore, limit: ValueLimit = DEFAULT_LIMIT) -> None:
         self._store = store
+        self._limit = limit
 
     def create(self, record: JobRecord) -> MarkedObject[JobRecord]:
         """Store a new job.
 
         :return: the stored job record; the existing one if the job was stored before.
+        :raises ValueTooLargeError: if the job does not fit into an object, even without the bodies
+            of its items; nothing was stored.
         :raises StoreUnavailableError: if nothing was stored.
         :raises WriteOutcomeUnknownError: if the job may have been stored.
         :raises WriteConflictError: if the job was stored before and has been removed since.
         """
-        if sum(len(item.body) for item in record.items) > MAX_INLINE_BODY_BYTES:
-            record = self._store_bodies(record)
+        is_inline = sum(len(item.body) for item in record.items) <= MAX_INLINE_BODY_BYTES
+        kept = record if is_inline else _without_bodies(record)
+        size = json_size(kept)
+        if size > self._limit.record_bytes and is_inline:
+            is_inline, kept = False, _without_bodies(record)
+            size = json_size(kept)
+        if size > self._limit.record_bytes:
+            raise ValueTooLargeError(f"job {record.job_id} of {size} bytes without its bodies")
+        record = record if is_inline else self._store_bodies(record)
         key = f"{JOBS_KIND}/{job_object_name(record.job_id)}"
         try:
             return self._store.create(key, record)
@@ -133,7 +153,8 @@
             part = self._store.read(key, BodyPart)
             if part is None:
                 raise StoreUnavailableError(f"bodies of job {record.job_id}: {key} is missing")
-            found.update(part.body.bodies)
+            for index, body in part.body.bodies:
+                found[index] = found.get(index, b"") + body
         return found
 
     def read_segments(self, job_id: str, first: int) -> list[ResultSegment]:
@@ -203,26 +224,40 @@
 
     def _store_bodies(self, record: JobRecord) -> JobRecord:
         """Store the bodies of a job separately and return the record without them."""
-        parts = _split_bodies(record)
+        parts = _split_bodies(record, self._limit)
         for number, part in enumerate(parts):
             key = _part_key(record, number)
             try:
                 self._store.replace(MarkedObject(key, ABSENT_VERSION, 0, (), part), part)
             except WriteConflictError:
                 continue  # stored by an earlier submission of the same job
-        items = tuple(structs.replace(item, body=b"") for item in record.items)
-        return structs.replace(record, items=items, body_parts=len(parts))
+        return structs.replace(_without_bodies(record), body_parts=len(parts))
 
 
-def _split_bodies(record: JobRecord) -> Sequence[BodyPart]:
+def _without_bodies(record: JobRecord) -> JobRecord:
+    items = tuple(structs.replace(item, body=b"") for item in record.items)
+    return structs.replace(record, items=items)
+
+
+def _split_bodies(record: JobRecord, limit: ValueLimit) -> Sequence[BodyPart]:
+    """Divide the bodies of a job into parts; a body that exceeds an object is in several parts.
+
+    Every runner divides them in the same way, as each one may store a part of a job.
+    """
+    # Base64 pads each body of a part to a multiple of three bytes.
+    room_bytes = limit.record_bytes - ENTRY_BYTES * (len(record.items) + 1)
+    piece_bytes = max(1, room_bytes // BASE64_BYTES) * 3
+    part_bytes = min(MAX_PART_BYTES, piece_bytes)
     parts: list[list[tuple[int, bytes]]] = [[]]
     size = 0
     for index, item in enumerate(record.items):
-        size += len(item.body)
-        if parts[-1] and size > MAX_PART_BYTES:
-            parts.append([])
-            size = len(item.body)
-        parts[-1].append((index, item.body))
+        for first in range(0, max(1, len(item.body)), piece_bytes):
+            piece = item.body[first : first + piece_bytes]
+            size += len(piece)
+            if parts[-1] and size > part_bytes:
+                parts.append([])
+                size = len(piece)
+            parts[-1].append((index, piece))
     return [BodyPart(tuple(part)) for part in parts]
 
 
--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -3,13 +3,19 @@
 from asyncio import Task, create_task, sleep
 
 from ebonyshore.frame.clock import MS_PER_S, Clock
-from ebonyshore.frame.errors import StoreError, WriteConflictError
+from ebonyshore.frame.errors import (
+    StoreError,
+    ValueTooLargeError,
+    WriteConflictError,
+    WriteRefusedError,
+)
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.pending_results import RefusalAction
 
 LINGER_MS = 800.0  # time to collect results for one segment, since each call to the store is priced
 DUE_LINGER_MS = 100.0  # the same for jobs whose results are due soon or overdue
@@ -105,6 +111,8 @@
         except WriteConflictError:
             self._failed_job_id = None
             await self._apply_stored_segments(progress, number)
+        except WriteRefusedError as error:
+            await self._handle_refusal(progress, error)
         except StoreError as error:
             self._failed_job_id = progress.job_id
             self._log.event("results_not_stored", job=progress.job_id, error=str(error))
@@ -114,6 +122,22 @@
             registry.notify_results(progress.job_id)
             registry.on_change()
 
+    async def _handle_refusal(self, progress: JobProgress, error: WriteRefusedError) -> None:
+        """Make the next segment smaller; a result that no segment can hold is given up."""
+        refusal = progress.refuse_segment(isinstance(error, ValueTooLargeError))
+        if refusal.is_first:
+            self._log.event("segment_refused", job=progress.job_id, error=str(error))
+        if refusal.action is RefusalAction.GIVE_UP:
+            self._metrics.count("results_refused")
+            self._log.event(
+                "result_refused",
+                job=progress.job_id,
+                item=progress.items[refusal.index].item_id,
+                error=str(error),
+            )
+        elif refusal.action is RefusalAction.RETRY_LATER:
+            await sleep(RETRY_DELAY_MS / MS_PER_S)
+
     async def _apply_stored_segments(self, progress: JobProgress, number: int) -> None:
         """List the segments in the store after another write has used this segment number."""
         registry = self._registry
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -153,12 +153,13 @@
     registry = JobRegistry(
         settings.instance_id,
         environment.incarnation,
-        JobStorage(environment.marked_store),
+        JobStorage(environment.marked_store, settings.value_limit),
         load_table,
         parts.peers,
         clock,
         environment.executor,
         log,
+        settings.value_limit.batch_bytes,
     )
     claims = JobClaims(registry, load_table, clock, log)
     completions = CompletionRate()
--- a/ebonyshore/store/marked_write.py
+++ b/ebonyshore/store/marked_write.py
@@ -118,6 +118,7 @@
             effect and never will.
         :raises StoreUnavailableError: if the store did not accept the call; the write has not taken
             effect.
+        :raises WriteRefusedError: if the store refuses the write for good, as for its size.
         :raises WriteOutcomeUnknownError: if the write may have taken effect or may still do so.
         """
         mark = secrets.token_hex(MARK_BYTES)
--- a/ebonyshore/store/platform_api.py
+++ b/ebonyshore/store/platform_api.py
@@ -58,6 +58,7 @@
         :param expected_version: :data:`ABSENT_VERSION` to create the object.
         :return: the new version.
         :raises WriteConflictError: if the object has another version; nothing was written.
+        :raises WriteRefusedError: if the store refuses the write for good; nothing was written.
         :raises WriteOutcomeUnknownError: if the response was lost; the write may have taken effect.
         """
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,8 +11,10 @@
     HistoryLostError,
     SettingsError,
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
+    WriteRefusedError,
 )
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.accounts import Account, digest_key
@@ -253,8 +255,11 @@
 @pytest.mark.parametrize(
     "fault, expected_error",
     [
+        (408, StoreUnavailableError),
         (429, StoreUnavailableError),
         (503, StoreUnavailableError),
+        (400, WriteRefusedError),
+        (413, ValueTooLargeError),
         (500, WriteOutcomeUnknownError),
         ("reset", WriteOutcomeUnknownError),
         ("lost", WriteOutcomeUnknownError),
