Unfinished items: those that fit are stored beside one that does not

The first item beyond the limit ended the choice, so nothing of a job was stored if its item with the most work was large. Sizes are those in JSON now, and a store that takes less gets less.

--- a/ebonyshore/runner/item_saver.py
+++ b/ebonyshore/runner/item_saver.py
@@ -2,7 +2,7 @@
 
 from asyncio import Task, create_task
 
-from ebonyshore.frame.errors import StoreError, WriteConflictError
+from ebonyshore.frame.errors import StoreError, ValueTooLargeError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
@@ -10,6 +10,7 @@
 from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.saved_items import (
+    MAX_SAVED_BYTES,
     make_saved_items,
     save_interval_ms,
     unsaved_work_ms,
@@ -18,6 +19,7 @@
 
 FAILURE_PAUSE_MS = 1_000.0  # until the next job is tried after a failure
 RETRY_DELAY_MS = 5_000.0  # until the same job is tried again
+MIN_LIMIT_BYTES = 4_096
 CHECK_INTERVAL_MS = 200.0  # between two looks for unsaved work
 
 
@@ -29,16 +31,23 @@
 
     :param registry: the known jobs.
     :param load_table: tells the number of live runners, which share the rate of writes.
+    :param limit_bytes: largest size of the items of a job in JSON; halved if the store takes less.
     """
 
     def __init__(
-        self, registry: JobRegistry, load_table: LoadTable, log: EventLog, metrics: Metrics
+        self,
+        registry: JobRegistry,
+        load_table: LoadTable,
+        log: EventLog,
+        metrics: Metrics,
+        limit_bytes: int = MAX_SAVED_BYTES,
     ) -> None:
         self._registry = registry
         self._load_table = load_table
         self._log = log
         self._metrics = metrics
         self._task: Task[None] | None = None
+        self._limit_bytes = limit_bytes
         self._next_ms = float("-inf")
         self._versions: dict[str, int] = {}  # of the stored objects, by job id
         self._retry_ms: dict[str, float] = {}  # of the last write that failed, by job id
@@ -76,7 +85,7 @@
 
     async def _save(self, progress: JobProgress) -> None:
         job_id, storage = progress.job_id, self._registry.storage
-        saved = make_saved_items(progress, now_ms())
+        saved = make_saved_items(progress, now_ms(), self._limit_bytes)
         version = self._versions.get(job_id, ABSENT_VERSION)
         try:
             self._versions[job_id] = await self._registry.run_blocking(
@@ -85,6 +94,8 @@
         except WriteConflictError:
             await self._read_version(job_id)
         except StoreError as error:
+            if isinstance(error, ValueTooLargeError):
+                self._limit_bytes = max(MIN_LIMIT_BYTES, self._limit_bytes // 2)
             self._delay(job_id, error)
         else:
             for item in saved.items:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -215,7 +215,7 @@
         environment.random,
     )
     writer = ResultWriter(registry, clock, log, metrics)
-    saver = ItemSaver(registry, load_table, log, metrics)
+    saver = ItemSaver(registry, load_table, log, metrics, settings.value_limit.batch_bytes)
     renewal_listener = RenewalListener(settings.instance_id, environment.marked_store, log)
     peer_monitor = _make_peer_monitor(environment, parts, load_table, renewal_listener)
     runner = RunnerService(
--- a/ebonyshore/runner/saved_items.py
+++ b/ebonyshore/runner/saved_items.py
@@ -8,10 +8,12 @@
 
 from msgspec import Struct
 
+from ebonyshore.frame.encoded_size import json_size, take_fitting
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
+from ebonyshore.store.value_limit import ValueLimit
 
-MAX_SAVED_BYTES = 600_000  # below the store's limit for one object
+MAX_SAVED_BYTES = ValueLimit().batch_bytes
 # Less work is repeated rather than stored.
 MIN_WAITING_WORK_MS = 1_000.0
 MIN_RUNNING_WORK_MS = 10_000.0
@@ -72,30 +74,38 @@
     return 1_000.0 * runners / MAX_SAVES_PER_S
 
 
-def make_saved_items(progress: JobProgress, now_ms: float) -> SavedItems:
-    """Return what to store of a job: its unfinished items, first those with the most work.
+def make_saved_items(
+    progress: JobProgress, now_ms: float, limit_bytes: int = MAX_SAVED_BYTES
+) -> SavedItems:
+    """Return what to store of a job: its unfinished items that fit, first those with the most work.
 
     :param now_ms: current time of the event loop.
+    :param limit_bytes: largest size of all items in JSON.
     """
-    saved: list[SavedItem] = []
-    size = 0
-    for item in sorted(_items_with_events(progress), key=lambda found: -found.slot_ms(now_ms)):
-        size += item.data_bytes
-        if size > MAX_SAVED_BYTES:
-            break
-        saved.append(
-            SavedItem(
-                item.index,
-                progress.content_digest(item),
-                item.last_event_id,
-                "\n".join(item.data),
-                item.origin,
-                item.slot_ms(now_ms),
-            )
-        )
+    items = sorted(_items_with_events(progress), key=lambda found: -found.slot_ms(now_ms))
+    sized = [(item, _saved_bytes(progress, item, now_ms)) for item in items]
+    saved = [
+        _save(progress, item, now_ms, "\n".join(item.data))
+        for item in take_fitting(sized, limit_bytes)
+    ]
     return SavedItems(progress.record.submitted_ms, tuple(saved))
 
 
+def _saved_bytes(progress: JobProgress, item: Item, now_ms: float) -> int:
+    return json_size(_save(progress, item, now_ms, "")) + item.data_bytes + 1
+
+
+def _save(progress: JobProgress, item: Item, now_ms: float, data: str) -> SavedItem:
+    return SavedItem(
+        item.index,
+        progress.content_digest(item),
+        item.last_event_id,
+        data,
+        item.origin,
+        item.slot_ms(now_ms),
+    )
+
+
 def restore_items(progress: JobProgress, saved: SavedItems) -> int:
     """Let waiting items that have no events go on after the stored ones.
 
