Items: ids are sent as submitted, own headers do not replace those of the run

Ids within Latin-1 were sent as Latin-1 and others as UTF-8, spaces were percent-encoded, so targets ran ids that nobody has sent; an event that repeats such an id is not UTF-8, and its item was run without end. A Last-Event-Id, Deadline-Ms or Expect-Instance of an item reached the target. Ids are sent in UTF-8; a job with an id that cannot be a header value is refused with 400 and a reason, one that does not fit into the store without its bodies with 413. An output of up to 4 MB is kept.

Ids beyond Latin-1 failed in the stand-in target alone: it counted the characters of a chunk and encoded ids twice. It answers with the bytes that it got now.

--- a/ebonyshore/runner/item_headers.py
+++ b/ebonyshore/runner/item_headers.py
@@ -42,18 +42,47 @@
     return [*kept, (names.account, account_header_value(account))] if account else kept
 
 
-def escape_text(text: str) -> str:
-    """Return a path or an id with its spaces and control characters percent-encoded."""
-    return latin1_text(text.translate(_ESCAPES))
+def item_headers(fields: Iterable[tuple[str, str]], names: WireNames) -> list[tuple[str, str]]:
+    """Return the headers of an item without those that a run sets itself and malformed ones.
+
+    :param fields: the headers as they were submitted.
+    """
+    set_by_run = {
+        "host",
+        "content-length",
+        "connection",
+        "transfer-encoding",
+        names.request_id.lower(),
+        names.remaining_ms.lower(),
+        names.expected_instance.lower(),
+        names.last_event_id.lower(),
+        names.resumed_request.lower(),
+    }
+    return [
+        (utf8_text(name), utf8_text(value))
+        for name, value in well_formed_headers(fields)
+        if name.lower() not in set_by_run
+    ]
+
 
+def is_sendable_id(item_id: str) -> bool:
+    """Return whether an id can be the value of a header, so that a target receives it unchanged."""
+    return _FIELD_VALUE.fullmatch(item_id) is not None and item_id == item_id.strip(" \t")
 
-def latin1_text(text: str) -> str:
-    """Return text that can be encoded as Latin-1, as the head of a request is.
 
-    Text beyond Latin-1 is returned with one character for each byte of its UTF-8 encoding.
+def header_id(item_id: str) -> str:
+    """Return an item's id as the value of a header.
+
+    An id that cannot be sent is returned with its spaces and control characters percent-encoded.
     """
-    try:
-        text.encode("latin-1")
-    except UnicodeEncodeError:
-        return text.encode("utf-8", "replace").decode("latin-1")
-    return text
+    return utf8_text(item_id) if is_sendable_id(item_id) else escape_text(item_id)
+
+
+def escape_text(text: str) -> str:
+    """Return a path or an id with its spaces and control characters percent-encoded."""
+    return utf8_text(text.translate(_ESCAPES))
+
+
+def utf8_text(text: str) -> str:
+    """Return text for the head of a request, with one character for each byte of its UTF-8."""
+    return text.encode("utf-8", "replace").decode("latin-1")
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -26,10 +26,10 @@
 from ebonyshore.runner.item_headers import (
     account_headers,
     escape_text,
-    latin1_text,
-    well_formed_headers,
+    header_id,
+    item_headers,
 )
-from ebonyshore.runner.job_progress import ITEM_METHOD, MAX_SEGMENT_BYTES, Item
+from ebonyshore.runner.job_progress import ITEM_METHOD, Item
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 3_000.0
@@ -37,7 +37,7 @@
 MAX_TIMEOUT_DOUBLINGS = 1
 RUN_TIMEOUT_MS = 30_000.0
 MAX_CONNECTION_IDLE_MS = 10_000.0
-MAX_ITEM_BYTES = MAX_SEGMENT_BYTES  # a longer output cannot be stored
+MAX_ITEM_BYTES = 4_000_000  # of the output in JSON, which is kept in memory until it is read
 
 
 class RunOutcome(Enum):
@@ -98,7 +98,7 @@
         self._names = names
         self._pool = pool
         self._item = item
-        self._request_id = escape_text(item.item_id)
+        self._request_id = header_id(item.item_id)
         self._record = record
         self._body = body
         self._host = host
@@ -151,14 +151,11 @@
     def _encode_request(self, target: Target) -> bytes:
         names = self._names
         headers = Headers([("Host", self._host), (names.request_id, self._request_id)])
-        overridden = {"host", names.request_id.lower(), "content-length", "connection"}
-        if self._account is None:
-            fields = well_formed_headers(self._record.headers)
-        else:
-            fields = account_headers(self._record.headers, names, self._account)
+        fields = item_headers(self._record.headers, names)
+        if self._account is not None:
+            fields = account_headers(fields, names, self._account)
         for name, value in fields:
-            if name.lower() not in overridden:
-                headers.add(latin1_text(name), latin1_text(value))
+            headers.add(name, value)
         headers.add(names.remaining_ms, str(int(RUN_TIMEOUT_MS)))
         headers.add(names.expected_instance, target.target_id)
         if self._item.last_event_id is not None:
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -4,9 +4,15 @@
 from functools import partial
 from urllib.parse import parse_qsl, unquote, urlsplit
 
+from msgspec.json import encode
+
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S, Clock
-from ebonyshore.frame.errors import StoreError, WriteOutcomeUnknownError
+from ebonyshore.frame.errors import (
+    StoreError,
+    ValueTooLargeError,
+    WriteOutcomeUnknownError,
+)
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
@@ -26,6 +32,7 @@
     JobCallKind,
     decode_job_call,
 )
+from ebonyshore.runner.item_headers import is_sendable_id
 from ebonyshore.runner.job_access import may_access
 from ebonyshore.runner.job_admission import JobAdmission
 from ebonyshore.runner.job_progress import JobProgress
@@ -33,6 +40,7 @@
 from ebonyshore.store.marked_write import MarkedObject
 
 MAX_REQUEST_BYTES = 16 << 20
+MAX_HEADER_BYTES = 256 << 10  # a caller's ids are percent-encoded in the request line
 RETRY_AFTER_MS = 600.0
 STORE_RETRY_AFTER_MS = 1_500.0  # outages of the store last for seconds
 
@@ -102,7 +110,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        limits = ServerLimits(max_body_bytes=MAX_REQUEST_BYTES)
+        limits = ServerLimits(MAX_HEADER_BYTES, MAX_REQUEST_BYTES)
         self._server = HttpServer(self._serve, limits, self._report_failure)
 
     async def start(self) -> None:
@@ -125,7 +133,7 @@
             reply = await self._dispatch(call, request)
         except ValueError as error:
             self._log.event("job_call_invalid", job=job_id, error=str(error))
-            reply = Reply(400)
+            reply = Reply(400, encode({"code": ResultCode.INVALID_REQUEST, "error": str(error)}))
         headers = Headers()
         if reply.owner:
             headers.add(OWNER_HEADER, reply.owner)
@@ -134,7 +142,8 @@
         responder.send(reply.status, headers, reply.body)
 
     async def _dispatch(self, call: JobCall, request: Request) -> Reply:
-        """Handle a call; failures of the store become a 502 or 503 response.
+        """Handle a call; failures of the store become a 502 or 503 response, or 413 if a submitted
+        job does not fit into the store.
 
         :raises ValueError: if a submitted job is invalid.
         """
@@ -152,6 +161,9 @@
         except WriteOutcomeUnknownError as error:
             self._log_store_failure(call, error)
             return Reply(502)
+        except ValueTooLargeError as error:
+            self._log_store_failure(call, error)
+            return refusal_reply(ResultCode.REQUEST_TOO_LARGE, None)
         except StoreError as error:
             self._log_store_failure(call, error)
             return refusal_reply(ResultCode.STORE_UNAVAILABLE, STORE_RETRY_AFTER_MS)
@@ -211,6 +223,9 @@
         :raises ValueError: if the submitted job is invalid.
         """
         submission = self._deployment.decode_submission(request.body)
+        unsendable = [x.item_id for x in submission.items if not is_sendable_id(x.item_id)]
+        if unsendable:
+            raise ValueError(f"item id cannot be sent as a header: {unsendable[0]!r}")
         return JobRecord(
             job_id=call.job_id,
             host=request.headers.get("host") or "",
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -283,7 +283,8 @@
         writer.write(
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {request_id}\r\n"
             f"{self._state_lines()}"
-            f"Server-Signature: {self.target_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+            f"Server-Signature: {self.target_id}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode("latin-1")
         )
         return run
 
@@ -298,7 +299,7 @@
         if request_id is not None:
             headers.append(f"Attempt-Id: {request_id}")
         head = "\r\n".join([f"HTTP/1.1 {status} X", *headers, ""])
-        writer.write(f"{head}{self._state_lines()}\r\n".encode())
+        writer.write(f"{head}{self._state_lines()}\r\n".encode("latin-1"))
 
     def _state_lines(self) -> str:
         """Return the header lines with what the target says of itself in all answers."""
@@ -315,8 +316,9 @@
         padding_bytes: int = 0,
     ) -> None:
         padding = f": {'x' * padding_bytes}\n" if padding_bytes else ""  # a comment line
-        event = f"id: {number}\n{padding}data: {run.stream_id}.{number}\n\n"
-        writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+        # Heads are read as Latin-1, so that an id is sent back with the bytes that were received.
+        event = f"id: {number}\n{padding}data: {run.stream_id}.{number}\n\n".encode("latin-1")
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         run.last_event = number
 
 
--- a/tests/test_encoded_sizes.py
+++ b/tests/test_encoded_sizes.py
@@ -10,7 +10,10 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.target import TargetGroup
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request
 from ebonyshore.link.datagrams import StreamStarts
+from ebonyshore.link.job_call import PATH_HEADER
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.platform.job_bodies import encode_results
 from ebonyshore.runner import result_writer
@@ -19,6 +22,7 @@
 from ebonyshore.runner.saved_items import make_saved_items
 from ebonyshore.store.marked_write import MarkedStore
 from tests.registry_setup import RegistrySetup
+from tests.test_account_jobs import ApiCaller, make_runners
 
 PAGE_BYTES = 1_000_000
 GUJARATI = "સ"  # three bytes
@@ -159,3 +163,27 @@
 
     received = asyncio.run(send())
     assert {stream for message in received for stream in message.streams} == set(starts)
+
+
+@pytest.mark.parametrize(
+    "field, value, status",
+    [("Id", "a\nb", 400), ("Id", " a", 400), ("Id", "第", 202), ("Path", "x" * 1_100_000, 413)],
+    ids=["line_feed", "space_at_the_start", "beyond_latin_1", "too_large"],
+)
+def test_job_that_can_never_run_is_refused_for_good(platform, field, value, status):
+    """Guards against a job that is refused without end, or accepted and never run."""
+    job = json.dumps({"Items": [{"Id": "i1", "Path": "/p/x", field: value}]}).encode()
+    request = Request("POST", "/jobs/j1?call=submit", Headers([(PATH_HEADER, "/p/")]), job, 0.0)
+    request.headers.add("Host", "h")
+    replies = []
+
+    class Answer:
+        def send(self, status, headers, body):
+            replies.append((status, headers.get("Retry-After")))
+
+    async def submit():
+        api = ApiCaller(make_runners(platform, accounts=None)[0]).api
+        await api._serve(request, Answer())
+
+    asyncio.run(submit())
+    assert replies == [(status, None)]
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -216,3 +216,19 @@
     results, sessions = run_item(Item(0, item_id), send_complete_stream, record=record)
     assert results[0].outcome is RunOutcome.COMPLETE
     assert sessions[0].header("Attempt-Id") == item_id
+
+
+def test_output_that_exceeds_an_object_of_the_store_is_kept():
+    """Guards against an item that runs again and again, as its output was not stored whole."""
+
+    async def send_long_events(session):
+        session.start_stream()
+        for number in (1, 2):
+            event = f"id: {number}\ndata: {'સ' * 200_000}\n\n".encode()
+            session.send(b"%x\r\n%b\r\n" % (len(event), event))
+        session.end_stream()
+
+    item = Item(0, "req-1")
+    results, _ = run_item(item, send_long_events)
+    assert results[0].outcome is RunOutcome.COMPLETE
+    assert item.data == ["સ" * 200_000] * 2
