Datagrams: messages are divided by their encoded size

The number of entries was bounded, not their size: 25 streams with ids of 4,000 characters exceed the largest datagram, and no process learned where they began.

--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -1,6 +1,8 @@
-"""The messages that processes send each other as datagrams."""
+"""The messages that processes send each other as datagrams, and how large ones are divided."""
 
-from msgspec import Struct
+from collections.abc import Callable, Iterator
+
+from msgspec import Struct, structs
 
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.link.account_messages import AccountTotals, AccountUsage
@@ -89,3 +91,32 @@
     | PaceReport
     | PaceLimits
 )
+
+# Messages whose entries are independent of each other, and the field that holds the entries.
+_ENTRY_FIELDS: dict[type[Struct], str] = {
+    SuspicionUpdate: "verdicts",
+    StreamStarts: "streams",
+    SpeedUpdate: "reports",
+    PaceReport: "evidence",
+    PaceLimits: "limits",
+}
+
+
+def encode_datagrams(
+    message: Datagram, encode: Callable[[Datagram], bytes], limit_bytes: int
+) -> Iterator[bytes]:
+    """Encode a message, in several datagrams if it is larger than a limit and can be divided.
+
+    A datagram with a single entry may still be larger.
+
+    :param encode: encodes one message.
+    """
+    frame = encode(message)
+    field = _ENTRY_FIELDS.get(type(message), "")
+    entries = getattr(message, field) if field else ()
+    if len(frame) <= limit_bytes or len(entries) < 2:
+        yield frame
+        return
+    middle = len(entries) // 2
+    for half in (entries[:middle], entries[middle:]):
+        yield from encode_datagrams(structs.replace(message, **{field: half}), encode, limit_bytes)
--- a/ebonyshore/link/load_socket.py
+++ b/ebonyshore/link/load_socket.py
@@ -8,7 +8,10 @@
 
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.link.codec import MessageCodec
-from ebonyshore.link.datagrams import Datagram
+from ebonyshore.link.datagrams import Datagram, encode_datagrams
+
+PACKET_BYTES = 1_472  # payload of one packet on Ethernet; a datagram is lost with any fragment
+MAX_DATAGRAM_BYTES = 65_507  # payload of UDP over IPv4
 
 
 class LoadSocket(DatagramProtocol):
@@ -44,13 +47,19 @@
     def send(self, message: Datagram, addresses: list[tuple[str, int]]) -> None:
         """Send a message to each address; has no effect if the socket is not open.
 
+        A message that exceeds one packet is sent in several datagrams if it can be divided. What
+        cannot be sent as a datagram is counted as ``datagrams_too_large``.
+
         :param addresses: pairs of host and port.
         """
         if self._transport is None or not addresses:
             return
-        frame = self._codec.encode(message)
-        for address in addresses:
-            self._transport.sendto(frame, address)
+        for frame in encode_datagrams(message, self._codec.encode, PACKET_BYTES):
+            if len(frame) > MAX_DATAGRAM_BYTES:
+                self._metrics.count("datagrams_too_large")
+                continue
+            for address in addresses:
+                self._transport.sendto(frame, address)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         message = self._codec.decode(data)
