Ledgers: a reservation that does not fit into the object is refused

A ledger that reached the limit of an object could not be written any more, also not to give tokens back, and every job of its route was refused as if the store were down. Requests beyond the size are refused like those beyond the limit of tokens.

--- a/ebonyshore/runner/quota_ledger.py
+++ b/ebonyshore/runner/quota_ledger.py
@@ -11,7 +11,11 @@
 
 from msgspec import Struct
 
+from ebonyshore.frame.encoded_size import json_size
 from ebonyshore.host.routes import Route
+from ebonyshore.store.value_limit import ValueLimit
+
+MAX_LEDGER_BYTES = ValueLimit().record_bytes
 
 
 class Reservation(Struct, frozen=True, array_like=True):
@@ -122,6 +126,7 @@
     requests: Sequence[ReservationRequest],
     limit_tokens: int,
     unreserved_tokens: int = 0,
+    limit_bytes: int = MAX_LEDGER_BYTES,
 ) -> LedgerChange:
     """Bring a ledger up to date and add the requested reservations that fit.
 
@@ -130,6 +135,8 @@
     :param requests: the reservations to add, in the order of their arrival.
     :param limit_tokens: limit for the sum of all reservations; 0 if there is none.
     :param unreserved_tokens: tokens of accepted jobs of other runners that have no reservation yet.
+    :param limit_bytes: largest size of the ledger in JSON. Beyond it requests are refused; those of
+        accepted jobs are left out until other jobs have ended.
     """
     current = known.update(ledger)
     reservations = {(kept.job_id, kept.owner): kept for kept in current.reservations}
@@ -137,8 +144,16 @@
     total_tokens = unreserved_tokens + sum(tokens_by_job.values())
     refused: set[str] = set()
     missing_tokens = 0
+    size = json_size(current)
     for request in requests:
         wanted = request.reservation
+        is_new = (wanted.job_id, wanted.owner) not in reservations
+        added_bytes = json_size(wanted) + 1 if is_new else 0
+        if is_new and size + added_bytes > limit_bytes:
+            if not request.is_accepted:
+                refused.add(wanted.job_id)
+                missing_tokens = missing_tokens or wanted.tokens
+            continue
         if wanted.job_id not in tokens_by_job:
             excess_tokens = total_tokens + wanted.tokens - limit_tokens
             if excess_tokens > 0 and limit_tokens and not request.is_accepted:
@@ -147,6 +162,7 @@
                 continue
             total_tokens += wanted.tokens
             tokens_by_job[wanted.job_id] = wanted.tokens
+        size += added_bytes
         reservations.setdefault((wanted.job_id, wanted.owner), wanted)
     changed = QuotaLedger(tuple(reservations.values()))
     return LedgerChange(changed, frozenset(refused), missing_tokens)
--- a/ebonyshore/runner/quota_storage.py
+++ b/ebonyshore/runner/quota_storage.py
@@ -8,15 +8,17 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import (
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.runner.quota_ledger import LedgerChange, QuotaLedger
+from ebonyshore.runner.quota_ledger import MAX_LEDGER_BYTES, LedgerChange, QuotaLedger
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION, ObjectStore
 
 QUOTAS_KIND = "jobquotas"
 MAX_ATTEMPTS = 12
+MIN_LEDGER_BYTES = 4_096
 MAX_CONFLICT_PAUSE_MS = 8
 MAX_LOST_ANSWERS = 3  # each repetition is a priced call, also while the store is down
 LOST_ANSWER_PAUSE_MS = 50.0
@@ -40,11 +42,16 @@
     second write, because reservations are named by their jobs.
 
     :param store: the platform's object store.
+    :param ledger_bytes: largest size of a ledger in JSON.
+    :ivar ledger_bytes: the same; halved if the store takes less.
     """
 
-    __slots__ = ("_clock", "_copies", "_store")
+    __slots__ = ("_clock", "_copies", "_store", "ledger_bytes")
 
-    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+    def __init__(
+        self, store: ObjectStore, clock: Clock, ledger_bytes: int = MAX_LEDGER_BYTES
+    ) -> None:
+        self.ledger_bytes = ledger_bytes
         self._store = MarkedStore(store, clock, settle_timeout_ms=0.0)
         self._clock = clock
         self._copies: dict[str, _LedgerCopy] = {}
@@ -76,6 +83,10 @@
                 return self._write(copy, result)
             except WriteConflictError:
                 self._clock.sleep_ms(secrets.randbelow(MAX_CONFLICT_PAUSE_MS * (attempt + 1)))
+            except ValueTooLargeError as error:
+                # The size is that of other jobs, too; the job itself may be submitted again.
+                self.ledger_bytes = max(MIN_LEDGER_BYTES, self.ledger_bytes // 2)
+                raise StoreUnavailableError(f"{key} has no room: {error}") from error
             except WriteOutcomeUnknownError:
                 lost_answers += 1
                 if lost_answers > MAX_LOST_ANSWERS:
--- a/ebonyshore/runner/reservation_writer.py
+++ b/ebonyshore/runner/reservation_writer.py
@@ -126,7 +126,9 @@
 
         def change(ledger: QuotaLedger) -> LedgerChange:
             others = unreserved_tokens(ledger, reported)
-            return change_ledger(ledger, known, requests, limit_tokens, others)
+            return change_ledger(
+                ledger, known, requests, limit_tokens, others, self._storage.ledger_bytes
+            )
 
         quota.next_release_ms = now_ms() + RELEASE_INTERVAL_MS
         try:
