Suspicions and convictions: what fits is stored, a refused one holds up no other

The number of stored suspects was bounded, not their size, and a conviction that the store refuses kept those after it from being stored. Tests: test_suspicions_that_fit_are_stored, test_convictions_behind_one_that_the_store_refuses_are_stored (written with the change).

--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -7,7 +7,7 @@
 
 from msgspec import DecodeError, Struct
 
-from ebonyshore.frame.errors import WriteConflictError
+from ebonyshore.frame.errors import StoreError, WriteConflictError, WriteRefusedError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
@@ -106,14 +106,26 @@
         }
         for digest in convictions.keys() - self._stored:
             record = to_record(convictions[digest], self._clock.wall_ms())
-            await self._run_blocking(self._storage.create, record)
             self._stored.add(digest)
-            self._log.event("conviction_stored", content=digest)
+            await self._store(record)
         for digest in self._stored - convictions.keys():
             await self._run_blocking(self._storage.delete, digest)
             self._stored.discard(digest)
             self._log.event("conviction_deleted", content=digest)
 
+    async def _store(self, record: ConvictionRecord) -> None:
+        """Store a conviction; one that the store refuses for good does not hold up others."""
+        digest = record.content_digest
+        try:
+            await self._run_blocking(self._storage.create, record)
+        except WriteRefusedError as error:
+            self._log.event("conviction_refused", content=digest, error=str(error))
+        except StoreError:
+            self._stored.discard(digest)
+            raise
+        else:
+            self._log.event("conviction_stored", content=digest)
+
 
 def _key(content_digest: str) -> str:
     return f"{CONVICTIONS_KIND}/{content_digest}"
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -169,7 +169,7 @@
         parts.config,
         load_table,
         parts.peers,
-        QuotaStorage(environment.store, clock),
+        QuotaStorage(environment.store, clock, settings.value_limit.record_bytes),
         completions,
         ranking,
         clock,
@@ -286,7 +286,15 @@
 ) -> SuspicionKeeper:
     clock, log = environment.clock, environment.log
     storage = SuspicionStorage(environment.marked_store, log)
-    return SuspicionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
+    return SuspicionKeeper(
+        storage,
+        parts.suspicions,
+        load_table,
+        registry.run_blocking,
+        clock,
+        log,
+        limit_bytes=environment.settings.value_limit.batch_bytes,
+    )
 
 
 def _make_config_confirmer(
--- a/ebonyshore/runner/suspicion_store.py
+++ b/ebonyshore/runner/suspicion_store.py
@@ -7,6 +7,8 @@
 
 from msgspec import DecodeError, Struct
 
+from ebonyshore.frame.encoded_size import json_size, take_fitting
+from ebonyshore.frame.errors import ValueTooLargeError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.link.messages import Verdict
@@ -14,9 +16,11 @@
 from ebonyshore.runner.shared_record import SharedRecordKeeper
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
 from ebonyshore.store.platform_api import ABSENT_VERSION
+from ebonyshore.store.value_limit import ValueLimit
 
 SUSPICIONS_KEY = "suspicions/current"
-MAX_STORED_SUSPECTS = 1_000  # the newest ones; keeps the object below 200 kB
+MAX_STORED_SUSPECTS = 1_000  # the newest ones
+MIN_LIMIT_BYTES = 4_096
 CLEARED_WRITE_INTERVAL_MS = 10_000.0  # between writes that only remove cleared content
 
 
@@ -68,16 +72,23 @@
 
     :param storage: the stored suspicions.
     :param arguments: see :class:`SharedRecordKeeper`.
+    :param limit_bytes: largest size of the suspicions in JSON; halved if the store takes less.
     """
 
     name = "suspicions"
     interval_ms = 100.0
 
-    def __init__(self, storage: SuspicionStorage, *arguments: object) -> None:
+    def __init__(
+        self,
+        storage: SuspicionStorage,
+        *arguments: object,
+        limit_bytes: int = ValueLimit().batch_bytes,
+    ) -> None:
         super().__init__(*arguments)
         self._storage = storage
         self._stored_crashes: dict[str, frozenset[str]] = {}  # crash ids by content digest
         self._written_ms = float("-inf")
+        self._limit_bytes = limit_bytes
 
     async def _load(self) -> None:
         record = await self._run_blocking(self._storage.read)
@@ -97,9 +108,15 @@
         if is_cleared_only and now_ms() - self._written_ms < CLEARED_WRITE_INTERVAL_MS:
             return
         wall_ms = self._clock.wall_ms()
-        record = SuspicionRecord(tuple(to_record(found, wall_ms) for found in suspects.values()))
+        records = [to_record(found, wall_ms) for found in suspects.values()]
+        sized = [(record, json_size(record) + 1) for record in records]
+        fitting = SuspicionRecord(tuple(take_fitting(sized, self._limit_bytes)))
         self._written_ms = now_ms()
-        await self._run_blocking(self._storage.write, record)
+        try:
+            await self._run_blocking(self._storage.write, fitting)
+        except ValueTooLargeError:
+            self._limit_bytes = max(MIN_LIMIT_BYTES, self._limit_bytes // 2)
+            raise
         self._stored_crashes = crashes
         self._log.event("suspicions_stored", contents=len(crashes))
 
--- a/tests/test_encoded_sizes.py
+++ b/tests/test_encoded_sizes.py
@@ -6,7 +6,9 @@
 import pytest
 
 from ebonyshore.frame.clock import ManualClock
+from ebonyshore.frame.encoded_size import json_size
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import ItemRecord
 from ebonyshore.host.target import TargetGroup
@@ -18,11 +20,20 @@
 from ebonyshore.platform.job_bodies import encode_results
 from ebonyshore.runner import result_writer
 from ebonyshore.runner.job_storage import JobStorage
+from ebonyshore.runner.quota_ledger import (
+    KnownReservations,
+    QuotaLedger,
+    Reservation,
+    ReservationRequest,
+    change_ledger,
+)
 from ebonyshore.runner.result_writer import ResultWriter
 from ebonyshore.runner.saved_items import make_saved_items
+from ebonyshore.runner.suspicion_store import SuspicionKeeper, SuspicionStorage
 from ebonyshore.store.marked_write import MarkedStore
 from tests.registry_setup import RegistrySetup
 from tests.test_account_jobs import ApiCaller, make_runners
+from tests.test_stored_convictions import KeeperSetup, run_blocking
 
 PAGE_BYTES = 1_000_000
 GUJARATI = "સ"  # three bytes
@@ -187,3 +198,54 @@
 
     asyncio.run(submit())
     assert replies == [(status, None)]
+
+
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_ledger_without_room_is_not_written_larger(is_accepted):
+    """Guards against a limit that cannot be written, not even to give tokens back."""
+    ledger = QuotaLedger(tuple(Reservation(f"j{n}", 1, "a") for n in range(100)))
+    request = ReservationRequest(Reservation("new", 1, "a"), is_accepted)
+    known = KnownReservations()
+    full = change_ledger(ledger, known, [request], 1_000, limit_bytes=json_size(ledger))
+    assert full.ledger == ledger and ("new" in full.refused) is not is_accepted
+    assert not change_ledger(ledger, known, [request], 1_000).refused
+
+
+def test_convictions_behind_one_that_the_store_refuses_are_stored(
+    object_platform, object_store, clock
+):
+    setup = KeeperSetup(object_store, clock)
+    serve = object_platform.serve
+    object_platform.serve = lambda method, target, body: (
+        (400, {}) if b"bad" in body else serve(method, target, body)
+    )
+
+    async def store():
+        for content in ("bad-1", "good", "bad-2"):
+            setup.convict(content)
+        await setup.keeper.run_once()
+
+    asyncio.run(store())
+    assert [name for _, name in object_platform.state.objects] == ["good"]
+
+
+def test_suspicions_that_fit_are_stored(object_platform, object_store, clock):
+    setup = KeeperSetup(object_store, clock)
+    keeper = SuspicionKeeper(
+        SuspicionStorage(MarkedStore(object_store, clock), EventLog()),
+        setup.suspicions,
+        setup.load_table,
+        run_blocking,
+        clock,
+        EventLog(),
+        limit_bytes=1_000,
+    )
+
+    async def store():
+        setup.suspicions.record_crash("t1/1.1", [f"c{n}" for n in range(100)], now_ms())
+        await keeper.run_once()
+
+    asyncio.run(store())
+    (stored,) = object_platform.state.objects.values()
+    suspects = stored["Spec"]["body"]["suspects"]
+    assert suspects and json_size(suspects) <= 1_000
