Store over HTTP: refusals for good are typed errors here, too

The client of the other platform interface raises WriteRefusedError and ValueTooLargeError as that of the object store does, and the platform in memory and its server refuse large values with them. Shown by test_value_that_is_too_large_is_refused_for_good, for both clients.

--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -26,11 +26,14 @@
     StoredObject,
     WatchResult,
 )
-from ebonyshore.store.store_http_client import StoreHttpClient, StoreResponse
+from ebonyshore.store.store_http_client import (
+    TOO_LARGE_STATUS,
+    TRANSIENT_STATUSES,
+    StoreHttpClient,
+    StoreResponse,
+)
 
 SUCCESS_STATUSES = (200, 201)
-TRANSIENT_STATUSES = (408, 410, 425, 429, 503)
-TOO_LARGE_STATUS = 413
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
--- a/ebonyshore/store/platform_http.py
+++ b/ebonyshore/store/platform_http.py
@@ -8,8 +8,10 @@
 from ebonyshore.frame.errors import (
     StoreError,
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
+    WriteRefusedError,
 )
 from ebonyshore.store.platform_api import (
     ABSENT_VERSION,
@@ -22,7 +24,12 @@
     WeightGrant,
     WeightStore,
 )
-from ebonyshore.store.store_http_client import StoreHttpClient, StoreResponse
+from ebonyshore.store.store_http_client import (
+    TOO_LARGE_STATUS,
+    TRANSIENT_STATUSES,
+    StoreHttpClient,
+    StoreResponse,
+)
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -109,8 +116,10 @@
 def _write_error(status: int, call: str) -> StoreError:
     if status == HTTP_PRECONDITION_FAILED:
         return WriteConflictError(call)
-    if status in (429, 503):
+    if status in TRANSIENT_STATUSES:
         return StoreUnavailableError(f"{call}: HTTP status {status}")
     if status >= 500:
         return WriteOutcomeUnknownError(f"{call}: HTTP status {status}")
-    return StoreError(f"{call}: HTTP status {status}")
+    if status == TOO_LARGE_STATUS:
+        return ValueTooLargeError(f"{call}: HTTP status {status}")
+    return WriteRefusedError(f"{call}: HTTP status {status}")
--- a/ebonyshore/store/store_http_client.py
+++ b/ebonyshore/store/store_http_client.py
@@ -18,6 +18,9 @@
 )
 from ebonyshore.frame.http_pool import HttpConnectionPool
 
+# Of writes that were not done and may be done later, beside those of conflicts.
+TRANSIENT_STATUSES = (408, 410, 425, 429, 503)
+TOO_LARGE_STATUS = 413
 MAX_IDLE_CONNECTIONS = 4
 WATCH_MARGIN_MS = 2_000  # added to the client's timeout of a watch
 
--- a/ebonyshore_standins/memory_platform.py
+++ b/ebonyshore_standins/memory_platform.py
@@ -11,9 +11,9 @@
 
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore.frame.errors import (
-    StoreError,
     StoreTimeoutError,
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
@@ -126,7 +126,7 @@
 
     def put(self, key: str, value: bytes, expected_version: int) -> int:
         if len(value) > MAX_VALUE_BYTES:
-            raise StoreError(
+            raise ValueTooLargeError(
                 f"{key}: value of {len(value)} bytes exceeds the limit of {MAX_VALUE_BYTES}"
             )
         with self._handle_call("put"):
--- a/ebonyshore_standins/platform_server.py
+++ b/ebonyshore_standins/platform_server.py
@@ -18,6 +18,7 @@
 from ebonyshore.frame.errors import (
     StoreError,
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
@@ -69,6 +70,8 @@
             return Response(str(error), 504)
         except StoreUnavailableError as error:
             return Response(str(error), 503)
+        except ValueTooLargeError as error:
+            return Response(str(error), 413)
         except StoreError as error:
             return Response(str(error), 400)
         except HTTPException as error:
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -11,10 +11,11 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import (
     StoreUnavailableError,
+    ValueTooLargeError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
-from ebonyshore.store.platform_api import Instance
+from ebonyshore.store.platform_api import MAX_VALUE_BYTES, Instance
 from ebonyshore.store.platform_http import PlatformHttp
 from ebonyshore_standins.memory_platform import MemoryPlatform, PlatformFaults
 from ebonyshore_standins.platform_server import PlatformApp
@@ -69,6 +70,11 @@
     assert store.get("a/b c") is None
 
 
+def test_value_that_is_too_large_is_refused_for_good(case: Case) -> None:
+    with pytest.raises(ValueTooLargeError):
+        case.client.put("a/large", b"x" * (MAX_VALUE_BYTES + 1), 0)
+
+
 def test_keys_with_a_prefix_are_listed_in_pages(case: Case) -> None:
     for number in range(5):
         case.client.put(f"a/{number}", b"", 0)
