--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -15,6 +15,7 @@
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import CRASHING_BODY, CRASHING_PART, STREAM_EVENTS, SoakClients
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
+from ebonyshore_soak.large_results import check_large_results
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
 from ebonyshore_soak.slow_readers import SlowReaders
@@ -152,6 +153,7 @@
 ) -> None:
     """Check how the settled fleet deals with one kind of fault after the other."""
     _check_streams_go_on(fleet, clients, checker)
+    check_large_results(fleet, clients, checker, clock)
     _check_leaving_target(fleet, first_target_proxy, clients, checker, clock)
     _check_crashing_content(fleet, clients, checker, clock)
     check_crashing_part(fleet, clients, checker, clock)
--- a/ebonyshore_standins/fleet_client.py
+++ b/ebonyshore_standins/fleet_client.py
@@ -22,19 +22,23 @@
 ITEM_TOKENS = 10
 
 
-def job_body(job_id: str, items: int, events: int = 6) -> bytes:
+def job_body(
+    job_id: str, items: int, events: int = 6, extra_headers: dict[str, str] | None = None
+) -> bytes:
     """Return the request body that submits a job.
 
     :param items: number of items.
     :param events: number of events that a target generates for each item.
+    :param extra_headers: further headers of each item.
     """
+    headers = {"Length-Hint": str(events), "Model": "m", **(extra_headers or {})}
     return json.dumps(
         {
             "Items": [
                 {
                     "Id": f"{job_id}-{number}",
                     "Path": f"{BATCH_PREFIX}{number}",
-                    "Headers": {"Length-Hint": str(events), "Model": "m"},
+                    "Headers": headers,
                     "Body": base64.b64encode(item_body(number)).decode(),
                     "TokenCount": ITEM_TOKENS,
                 }
@@ -87,15 +91,17 @@
     events: int = 6,
     timeout_s: float = 10.0,
     prefix: str = BATCH_PREFIX,
+    extra_headers: dict[str, str] | None = None,
 ) -> int:
     """Submit a job through an entry.
 
     :param items: number of items.
     :param events: number of events that a target generates for each item.
     :param prefix: path prefix of a batch route.
+    :param extra_headers: further headers of each item.
     :return: HTTP status of the response.
     """
-    body = job_body(job_id, items, events)
+    body = job_body(job_id, items, events, extra_headers)
     headers = {WIRE_NAMES.request_id: job_id, "Content-Type": "application/json"}
     return entry.call("POST", f"{prefix}{job_id}", headers, body, timeout_s)[0]
 
--- a/ebonyshore_standins/stream_target.py
+++ b/ebonyshore_standins/stream_target.py
@@ -18,6 +18,8 @@
 CLOCK = SystemClock()
 DEFAULT_EVENT_COUNT = 6
 PADDING_HEADER = "Event-Padding"  # bytes that are added to each event of a stream
+TEXT_HEADER = "Event-Text"  # characters of three bytes that are added to the data of each event
+TEXT_CHARACTER = "સ"
 MAX_QUEUED_REQUESTS = 24
 
 
@@ -35,6 +37,7 @@
     :param software_version: version of the target.
     :param resumed_request: id of the attempt whose stream the request continues, as it names it.
     :param headers: header fields as received, with their names in lower case.
+    :param text: what is added to the data of each event.
     """
 
     request_id: str
@@ -48,6 +51,7 @@
     software_version: str = ""
     resumed_request: str = ""
     headers: tuple[tuple[str, str], ...] = ()
+    text: str = ""
 
     @property
     def stream_id(self) -> str:
@@ -72,12 +76,14 @@
     return mixed
 
 
-def expected_data(request_id: str, events: int) -> str:
+def expected_data(request_id: str, events: int, text_length: int = 0) -> str:
     """Return the data of all events of a request, joined by line feeds.
 
     :param events: number of events.
+    :param text_length: value of the header :data:`TEXT_HEADER`.
     """
-    return "\n".join(f"{request_id}.{number}" for number in range(1, events + 1))
+    text = TEXT_CHARACTER * text_length
+    return "\n".join(f"{request_id}.{number}{text}" for number in range(1, events + 1))
 
 
 class StreamTarget:
@@ -278,6 +284,7 @@
             software_version=self.software_version,
             resumed_request=headers.get("resumes", ""),
             headers=self._received_fields[writer],
+            text=TEXT_CHARACTER * int(headers.get(TEXT_HEADER.lower(), 0)),
         )
         self.runs.append(run)
         writer.write(
@@ -317,7 +324,8 @@
     ) -> None:
         padding = f": {'x' * padding_bytes}\n" if padding_bytes else ""  # a comment line
         # Heads are read as Latin-1, so that an id is sent back with the bytes that were received.
-        event = f"id: {number}\n{padding}data: {run.stream_id}.{number}\n\n".encode("latin-1")
+        beginning = f"id: {number}\n{padding}data: {run.stream_id}.{number}".encode("latin-1")
+        event = beginning + run.text.encode() + b"\n\n"
         writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         run.last_event = number
 
