--- a/tests/test_encoded_sizes.py
+++ b/tests/test_encoded_sizes.py
@@ -4,13 +4,14 @@
 import json
 
 import pytest
+from msgspec.structs import replace
 
 from ebonyshore.frame.clock import ManualClock
 from ebonyshore.frame.encoded_size import json_size
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.host.job_types import ItemRecord
+from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
@@ -19,6 +20,7 @@
 from ebonyshore.link.load_socket import LoadSocket
 from ebonyshore.platform.job_bodies import encode_results
 from ebonyshore.runner import result_writer
+from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.quota_ledger import (
     KnownReservations,
@@ -249,3 +251,40 @@
     (stored,) = object_platform.state.objects.values()
     suspects = stored["Spec"]["body"]["suspects"]
     assert suspects and json_size(suspects) <= 1_000
+
+
+def test_store_that_refuses_everything_for_a_while_costs_no_result(object_platform, object_store):
+    """Guards against giving up results for a refusal that does not concern them."""
+    serve, refused = object_platform.serve, []
+
+    def refuse_at_first(method, target, body):
+        if target.startswith(RESULTS_PATH) and len(refused) < 40:
+            refused.append(target)
+            return 403, {}
+        return serve(method, target, body)
+
+    setup = make_setup(object_store)
+    object_platform.serve = refuse_at_first
+    write_results(setup, ["good"] * 3)
+    results, _ = read_all(make_setup(object_store).read())
+    assert [found["State"] for found in results] == ["complete"] * 3 and len(refused) == 40
+
+
+def test_next_owner_stores_a_result_in_parts_from_the_start():
+    """Guards against a result that is joined from the parts of two owners."""
+    record = JobRecord("j1", "h", "/p/", 0, 1e9, 1.0, 3, (ItemRecord("i0", "/p/x", (), b""),))
+    former, successor, reader = (JobProgress(record, segment_bytes=1_000) for _ in range(3))
+    successor.record = replace(record, epoch=2)
+    for progress, text in ((former, "a" * 2_500), (successor, "b" * 2_500)):
+        progress.items[0].data = [text]
+        progress.end_item(progress.items[0], True, 0.0)
+    stored = [former.build_segment()]
+    former.apply_segment(stored[0])
+    late = former.build_segment()
+    successor.apply_segment(stored[0])
+    while successor.pending_count:
+        stored.append(successor.build_segment())
+        successor.apply_segment(stored[-1])
+    reader.apply_segments(0, [stored[0], stored[1], late, *stored[2:]])
+    (result,) = reader.result_page(0).results
+    assert result.is_complete and result.data == "b" * 2_500
