--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -99,13 +99,14 @@
                 registry.storage.append_segment, progress.job_id, number, segment
             )
             self._failed_job_id = None
+            known_count = progress.listed_count
             progress.apply_segments(number, [segment])
-            self._metrics.count("results_listed", len(segment.results))
+            self._metrics.count("results_listed", progress.listed_count - known_count)
             self._log.event(
                 "results_listed",
                 job=progress.job_id,
                 segment=number,
-                results=len(segment.results),
+                results=progress.listed_count - known_count,
                 listed=progress.listed_count,
             )
         except WriteConflictError:
