--- a/tests/test_encoded_sizes.py
+++ b/tests/test_encoded_sizes.py
@@ -223,7 +223,7 @@
     )
 
     async def store():
-        for content in ("bad-1", "good", "bad-2"):
+        for content in ("good", *(f"bad-{number}" for number in range(9))):
             setup.convict(content)
         await setup.keeper.run_once()
 
