--- a/ebonyshore/frame/encoded_size.py
+++ b/ebonyshore/frame/encoded_size.py
@@ -5,11 +5,14 @@
 """
 
 from collections.abc import Iterable, Iterator
+from typing import TypeVar
 
 from msgspec.json import encode
 
 QUOTES_BYTES = 2
 
+ValueT = TypeVar("ValueT")
+
 
 def json_size(value: object) -> int:
     """Return the size of a value in JSON, in bytes."""
@@ -32,7 +35,7 @@
     return beginning
 
 
-def take_fitting(sized_values: Iterable[tuple[object, int]], limit_bytes: int) -> Iterator[object]:
+def take_fitting(sized_values: Iterable[tuple[ValueT, int]], limit_bytes: int) -> Iterator[ValueT]:
     """Return the values that fit into a limit together; those that do not are passed over.
 
     :param sized_values: pairs of a value and its size in bytes, the most important ones first.
