--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ebonyshore.link.account_limit import QuotaRule
+from ebonyshore.store.value_limit import ValueLimit
 
 
 class ListenAddress(Struct, frozen=True):
@@ -37,6 +38,7 @@
     :param max_store_age_ms: time after the acknowledgement of a change in the store, of the
         configuration or of a job, within which it has to take effect at every process.
     :param memory_bytes: limit of the memory of a process; ``None`` if there is none.
+    :param value_limit: how much fits into one object of the store.
     """
 
     instance_id: str
@@ -56,6 +58,7 @@
     quota_slack: float = 0.0
     memory_bytes: int | None = None
     max_store_age_ms: float = 2_000.0
+    value_limit: ValueLimit = ValueLimit()
 
     @property
     def quota_rule(self) -> QuotaRule:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -156,12 +156,13 @@
     registry = JobRegistry(
         settings.instance_id,
         environment.incarnation,
-        JobStorage(environment.marked_store),
+        JobStorage(environment.marked_store, settings.value_limit),
         load_table,
         parts.peers,
         clock,
         environment.executor,
         log,
+        settings.value_limit.batch_bytes,
     )
     claims = JobClaims(registry, load_table, clock, log)
     completions = CompletionRate()
@@ -171,7 +172,7 @@
         parts.config,
         load_table,
         parts.peers,
-        QuotaStorage(environment.store, clock),
+        QuotaStorage(environment.store, clock, settings.value_limit.record_bytes),
         completions,
         ranking,
         clock,
@@ -220,7 +221,7 @@
         environment.random,
     )
     writer = ResultWriter(registry, clock, log, metrics)
-    saver = ItemSaver(registry, load_table, log, metrics)
+    saver = ItemSaver(registry, load_table, log, metrics, settings.value_limit.batch_bytes)
     renewal_listener = RenewalListener(settings.instance_id, environment.marked_store, log)
     peer_monitor = _make_peer_monitor(environment, parts, load_table, renewal_listener)
     runner = RunnerService(
@@ -316,7 +317,15 @@
 ) -> SuspicionKeeper:
     clock, log = environment.clock, environment.log
     storage = SuspicionStorage(environment.marked_store, log)
-    return SuspicionKeeper(storage, parts.suspicions, load_table, registry.run_blocking, clock, log)
+    return SuspicionKeeper(
+        storage,
+        parts.suspicions,
+        load_table,
+        registry.run_blocking,
+        clock,
+        log,
+        limit_bytes=environment.settings.value_limit.batch_bytes,
+    )
 
 
 def _make_config_confirmer(
