Object store: one unreadable entry costs itself alone

Cause: a page of a list, or all events of a watch, was decoded at once; a lone surrogate, a control character, NaN or deep nesting in one entry failed all (the last as RecursionError, which was not caught). Entries without Version or Sequence, with a port or capacity out of range, or without an IP were used, and a connection to such a port raised OverflowError, which nothing caught.

Change: what cannot be decoded at once is separated by a scan for quotes and brackets (linear, no recursion) and decoded one by one. An unreadable object is logged and counted once for each content and is passed on with its bytes, which no consumer decodes. An entry that is present and unusable drops its target at once, also shortly after an outage. Connections refuse an invalid address with ExchangeError.

--- a/ebonyshore/host/deployment.py
+++ b/ebonyshore/host/deployment.py
@@ -8,6 +8,7 @@
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.store.platform_api import ListingStore
+from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 
 class Deployment(ABC):
@@ -32,8 +33,11 @@
         """
 
     @abstractmethod
-    def open_store(self, settings: HostSettings) -> ListingStore:
-        """Return a client of the platform's store."""
+    def open_store(self, settings: HostSettings, unreadable: UnreadableObjects) -> ListingStore:
+        """Return a client of the platform's store.
+
+        :param unreadable: told of objects that cannot be read.
+        """
 
     @abstractmethod
     def decode_config(self, value: bytes) -> ServiceConfig:
--- a/ebonyshore/host/host_environment.py
+++ b/ebonyshore/host/host_environment.py
@@ -17,6 +17,7 @@
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.store.counting_store import CountingStore
 from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 STORE_THREADS = 8
 MAX_IDLE_CONNECTIONS = 16  # to each address
@@ -38,7 +39,9 @@
         self.metrics = Metrics()
         self.incarnation = uuid4().hex
         self.log = EventLog(instance_id=self.settings.instance_id, role=role)
-        self.store = CountingStore(deployment.open_store(self.settings), self.metrics)
+        unreadable = UnreadableObjects(self.log, self.metrics)
+        store = deployment.open_store(self.settings, unreadable)
+        self.store = CountingStore(store, self.metrics)
         self.marked_store = MarkedStore(self.store, self.clock)
         self.executor = ThreadPoolExecutor(STORE_THREADS, thread_name_prefix="store")
         self.pool = ConnectionPool(MAX_IDLE_CONNECTIONS)
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -12,6 +12,7 @@
 from ebonyshore.link.load_table import Incarnation
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import StoredObject
+from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 EntryDecoder = Callable[[str, bytes], TargetEntry | None]
 
@@ -40,6 +41,7 @@
         self._pool = pool
         self._log = log
         self._metrics = metrics
+        self._unusable = UnreadableObjects(log, metrics, "target_entry_unusable")
         self.on_leaving: Callable[[], None] = lambda: None
         table.on_leaving = self._note_leaving
         table.rate_limits.on_change = self._note_limit
@@ -48,20 +50,22 @@
 
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
         entries = [entry for stored in objects if (entry := self._decode_entry(stored)) is not None]
+        usable_ids = {entry.target_id for entry in entries}
+        for stored in objects:
+            if _target_id(stored) not in usable_ids:
+                self._drop(_target_id(stored))
         self._close_connections(self.table.replace_all(entries, now_ms()))
         self.has_listing = True
         self._log.event("targets_listed", targets=len(self.table))
 
     def on_changes(self, objects: Sequence[StoredObject]) -> None:
         for stored in objects:
-            entry = self._decode_entry(stored) if stored.value is not None else None
-            if entry is not None:
+            if stored.value is None:
+                self._remove(stored)
+            elif (entry := self._decode_entry(stored)) is not None:
                 self._put(entry)
-                continue
-            target_id = _target_id(stored)
-            self._log.event("target_removed", target=target_id, revision=stored.version)
-            removed = self.table.remove(target_id, now_ms())
-            self._close_connections([removed] if removed else [])
+            else:
+                self._drop(_target_id(stored))
 
     def on_interruption(self) -> None:
         self.table.record_store_outage(now_ms())
@@ -112,11 +116,25 @@
                 software_version=entry.software_version,
             )
 
+    def _remove(self, stored: StoredObject) -> None:
+        target_id = _target_id(stored)
+        self._log.event("target_removed", target=target_id, revision=stored.version)
+        removed = self.table.remove(target_id, now_ms())
+        self._close_connections([removed] if removed else [])
+
+    def _drop(self, target_id: str) -> None:
+        """Drop the target of an entry that is present and does not describe a usable target."""
+        dropped = self.table.drop(target_id, now_ms())
+        if dropped is not None:
+            self._log.event("target_dropped", target=target_id)
+            self._close_connections([dropped])
+
     def _decode_entry(self, stored: StoredObject) -> TargetEntry | None:
         target_id = _target_id(stored)
-        entry = self._decode(target_id, stored.value or b"")
+        value = stored.value or b""
+        entry = self._decode(target_id, value)
         if entry is None:
-            self._log.event("target_entry_unusable", target=target_id, revision=stored.version)
+            self._unusable.report(stored.key, value)
         return entry
 
     def _close_connections(self, targets: list[Target]) -> None:
--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -116,6 +116,16 @@
         self._note_dropped(target, now_ms)
         return self._targets.pop(target_id)
 
+    def drop(self, target_id: str, now_ms: float) -> Target | None:
+        """Drop a target at once; its entry has not expired but describes no target any more.
+
+        :return: the target; ``None`` if it is unknown.
+        """
+        target = self._targets.pop(target_id, None)
+        if target is not None:
+            self._note_dropped(target, now_ms)
+        return target
+
     def drop_expired(self, now_ms: float) -> list[Target]:
         """Drop targets whose entries were not written again in time; return them."""
         if now_ms - self._store_outage_ms < REREGISTRATION_GRACE_MS:
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -17,7 +17,7 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.idle_timeouts import IdleTimeout
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.http.numbers import parse_decimal
+from ebonyshore.http.numbers import parse_decimal, parse_port
 
 BODILESS_STATUSES = (204, 304)
 MAX_HEAD_BYTES = 65_536  # of a response
@@ -376,12 +376,15 @@
 
     :raises ExchangeError: if the server cannot be reached; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
+    host, _, port_text = address.rpartition(":")
+    port = parse_port(port_text)
+    if not host or port is None:
+        raise ExchangeError(f"invalid address {address!r}", was_sent=False)
     loop = get_running_loop()
     try:
         async with timeout(timeout_ms / MS_PER_S):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(idle_timeout), host, int(port)
+                lambda: ClientConnection(idle_timeout), host, port
             )
     except (OSError, ValueError) as error:
         raise ExchangeError(f"cannot connect to {address}: {error!r}", was_sent=False) from error
--- a/ebonyshore/http/numbers.py
+++ b/ebonyshore/http/numbers.py
@@ -3,6 +3,7 @@
 from math import isfinite
 
 MAX_DIGITS = 18  # a longer number is no valid count, id or duration
+MAX_PORT = 65_535
 
 
 def parse_decimal(text: str | None) -> int | None:
@@ -15,6 +16,12 @@
     return int(text)
 
 
+def parse_port(text: str | None) -> int | None:
+    """Return a port that a server can listen on; ``None`` if the text is anything else."""
+    port = parse_decimal(text)
+    return port if port is not None and 1 <= port <= MAX_PORT else None
+
+
 def parse_non_negative(text: str | None) -> float | None:
     """Return a finite number of at least 0, with or without a fraction.
 
--- a/ebonyshore/platform/deployment.py
+++ b/ebonyshore/platform/deployment.py
@@ -16,6 +16,7 @@
 from ebonyshore.platform.target_entries import decode_start, decode_target_entry
 from ebonyshore.platform.wire_names import CONFIG_KEY, RETIREMENTS_KIND, TARGETS_KIND, WIRE_NAMES
 from ebonyshore.store.store_http_client import StoreHttpClient
+from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 STORE_TIMEOUT_MS = 1_500.0
 
@@ -31,8 +32,11 @@
     def load_settings(self) -> HostSettings:
         return load_host_settings(settings_path())
 
-    def open_store(self, settings: HostSettings) -> PlatformObjectStore:
-        return PlatformObjectStore(StoreHttpClient(settings.store_url, STORE_TIMEOUT_MS))
+    def open_store(
+        self, settings: HostSettings, unreadable: UnreadableObjects
+    ) -> PlatformObjectStore:
+        http_client = StoreHttpClient(settings.store_url, STORE_TIMEOUT_MS)
+        return PlatformObjectStore(http_client, unreadable.report)
 
     def decode_config(self, value: bytes) -> ServiceConfig:
         return decode_config(value)
--- a/ebonyshore/platform/object_store.py
+++ b/ebonyshore/platform/object_store.py
@@ -3,10 +3,13 @@
 The platform identifies an object by its kind and name, which form the key ``kind/name``.
 """
 
+from collections.abc import Callable
+from functools import partial
+from typing import TypeVar
 from urllib.parse import quote, urlencode
 
-from msgspec import Raw, Struct, ValidationError, field
-from msgspec.json import decode, encode
+from msgspec import Raw
+from msgspec.json import encode
 
 from ebonyshore.frame.errors import (
     HistoryLostError,
@@ -15,6 +18,14 @@
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
+from ebonyshore.platform.object_bodies import (
+    Metadata,
+    PlatformObject,
+    UnreadableObject,
+    decode_listing_page,
+    decode_object,
+    decode_watch_events,
+)
 from ebonyshore.platform.wire_names import OBJECTS_PATH
 from ebonyshore.store.platform_api import (
     ABSENT_VERSION,
@@ -30,43 +41,29 @@
 OVERLOAD_STATUSES = (429, 503)
 JSON_HEADERS = {"Content-Type": "application/json"}
 
-
-class _Metadata(Struct, omit_defaults=True):
-    name: str = field(name="Name")
-    revision: int = field(default=0, name="Revision")
-
-
-class _Object(Struct, omit_defaults=True):
-    metadata: _Metadata = field(name="Metadata")
-    spec: Raw = field(default=Raw(b"null"), name="Spec")
-
-
-class _ListingPage(Struct):
-    items: list[_Object] = field(name="Items")
-    truncated: bool = field(default=False, name="Truncated")
-    revision: int = field(default=0, name="StoreRevision")
-
-
-class _WatchEvent(Struct):
-    object: _Object = field(name="Object")
-    deleted: bool = field(default=False, name="Deleted")
-
-
-class _WatchEvents(Struct):
-    events: list[_WatchEvent]
-    revision: int = field(name="StoreRevision")
+BodyT = TypeVar("BodyT")
 
 
 class PlatformObjectStore(ListingStore):
     """Client of the platform's object store; safe to use from any thread.
 
+    An object that another process of the platform has written may be unreadable. If its name can be
+    read, it is returned with the bytes of its value, which the caller cannot decode either.
+
     :param http_client: makes the HTTP calls to the store.
+    :param on_unreadable: called with the key and the bytes of an object in a list or a watch that
+        cannot be read, and with the reason.
     """
 
-    __slots__ = ("_http_client",)
+    __slots__ = ("_http_client", "_on_unreadable")
 
-    def __init__(self, http_client: StoreHttpClient) -> None:
+    def __init__(
+        self,
+        http_client: StoreHttpClient,
+        on_unreadable: Callable[[str, bytes, str], None] = lambda *_: None,
+    ) -> None:
         self._http_client = http_client
+        self._on_unreadable = on_unreadable
 
     def get(self, key: str) -> StoredObject | None:
         return self._get_object(key, _object_path(key))
@@ -78,10 +75,10 @@
         response = self._read(path)
         if response.status == 404:
             return None
-        return _to_stored_object(_object_kind(key), _decode_response(response, _Object))
+        return _to_stored_object(_object_kind(key), _decode_response(response, decode_object))
 
     def put(self, key: str, value: bytes, expected_version: int) -> int:
-        body = encode(_Object(_Metadata(_object_name(key), expected_version), Raw(value)))
+        body = encode(PlatformObject(Metadata(_object_name(key), expected_version), Raw(value)))
         if expected_version == ABSENT_VERSION:
             path = f"{OBJECTS_PATH}{quote(_object_kind(key))}"
             return _written_version(self._http_client.write("POST", path, body, JSON_HEADERS), key)
@@ -90,7 +87,7 @@
         )
 
     def put_status(self, key: str, value: bytes, expected_version: int) -> int:
-        metadata = _Metadata(_object_name(key), expected_version)
+        metadata = Metadata(_object_name(key), expected_version)
         body = encode({"Metadata": metadata, "Status": Raw(value)})
         response = self._http_client.write("PUT", f"{_object_path(key)}/status", body, JSON_HEADERS)
         return _written_version(response, key)
@@ -116,16 +113,19 @@
     def list_objects(self, kind: str) -> Listing:
         objects: list[StoredObject] = []
         last_name, revision = "", None
+        report = partial(self._report, kind)
         while True:
             query = f"?{urlencode({'After': last_name})}" if last_name else ""
-            page = _decode_response(self._read(f"{OBJECTS_PATH}{quote(kind)}{query}"), _ListingPage)
+            response = self._read(f"{OBJECTS_PATH}{quote(kind)}{query}")
+            page = _decode_response(response, partial(decode_listing_page, report=report))
             # A watch that starts at the revision of the first page also returns the changes made
             # while later pages were read.
             revision = page.revision if revision is None else revision
-            objects += [_to_stored_object(kind, item) for item in page.items]
-            if not page.truncated or not page.items:
+            objects += [_to_stored_object(kind, item) for item in page.objects]
+            # A page without any readable name does not show where the next one starts.
+            if not page.is_truncated or not page.objects:
                 return Listing(revision, tuple(objects))
-            last_name = page.items[-1].metadata.name
+            last_name = page.objects[-1].metadata.name
 
     def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
         kind = _object_kind(prefix)
@@ -138,11 +138,12 @@
                 f"changes of {kind} since revision {since} are no longer available"
             )
         _check_read_status(response, kind)
-        result = _decode_response(response, _WatchEvents)
+        report = partial(self._report, kind)
+        result = _decode_response(response, partial(decode_watch_events, report=report))
         changes = [
             (
-                StoredObject(f"{kind}/{event.object.metadata.name}", _event_revision(event), None)
-                if event.deleted
+                _to_deleted_object(kind, event.object)
+                if event.is_deleted
                 else _to_stored_object(kind, event.object)
             )
             for event in result.events
@@ -159,6 +160,9 @@
         """Close idle connections."""
         self._http_client.close()
 
+    def _report(self, kind: str, found: UnreadableObject) -> None:
+        self._on_unreadable(f"{kind}/{found.name}", found.content, found.error)
+
     def _read(self, path: str) -> StoreResponse:
         response = self._http_client.read(path)
         _check_read_status(response, path)
@@ -177,18 +181,18 @@
     return f"{OBJECTS_PATH}{quote(key)}"
 
 
-def _event_revision(event: _WatchEvent) -> int:
-    return event.object.metadata.revision
+def _to_stored_object(kind: str, item: PlatformObject) -> StoredObject:
+    return StoredObject(f"{kind}/{item.metadata.name}", item.metadata.revision, bytes(item.spec))
 
 
-def _to_stored_object(kind: str, item: _Object) -> StoredObject:
-    return StoredObject(f"{kind}/{item.metadata.name}", item.metadata.revision, bytes(item.spec))
+def _to_deleted_object(kind: str, item: PlatformObject) -> StoredObject:
+    return StoredObject(f"{kind}/{item.metadata.name}", item.metadata.revision, None)
 
 
-def _decode_response(response: StoreResponse, body_type: type):
+def _decode_response(response: StoreResponse, decode_body: Callable[[bytes], BodyT]) -> BodyT:
     try:
-        return decode(response.body, type=body_type)
-    except (ValidationError, ValueError) as error:
+        return decode_body(response.body)
+    except ValueError as error:
         raise StoreUnavailableError(f"invalid response from the object store: {error}") from error
 
 
@@ -213,8 +217,8 @@
     """
     _check_write_status(response, key)
     try:
-        return decode(response.body, type=_Object).metadata.revision
-    except (ValidationError, ValueError) as error:
+        return decode_object(response.body).metadata.revision
+    except ValueError as error:
         raise WriteOutcomeUnknownError(f"{key}: invalid response from the object store") from error
 
 
--- a/ebonyshore/platform/target_entries.py
+++ b/ebonyshore/platform/target_entries.py
@@ -1,29 +1,39 @@
 """Decodes what targets say about themselves: their registry entries and load reports."""
 
-from typing import Literal
+from ipaddress import ip_address
+from typing import Annotated, Literal
 
-from msgspec import DecodeError, Struct, field
+from msgspec import Meta, Struct, field
 from msgspec.json import decode
 
+from ebonyshore.frame.decoding import DECODING_ERRORS
 from ebonyshore.host.target import TargetEntry
-from ebonyshore.http.numbers import parse_decimal
+from ebonyshore.http.numbers import parse_port
+
+MAX_CAPACITY = 100_000  # requests that one target may run concurrently
+MAX_UNIX_MS = 1 << 53
+
+_Text = Annotated[str, Meta(min_length=1, max_length=1_000)]
+_Count = Annotated[int, Meta(ge=0)]
+_UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 
 
 class _Entry(Struct):
-    service: str = field(name="Service")
-    address: str = field(name="Address")
-    zone: str = field(name="Zone")
-    capacity: int = field(name="Capacity")
-    state: Literal["ready", "draining"] = field(name="State")
+    service: _Text = field(name="Service")
+    address: _Text = field(name="Address")
+    zone: _Text = field(name="Zone")
     # Of the target's software; the versions of its weights are named elsewhere.
-    version: str = field(default="", name="Version")
+    version: str = field(name="Version")
+    capacity: Annotated[int, Meta(ge=1, le=MAX_CAPACITY)] = field(name="Capacity")
+    state: Literal["ready", "draining"] = field(name="State")
+    sequence: _Count = field(name="Sequence")
     # Start time of the target in Unix milliseconds; distinguishes two incarnations with one id.
-    born: int = 0
+    born: _UnixMs = 0
     cold_remaining_ms: float = field(default=0.0, name="ColdRemainingMs")
 
 
 class _Report(Struct):
-    born: int | None = None
+    born: _UnixMs | None = None
 
 
 def decode_start(report: bytes) -> int | None:
@@ -33,7 +43,7 @@
     """
     try:
         return decode(report, type=_Report).born
-    except DecodeError:
+    except DECODING_ERRORS:
         return None
 
 
@@ -41,15 +51,14 @@
     """Decode the entry of a target.
 
     :param value: the entry as JSON; unknown fields are ignored.
-    :return: ``None`` if the entry is invalid or does not describe a usable target: it must name a
-        service, an address as ``HOST:PORT`` and a capacity of at least 1.
+    :return: ``None`` if the entry is invalid, lacks a field that the platform's targets write, or
+        does not describe a usable target, such as one without an address as ``IP:PORT``.
     """
     try:
         entry = decode(value, type=_Entry)
-    except DecodeError:
+    except DECODING_ERRORS:
         return None
-    host, _, port = entry.address.rpartition(":")
-    if not host or parse_decimal(port) is None or entry.capacity < 1 or not entry.service:
+    if not _is_usable_address(entry.address):
         return None
     return TargetEntry(
         target_id=target_id,
@@ -61,3 +70,12 @@
         started_ms=entry.born,
         software_version=entry.version,
     )
+
+
+def _is_usable_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ip = ip_address(host)
+    except ValueError:
+        return False
+    return parse_port(port) is not None and not ip.is_unspecified and not ip.is_multicast
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -46,6 +46,8 @@
     "Service": "svc",
     "Address": "10.0.0.9:80",
     "Zone": "fd-a",
+    "Version": "v1",
+    "Sequence": 1,
     "Capacity": 8,
     "State": "ready",
     "born": 5,
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+from time import process_time
 
 import pytest
 
+from ebonyshore.frame.errors import StoreUnavailableError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.target_service import TargetService
@@ -13,6 +15,7 @@
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.platform.target_entries import decode_target_entry
 from ebonyshore.store.store_http_client import StoreResponse
+from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 READABLE = {
     "Service": "svc",
@@ -126,6 +129,26 @@
     assert set(asyncio.run(apply()).by_id()) == {"t2"}
 
 
+@pytest.mark.parametrize("unit", [b'"', b'\\"', b'"\\', b"[", b'[":', b"{,"])
+def test_separating_objects_takes_time_linear_in_the_size(unit):
+    """Guards against a list of 1 MB that keeps a process busy for minutes."""
+    body = b'{"Items":[{"Metadata":{"Name":"a"},"Spec":' + unit * (1_000_000 // len(unit))
+    started_s = process_time()
+    with pytest.raises(StoreUnavailableError):
+        PlatformObjectStore(CannedHttpClient(body)).list_objects("servers")
+    assert process_time() - started_s < 5.0
+
+
+def test_unreadable_entry_is_reported_with_its_key_once_for_each_content():
+    metrics = Metrics()
+    unreadable = UnreadableObjects(EventLog(), metrics)
+    bodies = [page(stored("a", b'"\\udcff"')), page(stored("a", b'"\\udcff"'), stored("b", b"NaN"))]
+    store = PlatformObjectStore(CannedHttpClient(*bodies), unreadable.report)
+    for count in (1, 2):
+        store.list_objects("servers")
+        assert metrics.counter("object_unreadable") == count
+
+
 @pytest.mark.parametrize("name", ["Service", "Address", "Zone", "Version", "Capacity", "Sequence"])
 def test_entry_without_a_field_of_the_protocol_is_not_used(name):
     fields = {key: value for key, value in READABLE.items() if key != name}
