Stored records: an unreadable one costs itself alone

Cause: consumers caught DecodeError only. A record nested too deeply raised RecursionError out of the listener, and the records after it were not applied. An unreadable segment, body part or job record raised DecodeError, which is no StoreError, out of claims, reads and writes of results; a segment with an index out of range listed a result for another item (negative) or raised IndexError.

Change: MarkedStore and JobStorage raise UnreadableObjectError, a StoreError, for every value that cannot be decoded; a segment that names an unknown item is refused as a whole.

--- a/ebonyshore/frame/errors.py
+++ b/ebonyshore/frame/errors.py
@@ -67,6 +67,10 @@
     """A read timed out. A write that times out raises :class:`WriteOutcomeUnknownError`."""
 
 
+class UnreadableObjectError(StoreError):
+    """An object does not hold what its kind holds; another process may have written it."""
+
+
 class HistoryLostError(StoreError):
     """The store has discarded the changes since a revision; the objects must be listed again."""
 
--- a/ebonyshore/link/codec.py
+++ b/ebonyshore/link/codec.py
@@ -2,9 +2,10 @@
 
 from typing import Generic, TypeVar
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
+from ebonyshore.frame.decoding import DECODING_ERRORS
 from ebonyshore.frame.metrics import Metrics
 
 MessageT = TypeVar("MessageT")
@@ -35,6 +36,6 @@
         """
         try:
             return self._decoder.decode(frame)
-        except (DecodeError, UnicodeDecodeError):
+        except DECODING_ERRORS:
             self._metrics.count("bad_frames")
             return None
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -4,10 +4,10 @@
 from concurrent.futures import Executor
 from typing import Literal
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
-from ebonyshore.frame.errors import StoreError
+from ebonyshore.frame.errors import StoreError, UnreadableObjectError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.marked_write import MarkedStore
@@ -117,7 +117,7 @@
             return None
         try:
             return self._store.decode(stored.key, stored.version, stored.value, PeerRecord).body
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("peer_unreadable", key=stored.key, error=str(error))
             return None
 
@@ -176,7 +176,7 @@
             if stored is not None and stored.body == peer:
                 self._store.store.delete(key, stored.version)
                 self._log.event("peer_removed", peer=peer.instance_id)
-        except (StoreError, DecodeError) as error:
+        except StoreError as error:
             self._log.event("peer_not_removed", peer=peer.instance_id, error=str(error))
 
     def _write_own(self) -> None:
@@ -186,7 +186,7 @@
         """
         try:
             self._store.update(self._key, PeerRecord, lambda _: self._own)
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("own_record_unreadable", key=self._key, error=str(error))
             stored = self._store.store.get(self._key)
             if stored is not None:
--- a/ebonyshore/link/renewals.py
+++ b/ebonyshore/link/renewals.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor, Future
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
-from ebonyshore.frame.errors import StoreError
+from ebonyshore.frame.errors import StoreError, UnreadableObjectError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.store.kind_watch import KindListener
@@ -70,7 +70,7 @@
             return None
         try:
             return self._store.decode(stored.key, stored.version, stored.value, Renewal).body
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("renewal_unreadable", key=stored.key, error=str(error))
             return None
 
@@ -105,7 +105,7 @@
         key = f"{RENEWALS_KIND}/{self._own.instance_id}"
         try:
             self._store.update(key, Renewal, self._next)
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("renewal_unreadable", key=key, error=str(error))
             self._delete(key)  # the next renewal creates it
         except StoreError as error:
--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -5,9 +5,9 @@
 
 from collections.abc import Sequence
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
-from ebonyshore.frame.errors import WriteConflictError
+from ebonyshore.frame.errors import UnreadableObjectError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
@@ -72,7 +72,7 @@
             return self._marked_store.decode(
                 found.key, found.version, found.value or b"", ConvictionRecord
             ).body
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("conviction_unreadable", key=found.key, error=str(error))
             return None
 
--- a/ebonyshore/runner/job_claims.py
+++ b/ebonyshore/runner/job_claims.py
@@ -6,7 +6,7 @@
 
 from asyncio import Task, create_task
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError, WriteConflictError
@@ -150,7 +150,7 @@
         registry = self._registry
         try:
             saved = await registry.run_blocking(registry.storage.read_saved_items, progress.job_id)
-        except (StoreError, DecodeError) as error:
+        except StoreError as error:
             self._log.event("items_not_restored", job=progress.job_id, error=str(error))
             return
         restored = restore_items(progress, saved) if saved is not None else 0
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from enum import Enum, auto
 
+from ebonyshore.frame.errors import UnreadableObjectError
 from ebonyshore.host.job_types import (
     FailureCount,
     JobRecord,
@@ -303,7 +304,15 @@
                 self.apply_segment(segment)
 
     def apply_segment(self, segment: ResultSegment) -> None:
-        """List the results of the next stored segment, that is, of number :attr:`next_segment`."""
+        """List the results of the next stored segment, that is, of number :attr:`next_segment`.
+
+        :raises UnreadableObjectError: if the segment names an item that the job does not have.
+        """
+        named = [*segment.results, *segment.failures]
+        if any(not 0 <= found.index < len(self.items) for found in named):
+            raise UnreadableObjectError(
+                f"segment {self.next_segment} of job {self.job_id} names an unknown item"
+            )
         for result in segment.results:
             item = self.items[result.index]
             if item.state is ItemState.LISTED:
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -9,9 +9,8 @@
 from concurrent.futures import Executor
 from typing import TypeVar
 
-from msgspec import DecodeError
-
 from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.errors import UnreadableObjectError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.job_types import JobRecord
 from ebonyshore.link.load_table import LoadTable
@@ -124,7 +123,7 @@
                 continue
             try:
                 self.update_record(self.storage.decode(found))
-            except DecodeError as error:
+            except UnreadableObjectError as error:
                 self._log.event("job_unreadable", key=found.key, error=str(error))
 
     def update_record(self, marked_record: MarkedObject[JobRecord]) -> KnownJob:
--- a/ebonyshore/runner/job_storage.py
+++ b/ebonyshore/runner/job_storage.py
@@ -11,7 +11,12 @@
 from msgspec import structs
 from msgspec.json import Decoder, encode
 
-from ebonyshore.frame.errors import StoreUnavailableError, WriteConflictError
+from ebonyshore.frame.decoding import DECODING_ERRORS
+from ebonyshore.frame.errors import (
+    StoreUnavailableError,
+    UnreadableObjectError,
+    WriteConflictError,
+)
 from ebonyshore.host.job_types import BodyPart, JobRecord, ResultSegment
 from ebonyshore.runner.saved_items import SavedItems
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
@@ -78,7 +83,7 @@
     def decode(self, found: StoredObject) -> MarkedObject[JobRecord]:
         """Decode the job record in an object that a watch has returned.
 
-        :raises DecodeError: if the object is not a job record.
+        :raises UnreadableObjectError: if the object is not a job record.
         """
         return self._store.decode(found.key, found.version, found.value, JobRecord)
 
@@ -176,12 +181,15 @@
     def read_saved_items(self, job_id: str) -> SavedItems | None:
         """Return the stored unfinished items of a job, or ``None`` if there are none.
 
-        :raises DecodeError: if the object does not hold them.
+        :raises UnreadableObjectError: if the object does not hold them.
         """
         found = self._store.store.get(_saved_items_key(job_id))
         if found is None or found.value is None:
             return None
-        return _SAVED_ITEMS_DECODER.decode(found.value)
+        try:
+            return _SAVED_ITEMS_DECODER.decode(found.value)
+        except DECODING_ERRORS as error:
+            raise UnreadableObjectError(f"{found.key}: {error}") from error
 
     def delete(self, record: JobRecord) -> None:
         """Delete the segments, bodies and saved items of a job, and then its record."""
--- a/ebonyshore/runner/quota_storage.py
+++ b/ebonyshore/runner/quota_storage.py
@@ -3,11 +3,10 @@
 import secrets
 from collections.abc import Callable
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import (
-    StoreUnavailableError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
@@ -58,6 +57,7 @@
         :param name: name of the quota.
         :param change: called with the ledger, several times if other runners write in between.
         :raises WriteConflictError: if every attempt conflicted with another write.
+        :raises UnreadableObjectError: if the object holds no ledger; nothing was written.
         :raises StoreUnavailableError: if the store cannot be read or did not accept the write.
         :raises WriteOutcomeUnknownError: if the change may have been stored.
         """
@@ -99,10 +99,7 @@
 
     def _read(self, key: str) -> _LedgerCopy:
         requested_ms = self._clock.monotonic_ms()
-        try:
-            stored = self._store.read(key, QuotaLedger)
-        except DecodeError as error:
-            raise StoreUnavailableError(f"{key} holds no ledger: {error}") from error
+        stored = self._store.read(key, QuotaLedger)
         if stored is None:
             stored = MarkedObject(key, ABSENT_VERSION, 0, (), QuotaLedger())
         return _LedgerCopy(stored, requested_ms)
--- a/ebonyshore/runner/result_writer.py
+++ b/ebonyshore/runner/result_writer.py
@@ -121,11 +121,11 @@
             segments = await registry.run_blocking(
                 registry.storage.read_segments, progress.job_id, number
             )
+            progress.apply_segments(number, segments)
         except StoreError as error:
             self._log.event("segments_unread", job=progress.job_id, error=str(error))
             await sleep(RETRY_DELAY_MS / MS_PER_S)
             return
-        progress.apply_segments(number, segments)
         self._log.event(
             "segment_conflict", job=progress.job_id, segment=number, found=len(segments)
         )
--- a/ebonyshore/runner/suspicion_store.py
+++ b/ebonyshore/runner/suspicion_store.py
@@ -5,8 +5,9 @@
 
 from collections.abc import Mapping
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
+from ebonyshore.frame.errors import UnreadableObjectError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.link.messages import Verdict
@@ -46,7 +47,7 @@
             self._stored = self._marked_store.decode(
                 found.key, found.version, found.value or b"", SuspicionRecord
             )
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("suspicions_unreadable", key=SUSPICIONS_KEY, error=str(error))
             self._stored = _empty_object(found.version)
         return self._stored.body
--- a/ebonyshore/settings/settings_history.py
+++ b/ebonyshore/settings/settings_history.py
@@ -18,7 +18,7 @@
     change that is no longer in the head that was read is then found in the archive.
 
     :raises StoreError: if the object store cannot be read.
-    :raises DecodeError: if a stored object is not a valid record.
+    :raises UnreadableObjectError: if a stored object is not a valid record.
     """
     head = store.read()
     archived = store.read_archive(first_revision)
@@ -30,7 +30,7 @@
 
     :return: one message for each altered, missing or duplicate record; empty if there is none.
     :raises StoreError: if the object store cannot be read.
-    :raises DecodeError: if a stored object is not a valid record.
+    :raises UnreadableObjectError: if a stored object is not a valid record.
     """
     head = store.read()
     archived = store.read_archive()
--- a/ebonyshore/settings/settings_store.py
+++ b/ebonyshore/settings/settings_store.py
@@ -215,7 +215,7 @@
         """Return the stored head, or an empty one before the first change.
 
         :raises StoreUnavailableError: if the object store cannot be read.
-        :raises DecodeError: if the stored object is not a valid head.
+        :raises UnreadableObjectError: if the stored object is not a valid head.
         """
         current = self._store.read(HEAD_KEY, SettingsHead)
         return current.body if current else SettingsHead()
@@ -224,7 +224,7 @@
         """Return the archived changes from ``first_revision`` on, without verifying them.
 
         :raises StoreUnavailableError: if the object store cannot be read.
-        :raises DecodeError: if a stored object is not a valid block.
+        :raises UnreadableObjectError: if a stored object is not a valid block.
         """
         changes: list[SettingsChange] = []
         start_after = ARCHIVE_PREFIX
--- a/ebonyshore/store/marked_write.py
+++ b/ebonyshore/store/marked_write.py
@@ -14,8 +14,10 @@
 from msgspec.json import Decoder, encode
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.decoding import DECODING_ERRORS
 from ebonyshore.frame.errors import (
     StoreUnavailableError,
+    UnreadableObjectError,
     WriteConflictError,
     WriteOutcomeUnknownError,
 )
@@ -83,7 +85,7 @@
 
         :param record_type: struct type of the record.
         :raises StoreUnavailableError: if the store cannot be read.
-        :raises DecodeError: if the object does not hold such a record.
+        :raises UnreadableObjectError: if the object does not hold such a record.
         """
         stored = self.store.get(key)
         if stored is None or stored.value is None:
@@ -98,10 +100,13 @@
         :param version: version of the object in the store.
         :param value: value of the object.
         :param record_type: struct type of the record.
-        :raises DecodeError: if the value does not hold such a record.
+        :raises UnreadableObjectError: if the value does not hold such a record.
         """
-        envelope = self._decoder.decode(value)
-        body = Decoder(record_type).decode(envelope.body)
+        try:
+            envelope = self._decoder.decode(value)
+            body = Decoder(record_type).decode(envelope.body)
+        except DECODING_ERRORS as error:
+            raise UnreadableObjectError(f"{key}: {error}") from error
         return MarkedObject(key, version, envelope.sequence, tuple(envelope.marks), body)
 
     def create(self, key: str, body: BodyT) -> MarkedObject[BodyT]:
@@ -146,7 +151,7 @@
         :return: the record after the call, or ``None`` if it does not exist.
         :raises WriteConflictError: if every attempt conflicted with another write.
         :raises StoreUnavailableError: if the store cannot be read, or as for :meth:`replace`.
-        :raises DecodeError: as for :meth:`read`.
+        :raises UnreadableObjectError: as for :meth:`read`.
         :raises WriteOutcomeUnknownError: as for :meth:`replace`.
         """
         for attempt in range(attempts):
@@ -187,8 +192,8 @@
 
         :return: the version to use for the next write, or ``None`` if the store is unavailable.
         :raises WriteConflictError: if the write has not taken effect.
-        :raises WriteOutcomeUnknownError: if the object was deleted, or was written so often that
-            the mark may have been dropped.
+        :raises WriteOutcomeUnknownError: if the object was deleted, cannot be read, or was written
+            so often that the mark may have been dropped.
         """
         try:
             stored = self.store.get(previous.key)
@@ -196,7 +201,10 @@
             return None
         if stored is None or stored.value is None:
             raise WriteOutcomeUnknownError(f"{previous.key}: object was deleted")
-        envelope = self._decoder.decode(stored.value)
+        try:
+            envelope = self._decoder.decode(stored.value)
+        except DECODING_ERRORS as error:
+            raise WriteOutcomeUnknownError(f"{previous.key}: {error}") from error
         if mark in envelope.marks:
             # If the record was overwritten since, the old version is returned, so that the next
             # write conflicts instead of undoing the other one.
