Configuration and submissions: values out of range are refused

Cause: a configuration nested too deeply raised RecursionError out of the watch's listener; limits could be negative, not a number or too long for a timer. An item's TokenCount could be negative.

Change: both decoders raise ValueError for all of these; the configuration in force stays, a submission gets 400.

--- a/ebonyshore/platform/config_object.py
+++ b/ebonyshore/platform/config_object.py
@@ -1,11 +1,12 @@
 """Decodes the operator's configuration object into routes, services and limits."""
 
-from typing import Any
+from typing import Annotated, Any
 
-from msgspec import Struct, ValidationError, field
+from msgspec import Meta, Struct, field
 from msgspec.json import decode
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.decoding import DECODING_ERRORS
 from ebonyshore.host.accounts import Account, digest_key
 from ebonyshore.host.routes import Route, RouteKind, ServiceConfig, ServiceShare, ServiceSpec
 from ebonyshore.http.server import ServerLimits
@@ -18,9 +19,14 @@
 }
 
 
+# Finite amounts, also as milliseconds of a timer.
+_Amount = Annotated[float, Meta(ge=0, le=1e15)]
+_Count = Annotated[int, Meta(ge=0, le=10**15)]
+
+
 class _Share(Struct):
     service: str = field(name="Service")
-    weight: float = field(default=1.0, name="Weight")
+    weight: _Amount = field(default=1.0, name="Weight")
 
 
 class _Route(Struct):
@@ -31,38 +37,38 @@
     kind: str = field(default="non_idempotent", name="Type")
     service: str | None = field(default=None, name="Service")
     split: list[_Share] | None = field(default=None, name="TrafficSplit")
-    timeout_ms: float = field(default=30_000.0, name="TimeoutMs")
-    target_latency_ms: float = field(default=1_000.0, name="TargetLatencyMs")
-    max_attempts: int = field(default=1, name="MaxAttempts")
+    timeout_ms: _Amount = field(default=30_000.0, name="TimeoutMs")
+    target_latency_ms: _Amount = field(default=1_000.0, name="TargetLatencyMs")
+    max_attempts: _Count = field(default=1, name="MaxAttempts")
     is_resumable: bool = field(default=False, name="Resumable")
-    completion_target_ms: float = field(default=0.0, name="CompletionTargetMs")
-    retention_s: float = field(default=60.0, name="RetentionS")
+    completion_target_ms: _Amount = field(default=0.0, name="CompletionTargetMs")
+    retention_s: _Amount = field(default=60.0, name="RetentionS")
     # Of each account, or of all callers together if there are no accounts, over the unfinished
     # items of the route's jobs; 0 means no limit.
-    max_waiting_tokens: int = field(default=0, name="Cap")
+    max_waiting_tokens: _Count = field(default=0, name="Cap")
     priority: int = field(default=0, name="Priority")
     is_public: bool = field(default=False, name="Public")
     # Longest pause between two events of an answer that is on time.
-    max_gap_ms: float | None = field(default=None, name="GapTargetMs")
+    max_gap_ms: _Amount | None = field(default=None, name="GapTargetMs")
 
 
 class _Engine(Struct):
     # Number of requests that a target runs concurrently. The number of connections that it accepts
     # is MaxConnections of its service.
-    capacity: int = field(default=0, name="Capacity")
+    capacity: _Count = field(default=0, name="Capacity")
 
 
 class _Service(Struct):
     name: str = field(name="Name")
-    max_connections: int = field(default=100, name="MaxConnections")
+    max_connections: _Count = field(default=100, name="MaxConnections")
     engine: _Engine | None = field(default=None, name="Engine")
 
 
 class _Limits(Struct):
-    header_bytes: int = field(default=16_384, name="MaxHeaderBytes")
-    body_bytes: int = field(default=4_194_304, name="MaxBodyBytes")
-    header_timeout_ms: int = field(default=3_000, name="HeaderTimeoutMs")
-    idle_timeout_ms: int = field(default=15_000, name="IdleTimeoutMs")
+    header_bytes: _Count = field(default=16_384, name="MaxHeaderBytes")
+    body_bytes: _Count = field(default=4_194_304, name="MaxBodyBytes")
+    header_timeout_ms: _Count = field(default=3_000, name="HeaderTimeoutMs")
+    idle_timeout_ms: _Count = field(default=15_000, name="IdleTimeoutMs")
 
 
 class _Account(Struct):
@@ -70,12 +76,12 @@
     keys: list[str] = field(default_factory=list, name="ApiKeys")
     # Takes precedence over the priority of the route.
     priority: int | None = field(default=None, name="Priority")
-    rate_per_s: float = field(default=0.0, name="RatePerS")
-    burst: float = field(default=0.0, name="Burst")
+    rate_per_s: _Amount = field(default=0.0, name="RatePerS")
+    burst: _Amount = field(default=0.0, name="Burst")
 
 
 class _Config(Struct):
-    version: int = field(name="Version")
+    version: _Count = field(name="Version")
     routes: list[_Route] = field(name="Routes")
     services: list[_Service] = field(default_factory=list, name="Services")
     limits: _Limits = field(default_factory=_Limits, name="Limits")
@@ -90,11 +96,12 @@
     them is repeated.
 
     :param value: the configuration as JSON; unknown fields are ignored.
-    :raises ValueError: if the value is not valid JSON, or a field is missing or has a wrong type.
+    :raises ValueError: if the value is not valid JSON, or a field is missing, of another type or
+        out of range.
     """
     try:
         document = decode(value, type=_Config, strict=False)
-    except ValidationError as error:
+    except DECODING_ERRORS as error:
         raise ValueError(f"invalid configuration: {error}") from error
     limits = document.limits
     return ServiceConfig(
--- a/ebonyshore/platform/job_bodies.py
+++ b/ebonyshore/platform/job_bodies.py
@@ -1,11 +1,16 @@
 """JSON bodies of batch jobs, of their results and of the status of a retirement."""
 
-from msgspec import Struct, ValidationError, field
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
 from msgspec.json import decode, encode
 
+from ebonyshore.frame.decoding import DECODING_ERRORS
 from ebonyshore.host.job_types import ItemRecord, JobSubmission, ResultPage
 from ebonyshore.platform.wire_names import STATE_COMPLETE, STATE_RUNNING
 
+MAX_TOKENS = 10**12  # of one item
+
 
 class _JobItem(Struct):
     item_id: str = field(name="Id")
@@ -13,7 +18,7 @@
     body: bytes = field(default=b"", name="Body")
     headers: dict[str, str] = field(default_factory=dict, name="Headers")
     # Tokens of the prompt plus the maximum number of output tokens.
-    tokens: int = field(default=0, name="TokenCount")
+    tokens: Annotated[int, Meta(ge=0, le=MAX_TOKENS)] = field(default=0, name="TokenCount")
 
 
 class _Submission(Struct):
@@ -40,7 +45,7 @@
     """
     try:
         submission = decode(body, type=_Submission)
-    except ValidationError as error:
+    except DECODING_ERRORS as error:
         raise ValueError(f"invalid job: {error}") from error
     items = tuple(
         ItemRecord(item.item_id, item.path, tuple(item.headers.items()), item.body, item.tokens)
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -6,9 +6,12 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import UnreadableObjectError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.job_types import JobRecord, ResultRecord, ResultSegment
 from ebonyshore.link.peers import PEERS_KIND, PeerDirectory
 from ebonyshore.link.renewals import Renewal, RenewalListener
+from ebonyshore.platform.config_object import decode_config
+from ebonyshore.platform.job_bodies import decode_submission
 from ebonyshore.runner.conviction_store import ConvictionStorage
 from ebonyshore.runner.job_progress import JobProgress
 from ebonyshore.runner.job_storage import JOBS_KIND, SAVED_ITEMS_KIND, SEGMENTS_KIND, JobStorage
@@ -58,6 +61,44 @@
     assert renewals.is_known("b")
 
 
+@each_unreadable
+def test_unreadable_configuration_does_not_replace_the_one_in_force(bad):
+    config = ConfigService("config/main", decode_config, EventLog())
+    config.on_changes([change("config/main", b'{"Version":3,"Routes":[]}')])
+    config.on_changes([StoredObject("config/main", 6, bad)])
+    assert config.version == 3
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b'"Limits":{"IdleTimeoutMs":-1}',
+        b'"Limits":{"HeaderTimeoutMs":9000000000000000000}',
+        b'"Tenants":[{"Name":"a","RatePerS":"nan"}]',
+        b'"Tenants":[{"Name":"\xe0\xa4\x85","ApiKeys":["k"],"Burst":"inf"}]',
+    ],
+)
+def test_configuration_with_a_number_out_of_range_is_invalid(fields):
+    """Guards against timers and limits that never end, or fail when they are first used."""
+    with pytest.raises(ValueError):
+        decode_config(b'{"Version":3,"Routes":[],%b}' % fields)
+
+
+@pytest.mark.parametrize("tokens", [-1, 10**18])
+def test_item_cannot_give_tokens_back_to_its_quota(tokens):
+    """Guards against a negative number that lets a caller exceed the limit of an account."""
+    body = b'{"Items":[{"Id":"a","Path":"/x","TokenCount":%d}]}' % tokens
+    with pytest.raises(ValueError):
+        decode_submission(body)
+
+
+def test_submission_nested_too_deeply_is_invalid():
+    """Guards against a RecursionError, after which the caller gets no answer."""
+    body = b'{"Items":[],"Other":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+    with pytest.raises(ValueError):
+        decode_submission(body)
+
+
 @each_unreadable
 def test_unreadable_stored_object_raises_a_typed_error(store, bad):
     """Guards against errors that end the task of a claim or of a write of results."""
