HTTP server: a request that asks for another protocol is answered

Cause (found by the fuzzer): the parser raises HttpParserUpgrade, which is no HttpParserError, for Upgrade and for CONNECT; it left data_received and the connection was reset without an answer.

Change: the request is answered as it is and the connection closed afterwards; with a body, which the parser takes for the other protocol, it is refused with 400.

--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -17,7 +17,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
-from httptools import HttpParserError, HttpRequestParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -157,6 +157,7 @@
         self._timer: TimerHandle | None = None
         self._is_reading_request = False
         self._is_closing = False
+        self._ignores_input = False
         self._keeps_alive = True
         self._header_bytes = 0  # -1 once the headers are complete
         self._body_bytes = 0
@@ -211,7 +212,7 @@
             self._task.cancel()
 
     def data_received(self, data: bytes) -> None:
-        if self._is_closing:
+        if self._is_closing or self._ignores_input:
             return
         if not self._is_reading_request:
             self._begin_request()
@@ -219,6 +220,9 @@
             self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            # The request is answered as it is; what follows would be of another protocol.
+            self._ignores_input = True
         except HttpParserError:
             self._reject(self._rejection_status or 400)
             return
@@ -291,6 +295,8 @@
             header_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._header_fields)
             if header_bytes > limits.max_header_bytes:
                 self._rejection_status = 431
+        if self._parser.should_upgrade() and _has_body(self._header_fields):
+            self._rejection_status = 400  # the parser takes the body for another protocol
         self._header_bytes = -1
         self._set_timer(limits.idle_timeout_ms, self.close)
 
@@ -309,7 +315,7 @@
         self._is_reading_request = False
         if self._rejection_status:
             return
-        keeps_alive = self._parser.should_keep_alive()
+        keeps_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
         method = self._parser.get_method().decode("latin-1")
         request = Request(
             method,
@@ -398,6 +404,10 @@
             self._timer = None
 
 
+def _has_body(fields: list[tuple[str, str]]) -> bool:
+    return any(name.lower() in ("content-length", "transfer-encoding") for name, _ in fields)
+
+
 class HttpServer:
     """HTTP server on one address.
 
