HTTP client: interim responses are skipped, other statuses below 200 are invalid

Cause (found by the fuzzer): a response 101 raised HttpParserUpgrade out of data_received, after its head and an end of the body had been passed on as the response. Reading on: 100 to 199 and 000 were passed on as responses, too.

Change: messages with 100 to 199 are skipped; 101 with an upgrade and statuses outside of 100 to 599 are an invalid response.

--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -19,6 +19,8 @@
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_port
 
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 BODILESS_STATUSES = (204, 304)
 MAX_HEAD_BYTES = 65_536  # of a response
 # Received parts that wait to be taken; above this the connection is not read further.
@@ -72,6 +74,7 @@
         self._has_head = False
         self._is_self_delimited = False
         self._is_complete = False
+        self._is_interim = False  # whether the message being received precedes the response
         self._keeps_alive = False
         self._head_bytes = 0  # received of a head that is not complete
         self._queued_bytes = 0
@@ -93,7 +96,7 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserError as error:
+        except (HttpParserError, HttpParserUpgrade) as error:
             self._append_part(ExchangeError(f"invalid HTTP response: {error}"))
             self.abort()
             return
@@ -228,6 +231,11 @@
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
+        self._is_interim = status in INTERIM_STATUSES
+        if self._is_interim:
+            return
+        if status not in FINAL_STATUSES:
+            raise ValueError(f"status {status}")  # the parser reports an invalid response
         headers = Headers(self._header_fields)
         self._has_head = True
         self._is_self_delimited = _is_self_delimited(status, headers)
@@ -238,6 +246,8 @@
         self._append_part(body)
 
     def on_message_complete(self) -> None:
+        if self._is_interim:
+            return
         self._is_complete = True
         self._keeps_alive = self._parser.should_keep_alive()
         self._append_part(BodyEnd())
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
+from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.server import HttpServer, ServerLimits
 
 UPGRADE = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
@@ -39,3 +41,47 @@
     """Guards against a request that is forwarded without its body."""
     answer, handled = asyncio.run(exchange(UPGRADE + b"Content-Length: 3\r\n\r\nabc"))
     assert answer.startswith(b"HTTP/1.1 400 ") and handled == []
+
+
+class SilentTransport:
+    def write(self, data):
+        pass
+
+    def abort(self):
+        pass
+
+    def is_closing(self):
+        return False
+
+    def resume_reading(self):
+        pass
+
+
+async def receive(response: bytes) -> list:
+    connection = ClientConnection()
+    connection.connection_made(SilentTransport())
+    connection.send(b"")
+    connection.data_received(response)
+    parts = []
+    while not parts or not isinstance(parts[-1], BodyEnd):
+        parts.append(await connection.next_part())
+    return parts
+
+
+FINAL = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def test_interim_responses_are_not_taken_for_the_response():
+    """Guards against callers that get status 100 and no response."""
+    interim = b"HTTP/1.1 100 Continue\r\nAttempt-Id: a\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n"
+    head, body, _ = asyncio.run(receive(interim + FINAL))
+    assert isinstance(head, ResponseHead) and head.status == 200 and body == b"ok"
+
+
+@pytest.mark.parametrize(
+    "head", [b"HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: h2c", b"HTTP/1.1 000 X"]
+)
+def test_response_that_is_no_answer_to_a_request_is_invalid(head):
+    """Guards against an error of the parser that no caller expects."""
+    with pytest.raises(ExchangeError):
+        asyncio.run(receive(head + b"\r\nContent-Length: 2\r\n\r\nok"))
