Job calls: malformed targets and numbers get 400

Cause: infinite, huge and negative numbers passed the decoder of a job call and failed later (OverflowError), and a target that is no URL raised outside of the handling of errors; the caller got no answer.

Change: decode_job_request decodes the whole target and raises ValueError for all of these.

--- a/ebonyshore/link/job_call.py
+++ b/ebonyshore/link/job_call.py
@@ -1,11 +1,16 @@
 """The HTTP calls about batch jobs that entries send to runners."""
 
 from enum import Enum
+from urllib.parse import parse_qsl, unquote, urlsplit
 
 from msgspec import Struct
 
+from ebonyshore.http.numbers import parse_decimal, parse_non_negative
+
 OWNER_HEADER = "Ebonyshore-Owner"
 PATH_HEADER = "Ebonyshore-Path"
+JOBS_PATH = "/jobs/"
+MAX_TIME_MS = 1e12
 REDIRECT_STATUS = 307  # the owner of the job, named in OWNER_HEADER, answers from memory
 
 
@@ -70,21 +75,45 @@
         }
 
 
+def decode_job_request(target: str) -> JobCall:
+    """Return the call that the target of a request names.
+
+    :param target: path and query, as received.
+    :raises ValueError: if it is malformed, as for :func:`decode_job_call`.
+    """
+    url = urlsplit(target)
+    return decode_job_call(unquote(url.path.removeprefix(JOBS_PATH)), dict(parse_qsl(url.query)))
+
+
 def decode_job_call(job_id: str, query: dict[str, str]) -> JobCall:
     """Return the call that :meth:`JobCall.query_fields` has encoded.
 
     :param job_id: id of the job, from the URL's path.
     :param query: fields of the URL's query string.
-    :raises ValueError: if the operation is unknown or a number is malformed.
+    :raises ValueError: if the operation is unknown, or a number is malformed or out of range.
     """
     return JobCall(
         JobCallKind(query.get("call", "")),
         job_id,
-        int(query.get("first", "0")),
-        float(query.get("wait_ms", "0")),
+        _parse_position(query.get("first", "0")),
+        _parse_ms(query.get("wait_ms", "0")),
         query.get("item_id", ""),
         query.get("route", ""),
-        float(query.get("age_ms", "0")),
+        _parse_ms(query.get("age_ms", "0")),
         query.get("account", ""),
         query.get("may_redirect") == "1",
     )
+
+
+def _parse_position(text: str) -> int:
+    position = parse_decimal(text)
+    if position is None:
+        raise ValueError("malformed position")
+    return position
+
+
+def _parse_ms(text: str) -> float:
+    time_ms = parse_non_negative(text)
+    if time_ms is None or time_ms > MAX_TIME_MS:
+        raise ValueError("malformed time")
+    return time_ms
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -2,7 +2,6 @@
 
 from asyncio import timeout
 from functools import partial
-from urllib.parse import parse_qsl, unquote, urlsplit
 
 from ebonyshore.frame.async_kernel import AsyncService
 from ebonyshore.frame.clock import MS_PER_S, Clock
@@ -24,7 +23,7 @@
     REDIRECT_STATUS,
     JobCall,
     JobCallKind,
-    decode_job_call,
+    decode_job_request,
 )
 from ebonyshore.runner.job_access import may_access
 from ebonyshore.runner.job_admission import JobAdmission
@@ -118,13 +117,11 @@
         self._server.stop_listening()
 
     async def _serve(self, request: Request, responder: Responder) -> None:
-        url = urlsplit(request.target)
-        job_id = unquote(url.path.removeprefix("/jobs/"))
         try:
-            call = decode_job_call(job_id, dict(parse_qsl(url.query)))
+            call = decode_job_request(request.target)
             reply = await self._dispatch(call, request)
         except ValueError as error:
-            self._log.event("job_call_invalid", job=job_id, error=str(error))
+            self._log.event("job_call_invalid", path=request.path, error=str(error))
             reply = Reply(400)
         headers = Headers()
         if reply.owner:
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -7,6 +7,7 @@
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.link.job_call import decode_job_request
 
 UPGRADE = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
 
@@ -85,3 +86,19 @@
     """Guards against an error of the parser that no caller expects."""
     with pytest.raises(ExchangeError):
         asyncio.run(receive(head + b"\r\nContent-Length: 2\r\n\r\nok"))
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "/jobs/j?call=submit&age_ms=inf",
+        "/jobs/j?call=results&wait_ms=nan",
+        "/jobs/j?call=results&first=-1",
+        "/jobs/j?call=submit&age_ms=1e300",
+        "//[/jobs/j?call=results",
+    ],
+)
+def test_job_call_with_a_number_out_of_range_is_invalid(target):
+    """Guards against errors after the call was decoded, which leave it without an answer."""
+    with pytest.raises(ValueError):
+        decode_job_request(target)
