Fuzzer of the decoders of foreign bytes

tools/fuzz.py tries random bytes and changed copies of valid inputs on eleven decoders (store, targets' answers and reports, callers' requests and jobs, configuration, datagrams) until a time is over; tests/test_foreign_bytes.py runs 200 inputs of each with a fixed seed, some seconds in all.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,11 @@
 SEED ?= 0
 ITEMS ?= 100000
 SEEDS ?= 10
+SECONDS ?= 60
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: test soak soak-processes bench capacity entry-cost report demo lint format
+.PHONY: test soak soak-processes fuzz bench capacity entry-cost report demo lint format
 
 test: lint
 	$(BIN)/python -m pytest -q
@@ -28,6 +29,9 @@
 soak-processes: $(INSTALLED)
 	$(BIN)/python -m ebonyshore_soak --first $(SEED) --seeds $(SEEDS)
 
+fuzz: $(INSTALLED)
+	$(BIN)/python -m tools.fuzz --seed $(SEED) --seconds $(SECONDS)
+
 bench: $(INSTALLED)
 	$(BIN)/python -m ebonyshore_bench
 
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -1,4 +1,4 @@
-"""Faults that the fuzzer has found."""
+"""Faults that the fuzzer has found, and the fuzzer itself with fixed seeds."""
 
 import asyncio
 
@@ -8,7 +8,11 @@
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.server import HttpServer, ServerLimits
 from ebonyshore.link.job_call import decode_job_request
+from tools.fuzz import fuzz
+from tools.fuzz_targets import FUZZ_TARGETS
 
+FIXED_SEED = 42
+EXAMPLES = 200
 UPGRADE = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
 
 
@@ -102,3 +106,8 @@
     """Guards against errors after the call was decoded, which leave it without an answer."""
     with pytest.raises(ValueError):
         decode_job_request(target)
+
+
+@pytest.mark.parametrize("target", FUZZ_TARGETS, ids=lambda target: target.name)
+def test_decoder_returns_or_raises_a_typed_error_for_any_bytes(target):
+    fuzz(target, FIXED_SEED, EXAMPLES)
--- /dev/null
+++ b/tools/fuzz_targets.py
@@ -0,0 +1,307 @@
+"""The decoders of foreign bytes, as functions that a fuzzer calls.
+
+Each function returns or raises nothing for any bytes: the typed errors of its decoder are expected,
+and every other exception is a fault.
+"""
+
+from asyncio import run, sleep
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+from msgspec import Struct
+from msgspec.json import encode
+from msgspec.msgpack import encode as encode_message
+
+from ebonyshore.frame.clock import SystemClock
+from ebonyshore.frame.errors import StoreUnavailableError, UnreadableObjectError
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.accounts import Account, digest_key
+from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
+from ebonyshore.host.job_types import BodyPart, ItemRecord, JobRecord, ResultSegment
+from ebonyshore.host.key_ring import KeyRing
+from ebonyshore.host.request_content import content_digest, part_digests
+from ebonyshore.host.response_reader import AttemptFailedError, ResponseReader
+from ebonyshore.host.routes import RouteTable
+from ebonyshore.host.target import Target, TargetEntry
+from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
+from ebonyshore.http.headers import Headers
+from ebonyshore.http.messages import Request
+from ebonyshore.http.server import HttpServer, Responder, ServerConnection, ServerLimits
+from ebonyshore.link.codec import MessageCodec
+from ebonyshore.link.datagrams import Datagram
+from ebonyshore.link.job_call import JobCallKind, decode_job_request
+from ebonyshore.link.load_table import Incarnation, LimitReport, LoadReport, LoadTable, TargetCounts
+from ebonyshore.link.peers import PeerRecord
+from ebonyshore.link.renewals import Renewal
+from ebonyshore.platform.config_object import decode_config
+from ebonyshore.platform.job_bodies import decode_submission
+from ebonyshore.platform.object_store import PlatformObjectStore
+from ebonyshore.platform.target_entries import decode_start, decode_target_entry
+from ebonyshore.platform.wire_names import WIRE_NAMES
+from ebonyshore.runner.quota_ledger import QuotaLedger
+from ebonyshore.runner.saved_items import SavedItems
+from ebonyshore.runner.suspicion_store import SuspicionRecord
+from ebonyshore.store.marked_write import MarkedStore
+from ebonyshore.store.store_http_client import StoreResponse
+from ebonyshore_standins.memory_platform import MemoryPlatform
+
+MAX_CHUNKS = 64  # in which the bytes of a connection arrive
+RECORD_TYPES = (
+    JobRecord,
+    BodyPart,
+    ResultSegment,
+    SavedItems,
+    PeerRecord,
+    Renewal,
+    QuotaLedger,
+    SuspicionRecord,
+)
+ENTRY = (
+    b'{"Service":"svc","Address":"10.0.0.9:80","Zone":"fd-a","Version":"v1","Capacity":8,'
+    b'"State":"ready","Sequence":1,"born":5,"ColdRemainingMs":0.5}'
+)
+OBJECT = b'{"Metadata":{"Name":"t1","Revision":7},"Spec":%b,"Status":null}' % ENTRY
+PAGE = b'{"Items":[%b,%b],"Truncated":false,"StoreRevision":9}' % (OBJECT, OBJECT)
+EVENTS = b'{"events":[{"Object":%b,"Deleted":false}],"StoreRevision":12}' % OBJECT
+CONFIG = (
+    b'{"Version":3,"Routes":[{"Name":"r1","Hostname":"a.example","PathPrefix":"/x/","Type":'
+    b'"streaming","TrafficSplit":[{"Service":"svc","Weight":1.5}],"TimeoutMs":800}],"Services":'
+    b'[{"Name":"svc","Engine":{"Capacity":8}}],"Limits":{"IdleTimeoutMs":9},"Tenants":[{"Name":"n",'
+    b'"ApiKeys":["k"],"RatePerS":5}]}'
+)
+SUBMISSION = (
+    b'{"Items":[{"Id":"i1","Path":"/x/1","Headers":{"Model":"m"},"Body":"q83v","TokenCount":9}]}'
+)
+JOB = JobRecord("j", "h", "/p/", 0, 1.0, 1.0, 3, (ItemRecord("i", "/x", (("A", "b"),), b"c"),))
+RECORD = b'{"sequence":1,"marks":["00ff"],"body":%b}' % encode(JOB)
+RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Limit: 2.5\r\nServer-Leaving: 1\r\n"
+    b"Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"11\r\nid: 1\ndata: abc\n\n\r\n0\r\n\r\n"
+)
+REQUEST = (
+    b"POST /x/a?b=c HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\nAuthorization: Bearer k\r\n"
+    b"Prompt-Prefix: 5c1e:800,91bd:410\r\nToken-Usage: 10,5\r\nDeadline-Ms: 500\r\n"
+    b"Content-Length: 3\r\n\r\nabc"
+)
+UPGRADE = b"GET /x/a HTTP/1.1\r\nHost: a.example\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\nabc"
+SWITCHING = b"HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: h2c\r\nAttempt-Id: a1\r\n\r\nabc"
+STREAM = b"id: 1\ndata: abc\n\nid: 2\ndata: d\ndata: e\n\nid: 3\n\n"
+REPORT = LoadReport(
+    "a",
+    "run-1",
+    3,
+    "entry",
+    {"t1": TargetCounts(1, 2)},
+    limits=(LimitReport(Incarnation("t1", 5), 2.5, 10.0, 3.0),),
+)
+
+
+class FuzzTarget(Struct, frozen=True):
+    """A decoder to fuzz.
+
+    :param check: calls it; raises only if the decoder has a fault.
+    :param examples: valid inputs, which the fuzzer changes.
+    """
+
+    name: str
+    check: Callable[[bytes], None]
+    examples: tuple[bytes, ...]
+
+
+class _Transport:
+    """A transport that sends nothing."""
+
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    abort = close
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def pause_reading(self) -> None:
+        pass
+
+    resume_reading = pause_reading
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
+
+class _StoreClient:
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    def read(self, path: str, watch_timeout_ms: float | None = None) -> StoreResponse:
+        return StoreResponse(200, "", self._body)
+
+
+def _chunks(data: bytes) -> list[bytes]:
+    """Split the bytes of a connection; the first byte determines the size of the parts."""
+    size = max(len(data) // MAX_CHUNKS + 1, data[0] if data else 1)
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+def check_listing(data: bytes) -> None:
+    """Read a page of a list; decode its entries."""
+    with suppress(StoreUnavailableError):
+        for found in PlatformObjectStore(_StoreClient(data)).list_objects("k").objects:
+            decode_target_entry("t", found.value)
+
+
+def check_watch(data: bytes) -> None:
+    """Read the events of a watch; decode their entries."""
+    with suppress(StoreUnavailableError):
+        for found in PlatformObjectStore(_StoreClient(data)).watch("k", 1, 0).changes:
+            decode_target_entry("t", found.value or b"")
+
+
+def check_stored_object(data: bytes) -> None:
+    """Read one object, and its bytes as each type of record."""
+    with suppress(StoreUnavailableError):
+        PlatformObjectStore(_StoreClient(data)).get("k/n")
+    store = MarkedStore(MemoryPlatform(SystemClock()), SystemClock())
+    for record_type in RECORD_TYPES:
+        with suppress(UnreadableObjectError):
+            store.decode("k/n", 1, data, record_type)
+
+
+def check_target_report(data: bytes) -> None:
+    """Decode a load report of a target."""
+    decode_start(data)
+
+
+def check_config(data: bytes) -> None:
+    """Decode a configuration and look up a route and a key in it."""
+    with suppress(ValueError):
+        config = decode_config(data)
+        RouteTable(config).find("a.example", "/x/y")
+        KeyRing(config.accounts or ()).find(Headers([("Authorization", "Bearer k")]))
+
+
+def check_submission(data: bytes) -> None:
+    """Decode a job that a caller submits."""
+    with suppress(ValueError):
+        encode(decode_submission(data).items)
+
+
+def check_events(data: bytes) -> None:
+    """Split an event stream."""
+    splitter = EventSplitter()
+    with suppress(StreamOrderError):
+        for chunk in _chunks(data):
+            splitter.feed(chunk)
+
+
+def check_response(data: bytes) -> None:
+    """Read the response of a target: as a stream, as a body, and without interest in its body."""
+    for read_rest in (_read_stream, _read_body, ResponseReader.skip_body):
+        with suppress(ExchangeError, AttemptFailedError, StreamOrderError):
+            run(_read_response(data, read_rest))
+
+
+async def _read_response(
+    data: bytes, read_rest: Callable[[ResponseReader], Awaitable[None]]
+) -> None:
+    connection = ClientConnection()
+    connection.connection_made(_Transport())
+    connection.send(b"")
+    for chunk in _chunks(data):
+        connection.data_received(chunk)
+    connection.connection_lost(None)
+    target = Target(TargetEntry("t1", "svc", "10.0.0.9:80", "fd-a", 8))
+    reader = ResponseReader(connection, WIRE_NAMES, target, "a1", float("inf"))
+    await reader.read_head(None)
+    await read_rest(reader)
+
+
+async def _read_stream(reader: ResponseReader) -> None:
+    splitter = EventSplitter()
+    while not isinstance(part := await reader.next_part(None), BodyEnd):
+        splitter.feed(part)
+
+
+async def _read_body(reader: ResponseReader) -> None:
+    decode_start(await reader.read_body(lambda: reader.next_part(None)))
+
+
+def check_request(data: bytes) -> None:
+    """Read requests of a caller."""
+    run(_read_requests(data))
+
+
+async def _read_requests(data: bytes) -> None:
+    ring = KeyRing([Account("n", frozenset([digest_key("k")]))])
+
+    async def handle(request: Request, responder: Responder) -> None:
+        ring.find(request.headers)
+        host = request.headers.get("host") or ""
+        content_digest(host, request.method, request.target, request.body)
+        part_digests(request.headers.get_joined("prompt-prefix"))
+        with suppress(ValueError):
+            decode_job_request(request.target)
+        request.headers.end_to_end().encode()
+        responder.send(200, Headers(), b"")
+
+    await _serve(data, handle)
+
+
+async def _serve(data: bytes, handle: Callable[[Request, Responder], Awaitable[None]]) -> None:
+    failures: list[Exception] = []
+    server = HttpServer(handle, ServerLimits(), lambda _request, error: failures.append(error))
+    connection = ServerConnection(server)
+    connection.connection_made(_Transport())
+    for chunk in _chunks(data):
+        connection.data_received(chunk)
+        while connection._task is not None:
+            await sleep(0)
+    connection.connection_lost(None)
+    if failures:
+        raise failures[0]
+
+
+def check_job_call(data: bytes) -> None:
+    """Decode the target of a request about a job."""
+    with suppress(ValueError):
+        decode_job_request(data.decode("latin-1"))
+
+
+def check_datagram(data: bytes) -> None:
+    """Decode a datagram of another process, and apply it if it is a load report."""
+    message = MessageCodec(Datagram, Metrics()).decode(data)
+    if isinstance(message, LoadReport):
+        table = LoadTable("z")
+        table.add_report(message, 1.0)
+        table.drop_expired(2.0)
+        table.totals(2.0)
+        table.limits(2.0)
+
+
+JOB_CALL = b"/jobs/j1?" + b"&".join(
+    b"call=%b&first=1&wait_ms=5.5&item_id=i&age_ms=2&account=a" % kind.value.encode()
+    for kind in JobCallKind
+)
+
+FUZZ_TARGETS = (
+    FuzzTarget("listing", check_listing, (PAGE, ENTRY)),
+    FuzzTarget("watch", check_watch, (EVENTS,)),
+    FuzzTarget("stored_object", check_stored_object, (RECORD, OBJECT)),
+    FuzzTarget("target_report", check_target_report, (b'{"born":5,"Queued":1}', ENTRY)),
+    FuzzTarget("config", check_config, (CONFIG,)),
+    FuzzTarget("submission", check_submission, (SUBMISSION,)),
+    FuzzTarget("events", check_events, (STREAM,)),
+    FuzzTarget("response", check_response, (RESPONSE, RESPONSE + RESPONSE, SWITCHING)),
+    FuzzTarget("request", check_request, (REQUEST, REQUEST + REQUEST, UPGRADE)),
+    FuzzTarget("job_call", check_job_call, (JOB_CALL,)),
+    FuzzTarget("datagram", check_datagram, (encode_message(REPORT),)),
+)
