Messages and peers: ports, hosts and numbers out of range are refused

Cause: a record of a peer, or a query, with a port over 65,535 made sendto raise OverflowError, after which asyncio closes the socket: the process sends and hears nothing more. A host that is a name was looked up on the event loop. NaN and infinity passed the decoder into sums over all processes.

Change: the decoder checks ports and numbers; peers without an IP address are left out; the socket skips and counts addresses that it cannot use.

--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -8,6 +8,7 @@
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.pace_messages import PaceLimits, PaceReport
 from ebonyshore.link.target_speeds import SpeedUpdate
+from ebonyshore.link.wire_types import Finite, Port
 
 
 class SuspicionUpdate(Struct, frozen=True, tag="suspicion", array_like=True):
@@ -43,7 +44,7 @@
 
     sender: str
     host: str
-    port: int
+    port: Port
     request_id: str
 
 
@@ -72,7 +73,7 @@
     sender: str
     version: int
     incarnation: str
-    clock_ms: float
+    clock_ms: Finite
 
 
 Datagram = (
--- a/ebonyshore/link/load_socket.py
+++ b/ebonyshore/link/load_socket.py
@@ -7,15 +7,17 @@
 from collections.abc import Callable
 
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.http.numbers import MAX_PORT
 from ebonyshore.link.codec import MessageCodec
 from ebonyshore.link.datagrams import Datagram
+from ebonyshore.link.wire_types import is_ip_address
 
 
 class LoadSocket(DatagramProtocol):
     """The UDP socket of one process for load messages.
 
-    :param metrics: counts undecodable datagrams as ``bad_frames`` and errors that the socket
-        reports as ``load_datagram_errors``.
+    :param metrics: counts undecodable datagrams as ``bad_frames`` and invalid addresses and
+        errors that the socket reports as ``load_datagram_errors``.
     :param on_message: called with each message received.
     """
 
@@ -49,8 +51,12 @@
         if self._transport is None or not addresses:
             return
         frame = self._codec.encode(message)
-        for address in addresses:
-            self._transport.sendto(frame, address)
+        for host, port in addresses:
+            # A transport closes itself after any other error than that of a call of the system.
+            if is_ip_address(host) and 1 <= port <= MAX_PORT:
+                self._transport.sendto(frame, (host, port))
+            else:
+                self._metrics.count("load_datagram_errors")
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         message = self._codec.decode(data)
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -10,6 +10,8 @@
 
 from msgspec import Struct, structs
 
+from ebonyshore.link.wire_types import Finite
+
 REPORT_TIMEOUT_MS = 1_000.0
 MUTUAL_TIMEOUT_MS = 500.0
 # The connections of a lost instance are not closed, so targets continue to process its requests
@@ -50,10 +52,10 @@
     """
 
     incarnation: Incarnation
-    rate_per_s: float | None
-    age_ms: float
-    requests: float
-    wanted_per_s: float = 0.0
+    rate_per_s: Finite | None
+    age_ms: Finite
+    requests: Finite
+    wanted_per_s: Finite = 0.0
 
 
 class TargetCounts(Struct, frozen=True, array_like=True):
@@ -109,7 +111,7 @@
     contended_quotas: tuple[str, ...] = ()
     leaving: tuple[Incarnation, ...] = ()
     limits: tuple[LimitReport, ...] = ()
-    clock_ms: float = 0.0
+    clock_ms: Finite = 0.0
     is_store_silent: bool = False
 
 
--- a/ebonyshore/link/messages.py
+++ b/ebonyshore/link/messages.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from ebonyshore.frame.result_codes import Execution, ResultCode
+from ebonyshore.link.wire_types import Finite
 
 PROTOCOL_VERSION = 1
 
@@ -251,7 +252,7 @@
     content_digest: str
     crash_count: int
     is_convicted: bool
-    age_ms: float
+    age_ms: Finite
     is_cleared: bool = False
     crash_ids: tuple[str, ...] = ()
     weak_crash_ids: tuple[str, ...] = ()
--- a/ebonyshore/link/pace_messages.py
+++ b/ebonyshore/link/pace_messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ebonyshore.link.load_table import Incarnation
+from ebonyshore.link.wire_types import Finite
 
 
 class PaceCounts(Struct, frozen=True, array_like=True):
@@ -46,7 +47,7 @@
     """
 
     incarnation: Incarnation
-    limit: float | None
+    limit: Finite | None
     counts: PaceCounts
 
 
@@ -69,8 +70,8 @@
     """
 
     incarnation: Incarnation
-    limit: float | None
-    pause_ms: float = 0.0
+    limit: Finite | None
+    pause_ms: Finite = 0.0
     has_fallen: bool = False
 
 
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError, UnreadableObjectError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.link.wire_types import Port, is_ip_address
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_api import StoredObject
@@ -31,7 +32,7 @@
     instance_id: str
     role: Literal["entry", "runner"]
     host: str
-    port: int
+    port: Port
     failure_domain: str
     incarnation: str
 
@@ -116,10 +117,14 @@
         if stored.value is None:
             return None
         try:
-            return self._store.decode(stored.key, stored.version, stored.value, PeerRecord).body
+            record = self._store.decode(stored.key, stored.version, stored.value, PeerRecord).body
         except UnreadableObjectError as error:
             self._log.event("peer_unreadable", key=stored.key, error=str(error))
             return None
+        if not is_ip_address(record.host):
+            self._log.event("peer_unreadable", key=stored.key, error="host is no IP address")
+            return None
+        return record
 
 
 class Registration:
--- a/ebonyshore/link/target_speeds.py
+++ b/ebonyshore/link/target_speeds.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from ebonyshore.link.load_table import Incarnation
+from ebonyshore.link.wire_types import Finite
 
 
 class SpeedReport(Struct, frozen=True, array_like=True):
@@ -16,10 +17,10 @@
     """
 
     incarnation: Incarnation
-    usual_ms: float
-    usual_weight: float
-    recent_ms: float
-    recent_weight: float
+    usual_ms: Finite
+    usual_weight: Finite
+    recent_ms: Finite
+    recent_weight: Finite
 
 
 class SpeedUpdate(Struct, frozen=True, tag="speeds", array_like=True):
