Event streams: the time to split one is linear in its size

Cause: each received part was joined to a copy of the incomplete event. An event of 600,000 bytes in single bytes took more than 90 s of processor time (the test was ended).

Change: received bytes are appended to one buffer, of which only the new part is searched.

--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -35,17 +35,17 @@
     __slots__ = ("_buffer", "last_id")
 
     def __init__(self, last_id: int | None = None) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
         self.last_id = last_id
 
     @property
     def incomplete_event(self) -> bytes:
         """Bytes of an event whose end has not been received yet."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def discard_incomplete(self) -> None:
         """Drop the bytes of an incomplete event; call before bytes of another response."""
-        self._buffer = b""
+        self._buffer.clear()
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes.
@@ -54,7 +54,7 @@
             too long. Valid events before it in ``data`` are not returned either; they are sent
             again when the stream is resumed, since ``last_id`` is unchanged.
         """
-        *complete, self._buffer = (self._buffer + data).split(EVENT_END)
+        complete = self._take_complete(data)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamOrderError(f"event is longer than {MAX_EVENT_BYTES} bytes")
         events = [parse_event(raw + EVENT_END) for raw in complete]
@@ -66,6 +66,18 @@
         self.last_id = expected
         return events
 
+    def _take_complete(self, data: bytes) -> list[bytes]:
+        """Append received bytes; return the complete events, without the ends of them.
+
+        Only the new bytes are searched, so an event may arrive in any number of parts.
+        """
+        searched = max(0, len(self._buffer) + 1 - len(EVENT_END))
+        self._buffer += data
+        if self._buffer.find(EVENT_END, searched) < 0:
+            return []
+        *complete, self._buffer = self._buffer.split(EVENT_END)
+        return [bytes(raw) for raw in complete]
+
 
 def parse_event(raw: bytes) -> Event:
     """Return the event in ``raw``.
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -1,5 +1,7 @@
 """Splitting a stream into complete events in order."""
 
+from time import process_time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -44,3 +46,13 @@
 
 def test_several_data_lines_are_joined():
     assert EventSplitter().feed(b"id: 1\ndata: a\ndata: b\n\n")[0].data == "a\nb"
+
+
+def test_long_event_in_single_bytes_takes_time_linear_in_its_size():
+    """Guards against a target that keeps a process busy with one event."""
+    splitter, size = EventSplitter(), 600_000
+    started_s = process_time()
+    for _ in range(size):
+        splitter.feed(b"x")
+    assert process_time() - started_s < 5.0
+    assert len(splitter.incomplete_event) == size
