HTTP: trailers are limited, and are no headers

Cause (found while reading for the fuzzer): fields after the last chunk were added to the headers of the message, and neither their bytes nor those of chunk extensions were counted, so a peer could fill the memory although heads and bodies are limited.

Change: trailers are dropped; what is received after the head and is no part of the body may be as long as a head (431 at the server, a broken response at the client).

Result: tests/test_foreign_bytes.py passes; before, trailers passed for headers and the new tests of endless ones failed or did not end (2 failed, then pytest broke off). test_http_server, test_endless_responses, test_undelimited_answers, test_memory_budget and test_forwarding pass.

--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -76,7 +76,9 @@
         self._is_complete = False
         self._is_interim = False  # whether the message being received precedes the response
         self._keeps_alive = False
-        self._head_bytes = 0  # received of a head that is not complete
+        self._head_bytes = (
+            0  # received of a head, of trailers or between chunks, since the last part
+        )
         self._queued_bytes = 0
         self.is_broken = False
         self.has_received = False
@@ -92,15 +94,14 @@
             self.abort()
             return
         self.has_received = True
-        if not self._has_head:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             self._append_part(ExchangeError(f"invalid HTTP response: {error}"))
             self.abort()
             return
-        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > MAX_HEAD_BYTES:
             self._append_part(ExchangeError(f"response head exceeds {MAX_HEAD_BYTES} bytes"))
             self.abort()
         elif self._queued_bytes > MAX_QUEUED_BYTES and self._transport is not None:
@@ -227,6 +228,8 @@
         self._is_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._has_head:
+            return  # a trailer
         self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -260,6 +263,7 @@
                 self._idle_timeout.announced_ms = timeout_s * MS_PER_S
 
     def _append_part(self, part: ResponsePart) -> None:
+        self._head_bytes = 0
         self._parts.append(part)
         self._queued_bytes += _queue_bytes(part)
         if self._waiter is not None and not self._waiter.done():
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -157,6 +157,8 @@
         self._timer: TimerHandle | None = None
         self._is_reading_request = False
         self._is_closing = False
+        self._are_headers_complete = False
+        self._trailer_bytes = 0  # received since the headers or the last part of the body
         self._ignores_input = False
         self._keeps_alive = True
         self._header_bytes = 0  # -1 once the headers are complete
@@ -218,6 +220,7 @@
             self._begin_request()
         if self._header_bytes >= 0:
             self._header_bytes += len(data)
+        self._trailer_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -226,9 +229,14 @@
         except HttpParserError:
             self._reject(self._rejection_status or 400)
             return
-        if self._rejection_status or self._header_bytes > self._server.limits.max_header_bytes:
+        header_bytes = max(self._header_bytes, self._unfinished_trailer_bytes())
+        if self._rejection_status or header_bytes > self._server.limits.max_header_bytes:
             self._reject(self._rejection_status or 431)
 
+    def _unfinished_trailer_bytes(self) -> int:
+        is_in_body = self._is_reading_request and self._are_headers_complete
+        return self._trailer_bytes if is_in_body else 0
+
     def pause_writing(self) -> None:
         self._writable = self._loop.create_future()
 
@@ -279,6 +287,8 @@
             self._begin_request()
         self._url = b""
         self._header_fields = []
+        self._are_headers_complete = False
+        self._trailer_bytes = 0
         self._body_chunks = []
         self._body_bytes = 0
 
@@ -286,6 +296,8 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._are_headers_complete:
+            return  # a trailer
         self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -298,10 +310,13 @@
         if self._parser.should_upgrade() and _has_body(self._header_fields):
             self._rejection_status = 400  # the parser takes the body for another protocol
         self._header_bytes = -1
+        self._are_headers_complete = True
+        self._trailer_bytes = 0
         self._set_timer(limits.idle_timeout_ms, self.close)
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
+        self._trailer_bytes = 0
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._rejection_status = 413
             return
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -62,11 +62,12 @@
         pass
 
 
-async def receive(response: bytes) -> list:
+async def receive(*chunks: bytes) -> list:
     connection = ClientConnection()
     connection.connection_made(SilentTransport())
     connection.send(b"")
-    connection.data_received(response)
+    for chunk in chunks:
+        connection.data_received(chunk)
     parts = []
     while not parts or not isinstance(parts[-1], BodyEnd):
         parts.append(await connection.next_part())
@@ -108,6 +109,35 @@
         decode_job_request(target)
 
 
+CHUNKED = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+
+
+def test_trailers_of_a_request_are_not_taken_for_headers():
+    """Guards against fields that pass for headers after these were checked."""
+    answer, _ = asyncio.run(
+        exchange(CHUNKED + b"0\r\nAttempt-Id: forged\r\n\r\n" + UPGRADE + b"\r\n")
+    )
+    assert answer.startswith(b"HTTP/1.1 200 ") and b"forged" not in answer
+
+
+@pytest.mark.parametrize("endless", [b"0\r\nA: " + b"x" * 500_000, b"1;" + b"x" * 500_000])
+def test_request_with_endless_trailers_is_refused(endless):
+    """Guards against memory that a caller fills although bodies are limited."""
+    try:
+        answer, handled = asyncio.run(exchange(CHUNKED + endless))
+    except ConnectionResetError:
+        return  # the server has closed the connection without reading all of it
+    assert b" 431 " in answer and handled == []
+
+
+@pytest.mark.parametrize("endless", [b"0\r\nA: ", b"0\r\n" + b"A: x\r\n" * 1_000, b"1;"])
+def test_response_with_endless_trailers_is_broken_off(endless):
+    """Guards against memory that a target fills although heads and bodies are limited."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    with pytest.raises(ExchangeError, match="exceeds"):
+        asyncio.run(receive(head + endless, *([b"x" * 6_000] * 50)))
+
+
 @pytest.mark.parametrize("target", FUZZ_TARGETS, ids=lambda target: target.name)
 def test_decoder_returns_or_raises_a_typed_error_for_any_bytes(target):
     fuzz(target, FIXED_SEED, EXAMPLES)
