--- a/tools/fuzz_targets.py
+++ b/tools/fuzz_targets.py
@@ -5,7 +5,7 @@
 """
 
 from asyncio import run, sleep
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 
 from msgspec import Struct
@@ -23,16 +23,26 @@
 from ebonyshore.host.response_reader import AttemptFailedError, ResponseReader
 from ebonyshore.host.routes import RouteTable
 from ebonyshore.host.target import Target, TargetEntry
+from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
 from ebonyshore.http.server import HttpServer, Responder, ServerConnection, ServerLimits
 from ebonyshore.link.codec import MessageCodec
-from ebonyshore.link.datagrams import Datagram
+from ebonyshore.link.datagrams import Datagram, StreamQuery
 from ebonyshore.link.job_call import JobCallKind, decode_job_request
-from ebonyshore.link.load_table import Incarnation, LimitReport, LoadReport, LoadTable, TargetCounts
+from ebonyshore.link.load_table import (
+    Incarnation,
+    LimitReport,
+    LoadReport,
+    LoadTable,
+    LoadTotals,
+    TargetCounts,
+)
 from ebonyshore.link.peers import PeerRecord
+from ebonyshore.link.rate_limits import RateLimits
 from ebonyshore.link.renewals import Renewal
+from ebonyshore.link.target_speeds import SpeedReport, SpeedUpdate
 from ebonyshore.platform.config_object import decode_config
 from ebonyshore.platform.job_bodies import decode_submission
 from ebonyshore.platform.object_store import PlatformObjectStore
@@ -95,6 +105,9 @@
     {"t1": TargetCounts(1, 2)},
     limits=(LimitReport(Incarnation("t1", 5), 2.5, 10.0, 3.0),),
 )
+TOTALS = LoadTotals("a", "run-1", 3, REPORT.counts, {"b": 2}, (), REPORT.limits)
+SPEEDS = SpeedUpdate("a", False, (SpeedReport(Incarnation("t1", 5), 20.0, 5.0, 30.0, 2.0),))
+DATAGRAMS = (REPORT, TOTALS, SPEEDS, StreamQuery("a", "127.0.0.1", 9, "q"))
 
 
 class FuzzTarget(Struct, frozen=True):
@@ -277,14 +290,29 @@
 
 
 def check_datagram(data: bytes) -> None:
-    """Decode a datagram of another process, and apply it if it is a load report."""
+    """Decode a datagram of another process, and apply it where it changes sums over processes."""
     message = MessageCodec(Datagram, Metrics()).decode(data)
     if isinstance(message, LoadReport):
         table = LoadTable("z")
         table.add_report(message, 1.0)
         table.drop_expired(2.0)
         table.totals(2.0)
-        table.limits(2.0)
+        _apply_limits(table.limits(2.0))
+    elif isinstance(message, LoadTotals):
+        _apply_limits(message.limits)
+    elif isinstance(message, SpeedUpdate):
+        speeds = TargetSpeeds()
+        speeds.merge(message, 1.0)
+        speeds.merged_updates(2.0)
+
+
+def _apply_limits(reports: Iterable[LimitReport]) -> None:
+    limits = RateLimits(lambda: 2, 0.0)
+    limits.update_others("a", reports, 1.0)
+    for report in reports:
+        limits.allowance(report.incarnation, 2.0)
+        limits.batch_allowance(report.incarnation, 2.0)
+    limits.own_reports(3.0)
 
 
 JOB_CALL = b"/jobs/j1?" + b"&".join(
@@ -303,5 +331,5 @@
     FuzzTarget("response", check_response, (RESPONSE, RESPONSE + RESPONSE, SWITCHING)),
     FuzzTarget("request", check_request, (REQUEST, REQUEST + REQUEST, UPGRADE)),
     FuzzTarget("job_call", check_job_call, (JOB_CALL,)),
-    FuzzTarget("datagram", check_datagram, (encode_message(REPORT),)),
+    FuzzTarget("datagram", check_datagram, tuple(map(encode_message, DATAGRAMS))),
 )
