Soak: unusable entries in the list of targets

Other writers store entries that cannot be read or that name no server to use, for a while, from a thread of their own, so that seeds draw the same other faults as before.

--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -17,6 +17,23 @@
 MAX_FAULT_DURATION_S = MAX_FAULT_DURATION_MS / MS_PER_S
 FAULT_INTERVAL_S = (0.1, 0.9)  # range of the time between two faults of a thread
 FAULT_THREADS = 2
+MAX_FOREIGN_ENTRIES = 3
+# Entries in the list of targets that name no server to use: two that cannot be read (a text that is
+# not UTF-8, and NaN), and two with a value that is missing or out of range.
+FOREIGN_ENTRIES: tuple[dict[str, object], ...] = (
+    {"Service": SERVICE, "Note": b"\xff".decode("utf-8", "surrogateescape")},
+    {"Service": SERVICE, "Capacity": float("nan")},
+    {"Service": SERVICE, "Address": "127.0.0.1:9", "Zone": "fd-a", "Capacity": 8},
+    {
+        "Service": SERVICE,
+        "Address": "127.0.0.1:70000",
+        "Zone": "fd-a",
+        "Version": "v1",
+        "Capacity": 8,
+        "State": "ready",
+        "Sequence": 1,
+    },
+)
 
 
 class FaultInjector:
@@ -61,12 +78,13 @@
     def start(self) -> None:
         """Start the threads that inject faults.
 
-        Planned stops of targets have a thread of their own, so that a seed draws the same other
-        faults as it did without them.
+        Planned stops of targets and entries of other writers have threads of their own, so that a
+        seed draws the same other faults as it did without them.
         """
         for number in range(FAULT_THREADS):
             self._start_thread(f"{self._seed}/faults/{number}", self._fault_methods)
         self._start_thread(f"{self._seed}/leaving", [self._let_target_leave])
+        self._start_thread(f"{self._seed}/foreign", [self._store_foreign_entry])
 
     def _start_thread(self, seed: str, methods: list[Callable[[Random], None]]) -> None:
         arguments = (Random(seed), methods)
@@ -218,6 +236,15 @@
                 spec = {**entry["Spec"], "born": target.born_ms}
                 state.put("servers", target.target_id, spec)
 
+    def _store_foreign_entry(self, random: Random) -> None:
+        """Let another writer store an entry that names no server to use, for a while."""
+        state, name = self._fleet.platform.state, f"foreign-{random.randrange(MAX_FOREIGN_ENTRIES)}"
+        number = random.randrange(len(FOREIGN_ENTRIES))
+        self._log_fault(f"unusable entry {number} at {name}")
+        state.put("servers", name, FOREIGN_ENTRIES[number])
+        self._sleep_s(random.uniform(0.0, MAX_FAULT_DURATION_S))
+        state.delete("servers", name, None)
+
     def _let_target_leave(self, random: Random) -> None:
         """Let a target leave as planned, and come back as a new incarnation.
 
