--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -41,18 +41,18 @@
     __slots__ = ("_buffer", "_error", "last_id")
 
     def __init__(self, last_id: int | None = None) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
         self._error: StreamOrderError | None = None
         self.last_id = last_id
 
     @property
     def incomplete_event(self) -> bytes:
         """Bytes of an event whose end has not been received yet."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def discard_incomplete(self) -> None:
         """Drop the bytes of an incomplete event; call before bytes of another response."""
-        self._buffer = b""
+        self._buffer.clear()
         self._error = None
 
     def feed(self, data: bytes) -> list[Event]:
@@ -62,7 +62,7 @@
 
         :raises StreamOrderError: as :meth:`check`, if there are no events before the error.
         """
-        *complete, self._buffer = (self._buffer + data).split(EVENT_END)
+        complete = self._take_complete(data)
         events: list[Event] = []
         try:
             for raw in complete:
@@ -91,6 +91,18 @@
         self.last_id = event.event_id
         return event
 
+    def _take_complete(self, data: bytes) -> list[bytes]:
+        """Append received bytes; return the complete events, without the ends of them.
+
+        Only the new bytes are searched, so an event may arrive in any number of parts.
+        """
+        searched = max(0, len(self._buffer) + 1 - len(EVENT_END))
+        self._buffer += data
+        if self._buffer.find(EVENT_END, searched) < 0:
+            return []
+        *complete, self._buffer = self._buffer.split(EVENT_END)
+        return [bytes(raw) for raw in complete]
+
 
 def is_event_stream(head: ResponseHead) -> bool:
     """Return whether a response is a success with an event stream."""
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -17,8 +17,10 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.idle_timeouts import IdleTimeout
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.http.numbers import parse_decimal
+from ebonyshore.http.numbers import parse_decimal, parse_port
 
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 BODILESS_STATUSES = (204, 304)
 MAX_HEAD_BYTES = 65_536  # of a response
 # Received parts that wait to be taken; above this the connection is not read further.
@@ -73,8 +75,11 @@
         self._has_head = False
         self._is_self_delimited = False
         self._is_complete = False
+        self._is_interim = False  # whether the message being received precedes the response
         self._keeps_alive = False
-        self._head_bytes = 0  # received of a head that is not complete
+        self._head_bytes = (
+            0  # received of a head, of trailers or between chunks, since the last part
+        )
         self._queued_bytes = 0
         self.is_broken = False
         self.has_received = False
@@ -93,15 +98,14 @@
             self.abort()
             return
         self.has_received = True
-        if not self._has_head:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserError as error:
+        except (HttpParserError, HttpParserUpgrade) as error:
             self._append_part(ExchangeError(f"invalid HTTP response: {error}"))
             self.abort()
             return
-        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > MAX_HEAD_BYTES:
             self._append_part(ExchangeError(f"response head exceeds {MAX_HEAD_BYTES} bytes"))
             self.abort()
         elif self._queued_bytes > MAX_QUEUED_BYTES and self._transport is not None:
@@ -250,10 +254,17 @@
         self._is_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._has_head:
+            return  # a trailer
         self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
+        self._is_interim = status in INTERIM_STATUSES
+        if self._is_interim:
+            return
+        if status not in FINAL_STATUSES:
+            raise ValueError(f"status {status}")  # the parser reports an invalid response
         headers = Headers(self._header_fields)
         self._has_head = True
         self._is_self_delimited = _is_self_delimited(status, headers)
@@ -264,6 +275,8 @@
         self._append_part(body)
 
     def on_message_complete(self) -> None:
+        if self._is_interim:
+            return
         self._is_complete = True
         self._keeps_alive = self._parser.should_keep_alive()
         self._append_part(BodyEnd())
@@ -276,6 +289,7 @@
                 self._idle_timeout.announced_ms = timeout_s * MS_PER_S
 
     def _append_part(self, part: ResponsePart) -> None:
+        self._head_bytes = 0
         self._parts.append(part)
         self._queued_bytes += _queue_bytes(part)
         if self._waiter is not None and not self._waiter.done():
@@ -410,12 +424,15 @@
 
     :raises ExchangeError: if the server cannot be reached; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
+    host, _, port_text = address.rpartition(":")
+    port = parse_port(port_text)
+    if not host or port is None:
+        raise ExchangeError(f"invalid address {address!r}", was_sent=False)
     loop = get_running_loop()
     try:
         async with timeout(timeout_ms / MS_PER_S):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(idle_timeout), host, int(port)
+                lambda: ClientConnection(idle_timeout), host, port
             )
     except (OSError, ValueError) as error:
         raise ExchangeError(f"cannot connect to {address}: {error!r}", was_sent=False) from error
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -17,7 +17,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
-from httptools import HttpParserError, HttpRequestParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from msgspec import Struct
 
 from ebonyshore.frame.clock import MS_PER_S
@@ -157,6 +157,9 @@
         self._timer: TimerHandle | None = None
         self._is_reading_request = False
         self._is_closing = False
+        self._are_headers_complete = False
+        self._trailer_bytes = 0  # received since the headers or the last part of the body
+        self._ignores_input = False
         self._keeps_alive = True
         self._header_bytes = 0  # -1 once the headers are complete
         self._body_bytes = 0
@@ -211,20 +214,29 @@
             self._task.cancel()
 
     def data_received(self, data: bytes) -> None:
-        if self._is_closing:
+        if self._is_closing or self._ignores_input:
             return
         if not self._is_reading_request:
             self._begin_request()
         if self._header_bytes >= 0:
             self._header_bytes += len(data)
+        self._trailer_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            # The request is answered as it is; what follows would be of another protocol.
+            self._ignores_input = True
         except HttpParserError:
             self._reject(self._rejection_status or 400)
             return
-        if self._rejection_status or self._header_bytes > self._server.limits.max_header_bytes:
+        header_bytes = max(self._header_bytes, self._unfinished_trailer_bytes())
+        if self._rejection_status or header_bytes > self._server.limits.max_header_bytes:
             self._reject(self._rejection_status or 431)
 
+    def _unfinished_trailer_bytes(self) -> int:
+        is_in_body = self._is_reading_request and self._are_headers_complete
+        return self._trailer_bytes if is_in_body else 0
+
     def pause_writing(self) -> None:
         self._writable = self._loop.create_future()
 
@@ -275,6 +287,8 @@
             self._begin_request()
         self._url = b""
         self._header_fields = []
+        self._are_headers_complete = False
+        self._trailer_bytes = 0
         self._body_chunks = []
         self._body_bytes = 0
 
@@ -282,6 +296,8 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._are_headers_complete:
+            return  # a trailer
         self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -291,11 +307,16 @@
             header_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._header_fields)
             if header_bytes > limits.max_header_bytes:
                 self._rejection_status = 431
+        if self._parser.should_upgrade() and _has_body(self._header_fields):
+            self._rejection_status = 400  # the parser takes the body for another protocol
         self._header_bytes = -1
+        self._are_headers_complete = True
+        self._trailer_bytes = 0
         self._set_timer(limits.idle_timeout_ms, self.close)
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
+        self._trailer_bytes = 0
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._rejection_status = 413
             return
@@ -309,7 +330,7 @@
         self._is_reading_request = False
         if self._rejection_status:
             return
-        keeps_alive = self._parser.should_keep_alive()
+        keeps_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
         method = self._parser.get_method().decode("latin-1")
         request = Request(
             method,
@@ -398,6 +419,10 @@
             self._timer = None
 
 
+def _has_body(fields: list[tuple[str, str]]) -> bool:
+    return any(name.lower() in ("content-length", "transfer-encoding") for name, _ in fields)
+
+
 class HttpServer:
     """HTTP server on one address.
 
--- a/ebonyshore/link/load_socket.py
+++ b/ebonyshore/link/load_socket.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable
 
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.http.numbers import MAX_PORT
 from ebonyshore.link.codec import MessageCodec
 from ebonyshore.link.datagrams import Datagram, encode_datagrams
+from ebonyshore.link.wire_types import is_ip_address
 
 PACKET_BYTES = 1_472  # payload of one packet on Ethernet; a datagram is lost with any fragment
 MAX_DATAGRAM_BYTES = 65_507  # payload of UDP over IPv4
@@ -17,8 +19,8 @@
 class LoadSocket(DatagramProtocol):
     """The UDP socket of one process for load messages.
 
-    :param metrics: counts undecodable datagrams as ``bad_frames`` and errors that the socket
-        reports as ``load_datagram_errors``.
+    :param metrics: counts undecodable datagrams as ``bad_frames`` and invalid addresses and
+        errors that the socket reports as ``load_datagram_errors``.
     :param on_message: called with each message received.
     """
 
@@ -54,11 +56,13 @@
         """
         if self._transport is None or not addresses:
             return
+        sound = [address for address in addresses if _is_sendable(*address)]
+        self._metrics.count("load_datagram_errors", len(addresses) - len(sound))
         for frame in encode_datagrams(message, self._codec.encode, PACKET_BYTES):
             if len(frame) > MAX_DATAGRAM_BYTES:
                 self._metrics.count("datagrams_too_large")
                 continue
-            for address in addresses:
+            for address in sound:
                 self._transport.sendto(frame, address)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -68,3 +72,11 @@
 
     def error_received(self, exc: OSError) -> None:
         self._metrics.count("load_datagram_errors")
+
+
+def _is_sendable(host: str, port: int) -> bool:
+    """Return whether a datagram can be sent there.
+
+    A transport closes itself after any other error than that of a call of the system.
+    """
+    return is_ip_address(host) and 1 <= port <= MAX_PORT
--- a/ebonyshore/runner/conviction_store.py
+++ b/ebonyshore/runner/conviction_store.py
@@ -5,9 +5,14 @@
 
 from collections.abc import Sequence
 
-from msgspec import DecodeError, Struct
-
-from ebonyshore.frame.errors import StoreError, WriteConflictError, WriteRefusedError
+from msgspec import Struct
+
+from ebonyshore.frame.errors import (
+    StoreError,
+    UnreadableObjectError,
+    WriteConflictError,
+    WriteRefusedError,
+)
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS
@@ -72,7 +77,7 @@
             return self._marked_store.decode(
                 found.key, found.version, found.value or b"", ConvictionRecord
             ).body
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("conviction_unreadable", key=found.key, error=str(error))
             return None
 
--- a/ebonyshore/runner/origin_storage.py
+++ b/ebonyshore/runner/origin_storage.py
@@ -5,10 +5,10 @@
 
 from collections.abc import Iterable, Sequence
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 from msgspec.json import encode
 
-from ebonyshore.frame.errors import WriteConflictError
+from ebonyshore.frame.errors import UnreadableObjectError, WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.store.marked_write import MarkedObject, MarkedStore
@@ -58,7 +58,7 @@
                 stored = self._marked_store.decode(
                     found.key, found.version, found.value or b"", OriginRecord
                 )
-            except DecodeError as error:
+            except UnreadableObjectError as error:
                 self._log.event("stream_origins_unreadable", key=found.key, error=str(error))
                 stored = self._empty_object(found.version)
             records[instance_id] = stored.body
--- a/ebonyshore/runner/suspicion_store.py
+++ b/ebonyshore/runner/suspicion_store.py
@@ -5,10 +5,10 @@
 
 from collections.abc import Mapping
 
-from msgspec import DecodeError, Struct
+from msgspec import Struct
 
 from ebonyshore.frame.encoded_size import json_size, take_fitting
-from ebonyshore.frame.errors import ValueTooLargeError
+from ebonyshore.frame.errors import UnreadableObjectError, ValueTooLargeError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.link.messages import Verdict
@@ -50,7 +50,7 @@
             self._stored = self._marked_store.decode(
                 found.key, found.version, found.value or b"", SuspicionRecord
             )
-        except DecodeError as error:
+        except UnreadableObjectError as error:
             self._log.event("suspicions_unreadable", key=SUSPICIONS_KEY, error=str(error))
             self._stored = _empty_object(found.version)
         return self._stored.body
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -1,6 +1,7 @@
 """Splitting a stream into complete events in order."""
 
 from itertools import pairwise
+from time import process_time
 
 import pytest
 from hypothesis import given, seed
@@ -67,3 +68,13 @@
     offsets = [0, *sorted(cuts), len(stream)]
     chunks = [stream[start:end] for start, end in pairwise(offsets)]
     assert read_until_error(chunks) == [f"d{number}" for number in range(1, before + 1)]
+
+
+def test_long_event_in_single_bytes_takes_time_linear_in_its_size():
+    """Guards against a target that keeps a process busy with one event."""
+    splitter, size = EventSplitter(), 600_000
+    started_s = process_time()
+    for _ in range(size):
+        splitter.feed(b"x")
+    assert process_time() - started_s < 5.0
+    assert len(splitter.incomplete_event) == size
