--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,10 +6,14 @@
 import pytest
 
 from ebonyshore.frame.errors import WriteConflictError
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import ResultRecord, ResultSegment
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
+from ebonyshore.host.watch_monitor import WatchMonitor
 from ebonyshore.runner.job_storage import JobStorage
+from ebonyshore.runner.origin_registry import OriginRegistry
 from ebonyshore.runner.runner_load import RunnerLoad
 from ebonyshore.store.marked_write import MarkedStore
 from tests.gateway_setup import make_suspicions
@@ -151,6 +155,8 @@
         make_suspicions("b"),
         PaceExchange("b", TargetTable()),
         setup.clock,
+        OriginRegistry("b", TargetTable(), lambda: True),
+        WatchMonitor(1_000.0, lambda: False, setup.clock, EventLog(), Metrics()),
     )
     setup.receive_report("a", sequence=1)
     asyncio.run(send_report(load, FakeSocket()))
