Tests: items after a stop of all processes, streams of one version in an outage

Items go on, or start again, by the origin that is stored with their events: 12 of 12 restored, those of the version that has left start again, none mixed. While the store is down and one entry is killed, all 24 streams of the only version go on at the other one.

--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -8,12 +8,14 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.caller_stream import CallerStream
+from ebonyshore_standins.fleet_client import read_job, submit_job
 from ebonyshore_standins.fleet_config import SERVICE
-from ebonyshore_standins.platform_fleet import PlatformFleet
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 from ebonyshore_standins.stream_target import StreamTarget, expected_data, mixed_streams
 
 CLOCK = SystemClock()
 STREAMS = 24
+ITEMS = 12
 EVENTS = 90
 EVENT_INTERVAL_MS = 30.0
 BEGUN_BEFORE_KILL_MS = 800.0
@@ -58,17 +60,20 @@
             CLOCK.sleep_ms(RETRY_MS)
 
 
-def play(fleet, before_kill=lambda: None, after_start=lambda: None):
-    """Kill all processes while callers read streams, start them again; return the streams."""
+def play(fleet, before_kill=lambda: None, after_start=lambda: None, killed=None):
+    """Kill processes while callers read streams, start them again; return the streams.
+
+    :param killed: the processes; all if omitted.
+    """
     streams = [CallerStream(f"s{number}", EVENTS) for number in range(STREAMS)]
     with ThreadPoolExecutor(STREAMS) as callers:
         for turn, stream in enumerate(streams):
             callers.submit(read_until_deadline, fleet, stream, turn)
         CLOCK.sleep_ms(BEGUN_BEFORE_KILL_MS)
         before_kill()
-        for process in fleet.processes:
+        for process in killed or fleet.processes:
             process.kill()
-        for process in fleet.processes:
+        for process in killed or fleet.processes:
             process.start()
         after_start()
     return streams
@@ -130,6 +135,32 @@
     assert whole_streams(streams) == STREAMS
 
 
+def test_streams_of_the_only_version_go_on_elsewhere_while_the_store_is_down(make_fleet):
+    """Guards against refusing streams because nobody can read the list, which cannot change."""
+    fleet = make_fleet(OLD, OLD, OLD, OLD)
+
+    def break_store():
+        fleet.platform.fault_hook = lambda _method, _path: 503
+        CLOCK.sleep_ms(LIST_MS)
+
+    streams = play(fleet, before_kill=break_store, killed=fleet.entries[:1])
+    assert whole_streams(streams) == STREAMS
+
+
+def test_items_do_not_go_on_at_another_version_after_all_processes_were_stopped(make_fleet):
+    """Guards against items whose stored events are taken for those of the only listed version."""
+    fleet = make_fleet(OLD, NEW, OLD, NEW)
+    assert submit_job(fleet.entries[0], "j1", items=ITEMS, events=EVENTS) == 202
+    CLOCK.sleep_ms(BEGUN_BEFORE_KILL_MS)
+    with ThreadPoolExecutor(len(fleet.processes)) as stops:
+        list(stops.map(lambda process: process.stop(), fleet.processes))
+    unlist_targets(fleet, OLD)
+    fleet.restart_all()
+    wait_until(lambda: len(read_job(fleet.entries[0], "j1")[1]["Results"]) == ITEMS)
+    assert any("event=items_restored" in runner.read_log() for runner in fleet.runners)
+    assert mixed(fleet) == set()
+
+
 def test_versions_that_are_listed_again_one_by_one_after_an_outage_are_not_mixed(make_fleet):
     """Guards against going on at the first version that is listed after all were killed."""
     fleet = make_fleet(OLD, OLD, OLD, NEW)
