--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -7,29 +7,23 @@
 the stream began; runners keep a record for that which outlives them.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from itertools import count
 
-from msgspec import Struct
-
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.gateway.origin_lookup import OriginLookup, OriginSource
 from ebonyshore.gateway.origin_query import OriginQuery
+from ebonyshore.gateway.stream_reporter import Send, StreamReporter
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.link.datagrams import (
-    Datagram,
     RecentVersions,
     StreamAnswer,
     StreamQuery,
-    StreamStarts,
 )
-from ebonyshore.link.peers import PeerDirectory, PeerRecord
-from ebonyshore.link.stream_records import RECORD_LIFETIME_MS, StreamRecords
+from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.stream_records import StreamRecords
 
-REPORTED_TO_RUNNERS = 2  # number of runners that are told of a stream
-REPORT_SENDS = 3  # of each stream, because datagrams may be lost
-MAX_STREAMS_PER_DATAGRAM = 25  # keeps a datagram below 1,500 bytes
 MAX_QUERIES = 3
 MAX_ASKED_ENTRIES = 64  # in a larger fleet only runners are asked
 VERSIONS_INTERVAL_MS = 200.0  # between two looks for services with several versions
@@ -37,8 +31,6 @@
 INCOMPLETE_RETRY_MS = 400.0  # until runners that have started have read the stored record
 UNKNOWN_RETRY_MS = 500.0
 
-Send = Callable[[Datagram, list[tuple[str, int]]], None]
-
 
 class UnknownOriginError(Exception):
     """It is not known at which version a stream began, and there may have been several.
@@ -56,18 +48,6 @@
         return UNKNOWN_RETRY_MS if self.lookup.is_complete else INCOMPLETE_RETRY_MS
 
 
-class _Unreported(Struct):
-    """A stream that may have to be reported to runners.
-
-    :param sends_left: number of datagrams that are still to tell of it.
-    """
-
-    request_id: str
-    origin: TargetGroup
-    began_ms: float
-    sends_left: int = REPORT_SENDS
-
-
 class StreamOrigins:
     """Records where the streams of this entry began and finds the origin of others.
 
@@ -85,11 +65,10 @@
         "_peers",
         "_queries",
         "_records",
+        "_reporter",
         "_send",
         "_targets",
-        "_totals_sender",
         "_unnamed_ids",
-        "_unreported",
         "_versions_ms",
     )
 
@@ -105,21 +84,16 @@
         self._send = send
         self._is_list_current = is_list_current
         self._records = StreamRecords()
-        self._unreported: dict[str, _Unreported] = {}  # by request id, oldest first
+        self._reporter = StreamReporter(peers, send)
         self._queries: dict[str, OriginQuery] = {}
         self._unnamed_ids = count(1)
-        self._totals_sender: str | None = None
         self._mixed_services: set[str] = set()
         self._versions_ms = float("-inf")
 
     def record(self, request_id: str, origin: TargetGroup) -> None:
         """Record the group of the target that sent the first event of a request's response."""
-        at_ms = now_ms()
-        self._records.add(request_id, origin, at_ms)
-        stream = _Unreported(request_id, origin, at_ms)
-        self._unreported[request_id] = stream
-        if self.is_mixed(origin.service):
-            self._report([stream], self._nearest_runners())
+        self._records.add(request_id, origin, now_ms())
+        self._reporter.add(request_id, origin, now_ms(), self.is_mixed(origin.service))
 
     def is_mixed(self, service: str) -> bool:
         """Return whether a service has targets of several versions, or had them recently."""
@@ -134,14 +108,7 @@
 
         Has to be called several times a second, because a version may appear while a stream runs.
         """
-        at_ms = now_ms()
-        self._drop_expired(at_ms)
-        mixed_services = self._find_mixed_services(at_ms)
-        if mixed_services:
-            streams = [s for s in self._unreported.values() if s.origin.service in mixed_services]
-            runners = self._reported_runners()
-            for first in range(0, len(streams), MAX_STREAMS_PER_DATAGRAM):
-                self._report(streams[first : first + MAX_STREAMS_PER_DATAGRAM], runners)
+        self._reporter.report(self._find_mixed_services(now_ms()), now_ms())
 
     async def find(self, request_id: str | None, service: str) -> OriginLookup:
         """Find the targets at which a stream may go on.
@@ -210,7 +177,7 @@
 
     def note_totals_sender(self, instance_id: str) -> None:
         """Record which runner sends load totals: the one that stores the origins of streams."""
-        self._totals_sender = instance_id
+        self._reporter.totals_sender = instance_id
 
     def on_answer(self, answer: StreamAnswer) -> None:
         """Apply the answer of another process."""
@@ -250,42 +217,8 @@
         entries = self._peers.addresses("entry") if includes_entries else []
         return runners + (entries if len(entries) <= MAX_ASKED_ENTRIES else [])
 
-    def _report(self, streams: Sequence[_Unreported], runners: Sequence[PeerRecord]) -> None:
-        if not runners:
-            return
-        pairs = tuple((stream.request_id, stream.origin) for stream in streams)
-        addresses = [(runner.host, runner.port) for runner in runners]
-        self._send(StreamStarts(self._peers.own.instance_id, pairs), addresses)
-        for stream in streams:
-            stream.sends_left -= 1
-            if stream.sends_left <= 0:
-                self._unreported.pop(stream.request_id, None)
-
-    def _nearest_runners(self) -> list[PeerRecord]:
-        """Return the runners that are told at once: not the one that stores the origins, which has
-        to take the streams of all entries and is told of many at a time.
-        """
-        own = self._peers.own
-        runners = self._peers.of_role("runner")
-        nearest = sorted(
-            (peer for key, peer in runners.items() if key != self._totals_sender),
-            key=lambda peer: (peer.failure_domain != own.failure_domain, peer.instance_id),
-        )
-        return nearest[: REPORTED_TO_RUNNERS - (self._totals_sender in runners)]
-
-    def _reported_runners(self) -> list[PeerRecord]:
-        storing = self._peers.of_role("runner").get(self._totals_sender or "")
-        return self._nearest_runners() + ([] if storing is None else [storing])
-
     def _find_mixed_services(self, at_ms: float) -> set[str]:
         if at_ms - self._versions_ms >= VERSIONS_INTERVAL_MS:
             self._versions_ms = at_ms
             self._mixed_services = self._targets.mixed_services(at_ms)
         return self._mixed_services
-
-    def _drop_expired(self, at_ms: float) -> None:
-        while self._unreported:
-            oldest = next(iter(self._unreported.values()))
-            if at_ms - oldest.began_ms <= RECORD_LIFETIME_MS:
-                return
-            del self._unreported[oldest.request_id]
