--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -27,10 +27,12 @@
     server = HttpServer(handle, ServerLimits(), lambda *_: None)
     await server.listen("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
-    writer.write(request)
-    answer = await asyncio.wait_for(reader.read(), 2.0)
-    writer.close()
-    server.stop_listening()
+    try:
+        writer.write(request)
+        answer = await asyncio.wait_for(reader.read(), 2.0)
+    finally:
+        writer.close()
+        server.stop_listening()
     return answer, handled
 
 
