--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -190,9 +190,11 @@
         item = self._item
         splitter = EventSplitter(item.last_event_id)
         has_events = False
+        received_bytes = 0
         may_be_empty = is_event_stream(head) and head.headers.get(self._names.signature) is not None
         limit_ms = now_ms() + self._pauses.limit_ms
         while not isinstance(chunk := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
+            received_bytes += len(chunk)
             events = splitter.feed(chunk)
             for event in events:
                 item.add_event(event.event_id, event.data, content_run.target.entry.group)
@@ -201,7 +203,8 @@
                 has_events = True
                 self._pauses.record_event(now_ms())
                 limit_ms = now_ms() + self._pauses.limit_ms
-            if item.data_bytes > MAX_ITEM_BYTES:
+            # Events may hold far less output than they have bytes.
+            if max(item.data_bytes, received_bytes) > MAX_ITEM_BYTES:
                 item.discard_events()
                 return RunResult(RunOutcome.BROKEN, f"output exceeds {MAX_ITEM_BYTES} bytes")
             splitter.check()
