Streams are told to two runners at once, besides the one that stores them

With the storing runner known, an entry told only one runner before it relayed the first event; the storing one heard of the stream up to 0.25 s later. A failure domain that was lost in that time took the origin with it.

--- a/ebonyshore/gateway/stream_reporter.py
+++ b/ebonyshore/gateway/stream_reporter.py
@@ -48,7 +48,7 @@
     def add(self, request_id: str, origin: TargetGroup, at_ms: float, is_urgent: bool) -> None:
         """Add a stream.
 
-        :param is_urgent: whether to tell the nearest runner at once.
+        :param is_urgent: whether to tell the nearest runners at once.
         """
         stream = _Unreported(request_id, origin, at_ms)
         self._unreported[request_id] = stream
@@ -81,16 +81,21 @@
         to take the streams of all entries and is told of many at a time.
         """
         own = self._peers.own
-        runners = self._peers.of_role("runner")
         nearest = sorted(
-            (peer for key, peer in runners.items() if key != self.totals_sender),
+            (
+                peer
+                for key, peer in self._peers.of_role("runner").items()
+                if key != self.totals_sender
+            ),
             key=lambda peer: (peer.failure_domain != own.failure_domain, peer.instance_id),
         )
-        return nearest[: REPORTED_TO_RUNNERS - (self.totals_sender in runners)]
+        return nearest[:REPORTED_TO_RUNNERS]
 
     def _reported_runners(self) -> list[PeerRecord]:
+        """Return the runners that are told of many streams at a time."""
         storing = self._peers.of_role("runner").get(self.totals_sender or "")
-        return self._nearest_runners() + ([] if storing is None else [storing])
+        nearest = self._nearest_runners()
+        return nearest if storing is None else [storing, *nearest[: REPORTED_TO_RUNNERS - 1]]
 
     def _drop_expired(self, at_ms: float) -> None:
         while self._unreported:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -345,3 +345,16 @@
     assert len(json.encode(record)) < MAX_STREAM_BYTES + 1_000
     assert sorted(group[-1] for group in record.streams) == [streams[-2][0], streams[-1][0]]
     assert sum(map(len, record.streams)) > 25_000
+
+
+def test_stream_is_told_to_runners_other_than_the_storing_one_before_it_is_relayed():
+    """Guards against streams whose origin ends with an entry and one runner of its domain."""
+
+    async def scenario(fleet):
+        fleet.entries[0].note_totals_sender("r0")
+        fleet.entries[0].record("s1", OLD)
+        at_once = [name for name, runner in fleet.runners.items() if runner.added]
+        fleet.entries[0].report_streams()
+        return at_once, fleet.runners["r0"].added
+
+    assert run(scenario) == (["r1", "r2"], 1)
