--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -27,7 +27,7 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal
-from ebonyshore.http.server import ClientDisconnectedError, Responder
+from ebonyshore.http.responder import ClientDisconnectedError, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 900.0  # afterwards a repeatable request is sent to another target
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -44,7 +44,7 @@
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.http.messages import Request
 from ebonyshore.http.numbers import parse_non_negative
-from ebonyshore.http.server import Responder
+from ebonyshore.http.responder import Responder
 
 MAX_REFUSALS = 3  # after more refusals by targets no other target is tried
 # A request that may have run can no longer be refused, so it may join a queue of any length.
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -24,7 +24,9 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import connection_limit_bytes
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+from ebonyshore.http.responder import Responder
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_limits import ServerLimits
 
 NOT_READY_RETRY_MS = 500.0
 NO_ROOM_RETRY_MS = 500.0
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -30,7 +30,7 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_non_negative
-from ebonyshore.http.server import Responder
+from ebonyshore.http.responder import Responder
 from ebonyshore.link.job_call import (
     OWNER_HEADER,
     PATH_HEADER,
--- a/ebonyshore/host/error_responses.py
+++ b/ebonyshore/host/error_responses.py
@@ -7,7 +7,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import Responder
+from ebonyshore.http.responder import Responder
 
 
 class ErrorResponse(Struct, frozen=True):
--- a/ebonyshore/host/operator_server.py
+++ b/ebonyshore/host/operator_server.py
@@ -6,7 +6,9 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+from ebonyshore.http.responder import Responder
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_limits import ServerLimits
 
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
--- a/ebonyshore/host/routes.py
+++ b/ebonyshore/host/routes.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from ebonyshore.host.accounts import Account
-from ebonyshore.http.server import ServerLimits
+from ebonyshore.http.server_limits import ServerLimits
 
 
 class RouteKind(Enum):
--- a/ebonyshore/platform/config_object.py
+++ b/ebonyshore/platform/config_object.py
@@ -8,7 +8,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.host.accounts import Account, digest_key
 from ebonyshore.host.routes import Route, RouteKind, ServiceConfig, ServiceShare, ServiceSpec
-from ebonyshore.http.server import ServerLimits
+from ebonyshore.http.server_limits import ServerLimits
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -17,7 +17,9 @@
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+from ebonyshore.http.responder import Responder
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.job_call import (
     OWNER_HEADER,
     PATH_HEADER,
--- a/tests/admission_setup.py
+++ b/tests/admission_setup.py
@@ -9,7 +9,7 @@
 from ebonyshore.host.accounts import Account
 from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.host.routes import Route, RouteKind, RouteTable, ServiceConfig, ServiceShare
-from ebonyshore.http.server import ServerLimits
+from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.load_table import LoadReport, LoadTable
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.runner.completion_rate import CompletionRate
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -18,7 +18,8 @@
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
-from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.link.suspicion import SHARED_CONVICTION_CRASHES, SuspicionTable
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,7 +5,8 @@
 import pytest
 
 from ebonyshore.http.headers import Headers
-from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_limits import ServerLimits
 
 LIMITS = ServerLimits(
     max_header_bytes=500, max_body_bytes=1_000, header_timeout_ms=150, idle_timeout_ms=300
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -6,7 +6,9 @@
 
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import MemoryBudget, connection_limit_bytes, may_take
-from ebonyshore.http.server import STREAM_BUFFER_BYTES, HttpServer, ServerLimits
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_connection import STREAM_BUFFER_BYTES
+from ebonyshore.http.server_limits import ServerLimits
 from tests.gateway_setup import Gateway, encode_request, make_route, read_all, status_of
 from tests.scripted_target import ScriptedTarget
 
