Failing test: answers without end use up the memory of an entry

Cause: a body that is no event stream is collected before it is relayed, up to 64 MB for each request if its head declares the length, and the memory budget is asked only before a new request begins.

A real entry with 150 MB and a runner with 180 MB, six targets, 36 callers; two targets or all send bodies or heads that do not end, and the test ends processes over their limit, as the platform does. The runner's case passes.

--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -28,6 +28,7 @@
 QuotaOverage = {quota_overage}
 QuotaSlack = {quota_slack}
 {bounds}
+{limits}
 [Platform]
 Address = "{store}"
 """
@@ -52,6 +53,7 @@
     :ivar revocation_ms: bound on the use of removed keys; ``None`` if there is none.
     :ivar quota_overage: part of a limit of an account by which the platform lets it be exceeded.
     :ivar quota_slack: number of requests by which it lets it be exceeded besides.
+    :ivar memory_mb: limit of the memory of the process; ``None`` if there is none.
     :ivar key: key that calls carry if they name no other; ``None`` if they carry none.
     :ivar interpreter_arguments: arguments of the Python interpreter before the role; change them
         before the start.
@@ -66,6 +68,7 @@
         self.revocation_ms: int | None = None
         self.quota_overage = 0.0
         self.quota_slack = 0.0
+        self.memory_mb: float | None = None
         self.key: str | None = None
         self.interpreter_arguments: tuple[str, ...] = ("-m", "ebonyshore.platform")
         self._log_path = folder / f"{name}.log"
@@ -88,6 +91,7 @@
             if self.revocation_ms is None
             else f"StrictRevoke = true\nRevokeMs = {self.revocation_ms}"
         )
+        limits = "" if self.memory_mb is None else f"[Limits]\nMemoryMb = {self.memory_mb}"
         self._settings_path.write_text(
             SETTINGS_TEMPLATE.format(
                 name=self.name,
@@ -100,6 +104,7 @@
                 quota_overage=self.quota_overage,
                 quota_slack=self.quota_slack,
                 bounds=bounds,
+                limits=limits,
             )
         )
 
