Requests in flight are bounded in memory: long bodies are relayed as they come

Before: an entry collected a body that is no event stream, up to 64 MB for each request if its head declares a length; the memory budget was asked only before a new request. One target of six whose bodies do not end took every entry over its limit within seconds.

A body is held back up to 64 kB, then relayed with its declared length or in chunks; its target is not read while the caller does not read, and nothing is retried once a part was written. A body without a declared length, which may have no end, is held back up to 4 MB as before while half of the budget is free. Statuses that may not be passed on are decided by the head, with at most 64 kB of their body; a declared length over 64 MB is refused by the head. Response heads have at most 1,000 fields. Connections to targets read 64 kB at a time into one buffer and keep at most 128 kB.

The budget counts requests with their heads, what was received and not written, what callers have not read, and runners' answers. Above 1.25 of it the requests that hold most are ended: 503 if they were not read to their end, 502 or a retry at another target else, and such a target is recorded as failing. Resident memory above 0.8 of MemoryMb halves the budget.

--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -9,11 +9,13 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway.body_relay import BodyRelay
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
 from ebonyshore.host.response_reader import (
+    MAX_REFUSAL_BYTES,
     AttemptFailedError,
     NotExecutedError,
     ResponseReader,
@@ -23,8 +25,15 @@
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
+from ebonyshore.http.client import (
+    BodyEnd,
+    ClientConnection,
+    ConnectionPool,
+    ExchangeError,
+    ResponseTooLongError,
+)
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import MemoryHolder
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal
 from ebonyshore.http.responder import ClientDisconnectedError, Responder
@@ -41,6 +50,10 @@
 Part = TypeVar("Part")
 
 
+class RequestTooLargeError(ExchangeError):
+    """The process needs the memory that the request takes."""
+
+
 class ExchangeEnd(Enum):
     """How an attempt ended whose response was relayed to the caller."""
 
@@ -59,9 +72,18 @@
         terms of its own.
     :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
     :ivar answering_targets: ids of the targets that have answered an attempt.
+    :ivar is_body_begun: whether a part of a body was relayed that is no event stream, so that no
+        other target can go on with the response.
     """
 
-    __slots__ = ("answering_targets", "first_event_ms", "origin", "pauses", "splitter")
+    __slots__ = (
+        "answering_targets",
+        "first_event_ms",
+        "is_body_begun",
+        "origin",
+        "pauses",
+        "splitter",
+    )
 
     def __init__(self, last_event_id: str | None, pauses: PauseLimits | None = None) -> None:
         self.splitter = EventSplitter(parse_decimal(last_event_id))
@@ -69,6 +91,7 @@
         self.first_event_ms: float | None = None
         self.origin: TargetGroup | None = None
         self.answering_targets: set[str] = set()
+        self.is_body_begun = False
 
     @property
     def has_events(self) -> bool:
@@ -96,7 +119,7 @@
         return self.origin in (None, group)
 
 
-class Exchange:
+class Exchange(MemoryHolder):
     """One attempt at one target.
 
     :param names: header names of the deployment.
@@ -135,6 +158,25 @@
         self._relay = relay
         self._request_id = request.headers.get(names.request_id)
         self._deadline_ms = 0.0
+        self._connection: ClientConnection | None = None
+        self._body: BodyRelay | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the response that were received and not written."""
+        body_bytes = self._body.held_bytes if self._body is not None else 0
+        received_bytes = self._connection.held_bytes if self._connection is not None else 0
+        return received_bytes + body_bytes + len(self._relay.splitter.incomplete_event)
+
+    def give_up(self) -> bool:
+        if self._connection is None:
+            return False
+        if self.held_bytes >= len(self._request.body):
+            error = ResponseTooLongError("the response takes too much memory")
+        else:
+            error = RequestTooLargeError("the request takes too much memory")
+        self._connection.fail(error)
+        return True
 
     async def run(
         self, responder: Responder, remaining_ms: float, route: Route, can_retry: bool
@@ -149,8 +191,10 @@
             its end.
         """
         self._deadline_ms = now_ms() + remaining_ms
+        responder.set_holder(self)
         try:
-            async with self._connection(route) as connection:
+            async with self._use_connection(route) as connection:
+                self._connection = connection
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, self._target)
                 if self._target.is_leaving:
@@ -165,14 +209,20 @@
                     self._deadline_ms,
                 )
                 return await self._relay_response(reader, responder, can_retry)
+        except ResponseTooLongError as error:
+            raise AttemptFailedError(str(error)) from error
+        except RequestTooLargeError as error:
+            raise AttemptFailedError(str(error), is_out_of_memory=True) from error
         except ExchangeError as error:
             if not error.was_sent:
                 raise NotExecutedError(str(error), is_unreachable=True) from error
             raise AttemptFailedError(str(error), is_connection_lost=True) from error
         except StreamOrderError as error:
             raise AttemptFailedError(str(error)) from error
+        finally:
+            responder.set_holder(None)
 
-    def _connection(self, route: Route) -> AbstractAsyncContextManager[ClientConnection]:
+    def _use_connection(self, route: Route) -> AbstractAsyncContextManager[ClientConnection]:
         address = self._target.entry.address
         if self._target.target_id in self._relay.answering_targets:
             # A second copy of that answer has the same request id as the one that is expected.
@@ -232,6 +282,7 @@
         while not isinstance(item := await self._wait_for(reader.next_part, limit_ms), BodyEnd):
             events = splitter.feed(item)
             if not events:
+                responder.check_memory()
                 continue
             if not responder.is_started:
                 responder.start_stream(head.status, _relayed_headers(head))
@@ -280,19 +331,25 @@
         responder: Responder,
         can_retry: bool,
     ) -> None:
-        body = await self._read_body(reader, responder, can_retry)
-        responder.hold(0)
+        if (error := _rejection(head, responder, can_retry)) is not None:
+            await self._read_rejected_body(reader, can_retry)
+            await self._check_end(head)
+            raise error
+        reader.check_size(reader.declared_bytes or 0)
+        body = self._body = BodyRelay(
+            head.status, _relayed_headers(head), reader.declared_bytes, responder
+        )
+        limit = BodyLimit(self._relay.pauses.limit_ms, now_ms())
+        received_bytes = 0
+        while not isinstance(part := await self._read_body_part(reader, limit, can_retry), BodyEnd):
+            received_bytes += len(part)
+            reader.check_size(received_bytes)
+            responder.check_memory()
+            if body.add(part):
+                self._relay.is_body_begun = True
+                await self._drain(responder)
         await self._check_end(head)
-        if responder.is_started:
-            raise AttemptFailedError(f"status {head.status} in place of the rest of the stream")
-        if head.status >= 500 and can_retry:
-            raise AttemptFailedError(f"status {head.status}")
-        if head.status in REFUSAL_STATUSES:
-            # Without the "not executed" header the target does not guarantee that the request did
-            # not run, so the status must not reach the caller.
-            response = maybe_executed_response(ResultCode.TARGET_ERROR)
-            raise AttemptFailedError(f"status {head.status}", response=response)
-        responder.send(head.status, _relayed_headers(head), body)
+        body.end()
 
     async def _drain(self, responder: Responder) -> None:
         """Wait until the caller has read enough; meanwhile the target is not read either.
@@ -305,22 +362,29 @@
         except TimeoutError as error:
             raise ClientDisconnectedError("client does not read its response") from error
 
-    async def _read_body(
-        self, reader: ResponseReader, responder: Responder, can_retry: bool
-    ) -> bytes:
-        limit = BodyLimit(self._relay.pauses.limit_ms, now_ms())
-        received_bytes = 0
+    async def _read_body_part(
+        self, reader: ResponseReader, limit: BodyLimit, can_retry: bool
+    ) -> ResponseHead | bytes | BodyEnd:
+        may_move = can_retry and not self._relay.is_body_begun
+        part = await self._wait_for(reader.next_part, limit.limit_ms if may_move else None)
+        if isinstance(part, bytes):
+            limit.record_part(len(part), now_ms())
+        return part
 
-        async def read_part() -> ResponseHead | bytes | BodyEnd:
-            nonlocal received_bytes
-            part = await self._wait_for(reader.next_part, limit.limit_ms if can_retry else None)
-            if isinstance(part, bytes):
-                limit.record_part(len(part), now_ms())
-                received_bytes += len(part)
-                responder.hold(received_bytes)
-            return part
+    async def _read_rejected_body(self, reader: ResponseReader, can_retry: bool) -> None:
+        """Read a body that is not passed on, so that the connection can be reused.
 
-        return await reader.read_body(read_part)
+        Of a long body only the beginning is read.
+
+        :raises ExchangeError: if the response is incomplete; the target may have crashed.
+        """
+        limit = BodyLimit(self._relay.pauses.limit_ms, now_ms())
+        try:
+            await reader.read_body(
+                lambda: self._read_body_part(reader, limit, can_retry), MAX_REFUSAL_BYTES
+            )
+        except ResponseTooLongError:
+            return
 
     async def _check_end(self, head: ResponseHead) -> None:
         """Check that a response is complete that has neither a length nor chunks."""
@@ -334,5 +398,21 @@
     return PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, route.max_gap_ms, max_patience_ms)
 
 
+def _rejection(
+    head: ResponseHead, responder: Responder, can_retry: bool
+) -> AttemptFailedError | None:
+    """Return the error of a response that may not reach the caller; ``None`` if it may."""
+    if responder.is_started:
+        return AttemptFailedError(f"status {head.status} in place of the rest of the stream")
+    if head.status >= 500 and can_retry:
+        return AttemptFailedError(f"status {head.status}")
+    if head.status in REFUSAL_STATUSES:
+        # Without the "not executed" header the target does not guarantee that the request did not
+        # run.
+        response = maybe_executed_response(ResultCode.TARGET_ERROR)
+        return AttemptFailedError(f"status {head.status}", response=response)
+    return None
+
+
 def _relayed_headers(head: ResponseHead) -> Headers:
     return head.headers.end_to_end().without(("content-length",))
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -360,6 +360,8 @@
         if end is not ExchangeEnd.FAILED:
             forwarder.crash_guard.end_completed(run)
         target.outcomes.record(float(end is ExchangeEnd.FAILED), now_ms())
+        if self._relay.is_body_begun:
+            forwarder.metrics.count("bodies_relayed")
         if end is ExchangeEnd.STREAMED:
             forwarder.view.record_service_time(now_ms() - run.started_ms)
         elif end is ExchangeEnd.PLAIN:
@@ -392,6 +394,9 @@
         return None
 
     def _after_failure(self, run: ContentRun, error: AttemptFailedError) -> str | None:
+        if error.is_out_of_memory:
+            self._log_attempt(run, "given_up", error.detail)
+            return self._fail(maybe_executed_response(ResultCode.OUTCOME_UNKNOWN))
         target = run.target
         self._unsuccessful_targets.add(target.target_id)
         if not target.is_leaving:
@@ -410,6 +415,8 @@
         return self._fail(error.response or maybe_executed_response(ResultCode.TARGET_CRASHED))
 
     def _can_retry(self) -> bool:
+        if self._relay.is_body_begun:
+            return False
         return self._route.is_repeatable and self._attempts < self._route.max_attempts
 
     def _can_move_from(self, target: Target) -> bool:
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -18,6 +18,7 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.error_responses import ErrorResponse, not_executed_response
 from ebonyshore.host.host_settings import ListenAddress
+from ebonyshore.host.memory_guard import MemoryGuard
 from ebonyshore.host.routes import Route, RouteKind, RouteTable
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.wire_names import WireNames
@@ -80,11 +81,13 @@
         self._server = HttpServer(
             self._serve, ServerLimits(), self._log_failure, connection_limit_bytes(memory_bytes)
         )
+        self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
         self._is_closed = False
         config.change_listeners.append(self._apply_limits)
 
     async def start(self) -> None:
         await self._server.listen(self._address.host, self._address.port)
+        self.spawn(self._memory_guard.run())
 
     @property
     def port(self) -> int:
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -28,6 +28,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import MemoryHolder
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_non_negative
 from ebonyshore.http.responder import Responder
@@ -119,6 +120,27 @@
         return self._refusal
 
 
+class ReceivedBytes(MemoryHolder):
+    """Counts what runners have sent for one call; such a call cannot be given up."""
+
+    __slots__ = ("_held_bytes",)
+
+    def __init__(self) -> None:
+        self._held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of all responses to the call."""
+        return self._held_bytes
+
+    def add(self, size_bytes: int) -> None:
+        """Count a part of a response."""
+        self._held_bytes += size_bytes
+
+    def give_up(self) -> bool:
+        return False
+
+
 class JobCallForwarder:
     """Forwards the job calls of an entry's callers to runners.
 
@@ -168,14 +190,17 @@
             return
         if account is not None:
             job_call = structs.replace(job_call, account=account.name)
-        response = await self._call_runners(job_call, request)
+        received = ReceivedBytes()
+        responder.set_holder(received)
+        response = await self._call_runners(job_call, request, received)
+        responder.set_holder(None)
         if isinstance(response, ErrorResponse):
             response.send(responder, request, self._names)
         else:
             response.send(responder)
 
     async def _call_runners(
-        self, call: JobCall, request: Request
+        self, call: JobCall, request: Request, received: ReceivedBytes
     ) -> ErrorResponse | RunnerResponse:
         """Call one runner after the other until one gives a final response.
 
@@ -194,7 +219,9 @@
             while remaining_runners or pending:
                 if remaining_runners:
                     runner = remaining_runners.pop(0)
-                    pending[create_task(self._call_runner(runner, call, request))] = runner
+                    pending[create_task(self._call_runner(runner, call, request, received))] = (
+                        runner
+                    )
                     call = structs.replace(call, may_redirect=False)
                 for task in await _wait_for_first(
                     pending, hedge_delay_ms if remaining_runners else None
@@ -246,7 +273,7 @@
         return order_runners(runners, self._view.open_items_by_runner, owner, call.kind)
 
     async def _call_runner(
-        self, runner: PeerRecord, call: JobCall, request: Request
+        self, runner: PeerRecord, call: JobCall, request: Request, received: ReceivedBytes
     ) -> RunnerResponse:
         address = f"{runner.host}:{runner.port}"
         timeout_ms = SUBMIT_TIMEOUT_MS if call.kind is JobCallKind.SUBMIT else CALL_TIMEOUT_MS
@@ -256,7 +283,7 @@
                 timeout((timeout_ms + call.wait_ms) / MS_PER_S),
             ):
                 connection.send(_encode_call(call, request))
-                return await _read_response(connection)
+                return await _read_response(connection, received)
         except TimeoutError as error:
             raise ExchangeError(
                 f"runner did not respond within {timeout_ms + call.wait_ms:.0f} ms"
@@ -343,13 +370,14 @@
     return completed
 
 
-async def _read_response(connection: ClientConnection) -> RunnerResponse:
+async def _read_response(connection: ClientConnection, received: ReceivedBytes) -> RunnerResponse:
     head = await connection.next_part()
     if not isinstance(head, ResponseHead):
         raise ExchangeError("runner's response has no head")
     parts: list[bytes] = []
     while not isinstance(item := await connection.next_part(), BodyEnd):
         parts.append(item)
+        received.add(len(item))
     return RunnerResponse(head.status, head.headers, b"".join(parts))
 
 
--- a/ebonyshore/host/response_reader.py
+++ b/ebonyshore/host/response_reader.py
@@ -8,7 +8,12 @@
 from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.host.target import Target
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
+from ebonyshore.http.client import (
+    BodyEnd,
+    ClientConnection,
+    ExchangeError,
+    ResponseTooLongError,
+)
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_non_negative
 
@@ -41,6 +46,8 @@
     :param is_idle_timeout: whether the target sent nothing for longer than the idle time-out.
     :param is_deadline_exceeded: whether the request's deadline passed.
     :param is_connection_lost: whether the response broke off or was not valid.
+    :param is_out_of_memory: whether the process needs the memory that the request takes; the target
+        has done nothing wrong.
     :param response: response to the caller if the request is not retried; ``None`` for the
         default one.
     """
@@ -51,6 +58,7 @@
         is_idle_timeout: bool = False,
         is_deadline_exceeded: bool = False,
         is_connection_lost: bool = False,
+        is_out_of_memory: bool = False,
         response: ErrorResponse | None = None,
     ) -> None:
         super().__init__(detail)
@@ -58,6 +66,7 @@
         self.is_idle_timeout = is_idle_timeout
         self.is_deadline_exceeded = is_deadline_exceeded
         self.is_connection_lost = is_connection_lost
+        self.is_out_of_memory = is_out_of_memory
         self.response = response
 
     @property
@@ -117,9 +126,29 @@
                 return head
             if not head.is_self_delimited:
                 raise ExchangeError("received the response to another request")
-            await self.read_body(lambda: self.next_part(time_left_ms(limit_ms)))
+            await self._drop_body(limit_ms)
         raise ExchangeError(f"received {MAX_STALE_RESPONSES} responses to other requests")
 
+    @property
+    def declared_bytes(self) -> int | None:
+        """Length of the body that the head declares; ``None`` if it declares none."""
+        return self._declared_bytes
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body that is read to its end; one without a declared length may have no end."""
+        return MAX_UNDECLARED_BODY_BYTES if self._declared_bytes is None else MAX_BODY_BYTES
+
+    def check_size(self, size_bytes: int, max_bytes: int | None = None) -> None:
+        """Check that a body of this size is read.
+
+        :param max_bytes: longest body; ``None`` for :attr:`max_body_bytes`.
+        :raises ResponseTooLongError: if it is not.
+        """
+        max_bytes = self.max_body_bytes if max_bytes is None else max_bytes
+        if size_bytes > max_bytes:
+            raise ResponseTooLongError(f"response body is longer than {max_bytes} bytes")
+
     async def read_body(
         self,
         read_part: Callable[[], Awaitable[ResponseHead | bytes | BodyEnd]],
@@ -127,23 +156,27 @@
     ) -> bytes:
         """Return the rest of the response's body.
 
-        A body whose length is not declared may be shorter than one whose length is.
-
         :param read_part: returns the next part, see :meth:`next_part`.
-        :raises ExchangeError: if the rest is longer than ``max_bytes`` or incomplete.
+        :param max_bytes: longest body; ``None`` for :attr:`max_body_bytes`.
+        :raises ResponseTooLongError: if the rest is longer.
+        :raises ExchangeError: if it is incomplete.
         :raises AttemptFailedError: as :meth:`next_part`.
         """
-        is_declared = self._declared_bytes is not None
-        max_bytes = max_bytes or (MAX_BODY_BYTES if is_declared else MAX_UNDECLARED_BODY_BYTES)
         parts: list[bytes] = []
         size = 0
         while not isinstance(item := await read_part(), BodyEnd):
             parts.append(item)
             size += len(item)
-            if size > max_bytes:
-                raise ExchangeError(f"response body is longer than {max_bytes} bytes")
+            self.check_size(size, max_bytes)
         return b"".join(parts)
 
+    async def _drop_body(self, limit_ms: float | None) -> None:
+        """Read the body of a response to another request, and keep nothing of it."""
+        size = 0
+        while not isinstance(part := await self.next_part(time_left_ms(limit_ms)), BodyEnd):
+            size += len(part)
+            self.check_size(size)
+
     async def skip_body(self, timeout_ms: float = REFUSAL_TIMEOUT_MS) -> None:
         """Read the body of a response whose head says all, so that the connection can be reused.
 
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -4,7 +4,14 @@
 which bytes arrive while it is idle, or after a complete response, is closed.
 """
 
-from asyncio import AbstractEventLoop, Future, Protocol, Transport, get_running_loop, timeout
+from asyncio import (
+    AbstractEventLoop,
+    BufferedProtocol,
+    Future,
+    Transport,
+    get_running_loop,
+    timeout,
+)
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -22,8 +29,11 @@
 BODILESS_STATUSES = (204, 304)
 MAX_HEAD_BYTES = 65_536  # of a response
 # Received parts that wait to be taken; above this the connection is not read further.
-MAX_QUEUED_BYTES = 262_144
+MAX_QUEUED_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 65_536  # that are read at a time
 HEAD_QUEUE_BYTES = 1_024  # that a head counts for
+MAX_HEAD_FIELDS = 1_000  # each takes far more memory than its bytes
+FIELD_BYTES = 200  # that a field of a head counts for until the head is complete
 
 
 class ExchangeError(ConnectionError):
@@ -38,6 +48,10 @@
         self.was_sent = was_sent
 
 
+class ResponseTooLongError(ExchangeError):
+    """The response is longer than the receiver takes; its server need not be down."""
+
+
 class BodyEnd(Struct, frozen=True):
     """Marks the end of a complete response."""
 
@@ -45,7 +59,7 @@
 ResponsePart = ResponseHead | bytes | BodyEnd | ExchangeError
 
 
-class ClientConnection(Protocol):
+class ClientConnection(BufferedProtocol):
     """A connection to a server; carries one exchange at a time.
 
     Call :meth:`send`, then :meth:`next_part` until it returns :class:`BodyEnd`, then
@@ -56,12 +70,18 @@
     further, and a head that is too long breaks the connection.
 
     :param idle_timeout: what is known of the server's idle timeout; this connection adds to it.
+    :param receive_buffer: into which data is read; connections of one event loop may share it.
     :ivar is_broken: whether the connection is closed or can no longer be used.
     :ivar has_received: whether the server has sent anything in this exchange.
     :ivar idle_since_ms: monotonic time at which the last exchange ended.
     """
 
-    def __init__(self, idle_timeout: IdleTimeout | None = None) -> None:
+    def __init__(
+        self,
+        idle_timeout: IdleTimeout | None = None,
+        receive_buffer: memoryview | None = None,
+    ) -> None:
+        self._receive_buffer = receive_buffer or new_receive_buffer()
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
@@ -84,7 +104,13 @@
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._receive(self._receive_buffer[:nbytes])
+
+    def _receive(self, data: memoryview) -> None:
         if not self._is_exchange_active:
             self.abort()
             return
@@ -94,12 +120,10 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
-            self._append_part(ExchangeError(f"invalid HTTP response: {error}"))
-            self.abort()
+            self.fail(ExchangeError(f"invalid HTTP response: {error}"))
             return
         if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
-            self._append_part(ExchangeError(f"response head exceeds {MAX_HEAD_BYTES} bytes"))
-            self.abort()
+            self.fail(ExchangeError(f"response head exceeds {MAX_HEAD_BYTES} bytes"))
         elif self._queued_bytes > MAX_QUEUED_BYTES and self._transport is not None:
             self._transport.pause_reading()
 
@@ -144,6 +168,18 @@
         """Whether :meth:`next_part` returns, or raises, at once."""
         return bool(self._parts)
 
+    @property
+    def held_bytes(self) -> int:
+        """Received bytes that have not been taken, also those of an incomplete head."""
+        if self._has_head or not self._is_exchange_active:
+            return self._queued_bytes
+        return self._queued_bytes + self._head_bytes + FIELD_BYTES * len(self._header_fields)
+
+    def fail(self, error: ExchangeError) -> None:
+        """Close the connection; :meth:`next_part` raises an error after the parts received."""
+        self._append_part(error)
+        self.abort()
+
     async def next_part(self) -> ResponseHead | bytes | BodyEnd:
         """Wait for the next part of the response and return it.
 
@@ -224,6 +260,8 @@
         self._is_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self._header_fields) >= MAX_HEAD_FIELDS:
+            raise ValueError(f"response head has more than {MAX_HEAD_FIELDS} fields")
         self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -273,12 +311,13 @@
     :param max_idle: maximum number of idle connections to each address.
     """
 
-    __slots__ = ("_idle_by_address", "_idle_timeouts", "_max_idle")
+    __slots__ = ("_idle_by_address", "_idle_timeouts", "_max_idle", "_receive_buffer")
 
     def __init__(self, max_idle: int) -> None:
         self._idle_by_address: dict[str, list[ClientConnection]] = {}
         self._idle_timeouts: dict[str, IdleTimeout] = {}
         self._max_idle = max_idle
+        self._receive_buffer = new_receive_buffer()
 
     @asynccontextmanager
     async def use(
@@ -363,7 +402,7 @@
 
     async def _connect(self, address: str, timeout_ms: float) -> ClientConnection:
         idle_timeout = self._idle_timeouts.setdefault(address, IdleTimeout())
-        return await _connect(address, timeout_ms, idle_timeout)
+        return await _connect(address, timeout_ms, idle_timeout, self._receive_buffer)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -371,7 +410,14 @@
             self.close_idle_connections(address)
 
 
-async def _connect(address: str, timeout_ms: float, idle_timeout: IdleTimeout) -> ClientConnection:
+def new_receive_buffer() -> memoryview:
+    """Return a buffer for :class:`ClientConnection`."""
+    return memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+
+
+async def _connect(
+    address: str, timeout_ms: float, idle_timeout: IdleTimeout, receive_buffer: memoryview
+) -> ClientConnection:
     """Open a connection.
 
     :raises ExchangeError: if the server cannot be reached; nothing was sent.
@@ -381,7 +427,7 @@
     try:
         async with timeout(timeout_ms / MS_PER_S):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(idle_timeout), host, int(port)
+                lambda: ClientConnection(idle_timeout, receive_buffer), host, int(port)
             )
     except (OSError, ValueError) as error:
         raise ExchangeError(f"cannot connect to {address}: {error!r}", was_sent=False) from error
--- a/ebonyshore/http/responder.py
+++ b/ebonyshore/http/responder.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import MemoryHolder
 from ebonyshore.http.messages import status_line
 
 if TYPE_CHECKING:
@@ -16,9 +17,9 @@
 class Responder:
     """Writes the response to one request, either whole or as a stream.
 
-    A handler calls either :meth:`send`, or :meth:`start_stream`, :meth:`write` and
-    :meth:`end_stream`. These methods raise :class:`ClientDisconnectedError` if the client has
-    disconnected or does not read.
+    A handler calls either :meth:`send`, or :meth:`start_stream` or :meth:`start_sized`, then
+    :meth:`write` and :meth:`end_stream`. These methods raise :class:`ClientDisconnectedError` if
+    the client has disconnected or does not read.
 
     :param connection: the client's connection.
     :ivar is_started: whether the head of the response was written.
@@ -53,13 +54,26 @@
         self._is_chunked = True
         self._write_head(status, headers, b"")
 
+    def start_sized(self, status: int, headers: Headers, size_bytes: int) -> None:
+        """Write the head of a response whose body follows and has a known size.
+
+        :param headers: header fields; a ``Content-Length`` among them is replaced.
+        :param size_bytes: size of the body; exactly as much has to be written.
+        """
+        headers = headers.without(("content-length",))
+        headers.add("Content-Length", str(size_bytes))
+        self._write_head(status, headers, b"")
+
     def write(self, data: bytes) -> None:
-        """Write a chunk of a streamed body; empty data is ignored.
+        """Write a part of a streamed body; empty data is ignored.
 
         :raises ClientDisconnectedError: if the client has disconnected or does not read.
         """
-        if data:
-            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if not data:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._connection.write(data)
 
     async def drain(self) -> None:
         """Wait until the client has read enough of a streamed body for more to be written.
@@ -72,13 +86,25 @@
         """Count everything that is held for the connection to a client account."""
         self._connection.account = account
 
-    def hold(self, size_bytes: int) -> None:
-        """Count bytes of the response that the handler keeps and has not written yet."""
-        self._connection.handler_bytes = size_bytes
+    def set_holder(self, holder: MemoryHolder | None) -> None:
+        """Name what keeps memory for the request besides the request itself; ``None`` if nothing.
+
+        The holder is told to give up if the server holds too much and the request most of it.
+        """
+        self._connection.holder = holder
+
+    def check_memory(self) -> None:
+        """Let the server end requests if it holds too much; call when much more is held."""
+        self._connection.check_memory()
+
+    def has_much_room(self) -> bool:
+        """Return whether the server holds so little that this request may hold more."""
+        return self._connection.has_much_room()
 
     def end_stream(self) -> None:
-        """Write the last chunk, which ends a streamed body."""
-        self._connection.write(b"0\r\n\r\n")
+        """End a streamed body; nothing more may be written."""
+        if self._is_chunked:
+            self._connection.write(b"0\r\n\r\n")
         self._mark_ended()
 
     def abort(self) -> None:
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -26,6 +26,8 @@
     :ivar is_draining: if true, each response announces the end of its connection, which is then
         closed.
     :ivar memory: knows whether new requests may be taken.
+    :ivar on_request_ended: called with the bytes held for each request that is ended as the server
+        holds too much.
     """
 
     BACKLOG = 512
@@ -43,6 +45,7 @@
         self.connections: set[ServerConnection] = set()
         self.is_draining = False
         self.memory = MemoryBudget(self._held_bytes, memory_bytes)
+        self.on_request_ended: Callable[[int], None] = lambda _held_bytes: None
         self._server = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -68,6 +71,20 @@
         """Return whether the connections hold as much as they may."""
         return self.memory.is_exhausted(now_ms())
 
+    def check_memory(self) -> None:
+        """End the requests that hold most if all together hold much more than they may."""
+        excess_bytes = self.memory.excess_bytes(now_ms())
+        if excess_bytes <= 0.0:
+            return
+        for connection in sorted(self.connections, key=_held_by, reverse=True):
+            held_bytes = connection.held_bytes
+            if excess_bytes <= 0.0 or held_bytes == 0:
+                break
+            excess_bytes -= held_bytes
+            connection.end_request()
+            self.on_request_ended(held_bytes)
+        self.memory.forget()
+
     def _held_bytes(self) -> dict[str, int]:
         held_bytes: dict[str, int] = {}
         for connection in self.connections:
@@ -88,3 +105,7 @@
         """Stop accepting connections; open ones are kept."""
         if self._server is not None:
             self._server.close()
+
+
+def _held_by(connection: ServerConnection) -> int:
+    return connection.held_bytes
--- a/ebonyshore/http/server_connection.py
+++ b/ebonyshore/http/server_connection.py
@@ -23,6 +23,7 @@
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import MemoryHolder
 from ebonyshore.http.messages import Request, status_line
 from ebonyshore.http.responder import ClientDisconnectedError, Responder
 
@@ -41,7 +42,7 @@
 
     :param server: provides the limits and the handler, and holds the set of open connections.
     :ivar account: the client account that sent the last request; empty if it is not known.
-    :ivar handler_bytes: bytes that the handler keeps for the present request.
+    :ivar holder: what the handler keeps for the present request; ``None`` if nothing.
     """
 
     def __init__(self, server: "HttpServer") -> None:
@@ -67,13 +68,36 @@
         self._request_bytes = 0  # of the bodies of requests that have not been answered
         self._writable: Future[None] | None = None  # set while the client has too much to read
         self.account = ""
-        self.handler_bytes = 0
+        self.holder: MemoryHolder | None = None
 
     @property
     def held_bytes(self) -> int:
-        """Bytes that are held for the client: bodies of requests, and what it has not read."""
+        """Bytes that are held for the client: requests, their answers, and what it has not read."""
         unread_bytes = self._transport.get_write_buffer_size() if self._transport else 0
-        return self._body_bytes + self._request_bytes + self.handler_bytes + unread_bytes
+        handler_bytes = self.holder.held_bytes if self.holder is not None else 0
+        request_bytes = max(0, self._header_bytes) + self._body_bytes + self._request_bytes
+        return request_bytes + handler_bytes + unread_bytes
+
+    def check_memory(self) -> None:
+        """End requests if the server holds too much."""
+        self._server.check_memory()
+
+    def has_much_room(self) -> bool:
+        """Return whether the server holds so little that a request may hold more."""
+        return self._server.memory.has_much_room(now_ms())
+
+    def end_request(self) -> None:
+        """End the present request, since the server holds too much.
+
+        It is refused if it was not read to its end, and else answered as its handler decides. A
+        client that does not read gets no answer.
+        """
+        if self._task is None:
+            self._reject(503)
+            return
+        is_unread = self._writable is not None
+        if is_unread or self.holder is None or not self.holder.give_up():
+            self.abort()
 
     def announce_end(self) -> bool:
         """Return whether the head of a response has to say that the connection is closed.
@@ -250,7 +274,7 @@
         finally:
             self._task = None
             self._request_bytes -= len(request.body)
-            self.handler_bytes = 0
+            self.holder = None
             if not responder.is_ended:
                 self.abort()
         self._finish_request()
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -14,8 +14,10 @@
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.host.job_types import JobRecord
+from ebonyshore.host.memory_guard import MemoryGuard
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import connection_limit_bytes
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
 from ebonyshore.http.server import HttpServer
@@ -79,6 +81,7 @@
     :param registry: the known jobs.
     :param admission: refuses jobs that do not fit.
     :param config: the routes in force.
+    :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     """
 
     name = "job_api"
@@ -94,6 +97,7 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        memory_bytes: int | None = None,
     ) -> None:
         self._host = host
         self._port = port
@@ -105,10 +109,13 @@
         self._log = log
         self._metrics = metrics
         limits = ServerLimits(max_body_bytes=MAX_REQUEST_BYTES)
-        self._server = HttpServer(self._serve, limits, self._report_failure)
+        limit_bytes = connection_limit_bytes(memory_bytes)
+        self._server = HttpServer(self._serve, limits, self._report_failure, limit_bytes)
+        self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
 
     async def start(self) -> None:
         await self._server.listen(self._host, self._port)
+        self.spawn(self._memory_guard.run())
 
     def begin_drain(self) -> None:
         self._server.is_draining = True
@@ -117,6 +124,7 @@
         return self._server.busy_connection_count() == 0
 
     async def stop(self) -> None:
+        await super().stop()
         self._server.stop_listening()
 
     async def _serve(self, request: Request, responder: Responder) -> None:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -239,7 +239,18 @@
     kernel.register(account_totals)
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
     kernel.register(
-        JobApi(host, port, deployment, registry, admission, parts.config, clock, log, metrics)
+        JobApi(
+            host,
+            port,
+            deployment,
+            registry,
+            admission,
+            parts.config,
+            clock,
+            log,
+            metrics,
+            environment.settings.memory_bytes,
+        )
     )
     kernel.register(OperatorServer(host, METRICS_PORT, kernel, metrics))
     return kernel
