Memory of submitted jobs counts decoded, and is refused before it is used

A runner decodes a submission and encodes it for the store; 40 submissions of 2.2 MB at once took it to 181 MB of 180 MB. Submissions count three times while they are handled, a runner's limit follows from its MemoryMb, and a large job is refused with 503 before it is read further if the limit is reached or resident memory is high.

tests/test_job_submission.py: the fake takes the new parameter of the private method that it replaces; nothing is checked less.

--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -28,7 +28,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
-from ebonyshore.http.memory_budget import MemoryHolder
+from ebonyshore.http.memory_budget import FixedHolder
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_non_negative
 from ebonyshore.http.responder import Responder
@@ -120,27 +120,6 @@
         return self._refusal
 
 
-class ReceivedBytes(MemoryHolder):
-    """Counts what runners have sent for one call; such a call cannot be given up."""
-
-    __slots__ = ("_held_bytes",)
-
-    def __init__(self) -> None:
-        self._held_bytes = 0
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of all responses to the call."""
-        return self._held_bytes
-
-    def add(self, size_bytes: int) -> None:
-        """Count a part of a response."""
-        self._held_bytes += size_bytes
-
-    def give_up(self) -> bool:
-        return False
-
-
 class JobCallForwarder:
     """Forwards the job calls of an entry's callers to runners.
 
@@ -190,7 +169,7 @@
             return
         if account is not None:
             job_call = structs.replace(job_call, account=account.name)
-        received = ReceivedBytes()
+        received = FixedHolder()
         responder.set_holder(received)
         response = await self._call_runners(job_call, request, received)
         responder.set_holder(None)
@@ -200,7 +179,7 @@
             response.send(responder)
 
     async def _call_runners(
-        self, call: JobCall, request: Request, received: ReceivedBytes
+        self, call: JobCall, request: Request, received: FixedHolder
     ) -> ErrorResponse | RunnerResponse:
         """Call one runner after the other until one gives a final response.
 
@@ -273,7 +252,7 @@
         return order_runners(runners, self._view.open_items_by_runner, owner, call.kind)
 
     async def _call_runner(
-        self, runner: PeerRecord, call: JobCall, request: Request, received: ReceivedBytes
+        self, runner: PeerRecord, call: JobCall, request: Request, received: FixedHolder
     ) -> RunnerResponse:
         address = f"{runner.host}:{runner.port}"
         timeout_ms = SUBMIT_TIMEOUT_MS if call.kind is JobCallKind.SUBMIT else CALL_TIMEOUT_MS
@@ -370,14 +349,14 @@
     return completed
 
 
-async def _read_response(connection: ClientConnection, received: ReceivedBytes) -> RunnerResponse:
+async def _read_response(connection: ClientConnection, received: FixedHolder) -> RunnerResponse:
     head = await connection.next_part()
     if not isinstance(head, ResponseHead):
         raise ExchangeError("runner's response has no head")
     parts: list[bytes] = []
     while not isinstance(item := await connection.next_part(), BodyEnd):
         parts.append(item)
-        received.add(len(item))
+        received.size_bytes += len(item)
     return RunnerResponse(head.status, head.headers, b"".join(parts))
 
 
--- a/ebonyshore/http/memory_budget.py
+++ b/ebonyshore/http/memory_budget.py
@@ -62,6 +62,25 @@
         """
 
 
+class FixedHolder(MemoryHolder):
+    """Memory of known size for work that cannot be given up, only cut off.
+
+    :ivar size_bytes: bytes that are kept; may be changed.
+    """
+
+    __slots__ = ("size_bytes",)
+
+    def __init__(self, size_bytes: int = 0) -> None:
+        self.size_bytes = size_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        return self.size_bytes
+
+    def give_up(self) -> bool:
+        return False
+
+
 class MemoryBudget:
     """The memory that a server may hold for its connections.
 
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -8,6 +8,7 @@
 from ebonyshore.frame.clock import MS_PER_S, Clock
 from ebonyshore.frame.errors import StoreError, WriteOutcomeUnknownError
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
 from ebonyshore.host.config_service import ConfigService
@@ -17,10 +18,11 @@
 from ebonyshore.host.memory_guard import MemoryGuard
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.http.headers import Headers
-from ebonyshore.http.memory_budget import connection_limit_bytes
+from ebonyshore.http.memory_budget import FixedHolder, connection_limit_bytes
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
 from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_connection import SMALL_BODY_BYTES
 from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.job_call import (
     OWNER_HEADER,
@@ -37,6 +39,7 @@
 from ebonyshore.store.marked_write import MarkedObject
 
 MAX_REQUEST_BYTES = 16 << 20
+DECODED_FACTOR = 2  # memory that a submission takes besides its body, as a multiple of that
 RETRY_AFTER_MS = 600.0
 STORE_RETRY_AFTER_MS = 1_500.0  # outages of the store last for seconds
 
@@ -132,7 +135,11 @@
         job_id = unquote(url.path.removeprefix("/jobs/"))
         try:
             call = decode_job_call(job_id, dict(parse_qsl(url.query)))
-            reply = await self._dispatch(call, request)
+            if not self._has_room(request):
+                reply = refusal_reply(ResultCode.OVERLOADED)
+            else:
+                responder.set_holder(FixedHolder(len(request.body) * DECODED_FACTOR))
+                reply = await self._dispatch(call, request)
         except ValueError as error:
             self._log.event("job_call_invalid", job=job_id, error=str(error))
             reply = Reply(400)
@@ -143,6 +150,14 @@
             headers.add("Retry-After", f"{reply.retry_after_ms / MS_PER_S:.2f}")
         responder.send(reply.status, headers, reply.body)
 
+    def _has_room(self, request: Request) -> bool:
+        """Return whether the process has memory for the job that a request may submit."""
+        if len(request.body) <= SMALL_BODY_BYTES:
+            return True
+        memory = self._server.memory
+        memory.forget()  # other jobs may have begun just now
+        return not memory.is_resident_high and not memory.is_exhausted(now_ms())
+
     async def _dispatch(self, call: JobCall, request: Request) -> Reply:
         """Handle a call; failures of the store become a 502 or 503 response.
 
--- a/tests/test_job_submission.py
+++ b/tests/test_job_submission.py
@@ -13,6 +13,7 @@
 from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.http.client import ExchangeError
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import FixedHolder
 from ebonyshore.link.job_call import JobCall, JobCallKind
 from tests.registry_setup import make_peer
 
@@ -35,7 +36,7 @@
     def _order_runners(self, _call):
         return [make_peer(name) for name in NAMES if name in self.script]
 
-    async def _call_runner(self, runner, _call, _request):
+    async def _call_runner(self, runner, _call, _request, _received):
         self.called.append(runner.instance_id)
         pause_ms, answer = self.script[runner.instance_id]
         try:
@@ -57,7 +58,7 @@
         return asyncio.run(self._submit(kind))
 
     async def _submit(self, kind):
-        answer = await self._call_runners(JobCall(kind, "j"), None)
+        answer = await self._call_runners(JobCall(kind, "j"), None, FixedHolder())
         await asyncio.sleep(0)
         return answer
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.memory_guard import MemoryGuard
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import MemoryBudget, connection_limit_bytes, may_take
 from ebonyshore.http.server import HttpServer
@@ -50,6 +53,30 @@
     assert connection_limit_bytes(None) > 0
 
 
+def test_requests_are_ended_only_far_above_the_limit_and_down_to_well_below():
+    held = {}
+    budget = MemoryBudget(lambda: dict(held), 100)
+    excess = []
+    for size_bytes in (125, 126, 200):
+        held["a"] = size_bytes
+        budget.forget()
+        excess.append(budget.excess_bytes(0.0))
+    assert excess == [0.0, 51.0, 125.0]
+
+
+def test_memory_that_nothing_counts_lowers_the_limit_until_it_is_free_again():
+    async def scenario():
+        server = HttpServer(None, ServerLimits(), print, 100)
+        guard = MemoryGuard(server, 1_000, EventLog(), Metrics())
+        limits = []
+        for used_bytes in (800, 801, 500):
+            guard.check(used_bytes)
+            limits.append(server.memory.limit_bytes)
+        return limits
+
+    assert run(scenario()) == [100.0, 50.0, 100.0]
+
+
 class KeepingServer:
     """Keeps each request until it is released, and answers as the budget says."""
 
@@ -91,6 +118,29 @@
     assert [status_of(answer) for answer in answers] == [200] * 3
 
 
+def test_only_the_request_that_holds_most_is_ended():
+    async def scenario():
+        keeping = KeepingServer()
+        await keeping.server.listen("127.0.0.1", 0)
+        ended = []
+        keeping.server.on_request_ended = ended.append
+        calls = [await keeping.send(900_000), await keeping.send(90_000)]
+        while sum(connection.held_bytes for connection in keeping.server.connections) < 990_000:
+            await asyncio.sleep(0.01)
+        keeping.server.memory._limit_bytes = 600_000
+        keeping.server.memory.forget()
+        keeping.server.check_memory()
+        keeping.may_end.set()
+        answers = [await read_all(reader) for reader, _ in calls]
+        keeping.server.stop_listening()
+        return ended, answers
+
+    ended, answers = run(scenario())
+    assert len(ended) == 1 and ended[0] >= 900_000
+    assert answers[0] in (b"", b"<reset>")
+    assert status_of(answers[1]) == 200
+
+
 def test_target_is_not_read_while_its_caller_does_not_read():
     """Guards against answers that pile up, and against taking the caller's pause for a stall."""
     sent = []
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -1,5 +1,7 @@
 """Memory of real processes whose targets send answers without end, with the smallest limits."""
 
+import base64
+import json
 import os
 from collections import Counter
 from http.client import HTTPException
@@ -11,6 +13,7 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.endless_target import EndlessAnswer, EndlessTarget
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
+from ebonyshore_standins.fleet_config import BATCH_PREFIX
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
 ENTRY_MB, RUNNER_MB = 150, 180
@@ -18,6 +21,9 @@
 CALLERS = 36
 TARGETS = 6
 FAULT_MS = 4_000.0
+LARGE_JOBS = 40
+LARGE_JOB_ITEMS = 400
+LARGE_ITEM_BODY = base64.b64encode(bytes(4_000)).decode()
 CLOCK = SystemClock()
 
 
@@ -120,3 +126,40 @@
     wait_until(is_done)
     set_answer(fleet, 2, None)
     assert peak_mb < RUNNER_MB
+
+
+def submit_large_job(entry, number, statuses):
+    items = [
+        {
+            "Id": f"large{number}-{item}",
+            "Path": f"{BATCH_PREFIX}{item}",
+            "Headers": {"Model": "m"},
+            "Body": LARGE_ITEM_BODY,
+            "TokenCount": 1,
+        }
+        for item in range(LARGE_JOB_ITEMS)
+    ]
+    headers = {"Attempt-Id": f"large{number}"}
+    body = json.dumps({"Items": items}).encode()
+    try:
+        statuses[entry.call("POST", f"{BATCH_PREFIX}{number}", headers, body)[0]] += 1
+    except (OSError, HTTPException):
+        statuses[None] += 1
+
+
+def test_large_jobs_at_once_do_not_use_up_the_memory_of_a_runner(fleet):
+    statuses, peak_mb = Counter(), Counter()
+    threads = [
+        Thread(target=submit_large_job, args=(fleet.entries[0], number, statuses))
+        for number in range(LARGE_JOBS)
+    ]
+    for thread in threads:
+        thread.start()
+    while any(thread.is_alive() for thread in threads):
+        for process in fleet.processes:
+            peak_mb[process.name] = max(resident_mb(process), peak_mb[process.name])
+        CLOCK.sleep_ms(20.0)
+    assert peak_mb["runner-0"] < RUNNER_MB
+    assert peak_mb["entry-0"] < ENTRY_MB
+    assert statuses[202] > 0
+    assert statuses[202] + statuses[502] + statuses[503] == LARGE_JOBS
