--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -10,10 +10,11 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.body_relay import BodyRelay
+from ebonyshore.gateway.relay_state import RelayState
 from ebonyshore.host.content_run import ContentRun
 from ebonyshore.host.error_responses import maybe_executed_response
-from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
-from ebonyshore.host.pause_limits import BodyLimit, PauseLimits, patience_ms
+from ebonyshore.host.event_stream import StreamOrderError
+from ebonyshore.host.pause_limits import BodyLimit
 from ebonyshore.host.response_reader import (
     MAX_REFUSAL_BYTES,
     AttemptFailedError,
@@ -22,7 +23,6 @@
     time_left_ms,
 )
 from ebonyshore.host.routes import Route
-from ebonyshore.host.target import TargetGroup
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import (
@@ -35,12 +35,9 @@
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import MemoryHolder
 from ebonyshore.http.messages import Request, ResponseHead
-from ebonyshore.http.numbers import parse_decimal
 from ebonyshore.http.responder import ClientDisconnectedError, Responder
 
 CONNECT_TIMEOUT_MS = 300.0
-FIRST_EVENT_TIMEOUT_MS = 900.0  # afterwards a repeatable request is sent to another target
-EVENT_TIMEOUT_MS = 700.0  # the same for each later event, at least
 REFUSAL_BODY_TIMEOUT_MS = 20.0  # the next target should not wait for it
 MOVE_POLL_MS = 200.0  # while no other target can take a request over
 MAX_IDLE_MS = 10_000.0  # of a pooled connection that is reused
@@ -62,63 +59,6 @@
     FAILED = auto()  # the target answered with a server error (5xx)
 
 
-class RelayState:
-    """The part of a streamed response that the caller has received, over all attempts.
-
-    :param last_event_id: value of the request's header with the last event that the caller
-        received earlier; ``None`` if there is no such header. A value that is not a number is
-        ignored.
-    :param pauses: when an attempt is given up because of a pause; by default, for a route without
-        terms of its own.
-    :ivar origin: the targets that may add events; ``None`` before the first event, if any may.
-    :ivar answering_targets: ids of the targets that have answered an attempt.
-    :ivar is_body_begun: whether a part of a body was relayed that is no event stream, so that no
-        other target can go on with the response.
-    """
-
-    __slots__ = (
-        "answering_targets",
-        "first_event_ms",
-        "is_body_begun",
-        "origin",
-        "pauses",
-        "splitter",
-    )
-
-    def __init__(self, last_event_id: str | None, pauses: PauseLimits | None = None) -> None:
-        self.splitter = EventSplitter(parse_decimal(last_event_id))
-        self.pauses = pauses or PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS)
-        self.first_event_ms: float | None = None
-        self.origin: TargetGroup | None = None
-        self.answering_targets: set[str] = set()
-        self.is_body_begun = False
-
-    @property
-    def has_events(self) -> bool:
-        """Whether any event of this response was relayed to the caller."""
-        return self.first_event_ms is not None
-
-    @property
-    def last_id(self) -> int | None:
-        """Id of the last event that the caller has received; ``None`` if there is none."""
-        return self.splitter.last_id
-
-    def record_events(self, at_ms: float, origin: TargetGroup) -> None:
-        """Record that events were relayed.
-
-        :param at_ms: time on the monotonic clock.
-        :param origin: group of the target that sent them.
-        """
-        self.origin = origin
-        self.pauses.record_event(at_ms)
-        if self.first_event_ms is None:
-            self.first_event_ms = at_ms
-
-    def may_continue_at(self, group: TargetGroup) -> bool:
-        """Return whether targets of a group may add events."""
-        return self.origin in (None, group)
-
-
 class Exchange(MemoryHolder):
     """One attempt at one target.
 
@@ -392,12 +332,6 @@
             raise ExchangeError("the target ended with its response")
 
 
-def route_pause_limits(route: Route) -> PauseLimits:
-    """Return the pauses after which requests of a route are sent to another target."""
-    max_patience_ms = patience_ms(route.target_latency_ms, route.max_gap_ms)
-    return PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, route.max_gap_ms, max_patience_ms)
-
-
 def _rejection(
     head: ResponseHead, responder: Responder, can_retry: bool
 ) -> AttemptFailedError | None:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -21,8 +21,9 @@
     max_queued_requests,
     retry_after_ms,
 )
-from ebonyshore.gateway.exchange import Exchange, ExchangeEnd, RelayState, route_pause_limits
+from ebonyshore.gateway.exchange import Exchange, ExchangeEnd
 from ebonyshore.gateway.load_view import LoadView
+from ebonyshore.gateway.relay_state import RelayState, route_pause_limits
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.accounts import Account
 from ebonyshore.host.content_run import ContentRun
--- a/tests/test_number_parsing.py
+++ b/tests/test_number_parsing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ebonyshore.gateway.exchange import RelayState
+from ebonyshore.gateway.relay_state import RelayState
 from ebonyshore.host.event_stream import StreamOrderError, parse_event
 from ebonyshore.http.numbers import MAX_DIGITS, parse_decimal, parse_non_negative
 from tests.gateway_setup import Gateway, make_route, status_of
