--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -108,17 +108,14 @@
         return self._receive_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        self._receive(self._receive_buffer[:nbytes])
-
-    def _receive(self, data: memoryview) -> None:
         if not self._is_exchange_active:
             self.abort()
             return
         self.has_received = True
         if not self._has_head:
-            self._head_bytes += len(data)
+            self._head_bytes += nbytes
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._receive_buffer[:nbytes])
         except HttpParserError as error:
             self.fail(ExchangeError(f"invalid HTTP response: {error}"))
             return
