--- a/ebonyshore/gateway/forwarded_request.py
+++ b/ebonyshore/gateway/forwarded_request.py
@@ -18,8 +18,9 @@
     max_queued_requests,
     retry_after_ms,
 )
-from ebonyshore.gateway.exchange import Exchange, RelayState, route_pause_limits
+from ebonyshore.gateway.exchange import Exchange
 from ebonyshore.gateway.forwarding_parts import ForwardingParts
+from ebonyshore.gateway.relay_state import RelayState, route_pause_limits
 from ebonyshore.gateway.stream_origins import UnknownOriginError
 from ebonyshore.gateway.take_up import TakeUp
 from ebonyshore.host.accounts import Account
@@ -37,7 +38,7 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.messages import Request
 from ebonyshore.http.numbers import parse_non_negative
-from ebonyshore.http.server import Responder
+from ebonyshore.http.responder import Responder
 
 MAX_REFUSALS = 3  # after more refusals by targets no other target is tried
 # A request that may have run can no longer be refused, so it may join a queue of any length.
@@ -225,6 +226,8 @@
                 forwarder.on_run_end(self._account)
             forwarder.crash_guard.end(run)
         self._outcomes.record_answer(run, end)
+        if self._relay.is_body_begun:
+            forwarder.metrics.count("bodies_relayed")
         return "answered"
 
     def _make_exchange(self, target: Target, run: ContentRun) -> Exchange:
@@ -251,6 +254,9 @@
         return None
 
     def _after_failure(self, run: ContentRun, error: AttemptFailedError) -> str | None:
+        if error.is_out_of_memory:
+            self._log_attempt(run, "given_up", error.detail)
+            return self._fail(maybe_executed_response(ResultCode.OUTCOME_UNKNOWN))
         self._unsuccessful_targets.add(run.target.target_id)
         self._outcomes.record_failure(run, error)
         self._log_attempt(run, "broken", error.detail)
@@ -261,6 +267,8 @@
         return self._fail(error.response or maybe_executed_response(ResultCode.TARGET_CRASHED))
 
     def _can_retry(self) -> bool:
+        if self._relay.is_body_begun:
+            return False
         return self._route.is_repeatable and self._attempts < self._route.max_attempts
 
     def _can_move_from(self, target: Target) -> bool:
--- a/ebonyshore/gateway/forwarder.py
+++ b/ebonyshore/gateway/forwarder.py
@@ -5,7 +5,7 @@
 from ebonyshore.host.accounts import Account
 from ebonyshore.host.routes import Route
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import Responder
+from ebonyshore.http.responder import Responder
 
 
 class Forwarder(ForwardingParts):
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -28,9 +28,10 @@
 from ebonyshore.host.wire_names import WireNames
 from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import FixedHolder
 from ebonyshore.http.messages import Request, ResponseHead
 from ebonyshore.http.numbers import parse_decimal, parse_non_negative
-from ebonyshore.http.server import Responder
+from ebonyshore.http.responder import Responder
 from ebonyshore.link.job_call import (
     OWNER_HEADER,
     PATH_HEADER,
@@ -168,14 +169,17 @@
             return
         if account is not None:
             job_call = structs.replace(job_call, account=account.name)
-        response = await self._call_runners(job_call, request)
+        received = FixedHolder()
+        responder.set_holder(received)
+        response = await self._call_runners(job_call, request, received)
+        responder.set_holder(None)
         if isinstance(response, ErrorResponse):
             response.send(responder, request, self._names)
         else:
             response.send(responder)
 
     async def _call_runners(
-        self, call: JobCall, request: Request
+        self, call: JobCall, request: Request, received: FixedHolder
     ) -> ErrorResponse | RunnerResponse:
         """Call one runner after the other until one gives a final response.
 
@@ -194,7 +198,9 @@
             while remaining_runners or pending:
                 if remaining_runners:
                     runner = remaining_runners.pop(0)
-                    pending[create_task(self._call_runner(runner, call, request))] = runner
+                    pending[create_task(self._call_runner(runner, call, request, received))] = (
+                        runner
+                    )
                     call = structs.replace(call, may_redirect=False)
                 for task in await _wait_for_first(
                     pending, hedge_delay_ms if remaining_runners else None
@@ -246,7 +252,7 @@
         return order_runners(runners, self._view.open_items_by_runner, owner, call.kind)
 
     async def _call_runner(
-        self, runner: PeerRecord, call: JobCall, request: Request
+        self, runner: PeerRecord, call: JobCall, request: Request, received: FixedHolder
     ) -> RunnerResponse:
         address = f"{runner.host}:{runner.port}"
         timeout_ms = SUBMIT_TIMEOUT_MS if call.kind is JobCallKind.SUBMIT else CALL_TIMEOUT_MS
@@ -256,7 +262,7 @@
                 timeout((timeout_ms + call.wait_ms) / MS_PER_S),
             ):
                 connection.send(_encode_call(call, request))
-                return await _read_response(connection)
+                return await _read_response(connection, received)
         except TimeoutError as error:
             raise ExchangeError(
                 f"runner did not respond within {timeout_ms + call.wait_ms:.0f} ms"
@@ -343,13 +349,14 @@
     return completed
 
 
-async def _read_response(connection: ClientConnection) -> RunnerResponse:
+async def _read_response(connection: ClientConnection, received: FixedHolder) -> RunnerResponse:
     head = await connection.next_part()
     if not isinstance(head, ResponseHead):
         raise ExchangeError("runner's response has no head")
     parts: list[bytes] = []
     while not isinstance(item := await connection.next_part(), BodyEnd):
         parts.append(item)
+        received.size_bytes += len(item)
     return RunnerResponse(head.status, head.headers, b"".join(parts))
 
 
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -13,16 +13,22 @@
     WriteOutcomeUnknownError,
 )
 from ebonyshore.frame.logs import EventLog
+from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.result_codes import RESULT_INFO, ResultCode
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.host.job_types import JobRecord
+from ebonyshore.host.memory_guard import MemoryGuard
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import FixedHolder, connection_limit_bytes
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import HttpServer, Responder, ServerLimits
+from ebonyshore.http.responder import Responder
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_connection import SMALL_BODY_BYTES
+from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.job_call import (
     OWNER_HEADER,
     PATH_HEADER,
@@ -40,6 +46,7 @@
 
 MAX_REQUEST_BYTES = 16 << 20
 MAX_HEADER_BYTES = 256 << 10  # a caller's ids are percent-encoded in the request line
+DECODED_FACTOR = 2  # memory that a submission takes besides its body, as a multiple of that
 RETRY_AFTER_MS = 600.0
 STORE_RETRY_AFTER_MS = 1_500.0  # outages of the store last for seconds
 
@@ -84,6 +91,7 @@
     :param registry: the known jobs.
     :param admission: refuses jobs that do not fit.
     :param config: the routes in force.
+    :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     """
 
     name = "job_api"
@@ -99,6 +107,7 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        memory_bytes: int | None = None,
     ) -> None:
         self._host = host
         self._port = port
@@ -110,10 +119,13 @@
         self._log = log
         self._metrics = metrics
         limits = ServerLimits(MAX_HEADER_BYTES, MAX_REQUEST_BYTES)
-        self._server = HttpServer(self._serve, limits, self._report_failure)
+        limit_bytes = connection_limit_bytes(memory_bytes)
+        self._server = HttpServer(self._serve, limits, self._report_failure, limit_bytes)
+        self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
 
     async def start(self) -> None:
         await self._server.listen(self._host, self._port)
+        self.spawn(self._memory_guard.run())
 
     def begin_drain(self) -> None:
         self._server.is_draining = True
@@ -122,12 +134,17 @@
         return self._server.busy_connection_count() == 0
 
     async def stop(self) -> None:
+        await super().stop()
         self._server.stop_listening()
 
     async def _serve(self, request: Request, responder: Responder) -> None:
         try:
             call = decode_job_request(request.target)
-            reply = await self._dispatch(call, request)
+            if not self._has_room(request):
+                reply = refusal_reply(ResultCode.OVERLOADED)
+            else:
+                responder.set_holder(FixedHolder(len(request.body) * DECODED_FACTOR))
+                reply = await self._dispatch(call, request)
         except ValueError as error:
             self._log.event("job_call_invalid", path=request.path, error=str(error))
             reply = Reply(400, encode({"code": ResultCode.INVALID_REQUEST, "error": str(error)}))
@@ -138,6 +155,14 @@
             headers.add("Retry-After", f"{reply.retry_after_ms / MS_PER_S:.2f}")
         responder.send(reply.status, headers, reply.body)
 
+    def _has_room(self, request: Request) -> bool:
+        """Return whether the process has memory for the job that a request may submit."""
+        if len(request.body) <= SMALL_BODY_BYTES:
+            return True
+        memory = self._server.memory
+        memory.forget()  # other jobs may have begun just now
+        return not memory.is_resident_high and not memory.is_exhausted(now_ms())
+
     async def _dispatch(self, call: JobCall, request: Request) -> Reply:
         """Handle a call; failures of the store become a 502 or 503 response, or 413 if a submitted
         job does not fit into the store.
--- a/tests/test_encoded_sizes.py
+++ b/tests/test_encoded_sizes.py
@@ -194,6 +194,9 @@
         def send(self, status, headers, body):
             replies.append((status, headers.get("Retry-After")))
 
+        def set_holder(self, _holder):
+            pass
+
     async def submit():
         api = ApiCaller(make_runners(platform, accounts=None)[0]).api
         await api._serve(request, Answer())
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -6,8 +6,10 @@
 
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.messages import ResponseHead
-from ebonyshore.http.server import HttpServer, ServerLimits
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.job_call import decode_job_request
+from ebonyshore_standins.received_bytes import feed_bytes
 from tools.fuzz import fuzz
 from tools.fuzz_targets import FUZZ_TARGETS
 
@@ -69,7 +71,7 @@
     connection.connection_made(SilentTransport())
     connection.send(b"")
     for chunk in chunks:
-        connection.data_received(chunk)
+        feed_bytes(connection, chunk)
     parts = []
     while not parts or not isinstance(parts[-1], BodyEnd):
         parts.append(await connection.next_part())
--- a/tests/test_split_responses.py
+++ b/tests/test_split_responses.py
@@ -12,6 +12,7 @@
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.http.client import ClientConnection, ExchangeError
 from ebonyshore.platform.wire_names import WIRE_NAMES
+from ebonyshore_standins.received_bytes import feed_bytes
 
 FIRST = b"Attempt-Id: req-1\r\n"
 OTHER = b"Attempt-Id: req-0\r\n"
@@ -70,7 +71,7 @@
     connection.connection_made(transport)
     if has_carried_other:
         connection.send(b"request", "req-0")
-        connection.data_received(b"HTTP/1.1 200 OK\r\n" + OTHER + b"Content-Length: 0\r\n\r\n")
+        feed_bytes(connection, b"HTTP/1.1 200 OK\r\n" + OTHER + b"Content-Length: 0\r\n\r\n")
         while connection.has_parts:
             await connection.next_part()
         connection.finish_exchange(now_ms())
@@ -80,7 +81,7 @@
     reading = asyncio.create_task(read_response(connection, reader))
     for piece in pieces:
         if not transport.is_aborted:
-            connection.data_received(piece)
+            feed_bytes(connection, piece)
         if is_read_meanwhile:
             await pass_loop()
     await pass_loop()
--- a/tools/fuzz_targets.py
+++ b/tools/fuzz_targets.py
@@ -27,7 +27,10 @@
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
-from ebonyshore.http.server import HttpServer, Responder, ServerConnection, ServerLimits
+from ebonyshore.http.responder import Responder
+from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server_connection import ServerConnection
+from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.codec import MessageCodec
 from ebonyshore.link.datagrams import Datagram, StreamQuery
 from ebonyshore.link.job_call import JobCallKind, decode_job_request
@@ -54,6 +57,7 @@
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.store_http_client import StoreResponse
 from ebonyshore_standins.memory_platform import MemoryPlatform
+from ebonyshore_standins.received_bytes import feed_bytes
 
 MAX_CHUNKS = 64  # in which the bytes of a connection arrive
 RECORD_TYPES = (
@@ -230,7 +234,7 @@
     connection.connection_made(_Transport())
     connection.send(b"")
     for chunk in _chunks(data):
-        connection.data_received(chunk)
+        feed_bytes(connection, chunk)
     connection.connection_lost(None)
     target = Target(TargetEntry("t1", "svc", "10.0.0.9:80", "fd-a", 8))
     reader = ResponseReader(connection, WIRE_NAMES, target, "a1", float("inf"))
