--- a/ebonyshore_standins/object_store_server.py
+++ b/ebonyshore_standins/object_store_server.py
@@ -159,7 +159,11 @@
 
 
 def _encoded_size(document: dict) -> int:
-    return len(json.dumps(document, ensure_ascii=False, separators=(",", ":")).encode())
+    return len(
+        json.dumps(document, ensure_ascii=False, separators=(",", ":")).encode(
+            errors="surrogatepass"
+        )
+    )
 
 
 class _Server(ThreadingHTTPServer):
