--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -80,8 +80,9 @@
     session.reset()
 
 
-def test_stream_does_not_go_on_at_a_target_that_was_started_again():
-    """Guards against a target that has another version than the list shows."""
+@pytest.mark.parametrize("last_version", ["v2", "v1"])
+def test_stream_does_not_go_on_at_a_target_that_was_started_again(last_version):
+    """Guards against a target that has another version than the list shows, also as the first."""
     targets = [
         ScriptedTarget(break_off_after_two_events),
         *(ScriptedTarget(send_complete_stream) for _ in range(3)),
@@ -91,7 +92,7 @@
 
     async def scenario():
         gateway = Gateway(make_route())
-        await gateway.start(*targets, versions=("v1", "v1", "v1", "v2"))
+        await gateway.start(*targets, versions=("v1", "v1", "v1", last_version))
         answer = await gateway.request()
         gateway.close()
         return answer
--- a/tests/test_origin_keeper.py
+++ b/tests/test_origin_keeper.py
@@ -58,7 +58,8 @@
     def __init__(self, storage, is_lowest=True):
         self.storage = storage
         self.table = TargetTable()
-        self.registry = OriginRegistry("r0", self.table, lambda: True)
+        self.is_list_current = True
+        self.registry = OriginRegistry("r0", self.table, lambda: self.is_list_current)
         self.peers = SimpleNamespace(
             own=SimpleNamespace(instance_id="r0"), of_role=lambda _role: {"r1": None}
         )
@@ -171,3 +172,56 @@
     table.put(make_entry("t1", "v2", started_ms=0), 1.0)
     assert table.recent_versions("svc", VERSION_LIFETIME_MS) == {"v1", "v2"}
     assert table.recent_versions("svc", VERSION_LIFETIME_MS + 2.0) == {"v2"}
+
+
+def test_version_of_a_stream_is_possible_before_the_list_shows_it():
+    """Guards against a record without the version at which a stream is known to have begun."""
+
+    async def scenario():
+        setup = Setup(FakeStorage())
+        setup.list_versions("v1")
+        setup.registry.add(StreamStarts("e0", (("s2", NEW),)))
+        await setup.keeper.run_once()
+        return setup.answer("s1"), setup.storage.records["r0"]
+
+    answer, record = run(scenario)
+    assert set(answer.versions) == {"v1", "v2"}
+    assert set(record.groups) == {OLD, NEW}
+
+
+async def be_without_the_store(setup, meanwhile):
+    """Let a runner be without the store for a while, in which others go on."""
+    setup.list_versions("v1")
+    await setup.keeper.run_once()
+    setup.is_list_current = False
+    await setup.keeper.run_once()
+    meanwhile(setup.storage.records)
+    setup.is_list_current = True
+
+
+def test_runner_that_was_without_the_store_does_not_know_the_past_before_it_has_read_it():
+    """Guards against a version that came and went while a runner was cut off."""
+
+    async def scenario():
+        setup = Setup(FakeStorage())
+        record = OriginRecord((OLD, NEW), ((), ("s2",)))
+        await be_without_the_store(setup, lambda records: records.update(r1=record))
+        before = setup.answer("s2")
+        await setup.keeper.run_once()
+        return before, setup.answer("s2")
+
+    before, after = run(scenario)
+    assert not before.has_history
+    assert (after.has_history, after.origin, set(after.versions)) == (True, NEW, {"v1", "v2"})
+
+
+def test_record_that_was_deleted_while_its_runner_was_cut_off_is_written_again():
+    """Guards against a fleet without any record, which is noticed at the next stop of all."""
+
+    async def scenario():
+        setup = Setup(FakeStorage())
+        await be_without_the_store(setup, lambda records: records.pop("r0"))
+        await setup.keeper.run_once()
+        return setup.storage.records
+
+    assert run(scenario)["r0"].groups == (OLD,)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -328,6 +328,15 @@
     assert not query.is_complete(["r0"])
 
 
+def test_one_process_without_the_store_does_not_prove_that_the_list_of_others_is_whole():
+    """Guards against counting runners that read the list, but not the past, as a majority."""
+    query = OriginQuery()
+    query.add(StreamAnswer("r0", "s1", None, ("v1",), has_history=True, is_list_current=False))
+    for name in ("r1", "r2"):
+        query.add(StreamAnswer(name, "s1", None, ("v1",), has_history=False, is_list_current=True))
+    assert not query.is_complete(["r0", "r1", "r2"])
+
+
 def test_former_software_understands_the_messages():
     class FormerQuery(Struct, tag="stream_query", array_like=True):
         sender: str
