A stream goes on only at a start of its target that the list shows, also with one version

Cause: a target that is started again under its id may be the first of another version. Starts were confirmed only while several versions were known, so until the list showed the new start, streams went on there. Change: the start is confirmed before each attempt that continues a stream (one load report each).

--- a/ebonyshore/gateway/forwarded_request.py
+++ b/ebonyshore/gateway/forwarded_request.py
@@ -359,9 +359,12 @@
         return self._fail(not_executed_response(ResultCode.OVERLOADED, delay_ms))
 
     def _must_confirm_incarnation(self) -> bool:
-        """Whether the target's version has to be certain, as others do not fit the stream."""
-        origins = self._forwarder.origins
-        return self._relay.origin is not None and origins.may_be_mixed(self._service)
+        """Whether the target's version has to be certain, as others do not fit the stream.
+
+        Also while only one version is listed: a target that was started again under its id may be
+        the first of another one.
+        """
+        return self._relay.origin is not None
 
     def _free_slots(self) -> int | None:
         return self._chosen and self._chosen.free_slots
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -99,10 +99,6 @@
         """Return whether a service has targets of several versions, or had them recently."""
         return service in self._find_mixed_services(now_ms())
 
-    def may_be_mixed(self, service: str) -> bool:
-        """Return whether a service may have several versions, as far as this process can know."""
-        return self.is_mixed(service) or not self._is_list_current()
-
     def report_streams(self) -> None:
         """Tell the runners of recent streams whose service has several versions.
 
