--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -75,8 +75,26 @@
         await super().__aenter__()
 
 
+class OpenPool(EndlessPool):
+    """A connection pool whose connections are never used."""
+
+    async def __aenter__(self):
+        pass
+
+
+class SlowChecker:
+    """Notes the targets whose start it is asked to confirm, and does not answer."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def confirm_incarnation(self, _connection, target):
+        self.asked.append(target.target_id)
+        await asyncio.Event().wait()
+
+
 class SchedulerSetup:
-    def __init__(self, pool=None):
+    def __init__(self, pool=None, checker=None):
         self.guard = QuietGuard()
         self.setup = RegistrySetup(retention_ms=1e9, epoch=1)
         self.targets = TargetTable()
@@ -89,7 +107,7 @@
             self.targets,
             self.setup.load_table,
             pool or EndlessPool(),
-            None,
+            checker,
             self.guard,
             completions,
             JobRanking(self.setup.registry, completions, self.setup.clock),
@@ -121,6 +139,21 @@
     assert setup.targets.find("t1").own_batch == 0 and setup.scheduler.dump() == {}
 
 
+def test_an_item_with_events_goes_on_only_at_a_confirmed_start_also_with_one_version():
+    """Guards against a target that returns under its id as the first of another version."""
+
+    async def run_items(setup):
+        for item in setup.items:
+            item.add_event(1, "text", setup.targets.find("t1").entry.group)
+        setup.scheduler.schedule_items()
+        await asyncio.sleep(0.01)
+        setup.scheduler.stop_all()
+
+    checker = SlowChecker()
+    asyncio.run(run_items(SchedulerSetup(OpenPool(), checker)))
+    assert checker.asked == ["t1", "t1"]
+
+
 @pytest.mark.parametrize("is_leaving, broken, running", [(False, 2, 0), (True, 0, 2)])
 def test_an_item_whose_target_was_removed_without_a_notice_may_have_crashed_it(
     is_leaving, broken, running
