--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -326,10 +326,12 @@
         return record.caller if record.caller or has_accounts else None
 
     def _must_confirm_incarnation(self, item: Item) -> bool:
-        """Whether the target's version has to be certain, as others do not fit the events."""
-        if item.origin is None:
-            return False
-        return len(self._targets.recent_versions(item.origin.service, now_ms())) > 1
+        """Whether the target's version has to be certain, as others do not fit the events.
+
+        Also while only one version is listed: a target that was started again under its id may be
+        the first of another one.
+        """
+        return item.origin is not None
 
     def _free_slot(self, key: str, running: RunningItem, task: Task[None] | None = None) -> None:
         """Free the slot of a run that has ended. Does nothing if that was done before.
