Majority without the list: only if nobody who answers can read it

Cause: one runner without the store that knows the past, and a majority that can read the list, but not the past, counted as certain, although the list may have changed for these. Result: test_stream_origins passes.

--- a/ebonyshore/gateway/origin_query.py
+++ b/ebonyshore/gateway/origin_query.py
@@ -54,6 +54,8 @@
         with_history = [answer for answer in self.answers.values() if answer.has_history]
         if any(answer.is_list_current for answer in with_history):
             return True
+        if any(answer.is_list_current for answer in self.answers.values()):
+            return False  # the store is up: the list may have changed for those who can read it
         answered = sum(runner in self.answers for runner in runners)
         return bool(with_history) and 2 * answered > len(runners)
 
