Runners count the version of a stream that they are told of among the possible ones

Cause: a runner that was told of a stream of a version that its list does not show yet answered that there is one version, and stored neither the version nor the stream.

--- a/ebonyshore/runner/origin_registry.py
+++ b/ebonyshore/runner/origin_registry.py
@@ -41,9 +41,10 @@
         return self._targets.has_listing
 
     def add(self, message: StreamStarts) -> None:
-        """Record streams that have begun at an entry."""
+        """Record streams that have begun at an entry; their versions may not be listed here yet."""
         for request_id, origin in message.streams:
             self._records.add(request_id, origin, now_ms())
+            self._targets.note_group(origin, now_ms())
 
     def merge(self, record: OriginRecord) -> None:
         """Add what a runner has stored; all of it counts as recent.
