Runners read the records again when they can read the store again

Cause: a runner that was without the store for a while said afterwards that it knew all versions, also those that came and went meanwhile, which others had stored; and it did not notice that its own record had been deleted, as for a runner that is gone. Change: once the store can be read again, a runner does not know the past until it has read the records; a missing record is written. Costs one list per runner after an outage.

--- a/ebonyshore/runner/origin_keeper.py
+++ b/ebonyshore/runner/origin_keeper.py
@@ -19,7 +19,9 @@
 
 
 class OriginKeeper(PeriodicService):
-    """Reads the records of all runners at the start, then writes changes of this runner's record.
+    """Reads the records of all runners, then writes changes of this runner's record.
+
+    The records are read at the start and each time that the store can be read again.
 
     All runners store the groups of targets. The streams are stored by the live runner with the
     lowest id, while a service has several software versions; it also deletes the records of runners
@@ -62,7 +64,7 @@
         if now_ms() < self._paused_until_ms:
             return
         try:
-            if self._must_read:
+            if self._must_read or self._registry.must_load():
                 await self._read()
             if self._registry.has_listing:
                 await self._write_changes()
@@ -87,7 +89,7 @@
         self._stored_groups = frozenset() if own is None else frozenset(own.groups)
         self._stored_added = self._registry.added
         self._must_read = False
-        self._registry.has_loaded = True
+        self._registry.note_loaded()
         self._log.event(
             "stream_origins_loaded",
             records=len(records),
--- a/ebonyshore/runner/origin_registry.py
+++ b/ebonyshore/runner/origin_registry.py
@@ -19,7 +19,14 @@
     :ivar has_loaded: whether the stored records were merged at least once.
     """
 
-    __slots__ = ("_is_list_current", "_own_id", "_records", "_targets", "has_loaded")
+    __slots__ = (
+        "_is_list_current",
+        "_own_id",
+        "_records",
+        "_targets",
+        "_was_without_store",
+        "has_loaded",
+    )
 
     def __init__(
         self, own_id: str, targets: TargetTable, is_list_current: Callable[[], bool]
@@ -28,8 +35,23 @@
         self._targets = targets
         self._is_list_current = is_list_current
         self._records = StreamRecords()
+        self._was_without_store = False  # since the records were last read
         self.has_loaded = False
 
+    def note_loaded(self) -> None:
+        """Record that the stored records were read and merged."""
+        self.has_loaded = True
+        self._was_without_store = False
+
+    def must_load(self) -> bool:
+        """Return whether the stored records have to be read, as others may have changed them.
+
+        Has to be called several times a second. While the store is down, nobody can change them.
+        """
+        is_list_current = self._is_list_current()
+        self._was_without_store |= not is_list_current
+        return not self.has_loaded or (self._was_without_store and is_list_current)
+
     @property
     def added(self) -> int:
         """Number of streams that this runner was told of so far."""
@@ -65,7 +87,7 @@
             query.request_id,
             self._records.find(query.request_id, now_ms()),
             tuple(self._targets.recent_versions(query.service, now_ms())),
-            self.has_loaded and self.has_listing,
+            self.has_listing and not self.must_load(),
             self._is_list_current(),
         )
 
