--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -386,3 +386,19 @@
         return status_of(served), len(target.sessions)
 
     assert run(scenario()) == (200, 4)
+
+
+def test_refusal_without_an_id_behind_a_load_report_is_sent_to_another_target():
+    """Guards against a stream that waits for its deadline, as reports count as requests."""
+
+    async def scenario():
+        targets = [ScriptedTarget(refuse_with(None)), ScriptedTarget(send_complete_stream)]
+        gateway = Gateway(make_route(max_attempts=1))
+        await gateway.start(*targets)
+        gateway.origins.record("first-attempt", gateway.table.find("t1").entry.group)
+        headers = ("Last-Event-Id: 2", "Resumes: first-attempt")
+        answer = await gateway.request(headers=headers)
+        gateway.close()
+        return answer
+
+    assert event_ids(run(scenario())) == [3, 4]
