A load report is no request that a refusal could belong to

Cause: the report that confirms the start of a target counted as an exchange, so a refusal without an id behind it, on a new connection, was left unread and the caller waited for its deadline. Change: only requests that may be refused count. Result: test_repeated_refusals, test_forwarding, test_item_run, test_crash_guard, test_resumed_errors, test_split_responses, test_target_check pass.

--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -98,7 +98,7 @@
     async def _read_start(self, connection: ClientConnection, target: Target) -> int | None:
         address = target.entry.address
         request = f"GET {self._names.report_path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-        connection.send(request.encode())
+        connection.send(request.encode(), may_be_refused=False)
         deadline_ms = now_ms() + CHECK_TIMEOUT_MS
         reader = ResponseReader(connection, self._names, target, None, deadline_ms)
         while (await reader.read_head(None)).headers.get(self._names.not_executed) is not None:
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -87,7 +87,7 @@
         self._idle_timeout = idle_timeout or IdleTimeout()
         self._is_idle = False
         self._carried_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
-        self._exchanges = 0
+        self._refusable_exchanges = 0
         self._may_reuse = True
 
     def connection_made(self, transport: Transport) -> None:
@@ -130,11 +130,12 @@
             )
         )
 
-    def send(self, data: bytes, request_id: str | None = None) -> None:
+    def send(self, data: bytes, request_id: str | None = None, may_be_refused: bool = True) -> None:
         """Send a request and start an exchange.
 
         :param data: the encoded request, head and body.
         :param request_id: id by which its response is known; ``None`` if it has none.
+        :param may_be_refused: whether the server may refuse it; see :attr:`is_first_exchange`.
         :raises ExchangeError: if the connection is closed, or has received more than the response
             to the request before; nothing was sent.
         """
@@ -150,7 +151,7 @@
         self._is_complete = False
         self._has_head = False
         self.has_received = False
-        self._exchanges += 1
+        self._refusable_exchanges += int(may_be_refused)
         if request_id is not None:
             self._carried_ids.append(request_id)
         self._transport.write(data)
@@ -209,8 +210,8 @@
 
     @property
     def is_first_exchange(self) -> bool:
-        """Whether the connection has carried no other request than the present one."""
-        return self._exchanges == 1
+        """Whether the connection has carried no other request that may be refused."""
+        return self._refusable_exchanges == 1
 
     def prevent_reuse(self) -> None:
         """Let the connection be closed at the end of the exchange."""
