The groups of the listed targets are kept between changes of the list

Each answer to a query for a stream's origin, and each look of the entries and runners for several versions, went through all targets: 315 us at 860 targets. After a stop of all processes each take-up asks every runner at least twice. Change: the set is made once after a change of the list. Result: 5 us (trial, 2,000 answers each); the same result as the plain computation over 20,000 random changes (trial). test_target_table, test_origin_keeper, test_stream_origins, test_forwarding, test_item_scheduler, test_waiting_items, test_software_versions, test_leaving_processes pass.

--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -34,6 +34,7 @@
         "_leaving",
         "_listed_ms",
         "_possible_until_ms",
+        "_present_groups",
         "_store_outage_ms",
         "_targets",
         "on_leaving",
@@ -56,6 +57,7 @@
         self._leaving = LeavingRecord()
         self.on_leaving: Callable[[Target, str], None] = lambda *_: None
         self._possible_until_ms: dict[TargetGroup, float] = {}  # of groups that may have no target
+        self._present_groups: frozenset[TargetGroup] | None = None  # None after a change
         self._store_outage_ms = float("-inf")
 
     def __len__(self) -> int:
@@ -102,6 +104,7 @@
             self.note_group(target.entry.group, now_ms)
         target.entry = entry
         target.removed_ms = None
+        self._present_groups = None
         if entry.is_leaving:
             self._mark_leaving(target, "list")
         elif target.incarnation in self._leaving:
@@ -205,8 +208,11 @@
 
     def recent_groups(self, now_ms: float) -> set[TargetGroup]:
         """Return the groups of the targets, also of those dropped or noted recently."""
-        present = {target.entry.group for target in self._targets.values()}
-        return present | {
+        if self._present_groups is None:
+            self._present_groups = frozenset(
+                target.entry.group for target in self._targets.values()
+            )
+        return set(self._present_groups) | {
             group for group, until_ms in self._possible_until_ms.items() if now_ms <= until_ms
         }
 
@@ -249,5 +255,6 @@
 
     def _note_dropped(self, target: Target, now_ms: float) -> None:
         self.note_group(target.entry.group, now_ms)
+        self._present_groups = None
         target.removed_ms = now_ms if target.removed_ms is None else target.removed_ms
         self.pace.forget(target)
