--- a/ebonyshore/host/targets.py
+++ b/ebonyshore/host/targets.py
@@ -152,6 +152,11 @@
         """Return a target, or ``None`` if it is unknown."""
         return self._targets.get(target_id)
 
+    def is_listed(self, incarnation: Incarnation) -> bool:
+        """Return whether this incarnation of a target is known."""
+        target = self._targets.get(incarnation.target_id)
+        return target is not None and target.entry.started_ms == incarnation.started_ms
+
     def by_id(self) -> Mapping[str, Target]:
         """Return all targets by id."""
         return self._targets
@@ -251,3 +256,4 @@
         self.note_group(target.entry.group, now_ms)
         target.removed_ms = now_ms if target.removed_ms is None else target.removed_ms
         self.pace.forget(target)
+        self.speeds.drop(target.incarnation)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -131,6 +131,7 @@
 
     class FakePeers:
         own = make_peer("a")
+        process_count = 1
 
         def of_role(self, _role):
             return {}
