Totals: computed once for all entries, and only what has changed in large fleets

Change: sums kept up to date by each report; as long as the totals fit one packet they are sent whole as before; otherwise a part in one packet has the changed targets, those of the entry's failure domain first, encoded once for a failure domain. An entry that misses a part asks for complete totals. Reports of processes are as far apart as one runner can receive 2,000 a second. Entries of the version before are sent complete totals; fields and the message are at the end.

--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -19,9 +19,10 @@
 )
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import LoadTotals
+from ebonyshore.link.load_table import LoadTotals, TotalsPart
 from ebonyshore.link.pace_messages import PaceLimits
 from ebonyshore.link.peers import PeerDirectory
+from ebonyshore.link.report_pacing import min_report_interval_ms, time_until_due
 from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.link.target_speeds import SpeedUpdate
@@ -68,8 +69,11 @@
 
     def on_message(self, message: Datagram) -> None:
         """Apply a message of a runner or answer an entry; load reports are ignored."""
-        if isinstance(message, LoadTotals):
-            self._view.update_totals(message, now_ms())
+        if isinstance(message, LoadTotals | TotalsPart):
+            if isinstance(message, TotalsPart):
+                self._view.update_part(message, now_ms())
+            else:
+                self._view.update_totals(message, now_ms())
             self._origins.note_totals_sender(message.sender)
             self._watch_monitor.merge(message.newest_versions)
             self._targets.pace.record_news(now_ms())
@@ -89,8 +93,11 @@
         elif isinstance(message, AccountTotals):
             self._account_limits.on_totals(message)
 
-    def send(self, socket: LoadSocket) -> None:
-        """Send the next report and new suspicions to each runner."""
+    def send(self, socket: LoadSocket) -> float:
+        """Send the next report and new suspicions to each runner.
+
+        :return: time in milliseconds until something may be due that was too early now.
+        """
         self._reports.send(
             socket,
             now_ms(),
@@ -99,8 +106,12 @@
             limits=self._targets.rate_limits.own_reports(now_ms()),
             clock_ms=self._lease_keeper.clock_ms(),
             newest_versions=self._watch_monitor.newest_versions(),
+            reads_parts=True,
+            needs_totals=self._view.needs_totals,
+            min_interval_ms=min_report_interval_ms(self._peers.process_count),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
         self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._speeds.send(socket, now_ms())
         self._origins.report_streams()
+        return time_until_due([self._reports.held_until_ms], now_ms())
--- a/ebonyshore/gateway/load_view.py
+++ b/ebonyshore/gateway/load_view.py
@@ -4,17 +4,18 @@
 from math import isfinite
 
 from ebonyshore.gateway.balance import TargetLoad
+from ebonyshore.gateway.heard_totals import HeardTotals
 from ebonyshore.host.outliers import find_outliers
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_speed import UNKNOWN_SPEED, SpeedEstimate, TargetSpeeds
-from ebonyshore.link.load_table import LoadTotals, TargetCounts, merge_totals
+from ebonyshore.link.load_table import LoadTotals, TotalsPart, merge_totals
+from ebonyshore.link.target_counts import NO_COUNTS, TargetCounts
 
 MAX_TOTALS_AGE_MS = 1_000.0
 MAX_SENDER_SILENCE_MS = 400.0  # runners that send totals do so every 250 ms
 SERVICE_TIME_SMOOTHING = 0.05  # weight of each new value in the exponential moving average
 INITIAL_SERVICE_TIME_MS = 700.0
 INITIAL_FIRST_EVENT_MS = 50.0
-NO_COUNTS = TargetCounts(0, 0)
 
 
 class LoadView:
@@ -34,9 +35,10 @@
         "_failure_domain",
         "_on_change",
         "_speeds",
-        "_messages_by_sender",
+        "_heard",
         "_totals",
         "_totals_ms",
+        "_unknown_ms",
         "mean_first_event_ms",
         "mean_service_time_ms",
         "on_outlier",
@@ -52,7 +54,8 @@
         self._failure_domain = failure_domain
         self._on_change = on_change
         self._speeds = speeds or TargetSpeeds()
-        self._messages_by_sender: dict[str, tuple[float, LoadTotals]] = {}
+        self._heard: dict[str, HeardTotals] = {}
+        self._unknown_ms: dict[str, float] = {}  # last parts of senders without complete totals
         self._totals: dict[str, TargetCounts] = {}
         self._totals_ms = float("-inf")
         self.mean_service_time_ms = INITIAL_SERVICE_TIME_MS
@@ -70,15 +73,48 @@
 
         :param now_ms: monotonic time.
         """
-        self._messages_by_sender[totals.sender] = (now_ms, totals)
-        self._drop_stale_messages(now_ms)
-        newest_first = sorted(self._messages_by_sender.values(), key=lambda pair: -pair[0])
-        messages = [message for _, message in newest_first]
-        self._totals = totals.counts if len(messages) == 1 else merge_totals(messages)
+        known = self._heard.get(totals.sender)
+        if known is None:
+            self._heard[totals.sender] = HeardTotals(totals, now_ms)
+        elif not known.replace(totals, now_ms):
+            return
+        self._unknown_ms.pop(totals.sender, None)
+        self._merge(now_ms)
+
+    def update_part(self, part: TotalsPart, now_ms: float) -> None:
+        """Replace the counts at some targets in the totals of one sender.
+
+        Ignored, but for :attr:`needs_totals`, if the sender's complete totals are not known.
+
+        :param now_ms: monotonic time.
+        """
+        known = self._heard.get(part.sender)
+        if known is None or known.incarnation != part.incarnation:
+            self._unknown_ms[part.sender] = now_ms
+        elif known.apply(part, now_ms):
+            self._merge(now_ms)
+
+    @property
+    def needs_totals(self) -> bool:
+        """Whether complete totals are missing, or some parts since."""
+        if not self._heard or self._unknown_ms:
+            return True
+        return not all(heard.is_complete for heard in self._heard.values())
+
+    def _merge(self, now_ms: float) -> None:
+        self._drop_silent_senders(now_ms)
+        newest_first = sorted(self._heard.items(), key=lambda item: -item[1].at_ms)
+        if len(newest_first) == 1:
+            self._totals = newest_first[0][1].counts
+        else:
+            self._totals = merge_totals(
+                LoadTotals(sender, heard.incarnation, 0, heard.counts, heard.runners)
+                for sender, heard in newest_first
+            )
         self._totals_ms = now_ms
         self.open_items_by_runner = {}
-        for message in reversed(messages):
-            self.open_items_by_runner.update(message.runners)
+        for _, heard in reversed(newest_first):
+            self.open_items_by_runner.update(heard.runners)
 
     def observed_batch(self) -> dict[str, int]:
         """Return the number of batch items by target, for the reports to the runners.
@@ -86,18 +122,16 @@
         Empty unless several runners send totals: each of them then knows only a part of the batch
         items, and learns from the entry about the others.
         """
-        if len(self._messages_by_sender) < 2:
+        if len(self._heard) < 2:
             return {}
         return {key: count.batch for key, count in self._totals.items() if count.batch}
 
-    def _drop_stale_messages(self, now_ms: float) -> None:
-        stale_senders = [
-            key
-            for key, (at_ms, _) in self._messages_by_sender.items()
-            if now_ms - at_ms > MAX_SENDER_SILENCE_MS
-        ]
-        for sender in stale_senders:
-            del self._messages_by_sender[sender]
+    def _drop_silent_senders(self, now_ms: float) -> None:
+        oldest_ms = now_ms - MAX_SENDER_SILENCE_MS
+        self._heard = {key: heard for key, heard in self._heard.items() if heard.at_ms >= oldest_ms}
+        self._unknown_ms = {
+            key: at_ms for key, at_ms in self._unknown_ms.items() if at_ms >= oldest_ms
+        }
 
     @property
     def has_totals(self) -> bool:
--- a/ebonyshore/link/datagrams.py
+++ b/ebonyshore/link/datagrams.py
@@ -6,7 +6,7 @@
 
 from ebonyshore.host.target import TargetGroup
 from ebonyshore.link.account_messages import AccountTotals, AccountUsage
-from ebonyshore.link.load_table import LoadReport, LoadTotals
+from ebonyshore.link.load_table import LoadReport, LoadTotals, TotalsPart
 from ebonyshore.link.messages import Verdict
 from ebonyshore.link.pace_messages import PaceLimits, PaceReport
 from ebonyshore.link.target_speeds import SpeedUpdate
@@ -99,6 +99,7 @@
 Datagram = (
     LoadReport
     | LoadTotals
+    | TotalsPart
     | SuspicionUpdate
     | StreamStarts
     | StreamQuery
--- a/ebonyshore/link/load_report_sender.py
+++ b/ebonyshore/link/load_report_sender.py
@@ -20,9 +20,10 @@
 
     :param peers: provides the identity of this process and the addresses of the runners.
     :param own_counts: returns the request counts of this process by target id.
+    :ivar held_until_ms: time from which a report may be sent that was too early.
     """
 
-    __slots__ = ("_own_counts", "_peers", "_sent", "_sent_ms", "_sequence")
+    __slots__ = ("_own_counts", "_peers", "_sent", "_sent_ms", "_sequence", "held_until_ms")
 
     def __init__(
         self, peers: PeerDirectory, own_counts: Callable[[], dict[str, TargetCounts]]
@@ -32,6 +33,7 @@
         self._sequence = 0
         self._sent: LoadReport | None = None
         self._sent_ms = float("-inf")
+        self.held_until_ms = float("-inf")
 
     def send(
         self,
@@ -47,6 +49,9 @@
         clock_ms: float = 0.0,
         is_store_silent: bool = False,
         newest_versions: dict[str, int] | None = None,
+        reads_parts: bool = False,
+        needs_totals: bool = False,
+        min_interval_ms: float = 0.0,
     ) -> LoadReport:
         """Send the next report to all runners except this process.
 
@@ -55,6 +60,7 @@
         :class:`LoadReport`.
 
         :param now_ms: monotonic time.
+        :param min_interval_ms: time between two reports that are sent.
         :return: the report, whether it was sent or not.
         """
         self._sequence += 1
@@ -75,10 +81,17 @@
             clock_ms,
             is_store_silent,
             newest_versions or {},
+            reads_parts,
+            needs_totals,
         )
-        if self._is_due(report, now_ms):
-            socket.send(report, self._peers.addresses("runner"))
-            self._sent, self._sent_ms = report, now_ms
+        self.held_until_ms = float("-inf")
+        if not self._is_due(report, now_ms):
+            return report
+        if now_ms - self._sent_ms < min_interval_ms:
+            self.held_until_ms = self._sent_ms + min_interval_ms
+            return report
+        socket.send(report, self._peers.addresses("runner"))
+        self._sent, self._sent_ms = report, now_ms
         return report
 
     def _is_due(self, report: LoadReport, now_ms: float) -> bool:
--- a/ebonyshore/link/load_service.py
+++ b/ebonyshore/link/load_service.py
@@ -23,8 +23,9 @@
     :param host: local address of the UDP socket.
     :param port: local port of the UDP socket.
     :param on_message: called with each message received.
-    :param send: sends the current messages through the socket that it is passed. An ``OSError`` is
-        logged.
+    :param send: sends the current messages through the socket that it is passed; returns the time
+        in milliseconds after which it is to be called again even without a change. An ``OSError``
+        is logged.
     """
 
     name = "load"
@@ -34,7 +35,7 @@
         host: str,
         port: int,
         on_message: Callable[[Datagram], None],
-        send: Callable[[LoadSocket], None],
+        send: Callable[[LoadSocket], float],
         log: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -65,15 +66,17 @@
         self._socket.close()
 
     async def _run(self) -> None:
+        wait_ms = MAX_REPORT_INTERVAL_MS
         while True:
             try:
-                async with timeout(MAX_REPORT_INTERVAL_MS / MS_PER_S):
+                async with timeout(wait_ms / MS_PER_S):
                     await self._report_due.wait()
             except TimeoutError:
-                pass  # send a heartbeat
+                pass  # send a heartbeat, or what was too early before
             self._report_due.clear()
+            wait_ms = MAX_REPORT_INTERVAL_MS
             try:
-                self._send(self._socket)
+                wait_ms = min(wait_ms, self._send(self._socket))
             except OSError as error:
                 self._log.event("load_report_failed", error=repr(error))
             await sleep(MIN_REPORT_INTERVAL_MS / MS_PER_S)
--- a/ebonyshore/link/load_socket.py
+++ b/ebonyshore/link/load_socket.py
@@ -46,16 +46,18 @@
             self._transport.close()
             self._transport = None
 
-    def send(self, message: Datagram, addresses: list[tuple[str, int]]) -> None:
+    def send(self, message: Datagram, addresses: list[tuple[str, int]]) -> int:
         """Send a message to each address; has no effect if the socket is not open.
 
         A message that exceeds one packet is sent in several datagrams if it can be divided. What
         cannot be sent as a datagram is counted as ``datagrams_too_large``.
 
         :param addresses: pairs of host and port.
+        :return: number of bytes that were sent.
         """
         if self._transport is None or not addresses:
-            return
+            return 0
+        sent_bytes = 0
         sound = [address for address in addresses if _is_sendable(*address)]
         self._metrics.count("load_datagram_errors", len(addresses) - len(sound))
         for frame in encode_datagrams(message, self._codec.encode, PACKET_BYTES):
@@ -64,6 +66,8 @@
                 continue
             for address in sound:
                 self._transport.sendto(frame, address)
+            sent_bytes += len(frame) * len(sound)
+        return sent_bytes
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         message = self._codec.decode(data)
--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -5,19 +5,16 @@
 its square.
 """
 
-from collections.abc import Iterable
-from math import ceil
+from collections.abc import Iterable, Mapping
 
 from msgspec import Struct, structs
 
+from ebonyshore.link.count_sums import CountSums
+from ebonyshore.link.target_counts import LOST_BATCH_DECAY_MS, NO_COUNTS, TargetCounts
 from ebonyshore.link.wire_types import Finite
 
 REPORT_TIMEOUT_MS = 1_000.0
 MUTUAL_TIMEOUT_MS = 500.0
-# The connections of a lost instance are not closed, so targets continue to process its requests
-# until they end. The counts of a lost process therefore decrease linearly to zero in this time.
-LOST_ONLINE_DECAY_MS = 1_000.0
-LOST_BATCH_DECAY_MS = 5_000.0
 
 
 class LastSeen(Struct, frozen=True):
@@ -58,26 +55,6 @@
     wanted_per_s: Finite = 0.0
 
 
-class TargetCounts(Struct, frozen=True, array_like=True):
-    """Numbers of online requests and batch items that one or more processes have at a target."""
-
-    online: int
-    batch: int
-
-    def plus(self, other: "TargetCounts") -> "TargetCounts":
-        """Return the sum of both counts."""
-        return TargetCounts(self.online + other.online, self.batch + other.batch)
-
-    def decayed(self, silent_ms: float) -> "TargetCounts":
-        """Estimate what is still running at the target for a lost process; rounds up.
-
-        :param silent_ms: time since the process was last seen.
-        """
-        online = self.online * max(0.0, 1.0 - silent_ms / LOST_ONLINE_DECAY_MS)
-        batch = self.batch * max(0.0, 1.0 - silent_ms / LOST_BATCH_DECAY_MS)
-        return TargetCounts(ceil(online), ceil(batch))
-
-
 class LoadReport(Struct, frozen=True, tag="report", array_like=True):
     """The counts of one process; replaces the previous report of the same process.
 
@@ -99,6 +76,8 @@
     :param is_store_silent: for a runner: whether its store probe gets no answers.
     :param newest_versions: newest version of an object in the store that the process knows, by
         kind.
+    :param reads_parts: for an entry: whether it understands :class:`TotalsPart`.
+    :param needs_totals: for an entry that does: whether it has missed a part, or has no totals.
     """
 
     sender: str
@@ -116,6 +95,8 @@
     clock_ms: Finite = 0.0
     is_store_silent: bool = False
     newest_versions: dict[str, int] = {}
+    reads_parts: bool = False
+    needs_totals: bool = False
 
 
 class LoadTotals(Struct, frozen=True, tag="totals", array_like=True):
@@ -129,6 +110,7 @@
     :param leaving: as in :class:`LoadReport`, from all processes.
     :param limits: as in :class:`LoadReport`, with the requests of all other processes.
     :param newest_versions: as in :class:`LoadReport`, over all processes.
+    :param part_number: number of the last :class:`TotalsPart` that these totals include.
     """
 
     sender: str
@@ -139,6 +121,33 @@
     leaving: tuple[Incarnation, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     newest_versions: dict[str, int] = {}
+    part_number: int = 0
+
+
+class TotalsPart(Struct, frozen=True, tag="totals_part", array_like=True):
+    """The counts at some targets, which replace those of earlier totals and parts.
+
+    :param sender: instance id of the runner that sends the totals.
+    :param incarnation: the run of the sender.
+    :param sequence: increases with each message of a run, as that of :class:`LoadTotals` does.
+    :param number: one more than that of the last part that was sent to the receiver.
+    :param counts: counts of all processes by target id. The receiver has no requests there as far
+        as the sender knows, unless the target is also among ``others``.
+    :param others: counts of all processes but the receiver, by target id.
+    :param runners: as in :class:`LoadTotals`; empty if it was sent a short time ago.
+    :param leaving: as in :class:`LoadTotals`, like the next two.
+    """
+
+    sender: str
+    incarnation: str
+    sequence: int
+    number: int
+    counts: dict[str, TargetCounts]
+    others: dict[str, TargetCounts] = {}
+    runners: dict[str, int] = {}
+    leaving: tuple[Incarnation, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
+    newest_versions: dict[str, int] = {}
 
 
 class LoadTable:
@@ -157,6 +166,8 @@
         "_own_id",
         "_received_ms",
         "_reports",
+        "_sums",
+        "_unsummed",
     )
 
     def __init__(self, own_id: str) -> None:
@@ -166,6 +177,8 @@
         self._last_seen: dict[str, LastSeen] = {}
         self._lost_reports: dict[str, LoadReport] = {}
         self._mutually_heard_since_ms: dict[str, float] = {}
+        self._sums = CountSums()
+        self._unsummed: set[str] = set()  # senders whose latest report the sums do not include
 
     def add_report(self, report: LoadReport, now_ms: float) -> bool:
         """Store a received report, unless it is outdated or from this process.
@@ -186,6 +199,7 @@
         ):
             self._mutually_heard_since_ms[report.sender] = now_ms
         self._reports[report.sender] = report
+        self._unsummed.add(report.sender)
         self._received_ms[report.sender] = now_ms
         self._lost_reports.pop(report.sender, None)
         self.mark_seen(report.sender, report.incarnation, now_ms)
@@ -209,6 +223,7 @@
         for sender in list(self._lost_reports):
             if now_ms - self._last_seen[sender].at_ms > LOST_BATCH_DECAY_MS:
                 del self._lost_reports[sender]
+                self._sums.replace(sender, {})
 
     def last_seen(self, sender: str) -> LastSeen | None:
         """Return when a process was last seen, also if it is lost; ``None`` if it never was."""
@@ -243,20 +258,39 @@
         """Return the latest reports of the other live runners, by instance id."""
         return {key: report for key, report in self._reports.items() if report.role == "runner"}
 
-    def totals(self, now_ms: float, excluded: str = "") -> dict[str, TargetCounts]:
+    def totals(self, now_ms: float, excluded: str = "") -> Mapping[str, TargetCounts]:
         """Return the total counts by target over all live and recently lost processes.
 
+        Costs as much as has changed since the last call.
+
         :param excluded: instance id of a live process whose counts are left out.
+        :return: not to be changed; valid until the next call of a method.
         """
-        sums: dict[str, TargetCounts] = {}
-        for sender, report in self._reports.items():
-            if sender != excluded:
-                add_counts(sums, report.counts)
+        for sender in self._unsummed:
+            report = self._reports.get(sender)
+            if report is not None:
+                self._sums.replace(sender, report.counts)
+        self._unsummed.clear()
         for sender, report in self._lost_reports.items():
             silent_ms = now_ms - self._last_seen[sender].at_ms
             remaining = {key: count.decayed(silent_ms) for key, count in report.counts.items()}
-            add_counts(sums, remaining)
-        return sums
+            self._sums.replace(sender, remaining)
+        if excluded in self._reports:
+            return without(self._sums.by_target, self._sums.included(excluded))
+        return self._sums.by_target
+
+    @property
+    def sums(self) -> Mapping[str, TargetCounts]:
+        """The totals at the time of the last call of :meth:`totals`; not to be changed."""
+        return self._sums.by_target
+
+    def take_changed_targets(self) -> set[str]:
+        """Return the ids of the targets whose totals have changed between calls of this method."""
+        return self._sums.take_changed()
+
+    def report(self, sender: str) -> LoadReport | None:
+        """Return the latest report of a live process."""
+        return self._reports.get(sender)
 
     def limits(self, now_ms: float, excluded: str = "") -> list[LimitReport]:
         """Return what all live processes have reported of rate limits, with their present ages.
@@ -280,10 +314,15 @@
 
     def max_observed_batch(self, target_id: str) -> int:
         """Return the highest number of batch items that an entry reports for a target, or 0."""
-        return max(
-            (report.observed_batch.get(target_id, 0) for report in self._reports.values()),
-            default=0,
-        )
+        return self.observed_batch().get(target_id, 0)
+
+    def observed_batch(self) -> dict[str, int]:
+        """Return the highest numbers of batch items that entries report, by target id."""
+        highest: dict[str, int] = {}
+        for report in self._reports.values():
+            for target_id, count in report.observed_batch.items():
+                highest[target_id] = max(count, highest.get(target_id, 0))
+        return highest
 
 
 def merge_totals(totals: Iterable[LoadTotals]) -> dict[str, TargetCounts]:
@@ -314,3 +353,17 @@
     for target_id, count in counts.items():
         known = sums.get(target_id)
         sums[target_id] = count if known is None else known.plus(count)
+
+
+def without(
+    sums: Mapping[str, TargetCounts], counts: Mapping[str, TargetCounts]
+) -> dict[str, TargetCounts]:
+    """Return ``sums`` less the counts of one process that they include."""
+    rest = dict(sums)
+    for target_id, count in counts.items():
+        left = rest.get(target_id, NO_COUNTS).minus(count)
+        if left == NO_COUNTS:
+            rest.pop(target_id, None)
+        else:
+            rest[target_id] = left
+    return rest
--- a/ebonyshore/link/rate_limits.py
+++ b/ebonyshore/link/rate_limits.py
@@ -241,10 +241,14 @@
                 wanted_per_s=report.wanted_per_s + known.wanted_per_s,
             )
         sums[report.incarnation] = report
-    return {key: _add_unheard(report, unheard / processes) for key, report in sums.items()}
+    return {key: add_unheard(report, unheard / processes) for key, report in sums.items()}
 
 
-def _add_unheard(report: LimitReport, share: float) -> LimitReport:
+def add_unheard(report: LimitReport, share: float) -> LimitReport:
+    """Include what processes may send that are not heard of.
+
+    :param share: their part of all processes.
+    """
     if report.rate_per_s is None:
         return report
     return structs.replace(report, requests=report.requests + share * _budget(report.rate_per_s))
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -14,12 +14,13 @@
     StreamStarts,
     SuspicionUpdate,
 )
+from ebonyshore.link.limit_sums import LimitSums
 from ebonyshore.link.load_report_sender import LoadReportSender
 from ebonyshore.link.load_socket import LoadSocket
-from ebonyshore.link.load_table import LimitReport, LoadReport, LoadTable, LoadTotals, add_counts
+from ebonyshore.link.load_table import LimitReport, LoadReport, LoadTable
 from ebonyshore.link.pace_messages import PaceReport
 from ebonyshore.link.peers import PeerDirectory
-from ebonyshore.link.rate_limits import sum_limits
+from ebonyshore.link.report_pacing import min_report_interval_ms, time_until_due
 from ebonyshore.link.speed_exchange import SpeedExchange
 from ebonyshore.link.suspicion_exchange import SuspicionExchange
 from ebonyshore.link.target_speeds import SpeedUpdate
@@ -28,8 +29,10 @@
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND
 from ebonyshore.runner.origin_registry import OriginRegistry
+from ebonyshore.runner.totals_sender import TotalsSender
 
 VERSIONS_INTERVAL_MS = 250.0  # between two messages to the entries
+NO_LIMITS = LimitSums((), 0, 1)
 
 
 class RunnerLoad:
@@ -81,6 +84,7 @@
         self._pace = pace
         self._clock = clock
         self._speeds = SpeedExchange(peers, targets)
+        self._totals = TotalsSender(peers, targets, load_table)
         self._watch_monitor = watch_monitor
         self._is_store_silent = is_store_silent
         self._origins = origins
@@ -113,13 +117,14 @@
         if self._load_table.add_report(report, self._clock.boot_ms()):
             self._registry.on_change()
 
-    def send(self, socket: LoadSocket) -> None:
+    def send(self, socket: LoadSocket) -> float:
         """Send this runner's report to the other runners, and the totals to the entries.
 
         The totals are sent only by the live runner with the lowest id. New suspicions are sent to
         all processes.
 
         :param socket: sends the messages.
+        :return: time in milliseconds until something may be due that was too early now.
         """
         self._load_table.drop_expired(self._clock.boot_ms())
         # This runner has written records that its watch has not returned yet.
@@ -136,17 +141,21 @@
             limits=self._targets.rate_limits.own_reports(now_ms()),
             is_store_silent=self._is_store_silent(),
             newest_versions=self._watch_monitor.newest_versions(),
+            min_interval_ms=min_report_interval_ms(self._peers.process_count),
         )
-        own_id = report.sender
-        self._targets.rate_limits.update_others(own_id, self._limits_without(own_id), now_ms())
+        others = self._limits().without((), is_heard=True)
+        self._targets.rate_limits.update_others(report.sender, others, now_ms())
         sends_totals = self._load_table.has_lowest_runner_id()
         if sends_totals:
             self._send_totals(socket, report)
             self._send_versions(socket)
             self._pace.send_limits(socket, self._peers.addresses("entry"), now_ms())
+        else:
+            self._totals.stop()
         self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
         self._send_suspicions(socket, sends_totals)
         self._speeds.send(socket, now_ms(), sends_totals)
+        return time_until_due([self._reports.held_until_ms, self._totals.held_until_ms], now_ms())
 
     def _send_suspicions(self, socket: LoadSocket, includes_entries: bool) -> None:
         runners = self._peers.addresses("runner")
@@ -162,31 +171,26 @@
         if message is not None:
             socket.send(message, self._peers.addresses("entry"))
 
-    def _limits_without(
-        self, excluded: str, own_limits: tuple[LimitReport, ...] = ()
-    ) -> tuple[LimitReport, ...]:
-        """Return the limits of targets, and the requests there of all processes but one."""
-        reports = [*self._load_table.limits(self._clock.boot_ms(), excluded), *own_limits]
+    def _limits(self, own_limits: tuple[LimitReport, ...] = ()) -> LimitSums:
+        """Return the limits of targets, and the requests there of all other processes.
+
+        :param own_limits: what this process knows, to be included.
+        """
+        reports = [*self._load_table.limits(self._clock.boot_ms()), *own_limits]
         if not reports:
-            return ()
-        unheard = self._peers.unheard(self._load_table.live_processes(), excluded)
-        return tuple(sum_limits(reports, unheard, self._peers.process_count).values())
+            return NO_LIMITS
+        unheard = self._peers.unheard(self._load_table.live_processes())
+        return LimitSums(reports, unheard, self._peers.process_count)
 
     def _send_totals(self, socket: LoadSocket, own_report: LoadReport) -> None:
         runners = {key: report.open_items for key, report in self._load_table.runners().items()}
         if not self._registry.is_leaving:
             runners[own_report.sender] = own_report.open_items
-        for entry in self._peers.of_role("entry").values():
-            counts = self._load_table.totals(self._clock.boot_ms(), excluded=entry.instance_id)
-            add_counts(counts, own_report.counts)
-            message = LoadTotals(
-                own_report.sender,
-                own_report.incarnation,
-                own_report.sequence,
-                counts,
-                runners,
-                own_report.leaving,
-                self._limits_without(entry.instance_id, own_report.limits),
-                own_report.newest_versions,
-            )
-            socket.send(message, [(entry.host, entry.port)])
+        self._totals.send(
+            socket,
+            own_report,
+            runners,
+            self._limits(own_report.limits),
+            self._clock.boot_ms(),
+            now_ms(),
+        )
