--- a/ebonyshore/gateway/entry_load_reporter.py
+++ b/ebonyshore/gateway/entry_load_reporter.py
@@ -111,7 +111,8 @@
             min_interval_ms=min_report_interval_ms(self._peers.process_count),
         )
         self._suspicions.send(socket, self._peers.addresses("runner"), [], now_ms())
-        self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
+        runners, processes = self._peers.addresses("runner"), self._peers.process_count
+        self._pace.send_evidence(socket, runners, now_ms(), processes)
         self._speeds.send(socket, now_ms())
         self._origins.report_streams()
         return time_until_due([self._reports.held_until_ms], now_ms())
--- a/ebonyshore/runner/runner_load.py
+++ b/ebonyshore/runner/runner_load.py
@@ -152,7 +152,8 @@
             self._pace.send_limits(socket, self._peers.addresses("entry"), now_ms())
         else:
             self._totals.stop()
-        self._pace.send_evidence(socket, self._peers.addresses("runner"), now_ms())
+        runners, processes = self._peers.addresses("runner"), self._peers.process_count
+        self._pace.send_evidence(socket, runners, now_ms(), processes)
         self._send_suspicions(socket, sends_totals)
         self._speeds.send(socket, now_ms(), sends_totals)
         return time_until_due([self._reports.held_until_ms, self._totals.held_until_ms], now_ms())
