--- a/ebonyshore/link/account_ledger.py
+++ b/ebonyshore/link/account_ledger.py
@@ -30,6 +30,7 @@
 # Of the debt, with which a bucket starts, as its account may have sent requests before the runner
 # heard of them.
 INITIAL_DEBT_PART = 0.5
+USE_LIFETIME_MS = 10_000.0  # after which averaged rates without further requests are nothing
 LISTED_RUNNING = 4  # requests at targets from which on an account is listed
 
 
@@ -39,18 +40,27 @@
     :ivar report: the last report of the entry about the account.
     :ivar reported_ms: time at which that report was received.
     :ivar admissions: rate at which the entry admits requests, from the differences of its reports.
+    :ivar admitted_per_s: that rate at the last update.
+    :ivar wanted_per_s: rate of requests at the last update; those since the report are not known.
     """
 
-    __slots__ = ("admissions", "report", "reported_ms")
+    __slots__ = ("admissions", "admitted_per_s", "report", "reported_ms", "wanted_per_s")
 
     def __init__(self, report: AccountUse) -> None:
         self.report = report
         self.reported_ms = 0.0
         self.admissions = EventRate()
+        self.admitted_per_s = 0.0
+        self.wanted_per_s = 0.0
+
+    def update(self, now_ms: float) -> None:
+        """Compute the present rates."""
+        self.admitted_per_s = self.admissions.per_s(now_ms)
+        self.wanted_per_s = aged_rate(self.report.wanted_tenths / TENTHS, now_ms - self.reported_ms)
 
-    def wanted_per_s(self, now_ms: float) -> float:
-        """Return the present rate of requests; those since the report are not known."""
-        return aged_rate(self.report.wanted_tenths / TENTHS, now_ms - self.reported_ms)
+    def has_ended(self, now_ms: float) -> bool:
+        """Return whether the entry has no requests and its rates have become nothing."""
+        return not self.report.running and now_ms - self.reported_ms > USE_LIFETIME_MS
 
 
 class FleetSum:
@@ -63,19 +73,19 @@
         self.wanted_per_s = 0.0
         self.running = 0
 
-    def add(self, use: EntryUse, now_ms: float) -> None:
-        """Add the use of an entry."""
-        self.admitted_per_s += use.admissions.per_s(now_ms)
-        self.wanted_per_s += use.wanted_per_s(now_ms)
+    def add(self, use: EntryUse) -> None:
+        """Add the use of an entry at its last update."""
+        self.admitted_per_s += use.admitted_per_s
+        self.wanted_per_s += use.wanted_per_s
         self.running += use.report.running
 
-    def without(self, account: str, level: float, use: EntryUse, now_ms: float) -> AccountSum:
+    def without(self, account: str, level: float, use: EntryUse) -> AccountSum:
         """Return the message to the entry with this use, without what it uses itself."""
         return AccountSum(
             account,
             round(level * TENTHS),
-            max(0, round((self.admitted_per_s - use.admissions.per_s(now_ms)) * TENTHS)),
-            max(0, round((self.wanted_per_s - use.wanted_per_s(now_ms)) * TENTHS)),
+            max(0, round((self.admitted_per_s - use.admitted_per_s) * TENTHS)),
+            max(0, round((self.wanted_per_s - use.wanted_per_s) * TENTHS)),
             self.running - use.report.running,
         )
 
@@ -221,7 +231,8 @@
             told = dict(messages_to_others)
             for account in entry.uses.keys() & sums.keys():
                 use = entry.uses[account]
-                told[account] = sums[account].without(account, self._level(account), use, now_ms)
+                if not use.has_ended(now_ms):
+                    told[account] = sums[account].without(account, self._level(account), use)
             messages[instance_id] = AccountTotals(
                 self.incarnation,
                 self._number,
@@ -308,7 +319,11 @@
         for entry in self._entries.values():
             if now_ms - entry.heard_ms < SILENT_EXPIRY_MS:
                 for account, use in entry.uses.items():
-                    sums.setdefault(account, FleetSum()).add(use, now_ms)
+                    if not use.has_ended(now_ms):
+                        use.update(now_ms)
+                        sums.setdefault(account, FleetSum()).add(use)
+        for account in self._buckets.keys() - sums.keys():
+            sums[account] = FleetSum()
         return {
             account: found for account, found in sums.items() if self._is_listed(account, found)
         }
