Load exchange: item plan with a heap, restarted targets, tests and fuzzing

The plan of items looked at all targets for each waiting item; it keeps a heap of them, with the same order among equals. Tests of cost and bounds of the exchange; the fuzzer knows parts of totals.

--- a/ebonyshore/host/target_speed.py
+++ b/ebonyshore/host/target_speed.py
@@ -103,6 +103,11 @@
         is_recent = now_ms - self.complete_ms < lifetime_ms
         return is_recent and len(targets) <= 2 * len(self.covered)
 
+    def drop(self, target_id: str) -> None:
+        """Forget the estimate of a target, which may come back as another incarnation."""
+        self.by_id.pop(target_id, None)
+        self.covered.discard(target_id)
+
     def changed(self, targets: Iterable[Target]) -> list[Target]:
         """Return the targets that have no estimate yet, or of which something was learned."""
         return [
@@ -387,6 +392,8 @@
             self._others.pop(key, None)
             self._due_own.drop(key)
             self._due_merged.drop(key)
+        for service in self._services.values():
+            service.drop(incarnation.target_id)
 
 
 def service_means(by_kind: ReportsByKind) -> ServiceMeans:
--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from functools import lru_cache
 from hashlib import blake2b
+from heapq import heapify, heappop, heapreplace
 
 from msgspec import Struct
 
@@ -169,19 +170,27 @@
         if target.excess_items
         for item in list(target.own_batch)[-target.excess_items :]
     ]
+    targets_by_id = {target.target_id: target for target in targets}
     free_slots = {
         target.target_id: target.free_slots
         for target in targets
         if target.is_usable and target.free_slots > 0
     }
-    speeds = {target.target_id: target.speed for target in targets}
+    best_first = [
+        (-free * targets_by_id[key].speed, order, key)
+        for order, (key, free) in enumerate(free_slots.items())
+    ]
+    heapify(best_first)
     starts: list[ItemStart] = []
     for item in waiting:
-        if not free_slots:
+        if not best_first:
             break
-        target_id = max(free_slots, key=lambda key: free_slots[key] * speeds[key])
+        _, order, target_id = best_first[0]
         starts.append(ItemStart(item, target_id))
         free_slots[target_id] -= 1
-        if not free_slots[target_id]:
-            del free_slots[target_id]
+        if free_slots[target_id]:
+            work = free_slots[target_id] * targets_by_id[target_id].speed
+            heapreplace(best_first, (-work, order, target_id))
+        else:
+            heappop(best_first)
     return ItemPlan(tuple(starts), tuple(stops))
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -1,14 +1,18 @@
 """The load exchange of a large fleet: its cost, its bounds, and messages that are lost or late."""
 
 from random import Random
+from time import thread_time
 
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
+from msgspec import structs
 from msgspec.msgpack import Decoder, Encoder
 
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.host.event_times import RECENT_HALF_LIFE_MS, USUAL_HALF_LIFE_MS
+from ebonyshore.host.pace import TargetPace
+from ebonyshore.host.pace_exchange import MAX_TARGETS_PER_DATAGRAM, PaceExchange
 from ebonyshore.host.speed_sum import REPORT_LIFETIME_MS, SpeedSum
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.targets import TargetTable
@@ -17,11 +21,21 @@
 from ebonyshore.link.limit_sums import LimitSums
 from ebonyshore.link.load_socket import PACKET_BYTES
 from ebonyshore.link.load_table import Incarnation, LoadReport, LoadTable, LoadTotals, TotalsPart
+from ebonyshore.link.pace_messages import PaceLimit
 from ebonyshore.link.peers import PeerRecord
-from ebonyshore.link.speed_exchange import ENTRY_BYTES_PER_S, SpeedExchange
+from ebonyshore.link.report_pacing import min_report_interval_ms
+from ebonyshore.link.speed_exchange import (
+    ENTRY_BYTES_PER_S,
+    REPORT_BYTES,
+    RUNNER_BYTES_PER_S,
+    SpeedExchange,
+)
 from ebonyshore.link.target_counts import NO_COUNTS, TargetCounts
 from ebonyshore.link.target_speeds import SpeedReport, SpeedUpdate
 from ebonyshore.runner import totals_sender
+from ebonyshore.runner.account_totals import totals_interval_ms
+from ebonyshore.runner.item_plan import PrimaryRunners, assign_primary_runners
+from ebonyshore.runner.runner_process import step_pause_ms
 from ebonyshore.runner.totals_sender import COMPLETE_INTERVAL_MS, TotalsSender
 
 DOMAINS = 3
@@ -70,6 +84,7 @@
         self.sent_bytes = dict.fromkeys(names, 0)
         self.messages = []
         self.is_lost = lambda _name, _message: False
+        self.is_delivering = True
 
     def of_role(self, _role):
         return self.records
@@ -83,6 +98,8 @@
         return dict.fromkeys(self.random.sample(self.ids, number), TargetCounts(1, 0))
 
     def send(self, message, addresses):
+        if not self.is_delivering:
+            return len(self.encode(message)) * len(addresses)
         sent_bytes = 0
         for frame in encode_datagrams(message, self.encode, PACKET_BYTES):
             received = self.decoder.decode(frame)
@@ -101,30 +118,42 @@
         elif isinstance(message, LoadTotals):
             self.views[name].update_totals(message, self.now_ms)
 
+    def make_report(self, name, moves):
+        """Let an entry move some requests to other targets and return its report."""
+        counts = self.counts[name]
+        for target_id in self.random.sample(sorted(counts), moves):
+            del counts[target_id]
+            free = self.random.sample(self.ids, 2 + len(counts))
+            counts[next(key for key in free if key not in counts)] = TargetCounts(1, 0)
+        return LoadReport(
+            name,
+            "run-1",
+            self.sequence,
+            "entry",
+            dict(counts),
+            reads_parts=self.reads_parts,
+            needs_totals=self.views[name].needs_totals,
+        )
+
     def report(self, moves=0):
-        """Let each entry move some requests to other targets and report its counts."""
+        """Let all entries report."""
         self.sequence += 1
-        for name, counts in self.counts.items():
-            for target_id in self.random.sample(sorted(counts), moves):
-                del counts[target_id]
-                free = [key for key in self.random.sample(self.ids, 2 + len(counts))]
-                counts[next(key for key in free if key not in counts)] = TargetCounts(1, 0)
-            report = LoadReport(
-                name,
-                "run-1",
-                self.sequence,
-                "entry",
-                dict(counts),
-                reads_parts=self.reads_parts,
-                needs_totals=self.views[name].needs_totals,
-            )
-            self.load_table.add_report(report, self.now_ms)
+        for name in self.counts:
+            self.load_table.add_report(self.make_report(name, moves), self.now_ms)
+
+    def names_due(self, at_ms, interval_ms):
+        """Return the entries that report in the 20 ms from a time, each once in an interval."""
+        slot, slots = at_ms % interval_ms // 20, -(-interval_ms // 20)
+        return [name for name, record in self.records.items() if record.port % slots == slot]
+
+    def send_totals(self, now_ms):
+        own = LoadReport("r1", "run-1", self.sequence, "runner", {self.ids[0]: TargetCounts(0, 2)})
+        self.sender.send(self, own, {"r1": 3}, NO_LIMITS, now_ms, now_ms)
 
     def step(self, moves=0):
         self.now_ms += 20.0
         self.report(moves)
-        own = LoadReport("r1", "run-1", self.sequence, "runner", {self.ids[0]: TargetCounts(0, 2)})
-        self.sender.send(self, own, {"r1": 3}, NO_LIMITS, self.now_ms, self.now_ms)
+        self.send_totals(self.now_ms)
 
     def others(self, name):
         """Return the true counts of all processes but one entry."""
@@ -237,6 +266,45 @@
     assert near_errors < 0.4 * far_errors / (DOMAINS - 1)
 
 
+def test_exchange_of_a_large_fleet_takes_a_small_part_of_a_core():
+    """Load pattern: 380 entries and 860 targets, everything changes as often as may be told."""
+    entries, step_ms = 380, int(min_report_interval_ms(381))
+    fleet = Fleet(entries, 860, 10)
+    fleet.sender = TotalsSender(fleet, fleet.table, fleet.load_table)
+    exchange, random, used_s = SpeedExchange(fleet, fleet.table), Random(3), 0.0
+    fleet.step()
+    fleet.is_delivering = False
+    targets = list(fleet.table.by_id().values())
+    told = int(RUNNER_BYTES_PER_S / (REPORT_BYTES + 12) * step_ms / 1_000.0 / entries) + 1
+    for at_ms in range(step_ms, 11 * step_ms, step_ms):
+        updates = [
+            SpeedUpdate(
+                name,
+                False,
+                tuple(
+                    speed_report(target.incarnation, random.uniform(10.0, 90.0), 50.0, 20.0, 9.0)
+                    for target in random.sample(targets, told)
+                ),
+            )
+            for name in fleet.records
+        ]
+        fleet.now_ms = float(at_ms)
+        began_s = thread_time()
+        for update in updates:
+            fleet.table.speeds.merge(update, float(at_ms))
+        used_s += thread_time() - began_s
+        for now_ms in range(at_ms, at_ms + step_ms, 20):
+            fleet.sequence += 1
+            moves = [fleet.make_report(name, 1) for name in fleet.names_due(now_ms, step_ms)]
+            began_s = thread_time()
+            for report in moves:
+                fleet.load_table.add_report(report, float(now_ms))
+            fleet.send_totals(float(now_ms))
+            exchange.send(fleet, float(now_ms), includes_entries=True)
+            used_s += thread_time() - began_s
+    assert used_s < 0.5 * 10 * step_ms / 1_000.0
+
+
 def speed_report(incarnation, usual_ms, usual_weight, recent_ms, recent_weight):
     return SpeedReport(incarnation, usual_ms, usual_weight, recent_ms, recent_weight)
 
@@ -340,3 +408,60 @@
     fleet.table.speeds.merge(update, 20_000.0)
     exchange.send(fleet, 20_000.0, includes_entries=True)
     assert fleet.messages[0][1].reports[0].incarnation.target_id == slow
+
+
+def make_returned(target_count):
+    """Return a runner's exchange of the limits of targets that have all just returned."""
+    table = TargetTable(pace=TargetPace(lambda: 100))
+    table.replace_all([], 0.0)
+    for target in make_table(target_count).by_id().values():
+        table.put(target.entry, 1.0)
+    return table, PaceExchange("r1", table)
+
+
+def test_bytes_of_limits_are_bounded_when_many_targets_return_at_once():
+    table, exchange = make_returned(1_350)
+    fleet, known = Fleet(2, 3, 1), set()
+    for at_ms in range(0, 30_000, 20):
+        exchange.send_limits(fleet, fleet.addresses("entry"), float(at_ms))
+    for _, message in fleet.messages:
+        known |= {limit.incarnation for limit in message.limits}
+    assert fleet.sent_bytes["e000"] <= 13_000.0 * 31
+    assert len(known) == 1_350
+
+
+def test_a_limit_that_changes_goes_before_limits_that_are_repeated():
+    table, exchange = make_returned(1_350)
+    fleet = Fleet(2, 3, 1)
+    for at_ms in range(0, 60_000, 20):
+        exchange.send_limits(fleet, fleet.addresses("entry"), float(at_ms))
+    changed = next(reversed(table.by_id().values()))
+    table.pace.adopt(PaceLimit(changed.incarnation, 5.0, 0.0, False), 8, 60_000.0)
+    fleet.messages.clear()
+    for at_ms in range(60_000, 60_200, 20):
+        exchange.send_limits(fleet, fleet.addresses("entry"), float(at_ms))
+    told = [limit.incarnation for _, message in fleet.messages for limit in message.limits]
+    assert changed.incarnation in told[:MAX_TARGETS_PER_DATAGRAM]
+
+
+def test_costly_steps_and_account_totals_leave_time_for_others():
+    assert [step_pause_ms(cost_ms) for cost_ms in (0.5, 30.0, 900.0)] == [4.0, 90.0, 250.0]
+    intervals = [totals_interval_ms(*use) for use in ((20, 1.0), (20, 15.0), (200, 1.0), (0, 90.0))]
+    assert intervals == [100.0, 150.0, 160.0, 250.0]
+
+
+def test_primary_runners_follow_a_change_of_targets_or_runners():
+    primary = PrimaryRunners()
+    for ids, runners in (("ab", "xy"), ("abc", "xy"), ("abc", "xyz"), ("bc", "xyz")):
+        assert primary.of(list(ids), list(runners)) == assign_primary_runners(ids, runners)
+
+
+def test_a_target_that_was_started_again_does_not_inherit_a_speed():
+    table = make_table(300)
+    targets = list(table.by_id().values())
+    slow = targets[0]
+    table.speeds.merge(make_speed_update("e1", table, lambda t: 90.0 if t is slow else 20.0), 0.0)
+    assert table.speeds.estimates(targets, 1.0)[slow.target_id].speed < 0.5
+    table.put(structs.replace(slow.entry, started_ms=5), 50.0)
+    targets = list(table.by_id().values())
+    assert slow.target_id not in table.speeds.estimates(targets, 102.0)
--- a/tools/fuzz_targets.py
+++ b/tools/fuzz_targets.py
@@ -15,6 +15,7 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import StoreUnavailableError, UnreadableObjectError
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.gateway.heard_totals import HeardTotals
 from ebonyshore.host.accounts import Account, digest_key
 from ebonyshore.host.event_stream import EventSplitter, StreamOrderError
 from ebonyshore.host.job_types import BodyPart, ItemRecord, JobRecord, ResultSegment
@@ -38,6 +39,7 @@
     LoadTable,
     LoadTotals,
     TargetCounts,
+    TotalsPart,
 )
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.link.rate_limits import RateLimits
@@ -107,7 +109,8 @@
 )
 TOTALS = LoadTotals("a", "run-1", 3, REPORT.counts, {"b": 2}, (), REPORT.limits)
 SPEEDS = SpeedUpdate("a", False, (SpeedReport(Incarnation("t1", 5), 20.0, 5.0, 30.0, 2.0),))
-DATAGRAMS = (REPORT, TOTALS, SPEEDS, StreamQuery("a", "127.0.0.1", 9, "q"))
+PART = TotalsPart("a", "run-1", 4, 1, {"t1": TargetCounts(2, 1)}, {"t2": TargetCounts(1, 0)})
+DATAGRAMS = (REPORT, TOTALS, PART, SPEEDS, StreamQuery("a", "127.0.0.1", 9, "q"))
 
 
 class FuzzTarget(Struct, frozen=True):
@@ -300,6 +303,10 @@
         _apply_limits(table.limits(2.0))
     elif isinstance(message, LoadTotals):
         _apply_limits(message.limits)
+        HeardTotals(message, 1.0).apply(PART, 2.0)
+    elif isinstance(message, TotalsPart):
+        _apply_limits(message.limits)
+        HeardTotals(TOTALS, 1.0).apply(message, 2.0)
     elif isinstance(message, SpeedUpdate):
         speeds = TargetSpeeds()
         speeds.merge(message, 1.0)
