--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -10,11 +10,14 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
+from functools import lru_cache
 from hashlib import blake2b
+from heapq import heapify, heappop, heapreplace
 
 from msgspec import Struct
 
+MAX_WEIGHTS = 1 << 16  # that are kept, of pairs of a target or job and a runner
 RESERVED_SLOTS = 1  # slots kept free at each target for the next online request
 UNLIMITED = 1 << 20  # start limit above the capacity of any target
 RESERVED_FOR_PRIMARY = 2  # further slots that runners other than the primary one keep free
@@ -99,6 +102,27 @@
     return max(runners, key=lambda runner: _rendezvous_weight(key, runner), default=None)
 
 
+class PrimaryRunners:
+    """The primary runner of each target, computed when targets or runners have changed."""
+
+    __slots__ = ("_assigned", "_runners")
+
+    def __init__(self) -> None:
+        self._runners: set[str] = set()
+        self._assigned: dict[str, str] = {}
+
+    def of(self, target_ids: Collection[str], runners: Sequence[str]) -> dict[str, str]:
+        """Return the instance id of the primary runner by target id.
+
+        For the parameters see :func:`assign_primary_runners`.
+        """
+        is_known = self._assigned.keys() == set(target_ids) and self._runners == set(runners)
+        if not is_known:
+            self._assigned = assign_primary_runners(target_ids, runners)
+            self._runners = set(runners)
+        return self._assigned
+
+
 def assign_primary_runners(target_ids: Iterable[str], runners: Sequence[str]) -> dict[str, str]:
     """Assign a primary runner to each target.
 
@@ -125,6 +149,7 @@
     return primary_runners
 
 
+@lru_cache(MAX_WEIGHTS)
 def _rendezvous_weight(key: str, runner: str) -> bytes:
     return blake2b(f"{runner}\n{key}".encode(), digest_size=8).digest()
 
@@ -145,19 +170,27 @@
         if target.excess_items
         for item in list(target.own_batch)[-target.excess_items :]
     ]
+    targets_by_id = {target.target_id: target for target in targets}
     free_slots = {
         target.target_id: target.free_slots
         for target in targets
         if target.is_usable and target.free_slots > 0
     }
-    speeds = {target.target_id: target.speed for target in targets}
+    best_first = [
+        (-free * targets_by_id[key].speed, order, key)
+        for order, (key, free) in enumerate(free_slots.items())
+    ]
+    heapify(best_first)
     starts: list[ItemStart] = []
     for item in waiting:
-        if not free_slots:
+        if not best_first:
             break
-        target_id = max(free_slots, key=lambda key: free_slots[key] * speeds[key])
+        _, order, target_id = best_first[0]
         starts.append(ItemStart(item, target_id))
         free_slots[target_id] -= 1
-        if not free_slots[target_id]:
-            del free_slots[target_id]
+        if free_slots[target_id]:
+            work = free_slots[target_id] * targets_by_id[target_id].speed
+            heapreplace(best_first, (-work, order, target_id))
+        else:
+            heappop(best_first)
     return ItemPlan(tuple(starts), tuple(stops))
