Totals: a runner that begins to send sends complete ones without being asked

Cause: an entry that had missed nothing of the runner before did not ask for complete totals until a part of the new sender reached it, one report later. Change: complete totals to every entry that this run of the sender has not sent any. The pace of an earlier turn is forgotten. The highest observed batch counts are only asked for together, so the method for one target goes.

--- a/ebonyshore/link/load_table.py
+++ b/ebonyshore/link/load_table.py
@@ -312,10 +312,6 @@
         """Return the instance ids of the other processes whose reports are not too old."""
         return set(self._reports)
 
-    def max_observed_batch(self, target_id: str) -> int:
-        """Return the highest number of batch items that an entry reports for a target, or 0."""
-        return self.observed_batch().get(target_id, 0)
-
     def observed_batch(self) -> dict[str, int]:
         """Return the highest numbers of batch items that entries report, by target id."""
         highest: dict[str, int] = {}
--- a/ebonyshore/runner/totals_sender.py
+++ b/ebonyshore/runner/totals_sender.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from math import inf
 from time import thread_time
 from typing import cast
 
@@ -110,7 +111,7 @@
     def __init__(self, incarnation: str) -> None:
         self.incarnation = incarnation
         self.number = 0
-        self.complete_ms = float("-inf")
+        self.complete_ms = -inf
 
 
 class TotalsSender:
@@ -158,11 +159,11 @@
         self._pending: dict[str, PendingTargets] = {}
         self._sent_own: Counts = {}
         self._to_repeat: list[str] = []
-        self._repeated_ms = float("-inf")
-        self._slow_fields_ms = float("-inf")
-        self._heartbeat_ms = float("-inf")
-        self._next_ms = float("-inf")
-        self.held_until_ms = float("-inf")
+        self._repeated_ms = -inf
+        self._slow_fields_ms = -inf
+        self._heartbeat_ms = -inf
+        self._next_ms = -inf
+        self.held_until_ms = -inf
 
     def send(
         self,
@@ -183,7 +184,7 @@
         if now_ms < self._next_ms:
             self.held_until_ms = self._next_ms
             return
-        self.held_until_ms = float("-inf")
+        self.held_until_ms = -inf
         began_s = self._processor_time_s()
         entries = self._peers.of_role("entry")
         totals = self._load_table.totals(boot_ms)
@@ -202,12 +203,12 @@
     def stop(self) -> None:
         """Let the entries ask for complete totals if this process sends them again later."""
         self._load_table.take_changed_targets()
-        self.held_until_ms = float("-inf")
+        self._next_ms = self.held_until_ms = -inf
         if self._pending:
             self._pending.clear()
             for told in self._told.values():
                 told.number += 1
-                told.complete_ms = float("-inf")
+                told.complete_ms = -inf
 
     def _note_entries(self, entries: Mapping[str, PeerRecord]) -> None:
         for instance_id in self._told.keys() - entries.keys():
@@ -274,7 +275,7 @@
         since_ms = now_ms - self._told[entry.instance_id].complete_ms
         if report is None or not report.reads_parts:
             return since_ms >= OUTDATED_INTERVAL_MS
-        return report.needs_totals and since_ms >= COMPLETE_INTERVAL_MS
+        return since_ms == inf or (report.needs_totals and since_ms >= COMPLETE_INTERVAL_MS)
 
     def _sums_of(self, target_ids: Sequence[str], own: Counts) -> dict[str, TargetCounts]:
         totals = self._load_table.sums
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -220,6 +220,18 @@
     assert sum(isinstance(message, LoadTotals) for _, message in fleet.messages) == 1
 
 
+def test_a_runner_that_begins_to_send_sends_complete_totals_first():
+    """Guards against entries that know nothing of the load until they have asked for it."""
+    fleet = Fleet(6, 400, 30)
+    for _ in range(20):
+        fleet.step(moves=1)
+    fleet.sender.stop()
+    fleet.messages.clear()
+    fleet.step(moves=1)
+    assert [type(message) for _, message in fleet.messages] == [LoadTotals] * 6
+    fleet.assert_all_know()
+
+
 def test_late_and_repeated_parts_are_ignored():
     view = LoadView("fd-0", lambda: None)
     view.update_totals(LoadTotals("r1", "run-1", 1, {"t1": TargetCounts(1, 0)}, {"r1": 0}), 0.0)
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -104,7 +104,8 @@
     assert view.observed_batch() == {}
     load_table = LoadTable("r1")
     load_table.add_report(LoadReport("e1", "run-1", 1, "entry", {}, observed_batch={"t1": 9}), 0.0)
-    assert load_table.max_observed_batch("t1") == 9 and load_table.max_observed_batch("t2") == 0
+    load_table.add_report(LoadReport("e2", "run-1", 1, "entry", {}, observed_batch={"t1": 4}), 0.0)
+    assert load_table.observed_batch() == {"t1": 9}
 
 
 class RecordingSocket:
