Tests of redirected reads: their stand-in of a call takes the holder of received bytes

test_redirected_reads failed since answers of runners are counted (memory of requests in flight): the call that it replaces has one parameter more. Nothing is checked less.

--- a/tests/test_redirected_reads.py
+++ b/tests/test_redirected_reads.py
@@ -9,6 +9,7 @@
 from ebonyshore.gateway.job_call_forwarder import JobCallForwarder, RunnerResponse
 from ebonyshore.http.client import ExchangeError
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import FixedHolder
 from ebonyshore.link.job_call import OWNER_HEADER, REDIRECT_STATUS, JobCall, JobCallKind
 from tests.registry_setup import make_peer
 
@@ -29,7 +30,7 @@
         self.unreachable = unreachable
         self.calls = []
 
-    async def _call_runner(self, runner, call, request):
+    async def _call_runner(self, runner, call, _request, _received):
         name = runner.instance_id
         self.calls.append((name, call.may_redirect))
         if name in self.unreachable:
@@ -39,7 +40,7 @@
         return RunnerResponse(status, Headers([(OWNER_HEADER, self.owner)]), name.encode())
 
     def read(self):
-        return asyncio.run(self._call_runners(READ, None))
+        return asyncio.run(self._call_runners(READ, None, FixedHolder()))
 
 
 def test_redirected_read_is_answered_by_the_owner_and_the_next_one_goes_there_at_once():
