Items whose target was started again do not wait for ever for the list to show it

Seen: 6 of 6 cases of test_unlucky_items ended without the results of items whose target had been started again. Cause: since an item goes on only at a start that the list shows, also with one version, an item was sent to the same target each 0.5 s, and refused there, as long as the list did not show the start. Change: it starts from its first event after the time that it waits for its version in any case. 6 of 6 pass.

--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -459,6 +459,8 @@
         if outcome is RunOutcome.NOT_RUN:
             target.mark_full(now_ms)
             item.not_before_ms = now_ms + NOT_RUN_DELAY_MS
+            if target.is_outdated and item.origin is not None:
+                self._waiting_items.note_stalled(item, now_ms)
             return
         if outcome is RunOutcome.UNREACHABLE:
             target.mark_unreachable(now_ms)
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -54,6 +54,8 @@
     :ivar run_started_ms: event loop time at which the present run started; ``None`` if the item is
         not running.
     :ivar run_ended_ms: event loop time at which the last run ended.
+    :ivar stalled_since_ms: event loop time since which no target was certain to have the version of
+        the events; ``None`` if the item has gone on since.
     :ivar saved_slot_ms: the part of the time in slots whose events are stored.
     :ivar ended_runs_ms: time for which the runs that have ended occupied a slot, without those
         whose events were discarded.
@@ -75,6 +77,7 @@
         "run_ended_ms",
         "run_started_ms",
         "saved_slot_ms",
+        "stalled_since_ms",
         "state",
     )
 
@@ -95,6 +98,7 @@
         self.run_ended_ms = float("-inf")
         self.ended_runs_ms = 0.0
         self.saved_slot_ms = 0.0
+        self.stalled_since_ms: float | None = None
 
     def add_event(self, event_id: int, data: str, origin: TargetGroup) -> None:
         """Add an event that a target of the given group sent."""
@@ -102,10 +106,12 @@
         self.data_bytes += text_size(data) + LINE_FEED_BYTES
         self.last_event_id = event_id
         self.origin = origin
+        self.stalled_since_ms = None
 
     def discard_events(self) -> None:
         """Drop all events, so that the item starts again, at any target."""
         self.data.clear()
+        self.stalled_since_ms = None
         self.data_bytes = 0
         self.last_event_id = None
         self.origin = None
--- a/ebonyshore/runner/waiting_items.py
+++ b/ebonyshore/runner/waiting_items.py
@@ -73,7 +73,7 @@
             group = self._choose_group(waiting, left)
             if group is not None:
                 if waiting.item.origin not in (None, group):
-                    self._restart(waiting)
+                    self._restart(waiting.item)
                 left[group] -= 1
                 found.setdefault(group, {})[waiting.key] = waiting
         return found
@@ -122,12 +122,20 @@
         best = max(groups, key=free_slots.__getitem__, default=None)
         return best if best is not None and free_slots[best] else None
 
-    def _restart(self, waiting: WaitingItem) -> None:
-        item = waiting.item
+    def note_stalled(self, item: Item, now_ms: float) -> None:
+        """Record that an item cannot go on at a target, as it was started again.
+
+        The item starts from its first event after the time that :meth:`_choose_group` waits.
+        """
+        if item.stalled_since_ms is None:
+            item.stalled_since_ms = now_ms
+        elif now_ms - item.stalled_since_ms >= max(MIN_VERSION_WAIT_MS, item.ended_runs_ms):
+            self._restart(item)
+
+    def _restart(self, item: Item) -> None:
         self._metrics.count("items_restarted_at_other_version")
         self._log.event(
             "item_restarted",
-            job=waiting.progress.job_id,
             item=item.item_id,
             software_version=item.origin.software_version,
             last_event=item.last_event_id,
