Blocking HTTP clients do not take a response that breaks off for whole

Cause: the agents' own path, the store's clients and the command line use http.client, which takes the end of a connection for the end of a head, a chunk size or the trailers, and returns a short part of a sized body without an error. A service's answer cut anywhere in its head became status 200 with an empty body; a read of the store an empty object; a write whose answer was cut, done. The platform's path has its own parser, which reports such an end as an error.

Change: frame/http_connection, a connection whose lines and lengths have to be complete; an invalid Content-Length is an error. The pool, the command line and the clients of stand-ins, soak and bench use it, so that checks do not take a cut answer for whole either.

--- a/ebonyshore/commands/api_client.py
+++ b/ebonyshore/commands/api_client.py
@@ -9,6 +9,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.errors import EbonyshoreError
+from ebonyshore.frame.http_connection import WholeResponseConnection
 from ebonyshore.frame.result_codes import RESULT_INFO, Execution, ResultCode
 
 DEFAULT_TIMEOUT_MS = 60_000
@@ -65,7 +66,7 @@
 
     def make_connection(self) -> HTTPConnection:
         """Return a connection object; its first request opens the connection."""
-        return HTTPConnection(self._host, self._port, timeout=self._timeout_ms / MS_PER_S)
+        return WholeResponseConnection(self._host, self._port, timeout=self._timeout_ms / MS_PER_S)
 
     def make_headers(self, **headers: str) -> dict[str, str]:
         """Return the headers of a call, with the bearer token.
--- a/ebonyshore/frame/http_pool.py
+++ b/ebonyshore/frame/http_pool.py
@@ -7,6 +7,7 @@
 from urllib.parse import urlsplit
 
 from ebonyshore.frame.clock import MS_PER_S
+from ebonyshore.frame.http_connection import WholeResponseConnection
 
 # TCP keepalive: a connection to an unreachable server ends after 1 s of silence and 2 unanswered
 # probes 1 s apart, also while a response is awaited.
@@ -61,7 +62,7 @@
         :raises OSError: if the server cannot be reached.
         """
         timeout_s = max(timeout_ms, 1.0) / MS_PER_S
-        connection = HTTPConnection(self._host, self._port, timeout=timeout_s)
+        connection = WholeResponseConnection(self._host, self._port, timeout=timeout_s)
         connection.connect()
         for option in KEEPALIVE_OPTIONS:
             connection.sock.setsockopt(*option)
--- a/ebonyshore_bench/load_client.py
+++ b/ebonyshore_bench/load_client.py
@@ -2,13 +2,14 @@
 
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from threading import Event, Lock
 
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.http_connection import WholeResponseConnection
 from ebonyshore_bench.traffic import Arrival, chat_body
 
 PERCENTILES = (50, 95, 99)
@@ -164,7 +165,7 @@
     :raises HTTPException: if the answer is not a complete event stream.
     :raises OSError: if the connection fails or the server is silent for 60 s.
     """
-    connection = HTTPConnection("127.0.0.1", port, timeout=REQUEST_TIMEOUT_S)
+    connection = WholeResponseConnection("127.0.0.1", port, timeout=REQUEST_TIMEOUT_S)
     headers = {"Content-Type": "application/json", "Authorization": f"Bearer {caller}"}
     times_ms = []
     try:
--- a/ebonyshore_soak/slow_readers.py
+++ b/ebonyshore_soak/slow_readers.py
@@ -1,12 +1,12 @@
 """Callers that read large streams slowly, or stop reading for some seconds."""
 
 from functools import partial
-from http.client import HTTPConnection
 from random import Random
 from socket import SO_RCVBUF, SOL_SOCKET
 from threading import Event, Thread
 
 from ebonyshore.frame.clock import Clock
+from ebonyshore.frame.http_connection import WholeResponseConnection
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import CALL_TIMEOUT_S, SoakClients
@@ -82,7 +82,7 @@
 
     def _read(self, entry: FleetProcess, request_id: str, pause_ms: float) -> bytes:
         """Read a stream with pauses; return nothing if the request was refused."""
-        connection = HTTPConnection(entry.ip, entry.front_port, timeout=CALL_TIMEOUT_S)
+        connection = WholeResponseConnection(entry.ip, entry.front_port, timeout=CALL_TIMEOUT_S)
         headers = {
             "Host": ROUTE_HOST,
             WIRE_NAMES.request_id: request_id,
--- a/ebonyshore_standins/caller_stream.py
+++ b/ebonyshore_standins/caller_stream.py
@@ -1,7 +1,8 @@
 """A caller that reads a stream over several attempts, and takes it up where it broke off."""
 
-from http.client import HTTPConnection, IncompleteRead
+from http.client import IncompleteRead
 
+from ebonyshore.frame.http_connection import WholeResponseConnection
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.fleet_client import STREAM_DEADLINE_MS
 from ebonyshore_standins.fleet_config import ROUTE_HOST, STREAM_PREFIX
@@ -44,7 +45,7 @@
         """
         attempt_id = f"{self.name}.{self._attempts}" if self._attempts else self.name
         self._attempts += 1
-        connection = HTTPConnection(entry.ip, entry.front_port, timeout=timeout_s)
+        connection = WholeResponseConnection(entry.ip, entry.front_port, timeout=timeout_s)
         try:
             headers = self._headers(attempt_id, entry.key)
             connection.request("POST", f"{STREAM_PREFIX}x", self.name.encode(), headers)
--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -6,10 +6,11 @@
 import socket
 import subprocess
 import sys
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from pathlib import Path
 from typing import Self
 
+from ebonyshore.frame.http_connection import WholeResponseConnection
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.fleet_config import ROUTE_HOST
 
@@ -155,7 +156,7 @@
     def is_ready(self) -> bool:
         """Return whether the health check succeeds, so that a load balancer would send requests."""
         try:
-            connection = HTTPConnection(self.ip, self.ready_port, timeout=1)
+            connection = WholeResponseConnection(self.ip, self.ready_port, timeout=1)
             connection.request("GET", WIRE_NAMES.ready_path)
             return connection.getresponse().status == 200
         except (OSError, HTTPException):
@@ -188,7 +189,7 @@
         :raises OSError: if the connection fails or there is no data for ``timeout_s``.
         :raises http.client.HTTPException: if the response is incomplete.
         """
-        connection = HTTPConnection(self.ip, self.front_port, timeout=timeout_s)
+        connection = WholeResponseConnection(self.ip, self.front_port, timeout=timeout_s)
         try:
             key_header = {} if self.key is None else {"Authorization": f"Bearer {self.key}"}
             all_headers = {"Host": ROUTE_HOST, **key_header, **(headers or {})}
