An entry that nobody answers does not take its own list for all versions

Cause: an entry that has read the list for 30 s decides alone about a stream that nobody knows. Besides, the first answer ended the question, so a runner that stood still and had not read the list since decided for all.

Change: without an answer the list is read once more (gateway/list_check), by one call for all take-ups that wait; else 503, not run. Unless all have answered there is a second round. A process vouches for its list only if the store has answered it in the last 2.5 s of the boot clock.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -11,6 +11,7 @@
 from ebonyshore.gateway.isolation import IsolationDetector
 from ebonyshore.gateway.job_call_forwarder import JobCallForwarder
 from ebonyshore.gateway.lease_keeper import LeaseKeeper
+from ebonyshore.gateway.list_check import StoreListCheck
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.deployment import Deployment
@@ -33,7 +34,14 @@
         peers,
         target_table,
         lambda *message: load_service.send_now(*message),
-        lambda: not components.probe.is_silent,
+        components.probe.is_in_touch,
+        StoreListCheck(
+            lambda: components.targets.read_groups(environment.store),
+            target_table,
+            environment.executor,
+            log,
+            metrics,
+        ),
     )
     lease_keeper = _make_lease_keeper(environment, components)
     authenticator = Authenticator(names, components.config, lease_keeper.is_valid)
--- a/ebonyshore/gateway/origin_query.py
+++ b/ebonyshore/gateway/origin_query.py
@@ -18,9 +18,10 @@
     :ivar answers: the last answer of each process, by instance id.
     :ivar origin: the origin of the stream; ``None`` while nobody has told it.
     :ivar peer: instance id of the process that told the origin.
+    :ivar is_list_confirmed: whether the list of targets was read after the question was asked.
     """
 
-    __slots__ = ("_is_settled", "answers", "asked", "origin", "peer")
+    __slots__ = ("_is_settled", "answers", "asked", "is_list_confirmed", "origin", "peer")
 
     def __init__(self) -> None:
         self._is_settled = Event()
@@ -28,6 +29,7 @@
         self.answers: dict[str, StreamAnswer] = {}
         self.origin: TargetGroup | None = None
         self.peer: str | None = None
+        self.is_list_confirmed = False
 
     @property
     def versions(self) -> set[str]:
--- a/ebonyshore/gateway/stream_origins.py
+++ b/ebonyshore/gateway/stream_origins.py
@@ -11,6 +11,7 @@
 from itertools import count
 
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.gateway.list_check import ListCheck
 from ebonyshore.gateway.origin_lookup import OriginLookup, OriginSource
 from ebonyshore.gateway.origin_query import OriginQuery
 from ebonyshore.gateway.stream_reporter import Send, StreamReporter
@@ -57,10 +58,12 @@
     :param targets: provides the versions of a service.
     :param send: sends a datagram at once.
     :param is_list_current: returns whether the list of targets can be read at present.
+    :param list_check: confirms the list if no other process answers.
     """
 
     __slots__ = (
         "_is_list_current",
+        "_list_check",
         "_mixed_services",
         "_peers",
         "_queries",
@@ -78,7 +81,9 @@
         targets: TargetTable,
         send: Send,
         is_list_current: Callable[[], bool],
+        list_check: ListCheck,
     ) -> None:
+        self._list_check = list_check
         self._peers = peers
         self._targets = targets
         self._send = send
@@ -130,7 +135,9 @@
     def _conclude(self, query: OriginQuery, service: str) -> OriginLookup:
         """Return what is known after some answers."""
         versions = self._targets.recent_versions(service, now_ms()) | query.versions
-        is_complete = self._has_whole_view() or query.is_complete(self._peers.of_role("runner"))
+        is_complete = (
+            self._has_whole_view() and (bool(query.answers) or query.is_list_confirmed)
+        ) or query.is_complete(self._peers.of_role("runner"))
         origin, source = query.origin, OriginSource.PEER_RECORD
         if origin is None and is_complete and len(versions) == 1:
             origin = TargetGroup(service, next(iter(versions)))
@@ -200,12 +207,14 @@
                 have_all_answered = await query.wait(len(asked))
                 if have_all_answered and number > 0:
                     break
-                # Without any answer the list of this entry may be old, as after a suspension.
-                is_heard = bool(query.answers) or not asked
-                if is_heard and self._conclude(query, service).origin is not None:
+                # Others may know more than those that were quick to answer.
+                may_conclude = query.origin is not None or have_all_answered or number > 0
+                if may_conclude and self._conclude(query, service).origin is not None:
                     break
         finally:
             self._queries.pop(query_id, None)
+        if not query.answers and self._has_whole_view():
+            query.is_list_confirmed = await self._list_check.confirm()
         return query
 
     def _asked_addresses(self, includes_entries: bool) -> list[tuple[str, int]]:
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -78,6 +78,7 @@
                 TargetPace(lambda: self.peers.process_count),
                 TargetSpeeds(environment.settings.instance_id),
             ),
+            deployment.targets_kind,
             deployment.decode_target,
             environment.pool,
             log,
@@ -147,6 +148,7 @@
     return StoreProbe(
         environment.store,
         environment.deployment.config_key,
+        environment.clock,
         environment.log,
         lambda found: config.on_changes([found]),
     )
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -6,12 +6,12 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.pace import PaceChange
-from ebonyshore.host.target import Target, TargetEntry
+from ebonyshore.host.target import Target, TargetEntry, TargetGroup
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ConnectionPool
 from ebonyshore.link.load_table import Incarnation
 from ebonyshore.store.kind_watch import KindListener
-from ebonyshore.store.platform_api import StoredObject
+from ebonyshore.store.platform_api import ListingStore, StoredObject
 from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 EntryDecoder = Callable[[str, bytes], TargetEntry | None]
@@ -21,6 +21,7 @@
     """Applies changes of the list of targets to the target table.
 
     :param table: the table to keep synchronized.
+    :param kind: kind of the objects that list the targets.
     :param decode: decodes an entry, given the target's id and the value of its object; returns
         ``None`` if it does not describe a usable target.
     :param pool: connection pool, whose connections to removed and leaving targets are closed.
@@ -31,12 +32,14 @@
     def __init__(
         self,
         table: TargetTable,
+        kind: str,
         decode: EntryDecoder,
         pool: ConnectionPool,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         self.table = table
+        self._kind = kind
         self._decode = decode
         self._pool = pool
         self._log = log
@@ -48,6 +51,19 @@
         table.pace.on_change = self._note_pace
         self.has_listing = False
 
+    def read_groups(self, store: ListingStore) -> set[TargetGroup]:
+        """Return the groups of the usable targets that the store lists now; blocks.
+
+        Nothing else is done with the list, as the watch may know a newer one.
+
+        :raises StoreError: if it cannot be read.
+        """
+        entries = [
+            self._decode(_target_id(stored), stored.value or b"")
+            for stored in store.list_objects(self._kind).objects
+        ]
+        return {entry.group for entry in entries if entry is not None}
+
     def on_listing(self, objects: Sequence[StoredObject]) -> None:
         entries = [entry for stored in objects if (entry := self._decode_entry(stored)) is not None]
         usable_ids = {entry.target_id for entry in entries}
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -197,7 +197,7 @@
         metrics,
         environment.random,
     )
-    origins = OriginRegistry(settings.instance_id, table, lambda: not parts.probe.is_silent)
+    origins = OriginRegistry(settings.instance_id, table, parts.probe.is_in_touch)
     runner_load = RunnerLoad(
         parts.peers,
         table,
--- a/ebonyshore/store/store_probe.py
+++ b/ebonyshore/store/store_probe.py
@@ -11,16 +11,21 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from ebonyshore.frame.async_kernel import PeriodicService
+from ebonyshore.frame.clock import Clock
 from ebonyshore.frame.errors import StoreError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.store.platform_api import ListingStore, StoredObject
 
+# Age of an answer up to which the process is in touch with the store: a few reads.
+MAX_ANSWER_AGE_MS = 2_500.0
+
 
 class StoreProbe(PeriodicService):
     """Reads one object periodically, and interrupts the watches of the store after an outage.
 
     :param store: the store to check.
     :param key: key of the object to read.
+    :param clock: its boot clock is used, which advances while the instance is suspended.
     :param on_value: called with the object each time it is read; the version may be seconds old.
     :ivar is_silent: whether the latest read failed.
     """
@@ -32,6 +37,7 @@
         self,
         store: ListingStore,
         key: str,
+        clock: Clock,
         log: EventLog,
         on_value: Callable[[StoredObject], None],
     ) -> None:
@@ -40,10 +46,17 @@
         # A separate thread, so that reads are not queued behind calls that block on an unresponsive
         # store.
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="probe")
+        self._clock = clock
         self._log = log
         self._on_value = on_value
+        self._asked_ms = float("-inf")  # on the boot clock, for the latest answer
         self.is_silent = False
 
+    def is_in_touch(self) -> bool:
+        """Return whether the store has answered lately; not right after a suspension."""
+        age_ms = self._clock.boot_ms() - self._asked_ms
+        return not self.is_silent and age_ms <= MAX_ANSWER_AGE_MS
+
     async def stop(self) -> None:
         await super().stop()
         self._executor.shutdown(wait=False, cancel_futures=True)
@@ -54,6 +67,7 @@
     async def run_once(self) -> None:
         """Read the object; interrupt the pending watches if the store has recovered."""
         was_silent = self.is_silent
+        asked_ms = self._clock.boot_ms()
         try:
             stored = await get_running_loop().run_in_executor(
                 self._executor, self._store.get_stale, self._key
@@ -64,6 +78,7 @@
                 self._log.event("store_silent", error=str(error))
             return
         self.is_silent = False
+        self._asked_ms = asked_ms
         if stored is not None:
             self._on_value(stored)
         if was_silent:
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.gateway.authentication import Authenticator
 from ebonyshore.gateway.forwarder import Forwarder
+from ebonyshore.gateway.list_check import ListCheck
 from ebonyshore.gateway.load_view import LoadView
 from ebonyshore.gateway.stream_origins import StreamOrigins
 from ebonyshore.host.config_service import ConfigService
@@ -55,6 +56,13 @@
         return 0.0
 
 
+class ConfirmedList(ListCheck):
+    """A list of targets that is as the table has it."""
+
+    async def confirm(self):
+        return True
+
+
 class Gateway:
     """A forwarder behind an HTTP server."""
 
@@ -78,7 +86,11 @@
             of_role=lambda _role: {},
         )
         self.origins = StreamOrigins(
-            peers, self.table, lambda *sent: self.datagrams.append(sent), lambda: True
+            peers,
+            self.table,
+            lambda *sent: self.datagrams.append(sent),
+            lambda: True,
+            ConfirmedList(),
         )
         self.config = ConfigService("config/main", decode_config, EventLog())
         self.is_config_confirmed = True
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ebonyshore.frame.clock import SystemClock
 from ebonyshore.frame.errors import (
     HistoryLostError,
     SettingsError,
@@ -233,7 +234,7 @@
         return 503 if store_is_down.is_set() else None
 
     object_platform.fault_hook = hold_watches
-    probe = StoreProbe(object_store, "config/main", EventLog(), lambda stored: None)
+    probe = StoreProbe(object_store, "config/main", SystemClock(), EventLog(), lambda stored: None)
     with ThreadPoolExecutor(1) as executor:
         watch_call = executor.submit(object_store.watch, "config", 1, 9_000)
         asyncio.run(probe.run_once())
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -9,6 +9,7 @@
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway import stream_origins
+from ebonyshore.gateway.list_check import ListCheck
 from ebonyshore.gateway.origin_query import OriginQuery
 from ebonyshore.gateway.stream_origins import StreamOrigins, UnknownOriginError
 from ebonyshore.host.target import TargetEntry, TargetGroup
@@ -30,21 +31,44 @@
     return TargetEntry(f"t-{version}", "svc", "10.0.0.1:80", "fd-a", 8, software_version=version)
 
 
+class StoreList(ListCheck):
+    """What the store lists, which the watch of an entry may not have returned.
+
+    :ivar versions: versions of the listed targets; ``None`` if the store cannot be read.
+    :ivar reads: number of times it was read.
+    """
+
+    def __init__(self, table):
+        self.versions = ()
+        self.reads = 0
+        self._table = table
+
+    async def confirm(self):
+        self.reads += 1
+        for version in self.versions or ():
+            self._table.note_group(TargetGroup("svc", version), now_ms())
+        return self.versions is not None
+
+
 class Fleet:
     """Entries with a common target table, and runners; datagrams arrive at once.
 
+    :ivar store_list: what the store lists now.
     :ivar lost: number of datagrams that are lost from now on.
-    :ivar dead: ids of the runners that receive nothing.
+    :ivar dead: ids of the processes that receive nothing.
+    :ivar late: ids of the processes that do not receive the next datagram.
     """
 
     def __init__(self, versions=("v1", "v2"), runners=3):
         self.table = TargetTable()
+        self.store_list = StoreList(self.table)
         self.list_versions(*versions)
         self.is_list_current = True
         self.runners = {f"r{number}": self.make_runner(f"r{number}") for number in range(runners)}
         self.entries = [self._make_entry(f"e{number}") for number in range(2)]
         self.lost = 0
         self.dead = set()
+        self.late = set()
         self.queries = 0
 
     def make_runner(self, name):
@@ -68,12 +92,16 @@
                 [(runner, 1) for runner in self.runners] if role == "runner" else others
             ),
         )
-        return StreamOrigins(peers, self.table, self._deliver, lambda: self.is_list_current)
+        return StreamOrigins(
+            peers, self.table, self._deliver, lambda: self.is_list_current, self.store_list
+        )
 
     def _deliver(self, message, addresses):
         for host, _ in addresses:
             self.lost -= 1
-            if self.lost < 0 and host not in self.dead:
+            if host in self.late:
+                self.late.discard(host)
+            elif self.lost < 0 and host not in self.dead:
                 if host in self.runners:
                     self._receive(host, message)
                 else:
@@ -280,6 +308,50 @@
         fleet.runners[name].has_loaded = False
 
 
+@pytest.mark.parametrize(
+    "listed, found",
+    [(("v1", "v2"), UnknownOriginError), (None, UnknownOriginError), (("v1",), OLD)],
+)
+def test_entry_that_nobody_answers_does_not_rely_on_a_list_that_may_be_old(listed, found):
+    """Guards against mixing at an entry that is cut off while a new version joins."""
+
+    async def scenario(fleet):
+        fleet.table.replace_all([make_entry("v1")], now_ms() - VERSION_LIFETIME_MS - 1_000.0)
+        fleet.table._listed_ms = now_ms() - VERSION_LIFETIME_MS - 1_000.0
+        fleet.dead = {"r0", "r1", "r2", "e0"}
+        fleet.store_list.versions = listed
+        origin = await find_or_error(fleet.entries[1])
+        assert fleet.store_list.reads == 1
+        return origin
+
+    assert run(scenario, versions=("v1",)) == found
+
+
+def test_entry_that_is_answered_does_not_read_the_list():
+    async def scenario(fleet):
+        fleet.table._listed_ms = now_ms() - VERSION_LIFETIME_MS - 1_000.0
+        assert await find_or_error(fleet.entries[1]) == OLD
+        return fleet.store_list.reads
+
+    assert run(scenario, versions=("v1",)) == 0
+
+
+def test_others_are_heard_beside_the_one_that_answers_first():
+    """Guards against mixing because a runner that stood still answers before it reads the list."""
+
+    async def scenario(fleet):
+        start_afresh(fleet.entries[1])
+        old_table = TargetTable()
+        old_table.replace_all([make_entry("v1")], now_ms())
+        fleet.runners["r0"] = OriginRegistry("r0", old_table, lambda: True)
+        fleet.runners["r0"].has_loaded = True
+        fleet.list_versions("v1", "v2")
+        fleet.late = {"r1", "r2"}
+        return await find_or_error(fleet.entries[1])
+
+    assert run(scenario, versions=("v1",)) == UnknownOriginError
+
+
 @pytest.mark.parametrize(
     "unloaded, dead, is_list_current, found",
     [
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -119,7 +119,7 @@
     async def apply() -> TargetTable:
         table = TargetTable()
         service = TargetService(
-            table, decode_target_entry, ConnectionPool(1), EventLog(), Metrics()
+            table, "servers", decode_target_entry, ConnectionPool(1), EventLog(), Metrics()
         )
         service.on_interruption()  # for a while, a missing entry may be of a target that is alive
         service.on_listing(store.list_objects("servers").objects)
