One odd record of the instance list costs itself alone

Cause: list_instances decoded the list at once, and its error was no StoreError, so the poller's task ended and the process with it, after each restart again. A port over 65,535 raised in connect, in the thread that owns all connections to agents.

Change: store/instance_records decodes record by record if the list cannot be decoded at once, and checks addresses; unusable records are left out, logged and counted once. Other responses with a wrong body are errors of the store. An address that ZeroMQ refuses costs its target alone. json_frames moves to store/, as both paths use it.

--- a/ebonyshore/entry/agent_link.py
+++ b/ebonyshore/entry/agent_link.py
@@ -217,7 +217,12 @@
         view = self._membership.find(target_id)
         if view is None:
             return None
-        channel = self.open_channel(view.address)
+        try:
+            channel = self.open_channel(view.address)
+        except zmq.ZMQError as error:
+            self._log.event("agent_address_unusable", target_id=target_id, error=str(error))
+            self._remove_target(target_id)
+            return None
         now_ms = self.clock.monotonic_ms()
         view = replace(view, is_connected=True, incarnation="")
         connection = AgentConnection(view, channel, self._metrics, last_dispatch_ms=now_ms)
--- a/ebonyshore/entry/agent_socket.py
+++ b/ebonyshore/entry/agent_socket.py
@@ -15,6 +15,7 @@
 
     :param address: ``tcp://IP:PORT`` of the agent.
     :param poller: the socket is registered with it for reading until :meth:`close`.
+    :raises zmq.ZMQError: if the address cannot be used.
     """
 
     __slots__ = ("_codec", "_poller", "socket")
@@ -33,7 +34,11 @@
         # message was never sent.
         self.socket.immediate = True
         secure_client(self.socket, fleet)
-        self.socket.connect(address)
+        try:
+            self.socket.connect(address)
+        except zmq.ZMQError:
+            self.socket.close()
+            raise
         poller.register(self.socket, zmq.POLLIN)
 
     def send(self, message: Struct) -> bool:
--- a/ebonyshore/frame/environment.py
+++ b/ebonyshore/frame/environment.py
@@ -13,10 +13,13 @@
 from ebonyshore.settings.settings_store import SettingsStore
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.platform_http import PlatformHttp
+from ebonyshore.store.unreadable_objects import UnreadableObjects
 
 if TYPE_CHECKING:
     from ebonyshore.batch.job_store import JobStore
 
+MAX_LOGGED_BYTES = 120  # of a record of the instance list, by which an operator finds it
+
 
 class Environment:
     """Holds the objects that all parts of a process share.
@@ -35,7 +38,14 @@
         self.metrics = Metrics()
         self.incarnation = uuid4().hex
         self.log = EventLog(instance_id=settings.instance.instance_id, role=role)
-        self.platform = PlatformHttp(settings.platform.url, settings.platform.timeout_ms)
+        unusable = UnreadableObjects(self.log, self.metrics, "instance_unusable")
+        self.platform = PlatformHttp(
+            settings.platform.url,
+            settings.platform.timeout_ms,
+            lambda record, reason: unusable.report(
+                record[:MAX_LOGGED_BYTES].decode("latin-1"), record, reason
+            ),
+        )
         self.store = MarkedStore(self.platform, self.clock)
         self._log_stream: TextIO | None = None
         self._destination: KeyValueDestination | None = None
--- a/ebonyshore/platform/object_bodies.py
+++ b/ebonyshore/platform/object_bodies.py
@@ -10,7 +10,7 @@
 from msgspec.json import decode
 
 from ebonyshore.frame.decoding import DECODING_ERRORS
-from ebonyshore.platform.json_frames import split_array, split_object
+from ebonyshore.store.json_frames import split_array, split_object
 
 UNREADABLE_NAME = "(unreadable name)"
 
--- a/ebonyshore/store/platform_http.py
+++ b/ebonyshore/store/platform_http.py
@@ -1,10 +1,11 @@
 """HTTP client of the platform's object store, instance list and weight store."""
 
+from typing import TypeVar
 from urllib.parse import quote, urlencode
 
-from msgspec import convert
 from msgspec.json import decode, encode
 
+from ebonyshore.frame.decoding import DECODING_ERRORS
 from ebonyshore.frame.errors import (
     StoreError,
     StoreUnavailableError,
@@ -13,6 +14,7 @@
     WriteOutcomeUnknownError,
     WriteRefusedError,
 )
+from ebonyshore.store.instance_records import Report, decode_instances
 from ebonyshore.store.platform_api import (
     ABSENT_VERSION,
     Instance,
@@ -35,18 +37,25 @@
 HTTP_NOT_FOUND = 404
 HTTP_PRECONDITION_FAILED = 412
 
+BodyT = TypeVar("BodyT")
+
 
 class PlatformHttp(ObjectStore, InstanceList, WeightStore):
     """HTTP client of the platform; safe to use from any thread.
 
     :param url: base URL, ``http://IP:PORT``.
     :param timeout_ms: time limit as of :class:`StoreHttpClient`.
+    :param on_unusable: called with each record of the instance list that cannot be used, and the
+        reason.
     """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_on_unusable")
 
-    def __init__(self, url: str, timeout_ms: int) -> None:
+    def __init__(
+        self, url: str, timeout_ms: int, on_unusable: Report = lambda _record, _reason: None
+    ) -> None:
         self._client = StoreHttpClient(url, timeout_ms)
+        self._on_unusable = on_unusable
 
     def get(self, key: str) -> StoredObject | None:
         response = self._read(f"/objects/{quote(key)}")
@@ -64,22 +73,26 @@
         self, prefix: str, start_after: str = "", limit: int = 1000
     ) -> list[ObjectSummary]:
         query = urlencode({"prefix": prefix, "start_after": start_after, "limit": limit})
-        return decode(self._read(f"/objects?{query}").body, type=list[ObjectSummary])
+        return self._decode(self._read(f"/objects?{query}"), list[ObjectSummary])
 
     def watch(self, prefix: str, since: int, timeout_ms: int) -> WatchResult:
         query = urlencode({"prefix": prefix, "since": since, "timeout_ms": timeout_ms})
         response = self._read(f"/watch?{query}", watch_timeout_ms=timeout_ms)
-        return decode(response.body, type=WatchResult)
+        return self._decode(response, WatchResult)
 
     def cancel_watches(self) -> None:
         self._client.cancel_watches()
 
     def list_instances(self) -> list[Instance]:
-        return decode(self._read("/instances").body, type=list[Instance])
+        response = self._read("/instances")
+        try:
+            return decode_instances(response.body, self._on_unusable)
+        except ValueError as error:
+            raise StoreUnavailableError(f"invalid instance list: {error}") from error
 
     def request_weights(self, model: str) -> WeightGrant:
         response = self._read("/weights", "POST", encode({"model": model}))
-        return convert(decode(response.body), WeightGrant)
+        return self._decode(response, WeightGrant)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -97,6 +110,16 @@
             raise StoreUnavailableError(f"{method} {path}: HTTP status {response.status}")
         return response
 
+    def _decode(self, response: StoreResponse, kind: type[BodyT]) -> BodyT:
+        """Return the body of a response.
+
+        :raises StoreUnavailableError: if it is not of this kind.
+        """
+        try:
+            return decode(response.body, type=kind)
+        except DECODING_ERRORS as error:
+            raise StoreUnavailableError(f"invalid response: {error}") from error
+
     def _write(self, method: str, key: str, value: bytes | None, expected_version: int) -> int:
         headers = (
             {"If-None-Match": "*"}
--- a/tests/test_broken_off_responses.py
+++ b/tests/test_broken_off_responses.py
@@ -1,9 +1,6 @@
 """Tests of the blocking HTTP clients with servers that stop in the middle of their responses."""
 
-import socket
 from collections.abc import Iterator
-from contextlib import suppress
-from threading import Thread
 
 import pytest
 
@@ -18,6 +15,7 @@
     WriteOutcomeUnknownError,
 )
 from ebonyshore.store.store_http_client import StoreHttpClient
+from tests.raw_server import RawServer
 
 BODY = b'{"boot_id": "b", "text": "the whole answer"}'
 SIZED = (
@@ -33,44 +31,9 @@
 TIMEOUT_MS = 5_000
 
 
-class CuttingServer:
-    """Answers each connection with the first bytes of a response, and closes it.
-
-    :ivar response: what is sent.
-    """
-
-    def __init__(self) -> None:
-        self.response = b""
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        Thread(target=self._run, daemon=True).start()
-
-    @property
-    def port(self) -> int:
-        """Port on 127.0.0.1."""
-        return self._socket.getsockname()[1]
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._socket.close()
-
-    def _run(self) -> None:
-        with suppress(OSError):
-            while True:
-                connection, _ = self._socket.accept()
-                with connection, suppress(OSError):
-                    _receive_request(connection)
-                    connection.sendall(self.response)
-
-
-def _receive_request(connection: socket.socket) -> None:
-    received = b""
-    while b"\r\n\r\n" not in received:
-        received += connection.recv(65_536)
-
-
 @pytest.fixture
-def server() -> Iterator[CuttingServer]:
-    running = CuttingServer()
+def server() -> Iterator[RawServer]:
+    running = RawServer()
     yield running
     running.close()
 
