Runners keep streams and crashes on their disks while the store is down

Cause: what processes share is stored in the platform's store only. Class: state that has to outlive the processes depends on a store that is allowed to be down at the same time.

Change: a runner whose instance has a disk (DataDir) keeps both there during an outage (runner/outage_keeper, outage_file), and merges them when it starts.

--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -1,5 +1,7 @@
 """Settings of a process and of the instance that it runs on."""
 
+from pathlib import Path
+
 from msgspec import Struct
 
 from ebonyshore.link.account_limit import QuotaRule
@@ -39,6 +41,7 @@
         configuration or of a job, within which it has to take effect at every process.
     :param memory_bytes: limit of the memory of a process; ``None`` if there is none.
     :param value_limit: how much fits into one object of the store.
+    :param data_folder: folder for files on the disk of the instance; ``None`` if it has no disk.
     """
 
     instance_id: str
@@ -59,6 +62,7 @@
     memory_bytes: int | None = None
     max_store_age_ms: float = 2_000.0
     value_limit: ValueLimit = ValueLimit()
+    data_folder: Path | None = None
 
     @property
     def quota_rule(self) -> QuotaRule:
--- a/ebonyshore/platform/settings_file.py
+++ b/ebonyshore/platform/settings_file.py
@@ -56,6 +56,7 @@
     listen: _Listen = field(default_factory=_Listen, name="Listen")
     bounds: _Bounds = field(default_factory=_Bounds, name="Bounds")
     limits: _Limits = field(default_factory=_Limits, name="Limits")
+    data_folder: str | None = field(default=None, name="DataDir")
 
 
 def settings_path() -> Path:
@@ -108,6 +109,7 @@
         quota_slack=bounds.quota_slack,
         max_store_age_ms=min(bounds.config_apply_ms, bounds.cancel_ms),
         memory_bytes=_parse_megabytes(document.limits.memory_mb),
+        data_folder=Path(document.data_folder) if document.data_folder else None,
     )
 
 
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -18,7 +18,6 @@
 from ebonyshore.runner.account_totals import AccountTotalsService
 from ebonyshore.runner.completion_rate import CompletionRate
 from ebonyshore.runner.config_confirmer import ConfigConfirmer
-from ebonyshore.runner.conviction_store import ConvictionKeeper, ConvictionStorage
 from ebonyshore.runner.item_saver import ItemSaver
 from ebonyshore.runner.item_scheduler import ItemScheduler
 from ebonyshore.runner.job_admission import JobAdmission
@@ -28,15 +27,13 @@
 from ebonyshore.runner.job_ranking import JobRanking
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
-from ebonyshore.runner.origin_keeper import OriginKeeper
 from ebonyshore.runner.origin_registry import OriginRegistry
-from ebonyshore.runner.origin_storage import OriginStorage
 from ebonyshore.runner.peer_monitor import PeerMonitor
 from ebonyshore.runner.quota_storage import QuotaStorage
+from ebonyshore.runner.record_keepers import make_record_keepers
 from ebonyshore.runner.result_writer import ResultWriter
 from ebonyshore.runner.retirement import RetirementHandler
 from ebonyshore.runner.runner_load import RunnerLoad
-from ebonyshore.runner.suspicion_store import SuspicionKeeper, SuspicionStorage
 from ebonyshore.store.kind_watch import KindWatch
 
 MAX_STEP_INTERVAL_MS = 100.0
@@ -257,9 +254,8 @@
         )
     )
     kernel.register(runner)
-    kernel.register(_make_origin_keeper(environment, parts, registry, load_table, origins))
-    kernel.register(_make_conviction_keeper(environment, parts, registry, load_table))
-    kernel.register(_make_suspicion_keeper(environment, parts, registry, load_table))
+    for keeper in make_record_keepers(environment, parts, registry, load_table, origins):
+        kernel.register(keeper)
     kernel.register(_make_config_confirmer(environment, parts, load_table, load))
     kernel.register(account_totals)
     kernel.register(JobExpiry(registry, load_table, settings.result_retention_ms, log))
@@ -300,62 +296,6 @@
     )
 
 
-def _make_origin_keeper(
-    environment: HostEnvironment,
-    parts: SharedComponents,
-    registry: JobRegistry,
-    load_table: LoadTable,
-    origins: OriginRegistry,
-) -> OriginKeeper:
-    storage = OriginStorage(
-        environment.settings.instance_id,
-        environment.store,
-        environment.marked_store,
-        environment.log,
-    )
-    return OriginKeeper(
-        origins,
-        storage,
-        load_table,
-        parts.peers,
-        registry.run_blocking,
-        environment.log,
-        environment.metrics,
-    )
-
-
-def _make_conviction_keeper(
-    environment: HostEnvironment,
-    parts: SharedComponents,
-    registry: JobRegistry,
-    load_table: LoadTable,
-) -> ConvictionKeeper:
-    clock, log = environment.clock, environment.log
-    storage = ConvictionStorage(environment.store, environment.marked_store, log)
-    return ConvictionKeeper(
-        storage, parts.suspicions, load_table, registry.run_blocking, clock, log
-    )
-
-
-def _make_suspicion_keeper(
-    environment: HostEnvironment,
-    parts: SharedComponents,
-    registry: JobRegistry,
-    load_table: LoadTable,
-) -> SuspicionKeeper:
-    clock, log = environment.clock, environment.log
-    storage = SuspicionStorage(environment.marked_store, log)
-    return SuspicionKeeper(
-        storage,
-        parts.suspicions,
-        load_table,
-        registry.run_blocking,
-        clock,
-        log,
-        limit_bytes=environment.settings.value_limit.batch_bytes,
-    )
-
-
 def _make_config_confirmer(
     environment: HostEnvironment,
     parts: SharedComponents,
--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -21,6 +21,7 @@
 Region = "r1"
 InternalPorts = [{internal}, {internal_last}]
 HeartbeatMs = 400
+{disk}
 [Listen]
 Front = "{ip}:{front}"
 Ready = "{ip}:{ready}"
@@ -56,6 +57,7 @@
     :ivar quota_slack: number of requests by which it lets it be exceeded besides.
     :ivar memory_mb: limit of the memory of the process; ``None`` if there is none.
     :ivar key: key that calls carry if they name no other; ``None`` if they carry none.
+    :ivar data_folder: folder on the disk of its instance; ``None`` if it has no disk, as entries.
     :ivar interpreter_arguments: arguments of the Python interpreter before the role; change them
         before the start.
     """
@@ -72,6 +74,7 @@
         self.memory_mb: float | None = None
         self.key: str | None = None
         self.interpreter_arguments: tuple[str, ...] = ("-m", "ebonyshore.platform")
+        self.data_folder = folder / f"{name}-data" if role == "runner" else None
         self._log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.toml"
         self._internal_port = free_port(ip)
@@ -92,6 +95,7 @@
             if self.revocation_ms is None
             else f"StrictRevoke = true\nRevokeMs = {self.revocation_ms}"
         )
+        disk = "" if self.data_folder is None else f'DataDir = "{self.data_folder}"'
         limits = "" if self.memory_mb is None else f"[Limits]\nMemoryMb = {self.memory_mb}"
         self._settings_path.write_text(
             SETTINGS_TEMPLATE.format(
@@ -102,6 +106,7 @@
                 front=self.front_port,
                 ready=self.ready_port,
                 store=store_address,
+                disk=disk,
                 quota_overage=self.quota_overage,
                 quota_slack=self.quota_slack,
                 bounds=bounds,
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -162,7 +162,8 @@
 
 
 def test_versions_that_are_listed_again_one_by_one_after_an_outage_are_not_mixed(make_fleet):
-    """Guards against going on at the first version that is listed after all were killed."""
+    """Guards against going on at the first version that is listed after all were killed, and
+    against refusing streams that began while the store was down."""
     fleet = make_fleet(OLD, OLD, OLD, NEW)
     fleet.platform.fault_hook = lambda _method, _path: 503
 
@@ -175,5 +176,6 @@
         CLOCK.sleep_ms(1_600.0)
         list_targets(fleet, OLD)
 
-    play(fleet, after_start=list_again)
+    streams = play(fleet, after_start=list_again)
     assert mixed(fleet) == set()
+    assert whole_streams(streams) >= STREAMS / 2
