Soak: cancellations without a response are repeated before the room is checked

The trace there shows a job of 150 items whose cancellation got no response: it went on in all slots, as it should, and items of the limited route waited behind it. check_room asks for all accepted jobs to have ended, and nothing saw to that for such a job.

Change: once faults are over, the caller repeats these cancellations until they are acknowledged, and one that is not acknowledged in 10 s is a violation, which nothing checked before. The other checks see the acknowledgement too.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -34,6 +34,7 @@
 SETTLE_TIMEOUT_MS = 45_000.0
 READ_INTERVAL_MS = 200.0
 CONFIG_TIMEOUT_S = 10.0
+CANCEL_TIMEOUT_MS = 10_000.0  # once faults are over
 TARGET_DOWN_MS = 1_000.0  # after a crash
 # The platform's rule: at most three sends later than 3 s after the third crash.
 CONVICTION_CRASHES = 3
@@ -309,6 +310,7 @@
         checker.report_violation(
             f"the newest configuration is not in force at every entry: {error!r}"
         )
+    clients.cancel_unsure_jobs(CANCEL_TIMEOUT_MS)
     open_jobs = checker.accepted_jobs.keys() - checker.cancelled_jobs
     end_ms = clock.monotonic_ms() + SETTLE_TIMEOUT_MS
     while open_jobs and clock.monotonic_ms() < end_ms:
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -303,14 +303,33 @@
             self._clock.sleep_ms(random.uniform(100.0, 400.0))
             self.read_results(job_id, random.randrange(self._checker.result_count(job_id) + 1))
 
+    def cancel_unsure_jobs(self, timeout_ms: float) -> None:
+        """Repeat the cancellations that got no response, once faults are over.
+
+        One that is not acknowledged in time is reported as a violation.
+        """
+        end_ms = self._clock.monotonic_ms() + timeout_ms
+        unsure = self._checker.cancelled_jobs - self._checker.cancel_acknowledged_ms.keys()
+        for job_id in sorted(unsure):
+            entry = self._fleet.entries[-1]
+            while not self._cancel_once(entry, job_id):
+                if self._clock.monotonic_ms() > end_ms:
+                    self._checker.report_violation(f"job {job_id} cannot be cancelled")
+                    return
+                self._clock.sleep_ms(SUBMIT_RETRY_MS)
+
     def _cancel(self, random: Random, job_id: str) -> None:
-        entry = random.choice(self._fleet.entries)
-        status = self.call_or_none(lambda: cancel_job(entry, job_id, CALL_TIMEOUT_S))
         # Without a response the job may be cancelled all the same.
         self._checker.cancelled_jobs.add(job_id)
+        is_sure = self._cancel_once(random.choice(self._fleet.entries), job_id)
+        self._checker.count("ends_sure" if is_sure else "ends_unsure")
+
+    def _cancel_once(self, entry: FleetProcess, job_id: str) -> bool:
+        """Cancel a job; return whether that was acknowledged."""
+        status = self.call_or_none(lambda: cancel_job(entry, job_id, CALL_TIMEOUT_S))
         if status == 200:
             self._checker.cancel_acknowledged_ms[job_id] = self._clock.monotonic_ms()
-        self._checker.count("ends_sure" if status == 200 else "ends_unsure")
+        return status == 200
 
     def _run_config_changes(self, random: Random) -> None:
         while not self._is_stopped.wait(random.uniform(0.3, 1.0)):
