Soak: silent store answers and answers without end; stand-ins close their connections

A thread of its own lets 0.35 of the store's answers get lost on connections that stay open, overlapping with the other faults.

The memory of a process is read in one place.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -14,6 +14,7 @@
 from ebonyshore_soak.account_clients import AccountClients, make_accounts
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import CRASHING_BODY, CRASHING_PART, STREAM_EVENTS, SoakClients
+from ebonyshore_soak.endless_checks import check_endless_answers, limit_memory
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.large_results import check_large_results
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
@@ -99,6 +100,7 @@
         REVOCATION_MS if variant.has_accounts else None,
     )
     _make_targets_unequal(fleet, variant)
+    limit_memory(fleet)
     clock = SystemClock()
     checker = GuaranteeChecker(clock)
     store_proxies = _insert_store_proxies(fleet, variant)
@@ -168,6 +170,7 @@
     check_rejoined_streams(fleet, clients, checker, clock)
     check_repeated_refusals(fleet, clients, checker)
     check_errors_to_resumed_streams(fleet, clients, checker)
+    check_endless_answers(fleet, clients, checker, clock)
 
 
 def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
--- a/ebonyshore_soak/clients.py
+++ b/ebonyshore_soak/clients.py
@@ -142,11 +142,12 @@
             self._checker.check_config(entry.name, pid, version)
         return is_served
 
-    def send_stream(self, name: str) -> None:
-        """Request a stream at one entry after the other."""
+    def send_stream(self, name: str) -> bool:
+        """Request a stream at one entry after the other; return whether it was complete."""
         entry = self._fleet.entries[next(self._request_numbers) % len(self._fleet.entries)]
         stream = CallerStream(name, SINGLE_ATTEMPT_EVENTS)
         self.call_or_none(partial(stream.read, entry, timeout_s=CALL_TIMEOUT_S))
+        return stream.is_complete
 
     def send_crashing_request(self, entry: FleetProcess) -> None:
         """Send a request that crashes each target that runs it."""
--- a/ebonyshore_soak/faults.py
+++ b/ebonyshore_soak/faults.py
@@ -18,6 +18,7 @@
 FAULT_INTERVAL_S = (0.1, 0.9)  # range of the time between two faults of a thread
 FAULT_THREADS = 2
 MAX_FOREIGN_ENTRIES = 3
+SILENT_SHARE = 0.35  # of the store's answers that are lost, as on the users' deployments
 # Entries in the list of targets that name no server to use: two that cannot be read (a text that is
 # not UTF-8, and NaN), and two with a value that is missing or out of range.
 FOREIGN_ENTRIES: tuple[dict[str, object], ...] = (
@@ -78,13 +79,14 @@
     def start(self) -> None:
         """Start the threads that inject faults.
 
-        Planned stops of targets and entries of other writers have threads of their own, so that a
-        seed draws the same other faults as it did without them.
+        Planned stops of targets, entries of other writers and silent connections of the store have
+        threads of their own, so that a seed draws the same other faults as it did without them.
         """
         for number in range(FAULT_THREADS):
             self._start_thread(f"{self._seed}/faults/{number}", self._fault_methods)
         self._start_thread(f"{self._seed}/leaving", [self._let_target_leave])
         self._start_thread(f"{self._seed}/foreign", [self._store_foreign_entry])
+        self._start_thread(f"{self._seed}/silent", [self._silence_store_answers])
 
     def _start_thread(self, seed: str, methods: list[Callable[[Random], None]]) -> None:
         arguments = (Random(seed), methods)
@@ -213,6 +215,18 @@
         self._sleep_s(duration_s)
         self._fleet.platform.fault_hook = lambda _method, _path: None
 
+    def _silence_store_answers(self, random: Random) -> None:
+        """Lose answers of the store for a while, whose connections stay open without a word."""
+        self._sleep_s(random.uniform(0.0, MAX_FAULT_DURATION_S))
+        duration_s = random.uniform(0.5, MAX_FAULT_DURATION_S)
+        self._log_fault(f"store silent for {SILENT_SHARE} of the calls, {duration_s:.2f} s")
+        fault_random = Random(random.random())
+        self._fleet.platform.fault_hook = lambda _method, _path: (
+            "silent" if fault_random.random() < SILENT_SHARE else None
+        )
+        self._sleep_s(duration_s)
+        self._fleet.platform.fault_hook = lambda _method, _path: None
+
     def _discard_store_history(self, random: Random) -> None:
         self._log_fault("store discards its change history")
         self._fleet.platform.state.discard_history()
--- a/ebonyshore_standins/crashing_target.py
+++ b/ebonyshore_standins/crashing_target.py
@@ -8,7 +8,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
 from ebonyshore.platform.wire_names import WIRE_NAMES
-from ebonyshore_standins.stream_target import StreamTarget
+from ebonyshore_standins.endless_target import EndlessTarget
 
 CLOCK = SystemClock()
 DEFAULT_DOWN_MS = 2_000.0
@@ -35,7 +35,7 @@
     part: str = ""
 
 
-class CrashingTarget(StreamTarget):
+class CrashingTarget(EndlessTarget):
     """A stream target that crashes when it begins to run a request with certain content.
 
     It serves again some time after each crash; all connections have been reset then. It keeps its
--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -14,6 +14,7 @@
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.fleet_config import ROUTE_HOST
 
+BYTES_PER_MB = 1_000_000
 SETTINGS_TEMPLATE = """
 NodeName = "{name}"
 Ip = "{ip}"
@@ -167,6 +168,14 @@
         except (OSError, HTTPException):
             return False
 
+    def resident_mb(self) -> float:
+        """Return the memory that the process uses; 0 if it has just ended."""
+        try:
+            pages = Path(f"/proc/{self.pid}/statm").read_text(encoding="ascii").split()[1]
+        except (OSError, IndexError):
+            return 0.0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
     def read_log(self) -> str:
         """Return what the process has written to its log in all its runs."""
         return self._log_path.read_text(encoding="utf-8")
--- a/ebonyshore_standins/loop_thread.py
+++ b/ebonyshore_standins/loop_thread.py
@@ -7,6 +7,7 @@
 
 START_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 2.0  # for the tasks that run when the loop is stopped
 
 ResultT = TypeVar("ResultT")
 
@@ -44,7 +45,10 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
-        for task in asyncio.all_tasks(self._loop):
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
             task.cancel()
-        self._loop.run_until_complete(asyncio.sleep(0))
+        if tasks:
+            self._loop.run_until_complete(asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_S))
+        self._loop.run_until_complete(asyncio.sleep(0))  # connections that were closed end here
         self._loop.close()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -101,7 +101,8 @@
                 await asyncio.sleep(self._interval_s)
         except (OSError, asyncio.IncompleteReadError):
             pass
-        writer.transport.abort()
+        finally:
+            writer.transport.abort()
 
 
 def run(scenario):
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -2,10 +2,8 @@
 
 import base64
 import json
-import os
 from collections import Counter
 from http.client import HTTPException
-from pathlib import Path
 from threading import Event, Thread
 
 import pytest
@@ -17,7 +15,6 @@
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 
 ENTRY_MB, RUNNER_MB = 150, 180
-BYTES_PER_MB = 1_000_000
 CALLERS = 36
 TARGETS = 6
 FAULT_MS = 4_000.0
@@ -27,14 +24,6 @@
 CLOCK = SystemClock()
 
 
-def resident_mb(process):
-    try:
-        pages = Path(f"/proc/{process.pid}/statm").read_text(encoding="ascii").split()[1]
-    except (OSError, IndexError):  # it has just ended
-        return 0.0
-    return int(pages) * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
-
-
 class Callers:
     """Requests streams one after the other and counts the answers.
 
@@ -70,7 +59,7 @@
     def _watch(self):
         while not self._is_over.wait(0.02):
             for process in self._fleet.processes:
-                used_mb = resident_mb(process)
+                used_mb = process.resident_mb()
                 self.peak_mb[process.name] = max(used_mb, self.peak_mb[process.name])
                 if used_mb > process.memory_mb:
                     process.kill()
@@ -119,7 +108,7 @@
 
     def is_done():
         nonlocal peak_mb
-        peak_mb = max(peak_mb, resident_mb(fleet.runners[0]))
+        peak_mb = max(peak_mb, fleet.runners[0].resident_mb())
         _, page = read_job(fleet.entries[0], "endless")
         return len(page.get("Results", ())) == 100
 
@@ -157,7 +146,7 @@
         thread.start()
     while any(thread.is_alive() for thread in threads):
         for process in fleet.processes:
-            peak_mb[process.name] = max(resident_mb(process), peak_mb[process.name])
+            peak_mb[process.name] = max(process.resident_mb(), peak_mb[process.name])
         CLOCK.sleep_ms(20.0)
     assert peak_mb["runner-0"] < RUNNER_MB
     assert peak_mb["entry-0"] < ENTRY_MB
