Runners avoid targets that break many of their runs

What callers see: items are late. Trace: 91 of 100 items are listed after 0.9 s, the last after 12.0 s; 41 runs break at the two faulty targets (84 with heads without end). Such a target always has free slots, so it gets the items that wait, and each break in succession doubles their delay, up to 3 s. Entries avoid targets that fail many requests; runners did not.

Change: runners record the outcomes of their runs by target (runner/run_outcomes) and start no items at outliers, by the rule that entries use: at least 2.5 outcomes lately, a fifth of them broken, a third of the targets at most. A 500 that a target reports does not count, the item may be the reason.

--- a/ebonyshore/host/outliers.py
+++ b/ebonyshore/host/outliers.py
@@ -50,15 +50,20 @@
         self._at_ms = now_ms
 
 
-def find_outliers(failure_rates: Sequence[tuple[str, float]]) -> set[str]:
+def find_outliers(
+    failure_rates: Sequence[tuple[str, float]], target_count: int | None = None
+) -> set[str]:
     """Return the ids of the targets to avoid.
 
     These are the targets with the highest failure rates of at least ``MIN_FAILURE_RATE``, up to
     ``MAX_OUTLIER_SHARE`` of all targets.
 
-    :param failure_rates: pairs of target id and failure rate, for all targets.
+    :param failure_rates: pairs of target id and failure rate; targets without failures may be left
+        out.
+    :param target_count: number of all targets; ``None`` if none was left out.
     """
-    max_outliers = int(len(failure_rates) * MAX_OUTLIER_SHARE)
+    target_count = len(failure_rates) if target_count is None else target_count
+    max_outliers = int(target_count * MAX_OUTLIER_SHARE)
     failing = [pair for pair in failure_rates if pair[1] >= MIN_FAILURE_RATE]
     failing.sort(key=lambda pair: pair[1], reverse=True)
     return {target_id for target_id, _ in failing[:max_outliers]}
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -30,6 +30,7 @@
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
 from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.run_outcomes import RunOutcomes
 from ebonyshore.runner.waiting_items import WaitingItems
 
 PROGRESS_MS = 1_000.0  # since the last event, for which a run counts as going on
@@ -115,6 +116,7 @@
         self._primary_runners = PrimaryRunners()
         self._speeds: dict[str, SpeedEstimate] = {}
         self._speeds_ms = float("-inf")
+        self._outcomes = RunOutcomes(targets)
 
     def stop_all(self) -> None:
         """Stop all running items and start no more."""
@@ -137,6 +139,7 @@
         mixed_services = self._targets.mixed_services(now_ms())
         speeds = self._usual_speeds()
         own_items = self._items_by_target()
+        outliers = self._outcomes.outliers(now_ms())
         slots_by_group: dict[TargetGroup, list[TargetSlots]] = {}
         for target in self._targets.by_id().values():
             is_primary = primary_runners[target.target_id] == self._registry.own_id
@@ -149,6 +152,8 @@
             )
             # An item outlasts most of the times for which a target is slow.
             slots.speed = speeds.get(target.target_id, UNKNOWN_SPEED).usual_speed
+            if target.target_id in outliers:
+                slots.is_usable = False
             # The version of a target whose restart the list does not show yet is not known.
             if target.is_outdated and target.entry.service in mixed_services:
                 slots.is_usable = False
@@ -393,7 +398,7 @@
     ) -> None:
         at_ms = now_ms()
         target = content_run.target
-        self._record_unanswered(content_run, result.outcome)
+        self._outcomes.record(content_run, result.outcome, at_ms)
         self._metrics.count(f"item_runs_{result.outcome.name.lower()}")
         if result.outcome is not RunOutcome.COMPLETE:
             self._log_incomplete_run(progress, item, content_run, result)
@@ -435,16 +440,6 @@
         kind = f"items of {run.target.entry.service}"
         self._targets.pace.record_answer(run.target, kind, run.started_ms, now_ms())
 
-    def _record_unanswered(self, run: ContentRun, outcome: RunOutcome) -> None:
-        """Record that a target did not run an item to its end, for its limit if it returns."""
-        pace, target, at_ms = self._targets.pace, run.target, now_ms()
-        if outcome is RunOutcome.UNREACHABLE:
-            pace.record_doubt(target, run.started_ms, at_ms)
-        elif outcome is RunOutcome.SILENT:
-            pace.record_failure(target, run.started_ms, at_ms)
-        elif outcome in (RunOutcome.NOT_RUN, RunOutcome.FAILED, RunOutcome.BROKEN):
-            pace.record_refusal(target, run.started_ms, at_ms)
-
     def _handle_failure(self, progress: JobProgress, item: Item, now_ms: float) -> None:
         progress.record_failure(item, now_ms)
         if item.failures >= progress.record.max_attempts:
