--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+# Otherwise its plugin imports it for the summary, and CPython 3.11.6 fails to compile it ("AST
+# constructor recursion depth mismatch") if a finalizer of an earlier test raises meanwhile.
+import hypothesis  # noqa: F401
 import pytest
 
 from ebonyshore.frame.clock import ManualClock, SystemClock
