--- a/ebonyshore/gateway/exchange.py
+++ b/ebonyshore/gateway/exchange.py
@@ -25,13 +25,8 @@
 from ebonyshore.host.routes import Route
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import (
-    BodyEnd,
-    ClientConnection,
-    ConnectionPool,
-    ExchangeError,
-    ResponseTooLongError,
-)
+from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError, ResponseTooLongError
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import MemoryHolder
 from ebonyshore.http.messages import Request, ResponseHead
--- a/ebonyshore/gateway/forwarding_parts.py
+++ b/ebonyshore/gateway/forwarding_parts.py
@@ -16,7 +16,7 @@
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 
 
 class ForwardingParts:
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -26,7 +26,8 @@
 )
 from ebonyshore.host.routes import Route
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import FixedHolder
 from ebonyshore.http.messages import Request, ResponseHead
--- a/ebonyshore/host/host_environment.py
+++ b/ebonyshore/host/host_environment.py
@@ -13,7 +13,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.frame.stdout_log import NonBlockingStream, RateLimitedDestination
 from ebonyshore.host.deployment import Deployment
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.link.peers import PeerRecord
 from ebonyshore.store.counting_store import CountingStore
 from ebonyshore.store.marked_write import MarkedStore
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -9,7 +9,8 @@
 from ebonyshore.host.response_reader import AttemptFailedError, NotExecutedError, ResponseReader
 from ebonyshore.host.target import Target
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import ClientConnection, ConnectionPool, ExchangeError
+from ebonyshore.http.client import ClientConnection, ExchangeError
+from ebonyshore.http.connection_pool import ConnectionPool
 
 CHECK_TIMEOUT_MS = 300.0  # for the connection, and again for the response
 # A target with too many connections closes new ones at once, so a closed connection shows nothing.
--- a/ebonyshore/host/target_service.py
+++ b/ebonyshore/host/target_service.py
@@ -8,7 +8,7 @@
 from ebonyshore.host.pace import PaceChange
 from ebonyshore.host.target import Target, TargetEntry, TargetGroup
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.link.load_table import Incarnation
 from ebonyshore.store.kind_watch import KindListener
 from ebonyshore.store.platform_api import ListingStore, StoredObject
--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -20,7 +20,8 @@
 from ebonyshore.host.target import Target
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import BodyEnd, ClientConnection, ConnectionPool, ExchangeError
+from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.runner.item_headers import (
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -20,7 +20,7 @@
 from ebonyshore.host.target_speed import UNKNOWN_SPEED, SpeedEstimate
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.wire_names import WireNames
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.http.headers import Headers
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.target_counts import NO_COUNTS, TargetCounts
--- a/tests/gateway_setup.py
+++ b/tests/gateway_setup.py
@@ -18,7 +18,7 @@
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.target_check import TargetChecker
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.http.server import HttpServer
 from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.peers import PeerRecord
--- a/tests/test_account_jobs.py
+++ b/tests/test_account_jobs.py
@@ -10,7 +10,7 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.job_types import ItemRecord, JobRecord
 from ebonyshore.host.target import Target, TargetEntry
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.messages import Request
 from ebonyshore.link.job_call import PATH_HEADER, JobCall, JobCallKind
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -11,7 +11,7 @@
 from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner.item_run import ItemRun, RunOutcome
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -7,7 +7,7 @@
 
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.routes import RouteKind, ServiceShare
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from tests.gateway_setup import Gateway, event_ids, is_complete_stream, make_route, status_of
 from tests.scripted_target import ScriptedTarget, send_complete_stream
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -9,7 +9,7 @@
 from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.routes import RouteKind
 from ebonyshore.host.target import Target, TargetEntry
-from ebonyshore.http.client import ConnectionPool
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner.item_run import ItemRun, RunOutcome
 from ebonyshore.runner.job_progress import Item
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -6,7 +6,8 @@
 
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_check import TargetChecker, TargetCondition
-from ebonyshore.http.client import BodyEnd, ConnectionPool
+from ebonyshore.http.client import BodyEnd
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.platform.target_entries import decode_start
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from tests.scripted_target import ScriptedTarget, send_complete_stream
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -11,7 +11,8 @@
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.targets import TargetTable
-from ebonyshore.http.client import ConnectionPool, ExchangeError
+from ebonyshore.http.client import ExchangeError
+from ebonyshore.http.connection_pool import ConnectionPool
 from ebonyshore.platform.object_store import PlatformObjectStore
 from ebonyshore.platform.target_entries import decode_target_entry
 from ebonyshore.store.store_http_client import StoreResponse
