Soak: targets are listed anew before one of them sends without end

Trace: the target that sent without end was the only one in use. Two were unlisted by the check before, and the fourth was listed as leaving, since a fault of the soak had put back its former entry after its restart; so nothing could be served. The check needs other targets and now sees to it: all of them start again and are listed. Its bound is unchanged.

--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -19,7 +19,7 @@
 from ebonyshore_soak.large_results import check_large_results
 from ebonyshore_soak.limited_jobs import LimitedJobsClient
 from ebonyshore_soak.proxy import FaultProxy
-from ebonyshore_soak.rejoin_checks import check_rejoined_streams
+from ebonyshore_soak.rejoin_checks import LISTED_MS, check_rejoined_streams
 from ebonyshore_soak.slow_readers import SlowReaders
 from ebonyshore_soak.target_checks import (
     check_crashing_part,
@@ -135,7 +135,7 @@
         limited_jobs.check_room()
         _settle(fleet, clients, checker, clock)
         account_clients.check_jobs()
-        _check_single_faults(fleet, target_proxies[0], clients, checker, clock)
+        _check_single_faults(fleet, target_proxies, clients, checker, clock)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
@@ -155,7 +155,7 @@
 
 def _check_single_faults(
     fleet: PlatformFleet,
-    first_target_proxy: FaultProxy,
+    target_proxies: list[FaultProxy],
     clients: SoakClients,
     checker: GuaranteeChecker,
     clock: Clock,
@@ -163,16 +163,25 @@
     """Check how the settled fleet deals with one kind of fault after the other."""
     _check_streams_go_on(fleet, clients, checker)
     check_large_results(fleet, clients, checker, clock)
-    _check_leaving_target(fleet, first_target_proxy, clients, checker, clock)
+    _check_leaving_target(fleet, target_proxies[0], clients, checker, clock)
     _check_crashing_content(fleet, clients, checker, clock)
     check_crashing_part(fleet, clients, checker, clock)
     check_limited_targets(fleet, clients, checker, clock)
     check_rejoined_streams(fleet, clients, checker, clock)
     check_repeated_refusals(fleet, clients, checker)
     check_errors_to_resumed_streams(fleet, clients, checker)
+    _restart_targets(fleet, target_proxies, clock)
     check_endless_answers(fleet, clients, checker, clock)
 
 
+def _restart_targets(fleet: PlatformFleet, proxies: list[FaultProxy], clock: Clock) -> None:
+    """Let all targets start again and be listed, also those that earlier checks have removed."""
+    for number, proxy in enumerate(proxies):
+        fleet.targets[number].restart()
+        _list_restart(fleet, number, proxy)
+    clock.sleep_ms(LISTED_MS)
+
+
 def _start_fleet(fleet: PlatformFleet, target_proxies: list[FaultProxy]) -> None:
     """Start all processes and targets, with a proxy before each target.
 
