Servers count what a request holds as it is held, and stop to read at the limit

Seen: crowds of clients ended entries and runners, which ran out of memory; a single request of 3,900 short header lines with a body in the same packet got 431.

Cause: heads were counted by their bytes on the wire, after a whole read of up to 256 kB had become objects 28 times as large; neither heads nor requests that wait were in the sum of the budget, which was measured every 50 ms and checked every 250 ms; parser and connection referred to each other, so that what was rejected stayed until the collector ran. The limit of the head counted four bytes for the framing of each field, more than there are.

Change: RequestReader checks each limit as the bytes are parsed, counts fields as objects, keeps bodies in one buffer, and keeps what follows a request as bytes. Connections add to the budget as they grow; at its limit the incomplete requests that hold most are refused (503 with Retry-After, none has run). Reading stops while a request waits or the client reads nothing; what a client does not read for the idle timeout is dropped with its connection. The budget is a third of what the process itself leaves, if that is less than a quarter of its memory.

test_large_bodies_are_refused_while_others_fill_the_memory expected two bodies of together 1.2 times the limit to be taken, as the sum was measured late. The limit now holds at once, so the two bodies fit, and their heads are in the figure.

--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -18,7 +18,7 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.error_responses import ErrorResponse, not_executed_response
 from ebonyshore.host.host_settings import ListenAddress
-from ebonyshore.host.memory_guard import MemoryGuard
+from ebonyshore.host.memory_guard import MemoryGuard, resident_bytes
 from ebonyshore.host.routes import Route, RouteKind, RouteTable
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.wire_names import WireNames
@@ -79,7 +79,10 @@
         self._log = log
         self._metrics = metrics
         self._server = HttpServer(
-            self._serve, ServerLimits(), self._log_failure, connection_limit_bytes(memory_bytes)
+            self._serve,
+            ServerLimits(),
+            self._log_failure,
+            connection_limit_bytes(memory_bytes, resident_bytes()),
         )
         self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
         self._is_closed = False
@@ -120,7 +123,7 @@
         return {
             "connections": len(self._server.connections),
             "busy": self._server.busy_connection_count(),
-            "held_bytes": sum(self._server.memory.held_bytes(now_ms()).values()),
+            "held_bytes": self._server.memory.total_bytes(now_ms()),
             "config_version": self._config.version,
         }
 
--- a/ebonyshore/host/memory_guard.py
+++ b/ebonyshore/host/memory_guard.py
@@ -25,7 +25,7 @@
     :param server: the server whose requests are ended.
     :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     :param metrics: gets the gauges ``held_bytes`` and ``resident_bytes``, and counts
-        ``requests_ended_for_memory``.
+        ``requests_ended_for_memory`` and ``requests_refused_for_memory``.
     """
 
     def __init__(
@@ -35,7 +35,9 @@
         self._memory_bytes = memory_bytes
         self._log = log
         self._metrics = metrics
+        server.memory.on_much_held = lambda: self._set_limit(resident_bytes())
         server.on_request_ended = self._note_ended
+        server.on_request_refused = lambda: metrics.count("requests_refused_for_memory")
 
     async def run(self) -> None:
         """Watch the memory until the task is cancelled."""
@@ -48,16 +50,22 @@
 
         :param used_bytes: resident memory of the process.
         """
+        self._set_limit(used_bytes)
         memory = self._server.memory
-        if self._memory_bytes is not None:
-            is_high = used_bytes > self._memory_bytes * HIGH_RESIDENT_SHARE
-            if is_high != memory.is_resident_high:
-                self._log.event("memory_limit_changed", resident=used_bytes, is_high=is_high)
-            memory.is_resident_high = is_high
         self._metrics.set_gauge("resident_bytes", used_bytes)
         self._metrics.set_gauge("held_bytes", memory.total_bytes(now_ms()))
         self._server.check_memory()
 
+    def _set_limit(self, used_bytes: int) -> None:
+        """Halve the limit of the server while the process uses much memory."""
+        if self._memory_bytes is None:
+            return
+        memory = self._server.memory
+        is_high = used_bytes > self._memory_bytes * HIGH_RESIDENT_SHARE
+        if is_high != memory.is_resident_high:
+            self._log.event("memory_limit_changed", resident=used_bytes, is_high=is_high)
+        memory.is_resident_high = is_high
+
     def _note_ended(self, held_bytes: int) -> None:
         self._metrics.count("requests_ended_for_memory")
         self._log.event("request_ended_for_memory", held=held_bytes)
--- a/ebonyshore/http/client.py
+++ b/ebonyshore/http/client.py
@@ -18,7 +18,7 @@
 
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.http.headers import Headers
+from ebonyshore.http.headers import FIELD_BYTES, Headers
 from ebonyshore.http.idle_timeouts import IdleTimeout
 from ebonyshore.http.messages import ResponseHead
 from ebonyshore.http.numbers import parse_decimal
@@ -33,7 +33,6 @@
 HEAD_QUEUE_BYTES = 1_024  # that a head counts for
 MAX_REMEMBERED_IDS = 64  # of requests that a connection has carried
 MAX_HEAD_FIELDS = 1_000  # each takes far more memory than its bytes
-FIELD_BYTES = 200  # that a field of a head counts for until the head is complete
 
 
 class ExchangeError(ConnectionError):
--- a/ebonyshore/http/headers.py
+++ b/ebonyshore/http/headers.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Iterator
 
+FIELD_BYTES = 200  # memory that a field takes besides its characters, at most
+
 HOP_BY_HOP_NAMES = frozenset(
     (
         "connection",
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -2,14 +2,18 @@
 
 from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
+from operator import attrgetter
 
 from ebonyshore.frame.loop_time import now_ms
-from ebonyshore.http.memory_budget import DEFAULT_LIMIT_BYTES, MemoryBudget
+from ebonyshore.http.memory_budget import DEFAULT_LIMIT_BYTES, END_DOWN_TO, MemoryBudget
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
-from ebonyshore.http.server_connection import ServerConnection
+from ebonyshore.http.server_connection import SMALL_BODY_BYTES, ServerConnection
 from ebonyshore.http.server_limits import ServerLimits
 
+RECEIVE_BUFFER_BYTES = 32_768  # that are read at a time from a connection
+BACKLOG = 512
+
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
@@ -23,15 +27,16 @@
     :param report_failure: called with the request and the exception when a handler raises.
     :param memory_bytes: limit of what is held for all connections together.
     :ivar connections: the open connections.
+    :ivar receive_buffer: into which the connections read, one after the other.
     :ivar is_draining: if true, each response announces the end of its connection, which is then
         closed.
     :ivar memory: knows whether new requests may be taken.
     :ivar on_request_ended: called with the bytes held for each request that is ended as the server
         holds too much.
+    :ivar on_request_refused: called for each request that is refused for the same reason before it
+        is complete.
     """
 
-    BACKLOG = 512
-
     def __init__(
         self,
         handler: Handler,
@@ -43,9 +48,11 @@
         self.limits = limits
         self.report_failure = report_failure
         self.connections: set[ServerConnection] = set()
+        self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.is_draining = False
         self.memory = MemoryBudget(self._held_bytes, memory_bytes)
         self.on_request_ended: Callable[[int], None] = lambda _held_bytes: None
+        self.on_request_refused: Callable[[], None] = lambda: None
         self._server = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -55,7 +62,7 @@
         :raises OSError: if the address cannot be bound.
         """
         self._server = await get_running_loop().create_server(
-            lambda: ServerConnection(self), host, port, backlog=self.BACKLOG, reuse_address=True
+            lambda: ServerConnection(self), host, port, backlog=BACKLOG, reuse_address=True
         )
 
     @property
@@ -76,7 +83,7 @@
         excess_bytes = self.memory.excess_bytes(now_ms())
         if excess_bytes <= 0.0:
             return
-        for connection in sorted(self.connections, key=_held_by, reverse=True):
+        for connection in sorted(self.connections, key=attrgetter("held_bytes"), reverse=True):
             held_bytes = connection.held_bytes
             if excess_bytes <= 0.0 or held_bytes == 0:
                 break
@@ -85,6 +92,21 @@
             self.on_request_ended(held_bytes)
         self.memory.forget()
 
+    def make_room(self) -> None:
+        """Refuse the incomplete requests that hold most if all together hold too much."""
+        at_ms = now_ms()
+        if not self.is_memory_exhausted():
+            return
+        excess_bytes = self.memory.total_bytes(at_ms) - self.memory.limit_bytes * END_DOWN_TO
+        large = [x for x in self.connections if x.incomplete_bytes > SMALL_BODY_BYTES]
+        for connection in sorted(large, key=attrgetter("incomplete_bytes"), reverse=True):
+            if excess_bytes <= 0.0:
+                break
+            held_bytes = connection.incomplete_bytes
+            excess_bytes -= held_bytes
+            connection.refuse_incomplete()
+            self.on_request_refused()
+
     def _held_bytes(self) -> dict[str, int]:
         held_bytes: dict[str, int] = {}
         for connection in self.connections:
@@ -105,7 +127,3 @@
         """Stop accepting connections; open ones are kept."""
         if self._server is not None:
             self._server.close()
-
-
-def _held_by(connection: ServerConnection) -> int:
-    return connection.held_bytes
--- a/ebonyshore/http/server_connection.py
+++ b/ebonyshore/http/server_connection.py
@@ -1,14 +1,15 @@
 """A client's connection to a server: reads requests and passes them to the handler in order.
 
-Each connection handles one request at a time; further pipelined requests wait. When a client closes
-its connection, the task that handles its request is cancelled.
+Each connection handles one request at a time; further pipelined requests wait, and meanwhile
+nothing more is read. When a client closes its connection, the task that handles its request is
+cancelled.
 """
 
 from asyncio import (
     AbstractEventLoop,
+    BufferedProtocol,
     CancelledError,
     Future,
-    Protocol,
     Task,
     TimerHandle,
     Transport,
@@ -18,26 +19,32 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
 from ebonyshore.frame.clock import MS_PER_S
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import MemoryHolder
-from ebonyshore.http.messages import Request, status_line
+from ebonyshore.http.messages import status_line
+from ebonyshore.http.request_reader import (
+    ReadStage,
+    ReceivedRequest,
+    RequestReader,
+    RequestRejectedError,
+)
 from ebonyshore.http.responder import ClientDisconnectedError, Responder
 
 if TYPE_CHECKING:
     from ebonyshore.http.server import HttpServer
 
-MAX_PIPELINED_REQUESTS = 8  # a connection on which more requests wait is reset
+MAX_PIPELINED_REQUESTS = 128  # a connection on which more requests wait is reset
 MAX_WRITE_BUFFER_BYTES = 1 << 20
 # Above this a stream waits for its client, so that its target is not read either.
 STREAM_BUFFER_BYTES = 256 << 10
 SMALL_BODY_BYTES = 16_384  # read also while the memory for connections is used up
+REJECTION_RETRY_MS = 500.0  # of a request that there is no memory for
+RETRY_LATER_STATUS = 503
 
 
-class ServerConnection(Protocol):
+class ServerConnection(BufferedProtocol):
     """A connection of a client.
 
     :param server: provides the limits and the handler, and holds the set of open connections.
@@ -49,26 +56,17 @@
         self._server = server
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
-        self._parser = HttpRequestParser(self)
+        self._reader = RequestReader(lambda: server.limits)
         self._task: Task[None] | None = None
-        self._pending_requests: deque[tuple[Request, bool]] = deque()
+        self._pending_requests: deque[ReceivedRequest] = deque()
         self._timer: TimerHandle | None = None
-        self._is_reading_request = False
+        self._timed_part = (0, ReadStage.NONE)  # of a request, for which the timer runs
         self._is_closing = False
-        self._are_headers_complete = False
-        self._trailer_bytes = 0  # received since the headers or the last part of the body
-        self._ignores_input = False
         self._keeps_alive = True
-        self._header_bytes = 0  # -1 once the headers are complete
-        self._body_bytes = 0
-        self._url = b""
-        self._header_fields: list[tuple[str, str]] = []
-        self._body_chunks: list[bytes] = []
-        self._request_started_ms = 0.0
-        self._rejection_status = 0
         self._is_end_announced = False
         self._idle_since_ms = now_ms()
-        self._request_bytes = 0  # of the bodies of requests that have not been answered
+        self._request_bytes = 0  # of requests that were received and have not been answered
+        self._counted_bytes = 0  # that the budget of the server knows of
         self._writable: Future[None] | None = None  # set while the client has too much to read
         self.account = ""
         self.holder: MemoryHolder | None = None
@@ -76,10 +74,18 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that are held for the client: requests, their answers, and what it has not read."""
-        unread_bytes = self._transport.get_write_buffer_size() if self._transport else 0
         handler_bytes = self.holder.held_bytes if self.holder is not None else 0
-        request_bytes = max(0, self._header_bytes) + self._body_bytes + self._request_bytes
-        return request_bytes + handler_bytes + unread_bytes
+        return self._counted_bytes + handler_bytes + self.unread_bytes
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Bytes that are held for a request that is being received."""
+        return self._reader.held_bytes
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes that were written and that the client has not read."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     def check_memory(self) -> None:
         """End requests if the server holds too much."""
@@ -96,12 +102,16 @@
         client that does not read gets no answer.
         """
         if self._task is None:
-            self._reject(503)
+            self._reject(RETRY_LATER_STATUS)
             return
         is_unread = self._writable is not None
         if is_unread or self.holder is None or not self.holder.give_up():
             self.abort()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being received, since the server holds too much."""
+        self._reject(RETRY_LATER_STATUS)
+
     def announce_end(self) -> bool:
         """Return whether the head of a response has to say that the connection is closed.
 
@@ -118,7 +128,11 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read, is queued or is being handled."""
-        return self._task is not None or bool(self._pending_requests) or self._is_reading_request
+        return self._has_complete_request or self._reader.stage is not ReadStage.NONE
+
+    @property
+    def _has_complete_request(self) -> bool:
+        return self._task is not None or bool(self._pending_requests)
 
     def connection_made(self, transport: Transport) -> None:
         self._transport = transport
@@ -131,40 +145,63 @@
         self._cancel_timer()
         self._transport = None
         self.resume_writing()
+        self._drop_requests()
         if self._task is not None:
             self._task.cancel()
 
-    def data_received(self, data: bytes) -> None:
-        if self._is_closing or self._ignores_input:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._server.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = self._server.receive_buffer[:nbytes]
+        self._receive(lambda: self._reader.feed(data))
+
+    def _receive(self, read: Callable[[], list[ReceivedRequest]]) -> None:
+        """Take the requests that are complete now, and keep to the limits.
+
+        :param read: reads some bytes and returns these requests.
+        """
+        if self._is_closing:
             return
-        if not self._is_reading_request:
-            self._begin_request()
-        if self._header_bytes >= 0:
-            self._header_bytes += len(data)
-        self._trailer_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            # The request is answered as it is; what follows would be of another protocol.
-            self._ignores_input = True
-        except HttpParserError:
-            self._reject(self._rejection_status or 400)
+            received = read()
+        except RequestRejectedError as error:
+            if error.follows_request:
+                self.abort()
+            else:
+                self._reject(error.status)
             return
-        header_bytes = max(self._header_bytes, self._unfinished_trailer_bytes())
-        if self._rejection_status or header_bytes > self._server.limits.max_header_bytes:
-            self._reject(self._rejection_status or 431)
+        self._request_bytes += sum(request.held_bytes for request in received)
+        self._pending_requests.extend(received)
+        self._count_held()
+        if len(self._pending_requests) > MAX_PIPELINED_REQUESTS:
+            self.abort()
+            return
+        self._time_request()
+        self._refuse_large()
+        self._serve_next()
+        if self._reader.held_bytes > SMALL_BODY_BYTES:
+            self._server.make_room()
 
-    def _unfinished_trailer_bytes(self) -> int:
-        is_in_body = self._is_reading_request and self._are_headers_complete
-        return self._trailer_bytes if is_in_body else 0
+    def _refuse_large(self) -> None:
+        """Refuse the next request if the server has no room for it."""
+        if self._task is not None or not self._pending_requests:
+            return
+        is_large = self._pending_requests[0].held_bytes > SMALL_BODY_BYTES
+        if is_large and self._server.is_memory_exhausted():
+            self._drop_requests()
+            self._reject(RETRY_LATER_STATUS)
+            self._server.on_request_refused()
 
     def pause_writing(self) -> None:
         self._writable = self._loop.create_future()
+        self._choose_reading()
 
     def resume_writing(self) -> None:
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        self._choose_reading()
 
     async def drain(self) -> None:
         """Wait while the client has more than ``STREAM_BUFFER_BYTES`` to read.
@@ -193,108 +230,92 @@
     def abort(self) -> None:
         """Reset the connection."""
         self._is_closing = True
+        self._drop_requests()
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
-        """Close the connection after the data written so far is sent."""
+        """Close the connection after the data written so far is sent.
+
+        It is reset if the client reads none of that for the idle timeout.
+        """
         self._is_closing = True
+        self._drop_requests()
         if self._transport is not None:
             self._transport.close()
+            self._reset_if_unread(self.unread_bytes + 1)
 
-    # Callbacks of the parser.
-    def on_message_begin(self) -> None:
-        if not self._is_reading_request:
-            self._begin_request()
-        self._url = b""
-        self._header_fields = []
-        self._are_headers_complete = False
-        self._trailer_bytes = 0
-        self._body_chunks = []
-        self._body_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._are_headers_complete:
-            return  # a trailer
-        self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        limits = self._server.limits
-        if self._header_bytes > limits.max_header_bytes:
-            # _header_bytes also counts body data received together with the end of the headers.
-            header_bytes = len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._header_fields)
-            if header_bytes > limits.max_header_bytes:
-                self._rejection_status = 431
-        if self._parser.should_upgrade() and _has_body(self._header_fields):
-            self._rejection_status = 400  # the parser takes the body for another protocol
-        self._header_bytes = -1
-        self._are_headers_complete = True
-        self._trailer_bytes = 0
-        self._set_timer(limits.idle_timeout_ms, self.close)
-
-    def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        self._trailer_bytes = 0
-        if self._body_bytes > self._server.limits.max_body_bytes:
-            self._rejection_status = 413
+    def _reset_if_unread(self, previous_bytes: int) -> None:
+        if self._transport is None:
             return
-        if self._body_bytes > SMALL_BODY_BYTES and self._server.is_memory_exhausted():
-            self._rejection_status = 503
+        unread_bytes = self.unread_bytes
+        if unread_bytes >= previous_bytes:
+            self._transport.abort()
             return
-        self._body_chunks.append(body)
+        self._set_timer(
+            self._server.limits.idle_timeout_ms, lambda: self._reset_if_unread(unread_bytes)
+        )
 
-    def on_message_complete(self) -> None:
-        self._cancel_timer()
-        self._is_reading_request = False
-        if self._rejection_status:
+    def _drop_requests(self) -> None:
+        """Forget what was received and will not be handled."""
+        self._reader.close()
+        self._request_bytes -= sum(waiting.held_bytes for waiting in self._pending_requests)
+        self._pending_requests.clear()
+        self._count_held()
+
+    def _count_held(self) -> None:
+        held_bytes = self._reader.held_bytes + self._request_bytes
+        self._server.memory.add_held(held_bytes - self._counted_bytes)
+        self._counted_bytes = held_bytes
+
+    def _time_request(self) -> None:
+        """Limit the time for the part of a request that is being received."""
+        stage = self._reader.stage
+        part = (self._reader.begun_count, stage)
+        if part == self._timed_part:
             return
-        keeps_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
-        method = self._parser.get_method().decode("latin-1")
-        request = Request(
-            method,
-            self._url.decode("latin-1"),
-            Headers(self._header_fields),
-            b"".join(self._body_chunks),
-            self._request_started_ms,
-        )
-        self._request_bytes += len(request.body)
-        self._body_bytes = 0
-        self._body_chunks = []
-        self._pending_requests.append((request, keeps_alive))
-        if len(self._pending_requests) > MAX_PIPELINED_REQUESTS:
-            self.abort()
+        self._timed_part = part
+        limits = self._server.limits
+        if stage is ReadStage.HEAD:
+            self._set_timer(limits.header_timeout_ms, self._reject_slow_headers)
+        elif stage is ReadStage.BODY:
+            self._set_timer(limits.idle_timeout_ms, self.close)
+        else:
+            self._cancel_timer()
+
+    def _choose_reading(self) -> None:
+        """Read only what can be handled soon."""
+        if self._transport is None or self._transport.is_closing():
             return
-        self._serve_next()
-
-    def _begin_request(self) -> None:
-        self._is_reading_request = True
-        self._header_bytes = 0
-        self._request_started_ms = now_ms()
-        self._set_timer(self._server.limits.header_timeout_ms, self._reject_slow_headers)
+        is_unread = self._writable is not None and self._task is None
+        if self._pending_requests or self._reader.has_more or is_unread:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _serve_next(self) -> None:
         if self._task is None and self._pending_requests and not self._is_closing:
-            request, self._keeps_alive = self._pending_requests.popleft()
-            self._task = self._loop.create_task(self._serve(request))
+            received = self._pending_requests.popleft()
+            self._keeps_alive = received.keeps_alive
+            self._task = self._loop.create_task(self._serve(received))
+        self._choose_reading()
 
-    async def _serve(self, request: Request) -> None:
+    async def _serve(self, received: ReceivedRequest) -> None:
         responder = Responder(self)
         try:
-            await self._server.handler(request, responder)
+            await self._server.handler(received.request, responder)
         except ClientDisconnectedError:
             self.abort()
         except CancelledError:
             self.abort()
             raise
         except Exception as error:  # noqa: BLE001 - a failed request must not stop the server
-            self._server.report_failure(request, error)
+            self._server.report_failure(received.request, error)
             self.abort()
         finally:
             self._task = None
-            self._request_bytes -= len(request.body)
+            self._request_bytes -= received.held_bytes
+            self._count_held()
             self.holder = None
             if not responder.is_ended:
                 self.abort()
@@ -309,7 +330,12 @@
         self._idle_since_ms = now_ms()
         if self._pending_requests:
             self._serve_next()
-        elif not self._is_reading_request:
+        elif self._reader.has_more:
+            self._receive(self._reader.feed_rest)
+        if self._is_closing or self._has_complete_request:
+            return
+        self._choose_reading()
+        if self._reader.stage is ReadStage.NONE:
             self._set_timer(self._server.limits.idle_timeout_ms, self.close)
 
     def _reject_slow_headers(self) -> None:
@@ -321,14 +347,15 @@
         While an earlier request is being handled the connection is reset instead, because the
         rejection would be taken for the response to that request.
         """
-        if self._is_closing or self._task is not None:
+        if self._is_closing or self._has_complete_request:
             self.abort()
             return
-        self._is_closing = True
         if self._transport is not None:
             headers = Headers([("Content-Length", "0"), ("Connection", "close")])
+            if status == RETRY_LATER_STATUS:
+                headers.add("Retry-After", f"{REJECTION_RETRY_MS / MS_PER_S:.2f}")
             self._transport.write(status_line(status) + headers.encode() + b"\r\n")
-            self._transport.close()
+        self.close()
 
     def _set_timer(self, delay_ms: float, callback: Callable[[], None]) -> None:
         self._cancel_timer()
@@ -338,7 +365,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _has_body(fields: list[tuple[str, str]]) -> bool:
-    return any(name.lower() in ("content-length", "transfer-encoding") for name, _ in fields)
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -20,7 +20,7 @@
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.error_responses import ErrorResponse
 from ebonyshore.host.job_types import JobRecord
-from ebonyshore.host.memory_guard import MemoryGuard
+from ebonyshore.host.memory_guard import MemoryGuard, resident_bytes
 from ebonyshore.host.routes import Route, RouteKind
 from ebonyshore.http.headers import Headers
 from ebonyshore.http.memory_budget import FixedHolder, connection_limit_bytes
@@ -119,7 +119,7 @@
         self._log = log
         self._metrics = metrics
         limits = ServerLimits(MAX_HEADER_BYTES, MAX_REQUEST_BYTES)
-        limit_bytes = connection_limit_bytes(memory_bytes)
+        limit_bytes = connection_limit_bytes(memory_bytes, resident_bytes())
         self._server = HttpServer(self._serve, limits, self._report_failure, limit_bytes)
         self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
 
--- a/ebonyshore_standins/fleet_process.py
+++ b/ebonyshore_standins/fleet_process.py
@@ -2,6 +2,7 @@
 
 import copy
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -57,6 +58,7 @@
     :ivar quota_overage: part of a limit of an account by which the platform lets it be exceeded.
     :ivar quota_slack: number of requests by which it lets it be exceeded besides.
     :ivar memory_mb: limit of the memory of the process; ``None`` if there is none.
+    :ivar max_descriptors: limit of its open descriptors; ``None`` if there is none.
     :ivar key: key that calls carry if they name no other; ``None`` if they carry none.
     :ivar data_folder: folder on the disk of its instance; ``None`` if it has no disk, as entries.
     :ivar interpreter_arguments: arguments of the Python interpreter before the role; change them
@@ -73,6 +75,7 @@
         self.quota_overage = 0.0
         self.quota_slack = 0.0
         self.memory_mb: float | None = None
+        self.max_descriptors: int | None = None
         self.key: str | None = None
         self.interpreter_arguments: tuple[str, ...] = ("-m", "ebonyshore.platform")
         self.data_folder = folder / f"{name}-data" if role == "runner" else None
@@ -86,6 +89,16 @@
         """Operating system's id of the process."""
         return self._process.pid
 
+    @property
+    def internal_port(self) -> int:
+        """Port for the calls of other instances."""
+        return self._internal_port
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
     def write_settings(self, store_address: str) -> None:
         """Write the settings file, with the present bounds.
 
@@ -97,7 +110,11 @@
             else f"StrictRevoke = true\nRevokeMs = {self.revocation_ms}"
         )
         disk = "" if self.data_folder is None else f'DataDir = "{self.data_folder}"'
-        limits = "" if self.memory_mb is None else f"[Limits]\nMemoryMb = {self.memory_mb}"
+        limits = "[Limits]\n"
+        if self.memory_mb is not None:
+            limits += f"MemoryMb = {self.memory_mb}\n"
+        if self.max_descriptors is not None:
+            limits += f"MaxFds = {self.max_descriptors}\n"
         self._settings_path.write_text(
             SETTINGS_TEMPLATE.format(
                 name=self.name,
@@ -126,6 +143,10 @@
                 stderr=log,
             )
 
+    def limit_descriptors(self, count: int) -> None:
+        """Let the kernel refuse more open descriptors to the running process."""
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, (count, count))
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         self._process.send_signal(number)
@@ -156,7 +177,7 @@
 
     def kill_if_running(self) -> None:
         """Kill the process if it was started and still runs."""
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running:
             self.kill()
 
     def is_ready(self) -> bool:
--- /dev/null
+++ b/tests/test_client_crowds.py
@@ -0,0 +1,104 @@
+"""Crowds of clients that keep to no limit, against each server of real entries and runners.
+
+The settings of the processes have low limits, so that small crowds reach them. The bounds are those
+of the settings: a process that uses more is ended on the users' platform.
+"""
+
+from http.client import HTTPException
+
+import pytest
+
+from ebonyshore_standins.client_crowd import HTTP_SHAPES, ClientCrowd
+from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
+from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.process_usage import count_descriptors, peak_resident_mb
+
+MEMORY_MB = 64.0
+MAX_DESCRIPTORS = 600
+RESERVED_DESCRIPTORS = 200  # of these, for files that the platform does not count
+CLIENTS = 150
+BYTES_PER_CONNECTION = 2_000_000
+CALL_TIMEOUT_S = 30.0
+SETTLE_TIMEOUT_S = 30.0
+
+
+class Server:
+    """One listening address of a process, with a call that it answers.
+
+    :param role: role of the process.
+    :param port_of: returns the port.
+    :param is_answered: returns whether an ordinary call to the fleet is answered there.
+    """
+
+    def __init__(self, role, port_of, is_answered):
+        self.role = role
+        self.port_of = port_of
+        self.is_answered = is_answered
+
+
+def is_stream_answered(fleet, name):
+    try:
+        return request_stream(fleet.entries[0], name, timeout_s=CALL_TIMEOUT_S)[0] == 200
+    except (OSError, HTTPException):
+        return False
+
+
+def is_job_answered(fleet, name):
+    try:
+        if submit_job(fleet.entries[0], name, timeout_s=CALL_TIMEOUT_S) != 202:
+            return False
+        return read_job(fleet.entries[0], name)[0] == 200
+    except (OSError, HTTPException):
+        return False
+
+
+SERVERS = {
+    "entry-front": Server("entry", lambda p: p.front_port, is_stream_answered),
+    "runner-internal": Server("runner", lambda p: p.internal_port, is_job_answered),
+}
+
+
+@pytest.fixture(scope="module")
+def running_fleet(tmp_path_factory):
+    fleet = PlatformFleet(tmp_path_factory.mktemp("crowds"), 1, 1, 2, address_octet=71)
+    for process in fleet.processes:
+        process.memory_mb = MEMORY_MB
+        process.max_descriptors = MAX_DESCRIPTORS
+    fleet.set_store_address(fleet.platform.address)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def is_within_bounds(process):
+    return process.is_running and peak_resident_mb(process.pid) < MEMORY_MB
+
+
+@pytest.fixture
+def fleet(running_fleet):
+    """A fleet whose processes have not been over their limits before."""
+    if not all(map(is_within_bounds, running_fleet.processes)):
+        running_fleet.restart_all()
+    return running_fleet
+
+
+@pytest.mark.parametrize("shape", HTTP_SHAPES)
+@pytest.mark.parametrize("server", SERVERS)
+def test_crowd_does_not_use_up_a_process(fleet, server, shape):
+    """Guards against what a connection holds and nobody counts."""
+    role, port_of = SERVERS[server].role, SERVERS[server].port_of
+    process = fleet.entries[0] if role == "entry" else fleet.runners[0]
+    descriptors = []
+    crowd = ClientCrowd(
+        (process.ip, port_of(process)), HTTP_SHAPES[shape], CLIENTS, BYTES_PER_CONNECTION
+    )
+    try:
+        crowd.run(lambda: descriptors.append(count_descriptors(process.pid)))
+    finally:
+        crowd.close()
+    wait_until(lambda: SERVERS[server].is_answered(fleet, f"{server}-{shape}"), SETTLE_TIMEOUT_S)
+    assert process.is_running
+    assert peak_resident_mb(process.pid) < MEMORY_MB
+    assert max(descriptors) <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -17,6 +17,8 @@
 
 KERNEL_BYTES = 8 << 20  # that the sockets of a connection may buffer
 LIMIT_BYTES = 1_000_000
+FIRST_BODY_BYTES = 450_000  # two of them fit
+HEAD_BYTES = 1_100  # that the head of a request takes, as objects
 
 
 def run(scenario):
@@ -98,7 +100,7 @@
     async def scenario():
         keeping = KeepingServer()
         await keeping.server.listen("127.0.0.1", 0)
-        first = [await keeping.send(600_000) for _ in range(2)]
+        first = [await keeping.send(FIRST_BODY_BYTES) for _ in range(2)]
         await asyncio.sleep(0.2)
         held_bytes = sum(connection.held_bytes for connection in keeping.server.connections)
         large, _ = await keeping.send(600_000)
@@ -113,7 +115,7 @@
         return held_bytes, refused, answers, left_bytes
 
     held_bytes, refused, answers, left_bytes = run(scenario())
-    assert held_bytes == 1_200_000 and left_bytes == 0
+    assert held_bytes == 2 * (FIRST_BODY_BYTES + HEAD_BYTES) and left_bytes == 0
     assert refused.startswith((b"HTTP/1.1 503", b"<reset>"))
     assert [status_of(answer) for answer in answers] == [200] * 3
 
--- a/tools/fuzz_targets.py
+++ b/tools/fuzz_targets.py
@@ -282,7 +282,7 @@
     connection = ServerConnection(server)
     connection.connection_made(_Transport())
     for chunk in _chunks(data):
-        connection.data_received(chunk)
+        feed_bytes(connection, chunk)
         while connection._task is not None:
             await sleep(0)
     connection.connection_lost(None)
