Servers keep to a number of connections, and end waiting ones for new ones

Seen: 700 clients that send nothing took all descriptors of a process (limit 600 here); ordinary calls were not answered while they stayed, as accepted connections were kept until their timeout and new ones waited to be accepted.

Cause: nothing bounded the number of connections; MaxFds was not read.

At the limit the connection that waits longest for its first request is ended for a new one, then an idle one.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -110,6 +110,7 @@
             components.targets,
             isolation_detector,
             lambda: view.has_totals,
+            settings.connection_limits.operators,
         )
     )
     kernel.register(
@@ -124,9 +125,14 @@
             log,
             metrics,
             settings.memory_bytes,
+            settings.connection_limits.clients,
+        )
+    )
+    kernel.register(
+        OperatorServer(
+            settings.ip, METRICS_PORT, kernel, metrics, settings.connection_limits.operators
         )
     )
-    kernel.register(OperatorServer(settings.ip, METRICS_PORT, kernel, metrics))
     return kernel
 
 
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -19,6 +19,7 @@
 from ebonyshore.host.error_responses import ErrorResponse, not_executed_response
 from ebonyshore.host.host_settings import ListenAddress
 from ebonyshore.host.memory_guard import MemoryGuard, resident_bytes
+from ebonyshore.host.operator_server import make_operator_http
 from ebonyshore.host.routes import Route, RouteKind, RouteTable
 from ebonyshore.host.target_service import TargetService
 from ebonyshore.host.wire_names import WireNames
@@ -26,7 +27,7 @@
 from ebonyshore.http.memory_budget import connection_limit_bytes
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
-from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server import DEFAULT_MAX_CONNECTIONS, HttpServer
 from ebonyshore.http.server_limits import ServerLimits
 
 NOT_READY_RETRY_MS = 500.0
@@ -52,6 +53,7 @@
     :param account_limits: knows which requests are over the quota of their account.
     :param metrics: counts the requests that are not, as ``requests_RESULT_CODE``.
     :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
+    :param max_connections: number of connections that callers may have.
     """
 
     name = "front"
@@ -68,6 +70,7 @@
         log: EventLog,
         metrics: Metrics,
         memory_bytes: int | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._address = address
         self._names = names
@@ -83,6 +86,7 @@
             ServerLimits(),
             self._log_failure,
             connection_limit_bytes(memory_bytes, resident_bytes()),
+            max_connections,
         )
         self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
         self._is_closed = False
@@ -224,6 +228,7 @@
     :param targets: knows whether the list of targets has been received.
     :param isolation: detects whether the entry is isolated.
     :param has_totals: returns whether the load totals of a runner were received.
+    :param max_connections: number of connections that load balancers may have.
     """
 
     name = "readiness"
@@ -236,6 +241,7 @@
         targets: TargetService,
         isolation: IsolationDetector,
         has_totals: Callable[[], bool],
+        max_connections: int,
     ) -> None:
         self._address = address
         self._names = names
@@ -245,7 +251,7 @@
         self._has_totals = has_totals
         self._totals_limit_ms: float | None = None
         self._is_draining = False
-        self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
+        self._server = make_operator_http(self._serve, max_connections)
 
     @property
     def is_ready(self) -> bool:
--- a/ebonyshore/host/host_settings.py
+++ b/ebonyshore/host/host_settings.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from ebonyshore.host.connection_limits import ConnectionLimits, connection_limits
 from ebonyshore.link.account_limit import QuotaRule
 from ebonyshore.store.value_limit import ValueLimit
 
@@ -40,6 +41,8 @@
     :param max_store_age_ms: time after the acknowledgement of a change in the store, of the
         configuration or of a job, within which it has to take effect at every process.
     :param memory_bytes: limit of the memory of a process; ``None`` if there is none.
+    :param max_descriptors: limit of the descriptors of a process; ``None`` if only the system has
+        one.
     :param value_limit: how much fits into one object of the store.
     :param data_folder: folder for files on the disk of the instance; ``None`` if it has no disk.
     """
@@ -60,10 +63,16 @@
     quota_overage: float = 0.0
     quota_slack: float = 0.0
     memory_bytes: int | None = None
+    max_descriptors: int | None = None
     max_store_age_ms: float = 2_000.0
     value_limit: ValueLimit = ValueLimit()
     data_folder: Path | None = None
 
+    @property
+    def connection_limits(self) -> ConnectionLimits:
+        """How many connections the servers of a process may have."""
+        return connection_limits(self.max_descriptors, self.memory_bytes)
+
     @property
     def quota_rule(self) -> QuotaRule:
         """What the requests of a client account may exceed its limit by."""
--- a/ebonyshore/host/memory_guard.py
+++ b/ebonyshore/host/memory_guard.py
@@ -25,7 +25,8 @@
     :param server: the server whose requests are ended.
     :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     :param metrics: gets the gauges ``held_bytes`` and ``resident_bytes``, and counts
-        ``requests_ended_for_memory`` and ``requests_refused_for_memory``.
+        ``requests_ended_for_memory``, ``requests_refused_for_memory`` and
+        ``connections_ended_for_new_ones``.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         server.memory.on_much_held = lambda: self._set_limit(resident_bytes())
         server.on_request_ended = self._note_ended
         server.on_request_refused = lambda: metrics.count("requests_refused_for_memory")
+        server.on_connection_ended = lambda: metrics.count("connections_ended_for_new_ones")
 
     async def run(self) -> None:
         """Watch the memory until the task is cancelled."""
--- a/ebonyshore/host/operator_server.py
+++ b/ebonyshore/host/operator_server.py
@@ -5,9 +5,10 @@
 from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.http.headers import Headers
+from ebonyshore.http.memory_budget import DEFAULT_LIMIT_BYTES
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
-from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server import Handler, HttpServer
 from ebonyshore.http.server_limits import ServerLimits
 
 METRICS_PORT = 9464
@@ -15,21 +16,41 @@
 DUMP_PATH = "/dump"
 
 
+def make_operator_http(handler: Handler, max_connections: int) -> HttpServer:
+    """Return a server for the few small requests of operators and load balancers.
+
+    :param handler: handles one request.
+    :param max_connections: number of connections.
+    """
+    limits = ServerLimits()
+    return HttpServer(
+        handler, limits, lambda _request, _error: None, DEFAULT_LIMIT_BYTES, max_connections
+    )
+
+
 class OperatorServer(AsyncService):
     """An HTTP server for operators: metrics as text, the state dump as JSON.
 
     :param host: IP address to listen on.
     :param kernel: the kernel whose services are dumped.
+    :param max_connections: number of connections that operators may have.
     """
 
     name = "operator_server"
 
-    def __init__(self, host: str, port: int, kernel: AsyncKernel, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        kernel: AsyncKernel,
+        metrics: Metrics,
+        max_connections: int,
+    ) -> None:
         self._host = host
         self._port = port
         self._kernel = kernel
         self._metrics = metrics
-        self._server = HttpServer(self._serve, ServerLimits(), lambda _request, _error: None)
+        self._server = make_operator_http(self._serve, max_connections)
 
     async def start(self) -> None:
         await self._server.listen(self._host, self._port)
--- a/ebonyshore/http/server.py
+++ b/ebonyshore/http/server.py
@@ -1,18 +1,19 @@
 """HTTP/1.1 server: reads requests completely before they are handled and can stream responses."""
 
-from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
 from operator import attrgetter
 
 from ebonyshore.frame.loop_time import now_ms
+from ebonyshore.http.listener import Listener
 from ebonyshore.http.memory_budget import DEFAULT_LIMIT_BYTES, END_DOWN_TO, MemoryBudget
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
 from ebonyshore.http.server_connection import SMALL_BODY_BYTES, ServerConnection
 from ebonyshore.http.server_limits import ServerLimits
+from ebonyshore.http.waiting_connections import WaitingConnections
 
 RECEIVE_BUFFER_BYTES = 32_768  # that are read at a time from a connection
-BACKLOG = 512
+DEFAULT_MAX_CONNECTIONS = 1_000
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
@@ -26,7 +27,10 @@
         server is running.
     :param report_failure: called with the request and the exception when a handler raises.
     :param memory_bytes: limit of what is held for all connections together.
+    :param max_connections: number of connections; for each further one, one that waits for a
+        request is ended, or else the new one.
     :ivar connections: the open connections.
+    :ivar waiting: those of them on which no complete request is.
     :ivar receive_buffer: into which the connections read, one after the other.
     :ivar is_draining: if true, each response announces the end of its connection, which is then
         closed.
@@ -35,6 +39,7 @@
         holds too much.
     :ivar on_request_refused: called for each request that is refused for the same reason before it
         is complete.
+    :ivar on_connection_ended: called for each connection that is ended for a new one or refused.
     """
 
     def __init__(
@@ -43,17 +48,21 @@
         limits: ServerLimits,
         report_failure: Callable[[Request, Exception], None],
         memory_bytes: int = DEFAULT_LIMIT_BYTES,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.report_failure = report_failure
         self.connections: set[ServerConnection] = set()
+        self.waiting: WaitingConnections[ServerConnection] = WaitingConnections()
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.is_draining = False
         self.memory = MemoryBudget(self._held_bytes, memory_bytes)
         self.on_request_ended: Callable[[int], None] = lambda _held_bytes: None
         self.on_request_refused: Callable[[], None] = lambda: None
-        self._server = None
+        self.on_connection_ended: Callable[[], None] = lambda: None
+        self._max_connections = max_connections
+        self._listener: Listener | None = None
 
     async def listen(self, host: str, port: int) -> None:
         """Start accepting connections.
@@ -61,14 +70,15 @@
         :param port: port to listen on; 0 selects a free one.
         :raises OSError: if the address cannot be bound.
         """
-        self._server = await get_running_loop().create_server(
-            lambda: ServerConnection(self), host, port, backlog=BACKLOG, reuse_address=True
+        self._listener = Listener(
+            lambda: ServerConnection(self), self._make_place, self._end_waiting
         )
+        self._listener.listen(host, port)
 
     @property
     def port(self) -> int:
         """Port on which the server listens. Valid only after :meth:`listen`."""
-        return self._server.sockets[0].getsockname()[1]
+        return self._listener.port
 
     def busy_connection_count(self) -> int:
         """Return the number of connections that are not idle."""
@@ -125,5 +135,20 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones are kept."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def _make_place(self) -> bool:
+        """Return whether one more connection may be opened; end another one if it has to."""
+        if len(self.connections) + self._listener.opening_count < self._max_connections:
+            return True
+        return self._end_waiting()
+
+    def _end_waiting(self) -> bool:
+        """End a connection that waits for a request; return whether there is one."""
+        self.on_connection_ended()
+        ended = self.waiting.pop_first_to_end(now_ms())
+        if ended is None:
+            return False
+        ended.abort()
+        return True
--- a/ebonyshore/http/server_connection.py
+++ b/ebonyshore/http/server_connection.py
@@ -138,10 +138,12 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
         self._server.connections.add(self)
+        self._server.waiting.add_new(self, now_ms())
         self._set_timer(self._server.limits.idle_timeout_ms, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        self._server.waiting.discard(self)
         self._cancel_timer()
         self._transport = None
         self.resume_writing()
@@ -295,6 +297,7 @@
 
     def _serve_next(self) -> None:
         if self._task is None and self._pending_requests and not self._is_closing:
+            self._server.waiting.discard(self)
             received = self._pending_requests.popleft()
             self._keeps_alive = received.keeps_alive
             self._task = self._loop.create_task(self._serve(received))
@@ -334,6 +337,7 @@
             self._receive(self._reader.feed_rest)
         if self._is_closing or self._has_complete_request:
             return
+        self._server.waiting.add_served(self, self._idle_since_ms)
         self._choose_reading()
         if self._reader.stage is ReadStage.NONE:
             self._set_timer(self._server.limits.idle_timeout_ms, self.close)
--- a/ebonyshore/platform/settings_file.py
+++ b/ebonyshore/platform/settings_file.py
@@ -39,6 +39,7 @@
 
 class _Limits(Struct):
     memory_mb: float | None = field(default=None, name="MemoryMb")
+    max_descriptors: int | None = field(default=None, name="MaxFds")
 
 
 class _Store(Struct):
@@ -109,6 +110,7 @@
         quota_slack=bounds.quota_slack,
         max_store_age_ms=min(bounds.config_apply_ms, bounds.cancel_ms),
         memory_bytes=_parse_megabytes(document.limits.memory_mb),
+        max_descriptors=document.limits.max_descriptors,
         data_folder=Path(document.data_folder) if document.data_folder else None,
     )
 
--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -26,7 +26,7 @@
 from ebonyshore.http.memory_budget import FixedHolder, connection_limit_bytes
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
-from ebonyshore.http.server import HttpServer
+from ebonyshore.http.server import DEFAULT_MAX_CONNECTIONS, HttpServer
 from ebonyshore.http.server_connection import SMALL_BODY_BYTES
 from ebonyshore.http.server_limits import ServerLimits
 from ebonyshore.link.job_call import (
@@ -92,6 +92,7 @@
     :param admission: refuses jobs that do not fit.
     :param config: the routes in force.
     :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
+    :param max_connections: number of connections that entries may have.
     """
 
     name = "job_api"
@@ -108,6 +109,7 @@
         log: EventLog,
         metrics: Metrics,
         memory_bytes: int | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._host = host
         self._port = port
@@ -120,7 +122,9 @@
         self._metrics = metrics
         limits = ServerLimits(MAX_HEADER_BYTES, MAX_REQUEST_BYTES)
         limit_bytes = connection_limit_bytes(memory_bytes, resident_bytes())
-        self._server = HttpServer(self._serve, limits, self._report_failure, limit_bytes)
+        self._server = HttpServer(
+            self._serve, limits, self._report_failure, limit_bytes, max_connections
+        )
         self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
 
     async def start(self) -> None:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -270,10 +270,13 @@
             clock,
             log,
             metrics,
-            environment.settings.memory_bytes,
+            settings.memory_bytes,
+            settings.connection_limits.clients,
         )
     )
-    kernel.register(OperatorServer(host, METRICS_PORT, kernel, metrics))
+    kernel.register(
+        OperatorServer(host, METRICS_PORT, kernel, metrics, settings.connection_limits.operators)
+    )
     return kernel
 
 
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from ebonyshore.frame.http_connection import WholeResponseConnection
+from ebonyshore.host.operator_server import METRICS_PATH, METRICS_PORT
+from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.client_crowd import HTTP_SHAPES, ClientCrowd
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
@@ -18,6 +21,7 @@
 RESERVED_DESCRIPTORS = 200  # of these, for files that the platform does not count
 CLIENTS = 150
 BYTES_PER_CONNECTION = 2_000_000
+SILENT_CLIENTS = 700  # more than the process may have descriptors
 CALL_TIMEOUT_S = 30.0
 SETTLE_TIMEOUT_S = 30.0
 
@@ -36,6 +40,19 @@
         self.is_answered = is_answered
 
 
+def get_status(process, port, path):
+    connection = WholeResponseConnection(process.ip, port, timeout=CALL_TIMEOUT_S)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        response.read()
+        return response.status
+    except (OSError, HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
 def is_stream_answered(fleet, name):
     try:
         return request_stream(fleet.entries[0], name, timeout_s=CALL_TIMEOUT_S)[0] == 200
@@ -52,9 +69,26 @@
         return False
 
 
+def are_metrics_answered(process):
+    return get_status(process, METRICS_PORT, METRICS_PATH) == 200
+
+
 SERVERS = {
     "entry-front": Server("entry", lambda p: p.front_port, is_stream_answered),
+    "entry-ready": Server(
+        "entry",
+        lambda p: p.ready_port,
+        lambda f, _: (
+            get_status(f.entries[0], f.entries[0].ready_port, WIRE_NAMES.ready_path) == 200
+        ),
+    ),
+    "entry-operator": Server(
+        "entry", lambda _: METRICS_PORT, lambda f, _: are_metrics_answered(f.entries[0])
+    ),
     "runner-internal": Server("runner", lambda p: p.internal_port, is_job_answered),
+    "runner-operator": Server(
+        "runner", lambda _: METRICS_PORT, lambda f, _: are_metrics_answered(f.runners[0])
+    ),
 }
 
 
@@ -85,7 +119,7 @@
 
 
 @pytest.mark.parametrize("shape", HTTP_SHAPES)
-@pytest.mark.parametrize("server", SERVERS)
+@pytest.mark.parametrize("server", ["entry-front", "runner-internal"])
 def test_crowd_does_not_use_up_a_process(fleet, server, shape):
     """Guards against what a connection holds and nobody counts."""
     role, port_of = SERVERS[server].role, SERVERS[server].port_of
@@ -102,3 +136,20 @@
     assert process.is_running
     assert peak_resident_mb(process.pid) < MEMORY_MB
     assert max(descriptors) <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
+
+
+@pytest.mark.parametrize("server", SERVERS)
+def test_call_is_answered_while_silent_clients_have_all_connections(fleet, server):
+    """Guards against connections that nobody ends for the sake of those who wait."""
+    role, port_of = SERVERS[server].role, SERVERS[server].port_of
+    process = fleet.entries[0] if role == "entry" else fleet.runners[0]
+    process.limit_descriptors(MAX_DESCRIPTORS)
+    crowd = ClientCrowd((process.ip, port_of(process)), HTTP_SHAPES["nothing"], SILENT_CLIENTS, 0)
+    descriptors = []
+    try:
+        crowd.run(lambda: descriptors.append(count_descriptors(process.pid)))
+        assert SERVERS[server].is_answered(fleet, f"{server}-silent")
+    finally:
+        crowd.close()
+    assert process.is_running
+    assert max(descriptors) <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
