Ready and operator ports hold little memory

Seen: the same crowds at the ports of the health checks and the metrics ended processes too: 10 or 11 of 16 shapes at each of the three ports were over 64 MB on.

Cause: these servers had the default budget of 64 MB and bodies of 4 MB, whatever the memory of the process, and nothing watched them.

Change: a budget of 2 MB and bodies of 64 kB; their calls need none.

Test: test_crowd_does_not_use_up_a_process for these ports.

--- a/ebonyshore/host/operator_server.py
+++ b/ebonyshore/host/operator_server.py
@@ -5,7 +5,6 @@
 from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService
 from ebonyshore.frame.metrics import Metrics
 from ebonyshore.http.headers import Headers
-from ebonyshore.http.memory_budget import DEFAULT_LIMIT_BYTES
 from ebonyshore.http.messages import Request
 from ebonyshore.http.responder import Responder
 from ebonyshore.http.server import Handler, HttpServer
@@ -14,6 +13,8 @@
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 DUMP_PATH = "/dump"
+MAX_BODY_BYTES = 65_536  # of a request, which needs none
+MEMORY_BYTES = 2 << 20  # that the connections of one such server may hold
 
 
 def make_operator_http(handler: Handler, max_connections: int) -> HttpServer:
@@ -22,10 +23,8 @@
     :param handler: handles one request.
     :param max_connections: number of connections.
     """
-    limits = ServerLimits()
-    return HttpServer(
-        handler, limits, lambda _request, _error: None, DEFAULT_LIMIT_BYTES, max_connections
-    )
+    limits = ServerLimits(max_body_bytes=MAX_BODY_BYTES)
+    return HttpServer(handler, limits, lambda _request, _error: None, MEMORY_BYTES, max_connections)
 
 
 class OperatorServer(AsyncService):
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -119,7 +119,7 @@
 
 
 @pytest.mark.parametrize("shape", HTTP_SHAPES)
-@pytest.mark.parametrize("server", ["entry-front", "runner-internal"])
+@pytest.mark.parametrize("server", SERVERS)
 def test_crowd_does_not_use_up_a_process(fleet, server, shape):
     """Guards against what a connection holds and nobody counts."""
     role, port_of = SERVERS[server].role, SERVERS[server].port_of
