--- a/ebonyshore/http/request_reader.py
+++ b/ebonyshore/http/request_reader.py
@@ -10,9 +10,9 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from msgspec import Struct
 
-from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.http.headers import FIELD_BYTES, Headers
 from ebonyshore.http.messages import Request
+from ebonyshore.http.numbers import parse_decimal
 from ebonyshore.http.server_limits import ServerLimits
 
 FIELD_FRAMING_BYTES = 3  # of each field on the wire, at least: a colon and the end of the line
@@ -59,17 +59,20 @@
     """Reads the requests of one connection one after the other.
 
     :param limits: returns the limits of requests at present.
+    :param now_ms: returns the time on the monotonic clock.
     :ivar stage: what part of a request is received next.
     :ivar begun_count: number of requests that were begun.
     """
 
     __slots__ = (
         "_body",
+        "_declared_bytes",
         "_fields",
         "_fields_bytes",
         "_framing_bytes",
         "_ignores_input",
         "_limits",
+        "_now_ms",
         "_parser",
         "_received",
         "_rejection_status",
@@ -80,8 +83,9 @@
         "stage",
     )
 
-    def __init__(self, limits: Callable[[], ServerLimits]) -> None:
+    def __init__(self, limits: Callable[[], ServerLimits], now_ms: Callable[[], float]) -> None:
         self._limits = limits
+        self._now_ms = now_ms
         self._parser: HttpRequestParser | None = HttpRequestParser(self)
         self._received: list[ReceivedRequest] = []
         self._rejection_status = 0
@@ -93,6 +97,7 @@
         self._fields: list[tuple[str, str]] = []
         self._fields_bytes = 0  # on the wire, at least
         self._body = bytearray()
+        self._declared_bytes = 0  # of the body; 0 if its length is not known
         self.begun_count = 0
         self.stage = ReadStage.NONE
 
@@ -118,7 +123,7 @@
             has to be closed.
         """
         while data and not self._received and not self._ignores_input:
-            part_bytes = BODY_PART_BYTES if self.stage is ReadStage.BODY else HEAD_PART_BYTES
+            part_bytes = max(HEAD_PART_BYTES, min(self._body_left_bytes(), BODY_PART_BYTES))
             self._parse(data[:part_bytes])
             data = data[part_bytes:]
         self._unparsed = bytes(data)
@@ -175,6 +180,7 @@
         if self._parser.should_upgrade() and _has_body(self._fields):
             self._rejection_status = 400  # the parser takes the body for another protocol
         self.stage = ReadStage.BODY
+        self._declared_bytes = _declared_length(self._fields)
         self._framing_bytes = 0
 
     def on_body(self, body: bytes) -> None:
@@ -209,7 +215,11 @@
         self.begun_count += 1
         self.stage = ReadStage.HEAD
         self._framing_bytes = 0
-        self._started_ms = now_ms()
+        self._started_ms = self._now_ms()
+
+    def _body_left_bytes(self) -> int:
+        """Return how much of a body of known length is left to receive."""
+        return max(0, self._declared_bytes - len(self._body))
 
     def _check_head(self, size_bytes: int) -> None:
         if size_bytes > self._limits().max_header_bytes and not self._rejection_status:
@@ -224,6 +234,12 @@
         self._fields = []
         self._fields_bytes = 0
         self._body = bytearray()
+        self._declared_bytes = 0
+
+
+def _declared_length(fields: list[tuple[str, str]]) -> int:
+    texts = (value for name, value in fields if name.lower() == "content-length")
+    return parse_decimal(next(texts, None)) or 0
 
 
 def _has_body(fields: list[tuple[str, str]]) -> bool:
--- a/ebonyshore/http/server_connection.py
+++ b/ebonyshore/http/server_connection.py
@@ -56,7 +56,7 @@
         self._server = server
         self._loop: AbstractEventLoop = get_running_loop()
         self._transport: Transport | None = None
-        self._reader = RequestReader(lambda: server.limits)
+        self._reader = RequestReader(lambda: server.limits, now_ms)
         self._task: Task[None] | None = None
         self._pending_requests: deque[ReceivedRequest] = deque()
         self._timer: TimerHandle | None = None
