Own path: HTTP ports bound what connections hold, their number and the bodies in work

Cause: waitress bounds neither the line with the size of a chunk, nor trailers, nor any sum, accepts one connection in each round, stops to accept at its limit, uses select, and makes a request of each empty line. Worker threads read any number of large bodies at once, and each request stayed until the next collection, as it and its environment refer to each other.

Change: BoundedServer, a waitress server with these bounds that closes the connection that waits longest for each new one; BodyMemory for large bodies, which are refused with OVERLOADED; requests no longer in their environment.

--- a/ebonyshore/entry/http_api.py
+++ b/ebonyshore/entry/http_api.py
@@ -13,6 +13,7 @@
 
 from ebonyshore.batch.batch_api import BatchApi
 from ebonyshore.entry.admission import Admission
+from ebonyshore.entry.body_memory import MAX_ONLINE_BYTES, MAX_UPLOAD_BYTES, BodyMemory
 from ebonyshore.entry.callers import caller_for_api_key
 from ebonyshore.entry.idempotency_service import IdempotencyService
 from ebonyshore.entry.online import never_disconnected
@@ -35,6 +36,8 @@
 
 EVENT_STREAM_TYPE = "text/event-stream"
 LEAVING_RETRY_AFTER_MS = 1_000
+BODY_RETRY_AFTER_MS = 1_000  # of a request whose body there is no memory for
+UPLOAD_PATH = "/v1/files"
 # Codes of refusals that are decided before the idempotency record is read.
 ADMISSION_CODES = (ResultCode.LEAVING, ResultCode.CALLER_LIMIT, ResultCode.OVERLOADED)
 
@@ -91,6 +94,8 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self._online_bodies = BodyMemory(MAX_ONLINE_BYTES)
+        self._uploaded_bodies = BodyMemory(MAX_UPLOAD_BYTES)
         self._lock = Lock()
         self._active = 0
         self._is_leaving = False
@@ -107,13 +112,25 @@
     def __call__(
         self, environ: dict[str, object], start_response: Callable[..., object]
     ) -> Iterator[bytes]:
-        request = Request(environ)
+        request = Request(environ, populate_request=False)
         with self._lock:
             self._active += 1
-        response = self._respond(request)
+        response = self._respond_within_memory(request)
         response.call_on_close(self._end_request)
         return response(environ, start_response)
 
+    def _respond_within_memory(self, request: Request) -> Response:
+        """Respond if there is memory for the body, which is kept until the response has ended."""
+        bodies = self._uploaded_bodies if request.path == UPLOAD_PATH else self._online_bodies
+        body_bytes = request.content_length or 0
+        if not bodies.take(body_bytes):
+            error = RefusedError(code=ResultCode.OVERLOADED, retry_after_ms=BODY_RETRY_AFTER_MS)
+            self._log.event("request_refused", path=request.path, code=int(error.code))
+            return error_response(_account_for_earlier_attempts(error, request))
+        response = self._respond(request)
+        response.call_on_close(lambda: bodies.give_back(body_bytes))
+        return response
+
     def _end_request(self) -> None:
         with self._lock:
             self._active -= 1
--- a/ebonyshore/frame/admin_api.py
+++ b/ebonyshore/frame/admin_api.py
@@ -45,7 +45,7 @@
     def __call__(
         self, environ: dict[str, object], start_response: Callable[..., object]
     ) -> list[bytes]:
-        request = Request(environ)
+        request = Request(environ, populate_request=False)
         return self._handle_request(request)(environ, start_response)
 
     def _handle_request(self, request: Request) -> Response:
--- a/ebonyshore/frame/http_service.py
+++ b/ebonyshore/frame/http_service.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from waitress import create_server
-
+from ebonyshore.frame.bounded_http import BoundedServer
 from ebonyshore.frame.kernel import Service
 
+MIN_CONNECTIONS = 100
+CONNECTIONS_PER_THREAD = 4
 SHUTDOWN_TIMEOUT_S = 5
 
 
@@ -32,14 +33,14 @@
     ) -> None:
         self.name = name
         self._dispatchers: dict[int, object] = {}
-        self._server = create_server(
+        self._server = BoundedServer(
             app,
-            map=self._dispatchers,
+            self._dispatchers,
+            max(MIN_CONNECTIONS, threads * CONNECTIONS_PER_THREAD),
             host=address,
             port=port,
             threads=threads,
             max_request_body_size=max_body_bytes,
-            connection_limit=max(100, threads * 4),
             ident="ebonyshore",
             # Needed for waitress.client_disconnected: with 0, waitress does not read from a
             # connection during a request, and so does not notice that the client has closed it.
--- a/ebonyshore_standins/client_crowd.py
+++ b/ebonyshore_standins/client_crowd.py
@@ -16,6 +16,13 @@
 MANY_BYTES = 99_999_999_999
 HOST = b"Host: tier.example\r\n"
 POST = b"POST /ask/x HTTP/1.1\r\n" + HOST
+WHOLE_BODY_BYTES = 1_900_000
+WHOLE_BODY = (
+    b"POST /v1/completions HTTP/1.1\r\n"
+    + HOST
+    + b"Content-Length: %d\r\n\r\n" % WHOLE_BODY_BYTES
+    + b"y" * WHOLE_BODY_BYTES
+)
 SHORT_LINES = b"a:\r\n" * 3_900  # fewer than 16 kB
 CHUNK = b"%x\r\n%b\r\n" % (BLOCK_BYTES, b"y" * BLOCK_BYTES)
 TWO_BYTE_CHUNKS = b"2\r\nyz\r\n" * 2_000
@@ -62,6 +69,10 @@
     return b"GET /%d%b HTTP/1.1\r\n%b\r\n" % (number, b"x" * 14_000, HOST)
 
 
+def _whole_body(_number: int) -> bytes:
+    return WHOLE_BODY
+
+
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 LINES = _repeat(b"X: y\r\n" * 2_000)
 
@@ -79,6 +90,7 @@
     "body_of_legal_size": ClientShape(
         POST + b"Content-Length: 4000000\r\n\r\n", _repeat(b"y" * BLOCK_BYTES)
     ),
+    "whole_bodies": ClientShape(b"", _whole_body),
     "chunks_without_end": ClientShape(CHUNKED, _repeat(CHUNK)),
     "two_byte_chunks": ClientShape(CHUNKED, _repeat(TWO_BYTE_CHUNKS)),
     "chunk_extension_without_end": ClientShape(CHUNKED + b"1;", _repeat(b"e" * BLOCK_BYTES)),
