--- a/ebonyshore_soak/__main__.py
+++ b/ebonyshore_soak/__main__.py
@@ -14,6 +14,7 @@
 from ebonyshore_soak.account_clients import AccountClients, make_accounts
 from ebonyshore_soak.checker import GuaranteeChecker
 from ebonyshore_soak.clients import CRASHING_BODY, CRASHING_PART, STREAM_EVENTS, SoakClients
+from ebonyshore_soak.crowd_checks import check_client_crowds
 from ebonyshore_soak.endless_checks import check_endless_answers, limit_memory
 from ebonyshore_soak.faults import FaultInjector, proxied_target_entry
 from ebonyshore_soak.large_results import check_large_results
@@ -136,6 +137,7 @@
         _settle(fleet, clients, checker, clock)
         account_clients.check_jobs()
         _check_single_faults(fleet, target_proxies, clients, checker, clock)
+        check_client_crowds(fleet, clients, checker, options.seed)
         runs = [run for target in fleet.targets for run in target.runs]
         checker.check_runs(runs)
         limited_jobs.check_limit(runs)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -4,6 +4,7 @@
 of the settings: a process that uses more is ended on the users' platform.
 """
 
+import socket
 from http.client import HTTPException
 
 import pytest
@@ -13,6 +14,7 @@
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore_standins.client_crowd import HTTP_SHAPES, ClientCrowd
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
+from ebonyshore_standins.fleet_config import ROUTE_HOST, STREAM_PREFIX
 from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
 from ebonyshore_standins.process_usage import count_descriptors, peak_resident_mb
 
@@ -153,3 +155,31 @@
         crowd.close()
     assert process.is_running
     assert max(descriptors) <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
+
+
+BODY = b"question" * 1_000
+LEGAL_REQUESTS = {
+    "short_lines_and_body": [b"a:\r\n" * 3_800, b"Content-Length: 8000\r\n\r\n", BODY],
+    "long_value": [b"X: " + b"y" * 15_000, b"\r\nContent-Length: 8000\r\n\r\n", BODY],
+    "two_byte_chunks": [
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"2\r\nyz\r\n" * 4_000,
+        b"0\r\n\r\n",
+    ],
+    "chunk_extension": [b"Transfer-Encoding: chunked\r\n\r\n4;x=y\r\nbody\r\n0\r\n\r\n"],
+    "trailers": [b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\n\r\n"],
+    "body_near_the_limit": [b"Content-Length: 4000000\r\n\r\n", b"y" * 4_000_000],
+}
+
+
+@pytest.mark.parametrize("name", LEGAL_REQUESTS)
+def test_single_legal_request_is_served_in_calm(fleet, name):
+    """Guards against limits that clients within the pages' limits meet."""
+    entry = fleet.entries[0]
+    head = f"\r\nPOST {STREAM_PREFIX}x HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nConnection: close\r\n"
+    head += f"{WIRE_NAMES.request_id}: legal-{name}\r\n{WIRE_NAMES.remaining_ms}: 5000\r\n"
+    with socket.create_connection((entry.ip, entry.front_port), CALL_TIMEOUT_S) as connection:
+        connection.sendall(head.encode() + b"".join(LEGAL_REQUESTS[name]))
+        answer = b"".join(iter(lambda: connection.recv(65_536), b""))
+    assert answer.startswith(b"HTTP/1.1 200"), answer[:200]
+    assert answer.endswith(b"0\r\n\r\n")
--- a/tools/fuzz_targets.py
+++ b/tools/fuzz_targets.py
@@ -26,8 +26,13 @@
 from ebonyshore.host.target import Target, TargetEntry
 from ebonyshore.host.target_speed import TargetSpeeds
 from ebonyshore.http.client import BodyEnd, ClientConnection, ExchangeError
-from ebonyshore.http.headers import Headers
+from ebonyshore.http.headers import FIELD_BYTES, Headers
 from ebonyshore.http.messages import Request
+from ebonyshore.http.request_reader import (
+    FIELD_FRAMING_BYTES,
+    RequestReader,
+    RequestRejectedError,
+)
 from ebonyshore.http.responder import Responder
 from ebonyshore.http.server import HttpServer
 from ebonyshore.http.server_connection import ServerConnection
@@ -58,10 +63,18 @@
 from ebonyshore.runner.suspicion_store import SuspicionRecord
 from ebonyshore.store.marked_write import MarkedStore
 from ebonyshore.store.store_http_client import StoreResponse
+from ebonyshore_standins.client_crowd import HTTP_SHAPES
 from ebonyshore_standins.memory_platform import MemoryPlatform
 from ebonyshore_standins.received_bytes import feed_bytes
 
+LOW_LIMITS = ServerLimits(max_header_bytes=2_000, max_body_bytes=5_000)
+# Fields as objects, their bytes twice at most, and the body.
+MAX_HELD_BYTES = (
+    LOW_LIMITS.max_header_bytes * (FIELD_BYTES // FIELD_FRAMING_BYTES + 3)
+    + LOW_LIMITS.max_body_bytes
+)
 MAX_CHUNKS = 64  # in which the bytes of a connection arrive
+FUZZED_BYTES = 4_000  # of what a client sends without end
 RECORD_TYPES = (
     JobRecord,
     BodyPart,
@@ -290,6 +303,18 @@
         raise failures[0]
 
 
+def check_request_memory(data: bytes) -> None:
+    """Read requests of a caller with low limits, and compare what they hold with these."""
+    reader = RequestReader(lambda: LOW_LIMITS, lambda: 0.0)
+    with suppress(RequestRejectedError):
+        for chunk in _chunks(data):
+            received = reader.feed(memoryview(chunk))
+            while received:
+                received = reader.feed_rest()
+            if reader.held_bytes > MAX_HELD_BYTES:
+                raise AssertionError(f"an incomplete request holds {reader.held_bytes} bytes")
+
+
 def check_job_call(data: bytes) -> None:
     """Decode the target of a request about a job."""
     with suppress(ValueError):
@@ -341,6 +366,11 @@
     FuzzTarget("events", check_events, (STREAM,)),
     FuzzTarget("response", check_response, (RESPONSE, RESPONSE + RESPONSE, SWITCHING)),
     FuzzTarget("request", check_request, (REQUEST, REQUEST + REQUEST, UPGRADE)),
+    FuzzTarget(
+        "request_memory",
+        check_request_memory,
+        tuple(b"".join(shape.parts(FUZZED_BYTES)) for shape in HTTP_SHAPES.values()),
+    ),
     FuzzTarget("job_call", check_job_call, (JOB_CALL,)),
     FuzzTarget("datagram", check_datagram, tuple(map(encode_message, DATAGRAMS))),
 )
