Own path: a connection that is given up is closed by the loop of its server

Seen: "server accept" of a new connection followed by BlockingIOError in the log of an entry under a crowd; the new connection, which may be an ordinary caller's, was closed.

Cause: the descriptor of a connection that was closed for a new one was used again in the same round of the loop, and the event of the old one was taken for the new.

Change: such connections are marked, and the loop closes them in its next round. The limits of connections also hold where the system sets none.

--- a/ebonyshore/frame/bounded_http.py
+++ b/ebonyshore/frame/bounded_http.py
@@ -81,8 +81,9 @@
         self.is_proven = self.is_proven or bool(self.requests)
         request = self.request
         self.server.count_held(self, 0 if request is None else request.held_bytes)
-        has_file = any(x.has_file for x in (request, *self.requests) if x is not None)
-        self.server.count_file(self, has_file)
+        if not self.will_close:  # it may have been given up just now
+            has_file = any(x.has_file for x in (request, *self.requests) if x is not None)
+            self.server.count_file(self, has_file)
         return result
 
     def _without_empty_lines(self, data: bytes) -> bytes:
@@ -96,15 +97,27 @@
     @property
     def is_waiting(self) -> bool:
         """Whether the client has neither a complete request nor a response to read."""
-        return not self.requests and not self.total_outbufs_len
+        return not (self.requests or self.total_outbufs_len or self.will_close)
+
+    def give_up(self) -> None:
+        """Drop what was received, and let the loop of the server close the connection.
+
+        Its descriptor may not be used again before the loop has looked at all others, as the event
+        of the old connection would be taken for one of the new.
+        """
+        self.will_close = True
+        self._drop_request()
 
     def handle_close(self) -> None:
+        self._drop_request()
+        super().handle_close()
+
+    def _drop_request(self) -> None:
         self.server.count_held(self, 0)
         self.server.count_file(self, False)
         if self.request is not None:
             self.request.close()  # its temporary file
             self.request = None
-        super().handle_close()
 
 
 class BoundedServer(TcpWSGIServer):
@@ -173,7 +186,8 @@
             self._close_waiting()
 
     def _descriptor_count(self) -> int:
-        return len(self.active_channels) + self._file_count
+        open_count = sum(not channel.will_close for channel in self.active_channels.values())
+        return open_count + self._file_count
 
     def maintenance(self, now: float) -> None:
         super().maintenance(now)
@@ -187,7 +201,7 @@
             largest = channels.pop()
             if largest.held_bytes <= SMALL_REQUEST_BYTES:
                 return
-            largest.handle_close()
+            largest.give_up()
 
     def _close_waiting(self) -> None:
         """Close the connection that has waited longest, those without any request first."""
@@ -201,4 +215,4 @@
         proven = [channel for channel in waiting if channel.is_proven]
         candidates = slow or proven or waiting
         if candidates:
-            min(candidates, key=attrgetter("last_activity")).handle_close()
+            min(candidates, key=attrgetter("last_activity")).give_up()
--- a/ebonyshore/host/connection_limits.py
+++ b/ebonyshore/host/connection_limits.py
@@ -1,11 +1,12 @@
 """How many connections the servers of a process may have, by its descriptors and its memory."""
 
-from resource import RLIMIT_NOFILE, getrlimit
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 from msgspec import Struct
 
 from ebonyshore.http.memory_budget import connection_limit_bytes
 
+MAX_DESCRIPTORS = 1 << 16  # if the system has no limit
 RESERVED_DESCRIPTORS = 200  # for files that are no connections
 # Part of the other descriptors for the connections of clients; each request that is handled takes
 # one more, to a target.
@@ -34,10 +35,11 @@
     :param max_descriptors: limit of its descriptors in the settings; ``None`` if there is none.
     :param memory_bytes: limit of its memory; ``None`` if there is none.
     """
-    allowed = getrlimit(RLIMIT_NOFILE)[0]
+    system_limit = getrlimit(RLIMIT_NOFILE)[0]
+    limits = [MAX_DESCRIPTORS if system_limit == RLIM_INFINITY else system_limit]
     if max_descriptors is not None:
-        allowed = min(allowed, max_descriptors)
-    free = max(0, allowed - RESERVED_DESCRIPTORS)
+        limits.append(max_descriptors)
+    free = max(0, min(limits) - RESERVED_DESCRIPTORS)
     idle_bytes = connection_limit_bytes(memory_bytes) * IDLE_MEMORY_SHARE
     clients = min(int(free * CLIENT_SHARE), int(idle_bytes / CONNECTION_BYTES))
     operators = min(int(free * OPERATOR_SHARE), MAX_OPERATOR_CONNECTIONS)
