--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -172,6 +172,7 @@
 
 
 async def send_report_during_claim(setup, load, socket):
+    await asyncio.sleep(0.1)  # a report that comes too soon after the last one is held back
     setup.claims.claim_unowned_jobs()
     setup.receive_report("a", sequence=2)
     load.send(socket)
