--- a/review/10/case.py
+++ b/review/10/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common2"))
 
-from harness import CaseError, Record, is_trouble, run_case, write_runs
+from harness import CaseError, Record, is_trouble, run_case, set_heartbeat, write_runs
 from servers import Link
 
 from ebonyshore.platform.wire_names import WIRE_NAMES
@@ -99,6 +99,7 @@
     asyncio.run_coroutine_threadsafe(link.listen(), loop).result(5)
     fleet.runners[0].write_settings(f"127.0.0.1:{link.port}")
     try:
+        set_heartbeat(folder)
         fleet.start()
         time.sleep(1.0)
         return play(record, fleet, added, link, loop)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common2"))
 
-from harness import CaseError, Record, is_trouble, run_case
+from harness import CaseError, Record, is_trouble, run_case, set_heartbeat
 from streams import CAPTION_PREFIX, Client, Servers, caption_route, check_items, check_streams
 
 from ebonyshore_standins.fleet_client import submit_job
@@ -24,6 +24,7 @@
     servers = Servers(folder, SERVERS, EVENT_MS)
     fleet = PlatformFleet(folder, ENTRIES, RUNNERS, targets=0)
     try:
+        set_heartbeat(folder)
         fleet.start(servers.start())
         servers.register(fleet.platform.state)
         fleet.platform.state.put("config", "main", make_config(2, caption_route()))
--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -49,6 +49,13 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def set_heartbeat(folder: Path) -> None:
+    """Set the heartbeat of the servers in all settings files to that of the sites, 1,200 ms."""
+    for path in folder.glob("*.toml"):
+        settings = path.read_text(encoding="utf-8")
+        path.write_text(settings.replace("HeartbeatMs = 400", "HeartbeatMs = 1200"), "utf-8")
+
+
 def write_runs(record: Record, targets: Iterable[StreamTarget]) -> None:
     """Record what the project's stand-ins for servers have run."""
     for target in targets:
@@ -66,7 +73,8 @@
         processes that it has started, also if it raises.
     """
     record = Record(Path(case_file).resolve().parent)
-    signal.signal(signal.SIGALRM, _raise_timeout)
+    signal.signal(signal.SIGALRM, _raise_end)
+    signal.signal(signal.SIGTERM, _raise_end)
     signal.alarm(int(MAX_CASE_S))
     status = NOT_RUN
     with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as folder:
@@ -81,5 +89,5 @@
     os._exit(status)  # threads of stand-ins may still run
 
 
-def _raise_timeout(_number: int, _frame: object) -> None:
-    raise CaseError("it took too long")
+def _raise_end(_number: int, _frame: object) -> None:
+    raise CaseError("it was stopped, or took too long")
