--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -222,7 +222,10 @@
                 self._record_crash(target, broken, is_down)
                 return TargetCondition.DOWN if is_down else TargetCondition.RESTARTED
             self._log.event(
-                "target_alive", target=target.target_id, contents=",".join(sorted(broken))
+                "target_alive",
+                target=target.target_id,
+                condition=condition.name.lower(),
+                contents=",".join(sorted(broken)),
             )
             if condition is TargetCondition.ANSWERING:
                 self._add_unexplained(target, broken)
