The exit of a target that leaves does not complete its answers

Seen by callers: a target that had said that it leaves exits in the middle of its runs; its answers without a length end with their connections, and pass for complete streams and items.

Cause: CrashGuard.confirm_end took the end of any target that leaves for the end of the answer, although the check had found that the target was gone.

Change: a target that has ended confirms no answer, planned or not. The run goes on elsewhere, or is cut if it cannot be resumed. Nothing is attributed to its content, as before.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -107,8 +107,8 @@
     async def confirm_end(self, run: ContentRun) -> bool:
         """Return whether a response that ended with its connection may be complete.
 
-        It is not if its target has ended as well, unless that was planned: a target that crashes
-        between two events closes the connection in the same way.
+        It is not if its target has ended as well: a target that crashes between two events, or
+        leaves before its runs have ended, closes the connection in the same way.
         """
         self._add_broken(run)
         self._check(run.target)
@@ -118,7 +118,7 @@
         run.is_end_certain = condition is TargetCondition.SERVING
         has_ended = condition in (TargetCondition.DOWN, TargetCondition.RESTARTED)
         run.is_attributed = has_ended
-        return not has_ended or run.target.is_leaving
+        return not has_ended
 
     def end_broken(self, run: ContentRun) -> None:
         """Record that a run broke off or fell silent, and check its target."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -447,3 +447,21 @@
         assert (setup.crashes("x"), setup.crashes("part-a")) == (1, 0)
 
     run(scenario)
+
+
+@pytest.mark.parametrize("is_item", [False, True])
+@pytest.mark.parametrize("condition", [TargetCondition.DOWN, TargetCondition.RESTARTED])
+def test_end_of_an_answer_with_a_target_that_leaves_is_not_confirmed(condition, is_item):
+    """Guards against answers cut short by a target that exits before its runs have ended."""
+
+    async def scenario(setup):
+        setup.checker.down.clear()
+        setup.checker.condition_if_up = condition
+        cut = setup.begin("t1", "harmless", is_item=is_item)
+        setup.table.put(replace(setup.table.find("t1").entry, is_leaving=True))
+        assert not await setup.guard.confirm_end(cut)
+        setup.guard.end_broken(cut)
+        await setup.guard.settle("harmless")
+        assert setup.crashes("harmless") == 0
+
+    run(scenario)
--- a/tests/test_undelimited_answers.py
+++ b/tests/test_undelimited_answers.py
@@ -3,6 +3,8 @@
 import asyncio
 from functools import partial
 
+from msgspec.structs import replace
+
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.link.suspicion import PART_CONVICTION_CRASHES
 from ebonyshore.runner.item_run import RunOutcome
@@ -76,6 +78,27 @@
     assert event_ids(answer) == [1, 2] and not is_complete_stream(answer)
 
 
+def test_stream_that_ended_with_a_target_that_leaves_is_not_complete():
+    """Guards against taking the exit of a target that leaves for the end of its answers."""
+
+    async def scenario():
+        gateway = Gateway(make_route())
+
+        async def leave(session):
+            gateway.table.put(replace(gateway.table.find("t1").entry, is_leaving=True))
+            target.close()
+            await send_undelimited_stream(session, last=2)
+
+        target = ScriptedTarget(leave)
+        await gateway.start(target, ScriptedTarget(send_complete_stream))
+        answer = await gateway.request(b"body")
+        gateway.close()
+        return answer
+
+    answer = run(scenario())
+    assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
+
+
 def test_part_whose_streams_end_with_their_targets_is_refused():
     """Guards against clearing a part by answers that only look complete."""
 
