Only a load report confirms the end of an answer without a length

The server's address belongs to a link that goes on accepting connections and closes them. Two connections that were accepted and closed made the check say that the target answers, and the guard took that for a target that serves on.

Evidence: target_alive condition=answering for the killed server at runner and entry, 110 ms after the kill, with both connections accepted and closed.

Change: a check that got no load report (closed connection, bytes that are no answer, another status than 200) is INCONCLUSIVE. It blames no content, as before, and does not confirm an answer.

In test_target_check and test_endless_responses the former condition is split in two; the cases expect the one that says what the target sent.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -28,9 +28,12 @@
 SILENCE_CHECK_MS = 1_000.0  # without a part of the response, after which the target is checked
 SCAN_INTERVAL_MS = 250.0
 MAX_SCAN_PAUSE_MS = 2 * SCAN_INTERVAL_MS
+MAX_CONFIRMING_CHECKS = 3  # of a target that sends no report
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
+# What a check finds of a target that is not down and may have been started again.
+ANSWERED_CONDITIONS = (TargetCondition.ANSWERING, TargetCondition.INCONCLUSIVE)
 
 
 class CrashGuard(PeriodicService):
@@ -108,17 +111,20 @@
         """Return whether a response that ended with its connection may be complete.
 
         It is not if its target has ended as well: a target that crashes between two events, or
-        leaves before its runs have ended, closes the connection in the same way.
+        leaves before its runs have ended, closes the connection in the same way. Nor is it if the
+        target sends no report: what accepts connections may be something before it.
         """
-        self._add_broken(run)
-        self._check(run.target)
-        check = self._checks[run.target]
-        await wait([check])
-        condition = check.result()
+        for _ in range(MAX_CONFIRMING_CHECKS):
+            self._add_broken(run)
+            self._check(run.target)
+            check = self._checks[run.target]
+            await wait([check])
+            condition = check.result()
+            if condition is not TargetCondition.INCONCLUSIVE:
+                break
         run.is_end_certain = condition is TargetCondition.SERVING
-        has_ended = condition in (TargetCondition.DOWN, TargetCondition.RESTARTED)
-        run.is_attributed = has_ended
-        return not has_ended
+        run.is_attributed = condition in (TargetCondition.DOWN, TargetCondition.RESTARTED)
+        return not run.is_attributed and condition is not TargetCondition.INCONCLUSIVE
 
     def end_broken(self, run: ContentRun) -> None:
         """Record that a run broke off or fell silent, and check its target."""
@@ -227,7 +233,7 @@
                 condition=condition.name.lower(),
                 contents=",".join(sorted(broken)),
             )
-            if condition is TargetCondition.ANSWERING:
+            if condition in ANSWERED_CONDITIONS:
                 self._add_unexplained(target, broken)
             return condition
         finally:
@@ -240,7 +246,7 @@
         """Return whether a target that answers has lost its runs in an unplanned restart."""
         if condition is TargetCondition.RESTARTED:
             return not target.is_leaving
-        return condition is TargetCondition.ANSWERING and bool(broken) and self._has_ended(target)
+        return condition in ANSWERED_CONDITIONS and bool(broken) and self._has_ended(target)
 
     def _has_ended(self, target: Target) -> bool:
         """Return whether the list shows that this run of the target has ended unplanned."""
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -24,7 +24,8 @@
     """What a check has found."""
 
     SERVING = auto()  # the same incarnation still serves
-    ANSWERING = auto()  # it answers, and does not tell whether it was started again
+    ANSWERING = auto()  # its report does not tell whether it was started again
+    INCONCLUSIVE = auto()  # it accepts connections and sends no report
     RESTARTED = auto()  # it serves, but all that it ran before has ended
     DOWN = auto()  # it refuses connections or does not answer
 
@@ -68,15 +69,14 @@
         sent later therefore shows that the target accepted a connection since.
         """
         condition = await self._ask(target)
-        if condition is None:
+        if condition is TargetCondition.INCONCLUSIVE:
             await sleep(INCONCLUSIVE_RETRY_DELAY_MS / MS_PER_S)
             condition = await self._ask(target)
         if condition in (TargetCondition.DOWN, TargetCondition.RESTARTED):
             self._pool.close_idle_connections(target.entry.address)
-        return condition or TargetCondition.ANSWERING
+        return condition
 
-    async def _ask(self, target: Target) -> TargetCondition | None:
-        """Return the target's condition, or ``None`` if it closed the new connection."""
+    async def _ask(self, target: Target) -> TargetCondition:
         address = target.entry.address
         try:
             async with self._pool.use_new(address, CHECK_TIMEOUT_MS) as connection:
@@ -85,7 +85,7 @@
                 except (AttemptFailedError, ExchangeError):
                     if not connection.has_received:
                         raise
-                    started_ms = None  # a target that sends invalid bytes is not down
+                    return TargetCondition.INCONCLUSIVE  # one that sends bytes is not down
                 if started_ms is None or not target.started_ms:
                     return TargetCondition.ANSWERING
                 target.is_listed_start(started_ms)
@@ -94,7 +94,7 @@
         except AttemptFailedError:
             return TargetCondition.DOWN
         except ExchangeError as error:
-            return None if error.was_sent else TargetCondition.DOWN
+            return TargetCondition.INCONCLUSIVE if error.was_sent else TargetCondition.DOWN
 
     async def _read_start(self, connection: ClientConnection, target: Target) -> int | None:
         address = target.entry.address
@@ -102,9 +102,12 @@
         connection.send(request.encode(), may_be_refused=False)
         deadline_ms = now_ms() + CHECK_TIMEOUT_MS
         reader = ResponseReader(connection, self._names, target, None, deadline_ms)
-        while (await reader.read_head(None)).headers.get(self._names.not_executed) is not None:
+        while (head := await reader.read_head(None)).headers.get(
+            self._names.not_executed
+        ) is not None:
             # Reports are not refused: this is a copy of the refusal of an earlier request.
             await reader.read_body(lambda: reader.next_part(None), MAX_REPORT_BYTES)
-        return self._decode_start(
-            await reader.read_body(lambda: reader.next_part(None), MAX_REPORT_BYTES)
-        )
+        body = await reader.read_body(lambda: reader.next_part(None), MAX_REPORT_BYTES)
+        if head.status != 200:
+            raise ExchangeError(f"status {head.status} in place of a load report")
+        return self._decode_start(body)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -232,5 +232,5 @@
         endless.close()
         return condition
 
-    assert run(scenario()) is TargetCondition.ANSWERING
+    assert run(scenario()) is TargetCondition.INCONCLUSIVE
     assert endless.sent_bytes <= 2 * MAX_RECEIVED_BYTES  # over two checks
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -39,6 +39,17 @@
     await hang(reader, writer)
 
 
+async def report_without_start(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}")
+    await hang(reader, writer)
+
+
+async def send_garbage(reader, writer):
+    writer.write(b"no answer\r\n")
+    await hang(reader, writer)
+
+
 async def use_connection(pool, address):
     """Make one request and return its connection, which stays in the pool."""
     async with pool.use(address, 300.0, 10_000.0) as connection:
@@ -64,12 +75,17 @@
     [
         (None, TargetCondition.DOWN),
         (hang, TargetCondition.DOWN),
-        (answer, TargetCondition.ANSWERING),
-        (close_at_once, TargetCondition.ANSWERING),
+        (report_without_start, TargetCondition.ANSWERING),
+        (answer, TargetCondition.INCONCLUSIVE),
+        (send_garbage, TargetCondition.INCONCLUSIVE),
+        (close_at_once, TargetCondition.INCONCLUSIVE),
     ],
 )
 def test_a_target_is_down_if_it_refuses_connections_or_does_not_answer(serve, condition):
-    """A target with too many connections closes new ones at once, so that shows nothing."""
+    """A target with too many connections closes new ones at once, so that shows nothing.
+
+    The same comes from what stands before a target that has ended, or a status other than 200.
+    """
     assert check(serve) is condition
 
 
--- a/tests/test_undelimited_answers.py
+++ b/tests/test_undelimited_answers.py
@@ -99,6 +99,56 @@
     assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
 
 
+def gateway_stream(*targets, **route):
+    """Return the answer to one request of a gateway with these targets."""
+
+    async def scenario():
+        gateway = Gateway(make_route(**route))
+        await gateway.start(*targets)
+        answer = await gateway.request(b"body")
+        gateway.close()
+        return answer
+
+    return run(scenario())
+
+
+def hidden_target(last):
+    """Return a target whose report port stays open, as that of a proxy does, and sends nothing."""
+    target = ScriptedTarget(partial(send_undelimited_stream, last=last))
+
+    async def close(session):
+        session.reset()
+
+    target.before_report = close
+    return target
+
+
+def test_stream_whose_target_shows_no_report_afterwards_is_not_complete():
+    """Guards against taking accepted connections for a target that serves on.
+
+    What accepts them may be a proxy, or a link, before a target that has ended.
+    """
+    answer = gateway_stream(hidden_target(last=2), ScriptedTarget(send_complete_stream))
+    assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
+    answer = gateway_stream(hidden_target(last=2), max_attempts=1, is_resumable=False)
+    assert event_ids(answer) == [1, 2] and not is_complete_stream(answer)
+
+
+def test_stream_is_complete_if_its_target_has_room_for_a_check_after_a_moment():
+    """Guards against cutting the answers of a target that has too many connections for a while."""
+    target = serving_target()
+    refusals = [True] * 3
+
+    async def close_at_first(session):
+        if refusals:
+            refusals.pop()
+            session.reset()
+
+    target.before_report = close_at_first
+    answer = gateway_stream(target, max_attempts=1, is_resumable=False)
+    assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
+
+
 def test_part_whose_streams_end_with_their_targets_is_refused():
     """Guards against clearing a part by answers that only look complete."""
 
