A restart is held against every answer that began before it

Cause: TargetChecker returns a restart once, and the next check finds the target serving. CrashGuard.confirm_end looked at the condition alone.

Evidence: the log of the runner has target_crashed is_down=False at the end of the cut, then target_alive condition=serving six times, 0.1 s apart, for the same target and start.

Change: a run keeps the start of its target as it was known when the run began. An answer is confirmed only if the check does not know a later one.

Tests: one test of items and one of streams, each failed before.

--- a/ebonyshore/host/content_run.py
+++ b/ebonyshore/host/content_run.py
@@ -31,6 +31,7 @@
     :ivar is_attributed: whether a crash of the target was attributed to it while it was running.
     :ivar has_cleared_parts: whether its progress has cleared the parts of its prompt.
     :ivar on_first_event: called with the run when it receives its first event.
+    :ivar target_started_ms: wall time of the target's start, as it was known when the run started.
     :ivar is_end_certain: whether a complete response is certain to be all that the target sends.
     """
 
@@ -50,6 +51,7 @@
         "on_first_event",
         "started_ms",
         "target",
+        "target_started_ms",
     )
 
     def __init__(
@@ -62,6 +64,7 @@
         follows_break: bool = False,
     ) -> None:
         self.target = target
+        self.target_started_ms = target.started_ms
         self.content = content
         self.started_ms = started_ms
         self.is_resumable = is_resumable
@@ -77,6 +80,11 @@
         self.is_end_certain = True
         self.on_first_event: Callable[[ContentRun], None] = lambda _run: None
 
+    @property
+    def is_target_restarted(self) -> bool:
+        """Whether the target is known to have been started again since the run started."""
+        return self.target.started_ms > self.target_started_ms
+
     @property
     def progress_ms(self) -> float | None:
         """Time from the first to the last event in milliseconds; ``None`` without an event."""
--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -32,6 +32,8 @@
 # A target that restarts quickly answers its check. The list shows the restart within this time:
 # three missing heartbeats and the delay of the list.
 RESTART_LISTING_MS = 6_000.0
+# What a check finds of a target that has lost its runs.
+ENDED_CONDITIONS = (TargetCondition.DOWN, TargetCondition.RESTARTED)
 # What a check finds of a target that is not down and may have been started again.
 ANSWERED_CONDITIONS = (TargetCondition.ANSWERING, TargetCondition.INCONCLUSIVE)
 
@@ -122,8 +124,9 @@
             condition = check.result()
             if condition is not TargetCondition.INCONCLUSIVE:
                 break
-        run.is_end_certain = condition is TargetCondition.SERVING
-        run.is_attributed = condition in (TargetCondition.DOWN, TargetCondition.RESTARTED)
+        # A restart is returned by one check only, and many answers may end with it.
+        run.is_attributed = condition in ENDED_CONDITIONS or run.is_target_restarted
+        run.is_end_certain = condition is TargetCondition.SERVING and not run.is_attributed
         return not run.is_attributed and condition is not TargetCondition.INCONCLUSIVE
 
     def end_broken(self, run: ContentRun) -> None:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -465,3 +465,19 @@
         assert setup.crashes("harmless") == 0
 
     run(scenario)
+
+
+def test_no_item_that_began_before_a_restart_is_confirmed():
+    """Guards against confirming the second item that ends with a restart, as the first told it."""
+
+    async def scenario(setup):
+        setup.checker.down.clear()
+        setup.checker.condition_if_up = TargetCondition.SERVING
+        target = setup.table.find("t1")
+        lost = [setup.begin("t1", "one", is_item=True) for _ in range(2)]
+        target.record_start(2)
+        later = setup.begin("t1", "two", is_item=True)
+        assert [await setup.guard.confirm_end(run) for run in lost] == [False, False]
+        assert await setup.guard.confirm_end(later)
+
+    run(scenario)
--- a/tests/test_undelimited_answers.py
+++ b/tests/test_undelimited_answers.py
@@ -149,6 +149,34 @@
     assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
 
 
+def test_all_streams_of_a_target_that_was_started_again_are_cut():
+    """Guards against noticing a restart only at the first of the answers that ended with it."""
+    ends_s = {"req-1": 0.02, "req-2": 0.1, "req-3": 0.2}
+
+    async def end_late(session):
+        target.report = b'{"born":2}'
+        await asyncio.sleep(ends_s[session.header("Attempt-Id")])
+        await send_undelimited_stream(session, last=2)
+
+    target = ScriptedTarget(end_late)
+
+    async def scenario():
+        gateway = Gateway(make_route(max_attempts=1, is_resumable=False))
+        await gateway.start(target)
+        answers = await asyncio.gather(
+            *(gateway.request(name.encode(), request_id=name) for name in ends_s)
+        )
+        target.scripts = [partial(send_undelimited_stream, last=4)]
+        later = await gateway.request(b"later")
+        gateway.close()
+        return answers, later
+
+    answers, later = run(scenario())
+    assert [event_ids(answer) for answer in answers] == [[1, 2]] * 3
+    assert not any(is_complete_stream(answer) for answer in answers)
+    assert is_complete_stream(later)
+
+
 def test_part_whose_streams_end_with_their_targets_is_refused():
     """Guards against clearing a part by answers that only look complete."""
 
