A crash that was attributed to a run counts no more at the run's end

When the end of an answer arrives after the cut, the target is found to be started again, and the same crash counted once more against the same content.

Change: the end of a run that has a crash attributed adds no content.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -117,11 +117,7 @@
         target sends no report: what accepts connections may be something before it.
         """
         for _ in range(MAX_CONFIRMING_CHECKS):
-            self._add_broken(run)
-            self._check(run.target)
-            check = self._checks[run.target]
-            await wait([check])
-            condition = check.result()
+            condition = await self._check_end(run)
             if condition is not TargetCondition.INCONCLUSIVE:
                 break
         # A restart is returned by one check only, and many answers may end with it.
@@ -129,6 +125,15 @@
         run.is_end_certain = condition is TargetCondition.SERVING and not run.is_attributed
         return not run.is_attributed and condition is not TargetCondition.INCONCLUSIVE
 
+    async def _check_end(self, run: ContentRun) -> TargetCondition:
+        """Check the target of a run whose connection has ended."""
+        if not run.is_attributed:
+            self._add_broken(run)
+        self._check(run.target)
+        check = self._checks[run.target]
+        await wait([check])
+        return check.result()
+
     def end_broken(self, run: ContentRun) -> None:
         """Record that a run broke off or fell silent, and check its target."""
         self.end(run)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -481,3 +481,20 @@
         assert await setup.guard.confirm_end(later)
 
     run(scenario)
+
+
+def test_one_crash_counts_once_although_its_target_is_found_down_and_then_started_again():
+    """Guards against counting one crash behind a cut again when the end of the answer arrives."""
+
+    async def scenario(setup):
+        cut = setup.begin("t1", "harmless")
+        await setup.crash("t1", "other")
+        assert setup.crashes("harmless") == 1
+        setup.checker.down.clear()
+        setup.checker.condition_if_up = TargetCondition.RESTARTED
+        setup.table.find("t1").record_start(2)
+        assert not await setup.guard.confirm_end(cut)
+        setup.guard.end_broken(cut)
+        assert setup.crashes("harmless") == 1
+
+    run(scenario)
