A check that began before an answer ended does not confirm it

Its report may have been sent before the target crashed, and arrive after the end of the answer.

Change: such a check is waited for, and counts only if it shows that the target has ended; then the target is checked anew, once for all answers that wait.

Test: test_check_that_began_before_the_end_of_an_answer_does_not_confirm_it failed before, and passes; 105 tests of five files pass.

--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -116,22 +116,30 @@
         leaves before its runs have ended, closes the connection in the same way. Nor is it if the
         target sends no report: what accepts connections may be something before it.
         """
-        for _ in range(MAX_CONFIRMING_CHECKS):
-            condition = await self._check_end(run)
-            if condition is not TargetCondition.INCONCLUSIVE:
-                break
+        condition = await self._check_after_end(run)
         # A restart is returned by one check only, and many answers may end with it.
         run.is_attributed = condition in ENDED_CONDITIONS or run.is_target_restarted
         run.is_end_certain = condition is TargetCondition.SERVING and not run.is_attributed
         return not run.is_attributed and condition is not TargetCondition.INCONCLUSIVE
 
-    async def _check_end(self, run: ContentRun) -> TargetCondition:
-        """Check the target of a run whose connection has ended."""
-        if not run.is_attributed:
-            self._add_broken(run)
-        self._check(run.target)
-        check = self._checks[run.target]
-        await wait([check])
+    async def _check_after_end(self, run: ContentRun) -> TargetCondition:
+        """Check the target of a run whose connection has ended, more than once if necessary.
+
+        The report that a check gets may have been sent before the connection ended if the check
+        was begun before. Such a check shows only that the target has ended.
+        """
+        earlier = self._checks.get(run.target)
+        if earlier is not None:
+            await wait([earlier])
+            if earlier.result() in ENDED_CONDITIONS:
+                return earlier.result()
+        for _ in range(MAX_CONFIRMING_CHECKS):
+            if not run.is_attributed:
+                self._add_broken(run)
+            check = self._check(run.target)
+            await wait([check])
+            if check.result() is not TargetCondition.INCONCLUSIVE:
+                break
         return check.result()
 
     def end_broken(self, run: ContentRun) -> None:
@@ -222,9 +230,11 @@
         if run.content.digest in suspects:
             self._broken_ms[run.content.digest] = at_ms
 
-    def _check(self, target: Target) -> None:
+    def _check(self, target: Target) -> Task[TargetCondition]:
+        """Return the check of a target that is under way; start one if there is none."""
         if target not in self._checks:
             self._checks[target] = create_task(self._attribute_crash(target))
+        return self._checks[target]
 
     async def _attribute_crash(self, target: Target) -> TargetCondition:
         """Check a target and record its crash if it has ended; return its condition."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -46,12 +46,12 @@
 class GuardSetup:
     """A crash guard; ``former`` is that of another process, whose crashes it knows."""
 
-    def __init__(self, former=None):
+    def __init__(self, former=None, checker=None):
         self.clock = former.clock if former else ManualClock(1_000.0)
         self.table = TargetTable()
         for target_id in TARGET_IDS:
             self.put(target_id, started_ms=1)
-        self.checker = ScriptedChecker()
+        self.checker = checker or ScriptedChecker()
         self.suspicions = former.suspicions if former else make_suspicions()
         self.guard = CrashGuard(
             self.table, self.checker, self.suspicions, self.clock, EventLog(), Metrics()
@@ -498,3 +498,42 @@
         assert setup.crashes("harmless") == 1
 
     run(scenario)
+
+
+class SlowChecker(ScriptedChecker):
+    """Answers each check with what was true when it was asked, when the test lets it."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_answer = asyncio.Event()
+
+    async def check(self, target):
+        condition = await super().check(target)
+        await self.may_answer.wait()
+        return condition
+
+
+def test_check_that_began_before_the_end_of_an_answer_does_not_confirm_it():
+    """Guards against confirming an answer by a report that was sent before its target crashed."""
+
+    async def scenario(_setup):
+        checker = SlowChecker()
+        setup = GuardSetup(checker=checker)
+        checker.down.clear()
+        checker.condition_if_up = TargetCondition.SERVING
+        setup.guard.end_broken(setup.begin("t1", "other"))
+        while not checker.checked:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        checker.down.add("t1")
+        confirmations = [
+            asyncio.create_task(setup.guard.confirm_end(setup.begin("t1", content)))
+            for content in ("one", "two")
+        ]
+        await asyncio.sleep(0.01)
+        checker.may_answer.set()
+        assert await asyncio.gather(*confirmations) == [False, False]
+        assert checker.checked == ["t1", "t1"]
+        assert setup.crashes("one") == setup.crashes("two") == 1
+
+    run(scenario)
