An owner is confirmed only against runners that it may not know yet

Cause: an owner asked for mutual contact with the runners of the list of processes, which it reads from the store. The new runner is not in its copy.

Evidence: 0.6 s after the new runner had started, the owner logged watch_restarted kind=processes newest_version=19 known_elsewhere=117: it had been told that its list was old, and its load table had the reports of the new runner. runner_lost came only after the cut.

Change: mutual contact is also needed with all runners whose reports arrive. While any other process knows a newer list of processes, or none was read yet, no owner is confirmed; it reads the store, or answers 503.

Tests: with the former condition both new tests of test_takeover failed.

--- a/ebonyshore/host/watch_monitor.py
+++ b/ebonyshore/host/watch_monitor.py
@@ -101,6 +101,12 @@
             learned_ms = state.newer.learned_ms if state.is_behind() else self._now_ms()
             state.newer = _Newer(version, learned_ms)
 
+    def is_behind(self, kind: str) -> bool:
+        """Return whether the store has a version of a watched kind that its watch has not returned,
+        as far as other processes have told.
+        """
+        return self._states[kind].is_behind()
+
     def merge(self, versions: Mapping[str, int]) -> None:
         """Include what another process knows, see :meth:`newest_versions`."""
         self._heard_ms = self._now_ms()
--- a/ebonyshore/link/peers.py
+++ b/ebonyshore/link/peers.py
@@ -87,6 +87,11 @@
         self._is_own_record_known = False
         self.on_own_record_removed()
 
+    @property
+    def has_listing(self) -> bool:
+        """Whether the records have been read from the store at least once."""
+        return self._has_listing
+
     def of_role(self, role: str) -> dict[str, PeerRecord]:
         """Return the records of the other processes of a role, by instance id."""
         return {key: peer for key, peer in self._peers.items() if peer.role == role}
--- a/ebonyshore/runner/job_registry.py
+++ b/ebonyshore/runner/job_registry.py
@@ -71,6 +71,8 @@
     :param load_table: tells which runners receive reports from this one.
     :param peers: all registered runners, live or not.
     :param executor: runs blocking calls to the store.
+    :param is_peer_list_current: returns whether ``peers`` has been read from the store and no other
+        process is known to have a newer version of it.
     :param segment_bytes: size in JSON to which results are collected in one segment.
     :ivar is_leaving: whether this runner is giving its jobs to others and takes no new ones.
     :ivar newest_version: highest version of a job's record that is known.
@@ -87,6 +89,7 @@
         clock: Clock,
         executor: Executor,
         log: EventLog,
+        is_peer_list_current: Callable[[], bool],
         segment_bytes: int = MAX_SEGMENT_BYTES,
     ) -> None:
         self.own_id = own_id
@@ -97,6 +100,7 @@
         self._clock = clock
         self._executor = executor
         self._log = log
+        self._is_peer_list_current = is_peer_list_current
         self._segment_bytes = segment_bytes
         self._jobs: dict[str, KnownJob] = {}
         self._result_events: dict[str, Event] = {}
@@ -194,13 +198,20 @@
 
         A runner claims a job only after it has received no reports from the owner for a while, and
         does not name the owner as heard in its own reports until the claim has ended. An owner is
-        therefore confirmed if all registered runners have named it as heard without interruption
-        since before it last asked the store for the job's segments.
+        therefore confirmed if all other runners have named it as heard without interruption since
+        before it last asked the store for the job's segments. While the owner cannot read the store
+        a new runner may register, which it learns from that runner's reports, or from those of
+        any process that has seen the registration.
         """
         now_ms = self._clock.boot_ms()
-        return self.can_list_results(progress) and all(
-            self._load_table.is_mutually_heard_since(peer, progress.synced_ms, now_ms)
-            for peer in self._peers.of_role("runner")
+        runners = self._peers.of_role("runner").keys() | self._load_table.runners().keys()
+        return (
+            self.can_list_results(progress)
+            and self._is_peer_list_current()
+            and all(
+                self._load_table.is_mutually_heard_since(runner, progress.synced_ms, now_ms)
+                for runner in runners
+            )
         )
 
     def known_jobs(self) -> list[KnownJob]:
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -14,6 +14,7 @@
 from ebonyshore.host.process import SharedComponents, run_process
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
+from ebonyshore.link.peers import PEERS_KIND
 from ebonyshore.link.renewals import RENEWALS_KIND, RenewalListener, RenewalWriter
 from ebonyshore.runner.account_totals import AccountTotalsService
 from ebonyshore.runner.completion_rate import CompletionRate
@@ -176,6 +177,7 @@
         clock,
         environment.executor,
         log,
+        lambda: parts.peers.has_listing and not parts.watch_monitor.is_behind(PEERS_KIND),
         settings.value_limit.batch_bytes,
     )
     claims = JobClaims(registry, load_table, clock, log)
--- a/tests/admission_setup.py
+++ b/tests/admission_setup.py
@@ -96,6 +96,7 @@
             self.clock,
             self.executor,
             EventLog(),
+            lambda: True,
         )
         self.admission = JobAdmission(
             self.registry,
--- a/tests/registry_setup.py
+++ b/tests/registry_setup.py
@@ -56,6 +56,7 @@
 
     def __init__(self, owner="a", retention_ms=1.0, epoch=0, storage=None, items=ITEMS, own_id="a"):
         self.clock = ManualClock(10_000.0)
+        self.is_peer_list_current = True
         self.load_table = LoadTable(own_id)
         self.storage = storage or CountingStorage()
         self.registry = JobRegistry(
@@ -67,6 +68,7 @@
             self.clock,
             ThreadPoolExecutor(1),
             EventLog(),
+            lambda: self.is_peer_list_current,
         )
         self.claims = JobClaims(self.registry, self.load_table, self.clock, EventLog())
         record = JobRecord(
@@ -85,9 +87,9 @@
         found = storage.create(record) if storage else MarkedObject("jobs/j1", 5, 1, (), record)
         self.registry.add_accepted(found, self.clock.boot_ms())
 
-    def receive_report(self, *heard, sequence):
-        """Receive a load report of runner ``b`` that names the runners ``heard``."""
-        report = LoadReport("b", "run-1", sequence, "runner", {}, 0, heard)
+    def receive_report(self, *heard, sequence, sender="b"):
+        """Receive a load report of a runner that names the runners ``heard``."""
+        report = LoadReport(sender, "run-1", sequence, "runner", {}, 0, heard)
         self.load_table.add_report(report, self.clock.boot_ms())
 
     def read(self):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -96,6 +96,33 @@
     assert setup.storage.reads == 1
 
 
+def test_an_owner_reads_the_store_while_a_runner_that_it_does_not_know_reports():
+    """Guards against answers of an owner that is cut off from the store, from its memory, for jobs
+    that a runner has taken over which registered during the cut."""
+    setup = RegistrySetup()
+    setup.receive_report("a", sequence=1)
+    setup.receive_report(sequence=1, sender="new")
+    setup.read()
+    assert setup.storage.reads == 1
+    setup.clock.advance_ms(1.0)
+    setup.receive_report("a", sequence=2, sender="new")
+    setup.read()
+    setup.read()
+    assert setup.storage.reads == 2
+
+
+def test_an_owner_reads_the_store_while_others_know_a_newer_list_of_processes():
+    """Guards against the same if the reports of the new runner do not reach the owner."""
+    setup = RegistrySetup()
+    setup.receive_report("a", sequence=1)
+    setup.is_peer_list_current = False
+    setup.read()
+    assert setup.storage.reads == 1
+    setup.is_peer_list_current = True
+    setup.read()
+    assert setup.storage.reads == 1
+
+
 def test_concurrent_reads_of_the_store_list_all_segments_that_either_returns():
     """Guards against dropping segments that only the later read returns."""
     setup = RegistrySetup(owner=OTHER_RUNNER)
--- a/tests/test_watch_monitor.py
+++ b/tests/test_watch_monitor.py
@@ -102,6 +102,17 @@
     assert setup.monitor.newest_versions() == {"jobs": 9}
 
 
+def test_a_kind_of_which_others_know_a_newer_version_is_behind(clock):
+    """Guards against trusting a list of processes while the store cannot be read."""
+    setup = Setup(clock)
+    kind = setup.watch.kind
+    assert not setup.monitor.is_behind(kind)
+    setup.monitor.merge({kind: setup.watch.known_revision + 1})
+    assert setup.monitor.is_behind(kind)
+    setup.watch.known_revision += 1
+    assert not setup.monitor.is_behind(kind)
+
+
 class SilentStore:
     """Answers lists, and no watch until it is interrupted."""
 
