A read that has waited is answered only by an owner that still is one

Change: after the wait the progress is read again, from the store if the owner is not confirmed any more.

Test: test_read_that_waits_does_not_return_what_was_known_before_a_takeover failed before (0 of 1 results), and passes.

--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -278,14 +278,22 @@
             and call.first_position >= progress.listed_count
             and not progress.is_finished
         ):
-            try:
-                async with timeout(call.wait_ms / MS_PER_S):
-                    await self._registry.wait_for_results(call.job_id)
-            except TimeoutError:
-                self._metrics.count("result_reads_without_news")
+            await self._wait_for_results(call)
+            # Another runner may have taken the job over in the meantime.
+            progress = await self._read_progress(call)
+            if progress is None:
+                return Reply(404)
         page = progress.result_page(call.first_position)
         return Reply(200, self._deployment.encode_results(page), progress.record.owner)
 
+    async def _wait_for_results(self, call: JobCall) -> None:
+        """Wait until results of a job may have been listed, or the call has waited long enough."""
+        try:
+            async with timeout(call.wait_ms / MS_PER_S):
+                await self._registry.wait_for_results(call.job_id)
+        except TimeoutError:
+            self._metrics.count("result_reads_without_news")
+
     async def _read_item_body(self, call: JobCall) -> Reply:
         progress = await self._read_progress(call)
         item = progress.find_item(call.item_id) if progress is not None else None
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,14 +4,20 @@
 from threading import Event
 
 import pytest
+from msgspec.json import decode
 
 from ebonyshore.frame.errors import WriteConflictError
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.metrics import Metrics
+from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.job_types import ResultRecord, ResultSegment
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.host.watch_monitor import WatchMonitor
+from ebonyshore.link.job_call import JobCall, JobCallKind
+from ebonyshore.platform.config_object import decode_config
+from ebonyshore.platform.deployment import PlatformDeployment
+from ebonyshore.runner.job_api import JobApi
 from ebonyshore.runner.job_storage import JobStorage
 from ebonyshore.runner.origin_registry import OriginRegistry
 from ebonyshore.runner.runner_load import RunnerLoad
@@ -203,3 +209,31 @@
     setup.claims.claim_unowned_jobs()
     setup.receive_report("a", sequence=2)
     load.send(socket)
+
+
+def test_read_that_waits_does_not_return_what_was_known_before_a_takeover(object_store):
+    """Guards against a read that begins at a confirmed owner, waits while another runner takes the
+    job over and lists results, and ends without them."""
+    setup = RegistrySetup(storage=JobStorage(MarkedStore(object_store, RegistrySetup().clock)))
+    api = JobApi(
+        "127.0.0.1",
+        0,
+        PlatformDeployment(),
+        setup.registry,
+        None,
+        ConfigService("config/main", decode_config, EventLog()),
+        setup.clock,
+        EventLog(),
+        Metrics(),
+    )
+    call = JobCall(JobCallKind.RESULTS, "j1", wait_ms=100.0)
+
+    async def read():
+        setup.receive_report("a", sequence=1)
+        waiting = asyncio.create_task(api._read_results(call))
+        await asyncio.sleep(0.02)
+        setup.clock.advance_ms(OWNER_SILENCE_MS)
+        setup.storage.append_segment("j1", 0, make_segment(0, epoch=2))
+        return await waiting
+
+    assert len(decode(asyncio.run(read()).body)["Results"]) == 1
