--- a/ebonyshore/host/event_stream.py
+++ b/ebonyshore/host/event_stream.py
@@ -42,7 +42,7 @@
 
     def __init__(self, last_id: int | None = None) -> None:
         self._buffer = bytearray()
-        self._error: StreamOrderError | None = None
+        self._error: str | None = None  # not the exception, whose traceback refers to the buffer
         self.last_id = last_id
 
     @property
@@ -75,7 +75,7 @@
             if len(self._buffer) > MAX_EVENT_BYTES:
                 raise StreamOrderError(f"event is longer than {MAX_EVENT_BYTES} bytes")
         except StreamOrderError as error:
-            self._error = error
+            self._error = str(error)
         if not events:
             self.check()
         return events
@@ -87,7 +87,7 @@
             too long. The stream can be resumed after :attr:`last_id`.
         """
         if self._error is not None:
-            raise self._error
+            raise StreamOrderError(self._error)
 
     def _next_event(self, raw: bytes) -> Event:
         event = parse_event(raw)
