Runners bound what the answers to all their items hold

First report of other operators: a faulty server sends bytes without end. An entry bounds what all its answers hold; a runner bounded each answer (1 MB of an event, 4 MB of an item) and not their sum.

Change: OutputBudget sums what the runs hold, with the objects of events. At the limit the runs that began last are given up and start again, which blames no target; no run starts above half of it.

--- a/ebonyshore/runner/item_run.py
+++ b/ebonyshore/runner/item_run.py
@@ -31,6 +31,7 @@
     item_headers,
 )
 from ebonyshore.runner.job_progress import ITEM_METHOD, Item
+from ebonyshore.runner.output_budget import OutputBudget, OutputHolder
 
 CONNECT_TIMEOUT_MS = 300.0
 FIRST_EVENT_TIMEOUT_MS = 3_000.0
@@ -38,6 +39,7 @@
 MAX_TIMEOUT_DOUBLINGS = 1
 RUN_TIMEOUT_MS = 30_000.0
 MAX_CONNECTION_IDLE_MS = 10_000.0
+GIVEN_UP_DETAIL = "the responses take too much memory"
 MAX_ITEM_BYTES = 4_000_000  # of the output in JSON, which is kept in memory until it is read
 
 
@@ -51,6 +53,7 @@
     UNREACHABLE = auto()  # nothing was sent, as there was no connection to the target
     SILENT = auto()  # the next part or the end of the response did not arrive in time
     BROKEN = auto()  # the response was incomplete or invalid, or had another error status
+    GIVEN_UP = auto()  # the process needs the memory; the target has done nothing wrong
 
 
 class RunResult(Struct, frozen=True):
@@ -66,7 +69,7 @@
     may_be_crash: bool = False
 
 
-class ItemRun:
+class ItemRun(OutputHolder):
     """One run of an item.
 
     Received events are kept in the item, so that the next run resumes after the last of them.
@@ -82,6 +85,7 @@
         that is not necessary.
     :param account: the account that the target is told, empty for none; ``None`` if there are no
         accounts and the item's headers are sent as they are.
+    :param budget: bounds what all runs hold of their responses; ``None`` if nothing does.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         confirm_end: Callable[[ContentRun], Awaitable[bool]],
         checker: TargetChecker | None = None,
         account: str | None = None,
+        budget: OutputBudget | None = None,
     ) -> None:
         self._names = names
         self._pool = pool
@@ -106,9 +111,18 @@
         self._confirm_end = confirm_end
         self._checker = checker
         self._account = account
+        self._budget = budget
+        self._connection_in_use: ClientConnection | None = None
+        self._is_given_up = False
         moves = min(MAX_TIMEOUT_DOUBLINGS, item.consecutive_broken_runs)
         self._pauses = PauseLimits(FIRST_EVENT_TIMEOUT_MS, EVENT_TIMEOUT_MS, moves=moves)
 
+    def give_up(self) -> None:
+        self._is_given_up = True
+        self._item.discard_events()
+        if self._connection_in_use is not None:
+            self._connection_in_use.fail(ExchangeError(GIVEN_UP_DETAIL))
+
     async def run(self, content_run: ContentRun) -> RunResult:
         """Run the item at a target until the response ends or an error occurs.
 
@@ -117,9 +131,23 @@
         :param content_run: names the target; told of the response, for the attribution of crashes.
         :return: the outcome; errors of the connection and of the response are outcomes, too.
         """
+        if self._budget is None:
+            return await self._run(content_run)
+        self._budget.begin(self, self._item.held_bytes)
+        try:
+            result = await self._run(content_run)
+        finally:
+            self._budget.end(self)
+            self._connection_in_use = None
+        if self._is_given_up:
+            return RunResult(RunOutcome.GIVEN_UP, GIVEN_UP_DETAIL)
+        return result
+
+    async def _run(self, content_run: ContentRun) -> RunResult:
         target = content_run.target
         try:
             async with self._connection(target) as connection:
+                self._connection_in_use = connection
                 if self._checker is not None:
                     await self._checker.confirm_incarnation(connection, target)
                 if target.is_leaving:
@@ -197,6 +225,8 @@
         while not isinstance(chunk := await reader.next_part(time_left_ms(limit_ms)), BodyEnd):
             received_bytes += len(chunk)
             events = splitter.feed(chunk)
+            if self._is_given_up:
+                return RunResult(RunOutcome.GIVEN_UP, GIVEN_UP_DETAIL)
             for event in events:
                 item.add_event(event.event_id, event.data, content_run.target.entry.group)
                 content_run.record_event(now_ms())
@@ -204,6 +234,7 @@
                 has_events = True
                 self._pauses.record_event(now_ms())
                 limit_ms = now_ms() + self._pauses.limit_ms
+            self._count_held(splitter)
             # Events may hold far less output than they have bytes.
             if max(item.data_bytes, received_bytes) > MAX_ITEM_BYTES:
                 item.discard_events()
@@ -216,3 +247,8 @@
         if not head.is_self_delimited and not await self._confirm_end(content_run):
             raise ExchangeError("the target ended with its response")
         return RunResult(RunOutcome.COMPLETE)
+
+    def _count_held(self, splitter: EventSplitter) -> None:
+        if self._budget is not None:
+            received_bytes = self._connection_in_use.held_bytes + splitter.held_bytes
+            self._budget.update(self, self._item.held_bytes + received_bytes)
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -30,6 +30,7 @@
 from ebonyshore.runner.job_progress import Item, ItemState, JobProgress
 from ebonyshore.runner.job_ranking import JobRanking, WaitingItem
 from ebonyshore.runner.job_registry import JobRegistry
+from ebonyshore.runner.output_budget import OutputBudget
 from ebonyshore.runner.run_outcomes import RunOutcomes
 from ebonyshore.runner.waiting_items import WaitingItems
 
@@ -76,6 +77,7 @@
     :param completions: told of the slots that items can use and of completed items.
     :param ranking: keeps the order of the jobs.
     :param random: chooses among the services of a route by their weight.
+    :param budget: bounds the memory of the responses that are being received.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         log: EventLog,
         metrics: Metrics,
         random: Random,
+        budget: OutputBudget,
     ) -> None:
         self._names = names
         self._registry = registry
@@ -106,6 +109,7 @@
         self._completions = completions
         self._ranking = ranking
         self._random = random
+        self._budget = budget
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -177,7 +181,7 @@
                 last_event=running.item.last_event_id,
             )
             running.task.cancel()
-        for start in plan.starts:
+        for start in plan.starts if self._budget.may_start else ():
             progress, item = waiting[start.item].progress, waiting[start.item].item
             target = self._targets.find(start.target_id)
             item.start_run(now_ms())
@@ -344,6 +348,7 @@
             self._crash_guard.confirm_end,
             self._checker if self._must_confirm_incarnation(item) else None,
             self._account_of(record),
+            self._budget,
         )
         self._registry.on_change()
         try:
@@ -460,6 +465,9 @@
         if outcome is RunOutcome.UNREACHABLE:
             target.mark_unreachable(now_ms)
             return
+        if outcome is RunOutcome.GIVEN_UP:
+            item.not_before_ms = now_ms + RETRY_DELAY_MS
+            return
         if outcome is RunOutcome.SILENT:
             target.mark_unresponsive(now_ms)
         item.consecutive_broken_runs = (
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -24,6 +24,7 @@
 
 ITEM_METHOD = "POST"  # of the requests that run items
 LINE_FEED_BYTES = text_size("\n")
+EVENT_MEMORY_BYTES = 72  # that a string takes in a list besides its text
 MAX_SEGMENT_BYTES = ValueLimit().batch_bytes
 
 
@@ -108,6 +109,11 @@
         self.origin = origin
         self.stalled_since_ms = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the data of the events takes."""
+        return self.data_bytes + EVENT_MEMORY_BYTES * len(self.data)
+
     def discard_events(self) -> None:
         """Drop all events, so that the item starts again, at any target."""
         self.data.clear()
--- a/ebonyshore/runner/runner_process.py
+++ b/ebonyshore/runner/runner_process.py
@@ -10,8 +10,10 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.host_environment import HostEnvironment
+from ebonyshore.host.memory_guard import resident_bytes
 from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
 from ebonyshore.host.process import SharedComponents, run_process
+from ebonyshore.http.memory_budget import connection_limit_bytes
 from ebonyshore.link.load_service import LoadService
 from ebonyshore.link.load_table import LoadTable
 from ebonyshore.link.peers import PEERS_KIND
@@ -29,6 +31,7 @@
 from ebonyshore.runner.job_registry import JobRegistry
 from ebonyshore.runner.job_storage import JOBS_KIND, JobStorage
 from ebonyshore.runner.origin_registry import OriginRegistry
+from ebonyshore.runner.output_budget import OutputBudget
 from ebonyshore.runner.peer_monitor import PeerMonitor
 from ebonyshore.runner.quota_storage import QuotaStorage
 from ebonyshore.runner.record_keepers import make_record_keepers
@@ -235,6 +238,7 @@
         log,
         metrics,
         environment.random,
+        OutputBudget(connection_limit_bytes(settings.memory_bytes, resident_bytes())),
     )
     writer = ResultWriter(registry, clock, log, metrics)
     saver = ItemSaver(registry, load_table, log, metrics, settings.value_limit.batch_bytes)
--- a/ebonyshore_standins/endless_target.py
+++ b/ebonyshore_standins/endless_target.py
@@ -21,9 +21,12 @@
     FAILURE = auto()  # the same with an error status
     HEAD = auto()
     EVENT = auto()  # a stream whose first event does not end
+    EVENTS = auto()  # a stream of short events
 
 
-CHUNKED_ANSWERS = (EndlessAnswer.CHUNKED, EndlessAnswer.EVENT)
+STREAMS = (EndlessAnswer.EVENT, EndlessAnswer.EVENTS)
+CHUNKED_ANSWERS = (EndlessAnswer.CHUNKED, *STREAMS)
+BLOCK_EVENTS = 4_000  # of a stream of short events
 
 
 class EndlessTarget(StreamTarget):
@@ -42,8 +45,10 @@
             await super()._stream(request_id, headers, writer)
             return
         writer.write(_head(answer, request_id, self.target_id))
-        block = _block(answer)
+        event_id = int(headers.get("last-event-id", 0))
         while self.answer is answer:
+            block = _block(answer, event_id)
+            event_id += BLOCK_EVENTS
             writer.write(block)
             await writer.drain()
             if writer.is_closing():
@@ -55,9 +60,7 @@
 
 def _head(answer: EndlessAnswer, request_id: str, target_id: str) -> bytes:
     status = 503 if answer is EndlessAnswer.FAILURE else 200
-    content_type = (
-        "text/event-stream" if answer is EndlessAnswer.EVENT else "application/octet-stream"
-    )
+    content_type = "text/event-stream" if answer in STREAMS else "application/octet-stream"
     head = (
         f"HTTP/1.1 {status} X\r\nContent-Type: {content_type}\r\n"
         f"Attempt-Id: {request_id}\r\nServer-Signature: {target_id}\r\n"
@@ -73,9 +76,11 @@
     return head.encode() + b"\r\n"
 
 
-def _block(answer: EndlessAnswer) -> bytes:
+def _block(answer: EndlessAnswer, last_event_id: int) -> bytes:
     if answer is EndlessAnswer.HEAD:
         return HEAD_LINES
-    if answer in CHUNKED_ANSWERS:
-        return b"%x\r\n%b\r\n" % (len(BLOCK), BLOCK)
-    return BLOCK
+    block = BLOCK
+    if answer is EndlessAnswer.EVENTS:
+        numbers = range(last_event_id + 1, last_event_id + BLOCK_EVENTS + 1)
+        block = b"".join(b"id: %d\ndata: x%d\n\n" % (number, number) for number in numbers)
+    return b"%x\r\n%b\r\n" % (len(block), block) if answer in CHUNKED_ANSWERS else block
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -18,6 +18,7 @@
 from ebonyshore.runner.item_scheduler import ItemScheduler
 from ebonyshore.runner.job_progress import ItemState
 from ebonyshore.runner.job_ranking import JobRanking
+from ebonyshore.runner.output_budget import OutputBudget
 from tests.admission_setup import FixedConfig, make_route
 from tests.registry_setup import RegistrySetup
 
@@ -115,6 +116,7 @@
             EventLog(),
             Metrics(),
             Random(1),
+            OutputBudget(1 << 20),
         )
 
     @property
