A request that may outlast a planned stop is refused late in it

Shown here: a request whose body ends 4 s or later after SIGTERM (its head came while the entry accepted connections), with an answer of 3 s, is passed on and cut 7.3 s after the signal; single attempts and resumable streams.

Change: from 2.9 s after the signal an entry refuses requests at once whose time limit is later than its end, with 503 and Retry-After 0. Until then the load balancer may still send callers there, and nearly all answers are short. What is still without an answer at the end gets an error in place of a reset. Calls about jobs count as 3.5 s.

--- a/ebonyshore/gateway/entry_process.py
+++ b/ebonyshore/gateway/entry_process.py
@@ -17,7 +17,7 @@
 from ebonyshore.host.deployment import Deployment
 from ebonyshore.host.host_environment import HostEnvironment
 from ebonyshore.host.operator_server import METRICS_PORT, OperatorServer
-from ebonyshore.host.process import SharedComponents, run_process
+from ebonyshore.host.process import SharedComponents, drain_limit_ms, run_process
 from ebonyshore.link.load_service import LoadService
 
 
@@ -126,6 +126,7 @@
             metrics,
             settings.memory_bytes,
             settings.connection_limits.clients,
+            drain_limit_ms(settings),
         )
     )
     kernel.register(
--- a/ebonyshore/gateway/forwarded_request.py
+++ b/ebonyshore/gateway/forwarded_request.py
@@ -87,7 +87,7 @@
         self._relay = RelayState(
             request.headers.get(forwarder.names.last_event_id), route_pause_limits(route)
         )
-        self._deadline_ms = request.received_ms + _time_limit_ms(route, request, forwarder.names)
+        self._deadline_ms = request.received_ms + time_limit_ms(route, request, forwarder.names)
 
     async def run(self) -> None:
         outcome = "client_left"
@@ -434,7 +434,7 @@
     )
 
 
-def _time_limit_ms(route: Route, request: Request, names: WireNames) -> float:
+def time_limit_ms(route: Route, request: Request, names: WireNames) -> float:
     """Return the time limit of a request: the lower of the caller's limit and the route's."""
     remaining_ms = parse_non_negative(request.headers.get(names.remaining_ms))
     return route.timeout_ms if remaining_ms is None else min(remaining_ms, route.timeout_ms)
--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -11,9 +11,10 @@
 from ebonyshore.frame.result_codes import ResultCode
 from ebonyshore.gateway.account_limits import AccountLimits
 from ebonyshore.gateway.authentication import AccessDeniedError, Authenticator
+from ebonyshore.gateway.forwarded_request import time_limit_ms
 from ebonyshore.gateway.forwarder import Forwarder
 from ebonyshore.gateway.isolation import IsolationDetector
-from ebonyshore.gateway.job_call_forwarder import JobCallForwarder
+from ebonyshore.gateway.job_call_forwarder import JOB_CALL_TIME_MS, JobCallForwarder
 from ebonyshore.host.accounts import Account
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.error_responses import ErrorResponse, not_executed_response
@@ -37,6 +38,8 @@
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
 LISTEN_WHILE_DRAINING_MS = 3_200.0
+TAKE_ALL_WHILE_DRAINING_MS = 2_900.0
+LAST_ANSWERS_MS = 100.0  # to send errors to callers whose requests the end of the process cuts
 # A connection without a request for less time may have one in transit.
 REQUEST_TRANSIT_MS = 200.0
 CLOSE_POLL_MS = 50.0
@@ -54,6 +57,8 @@
     :param metrics: counts the requests that are not, as ``requests_RESULT_CODE``.
     :param memory_bytes: limit of the memory of the process; ``None`` if it has none.
     :param max_connections: number of connections that callers may have.
+    :param drain_limit_ms: time from the begin of the drain to the end of the process; ``None`` if
+        it has no limit.
     """
 
     name = "front"
@@ -71,6 +76,7 @@
         metrics: Metrics,
         memory_bytes: int | None = None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        drain_limit_ms: float | None = None,
     ) -> None:
         self._address = address
         self._names = names
@@ -90,6 +96,8 @@
         )
         self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
         self._is_closed = False
+        self._drain_limit_ms = drain_limit_ms
+        self._drain_begun_ms: float | None = None
         config.change_listeners.append(self._apply_limits)
 
     async def start(self) -> None:
@@ -103,6 +111,7 @@
 
     def begin_drain(self) -> None:
         self._server.is_draining = True
+        self._drain_begun_ms = now_ms()
         self.spawn(self._close_after_removal())
 
     def is_drained(self) -> bool:
@@ -120,9 +129,20 @@
     async def stop(self) -> None:
         await super().stop()
         self._server.stop_listening()
+        if self._drain_begun_ms is not None and self._server.busy_connection_count():
+            await self._end_requests()
         for connection in list(self._server.connections):
             connection.abort()
 
+    async def _end_requests(self) -> None:
+        """Answer the requests that have no answer yet with an error, which their callers can use
+        better than the end of their connections.
+        """
+        for connection in list(self._server.connections):
+            if connection.is_busy:
+                connection.end_request()
+        await sleep(LAST_ANSWERS_MS / MS_PER_S)
+
     def dump(self) -> dict[str, object]:
         return {
             "connections": len(self._server.connections),
@@ -150,6 +170,9 @@
         except AccessDeniedError as error:
             self._deny(request, responder, error.response)
             return
+        if self._is_too_late(route, request):
+            self._deny(request, responder, not_executed_response(ResultCode.LEAVING, 0.0))
+            return
         if not self._has_room(account, responder):
             refusal = not_executed_response(ResultCode.OVERLOADED, NO_ROOM_RETRY_MS)
             self._deny(request, responder, refusal)
@@ -170,6 +193,20 @@
         )
         response.send(responder, request, self._names)
 
+    def _is_too_late(self, route: Route | None, request: Request) -> bool:
+        """Return whether the process may end before a request does that begins now.
+
+        While the load balancer may still send callers here, requests are taken that are allowed
+        more time than is left, since nearly all need far less.
+        """
+        if self._drain_begun_ms is None or self._drain_limit_ms is None:
+            return False
+        if now_ms() - self._drain_begun_ms < TAKE_ALL_WHILE_DRAINING_MS:
+            return False
+        is_job_call = route is None or route.kind is RouteKind.BATCH
+        limit_ms = JOB_CALL_TIME_MS if is_job_call else time_limit_ms(route, request, self._names)
+        return request.received_ms + limit_ms > self._drain_begun_ms + self._drain_limit_ms
+
     def _has_room(self, account: Account | None, responder: Responder) -> bool:
         """Return whether the process has memory for another request of an account."""
         name = NO_ACCOUNT if account is None else account.name
--- a/ebonyshore/gateway/job_call_forwarder.py
+++ b/ebonyshore/gateway/job_call_forwarder.py
@@ -48,6 +48,7 @@
 SUBMIT_HEDGE_DELAY_MS = 120.0  # until a submitted job is also offered to the next runner
 MAX_IDLE_MS = 4_000.0  # of a pooled connection that is reused
 MAX_RESULTS_WAIT_MS = 1_000.0  # for which a read may wait for new results
+JOB_CALL_TIME_MS = SUBMIT_TIMEOUT_MS + MAX_RESULTS_WAIT_MS  # within which a call is answered
 RETRY_AFTER_MS = 600.0
 MAX_CACHED_OWNERS = 4_096
 
--- a/ebonyshore/host/process.py
+++ b/ebonyshore/host/process.py
@@ -9,6 +9,7 @@
 from ebonyshore.host.config_service import ConfigService
 from ebonyshore.host.crash_guard import SUSPICION_EXPIRY_MS, CrashGuard
 from ebonyshore.host.host_environment import HostEnvironment
+from ebonyshore.host.host_settings import HostSettings
 from ebonyshore.host.pace import TargetPace
 from ebonyshore.host.pace_exchange import PaceExchange
 from ebonyshore.host.target_check import TargetChecker
@@ -189,11 +190,17 @@
         environment.close()
 
 
+def drain_limit_ms(settings: HostSettings) -> float:
+    """Return how long a process goes on with its work after the stop signal."""
+    return settings.grace_ms - EXIT_MARGIN_MS
+
+
 async def _run(
     environment: HostEnvironment, make_kernel: Callable[[HostEnvironment], AsyncKernel]
 ) -> ResultCode:
     kernel = make_kernel(environment)
-    drain_limit_ms = environment.settings.grace_ms - EXIT_MARGIN_MS
-    result = await run_until_signal(kernel, environment.log, drain_limit_ms, environment.reload)
+    result = await run_until_signal(
+        kernel, environment.log, drain_limit_ms(environment.settings), environment.reload
+    )
     environment.pool.close()
     return result
