A job that is complete late in a planned stop is accepted or refused

Found on reading the change: the time that a call about a job may take was counted from its head, so a job whose body ended late was taken, stored, and cut without an answer.

Change: the time counts from when the call is complete.

Test: jobs whose last byte comes 0.5 to 6.8 s after SIGTERM, with a store that takes a second for each write of a job.

--- a/ebonyshore/gateway/front_server.py
+++ b/ebonyshore/gateway/front_server.py
@@ -38,7 +38,7 @@
 # The load balancer removes an entry after two failed checks, one second apart. Until then it still
 # sends callers to the entry.
 LISTEN_WHILE_DRAINING_MS = 3_200.0
-TAKE_ALL_WHILE_DRAINING_MS = 2_900.0
+TAKE_ALL_WHILE_DRAINING_MS = 2_900.0  # afterwards the load balancer has other entries
 LAST_ANSWERS_MS = 100.0  # to send errors to callers whose requests the end of the process cuts
 # A connection without a request for less time may have one in transit.
 REQUEST_TRANSIT_MS = 200.0
@@ -203,9 +203,11 @@
             return False
         if now_ms() - self._drain_begun_ms < TAKE_ALL_WHILE_DRAINING_MS:
             return False
-        is_job_call = route is None or route.kind is RouteKind.BATCH
-        limit_ms = JOB_CALL_TIME_MS if is_job_call else time_limit_ms(route, request, self._names)
-        return request.received_ms + limit_ms > self._drain_begun_ms + self._drain_limit_ms
+        if route is None or route.kind is RouteKind.BATCH:
+            end_ms = now_ms() + JOB_CALL_TIME_MS  # a call has no deadline, whenever it was begun
+        else:
+            end_ms = request.received_ms + time_limit_ms(route, request, self._names)
+        return end_ms > self._drain_begun_ms + self._drain_limit_ms
 
     def _has_room(self, account: Account | None, responder: Responder) -> bool:
         """Return whether the process has memory for another request of an account."""
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -9,13 +9,14 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore.platform.wire_names import WIRE_NAMES
-from ebonyshore_standins.fleet_client import request_stream
+from ebonyshore_standins.fleet_client import job_body, request_stream
 from ebonyshore_standins.fleet_config import (
     BATCH_PREFIX,
     ROUTE_HOST,
     SINGLE_ATTEMPT_PREFIX,
     STREAM_PREFIX,
 )
+from ebonyshore_standins.object_store_server import OBJECTS_PATH
 from ebonyshore_standins.platform_fleet import PlatformFleet
 from ebonyshore_standins.stream_target import StreamTarget
 
@@ -28,6 +29,8 @@
 LAST_CONNECT_MS = 2_800.0  # after the signal: when the entry still accepts connections
 LAST_BYTES_MS = (500, 2_500, 4_000, 5_000, 6_000, 6_800)  # after the signal
 LATE_MS = 3_000.0  # after the signal: just before the entry stops to accept connections
+JOB_BODY = job_body("late", 1)
+SLOW_WRITE_MS = 1_000.0
 CLOCK = SystemClock()
 
 
@@ -47,20 +50,29 @@
         fleet.stop()
 
 
+def slow_writes_of_jobs(method, path):
+    """Let the object store take a while for each write of a job."""
+    if method != "GET" and path.startswith(f"{OBJECTS_PATH}jobs"):
+        CLOCK.sleep_ms(SLOW_WRITE_MS)
+
+
 class LateRequest:
     """A request whose body arrives byte by byte, and ends at a time after the signal."""
 
-    def __init__(self, entry, path, request_id, signal_ms, last_byte_ms, events):
+    def __init__(
+        self, entry, path, request_id, signal_ms, last_byte_ms, events, body=b"x" * BODY_BYTES
+    ):
         self.request_id = request_id
         self.last_byte_ms = last_byte_ms
         self.answer = b""
         self._entry = entry
+        self._body = body
         self._end_ms = signal_ms + last_byte_ms
         self._begin_ms = signal_ms + min(LAST_CONNECT_MS, last_byte_ms - BODY_MS)
         self._head = (
             f"POST {path} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nAttempt-Id: {request_id}\r\n"
             f"{WIRE_NAMES.remaining_ms}: 8000\r\nLength-Hint: {events}\r\n"
-            f"Content-Length: {BODY_BYTES}\r\n\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
         )
         self._thread = Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -69,13 +81,13 @@
         CLOCK.sleep_ms(max(0.0, self._begin_ms - CLOCK.monotonic_ms()))
         with socket.create_connection((self._entry.ip, self._entry.front_port), 10.0) as connection:
             connection.sendall(self._head.encode())
-            unsent = BODY_BYTES
+            unsent = self._body
             while CLOCK.monotonic_ms() < self._end_ms:
-                connection.sendall(b"x")
-                unsent -= 1
+                connection.sendall(unsent[:1])
+                unsent = unsent[1:]
                 pause_ms = min(BYTE_INTERVAL_MS, self._end_ms - CLOCK.monotonic_ms())
                 CLOCK.sleep_ms(max(0.0, pause_ms))
-            connection.sendall(b"x" * unsent)
+            connection.sendall(unsent)
             try:
                 while data := connection.recv(65_536):
                     self.answer += data
@@ -137,18 +149,24 @@
     assert entry.wait() == 0
 
 
-def test_job_that_is_complete_late_in_a_planned_stop_is_answered(fleet):
+def test_job_that_is_complete_late_in_a_planned_stop_is_accepted_or_refused(fleet):
+    """Guards against jobs that are stored and whose callers get no answer."""
     (entry,) = fleet.entries
+    fleet.platform.fault_hook = slow_writes_of_jobs
     signal_ms = CLOCK.monotonic_ms() + 300.0
     requests = [
-        LateRequest(entry, f"{BATCH_PREFIX}x", f"job{number}", signal_ms, last_byte_ms, 1)
+        LateRequest(entry, f"{BATCH_PREFIX}x", f"job{number}", signal_ms, last_byte_ms, 1, JOB_BODY)
         for number, last_byte_ms in enumerate(LAST_BYTES_MS)
     ]
     CLOCK.sleep_ms(signal_ms - CLOCK.monotonic_ms())
     entry.signal(signal.SIGTERM)
     for request in requests:
         request.join()
-    assert [request.status for request in requests] == [400] * len(requests)  # no job
+    stored = {name for kind, name in fleet.platform.state.objects if kind == "jobs"}
+    statuses = {request.request_id: request.status for request in requests}
+    assert set(statuses.values()) <= {202, 503}, statuses
+    assert {job_id for job_id, status in statuses.items() if status == 202} == stored
+    assert statuses["job0"] == statuses["job1"] == 202
     assert entry.wait() == 0
 
 
