Own path: an answer without a length is checked against its service's start

Change: the client tells whether the framing of an answer marks its end. If it does not, the agent asks for the boot id and compares it with that of the run's start; a service that does not answer or has another one has crashed.

--- a/ebonyshore/agent/http_target_client.py
+++ b/ebonyshore/agent/http_target_client.py
@@ -86,13 +86,15 @@
         return connection.getresponse()
 
     def _read_plain(self, response: HTTPResponse) -> Iterator[TargetChunk | TargetAnswer]:
+        is_delimited = response.chunked or response.length is not None
         size = 0
         while data := response.read(READ_CHUNK_BYTES):
             size += len(data)
             if size > MAX_ANSWER_BYTES:
                 raise TargetError(f"answer is longer than {MAX_ANSWER_BYTES} bytes")
             yield TargetChunk(data)
-        yield TargetAnswer(response.status, response.getheader("Content-Type", ""))
+        content_type = response.getheader("Content-Type", "")
+        yield TargetAnswer(response.status, content_type, is_delimited=is_delimited)
 
     def _call(
         self,
--- a/ebonyshore/agent/target_client.py
+++ b/ebonyshore/agent/target_client.py
@@ -40,12 +40,15 @@
     :param content_type: its media type.
     :param prompt_tokens: tokens of the prompt; 0 if the target does not report them.
     :param completion_tokens: tokens generated; 0 if the target does not report them.
+    :param is_delimited: whether the framing of the answer marks its end; otherwise the end of the
+        connection does, as it does if the target crashes.
     """
 
     http_status: int
     content_type: str
     prompt_tokens: int = 0
     completion_tokens: int = 0
+    is_delimited: bool = True
 
 
 class EngineLoad(Struct, frozen=True):
--- a/ebonyshore/agent/target_run.py
+++ b/ebonyshore/agent/target_run.py
@@ -252,6 +252,8 @@
     )
     for part in target.run(request):
         if isinstance(part, TargetAnswer):
+            if not part.is_delimited and boot_id_or_empty(target) != run.boot_id:
+                raise TargetCrashedError("the target ended with its answer")
             outcome = RunOutcome.ABORTED if progress.is_aborted else RunOutcome.COMPLETE
             return progress.make_run_ended(outcome, part)
         progress.add_chunk(part)
