--- a/ebonyshore/host/crash_guard.py
+++ b/ebonyshore/host/crash_guard.py
@@ -114,7 +114,7 @@
 
         It is not if its target has ended as well: a target that crashes between two events, or
         leaves before its runs have ended, closes the connection in the same way. Nor is it if the
-        target sends no report: what accepts connections may be something before it.
+        target sends no report: a proxy before it may accept connections while it is gone.
         """
         condition = await self._check_after_end(run)
         # A restart is returned by one check only, and many answers may end with it.
--- a/ebonyshore/host/target_check.py
+++ b/ebonyshore/host/target_check.py
@@ -85,7 +85,7 @@
                 except (AttemptFailedError, ExchangeError):
                     if not connection.has_received:
                         raise
-                    return TargetCondition.INCONCLUSIVE  # one that sends bytes is not down
+                    return TargetCondition.INCONCLUSIVE  # a target that sends bytes is not down
                 if started_ms is None or not target.started_ms:
                     return TargetCondition.ANSWERING
                 target.is_listed_start(started_ms)
--- a/ebonyshore/runner/output_budget.py
+++ b/ebonyshore/runner/output_budget.py
@@ -1,8 +1,7 @@
 """Bounds the memory of the answers that a runner is receiving for its items. No I/O.
 
-The load pattern is targets that send answers without end, many at the same time. What one answer
-may take is bounded, but not the sum over all slots of a fleet. When the sum reaches the limit, the
-runs that began last are given up: the others can end, whatever they hold, and so make room.
+Each answer is bounded, but many targets may send answers without end at the same time. When the sum
+reaches the limit, the runs that began last are given up, so that the others can end and make room.
 """
 
 from abc import ABC, abstractmethod
@@ -15,7 +14,7 @@
 
     @abstractmethod
     def give_up(self) -> None:
-        """End the run soon and drop what it has received. The run itself need not be told."""
+        """Drop what the run has received, and let it end soon; must return at once."""
 
 
 class OutputBudget:
--- a/tests/test_target_check.py
+++ b/tests/test_target_check.py
@@ -45,7 +45,7 @@
     await hang(reader, writer)
 
 
-async def send_garbage(reader, writer):
+async def send_no_http(reader, writer):
     writer.write(b"no answer\r\n")
     await hang(reader, writer)
 
@@ -77,14 +77,14 @@
         (hang, TargetCondition.DOWN),
         (report_without_start, TargetCondition.ANSWERING),
         (answer, TargetCondition.INCONCLUSIVE),
-        (send_garbage, TargetCondition.INCONCLUSIVE),
+        (send_no_http, TargetCondition.INCONCLUSIVE),
         (close_at_once, TargetCondition.INCONCLUSIVE),
     ],
 )
 def test_a_target_is_down_if_it_refuses_connections_or_does_not_answer(serve, condition):
     """A target with too many connections closes new ones at once, so that shows nothing.
 
-    The same comes from what stands before a target that has ended, or a status other than 200.
+    Nor does what a proxy before a target may send while the target is gone.
     """
     assert check(serve) is condition
 
--- a/tests/test_undelimited_answers.py
+++ b/tests/test_undelimited_answers.py
@@ -112,14 +112,14 @@
     return run(scenario())
 
 
-def hidden_target(last):
-    """Return a target whose report port stays open, as that of a proxy does, and sends nothing."""
+def proxied_target(last):
+    """Return a target that is gone behind a proxy, which accepts connections and resets them."""
     target = ScriptedTarget(partial(send_undelimited_stream, last=last))
 
-    async def close(session):
+    async def reset(session):
         session.reset()
 
-    target.before_report = close
+    target.before_report = reset
     return target
 
 
@@ -128,9 +128,9 @@
 
     What accepts them may be a proxy, or a link, before a target that has ended.
     """
-    answer = gateway_stream(hidden_target(last=2), ScriptedTarget(send_complete_stream))
+    answer = gateway_stream(proxied_target(last=2), ScriptedTarget(send_complete_stream))
     assert event_ids(answer) == [1, 2, 3, 4] and is_complete_stream(answer)
-    answer = gateway_stream(hidden_target(last=2), max_attempts=1, is_resumable=False)
+    answer = gateway_stream(proxied_target(last=2), max_attempts=1, is_resumable=False)
     assert event_ids(answer) == [1, 2] and not is_complete_stream(answer)
 
 
