An item goes to another target than those at which its last runs broke

Trace: the item was sent to the same faulty target nine times in 18 s, while others had free slots. Runners avoid a third of the targets at most, and those were still the ones that had failed before; the plan knows nothing of an item's earlier runs.

Change: an item remembers the targets at which its runs broke without progress, and starts at another one if any has a free slot.

Test: test_item_goes_to_another_target_than_those_at_which_it_broke (the former plan takes no such argument, and chose t1 for each of these items).

--- a/ebonyshore/runner/item_plan.py
+++ b/ebonyshore/runner/item_plan.py
@@ -10,10 +10,11 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from functools import lru_cache
 from hashlib import blake2b
 from heapq import heapify, heappop, heapreplace
+from types import MappingProxyType
 
 from msgspec import Struct
 
@@ -154,7 +155,11 @@
     return blake2b(f"{runner}\n{key}".encode(), digest_size=8).digest()
 
 
-def make_plan(waiting: Sequence[str], targets: Sequence[TargetSlots]) -> ItemPlan:
+def make_plan(
+    waiting: Sequence[str],
+    targets: Sequence[TargetSlots],
+    broken_targets: Mapping[str, Collection[str]] = MappingProxyType({}),
+) -> ItemPlan:
     """Return which items start now and which are preempted.
 
     At each target the last of the own items are preempted. Each item starts at the target whose
@@ -163,6 +168,8 @@
 
     :param waiting: keys of the waiting items, in the order in which they should start.
     :param targets: slots of the targets at which the items may run.
+    :param broken_targets: ids of the targets at which the last runs of an item broke, by its key;
+        it starts at another one if any has a free slot.
     """
     stops = [
         item
@@ -185,12 +192,35 @@
     for item in waiting:
         if not best_first:
             break
-        _, order, target_id = best_first[0]
+        choice = _choose(best_first, broken_targets.get(item, ()))
+        _, order, target_id = choice
         starts.append(ItemStart(item, target_id))
         free_slots[target_id] -= 1
-        if free_slots[target_id]:
-            work = free_slots[target_id] * targets_by_id[target_id].speed
-            heapreplace(best_first, (-work, order, target_id))
-        else:
-            heappop(best_first)
+        work = free_slots[target_id] * targets_by_id[target_id].speed
+        _replace(best_first, choice, (-work, order, target_id) if free_slots[target_id] else None)
     return ItemPlan(tuple(starts), tuple(stops))
+
+
+_Candidate = tuple[float, int, str]  # work of the free slots, negated; order; id of the target
+
+
+def _choose(best_first: list[_Candidate], avoided: Collection[str]) -> _Candidate:
+    """Return the best candidate that is not avoided, or else the best one."""
+    if not avoided:
+        return best_first[0]
+    others = (candidate for candidate in best_first if candidate[2] not in avoided)
+    return min(others, default=best_first[0])
+
+
+def _replace(best_first: list[_Candidate], old: _Candidate, new: _Candidate | None) -> None:
+    """Replace a candidate in the heap; ``None`` removes it."""
+    if old is best_first[0]:
+        if new is None:
+            heappop(best_first)
+        else:
+            heapreplace(best_first, new)
+        return
+    best_first.remove(old)
+    if new is not None:
+        best_first.append(new)
+    heapify(best_first)
--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -170,7 +170,8 @@
         self._stop_at_removed_targets()
 
     def _apply_plan(self, waiting: dict[str, WaitingItem], slots: list[TargetSlots]) -> None:
-        plan = make_plan(list(waiting), slots)
+        broken_targets = {key: found.item.broken_targets for key, found in waiting.items()}
+        plan = make_plan(list(waiting), slots, broken_targets)
         for key in plan.stops:
             running = self._running[key]
             self._metrics.count("items_yielded")
@@ -470,9 +471,11 @@
             return
         if outcome is RunOutcome.SILENT:
             target.mark_unresponsive(now_ms)
-        item.consecutive_broken_runs = (
-            0 if content_run.has_progress else item.consecutive_broken_runs + 1
-        )
+        if content_run.has_progress:
+            item.consecutive_broken_runs, item.broken_targets = 0, frozenset()
+        else:
+            item.consecutive_broken_runs += 1
+            item.broken_targets |= {target.target_id}
         # The item may run again at once after the first of several broken runs in succession.
         delay_ms = min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2**item.consecutive_broken_runs)
         item.not_before_ms = now_ms + (delay_ms if item.consecutive_broken_runs > 1 else 0.0)
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -49,6 +49,7 @@
     :ivar failures: number of runs that targets reported as failed, over all owners of the job.
     :ivar consecutive_broken_runs: number of runs with the outcome ``SILENT`` or ``BROKEN`` since
         the last run that received an event.
+    :ivar broken_targets: ids of the targets at which these runs broke.
     :ivar answering_targets: ids of the targets that have answered a run of the item.
     :ivar content_digest: digest of the item's request; ``None`` until it is needed.
     :ivar not_before_ms: event loop time before which the item must not run again.
@@ -64,6 +65,7 @@
 
     __slots__ = (
         "answering_targets",
+        "broken_targets",
         "consecutive_broken_runs",
         "content_digest",
         "data",
@@ -92,6 +94,7 @@
         self.origin: TargetGroup | None = None
         self.failures = 0
         self.consecutive_broken_runs = 0
+        self.broken_targets: frozenset[str] = frozenset()
         self.answering_targets: frozenset[str] = frozenset()
         self.content_digest: str | None = None
         self.not_before_ms = float("-inf")
--- a/tests/test_item_plan.py
+++ b/tests/test_item_plan.py
@@ -109,3 +109,14 @@
     other.is_primary = False
     assert make_plan([], [primary]).stops == ()
     assert make_plan([], [other]).stops == ("a1", "a2", "a3")
+
+
+def test_item_goes_to_another_target_than_those_at_which_it_broke():
+    """Guards against an item that is sent to one faulty target again and again while others are
+    free."""
+    targets = [TargetSlots(f"t{n}", 9 - n, 0, 0, []) for n in range(1, 4)]
+    broken = {"i1": {"t1"}, "i2": {"t1", "t2"}, "i4": {"t1", "t2", "t3"}}
+    plan = make_plan(["i1", "i2", "i3", "i4"], targets, broken)
+    assert [start.target_id for start in plan.starts] == ["t2", "t3", "t1", "t1"]
+    full = [TargetSlots("t1", 3, 0, 0, [])]
+    assert [start.target_id for start in make_plan(["i1"], full, broken).starts] == ["t1"]
