--- a/ebonyshore/runner/item_scheduler.py
+++ b/ebonyshore/runner/item_scheduler.py
@@ -471,7 +471,8 @@
             return
         if outcome is RunOutcome.SILENT:
             target.mark_unresponsive(now_ms)
-        if content_run.has_progress:
+        # The events of an answer that was too long are discarded.
+        if content_run.has_progress and item.last_event_id is not None:
             item.consecutive_broken_runs, item.broken_targets = 0, frozenset()
         else:
             item.consecutive_broken_runs += 1
--- a/ebonyshore/runner/job_progress.py
+++ b/ebonyshore/runner/job_progress.py
@@ -48,7 +48,7 @@
     :ivar origin: the targets that sent the events; ``None`` if there are none.
     :ivar failures: number of runs that targets reported as failed, over all owners of the job.
     :ivar consecutive_broken_runs: number of runs with the outcome ``SILENT`` or ``BROKEN`` since
-        the last run that received an event.
+        the last one whose progress was kept.
     :ivar broken_targets: ids of the targets at which these runs broke.
     :ivar answering_targets: ids of the targets that have answered a run of the item.
     :ivar content_digest: digest of the item's request; ``None`` until it is needed.
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -9,12 +9,14 @@
 from ebonyshore.frame.logs import EventLog
 from ebonyshore.frame.loop_time import now_ms
 from ebonyshore.frame.metrics import Metrics
-from ebonyshore.host.content_run import ContentRun
+from ebonyshore.host.content_run import MAX_CRASH_DELAY_MS, ContentRun
+from ebonyshore.host.request_content import RequestContent
 from ebonyshore.host.target import TargetEntry
 from ebonyshore.host.targets import TargetTable
 from ebonyshore.http.client import ExchangeError
 from ebonyshore.platform.wire_names import WIRE_NAMES
 from ebonyshore.runner.completion_rate import CompletionRate
+from ebonyshore.runner.item_run import RunOutcome, RunResult
 from ebonyshore.runner.item_scheduler import ItemScheduler
 from ebonyshore.runner.job_progress import ItemState
 from ebonyshore.runner.job_ranking import JobRanking
@@ -243,3 +245,52 @@
     setup = SchedulerSetup(pool)
     assert asyncio.run(break_then_restart(setup)) == 2
     assert pool.uses == 4
+
+
+class FaultyAddressPool(EndlessPool):
+    """A connection pool whose connections to one address break at once."""
+
+    def __init__(self, address):
+        self._address = address
+
+    def use(self, address, *_arguments, **_options):
+        return BreakingPool(1) if address == self._address else self
+
+
+def test_an_item_that_broke_at_a_target_starts_at_another_one():
+    """Guards against an item that is sent to one faulty target while others have free slots."""
+
+    async def run_items(setup):
+        setup.targets.put(TargetEntry("t2", "svc", "10.0.0.10:80", "fd-a", 4))
+        for _ in range(2):
+            setup.scheduler.schedule_items()
+            await asyncio.sleep(0.01)
+        targets = set(setup.scheduler.dump().values())
+        setup.scheduler.stop_all()
+        await asyncio.sleep(0.01)
+        return targets, [item.broken_targets for item in setup.items]
+
+    setup = SchedulerSetup(FaultyAddressPool("10.0.0.9:80"))
+    targets, broken_targets = asyncio.run(run_items(setup))
+    assert targets == {"t2"} and set(broken_targets) == {frozenset({"t1"})}
+
+
+@pytest.mark.parametrize("has_events, broken_targets", [(True, set()), (False, {"t1"})])
+def test_a_run_whose_events_were_discarded_has_made_no_progress(has_events, broken_targets):
+    """Guards against an item that receives as much as it may at a faulty target again and again."""
+
+    async def break_run(setup):
+        item = setup.items[0]
+        run = ContentRun(setup.targets.find("t1"), RequestContent("content"), 0.0)
+        run.record_event(0.0)
+        run.record_event(2 * MAX_CRASH_DELAY_MS)
+        item.start_run(now_ms())
+        if has_events:
+            item.add_event(1, "text", run.target.entry.group)
+        progress = setup.setup.registry.owned_jobs()[0]
+        setup.scheduler._handle_result(progress, item, run, RunResult(RunOutcome.BROKEN))
+        return item
+
+    item = asyncio.run(break_run(SchedulerSetup()))
+    assert item.broken_targets == broken_targets
+    assert item.consecutive_broken_runs == len(broken_targets)
