--- a/ebonyshore/runner/job_api.py
+++ b/ebonyshore/runner/job_api.py
@@ -123,7 +123,7 @@
         limits = ServerLimits(MAX_HEADER_BYTES, MAX_REQUEST_BYTES)
         limit_bytes = connection_limit_bytes(memory_bytes, resident_bytes())
         self._server = HttpServer(
-            self._serve, limits, self._report_failure, limit_bytes, max_connections
+            self._serve, limits, self._log_failure, limit_bytes, max_connections
         )
         self._memory_guard = MemoryGuard(self._server, memory_bytes, log, metrics)
 
@@ -344,5 +344,5 @@
     def _log_store_failure(self, call: JobCall, error: StoreError) -> None:
         self._log.event("job_call_failed", job=call.job_id, call=call.kind.value, error=str(error))
 
-    def _report_failure(self, request: Request, error: Exception) -> None:
+    def _log_failure(self, request: Request, error: Exception) -> None:
         self._log.event("job_call_crashed", path=request.path, error=repr(error))
--- a/tests/test_async_kernel.py
+++ b/tests/test_async_kernel.py
@@ -9,8 +9,11 @@
 from ebonyshore.frame.async_kernel import AsyncKernel, AsyncService, run_until_signal
 from ebonyshore.frame.errors import EbonyshoreError
 from ebonyshore.frame.result_codes import ResultCode
+from ebonyshore.gateway import front_server
+from ebonyshore.runner import job_api
 
 DRAIN_LIMIT_MS = 60.0
+SERVICE_MODULES = (front_server, job_api)  # loaded, so that their services are found
 
 
 class RecordingLog:
@@ -97,3 +100,26 @@
             kernel.find(name, kind)
     with pytest.raises(EbonyshoreError):
         kernel.register(Worker("worker", raise_error))
+
+
+def service_classes(parent=AsyncService):
+    for service_class in parent.__subclasses__():
+        yield service_class
+        yield from service_classes(service_class)
+
+
+def test_no_service_hides_how_its_failed_tasks_are_reported():
+    """Guards against a process that goes on without a task that it needs: the runner's API had a
+    method of that name for something else."""
+    names = {
+        service_class.name for service_class in service_classes() if "name" in vars(service_class)
+    }
+    assert {"front", "job_api", "readiness"} <= names
+    own = ("_report_failure", "spawn", "on_failure")
+    hidden = [
+        (service_class.__name__, name)
+        for service_class in service_classes()
+        for name in own
+        if name in vars(service_class)
+    ]
+    assert hidden == []
