Test runs at the same time have different loopback addresses

Cause: the addresses of a run came from its process id modulo 250; with equal remainders the metrics port of the second fleet is taken, and its processes end. Shown by two fleets with one octet: the second one fails in the same way, with address in use in its logs.

Change: a run reserves its addresses with a listening socket.

--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -1,6 +1,7 @@
 """Entries and runners as real processes on loopback, with a stand-in object store and targets."""
 
 import os
+import socket
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
@@ -13,11 +14,32 @@
 
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_MS = 20.0
-# The port of the metrics is the same for all processes, so each test run needs its own addresses.
-RUN_OCTET = 1 + os.getpid() % 250
+OCTETS = 250
+RESERVED_HOST = "127.{octet}.255.254"  # no process of a fleet has it
+RESERVED_PORT = 9463
 CLOCK = SystemClock()
 
 
+def reserve_octet() -> tuple[int, socket.socket]:
+    """Return the second octet of loopback addresses that no other test run uses.
+
+    The port of the metrics is the same for all processes, so each test run needs its own addresses.
+
+    :return: the octet, and the socket that reserves it until it is closed.
+    :raises OSError: if there is none.
+    """
+    for attempt in range(OCTETS):
+        octet = 1 + (os.getpid() + attempt) % OCTETS
+        try:
+            return octet, socket.create_server((RESERVED_HOST.format(octet=octet), RESERVED_PORT))
+        except OSError:
+            continue
+    raise OSError("all loopback addresses for test runs are in use")
+
+
+RUN_OCTET, _RESERVATION = reserve_octet()
+
+
 class PlatformFleet:
     """Entries, runners and targets that share one object store.
 
