The platform's messages that the fuzzer starts from stand with the stand-ins

tools/fuzz_targets.py held them, with the platform's names, which belong into the stand-ins' folder.

--- a/tools/fuzz_targets.py
+++ b/tools/fuzz_targets.py
@@ -66,6 +66,18 @@
 from ebonyshore_standins.client_crowd import HTTP_SHAPES
 from ebonyshore_standins.memory_platform import MemoryPlatform
 from ebonyshore_standins.received_bytes import feed_bytes
+from ebonyshore_standins.wire_samples import (
+    CONFIG,
+    ENTRY,
+    EVENTS,
+    OBJECT,
+    PAGE,
+    REQUEST,
+    RESPONSE,
+    SUBMISSION,
+    SWITCHING,
+    UPGRADE,
+)
 
 LOW_LIMITS = ServerLimits(max_header_bytes=2_000, max_body_bytes=5_000)
 # Fields as objects, their bytes twice at most, and the body.
@@ -85,36 +97,8 @@
     QuotaLedger,
     SuspicionRecord,
 )
-ENTRY = (
-    b'{"Service":"svc","Address":"10.0.0.9:80","Zone":"fd-a","Version":"v1","Capacity":8,'
-    b'"State":"ready","Sequence":1,"born":5,"ColdRemainingMs":0.5}'
-)
-OBJECT = b'{"Metadata":{"Name":"t1","Revision":7},"Spec":%b,"Status":null}' % ENTRY
-PAGE = b'{"Items":[%b,%b],"Truncated":false,"StoreRevision":9}' % (OBJECT, OBJECT)
-EVENTS = b'{"events":[{"Object":%b,"Deleted":false}],"StoreRevision":12}' % OBJECT
-CONFIG = (
-    b'{"Version":3,"Routes":[{"Name":"r1","Hostname":"a.example","PathPrefix":"/x/","Type":'
-    b'"streaming","TrafficSplit":[{"Service":"svc","Weight":1.5}],"TimeoutMs":800}],"Services":'
-    b'[{"Name":"svc","Engine":{"Capacity":8}}],"Limits":{"IdleTimeoutMs":9},"Tenants":[{"Name":"n",'
-    b'"ApiKeys":["k"],"RatePerS":5}]}'
-)
-SUBMISSION = (
-    b'{"Items":[{"Id":"i1","Path":"/x/1","Headers":{"Model":"m"},"Body":"q83v","TokenCount":9}]}'
-)
 JOB = JobRecord("j", "h", "/p/", 0, 1.0, 1.0, 3, (ItemRecord("i", "/x", (("A", "b"),), b"c"),))
 RECORD = b'{"sequence":1,"marks":["00ff"],"body":%b}' % encode(JOB)
-RESPONSE = (
-    b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Limit: 2.5\r\nServer-Leaving: 1\r\n"
-    b"Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n"
-    b"11\r\nid: 1\ndata: abc\n\n\r\n0\r\n\r\n"
-)
-REQUEST = (
-    b"POST /x/a?b=c HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\nAuthorization: Bearer k\r\n"
-    b"Prompt-Prefix: 5c1e:800,91bd:410\r\nToken-Usage: 10,5\r\nDeadline-Ms: 500\r\n"
-    b"Content-Length: 3\r\n\r\nabc"
-)
-UPGRADE = b"GET /x/a HTTP/1.1\r\nHost: a.example\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\nabc"
-SWITCHING = b"HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: h2c\r\nAttempt-Id: a1\r\n\r\nabc"
 STREAM = b"id: 1\ndata: abc\n\nid: 2\ndata: d\ndata: e\n\nid: 3\n\n"
 REPORT = LoadReport(
     "a",
