Tests start and stop a fleet of real processes in one way

`running` of the stand-ins' platform fleet does it in one place; nothing that is checked has changed.

--- a/ebonyshore_bench/entry_cost.py
+++ b/ebonyshore_bench/entry_cost.py
@@ -19,7 +19,7 @@
 from ebonyshore_bench.proc_stat import read_use
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import STREAM_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet
+from ebonyshore_standins.platform_fleet import PlatformFleet, running
 
 CALLERS = 24  # equals the total capacity of the targets
 ANSWER_EVENTS = 22
@@ -94,8 +94,7 @@
     )
     (entry,) = fleet.entries
     entry.interpreter_arguments = tuple(interpreter_arguments)
-    try:
-        fleet.start()
+    with running(fleet):
         before, lines_before, start_ms = (
             read_use(entry.pid),
             _count_lines(entry),
@@ -114,8 +113,6 @@
         entry.stop()
         log_lines = _count_lines(entry) - lines_before
         return EntryCost(name, answered, duration_ms, cpu_ms, log_lines)
-    finally:
-        fleet.stop()
 
 
 def hottest_functions(profile: Path, requests: int) -> list[HotFunction]:
--- a/ebonyshore_standins/platform_fleet.py
+++ b/ebonyshore_standins/platform_fleet.py
@@ -2,7 +2,8 @@
 
 import os
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
@@ -142,6 +143,16 @@
         return {process.name for process in self.processes} <= registered
 
 
+@contextmanager
+def running(fleet: PlatformFleet) -> Iterator[None]:
+    """Start a fleet, and stop it at the end of the block, also if it did not start."""
+    try:
+        fleet.start()
+        yield
+    finally:
+        fleet.stop()
+
+
 def _reaches_runners(entry: FleetProcess) -> bool:
     return read_job(entry, "unknown")[0] == 404
 
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -9,7 +9,7 @@
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import account
-from ebonyshore_standins.platform_fleet import PlatformFleet
+from ebonyshore_standins.platform_fleet import PlatformFleet, running
 
 RATE_PER_S, BURST = 12.0, 6.0
 # The platform's rule for any window.
@@ -25,12 +25,9 @@
     platform_fleet = PlatformFleet(
         tmp_path, entries=3, targets=3, address_octet=17, accounts=[limited]
     )
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         CLOCK.sleep_ms(SETTLE_MS)
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def send(entry, number):
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -15,7 +15,7 @@
 from ebonyshore_standins.client_crowd import HTTP_SHAPES, ClientCrowd
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
 from ebonyshore_standins.fleet_config import ROUTE_HOST, STREAM_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 from ebonyshore_standins.process_usage import count_descriptors, peak_resident_mb
 
 MEMORY_MB = 64.0
@@ -101,11 +101,8 @@
         process.memory_mb = MEMORY_MB
         process.max_descriptors = MAX_DESCRIPTORS
     fleet.set_store_address(fleet.platform.address)
-    try:
-        fleet.start()
+    with running(fleet):
         yield fleet
-    finally:
-        fleet.stop()
 
 
 def is_within_bounds(process):
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,7 +9,7 @@
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import SERVICE, SINGLE_ATTEMPT_PREFIX, STREAM_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet
+from ebonyshore_standins.platform_fleet import PlatformFleet, running
 
 # The platform's rules: at most three sends later than 3 s after the fifth crash, and from twice as
 # long after it at least half of the sound requests are answered at the first attempt.
@@ -45,11 +45,8 @@
     for target in platform_fleet.targets:
         target.crashing_parts = {BAD_PART}
         target.on_restart = lambda target=target: list_under_a_new_id(platform_fleet, target)
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def list_under_a_new_id(fleet, target):
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -17,7 +17,7 @@
     STREAM_PREFIX,
 )
 from ebonyshore_standins.object_store_server import OBJECTS_PATH
-from ebonyshore_standins.platform_fleet import PlatformFleet
+from ebonyshore_standins.platform_fleet import PlatformFleet, running
 from ebonyshore_standins.stream_target import StreamTarget
 
 TARGETS, SLOTS = 2, 4
@@ -43,11 +43,8 @@
 @pytest.fixture
 def fleet(tmp_path):
     fleet = PlatformFleet(tmp_path, 1, 1, TARGETS, address_octet=67, make_target=make_target)
-    try:
-        fleet.start()
+    with running(fleet):
         yield fleet
-    finally:
-        fleet.stop()
 
 
 def slow_writes_of_jobs(method, path):
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -8,7 +8,7 @@
 from ebonyshore.frame.clock import MS_PER_S, SystemClock
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
 from ebonyshore_standins.fleet_config import STREAM_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 # The platform's rule: from 3 s after a target first named its limit, it gets at most one and a half
 # times what that allows in any 4 s, and 5 requests.
@@ -30,11 +30,8 @@
 @pytest.fixture
 def fleet(tmp_path):
     platform_fleet = PlatformFleet(tmp_path, entries=3, targets=TARGETS, address_octet=13)
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def limit_targets(fleet, count, limit_per_s=LIMIT_PER_S):
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -17,18 +17,15 @@
     submit_job,
 )
 from ebonyshore_standins.fleet_config import SERVICE, SINGLE_ATTEMPT_PREFIX, make_config, route
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 from ebonyshore_standins.stream_target import expected_data
 
 
 @pytest.fixture
 def fleet(tmp_path):
     platform_fleet = PlatformFleet(tmp_path)
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def wait_for_all_results(fleet, job_id, timeout_s=20.0):
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -12,7 +12,7 @@
 from ebonyshore_standins.endless_target import EndlessAnswer, EndlessTarget
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
 from ebonyshore_standins.fleet_config import BATCH_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 ENTRY_MB, RUNNER_MB = 150, 180
 CALLERS = 36
@@ -75,11 +75,8 @@
     for process in fleet.processes:
         process.memory_mb = ENTRY_MB if process.role == "entry" else RUNNER_MB
     fleet.set_store_address(fleet.platform.address)
-    try:
-        fleet.start()
+    with running(fleet):
         yield fleet
-    finally:
-        fleet.stop()
 
 
 def set_answer(fleet, faulty, answer):
--- a/tests/test_removed_keys.py
+++ b/tests/test_removed_keys.py
@@ -10,7 +10,7 @@
 from ebonyshore.runner.config_confirmer import MAX_INTERVAL_MS
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
 from ebonyshore_standins.fleet_config import account, make_config
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 REVOCATION_MS = 1_500
 CONFIG_PATH = "/ebonyshore/objects/config/main"
@@ -23,11 +23,8 @@
     platform_fleet = PlatformFleet(
         tmp_path, address_octet=16, accounts=ACCOUNTS, revocation_ms=revocation_ms
     )
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def is_watch_or_stale_read(path):
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -10,7 +10,7 @@
 from ebonyshore_standins.crashing_target import CrashingTarget, CrashMode
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import SINGLE_ATTEMPT_PREFIX, STREAM_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 # The platform's rule: at most three sends later than 3 s after the third crash.
 TOLERATED_CRASHES = 3
@@ -40,11 +40,8 @@
     )
     for target in platform_fleet.targets:
         target.crashing_bodies = {RESUMABLE_BODY, SINGLE_ATTEMPT_BODY}
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def send_and_ignore_failure(entry, request_id, prefix, body):
--- a/tests/test_repeated_failures.py
+++ b/tests/test_repeated_failures.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ebonyshore_standins.fleet_client import read_job, submit_job
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 MAX_ATTEMPTS = 3  # of the batch route
 # The platform's rule: no more failed runs than this, over all owners.
@@ -18,11 +18,8 @@
     platform_fleet = PlatformFleet(tmp_path, entries=1, address_octet=4)
     for target in platform_fleet.targets:
         target.failing_ids.add(FAILING_ITEM)
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def failed_runs(fleet):
--- a/tests/test_runner_memory.py
+++ b/tests/test_runner_memory.py
@@ -5,7 +5,7 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.endless_target import EndlessAnswer, EndlessTarget
 from ebonyshore_standins.fleet_client import read_job, submit_job
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 RUNNER_MB = 180
 TARGETS = 12
@@ -20,11 +20,8 @@
     for process in fleet.runners:
         process.memory_mb = RUNNER_MB
     fleet.set_store_address(fleet.platform.address)
-    try:
-        fleet.start()
+    with running(fleet):
         yield fleet
-    finally:
-        fleet.stop()
 
 
 class JobWatch:
--- a/tests/test_saved_items_processes.py
+++ b/tests/test_saved_items_processes.py
@@ -6,7 +6,7 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.fleet_client import read_job, request_stream, submit_job
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 from ebonyshore_standins.stream_target import StreamTarget, expected_data, mixed_streams
 
 CLOCK = SystemClock()
@@ -25,11 +25,8 @@
 @pytest.fixture
 def fleet(tmp_path):
     platform_fleet = PlatformFleet(tmp_path, targets=TARGETS, make_target=make_target)
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def all_runs(fleet):
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -4,7 +4,7 @@
 
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.fleet_client import cancel_job, submit_job
-from ebonyshore_standins.platform_fleet import PlatformFleet
+from ebonyshore_standins.platform_fleet import PlatformFleet, running
 from ebonyshore_standins.stream_target import StreamTarget
 
 CLOCK = SystemClock()
@@ -25,11 +25,8 @@
         runners=4,
         make_target=lambda target_id: StreamTarget(target_id, event_interval_ms=EVENT_INTERVAL_MS),
     )
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def is_watch_of(kind, method, path):
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -12,7 +12,7 @@
 from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.fleet_client import read_job, submit_job
 from ebonyshore_standins.fleet_config import MAX_ATTEMPTS
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 from ebonyshore_standins.stream_target import StreamTarget, expected_data, mixed_streams
 
 CLOCK = SystemClock()
@@ -36,11 +36,8 @@
     platform_fleet = PlatformFleet(
         tmp_path, runners=3, targets=4, address_octet=8, make_target=make_target
     )
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def all_runs(fleet):
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -6,7 +6,7 @@
 from ebonyshore_standins.caller_stream import CallerStream
 from ebonyshore_standins.fleet_client import read_job, submit_job
 from ebonyshore_standins.fleet_config import SERVICE
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 CLOCK = SystemClock()
 JOBS = 15
@@ -17,11 +17,8 @@
 @pytest.fixture
 def fleet(tmp_path):
     platform_fleet = PlatformFleet(tmp_path, entries=3)
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def count_watches(fleet, kind):
--- a/tests/test_stored_convictions.py
+++ b/tests/test_stored_convictions.py
@@ -22,7 +22,7 @@
 from ebonyshore_standins.crashing_target import CrashingTarget
 from ebonyshore_standins.fleet_client import request_stream
 from ebonyshore_standins.fleet_config import SINGLE_ATTEMPT_PREFIX
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 from tests.failing_store import FailingStore
 from tests.gateway_setup import make_suspicions
 
@@ -145,8 +145,7 @@
     fleet = PlatformFleet(tmp_path, targets=5, address_octet=5, make_target=CrashingTarget)
     for target in fleet.targets:
         target.crashing_bodies = {BODY}
-    try:
-        fleet.start()
+    with running(fleet):
         send_repeatedly(fleet, "before")
         crashes = sum(len(target.crashes) for target in fleet.targets)
         wait_until(lambda: any("conviction_stored" in r.read_log() for r in fleet.runners), 5.0)
@@ -159,8 +158,6 @@
         wait_until(lambda: all(convictions(e) > former[e.name] for e in fleet.entries), 5.0)
         send_repeatedly(fleet, "after")
         assert sum(len(target.crashes) for target in fleet.targets) == crashes
-    finally:
-        fleet.stop()
 
 
 def convictions(entry):
--- a/tests/test_unlucky_items.py
+++ b/tests/test_unlucky_items.py
@@ -5,7 +5,7 @@
 from ebonyshore.frame.clock import SystemClock
 from ebonyshore_standins.crashing_target import CrashingTarget
 from ebonyshore_standins.fleet_client import item_body, read_job, submit_job
-from ebonyshore_standins.platform_fleet import PlatformFleet, wait_until
+from ebonyshore_standins.platform_fleet import PlatformFleet, running, wait_until
 
 ITEMS = 12
 UNLUCKY_ITEMS = 3
@@ -24,11 +24,8 @@
     platform_fleet = PlatformFleet(tmp_path, targets=6, address_octet=14, make_target=request.param)
     for target in platform_fleet.targets:
         target.crashing_bodies = {item_body(number) for number in range(UNLUCKY_ITEMS)}
-    try:
-        platform_fleet.start()
+    with running(platform_fleet):
         yield platform_fleet
-    finally:
-        platform_fleet.stop()
 
 
 def crashes(fleet, body):
